--- /dev/null
+++ b/benchmarks/__main__.py
@@ -0,0 +1,54 @@
+"""Runs the benchmarks and writes `build/bench.json`.
+
+Exits with 1 when a bound is broken. Arguments select benchmarks by name. A
+benchmark is a module `benchmarks/bench_<name>.py`.
+"""
+
+import json
+import sys
+from importlib import import_module
+from pathlib import Path
+
+from benchmarks.harness import BENCHMARKS, Figure
+
+RESULT_PATH = Path('build/bench.json')
+
+
+def load_benchmarks() -> None:
+    """Imports the modules that register benchmarks."""
+    for path in sorted(Path(__file__).parent.glob('bench_*.py')):
+        import_module(f'benchmarks.{path.stem}')
+
+
+def show(figure: Figure) -> None:
+    """Prints one figure with its bound."""
+    bound = ''
+    if figure.bound is not None:
+        verdict = 'kept' if figure.is_within_bound else 'BROKEN'
+        bound = f'{figure.bound.kind.value} {figure.bound.limit:g} {verdict}'
+    print(f'{figure.name:56} {figure.number:>14.6g}  {bound}', flush=True)
+
+
+def main() -> int:
+    """Runs the selected benchmarks, or all."""
+    load_benchmarks()
+    selected = sys.argv[1:] or BENCHMARKS.names()
+    figures: list[Figure] = []
+    for name in selected:
+        run = BENCHMARKS.get(name)
+        if run is None:
+            print(f'no benchmark {name}; there are {BENCHMARKS.names()}')
+            return 2
+        print(f'# {name}', flush=True)
+        for figure in run():
+            figures.append(figure)
+            show(figure)
+    RESULT_PATH.parent.mkdir(exist_ok=True)
+    numbers = {figure.name: figure.number for figure in figures}
+    RESULT_PATH.write_text(json.dumps(numbers, indent=2), encoding='utf-8')
+    broken = [figure for figure in figures if not figure.is_within_bound]
+    return 1 if broken else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/src/radishlift/__init__.py
@@ -0,0 +1,1 @@
+"""Radishlift: a cluster scheduler for unlike workloads."""
--- /dev/null
+++ b/src/radishlift/api/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP interface for callers and operators."""
--- /dev/null
+++ b/src/radishlift/config/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' one validated document."""
--- /dev/null
+++ b/src/radishlift/console/__init__.py
@@ -0,0 +1,1 @@
+"""Forms for operators."""
--- /dev/null
+++ b/src/radishlift/core/__init__.py
@@ -0,0 +1,1 @@
+"""Ids, errors, clock, registry, logs and codec shared by all modules."""
--- /dev/null
+++ b/src/radishlift/core/ids.py
@@ -0,0 +1,59 @@
+"""Identifiers, each a distinct type so that they can't be mixed up."""
+
+from typing import NewType
+
+DaemonId = NewType('DaemonId', str)
+PartitionId = NewType('PartitionId', str)
+WorkerId = NewType('WorkerId', str)
+RackId = NewType('RackId', str)
+DataCentreId = NewType('DataCentreId', str)
+RegionId = NewType('RegionId', str)
+ExecutorId = NewType('ExecutorId', str)
+ServiceName = NewType('ServiceName', str)
+DepartmentName = NewType('DepartmentName', str)
+TeamName = NewType('TeamName', str)
+JobId = NewType('JobId', str)
+TaskId = NewType('TaskId', str)
+RequestId = NewType('RequestId', str)
+IdempotencyKey = NewType('IdempotencyKey', str)
+
+Address = NewType('Address', str)
+"""An IP address and a port, as `127.0.0.1:7001`."""
+
+Incarnation = NewType('Incarnation', str)
+"""Identifies one run of a process; a restarted process has a new one."""
+
+Epoch = NewType('Epoch', int)
+"""Counts the owners of a partition; a later owner has a higher epoch."""
+
+Sequence = NewType('Sequence', int)
+"""Position of a row in the journal of a partition, from 1."""
+
+Attempt = NewType('Attempt', int)
+"""Counts the starts of a task, from 1."""
+
+ConfigVersion = NewType('ConfigVersion', int)
+"""Version of the configuration document, from 1."""
+
+__all__ = (
+    'Address',
+    'Attempt',
+    'ConfigVersion',
+    'DaemonId',
+    'DataCentreId',
+    'DepartmentName',
+    'Epoch',
+    'ExecutorId',
+    'IdempotencyKey',
+    'Incarnation',
+    'JobId',
+    'PartitionId',
+    'RackId',
+    'RegionId',
+    'RequestId',
+    'Sequence',
+    'ServiceName',
+    'TaskId',
+    'TeamName',
+    'WorkerId',
+)
--- /dev/null
+++ b/src/radishlift/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The program radishliftd."""
--- /dev/null
+++ b/src/radishlift/journal/__init__.py
@@ -0,0 +1,1 @@
+"""Write-ahead journal of a partition."""
--- /dev/null
+++ b/src/radishlift/journal/api.py
@@ -0,0 +1,25 @@
+"""Interface of state that is rebuilt from the journal."""
+
+from typing import Any, ClassVar, Protocol
+
+
+class JournaledState(Protocol):
+    """State that changes only by applying records.
+
+    Live changes and replay apply the same records in the same order, so that
+    a successor rebuilds the same state.
+    """
+
+    record_types: ClassVar[tuple[type, ...]]
+
+    def apply(self, record: Any) -> None:
+        """Applies one record of a type in `record_types`."""
+
+    def dump(self) -> Any:
+        """Returns the state as plain data for a snapshot."""
+
+    def load(self, plain: Any) -> None:
+        """Replaces the state by that of a snapshot."""
+
+
+__all__ = ('JournaledState',)
--- /dev/null
+++ b/src/radishlift/load/__init__.py
@@ -0,0 +1,1 @@
+"""Load tool with the traffic of each department."""
--- /dev/null
+++ b/src/radishlift/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Peers, heartbeats and evidence of failure."""
--- /dev/null
+++ b/src/radishlift/membership/api.py
@@ -0,0 +1,37 @@
+"""Interface to the members of the fleet, for modules that act on failures."""
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from radishlift.core.ids import Address, DaemonId, DataCentreId, Incarnation
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """A daemon as its row in the `daemons` table describes it."""
+
+    daemon_id: DaemonId
+    incarnation: Incarnation
+    listen: Address
+    peer_listen: Address
+    data_centre: DataCentreId
+
+
+class MemberDirectory(Protocol):
+    """The known daemons and what is known about their failures."""
+
+    def members(self) -> tuple[Member, ...]:
+        """Lists the known daemons, including this one."""
+
+    def is_suspected(self, daemon_id: DaemonId) -> bool:
+        """Tells whether heartbeats are missing; no evidence of death."""
+
+    def is_dead(self, daemon_id: DaemonId, incarnation: Incarnation) -> bool:
+        """Tells whether there is evidence that this incarnation is dead.
+
+        Evidence is a refused connection at its address, a newer incarnation,
+        or a host that is gone from the host list; never a missed heartbeat.
+        """
+
+
+__all__ = ('Member', 'MemberDirectory')
--- /dev/null
+++ b/src/radishlift/ownership/__init__.py
@@ -0,0 +1,1 @@
+"""Ownership of partitions by conditional rows."""
--- /dev/null
+++ b/src/radishlift/partitions/__init__.py
@@ -0,0 +1,1 @@
+"""Runs owned partitions and routes jobs to them."""
--- /dev/null
+++ b/src/radishlift/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Tables, policies and systems that place tasks on workers."""
--- /dev/null
+++ b/src/radishlift/placement/records.py
@@ -0,0 +1,119 @@
+"""Journal records of placement; times are wall time of the owner."""
+
+from dataclasses import dataclass
+
+from radishlift.core.ids import (
+    Attempt,
+    Incarnation,
+    JobId,
+    PartitionId,
+    TaskId,
+    WorkerId,
+)
+from radishlift.journal.records import record
+from radishlift.placement.jobs import JobSpec, Resources, TaskState
+
+
+@record('job_accepted')
+@dataclass(frozen=True, slots=True)
+class JobAccepted:
+    """A job entered the queue of this partition.
+
+    `from_partition` is the home of a job that was handed off, else empty.
+    """
+
+    spec: JobSpec
+    accepted_at_ms: int
+    from_partition: PartitionId = PartitionId('')
+
+
+@record('job_handed_off')
+@dataclass(frozen=True, slots=True)
+class JobHandedOff:
+    """A queued job of this home was given to another partition."""
+
+    job_id: JobId
+    to_partition: PartitionId
+
+
+@record('job_cancelled')
+@dataclass(frozen=True, slots=True)
+class JobCancelled:
+    """A caller cancelled a job."""
+
+    job_id: JobId
+
+
+@record('task_placed')
+@dataclass(frozen=True, slots=True)
+class TaskPlaced:
+    """An attempt of a task was bound to a worker and its capacity.
+
+    The start may be sent once this is journaled.
+    """
+
+    task_id: TaskId
+    attempt: Attempt
+    worker_id: WorkerId
+    incarnation: Incarnation
+    reserved: Resources
+    placed_at_ms: int
+
+
+@record('task_stopping')
+@dataclass(frozen=True, slots=True)
+class TaskStopping:
+    """An attempt is to be stopped; its capacity stays committed.
+
+    `is_requeued` tells whether the task is queued again after the stop.
+    """
+
+    task_id: TaskId
+    attempt: Attempt
+    is_requeued: bool
+    reason: str
+
+
+@record('task_ended')
+@dataclass(frozen=True, slots=True)
+class TaskEnded:
+    """An attempt surely does not run any more; its capacity is free.
+
+    `state` is that of the task: finished, failed, cancelled, or queued for
+    another attempt.
+    """
+
+    task_id: TaskId
+    attempt: Attempt
+    state: TaskState
+    reason: str
+
+
+@record('worker_quarantined')
+@dataclass(frozen=True, slots=True)
+class WorkerQuarantined:
+    """A worker gets no new tasks but probes until it is returned."""
+
+    worker_id: WorkerId
+    incarnation: Incarnation
+    reason: str
+
+
+@record('worker_returned')
+@dataclass(frozen=True, slots=True)
+class WorkerReturned:
+    """A quarantined worker gets tasks again."""
+
+    worker_id: WorkerId
+
+
+__all__ = (
+    'JobAccepted',
+    'JobCancelled',
+    'JobHandedOff',
+    'TaskEnded',
+    'TaskPlaced',
+    'TaskStopping',
+    'WorkerQuarantined',
+    'WorkerReturned',
+)
--- /dev/null
+++ b/src/radishlift/platform/http.py
@@ -0,0 +1,204 @@
+"""HTTP clients of the platform's services."""
+
+import json
+from typing import Any, Final
+
+from aiohttp import (
+    ClientConnectorError,
+    ClientError,
+    ClientSession,
+    ClientTimeout,
+)
+
+from radishlift.core.codec import dump_plain, parse_plain
+from radishlift.core.errors import ErrorKind, Failure
+from radishlift.core.ids import Address
+from radishlift.platform.api import (
+    Committed,
+    Conflict,
+    Host,
+    Row,
+    Transaction,
+)
+
+_OK: Final = 200
+_NOT_FOUND: Final = 404
+_CONFLICT: Final = 409
+_REFUSALS: Final = frozenset((429, 503))
+
+
+class PlatformClient:
+    """Calls one platform address; shared by the clients below."""
+
+    def __init__(
+        self,
+        session: ClientSession,
+        address: Address,
+        timeout_ms: int,
+    ) -> None:
+        self._session = session
+        self._base = f'http://{address}'
+        self._timeout = ClientTimeout(total=timeout_ms / 1000)
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        **options: Any,
+    ) -> tuple[int, bytes] | Failure:
+        """Sends a request and reads the whole answer.
+
+        Fails with `store_unavailable` when the request was surely not
+        executed, else with `store_outcome_unknown`.
+        """
+        url = self._base + path
+        try:
+            async with self._session.request(
+                method,
+                url,
+                timeout=self._timeout,
+                **options,
+            ) as response:
+                body = await response.read()
+        except ClientConnectorError as refused:
+            return Failure(ErrorKind.store_unavailable, str(refused))
+        except TimeoutError:
+            return Failure(ErrorKind.store_outcome_unknown, 'no answer in time')
+        except ClientError as error:
+            return Failure(ErrorKind.store_outcome_unknown, repr(error))
+        if response.status in _REFUSALS:
+            reason = f'platform answered {response.status}'
+            return Failure(ErrorKind.store_unavailable, reason)
+        if response.status >= 500:
+            reason = f'platform answered {response.status}'
+            return Failure(ErrorKind.store_outcome_unknown, reason)
+        return response.status, body
+
+    async def call_json(
+        self,
+        method: str,
+        path: str,
+        **options: Any,
+    ) -> tuple[int, Any] | Failure:
+        """Sends a request whose answer is JSON."""
+        answer = await self.call(method, path, **options)
+        if isinstance(answer, Failure):
+            return answer
+        status, body = answer
+        try:
+            return status, json.loads(body)
+        except ValueError:
+            reason = f'platform answered {status} without JSON'
+            return Failure(ErrorKind.store_outcome_unknown, reason)
+
+
+class HttpTableStore:
+    """Client of the table service."""
+
+    def __init__(self, client: PlatformClient) -> None:
+        self._client = client
+
+    async def read(self, table: str, key: str) -> Row | Failure:
+        """Reads one row; an absent row has version 0."""
+        answer = await self._client.call_json(
+            'GET',
+            '/table/row',
+            params={'table': table, 'key': key},
+        )
+        if isinstance(answer, Failure):
+            return answer
+        return parse_plain(answer[1], Row)
+
+    async def scan(
+        self,
+        table: str,
+        prefix: str = '',
+        after: str = '',
+        limit: int = 500,
+    ) -> tuple[Row, ...] | Failure:
+        """Reads rows in key order, those after the given key."""
+        answer = await self._client.call_json(
+            'GET',
+            '/table/scan',
+            params={
+                'table': table,
+                'prefix': prefix,
+                'after': after,
+                'limit': str(limit),
+            },
+        )
+        if isinstance(answer, Failure):
+            return answer
+        return parse_plain(answer[1]['rows'], tuple[Row, ...])
+
+    async def commit(
+        self,
+        transaction: Transaction,
+    ) -> Committed | Conflict | Failure:
+        """Applies a transaction."""
+        answer = await self._client.call_json(
+            'POST',
+            '/table/commit',
+            json=dump_plain(transaction),
+        )
+        if isinstance(answer, Failure):
+            return answer
+        status, plain = answer
+        if status == _OK:
+            return parse_plain(plain, Committed)
+        if status == _CONFLICT:
+            return parse_plain(plain, Conflict)
+        return Failure(ErrorKind.invalid_input, f'commit answered {status}')
+
+
+class HttpObjectStore:
+    """Client of the object store."""
+
+    def __init__(self, client: PlatformClient) -> None:
+        self._client = client
+
+    async def put(self, name: str, content: bytes) -> Failure | None:
+        """Stores an object, replacing an earlier one of the name."""
+        answer = await self._client.call('PUT', _object(name), data=content)
+        return answer if isinstance(answer, Failure) else None
+
+    async def get(self, name: str) -> bytes | Failure:
+        """Reads an object; fails with `not_found` when there is none."""
+        answer = await self._client.call('GET', _object(name))
+        if isinstance(answer, Failure):
+            return answer
+        status, body = answer
+        if status == _NOT_FOUND:
+            return Failure(ErrorKind.not_found, f'no object {name}')
+        return body
+
+    async def delete(self, name: str) -> Failure | None:
+        """Deletes an object if it exists."""
+        answer = await self._client.call('DELETE', _object(name))
+        return answer if isinstance(answer, Failure) else None
+
+
+class HttpHostList:
+    """Client of the host list."""
+
+    def __init__(self, client: PlatformClient) -> None:
+        self._client = client
+
+    async def fetch(self) -> tuple[Host, ...] | Failure:
+        """Reads the list."""
+        answer = await self._client.call_json('GET', '/hosts')
+        if isinstance(answer, Failure):
+            return answer
+        return parse_plain(answer[1]['hosts'], tuple[Host, ...])
+
+
+def _object(name: str) -> str:
+    return f'/objects/{name}'
+
+
+__all__ = (
+    'HttpHostList',
+    'HttpObjectStore',
+    'HttpTableStore',
+    'PlatformClient',
+)
--- /dev/null
+++ b/src/radishlift/report/__init__.py
@@ -0,0 +1,1 @@
+"""Metrics and the service-level burn report."""
--- /dev/null
+++ b/src/radishlift/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Routing of requests to executors."""
--- /dev/null
+++ b/src/radishlift/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Checked settings of the daemon."""
--- /dev/null
+++ b/src/radishlift/settings/daemon.py
@@ -0,0 +1,42 @@
+"""Settings of the daemon itself and of its connection to the platform."""
+
+from dataclasses import dataclass
+
+from radishlift.settings.sections import bounded, choice, section
+
+
+@section('daemon')
+@dataclass(frozen=True, slots=True)
+class DaemonSettings:
+    """Identity and addresses of a daemon.
+
+    `listen` serves callers and operators over HTTP, `peer_listen` serves
+    other daemons. `seed_peers` lists the peer addresses `id=ip:port` that
+    are known before the table service has been read.
+    """
+
+    daemon_id: str
+    data_centre: str
+    listen: str
+    peer_listen: str
+    region: str = ''
+    seed_peers: tuple[str, ...] = ()
+    peer_secret: str = ''
+    change_token: str = ''
+    drain_timeout_ms: int = bounded(30_000, 0, 600_000)
+    log_level: str = choice('INFO', ('DEBUG', 'INFO', 'WARNING', 'ERROR'))
+
+
+@section('platform')
+@dataclass(frozen=True, slots=True)
+class PlatformSettings:
+    """Addresses of the platform's services, as `ip:port`."""
+
+    table_address: str
+    object_address: str
+    host_list_address: str
+    timeout_ms: int = bounded(1_500, 10, 60_000)
+    host_list_interval_ms: int = bounded(500, 50, 60_000)
+
+
+__all__ = ('DaemonSettings', 'PlatformSettings')
--- /dev/null
+++ b/src/radishlift/settings/loader.py
@@ -0,0 +1,64 @@
+"""Loads the daemon's INI file and checks every section."""
+
+from configparser import ConfigParser
+from configparser import Error as IniError
+from pathlib import Path
+from typing import Any, TypeVar
+
+from radishlift.settings.sections import (
+    SECTIONS,
+    SettingsError,
+    parse_section,
+)
+
+Section = TypeVar('Section')
+
+
+class Settings:
+    """All sections of a settings file, looked up by their type."""
+
+    def __init__(self, sections: dict[type, Any]) -> None:
+        self._sections = sections
+
+    def get(self, section_type: type[Section]) -> Section:
+        """Returns a section; one absent from the file has its defaults."""
+        return self._sections[section_type]
+
+
+def load_settings(path: Path) -> Settings | tuple[SettingsError, ...]:
+    """Reads and checks a settings file.
+
+    Returns every error in the file, not only the first.
+    """
+    parser = ConfigParser(interpolation=None)
+    try:
+        parser.read_string(path.read_text(encoding='utf-8'), str(path))
+    except (OSError, UnicodeDecodeError, IniError) as error:
+        reason = str(error).replace('\n', ' ')
+        return (SettingsError('', str(path), reason, 'a readable INI file'),)
+    return check_sections(
+        {name: dict(parser.items(name)) for name in parser.sections()}
+    )
+
+
+def check_sections(
+    given: dict[str, dict[str, str]],
+) -> Settings | tuple[SettingsError, ...]:
+    """Checks the pairs of all sections."""
+    known = ', '.join(SECTIONS.names())
+    errors = [
+        SettingsError(name, '', name, f'one of the sections {known}')
+        for name in given
+        if SECTIONS.get(name) is None
+    ]
+    sections: dict[type, Any] = {}
+    for name, section_type in SECTIONS:
+        parsed = parse_section(name, section_type, given.get(name, {}))
+        if isinstance(parsed, tuple):
+            errors.extend(parsed)
+        else:
+            sections[section_type] = parsed
+    return tuple(errors) if errors else Settings(sections)
+
+
+__all__ = ('Settings', 'check_sections', 'load_settings')
--- /dev/null
+++ b/src/radishlift/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Typed msgpack streams between daemons."""
--- /dev/null
+++ b/src/radishlift/wire/connection.py
@@ -0,0 +1,168 @@
+"""One connection between two daemons, in either direction."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from itertools import count
+from typing import Any, Final
+
+from radishlift.core.errors import ErrorKind, Failure
+from radishlift.core.logs import log_event
+from radishlift.wire.frames import (
+    Frame,
+    FrameDecoder,
+    FrameKind,
+    encode_frame,
+)
+from radishlift.wire.messages import decode_message, encode_message
+
+_READ_BYTES: Final = 64 * 1024
+_MAX_SEND_BUFFER_BYTES: Final = 4 * 1024 * 1024
+
+Dispatch = Callable[[Any], Awaitable[Any]]
+
+
+class PeerConnection:
+    """Sends and receives frames; pairs replies with calls.
+
+    Each call is answered at most once; a reply that comes after its call
+    timed out is dropped, so that it can't reach another caller.
+    """
+
+    def __init__(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        dispatch: Dispatch,
+    ) -> None:
+        self._reader = reader
+        self._writer = writer
+        self._dispatch = dispatch
+        self._call_ids = count(1)
+        self._calls: dict[int, asyncio.Future[Any]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.sent_bytes = 0
+        self.received_bytes = 0
+
+    @property
+    def is_open(self) -> bool:
+        """Tells whether frames can be sent."""
+        return not self._writer.is_closing()
+
+    def send(self, typed: object) -> Failure | None:
+        """Sends a message that has no reply."""
+        name, fields = encode_message(typed)
+        return self.send_frame(Frame(FrameKind.one_way, 0, name, fields))
+
+    async def call(self, typed: object, timeout_ms: int) -> Any:
+        """Sends a message and waits for its reply or a failure.
+
+        Fails with `peer_unavailable` when the message was surely not sent,
+        else with `peer_outcome_unknown`.
+        """
+        call_id = next(self._call_ids)
+        name, fields = encode_message(typed)
+        failure = self.send_frame(Frame(FrameKind.call, call_id, name, fields))
+        if failure is not None:
+            return failure
+        future = asyncio.get_running_loop().create_future()
+        self._calls[call_id] = future
+        try:
+            async with asyncio.timeout(timeout_ms / 1000):
+                return await future
+        except TimeoutError:
+            reason = f'no reply to {name} in {timeout_ms} ms'
+            return Failure(ErrorKind.peer_outcome_unknown, reason)
+        finally:
+            self._calls.pop(call_id, None)
+
+    def send_frame(self, frame: Frame) -> Failure | None:
+        """Puts a frame on the stream."""
+        encoded = encode_frame(frame)
+        if isinstance(encoded, Failure):
+            return encoded
+        if not self.is_open:
+            return Failure(ErrorKind.peer_unavailable, 'connection is closed')
+        # A peer that does not read must not fill this process's memory.
+        buffered_bytes = self._writer.transport.get_write_buffer_size()
+        if buffered_bytes > _MAX_SEND_BUFFER_BYTES:
+            return Failure(ErrorKind.peer_unavailable, 'send buffer is full')
+        self._writer.write(encoded)
+        self.sent_bytes += len(encoded)
+        return None
+
+    async def run(self) -> None:
+        """Receives frames until the stream ends, then fails open calls."""
+        decoder = FrameDecoder()
+        try:
+            while received := await self._reader.read(_READ_BYTES):
+                self.received_bytes += len(received)
+                for frame in decoder.feed(received):
+                    if isinstance(frame, Failure):
+                        log_event('bad_frame', reason=frame.reason)
+                        return
+                    self._receive(frame)
+        except OSError as error:
+            log_event('peer_stream_broken', level='DEBUG', reason=error)
+        finally:
+            self.close()
+
+    def close(self) -> None:
+        """Closes the stream; open calls end with an unknown outcome."""
+        self._writer.close()
+        for future in self._calls.values():
+            if not future.done():
+                reason = 'connection closed before the reply'
+                future.set_result(
+                    Failure(ErrorKind.peer_outcome_unknown, reason),
+                )
+
+    def _receive(self, frame: Frame) -> None:
+        if frame.kind in {FrameKind.reply, FrameKind.failure}:
+            self._finish_call(frame)
+        elif frame.kind in {FrameKind.call, FrameKind.one_way}:
+            task = asyncio.create_task(self._handle(frame))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    def _finish_call(self, frame: Frame) -> None:
+        future = self._calls.get(frame.call_id)
+        if future is None or future.done():
+            log_event('late_reply_dropped', level='DEBUG', name=frame.name)
+            return
+        if frame.kind is FrameKind.failure:
+            future.set_result(_decode_failure(frame))
+        else:
+            future.set_result(decode_message(frame.name, frame.fields))
+
+    async def _handle(self, frame: Frame) -> None:
+        typed = decode_message(frame.name, frame.fields)
+        if isinstance(typed, Failure):
+            log_event('bad_message', reason=typed.reason)
+            self.close()
+            return
+        reply = await self._dispatch(typed)
+        if frame.kind is FrameKind.call:
+            self.send_frame(_encode_reply(frame.call_id, reply))
+
+
+def _encode_reply(call_id: int, reply: object) -> Frame:
+    if isinstance(reply, Failure):
+        return Frame(
+            FrameKind.failure,
+            call_id,
+            reply.kind.value,
+            reply.reason,
+        )
+    name, fields = encode_message(reply)
+    return Frame(FrameKind.reply, call_id, name, fields)
+
+
+def _decode_failure(frame: Frame) -> Failure:
+    try:
+        kind = ErrorKind(frame.name)
+    except ValueError:
+        kind = ErrorKind.bad_frame
+    return Failure(kind, str(frame.fields))
+
+
+__all__ = ('PeerConnection',)
--- /dev/null
+++ b/src/radishlift/wire/frames.py
@@ -0,0 +1,96 @@
+"""Frames of the streams between daemons, encoded as msgpack.
+
+A frame is an array `[version, kind, call_id, name, fields]`. The first frame
+of a connection is a hello that names the sending daemon.
+"""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from enum import IntEnum, unique
+from typing import Any, Final
+
+from msgpack import Unpacker, packb
+from msgpack.exceptions import UnpackException
+
+from radishlift.core.errors import ErrorKind, Failure
+
+FRAME_VERSION: Final = 1
+MAX_FRAME_BYTES: Final = 1024 * 1024
+
+
+@unique
+class FrameKind(IntEnum):
+    """What a frame is for."""
+
+    hello = 0
+    one_way = 1
+    call = 2
+    reply = 3
+    failure = 4
+
+
+@dataclass(frozen=True, slots=True)
+class Frame:
+    """One frame; `call_id` pairs a reply with its call."""
+
+    kind: FrameKind
+    call_id: int
+    name: str
+    fields: Any
+
+
+def encode_frame(frame: Frame) -> bytes | Failure:
+    """Encodes a frame; fails with `too_large` above the bound."""
+    encoded = packb(
+        [
+            FRAME_VERSION,
+            int(frame.kind),
+            frame.call_id,
+            frame.name,
+            frame.fields,
+        ]
+    )
+    if len(encoded) > MAX_FRAME_BYTES:
+        reason = f'frame of {len(encoded)} bytes, at most {MAX_FRAME_BYTES}'
+        return Failure(ErrorKind.too_large, reason)
+    return encoded
+
+
+class FrameDecoder:
+    """Decodes a stream of bytes into frames."""
+
+    def __init__(self) -> None:
+        self._unpacker = Unpacker(max_buffer_size=2 * MAX_FRAME_BYTES)
+
+    def feed(self, received: bytes) -> Iterator[Frame | Failure]:
+        """Yields the frames completed by these bytes.
+
+        A `bad_frame` failure ends the stream: its connection must be closed.
+        """
+        try:
+            self._unpacker.feed(received)
+            for plain in self._unpacker:
+                yield _check_frame(plain)
+        except (UnpackException, ValueError) as error:
+            yield Failure(ErrorKind.bad_frame, f'not msgpack: {error!r}')
+
+
+def _check_frame(plain: object) -> Frame | Failure:
+    match plain:
+        case [int(version), int(kind), int(call_id), str(name), fields]:
+            if version != FRAME_VERSION:
+                return Failure(ErrorKind.bad_frame, f'version {version}')
+            if kind not in FrameKind.__members__.values():
+                return Failure(ErrorKind.bad_frame, f'frame kind {kind}')
+            return Frame(FrameKind(kind), call_id, name, fields)
+    return Failure(ErrorKind.bad_frame, 'not a frame')
+
+
+__all__ = (
+    'FRAME_VERSION',
+    'MAX_FRAME_BYTES',
+    'Frame',
+    'FrameDecoder',
+    'FrameKind',
+    'encode_frame',
+)
--- /dev/null
+++ b/src/radishlift/wire/network.py
@@ -0,0 +1,213 @@
+"""The streams of one daemon to and from its peers."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any, Final
+
+from radishlift.core.errors import ErrorKind, Failure
+from radishlift.core.ids import Address, DaemonId
+from radishlift.core.logs import log_event
+from radishlift.wire.connection import PeerConnection
+from radishlift.wire.frames import Frame, FrameDecoder, FrameKind
+
+_CONNECT_TIMEOUT_MS: Final = 1000
+_HELLO_TIMEOUT_MS: Final = 2000
+_HELLO_BYTES: Final = 4096
+
+MessageHandler = Callable[[DaemonId, Any], Awaitable[Any]]
+
+
+class PeerNetwork:
+    """Calls peers by id and dispatches their messages to handlers.
+
+    Each daemon opens its own stream to a peer for its calls; the stream that
+    the peer opened serves the peer's calls.
+    """
+
+    def __init__(self, daemon_id: DaemonId, secret: str = '') -> None:
+        self.daemon_id = daemon_id
+        self._secret = secret
+        self._addresses: dict[DaemonId, Address] = {}
+        self._outgoing: dict[DaemonId, PeerConnection] = {}
+        self._incoming: set[PeerConnection] = set()
+        self._connecting: dict[DaemonId, asyncio.Lock] = {}
+        self._handlers: dict[type, MessageHandler] = {}
+        self._server: asyncio.Server | None = None
+        self._runners: set[asyncio.Task[None]] = set()
+
+    def register(self, message_type: type, handler: MessageHandler) -> None:
+        """Sets the handler of a message type.
+
+        The handler gets the sender and the message and returns the reply, a
+        `Failure`, or None for a message that has no reply.
+        """
+        self._handlers[message_type] = handler
+
+    def set_peers(self, addresses: dict[DaemonId, Address]) -> None:
+        """Replaces the known peers; only these may connect."""
+        for daemon_id, connection in list(self._outgoing.items()):
+            if addresses.get(daemon_id) != self._addresses.get(daemon_id):
+                connection.close()
+                self._outgoing.pop(daemon_id, None)
+        self._addresses = dict(addresses)
+
+    @property
+    def peers(self) -> tuple[DaemonId, ...]:
+        """Lists the known peers, without this daemon."""
+        return tuple(
+            daemon_id
+            for daemon_id in self._addresses
+            if daemon_id != self.daemon_id
+        )
+
+    @property
+    def traffic_bytes(self) -> int:
+        """Counts bytes sent and received on the open streams."""
+        connections = (*self._outgoing.values(), *self._incoming)
+        return sum(
+            connection.sent_bytes + connection.received_bytes
+            for connection in connections
+        )
+
+    async def start(self, address: Address) -> None:
+        """Listens for peers on an address."""
+        host, _, port = address.rpartition(':')
+        self._server = await asyncio.start_server(
+            self._accept,
+            host,
+            int(port),
+        )
+
+    async def stop(self) -> None:
+        """Stops listening and closes all streams."""
+        if self._server is not None:
+            self._server.close()
+        for connection in (*self._outgoing.values(), *self._incoming):
+            connection.close()
+        for runner in self._runners:
+            runner.cancel()
+
+    async def call(
+        self,
+        daemon_id: DaemonId,
+        typed: object,
+        timeout_ms: int,
+    ) -> Any:
+        """Calls a peer, or this daemon itself, and returns its reply."""
+        if daemon_id == self.daemon_id:
+            return await self._dispatch(daemon_id, typed)
+        connection = await self._connect(daemon_id)
+        if isinstance(connection, Failure):
+            return connection
+        return await connection.call(typed, timeout_ms)
+
+    async def send(self, daemon_id: DaemonId, typed: object) -> Failure | None:
+        """Sends a message without a reply; it may be lost."""
+        connection = await self._connect(daemon_id)
+        if isinstance(connection, Failure):
+            return connection
+        return connection.send(typed)
+
+    async def probe(self, daemon_id: DaemonId) -> Failure | None:
+        """Connects to a peer unless connected; returns why that failed."""
+        connection = await self._connect(daemon_id)
+        return connection if isinstance(connection, Failure) else None
+
+    async def _connect(self, daemon_id: DaemonId) -> PeerConnection | Failure:
+        lock = self._connecting.setdefault(daemon_id, asyncio.Lock())
+        async with lock:
+            connection = self._outgoing.get(daemon_id)
+            if connection is not None and connection.is_open:
+                return connection
+            return await self._open(daemon_id)
+
+    async def _open(self, daemon_id: DaemonId) -> PeerConnection | Failure:
+        address = self._addresses.get(daemon_id)
+        if address is None:
+            reason = f'{daemon_id} is not a known peer'
+            return Failure(ErrorKind.peer_unavailable, reason)
+        host, _, port = address.rpartition(':')
+        try:
+            async with asyncio.timeout(_CONNECT_TIMEOUT_MS / 1000):
+                reader, writer = await asyncio.open_connection(host, int(port))
+        except ConnectionRefusedError:
+            reason = f'{address} refused the connection'
+            return Failure(ErrorKind.peer_unavailable, reason)
+        except (OSError, TimeoutError) as error:
+            reason = f'{address} is unreachable: {error!r}'
+            return Failure(ErrorKind.peer_unavailable, reason)
+        connection = PeerConnection(
+            reader,
+            writer,
+            lambda typed: self._dispatch(daemon_id, typed),
+        )
+        hello = Frame(FrameKind.hello, 0, self.daemon_id, self._secret)
+        connection.send_frame(hello)
+        self._outgoing[daemon_id] = connection
+        self._run(connection)
+        return connection
+
+    async def _accept(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        hello = await _read_hello(reader)
+        if isinstance(hello, Failure) or not self._is_member(hello):
+            reason = hello.reason if isinstance(hello, Failure) else hello.name
+            log_event('peer_rejected', reason=reason)
+            writer.close()
+            return
+        sender = DaemonId(hello.name)
+        connection = PeerConnection(
+            reader,
+            writer,
+            lambda typed: self._dispatch(sender, typed),
+        )
+        self._incoming.add(connection)
+        self._run(connection)
+
+    def _is_member(self, hello: Frame) -> bool:
+        return hello.fields == self._secret and hello.name in self._addresses
+
+    def _run(self, connection: PeerConnection) -> None:
+        runner = asyncio.create_task(connection.run())
+        self._runners.add(runner)
+
+        def forget(task: asyncio.Task[None]) -> None:
+            self._runners.discard(task)
+            self._incoming.discard(connection)
+
+        runner.add_done_callback(forget)
+
+    async def _dispatch(self, sender: DaemonId, typed: object) -> Any:
+        handler = self._handlers.get(type(typed))
+        if handler is None:
+            reason = f'no handler for {type(typed).__name__}'
+            return Failure(ErrorKind.bad_frame, reason)
+        return await handler(sender, typed)
+
+
+async def _read_hello(reader: asyncio.StreamReader) -> Frame | Failure:
+    # The hello is read byte by byte because bytes that follow it belong to
+    # the connection.
+    decoder = FrameDecoder()
+    try:
+        async with asyncio.timeout(_HELLO_TIMEOUT_MS / 1000):
+            for _ in range(_HELLO_BYTES):
+                received = await reader.readexactly(1)
+                frame = next(decoder.feed(received), None)
+                if frame is not None:
+                    return _check_hello(frame)
+    except (OSError, EOFError, TimeoutError) as error:
+        return Failure(ErrorKind.bad_frame, f'no hello: {error!r}')
+    return Failure(ErrorKind.bad_frame, 'hello is too long')
+
+
+def _check_hello(frame: Frame | Failure) -> Frame | Failure:
+    if isinstance(frame, Failure) or frame.kind is FrameKind.hello:
+        return frame
+    return Failure(ErrorKind.bad_frame, 'first frame is not a hello')
+
+
+__all__ = ('PeerNetwork',)
--- /dev/null
+++ b/src/radishlift/workers/__init__.py
@@ -0,0 +1,1 @@
+"""Client of workers, task leases and dispatch."""
