Add the job commands of radishctl and the load tool

Cause: the whole path needs callers: a command line for jobs and seeded traffic of both departments.

Change: commands submit, cancel, status and explain with documented exit codes; load tool with open-loop Poisson arrivals, a balancer that honours readiness, and counts of answers by outcome.

--- /dev/null
+++ b/src/radishlift/cli/job_commands.py
@@ -0,0 +1,117 @@
+"""Commands of radishctl for jobs and tasks."""
+
+from typing import ClassVar
+from urllib.parse import quote
+
+from cleo.helpers import argument, option
+from cleo.io.inputs.argument import Argument
+from cleo.io.inputs.option import Option
+
+from radishlift.cli.exit_codes import ExitCode
+from radishlift.cli.output import COMMON_OPTIONS, DaemonCommand
+
+
+def _text(name: str, description: str, default: str | None = None) -> Option:
+    return option(name, None, description, flag=False, default=default)
+
+
+class SubmitCommand(DaemonCommand):
+    """Submits a job; repeating the same job id is safe."""
+
+    name = 'submit'
+    description = 'Submit a job: a service, a batch run or a gang.'
+    arguments: ClassVar[list[Argument]] = [argument('name', 'Name of the job.')]
+    options: ClassVar[list[Option]] = [
+        *COMMON_OPTIONS,
+        _text('department', 'Department that the job belongs to.'),
+        _text('team', 'Team whose quota the job uses.'),
+        _text('kind', 'service, batch or gang.', 'batch'),
+        _text('tasks', 'Number of tasks.', '1'),
+        _text('cpu', 'Processor of a task in milli-cores.', '1000'),
+        _text('memory', 'Memory of a task in MB.', '512'),
+        _text('accelerators', 'Accelerators of a task.', '0'),
+        _text('run-time', 'Estimated run time in ms; 0 is unknown.', '0'),
+        _text('priority', 'urgent, high, normal or low.', 'normal'),
+        _text('attempts', 'Times that a failing task is tried.', '3'),
+        _text('job-id', 'Job id; makes a repeated submission idempotent.', ''),
+    ]
+
+    def handle(self) -> int:
+        """Sends the job."""
+        try:
+            body = self._body()
+        except ValueError as error:
+            self.line_error(f'<error>not a whole number: {error}</error>')
+            return int(ExitCode.usage)
+        return self.finish(self.request('POST', '/v1/jobs', body))
+
+    def _body(self) -> dict[str, object]:
+        return {
+            'job_id': self.option('job-id'),
+            'department': self.option('department') or '',
+            'team': self.option('team') or '',
+            'name': self.argument('name'),
+            'kind': self.option('kind'),
+            'task_count': int(self.option('tasks')),
+            'demand': {
+                'cpu_milli': int(self.option('cpu')),
+                'memory_mb': int(self.option('memory')),
+                'accelerators_count': int(self.option('accelerators')),
+            },
+            'run_time_ms': int(self.option('run-time')),
+            'priority': self.option('priority'),
+            'max_attempts': int(self.option('attempts')),
+        }
+
+
+class CancelCommand(DaemonCommand):
+    """Cancels a job."""
+
+    name = 'cancel'
+    description = 'Cancel a job and stop its tasks.'
+    arguments: ClassVar[list[Argument]] = [argument('job-id', 'Job id.')]
+
+    def handle(self) -> int:
+        """Sends the cancellation."""
+        path = f'/v1/jobs/{quote(self.argument("job-id"), safe="")}/cancel'
+        return self.finish(self.request('POST', path))
+
+
+class StatusCommand(DaemonCommand):
+    """Shows a job, or the state of the cell without a job id."""
+
+    name = 'status'
+    description = 'Show a job, or the cell when no job is named.'
+    arguments: ClassVar[list[Argument]] = [
+        argument('job-id', 'Job id.', optional=True),
+    ]
+
+    def handle(self) -> int:
+        """Asks for the state."""
+        job_id = self.argument('job-id')
+        path = f'/v1/jobs/{quote(job_id, safe="")}' if job_id else '/v1/status'
+        return self.finish(self.request('GET', path))
+
+
+class ExplainCommand(DaemonCommand):
+    """Explains why a task runs where it does, or why it waits."""
+
+    name = 'explain'
+    description = 'Explain where a task runs and why, or why it waits.'
+    arguments: ClassVar[list[Argument]] = [argument('task-id', 'Task id.')]
+
+    def handle(self) -> int:
+        """Asks for the explanation."""
+        task_id = quote(self.argument('task-id'), safe='')
+        return self.finish(self.request('GET', f'/v1/tasks/{task_id}/explain'))
+
+
+JOB_COMMANDS = (SubmitCommand, CancelCommand, StatusCommand, ExplainCommand)
+
+__all__ = (
+    'JOB_COMMANDS',
+    'CancelCommand',
+    'ExplainCommand',
+    'StatusCommand',
+    'SubmitCommand',
+)
--- /dev/null
+++ b/src/radishlift/load/runner.py
@@ -0,0 +1,185 @@
+"""Sends planned traffic in an open loop and counts the answers."""
+
+import asyncio
+import json
+import time
+from collections import Counter
+from collections.abc import Callable, Coroutine, Sequence
+from dataclasses import dataclass, field
+from typing import Any, Final
+
+from aiohttp import (
+    ClientConnectorError,
+    ClientError,
+    ClientSession,
+    ClientTimeout,
+)
+from hdrh.histogram import HdrHistogram
+
+from radishlift.load.balancer import Balancer
+from radishlift.load.traffic import PlannedJob, PlannedRequest, RequestKind
+
+_HIGHEST_MS: Final = 600_000
+_DIGITS: Final = 3
+_GRACE_MS: Final = 2_000
+_CONNECT_TRIES: Final = 7
+_OK: Final = 200
+
+
+@dataclass(slots=True)
+class LoadResult:
+    """Counts and waiting times of one run.
+
+    `outcomes` counts `answered`, `not_run`, `unknown`, `ran` (failed after it
+    ran), `broken` (no whole answer) and `wrong` (another request's answer).
+    """
+
+    outcomes: Counter[str] = field(default_factory=Counter)
+    errors: Counter[str] = field(default_factory=Counter)
+    latency_ms: HdrHistogram = field(
+        default_factory=lambda: HdrHistogram(1, _HIGHEST_MS, _DIGITS),
+    )
+    answered_tokens: list[str] = field(default_factory=list)
+    not_run_tokens: list[str] = field(default_factory=list)
+    unknown_tokens: list[str] = field(default_factory=list)
+    accepted_jobs: list[str] = field(default_factory=list)
+
+    def summary(self) -> dict[str, Any]:
+        """Returns counts and latency percentiles as plain data."""
+        return {
+            'outcomes': dict(self.outcomes),
+            'errors': dict(self.errors),
+            'latency_p50_ms': self.latency_ms.get_value_at_percentile(50),
+            'latency_p99_ms': self.latency_ms.get_value_at_percentile(99),
+            'accepted_jobs_count': len(self.accepted_jobs),
+        }
+
+
+@dataclass(frozen=True, slots=True)
+class _Reply:
+    status: int
+    body: bytes
+
+
+class LoadRunner:
+    """Sends requests and jobs at their planned times."""
+
+    def __init__(self, session: ClientSession, balancer: Balancer) -> None:
+        self._session = session
+        self._balancer = balancer
+        self.result = LoadResult()
+
+    async def send_requests(self, planned: Sequence[PlannedRequest]) -> None:
+        """Sends requests and waits for all answers."""
+        await _run_plan(planned, self._send_request)
+
+    async def send_jobs(self, planned: Sequence[PlannedJob]) -> None:
+        """Submits jobs and waits for all answers."""
+        await _run_plan(planned, self._send_job)
+
+    async def _send_request(self, planned: PlannedRequest) -> None:
+        request_class = planned.request_class
+        headers = {
+            'Radishlift-Deadline-Ms': str(request_class.deadline_ms),
+            'Radishlift-Class': request_class.name,
+        }
+        if request_class.kind is RequestKind.keyed:
+            headers['Idempotency-Key'] = planned.token
+        else:
+            headers['Radishlift-Idempotent'] = 'true'
+        started_s = time.monotonic()
+        reply = await self._post(
+            f'/v1/services/{planned.service}/requests',
+            planned.body,
+            headers,
+            request_class.deadline_ms,
+        )
+        elapsed_ms = int((time.monotonic() - started_s) * 1000)
+        outcome = self._classify(reply, planned.token)
+        self.result.outcomes[outcome] += 1
+        if outcome == 'answered':
+            self.result.latency_ms.record_value(max(1, elapsed_ms))
+            self.result.answered_tokens.append(planned.token)
+        elif outcome == 'not_run':
+            self.result.not_run_tokens.append(planned.token)
+        else:
+            self.result.unknown_tokens.append(planned.token)
+
+    async def _send_job(self, planned: PlannedJob) -> None:
+        body = json.dumps(planned.body).encode()
+        headers = {'Content-Type': 'application/json'}
+        # A repeat of the same job id is idempotent, so that a caller whose
+        # submission was refused or unknown may send it again.
+        for _ in range(_CONNECT_TRIES):
+            reply = await self._post('/v1/jobs', body, headers, 10_000)
+            if isinstance(reply, _Reply) and reply.status < 300:
+                self.result.accepted_jobs.append(planned.job_id)
+                self.result.outcomes['job_accepted'] += 1
+                return
+            self._note_error(reply)
+            await asyncio.sleep(0.2)
+        self.result.outcomes['job_refused'] += 1
+
+    def _classify(self, reply: '_Reply | str', token: str) -> str:
+        if isinstance(reply, str):
+            self._note_error(reply)
+            return reply
+        if reply.status == _OK:
+            is_own = token.encode() in reply.body
+            return 'answered' if is_own else 'wrong'
+        return self._note_error(reply)
+
+    def _note_error(self, reply: '_Reply | str') -> str:
+        if isinstance(reply, str):
+            self.result.errors[reply] += 1
+            return reply
+        try:
+            body = json.loads(reply.body)
+        except ValueError:
+            body = {}
+        self.result.errors[str(body.get('error', reply.status))] += 1
+        return str(body.get('outcome', 'unknown'))
+
+    async def _post(
+        self,
+        path: str,
+        body: bytes,
+        headers: dict[str, str],
+        deadline_ms: int,
+    ) -> '_Reply | str':
+        timeout = ClientTimeout(total=(deadline_ms + _GRACE_MS) / 1000)
+        for _ in range(_CONNECT_TRIES):
+            address = self._balancer.pick()
+            if address is None:
+                await asyncio.sleep(0.1)
+                continue
+            try:
+                async with self._session.post(
+                    f'http://{address}{path}',
+                    data=body,
+                    headers=headers,
+                    timeout=timeout,
+                ) as reply:
+                    return _Reply(reply.status, await reply.read())
+            except ClientConnectorError:
+                self._balancer.leave_out(address)
+            except (ClientError, TimeoutError):
+                return 'broken'
+        return 'not_run'
+
+
+async def _run_plan(
+    planned: Sequence[Any],
+    send: Callable[[Any], Coroutine[Any, Any, None]],
+) -> None:
+    started_s = time.monotonic()
+    sending: list[asyncio.Task[None]] = []
+    for entry in planned:
+        wait_s = started_s + entry.at_ms / 1000 - time.monotonic()
+        if wait_s > 0:
+            await asyncio.sleep(wait_s)
+        sending.append(asyncio.create_task(send(entry)))
+    await asyncio.gather(*sending)
+
+
+__all__ = ('LoadResult', 'LoadRunner')
