--- /dev/null
+++ b/src/radishlift/api/answers.py
@@ -0,0 +1,47 @@
+"""Conversion of results and failures to HTTP responses."""
+
+from typing import Final
+
+from aiohttp import web
+
+from radishlift.core.codec import dump_plain
+from radishlift.core.errors import Failure
+
+_MS_PER_S: Final = 1000
+
+
+def json_answer(result: object, status: int = 200) -> web.Response:
+    """Answers with a typed result as JSON."""
+    return web.json_response(dump_plain(result), status=status)
+
+
+def failure_answer(failure: Failure) -> web.Response:
+    """Answers with the status and outcome that belong to the error kind.
+
+    The body is `{"error", "outcome", "reason", "retry_after_ms"}`.
+    """
+    answer = failure.answer
+    headers = {}
+    if answer.retry_after_ms is not None:
+        retry_after_s = -(-answer.retry_after_ms // _MS_PER_S)
+        headers['Retry-After'] = str(retry_after_s)
+    return web.json_response(
+        {
+            'error': failure.kind.value,
+            'outcome': answer.outcome.value,
+            'reason': failure.reason,
+            'retry_after_ms': answer.retry_after_ms,
+        },
+        status=answer.http_status,
+        headers=headers,
+    )
+
+
+def answer_of(result: object, status: int = 200) -> web.Response:
+    """Answers with a result, or with its failure."""
+    if isinstance(result, Failure):
+        return failure_answer(result)
+    return json_answer(result, status)
+
+
+__all__ = ('answer_of', 'failure_answer', 'json_answer')
--- /dev/null
+++ b/src/radishlift/api/readiness.py
@@ -0,0 +1,61 @@
+"""Readiness of a daemon for the platform's balancer."""
+
+from enum import Enum, unique
+from typing import Any
+
+from aiohttp import web
+from transitions import Machine
+
+_OK = 200
+_UNAVAILABLE = 503
+
+
+@unique
+class Readiness(Enum):
+    """State of a daemon as its balancer sees it."""
+
+    starting = 'starting'
+    ready = 'ready'
+    draining = 'draining'
+
+
+class ReadinessState:
+    """Readiness of this daemon; draining is final."""
+
+    state: Readiness
+
+    def __init__(self) -> None:
+        self._machine = Machine(
+            self,
+            states=Readiness,
+            initial=Readiness.starting,
+            auto_transitions=False,
+            transitions=[
+                {
+                    'trigger': 'become_ready',
+                    'source': Readiness.starting,
+                    'dest': Readiness.ready,
+                },
+                {
+                    'trigger': 'drain',
+                    'source': '*',
+                    'dest': Readiness.draining,
+                },
+            ],
+        )
+
+    def trigger_event(self, event: str) -> None:
+        """Moves to the state that an event leads to."""
+        trigger: Any = getattr(self, event)
+        trigger()
+
+    async def answer(self, _request: web.Request) -> web.Response:
+        """Answers `GET /ready`: 200 when new calls are welcome, else 503."""
+        is_ready = self.state is Readiness.ready
+        return web.json_response(
+            {'state': self.state.value},
+            status=_OK if is_ready else _UNAVAILABLE,
+        )
+
+
+__all__ = ('Readiness', 'ReadinessState')
--- a/src/radishlift/settings/daemon.py
+++ b/src/radishlift/settings/daemon.py
@@ -11,14 +11,16 @@
     """Identity and addresses of a daemon.
 
     `listen` serves callers and operators over HTTP, `peer_listen` serves
-    other daemons. `seed_peers` lists the peer addresses `id=ip:port` that
-    are known before the table service has been read.
+    other daemons; `peer_advertise` is the address that they use for it when
+    it differs from `peer_listen`. `seed_peers` lists peers as `id=ip:port`
+    that are known before the table service has been read.
     """
 
     daemon_id: str
     data_centre: str
     listen: str
     peer_listen: str
+    peer_advertise: str = ''
     region: str = ''
     seed_peers: tuple[str, ...] = ()
     peer_secret: str = ''
