Add the tables of a partition and a working placement engine

Other modules need an engine to integrate with: it accepts, places, cancels and ends tasks, and takes in observed, restarted and gone workers.

Workers are journaled by two added records, because replay has to check capacity without the workers. A task gets a row at its first start, so that accepting a job costs the same for any number of tasks. A model of `transitions` for each task was ruled out by its cost; the machine fills a table of moves once. A record that contradicts the tables raises an error, because `apply` returns nothing and the partition must not go on.

--- /dev/null
+++ b/src/radishlift/placement/changes.py
@@ -0,0 +1,205 @@
+"""How each record changes the tables of a partition."""
+
+from collections.abc import Callable
+from typing import Any, Final
+
+from radishlift.core.ids import TaskId
+from radishlift.placement.jobs import TaskState, job_id_of
+from radishlift.placement.partition_tables import (
+    PartitionTables,
+    RecordRefusedError,
+)
+from radishlift.placement.reasons import FAILED
+from radishlift.placement.records import (
+    JobAccepted,
+    JobCancelled,
+    JobForgotten,
+    JobHandedOff,
+    TaskEnded,
+    TaskPlaced,
+    TaskStopping,
+)
+from radishlift.placement.tables import NO_ROW
+from radishlift.placement.task_states import ENDED_STATES, is_allowed
+
+Change = Callable[[PartitionTables, Any], None]
+
+CHANGES: Final[dict[type, Change]] = {}
+
+
+def change(record_type: type) -> Callable[[Change], Change]:
+    """Returns a decorator that registers the change of a record type."""
+
+    def decorate(function: Change) -> Change:
+        if record_type in CHANGES:
+            raise ValueError(f'{record_type.__name__} is registered twice')
+        CHANGES[record_type] = function
+        return function
+
+    return decorate
+
+
+@change(JobAccepted)
+def accept_job(tables: PartitionTables, record: JobAccepted) -> None:
+    """Adds a job; a repeat of the same job changes nothing."""
+    spec = record.spec
+    known = tables.jobs.row_of.get(spec.job_id)
+    if known is not None:
+        if tables.jobs.spec[known] != spec:
+            raise RecordRefusedError('the job id is used by another job')
+        return
+    row = tables.jobs.add(spec, record.accepted_at_ms, record.from_partition)
+    tables.queued_jobs[row] = None
+
+
+@change(JobHandedOff)
+def hand_off_job(tables: PartitionTables, record: JobHandedOff) -> None:
+    """Closes a job of which no task has been started here."""
+    row = tables.jobs.row_of.get(record.job_id)
+    if row is None or tables.jobs.to_partition[row]:
+        return
+    if tables.jobs.task_rows[row]:
+        raise RecordRefusedError('the job has started tasks')
+    tables.jobs.to_partition[row] = record.to_partition
+    tables.end_job(row, 0)
+
+
+@change(JobCancelled)
+def cancel_job(tables: PartitionTables, record: JobCancelled) -> None:
+    """Cancels the queued tasks; started ones need their own records."""
+    row = tables.jobs.row_of.get(record.job_id)
+    if row is None or not tables.jobs.is_open(row):
+        return
+    counts = tables.jobs.ended_counts[row]
+    queued_count = tables.jobs.startable_count(row)
+    cancelled_count = counts.get(TaskState.cancelled, 0) + queued_count
+    if cancelled_count:
+        counts[TaskState.cancelled] = cancelled_count
+    tables.jobs.is_cancelled[row] = True
+    for task_row in list(tables.jobs.requeued[row]):
+        tables.remove_task(task_row)
+    tables.end_job(row, 0)
+
+
+@change(JobForgotten)
+def forget_job(tables: PartitionTables, record: JobForgotten) -> None:
+    """Removes an ended job."""
+    row = tables.jobs.row_of.get(record.job_id)
+    if row is None:
+        return
+    if not tables.jobs.is_ended(row):
+        raise RecordRefusedError('the job has not ended')
+    tables.ended_jobs.pop(row, None)
+    tables.jobs.remove(row)
+
+
+@change(TaskPlaced)
+def place_task(tables: PartitionTables, record: TaskPlaced) -> None:
+    """Commits capacity of a worker to a new attempt."""
+    row = tables.task_row(record.task_id)
+    if row is None:
+        _check_open_job(tables, record.task_id)
+        row = tables.add_tasks_up_to(record.task_id)
+    if row == NO_ROW or record.attempt < tables.tasks.attempt[row]:
+        return
+    worker_row = tables.workers.row_of.get(record.worker_id, NO_ROW)
+    if record.attempt == tables.tasks.attempt[row]:
+        _check_same_start(tables, row, worker_row)
+        return
+    _check_start(tables, row, record, worker_row)
+    tables.commit_attempt(row, worker_row, record)
+
+
+def _check_open_job(tables: PartitionTables, task_id: TaskId) -> None:
+    job_row = tables.jobs.row_of.get(job_id_of(task_id))
+    if job_row is None:
+        raise RecordRefusedError('the job is unknown')
+
+
+def _check_same_start(
+    tables: PartitionTables,
+    row: int,
+    worker_row: int,
+) -> None:
+    is_live = tables.tasks.is_live(row)
+    if is_live and tables.tasks.worker_row[row] != worker_row:
+        raise RecordRefusedError('the attempt is placed on another worker')
+
+
+def _check_start(
+    tables: PartitionTables,
+    row: int,
+    record: TaskPlaced,
+    worker_row: int,
+) -> None:
+    if not is_allowed(tables.tasks.state[row], TaskState.placed):
+        raise RecordRefusedError('an earlier attempt has not ended')
+    if record.attempt != tables.tasks.attempt[row] + 1:
+        raise RecordRefusedError('an attempt is missing')
+    _check_worker(tables, record, worker_row)
+
+
+def _check_worker(
+    tables: PartitionTables,
+    record: TaskPlaced,
+    worker_row: int,
+) -> None:
+    if worker_row == NO_ROW:
+        raise RecordRefusedError('the worker is unknown')
+    if not tables.workers.is_present[worker_row]:
+        raise RecordRefusedError('the worker is gone')
+    described = tables.workers.worker_info[worker_row]
+    if described.incarnation != record.incarnation:
+        raise RecordRefusedError('the worker has another incarnation')
+    if not tables.workers.fits(worker_row, record.reserved):
+        raise RecordRefusedError('the worker would be overcommitted')
+
+
+@change(TaskStopping)
+def stop_task(tables: PartitionTables, record: TaskStopping) -> None:
+    """Marks an attempt as stopping; its capacity stays committed."""
+    row = tables.task_row(record.task_id)
+    if row is None or row == NO_ROW:
+        return
+    if record.attempt != tables.tasks.attempt[row]:
+        return
+    if tables.tasks.state[row] is TaskState.stopping:
+        # A cancellation overrides a stop that would queue the task again.
+        if not record.is_requeued:
+            tables.tasks.is_requeued[row] = False
+        return
+    if not is_allowed(tables.tasks.state[row], TaskState.stopping):
+        return
+    tables.tasks.state[row] = TaskState.stopping
+    tables.tasks.is_requeued[row] = record.is_requeued
+    tables.changed_workers[tables.tasks.worker_row[row]] = None
+
+
+@change(TaskEnded)
+def end_task(tables: PartitionTables, record: TaskEnded) -> None:
+    """Frees the capacity of an attempt and moves its task."""
+    row = tables.task_row(record.task_id)
+    if row is None or row == NO_ROW:
+        return
+    if record.attempt < tables.tasks.attempt[row]:
+        return
+    if record.attempt > tables.tasks.attempt[row]:
+        raise RecordRefusedError('the attempt was never placed')
+    if not tables.tasks.is_live(row):
+        return
+    if not is_allowed(tables.tasks.state[row], record.state):
+        raise RecordRefusedError(f'a task cannot become {record.state.value}')
+    tables.release_attempt(row, is_charged=record.reason == FAILED)
+    job_row = tables.tasks.job_row[row]
+    if record.state in ENDED_STATES:
+        counts = tables.jobs.ended_counts[job_row]
+        counts[record.state] = counts.get(record.state, 0) + 1
+        tables.remove_task(row)
+    elif tables.jobs.is_open(job_row):
+        tables.requeue_task(row)
+    else:
+        raise RecordRefusedError('a task of a closed job cannot be queued')
+    tables.end_job(job_row, record.ended_at_ms)
+
+
+__all__ = ('CHANGES', 'change')
--- /dev/null
+++ b/src/radishlift/placement/engine.py
@@ -0,0 +1,183 @@
+"""The placement engine of one partition."""
+
+from collections.abc import Callable, Sequence
+from time import perf_counter
+from typing import Any
+
+from radishlift.core.errors import ErrorKind, Failure
+from radishlift.core.ids import (
+    Attempt,
+    Incarnation,
+    JobId,
+    TaskId,
+    WorkerId,
+)
+from radishlift.placement import system_order  # noqa: F401
+from radishlift.placement.cancellations import order_stop
+from radishlift.placement.jobs import (
+    JobSpec,
+    TaskState,
+    UsageReport,
+    WorkerInfo,
+)
+from radishlift.placement.orders import Order
+from radishlift.placement.records import JobAccepted
+from radishlift.placement.settings import PlacementSettings
+from radishlift.placement.state import PartitionState
+from radishlift.placement.systems import SYSTEMS
+from radishlift.placement.working import EndedAttempt, Working
+
+MS_PER_S = 1000
+
+
+class TickBudget:
+    """The time that the running system may use."""
+
+    def __init__(
+        self,
+        now_ms: int,
+        budget_ms: float,
+        timer: Callable[[], float],
+    ) -> None:
+        self.now_ms = now_ms
+        self._timer = timer
+        self._tick_end_s = timer() + budget_ms / MS_PER_S
+        self._system_end_s = self._tick_end_s
+
+    def is_over(self) -> bool:
+        """Tells whether the running system has used its time."""
+        return self._timer() >= self._system_end_s
+
+    def start_system(self, part: float) -> bool:
+        """Gives a part of the time left to a system, if any is left."""
+        now_s = self._timer()
+        left_s = self._tick_end_s - now_s
+        self._system_end_s = now_s + left_s * part
+        return left_s > 0
+
+
+class PlacementEngine:
+    """Decides where and when the tasks of one partition run.
+
+    The engine does no I/O and reads no clock but `timer`, which limits the
+    time of a tick. It applies each record that `accept` and `tick` return;
+    the caller journals them before it lets them take effect.
+    """
+
+    def __init__(
+        self,
+        state: PartitionState,
+        settings: PlacementSettings | None = None,
+        timer: Callable[[], float] = perf_counter,
+    ) -> None:
+        self._timer = timer
+        self._working = Working(state, settings or PlacementSettings())
+        self._working.sync_workers()
+        self._repeat_stops()
+
+    def accept(self, spec: JobSpec, now_ms: int) -> JobAccepted | Failure:
+        """Takes a job into the queue.
+
+        A repeat of an accepted job returns its first record. Fails with
+        `invalid_input`, `conflict` or `never_fits`.
+        """
+        jobs = self._working.tables.jobs
+        row = jobs.row_of.get(spec.job_id)
+        if row is not None:
+            return self._repeat(row, spec)
+        if spec.task_count < 1 or spec.max_attempts < 1:
+            return Failure(ErrorKind.invalid_input, 'counts are below 1')
+        accepted = JobAccepted(spec, now_ms)
+        self._working.state.apply(accepted)
+        return accepted
+
+    def cancel(self, job_id: JobId) -> Failure | None:
+        """Cancels a job in the next ticks; fails with `not_found`."""
+        if job_id not in self._working.tables.jobs.row_of:
+            return Failure(ErrorKind.not_found, f'no job {job_id} here')
+        self._working.inputs.cancellations.append(job_id)
+        return None
+
+    def observe_worker(self, described: WorkerInfo) -> None:
+        """Takes in what a worker tells about itself."""
+        self._working.inputs.observed[described.worker_id] = described
+
+    def worker_gone(
+        self,
+        worker_id: WorkerId,
+        incarnation: Incarnation,
+    ) -> None:
+        """Takes in that an incarnation of a worker surely does not run."""
+        self._working.inputs.gone.append((worker_id, incarnation))
+
+    def observe_usage(
+        self,
+        worker_id: WorkerId,
+        reports: Sequence[UsageReport],
+        now_ms: int,
+    ) -> None:
+        """Takes in lagged usage of the tasks on a worker."""
+
+    def task_ended(
+        self,
+        task_id: TaskId,
+        attempt: Attempt,
+        state: TaskState,
+    ) -> None:
+        """Takes in that an attempt surely does not run any more.
+
+        `finished` and `failed` are its own ends; `cancelled` means that the
+        worker stopped it, and `queued` that it never ran or its lease lapsed.
+        """
+        ended = EndedAttempt(task_id, attempt, state)
+        self._working.inputs.ended.append(ended)
+
+    def tick(self, now_ms: int) -> list[Any]:
+        """Runs the systems once within the budget.
+
+        Returns the records to journal, in the order they were applied.
+        """
+        working = self._working
+        budget_ms = working.settings.budget_ms
+        budget = TickBudget(now_ms, budget_ms, self._timer)
+        # A system that has much to do gets half of the time that is left, so
+        # that a burst can't starve the systems after it. What remains of the
+        # budget then goes to the systems that were not done.
+        unfinished = [
+            system
+            for _, system in SYSTEMS
+            if budget.start_system(0.5) and not system(working, budget)
+        ]
+        for system in unfinished:
+            if budget.start_system(1):
+                system(working, budget)
+        records = working.records
+        working.records = []
+        return records
+
+    def take_orders(self) -> list[Order]:
+        """Returns the orders since the last call, for the dispatcher."""
+        orders = self._working.orders
+        self._working.orders = []
+        return orders
+
+    def _repeat(self, row: int, spec: JobSpec) -> JobAccepted | Failure:
+        jobs = self._working.tables.jobs
+        if jobs.spec[row] != spec:
+            reason = f'job {spec.job_id} exists with another content'
+            return Failure(ErrorKind.conflict, reason)
+        return JobAccepted(
+            spec,
+            jobs.accepted_at_ms[row],
+            jobs.from_partition[row],
+        )
+
+    def _repeat_stops(self) -> None:
+        tables = self._working.tables
+        for row, state in enumerate(tables.tasks.state):
+            is_known = tables.tasks.job_row[row] >= 0
+            if is_known and state is TaskState.stopping:
+                order_stop(self._working, row, 'repeated after recovery')
+
+
+__all__ = ('PlacementEngine', 'TickBudget')
--- /dev/null
+++ b/src/radishlift/placement/partition_tables.py
@@ -0,0 +1,172 @@
+"""The tables of one partition and the steps that keep them consistent."""
+
+from radishlift.core.ids import DepartmentName, TaskId, TeamName, WorkerId
+from radishlift.placement.jobs import (
+    Resources,
+    TaskState,
+    job_id_of,
+    task_id_of,
+)
+from radishlift.placement.records import TaskPlaced
+from radishlift.placement.tables import (
+    NO_ROW,
+    NOTHING,
+    JobTable,
+    TaskTable,
+    WorkerTable,
+)
+
+
+class RecordRefusedError(Exception):
+    """A record contradicts the tables; the journal or engine is faulty."""
+
+
+class PartitionTables:
+    """Tables of jobs, tasks and workers.
+
+    `queued_jobs` and `changed_workers` collect the rows that changed since
+    the engine last looked, so that it keeps its indexes without scans.
+    """
+
+    def __init__(self) -> None:
+        self.jobs = JobTable()
+        self.tasks = TaskTable()
+        self.workers = WorkerTable()
+        self.queued_jobs: dict[int, None] = {}
+        self.changed_workers: dict[int, None] = {}
+        self.ended_jobs: dict[int, None] = {}
+        self.team_use: dict[TeamName, list[int]] = {}
+        self.department_use: dict[DepartmentName, list[int]] = {}
+
+    def task_row(self, task_id: TaskId) -> int | None:
+        """Finds a task; None if unstarted, `NO_ROW` if it has ended."""
+        job_row = self.jobs.row_of.get(job_id_of(task_id))
+        if job_row is None:
+            return None
+        index = task_index(task_id)
+        row = self.jobs.task_rows[job_row].get(index)
+        if row is not None:
+            return row
+        is_fresh = index >= self.jobs.fresh_index[job_row]
+        return None if is_fresh and self.jobs.is_open(job_row) else NO_ROW
+
+    def add_tasks_up_to(self, task_id: TaskId) -> int:
+        """Gives rows to the unstarted tasks up to this one."""
+        job_row = self.jobs.row_of[job_id_of(task_id)]
+        index = task_index(task_id)
+        if index >= self.jobs.spec[job_row].task_count:
+            raise RecordRefusedError('the job has fewer tasks')
+        row = NO_ROW
+        job_id = self.jobs.spec[job_row].job_id
+        for fresh in range(self.jobs.fresh_index[job_row], index + 1):
+            row = self.tasks.add(job_row, fresh, task_id_of(job_id, fresh))
+            self.jobs.task_rows[job_row][fresh] = row
+            self.jobs.requeued[job_row][row] = None
+        self.jobs.fresh_index[job_row] = index + 1
+        return row
+
+    def commit_attempt(
+        self,
+        row: int,
+        worker_row: int,
+        placed: TaskPlaced,
+    ) -> None:
+        """Binds an attempt to a worker and takes its capacity."""
+        job_row = self.tasks.job_row[row]
+        self.tasks.state[row] = TaskState.placed
+        self.tasks.attempt[row] = placed.attempt
+        self.tasks.worker_row[row] = worker_row
+        self.tasks.incarnation[row] = placed.incarnation
+        self.tasks.reserved[row] = placed.reserved
+        self.tasks.placed_at_ms[row] = placed.placed_at_ms
+        self.jobs.requeued[job_row].pop(row, None)
+        self.workers.tasks[worker_row][row] = None
+        self.workers.take(worker_row, placed.reserved)
+        self._count_use(job_row, placed.reserved, 1)
+        self.changed_workers[worker_row] = None
+
+    def release_attempt(self, row: int, *, is_charged: bool) -> None:
+        """Returns the capacity of an attempt to its worker."""
+        worker_row = self.tasks.worker_row[row]
+        reserved = self.tasks.reserved[row]
+        self.workers.tasks[worker_row].pop(row)
+        self.workers.give_back(worker_row, reserved)
+        self._count_use(self.tasks.job_row[row], reserved, -1)
+        self.changed_workers[worker_row] = None
+        self.tasks.worker_row[row] = NO_ROW
+        self.tasks.reserved[row] = NOTHING
+        if is_charged:
+            self._charge(row, worker_row)
+        self.remove_worker_if_unused(worker_row)
+
+    def requeue_task(self, row: int) -> None:
+        """Puts a task back into the queue."""
+        job_row = self.tasks.job_row[row]
+        self.tasks.state[row] = TaskState.queued
+        self.tasks.is_requeued[row] = False
+        self.jobs.requeued[job_row][row] = None
+        self.queued_jobs[job_row] = None
+
+    def remove_task(self, row: int) -> None:
+        """Removes the row of an ended task."""
+        job_row = self.tasks.job_row[row]
+        for worker_id in self.tasks.failed_on[row]:
+            worker_row = self.workers.row_of.get(worker_id)
+            if worker_row is not None:
+                self.workers.charged[worker_row].pop(row, None)
+        self.jobs.requeued[job_row].pop(row, None)
+        self.jobs.task_rows[job_row].pop(self.tasks.index[row])
+        self.tasks.remove(row)
+
+    def end_job(self, job_row: int, ended_at_ms: int) -> None:
+        """Notes the end of a job if none of its tasks is left."""
+        if self.jobs.is_ended(job_row) and job_row not in self.ended_jobs:
+            self.jobs.ended_at_ms[job_row] = ended_at_ms
+            self.ended_jobs[job_row] = None
+
+    def remove_worker_if_unused(self, worker_row: int) -> None:
+        """Removes a worker that is gone and holds no attempt."""
+        workers = self.workers
+        if not workers.is_present[worker_row] and not workers.tasks[worker_row]:
+            self.refund_charges(worker_row)
+            workers.remove(worker_row)
+
+    def refund_charges(self, worker_row: int) -> None:
+        """Takes back the failures that tasks were charged for a worker."""
+        worker_id = self.workers.worker_info[worker_row].worker_id
+        for row in self.workers.charged[worker_row]:
+            remaining = _without(self.tasks.failed_on[row], worker_id)
+            self.tasks.failed_on[row] = remaining
+        self.workers.charged[worker_row] = {}
+
+    def _charge(self, row: int, worker_row: int) -> None:
+        worker_id = self.workers.worker_info[worker_row].worker_id
+        self.tasks.failed_on[row] += (worker_id,)
+        self.workers.charged[worker_row][row] = None
+
+    def _count_use(self, job_row: int, amount: Resources, sign: int) -> None:
+        spec = self.jobs.spec[job_row]
+        teams = self.team_use
+        departments = self.department_use
+        for use in (
+            teams.setdefault(spec.team, [0, 0, 0]),
+            departments.setdefault(spec.department, [0, 0, 0]),
+        ):
+            use[0] += sign * amount.cpu_milli
+            use[1] += sign * amount.memory_mb
+            use[2] += sign * amount.accelerators_count
+
+
+def _without(
+    worker_ids: tuple[WorkerId, ...],
+    removed: WorkerId,
+) -> tuple[WorkerId, ...]:
+    return tuple(known for known in worker_ids if known != removed)
+
+
+def task_index(task_id: TaskId) -> int:
+    """Returns the position of a task in its job."""
+    return int(task_id.rpartition('/')[2])
+
+
+__all__ = ('PartitionTables', 'RecordRefusedError', 'task_index')
--- /dev/null
+++ b/src/radishlift/placement/reasons.py
@@ -0,0 +1,27 @@
+"""Reasons in records that other code depends on."""
+
+from typing import Final
+
+FAILED: Final = 'failed'
+"""The attempt failed by itself; it counts against the task's attempts."""
+
+FAILED_ON_SUSPECT: Final = 'failed on a worker that fails its tasks'
+"""The attempt failed because of its worker and does not count."""
+
+WORKER_GONE: Final = 'worker gone'
+WORKER_RESTARTED: Final = 'worker restarted'
+STOPPED: Final = 'stopped'
+LAPSED: Final = 'lease lapsed or start refused'
+FINISHED: Final = 'finished'
+CANCELLED: Final = 'cancelled by the caller'
+
+__all__ = (
+    'CANCELLED',
+    'FAILED',
+    'FAILED_ON_SUSPECT',
+    'FINISHED',
+    'LAPSED',
+    'STOPPED',
+    'WORKER_GONE',
+    'WORKER_RESTARTED',
+)
--- a/src/radishlift/placement/records.py
+++ b/src/radishlift/placement/records.py
@@ -11,7 +11,12 @@
     WorkerId,
 )
 from radishlift.journal.records import record
-from radishlift.placement.jobs import JobSpec, Resources, TaskState
+from radishlift.placement.jobs import (
+    JobSpec,
+    Resources,
+    TaskState,
+    WorkerInfo,
+)
 
 
 @record('job_accepted')
@@ -87,6 +92,35 @@
     attempt: Attempt
     state: TaskState
     reason: str
+    ended_at_ms: int = 0
+
+
+@record('job_forgotten')
+@dataclass(frozen=True, slots=True)
+class JobForgotten:
+    """An ended job is removed; a repeat of its id is accepted again."""
+
+    job_id: JobId
+
+
+@record('worker_observed')
+@dataclass(frozen=True, slots=True)
+class WorkerObserved:
+    """A worker was seen first, restarted, or changed its capacity."""
+
+    worker: WorkerInfo
+
+
+@record('worker_removed')
+@dataclass(frozen=True, slots=True)
+class WorkerRemoved:
+    """A worker is gone and gets no tasks.
+
+    Attempts on it stay committed until their `TaskEnded`.
+    """
+
+    worker_id: WorkerId
+    incarnation: Incarnation
 
 
 @record('worker_quarantined')
@@ -110,10 +144,13 @@
 __all__ = (
     'JobAccepted',
     'JobCancelled',
+    'JobForgotten',
     'JobHandedOff',
     'TaskEnded',
     'TaskPlaced',
     'TaskStopping',
+    'WorkerObserved',
     'WorkerQuarantined',
+    'WorkerRemoved',
     'WorkerReturned',
 )
--- /dev/null
+++ b/src/radishlift/placement/settings.py
@@ -0,0 +1,23 @@
+"""Settings of placement in a daemon."""
+
+from dataclasses import dataclass
+
+from radishlift.settings.sections import bounded, section
+
+
+@section('placement')
+@dataclass(frozen=True, slots=True)
+class PlacementSettings:
+    """Budgets and limits of the placement engine.
+
+    `budget_ms` is the longest time that one tick computes. An ended job is
+    remembered for `remember_ended_ms`, so that a repeat of its submission is
+    recognised, and at most `remember_ended_count` jobs are.
+    """
+
+    budget_ms: float = bounded(5.0, 0.1, 1_000)
+    remember_ended_ms: int = bounded(86_400_000, 0, 604_800_000)
+    remember_ended_count: int = bounded(10_000, 0, 1_000_000)
+
+
+__all__ = ('PlacementSettings',)
--- /dev/null
+++ b/src/radishlift/placement/state.py
@@ -0,0 +1,54 @@
+"""The journaled state of placement in one partition."""
+
+from typing import Any, ClassVar
+
+from radishlift.core.logs import log_event
+from radishlift.placement import worker_changes  # noqa: F401
+from radishlift.placement.changes import CHANGES
+from radishlift.placement.partition_tables import (
+    PartitionTables,
+    RecordRefusedError,
+)
+from radishlift.placement.snapshots import dump_tables, load_tables
+
+
+class PartitionState:
+    """Tables of a partition, changed only by applying records.
+
+    Capacity committed on a worker grows only by `TaskPlaced` and shrinks only
+    by `TaskEnded`. Applying a record again changes nothing.
+    """
+
+    record_types: ClassVar[tuple[type, ...]] = tuple(CHANGES)
+
+    def __init__(self) -> None:
+        self.tables = PartitionTables()
+
+    def apply(self, record: Any) -> None:
+        """Applies a record.
+
+        Raises `RecordRefusedError`, after logging it, when the record would
+        overcommit a worker or start a task that may still run elsewhere. It
+        is raised rather than returned because the partition must not go on.
+        """
+        try:
+            CHANGES[type(record)](self.tables, record)
+        except RecordRefusedError as error:
+            log_event(
+                'placement_record_refused',
+                level='ERROR',
+                record=record,
+                reason=error,
+            )
+            raise
+
+    def dump(self) -> Any:
+        """Returns the tables as plain data."""
+        return dump_tables(self.tables)
+
+    def load(self, plain: Any) -> None:
+        """Replaces the tables by those of a snapshot."""
+        self.tables = load_tables(plain)
+
+
+__all__ = ('PartitionState',)
--- /dev/null
+++ b/src/radishlift/placement/task_states.py
@@ -0,0 +1,57 @@
+"""Allowed moves of a task's state, derived from a machine definition.
+
+A model of `transitions` for each task would cost 3 KB and 44 us, so the
+machine is only read once to fill a table of allowed moves.
+"""
+
+from typing import Final
+
+from transitions import Machine
+
+from radishlift.placement.jobs import TaskState
+
+_LIVE: Final = ('placed', 'running', 'stopping')
+_MOVES: Final = (
+    {'trigger': 'place', 'source': 'queued', 'dest': 'placed'},
+    {'trigger': 'run', 'source': 'placed', 'dest': 'running'},
+    {'trigger': 'stop', 'source': ['placed', 'running'], 'dest': 'stopping'},
+    {'trigger': 'requeue', 'source': list(_LIVE), 'dest': 'queued'},
+    {'trigger': 'finish', 'source': list(_LIVE), 'dest': 'finished'},
+    {'trigger': 'fail', 'source': list(_LIVE), 'dest': 'failed'},
+    {'trigger': 'cancel', 'source': ['queued', *_LIVE], 'dest': 'cancelled'},
+)
+
+
+def _derive_moves() -> frozenset[tuple[TaskState, TaskState]]:
+    machine = Machine(
+        model=None,
+        states=[state.value for state in TaskState],
+        transitions=list(_MOVES),
+        initial='queued',
+        auto_transitions=False,
+    )
+    pairs: set[tuple[str, str | None]] = set()
+    for event in machine.events.values():
+        for moves in event.transitions.values():
+            pairs.update((move.source, move.dest) for move in moves)
+    return frozenset(
+        (TaskState(source), TaskState(target)) for source, target in pairs
+    )
+
+
+ALLOWED_MOVES: Final = _derive_moves()
+
+LIVE_STATES: Final = frozenset(TaskState(name) for name in _LIVE)
+"""States in which an attempt holds capacity of a worker."""
+
+ENDED_STATES: Final = frozenset(
+    (TaskState.finished, TaskState.failed, TaskState.cancelled)
+)
+
+
+def is_allowed(source: TaskState, target: TaskState) -> bool:
+    """Tells whether a task may move from one state to another."""
+    return (source, target) in ALLOWED_MOVES
+
+
+__all__ = ('ALLOWED_MOVES', 'ENDED_STATES', 'LIVE_STATES', 'is_allowed')
--- /dev/null
+++ b/src/radishlift/placement/worker_changes.py
@@ -0,0 +1,90 @@
+"""How the records about workers change the tables."""
+
+from radishlift.placement.changes import change
+from radishlift.placement.jobs import Resources, WorkerInfo
+from radishlift.placement.partition_tables import PartitionTables
+from radishlift.placement.records import (
+    WorkerObserved,
+    WorkerQuarantined,
+    WorkerRemoved,
+    WorkerReturned,
+)
+
+
+@change(WorkerObserved)
+def observe_worker(tables: PartitionTables, record: WorkerObserved) -> None:
+    """Adds a worker or takes over its new incarnation and capacity.
+
+    Attempts of an earlier incarnation stay committed until they end. A new
+    incarnation is a new process, so it leaves quarantine.
+    """
+    described = record.worker
+    row = tables.workers.row_of.get(described.worker_id)
+    if row is None:
+        row = tables.workers.add(described)
+    else:
+        _update_worker(tables, row, described)
+    tables.changed_workers[row] = None
+
+
+def _update_worker(
+    tables: PartitionTables,
+    row: int,
+    described: WorkerInfo,
+) -> None:
+    workers = tables.workers
+    before = workers.worker_info[row]
+    if before.incarnation != described.incarnation:
+        workers.quarantine_reason[row] = ''
+    workers.worker_info[row] = described
+    workers.is_present[row] = True
+    workers.give_back(row, _difference(described.capacity, before.capacity))
+
+
+def _difference(left: Resources, right: Resources) -> Resources:
+    return Resources(
+        left.cpu_milli - right.cpu_milli,
+        left.memory_mb - right.memory_mb,
+        left.accelerators_count - right.accelerators_count,
+    )
+
+
+@change(WorkerRemoved)
+def remove_worker(tables: PartitionTables, record: WorkerRemoved) -> None:
+    """Marks a worker as gone."""
+    row = tables.workers.row_of.get(record.worker_id)
+    if row is None:
+        return
+    if tables.workers.worker_info[row].incarnation != record.incarnation:
+        return
+    tables.workers.is_present[row] = False
+    tables.changed_workers[row] = None
+    tables.remove_worker_if_unused(row)
+
+
+@change(WorkerQuarantined)
+def quarantine_worker(
+    tables: PartitionTables,
+    record: WorkerQuarantined,
+) -> None:
+    """Closes a worker and takes back what its failures cost tasks."""
+    row = tables.workers.row_of.get(record.worker_id)
+    if row is None:
+        return
+    if tables.workers.worker_info[row].incarnation != record.incarnation:
+        return
+    tables.workers.quarantine_reason[row] = record.reason
+    tables.refund_charges(row)
+    tables.changed_workers[row] = None
+
+
+@change(WorkerReturned)
+def return_worker(tables: PartitionTables, record: WorkerReturned) -> None:
+    """Opens a worker again."""
+    row = tables.workers.row_of.get(record.worker_id)
+    if row is not None:
+        tables.workers.quarantine_reason[row] = ''
+        tables.changed_workers[row] = None
+
+
+__all__ = ('observe_worker', 'quarantine_worker', 'remove_worker')
--- /dev/null
+++ b/src/radishlift/placement/worker_index.py
@@ -0,0 +1,146 @@
+"""Index of workers by free capacity, searched without scanning them all."""
+
+from collections.abc import Iterator
+from typing import Final
+
+from radishlift.placement.jobs import Resources
+from radishlift.placement.tables import WorkerTable
+
+LEVELS_COUNT: Final = 64
+"""Levels of each dimension; one level is 1.6% of the largest worker."""
+
+
+class FreeGrid:
+    """Workers in cells by the levels of their free processor and memory.
+
+    Cells without workers are skipped by bit masks, so that a search costs
+    the same for any number of workers, up to the content of one cell.
+    """
+
+    def __init__(self, largest: Resources) -> None:
+        self._cpu_step = max(1, -(-largest.cpu_milli // LEVELS_COUNT))
+        self._memory_step = max(1, -(-largest.memory_mb // LEVELS_COUNT))
+        self._cells: dict[tuple[int, int], dict[int, None]] = {}
+        self._cell_of: dict[int, tuple[int, int]] = {}
+        self._memory_masks: list[int] = []
+        self._cpu_mask = 0
+
+    def update(self, row: int, cpu_milli: int, memory_mb: int) -> None:
+        """Moves a worker to the cell of its free capacity."""
+        cell = (
+            max(0, cpu_milli) // self._cpu_step,
+            max(0, memory_mb) // self._memory_step,
+        )
+        before = self._cell_of.get(row)
+        if before == cell:
+            return
+        if before is not None:
+            self._leave(row, before)
+        self._enter(row, cell)
+
+    def remove(self, row: int) -> None:
+        """Removes a worker if it is present."""
+        before = self._cell_of.pop(row, None)
+        if before is not None:
+            self._leave(row, before)
+
+    def search(self, demand: Resources, *, is_tight: bool) -> Iterator[int]:
+        """Yields workers that may fit, least free ones first if `is_tight`.
+
+        Workers in the lowest cells may be too small; the caller checks.
+        """
+        low_memory = demand.memory_mb // self._memory_step
+        low_cpu = demand.cpu_milli // self._cpu_step
+        for cpu in _set_bits(self._cpu_mask, low_cpu, is_tight=is_tight):
+            mask = self._memory_masks[cpu]
+            for memory in _set_bits(mask, low_memory, is_tight=is_tight):
+                yield from self._cells[cpu, memory]
+
+    def _enter(self, row: int, cell: tuple[int, int]) -> None:
+        cpu, memory = cell
+        while len(self._memory_masks) <= cpu:
+            self._memory_masks.append(0)
+        self._cells.setdefault(cell, {})[row] = None
+        self._cell_of[row] = cell
+        self._memory_masks[cpu] |= 1 << memory
+        self._cpu_mask |= 1 << cpu
+
+    def _leave(self, row: int, cell: tuple[int, int]) -> None:
+        members = self._cells[cell]
+        del members[row]
+        if members:
+            return
+        del self._cells[cell]
+        cpu, memory = cell
+        self._memory_masks[cpu] &= ~(1 << memory)
+        if not self._memory_masks[cpu]:
+            self._cpu_mask &= ~(1 << cpu)
+
+
+def _set_bits(mask: int, low: int, *, is_tight: bool) -> Iterator[int]:
+    mask = mask >> low << low
+    while mask:
+        if is_tight:
+            bit = (mask & -mask).bit_length() - 1
+        else:
+            bit = mask.bit_length() - 1
+        yield bit
+        mask ^= 1 << bit
+
+
+class WorkerIndex:
+    """Grids of the open workers, without and with accelerators.
+
+    Work that needs no accelerator looks at the workers without them first.
+    """
+
+    def __init__(self, workers: WorkerTable) -> None:
+        self._workers = workers
+        self._largest = Resources(0, 0, 0)
+        self._grids: tuple[FreeGrid, ...] = ()
+        self._rebuild(self._largest)
+
+    def update(self, row: int, extra: Resources | None = None) -> None:
+        """Takes over the present free capacity of a worker.
+
+        `extra` is counted as free too, such as capacity of preemptible work.
+        """
+        workers = self._workers
+        if not workers.can_take(row):
+            self._remove(row)
+            return
+        capacity = workers.worker_info[row].capacity
+        self._grow(capacity)
+        grid = self._grids[capacity.accelerators_count > 0]
+        cpu, memory = workers.free_cpu[row], workers.free_memory[row]
+        if extra is not None:
+            cpu += extra.cpu_milli
+            memory += extra.memory_mb
+        grid.update(row, cpu, memory)
+
+    def search(self, demand: Resources, *, is_tight: bool) -> Iterator[int]:
+        """Yields workers that may fit; the caller checks each."""
+        if not demand.accelerators_count:
+            yield from self._grids[0].search(demand, is_tight=is_tight)
+        yield from self._grids[1].search(demand, is_tight=is_tight)
+
+    def _remove(self, row: int) -> None:
+        for grid in self._grids:
+            grid.remove(row)
+
+    def _grow(self, capacity: Resources) -> None:
+        largest = Resources(
+            max(self._largest.cpu_milli, capacity.cpu_milli),
+            max(self._largest.memory_mb, capacity.memory_mb),
+        )
+        if largest != self._largest:
+            self._rebuild(largest)
+
+    def _rebuild(self, largest: Resources) -> None:
+        self._largest = largest
+        self._grids = (FreeGrid(largest), FreeGrid(largest))
+        for row in list(self._workers.row_of.values()):
+            self.update(row)
+
+
+__all__ = ('FreeGrid', 'WorkerIndex')
