Check random record sequences against overcommitment and replay

A refused record could leave rows behind for tasks that were never started, because rows were added before the checks. All checks now precede changes, and a start of a task that no known job has is refused. Ends of unknown tasks change nothing, as ended jobs are forgotten.

--- a/src/radishlift/placement/changes.py
+++ b/src/radishlift/placement/changes.py
@@ -3,8 +3,7 @@
 from collections.abc import Callable
 from typing import Any, Final
 
-from radishlift.core.ids import TaskId
-from radishlift.placement.jobs import TaskState, job_id_of
+from radishlift.placement.jobs import TaskState
 from radishlift.placement.partition_tables import (
     PartitionTables,
     RecordRefusedError,
@@ -96,26 +95,24 @@
 @change(TaskPlaced)
 def place_task(tables: PartitionTables, record: TaskPlaced) -> None:
     """Commits capacity of a worker to a new attempt."""
+    if not tables.has_task(record.task_id):
+        raise RecordRefusedError('there is no such task')
     row = tables.task_row(record.task_id)
+    worker_row = tables.workers.row_of.get(record.worker_id, NO_ROW)
     if row is None:
-        _check_open_job(tables, record.task_id)
+        check_start(tables, record, worker_row, 0)
         row = tables.add_tasks_up_to(record.task_id)
     if row == NO_ROW or record.attempt < tables.tasks.attempt[row]:
         return
-    worker_row = tables.workers.row_of.get(record.worker_id, NO_ROW)
     if record.attempt == tables.tasks.attempt[row]:
         _check_same_start(tables, row, worker_row)
         return
-    _check_start(tables, row, record, worker_row)
+    if not is_allowed(tables.tasks.state[row], TaskState.placed):
+        raise RecordRefusedError('an earlier attempt has not ended')
+    check_start(tables, record, worker_row, tables.tasks.attempt[row])
     tables.commit_attempt(row, worker_row, record)
 
 
-def _check_open_job(tables: PartitionTables, task_id: TaskId) -> None:
-    job_row = tables.jobs.row_of.get(job_id_of(task_id))
-    if job_row is None:
-        raise RecordRefusedError('the job is unknown')
-
-
 def _check_same_start(
     tables: PartitionTables,
     row: int,
@@ -126,28 +123,17 @@
         raise RecordRefusedError('the attempt is placed on another worker')
 
 
-def _check_start(
+def check_start(
     tables: PartitionTables,
-    row: int,
     record: TaskPlaced,
     worker_row: int,
+    last_attempt: int,
 ) -> None:
-    if not is_allowed(tables.tasks.state[row], TaskState.placed):
-        raise RecordRefusedError('an earlier attempt has not ended')
-    if record.attempt != tables.tasks.attempt[row] + 1:
+    """Checks that an attempt may start on a worker, before any change."""
+    if record.attempt != last_attempt + 1:
         raise RecordRefusedError('an attempt is missing')
-    _check_worker(tables, record, worker_row)
-
-
-def _check_worker(
-    tables: PartitionTables,
-    record: TaskPlaced,
-    worker_row: int,
-) -> None:
-    if worker_row == NO_ROW:
-        raise RecordRefusedError('the worker is unknown')
-    if not tables.workers.is_present[worker_row]:
-        raise RecordRefusedError('the worker is gone')
+    if worker_row == NO_ROW or not tables.workers.is_present[worker_row]:
+        raise RecordRefusedError('the worker is unknown or gone')
     described = tables.workers.worker_info[worker_row]
     if described.incarnation != record.incarnation:
         raise RecordRefusedError('the worker has another incarnation')
@@ -189,17 +175,18 @@
         return
     if not is_allowed(tables.tasks.state[row], record.state):
         raise RecordRefusedError(f'a task cannot become {record.state.value}')
-    tables.release_attempt(row, is_charged=record.reason == FAILED)
     job_row = tables.tasks.job_row[row]
-    if record.state in ENDED_STATES:
+    is_ended = record.state in ENDED_STATES
+    if not is_ended and not tables.jobs.is_open(job_row):
+        raise RecordRefusedError('a task of a closed job cannot be queued')
+    tables.release_attempt(row, is_charged=record.reason == FAILED)
+    if is_ended:
         counts = tables.jobs.ended_counts[job_row]
         counts[record.state] = counts.get(record.state, 0) + 1
         tables.remove_task(row)
-    elif tables.jobs.is_open(job_row):
-        tables.requeue_task(row)
     else:
-        raise RecordRefusedError('a task of a closed job cannot be queued')
+        tables.requeue_task(row)
     tables.end_job(job_row, record.ended_at_ms)
 
 
-__all__ = ('CHANGES', 'change')
+__all__ = ('CHANGES', 'change', 'check_start')
--- a/src/radishlift/placement/partition_tables.py
+++ b/src/radishlift/placement/partition_tables.py
@@ -38,11 +38,18 @@
         self.team_use: dict[TeamName, list[int]] = {}
         self.department_use: dict[DepartmentName, list[int]] = {}
 
-    def task_row(self, task_id: TaskId) -> int | None:
-        """Finds a task; None if unstarted, `NO_ROW` if it has ended."""
+    def has_task(self, task_id: TaskId) -> bool:
+        """Tells whether a known job has this task, in any state."""
         job_row = self.jobs.row_of.get(job_id_of(task_id))
         if job_row is None:
-            return None
+            return False
+        return 0 <= task_index(task_id) < self.jobs.spec[job_row].task_count
+
+    def task_row(self, task_id: TaskId) -> int | None:
+        """Finds a task; None if unstarted, `NO_ROW` if ended or unknown."""
+        if not self.has_task(task_id):
+            return NO_ROW
+        job_row = self.jobs.row_of[job_id_of(task_id)]
         index = task_index(task_id)
         row = self.jobs.task_rows[job_row].get(index)
         if row is not None:
@@ -54,8 +61,6 @@
         """Gives rows to the unstarted tasks up to this one."""
         job_row = self.jobs.row_of[job_id_of(task_id)]
         index = task_index(task_id)
-        if index >= self.jobs.spec[job_row].task_count:
-            raise RecordRefusedError('the job has fewer tasks')
         row = NO_ROW
         job_id = self.jobs.spec[job_row].job_id
         for fresh in range(self.jobs.fresh_index[job_row], index + 1):
@@ -165,8 +170,9 @@
 
 
 def task_index(task_id: TaskId) -> int:
-    """Returns the position of a task in its job."""
-    return int(task_id.rpartition('/')[2])
+    """Returns the position of a task in its job; -1 if malformed."""
+    digits = task_id.rpartition('/')[2]
+    return int(digits) if digits.isdecimal() else NO_ROW
 
 
 __all__ = ('PartitionTables', 'RecordRefusedError', 'task_index')
--- /dev/null
+++ b/tests/placement/test_properties.py
@@ -0,0 +1,158 @@
+"""Properties of random sequences of records and of calls to the engine."""
+
+from typing import Any
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from radishlift.core.ids import Attempt, Incarnation, JobId, TaskId, WorkerId
+from radishlift.placement.engine import PlacementEngine
+from radishlift.placement.jobs import (
+    JobKind,
+    Priority,
+    Resources,
+    TaskState,
+)
+from radishlift.placement.partition_tables import RecordRefusedError
+from radishlift.placement.records import (
+    JobAccepted,
+    JobCancelled,
+    JobForgotten,
+    TaskEnded,
+    TaskPlaced,
+    TaskStopping,
+    WorkerObserved,
+    WorkerQuarantined,
+    WorkerRemoved,
+    WorkerReturned,
+)
+from radishlift.placement.state import PartitionState
+from tests.placement.builders import make_job, make_worker
+
+FIXED = settings(derandomize=True, deadline=None, max_examples=150)
+SMALL = Resources(4_000, 8_000)
+
+numbers = st.integers(0, 2)
+attempts = st.integers(1, 3).map(Attempt)
+job_ids = numbers.map(lambda number: JobId(f'j{number}'))
+task_ids = st.builds(
+    lambda job, index: TaskId(f'{job}/{index}'), job_ids, numbers
+)
+incarnations = st.sampled_from(['i1', 'i2']).map(Incarnation)
+worker_ids = numbers.map(lambda number: WorkerId(f'10.0.0.{number}:9000'))
+demands = st.builds(Resources, st.integers(1, 4_000), st.integers(1, 8_000))
+jobs = st.builds(
+    make_job,
+    job_ids,
+    task_count=st.integers(1, 3),
+    demand=demands,
+    kind=st.sampled_from(JobKind),
+    priority=st.sampled_from(Priority),
+    max_attempts=st.integers(1, 3),
+)
+workers = st.builds(
+    make_worker,
+    numbers,
+    st.just(SMALL),
+    st.sampled_from(['i1', 'i2']),
+)
+ends = st.sampled_from(
+    (
+        TaskState.finished,
+        TaskState.failed,
+        TaskState.cancelled,
+        TaskState.queued,
+    ),
+)
+reasons = st.sampled_from(['failed', 'other'])
+records = st.one_of(
+    st.builds(JobAccepted, jobs, st.just(1)),
+    st.builds(JobCancelled, job_ids),
+    st.builds(JobForgotten, job_ids),
+    st.builds(
+        TaskPlaced,
+        task_ids,
+        attempts,
+        worker_ids,
+        incarnations,
+        demands,
+        st.just(1),
+    ),
+    st.builds(TaskStopping, task_ids, attempts, st.booleans(), reasons),
+    st.builds(TaskEnded, task_ids, attempts, ends, reasons),
+    st.builds(WorkerObserved, workers),
+    st.builds(WorkerRemoved, worker_ids, incarnations),
+    st.builds(WorkerQuarantined, worker_ids, incarnations, reasons),
+    st.builds(WorkerReturned, worker_ids),
+)
+calls = st.one_of(
+    st.tuples(st.just('accept'), jobs),
+    st.tuples(st.just('cancel'), job_ids),
+    st.tuples(st.just('observe_worker'), workers),
+    st.tuples(st.just('worker_gone'), worker_ids, incarnations),
+    st.tuples(st.just('task_ended'), task_ids, attempts, ends),
+    st.tuples(st.just('tick')),
+)
+
+
+def check_capacity(state: PartitionState) -> None:
+    """Checks that free and committed amounts add up to the capacity."""
+    tables = state.tables
+    for row in tables.workers.row_of.values():
+        capacity = tables.workers.worker_info[row].capacity
+        reserved = [
+            tables.tasks.reserved[task] for task in tables.workers.tasks[row]
+        ]
+        cpu_milli = sum(amount.cpu_milli for amount in reserved)
+        memory_mb = sum(amount.memory_mb for amount in reserved)
+        assert cpu_milli + tables.workers.free_cpu[row] == capacity.cpu_milli
+        assert memory_mb + tables.workers.free_memory[row] == capacity.memory_mb
+        assert cpu_milli <= capacity.cpu_milli
+        assert memory_mb <= capacity.memory_mb
+
+
+@FIXED
+@given(st.lists(records, max_size=80), st.integers(0, 80))
+def test_random_records_never_overcommit(sequence, cut):
+    """Guards against overcommitment and against replay that differs."""
+    live = PartitionState()
+    applied: list[Any] = []
+    snapshot = live.dump()
+    for record in sequence:
+        before = live.dump()
+        try:
+            live.apply(record)
+        except RecordRefusedError:
+            assert live.dump() == before
+            continue
+        applied.append(record)
+        check_capacity(live)
+        if len(applied) == cut:
+            snapshot = live.dump()
+    is_cut = cut <= len(applied)
+    restored = PartitionState()
+    restored.load(snapshot)
+    for record in applied[cut if is_cut else 0 :]:
+        restored.apply(record)
+    assert restored.dump() == live.dump()
+
+
+@FIXED
+@given(st.lists(calls, max_size=60))
+def test_engine_records_replay_to_the_same_state(sequence):
+    """Guards against decisions that the journal doesn't hold."""
+    live, replayed = PartitionState(), PartitionState()
+    engine = PlacementEngine(live, timer=float)
+    for now_ms, (name, *arguments) in enumerate([*sequence, ('tick',)]):
+        made: Any = []
+        if name == 'tick':
+            made = engine.tick(now_ms)
+        elif name == 'accept':
+            made = [engine.accept(*arguments, now_ms)]
+        else:
+            getattr(engine, name)(*arguments)
+        for record in made:
+            if type(record) in PartitionState.record_types:
+                replayed.apply(record)
+        check_capacity(live)
+        assert replayed.dump() == live.dump()
