--- /dev/null
+++ b/src/radishlift/journal/fates.py
@@ -0,0 +1,78 @@
+"""What became of the records of a journal, for the callers that wait."""
+
+import asyncio
+from typing import Final
+
+from radishlift.core.errors import ErrorKind, Failure
+
+_ANY_POSITION: Final = 2**63
+
+
+class Fates:
+    """Fates of records by their positions in the order of the journal.
+
+    Up to `durable_position` records are durable. After the journal closed,
+    those up to `unknown_position` may have been written by its last row, and
+    later ones certainly were not.
+    """
+
+    def __init__(self) -> None:
+        self.durable_position = 0
+        self.closed: Failure | None = None
+        self._unknown_position = 0
+        self._waiters: list[tuple[int, asyncio.Future[Failure | None]]] = []
+
+    async def wait(self, position: int, timeout_ms: int) -> Failure | None:
+        """Waits for the fate of a record; see `PartitionJournal`."""
+        if position <= self.durable_position:
+            return None
+        if self.closed is not None:
+            return self._fate_after_close(position)
+        future: asyncio.Future[Failure | None]
+        future = asyncio.get_running_loop().create_future()
+        self._waiters.append((position, future))
+        try:
+            async with asyncio.timeout(timeout_ms / 1000):
+                return await future
+        except TimeoutError:
+            reason = f'not journaled within {timeout_ms} ms'
+            return Failure(ErrorKind.store_outcome_unknown, reason)
+
+    def mark_durable(self, position: int) -> None:
+        """Marks all records up to a position as durable."""
+        self.durable_position = position
+        self._finish(0, position, None)
+
+    def withdraw(self, first: int, last: int) -> None:
+        """Tells waiters that the records certainly are not written."""
+        reason = 'records were withdrawn before they were sent'
+        failure = Failure(ErrorKind.store_unavailable, reason)
+        self._finish(first, last, failure)
+
+    def close(self, failure: Failure, unknown_position: int = 0) -> None:
+        """Ends the journal; nothing becomes durable any more."""
+        self.closed = failure
+        self._unknown_position = unknown_position
+        unknown = self._fate_after_close(unknown_position)
+        self._finish(0, unknown_position, unknown)
+        self._finish(0, _ANY_POSITION, failure)
+
+    def _fate_after_close(self, position: int) -> Failure | None:
+        if position <= self._unknown_position:
+            reason = 'deposed before the outcome of the row was known'
+            return Failure(ErrorKind.store_outcome_unknown, reason)
+        return self.closed
+
+    def _finish(self, first: int, last: int, fate: Failure | None) -> None:
+        kept = []
+        for position, future in self._waiters:
+            if future.done():
+                continue
+            if first <= position <= last:
+                future.set_result(fate)
+            else:
+                kept.append((position, future))
+        self._waiters = kept
+
+
+__all__ = ('Fates',)
--- /dev/null
+++ b/src/radishlift/journal/inserts.py
@@ -0,0 +1,129 @@
+"""One conditional insert of a journal row, settled to a certain result."""
+
+from dataclasses import dataclass
+from enum import Enum, unique
+
+from radishlift.core.codec import dump_plain
+from radishlift.core.errors import ErrorKind, Failure
+from radishlift.core.ids import Sequence
+from radishlift.journal.rows import (
+    JOURNAL_TABLE,
+    JournalRow,
+    parse_row,
+    row_key,
+)
+from radishlift.journal.snapshot_rows import read_snapshot_sequence
+from radishlift.ownership.api import OwnerClaim
+from radishlift.platform.api import (
+    Condition,
+    Conflict,
+    Row,
+    TableStore,
+    Transaction,
+    Write,
+)
+
+
+@unique
+class InsertResult(Enum):
+    """What is known about an insert."""
+
+    committed = 'committed'
+    committed_deposed = 'committed_deposed'
+    not_sent = 'not_sent'
+    unsettled = 'unsettled'
+    deposed = 'deposed'
+    deposed_unknown = 'deposed_unknown'
+    foreign_row = 'foreign_row'
+
+
+@dataclass(frozen=True, slots=True)
+class Insert:
+    """A row to be inserted; repeats of it are identical."""
+
+    claim: OwnerClaim
+    sequence: Sequence
+    row: JournalRow
+
+    @property
+    def key(self) -> str:
+        """Returns the key of the row."""
+        return row_key(self.claim.partition_id, self.sequence)
+
+    def transaction(self) -> Transaction:
+        """Requires that the row is absent and the claim is in force."""
+        return Transaction(
+            (Condition(JOURNAL_TABLE, self.key, 0), self.claim.condition),
+            (Write(JOURNAL_TABLE, self.key, dump_plain(self.row)),),
+        )
+
+
+async def run_insert(
+    store: TableStore,
+    insert: Insert,
+    attempts: int,
+    *,
+    may_be_sent: bool,
+) -> InsertResult:
+    """Sends an insert until its result is certain or attempts run out.
+
+    `may_be_sent` tells whether an earlier send has no known outcome; then a
+    refusal of a repeat says nothing about the earlier one.
+    """
+    for _ in range(attempts):
+        outcome = await store.commit(insert.transaction())
+        if isinstance(outcome, Conflict):
+            return await _judge_conflict(store, insert, outcome)
+        if not isinstance(outcome, Failure):
+            return InsertResult.committed
+        if outcome.kind is ErrorKind.store_unavailable:
+            break
+        may_be_sent = True
+    return InsertResult.unsettled if may_be_sent else InsertResult.not_sent
+
+
+async def _judge_conflict(
+    store: TableStore,
+    insert: Insert,
+    conflict: Conflict,
+) -> InsertResult:
+    is_deposed = any(
+        row.table == insert.claim.condition.table
+        and row.version != insert.claim.owner_row_version
+        for row in conflict.rows
+    )
+    present = _present_row(insert, conflict.rows)
+    if present is not None and _is_own(insert, present):
+        if is_deposed:
+            return InsertResult.committed_deposed
+        return InsertResult.committed
+    if not is_deposed:
+        return InsertResult.foreign_row
+    if present is not None:
+        # The successor used this sequence, so it found no row there.
+        return InsertResult.deposed
+    return await _judge_absent(store, insert)
+
+
+async def _judge_absent(store: TableStore, insert: Insert) -> InsertResult:
+    # A successor deletes rows that its snapshot covers. An absent row was
+    # never written only if no snapshot covers its sequence.
+    covered = await read_snapshot_sequence(store, insert.claim.partition_id)
+    if isinstance(covered, Failure) or covered >= insert.sequence:
+        return InsertResult.deposed_unknown
+    return InsertResult.deposed
+
+
+def _present_row(insert: Insert, rows: tuple[Row, ...]) -> Row | None:
+    for row in rows:
+        if row.table == JOURNAL_TABLE and row.key == insert.key:
+            return row if row.version else None
+    return None
+
+
+def _is_own(insert: Insert, present: Row) -> bool:
+    parsed = parse_row(present)
+    return not isinstance(parsed, Failure) and parsed.nonce == insert.row.nonce
+
+
+__all__ = ('Insert', 'InsertResult', 'run_insert')
--- /dev/null
+++ b/src/radishlift/journal/partition_journal.py
@@ -0,0 +1,283 @@
+"""Write-ahead journal of one owned partition, with group commit.
+
+A record changes the state of its owner at once, before it is durable. A row
+that certainly failed is therefore kept and retried: dropping it would leave
+state that no successor rebuilds. Callers avoid the situation by asking
+`refusal` before they append, and a caller that can undo its records may
+`withdraw` them while no row with them can have been written.
+"""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from secrets import token_hex
+from typing import Any, Final
+
+from radishlift.core.errors import ErrorKind, Failure
+from radishlift.core.ids import Sequence
+from radishlift.core.logs import log_event
+from radishlift.journal.fates import Fates
+from radishlift.journal.inserts import Insert, InsertResult, run_insert
+from radishlift.journal.pending import PendingRecord, PendingRecords
+from radishlift.journal.rows import JournalRow
+from radishlift.journal.settings import JournalSettings
+from radishlift.ownership.api import OwnerClaim
+from radishlift.platform.api import TableStore
+
+_NONCE_BYTES: Final = 6
+_NOT_WRITTEN: Final = Failure(
+    ErrorKind.store_unavailable,
+    'table service does not take journal rows',
+)
+_UNSETTLED: Final = Failure(
+    ErrorKind.store_outcome_unknown,
+    'table service does not answer whether a journal row was written',
+)
+
+Dump = Callable[[], Any]
+
+
+@dataclass(frozen=True, slots=True)
+class Flushed:
+    """A flush that made all records appended before it durable."""
+
+    sequence: Sequence
+    rows_count: int
+    records_count: int
+
+
+@dataclass(frozen=True, slots=True)
+class CapturedState:
+    """The state of the partition after all rows up to a sequence."""
+
+    sequence: Sequence
+    plain: Any
+
+
+@dataclass(frozen=True, slots=True)
+class _SentRow:
+    insert: Insert
+    entries: list[PendingRecord]
+    captured: CapturedState | None
+
+
+class PartitionJournal:
+    """Collects records and inserts them as rows on the owner's condition.
+
+    The caller applies a record to its state and appends it without awaiting
+    in between, so that a state captured while a row is formed is the state
+    after that row.
+    """
+
+    def __init__(
+        self,
+        store: TableStore,
+        claim: OwnerClaim,
+        next_sequence: Sequence,
+        settings: JournalSettings,
+        dump: Dump | None = None,
+    ) -> None:
+        self.claim = claim
+        self.captured: CapturedState | None = None
+        self._store = store
+        self._settings = settings
+        self._dump = dump
+        self._next_sequence = next_sequence
+        self._last_capture = next_sequence - 1
+        self._writer = token_hex(_NONCE_BYTES)
+        self._formed_count = 0
+        self._pending = PendingRecords()
+        self._sent: _SentRow | None = None
+        self._fates = Fates()
+        self._lock = asyncio.Lock()
+        self._last_failure: Failure | None = None
+
+    @property
+    def durable_position(self) -> int:
+        """Returns the last position up to which records are durable."""
+        return self._fates.durable_position
+
+    @property
+    def pending_count(self) -> int:
+        """Counts records that are not yet known to be durable."""
+        sent_count = len(self._sent.entries) if self._sent else 0
+        return len(self._pending) + sent_count
+
+    def refusal(self) -> Failure | None:
+        """Returns why nothing new may be accepted, if so.
+
+        It is `not_owner` for a deposed journal and `store_unavailable` from a
+        failed flush until the next one that succeeds.
+        """
+        return self._fates.closed or self._last_failure
+
+    def append(self, record: object) -> int | Failure:
+        """Adds a record to the next row and returns its position.
+
+        Fails with `not_owner` when the journal is closed.
+        """
+        if self._fates.closed is not None:
+            return self._fates.closed
+        return self._pending.append(record)
+
+    def withdraw(self, first: int, last: int) -> bool:
+        """Removes records that certainly are in no row that was sent.
+
+        The caller undoes their effect on the state, and no later record may
+        depend on them. Returns False, and removes none, if one of them may
+        have been written.
+        """
+        if not self._pending.withdraw(first, last):
+            return False
+        self._fates.withdraw(first, last)
+        return True
+
+    async def wait_durable(
+        self,
+        position: int,
+        timeout_ms: int,
+    ) -> Failure | None:
+        """Waits until all records up to a position are durable.
+
+        Fails with `not_owner` when the record certainly is not and will not
+        be written, and with `store_outcome_unknown` when that isn't known
+        within the time.
+        """
+        return await self._fates.wait(position, timeout_ms)
+
+    async def flush(self, max_rows: int = 1000) -> Flushed | Failure:
+        """Makes the records appended so far durable, in at most some rows.
+
+        Fails with `not_owner` once deposed, with `store_unavailable` when the
+        first row not written certainly was not, and with
+        `store_outcome_unknown` when it may have been. Records that are not
+        durable stay for the next flush.
+        """
+        async with self._lock:
+            return await self._flush_rows(
+                self._pending.last_position,
+                max_rows,
+            )
+
+    async def _flush_rows(
+        self,
+        last_position: int,
+        max_rows: int,
+    ) -> Flushed | Failure:
+        rows_count = 0
+        records_count = 0
+        while self.durable_position < last_position and rows_count < max_rows:
+            if self._fates.closed is not None:
+                break
+            retried = self._sent
+            sent = retried or self._form_row()
+            if sent is None:
+                break
+            failure = await self._insert(sent, may_be_sent=retried is not None)
+            if failure is not None:
+                return failure
+            rows_count += 1
+            records_count += len(sent.entries)
+        if self._fates.closed is not None:
+            return self._fates.closed
+        self._last_failure = None
+        last_sequence = Sequence(self._next_sequence - 1)
+        return Flushed(last_sequence, rows_count, records_count)
+
+    def _form_row(self) -> _SentRow | None:
+        entries = self._pending.take(self._settings.row_bytes)
+        if not entries:
+            return None
+        self._formed_count += 1
+        row = JournalRow(
+            self.claim.epoch,
+            f'{self._writer}.{self._formed_count}',
+            [entry.stored for entry in entries],
+        )
+        insert = Insert(self.claim, self._next_sequence, row)
+        return _SentRow(insert, entries, self._capture())
+
+    def _capture(self) -> CapturedState | None:
+        # Records that stay pending have already changed the state, so only
+        # a row that takes all of them has the state as its result.
+        rows_count = self._next_sequence - self._last_capture
+        is_due = rows_count >= self._settings.snapshot_rows_count
+        if self._dump is None or not is_due or len(self._pending):
+            return None
+        return CapturedState(self._next_sequence, self._dump())
+
+    async def _insert(
+        self,
+        sent: _SentRow,
+        *,
+        may_be_sent: bool,
+    ) -> Failure | None:
+        # Set before the await: a flush cancelled while it waits for the
+        # answer leaves a row of unknown outcome.
+        self._sent = sent
+        outcome = await run_insert(
+            self._store,
+            sent.insert,
+            self._settings.insert_attempts,
+            may_be_sent=may_be_sent,
+        )
+        return self._settle(sent, outcome)
+
+    def _settle(self, sent: _SentRow, outcome: InsertResult) -> Failure | None:
+        match outcome:
+            case InsertResult.committed:
+                self._mark_durable(sent)
+                return None
+            case InsertResult.not_sent:
+                self._sent = None
+                self._pending.put_back(sent.entries)
+                self._last_failure = _NOT_WRITTEN
+                return _NOT_WRITTEN
+            case InsertResult.unsettled:
+                self._last_failure = _NOT_WRITTEN
+                return _UNSETTLED
+            case InsertResult.foreign_row:
+                reason = f'foreign row at {sent.insert.key}'
+                return self._close(ErrorKind.internal, reason)
+        return self._settle_deposed(sent, outcome)
+
+    def _settle_deposed(
+        self,
+        sent: _SentRow,
+        outcome: InsertResult,
+    ) -> Failure:
+        unknown_position = 0
+        if outcome is InsertResult.committed_deposed:
+            self._mark_durable(sent)
+        elif outcome is InsertResult.deposed_unknown:
+            unknown_position = sent.entries[-1].position
+        reason = 'owner row changed'
+        return self._close(ErrorKind.not_owner, reason, unknown_position)
+
+    def _mark_durable(self, sent: _SentRow) -> None:
+        self._sent = None
+        self._next_sequence = Sequence(sent.insert.sequence + 1)
+        if sent.captured is not None:
+            self._last_capture = sent.captured.sequence
+            self.captured = sent.captured
+        self._fates.mark_durable(sent.entries[-1].position)
+
+    def _close(
+        self,
+        kind: ErrorKind,
+        reason: str,
+        unknown_position: int = 0,
+    ) -> Failure:
+        failure = Failure(kind, f'{self.claim.partition_id}: {reason}')
+        log_event(
+            'journal_closed',
+            partition=self.claim.partition_id,
+            epoch=self.claim.epoch,
+            reason=reason,
+        )
+        self._sent = None
+        self._fates.close(failure, unknown_position)
+        return failure
+
+
+__all__ = ('CapturedState', 'Flushed', 'PartitionJournal')
--- /dev/null
+++ b/src/radishlift/journal/pending.py
@@ -0,0 +1,75 @@
+"""Records that wait for their row."""
+
+import json
+from collections import deque
+from dataclasses import dataclass
+from typing import Any
+
+from radishlift.journal.records import encode_record
+
+
+@dataclass(frozen=True, slots=True)
+class PendingRecord:
+    """A record in its stored form with its position and size."""
+
+    position: int
+    stored: list[Any]
+    size_bytes: int
+
+
+class PendingRecords:
+    """Records in the order of their positions, counted from 1."""
+
+    def __init__(self) -> None:
+        self._records: deque[PendingRecord] = deque()
+        self._last_position = 0
+
+    def __len__(self) -> int:
+        return len(self._records)
+
+    @property
+    def last_position(self) -> int:
+        """Returns the position of the record appended last."""
+        return self._last_position
+
+    def append(self, record: object) -> int:
+        """Adds a record and returns its position."""
+        self._last_position += 1
+        stored = encode_record(record)
+        size_bytes = len(json.dumps(stored, separators=(',', ':'))) + 1
+        self._records.append(
+            PendingRecord(self._last_position, stored, size_bytes),
+        )
+        return self._last_position
+
+    def take(self, max_bytes: int) -> list[PendingRecord]:
+        """Removes the first records up to a size, but at least one."""
+        taken: list[PendingRecord] = []
+        size_bytes = 0
+        while self._records:
+            size_bytes += self._records[0].size_bytes
+            if taken and size_bytes > max_bytes:
+                break
+            taken.append(self._records.popleft())
+        return taken
+
+    def put_back(self, taken: list[PendingRecord]) -> None:
+        """Returns the records that were taken last to their places."""
+        self._records.extendleft(reversed(taken))
+
+    def withdraw(self, first: int, last: int) -> bool:
+        """Removes the records at these positions if all are here."""
+        found = [
+            entry for entry in self._records if first <= entry.position <= last
+        ]
+        if len(found) != last - first + 1:
+            return False
+        self._records = deque(
+            entry
+            for entry in self._records
+            if not first <= entry.position <= last
+        )
+        return True
+
+
+__all__ = ('PendingRecord', 'PendingRecords')
--- /dev/null
+++ b/src/radishlift/journal/recovery.py
@@ -0,0 +1,139 @@
+"""Rebuilds the state of a partition from its snapshot and journal."""
+
+import asyncio
+from collections.abc import Sequence as Items
+from dataclasses import dataclass
+from typing import Any, Final
+
+from radishlift.core.errors import ErrorKind, Failure
+from radishlift.core.ids import Epoch, PartitionId, Sequence
+from radishlift.journal.api import JournaledState
+from radishlift.journal.records import decode_record
+from radishlift.journal.rows import (
+    JOURNAL_TABLE,
+    key_prefix,
+    parse_row,
+    row_key,
+    sequence_of,
+)
+from radishlift.journal.snapshots import load_snapshot
+from radishlift.platform.api import ObjectStore, Row, TableStore
+
+_SCAN_LIMIT: Final = 100
+
+
+@dataclass(frozen=True, slots=True)
+class Recovered:
+    """What was read; the next row of the journal is `next_sequence`.
+
+    `snapshot_sequence` is 0 without a snapshot; rows up to it were not read.
+    """
+
+    next_sequence: Sequence
+    snapshot_sequence: Sequence
+    rows_count: int
+    records_count: int
+
+
+class _Replay:
+    def __init__(
+        self,
+        partition_id: PartitionId,
+        states: Items[JournaledState],
+        after: Sequence,
+    ) -> None:
+        self.after = after
+        self.last_sequence = after
+        self.records_count = 0
+        self._partition_id = partition_id
+        self._epoch = Epoch(0)
+        self._state_of: dict[type, JournaledState] = {
+            record_type: state
+            for state in states
+            for record_type in state.record_types
+        }
+
+    def apply_row(self, row: Row) -> Failure | None:
+        sequence = sequence_of(row.key)
+        if sequence != self.last_sequence + 1:
+            expected = row_key(self._partition_id, self.last_sequence + 1)
+            return _damaged(f'{expected} is missing before {row.key}')
+        parsed = parse_row(row)
+        if isinstance(parsed, Failure):
+            return parsed
+        if parsed.epoch < self._epoch:
+            return _damaged(f'{row.key} is of the earlier epoch {parsed.epoch}')
+        self._epoch = parsed.epoch
+        self.last_sequence = sequence
+        for stored in parsed.records:
+            failure = self._apply(stored)
+            if failure is not None:
+                return _damaged(f'{row.key}: {failure.reason}')
+        return None
+
+    def _apply(self, stored: Any) -> Failure | None:
+        record = decode_record(stored)
+        if isinstance(record, Failure):
+            return record
+        state = self._state_of.get(type(record))
+        if state is None:
+            return _damaged(f'no state takes {type(record).__name__}')
+        state.apply(record)
+        self.records_count += 1
+        return None
+
+
+async def recover(
+    store: TableStore,
+    object_store: ObjectStore,
+    partition_id: PartitionId,
+    states: Items[JournaledState],
+) -> Recovered | Failure:
+    """Loads the snapshot into the states and replays the rows after it.
+
+    Call it only after the claim of the partition took effect: from then on
+    no row of an earlier owner can be added. Fails with `internal` when a row
+    is missing or unreadable, and with a kind of the store when it can't be
+    read; the states must then be discarded.
+    """
+    loaded = await load_snapshot(store, object_store, partition_id, states)
+    if isinstance(loaded, Failure):
+        return loaded
+    replay = _Replay(partition_id, states, loaded)
+    failure = await _replay_rows(store, partition_id, replay)
+    if failure is not None:
+        return failure
+    return Recovered(
+        Sequence(replay.last_sequence + 1),
+        replay.after,
+        replay.last_sequence - replay.after,
+        replay.records_count,
+    )
+
+
+async def _replay_rows(
+    store: TableStore,
+    partition_id: PartitionId,
+    replay: _Replay,
+) -> Failure | None:
+    while True:
+        after = row_key(partition_id, replay.last_sequence)
+        prefix = key_prefix(partition_id)
+        rows = await store.scan(JOURNAL_TABLE, prefix, after, _SCAN_LIMIT)
+        if isinstance(rows, Failure):
+            return rows
+        for row in rows:
+            failure = replay.apply_row(row)
+            if failure is not None:
+                return failure
+            # Heartbeats must go on while a long journal is replayed.
+            await asyncio.sleep(0)
+        if len(rows) < _SCAN_LIMIT:
+            return None
+
+
+def _damaged(reason: str) -> Failure:
+    return Failure(ErrorKind.internal, reason)
+
+
+__all__ = ('Recovered', 'recover')
--- /dev/null
+++ b/src/radishlift/journal/rows.py
@@ -0,0 +1,61 @@
+"""Stored form of the rows of a journal."""
+
+from dataclasses import dataclass
+from typing import Any, Final
+
+from radishlift.core.codec import parse_plain
+from radishlift.core.errors import ErrorKind, Failure
+from radishlift.core.ids import Epoch, PartitionId, Sequence
+from radishlift.platform.api import Row
+
+JOURNAL_TABLE: Final = 'journal'
+SEQUENCE_DIGITS: Final = 12
+
+
+@dataclass(frozen=True, slots=True)
+class JournalRow:
+    """A row of a journal; `records` are in the stored form `[name, fields]`.
+
+    The nonce is new for each insert that differs from an earlier one, so that
+    a writer recognises its own insert when it reads the row back.
+    """
+
+    epoch: Epoch
+    nonce: str
+    records: list[Any]
+
+
+def key_prefix(partition_id: PartitionId) -> str:
+    """Returns the common start of the keys of a partition's rows."""
+    return f'{partition_id}/'
+
+
+def row_key(partition_id: PartitionId, sequence: int) -> str:
+    """Returns the key of a row; keys sort by sequence."""
+    return f'{key_prefix(partition_id)}{sequence:0{SEQUENCE_DIGITS}d}'
+
+
+def sequence_of(key: str) -> Sequence | Failure:
+    """Reads the sequence from a key."""
+    digits = key.rpartition('/')[2]
+    if len(digits) == SEQUENCE_DIGITS and digits.isdecimal():
+        return Sequence(int(digits))
+    return Failure(ErrorKind.internal, f'{key} is not a journal key')
+
+
+def parse_row(row: Row) -> JournalRow | Failure:
+    """Reads a stored row; its records stay in their stored form."""
+    parsed = parse_plain(row.value, JournalRow)
+    if isinstance(parsed, Failure):
+        return Failure(ErrorKind.internal, f'{row.key}: {parsed.reason}')
+    return parsed
+
+
+__all__ = (
+    'JOURNAL_TABLE',
+    'JournalRow',
+    'key_prefix',
+    'parse_row',
+    'row_key',
+    'sequence_of',
+)
--- /dev/null
+++ b/src/radishlift/journal/snapshot_rows.py
@@ -0,0 +1,50 @@
+"""Stored form of the row that names a partition's snapshot."""
+
+from dataclasses import dataclass
+from typing import Final
+
+from radishlift.core.codec import parse_plain
+from radishlift.core.errors import ErrorKind, Failure
+from radishlift.core.ids import PartitionId, Sequence
+from radishlift.platform.api import Row, TableStore
+
+SNAPSHOTS_TABLE: Final = 'snapshots'
+
+
+@dataclass(frozen=True, slots=True)
+class SnapshotRow:
+    """Names the object with the state after all rows up to a sequence."""
+
+    object_name: str
+    sequence: Sequence
+
+
+def parse_snapshot_row(row: Row) -> SnapshotRow | Failure:
+    """Reads a stored row; an absent one names no object and sequence 0."""
+    if not row.version:
+        return SnapshotRow('', Sequence(0))
+    parsed = parse_plain(row.value, SnapshotRow)
+    if isinstance(parsed, Failure):
+        reason = f'snapshot row of {row.key}: {parsed.reason}'
+        return Failure(ErrorKind.internal, reason)
+    return parsed
+
+
+async def read_snapshot_sequence(
+    store: TableStore,
+    partition_id: PartitionId,
+) -> Sequence | Failure:
+    """Reads the sequence that the snapshot covers; 0 without one."""
+    row = await store.read(SNAPSHOTS_TABLE, partition_id)
+    if isinstance(row, Failure):
+        return row
+    parsed = parse_snapshot_row(row)
+    return parsed if isinstance(parsed, Failure) else parsed.sequence
+
+
+__all__ = (
+    'SNAPSHOTS_TABLE',
+    'SnapshotRow',
+    'parse_snapshot_row',
+    'read_snapshot_sequence',
+)
--- /dev/null
+++ b/src/radishlift/journal/snapshots.py
@@ -0,0 +1,118 @@
+"""Snapshots of a partition's state in the object store."""
+
+from collections.abc import Sequence as Items
+from dataclasses import dataclass
+from typing import Any, Final
+
+from msgpack import packb, unpackb
+
+from radishlift.core.codec import parse_plain
+from radishlift.core.errors import ErrorKind, Failure
+from radishlift.core.ids import PartitionId, Sequence
+from radishlift.journal.api import JournaledState
+from radishlift.journal.snapshot_rows import (
+    SNAPSHOTS_TABLE,
+    SnapshotRow,
+    parse_snapshot_row,
+)
+from radishlift.platform.api import ObjectStore, TableStore
+
+_FORMAT: Final = 1
+
+
+@dataclass(frozen=True, slots=True)
+class SnapshotContent:
+    """Content of a snapshot object: the dumps of states by class name."""
+
+    format: int
+    partition_id: PartitionId
+    sequence: Sequence
+    states: dict[str, Any]
+
+
+def dump_states(states: Items[JournaledState]) -> dict[str, Any]:
+    """Dumps states; they are stored under the names of their classes."""
+    return {type(state).__name__: state.dump() for state in states}
+
+
+def encode_snapshot(
+    partition_id: PartitionId,
+    sequence: Sequence,
+    dumped: dict[str, Any],
+) -> bytes:
+    """Encodes the content of a snapshot object."""
+    return packb(
+        {
+            'format': _FORMAT,
+            'partition_id': partition_id,
+            'sequence': sequence,
+            'states': dumped,
+        }
+    )
+
+
+async def load_snapshot(
+    store: TableStore,
+    object_store: ObjectStore,
+    partition_id: PartitionId,
+    states: Items[JournaledState],
+) -> Sequence | Failure:
+    """Loads the snapshot into the states; returns 0 if there is none.
+
+    A state that the snapshot does not hold keeps its content.
+    """
+    row = await store.read(SNAPSHOTS_TABLE, partition_id)
+    if isinstance(row, Failure):
+        return row
+    named = parse_snapshot_row(row)
+    if isinstance(named, Failure) or not named.object_name:
+        return named if isinstance(named, Failure) else Sequence(0)
+    encoded = await object_store.get(named.object_name)
+    if isinstance(encoded, Failure):
+        reason = f'snapshot {named.object_name}: {encoded.reason}'
+        return Failure(encoded.kind, reason)
+    content = _decode(encoded, partition_id, named)
+    if isinstance(content, Failure):
+        return content
+    return _load_states(content, states)
+
+
+def _decode(
+    encoded: bytes,
+    partition_id: PartitionId,
+    named: SnapshotRow,
+) -> SnapshotContent | Failure:
+    try:
+        plain = unpackb(encoded, strict_map_key=False)
+    except ValueError as error:
+        return _damaged(named, repr(error))
+    content = parse_plain(plain, SnapshotContent)
+    if isinstance(content, Failure):
+        return _damaged(named, content.reason)
+    if content.format != _FORMAT:
+        return _damaged(named, f'format {content.format}')
+    found = (content.partition_id, content.sequence)
+    if found != (partition_id, named.sequence):
+        return _damaged(named, f'content is of {found}')
+    return content
+
+
+def _load_states(
+    content: SnapshotContent,
+    states: Items[JournaledState],
+) -> Sequence | Failure:
+    by_name = {type(state).__name__: state for state in states}
+    unknown = set(content.states) - set(by_name)
+    if unknown:
+        reason = f'snapshot holds unknown states {sorted(unknown)}'
+        return Failure(ErrorKind.internal, reason)
+    for name, dumped in content.states.items():
+        by_name[name].load(dumped)
+    return content.sequence
+
+
+def _damaged(named: SnapshotRow, reason: str) -> Failure:
+    return Failure(ErrorKind.internal, f'{named.object_name}: {reason}')
+
+
+__all__ = ('dump_states', 'encode_snapshot', 'load_snapshot')
--- /dev/null
+++ b/tests/journal/states.py
@@ -0,0 +1,100 @@
+"""A journaled state for tests, and ways to open and recover it."""
+
+from dataclasses import dataclass
+from typing import Any
+
+from radishlift.core.ids import Epoch, PartitionId
+from radishlift.journal.partition_journal import PartitionJournal
+from radishlift.journal.records import record
+from radishlift.journal.recovery import Recovered, recover
+from radishlift.journal.settings import JournalSettings
+from radishlift.ownership.api import OWNERS_TABLE, OwnerClaim
+from radishlift.platform.api import Transaction, Write
+from tests.standins.tables import MemoryObjectStore, MemoryTableStore
+
+PARTITION = PartitionId('p1')
+
+
+@record('test_noted')
+@dataclass(frozen=True, slots=True)
+class Noted:
+    number: int
+    padding: str = ''
+
+
+class Notes:
+    """Keeps the numbers of the records in the order of their application."""
+
+    record_types = (Noted,)
+
+    def __init__(self) -> None:
+        self.numbers: list[int] = []
+
+    def apply(self, noted: Any) -> None:
+        self.numbers.append(noted.number)
+
+    def dump(self) -> Any:
+        return list(self.numbers)
+
+    def load(self, plain: Any) -> None:
+        self.numbers = list(plain)
+
+
+class Owner:
+    """A claimant of the partition that notes numbers in its journal."""
+
+    def __init__(self, store: MemoryTableStore, **settings: int) -> None:
+        self.store = store
+        self.objects = MemoryObjectStore()
+        self.settings = JournalSettings(**settings)
+        self.notes = Notes()
+        self.recovered: Any = None
+
+    def claim(self, epoch: int) -> OwnerClaim:
+        """Takes the owner row, as a claim that took effect does."""
+        written = self.store.tables.commit(
+            Transaction(
+                (),
+                (Write(OWNERS_TABLE, PARTITION, {'epoch': epoch}),),
+            )
+        )
+        self.version = written.versions[0]
+        return OwnerClaim(PARTITION, Epoch(epoch), self.version)
+
+    async def open(self, epoch: int) -> PartitionJournal:
+        """Claims the partition, recovers it and opens its journal."""
+        claim = self.claim(epoch)
+        self.notes = Notes()
+        self.recovered = await recover(
+            self.store, self.objects, PARTITION, [self.notes]
+        )
+        assert isinstance(self.recovered, Recovered), self.recovered
+        self.journal = PartitionJournal(
+            self.store,
+            claim,
+            self.recovered.next_sequence,
+            self.settings,
+            lambda: {'Notes': self.notes.dump()},
+        )
+        return self.journal
+
+    def note(self, *numbers: int, padding: str = '') -> int:
+        """Applies and appends records; returns the last position."""
+        position = 0
+        for number in numbers:
+            noted = Noted(number, padding)
+            self.notes.apply(noted)
+            position = self.journal.append(noted)
+        return position
+
+
+async def recovered_numbers(
+    store: MemoryTableStore, objects: MemoryObjectStore
+) -> list[int]:
+    notes = Notes()
+    outcome = await recover(store, objects, PARTITION, [notes])
+    assert isinstance(outcome, Recovered), outcome
+    return notes.numbers
+
+
+__all__ = ('PARTITION', 'Noted', 'Notes', 'Owner', 'recovered_numbers')
