--- a/src/radishlift/journal/inserts.py
+++ b/src/radishlift/journal/inserts.py
@@ -82,6 +82,23 @@
     return InsertResult.unsettled if may_be_sent else InsertResult.not_sent
 
 
+async def check_claim(
+    store: TableStore,
+    claim: OwnerClaim,
+) -> Failure | None:
+    """Reads whether a claim is still in force.
+
+    Fails with `not_owner` when it is not and with a kind of the store when it
+    can't be read.
+    """
+    row = await store.read(claim.condition.table, claim.condition.key)
+    if isinstance(row, Failure):
+        return row
+    if row.version != claim.owner_row_version:
+        return Failure(ErrorKind.not_owner, 'owner row changed')
+    return None
+
+
 async def _judge_conflict(
     store: TableStore,
     insert: Insert,
@@ -126,4 +143,4 @@
     return not isinstance(parsed, Failure) and parsed.nonce == insert.row.nonce
 
 
-__all__ = ('Insert', 'InsertResult', 'run_insert')
+__all__ = ('Insert', 'InsertResult', 'check_claim', 'run_insert')
