Add membership: members, heartbeats, suspicion and evidence of death

Cause: claims and slots need evidence of death that is told from silence.

Change: members come from seeds, the `daemons` table and the host list. Evidence is a refused connection, a host that left the list, or an incarnation that a later reading of the table has replaced. A refusal is now a type of its own in the network, and the network tells when a peer closed a stream, so that a killed daemon is probed at once.

Ruled out: taking the incarnation of a heartbeat as newer, since streams of two incarnations can cross; taking an incarnation that was never seen as old from a scan that started before the question, since that scan may be older than it.

--- /dev/null
+++ b/src/radishlift/membership/daemon_rows.py
@@ -0,0 +1,79 @@
+"""Rows of the `daemons` table, one for each daemon and written by it."""
+
+from dataclasses import dataclass
+from enum import Enum, unique
+from typing import Final
+
+from radishlift.core.codec import parse_plain
+from radishlift.core.errors import ErrorKind, Failure
+from radishlift.core.ids import Address, DaemonId, DataCentreId, Incarnation
+from radishlift.membership.api import Member
+from radishlift.platform.api import Row, TableStore
+
+DAEMONS_TABLE: Final = 'daemons'
+
+_SCAN_LIMIT: Final = 500
+
+
+@unique
+class DaemonState(Enum):
+    """Whether a daemon takes partitions."""
+
+    serving = 'serving'
+    draining = 'draining'
+
+
+@dataclass(frozen=True, slots=True)
+class DaemonRow:
+    """A daemon as it describes itself; each renewal raises the counter."""
+
+    incarnation: Incarnation
+    listen: Address
+    peer_listen: Address
+    data_centre: DataCentreId
+    counter: int
+    state: DaemonState
+
+
+def parse_daemon_row(row: Row) -> DaemonRow | Failure:
+    """Reads a stored row."""
+    parsed = parse_plain(row.value, DaemonRow)
+    if isinstance(parsed, Failure):
+        reason = f'daemon row {row.key}: {parsed.reason}'
+        return Failure(ErrorKind.internal, reason)
+    return parsed
+
+
+def member_of(daemon_id: DaemonId, row: DaemonRow) -> Member:
+    """Returns the member that a row describes."""
+    return Member(
+        daemon_id,
+        row.incarnation,
+        row.listen,
+        row.peer_listen,
+        row.data_centre,
+    )
+
+
+async def scan_all(store: TableStore, table: str) -> list[Row] | Failure:
+    """Reads all rows of a small table, in pages."""
+    rows: list[Row] = []
+    after = ''
+    while True:
+        page = await store.scan(table, '', after, _SCAN_LIMIT)
+        if isinstance(page, Failure):
+            return page
+        rows.extend(page)
+        if len(page) < _SCAN_LIMIT:
+            return rows
+        after = page[-1].key
+
+
+__all__ = (
+    'DAEMONS_TABLE',
+    'DaemonRow',
+    'DaemonState',
+    'member_of',
+    'parse_daemon_row',
+    'scan_all',
+)
--- /dev/null
+++ b/src/radishlift/membership/membership.py
@@ -0,0 +1,179 @@
+"""The members of the fleet as this daemon knows them."""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Iterable, Mapping
+from typing import Final
+
+from radishlift.core.clock import Clock
+from radishlift.core.errors import Failure
+from radishlift.core.ids import Address, DaemonId, Incarnation
+from radishlift.core.registry import Registry
+from radishlift.membership.api import Member
+from radishlift.membership.daemon_table import DaemonScan, DaemonTable
+from radishlift.membership.evidence import Evidence
+from radishlift.membership.groups import heartbeat_group
+from radishlift.membership.heartbeats import Heartbeat, HeartbeatMonitor
+from radishlift.membership.member_table import MemberTable
+from radishlift.membership.settings import MembershipSettings
+from radishlift.membership.summaries import (
+    Summary,
+    SummaryCollector,
+    SummaryProvider,
+)
+from radishlift.platform.api import Host
+from radishlift.wire.network import PeerNetwork, RefusedConnection
+
+# Three renewals of the `daemons` row; for members outside of the group.
+_SUSPECT_ROW_MS: Final = 6000
+
+
+def parse_seed_peers(seeds: Iterable[str]) -> dict[DaemonId, Address]:
+    """Reads seed peers `id=ip:port` from the settings."""
+    pairs = (seed.partition('=') for seed in seeds)
+    return {DaemonId(name): Address(address) for name, _, address in pairs}
+
+
+class Membership:
+    """A `MemberDirectory` from seeds, the `daemons` table and heartbeats.
+
+    Seeds that have no row yet are peers without an incarnation. The daemon
+    listens for peers before it writes its row: a refused connection is
+    evidence against the incarnation in the row. `providers` is the registry
+    of the load summaries that heartbeats carry.
+    """
+
+    def __init__(
+        self,
+        myself: Member,
+        network: PeerNetwork,
+        table: DaemonTable,
+        clock: Clock,
+        settings: MembershipSettings,
+        seeds: Mapping[DaemonId, Address],
+    ) -> None:
+        self._myself = myself
+        self._network = network
+        self._table = table
+        self._settings = settings
+        self._evidence = Evidence()
+        self._monitor = HeartbeatMonitor(clock, settings)
+        self._collector = SummaryCollector(settings.summary_bytes)
+        self._members = MemberTable(myself, seeds, self._evidence)
+        self.providers: Registry[SummaryProvider] = self._collector.providers
+        self._counter = 0
+        self._listeners: list[Callable[[], None]] = []
+        table.subscribe(self.observe_scan)
+        network.register(Heartbeat, self._receive)
+        network.closed.subscribe(self._peer_closed)
+        self._probes: set[asyncio.Task[None]] = set()
+        self._update_peers()
+
+    def members(self) -> tuple[Member, ...]:
+        """Lists the known daemons, including this one.
+
+        A daemon whose host is gone from the host list is left out.
+        """
+        return tuple(self._members)
+
+    def is_suspected(self, daemon_id: DaemonId) -> bool:
+        """Tells whether heartbeats are missing; no evidence of death."""
+        if daemon_id in self._monitor.peers:
+            return self._monitor.is_suspected(daemon_id)
+        return self._table.unchanged_ms(daemon_id) > _SUSPECT_ROW_MS
+
+    def is_dead(self, daemon_id: DaemonId, incarnation: Incarnation) -> bool:
+        """Tells whether there is evidence that this incarnation is dead."""
+        run = (daemon_id, incarnation)
+        return self._evidence.is_dead(run, self._table.started_count)
+
+    def summaries_of(self, daemon_id: DaemonId) -> Mapping[str, Summary]:
+        """Returns the last load summaries of a peer by provider name."""
+        return self._monitor.summaries_of(daemon_id)
+
+    def subscribe(self, listener: Callable[[], None]) -> None:
+        """Adds a listener to be called when evidence may have changed."""
+        self._listeners.append(listener)
+
+    def observe_scan(self, scan: DaemonScan) -> None:
+        """Takes the members from a scan of the `daemons` table."""
+        self._members.observe_scan(scan)
+        self._update_peers()
+
+    def observe_hosts(self, hosts: Iterable[Host]) -> None:
+        """Takes the host list; a member that left it is dead."""
+        self._members.observe_hosts(hosts)
+        self._update_peers()
+        self._notify()
+
+    async def send_heartbeats(self) -> None:
+        """Sends one heartbeat to each peer of the group."""
+        self._counter += 1
+        heartbeat = Heartbeat(
+            self._myself.incarnation,
+            self._counter,
+            dict(self._collector.collect()),
+        )
+        sends = [
+            self._reach(peer, self._network.send(peer, heartbeat))
+            for peer in self._monitor.peers
+        ]
+        await asyncio.gather(*sends)
+        self._monitor.check()
+
+    async def run(self) -> None:
+        """Sends heartbeats until cancelled."""
+        while True:
+            await self.send_heartbeats()
+            await asyncio.sleep(self._monitor.interval_ms / 1000)
+
+    async def probe(self, daemon_id: DaemonId) -> None:
+        """Connects to a peer and notes a refusal as evidence of death."""
+        await self._reach(daemon_id, self._network.probe(daemon_id))
+
+    async def _reach(
+        self,
+        daemon_id: DaemonId,
+        attempt: Awaitable[Failure | None],
+    ) -> None:
+        # A refusal counts against the incarnation that was known before the
+        # attempt and only at its address: a restarted daemon may have taken
+        # its place meanwhile.
+        member = self._members.get(daemon_id)
+        failure = await attempt
+        if member is None or not isinstance(failure, RefusedConnection):
+            return
+        if failure.address == member.peer_listen:
+            self._evidence.observe_refusal(member)
+            self._notify()
+
+    async def _receive(self, sender: DaemonId, heartbeat: Heartbeat) -> None:
+        if self._monitor.receive(sender, heartbeat):
+            # Only the `daemons` table orders incarnations; a new one is a
+            # reason to read it soon.
+            self._notify()
+
+    def _peer_closed(self, daemon_id: DaemonId) -> None:
+        # A killed process closes its streams: one connection attempt then
+        # gives evidence earlier than the next heartbeat.
+        task = asyncio.create_task(self.probe(daemon_id))
+        self._probes.add(task)
+        task.add_done_callback(self._probes.discard)
+
+    def _update_peers(self) -> None:
+        addresses = self._members.addresses()
+        self._network.set_peers(addresses)
+        group = heartbeat_group(
+            self._myself.daemon_id,
+            addresses,
+            self._settings.group_count,
+        )
+        self._monitor.set_peers(
+            peer for peer in group if peer != self._myself.daemon_id
+        )
+
+    def _notify(self) -> None:
+        for listener in self._listeners:
+            listener()
+
+
+__all__ = ('Membership', 'parse_seed_peers')
--- a/src/radishlift/wire/network.py
+++ b/src/radishlift/wire/network.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 from typing import Any, Final
 
 from radishlift.core.errors import ErrorKind, Failure
@@ -17,6 +18,33 @@
 MessageHandler = Callable[[DaemonId, Any], Awaitable[Any]]
 
 
+@dataclass(frozen=True, slots=True)
+class RefusedConnection(Failure):
+    """No process listens at the address, which tells it from unreachable."""
+
+    address: Address
+
+
+class ClosedStreams:
+    """Tells listeners the peer of each stream that the peer closed."""
+
+    def __init__(self) -> None:
+        self._listeners: list[Callable[[DaemonId], None]] = []
+
+    def subscribe(self, listener: Callable[[DaemonId], None]) -> None:
+        """Adds a listener."""
+        self._listeners.append(listener)
+
+    def emit(self, peer: DaemonId) -> None:
+        """Tells the listeners."""
+        for listener in self._listeners:
+            listener(peer)
+
+    def clear(self) -> None:
+        """Removes all listeners."""
+        self._listeners.clear()
+
+
 class PeerNetwork:
     """Calls peers by id and dispatches their messages to handlers.
 
@@ -34,6 +62,7 @@
         self._handlers: dict[type, MessageHandler] = {}
         self._server: asyncio.Server | None = None
         self._runners: set[asyncio.Task[None]] = set()
+        self.closed = ClosedStreams()
 
     def register(self, message_type: type, handler: MessageHandler) -> None:
         """Sets the handler of a message type.
@@ -80,6 +109,7 @@
 
     async def stop(self) -> None:
         """Stops listening and closes all streams."""
+        self.closed.clear()
         if self._server is not None:
             self._server.close()
         for connection in (*self._outgoing.values(), *self._incoming):
@@ -132,7 +162,8 @@
                 reader, writer = await asyncio.open_connection(host, int(port))
         except ConnectionRefusedError:
             reason = f'{address} refused the connection'
-            return Failure(ErrorKind.peer_unavailable, reason)
+            kind = ErrorKind.peer_unavailable
+            return RefusedConnection(kind, reason, address)
         except (OSError, TimeoutError) as error:
             reason = f'{address} is unreachable: {error!r}'
             return Failure(ErrorKind.peer_unavailable, reason)
@@ -144,7 +175,7 @@
         hello = Frame(FrameKind.hello, 0, self.daemon_id, self._secret)
         connection.send_frame(hello)
         self._outgoing[daemon_id] = connection
-        self._run(connection)
+        self._run(connection, daemon_id)
         return connection
 
     async def _accept(
@@ -165,18 +196,22 @@
             lambda typed: self._dispatch(sender, typed),
         )
         self._incoming.add(connection)
-        self._run(connection)
+        self._run(connection, sender)
 
     def _is_member(self, hello: Frame) -> bool:
         return hello.fields == self._secret and hello.name in self._addresses
 
-    def _run(self, connection: PeerConnection) -> None:
+    def _run(self, connection: PeerConnection, peer: DaemonId) -> None:
         runner = asyncio.create_task(connection.run())
         self._runners.add(runner)
 
         def forget(task: asyncio.Task[None]) -> None:
             self._runners.discard(task)
             self._incoming.discard(connection)
+            # A stream that is not in use any more was closed by this daemon.
+            in_use = self._outgoing.get(peer) is connection
+            if in_use and not task.cancelled():
+                self.closed.emit(peer)
 
         runner.add_done_callback(forget)
 
@@ -210,4 +245,4 @@
     return Failure(ErrorKind.bad_frame, 'first frame is not a hello')
 
 
-__all__ = ('PeerNetwork',)
+__all__ = ('ClosedStreams', 'PeerNetwork', 'RefusedConnection')
--- /dev/null
+++ b/tests/membership/test_membership.py
@@ -0,0 +1,121 @@
+import pytest
+
+from radishlift.core.clock import ManualClock
+from radishlift.core.ids import Address, DaemonId
+from radishlift.membership.membership import parse_seed_peers
+from radishlift.platform.api import Host, HostRole, HostState
+from tests.membership.fleet import Daemon, member, put_row, until
+from tests.standins.tables import Fault, MemoryTableStore
+
+D1 = DaemonId('d1')
+D2 = DaemonId('d2')
+
+
+@pytest.fixture
+def clock():
+    return ManualClock()
+
+
+@pytest.fixture
+async def pair(clock, unused_tcp_port_factory):
+    store = MemoryTableStore()
+    members = [
+        member(name, port=unused_tcp_port_factory()) for name in ('d1', 'd2')
+    ]
+    seeds = {one.daemon_id: one.peer_listen for one in members}
+    daemons = [Daemon(one, store, clock, seeds) for one in members]
+    for daemon in daemons:
+        await daemon.start()
+    yield daemons[0], daemons[1], store
+    for daemon in daemons:
+        await daemon.network.stop()
+
+
+def host(address: Address) -> Host:
+    return Host(address, HostState.live, HostRole.entry, '', 'dn-a', '')
+
+
+async def test_seeds_exchange_heartbeats_in_an_outage(pair):
+    """Guards against a fleet that needs the store to find its members."""
+    pair[2].fault = Fault.down
+    pair[0].membership.providers.register('load')(lambda: {'queue': 7})
+    await pair[0].membership.send_heartbeats()
+    await until(lambda: pair[1].membership.summaries_of(D1))
+    assert pair[1].membership.summaries_of(D1) == {'load': {'queue': 7}}
+
+
+async def test_refused_connection_is_evidence(pair):
+    """Guards against a wait of 10 s after a daemon was killed."""
+    for daemon in pair[:2]:
+        put_row(pair[2], daemon.member)
+    await pair[0].table.scan()
+    woken = []
+    pair[0].membership.providers.register('load')(lambda: [1])
+    pair[0].membership.subscribe(lambda: woken.append(1))
+    await pair[0].membership.send_heartbeats()
+    await until(lambda: pair[1].membership.summaries_of(D1))
+    assert not pair[0].membership.is_dead(D2, pair[1].member.incarnation)
+    await pair[1].network.stop()
+    await until(
+        lambda: pair[0].membership.is_dead(D2, pair[1].member.incarnation)
+    )
+    assert woken
+
+
+async def test_missed_heartbeats_are_no_evidence(pair, clock):
+    """Guards against a claim of partitions whose owner is only slow."""
+    put_row(pair[2], pair[1].member)
+    await pair[0].table.scan()
+    for _ in range(30):
+        await pair[0].membership.send_heartbeats()
+        clock.advance(1000)
+    assert pair[0].membership.is_suspected(D2)
+    assert not pair[0].membership.is_dead(D2, pair[1].member.incarnation)
+
+
+async def test_refusal_before_a_restart_spares_the_new_incarnation(pair):
+    """Guards against evidence that hits a daemon that has just started."""
+    put_row(pair[2], pair[1].member)
+    await pair[0].table.scan()
+    await pair[1].network.stop()
+    probe = pair[0].membership.probe(D2)
+    restarted = member('d2', '2', 9)
+    put_row(pair[2], restarted)
+    await probe
+    await pair[0].table.scan()
+    assert not pair[0].membership.is_dead(D2, restarted.incarnation)
+    assert pair[0].membership.is_dead(D2, pair[1].member.incarnation)
+
+
+async def test_host_that_left_the_list_is_dead_and_no_member(pair):
+    """Guards against calls to a host that is permanently gone."""
+    put_row(pair[2], pair[1].member)
+    await pair[0].table.scan()
+    membership = pair[0].membership
+    both = [host(pair[0].member.listen), host(pair[1].member.listen)]
+    membership.observe_hosts(both)
+    membership.observe_hosts([])
+    assert len(membership.members()) == 2
+    membership.observe_hosts(both[:1])
+    assert membership.is_dead(D2, pair[1].member.incarnation)
+    await pair[0].table.scan()
+    assert [one.daemon_id for one in membership.members()] == [D1]
+
+
+async def test_member_outside_of_the_group_is_suspected_by_its_row(pair, clock):
+    """Guards against forwarding to a silent daemon of another group."""
+    membership = pair[0].membership
+    for number in range(60):
+        put_row(pair[2], member(f'x{number}'))
+    for _ in range(8):
+        await pair[0].table.scan()
+        clock.advance(1000)
+    others = {one.daemon_id for one in membership.members()}
+    others -= {D1, *membership._monitor.peers}
+    assert len(others) >= 32
+    suspected = {one for one in others if membership.is_suspected(one)}
+    assert suspected == others - {D2}
+
+
+def test_seed_peers_are_parsed():
+    assert parse_seed_peers(['d1=127.0.0.1:7']) == {D1: '127.0.0.1:7'}
