Store versions of the configuration and merge racing changes

Operators on different daemons race, and answers of the table service get lost. A version row and the head are written in one transaction on the condition that the head is unchanged; a conflict is merged section by section if the result is valid, else the answer lists the fields and who changed them. A lost answer is settled by repeating the transaction and comparing the nonce.

Reads may be outdated, so a version that looks absent and a head that must be current are checked by a transaction that has only conditions: its conflict has the current rows. Waiting for reads to catch up was ruled out, because it takes an unknown time.

--- /dev/null
+++ b/src/radishlift/config/rows.py
@@ -0,0 +1,157 @@
+"""Rows of the configuration in the platform's table service."""
+
+from dataclasses import dataclass
+from typing import Final
+
+from radishlift.core.codec import dump_plain, parse_plain
+from radishlift.core.errors import ErrorKind, Failure
+from radishlift.core.ids import ConfigVersion
+from radishlift.platform.api import (
+    Condition,
+    Conflict,
+    Row,
+    TableStore,
+    Transaction,
+    Write,
+)
+
+CONFIG_TABLE: Final = 'config'
+HEAD_TABLE: Final = 'config_head'
+HEAD_KEY: Final = 'head'
+
+_VERSION_DIGITS: Final = 12
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigRow:
+    """One version of the document and how it came about.
+
+    `base` is the version that the change was made on, `changed` the changed
+    keys by section, `merged` the sections that a racing change had altered.
+    """
+
+    text: str
+    who: str
+    when_ms: int
+    why: str
+    nonce: str
+    base: ConfigVersion
+    changed: dict[str, list[str]]
+    merged: list[str]
+
+
+@dataclass(frozen=True, slots=True)
+class HeadRow:
+    """The newest version and the nonce of its writer."""
+
+    version: ConfigVersion
+    nonce: str
+
+
+@dataclass(frozen=True, slots=True)
+class Head:
+    """The head as read; `row_version` is a condition of the next change."""
+
+    version: ConfigVersion
+    row_version: int
+
+
+def version_key(version: ConfigVersion) -> str:
+    """Returns the key of a version's row; keys sort like versions."""
+    return f'{version:0{_VERSION_DIGITS}d}'
+
+
+def parse_head(row: Row) -> Head | Failure:
+    """Reads a head row; an absent one is version 0."""
+    if row.value is None:
+        return Head(ConfigVersion(0), 0)
+    head = parse_plain(row.value, HeadRow)
+    if isinstance(head, Failure):
+        return Failure(ErrorKind.internal, f'head row: {head.reason}')
+    return Head(head.version, row.version)
+
+
+async def read_head(store: TableStore) -> Head | Failure:
+    """Reads the head; the read may be outdated."""
+    row = await store.read(HEAD_TABLE, HEAD_KEY)
+    return row if isinstance(row, Failure) else parse_head(row)
+
+
+async def read_version(
+    store: TableStore,
+    version: ConfigVersion,
+) -> ConfigRow | Failure:
+    """Reads a version; fails with `not_found` when it is not readable.
+
+    A version that exists may be absent from an outdated read.
+    """
+    row = await store.read(CONFIG_TABLE, version_key(version))
+    return row if isinstance(row, Failure) else _parse_version(version, row)
+
+
+async def read_current_version(
+    store: TableStore,
+    version: ConfigVersion,
+) -> ConfigRow | Failure:
+    """Reads a version; `not_found` means that it surely is not kept.
+
+    A transaction without writes, on the condition that the row is absent, is
+    checked against current rows and answers with the row if there is one.
+    """
+    config = await read_version(store, version)
+    if not isinstance(config, Failure):
+        return config
+    if config.kind is not ErrorKind.not_found:
+        return config
+    condition = Condition(CONFIG_TABLE, version_key(version), 0)
+    outcome = await store.commit(Transaction((condition,), ()))
+    if isinstance(outcome, Conflict):
+        return _parse_version(version, outcome.rows[0])
+    return outcome if isinstance(outcome, Failure) else config
+
+
+def _parse_version(version: ConfigVersion, row: Row) -> ConfigRow | Failure:
+    if row.value is None:
+        return Failure(ErrorKind.not_found, f'no version {version}')
+    config = parse_plain(row.value, ConfigRow)
+    if isinstance(config, Failure):
+        reason = f'version {version}: {config.reason}'
+        return Failure(ErrorKind.internal, reason)
+    return config
+
+
+def version_writes(
+    version: ConfigVersion,
+    row: ConfigRow,
+    kept_count: int,
+) -> tuple[Write, ...]:
+    """Returns the writes of a new version.
+
+    They add its row, move the head and delete the version that leaves the
+    kept history.
+    """
+    head = HeadRow(version, row.nonce)
+    writes = [
+        Write(CONFIG_TABLE, version_key(version), dump_plain(row)),
+        Write(HEAD_TABLE, HEAD_KEY, dump_plain(head)),
+    ]
+    oldest = ConfigVersion(version - kept_count)
+    if oldest > 0:
+        writes.append(Write(CONFIG_TABLE, version_key(oldest), None))
+    return tuple(writes)
+
+
+__all__ = (
+    'CONFIG_TABLE',
+    'HEAD_KEY',
+    'HEAD_TABLE',
+    'ConfigRow',
+    'Head',
+    'HeadRow',
+    'parse_head',
+    'read_current_version',
+    'read_head',
+    'read_version',
+    'version_key',
+    'version_writes',
+)
--- /dev/null
+++ b/src/radishlift/config/store.py
@@ -0,0 +1,253 @@
+"""Accepts changes of the configuration into the table service."""
+
+import asyncio
+from dataclasses import dataclass
+from typing import Final
+from uuid import uuid4
+
+from radishlift.config.changes import (
+    Change,
+    ChangeAccepted,
+    ChangeConflict,
+    ChangeInvalid,
+    ChangeResult,
+    HistoryEntry,
+)
+from radishlift.config.checks import POLICY_NAMES
+from radishlift.config.document import ConfigDocument
+from radishlift.config.kinds import sections_of
+from radishlift.config.merge import (
+    FieldChange,
+    diff_sections,
+    keys_by_section,
+    merge_sections,
+)
+from radishlift.config.origin import check_origin
+from radishlift.config.parsing import build_document, parse_document
+from radishlift.config.rows import (
+    ConfigRow,
+    Head,
+    read_current_version,
+    read_head,
+)
+from radishlift.config.settings import ConfigSettings
+from radishlift.config.text import Sections, render_sections
+from radishlift.config.versions import MAX_HISTORY_COUNT, VersionReader
+from radishlift.config.writer import HeadMoved, Pause, VersionWriter, sleep_ms
+from radishlift.core.clock import Clock
+from radishlift.core.errors import ErrorKind, Failure
+from radishlift.core.ids import ConfigVersion
+from radishlift.platform.api import TableStore
+
+MAX_WAITING_COUNT: Final = 64
+
+
+@dataclass(frozen=True, slots=True)
+class _Prepared:
+    """A change as it would be written after the head."""
+
+    sections: Sections
+    document: ConfigDocument
+    changes: tuple[FieldChange, ...]
+    merged: tuple[str, ...]
+
+
+class ConfigStore:
+    """Versions of the document in the table service.
+
+    Any daemon may accept a change. Only the conditions on rows decide
+    between racing ones; nothing here relies on a single acceptor.
+    """
+
+    def __init__(
+        self,
+        store: TableStore,
+        settings: ConfigSettings,
+        clock: Clock,
+        policies: tuple[str, ...] = POLICY_NAMES,
+        pause: Pause = sleep_ms,
+    ) -> None:
+        self._store = store
+        self._settings = settings
+        self._clock = clock
+        self._policies = policies
+        self._reader = VersionReader(store, policies)
+        self._writer = VersionWriter(store, settings, clock, pause)
+        self._lock = asyncio.Lock()
+        self._waiting_count = 0
+
+    async def change(self, change: Change) -> ChangeResult:
+        """Validates a change, merges it with racing ones and stores it.
+
+        A failure's kind tells whether it was stored: `store_outcome_unknown`
+        means perhaps, every other kind means no.
+        """
+        errors = check_origin(change.who, change.why)
+        document = parse_document(change.text, change.base, self._policies)
+        if isinstance(document, tuple):
+            errors = (*errors, *document)
+        if errors or isinstance(document, tuple):
+            return ChangeInvalid(errors)
+        if self._waiting_count >= MAX_WAITING_COUNT:
+            return Failure(ErrorKind.overloaded, 'too many waiting changes')
+        deadline_ms = (
+            self._clock.monotonic_ms() + self._settings.change_timeout_ms
+        )
+        self._waiting_count += 1
+        try:
+            async with self._lock:
+                return await self._store_change(
+                    change,
+                    sections_of(document),
+                    deadline_ms,
+                )
+        finally:
+            self._waiting_count -= 1
+
+    async def rollback(
+        self,
+        target: ConfigVersion,
+        base: ConfigVersion,
+        who: str,
+        why: str,
+    ) -> ChangeResult:
+        """Stores the text of an earlier version as a new version."""
+        row = await read_current_version(self._store, target)
+        if isinstance(row, Failure):
+            return _not_run(row)
+        return await self.change(Change(row.text, base, who, why))
+
+    async def history(
+        self,
+        before: ConfigVersion | None = None,
+        count: int = MAX_HISTORY_COUNT,
+    ) -> tuple[HistoryEntry, ...] | Failure:
+        """Lists kept versions, the newest first, those before the given."""
+        if before is not None:
+            newest = ConfigVersion(before - 1)
+            return await self._reader.history(newest, count)
+        head = await read_head(self._store)
+        if isinstance(head, Failure):
+            return head
+        return await self._reader.history(head.version, count)
+
+    async def _store_change(
+        self,
+        change: Change,
+        ours: Sections,
+        deadline_ms: int,
+    ) -> ChangeResult:
+        head = await self._head_for(change.base)
+        for _ in range(self._settings.max_races_count):
+            if isinstance(head, Failure):
+                return head
+            prepared = await self._prepare(change, ours, head)
+            if not isinstance(prepared, _Prepared):
+                return prepared
+            outcome = await self._write(change, prepared, head, deadline_ms)
+            if not isinstance(outcome, HeadMoved):
+                return outcome
+            head = outcome.head
+        reason = 'the change lost every race against other changes'
+        return Failure(ErrorKind.overloaded, reason)
+
+    async def _head_for(self, base: ConfigVersion) -> Head | Failure:
+        head = await read_head(self._store)
+        if isinstance(head, Failure):
+            return _not_run(head)
+        if head.version >= base:
+            return head
+        head = await self._writer.confirm(head)
+        if isinstance(head, Failure) or head.version >= base:
+            return head
+        reason = f'no version {base}; the newest is {head.version}'
+        return Failure(ErrorKind.invalid_input, reason)
+
+    async def _prepare(
+        self,
+        change: Change,
+        ours: Sections,
+        head: Head,
+    ) -> _Prepared | ChangeConflict | Failure:
+        base = await self._reader.sections(change.base)
+        if isinstance(base, Failure):
+            return _not_run(base)
+        theirs = await self._reader.sections(head.version)
+        if isinstance(theirs, Failure):
+            return _not_run(theirs)
+        merge = merge_sections(base, ours, theirs)
+        if merge.clashing:
+            fields = await self._reader.conflict_fields(
+                change.base,
+                head,
+                merge.clashing,
+                ours,
+            )
+            if isinstance(fields, Failure):
+                return Failure(ErrorKind.conflict, fields.reason)
+            return ChangeConflict(head.version, fields)
+        document = build_document(
+            merge.sections,
+            ConfigVersion(head.version + 1),
+            self._policies,
+        )
+        if isinstance(document, tuple):
+            return ChangeConflict(head.version, (), document)
+        changes = diff_sections(theirs, merge.sections)
+        sections = sections_of(document)
+        return _Prepared(sections, document, changes, merge.from_theirs)
+
+    async def _write(
+        self,
+        change: Change,
+        prepared: _Prepared,
+        head: Head,
+        deadline_ms: int,
+    ) -> ChangeAccepted | HeadMoved | Failure:
+        if not prepared.changes:
+            return await self._accept_unchanged(prepared, head)
+        row = ConfigRow(
+            render_sections(prepared.sections),
+            change.who,
+            self._clock.wall_ms(),
+            change.why,
+            uuid4().hex,
+            change.base,
+            keys_by_section(prepared.changes),
+            list(prepared.merged),
+        )
+        outcome = await self._writer.insert(head, row, deadline_ms)
+        if isinstance(outcome, HeadMoved | Failure):
+            return outcome
+        document = prepared.document
+        self._reader.remember(document.version, prepared.sections)
+        return ChangeAccepted(document, prepared.changes, prepared.merged)
+
+    async def _accept_unchanged(
+        self,
+        prepared: _Prepared,
+        head: Head,
+    ) -> ChangeAccepted | HeadMoved | Failure:
+        current = await self._writer.confirm(head)
+        if isinstance(current, Failure):
+            return current
+        if current != head:
+            return HeadMoved(current)
+        document = build_document(
+            prepared.sections,
+            head.version,
+            self._policies,
+        )
+        if isinstance(document, tuple):
+            return Failure(ErrorKind.internal, str(document[0]))
+        return ChangeAccepted(document, (), prepared.merged)
+
+
+def _not_run(failure: Failure) -> Failure:
+    # Nothing was written when a read fails, whatever the read's outcome.
+    if failure.kind is ErrorKind.store_outcome_unknown:
+        return Failure(ErrorKind.store_unavailable, failure.reason)
+    return failure
+
+
+__all__ = ('ConfigStore',)
--- /dev/null
+++ b/src/radishlift/config/writer.py
@@ -0,0 +1,135 @@
+"""Inserts a version row and settles answers that were lost."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+from radishlift.config.rows import (
+    CONFIG_TABLE,
+    HEAD_KEY,
+    HEAD_TABLE,
+    ConfigRow,
+    Head,
+    parse_head,
+    version_key,
+    version_writes,
+)
+from radishlift.config.settings import ConfigSettings
+from radishlift.core.clock import Clock
+from radishlift.core.errors import ErrorKind, Failure
+from radishlift.core.ids import ConfigVersion
+from radishlift.platform.api import (
+    Committed,
+    Condition,
+    Conflict,
+    TableStore,
+    Transaction,
+)
+
+Pause = Callable[[int], Awaitable[None]]
+
+
+async def sleep_ms(pause_ms: int) -> None:
+    """Waits between two tries."""
+    await asyncio.sleep(pause_ms / 1000)
+
+
+@dataclass(frozen=True, slots=True)
+class HeadMoved:
+    """Another change took the version; the head as it is now."""
+
+    head: Head
+
+
+class VersionWriter:
+    """Writes version rows under the condition that the head is unchanged."""
+
+    def __init__(
+        self,
+        store: TableStore,
+        settings: ConfigSettings,
+        clock: Clock,
+        pause: Pause = sleep_ms,
+    ) -> None:
+        self._store = store
+        self._settings = settings
+        self._clock = clock
+        self._pause = pause
+
+    async def insert(
+        self,
+        head: Head,
+        row: ConfigRow,
+        deadline_ms: int,
+    ) -> Committed | HeadMoved | Failure:
+        """Inserts the version after the head.
+
+        An unknown outcome is settled by repeating the same transaction,
+        whose conditions let it take effect only once. Fails with
+        `store_outcome_unknown` only if that is not settled in time; other
+        failures mean that nothing was written.
+        """
+        transaction = self._transaction(head, row)
+        is_sent = False
+        while self._clock.monotonic_ms() < deadline_ms:
+            outcome = await self._store.commit(transaction)
+            if isinstance(outcome, Committed):
+                return outcome
+            if isinstance(outcome, Conflict):
+                return _judge_conflict(outcome, row.nonce, is_sent)
+            is_sent |= outcome.kind is ErrorKind.store_outcome_unknown
+            if not is_sent:
+                return outcome
+            await self._pause(self._settings.retry_pause_ms)
+        return _deadline_failure(is_sent)
+
+    async def confirm(self, head: Head) -> Head | Failure:
+        """Returns the current head, even if reads are outdated.
+
+        A transaction that has only conditions is always checked against
+        current rows; a conflict has the current ones.
+        """
+        condition = Condition(HEAD_TABLE, HEAD_KEY, head.row_version)
+        outcome = await self._store.commit(Transaction((condition,), ()))
+        if isinstance(outcome, Conflict):
+            return parse_head(outcome.rows[0])
+        if isinstance(outcome, Failure):
+            return Failure(ErrorKind.store_unavailable, outcome.reason)
+        return head
+
+    def _transaction(self, head: Head, row: ConfigRow) -> Transaction:
+        version = ConfigVersion(head.version + 1)
+        conditions = (
+            Condition(HEAD_TABLE, HEAD_KEY, head.row_version),
+            Condition(CONFIG_TABLE, version_key(version), 0),
+        )
+        kept_count = self._settings.kept_versions_count
+        return Transaction(conditions, version_writes(version, row, kept_count))
+
+
+def _judge_conflict(
+    conflict: Conflict,
+    nonce: str,
+    is_sent: bool,
+) -> Committed | HeadMoved | Failure:
+    head_row, version_row = conflict.rows
+    if version_row.value is not None:
+        if version_row.value.get('nonce') == nonce:
+            return Committed((version_row.version,))
+    elif is_sent:
+        # The version was written and is no longer kept: by whom is lost.
+        reason = 'the version was deleted before its writer was known'
+        return Failure(ErrorKind.store_outcome_unknown, reason)
+    head = parse_head(head_row)
+    return head if isinstance(head, Failure) else HeadMoved(head)
+
+
+def _deadline_failure(is_sent: bool) -> Failure:
+    if is_sent:
+        reason = 'the change was sent and its outcome could not be read back'
+        return Failure(ErrorKind.store_outcome_unknown, reason)
+    reason = 'the change was not sent before its deadline'
+    return Failure(ErrorKind.deadline_passed, reason)
+
+
+__all__ = ('HeadMoved', 'Pause', 'VersionWriter', 'sleep_ms')
--- a/tests/standins/tables.py
+++ b/tests/standins/tables.py
@@ -1,6 +1,7 @@
 """In-memory stand-in of the platform's table service, with faults."""
 
 from collections import defaultdict
+from copy import deepcopy
 from enum import Enum, unique
 
 from sortedcontainers import SortedDict
@@ -84,12 +85,24 @@
         self.tables = tables or Tables()
         self.fault = Fault.none
         self.fail_next_commits: list[Fault] = []
+        self._read_tables = self.tables
+
+    def freeze_reads(self) -> None:
+        """Answers later reads from the rows as they are now.
+
+        Commits go on to check and change the current rows.
+        """
+        self._read_tables = deepcopy(self.tables)
+
+    def refresh_reads(self) -> None:
+        """Answers reads from current rows again."""
+        self._read_tables = self.tables
 
     async def read(self, table: str, key: str) -> Row | Failure:
         """Reads one row."""
         if self.fault is Fault.down:
             return Failure(ErrorKind.store_unavailable, 'down')
-        return self.tables.read(table, key)
+        return self._read_tables.read(table, key)
 
     async def scan(
         self,
@@ -101,7 +114,7 @@
         """Reads rows in key order."""
         if self.fault is Fault.down:
             return Failure(ErrorKind.store_unavailable, 'down')
-        return self.tables.scan(table, prefix, after, limit)
+        return self._read_tables.scan(table, prefix, after, limit)
 
     async def commit(
         self,
