Spread the configuration between daemons as section deltas

A change must be in force on all daemons within 4 s, also when a daemon is cut from the table service, paused, or when the acceptor dies after its commit. The acceptor pushes the changed sections to every peer and collects acknowledgements; each daemon polls the head and compares versions with two random peers per poll. Updates carry every section changed after their base, so that repeated and reordered ones can't lower or mix versions.

A queue of updates per peer was ruled out: one exchange per peer runs at a time, and a peer that does not answer is only probed, so memory stays bounded. A start reads the head by a conditional transaction, since an outdated read could lie below what was in force.

--- /dev/null
+++ b/src/radishlift/config/exchange.py
@@ -0,0 +1,124 @@
+"""Exchanges of the configuration between this daemon and single peers."""
+
+import asyncio
+from collections.abc import Iterable
+from typing import Any
+
+from radishlift.config.held import HeldConfig
+from radishlift.config.messages import (
+    ConfigAck,
+    ConfigEverywhere,
+    ConfigFetch,
+    ConfigProbe,
+    ConfigUpdate,
+)
+from radishlift.config.progress import Progress
+from radishlift.config.receiver import UpdateReceiver
+from radishlift.config.settings import ConfigSettings
+from radishlift.core.ids import ConfigVersion, DaemonId
+from radishlift.wire.network import PeerNetwork
+
+
+class PeerExchange:
+    """Brings this daemon and a peer to the higher of their versions.
+
+    At most one exchange with a peer runs at a time, so that changes during
+    it are sent together, and a peer that does not answer is sent a few bytes
+    per poll instead of a queue of updates.
+    """
+
+    def __init__(
+        self,
+        network: PeerNetwork,
+        held: HeldConfig,
+        progress: Progress,
+        settings: ConfigSettings,
+        receiver: UpdateReceiver,
+    ) -> None:
+        self._network = network
+        self._held = held
+        self._progress = progress
+        self._timeout_ms = settings.peer_timeout_ms
+        self._receiver = receiver
+        self._exchanges: dict[DaemonId, asyncio.Task[None]] = {}
+        self._announcements: set[asyncio.Task[Any]] = set()
+
+    def push(self, peer: DaemonId) -> None:
+        """Starts to send the held version unless the peer has it."""
+        self._start(peer, self._progress.version_of(peer))
+
+    def probe(self, peer: DaemonId) -> None:
+        """Starts to compare versions with a peer."""
+        self._start(peer, None)
+
+    async def compare(self, peer: DaemonId) -> None:
+        """Compares versions with a peer and waits for the end of it."""
+        await asyncio.wait((self._start(peer, None),))
+
+    def announce(
+        self,
+        peers: Iterable[DaemonId],
+        announcement: ConfigEverywhere,
+    ) -> None:
+        """Tells peers what is in force everywhere; may be lost."""
+        for peer in peers:
+            task = asyncio.create_task(self._network.send(peer, announcement))
+            self._announcements.add(task)
+            task.add_done_callback(self._announcements.discard)
+
+    async def stop(self) -> None:
+        """Cancels running exchanges."""
+        tasks = (*self._exchanges.values(), *self._announcements)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _start(
+        self,
+        peer: DaemonId,
+        known: ConfigVersion | None,
+    ) -> asyncio.Task[None]:
+        if peer not in self._exchanges:
+            task = asyncio.create_task(self._run(peer, known))
+            self._exchanges[peer] = task
+        return self._exchanges[peer]
+
+    async def _run(self, peer: DaemonId, known: ConfigVersion | None) -> None:
+        # The entry is removed in the same step as the last comparison, so
+        # that a version accepted after it starts a new exchange.
+        try:
+            while known != self._held.version:
+                if known is not None and known > self._held.version:
+                    await self._fetch(peer)
+                    return
+                heard = await self._tell(peer, known)
+                if heard is None or heard == known:
+                    return
+                known = heard
+        finally:
+            self._exchanges.pop(peer, None)
+
+    async def _tell(
+        self,
+        peer: DaemonId,
+        known: ConfigVersion | None,
+    ) -> ConfigVersion | None:
+        if known is None:
+            message: object = ConfigProbe(self._held.version)
+        else:
+            message = self._held.update_from(known)
+        reply = await self._network.call(peer, message, self._timeout_ms)
+        if isinstance(reply, ConfigAck):
+            self._receiver.hear(peer, reply.version)
+            return reply.version
+        self._progress.forget(peer)
+        return None
+
+    async def _fetch(self, peer: DaemonId) -> None:
+        request = ConfigFetch(self._held.version)
+        reply = await self._network.call(peer, request, self._timeout_ms)
+        if isinstance(reply, ConfigUpdate):
+            await self._receiver.take(peer, reply)
+
+
+__all__ = ('PeerExchange',)
--- /dev/null
+++ b/src/radishlift/config/poller.py
@@ -0,0 +1,66 @@
+"""Reads the head row to repair what pushes between daemons missed."""
+
+import asyncio
+from collections.abc import Callable
+
+from radishlift.config.held import HeldConfig
+from radishlift.config.parsing import parse_document
+from radishlift.config.rows import (
+    confirm_head,
+    read_current_version,
+    read_head,
+)
+from radishlift.core.errors import Failure
+from radishlift.core.ids import ConfigVersion
+from radishlift.core.logs import log_event
+from radishlift.platform.api import TableStore
+
+
+class HeadPoller:
+    """Takes the document of the head row if it is newer than the held one."""
+
+    def __init__(
+        self,
+        table: TableStore,
+        held: HeldConfig,
+        on_advanced: Callable[[], None],
+    ) -> None:
+        self._table = table
+        self._held = held
+        self._on_advanced = on_advanced
+
+    async def read(self, *, is_confirmed: bool) -> None:
+        """Reads the head once; a confirmed read is never outdated.
+
+        A confirmed read costs the table service one write operation.
+        """
+        head = await read_head(self._table)
+        if is_confirmed and not isinstance(head, Failure):
+            head = await confirm_head(self._table, head)
+        if isinstance(head, Failure):
+            log_event('config_head_unread', level='DEBUG', reason=head.reason)
+        elif head.version > self._held.version:
+            await self._read_document(head.version)
+
+    async def _read_document(self, version: ConfigVersion) -> None:
+        row = await read_current_version(self._table, version)
+        if isinstance(row, Failure):
+            log_event('config_unread', version=version, reason=row.reason)
+            return
+        # A push may have arrived during the read.
+        if version <= self._held.version:
+            return
+        document = await asyncio.to_thread(
+            parse_document,
+            row.text,
+            version,
+            self._held.policies,
+        )
+        taken = self._held.take(document)
+        if isinstance(taken, Failure):
+            log_event('config_refused', version=version, reason=taken.reason)
+        elif taken:
+            self._on_advanced()
+
+
+__all__ = ('HeadPoller',)
--- a/src/radishlift/config/rows.py
+++ b/src/radishlift/config/rows.py
@@ -77,6 +77,21 @@
     return row if isinstance(row, Failure) else parse_head(row)
 
 
+async def confirm_head(store: TableStore, head: Head) -> Head | Failure:
+    """Returns the current head, even if reads are outdated.
+
+    A transaction that has only conditions is always checked against current
+    rows; a conflict has the current ones.
+    """
+    condition = Condition(HEAD_TABLE, HEAD_KEY, head.row_version)
+    outcome = await store.commit(Transaction((condition,), ()))
+    if isinstance(outcome, Conflict):
+        return parse_head(outcome.rows[0])
+    if isinstance(outcome, Failure):
+        return Failure(ErrorKind.store_unavailable, outcome.reason)
+    return head
+
+
 async def read_version(
     store: TableStore,
     version: ConfigVersion,
@@ -148,6 +163,7 @@
     'ConfigRow',
     'Head',
     'HeadRow',
+    'confirm_head',
     'parse_head',
     'read_current_version',
     'read_head',
--- /dev/null
+++ b/src/radishlift/config/spreader.py
@@ -0,0 +1,197 @@
+"""Keeps the newest configuration in force in this daemon and its peers."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import Final
+
+from radishlift.config.changes import Change, ChangeAccepted, ChangeResult
+from radishlift.config.document import ConfigDocument
+from radishlift.config.exchange import PeerExchange
+from radishlift.config.fleet import Fleet
+from radishlift.config.held import HeldConfig
+from radishlift.config.messages import ConfigEverywhere
+from radishlift.config.poller import HeadPoller
+from radishlift.config.progress import ConfigStatus, Progress
+from radishlift.config.receiver import UpdateReceiver
+from radishlift.config.settings import ConfigSettings
+from radishlift.config.store import ConfigStore
+from radishlift.core.clock import Clock
+from radishlift.core.ids import ConfigVersion, DaemonId
+from radishlift.core.logs import log_event
+from radishlift.membership.api import MemberDirectory
+from radishlift.platform.api import TableStore
+from radishlift.wire.network import PeerNetwork
+
+# Each daemon asks this many random peers per poll, so that a daemon that is
+# cut from the store learns of a version at a cost that is flat in the fleet.
+_GOSSIP_COUNT: Final = 2
+# After this many polls any daemon takes over from an acceptor that is gone.
+_STUCK_POLLS_COUNT: Final = 3
+
+Listener = Callable[[ConfigDocument], None]
+
+
+class ConfigSpreader:
+    """The configuration in force in this daemon, a `ConfigView`.
+
+    Versions only go up. They come from the peers' updates and, as repair,
+    from the head row that is polled.
+    """
+
+    def __init__(
+        self,
+        table: TableStore,
+        config_store: ConfigStore,
+        network: PeerNetwork,
+        directory: MemberDirectory,
+        settings: ConfigSettings,
+        clock: Clock,
+    ) -> None:
+        self._config_store = config_store
+        self._settings = settings
+        self._clock = clock
+        self._fleet = Fleet(directory, network.daemon_id)
+        self._held = HeldConfig(config_store.policies)
+        self._progress = Progress(clock)
+        receiver = UpdateReceiver(
+            self._held,
+            self._progress,
+            self._advanced,
+            self._note_everywhere,
+        )
+        receiver.register(network)
+        self._exchange = PeerExchange(
+            network,
+            self._held,
+            self._progress,
+            settings,
+            receiver,
+        )
+        self._poller = HeadPoller(table, self._held, self._advanced)
+        self._listeners: list[Listener] = []
+        self._announced_version = ConfigVersion(0)
+        self._stuck_polls_count = 0
+        self._random = random.Random(network.daemon_id)
+
+    def current(self) -> ConfigDocument | None:
+        """Returns the document in force; None before the first is known."""
+        return self._held.document
+
+    def subscribe(self, listener: Listener) -> None:
+        """Calls a listener with each document that comes into force."""
+        self._listeners.append(listener)
+
+    def status(self) -> ConfigStatus:
+        """Returns what this daemon knows of the versions of all daemons."""
+        return self._progress.status(self._held.version, self._fleet.members())
+
+    async def refresh_status(self) -> ConfigStatus:
+        """Asks all daemons for their versions, then returns the status."""
+        await asyncio.gather(
+            *(self._exchange.compare(peer) for peer in self._fleet.peers()),
+        )
+        self._note_everywhere()
+        return self.status()
+
+    async def change(self, change: Change) -> ChangeResult:
+        """Stores a change, puts it in force here and pushes it to peers."""
+        return self._spread(await self._config_store.change(change))
+
+    async def rollback(
+        self,
+        target: ConfigVersion,
+        base: ConfigVersion,
+        who: str,
+        why: str,
+    ) -> ChangeResult:
+        """Stores an earlier text as a new version and spreads it."""
+        return self._spread(
+            await self._config_store.rollback(target, base, who, why),
+        )
+
+    async def start(self) -> ConfigDocument | None:
+        """Takes the newest version of the store and the peers.
+
+        The head is read past outdated reads: what was in force everywhere
+        before a restart is in the head row and known to the peers.
+        """
+        await asyncio.gather(
+            self._poller.read(is_confirmed=True),
+            *(self._exchange.compare(peer) for peer in self._fleet.peers()),
+        )
+        return self.current()
+
+    async def run(self) -> None:
+        """Polls the head and peers until cancelled."""
+        interval_s = self._settings.poll_interval_ms / 1000
+        # A random phase spreads the daemons' reads of the head.
+        await asyncio.sleep(self._random.random() * interval_s)
+        while True:
+            await self.poll()
+            await asyncio.sleep(interval_s)
+
+    async def poll(self) -> None:
+        """Repairs what pushes missed: reads the head, then asks peers."""
+        members = self._fleet.members()
+        self._progress.keep_only(members)
+        for peer in self._peers_to_ask():
+            self._exchange.probe(peer)
+        await self._poller.read(is_confirmed=False)
+        self._note_everywhere()
+
+    async def stop(self) -> None:
+        """Stops the exchanges with peers."""
+        await self._exchange.stop()
+
+    def _spread(self, outcome: ChangeResult) -> ChangeResult:
+        if not isinstance(outcome, ChangeAccepted):
+            return outcome
+        changed = {change.section for change in outcome.changes}
+        base = ConfigVersion(outcome.version - 1 if changed else 0)
+        if self._held.replace(outcome.document, base, changed):
+            self._announced_version = outcome.version
+            self._advanced()
+        for peer in self._fleet.peers():
+            self._exchange.push(peer)
+        return outcome
+
+    def _advanced(self) -> None:
+        document = self._held.document
+        if document is None:
+            return
+        self._progress.note(self._fleet.daemon_id, document.version)
+        log_event('config_in_force', version=document.version)
+        for listener in self._listeners:
+            listener(document)
+
+    def _peers_to_ask(self) -> set[DaemonId]:
+        peers = self._fleet.peers()
+        count = min(_GOSSIP_COUNT, len(peers))
+        asked = set(self._random.sample(peers, count))
+        version = self._held.version
+        if self._progress.everywhere_version >= version:
+            self._stuck_polls_count = 0
+            return asked
+        self._stuck_polls_count += 1
+        is_stuck = self._stuck_polls_count > _STUCK_POLLS_COUNT
+        if is_stuck or self._announced_version == version:
+            asked.update(
+                peer
+                for peer in peers
+                if (self._progress.version_of(peer) or 0) < version
+            )
+        return asked
+
+    def _note_everywhere(self) -> None:
+        members = self._fleet.members()
+        if self._fleet.daemon_id not in members:
+            return
+        lowest = self._progress.lowest(members)
+        now_ms = self._clock.wall_ms()
+        if self._progress.record_everywhere(lowest, now_ms):
+            announcement = ConfigEverywhere(lowest, now_ms)
+            self._exchange.announce(self._fleet.peers(), announcement)
+
+
+__all__ = ('ConfigSpreader',)
--- a/src/radishlift/config/store.py
+++ b/src/radishlift/config/store.py
@@ -23,15 +23,20 @@
     merge_sections,
 )
 from radishlift.config.origin import check_origin
-from radishlift.config.parsing import build_document, parse_document
+from radishlift.config.parsing import (
+    build_document,
+    parse_document,
+    render_document,
+)
 from radishlift.config.rows import (
     ConfigRow,
     Head,
+    confirm_head,
     read_current_version,
     read_head,
 )
 from radishlift.config.settings import ConfigSettings
-from radishlift.config.text import Sections, render_sections
+from radishlift.config.text import Sections, check_size
 from radishlift.config.versions import MAX_HISTORY_COUNT, VersionReader
 from radishlift.config.writer import HeadMoved, Pause, VersionWriter, sleep_ms
 from radishlift.core.clock import Clock
@@ -47,6 +52,7 @@
     """A change as it would be written after the head."""
 
     sections: Sections
+    text: str
     document: ConfigDocument
     changes: tuple[FieldChange, ...]
     merged: tuple[str, ...]
@@ -70,7 +76,7 @@
         self._store = store
         self._settings = settings
         self._clock = clock
-        self._policies = policies
+        self.policies = policies
         self._reader = VersionReader(store, policies)
         self._writer = VersionWriter(store, settings, clock, pause)
         self._lock = asyncio.Lock()
@@ -83,7 +89,7 @@
         means perhaps, every other kind means no.
         """
         errors = check_origin(change.who, change.why)
-        document = parse_document(change.text, change.base, self._policies)
+        document = parse_document(change.text, change.base, self.policies)
         if isinstance(document, tuple):
             errors = (*errors, *document)
         if errors or isinstance(document, tuple):
@@ -157,7 +163,7 @@
             return _not_run(head)
         if head.version >= base:
             return head
-        head = await self._writer.confirm(head)
+        head = await confirm_head(self._store, head)
         if isinstance(head, Failure) or head.version >= base:
             return head
         reason = f'no version {base}; the newest is {head.version}'
@@ -168,7 +174,7 @@
         change: Change,
         ours: Sections,
         head: Head,
-    ) -> _Prepared | ChangeConflict | Failure:
+    ) -> _Prepared | ChangeInvalid | ChangeConflict | Failure:
         base = await self._reader.sections(change.base)
         if isinstance(base, Failure):
             return _not_run(base)
@@ -189,13 +195,22 @@
         document = build_document(
             merge.sections,
             ConfigVersion(head.version + 1),
-            self._policies,
+            self.policies,
         )
         if isinstance(document, tuple):
             return ChangeConflict(head.version, (), document)
+        text = render_document(document)
+        errors = check_size(text)
+        if errors:
+            return ChangeInvalid(errors)
         changes = diff_sections(theirs, merge.sections)
-        sections = sections_of(document)
-        return _Prepared(sections, document, changes, merge.from_theirs)
+        return _Prepared(
+            merge.sections,
+            text,
+            document,
+            changes,
+            merge.from_theirs,
+        )
 
     async def _write(
         self,
@@ -207,7 +222,7 @@
         if not prepared.changes:
             return await self._accept_unchanged(prepared, head)
         row = ConfigRow(
-            render_sections(prepared.sections),
+            prepared.text,
             change.who,
             self._clock.wall_ms(),
             change.why,
@@ -228,7 +243,7 @@
         prepared: _Prepared,
         head: Head,
     ) -> ChangeAccepted | HeadMoved | Failure:
-        current = await self._writer.confirm(head)
+        current = await confirm_head(self._store, head)
         if isinstance(current, Failure):
             return current
         if current != head:
@@ -236,7 +251,7 @@
         document = build_document(
             prepared.sections,
             head.version,
-            self._policies,
+            self.policies,
         )
         if isinstance(document, tuple):
             return Failure(ErrorKind.internal, str(document[0]))
--- a/src/radishlift/config/text.py
+++ b/src/radishlift/config/text.py
@@ -25,16 +25,24 @@
 
 def scan_text(text: str) -> Sections | tuple[SettingsError, ...]:
     """Splits a text into sections; returns every error in its form."""
-    size_bytes = len(text.encode('utf-8', 'surrogatepass'))
-    if size_bytes > MAX_DOCUMENT_BYTES:
-        allowed = f'at most {MAX_DOCUMENT_BYTES} bytes'
-        return (SettingsError('', '', f'{size_bytes} bytes', allowed),)
+    too_large = check_size(text)
+    if too_large:
+        return too_large
     scanner = _Scanner()
     for number, line in enumerate(text.replace('\r\n', '\n').split('\n'), 1):
         scanner.take(number, line.strip(' \t'))
     return limit_errors(scanner.errors) or scanner.sections
 
 
+def check_size(text: str) -> tuple[SettingsError, ...]:
+    """Checks the size of a text, which bounds rows and messages."""
+    size_bytes = len(text.encode('utf-8', 'surrogatepass'))
+    if size_bytes <= MAX_DOCUMENT_BYTES:
+        return ()
+    allowed = f'at most {MAX_DOCUMENT_BYTES} bytes with all keys written'
+    return (SettingsError('', '', f'{size_bytes} bytes', allowed),)
+
+
 def render_sections(sections: Sections) -> str:
     """Writes sections as INI text, in the order given."""
     blocks = []
@@ -126,6 +134,7 @@
     'MAX_DOCUMENT_BYTES',
     'MAX_ERRORS_COUNT',
     'Sections',
+    'check_size',
     'limit_errors',
     'render_sections',
     'scan_text',
--- a/src/radishlift/config/writer.py
+++ b/src/radishlift/config/writer.py
@@ -83,20 +83,6 @@
             await self._pause(self._settings.retry_pause_ms)
         return _deadline_failure(is_sent)
 
-    async def confirm(self, head: Head) -> Head | Failure:
-        """Returns the current head, even if reads are outdated.
-
-        A transaction that has only conditions is always checked against
-        current rows; a conflict has the current ones.
-        """
-        condition = Condition(HEAD_TABLE, HEAD_KEY, head.row_version)
-        outcome = await self._store.commit(Transaction((condition,), ()))
-        if isinstance(outcome, Conflict):
-            return parse_head(outcome.rows[0])
-        if isinstance(outcome, Failure):
-            return Failure(ErrorKind.store_unavailable, outcome.reason)
-        return head
-
     def _transaction(self, head: Head, row: ConfigRow) -> Transaction:
         version = ConfigVersion(head.version + 1)
         conditions = (
--- /dev/null
+++ b/tests/config/fleet.py
@@ -0,0 +1,170 @@
+"""A fleet of spreaders on loopback, with faults, for tests and benchmarks."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+from radishlift.config.changes import Change, ChangeResult
+from radishlift.config.settings import ConfigSettings
+from radishlift.config.spreader import ConfigSpreader
+from radishlift.config.store import ConfigStore
+from radishlift.core.clock import SystemClock
+from radishlift.core.errors import ErrorKind, Failure
+from radishlift.core.ids import (
+    Address,
+    ConfigVersion,
+    DaemonId,
+    DataCentreId,
+    Incarnation,
+)
+from radishlift.membership.api import Member
+from radishlift.wire.network import PeerNetwork
+from tests.config.documents import TEXT
+from tests.standins.tables import MemoryTableStore, Tables
+
+SETTINGS = ConfigSettings(peer_timeout_ms=200, poll_interval_ms=50)
+
+
+class FakeDirectory:
+    """Members of a fleet and those with evidence of death."""
+
+    def __init__(self) -> None:
+        self.known: dict[DaemonId, Member] = {}
+        self.dead: set[DaemonId] = set()
+
+    def members(self) -> tuple[Member, ...]:
+        return tuple(self.known.values())
+
+    def is_suspected(self, daemon_id: DaemonId) -> bool:
+        return False
+
+    def is_dead(self, daemon_id: DaemonId, incarnation: Incarnation) -> bool:
+        return daemon_id in self.dead
+
+
+class FaultyNetwork(PeerNetwork):
+    """A network that can be cut from peers, and frozen like its process."""
+
+    def __init__(self, daemon_id: DaemonId) -> None:
+        super().__init__(daemon_id)
+        self.cut_from: set[DaemonId] = set()
+        self.running = asyncio.Event()
+        self.running.set()
+
+    async def call(self, daemon_id, typed, timeout_ms) -> Any:
+        if daemon_id in self.cut_from:
+            return Failure(ErrorKind.peer_outcome_unknown, 'cut')
+        return await super().call(daemon_id, typed, timeout_ms)
+
+    async def send(self, daemon_id, typed):
+        if daemon_id in self.cut_from:
+            return Failure(ErrorKind.peer_unavailable, 'cut')
+        return await super().send(daemon_id, typed)
+
+    async def _dispatch(self, sender, typed):
+        await self.running.wait()
+        return await super()._dispatch(sender, typed)
+
+
+class FleetDaemon:
+    """One daemon: its own view of the tables, network and spreader."""
+
+    def __init__(self, daemon_id: str, tables: Tables, directory) -> None:
+        self.daemon_id = DaemonId(daemon_id)
+        self.rows = MemoryTableStore(tables)
+        self.network = FaultyNetwork(self.daemon_id)
+        clock = SystemClock()
+        store = ConfigStore(self.rows, SETTINGS, clock)
+        self.spreader = ConfigSpreader(
+            self.rows, store, self.network, directory, SETTINGS, clock
+        )
+
+    @property
+    def version(self) -> int:
+        document = self.spreader.current()
+        return document.version if document else 0
+
+    async def change(self, text: str, base: int) -> ChangeResult:
+        change = Change(text, ConfigVersion(base), 'ann', 'test')
+        return await self.spreader.change(change)
+
+    async def stop(self) -> None:
+        await self.spreader.stop()
+        await self.network.stop()
+
+
+class TestFleet:
+    """Daemons that know each other."""
+
+    __test__ = False
+
+    def __init__(self, ports: Callable[[], int]) -> None:
+        self.tables = Tables()
+        self.directory = FakeDirectory()
+        self.daemons: list[FleetDaemon] = []
+        self._ports = ports
+        self._addresses: dict[DaemonId, Address] = {}
+
+    async def add(self, daemon_id: str) -> FleetDaemon:
+        daemon = FleetDaemon(daemon_id, self.tables, self.directory)
+        address = Address(f'127.0.0.1:{self._ports()}')
+        self._addresses[daemon.daemon_id] = address
+        self.directory.known[daemon.daemon_id] = Member(
+            daemon.daemon_id,
+            Incarnation('1'),
+            address,
+            address,
+            DataCentreId('dc'),
+        )
+        self.daemons.append(daemon)
+        await daemon.network.start(address)
+        for known in self.daemons:
+            known.network.set_peers(self._addresses)
+        return daemon
+
+    async def remove(self, daemon: FleetDaemon) -> None:
+        await daemon.stop()
+        self.daemons.remove(daemon)
+
+    def cut(self, daemon: FleetDaemon) -> None:
+        for other in self.daemons:
+            other.network.cut_from.add(daemon.daemon_id)
+            daemon.network.cut_from.add(other.daemon_id)
+
+    async def poll(self) -> None:
+        await asyncio.gather(
+            *(
+                daemon.spreader.poll()
+                for daemon in self.daemons
+                if daemon.network.running.is_set()
+            )
+        )
+
+    async def settle(self, is_met: Callable[[], bool]) -> None:
+        """Waits for a condition while the daemons poll."""
+        async with asyncio.timeout(20):
+            while not is_met():
+                await self.poll()
+                await asyncio.sleep(0.01)
+
+    async def wait(self, is_met: Callable[[], bool]) -> None:
+        """Waits for a condition without polls, so by pushes alone."""
+        async with asyncio.timeout(20):
+            while True:
+                if is_met():
+                    return
+                await asyncio.sleep(0.002)
+
+    def all_have(self, version: int) -> bool:
+        return all(daemon.version == version for daemon in self.daemons)
+
+    def everywhere(self, version: int) -> list[bool]:
+        return [
+            daemon.spreader.status().everywhere_at_ms(ConfigVersion(version))
+            is not None
+            for daemon in self.daemons
+        ]
+
+
+def weighted(weight: int) -> str:
+    return TEXT.replace('share_weight = 2', f'share_weight = {weight}')
--- /dev/null
+++ b/tests/config/test_held.py
@@ -0,0 +1,106 @@
+import random
+
+import pytest
+
+from radishlift.config.held import HeldConfig
+from radishlift.config.kinds import sections_of
+from radishlift.config.merge import delta_between
+from radishlift.config.messages import ConfigUpdate
+from radishlift.core.errors import ErrorKind, Failure
+from radishlift.core.ids import ConfigVersion
+from tests.config.documents import TEXT, make_document
+
+LARGE = TEXT + ''.join(
+    f'[team:many{number}]\ndepartment = rug-depot\n' for number in range(40)
+)
+
+
+def version_text(version: int) -> str:
+    """Adds team `t<version>` and removes it four versions later."""
+    teams = range(max(2, version - 3), version + 1)
+    added = ''.join(
+        f'[team:t{team}]\ndepartment = rug-depot\ncpu_milli = {version}\n'
+        for team in teams
+    )
+    return LARGE + added
+
+
+def make_versions(count: int):
+    return [
+        make_document(version_text(version), version)
+        for version in range(1, count + 1)
+    ]
+
+
+def advance(held: HeldConfig, documents) -> None:
+    for document in documents:
+        before = sections_of(held.document)
+        changed = delta_between(before, sections_of(document))
+        held.replace(document, held.version, changed)
+
+
+@pytest.mark.parametrize('seed', range(20))
+def test_repeated_and_reordered_updates_never_go_back(seed):
+    """Guards against a document that differs from that of its version."""
+    documents = make_versions(12)
+    sender = HeldConfig()
+    sender.replace(documents[0])
+    updates = []
+    for document in documents[1:]:
+        advance(sender, [document])
+        updates.extend(
+            sender.update_from(ConfigVersion(base))
+            for base in range(1, document.version)
+        )
+    assert not any(update.text for update in updates)
+    chosen = random.Random(seed)
+    received = updates + chosen.choices(updates, k=20)
+    chosen.shuffle(received)
+    receiver = HeldConfig()
+    receiver.replace(documents[0])
+    for update in received:
+        before = receiver.version
+        receiver.apply(update)
+        assert receiver.version >= before
+        assert receiver.document == documents[receiver.version - 1]
+    assert receiver.version == 12
+
+
+def test_an_update_has_only_the_changed_sections():
+    """Guards against full documents on the wire for each change."""
+    held = HeldConfig()
+    held.replace(make_document(LARGE, 1))
+    advance(
+        held,
+        [make_document(f'{LARGE}[team:x]\ndepartment = rug-depot\n', 2)],
+    )
+    update = held.update_from(ConfigVersion(1))
+    assert set(update.sections) == {'team:x'}
+    assert not update.text
+
+
+@pytest.mark.parametrize('base', [0, 1])
+def test_a_peer_from_before_the_known_versions_gets_the_full_text(base):
+    """Guards against an update without the changes of unknown versions."""
+    held = HeldConfig()
+    held.replace(make_document(TEXT, 5))
+    update = held.update_from(ConfigVersion(base))
+    assert make_document(update.text, 5) == held.document
+
+
+def test_forgotten_versions_are_sent_as_full_text():
+    """Guards against a delta that lacks what fell out of memory."""
+    held = HeldConfig()
+    held.replace(make_document(TEXT, 1))
+    texts = (TEXT, TEXT.replace('240000', '250000'))
+    for version in range(2, 300):
+        advance(held, [make_document(texts[version % 2], version)])
+    assert held.update_from(ConfigVersion(1)).text
+    assert not held.update_from(ConfigVersion(298)).text
+
+
+def test_an_update_from_a_later_base_is_a_conflict():
+    held = HeldConfig()
+    empty = held.apply(ConfigUpdate(ConfigVersion(2), ConfigVersion(1), {}))
+    assert isinstance(empty, Failure)
+    assert empty.kind is ErrorKind.conflict
