Add the client of the worker protocol

Cause: leases and dispatch need typed exchanges whose failures tell whether a message may have taken effect.

Change: one aiohttp session for each daemon with bounded connections; a refused connection is 'peer_unavailable' (not sent), everything after that 'target_outcome_unknown'; a 409 is a typed refusal without effect.

--- /dev/null
+++ b/src/radishlift/workers/client.py
@@ -0,0 +1,158 @@
+"""HTTP client of the worker protocol; one for each daemon."""
+
+from typing import Any, Final, TypeVar
+
+from aiohttp import (
+    ClientConnectorError,
+    ClientError,
+    ClientSession,
+    ClientTimeout,
+    DummyCookieJar,
+    TCPConnector,
+)
+
+from radishlift.core.codec import dump_plain, parse_json
+from radishlift.core.errors import ErrorKind, Failure
+from radishlift.core.ids import WorkerId
+from radishlift.workers.messages import (
+    AttemptKey,
+    ClockReply,
+    ForgetMessage,
+    OrderKind,
+    Refusal,
+    RenewMessage,
+    StartMessage,
+    StateReply,
+    WorkerDescription,
+    WorkerReport,
+)
+from radishlift.workers.settings import WorkerSettings
+
+Reply = TypeVar('Reply')
+
+_OK: Final = 200
+_CONFLICT: Final = 409
+_KEEP_ALIVE_S: Final = 30
+
+
+class WorkerClient:
+    """Sends typed messages to workers over a bounded set of connections.
+
+    Calls return the reply, a `Refusal` (no effect), or a `Failure`:
+    `peer_unavailable` when the message was surely not sent and
+    `target_outcome_unknown` when it may have taken effect.
+    """
+
+    def __init__(self, settings: WorkerSettings) -> None:
+        self._timeout = ClientTimeout(total=settings.timeout_ms / 1000)
+        self._session = ClientSession(
+            connector=TCPConnector(
+                limit=settings.connections_count,
+                keepalive_timeout=_KEEP_ALIVE_S,
+            ),
+            cookie_jar=DummyCookieJar(),
+        )
+        self.call_count = 0
+        self.body_bytes = 0
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        await self._session.close()
+
+    async def describe(
+        self,
+        worker_id: WorkerId,
+    ) -> WorkerDescription | Refusal | Failure:
+        """Asks for the worker's incarnation, clock and capacity."""
+        return await self._call(worker_id, '/worker', None, WorkerDescription)
+
+    async def start(
+        self,
+        worker_id: WorkerId,
+        message: StartMessage,
+    ) -> StateReply | Refusal | Failure:
+        """Starts an attempt; may be repeated."""
+        return await self._call(worker_id, '/tasks/start', message, StateReply)
+
+    async def renew(
+        self,
+        worker_id: WorkerId,
+        message: RenewMessage,
+    ) -> ClockReply | Refusal | Failure:
+        """Renews the leases of attempts; may be repeated."""
+        return await self._call(worker_id, '/tasks/renew', message, ClockReply)
+
+    async def order(
+        self,
+        worker_id: WorkerId,
+        kind: OrderKind,
+        key: AttemptKey,
+    ) -> StateReply | Refusal | Failure:
+        """Orders a stop, throttle or checkpoint; may be repeated."""
+        path = f'/tasks/{kind.value}'
+        return await self._call(worker_id, path, key, StateReply)
+
+    async def report(
+        self,
+        worker_id: WorkerId,
+    ) -> WorkerReport | Refusal | Failure:
+        """Asks for the attempts at the worker and their lagged usage."""
+        return await self._call(worker_id, '/report', None, WorkerReport)
+
+    async def forget(
+        self,
+        worker_id: WorkerId,
+        message: ForgetMessage,
+    ) -> ClockReply | Refusal | Failure:
+        """Lets the worker drop ended attempts; may be repeated."""
+        return await self._call(worker_id, '/tasks/forget', message, ClockReply)
+
+    async def _call(
+        self,
+        worker_id: WorkerId,
+        path: str,
+        message: object | None,
+        reply_type: type[Reply],
+    ) -> Reply | Refusal | Failure:
+        url = f'http://{worker_id}{path}'
+        method = 'GET' if message is None else 'POST'
+        plain = None if message is None else dump_plain(message)
+        self.call_count += 1
+        try:
+            async with self._session.request(
+                method,
+                url,
+                json=plain,
+                timeout=self._timeout,
+            ) as response:
+                body = await response.read()
+        except ClientConnectorError as refused:
+            return Failure(ErrorKind.peer_unavailable, str(refused))
+        except TimeoutError:
+            return _unknown(worker_id, 'no answer in time')
+        except ClientError as error:
+            return _unknown(worker_id, repr(error))
+        self.body_bytes += len(body)
+        return _parse_reply(worker_id, response.status, body, reply_type)
+
+
+def _parse_reply(
+    worker_id: WorkerId,
+    status: int,
+    body: bytes,
+    reply_type: type[Any],
+) -> Any:
+    if status not in {_OK, _CONFLICT}:
+        return _unknown(worker_id, f'status {status}')
+    expected = reply_type if status == _OK else Refusal
+    reply = parse_json(body, expected)
+    if isinstance(reply, Failure):
+        return _unknown(worker_id, reply.reason)
+    return reply
+
+
+def _unknown(worker_id: WorkerId, reason: str) -> Failure:
+    return Failure(ErrorKind.target_outcome_unknown, f'{worker_id}: {reason}')
+
+
+__all__ = ('WorkerClient',)
--- /dev/null
+++ b/src/radishlift/workers/settings.py
@@ -0,0 +1,25 @@
+"""Settings of the daemon's exchanges with workers."""
+
+from dataclasses import dataclass
+
+from radishlift.settings.sections import bounded, section
+
+
+@section('workers')
+@dataclass(frozen=True, slots=True)
+class WorkerSettings:
+    """Leases, polling and connections.
+
+    A lease outlasts several polls, so that one lost message ends no task.
+    `report_interval_ms` is the time between polls of one worker,
+    `retry_interval_ms` that after a failed exchange.
+    """
+
+    lease_ms: int = bounded(10_000, 100, 600_000)
+    report_interval_ms: int = bounded(1_000, 10, 60_000)
+    retry_interval_ms: int = bounded(200, 10, 60_000)
+    timeout_ms: int = bounded(1_000, 10, 60_000)
+    connections_count: int = bounded(256, 1, 10_000)
+
+
+__all__ = ('WorkerSettings',)
