--- /dev/null
+++ b/src/radishlift/workers/session.py
@@ -0,0 +1,152 @@
+"""Connection state and attempts of one worker, as its owner knows them."""
+
+from dataclasses import dataclass, field
+from enum import Enum, unique
+from typing import Any, Final
+
+from transitions import Machine
+
+from radishlift.core.ids import Incarnation, WorkerId
+from radishlift.placement.jobs import Resources, TaskState
+from radishlift.workers.leases import WorkerClock
+from radishlift.workers.messages import (
+    AttemptKey,
+    OrderKind,
+    StartMessage,
+    TaskToStart,
+)
+
+
+@unique
+class SessionState(Enum):
+    """Whether a worker answers."""
+
+    connecting = 'connecting'
+    connected = 'connected'
+    unreachable = 'unreachable'
+    gone = 'gone'
+
+
+_OPEN: Final = (
+    SessionState.connecting,
+    SessionState.connected,
+    SessionState.unreachable,
+)
+
+# One machine serves all sessions: it is expensive to build, not to extend.
+SESSION_MACHINE: Final = Machine(
+    model=None,
+    states=SessionState,
+    initial=SessionState.connecting,
+    auto_transitions=False,
+)
+SESSION_MACHINE.add_transition('answered', list(_OPEN), SessionState.connected)
+SESSION_MACHINE.add_transition('missed', list(_OPEN), SessionState.unreachable)
+SESSION_MACHINE.add_transition('removed', list(_OPEN), SessionState.gone)
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptToRun:
+    """A journaled attempt that is to run on a worker.
+
+    `is_inherited` tells whether a former owner may have started it.
+    """
+
+    worker_id: WorkerId
+    incarnation: Incarnation
+    task: TaskToStart
+    is_inherited: bool = False
+
+    @property
+    def key(self) -> AttemptKey:
+        """Returns the key of the attempt."""
+        return AttemptKey(self.task.task_id, self.task.attempt)
+
+
+@dataclass(slots=True)
+class LiveAttempt:
+    """An attempt that may run.
+
+    `is_sent` is set before the first start is sent, `is_confirmed` when the
+    worker has told its state, `is_ended` when it surely does not run.
+    """
+
+    order: AttemptToRun
+    is_sent: bool = False
+    is_confirmed: bool = False
+    is_ended: bool = False
+    is_in_flight: bool = False
+    pending_orders: dict[OrderKind, None] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class EndedAttempt:
+    """An attempt that surely does not run any more."""
+
+    key: AttemptKey
+    state: TaskState
+    reason: str
+
+
+class WorkerSession:
+    """State of one worker; `state` is driven by `SESSION_MACHINE`."""
+
+    state: SessionState
+    answered: Any
+    missed: Any
+    removed: Any
+
+    def __init__(self, worker_id: WorkerId) -> None:
+        self.worker_id = worker_id
+        self.incarnation: Incarnation | None = None
+        self.capacity: Resources | None = None
+        self.clock = WorkerClock()
+        self.attempts: dict[AttemptKey, LiveAttempt] = {}
+        self.to_forget: list[AttemptKey] = []
+        self.next_poll_ms = 0
+        self.is_polling = False
+        self.is_published = False
+        SESSION_MACHINE.add_model(self)
+
+    @property
+    def is_connected(self) -> bool:
+        """Tells whether the latest exchange succeeded."""
+        return self.state is SessionState.connected
+
+    @property
+    def is_gone(self) -> bool:
+        """Tells whether the worker was removed."""
+        return self.state is SessionState.gone
+
+    def adopt(self, incarnation: Incarnation) -> None:
+        """Begins another incarnation, whose clock is unrelated."""
+        self.incarnation = incarnation
+        self.clock = WorkerClock()
+        self.to_forget.clear()
+
+    def close(self) -> None:
+        """Ends the session and releases it from the machine."""
+        if not self.is_gone:
+            self.removed()
+        SESSION_MACHINE.remove_model(self)
+
+    def start_message(
+        self,
+        live: LiveAttempt,
+        lease_ms: int,
+    ) -> StartMessage | None:
+        """Builds the start of an attempt; None before a clock is known."""
+        until_ms = self.clock.lease_until_ms(lease_ms)
+        if until_ms is None:
+            return None
+        return StartMessage(live.order.incarnation, until_ms, live.order.task)
+
+
+__all__ = (
+    'SESSION_MACHINE',
+    'AttemptToRun',
+    'EndedAttempt',
+    'LiveAttempt',
+    'SessionState',
+    'WorkerSession',
+)
