--- /dev/null
+++ b/src/radishlift/workers/schedule.py
@@ -0,0 +1,33 @@
+"""Order in which workers are due to be polled."""
+
+from collections.abc import Iterator
+from heapq import heappop, heappush
+from itertools import count
+
+from radishlift.workers.session import WorkerSession
+
+
+class PollSchedule:
+    """Sessions by the time of their next poll, on the monotonic clock."""
+
+    def __init__(self) -> None:
+        self._due: list[tuple[int, int, WorkerSession]] = []
+        self._entry_ids = count()
+
+    def add(self, session: WorkerSession, at_ms: int) -> None:
+        """Sets the time of the next poll, replacing an earlier one."""
+        session.next_poll_ms = at_ms
+        heappush(self._due, (at_ms, next(self._entry_ids), session))
+
+    def take_due(self, now_ms: int) -> Iterator[WorkerSession]:
+        """Takes the sessions to poll now; they are then being polled."""
+        while self._due and self._due[0][0] <= now_ms:
+            due_ms, _, session = heappop(self._due)
+            is_replaced = due_ms != session.next_poll_ms
+            if is_replaced or session.is_gone or session.is_polling:
+                continue
+            session.is_polling = True
+            yield session
+
+
+__all__ = ('PollSchedule',)
--- a/src/radishlift/workers/session.py
+++ b/src/radishlift/workers/session.py
@@ -1,5 +1,6 @@
 """Connection state and attempts of one worker, as its owner knows them."""
 
+from collections import deque
 from dataclasses import dataclass, field
 from enum import Enum, unique
 from typing import Any, Final
@@ -12,7 +13,6 @@
 from radishlift.workers.messages import (
     AttemptKey,
     OrderKind,
-    StartMessage,
     TaskToStart,
 )
 
@@ -76,8 +76,21 @@
     is_confirmed: bool = False
     is_ended: bool = False
     is_in_flight: bool = False
+    is_queued: bool = False
     pending_orders: dict[OrderKind, None] = field(default_factory=dict)
 
+    @property
+    def may_run(self) -> bool:
+        """Tells whether any owner may have sent its start."""
+        return self.is_sent or self.order.is_inherited
+
+    @property
+    def needs_attention(self) -> bool:
+        """Tells whether something is to be sent for it."""
+        if self.is_ended:
+            return False
+        return bool(self.pending_orders) or not self.is_confirmed
+
 
 @dataclass(frozen=True, slots=True)
 class EndedAttempt:
@@ -102,9 +115,14 @@
         self.capacity: Resources | None = None
         self.clock = WorkerClock()
         self.attempts: dict[AttemptKey, LiveAttempt] = {}
-        self.to_forget: list[AttemptKey] = []
+        self.to_stop: dict[AttemptKey, None] = {}
+        self.to_forget: dict[AttemptKey, None] = {}
+        self.queue: deque[LiveAttempt] = deque()
+        self.sender_count = 0
         self.next_poll_ms = 0
+        self.next_renewal_ms = 0
         self.is_polling = False
+        self.is_poll_wanted = False
         self.is_published = False
         SESSION_MACHINE.add_model(self)
 
@@ -122,6 +140,8 @@
         """Begins another incarnation, whose clock is unrelated."""
         self.incarnation = incarnation
         self.clock = WorkerClock()
+        self.next_renewal_ms = 0
+        self.to_stop.clear()
         self.to_forget.clear()
 
     def close(self) -> None:
@@ -130,17 +150,6 @@
             self.removed()
         SESSION_MACHINE.remove_model(self)
 
-    def start_message(
-        self,
-        live: LiveAttempt,
-        lease_ms: int,
-    ) -> StartMessage | None:
-        """Builds the start of an attempt; None before a clock is known."""
-        until_ms = self.clock.lease_until_ms(lease_ms)
-        if until_ms is None:
-            return None
-        return StartMessage(live.order.incarnation, until_ms, live.order.task)
-
 
 __all__ = (
     'SESSION_MACHINE',
