--- a/src/radishlift/journal/partition_journal.py
+++ b/src/radishlift/journal/partition_journal.py
@@ -8,23 +8,22 @@
 """
 
 import asyncio
-from collections.abc import Callable
 from dataclasses import dataclass
-from secrets import token_hex
-from typing import Any, Final
+from typing import Final
 
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import Sequence
 from radishlift.core.logs import log_event
 from radishlift.journal.fates import Fates
-from radishlift.journal.inserts import Insert, InsertResult, run_insert
-from radishlift.journal.pending import PendingRecord, PendingRecords
-from radishlift.journal.rows import JournalRow
+from radishlift.journal.forming import Dump, FormedRow, RowFormer
+from radishlift.journal.inserts import InsertResult, run_insert
+from radishlift.journal.pending import PendingRecords
+from radishlift.journal.recovery import Recovered
 from radishlift.journal.settings import JournalSettings
+from radishlift.journal.snapshots import CapturedState
 from radishlift.ownership.api import OwnerClaim
 from radishlift.platform.api import TableStore
 
-_NONCE_BYTES: Final = 6
 _NOT_WRITTEN: Final = Failure(
     ErrorKind.store_unavailable,
     'table service does not take journal rows',
@@ -34,60 +33,40 @@
     'table service does not answer whether a journal row was written',
 )
 
-Dump = Callable[[], Any]
-
 
 @dataclass(frozen=True, slots=True)
 class Flushed:
-    """A flush that made all records appended before it durable."""
+    """The rows that a flush made durable; the last one has `sequence`."""
 
     sequence: Sequence
     rows_count: int
     records_count: int
 
 
-@dataclass(frozen=True, slots=True)
-class CapturedState:
-    """The state of the partition after all rows up to a sequence."""
-
-    sequence: Sequence
-    plain: Any
-
-
-@dataclass(frozen=True, slots=True)
-class _SentRow:
-    insert: Insert
-    entries: list[PendingRecord]
-    captured: CapturedState | None
-
-
 class PartitionJournal:
     """Collects records and inserts them as rows on the owner's condition.
 
     The caller applies a record to its state and appends it without awaiting
     in between, so that a state captured while a row is formed is the state
-    after that row.
+    after that row. `dump` returns the states for a snapshot, by name.
     """
 
     def __init__(
         self,
         store: TableStore,
         claim: OwnerClaim,
-        next_sequence: Sequence,
+        recovered: Recovered,
         settings: JournalSettings,
         dump: Dump | None = None,
     ) -> None:
         self.claim = claim
-        self.captured: CapturedState | None = None
+        self._captured: CapturedState | None = None
         self._store = store
         self._settings = settings
-        self._dump = dump
-        self._next_sequence = next_sequence
-        self._last_capture = next_sequence - 1
-        self._writer = token_hex(_NONCE_BYTES)
-        self._formed_count = 0
+        self._next_sequence = recovered.next_sequence
+        self._former = RowFormer(claim, recovered, settings, dump)
         self._pending = PendingRecords()
-        self._sent: _SentRow | None = None
+        self._sent: FormedRow | None = None
         self._fates = Fates()
         self._lock = asyncio.Lock()
         self._last_failure: Failure | None = None
@@ -111,6 +90,12 @@
         """
         return self._fates.closed or self._last_failure
 
+    def take_captured(self) -> CapturedState | None:
+        """Returns the state for the next snapshot once one is due."""
+        captured = self._captured
+        self._captured = None
+        return captured
+
     def append(self, record: object) -> int | Failure:
         """Adds a record to the next row and returns its position.
 
@@ -170,7 +155,10 @@
             if self._fates.closed is not None:
                 break
             retried = self._sent
-            sent = retried or self._form_row()
+            sent = retried or self._former.form(
+                self._pending,
+                self._next_sequence,
+            )
             if sent is None:
                 break
             failure = await self._insert(sent, may_be_sent=retried is not None)
@@ -180,35 +168,28 @@
             records_count += len(sent.entries)
         if self._fates.closed is not None:
             return self._fates.closed
+        if rows_count == 0 and self._last_failure is not None:
+            failure = await self._check_claim()
+            if failure is not None:
+                return failure
         self._last_failure = None
         last_sequence = Sequence(self._next_sequence - 1)
         return Flushed(last_sequence, rows_count, records_count)
 
-    def _form_row(self) -> _SentRow | None:
-        entries = self._pending.take(self._settings.row_bytes)
-        if not entries:
-            return None
-        self._formed_count += 1
-        row = JournalRow(
-            self.claim.epoch,
-            f'{self._writer}.{self._formed_count}',
-            [entry.stored for entry in entries],
-        )
-        insert = Insert(self.claim, self._next_sequence, row)
-        return _SentRow(insert, entries, self._capture())
-
-    def _capture(self) -> CapturedState | None:
-        # Records that stay pending have already changed the state, so only
-        # a row that takes all of them has the state as its result.
-        rows_count = self._next_sequence - self._last_capture
-        is_due = rows_count >= self._settings.snapshot_rows_count
-        if self._dump is None or not is_due or len(self._pending):
-            return None
-        return CapturedState(self._next_sequence, self._dump())
+    async def _check_claim(self) -> Failure | None:
+        # With no row to insert, a read tells whether the outage is over;
+        # else nothing would be accepted again.
+        condition = self.claim.condition
+        row = await self._store.read(condition.table, condition.key)
+        if isinstance(row, Failure):
+            return row
+        if row.version != condition.version:
+            return self._close(ErrorKind.not_owner, 'owner row changed')
+        return None
 
     async def _insert(
         self,
-        sent: _SentRow,
+        sent: FormedRow,
         *,
         may_be_sent: bool,
     ) -> Failure | None:
@@ -223,7 +204,7 @@
         )
         return self._settle(sent, outcome)
 
-    def _settle(self, sent: _SentRow, outcome: InsertResult) -> Failure | None:
+    def _settle(self, sent: FormedRow, outcome: InsertResult) -> Failure | None:
         match outcome:
             case InsertResult.committed:
                 self._mark_durable(sent)
@@ -243,7 +224,7 @@
 
     def _settle_deposed(
         self,
-        sent: _SentRow,
+        sent: FormedRow,
         outcome: InsertResult,
     ) -> Failure:
         unknown_position = 0
@@ -254,12 +235,12 @@
         reason = 'owner row changed'
         return self._close(ErrorKind.not_owner, reason, unknown_position)
 
-    def _mark_durable(self, sent: _SentRow) -> None:
+    def _mark_durable(self, sent: FormedRow) -> None:
         self._sent = None
         self._next_sequence = Sequence(sent.insert.sequence + 1)
         if sent.captured is not None:
-            self._last_capture = sent.captured.sequence
-            self.captured = sent.captured
+            self._former.last_capture = sent.captured.sequence
+            self._captured = sent.captured
         self._fates.mark_durable(sent.entries[-1].position)
 
     def _close(
@@ -280,4 +261,4 @@
         return failure
 
 
-__all__ = ('CapturedState', 'Flushed', 'PartitionJournal')
+__all__ = ('Flushed', 'PartitionJournal')
--- a/src/radishlift/journal/snapshots.py
+++ b/src/radishlift/journal/snapshots.py
@@ -30,6 +30,14 @@
     states: dict[str, Any]
 
 
+@dataclass(frozen=True, slots=True)
+class CapturedState:
+    """The dumped states of a partition after all rows up to a sequence."""
+
+    sequence: Sequence
+    dumped: dict[str, Any]
+
+
 def dump_states(states: Items[JournaledState]) -> dict[str, Any]:
     """Dumps states; they are stored under the names of their classes."""
     return {type(state).__name__: state.dump() for state in states}
@@ -37,16 +45,15 @@
 
 def encode_snapshot(
     partition_id: PartitionId,
-    sequence: Sequence,
-    dumped: dict[str, Any],
+    captured: CapturedState,
 ) -> bytes:
     """Encodes the content of a snapshot object."""
     return packb(
         {
             'format': _FORMAT,
             'partition_id': partition_id,
-            'sequence': sequence,
-            'states': dumped,
+            'sequence': captured.sequence,
+            'states': captured.dumped,
         }
     )
 
@@ -115,4 +122,4 @@
     return Failure(ErrorKind.internal, f'{named.object_name}: {reason}')
 
 
-__all__ = ('dump_states', 'encode_snapshot', 'load_snapshot')
+__all__ = ('CapturedState', 'dump_states', 'encode_snapshot', 'load_snapshot')
--- a/tests/journal/states.py
+++ b/tests/journal/states.py
@@ -8,6 +8,7 @@
 from radishlift.journal.records import record
 from radishlift.journal.recovery import Recovered, recover
 from radishlift.journal.settings import JournalSettings
+from radishlift.journal.snapshot_keeper import SnapshotKeeper
 from radishlift.ownership.api import OWNERS_TABLE, OwnerClaim
 from radishlift.platform.api import Transaction, Write
 from tests.standins.tables import MemoryObjectStore, MemoryTableStore
@@ -43,9 +44,14 @@
 class Owner:
     """A claimant of the partition that notes numbers in its journal."""
 
-    def __init__(self, store: MemoryTableStore, **settings: int) -> None:
+    def __init__(
+        self,
+        store: MemoryTableStore,
+        objects: MemoryObjectStore | None = None,
+        **settings: int,
+    ) -> None:
         self.store = store
-        self.objects = MemoryObjectStore()
+        self.objects = objects or MemoryObjectStore()
         self.settings = JournalSettings(**settings)
         self.notes = Notes()
         self.recovered: Any = None
@@ -72,12 +78,22 @@
         self.journal = PartitionJournal(
             self.store,
             claim,
-            self.recovered.next_sequence,
+            self.recovered,
             self.settings,
             lambda: {'Notes': self.notes.dump()},
         )
+        self.keeper = SnapshotKeeper(
+            self.store, self.objects, claim, self.settings
+        )
         return self.journal
 
+    async def snapshot(self) -> object:
+        """Stores the state that the journal captured."""
+        captured = self.journal.take_captured()
+        assert captured is not None
+        self.keeper.offer(captured)
+        return await self.keeper.step(1)
+
     def note(self, *numbers: int, padding: str = '') -> int:
         """Applies and appends records; returns the last position."""
         position = 0
--- /dev/null
+++ b/tests/journal/test_budget.py
@@ -0,0 +1,81 @@
+import pytest
+
+from radishlift.core.clock import ManualClock
+from radishlift.core.ids import PartitionId
+from radishlift.journal.budget import FlushScheduler
+from radishlift.journal.settings import JournalSettings
+
+NAMES = [PartitionId(f'p{number}') for number in range(10)]
+
+
+@pytest.fixture
+def clock():
+    return ManualClock(1000)
+
+
+@pytest.fixture
+def scheduler(clock):
+    scheduler = FlushScheduler(clock, JournalSettings())
+    for name in NAMES:
+        scheduler.add(name)
+    return scheduler
+
+
+def run(scheduler, clock, duration_ms: int, urgent=()) -> list[PartitionId]:
+    flushed = []
+    for _ in range(duration_ms):
+        clock.advance(1)
+        for name in NAMES:
+            scheduler.request(name, is_urgent=name in urgent)
+        flushed.extend(iter(scheduler.next_due, None))
+    return flushed
+
+
+def test_rows_keep_within_the_budget(scheduler, clock):
+    """Guards against a daemon that uses up the service's write rate."""
+    flushed = run(scheduler, clock, 10_000, urgent=set(NAMES[:5]))
+    assert 390 <= len(flushed) <= 402
+
+
+def test_partitions_share_the_budget_equally(scheduler, clock):
+    """Guards against a partition that is never flushed."""
+    flushed = run(scheduler, clock, 10_000)
+    counts = [flushed.count(name) for name in NAMES]
+    assert max(counts) - min(counts) <= 1
+    assert scheduler.interval_ms == 250
+
+
+def test_urgent_work_is_flushed_first(scheduler, clock):
+    """Guards against urgent work that waits for the flush interval."""
+    scheduler.request(NAMES[0])
+    clock.advance(5)
+    scheduler.request(NAMES[7], is_urgent=True)
+    assert scheduler.next_due() == NAMES[7]
+    assert scheduler.next_due() is None
+
+
+def test_urgent_work_does_not_starve_other_partitions(scheduler, clock):
+    """Guards against normal work that waits without bound."""
+    flushed = run(scheduler, clock, 5000, urgent=set(NAMES[:9]))
+    assert flushed.count(NAMES[9]) >= 4
+
+
+def test_deletions_use_only_what_is_left(scheduler, clock):
+    """Guards against deletions that delay the flush of records."""
+    assert scheduler.spare_rows() == 2
+    scheduler.request(NAMES[0])
+    assert scheduler.spare_rows() == 0
+    scheduler.remove(NAMES[0])
+    scheduler.spend(6)
+    assert scheduler.spare_rows() == 0
+    clock.advance(125)
+    assert scheduler.spare_rows() == 1
+
+
+def test_delay_is_the_time_to_the_next_due_flush(scheduler, clock):
+    """Guards against a loop that polls, or sleeps past a due flush."""
+    scheduler.request(NAMES[0])
+    clock.advance(scheduler.delay_ms() - 1)
+    assert scheduler.next_due() is None
+    clock.advance(1)
+    assert scheduler.next_due() == NAMES[0]
--- a/tests/journal/test_partition_journal.py
+++ b/tests/journal/test_partition_journal.py
@@ -117,6 +117,19 @@
     assert await recovered_numbers(owner.store, owner.objects) == [1, 3]
 
 
+async def test_refusal_ends_with_the_outage_without_records(owner):
+    """Guards against an owner that refuses work after an outage for good."""
+    position = owner.note(1)
+    owner.store.fault = Fault.down
+    await owner.journal.flush()
+    owner.journal.withdraw(position, position)
+    assert (await owner.journal.flush()).kind is ErrorKind.store_unavailable
+    assert owner.journal.refusal() is not None
+    owner.store.fault = Fault.none
+    assert await owner.journal.flush() == Flushed(0, 0, 0)
+    assert owner.journal.refusal() is None
+
+
 async def test_cancelled_flush_keeps_its_row(owner):
     """Guards against a second row for records of a cancelled flush."""
     owner.note(1)
--- /dev/null
+++ b/tests/journal/test_recovery.py
@@ -0,0 +1,75 @@
+import pytest
+
+from radishlift.core.errors import ErrorKind, Failure
+from radishlift.journal.recovery import recover
+from radishlift.journal.rows import row_key
+from radishlift.platform.api import Row
+from tests.journal.states import PARTITION, Notes, Owner
+from tests.standins.tables import Fault, MemoryTableStore
+
+GOOD = {'epoch': 1, 'nonce': 'n', 'records': []}
+
+
+@pytest.fixture
+async def owner():
+    owner = Owner(MemoryTableStore(), snapshot_rows_count=2)
+    await owner.open(1)
+    for number in range(5):
+        owner.note(number)
+        await owner.journal.flush()
+    return owner
+
+
+async def recover_failure(owner: Owner) -> Failure:
+    outcome = await recover(owner.store, owner.objects, PARTITION, [Notes()])
+    assert isinstance(outcome, Failure)
+    return outcome
+
+
+@pytest.mark.parametrize('sequence', [1, 3])
+async def test_missing_row_fails_loudly(owner, sequence):
+    """Guards against acknowledged records that are silently skipped."""
+    del owner.store.tables._tables['journal'][row_key(PARTITION, sequence)]
+    failure = await recover_failure(owner)
+    assert failure.kind is ErrorKind.internal
+    assert row_key(PARTITION, sequence) in failure.reason
+
+
+@pytest.mark.parametrize(
+    'damaged',
+    [
+        {'epoch': 1},
+        {**GOOD, 'records': [['no_such_record', {}]]},
+        {**GOOD, 'records': [['test_noted', {'number': 'text'}]]},
+        {**GOOD, 'records': [['job_handed_off', {}]]},
+        {**GOOD, 'epoch': 0},
+    ],
+)
+async def test_unreadable_row_fails_loudly(owner, damaged):
+    """Guards against a partition that runs on damaged state."""
+    key = row_key(PARTITION, 3)
+    owner.store.tables._tables['journal'][key] = Row('journal', key, 9, damaged)
+    failure = await recover_failure(owner)
+    assert failure.kind is ErrorKind.internal
+    assert key in failure.reason
+
+
+@pytest.mark.parametrize('content', [b'', b'\xc1', b'\x80', None])
+async def test_damaged_snapshot_fails_loudly(owner, content):
+    """Guards against a start from an empty state after damage."""
+    await owner.snapshot()
+    name = next(iter(owner.objects.objects))
+    owner.objects.objects[name] = content
+    if content is None:
+        del owner.objects.objects[name]
+    assert (await recover_failure(owner)).kind in {
+        ErrorKind.internal,
+        ErrorKind.not_found,
+    }
+
+
+async def test_outage_is_not_an_empty_journal(owner):
+    """Guards against a partition that forgets its state in an outage."""
+    owner.store.fault = Fault.down
+    failure = await recover_failure(owner)
+    assert failure.kind is ErrorKind.store_unavailable
