--- a/src/radishlift/journal/partition_journal.py
+++ b/src/radishlift/journal/partition_journal.py
@@ -16,7 +16,7 @@
 from radishlift.core.logs import log_event
 from radishlift.journal.fates import Fates
 from radishlift.journal.forming import Dump, FormedRow, RowFormer
-from radishlift.journal.inserts import InsertResult, run_insert
+from radishlift.journal.inserts import InsertResult, check_claim, run_insert
 from radishlift.journal.pending import PendingRecords
 from radishlift.journal.recovery import Recovered
 from radishlift.journal.settings import JournalSettings
@@ -166,27 +166,27 @@
                 return failure
             rows_count += 1
             records_count += len(sent.entries)
+        return await self._finish_flush(rows_count, records_count)
+
+    async def _finish_flush(
+        self,
+        rows_count: int,
+        records_count: int,
+    ) -> Flushed | Failure:
         if self._fates.closed is not None:
             return self._fates.closed
         if rows_count == 0 and self._last_failure is not None:
-            failure = await self._check_claim()
+            # With no row to insert, a read tells whether the outage is over;
+            # else nothing would be accepted again.
+            failure = await check_claim(self._store, self.claim)
+            if failure is not None and failure.kind is ErrorKind.not_owner:
+                return self._close(failure.kind, failure.reason)
             if failure is not None:
                 return failure
         self._last_failure = None
         last_sequence = Sequence(self._next_sequence - 1)
         return Flushed(last_sequence, rows_count, records_count)
 
-    async def _check_claim(self) -> Failure | None:
-        # With no row to insert, a read tells whether the outage is over;
-        # else nothing would be accepted again.
-        condition = self.claim.condition
-        row = await self._store.read(condition.table, condition.key)
-        if isinstance(row, Failure):
-            return row
-        if row.version != condition.version:
-            return self._close(ErrorKind.not_owner, 'owner row changed')
-        return None
-
     async def _insert(
         self,
         sent: FormedRow,
--- a/src/radishlift/workers/attempts.py
+++ b/src/radishlift/workers/attempts.py
@@ -10,11 +10,11 @@
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.logs import log_event
 from radishlift.placement.jobs import TaskState
+from radishlift.placement.orders import OrderKind
 from radishlift.workers.client import WorkerClient
 from radishlift.workers.events import WorkerEvents
 from radishlift.workers.messages import (
     AttemptState,
-    OrderKind,
     Refusal,
     RefusalReason,
     StartMessage,
@@ -32,7 +32,7 @@
 _TASK_STATES: Final = {
     AttemptState.finished: TaskState.finished,
     AttemptState.failed: TaskState.failed,
-    AttemptState.stopped: TaskState.queued,
+    AttemptState.stopped: TaskState.cancelled,
 }
 
 
@@ -150,7 +150,7 @@
         reply: StateReply | Refusal | Failure,
     ) -> bool:
         if isinstance(reply, Failure):
-            session.is_poll_wanted = True
+            session.poll.is_wanted = True
             return False
         if isinstance(reply, Refusal):
             self._take_refusal(session, live, reply)
@@ -173,7 +173,7 @@
             return
         # The poll finds the new incarnation, or a clock that is recent
         # enough for a lease.
-        session.is_poll_wanted = True
+        session.poll.is_wanted = True
 
 
 def _is_unsent(reply: StateReply | Refusal | Failure) -> bool:
--- a/src/radishlift/workers/client.py
+++ b/src/radishlift/workers/client.py
@@ -14,11 +14,11 @@
 from radishlift.core.codec import dump_plain, parse_json
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import WorkerId
+from radishlift.placement.orders import OrderKind
 from radishlift.workers.messages import (
     AttemptKey,
     ClockReply,
     ForgetMessage,
-    OrderKind,
     Refusal,
     RenewMessage,
     StartMessage,
--- a/src/radishlift/workers/messages.py
+++ b/src/radishlift/workers/messages.py
@@ -34,15 +34,6 @@
     stopped = 'stopped'
 
 
-@unique
-class OrderKind(Enum):
-    """Orders for one attempt; the value is the last part of their path."""
-
-    stop = 'stop'
-    throttle = 'throttle'
-    checkpoint = 'checkpoint'
-
-
 @dataclass(frozen=True, slots=True)
 class AttemptKey:
     """Names one attempt of a task."""
@@ -169,7 +160,6 @@
     'AttemptState',
     'ClockReply',
     'ForgetMessage',
-    'OrderKind',
     'Refusal',
     'RefusalReason',
     'RenewMessage',
--- a/src/radishlift/workers/polls.py
+++ b/src/radishlift/workers/polls.py
@@ -6,6 +6,7 @@
 from radishlift.core.errors import Failure
 from radishlift.core.ids import Incarnation
 from radishlift.placement.jobs import Resources, TaskState, UsageReport
+from radishlift.placement.orders import OrderKind
 from radishlift.workers.attempts import AttemptExchange
 from radishlift.workers.client import WorkerClient
 from radishlift.workers.events import WorkerEvents
@@ -13,7 +14,6 @@
     AttemptReport,
     AttemptState,
     ForgetMessage,
-    OrderKind,
     Refusal,
     RenewMessage,
     StateReply,
@@ -108,6 +108,7 @@
         if session.is_connected:
             self._events.worker_unreachable(session.worker_id)
         session.missed()
+        session.is_published = False
 
     def _absorb(self, session: WorkerSession, report: WorkerReport) -> None:
         present = set()
@@ -149,7 +150,7 @@
         incarnation = session.incarnation
         if incarnation is None or until_ms is None:
             return
-        if now_ms < session.next_renewal_ms:
+        if now_ms < session.poll.next_renewal_ms:
             return
         attempts = tuple(
             (key.task_id, key.attempt)
@@ -164,7 +165,7 @@
         )
         if not isinstance(reply, Failure | Refusal):
             interval_ms = self._settings.lease_ms // _RENEWALS_PER_LEASE
-            session.next_renewal_ms = now_ms + interval_ms
+            session.poll.next_renewal_ms = now_ms + interval_ms
 
     async def _forget(self, session: WorkerSession) -> None:
         for key in list(session.to_stop):
--- a/src/radishlift/workers/schedule.py
+++ b/src/radishlift/workers/schedule.py
@@ -16,17 +16,17 @@
 
     def add(self, session: WorkerSession, at_ms: int) -> None:
         """Sets the time of the next poll, replacing an earlier one."""
-        session.next_poll_ms = at_ms
+        session.poll.next_ms = at_ms
         heappush(self._due, (at_ms, next(self._entry_ids), session))
 
     def take_due(self, now_ms: int) -> Iterator[WorkerSession]:
         """Takes the sessions to poll now; they are then being polled."""
         while self._due and self._due[0][0] <= now_ms:
             due_ms, _, session = heappop(self._due)
-            is_replaced = due_ms != session.next_poll_ms
-            if is_replaced or session.is_gone or session.is_polling:
+            is_replaced = due_ms != session.poll.next_ms
+            if is_replaced or session.is_gone or session.poll.is_running:
                 continue
-            session.is_polling = True
+            session.poll.is_running = True
             yield session
 
 
--- a/src/radishlift/workers/session.py
+++ b/src/radishlift/workers/session.py
@@ -9,10 +9,10 @@
 
 from radishlift.core.ids import Incarnation, WorkerId
 from radishlift.placement.jobs import Resources, TaskState
+from radishlift.placement.orders import OrderKind
 from radishlift.workers.leases import WorkerClock
 from radishlift.workers.messages import (
     AttemptKey,
-    OrderKind,
     TaskToStart,
 )
 
@@ -101,6 +101,19 @@
     reason: str
 
 
+@dataclass(slots=True)
+class PollState:
+    """When a worker is polled next, on the monotonic clock.
+
+    `is_wanted` is set by an exchange that only a poll can settle.
+    """
+
+    next_ms: int = 0
+    next_renewal_ms: int = 0
+    is_running: bool = False
+    is_wanted: bool = False
+
+
 class WorkerSession:
     """State of one worker; `state` is driven by `SESSION_MACHINE`."""
 
@@ -109,7 +122,9 @@
     missed: Any
     removed: Any
 
-    def __init__(self, worker_id: WorkerId) -> None:
+    def __init__(self, worker_id: WorkerId, added_at_ms: int) -> None:
+        self.added_at_ms = added_at_ms
+        self.is_listed = False
         self.worker_id = worker_id
         self.incarnation: Incarnation | None = None
         self.capacity: Resources | None = None
@@ -119,10 +134,7 @@
         self.to_forget: dict[AttemptKey, None] = {}
         self.queue: deque[LiveAttempt] = deque()
         self.sender_count = 0
-        self.next_poll_ms = 0
-        self.next_renewal_ms = 0
-        self.is_polling = False
-        self.is_poll_wanted = False
+        self.poll = PollState()
         self.is_published = False
         SESSION_MACHINE.add_model(self)
 
@@ -140,7 +152,7 @@
         """Begins another incarnation, whose clock is unrelated."""
         self.incarnation = incarnation
         self.clock = WorkerClock()
-        self.next_renewal_ms = 0
+        self.poll.next_renewal_ms = 0
         self.to_stop.clear()
         self.to_forget.clear()
 
--- a/tests/workers/test_client.py
+++ b/tests/workers/test_client.py
@@ -2,11 +2,11 @@
 
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import Attempt, Incarnation, TaskId, WorkerId
+from radishlift.placement.orders import OrderKind
 from radishlift.workers.client import WorkerClient
 from radishlift.workers.messages import (
     AttemptKey,
     AttemptState,
-    OrderKind,
     Refusal,
     RefusalReason,
     RenewMessage,
