--- a/src/radishlift/workers/attempts.py
+++ b/src/radishlift/workers/attempts.py
@@ -53,7 +53,7 @@
 
     async def attend(self, session: WorkerSession, live: LiveAttempt) -> None:
         """Sends what an attempt needs next: a stop, an order or its start."""
-        if live.is_ended or session.is_gone:
+        if live.is_ended or session.has_ended:
             return
         if OrderKind.stop in live.pending_orders:
             await self._stop(session, live)
--- a/src/radishlift/workers/dispatcher.py
+++ b/src/radishlift/workers/dispatcher.py
@@ -187,12 +187,12 @@
         self._schedule.add(session, self._clock.monotonic_ms() + delay_ms)
 
     async def _poll(self, session: WorkerSession) -> None:
-        was_connected = session.is_connected
+        was_connected = session.is_answering
         try:
             answered = await self._polls.poll(session)
         finally:
             session.poll.is_running = False
-        if session.is_gone:
+        if session.has_ended:
             return
         if not answered:
             self._poll_soon(session)
--- a/src/radishlift/workers/events.py
+++ b/src/radishlift/workers/events.py
@@ -15,7 +15,11 @@
     def worker_seen(self, info: WorkerInfo) -> None:
         """A worker answers; its incarnation and capacity."""
 
-    def worker_unreachable(self, worker_id: WorkerId) -> None:
+    def worker_unreachable(
+        self,
+        worker_id: WorkerId,
+        incarnation: Incarnation,
+    ) -> None:
         """A worker stopped answering; its attempts may still run."""
 
     def worker_lost(
--- a/src/radishlift/workers/polls.py
+++ b/src/radishlift/workers/polls.py
@@ -103,10 +103,13 @@
             self._events.worker_lost(session.worker_id, incarnation)
 
     def _miss(self, session: WorkerSession) -> None:
-        if session.is_gone:
+        if session.has_ended:
             return
-        if session.is_connected:
-            self._events.worker_unreachable(session.worker_id)
+        if session.is_answering and session.incarnation is not None:
+            self._events.worker_unreachable(
+                session.worker_id,
+                session.incarnation,
+            )
         session.missed()
         session.is_published = False
 
--- a/src/radishlift/workers/schedule.py
+++ b/src/radishlift/workers/schedule.py
@@ -24,7 +24,7 @@
         while self._due and self._due[0][0] <= now_ms:
             due_ms, _, session = heappop(self._due)
             is_replaced = due_ms != session.poll.next_ms
-            if is_replaced or session.is_gone or session.poll.is_running:
+            if is_replaced or session.has_ended or session.poll.is_running:
                 continue
             session.poll.is_running = True
             yield session
--- a/src/radishlift/workers/senders.py
+++ b/src/radishlift/workers/senders.py
@@ -71,7 +71,7 @@
                 await self._attend(session, live)
         finally:
             session.sender_count -= 1
-        if session.poll.is_wanted and not session.is_gone:
+        if session.poll.is_wanted and not session.has_ended:
             session.poll.is_wanted = False
             self._on_poll_wanted(session)
 
--- a/src/radishlift/workers/session.py
+++ b/src/radishlift/workers/session.py
@@ -139,12 +139,12 @@
         SESSION_MACHINE.add_model(self)
 
     @property
-    def is_connected(self) -> bool:
+    def is_answering(self) -> bool:
         """Tells whether the latest exchange succeeded."""
         return self.state is SessionState.connected
 
     @property
-    def is_gone(self) -> bool:
+    def has_ended(self) -> bool:
         """Tells whether the worker was removed."""
         return self.state is SessionState.gone
 
@@ -158,7 +158,7 @@
 
     def close(self) -> None:
         """Ends the session and releases it from the machine."""
-        if not self.is_gone:
+        if not self.has_ended:
             self.removed()
         SESSION_MACHINE.remove_model(self)
 
--- /dev/null
+++ b/tests/workers/test_dispatcher.py
@@ -0,0 +1,236 @@
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+
+import pytest
+
+from radishlift.core.clock import SystemClock
+from radishlift.core.ids import Attempt, Incarnation, TaskId, WorkerId
+from radishlift.placement.jobs import TaskState
+from radishlift.placement.orders import OrderKind
+from radishlift.workers.client import WorkerClient
+from radishlift.workers.dispatcher import Dispatcher
+from radishlift.workers.leases import FormerOwners
+from radishlift.workers.messages import AttemptKey, TaskToStart
+from radishlift.workers.session import AttemptToRun, EndedAttempt
+from radishlift.workers.settings import WorkerSettings
+from tests.standins.conditions import until
+from tests.standins.worker import Network, WorkerStandIn
+from tests.standins.worker_model import WorkerOptions
+
+SETTINGS = WorkerSettings(
+    lease_ms=300,
+    report_interval_ms=20,
+    retry_interval_ms=10,
+    timeout_ms=100,
+)
+KEY = AttemptKey(TaskId('j/0'), Attempt(1))
+
+
+@dataclass
+class Events:
+    seen: list[str] = field(default_factory=list)
+    unreachable: list[str] = field(default_factory=list)
+    lost: list[str] = field(default_factory=list)
+    ended: list[EndedAttempt] = field(default_factory=list)
+    surely_ended: set[AttemptKey] = field(default_factory=set)
+    usage_count: int = 0
+
+    def worker_seen(self, described):
+        self.seen.append(described.incarnation)
+
+    def worker_unreachable(self, worker_id, incarnation):
+        self.unreachable.append(incarnation)
+
+    def worker_lost(self, worker_id, incarnation):
+        self.lost.append(incarnation)
+
+    def usage_reported(self, worker_id, reports):
+        self.usage_count += len(reports)
+
+    def attempt_ended(self, ended):
+        self.ended.append(ended)
+
+    def is_surely_ended(self, key):
+        return key in self.surely_ended
+
+
+@dataclass
+class Cell:
+    worker: WorkerStandIn
+    dispatcher: Dispatcher
+    events: Events
+    former: FormerOwners
+    clock: SystemClock
+
+    def run(self, run_time_ms: int = 0, *, is_inherited: bool = False) -> None:
+        model = self.worker.model
+        self.dispatcher.run(
+            AttemptToRun(
+                WorkerId(model.worker_id),
+                Incarnation(model.incarnation),
+                TaskToStart(
+                    KEY.task_id, KEY.attempt, 100, 10, 0, run_time_ms, 'wash'
+                ),
+                is_inherited,
+            )
+        )
+
+    async def started(self, run_time_ms: int = 0) -> None:
+        self.run(run_time_ms)
+        await until(lambda: self.worker.model.record)
+
+
+@asynccontextmanager
+async def open_cell(*former_epochs: int) -> AsyncIterator[Cell]:
+    worker = WorkerStandIn(WorkerOptions(report_lag_ms=0))
+    await worker.listen('127.0.0.1', 0)
+    client = WorkerClient(SETTINGS)
+    events, clock = Events(), SystemClock()
+    former = FormerOwners(former_epochs)
+    dispatcher = Dispatcher(client, SETTINGS, clock, events, former)
+    dispatcher.set_workers([WorkerId(worker.model.worker_id)])
+    loop = asyncio.create_task(dispatcher.run_forever())
+    await until(lambda: events.seen)
+    yield Cell(worker, dispatcher, events, former, clock)
+    await dispatcher.stop()
+    loop.cancel()
+    await client.close()
+    await worker.close()
+
+
+async def test_attempt_runs_ends_and_is_forgotten_once_durable():
+    """Guards against a worker that forgets an end that nobody journaled."""
+    async with open_cell() as cell:
+        await cell.started(run_time_ms=50)
+        await until(lambda: cell.events.ended)
+        assert cell.events.ended[0].state is TaskState.finished
+        await until(lambda: cell.worker.seen.count('/report') > 20)
+        assert '/tasks/forget' not in cell.worker.seen
+        cell.dispatcher.forget(KEY)
+        await until(lambda: not cell.worker.model.attempts)
+        assert len(cell.events.ended) == 1
+
+
+async def test_renewals_outlast_the_lease():
+    """Guards against tasks that lapse at a worker that is reachable."""
+    async with open_cell() as cell:
+        await cell.started()
+        start_ms = cell.worker.model.record[0].start_ms
+        await until(lambda: cell.worker.model.host_ms() > start_ms + 1000)
+        cell.worker.model.settle()
+        assert cell.worker.model.record[0].end_ms is None
+        assert cell.events.usage_count
+
+
+async def test_lost_answer_to_a_start_runs_it_once():
+    """Guards against a second execution after an unknown outcome."""
+    async with open_cell() as cell:
+        cell.worker.set_network(Network.lose_answers)
+        await cell.started()
+        cell.worker.set_network(Network.normal)
+        seen_count = len(cell.worker.seen)
+        await until(lambda: len(cell.worker.seen) > seen_count + 10)
+        assert len(cell.worker.model.record) == 1
+        assert not cell.events.ended
+
+
+async def test_restarted_worker_ends_its_attempts():
+    """Guards against attempts that wait for a worker's former run."""
+    async with open_cell() as cell:
+        await cell.started()
+        former = cell.worker.model.incarnation
+        cell.worker.model.restart()
+        await until(lambda: cell.events.ended)
+        assert cell.events.lost == [former]
+        await until(lambda: cell.events.seen[-1] != former)
+
+
+async def test_own_attempt_at_a_cut_worker_ends_after_its_lease():
+    """Guards against an end before the worker surely stopped the task."""
+    async with open_cell() as cell:
+        await cell.started()
+        cell.worker.set_network(Network.hang)
+        await until(lambda: cell.events.ended)
+        now_ms = cell.worker.model.host_ms()
+        record = cell.worker.worker_record()
+        assert record.executions[0].last_ms <= now_ms
+        assert cell.events.unreachable
+
+
+async def test_inherited_attempt_waits_for_evidence_about_former_owners():
+    """Guards against time alone freeing what a paused owner may renew."""
+    async with open_cell(1) as cell:
+        cell.worker.set_network(Network.hang)
+        await until(lambda: cell.events.unreachable)
+        cell.run(is_inherited=True)
+        begin_ms = cell.clock.monotonic_ms()
+        await until(
+            lambda: cell.clock.monotonic_ms() > begin_ms + SETTINGS.lease_ms * 3
+        )
+        assert not cell.events.ended
+        stopped_ms = cell.clock.monotonic_ms()
+        cell.former.observe_stopped(1, stopped_ms, SETTINGS.lease_ms)
+        await until(lambda: cell.events.ended)
+        assert cell.clock.monotonic_ms() >= stopped_ms + SETTINGS.lease_ms
+
+
+async def test_start_that_was_never_sent_ends_at_once():
+    """Guards against urgent work that waits for a lease it never got."""
+    async with open_cell() as cell:
+        await cell.worker.close()
+        await until(lambda: cell.events.unreachable)
+        cell.run()
+        await until(lambda: cell.events.ended)
+        assert cell.events.ended[0].state is TaskState.queued
+
+
+@pytest.mark.parametrize('is_known', [True, False])
+async def test_only_provably_ended_attempts_are_stopped(is_known):
+    """Guards against stopping the tasks of another partition."""
+    async with open_cell() as cell:
+        if is_known:
+            cell.events.surely_ended.add(KEY)
+        model = cell.worker.model
+        model.start(
+            {
+                'incarnation': model.incarnation,
+                'lease_until_ms': model.clock_ms() + 10**6,
+                'task': {
+                    'task_id': KEY.task_id,
+                    'attempt': KEY.attempt,
+                    'cpu_milli': 1,
+                    'memory_mb': 1,
+                    'accelerators': 0,
+                    'run_time_ms': 0,
+                    'name': 'other',
+                },
+            }
+        )
+        seen_count = len(cell.worker.seen)
+        await until(lambda: len(cell.worker.seen) > seen_count + 10)
+        assert (model.record[0].end_ms is not None) is is_known
+
+
+async def test_stop_and_throttle_reach_a_running_attempt():
+    """Guards against orders that are dropped or sent in place of others."""
+    async with open_cell() as cell:
+        await cell.started()
+        cell.dispatcher.order(KEY, OrderKind.throttle)
+        attempt = cell.worker.model.attempts[KEY.task_id, KEY.attempt]
+        await until(lambda: attempt.is_throttled)
+        cell.dispatcher.order(KEY, OrderKind.stop)
+        await until(lambda: cell.events.ended)
+        assert cell.events.ended[0].state is TaskState.cancelled
+
+
+async def test_worker_gone_from_the_host_list_ends_its_attempts():
+    """Guards against capacity that stays committed on a removed host."""
+    async with open_cell() as cell:
+        await cell.started()
+        cell.dispatcher.set_workers([])
+        assert [ended.state for ended in cell.events.ended] == [
+            TaskState.queued
+        ]
+        assert cell.events.lost == [cell.worker.model.incarnation]
