--- /dev/null
+++ b/src/radishlift/workers/dispatcher.py
@@ -0,0 +1,211 @@
+"""Starts, polls and ends the attempts of one partition at its workers.
+
+The owner hands over an attempt only after its journal row is durable. Polls
+repeat whatever was not confirmed, so that there is one retry mechanism.
+"""
+
+import asyncio
+from collections.abc import Iterable, Iterator
+from random import Random
+from typing import Final
+
+from radishlift.core.clock import Clock
+from radishlift.core.ids import WorkerId
+from radishlift.core.logs import log_event
+from radishlift.placement.jobs import TaskState
+from radishlift.placement.orders import OrderKind
+from radishlift.workers.attempts import AttemptExchange
+from radishlift.workers.client import WorkerClient
+from radishlift.workers.events import WorkerEvents
+from radishlift.workers.lapses import LapseJudge
+from radishlift.workers.leases import FormerOwners
+from radishlift.workers.messages import AttemptKey
+from radishlift.workers.polls import WorkerPoll
+from radishlift.workers.schedule import PollSchedule
+from radishlift.workers.senders import Senders, TaskGroup
+from radishlift.workers.session import (
+    AttemptToRun,
+    LiveAttempt,
+    SessionState,
+    WorkerSession,
+)
+from radishlift.workers.settings import WorkerSettings
+
+_SLICE_MS: Final = 20
+
+
+class Dispatcher:
+    """Keeps the sessions of a partition's workers.
+
+    After `stop` returns nothing more is sent: a deposed owner neither starts
+    nor renews.
+    """
+
+    def __init__(
+        self,
+        client: WorkerClient,
+        settings: WorkerSettings,
+        clock: Clock,
+        events: WorkerEvents,
+        former: FormerOwners,
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._events = events
+        self._attempts = AttemptExchange(client, settings, clock, events)
+        self._polls = WorkerPoll(
+            client,
+            settings,
+            clock,
+            events,
+            self._attempts,
+        )
+        self._lapses = LapseJudge(self._attempts, former, settings.lease_ms)
+        self._tasks = TaskGroup()
+        self._senders = Senders(self._attempts, self._tasks, self._poll_soon)
+        self._sessions: dict[WorkerId, WorkerSession] = {}
+        self._worker_of: dict[AttemptKey, WorkerId] = {}
+        self._schedule = PollSchedule()
+
+    @property
+    def sessions(self) -> Iterator[WorkerSession]:
+        """Iterates over the sessions."""
+        return iter(self._sessions.values())
+
+    def set_workers(self, worker_ids: Iterable[WorkerId]) -> None:
+        """Replaces the workers by those of the host list.
+
+        A worker that is no longer on the list is permanently gone, with all
+        of its attempts. One that was never listed here may be newer than the
+        lagging list and is kept for `host_list_lag_ms`.
+        """
+        listed = set(worker_ids)
+        for worker_id in listed:
+            session = self._sessions.get(worker_id) or self._add(worker_id)
+            session.is_listed = True
+        oldest_ms = self._clock.monotonic_ms() - self._settings.host_list_lag_ms
+        for worker_id in self._sessions.keys() - listed:
+            session = self._sessions[worker_id]
+            if session.is_listed or session.added_at_ms <= oldest_ms:
+                self._remove(self._sessions.pop(worker_id))
+
+    def run(self, order: AttemptToRun) -> None:
+        """Starts a journaled attempt, and repeats that until it is known."""
+        session = self._sessions.get(order.worker_id)
+        if session is None:
+            session = self._add(order.worker_id)
+        live = LiveAttempt(order)
+        session.attempts[order.key] = live
+        self._worker_of[order.key] = order.worker_id
+        # A former owner may have started it: the first report tells.
+        if not order.is_inherited:
+            self._senders.enqueue(session, live)
+
+    def order(self, key: AttemptKey, kind: OrderKind) -> None:
+        """Orders a stop, throttle or checkpoint of an attempt."""
+        session = self._session_of(key)
+        if session is None or session.attempts[key].is_ended:
+            return
+        session.attempts[key].pending_orders[kind] = None
+        self._senders.enqueue(session, session.attempts[key])
+
+    def forget(self, key: AttemptKey) -> None:
+        """Drops an attempt whose end is durable, here and at its worker."""
+        session = self._session_of(key)
+        if session is None:
+            return
+        self._worker_of.pop(key)
+        live = session.attempts.pop(key)
+        live.is_ended = True
+        if live.order.incarnation == session.incarnation and live.may_run:
+            session.to_forget[key] = None
+
+    async def run_forever(self) -> None:
+        """Polls workers when they are due, until cancelled."""
+        while not self._tasks.is_closed:
+            self.poll_due()
+            self.end_lapsed()
+            await asyncio.sleep(_SLICE_MS / 1000)
+
+    def poll_due(self) -> None:
+        """Begins the polls that are due."""
+        now_ms = self._clock.monotonic_ms()
+        for session in self._schedule.take_due(now_ms):
+            self._tasks.spawn(self._poll(session))
+
+    def end_lapsed(self) -> None:
+        """Ends the attempts at unreachable workers whose leases lapsed."""
+        now_ms = self._clock.monotonic_ms()
+        for session in self._sessions.values():
+            if session.state is SessionState.unreachable:
+                self._lapses.end_lapsed(session, now_ms)
+
+    async def stop(self) -> None:
+        """Cancels all exchanges; nothing is sent after it returns."""
+        await self._tasks.close()
+        for session in self._sessions.values():
+            session.close()
+
+    def _add(self, worker_id: WorkerId) -> WorkerSession:
+        now_ms = self._clock.monotonic_ms()
+        session = WorkerSession(worker_id, now_ms)
+        self._sessions[worker_id] = session
+        self._schedule.add(session, now_ms)
+        return session
+
+    def _remove(self, session: WorkerSession) -> None:
+        log_event('worker_gone', worker=session.worker_id)
+        incarnations = {
+            live.order.incarnation for live in session.attempts.values()
+        }
+        for live in list(session.attempts.values()):
+            self._attempts.end(
+                session,
+                live,
+                TaskState.queued,
+                'worker is gone from the host list',
+            )
+        if session.incarnation is not None:
+            incarnations.add(session.incarnation)
+        session.close()
+        for incarnation in incarnations:
+            self._events.worker_lost(session.worker_id, incarnation)
+
+    def _session_of(self, key: AttemptKey) -> WorkerSession | None:
+        worker_id = self._worker_of.get(key)
+        if worker_id is None:
+            return None
+        session = self._sessions.get(worker_id)
+        if session is None:
+            self._worker_of.pop(key)
+        return session
+
+    def _poll_soon(self, session: WorkerSession) -> None:
+        self._poll_in(session, self._settings.retry_interval_ms)
+
+    def _poll_in(self, session: WorkerSession, delay_ms: int) -> None:
+        self._schedule.add(session, self._clock.monotonic_ms() + delay_ms)
+
+    async def _poll(self, session: WorkerSession) -> None:
+        was_connected = session.is_answering
+        try:
+            answered = await self._polls.poll(session)
+        finally:
+            session.poll.is_running = False
+        if session.has_ended:
+            return
+        if not answered:
+            self._poll_soon(session)
+            return
+        session.poll.is_wanted = False
+        for live in session.attempts.values():
+            if live.needs_attention:
+                self._senders.enqueue(session, live)
+        interval_ms = self._settings.report_interval_ms
+        if not was_connected:
+            # The first polls come all at once; later ones are spread out.
+            interval_ms = Random(session.worker_id).randrange(interval_ms)
+        self._poll_in(session, interval_ms)
+
+
+__all__ = ('Dispatcher',)
--- /dev/null
+++ b/src/radishlift/workers/senders.py
@@ -0,0 +1,92 @@
+"""Sends what attempts need, with a bounded number of senders per worker."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any, Final
+
+from radishlift.workers.attempts import AttemptExchange
+from radishlift.workers.session import LiveAttempt, WorkerSession
+
+# Bounds the tasks of this process when a partition stops thousands at once.
+_SENDERS_PER_WORKER: Final = 4
+
+
+class TaskGroup:
+    """Tasks of this process that end together."""
+
+    def __init__(self) -> None:
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.is_closed = False
+
+    def spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        """Runs a coroutine until it ends or the group is closed."""
+        if self.is_closed:
+            coroutine.close()
+            return
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def close(self) -> None:
+        """Cancels all tasks and waits for them."""
+        self.is_closed = True
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+class Senders:
+    """Drains the queues of sessions.
+
+    An attempt is in a queue and in flight at most once at a time.
+    `on_poll_wanted` is called after an exchange that a poll must settle.
+    """
+
+    def __init__(
+        self,
+        attempts: AttemptExchange,
+        tasks: TaskGroup,
+        on_poll_wanted: Callable[[WorkerSession], None],
+    ) -> None:
+        self._attempts = attempts
+        self._tasks = tasks
+        self._on_poll_wanted = on_poll_wanted
+
+    def enqueue(self, session: WorkerSession, live: LiveAttempt) -> None:
+        """Queues an attempt that needs attention."""
+        if live.is_queued or self._tasks.is_closed:
+            return
+        live.is_queued = True
+        session.queue.append(live)
+        if session.sender_count < _SENDERS_PER_WORKER:
+            session.sender_count += 1
+            self._tasks.spawn(self._drain(session))
+
+    async def _drain(self, session: WorkerSession) -> None:
+        try:
+            while session.queue:
+                live = session.queue.popleft()
+                live.is_queued = False
+                await self._attend(session, live)
+        finally:
+            session.sender_count -= 1
+        if session.poll.is_wanted and not session.has_ended:
+            session.poll.is_wanted = False
+            self._on_poll_wanted(session)
+
+    async def _attend(self, session: WorkerSession, live: LiveAttempt) -> None:
+        if live.is_in_flight:
+            return
+        live.is_in_flight = True
+        before = len(live.pending_orders)
+        try:
+            await self._attempts.attend(session, live)
+        finally:
+            live.is_in_flight = False
+        # An order that came meanwhile was not seen by this exchange.
+        if len(live.pending_orders) > before:
+            self.enqueue(session, live)
+
+
+__all__ = ('Senders', 'TaskGroup')
