Allot executors' slots to daemons by conditional rows

Cause: several daemons dispatch to executors that have 8 slots and no guards.

Ruled out: expiring allotments; a daemon that is paused between its check and its send would exceed the sum. Reading the old version back as a settlement; the first attempt can still take effect, so an unsettled write is repeated until the version moves, and meanwhile the lower outcome counts.

Change: rows slots/<executor>, demand-based shares with a threshold and a write budget, reclaiming after evidence of death plus the longest deadline, host list handling. A predecessor's entry moves to daemon_id@incarnation, so a restarted daemon can hold other slots beside it.

--- a/src/radishlift/config/document.py
+++ b/src/radishlift/config/document.py
@@ -73,9 +73,9 @@
     """
 
     subject: str
+    target_ratio: float = required_number(0.5, 0.99999)
     indicator: str = choice('latency', ('latency', 'waiting', 'availability'))
     limit_ms: int = bounded(1_800, 1, 86_400_000)
-    target_ratio: float = required_number(0.5, 0.99999)
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/src/radishlift/requests/limits.py
@@ -0,0 +1,49 @@
+"""Limits of services from the configuration in force."""
+
+from typing import Final
+
+from radishlift.config.api import ConfigView
+from radishlift.config.document import Service
+from radishlift.core.ids import ServiceName
+
+_LONGEST_DEADLINE_MS: Final = 30_000
+
+
+class ServiceLimits:
+    """Looks up services; remembers the longest deadline seen.
+
+    Requests admitted under an earlier document may still run, so that a
+    shorter deadline in a later one must not shorten any wait for their end.
+    """
+
+    def __init__(self, view: ConfigView) -> None:
+        self._view = view
+        self._longest_ms = 0
+
+    def service(self, name: ServiceName) -> Service | None:
+        """Returns a service of the document in force."""
+        document = self._view.current()
+        return None if document is None else document.services.get(name)
+
+    @property
+    def is_known(self) -> bool:
+        """Tells whether there is a document."""
+        return self._view.current() is not None
+
+    def slots_count(self, name: ServiceName) -> int:
+        """Returns the slots of an executor; 0 for an unknown service."""
+        service = self.service(name)
+        return 0 if service is None else service.slots_count
+
+    @property
+    def longest_deadline_ms(self) -> int:
+        """Returns the longest deadline of any service so far."""
+        document = self._view.current()
+        if document is None:
+            return max(self._longest_ms, _LONGEST_DEADLINE_MS)
+        for service in document.services.values():
+            self._longest_ms = max(self._longest_ms, service.max_deadline_ms)
+        return self._longest_ms
+
+
+__all__ = ('ServiceLimits',)
--- /dev/null
+++ b/src/radishlift/requests/settings.py
@@ -0,0 +1,46 @@
+"""Settings of the handling of requests."""
+
+from dataclasses import dataclass
+
+from radishlift.settings.sections import bounded, section
+
+
+@section('requests')
+@dataclass(frozen=True, slots=True)
+class RequestSettings:
+    """Intervals, budgets and bounds; docs/requests.md gives the reasons.
+
+    `slot_writes_per_s` bounds the writes to `slots` rows of one daemon: 7
+    daemons at 10 stay far below the several hundred of the table service.
+    `kept_answer_bytes` times `kept_keys_count` bounds what a partition can
+    hold for repeats; a longer answer is not kept. A full table refuses new
+    keys and never drops a key before `keep_keys_ms`, because a repeat of a
+    dropped key would run again.
+    """
+
+    sync_interval_ms: int = bounded(500, 20, 60_000)
+    summary_interval_ms: int = bounded(500, 20, 60_000)
+    targets_interval_ms: int = bounded(500, 20, 60_000)
+    targets_timeout_ms: int = bounded(1_000, 10, 60_000)
+    slot_writes_per_s: int = bounded(10, 1, 100)
+    rebalance_min_count: int = bounded(2, 1, 1_000)
+    rebalance_ratio: float = bounded(0.15, 0, 1)
+    settle_margin_ms: int = bounded(1_000, 0, 60_000)
+    max_headers_count: int = bounded(64, 1, 1_000)
+    max_header_bytes: int = bounded(8_192, 1, 1_048_576)
+    max_answer_bytes: int = bounded(8_388_608, 1, 67_108_864)
+    max_department_count: int = bounded(1_024, 1, 1_000_000)
+    max_forward_bytes: int = bounded(524_288, 0, 900_000)
+    kept_answer_bytes: int = bounded(4_096, 0, 65_536)
+    kept_keys_count: int = bounded(20_000, 1, 1_000_000)
+    keep_keys_ms: int = bounded(900_000, 1_000, 86_400_000)
+    report_attempts_count: int = bounded(60, 1, 10_000)
+    retry_burst_count: int = bounded(10, 0, 1_000)
+    eject_failures_count: int = bounded(5, 1, 1_000)
+    eject_slow_ratio: float = bounded(5.0, 1.1, 1_000)
+    ejection_ms: int = bounded(2_000, 10, 600_000)
+    max_ejection_ms: int = bounded(60_000, 10, 3_600_000)
+    home_call_ms: int = bounded(1_000, 10, 60_000)
+
+
+__all__ = ('RequestSettings',)
--- /dev/null
+++ b/src/radishlift/requests/slots.py
@@ -0,0 +1,166 @@
+"""Allotments of executors' slots to daemons."""
+
+import asyncio
+from dataclasses import dataclass
+from hashlib import sha256
+from typing import Final
+
+from radishlift.core.clock import Clock
+from radishlift.core.errors import ErrorKind, Failure
+from radishlift.core.ids import ExecutorId, ServiceName
+from radishlift.membership.api import MemberDirectory
+from radishlift.platform.api import Row, TableStore
+from radishlift.requests.limits import ServiceLimits
+from radishlift.requests.settings import RequestSettings
+from radishlift.requests.slot_deaths import LapsedOwners
+from radishlift.requests.slot_moves import SlotMoves, Wanted
+from radishlift.requests.slot_rows import SLOTS_TABLE, SlotOwner
+from radishlift.requests.slot_views import SlotView, SlotViews
+from radishlift.requests.slot_writer import SlotWriter, WriteBudget
+from radishlift.requests.targets import TargetList
+
+_SCAN_ROWS: Final = 500
+_NONE: Final[frozenset[ExecutorId]] = frozenset()
+
+
+@dataclass(frozen=True, slots=True)
+class SlotParts:
+    """What the allotments work with."""
+
+    store: TableStore
+    members: MemberDirectory
+    targets: TargetList
+    limits: ServiceLimits
+    clock: Clock
+
+
+class SlotAllotments:
+    """Holds this daemon's slots and shifts them by demand.
+
+    `wanted` gives, per service, the wanted slots of this daemon and of each
+    peer whose load is known. A daemon that is not in it keeps its slots.
+    """
+
+    def __init__(
+        self,
+        owner: SlotOwner,
+        parts: SlotParts,
+        settings: RequestSettings,
+    ) -> None:
+        self.owner = owner
+        self.views = SlotViews()
+        self.wanted: dict[ServiceName, Wanted] = {}
+        self.is_draining = False
+        self._parts = parts
+        self._settings = settings
+        budget = WriteBudget(parts.clock, settings.slot_writes_per_s)
+        self.writer = SlotWriter(parts.store, owner, budget)
+        self._deaths = LapsedOwners(
+            parts.members,
+            parts.limits,
+            parts.clock,
+            settings,
+        )
+        self._moves = SlotMoves(
+            owner,
+            self.views,
+            parts.targets,
+            parts.limits,
+            settings,
+        )
+
+    def take(
+        self,
+        service: ServiceName,
+        excluded: frozenset[ExecutorId] = _NONE,
+    ) -> SlotView | None:
+        """Takes a free slot on a live executor, if this daemon has one."""
+        allowed = self._parts.targets.live(service) - excluded
+        return self.views.take(service, allowed)
+
+    def idle_count(
+        self,
+        service: ServiceName,
+        excluded: frozenset[ExecutorId] = _NONE,
+    ) -> int:
+        """Counts the slots that `take` could give now."""
+        allowed = self._parts.targets.live(service) - excluded
+        return sum(
+            max(0, view.idle_count)
+            for view in self.views.of_service(service)
+            if view.executor_id in allowed
+        )
+
+    def held_count(self, service: ServiceName) -> int:
+        """Counts the slots of this daemon."""
+        return sum(view.own_count for view in self.views.of_service(service))
+
+    @property
+    def is_released(self) -> bool:
+        """Tells whether no row grants slots to this daemon any more."""
+        return not any(
+            view.unsettled or view.row.slots_of(self.owner)
+            for view in self.views
+        )
+
+    async def sync(self) -> Failure | None:
+        """Reads all rows, then moves slots within the write budget."""
+        failure = await self._scan()
+        if failure is not None:
+            return failure
+        self._moves.plan(
+            self.wanted,
+            self._deaths,
+            is_draining=self.is_draining,
+        )
+        for view in sorted(self.views, key=self._rank):
+            failure = await self._moves.advance(
+                view,
+                self.writer,
+                self._deaths,
+            )
+            if failure is not None and failure.kind is not ErrorKind.conflict:
+                return failure
+        return None
+
+    async def run(self) -> None:
+        """Syncs until cancelled."""
+        while True:
+            await self.sync()
+            await asyncio.sleep(self._settings.sync_interval_ms / 1000)
+
+    async def _scan(self) -> Failure | None:
+        for executor_id, service in self._parts.targets.services.items():
+            self.views.ensure(executor_id, service)
+        after = ''
+        listed: set[SlotOwner] = set()
+        while True:
+            rows = await self._parts.store.scan(
+                SLOTS_TABLE,
+                '',
+                after,
+                _SCAN_ROWS,
+            )
+            if isinstance(rows, Failure):
+                return rows
+            for row in rows:
+                view = self._adopt(row)
+                listed.update(owner for owner, _ in view.row.owners())
+            if len(rows) < _SCAN_ROWS:
+                break
+            after = rows[-1].key
+        self._deaths.keep_only(listed)
+        return None
+
+    def _adopt(self, row: Row) -> SlotView:
+        view = self.views.ensure(ExecutorId(row.key), ServiceName(''))
+        self.writer.adopt(view, row, is_latest=False)
+        return view
+
+    def _rank(self, view: SlotView) -> bytes:
+        # Each daemon starts at other executors, so that they seldom race.
+        name = f'{self.owner.daemon_id}/{view.executor_id}'
+        return sha256(name.encode()).digest()
+
+
+__all__ = ('SlotAllotments', 'SlotParts')
--- /dev/null
+++ b/src/radishlift/requests/targets.py
@@ -0,0 +1,103 @@
+"""The executors of each service, from the platform's host list."""
+
+import asyncio
+from collections import defaultdict
+
+from radishlift.core.clock import Clock
+from radishlift.core.errors import ErrorKind, Failure
+from radishlift.core.ids import ExecutorId, ServiceName
+from radishlift.core.logs import log_event
+from radishlift.platform.api import Host, HostList, HostRole, HostState
+from radishlift.requests.settings import RequestSettings
+
+_NONE: frozenset[ExecutorId] = frozenset()
+
+
+class TargetList:
+    """Executors that may get new requests, and those that still exist.
+
+    The last list stays in use while the host list can't be read.
+    """
+
+    def __init__(
+        self,
+        host_list: HostList,
+        clock: Clock,
+        settings: RequestSettings,
+    ) -> None:
+        self._host_list = host_list
+        self._clock = clock
+        self._settings = settings
+        self._checked_at_ms: int | None = None
+        self._live: dict[ServiceName, frozenset[ExecutorId]] = {}
+        self.services: dict[ExecutorId, ServiceName] = {}
+        self._is_known = False
+
+    def live(self, service: ServiceName) -> frozenset[ExecutorId]:
+        """Returns the executors that may get new requests.
+
+        There are none when no attempt to read the list has ended for longer
+        than an interval and a timeout: then this process was paused, and an
+        executor may have left meanwhile.
+        """
+        if self._checked_at_ms is None:
+            return _NONE
+        pause_ms = self._clock.monotonic_ms() - self._checked_at_ms
+        allowed_ms = (
+            2 * self._settings.targets_interval_ms
+            + self._settings.targets_timeout_ms
+        )
+        if pause_ms > allowed_ms:
+            return _NONE
+        return self._live.get(service, _NONE)
+
+    def listed(self, service: ServiceName) -> frozenset[ExecutorId]:
+        """Returns the live executors as last read, however long ago."""
+        return self._live.get(service, _NONE)
+
+    def has_left(self, executor_id: ExecutorId) -> bool:
+        """Tells whether an executor is leaving or gone, as last read."""
+        service = self.services.get(executor_id, ServiceName(''))
+        return self._is_known and executor_id not in self.listed(service)
+
+    def is_gone(self, executor_id: ExecutorId) -> bool:
+        """Tells whether an executor is permanently gone, as last read."""
+        return self._is_known and executor_id not in self.services
+
+    async def refresh(self) -> Failure | None:
+        """Reads the list once."""
+        try:
+            async with asyncio.timeout(
+                self._settings.targets_timeout_ms / 1000,
+            ):
+                hosts = await self._host_list.fetch()
+        except TimeoutError:
+            hosts = Failure(ErrorKind.store_unavailable, 'host list timed out')
+        self._checked_at_ms = self._clock.monotonic_ms()
+        if isinstance(hosts, Failure):
+            log_event('host_list_unread', level='DEBUG', reason=hosts.reason)
+            return hosts
+        self._adopt(hosts)
+        return None
+
+    async def run(self) -> None:
+        """Reads the list until cancelled."""
+        while True:
+            await self.refresh()
+            await asyncio.sleep(self._settings.targets_interval_ms / 1000)
+
+    def _adopt(self, hosts: tuple[Host, ...]) -> None:
+        live: dict[ServiceName, set[ExecutorId]] = defaultdict(set)
+        self.services = {}
+        for host in hosts:
+            if host.role is not HostRole.executor:
+                continue
+            executor_id = ExecutorId(host.address)
+            self.services[executor_id] = host.service
+            if host.state is HostState.live:
+                live[host.service].add(executor_id)
+        self._live = {name: frozenset(ids) for name, ids in live.items()}
+        self._is_known = True
+
+
+__all__ = ('TargetList',)
--- /dev/null
+++ b/tests/requests/fakes.py
@@ -0,0 +1,158 @@
+"""Fakes of the modules that the handling of requests builds on."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+from radishlift.config.document import ConfigDocument, Department, Service
+from radishlift.core.clock import Clock, ManualClock
+from radishlift.core.errors import ErrorKind, Failure
+from radishlift.core.ids import (
+    Address,
+    ConfigVersion,
+    DaemonId,
+    DataCentreId,
+    DepartmentName,
+    ExecutorId,
+    Incarnation,
+    RackId,
+    ServiceName,
+)
+from radishlift.membership.api import Member
+from radishlift.platform.api import Host, HostRole, HostState
+from radishlift.requests.limits import ServiceLimits
+from radishlift.requests.settings import RequestSettings
+from radishlift.requests.slot_rows import SlotOwner
+from radishlift.requests.slots import SlotAllotments, SlotParts
+from radishlift.requests.targets import TargetList
+from tests.standins.tables import MemoryTableStore
+
+SERVICE = ServiceName('rugdesk')
+DEPARTMENT = DepartmentName('depot')
+SLOTS_COUNT = 8
+LONGEST_MS = 2_000
+
+
+@dataclass
+class FakeConfig:
+    """A document with one service."""
+
+    service: Service = field(
+        default_factory=lambda: Service(
+            DEPARTMENT,
+            max_deadline_ms=LONGEST_MS,
+            default_deadline_ms=1_000,
+            urgent_classes=('clinic', 'pickup'),
+        )
+    )
+
+    def current(self) -> ConfigDocument | None:
+        return ConfigDocument(
+            ConfigVersion(1),
+            departments={DEPARTMENT: Department()},
+            services={SERVICE: self.service},
+        )
+
+
+class FakeHosts:
+    """A host list that tests change."""
+
+    def __init__(self, executors=()) -> None:
+        self.states = dict.fromkeys(executors, HostState.live)
+        self.is_down = False
+
+    async def fetch(self):
+        if self.is_down:
+            return Failure(ErrorKind.store_unavailable, 'down')
+        return tuple(
+            Host(
+                Address(address),
+                state,
+                HostRole.executor,
+                RackId(''),
+                DataCentreId('umlazi'),
+                SERVICE,
+            )
+            for address, state in self.states.items()
+        )
+
+
+class FakeMembers:
+    """Members with evidence of death that tests give."""
+
+    def __init__(self) -> None:
+        self.dead: set[tuple[str, str]] = set()
+        self.known: dict[DaemonId, Incarnation] = {}
+
+    def members(self):
+        nowhere = Address('127.0.0.1:1')
+        return tuple(
+            Member(daemon_id, incarnation, nowhere, nowhere, DataCentreId(''))
+            for daemon_id, incarnation in self.known.items()
+        )
+
+    def is_suspected(self, daemon_id) -> bool:
+        return daemon_id not in self.known
+
+    def is_dead(self, daemon_id, incarnation) -> bool:
+        return (daemon_id, incarnation) in self.dead
+
+
+class DelayingStore(MemoryTableStore):
+    """Yields around each operation; applies held commits late."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.is_holding = False
+        self.held = []
+
+    async def commit(self, transaction):
+        await asyncio.sleep(0)
+        if self.is_holding:
+            self.held.append(transaction)
+            return Failure(ErrorKind.store_outcome_unknown, 'delayed')
+        outcome = await super().commit(transaction)
+        await asyncio.sleep(0)
+        return outcome
+
+    def apply_held(self) -> None:
+        for transaction in self.held:
+            self.tables.commit(transaction)
+        self.held = []
+
+
+@dataclass
+class Cell:
+    """What the daemons of a test share."""
+
+    store: MemoryTableStore = field(default_factory=DelayingStore)
+    hosts: FakeHosts = field(default_factory=FakeHosts)
+    members: FakeMembers = field(default_factory=FakeMembers)
+    clock: Clock = field(default_factory=ManualClock)
+    config: FakeConfig = field(default_factory=FakeConfig)
+    settings: RequestSettings = field(
+        default_factory=lambda: RequestSettings(
+            sync_interval_ms=20,
+            summary_interval_ms=20,
+            targets_interval_ms=20,
+            slot_writes_per_s=100,
+            settle_margin_ms=0,
+        )
+    )
+
+    def allotments(self, name: str, incarnation: str = '1') -> SlotAllotments:
+        targets = TargetList(self.hosts, self.clock, self.settings)
+        parts = SlotParts(
+            self.store,
+            self.members,
+            targets,
+            ServiceLimits(self.config),
+            self.clock,
+        )
+        owner = SlotOwner(DaemonId(name), Incarnation(incarnation))
+        slots = SlotAllotments(owner, parts, self.settings)
+        slots.targets = targets
+        return slots
+
+
+def executor_ids(count: int) -> tuple[ExecutorId, ...]:
+    return tuple(ExecutorId(f'127.0.0.1:{index}') for index in range(count))
