Add the ownership manager: claims, leases, spreading and planned stops

Cause: every partition needs exactly one owner, and a successor soon after its owner died.

Change: a daemon renews one row every 2 s, claims by conditional write with epoch + 1 on evidence of death or after 10 s without change of the owner's row, and releases surplus partitions one at a time. The time without change counts only while tables are read regularly and the claimant can renew its own row. A replaced process never writes its row again.

--- a/src/radishlift/ownership/api.py
+++ b/src/radishlift/ownership/api.py
@@ -1,7 +1,7 @@
-"""The proof of ownership that conditional writes refer to."""
+"""The proof of ownership, and what a manager of ownership calls."""
 
 from dataclasses import dataclass
-from typing import Final
+from typing import Final, Protocol
 
 from radishlift.core.ids import Epoch, PartitionId
 from radishlift.platform.api import Condition
@@ -31,4 +31,24 @@
         )
 
 
-__all__ = ('OWNERS_TABLE', 'OwnerClaim')
+class OwnershipListener(Protocol):
+    """Runs the partitions that this daemon owns.
+
+    The manager waits for each call, so long work belongs in a task; only
+    `on_releasing` may take as long as the runner needs to stop.
+    """
+
+    async def on_acquired(self, claim: OwnerClaim) -> None:
+        """Starts a partition: recovers it and opens its journal."""
+
+    async def on_releasing(self, partition_id: PartitionId) -> None:
+        """Stops a partition whose owner row is given up after this call."""
+
+    async def on_lost(self, partition_id: PartitionId) -> None:
+        """Drops a partition that is released or has another owner."""
+
+    async def on_replaced(self) -> None:
+        """Stops the daemon: a newer incarnation of it runs."""
+
+
+__all__ = ('OWNERS_TABLE', 'OwnerClaim', 'OwnershipListener')
--- /dev/null
+++ b/src/radishlift/ownership/directory.py
@@ -0,0 +1,54 @@
+"""Who owns which partition, as last read."""
+
+from collections.abc import Collection
+
+from radishlift.config.api import ConfigView
+from radishlift.core.ids import DaemonId, PartitionId
+from radishlift.ownership.owner_rows import SeenOwner, unclaimed
+from radishlift.ownership.spreading import home_partition
+
+
+class OwnerDirectory:
+    """A `PartitionDirectory` over the owner rows and the configuration.
+
+    A partition that left the configuration keeps its owner, because its
+    journal may hold jobs that are not finished; it is no home of new ones.
+    """
+
+    def __init__(self, config: ConfigView) -> None:
+        self._config = config
+        self._owners: dict[PartitionId, SeenOwner] = {}
+
+    def owner_of(self, partition_id: PartitionId) -> DaemonId | None:
+        """Returns the owner of a partition; it may be outdated."""
+        seen = self._owners.get(partition_id)
+        if seen is None or seen.row.is_free:
+            return None
+        return seen.row.daemon_id
+
+    def home_of(self, key: str) -> PartitionId | None:
+        """Returns the home partition of a job id or idempotency key."""
+        return home_partition(key, self._configured())
+
+    def seen(self, partition_id: PartitionId) -> SeenOwner:
+        """Returns the owner row of a partition as last read."""
+        return self._owners.get(partition_id) or unclaimed(partition_id)
+
+    def partitions(self) -> tuple[PartitionId, ...]:
+        """Lists the partitions that need an owner."""
+        return tuple(sorted({*self._configured(), *self._owners}))
+
+    def replace(self, owners: dict[PartitionId, SeenOwner]) -> None:
+        """Replaces what was read."""
+        self._owners = dict(owners)
+
+    def update(self, seen: SeenOwner) -> None:
+        """Notes the row after a write of this daemon."""
+        self._owners[seen.partition_id] = seen
+
+    def _configured(self) -> Collection[PartitionId]:
+        document = self._config.current()
+        return () if document is None else document.partitions.keys()
+
+
+__all__ = ('OwnerDirectory',)
--- /dev/null
+++ b/src/radishlift/ownership/fleet_view.py
@@ -0,0 +1,120 @@
+"""Judges from rows, evidence and leases who can hold a partition."""
+
+from dataclasses import dataclass
+from typing import Final
+
+from radishlift.core.ids import DaemonId, PartitionId
+from radishlift.membership.api import MemberDirectory
+from radishlift.membership.daemon_rows import DaemonState
+from radishlift.membership.daemon_table import DaemonTable
+from radishlift.ownership.directory import OwnerDirectory
+from radishlift.ownership.own_row import OwnRow
+from radishlift.ownership.owner_rows import SeenOwner
+from radishlift.ownership.settings import OwnershipSettings
+from radishlift.ownership.spreading import heaviest, spread
+
+# A claimant that can't renew its own row can't tell a dead owner from an
+# outage of writes.
+_MAX_RENEWALS_MISSED: Final = 3
+
+
+@dataclass(frozen=True, slots=True)
+class Assignment:
+    """Who shall hold each partition, in the view of one daemon.
+
+    `takers` has a partition that has no place within the shares as well.
+    """
+
+    within_share: dict[PartitionId, DaemonId]
+    takers: dict[PartitionId, DaemonId]
+
+
+class FleetView:
+    """Judges from the tables as last read and the evidence of death."""
+
+    def __init__(
+        self,
+        own_row: OwnRow,
+        table: DaemonTable,
+        members: MemberDirectory,
+        directory: OwnerDirectory,
+        settings: OwnershipSettings,
+    ) -> None:
+        self.own_row = own_row
+        self.table = table
+        self._members = members
+        self.directory = directory
+        self._settings = settings
+
+    def can_renew(self) -> bool:
+        """Tells whether this daemon has renewed its own row recently."""
+        age_ms = self.own_row.age_ms
+        limit_ms = _MAX_RENEWALS_MISSED * self._settings.renew_interval_ms
+        return age_ms is not None and age_ms <= limit_ms
+
+    def can_claim(self) -> bool:
+        """Tells whether this daemon may claim partitions."""
+        is_started = self.own_row.serving_ms >= self._settings.start_wait_ms
+        return self.can_renew() and is_started and not self.own_row.is_replaced
+
+    def is_own(self, seen: SeenOwner) -> bool:
+        """Tells whether this process is the owner in the row."""
+        own_run = (self.own_row.daemon_id, self.own_row.incarnation)
+        return (seen.row.daemon_id, seen.row.incarnation) == own_run
+
+    def is_claimable(self, seen: SeenOwner) -> bool:
+        """Tells whether a partition has no owner that may be alive."""
+        owner = seen.row
+        if owner.is_free:
+            return True
+        if self.is_own(seen):
+            return False
+        if self._members.is_dead(owner.daemon_id, owner.incarnation):
+            return True
+        return self._has_lapsed(owner.daemon_id)
+
+    def assign(self) -> Assignment:
+        """Spreads the partitions over the daemons that serve."""
+        partitions = self.directory.partitions()
+        holders = {}
+        for partition_id in partitions:
+            seen = self.directory.seen(partition_id)
+            if not self.is_claimable(seen):
+                holders[partition_id] = seen.row.daemon_id
+        serving = self._serving()
+        takers = [
+            daemon_id
+            for daemon_id in serving
+            if daemon_id == self.own_row.daemon_id
+            or not self._members.is_suspected(daemon_id)
+        ]
+        within_share = spread(partitions, holders, serving, takers)
+        overflow = {}
+        for partition_id in partitions:
+            taker = heaviest(partition_id, takers)
+            if taker is not None:
+                overflow[partition_id] = taker
+        return Assignment(within_share, overflow | within_share)
+
+    def _serving(self) -> list[DaemonId]:
+        rows = self.table.last_scan.rows
+        serving = [
+            daemon_id
+            for daemon_id, row in rows.items()
+            if row.state is DaemonState.serving
+            and daemon_id != self.own_row.daemon_id
+            and not self._has_lapsed(daemon_id)
+            and not self._members.is_dead(daemon_id, row.incarnation)
+        ]
+        if self.own_row.state is DaemonState.serving:
+            serving.append(self.own_row.daemon_id)
+        return sorted(serving)
+
+    def _has_lapsed(self, daemon_id: DaemonId) -> bool:
+        if daemon_id == self.own_row.daemon_id:
+            return False
+        unchanged_ms = self.table.unchanged_ms(daemon_id)
+        return unchanged_ms >= self._settings.lease_ms
+
+
+__all__ = ('Assignment', 'FleetView')
--- /dev/null
+++ b/src/radishlift/ownership/own_row.py
@@ -0,0 +1,161 @@
+"""The row of this daemon in the `daemons` table."""
+
+from dataclasses import replace
+from typing import Any, Final
+
+from radishlift.core.clock import Clock
+from radishlift.core.codec import dump_plain
+from radishlift.core.errors import ErrorKind, Failure
+from radishlift.core.ids import DaemonId, Incarnation
+from radishlift.membership.api import Member
+from radishlift.membership.daemon_rows import (
+    DAEMONS_TABLE,
+    DaemonRow,
+    DaemonState,
+    parse_daemon_row,
+)
+from radishlift.platform.api import (
+    Committed,
+    Condition,
+    Conflict,
+    Row,
+    TableStore,
+    Transaction,
+    Write,
+)
+
+_ATTEMPTS: Final = 3
+
+
+class OwnRow:
+    """Writes the row of this daemon, and learns if it was replaced.
+
+    A process that starts takes the row over from the incarnation that it
+    finds. Any other incarnation that appears later has replaced this one.
+    """
+
+    def __init__(self, store: TableStore, clock: Clock, member: Member) -> None:
+        self.daemon_id: DaemonId = member.daemon_id
+        self.is_replaced = False
+        self._store = store
+        self._clock = clock
+        self._row = DaemonRow(
+            member.incarnation,
+            member.listen,
+            member.peer_listen,
+            member.data_centre,
+            0,
+            DaemonState.serving,
+        )
+        self._version: int | None = None
+        self._predecessor = Incarnation('')
+        self._renewed_at_ms: int | None = None
+        self._started_at_ms: int | None = None
+
+    @property
+    def incarnation(self) -> Incarnation:
+        """Returns the incarnation of this process."""
+        return self._row.incarnation
+
+    @property
+    def age_ms(self) -> int | None:
+        """Returns the time since the last renewal; None before the first."""
+        if self._renewed_at_ms is None:
+            return None
+        return self._clock.monotonic_ms() - self._renewed_at_ms
+
+    @property
+    def serving_ms(self) -> int:
+        """Returns the time since the first renewal."""
+        if self._started_at_ms is None:
+            return 0
+        return self._clock.monotonic_ms() - self._started_at_ms
+
+    @property
+    def state(self) -> DaemonState:
+        """Returns whether this daemon takes partitions."""
+        return self._row.state
+
+    def drain(self) -> None:
+        """Tells others with the next renewal not to count on this daemon."""
+        self._row = replace(self._row, state=DaemonState.draining)
+
+    async def renew(self) -> Failure | None:
+        """Writes the row with a higher counter.
+
+        Fails with `not_owner` when a newer incarnation has replaced this
+        daemon, and with a kind of the store.
+        """
+        if self.is_replaced:
+            return _replaced()
+        if self._version is None:
+            failure = await self._read_predecessor()
+            if failure is not None:
+                return failure
+        for _ in range(_ATTEMPTS):
+            self._row = replace(self._row, counter=self._row.counter + 1)
+            outcome = await self._write(dump_plain(self._row))
+            if isinstance(outcome, Failure):
+                return outcome
+            if not isinstance(outcome, Conflict):
+                self._version = outcome.versions[0]
+                self._renewed_at_ms = self._clock.monotonic_ms()
+                if self._started_at_ms is None:
+                    self._started_at_ms = self._renewed_at_ms
+                return None
+            failure = self._adopt(outcome.rows[0])
+            if failure is not None:
+                return failure
+        return Failure(ErrorKind.conflict, 'row of this daemon keeps changing')
+
+    async def delete(self) -> Failure | None:
+        """Deletes the row at the end of a planned stop."""
+        if self.is_replaced:
+            return _replaced()
+        outcome = await self._write(None)
+        if isinstance(outcome, Conflict):
+            return Failure(ErrorKind.conflict, 'row of this daemon changed')
+        return outcome if isinstance(outcome, Failure) else None
+
+    async def _read_predecessor(self) -> Failure | None:
+        row = await self._store.read(DAEMONS_TABLE, self.daemon_id)
+        if isinstance(row, Failure):
+            return row
+        self._version = row.version
+        parsed = parse_daemon_row(row) if row.version else self._row
+        if not isinstance(parsed, Failure):
+            self._predecessor = parsed.incarnation
+        return None
+
+    async def _write(
+        self,
+        plain: Any,
+    ) -> Committed | Conflict | Failure:
+        condition = Condition(DAEMONS_TABLE, self.daemon_id, self._version or 0)
+        write = Write(DAEMONS_TABLE, self.daemon_id, plain)
+        return await self._store.commit(Transaction((condition,), (write,)))
+
+    def _adopt(self, row: Row) -> Failure | None:
+        # The row is the effect of an earlier write whose answer was lost, a
+        # last renewal of the predecessor, or that of a newer incarnation.
+        self._version = row.version
+        if not row.version:
+            return None
+        parsed = parse_daemon_row(row)
+        if isinstance(parsed, Failure):
+            return parsed
+        own = {self.incarnation}
+        if self._renewed_at_ms is None:
+            own.add(self._predecessor)
+        if parsed.incarnation in own:
+            return None
+        self.is_replaced = True
+        return _replaced()
+
+
+def _replaced() -> Failure:
+    reason = 'a newer incarnation of this daemon runs'
+    return Failure(ErrorKind.not_owner, reason)
+
+
+__all__ = ('OwnRow',)
--- /dev/null
+++ b/src/radishlift/ownership/settings.py
@@ -0,0 +1,30 @@
+"""Settings of ownership."""
+
+from dataclasses import dataclass
+
+from radishlift.settings.sections import bounded, section
+
+
+@section('ownership')
+@dataclass(frozen=True, slots=True)
+class OwnershipSettings:
+    """Times of leases and claims.
+
+    A daemon renews its row every `renew_interval_ms`; without a change of the
+    row for `lease_ms` others may claim its partitions. Tables are read every
+    `scan_interval_ms`. A daemon claims at most `claims_count` partitions in
+    one step, not before `start_wait_ms` after its first renewal so that
+    daemons that start together see each other, and waits `release_wait_ms`
+    for a released partition to be claimed before it releases another.
+    """
+
+    renew_interval_ms: int = bounded(2000, 100, 5000)
+    lease_ms: int = bounded(10_000, 500, 60_000)
+    scan_interval_ms: int = bounded(1000, 50, 2000)
+    start_wait_ms: int = bounded(1500, 0, 60_000)
+    claims_count: int = bounded(16, 1, 1000)
+    commit_attempts: int = bounded(3, 1, 10)
+    release_wait_ms: int = bounded(5000, 0, 60_000)
+
+
+__all__ = ('OwnershipSettings',)
--- a/tests/journal/test_partition_journal.py
+++ b/tests/journal/test_partition_journal.py
@@ -4,7 +4,7 @@
 
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.journal.partition_journal import Flushed
-from radishlift.platform.api import Row
+from radishlift.platform.api import Conflict, Row
 from tests.journal.states import PARTITION, Owner, recovered_numbers
 from tests.standins.tables import Fault, MemoryTableStore
 
@@ -91,6 +91,25 @@
     assert await recovered_numbers(owner.store, owner.objects) == []
 
 
+async def test_delayed_insert_after_a_takeover_has_no_effect(owner):
+    """Guards against a record that the successor has not read."""
+    owner.note(1)
+    owner.store.fail_next_commits = [Fault.lose_requests, Fault.down]
+    sent = []
+    commit = owner.store.commit
+    owner.store.commit = lambda one: (sent.append(one), commit(one))[1]
+    await owner.journal.flush()
+    successor = Owner(MemoryTableStore(owner.store.tables))
+    await successor.open(2)
+    assert isinstance(owner.store.tables.commit(sent[0]), Conflict)
+    successor.note(2)
+    await successor.journal.flush()
+    assert (await owner.journal.flush()).kind is ErrorKind.not_owner
+    waited = await owner.journal.wait_durable(1, 0)
+    assert waited.kind is ErrorKind.not_owner
+    assert await recovered_numbers(owner.store, owner.objects) == [2]
+
+
 async def test_deposed_owner_learns_that_its_last_row_was_written(owner):
     """Guards against a caller told "not run" after a lost answer."""
     position = owner.note(1)
--- /dev/null
+++ b/tests/ownership/test_manager.py
@@ -0,0 +1,193 @@
+import pytest
+
+from radishlift.core.errors import ErrorKind, Failure
+from radishlift.core.ids import PartitionId
+from tests.ownership.fleet import Fleet
+from tests.standins.tables import Fault
+
+P0 = PartitionId('p0')
+
+
+def assert_one_owner_each(fleet: Fleet) -> None:
+    claimed = [one for daemon in fleet.daemons for one in daemon.claims]
+    assert len(claimed) == len(set(claimed))
+    for daemon in fleet.daemons:
+        for claim in daemon.claims.values():
+            condition = claim.condition
+            row = fleet.store.tables.read(condition.table, condition.key)
+            assert row.version == condition.version
+
+
+async def test_partitions_are_spread_evenly():
+    """Guards against one daemon that owns more than its share."""
+    fleet = Fleet(70, *[f'd{number}' for number in range(7)])
+    await fleet.run(60_000)
+    assert set(fleet.owned_counts()) == {10}
+    assert_one_owner_each(fleet)
+    assert all(fleet.owner_rows().values())
+
+
+async def test_surplus_is_released_one_at_a_time():
+    """Guards against many partitions without an owner at a time."""
+    fleet = Fleet(10, 'd1', 'd2')
+    await fleet.run(2000, fleet.daemons[0])
+    assert fleet.owned_counts() == [10, 0]
+    for _ in range(30):
+        await fleet.run(1000)
+        free = [owner for owner in fleet.owner_rows().values() if not owner]
+        assert len(free) <= 1
+    assert fleet.owned_counts() == [5, 5]
+    assert_one_owner_each(fleet)
+
+
+@pytest.mark.parametrize('seed', range(5))
+async def test_two_claimants_have_one_winner(seed):
+    """Guards against two owners after a race."""
+    fleet = Fleet(seed + 1, 'd1', 'd2')
+    for daemon in fleet.daemons:
+        await daemon.manager.renew()
+    await fleet.race()
+    await fleet.race()
+    assert sum(fleet.owned_counts()) == seed + 1
+    assert_one_owner_each(fleet)
+
+
+async def test_silent_owner_is_claimed_after_the_lease():
+    """Guards against a claim before 10 s, and against none after them."""
+    fleet = Fleet(4, 'd1', 'd2')
+    await fleet.settle()
+    paused, successor = fleet.daemons
+    held = set(paused.claims)
+    epoch = max(claim.epoch for claim in paused.claims.values())
+    await fleet.run(9000, successor)
+    assert fleet.owned_counts() == [2, 2]
+    await fleet.run(3000, successor)
+    assert len(successor.claims) == 4
+    assert max(one.epoch for one in successor.claims.values()) == epoch + 1
+    await fleet.run(2000, paused)
+    assert set(paused.events) == {('lost', one) for one in held}
+    assert_one_owner_each(fleet)
+
+
+async def test_evidence_of_death_shortens_the_wait():
+    """Guards against a wait of 10 s for a daemon that was killed."""
+    fleet = Fleet(4, 'd1', 'd2')
+    await fleet.settle()
+    killed, successor = fleet.daemons
+    successor.members.evidence.observe_refusal(killed.member)
+    await fleet.run(1000, successor)
+    assert len(successor.claims) == 4
+
+
+async def test_missed_heartbeats_do_not_shorten_the_wait():
+    """Guards against a claim from a slow owner."""
+    fleet = Fleet(4, 'd1', 'd2')
+    await fleet.settle()
+    fleet.daemons[1].members.suspected.add(fleet.daemons[0].daemon_id)
+    await fleet.run(5000)
+    assert fleet.owned_counts() == [2, 2]
+
+
+@pytest.mark.parametrize('fault', [Fault.down, Fault.lose_requests])
+async def test_nobody_claims_in_or_right_after_an_outage(fault):
+    """Guards against claims from owners that could not renew."""
+    fleet = Fleet(4, 'd1', 'd2')
+    await fleet.settle()
+    for daemon in fleet.daemons:
+        daemon.store.fault = fault
+    await fleet.run(60_000)
+    assert fleet.owned_counts() == [2, 2]
+    fleet.daemons[1].store.fault = Fault.none
+    await fleet.run(5000, fleet.daemons[1])
+    assert fleet.owned_counts() == [2, 2]
+    fleet.daemons[0].store.fault = Fault.none
+    await fleet.run(20_000)
+    assert fleet.owned_counts() == [2, 2]
+    assert not fleet.daemons[0].events
+
+
+@pytest.mark.parametrize('fault', [Fault.lose_answers, Fault.lose_requests])
+async def test_lost_answer_of_a_claim_is_settled(fault):
+    """Guards against a partition whose owner does not know of it."""
+    fleet = Fleet(1, 'd1')
+    await fleet.daemons[0].manager.renew()
+    fleet.daemons[0].store.fail_next_commits = [fault]
+    await fleet.daemons[0].manager.step()
+    assert fleet.daemons[0].claims[P0].epoch == 1
+    assert_one_owner_each(fleet)
+
+
+async def test_unsettled_claim_is_taken_again_with_a_higher_epoch():
+    """Guards against an owner row that nobody serves."""
+    fleet = Fleet(1, 'd1')
+    await fleet.daemons[0].manager.renew()
+    faults = [Fault.lose_answers, Fault.lose_requests, Fault.down]
+    fleet.daemons[0].store.fail_next_commits = faults
+    failure = await fleet.daemons[0].manager.step()
+    assert failure.kind is ErrorKind.store_outcome_unknown
+    assert not fleet.daemons[0].claims
+    await fleet.run(1000)
+    assert fleet.daemons[0].claims[P0].epoch == 2
+    assert_one_owner_each(fleet)
+
+
+async def test_restart_takes_over_at_once_and_stops_the_old_process():
+    """Guards against two processes with one id, and against a 10 s wait."""
+    fleet = Fleet(3, 'd1')
+    await fleet.run(2000)
+    old = fleet.daemons[0]
+    new = fleet.add('d1', '2')
+    await fleet.run(1000, new)
+    assert len(new.claims) == 3
+    assert (await old.manager.renew()).kind is ErrorKind.not_owner
+    assert old.events.count('replaced') == 1
+    assert not old.claims
+    await fleet.run(2000, old, new)
+    assert len(new.claims) == 3
+
+
+async def test_planned_stop_releases_everything():
+    """Guards against a wait of 10 s after a planned stop."""
+    fleet = Fleet(4, 'd1', 'd2')
+    await fleet.settle()
+    stopped = fleet.daemons.pop(0)
+    assert await stopped.manager.stop() is None
+    assert not stopped.claims
+    kinds = [event[0] for event in stopped.events]
+    assert kinds == ['releasing', 'lost', 'releasing', 'lost']
+    await fleet.run(1000)
+    assert fleet.owned_counts() == [4]
+
+
+async def test_stop_in_an_outage_goes_on_after_it():
+    """Guards against a partition that is given up without its row."""
+    fleet = Fleet(2, 'd1')
+    await fleet.run(1000)
+    daemon = fleet.daemons[0]
+    daemon.store.fail_next_commits = [Fault.none, Fault.down]
+    assert isinstance(await daemon.manager.stop(), Failure)
+    assert len(daemon.claims) == 2
+    assert await daemon.manager.stop() is None
+    assert daemon.events.count(('releasing', P0)) == 1
+    assert set(fleet.owner_rows().values()) == {''}
+
+
+async def test_dropped_partition_is_claimed_with_a_higher_epoch():
+    """Guards against a failed journal whose late inserts still count."""
+    fleet = Fleet(1, 'd1')
+    await fleet.run(1000)
+    daemon = fleet.daemons[0]
+    await daemon.manager.drop(P0)
+    assert not daemon.claims
+    await fleet.run(1000)
+    assert daemon.claims[P0].epoch == 2
+
+
+async def test_directory_names_owners_and_homes():
+    fleet = Fleet(5, 'd1')
+    await fleet.run(1000)
+    directory = fleet.daemons[0].directory
+    assert directory.owner_of(P0) == 'd1'
+    assert directory.owner_of(PartitionId('p99')) is None
+    homes = {directory.home_of(f'job-{number}') for number in range(100)}
+    assert len(homes) == 5
