--- a/src/radishlift/journal/recovery.py
+++ b/src/radishlift/journal/recovery.py
@@ -16,10 +16,12 @@
     row_key,
     sequence_of,
 )
+from radishlift.journal.snapshot_rows import read_snapshot_sequence
 from radishlift.journal.snapshots import load_snapshot
 from radishlift.platform.api import ObjectStore, Row, TableStore
 
 _SCAN_LIMIT: Final = 100
+_DAMAGES: Final = frozenset((ErrorKind.internal, ErrorKind.not_found))
 
 
 @dataclass(frozen=True, slots=True)
@@ -93,9 +95,30 @@
 
     Call it only after the claim of the partition took effect: from then on
     no row of an earlier owner can be added. Fails with `internal` when a row
-    is missing or unreadable, and with a kind of the store when it can't be
-    read; the states must then be discarded.
+    is missing or unreadable, with `not_owner` when that is due to another
+    owner's snapshot meanwhile, and with a kind of the store when something
+    can't be read. After a failure the states must be discarded.
     """
+    covered = await read_snapshot_sequence(store, partition_id)
+    if isinstance(covered, Failure):
+        return covered
+    outcome = await _recover(store, object_store, partition_id, states)
+    if not isinstance(outcome, Failure) or outcome.kind not in _DAMAGES:
+        return outcome
+    now_covered = await read_snapshot_sequence(store, partition_id)
+    if isinstance(now_covered, Failure) or now_covered == covered:
+        return outcome
+    # Only an owner moves the snapshot and deletes rows, so the claim of this
+    # reader is not in force any more.
+    return Failure(ErrorKind.not_owner, 'another owner moved the snapshot')
+
+
+async def _recover(
+    store: TableStore,
+    object_store: ObjectStore,
+    partition_id: PartitionId,
+    states: Items[JournaledState],
+) -> Recovered | Failure:
     loaded = await load_snapshot(store, object_store, partition_id, states)
     if isinstance(loaded, Failure):
         return loaded
--- a/tests/standins/tables.py
+++ b/tests/standins/tables.py
@@ -79,12 +79,16 @@
 
 
 class MemoryTableStore:
-    """A `TableStore` in this process, for tests of one module."""
+    """A `TableStore` in this process, for tests of one module.
+
+    `lost_requests` keeps what was lost, so that a test can let it arrive late.
+    """
 
     def __init__(self, tables: Tables | None = None) -> None:
         self.tables = tables or Tables()
         self.fault = Fault.none
         self.fail_next_commits: list[Fault] = []
+        self.lost_requests: list[Transaction] = []
         self._read_tables = self.tables
 
     def freeze_reads(self) -> None:
@@ -127,6 +131,7 @@
         if fault is Fault.down:
             return Failure(ErrorKind.store_unavailable, 'down')
         if fault is Fault.lose_requests:
+            self.lost_requests.append(transaction)
             return Failure(ErrorKind.store_outcome_unknown, 'request lost')
         outcome = self.tables.commit(transaction)
         if fault is Fault.lose_answers:
