--- /dev/null
+++ b/src/radishlift/api/application.py
@@ -0,0 +1,35 @@
+"""The HTTP application of a daemon."""
+
+from typing import Protocol
+
+from aiohttp import web
+
+from radishlift.api.limits import ApiSettings, LimitsMiddleware
+from radishlift.api.readiness import ReadinessState
+
+
+class Routes(Protocol):
+    """Handlers that add their routes to an application."""
+
+    def add_routes(self, app: web.Application) -> None:
+        """Adds the routes."""
+
+
+def build_application(
+    settings: ApiSettings,
+    readiness: ReadinessState,
+    limits: LimitsMiddleware,
+    routes: tuple[Routes, ...],
+) -> web.Application:
+    """Builds the application from the handlers of all concerns."""
+    app = web.Application(
+        middlewares=[limits.middleware],
+        client_max_size=settings.max_body_bytes,
+    )
+    app.router.add_get('/ready', readiness.answer)
+    for handlers in routes:
+        handlers.add_routes(app)
+    return app
+
+
+__all__ = ('Routes', 'build_application')
--- /dev/null
+++ b/tests/system/cell.py
@@ -0,0 +1,282 @@
+"""A cell of separate processes on loopback: daemons and stand-ins."""
+
+import asyncio
+import json
+import time
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+from aiohttp import ClientError, ClientSession, ClientTimeout
+
+from tests.system.processes import Processes, free_ports
+from tests.system.relay import Relay
+from tests.system.shapes import Shape, config_text
+
+SETTINGS = """\
+[daemon]
+daemon_id = {name}
+data_centre = {data_centre}
+listen = {listen}
+peer_listen = {peer_listen}
+peer_advertise = {peer_advertise}
+seed_peers = {seed_peers}
+peer_secret = test
+change_token = test
+drain_timeout_ms = 15000
+log_level = INFO
+
+[platform]
+table_address = {platform}
+object_address = {platform}
+host_list_address = {platform}
+"""
+TOKEN_HEADERS = {'Radishlift-Token': 'test'}
+
+
+class Cell:
+    """Starts 7 daemons and the stand-ins of some shapes.
+
+    Each daemon reaches the platform, and is reached by its peers, through
+    relays that a test can cut.
+    """
+
+    def __init__(
+        self,
+        folder: Path,
+        shapes: tuple[Shape, ...],
+        daemons_count: int = 7,
+        extra_settings: str = '',
+    ) -> None:
+        self.folder = folder
+        self.shapes = shapes
+        self.extra_settings = extra_settings
+        self.processes = Processes(folder / 'logs')
+        self.session = ClientSession(timeout=ClientTimeout(total=10))
+        hosts_count = sum(
+            shape.workers_count + shape.executors_count for shape in shapes
+        )
+        ports = free_ports(1 + 4 * daemons_count + hosts_count)
+        take = iter(f'127.0.0.1:{port}' for port in ports)
+        self.platform = next(take)
+        self.names = [f'd{index + 1}' for index in range(daemons_count)]
+        self.listen = {name: next(take) for name in self.names}
+        self.peer_listen = {name: next(take) for name in self.names}
+        self.store_relays = {
+            name: Relay(next(take), self.platform) for name in self.names
+        }
+        self.peer_relays = {
+            name: Relay(next(take), self.peer_listen[name])
+            for name in self.names
+        }
+        self.workers: dict[str, list[str]] = {}
+        self.executors: dict[str, list[str]] = {}
+        for shape in shapes:
+            self.workers[shape.department] = [
+                next(take) for _ in range(shape.workers_count)
+            ]
+            self.executors[shape.department] = [
+                next(take) for _ in range(shape.executors_count)
+            ]
+        self.hosts: list[dict[str, str]] = []
+
+    async def start(self) -> None:
+        """Starts all processes and waits until the daemons are ready."""
+        self.processes.start(
+            'platform',
+            'tests.standins.platform',
+            '--listen',
+            self.platform,
+        )
+        for shape in self.shapes:
+            self._start_standins(shape)
+        await self.wait_for(self._platform_answers, 20)
+        self.hosts = self._host_list()
+        await self.set_hosts()
+        for relay in (*self.store_relays.values(), *self.peer_relays.values()):
+            await relay.start()
+        for name in self.names:
+            self.start_daemon(name)
+        await self.wait_for(self._accepts_configuration, 30)
+        await self.wait_ready(self.names)
+
+    async def stop(self) -> None:
+        """Kills all processes."""
+        self.processes.stop_all()
+        for relay in (*self.store_relays.values(), *self.peer_relays.values()):
+            await relay.stop()
+        await self.session.close()
+
+    def start_daemon(self, name: str) -> None:
+        """Starts a daemon, also one that was killed."""
+        index = self.names.index(name)
+        centres = self.shapes[0].data_centres
+        path = self.folder / f'{name}.ini'
+        seeds = ','.join(
+            f'{peer}={self.peer_relays[peer].listen}'
+            for peer in self.names
+            if peer != name
+        )
+        path.write_text(
+            SETTINGS.format(
+                name=name,
+                data_centre=centres[index % len(centres)],
+                listen=self.listen[name],
+                peer_listen=self.peer_listen[name],
+                peer_advertise=self.peer_relays[name].listen,
+                seed_peers=seeds,
+                platform=self.store_relays[name].listen,
+            )
+            + self.extra_settings,
+            encoding='utf-8',
+        )
+        self.processes.start(
+            name,
+            'radishlift.daemon.main',
+            '--settings',
+            str(path),
+        )
+
+    async def wait_ready(self, names: list[str], timeout_s: float = 30) -> None:
+        """Waits until daemons are ready and every partition has an owner."""
+
+        async def is_ready() -> bool:
+            for name in names:
+                status, _ = await self.get(name, '/ready')
+                if status != 200:
+                    return False
+            _, state = await self.get(names[0], '/v1/status')
+            return bool(state) and all(
+                partition['is_running'] for partition in state['partitions']
+            )
+
+        await self.wait_for(is_ready, timeout_s)
+
+    async def get(self, name: str, path: str) -> tuple[int, Any]:
+        """Asks a daemon; status 0 when it does not answer."""
+        return await self.call('GET', self.listen[name], path)
+
+    async def call(
+        self,
+        method: str,
+        address: str,
+        path: str,
+        body: Any = None,
+    ) -> tuple[int, Any]:
+        """Sends a request; status 0 when there is no answer."""
+        url = f'http://{address}{path}'
+        try:
+            async with self.session.request(
+                method,
+                url,
+                json=body,
+                headers=TOKEN_HEADERS,
+            ) as reply:
+                text = await reply.text()
+                return reply.status, json.loads(text) if text else None
+        except (ClientError, TimeoutError, ValueError):
+            return 0, None
+
+    async def set_faults(self, mode: str, delay_ms: int = 0) -> None:
+        """Sets the faults of the platform."""
+        body = {'mode': mode, 'delay_ms': delay_ms}
+        await self.call('POST', self.platform, '/admin/faults', body)
+
+    async def set_hosts(self) -> None:
+        """Publishes the host list."""
+        body = {'hosts': self.hosts}
+        await self.call('PUT', self.platform, '/admin/hosts', body)
+
+    async def records(self, addresses: list[str]) -> list[Any]:
+        """Reads the records of workers or executors."""
+        answers = await asyncio.gather(
+            *(
+                self.call('GET', address, '/admin/record')
+                for address in addresses
+            )
+        )
+        return [record for _, record in answers if record is not None]
+
+    async def wait_for(
+        self,
+        condition: Callable[[], Awaitable[bool]],
+        timeout_s: float,
+    ) -> None:
+        """Waits on a condition; fails the test when it does not come."""
+        deadline_s = time.monotonic() + timeout_s
+        while not await condition():
+            if time.monotonic() > deadline_s:
+                raise AssertionError(f'not within {timeout_s} s: {condition}')
+            await asyncio.sleep(0.05)
+
+    def _start_standins(self, shape: Shape) -> None:
+        department = shape.department
+        self.processes.start(
+            f'workers-{department}',
+            'tests.standins.worker',
+            *('--listen-base', self.workers[department][0]),
+            *('--count', str(shape.workers_count)),
+            *('--rack-prefix', shape.rack_prefix),
+            *('--data-centre', shape.data_centres[0]),
+            *('--cpu-milli', str(shape.worker_cpu_milli)),
+            *('--memory-mb', str(shape.worker_memory_mb)),
+        )
+        self.processes.start(
+            f'executors-{department}',
+            'tests.standins.executor',
+            *('--listen-base', self.executors[department][0]),
+            *('--count', str(shape.executors_count)),
+            *('--service', shape.service),
+            *('--service-ms', shape.service_ms),
+        )
+
+    def _host_list(self) -> list[dict[str, str]]:
+        hosts = []
+        for shape in self.shapes:
+            for index, address in enumerate(self.workers[shape.department]):
+                rack = shape.racks[index // 8]
+                centre = shape.data_centres[index // 8 % 3]
+                hosts.append(_host(address, 'worker', rack, centre, ''))
+            for index, address in enumerate(self.executors[shape.department]):
+                centre = shape.data_centres[index % 3]
+                hosts.append(
+                    _host(address, 'executor', '', centre, shape.service),
+                )
+        centres = self.shapes[0].data_centres
+        hosts.extend(
+            _host(self.listen[name], 'entry', '', centres[index % 3], '')
+            for index, name in enumerate(self.names)
+        )
+        return hosts
+
+    async def _platform_answers(self) -> bool:
+        status, _ = await self.call('GET', self.platform, '/hosts')
+        return status == 200
+
+    async def _accepts_configuration(self) -> bool:
+        body = {
+            'base_version': 0,
+            'text': config_text(self.shapes),
+            'who': 'test',
+            'why': 'start of the cell',
+        }
+        address = self.listen[self.names[0]]
+        status, _ = await self.call('PUT', address, '/v1/config', body)
+        return status == 200
+
+
+def _host(
+    address: str,
+    role: str,
+    rack: str,
+    data_centre: str,
+    service: str,
+) -> dict[str, str]:
+    return {
+        'address': address,
+        'state': 'live',
+        'role': role,
+        'rack': rack,
+        'data_centre': data_centre,
+        'service': service,
+    }
