--- /dev/null
+++ b/src/radishlift/partitions/dispatching.py
@@ -0,0 +1,90 @@
+"""Turns records and orders of the engine into work of the dispatcher."""
+
+from collections.abc import Iterator
+from typing import Any
+
+from radishlift.core.ids import Attempt
+from radishlift.partitions.facts import is_current
+from radishlift.partitions.log import PartitionLog
+from radishlift.placement.orders import Order
+from radishlift.placement.partition_tables import PartitionTables
+from radishlift.placement.records import TaskEnded, TaskPlaced
+from radishlift.workers.dispatcher import Dispatcher
+from radishlift.workers.messages import AttemptKey, TaskToStart
+from radishlift.workers.session import AttemptToRun
+
+
+class EngineEffects:
+    """Binds the effects of records to their rows in the journal."""
+
+    def __init__(
+        self,
+        tables: PartitionTables,
+        log: PartitionLog,
+        dispatcher: Dispatcher,
+    ) -> None:
+        self._tables = tables
+        self._log = log
+        self._dispatcher = dispatcher
+
+    def add(self, applied: Any) -> None:
+        """Binds the effect of a record that was just appended."""
+        match applied:
+            case TaskPlaced():
+                self._log.after_last(lambda: self.start(applied))
+            case TaskEnded():
+                key = AttemptKey(applied.task_id, applied.attempt)
+                self._log.after_last(lambda: self._dispatcher.forget(key))
+
+    def order(self, order: Order) -> None:
+        """Sends an order once the records before it are durable."""
+        key = AttemptKey(order.task_id, order.attempt)
+        kind = order.kind
+        self._log.after_last(lambda: self._dispatcher.order(key, kind))
+
+    def start(self, placed: TaskPlaced) -> None:
+        """Starts a journaled attempt unless it has ended meanwhile."""
+        key = AttemptKey(placed.task_id, placed.attempt)
+        if is_current(self._tables, key):
+            row = self._tables.task_row(placed.task_id)
+            self._dispatcher.run(self._attempt(row or 0, is_inherited=False))
+
+    def resume(self) -> int:
+        """Takes over all attempts that may run; returns their number."""
+        workers = self._tables.workers
+        for worker_id, row in workers.row_of.items():
+            incarnation = workers.worker_info[row].incarnation
+            self._dispatcher.expect(worker_id, incarnation)
+        inherited = list(self._inherited())
+        for attempt in inherited:
+            self._dispatcher.run(attempt)
+        return len(inherited)
+
+    def _inherited(self) -> Iterator[AttemptToRun]:
+        tasks = self._tables.tasks
+        for row, job_row in enumerate(tasks.job_row):
+            if job_row >= 0 and tasks.is_live(row):
+                yield self._attempt(row, is_inherited=True)
+
+    def _attempt(self, row: int, *, is_inherited: bool) -> AttemptToRun:
+        tasks = self._tables.tasks
+        spec = self._tables.jobs.spec[tasks.job_row[row]]
+        worker = self._tables.workers.worker_info[tasks.worker_row[row]]
+        reserved = tasks.reserved[row]
+        return AttemptToRun(
+            worker.worker_id,
+            tasks.incarnation[row],
+            TaskToStart(
+                tasks.task_id[row],
+                Attempt(tasks.attempt[row]),
+                reserved.cpu_milli,
+                reserved.memory_mb,
+                reserved.accelerators_count,
+                spec.run_time_ms,
+                spec.name,
+            ),
+            is_inherited,
+        )
+
+
+__all__ = ('EngineEffects',)
--- /dev/null
+++ b/src/radishlift/partitions/hand_off_state.py
@@ -0,0 +1,63 @@
+"""Journaled state of jobs that were handed to another partition."""
+
+from dataclasses import dataclass
+from typing import Any, ClassVar
+
+from radishlift.core.ids import JobId, PartitionId
+from radishlift.journal.records import record
+
+
+@record('hand_off_begun')
+@dataclass(frozen=True, slots=True)
+class HandOffBegun:
+    """A job is to be accepted by another partition.
+
+    It is journaled before `JobHandedOff`: a successor that finds only this
+    record keeps the job, one that finds both repeats the hand-off.
+    """
+
+    job_id: JobId
+    to_partition: PartitionId
+
+
+@record('hand_off_confirmed')
+@dataclass(frozen=True, slots=True)
+class HandOffConfirmed:
+    """The other partition has journaled the job.
+
+    The hand-off is not repeated from then on: the other partition may forget
+    the job after it ended, and a repeat would run it again.
+    """
+
+    job_id: JobId
+
+
+class HandOffs:
+    """Hand-offs that the other partition has not confirmed."""
+
+    record_types: ClassVar[tuple[type, ...]] = (HandOffBegun, HandOffConfirmed)
+
+    def __init__(self) -> None:
+        self.open: dict[JobId, PartitionId] = {}
+
+    def apply(self, change: Any) -> None:
+        """Applies one record."""
+        match change:
+            case HandOffBegun():
+                self.open[change.job_id] = change.to_partition
+            case HandOffConfirmed():
+                self.open.pop(change.job_id, None)
+
+    def dump(self) -> Any:
+        """Returns the state as plain data for a snapshot."""
+        return dict(self.open)
+
+    def load(self, plain: Any) -> None:
+        """Replaces the state by that of a snapshot."""
+        self.open = {
+            JobId(job_id): PartitionId(target)
+            for job_id, target in plain.items()
+        }
+
+
+__all__ = ('HandOffBegun', 'HandOffConfirmed', 'HandOffs')
--- /dev/null
+++ b/src/radishlift/partitions/intake.py
@@ -0,0 +1,228 @@
+"""Requests of callers to one owned partition: submit, cancel, status."""
+
+import asyncio
+from typing import Final
+
+from radishlift.core.errors import ErrorKind, Failure
+from radishlift.core.ids import Attempt, JobId, TaskId, WorkerId
+from radishlift.partitions.messages import (
+    HandOffJob,
+    JobCancelling,
+    JobMoved,
+    JobStatus,
+    JobSubmitted,
+    TaskExplanation,
+)
+from radishlift.partitions.open_partition import OpenPartition
+from radishlift.placement.jobs import JobSpec, TaskState, job_id_of
+from radishlift.placement.partition_tables import PartitionTables
+from radishlift.placement.records import JobAccepted
+from radishlift.placement.tables import NO_ROW
+
+_CHECK_MS: Final = 100
+
+
+async def submit(
+    opened: OpenPartition,
+    spec: JobSpec,
+    timeout_ms: int,
+) -> JobSubmitted | Failure:
+    """Accepts a job and acknowledges it once it is journaled.
+
+    A repeat returns the first acceptance, also during an outage of the table
+    service. A new job is refused with `store_unavailable` before anything is
+    buffered while the journal can't be written.
+    """
+    is_new = spec.job_id not in opened.states.placement.tables.jobs.row_of
+    refusal = opened.log.journal.refusal()
+    if is_new and refusal is not None:
+        return refusal
+    accepted = opened.engine.accept(spec, opened.now_ms())
+    if isinstance(accepted, Failure):
+        return accepted
+    if is_new:
+        failure = opened.log.append(accepted)
+        if failure is not None:
+            return failure
+    return await _acknowledge(opened, accepted, timeout_ms)
+
+
+async def accept_hand_off(
+    opened: OpenPartition,
+    message: HandOffJob,
+) -> JobSubmitted | Failure:
+    """Accepts a job of another home; a repeat changes nothing."""
+    accepted = JobAccepted(
+        message.spec,
+        message.accepted_at_ms,
+        message.from_partition,
+    )
+    jobs = opened.states.placement.tables.jobs
+    row = jobs.row_of.get(message.spec.job_id)
+    if row is not None and jobs.spec[row] != message.spec:
+        reason = f'job {message.spec.job_id} exists with another content'
+        return Failure(ErrorKind.conflict, reason)
+    if row is None:
+        refusal = opened.log.journal.refusal()
+        failure = refusal or opened.log.apply([accepted])
+        if failure is not None:
+            return failure
+    return await _acknowledge(opened, accepted, message.timeout_ms)
+
+
+async def _acknowledge(
+    opened: OpenPartition,
+    accepted: JobAccepted,
+    timeout_ms: int,
+) -> JobSubmitted | Failure:
+    opened.wake()
+    opened.request_flush([accepted])
+    failure = await opened.log.journal.wait_durable(
+        opened.log.last_position,
+        timeout_ms,
+    )
+    if failure is not None:
+        return failure
+    return JobSubmitted(
+        accepted.spec.job_id,
+        opened.claim.partition_id,
+        accepted.accepted_at_ms,
+    )
+
+
+async def cancel(
+    opened: OpenPartition,
+    job_id: JobId,
+    timeout_ms: int,
+) -> JobCancelling | JobMoved | Failure:
+    """Cancels a job and acknowledges once that is journaled."""
+    jobs = opened.states.placement.tables.jobs
+    row = jobs.row_of.get(job_id)
+    if row is None:
+        reason = f'no job {job_id} in {opened.claim.partition_id}'
+        return Failure(ErrorKind.not_found, reason)
+    if jobs.to_partition[row]:
+        return JobMoved(job_id, jobs.to_partition[row])
+    if jobs.is_open(row) and not jobs.is_ended(row):
+        refusal = opened.log.journal.refusal()
+        failure = refusal or opened.engine.cancel(job_id)
+        if failure is not None:
+            return failure
+        opened.wake()
+        if not await _is_cancelled(opened, job_id, timeout_ms):
+            reason = f'cancellation of {job_id} was not decided in time'
+            return Failure(ErrorKind.store_outcome_unknown, reason)
+    failure = await opened.log.journal.wait_durable(
+        opened.log.last_position,
+        timeout_ms,
+    )
+    return JobCancelling(job_id) if failure is None else failure
+
+
+async def _is_cancelled(
+    opened: OpenPartition,
+    job_id: JobId,
+    timeout_ms: int,
+) -> bool:
+    jobs = opened.states.placement.tables.jobs
+    decided = opened.cancelled_event(job_id)
+    for _ in range(max(1, timeout_ms // _CHECK_MS)):
+        try:
+            async with asyncio.timeout(_CHECK_MS / 1000):
+                await decided.wait()
+        except TimeoutError:
+            # A job that ended meanwhile is never reported as cancelled.
+            row = jobs.row_of.get(job_id)
+            if row is None or jobs.is_ended(row):
+                return True
+        else:
+            return True
+    return False
+
+
+def status(
+    opened: OpenPartition,
+    job_id: JobId,
+) -> JobStatus | JobMoved | Failure:
+    """Counts the tasks of a job by state."""
+    tables = opened.states.placement.tables
+    row = tables.jobs.row_of.get(job_id)
+    if row is None:
+        reason = f'no job {job_id} in {opened.claim.partition_id}'
+        return Failure(ErrorKind.not_found, reason)
+    if tables.jobs.to_partition[row]:
+        return JobMoved(job_id, tables.jobs.to_partition[row])
+    return JobStatus(
+        job_id,
+        opened.claim.partition_id,
+        tables.jobs.accepted_at_ms[row],
+        tables.jobs.is_cancelled[row],
+        _task_counts(tables, row),
+    )
+
+
+def _task_counts(
+    tables: PartitionTables,
+    job_row: int,
+) -> dict[TaskState, int]:
+    counts = dict(tables.jobs.ended_counts[job_row])
+    for task_row in tables.jobs.task_rows[job_row].values():
+        state = tables.tasks.state[task_row]
+        if tables.tasks.is_live(task_row):
+            counts[state] = counts.get(state, 0) + 1
+    queued_count = tables.jobs.startable_count(job_row)
+    if queued_count:
+        counts[TaskState.queued] = queued_count
+    return counts
+
+
+def explain(
+    opened: OpenPartition,
+    task_id: TaskId,
+) -> TaskExplanation | JobMoved | Failure:
+    """Tells where a task runs or why it does not."""
+    tables = opened.states.placement.tables
+    job_id = job_id_of(task_id)
+    job_row = tables.jobs.row_of.get(job_id)
+    if job_row is None or not _has_task(tables, job_row, task_id):
+        reason = f'no task {task_id} in {opened.claim.partition_id}'
+        return Failure(ErrorKind.not_found, reason)
+    if tables.jobs.to_partition[job_row]:
+        return JobMoved(job_id, tables.jobs.to_partition[job_row])
+    return _explain(opened, tables, task_id)
+
+
+def _has_task(tables: PartitionTables, job_row: int, task_id: TaskId) -> bool:
+    digits = task_id.rpartition('/')[2]
+    if not digits.isdecimal():
+        return False
+    return int(digits) < tables.jobs.spec[job_row].task_count
+
+
+def _explain(
+    opened: OpenPartition,
+    tables: PartitionTables,
+    task_id: TaskId,
+) -> TaskExplanation:
+    row = tables.task_row(task_id)
+    state, attempt, worker_id = TaskState.queued, 0, WorkerId('')
+    reason = 'waits for its turn or for room on a worker'
+    if row == NO_ROW:
+        state, reason = TaskState.finished, 'has ended'
+    elif row is not None:
+        state, attempt = tables.tasks.state[row], tables.tasks.attempt[row]
+        if tables.tasks.is_live(row):
+            worker_row = tables.tasks.worker_row[row]
+            worker_id = tables.workers.worker_info[worker_row].worker_id
+            reason = f'bound to {worker_id}'
+    return TaskExplanation(
+        task_id,
+        opened.claim.partition_id,
+        state,
+        Attempt(attempt),
+        worker_id,
+        reason,
+    )
+
+
+__all__ = ('accept_hand_off', 'cancel', 'explain', 'status', 'submit')
--- /dev/null
+++ b/src/radishlift/partitions/log.py
@@ -0,0 +1,89 @@
+"""Records of a running partition and the effects that wait for them."""
+
+from collections import deque
+from collections.abc import Callable, Iterable, Sequence
+from typing import Any
+
+from radishlift.core.errors import ErrorKind, Failure
+from radishlift.journal.partition_journal import PartitionJournal
+from radishlift.partitions.states import PartitionStates
+
+Effect = Callable[[], None]
+
+
+class PartitionLog:
+    """Appends records that are applied, and releases effects once durable.
+
+    An effect, such as sending a start, is bound to the last record that was
+    appended before it.
+    """
+
+    def __init__(
+        self,
+        journal: PartitionJournal,
+        states: PartitionStates,
+    ) -> None:
+        self.journal = journal
+        self.last_position = 0
+        self._states = states
+        self._effects: deque[tuple[int, Effect]] = deque()
+
+    @property
+    def has_pending(self) -> bool:
+        """Tells whether records wait for their row."""
+        return self.journal.pending_count > 0
+
+    def append(self, applied: Any) -> Failure | None:
+        """Adds a record that was already applied to its state."""
+        position = self.journal.append(applied)
+        if isinstance(position, Failure):
+            return position
+        self.last_position = position
+        return None
+
+    def apply(self, records: Iterable[Any]) -> Failure | None:
+        """Applies records to their states and adds them.
+
+        The journal closes only while a flush awaits, so either all records
+        are added or none.
+        """
+        refusal = self.journal.refusal()
+        if refusal and refusal.kind is not ErrorKind.store_unavailable:
+            return refusal
+        for change in records:
+            self._states.apply(change)
+            failure = self.append(change)
+            if failure is not None:
+                return failure
+        return None
+
+    def after_last(self, effect: Effect) -> None:
+        """Runs an effect once all records so far are durable."""
+        self._effects.append((self.last_position, effect))
+
+    def release(self) -> None:
+        """Runs the effects whose records are durable."""
+        durable = self.journal.durable_position
+        while self._effects and self._effects[0][0] <= durable:
+            _, effect = self._effects.popleft()
+            effect()
+
+    async def commit(
+        self,
+        records: Sequence[Any],
+        timeout_ms: int,
+    ) -> Failure | None:
+        """Applies records and waits until they are journaled.
+
+        See `OwnedPartition.commit` for the failures.
+        """
+        refusal = self.journal.refusal()
+        if refusal is not None:
+            return refusal
+        failure = self.apply(records)
+        if failure is not None:
+            return failure
+        return await self.journal.wait_durable(self.last_position, timeout_ms)
+
+
+__all__ = ('Effect', 'PartitionLog')
--- /dev/null
+++ b/src/radishlift/partitions/messages.py
@@ -0,0 +1,151 @@
+"""Messages between daemons about partitions and their jobs."""
+
+from dataclasses import dataclass
+
+from radishlift.core.ids import (
+    Attempt,
+    Epoch,
+    Incarnation,
+    JobId,
+    PartitionId,
+    TaskId,
+    WorkerId,
+)
+from radishlift.placement.jobs import JobSpec, TaskState
+from radishlift.wire.messages import message
+
+
+@message('drop_partition')
+@dataclass(frozen=True, slots=True)
+class DropPartition:
+    """Asks a former owner to stop every owner before this epoch."""
+
+    partition_id: PartitionId
+    epoch: Epoch
+
+
+@message('partition_dropped')
+@dataclass(frozen=True, slots=True)
+class PartitionDropped:
+    """Confirms that an incarnation sends nothing for those epochs."""
+
+    partition_id: PartitionId
+    incarnation: Incarnation
+
+
+@message('submit_job')
+@dataclass(frozen=True, slots=True)
+class SubmitJob:
+    """Submits a job to the owner of its home; may be repeated."""
+
+    partition_id: PartitionId
+    spec: JobSpec
+    timeout_ms: int
+
+
+@message('hand_off_job')
+@dataclass(frozen=True, slots=True)
+class HandOffJob:
+    """Gives a queued job to another partition; may be repeated."""
+
+    partition_id: PartitionId
+    spec: JobSpec
+    accepted_at_ms: int
+    from_partition: PartitionId
+    timeout_ms: int
+
+
+@message('job_submitted')
+@dataclass(frozen=True, slots=True)
+class JobSubmitted:
+    """The first acceptance of a job, journaled by its home."""
+
+    job_id: JobId
+    partition_id: PartitionId
+    accepted_at_ms: int
+
+
+@message('cancel_job')
+@dataclass(frozen=True, slots=True)
+class CancelJob:
+    """Cancels a job; may be repeated."""
+
+    partition_id: PartitionId
+    job_id: JobId
+    timeout_ms: int
+
+
+@message('job_cancelling')
+@dataclass(frozen=True, slots=True)
+class JobCancelling:
+    """The cancellation is journaled; running tasks are being stopped."""
+
+    job_id: JobId
+
+
+@message('get_job_status')
+@dataclass(frozen=True, slots=True)
+class GetJobStatus:
+    """Asks for the state of a job."""
+
+    partition_id: PartitionId
+    job_id: JobId
+
+
+@message('job_status')
+@dataclass(frozen=True, slots=True)
+class JobStatus:
+    """Tasks of a job by state; those never started count as queued."""
+
+    job_id: JobId
+    partition_id: PartitionId
+    accepted_at_ms: int
+    is_cancelled: bool
+    task_counts: dict[TaskState, int]
+
+
+@message('explain_task')
+@dataclass(frozen=True, slots=True)
+class ExplainTask:
+    """Asks where a task runs or why it does not."""
+
+    partition_id: PartitionId
+    task_id: TaskId
+
+
+@message('task_explanation')
+@dataclass(frozen=True, slots=True)
+class TaskExplanation:
+    """State of a task; `worker_id` is empty unless an attempt is live."""
+
+    task_id: TaskId
+    partition_id: PartitionId
+    state: TaskState
+    attempt: Attempt
+    worker_id: WorkerId
+    reason: str
+
+
+@message('job_moved')
+@dataclass(frozen=True, slots=True)
+class JobMoved:
+    """The job was handed off; the partition to ask instead."""
+
+    job_id: JobId
+    to_partition: PartitionId
+
+
+__all__ = (
+    'CancelJob',
+    'DropPartition',
+    'ExplainTask',
+    'GetJobStatus',
+    'HandOffJob',
+    'JobCancelling',
+    'JobMoved',
+    'JobStatus',
+    'JobSubmitted',
+    'PartitionDropped',
+    'SubmitJob',
+    'TaskExplanation',
+)
--- /dev/null
+++ b/src/radishlift/partitions/open_partition.py
@@ -0,0 +1,196 @@
+"""The parts of a recovered partition and how they work together.
+
+Records change the state at once; their effects wait for the journal row:
+starts, orders, acknowledgements and what workers may forget.
+"""
+
+import asyncio
+from collections.abc import Iterable
+from typing import Any
+
+from radishlift.core.errors import ErrorKind, Failure
+from radishlift.core.ids import JobId
+from radishlift.journal.partition_journal import PartitionJournal
+from radishlift.journal.recovery import Recovered
+from radishlift.journal.snapshot_keeper import SnapshotKeeper
+from radishlift.ownership.api import OwnerClaim
+from radishlift.partitions.dispatching import EngineEffects
+from radishlift.partitions.facts import WorkerFacts
+from radishlift.partitions.log import PartitionLog
+from radishlift.partitions.parts import DaemonParts
+from radishlift.partitions.predecessors import PredecessorWatch
+from radishlift.partitions.spread import WorkerAssignment
+from radishlift.partitions.states import PartitionStates
+from radishlift.placement.engine import PlacementEngine
+from radishlift.placement.jobs import Priority, job_id_of
+from radishlift.placement.partition_tables import RecordRefusedError
+from radishlift.placement.records import (
+    JobAccepted,
+    JobCancelled,
+    TaskPlaced,
+)
+from radishlift.workers.dispatcher import Dispatcher
+
+
+class OpenPartition:
+    """Engine, journal and dispatcher of one recovered partition."""
+
+    def __init__(
+        self,
+        claim: OwnerClaim,
+        parts: DaemonParts,
+        states: PartitionStates,
+        recovered: Recovered,
+        dispatcher_type: type[Dispatcher] = Dispatcher,
+    ) -> None:
+        self.claim = claim
+        self.states = states
+        settings = parts.settings
+        self._parts = parts
+        journal = PartitionJournal(
+            parts.store,
+            claim,
+            recovered,
+            settings.journal,
+            states.dump,
+        )
+        self.log = PartitionLog(journal, states)
+        self.engine = PlacementEngine(states.placement, settings.placement)
+        self.watch = PredecessorWatch(parts, claim, states.owners)
+        tables = states.placement.tables
+        self.facts = WorkerFacts(self.engine, tables, parts.clock, self.wake)
+        self.dispatcher = dispatcher_type(
+            parts.client,
+            settings.workers,
+            parts.clock,
+            self.facts,
+            self.watch.former,
+        )
+        self.effects = EngineEffects(tables, self.log, self.dispatcher)
+        self._keeper = SnapshotKeeper(
+            parts.store,
+            parts.object_store,
+            claim,
+            settings.journal,
+        )
+        self._cancelled: dict[JobId, asyncio.Event] = {}
+        self._is_dirty = True
+        self._last_tick_ms = 0
+        self._wall_ms = 0
+
+    def set_workers(self, workers: WorkerAssignment) -> None:
+        """Takes over the workers of this partition and the host list."""
+        self.dispatcher.set_workers(workers.assigned, workers.listed)
+        self.facts.assign(workers)
+
+    def wake(self) -> None:
+        """Notes that the next tick has work."""
+        self._is_dirty = True
+        self._parts.activity.set()
+
+    def is_tick_due(self, now_ms: int) -> bool:
+        """Tells whether the engine should be ticked."""
+        settings = self._parts.settings.partitions
+        passed_ms = now_ms - self._last_tick_ms
+        if self._is_dirty:
+            return passed_ms >= settings.tick_interval_ms
+        return passed_ms >= settings.idle_interval_ms
+
+    def tick(self) -> Failure | None:
+        """Runs the engine once and appends its records.
+
+        Fails when the partition must not go on.
+        """
+        self._last_tick_ms = self._parts.clock.monotonic_ms()
+        self._is_dirty = False
+        try:
+            records = self.engine.tick(self.now_ms())
+        except RecordRefusedError as error:
+            return Failure(ErrorKind.internal, str(error))
+        for decided in records:
+            failure = self.log.append(decided)
+            if failure is not None:
+                return failure
+            self._bind(decided)
+        for order in self.engine.take_orders():
+            self.effects.order(order)
+        if records:
+            # What was decided may let more be decided.
+            self.wake()
+        self.log.release()
+        self.request_flush(records)
+        return None
+
+    async def flush_journal(self) -> Failure | None:
+        """Writes pending records and releases their effects."""
+        flushed = await self.log.journal.flush()
+        self.log.release()
+        if isinstance(flushed, Failure):
+            return flushed
+        self._parts.scheduler.spend(flushed.rows_count - 1)
+        captured = self.log.journal.take_captured()
+        if captured is not None:
+            self._keeper.offer(captured)
+        return await self._keep_snapshot()
+
+    async def watch_predecessors(self) -> None:
+        """Collects evidence until no former owner can hold a lease."""
+        interval_ms = self._parts.settings.partitions.evidence_interval_ms
+        while self.states.owners.has_former(self.claim.epoch):
+            await self.watch.check(self.log)
+            self.request_flush(())
+            self._parts.activity.set()
+            await asyncio.sleep(interval_ms / 1000)
+
+    def now_ms(self) -> int:
+        """Tells wall time that never goes back."""
+        self._wall_ms = max(self._wall_ms, self._parts.clock.wall_ms())
+        return self._wall_ms
+
+    def request_flush(self, records: Iterable[Any]) -> None:
+        """Asks for a flush if records wait or the store must be probed."""
+        if self.log.has_pending or self.log.journal.refusal() is not None:
+            self._parts.scheduler.request(
+                self.claim.partition_id,
+                is_urgent=any(self._is_urgent(change) for change in records),
+            )
+
+    def cancelled_event(self, job_id: JobId) -> asyncio.Event:
+        """Returns an event that is set once a cancellation is appended."""
+        return self._cancelled.setdefault(job_id, asyncio.Event())
+
+    def _bind(self, decided: Any) -> None:
+        self.effects.add(decided)
+        if isinstance(decided, JobCancelled):
+            event = self._cancelled.pop(decided.job_id, None)
+            if event is not None:
+                event.set()
+
+    def _is_urgent(self, change: Any) -> bool:
+        match change:
+            case JobAccepted():
+                return change.spec.priority is Priority.urgent
+            case TaskPlaced():
+                jobs = self.states.placement.tables.jobs
+                row = jobs.row_of.get(job_id_of(change.task_id))
+                if row is not None:
+                    return jobs.spec[row].priority is Priority.urgent
+        return False
+
+    async def _keep_snapshot(self) -> Failure | None:
+        spare_rows = self._parts.scheduler.spare_rows()
+        if not self._keeper.has_work or spare_rows < 1:
+            return None
+        written = await self._keeper.step(spare_rows)
+        if isinstance(written, Failure):
+            return written if is_final(written) else None
+        self._parts.scheduler.spend(written)
+        return None
+
+
+def is_final(failure: Failure) -> bool:
+    """Tells whether a failure of the journal ends the ownership."""
+    return failure.kind in {ErrorKind.not_owner, ErrorKind.internal}
+
+
+__all__ = ('OpenPartition', 'is_final')
--- /dev/null
+++ b/src/radishlift/partitions/partitions.py
@@ -0,0 +1,169 @@
+"""The partitions that this daemon owns, and the loop that drives them."""
+
+import asyncio
+from collections.abc import Callable, Iterable
+
+from radishlift.config.api import ConfigView
+from radishlift.core.errors import ErrorKind, Failure
+from radishlift.core.ids import DaemonId, PartitionId
+from radishlift.core.logs import log_event
+from radishlift.ownership.api import OwnerClaim
+from radishlift.partitions.messages import DropPartition, PartitionDropped
+from radishlift.partitions.parts import DaemonParts
+from radishlift.partitions.runner import PartitionRunner
+from radishlift.partitions.spread import spread_workers
+from radishlift.platform.api import Host
+from radishlift.workers.dispatcher import Dispatcher
+
+
+class Partitions:
+    """An `OwnershipListener` that starts and stops runners.
+
+    `give_up` is called with a partition that its runner had to give up, so
+    that ownership can claim it again or leave it to others.
+    """
+
+    def __init__(
+        self,
+        parts: DaemonParts,
+        config: ConfigView,
+        give_up: Callable[[PartitionId], None] | None = None,
+        dispatcher_type: type[Dispatcher] = Dispatcher,
+    ) -> None:
+        self._parts = parts
+        self._config = config
+        self._give_up = give_up
+        self._dispatcher_type = dispatcher_type
+        self._runners: dict[PartitionId, PartitionRunner] = {}
+        self._starts: set[asyncio.Task[Failure | None]] = set()
+        self._hosts: tuple[Host, ...] | None = None
+        parts.network.register(DropPartition, self._drop)
+
+    def get(self, partition_id: PartitionId) -> PartitionRunner | None:
+        """Returns a partition if it is owned here and recovered."""
+        runner = self._runners.get(partition_id)
+        return runner if runner is not None and runner.opened else None
+
+    def owned(self) -> tuple[PartitionRunner, ...]:
+        """Lists the partitions that are owned here and recovered."""
+        return tuple(
+            runner for runner in self._runners.values() if runner.opened
+        )
+
+    async def on_acquired(self, claim: OwnerClaim) -> None:
+        """Begins to run a partition whose claim took effect.
+
+        Returns before it is recovered, since recovery waits for outages.
+        """
+        former = self._runners.get(claim.partition_id)
+        if former is not None:
+            await former.stop()
+        runner = PartitionRunner(
+            claim,
+            self._parts,
+            self._closed,
+            self._dispatcher_type,
+        )
+        self._runners[claim.partition_id] = runner
+        self._assign_workers()
+        start = asyncio.create_task(runner.start())
+        self._starts.add(start)
+        start.add_done_callback(self._starts.discard)
+
+    async def on_lost(self, partition_id: PartitionId) -> None:
+        """Drops a partition that another daemon has claimed."""
+        runner = self._runners.pop(partition_id, None)
+        if runner is not None:
+            await runner.stop()
+
+    async def on_releasing(self, partition_id: PartitionId) -> None:
+        """Ends the work on a partition before its row is given up."""
+        runner = self._runners.get(partition_id)
+        if runner is not None:
+            await runner.drain()
+            self._runners.pop(partition_id, None)
+
+    async def on_replaced(self) -> None:
+        """Drops everything: a newer incarnation of this daemon runs."""
+        for partition_id in tuple(self._runners):
+            await self.on_lost(partition_id)
+
+    def update_hosts(self, hosts: Iterable[Host]) -> None:
+        """Takes over the host list."""
+        self._hosts = tuple(hosts)
+        self._assign_workers()
+
+    async def run_forever(self) -> None:
+        """Ticks and flushes the partitions until cancelled."""
+        settings = self._parts.settings.partitions
+        activity = self._parts.activity
+        while True:
+            activity.clear()
+            self.drive()
+            if not activity.is_set():
+                await _wait(activity, settings.idle_interval_ms)
+            await asyncio.sleep(settings.tick_interval_ms / 1000)
+
+    def drive(self) -> None:
+        """Ticks the partitions that are due and begins due flushes."""
+        for ticked in tuple(self._runners.values()):
+            ticked.tick_if_due()
+        due = self._parts.scheduler.next_due()
+        while due is not None:
+            runner = self._runners.get(due)
+            if runner is not None:
+                runner.flush_soon()
+            due = self._parts.scheduler.next_due()
+        if any(_wants_flush(owned) for owned in self._runners.values()):
+            self._parts.activity.set()
+
+    def _assign_workers(self) -> None:
+        document = self._config.current()
+        if document is None or self._hosts is None:
+            return
+        assignments = spread_workers(self._hosts, document)
+        for partition_id, runner in self._runners.items():
+            if partition_id in assignments:
+                runner.set_workers(assignments[partition_id])
+
+    def _closed(self, runner: PartitionRunner, failure: Failure) -> None:
+        partition_id = runner.partition_id
+        if self._runners.get(partition_id) is not runner:
+            return
+        self._runners.pop(partition_id)
+        log_event(
+            'partition_dropped',
+            partition=partition_id,
+            reason=failure.reason,
+        )
+        if self._give_up is not None:
+            self._give_up(partition_id)
+
+    async def _drop(
+        self,
+        sender: DaemonId,
+        message: DropPartition,
+    ) -> PartitionDropped:
+        runner = self._runners.get(message.partition_id)
+        if runner is not None and runner.epoch < message.epoch:
+            reason = f'{sender} owns epoch {message.epoch}'
+            await runner.close(Failure(ErrorKind.not_owner, reason))
+        return PartitionDropped(message.partition_id, self._parts.incarnation)
+
+
+def _wants_flush(runner: PartitionRunner) -> bool:
+    opened = runner.opened
+    if opened is None or runner.is_flushing:
+        return False
+    return opened.log.has_pending
+
+
+async def _wait(event: asyncio.Event, timeout_ms: int) -> None:
+    try:
+        async with asyncio.timeout(timeout_ms / 1000):
+            await event.wait()
+    except TimeoutError:
+        return
+
+
+__all__ = ('Partitions',)
--- /dev/null
+++ b/src/radishlift/partitions/parts.py
@@ -0,0 +1,51 @@
+"""What a daemon hands to each partition that it runs."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+from radishlift.core.clock import Clock
+from radishlift.core.ids import DaemonId, Incarnation
+from radishlift.journal.budget import FlushScheduler
+from radishlift.journal.settings import JournalSettings
+from radishlift.membership.api import MemberDirectory
+from radishlift.partitions.settings import PartitionSettings
+from radishlift.partitions.states import StateFactory
+from radishlift.placement.settings import PlacementSettings
+from radishlift.platform.api import ObjectStore, TableStore
+from radishlift.wire.network import PeerNetwork
+from radishlift.workers.client import WorkerClient
+from radishlift.workers.settings import WorkerSettings
+
+
+@dataclass(frozen=True, slots=True)
+class PartitionSettingsSet:
+    """The sections that concern a partition."""
+
+    journal: JournalSettings = field(default_factory=JournalSettings)
+    placement: PlacementSettings = field(default_factory=PlacementSettings)
+    workers: WorkerSettings = field(default_factory=WorkerSettings)
+    partitions: PartitionSettings = field(default_factory=PartitionSettings)
+
+
+@dataclass(frozen=True, slots=True)
+class DaemonParts:
+    """Identity, clients and settings of the daemon.
+
+    `activity` is set when a partition has work for its next tick.
+    """
+
+    daemon_id: DaemonId
+    incarnation: Incarnation
+    store: TableStore
+    object_store: ObjectStore
+    client: WorkerClient
+    clock: Clock
+    members: MemberDirectory
+    network: PeerNetwork
+    scheduler: FlushScheduler
+    settings: PartitionSettingsSet = field(default_factory=PartitionSettingsSet)
+    activity: asyncio.Event = field(default_factory=asyncio.Event)
+    state_factories: tuple[StateFactory, ...] = ()
+
+
+__all__ = ('DaemonParts', 'PartitionSettingsSet')
--- /dev/null
+++ b/src/radishlift/partitions/predecessors.py
@@ -0,0 +1,90 @@
+"""Collects evidence that former owners receive no clocks of workers more."""
+
+from radishlift.core.errors import Failure
+from radishlift.core.logs import log_event
+from radishlift.ownership.api import OwnerClaim
+from radishlift.partitions.log import PartitionLog
+from radishlift.partitions.messages import DropPartition, PartitionDropped
+from radishlift.partitions.owners import (
+    OwnerHistory,
+    OwnerLapsed,
+    PartitionOwned,
+)
+from radishlift.partitions.parts import DaemonParts
+from radishlift.workers.leases import FormerOwners
+
+
+class PredecessorWatch:
+    """Asks about the former owners of one partition until all have ended.
+
+    See `radishlift.workers.leases` for what counts as evidence and why.
+    """
+
+    def __init__(
+        self,
+        parts: DaemonParts,
+        claim: OwnerClaim,
+        history: OwnerHistory,
+    ) -> None:
+        self._parts = parts
+        self._claim = claim
+        self._history = history
+        self.former = FormerOwners(history.owners)
+        now_ms = parts.clock.monotonic_ms()
+        for epoch in history.stopped & history.owners.keys():
+            lease_ms = history.owners[epoch].lease_ms
+            self.former.observe_stopped(epoch, now_ms, lease_ms)
+
+    async def check(self, log: PartitionLog) -> None:
+        """Looks for evidence and journals which leases have ended."""
+        for epoch in self.former.unknown_epochs:
+            owned = self._history.owners[epoch]
+            if await self._has_stopped(owned):
+                now_ms = self._parts.clock.monotonic_ms()
+                self.former.observe_stopped(epoch, now_ms, owned.lease_ms)
+        now_ms = self._parts.clock.monotonic_ms()
+        for ended in self.former.ended_epochs(now_ms):
+            if log.apply([OwnerLapsed(ended)]) is None:
+                self.former.forget(ended)
+
+    async def _has_stopped(self, owned: PartitionOwned) -> bool:
+        parts = self._parts
+        is_this_daemon = owned.daemon_id == parts.daemon_id
+        if is_this_daemon and owned.incarnation == parts.incarnation:
+            # A runner starts only after the former one here has stopped.
+            return True
+        if parts.members.is_dead(owned.daemon_id, owned.incarnation):
+            return True
+        if is_this_daemon:
+            return False
+        reply = await parts.network.call(
+            owned.daemon_id,
+            DropPartition(self._claim.partition_id, self._claim.epoch),
+            parts.settings.partitions.call_timeout_ms,
+        )
+        if isinstance(reply, Failure):
+            log_event(
+                'former_owner_silent',
+                level='DEBUG',
+                partition=self._claim.partition_id,
+                owner=owned.daemon_id,
+                reason=reply.reason,
+            )
+            return False
+        return _confirms(reply, self._claim, owned)
+
+
+def _confirms(
+    reply: object,
+    claim: OwnerClaim,
+    owned: PartitionOwned,
+) -> bool:
+    if not isinstance(reply, PartitionDropped):
+        return False
+    return (
+        reply.partition_id == claim.partition_id
+        and reply.incarnation == owned.incarnation
+    )
+
+
+__all__ = ('PredecessorWatch',)
--- /dev/null
+++ b/src/radishlift/partitions/settings.py
@@ -0,0 +1,29 @@
+"""Settings of the partitions that a daemon runs."""
+
+from dataclasses import dataclass
+
+from radishlift.settings.sections import bounded, section
+
+
+@section('partitions')
+@dataclass(frozen=True, slots=True)
+class PartitionSettings:
+    """Intervals and timeouts of partitions and of the job router.
+
+    A partition with work is ticked every `tick_interval_ms`, one without
+    every `idle_interval_ms`. A queued job that has not started after
+    `hand_off_after_ms` may be handed to a partition with room. A former owner
+    is asked every `evidence_interval_ms` whether it has stopped.
+    """
+
+    tick_interval_ms: int = bounded(5, 1, 1_000)
+    idle_interval_ms: int = bounded(100, 1, 10_000)
+    recover_retry_ms: int = bounded(200, 1, 60_000)
+    evidence_interval_ms: int = bounded(1_000, 10, 60_000)
+    call_timeout_ms: int = bounded(1_000, 10, 60_000)
+    retry_interval_ms: int = bounded(50, 1, 10_000)
+    hand_off_after_ms: int = bounded(2_000, 1, 3_600_000)
+    hand_off_batch_count: int = bounded(20, 1, 1_000)
+
+
+__all__ = ('PartitionSettings',)
--- /dev/null
+++ b/src/radishlift/partitions/states.py
@@ -0,0 +1,54 @@
+"""All journaled states of one partition."""
+
+from collections.abc import Callable, Sequence
+from typing import Any, TypeVar
+
+from radishlift.journal.api import JournaledState
+from radishlift.partitions.hand_off_state import HandOffs
+from radishlift.partitions.owners import OwnerHistory
+from radishlift.placement.state import PartitionState
+
+State = TypeVar('State')
+StateFactory = Callable[[], JournaledState]
+
+
+class PartitionStates:
+    """States by their type, each taking its own record types.
+
+    `factories` build the states of other modules, such as the idempotency
+    keys of requests.
+    """
+
+    def __init__(self, factories: Sequence[StateFactory] = ()) -> None:
+        self.placement = PartitionState()
+        self.owners = OwnerHistory()
+        self.hand_offs = HandOffs()
+        self.all: tuple[JournaledState, ...] = (
+            self.placement,
+            self.owners,
+            self.hand_offs,
+            *(factory() for factory in factories),
+        )
+        self._state_of: dict[type, JournaledState] = {
+            record_type: state
+            for state in self.all
+            for record_type in state.record_types
+        }
+
+    def get(self, state_type: type[State]) -> State:
+        """Returns the state of a type; raises `KeyError` for an unknown."""
+        for state in self.all:
+            if isinstance(state, state_type):
+                return state
+        raise KeyError(state_type.__name__)
+
+    def apply(self, change: Any) -> None:
+        """Applies a record to the state that takes its type."""
+        self._state_of[type(change)].apply(change)
+
+    def dump(self) -> dict[str, Any]:
+        """Returns all states as plain data for a snapshot."""
+        return {type(state).__name__: state.dump() for state in self.all}
+
+
+__all__ = ('PartitionStates', 'StateFactory')
--- a/src/radishlift/placement/endings.py
+++ b/src/radishlift/placement/endings.py
@@ -35,9 +35,24 @@
         if not _remove(working, worker_id, incarnation, time):
             return False
         inputs.gone.popleft()
+    while inputs.unreachable:
+        _close(working, *inputs.unreachable.popitem())
     return True
 
 
+def _close(
+    working: Working,
+    worker_id: WorkerId,
+    incarnation: Incarnation,
+) -> None:
+    workers = working.tables.workers
+    row = workers.row_of.get(worker_id)
+    if row is None or not workers.is_present[row]:
+        return
+    if workers.worker_info[row].incarnation == incarnation:
+        working.emit(WorkerRemoved(worker_id, incarnation))
+
+
 def _observe(working: Working, described: WorkerInfo, time: TickTime) -> bool:
     workers = working.tables.workers
     row = workers.row_of.get(described.worker_id)
--- a/src/radishlift/placement/engine.py
+++ b/src/radishlift/placement/engine.py
@@ -100,8 +100,21 @@
 
     def observe_worker(self, described: WorkerInfo) -> None:
         """Takes in what a worker tells about itself."""
+        self._working.inputs.unreachable.pop(described.worker_id, None)
         self._working.inputs.observed[described.worker_id] = described
 
+    def worker_unreachable(
+        self,
+        worker_id: WorkerId,
+        incarnation: Incarnation,
+    ) -> None:
+        """Takes in that a worker does not answer.
+
+        Nothing is placed on it until it is observed again; its attempts stay
+        committed.
+        """
+        self._working.inputs.unreachable[worker_id] = incarnation
+
     def worker_gone(
         self,
         worker_id: WorkerId,
--- a/src/radishlift/placement/working.py
+++ b/src/radishlift/placement/working.py
@@ -35,6 +35,7 @@
         self.cancellations: deque[JobId] = deque()
         self.observed: dict[WorkerId, WorkerInfo] = {}
         self.gone: deque[tuple[WorkerId, Incarnation]] = deque()
+        self.unreachable: dict[WorkerId, Incarnation] = {}
         self.ended: deque[EndedAttempt] = deque()
 
 
--- a/src/radishlift/workers/dispatcher.py
+++ b/src/radishlift/workers/dispatcher.py
@@ -5,12 +5,12 @@
 """
 
 import asyncio
-from collections.abc import Iterable, Iterator
+from collections.abc import Collection, Iterable
 from random import Random
 from typing import Final
 
 from radishlift.core.clock import Clock
-from radishlift.core.ids import WorkerId
+from radishlift.core.ids import Incarnation, WorkerId
 from radishlift.core.logs import log_event
 from radishlift.placement.jobs import TaskState
 from radishlift.placement.orders import OrderKind
@@ -67,30 +67,37 @@
         self._worker_of: dict[AttemptKey, WorkerId] = {}
         self._schedule = PollSchedule()
 
-    @property
-    def sessions(self) -> Iterator[WorkerSession]:
-        """Iterates over the sessions."""
-        return iter(self._sessions.values())
-
-    def set_workers(self, worker_ids: Iterable[WorkerId]) -> None:
-        """Replaces the workers by those of the host list.
+    def set_workers(
+        self,
+        assigned: Iterable[WorkerId],
+        listed: Collection[WorkerId],
+    ) -> None:
+        """Takes over the workers of this partition and the host list.
 
-        A worker that is no longer on the list is permanently gone, with all
-        of its attempts. One that was never listed here may be newer than the
-        lagging list and is kept for `host_list_lag_ms`.
+        A worker that is no longer on the host list is permanently gone, with
+        all of its attempts. One that was never listed here may be newer than
+        the lagging list and is kept for `host_list_lag_ms`.
         """
-        listed = set(worker_ids)
-        for worker_id in listed:
-            session = self._sessions.get(worker_id) or self._add(worker_id)
-            session.is_listed = True
+        for worker_id in assigned:
+            if worker_id not in self._sessions:
+                self._add(worker_id)
         oldest_ms = self._clock.monotonic_ms() - self._settings.host_list_lag_ms
-        for worker_id in self._sessions.keys() - listed:
-            session = self._sessions[worker_id]
-            if session.is_listed or session.added_at_ms <= oldest_ms:
+        for worker_id, session in list(self._sessions.items()):
+            if worker_id in listed:
+                session.is_listed = True
+            elif session.is_listed or session.added_at_ms <= oldest_ms:
                 self._remove(self._sessions.pop(worker_id))
 
+    def expect(self, worker_id: WorkerId, incarnation: Incarnation) -> None:
+        """Adds a worker that a former owner has used."""
+        session = self._sessions.get(worker_id) or self._add(worker_id)
+        session.incarnation = incarnation
+        session.is_expected = True
+
     def run(self, order: AttemptToRun) -> None:
         """Starts a journaled attempt, and repeats that until it is known."""
+        if self._tasks.is_closed:
+            return
         session = self._sessions.get(order.worker_id)
         if session is None:
             session = self._add(order.worker_id)
@@ -145,6 +152,7 @@
         await self._tasks.close()
         for session in self._sessions.values():
             session.close()
+        self._sessions.clear()
 
     def _add(self, worker_id: WorkerId) -> WorkerSession:
         now_ms = self._clock.monotonic_ms()
--- a/src/radishlift/workers/leases.py
+++ b/src/radishlift/workers/leases.py
@@ -39,6 +39,8 @@
 from dataclasses import dataclass
 from typing import Final
 
+from radishlift.core.ids import Epoch
+
 # Clocks of hosts run at most 5% apart (docs/design.md, section 3).
 _RATE_MARGIN_NUMERATOR: Final = 105
 _RATE_MARGIN_DENOMINATOR: Final = 100
@@ -87,22 +89,22 @@
 class FormerOwners:
     """What is known about the leases of the predecessors of an owner."""
 
-    def __init__(self, epochs: Iterable[int]) -> None:
-        self._bounds: dict[int, int | None] = dict.fromkeys(epochs)
+    def __init__(self, epochs: Iterable[Epoch]) -> None:
+        self._bounds: dict[Epoch, int | None] = dict.fromkeys(epochs)
 
     @property
-    def unknown_epochs(self) -> tuple[int, ...]:
+    def unknown_epochs(self) -> tuple[Epoch, ...]:
         """Lists the epochs whose owner may still renew leases."""
         return tuple(
             epoch for epoch, bound in self._bounds.items() if bound is None
         )
 
-    def observe_stopped(self, epoch: int, at_ms: int, lease_ms: int) -> None:
+    def observe_stopped(self, epoch: Epoch, at_ms: int, lease_ms: int) -> None:
         """Notes that the owner of an epoch surely receives no clock more."""
         if self._bounds.get(epoch, 0) is None:
             self._bounds[epoch] = lapse_bound_ms(at_ms, lease_ms)
 
-    def ended_epochs(self, now_ms: int) -> tuple[int, ...]:
+    def ended_epochs(self, now_ms: int) -> tuple[Epoch, ...]:
         """Lists the epochs whose leases have surely ended."""
         return tuple(
             epoch
@@ -110,7 +112,7 @@
             if bound is not None and bound <= now_ms
         )
 
-    def forget(self, epoch: int) -> None:
+    def forget(self, epoch: Epoch) -> None:
         """Drops an epoch that is recorded as stopped."""
         self._bounds.pop(epoch, None)
 
--- a/src/radishlift/workers/polls.py
+++ b/src/radishlift/workers/polls.py
@@ -5,6 +5,7 @@
 from radishlift.core.clock import Clock
 from radishlift.core.errors import Failure
 from radishlift.core.ids import Incarnation
+from radishlift.core.logs import log_event
 from radishlift.placement.jobs import Resources, TaskState, UsageReport
 from radishlift.placement.orders import OrderKind
 from radishlift.workers.attempts import AttemptExchange
@@ -19,7 +20,7 @@
     StateReply,
     WorkerReport,
 )
-from radishlift.workers.session import WorkerSession
+from radishlift.workers.session import SessionState, WorkerSession
 from radishlift.workers.settings import WorkerSettings
 
 _RENEWALS_PER_LEASE: Final = 4
@@ -55,18 +56,20 @@
         return True
 
     async def _refresh(self, session: WorkerSession) -> bool:
-        if session.incarnation is None or not session.is_published:
-            return await self._describe(session)
+        if session.described is None and not await self._describe(session):
+            return False
         report = await self._client.report(session.worker_id)
         if isinstance(report, Failure | Refusal):
             self._miss(session)
             return False
         if report.incarnation != session.incarnation:
-            session.is_published = False
-            return await self._describe(session)
+            session.described = None
+            return await self._refresh(session)
         session.clock.observe(report.clock_ms, self._clock.monotonic_ms())
         session.answered()
-        self._absorb(session, report)
+        has_foreign = self._absorb(session, report)
+        if not session.is_published:
+            self._publish(session, has_foreign=has_foreign)
         return True
 
     async def _describe(self, session: WorkerSession) -> bool:
@@ -78,11 +81,23 @@
             session.adopt(described.incarnation)
             self._end_former(session, described.incarnation)
         session.clock.observe(described.clock_ms, self._clock.monotonic_ms())
-        session.capacity = described.as_info().capacity
-        session.is_published = True
-        session.answered()
-        self._events.worker_seen(described.as_info())
-        return await self._refresh(session)
+        session.described = described.as_info()
+        session.is_published = False
+        return True
+
+    def _publish(self, session: WorkerSession, *, has_foreign: bool) -> None:
+        # Capacity that another partition still uses must not be given out.
+        if has_foreign and not session.is_expected:
+            log_event(
+                'worker_in_use_elsewhere',
+                level='WARNING',
+                worker=session.worker_id,
+            )
+            return
+        if session.described is not None:
+            session.is_published = True
+            session.is_expected = True
+            self._events.worker_seen(session.described)
 
     def _end_former(
         self,
@@ -105,15 +120,18 @@
     def _miss(self, session: WorkerSession) -> None:
         if session.has_ended:
             return
-        if session.is_answering and session.incarnation is not None:
+        is_first = session.state is not SessionState.unreachable
+        if is_first and session.incarnation is not None:
             self._events.worker_unreachable(
                 session.worker_id,
                 session.incarnation,
             )
         session.missed()
-        session.is_published = False
+        session.described = None
 
-    def _absorb(self, session: WorkerSession, report: WorkerReport) -> None:
+    def _absorb(self, session: WorkerSession, report: WorkerReport) -> bool:
+        """Takes in a report; tells whether unknown attempts run there."""
+        has_foreign = False
         present = set()
         usage = []
         for task in report.tasks:
@@ -121,7 +139,9 @@
             present.add(key)
             live = session.attempts.get(key)
             if live is None:
-                self._absorb_unknown(session, task)
+                is_ended = self._absorb_unknown(session, task)
+                is_running = task.state is AttemptState.running
+                has_foreign |= is_running and not is_ended
             elif task.state is not AttemptState.running:
                 self._attempts.end_as(session, live, task.state)
             elif not live.is_ended:
@@ -132,20 +152,22 @@
                 live.is_confirmed = False
         if usage:
             self._events.usage_reported(session.worker_id, usage)
+        return has_foreign
 
     def _absorb_unknown(
         self,
         session: WorkerSession,
         task: AttemptReport,
-    ) -> None:
+    ) -> bool:
         # An attempt of a task that this partition does not know may belong to
         # another partition. Without an owner its lease lapses by itself.
         if not self._events.is_surely_ended(task.key):
-            return
+            return False
         if task.state is AttemptState.running:
             session.to_stop[task.key] = None
         else:
             session.to_forget[task.key] = None
+        return True
 
     async def _renew(self, session: WorkerSession) -> None:
         now_ms = self._clock.monotonic_ms()
--- a/src/radishlift/workers/session.py
+++ b/src/radishlift/workers/session.py
@@ -8,7 +8,7 @@
 from transitions import Machine
 
 from radishlift.core.ids import Incarnation, WorkerId
-from radishlift.placement.jobs import Resources, TaskState
+from radishlift.placement.jobs import TaskState, WorkerInfo
 from radishlift.placement.orders import OrderKind
 from radishlift.workers.leases import WorkerClock
 from radishlift.workers.messages import (
@@ -127,7 +127,7 @@
         self.is_listed = False
         self.worker_id = worker_id
         self.incarnation: Incarnation | None = None
-        self.capacity: Resources | None = None
+        self.described: WorkerInfo | None = None
         self.clock = WorkerClock()
         self.attempts: dict[AttemptKey, LiveAttempt] = {}
         self.to_stop: dict[AttemptKey, None] = {}
@@ -136,6 +136,7 @@
         self.sender_count = 0
         self.poll = PollState()
         self.is_published = False
+        self.is_expected = False
         SESSION_MACHINE.add_model(self)
 
     @property
--- /dev/null
+++ b/tests/partitions/cell.py
@@ -0,0 +1,291 @@
+"""A cell in one process: owners, worker stand-ins and a table service.
+
+Owners claim the partition by writing its row, as the ownership manager does.
+Workers are reached over HTTP on loopback; their records decide the proofs.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from typing import Any
+
+from radishlift.config.document import ConfigDocument, Partition
+from radishlift.core.clock import SystemClock
+from radishlift.core.codec import dump_plain
+from radishlift.core.ids import (
+    Address,
+    ConfigVersion,
+    DaemonId,
+    DataCentreId,
+    DepartmentName,
+    Epoch,
+    Incarnation,
+    JobId,
+    PartitionId,
+    RackId,
+    ServiceName,
+    TeamName,
+)
+from radishlift.journal.budget import FlushScheduler
+from radishlift.journal.settings import JournalSettings
+from radishlift.ownership.api import OWNERS_TABLE, OwnerClaim
+from radishlift.ownership.owner_rows import OwnerRow
+from radishlift.partitions.open_partition import OpenPartition
+from radishlift.partitions.partitions import Partitions
+from radishlift.partitions.parts import DaemonParts, PartitionSettingsSet
+from radishlift.partitions.settings import PartitionSettings
+from radishlift.placement.jobs import JobKind, JobSpec, Resources
+from radishlift.platform.api import (
+    Host,
+    HostRole,
+    HostState,
+    Transaction,
+    Write,
+)
+from radishlift.wire.network import PeerNetwork
+from radishlift.workers.client import WorkerClient
+from radishlift.workers.dispatcher import Dispatcher
+from radishlift.workers.settings import WorkerSettings
+from tests.standins.checks import (
+    WorkerRecord,
+    overcommitted_workers,
+    tasks_in_two_places,
+)
+from tests.standins.conditions import until
+from tests.standins.tables import MemoryObjectStore, MemoryTableStore
+from tests.standins.worker import WorkerStandIn
+from tests.standins.worker_model import WorkerOptions
+
+PARTITION = PartitionId('p1')
+LEASE_MS = 500
+
+
+def make_settings(**workers: int) -> PartitionSettingsSet:
+    """Makes settings with short times."""
+    options = {
+        'lease_ms': LEASE_MS,
+        'report_interval_ms': 50,
+        'retry_interval_ms': 20,
+        'timeout_ms': 200,
+        'host_list_lag_ms': 0,
+        **workers,
+    }
+    return PartitionSettingsSet(
+        journal=JournalSettings(rows_per_s=1000, flush_interval_ms=2),
+        workers=WorkerSettings(**options),
+        partitions=PartitionSettings(
+            tick_interval_ms=1,
+            idle_interval_ms=20,
+            recover_retry_ms=10,
+            evidence_interval_ms=20,
+            retry_interval_ms=10,
+            call_timeout_ms=500,
+            hand_off_after_ms=50,
+        ),
+    )
+
+
+def make_job(job_id: str = 'j1', **changes: Any) -> JobSpec:
+    fields: dict[str, Any] = {
+        'job_id': JobId(job_id),
+        'department': DepartmentName('rugs'),
+        'team': TeamName('wash'),
+        'name': 'wash-batch',
+        'kind': JobKind.batch,
+        'task_count': 1,
+        'demand': Resources(1_000, 2_000),
+        'run_time_ms': 0,
+        **changes,
+    }
+    return JobSpec(**fields)
+
+
+@dataclass
+class Members:
+    """A `MemberDirectory` that knows what the test tells it."""
+
+    dead: set[tuple[str, str]] = field(default_factory=set)
+
+    def members(self) -> tuple[()]:
+        return ()
+
+    def is_suspected(self, daemon_id: DaemonId) -> bool:
+        return False
+
+    def is_dead(self, daemon_id: DaemonId, incarnation: Incarnation) -> bool:
+        return (daemon_id, incarnation) in self.dead
+
+
+@dataclass
+class Config:
+    """A `ConfigView` of one document."""
+
+    document: ConfigDocument
+
+    def current(self) -> ConfigDocument:
+        return self.document
+
+
+@dataclass
+class Owner:
+    """A daemon with its partitions; its loop can be paused."""
+
+    name: str
+    store: MemoryTableStore
+    parts: DaemonParts
+    partitions: Partitions
+    loop: asyncio.Task[None]
+
+    def opened(self, partition_id: PartitionId = PARTITION) -> OpenPartition:
+        """Returns the recovered partition."""
+        runner = self.partitions.get(partition_id)
+        assert runner is not None
+        assert runner.opened is not None
+        return runner.opened
+
+    async def claim(self, partition_id: PartitionId = PARTITION) -> None:
+        """Claims a partition and waits until it is recovered."""
+        await self.partitions.on_acquired(self.write_claim(partition_id))
+        await until(lambda: self.partitions.get(partition_id))
+
+    def write_claim(self, partition_id: PartitionId) -> OwnerClaim:
+        """Writes the owner row with the next epoch."""
+        before = self.store.tables.read(OWNERS_TABLE, partition_id).value
+        epoch = Epoch(1 if before is None else before['epoch'] + 1)
+        row = OwnerRow(self.parts.daemon_id, self.parts.incarnation, epoch)
+        write = Write(OWNERS_TABLE, partition_id, dump_plain(row))
+        committed = self.store.tables.commit(Transaction((), (write,)))
+        return OwnerClaim(partition_id, epoch, committed.versions[0])
+
+    async def kill(self) -> None:
+        """Ends all work at once, as the death of the process does."""
+        self.loop.cancel()
+        await self.partitions.on_replaced()
+        await self.parts.network.stop()
+
+
+class Cell:
+    """Workers, the platform's services and the owners of a test."""
+
+    def __init__(self, settings: PartitionSettingsSet) -> None:
+        self.settings = settings
+        self.store = MemoryTableStore()
+        self.objects = MemoryObjectStore()
+        self.members = Members()
+        self.workers: list[WorkerStandIn] = []
+        self.owners: dict[str, Owner] = {}
+        self.document = ConfigDocument(
+            ConfigVersion(1),
+            partitions={PARTITION: Partition(('r1',))},
+        )
+        self._addresses: dict[DaemonId, Address] = {}
+
+    async def add_worker(self, **options: Any) -> WorkerStandIn:
+        """Starts a worker and adds it to the host list."""
+        worker = WorkerStandIn(WorkerOptions(**options))
+        await worker.listen('127.0.0.1', 0)
+        self.workers.append(worker)
+        self.publish_hosts()
+        return worker
+
+    def publish_hosts(self) -> None:
+        """Shows the host list to all owners."""
+        for owner in self.owners.values():
+            owner.partitions.update_hosts(self.hosts())
+
+    def hosts(self) -> tuple[Host, ...]:
+        """Lists the workers."""
+        return tuple(
+            Host(
+                Address(worker.model.worker_id),
+                HostState.live,
+                HostRole.worker,
+                RackId(worker.model.options.rack),
+                DataCentreId('dc1'),
+                ServiceName(''),
+            )
+            for worker in self.workers
+        )
+
+    async def add_owner(
+        self,
+        name: str,
+        dispatcher_type: type[Dispatcher] = Dispatcher,
+        store: MemoryTableStore | None = None,
+    ) -> Owner:
+        """Starts a daemon that owns nothing yet."""
+        network = PeerNetwork(DaemonId(name))
+        await network.start(Address('127.0.0.1:0'))
+        port = network._server.sockets[0].getsockname()[1]
+        self._addresses[DaemonId(name)] = Address(f'127.0.0.1:{port}')
+        clock = SystemClock()
+        parts = DaemonParts(
+            daemon_id=DaemonId(name),
+            incarnation=Incarnation(f'{name}-1'),
+            store=store or self.store,
+            object_store=self.objects,
+            client=WorkerClient(self.settings.workers),
+            clock=clock,
+            members=self.members,
+            network=network,
+            scheduler=FlushScheduler(clock, self.settings.journal),
+            settings=self.settings,
+        )
+        partitions = Partitions(
+            parts, Config(self.document), dispatcher_type=dispatcher_type
+        )
+        loop = asyncio.create_task(partitions.run_forever())
+        owner = Owner(name, parts.store, parts, partitions, loop)
+        self.owners[name] = owner
+        for known in self.owners.values():
+            known.parts.network.set_peers(self._addresses)
+        self.publish_hosts()
+        return owner
+
+    def records(self) -> list[WorkerRecord]:
+        """Returns the records of all workers."""
+        return [worker.worker_record() for worker in self.workers]
+
+    def executions(self) -> int:
+        """Counts the executions on all workers."""
+        return sum(len(worker.model.record) for worker in self.workers)
+
+    def running(self) -> int:
+        """Counts the executions that have not ended."""
+        return sum(
+            execution.end_ms is None
+            for record in self.records()
+            for execution in record.executions
+        )
+
+    def check(self) -> None:
+        """Checks the invariants from the workers' own records."""
+        records = self.records()
+        assert not tasks_in_two_places(records)
+        assert not overcommitted_workers(records)
+
+    async def close(self) -> None:
+        """Ends everything."""
+        for worker in self.workers:
+            await worker.close()
+        for owner in self.owners.values():
+            await owner.kill()
+            await owner.parts.client.close()
+
+
+@asynccontextmanager
+async def open_cell(
+    workers_count: int = 1, **workers: int
+) -> AsyncIterator[Cell]:
+    """Opens a cell with workers of one rack."""
+    cell = Cell(make_settings(**workers))
+    for _ in range(workers_count):
+        await cell.add_worker()
+    try:
+        yield cell
+    finally:
+        await cell.close()
+
+
+__all__ = ('LEASE_MS', 'PARTITION', 'Cell', 'Owner', 'make_job', 'open_cell')
--- /dev/null
+++ b/tests/partitions/test_runner.py
@@ -0,0 +1,88 @@
+from radishlift.core.errors import ErrorKind, Failure
+from radishlift.core.ids import JobId
+from radishlift.partitions.intake import cancel, status, submit
+from radishlift.partitions.messages import JobStatus, JobSubmitted
+from radishlift.placement.jobs import TaskState
+from tests.partitions.cell import PARTITION, make_job, open_cell
+from tests.standins.conditions import until
+from tests.standins.tables import Fault
+
+
+def counts(opened, job_id='j1'):
+    shown = status(opened, JobId(job_id))
+    assert isinstance(shown, JobStatus)
+    return shown.task_counts
+
+
+async def test_job_runs_to_its_end():
+    """Guards against a partition whose parts do not work together."""
+    async with open_cell() as cell:
+        owner = await cell.add_owner('a')
+        await owner.claim()
+        opened = owner.opened()
+        spec = make_job(task_count=5, run_time_ms=30)
+        accepted = await submit(opened, spec, 2000)
+        assert isinstance(accepted, JobSubmitted)
+        assert await submit(opened, spec, 2000) == accepted
+        await until(lambda: counts(opened) == {TaskState.finished: 5})
+        await until(lambda: not cell.workers[0].model.attempts)
+        assert cell.executions() == 5
+        cell.check()
+
+
+async def test_new_jobs_are_refused_during_an_outage():
+    """Guards against "not run" for a job that is journaled later."""
+    async with open_cell() as cell:
+        owner = await cell.add_owner('a')
+        await owner.claim()
+        opened = owner.opened()
+        first = await submit(opened, make_job(), 2000)
+        await until(lambda: cell.running() == 1)
+        cell.store.fault = Fault.down
+        unknown = await submit(opened, make_job('j2'), 100)
+        assert isinstance(unknown, Failure)
+        assert unknown.kind is ErrorKind.store_outcome_unknown
+        refused = await submit(opened, make_job('j3'), 100)
+        assert isinstance(refused, Failure)
+        assert refused.kind is ErrorKind.store_unavailable
+        cell.store.fault = Fault.none
+        await until(lambda: cell.executions() == 2)
+        assert await submit(opened, make_job(), 2000) == first
+        absent = status(opened, JobId('j3'))
+        assert isinstance(absent, Failure)
+
+
+async def test_drain_lets_tasks_run_on_for_the_next_owner():
+    """Guards against a planned stop that ends running tasks."""
+    async with open_cell() as cell:
+        owner = await cell.add_owner('a')
+        await owner.claim()
+        await submit(owner.opened(), make_job(task_count=3), 2000)
+        await until(lambda: cell.running() == 3)
+        await owner.partitions.on_releasing(PARTITION)
+        successor = await cell.add_owner('b')
+        await successor.claim()
+        opened = successor.opened()
+        begin_ms = successor.parts.clock.monotonic_ms()
+        await until(
+            lambda: (
+                successor.parts.clock.monotonic_ms() > begin_ms + 1000
+                and not opened.states.owners.has_former(opened.claim.epoch)
+            )
+        )
+        assert cell.running() == 3
+        assert cell.executions() == 3
+        cell.check()
+
+
+async def test_cancel_stops_running_tasks():
+    """Guards against a cancellation that leaves tasks running."""
+    async with open_cell() as cell:
+        owner = await cell.add_owner('a')
+        await owner.claim()
+        opened = owner.opened()
+        await submit(opened, make_job(task_count=4), 2000)
+        await until(lambda: cell.running() == 4)
+        assert not isinstance(await cancel(opened, JobId('j1'), 2000), Failure)
+        await until(lambda: counts(opened) == {TaskState.cancelled: 4})
+        assert not cell.running()
--- a/tests/workers/test_dispatcher.py
+++ b/tests/workers/test_dispatcher.py
@@ -90,7 +90,8 @@
     events, clock = Events(), SystemClock()
     former = FormerOwners(former_epochs)
     dispatcher = Dispatcher(client, SETTINGS, clock, events, former)
-    dispatcher.set_workers([WorkerId(worker.model.worker_id)])
+    workers = [WorkerId(worker.model.worker_id)]
+    dispatcher.set_workers(workers, workers)
     loop = asyncio.create_task(dispatcher.run_forever())
     await until(lambda: events.seen)
     yield Cell(worker, dispatcher, events, former, clock)
@@ -229,7 +230,7 @@
     """Guards against capacity that stays committed on a removed host."""
     async with open_cell() as cell:
         await cell.started()
-        cell.dispatcher.set_workers([])
+        cell.dispatcher.set_workers([], [])
         assert [ended.state for ended in cell.events.ended] == [
             TaskState.queued
         ]
