Route requests to slots, one peer or a bounded queue

Cause: entry daemons hold slots, and callers need answers, true refusals and deadlines under overload and faults.

Ruled out: cancelling an attempt at its caller's deadline; the executor works on, so the slot would be reused too early. Taking the time of a send as the start of the wait for its end; a pause lies between both, so the wait starts when the connection is closed. A requeue at the peer; a forwarded request runs on an idle slot or is refused, so there are never two hops.

--- /dev/null
+++ b/src/radishlift/requests/admission.py
@@ -0,0 +1,118 @@
+"""Checks requests against the bounds and admits them."""
+
+import re
+from collections import Counter
+from typing import Final
+
+from radishlift.config.document import Service
+from radishlift.core.clock import Clock
+from radishlift.core.errors import ErrorKind, Failure
+from radishlift.core.ids import DepartmentName
+from radishlift.requests.api import ServiceRequest
+from radishlift.requests.calls import Call, rank_of
+from radishlift.requests.limits import ServiceLimits
+from radishlift.requests.settings import RequestSettings
+
+# These texts become headers, so they must not contain line ends.
+_WORD: Final = re.compile(r'[!-~]{1,200}')
+
+
+class Admission:
+    """Admits requests and counts those in flight per department."""
+
+    def __init__(
+        self,
+        limits: ServiceLimits,
+        clock: Clock,
+        settings: RequestSettings,
+    ) -> None:
+        self._limits = limits
+        self._clock = clock
+        self._settings = settings
+        self._in_flight: Counter[DepartmentName] = Counter()
+        self.is_draining = False
+
+    @property
+    def in_flight_count(self) -> int:
+        """Counts the admitted requests that have not ended."""
+        return self._in_flight.total()
+
+    def admit(self, request: ServiceRequest) -> Call | Failure:
+        """Admits a request; each admitted call must be ended."""
+        if self.is_draining:
+            return Failure(ErrorKind.draining, 'this daemon is stopping')
+        call = self.check(request)
+        if isinstance(call, Failure):
+            return call
+        department = DepartmentName(call.service.department)
+        limit = self._settings.max_department_count
+        if self._in_flight[department] >= limit:
+            reason = f'{department} has {limit} requests in flight here'
+            return Failure(ErrorKind.quota_exceeded, reason)
+        self._in_flight[department] += 1
+        return call
+
+    def end(self, call: Call) -> None:
+        """Ends an admitted call."""
+        department = DepartmentName(call.service.department)
+        self._in_flight[department] -= 1
+
+    def check(self, request: ServiceRequest) -> Call | Failure:
+        """Checks a request and sets its deadline."""
+        if not self._limits.is_known:
+            return Failure(ErrorKind.no_configuration, 'no document is known')
+        service = self._limits.service(request.service)
+        if service is None:
+            reason = f'there is no service {request.service!r:.80}'
+            return Failure(ErrorKind.not_found, reason)
+        failure = self._check_bounds(request, service)
+        if failure is not None:
+            return failure
+        left_ms = request.deadline_ms
+        if left_ms is None:
+            left_ms = service.default_deadline_ms
+        if left_ms <= 0:
+            return Failure(ErrorKind.deadline_passed, 'no time is left')
+        left_ms = min(left_ms, service.max_deadline_ms)
+        return Call(
+            request,
+            service,
+            self._clock,
+            self._clock.monotonic_ms() + left_ms,
+            rank_of(service, request.request_class),
+        )
+
+    def _check_bounds(
+        self,
+        request: ServiceRequest,
+        service: Service,
+    ) -> Failure | None:
+        if len(request.body) > service.max_body_bytes:
+            reason = f'body exceeds {service.max_body_bytes} bytes'
+            return Failure(ErrorKind.too_large, reason)
+        if len(request.headers) > self._settings.max_headers_count:
+            reason = f'more than {self._settings.max_headers_count} headers'
+            return Failure(ErrorKind.too_large, reason)
+        size_bytes = sum(
+            len(name) + len(text) for name, text in request.headers
+        )
+        if size_bytes > self._settings.max_header_bytes:
+            reason = f'headers exceed {self._settings.max_header_bytes} bytes'
+            return Failure(ErrorKind.too_large, reason)
+        return _check_words(request)
+
+
+def _check_words(request: ServiceRequest) -> Failure | None:
+    words = {
+        'request id': request.request_id,
+        'idempotency key': request.idempotency_key or '-',
+        'class': request.request_class or '-',
+    }
+    for name, word in words.items():
+        if not _WORD.fullmatch(word):
+            reason = f'{name} is not 1 to 200 visible ASCII characters'
+            return Failure(ErrorKind.invalid_input, reason)
+    return None
+
+
+__all__ = ('Admission',)
--- /dev/null
+++ b/src/radishlift/requests/attempts.py
@@ -0,0 +1,70 @@
+"""One attempt on a taken slot, and what is learned from its result."""
+
+from radishlift.core.errors import ErrorKind, Failure
+from radishlift.requests.api import ServiceAnswer
+from radishlift.requests.calls import Call
+from radishlift.requests.dispatch import Dispatched, Dispatcher
+from radishlift.requests.places import Places
+from radishlift.requests.slot_views import SlotView
+from radishlift.requests.targets import TargetList
+
+
+class Attempts:
+    """Dispatches and keeps the estimates and the health up to date."""
+
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        places: Places,
+        targets: TargetList,
+    ) -> None:
+        self._dispatcher = dispatcher
+        self._places = places
+        self._targets = targets
+
+    async def run(
+        self,
+        view: SlotView,
+        call: Call,
+        limit_ms: int,
+    ) -> ServiceAnswer | Failure:
+        """Runs a call on a taken slot."""
+        dispatched = await self._dispatcher.dispatch(view, call, limit_ms)
+        self._learn(view, call, dispatched)
+        call.late = dispatched.late
+        if isinstance(dispatched.answer, Failure):
+            call.excluded.add(view.executor_id)
+        return dispatched.answer
+
+    def _learn(
+        self,
+        view: SlotView,
+        call: Call,
+        dispatched: Dispatched,
+    ) -> None:
+        service = call.request.service
+        times = self._places.times
+        is_ok = not isinstance(dispatched.answer, Failure)
+        if is_ok:
+            times.observe(service, call.rank, dispatched.elapsed_ms)
+        elif _is_short_wait(dispatched, times.likely_ms(service, call.rank)):
+            # The caller's deadline was short; no fault of the executor.
+            return
+        self._places.health(service).observe(
+            view.executor_id,
+            dispatched.elapsed_ms,
+            len(self._targets.listed(service)),
+            call.service.max_ejected_ratio,
+            is_ok=is_ok,
+        )
+
+
+def _is_short_wait(dispatched: Dispatched, likely_ms: float) -> bool:
+    is_late = isinstance(dispatched.answer, Failure) and (
+        dispatched.answer.kind is ErrorKind.target_outcome_unknown
+    )
+    is_timed_out = is_late and dispatched.late is not None
+    return is_timed_out and dispatched.elapsed_ms < likely_ms
+
+
+__all__ = ('Attempts',)
--- /dev/null
+++ b/src/radishlift/requests/dispatch.py
@@ -0,0 +1,174 @@
+"""Sends a request on a taken slot and frees the slot when it has ended."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from secrets import token_hex
+from typing import Final
+
+from radishlift.core.clock import Clock
+from radishlift.core.errors import ErrorKind, Failure
+from radishlift.core.ids import ServiceName
+from radishlift.requests.api import ServiceAnswer, ServiceRequest
+from radishlift.requests.calls import Call
+from radishlift.requests.executor_client import (
+    DEADLINE_HEADER,
+    REQUEST_ID_HEADER,
+    Exchange,
+    ExecutorClient,
+    Progress,
+)
+from radishlift.requests.limits import ServiceLimits
+from radishlift.requests.settings import RequestSettings
+from radishlift.requests.slot_views import SlotView
+
+_OWN_HEADERS: Final = frozenset(
+    (
+        'connection',
+        'content-length',
+        'expect',
+        'host',
+        'idempotency-key',
+        'keep-alive',
+        'radishlift-class',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+        'x-deadline-ms',
+        'x-request-id',
+    )
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Dispatched:
+    """Outcome of an attempt and how long the caller waited for it.
+
+    `late` gets the exchange that goes on after the wait has ended.
+    """
+
+    answer: ServiceAnswer | Failure
+    elapsed_ms: int
+    late: 'asyncio.Future[Exchange] | None' = None
+
+
+class Dispatcher:
+    """Runs attempts; each holds its slot until the executor has ended it.
+
+    An attempt goes on when its caller has stopped waiting, because a late
+    answer proves that the executor is done. Without one the slot stays taken
+    for the longest deadline after the connection was closed.
+    """
+
+    def __init__(
+        self,
+        client: ExecutorClient,
+        limits: ServiceLimits,
+        clock: Clock,
+        settings: RequestSettings,
+    ) -> None:
+        self._client = client
+        self._limits = limits
+        self._clock = clock
+        self._settings = settings
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.on_free: Callable[[ServiceName], None] = _ignore
+        self.before_send: Callable[[], Awaitable[None]] | None = None
+
+    async def dispatch(
+        self,
+        view: SlotView,
+        call: Call,
+        limit_ms: int,
+    ) -> Dispatched:
+        """Sends a request on a taken slot; waits at most the limit."""
+        started_at_ms = self._clock.monotonic_ms()
+        progress = Progress()
+        loop = asyncio.get_running_loop()
+        done: asyncio.Future[Exchange] = loop.create_future()
+        task = asyncio.create_task(self._attempt(view, call, progress, done))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        await asyncio.wait({done}, timeout=max(0, limit_ms) / 1000)
+        if not done.done() and not progress.is_connected:
+            task.cancel()
+            await asyncio.wait({done})
+        elapsed_ms = self._clock.monotonic_ms() - started_at_ms
+        if done.done():
+            return Dispatched(done.result().answer, elapsed_ms)
+        reason = f'{view.executor_id} has not answered in {elapsed_ms} ms'
+        failure = Failure(ErrorKind.target_outcome_unknown, reason)
+        return Dispatched(failure, elapsed_ms, done)
+
+    async def _attempt(
+        self,
+        view: SlotView,
+        call: Call,
+        progress: Progress,
+        done: 'asyncio.Future[Exchange]',
+    ) -> None:
+        try:
+            exchange = await self._exchange(view, call, progress)
+        except asyncio.CancelledError:
+            failure = Failure(ErrorKind.no_target, 'cancelled before the send')
+            exchange = Exchange(failure, has_ended=True)
+        done.set_result(exchange)
+        if exchange.has_ended:
+            self._free(view)
+            return
+        # A timer and not a task, so that it does not delay the end of this
+        # process; others reclaim its slots after the same time.
+        loop = asyncio.get_running_loop()
+        loop.call_later(self._longest_ms / 1000, self._free, view)
+
+    def _free(self, view: SlotView) -> None:
+        view.busy_count -= 1
+        self.on_free(view.service)
+
+    async def _exchange(
+        self,
+        view: SlotView,
+        call: Call,
+        progress: Progress,
+    ) -> Exchange:
+        if self.before_send is not None:
+            await self.before_send()
+        headers = _headers(call.request)
+        headers[DEADLINE_HEADER] = str(max(1, call.left_ms))
+        return await self._client.exchange(
+            view.executor_id,
+            headers,
+            call.request.body,
+            progress,
+            self._longest_ms,
+        )
+
+    @property
+    def _longest_ms(self) -> int:
+        return (
+            self._limits.longest_deadline_ms + self._settings.settle_margin_ms
+        )
+
+
+def _headers(request: ServiceRequest) -> dict[str, str]:
+    headers = {
+        name: text
+        for name, text in request.headers
+        if name.lower() not in _OWN_HEADERS
+    }
+    # Each attempt has an id of its own, so that not even the answer to an
+    # earlier attempt of the same request passes for this one's.
+    headers[REQUEST_ID_HEADER] = f'{request.request_id}.{token_hex(4)}'
+    if request.idempotency_key:
+        headers['Idempotency-Key'] = request.idempotency_key
+    if request.request_class:
+        headers['Radishlift-Class'] = request.request_class
+    return headers
+
+
+def _ignore(_service: ServiceName) -> None:
+    """Stands in until a listener is set."""
+
+
+__all__ = ('Dispatched', 'Dispatcher')
--- /dev/null
+++ b/src/radishlift/requests/executor_client.py
@@ -0,0 +1,203 @@
+"""Exchanges of one request with one executor over HTTP.
+
+docs/requests.md lists, for each exception of aiohttp, whether bytes may have
+reached the executor. The rule is `Progress`: before a connection is given to
+the request nothing can have been sent.
+"""
+
+import asyncio
+from dataclasses import dataclass
+from types import SimpleNamespace
+from typing import Any, Final
+
+from aiohttp import (
+    ClientError,
+    ClientResponse,
+    ClientSession,
+    ClientTimeout,
+    TCPConnector,
+    TraceConfig,
+)
+
+from radishlift.core.errors import ErrorKind, Failure
+from radishlift.core.ids import ExecutorId
+from radishlift.requests.api import ServiceAnswer
+
+REQUEST_ID_HEADER: Final = 'X-Request-Id'
+DEADLINE_HEADER: Final = 'X-Deadline-Ms'
+
+# A timeout is an `OSError`, a closed session a `RuntimeError`.
+_SEND_ERRORS: Final = (ClientError, OSError, ValueError, RuntimeError)
+_FIRST_SERVER_ERROR: Final = 500
+_CONNECT_TIMEOUT_S: Final = 1.0
+# Executors allow about 60 connections in all; idle ones are dropped soon, so
+# that connections follow the slots when these move to other daemons.
+_KEEP_IDLE_S: Final = 5.0
+
+
+@dataclass(slots=True)
+class Progress:
+    """How far an exchange has come."""
+
+    is_connected: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Exchange:
+    """Outcome of an exchange.
+
+    `has_ended` tells whether the executor surely does not work on the
+    request: it was never sent, or its complete answer has come.
+    """
+
+    answer: ServiceAnswer | Failure
+    has_ended: bool
+
+
+class ExecutorClient:
+    """Sends requests to executors, each at most once.
+
+    A connection whose request has no complete answer is closed by aiohttp
+    and not used again. Redirects are not followed, since that would send the
+    request again; aiohttp itself repeats no POST.
+    """
+
+    def __init__(
+        self,
+        connections_per_executor: int,
+        max_answer_bytes: int,
+    ) -> None:
+        self._connections = connections_per_executor
+        self._max_answer_bytes = max_answer_bytes
+        self._session: ClientSession | None = None
+
+    async def start(self) -> None:
+        """Opens the pool of connections."""
+        trace = TraceConfig()
+        trace.on_connection_create_end.append(_mark_connected)
+        trace.on_connection_reuseconn.append(_mark_connected)
+        self._session = ClientSession(
+            connector=TCPConnector(
+                limit=0,
+                limit_per_host=self._connections,
+                keepalive_timeout=_KEEP_IDLE_S,
+            ),
+            timeout=ClientTimeout(sock_connect=_CONNECT_TIMEOUT_S),
+            trace_configs=[trace],
+            auto_decompress=False,
+        )
+
+    async def stop(self) -> None:
+        """Closes all connections."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def exchange(
+        self,
+        executor_id: ExecutorId,
+        headers: dict[str, str],
+        body: bytes,
+        progress: Progress,
+        limit_ms: int,
+    ) -> Exchange:
+        """Sends a request and reads its whole answer."""
+        try:
+            async with asyncio.timeout(limit_ms / 1000):
+                return await self._exchange(
+                    executor_id,
+                    headers,
+                    body,
+                    progress,
+                )
+        except _SEND_ERRORS as error:
+            return _failed(progress, f'{executor_id}: {error!r}')
+        except asyncio.CancelledError:
+            # At the caller's deadline, or when this process ends.
+            return _failed(progress, f'{executor_id}: cancelled')
+
+    async def _exchange(
+        self,
+        executor_id: ExecutorId,
+        headers: dict[str, str],
+        body: bytes,
+        progress: Progress,
+    ) -> Exchange:
+        if self._session is None:
+            return _failed(progress, 'the client is not started')
+        async with self._session.post(
+            f'http://{executor_id}/run',
+            data=body,
+            headers=headers,
+            allow_redirects=False,
+            trace_request_ctx=progress,
+        ) as response:
+            return await self._read(response, headers[REQUEST_ID_HEADER])
+
+    async def _read(
+        self,
+        response: ClientResponse,
+        request_id: str,
+    ) -> Exchange:
+        body = await self._read_body(response)
+        problem = _problem(response, request_id)
+        if body is None:
+            problem = f'answer exceeds {self._max_answer_bytes} bytes'
+        if problem:
+            response.close()
+            failure = Failure(ErrorKind.target_outcome_unknown, problem)
+            return Exchange(failure, has_ended=False)
+        if response.status >= _FIRST_SERVER_ERROR:
+            reason = f'executor answered {response.status}'
+            failure = Failure(ErrorKind.target_failed, reason)
+            return Exchange(failure, has_ended=True)
+        answer = ServiceAnswer(
+            response.status,
+            body or b'',
+            response.headers.get('Content-Type', ''),
+        )
+        return Exchange(answer, has_ended=True)
+
+    async def _read_body(self, response: ClientResponse) -> bytes | None:
+        chunks: list[bytes] = []
+        size_bytes = 0
+        async for chunk in response.content.iter_any():
+            size_bytes += len(chunk)
+            if size_bytes > self._max_answer_bytes:
+                return None
+            chunks.append(chunk)
+        return b''.join(chunks)
+
+
+def _problem(response: ClientResponse, request_id: str) -> str:
+    echoed = response.headers.get(REQUEST_ID_HEADER)
+    if echoed != request_id:
+        return f'answer to request {echoed!r:.80}'
+    # Without a length or chunks a cut body looks like a complete one.
+    has_length = 'Content-Length' in response.headers
+    if has_length or 'Transfer-Encoding' in response.headers:
+        return ''
+    return 'the end of the answer is not marked'
+
+
+def _failed(progress: Progress, reason: str) -> Exchange:
+    if progress.is_connected:
+        failure = Failure(ErrorKind.target_outcome_unknown, reason)
+        return Exchange(failure, has_ended=False)
+    return Exchange(Failure(ErrorKind.no_target, reason), has_ended=True)
+
+
+async def _mark_connected(
+    _session: ClientSession,
+    context: SimpleNamespace,
+    _event: Any,
+) -> None:
+    context.trace_request_ctx.is_connected = True
+
+
+__all__ = (
+    'DEADLINE_HEADER',
+    'REQUEST_ID_HEADER',
+    'Exchange',
+    'ExecutorClient',
+    'Progress',
+)
--- /dev/null
+++ b/src/radishlift/requests/executor_health.py
@@ -0,0 +1,216 @@
+"""Ejection of executors that fail or are slow, their probes and return."""
+
+import math
+from dataclasses import dataclass
+from enum import Enum, unique
+from statistics import median
+from typing import Any, Final
+
+from transitions import Machine
+
+from radishlift.core.clock import Clock
+from radishlift.core.ids import ExecutorId
+from radishlift.core.logs import log_event
+from radishlift.requests.settings import RequestSettings
+
+_GAIN: Final = 0.1
+_MIN_SAMPLES: Final = 20
+_NOBODY: Final[frozenset[ExecutorId]] = frozenset()
+
+
+@unique
+class HealthState(Enum):
+    """Whether an executor gets requests."""
+
+    healthy = 'healthy'
+    ejected = 'ejected'
+    probing = 'probing'
+
+
+_MOVES: Final[Any] = (
+    ('eject', HealthState.healthy, HealthState.ejected),
+    ('probe', HealthState.ejected, HealthState.probing),
+    ('admit', HealthState.probing, HealthState.healthy),
+    ('eject', HealthState.probing, HealthState.ejected),
+)
+
+
+@dataclass(eq=False)
+class ExecutorRecord:
+    """Recent results of one executor; the machine adds `state`."""
+
+    executor_id: ExecutorId
+    failures_count: int = 0
+    samples_count: int = 0
+    mean_ms: float = 0
+    ejections_count: int = 0
+    until_ms: int = 0
+    is_probed: bool = False
+
+
+class ExecutorHealth:
+    """The health of the executors of one service."""
+
+    def __init__(self, clock: Clock, settings: RequestSettings) -> None:
+        self._clock = clock
+        self._settings = settings
+        self._records: dict[ExecutorId, ExecutorRecord] = {}
+        self._machine = Machine(
+            model=None,
+            states=HealthState,
+            transitions=[list(move) for move in _MOVES],
+            initial=HealthState.healthy,
+            auto_transitions=False,
+        )
+
+    def state_of(self, executor_id: ExecutorId) -> HealthState:
+        """Returns the state of an executor."""
+        record = self._records.get(executor_id)
+        return HealthState.healthy if record is None else _state(record)
+
+    def excluded(self, *, may_probe: bool) -> frozenset[ExecutorId]:
+        """Returns the executors that a request must not use.
+
+        Only a request that may be retried probes, one at a time.
+        """
+        out = [
+            record
+            for record in self._records.values()
+            if _state(record) is not HealthState.healthy
+        ]
+        if not out:
+            return _NOBODY
+        now_ms = self._clock.monotonic_ms()
+        for record in out:
+            if now_ms >= record.until_ms:
+                self._open_probe(record)
+        return frozenset(
+            record.executor_id
+            for record in out
+            if not (may_probe and _is_open_for_probe(record))
+        )
+
+    def begin(self, executor_id: ExecutorId) -> None:
+        """Notes that an attempt is sent."""
+        record = self._records.get(executor_id)
+        if record is None or _state(record) is not HealthState.probing:
+            return
+        record.is_probed = True
+        # A probe whose result never comes is repeated after this time.
+        pause_ms = self._settings.max_ejection_ms
+        record.until_ms = self._clock.monotonic_ms() + pause_ms
+
+    def observe(
+        self,
+        executor_id: ExecutorId,
+        elapsed_ms: float,
+        executors_count: int,
+        max_ejected_ratio: float,
+        *,
+        is_ok: bool,
+    ) -> None:
+        """Counts a result; ejects unless too many are out already."""
+        record = self._ensure(executor_id)
+        _add_result(record, elapsed_ms, is_ok=is_ok)
+        if _state(record) is HealthState.probing:
+            self._end_probe(record, is_ok=is_ok)
+            return
+        if _state(record) is HealthState.ejected:
+            return
+        limit = self._settings.eject_failures_count
+        if record.failures_count < limit and not self._is_slow(record):
+            return
+        allowed_count = math.floor(max_ejected_ratio * executors_count)
+        if self._out_count() < allowed_count:
+            self._eject(record)
+
+    def keep_only(self, executor_ids: frozenset[ExecutorId]) -> None:
+        """Forgets executors that no longer exist."""
+        for executor_id in set(self._records) - executor_ids:
+            self._machine.remove_model(self._records.pop(executor_id))
+
+    def _ensure(self, executor_id: ExecutorId) -> ExecutorRecord:
+        record = self._records.get(executor_id)
+        if record is None:
+            record = ExecutorRecord(executor_id)
+            self._records[executor_id] = record
+            self._machine.add_model(record)
+        return record
+
+    def _open_probe(self, record: ExecutorRecord) -> None:
+        record.is_probed = False
+        if _state(record) is HealthState.ejected:
+            self._fire(record, 'probe')
+
+    def _end_probe(self, record: ExecutorRecord, *, is_ok: bool) -> None:
+        if not is_ok or self._is_slow(record):
+            self._eject(record)
+            return
+        record.ejections_count = 0
+        record.is_probed = False
+        self._fire(record, 'admit')
+
+    def _eject(self, record: ExecutorRecord) -> None:
+        doublings = min(record.ejections_count, 10)
+        pause_ms = self._settings.ejection_ms * 2**doublings
+        pause_ms = min(pause_ms, self._settings.max_ejection_ms)
+        record.until_ms = self._clock.monotonic_ms() + pause_ms
+        record.ejections_count += 1
+        record.is_probed = False
+        record.failures_count = 0
+        # The mean from before must not decide about the next probes.
+        record.samples_count = 0
+        self._fire(record, 'eject')
+
+    def _is_slow(self, record: ExecutorRecord) -> bool:
+        if record.samples_count < _MIN_SAMPLES:
+            return False
+        others = [
+            each.mean_ms
+            for each in self._records.values()
+            if each is not record and each.samples_count >= _MIN_SAMPLES
+        ]
+        if not others:
+            return False
+        limit_ms = self._settings.eject_slow_ratio * median(others)
+        return record.mean_ms > limit_ms
+
+    def _out_count(self) -> int:
+        return sum(
+            _state(record) is not HealthState.healthy
+            for record in self._records.values()
+        )
+
+    def _fire(self, record: ExecutorRecord, trigger: str) -> None:
+        move: Any = record
+        move.trigger(trigger)
+        log_event(
+            'executor_health',
+            executor=record.executor_id,
+            state=_state(record),
+        )
+
+
+def _state(record: Any) -> HealthState:
+    state: HealthState = record.state
+    return state
+
+
+def _is_open_for_probe(record: ExecutorRecord) -> bool:
+    return _state(record) is HealthState.probing and not record.is_probed
+
+
+def _add_result(
+    record: ExecutorRecord,
+    elapsed_ms: float,
+    *,
+    is_ok: bool,
+) -> None:
+    record.failures_count = 0 if is_ok else record.failures_count + 1
+    if record.samples_count == 0:
+        record.mean_ms = elapsed_ms
+    record.mean_ms += _GAIN * (elapsed_ms - record.mean_ms)
+    record.samples_count += 1
+
+
+__all__ = ('ExecutorHealth', 'ExecutorRecord', 'HealthState')
--- /dev/null
+++ b/src/radishlift/requests/kept_answers.py
@@ -0,0 +1,53 @@
+"""Conversion between answers and their kept, journaled form."""
+
+from base64 import b64decode, b64encode
+
+from radishlift.core.errors import ErrorKind, Failure
+from radishlift.requests.api import ServiceAnswer
+from radishlift.requests.idempotency import RequestAnswered
+
+
+def keep_answer(
+    key: str,
+    nonce: str,
+    outcome: ServiceAnswer | Failure,
+    max_bytes: int,
+) -> RequestAnswered:
+    """Builds the record of an answer or of a run that failed."""
+    if isinstance(outcome, Failure):
+        return RequestAnswered(
+            key,
+            nonce,
+            outcome.answer.http_status,
+            '',
+            '',
+            failure_kind=outcome.kind.value,
+            reason=outcome.reason[:max_bytes],
+        )
+    is_kept = len(outcome.body) <= max_bytes
+    body = outcome.body if is_kept else b''
+    return RequestAnswered(
+        key,
+        nonce,
+        outcome.status,
+        outcome.content_type,
+        b64encode(body).decode(),
+        is_kept=is_kept,
+    )
+
+
+def kept_outcome(answered: RequestAnswered) -> ServiceAnswer | Failure:
+    """Returns what a repeat gets."""
+    if answered.failure_kind:
+        return Failure(ErrorKind(answered.failure_kind), answered.reason)
+    if not answered.is_kept:
+        reason = 'the request ran; its answer was too long to keep'
+        return Failure(ErrorKind.target_outcome_unknown, reason)
+    return ServiceAnswer(
+        answered.status,
+        b64decode(answered.body_base64),
+        answered.content_type,
+    )
+
+
+__all__ = ('keep_answer', 'kept_outcome')
--- /dev/null
+++ b/src/radishlift/requests/keyed.py
@@ -0,0 +1,179 @@
+"""The entry daemon's side of keyed requests."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from hashlib import sha256
+from secrets import token_hex
+from typing import Any, Final
+
+from radishlift.core.errors import ErrorKind, Failure, Outcome
+from radishlift.core.ids import DaemonId
+from radishlift.partitions.api import PartitionDirectory
+from radishlift.requests.api import ServiceAnswer
+from radishlift.requests.calls import Call
+from radishlift.requests.home_messages import (
+    FirstAnswer,
+    IntentGrant,
+    IntentRequest,
+)
+from radishlift.requests.idempotency import RequestNotSent
+from radishlift.requests.kept_answers import keep_answer, kept_outcome
+from radishlift.requests.key_reports import KeyReports
+from radishlift.requests.settings import RequestSettings
+from radishlift.wire.network import PeerNetwork
+
+_PAUSE_S: Final = 0.1
+# The owner may have moved; nothing was journaled for this request.
+_ASK_AGAIN: Final = frozenset(
+    (ErrorKind.not_owner, ErrorKind.no_owner, ErrorKind.peer_unavailable),
+)
+# The intent may be journaled although no grant came.
+_MAYBE_GRANTED: Final = frozenset(
+    (
+        ErrorKind.peer_outcome_unknown,
+        ErrorKind.store_outcome_unknown,
+        ErrorKind.bad_frame,
+        ErrorKind.internal,
+    )
+)
+
+Outcomes = ServiceAnswer | Failure
+Route = Callable[[Call], Awaitable[Outcomes]]
+
+
+class KeyedRequests:
+    """Runs keyed requests: a journaled grant first, then one dispatch.
+
+    A grant is used at most once: its nonce is made here for one question,
+    and is forgotten before the dispatch and whenever the answer to the
+    question is not known.
+    """
+
+    def __init__(
+        self,
+        network: PeerNetwork,
+        directory: PartitionDirectory,
+        reports: KeyReports,
+        settings: RequestSettings,
+        route: Route,
+    ) -> None:
+        self._network = network
+        self._directory = directory
+        self._reports = reports
+        self._settings = settings
+        self._route = route
+        self._open_nonces: set[str] = set()
+
+    async def run(self, call: Call) -> Outcomes:
+        """Answers a keyed request."""
+        key = f'{call.request.service}/{call.request.idempotency_key}'
+        failure = Failure(ErrorKind.deadline_passed, 'no time is left')
+        while call.left_ms > 0:
+            nonce = token_hex(8)
+            reply = await self._ask(call, key, nonce)
+            if isinstance(reply, IntentGrant):
+                if self._use(reply, key, nonce):
+                    return await self._run_granted(call, key, nonce)
+                reply = Failure(ErrorKind.bad_frame, 'grant of another request')
+            if isinstance(reply, FirstAnswer):
+                return _first_outcome(reply, call)
+            self._open_nonces.discard(nonce)
+            if reply.kind in _MAYBE_GRANTED:
+                self._reports.start(RequestNotSent(key, nonce))
+                return _unconfirmed(reply)
+            if reply.kind not in _ASK_AGAIN:
+                return reply
+            failure = reply
+            await asyncio.sleep(_PAUSE_S)
+        return failure
+
+    async def _ask(self, call: Call, key: str, nonce: str) -> Any:
+        partition_id = self._directory.home_of(key)
+        if partition_id is None:
+            return Failure(ErrorKind.no_owner, 'the key has no home')
+        owner = self._directory.owner_of(partition_id)
+        if owner is None:
+            return Failure(ErrorKind.no_owner, f'{partition_id} has no owner')
+        self._open_nonces.add(nonce)
+        asked = IntentRequest(
+            partition_id,
+            key,
+            _digest(call),
+            nonce,
+            max(0, call.left_ms),
+        )
+        # A margin lets the owner's own answer at the deadline arrive.
+        timeout_ms = call.left_ms + self._settings.home_call_ms
+        return await self._network.call(owner, asked, timeout_ms)
+
+    def _use(self, grant: IntentGrant, key: str, nonce: str) -> bool:
+        if nonce not in self._open_nonces:
+            return False
+        self._open_nonces.discard(nonce)
+        expected = IntentGrant(key, nonce, self._own_id)
+        return grant == expected
+
+    @property
+    def _own_id(self) -> DaemonId:
+        return self._network.daemon_id
+
+    async def _run_granted(self, call: Call, key: str, nonce: str) -> Outcomes:
+        outcome = await self._route(call)
+        if _is_not_run(outcome):
+            self._reports.start(RequestNotSent(key, nonce))
+        elif _is_final(outcome):
+            self._report_answer(key, nonce, outcome)
+        elif call.late is not None:
+            call.late.add_done_callback(
+                lambda late: self._report_late(key, nonce, late),
+            )
+        return outcome
+
+    def _report_answer(self, key: str, nonce: str, outcome: Outcomes) -> None:
+        max_bytes = self._settings.kept_answer_bytes
+        self._reports.start(keep_answer(key, nonce, outcome, max_bytes))
+
+    def _report_late(
+        self,
+        key: str,
+        nonce: str,
+        late: 'asyncio.Future[Any]',
+    ) -> None:
+        answer = late.result().answer
+        if _is_final(answer):
+            self._report_answer(key, nonce, answer)
+
+
+def _digest(call: Call) -> str:
+    return sha256(call.request.body).hexdigest()
+
+
+def _is_not_run(outcome: Outcomes) -> bool:
+    if not isinstance(outcome, Failure):
+        return False
+    return outcome.answer.outcome is Outcome.not_run
+
+
+def _is_final(outcome: Outcomes) -> bool:
+    if isinstance(outcome, Failure):
+        return outcome.answer.outcome is Outcome.ran
+    return True
+
+
+def _first_outcome(first: FirstAnswer, call: Call) -> Outcomes:
+    if first.digest != _digest(call):
+        return Failure(ErrorKind.peer_outcome_unknown, 'answer to another body')
+    return kept_outcome(first.answered)
+
+
+def _unconfirmed(failure: Failure) -> Failure:
+    if failure.kind is ErrorKind.store_outcome_unknown:
+        # The owner found the key unused, and this daemon will not send it.
+        reason = f'the intent is not confirmed: {failure.reason}'
+        return Failure(ErrorKind.store_unavailable, reason)
+    # An earlier request with this key may have run.
+    reason = f'the home gave no answer: {failure.reason}'
+    return Failure(ErrorKind.peer_outcome_unknown, reason)
+
+
+__all__ = ('KeyedRequests',)
--- a/src/radishlift/requests/limits.py
+++ b/src/radishlift/requests/limits.py
@@ -30,6 +30,12 @@
         """Tells whether there is a document."""
         return self._view.current() is not None
 
+    @property
+    def names(self) -> tuple[ServiceName, ...]:
+        """Lists the services of the document in force."""
+        document = self._view.current()
+        return () if document is None else tuple(document.services)
+
     def slots_count(self, name: ServiceName) -> int:
         """Returns the slots of an executor; 0 for an unknown service."""
         service = self.service(name)
--- /dev/null
+++ b/src/radishlift/requests/service_times.py
@@ -0,0 +1,48 @@
+"""Estimates of how long requests run, per service and urgency."""
+
+from dataclasses import dataclass
+from typing import Final
+
+from radishlift.core.ids import ServiceName
+
+_GAIN: Final = 0.1
+_SPREAD_FACTOR: Final = 2
+
+
+@dataclass(slots=True)
+class _Estimate:
+    mean_ms: float
+    deviation_ms: float
+
+
+class ServiceTimes:
+    """Moving averages; classes that are not urgent share one."""
+
+    def __init__(self) -> None:
+        self._estimates: dict[tuple[ServiceName, int], _Estimate] = {}
+
+    def observe(self, service: ServiceName, rank: int, ran_ms: float) -> None:
+        """Adds the time of a completed request."""
+        estimate = self._estimates.get((service, rank))
+        if estimate is None:
+            self._estimates[service, rank] = _Estimate(ran_ms, 0)
+            return
+        error_ms = ran_ms - estimate.mean_ms
+        estimate.mean_ms += _GAIN * error_ms
+        spread_ms = abs(error_ms) - estimate.deviation_ms
+        estimate.deviation_ms += _GAIN * spread_ms
+
+    def mean_ms(self, service: ServiceName, rank: int) -> float:
+        """Returns the mean; 0 before the first completed request."""
+        estimate = self._estimates.get((service, rank))
+        return 0 if estimate is None else estimate.mean_ms
+
+    def likely_ms(self, service: ServiceName, rank: int) -> float:
+        """Returns a time that most requests keep; 0 when unknown."""
+        estimate = self._estimates.get((service, rank))
+        if estimate is None:
+            return 0
+        return estimate.mean_ms + _SPREAD_FACTOR * estimate.deviation_ms
+
+
+__all__ = ('ServiceTimes',)
--- a/src/radishlift/requests/settings.py
+++ b/src/radishlift/requests/settings.py
@@ -15,7 +15,8 @@
     `kept_answer_bytes` times `kept_keys_count` bounds what a partition can
     hold for repeats; a longer answer is not kept. A full table refuses new
     keys and never drops a key before `keep_keys_ms`, because a repeat of a
-    dropped key would run again.
+    dropped key would run again. `connections_per_executor` keeps 7 daemons
+    within the about 60 connections of an executor; slots need no more.
     """
 
     sync_interval_ms: int = bounded(500, 20, 60_000)
@@ -40,6 +41,7 @@
     eject_slow_ratio: float = bounded(5.0, 1.1, 1_000)
     ejection_ms: int = bounded(2_000, 10, 600_000)
     max_ejection_ms: int = bounded(60_000, 10, 3_600_000)
+    connections_per_executor: int = bounded(8, 1, 1_000)
     home_call_ms: int = bounded(1_000, 10, 60_000)
 
 
--- a/src/radishlift/requests/slots.py
+++ b/src/radishlift/requests/slots.py
@@ -95,6 +95,10 @@
         """Counts the slots of this daemon."""
         return sum(view.own_count for view in self.views.of_service(service))
 
+    def busy_count(self, service: ServiceName) -> int:
+        """Counts the slots in use by requests that may still run."""
+        return sum(view.busy_count for view in self.views.of_service(service))
+
     @property
     def is_released(self) -> bool:
         """Tells whether no row grants slots to this daemon any more."""
--- /dev/null
+++ b/tests/requests/daemons.py
@@ -0,0 +1,219 @@
+"""Several routers over real streams and stand-in executors, in one process."""
+
+import asyncio
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+
+from radishlift.core.clock import SystemClock
+from radishlift.core.errors import ErrorKind, Failure
+from radishlift.core.ids import (
+    Address,
+    DaemonId,
+    Epoch,
+    IdempotencyKey,
+    Incarnation,
+    PartitionId,
+    RequestId,
+)
+from radishlift.journal.records import decode_record, encode_record
+from radishlift.requests.api import ServiceRequest
+from radishlift.requests.idempotency import IdempotencyTable
+from radishlift.requests.limits import ServiceLimits
+from radishlift.requests.router import RequestRouter, RouterParts
+from radishlift.requests.slot_rows import SlotOwner
+from radishlift.requests.slots import SlotAllotments, SlotParts
+from radishlift.requests.targets import TargetList
+from radishlift.wire.network import PeerNetwork
+from tests.requests.fakes import SERVICE, Cell, FakeHosts
+from tests.standins.executor import ExecutorStandIn
+from tests.standins.request_checks import Execution
+from tests.standins.tables import Fault, MemoryTableStore
+
+HOME = PartitionId('home')
+WAIT_S = 10
+
+
+class FakePartition:
+    """A partition whose journal is a list that its owners share."""
+
+    def __init__(self, journal: list, epoch: int, current: dict) -> None:
+        self.partition_id = HOME
+        self.epoch = Epoch(epoch)
+        self.table = IdempotencyTable()
+        self.faults: list[Fault] = []
+        self._journal = journal
+        self._current = current
+        for stored in journal:
+            self.table.apply(decode_record(stored))
+
+    def state(self, _state_type):
+        return self.table
+
+    async def commit(self, records, _timeout_ms):
+        await asyncio.sleep(0)
+        fault = self.faults.pop(0) if self.faults else Fault.none
+        if fault is Fault.down:
+            return Failure(ErrorKind.store_unavailable, 'down')
+        if self._current['epoch'] != self.epoch:
+            return Failure(ErrorKind.not_owner, 'deposed')
+        for each in records:
+            self._journal.append(encode_record(each))
+            self.table.apply(each)
+        if fault is Fault.lose_answers:
+            return Failure(ErrorKind.store_outcome_unknown, 'answer lost')
+        return None
+
+
+class FakePartitions:
+    """The home of all keys and who owns it."""
+
+    def __init__(self) -> None:
+        self.journal: list = []
+        self.current = {'epoch': 0}
+        self.owner: DaemonId | None = None
+        self.owned: dict[DaemonId, FakePartition] = {}
+
+    def move_to(self, owner: str) -> FakePartition:
+        """Gives the home to a new owner, which replays the journal."""
+        self.current['epoch'] += 1
+        self.owner = DaemonId(owner)
+        epoch = self.current['epoch']
+        partition = FakePartition(self.journal, epoch, self.current)
+        self.owned[self.owner] = partition
+        return partition
+
+    def owner_of(self, _partition_id):
+        return self.owner
+
+    def home_of(self, _key):
+        return HOME
+
+
+@dataclass
+class OwnedBy:
+    """The partitions as one daemon sees them."""
+
+    partitions: FakePartitions
+    daemon_id: DaemonId
+
+    def get(self, _partition_id):
+        return self.partitions.owned.get(self.daemon_id)
+
+
+@dataclass
+class Daemon:
+    """One router with its streams."""
+
+    name: str
+    router: RequestRouter
+    network: PeerNetwork
+    slots: SlotAllotments
+    targets: TargetList
+
+    async def kill(self) -> None:
+        """Ends at once; requests in flight at executors go on there."""
+        await self.router.stop()
+        await self.network.stop()
+
+
+@dataclass
+class Fleet:
+    """Daemons, executors and what they share."""
+
+    cell: Cell
+    executors: list[ExecutorStandIn]
+    addresses: dict[DaemonId, Address]
+    daemons: dict[str, Daemon] = field(default_factory=dict)
+    partitions: FakePartitions = field(default_factory=FakePartitions)
+
+    @property
+    def executions(self) -> list[Execution]:
+        return [each for one in self.executors for each in one.executions]
+
+    async def start(self, name: str, incarnation: str = '1') -> Daemon:
+        cell = self.cell
+        daemon_id = DaemonId(name)
+        network = PeerNetwork(daemon_id)
+        network.set_peers(self.addresses)
+        limits = ServiceLimits(cell.config)
+        targets = TargetList(cell.hosts, cell.clock, cell.settings)
+        parts = SlotParts(cell.store, cell.members, targets, limits, cell.clock)
+        owner = SlotOwner(daemon_id, Incarnation(incarnation))
+        cell.members.known[daemon_id] = owner.incarnation
+        slots = SlotAllotments(owner, parts, cell.settings)
+        router = RequestRouter(
+            RouterParts(
+                slots,
+                parts,
+                network,
+                OwnedBy(self.partitions, daemon_id),
+                self.partitions,
+            ),
+            cell.settings,
+        )
+        await network.start(self.addresses[daemon_id])
+        await router.start()
+        daemon = Daemon(name, router, network, slots, targets)
+        self.daemons[name] = daemon
+        return daemon
+
+    async def wait_for_slots(self, count: int) -> None:
+        """Waits until the live daemons hold this many slots together."""
+        await wait_until(
+            lambda: (
+                sum(
+                    each.slots.held_count(SERVICE)
+                    for each in self.daemons.values()
+                )
+                >= count
+            )
+        )
+
+
+async def wait_until(holds) -> None:
+    """Waits for a condition; fails when it doesn't come true."""
+    async with asyncio.timeout(WAIT_S):
+        while True:
+            if holds():
+                return
+            await asyncio.sleep(0.005)
+
+
+@asynccontextmanager
+async def fleet(ports, names='ab', executors_count=2, service_ms=20, **cell):
+    """Starts daemons and executors; ends them afterwards."""
+    executors = [
+        ExecutorStandIn(f'127.0.0.1:{ports()}', {'': service_ms})
+        for _ in range(executors_count)
+    ]
+    for executor in executors:
+        await executor.start()
+    shared = Cell(
+        store=cell.pop('store', None) or MemoryTableStore(),
+        hosts=FakeHosts([each.address for each in executors]),
+        clock=SystemClock(),
+        **cell,
+    )
+    addresses = {DaemonId(n): Address(f'127.0.0.1:{ports()}') for n in names}
+    made = Fleet(shared, executors, addresses)
+    made.partitions.move_to(names[-1])
+    try:
+        for name in names:
+            await made.start(name)
+        await made.wait_for_slots(executors_count * 8)
+        yield made
+    finally:
+        for daemon in made.daemons.values():
+            await daemon.kill()
+        for executor in executors:
+            await executor.stop()
+
+
+def request(number, body=b'body', key='', **options) -> ServiceRequest:
+    return ServiceRequest(
+        SERVICE,
+        RequestId(f'r{number}'),
+        body,
+        idempotency_key=IdempotencyKey(key),
+        **options,
+    )
--- /dev/null
+++ b/tests/requests/test_dispatch.py
@@ -0,0 +1,153 @@
+import asyncio
+import json
+
+import pytest
+from aiohttp import web
+
+from radishlift.config.document import Service
+from radishlift.core.clock import SystemClock
+from radishlift.core.errors import Failure, Outcome
+from radishlift.core.ids import ExecutorId
+from radishlift.requests.api import ServiceAnswer
+from radishlift.requests.calls import Call
+from radishlift.requests.dispatch import Dispatcher
+from radishlift.requests.executor_client import ExecutorClient
+from radishlift.requests.limits import ServiceLimits
+from radishlift.requests.slot_views import SlotView
+from tests.requests.daemons import request, wait_until
+from tests.requests.fakes import DEPARTMENT, SERVICE, Cell, FakeConfig
+from tests.standins.executor import ExecutorStandIn, Mode
+
+SERVICE_LIMITS = Service(DEPARTMENT, max_deadline_ms=300)
+
+
+@pytest.fixture
+async def executor(unused_tcp_port):
+    standin = ExecutorStandIn(f'127.0.0.1:{unused_tcp_port}', {'': 10})
+    await standin.start()
+    yield standin
+    await standin.stop()
+
+
+@pytest.fixture
+async def dispatcher():
+    cell = Cell(clock=SystemClock(), config=FakeConfig(SERVICE_LIMITS))
+    client = ExecutorClient(8, 1_000_000)
+    await client.start()
+    limits = ServiceLimits(cell.config)
+    yield Dispatcher(client, limits, cell.clock, cell.settings)
+    await client.stop()
+
+
+async def send(dispatcher, executor, number=1, deadline_ms=150):
+    clock = SystemClock()
+    deadline_at_ms = clock.monotonic_ms() + deadline_ms
+    call = Call(request(number), SERVICE_LIMITS, clock, deadline_at_ms, 0)
+    view = SlotView(ExecutorId(executor.address), SERVICE, busy_count=1)
+    dispatched = await dispatcher.dispatch(view, call, deadline_ms)
+    return dispatched.answer, view
+
+
+def is_own(answer, number) -> bool:
+    echoed = json.loads(answer.body)['request_id']
+    return echoed.startswith(f'r{number}.')
+
+
+@pytest.mark.parametrize(
+    ('mode', 'outcome', 'busy_count'),
+    [
+        (Mode.fail, Outcome.ran, 0),
+        (Mode.short, Outcome.unknown, 1),
+        (Mode.wrong_id, Outcome.unknown, 1),
+        (Mode.hang, Outcome.unknown, 1),
+        (Mode.late, Outcome.unknown, 1),
+        (Mode.refuse, Outcome.not_run, 0),
+    ],
+)
+async def test_failures_tell_what_is_known(
+    dispatcher, executor, mode, outcome, busy_count
+):
+    """Guards against false "not run" and against slots freed too early."""
+    executor.mode = mode
+    if mode is Mode.refuse:
+        await executor.refuse()
+    answer, view = await send(dispatcher, executor)
+    assert isinstance(answer, Failure)
+    assert answer.answer.outcome is outcome
+    assert view.busy_count == busy_count
+    assert bool(executor.executions) is (outcome is not Outcome.not_run)
+    # A late answer or the longest deadline frees the slot in the end.
+    await wait_until(lambda: view.busy_count == 0)
+
+
+async def test_answers_are_never_crossed(dispatcher, executor):
+    """Guards against reuse of a connection that owes an answer."""
+    executor.mode = Mode.late
+    late, _ = await send(dispatcher, executor, 1)
+    executor.mode = Mode.none
+    assert isinstance(late, Failure)
+    for number in range(2, 6):
+        answer, _ = await send(dispatcher, executor, number)
+        assert is_own(answer, number)
+
+
+async def test_crossed_answer_would_be_found(dispatcher, executor, monkeypatch):
+    """Guards against a check of answers that can't fail."""
+    checked = 'radishlift.requests.executor_client._problem'
+    monkeypatch.setattr(checked, lambda *_: '')
+    executor._answer = _other_answer
+    answer, _ = await send(dispatcher, executor)
+    assert isinstance(answer, ServiceAnswer)
+    assert not is_own(answer, 1)
+
+
+async def _other_answer(_mode, _request, _body):
+    body = json.dumps({'request_id': 'r9.00'}).encode()
+    return web.Response(body=body, headers={'X-Request-Id': 'r9.00'})
+
+
+async def test_deadline_before_the_connection_is_not_run(dispatcher, executor):
+    """Guards against a send after the caller was told "not run"."""
+    frozen = asyncio.Event()
+    dispatcher.before_send = frozen.wait
+    answer, view = await send(dispatcher, executor, deadline_ms=20)
+    frozen.set()
+    dispatcher.before_send = None
+    following, _ = await send(dispatcher, executor, 2)
+    assert answer.answer.outcome is Outcome.not_run
+    assert view.busy_count == 0
+    assert is_own(following, 2)
+    assert len(executor.executions) == 1
+
+
+async def test_dropped_connection_is_an_unknown_outcome(dispatcher):
+    """Guards against "not run" once a connection was given."""
+
+    async def drop(_reader, writer):
+        writer.close()
+
+    server = await asyncio.start_server(drop, '127.0.0.1', 0)
+    host, port = server.sockets[0].getsockname()
+    target = ExecutorStandIn(f'{host}:{port}')
+    answer, view = await send(dispatcher, target)
+    server.close()
+    assert answer.answer.outcome is Outcome.unknown
+    assert view.busy_count == 1
+
+
+async def test_body_without_a_marked_end_is_no_answer(dispatcher):
+    """Guards against a cut body that passes for a complete one."""
+
+    async def serve(reader, writer):
+        head = await reader.readuntil(b'\r\n\r\n')
+        lines = head.decode().split('\r\n')
+        echoed = next(line for line in lines if line.startswith('X-Request-Id'))
+        writer.write(f'HTTP/1.1 200 OK\r\n{echoed}\r\n\r\ncut'.encode())
+        writer.close()
+
+    server = await asyncio.start_server(serve, '127.0.0.1', 0)
+    host, port = server.sockets[0].getsockname()
+    answer, _ = await send(dispatcher, ExecutorStandIn(f'{host}:{port}'))
+    server.close()
+    assert answer.answer.outcome is Outcome.unknown
+    assert 'not marked' in answer.reason
