Wire the daemon: identity, control, entry, start and planned stop

Cause: a request has to pass from a caller through any daemon to an executor and back, over separate processes.

Change: composition of platform clients, streams, membership, ownership, partitions, configuration and the request router; readiness follows the configuration; a stop drains requests, gives up slots, then partitions.

No test of it in the suite yet; jobs are not wired.

--- /dev/null
+++ b/src/radishlift/daemon/entry.py
@@ -0,0 +1,91 @@
+"""The parts of a daemon that face callers and operators."""
+
+from aiohttp import web
+
+from radishlift.api.application import Routes, build_application
+from radishlift.api.configuration import ConfigHandlers
+from radishlift.api.limits import ApiSettings, LimitsMiddleware
+from radishlift.api.readiness import ReadinessState
+from radishlift.api.services import ServiceHandlers
+from radishlift.api.status import StatusHandlers
+from radishlift.core.errors import Failure
+from radishlift.daemon.control import Control
+from radishlift.daemon.foundation import Foundation
+from radishlift.report.metrics import Indicator, MetricsTable
+from radishlift.report.settings import ReportSettings
+from radishlift.requests.api import ServiceAnswer, ServiceRequest
+from radishlift.requests.limits import ServiceLimits
+from radishlift.requests.router import RequestRouter, RouterParts
+from radishlift.requests.settings import RequestSettings
+from radishlift.requests.slot_rows import SlotOwner
+from radishlift.requests.slots import SlotAllotments, SlotParts
+from radishlift.requests.targets import TargetList
+from radishlift.settings.daemon import DaemonSettings
+
+
+class Entry:
+    """Builds the request router and the HTTP application."""
+
+    def __init__(self, base: Foundation, control: Control) -> None:
+        self._clock = base.clock
+        self.readiness = ReadinessState()
+        self.router = _build_router(base, control)
+        self.metrics = MetricsTable(
+            control.config,
+            base.settings.get(ReportSettings),
+            base.clock,
+        )
+        api_settings = base.settings.get(ApiSettings)
+        self.limits = LimitsMiddleware(api_settings)
+        change_token = base.settings.get(DaemonSettings).change_token
+        routes: tuple[Routes, ...] = (
+            ServiceHandlers(self._handle_request),
+            ConfigHandlers(control.config, control.config_store, change_token),
+            StatusHandlers(base, control),
+        )
+        self.application: web.Application = build_application(
+            api_settings,
+            self.readiness,
+            self.limits,
+            routes,
+        )
+
+    async def _handle_request(
+        self,
+        request: ServiceRequest,
+    ) -> ServiceAnswer | Failure:
+        started_ms = self._clock.monotonic_ms()
+        answer = await self.router.handle(request)
+        duration_ms = self._clock.monotonic_ms() - started_ms
+        for indicator in (Indicator.latency, Indicator.availability):
+            self.metrics.observe(
+                request.service,
+                indicator,
+                duration_ms,
+                is_ok=isinstance(answer, ServiceAnswer),
+            )
+        return answer
+
+
+def _build_router(base: Foundation, control: Control) -> RequestRouter:
+    settings = base.settings.get(RequestSettings)
+    limits = ServiceLimits(control.config)
+    slot_parts = SlotParts(
+        base.store,
+        base.membership,
+        TargetList(base.host_list, base.clock, settings),
+        limits,
+        base.clock,
+    )
+    owner = SlotOwner(base.member.daemon_id, base.member.incarnation)
+    parts = RouterParts(
+        SlotAllotments(owner, slot_parts, settings),
+        slot_parts,
+        base.network,
+        control.partitions,
+        control.directory,
+    )
+    return RequestRouter(parts, settings)
+
+
+__all__ = ('Entry',)
--- /dev/null
+++ b/src/radishlift/daemon/foundation.py
@@ -0,0 +1,101 @@
+"""What all parts of a daemon stand on: identity, streams, platform, peers."""
+
+from typing import Final
+from uuid import uuid4
+
+from aiohttp import ClientSession, DummyCookieJar
+
+from radishlift.core.clock import Clock, SystemClock
+from radishlift.core.ids import Address, DaemonId, DataCentreId, Incarnation
+from radishlift.daemon.hosts import HostFeed
+from radishlift.membership.api import Member
+from radishlift.membership.daemon_table import DaemonTable
+from radishlift.membership.membership import Membership, parse_seed_peers
+from radishlift.membership.settings import MembershipSettings
+from radishlift.ownership.own_row import OwnRow
+from radishlift.platform.http import (
+    HttpHostList,
+    HttpObjectStore,
+    HttpTableStore,
+    PlatformClient,
+)
+from radishlift.settings.daemon import DaemonSettings, PlatformSettings
+from radishlift.settings.loader import Settings
+from radishlift.wire.network import PeerNetwork
+
+_INCARNATION_LENGTH: Final = 16
+
+
+class Foundation:
+    """Clients and identity of one daemon; needs a running event loop."""
+
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        self.clock: Clock = SystemClock()
+        daemon = settings.get(DaemonSettings)
+        self.member = _member(daemon)
+        self.network = PeerNetwork(
+            self.member.daemon_id,
+            daemon.peer_secret,
+        )
+        platform = settings.get(PlatformSettings)
+        self.session = ClientSession(cookie_jar=DummyCookieJar())
+        self.store = HttpTableStore(
+            self._client(platform.table_address, platform),
+        )
+        self.object_store = HttpObjectStore(
+            self._client(platform.object_address, platform),
+        )
+        self.host_list = HttpHostList(
+            self._client(platform.host_list_address, platform),
+        )
+        self.hosts = HostFeed(self.host_list, platform)
+        self.own_row = OwnRow(self.store, self.clock, self.member)
+        self.table = DaemonTable(self.store, self.clock)
+        self.membership = Membership(
+            self.member,
+            self.network,
+            self.table,
+            self.clock,
+            settings.get(MembershipSettings),
+            parse_seed_peers(daemon.seed_peers),
+        )
+        self.hosts.subscribe(self.membership.observe_hosts)
+
+    async def start(self) -> None:
+        """Listens for peers.
+
+        This comes before the daemon's row is written, since a connection
+        refused at the address in a row is evidence of death.
+        """
+        listen = self.settings.get(DaemonSettings).peer_listen
+        await self.network.start(Address(listen))
+
+    async def stop(self) -> None:
+        """Closes streams and connections."""
+        await self.network.stop()
+        await self.session.close()
+
+    def _client(
+        self,
+        address: str,
+        platform: PlatformSettings,
+    ) -> PlatformClient:
+        return PlatformClient(
+            self.session,
+            Address(address),
+            platform.timeout_ms,
+        )
+
+
+def _member(daemon: DaemonSettings) -> Member:
+    return Member(
+        DaemonId(daemon.daemon_id),
+        Incarnation(uuid4().hex[:_INCARNATION_LENGTH]),
+        Address(daemon.listen),
+        Address(daemon.peer_advertise or daemon.peer_listen),
+        DataCentreId(daemon.data_centre),
+    )
+
+
+__all__ = ('Foundation',)
--- /dev/null
+++ b/src/radishlift/daemon/lifecycle.py
@@ -0,0 +1,132 @@
+"""Start, run and planned stop of a daemon."""
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any, Final
+
+from aiohttp import web
+
+from radishlift.api.readiness import Readiness
+from radishlift.core.errors import Failure
+from radishlift.core.logs import log_event
+from radishlift.daemon.control import Control
+from radishlift.daemon.entry import Entry
+from radishlift.daemon.foundation import Foundation
+from radishlift.ownership.loops import run_ownership
+from radishlift.ownership.settings import OwnershipSettings
+from radishlift.requests.idempotency import IdempotencyTable
+from radishlift.settings.daemon import DaemonSettings
+from radishlift.settings.loader import Settings
+
+_LOOK_S: Final = 0.05
+_MS_PER_S: Final = 1000
+_RELEASE_RETRY_S: Final = 0.2
+
+
+class Daemon:
+    """One running daemon."""
+
+    def __init__(self, settings: Settings) -> None:
+        self._settings = settings.get(DaemonSettings)
+        self._stop = asyncio.Event()
+        self.base = Foundation(settings)
+        self.control = Control(
+            self.base,
+            (IdempotencyTable,),
+            self.request_stop,
+        )
+        self.entry = Entry(self.base, self.control)
+        self._loops: set[asyncio.Task[None]] = set()
+        self._server = web.AppRunner(
+            self.entry.application,
+            access_log=None,
+            shutdown_timeout=self._settings.drain_timeout_ms / _MS_PER_S,
+        )
+
+    def request_stop(self) -> None:
+        """Asks for a planned stop."""
+        self._stop.set()
+
+    async def run(self) -> None:
+        """Runs until a stop is requested, then drains."""
+        await self._start()
+        await self._stop.wait()
+        await self._drain()
+
+    async def _start(self) -> None:
+        await self.base.start()
+        await self._server.setup()
+        host, _, port = self._settings.listen.rpartition(':')
+        await web.TCPSite(self._server, host, int(port)).start()
+        log_event('daemon_started', daemon=self._settings.daemon_id)
+        settings = self.base.settings.get(OwnershipSettings)
+        await self.base.hosts.refresh()
+        await self.base.table.scan()
+        await self.control.config.start()
+        await self.entry.router.start()
+        self._run_loop(self.base.hosts.run())
+        self._run_loop(self.base.membership.run())
+        self._run_loop(self.control.config.run())
+        self._run_loop(self.control.partitions.run_forever())
+        self._run_loop(run_ownership(self.control.ownership, settings))
+        self._run_loop(self._become_ready())
+
+    async def _become_ready(self) -> None:
+        # Without a configuration every request would be refused.
+        while self.control.config.current() is None:
+            await asyncio.sleep(_LOOK_S)
+        if self.entry.readiness.state is Readiness.starting:
+            self.entry.readiness.trigger_event('become_ready')
+            log_event('daemon_ready', daemon=self._settings.daemon_id)
+
+    async def _drain(self) -> None:
+        log_event('drain_started', daemon=self._settings.daemon_id)
+        self.entry.readiness.trigger_event('drain')
+        # The balancer sees the daemon unready before it refuses requests.
+        await asyncio.sleep(self._settings.drain_notice_ms / _MS_PER_S)
+        self.entry.router.begin_drain()
+        timeout_ms = self._settings.drain_timeout_ms
+        is_drained = await self.entry.router.drained(timeout_ms)
+        await self._release_partitions(timeout_ms)
+        await self._server.cleanup()
+        log_event(
+            'drain_ended',
+            daemon=self._settings.daemon_id,
+            is_drained=is_drained,
+        )
+        for loop in self._loops:
+            loop.cancel()
+        await asyncio.gather(*self._loops, return_exceptions=True)
+        await self.entry.router.stop()
+        await self.control.worker_client.close()
+        await self.base.stop()
+
+    async def _release_partitions(self, timeout_ms: int) -> None:
+        if self.control.ownership.is_replaced:
+            return
+        try:
+            async with asyncio.timeout(timeout_ms / _MS_PER_S):
+                while isinstance(await self.control.ownership.stop(), Failure):
+                    await asyncio.sleep(_RELEASE_RETRY_S)
+        except TimeoutError:
+            log_event('release_unfinished', level='WARNING')
+
+    def _run_loop(self, loop: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(loop)
+        self._loops.add(task)
+        task.add_done_callback(self._loop_ended)
+
+    def _loop_ended(self, task: asyncio.Task[None]) -> None:
+        if task.cancelled() or task.exception() is None:
+            return
+        # A daemon with a dead loop would look alive but do only a part of
+        # its work; its process ends so that others take over.
+        log_event(
+            'loop_failed',
+            level='ERROR',
+            error=repr(task.exception()),
+        )
+        self.request_stop()
+
+
+__all__ = ('Daemon',)
--- /dev/null
+++ b/src/radishlift/daemon/main.py
@@ -0,0 +1,56 @@
+"""The program radishliftd."""
+
+import asyncio
+import signal
+import sys
+from argparse import ArgumentParser
+from pathlib import Path
+from typing import Final
+
+from radishlift.core.logs import setup_logs
+from radishlift.daemon.lifecycle import Daemon
+from radishlift.settings.daemon import DaemonSettings
+from radishlift.settings.loader import Settings, load_settings
+
+EXIT_SETTINGS: Final = 2
+
+
+def main() -> int:
+    """Runs the daemon; exit status 2 when the settings are wrong."""
+    parser = ArgumentParser(
+        prog='radishliftd',
+        description='Daemon of the radishlift cluster scheduler.',
+    )
+    parser.add_argument(
+        '--settings',
+        type=Path,
+        required=True,
+        help='INI file with the settings of this daemon',
+    )
+    parser.add_argument(
+        '--check',
+        action='store_true',
+        help='only check the settings',
+    )
+    options = parser.parse_args()
+    settings = load_settings(options.settings)
+    if not isinstance(settings, Settings):
+        for error in settings:
+            print(f'{options.settings}: {error}', file=sys.stderr)
+        return EXIT_SETTINGS
+    if not options.check:
+        setup_logs(settings.get(DaemonSettings).log_level)
+        asyncio.run(_run(settings))
+    return 0
+
+
+async def _run(settings: Settings) -> None:
+    daemon = Daemon(settings)
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, daemon.request_stop)
+    loop.add_signal_handler(signal.SIGINT, daemon.request_stop)
+    await daemon.run()
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/src/radishlift/settings/daemon.py
+++ b/src/radishlift/settings/daemon.py
@@ -25,6 +25,7 @@
     seed_peers: tuple[str, ...] = ()
     peer_secret: str = ''
     change_token: str = ''
+    drain_notice_ms: int = bounded(1_000, 0, 60_000)
     drain_timeout_ms: int = bounded(30_000, 0, 600_000)
     log_level: str = choice('INFO', ('DEBUG', 'INFO', 'WARNING', 'ERROR'))
 
--- a/tests/standins/conditions.py
+++ b/tests/standins/conditions.py
@@ -10,5 +10,5 @@
 async def until(condition: Callable[[], object]) -> None:
     """Waits until a condition holds; fails the test after a long time."""
     async with asyncio.timeout(TIMEOUT_S):
-        while not condition():  # noqa: ASYNC110
+        while not condition():
             await asyncio.sleep(POLL_S)
--- a/tests/system/cell.py
+++ b/tests/system/cell.py
@@ -137,18 +137,23 @@
             str(path),
         )
 
+    @property
+    def partitions(self) -> set[str]:
+        """Names of all partitions."""
+        return {rack for shape in self.shapes for rack in shape.racks}
+
     async def wait_ready(self, names: list[str], timeout_s: float = 30) -> None:
         """Waits until daemons are ready and every partition has an owner."""
 
         async def is_ready() -> bool:
+            running: set[str] = set()
             for name in names:
                 status, _ = await self.get(name, '/ready')
-                if status != 200:
+                _, state = await self.get(name, '/v1/status')
+                if status != 200 or state is None:
                     return False
-            _, state = await self.get(names[0], '/v1/status')
-            return bool(state) and all(
-                partition['is_running'] for partition in state['partitions']
-            )
+                running.update(state['running'])
+            return running >= self.partitions
 
         await self.wait_for(is_ready, timeout_s)
 
--- a/tests/system/shapes.py
+++ b/tests/system/shapes.py
@@ -73,7 +73,8 @@
                 f'[service:{shape.service}]\ndepartment = {shape.department}\n'
                 f'slots_count = {shape.slots_count}\n'
                 f'urgent_classes = {shape.urgent_classes}',
-                f'[objective:{shape.service}_latency]\nsubject = {shape.service}\n'
+                f'[objective:{shape.service}_latency]\n'
+                f'subject = {shape.service}\n'
                 'limit_ms = 1000\ntarget_ratio = 0.99',
                 f'[objective:{shape.department}_waiting]\n'
                 f'subject = {shape.department}\nindicator = waiting\n'
