Route jobs through any daemon to the owner of their home

Cause: callers reach any daemon, while a job is accepted by one owner only.

Change: the router finds the home in the job id or by hash, calls the owner with idempotent messages and repeats after a takeover until the deadline. Once a call may have taken effect, only the home's own answer about the job ends with "not run". Jobs that wait while a partition elsewhere has room are handed off in two journaled steps; a successor of the home repeats a hand-off until it is confirmed, and not afterwards, since the other side may forget ended jobs. Load summaries have a fixed size: one partition in each heartbeat, in turns.

--- /dev/null
+++ b/src/radishlift/partitions/hand_offs.py
@@ -0,0 +1,162 @@
+"""Hands jobs that a partition can't start soon to one with room.
+
+The home journals `HandOffBegun` and `JobHandedOff`, sends the job until the
+other partition has journaled it, and journals `HandOffConfirmed`. A successor
+of the home repeats what is not confirmed; the other side accepts a job once.
+"""
+
+import asyncio
+from collections.abc import Iterator
+from itertools import islice
+
+from radishlift.core.errors import Failure
+from radishlift.core.ids import JobId, PartitionId
+from radishlift.core.logs import log_event
+from radishlift.partitions.hand_off_state import (
+    HandOffBegun,
+    HandOffConfirmed,
+)
+from radishlift.partitions.homes import HomeCaller, OwnerLookup
+from radishlift.partitions.loads import LoadBoard
+from radishlift.partitions.messages import HandOffJob, JobSubmitted
+from radishlift.partitions.open_partition import OpenPartition
+from radishlift.partitions.partitions import Partitions
+from radishlift.partitions.settings import PartitionSettings
+from radishlift.placement.jobs import JobKind
+from radishlift.placement.records import JobHandedOff
+
+_SCAN_COUNT = 500
+
+
+class HandOffCourier:
+    """Hands off jobs of the partitions that are owned here."""
+
+    def __init__(
+        self,
+        partitions: Partitions,
+        caller: HomeCaller,
+        lookup: OwnerLookup,
+        loads: LoadBoard,
+        settings: PartitionSettings,
+    ) -> None:
+        self._partitions = partitions
+        self._caller = caller
+        self._lookup = lookup
+        self._loads = loads
+        self._settings = settings
+
+    async def run_forever(self) -> None:
+        """Hands off jobs until cancelled."""
+        while True:
+            await self.step()
+            await asyncio.sleep(self._settings.hand_off_after_ms / 1000)
+
+    async def step(self) -> None:
+        """Measures the loads, begins hand-offs and sends open ones."""
+        opened = [
+            runner.opened
+            for runner in self._partitions.owned()
+            if runner.opened is not None
+        ]
+        self._loads.update(opened)
+        await asyncio.gather(*(self._serve(one) for one in opened))
+
+    async def _serve(self, opened: OpenPartition) -> None:
+        await self._begin(opened)
+        jobs = opened.states.placement.tables.jobs
+        for job_id, target in list(opened.states.hand_offs.open.items()):
+            row = jobs.row_of.get(job_id)
+            if row is None or jobs.to_partition[row] != target:
+                # The owner stopped between the two records: the job stays.
+                await self._confirm(opened, job_id)
+            else:
+                await self._send(opened, row, target)
+
+    async def _begin(self, opened: OpenPartition) -> None:
+        records: list[object] = []
+        for row in islice(self._waiting(opened), self._batch_count):
+            spec = opened.states.placement.tables.jobs.spec[row]
+            own_id = opened.claim.partition_id
+            others = [
+                partition_id
+                for partition_id in self._lookup.partitions()
+                if partition_id != own_id
+            ]
+            target = self._loads.room_for(others, spec.demand)
+            if target is not None:
+                records.append(HandOffBegun(spec.job_id, target))
+                records.append(JobHandedOff(spec.job_id, target))
+        if records:
+            await self._commit(opened, records)
+
+    @property
+    def _batch_count(self) -> int:
+        return self._settings.hand_off_batch_count
+
+    def _waiting(self, opened: OpenPartition) -> Iterator[int]:
+        """Yields jobs that wait long and of which nothing was started.
+
+        A job that was handed to this partition is not handed on.
+        """
+        jobs = opened.states.placement.tables.jobs
+        oldest_ms = opened.now_ms() - self._settings.hand_off_after_ms
+        for row in islice(jobs.row_of.values(), _SCAN_COUNT):
+            is_fresh = jobs.fresh_index[row] == 0 and not jobs.task_rows[row]
+            is_late = jobs.accepted_at_ms[row] <= oldest_ms
+            is_own = not jobs.from_partition[row]
+            if not (is_fresh and is_late and is_own and jobs.is_open(row)):
+                continue
+            if jobs.spec[row].kind is not JobKind.gang:
+                yield row
+
+    async def _send(
+        self,
+        opened: OpenPartition,
+        row: int,
+        target: PartitionId,
+    ) -> None:
+        jobs = opened.states.placement.tables.jobs
+        spec = jobs.spec[row]
+        accepted_at_ms = jobs.accepted_at_ms[row]
+        reply = await self._caller.call(
+            target,
+            lambda left_ms: HandOffJob(
+                target,
+                spec,
+                accepted_at_ms,
+                opened.claim.partition_id,
+                left_ms,
+            ),
+            self._settings.call_timeout_ms,
+        )
+        if isinstance(reply, JobSubmitted):
+            await self._confirm(opened, spec.job_id)
+            return
+        log_event(
+            'hand_off_not_confirmed',
+            job=spec.job_id,
+            partition=target,
+            reason=reply.reason if isinstance(reply, Failure) else reply,
+        )
+
+    async def _confirm(self, opened: OpenPartition, job_id: JobId) -> None:
+        await self._commit(opened, [HandOffConfirmed(job_id)])
+
+    async def _commit(
+        self,
+        opened: OpenPartition,
+        records: list[object],
+    ) -> None:
+        opened.request_flush(())
+        committing = opened.log.commit(records, self._settings.call_timeout_ms)
+        opened.wake()
+        failure = await committing
+        if failure is not None:
+            log_event(
+                'hand_off_not_journaled',
+                partition=opened.claim.partition_id,
+                reason=failure.reason,
+            )
+
+
+__all__ = ('HandOffCourier',)
--- /dev/null
+++ b/src/radishlift/partitions/job_router.py
@@ -0,0 +1,155 @@
+"""Routes jobs from any daemon to the owners of their home partitions."""
+
+from collections.abc import Callable
+from dataclasses import replace
+from secrets import token_hex
+from typing import Final, TypeVar
+
+from radishlift.core.errors import ErrorKind, Failure
+from radishlift.core.ids import JobId, PartitionId, TaskId
+from radishlift.partitions.homes import HomeCaller, OwnerLookup
+from radishlift.partitions.loads import LoadBoard
+from radishlift.partitions.messages import (
+    CancelJob,
+    ExplainTask,
+    GetJobStatus,
+    JobCancelling,
+    JobMoved,
+    JobStatus,
+    JobSubmitted,
+    SubmitJob,
+    TaskExplanation,
+)
+from radishlift.placement.jobs import JobSpec, job_id_of
+
+Reply = TypeVar('Reply')
+
+_ID_BYTES: Final = 8
+# A job is handed off once; the bound only guards against a faulty journal.
+_MAX_MOVES: Final = 4
+_MAX_ID_CHARS: Final = 200
+
+
+class JobRouter:
+    """The jobs of the cell, as every daemon offers them to callers.
+
+    All calls are idempotent: repeating one returns the first outcome. A
+    failure says "not run" only if no owner can have journaled the job.
+    """
+
+    def __init__(
+        self,
+        caller: HomeCaller,
+        lookup: OwnerLookup,
+        loads: LoadBoard,
+    ) -> None:
+        self._caller = caller
+        self._lookup = lookup
+        self._loads = loads
+
+    async def submit(
+        self,
+        spec: JobSpec,
+        timeout_ms: int,
+    ) -> JobSubmitted | Failure:
+        """Submits a job; one without an id gets `<partition>.<random>`."""
+        identified = self._identify(spec)
+        if isinstance(identified, Failure):
+            return identified
+        home = self._lookup.home_of(identified.job_id)
+        if home is None:
+            return _no_partition()
+        return await self._caller.call(
+            home,
+            lambda left_ms: SubmitJob(home, identified, left_ms),
+            timeout_ms,
+        )
+
+    async def cancel(
+        self,
+        job_id: JobId,
+        timeout_ms: int,
+    ) -> JobCancelling | Failure:
+        """Cancels a job, also after it was handed off."""
+        return await self._follow(
+            job_id,
+            lambda partition_id, left_ms: CancelJob(
+                partition_id,
+                job_id,
+                left_ms,
+            ),
+            timeout_ms,
+        )
+
+    async def status(
+        self,
+        job_id: JobId,
+        timeout_ms: int,
+    ) -> JobStatus | Failure:
+        """Returns the states of a job's tasks."""
+        return await self._follow(
+            job_id,
+            lambda partition_id, _: GetJobStatus(partition_id, job_id),
+            timeout_ms,
+        )
+
+    async def explain(
+        self,
+        task_id: TaskId,
+        timeout_ms: int,
+    ) -> TaskExplanation | Failure:
+        """Returns where a task runs or why it does not."""
+        return await self._follow(
+            job_id_of(task_id),
+            lambda partition_id, _: ExplainTask(partition_id, task_id),
+            timeout_ms,
+        )
+
+    def _identify(self, spec: JobSpec) -> JobSpec | Failure:
+        if len(spec.job_id) > _MAX_ID_CHARS:
+            reason = f'job_id is longer than {_MAX_ID_CHARS} characters'
+            return Failure(ErrorKind.invalid_input, reason)
+        if spec.job_id:
+            return spec
+        home = self._loads.choose(self._lookup.partitions(), spec.demand)
+        if home is None:
+            return _no_partition()
+        return replace(spec, job_id=JobId(f'{home}.{token_hex(_ID_BYTES)}'))
+
+    async def _follow(
+        self,
+        job_id: JobId,
+        message_of: Callable[[PartitionId, int], object],
+        timeout_ms: int,
+    ) -> Reply | Failure:
+        partition_id = self._lookup.home_of(job_id)
+        for _ in range(_MAX_MOVES):
+            if partition_id is None:
+                return _no_partition()
+            reply = await self._caller.call(
+                partition_id,
+                _bind(message_of, partition_id),
+                timeout_ms,
+            )
+            if not isinstance(reply, JobMoved):
+                return reply
+            partition_id = reply.to_partition
+        reason = f'{job_id} was handed off more than {_MAX_MOVES} times'
+        return Failure(ErrorKind.internal, reason)
+
+
+def _bind(
+    message_of: Callable[[PartitionId, int], object],
+    partition_id: PartitionId,
+) -> Callable[[int], object]:
+    return lambda left_ms: message_of(partition_id, left_ms)
+
+
+def _no_partition() -> Failure:
+    return Failure(
+        ErrorKind.no_configuration,
+        'the configuration in force has no partition',
+    )
+
+
+__all__ = ('JobRouter',)
--- /dev/null
+++ b/src/radishlift/partitions/loads.py
@@ -0,0 +1,170 @@
+"""Load summaries of partitions, spread with the heartbeats of daemons."""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+from random import Random
+from typing import Final
+
+from radishlift.core.ids import PartitionId
+from radishlift.partitions.open_partition import OpenPartition
+from radishlift.placement.jobs import Resources
+from radishlift.placement.partition_tables import PartitionTables
+
+SUMMARY_NAME: Final = 'partitions'
+
+_FIELDS: Final = ('load', 'cpu', 'memory', 'accelerators')
+_SEPARATOR: Final = ':'
+_QUEUE_SCAN_COUNT: Final = 1_000
+
+
+@dataclass(frozen=True, slots=True)
+class PartitionLoad:
+    """Load of a partition.
+
+    `load_ratio` is the committed and queued processor share of the capacity;
+    `largest_free` is what the emptiest workers have free, by dimension.
+    """
+
+    partition_id: PartitionId
+    load_ratio: float
+    largest_free: Resources
+
+    def fits(self, demand: Resources) -> bool:
+        """Tells whether a task of this demand may fit now."""
+        free = self.largest_free
+        return (
+            demand.cpu_milli <= free.cpu_milli
+            and demand.memory_mb <= free.memory_mb
+            and demand.accelerators_count <= free.accelerators_count
+        )
+
+
+class LoadBoard:
+    """The latest load of each partition that this daemon has heard of."""
+
+    def __init__(self, random: Random) -> None:
+        self._random = random
+        self._loads: dict[PartitionId, PartitionLoad] = {}
+        self._owned: tuple[PartitionId, ...] = ()
+        self._turn = 0
+
+    def update(self, opened: Iterable[OpenPartition]) -> None:
+        """Takes the load of the partitions that are owned here."""
+        loads = [measure_load(partition) for partition in opened]
+        self._owned = tuple(load.partition_id for load in loads)
+        for load in loads:
+            self._loads[load.partition_id] = load
+
+    def summary(self) -> dict[str, float]:
+        """Returns the load of one owned partition, in turns.
+
+        The size is fixed, so that heartbeats stay small with any number of
+        partitions.
+        """
+        if not self._owned:
+            return {}
+        self._turn = (self._turn + 1) % len(self._owned)
+        load = self._loads[self._owned[self._turn]]
+        free = load.largest_free
+        numbers = (
+            load.load_ratio,
+            free.cpu_milli,
+            free.memory_mb,
+            free.accelerators_count,
+        )
+        return {
+            f'{load.partition_id}{_SEPARATOR}{name}': number
+            for name, number in zip(_FIELDS, numbers, strict=True)
+        }
+
+    def absorb(self, summary: Mapping[str, float]) -> None:
+        """Takes over the summary of a peer; a bad one is ignored."""
+        names = {name.rpartition(_SEPARATOR)[0] for name in summary}
+        for partition_id in names:
+            numbers = [
+                summary.get(f'{partition_id}{_SEPARATOR}{name}')
+                for name in _FIELDS
+            ]
+            known = [number for number in numbers if number is not None]
+            if len(known) == len(_FIELDS) and partition_id not in self._owned:
+                self._loads[PartitionId(partition_id)] = PartitionLoad(
+                    PartitionId(partition_id),
+                    known[0],
+                    Resources(*(int(number) for number in known[1:])),
+                )
+
+    def choose(
+        self,
+        partitions: Iterable[PartitionId],
+        demand: Resources,
+    ) -> PartitionId | None:
+        """Picks the less loaded of two random partitions.
+
+        One where the demand fits is preferred. Partitions of unknown load
+        count as half loaded.
+        """
+        known = sorted(partitions)
+        if not known:
+            return None
+        drawn = self._random.sample(known, min(2, len(known)))
+        return min(drawn, key=lambda one: self._rank(one, demand))
+
+    def room_for(
+        self,
+        partitions: Iterable[PartitionId],
+        demand: Resources,
+    ) -> PartitionId | None:
+        """Picks of two random partitions with room the less loaded one."""
+        with_room = [
+            partition_id
+            for partition_id in partitions
+            if partition_id in self._loads
+            and self._loads[partition_id].fits(demand)
+            and self._loads[partition_id].load_ratio < 1
+        ]
+        return self.choose(with_room, demand)
+
+    def _rank(
+        self,
+        partition_id: PartitionId,
+        demand: Resources,
+    ) -> tuple[bool, float]:
+        load = self._loads.get(partition_id)
+        if load is None:
+            return False, 0.5
+        return not load.fits(demand), load.load_ratio
+
+
+def measure_load(opened: OpenPartition) -> PartitionLoad:
+    """Measures a partition; scans its workers, at most 400."""
+    tables = opened.states.placement.tables
+    workers = tables.workers
+    rows = [row for row in workers.row_of.values() if workers.can_take(row)]
+    total_cpu = sum(workers.worker_info[row].capacity.cpu_milli for row in rows)
+    free_cpu = [workers.free_cpu[row] for row in rows]
+    wanted_cpu = total_cpu - sum(free_cpu) + _queued_cpu(tables)
+    free_accelerators = [workers.free_accelerators[row] for row in rows]
+    return PartitionLoad(
+        opened.claim.partition_id,
+        wanted_cpu / total_cpu if total_cpu else 1,
+        Resources(
+            max(free_cpu, default=0),
+            max((workers.free_memory[row] for row in rows), default=0),
+            max(free_accelerators, default=0),
+        ),
+    )
+
+
+def _queued_cpu(tables: PartitionTables) -> int:
+    # Bounded: with more open jobs than this the load is above any other.
+    queued_cpu = 0
+    jobs = tables.jobs
+    for scanned, row in enumerate(jobs.row_of.values()):
+        if scanned >= _QUEUE_SCAN_COUNT:
+            break
+        spec = jobs.spec[row]
+        queued_cpu += jobs.startable_count(row) * spec.demand.cpu_milli
+    return queued_cpu
+
+
+__all__ = ('SUMMARY_NAME', 'LoadBoard', 'PartitionLoad', 'measure_load')
--- a/tests/partitions/cell.py
+++ b/tests/partitions/cell.py
@@ -8,6 +8,7 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
+from random import Random
 from typing import Any
 
 from radishlift.config.document import ConfigDocument, Partition
@@ -30,7 +31,13 @@
 from radishlift.journal.budget import FlushScheduler
 from radishlift.journal.settings import JournalSettings
 from radishlift.ownership.api import OWNERS_TABLE, OwnerClaim
+from radishlift.ownership.directory import OwnerDirectory
 from radishlift.ownership.owner_rows import OwnerRow
+from radishlift.partitions.hand_offs import HandOffCourier
+from radishlift.partitions.homes import HomeCaller, OwnerLookup
+from radishlift.partitions.job_router import JobRouter
+from radishlift.partitions.job_server import JobServer
+from radishlift.partitions.loads import LoadBoard
 from radishlift.partitions.open_partition import OpenPartition
 from radishlift.partitions.partitions import Partitions
 from radishlift.partitions.parts import DaemonParts, PartitionSettingsSet
@@ -58,6 +65,7 @@
 from tests.standins.worker_model import WorkerOptions
 
 PARTITION = PartitionId('p1')
+OTHER_PARTITION = PartitionId('p2')
 LEASE_MS = 500
 
 
@@ -136,6 +144,8 @@
     parts: DaemonParts
     partitions: Partitions
     loop: asyncio.Task[None]
+    router: JobRouter
+    courier: HandOffCourier
 
     def opened(self, partition_id: PartitionId = PARTITION) -> OpenPartition:
         """Returns the recovered partition."""
@@ -177,7 +187,10 @@
         self.owners: dict[str, Owner] = {}
         self.document = ConfigDocument(
             ConfigVersion(1),
-            partitions={PARTITION: Partition(('r1',))},
+            partitions={
+                PARTITION: Partition(('r1',)),
+                OTHER_PARTITION: Partition(('r2',)),
+            },
         )
         self._addresses: dict[DaemonId, Address] = {}
 
@@ -232,11 +245,23 @@
             scheduler=FlushScheduler(clock, self.settings.journal),
             settings=self.settings,
         )
-        partitions = Partitions(
-            parts, Config(self.document), dispatcher_type=dispatcher_type
+        config = Config(self.document)
+        partitions = Partitions(parts, config, dispatcher_type=dispatcher_type)
+        lookup = OwnerLookup(OwnerDirectory(config), parts.store, clock)
+        caller = HomeCaller(parts, lookup)
+        loads = LoadBoard(Random(name))
+        JobServer(network, partitions)
+        owner = Owner(
+            name,
+            parts.store,
+            parts,
+            partitions,
+            asyncio.create_task(partitions.run_forever()),
+            JobRouter(caller, lookup, loads),
+            HandOffCourier(
+                partitions, caller, lookup, loads, self.settings.partitions
+            ),
         )
-        loop = asyncio.create_task(partitions.run_forever())
-        owner = Owner(name, parts.store, parts, partitions, loop)
         self.owners[name] = owner
         for known in self.owners.values():
             known.parts.network.set_peers(self._addresses)
@@ -288,4 +313,12 @@
         await cell.close()
 
 
-__all__ = ('LEASE_MS', 'PARTITION', 'Cell', 'Owner', 'make_job', 'open_cell')
+__all__ = (
+    'LEASE_MS',
+    'OTHER_PARTITION',
+    'PARTITION',
+    'Cell',
+    'Owner',
+    'make_job',
+    'open_cell',
+)
--- /dev/null
+++ b/tests/partitions/test_job_router.py
@@ -0,0 +1,152 @@
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import pytest
+
+from radishlift.core.errors import ErrorKind, Failure, Outcome
+from radishlift.core.ids import JobId
+from radishlift.partitions.hand_off_state import HandOffBegun
+from radishlift.partitions.intake import status
+from radishlift.partitions.messages import JobStatus, JobSubmitted
+from radishlift.placement.jobs import Resources, TaskState, task_id_of
+from radishlift.placement.records import JobHandedOff
+from tests.partitions.cell import (
+    OTHER_PARTITION,
+    PARTITION,
+    Cell,
+    Owner,
+    make_job,
+    open_cell,
+)
+from tests.standins.conditions import until, until_after
+
+HOME_JOB = 'p1.job'
+WHOLE_WORKER = Resources(30_000, 2_000)
+
+
+@asynccontextmanager
+async def open_pair() -> AsyncIterator[tuple[Cell, Owner, Owner]]:
+    """Opens two daemons that own one partition each."""
+    async with open_cell() as cell:
+        await cell.add_worker(rack='r2')
+        first = await cell.add_owner('a')
+        second = await cell.add_owner('b')
+        await first.claim(PARTITION)
+        await second.claim(OTHER_PARTITION)
+        yield cell, first, second
+
+
+async def test_repeat_through_any_daemon_returns_the_first_acceptance():
+    """Guards against a job that runs twice because its answer was lost."""
+    async with open_pair() as (cell, first, second):
+        spec = make_job(HOME_JOB)
+        accepted = await first.router.submit(spec, 2000)
+        assert isinstance(accepted, JobSubmitted)
+        assert await second.router.submit(spec, 2000) == accepted
+        other = await second.router.submit(
+            make_job(HOME_JOB, task_count=2), 2000
+        )
+        assert isinstance(other, Failure)
+        assert other.kind is ErrorKind.conflict
+        await until(lambda: cell.executions() == 1)
+
+
+async def test_job_without_id_gets_one_that_names_its_home():
+    """Guards against ids whose home no other daemon finds."""
+    async with open_pair() as (_, first, second):
+        accepted = await first.router.submit(make_job(''), 2000)
+        assert isinstance(accepted, JobSubmitted)
+        assert accepted.job_id.startswith(f'{accepted.partition_id}.')
+        shown = await second.router.status(accepted.job_id, 2000)
+        assert isinstance(shown, JobStatus)
+        explained = await second.router.explain(
+            task_id_of(accepted.job_id, 0), 2000
+        )
+        assert not isinstance(explained, Failure)
+        absent = await second.router.explain(
+            task_id_of(accepted.job_id, 1), 2000
+        )
+        assert isinstance(absent, Failure)
+
+
+async def test_submission_follows_a_takeover():
+    """Guards against a refusal while another daemon takes over."""
+    async with open_pair() as (cell, first, second):
+        spec = make_job(HOME_JOB)
+        accepted = await second.router.submit(spec, 2000)
+        await first.kill()
+        cell.members.dead.add(('a', 'a-1'))
+        await second.claim(PARTITION)
+        assert await second.router.submit(spec, 2000) == accepted
+
+
+@pytest.mark.parametrize(
+    ('has_died', 'expected'),
+    [(False, Outcome.unknown), (True, Outcome.not_run)],
+)
+async def test_unanswered_submission_has_a_true_outcome(has_died, expected):
+    """Guards against "not run" for a job that its home may have accepted."""
+    async with open_pair() as (_, first, second):
+        # The home takes the call but its loop does not flush: no answer.
+        first.loop.cancel()
+        if has_died:
+            await first.kill()
+        outcome = await second.router.submit(make_job(HOME_JOB), 400)
+        assert isinstance(outcome, Failure)
+        assert outcome.answer.outcome is expected
+
+
+async def fill_home(owner: Owner) -> None:
+    await owner.router.submit(
+        make_job('p1.full', demand=WHOLE_WORKER), timeout_ms=2000
+    )
+
+
+async def test_waiting_job_is_handed_to_a_partition_with_room():
+    """Guards against a job that waits while another partition is idle."""
+    async with open_pair() as (cell, first, second):
+        await fill_home(first)
+        await first.router.submit(make_job(HOME_JOB, demand=WHOLE_WORKER), 2000)
+
+        async def exchange_loads():
+            await second.courier.step()
+            first.courier._loads.absorb(second.courier._loads.summary())
+            await first.courier.step()
+
+        await until_after(exchange_loads, lambda: cell.executions() == 2)
+        assert len(cell.workers[1].model.record) == 1
+        await until(lambda: not first.opened().states.hand_offs.open)
+        shown = await first.router.status(JobId(HOME_JOB), 2000)
+        assert isinstance(shown, JobStatus)
+        assert shown.partition_id == OTHER_PARTITION
+        cancelled = await second.router.cancel(JobId(HOME_JOB), 2000)
+        assert not isinstance(cancelled, Failure)
+        await until(lambda: cell.running() == 1)
+        cell.check()
+
+
+@pytest.mark.parametrize('is_closed', [False, True])
+async def test_hand_off_survives_a_crash_of_the_home(is_closed):
+    """Guards against a job that neither partition runs after a crash."""
+    async with open_pair() as (cell, first, _):
+        await fill_home(first)
+        await first.router.submit(make_job(HOME_JOB, demand=WHOLE_WORKER), 2000)
+        records = [HandOffBegun(JobId(HOME_JOB), OTHER_PARTITION)]
+        if is_closed:
+            records.append(JobHandedOff(JobId(HOME_JOB), OTHER_PARTITION))
+        runner = first.partitions.get(PARTITION)
+        assert await runner.commit(records, 2000) is None
+        await first.kill()
+        cell.members.dead.add(('a', 'a-1'))
+        successor = await cell.add_owner('c')
+        await successor.claim(PARTITION)
+        opened = successor.opened()
+        await successor.courier.step()
+        assert not opened.states.hand_offs.open
+        home = status(opened, JobId(HOME_JOB))
+        assert isinstance(home, JobStatus) is not is_closed
+        if is_closed:
+            await until(lambda: len(cell.workers[1].model.record) == 1)
+        else:
+            assert home.task_counts == {TaskState.queued: 1}
+        cell.check()
