Add the operators' console of forms without scripts

Operators change the cell through forms whose output is the one document. Errors are shown beside their fields; a change is reviewed as a difference before it is accepted; a conflict shows both sides and can be reviewed on top of the version that won. All text is escaped by the builder of elements, so that a page can't forget it.

A change needs the change token and a value per form. The value is keyed by the change token because any daemon behind the load balancer may receive the form; a key per process was ruled out for that reason.

--- a/src/radishlift/config/spreader.py
+++ b/src/radishlift/config/spreader.py
@@ -5,7 +5,11 @@
 from collections.abc import Callable
 from typing import Final
 
-from radishlift.config.changes import Change, ChangeAccepted, ChangeResult
+from radishlift.config.changes import (
+    Change,
+    ChangeAccepted,
+    ChangeResult,
+)
 from radishlift.config.document import ConfigDocument
 from radishlift.config.exchange import PeerExchange
 from radishlift.config.fleet import Fleet
@@ -17,6 +21,7 @@
 from radishlift.config.settings import ConfigSettings
 from radishlift.config.store import ConfigStore
 from radishlift.core.clock import Clock
+from radishlift.core.errors import Failure
 from radishlift.core.ids import ConfigVersion, DaemonId
 from radishlift.core.logs import log_event
 from radishlift.membership.api import MemberDirectory
@@ -35,6 +40,8 @@
 class ConfigSpreader:
     """The configuration in force in this daemon, a `ConfigView`.
 
+    `store` has the stored versions and their history.
+
     Versions only go up. They come from the peers' updates and, as repair,
     from the head row that is polled.
     """
@@ -48,7 +55,7 @@
         settings: ConfigSettings,
         clock: Clock,
     ) -> None:
-        self._config_store = config_store
+        self.store = config_store
         self._settings = settings
         self._clock = clock
         self._fleet = Fleet(directory, network.daemon_id)
@@ -96,7 +103,7 @@
 
     async def change(self, change: Change) -> ChangeResult:
         """Stores a change, puts it in force here and pushes it to peers."""
-        return self._spread(await self._config_store.change(change))
+        return self._spread(await self.store.change(change))
 
     async def rollback(
         self,
@@ -107,9 +114,19 @@
     ) -> ChangeResult:
         """Stores an earlier text as a new version and spreads it."""
         return self._spread(
-            await self._config_store.rollback(target, base, who, why),
+            await self.store.rollback(target, base, who, why),
         )
 
+    async def document_at(
+        self,
+        version: ConfigVersion,
+    ) -> ConfigDocument | Failure:
+        """Returns a kept version, that in force without the store."""
+        document = self._held.document
+        if document is not None and document.version == version:
+            return document
+        return await self.store.document(version)
+
     async def start(self) -> ConfigDocument | None:
         """Takes the newest version of the store and the peers.
 
--- a/src/radishlift/config/store.py
+++ b/src/radishlift/config/store.py
@@ -123,6 +123,14 @@
             return _not_run(row)
         return await self.change(Change(row.text, base, who, why))
 
+    async def document(
+        self,
+        version: ConfigVersion,
+    ) -> ConfigDocument | Failure:
+        """Reads a kept version; fails with `not_found` for others."""
+        document = await self._reader.document(version)
+        return _not_run(document) if isinstance(document, Failure) else document
+
     async def history(
         self,
         before: ConfigVersion | None = None,
--- a/src/radishlift/config/versions.py
+++ b/src/radishlift/config/versions.py
@@ -5,9 +5,10 @@
 
 from radishlift.config.changes import ConflictField, HistoryEntry
 from radishlift.config.checks import POLICY_NAMES
+from radishlift.config.document import ConfigDocument
 from radishlift.config.kinds import sections_of
 from radishlift.config.merge import diff_sections
-from radishlift.config.parsing import parse_document
+from radishlift.config.parsing import build_document, parse_document
 from radishlift.config.rows import (
     ConfigRow,
     Head,
@@ -60,6 +61,20 @@
             self.remember(version, sections)
         return sections
 
+    async def document(
+        self,
+        version: ConfigVersion,
+    ) -> ConfigDocument | Failure:
+        """Returns a kept version; version 0 is the empty document."""
+        sections = await self.sections(version)
+        if isinstance(sections, Failure):
+            return sections
+        document = build_document(sections, version, self._policies)
+        if isinstance(document, tuple):
+            reason = f'version {version}: {document[0]}'
+            return Failure(ErrorKind.internal, reason)
+        return document
+
     async def history(
         self,
         newest: ConfigVersion,
--- /dev/null
+++ b/src/radishlift/console/accepting.py
@@ -0,0 +1,144 @@
+"""Accepts reviewed changes and shows what became of them."""
+
+from typing import Final
+
+from aiohttp import web
+
+from radishlift.config.changes import (
+    Change,
+    ChangeAccepted,
+    ChangeConflict,
+    ChangeInvalid,
+)
+from radishlift.config.kinds import sections_of
+from radishlift.config.merge import apply_delta, delta_between
+from radishlift.config.parsing import build_document, parse_document
+from radishlift.config.text import render_sections
+from radishlift.console.forms import BASE_FIELD, draw_errors
+from radishlift.console.guard import TOKEN_FIELD
+from radishlift.console.html import hidden, table, tag
+from radishlift.console.page import Page
+from radishlift.console.review import (
+    draw_changes,
+    posted_document,
+    posted_version,
+    show_review,
+    show_text_form,
+)
+from radishlift.core.errors import Failure
+
+REBASE_PATH: Final = '/console/rebase'
+
+_HEADINGS: Final = (
+    'section',
+    'key',
+    'before both',
+    'theirs',
+    'changed by',
+    'in version',
+    'yours',
+)
+
+
+async def accept(page: Page) -> web.Response:
+    """Stores a reviewed change if the change token is valid."""
+    posted = await page.read_form()
+    if isinstance(posted, web.Response):
+        return posted
+    base = posted_version(posted)
+    if base is None:
+        return page.refuse('Form refused', 'The base version is missing.', 400)
+    if not page.context.guard.is_token(posted.get(TOKEN_FIELD, '')):
+        reason = 'The change token is wrong or not set up. Nothing was changed.'
+        return page.refuse('Outcome: not run', reason, 403)
+    change = Change(
+        posted.get('text', ''),
+        base,
+        posted.get('who', ''),
+        posted.get('why', ''),
+    )
+    outcome = await page.context.config.change(change)
+    match outcome:
+        case ChangeAccepted():
+            return _show_accepted(page, outcome)
+        case ChangeInvalid():
+            return show_text_form(page, change.text, base, outcome.errors)
+        case ChangeConflict():
+            return _show_conflict(page, change, outcome)
+    return page.fail(outcome)
+
+
+async def rebase(page: Page) -> web.Response:
+    """Reviews a conflicting change on top of the version that won.
+
+    Sections of the change replace those of the other operator; the review
+    shows what that reverts.
+    """
+    posted = await page.read_form()
+    if isinstance(posted, web.Response):
+        return posted
+    base = await posted_document(page, posted)
+    head = await posted_document(page, posted, 'head')
+    if isinstance(base, Failure):
+        return page.fail(base)
+    if isinstance(head, Failure):
+        return page.fail(head)
+    policies = page.context.config.store.policies
+    ours = parse_document(posted.get('text', ''), base.version, policies)
+    if isinstance(ours, tuple):
+        return show_text_form(page, posted.get('text', ''), base.version, ours)
+    delta = delta_between(sections_of(base), sections_of(ours))
+    sections = apply_delta(sections_of(head), delta)
+    document = build_document(sections, head.version, policies)
+    if isinstance(document, tuple):
+        text = render_sections(sections)
+        return show_text_form(page, text, head.version, document)
+    return show_review(page, head, document)
+
+
+def _show_accepted(page: Page, accepted: ChangeAccepted) -> web.Response:
+    merged = ', '.join(accepted.merged)
+    note = f'Merged with racing changes of: {merged}' if merged else None
+    return page.show(
+        f'Version {accepted.version} is accepted',
+        tag('p', note),
+        draw_changes(accepted.changes),
+        tag('p', tag('a', 'Where it is in force', href='/console/state')),
+    )
+
+
+def _show_conflict(
+    page: Page,
+    change: Change,
+    conflict: ChangeConflict,
+) -> web.Response:
+    rows = [
+        (
+            field.section,
+            field.key,
+            field.base,
+            field.theirs,
+            field.who,
+            field.version,
+            field.ours,
+        )
+        for field in conflict.fields
+    ]
+    retry = page.form(
+        REBASE_PATH,
+        hidden(BASE_FIELD, change.base),
+        hidden('head', conflict.head),
+        hidden('text', change.text),
+        tag('button', f'Review yours on version {conflict.head}'),
+    )
+    return page.show(
+        'Conflict: nothing was changed',
+        draw_errors(conflict.errors),
+        table(_HEADINGS, rows),
+        retry,
+        tag('p', tag('a', 'Drop your change', href='/console')),
+        status=409,
+    )
+
+
+__all__ = ('REBASE_PATH', 'accept', 'rebase')
--- /dev/null
+++ b/src/radishlift/console/context.py
@@ -0,0 +1,25 @@
+"""What the console's pages work on."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+from radishlift.config.spreader import ConfigSpreader
+from radishlift.console.guard import ConsoleGuard
+from radishlift.console.status import StatusProvider
+from radishlift.core.errors import Failure
+from radishlift.report.burn import BurnReport
+
+ReportSource = Callable[[], Awaitable[BurnReport | Failure]]
+
+
+@dataclass(frozen=True, slots=True)
+class ConsoleContext:
+    """The configuration, the state of the cell, the report and the guard."""
+
+    config: ConfigSpreader
+    status: StatusProvider
+    report: ReportSource
+    guard: ConsoleGuard
+
+
+__all__ = ('ConsoleContext', 'ReportSource')
--- /dev/null
+++ b/src/radishlift/console/guard.py
@@ -0,0 +1,104 @@
+"""Protects changes: the change token and a value for each form."""
+
+import hashlib
+import hmac
+import secrets
+from collections.abc import Mapping
+from typing import Final
+
+from aiohttp import web
+
+COOKIE_NAME: Final = 'radishlift_form'
+FORM_FIELD: Final = 'form_value'
+TOKEN_FIELD: Final = 'change_token'
+STYLE_PATH: Final = '/console/style.css'
+
+SECURITY_HEADERS: Final = {
+    'Content-Security-Policy': (
+        "default-src 'none'; style-src 'self'; form-action 'self'; "
+        "base-uri 'none'; frame-ancestors 'none'"
+    ),
+    'X-Content-Type-Options': 'nosniff',
+    'X-Frame-Options': 'DENY',
+    'Referrer-Policy': 'no-referrer',
+    'Cross-Origin-Opener-Policy': 'same-origin',
+    'Cross-Origin-Resource-Policy': 'same-origin',
+    'Cache-Control': 'no-store',
+}
+
+_COOKIE_BYTES: Final = 24
+
+
+class ConsoleGuard:
+    """Checks the change token and the forms' values.
+
+    A form's value is a keyed hash of its browser's random cookie and the
+    form's name. The key comes from the change token, which all daemons have:
+    a form may be shown by one daemon and received by another.
+    """
+
+    def __init__(self, change_token: str) -> None:
+        self._token = change_token
+        key = change_token or secrets.token_hex(_COOKIE_BYTES)
+        self._form_key = hashlib.sha256(f'console form {key}'.encode()).digest()
+
+    @property
+    def allows_changes(self) -> bool:
+        """Tells whether a change token is set; without one none is valid."""
+        return bool(self._token)
+
+    def browser_of(self, request: web.Request) -> str:
+        """Returns the browser's random cookie, or a new one."""
+        return request.cookies.get(COOKIE_NAME) or secrets.token_urlsafe(
+            _COOKIE_BYTES,
+        )
+
+    def form_value(self, browser: str, form_name: str) -> str:
+        """Returns the value that a form of this browser must carry."""
+        signed = f'{form_name}\n{browser}'.encode()
+        return hmac.new(self._form_key, signed, 'sha256').hexdigest()
+
+    def is_own_form(
+        self,
+        request: web.Request,
+        fields: Mapping[str, str],
+        form_name: str,
+    ) -> bool:
+        """Tells whether a form was shown by the console to this browser."""
+        browser = request.cookies.get(COOKIE_NAME, '')
+        expected = self.form_value(browser, form_name)
+        given = fields.get(FORM_FIELD, '')
+        return bool(browser) and _is_equal(expected, given)
+
+    def is_token(self, given: str) -> bool:
+        """Tells whether a change token is valid."""
+        return self.allows_changes and _is_equal(self._token, given)
+
+    def protect(self, response: web.Response, browser: str) -> web.Response:
+        """Sets the cookie and the security headers of a response."""
+        response.headers.update(SECURITY_HEADERS)
+        response.set_cookie(
+            COOKIE_NAME,
+            browser,
+            path='/console',
+            httponly=True,
+            samesite='Strict',
+        )
+        return response
+
+
+def _is_equal(expected: str, given: str) -> bool:
+    return hmac.compare_digest(
+        expected.encode('utf-8', 'surrogatepass'),
+        given.encode('utf-8', 'surrogatepass'),
+    )
+
+
+__all__ = (
+    'COOKIE_NAME',
+    'FORM_FIELD',
+    'SECURITY_HEADERS',
+    'STYLE_PATH',
+    'TOKEN_FIELD',
+    'ConsoleGuard',
+)
--- /dev/null
+++ b/src/radishlift/console/review.py
@@ -0,0 +1,129 @@
+"""Shows the difference that a change makes, and its text to correct."""
+
+from collections.abc import Iterable, Mapping
+from typing import Final
+
+from aiohttp import web
+
+from radishlift.config.document import ConfigDocument
+from radishlift.config.kinds import sections_of
+from radishlift.config.merge import FieldChange, diff_sections
+from radishlift.config.parsing import render_document
+from radishlift.console.forms import BASE_FIELD, draw_errors
+from radishlift.console.guard import TOKEN_FIELD
+from radishlift.console.html import Html, hidden, table, tag
+from radishlift.console.page import Page
+from radishlift.core.errors import ErrorKind, Failure
+from radishlift.core.ids import ConfigVersion
+from radishlift.settings.sections import SettingsError
+
+TEXT_PATH: Final = '/console/text'
+ACCEPT_PATH: Final = '/console/accept'
+
+_HEADINGS: Final = ('section', 'key', 'before', 'after')
+_MAX_VERSION_DIGITS: Final = 12
+
+
+def show_review(
+    page: Page,
+    base: ConfigDocument,
+    document: ConfigDocument,
+) -> web.Response:
+    """Shows the difference to the base and the form that accepts it."""
+    changes = diff_sections(sections_of(base), sections_of(document))
+    if not changes:
+        return page.show('Review', tag('p', 'This changes nothing.'))
+    fields = [
+        hidden('text', render_document(document)),
+        hidden(BASE_FIELD, base.version),
+        labelled('who', 'Your name'),
+        labelled('why', 'Reason'),
+        labelled(TOKEN_FIELD, 'Change token', 'password'),
+        tag('button', 'Accept change', type='submit'),
+    ]
+    return page.show(
+        'Review',
+        tag('p', f'Changes to version {base.version}:'),
+        draw_changes(changes),
+        page.form(ACCEPT_PATH, fields),
+    )
+
+
+def draw_changes(changes: Iterable[FieldChange]) -> Html:
+    """Builds a table of the fields that differ."""
+    rows = [
+        (
+            change.section,
+            change.key,
+            tag('span', change.before, class_='before'),
+            tag('span', change.after, class_='after'),
+        )
+        for change in changes
+    ]
+    return table(_HEADINGS, rows)
+
+
+def show_text_form(
+    page: Page,
+    text: str,
+    base: ConfigVersion,
+    errors: tuple[SettingsError, ...] = (),
+) -> web.Response:
+    """Shows a text to edit, with the errors that it has."""
+    form = page.form(
+        TEXT_PATH,
+        hidden(BASE_FIELD, base),
+        # A newline directly after the tag is not part of the text.
+        tag('textarea', Html('\n'), text, name='text', spellcheck='false'),
+        tag('p', tag('button', 'Review change', type='submit')),
+    )
+    status = 400 if errors else 200
+    title = f'Text on version {base}'
+    return page.show(title, draw_errors(errors), form, status=status)
+
+
+def posted_version(
+    posted: Mapping[str, str],
+    field_name: str = BASE_FIELD,
+) -> ConfigVersion | None:
+    """Reads the version that a form was made on."""
+    given = posted.get(field_name, '')
+    if len(given) > _MAX_VERSION_DIGITS or not given.isdecimal():
+        return None
+    return ConfigVersion(int(given))
+
+
+async def posted_document(
+    page: Page,
+    posted: Mapping[str, str],
+    field_name: str = BASE_FIELD,
+) -> ConfigDocument | Failure:
+    """Returns the document that a form was made on."""
+    version = posted_version(posted, field_name)
+    if version is None:
+        return Failure(ErrorKind.invalid_input, f'{field_name}: no version')
+    return await page.context.config.document_at(version)
+
+
+def no_document() -> Failure:
+    """Tells that no configuration is known yet."""
+    reason = 'No configuration is in force; enter the first one as text.'
+    return Failure(ErrorKind.no_configuration, reason)
+
+
+def labelled(name: str, label: str, kind: str = 'text') -> Html:
+    """Builds a required field with its label."""
+    field = tag('input', type=kind, name=name, id=name, required=True)
+    return tag('p', tag('label', label, for_=name), field)
+
+
+__all__ = (
+    'ACCEPT_PATH',
+    'TEXT_PATH',
+    'draw_changes',
+    'no_document',
+    'posted_document',
+    'posted_version',
+    'show_review',
+    'show_text_form',
+)
--- /dev/null
+++ b/src/radishlift/console/views.py
@@ -0,0 +1,178 @@
+"""Pages that show the history, the state of the cell and objectives."""
+
+from datetime import UTC, datetime
+from typing import Final
+
+from aiohttp import web
+
+from radishlift.config.progress import ConfigStatus
+from radishlift.console.html import Child, Html, hidden, table, tag
+from radishlift.console.page import Page
+from radishlift.console.review import (
+    no_document,
+    posted_version,
+    show_review,
+)
+from radishlift.console.status import CellStatus
+from radishlift.core.errors import Failure
+from radishlift.core.ids import ConfigVersion
+from radishlift.report.render import render_svg, render_table
+
+ROLLBACK_PATH: Final = '/console/rollback'
+
+_HISTORY_COUNT: Final = 30
+_MAX_ROWS: Final = 500
+
+
+async def show_history(page: Page) -> web.Response:
+    """Lists versions with who, when and why, and a way back to each."""
+    before = posted_version(page.request.query, 'before')
+    entries = await page.context.config.store.history(before, _HISTORY_COUNT)
+    if isinstance(entries, Failure):
+        return page.fail(entries)
+    rows = [
+        (
+            entry.version,
+            entry.who,
+            _show_time(entry.when_ms),
+            entry.why,
+            ', '.join(entry.changed),
+            ', '.join(entry.merged),
+            page.form(
+                ROLLBACK_PATH,
+                hidden('target', entry.version),
+                tag('button', 'Review rollback'),
+            ),
+        )
+        for entry in entries
+    ]
+    headings = ('version', 'who', 'when', 'why', 'changed', 'merged', '')
+    older = None
+    if entries and entries[-1].version > 1:
+        href = f'/console/history?before={entries[-1].version}'
+        older = tag('a', 'Older versions', href=href)
+    return page.show('History', table(headings, rows), older)
+
+
+async def review_rollback(page: Page) -> web.Response:
+    """Shows what a return to an earlier version would change."""
+    posted = await page.read_form()
+    if isinstance(posted, web.Response):
+        return posted
+    target = posted_version(posted, 'target')
+    current = page.context.config.current()
+    if current is None:
+        return page.fail(no_document())
+    if target is None:
+        return page.refuse('Form refused', 'The version is missing.', 400)
+    document = await page.context.config.document_at(target)
+    if isinstance(document, Failure):
+        return page.fail(document)
+    return show_review(page, current, document)
+
+
+async def show_state(page: Page) -> web.Response:
+    """Shows queues, workers, quarantines, partitions and versions."""
+    cell = await page.context.status.cell_status()
+    config = await page.context.config.refresh_status()
+    body: list[Child] = [_draw_config(config)]
+    if isinstance(cell, Failure):
+        body.append(tag('p', cell.reason, class_='error'))
+    else:
+        body.append(_draw_cell(cell))
+    return page.show('State', body)
+
+
+async def show_burn(page: Page) -> web.Response:
+    """Shows the burn of the error budgets as a plot and a table."""
+    report = await page.context.report()
+    if isinstance(report, Failure):
+        return page.fail(report)
+    return page.show(
+        'Objectives',
+        Html(render_svg(report)),
+        tag('pre', render_table(report)),
+    )
+
+
+def _draw_config(status: ConfigStatus) -> Html:
+    rows = [
+        (
+            daemon.daemon_id,
+            'no answer' if daemon.version is None else daemon.version,
+            daemon.age_ms,
+        )
+        for daemon in status.daemons
+    ]
+    at_ms = status.everywhere_at_ms(ConfigVersion(status.version))
+    if at_ms is None:
+        since = 'not in force on all daemons yet'
+    else:
+        since = f'in force on all daemons since {_show_time(at_ms)}'
+    return tag(
+        'section',
+        tag('h2', 'Configuration'),
+        tag('p', f'Version {status.version} is {since}.'),
+        table(('daemon', 'version', 'heard ms ago'), rows),
+    )
+
+
+def _draw_cell(cell: CellStatus) -> Html:
+    queues = (
+        (
+            row.department,
+            row.queued_count,
+            row.running_count,
+            row.oldest_wait_ms,
+        )
+        for row in cell.queues
+    )
+    workers = (
+        (
+            row.data_centre,
+            row.live_count,
+            row.leaving_count,
+            row.quarantined_count,
+            f'{row.committed_cpu_milli} of {row.total_cpu_milli}',
+        )
+        for row in cell.workers
+    )
+    quarantines = (
+        (row.worker_id, row.reason, _show_time(row.since_ms))
+        for row in cell.quarantines[:_MAX_ROWS]
+    )
+    partitions = (
+        (row.partition_id, row.owner, row.workers_count, row.queued_count)
+        for row in cell.partitions[:_MAX_ROWS]
+    )
+    return tag(
+        'section',
+        tag('h2', 'Queues'),
+        table(('department', 'queued', 'running', 'oldest wait ms'), queues),
+        tag('h2', 'Workers'),
+        table(
+            ('data centre', 'live', 'leaving', 'quarantined', 'cpu milli'),
+            workers,
+        ),
+        tag('h2', 'Quarantines'),
+        table(('worker', 'reason', 'since'), quarantines),
+        tag('h2', 'Partitions'),
+        table(('partition', 'owner', 'workers', 'queued'), partitions),
+    )
+
+
+def _show_time(at_ms: int) -> str:
+    try:
+        at = datetime.fromtimestamp(at_ms / 1000, tz=UTC)
+    except (OverflowError, ValueError, OSError):
+        return f'{at_ms} ms'
+    return at.strftime('%Y-%m-%d %H:%M:%S UTC')
+
+
+__all__ = (
+    'ROLLBACK_PATH',
+    'review_rollback',
+    'show_burn',
+    'show_history',
+    'show_state',
+)
