Add the whole path over processes: jobs, console, demo and its test

Cause: a caller's request and a submitted job have to pass through any daemon of 7 to executor or worker and back, with a daemon killed.

Change: job routing, hand-offs, burn report and console are wired into the daemon; the load tool counts outcomes; the demo and a system test read the invariants from the stand-ins' records.

Ruled out: reading the results from the daemons' own counters, since a faulty daemon would confirm itself.

--- /dev/null
+++ b/src/radishlift/api/reports.py
@@ -0,0 +1,50 @@
+"""HTTP handlers for metrics and the service-level burn report."""
+
+from aiohttp import web
+
+from radishlift.api.answers import answer_of, failure_answer
+from radishlift.core.errors import Failure
+from radishlift.report.collector import MetricsCollector
+from radishlift.report.exposition import expose, metrics_samples
+from radishlift.report.metrics import MetricsTable
+from radishlift.report.render import render_svg, render_table
+
+
+class ReportHandlers:
+    """Handles `/v1/report/burn` and `/metrics`."""
+
+    def __init__(
+        self,
+        metrics: MetricsTable,
+        collector: MetricsCollector,
+    ) -> None:
+        self._metrics = metrics
+        self._collector = collector
+
+    def add_routes(self, app: web.Application) -> None:
+        """Adds the routes to an application."""
+        app.router.add_get('/v1/report/burn', self.show_burn)
+        app.router.add_get('/metrics', self.show_metrics)
+
+    async def show_burn(self, request: web.Request) -> web.Response:
+        """Answers with the report as JSON, a table or an SVG plot.
+
+        The query `format` is `json`, `table` or `svg`.
+        """
+        report = await self._collector.report()
+        if isinstance(report, Failure):
+            return failure_answer(report)
+        given = request.query.get('format', 'json')
+        if given == 'table':
+            return web.Response(text=render_table(report))
+        if given == 'svg':
+            svg = render_svg(report)
+            return web.Response(text=svg, content_type='image/svg+xml')
+        return answer_of(report)
+
+    async def show_metrics(self, _request: web.Request) -> web.Response:
+        """Answers with this daemon's metrics as text."""
+        return web.Response(text=expose(metrics_samples(self._metrics)))
+
+
+__all__ = ('ReportHandlers',)
--- /dev/null
+++ b/src/radishlift/daemon/console.py
@@ -0,0 +1,29 @@
+"""Adds the operators' console to the HTTP application."""
+
+from aiohttp import web
+
+from radishlift.console.context import ConsoleContext
+from radishlift.console.guard import ConsoleGuard
+from radishlift.console.routes import add_console_routes
+from radishlift.daemon.cell_status import ControlStatus
+from radishlift.daemon.control import Control
+from radishlift.report.collector import MetricsCollector
+
+
+def add_console(
+    app: web.Application,
+    control: Control,
+    collector: MetricsCollector,
+    change_token: str,
+) -> None:
+    """Adds the console's pages over the parts of this daemon."""
+    context = ConsoleContext(
+        control.config,
+        ControlStatus(control),
+        collector.report,
+        ConsoleGuard(change_token),
+    )
+    add_console_routes(app, context)
+
+
+__all__ = ('add_console',)
--- a/src/radishlift/daemon/control.py
+++ b/src/radishlift/daemon/control.py
@@ -79,8 +79,9 @@
         )
         self.directory = OwnerDirectory(self.config)
         self.worker_client = WorkerClient(settings.get(WorkerSettings))
+        self.parts = self._parts(base, state_factories)
         self.partitions = Partitions(
-            self._parts(base, state_factories),
+            self.parts,
             self.config,
             self._give_up,
         )
--- a/src/radishlift/daemon/entry.py
+++ b/src/radishlift/daemon/entry.py
@@ -4,13 +4,18 @@
 
 from radishlift.api.application import Routes, build_application
 from radishlift.api.configuration import ConfigHandlers
+from radishlift.api.jobs import JobHandlers
 from radishlift.api.limits import ApiSettings, LimitsMiddleware
 from radishlift.api.readiness import ReadinessState
+from radishlift.api.reports import ReportHandlers
 from radishlift.api.services import ServiceHandlers
 from radishlift.api.status import StatusHandlers
 from radishlift.core.errors import Failure
+from radishlift.daemon.console import add_console
 from radishlift.daemon.control import Control
 from radishlift.daemon.foundation import Foundation
+from radishlift.daemon.jobs import Jobs
+from radishlift.report.collector import MetricsCollector
 from radishlift.report.metrics import Indicator, MetricsTable
 from radishlift.report.settings import ReportSettings
 from radishlift.requests.api import ServiceAnswer, ServiceRequest
@@ -26,7 +31,12 @@
 class Entry:
     """Builds the request router and the HTTP application."""
 
-    def __init__(self, base: Foundation, control: Control) -> None:
+    def __init__(
+        self,
+        base: Foundation,
+        control: Control,
+        jobs: Jobs,
+    ) -> None:
         self._clock = base.clock
         self.readiness = ReadinessState()
         self.router = _build_router(base, control)
@@ -38,10 +48,19 @@
         api_settings = base.settings.get(ApiSettings)
         self.limits = LimitsMiddleware(api_settings)
         change_token = base.settings.get(DaemonSettings).change_token
+        collector = MetricsCollector(
+            self.metrics,
+            control.config,
+            base.network,
+            base.membership,
+            base.settings.get(ReportSettings),
+        )
         routes: tuple[Routes, ...] = (
             ServiceHandlers(self._handle_request),
             ConfigHandlers(control.config, control.config_store, change_token),
+            JobHandlers(jobs.router, api_settings.job_timeout_ms),
             StatusHandlers(base, control),
+            ReportHandlers(self.metrics, collector),
         )
         self.application: web.Application = build_application(
             api_settings,
@@ -49,6 +68,7 @@
             self.limits,
             routes,
         )
+        add_console(self.application, control, collector, change_token)
 
     async def _handle_request(
         self,
--- a/src/radishlift/daemon/lifecycle.py
+++ b/src/radishlift/daemon/lifecycle.py
@@ -12,6 +12,7 @@
 from radishlift.daemon.control import Control
 from radishlift.daemon.entry import Entry
 from radishlift.daemon.foundation import Foundation
+from radishlift.daemon.jobs import Jobs
 from radishlift.ownership.loops import run_ownership
 from radishlift.ownership.settings import OwnershipSettings
 from radishlift.requests.idempotency import IdempotencyTable
@@ -35,7 +36,8 @@
             (IdempotencyTable,),
             self.request_stop,
         )
-        self.entry = Entry(self.base, self.control)
+        self.jobs = Jobs(self.base, self.control)
+        self.entry = Entry(self.base, self.control, self.jobs)
         self._loops: set[asyncio.Task[None]] = set()
         self._server = web.AppRunner(
             self.entry.application,
@@ -64,12 +66,17 @@
         await self.base.table.scan()
         await self.control.config.start()
         await self.entry.router.start()
-        self._run_loop(self.base.hosts.run())
-        self._run_loop(self.base.membership.run())
-        self._run_loop(self.control.config.run())
-        self._run_loop(self.control.partitions.run_forever())
-        self._run_loop(run_ownership(self.control.ownership, settings))
-        self._run_loop(self._become_ready())
+        for loop in (
+            self.base.hosts.run(),
+            self.base.membership.run(),
+            self.control.config.run(),
+            self.control.partitions.run_forever(),
+            run_ownership(self.control.ownership, settings),
+            self.jobs.absorb_loads(),
+            self.jobs.courier.run_forever(),
+            self._become_ready(),
+        ):
+            self._run_loop(loop)
 
     async def _become_ready(self) -> None:
         # Without a configuration every request would be refused.
--- a/src/radishlift/load/runner.py
+++ b/src/radishlift/load/runner.py
@@ -6,6 +6,7 @@
 from collections import Counter
 from collections.abc import Callable, Coroutine, Sequence
 from dataclasses import dataclass, field
+from hashlib import sha256
 from typing import Any, Final
 
 from aiohttp import (
@@ -16,6 +17,7 @@
 )
 from hdrh.histogram import HdrHistogram
 
+from radishlift.api.services import REQUEST_ID_HEADER
 from radishlift.load.balancer import Balancer
 from radishlift.load.traffic import PlannedJob, PlannedRequest, RequestKind
 
@@ -32,6 +34,8 @@
 
     `outcomes` counts `answered`, `not_run`, `unknown`, `ran` (failed after it
     ran), `broken` (no whole answer) and `wrong` (another request's answer).
+    `broken_at` counts broken connections by daemon. `submitted_at_ms` has
+    the monotonic time of each job's first submission.
     """
 
     outcomes: Counter[str] = field(default_factory=Counter)
@@ -39,10 +43,12 @@
     latency_ms: HdrHistogram = field(
         default_factory=lambda: HdrHistogram(1, _HIGHEST_MS, _DIGITS),
     )
-    answered_tokens: list[str] = field(default_factory=list)
+    answered_keys: list[str] = field(default_factory=list)
     not_run_tokens: list[str] = field(default_factory=list)
-    unknown_tokens: list[str] = field(default_factory=list)
+    not_run_ids: list[str] = field(default_factory=list)
     accepted_jobs: list[str] = field(default_factory=list)
+    submitted_at_ms: dict[str, float] = field(default_factory=dict)
+    broken_at: Counter[str] = field(default_factory=Counter)
 
     def summary(self) -> dict[str, Any]:
         """Returns counts and latency percentiles as plain data."""
@@ -59,6 +65,7 @@
 class _Reply:
     status: int
     body: bytes
+    request_id: str
 
 
 class LoadRunner:
@@ -95,19 +102,24 @@
             request_class.deadline_ms,
         )
         elapsed_ms = int((time.monotonic() - started_s) * 1000)
-        outcome = self._classify(reply, planned.token)
+        outcome = self._classify(reply, planned)
         self.result.outcomes[outcome] += 1
+        is_keyed = request_class.kind is RequestKind.keyed
         if outcome == 'answered':
             self.result.latency_ms.record_value(max(1, elapsed_ms))
-            self.result.answered_tokens.append(planned.token)
+            if is_keyed:
+                self.result.answered_keys.append(planned.token)
         elif outcome == 'not_run':
-            self.result.not_run_tokens.append(planned.token)
-        else:
-            self.result.unknown_tokens.append(planned.token)
+            if is_keyed:
+                self.result.not_run_tokens.append(planned.token)
+            if isinstance(reply, _Reply) and reply.request_id:
+                self.result.not_run_ids.append(reply.request_id)
 
     async def _send_job(self, planned: PlannedJob) -> None:
         body = json.dumps(planned.body).encode()
         headers = {'Content-Type': 'application/json'}
+        submitted_at_ms = time.monotonic() * 1000
+        self.result.submitted_at_ms[planned.job_id] = submitted_at_ms
         # A repeat of the same job id is idempotent, so that a caller whose
         # submission was refused or unknown may send it again.
         for _ in range(_CONNECT_TRIES):
@@ -120,12 +132,13 @@
             await asyncio.sleep(0.2)
         self.result.outcomes['job_refused'] += 1
 
-    def _classify(self, reply: '_Reply | str', token: str) -> str:
+    def _classify(self, reply: '_Reply | str', planned: PlannedRequest) -> str:
         if isinstance(reply, str):
             self._note_error(reply)
             return reply
         if reply.status == _OK:
-            is_own = token.encode() in reply.body
+            # The executors of load runs answer with the digest of the body.
+            is_own = sha256(planned.body).hexdigest().encode() in reply.body
             return 'answered' if is_own else 'wrong'
         return self._note_error(reply)
 
@@ -160,10 +173,15 @@
                     headers=headers,
                     timeout=timeout,
                 ) as reply:
-                    return _Reply(reply.status, await reply.read())
+                    return _Reply(
+                        reply.status,
+                        await reply.read(),
+                        reply.headers.get(REQUEST_ID_HEADER, ''),
+                    )
             except ClientConnectorError:
                 self._balancer.leave_out(address)
             except (ClientError, TimeoutError):
+                self.result.broken_at[address] += 1
                 return 'broken'
         return 'not_run'
 
--- /dev/null
+++ b/tests/system/invariants.py
@@ -0,0 +1,172 @@
+"""Checks of what must always hold, from the stand-ins' own records.
+
+One function for each line of docs/design.md, section 2; each returns texts
+that describe violations, none if the invariant held.
+"""
+
+from collections import Counter
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass, field
+from itertools import pairwise
+
+from radishlift.load.runner import LoadResult
+from tests.standins.checks import (
+    WorkerRecord,
+    overcommitted_workers,
+    tasks_in_two_places,
+)
+from tests.standins.request_checks import (
+    Execution,
+    keys_that_ran_twice,
+    peaks_above,
+)
+
+
+@dataclass(slots=True)
+class Evidence:
+    """Records of the stand-ins and of the load tool after a run."""
+
+    workers: Sequence[WorkerRecord]
+    executions: Sequence[Execution]
+    results: Sequence[LoadResult]
+    slots_count: int = 8
+    unfinished_jobs: Sequence[str] = ()
+    left_at_ms: Mapping[str, float] = field(default_factory=dict)
+    allowed_broken: frozenset[str] = frozenset()
+    config_versions: Mapping[str, Sequence[int]] = field(default_factory=dict)
+
+
+def no_host_overcommitted(evidence: Evidence) -> list[str]:
+    """Line 1: no worker and no executor beyond its capacity."""
+    workers = overcommitted_workers(evidence.workers)
+    peaks = peaks_above(evidence.executions, evidence.slots_count)
+    return [f'worker {name} peak {peak}' for name, peak in workers.items()] + [
+        f'executor {name} ran {peak} at once' for name, peak in peaks.items()
+    ]
+
+
+def no_task_in_two_places(evidence: Evidence) -> list[str]:
+    """Line 2: executions of one task never overlap."""
+    pairs = tasks_in_two_places(evidence.workers)
+    return [
+        f'task {first.task_id} on {first.worker_id} and {second.worker_id}'
+        for first, second in pairs
+    ]
+
+
+def every_answer_whole_and_own(evidence: Evidence) -> list[str]:
+    """Line 3: no answer belongs to another request."""
+    return [
+        f'{result.outcomes["wrong"]} answers were for another request'
+        for result in evidence.results
+        if result.outcomes['wrong']
+    ]
+
+
+def not_run_is_true(evidence: Evidence) -> list[str]:
+    """Line 4: what was refused as "not run" was never executed."""
+    ran = {_base_id(each.request_id) for each in evidence.executions}
+    ran |= {_token(each.key) for each in evidence.executions if each.key}
+    return [
+        f'{name} was refused as not run but ran'
+        for result in evidence.results
+        for name in (*result.not_run_tokens, *result.not_run_ids)
+        if name in ran
+    ]
+
+
+def keyed_requests_at_most_once(evidence: Evidence) -> list[str]:
+    """Line 5: no idempotency key was executed twice."""
+    twice = keys_that_ran_twice(evidence.executions)
+    return [f'key {key} ran twice' for key in sorted(twice)]
+
+
+def leaving_targets_get_no_new_work(
+    evidence: Evidence,
+    allowed_ms: float = 2000,
+) -> list[str]:
+    """Line 6: nothing starts on a target that left some seconds ago."""
+    starts = [
+        (execution.executor, execution.start_ms)
+        for execution in evidence.executions
+    ]
+    starts.extend(
+        (record.worker_id, execution.start_ms)
+        for record in evidence.workers
+        for execution in record.executions
+    )
+    never_ms = float('inf')
+    return [
+        f'{host} got work after it left'
+        for host, start_ms in starts
+        if start_ms > evidence.left_at_ms.get(host, never_ms) + allowed_ms
+    ]
+
+
+def no_request_cut(evidence: Evidence) -> list[str]:
+    """Line 7: connections broke only at daemons that were killed."""
+    return [
+        f'{count} connections broke at {address}'
+        for result in evidence.results
+        for address, count in result.broken_at.items()
+        if address not in evidence.allowed_broken
+    ]
+
+
+def configuration_never_reverts(evidence: Evidence) -> list[str]:
+    """Line 8: the version in force never goes down in a daemon."""
+    return [
+        f'{daemon} went from version {before} to {after}'
+        for daemon, versions in evidence.config_versions.items()
+        for before, after in pairwise(versions)
+        if after < before
+    ]
+
+
+def nothing_accepted_is_lost(evidence: Evidence) -> list[str]:
+    """Accepted jobs finish and answered keys were executed."""
+    ran = {_token(each.key) for each in evidence.executions if each.key}
+    lost = [f'job {job} did not finish' for job in evidence.unfinished_jobs]
+    lost.extend(
+        f'{token} was answered but never ran'
+        for result in evidence.results
+        for token in result.answered_keys
+        if token not in ran
+    )
+    return lost
+
+
+INVARIANTS = (
+    no_host_overcommitted,
+    no_task_in_two_places,
+    every_answer_whole_and_own,
+    not_run_is_true,
+    keyed_requests_at_most_once,
+    leaving_targets_get_no_new_work,
+    no_request_cut,
+    configuration_never_reverts,
+    nothing_accepted_is_lost,
+)
+
+
+def check_all(evidence: Evidence) -> dict[str, list[str]]:
+    """Runs all checks; returns the violations by the name of the check."""
+    found = {check.__name__: check(evidence) for check in INVARIANTS}
+    return {name: texts for name, texts in found.items() if texts}
+
+
+def count_outcomes(results: Iterable[LoadResult]) -> Counter[str]:
+    """Adds up the outcomes of several load runs."""
+    total: Counter[str] = Counter()
+    for result in results:
+        total.update(result.outcomes)
+    return total
+
+
+def _base_id(request_id: str) -> str:
+    # Each attempt of a request has the request's id and a suffix.
+    return request_id.partition('.')[0]
+
+
+def _token(key: str) -> str:
+    return key.rpartition('/')[2]
--- /dev/null
+++ b/tests/system/measures.py
@@ -0,0 +1,61 @@
+"""Waiting time and packing, from the records of the stand-ins."""
+
+from collections.abc import Sequence
+
+from radishlift.load.runner import LoadResult
+from tests.standins.checks import WorkerRecord
+
+
+def waiting_times_ms(
+    workers: Sequence[WorkerRecord],
+    results: Sequence[LoadResult],
+) -> list[float]:
+    """Times from the submission of a job to each task's first start."""
+    first_start_ms: dict[str, float] = {}
+    for record in workers:
+        for execution in record.executions:
+            known_ms = first_start_ms.get(execution.task_id, execution.start_ms)
+            first_start_ms[execution.task_id] = min(
+                known_ms,
+                execution.start_ms,
+            )
+    submitted_at_ms: dict[str, float] = {}
+    for result in results:
+        submitted_at_ms.update(result.submitted_at_ms)
+    return sorted(
+        start_ms - submitted_at_ms[job_id]
+        for task_id, start_ms in first_start_ms.items()
+        if (job_id := task_id.rpartition('/')[0]) in submitted_at_ms
+    )
+
+
+def percentile(ordered: Sequence[float], percent: float) -> float:
+    """Returns a percentile of sorted numbers; 0 for none."""
+    if not ordered:
+        return 0
+    place = min(len(ordered) - 1, int(len(ordered) * percent / 100))
+    return ordered[place]
+
+
+def packing_ratio(workers: Sequence[WorkerRecord]) -> float:
+    """Returns the committed share of the workers in use, over time.
+
+    Weighs each moment by the capacity of the workers that have tasks then.
+    """
+    committed = 0.0
+    in_use = 0.0
+    for record in workers:
+        events = []
+        for execution in record.executions:
+            if execution.end_ms is not None:
+                events.append((execution.start_ms, 1, execution.cpu_milli))
+                events.append((execution.end_ms, -1, execution.cpu_milli))
+        running, cpu_milli, last_ms = 0, 0, 0.0
+        for at_ms, step, amount in sorted(events):
+            if running:
+                committed += cpu_milli * (at_ms - last_ms)
+                in_use += record.cpu_milli * (at_ms - last_ms)
+            running += step
+            cpu_milli += step * amount
+            last_ms = at_ms
+    return committed / in_use if in_use else 0
--- /dev/null
+++ b/tests/system/test_whole_path.py
@@ -0,0 +1,38 @@
+import asyncio
+
+import pytest
+
+from tests.system.cell import Cell
+from tests.system.invariants import check_all, count_outcomes
+from tests.system.shapes import SHAPES
+from tests.system.traffic import (
+    LoadOptions,
+    collect_evidence,
+    drive,
+    unfinished_jobs,
+)
+
+pytestmark = pytest.mark.system
+
+
+@pytest.mark.parametrize('department', ['rug_depot', 'school_kits'])
+async def test_requests_and_jobs_survive_a_killed_daemon(tmp_path, department):
+    """Guards against loss or doubling when one of 7 daemons is killed."""
+    cell = Cell(tmp_path, (SHAPES[department],))
+    options = LoadOptions(requests_per_s=100, jobs_per_s=8, duration_ms=5_000)
+
+    async def kill_one() -> None:
+        await asyncio.sleep(options.duration_ms / 2000)
+        cell.processes.kill('d3')
+
+    try:
+        await cell.start()
+        results = await drive(cell, options, kill_one)
+        open_jobs = await unfinished_jobs(cell, results, timeout_s=30)
+        evidence = await collect_evidence(cell, results, open_jobs, ['d3'])
+    finally:
+        await cell.stop()
+    outcomes = count_outcomes(results)
+    assert check_all(evidence) == {}
+    assert outcomes['answered'] > 0
+    assert outcomes['job_accepted'] > 0
