Share the bodies of the configuration and one base of commands

Cause: the HTTP handlers and the configuration commands each had their own bodies and token header, and the job commands their own client. A test of the HTTP entry found that names in paths were decoded twice, so that a job id `a%2Fb` reached the router as `a/b`.

Change: both sides use radishlift.config.bodies; all commands use one base with one list of exit codes; names are decoded once; the command `radishctl load` runs the load tool.

Measured: the test of the names failed before (`a/b`) and passes now; tests/api, tests/cli and tests/system pass.

--- a/src/radishlift/api/jobs.py
+++ b/src/radishlift/api/jobs.py
@@ -1,7 +1,6 @@
 """HTTP handlers for jobs and tasks."""
 
 from typing import Any, Protocol
-from urllib.parse import unquote
 
 from aiohttp import web
 
@@ -54,22 +53,18 @@
 
     async def show(self, request: web.Request) -> web.Response:
         """Answers with the state of a job."""
-        job_id = JobId(_name(request, 'job_id'))
+        job_id = JobId(request.match_info['job_id'])
         return answer_of(await self._gateway.status(job_id, self._timeout_ms))
 
     async def cancel(self, request: web.Request) -> web.Response:
         """Cancels a job; repeating it is idempotent."""
-        job_id = JobId(_name(request, 'job_id'))
+        job_id = JobId(request.match_info['job_id'])
         return answer_of(await self._gateway.cancel(job_id, self._timeout_ms))
 
     async def explain(self, request: web.Request) -> web.Response:
         """Answers with the explanation of a task."""
-        task_id = TaskId(_name(request, 'task_id'))
+        task_id = TaskId(request.match_info['task_id'])
         return answer_of(await self._gateway.explain(task_id, self._timeout_ms))
 
 
-def _name(request: web.Request, key: str) -> str:
-    return unquote(request.match_info[key])
-
-
 __all__ = ('JobGateway', 'JobHandlers')
--- a/src/radishlift/cli/job_commands.py
+++ b/src/radishlift/cli/job_commands.py
@@ -1,28 +1,49 @@
 """Commands of radishctl for jobs and tasks."""
 
-from typing import ClassVar
+import json
+from typing import Any, ClassVar, Final
 from urllib.parse import quote
 
 from cleo.helpers import argument, option
 from cleo.io.inputs.argument import Argument
 from cleo.io.inputs.option import Option
 
-from radishlift.cli.exit_codes import ExitCode
-from radishlift.cli.output import COMMON_OPTIONS, DaemonCommand
+from radishlift.cli.daemon_command import DaemonCommand, ExitCode, failure_of
+from radishlift.core.errors import Failure
+
+_FIRST_ERROR_STATUS: Final = 400
 
 
 def _text(name: str, description: str, default: str | None = None) -> Option:
     return option(name, None, description, flag=False, default=default)
 
 
-class SubmitCommand(DaemonCommand):
+class _JobCommand(DaemonCommand):
+    """Common parts: sends a request and prints the fields of its answer."""
+
+    def show(self, method: str, path: str, **options: Any) -> int:
+        """Sends a request, prints the answer and returns the exit code."""
+        answer = self.request(method, path, **options)
+        if isinstance(answer, Failure):
+            return self.fail(answer)
+        if self.is_json:
+            self.print_json(answer.body)
+        if answer.status >= _FIRST_ERROR_STATUS:
+            return self.fail(failure_of(answer))
+        if not self.is_json:
+            for name, field in answer.body.items():
+                text = field if isinstance(field, str) else json.dumps(field)
+                self.print_text(f'{name}: {text}\n')
+        return ExitCode.ok
+
+
+class SubmitCommand(_JobCommand):
     """Submits a job; repeating the same job id is safe."""
 
     name = 'submit'
     description = 'Submit a job: a service, a batch run or a gang.'
     arguments: ClassVar[list[Argument]] = [argument('name', 'Name of the job.')]
-    options: ClassVar[list[Option]] = [
-        *COMMON_OPTIONS,
+    own_options: ClassVar[list[Option]] = [
         _text('department', 'Department that the job belongs to.'),
         _text('team', 'Team whose quota the job uses.'),
         _text('kind', 'service, batch or gang.', 'batch'),
@@ -41,9 +62,9 @@
         try:
             body = self._body()
         except ValueError as error:
-            self.line_error(f'<error>not a whole number: {error}</error>')
-            return int(ExitCode.usage)
-        return self.finish(self.request('POST', '/v1/jobs', body))
+            self.print_error(f'not a whole number: {error}')
+            return ExitCode.usage
+        return self.show('POST', '/v1/jobs', json=body)
 
     def _body(self) -> dict[str, object]:
         return {
@@ -64,7 +85,7 @@
         }
 
 
-class CancelCommand(DaemonCommand):
+class CancelCommand(_JobCommand):
     """Cancels a job."""
 
     name = 'cancel'
@@ -74,10 +95,10 @@
     def handle(self) -> int:
         """Sends the cancellation."""
         path = f'/v1/jobs/{quote(self.argument("job-id"), safe="")}/cancel'
-        return self.finish(self.request('POST', path))
+        return self.show('POST', path)
 
 
-class StatusCommand(DaemonCommand):
+class StatusCommand(_JobCommand):
     """Shows a job, or the state of the cell without a job id."""
 
     name = 'status'
@@ -90,10 +111,10 @@
         """Asks for the state."""
         job_id = self.argument('job-id')
         path = f'/v1/jobs/{quote(job_id, safe="")}' if job_id else '/v1/status'
-        return self.finish(self.request('GET', path))
+        return self.show('GET', path)
 
 
-class ExplainCommand(DaemonCommand):
+class ExplainCommand(_JobCommand):
     """Explains why a task runs where it does, or why it waits."""
 
     name = 'explain'
@@ -103,7 +124,7 @@
     def handle(self) -> int:
         """Asks for the explanation."""
         task_id = quote(self.argument('task-id'), safe='')
-        return self.finish(self.request('GET', f'/v1/tasks/{task_id}/explain'))
+        return self.show('GET', f'/v1/tasks/{task_id}/explain')
 
 
 JOB_COMMANDS = (SubmitCommand, CancelCommand, StatusCommand, ExplainCommand)
--- a/src/radishlift/cli/main.py
+++ b/src/radishlift/cli/main.py
@@ -1,16 +1,27 @@
 """The program radishctl."""
 
 import sys
+from typing import Final
 
 from cleo.application import Application
 
+from radishlift.cli.config_commands import CONFIG_COMMANDS
 from radishlift.cli.job_commands import JOB_COMMANDS
+from radishlift.cli.load_command import LoadCommand
+from radishlift.cli.report_commands import REPORT_COMMANDS
+
+COMMANDS: Final = (
+    *JOB_COMMANDS,
+    *CONFIG_COMMANDS,
+    *REPORT_COMMANDS,
+    LoadCommand,
+)
 
 
 def build_application() -> Application:
     """Builds the command line with all commands."""
     application = Application('radishctl', '0.1.0')
-    for command_type in JOB_COMMANDS:
+    for command_type in COMMANDS:
         application.add(command_type())
     return application
 
--- a/tests/system/cell.py
+++ b/tests/system/cell.py
@@ -9,6 +9,7 @@
 
 from aiohttp import ClientError, ClientSession, ClientTimeout
 
+from radishlift.config.bodies import CHANGE_TOKEN_HEADER
 from tests.system.processes import Processes, free_ports
 from tests.system.relay import Relay
 from tests.system.shapes import Shape, config_text
@@ -31,7 +32,7 @@
 object_address = {platform}
 host_list_address = {platform}
 """
-TOKEN_HEADERS = {'Radishlift-Token': 'test'}
+TOKEN_HEADERS = {CHANGE_TOKEN_HEADER: 'test'}
 
 
 class Cell:
@@ -260,7 +261,7 @@
 
     async def _accepts_configuration(self) -> bool:
         body = {
-            'base_version': 0,
+            'base': 0,
             'text': config_text(self.shapes),
             'who': 'test',
             'why': 'start of the cell',
