--- /dev/null
+++ b/tests/system/faults.py
@@ -0,0 +1,248 @@
+"""Registry of faults that the matrix test brings about at seeded moments."""
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable
+from random import Random
+from typing import Final
+
+from radishlift.core.registry import Registry
+from tests.system.cell import Cell
+from tests.system.shapes import config_text
+from tests.system.traffic import running_daemons
+
+Fault = Callable[['FaultContext'], Awaitable[None]]
+
+FAULTS: Final[Registry[Fault]] = Registry('fault')
+
+# Longer than the lease of an owner (10 s), so that its partitions move.
+PAUSE_S: Final = 13.0
+OUTAGE_S: Final = 4.0
+
+
+class FaultContext:
+    """The cell, the seeded choice, and what the checks must allow."""
+
+    def __init__(self, cell: Cell, seed: int) -> None:
+        self.cell = cell
+        self.random = Random(seed)
+        self.killed: list[str] = []
+        self.left_at_ms: dict[str, float] = {}
+        self.busy: set[str] = set()
+
+    def pick_daemon(self) -> str:
+        """Picks a daemon that no other fault of this run has picked."""
+        names = [
+            name for name in running_daemons(self.cell) if name not in self.busy
+        ]
+        name = self.random.choice(names)
+        self.busy.add(name)
+        return name
+
+    def pick_worker(self) -> str:
+        """Picks a worker."""
+        department = self.random.choice(sorted(self.cell.workers))
+        return self.random.choice(self.cell.workers[department])
+
+    def pick_executor(self) -> str:
+        """Picks an executor."""
+        department = self.random.choice(sorted(self.cell.executors))
+        return self.random.choice(self.cell.executors[department])
+
+
+@FAULTS.register('kill_daemon')
+async def kill_daemon(context: FaultContext) -> None:
+    """Kills a daemon and starts it again as a new incarnation."""
+    name = context.pick_daemon()
+    context.killed.append(name)
+    context.cell.processes.kill(name)
+    await asyncio.sleep(OUTAGE_S)
+    context.cell.start_daemon(name)
+
+
+@FAULTS.register('stop_daemon')
+async def stop_daemon(context: FaultContext) -> None:
+    """Stops a daemon as planned; no request may be cut."""
+    name = context.pick_daemon()
+    loop = asyncio.get_running_loop()
+    await loop.run_in_executor(
+        None,
+        lambda: context.cell.processes.terminate(name, 40),
+    )
+
+
+@FAULTS.register('freeze_daemon')
+async def freeze_daemon(context: FaultContext) -> None:
+    """Pauses a daemon beyond its lease, then resumes it."""
+    name = context.pick_daemon()
+    # Calls to a paused daemon time out at the caller.
+    context.killed.append(name)
+    context.cell.processes.freeze(name)
+    await asyncio.sleep(PAUSE_S)
+    context.cell.processes.resume(name)
+
+
+@FAULTS.register('cut_store')
+async def cut_store(context: FaultContext) -> None:
+    """Cuts a daemon from the platform beyond its lease."""
+    relay = context.cell.store_relays[context.pick_daemon()]
+    relay.cut()
+    await asyncio.sleep(PAUSE_S)
+    relay.heal()
+
+
+@FAULTS.register('cut_peers')
+async def cut_peers(context: FaultContext) -> None:
+    """Loses what peers send to a daemon."""
+    relay = context.cell.peer_relays[context.pick_daemon()]
+    relay.cut()
+    await asyncio.sleep(OUTAGE_S)
+    relay.heal()
+
+
+@FAULTS.register('store_down')
+async def store_down(context: FaultContext) -> None:
+    """Takes the platform's services down."""
+    await context.cell.set_faults('down')
+    await asyncio.sleep(OUTAGE_S)
+    await context.cell.set_faults('none')
+
+
+@FAULTS.register('store_slow')
+async def store_slow(context: FaultContext) -> None:
+    """Delays each operation of the platform's services."""
+    await context.cell.set_faults('none', delay_ms=300)
+    await asyncio.sleep(OUTAGE_S)
+    await context.cell.set_faults('none')
+
+
+@FAULTS.register('store_loses_answers')
+async def store_loses_answers(context: FaultContext) -> None:
+    """Applies writes and loses their answers."""
+    await context.cell.set_faults('lose_answers')
+    await asyncio.sleep(OUTAGE_S / 2)
+    await context.cell.set_faults('none')
+
+
+@FAULTS.register('restart_worker')
+async def restart_worker(context: FaultContext) -> None:
+    """Restarts a worker; its tasks are gone."""
+    worker = context.pick_worker()
+    await context.cell.call('POST', worker, '/admin/restart', {})
+
+
+@FAULTS.register('cut_worker')
+async def cut_worker(context: FaultContext) -> None:
+    """Cuts a worker until its leases have lapsed."""
+    worker = context.pick_worker()
+    path = '/admin/mode'
+    await context.cell.call('POST', worker, path, {'network': 'hang'})
+    await asyncio.sleep(PAUSE_S)
+    await context.cell.call('POST', worker, path, {'network': 'normal'})
+
+
+@FAULTS.register('lose_rack')
+async def lose_rack(context: FaultContext) -> None:
+    """Loses all workers of a rack; the host list drops them after a lag."""
+    department = context.random.choice(sorted(context.cell.workers))
+    rack = context.cell.workers[department][:8]
+    for worker in rack:
+        # The hosts are gone for good, with what ran on them.
+        await context.cell.call('POST', worker, '/admin/restart', {})
+        await context.cell.call(
+            'POST',
+            worker,
+            '/admin/mode',
+            {'network': 'refuse'},
+        )
+    context.cell.hosts = [
+        host for host in context.cell.hosts if host['address'] not in rack
+    ]
+    await context.cell.set_hosts()
+
+
+@FAULTS.register('failing_worker')
+async def failing_worker(context: FaultContext) -> None:
+    """Lets a worker fail every task that it starts."""
+    worker = context.pick_worker()
+    body = {'network': 'normal', 'fails_tasks': True}
+    await context.cell.call('POST', worker, '/admin/mode', body)
+
+
+@FAULTS.register('cancel_wave')
+async def cancel_wave(context: FaultContext) -> None:
+    """Submits 300 jobs and cancels them at once."""
+    cell = context.cell
+    shape = cell.shapes[0]
+    name = context.random.choice(running_daemons(cell))
+    jobs = [f'wave-{index}' for index in range(300)]
+    body = {
+        'department': shape.department,
+        'team': shape.team,
+        'name': 'wave',
+        'kind': 'batch',
+        'task_count': 1,
+        'demand': {'cpu_milli': 4000, 'memory_mb': 4000},
+        'run_time_ms': 5000,
+    }
+    address = cell.listen[name]
+    await asyncio.gather(
+        *(
+            cell.call('POST', address, '/v1/jobs', {**body, 'job_id': job})
+            for job in jobs
+        )
+    )
+    await asyncio.gather(
+        *(cell.call('POST', address, f'/v1/jobs/{job}/cancel') for job in jobs)
+    )
+
+
+@FAULTS.register('operator_race')
+async def operator_race(context: FaultContext) -> None:
+    """Two operators change the same section at two daemons."""
+    cell = context.cell
+    first, second = context.random.sample(running_daemons(cell), 2)
+    _, current = await cell.get(first, '/v1/config')
+    if current is None:
+        return
+    text = config_text(cell.shapes)
+    changes = [
+        {
+            'base': current['version'],
+            'who': who,
+            'why': 'race',
+            'text': text.replace('limit_ms = 1000', f'limit_ms = {limit_ms}'),
+        }
+        for who, limit_ms in (('first', 900), ('second', 1100))
+    ]
+    await asyncio.gather(
+        *(
+            cell.call('PUT', cell.listen[name], '/v1/config', change)
+            for name, change in zip((first, second), changes, strict=True)
+        )
+    )
+
+
+@FAULTS.register('executor_leaves')
+async def executor_leaves(context: FaultContext) -> None:
+    """Lists an executor as leaving; it goes on to answer."""
+    executor = context.pick_executor()
+    for host in context.cell.hosts:
+        if host['address'] == executor:
+            host['state'] = 'leaving'
+    await context.cell.set_hosts()
+    # The stand-in shows its list with a lag of one second.
+    context.left_at_ms[executor] = time.monotonic() * 1000 + 1000
+
+
+@FAULTS.register('executor_fails')
+async def executor_fails(context: FaultContext) -> None:
+    """Lets an executor answer with errors for a while."""
+    executor = context.pick_executor()
+    path = '/admin/mode'
+    await context.cell.call('POST', executor, path, {'mode': 'fail'})
+    await asyncio.sleep(OUTAGE_S)
+    await context.cell.call('POST', executor, path, {'mode': 'none'})
+
+
+__all__ = ('FAULTS', 'Fault', 'FaultContext')
