--- /dev/null
+++ b/benchmarks/bench_placement.py
@@ -0,0 +1,208 @@
+"""Cost of placement decisions of one engine."""
+
+import random
+from time import perf_counter
+from typing import Final
+
+from benchmarks.harness import BENCHMARKS, Figure, at_least, at_most
+from radishlift.core.ids import (
+    DataCentreId,
+    DepartmentName,
+    Incarnation,
+    JobId,
+    RackId,
+    TeamName,
+    WorkerId,
+)
+from radishlift.placement.engine import PlacementEngine
+from radishlift.placement.jobs import (
+    JobKind,
+    JobSpec,
+    Priority,
+    Resources,
+    TaskState,
+    WorkerInfo,
+)
+from radishlift.placement.records import TaskPlaced
+from radishlift.placement.state import PartitionState
+
+SEEDS: Final = (1, 2, 3)
+WORKER_COUNTS: Final = (24, 240, 2_400)
+RACK_WORKERS_COUNT: Final = 8
+MEASURED_STARTS_COUNT: Final = 6_000
+LOAD_RATIO: Final = 0.8
+CAPACITIES: Final = {
+    'rugs': Resources(30_000, 130_000),
+    'kits': Resources(16_000, 30_000),
+}
+SHAPES: Final = (
+    Resources(500, 1_000),
+    Resources(1_000, 2_000),
+    Resources(1_000, 6_000),
+    Resources(2_000, 4_000),
+    Resources(4_000, 6_000),
+)
+PRIORITIES: Final = (
+    Priority.high,
+    Priority.normal,
+    Priority.normal,
+    Priority.low,
+)
+
+
+def make_workers(count: int, capacity: Resources) -> list[WorkerInfo]:
+    """Makes workers, 8 to a rack."""
+    return [
+        WorkerInfo(
+            WorkerId(f'10.{number // 250}.0.{number % 250}:9000'),
+            Incarnation('i1'),
+            RackId(f'r{number // RACK_WORKERS_COUNT}'),
+            DataCentreId('dc'),
+            capacity,
+        )
+        for number in range(count)
+    ]
+
+
+def make_job(number: int, department: str, dice: random.Random) -> JobSpec:
+    """Makes a batch job of one to three tasks."""
+    return JobSpec(
+        JobId(f'p1.{number}'),
+        DepartmentName(department),
+        TeamName(f'team{dice.randrange(8)}'),
+        f'name{dice.randrange(20)}',
+        JobKind.batch,
+        dice.randint(1, 3),
+        dice.choice(SHAPES),
+        run_time_ms=dice.choice((500, 2_000, 8_000)),
+        priority=dice.choice(PRIORITIES),
+    )
+
+
+class Run:
+    """An engine at a steady load; the time of each tick is measured."""
+
+    def __init__(self, count: int, department: str, seed: int) -> None:
+        self._dice = random.Random(seed)
+        self._department = department
+        self.engine = PlacementEngine(PartitionState())
+        capacity = CAPACITIES[department]
+        self._total = Resources(
+            count * capacity.cpu_milli,
+            count * capacity.memory_mb,
+        )
+        self._used_milli = 0
+        self._used_mb = 0
+        self._number = 0
+        self._now_ms = 0
+        self._running: list[TaskPlaced] = []
+        self.spent_s: float = 0
+        self.starts_count = 0
+        self.decisions_s: list[float] = []
+        for worker in make_workers(count, capacity):
+            self.engine.observe_worker(worker)
+        self.engine.tick(0)
+
+    def fill(self) -> None:
+        """Starts tasks up to the load, unmeasured."""
+        while self._is_below_load():
+            self._submit()
+            self._tick()
+        self.spent_s = 0
+        self.starts_count = 0
+        self.decisions_s = []
+
+    def replace(self, starts_count: int) -> None:
+        """Ends random tasks and starts others in their stead."""
+        while self.starts_count < starts_count:
+            self._end_one()
+            if self._is_below_load():
+                self._submit()
+            self._tick()
+
+    def _is_below_load(self) -> bool:
+        # The scarcer dimension counts: small workers run out of memory first.
+        cpu_ratio = self._used_milli / self._total.cpu_milli
+        memory_ratio = self._used_mb / self._total.memory_mb
+        return max(cpu_ratio, memory_ratio) < LOAD_RATIO
+
+    def _submit(self) -> None:
+        self._number += 1
+        spec = make_job(self._number, self._department, self._dice)
+        begin_s = perf_counter()
+        self.engine.accept(spec, self._now_ms)
+        self.spent_s += perf_counter() - begin_s
+
+    def _end_one(self) -> None:
+        position = self._dice.randrange(len(self._running))
+        ended = self._running[position]
+        self._running[position] = self._running[-1]
+        self._running.pop()
+        self._used_milli -= ended.reserved.cpu_milli
+        self._used_mb -= ended.reserved.memory_mb
+        begin_s = perf_counter()
+        self.engine.task_ended(
+            ended.task_id,
+            ended.attempt,
+            TaskState.finished,
+        )
+        self.spent_s += perf_counter() - begin_s
+
+    def _tick(self) -> None:
+        self._now_ms += 1
+        begin_s = perf_counter()
+        records = self.engine.tick(self._now_ms)
+        tick_s = perf_counter() - begin_s
+        self.spent_s += tick_s
+        starts = [made for made in records if isinstance(made, TaskPlaced)]
+        self._running.extend(starts)
+        self._used_milli += sum(made.reserved.cpu_milli for made in starts)
+        self._used_mb += sum(made.reserved.memory_mb for made in starts)
+        self.starts_count += len(starts)
+        if starts:
+            self.decisions_s.append(tick_s)
+
+
+def measure(count: int, department: str, seed: int) -> Run:
+    """Measures an engine with this many workers."""
+    run = Run(count, department, seed)
+    run.fill()
+    run.replace(MEASURED_STARTS_COUNT)
+    return run
+
+
+@BENCHMARKS.register('placement')
+def bench_placement() -> list[Figure]:
+    """Measures rate, tail and growth of the cost of decisions."""
+    figures: list[Figure] = []
+    for department in CAPACITIES:
+        for seed in SEEDS:
+            figures.extend(_measure_seed(department, seed))
+    return figures
+
+
+def _measure_seed(department: str, seed: int) -> list[Figure]:
+    name = f'placement.{department}.seed{seed}'
+    runs = [measure(count, department, seed) for count in WORKER_COUNTS]
+    costs_us = [run.spent_s / run.starts_count * 1e6 for run in runs]
+    decisions_ms = sorted(1000 * spent for spent in runs[0].decisions_s)
+    p99_ms = decisions_ms[len(decisions_ms) * 99 // 100]
+    return [
+        Figure(f'{name}.rate_per_s', 1e6 / costs_us[0], at_least(5_000)),
+        Figure(f'{name}.decision_p99_ms', p99_ms, at_most(5)),
+        *(
+            Figure(
+                f'{name}.cost_at_{count}_ratio',
+                cost_us / costs_us[0],
+                at_most(2),
+            )
+            for count, cost_us in zip(
+                WORKER_COUNTS[1:],
+                costs_us[1:],
+                strict=True,
+            )
+        ),
+    ]
+
+
+__all__ = ('bench_placement', 'measure')
--- a/src/radishlift/placement/admission.py
+++ b/src/radishlift/placement/admission.py
@@ -1,18 +1,49 @@
-"""System that puts accepted and requeued jobs into the queue."""
+"""Systems that put jobs into the queue, and refusal of impossible ones."""
 
-from typing import Final
+import heapq
 
-from radishlift.placement.job_queue import GroupKey
-from radishlift.placement.jobs import JobKind, Priority
+from radishlift.core.errors import ErrorKind, Failure
+from radishlift.placement.amounts import is_within
+from radishlift.placement.estimates import demand_of
+from radishlift.placement.jobs import JobKind, JobSpec, Resources
+from radishlift.placement.queue_groups import GroupKey
+from radishlift.placement.rules import (
+    DIMENSIONS,
+    department_of,
+    never_within_quota,
+    policy_of,
+)
 from radishlift.placement.systems import SYSTEMS, TickTime
 from radishlift.placement.working import Working
 
-RANKS: Final = {
-    Priority.urgent: 0,
-    Priority.high: 1,
-    Priority.normal: 3,
-    Priority.low: 4,
-}
+
+def refusal_of(working: Working, spec: JobSpec) -> Failure | None:
+    """Tells at once when a job can never run, and in which dimension."""
+    if spec.task_count < 1 or spec.max_attempts < 1:
+        return Failure(ErrorKind.invalid_input, 'counts are below 1')
+    if min(getattr(spec.demand, name) for name in DIMENSIONS) < 0:
+        return Failure(ErrorKind.invalid_input, 'a demand is negative')
+    dimension = _too_large(working, spec.demand)
+    if dimension:
+        reason = f'no worker has enough {dimension} for a task'
+        return Failure(ErrorKind.never_fits, reason)
+    dimension = never_within_quota(working, spec)
+    if dimension:
+        reason = f'the quota of team {spec.team} has too little {dimension}'
+        return Failure(ErrorKind.never_fits, reason)
+    return None
+
+
+def _too_large(working: Working, demand: Resources) -> str:
+    shapes = {*working.fleet.shapes, *working.fleet.other_shapes}
+    # Without a known worker nothing can be said about what fits.
+    if not shapes or any(is_within(demand, shape) for shape in shapes):
+        return ''
+    for name in DIMENSIONS:
+        largest = max(getattr(shape, name) for shape in shapes)
+        if getattr(demand, name) > largest:
+            return name
+    return ' and '.join(DIMENSIONS)
 
 
 @SYSTEMS.register('admission')
@@ -24,22 +55,60 @@
             return False
         job_row = next(iter(pending))
         del pending[job_row]
-        if working.tables.jobs.startable_count(job_row):
-            _admit(working, job_row)
+        if _is_ready(working, job_row):
+            _admit(working, job_row, time.now_ms)
     return True
 
 
-def _admit(working: Working, job_row: int) -> None:
+def _is_ready(working: Working, job_row: int) -> bool:
+    jobs = working.tables.jobs
+    if not jobs.startable_count(job_row):
+        return False
+    if jobs.spec[job_row].kind is not JobKind.gang:
+        return True
+    # A gang starts as a whole, so it waits until its last member has ended.
+    return len(jobs.task_rows[job_row]) == len(jobs.requeued[job_row])
+
+
+def _admit(working: Working, job_row: int, now_ms: int) -> None:
     jobs = working.tables.jobs
     spec = jobs.spec[job_row]
+    accepted_at_ms = jobs.accepted_at_ms[job_row]
+    department = department_of(working, spec.department)
+    aged_at_ms = accepted_at_ms + department.max_wait_ms
+    is_aged = now_ms >= aged_at_ms
+    policy = policy_of(working, spec.department)
+    rank = policy.rank(spec, is_aged)
+    # Aged jobs of all departments go in order of arrival, which is what
+    # bounds the waiting time of each.
+    order = policy.order(spec, accepted_at_ms)
+    if is_aged and policy.rank(spec, False) != rank:
+        order = (accepted_at_ms,)
     key = GroupKey(
-        RANKS[spec.priority],
+        rank,
         spec.department,
         spec.team,
-        spec.demand,
+        demand_of(working, spec),
         spec.kind is JobKind.gang,
     )
-    working.queue.add(job_row, key, (jobs.accepted_at_ms[job_row],))
+    working.queue.add(job_row, key, order)
+    if not is_aged:
+        entry = (aged_at_ms, spec.job_id)
+        heapq.heappush(working.ageing, entry)
+
+
+@SYSTEMS.register('ageing')
+def age_jobs(working: Working, time: TickTime) -> bool:
+    """Moves jobs that waited too long to the rank of aged work."""
+    ageing = working.ageing
+    while ageing and ageing[0][0] <= time.now_ms:
+        if time.is_over():
+            return False
+        _, job_id = heapq.heappop(ageing)
+        job_row = working.tables.jobs.row_of.get(job_id)
+        if job_row is not None and _is_ready(working, job_row):
+            _admit(working, job_row, time.now_ms)
+    return True
 
 
-__all__ = ('admit_jobs',)
+__all__ = ('admit_jobs', 'age_jobs', 'refusal_of')
--- a/src/radishlift/placement/changes.py
+++ b/src/radishlift/placement/changes.py
@@ -156,6 +156,7 @@
         return
     if not is_allowed(tables.tasks.state[row], TaskState.stopping):
         return
+    tables.count_displaceable(row, -1)
     tables.tasks.state[row] = TaskState.stopping
     tables.tasks.is_requeued[row] = record.is_requeued
     tables.changed_workers[tables.tasks.worker_row[row]] = None
--- a/src/radishlift/placement/endings.py
+++ b/src/radishlift/placement/endings.py
@@ -1,7 +1,8 @@
 """System that takes in facts about workers and ended attempts."""
 
 from radishlift.core.ids import Attempt, Incarnation, TaskId, WorkerId
-from radishlift.placement.jobs import TaskState, WorkerInfo
+from radishlift.placement.gangs import end_gang_member
+from radishlift.placement.jobs import JobKind, TaskState, WorkerInfo
 from radishlift.placement.reasons import (
     FAILED,
     FINISHED,
@@ -100,7 +101,14 @@
         state = TaskState.cancelled
     attempt = Attempt(tasks.attempt[row])
     task_id = tasks.task_id[row]
-    working.emit(TaskEnded(task_id, attempt, state, reason, now_ms))
+    _emit_end(working, row, TaskEnded(task_id, attempt, state, reason, now_ms))
+
+
+def _emit_end(working: Working, row: int, ended: TaskEnded) -> None:
+    job_row = working.tables.tasks.job_row[row]
+    working.emit(ended)
+    if working.tables.jobs.spec[job_row].kind is JobKind.gang:
+        end_gang_member(working, job_row, ended.state)
 
 
 def _may_requeue(working: Working, row: int) -> bool:
@@ -160,7 +168,7 @@
     tasks = working.tables.tasks
     attempt = Attempt(tasks.attempt[row])
     task_id = tasks.task_id[row]
-    working.emit(TaskEnded(task_id, attempt, state, reason, now_ms))
+    _emit_end(working, row, TaskEnded(task_id, attempt, state, reason, now_ms))
 
 
 __all__ = ('end_attempts', 'end_lost_attempt', 'update_workers')
--- a/src/radishlift/placement/engine.py
+++ b/src/radishlift/placement/engine.py
@@ -1,9 +1,10 @@
 """The placement engine of one partition."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from time import perf_counter
 from typing import Any
 
+from radishlift.config.document import ConfigDocument
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import (
     Attempt,
@@ -13,9 +14,12 @@
     WorkerId,
 )
 from radishlift.placement import system_order  # noqa: F401
+from radishlift.placement.admission import refusal_of
 from radishlift.placement.cancellations import order_stop
+from radishlift.placement.job_queue import JobQueue
 from radishlift.placement.jobs import (
     JobSpec,
+    Resources,
     TaskState,
     UsageReport,
     WorkerInfo,
@@ -85,8 +89,9 @@
         row = jobs.row_of.get(spec.job_id)
         if row is not None:
             return self._repeat(row, spec)
-        if spec.task_count < 1 or spec.max_attempts < 1:
-            return Failure(ErrorKind.invalid_input, 'counts are below 1')
+        refusal = refusal_of(self._working, spec)
+        if refusal is not None:
+            return refusal
         accepted = JobAccepted(spec, now_ms)
         self._working.state.apply(accepted)
         return accepted
@@ -155,6 +160,33 @@
         working.records = []
         return records
 
+    def use_config(
+        self,
+        document: ConfigDocument,
+        quota_ratio: float = 1,
+    ) -> None:
+        """Takes over a configuration.
+
+        `quota_ratio` is the part of the cell's capacity in this partition,
+        which gets the same part of each quota.
+        """
+        working = self._working
+        working.rules.document = document
+        working.rules.quota_ratio = quota_ratio
+        working.booking.closed.clear()
+        working.ageing.clear()
+        working.queue = JobQueue(working.tables.jobs)
+        working.tables.queued_jobs = dict.fromkeys(
+            working.tables.jobs.row_of.values(),
+        )
+
+    def observe_fleet(self, shapes: Iterable[Resources]) -> None:
+        """Takes in the worker sizes of other partitions.
+
+        A job that fits none of them, nor a worker here, is refused.
+        """
+        self._working.fleet.other_shapes = frozenset(shapes)
+
     def take_orders(self) -> list[Order]:
         """Returns the orders since the last call, for the dispatcher."""
         orders = self._working.orders
--- /dev/null
+++ b/src/radishlift/placement/gangs.py
@@ -0,0 +1,76 @@
+"""Placing of gangs: all members in the records of one tick, or none."""
+
+from itertools import repeat
+
+from radishlift.placement.amounts import count_fitting
+from radishlift.placement.cancellations import stop_attempt
+from radishlift.placement.choosing import fitting_workers
+from radishlift.placement.jobs import Resources, TaskState
+from radishlift.placement.permits import Permit
+from radishlift.placement.policies import Policy
+from radishlift.placement.starts import start_next
+from radishlift.placement.working import Working
+
+
+def find_gang_workers(
+    working: Working,
+    policy: Policy,
+    demand: Resources,
+    tasks_count: int,
+    permit: Permit,
+) -> list[int]:
+    """Returns a worker for each member, or an empty list."""
+    workers = working.tables.workers
+    rows: list[int] = []
+    for row in fitting_workers(working, policy, demand, permit):
+        free = Resources(
+            workers.free_cpu[row],
+            workers.free_memory[row],
+            workers.free_accelerators[row],
+        )
+        left_count = tasks_count - len(rows)
+        rows.extend(repeat(row, count_fitting(demand, free, left_count)))
+        if len(rows) == tasks_count:
+            return rows
+    return []
+
+
+def start_gang(
+    working: Working,
+    job_row: int,
+    rows: list[int],
+    demand: Resources,
+    now_ms: int,
+) -> None:
+    """Starts all members; the budget does not interrupt this."""
+    for row in rows:
+        start_next(working, job_row, row, demand, now_ms)
+
+
+def end_gang_member(
+    working: Working,
+    job_row: int,
+    state: TaskState,
+) -> None:
+    """Ends or requeues the other members with one that did not finish.
+
+    The members of a gang work together, so a member that is queued again
+    needs the whole gang to start again, and one that failed for good ends
+    the job.
+    """
+    if state is TaskState.failed:
+        job_id = working.tables.jobs.spec[job_row].job_id
+        working.inputs.cancellations.append(job_id)
+    elif state is TaskState.queued:
+        stop_gang(working, job_row, 'another member of the gang stopped')
+
+
+def stop_gang(working: Working, job_row: int, reason: str) -> None:
+    """Stops all running members, to be queued again."""
+    tasks = working.tables.tasks
+    for row in list(working.tables.jobs.task_rows[job_row].values()):
+        if tasks.is_live(row) and tasks.state[row] is not TaskState.stopping:
+            stop_attempt(working, row, reason, is_requeued=True)
+
+
+__all__ = ('end_gang_member', 'find_gang_workers', 'start_gang', 'stop_gang')
--- a/src/radishlift/placement/job_queue.py
+++ b/src/radishlift/placement/job_queue.py
@@ -6,84 +6,65 @@
 
 import heapq
 from collections.abc import Callable, Collection, Iterator
-from typing import Any, NamedTuple
 
-from sortedcontainers import SortedList
-
-from radishlift.core.ids import DepartmentName, TeamName
+from radishlift.core.ids import DepartmentName, JobId, TeamName
 from radishlift.placement.jobs import Resources
+from radishlift.placement.queue_groups import (
+    ActiveGroups,
+    BlockedGroups,
+    Group,
+    GroupKey,
+    OrderKey,
+)
 from radishlift.placement.tables import JobTable
 
-OrderKey = tuple[int, ...]
-
-
-class GroupKey(NamedTuple):
-    """What the jobs of a group have in common; rank 0 goes first."""
-
-    rank: int
-    department: DepartmentName
-    team: TeamName
-    demand: Resources
-    is_gang: bool
-
-
-class Group:
-    """Jobs of equal demand, in queue order."""
-
-    __slots__ = ('blocked_by', 'entry', 'heap', 'key')
-
-    def __init__(self, key: GroupKey) -> None:
-        self.key = key
-        self.heap: list[tuple[OrderKey, int, int]] = []
-        self.entry: tuple[Any, ...] | None = None
-        self.blocked_by = ''
-
 
 class JobQueue:
-    """Groups of queued jobs, by rank and department."""
+    """Groups of queued jobs; jobs that left are dropped when met."""
 
     def __init__(self, jobs: JobTable) -> None:
         self._jobs = jobs
         self._groups: dict[GroupKey, Group] = {}
-        self._active: dict[int, dict[DepartmentName, SortedList]] = {}
-        self._blocked: dict[Resources, dict[GroupKey, Group]] = {}
-        self._placement_of: dict[int, tuple[GroupKey, int]] = {}
+        self._active = ActiveGroups()
+        self._blocked = BlockedGroups()
+        self._known: dict[int, tuple[GroupKey, int, JobId]] = {}
         self._sequence = 0
 
     def add(self, job_row: int, key: GroupKey, order: OrderKey) -> None:
         """Adds a job, or moves it to another group."""
-        if self._placement_of.get(job_row, (None,))[0] == key:
+        job_id = self._jobs.spec[job_row].job_id
+        known = self._known.get(job_row)
+        if known is not None and (known[0], known[2]) == (key, job_id):
             return
         self._sequence += 1
-        self._placement_of[job_row] = (key, self._sequence)
+        self._known[job_row] = (key, self._sequence, job_id)
         group = self._groups.get(key)
         if group is None:
             group = Group(key)
             self._groups[key] = group
         heapq.heappush(group.heap, (order, self._sequence, job_row))
         if not group.blocked_by:
-            self._activate(group)
-
-    def key_of(self, job_row: int) -> GroupKey | None:
-        """Returns the group that a job waits in."""
-        placement = self._placement_of.get(job_row)
-        return None if placement is None else placement[0]
+            self._active.update(group)
 
     def group_of(self, job_row: int) -> Group | None:
-        """Returns the group of a job with its blocking reason."""
-        key = self.key_of(job_row)
-        return None if key is None else self._groups.get(key)
+        """Returns the group that a job waits in."""
+        known = self._known.get(job_row)
+        if known is None or known[2] != self._jobs.spec[job_row].job_id:
+            return None
+        return self._groups.get(known[0])
 
     def head(self, group: Group) -> int | None:
         """Returns the first job of a group, dropping jobs that left."""
         while group.heap:
             _, sequence, job_row = group.heap[0]
-            if self._placement_of.get(job_row) == (group.key, sequence):
+            if self._is_member(job_row, sequence):
                 if self._jobs.startable_count(job_row):
                     return job_row
-                del self._placement_of[job_row]
+                del self._known[job_row]
             heapq.heappop(group.heap)
-        self._drop(group)
+        self._active.remove(group)
+        self._blocked.discard(group)
+        self._groups.pop(group.key, None)
         return None
 
     def next_group(
@@ -91,103 +72,62 @@
         share_of: Callable[[DepartmentName], float],
         closed: Collection[DepartmentName] = (),
     ) -> Group | None:
-        """Returns the group whose head goes next.
-
-        The lowest rank goes first, then the department with the least share;
-        departments in `closed` are passed over.
-        """
-        for rank in sorted(self._active):
-            departments = self._active[rank]
-            names = [name for name in departments if name not in closed]
-            if names:
-                name = min(names, key=share_of)
-                return departments[name][0][-1]
-        return None
+        """Returns the group whose head goes next, if any is active."""
+        return self._active.first(share_of, closed)
 
     def refresh(self, group: Group) -> None:
         """Puts a group to the place of its present head."""
         if self.head(group) is not None and not group.blocked_by:
-            self._activate(group)
+            self._active.update(group)
 
     def block(self, group: Group, reason: str) -> None:
-        """Sets a group aside until it is woken."""
-        self._deactivate(group)
+        """Sets a group aside until capacity that fits it becomes free."""
+        self._active.remove(group)
         group.blocked_by = reason
-        self._blocked.setdefault(group.key.demand, {})[group.key] = group
+        self._blocked.add_for_room(group)
+
+    def block_for_quota(self, group: Group, reason: str) -> None:
+        """Sets a group aside until its team uses less."""
+        self._active.remove(group)
+        group.blocked_by = reason
+        self._blocked.add_for_quota(group)
+
+    def is_blocked(self, group: Group) -> bool:
+        """Tells whether a group still waits and is set aside."""
+        return bool(group.blocked_by) and self.head(group) is not None
 
     def wake_fitting(self, free: Resources) -> None:
         """Wakes the groups whose demand fits into a free amount."""
-        fitting = [
-            demand
-            for demand in self._blocked
-            if demand.cpu_milli <= free.cpu_milli
-            and demand.memory_mb <= free.memory_mb
-            and demand.accelerators_count <= free.accelerators_count
-        ]
-        for demand in fitting:
-            for group in self._blocked.pop(demand).values():
-                self._wake(group)
+        self._wake(self._blocked.pop_fitting(free))
+
+    def wake_team(self, team: TeamName) -> None:
+        """Wakes the groups that were over the quota of a team."""
+        self._wake(self._blocked.pop_team(team))
 
     def wake_all(self) -> None:
         """Wakes all groups, after a change of workers, rules or quotas."""
-        blocked = self._blocked
-        self._blocked = {}
-        for groups in blocked.values():
-            for group in groups.values():
-                self._wake(group)
-
-    def blocked_groups(self) -> Iterator[Group]:
-        """Yields the groups that were found not to be startable now."""
-        for groups in self._blocked.values():
-            yield from groups.values()
-
-    def groups(self) -> Iterator[Group]:
-        """Yields all groups."""
-        yield from self._groups.values()
-
-    def _wake(self, group: Group) -> None:
-        group.blocked_by = ''
-        self.refresh(group)
-
-    def _activate(self, group: Group) -> None:
-        order, sequence, _ = group.heap[0]
-        entry = (order, sequence, group)
-        if group.entry is not None:
-            if group.entry[1] == sequence:
-                return
-            self._deactivate(group)
-        departments = self._active.setdefault(group.key.rank, {})
-        waiting = departments.get(group.key.department)
-        if waiting is None:
-            waiting = SortedList(key=_entry_order)
-            departments[group.key.department] = waiting
-        waiting.add(entry)
-        group.entry = entry
-
-    def _deactivate(self, group: Group) -> None:
-        if group.entry is None:
-            return
-        departments = self._active[group.key.rank]
-        waiting = departments[group.key.department]
-        waiting.remove(group.entry)
-        group.entry = None
-        if not waiting:
-            del departments[group.key.department]
-        if not departments:
-            del self._active[group.key.rank]
-
-    def _drop(self, group: Group) -> None:
-        self._deactivate(group)
-        self._groups.pop(group.key, None)
-        same_demand = self._blocked.get(group.key.demand)
-        if same_demand is not None:
-            same_demand.pop(group.key, None)
-            if not same_demand:
-                del self._blocked[group.key.demand]
+        self._wake(self._blocked.pop_all())
+
+    def waiting_jobs(self, group: Group) -> Iterator[int]:
+        """Yields the jobs of a group in no particular order."""
+        for _, sequence, job_row in group.heap:
+            if self._is_member(job_row, sequence):
+                yield job_row
+
+    def groups(self) -> list[Group]:
+        """Lists all groups."""
+        return list(self._groups.values())
 
+    def _is_member(self, job_row: int, sequence: int) -> bool:
+        known = self._known.get(job_row)
+        if known is None or known[1] != sequence:
+            return False
+        return self._jobs.spec[job_row].job_id == known[2]
 
-def _entry_order(entry: tuple[Any, ...]) -> tuple[OrderKey, int]:
-    return entry[0], entry[1]
+    def _wake(self, groups: Iterator[Group]) -> None:
+        for group in list(groups):
+            group.blocked_by = ''
+            self.refresh(group)
 
 
-__all__ = ('Group', 'GroupKey', 'JobQueue')
+__all__ = ('JobQueue',)
--- a/src/radishlift/placement/partition_tables.py
+++ b/src/radishlift/placement/partition_tables.py
@@ -2,6 +2,7 @@
 
 from radishlift.core.ids import DepartmentName, TaskId, TeamName, WorkerId
 from radishlift.placement.jobs import (
+    Priority,
     Resources,
     TaskState,
     job_id_of,
@@ -24,8 +25,8 @@
 class PartitionTables:
     """Tables of jobs, tasks and workers.
 
-    `queued_jobs` and `changed_workers` collect the rows that changed since
-    the engine last looked, so that it keeps its indexes without scans.
+    `queued_jobs`, `changed_workers` and `shrunk_teams` collect what changed
+    since the engine last looked, so that it keeps its indexes without scans.
     """
 
     def __init__(self) -> None:
@@ -35,6 +36,7 @@
         self.queued_jobs: dict[int, None] = {}
         self.changed_workers: dict[int, None] = {}
         self.ended_jobs: dict[int, None] = {}
+        self.shrunk_teams: dict[TeamName, None] = {}
         self.team_use: dict[TeamName, list[int]] = {}
         self.department_use: dict[DepartmentName, list[int]] = {}
 
@@ -88,12 +90,25 @@
         self.workers.tasks[worker_row][row] = None
         self.workers.take(worker_row, placed.reserved)
         self._count_use(job_row, placed.reserved, 1)
+        self.count_displaceable(row, 1)
         self.changed_workers[worker_row] = None
 
+    def count_displaceable(self, row: int, sign: int) -> None:
+        """Counts an attempt if its priority lets urgent work displace it."""
+        priority = self.jobs.spec[self.tasks.job_row[row]].priority
+        if priority in {Priority.normal, Priority.low}:
+            self.workers.count_displaceable(
+                self.tasks.worker_row[row],
+                self.tasks.reserved[row],
+                sign,
+            )
+
     def release_attempt(self, row: int, *, is_charged: bool) -> None:
         """Returns the capacity of an attempt to its worker."""
         worker_row = self.tasks.worker_row[row]
         reserved = self.tasks.reserved[row]
+        if self.tasks.state[row] is not TaskState.stopping:
+            self.count_displaceable(row, -1)
         self.workers.tasks[worker_row].pop(row)
         self.workers.give_back(worker_row, reserved)
         self._count_use(self.tasks.job_row[row], reserved, -1)
@@ -151,6 +166,8 @@
 
     def _count_use(self, job_row: int, amount: Resources, sign: int) -> None:
         spec = self.jobs.spec[job_row]
+        if sign < 0:
+            self.shrunk_teams[spec.team] = None
         teams = self.team_use
         departments = self.department_use
         for use in (
--- /dev/null
+++ b/src/radishlift/placement/permits.py
@@ -0,0 +1,73 @@
+"""Which workers a task may start on besides having room."""
+
+from radishlift.placement.amounts import is_within, minus
+from radishlift.placement.booking import Reservation
+from radishlift.placement.jobs import JobSpec, Resources
+from radishlift.placement.policies import URGENT_RANK, BackfillCase
+from radishlift.placement.records import TaskPlaced
+from radishlift.placement.rules import policy_of
+from radishlift.placement.starts import estimated_end_ms
+from radishlift.placement.working import Working
+
+
+class Permit:
+    """Keeps workers free that urgent or reserved work waits for."""
+
+    def __init__(
+        self,
+        working: Working,
+        spec: JobSpec,
+        rank: int,
+        demand: Resources,
+        now_ms: int,
+    ) -> None:
+        self._working = working
+        self._rank = rank
+        self._demand = demand
+        self._end_ms = estimated_end_ms(spec, now_ms)
+        self._backfill = policy_of(working, spec.department).backfill
+        self._reservation = _limiting(working, spec, rank)
+
+    def __call__(self, worker_row: int) -> bool:
+        """Tells whether the task may start on a worker."""
+        if (
+            self._rank > URGENT_RANK
+            and worker_row in self._working.booking.claims
+        ):
+            return False
+        reservation = self._reservation
+        if reservation is None or worker_row not in reservation.spare:
+            return True
+        spare = reservation.spare[worker_row]
+        case = BackfillCase(
+            reservation.start_ms,
+            self._end_ms,
+            not is_within(self._demand, spare),
+        )
+        return self._backfill(case)
+
+    def note_start(self, worker_row: int, start: TaskPlaced) -> None:
+        """Counts a start against the reservation that it passed."""
+        reservation = self._reservation
+        if reservation is None or worker_row not in reservation.spare:
+            return
+        if self._end_ms <= reservation.start_ms:
+            reservation.passing.append((start.task_id, start.attempt))
+            return
+        left = minus(reservation.spare[worker_row], start.reserved)
+        reservation.spare[worker_row] = left
+
+
+def _limiting(
+    working: Working,
+    spec: JobSpec,
+    rank: int,
+) -> Reservation | None:
+    """Returns the reservation unless it is the job's own or ranks lower."""
+    reservation = working.booking.reservation
+    if reservation is None or reservation.job_id == spec.job_id:
+        return None
+    return None if rank < reservation.rank else reservation
+
+
+__all__ = ('Permit',)
--- a/src/radishlift/placement/placing.py
+++ b/src/radishlift/placement/placing.py
@@ -1,75 +1,138 @@
 """System that places queued tasks on workers."""
 
-from radishlift.core.ids import Attempt, DepartmentName
-from radishlift.placement.job_queue import Group
-from radishlift.placement.jobs import Resources, task_id_of
-from radishlift.placement.records import TaskPlaced
+from functools import partial
+from typing import Final
+
+from radishlift.placement.choosing import choose_worker
+from radishlift.placement.gangs import find_gang_workers, start_gang
+from radishlift.placement.permits import Permit
+from radishlift.placement.policies import URGENT_RANK
+from radishlift.placement.queue_groups import Group
+from radishlift.placement.reservations import note_blocked
+from radishlift.placement.rules import over_quota, policy_of, share_of
+from radishlift.placement.starts import next_task_row, start_next
 from radishlift.placement.systems import SYSTEMS, TickTime
+from radishlift.placement.tables import NO_ROW, NOTHING
 from radishlift.placement.working import Working
 
+NO_ROOM: Final = 'no worker has room'
+NO_GANG_ROOM: Final = 'the workers have no room for all members of the gang'
+
 
 @SYSTEMS.register('placement')
 def place_tasks(working: Working, time: TickTime) -> bool:
     """Places tasks in queue order until nothing fits."""
     _wake(working)
+    share = partial(share_of, working)
     while not time.is_over():
-        group = working.queue.next_group(_share)
+        group = working.queue.next_group(share, working.booking.closed)
         if group is None:
             return True
-        _place_head(working, group, time)
+        job_row = working.queue.head(group)
+        if job_row is not None:
+            _place_head(working, group, job_row, time.now_ms)
     return False
 
 
-def _share(department: DepartmentName) -> float:
-    return 0
-
-
 def _wake(working: Working) -> None:
-    grown = working.grown
-    working.grown = Resources(0, 0, 0)
-    working.queue.wake_fitting(grown)
+    """Wakes the groups for which something has changed."""
+    if working.fleet.grown != NOTHING:
+        working.queue.wake_fitting(working.fleet.grown)
+        working.fleet.grown = NOTHING
+    for team in working.tables.shrunk_teams:
+        working.queue.wake_team(team)
+    working.tables.shrunk_teams = {}
+    for name, group in list(working.booking.closed.items()):
+        if not working.queue.is_blocked(group):
+            del working.booking.closed[name]
 
 
-def _place_head(working: Working, group: Group, time: TickTime) -> None:
-    job_row = working.queue.head(group)
-    if job_row is None:
+def _place_head(
+    working: Working,
+    group: Group,
+    job_row: int,
+    now_ms: int,
+) -> None:
+    count = 1
+    if group.key.is_gang:
+        count = working.tables.jobs.startable_count(job_row)
+    dimension = over_quota(working, group.key.team, group.key.demand, count)
+    if dimension:
+        reason = f'the quota of team {group.key.team} in {dimension} is used'
+        working.queue.block_for_quota(group, reason)
         return
-    workers = working.tables.workers
-    demand = group.key.demand
-    for worker_row in working.index.search(demand, is_tight=True):
-        if workers.fits(worker_row, demand):
-            _place(working, job_row, worker_row, time)
-            working.queue.refresh(group)
-            return
-    working.queue.block(group, 'no worker has room')
+    place = _place_gang if group.key.is_gang else _place_task
+    if place(working, group, job_row, now_ms):
+        working.queue.refresh(group)
+    else:
+        _block(working, group, job_row)
 
 
-def _place(
+def _place_task(
     working: Working,
+    group: Group,
     job_row: int,
-    worker_row: int,
-    time: TickTime,
-) -> None:
-    jobs = working.tables.jobs
-    tasks = working.tables.tasks
-    spec = jobs.spec[job_row]
-    task_id = task_id_of(spec.job_id, jobs.fresh_index[job_row])
-    attempt = 1
-    if jobs.requeued[job_row]:
-        row = next(iter(jobs.requeued[job_row]))
-        task_id = tasks.task_id[row]
-        attempt = tasks.attempt[row] + 1
-    worker = working.tables.workers.worker_info[worker_row]
-    working.emit(
-        TaskPlaced(
-            task_id,
-            Attempt(attempt),
-            worker.worker_id,
-            worker.incarnation,
-            spec.demand,
-            time.now_ms,
-        ),
+    now_ms: int,
+) -> bool:
+    spec = working.tables.jobs.spec[job_row]
+    policy = policy_of(working, spec.department)
+    demand = group.key.demand
+    permit = Permit(working, spec, group.key.rank, demand, now_ms)
+    task_row = next_task_row(working, job_row)
+    avoided: frozenset[int] = frozenset()
+    if task_row != NO_ROW:
+        avoided = _failed_on(working, task_row)
+    worker_row = NO_ROW
+    if avoided:
+        worker_row = choose_worker(
+            working,
+            policy,
+            demand,
+            lambda row: row not in avoided and permit(row),
+        )
+    if worker_row == NO_ROW:
+        worker_row = choose_worker(working, policy, demand, permit)
+    if worker_row == NO_ROW:
+        return False
+    start = start_next(working, job_row, worker_row, demand, now_ms)
+    permit.note_start(worker_row, start)
+    return True
+
+
+def _failed_on(working: Working, task_row: int) -> frozenset[int]:
+    """Returns the workers on which a task failed before."""
+    row_of = working.tables.workers.row_of
+    return frozenset(
+        row_of[worker_id]
+        for worker_id in working.tables.tasks.failed_on[task_row]
+        if worker_id in row_of
     )
 
 
+def _place_gang(
+    working: Working,
+    group: Group,
+    job_row: int,
+    now_ms: int,
+) -> bool:
+    spec = working.tables.jobs.spec[job_row]
+    policy = policy_of(working, spec.department)
+    demand = group.key.demand
+    permit = Permit(working, spec, group.key.rank, demand, now_ms)
+    count = working.tables.jobs.startable_count(job_row)
+    rows = find_gang_workers(working, policy, demand, count, permit)
+    start_gang(working, job_row, rows, demand, now_ms)
+    return bool(rows)
+
+
+def _block(working: Working, group: Group, job_row: int) -> None:
+    reason = NO_GANG_ROOM if group.key.is_gang else NO_ROOM
+    working.queue.block(group, reason)
+    note_blocked(working, group, job_row)
+    if group.key.rank == URGENT_RANK:
+        working.booking.urgent_blocked[group.key] = group
+    if policy_of(working, group.key.department).is_strict:
+        working.booking.closed[group.key.department] = group
+
+
 __all__ = ('place_tasks',)
--- /dev/null
+++ b/src/radishlift/placement/policies.py
@@ -0,0 +1,208 @@
+"""Placement policies, composed of small functions for each concern."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum, unique
+from typing import Final
+
+from radishlift.core.registry import Registry
+from radishlift.placement.jobs import JobSpec, Priority, Resources
+from radishlift.placement.tables import WorkerTable
+
+URGENT_RANK: Final = 0
+HIGH_RANK: Final = 1
+AGED_RANK: Final = 2
+NORMAL_RANK: Final = 3
+LOW_RANK: Final = 4
+
+_RANKS: Final = {
+    Priority.urgent: URGENT_RANK,
+    Priority.high: HIGH_RANK,
+    Priority.normal: NORMAL_RANK,
+    Priority.low: LOW_RANK,
+}
+_UNKNOWN_RUN_TIME_BITS: Final = 64
+
+
+@unique
+class Search(Enum):
+    """The order in which workers are looked at."""
+
+    tight = 'least free first'
+    loose = 'most free first'
+    ordered = 'in table order, scanning the table'
+
+
+@dataclass(frozen=True, slots=True)
+class BackfillCase:
+    """A task that would start while another job holds a reserved start."""
+
+    reserved_start_ms: int
+    estimated_end_ms: int
+    is_touching: bool
+
+
+Rank = Callable[[JobSpec, bool], int]
+Order = Callable[[JobSpec, int], tuple[int, ...]]
+Score = Callable[[WorkerTable, int, Resources], float]
+Preempts = Callable[[Priority, Priority], bool]
+Backfill = Callable[[BackfillCase], bool]
+
+
+@dataclass(frozen=True, slots=True)
+class Policy:
+    """How a department's work is queued, placed and displaced.
+
+    `rank` and `order` sort the queue, lowest first. Of the first
+    `candidates_count` fitting workers of the `search`, that with the lowest
+    `score` is taken. With `is_strict`, nothing passes a blocked head.
+    """
+
+    rank: Rank
+    order: Order
+    score: Score
+    preempts: Preempts
+    backfill: Backfill
+    search: Search = Search.tight
+    candidates_count: int = 1
+    is_strict: bool = False
+
+
+POLICIES: Final[Registry[Policy]] = Registry('placement policy')
+
+
+def rank_by_priority(spec: JobSpec, is_aged: bool) -> int:
+    """Ranks by priority; aged work goes before normal work."""
+    rank = _RANKS[spec.priority]
+    return min(rank, AGED_RANK) if is_aged else rank
+
+
+def rank_equally(spec: JobSpec, is_aged: bool) -> int:
+    """Ranks all work alike."""
+    return NORMAL_RANK
+
+
+def order_by_arrival(spec: JobSpec, accepted_at_ms: int) -> tuple[int, ...]:
+    """Orders jobs first come, first served."""
+    return (accepted_at_ms,)
+
+
+def order_by_run_time(spec: JobSpec, accepted_at_ms: int) -> tuple[int, ...]:
+    """Orders short jobs first, which lowers the mean waiting time.
+
+    Declared run times are off by 0.2-5x, so only their magnitude counts.
+    Urgent and high work stays in order of arrival.
+    """
+    if _RANKS[spec.priority] <= HIGH_RANK:
+        return (0, accepted_at_ms)
+    bits = spec.run_time_ms.bit_length() or _UNKNOWN_RUN_TIME_BITS
+    return (bits, accepted_at_ms)
+
+
+def order_by_size(spec: JobSpec, accepted_at_ms: int) -> tuple[int, ...]:
+    """Orders large demands first; small ones fill the gaps they leave."""
+    if _RANKS[spec.priority] <= HIGH_RANK:
+        return (0, accepted_at_ms)
+    demand = spec.demand
+    bits = (demand.cpu_milli + demand.memory_mb).bit_length()
+    return (-bits, accepted_at_ms)
+
+
+def score_none(workers: WorkerTable, row: int, demand: Resources) -> float:
+    """Takes the first worker that fits."""
+    return 0
+
+
+def score_least_left(
+    workers: WorkerTable,
+    row: int,
+    demand: Resources,
+) -> float:
+    """Prefers full workers whose free dimensions stay in balance."""
+    capacity = workers.worker_info[row].capacity
+    cpu_left = workers.free_cpu[row] - demand.cpu_milli
+    memory_left = workers.free_memory[row] - demand.memory_mb
+    cpu_ratio = cpu_left / max(1, capacity.cpu_milli)
+    memory_ratio = memory_left / max(1, capacity.memory_mb)
+    return cpu_ratio + memory_ratio + abs(cpu_ratio - memory_ratio)
+
+
+def score_most_left(
+    workers: WorkerTable,
+    row: int,
+    demand: Resources,
+) -> float:
+    """Prefers the worker whose scarcest dimension is least used."""
+    capacity = workers.worker_info[row].capacity
+    return -min(
+        workers.free_cpu[row] / max(1, capacity.cpu_milli),
+        workers.free_memory[row] / max(1, capacity.memory_mb),
+    )
+
+
+def preempt_for_urgent(waiting: Priority, running: Priority) -> bool:
+    """Lets urgent work displace normal and low work, never high work."""
+    if waiting is not Priority.urgent:
+        return False
+    return running in {Priority.normal, Priority.low}
+
+
+def preempt_never(waiting: Priority, running: Priority) -> bool:
+    """Displaces nothing."""
+    return False
+
+
+def backfill_before_start(case: BackfillCase) -> bool:
+    """Lets work pass that can't delay the reserved start."""
+    is_over_before = case.estimated_end_ms <= case.reserved_start_ms
+    return is_over_before or not case.is_touching
+
+
+def backfill_always(case: BackfillCase) -> bool:
+    """Lets any work pass."""
+    return True
+
+
+POLICIES.register('waiting_first')(
+    Policy(
+        rank_by_priority,
+        order_by_run_time,
+        score_none,
+        preempt_for_urgent,
+        backfill_before_start,
+    ),
+)
+POLICIES.register('packing_first')(
+    Policy(
+        rank_by_priority,
+        order_by_size,
+        score_least_left,
+        preempt_for_urgent,
+        backfill_before_start,
+        candidates_count=12,
+    ),
+)
+POLICIES.register('fifo_first_fit')(
+    Policy(
+        rank_equally,
+        order_by_arrival,
+        score_none,
+        preempt_never,
+        backfill_always,
+        search=Search.ordered,
+        is_strict=True,
+    ),
+)
+POLICIES.register('least_loaded')(
+    Policy(
+        rank_equally,
+        order_by_arrival,
+        score_most_left,
+        preempt_never,
+        backfill_always,
+        search=Search.loose,
+        candidates_count=4,
+    ),
+)
+
+__all__ = ('POLICIES', 'BackfillCase', 'Policy', 'Search')
--- /dev/null
+++ b/src/radishlift/placement/queue_groups.py
@@ -0,0 +1,135 @@
+"""Groups of equal jobs, active and blocked."""
+
+from collections.abc import Callable, Collection, Iterator
+from typing import Any, NamedTuple
+
+from sortedcontainers import SortedList
+
+from radishlift.core.ids import DepartmentName, TeamName
+from radishlift.placement.amounts import is_within
+from radishlift.placement.jobs import Resources
+
+OrderKey = tuple[int, ...]
+
+
+class GroupKey(NamedTuple):
+    """What the jobs of a group have in common; rank 0 goes first."""
+
+    rank: int
+    department: DepartmentName
+    team: TeamName
+    demand: Resources
+    is_gang: bool
+
+
+class Group:
+    """Jobs of equal demand, in queue order."""
+
+    __slots__ = ('blocked_by', 'entry', 'heap', 'key')
+
+    def __init__(self, key: GroupKey) -> None:
+        self.key = key
+        self.heap: list[tuple[OrderKey, int, int]] = []
+        self.entry: tuple[Any, ...] | None = None
+        self.blocked_by = ''
+
+
+class ActiveGroups:
+    """Groups whose head may be startable, by rank and department."""
+
+    def __init__(self) -> None:
+        self._waiting: dict[int, dict[DepartmentName, SortedList]] = {}
+
+    def update(self, group: Group) -> None:
+        """Adds a group at the place of its present head."""
+        order, sequence, _ = group.heap[0]
+        if group.entry is not None:
+            if group.entry[1] == sequence:
+                return
+            self.remove(group)
+        departments = self._waiting.setdefault(group.key.rank, {})
+        waiting = departments.get(group.key.department)
+        if waiting is None:
+            waiting = SortedList(key=_entry_order)
+            departments[group.key.department] = waiting
+        group.entry = (order, sequence, group)
+        waiting.add(group.entry)
+
+    def remove(self, group: Group) -> None:
+        """Removes a group if it is active."""
+        if group.entry is None:
+            return
+        departments = self._waiting[group.key.rank]
+        waiting = departments[group.key.department]
+        waiting.remove(group.entry)
+        group.entry = None
+        if not waiting:
+            del departments[group.key.department]
+        if not departments:
+            del self._waiting[group.key.rank]
+
+    def first(
+        self,
+        share_of: Callable[[DepartmentName], float],
+        closed: Collection[DepartmentName],
+    ) -> Group | None:
+        """Returns the group whose head goes next.
+
+        The lowest rank goes first, then the department with the least share;
+        departments in `closed` are passed over.
+        """
+        for rank in sorted(self._waiting):
+            departments = self._waiting[rank]
+            names = [name for name in departments if name not in closed]
+            if names:
+                name = min(names, key=share_of)
+                return departments[name][0][-1]
+        return None
+
+
+def _entry_order(entry: tuple[Any, ...]) -> tuple[OrderKey, int]:
+    return entry[0], entry[1]
+
+
+class BlockedGroups:
+    """Groups that wait for room, by demand, or for quota, by team."""
+
+    def __init__(self) -> None:
+        self._by_demand: dict[Resources, dict[GroupKey, Group]] = {}
+        self._by_team: dict[TeamName, dict[GroupKey, Group]] = {}
+
+    def add_for_room(self, group: Group) -> None:
+        """Adds a group that waits for room."""
+        groups = self._by_demand.setdefault(group.key.demand, {})
+        groups[group.key] = group
+
+    def add_for_quota(self, group: Group) -> None:
+        """Adds a group that waits for its team to use less."""
+        self._by_team.setdefault(group.key.team, {})[group.key] = group
+
+    def pop_fitting(self, free: Resources) -> Iterator[Group]:
+        """Removes and yields the groups whose demand fits."""
+        fitting = [
+            demand for demand in self._by_demand if is_within(demand, free)
+        ]
+        for demand in fitting:
+            yield from self._by_demand.pop(demand).values()
+
+    def pop_team(self, team: TeamName) -> Iterator[Group]:
+        """Removes and yields the groups over the quota of a team."""
+        yield from self._by_team.pop(team, {}).values()
+
+    def pop_all(self) -> Iterator[Group]:
+        """Removes and yields all groups."""
+        for demand in list(self._by_demand):
+            yield from self._by_demand.pop(demand).values()
+        for team in list(self._by_team):
+            yield from self.pop_team(team)
+
+    def discard(self, group: Group) -> None:
+        """Removes a group if it is blocked."""
+        self._by_demand.get(group.key.demand, {}).pop(group.key, None)
+        self._by_team.get(group.key.team, {}).pop(group.key, None)
+
+
+__all__ = ('ActiveGroups', 'BlockedGroups', 'Group', 'GroupKey', 'OrderKey')
--- a/src/radishlift/placement/snapshots.py
+++ b/src/radishlift/placement/snapshots.py
@@ -154,6 +154,8 @@
         tables.jobs.requeued[job_row][row] = None
     else:
         _load_attempt(tables, row, plain)
+    if state is TaskState.stopping:
+        tables.count_displaceable(row, -1)
     tables.tasks.state[row] = state
     tables.tasks.attempt[row] = plain['attempt']
     tables.tasks.incarnation[row] = plain['incarnation']
--- a/src/radishlift/placement/system_order.py
+++ b/src/radishlift/placement/system_order.py
@@ -3,13 +3,18 @@
 # ruff: noqa: I001
 from radishlift.placement.endings import end_attempts, update_workers
 from radishlift.placement.cancellations import cancel_jobs
-from radishlift.placement.admission import admit_jobs
+from radishlift.placement.admission import admit_jobs, age_jobs
+from radishlift.placement.reservations import plan_reservation
 from radishlift.placement.placing import place_tasks
+from radishlift.placement.preemption import preempt_tasks
 
 __all__ = (
     'update_workers',
     'end_attempts',
     'cancel_jobs',
     'admit_jobs',
+    'age_jobs',
+    'plan_reservation',
     'place_tasks',
+    'preempt_tasks',
 )
--- a/src/radishlift/placement/tables.py
+++ b/src/radishlift/placement/tables.py
@@ -173,6 +173,7 @@
 
     `free_*` is the capacity less committed and held amounts. It is negative
     when a worker came back smaller than what is committed on it.
+    `displaceable_*` is reserved by running work of normal or low priority.
     """
 
     def __init__(self) -> None:
@@ -185,6 +186,8 @@
         self.free_cpu: list[int] = []
         self.free_memory: list[int] = []
         self.free_accelerators: list[int] = []
+        self.displaceable_cpu: list[int] = []
+        self.displaceable_memory: list[int] = []
         self._free_rows: list[int] = []
 
     def add(self, described: WorkerInfo) -> int:
@@ -199,6 +202,8 @@
         self.free_cpu[row] = described.capacity.cpu_milli
         self.free_memory[row] = described.capacity.memory_mb
         self.free_accelerators[row] = described.capacity.accelerators_count
+        self.displaceable_cpu[row] = 0
+        self.displaceable_memory[row] = 0
         return row
 
     def remove(self, row: int) -> None:
@@ -227,6 +232,23 @@
         self.free_memory[row] += amount.memory_mb
         self.free_accelerators[row] += amount.accelerators_count
 
+    def displaceable(self, row: int) -> Resources:
+        """Returns what running normal and low work reserves."""
+        return Resources(
+            self.displaceable_cpu[row],
+            self.displaceable_memory[row],
+        )
+
+    def count_displaceable(
+        self,
+        row: int,
+        amount: Resources,
+        sign: int,
+    ) -> None:
+        """Counts work that urgent work may displace."""
+        self.displaceable_cpu[row] += sign * amount.cpu_milli
+        self.displaceable_memory[row] += sign * amount.memory_mb
+
     def can_take(self, row: int) -> bool:
         """Tells whether ordinary tasks may be placed on the worker."""
         return self.is_present[row] and not self.quarantine_reason[row]
@@ -246,6 +268,8 @@
             self.free_cpu,
             self.free_memory,
             self.free_accelerators,
+            self.displaceable_cpu,
+            self.displaceable_memory,
         ]
 
 
--- a/src/radishlift/placement/worker_index.py
+++ b/src/radishlift/placement/worker_index.py
@@ -1,10 +1,10 @@
 """Index of workers by free capacity, searched without scanning them all."""
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Final
 
 from radishlift.placement.jobs import Resources
-from radishlift.placement.tables import WorkerTable
+from radishlift.placement.tables import NOTHING, WorkerTable
 
 LEVELS_COUNT: Final = 64
 """Levels of each dimension; one level is 1.6% of the largest worker."""
@@ -91,20 +91,25 @@
 class WorkerIndex:
     """Grids of the open workers, without and with accelerators.
 
+    `extra_of` tells what counts as free besides the free capacity of a
+    worker, such as what preemptible work holds.
+
     Work that needs no accelerator looks at the workers without them first.
     """
 
-    def __init__(self, workers: WorkerTable) -> None:
+    def __init__(
+        self,
+        workers: WorkerTable,
+        extra_of: Callable[[int], Resources] | None = None,
+    ) -> None:
         self._workers = workers
+        self._extra_of = extra_of
         self._largest = Resources(0, 0, 0)
         self._grids: tuple[FreeGrid, ...] = ()
         self._rebuild(self._largest)
 
-    def update(self, row: int, extra: Resources | None = None) -> None:
-        """Takes over the present free capacity of a worker.
-
-        `extra` is counted as free too, such as capacity of preemptible work.
-        """
+    def update(self, row: int) -> None:
+        """Takes over the present free capacity of a worker."""
         workers = self._workers
         if not workers.can_take(row):
             self._remove(row)
@@ -112,11 +117,12 @@
         capacity = workers.worker_info[row].capacity
         self._grow(capacity)
         grid = self._grids[capacity.accelerators_count > 0]
-        cpu, memory = workers.free_cpu[row], workers.free_memory[row]
-        if extra is not None:
-            cpu += extra.cpu_milli
-            memory += extra.memory_mb
-        grid.update(row, cpu, memory)
+        extra = NOTHING if self._extra_of is None else self._extra_of(row)
+        grid.update(
+            row,
+            workers.free_cpu[row] + extra.cpu_milli,
+            workers.free_memory[row] + extra.memory_mb,
+        )
 
     def search(self, demand: Resources, *, is_tight: bool) -> Iterator[int]:
         """Yields workers that may fit; the caller checks each."""
--- a/src/radishlift/placement/working.py
+++ b/src/radishlift/placement/working.py
@@ -9,9 +9,16 @@
 from typing import Any
 
 from radishlift.config.document import ConfigDocument
-from radishlift.core.ids import ConfigVersion, Incarnation, JobId, WorkerId
+from radishlift.core.ids import (
+    ConfigVersion,
+    Incarnation,
+    JobId,
+    WorkerId,
+)
+from radishlift.placement.booking import Booking
+from radishlift.placement.fleet import Fleet
 from radishlift.placement.job_queue import JobQueue
-from radishlift.placement.jobs import Resources, TaskState, WorkerInfo
+from radishlift.placement.jobs import TaskState, WorkerInfo
 from radishlift.placement.orders import Order
 from radishlift.placement.partition_tables import PartitionTables
 from radishlift.placement.settings import PlacementSettings
@@ -28,6 +35,14 @@
     state: TaskState
 
 
+@dataclass(slots=True)
+class Rules:
+    """The operators' document and this partition's part of each quota."""
+
+    document: ConfigDocument
+    quota_ratio: float = 1
+
+
 class Inputs:
     """Facts and requests that the next ticks work through."""
 
@@ -49,15 +64,18 @@
         self.state = state
         self.settings = settings
         self.inputs = Inputs()
-        self.document = ConfigDocument(ConfigVersion(0))
-        self.quota_ratio = 1.0
+        self.rules = Rules(ConfigDocument(ConfigVersion(0)))
         self.orders: list[Order] = []
         self.records: list[Any] = []
         self.index = WorkerIndex(state.tables.workers)
         self.queue = JobQueue(state.tables.jobs)
-        self.grown = Resources(0, 0, 0)
-        self.total = Resources(0, 0, 0)
-        self._capacity_of: dict[int, Resources] = {}
+        self.fleet = Fleet()
+        self.reclaimable = WorkerIndex(
+            state.tables.workers,
+            state.tables.workers.displaceable,
+        )
+        self.ageing: list[tuple[int, JobId]] = []
+        self.booking = Booking()
 
     @property
     def tables(self) -> PartitionTables:
@@ -81,34 +99,8 @@
     def _sync_worker(self, row: int) -> None:
         workers = self.tables.workers
         self.index.update(row)
-        self._sync_total(row)
-        if workers.can_take(row):
-            self.grown = Resources(
-                max(self.grown.cpu_milli, workers.free_cpu[row]),
-                max(self.grown.memory_mb, workers.free_memory[row]),
-                max(
-                    self.grown.accelerators_count,
-                    workers.free_accelerators[row],
-                ),
-            )
-
-    def _sync_total(self, row: int) -> None:
-        workers = self.tables.workers
-        capacity = Resources(0, 0, 0)
-        if workers.is_present[row]:
-            capacity = workers.worker_info[row].capacity
-        before = self._capacity_of.get(row, Resources(0, 0, 0))
-        if capacity is before:
-            return
-        self._capacity_of[row] = capacity
-        total = self.total
-        self.total = Resources(
-            total.cpu_milli + capacity.cpu_milli - before.cpu_milli,
-            total.memory_mb + capacity.memory_mb - before.memory_mb,
-            total.accelerators_count
-            + capacity.accelerators_count
-            - before.accelerators_count,
-        )
+        self.reclaimable.update(row)
+        self.fleet.update(workers, row)
 
 
-__all__ = ('EndedAttempt', 'Inputs', 'Working')
+__all__ = ('EndedAttempt', 'Inputs', 'Rules', 'Working')
--- /dev/null
+++ b/tests/placement/test_gangs.py
@@ -0,0 +1,98 @@
+from radishlift.core.ids import JobId
+from radishlift.placement.jobs import JobKind, Priority, Resources, TaskState
+from radishlift.placement.orders import OrderKind
+from tests.placement.builders import (
+    make_engine,
+    make_job,
+    make_worker,
+    only_start,
+    placed,
+)
+
+SMALL = Resources(4_000, 8_000)
+HALF = Resources(2_000, 4_000)
+
+
+def started(records):
+    return sorted(start.task_id for start in placed(records))
+
+
+def end(engine, start, state=TaskState.finished):
+    engine.task_ended(start.task_id, start.attempt, state)
+
+
+def make_gang(job_id='gang', **changes):
+    return make_job(job_id, kind=JobKind.gang, demand=HALF, **changes)
+
+
+def test_gang_starts_whole_or_not_at_all():
+    """Guards against a gang that holds part of its workers."""
+    _, engine = make_engine(make_worker(1, SMALL), make_worker(2, SMALL))
+    engine.accept(make_job('first', demand=HALF), 0)
+    first = only_start(engine.tick(0))
+    engine.accept(make_gang(task_count=4), 1)
+    assert not placed(engine.tick(1))
+    end(engine, first)
+    assert len(placed(engine.tick(2))) == 4
+
+
+def test_backfill_never_delays_a_reserved_start():
+    """Guards against small work that pushes a waiting gang back."""
+    _, engine = make_engine(make_worker(1, SMALL), make_worker(2, SMALL))
+    engine.accept(make_job('first', demand=HALF, run_time_ms=100), 0)
+    engine.tick(0)
+    engine.accept(make_gang(task_count=4), 1)
+    engine.tick(1)
+    engine.tick(2)
+    short = make_job('short', demand=HALF, run_time_ms=50)
+    engine.accept(short, 3)
+    engine.accept(make_job('long', demand=HALF, run_time_ms=500), 3)
+    assert started(engine.tick(3)) == ['short/0']
+    # The short task overruns its declared time and is stopped at the start.
+    engine.tick(101)
+    orders = engine.take_orders()
+    assert [order.task_id for order in orders] == ['short/0']
+    assert orders[0].kind is OrderKind.stop
+    for task_id in ('first/0', 'short/0'):
+        engine.task_ended(task_id, 1, TaskState.cancelled)
+    assert started(engine.tick(102)) == [f'gang/{n}' for n in range(4)]
+
+
+def test_urgent_work_passes_a_reservation():
+    _, engine = make_engine(make_worker(1, SMALL), make_worker(2, SMALL))
+    engine.accept(make_job('first', demand=HALF, run_time_ms=100), 0)
+    engine.accept(make_gang(task_count=4), 1)
+    engine.tick(1)
+    engine.tick(2)
+    urgent = make_job('urgent', demand=HALF, priority=Priority.urgent)
+    engine.accept(urgent, 3)
+    assert started(engine.tick(3)) == ['urgent/0']
+
+
+def test_gang_restarts_as_a_whole():
+    """Guards against members that wait for one that was lost."""
+    _, engine = make_engine(make_worker(1, SMALL), make_worker(2, SMALL))
+    engine.accept(make_gang(task_count=4), 0)
+    starts = placed(engine.tick(0))
+    end(engine, starts[0], TaskState.queued)
+    assert not placed(engine.tick(1))
+    assert len(engine.take_orders()) == 3
+    for start in starts[1:]:
+        end(engine, start, TaskState.cancelled)
+    again = placed(engine.tick(2))
+    assert {start.attempt for start in again} == {2}
+    assert len(again) == 4
+
+
+def test_cancelled_gang_releases_its_reservation():
+    """Guards against workers kept free for a job that left."""
+    _, engine = make_engine(make_worker(1, SMALL))
+    engine.accept(make_job('first', demand=HALF, run_time_ms=100), 0)
+    engine.tick(0)
+    engine.accept(make_gang(task_count=2), 1)
+    engine.tick(1)
+    engine.tick(2)
+    engine.accept(make_job('long', demand=HALF, run_time_ms=900), 3)
+    assert not placed(engine.tick(3))
+    engine.cancel(JobId('gang'))
+    assert started(engine.tick(4)) == ['long/0']
--- /dev/null
+++ b/tests/placement/test_preemption.py
@@ -0,0 +1,66 @@
+from radishlift.placement.jobs import Priority, Resources, TaskState
+from tests.placement.builders import (
+    make_engine,
+    make_job,
+    make_worker,
+    only_start,
+    placed,
+)
+
+SMALL = Resources(4_000, 8_000)
+HALF = Resources(2_000, 4_000)
+
+
+def make_urgent(job_id='urgent', **changes):
+    return make_job(job_id, priority=Priority.urgent, **changes)
+
+
+def test_urgent_work_starts_only_after_the_stop_ended():
+    """Guards against a start on capacity that is still in use."""
+    _, engine = make_engine(make_worker(1, SMALL))
+    engine.accept(make_job('low', demand=HALF, priority=Priority.low), 0)
+    engine.accept(make_job('normal', demand=HALF), 0)
+    engine.tick(0)
+    engine.accept(make_urgent(demand=HALF), 1)
+    assert not placed(engine.tick(1))
+    assert [order.task_id for order in engine.take_orders()] == ['low/0']
+    assert not placed(engine.tick(2))
+    assert not engine.take_orders()
+    engine.task_ended('low/0', 1, TaskState.cancelled)
+    assert only_start(engine.tick(3)).task_id == 'urgent/0'
+
+
+def test_nothing_takes_what_is_freed_for_urgent_work():
+    """Guards against urgent work that waits while its room is refilled."""
+    _, engine = make_engine(make_worker(1, SMALL))
+    engine.accept(make_job('a', demand=HALF, task_count=2), 0)
+    engine.tick(0)
+    engine.accept(make_urgent(demand=SMALL), 1)
+    engine.accept(make_job('other', demand=HALF), 1)
+    engine.tick(1)
+    engine.task_ended('a/0', 1, TaskState.cancelled)
+    assert not placed(engine.tick(2))
+    engine.task_ended('a/1', 1, TaskState.cancelled)
+    assert only_start(engine.tick(3)).task_id == 'urgent/0'
+
+
+def test_clinic_work_is_not_displaced():
+    _, engine = make_engine(make_worker(1, SMALL))
+    engine.accept(make_job('high', demand=SMALL, priority=Priority.high), 0)
+    engine.tick(0)
+    engine.accept(make_urgent(demand=HALF), 1)
+    engine.tick(1)
+    assert not engine.take_orders()
+
+
+def test_displaced_work_starts_again():
+    _, engine = make_engine(make_worker(1, SMALL))
+    engine.accept(make_job('low', demand=SMALL, priority=Priority.low), 0)
+    engine.tick(0)
+    engine.accept(make_urgent(demand=SMALL), 1)
+    engine.tick(1)
+    engine.task_ended('low/0', 1, TaskState.cancelled)
+    urgent = only_start(engine.tick(2))
+    engine.task_ended(urgent.task_id, urgent.attempt, TaskState.finished)
+    again = only_start(engine.tick(3))
+    assert (again.task_id, again.attempt) == ('low/0', 2)
