Add usage estimates, quarantine, explanations, hand-offs and retention

Reservations follow the 0.95 quantile of lagged reports by team and job name, in bounded memory and limited to the largest worker. Usage above a reservation and stale reports give throttle, checkpoint and stop orders, lowest priority first.

A worker is suspect after a streak of failures of at least two jobs that the failure rate of the other workers makes rarer than 1 in 1,000. A fixed failure count was ruled out: a faulty release would close the whole fleet. A job with one attempt is never run again, whatever the cause.

The engine takes over records that were applied to the state by others, which it missed before.

--- a/src/radishlift/placement/admission.py
+++ b/src/radishlift/placement/admission.py
@@ -4,7 +4,6 @@
 
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.placement.amounts import is_within
-from radishlift.placement.estimates import demand_of
 from radishlift.placement.jobs import JobKind, JobSpec, Resources
 from radishlift.placement.queue_groups import GroupKey
 from radishlift.placement.rules import (
@@ -88,7 +87,7 @@
         rank,
         spec.department,
         spec.team,
-        demand_of(working, spec),
+        working.usage.estimates.demand_of(spec, working.fleet.largest),
         spec.kind is JobKind.gang,
     )
     working.queue.add(job_row, key, order)
--- a/src/radishlift/placement/cancellations.py
+++ b/src/radishlift/placement/cancellations.py
@@ -28,7 +28,7 @@
     if job_row is None:
         return True
     if jobs.is_open(job_row) and not jobs.is_ended(job_row):
-        working.emit(JobCancelled(job_id))
+        working.emit(JobCancelled(job_id, time.now_ms))
     for row in list(jobs.task_rows[job_row].values()):
         if _is_stopped_for_good(working, row):
             continue
--- a/src/radishlift/placement/endings.py
+++ b/src/radishlift/placement/endings.py
@@ -5,6 +5,7 @@
 from radishlift.placement.jobs import JobKind, TaskState, WorkerInfo
 from radishlift.placement.reasons import (
     FAILED,
+    FAILED_ON_SUSPECT,
     FINISHED,
     LAPSED,
     STOPPED,
@@ -46,6 +47,8 @@
         working.emit(WorkerObserved(described))
         return not time.is_over()
     known = workers.worker_info[row]
+    if known.incarnation != described.incarnation:
+        working.health.forget(row)
     if known != described or not workers.is_present[row]:
         working.emit(WorkerObserved(described))
     return _end_other_incarnations(working, row, described, time)
@@ -78,6 +81,7 @@
     if worker_row is None:
         return True
     if tables.workers.worker_info[worker_row].incarnation == incarnation:
+        working.health.forget(worker_row)
         working.emit(WorkerRemoved(worker_id, incarnation))
     for row in list(tables.workers.tasks[worker_row]):
         if tables.tasks.incarnation[row] != incarnation:
@@ -106,6 +110,7 @@
 
 def _emit_end(working: Working, row: int, ended: TaskEnded) -> None:
     job_row = working.tables.tasks.job_row[row]
+    working.usage.given_orders.pop(ended.task_id, None)
     working.emit(ended)
     if working.tables.jobs.spec[job_row].kind is JobKind.gang:
         end_gang_member(working, job_row, ended.state)
@@ -139,6 +144,7 @@
         return
     match ended.state:
         case TaskState.finished:
+            working.health.note_success(tasks.worker_row[row])
             _end_as(working, row, TaskState.finished, FINISHED, now_ms)
         case TaskState.failed:
             _fail(working, row, now_ms)
@@ -151,11 +157,23 @@
 def _fail(working: Working, row: int, now_ms: int) -> None:
     tables = working.tables
     spec = tables.jobs.spec[tables.tasks.job_row[row]]
-    failures_count = len(tables.tasks.failed_on[row]) + 1
-    state = TaskState.failed
-    if _may_requeue(working, row) and failures_count < spec.max_attempts:
-        state = TaskState.queued
-    _end_as(working, row, state, FAILED, now_ms)
+    worker_row = tables.tasks.worker_row[row]
+    working.health.note_failure(worker_row, spec.job_id)
+    is_faulty = _is_faulty(working, worker_row)
+    failures_count = len(tables.tasks.failed_on[row])
+    # A job with one attempt must not run again whatever the cause.
+    is_repeatable = spec.max_attempts > 1 and _may_requeue(working, row)
+    if is_repeatable and is_faulty:
+        _end_as(working, row, TaskState.queued, FAILED_ON_SUSPECT, now_ms)
+    elif is_repeatable and failures_count + 1 < spec.max_attempts:
+        _end_as(working, row, TaskState.queued, FAILED, now_ms)
+    else:
+        _end_as(working, row, TaskState.failed, FAILED, now_ms)
+
+
+def _is_faulty(working: Working, worker_row: int) -> bool:
+    is_quarantined = worker_row in working.health.quarantined
+    return is_quarantined or working.health.is_suspect(worker_row)
 
 
 def _end_as(
--- a/src/radishlift/placement/engine.py
+++ b/src/radishlift/placement/engine.py
@@ -16,6 +16,17 @@
 from radishlift.placement import system_order  # noqa: F401
 from radishlift.placement.admission import refusal_of
 from radishlift.placement.cancellations import order_stop
+from radishlift.placement.explanations import (
+    ExplainContext,
+    Explanation,
+    explain_task,
+)
+from radishlift.placement.hand_offs import (
+    HandOff,
+    LoadSummary,
+    list_hand_offs,
+    summarise_load,
+)
 from radishlift.placement.job_queue import JobQueue
 from radishlift.placement.jobs import (
     JobSpec,
@@ -121,7 +132,8 @@
         reports: Sequence[UsageReport],
         now_ms: int,
     ) -> None:
-        """Takes in lagged usage of the tasks on a worker."""
+        """Takes in lagged usage; it replaces earlier reports of the worker."""
+        self._working.inputs.usage[worker_id] = tuple(reports)
 
     def task_ended(
         self,
@@ -143,6 +155,8 @@
         Returns the records to journal, in the order they were applied.
         """
         working = self._working
+        # Records may have been applied to the state by others in between.
+        working.sync_workers()
         budget_ms = working.settings.budget_ms
         budget = TickBudget(now_ms, budget_ms, self._timer)
         # A system that has much to do gets half of the time that is left, so
@@ -187,6 +201,22 @@
         """
         self._working.fleet.other_shapes = frozenset(shapes)
 
+    def explain(self, task_id: TaskId, now_ms: int) -> Explanation | Failure:
+        """Tells why a task runs where it does or why it waits."""
+        return explain_task(
+            self._working.state,
+            task_id,
+            ExplainContext(self._working, now_ms),
+        )
+
+    def summarise_load(self) -> LoadSummary:
+        """Returns the load of this partition, in fixed size."""
+        return summarise_load(self._working)
+
+    def list_hand_offs(self, now_ms: int) -> list[HandOff]:
+        """Lists queued jobs that this partition can't start soon."""
+        return list_hand_offs(self._working, now_ms)
+
     def take_orders(self) -> list[Order]:
         """Returns the orders since the last call, for the dispatcher."""
         orders = self._working.orders
--- /dev/null
+++ b/src/radishlift/placement/explanations.py
@@ -0,0 +1,239 @@
+"""Explains where a task runs and why, or why it waits."""
+
+from dataclasses import dataclass
+from enum import Enum, unique
+
+from radishlift.core.errors import ErrorKind, Failure
+from radishlift.core.ids import TaskId, WorkerId
+from radishlift.placement.amounts import is_within
+from radishlift.placement.jobs import (
+    JobKind,
+    Resources,
+    TaskState,
+    job_id_of,
+)
+from radishlift.placement.partition_tables import PartitionTables
+from radishlift.placement.rules import DIMENSIONS, over_quota
+from radishlift.placement.state import PartitionState
+from radishlift.placement.tables import NO_ROW
+from radishlift.placement.working import Working
+
+
+@unique
+class ExplanationKind(Enum):
+    """Why a task is where it is."""
+
+    runs = 'runs'
+    stopping = 'stopping'
+    ended = 'ended'
+    handed_off = 'handed_off'
+    waits_for_turn = 'waits_for_turn'
+    waits_for_room = 'waits_for_room'
+    waits_for_quota = 'waits_for_quota'
+    waits_for_gang = 'waits_for_gang'
+    waits_for_quarantined_worker = 'waits_for_quarantined_worker'
+    waits_for_reserved_capacity = 'waits_for_reserved_capacity'
+
+
+@dataclass(frozen=True, slots=True)
+class Explanation:
+    """An explanation in typed form, and `detail` as a sentence.
+
+    `dimension` names what is short. `worker_id` is empty while it waits.
+    """
+
+    task_id: TaskId
+    kind: ExplanationKind
+    state: TaskState
+    detail: str
+    dimension: str = ''
+    worker_id: WorkerId = WorkerId('')
+    attempt: int = 0
+    reserved: Resources | None = None
+    reserved_start_ms: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class ExplainContext:
+    """What the engine knows besides the journaled state."""
+
+    working: Working
+    now_ms: int
+
+
+def explain_task(
+    state: PartitionState,
+    task_id: TaskId,
+    context: ExplainContext | None = None,
+) -> Explanation | Failure:
+    """Explains a task from the state of its partition.
+
+    Without a context quotas and reserved starts are not known. Fails with
+    `not_found`. Looks at every worker; meant for callers who ask.
+    """
+    tables = state.tables
+    if not tables.has_task(task_id):
+        return Failure(ErrorKind.not_found, f'no task {task_id} here')
+    job_row = tables.jobs.row_of[job_id_of(task_id)]
+    row = tables.task_row(task_id)
+    if row == NO_ROW:
+        return _explain_closed(tables, task_id, job_row)
+    if row is not None and tables.tasks.is_live(row):
+        return _explain_live(tables, row)
+    return _explain_waiting(tables, task_id, job_row, context)
+
+
+def _explain_closed(
+    tables: PartitionTables,
+    task_id: TaskId,
+    job_row: int,
+) -> Explanation:
+    target = tables.jobs.to_partition[job_row]
+    if target:
+        return Explanation(
+            task_id,
+            ExplanationKind.handed_off,
+            TaskState.queued,
+            f'the job was handed off to partition {target}',
+        )
+    # Ended tasks have no row; only their number by state is kept.
+    counts = tables.jobs.ended_counts[job_row]
+    text = ', '.join(f'{counts[state]} {state.value}' for state in counts)
+    last = next(iter(counts), TaskState.cancelled)
+    detail = f'the task ended; of its job: {text}'
+    return Explanation(task_id, ExplanationKind.ended, last, detail)
+
+
+def _explain_live(tables: PartitionTables, row: int) -> Explanation:
+    tasks = tables.tasks
+    worker_row = tasks.worker_row[row]
+    worker_id = tables.workers.worker_info[worker_row].worker_id
+    kind = ExplanationKind.runs
+    detail = f'{worker_id} had room for what is reserved'
+    if tasks.state[row] is TaskState.stopping:
+        kind = ExplanationKind.stopping
+        detail = f'{worker_id} was told to stop it'
+    return Explanation(
+        tasks.task_id[row],
+        kind,
+        tasks.state[row],
+        detail,
+        worker_id=worker_id,
+        attempt=tasks.attempt[row],
+        reserved=tasks.reserved[row],
+    )
+
+
+def _explain_waiting(
+    tables: PartitionTables,
+    task_id: TaskId,
+    job_row: int,
+    context: ExplainContext | None,
+) -> Explanation:
+    demand = tables.jobs.spec[job_row].demand
+    if context is not None:
+        group = context.working.queue.group_of(job_row)
+        demand = demand if group is None else group.key.demand
+        found = _explain_rules(context, task_id, job_row, demand)
+        if found is not None:
+            return found
+    kind, detail, dimension = _explain_room(tables, job_row, demand)
+    is_gang = tables.jobs.spec[job_row].kind is JobKind.gang
+    if is_gang and kind is ExplanationKind.waits_for_turn:
+        kind = ExplanationKind.waits_for_gang
+        detail = 'the workers have no room for all members of the gang'
+    return Explanation(task_id, kind, TaskState.queued, detail, dimension)
+
+
+def _explain_rules(
+    context: ExplainContext,
+    task_id: TaskId,
+    job_row: int,
+    demand: Resources,
+) -> Explanation | None:
+    working = context.working
+    spec = working.tables.jobs.spec[job_row]
+    dimension = over_quota(working, spec.team, demand, 1)
+    if dimension:
+        return Explanation(
+            task_id,
+            ExplanationKind.waits_for_quota,
+            TaskState.queued,
+            f'the quota of team {spec.team} in {dimension} is used',
+            dimension,
+        )
+    held = working.booking.reservation
+    if held is None:
+        return None
+    kind = ExplanationKind.waits_for_reserved_capacity
+    detail = f'free workers are reserved for job {held.job_id}'
+    if held.job_id == spec.job_id:
+        kind = ExplanationKind.waits_for_gang
+        detail = f'a start is reserved in {held.start_ms - context.now_ms} ms'
+    elif not _has_room(working.tables, demand):
+        return None
+    return Explanation(
+        task_id,
+        kind,
+        TaskState.queued,
+        detail,
+        reserved_start_ms=held.start_ms,
+    )
+
+
+def _has_room(tables: PartitionTables, demand: Resources) -> bool:
+    workers = tables.workers
+    return any(
+        workers.can_take(row) and workers.fits(row, demand)
+        for row in workers.row_of.values()
+    )
+
+
+def _explain_room(
+    tables: PartitionTables,
+    job_row: int,
+    demand: Resources,
+) -> tuple[ExplanationKind, str, str]:
+    if _has_room(tables, demand):
+        detail = 'a worker has room; work that goes first is being placed'
+        return ExplanationKind.waits_for_turn, detail, ''
+    workers = tables.workers
+    present = [
+        row for row in workers.row_of.values() if workers.is_present[row]
+    ]
+    if any(workers.fits(row, demand) for row in present):
+        kind = ExplanationKind.waits_for_quarantined_worker
+        return kind, 'only quarantined workers have room', ''
+    free = [
+        Resources(
+            workers.free_cpu[row],
+            workers.free_memory[row],
+            workers.free_accelerators[row],
+        )
+        for row in present
+    ]
+    dimension = _scarcest(demand, free)
+    fits_empty = any(
+        is_within(demand, workers.worker_info[row].capacity) for row in present
+    )
+    detail = f'no worker has enough free {dimension}'
+    if not fits_empty:
+        detail = f'no worker of this partition has enough {dimension}'
+    return ExplanationKind.waits_for_room, detail, dimension
+
+
+def _scarcest(demand: Resources, free: list[Resources]) -> str:
+    """Names the dimension in which the fewest workers have room."""
+    counts = {
+        name: sum(getattr(one, name) >= getattr(demand, name) for one in free)
+        for name in DIMENSIONS
+    }
+    return min(counts, key=counts.__getitem__)
+
+
+__all__ = (
+    'ExplainContext',
+    'Explanation',
+    'ExplanationKind',
+    'explain_task',
+)
--- a/src/radishlift/placement/fleet.py
+++ b/src/radishlift/placement/fleet.py
@@ -14,13 +14,15 @@
     """Total capacity, sizes of workers, and where capacity became free.
 
     `grown` is, in each dimension, the most that is free on a worker on which
-    more became free since it was last reset. `other_shapes` are the sizes of
+    more became free since it was last reset. `largest` is the most that a
+    worker has in each dimension. `other_shapes` are the sizes of
     workers in other partitions.
     """
 
     def __init__(self) -> None:
         self.total = NOTHING
         self.grown = NOTHING
+        self.largest = NOTHING
         self.shapes: Counter[Resources] = Counter()
         self.other_shapes: frozenset[Resources] = frozenset()
         self._capacity_of: dict[int, Resources] = {}
@@ -63,6 +65,10 @@
         self.shapes[shape] += change
         if not self.shapes[shape]:
             del self.shapes[shape]
+        self.largest = Resources(
+            max((known.cpu_milli for known in self.shapes), default=0),
+            max((known.memory_mb for known in self.shapes), default=0),
+        )
 
 
 __all__ = ('Fleet',)
--- /dev/null
+++ b/src/radishlift/placement/health.py
@@ -0,0 +1,106 @@
+"""Failure rates of workers, judged against the rest of the fleet."""
+
+from dataclasses import dataclass, field
+from typing import Final
+
+from radishlift.core.ids import JobId
+
+LEAST_STREAK_COUNT: Final = 3
+"""Failures in a row below which a worker is not suspected."""
+CHANCE_LIMIT: Final = 0.001
+"""A streak is suspicious if the fleet's failure rate makes it rarer."""
+WINDOW_COUNT: Final = 512
+"""Ends after which all counts are halved, so that old ones fade."""
+FIRST_PROBE_MS: Final = 5_000
+LAST_PROBE_MS: Final = 300_000
+
+
+@dataclass(slots=True)
+class WorkerHealth:
+    """Ends of attempts on a worker.
+
+    `failing_jobs` are the jobs of the failures in a row: one faulty job
+    alone does not make a worker suspect.
+    """
+
+    ended_count: float = 0
+    failed_count: float = 0
+    streak_count: int = 0
+    failing_jobs: set[JobId] = field(default_factory=set)
+    probe_wait_ms: int = FIRST_PROBE_MS
+    probe_at_ms: int = 0
+
+
+class FleetHealth:
+    """Ends of attempts on all workers of a partition.
+
+    `is_changed` tells of failures since the workers were last judged.
+    """
+
+    def __init__(self) -> None:
+        self.quarantined: dict[int, None] = {}
+        self.is_changed = False
+        self._workers: dict[int, WorkerHealth] = {}
+        self._ended_count: float = 0
+        self._failed_count: float = 0
+
+    def of(self, row: int) -> WorkerHealth:
+        """Returns the health of a worker."""
+        return self._workers.setdefault(row, WorkerHealth())
+
+    def forget(self, row: int) -> None:
+        """Starts anew with a worker that is gone or restarted."""
+        self._workers.pop(row, None)
+
+    def note_success(self, row: int) -> None:
+        """Counts an attempt that finished."""
+        worker = self.of(row)
+        worker.streak_count = 0
+        worker.failing_jobs.clear()
+        worker.probe_wait_ms = FIRST_PROBE_MS
+        self._count(worker, 0)
+
+    def note_failure(self, row: int, job_id: JobId) -> None:
+        """Counts an attempt that failed by itself."""
+        worker = self.of(row)
+        worker.streak_count += 1
+        self.is_changed = True
+        if len(worker.failing_jobs) < 2:
+            worker.failing_jobs.add(job_id)
+        self._count(worker, 1)
+
+    def is_suspect(self, row: int) -> bool:
+        """Tells whether a worker fails much more than the others do."""
+        worker = self._workers.get(row)
+        if worker is None or worker.streak_count < LEAST_STREAK_COUNT:
+            return False
+        if len(worker.failing_jobs) < 2:
+            return False
+        others_failed = self._failed_count - worker.failed_count
+        others_ended = self._ended_count - worker.ended_count
+        # One failure and one success are added, so that a fleet without
+        # any ends gives an even chance.
+        rate = (others_failed + 1) / (others_ended + 2)
+        return rate**worker.streak_count < CHANCE_LIMIT
+
+    def suspects(self) -> list[int]:
+        """Lists the suspect workers."""
+        return [row for row in self._workers if self.is_suspect(row)]
+
+    def _count(self, worker: WorkerHealth, failed_count: int) -> None:
+        worker.ended_count += 1
+        worker.failed_count += failed_count
+        self._ended_count += 1
+        self._failed_count += failed_count
+        if self._ended_count >= WINDOW_COUNT:
+            self._halve()
+
+    def _halve(self) -> None:
+        self._ended_count /= 2
+        self._failed_count /= 2
+        for worker in self._workers.values():
+            worker.ended_count /= 2
+            worker.failed_count /= 2
+
+
+__all__ = ('FleetHealth', 'WorkerHealth')
--- a/src/radishlift/placement/partition_tables.py
+++ b/src/radishlift/placement/partition_tables.py
@@ -35,6 +35,7 @@
         self.workers = WorkerTable()
         self.queued_jobs: dict[int, None] = {}
         self.changed_workers: dict[int, None] = {}
+        self.queued_count = 0
         self.ended_jobs: dict[int, None] = {}
         self.shrunk_teams: dict[TeamName, None] = {}
         self.team_use: dict[TeamName, list[int]] = {}
@@ -89,6 +90,7 @@
         self.jobs.requeued[job_row].pop(row, None)
         self.workers.tasks[worker_row][row] = None
         self.workers.take(worker_row, placed.reserved)
+        self.queued_count -= 1
         self._count_use(job_row, placed.reserved, 1)
         self.count_displaceable(row, 1)
         self.changed_workers[worker_row] = None
@@ -125,6 +127,7 @@
         self.tasks.state[row] = TaskState.queued
         self.tasks.is_requeued[row] = False
         self.jobs.requeued[job_row][row] = None
+        self.queued_count += 1
         self.queued_jobs[job_row] = None
 
     def remove_task(self, row: int) -> None:
@@ -141,7 +144,9 @@
     def end_job(self, job_row: int, ended_at_ms: int) -> None:
         """Notes the end of a job if none of its tasks is left."""
         if self.jobs.is_ended(job_row) and job_row not in self.ended_jobs:
-            self.jobs.ended_at_ms[job_row] = ended_at_ms
+            # Records without a time count from the acceptance.
+            begin_ms = self.jobs.accepted_at_ms[job_row]
+            self.jobs.ended_at_ms[job_row] = ended_at_ms or begin_ms
             self.ended_jobs[job_row] = None
 
     def remove_worker_if_unused(self, worker_row: int) -> None:
--- a/src/radishlift/placement/records.py
+++ b/src/radishlift/placement/records.py
@@ -39,6 +39,7 @@
 
     job_id: JobId
     to_partition: PartitionId
+    handed_off_at_ms: int = 0
 
 
 @record('job_cancelled')
@@ -47,6 +48,7 @@
     """A caller cancelled a job."""
 
     job_id: JobId
+    cancelled_at_ms: int = 0
 
 
 @record('task_placed')
--- a/src/radishlift/placement/settings.py
+++ b/src/radishlift/placement/settings.py
@@ -17,7 +17,7 @@
 
     budget_ms: float = bounded(5.0, 0.1, 1_000)
     remember_ended_ms: int = bounded(86_400_000, 0, 604_800_000)
-    remember_ended_count: int = bounded(10_000, 0, 1_000_000)
+    remember_ended_count: int = bounded(2_500, 0, 1_000_000)
 
 
 __all__ = ('PlacementSettings',)
--- a/src/radishlift/placement/snapshots.py
+++ b/src/radishlift/placement/snapshots.py
@@ -112,6 +112,9 @@
         _load_task(tables, task)
     for job_id in plain['ended_jobs']:
         tables.ended_jobs[tables.jobs.row_of[job_id]] = None
+    tables.queued_count = sum(
+        tables.jobs.startable_count(row) for row in tables.jobs.row_of.values()
+    )
     return tables
 
 
--- a/src/radishlift/placement/system_order.py
+++ b/src/radishlift/placement/system_order.py
@@ -3,10 +3,13 @@
 # ruff: noqa: I001
 from radishlift.placement.endings import end_attempts, update_workers
 from radishlift.placement.cancellations import cancel_jobs
+from radishlift.placement.usage import take_in_usage
 from radishlift.placement.admission import admit_jobs, age_jobs
 from radishlift.placement.reservations import plan_reservation
+from radishlift.placement.quarantine import judge_workers
 from radishlift.placement.placing import place_tasks
 from radishlift.placement.preemption import preempt_tasks
+from radishlift.placement.retention import forget_jobs
 
 __all__ = (
     'update_workers',
@@ -14,7 +17,10 @@
     'cancel_jobs',
     'admit_jobs',
     'age_jobs',
+    'judge_workers',
+    'take_in_usage',
     'plan_reservation',
     'place_tasks',
     'preempt_tasks',
+    'forget_jobs',
 )
--- a/src/radishlift/placement/working.py
+++ b/src/radishlift/placement/working.py
@@ -13,13 +13,16 @@
     ConfigVersion,
     Incarnation,
     JobId,
+    TaskId,
     WorkerId,
 )
 from radishlift.placement.booking import Booking
+from radishlift.placement.estimates import UsageEstimates
 from radishlift.placement.fleet import Fleet
+from radishlift.placement.health import FleetHealth
 from radishlift.placement.job_queue import JobQueue
-from radishlift.placement.jobs import TaskState, WorkerInfo
-from radishlift.placement.orders import Order
+from radishlift.placement.jobs import TaskState, UsageReport, WorkerInfo
+from radishlift.placement.orders import Order, OrderKind
 from radishlift.placement.partition_tables import PartitionTables
 from radishlift.placement.settings import PlacementSettings
 from radishlift.placement.state import PartitionState
@@ -43,6 +46,14 @@
     quota_ratio: float = 1
 
 
+class UsageTracking:
+    """Estimates, and the orders that were given to running attempts."""
+
+    def __init__(self) -> None:
+        self.estimates = UsageEstimates()
+        self.given_orders: dict[TaskId, set[tuple[int, OrderKind]]] = {}
+
+
 class Inputs:
     """Facts and requests that the next ticks work through."""
 
@@ -51,6 +62,7 @@
         self.observed: dict[WorkerId, WorkerInfo] = {}
         self.gone: deque[tuple[WorkerId, Incarnation]] = deque()
         self.ended: deque[EndedAttempt] = deque()
+        self.usage: dict[WorkerId, tuple[UsageReport, ...]] = {}
 
 
 class Working:
@@ -76,6 +88,8 @@
         )
         self.ageing: list[tuple[int, JobId]] = []
         self.booking = Booking()
+        self.usage = UsageTracking()
+        self.health = FleetHealth()
 
     @property
     def tables(self) -> PartitionTables:
@@ -101,6 +115,10 @@
         self.index.update(row)
         self.reclaimable.update(row)
         self.fleet.update(workers, row)
+        if workers.is_present[row] and workers.quarantine_reason[row]:
+            self.health.quarantined[row] = None
+        else:
+            self.health.quarantined.pop(row, None)
 
 
 __all__ = ('EndedAttempt', 'Inputs', 'Rules', 'Working')
