--- a/src/radishlift/placement/engine.py
+++ b/src/radishlift/placement/engine.py
@@ -1,9 +1,10 @@
 """The placement engine of one partition."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from time import perf_counter
 from typing import Any
 
+from radishlift.config.document import ConfigDocument
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import (
     Attempt,
@@ -13,9 +14,23 @@
     WorkerId,
 )
 from radishlift.placement import system_order  # noqa: F401
+from radishlift.placement.admission import refusal_of
 from radishlift.placement.cancellations import order_stop
+from radishlift.placement.explanations import (
+    ExplainContext,
+    Explanation,
+    explain_task,
+)
+from radishlift.placement.hand_offs import (
+    HandOff,
+    LoadSummary,
+    list_hand_offs,
+    summarise_load,
+)
+from radishlift.placement.job_queue import JobQueue
 from radishlift.placement.jobs import (
     JobSpec,
+    Resources,
     TaskState,
     UsageReport,
     WorkerInfo,
@@ -85,8 +100,9 @@
         row = jobs.row_of.get(spec.job_id)
         if row is not None:
             return self._repeat(row, spec)
-        if spec.task_count < 1 or spec.max_attempts < 1:
-            return Failure(ErrorKind.invalid_input, 'counts are below 1')
+        refusal = refusal_of(self._working, spec)
+        if refusal is not None:
+            return refusal
         accepted = JobAccepted(spec, now_ms)
         self._working.state.apply(accepted)
         return accepted
@@ -129,7 +145,8 @@
         reports: Sequence[UsageReport],
         now_ms: int,
     ) -> None:
-        """Takes in lagged usage of the tasks on a worker."""
+        """Takes in lagged usage; it replaces earlier reports of the worker."""
+        self._working.inputs.usage[worker_id] = tuple(reports)
 
     def task_ended(
         self,
@@ -151,6 +168,8 @@
         Returns the records to journal, in the order they were applied.
         """
         working = self._working
+        # Records may have been applied to the state by others in between.
+        working.sync_workers()
         budget_ms = working.settings.budget_ms
         budget = TickBudget(now_ms, budget_ms, self._timer)
         # A system that has much to do gets half of the time that is left, so
@@ -168,6 +187,49 @@
         working.records = []
         return records
 
+    def use_config(
+        self,
+        document: ConfigDocument,
+        quota_ratio: float = 1,
+    ) -> None:
+        """Takes over a configuration.
+
+        `quota_ratio` is the part of the cell's capacity in this partition,
+        which gets the same part of each quota.
+        """
+        working = self._working
+        working.rules.document = document
+        working.rules.quota_ratio = quota_ratio
+        working.booking.closed.clear()
+        working.ageing.clear()
+        working.queue = JobQueue(working.tables.jobs)
+        working.tables.queued_jobs = dict.fromkeys(
+            working.tables.jobs.row_of.values(),
+        )
+
+    def observe_fleet(self, shapes: Iterable[Resources]) -> None:
+        """Takes in the worker sizes of other partitions.
+
+        A job that fits none of them, nor a worker here, is refused.
+        """
+        self._working.fleet.other_shapes = frozenset(shapes)
+
+    def explain(self, task_id: TaskId, now_ms: int) -> Explanation | Failure:
+        """Tells why a task runs where it does or why it waits."""
+        return explain_task(
+            self._working.state,
+            task_id,
+            ExplainContext(self._working, now_ms),
+        )
+
+    def summarise_load(self) -> LoadSummary:
+        """Returns the load of this partition, in fixed size."""
+        return summarise_load(self._working)
+
+    def list_hand_offs(self, now_ms: int) -> list[HandOff]:
+        """Lists queued jobs that this partition can't start soon."""
+        return list_hand_offs(self._working, now_ms)
+
     def take_orders(self) -> list[Order]:
         """Returns the orders since the last call, for the dispatcher."""
         orders = self._working.orders
