Hand over partitions during a planned stop and keep the deleted row deleted

Cause: successors read the owner rows only after a change that they see, so a stop told them at its end; the renewal loop wrote the row again after the stop.

Change: each release of a stop is followed by a renewal, and a deleted row is not renewed. A draining daemon claims nothing.

--- a/src/radishlift/ownership/fleet_view.py
+++ b/src/radishlift/ownership/fleet_view.py
@@ -64,8 +64,11 @@
 
     def can_claim(self) -> bool:
         """Tells whether this daemon may claim partitions."""
-        is_started = self.own_row.serving_ms >= self._settings.start_wait_ms
-        return self.can_renew() and is_started and not self.own_row.is_replaced
+        own_row = self.own_row
+        is_started = own_row.serving_ms >= self._settings.start_wait_ms
+        is_serving = own_row.state is DaemonState.serving
+        is_current = is_serving and not own_row.is_replaced
+        return self.can_renew() and is_started and is_current
 
     def is_own(self, seen: SeenOwner) -> bool:
         """Tells whether this process is the owner in the row."""
--- a/src/radishlift/ownership/manager.py
+++ b/src/radishlift/ownership/manager.py
@@ -111,6 +111,8 @@
         Fails with a kind of the store if something could not be released; a
         repeated call goes on from there.
         """
+        if self._view.own_row.is_deleted:
+            return None
         self._view.own_row.drain()
         failure = await self.renew()
         if failure is not None:
@@ -120,6 +122,8 @@
                 failure = await self._claimant.release(partition_id)
                 if failure is not None:
                     return failure
+                # Tells others to claim it while the next one stops.
+                await self._view.own_row.renew()
         return await self._view.own_row.delete()
 
     async def _step(self) -> Failure | None:
--- a/src/radishlift/ownership/own_row.py
+++ b/src/radishlift/ownership/own_row.py
@@ -38,6 +38,7 @@
         self.daemon_id: DaemonId = member.daemon_id
         self.is_replaced = False
         self.has_news = False
+        self.is_deleted = False
         self._store = store
         self._clock = clock
         self._row = DaemonRow(
@@ -91,10 +92,13 @@
         """Writes the row with a higher counter.
 
         Fails with `not_owner` when a newer incarnation has replaced this
-        daemon, and with a kind of the store.
+        daemon, with `draining` after the row was deleted, and with a kind of
+        the store.
         """
         if self.is_replaced:
             return _replaced()
+        if self.is_deleted:
+            return Failure(ErrorKind.draining, 'row was deleted for the stop')
         if self._version is None:
             failure = await self._read_predecessor()
             if failure is not None:
@@ -121,10 +125,16 @@
         """Deletes the row at the end of a planned stop."""
         if self.is_replaced:
             return _replaced()
+        # Set before the write: a renewal at the same time must not write the
+        # row again.
+        self.is_deleted = True
         outcome = await self._write(None)
-        if isinstance(outcome, Conflict):
-            return Failure(ErrorKind.conflict, 'row of this daemon changed')
-        return outcome if isinstance(outcome, Failure) else None
+        if isinstance(outcome, Committed):
+            return None
+        self.is_deleted = False
+        if isinstance(outcome, Failure):
+            return outcome
+        return Failure(ErrorKind.conflict, 'row of this daemon changed')
 
     async def _read_predecessor(self) -> Failure | None:
         row = await self._store.read(DAEMONS_TABLE, self.daemon_id)
--- a/tests/ownership/test_manager.py
+++ b/tests/ownership/test_manager.py
@@ -176,6 +176,33 @@
     assert fleet.owned_counts() == [4]
 
 
+async def test_successor_claims_while_the_next_partition_stops():
+    """Guards against partitions that wait for the whole stop."""
+    fleet = Fleet(4, 'd1', 'd2')
+    await fleet.settle()
+    stopped, successor = fleet.daemons
+    counts = []
+
+    async def on_releasing(partition_id: PartitionId) -> None:
+        await successor.turn()
+        counts.append(len(successor.claims))
+
+    stopped.on_releasing = on_releasing
+    await stopped.manager.stop()
+    assert counts == [2, 3]
+
+
+async def test_stopped_daemon_writes_nothing_more():
+    """Guards against the row of a daemon that does not run any more."""
+    fleet = Fleet(2, 'd1')
+    await fleet.settle()
+    assert await fleet.daemons[0].manager.stop() is None
+    await fleet.run(5000)
+    assert await fleet.daemons[0].manager.stop() is None
+    assert not fleet.daemons[0].claims
+    assert not fleet.store.tables.scan('daemons', '', '', 9)
+
+
 async def test_stop_in_an_outage_goes_on_after_it():
     """Guards against a partition that is given up without its row."""
     fleet = Fleet(2, 'd1')
