--- a/tests/ownership/test_manager.py
+++ b/tests/ownership/test_manager.py
@@ -146,6 +146,23 @@
     assert len(new.claims) == 3
 
 
+async def test_owner_rows_are_read_on_changes_only():
+    """Guards against control traffic that grows with the partitions."""
+    fleet = Fleet(6, 'd1', 'd2')
+    await fleet.settle()
+    store = fleet.daemons[0].store
+    scan = store.scan
+    tables = []
+    store.scan = lambda *query: (tables.append(query[0]), scan(*query))[1]
+    await fleet.run(90_000)
+    assert 2 <= tables.count('owners') <= 3
+    tables.clear()
+    await fleet.daemons[1].manager.stop()
+    await fleet.daemons[0].turn()
+    assert tables.count('owners') == 1
+    assert len(fleet.daemons[0].claims) == 6
+
+
 async def test_planned_stop_releases_everything():
     """Guards against a wait of 10 s after a planned stop."""
     fleet = Fleet(4, 'd1', 'd2')
@@ -159,6 +176,33 @@
     assert fleet.owned_counts() == [4]
 
 
+async def test_successor_claims_while_the_next_partition_stops():
+    """Guards against partitions that wait for the whole stop."""
+    fleet = Fleet(4, 'd1', 'd2')
+    await fleet.settle()
+    stopped, successor = fleet.daemons
+    counts = []
+
+    async def on_releasing(partition_id: PartitionId) -> None:
+        await successor.turn()
+        counts.append(len(successor.claims))
+
+    stopped.on_releasing = on_releasing
+    await stopped.manager.stop()
+    assert counts == [2, 3]
+
+
+async def test_stopped_daemon_writes_nothing_more():
+    """Guards against the row of a daemon that does not run any more."""
+    fleet = Fleet(2, 'd1')
+    await fleet.settle()
+    assert await fleet.daemons[0].manager.stop() is None
+    await fleet.run(5000)
+    assert await fleet.daemons[0].manager.stop() is None
+    assert not fleet.daemons[0].claims
+    assert not fleet.store.tables.scan('daemons', '', '', 9)
+
+
 async def test_stop_in_an_outage_goes_on_after_it():
     """Guards against a partition that is given up without its row."""
     fleet = Fleet(2, 'd1')
