--- /dev/null
+++ b/benchmarks/bench_requests.py
@@ -0,0 +1,203 @@
+"""Requests through 7 routers to 24 executors of 8 slots.
+
+Arrivals are open loop; capacity is computed from the slots and the mean time
+of the mix. The outage of the table service lasts 6 s here instead of the 60 s
+of the target, and its figure says so.
+"""
+
+import time
+from statistics import median, quantiles
+from typing import Any, Final
+
+from benchmarks.harness import BENCHMARKS, Figure, at_least, at_most
+from benchmarks.request_fleet import (
+    EXECUTORS_COUNT,
+    NODES_COUNT,
+    SLOTS_COUNT,
+    Mix,
+    RequestFleet,
+)
+from tests.standins.request_checks import Execution, peaks
+
+PHASE_S: Final = 5
+WARM_UP_S: Final = 4
+OUTAGE_S: Final = 6
+IDLE_COUNT: Final = 300
+HOT_NODES_COUNT: Final = 3
+SKEW: Final = 4
+LOADS: Final = (0.5, 1, 2, 3)
+
+RUGDESK: Final = Mix(
+    'rugdesk',
+    22_000,
+    {'booking': 0.7, 'clinic': 0.2, 'route': 0.1},
+    {'booking': 300, 'clinic': 200, 'route': 500},
+    ('clinic',),
+)
+KIT_DESK: Final = Mix(
+    'kit-desk',
+    22_100,
+    {'price': 0.7, 'recount': 0.2, 'order': 0.1},
+    {'price': 150, 'recount': 300, 'order': 400},
+    ('price',),
+)
+
+
+def offer(
+    fleet: RequestFleet,
+    load: float,
+    seconds: float = PHASE_S,
+    skew: int = 1,
+    **options: Any,
+) -> list[dict[str, Any]]:
+    """Offers a multiple of capacity; hot nodes get `skew` times the rest."""
+    weights = [
+        skew if index < HOT_NODES_COUNT else 1 for index in range(NODES_COUNT)
+    ]
+    unit = load * fleet.mix.capacity_per_s / sum(weights)
+    return fleet.ask_each(
+        [
+            {
+                'do': 'load',
+                'rate': unit * weight,
+                'seconds': seconds,
+                'mix': fleet.mix.parts,
+                **options,
+            }
+            for weight in weights
+        ]
+    )
+
+
+def answered(replies: list[dict[str, Any]]) -> int:
+    return sum(reply['ended'].get('answered', 0) for reply in replies)
+
+
+def offered(replies: list[dict[str, Any]]) -> int:
+    return sum(reply['offered'] for reply in replies)
+
+
+def hops(replies: list[dict[str, Any]]) -> float:
+    return sum(reply['forwards'] for reply in replies) / offered(replies)
+
+
+def p99(numbers: list[float]) -> float:
+    return quantiles(numbers, n=100)[-1]
+
+
+def utilisation(
+    executions: list[Execution], from_ms: float, to_ms: float
+) -> float:
+    """Returns the used part of all slots in a window of host time."""
+    used_ms: float = 0
+    for each in executions:
+        end_ms = to_ms if each.end_ms is None else min(each.end_ms, to_ms)
+        used_ms += max(0, end_ms - max(each.start_ms, from_ms))
+    return used_ms / (EXECUTORS_COUNT * SLOTS_COUNT * (to_ms - from_ms))
+
+
+def now_ms() -> float:
+    return time.monotonic() * 1000
+
+
+def idle_figures(fleet: RequestFleet, name: str) -> list[Figure]:
+    """Measures latency above a direct call, one request at a time."""
+    reply = fleet.ask_first(do='idle', count=IDLE_COUNT)
+    added = median(reply['routed']) - median(reply['direct'])
+    tail = p99(reply['routed']) - p99(reply['direct'])
+    return [
+        Figure(f'requests_{name}_direct_p50_ms', median(reply['direct'])),
+        Figure(f'requests_{name}_added_p50_ms', added),
+        Figure(f'requests_{name}_added_p99_ms', tail),
+        Figure(
+            f'requests_{name}_idle_hops_per_request',
+            reply['forwards'] / IDLE_COUNT,
+        ),
+    ]
+
+
+def goodput_figures(fleet: RequestFleet, name: str) -> list[Figure]:
+    """Measures answers in time at several loads."""
+    figures = []
+    rates = {}
+    offer(fleet, 1, WARM_UP_S)
+    for load in LOADS:
+        from_ms = now_ms()
+        replies = offer(fleet, load)
+        rates[load] = answered(replies) / PHASE_S
+        window = (from_ms + 1000, from_ms + PHASE_S * 1000)
+        used = utilisation(fleet.record(), *window)
+        prefix = f'requests_{name}_{load:g}x'
+        figures += [
+            Figure(f'{prefix}_goodput_per_s', rates[load]),
+            Figure(f'{prefix}_slot_utilisation_ratio', used),
+            Figure(f'{prefix}_hops_per_request', hops(replies)),
+        ]
+    flatness = rates[LOADS[-1]] / rates[1]
+    figures.append(Figure(f'requests_{name}_goodput_3x_of_1x_ratio', flatness))
+    return figures
+
+
+def skew_figures(fleet: RequestFleet) -> list[Figure]:
+    """Measures the use of slots while a few nodes get most arrivals."""
+    writes_before = fleet.write_count()
+    offer(fleet, 1.5, WARM_UP_S, SKEW)
+    from_ms = now_ms()
+    replies = offer(fleet, 1.5, PHASE_S, SKEW)
+    window = (from_ms + 1000, from_ms + PHASE_S * 1000)
+    used = utilisation(fleet.record(), *window)
+    writes = fleet.write_count() - writes_before
+    return [
+        Figure('requests_skewed_slot_utilisation_ratio', used, at_least(0.95)),
+        Figure('requests_skewed_hops_per_request', hops(replies)),
+        Figure(
+            'requests_skewed_slot_writes_per_s',
+            writes / (WARM_UP_S + PHASE_S),
+        ),
+    ]
+
+
+def outage_figures(fleet: RequestFleet) -> list[Figure]:
+    """Measures idempotent requests while the platform is down."""
+    fleet.set_platform('down')
+    replies = offer(fleet, 0.5, OUTAGE_S, idempotent=True)
+    fleet.set_platform('none')
+    ratio = answered(replies) / offered(replies)
+    name = f'requests_idempotent_availability_in_{OUTAGE_S}s_outage_ratio'
+    return [Figure(name, ratio, at_least(1))]
+
+
+def peak_figure(fleet: RequestFleet, name: str) -> Figure:
+    """Finds the highest peak of any executor in the whole run."""
+    highest = max(peaks(fleet.record()).values())
+    return Figure(
+        f'requests_{name}_peak_per_executor_count',
+        highest,
+        at_most(SLOTS_COUNT),
+    )
+
+
+@BENCHMARKS.register('requests')
+def bench_requests() -> list[Figure]:
+    figures = []
+    for mix in (RUGDESK, KIT_DESK):
+        with RequestFleet(mix) as fleet:
+            figures += idle_figures(fleet, mix.service)
+            figures += goodput_figures(fleet, mix.service)
+            if mix is RUGDESK:
+                figures += skew_figures(fleet)
+                figures += outage_figures(fleet)
+            figures.append(peak_figure(fleet, mix.service))
+    return figures
+
+
+@BENCHMARKS.register('requests_baselines')
+def bench_baselines() -> list[Figure]:
+    with RequestFleet(RUGDESK) as fleet:
+        hop_ratio = (NODES_COUNT - 1) / NODES_COUNT
+        fleet.ask(do='one_owner', hop_ratio=hop_ratio)
+        figures = idle_figures(fleet, 'one_owner')
+    with RequestFleet(RUGDESK) as fleet:
+        fleet.ask(do='baseline')
+        figures += goodput_figures(fleet, 'unshed')
+    return figures
--- a/src/radishlift/requests/attempts.py
+++ b/src/radishlift/requests/attempts.py
@@ -5,6 +5,7 @@
 from radishlift.requests.calls import Call
 from radishlift.requests.dispatch import Dispatched, Dispatcher
 from radishlift.requests.places import Places
+from radishlift.requests.settings import RequestSettings
 from radishlift.requests.slot_views import SlotView
 from radishlift.requests.targets import TargetList
 
@@ -17,10 +18,12 @@
         dispatcher: Dispatcher,
         places: Places,
         targets: TargetList,
+        settings: RequestSettings,
     ) -> None:
         self._dispatcher = dispatcher
         self._places = places
         self._targets = targets
+        self._settings = settings
 
     async def run(
         self,
@@ -44,18 +47,20 @@
     ) -> None:
         service = call.request.service
         times = self._places.times
-        is_ok = not isinstance(dispatched.answer, Failure)
-        if is_ok:
+        is_good = not isinstance(dispatched.answer, Failure)
+        typical_ms = times.typical_ms(service, call.rank)
+        if is_good:
             times.observe(service, call.rank, dispatched.elapsed_ms)
+            limit_ms = typical_ms * self._settings.eject_slow_ratio
+            is_good = not typical_ms or dispatched.elapsed_ms <= limit_ms
         elif _is_short_wait(dispatched, times.likely_ms(service, call.rank)):
             # The caller's deadline was short; no fault of the executor.
             return
         self._places.health(service).observe(
             view.executor_id,
-            dispatched.elapsed_ms,
             len(self._targets.listed(service)),
             call.service.max_ejected_ratio,
-            is_ok=is_ok,
+            is_good=is_good,
         )
 
 
--- a/src/radishlift/requests/executor_health.py
+++ b/src/radishlift/requests/executor_health.py
@@ -3,7 +3,6 @@
 import math
 from dataclasses import dataclass
 from enum import Enum, unique
-from statistics import median
 from typing import Any, Final
 
 from transitions import Machine
@@ -13,8 +12,9 @@
 from radishlift.core.logs import log_event
 from radishlift.requests.settings import RequestSettings
 
-_GAIN: Final = 0.1
-_MIN_SAMPLES: Final = 20
+# Half a point back for each good result: an executor is ejected when more
+# than a third of its results are bad, not only when all are.
+_GOOD_CREDIT: Final = 0.5
 _NOBODY: Final[frozenset[ExecutorId]] = frozenset()
 
 
@@ -40,9 +40,7 @@
     """Recent results of one executor; the machine adds `state`."""
 
     executor_id: ExecutorId
-    failures_count: int = 0
-    samples_count: int = 0
-    mean_ms: float = 0
+    bad_score: float = 0
     ejections_count: int = 0
     until_ms: int = 0
     is_probed: bool = False
@@ -103,22 +101,25 @@
     def observe(
         self,
         executor_id: ExecutorId,
-        elapsed_ms: float,
         executors_count: int,
         max_ejected_ratio: float,
         *,
-        is_ok: bool,
+        is_good: bool,
     ) -> None:
-        """Counts a result; ejects unless too many are out already."""
+        """Counts a result; ejects unless too many are out already.
+
+        A bad result is a failure or an answer that took far longer than the
+        answers of its class do at present.
+        """
         record = self._ensure(executor_id)
-        _add_result(record, elapsed_ms, is_ok=is_ok)
         if _state(record) is HealthState.probing:
-            self._end_probe(record, is_ok=is_ok)
+            self._end_probe(record, is_good=is_good)
             return
         if _state(record) is HealthState.ejected:
             return
-        limit = self._settings.eject_failures_count
-        if record.failures_count < limit and not self._is_slow(record):
+        credit = -_GOOD_CREDIT if is_good else 1
+        record.bad_score = max(0, record.bad_score + credit)
+        if record.bad_score < self._settings.eject_failures_count:
             return
         allowed_count = math.floor(max_ejected_ratio * executors_count)
         if self._out_count() < allowed_count:
@@ -142,8 +143,8 @@
         if _state(record) is HealthState.ejected:
             self._fire(record, 'probe')
 
-    def _end_probe(self, record: ExecutorRecord, *, is_ok: bool) -> None:
-        if not is_ok or self._is_slow(record):
+    def _end_probe(self, record: ExecutorRecord, *, is_good: bool) -> None:
+        if not is_good:
             self._eject(record)
             return
         record.ejections_count = 0
@@ -157,24 +158,9 @@
         record.until_ms = self._clock.monotonic_ms() + pause_ms
         record.ejections_count += 1
         record.is_probed = False
-        record.failures_count = 0
-        # The mean from before must not decide about the next probes.
-        record.samples_count = 0
+        record.bad_score = 0
         self._fire(record, 'eject')
 
-    def _is_slow(self, record: ExecutorRecord) -> bool:
-        if record.samples_count < _MIN_SAMPLES:
-            return False
-        others = [
-            each.mean_ms
-            for each in self._records.values()
-            if each is not record and each.samples_count >= _MIN_SAMPLES
-        ]
-        if not others:
-            return False
-        limit_ms = self._settings.eject_slow_ratio * median(others)
-        return record.mean_ms > limit_ms
-
     def _out_count(self) -> int:
         return sum(
             _state(record) is not HealthState.healthy
@@ -200,17 +186,4 @@
     return _state(record) is HealthState.probing and not record.is_probed
 
 
-def _add_result(
-    record: ExecutorRecord,
-    elapsed_ms: float,
-    *,
-    is_ok: bool,
-) -> None:
-    record.failures_count = 0 if is_ok else record.failures_count + 1
-    if record.samples_count == 0:
-        record.mean_ms = elapsed_ms
-    record.mean_ms += _GAIN * (elapsed_ms - record.mean_ms)
-    record.samples_count += 1
-
-
 __all__ = ('ExecutorHealth', 'ExecutorRecord', 'HealthState')
--- a/src/radishlift/requests/keyed.py
+++ b/src/radishlift/requests/keyed.py
@@ -23,9 +23,15 @@
 from radishlift.wire.network import PeerNetwork
 
 _PAUSE_S: Final = 0.1
-# The owner may have moved; nothing was journaled for this request.
+# The owner may have moved, or the first request is still in flight; nothing
+# was journaled for this question.
 _ASK_AGAIN: Final = frozenset(
-    (ErrorKind.not_owner, ErrorKind.no_owner, ErrorKind.peer_unavailable),
+    (
+        ErrorKind.not_owner,
+        ErrorKind.no_owner,
+        ErrorKind.peer_unavailable,
+        ErrorKind.target_outcome_unknown,
+    )
 )
 # The intent may be journaled although no grant came.
 _MAYBE_GRANTED: Final = frozenset(
@@ -80,8 +86,8 @@
             self._open_nonces.discard(nonce)
             if reply.kind in _MAYBE_GRANTED:
                 self._reports.start(RequestNotSent(key, nonce))
-                return _unconfirmed(reply)
-            if reply.kind not in _ASK_AGAIN:
+                reply = _unconfirmed(reply)
+            elif reply.kind not in _ASK_AGAIN:
                 return reply
             failure = reply
             await asyncio.sleep(_PAUSE_S)
@@ -95,16 +101,18 @@
         if owner is None:
             return Failure(ErrorKind.no_owner, f'{partition_id} has no owner')
         self._open_nonces.add(nonce)
+        # Short waits, so that a home whose owner is paused or stops is asked
+        # again at its next owner.
+        wait_ms = max(0, min(call.left_ms, self._settings.home_call_ms))
         asked = IntentRequest(
             partition_id,
             key,
             _digest(call),
             nonce,
-            max(0, call.left_ms),
+            wait_ms,
         )
-        # A margin lets the owner's own answer at the deadline arrive.
-        timeout_ms = call.left_ms + self._settings.home_call_ms
-        return await self._network.call(owner, asked, timeout_ms)
+        timeout_ms = min(call.left_ms, wait_ms + self._settings.home_call_ms)
+        return await self._network.call(owner, asked, max(1, timeout_ms))
 
     def _use(self, grant: IntentGrant, key: str, nonce: str) -> bool:
         if nonce not in self._open_nonces:
--- a/src/radishlift/requests/loads.py
+++ b/src/radishlift/requests/loads.py
@@ -46,8 +46,12 @@
         self._loads: dict[DaemonId, tuple[int, ServiceLoads]] = {}
 
     def store(self, sender: DaemonId, loads: ServiceLoads) -> None:
-        """Keeps a summary."""
-        self._loads[sender] = (self._clock.monotonic_ms(), loads)
+        """Keeps a summary; forgets those of peers that stopped to send."""
+        now_ms = self._clock.monotonic_ms()
+        self._loads[sender] = (now_ms, loads)
+        for peer, (stored_at_ms, _) in tuple(self._loads.items()):
+            if stored_at_ms < now_ms - self._fresh_ms:
+                self._loads.pop(peer)
 
     def fresh(self, service: ServiceName) -> dict[DaemonId, ServiceLoad]:
         """Returns the loads of the peers that report and aren't suspected."""
--- a/src/radishlift/requests/router.py
+++ b/src/radishlift/requests/router.py
@@ -96,6 +96,7 @@
             self.dispatcher,
             self.places,
             parts.slot_parts.targets,
+            settings,
         )
         self._forwarder = Forwarder(
             parts.network,
--- a/src/radishlift/requests/service_times.py
+++ b/src/radishlift/requests/service_times.py
@@ -7,12 +7,14 @@
 
 _GAIN: Final = 0.1
 _SPREAD_FACTOR: Final = 2
+_TYPICAL_STEP: Final = 1.4
 
 
 @dataclass(slots=True)
 class _Estimate:
     mean_ms: float
     deviation_ms: float
+    typical_ms: float
 
 
 class ServiceTimes:
@@ -25,18 +27,33 @@
         """Adds the time of a completed request."""
         estimate = self._estimates.get((service, rank))
         if estimate is None:
-            self._estimates[service, rank] = _Estimate(ran_ms, 0)
+            self._estimates[service, rank] = _Estimate(ran_ms, 0, ran_ms)
             return
         error_ms = ran_ms - estimate.mean_ms
         estimate.mean_ms += _GAIN * error_ms
         spread_ms = abs(error_ms) - estimate.deviation_ms
         estimate.deviation_ms += _GAIN * spread_ms
+        if ran_ms > estimate.typical_ms:
+            estimate.typical_ms *= _TYPICAL_STEP
+        else:
+            estimate.typical_ms /= _TYPICAL_STEP
+        # A time of 0 ms could not grow again by factors.
+        estimate.typical_ms = max(1, estimate.typical_ms)
 
     def mean_ms(self, service: ServiceName, rank: int) -> float:
         """Returns the mean; 0 before the first completed request."""
         estimate = self._estimates.get((service, rank))
         return 0 if estimate is None else estimate.mean_ms
 
+    def typical_ms(self, service: ServiceName, rank: int) -> float:
+        """Returns about the median; 0 when unknown.
+
+        Unlike the mean it hardly moves when one executor becomes slow, and
+        it follows a change of the mix within about ten requests.
+        """
+        estimate = self._estimates.get((service, rank))
+        return 0 if estimate is None else estimate.typical_ms
+
     def likely_ms(self, service: ServiceName, rank: int) -> float:
         """Returns a time that most requests keep; 0 when unknown."""
         estimate = self._estimates.get((service, rank))
--- a/src/radishlift/requests/slot_views.py
+++ b/src/radishlift/requests/slot_views.py
@@ -1,5 +1,6 @@
 """What this daemon knows of each executor's slots, and which are in use."""
 
+from collections import defaultdict
 from collections.abc import Container, Iterator
 from dataclasses import dataclass, field
 from itertools import count
@@ -50,6 +51,8 @@
 
     def __init__(self) -> None:
         self._views: dict[ExecutorId, SlotView] = {}
+        self._by_service: defaultdict[ServiceName, list[SlotView]]
+        self._by_service = defaultdict(list)
         self._turns = count()
 
     def __iter__(self) -> Iterator[SlotView]:
@@ -65,30 +68,36 @@
         if view is None:
             view = SlotView(executor_id, service)
             self._views[executor_id] = view
-        # A row may be seen before the host list shows its executor.
-        view.service = view.service or service
+            self._by_service[service].append(view)
+        elif service and not view.service:
+            # The row was seen before the host list showed its executor.
+            self._by_service[view.service].remove(view)
+            self._by_service[service].append(view)
+            view.service = service
         return view
 
     def drop(self, executor_id: ExecutorId) -> None:
         """Forgets an executor that holds no slots of this daemon."""
-        self._views.pop(executor_id, None)
+        view = self._views.pop(executor_id)
+        self._by_service[view.service].remove(view)
 
     def of_service(self, service: ServiceName) -> list[SlotView]:
         """Lists the views of a service."""
-        return [
-            view for view in self._views.values() if view.service == service
-        ]
+        return self._by_service[service]
 
     def take(
         self,
         service: ServiceName,
-        allowed: Container[ExecutorId],
+        live: Container[ExecutorId],
+        excluded: Container[ExecutorId],
     ) -> SlotView | None:
-        """Takes a slot on the allowed executor with the most idle ones."""
+        """Takes a slot on the live executor with the most idle ones."""
         candidates = [
             view
             for view in self.of_service(service)
-            if view.idle_count > 0 and view.executor_id in allowed
+            if view.idle_count > 0
+            and view.executor_id in live
+            and view.executor_id not in excluded
         ]
         if not candidates:
             return None
--- a/src/radishlift/requests/slots.py
+++ b/src/radishlift/requests/slots.py
@@ -1,6 +1,7 @@
 """Allotments of executors' slots to daemons."""
 
 import asyncio
+from collections.abc import Container
 from dataclasses import dataclass
 from hashlib import sha256
 from typing import Final
@@ -72,11 +73,11 @@
     def take(
         self,
         service: ServiceName,
-        excluded: frozenset[ExecutorId] = _NONE,
+        excluded: Container[ExecutorId] = _NONE,
     ) -> SlotView | None:
         """Takes a free slot on a live executor, if this daemon has one."""
-        allowed = self._parts.targets.live(service) - excluded
-        return self.views.take(service, allowed)
+        live = self._parts.targets.live(service)
+        return self.views.take(service, live, excluded)
 
     def idle_count(
         self,
@@ -84,11 +85,11 @@
         excluded: frozenset[ExecutorId] = _NONE,
     ) -> int:
         """Counts the slots that `take` could give now."""
-        allowed = self._parts.targets.live(service) - excluded
+        live = self._parts.targets.live(service) - excluded
         return sum(
             max(0, view.idle_count)
             for view in self.views.of_service(service)
-            if view.executor_id in allowed
+            if view.executor_id in live
         )
 
     def held_count(self, service: ServiceName) -> int:
--- a/tests/requests/daemons.py
+++ b/tests/requests/daemons.py
@@ -217,3 +217,15 @@
         idempotency_key=IdempotencyKey(key),
         **options,
     )
+
+
+async def ask_all(daemons, numbers, **options):
+    """Sends numbered requests to daemons in turn, all at once."""
+    return await asyncio.gather(
+        *(
+            daemons[number % len(daemons)].router.handle(
+                request(number, **options)
+            )
+            for number in numbers
+        )
+    )
--- a/tests/standins/executor.py
+++ b/tests/standins/executor.py
@@ -64,6 +64,10 @@
         self._site: web.TCPSite | None = None
         self._restart: asyncio.Task[None] | None = None
 
+    def set_service_ms(self, mean_ms: int) -> None:
+        """Changes the mean time of all classes."""
+        self._service_ms = {'': mean_ms}
+
     async def start(self) -> None:
         """Starts to listen."""
         app = web.Application(client_max_size=64 * 1024 * 1024)
