--- a/src/radishlift/config/bodies.py
+++ b/src/radishlift/config/bodies.py
@@ -17,9 +17,9 @@
     ConflictField,
     HistoryEntry,
 )
-from radishlift.config.document import ConfigDocument
 from radishlift.config.merge import FieldChange
-from radishlift.config.parsing import render_document
+from radishlift.config.snapshot import Snapshot
+from radishlift.config.text import render_sections
 from radishlift.core.codec import dump_plain
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import ConfigVersion
@@ -90,9 +90,9 @@
     body: Any
 
 
-def document_answer(document: ConfigDocument) -> HttpAnswer:
-    """Answers with a document."""
-    body = DocumentBody(document.version, render_document(document))
+def document_answer(snapshot: Snapshot) -> HttpAnswer:
+    """Answers with a version of the document."""
+    body = DocumentBody(snapshot.version, render_sections(snapshot.sections))
     return HttpAnswer(_OK, dump_plain(body))
 
 
--- a/src/radishlift/config/changes.py
+++ b/src/radishlift/config/changes.py
@@ -4,6 +4,7 @@
 
 from radishlift.config.document import ConfigDocument
 from radishlift.config.merge import FieldChange
+from radishlift.config.snapshot import Snapshot
 from radishlift.core.errors import Failure
 from radishlift.core.ids import ConfigVersion
 from radishlift.settings.sections import SettingsError
@@ -28,14 +29,19 @@
     `changes` the head had this text already and no version was added.
     """
 
-    document: ConfigDocument
+    snapshot: Snapshot
     changes: tuple[FieldChange, ...]
     merged: tuple[str, ...]
 
     @property
     def version(self) -> ConfigVersion:
         """Returns the version that has the change."""
-        return self.document.version
+        return self.snapshot.version
+
+    @property
+    def document(self) -> ConfigDocument:
+        """Returns the document that has the change."""
+        return self.snapshot.document
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/radishlift/config/checks.py
+++ b/src/radishlift/config/checks.py
@@ -20,21 +20,33 @@
 # A partition has at most 400 workers, and a rack has at least one.
 MAX_RACKS_COUNT: Final = 400
 
+_NO_KINDS: Final[frozenset[str]] = frozenset()
 _RACK_PATTERN: Final = re.compile('[A-Za-z0-9][A-Za-z0-9._:/-]{0,126}')
 
 Check = Callable[[ConfigDocument, tuple[str, ...]], Iterator[SettingsError]]
+# A check is registered under the kinds of sections that it concerns.
 CHECKS: Final[Registry[Check]] = Registry('document check')
 
 
 def check_document(
     document: ConfigDocument,
     policies: tuple[str, ...] = POLICY_NAMES,
+    unchanged_kinds: frozenset[str] = _NO_KINDS,
 ) -> list[SettingsError]:
-    """Runs all checks and returns every error."""
-    return [error for _, check in CHECKS for error in check(document, policies)]
+    """Runs the checks and returns every error.
+
+    A check that only concerns kinds of sections that are unchanged since a
+    valid document is left out.
+    """
+    return [
+        error
+        for kinds, check in CHECKS
+        if not unchanged_kinds.issuperset(kinds.split())
+        for error in check(document, policies)
+    ]
 
 
-@CHECKS.register('policies')
+@CHECKS.register('department')
 def _check_policies(
     document: ConfigDocument,
     policies: tuple[str, ...],
@@ -49,7 +61,7 @@
             )
 
 
-@CHECKS.register('departments')
+@CHECKS.register('department team service')
 def _check_departments(
     document: ConfigDocument,
     _policies: tuple[str, ...],
@@ -68,7 +80,7 @@
             yield _error(title, 'department', department, allowed)
 
 
-@CHECKS.register('services')
+@CHECKS.register('service')
 def _check_services(
     document: ConfigDocument,
     _policies: tuple[str, ...],
@@ -94,7 +106,7 @@
             yield _error(title, key, urgent_class, NAME_RULE)
 
 
-@CHECKS.register('partitions')
+@CHECKS.register('partition')
 def _check_partitions(
     document: ConfigDocument,
     _policies: tuple[str, ...],
@@ -123,7 +135,7 @@
             yield _error(title, 'racks', rack, allowed)
 
 
-@CHECKS.register('objectives')
+@CHECKS.register('department service objective')
 def _check_objectives(
     document: ConfigDocument,
     _policies: tuple[str, ...],
--- a/src/radishlift/config/held.py
+++ b/src/radishlift/config/held.py
@@ -1,23 +1,21 @@
 """The document held by one daemon, and updates from and to its versions."""
 
 from collections import deque
-from collections.abc import Iterable
-from dataclasses import replace
-from typing import Any, Final
+from typing import Final
 
-from radishlift.config.checks import POLICY_NAMES, check_document
+from radishlift.config.checks import POLICY_NAMES
 from radishlift.config.document import ConfigDocument
-from radishlift.config.kinds import (
-    SECTION_KINDS,
-    entities_of,
-    entity_pairs,
-    kind_of_title,
-)
+from radishlift.config.merge import apply_delta, delta_between
 from radishlift.config.messages import ConfigUpdate
-from radishlift.config.parsing import render_document
+from radishlift.config.snapshot import (
+    EMPTY_SNAPSHOT,
+    Snapshot,
+    build_snapshot,
+)
+from radishlift.config.text import render_sections
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import ConfigVersion
-from radishlift.settings.sections import SettingsError, parse_section
+from radishlift.settings.sections import SettingsError
 
 _NO_VERSION: Final = ConfigVersion(0)
 _REMEMBERED_COUNT: Final = 256
@@ -31,49 +29,42 @@
     """
 
     def __init__(self, policies: tuple[str, ...] = POLICY_NAMES) -> None:
-        self.document: ConfigDocument | None = None
+        self.snapshot = EMPTY_SNAPSHOT
         self.policies = policies
         self._changed: deque[tuple[ConfigVersion, tuple[str, ...]]] = deque(
             maxlen=_REMEMBERED_COUNT,
         )
         self._known_from = _NO_VERSION
-        self._text = ''
 
     @property
     def version(self) -> ConfigVersion:
         """Returns the version held; 0 before the first."""
-        return _NO_VERSION if self.document is None else self.document.version
+        return self.snapshot.version
 
-    def replace(
-        self,
-        document: ConfigDocument,
-        base: ConfigVersion = _NO_VERSION,
-        changed: Iterable[str] = (),
-    ) -> bool:
-        """Takes a document if it is newer; tells whether it was taken.
-
-        `changed` are the sections that differ from the version `base`.
-        """
-        held = self.version
-        if document.version <= held:
-            return False
-        if not base or held < base:
-            self._changed.clear()
-            self._known_from = document.version
-        else:
-            self._changed.append((document.version, tuple(changed)))
-        self.document = document
-        self._text = ''
-        return True
+    @property
+    def document(self) -> ConfigDocument | None:
+        """Returns the document held; None before the first."""
+        return self.snapshot.document if self.version else None
 
     def take(
         self,
-        parsed: ConfigDocument | tuple[SettingsError, ...],
+        parsed: Snapshot | tuple[SettingsError, ...],
     ) -> bool | Failure:
-        """Takes a parsed text if it is newer, or tells its first error."""
+        """Takes a snapshot if it is newer; tells whether it was taken.
+
+        Errors of a text or update become a failure with the first of them.
+        """
         if isinstance(parsed, tuple):
             return Failure(ErrorKind.invalid_input, str(parsed[0]))
-        return self.replace(parsed)
+        if parsed.version <= self.version:
+            return False
+        if self.version:
+            delta = delta_between(self.snapshot.sections, parsed.sections)
+            self._remember(parsed.version, tuple(delta))
+        else:
+            self._known_from = parsed.version
+        self.snapshot = parsed
+        return True
 
     def apply(self, update: ConfigUpdate) -> bool | Failure:
         """Applies the sections of an update; tells whether they were newer.
@@ -82,33 +73,40 @@
         """
         if update.version <= self.version:
             return False
-        if self.document is None or update.base > self.version:
+        if not self.version or update.base > self.version:
             reason = f'holds {self.version}, update starts at {update.base}'
             return Failure(ErrorKind.conflict, reason)
-        updated = update_document(self.document, update)
-        if isinstance(updated, Failure):
-            return updated
-        errors = check_document(updated, self.policies)
-        if errors:
-            return Failure(ErrorKind.invalid_input, str(errors[0]))
-        return self.replace(updated, update.base, update.sections)
+        updated = build_snapshot(
+            apply_delta(self.snapshot.sections, update.sections),
+            update.version,
+            self.policies,
+            self.snapshot,
+        )
+        return self.take(updated)
 
     def update_from(self, version: ConfigVersion) -> ConfigUpdate:
         """Builds an update from a peer's version to the held one."""
-        document = self.document
-        if document is None or version >= document.version:
-            return ConfigUpdate(self.version, version, {})
+        held = self.snapshot
+        if version >= held.version:
+            return ConfigUpdate(held.version, version, {})
         titles = self._changed_since(version)
-        if titles is None or 2 * len(titles) > _count_sections(document):
-            return ConfigUpdate(document.version, _NO_VERSION, {}, self._full())
-        sections = {title: _pairs_of(document, title) for title in titles}
-        return ConfigUpdate(document.version, version, sections)
+        if titles is None or 2 * len(titles) > len(held.sections):
+            text = render_sections(held.sections)
+            return ConfigUpdate(held.version, _NO_VERSION, {}, text)
+        sections = {title: held.sections.get(title) for title in titles}
+        return ConfigUpdate(held.version, version, sections)
 
-    def _changed_since(self, version: ConfigVersion) -> set[str] | None:
-        known_from = self._known_from
+    def _remember(
+        self,
+        version: ConfigVersion,
+        titles: tuple[str, ...],
+    ) -> None:
         if len(self._changed) == _REMEMBERED_COUNT:
-            known_from = self._changed[0][0]
-        if not version or version < known_from:
+            self._known_from = self._changed[0][0]
+        self._changed.append((version, titles))
+
+    def _changed_since(self, version: ConfigVersion) -> set[str] | None:
+        if not version or version < self._known_from:
             return None
         return {
             title
@@ -117,47 +115,5 @@
             for title in titles
         }
 
-    def _full(self) -> str:
-        if not self._text and self.document is not None:
-            self._text = render_document(self.document)
-        return self._text
-
-
-def update_document(
-    document: ConfigDocument,
-    update: ConfigUpdate,
-) -> ConfigDocument | Failure:
-    """Builds the updated document; parses only the changed sections."""
-    members: dict[str, dict[str, Any]] = {}
-    for title, pairs in update.sections.items():
-        kind_and_name = kind_of_title(title)
-        if kind_and_name is None:
-            return Failure(ErrorKind.invalid_input, f'section {title!r:.80}')
-        kind, name = kind_and_name
-        if kind.member not in members:
-            members[kind.member] = dict(entities_of(document, kind))
-        if pairs is None:
-            members[kind.member].pop(name, None)
-            continue
-        entity = parse_section(title, kind.entity_type, pairs)
-        if isinstance(entity, tuple):
-            return Failure(ErrorKind.invalid_input, str(entity[0]))
-        members[kind.member][name] = entity
-    changed: dict[str, Any] = members
-    return replace(document, version=update.version, **changed)
-
-
-def _pairs_of(document: ConfigDocument, title: str) -> dict[str, str] | None:
-    kind_and_name = kind_of_title(title)
-    if kind_and_name is None:
-        return None
-    kind, name = kind_and_name
-    entity = entities_of(document, kind).get(name)
-    return None if entity is None else entity_pairs(entity)
-
-
-def _count_sections(document: ConfigDocument) -> int:
-    return sum(len(entities_of(document, kind)) for kind in SECTION_KINDS)
-
-
-__all__ = ('HeldConfig', 'update_document')
+
+__all__ = ('HeldConfig',)
--- a/src/radishlift/config/poller.py
+++ b/src/radishlift/config/poller.py
@@ -4,12 +4,12 @@
 from collections.abc import Callable
 
 from radishlift.config.held import HeldConfig
-from radishlift.config.parsing import parse_document
 from radishlift.config.rows import (
     confirm_head,
     read_current_version,
     read_head,
 )
+from radishlift.config.snapshot import parse_snapshot
 from radishlift.core.errors import Failure
 from radishlift.core.ids import ConfigVersion
 from radishlift.core.logs import log_event
@@ -23,10 +23,12 @@
         self,
         table: TableStore,
         held: HeldConfig,
+        grace_ms: int,
         on_advanced: Callable[[], None],
     ) -> None:
         self._table = table
         self._held = held
+        self._grace_ms = grace_ms
         self._on_advanced = on_advanced
 
     async def read(self, *, is_confirmed: bool) -> None:
@@ -40,9 +42,15 @@
         if isinstance(head, Failure):
             log_event('config_head_unread', level='DEBUG', reason=head.reason)
         elif head.version > self._held.version:
+            if not is_confirmed:
+                # The push of a change that was just accepted is on its way
+                # and far smaller than the row.
+                await asyncio.sleep(self._grace_ms / 1000)
             await self._read_document(head.version)
 
     async def _read_document(self, version: ConfigVersion) -> None:
+        if version <= self._held.version:
+            return
         row = await read_current_version(self._table, version)
         if isinstance(row, Failure):
             log_event('config_unread', version=version, reason=row.reason)
@@ -50,13 +58,14 @@
         # A push may have arrived during the read.
         if version <= self._held.version:
             return
-        document = await asyncio.to_thread(
-            parse_document,
+        parsed = await asyncio.to_thread(
+            parse_snapshot,
             row.text,
             version,
             self._held.policies,
+            self._held.snapshot,
         )
-        taken = self._held.take(document)
+        taken = self._held.take(parsed)
         if isinstance(taken, Failure):
             log_event('config_refused', version=version, reason=taken.reason)
         elif taken:
--- a/src/radishlift/config/receiver.py
+++ b/src/radishlift/config/receiver.py
@@ -11,8 +11,8 @@
     ConfigProbe,
     ConfigUpdate,
 )
-from radishlift.config.parsing import parse_document
 from radishlift.config.progress import Progress
+from radishlift.config.snapshot import parse_snapshot
 from radishlift.core.errors import Failure
 from radishlift.core.ids import ConfigVersion, DaemonId
 from radishlift.core.logs import log_event
@@ -71,13 +71,14 @@
         if update.version <= self._held.version:
             return False
         # A full text takes some 25 ms to parse, too long for the event loop.
-        document = await asyncio.to_thread(
-            parse_document,
+        parsed = await asyncio.to_thread(
+            parse_snapshot,
             update.text,
             update.version,
             self._held.policies,
+            self._held.snapshot,
         )
-        return self._held.take(document)
+        return self._held.take(parsed)
 
     async def _receive_update(
         self,
--- /dev/null
+++ b/src/radishlift/config/snapshot.py
@@ -0,0 +1,153 @@
+"""A valid document together with its sections.
+
+A new version is built on an earlier one: sections with the same text keep
+their entities, so that a change of one section of a large document costs
+little. Parsing all of 128 KB takes 22 ms, too long for each change.
+"""
+
+from dataclasses import dataclass, replace
+from typing import Any, Final
+
+from radishlift.config.checks import POLICY_NAMES, check_document
+from radishlift.config.document import ConfigDocument
+from radishlift.config.kinds import (
+    SECTION_KINDS,
+    TITLE_RULE,
+    entities_of,
+    entity_pairs,
+    kind_of_title,
+    sections_of,
+)
+from radishlift.config.text import Sections, limit_errors, scan_text
+from radishlift.core.ids import ConfigVersion
+from radishlift.settings.sections import SettingsError, parse_section
+
+Errors = tuple[SettingsError, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Snapshot:
+    """A document and its sections, with all keys and in a stable order."""
+
+    document: ConfigDocument
+    sections: Sections
+
+    @property
+    def version(self) -> ConfigVersion:
+        """Returns the version of the document."""
+        return self.document.version
+
+    def at_version(self, version: ConfigVersion) -> 'Snapshot':
+        """Returns the same content as another version."""
+        document = replace(self.document, version=version)
+        return Snapshot(document, self.sections)
+
+
+EMPTY_SNAPSHOT: Final = Snapshot(ConfigDocument(ConfigVersion(0)), {})
+
+
+def snapshot_of(document: ConfigDocument) -> Snapshot:
+    """Adds the sections to a document."""
+    return Snapshot(document, sections_of(document))
+
+
+def parse_snapshot(
+    text: str,
+    version: ConfigVersion,
+    policies: tuple[str, ...] = POLICY_NAMES,
+    base: Snapshot = EMPTY_SNAPSHOT,
+) -> Snapshot | Errors:
+    """Parses and checks a text; returns every error in it."""
+    sections = scan_text(text)
+    if isinstance(sections, tuple):
+        return sections
+    return build_snapshot(sections, version, policies, base)
+
+
+def build_snapshot(
+    sections: Sections,
+    version: ConfigVersion,
+    policies: tuple[str, ...] = POLICY_NAMES,
+    base: Snapshot = EMPTY_SNAPSHOT,
+) -> Snapshot | Errors:
+    """Builds a snapshot from sections; returns every error in them."""
+    builder = _Builder(base)
+    for title, pairs in sections.items():
+        builder.take(title, pairs)
+    document = ConfigDocument(version, **builder.members)
+    # A reference to a section that is present but wrong is no second error.
+    wrong_names = {error.section.partition(':')[2] for error in builder.errors}
+    unchanged = _unchanged_kinds(document, base.document)
+    builder.errors.extend(
+        error
+        for error in check_document(document, policies, unchanged)
+        if error.given not in wrong_names
+    )
+    if builder.errors:
+        return limit_errors(builder.errors)
+    return Snapshot(document, _in_order(document, builder.sections))
+
+
+class _Builder:
+    """Collects entities, their sections and errors."""
+
+    def __init__(self, base: Snapshot) -> None:
+        self._base = base
+        self.members: dict[str, Any] = {
+            kind.member: {} for kind in SECTION_KINDS
+        }
+        self.sections: Sections = {}
+        self.errors: list[SettingsError] = []
+
+    def take(self, title: str, pairs: dict[str, str]) -> None:
+        """Takes one section."""
+        kind_and_name = kind_of_title(title)
+        if kind_and_name is None:
+            self.errors.append(SettingsError(title, '', title, TITLE_RULE))
+            return
+        kind, name = kind_and_name
+        known_pairs = self._base.sections.get(title)
+        if known_pairs is not None and known_pairs == pairs:
+            entities = entities_of(self._base.document, kind)
+            self.members[kind.member][name] = entities[name]
+            self.sections[title] = known_pairs
+            return
+        if not kind.name_pattern.fullmatch(name):
+            self.errors.append(SettingsError(title, '', name, kind.name_rule))
+            return
+        parsed = parse_section(title, kind.entity_type, pairs)
+        if isinstance(parsed, tuple):
+            self.errors.extend(parsed)
+            return
+        self.members[kind.member][name] = parsed
+        self.sections[title] = entity_pairs(parsed)
+
+
+def _unchanged_kinds(
+    document: ConfigDocument,
+    base: ConfigDocument,
+) -> frozenset[str]:
+    return frozenset(
+        kind.name
+        for kind in SECTION_KINDS
+        if entities_of(document, kind) == entities_of(base, kind)
+    )
+
+
+def _in_order(document: ConfigDocument, sections: Sections) -> Sections:
+    ordered: Sections = {}
+    for kind in SECTION_KINDS:
+        for name in sorted(entities_of(document, kind)):
+            title = f'{kind.name}:{name}'
+            ordered[title] = sections[title]
+    return ordered
+
+
+__all__ = (
+    'EMPTY_SNAPSHOT',
+    'Errors',
+    'Snapshot',
+    'build_snapshot',
+    'parse_snapshot',
+    'snapshot_of',
+)
--- a/src/radishlift/config/spreader.py
+++ b/src/radishlift/config/spreader.py
@@ -19,6 +19,7 @@
 from radishlift.config.progress import ConfigStatus, Progress
 from radishlift.config.receiver import UpdateReceiver
 from radishlift.config.settings import ConfigSettings
+from radishlift.config.snapshot import Snapshot
 from radishlift.config.store import ConfigStore
 from radishlift.core.clock import Clock
 from radishlift.core.errors import Failure
@@ -75,7 +76,12 @@
             settings,
             receiver,
         )
-        self._poller = HeadPoller(table, self._held, self._advanced)
+        self._poller = HeadPoller(
+            table,
+            self._held,
+            settings.push_grace_ms,
+            self._advanced,
+        )
         self._listeners: list[Listener] = []
         self._announced_version = ConfigVersion(0)
         self._stuck_polls_count = 0
@@ -103,6 +109,7 @@
 
     async def change(self, change: Change) -> ChangeResult:
         """Stores a change, puts it in force here and pushes it to peers."""
+        self.store.remember(self._held.snapshot)
         return self._spread(await self.store.change(change))
 
     async def rollback(
@@ -113,19 +120,16 @@
         why: str,
     ) -> ChangeResult:
         """Stores an earlier text as a new version and spreads it."""
+        self.store.remember(self._held.snapshot)
         return self._spread(
             await self.store.rollback(target, base, who, why),
         )
 
-    async def document_at(
-        self,
-        version: ConfigVersion,
-    ) -> ConfigDocument | Failure:
+    async def snapshot_at(self, version: ConfigVersion) -> Snapshot | Failure:
         """Returns a kept version, that in force without the store."""
-        document = self._held.document
-        if document is not None and document.version == version:
-            return document
-        return await self.store.document(version)
+        if version == self._held.version:
+            return self._held.snapshot
+        return await self.store.snapshot(version)
 
     async def start(self) -> ConfigDocument | None:
         """Takes the newest version of the store and the peers.
@@ -164,9 +168,7 @@
     def _spread(self, outcome: ChangeResult) -> ChangeResult:
         if not isinstance(outcome, ChangeAccepted):
             return outcome
-        changed = {change.section for change in outcome.changes}
-        base = ConfigVersion(outcome.version - 1 if changed else 0)
-        if self._held.replace(outcome.document, base, changed):
+        if self._held.take(outcome.snapshot) is True:
             self._announced_version = outcome.version
             self._advanced()
         for peer in self._fleet.peers():
--- a/src/radishlift/config/store.py
+++ b/src/radishlift/config/store.py
@@ -14,8 +14,6 @@
     HistoryEntry,
 )
 from radishlift.config.checks import POLICY_NAMES
-from radishlift.config.document import ConfigDocument
-from radishlift.config.kinds import sections_of
 from radishlift.config.merge import (
     FieldChange,
     diff_sections,
@@ -23,11 +21,6 @@
     merge_sections,
 )
 from radishlift.config.origin import check_origin
-from radishlift.config.parsing import (
-    build_document,
-    parse_document,
-    render_document,
-)
 from radishlift.config.rows import (
     ConfigRow,
     Head,
@@ -36,7 +29,13 @@
     read_head,
 )
 from radishlift.config.settings import ConfigSettings
-from radishlift.config.text import Sections, check_size
+from radishlift.config.snapshot import (
+    Errors,
+    Snapshot,
+    build_snapshot,
+    parse_snapshot,
+)
+from radishlift.config.text import check_size, render_sections
 from radishlift.config.versions import MAX_HISTORY_COUNT, VersionReader
 from radishlift.config.writer import HeadMoved, Pause, VersionWriter, sleep_ms
 from radishlift.core.clock import Clock
@@ -51,9 +50,8 @@
 class _Prepared:
     """A change as it would be written after the head."""
 
-    sections: Sections
+    snapshot: Snapshot
     text: str
-    document: ConfigDocument
     changes: tuple[FieldChange, ...]
     merged: tuple[str, ...]
 
@@ -88,12 +86,9 @@
         A failure's kind tells whether it was stored: `store_outcome_unknown`
         means perhaps, every other kind means no.
         """
-        errors = check_origin(change.who, change.why)
-        document = parse_document(change.text, change.base, self.policies)
-        if isinstance(document, tuple):
-            errors = (*errors, *document)
-        if errors or isinstance(document, tuple):
-            return ChangeInvalid(errors)
+        ours = await self._parse(change)
+        if isinstance(ours, tuple):
+            return ChangeInvalid(ours)
         if self._waiting_count >= MAX_WAITING_COUNT:
             return Failure(ErrorKind.overloaded, 'too many waiting changes')
         deadline_ms = (
@@ -102,14 +97,15 @@
         self._waiting_count += 1
         try:
             async with self._lock:
-                return await self._store_change(
-                    change,
-                    sections_of(document),
-                    deadline_ms,
-                )
+                return await self._store_change(change, ours, deadline_ms)
         finally:
             self._waiting_count -= 1
 
+    def remember(self, snapshot: Snapshot) -> None:
+        """Takes a version that this daemon has, to spare reading it."""
+        if snapshot.version:
+            self._reader.remember(snapshot)
+
     async def rollback(
         self,
         target: ConfigVersion,
@@ -123,13 +119,10 @@
             return _not_run(row)
         return await self.change(Change(row.text, base, who, why))
 
-    async def document(
-        self,
-        version: ConfigVersion,
-    ) -> ConfigDocument | Failure:
+    async def snapshot(self, version: ConfigVersion) -> Snapshot | Failure:
         """Reads a kept version; fails with `not_found` for others."""
-        document = await self._reader.document(version)
-        return _not_run(document) if isinstance(document, Failure) else document
+        snapshot = await self._reader.snapshot(version)
+        return _not_run(snapshot) if isinstance(snapshot, Failure) else snapshot
 
     async def history(
         self,
@@ -145,10 +138,24 @@
             return head
         return await self._reader.history(head.version, count)
 
+    async def _parse(self, change: Change) -> Snapshot | Errors:
+        # In a thread, since a large text takes longer than a decision may.
+        parsed = await asyncio.to_thread(
+            parse_snapshot,
+            change.text,
+            change.base,
+            self.policies,
+            self._reader.known(change.base),
+        )
+        wrong_origin = check_origin(change.who, change.why)
+        if isinstance(parsed, tuple):
+            return (*wrong_origin, *parsed)
+        return wrong_origin or parsed
+
     async def _store_change(
         self,
         change: Change,
-        ours: Sections,
+        ours: Snapshot,
         deadline_ms: int,
     ) -> ChangeResult:
         head = await self._head_for(change.base)
@@ -180,45 +187,53 @@
     async def _prepare(
         self,
         change: Change,
-        ours: Sections,
+        ours: Snapshot,
         head: Head,
     ) -> _Prepared | ChangeInvalid | ChangeConflict | Failure:
-        base = await self._reader.sections(change.base)
+        base = await self._reader.snapshot(change.base)
         if isinstance(base, Failure):
             return _not_run(base)
-        theirs = await self._reader.sections(head.version)
+        theirs = await self._reader.snapshot(head.version)
         if isinstance(theirs, Failure):
             return _not_run(theirs)
-        merge = merge_sections(base, ours, theirs)
+        merge = merge_sections(base.sections, ours.sections, theirs.sections)
         if merge.clashing:
-            fields = await self._reader.conflict_fields(
-                change.base,
-                head,
-                merge.clashing,
-                ours,
+            return await self._conflict(change, ours, head, merge.clashing)
+        version = ConfigVersion(head.version + 1)
+        if merge.sections == ours.sections:
+            merged: Snapshot | Errors = ours.at_version(version)
+        else:
+            merged = build_snapshot(
+                merge.sections,
+                version,
+                self.policies,
+                theirs,
             )
-            if isinstance(fields, Failure):
-                return Failure(ErrorKind.conflict, fields.reason)
-            return ChangeConflict(head.version, fields)
-        document = build_document(
-            merge.sections,
-            ConfigVersion(head.version + 1),
-            self.policies,
-        )
-        if isinstance(document, tuple):
-            return ChangeConflict(head.version, (), document)
-        text = render_document(document)
+        if isinstance(merged, tuple):
+            return ChangeConflict(head.version, (), merged)
+        text = render_sections(merged.sections)
         errors = check_size(text)
         if errors:
             return ChangeInvalid(errors)
-        changes = diff_sections(theirs, merge.sections)
-        return _Prepared(
-            merge.sections,
-            text,
-            document,
-            changes,
-            merge.from_theirs,
+        changes = diff_sections(theirs.sections, merged.sections)
+        return _Prepared(merged, text, changes, merge.from_theirs)
+
+    async def _conflict(
+        self,
+        change: Change,
+        ours: Snapshot,
+        head: Head,
+        clashing: tuple[str, ...],
+    ) -> ChangeConflict | Failure:
+        fields = await self._reader.conflict_fields(
+            change.base,
+            head,
+            clashing,
+            ours.sections,
         )
+        if isinstance(fields, Failure):
+            return Failure(ErrorKind.conflict, fields.reason)
+        return ChangeConflict(head.version, fields)
 
     async def _write(
         self,
@@ -242,9 +257,12 @@
         outcome = await self._writer.insert(head, row, deadline_ms)
         if isinstance(outcome, HeadMoved | Failure):
             return outcome
-        document = prepared.document
-        self._reader.remember(document.version, prepared.sections)
-        return ChangeAccepted(document, prepared.changes, prepared.merged)
+        self._reader.remember(prepared.snapshot)
+        return ChangeAccepted(
+            prepared.snapshot,
+            prepared.changes,
+            prepared.merged,
+        )
 
     async def _accept_unchanged(
         self,
@@ -256,14 +274,8 @@
             return current
         if current != head:
             return HeadMoved(current)
-        document = build_document(
-            prepared.sections,
-            head.version,
-            self.policies,
-        )
-        if isinstance(document, tuple):
-            return Failure(ErrorKind.internal, str(document[0]))
-        return ChangeAccepted(document, (), prepared.merged)
+        snapshot = prepared.snapshot.at_version(head.version)
+        return ChangeAccepted(snapshot, (), prepared.merged)
 
 
 def _not_run(failure: Failure) -> Failure:
--- a/src/radishlift/config/versions.py
+++ b/src/radishlift/config/versions.py
@@ -1,21 +1,24 @@
 """Reads versions of the document, their history and who changed a field."""
 
+import asyncio
 from collections import OrderedDict
 from typing import Final
 
 from radishlift.config.changes import ConflictField, HistoryEntry
 from radishlift.config.checks import POLICY_NAMES
-from radishlift.config.document import ConfigDocument
-from radishlift.config.kinds import sections_of
 from radishlift.config.merge import diff_sections
-from radishlift.config.parsing import build_document, parse_document
 from radishlift.config.rows import (
     ConfigRow,
     Head,
     read_current_version,
     read_version,
 )
-from radishlift.config.text import Sections, scan_text
+from radishlift.config.snapshot import (
+    EMPTY_SNAPSHOT,
+    Snapshot,
+    parse_snapshot,
+)
+from radishlift.config.text import Sections
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import ConfigVersion
 from radishlift.platform.api import TableStore
@@ -37,43 +40,41 @@
     ) -> None:
         self._store = store
         self._policies = policies
-        self._cache: OrderedDict[ConfigVersion, Sections] = OrderedDict()
+        self._cache: OrderedDict[ConfigVersion, Snapshot] = OrderedDict()
 
-    def remember(self, version: ConfigVersion, sections: Sections) -> None:
-        """Keeps the sections of a version that was just written."""
-        self._cache[version] = sections
-        self._cache.move_to_end(version)
+    def remember(self, snapshot: Snapshot) -> None:
+        """Keeps a version that was just written or is in force."""
+        self._cache[snapshot.version] = snapshot
+        self._cache.move_to_end(snapshot.version)
         while len(self._cache) > _CACHED_COUNT:
             self._cache.popitem(last=False)
 
-    async def sections(self, version: ConfigVersion) -> Sections | Failure:
-        """Returns the sections of a version; version 0 is empty."""
+    def known(self, version: ConfigVersion) -> Snapshot:
+        """Returns a version from memory, else the empty one."""
+        return self._cache.get(version, EMPTY_SNAPSHOT)
+
+    async def snapshot(self, version: ConfigVersion) -> Snapshot | Failure:
+        """Returns a version; version 0 is empty."""
         if not version:
-            return {}
+            return EMPTY_SNAPSHOT
         cached = self._cache.get(version)
         if cached is not None:
             return cached
         row = await read_current_version(self._store, version)
         if isinstance(row, Failure):
             return row
-        sections = self._parse(row.text, version)
-        if not isinstance(sections, Failure):
-            self.remember(version, sections)
-        return sections
-
-    async def document(
-        self,
-        version: ConfigVersion,
-    ) -> ConfigDocument | Failure:
-        """Returns a kept version; version 0 is the empty document."""
-        sections = await self.sections(version)
-        if isinstance(sections, Failure):
-            return sections
-        document = build_document(sections, version, self._policies)
-        if isinstance(document, tuple):
-            reason = f'version {version}: {document[0]}'
+        # A full text takes some 25 ms to parse, too long for the event loop.
+        parsed = await asyncio.to_thread(
+            parse_snapshot,
+            row.text,
+            version,
+            self._policies,
+        )
+        if isinstance(parsed, tuple):
+            reason = f'version {version}: {parsed[0]}'
             return Failure(ErrorKind.internal, reason)
-        return document
+        self.remember(parsed)
+        return parsed
 
     async def history(
         self,
@@ -101,15 +102,15 @@
         ours: Sections,
     ) -> tuple[ConflictField, ...] | Failure:
         """Describes the fields of clashing sections that others changed."""
-        before = await self.sections(base)
-        theirs = await self.sections(head.version)
+        before = await self.snapshot(base)
+        theirs = await self.snapshot(head.version)
         if isinstance(before, Failure):
             return before
         if isinstance(theirs, Failure):
             return theirs
         changes = [
             change
-            for change in diff_sections(before, theirs)
+            for change in diff_sections(before.sections, theirs.sections)
             if change.section in clashing
         ]
         wanted = {(change.section, change.key) for change in changes}
@@ -145,17 +146,6 @@
                 found.setdefault(field, (version, row.who))
         return found
 
-    def _parse(self, text: str, version: ConfigVersion) -> Sections | Failure:
-        # Parsing adds the defaults of keys that the writer's release lacked.
-        document = parse_document(text, version, self._policies)
-        if not isinstance(document, tuple):
-            return sections_of(document)
-        sections = scan_text(text)
-        if isinstance(sections, tuple):
-            reason = f'version {version}: {sections[0]}'
-            return Failure(ErrorKind.internal, reason)
-        return sections
-
 
 def _entry(version: ConfigVersion, row: ConfigRow) -> HistoryEntry:
     return HistoryEntry(
--- a/src/radishlift/console/accepting.py
+++ b/src/radishlift/console/accepting.py
@@ -10,9 +10,8 @@
     ChangeConflict,
     ChangeInvalid,
 )
-from radishlift.config.kinds import sections_of
 from radishlift.config.merge import apply_delta, delta_between
-from radishlift.config.parsing import build_document, parse_document
+from radishlift.config.snapshot import build_snapshot, parse_snapshot
 from radishlift.config.text import render_sections
 from radishlift.console.forms import BASE_FIELD, draw_errors
 from radishlift.console.guard import TOKEN_FIELD
@@ -20,7 +19,7 @@
 from radishlift.console.page import Page
 from radishlift.console.review import (
     draw_changes,
-    posted_document,
+    posted_snapshot,
     posted_version,
     show_review,
     show_text_form,
@@ -77,23 +76,24 @@
     posted = await page.read_form()
     if isinstance(posted, web.Response):
         return posted
-    base = await posted_document(page, posted)
-    head = await posted_document(page, posted, 'head')
+    base = await posted_snapshot(page, posted)
+    head = await posted_snapshot(page, posted, 'head')
     if isinstance(base, Failure):
         return page.fail(base)
     if isinstance(head, Failure):
         return page.fail(head)
     policies = page.context.config.store.policies
-    ours = parse_document(posted.get('text', ''), base.version, policies)
+    text = posted.get('text', '')
+    ours = parse_snapshot(text, base.version, policies, base)
     if isinstance(ours, tuple):
-        return show_text_form(page, posted.get('text', ''), base.version, ours)
-    delta = delta_between(sections_of(base), sections_of(ours))
-    sections = apply_delta(sections_of(head), delta)
-    document = build_document(sections, head.version, policies)
-    if isinstance(document, tuple):
+        return show_text_form(page, text, base.version, ours)
+    delta = delta_between(base.sections, ours.sections)
+    sections = apply_delta(head.sections, delta)
+    built = build_snapshot(sections, head.version, policies, head)
+    if isinstance(built, tuple):
         text = render_sections(sections)
-        return show_text_form(page, text, head.version, document)
-    return show_review(page, head, document)
+        return show_text_form(page, text, head.version, built)
+    return show_review(page, head, built)
 
 
 def _show_accepted(page: Page, accepted: ChangeAccepted) -> web.Response:
--- a/src/radishlift/console/editing.py
+++ b/src/radishlift/console/editing.py
@@ -8,11 +8,8 @@
 from radishlift.config.document import ConfigDocument
 from radishlift.config.kinds import SECTION_KINDS, sections_of
 from radishlift.config.merge import apply_delta
-from radishlift.config.parsing import (
-    build_document,
-    parse_document,
-    render_document,
-)
+from radishlift.config.parsing import render_document
+from radishlift.config.snapshot import build_snapshot, parse_snapshot
 from radishlift.console.forms import (
     REMOVE_FIELD,
     SectionForm,
@@ -24,7 +21,7 @@
 from radishlift.console.page import Page
 from radishlift.console.review import (
     no_document,
-    posted_document,
+    posted_snapshot,
     show_review,
     show_text_form,
 )
@@ -68,19 +65,19 @@
     posted = await page.read_form()
     if isinstance(posted, web.Response):
         return posted
-    base = await posted_document(page, posted)
+    base = await posted_snapshot(page, posted)
     if isinstance(base, Failure):
         return page.fail(base)
-    form = posted_form(base, posted)
+    form = posted_form(base.document, posted)
     if form is None:
         return page.refuse('Not found', 'There is no such section.', 404)
     changed = None if posted.get(REMOVE_FIELD) else dict(form.given)
-    sections = apply_delta(sections_of(base), {form.title: changed})
+    sections = apply_delta(base.sections, {form.title: changed})
     policies = page.context.config.store.policies
-    document = build_document(sections, base.version, policies)
-    if isinstance(document, tuple):
-        return _show_form(page, replace(form, errors=document), base)
-    return show_review(page, base, document)
+    built = build_snapshot(sections, base.version, policies, base)
+    if isinstance(built, tuple):
+        return _show_form(page, replace(form, errors=built), base.document)
+    return show_review(page, base, built)
 
 
 async def show_text(page: Page) -> web.Response:
@@ -97,15 +94,15 @@
     posted = await page.read_form()
     if isinstance(posted, web.Response):
         return posted
-    base = await posted_document(page, posted)
+    base = await posted_snapshot(page, posted)
     if isinstance(base, Failure):
         return page.fail(base)
     text = posted.get('text', '')
     policies = page.context.config.store.policies
-    document = parse_document(text, base.version, policies)
-    if isinstance(document, tuple):
-        return show_text_form(page, text, base.version, document)
-    return show_review(page, base, document)
+    parsed = parse_snapshot(text, base.version, policies, base)
+    if isinstance(parsed, tuple):
+        return show_text_form(page, text, base.version, parsed)
+    return show_review(page, base, parsed)
 
 
 def _show_form(
--- a/src/radishlift/console/review.py
+++ b/src/radishlift/console/review.py
@@ -5,10 +5,9 @@
 
 from aiohttp import web
 
-from radishlift.config.document import ConfigDocument
-from radishlift.config.kinds import sections_of
 from radishlift.config.merge import FieldChange, diff_sections
-from radishlift.config.parsing import render_document
+from radishlift.config.snapshot import Snapshot
+from radishlift.config.text import render_sections
 from radishlift.console.forms import BASE_FIELD, draw_errors
 from radishlift.console.guard import TOKEN_FIELD
 from radishlift.console.html import Html, hidden, table, tag
@@ -26,15 +25,15 @@
 
 def show_review(
     page: Page,
-    base: ConfigDocument,
-    document: ConfigDocument,
+    base: Snapshot,
+    changed: Snapshot,
 ) -> web.Response:
     """Shows the difference to the base and the form that accepts it."""
-    changes = diff_sections(sections_of(base), sections_of(document))
+    changes = diff_sections(base.sections, changed.sections)
     if not changes:
         return page.show('Review', tag('p', 'This changes nothing.'))
     fields = [
-        hidden('text', render_document(document)),
+        hidden('text', render_sections(changed.sections)),
         hidden(BASE_FIELD, base.version),
         labelled('who', 'Your name'),
         labelled('why', 'Reason'),
@@ -93,16 +92,16 @@
     return ConfigVersion(int(given))
 
 
-async def posted_document(
+async def posted_snapshot(
     page: Page,
     posted: Mapping[str, str],
     field_name: str = BASE_FIELD,
-) -> ConfigDocument | Failure:
-    """Returns the document that a form was made on."""
+) -> Snapshot | Failure:
+    """Returns the version that a form was made on."""
     version = posted_version(posted, field_name)
     if version is None:
         return Failure(ErrorKind.invalid_input, f'{field_name}: no version')
-    return await page.context.config.document_at(version)
+    return await page.context.config.snapshot_at(version)
 
 
 def no_document() -> Failure:
@@ -122,7 +121,7 @@
     'TEXT_PATH',
     'draw_changes',
     'no_document',
-    'posted_document',
+    'posted_snapshot',
     'posted_version',
     'show_review',
     'show_text_form',
--- a/src/radishlift/console/views.py
+++ b/src/radishlift/console/views.py
@@ -60,15 +60,18 @@
     if isinstance(posted, web.Response):
         return posted
     target = posted_version(posted, 'target')
-    current = page.context.config.current()
-    if current is None:
+    document = page.context.config.current()
+    if document is None:
         return page.fail(no_document())
     if target is None:
         return page.refuse('Form refused', 'The version is missing.', 400)
-    document = await page.context.config.document_at(target)
-    if isinstance(document, Failure):
-        return page.fail(document)
-    return show_review(page, current, document)
+    current = await page.context.config.snapshot_at(document.version)
+    earlier = await page.context.config.snapshot_at(target)
+    if isinstance(current, Failure):
+        return page.fail(current)
+    if isinstance(earlier, Failure):
+        return page.fail(earlier)
+    return show_review(page, current, earlier)
 
 
 async def show_state(page: Page) -> web.Response:
--- a/tests/cli/test_config_commands.py
+++ b/tests/cli/test_config_commands.py
@@ -45,12 +45,11 @@
 
     async def show(self, request):
         version = int(request.query.get('version', '0'))
-        document = self.spreader.current()
-        if version:
-            document = await self.spreader.document_at(ConfigVersion(version))
-        if isinstance(document, Failure):
-            return _json(refused_answer(document))
-        return _json(document_answer(document))
+        chosen = ConfigVersion(version or self.spreader.current().version)
+        snapshot = await self.spreader.snapshot_at(chosen)
+        if isinstance(snapshot, Failure):
+            return _json(refused_answer(snapshot))
+        return _json(document_answer(snapshot))
 
     async def change(self, request):
         if self.silent:
--- a/tests/config/fleet.py
+++ b/tests/config/fleet.py
@@ -22,7 +22,9 @@
 from tests.config.documents import TEXT
 from tests.standins.tables import MemoryTableStore, Tables
 
-SETTINGS = ConfigSettings(peer_timeout_ms=200, poll_interval_ms=50)
+SETTINGS = ConfigSettings(
+    peer_timeout_ms=200, poll_interval_ms=50, push_grace_ms=10
+)
 
 
 class FakeDirectory:
@@ -69,14 +71,20 @@
 class FleetDaemon:
     """One daemon: its own view of the tables, network and spreader."""
 
-    def __init__(self, daemon_id: str, tables: Tables, directory) -> None:
+    def __init__(
+        self,
+        daemon_id: str,
+        tables: Tables,
+        directory: FakeDirectory,
+        settings: ConfigSettings,
+    ) -> None:
         self.daemon_id = DaemonId(daemon_id)
         self.rows = MemoryTableStore(tables)
         self.network = FaultyNetwork(self.daemon_id)
         clock = SystemClock()
-        store = ConfigStore(self.rows, SETTINGS, clock)
+        store = ConfigStore(self.rows, settings, clock)
         self.spreader = ConfigSpreader(
-            self.rows, store, self.network, directory, SETTINGS, clock
+            self.rows, store, self.network, directory, settings, clock
         )
 
     @property
@@ -98,15 +106,22 @@
 
     __test__ = False
 
-    def __init__(self, ports: Callable[[], int]) -> None:
+    def __init__(
+        self,
+        ports: Callable[[], int],
+        settings: ConfigSettings = SETTINGS,
+    ) -> None:
         self.tables = Tables()
         self.directory = FakeDirectory()
         self.daemons: list[FleetDaemon] = []
         self._ports = ports
+        self._settings = settings
         self._addresses: dict[DaemonId, Address] = {}
 
     async def add(self, daemon_id: str) -> FleetDaemon:
-        daemon = FleetDaemon(daemon_id, self.tables, self.directory)
+        daemon = FleetDaemon(
+            daemon_id, self.tables, self.directory, self._settings
+        )
         address = Address(f'127.0.0.1:{self._ports()}')
         self._addresses[daemon.daemon_id] = address
         self.directory.known[daemon.daemon_id] = Member(
--- a/tests/config/test_held.py
+++ b/tests/config/test_held.py
@@ -3,9 +3,8 @@
 import pytest
 
 from radishlift.config.held import HeldConfig
-from radishlift.config.kinds import sections_of
-from radishlift.config.merge import delta_between
 from radishlift.config.messages import ConfigUpdate
+from radishlift.config.snapshot import snapshot_of
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import ConfigVersion
 from tests.config.documents import TEXT, make_document
@@ -34,9 +33,7 @@
 
 def advance(held: HeldConfig, documents) -> None:
     for document in documents:
-        before = sections_of(held.document)
-        changed = delta_between(before, sections_of(document))
-        held.replace(document, held.version, changed)
+        held.take(snapshot_of(document))
 
 
 @pytest.mark.parametrize('seed', range(20))
@@ -44,7 +41,7 @@
     """Guards against a document that differs from that of its version."""
     documents = make_versions(12)
     sender = HeldConfig()
-    sender.replace(documents[0])
+    sender.take(snapshot_of(documents[0]))
     updates = []
     for document in documents[1:]:
         advance(sender, [document])
@@ -57,7 +54,7 @@
     received = updates + chosen.choices(updates, k=20)
     chosen.shuffle(received)
     receiver = HeldConfig()
-    receiver.replace(documents[0])
+    receiver.take(snapshot_of(documents[0]))
     for update in received:
         before = receiver.version
         receiver.apply(update)
@@ -69,7 +66,7 @@
 def test_an_update_has_only_the_changed_sections():
     """Guards against full documents on the wire for each change."""
     held = HeldConfig()
-    held.replace(make_document(LARGE, 1))
+    held.take(snapshot_of(make_document(LARGE, 1)))
     advance(
         held,
         [make_document(f'{LARGE}[team:x]\ndepartment = rug-depot\n', 2)],
@@ -83,7 +80,7 @@
 def test_a_peer_from_before_the_known_versions_gets_the_full_text(base):
     """Guards against an update without the changes of unknown versions."""
     held = HeldConfig()
-    held.replace(make_document(TEXT, 5))
+    held.take(snapshot_of(make_document(TEXT, 5)))
     update = held.update_from(ConfigVersion(base))
     assert make_document(update.text, 5) == held.document
 
@@ -91,7 +88,7 @@
 def test_forgotten_versions_are_sent_as_full_text():
     """Guards against a delta that lacks what fell out of memory."""
     held = HeldConfig()
-    held.replace(make_document(TEXT, 1))
+    held.take(snapshot_of(make_document(TEXT, 1)))
     texts = (TEXT, TEXT.replace('240000', '250000'))
     for version in range(2, 300):
         advance(held, [make_document(texts[version % 2], version)])
--- a/tests/standins/tables.py
+++ b/tests/standins/tables.py
@@ -77,6 +77,11 @@
         self.history.append(transaction)
         return Committed(tuple(versions))
 
+    def forget(self) -> None:
+        """Drops all rows and the record, to measure memory without them."""
+        self._tables.clear()
+        self.history.clear()
+
 
 class MemoryTableStore:
     """A `TableStore` in this process, for tests of one module."""
