Show both sides of a conflict and bound waiting changes

A conflict listed only the fields that the other operator had changed; one whose own change was to another key of the section could not see why it clashed. It now lists the fields of both sides. Changes were counted only after their text was parsed, so that many large texts could be parsed at once; now 64 may wait, including their parsing. A daemon never heard of has no age instead of the time since boot.

--- a/benchmarks/bench_config.py
+++ b/benchmarks/bench_config.py
@@ -152,8 +152,14 @@
 
 
 async def measure_frozen(bench: Bench) -> list[Figure]:
-    """Measures with one daemon frozen: the others, then its resuming."""
+    """Measures with one daemon cut from the store and one frozen.
+
+    First the time until the others have a change, then that from resuming.
+    """
     *others, frozen = bench.fleet.daemons
+    cut = others[-1]
+    cut.rows.fault = Fault.down
+    acceptors = others[:-1]
 
     def all_have() -> bool:
         return bench.fleet.all_have(bench.version)
@@ -166,7 +172,7 @@
     for number in range(PAIRS_COUNT):
         bench.freeze(frozen)
         started_s = time.perf_counter()
-        await bench.change(others[number % len(others)])
+        await bench.change(acceptors[number % len(acceptors)])
         await bench.fleet.wait(others_have)
         others_ms.append((time.perf_counter() - started_s) * 1000)
         assert frozen.version < bench.version
@@ -175,7 +181,7 @@
         await bench.fleet.wait(all_have)
         resumed_ms.append((time.perf_counter() - started_s) * 1000)
     return [
-        *quantiles('in_force_6_one_frozen', others_ms),
+        *quantiles('in_force_6_one_cut_one_frozen', others_ms),
         *quantiles('in_force_after_resuming', resumed_ms),
     ]
 
--- a/src/radishlift/cli/config_text.py
+++ b/src/radishlift/cli/config_text.py
@@ -60,9 +60,10 @@
     lines = [f'version {status.version} is {since}']
     for daemon in status.daemons:
         version = 'no answer' if daemon.version is None else daemon.version
-        lines.append(
-            f'{daemon.daemon_id}: {version}, heard {daemon.age_ms} ms ago',
-        )
+        heard = 'never heard'
+        if daemon.age_ms is not None:
+            heard = f'heard {daemon.age_ms} ms ago'
+        lines.append(f'{daemon.daemon_id}: {version}, {heard}')
     return ''.join(f'{line}\n' for line in lines)
 
 
--- a/src/radishlift/config/changes.py
+++ b/src/radishlift/config/changes.py
@@ -53,10 +53,10 @@
 
 @dataclass(frozen=True, slots=True)
 class ConflictField:
-    """A field of a section that another operator changed meanwhile.
+    """A field of a section that two operators changed.
 
-    `version` and `who` tell the latest change of it; version 0 means that it
-    is older than the versions searched.
+    `version` and `who` tell the latest change by others; version 0 means
+    that there is none among the versions searched.
     """
 
     section: str
--- a/src/radishlift/config/progress.py
+++ b/src/radishlift/config/progress.py
@@ -8,7 +8,10 @@
 from radishlift.core.clock import Clock
 from radishlift.core.ids import ConfigVersion, DaemonId
 
+_Heard = tuple[ConfigVersion | None, int | None]
+
 _NO_VERSION: Final = ConfigVersion(0)
+_NEVER: Final[_Heard] = (None, None)
 _REMEMBERED_COUNT: Final = 256
 
 
@@ -16,12 +19,13 @@
 class DaemonVersion:
     """The version last heard from a daemon and how long ago.
 
-    `version` is None when the daemon has not answered the last message.
+    `version` is None when the daemon has not answered the last message, and
+    `age_ms` when it has never been heard.
     """
 
     daemon_id: DaemonId
     version: ConfigVersion | None
-    age_ms: int
+    age_ms: int | None
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,7 +60,7 @@
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._heard: dict[DaemonId, tuple[ConfigVersion | None, int]] = {}
+        self._heard: dict[DaemonId, _Heard] = {}
         self._everywhere: deque[EverywhereSince] = deque(
             maxlen=_REMEMBERED_COUNT,
         )
@@ -68,7 +72,7 @@
 
     def version_of(self, daemon_id: DaemonId) -> ConfigVersion | None:
         """Returns the version last heard from a daemon, if it answers."""
-        return self._heard.get(daemon_id, (None, 0))[0]
+        return self._heard.get(daemon_id, _NEVER)[0]
 
     def note(self, daemon_id: DaemonId, version: ConfigVersion) -> None:
         """Notes a daemon's answer; a restarted daemon may be lower."""
@@ -76,7 +80,7 @@
 
     def forget(self, daemon_id: DaemonId) -> None:
         """Notes that a daemon did not answer."""
-        _, heard_ms = self._heard.get(daemon_id, (None, 0))
+        _, heard_ms = self._heard.get(daemon_id, _NEVER)
         self._heard[daemon_id] = (None, heard_ms)
 
     def keep_only(self, members: Iterable[DaemonId]) -> None:
@@ -109,8 +113,9 @@
         now_ms = self._clock.monotonic_ms()
         daemons = []
         for member in members:
-            heard, heard_ms = self._heard.get(member, (None, 0))
-            daemons.append(DaemonVersion(member, heard, now_ms - heard_ms))
+            heard, heard_ms = self._heard.get(member, _NEVER)
+            age_ms = None if heard_ms is None else now_ms - heard_ms
+            daemons.append(DaemonVersion(member, heard, age_ms))
         return ConfigStatus(version, tuple(daemons), tuple(self._everywhere))
 
 
--- a/src/radishlift/config/store.py
+++ b/src/radishlift/config/store.py
@@ -86,9 +86,6 @@
         A failure's kind tells whether it was stored: `store_outcome_unknown`
         means perhaps, every other kind means no.
         """
-        ours = await self._parse(change)
-        if isinstance(ours, tuple):
-            return ChangeInvalid(ours)
         if self._waiting_count >= MAX_WAITING_COUNT:
             return Failure(ErrorKind.overloaded, 'too many waiting changes')
         deadline_ms = (
@@ -96,8 +93,7 @@
         )
         self._waiting_count += 1
         try:
-            async with self._lock:
-                return await self._store_change(change, ours, deadline_ms)
+            return await self._parse_and_store(change, deadline_ms)
         finally:
             self._waiting_count -= 1
 
@@ -138,6 +134,18 @@
             return head
         return await self._reader.history(head.version, count)
 
+    async def _parse_and_store(
+        self,
+        change: Change,
+        deadline_ms: int,
+    ) -> ChangeResult:
+        ours = await self._parse(change)
+        if isinstance(ours, tuple):
+            return ChangeInvalid(ours)
+        # One at a time, since changes of one daemon would only race.
+        async with self._lock:
+            return await self._store_change(change, ours, deadline_ms)
+
     async def _parse(self, change: Change) -> Snapshot | Errors:
         # In a thread, since a large text takes longer than a decision may.
         parsed = await asyncio.to_thread(
--- a/src/radishlift/config/versions.py
+++ b/src/radishlift/config/versions.py
@@ -101,30 +101,33 @@
         clashing: tuple[str, ...],
         ours: Sections,
     ) -> tuple[ConflictField, ...] | Failure:
-        """Describes the fields of clashing sections that others changed."""
+        """Describes the fields of clashing sections with both sides."""
         before = await self.snapshot(base)
         theirs = await self.snapshot(head.version)
         if isinstance(before, Failure):
             return before
         if isinstance(theirs, Failure):
             return theirs
-        changes = [
-            change
-            for change in diff_sections(before.sections, theirs.sections)
-            if change.section in clashing
+        differing = [
+            *diff_sections(before.sections, theirs.sections),
+            *diff_sections(before.sections, ours),
         ]
-        wanted = {(change.section, change.key) for change in changes}
-        changers = await self._find_changers(base, head.version, wanted)
+        wanted = {
+            (change.section, change.key): change.before
+            for change in differing
+            if change.section in clashing
+        }
+        changers = await self._find_changers(base, head.version, set(wanted))
         return tuple(
             ConflictField(
-                change.section,
-                change.key,
-                change.before,
-                change.after,
-                ours.get(change.section, {}).get(change.key),
-                *changers.get((change.section, change.key), _NOBODY),
+                title,
+                key,
+                base_text,
+                theirs.sections.get(title, {}).get(key),
+                ours.get(title, {}).get(key),
+                *changers.get((title, key), _NOBODY),
             )
-            for change in changes
+            for (title, key), base_text in sorted(wanted.items())
         )
 
     async def _find_changers(
--- a/src/radishlift/console/guard.py
+++ b/src/radishlift/console/guard.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import hmac
+import re
 import secrets
 from collections.abc import Mapping
 from typing import Final
@@ -27,6 +28,7 @@
 }
 
 _COOKIE_BYTES: Final = 24
+_COOKIE_PATTERN: Final = re.compile('[A-Za-z0-9_-]{32}')
 
 
 class ConsoleGuard:
@@ -49,9 +51,10 @@
 
     def browser_of(self, request: web.Request) -> str:
         """Returns the browser's random cookie, or a new one."""
-        return request.cookies.get(COOKIE_NAME) or secrets.token_urlsafe(
-            _COOKIE_BYTES,
-        )
+        given = request.cookies.get(COOKIE_NAME, '')
+        if _COOKIE_PATTERN.fullmatch(given):
+            return given
+        return secrets.token_urlsafe(_COOKIE_BYTES)
 
     def form_value(self, browser: str, form_name: str) -> str:
         """Returns the value that a form of this browser must carry."""
--- a/src/radishlift/report/exposition.py
+++ b/src/radishlift/report/exposition.py
@@ -1,6 +1,6 @@
 """Text exposition of metrics for `/metrics`."""
 
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -22,10 +22,6 @@
     labels: dict[str, str] = field(default_factory=dict)
 
 
-Gauges = Callable[[], Iterable[Sample]]
-"""Provider of samples of another module, such as queue lengths."""
-
-
 def expose(samples: Iterable[Sample]) -> str:
     """Writes samples as lines; text in labels is escaped."""
     return ''.join(f'{_format_sample(sample)}\n' for sample in samples)
@@ -80,4 +76,4 @@
     return escaped.replace('\n', r'\n')
 
 
-__all__ = ('CONTENT_TYPE', 'Gauges', 'Sample', 'expose', 'metrics_samples')
+__all__ = ('CONTENT_TYPE', 'Sample', 'expose', 'metrics_samples')
--- a/tests/config/test_store.py
+++ b/tests/config/test_store.py
@@ -114,6 +114,29 @@
     assert (field.version, field.who) == (2, 'ann')
 
 
+async def test_a_conflict_names_fields_of_both_sides(store):
+    """Guards against a conflict that hides which own fields are in it."""
+    await store.change(Change(with_weight(3), ONE, 'ann', 'weight'))
+    text = TEXT.replace('waiting_first', 'least_loaded')
+    conflict = await store.change(Change(text, ONE, 'ben', 'race'))
+    assert [(field.key, field.who) for field in conflict.fields] == [
+        ('policy', ''),
+        ('share_weight', 'ann'),
+    ]
+    assert conflict.fields[0].ours == 'least_loaded'
+
+
+async def test_waiting_changes_are_bounded(rows, store):
+    """Guards against memory that grows with changes during an outage."""
+    rows.fault = Fault.lose_requests
+    changes = [Change(with_weight(3), ONE, 'ann', 'w') for _ in range(80)]
+    answers = await asyncio.gather(*map(store.change, changes))
+    kinds = [answer.kind for answer in answers]
+    assert kinds.count(ErrorKind.overloaded) == 16
+    assert kinds.count(ErrorKind.store_outcome_unknown) == 1
+    assert kinds.count(ErrorKind.deadline_passed) == 63
+
+
 async def test_a_merge_with_an_invalid_result_is_a_conflict(store):
     """Guards against two valid changes that are invalid together."""
     without = TEXT.replace(
