--- a/src/radishlift/api/configuration.py
+++ b/src/radishlift/api/configuration.py
@@ -15,7 +15,6 @@
     refused_answer,
 )
 from radishlift.config.changes import Change, ChangeResult
-from radishlift.config.document import ConfigDocument
 from radishlift.config.spreader import ConfigSpreader
 from radishlift.config.store import ConfigStore
 from radishlift.core.codec import parse_json
@@ -50,10 +49,19 @@
 
     async def show(self, request: web.Request) -> web.Response:
         """Answers with the document in force, or a kept version."""
-        document = await self._find(request.query.get('version', ''))
-        if isinstance(document, Failure):
-            return failure_answer(document)
-        return _http(document_answer(document))
+        current = self._spreader.current()
+        version = _number(request.query.get('version', ''))
+        if current is not None:
+            version = version or current.version
+        if not version:
+            reason = 'no configuration is known yet'
+            return failure_answer(Failure(ErrorKind.no_configuration, reason))
+        snapshot = await self._spreader.snapshot_at(
+            ConfigVersion(version),
+        )
+        if isinstance(snapshot, Failure):
+            return failure_answer(snapshot)
+        return _http(document_answer(snapshot))
 
     async def show_status(self, _request: web.Request) -> web.Response:
         """Answers with the versions in force on all daemons."""
@@ -94,17 +102,6 @@
         change = Change(body.text, body.base, body.who, body.why)
         return await self._spreader.change(change)
 
-    async def _find(self, version: str) -> ConfigDocument | Failure:
-        if version:
-            return await self._spreader.document_at(
-                ConfigVersion(_number(version)),
-            )
-        document = self._spreader.current()
-        if document is None:
-            reason = 'no configuration is known yet'
-            return Failure(ErrorKind.no_configuration, reason)
-        return document
-
     def _is_token(self, given: str) -> bool:
         expected = self._change_token.encode()
         is_equal = hmac.compare_digest(given.encode(), expected)
