--- a/src/radishlift/journal/budget.py
+++ b/src/radishlift/journal/budget.py
@@ -12,6 +12,14 @@
 # Seven daemons with this burst stay under 300 rows in any second.
 _BURST_ROWS: Final = 2
 
+# Writes of snapshots and deletions may use rows that flushes left over, up to
+# this number at once, which keeps seven daemons under 400 writes in any second.
+_MAX_SPARE_ROWS: Final = 8
+
+# One of 40 rows is kept for them even while flushes use up the budget: without
+# snapshots, recovery would take longer with each second of a long peak.
+_SPARE_SHARE: Final = 0.025
+
 # A partition without urgent work that has waited for this many intervals is
 # flushed as if it had some, so that urgent work elsewhere can't starve it.
 _STARVED_INTERVALS: Final = 4
@@ -45,6 +53,7 @@
         self._settings = settings
         self._entries: dict[PartitionId, _Entry] = {}
         self._rows: float = _BURST_ROWS
+        self._spare_rows: float = 0
         self._filled_at_ms = clock.monotonic_ms()
 
     @property
@@ -102,16 +111,17 @@
         self._rows -= rows_count
 
     def spare_rows(self) -> int:
-        """Returns how many rows may be written for other purposes now.
+        """Returns how many rows snapshots and deletions may write now.
 
-        Deletions count as writes of the table service, so they use only what
-        waiting partitions leave.
+        The table service counts these as writes too, so they use only what
+        flushes have left over, and a small share of the budget.
         """
         self._fill()
-        is_waiting = any(
-            entry.wanted_at_ms is not None for entry in self._entries.values()
-        )
-        return 0 if is_waiting else max(0, int(self._rows))
+        return max(0, int(self._spare_rows))
+
+    def spend_spare(self, rows_count: int) -> None:
+        """Takes rows that were written for snapshots and deletions."""
+        self._spare_rows -= rows_count
 
     def delay_ms(self) -> int:
         """Returns after which time it is worth asking again."""
@@ -143,7 +153,11 @@
         now_ms = self._clock.monotonic_ms()
         passed_ms = now_ms - self._filled_at_ms
         earned = passed_ms * self._settings.rows_per_s / _SECOND_MS
-        self._rows = min(_BURST_ROWS, self._rows + earned)
+        kept = earned * _SPARE_SHARE
+        filled = self._rows + earned - kept
+        self._rows = min(_BURST_ROWS, filled)
+        spare = self._spare_rows + kept + filled - self._rows
+        self._spare_rows = min(_MAX_SPARE_ROWS, spare)
         self._filled_at_ms = now_ms
 
 
--- a/src/radishlift/membership/daemon_table.py
+++ b/src/radishlift/membership/daemon_table.py
@@ -96,6 +96,14 @@
             return 0
         return self._scanned_at_ms - seen.changed_at_ms
 
+    def unchanged_for(self, limit_ms: int) -> dict[DaemonId, int]:
+        """Returns the versions of rows that have not changed for a time."""
+        return {
+            daemon_id: seen.version
+            for daemon_id, seen in self._seen.items()
+            if seen.version and self.unchanged_ms(daemon_id) >= limit_ms
+        }
+
     def watched(self) -> tuple[DaemonId, ...]:
         """Lists the daemons that are watched, with or without a row."""
         return tuple(self._seen)
--- /dev/null
+++ b/src/radishlift/ownership/cleaning.py
@@ -0,0 +1,39 @@
+"""Deletes rows of daemons that stopped without deleting them."""
+
+from typing import Final
+
+from radishlift.core.errors import Failure
+from radishlift.core.logs import log_event
+from radishlift.membership.daemon_rows import DAEMONS_TABLE
+from radishlift.membership.daemon_table import DaemonTable
+from radishlift.platform.api import (
+    Condition,
+    TableStore,
+    Transaction,
+    Write,
+)
+
+# Entry hosts are replaced all the time; without a limit the rows that each
+# daemon reads every second would grow for good.
+_ROW_EXPIRY_MS: Final = 3_600_000
+
+
+async def delete_expired_row(store: TableStore, table: DaemonTable) -> None:
+    """Deletes one row that has not changed for an hour, if there is one.
+
+    A daemon that was only paused writes its row again when it resumes. The
+    deletion is conditional, so it has no effect on a row renewed meanwhile.
+    """
+    for daemon_id, version in table.unchanged_for(_ROW_EXPIRY_MS).items():
+        outcome = await store.commit(
+            Transaction(
+                (Condition(DAEMONS_TABLE, daemon_id, version),),
+                (Write(DAEMONS_TABLE, daemon_id, None),),
+            )
+        )
+        reason = outcome.reason if isinstance(outcome, Failure) else ''
+        log_event('daemon_row_expired', daemon=daemon_id, failure=reason)
+        return
+
+
+__all__ = ('delete_expired_row',)
--- a/src/radishlift/ownership/manager.py
+++ b/src/radishlift/ownership/manager.py
@@ -7,6 +7,7 @@
 from radishlift.core.ids import PartitionId
 from radishlift.ownership.api import OwnershipListener
 from radishlift.ownership.claims import Claimant
+from radishlift.ownership.cleaning import delete_expired_row
 from radishlift.ownership.fleet_view import Assignment, FleetView
 from radishlift.ownership.holdings import Holdings, OwnershipState
 from radishlift.ownership.reading import TableReader
@@ -141,6 +142,7 @@
             failure = await self._release_surplus(assignment)
         if failure is None:
             self._is_open = self._claimant.has_open(assignment)
+            await delete_expired_row(self._store, self._view.table)
         return failure
 
     async def _claim_due(self, assignment: Assignment) -> Failure | None:
--- a/src/radishlift/partitions/open_partition.py
+++ b/src/radishlift/partitions/open_partition.py
@@ -184,7 +184,7 @@
         written = await self._keeper.step(spare_rows)
         if isinstance(written, Failure):
             return written if is_final(written) else None
-        self._parts.scheduler.spend(written)
+        self._parts.scheduler.spend_spare(written)
         return None
 
 
--- a/tests/ownership/test_manager.py
+++ b/tests/ownership/test_manager.py
@@ -203,6 +203,21 @@
     assert not fleet.store.tables.scan('daemons', '', '', 9)
 
 
+async def test_row_of_a_daemon_that_never_returns_is_deleted():
+    """Guards against a table that grows with each replaced host."""
+    fleet = Fleet(2, 'd1', 'd2')
+    await fleet.settle()
+    gone, other = fleet.daemons
+    await fleet.run(3_590_000, other)
+    assert len(fleet.store.tables.scan('daemons', '', '', 9)) == 2
+    await fleet.run(60_000, other)
+    rows = fleet.store.tables.scan('daemons', '', '', 9)
+    assert [row.key for row in rows] == ['d2']
+    await gone.turn()
+    assert not gone.claims
+    assert len(fleet.store.tables.scan('daemons', '', '', 9)) == 2
+
+
 async def test_stop_in_an_outage_goes_on_after_it():
     """Guards against a partition that is given up without its row."""
     fleet = Fleet(2, 'd1')
