Expire rows of daemons only with evidence of death

Cause: a daemon without a row has no address, so nobody can collect evidence against it, and slots that were allotted to it would never return.

Change: a row that has not changed for an hour is deleted only by a daemon that has evidence against its incarnation.

--- a/src/radishlift/ownership/cleaning.py
+++ b/src/radishlift/ownership/cleaning.py
@@ -5,7 +5,7 @@
 from radishlift.core.errors import Failure
 from radishlift.core.logs import log_event
 from radishlift.membership.daemon_rows import DAEMONS_TABLE
-from radishlift.membership.daemon_table import DaemonTable
+from radishlift.ownership.fleet_view import FleetView
 from radishlift.platform.api import (
     Condition,
     TableStore,
@@ -14,17 +14,18 @@
 )
 
 # Entry hosts are replaced all the time; without a limit the rows that each
-# daemon reads every second would grow for good.
+# daemon reads every second would grow for good. The hour gives every daemon
+# the time to collect evidence of its own, for which it needs the row.
 _ROW_EXPIRY_MS: Final = 3_600_000
 
 
-async def delete_expired_row(store: TableStore, table: DaemonTable) -> None:
-    """Deletes one row that has not changed for an hour, if there is one.
+async def delete_expired_row(store: TableStore, view: FleetView) -> None:
+    """Deletes a row of a dead daemon that has not changed for an hour.
 
-    A daemon that was only paused writes its row again when it resumes. The
-    deletion is conditional, so it has no effect on a row renewed meanwhile.
+    The deletion is conditional, so it has no effect on a row that a new
+    incarnation writes meanwhile. At most one row is deleted in a call.
     """
-    for daemon_id, version in table.unchanged_for(_ROW_EXPIRY_MS).items():
+    for daemon_id, version in view.dead_rows(_ROW_EXPIRY_MS).items():
         outcome = await store.commit(
             Transaction(
                 (Condition(DAEMONS_TABLE, daemon_id, version),),
--- a/src/radishlift/ownership/fleet_view.py
+++ b/src/radishlift/ownership/fleet_view.py
@@ -106,6 +106,17 @@
             self.can_claim(),
         )
 
+    def dead_rows(self, unchanged_ms: int) -> dict[DaemonId, int]:
+        """Returns versions of rows of dead daemons, unchanged for a time."""
+        rows = self.table.last_scan.rows
+        unchanged = self.table.unchanged_for(unchanged_ms)
+        return {
+            daemon_id: version
+            for daemon_id, version in unchanged.items()
+            if daemon_id in rows
+            and self._members.is_dead(daemon_id, rows[daemon_id].incarnation)
+        }
+
     def assign(self) -> Assignment:
         """Spreads the partitions over the daemons that serve."""
         partitions = self.directory.partitions()
--- a/src/radishlift/ownership/manager.py
+++ b/src/radishlift/ownership/manager.py
@@ -142,7 +142,7 @@
             failure = await self._release_surplus(assignment)
         if failure is None:
             self._is_open = self._claimant.has_open(assignment)
-            await delete_expired_row(self._store, self._view.table)
+            await delete_expired_row(self._store, self._view)
         return failure
 
     async def _claim_due(self, assignment: Assignment) -> Failure | None:
