--- a/src/radishlift/config/changes.py
+++ b/src/radishlift/config/changes.py
@@ -4,6 +4,7 @@
 
 from radishlift.config.document import ConfigDocument
 from radishlift.config.merge import FieldChange
+from radishlift.config.snapshot import Snapshot
 from radishlift.core.errors import Failure
 from radishlift.core.ids import ConfigVersion
 from radishlift.settings.sections import SettingsError
@@ -28,14 +29,19 @@
     `changes` the head had this text already and no version was added.
     """
 
-    document: ConfigDocument
+    snapshot: Snapshot
     changes: tuple[FieldChange, ...]
     merged: tuple[str, ...]
 
     @property
     def version(self) -> ConfigVersion:
         """Returns the version that has the change."""
-        return self.document.version
+        return self.snapshot.version
+
+    @property
+    def document(self) -> ConfigDocument:
+        """Returns the document that has the change."""
+        return self.snapshot.document
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,10 +53,10 @@
 
 @dataclass(frozen=True, slots=True)
 class ConflictField:
-    """A field of a section that another operator changed meanwhile.
+    """A field of a section that two operators changed.
 
-    `version` and `who` tell the latest change of it; version 0 means that it
-    is older than the versions searched.
+    `version` and `who` tell the latest change by others; version 0 means
+    that there is none among the versions searched.
     """
 
     section: str
