Prove that tasks run once and workers are not overcommitted under failures

Each of the safety proofs also runs a broken variant, which its check finds.

Ended attempts are no longer logged one by one.

--- a/src/radishlift/partitions/hand_offs.py
+++ b/src/radishlift/partitions/hand_offs.py
@@ -88,6 +88,9 @@
                 records.append(JobHandedOff(spec.job_id, target))
         if records:
             await self._commit(opened, records)
+            for record in records:
+                if isinstance(record, JobHandedOff):
+                    opened.signal_closed(record.job_id)
 
     @property
     def _batch_count(self) -> int:
--- a/src/radishlift/partitions/intake.py
+++ b/src/radishlift/partitions/intake.py
@@ -1,7 +1,6 @@
 """Requests of callers to one owned partition: submit, cancel, status."""
 
 import asyncio
-from typing import Final
 
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import Attempt, JobId, TaskId, WorkerId
@@ -19,8 +18,6 @@
 from radishlift.placement.records import JobAccepted
 from radishlift.placement.tables import NO_ROW
 
-_CHECK_MS: Final = 100
-
 
 async def submit(
     opened: OpenPartition,
@@ -109,9 +106,12 @@
         if failure is not None:
             return failure
         opened.wake()
-        if not await _is_cancelled(opened, job_id, timeout_ms):
+        if not await _is_closed(opened, job_id, timeout_ms):
             reason = f'cancellation of {job_id} was not decided in time'
             return Failure(ErrorKind.store_outcome_unknown, reason)
+        row = jobs.row_of.get(job_id)
+        if row is not None and jobs.to_partition[row]:
+            return JobMoved(job_id, jobs.to_partition[row])
     failure = await opened.log.journal.wait_durable(
         opened.log.last_position,
         timeout_ms,
@@ -119,25 +119,18 @@
     return JobCancelling(job_id) if failure is None else failure
 
 
-async def _is_cancelled(
+async def _is_closed(
     opened: OpenPartition,
     job_id: JobId,
     timeout_ms: int,
 ) -> bool:
-    jobs = opened.states.placement.tables.jobs
-    decided = opened.cancelled_event(job_id)
-    for _ in range(max(1, timeout_ms // _CHECK_MS)):
-        try:
-            async with asyncio.timeout(_CHECK_MS / 1000):
-                await decided.wait()
-        except TimeoutError:
-            # A job that ended meanwhile is never reported as cancelled.
-            row = jobs.row_of.get(job_id)
-            if row is None or jobs.is_ended(row):
-                return True
-        else:
-            return True
-    return False
+    closed = opened.closed_event(job_id)
+    try:
+        async with asyncio.timeout(timeout_ms / 1000):
+            await closed.wait()
+    except TimeoutError:
+        return False
+    return True
 
 
 def status(
--- a/src/radishlift/partitions/open_partition.py
+++ b/src/radishlift/partitions/open_partition.py
@@ -27,6 +27,7 @@
 from radishlift.placement.records import (
     JobAccepted,
     JobCancelled,
+    TaskEnded,
     TaskPlaced,
 )
 from radishlift.workers.dispatcher import Dispatcher
@@ -73,7 +74,7 @@
             claim,
             settings.journal,
         )
-        self._cancelled: dict[JobId, asyncio.Event] = {}
+        self._closed_jobs: dict[JobId, asyncio.Event] = {}
         self._is_dirty = True
         self._last_tick_ms = 0
         self._wall_ms = 0
@@ -155,16 +156,27 @@
                 is_urgent=any(self._is_urgent(change) for change in records),
             )
 
-    def cancelled_event(self, job_id: JobId) -> asyncio.Event:
-        """Returns an event that is set once a cancellation is appended."""
-        return self._cancelled.setdefault(job_id, asyncio.Event())
+    def closed_event(self, job_id: JobId) -> asyncio.Event:
+        """Returns an event that is set once a job is cancelled or ended."""
+        return self._closed_jobs.setdefault(job_id, asyncio.Event())
+
+    def signal_closed(self, job_id: JobId) -> None:
+        """Tells those who cancel a job that it was closed."""
+        event = self._closed_jobs.pop(job_id, None)
+        if event is not None:
+            event.set()
 
     def _bind(self, decided: Any) -> None:
         self.effects.add(decided)
-        if isinstance(decided, JobCancelled):
-            event = self._cancelled.pop(decided.job_id, None)
-            if event is not None:
-                event.set()
+        match decided:
+            case JobCancelled():
+                self.signal_closed(decided.job_id)
+            case TaskEnded() if self._closed_jobs:
+                job_id = job_id_of(decided.task_id)
+                jobs = self.states.placement.tables.jobs
+                row = jobs.row_of.get(job_id)
+                if row is None or jobs.is_ended(row):
+                    self.signal_closed(job_id)
 
     def _is_urgent(self, change: Any) -> bool:
         match change:
--- a/src/radishlift/workers/attempts.py
+++ b/src/radishlift/workers/attempts.py
@@ -8,7 +8,6 @@
 
 from radishlift.core.clock import Clock
 from radishlift.core.errors import ErrorKind, Failure
-from radishlift.core.logs import log_event
 from radishlift.placement.jobs import TaskState
 from radishlift.placement.orders import OrderKind
 from radishlift.workers.client import WorkerClient
@@ -76,14 +75,6 @@
             return
         live.is_ended = True
         live.pending_orders.clear()
-        log_event(
-            'attempt_ended',
-            level='DEBUG',
-            task=live.order.task.task_id,
-            attempt=live.order.task.attempt,
-            worker=session.worker_id,
-            reason=reason,
-        )
         self._events.attempt_ended(EndedAttempt(live.order.key, state, reason))
 
     def end_as(
--- a/src/radishlift/workers/lapses.py
+++ b/src/radishlift/workers/lapses.py
@@ -1,5 +1,8 @@
 """Ends the attempts at a worker that does not answer, once that is safe."""
 
+from collections.abc import Iterable
+
+from radishlift.core.logs import log_event
 from radishlift.placement.jobs import TaskState
 from radishlift.workers.attempts import AttemptExchange
 from radishlift.workers.leases import FormerOwners
@@ -26,21 +29,36 @@
         """Ends the attempts of an unreachable worker that surely ended."""
         is_own_lapsed = session.clock.bound_ms(self._lease_ms) <= now_ms
         is_former_lapsed = self._former.have_ended(now_ms)
-        for live in list(session.attempts.values()):
+        unsent = []
+        lapsed = []
+        for live in session.attempts.values():
             if not live.may_run:
-                self._end(session, live, _NOT_SENT)
+                unsent.append(live)
             elif is_own_lapsed and (
                 is_former_lapsed or not live.order.is_inherited
             ):
-                self._end(session, live, _LAPSED)
+                lapsed.append(live)
+        self._end(session, unsent, _NOT_SENT)
+        self._end(session, lapsed, _LAPSED)
 
     def _end(
         self,
         session: WorkerSession,
-        live: LiveAttempt,
+        attempts: Iterable[LiveAttempt],
         reason: str,
     ) -> None:
-        self._attempts.end(session, live, TaskState.queued, reason)
+        ended_count = 0
+        for live in attempts:
+            if not live.is_ended:
+                ended_count += 1
+                self._attempts.end(session, live, TaskState.queued, reason)
+        if ended_count:
+            log_event(
+                'attempts_ended',
+                worker=session.worker_id,
+                attempts=ended_count,
+                reason=reason,
+            )
 
 
 __all__ = ('LapseJudge',)
--- a/tests/partitions/cell.py
+++ b/tests/partitions/cell.py
@@ -7,20 +7,17 @@
 import asyncio
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from dataclasses import dataclass, field
 from random import Random
 from typing import Any
 
 from radishlift.config.document import ConfigDocument, Partition
 from radishlift.core.clock import SystemClock
-from radishlift.core.codec import dump_plain
 from radishlift.core.ids import (
     Address,
     ConfigVersion,
     DaemonId,
     DataCentreId,
     DepartmentName,
-    Epoch,
     Incarnation,
     JobId,
     PartitionId,
@@ -30,15 +27,12 @@
 )
 from radishlift.journal.budget import FlushScheduler
 from radishlift.journal.settings import JournalSettings
-from radishlift.ownership.api import OWNERS_TABLE, OwnerClaim
 from radishlift.ownership.directory import OwnerDirectory
-from radishlift.ownership.owner_rows import OwnerRow
 from radishlift.partitions.hand_offs import HandOffCourier
 from radishlift.partitions.homes import HomeCaller, OwnerLookup
 from radishlift.partitions.job_router import JobRouter
 from radishlift.partitions.job_server import JobServer
 from radishlift.partitions.loads import LoadBoard
-from radishlift.partitions.open_partition import OpenPartition
 from radishlift.partitions.partitions import Partitions
 from radishlift.partitions.parts import DaemonParts, PartitionSettingsSet
 from radishlift.partitions.settings import PartitionSettings
@@ -47,13 +41,12 @@
     Host,
     HostRole,
     HostState,
-    Transaction,
-    Write,
 )
 from radishlift.wire.network import PeerNetwork
 from radishlift.workers.client import WorkerClient
 from radishlift.workers.dispatcher import Dispatcher
 from radishlift.workers.settings import WorkerSettings
+from tests.partitions.owner import PARTITION, Config, Members, Owner
 from tests.standins.checks import (
     WorkerRecord,
     overcommitted_workers,
@@ -64,7 +57,6 @@
 from tests.standins.worker import WorkerStandIn
 from tests.standins.worker_model import WorkerOptions
 
-PARTITION = PartitionId('p1')
 OTHER_PARTITION = PartitionId('p2')
 LEASE_MS = 500
 
@@ -109,72 +101,6 @@
     return JobSpec(**fields)
 
 
-@dataclass
-class Members:
-    """A `MemberDirectory` that knows what the test tells it."""
-
-    dead: set[tuple[str, str]] = field(default_factory=set)
-
-    def members(self) -> tuple[()]:
-        return ()
-
-    def is_suspected(self, daemon_id: DaemonId) -> bool:
-        return False
-
-    def is_dead(self, daemon_id: DaemonId, incarnation: Incarnation) -> bool:
-        return (daemon_id, incarnation) in self.dead
-
-
-@dataclass
-class Config:
-    """A `ConfigView` of one document."""
-
-    document: ConfigDocument
-
-    def current(self) -> ConfigDocument:
-        return self.document
-
-
-@dataclass
-class Owner:
-    """A daemon with its partitions; its loop can be paused."""
-
-    name: str
-    store: MemoryTableStore
-    parts: DaemonParts
-    partitions: Partitions
-    loop: asyncio.Task[None]
-    router: JobRouter
-    courier: HandOffCourier
-
-    def opened(self, partition_id: PartitionId = PARTITION) -> OpenPartition:
-        """Returns the recovered partition."""
-        runner = self.partitions.get(partition_id)
-        assert runner is not None
-        assert runner.opened is not None
-        return runner.opened
-
-    async def claim(self, partition_id: PartitionId = PARTITION) -> None:
-        """Claims a partition and waits until it is recovered."""
-        await self.partitions.on_acquired(self.write_claim(partition_id))
-        await until(lambda: self.partitions.get(partition_id))
-
-    def write_claim(self, partition_id: PartitionId) -> OwnerClaim:
-        """Writes the owner row with the next epoch."""
-        before = self.store.tables.read(OWNERS_TABLE, partition_id).value
-        epoch = Epoch(1 if before is None else before['epoch'] + 1)
-        row = OwnerRow(self.parts.daemon_id, self.parts.incarnation, epoch)
-        write = Write(OWNERS_TABLE, partition_id, dump_plain(row))
-        committed = self.store.tables.commit(Transaction((), (write,)))
-        return OwnerClaim(partition_id, epoch, committed.versions[0])
-
-    async def kill(self) -> None:
-        """Ends all work at once, as the death of the process does."""
-        self.loop.cancel()
-        await self.partitions.on_replaced()
-        await self.parts.network.stop()
-
-
 class Cell:
     """Workers, the platform's services and the owners of a test."""
 
@@ -299,6 +225,19 @@
             await owner.parts.client.close()
 
 
+async def reports(workers: list[WorkerStandIn], count: int) -> None:
+    """Waits until each worker has been asked for some more reports."""
+    wanted = {
+        id(worker): worker.seen.count('/report') + count for worker in workers
+    }
+    await until(
+        lambda: all(
+            worker.seen.count('/report') >= wanted[id(worker)]
+            for worker in workers
+        )
+    )
+
+
 @asynccontextmanager
 async def open_cell(
     workers_count: int = 1, **workers: int
@@ -321,4 +260,5 @@
     'Owner',
     'make_job',
     'open_cell',
+    'reports',
 )
--- /dev/null
+++ b/tests/partitions/test_proofs.py
@@ -0,0 +1,250 @@
+"""Proofs of "a task never runs in two places" and "no overcommitment".
+
+They are judged by the records of the workers. Each one also runs a broken
+variant, which shows that its check can fail.
+"""
+
+import asyncio
+import itertools
+from contextlib import asynccontextmanager
+
+import pytest
+
+from radishlift.partitions.intake import submit
+from radishlift.partitions.messages import JobSubmitted
+from radishlift.partitions.open_partition import OpenPartition
+from radishlift.placement.jobs import Resources, TaskState
+from radishlift.workers.dispatcher import Dispatcher
+from tests.partitions import variants
+from tests.partitions.cell import (
+    LEASE_MS,
+    Cell,
+    Owner,
+    make_job,
+    open_cell,
+    reports,
+)
+from tests.standins.checks import tasks_in_two_places
+from tests.standins.conditions import until
+from tests.standins.tables import Fault, MemoryTableStore
+from tests.standins.worker import Network
+
+WHOLE_WORKER = Resources(30_000, 2_000)
+
+
+async def take_over(
+    cell: Cell, dispatcher_type: type[Dispatcher] = Dispatcher
+) -> Owner:
+    """Lets another daemon claim the partition from the live first owner."""
+    successor = await cell.add_owner('b', dispatcher_type)
+    await successor.claim()
+    return successor
+
+
+@asynccontextmanager
+async def deposed_with_queued_job(store_fault: Fault = Fault.none):
+    """Opens an owner that does not know that another one runs its job.
+
+    Each owner sees one worker only, so that their decisions differ.
+    """
+    async with open_cell(2) as cell:
+        own_store = MemoryTableStore(cell.store.tables)
+        first = await cell.add_owner('a', store=own_store)
+        first.partitions.update_hosts(())
+        await first.claim()
+        await submit(first.opened(), make_job(), 2000)
+        own_store.fault = store_fault
+        opened = first.opened()
+        successor = await cell.add_owner('b')
+        successor.partitions.update_hosts(cell.hosts()[:1])
+        first.partitions.update_hosts(cell.hosts()[1:])
+        yield cell, opened, first, successor
+
+
+@pytest.mark.parametrize('is_broken', [False, True])
+async def test_deposed_owner_starts_nothing_that_is_not_journaled(is_broken):
+    """Guards against a start that no successor reads."""
+    async with deposed_with_queued_job() as (cell, opened, first, successor):
+        # The claim takes effect before the first owner can place the job.
+        claim = successor.write_claim(opened.claim.partition_id)
+        if is_broken:
+            variants.release_at_once(first)
+        await until(lambda: first.partitions.get(claim.partition_id) is None)
+        await successor.partitions.on_acquired(claim)
+        await until(lambda: cell.workers[0].model.record)
+        places = tasks_in_two_places(cell.records())
+        assert bool(places) is is_broken
+
+
+@pytest.mark.parametrize('is_broken', [False, True])
+async def test_row_of_unknown_outcome_starts_nothing(is_broken):
+    """Guards against taking a lost request to the table as journaled."""
+    async with deposed_with_queued_job(Fault.lose_requests) as parts:
+        cell, opened, first, successor = parts
+        if is_broken:
+            variants.release_at_once(first)
+        await until(lambda: opened.log.journal.refusal())
+        await successor.claim()
+        await until(lambda: cell.workers[0].model.record)
+        places = tasks_in_two_places(cell.records())
+        assert bool(places) is is_broken
+
+
+async def test_lost_answers_of_the_table_service_run_each_job_once():
+    """Guards against a second row for records that were written."""
+    async with open_cell(2) as cell:
+        owner = await cell.add_owner('a')
+        await owner.claim()
+        cell.store.fail_next_commits = list(
+            itertools.repeat(Fault.lose_answers, 7)
+        )
+        jobs = [make_job(f'j{number}', run_time_ms=20) for number in range(20)]
+        accepted = await asyncio.gather(
+            *(submit(owner.opened(), job, 5000) for job in jobs)
+        )
+        assert all(isinstance(one, JobSubmitted) for one in accepted)
+        await until(lambda: owner.counts('j19') == {TaskState.finished: 1})
+        await until(lambda: not cell.running())
+        assert cell.executions() == 20
+        assert not cell.store.fail_next_commits
+        cell.check()
+
+
+@pytest.mark.parametrize('variant', [Dispatcher, variants.EndsInherited])
+async def test_successor_finds_running_tasks_again(variant):
+    """Guards against a successor that places running tasks again."""
+    async with open_cell(2, lease_ms=5_000) as cell:
+        first = await cell.add_owner('a')
+        await first.claim()
+        await submit(first.opened(), make_job(task_count=30), 2000)
+        await until(lambda: cell.running() == 30)
+        # The first owner is paused with its sessions; it sends nothing.
+        first.loop.cancel()
+        successor = await take_over(cell, variant)
+        is_broken = variant is not Dispatcher
+        opened = successor.opened()
+        if is_broken:
+            await until(lambda: cell.executions() > 30)
+        else:
+            await until(lambda: count_confirmed(opened) == 30)
+            await reports(cell.workers, 10)
+            assert cell.executions() == 30
+        assert bool(tasks_in_two_places(cell.records())) is is_broken
+
+
+def count_confirmed(opened: OpenPartition) -> int:
+    return sum(
+        live.is_confirmed
+        for session in opened.dispatcher._sessions.values()
+        for live in session.attempts.values()
+    )
+
+
+async def test_start_of_a_paused_owner_arrives_after_the_task_ended():
+    """Guards against a late start that runs an ended task again."""
+    async with open_cell() as cell:
+        first = await cell.add_owner('a')
+        await first.claim()
+        await reports(cell.workers, 1)
+        cell.workers[0].set_network(Network.hold)
+        await submit(first.opened(), make_job(run_time_ms=10), 2000)
+        successor = await take_over(cell)
+        await until(lambda: cell.workers[0].waiting_count >= 2)
+        cell.workers[0].set_network(Network.normal)
+        await until(lambda: successor.counts() == {TaskState.finished: 1})
+        await until(lambda: not cell.workers[0].model.attempts)
+        late = {**cell.workers[0].last_start, 'lease_until_ms': 10**15}
+        assert cell.workers[0].model.start(late) != 'running'
+        assert cell.executions() == 1
+
+
+@pytest.mark.parametrize('is_broken', [False, True])
+async def test_tasks_of_a_restarted_worker_run_again(is_broken):
+    """Guards against tasks that nobody runs after a restart."""
+    async with open_cell() as cell:
+        owner = await cell.add_owner('a')
+        await owner.claim()
+        await submit(owner.opened(), make_job(task_count=3), 2000)
+        await until(lambda: cell.running() == 3)
+        if is_broken:
+            variants.ignore_workers(owner)
+        cell.workers[0].model.restart()
+        seen_count = cell.workers[0].seen.count('/report') + 10
+        await until(lambda: cell.workers[0].seen.count('/report') >= seen_count)
+        assert cell.running() == 3 * (not is_broken)
+        cell.check()
+
+
+@pytest.mark.parametrize('variant', [Dispatcher, variants.EndsUnreachable])
+async def test_task_of_a_cut_worker_runs_again_after_its_lease(variant):
+    """Guards against a second run while a cut worker still runs the first."""
+    async with open_cell() as cell:
+        owner = await cell.add_owner('a', variant)
+        await owner.claim()
+        await submit(owner.opened(), make_job(), 2000)
+        await until(lambda: cell.running() == 1)
+        await cell.add_worker()
+        cell.workers[0].set_network(Network.hang)
+        await until(lambda: len(cell.workers[1].model.record) == 1)
+        is_broken = variant is not Dispatcher
+        assert bool(tasks_in_two_places(cell.records())) is is_broken
+
+
+@pytest.mark.parametrize('variant', [Dispatcher, variants.EndsUnreachable])
+async def test_renewals_of_an_unaware_former_owner_keep_the_task_bound(
+    variant,
+):
+    """Guards against a successor that counts a lease from its takeover."""
+    async with open_cell() as cell:
+        first = await cell.add_owner('a')
+        await first.claim()
+        await submit(first.opened(), make_job(), 2000)
+        await until(lambda: cell.running() == 1)
+        # Only the daemons are cut from each other; the former owner renews.
+        await first.parts.network.stop()
+        successor = await cell.add_owner('b', variant)
+        address = cell.workers[0].model.worker_id
+        client = successor.parts.client
+        cut_from(client, address)
+        await successor.claim()
+        await cell.add_worker()
+        begin_ms = successor.parts.clock.monotonic_ms()
+        clock = successor.parts.clock
+        await until(lambda: clock.monotonic_ms() > begin_ms + 3 * LEASE_MS)
+        is_broken = variant is not Dispatcher
+        assert bool(tasks_in_two_places(cell.records())) is is_broken
+        await first.kill()
+        cell.members.dead.add(('a', 'a-1'))
+        if not is_broken:
+            await until(lambda: len(cell.workers[1].model.record) == 1)
+            cell.check()
+
+
+def cut_from(client, address) -> None:
+    """Cuts one client from one worker."""
+    call = client._call
+
+    async def cut_call(worker_id, path, message, reply_type):
+        target = '127.0.0.1:1' if worker_id == address else worker_id
+        return await call(target, path, message, reply_type)
+
+    client._call = cut_call
+
+
+@pytest.mark.parametrize('variant', [Dispatcher, variants.TakesUnknownAsNotRun])
+async def test_lost_answer_to_a_start(variant):
+    """Guards against placing a task again whose start may have arrived."""
+    async with open_cell(2) as cell:
+        for worker in cell.workers:
+            worker.set_network(Network.lose_starts)
+        owner = await cell.add_owner('a', variant)
+        await owner.claim()
+        await submit(owner.opened(), make_job(demand=WHOLE_WORKER), 2000)
+        is_broken = variant is not Dispatcher
+        await until(lambda: cell.executions() > is_broken)
+        places = tasks_in_two_places(cell.records())
+        assert bool(places) is is_broken
+        if not is_broken:
+            await until(lambda: owner.counts() == {TaskState.placed: 1})
+            await reports(cell.workers, 10)
+            assert cell.executions() == 1
--- a/tests/partitions/test_runner.py
+++ b/tests/partitions/test_runner.py
@@ -1,19 +1,13 @@
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import JobId
 from radishlift.partitions.intake import cancel, status, submit
-from radishlift.partitions.messages import JobStatus, JobSubmitted
+from radishlift.partitions.messages import JobSubmitted
 from radishlift.placement.jobs import TaskState
 from tests.partitions.cell import PARTITION, make_job, open_cell
 from tests.standins.conditions import until
 from tests.standins.tables import Fault
 
 
-def counts(opened, job_id='j1'):
-    shown = status(opened, JobId(job_id))
-    assert isinstance(shown, JobStatus)
-    return shown.task_counts
-
-
 async def test_job_runs_to_its_end():
     """Guards against a partition whose parts do not work together."""
     async with open_cell() as cell:
@@ -24,7 +18,7 @@
         accepted = await submit(opened, spec, 2000)
         assert isinstance(accepted, JobSubmitted)
         assert await submit(opened, spec, 2000) == accepted
-        await until(lambda: counts(opened) == {TaskState.finished: 5})
+        await until(lambda: owner.counts() == {TaskState.finished: 5})
         await until(lambda: not cell.workers[0].model.attempts)
         assert cell.executions() == 5
         cell.check()
@@ -84,5 +78,5 @@
         await submit(opened, make_job(task_count=4), 2000)
         await until(lambda: cell.running() == 4)
         assert not isinstance(await cancel(opened, JobId('j1'), 2000), Failure)
-        await until(lambda: counts(opened) == {TaskState.cancelled: 4})
+        await until(lambda: owner.counts() == {TaskState.cancelled: 4})
         assert not cell.running()
--- /dev/null
+++ b/tests/partitions/variants.py
@@ -0,0 +1,87 @@
+"""Deliberately broken variants: each proof must fail on one of them."""
+
+from radishlift.core.errors import Failure
+from radishlift.placement.jobs import TaskState
+from radishlift.workers.dispatcher import Dispatcher
+from tests.partitions.cell import Owner
+
+
+class EndsInherited(Dispatcher):
+    """Ends the attempts of a former owner instead of sending them again."""
+
+    def __init__(self, *args):
+        super().__init__(*args)
+        self._events.is_surely_ended = lambda key: False
+
+    def run(self, order):
+        super().run(order)
+        if order.is_inherited:
+            session = self._sessions[order.worker_id]
+            live = session.attempts[order.key]
+            self._attempts.end(session, live, TaskState.queued, 'broken')
+
+
+class EndsUnreachable(Dispatcher):
+    """Ends attempts as soon as their worker does not answer."""
+
+    def __init__(self, *args):
+        super().__init__(*args)
+        self._lapses._lease_ms = 0
+        self._lapses._former.have_ended = lambda now_ms: True
+
+
+class TakesUnknownAsNotRun(Dispatcher):
+    """Ends an attempt whose start has an unknown outcome."""
+
+    def __init__(self, *args):
+        super().__init__(*args)
+        take_reply = self._attempts._take_reply
+
+        def end_unknown(session, live, reply):
+            if isinstance(reply, Failure):
+                self._attempts.end(session, live, TaskState.queued, 'broken')
+            return take_reply(session, live, reply)
+
+        self._attempts._take_reply = end_unknown
+
+
+class TakesUnconfirmedAsNotSent(Dispatcher):
+    """Ends a stopped attempt without a message if it is not confirmed."""
+
+    def order(self, key, kind):
+        session = self._session_of(key)
+        live = session.attempts[key]
+        if not live.is_confirmed:
+            self._attempts.end(session, live, TaskState.queued, 'broken')
+        super().order(key, kind)
+
+
+class DropsOrders(Dispatcher):
+    """Sends no stops."""
+
+    def order(self, key, kind):
+        """Does nothing."""
+
+
+def release_at_once(owner: Owner) -> None:
+    """Lets an owner start attempts before their rows are durable."""
+    owner.opened().log.after_last = lambda effect: effect()
+
+
+def ignore_workers(owner: Owner) -> None:
+    """Lets an owner ignore restarts and ends."""
+    facts = owner.opened().facts
+    facts.worker_seen = lambda described: None
+    facts.worker_lost = lambda worker_id, incarnation: None
+    facts.attempt_ended = lambda ended: None
+
+
+__all__ = (
+    'DropsOrders',
+    'EndsInherited',
+    'EndsUnreachable',
+    'TakesUnconfirmedAsNotSent',
+    'TakesUnknownAsNotRun',
+    'ignore_workers',
+    'release_at_once',
+)
--- a/tests/standins/worker.py
+++ b/tests/standins/worker.py
@@ -18,17 +18,23 @@
 from tests.standins.worker_model import Refusal, WorkerModel, WorkerOptions
 
 RACK_SIZE = 8
+_START_PATH = '/tasks/start'
 
 
 @unique
 class Network(Enum):
-    """What happens to requests; `hold` delays them until another mode."""
+    """What happens to requests; `hold` delays them until another mode.
+
+    The modes of starts concern only the answers or requests of starts.
+    """
 
     normal = 'normal'
     refuse = 'refuse'
     hang = 'hang'
     hold = 'hold'
     lose_answers = 'lose_answers'
+    lose_starts = 'lose_starts'
+    hold_starts = 'hold_starts'
 
 
 class WorkerStandIn:
@@ -38,6 +44,8 @@
         self.model = WorkerModel('', options)
         self.network = Network.normal
         self.seen: list[str] = []
+        self.waiting_count = 0
+        self.last_start: dict[str, Any] = {}
         self._changed = asyncio.Event()
         self._runner: web.AppRunner | None = None
 
@@ -110,7 +118,8 @@
 
     async def start(self, request: web.Request) -> web.Response:
         """Answers `POST /tasks/start`."""
-        return self._answer(self.model.start(await request.json()))
+        self.last_start = await request.json()
+        return self._answer(self.model.start(self.last_start))
 
     async def renew(self, request: web.Request) -> web.Response:
         """Answers `POST /tasks/renew`."""
@@ -162,19 +171,28 @@
     ) -> web.StreamResponse:
         if request.path.startswith('/admin'):
             return await handler(request)
-        while self.network in {Network.hang, Network.hold}:
+        while self._delays(request):
             was_hanging = self.network is Network.hang
+            self.waiting_count += 1
             await self._changed.wait()
+            self.waiting_count -= 1
             if was_hanging:
                 return _reset(request)
         if self.network is Network.refuse:
             return _reset(request)
         self.seen.append(request.path)
         response = await handler(request)
-        if self.network is Network.lose_answers:
+        is_start = request.path == _START_PATH
+        is_lost = is_start and self.network is Network.lose_starts
+        if is_lost or self.network is Network.lose_answers:
             return _reset(request)
         return response
 
+    def _delays(self, request: web.Request) -> bool:
+        if request.path == _START_PATH and self.network is Network.hold_starts:
+            return True
+        return self.network in {Network.hang, Network.hold}
+
 
 def _reset(request: web.Request) -> web.Response:
     if request.transport is not None:
