--- a/src/radishlift/config/spreader.py
+++ b/src/radishlift/config/spreader.py
@@ -5,7 +5,11 @@
 from collections.abc import Callable
 from typing import Final
 
-from radishlift.config.changes import Change, ChangeAccepted, ChangeResult
+from radishlift.config.changes import (
+    Change,
+    ChangeAccepted,
+    ChangeResult,
+)
 from radishlift.config.document import ConfigDocument
 from radishlift.config.exchange import PeerExchange
 from radishlift.config.fleet import Fleet
@@ -15,8 +19,10 @@
 from radishlift.config.progress import ConfigStatus, Progress
 from radishlift.config.receiver import UpdateReceiver
 from radishlift.config.settings import ConfigSettings
+from radishlift.config.snapshot import Snapshot
 from radishlift.config.store import ConfigStore
 from radishlift.core.clock import Clock
+from radishlift.core.errors import Failure
 from radishlift.core.ids import ConfigVersion, DaemonId
 from radishlift.core.logs import log_event
 from radishlift.membership.api import MemberDirectory
@@ -35,6 +41,8 @@
 class ConfigSpreader:
     """The configuration in force in this daemon, a `ConfigView`.
 
+    `store` has the stored versions and their history.
+
     Versions only go up. They come from the peers' updates and, as repair,
     from the head row that is polled.
     """
@@ -48,7 +56,7 @@
         settings: ConfigSettings,
         clock: Clock,
     ) -> None:
-        self._config_store = config_store
+        self.store = config_store
         self._settings = settings
         self._clock = clock
         self._fleet = Fleet(directory, network.daemon_id)
@@ -68,7 +76,12 @@
             settings,
             receiver,
         )
-        self._poller = HeadPoller(table, self._held, self._advanced)
+        self._poller = HeadPoller(
+            table,
+            self._held,
+            settings.push_grace_ms,
+            self._advanced,
+        )
         self._listeners: list[Listener] = []
         self._announced_version = ConfigVersion(0)
         self._stuck_polls_count = 0
@@ -96,7 +109,8 @@
 
     async def change(self, change: Change) -> ChangeResult:
         """Stores a change, puts it in force here and pushes it to peers."""
-        return self._spread(await self._config_store.change(change))
+        self.store.remember(self._held.snapshot)
+        return self._spread(await self.store.change(change))
 
     async def rollback(
         self,
@@ -106,10 +120,17 @@
         why: str,
     ) -> ChangeResult:
         """Stores an earlier text as a new version and spreads it."""
+        self.store.remember(self._held.snapshot)
         return self._spread(
-            await self._config_store.rollback(target, base, who, why),
+            await self.store.rollback(target, base, who, why),
         )
 
+    async def snapshot_at(self, version: ConfigVersion) -> Snapshot | Failure:
+        """Returns a kept version, that in force without the store."""
+        if version == self._held.version:
+            return self._held.snapshot
+        return await self.store.snapshot(version)
+
     async def start(self) -> ConfigDocument | None:
         """Takes the newest version of the store and the peers.
 
@@ -147,9 +168,7 @@
     def _spread(self, outcome: ChangeResult) -> ChangeResult:
         if not isinstance(outcome, ChangeAccepted):
             return outcome
-        changed = {change.section for change in outcome.changes}
-        base = ConfigVersion(outcome.version - 1 if changed else 0)
-        if self._held.replace(outcome.document, base, changed):
+        if self._held.take(outcome.snapshot) is True:
             self._announced_version = outcome.version
             self._advanced()
         for peer in self._fleet.peers():
--- a/src/radishlift/config/versions.py
+++ b/src/radishlift/config/versions.py
@@ -1,20 +1,24 @@
 """Reads versions of the document, their history and who changed a field."""
 
+import asyncio
 from collections import OrderedDict
 from typing import Final
 
 from radishlift.config.changes import ConflictField, HistoryEntry
 from radishlift.config.checks import POLICY_NAMES
-from radishlift.config.kinds import sections_of
 from radishlift.config.merge import diff_sections
-from radishlift.config.parsing import parse_document
 from radishlift.config.rows import (
     ConfigRow,
     Head,
     read_current_version,
     read_version,
 )
-from radishlift.config.text import Sections, scan_text
+from radishlift.config.snapshot import (
+    EMPTY_SNAPSHOT,
+    Snapshot,
+    parse_snapshot,
+)
+from radishlift.config.text import Sections
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import ConfigVersion
 from radishlift.platform.api import TableStore
@@ -36,29 +40,41 @@
     ) -> None:
         self._store = store
         self._policies = policies
-        self._cache: OrderedDict[ConfigVersion, Sections] = OrderedDict()
+        self._cache: OrderedDict[ConfigVersion, Snapshot] = OrderedDict()
 
-    def remember(self, version: ConfigVersion, sections: Sections) -> None:
-        """Keeps the sections of a version that was just written."""
-        self._cache[version] = sections
-        self._cache.move_to_end(version)
+    def remember(self, snapshot: Snapshot) -> None:
+        """Keeps a version that was just written or is in force."""
+        self._cache[snapshot.version] = snapshot
+        self._cache.move_to_end(snapshot.version)
         while len(self._cache) > _CACHED_COUNT:
             self._cache.popitem(last=False)
 
-    async def sections(self, version: ConfigVersion) -> Sections | Failure:
-        """Returns the sections of a version; version 0 is empty."""
+    def known(self, version: ConfigVersion) -> Snapshot:
+        """Returns a version from memory, else the empty one."""
+        return self._cache.get(version, EMPTY_SNAPSHOT)
+
+    async def snapshot(self, version: ConfigVersion) -> Snapshot | Failure:
+        """Returns a version; version 0 is empty."""
         if not version:
-            return {}
+            return EMPTY_SNAPSHOT
         cached = self._cache.get(version)
         if cached is not None:
             return cached
         row = await read_current_version(self._store, version)
         if isinstance(row, Failure):
             return row
-        sections = self._parse(row.text, version)
-        if not isinstance(sections, Failure):
-            self.remember(version, sections)
-        return sections
+        # A full text takes some 25 ms to parse, too long for the event loop.
+        parsed = await asyncio.to_thread(
+            parse_snapshot,
+            row.text,
+            version,
+            self._policies,
+        )
+        if isinstance(parsed, tuple):
+            reason = f'version {version}: {parsed[0]}'
+            return Failure(ErrorKind.internal, reason)
+        self.remember(parsed)
+        return parsed
 
     async def history(
         self,
@@ -85,30 +101,33 @@
         clashing: tuple[str, ...],
         ours: Sections,
     ) -> tuple[ConflictField, ...] | Failure:
-        """Describes the fields of clashing sections that others changed."""
-        before = await self.sections(base)
-        theirs = await self.sections(head.version)
+        """Describes the fields of clashing sections with both sides."""
+        before = await self.snapshot(base)
+        theirs = await self.snapshot(head.version)
         if isinstance(before, Failure):
             return before
         if isinstance(theirs, Failure):
             return theirs
-        changes = [
-            change
-            for change in diff_sections(before, theirs)
-            if change.section in clashing
+        differing = [
+            *diff_sections(before.sections, theirs.sections),
+            *diff_sections(before.sections, ours),
         ]
-        wanted = {(change.section, change.key) for change in changes}
-        changers = await self._find_changers(base, head.version, wanted)
+        wanted = {
+            (change.section, change.key): change.before
+            for change in differing
+            if change.section in clashing
+        }
+        changers = await self._find_changers(base, head.version, set(wanted))
         return tuple(
             ConflictField(
-                change.section,
-                change.key,
-                change.before,
-                change.after,
-                ours.get(change.section, {}).get(change.key),
-                *changers.get((change.section, change.key), _NOBODY),
+                title,
+                key,
+                base_text,
+                theirs.sections.get(title, {}).get(key),
+                ours.get(title, {}).get(key),
+                *changers.get((title, key), _NOBODY),
             )
-            for change in changes
+            for (title, key), base_text in sorted(wanted.items())
         )
 
     async def _find_changers(
@@ -130,17 +149,6 @@
                 found.setdefault(field, (version, row.who))
         return found
 
-    def _parse(self, text: str, version: ConfigVersion) -> Sections | Failure:
-        # Parsing adds the defaults of keys that the writer's release lacked.
-        document = parse_document(text, version, self._policies)
-        if not isinstance(document, tuple):
-            return sections_of(document)
-        sections = scan_text(text)
-        if isinstance(sections, tuple):
-            reason = f'version {version}: {sections[0]}'
-            return Failure(ErrorKind.internal, reason)
-        return sections
-
 
 def _entry(version: ConfigVersion, row: ConfigRow) -> HistoryEntry:
     return HistoryEntry(
--- a/src/radishlift/ownership/own_row.py
+++ b/src/radishlift/ownership/own_row.py
@@ -37,6 +37,8 @@
     def __init__(self, store: TableStore, clock: Clock, member: Member) -> None:
         self.daemon_id: DaemonId = member.daemon_id
         self.is_replaced = False
+        self.has_news = False
+        self.is_deleted = False
         self._store = store
         self._clock = clock
         self._row = DaemonRow(
@@ -80,25 +82,36 @@
         """Tells others with the next renewal not to count on this daemon."""
         self._row = replace(self._row, state=DaemonState.draining)
 
+    def note_change(self) -> None:
+        """Tells others with the next renewal to read the owner rows."""
+        changes = self._row.owner_changes + 1
+        self._row = replace(self._row, owner_changes=changes)
+        self.has_news = True
+
     async def renew(self) -> Failure | None:
         """Writes the row with a higher counter.
 
         Fails with `not_owner` when a newer incarnation has replaced this
-        daemon, and with a kind of the store.
+        daemon, with `draining` after the row was deleted, and with a kind of
+        the store.
         """
         if self.is_replaced:
             return _replaced()
+        if self.is_deleted:
+            return Failure(ErrorKind.draining, 'row was deleted for the stop')
         if self._version is None:
             failure = await self._read_predecessor()
             if failure is not None:
                 return failure
         for _ in range(_ATTEMPTS):
             self._row = replace(self._row, counter=self._row.counter + 1)
-            outcome = await self._write(dump_plain(self._row))
+            sent = self._row
+            outcome = await self._write(dump_plain(sent))
             if isinstance(outcome, Failure):
                 return outcome
             if not isinstance(outcome, Conflict):
                 self._version = outcome.versions[0]
+                self.has_news = sent.owner_changes != self._row.owner_changes
                 self._renewed_at_ms = self._clock.monotonic_ms()
                 if self._started_at_ms is None:
                     self._started_at_ms = self._renewed_at_ms
@@ -112,10 +125,16 @@
         """Deletes the row at the end of a planned stop."""
         if self.is_replaced:
             return _replaced()
+        # Set before the write: a renewal at the same time must not write the
+        # row again.
+        self.is_deleted = True
         outcome = await self._write(None)
-        if isinstance(outcome, Conflict):
-            return Failure(ErrorKind.conflict, 'row of this daemon changed')
-        return outcome if isinstance(outcome, Failure) else None
+        if isinstance(outcome, Committed):
+            return None
+        self.is_deleted = False
+        if isinstance(outcome, Failure):
+            return outcome
+        return Failure(ErrorKind.conflict, 'row of this daemon changed')
 
     async def _read_predecessor(self) -> Failure | None:
         row = await self._store.read(DAEMONS_TABLE, self.daemon_id)
--- a/src/radishlift/placement/partition_tables.py
+++ b/src/radishlift/placement/partition_tables.py
@@ -2,6 +2,7 @@
 
 from radishlift.core.ids import DepartmentName, TaskId, TeamName, WorkerId
 from radishlift.placement.jobs import (
+    Priority,
     Resources,
     TaskState,
     job_id_of,
@@ -24,8 +25,8 @@
 class PartitionTables:
     """Tables of jobs, tasks and workers.
 
-    `queued_jobs` and `changed_workers` collect the rows that changed since
-    the engine last looked, so that it keeps its indexes without scans.
+    `queued_jobs`, `changed_workers` and `shrunk_teams` collect what changed
+    since the engine last looked, so that it keeps its indexes without scans.
     """
 
     def __init__(self) -> None:
@@ -34,7 +35,9 @@
         self.workers = WorkerTable()
         self.queued_jobs: dict[int, None] = {}
         self.changed_workers: dict[int, None] = {}
+        self.queued_count = 0
         self.ended_jobs: dict[int, None] = {}
+        self.shrunk_teams: dict[TeamName, None] = {}
         self.team_use: dict[TeamName, list[int]] = {}
         self.department_use: dict[DepartmentName, list[int]] = {}
 
@@ -87,13 +90,27 @@
         self.jobs.requeued[job_row].pop(row, None)
         self.workers.tasks[worker_row][row] = None
         self.workers.take(worker_row, placed.reserved)
+        self.queued_count -= 1
         self._count_use(job_row, placed.reserved, 1)
+        self.count_displaceable(row, 1)
         self.changed_workers[worker_row] = None
 
+    def count_displaceable(self, row: int, sign: int) -> None:
+        """Counts an attempt if its priority lets urgent work displace it."""
+        priority = self.jobs.spec[self.tasks.job_row[row]].priority
+        if priority in {Priority.normal, Priority.low}:
+            self.workers.count_displaceable(
+                self.tasks.worker_row[row],
+                self.tasks.reserved[row],
+                sign,
+            )
+
     def release_attempt(self, row: int, *, is_charged: bool) -> None:
         """Returns the capacity of an attempt to its worker."""
         worker_row = self.tasks.worker_row[row]
         reserved = self.tasks.reserved[row]
+        if self.tasks.state[row] is not TaskState.stopping:
+            self.count_displaceable(row, -1)
         self.workers.tasks[worker_row].pop(row)
         self.workers.give_back(worker_row, reserved)
         self._count_use(self.tasks.job_row[row], reserved, -1)
@@ -110,6 +127,7 @@
         self.tasks.state[row] = TaskState.queued
         self.tasks.is_requeued[row] = False
         self.jobs.requeued[job_row][row] = None
+        self.queued_count += 1
         self.queued_jobs[job_row] = None
 
     def remove_task(self, row: int) -> None:
@@ -126,7 +144,9 @@
     def end_job(self, job_row: int, ended_at_ms: int) -> None:
         """Notes the end of a job if none of its tasks is left."""
         if self.jobs.is_ended(job_row) and job_row not in self.ended_jobs:
-            self.jobs.ended_at_ms[job_row] = ended_at_ms
+            # Records without a time count from the acceptance.
+            begin_ms = self.jobs.accepted_at_ms[job_row]
+            self.jobs.ended_at_ms[job_row] = ended_at_ms or begin_ms
             self.ended_jobs[job_row] = None
 
     def remove_worker_if_unused(self, worker_row: int) -> None:
@@ -151,6 +171,8 @@
 
     def _count_use(self, job_row: int, amount: Resources, sign: int) -> None:
         spec = self.jobs.spec[job_row]
+        if sign < 0:
+            self.shrunk_teams[spec.team] = None
         teams = self.team_use
         departments = self.department_use
         for use in (
--- a/src/radishlift/placement/snapshots.py
+++ b/src/radishlift/placement/snapshots.py
@@ -112,6 +112,9 @@
         _load_task(tables, task)
     for job_id in plain['ended_jobs']:
         tables.ended_jobs[tables.jobs.row_of[job_id]] = None
+    tables.queued_count = sum(
+        tables.jobs.startable_count(row) for row in tables.jobs.row_of.values()
+    )
     return tables
 
 
@@ -154,6 +157,8 @@
         tables.jobs.requeued[job_row][row] = None
     else:
         _load_attempt(tables, row, plain)
+    if state is TaskState.stopping:
+        tables.count_displaceable(row, -1)
     tables.tasks.state[row] = state
     tables.tasks.attempt[row] = plain['attempt']
     tables.tasks.incarnation[row] = plain['incarnation']
--- a/tests/system/cell.py
+++ b/tests/system/cell.py
@@ -9,6 +9,7 @@
 
 from aiohttp import ClientError, ClientSession, ClientTimeout
 
+from radishlift.config.bodies import CHANGE_TOKEN_HEADER
 from tests.system.processes import Processes, free_ports
 from tests.system.relay import Relay
 from tests.system.shapes import Shape, config_text
@@ -31,7 +32,7 @@
 object_address = {platform}
 host_list_address = {platform}
 """
-TOKEN_HEADERS = {'Radishlift-Token': 'test'}
+TOKEN_HEADERS = {CHANGE_TOKEN_HEADER: 'test'}
 
 
 class Cell:
@@ -137,18 +138,23 @@
             str(path),
         )
 
+    @property
+    def partitions(self) -> set[str]:
+        """Names of all partitions."""
+        return {rack for shape in self.shapes for rack in shape.racks}
+
     async def wait_ready(self, names: list[str], timeout_s: float = 30) -> None:
         """Waits until daemons are ready and every partition has an owner."""
 
         async def is_ready() -> bool:
+            running: set[str] = set()
             for name in names:
                 status, _ = await self.get(name, '/ready')
-                if status != 200:
+                _, state = await self.get(name, '/v1/status')
+                if status != 200 or state is None:
                     return False
-            _, state = await self.get(names[0], '/v1/status')
-            return bool(state) and all(
-                partition['is_running'] for partition in state['partitions']
-            )
+                running.update(state['running'])
+            return running >= self.partitions
 
         await self.wait_for(is_ready, timeout_s)
 
@@ -255,7 +261,7 @@
 
     async def _accepts_configuration(self) -> bool:
         body = {
-            'base_version': 0,
+            'base': 0,
             'text': config_text(self.shapes),
             'who': 'test',
             'why': 'start of the cell',
