Use the engine's configuration, explanations and lists of hand-offs

Cause: placement now applies the operators' document and tells which jobs wait for room; the runner did not give it the document.

Change: a partition hands the document and its share of the cell's workers to the engine when either changes; explanations and hand-offs come from the engine. A worker that does not answer is told to the engine by worker_gone with may_run, in place of a method of its own.

--- a/src/radishlift/partitions/facts.py
+++ b/src/radishlift/partitions/facts.py
@@ -61,7 +61,7 @@
     ) -> None:
         """A worker stopped answering: nothing is placed on it."""
         self._seen.pop(worker_id, None)
-        self._engine.worker_unreachable(worker_id, incarnation)
+        self._engine.worker_gone(worker_id, incarnation, may_run=True)
         self._wake()
 
     def worker_lost(
@@ -111,7 +111,11 @@
     def _close(self, described: WorkerInfo) -> None:
         worker_id = described.worker_id
         self._closed.add(worker_id)
-        self._engine.worker_unreachable(worker_id, described.incarnation)
+        self._engine.worker_gone(
+            worker_id,
+            described.incarnation,
+            may_run=True,
+        )
 
 
 def is_current(tables: PartitionTables, key: AttemptKey) -> bool:
--- a/src/radishlift/partitions/hand_offs.py
+++ b/src/radishlift/partitions/hand_offs.py
@@ -6,8 +6,6 @@
 """
 
 import asyncio
-from collections.abc import Iterator
-from itertools import islice
 
 from radishlift.core.errors import Failure
 from radishlift.core.ids import JobId, PartitionId
@@ -25,8 +23,6 @@
 from radishlift.placement.jobs import JobKind
 from radishlift.placement.records import JobHandedOff
 
-_SCAN_COUNT = 500
-
 
 class HandOffCourier:
     """Hands off jobs of the partitions that are owned here."""
@@ -49,7 +45,7 @@
         """Hands off jobs until cancelled."""
         while True:
             await self.step()
-            await asyncio.sleep(self._settings.hand_off_after_ms / 1000)
+            await asyncio.sleep(self._settings.hand_off_interval_ms / 1000)
 
     async def step(self) -> None:
         """Measures the loads, begins hand-offs and sends open ones."""
@@ -74,14 +70,18 @@
 
     async def _begin(self, opened: OpenPartition) -> None:
         records: list[object] = []
-        for row in islice(self._waiting(opened), self._batch_count):
-            spec = opened.states.placement.tables.jobs.spec[row]
-            own_id = opened.claim.partition_id
-            others = [
-                partition_id
-                for partition_id in self._lookup.partitions()
-                if partition_id != own_id
-            ]
+        jobs = opened.states.placement.tables.jobs
+        others = [
+            partition_id
+            for partition_id in self._lookup.partitions()
+            if partition_id != opened.claim.partition_id
+        ]
+        for waiting in opened.engine.list_hand_offs(opened.now_ms()):
+            row = jobs.row_of[waiting.job_id]
+            spec = jobs.spec[row]
+            if jobs.from_partition[row] or spec.kind is JobKind.gang:
+                # A job that was handed to this partition stays here.
+                continue
             target = self._loads.room_for(others, spec.demand)
             if target is not None:
                 records.append(HandOffBegun(spec.job_id, target))
@@ -92,26 +92,6 @@
                 if isinstance(record, JobHandedOff):
                     opened.signal_closed(record.job_id)
 
-    @property
-    def _batch_count(self) -> int:
-        return self._settings.hand_off_batch_count
-
-    def _waiting(self, opened: OpenPartition) -> Iterator[int]:
-        """Yields jobs that wait long and of which nothing was started.
-
-        A job that was handed to this partition is not handed on.
-        """
-        jobs = opened.states.placement.tables.jobs
-        oldest_ms = opened.now_ms() - self._settings.hand_off_after_ms
-        for row in islice(jobs.row_of.values(), _SCAN_COUNT):
-            is_fresh = jobs.fresh_index[row] == 0 and not jobs.task_rows[row]
-            is_late = jobs.accepted_at_ms[row] <= oldest_ms
-            is_own = not jobs.from_partition[row]
-            if not (is_fresh and is_late and is_own and jobs.is_open(row)):
-                continue
-            if jobs.spec[row].kind is not JobKind.gang:
-                yield row
-
     async def _send(
         self,
         opened: OpenPartition,
--- a/src/radishlift/partitions/intake.py
+++ b/src/radishlift/partitions/intake.py
@@ -3,20 +3,19 @@
 import asyncio
 
 from radishlift.core.errors import ErrorKind, Failure
-from radishlift.core.ids import Attempt, JobId, TaskId, WorkerId
+from radishlift.core.ids import JobId, TaskId
 from radishlift.partitions.messages import (
     HandOffJob,
     JobCancelling,
     JobMoved,
     JobStatus,
     JobSubmitted,
-    TaskExplanation,
+    TaskExplained,
 )
 from radishlift.partitions.open_partition import OpenPartition
 from radishlift.placement.jobs import JobSpec, TaskState, job_id_of
 from radishlift.placement.partition_tables import PartitionTables
 from radishlift.placement.records import JobAccepted
-from radishlift.placement.tables import NO_ROW
 
 
 async def submit(
@@ -172,50 +171,17 @@
 def explain(
     opened: OpenPartition,
     task_id: TaskId,
-) -> TaskExplanation | JobMoved | Failure:
+) -> TaskExplained | JobMoved | Failure:
     """Tells where a task runs or why it does not."""
-    tables = opened.states.placement.tables
     job_id = job_id_of(task_id)
-    job_row = tables.jobs.row_of.get(job_id)
-    if job_row is None or not _has_task(tables, job_row, task_id):
-        reason = f'no task {task_id} in {opened.claim.partition_id}'
-        return Failure(ErrorKind.not_found, reason)
-    if tables.jobs.to_partition[job_row]:
-        return JobMoved(job_id, tables.jobs.to_partition[job_row])
-    return _explain(opened, tables, task_id)
-
-
-def _has_task(tables: PartitionTables, job_row: int, task_id: TaskId) -> bool:
-    digits = task_id.rpartition('/')[2]
-    if not digits.isdecimal():
-        return False
-    return int(digits) < tables.jobs.spec[job_row].task_count
-
-
-def _explain(
-    opened: OpenPartition,
-    tables: PartitionTables,
-    task_id: TaskId,
-) -> TaskExplanation:
-    row = tables.task_row(task_id)
-    state, attempt, worker_id = TaskState.queued, 0, WorkerId('')
-    reason = 'waits for its turn or for room on a worker'
-    if row == NO_ROW:
-        state, reason = TaskState.finished, 'has ended'
-    elif row is not None:
-        state, attempt = tables.tasks.state[row], tables.tasks.attempt[row]
-        if tables.tasks.is_live(row):
-            worker_row = tables.tasks.worker_row[row]
-            worker_id = tables.workers.worker_info[worker_row].worker_id
-            reason = f'bound to {worker_id}'
-    return TaskExplanation(
-        task_id,
-        opened.claim.partition_id,
-        state,
-        Attempt(attempt),
-        worker_id,
-        reason,
-    )
+    jobs = opened.states.placement.tables.jobs
+    row = jobs.row_of.get(job_id)
+    if row is not None and jobs.to_partition[row]:
+        return JobMoved(job_id, jobs.to_partition[row])
+    explanation = opened.engine.explain(task_id, opened.now_ms())
+    if isinstance(explanation, Failure):
+        return explanation
+    return TaskExplained(opened.claim.partition_id, explanation)
 
 
 __all__ = ('accept_hand_off', 'cancel', 'explain', 'status', 'submit')
--- a/src/radishlift/partitions/job_router.py
+++ b/src/radishlift/partitions/job_router.py
@@ -18,7 +18,7 @@
     JobStatus,
     JobSubmitted,
     SubmitJob,
-    TaskExplanation,
+    TaskExplained,
 )
 from radishlift.placement.jobs import JobSpec, job_id_of
 
@@ -97,7 +97,7 @@
         self,
         task_id: TaskId,
         timeout_ms: int,
-    ) -> TaskExplanation | Failure:
+    ) -> TaskExplained | Failure:
         """Returns where a task runs or why it does not."""
         return await self._follow(
             job_id_of(task_id),
--- a/src/radishlift/partitions/loads.py
+++ b/src/radishlift/partitions/loads.py
@@ -8,13 +8,14 @@
 from radishlift.core.ids import PartitionId
 from radishlift.partitions.open_partition import OpenPartition
 from radishlift.placement.jobs import Resources
-from radishlift.placement.partition_tables import PartitionTables
 
 SUMMARY_NAME: Final = 'partitions'
 
 _FIELDS: Final = ('load', 'cpu', 'memory', 'accelerators')
 _SEPARATOR: Final = ':'
-_QUEUE_SCAN_COUNT: Final = 1_000
+# The demands of queued tasks are not in a summary of fixed size; one core is
+# the order of magnitude that only has to rank partitions.
+_QUEUED_CPU_MILLI: Final = 1_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -137,34 +138,15 @@
 
 def measure_load(opened: OpenPartition) -> PartitionLoad:
     """Measures a partition; scans its workers, at most 400."""
-    tables = opened.states.placement.tables
-    workers = tables.workers
-    rows = [row for row in workers.row_of.values() if workers.can_take(row)]
-    total_cpu = sum(workers.worker_info[row].capacity.cpu_milli for row in rows)
-    free_cpu = [workers.free_cpu[row] for row in rows]
-    wanted_cpu = total_cpu - sum(free_cpu) + _queued_cpu(tables)
-    free_accelerators = [workers.free_accelerators[row] for row in rows]
+    summary = opened.engine.summarise_load()
+    total_cpu = summary.total.cpu_milli
+    wanted_cpu = total_cpu - summary.free.cpu_milli
+    wanted_cpu += summary.queued_tasks_count * _QUEUED_CPU_MILLI
     return PartitionLoad(
         opened.claim.partition_id,
         wanted_cpu / total_cpu if total_cpu else 1,
-        Resources(
-            max(free_cpu, default=0),
-            max((workers.free_memory[row] for row in rows), default=0),
-            max(free_accelerators, default=0),
-        ),
+        summary.largest_free,
     )
 
 
-def _queued_cpu(tables: PartitionTables) -> int:
-    # Bounded: with more open jobs than this the load is above any other.
-    queued_cpu = 0
-    jobs = tables.jobs
-    for scanned, row in enumerate(jobs.row_of.values()):
-        if scanned >= _QUEUE_SCAN_COUNT:
-            break
-        spec = jobs.spec[row]
-        queued_cpu += jobs.startable_count(row) * spec.demand.cpu_milli
-    return queued_cpu
-
-
 __all__ = ('SUMMARY_NAME', 'LoadBoard', 'PartitionLoad', 'measure_load')
--- a/src/radishlift/partitions/messages.py
+++ b/src/radishlift/partitions/messages.py
@@ -3,14 +3,13 @@
 from dataclasses import dataclass
 
 from radishlift.core.ids import (
-    Attempt,
     Epoch,
     Incarnation,
     JobId,
     PartitionId,
     TaskId,
-    WorkerId,
 )
+from radishlift.placement.explanations import Explanation
 from radishlift.placement.jobs import JobSpec, TaskState
 from radishlift.wire.messages import message
 
@@ -113,17 +112,13 @@
     task_id: TaskId
 
 
-@message('task_explanation')
+@message('task_explained')
 @dataclass(frozen=True, slots=True)
-class TaskExplanation:
-    """State of a task; `worker_id` is empty unless an attempt is live."""
+class TaskExplained:
+    """Where a task runs or why it does not, told by its partition."""
 
-    task_id: TaskId
     partition_id: PartitionId
-    state: TaskState
-    attempt: Attempt
-    worker_id: WorkerId
-    reason: str
+    explanation: Explanation
 
 
 @message('job_moved')
@@ -147,5 +142,5 @@
     'JobSubmitted',
     'PartitionDropped',
     'SubmitJob',
-    'TaskExplanation',
+    'TaskExplained',
 )
--- a/src/radishlift/partitions/open_partition.py
+++ b/src/radishlift/partitions/open_partition.py
@@ -75,6 +75,7 @@
             settings.journal,
         )
         self._closed_jobs: dict[JobId, asyncio.Event] = {}
+        self._rules: tuple[int, float] | None = None
         self._is_dirty = True
         self._last_tick_ms = 0
         self._wall_ms = 0
@@ -83,6 +84,11 @@
         """Takes over the workers of this partition and the host list."""
         self.dispatcher.set_workers(workers.assigned, workers.listed)
         self.facts.assign(workers)
+        # The engine builds its queue anew, so it is told of changes only.
+        rules = (workers.document.version, workers.quota_ratio)
+        if rules != self._rules:
+            self._rules = rules
+            self.engine.use_config(workers.document, workers.quota_ratio)
 
     def wake(self) -> None:
         """Notes that the next tick has work."""
--- a/src/radishlift/partitions/settings.py
+++ b/src/radishlift/partitions/settings.py
@@ -11,9 +11,9 @@
     """Intervals and timeouts of partitions and of the job router.
 
     A partition with work is ticked every `tick_interval_ms`, one without
-    every `idle_interval_ms`. A queued job that has not started after
-    `hand_off_after_ms` may be handed to a partition with room. A former owner
-    is asked every `evidence_interval_ms` whether it has stopped.
+    every `idle_interval_ms`. Jobs that wait for room are handed off every
+    `hand_off_interval_ms`. A former owner is asked every
+    `evidence_interval_ms` whether it has stopped.
     """
 
     tick_interval_ms: int = bounded(5, 1, 1_000)
@@ -22,8 +22,7 @@
     evidence_interval_ms: int = bounded(1_000, 10, 60_000)
     call_timeout_ms: int = bounded(1_000, 10, 60_000)
     retry_interval_ms: int = bounded(50, 1, 10_000)
-    hand_off_after_ms: int = bounded(2_000, 1, 3_600_000)
-    hand_off_batch_count: int = bounded(20, 1, 1_000)
+    hand_off_interval_ms: int = bounded(200, 1, 60_000)
 
 
 __all__ = ('PartitionSettings',)
--- a/src/radishlift/partitions/spread.py
+++ b/src/radishlift/partitions/spread.py
@@ -21,6 +21,15 @@
     assigned: frozenset[WorkerId]
     listed: frozenset[WorkerId]
     leaving: frozenset[WorkerId]
+    document: ConfigDocument
+
+    @property
+    def quota_ratio(self) -> float:
+        """Returns the part of the cell's workers in this partition.
+
+        Capacities of other partitions' workers are not on the host list.
+        """
+        return len(self.assigned) / len(self.listed) if self.listed else 1
 
     def is_open(self, worker_id: WorkerId) -> bool:
         """Tells whether a worker may get new tasks of this partition."""
@@ -54,6 +63,7 @@
             frozenset(members[partition_id]),
             listed,
             leaving,
+            document,
         )
         for partition_id in document.partitions
     }
--- a/src/radishlift/placement/engine.py
+++ b/src/radishlift/placement/engine.py
@@ -119,25 +119,22 @@
         self._working.inputs.unreachable.pop(described.worker_id, None)
         self._working.inputs.observed[described.worker_id] = described
 
-    def worker_unreachable(
+    def worker_gone(
         self,
         worker_id: WorkerId,
         incarnation: Incarnation,
+        *,
+        may_run: bool = False,
     ) -> None:
-        """Takes in that a worker does not answer.
+        """Takes in that an incarnation of a worker surely does not run.
 
-        Nothing is placed on it until it is observed again; its attempts stay
-        committed.
+        With `may_run` it only does not answer: nothing is placed on it until
+        it is observed again, and its attempts stay committed.
         """
-        self._working.inputs.unreachable[worker_id] = incarnation
-
-    def worker_gone(
-        self,
-        worker_id: WorkerId,
-        incarnation: Incarnation,
-    ) -> None:
-        """Takes in that an incarnation of a worker surely does not run."""
-        self._working.inputs.gone.append((worker_id, incarnation))
+        if may_run:
+            self._working.inputs.unreachable[worker_id] = incarnation
+        else:
+            self._working.inputs.gone.append((worker_id, incarnation))
 
     def observe_usage(
         self,
--- a/tests/partitions/cell.py
+++ b/tests/partitions/cell.py
@@ -81,7 +81,7 @@
             evidence_interval_ms=20,
             retry_interval_ms=10,
             call_timeout_ms=500,
-            hand_off_after_ms=50,
+            hand_off_interval_ms=20,
         ),
     )
 
