--- a/benchmarks/bench_requests.py
+++ b/benchmarks/bench_requests.py
@@ -25,6 +25,7 @@
 IDLE_COUNT: Final = 300
 HOT_NODES_COUNT: Final = 3
 SKEW: Final = 4
+CONNECTIONS_COUNT: Final = 60
 LOADS: Final = (0.5, 1, 2, 3)
 
 RUGDESK: Final = Mix(
@@ -167,14 +168,18 @@
     return [Figure(name, ratio, at_least(1))]
 
 
-def peak_figure(fleet: RequestFleet, name: str) -> Figure:
-    """Finds the highest peak of any executor in the whole run."""
+def peak_figures(fleet: RequestFleet, name: str) -> list[Figure]:
+    """Finds the highest peaks of any executor in the whole run."""
     highest = max(peaks(fleet.record()).values())
-    return Figure(
-        f'requests_{name}_peak_per_executor_count',
-        highest,
-        at_most(SLOTS_COUNT),
-    )
+    prefix = f'requests_{name}_peak'
+    return [
+        Figure(f'{prefix}_per_executor_count', highest, at_most(SLOTS_COUNT)),
+        Figure(
+            f'{prefix}_connections_per_executor_count',
+            fleet.peak_connections(),
+            at_most(CONNECTIONS_COUNT),
+        ),
+    ]
 
 
 @BENCHMARKS.register('requests')
@@ -187,7 +192,7 @@
             if mix is RUGDESK:
                 figures += skew_figures(fleet)
                 figures += outage_figures(fleet)
-            figures.append(peak_figure(fleet, mix.service))
+            figures += peak_figures(fleet, mix.service)
     return figures
 
 
--- a/benchmarks/request_fleet.py
+++ b/benchmarks/request_fleet.py
@@ -4,6 +4,7 @@
 import subprocess
 import sys
 import time
+from collections.abc import Iterator
 from dataclasses import dataclass
 from typing import Any, Final
 from urllib.request import Request, urlopen
@@ -136,13 +137,21 @@
         urlopen(Request(url, body, headers)).close()
 
     def record(self) -> list[Execution]:
-        """Reads the record of all executors."""
-        executions = []
+        """Reads the executions of all executors."""
+        return [
+            Execution(**each)
+            for plain in self._records()
+            for each in plain['executions']
+        ]
+
+    def peak_connections(self) -> int:
+        """Reads the most connections that any executor had at once."""
+        return max(plain['peak_connections'] for plain in self._records())
+
+    def _records(self) -> Iterator[dict[str, Any]]:
         for address in self.executors:
             with urlopen(f'http://{address}/admin/record') as answer:
-                plain = json.load(answer)
-            executions += [Execution(**each) for each in plain['executions']]
-        return executions
+                yield json.load(answer)
 
     def _start_executors(self) -> None:
         each_count = EXECUTORS_COUNT // _EXECUTOR_PROCESSES
--- a/src/radishlift/requests/slot_moves.py
+++ b/src/radishlift/requests/slot_moves.py
@@ -57,6 +57,10 @@
         for view in self._views:
             if is_draining or self._targets.has_left(view.executor_id):
                 view.giving_count = view.own_count
+            elif self._targets.listed(view.service):
+                slots_count = self._limits.slots_count(view.service)
+                excess = view.row.excess_of(self._owner, slots_count)
+                view.giving_count = max(view.giving_count, excess)
 
     async def advance(
         self,
--- a/src/radishlift/requests/slot_rows.py
+++ b/src/radishlift/requests/slot_rows.py
@@ -54,6 +54,19 @@
         """Counts the slots of one owner."""
         return dict(self.owners()).get(owner, 0)
 
+    def excess_of(self, owner: SlotOwner, slots_count: int) -> int:
+        """Counts what an owner has to return after a cut of the slots.
+
+        All owners compute the same: one slot at a time off the largest.
+        """
+        counts = [(count, str(each)) for each, count in self.owners()]
+        for _ in range(self.allotted_count - slots_count):
+            count, name = max(counts)
+            counts.remove((count, name))
+            counts.append((count - 1, name))
+        kept = {name: count for count, name in counts}
+        return self.slots_of(owner) - kept.get(str(owner), 0)
+
     def with_slots(self, owner: SlotOwner, slots_count: int) -> 'SlotRow':
         """Returns the row with another number of slots of one owner."""
         entries: dict[str, Allotment] = {}
--- a/tests/requests/test_slots.py
+++ b/tests/requests/test_slots.py
@@ -179,6 +179,17 @@
     assert slots.take(SERVICE) is not None
 
 
+async def test_cut_of_the_slots_returns_the_excess():
+    """Guards against slots above a lowered limit of the document."""
+    cell = Cell(hosts=FakeHosts(executor_ids(2)))
+    daemons = await _settled(cell, 'abc', dict.fromkeys('abc', 8))
+    cell.config.service = replace(cell.config.service, slots_count=3)
+    for _ in range(3):
+        await _sync(cell, daemons, dict.fromkeys('abc', 8))
+    held = [each.held_count(SERVICE) for each in daemons]
+    assert sum(held) == 6
+
+
 def test_targets_use_the_whole_pool_without_exceeding_it():
     """Guards against shares whose rounding loses or invents slots."""
     for pool_count in (0, 5, 100):
--- a/tests/standins/executor.py
+++ b/tests/standins/executor.py
@@ -154,6 +154,8 @@
     async def _cut(
         self, request: web.Request, headers: dict[str, str], answer: bytes
     ) -> web.StreamResponse:
+        if request.transport is None or request.transport.is_closing():
+            return web.Response()
         headers['Content-Length'] = str(len(answer))
         response = web.StreamResponse(headers=headers)
         await response.prepare(request)
