Collect events per tick before they enter the windows

Recording one event took 9.8 to 10.2 us, of which four rings took most; at 4,500 starts/s over 7 daemons that is 0.6 % of a core each, of 1.7 % allowed for all control. Events of a 10 s tick, which is part of one slot of every window, are now added to the rings together: 3.5 to 3.6 us, nearly all of it hdrhistogram's own.

--- a/src/radishlift/report/settings.py
+++ b/src/radishlift/report/settings.py
@@ -10,8 +10,8 @@
 class ReportSettings:
     """Bounds of metrics.
 
-    A histogram takes 17.4 KB and the windows of an objective 4 KB, so that
-    the defaults take at most 2.8 MB of the 32 MB for control.
+    A histogram takes 17.4 KB and the windows of an objective 5.2 KB, so that
+    the defaults take at most 2.9 MB of the 32 MB for control.
     """
 
     max_histograms_count: int = bounded(128, 1, 512)
--- a/src/radishlift/report/windows.py
+++ b/src/radishlift/report/windows.py
@@ -22,8 +22,11 @@
         return self.slot_ms * self.slots_count
 
 
+# Divides the slot length of every window.
+TICK_MS: Final = 10_000
+
 WINDOWS: Final = (
-    Window('5m', 10_000, 30),
+    Window('5m', TICK_MS, 30),
     Window('1h', _MINUTE_MS, 60),
     Window('6h', 5 * _MINUTE_MS, 72),
     Window('3d', _HOUR_MS, 72),
@@ -61,14 +64,13 @@
         self._good_sum = 0
         self._total_sum = 0
 
-    def record(self, now_ms: int, *, is_good: bool) -> None:
-        """Counts one event."""
+    def add(self, now_ms: int, events: EventCount) -> None:
+        """Counts events that ended now."""
         index = self._advance(now_ms)
-        self._total[index] += 1
-        self._total_sum += 1
-        if is_good:
-            self._good[index] += 1
-            self._good_sum += 1
+        self._good[index] += events.good
+        self._total[index] += events.total
+        self._good_sum += events.good
+        self._total_sum += events.total
 
     def count(self, now_ms: int) -> EventCount:
         """Returns the counts of the window that ends now."""
@@ -91,26 +93,52 @@
 
 
 class WindowCounts:
-    """Counts of one objective over all windows."""
+    """Counts of one objective over all windows.
+
+    Events are collected over a tick, which is a part of one slot of every
+    window, and then added to the rings: an event costs two additions.
+    """
 
-    __slots__ = ('_rings', '_started_ms')
+    __slots__ = ('_good', '_rings', '_started_ms', '_tick', '_total')
 
     def __init__(self, now_ms: int) -> None:
         self._started_ms = now_ms
+        self._tick = now_ms // TICK_MS
+        self._good = 0
+        self._total = 0
         self._rings = tuple(EventRing(window, now_ms) for window in WINDOWS)
 
     def record(self, now_ms: int, *, is_good: bool) -> None:
         """Counts one event in every window."""
-        for ring in self._rings:
-            ring.record(now_ms, is_good=is_good)
+        if now_ms // TICK_MS != self._tick:
+            self._finish_tick(now_ms)
+        self._total += 1
+        self._good += is_good
 
     def counts(self, now_ms: int) -> tuple[EventCount, ...]:
         """Returns the counts in the order of the windows."""
+        self._finish_tick(now_ms)
         return tuple(ring.count(now_ms) for ring in self._rings)
 
     def covered_ms(self, now_ms: int) -> int:
         """Returns how long events have been counted."""
         return now_ms - self._started_ms
 
-
-__all__ = ('WINDOWS', 'EventCount', 'EventRing', 'Window', 'WindowCounts')
+    def _finish_tick(self, now_ms: int) -> None:
+        if self._total:
+            events = EventCount(self._good, self._total)
+            for ring in self._rings:
+                ring.add(self._tick * TICK_MS, events)
+        self._good = 0
+        self._total = 0
+        self._tick = now_ms // TICK_MS
+
+
+__all__ = (
+    'TICK_MS',
+    'WINDOWS',
+    'EventCount',
+    'EventRing',
+    'Window',
+    'WindowCounts',
+)
