Test the size limits of stored and spread documents

A small text grows when all its keys are written; without the check after rendering it could be stored and then refused by every reader. The largest document must also fit into a frame, as a delta and as a full text.

--- a/tests/config/test_held.py
+++ b/tests/config/test_held.py
@@ -5,8 +5,11 @@
 from radishlift.config.held import HeldConfig
 from radishlift.config.messages import ConfigUpdate
 from radishlift.config.snapshot import snapshot_of
+from radishlift.config.text import MAX_DOCUMENT_BYTES
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import ConfigVersion
+from radishlift.wire.frames import Frame, FrameKind, encode_frame
+from radishlift.wire.messages import encode_message
 from tests.config.documents import TEXT, make_document
 
 LARGE = TEXT + ''.join(
@@ -101,3 +104,23 @@
     empty = held.apply(ConfigUpdate(ConfigVersion(2), ConfigVersion(1), {}))
     assert isinstance(empty, Failure)
     assert empty.kind is ErrorKind.conflict
+
+
+def test_the_largest_document_fits_into_a_frame():
+    """Guards against a document that is accepted but can't be spread."""
+    texts = [
+        f'[partition:p{part}]\nracks = '
+        + ', '.join(f'{"r" * 110}{part}-{rack}' for rack in range(390))
+        for part in range(5)
+    ]
+    small = [f'[team:t{number}]\ndepartment = d\n' for number in range(10)]
+    first = ''.join(['[department:d]\n', *small])
+    text = '\n'.join([first, *texts])
+    assert len(text) > 3 * MAX_DOCUMENT_BYTES // 4
+    held = HeldConfig()
+    held.take(snapshot_of(make_document(first)))
+    held.take(snapshot_of(make_document(text, 2)))
+    for base in (0, 1):
+        name, fields = encode_message(held.update_from(ConfigVersion(base)))
+        frame = Frame(FrameKind.call, 1, name, fields)
+        assert isinstance(encode_frame(frame), bytes)
--- a/tests/config/test_store.py
+++ b/tests/config/test_store.py
@@ -161,6 +161,17 @@
     assert len(await store.history()) == 1
 
 
+async def test_a_text_that_grows_over_the_limit_is_refused(store):
+    """Guards against a stored document that no daemon can read back."""
+    many = ''.join(
+        f'[service:s{number}]\ndepartment = rug-depot\n'
+        for number in range(1500)
+    )
+    answer = await store.change(Change(TEXT + many, ONE, 'ann', 'large'))
+    assert isinstance(answer, ChangeInvalid)
+    assert 'with all keys written' in answer.errors[0].allowed
+
+
 @pytest.mark.parametrize('fault', [Fault.lose_answers, Fault.lose_requests])
 async def test_a_lost_answer_is_settled(rows, store, fault):
     """Guards against a change that is applied twice or wrongly refused."""
