Lower the fixed cost of a placement

Task ids were split twice per look-up, enum members were hashed for tests of a state, and the worker index compared sizes with new objects at each update.

--- a/src/radishlift/placement/changes.py
+++ b/src/radishlift/placement/changes.py
@@ -19,7 +19,7 @@
     TaskStopping,
 )
 from radishlift.placement.tables import NO_ROW
-from radishlift.placement.task_states import ENDED_STATES, is_allowed
+from radishlift.placement.task_states import is_allowed
 
 Change = Callable[[PartitionTables, Any], None]
 
@@ -98,9 +98,9 @@
 @change(TaskPlaced)
 def place_task(tables: PartitionTables, record: TaskPlaced) -> None:
     """Commits capacity of a worker to a new attempt."""
-    if not tables.has_task(record.task_id):
-        raise RecordRefusedError('there is no such task')
     row = tables.task_row(record.task_id)
+    if row == NO_ROW and not tables.has_task(record.task_id):
+        raise RecordRefusedError('there is no such task')
     worker_row = tables.workers.row_of.get(record.worker_id, NO_ROW)
     if row is None:
         check_start(tables, record, worker_row, 0)
@@ -180,7 +180,7 @@
     if not is_allowed(tables.tasks.state[row], record.state):
         raise RecordRefusedError(f'a task cannot become {record.state.value}')
     job_row = tables.tasks.job_row[row]
-    is_ended = record.state in ENDED_STATES
+    is_ended = record.state is not TaskState.queued
     if not is_ended and not tables.jobs.is_open(job_row):
         raise RecordRefusedError('a task of a closed job cannot be queued')
     tables.release_attempt(row, is_charged=record.reason == FAILED)
--- a/src/radishlift/placement/choosing.py
+++ b/src/radishlift/placement/choosing.py
@@ -43,6 +43,11 @@
     is_permitted: Permit,
 ) -> int:
     """Returns the best of the first fitting workers, or `NO_ROW`."""
+    if policy.candidates_count == 1:
+        return next(
+            fitting_workers(working, policy, demand, is_permitted),
+            NO_ROW,
+        )
     return score_workers(working, policy, demand, is_permitted)[1]
 
 
--- a/src/radishlift/placement/partition_tables.py
+++ b/src/radishlift/placement/partition_tables.py
@@ -1,6 +1,12 @@
 """The tables of one partition and the steps that keep them consistent."""
 
-from radishlift.core.ids import DepartmentName, TaskId, TeamName, WorkerId
+from radishlift.core.ids import (
+    DepartmentName,
+    JobId,
+    TaskId,
+    TeamName,
+    WorkerId,
+)
 from radishlift.placement.jobs import (
     Priority,
     Resources,
@@ -51,15 +57,18 @@
 
     def task_row(self, task_id: TaskId) -> int | None:
         """Finds a task; None if unstarted, `NO_ROW` if ended or unknown."""
-        if not self.has_task(task_id):
+        job_id, _, digits = task_id.rpartition('/')
+        job_row = self.jobs.row_of.get(JobId(job_id))
+        if job_row is None or not digits.isdecimal():
             return NO_ROW
-        job_row = self.jobs.row_of[job_id_of(task_id)]
-        index = task_index(task_id)
+        index = int(digits)
         row = self.jobs.task_rows[job_row].get(index)
         if row is not None:
             return row
-        is_fresh = index >= self.jobs.fresh_index[job_row]
-        return None if is_fresh and self.jobs.is_open(job_row) else NO_ROW
+        if index < self.jobs.fresh_index[job_row]:
+            return NO_ROW
+        is_known = index < self.jobs.spec[job_row].task_count
+        return None if is_known and self.jobs.is_open(job_row) else NO_ROW
 
     def add_tasks_up_to(self, task_id: TaskId) -> int:
         """Gives rows to the unstarted tasks up to this one."""
@@ -106,7 +115,7 @@
     def count_displaceable(self, row: int, sign: int) -> None:
         """Counts an attempt if its priority lets urgent work displace it."""
         priority = self.jobs.spec[self.tasks.job_row[row]].priority
-        if priority in {Priority.normal, Priority.low}:
+        if priority is Priority.normal or priority is Priority.low:
             self.workers.count_displaceable(
                 self.tasks.worker_row[row],
                 self.tasks.reserved[row],
--- a/src/radishlift/placement/permits.py
+++ b/src/radishlift/placement/permits.py
@@ -36,7 +36,9 @@
         ):
             return False
         reservation = self._reservation
-        if reservation is None or worker_row not in reservation.spare:
+        if reservation is None:
+            return True
+        if worker_row not in reservation.spare:
             return True
         spare = reservation.spare[worker_row]
         case = BackfillCase(
--- a/src/radishlift/placement/tables.py
+++ b/src/radishlift/placement/tables.py
@@ -19,7 +19,6 @@
     TaskState,
     WorkerInfo,
 )
-from radishlift.placement.task_states import LIVE_STATES
 
 NO_ROW: Final = -1
 NOTHING: Final = Resources(0, 0, 0)
@@ -145,7 +144,7 @@
 
     def is_live(self, row: int) -> bool:
         """Tells whether the current attempt holds capacity."""
-        return self.state[row] in LIVE_STATES
+        return self.worker_row[row] != NO_ROW
 
     def _grow(self) -> int:
         for column in self._columns():
--- a/src/radishlift/placement/worker_index.py
+++ b/src/radishlift/placement/worker_index.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Iterator
 from typing import Final
 
+from radishlift.placement.amounts import is_within
 from radishlift.placement.jobs import Resources
 from radishlift.placement.tables import NOTHING, WorkerTable
 
@@ -115,7 +116,8 @@
             self._remove(row)
             return
         capacity = workers.worker_info[row].capacity
-        self._grow(capacity)
+        if not is_within(capacity, self._largest):
+            self._grow(capacity)
         grid = self._grids[capacity.accelerators_count > 0]
         extra = NOTHING if self._extra_of is None else self._extra_of(row)
         grid.update(
@@ -135,12 +137,14 @@
             grid.remove(row)
 
     def _grow(self, capacity: Resources) -> None:
-        largest = Resources(
-            max(self._largest.cpu_milli, capacity.cpu_milli),
-            max(self._largest.memory_mb, capacity.memory_mb),
+        largest = self._largest
+        self._rebuild(
+            Resources(
+                max(largest.cpu_milli, capacity.cpu_milli),
+                max(largest.memory_mb, capacity.memory_mb),
+                max(largest.accelerators_count, capacity.accelerators_count),
+            ),
         )
-        if largest != self._largest:
-            self._rebuild(largest)
 
     def _rebuild(self, largest: Resources) -> None:
         self._largest = largest
