Add the steps of gangs that span partitions

Held capacity counts as taken, so the tables never overcommit, and the random record sequences now contain holds. A part is never started again by itself: a lost member ends the part.

--- a/src/radishlift/placement/engine.py
+++ b/src/radishlift/placement/engine.py
@@ -21,6 +21,7 @@
     Explanation,
     explain_task,
 )
+from radishlift.placement.gang_parts import GangParts
 from radishlift.placement.hand_offs import (
     HandOff,
     LoadSummary,
@@ -76,7 +77,9 @@
 
     The engine does no I/O and reads no clock but `timer`, which limits the
     time of a tick. It applies each record that `accept` and `tick` return;
-    the caller journals them before it lets them take effect.
+    the caller journals them before it lets them take effect. The state has to
+    be recovered before the engine is made. `gang_parts` are the steps of
+    gangs that span partitions.
     """
 
     def __init__(
@@ -88,6 +91,7 @@
         self._timer = timer
         self._working = Working(state, settings or PlacementSettings())
         self._working.sync_workers()
+        self.gang_parts = GangParts(self._working)
         self._repeat_stops()
 
     def accept(self, spec: JobSpec, now_ms: int) -> JobAccepted | Failure:
--- a/src/radishlift/placement/gangs.py
+++ b/src/radishlift/placement/gangs.py
@@ -58,7 +58,9 @@
     needs the whole gang to start again, and one that failed for good ends
     the job.
     """
-    if state is TaskState.failed:
+    is_lost = state is TaskState.cancelled
+    is_part = working.tables.jobs.is_part[job_row]
+    if state is TaskState.failed or (is_lost and is_part):
         job_id = working.tables.jobs.spec[job_row].job_id
         working.inputs.cancellations.append(job_id)
     elif state is TaskState.queued:
--- /dev/null
+++ b/src/radishlift/placement/holds.py
@@ -0,0 +1,35 @@
+"""Capacity held for parts of gangs that span partitions."""
+
+from radishlift.placement.partition_tables import PartitionTables
+from radishlift.placement.records import GangReserved
+from radishlift.placement.tables import NO_ROW
+
+
+def take_hold(tables: PartitionTables, hold: GangReserved) -> None:
+    """Takes the capacity of a hold, which was checked before."""
+    tables.holds[hold.spec.job_id] = hold
+    for member in hold.members:
+        worker_row = tables.workers.row_of[member.worker_id]
+        tables.workers.take(worker_row, hold.reserved)
+        tables.workers.holds_count[worker_row] += 1
+        tables.changed_workers[worker_row] = None
+    job_row = tables.jobs.row_of.get(hold.spec.job_id, NO_ROW)
+    if job_row != NO_ROW:
+        tables.jobs.is_held[job_row] = True
+
+
+def end_hold(tables: PartitionTables, hold: GangReserved) -> None:
+    """Returns the capacity of a hold."""
+    del tables.holds[hold.spec.job_id]
+    for member in hold.members:
+        worker_row = tables.workers.row_of[member.worker_id]
+        tables.workers.give_back(worker_row, hold.reserved)
+        tables.workers.holds_count[worker_row] -= 1
+        tables.changed_workers[worker_row] = None
+    job_row = tables.jobs.row_of.get(hold.spec.job_id, NO_ROW)
+    if job_row != NO_ROW:
+        tables.jobs.is_held[job_row] = False
+        tables.queued_jobs[job_row] = None
+
+
+__all__ = ('end_hold', 'take_hold')
--- a/src/radishlift/placement/partition_tables.py
+++ b/src/radishlift/placement/partition_tables.py
@@ -14,7 +14,7 @@
     job_id_of,
     task_id_of,
 )
-from radishlift.placement.records import TaskPlaced
+from radishlift.placement.records import GangReserved, TaskPlaced
 from radishlift.placement.tables import (
     NO_ROW,
     NOTHING,
@@ -44,6 +44,7 @@
         self.queued_count = 0
         self.queued = [0, 0]
         self.ended_jobs: dict[int, None] = {}
+        self.holds: dict[JobId, GangReserved] = {}
         self.shrunk_teams: dict[TeamName, None] = {}
         self.team_use: dict[TeamName, list[int]] = {}
         self.department_use: dict[DepartmentName, list[int]] = {}
@@ -169,7 +170,8 @@
     def remove_worker_if_unused(self, worker_row: int) -> None:
         """Removes a worker that is gone and holds no attempt."""
         workers = self.workers
-        if not workers.is_present[worker_row] and not workers.tasks[worker_row]:
+        is_used = workers.tasks[worker_row] or workers.holds_count[worker_row]
+        if not workers.is_present[worker_row] and not is_used:
             self.refund_charges(worker_row)
             workers.remove(worker_row)
 
--- a/src/radishlift/placement/records.py
+++ b/src/radishlift/placement/records.py
@@ -105,6 +105,49 @@
     job_id: JobId
 
 
+@dataclass(frozen=True, slots=True)
+class GangMember:
+    """A member of a gang and the worker that holds capacity for it."""
+
+    task_id: TaskId
+    attempt: Attempt
+    worker_id: WorkerId
+    incarnation: Incarnation
+
+
+@record('gang_reserved')
+@dataclass(frozen=True, slots=True)
+class GangReserved:
+    """Capacity is held for a part of a gang that spans partitions.
+
+    The hold ends at `expires_at_ms` unless it is committed before.
+    """
+
+    spec: JobSpec
+    home: PartitionId
+    members: tuple[GangMember, ...]
+    reserved: Resources
+    expires_at_ms: int
+
+
+@record('gang_committed')
+@dataclass(frozen=True, slots=True)
+class GangCommitted:
+    """The held part of a gang starts; its hold becomes attempts."""
+
+    job_id: JobId
+    placed_at_ms: int
+
+
+@record('gang_released')
+@dataclass(frozen=True, slots=True)
+class GangReleased:
+    """The hold for a part of a gang is given up."""
+
+    job_id: JobId
+    reason: str
+
+
 @record('worker_observed')
 @dataclass(frozen=True, slots=True)
 class WorkerObserved:
@@ -144,6 +187,10 @@
 
 
 __all__ = (
+    'GangCommitted',
+    'GangMember',
+    'GangReleased',
+    'GangReserved',
     'JobAccepted',
     'JobCancelled',
     'JobForgotten',
--- a/src/radishlift/placement/snapshots.py
+++ b/src/radishlift/placement/snapshots.py
@@ -5,6 +5,7 @@
 
 from radishlift.core.codec import dump_plain, parse_plain
 from radishlift.core.errors import Failure
+from radishlift.placement.holds import take_hold
 from radishlift.placement.jobs import (
     JobSpec,
     Resources,
@@ -15,7 +16,7 @@
     PartitionTables,
     RecordRefusedError,
 )
-from radishlift.placement.records import TaskPlaced
+from radishlift.placement.records import GangReserved, TaskPlaced
 from radishlift.placement.tables import NO_ROW
 
 FORMAT_VERSION: Final = 1
@@ -32,6 +33,9 @@
         'workers': list(_dump_workers(tables)),
         'jobs': list(_dump_jobs(tables)),
         'tasks': list(_dump_tasks(tables)),
+        'holds': [
+            dump_plain(tables.holds[job_id]) for job_id in sorted(tables.holds)
+        ],
         'ended_jobs': [
             tables.jobs.spec[row].job_id for row in tables.ended_jobs
         ],
@@ -58,6 +62,7 @@
             'from_partition': jobs.from_partition[row],
             'to_partition': jobs.to_partition[row],
             'is_cancelled': jobs.is_cancelled[row],
+            'is_part': jobs.is_part[row],
             'fresh_index': jobs.fresh_index[row],
             'ended_at_ms': jobs.ended_at_ms[row],
             'ended': sorted([state.value, number] for state, number in counts),
@@ -112,6 +117,8 @@
         _load_task(tables, task)
     for job_id in plain['ended_jobs']:
         tables.ended_jobs[tables.jobs.row_of[job_id]] = None
+    for hold in plain['holds']:
+        take_hold(tables, _parse(hold, GangReserved))
     # Loading attempts counted them as taken from the queue.
     tables.queued_count = 0
     tables.queued = [0, 0]
@@ -140,6 +147,7 @@
     row = jobs.add(spec, plain['accepted_at_ms'], plain['from_partition'])
     jobs.to_partition[row] = plain['to_partition']
     jobs.is_cancelled[row] = plain['is_cancelled']
+    jobs.is_part[row] = plain['is_part']
     jobs.fresh_index[row] = plain['fresh_index']
     jobs.ended_at_ms[row] = plain['ended_at_ms']
     jobs.ended_counts[row] = {
--- a/src/radishlift/placement/state.py
+++ b/src/radishlift/placement/state.py
@@ -3,7 +3,10 @@
 from typing import Any, ClassVar
 
 from radishlift.core.logs import log_event
-from radishlift.placement import worker_changes  # noqa: F401
+from radishlift.placement import (  # noqa: F401
+    gang_changes,
+    worker_changes,
+)
 from radishlift.placement.changes import CHANGES
 from radishlift.placement.partition_tables import (
     PartitionTables,
--- a/src/radishlift/placement/tables.py
+++ b/src/radishlift/placement/tables.py
@@ -29,7 +29,8 @@
 
     A task gets a row at its first start: the tasks from `fresh_index` on
     were never started, so that accepting or cancelling a job costs the same
-    for any number of tasks.
+    for any number of tasks. A gang that spans partitions is `is_held` while
+    capacity is reserved for it, and `is_part` once its members here started.
     """
 
     def __init__(self) -> None:
@@ -39,6 +40,8 @@
         self.from_partition: list[PartitionId] = []
         self.to_partition: list[PartitionId] = []
         self.is_cancelled: list[bool] = []
+        self.is_held: list[bool] = []
+        self.is_part: list[bool] = []
         self.fresh_index: list[int] = []
         self.requeued: list[dict[int, None]] = []
         self.task_rows: list[dict[int, int]] = []
@@ -55,6 +58,8 @@
         self.from_partition[row] = source
         self.to_partition[row] = PartitionId('')
         self.is_cancelled[row] = False
+        self.is_held[row] = False
+        self.is_part[row] = False
         self.fresh_index[row] = 0
         self.requeued[row] = {}
         self.task_rows[row] = {}
@@ -73,14 +78,14 @@
 
     def startable_count(self, row: int) -> int:
         """Counts the queued tasks."""
-        if not self.is_open(row):
+        if self.is_held[row] or not self.is_open(row):
             return 0
         fresh_count = self.spec[row].task_count - self.fresh_index[row]
         return fresh_count + len(self.requeued[row])
 
     def is_ended(self, row: int) -> bool:
         """Tells whether no task of the job is queued or live."""
-        if self.task_rows[row]:
+        if self.task_rows[row] or self.is_held[row]:
             return False
         return self.startable_count(row) == 0
 
@@ -96,6 +101,8 @@
             self.from_partition,
             self.to_partition,
             self.is_cancelled,
+            self.is_held,
+            self.is_part,
             self.fresh_index,
             self.requeued,
             self.task_rows,
@@ -182,6 +189,7 @@
         self.quarantine_reason: list[str] = []
         self.tasks: list[dict[int, None]] = []
         self.charged: list[dict[int, None]] = []
+        self.holds_count: list[int] = []
         self.free_cpu: list[int] = []
         self.free_memory: list[int] = []
         self.free_accelerators: list[int] = []
@@ -198,6 +206,7 @@
         self.quarantine_reason[row] = ''
         self.tasks[row] = {}
         self.charged[row] = {}
+        self.holds_count[row] = 0
         self.free_cpu[row] = described.capacity.cpu_milli
         self.free_memory[row] = described.capacity.memory_mb
         self.free_accelerators[row] = described.capacity.accelerators_count
@@ -264,6 +273,7 @@
             self.quarantine_reason,
             self.tasks,
             self.charged,
+            self.holds_count,
             self.free_cpu,
             self.free_memory,
             self.free_accelerators,
--- /dev/null
+++ b/tests/placement/test_gang_parts.py
@@ -0,0 +1,85 @@
+import pytest
+
+from radishlift.core.errors import ErrorKind, Failure
+from radishlift.core.ids import JobId, PartitionId
+from radishlift.placement.explanations import ExplanationKind
+from radishlift.placement.gang_parts import HOLD_MS, PartRequest
+from radishlift.placement.jobs import JobKind, Resources, TaskState
+from radishlift.placement.records import GangCommitted, GangReserved
+from radishlift.placement.state import PartitionState
+from tests.placement.builders import make_engine, make_job, make_worker, placed
+
+SMALL = Resources(4_000, 8_000)
+HALF = Resources(2_000, 4_000)
+HOME = PartitionId('p1')
+GANG = make_job('gang', kind=JobKind.gang, demand=HALF, task_count=4)
+
+
+@pytest.fixture
+def partition():
+    return make_engine(make_worker(1, SMALL))
+
+
+def reserve(engine, now_ms=0):
+    return engine.gang_parts.reserve(PartRequest(GANG, HOME, (2, 3), now_ms))
+
+
+def test_held_capacity_is_not_given_away(partition):
+    """Guards against a part that can't start when all others can."""
+    state, engine = partition
+    assert isinstance(reserve(engine), GangReserved)
+    engine.accept(make_job('other', demand=HALF), 1)
+    assert not placed(engine.tick(1))
+    restored = PartitionState()
+    restored.load(state.dump())
+    assert restored.dump() == state.dump()
+    assert isinstance(engine.gang_parts.commit(JobId('gang'), 2), GangCommitted)
+    assert engine.explain('gang/2', 2).kind is ExplanationKind.runs
+    for index in (2, 3):
+        engine.task_ended(f'gang/{index}', 1, TaskState.finished)
+    assert len(placed(engine.tick(3))) == 1
+
+
+@pytest.mark.parametrize('is_expired', [True, False])
+def test_hold_ends_by_release_or_by_time(partition, is_expired):
+    """Guards against capacity that a failed home holds for ever."""
+    _, engine = partition
+    reserve(engine)
+    if not is_expired:
+        engine.gang_parts.release(JobId('gang'), 'refused elsewhere')
+    engine.accept(make_job('other', demand=SMALL), 1)
+    assert len(placed(engine.tick(HOLD_MS))) == 1
+    late = engine.gang_parts.commit(JobId('gang'), HOLD_MS + 1)
+    assert isinstance(late, Failure)
+    assert late.kind is ErrorKind.conflict
+
+
+def test_part_without_room_holds_nothing(partition):
+    """Guards against partial holding."""
+    state, engine = partition
+    before = state.dump()
+    refused = engine.gang_parts.reserve(
+        PartRequest(GANG, HOME, (0, 1, 2), 0),
+    )
+    assert isinstance(refused, Failure)
+    assert state.dump() == before
+
+
+def test_lost_worker_ends_the_part(partition):
+    """Guards against a commit on a worker that restarted."""
+    _, engine = partition
+    reserve(engine)
+    engine.observe_worker(make_worker(1, SMALL, 'i2'))
+    engine.tick(1)
+    assert isinstance(engine.gang_parts.commit(JobId('gang'), 2), Failure)
+
+
+def test_home_does_not_start_a_held_gang(partition):
+    """Guards against a gang that starts in two ways."""
+    _, engine = partition
+    gang = make_job('gang', kind=JobKind.gang, demand=HALF, task_count=2)
+    engine.accept(gang, 0)
+    engine.gang_parts.reserve(PartRequest(gang, HOME, (0,), 0))
+    assert not placed(engine.tick(1))
+    engine.gang_parts.release(JobId('gang'), 'refused elsewhere')
+    assert len(placed(engine.tick(2))) == 2
--- a/tests/placement/test_properties.py
+++ b/tests/placement/test_properties.py
@@ -5,7 +5,14 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from radishlift.core.ids import Attempt, Incarnation, JobId, TaskId, WorkerId
+from radishlift.core.ids import (
+    Attempt,
+    Incarnation,
+    JobId,
+    PartitionId,
+    TaskId,
+    WorkerId,
+)
 from radishlift.placement.engine import PlacementEngine
 from radishlift.placement.jobs import (
     JobKind,
@@ -15,6 +22,10 @@
 )
 from radishlift.placement.partition_tables import RecordRefusedError
 from radishlift.placement.records import (
+    GangCommitted,
+    GangMember,
+    GangReleased,
+    GangReserved,
     JobAccepted,
     JobCancelled,
     JobForgotten,
@@ -65,6 +76,22 @@
     ),
 )
 reasons = st.sampled_from(['failed', 'other'])
+
+
+def make_hold(spec, worker_id, incarnation, reserved):
+    members = (
+        GangMember(
+            TaskId(f'{spec.job_id}/{index}'),
+            Attempt(1),
+            worker_id,
+            incarnation,
+        )
+        for index in range(spec.task_count)
+    )
+    home = PartitionId('p1')
+    return GangReserved(spec, home, tuple(members), reserved, 1)
+
+
 records = st.one_of(
     st.builds(JobAccepted, jobs, st.just(1)),
     st.builds(JobCancelled, job_ids),
@@ -78,6 +105,9 @@
         demands,
         st.just(1),
     ),
+    st.builds(make_hold, jobs, worker_ids, incarnations, demands),
+    st.builds(GangCommitted, job_ids, st.just(1)),
+    st.builds(GangReleased, job_ids, reasons),
     st.builds(TaskStopping, task_ids, attempts, st.booleans(), reasons),
     st.builds(TaskEnded, task_ids, attempts, ends, reasons),
     st.builds(WorkerObserved, workers),
@@ -103,6 +133,13 @@
         reserved = [
             tables.tasks.reserved[task] for task in tables.workers.tasks[row]
         ]
+        worker_id = tables.workers.worker_info[row].worker_id
+        reserved += [
+            hold.reserved
+            for hold in tables.holds.values()
+            for member in hold.members
+            if member.worker_id == worker_id
+        ]
         cpu_milli = sum(amount.cpu_milli for amount in reserved)
         memory_mb = sum(amount.memory_mb for amount in reserved)
         assert cpu_milli + tables.workers.free_cpu[row] == capacity.cpu_milli
