--- a/tests/placement/test_properties.py
+++ b/tests/placement/test_properties.py
@@ -168,7 +168,8 @@
     live = PartitionState()
     applied: list[Any] = []
     snapshot = live.dump()
-    for record in [*PREFIX, *sequence]:
+    whole = [*PREFIX, *sequence]
+    for record in whole:
         before = live.dump()
         try:
             live.apply(record)
