--- a/src/radishlift/requests/settings.py
+++ b/src/radishlift/requests/settings.py
@@ -13,7 +13,8 @@
     `slot_writes_per_s` bounds the writes to `slots` rows of one daemon: 7
     daemons at 10 stay far below the several hundred of the table service.
     `kept_answer_bytes` times `kept_keys_count` bounds what a partition can
-    hold for repeats; a longer answer is not kept. A full table refuses new
+    hold for repeats (10 MB, against the 32 MB of a daemon); a longer answer
+    is not kept. A full table refuses new
     keys and never drops a key before `keep_keys_ms`, because a repeat of a
     dropped key would run again. `connections_per_executor` keeps 7 daemons
     within the about 60 connections of an executor; slots need no more.
@@ -32,8 +33,8 @@
     max_answer_bytes: int = bounded(8_388_608, 1, 67_108_864)
     max_department_count: int = bounded(1_024, 1, 1_000_000)
     max_forward_bytes: int = bounded(524_288, 0, 900_000)
-    kept_answer_bytes: int = bounded(4_096, 0, 65_536)
-    kept_keys_count: int = bounded(20_000, 1, 1_000_000)
+    kept_answer_bytes: int = bounded(1_024, 0, 65_536)
+    kept_keys_count: int = bounded(10_000, 1, 1_000_000)
     keep_keys_ms: int = bounded(900_000, 1_000, 86_400_000)
     report_attempts_count: int = bounded(60, 1, 10_000)
     retry_burst_count: int = bounded(10, 0, 1_000)
