Check the deadline again right before a send

Cause: on an open connection the request is written without a pause, so a request whose time had run out was still sent and then reported as unknown.

Change: the dispatcher refuses it as deadline_passed, which is true, and this does not count against the executor.

Measured: test_passed_deadline_is_not_sent fails without the change and passes with it.

--- a/src/radishlift/requests/attempts.py
+++ b/src/radishlift/requests/attempts.py
@@ -65,10 +65,11 @@
 
 
 def _is_short_wait(dispatched: Dispatched, likely_ms: float) -> bool:
-    is_late = isinstance(dispatched.answer, Failure) and (
-        dispatched.answer.kind is ErrorKind.target_outcome_unknown
-    )
-    is_timed_out = is_late and dispatched.late is not None
+    if not isinstance(dispatched.answer, Failure):
+        return False
+    if dispatched.answer.kind is ErrorKind.deadline_passed:
+        return True
+    is_timed_out = dispatched.late is not None
     return is_timed_out and dispatched.elapsed_ms < likely_ms
 
 
--- a/src/radishlift/requests/dispatch.py
+++ b/src/radishlift/requests/dispatch.py
@@ -134,8 +134,12 @@
     ) -> Exchange:
         if self.before_send is not None:
             await self.before_send()
+        if call.left_ms <= 0:
+            reason = 'no time was left before the send'
+            failure = Failure(ErrorKind.deadline_passed, reason)
+            return Exchange(failure, has_ended=True)
         headers = _headers(call.request)
-        headers[DEADLINE_HEADER] = str(max(1, call.left_ms))
+        headers[DEADLINE_HEADER] = str(call.left_ms)
         return await self._client.exchange(
             view.executor_id,
             headers,
--- a/tests/requests/test_dispatch.py
+++ b/tests/requests/test_dispatch.py
@@ -120,6 +120,15 @@
     assert len(executor.executions) == 1
 
 
+async def test_passed_deadline_is_not_sent(dispatcher, executor):
+    """Guards against a send on an open connection after the deadline."""
+    await send(dispatcher, executor)
+    answer, view = await send(dispatcher, executor, 2, deadline_ms=0)
+    assert answer.answer.outcome is Outcome.not_run
+    assert view.busy_count == 0
+    assert len(executor.executions) == 1
+
+
 async def test_dropped_connection_is_an_unknown_outcome(dispatcher):
     """Guards against "not run" once a connection was given."""
 
