Admit a gang again when its last live member finishes

A queued member of a gang waits until no member is live; the job was put up for admission when the member was queued, but not when the last live member finished, so that it waited for ever.

Ruled out: the quota, the reservation and the capacity (all workers were idle), and the frozen owner (the partition had not moved).

Change: a job with queued members is put up for admission when a task of it is removed.

Measured: the new test fails without the change and passes with it; the 59 placement tests pass.

--- a/src/radishlift/placement/partition_tables.py
+++ b/src/radishlift/placement/partition_tables.py
@@ -157,6 +157,9 @@
                 self.workers.charged[worker_row].pop(row, None)
         self.jobs.requeued[job_row].pop(row, None)
         self.jobs.task_rows[job_row].pop(self.tasks.index[row])
+        if self.jobs.requeued[job_row]:
+            # A gang is admitted again once no member is live.
+            self.queued_jobs[job_row] = None
         self.tasks.remove(row)
 
     def end_job(self, job_row: int, ended_at_ms: int) -> None:
--- a/tests/placement/test_gangs.py
+++ b/tests/placement/test_gangs.py
@@ -96,3 +96,18 @@
     assert not placed(engine.tick(3))
     engine.cancel(JobId('gang'))
     assert started(engine.tick(4)) == ['long/0']
+
+
+def test_gang_starts_again_when_its_last_member_finishes():
+    """Guards against a queued member that is forgotten.
+
+    One member is queued again while the other runs on; when that one
+    finishes nothing is live any more and the queued one must start.
+    """
+    _, engine = make_engine(make_worker(1, SMALL), make_worker(2, SMALL))
+    engine.accept(make_gang(task_count=2), 0)
+    first, second = placed(engine.tick(0))
+    end(engine, first, TaskState.queued)
+    engine.tick(1)
+    end(engine, second)
+    assert started(engine.tick(2)) == [first.task_id]
