Measure the control cost of daemons at rest, and shrink stream buffers

Each stream also allocated a buffer of 1 MiB when it was opened.

Change: a benchmark of 3, 7, 14 and 28 daemons without hosts, bytes counted by the relays; the read size of a stream's decoder is 4 KiB.

--- a/src/radishlift/wire/frames.py
+++ b/src/radishlift/wire/frames.py
@@ -17,6 +17,8 @@
 FRAME_VERSION: Final = 1
 MAX_FRAME_BYTES: Final = 1024 * 1024
 
+_READ_BYTES: Final = 4096
+
 
 @unique
 class FrameKind(IntEnum):
@@ -60,7 +62,12 @@
     """Decodes a stream of bytes into frames."""
 
     def __init__(self) -> None:
-        self._unpacker = Unpacker(max_buffer_size=2 * MAX_FRAME_BYTES)
+        # Without a read size each stream would allocate 1 MiB at once; the
+        # buffer grows when a larger frame arrives.
+        self._unpacker = Unpacker(
+            max_buffer_size=2 * MAX_FRAME_BYTES,
+            read_size=_READ_BYTES,
+        )
 
     def feed(self, received: bytes) -> Iterator[Frame | Failure]:
         """Yields the frames completed by these bytes.
--- a/tests/system/cell.py
+++ b/tests/system/cell.py
@@ -216,6 +216,8 @@
             await asyncio.sleep(0.05)
 
     def _start_standins(self, shape: Shape) -> None:
+        if not shape.workers_count:
+            return
         department = shape.department
         self.processes.start(
             f'workers-{department}',
--- a/tests/system/relay.py
+++ b/tests/system/relay.py
@@ -23,6 +23,7 @@
         self.listen = listen
         self.target = target
         self.state = RelayState.open
+        self.bytes_count = 0
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
 
@@ -78,6 +79,7 @@
     ) -> None:
         try:
             while received := await reader.read(65536):
+                self.bytes_count += len(received)
                 if self.state is RelayState.open:
                     writer.write(received)
                     await writer.drain()
