--- a/benchmarks/bench_policies.py
+++ b/benchmarks/bench_policies.py
@@ -7,12 +7,20 @@
 import heapq
 import random
 from collections.abc import Iterator
-from dataclasses import dataclass
 from math import ceil
 from typing import Final
 
 from benchmarks.bench_placement import CAPACITIES, make_workers
 from benchmarks.harness import BENCHMARKS, Bound, Figure, at_most
+from benchmarks.policy_traces import (
+    SHAPES,
+    TRACE_MS,
+    WARM_UP_MS,
+    WORKERS_COUNT,
+    TracedJob,
+    make_trace,
+    pick,
+)
 from radishlift.config.document import ConfigDocument, Department
 from radishlift.core.ids import (
     ConfigVersion,
@@ -26,7 +34,6 @@
     JobKind,
     JobSpec,
     Priority,
-    Resources,
     TaskState,
     UsageReport,
     job_id_of,
@@ -38,112 +45,14 @@
 SEEDS: Final = (1, 2, 3)
 PACKING_SEEDS: Final = (9, 10, 11, 12, 13, 14, 15, 16)
 """The weights of `packing_first` were chosen on seeds 1 to 8."""
-WORKERS_COUNT: Final = 24
 TICK_MS: Final = 20
 STOP_MS: Final = 100
 """Time from a stop order until the attempt has ended."""
 REPORT_INTERVAL_MS: Final = 1_000
-WARM_UP_MS: Final = 20_000
-TRACE_MS: Final = 60_000
-LOAD_RATIO: Final = 0.95
 URGENT_BOUND_MS: Final = 1_800
 PACKING_BOUND_RATIO: Final = 1.05
 PERCENTILE: Final = 0.99
 
-SHAPES: Final = {
-    'rugs': (
-        (Resources(500, 2_000), 4),
-        (Resources(1_000, 4_000), 6),
-        (Resources(2_000, 24_000), 2),
-        (Resources(4_000, 8_000), 3),
-        (Resources(10_000, 30_000), 1),
-    ),
-    'kits': (
-        (Resources(400, 600), 4),
-        (Resources(1_000, 1_500), 6),
-        (Resources(1_500, 8_000), 2),
-        (Resources(4_000, 3_000), 2),
-        (Resources(6_000, 10_000), 1),
-    ),
-}
-"""True sizes of tasks and how often they occur: small requests, wash and
-order batches, caches that need memory, and planning that needs processors."""
-RUN_TIMES_MS: Final = ((500, 5), (2_000, 4), (8_000, 2), (20_000, 1))
-PRIORITIES: Final = (
-    (Priority.urgent, 5),
-    (Priority.high, 10),
-    (Priority.normal, 60),
-    (Priority.low, 25),
-)
-
-
-@dataclass(frozen=True, slots=True)
-class TracedJob:
-    """A job with the sizes and run time that its tasks really have."""
-
-    arrives_at_ms: int
-    spec: JobSpec
-    usage: Resources
-    run_time_ms: int
-
-
-def pick(dice: random.Random, weighted: tuple) -> object:
-    options = [option for option, _ in weighted]
-    return dice.choices(options, [weight for _, weight in weighted])[0]
-
-
-def misjudge(dice: random.Random, amount: int, limit: int) -> int:
-    """Returns a declared amount that is off by 0.2-5x, within a limit."""
-    factor = 5 ** dice.uniform(-1, 1)
-    return max(1, min(limit, int(amount * factor)))
-
-
-def make_trace(department: str, seed: int) -> list[TracedJob]:
-    """Makes jobs whose true use adds up to the load of the fleet."""
-    dice = random.Random(seed)
-    capacity = CAPACITIES[department]
-    horizon_ms = WARM_UP_MS + TRACE_MS
-    scale_ms = LOAD_RATIO * WORKERS_COUNT * horizon_ms
-    budget_milli_ms = scale_ms * capacity.cpu_milli
-    budget_mb_ms = scale_ms * capacity.memory_mb
-    jobs: list[TracedJob] = []
-    while budget_milli_ms > 0 and budget_mb_ms > 0:
-        job = _trace_job(department, len(jobs), dice, horizon_ms)
-        jobs.append(job)
-        work_ms = job.run_time_ms * job.spec.task_count
-        budget_milli_ms -= job.usage.cpu_milli * work_ms
-        budget_mb_ms -= job.usage.memory_mb * work_ms
-    return sorted(jobs, key=lambda job: job.arrives_at_ms)
-
-
-def _trace_job(
-    department: str,
-    number: int,
-    dice: random.Random,
-    horizon_ms: int,
-) -> TracedJob:
-    capacity = CAPACITIES[department]
-    usage = pick(dice, SHAPES[department])
-    run_time_ms = int(pick(dice, RUN_TIMES_MS) * dice.uniform(0.5, 1.5))
-    declared = Resources(
-        misjudge(dice, usage.cpu_milli, capacity.cpu_milli),
-        misjudge(dice, usage.memory_mb, capacity.memory_mb),
-    )
-    priority = pick(dice, PRIORITIES)
-    spec = JobSpec(
-        JobId(f'p1.{number}'),
-        DepartmentName(department),
-        TeamName(f'team{dice.randrange(8)}'),
-        f'size{usage.cpu_milli}',
-        JobKind.batch,
-        dice.randint(1, 3),
-        declared,
-        run_time_ms=misjudge(dice, run_time_ms, 10 * run_time_ms),
-        priority=priority,
-    )
-    arrives_at_ms = dice.randrange(horizon_ms)
-    return TracedJob(arrives_at_ms, spec, usage, run_time_ms)
-
 
 class Simulation:
     """Runs a trace over one engine in steps of simulated time."""
@@ -240,11 +149,13 @@
 
 
 def percentile(numbers: list[int], part: float) -> float:
+    """Returns the number that this part of the numbers is below."""
     ordered = sorted(numbers)
     return ordered[min(len(ordered) - 1, int(len(ordered) * part))]
 
 
 def mean(numbers: list[int]) -> float:
+    """Returns the mean."""
     return sum(numbers) / len(numbers)
 
 
@@ -354,4 +265,4 @@
     return used_count, least_count
 
 
-__all__ = ('bench_policies', 'make_trace', 'pack')
+__all__ = ('bench_policies', 'pack')
