Keep a fault of one partition from stopping the others

Cause: an exception in the engine of one partition ended the loop that drives all partitions, while their leases went on being renewed; an exception in a poll left its worker without a next poll.

Change: a failed tick closes its own partition, a failed poll is repeated, and failed tasks are logged. The dispatcher sleeps until the next poll is due instead of 20 ms, and looks for lapses every 50 ms.

--- a/src/radishlift/partitions/open_partition.py
+++ b/src/radishlift/partitions/open_partition.py
@@ -10,6 +10,7 @@
 
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import JobId
+from radishlift.core.logs import log_event
 from radishlift.journal.partition_journal import PartitionJournal
 from radishlift.journal.recovery import Recovered
 from radishlift.journal.snapshot_keeper import SnapshotKeeper
@@ -23,7 +24,6 @@
 from radishlift.partitions.states import PartitionStates
 from radishlift.placement.engine import PlacementEngine
 from radishlift.placement.jobs import Priority, job_id_of
-from radishlift.placement.partition_tables import RecordRefusedError
 from radishlift.placement.records import (
     JobAccepted,
     JobCancelled,
@@ -112,8 +112,15 @@
         self._is_dirty = False
         try:
             records = self.engine.tick(self.now_ms())
-        except RecordRefusedError as error:
-            return Failure(ErrorKind.internal, str(error))
+        except Exception as error:
+            # A fault in one partition must not end the loop of the others.
+            log_event(
+                'tick_failed',
+                level='ERROR',
+                partition=self.claim.partition_id,
+                reason=repr(error),
+            )
+            return Failure(ErrorKind.internal, repr(error))
         for decided in records:
             failure = self.log.append(decided)
             if failure is not None:
--- a/src/radishlift/workers/dispatcher.py
+++ b/src/radishlift/workers/dispatcher.py
@@ -31,7 +31,9 @@
 )
 from radishlift.workers.settings import WorkerSettings
 
-_SLICE_MS: Final = 20
+# Lapses are looked for at the longest sleep, as that scans all sessions.
+_MIN_SLEEP_MS: Final = 5
+_MAX_SLEEP_MS: Final = 50
 
 
 class Dispatcher:
@@ -129,10 +131,18 @@
 
     async def run_forever(self) -> None:
         """Polls workers when they are due, until cancelled."""
+        next_check_ms = 0
         while not self._tasks.is_closed:
             self.poll_due()
-            self.end_lapsed()
-            await asyncio.sleep(_SLICE_MS / 1000)
+            now_ms = self._clock.monotonic_ms()
+            if now_ms >= next_check_ms:
+                self.end_lapsed()
+                next_check_ms = now_ms + _MAX_SLEEP_MS
+            delay_ms = self._schedule.delay_ms(now_ms)
+            if delay_ms is None:
+                delay_ms = _MAX_SLEEP_MS
+            sleep_ms = min(max(delay_ms, _MIN_SLEEP_MS), _MAX_SLEEP_MS)
+            await asyncio.sleep(sleep_ms / 1000)
 
     def poll_due(self) -> None:
         """Begins the polls that are due."""
@@ -196,14 +206,14 @@
 
     async def _poll(self, session: WorkerSession) -> None:
         was_connected = session.is_answering
+        answered = False
         try:
             answered = await self._polls.poll(session)
         finally:
             session.poll.is_running = False
-        if session.has_ended:
-            return
-        if not answered:
-            self._poll_soon(session)
+            if not answered and not session.has_ended:
+                self._poll_soon(session)
+        if not answered or session.has_ended:
             return
         session.poll.is_wanted = False
         for live in session.attempts.values():
--- a/src/radishlift/workers/schedule.py
+++ b/src/radishlift/workers/schedule.py
@@ -19,6 +19,10 @@
         session.poll.next_ms = at_ms
         heappush(self._due, (at_ms, next(self._entry_ids), session))
 
+    def delay_ms(self, now_ms: int) -> int | None:
+        """Returns when the next poll is due; None without one."""
+        return self._due[0][0] - now_ms if self._due else None
+
     def take_due(self, now_ms: int) -> Iterator[WorkerSession]:
         """Takes the sessions to poll now; they are then being polled."""
         while self._due and self._due[0][0] <= now_ms:
--- a/src/radishlift/workers/senders.py
+++ b/src/radishlift/workers/senders.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Coroutine
 from typing import Any, Final
 
+from radishlift.core.logs import log_event
 from radishlift.workers.attempts import AttemptExchange
 from radishlift.workers.session import LiveAttempt, WorkerSession
 
@@ -25,7 +26,7 @@
             return
         task = asyncio.create_task(coroutine)
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._finish)
 
     async def close(self) -> None:
         """Cancels all tasks and waits for them."""
@@ -35,6 +36,11 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
+    def _finish(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            log_event('task_failed', level='ERROR', reason=task.exception())
+
 
 class Senders:
     """Drains the queues of sessions.
--- a/tests/partitions/test_runner.py
+++ b/tests/partitions/test_runner.py
@@ -3,7 +3,12 @@
 from radishlift.partitions.intake import cancel, status, submit
 from radishlift.partitions.messages import JobSubmitted
 from radishlift.placement.jobs import TaskState
-from tests.partitions.cell import PARTITION, make_job, open_cell
+from tests.partitions.cell import (
+    OTHER_PARTITION,
+    PARTITION,
+    make_job,
+    open_cell,
+)
 from tests.standins.conditions import until
 from tests.standins.tables import Fault
 
@@ -80,3 +85,21 @@
         assert not isinstance(await cancel(opened, JobId('j1'), 2000), Failure)
         await until(lambda: owner.counts() == {TaskState.cancelled: 4})
         assert not cell.running()
+
+
+async def test_fault_in_one_partition_leaves_the_others_running():
+    """Guards against one faulty record that stops a whole daemon."""
+    async with open_cell() as cell:
+        await cell.add_worker(rack='r2')
+        owner = await cell.add_owner('a')
+        await owner.claim()
+        await owner.claim(OTHER_PARTITION)
+
+        def fail(now_ms):
+            raise KeyError(now_ms)
+
+        owner.opened().engine.tick = fail
+        await until(lambda: owner.partitions.get(PARTITION) is None)
+        job = make_job('p2.job')
+        await submit(owner.opened(OTHER_PARTITION), job, 2000)
+        await until(lambda: cell.running() == 1)
