Poll the host list once with entity tags, and slots only on changes

The host list was read twice each half second, whole each time, and all slot rows twice a second.

Ruled out: heartbeats alone (their interval grows with the group).

Change: one poll of the host list serves all parts and asks with If-None-Match; the slots are synced at once when demand, executors or rows change and else at intervals that double up to 4 s.

--- a/src/radishlift/daemon/entry.py
+++ b/src/radishlift/daemon/entry.py
@@ -93,7 +93,7 @@
     slot_parts = SlotParts(
         base.store,
         base.membership,
-        TargetList(base.host_list, base.clock, settings),
+        TargetList(base.hosts, base.clock, settings),
         limits,
         base.clock,
     )
--- a/src/radishlift/daemon/foundation.py
+++ b/src/radishlift/daemon/foundation.py
@@ -49,7 +49,7 @@
         self.host_list = HttpHostList(
             self._client(platform.host_list_address, platform),
         )
-        self.hosts = HostFeed(self.host_list, platform)
+        self.hosts = HostFeed(self.host_list, platform, self.clock)
         self.own_row = OwnRow(self.store, self.clock, self.member)
         self.table = DaemonTable(self.store, self.clock)
         self.membership = Membership(
--- a/src/radishlift/platform/http.py
+++ b/src/radishlift/platform/http.py
@@ -1,6 +1,7 @@
 """HTTP clients of the platform's services."""
 
 import json
+from dataclasses import dataclass
 from typing import Any, Final
 
 from aiohttp import (
@@ -10,7 +11,7 @@
     ClientTimeout,
 )
 
-from radishlift.core.codec import dump_plain, parse_plain
+from radishlift.core.codec import dump_plain, parse_json, parse_plain
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import Address
 from radishlift.platform.api import (
@@ -22,11 +23,21 @@
 )
 
 _OK: Final = 200
+_NOT_MODIFIED: Final = 304
 _NOT_FOUND: Final = 404
 _CONFLICT: Final = 409
 _REFUSALS: Final = frozenset((429, 503))
 
 
+@dataclass(frozen=True, slots=True)
+class PlatformAnswer:
+    """Status, body and entity tag of an answer of the platform."""
+
+    status: int
+    body: bytes
+    tag: str
+
+
 class PlatformClient:
     """Calls one platform address; shared by the clients below."""
 
@@ -45,7 +56,7 @@
         method: str,
         path: str,
         **options: Any,
-    ) -> tuple[int, bytes] | Failure:
+    ) -> PlatformAnswer | Failure:
         """Sends a request and reads the whole answer.
 
         Fails with `store_unavailable` when the request was surely not
@@ -72,7 +83,8 @@
         if response.status >= 500:
             reason = f'platform answered {response.status}'
             return Failure(ErrorKind.store_outcome_unknown, reason)
-        return response.status, body
+        tag = response.headers.get('ETag', '')
+        return PlatformAnswer(response.status, body, tag)
 
     async def call_json(
         self,
@@ -84,11 +96,10 @@
         answer = await self.call(method, path, **options)
         if isinstance(answer, Failure):
             return answer
-        status, body = answer
         try:
-            return status, json.loads(body)
+            return answer.status, json.loads(answer.body)
         except ValueError:
-            reason = f'platform answered {status} without JSON'
+            reason = f'platform answered {answer.status} without JSON'
             return Failure(ErrorKind.store_outcome_unknown, reason)
 
 
@@ -167,10 +178,9 @@
         answer = await self._client.call('GET', _object(name))
         if isinstance(answer, Failure):
             return answer
-        status, body = answer
-        if status == _NOT_FOUND:
+        if answer.status == _NOT_FOUND:
             return Failure(ErrorKind.not_found, f'no object {name}')
-        return body
+        return answer.body
 
     async def delete(self, name: str) -> Failure | None:
         """Deletes an object if it exists."""
@@ -179,17 +189,36 @@
 
 
 class HttpHostList:
-    """Client of the host list."""
+    """Client of the host list.
+
+    The list is large and changes seldom, so that it is asked for with the
+    entity tag of the last one and sent only when it differs.
+    """
 
     def __init__(self, client: PlatformClient) -> None:
         self._client = client
+        self._tag = ''
+        self._hosts: tuple[Host, ...] = ()
 
     async def fetch(self) -> tuple[Host, ...] | Failure:
-        """Reads the list."""
-        answer = await self._client.call_json('GET', '/hosts')
+        """Reads the list; an unchanged one is the same object."""
+        headers = {'If-None-Match': self._tag} if self._tag else {}
+        answer = await self._client.call('GET', '/hosts', headers=headers)
         if isinstance(answer, Failure):
             return answer
-        return parse_plain(answer[1]['hosts'], tuple[Host, ...])
+        if answer.status == _NOT_MODIFIED:
+            return self._hosts
+        listed = parse_json(answer.body, _ListedHosts)
+        if isinstance(listed, Failure):
+            return Failure(ErrorKind.store_unavailable, listed.reason)
+        self._tag = answer.tag
+        self._hosts = listed.hosts
+        return self._hosts
+
+
+@dataclass(frozen=True, slots=True)
+class _ListedHosts:
+    hosts: tuple[Host, ...]
 
 
 def _object(name: str) -> str:
--- a/src/radishlift/requests/load_exchange.py
+++ b/src/radishlift/requests/load_exchange.py
@@ -10,6 +10,7 @@
 from radishlift.requests.slot_moves import Wanted
 from radishlift.requests.slot_policy import smooth_demand, wanted_slots
 from radishlift.requests.slots import SlotAllotments, SlotParts
+from radishlift.requests.sync_pacer import SyncPacer
 from radishlift.wire.network import PeerNetwork
 
 
@@ -52,9 +53,18 @@
 
     async def run_slots(self, places: Places) -> None:
         """Syncs the allotments until cancelled."""
+        pacer = SyncPacer(self._settings, self._parts.clock)
+        targets = self._parts.targets
         while True:
-            self._slots.wanted = self._wanted(places)
-            await self._slots.sync()
+            wanted = self._wanted(places)
+            listed = {name: targets.listed(name) for name in wanted}
+            situation = (wanted, listed, self._slots.is_draining)
+            if pacer.is_due(situation):
+                before = self._slots.views.versions()
+                self._slots.wanted = wanted
+                await self._slots.sync()
+                is_changed = before != self._slots.views.versions()
+                pacer.note_sync(situation, is_changed=is_changed)
             places.keep_only(self._parts.targets.services)
             places.pump_all()
             await asyncio.sleep(self._settings.sync_interval_ms / 1000)
--- a/src/radishlift/requests/settings.py
+++ b/src/radishlift/requests/settings.py
@@ -21,6 +21,7 @@
     """
 
     sync_interval_ms: int = bounded(500, 20, 60_000)
+    idle_sync_interval_ms: int = bounded(4_000, 20, 60_000)
     summary_interval_ms: int = bounded(500, 20, 60_000)
     targets_interval_ms: int = bounded(500, 20, 60_000)
     targets_timeout_ms: int = bounded(1_000, 10, 60_000)
--- a/src/radishlift/requests/slot_views.py
+++ b/src/radishlift/requests/slot_views.py
@@ -58,6 +58,10 @@
     def __iter__(self) -> Iterator[SlotView]:
         return iter(tuple(self._views.values()))
 
+    def versions(self) -> dict[ExecutorId, int]:
+        """Returns the known version of each row."""
+        return {view.executor_id: view.version for view in self}
+
     def get(self, executor_id: ExecutorId) -> SlotView | None:
         """Returns the view of an executor if there is one."""
         return self._views.get(executor_id)
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -9,6 +9,7 @@
 import asyncio
 import json
 import time
+from hashlib import sha256
 
 from aiohttp import web
 
@@ -129,12 +130,20 @@
         self.objects.pop(request.match_info['name'], None)
         return web.Response(status=204)
 
-    async def list_hosts(self, _request: web.Request) -> web.Response:
+    async def list_hosts(self, request: web.Request) -> web.Response:
         """Lists the hosts as they were one lag ago."""
         visible_s = time.monotonic() - self._lag_ms / 1000
         while len(self._hosts) > 1 and self._hosts[1][0] <= visible_s:
             self._hosts.pop(0)
-        return web.json_response({'hosts': self._hosts[0][1]})
+        body = json.dumps({'hosts': self._hosts[0][1]})
+        tag = f'"{sha256(body.encode()).hexdigest()[:16]}"'
+        if request.headers.get('If-None-Match') == tag:
+            return web.Response(status=304, headers={'ETag': tag})
+        return web.Response(
+            text=body,
+            content_type='application/json',
+            headers={'ETag': tag},
+        )
 
     async def set_hosts(self, request: web.Request) -> web.Response:
         """Sets the hosts; the list shows them after its lag."""
