Record waiting times, ignore an empty host list, tell faults by exit status

Change: the first start of a task is observed as waiting; an empty host list is a failure to read it; exit status 3 after a fault; the tests' relay refuses connections while its daemon is dead; unchanged load summaries are sent every fourth interval; seeds without an incarnation are no longer logged as dead.

--- a/src/radishlift/daemon/control.py
+++ b/src/radishlift/daemon/control.py
@@ -6,7 +6,7 @@
 from radishlift.config.settings import ConfigSettings
 from radishlift.config.spreader import ConfigSpreader
 from radishlift.config.store import ConfigStore
-from radishlift.core.ids import PartitionId
+from radishlift.core.ids import DepartmentName, PartitionId
 from radishlift.daemon.foundation import Foundation
 from radishlift.journal.budget import FlushScheduler
 from radishlift.journal.settings import JournalSettings
@@ -20,6 +20,8 @@
 from radishlift.partitions.settings import PartitionSettings
 from radishlift.partitions.states import StateFactory
 from radishlift.placement.settings import PlacementSettings
+from radishlift.report.metrics import Indicator, MetricsTable
+from radishlift.report.settings import ReportSettings
 from radishlift.workers.client import WorkerClient
 from radishlift.workers.settings import WorkerSettings
 
@@ -77,6 +79,11 @@
             config_settings,
             base.clock,
         )
+        self.metrics = MetricsTable(
+            self.config,
+            settings.get(ReportSettings),
+            base.clock,
+        )
         self.directory = OwnerDirectory(self.config)
         self.worker_client = WorkerClient(settings.get(WorkerSettings))
         self.parts = self._parts(base, state_factories)
@@ -114,6 +121,7 @@
                 settings.get(PartitionSettings),
             ),
             state_factories=state_factories,
+            observe_waiting=self._observe_waiting,
         )
 
     def _ownership(
@@ -138,6 +146,13 @@
             listener,
         )
 
+    def _observe_waiting(
+        self,
+        department: DepartmentName,
+        waiting_ms: int,
+    ) -> None:
+        self.metrics.observe(department, Indicator.waiting, waiting_ms)
+
     def _give_up(self, partition_id: PartitionId) -> None:
         drop = asyncio.create_task(self.ownership.drop(partition_id))
         self._drops.add(drop)
--- a/src/radishlift/daemon/entry.py
+++ b/src/radishlift/daemon/entry.py
@@ -16,7 +16,7 @@
 from radishlift.daemon.foundation import Foundation
 from radishlift.daemon.jobs import Jobs
 from radishlift.report.collector import MetricsCollector
-from radishlift.report.metrics import Indicator, MetricsTable
+from radishlift.report.metrics import Indicator
 from radishlift.report.settings import ReportSettings
 from radishlift.requests.api import ServiceAnswer, ServiceRequest
 from radishlift.requests.limits import ServiceLimits
@@ -40,11 +40,7 @@
         self._clock = base.clock
         self.readiness = ReadinessState()
         self.router = _build_router(base, control)
-        self.metrics = MetricsTable(
-            control.config,
-            base.settings.get(ReportSettings),
-            base.clock,
-        )
+        self.metrics = control.metrics
         api_settings = base.settings.get(ApiSettings)
         self.limits = LimitsMiddleware(api_settings)
         change_token = base.settings.get(DaemonSettings).change_token
--- a/src/radishlift/daemon/hosts.py
+++ b/src/radishlift/daemon/hosts.py
@@ -5,7 +5,7 @@
 from typing import Final
 
 from radishlift.core.clock import Clock
-from radishlift.core.errors import Failure
+from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.logs import log_event
 from radishlift.platform.api import Host, HostList
 from radishlift.settings.daemon import PlatformSettings
@@ -50,6 +50,11 @@
     async def refresh(self) -> tuple[Host, ...] | Failure:
         """Reads the list once."""
         hosts = await self._source.fetch()
+        if not isinstance(hosts, Failure) and not hosts:
+            # This host itself is listed while it lives; an empty list would
+            # declare every worker and daemon gone.
+            reason = 'the host list is empty'
+            hosts = Failure(ErrorKind.store_unavailable, reason)
         self._last = hosts
         self._read_at_ms = self._clock.monotonic_ms()
         if isinstance(hosts, Failure):
--- a/src/radishlift/daemon/lifecycle.py
+++ b/src/radishlift/daemon/lifecycle.py
@@ -19,6 +19,9 @@
 from radishlift.settings.daemon import DaemonSettings
 from radishlift.settings.loader import Settings
 
+EXIT_FAULT: Final = 3
+"""The daemon was replaced by a newer incarnation, or a loop failed."""
+
 _LOOK_S: Final = 0.05
 _MS_PER_S: Final = 1000
 _RELEASE_RETRY_S: Final = 0.2
@@ -30,6 +33,7 @@
     def __init__(self, settings: Settings) -> None:
         self._settings = settings.get(DaemonSettings)
         self._stop = asyncio.Event()
+        self._has_failed = False
         self.base = Foundation(settings)
         self.control = Control(
             self.base,
@@ -49,11 +53,16 @@
         """Asks for a planned stop."""
         self._stop.set()
 
-    async def run(self) -> None:
-        """Runs until a stop is requested, then drains."""
+    async def run(self) -> int:
+        """Runs until a stop is requested, then drains.
+
+        Returns the exit status: 0 after a planned stop, else `EXIT_FAULT`.
+        """
         await self._start()
         await self._stop.wait()
         await self._drain()
+        is_replaced = self.control.ownership.is_replaced
+        return EXIT_FAULT if self._has_failed or is_replaced else 0
 
     async def _start(self) -> None:
         await self.base.start()
@@ -133,7 +142,8 @@
             level='ERROR',
             error=repr(task.exception()),
         )
+        self._has_failed = True
         self.request_stop()
 
 
-__all__ = ('Daemon',)
+__all__ = ('EXIT_FAULT', 'Daemon')
--- a/src/radishlift/daemon/main.py
+++ b/src/radishlift/daemon/main.py
@@ -16,7 +16,10 @@
 
 
 def main() -> int:
-    """Runs the daemon; exit status 2 when the settings are wrong."""
+    """Runs the daemon.
+
+    Exit status 2 when the settings are wrong, 3 after a fault, else 0.
+    """
     parser = ArgumentParser(
         prog='radishliftd',
         description='Daemon of the radishlift cluster scheduler.',
@@ -40,16 +43,16 @@
         return EXIT_SETTINGS
     if not options.check:
         setup_logs(settings.get(DaemonSettings).log_level)
-        asyncio.run(_run(settings))
+        return asyncio.run(_run(settings))
     return 0
 
 
-async def _run(settings: Settings) -> None:
+async def _run(settings: Settings) -> int:
     daemon = Daemon(settings)
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, daemon.request_stop)
     loop.add_signal_handler(signal.SIGINT, daemon.request_stop)
-    await daemon.run()
+    return await daemon.run()
 
 
 if __name__ == '__main__':
--- a/src/radishlift/membership/evidence.py
+++ b/src/radishlift/membership/evidence.py
@@ -31,6 +31,9 @@
         own row before anything else that names the incarnation. Scans from
         before the question may be older than the incarnation.
         """
+        if not run[1]:
+            # A seed whose row has not been read has no incarnation yet.
+            return False
         if run not in self._dead and self._current.get(run[0]) != run[1]:
             self._asked.setdefault(run, started_scans_count)
         return run in self._dead
@@ -43,7 +46,7 @@
         """Notes incarnations that were replaced by newer ones."""
         for daemon_id, row in scan.rows.items():
             known = self._current.get(daemon_id)
-            if known is not None and known != row.incarnation:
+            if known and known != row.incarnation:
                 self._add((daemon_id, known), 'newer_incarnation')
             self._current[daemon_id] = row.incarnation
         for run, asked_at in list(self._asked.items()):
--- a/src/radishlift/partitions/dispatching.py
+++ b/src/radishlift/partitions/dispatching.py
@@ -6,6 +6,8 @@
 from radishlift.core.ids import Attempt
 from radishlift.partitions.facts import is_current
 from radishlift.partitions.log import PartitionLog
+from radishlift.partitions.parts import DaemonParts
+from radishlift.placement.jobs import job_id_of
 from radishlift.placement.orders import Order
 from radishlift.placement.partition_tables import PartitionTables
 from radishlift.placement.records import TaskEnded, TaskPlaced
@@ -22,7 +24,10 @@
         tables: PartitionTables,
         log: PartitionLog,
         dispatcher: Dispatcher,
+        parts: DaemonParts,
     ) -> None:
+        self._clock = parts.clock
+        self._observer = parts.observe_waiting
         self._tables = tables
         self._log = log
         self._dispatcher = dispatcher
@@ -48,6 +53,7 @@
         if is_current(self._tables, key):
             row = self._tables.task_row(placed.task_id)
             self._dispatcher.run(self._attempt(row or 0, is_inherited=False))
+            self._observe_waiting(placed)
 
     def resume(self) -> int:
         """Takes over all attempts that may run; returns their number."""
@@ -66,6 +72,14 @@
             if job_row >= 0 and tasks.is_live(row):
                 yield self._attempt(row, is_inherited=True)
 
+    def _observe_waiting(self, placed: TaskPlaced) -> None:
+        if placed.attempt > 1:
+            return
+        jobs = self._tables.jobs
+        job_row = jobs.row_of[job_id_of(placed.task_id)]
+        waiting_ms = self._clock.wall_ms() - jobs.accepted_at_ms[job_row]
+        self._observer(jobs.spec[job_row].department, max(0, waiting_ms))
+
     def _attempt(self, row: int, *, is_inherited: bool) -> AttemptToRun:
         tasks = self._tables.tasks
         spec = self._tables.jobs.spec[tasks.job_row[row]]
--- a/src/radishlift/partitions/open_partition.py
+++ b/src/radishlift/partitions/open_partition.py
@@ -67,7 +67,12 @@
             self.facts,
             self.watch.former,
         )
-        self.effects = EngineEffects(tables, self.log, self.dispatcher)
+        self.effects = EngineEffects(
+            tables,
+            self.log,
+            self.dispatcher,
+            parts,
+        )
         self._keeper = SnapshotKeeper(
             parts.store,
             parts.object_store,
--- a/src/radishlift/partitions/parts.py
+++ b/src/radishlift/partitions/parts.py
@@ -1,10 +1,11 @@
 """What a daemon hands to each partition that it runs."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from radishlift.core.clock import Clock
-from radishlift.core.ids import DaemonId, Incarnation
+from radishlift.core.ids import DaemonId, DepartmentName, Incarnation
 from radishlift.journal.budget import FlushScheduler
 from radishlift.journal.settings import JournalSettings
 from radishlift.membership.api import MemberDirectory
@@ -16,6 +17,12 @@
 from radishlift.workers.client import WorkerClient
 from radishlift.workers.settings import WorkerSettings
 
+WaitingObserver = Callable[[DepartmentName, int], None]
+
+
+def _ignore_waiting(department: DepartmentName, waiting_ms: int) -> None:
+    """Is the observer of partitions whose waiting nobody measures."""
+
 
 @dataclass(frozen=True, slots=True)
 class PartitionSettingsSet:
@@ -32,6 +39,8 @@
     """Identity, clients and settings of the daemon.
 
     `activity` is set when a partition has work for its next tick.
+    `observe_waiting` takes the time in ms from the acceptance of a task to
+    its first start.
     """
 
     daemon_id: DaemonId
@@ -46,6 +55,7 @@
     settings: PartitionSettingsSet = field(default_factory=PartitionSettingsSet)
     activity: asyncio.Event = field(default_factory=asyncio.Event)
     state_factories: tuple[StateFactory, ...] = ()
+    observe_waiting: WaitingObserver = _ignore_waiting
 
 
-__all__ = ('DaemonParts', 'PartitionSettingsSet')
+__all__ = ('DaemonParts', 'PartitionSettingsSet', 'WaitingObserver')
--- a/src/radishlift/requests/load_exchange.py
+++ b/src/radishlift/requests/load_exchange.py
@@ -4,7 +4,12 @@
 from collections.abc import Mapping
 
 from radishlift.core.ids import DaemonId, ServiceName
-from radishlift.requests.loads import LoadBoard, ServiceLoad, ServiceLoads
+from radishlift.requests.loads import (
+    SUMMARY_REPEAT_INTERVALS,
+    LoadBoard,
+    ServiceLoad,
+    ServiceLoads,
+)
 from radishlift.requests.places import Places
 from radishlift.requests.settings import RequestSettings
 from radishlift.requests.slot_moves import Wanted
@@ -70,11 +75,17 @@
             await asyncio.sleep(self._settings.sync_interval_ms / 1000)
 
     async def run_summaries(self, places: Places) -> None:
-        """Sends summaries until cancelled."""
+        """Sends summaries until cancelled, unchanged ones seldom."""
+        sent: ServiceLoads | None = None
+        skipped_count = 0
         while True:
             loads = self._own_loads(places)
-            for peer in self._network.peers:
-                await self._network.send(peer, loads)
+            skipped_count += 1
+            if loads != sent or skipped_count >= SUMMARY_REPEAT_INTERVALS:
+                sent = loads
+                skipped_count = 0
+                for peer in self._network.peers:
+                    await self._network.send(peer, loads)
             await asyncio.sleep(self._settings.summary_interval_ms / 1000)
 
     def _own_loads(self, places: Places) -> ServiceLoads:
--- a/src/radishlift/requests/loads.py
+++ b/src/radishlift/requests/loads.py
@@ -9,7 +9,10 @@
 from radishlift.core.ids import DaemonId, ServiceName
 from radishlift.wire.messages import message
 
-_FRESH_INTERVALS: Final = 5
+# An unchanged summary is repeated after this many intervals; a peer whose
+# summary was not repeated twice in a row does not count.
+SUMMARY_REPEAT_INTERVALS: Final = 4
+_FRESH_INTERVALS: Final = 2 * SUMMARY_REPEAT_INTERVALS + 1
 _CHOICES_COUNT: Final = 2
 
 
@@ -95,4 +98,9 @@
             load.idle_count = idle_count
 
 
-__all__ = ('LoadBoard', 'ServiceLoad', 'ServiceLoads')
+__all__ = (
+    'SUMMARY_REPEAT_INTERVALS',
+    'LoadBoard',
+    'ServiceLoad',
+    'ServiceLoads',
+)
--- a/tests/demo.py
+++ b/tests/demo.py
@@ -68,7 +68,7 @@
 
     async def kill_one() -> None:
         await asyncio.sleep(OPTIONS.duration_ms / 2000)
-        cell.processes.kill(VICTIM)
+        await cell.kill_daemon(VICTIM)
         print(f'killed {VICTIM}')
 
     try:
--- a/tests/system/cell.py
+++ b/tests/system/cell.py
@@ -97,7 +97,7 @@
         for relay in (*self.store_relays.values(), *self.peer_relays.values()):
             await relay.start()
         for name in self.names:
-            self.start_daemon(name)
+            await self.start_daemon(name)
         await self.wait_for(self._accepts_configuration, 30)
         await self.wait_ready(self.names)
 
@@ -108,8 +108,14 @@
             await relay.stop()
         await self.session.close()
 
-    def start_daemon(self, name: str) -> None:
+    async def kill_daemon(self, name: str) -> None:
+        """Kills a daemon; its peer address then refuses connections."""
+        self.processes.kill(name)
+        await self.peer_relays[name].stop()
+
+    async def start_daemon(self, name: str) -> None:
         """Starts a daemon, also one that was killed."""
+        await self.peer_relays[name].start()
         index = self.names.index(name)
         centres = self.shapes[0].data_centres
         path = self.folder / f'{name}.ini'
--- a/tests/system/faults.py
+++ b/tests/system/faults.py
@@ -55,9 +55,9 @@
     """Kills a daemon and starts it again as a new incarnation."""
     name = context.pick_daemon()
     context.killed.append(name)
-    context.cell.processes.kill(name)
+    await context.cell.kill_daemon(name)
     await asyncio.sleep(OUTAGE_S)
-    context.cell.start_daemon(name)
+    await context.cell.start_daemon(name)
 
 
 @FAULTS.register('stop_daemon')
--- a/tests/system/relay.py
+++ b/tests/system/relay.py
@@ -28,14 +28,17 @@
         self._writers: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
-        """Listens for connections."""
+        """Listens for connections, unless it does already."""
+        if self._server is not None:
+            return
         host, _, port = self.listen.rpartition(':')
         self._server = await asyncio.start_server(self._accept, host, int(port))
 
     async def stop(self) -> None:
-        """Closes all connections."""
+        """Closes all connections and refuses new ones."""
         if self._server is not None:
             self._server.close()
+            self._server = None
         for writer in list(self._writers):
             writer.close()
 
--- a/tests/system/test_whole_path.py
+++ b/tests/system/test_whole_path.py
@@ -23,16 +23,23 @@
 
     async def kill_one() -> None:
         await asyncio.sleep(options.duration_ms / 2000)
-        cell.processes.kill('d3')
+        await cell.kill_daemon('d3')
 
     try:
         await cell.start()
         results = await drive(cell, options, kill_one)
         open_jobs = await unfinished_jobs(cell, results, timeout_s=30)
         evidence = await collect_evidence(cell, results, open_jobs, ['d3'])
+        _, report = await cell.get('d1', '/v1/report/burn')
     finally:
         await cell.stop()
     outcomes = count_outcomes(results)
     assert check_all(evidence) == {}
     assert outcomes['answered'] > 0
     assert outcomes['job_accepted'] > 0
+    totals = {
+        line['objective']: line['windows'][0]['total']
+        for line in report['lines']
+    }
+    # Guards against objectives whose events nobody records.
+    assert all(totals.values()), totals
