Tell homes the worker sizes of other partitions

Cause: a home refused a job with `never_fits` when only its own workers were too small, though another partition had larger ones: nothing told the engine the sizes of the others.

Ruled out: asking the other owners at each refusal, a call per job.

Change: heartbeats carry the largest worker of one owned partition in turns; while a size is unknown any job may fit there.

--- a/src/radishlift/daemon/jobs.py
+++ b/src/radishlift/daemon/jobs.py
@@ -7,14 +7,16 @@
 from radishlift.daemon.control import Control
 from radishlift.daemon.foundation import Foundation
 from radishlift.membership.membership import Membership
+from radishlift.membership.summaries import Summary
 from radishlift.partitions.hand_offs import HandOffCourier
 from radishlift.partitions.homes import HomeCaller, OwnerLookup
 from radishlift.partitions.job_router import JobRouter
 from radishlift.partitions.job_server import JobServer
 from radishlift.partitions.loads import SUMMARY_NAME, LoadBoard
 from radishlift.partitions.settings import PartitionSettings
+from radishlift.partitions.sizes import SIZES_NAME, SizeBoard
 
-_ABSORB_INTERVAL_S: Final = 0.5
+_ABSORB_INTERVAL_S: Final = 1.0
 
 
 class Jobs:
@@ -24,6 +26,10 @@
         self._membership: Membership = base.membership
         self._loads = LoadBoard(Random(base.member.daemon_id))
         base.membership.providers.register(SUMMARY_NAME)(self._loads.summary)
+        self._sizes = SizeBoard()
+        base.membership.providers.register(SIZES_NAME)(self._sizes.summary)
+        self._partitions = control.partitions
+        self._directory = control.directory
         lookup = OwnerLookup(control.directory, base.store, base.clock)
         caller = HomeCaller(control.parts, lookup)
         self.router = JobRouter(caller, lookup, self._loads)
@@ -37,14 +43,24 @@
         )
 
     async def absorb_loads(self) -> None:
-        """Takes over the load summaries of peers until cancelled."""
+        """Takes over the summaries of peers until cancelled."""
         while True:
             for member in self._membership.members():
                 summaries = self._membership.summaries_of(member.daemon_id)
-                summary = summaries.get(SUMMARY_NAME)
-                if isinstance(summary, dict):
-                    self._loads.absorb(summary)
+                _absorb(self._loads, summaries.get(SUMMARY_NAME))
+                _absorb(self._sizes, summaries.get(SIZES_NAME))
+            opened = [
+                runner.opened
+                for runner in self._partitions.owned()
+                if runner.opened is not None
+            ]
+            self._sizes.update(opened, self._directory.partitions())
             await asyncio.sleep(_ABSORB_INTERVAL_S)
 
 
+def _absorb(board: LoadBoard | SizeBoard, summary: Summary | None) -> None:
+    if isinstance(summary, dict):
+        board.absorb(summary)
+
+
 __all__ = ('Jobs',)
--- a/src/radishlift/partitions/open_partition.py
+++ b/src/radishlift/partitions/open_partition.py
@@ -23,6 +23,7 @@
 from radishlift.partitions.spread import WorkerAssignment
 from radishlift.partitions.states import PartitionStates
 from radishlift.placement.engine import PlacementEngine
+from radishlift.placement.fleet import ANY_SIZE
 from radishlift.placement.jobs import Priority, job_id_of
 from radishlift.placement.records import (
     JobAccepted,
@@ -57,6 +58,8 @@
         )
         self.log = PartitionLog(journal, states)
         self.engine = PlacementEngine(states.placement, settings.placement)
+        # Until sizes of other partitions are known any job may fit there.
+        self.engine.observe_fleet((ANY_SIZE,))
         self.watch = PredecessorWatch(parts, claim, states.owners)
         tables = states.placement.tables
         self.facts = WorkerFacts(self.engine, tables, parts.clock, self.wake)
--- a/src/radishlift/placement/fleet.py
+++ b/src/radishlift/placement/fleet.py
@@ -9,6 +9,9 @@
 _Amounts = tuple[int, int, int]
 _NO_AMOUNTS: _Amounts = (0, 0, 0)
 
+ANY_SIZE = Resources(2**62, 2**62, 2**62)
+"""Stands for a worker of unknown size, which may fit any task."""
+
 
 class Fleet:
     """Total capacity, sizes of workers, and where capacity became free.
@@ -71,4 +74,4 @@
         )
 
 
-__all__ = ('Fleet',)
+__all__ = ('ANY_SIZE', 'Fleet')
