--- a/benchmarks/bench_control.py
+++ b/benchmarks/bench_control.py
@@ -17,7 +17,7 @@
 from tests.system.cell import Cell
 from tests.system.shapes import SHAPES
 
-COUNTS = (7, 28)
+COUNTS = (3, 7, 14, 28)
 SETTLE_S = 8.0
 MEASURE_S = 12.0
 MEGABYTE = 1024 * 1024
