Use the usual names; pause before a damaged partition is given up

Change: DurabilityTracker, HandOffSender, known_outcome; a partition that failed with an internal error is given up after 10 s.

--- a/benchmarks/bench_policies.py
+++ b/benchmarks/bench_policies.py
@@ -93,7 +93,7 @@
             for record in self.engine.tick(self.now_ms):
                 if isinstance(record, TaskPlaced):
                     self._start(record)
-            self._obey()
+            self._apply_orders()
             self.now_ms += TICK_MS
         self._count_waiting()
 
@@ -127,7 +127,7 @@
             if self._running.pop((task_id, attempt), None) is not None:
                 self.engine.task_ended(task_id, attempt, state)
 
-    def _obey(self) -> None:
+    def _apply_orders(self) -> None:
         for order in self.engine.take_orders():
             if order.kind is OrderKind.stop:
                 end_ms = self.now_ms + STOP_MS
--- a/src/radishlift/daemon/jobs.py
+++ b/src/radishlift/daemon/jobs.py
@@ -8,7 +8,7 @@
 from radishlift.daemon.foundation import Foundation
 from radishlift.membership.membership import Membership
 from radishlift.membership.summaries import Summary
-from radishlift.partitions.hand_offs import HandOffCourier
+from radishlift.partitions.hand_offs import HandOffSender
 from radishlift.partitions.homes import HomeCaller, OwnerLookup
 from radishlift.partitions.job_router import JobRouter
 from radishlift.partitions.job_server import JobServer
@@ -34,7 +34,7 @@
         caller = HomeCaller(control.parts, lookup)
         self.router = JobRouter(caller, lookup, self._loads)
         self.server = JobServer(base.network, control.partitions)
-        self.courier = HandOffCourier(
+        self.hand_off_sender = HandOffSender(
             control.partitions,
             caller,
             lookup,
--- a/src/radishlift/daemon/lifecycle.py
+++ b/src/radishlift/daemon/lifecycle.py
@@ -82,7 +82,7 @@
             self.control.partitions.run_forever(),
             run_ownership(self.control.ownership, settings),
             self.jobs.absorb_loads(),
-            self.jobs.courier.run_forever(),
+            self.jobs.hand_off_sender.run_forever(),
             self._become_ready(),
         ):
             self._run_loop(loop)
--- a/src/radishlift/journal/fates.py
+++ b/src/radishlift/journal/durability.py
@@ -8,8 +8,8 @@
 _ANY_POSITION: Final = 2**63
 
 
-class Fates:
-    """Fates of records by their positions in the order of the journal.
+class DurabilityTracker:
+    """Tracks by position which records of a journal are durable.
 
     Up to `durable_position` records are durable. After the journal closed,
     those up to `unknown_position` may have been written by its last row, and
@@ -23,11 +23,11 @@
         self._waiters: list[tuple[int, asyncio.Future[Failure | None]]] = []
 
     async def wait(self, position: int, timeout_ms: int) -> Failure | None:
-        """Waits for the fate of a record; see `PartitionJournal`."""
+        """Waits for the outcome of a record; see `PartitionJournal`."""
         if position <= self.durable_position:
             return None
         if self.closed is not None:
-            return self._fate_after_close(position)
+            return self._outcome_after_close(position)
         future: asyncio.Future[Failure | None]
         future = asyncio.get_running_loop().create_future()
         self._waiters.append((position, future))
@@ -53,26 +53,26 @@
         """Ends the journal; nothing becomes durable any more."""
         self.closed = failure
         self._unknown_position = unknown_position
-        unknown = self._fate_after_close(unknown_position)
+        unknown = self._outcome_after_close(unknown_position)
         self._finish(0, unknown_position, unknown)
         self._finish(0, _ANY_POSITION, failure)
 
-    def _fate_after_close(self, position: int) -> Failure | None:
+    def _outcome_after_close(self, position: int) -> Failure | None:
         if position <= self._unknown_position:
             reason = 'deposed before the outcome of the row was known'
             return Failure(ErrorKind.store_outcome_unknown, reason)
         return self.closed
 
-    def _finish(self, first: int, last: int, fate: Failure | None) -> None:
+    def _finish(self, first: int, last: int, outcome: Failure | None) -> None:
         kept = []
         for position, future in self._waiters:
             if future.done():
                 continue
             if first <= position <= last:
-                future.set_result(fate)
+                future.set_result(outcome)
             else:
                 kept.append((position, future))
         self._waiters = kept
 
 
-__all__ = ('Fates',)
+__all__ = ('DurabilityTracker',)
--- a/src/radishlift/journal/partition_journal.py
+++ b/src/radishlift/journal/partition_journal.py
@@ -14,7 +14,7 @@
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import Sequence
 from radishlift.core.logs import log_event
-from radishlift.journal.fates import Fates
+from radishlift.journal.durability import DurabilityTracker
 from radishlift.journal.forming import Dump, FormedRow, RowFormer
 from radishlift.journal.inserts import InsertResult, check_claim, run_insert
 from radishlift.journal.pending import PendingRecords
@@ -67,14 +67,14 @@
         self._former = RowFormer(claim, recovered, settings, dump)
         self._pending = PendingRecords()
         self._sent: FormedRow | None = None
-        self._fates = Fates()
+        self._durability = DurabilityTracker()
         self._lock = asyncio.Lock()
         self._last_failure: Failure | None = None
 
     @property
     def durable_position(self) -> int:
         """Returns the last position up to which records are durable."""
-        return self._fates.durable_position
+        return self._durability.durable_position
 
     @property
     def pending_count(self) -> int:
@@ -88,7 +88,7 @@
         It is `not_owner` for a deposed journal and `store_unavailable` from a
         failed flush until the next one that succeeds.
         """
-        return self._fates.closed or self._last_failure
+        return self._durability.closed or self._last_failure
 
     def take_captured(self) -> CapturedState | None:
         """Returns the state for the next snapshot once one is due."""
@@ -101,8 +101,8 @@
 
         Fails with `not_owner` when the journal is closed.
         """
-        if self._fates.closed is not None:
-            return self._fates.closed
+        if self._durability.closed is not None:
+            return self._durability.closed
         return self._pending.append(record)
 
     def withdraw(self, first: int, last: int) -> bool:
@@ -114,7 +114,7 @@
         """
         if not self._pending.withdraw(first, last):
             return False
-        self._fates.withdraw(first, last)
+        self._durability.withdraw(first, last)
         return True
 
     async def wait_durable(
@@ -128,7 +128,7 @@
         be written, and with `store_outcome_unknown` when that isn't known
         within the time.
         """
-        return await self._fates.wait(position, timeout_ms)
+        return await self._durability.wait(position, timeout_ms)
 
     async def flush(self, max_rows: int = 1000) -> Flushed | Failure:
         """Makes the records appended so far durable, in at most some rows.
@@ -152,7 +152,7 @@
         rows_count = 0
         records_count = 0
         while self.durable_position < last_position and rows_count < max_rows:
-            if self._fates.closed is not None:
+            if self._durability.closed is not None:
                 break
             retried = self._sent
             sent = retried or self._former.form(
@@ -173,8 +173,8 @@
         rows_count: int,
         records_count: int,
     ) -> Flushed | Failure:
-        if self._fates.closed is not None:
-            return self._fates.closed
+        if self._durability.closed is not None:
+            return self._durability.closed
         if rows_count == 0 and self._last_failure is not None:
             # With no row to insert, a read tells whether the outage is over;
             # else nothing would be accepted again.
@@ -241,7 +241,7 @@
         if sent.captured is not None:
             self._former.last_capture = sent.captured.sequence
             self._captured = sent.captured
-        self._fates.mark_durable(sent.entries[-1].position)
+        self._durability.mark_durable(sent.entries[-1].position)
 
     def _close(
         self,
@@ -257,7 +257,7 @@
             reason=reason,
         )
         self._sent = None
-        self._fates.close(failure, unknown_position)
+        self._durability.close(failure, unknown_position)
         return failure
 
 
--- a/src/radishlift/partitions/hand_offs.py
+++ b/src/radishlift/partitions/hand_offs.py
@@ -24,7 +24,7 @@
 from radishlift.placement.transfer_rows import transfer_of
 
 
-class HandOffCourier:
+class HandOffSender:
     """Hands off jobs of the partitions that are owned here."""
 
     def __init__(
@@ -162,4 +162,4 @@
             )
 
 
-__all__ = ('HandOffCourier',)
+__all__ = ('HandOffSender',)
--- a/src/radishlift/partitions/partitions.py
+++ b/src/radishlift/partitions/partitions.py
@@ -36,6 +36,7 @@
         self._dispatcher_type = dispatcher_type
         self._runners: dict[PartitionId, PartitionRunner] = {}
         self._starts: set[asyncio.Task[Failure | None]] = set()
+        self._pauses: set[asyncio.Task[None]] = set()
         self._hosts: tuple[Host, ...] | None = None
         parts.network.register(DropPartition, self._drop)
 
@@ -136,6 +137,24 @@
             partition=partition_id,
             reason=failure.reason,
         )
+        if self._give_up is None:
+            return
+        if failure.kind is not ErrorKind.internal:
+            self._give_up(partition_id)
+            return
+        # A journal that can't be read does not get better by a new claim at
+        # once; each claim costs an epoch and a recovery.
+        pause_ms = self._parts.settings.partitions.failed_pause_ms
+        later = asyncio.create_task(self._give_up_after(partition_id, pause_ms))
+        self._pauses.add(later)
+        later.add_done_callback(self._pauses.discard)
+
+    async def _give_up_after(
+        self,
+        partition_id: PartitionId,
+        pause_ms: int,
+    ) -> None:
+        await asyncio.sleep(pause_ms / 1000)
         if self._give_up is not None:
             self._give_up(partition_id)
 
--- a/src/radishlift/partitions/settings.py
+++ b/src/radishlift/partitions/settings.py
@@ -14,11 +14,14 @@
     every `idle_interval_ms`. Jobs that wait for room are handed off every
     `hand_off_interval_ms`. A former owner is asked every
     `evidence_interval_ms` whether it has stopped.
+    A partition that could not be recovered is given up after
+    `failed_pause_ms`.
     """
 
     tick_interval_ms: int = bounded(5, 1, 1_000)
     idle_interval_ms: int = bounded(100, 1, 10_000)
     recover_retry_ms: int = bounded(200, 1, 60_000)
+    failed_pause_ms: int = bounded(10_000, 1, 600_000)
     evidence_interval_ms: int = bounded(1_000, 10, 60_000)
     call_timeout_ms: int = bounded(1_000, 10, 60_000)
     retry_interval_ms: int = bounded(50, 1, 10_000)
--- a/src/radishlift/requests/calls.py
+++ b/src/radishlift/requests/calls.py
@@ -48,7 +48,7 @@
         if failure.answer.outcome is not Outcome.not_run:
             self.sent_failure = failure
 
-    def truth(self, failure: Failure) -> Failure:
+    def known_outcome(self, failure: Failure) -> Failure:
         """Returns what may be said: "not run" only if no attempt was sent."""
         return self.sent_failure or failure
 
--- a/src/radishlift/requests/router.py
+++ b/src/radishlift/requests/router.py
@@ -195,13 +195,13 @@
         while True:
             place = await self.places.find(call)
             if isinstance(place, Failure):
-                return call.truth(place)
+                return call.known_outcome(place)
             outcome = await self._try(place, call)
             if not isinstance(outcome, Failure):
                 return outcome
             call.note(outcome)
             if not self._may_go_on(place, call, outcome):
-                return call.truth(outcome)
+                return call.known_outcome(outcome)
 
     async def _try(
         self,
--- a/src/radishlift/workers/attempts.py
+++ b/src/radishlift/workers/attempts.py
@@ -26,7 +26,7 @@
 )
 from radishlift.workers.settings import WorkerSettings
 
-# A stopped or lost attempt does not decide the fate of its task; placement
+# A stopped or lost attempt does not decide the outcome of its task; placement
 # knows whether it was cancelled or is queued again.
 _TASK_STATES: Final = {
     AttemptState.finished: TaskState.finished,
--- a/tests/journal/protocol.py
+++ b/tests/journal/protocol.py
@@ -71,7 +71,7 @@
 
     def dropped(self) -> list[int]:
         """Lists the numbers that were reported as certainly not written."""
-        closed = self.journal._fates.closed
+        closed = self.journal._durability.closed
         if closed is None or closed.kind is not ErrorKind.not_owner:
             return list(self.withdrawn)
         last = self.journal.durable_position
@@ -79,7 +79,8 @@
             number
             for number, position in self.positions.items()
             if position > last
-            and self.journal._fates._fate_after_close(position) is closed
+            and self.journal._durability._outcome_after_close(position)
+            is closed
         ]
         return [*dropped, *self.withdrawn]
 
--- a/tests/partitions/cell.py
+++ b/tests/partitions/cell.py
@@ -28,7 +28,7 @@
 from radishlift.journal.budget import FlushScheduler
 from radishlift.journal.settings import JournalSettings
 from radishlift.ownership.directory import OwnerDirectory
-from radishlift.partitions.hand_offs import HandOffCourier
+from radishlift.partitions.hand_offs import HandOffSender
 from radishlift.partitions.homes import HomeCaller, OwnerLookup
 from radishlift.partitions.job_router import JobRouter
 from radishlift.partitions.job_server import JobServer
@@ -184,7 +184,7 @@
             partitions,
             asyncio.create_task(partitions.run_forever()),
             JobRouter(caller, lookup, loads),
-            HandOffCourier(
+            HandOffSender(
                 partitions, caller, lookup, loads, self.settings.partitions
             ),
         )
--- a/tests/partitions/owner.py
+++ b/tests/partitions/owner.py
@@ -14,7 +14,7 @@
 )
 from radishlift.ownership.api import OWNERS_TABLE, OwnerClaim
 from radishlift.ownership.owner_rows import OwnerRow
-from radishlift.partitions.hand_offs import HandOffCourier
+from radishlift.partitions.hand_offs import HandOffSender
 from radishlift.partitions.intake import status
 from radishlift.partitions.job_router import JobRouter
 from radishlift.partitions.messages import JobStatus
@@ -65,7 +65,7 @@
     partitions: Partitions
     loop: asyncio.Task[None]
     router: JobRouter
-    courier: HandOffCourier
+    hand_off_sender: HandOffSender
 
     def opened(self, partition_id: PartitionId = PARTITION) -> OpenPartition:
         """Returns the recovered partition."""
--- a/tests/partitions/test_job_router.py
+++ b/tests/partitions/test_job_router.py
@@ -109,9 +109,11 @@
         await first.router.submit(make_job(HOME_JOB, demand=WHOLE_WORKER), 2000)
 
         async def exchange_loads():
-            await second.courier.step()
-            first.courier._loads.absorb(second.courier._loads.summary())
-            await first.courier.step()
+            await second.hand_off_sender.step()
+            first.hand_off_sender._loads.absorb(
+                second.hand_off_sender._loads.summary()
+            )
+            await first.hand_off_sender.step()
 
         await until_after(exchange_loads, lambda: cell.executions() == 2)
         assert len(cell.workers[1].model.record) == 1
@@ -141,7 +143,7 @@
         successor = await cell.add_owner('c')
         await successor.claim(PARTITION)
         opened = successor.opened()
-        await successor.courier.step()
+        await successor.hand_off_sender.step()
         assert not opened.states.hand_offs.open
         home = status(opened, JobId(HOME_JOB))
         assert isinstance(home, JobStatus) is not is_closed
--- a/tests/partitions/test_lost_workers.py
+++ b/tests/partitions/test_lost_workers.py
@@ -50,10 +50,12 @@
 
 
 async def exchange_loads(first: Owner, second: Owner) -> None:
-    await second.courier.step()
+    await second.hand_off_sender.step()
     for _ in range(2):
-        first.courier._loads.absorb(second.courier._loads.summary())
-    await first.courier.step()
+        first.hand_off_sender._loads.absorb(
+            second.hand_off_sender._loads.summary()
+        )
+    await first.hand_off_sender.step()
 
 
 def place_of(owner: Owner, partition_id: PartitionId) -> PartitionId | None:
@@ -164,14 +166,14 @@
         cell.members.dead.add(('a', 'a-1'))
         successor = await cell.add_owner('c')
         await successor.claim(PARTITION)
-        await successor.courier.step()
+        await successor.hand_off_sender.step()
         assert not successor.opened().states.hand_offs.open
         moved = cell.workers[1].model.record
         if is_closed:
             # A repeat after the confirmation was lost must change nothing.
             runner = successor.partitions.get(PARTITION)
             assert await runner.commit([begun], 2000) is None
-            await successor.courier.step()
+            await successor.hand_off_sender.step()
             assert not successor.opened().states.hand_offs.open
             await until(lambda: len(moved) == 4 and not cell.running())
         else:
@@ -199,7 +201,7 @@
             await exchange_loads(first, second)
             assert place_of(second, OTHER_PARTITION) is None
             assert place_of(second, THIRD_PARTITION) is None
-        await first.courier.step()
+        await first.hand_off_sender.step()
         assert not first.opened().states.hand_offs.open
         await until(partial(has_executions, cell, 8))
         cell.check()
--- /dev/null
+++ b/tests/partitions/test_partitions.py
@@ -0,0 +1,41 @@
+import asyncio
+from types import SimpleNamespace
+
+import pytest
+
+from radishlift.core.errors import ErrorKind, Failure
+from radishlift.core.ids import PartitionId
+from radishlift.partitions.partitions import Partitions
+from radishlift.partitions.settings import PartitionSettings
+
+PARTITION = PartitionId('p1')
+
+
+@pytest.mark.parametrize(
+    ('kind', 'is_given_up_at_once'),
+    [(ErrorKind.not_owner, True), (ErrorKind.internal, False)],
+)
+async def test_damaged_partition_is_not_claimed_again_at_once(
+    kind,
+    is_given_up_at_once,
+):
+    """Guards against an endless loop of claims of a damaged journal."""
+    given_up = []
+    done = asyncio.Event()
+
+    def give_up(partition_id):
+        given_up.append(partition_id)
+        done.set()
+
+    settings = PartitionSettings(failed_pause_ms=50)
+    parts = SimpleNamespace(
+        network=SimpleNamespace(register=lambda *_: None),
+        settings=SimpleNamespace(partitions=settings),
+    )
+    partitions = Partitions(parts, SimpleNamespace(), give_up)
+    runner = SimpleNamespace(partition_id=PARTITION)
+    partitions._runners[PARTITION] = runner
+    partitions._closed(runner, Failure(kind, 'test'))
+    assert bool(given_up) is is_given_up_at_once
+    await asyncio.wait_for(done.wait(), 5)
+    assert given_up == [PARTITION]
