--- a/src/radishlift/partitions/settings.py
+++ b/src/radishlift/partitions/settings.py
@@ -13,9 +13,8 @@
     A partition with work is ticked every `tick_interval_ms`, one without
     every `idle_interval_ms`. Jobs that wait for room are handed off every
     `hand_off_interval_ms`. A former owner is asked every
-    `evidence_interval_ms` whether it has stopped.
-    A partition that could not be recovered is given up after
-    `failed_pause_ms`.
+    `evidence_interval_ms` whether it has stopped. A partition that could not
+    be recovered is given up after `failed_pause_ms`.
     """
 
     tick_interval_ms: int = bounded(5, 1, 1_000)
