Let the worker stand-in's usage not follow the reservation

Cause: `make demo` in a fresh clone left 14 jobs unfinished. The stand-in drew a task's usage as a factor of what was reserved for it, and the engine reserves what was used: both grew until each task of 1 core held a whole worker of 30.

Ruled out: the killed daemon (it owned no partition) and a lost start (all open tasks were running or waited for room).

Change: usage is a factor of the size at the first start of a task name, as a real program's usage does not depend on its reservation.

--- a/tests/standins/worker.py
+++ b/tests/standins/worker.py
@@ -204,6 +204,7 @@
     """Serves the workers until the process is stopped."""
     host, _, base = options.listen_base.rpartition(':')
     workers = []
+    first_sizes: dict[str, tuple[int, int]] = {}
     for index in range(options.count):
         worker = WorkerStandIn(
             WorkerOptions(
@@ -215,6 +216,7 @@
                 seed=options.seed,
                 run_time_range=tuple(options.run_time_range),
                 unknown_run_ms=options.unknown_run_ms,
+                first_sizes=first_sizes,
             )
         )
         await worker.listen(host, int(base) + index)
--- a/tests/standins/worker_model.py
+++ b/tests/standins/worker_model.py
@@ -25,7 +25,12 @@
 
 @dataclass(slots=True)
 class WorkerOptions:
-    """Shape and behaviour of a worker; factors are drawn from ranges."""
+    """Shape and behaviour of a worker; factors are drawn from ranges.
+
+    `first_sizes` has the processor and memory of the first start of each task
+    name. Usage is a factor of these: if it followed the reservation, which
+    follows the usage, both would grow without end.
+    """
 
     rack: str = 'r1'
     data_centre: str = 'dc1'
@@ -34,6 +39,7 @@
     accelerators: int = 0
     seed: int = 1
     usage_range: tuple[float, float] = (0.2, 5.0)
+    first_sizes: dict[str, tuple[int, int]] = field(default_factory=dict)
     run_time_range: tuple[float, float] = (1.0, 1.0)
     report_lag_ms: int = 1_000
     unknown_run_ms: int = 0
@@ -208,6 +214,10 @@
             f'{self.options.seed}:{task["task_id"]}:{task["attempt"]}'
         )
         usage_factor = random.uniform(*self.options.usage_range)
+        self.options.first_sizes.setdefault(
+            task['name'],
+            (task['cpu_milli'], task['memory_mb']),
+        )
         run_ms = task['run_time_ms'] or self.options.unknown_run_ms
         run_ms *= random.uniform(*self.options.run_time_range)
         execution = Execution(
@@ -239,14 +249,19 @@
         lag_ms = self.options.report_lag_ms
         run_ms = max(0, int(until_ms - execution.start_ms) - lag_ms)
         factor = attempt.usage_factor if run_ms else 0
+        first_sizes = self.options.first_sizes
+        first_cpu, first_memory = first_sizes[attempt.task['name']]
+        cpu_milli = int(first_cpu * factor)
+        memory_mb = int(first_memory * factor)
         if attempt.is_throttled:
-            factor = min(factor, 1)
+            cpu_milli = min(cpu_milli, execution.cpu_milli)
+            memory_mb = min(memory_mb, execution.memory_mb)
         return {
             'task_id': key[0],
             'attempt': key[1],
             'state': attempt.state,
-            'cpu_milli': int(execution.cpu_milli * factor),
-            'memory_mb': int(execution.memory_mb * factor),
+            'cpu_milli': cpu_milli,
+            'memory_mb': memory_mb,
             'run_ms': run_ms,
             'lease_until_ms': int(attempt.lease_until_ms),
             'report_age_ms': lag_ms,
