Take the least free worker in packing_first

It compared 4 workers for each task and took the one that the task balanced best, which often was a little used one that could have become empty.

Change: one candidate, the least free worker that fits; the demands that are compared still complement it.

At low load first fit in a fixed order still empties more workers.

--- a/src/radishlift/placement/policies.py
+++ b/src/radishlift/placement/policies.py
@@ -210,7 +210,6 @@
         score_complement,
         preempt_for_urgent,
         backfill_before_start,
-        candidates_count=4,
         compared_count=8,
     ),
 )
