--- a/benchmarks/bench_policies.py
+++ b/benchmarks/bench_policies.py
@@ -1,26 +1,19 @@
 """Waiting time and packing of the policies on traces of each department.
 
-A small discrete-time driver runs the engine; tasks take up the simulated time
-that the trace says, which differs from what their jobs declare.
+A small discrete-time driver runs the engine over simulated time.
 """
 
-import heapq
 import random
 from collections.abc import Iterator
-from itertools import count
 from math import ceil
 from typing import Final
 
 from benchmarks.bench_placement import CAPACITIES, make_workers
 from benchmarks.harness import BENCHMARKS, Bound, Figure, at_most
+from benchmarks.policy_simulation import Simulation
 from benchmarks.policy_traces import (
-    LOAD_RATIO,
     SHAPES,
-    TRACE_MS,
-    WARM_UP_MS,
     WORKERS_COUNT,
-    TracedJob,
-    make_trace,
     pick,
 )
 from radishlift.config.document import ConfigDocument, Department
@@ -28,7 +21,6 @@
     ConfigVersion,
     DepartmentName,
     JobId,
-    TaskId,
     TeamName,
 )
 from radishlift.placement.engine import PlacementEngine
@@ -36,12 +28,7 @@
     JobKind,
     JobSpec,
     Priority,
-    TaskState,
-    UsageReport,
-    job_id_of,
 )
-from radishlift.placement.orders import Order, OrderKind
-from radishlift.placement.records import TaskPlaced
 from radishlift.placement.state import PartitionState
 
 SEEDS: Final = (1, 2, 3)
@@ -49,133 +36,11 @@
 """The weights of `packing_first` were chosen on seeds 1 to 8 and 17 to 40."""
 CHURN_LOAD_RATIO: Final = 0.6
 """Leaves a policy the choice of workers; at 0.95 all of them are in use."""
-TICK_MS: Final = 20
-STOP_MS: Final = 100
-"""Time from a stop order until the attempt has ended."""
-REPORT_INTERVAL_MS: Final = 1_000
 URGENT_BOUND_MS: Final = 1_800
 PACKING_BOUND_RATIO: Final = 1.05
 PERCENTILE: Final = 0.99
 
 
-class Simulation:
-    """Runs a trace over one engine in steps of simulated time."""
-
-    def __init__(
-        self,
-        department: str,
-        policy: str,
-        seed: int,
-        load_ratio: float = LOAD_RATIO,
-    ) -> None:
-        trace = make_trace(department, seed, load_ratio)
-        self.jobs = {job.spec.job_id: job for job in trace}
-        self.capacity = CAPACITIES[department]
-        self.now_ms = 0
-        self.used_count = 0
-        self.least_count = 0
-        self.waits_ms: dict[Priority, list[int]] = {}
-        self.ended_counts: dict[TaskState, int] = {}
-        # The number keeps entries of one attempt apart: an attempt may end
-        # at the moment at which its stop takes effect.
-        self._ends: list[tuple[int, TaskId, int, int, TaskState]] = []
-        self._numbers = count()
-        self._running: dict[tuple[TaskId, int], TaskPlaced] = {}
-        self.state = PartitionState()
-        self.engine = PlacementEngine(self.state, timer=float)
-        departments = {
-            DepartmentName(department): Department(policy=policy),
-        }
-        self.engine.use_config(ConfigDocument(ConfigVersion(1), departments))
-        for worker in make_workers(WORKERS_COUNT, CAPACITIES[department]):
-            self.engine.observe_worker(worker)
-
-    def run(self) -> None:
-        """Runs until the end of the arrivals."""
-        arrivals = iter(self.jobs.values())
-        upcoming = next(arrivals, None)
-        while self.now_ms < WARM_UP_MS + TRACE_MS:
-            while upcoming and upcoming.arrives_at_ms <= self.now_ms:
-                self.engine.accept(upcoming.spec, self.now_ms)
-                upcoming = next(arrivals, None)
-            self._end_attempts()
-            if not self.now_ms % REPORT_INTERVAL_MS:
-                self._report()
-            for record in self.engine.tick(self.now_ms):
-                if isinstance(record, TaskPlaced):
-                    self._start(record)
-            self._apply_orders()
-            if self.now_ms >= WARM_UP_MS:
-                self._count_used_workers()
-            self.now_ms += TICK_MS
-        self._count_waiting()
-
-    def _count_used_workers(self) -> None:
-        workers = self.state.tables.workers
-        self.used_count += sum(bool(tasks) for tasks in workers.tasks)
-        free_cpu_part = sum(workers.free_cpu) / self.capacity.cpu_milli
-        free_memory_part = sum(workers.free_memory) / self.capacity.memory_mb
-        most_free = min(free_cpu_part, free_memory_part)
-        self.least_count += ceil(WORKERS_COUNT - most_free)
-
-    def _start(self, start: TaskPlaced) -> None:
-        job = self.jobs[job_id_of(start.task_id)]
-        self._running[start.task_id, start.attempt] = start
-        end_ms = self.now_ms + job.run_time_ms
-        self._end_later(end_ms, start, TaskState.finished)
-        if start.attempt == 1:
-            self._count_wait(job)
-
-    def _count_wait(self, job: TracedJob) -> None:
-        if job.arrives_at_ms >= WARM_UP_MS:
-            waits_ms = self.waits_ms.setdefault(job.spec.priority, [])
-            waits_ms.append(self.now_ms - job.arrives_at_ms)
-
-    def _count_waiting(self) -> None:
-        """Counts tasks that have not started by the time they waited."""
-        tables = self.state.tables
-        for job in self.jobs.values():
-            row = tables.jobs.row_of.get(job.spec.job_id)
-            if row is None:
-                continue
-            fresh_index = tables.jobs.fresh_index[row]
-            for _ in range(fresh_index, job.spec.task_count):
-                self._count_wait(job)
-
-    def _end_attempts(self) -> None:
-        while self._ends and self._ends[0][0] <= self.now_ms:
-            _, task_id, attempt, _, state = heapq.heappop(self._ends)
-            if self._running.pop((task_id, attempt), None) is not None:
-                self.engine.task_ended(task_id, attempt, state)
-
-    def _apply_orders(self) -> None:
-        for order in self.engine.take_orders():
-            if order.kind is OrderKind.stop:
-                end_ms = self.now_ms + STOP_MS
-                self._end_later(end_ms, order, TaskState.cancelled)
-
-    def _end_later(
-        self,
-        end_ms: int,
-        attempt: TaskPlaced | Order,
-        state: TaskState,
-    ) -> None:
-        number = next(self._numbers)
-        end = (end_ms, attempt.task_id, attempt.attempt, number, state)
-        heapq.heappush(self._ends, end)
-
-    def _report(self) -> None:
-        reports: dict[str, list[UsageReport]] = {}
-        for start in self._running.values():
-            usage = self.jobs[job_id_of(start.task_id)].usage
-            run_ms = self.now_ms - start.placed_at_ms
-            reports.setdefault(start.worker_id, []).append(
-                UsageReport(start.task_id, start.attempt, usage, run_ms, 0),
-            )
-        for worker_id, made in reports.items():
-            self.engine.observe_usage(worker_id, made, self.now_ms)
-
-
 def percentile(numbers: list[int], part: float) -> float:
     """Returns the number that this part of the numbers is below."""
     ordered = sorted(numbers)
