Let a daemon collect garbage rarely

Cause: in a trial with 400 workers, 10,000 running tasks and three bursts of 10,000 jobs the interpreter ran 391 collections of 181 ms in all; the longest paused the loop for 48 ms, while a tick has a budget of 5 ms.

Ruled out: freezing the objects of the start alone (381 collections, 118 ms).

Change: the daemon freezes what its start has made and raises the thresholds.

Measured: 3 collections, 36 ms in all, the longest 22 ms (trial on a shared machine).

--- /dev/null
+++ b/src/radishlift/core/garbage.py
@@ -0,0 +1,30 @@
+"""Settings of the interpreter's garbage collector for a daemon."""
+
+import gc
+from typing import Final
+
+YOUNG_COUNT: Final = 50_000
+"""Objects created until the youngest generation is collected. With the
+interpreter's 700, bursts of 10,000 jobs cause 391 collections, which pause
+the loop for up to 48 ms; with this number 3 collections of up to 22 ms."""
+YOUNG_COLLECTIONS_COUNT: Final = 20
+MIDDLE_COLLECTIONS_COUNT: Final = 100
+
+
+def reduce_collections() -> None:
+    """Excludes the objects made so far and collects new ones rarely.
+
+    The tables of a partition hold many objects and few cycles, so that a
+    collection costs a pause and finds little. Source: the `gc` module's
+    `freeze` and `set_threshold`.
+    """
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(
+        YOUNG_COUNT,
+        YOUNG_COLLECTIONS_COUNT,
+        MIDDLE_COLLECTIONS_COUNT,
+    )
+
+
+__all__ = ('reduce_collections',)
--- a/src/radishlift/daemon/main.py
+++ b/src/radishlift/daemon/main.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 from typing import Final
 
+from radishlift.core.garbage import reduce_collections
 from radishlift.core.logs import setup_logs
 from radishlift.daemon.lifecycle import Daemon
 from radishlift.settings.daemon import DaemonSettings
@@ -49,6 +50,7 @@
 
 async def _run(settings: Settings) -> int:
     daemon = Daemon(settings)
+    reduce_collections()
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, daemon.request_stop)
     loop.add_signal_handler(signal.SIGINT, daemon.request_stop)
