Show latency by request class and waiting by priority

Cause: the demo of the school kits shows a waiting p99 of 2.5 to 3.2 s over all priorities, from which nobody can tell whether urgent work starts in time.

Change: the load tool keeps a histogram for each request class, and the demo prints the waiting times of each priority.

--- a/src/radishlift/load/runner.py
+++ b/src/radishlift/load/runner.py
@@ -35,7 +35,8 @@
     `outcomes` counts `answered`, `not_run`, `unknown`, `ran` (failed after it
     ran), `broken` (no whole answer) and `wrong` (another request's answer).
     `broken_at` counts broken connections by daemon. `submitted_at_ms` has
-    the monotonic time of each job's first submission.
+    the monotonic time of each job's first submission, `job_priorities` its
+    priority. `class_latency_ms` has one histogram for each request class.
     """
 
     outcomes: Counter[str] = field(default_factory=Counter)
@@ -43,20 +44,34 @@
     latency_ms: HdrHistogram = field(
         default_factory=lambda: HdrHistogram(1, _HIGHEST_MS, _DIGITS),
     )
+    class_latency_ms: dict[str, HdrHistogram] = field(default_factory=dict)
     answered_keys: list[str] = field(default_factory=list)
     not_run_tokens: list[str] = field(default_factory=list)
     not_run_ids: list[str] = field(default_factory=list)
     accepted_jobs: list[str] = field(default_factory=list)
     submitted_at_ms: dict[str, float] = field(default_factory=dict)
+    job_priorities: dict[str, str] = field(default_factory=dict)
     broken_at: Counter[str] = field(default_factory=Counter)
 
+    def record_latency(self, class_name: str, elapsed_ms: int) -> None:
+        """Records the latency of an answered request of a class."""
+        histogram = self.class_latency_ms.get(class_name)
+        if histogram is None:
+            histogram = HdrHistogram(1, _HIGHEST_MS, _DIGITS)
+            self.class_latency_ms[class_name] = histogram
+        self.latency_ms.record_value(max(1, elapsed_ms))
+        histogram.record_value(max(1, elapsed_ms))
+
     def summary(self) -> dict[str, Any]:
         """Returns counts and latency percentiles as plain data."""
         return {
             'outcomes': dict(self.outcomes),
             'errors': dict(self.errors),
-            'latency_p50_ms': self.latency_ms.get_value_at_percentile(50),
-            'latency_p99_ms': self.latency_ms.get_value_at_percentile(99),
+            **_percentiles(self.latency_ms),
+            'classes': {
+                name: _percentiles(histogram)
+                for name, histogram in sorted(self.class_latency_ms.items())
+            },
             'accepted_jobs_count': len(self.accepted_jobs),
         }
 
@@ -106,7 +121,7 @@
         self.result.outcomes[outcome] += 1
         is_keyed = request_class.kind is RequestKind.keyed
         if outcome == 'answered':
-            self.result.latency_ms.record_value(max(1, elapsed_ms))
+            self.result.record_latency(request_class.name, elapsed_ms)
             if is_keyed:
                 self.result.answered_keys.append(planned.token)
         elif outcome == 'not_run':
@@ -120,6 +135,7 @@
         headers = {'Content-Type': 'application/json'}
         submitted_at_ms = time.monotonic() * 1000
         self.result.submitted_at_ms[planned.job_id] = submitted_at_ms
+        self.result.job_priorities[planned.job_id] = planned.body['priority']
         # A repeat of the same job id is idempotent, so that a caller whose
         # submission was refused or unknown may send it again.
         for _ in range(_CONNECT_TRIES):
@@ -186,6 +202,13 @@
         return 'not_run'
 
 
+def _percentiles(histogram: HdrHistogram) -> dict[str, int]:
+    return {
+        'latency_p50_ms': histogram.get_value_at_percentile(50),
+        'latency_p99_ms': histogram.get_value_at_percentile(99),
+    }
+
+
 async def _run_plan(
     planned: Sequence[Any],
     send: Callable[[Any], Coroutine[Any, Any, None]],
--- a/tests/demo.py
+++ b/tests/demo.py
@@ -24,6 +24,7 @@
 )
 
 VICTIM = 'd3'
+PRIORITIES = ('urgent', 'high', 'normal', 'low')
 OPTIONS = LoadOptions(
     requests_per_s=200,
     jobs_per_s=12,
@@ -32,6 +33,29 @@
 )
 
 
+def waiting_rows(evidence: Evidence) -> list[tuple[str, int]]:
+    """Returns the longest waiting times of each priority."""
+    rows = []
+    for priority in PRIORITIES:
+        waits_ms = waiting_times_ms(
+            evidence.workers,
+            evidence.results,
+            priority,
+        )
+        p99_ms = round(percentile(waits_ms, 99))
+        rows.append((f'waiting p99 ms, {priority} jobs', p99_ms))
+    return rows
+
+
+def latency_rows(evidence: Evidence) -> list[tuple[str, int]]:
+    """Returns the longest latency of each request class."""
+    histograms = evidence.results[0].class_latency_ms
+    return [
+        (f'latency p99 ms, {name}', histogram.get_value_at_percentile(99))
+        for name, histogram in sorted(histograms.items())
+    ]
+
+
 def show(evidence: Evidence, violations: dict[str, list[str]]) -> None:
     """Prints the table."""
     outcomes = count_outcomes(evidence.results)
@@ -52,6 +76,8 @@
         ('latency p99 ms', latency.get_value_at_percentile(99)),
         ('waiting p50 ms', round(percentile(waits_ms, 50))),
         ('waiting p99 ms', round(percentile(waits_ms, 99))),
+        *waiting_rows(evidence),
+        *latency_rows(evidence),
         ('packing of workers in use', f'{packing_ratio(evidence.workers):.2f}'),
     )
     for name, number in rows:
--- a/tests/system/measures.py
+++ b/tests/system/measures.py
@@ -9,8 +9,12 @@
 def waiting_times_ms(
     workers: Sequence[WorkerRecord],
     results: Sequence[LoadResult],
+    priority: str | None = None,
 ) -> list[float]:
-    """Times from the submission of a job to each task's first start."""
+    """Times from the submission of a job to each task's first start.
+
+    Takes the jobs of one priority, or all without one.
+    """
     first_start_ms: dict[str, float] = {}
     for record in workers:
         for execution in record.executions:
@@ -21,7 +25,11 @@
             )
     submitted_at_ms: dict[str, float] = {}
     for result in results:
-        submitted_at_ms.update(result.submitted_at_ms)
+        submitted_at_ms.update(
+            (job_id, at_ms)
+            for job_id, at_ms in result.submitted_at_ms.items()
+            if priority in {None, result.job_priorities[job_id]}
+        )
     return sorted(
         start_ms - submitted_at_ms[job_id]
         for task_id, start_ms in first_start_ms.items()
