Report answers of keys for as long as their home keeps them

Cause: a report was given up after 60 attempts, which take 15 s while the table service is down. Answers given shortly before a longer outage were lost, and repeats of their keys got "outcome unknown".

Ruled out: more attempts; their duration depends on how the home fails.

Change: a report is repeated for keep_keys_ms with pauses from 250 ms up to 4 s. The setting report_attempts_count is removed.

--- a/src/radishlift/requests/key_reports.py
+++ b/src/radishlift/requests/key_reports.py
@@ -12,14 +12,17 @@
 from radishlift.wire.network import PeerNetwork
 
 _MAX_PENDING: Final = 2_000
-_PAUSE_S: Final = 0.25
+_FIRST_PAUSE_S: Final = 0.25
+_MAX_PAUSE_S: Final = 4.0
 
 
 class KeyReports:
-    """Reports in the background.
+    """Reports in the background, for as long as the home keeps the key.
 
-    A report that is given up leaves its key in flight: repeats then get
-    "outcome unknown", which stays true.
+    A limit by attempts gave up after 15 s, so that answers given shortly
+    before a longer outage of the table service were lost to repeats. A report
+    that is given up leaves its key in flight: repeats then get "outcome
+    unknown", which stays true.
     """
 
     def __init__(
@@ -53,12 +56,17 @@
             task.cancel()
 
     async def _report(self, reported: RequestAnswered | RequestNotSent) -> None:
-        for _ in range(self._settings.report_attempts_count):
-            reply = await self._send(reported)
-            if isinstance(reply, KeyReportTaken):
-                return
-            await asyncio.sleep(_PAUSE_S)
-        log_event('key_report_given_up', level='WARNING', key=reported.key)
+        pause_s = _FIRST_PAUSE_S
+        try:
+            async with asyncio.timeout(self._settings.keep_keys_ms / 1000):
+                while not isinstance(
+                    await self._send(reported),
+                    KeyReportTaken,
+                ):
+                    await asyncio.sleep(pause_s)
+                    pause_s = min(2 * pause_s, _MAX_PAUSE_S)
+        except TimeoutError:
+            log_event('key_report_given_up', level='WARNING', key=reported.key)
 
     async def _send(
         self,
--- a/src/radishlift/requests/settings.py
+++ b/src/radishlift/requests/settings.py
@@ -37,7 +37,6 @@
     kept_answer_bytes: int = bounded(1_024, 0, 65_536)
     kept_keys_count: int = bounded(10_000, 1, 1_000_000)
     keep_keys_ms: int = bounded(900_000, 1_000, 86_400_000)
-    report_attempts_count: int = bounded(60, 1, 10_000)
     retry_burst_count: int = bounded(10, 0, 1_000)
     eject_failures_count: int = bounded(5, 1, 1_000)
     eject_slow_ratio: float = bounded(5.0, 1.1, 1_000)
--- a/tests/requests/test_keyed.py
+++ b/tests/requests/test_keyed.py
@@ -132,6 +132,22 @@
     assert len(made.executions) == 1
 
 
+async def test_answer_is_kept_through_a_long_outage(made, monkeypatch):
+    """Guards against reports that are given up within an outage of 60 s.
+
+    They were after 60 attempts, which took 15 s.
+    """
+    for name in ('_FIRST_PAUSE_S', '_MAX_PAUSE_S'):
+        monkeypatch.setattr(f'radishlift.requests.key_reports.{name}', 0)
+    faults = made.partitions.owned[made.partitions.owner].faults
+    faults += [Fault.none, *(Fault.down for _ in range(200))]
+    first = await ask(made, 'a')
+    await reported(made)
+    assert not faults
+    assert await ask(made, 'b', 2) == first
+    assert len(made.executions) == 1
+
+
 async def test_unconfirmed_intent_dispatches_nothing(made):
     """Guards against a dispatch without a journaled grant."""
     faults = made.partitions.owned[made.partitions.owner].faults
