Refuse a keyed request as not run when its intent was surely not sent

Cause: the first keyed requests of an outage were answered "outcome unknown".

Ruled out: telling waiters at the first failed flush. A table service that refuses one write over its rate limit would then cost requests that the next flush accepts.

Change: PartitionLog.commit withdraws the last record when it is not journaled in time, was in no row that may have been written, and its state can undo it; the failure is then store_unavailable. The home waits three quarters of the entry daemon's time, so that this reaches the caller before its deadline. Waits at a withdrawn position end as unknown, since they may depend on earlier records that were sent; before they said "not written". Later waits at such a position are for the records before it; before they would not have ended.

Conclusion: "not run" is told where it is provable for keyed requests. Job submissions are unchanged.

--- a/src/radishlift/journal/api.py
+++ b/src/radishlift/journal/api.py
@@ -1,6 +1,6 @@
 """Interface of state that is rebuilt from the journal."""
 
-from typing import Any, ClassVar, Protocol
+from typing import Any, ClassVar, Protocol, runtime_checkable
 
 
 class JournaledState(Protocol):
@@ -22,4 +22,14 @@
         """Replaces the state by that of a snapshot."""
 
 
-__all__ = ('JournaledState',)
+@runtime_checkable
+class UndoableState(JournaledState, Protocol):
+    """State that can take back records that no later record depends on."""
+
+    undo_types: ClassVar[tuple[type, ...]]
+
+    def undo(self, record: Any) -> None:
+        """Changes the state as if the record had never been applied."""
+
+
+__all__ = ('JournaledState', 'UndoableState')
--- a/src/radishlift/journal/durability.py
+++ b/src/radishlift/journal/durability.py
@@ -11,15 +11,16 @@
 class DurabilityTracker:
     """Tracks by position which records of a journal are durable.
 
-    Up to `durable_position` records are durable. After the journal closed,
-    those up to `unknown_position` may have been written by its last row, and
-    later ones certainly were not.
+    Up to `durable_position` records are durable or were withdrawn. After the
+    journal closed, those up to `unknown_position` may have been written by
+    its last row, and later ones certainly were not.
     """
 
     def __init__(self) -> None:
         self.durable_position = 0
         self.closed: Failure | None = None
         self._unknown_position = 0
+        self._withdrawn: set[int] = set()
         self._waiters: list[tuple[int, asyncio.Future[Failure | None]]] = []
 
     async def wait(self, position: int, timeout_ms: int) -> Failure | None:
@@ -40,14 +41,24 @@
 
     def mark_durable(self, position: int) -> None:
         """Marks all records up to a position as durable."""
+        while position + 1 in self._withdrawn:
+            position += 1
+            self._withdrawn.discard(position)
         self.durable_position = position
         self._finish(0, position, None)
 
     def withdraw(self, first: int, last: int) -> None:
-        """Tells waiters that the records certainly are not written."""
-        reason = 'records were withdrawn before they were sent'
-        failure = Failure(ErrorKind.store_unavailable, reason)
+        """Ends the waits at these positions, with an unknown outcome.
+
+        A waiter there may depend on earlier records that were sent, so it
+        can't be told that nothing was written. Later waits at these positions
+        are for the records before them.
+        """
+        reason = 'a record was withdrawn before it was sent'
+        failure = Failure(ErrorKind.store_outcome_unknown, reason)
         self._finish(first, last, failure)
+        self._withdrawn.update(range(first, last + 1))
+        self.mark_durable(self.durable_position)
 
     def close(self, failure: Failure, unknown_position: int = 0) -> None:
         """Ends the journal; nothing becomes durable any more."""
--- a/src/radishlift/partitions/api.py
+++ b/src/radishlift/partitions/api.py
@@ -25,8 +25,8 @@
     ) -> Failure | None:
         """Applies records to the state and waits until they are journaled.
 
-        Fails with `store_unavailable` or `not_owner` when the records are
-        certainly not journaled and were not applied, and with
+        Fails with `store_unavailable` or `not_owner` when the last record is
+        certainly not journaled and does not count, and with
         `store_outcome_unknown` when the time ends before that is known; the
         journal goes on to settle such records.
         """
--- a/src/radishlift/partitions/log.py
+++ b/src/radishlift/partitions/log.py
@@ -75,7 +75,9 @@
     ) -> Failure | None:
         """Applies records and waits until they are journaled.
 
-        See `OwnedPartition.commit` for the failures.
+        See `OwnedPartition.commit` for the failures. The last record is taken
+        back if it is not journaled in time, was not sent and can be undone;
+        the records before it then stay and are journaled later.
         """
         refusal = self.journal.refusal()
         if refusal is not None:
@@ -83,7 +85,19 @@
         failure = self.apply(records)
         if failure is not None:
             return failure
-        return await self.journal.wait_durable(self.last_position, timeout_ms)
+        position = self.last_position
+        failure = await self.journal.wait_durable(position, timeout_ms)
+        if failure is None or not self._take_back(records[-1], position):
+            return failure
+        reason = f'not journaled in {timeout_ms} ms, and taken back'
+        return Failure(ErrorKind.store_unavailable, reason)
+
+    def _take_back(self, change: Any, position: int) -> bool:
+        state = self._states.undoable(change)
+        if state is None or not self.journal.withdraw(position, position):
+            return False
+        state.undo(change)
+        return True
 
 
 __all__ = ('Effect', 'PartitionLog')
--- a/src/radishlift/partitions/states.py
+++ b/src/radishlift/partitions/states.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Sequence
 from typing import Any, TypeVar
 
-from radishlift.journal.api import JournaledState
+from radishlift.journal.api import JournaledState, UndoableState
 from radishlift.partitions.hand_off_state import HandOffs
 from radishlift.partitions.owners import OwnerHistory
 from radishlift.placement.state import PartitionState
@@ -46,6 +46,13 @@
         """Applies a record to the state that takes its type."""
         self._state_of[type(change)].apply(change)
 
+    def undoable(self, change: Any) -> UndoableState | None:
+        """Returns the state that can take a record back, if it can."""
+        state = self._state_of[type(change)]
+        if isinstance(state, UndoableState):
+            return state if type(change) in state.undo_types else None
+        return None
+
     def dump(self) -> dict[str, Any]:
         """Returns all states as plain data for a snapshot."""
         return {type(state).__name__: state.dump() for state in self.all}
--- a/src/radishlift/requests/homes.py
+++ b/src/radishlift/requests/homes.py
@@ -125,7 +125,7 @@
         try:
             failure = await partition.commit(
                 records,
-                self._settings.home_call_ms,
+                min(self._settings.home_call_ms, _grant_ms(asked)),
             )
         finally:
             self._granting.discard(asked.key)
@@ -153,6 +153,12 @@
             event.set()
 
 
+def _grant_ms(asked: IntentRequest) -> int:
+    # Leaves time to tell the caller before its deadline that an intent which
+    # could not be journaled was taken back.
+    return asked.wait_ms * 3 // 4
+
+
 def _known_outcome(
     entry: KeyEntry | None,
     asked: IntentRequest,
--- a/src/radishlift/requests/idempotency.py
+++ b/src/radishlift/requests/idempotency.py
@@ -83,6 +83,7 @@
         RequestNotSent,
         RequestsForgotten,
     )
+    undo_types: ClassVar[tuple[type, ...]] = (RequestIntent,)
 
     def __init__(self) -> None:
         # In the order of the intents, so that the oldest come first.
@@ -112,6 +113,11 @@
         elif isinstance(applied, RequestsForgotten):
             self._forget(applied)
 
+    def undo(self, intent: RequestIntent) -> None:
+        """Takes back an intent, unless a later record removed it."""
+        if self._in_flight(intent.key, intent.nonce) is not None:
+            self._entries.pop(intent.key)
+
     def dump(self) -> Any:
         """Returns the keys as plain data, the oldest first."""
         return [dump_plain(entry) for entry in self._entries.values()]
