Let lower request classes age under urgent load

Cause: the queue served classes strictly in their order, so that under sustained urgent load the others were never served.

Ruled out: ordering by arrival plus an allowance per class, which gives lower classes their full part of a saturated service and so no longer serves urgent ones first. Admission by the requests that wait now, which ignores the urgent ones that go on to arrive and admits too many of the others.

Change: after half of its longest wait a lower request is served before more urgent ones, in one of 8 turns. The setting max_wait_ms of a service bounds the wait of any request (default 5 s); admission counts on the part of the turns that lower classes got lately. A quarter of a full queue is kept for them, because a request that is shed can't age.

--- a/src/radishlift/config/document.py
+++ b/src/radishlift/config/document.py
@@ -43,6 +43,7 @@
     """A service whose executors answer requests of callers.
 
     `urgent_classes` are the request classes that are shed last, in order.
+    `max_wait_ms` bounds the wait of a request of any class for a slot.
     """
 
     department: str
@@ -52,6 +53,7 @@
     default_deadline_ms: int = bounded(5_000, 100, 600_000)
     max_body_bytes: int = bounded(1_048_576, 1, 67_108_864)
     max_queue_count: int = bounded(256, 0, 100_000)
+    max_wait_ms: int = bounded(5_000, 10, 600_000)
     retry_budget_ratio: float = bounded(0.1, 0, 1)
     max_ejected_ratio: float = bounded(0.3, 0, 0.9)
     urgent_classes: tuple[str, ...] = ()
--- a/src/radishlift/config/reference.py
+++ b/src/radishlift/config/reference.py
@@ -45,6 +45,7 @@
     ),
     'service.max_body_bytes': 'longest body of a request',
     'service.max_queue_count': 'requests that wait in one daemon',
+    'service.max_wait_ms': 'longest wait of a request for a slot',
     'service.retry_budget_ratio': 'retries allowed per request',
     'service.max_ejected_ratio': 'share of executors that may be ejected',
     'service.urgent_classes': (
--- a/src/radishlift/requests/places.py
+++ b/src/radishlift/requests/places.py
@@ -15,6 +15,7 @@
 from radishlift.requests.slot_views import SlotView
 from radishlift.requests.slots import SlotAllotments
 from radishlift.requests.wait_queue import Waiter, WaitQueue
+from radishlift.requests.waits import expected_wait_ms, wait_limit
 
 MAX_FORWARDS_COUNT = 3
 
@@ -70,16 +71,16 @@
         return view
 
     def check(self, call: Call) -> Failure | None:
-        """Refuses a call that would wait beyond its deadline."""
+        """Refuses a call that would wait too long, or beyond its deadline."""
         service = call.request.service
-        ahead_count = self._queues[service].ahead_of(call.rank)
+        queue = self._queues[service]
         held_count = max(1, self.slots.held_count(service))
-        mean_ms = self.times.mean_ms(service, call.rank)
-        wait_ms = ahead_count * mean_ms / held_count
+        wait_ms = expected_wait_ms(call, queue, self.times, held_count)
+        limit = wait_limit(call, self.times)
         likely_ms = self.times.likely_ms(service, call.rank)
-        if wait_ms + likely_ms <= call.left_ms:
+        if wait_ms <= limit.limit_ms and likely_ms <= call.left_ms:
             return None
-        reason = f'{ahead_count} requests ahead, {call.left_ms} ms left'
+        reason = f'{len(queue)} requests wait, {call.left_ms} ms left'
         return Failure(ErrorKind.overloaded, reason)
 
     async def find(self, call: Call) -> Place | Failure:
@@ -93,20 +94,29 @@
         if refusal is not None:
             return refusal
         queue = self._queues[call.request.service]
-        waiter = queue.add(call, call.service.max_queue_count)
+        waiter = queue.add(
+            call,
+            call.service.max_queue_count,
+            self._clock.monotonic_ms()
+            + wait_limit(call, self.times).ages_after_ms,
+        )
         if isinstance(waiter, Failure):
             return waiter
         return await self._wait(call, queue, waiter)
 
     def pump(self, service: ServiceName) -> None:
-        """Gives free places to waiting requests, the most urgent first."""
+        """Gives free places to waiting requests in their order."""
         queue = self._queues[service]
         while queue:
-            waiter = queue.first
+            now_ms = self._clock.monotonic_ms()
+            waiter = queue.next(now_ms)
             place = self._place_for(waiter.call)
             if place is None:
                 return
-            queue.discard(waiter)
+            if isinstance(place, Failure):
+                queue.discard(waiter)
+            else:
+                queue.take_turn(waiter, now_ms)
             waiter.future.set_result(place)
 
     def pump_all(self) -> None:
@@ -141,8 +151,10 @@
         queue: WaitQueue,
         waiter: Waiter,
     ) -> Place | Failure:
+        max_wait_ms = call.service.max_wait_ms
+        timeout_ms = min(call.left_ms, max_wait_ms)
         try:
-            await asyncio.wait({waiter.future}, timeout=call.left_ms / 1000)
+            await asyncio.wait({waiter.future}, timeout=timeout_ms / 1000)
         except asyncio.CancelledError:
             self._return_place(waiter)
             raise
@@ -151,6 +163,9 @@
         if waiter.future.done():
             place: Place | Failure = waiter.future.result()
             return place
+        if call.left_ms > 0:
+            reason = f'no slot within {max_wait_ms} ms'
+            return Failure(ErrorKind.overloaded, reason)
         return Failure(ErrorKind.deadline_passed, 'no slot before the deadline')
 
     def _return_place(self, waiter: Waiter) -> None:
--- a/src/radishlift/requests/wait_queue.py
+++ b/src/radishlift/requests/wait_queue.py
@@ -1,22 +1,41 @@
-"""The bounded queue of one service's requests that wait for a slot."""
+"""The bounded queue of one service's requests that wait for a slot.
+
+Classes are served in the order of their urgency. A waiter of a lower class
+ages: after half of its longest wait it is served before more urgent ones, in
+one of `AGED_TURNS` turns, so that urgent load can't keep it waiting for ever
+and aged load can't push urgent classes back by more than that part.
+"""
 
 import asyncio
 from dataclasses import dataclass, field
 from itertools import count
-from typing import Any
+from typing import Any, Final
 
 from sortedcontainers import SortedList
 
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.requests.calls import Call
 
+# One turn in 8 leaves the urgent classes seven eighths of the capacity when
+# they alone could use all of it.
+AGED_TURNS: Final = 8
+# A quarter of a full queue stays open to lower classes, because a waiter that
+# is shed can't age.
+_RESERVED_DIVISOR: Final = 4
+# The weight of one turn in the share of the most urgent class.
+_SHARE_GAIN: Final = 1 / 64
+
 
 @dataclass(slots=True)
 class Waiter:
-    """A waiting request; its future gets a place or a failure."""
+    """A waiting request; its future gets a place or a failure.
+
+    `first_at_ms` is when it has aged.
+    """
 
     call: Call
     sequence: int
+    first_at_ms: int
     future: 'asyncio.Future[Any]' = field(repr=False)
 
     @property
@@ -30,16 +49,34 @@
 
     def __init__(self) -> None:
         self._waiters: SortedList = SortedList(key=_order)
+        self._lower: SortedList = SortedList(key=_age)
         self._sequences = count()
+        self._passed_count = 0
+        self._urgent_share: float = 0
 
     def __len__(self) -> int:
         return len(self._waiters)
 
+    @property
+    def lower_count(self) -> int:
+        """Counts the waiters that are not of the most urgent class."""
+        return len(self._lower)
+
+    @property
+    def lower_share(self) -> float:
+        """Returns the part of the turns that lower classes can expect."""
+        return max(1 - self._urgent_share, 1 / AGED_TURNS)
+
     def ahead_of(self, rank: int) -> int:
         """Counts the waiters that would be served before a new one."""
         return int(self._waiters.bisect_key_left((rank + 1, -1)))
 
-    def add(self, call: Call, limit: int) -> Waiter | Failure:
+    def add(
+        self,
+        call: Call,
+        limit: int,
+        first_at_ms: int = 0,
+    ) -> Waiter | Failure:
         """Adds a waiter unless the queue is full of more urgent ones.
 
         A call that waits again keeps its first place.
@@ -47,31 +84,69 @@
         if call.sequence is None:
             call.sequence = next(self._sequences)
         loop = asyncio.get_running_loop()
-        waiter = Waiter(call, call.sequence, loop.create_future())
-        if len(self._waiters) >= limit:
-            last = self._waiters[-1] if self._waiters else None
-            if last is None or last.order < waiter.order:
-                reason = f'{len(self._waiters)} requests are waiting'
-                return Failure(ErrorKind.overloaded, reason)
-            self._waiters.remove(last)
-            reason = 'shed for a more urgent request'
-            last.future.set_result(Failure(ErrorKind.overloaded, reason))
+        waiter = Waiter(call, call.sequence, first_at_ms, loop.create_future())
+        failure = self._make_room(waiter, limit)
+        if failure is not None:
+            return failure
         self._waiters.add(waiter)
+        if call.rank:
+            self._lower.add(waiter)
         return waiter
 
     def discard(self, waiter: Waiter) -> None:
         """Removes a waiter that stopped waiting."""
         self._waiters.discard(waiter)
-
-    @property
-    def first(self) -> Waiter:
-        """Returns the first waiter of a queue that is not empty."""
-        waiter: Waiter = self._waiters[0]
-        return waiter
+        self._lower.discard(waiter)
+
+    def next(self, now_ms: int) -> Waiter:
+        """Returns whose turn it is, of a queue that is not empty."""
+        first: Waiter = self._waiters[0]
+        aged = self._aged(now_ms)
+        if aged is None or aged.call.rank <= first.call.rank:
+            return first
+        return aged if self._passed_count >= AGED_TURNS - 1 else first
+
+    def take_turn(self, waiter: Waiter, now_ms: int) -> None:
+        """Removes a waiter that got a place and counts its turn."""
+        aged = self._aged(now_ms)
+        is_passed = aged is not None and waiter.call.rank < aged.call.rank
+        self._passed_count = self._passed_count + 1 if is_passed else 0
+        change = (not waiter.call.rank) - self._urgent_share
+        self._urgent_share += _SHARE_GAIN * change
+        self.discard(waiter)
+
+    def _aged(self, now_ms: int) -> Waiter | None:
+        oldest: Waiter | None = self._lower[0] if self._lower else None
+        if oldest is None or oldest.first_at_ms > now_ms:
+            return None
+        return oldest
+
+    def _make_room(self, waiter: Waiter, limit: int) -> Failure | None:
+        reason = f'{len(self._waiters)} requests are waiting'
+        full = Failure(ErrorKind.overloaded, reason)
+        has_lower = bool(waiter.call.service.urgent_classes)
+        reserved_count = limit // _RESERVED_DIVISOR if has_lower else 0
+        most_urgent_count = len(self._waiters) - len(self._lower)
+        is_lower = waiter.call.rank > 0
+        if not is_lower and most_urgent_count >= limit - reserved_count:
+            return full
+        if len(self._waiters) < limit:
+            return None
+        last = self._waiters[-1] if self._waiters else None
+        if last is None or last.order < waiter.order:
+            return full
+        self.discard(last)
+        reason = 'shed for a more urgent request'
+        last.future.set_result(Failure(ErrorKind.overloaded, reason))
+        return None
 
 
 def _order(waiter: Waiter) -> tuple[int, int]:
     return waiter.order
 
 
-__all__ = ('WaitQueue', 'Waiter')
+def _age(waiter: Waiter) -> tuple[int, int]:
+    return (waiter.first_at_ms, waiter.sequence)
+
+
+__all__ = ('AGED_TURNS', 'WaitQueue', 'Waiter')
--- a/tests/requests/test_router.py
+++ b/tests/requests/test_router.py
@@ -183,6 +183,22 @@
         await running
 
 
+async def test_wait_ends_at_its_bound(ports):
+    """Guards against requests that wait longer than the service allows."""
+    async with fleet(
+        ports, 'a', 1, service_ms=400, config=config(max_wait_ms=50)
+    ) as made:
+        daemon = made.daemons['a']
+        running = asyncio.create_task(ask_all([daemon], range(8)))
+        await wait_until(lambda: made.executors[0].running == 8)
+        refused = await daemon.router.handle(request(9))
+        assert not running.done()
+        assert refused.kind is ErrorKind.overloaded
+        assert '50 ms' in refused.reason
+        await running
+        assert not ran(made.executions, 'r9')
+
+
 @pytest.mark.parametrize(
     ('options', 'kind'),
     [
