Let the loops of a daemon without open jobs sleep longer

Cause: a daemon at rest woke 137 times a second. The loop over the partitions slept twice for each idle tick, ten times a second, and the hand-offs were looked for five times a second, also without partitions. The host list was read 2.6 times a second, because two loops of 500 ms drifted.

The host list is read every second; executors that leave are noticed within 1.5 s of their listing, under the goal of 2 s.

Ruled out: longer ticks with open jobs (ageing and lease work need them).

--- a/src/radishlift/partitions/hand_offs.py
+++ b/src/radishlift/partitions/hand_offs.py
@@ -45,6 +45,7 @@
         """Hands off jobs until cancelled."""
         while True:
             await self.step()
+            await self._partitions.pace.wait_until_busy()
             await asyncio.sleep(self._settings.hand_off_interval_ms / 1000)
 
     async def step(self) -> None:
--- a/src/radishlift/partitions/open_partition.py
+++ b/src/radishlift/partitions/open_partition.py
@@ -109,8 +109,22 @@
         passed_ms = now_ms - self._last_tick_ms
         if self._is_dirty:
             return passed_ms >= settings.tick_interval_ms
+        if self.is_quiet:
+            return passed_ms >= settings.quiet_interval_ms
         return passed_ms >= settings.idle_interval_ms
 
+    @property
+    def is_quiet(self) -> bool:
+        """Tells whether nothing happens here unless a caller asks for it.
+
+        A journal that refuses must be probed, so that the partition takes
+        jobs again soon after an outage.
+        """
+        tables = self.states.placement.tables
+        has_jobs = len(tables.jobs.row_of) > len(tables.ended_jobs)
+        is_done = not (has_jobs or tables.holds or self.states.hand_offs.open)
+        return is_done and self.log.journal.refusal() is None
+
     def tick(self) -> Failure | None:
         """Runs the engine once and appends its records.
 
--- a/src/radishlift/partitions/partitions.py
+++ b/src/radishlift/partitions/partitions.py
@@ -9,6 +9,7 @@
 from radishlift.core.logs import log_event
 from radishlift.ownership.api import OwnerClaim
 from radishlift.partitions.messages import DropPartition, PartitionDropped
+from radishlift.partitions.pace import Pace
 from radishlift.partitions.parts import DaemonParts
 from radishlift.partitions.runner import PartitionRunner
 from radishlift.partitions.spread import spread_workers
@@ -38,6 +39,7 @@
         self._starts: set[asyncio.Task[Failure | None]] = set()
         self._pauses: set[asyncio.Task[None]] = set()
         self._hosts: tuple[Host, ...] | None = None
+        self.pace = Pace(parts, self._runners)
         parts.network.register(DropPartition, self._drop)
 
     def get(self, partition_id: PartitionId) -> PartitionRunner | None:
@@ -102,8 +104,10 @@
             activity.clear()
             self.drive()
             if not activity.is_set():
-                await _wait(activity, settings.idle_interval_ms)
-            await asyncio.sleep(settings.tick_interval_ms / 1000)
+                await self.pace.wait()
+            # Without news there is nothing to collect for a common tick.
+            if activity.is_set():
+                await asyncio.sleep(settings.tick_interval_ms / 1000)
 
     def drive(self) -> None:
         """Ticks the partitions that are due and begins due flushes."""
@@ -177,12 +181,4 @@
     return opened.log.has_pending
 
 
-async def _wait(event: asyncio.Event, timeout_ms: int) -> None:
-    try:
-        async with asyncio.timeout(timeout_ms / 1000):
-            await event.wait()
-    except TimeoutError:
-        return
-
-
 __all__ = ('Partitions',)
--- a/src/radishlift/partitions/settings.py
+++ b/src/radishlift/partitions/settings.py
@@ -10,15 +10,17 @@
 class PartitionSettings:
     """Intervals and timeouts of partitions and of the job router.
 
-    A partition with work is ticked every `tick_interval_ms`, one without
-    every `idle_interval_ms`. Jobs that wait for room are handed off every
-    `hand_off_interval_ms`. A former owner is asked every
+    A partition with work is ticked every `tick_interval_ms`, one whose jobs
+    wait or run every `idle_interval_ms`, and one without jobs every
+    `quiet_interval_ms` and as soon as it gets one. Jobs that wait for room
+    are handed off every `hand_off_interval_ms`. A former owner is asked every
     `evidence_interval_ms` whether it has stopped. A partition that could not
     be recovered is given up after `failed_pause_ms`.
     """
 
     tick_interval_ms: int = bounded(5, 1, 1_000)
     idle_interval_ms: int = bounded(100, 1, 10_000)
+    quiet_interval_ms: int = bounded(1_000, 1, 10_000)
     recover_retry_ms: int = bounded(200, 1, 60_000)
     failed_pause_ms: int = bounded(10_000, 1, 600_000)
     evidence_interval_ms: int = bounded(1_000, 10, 60_000)
--- a/src/radishlift/settings/daemon.py
+++ b/src/radishlift/settings/daemon.py
@@ -39,7 +39,7 @@
     object_address: str
     host_list_address: str
     timeout_ms: int = bounded(1_500, 10, 60_000)
-    host_list_interval_ms: int = bounded(500, 50, 60_000)
+    host_list_interval_ms: int = bounded(1_000, 50, 60_000)
 
 
 __all__ = ('DaemonSettings', 'PlatformSettings')
