Share team quotas over the cell

Cause: each partition applied a part of a team's quota in proportion to its workers, so that a small quota fell below one task and a team whose jobs are in one partition could not use its quota.

Ruled out: shares moved directly between partitions in rows of the table service, as slots are, since 550 teams in 100 partitions that change demand need more writes than the service takes; one row per team for the same reason; a home by hash over the configured partitions, since a changed set of partitions would make two homes of a team.

Change: the home of a team journals the share of each partition. An entry changes only by messages of its partition, ordered by epoch and serial: it shrinks after the holder has stopped using the rest and its ends are durable, and grows before the holder is told. What a holder may use is therefore never more than its entry, whoever dies, pauses or is cut. The homes are named by one row that is written once. Idle shares return after one to two seconds; hints make holders above their fair part return what others wait for. After a lowered quota a holder starts nothing until the home says that all are within it. A limit that is new grants nothing until each partition has told its use. The configuration now reaches the partitions when it changes; before, it did only with a changed host list.

Also a probe of a quarantined worker could start a task of a team over its quota; it now respects the share. Gang holds count as use. `explain` tells used, share and quota.

--- a/src/radishlift/daemon/control.py
+++ b/src/radishlift/daemon/control.py
@@ -20,6 +20,7 @@
 from radishlift.partitions.settings import PartitionSettings
 from radishlift.partitions.states import StateFactory
 from radishlift.placement.settings import PlacementSettings
+from radishlift.quotas.settings import QuotaSettings
 from radishlift.report.metrics import Indicator, MetricsTable
 from radishlift.report.settings import ReportSettings
 from radishlift.workers.client import WorkerClient
@@ -119,6 +120,7 @@
                 settings.get(PlacementSettings),
                 settings.get(WorkerSettings),
                 settings.get(PartitionSettings),
+                settings.get(QuotaSettings),
             ),
             state_factories=state_factories,
             observe_waiting=self._observe_waiting,
--- a/src/radishlift/daemon/jobs.py
+++ b/src/radishlift/daemon/jobs.py
@@ -15,6 +15,7 @@
 from radishlift.partitions.loads import SUMMARY_NAME, LoadBoard
 from radishlift.partitions.settings import PartitionSettings
 from radishlift.partitions.sizes import SIZES_NAME, SizeBoard
+from radishlift.quotas.sync import ShareSync
 
 _ABSORB_INTERVAL_S: Final = 1.0
 
@@ -34,6 +35,12 @@
         caller = HomeCaller(control.parts, lookup)
         self.router = JobRouter(caller, lookup, self._loads)
         self.server = JobServer(base.network, control.partitions)
+        self.share_sync = ShareSync(
+            control.parts,
+            control.partitions,
+            lookup,
+            control.config,
+        )
         self.hand_off_sender = HandOffSender(
             control.partitions,
             caller,
--- a/src/radishlift/partitions/open_partition.py
+++ b/src/radishlift/partitions/open_partition.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from radishlift.core.errors import ErrorKind, Failure
-from radishlift.core.ids import JobId
+from radishlift.core.ids import ConfigVersion, JobId
 from radishlift.core.logs import log_event
 from radishlift.journal.partition_journal import PartitionJournal
 from radishlift.journal.recovery import Recovered
@@ -20,6 +20,7 @@
 from radishlift.partitions.log import PartitionLog
 from radishlift.partitions.parts import DaemonParts
 from radishlift.partitions.predecessors import PredecessorWatch
+from radishlift.partitions.shares import PartitionShares
 from radishlift.partitions.spread import WorkerAssignment
 from radishlift.partitions.states import PartitionStates
 from radishlift.placement.engine import PlacementEngine
@@ -60,6 +61,12 @@
         self.engine = PlacementEngine(states.placement, settings.placement)
         # Until sizes of other partitions are known any job may fit there.
         self.engine.observe_fleet((ANY_SIZE,))
+        self.shares = PartitionShares(
+            states,
+            self.engine,
+            settings.quotas,
+            claim,
+        )
         self.watch = PredecessorWatch(parts, claim, states.owners)
         tables = states.placement.tables
         self.facts = WorkerFacts(self.engine, tables, parts.clock, self.wake)
@@ -83,7 +90,7 @@
             settings.journal,
         )
         self._closed_jobs: dict[JobId, asyncio.Event] = {}
-        self._rules: tuple[int, float] | None = None
+        self._document_version: ConfigVersion | None = None
         self._is_dirty = True
         self._last_tick_ms = 0
         self._wall_ms = 0
@@ -93,10 +100,11 @@
         self.dispatcher.set_workers(workers.assigned, workers.listed)
         self.facts.assign(workers)
         # The engine builds its queue anew, so it is told of changes only.
-        rules = (workers.document.version, workers.quota_ratio)
-        if rules != self._rules:
-            self._rules = rules
-            self.engine.use_config(workers.document, workers.quota_ratio)
+        if workers.document.version != self._document_version:
+            self._document_version = workers.document.version
+            self.shares.use_document(workers.document)
+            self.engine.use_config(workers.document)
+            self.wake()
 
     def wake(self) -> None:
         """Notes that the next tick has work."""
--- a/src/radishlift/partitions/partitions.py
+++ b/src/radishlift/partitions/partitions.py
@@ -89,6 +89,10 @@
         for partition_id in tuple(self._runners):
             await self.on_lost(partition_id)
 
+    def use_config(self) -> None:
+        """Takes over the present configuration."""
+        self._assign_workers()
+
     def update_hosts(self, hosts: Iterable[Host]) -> None:
         """Takes over the host list."""
         self._hosts = tuple(hosts)
--- a/src/radishlift/partitions/parts.py
+++ b/src/radishlift/partitions/parts.py
@@ -13,6 +13,7 @@
 from radishlift.partitions.states import StateFactory
 from radishlift.placement.settings import PlacementSettings
 from radishlift.platform.api import ObjectStore, TableStore
+from radishlift.quotas.settings import QuotaSettings
 from radishlift.wire.network import PeerNetwork
 from radishlift.workers.client import WorkerClient
 from radishlift.workers.settings import WorkerSettings
@@ -32,6 +33,7 @@
     placement: PlacementSettings = field(default_factory=PlacementSettings)
     workers: WorkerSettings = field(default_factory=WorkerSettings)
     partitions: PartitionSettings = field(default_factory=PartitionSettings)
+    quotas: QuotaSettings = field(default_factory=QuotaSettings)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/radishlift/partitions/spread.py
+++ b/src/radishlift/partitions/spread.py
@@ -23,14 +23,6 @@
     leaving: frozenset[WorkerId]
     document: ConfigDocument
 
-    @property
-    def quota_ratio(self) -> float:
-        """Returns the part of the cell's workers in this partition.
-
-        Capacities of other partitions' workers are not on the host list.
-        """
-        return len(self.assigned) / len(self.listed) if self.listed else 1
-
     def is_open(self, worker_id: WorkerId) -> bool:
         """Tells whether a worker may get new tasks of this partition."""
         return worker_id in self.assigned and worker_id not in self.leaving
--- a/src/radishlift/partitions/states.py
+++ b/src/radishlift/partitions/states.py
@@ -7,6 +7,7 @@
 from radishlift.partitions.hand_off_state import HandOffs
 from radishlift.partitions.owners import OwnerHistory
 from radishlift.placement.state import PartitionState
+from radishlift.quotas.ledger import QuotaLedger
 
 State = TypeVar('State')
 StateFactory = Callable[[], JournaledState]
@@ -23,10 +24,12 @@
         self.placement = PartitionState()
         self.owners = OwnerHistory()
         self.hand_offs = HandOffs()
+        self.quota_ledger = QuotaLedger()
         self.all: tuple[JournaledState, ...] = (
             self.placement,
             self.owners,
             self.hand_offs,
+            self.quota_ledger,
             *(factory() for factory in factories),
         )
         self._state_of: dict[type, JournaledState] = {
--- a/src/radishlift/placement/engine.py
+++ b/src/radishlift/placement/engine.py
@@ -37,6 +37,7 @@
     WorkerInfo,
 )
 from radishlift.placement.orders import Order
+from radishlift.placement.quota_demands import EngineQuotas
 from radishlift.placement.records import JobAccepted
 from radishlift.placement.settings import PlacementSettings
 from radishlift.placement.state import PartitionState
@@ -79,7 +80,7 @@
     time of a tick. It applies each record that `accept` and `tick` return;
     the caller journals them before it lets them take effect. The state has to
     be recovered before the engine is made. `gang_parts` are the steps of
-    gangs that span partitions.
+    gangs that span partitions, `quotas` the shares that limit teams.
     """
 
     def __init__(
@@ -92,6 +93,7 @@
         self._working = Working(state, settings or PlacementSettings())
         self._working.sync_workers()
         self.gang_parts = GangParts(self._working)
+        self.quotas = EngineQuotas(self._working)
         self._repeat_stops()
 
     def accept(self, spec: JobSpec, now_ms: int) -> JobAccepted | Failure:
@@ -188,20 +190,11 @@
         working.records = []
         return records
 
-    def use_config(
-        self,
-        document: ConfigDocument,
-        quota_ratio: float = 1,
-    ) -> None:
-        """Takes over a configuration.
-
-        `quota_ratio` is the part of the cell's capacity in this partition,
-        which gets the same part of each quota.
-        """
+    def use_config(self, document: ConfigDocument) -> None:
+        """Takes over a configuration."""
         working = self._working
         before = working.rules.document
         working.rules.document = document
-        working.rules.quota_ratio = quota_ratio
         if before.departments == document.departments:
             # Most of 75,000 changes a day keep the order of the queue.
             working.queue.wake_all()
--- a/src/radishlift/placement/explanations.py
+++ b/src/radishlift/placement/explanations.py
@@ -13,7 +13,7 @@
     job_id_of,
 )
 from radishlift.placement.partition_tables import PartitionTables
-from radishlift.placement.rules import DIMENSIONS, over_quota
+from radishlift.placement.rules import DIMENSIONS, quota_shortage
 from radishlift.placement.state import PartitionState
 from radishlift.placement.tables import NO_ROW
 from radishlift.placement.working import Working
@@ -153,14 +153,17 @@
 ) -> Explanation | None:
     working = context.working
     spec = working.tables.jobs.spec[job_row]
-    dimension = over_quota(working, spec.team, demand, 1)
-    if dimension:
+    count = 1
+    if spec.kind is JobKind.gang:
+        count = working.tables.jobs.startable_count(job_row)
+    shortage = quota_shortage(working, spec.team, demand, count)
+    if shortage is not None:
         return Explanation(
             task_id,
             ExplanationKind.waits_for_quota,
             TaskState.queued,
-            f'the quota of team {spec.team} in {dimension} is used',
-            dimension,
+            shortage.detail,
+            shortage.dimension,
         )
     held = working.booking.reservation
     if held is None:
--- a/src/radishlift/placement/gang_parts.py
+++ b/src/radishlift/placement/gang_parts.py
@@ -20,7 +20,7 @@
     GangReleased,
     GangReserved,
 )
-from radishlift.placement.rules import over_quota, policy_of
+from radishlift.placement.rules import policy_of, quota_shortage
 from radishlift.placement.systems import SYSTEMS, TickTime
 from radishlift.placement.tables import NO_ROW
 from radishlift.placement.working import Working
@@ -55,10 +55,9 @@
     if job_row != NO_ROW and not is_unstarted(working.tables, job_row):
         return Failure(ErrorKind.conflict, 'the gang has started here')
     count = len(request.indexes)
-    dimension = over_quota(working, spec.team, spec.demand, count)
-    if dimension:
-        reason = f'the quota of team {spec.team} in {dimension} is used'
-        return Failure(ErrorKind.quota_exceeded, reason)
+    shortage = quota_shortage(working, spec.team, spec.demand, count)
+    if shortage is not None:
+        return Failure(ErrorKind.quota_exceeded, shortage.detail)
     rows = _find_workers(working, request)
     if not rows:
         return Failure(ErrorKind.overloaded, 'no room for the part')
--- a/src/radishlift/placement/job_queue.py
+++ b/src/radishlift/placement/job_queue.py
@@ -87,6 +87,10 @@
         group.blocked_by = reason
         self._blocked.add_for_quota(group)
 
+    def waiting_for_quota(self) -> Iterator[tuple[TeamName, Group]]:
+        """Yields the groups that are over the quota of their team."""
+        return self._blocked.waiting_for_quota()
+
     def is_blocked(self, group: Group) -> bool:
         """Tells whether a group still waits and is set aside."""
         return bool(group.blocked_by) and self.head(group) is not None
--- a/src/radishlift/placement/placing.py
+++ b/src/radishlift/placement/placing.py
@@ -9,7 +9,7 @@
 from radishlift.placement.policies import NORMAL_RANK, URGENT_RANK
 from radishlift.placement.queue_groups import Group
 from radishlift.placement.reservations import note_blocked
-from radishlift.placement.rules import over_quota, policy_of, share_of
+from radishlift.placement.rules import policy_of, quota_shortage, share_of
 from radishlift.placement.starts import next_task_row, start_next
 from radishlift.placement.systems import SYSTEMS, TickTime
 from radishlift.placement.tables import NO_ROW, NOTHING
@@ -86,10 +86,10 @@
     count = 1
     if group.key.is_gang:
         count = working.tables.jobs.startable_count(job_row)
-    dimension = over_quota(working, group.key.team, group.key.demand, count)
-    if dimension:
-        reason = f'the quota of team {group.key.team} in {dimension} is used'
-        working.queue.block_for_quota(group, reason)
+    key = group.key
+    shortage = quota_shortage(working, key.team, key.demand, count)
+    if shortage is not None:
+        working.queue.block_for_quota(group, shortage.detail)
         return
     place = _place_gang if group.key.is_gang else _place_task
     if place(working, group, job_row, now_ms):
--- a/src/radishlift/placement/quarantine.py
+++ b/src/radishlift/placement/quarantine.py
@@ -7,6 +7,7 @@
 from radishlift.placement.jobs import JobKind, Priority
 from radishlift.placement.queue_groups import Group
 from radishlift.placement.records import WorkerQuarantined, WorkerReturned
+from radishlift.placement.rules import quota_shortage
 from radishlift.placement.starts import start_next
 from radishlift.placement.systems import SYSTEMS, TickTime
 from radishlift.placement.working import Working
@@ -84,7 +85,10 @@
         is_lower = spec.priority in {Priority.normal, Priority.low}
         is_repeatable = spec.kind is JobKind.batch and spec.max_attempts > 1
         fits = is_within(group.key.demand, capacity)
-        if is_lower and is_repeatable and fits:
+        if not (is_lower and is_repeatable and fits):
+            continue
+        key = group.key
+        if quota_shortage(working, key.team, key.demand, 1) is None:
             return group
     return None
 
--- a/src/radishlift/placement/queue_groups.py
+++ b/src/radishlift/placement/queue_groups.py
@@ -120,6 +120,12 @@
         """Adds a group that waits for its team to use less."""
         self._by_team.setdefault(group.key.team, {})[group.key] = group
 
+    def waiting_for_quota(self) -> Iterator[tuple[TeamName, Group]]:
+        """Yields the groups over a quota with their teams."""
+        for team, groups in self._by_team.items():
+            for group in groups.values():
+                yield team, group
+
     def pop_fitting(self, free: Resources) -> Iterator[Group]:
         """Removes and yields the groups whose demand fits."""
         fitting = [
--- a/src/radishlift/placement/rules.py
+++ b/src/radishlift/placement/rules.py
@@ -1,15 +1,18 @@
 """Rules of the operators' document: policy, share and quota."""
 
+from dataclasses import dataclass
 from typing import Final
 
 from radishlift.config.document import Department
 from radishlift.core.ids import DepartmentName, TeamName
 from radishlift.placement.jobs import JobSpec, Resources
+from radishlift.placement.partition_tables import PartitionTables
 from radishlift.placement.policies import POLICIES, Policy
 from radishlift.placement.working import Working
 
 DEFAULT_DEPARTMENT: Final = Department()
 DEFAULT_POLICY: Final = 'waiting_first'
+_NOTHING: Final = (0, 0, 0)
 DIMENSIONS: Final = ('cpu_milli', 'memory_mb', 'accelerators_count')
 
 
@@ -41,49 +44,78 @@
     return dominant / department_of(working, name).share_weight
 
 
-def quota_of(working: Working, name: TeamName) -> tuple[float, float, float]:
-    """Returns the part of a team's quota for this partition; 0 is no limit.
+@dataclass(frozen=True, slots=True)
+class QuotaShortage:
+    """The dimension in which a team may not use more here, with figures.
 
-    Quotas hold for the cell. `quota_ratio` is this partition's part of its
-    capacity, so that partitions need no agreement for each start.
+    `used` and `share` are those of this partition, `quota` is the cell's.
     """
-    team = working.rules.document.teams.get(name)
-    if team is None:
-        return (0, 0, 0)
-    ratio = working.rules.quota_ratio
-    return (
-        team.cpu_milli * ratio,
-        team.memory_mb * ratio,
-        team.accelerators_count * ratio,
-    )
-
 
-def over_quota(
+    team: TeamName
+    dimension: str
+    used: int
+    share: int
+    quota: int
+
+    @property
+    def detail(self) -> str:
+        """Returns the shortage as a sentence."""
+        if not self.quota:
+            return 'the quotas are not known yet'
+        return (
+            f'the quota of team {self.team} in {self.dimension} is used: '
+            f'{self.used} used of a share of {self.share} in this partition, '
+            f'quota of the cell {self.quota}'
+        )
+
+
+def use_of(tables: PartitionTables, name: TeamName) -> tuple[int, int, int]:
+    """Returns what a team uses here, with what is held for its gangs."""
+    use = tables.team_use.get(name, (0, 0, 0))
+    total = [use[0], use[1], use[2]]
+    for hold in tables.holds.values():
+        if hold.spec.team == name:
+            count = len(hold.members)
+            total[0] += hold.reserved.cpu_milli * count
+            total[1] += hold.reserved.memory_mb * count
+            total[2] += hold.reserved.accelerators_count * count
+    return (total[0], total[1], total[2])
+
+
+def quota_shortage(
     working: Working,
-    team: TeamName,
+    name: TeamName,
     demand: Resources,
     task_count: int,
-) -> str:
-    """Names the dimension of a team's quota that tasks would exceed."""
-    quota = quota_of(working, team)
+) -> QuotaShortage | None:
+    """Tells in which dimension tasks would exceed the team's share.
+
+    Shares are used without agreement for each start; until the operators'
+    document is known nothing that needs one may start.
+    """
+    rules = working.rules
+    team = rules.document.teams.get(name)
+    if rules.shares is not None and not rules.document.version:
+        return QuotaShortage(name, '', 0, 0, 0)
+    if team is None:
+        return None
+    quota = (team.cpu_milli, team.memory_mb, team.accelerators_count)
     if not any(quota):
-        return ''
-    use = working.tables.team_use.get(team, [0, 0, 0])
-    demands = (
-        demand.cpu_milli,
-        demand.memory_mb,
-        demand.accelerators_count,
-    )
-    for name, limit, used, wanted in zip(
-        DIMENSIONS,
-        quota,
-        use,
-        demands,
-        strict=True,
-    ):
-        if limit and used + wanted * task_count > limit:
-            return name
-    return ''
+        return None
+    share = quota if rules.shares is None else rules.shares.get(name, _NOTHING)
+    used = use_of(working.tables, name)
+    wanted = (demand.cpu_milli, demand.memory_mb, demand.accelerators_count)
+    for place, dimension in enumerate(DIMENSIONS):
+        after = used[place] + wanted[place] * task_count
+        if quota[place] and wanted[place] and after > share[place]:
+            return QuotaShortage(
+                name,
+                dimension,
+                used[place],
+                share[place],
+                quota[place],
+            )
+    return None
 
 
 def never_within_quota(working: Working, spec: JobSpec) -> str:
@@ -103,10 +135,11 @@
 
 
 __all__ = (
+    'QuotaShortage',
     'department_of',
     'never_within_quota',
-    'over_quota',
     'policy_of',
-    'quota_of',
+    'quota_shortage',
     'share_of',
+    'use_of',
 )
--- a/src/radishlift/placement/working.py
+++ b/src/radishlift/placement/working.py
@@ -5,6 +5,7 @@
 """
 
 from collections import deque
+from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
 
@@ -14,6 +15,7 @@
     Incarnation,
     JobId,
     TaskId,
+    TeamName,
     WorkerId,
 )
 from radishlift.placement.booking import Booking
@@ -40,10 +42,13 @@
 
 @dataclass(slots=True)
 class Rules:
-    """The operators' document and this partition's part of each quota."""
+    """The operators' document and this partition's share of each quota.
+
+    Without `shares` the partition may use the whole quotas.
+    """
 
     document: ConfigDocument
-    quota_ratio: float = 1
+    shares: Mapping[TeamName, tuple[int, int, int]] | None = None
 
 
 class UsageTracking:
--- /dev/null
+++ b/src/radishlift/quotas/__init__.py
@@ -0,0 +1,1 @@
+"""Team quotas over the cell: shares that move between partitions."""
--- /dev/null
+++ b/src/radishlift/quotas/granting.py
@@ -0,0 +1,64 @@
+"""How much of a team's quota a holder gets; pure functions."""
+
+from collections.abc import Collection
+
+from radishlift.core.ids import PartitionId
+from radishlift.quotas.amounts import Amounts
+from radishlift.quotas.ledger import TeamLedger
+from radishlift.quotas.messages import ShareAsk
+
+
+def fair_share(
+    quota: Amounts,
+    ledger: TeamLedger,
+    claimants: Collection[PartitionId],
+) -> Amounts:
+    """Returns an equal part for each holder that has or wants a share."""
+    holders = {
+        holder for holder, known in ledger.shares.items() if any(known.share)
+    }
+    count = max(1, len(holders | set(claimants)))
+    return (quota[0] // count, quota[1] // count, quota[2] // count)
+
+
+def granted_share(
+    quota: Amounts,
+    ledger: TeamLedger,
+    holder: PartitionId,
+    ask: ShareAsk,
+    waiting: frozenset[PartitionId],
+) -> Amounts:
+    """Returns the share of a holder after its ask.
+
+    It is what the holder keeps, and more if it wants more and at least one
+    unit is free in every limited dimension. While others wait, it grows in
+    whole units up to its fair part, rounded up so that no unit stays unused.
+    """
+    if not any(ask.wanted):
+        return ask.keep
+    total = ledger.total()
+    held = ledger.share_of(holder)
+    is_contended = bool(waiting - {holder})
+    fair = fair_share(quota, ledger, waiting | {holder})
+    extra = [0, 0, 0]
+    for place, limit in enumerate(quota):
+        if not limit:
+            continue
+        unit = ask.unit[place]
+        free = limit - (total[place] - held[place]) - ask.keep[place]
+        wanted = max(ask.wanted[place], unit)
+        if is_contended and unit:
+            fair_units = -(-fair[place] // unit)
+            free = min(free, fair_units * unit - ask.keep[place])
+            free -= max(0, free) % unit
+        if free < unit:
+            return ask.keep
+        extra[place] = max(0, min(free, wanted))
+    return (
+        ask.keep[0] + extra[0],
+        ask.keep[1] + extra[1],
+        ask.keep[2] + extra[2],
+    )
+
+
+__all__ = ('fair_share', 'granted_share')
--- /dev/null
+++ b/src/radishlift/quotas/holder.py
@@ -0,0 +1,248 @@
+"""The shares of one partition and what it asks the homes of teams; pure."""
+
+from collections.abc import Callable, Collection, Mapping
+from random import Random
+from typing import Final
+
+from radishlift.config.document import Team
+from radishlift.core.ids import TeamName
+from radishlift.quotas.amounts import (
+    Amounts,
+    largest,
+    limited_mask,
+    quota_amounts,
+)
+from radishlift.quotas.holding import Holding, TeamDemand
+from radishlift.quotas.messages import ShareAsk, ShareHint, TeamShare
+from radishlift.quotas.settings import QuotaSettings
+
+MAX_ASKS_COUNT: Final = 64
+"""Asks of a partition in one interval. A new owner asks for each team, which
+takes a second at 550 teams instead of one burst."""
+
+Usage = Callable[[TeamName], Amounts]
+
+
+class ShareHolder:
+    """Holds shares of teams for the owner of a partition.
+
+    A new owner begins with what is in use, which is at most what the homes
+    have journaled. `limits` is what placement may use of each limited team;
+    it grows only by the answer to the latest ask.
+    """
+
+    def __init__(
+        self,
+        settings: QuotaSettings,
+        random: Random,
+        wake_team: Callable[[TeamName], None],
+    ) -> None:
+        self.limits: dict[TeamName, Amounts] = {}
+        self._settings = settings
+        self._random = random
+        self._wake_team = wake_team
+        self._holdings: dict[TeamName, Holding] = {}
+        self._unsettled: dict[TeamName, None] = {}
+        self._capped: dict[TeamName, None] = {}
+        self._window_ends_ms = 0
+
+    def use_teams(self, teams: Mapping[TeamName, Team], used: Usage) -> None:
+        """Takes over the quotas of a configuration.
+
+        A new limit begins with what is in use. After a quota was lowered only
+        what is in use is kept, so that nothing starts before the home agrees.
+        """
+        quotas = {name: quota_amounts(team) for name, team in teams.items()}
+        limited = {name: quota for name, quota in quotas.items() if any(quota)}
+        for left in set(self._holdings) - set(limited):
+            self._forget(left)
+        for name, quota in limited.items():
+            known = self._holdings.get(name)
+            if known is None:
+                mask = limited_mask(quota)
+                self._holdings[name] = Holding(mask, used(name), quota)
+                self._note_change(name)
+            elif known.quota != quota:
+                self._change_quota(name, known, quota, used(name))
+
+    def plan(
+        self,
+        now_ms: int,
+        used: Usage,
+        demands: Mapping[TeamName, TeamDemand],
+    ) -> list[ShareAsk]:
+        """Returns the asks that are due, which are then pending.
+
+        What was not used lately is given up here, before a home hears of it.
+        """
+        self._end_caps(now_ms)
+        if now_ms >= self._window_ends_ms:
+            self._window_ends_ms = now_ms + self._settings.return_after_ms
+            self._give_up_idle(used)
+        names = dict.fromkeys((*demands, *self._unsettled))
+        due = [name for name in names if self._is_due(name, now_ms)]
+        asks: list[ShareAsk] = []
+        for name in due[:MAX_ASKS_COUNT]:
+            holding = self._holdings[name]
+            if holding.is_frozen:
+                holding.keep_at_most(used(name))
+            asks.append(holding.form_ask(name, demands.get(name)))
+        return asks
+
+    def is_lowered(self, asks: Collection[ShareAsk]) -> bool:
+        """Tells whether asks give up what the journal may show as used."""
+        return any(
+            ask.team in self._holdings and self._holdings[ask.team].is_lowered
+            for ask in asks
+        )
+
+    def take_answer(
+        self,
+        asks: Collection[ShareAsk],
+        shares: Collection[TeamShare],
+        now_ms: int,
+    ) -> None:
+        """Takes over the answers to asks; to the latest of a team only."""
+        answered = {answer.team: answer for answer in shares}
+        for ask in asks:
+            holding = self._holdings.get(ask.team)
+            if holding is None or holding.pending is not ask:
+                continue
+            holding.pending = None
+            answer = answered.get(ask.team)
+            # Meanwhile a part may have been given up, which the home is
+            # told first.
+            if answer is None or holding.share != ask.keep:
+                self._unsettled[ask.team] = None
+                continue
+            self._settle(ask, holding, answer, now_ms)
+
+    def take_failure(self, asks: Collection[ShareAsk], now_ms: int) -> None:
+        """Asks again later; the home may have taken the asks or not."""
+        for ask in asks:
+            holding = self._holdings.get(ask.team)
+            if holding is not None and holding.pending is ask:
+                holding.pending = None
+                self._unsettled[ask.team] = None
+                holding.back_off(now_ms, self._settings, self._random)
+
+    def postpone(self, asks: Collection[ShareAsk]) -> None:
+        """Takes back asks that were not sent; they are formed anew."""
+        for ask in asks:
+            holding = self._holdings.get(ask.team)
+            if holding is not None and holding.pending is ask:
+                holding.pending = None
+                self._unsettled[ask.team] = None
+
+    def take_hint(self, hint: ShareHint, used: Usage, now_ms: int) -> None:
+        """Gives up what others wait for, and asks at once."""
+        holding = self._holdings.get(hint.team)
+        if holding is None:
+            return
+        holding.ask_now()
+        self._unsettled[hint.team] = None
+        if not hint.is_wanted_elsewhere:
+            return
+        holding.cap = hint.fair
+        holding.cap_ends_ms = now_ms + self._settings.hold_back_ms
+        self._capped[hint.team] = None
+        holding.keep_at_most(used(hint.team))
+        self._set_limit(hint.team, holding)
+
+    def _is_due(self, name: TeamName, now_ms: int) -> bool:
+        holding = self._holdings.get(name)
+        if holding is None or holding.pending is not None:
+            return False
+        return now_ms >= holding.ask_at_ms
+
+    def _settle(
+        self,
+        ask: ShareAsk,
+        holding: Holding,
+        answer: TeamShare,
+        now_ms: int,
+    ) -> None:
+        share = answer.share
+        is_thawed = holding.is_frozen and not answer.is_over
+        holding.share = share
+        holding.is_frozen = answer.is_over
+        holding.is_lowered = False
+        self._unsettled.pop(ask.team, None)
+        if share != ask.keep:
+            holding.sampled = largest(holding.sampled, share)
+        if share != ask.keep or is_thawed:
+            self._wake_team(ask.team)
+        if holding.is_frozen:
+            self._unsettled[ask.team] = None
+        if holding.is_frozen or (any(ask.wanted) and share == ask.keep):
+            holding.back_off(now_ms, self._settings, self._random)
+        else:
+            holding.ask_now()
+        self._set_limit(ask.team, holding)
+
+    def _change_quota(
+        self,
+        name: TeamName,
+        holding: Holding,
+        quota: Amounts,
+        in_use: Amounts,
+    ) -> None:
+        is_lowered = any(
+            0 < after < before
+            for after, before in zip(quota, holding.quota, strict=True)
+        )
+        mask = limited_mask(quota)
+        if mask & ~holding.limited:
+            # The answer to an ask with fewer limits must not count.
+            holding.pending = None
+            holding.share = in_use
+            holding.is_lowered = True
+            holding.is_frozen = True
+        elif is_lowered:
+            holding.keep_at_most(in_use)
+            # An answer by the former quota must not end the freeze.
+            holding.pending = None
+        holding.is_frozen |= is_lowered
+        holding.limited = mask
+        holding.quota = quota
+        self._note_change(name)
+
+    def _note_change(self, name: TeamName) -> None:
+        holding = self._holdings[name]
+        holding.ask_now()
+        self._unsettled[name] = None
+        self._set_limit(name, holding)
+
+    def _give_up_idle(self, used: Usage) -> None:
+        for name in list(self.limits):
+            holding = self._holdings[name]
+            kept = holding.sample(used(name))
+            if holding.pending is None and holding.is_idle(kept):
+                holding.keep_at_most(kept)
+                self._unsettled[name] = None
+                self._set_limit(name, holding)
+
+    def _end_caps(self, now_ms: int) -> None:
+        for name in list(self._capped):
+            holding = self._holdings[name]
+            if now_ms >= holding.cap_ends_ms:
+                del self._capped[name]
+                holding.cap = None
+                self._set_limit(name, holding)
+                self._wake_team(name)
+
+    def _set_limit(self, name: TeamName, holding: Holding) -> None:
+        limit = holding.limit()
+        if any(limit):
+            self.limits[name] = limit
+        else:
+            self.limits.pop(name, None)
+
+    def _forget(self, name: TeamName) -> None:
+        del self._holdings[name]
+        self.limits.pop(name, None)
+        self._unsettled.pop(name, None)
+        self._capped.pop(name, None)
+
+
+__all__ = ('ShareHolder', 'Usage')
--- /dev/null
+++ b/src/radishlift/quotas/home.py
@@ -0,0 +1,193 @@
+"""Answers to the asks of holders by the home of their teams; no I/O."""
+
+from collections.abc import Collection
+from dataclasses import dataclass, field
+from typing import Any
+
+from radishlift.config.document import ConfigDocument
+from radishlift.core.ids import PartitionId, TeamName
+from radishlift.quotas.amounts import (
+    NO_AMOUNTS,
+    Amounts,
+    limited_mask,
+    quota_amounts,
+)
+from radishlift.quotas.contention import Contention
+from radishlift.quotas.granting import granted_share
+from radishlift.quotas.ledger import (
+    QuotaLedger,
+    ShareChanged,
+    TeamLimited,
+    is_newer,
+)
+from radishlift.quotas.messages import (
+    ShareAsk,
+    ShareHint,
+    SyncShares,
+    TeamShare,
+)
+
+
+@dataclass(slots=True)
+class HomeAnswer:
+    """The records that were applied, the shares, and hints to send.
+
+    The shares may be told once the records are journaled.
+    """
+
+    records: list[Any] = field(default_factory=list)
+    shares: list[TeamShare] = field(default_factory=list)
+    hints: list[ShareHint] = field(default_factory=list)
+
+
+class TeamHome:
+    """The home of some teams in one partition."""
+
+    def __init__(self, ledger: QuotaLedger, contention: Contention) -> None:
+        self._ledger = ledger
+        self._contention = contention
+
+    def use_document(self, document: ConfigDocument) -> list[Any]:
+        """Notes which teams of the ledger have limits; returns records."""
+        records: list[Any] = []
+        for name in self._ledger.teams:
+            self._note_limits(name, _quota_of(document, name), records)
+        return records
+
+    def answer(
+        self,
+        asked: SyncShares,
+        document: ConfigDocument,
+        partitions: Collection[PartitionId],
+        now_ms: int,
+    ) -> HomeAnswer:
+        """Applies the asks of a holder, those that are not outdated."""
+        answer = HomeAnswer()
+        for ask in asked.asks:
+            quota = _quota_of(document, ask.team)
+            self._note_limits(ask.team, quota, answer.records)
+            known = self._ledger.team(ask.team).shares.get(asked.holder)
+            change = _change_of(asked, ask)
+            if known is None or is_newer(known, change):
+                self._apply(change, answer.records)
+                uncounted = self._uncounted(ask.team, partitions)
+                # A home with an older configuration may not know a lower
+                # quota.
+                is_current = document.version >= asked.document_version
+                share = ask.keep
+                if is_current and not uncounted:
+                    share = self._grow(asked, ask, quota, now_ms, answer)
+                is_over = not is_current or self._is_over(ask.team, quota)
+                answer.shares.append(TeamShare(ask.team, share, is_over))
+                answer.hints += self._hints(
+                    asked.holder,
+                    ask,
+                    quota,
+                    uncounted,
+                    now_ms,
+                )
+        return answer
+
+    def _hints(
+        self,
+        holder: PartitionId,
+        ask: ShareAsk,
+        quota: Amounts,
+        uncounted: Collection[PartitionId],
+        now_ms: int,
+    ) -> list[ShareHint]:
+        ledger = self._ledger.team(ask.team)
+        is_refused = any(ask.wanted) and ledger.share_of(holder) == ask.keep
+        self._contention.note(holder, ask, is_refused, now_ms)
+        if not is_refused:
+            return self._contention.hints_to_waiting(ask.team, holder)
+        return self._contention.hints_to_holders(
+            ask.team,
+            ledger,
+            quota,
+            uncounted,
+            now_ms,
+        )
+
+    def _grow(
+        self,
+        asked: SyncShares,
+        ask: ShareAsk,
+        quota: Amounts,
+        now_ms: int,
+        answer: HomeAnswer,
+    ) -> Amounts:
+        # A holder with an older configuration may not obey all limits yet.
+        if not any(quota) or limited_mask(quota) & ~ask.limited:
+            return ask.keep
+        ledger = self._ledger.team(ask.team)
+        share = granted_share(
+            quota,
+            ledger,
+            asked.holder,
+            ask,
+            self._contention.waiting(ask.team, now_ms),
+        )
+        if share != ask.keep:
+            # The change that was just applied keeps the record of the ask.
+            answer.records.pop()
+            grown = _change_of(asked, ask, share)
+            ledger.shares[asked.holder] = grown
+            answer.records.append(grown)
+        return share
+
+    def _is_over(self, name: TeamName, quota: Amounts) -> bool:
+        total = self._ledger.team(name).total()
+        return any(
+            limit and part > limit
+            for part, limit in zip(total, quota, strict=True)
+        )
+
+    def _uncounted(
+        self,
+        name: TeamName,
+        partitions: Collection[PartitionId],
+    ) -> list[PartitionId]:
+        ledger = self._ledger.team(name)
+        return [one for one in partitions if one not in ledger.counted]
+
+    def _note_limits(
+        self,
+        name: TeamName,
+        quota: Amounts,
+        records: list[Any],
+    ) -> None:
+        mask = limited_mask(quota)
+        before = self._ledger.team(name).limited
+        if mask != before:
+            self._apply(
+                TeamLimited(name, mask, bool(mask & ~before)),
+                records,
+            )
+
+    def _apply(self, change: Any, records: list[Any]) -> None:
+        self._ledger.apply(change)
+        records.append(change)
+
+
+def _quota_of(document: ConfigDocument, name: TeamName) -> Amounts:
+    team = document.teams.get(name)
+    return NO_AMOUNTS if team is None else quota_amounts(team)
+
+
+def _change_of(
+    asked: SyncShares,
+    ask: ShareAsk,
+    share: Amounts | None = None,
+) -> ShareChanged:
+    return ShareChanged(
+        ask.team,
+        asked.holder,
+        asked.epoch,
+        asked.serial,
+        ask.keep if share is None else share,
+        ask.limited,
+    )
+
+
+__all__ = ('HomeAnswer', 'TeamHome')
--- /dev/null
+++ b/src/radishlift/quotas/server.py
@@ -0,0 +1,112 @@
+"""Serves the homes that are owned here, and follows hints of other homes."""
+
+import asyncio
+from typing import Final
+
+from radishlift.config.api import ConfigView
+from radishlift.core.errors import ErrorKind, Failure
+from radishlift.core.ids import ConfigVersion, DaemonId, PartitionId
+from radishlift.partitions.homes import OwnerLookup
+from radishlift.partitions.partitions import Partitions
+from radishlift.partitions.parts import DaemonParts
+from radishlift.quotas.home import HomeAnswer
+from radishlift.quotas.messages import (
+    ShareHint,
+    SharesSynced,
+    SyncShares,
+)
+
+_REPLY_MARGIN_MS: Final = 100
+
+
+class ShareServer:
+    """Registers the handlers of the messages about shares."""
+
+    def __init__(
+        self,
+        parts: DaemonParts,
+        partitions: Partitions,
+        lookup: OwnerLookup,
+        config: ConfigView,
+    ) -> None:
+        self._parts = parts
+        self._partitions = partitions
+        self._lookup = lookup
+        self._config = config
+        self._noted: dict[PartitionId, tuple[int, ConfigVersion]] = {}
+        self._hints: set[asyncio.Task[None]] = set()
+        parts.network.register(SyncShares, self._sync)
+        parts.network.register(ShareHint, self._follow)
+
+    def note_limits(self) -> None:
+        """Journals at owned homes which limits a new configuration has.
+
+        A limit that was removed and set again has to count all use anew.
+        """
+        document = self._config.current()
+        if document is None:
+            return
+        for runner in self._partitions.owned():
+            noted = (runner.epoch, document.version)
+            opened = runner.opened
+            if opened is None or self._noted.get(runner.partition_id) == noted:
+                continue
+            if opened.log.journal.refusal() is None:
+                self._noted[runner.partition_id] = noted
+                for change in opened.shares.home.use_document(document):
+                    opened.log.append(change)
+                opened.request_flush(())
+
+    async def _sync(
+        self,
+        _sender: DaemonId,
+        asked: SyncShares,
+    ) -> SharesSynced | Failure:
+        runner = self._partitions.get(asked.home)
+        opened = None if runner is None else runner.opened
+        document = self._config.current()
+        if runner is None or opened is None or document is None:
+            return Failure(ErrorKind.not_owner, f'{asked.home} is not here')
+        refusal = opened.log.journal.refusal()
+        if refusal is not None:
+            return refusal
+        answer = opened.shares.home.answer(
+            asked,
+            document,
+            self._lookup.partitions(),
+            self._parts.clock.monotonic_ms(),
+        )
+        for change in answer.records:
+            failure = opened.log.append(change)
+            if failure is not None:
+                return failure
+        # An earlier answer may have waited in vain, so that shares that this
+        # one repeats are not durable yet either.
+        timeout_ms = self._parts.settings.quotas.call_timeout_ms
+        failure = await runner.commit((), timeout_ms - _REPLY_MARGIN_MS)
+        if failure is not None:
+            return failure
+        self._send_hints(answer)
+        return SharesSynced(asked.serial, tuple(answer.shares))
+
+    def _send_hints(self, answer: HomeAnswer) -> None:
+        for hint in answer.hints:
+            task = asyncio.create_task(self._send_hint(hint))
+            self._hints.add(task)
+            task.add_done_callback(self._hints.discard)
+
+    async def _send_hint(self, hint: ShareHint) -> None:
+        owner = self._lookup.owner_of(hint.holder)
+        if owner == self._parts.daemon_id:
+            await self._follow(owner, hint)
+        elif owner is not None:
+            await self._parts.network.send(owner, hint)
+
+    async def _follow(self, _sender: DaemonId, hint: ShareHint) -> None:
+        runner = self._partitions.get(hint.holder)
+        opened = None if runner is None else runner.opened
+        if opened is not None:
+            opened.shares.take_hint(hint, self._parts.clock.monotonic_ms())
+
+
+__all__ = ('ShareServer',)
--- /dev/null
+++ b/src/radishlift/quotas/sync.py
@@ -0,0 +1,166 @@
+"""Exchange of shares between the partitions owned here and the homes."""
+
+import asyncio
+from collections.abc import Iterable, Sequence
+
+from radishlift.config.api import ConfigView
+from radishlift.core.errors import ErrorKind, Failure
+from radishlift.core.ids import ConfigVersion, PartitionId
+from radishlift.core.logs import log_event
+from radishlift.partitions.homes import OwnerLookup
+from radishlift.partitions.open_partition import OpenPartition
+from radishlift.partitions.partitions import Partitions
+from radishlift.partitions.parts import DaemonParts
+from radishlift.quotas.homes import QuotaHomes
+from radishlift.quotas.messages import ShareAsk, SharesSynced, SyncShares
+from radishlift.quotas.server import ShareServer
+from radishlift.workers.senders import TaskGroup
+
+_HOMES_RETRY_MS = 1_000
+_Call = tuple[PartitionId, PartitionId]
+
+
+class ShareSync:
+    """Sends the asks of owned partitions to the owners of the homes.
+
+    At most one message of a partition to a home is open at a time.
+    """
+
+    def __init__(
+        self,
+        parts: DaemonParts,
+        partitions: Partitions,
+        lookup: OwnerLookup,
+        config: ConfigView,
+    ) -> None:
+        self._parts = parts
+        self._settings = parts.settings.quotas
+        self._partitions = partitions
+        self._lookup = lookup
+        self._config = config
+        self._homes = QuotaHomes(parts.store, config)
+        self._server = ShareServer(parts, partitions, lookup, config)
+        self._homes_due_ms = 0
+        self._version: ConfigVersion | None = None
+        self._open: set[_Call] = set()
+        self._tasks = TaskGroup()
+
+    async def run_forever(self) -> None:
+        """Sends asks until cancelled."""
+        try:
+            while True:
+                await self.step()
+                await asyncio.sleep(self._settings.sync_interval_ms / 1000)
+        finally:
+            await self._tasks.close()
+
+    async def step(self) -> None:
+        """Takes over a new configuration and begins the messages due."""
+        self._use_config()
+        self._server.note_limits()
+        now_ms = self._parts.clock.monotonic_ms()
+        if not self._homes.is_known:
+            if now_ms < self._homes_due_ms:
+                return
+            self._homes_due_ms = now_ms + _HOMES_RETRY_MS
+            await self._homes.load()
+            if not self._homes.is_known:
+                return
+        for runner in self._partitions.owned():
+            if runner.opened is not None:
+                self._begin(runner.opened, now_ms)
+
+    def _use_config(self) -> None:
+        document = self._config.current()
+        if document is None or document.version == self._version:
+            return
+        self._version = document.version
+        self._partitions.use_config()
+
+    def _begin(self, opened: OpenPartition, now_ms: int) -> None:
+        asks: dict[PartitionId, list[ShareAsk]] = {}
+        for ask in opened.shares.plan(now_ms):
+            home = self._homes.home_of(ask.team)
+            assert home is not None
+            asks.setdefault(home, []).append(ask)
+        for home, planned in asks.items():
+            call = (opened.claim.partition_id, home)
+            if call in self._open:
+                opened.shares.holder.postpone(planned)
+                continue
+            self._open.add(call)
+            self._tasks.spawn(self._sync(opened, home, planned))
+
+    async def _sync(
+        self,
+        opened: OpenPartition,
+        home: PartitionId,
+        asks: Sequence[ShareAsk],
+    ) -> None:
+        try:
+            reply = await self._ask(opened, home, asks)
+        finally:
+            self._open.discard((opened.claim.partition_id, home))
+        now_ms = self._parts.clock.monotonic_ms()
+        holder = opened.shares.holder
+        if isinstance(reply, SharesSynced):
+            holder.take_answer(asks, reply.shares, now_ms)
+            opened.wake()
+            return
+        log_event(
+            'shares_not_synced',
+            level='DEBUG',
+            partition=opened.claim.partition_id,
+            home=home,
+            reason=getattr(reply, 'reason', ''),
+        )
+        holder.take_failure(asks, now_ms)
+        await self._lookup.refresh(home)
+
+    async def _ask(
+        self,
+        opened: OpenPartition,
+        home: PartitionId,
+        asks: Sequence[ShareAsk],
+    ) -> SharesSynced | Failure:
+        timeout_ms = self._settings.call_timeout_ms
+        message = self._form(opened, home, asks)
+        if opened.shares.holder.is_lowered(asks):
+            # What a successor could read as in use must not be given up: the
+            # ends of attempts have to be durable first.
+            failure = await _wait_durable(opened, timeout_ms)
+            if failure is not None:
+                return failure
+        owner = self._lookup.owner_of(home)
+        if owner is None:
+            return Failure(ErrorKind.no_owner, f'{home} has no owner')
+        reply: SharesSynced | Failure
+        reply = await self._parts.network.call(owner, message, timeout_ms)
+        return reply
+
+    def _form(
+        self,
+        opened: OpenPartition,
+        home: PartitionId,
+        asks: Iterable[ShareAsk],
+    ) -> SyncShares:
+        return SyncShares(
+            home,
+            opened.claim.partition_id,
+            opened.claim.epoch,
+            opened.shares.next_serial(),
+            opened.shares.document_version,
+            tuple(asks),
+        )
+
+
+async def _wait_durable(
+    opened: OpenPartition,
+    timeout_ms: int,
+) -> Failure | None:
+    opened.request_flush(())
+    log = opened.log
+    return await log.journal.wait_durable(log.last_position, timeout_ms)
+
+
+__all__ = ('ShareSync',)
--- a/tests/partitions/cell.py
+++ b/tests/partitions/cell.py
@@ -187,6 +187,8 @@
             HandOffSender(
                 partitions, caller, lookup, loads, self.settings.partitions
             ),
+            config,
+            lookup,
         )
         self.owners[name] = owner
         for known in self.owners.values():
--- a/tests/partitions/owner.py
+++ b/tests/partitions/owner.py
@@ -15,6 +15,7 @@
 from radishlift.ownership.api import OWNERS_TABLE, OwnerClaim
 from radishlift.ownership.owner_rows import OwnerRow
 from radishlift.partitions.hand_offs import HandOffSender
+from radishlift.partitions.homes import OwnerLookup
 from radishlift.partitions.intake import status
 from radishlift.partitions.job_router import JobRouter
 from radishlift.partitions.messages import JobStatus
@@ -66,6 +67,9 @@
     loop: asyncio.Task[None]
     router: JobRouter
     hand_off_sender: HandOffSender
+    config: Config
+    lookup: OwnerLookup
+    loops: list[asyncio.Task[None]] = field(default_factory=list)
 
     def opened(self, partition_id: PartitionId = PARTITION) -> OpenPartition:
         """Returns the recovered partition."""
@@ -97,6 +101,8 @@
     async def kill(self) -> None:
         """Ends all work at once, as the death of the process does."""
         self.loop.cancel()
+        for loop in self.loops:
+            loop.cancel()
         await self.partitions.on_replaced()
         await self.parts.network.stop()
 
--- a/tests/placement/test_quarantine.py
+++ b/tests/placement/test_quarantine.py
@@ -1,3 +1,5 @@
+from radishlift.config.document import ConfigDocument, Team
+from radishlift.core.ids import ConfigVersion, TeamName
 from radishlift.placement.jobs import Resources, TaskState
 from radishlift.placement.records import (
     TaskEnded,
@@ -87,3 +89,21 @@
             engine.task_ended(start.task_id, start.attempt, TaskState.failed)
     assert len(placed(records)) == 60
     assert not of_type(records, WorkerQuarantined)
+
+
+def test_probe_does_not_exceed_the_quota():
+    """Guards against a probe that starts a task of a team over its quota."""
+    engine = make_engine(make_worker(1, SMALL))[1]
+    teams = {TeamName('wash'): Team('rugs', cpu_milli=1_000)}
+    engine.use_config(ConfigDocument(ConfigVersion(1), teams=teams))
+    engine.quotas.use_shares({})
+    engine.accept(make_job(), 0)
+    engine.tick(0)
+    worker = make_worker(1)
+    engine._working.emit(
+        WorkerQuarantined(worker.worker_id, worker.incarnation, 'x')
+    )
+    records = [engine.tick(100_000 * number) for number in range(1, 5)]
+    assert not any(placed(found) for found in records)
+    engine.quotas.use_shares({TeamName('wash'): (1_000, 0, 0)})
+    assert len(placed(engine.tick(600_000))) == 1
--- /dev/null
+++ b/tests/quotas/test_shares.py
@@ -0,0 +1,235 @@
+"""Shares of a quota under lost, late and repeated messages."""
+
+from random import Random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from radishlift.core.ids import ConfigVersion, Epoch, PartitionId
+from radishlift.quotas import holder, home
+from radishlift.quotas.ledger import QuotaLedger
+from radishlift.quotas.messages import ShareAsk, SyncShares
+from tests.quotas.model import HOME, TEAM, CellModel, HolderModel
+
+HOLDERS_COUNT = 3
+STEPS = (
+    *('queue', 'start', 'start', 'start', 'end', 'end', 'ask', 'ask', 'ask'),
+    *('serve', 'serve', 'serve', 'deliver', 'deliver', 'deliver'),
+    *('time_out', 'repeat', 'lose', 'replace', 'replace_home'),
+    *('quota', 'wait'),
+)
+STEPS_COUNT = 300
+
+
+def make_cell(quota, holder_type=holder.ShareHolder, home_type=home.TeamHome):
+    holders = [
+        HolderModel(PartitionId(f'p{number}'), holder_type)
+        for number in range(HOLDERS_COUNT)
+    ]
+    return CellModel(holders, quota, home_type)
+
+
+def run_holder_step(one, step, number):
+    """Runs a step of one holder; returns whether a task was started."""
+    match step:
+        case 'queue':
+            one.queued += 1 + number % 4
+        case 'start':
+            return one.start()
+        case 'end' if one.used:
+            one.used -= 1
+    return False
+
+
+def run_message_step(cell, one, step, number):
+    """Runs a step of the messages; a repeat arrives after the first one."""
+    if step == 'ask':
+        cell.ask(one)
+    elif step == 'deliver' and cell.replies:
+        cell.deliver(number)
+    if not cell.requests:
+        return
+    match step:
+        case 'serve':
+            cell.serve(number)
+        case 'time_out':
+            cell.time_out(number)
+        case 'repeat':
+            cell.requests.append(cell.requests[number % len(cell.requests)])
+        case 'lose':
+            cell.lose(number)
+
+
+def run_cell_step(cell, one, step, number):
+    """Runs a takeover, a change of the quota, or a wait."""
+    match step:
+        case 'replace':
+            one.replace(cell.document)
+        case 'replace_home':
+            cell.replace_home()
+        case 'quota':
+            cell.change_quota(1 + number % 12)
+        case 'wait':
+            cell.now_ms += 100 * number
+
+
+def run_step(cell, step, number):
+    """Runs one step; returns whether a task was started."""
+    one = cell.holders[number % HOLDERS_COUNT]
+    run_message_step(cell, one, step, number)
+    run_cell_step(cell, one, step, number)
+    return run_holder_step(one, step, number)
+
+
+def run_steps(cell, seed, steps_count=STEPS_COUNT):
+    """Runs random steps; tells whether a start exceeded the quota."""
+    random = Random(seed)
+    cell.settle(3)
+    for _ in range(steps_count):
+        step = random.choice(STEPS)
+        is_start = run_step(cell, step, random.randrange(20))
+        if is_start and cell.used() > cell.quota:
+            return True
+    return False
+
+
+@settings(max_examples=300, deadline=None, derandomize=True)
+@given(st.integers(), st.integers(1, 12))
+def test_no_start_exceeds_the_quota(seed, quota):
+    """Guards against two partitions that use the same part of a quota."""
+    assert not run_steps(make_cell(quota), seed)
+
+
+@settings(max_examples=50, deadline=None, derandomize=True)
+@given(st.integers(), st.integers(1, 12))
+def test_no_share_is_lost_for_ever(seed, quota):
+    """Guards against a share that stays with a dead or idle holder."""
+    cell = make_cell(quota)
+    run_steps(cell, seed)
+    for one in cell.holders:
+        one.used = 0
+        one.queued = 0
+    cell.settle()
+    cell.holders[0].queued = 2 * cell.quota
+    cell.settle()
+    assert cell.used() == cell.quota
+
+
+class TakesAnyAnswer(holder.ShareHolder):
+    """Takes answers to earlier asks too."""
+
+    def take_answer(self, asks, shares, now_ms):
+        for ask in asks:
+            self._holdings[ask.team].pending = ask
+            self._holdings[ask.team].share = ask.keep
+        super().take_answer(asks, shares, now_ms)
+
+
+class ForgetsUse(holder.ShareHolder):
+    """Tells homes less than the successor of an owner has in use."""
+
+    def plan(self, now_ms, used, demands):
+        for holding in self._holdings.values():
+            holding.share = (0, 0, 0)
+        return super().plan(now_ms, used, demands)
+
+
+class TellsUnjournaled(home.TeamHome):
+    """Tells shares that a successor of the home does not know."""
+
+    def answer(self, asked, document, partitions, now_ms):
+        answer = super().answer(asked, document, partitions, now_ms)
+        if any(ask.wanted[0] for ask in asked.asks):
+            answer.records.clear()
+        return answer
+
+
+@pytest.mark.parametrize(
+    ('holder_type', 'home_type'),
+    [
+        (TakesAnyAnswer, home.TeamHome),
+        (ForgetsUse, home.TeamHome),
+        (holder.ShareHolder, TellsUnjournaled),
+    ],
+)
+def test_broken_variants_exceed_the_quota(holder_type, home_type):
+    """Shows that the check of the quota can fail."""
+    assert any(
+        run_steps(make_cell(4, holder_type, home_type), seed)
+        for seed in range(300)
+    )
+
+
+def test_late_ask_changes_nothing():
+    """Guards against an old message that takes back what was granted since."""
+    cell = make_cell(9)
+    cell.settle(2)
+    first = cell.holders[0]
+    first.ask(cell.now_ms)
+    first.queued = 9
+    cell.settle(2)
+    late = SyncShares(
+        HOME, first.name, Epoch(1), 1, ConfigVersion(1),
+        (ShareAsk(TEAM, (0, 0, 0), 1),),
+    )  # fmt: skip
+    before = cell.ledger.dump()
+    names = [one.name for one in cell.holders]
+    answer = cell.home.answer(late, cell.document, names, cell.now_ms)
+    assert first.used == 9
+    assert not answer.shares
+    assert cell.ledger.dump() == before
+
+
+def test_demand_moves_the_whole_quota_to_one_partition():
+    """Guards against a quota that a team in one partition can't use."""
+    cell = make_cell(9)
+    for number in range(HOLDERS_COUNT):
+        cell.holders[number].queued = 20
+        cell.settle()
+        assert cell.used() == 9
+        cell.holders[number].queued = 0
+        assert cell.holders[number].used == 9
+        cell.holders[number].used = 0
+
+
+def test_waiting_partitions_share_a_quota_evenly():
+    """Guards against a partition that keeps a quota others wait for."""
+    cell = make_cell(10)
+    cell.holders[0].queued = 1_000
+    cell.settle()
+    assert cell.holders[0].used == 10
+    for one in cell.holders[1:]:
+        one.queued = 1_000
+    used = [0 for _ in cell.holders]
+    for _ in range(200):
+        cell.settle(1)
+        for number, one in enumerate(cell.holders):
+            used[number] += one.used
+            one.used -= min(1, one.used)
+    assert min(used) * HOLDERS_COUNT > sum(used) / 2, used
+
+
+def test_quota_below_use_starts_nothing_and_use_is_kept():
+    """Guards against starts within a share that is larger than the quota."""
+    cell = make_cell(9)
+    cell.holders[0].queued = 4
+    cell.holders[1].queued = 4
+    cell.settle()
+    cell.change_quota(2)
+    cell.holders[0].used -= 3
+    for one in cell.holders:
+        one.queued = 9
+        assert not one.start()
+    assert cell.used() == 5
+
+
+def test_snapshot_holds_the_ledger():
+    """Guards against a successor that grants what is granted already."""
+    cell = make_cell(5)
+    cell.holders[0].queued = 5
+    cell.settle()
+    reloaded = QuotaLedger()
+    reloaded.load(cell.ledger.dump())
+    assert reloaded.dump() == cell.ledger.dump()
+    assert reloaded.teams == cell.ledger.teams
