Answer truthfully about a job between two partitions

Cause: between `JobHandedOff` in the home and the accept in the other partition, the home answered `JobMoved` and the other partition did not know the job yet, so that a status, cancel or explain ended as `not_found` although the job was accepted. A store outage makes this gap as long as the outage.

Ruled out: answering from the home for all moved jobs; once the other partition has the job, the home's knowledge is outdated.

Change: `JobMoved` carries the state of the job as the home knows it until the hand-off is confirmed. A status takes that state when the next partition does not know the job. A cancel or explain asks again until its deadline and then ends as `peer_unavailable` ("not run", may be repeated). The deadline now covers all hops of a call; before, each hop had the whole time.

Measured: `pytest tests/partitions/test_job_router.py`, 9 passed; the new test commits the two records without the send.

Conclusion: `not_found` is answered only when no partition has the job.

--- a/src/radishlift/partitions/homes.py
+++ b/src/radishlift/partitions/homes.py
@@ -100,6 +100,22 @@
         self._settings = parts.settings.partitions
         self._lookup = lookup
 
+    def deadline_ms(self, timeout_ms: int) -> int:
+        """Returns the monotonic time at which a call that begins now ends."""
+        return self._clock.monotonic_ms() + timeout_ms
+
+    async def pause(self, deadline_ms: int) -> bool:
+        """Waits before the next call; False if the deadline comes first."""
+        retry_interval_ms = self._settings.retry_interval_ms
+        if self.left_ms(deadline_ms) <= retry_interval_ms:
+            return False
+        await asyncio.sleep(retry_interval_ms / 1000)
+        return True
+
+    def left_ms(self, deadline_ms: int) -> int:
+        """Returns the time until a deadline."""
+        return deadline_ms - self._clock.monotonic_ms()
+
     async def call(
         self,
         partition_id: PartitionId,
@@ -112,20 +128,18 @@
         with `peer_outcome_unknown` when an earlier call may have taken effect
         and no later one could tell.
         """
-        deadline_ms = self._clock.monotonic_ms() + timeout_ms
+        deadline_ms = self.deadline_ms(timeout_ms)
         unknown: Failure | None = None
         while True:
-            left_ms = deadline_ms - self._clock.monotonic_ms()
+            left_ms = self.left_ms(deadline_ms)
             reply = await self._call_once(partition_id, message_of, left_ms)
             if not isinstance(reply, Failure) or reply.kind in _FINAL_KINDS:
                 return reply
             if reply.answer.outcome is not Outcome.not_run:
                 unknown = reply
             await self._lookup.refresh(partition_id)
-            left_ms = deadline_ms - self._clock.monotonic_ms()
-            if left_ms <= self._settings.retry_interval_ms:
+            if not await self.pause(deadline_ms):
                 return reply if unknown is None else _unknown(unknown)
-            await asyncio.sleep(self._settings.retry_interval_ms / 1000)
 
     async def _call_once(
         self,
--- a/src/radishlift/partitions/intake.py
+++ b/src/radishlift/partitions/intake.py
@@ -104,7 +104,7 @@
         reason = f'no job {job_id} in {opened.claim.partition_id}'
         return Failure(ErrorKind.not_found, reason)
     if jobs.to_partition[row]:
-        return JobMoved(job_id, jobs.to_partition[row])
+        return _moved(opened, row)
     if jobs.is_open(row) and not jobs.is_ended(row):
         refusal = opened.log.journal.refusal()
         failure = refusal or opened.engine.cancel(job_id)
@@ -116,7 +116,7 @@
             return Failure(ErrorKind.store_outcome_unknown, reason)
         row = jobs.row_of.get(job_id)
         if row is not None and jobs.to_partition[row]:
-            return JobMoved(job_id, jobs.to_partition[row])
+            return _moved(opened, row)
     failure = await opened.log.journal.wait_durable(
         opened.log.last_position,
         timeout_ms,
@@ -149,7 +149,7 @@
         reason = f'no job {job_id} in {opened.claim.partition_id}'
         return Failure(ErrorKind.not_found, reason)
     if tables.jobs.to_partition[row]:
-        return JobMoved(job_id, tables.jobs.to_partition[row])
+        return _moved(opened, row)
     return JobStatus(
         job_id,
         opened.claim.partition_id,
@@ -159,6 +159,25 @@
     )
 
 
+def _moved(opened: OpenPartition, row: int) -> JobMoved:
+    """Names the partition that has the job, or is about to get it."""
+    jobs = opened.states.placement.tables.jobs
+    spec = jobs.spec[row]
+    begun = opened.states.hand_offs.open.get(spec.job_id)
+    if begun is None:
+        return JobMoved(spec.job_id, jobs.to_partition[row])
+    counts = dict(begun.transfer.ended_counts) if begun.transfer else {}
+    queued_count = spec.task_count - sum(counts.values())
+    last_known = JobStatus(
+        spec.job_id,
+        opened.claim.partition_id,
+        jobs.accepted_at_ms[row],
+        is_cancelled=False,
+        task_counts={**counts, TaskState.queued: queued_count},
+    )
+    return JobMoved(spec.job_id, jobs.to_partition[row], last_known)
+
+
 def _task_counts(
     tables: PartitionTables,
     job_row: int,
@@ -183,7 +202,7 @@
     jobs = opened.states.placement.tables.jobs
     row = jobs.row_of.get(job_id)
     if row is not None and jobs.to_partition[row]:
-        return JobMoved(job_id, jobs.to_partition[row])
+        return _moved(opened, row)
     explanation = opened.engine.explain(task_id, opened.now_ms())
     if isinstance(explanation, Failure):
         return explanation
--- a/src/radishlift/partitions/job_router.py
+++ b/src/radishlift/partitions/job_router.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from dataclasses import replace
 from secrets import token_hex
-from typing import Final, TypeVar
+from typing import Any, Final
 
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import JobId, PartitionId, TaskId
@@ -23,8 +23,6 @@
 from radishlift.placement.hand_offs import MAX_MOVES
 from radishlift.placement.jobs import JobSpec, job_id_of
 
-Reply = TypeVar('Reply')
-
 _ID_BYTES: Final = 8
 _MAX_ID_CHARS: Final = 200
 
@@ -86,11 +84,15 @@
         timeout_ms: int,
     ) -> JobStatus | Failure:
         """Returns the states of a job's tasks."""
-        return await self._follow(
+        reply = await self._follow(
             job_id,
             lambda partition_id, _: GetJobStatus(partition_id, job_id),
             timeout_ms,
+            takes_last_known=True,
         )
+        if isinstance(reply, JobMoved):
+            return reply.last_known or _in_transit(reply)
+        return reply
 
     async def explain(
         self,
@@ -120,21 +122,53 @@
         job_id: JobId,
         message_of: Callable[[PartitionId, int], object],
         timeout_ms: int,
-    ) -> Reply | Failure:
+        *,
+        takes_last_known: bool = False,
+    ) -> Any:
+        """Asks the home and then the partitions that the job moved to.
+
+        Between the hand-off in one partition and the accept in the next, the
+        next one does not know the job. Returns the `JobMoved` of the former
+        at once if the caller takes what that knows, else asks again until the
+        deadline.
+        """
+        deadline_ms = self._caller.deadline_ms(timeout_ms)
+        while True:
+            moved, reply = await self._ask(job_id, message_of, deadline_ms)
+            if moved is None or moved.last_known is None:
+                return reply
+            if not isinstance(reply, Failure):
+                return reply
+            if reply.kind is not ErrorKind.not_found:
+                return reply
+            if takes_last_known:
+                return moved
+            if not await self._caller.pause(deadline_ms):
+                return _in_transit(moved)
+
+    async def _ask(
+        self,
+        job_id: JobId,
+        message_of: Callable[[PartitionId, int], object],
+        deadline_ms: int,
+    ) -> tuple[JobMoved | None, Any]:
+        """Returns the last reply, and the one that named its partition."""
         partition_id = self._lookup.home_of(job_id)
+        moved: JobMoved | None = None
         for _ in range(MAX_MOVES + 1):
             if partition_id is None:
-                return _no_partition()
+                return None, _no_partition()
             reply = await self._caller.call(
                 partition_id,
                 _bind(message_of, partition_id),
-                timeout_ms,
+                self._caller.left_ms(deadline_ms),
             )
             if not isinstance(reply, JobMoved):
-                return reply
+                return moved, reply
+            moved = reply
             partition_id = reply.to_partition
         reason = f'{job_id} was handed off more than {MAX_MOVES} times'
-        return Failure(ErrorKind.internal, reason)
+        return None, Failure(ErrorKind.internal, reason)
 
 
 def _bind(
@@ -144,6 +178,11 @@
     return lambda left_ms: message_of(partition_id, left_ms)
 
 
+def _in_transit(moved: JobMoved) -> Failure:
+    reason = f'{moved.job_id} is being handed off to {moved.to_partition}'
+    return Failure(ErrorKind.peer_unavailable, reason)
+
+
 def _no_partition() -> Failure:
     return Failure(
         ErrorKind.no_configuration,
--- a/src/radishlift/partitions/messages.py
+++ b/src/radishlift/partitions/messages.py
@@ -126,10 +126,15 @@
 @message('job_moved')
 @dataclass(frozen=True, slots=True)
 class JobMoved:
-    """The job was handed off; the partition to ask instead."""
+    """The job was handed off; the partition to ask instead.
+
+    `last_known` is the state of the job until the other partition has
+    confirmed that it has the job.
+    """
 
     job_id: JobId
     to_partition: PartitionId
+    last_known: JobStatus | None = None
 
 
 __all__ = (
--- a/tests/partitions/test_job_router.py
+++ b/tests/partitions/test_job_router.py
@@ -1,3 +1,4 @@
+import asyncio
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
@@ -7,9 +8,14 @@
 from radishlift.core.ids import JobId
 from radishlift.partitions.hand_off_state import HandOffBegun
 from radishlift.partitions.intake import status
-from radishlift.partitions.messages import JobStatus, JobSubmitted
+from radishlift.partitions.messages import (
+    JobCancelling,
+    JobStatus,
+    JobSubmitted,
+)
 from radishlift.placement.jobs import Resources, TaskState, task_id_of
 from radishlift.placement.records import JobHandedOff
+from radishlift.placement.transfers import JobTransfer
 from tests.partitions.cell import (
     OTHER_PARTITION,
     PARTITION,
@@ -127,6 +133,48 @@
         cell.check()
 
 
+async def test_job_between_two_partitions_is_found():
+    """Guards against `not_found` between the hand-off and the accept."""
+    async with open_pair() as (cell, first, second):
+        await fill_home(first)
+        spec = make_job(HOME_JOB, task_count=2, demand=WHOLE_WORKER)
+        await first.router.submit(spec, 2000)
+        records = [
+            HandOffBegun(
+                spec.job_id,
+                OTHER_PARTITION,
+                JobTransfer(ended_counts={TaskState.finished: 1}),
+            ),
+            JobHandedOff(spec.job_id, OTHER_PARTITION),
+        ]
+        runner = first.partitions.get(PARTITION)
+        assert await runner.commit(records, 2000) is None
+        shown = await second.router.status(spec.job_id, 2000)
+        assert isinstance(shown, JobStatus)
+        assert shown.task_counts == {
+            TaskState.finished: 1,
+            TaskState.queued: 1,
+        }
+        refused = await second.router.cancel(spec.job_id, 200)
+        assert isinstance(refused, Failure)
+        assert refused.kind is ErrorKind.peer_unavailable
+        # A cancellation that is under way waits for the accept.
+        cancelling = asyncio.create_task(
+            second.router.cancel(spec.job_id, 5000),
+        )
+        await until_after(
+            first.hand_off_sender.step,
+            lambda: not first.opened().states.hand_offs.open,
+        )
+        assert await cancelling == JobCancelling(spec.job_id)
+        shown = await second.router.status(spec.job_id, 2000)
+        assert shown.is_cancelled
+        assert shown.partition_id == OTHER_PARTITION
+        absent = await second.router.status(JobId('p1.absent'), 2000)
+        assert absent.kind is ErrorKind.not_found
+        cell.check()
+
+
 @pytest.mark.parametrize('is_closed', [False, True])
 async def test_hand_off_survives_a_crash_of_the_home(is_closed):
     """Guards against a job that neither partition runs after a crash."""
