Fetch long answers over a hop in chunks

Cause: an answer above 1 MB did not fit the reply frame of a forwarded request and ended as target_failed, although the executor had answered.

Ruled out: larger frames, which delay heartbeats on the same stream; chunks pushed by the daemon that ran the request, which needs a window per answer and drops frames when the send buffer of the stream (4 MiB) is full.

Change: an answer above 64 KiB is held by the daemon that ran the request and fetched in chunks of 256 KiB, one outstanding per answer and 8 per peer. The reply tells the length first. max_answer_bytes bounds the whole answer, max_held_answer_bytes (32 MiB) what a daemon holds for its peers. A lost, cut or wrong chunk ends the request with an unknown outcome, never "not run".

The daemon that ran the request still reads the whole answer before it is fetched.

--- /dev/null
+++ b/src/radishlift/requests/answer_streams.py
@@ -0,0 +1,172 @@
+"""Answers that are too long for one frame, fetched in chunks over a hop.
+
+The daemon that ran a request holds its long answer; the daemon that asked
+for it fetches one chunk after the other. The asker thus sets the pace, and
+what a stream buffers is bounded by the chunks that it may ask for at once.
+"""
+
+import asyncio
+from collections import defaultdict
+from collections.abc import Callable
+from dataclasses import dataclass
+from secrets import token_hex
+from typing import Any, Final
+
+from radishlift.core.errors import ErrorKind, Failure
+from radishlift.core.ids import DaemonId
+from radishlift.requests.settings import RequestSettings
+from radishlift.wire.messages import message
+from radishlift.wire.network import PeerNetwork
+
+# Answers up to this size travel in the reply itself.
+INLINE_BYTES: Final = 64 * 1024
+CHUNK_BYTES: Final = 256 * 1024
+# At most 2 MiB asked of one peer, below the 4 MiB at which a stream refuses
+# to buffer more.
+_MAX_CHUNKS_AT_ONCE: Final = 8
+
+
+@message('answer_chunk_request')
+@dataclass(frozen=True, slots=True)
+class AnswerChunkRequest:
+    """Asks for the chunk of a held answer that begins at an offset."""
+
+    stream_id: str
+    offset: int
+
+
+@message('answer_chunk')
+@dataclass(frozen=True, slots=True)
+class AnswerChunk:
+    """A part of a held answer."""
+
+    stream_id: str
+    offset: int
+    chunk: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class _HeldAnswer:
+    asker: DaemonId
+    body: bytes
+    expiry: asyncio.TimerHandle
+
+
+class AnswerStreams:
+    """Holds long answers for peers and fetches those that peers hold.
+
+    An answer is held until its last chunk was sent or its request's deadline
+    has passed; all of them together take at most `max_held_answer_bytes`.
+    """
+
+    def __init__(
+        self,
+        network: PeerNetwork,
+        settings: RequestSettings,
+    ) -> None:
+        self._network = network
+        self._settings = settings
+        self._held: dict[str, _HeldAnswer] = {}
+        self._permits: defaultdict[DaemonId, asyncio.Semaphore]
+        self._permits = defaultdict(_new_permits)
+        network.register(AnswerChunkRequest, self._serve)
+
+    @property
+    def held_bytes(self) -> int:
+        """Counts the bytes of all held answers."""
+        return sum(len(held.body) for held in self._held.values())
+
+    def hold(
+        self,
+        asker: DaemonId,
+        body: bytes,
+        left_ms: int,
+    ) -> str | Failure:
+        """Holds an answer for a peer and returns the id of its stream."""
+        limit = self._settings.max_held_answer_bytes
+        if self.held_bytes + len(body) > limit:
+            reason = f'answers held for peers would exceed {limit} bytes'
+            return Failure(ErrorKind.target_failed, reason)
+        stream_id = token_hex(8)
+        loop = asyncio.get_running_loop()
+        expiry = loop.call_later(max(0, left_ms) / 1000, self._drop, stream_id)
+        self._held[stream_id] = _HeldAnswer(asker, body, expiry)
+        return stream_id
+
+    async def fetch(
+        self,
+        peer: DaemonId,
+        stream_id: str,
+        size_bytes: int,
+        left_ms: Callable[[], int],
+    ) -> bytes | Failure:
+        """Fetches a whole answer; any failure leaves its outcome unknown."""
+        limit = self._settings.max_answer_bytes
+        if not 0 < size_bytes <= limit:
+            reason = f'answer of {size_bytes} bytes, at most {limit}'
+            return Failure(ErrorKind.bad_frame, reason)
+        body = bytearray()
+        while len(body) < size_bytes:
+            asked = AnswerChunkRequest(stream_id, len(body))
+            async with self._permits[peer]:
+                timeout_ms = max(1, left_ms())
+                reply = await self._network.call(peer, asked, timeout_ms)
+            failure = _check_chunk(asked, reply, size_bytes)
+            if failure is not None:
+                return failure
+            body += reply.chunk
+        return bytes(body)
+
+    async def _serve(
+        self,
+        sender: DaemonId,
+        asked: AnswerChunkRequest,
+    ) -> AnswerChunk | Failure:
+        held = self._held.get(asked.stream_id)
+        if held is None or held.asker != sender:
+            return Failure(ErrorKind.not_found, 'no such answer is held')
+        if not 0 <= asked.offset < len(held.body):
+            return Failure(ErrorKind.invalid_input, 'offset beyond the answer')
+        end = asked.offset + CHUNK_BYTES
+        if end >= len(held.body):
+            self._drop(asked.stream_id)
+        chunk = held.body[asked.offset : end]
+        return AnswerChunk(asked.stream_id, asked.offset, chunk)
+
+    def _drop(self, stream_id: str) -> None:
+        held = self._held.pop(stream_id, None)
+        if held is not None:
+            held.expiry.cancel()
+
+
+def _check_chunk(
+    asked: AnswerChunkRequest,
+    reply: Any,
+    size_bytes: int,
+) -> Failure | None:
+    if isinstance(reply, Failure):
+        # The request ran, so a peer that can't be reached any more must not
+        # count as "not run".
+        reason = f'answer cut at {asked.offset} bytes: {reply.reason}'
+        return Failure(ErrorKind.peer_outcome_unknown, reason)
+    if not isinstance(reply, AnswerChunk):
+        return Failure(ErrorKind.bad_frame, 'not a chunk of an answer')
+    is_next = (reply.stream_id, reply.offset) == (asked.stream_id, asked.offset)
+    expected = min(CHUNK_BYTES, size_bytes - asked.offset)
+    if not is_next or len(reply.chunk) != expected:
+        reason = f'wrong chunk at {asked.offset} bytes of an answer'
+        return Failure(ErrorKind.bad_frame, reason)
+    return None
+
+
+def _new_permits() -> asyncio.Semaphore:
+    return asyncio.Semaphore(_MAX_CHUNKS_AT_ONCE)
+
+
+__all__ = (
+    'CHUNK_BYTES',
+    'INLINE_BYTES',
+    'AnswerChunk',
+    'AnswerChunkRequest',
+    'AnswerStreams',
+)
--- a/src/radishlift/requests/forwarding.py
+++ b/src/radishlift/requests/forwarding.py
@@ -2,11 +2,11 @@
 
 from collections import Counter
 from dataclasses import dataclass
-from typing import Final
 
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import DaemonId, ExecutorId, ServiceName
 from radishlift.requests.admission import Admission
+from radishlift.requests.answer_streams import INLINE_BYTES, AnswerStreams
 from radishlift.requests.api import ServiceAnswer, ServiceRequest
 from radishlift.requests.attempts import Attempts
 from radishlift.requests.calls import Call
@@ -15,8 +15,6 @@
 from radishlift.wire.messages import message
 from radishlift.wire.network import PeerNetwork
 
-_MAX_FORWARDED_BYTES: Final = 1_000_000
-
 
 @message('forward_request')
 @dataclass(frozen=True, slots=True)
@@ -30,12 +28,17 @@
 @message('forward_answer')
 @dataclass(frozen=True, slots=True)
 class ForwardAnswer:
-    """The answer, and the idle slots that the peer has left."""
+    """The answer, and the idle slots that the peer has left.
+
+    A long answer has an empty body and is fetched by its `stream_id`.
+    """
 
     status: int
     body: bytes
     content_type: str
     idle_count: int
+    size_bytes: int
+    stream_id: str = ''
 
 
 class Forwarder:
@@ -52,8 +55,10 @@
         places: Places,
         attempts: Attempts,
         admission: Admission,
+        streams: AnswerStreams,
     ) -> None:
         self._network = network
+        self._streams = streams
         self._board = board
         self._places = places
         self._attempts = attempts
@@ -86,31 +91,53 @@
         self.out_counts[request.service] += 1
         try:
             reply = await self._network.call(peer, asked, limit_ms)
+            if isinstance(reply, ForwardAnswer):
+                self._board.set_idle(peer, request.service, reply.idle_count)
+                return await self._complete(peer, call, reply)
         finally:
             self.out_counts[request.service] -= 1
-        if isinstance(reply, ForwardAnswer):
-            self._board.set_idle(peer, request.service, reply.idle_count)
-            return ServiceAnswer(reply.status, reply.body, reply.content_type)
         if isinstance(reply, Failure):
             self._board.set_idle(peer, request.service, 0)
             return reply
         return Failure(ErrorKind.bad_frame, f'{peer} sent another reply')
 
+    async def _complete(
+        self,
+        peer: DaemonId,
+        call: Call,
+        reply: ForwardAnswer,
+    ) -> ServiceAnswer | Failure:
+        body: bytes | Failure = reply.body
+        if reply.stream_id:
+            body = await self._streams.fetch(
+                peer,
+                reply.stream_id,
+                reply.size_bytes,
+                lambda: call.left_ms,
+            )
+        if isinstance(body, Failure):
+            return body
+        if len(body) != reply.size_bytes:
+            reason = f'{peer} sent {len(body)} of {reply.size_bytes} bytes'
+            return Failure(ErrorKind.bad_frame, reason)
+        return ServiceAnswer(reply.status, body, reply.content_type)
+
     async def _serve(
         self,
-        _sender: DaemonId,
+        sender: DaemonId,
         asked: ForwardRequest,
     ) -> ForwardAnswer | Failure:
         call = self._admission.admit(asked.request)
         if isinstance(call, Failure):
             return call
         try:
-            return await self._run(call, asked)
+            return await self._run(sender, call, asked)
         finally:
             self._admission.end(call)
 
     async def _run(
         self,
+        sender: DaemonId,
         call: Call,
         asked: ForwardRequest,
     ) -> ForwardAnswer | Failure:
@@ -121,14 +148,18 @@
         answer = await self._attempts.run(view, call, call.left_ms)
         if isinstance(answer, Failure):
             return answer
-        if len(answer.body) > _MAX_FORWARDED_BYTES:
-            reason = f'answer of {len(answer.body)} bytes exceeds a frame'
-            return Failure(ErrorKind.target_failed, reason)
+        stream_id: str | Failure = ''
+        if len(answer.body) > INLINE_BYTES:
+            stream_id = self._streams.hold(sender, answer.body, call.left_ms)
+        if isinstance(stream_id, Failure):
+            return stream_id
         return ForwardAnswer(
             answer.status,
-            answer.body,
+            b'' if stream_id else answer.body,
             answer.content_type,
             self._places.idle_count(asked.request.service),
+            len(answer.body),
+            stream_id,
         )
 
 
--- a/src/radishlift/requests/router.py
+++ b/src/radishlift/requests/router.py
@@ -9,6 +9,7 @@
 from radishlift.core.errors import ErrorKind, Failure, Outcome
 from radishlift.partitions.api import OwnedPartitions, PartitionDirectory
 from radishlift.requests.admission import Admission
+from radishlift.requests.answer_streams import AnswerStreams
 from radishlift.requests.api import ServiceAnswer, ServiceRequest
 from radishlift.requests.attempts import Attempts
 from radishlift.requests.calls import Call
@@ -98,12 +99,14 @@
             parts.slot_parts.targets,
             settings,
         )
+        self.streams = AnswerStreams(parts.network, settings)
         self._forwarder = Forwarder(
             parts.network,
             self.exchange.board,
             self.places,
             self._attempts,
             self.admission,
+            self.streams,
         )
         self.exchange.connect(self.places, self._forwarder.out_counts)
         self.homes = HomeServer(
--- a/src/radishlift/requests/settings.py
+++ b/src/radishlift/requests/settings.py
@@ -13,11 +13,13 @@
     `slot_writes_per_s` bounds the writes to `slots` rows of one daemon: 7
     daemons at 10 stay far below the several hundred of the table service.
     `kept_answer_bytes` times `kept_keys_count` bounds what a partition can
-    hold for repeats (10 MB, against the 32 MB of a daemon); a longer answer
-    is not kept. A full table refuses new
-    keys and never drops a key before `keep_keys_ms`, because a repeat of a
-    dropped key would run again. `connections_per_executor` keeps 7 daemons
-    within the about 60 connections of an executor; slots need no more.
+    hold for repeats (10 MB, against the 32 MB of a daemon); a longer answer is
+    not kept. `max_answer_bytes` bounds the whole answer, also over a hop
+    between daemons, and `max_held_answer_bytes` all answers that a daemon
+    holds until its peers have fetched them. A full table refuses new keys and
+    never drops a key before `keep_keys_ms`, because a repeat of a dropped key
+    would run again. `connections_per_executor` keeps 7 daemons within the
+    about 60 connections of an executor; slots need no more.
     """
 
     sync_interval_ms: int = bounded(500, 20, 60_000)
@@ -32,6 +34,7 @@
     max_headers_count: int = bounded(64, 1, 1_000)
     max_header_bytes: int = bounded(8_192, 1, 1_048_576)
     max_answer_bytes: int = bounded(8_388_608, 1, 67_108_864)
+    max_held_answer_bytes: int = bounded(33_554_432, 1, 1_073_741_824)
     max_department_count: int = bounded(1_024, 1, 1_000_000)
     max_forward_bytes: int = bounded(524_288, 0, 900_000)
     kept_answer_bytes: int = bounded(1_024, 0, 65_536)
--- a/tests/standins/executor.py
+++ b/tests/standins/executor.py
@@ -42,6 +42,13 @@
     return json.dumps({'request_id': request_id, 'digest': digest}).encode()
 
 
+def lengthen(answer: bytes, size_bytes: int) -> bytes:
+    """Repeats an answer until it has a size; keeps a longer one."""
+    if len(answer) >= size_bytes:
+        return answer
+    return (answer * (size_bytes // len(answer) + 1))[:size_bytes]
+
+
 class ExecutorStandIn:
     """One executor; it works on after its caller has gone."""
 
@@ -57,6 +64,7 @@
         self.running = 0
         self.peak = 0
         self.peak_connections = 0
+        self.answer_bytes = 0
         self.cancel_hang = asyncio.Event()
         self._service_ms = service_ms or {}
         self._random = random.Random(f'{seed}/{address}')
@@ -141,7 +149,7 @@
         self, mode: Mode, request: web.Request, body: bytes
     ) -> web.StreamResponse:
         request_id = request.headers.get('X-Request-Id', '')
-        answer = expected_answer(request_id, body)
+        answer = lengthen(expected_answer(request_id, body), self.answer_bytes)
         if mode is Mode.wrong_id:
             request_id = f'other-{request_id}'
         headers = {'X-Request-Id': request_id}
