Keep late answers to forwarded keyed requests

Cause: only the entry daemon reported answers to the home of a key. When a peer ran a forwarded request, its answer after the deadline, or after the stream to the entry daemon broke, was lost, and repeats of the key got "outcome unknown".

Ruled out: sending late answers back over the hop; the entry daemon may have gone, and the home drops a second report of the same nonce anyway.

Change: the forwarded request carries the nonce of its grant, and the peer that runs it reports the answer, also if it is late. The entry daemon goes on to report what it gets.

Measured: with a late executor and with a stream cut during the run, the repeat gets the first answer and the request runs once.

Conclusion: an answer is lost to repeats only if the daemon that ran the request ends before its report is journaled.

--- a/src/radishlift/requests/calls.py
+++ b/src/radishlift/requests/calls.py
@@ -17,7 +17,8 @@
 
     `rank` orders classes; 0 is the most urgent. `sent_failure` is the
     failure of an attempt that may have reached an executor, `late` gets the
-    exchange that goes on after the wait for it has ended.
+    exchange that goes on after the wait for it has ended. `nonce` is that of
+    the grant of a keyed request.
     """
 
     request: ServiceRequest
@@ -31,6 +32,7 @@
     sent_failure: Failure | None = None
     sequence: int | None = None
     late: 'asyncio.Future[Any] | None' = None
+    nonce: str = ''
 
     @property
     def left_ms(self) -> int:
@@ -43,6 +45,11 @@
         request = self.request
         return request.is_idempotent and not request.idempotency_key
 
+    @property
+    def home_key(self) -> str:
+        """Returns the idempotency key as its home knows it."""
+        return f'{self.request.service}/{self.request.idempotency_key}'
+
     def note(self, failure: Failure) -> None:
         """Remembers a failed attempt that may have run."""
         if failure.answer.outcome is not Outcome.not_run:
--- a/src/radishlift/requests/forwarding.py
+++ b/src/radishlift/requests/forwarding.py
@@ -10,6 +10,7 @@
 from radishlift.requests.api import ServiceAnswer, ServiceRequest
 from radishlift.requests.attempts import Attempts
 from radishlift.requests.calls import Call
+from radishlift.requests.key_reports import KeyReports
 from radishlift.requests.loads import LoadBoard
 from radishlift.requests.places import Places
 from radishlift.wire.messages import message
@@ -19,10 +20,14 @@
 @message('forward_request')
 @dataclass(frozen=True, slots=True)
 class ForwardRequest:
-    """Asks a peer to run a request on a slot that is idle now."""
+    """Asks a peer to run a request on a slot that is idle now.
+
+    `nonce` is that of the grant of a keyed request.
+    """
 
     request: ServiceRequest
     excluded: tuple[ExecutorId, ...] = ()
+    nonce: str = ''
 
 
 @message('forward_answer')
@@ -56,9 +61,11 @@
         attempts: Attempts,
         admission: Admission,
         streams: AnswerStreams,
+        reports: KeyReports,
     ) -> None:
         self._network = network
         self._streams = streams
+        self._reports = reports
         self._board = board
         self._places = places
         self._attempts = attempts
@@ -87,6 +94,7 @@
                 request.is_idempotent,
             ),
             tuple(sorted(call.excluded)),
+            call.nonce,
         )
         self.out_counts[request.service] += 1
         try:
@@ -146,6 +154,10 @@
         if view is None:
             return Failure(ErrorKind.overloaded, 'no idle slot')
         answer = await self._attempts.run(view, call, call.left_ms)
+        if asked.nonce:
+            # The asker may have stopped waiting, or the stream may break.
+            call.nonce = asked.nonce
+            self._reports.follow(call, answer)
         if isinstance(answer, Failure):
             return answer
         stream_id: str | Failure = ''
--- a/src/radishlift/requests/key_reports.py
+++ b/src/radishlift/requests/key_reports.py
@@ -1,13 +1,16 @@
 """Reports to the homes of keys, repeated until they are journaled."""
 
 import asyncio
-from typing import Final
+from typing import Any, Final
 
-from radishlift.core.errors import ErrorKind, Failure
+from radishlift.core.errors import ErrorKind, Failure, Outcome
 from radishlift.core.logs import log_event
 from radishlift.partitions.api import PartitionDirectory
+from radishlift.requests.api import ServiceAnswer
+from radishlift.requests.calls import Call
 from radishlift.requests.home_messages import KeyReport, KeyReportTaken
 from radishlift.requests.idempotency import RequestAnswered, RequestNotSent
+from radishlift.requests.kept_answers import keep_answer
 from radishlift.requests.settings import RequestSettings
 from radishlift.wire.network import PeerNetwork
 
@@ -50,11 +53,37 @@
         self._pending.add(task)
         task.add_done_callback(self._pending.discard)
 
+    def follow(self, call: Call, outcome: ServiceAnswer | Failure) -> None:
+        """Reports what the run of a granted call answered, also if late.
+
+        A run whose answer never comes is not reported.
+        """
+        if _is_final(outcome):
+            self._start_answer(call, outcome)
+        elif call.late is not None:
+            call.late.add_done_callback(
+                lambda late: self._report_late(call, late),
+            )
+
     def stop(self) -> None:
         """Gives all reports up."""
         for task in self._pending:
             task.cancel()
 
+    def _report_late(self, call: Call, late: 'asyncio.Future[Any]') -> None:
+        answer = late.result().answer
+        if _is_final(answer):
+            self._start_answer(call, answer)
+
+    def _start_answer(
+        self,
+        call: Call,
+        outcome: ServiceAnswer | Failure,
+    ) -> None:
+        max_bytes = self._settings.kept_answer_bytes
+        kept = keep_answer(call.home_key, call.nonce, outcome, max_bytes)
+        self.start(kept)
+
     async def _report(self, reported: RequestAnswered | RequestNotSent) -> None:
         pause_s = _FIRST_PAUSE_S
         try:
@@ -91,4 +120,10 @@
         return reply
 
 
+def _is_final(outcome: ServiceAnswer | Failure) -> bool:
+    if isinstance(outcome, Failure):
+        return outcome.answer.outcome is Outcome.ran
+    return True
+
+
 __all__ = ('KeyReports',)
--- a/src/radishlift/requests/keyed.py
+++ b/src/radishlift/requests/keyed.py
@@ -17,7 +17,7 @@
     IntentRequest,
 )
 from radishlift.requests.idempotency import RequestNotSent
-from radishlift.requests.kept_answers import keep_answer, kept_outcome
+from radishlift.requests.kept_answers import kept_outcome
 from radishlift.requests.key_reports import KeyReports
 from radishlift.requests.settings import RequestSettings
 from radishlift.wire.network import PeerNetwork
@@ -72,7 +72,7 @@
 
     async def run(self, call: Call) -> Outcomes:
         """Answers a keyed request."""
-        key = f'{call.request.service}/{call.request.idempotency_key}'
+        key = call.home_key
         failure = Failure(ErrorKind.deadline_passed, 'no time is left')
         while call.left_ms > 0:
             nonce = token_hex(8)
@@ -126,31 +126,14 @@
         return self._network.daemon_id
 
     async def _run_granted(self, call: Call, key: str, nonce: str) -> Outcomes:
+        call.nonce = nonce
         outcome = await self._route(call)
         if _is_not_run(outcome):
             self._reports.start(RequestNotSent(key, nonce))
-        elif _is_final(outcome):
-            self._report_answer(key, nonce, outcome)
-        elif call.late is not None:
-            call.late.add_done_callback(
-                lambda late: self._report_late(key, nonce, late),
-            )
+        else:
+            self._reports.follow(call, outcome)
         return outcome
 
-    def _report_answer(self, key: str, nonce: str, outcome: Outcomes) -> None:
-        max_bytes = self._settings.kept_answer_bytes
-        self._reports.start(keep_answer(key, nonce, outcome, max_bytes))
-
-    def _report_late(
-        self,
-        key: str,
-        nonce: str,
-        late: 'asyncio.Future[Any]',
-    ) -> None:
-        answer = late.result().answer
-        if _is_final(answer):
-            self._report_answer(key, nonce, answer)
-
 
 def _digest(call: Call) -> str:
     return sha256(call.request.body).hexdigest()
@@ -162,12 +145,6 @@
     return outcome.answer.outcome is Outcome.not_run
 
 
-def _is_final(outcome: Outcomes) -> bool:
-    if isinstance(outcome, Failure):
-        return outcome.answer.outcome is Outcome.ran
-    return True
-
-
 def _first_outcome(first: FirstAnswer, call: Call) -> Outcomes:
     if first.digest != _digest(call):
         return Failure(ErrorKind.peer_outcome_unknown, 'answer to another body')
--- a/src/radishlift/requests/router.py
+++ b/src/radishlift/requests/router.py
@@ -99,6 +99,7 @@
             parts.slot_parts.targets,
             settings,
         )
+        self.reports = KeyReports(parts.network, parts.directory, settings)
         self.streams = AnswerStreams(parts.network, settings)
         self._forwarder = Forwarder(
             parts.network,
@@ -107,6 +108,7 @@
             self._attempts,
             self.admission,
             self.streams,
+            self.reports,
         )
         self.exchange.connect(self.places, self._forwarder.out_counts)
         self.homes = HomeServer(
@@ -115,7 +117,6 @@
             parts.clock,
             settings,
         )
-        self.reports = KeyReports(parts.network, parts.directory, settings)
         self.keyed = KeyedRequests(
             parts.network,
             parts.directory,
--- a/tests/requests/test_keyed.py
+++ b/tests/requests/test_keyed.py
@@ -84,6 +84,28 @@
     assert len(made.executions) == 1
 
 
+@pytest.mark.parametrize('is_cut', [False, True])
+async def test_late_answer_to_a_forwarded_request_is_kept(made, is_cut):
+    """Guards against the loss of an answer that its asker did not get."""
+    set_modes(made, Mode.none if is_cut else Mode.late)
+    for executor in made.executors:
+        executor.set_service_ms(200)
+    made.daemons['a'].router.places.take = lambda _call: None
+    deadline_ms = 2_000 if is_cut else 100
+    asking = asyncio.create_task(ask(made, 'a', deadline_ms=deadline_ms))
+    await wait_until(lambda: made.executions)
+    if is_cut:
+        for name in 'bc':
+            for connection in list(made.daemons[name].network._incoming):
+                connection.close()
+    first = await asking
+    set_modes(made, Mode.none)
+    repeated = await ask(made, 'b', 2)
+    assert outcome_of(first) is Outcome.unknown
+    assert isinstance(repeated, ServiceAnswer), repeated
+    assert len(made.executions) == 1
+
+
 @pytest.mark.parametrize('is_broken', [False, True])
 async def test_takeover_of_the_home_before_the_dispatch(made, is_broken):
     """Guards against a second grant by the successor of the home."""
