Show queues, workers, quarantines and owners of the whole cell

Cause: the console's state page listed partitions only, with numbers of those owned by the asked daemon; quarantines were not logged.

Change: `ControlStatus` asks all daemons over the peer streams, only when an operator asks, and adds up their answers: queued and running tasks per department and priority, workers per data centre, quarantines, partitions with owners. Each daemon lists at most 200 rows of a kind. A daemon that does not answer within `[report] peer_timeout_ms` is named, and its partitions have no counts instead of zeros. The same is in `GET /v1/status?scope=cell` and `radishctl status`.

Ruled out: the cell's state in the plain `GET /v1/status`, which balancers and tests poll and which must not wait for other daemons; counts spread with heartbeats, which would cost traffic at rest.

--- a/src/radishlift/api/status.py
+++ b/src/radishlift/api/status.py
@@ -1,7 +1,11 @@
-"""HTTP handler for the state of the cell as this daemon knows it."""
+"""HTTP handler for the state of this daemon and of the cell."""
 
 from aiohttp import web
 
+from radishlift.api.answers import failure_answer
+from radishlift.console.status import StatusProvider
+from radishlift.core.codec import dump_plain
+from radishlift.core.errors import Failure
 from radishlift.daemon.control import Control
 from radishlift.daemon.foundation import Foundation
 
@@ -9,16 +13,35 @@
 class StatusHandlers:
     """Handles `GET /v1/status`."""
 
-    def __init__(self, base: Foundation, control: Control) -> None:
+    def __init__(
+        self,
+        base: Foundation,
+        control: Control,
+        cell: StatusProvider,
+    ) -> None:
         self._base = base
         self._control = control
+        self._cell = cell
 
     def add_routes(self, app: web.Application) -> None:
         """Adds the route to an application."""
         app.router.add_get('/v1/status', self.show)
 
-    async def show(self, _request: web.Request) -> web.Response:
-        """Answers with members, partitions and their owners."""
+    async def show(self, request: web.Request) -> web.Response:
+        """Answers with members, partitions and their owners.
+
+        With the query `scope=cell` all daemons are asked for their queues,
+        workers and quarantines; without it the answer needs no other daemon.
+        """
+        body = self._own_view()
+        if request.query.get('scope') == 'cell':
+            cell = await self._cell.cell_status()
+            if isinstance(cell, Failure):
+                return failure_answer(cell)
+            body['cell'] = dump_plain(cell)
+        return web.json_response(body)
+
+    def _own_view(self) -> dict[str, object]:
         membership = self._base.membership
         document = self._control.config.current()
         members = [
@@ -29,18 +52,16 @@
             }
             for member in membership.members()
         ]
-        return web.json_response(
-            {
-                'daemon_id': self._base.member.daemon_id,
-                'config_version': document.version if document else 0,
-                'members': members,
-                'partitions': self._partitions(),
-                'running': [
-                    runner.partition_id
-                    for runner in self._control.partitions.owned()
-                ],
-            }
-        )
+        return {
+            'daemon_id': self._base.member.daemon_id,
+            'config_version': document.version if document else 0,
+            'members': members,
+            'partitions': self._partitions(),
+            'running': [
+                runner.partition_id
+                for runner in self._control.partitions.owned()
+            ],
+        }
 
     def _partitions(self) -> list[dict[str, object]]:
         directory = self._control.directory
--- a/src/radishlift/cli/job_commands.py
+++ b/src/radishlift/cli/job_commands.py
@@ -8,9 +8,13 @@
 from cleo.io.inputs.argument import Argument
 from cleo.io.inputs.option import Option
 
+from radishlift.cli.cell_text import describe_cell
 from radishlift.cli.daemon_command import DaemonCommand, ExitCode, failure_of
+from radishlift.console.status import CellStatus
+from radishlift.core.codec import parse_plain
 from radishlift.core.errors import Failure
 
+_CELL_PATH: Final = '/v1/status?scope=cell'
 _FIRST_ERROR_STATUS: Final = 400
 
 
@@ -110,8 +114,18 @@
     def handle(self) -> int:
         """Asks for the state."""
         job_id = self.argument('job-id')
-        path = f'/v1/jobs/{quote(job_id, safe="")}' if job_id else '/v1/status'
-        return self.show('GET', path)
+        if job_id:
+            return self.show('GET', f'/v1/jobs/{quote(job_id, safe="")}')
+        if self.is_json:
+            return self.show('GET', _CELL_PATH)
+        body = self.fetch(_CELL_PATH, dict)
+        if isinstance(body, Failure):
+            return self.fail(body)
+        cell = parse_plain(body.get('cell'), CellStatus)
+        if isinstance(cell, Failure):
+            return self.fail(cell)
+        self.print_text(describe_cell(cell))
+        return ExitCode.ok
 
 
 class ExplainCommand(_JobCommand):
--- a/src/radishlift/console/status.py
+++ b/src/radishlift/console/status.py
@@ -11,13 +11,15 @@
     PartitionId,
     WorkerId,
 )
+from radishlift.placement.jobs import Priority
 
 
 @dataclass(frozen=True, slots=True)
 class QueueStatus:
-    """Tasks of a department and the longest present wait."""
+    """Tasks of a department and priority, and the longest present wait."""
 
     department: DepartmentName
+    priority: Priority
     queued_count: int
     running_count: int
     oldest_wait_ms: int
@@ -25,7 +27,11 @@
 
 @dataclass(frozen=True, slots=True)
 class WorkersStatus:
-    """Workers of a data centre by state, and their committed resources."""
+    """Workers of a data centre by state, and their committed resources.
+
+    A live worker may be in quarantine. `leaving_count` are those that get no
+    new tasks because they leave or were moved to another partition.
+    """
 
     data_centre: DataCentreId
     live_count: int
@@ -33,11 +39,16 @@
     quarantined_count: int
     committed_cpu_milli: int
     total_cpu_milli: int
+    unreachable_count: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class QuarantineStatus:
-    """A worker in quarantine and why."""
+    """A worker in quarantine and why.
+
+    `since_ms` is the wall time from which its owner knows it, which begins
+    anew with each owner.
+    """
 
     worker_id: WorkerId
     reason: str
@@ -46,22 +57,30 @@
 
 @dataclass(frozen=True, slots=True)
 class PartitionStatus:
-    """A partition and its owner; None while it has none."""
+    """A partition and its owner; None while it has none.
+
+    The counts are None while the owner does not answer or still recovers.
+    """
 
     partition_id: PartitionId
     owner: DaemonId | None
-    workers_count: int
-    queued_count: int
+    workers_count: int | None
+    queued_count: int | None
 
 
 @dataclass(frozen=True, slots=True)
 class CellStatus:
-    """The state of the cell as one daemon knows it."""
+    """The state of the cell as its daemons tell it on request.
+
+    `missing` are the daemons that did not answer; what they own is not
+    counted.
+    """
 
     queues: tuple[QueueStatus, ...] = ()
     workers: tuple[WorkersStatus, ...] = ()
     quarantines: tuple[QuarantineStatus, ...] = ()
     partitions: tuple[PartitionStatus, ...] = ()
+    missing: tuple[DaemonId, ...] = ()
 
 
 class StatusProvider(Protocol):
--- a/src/radishlift/console/views.py
+++ b/src/radishlift/console/views.py
@@ -22,6 +22,21 @@
 
 _HISTORY_COUNT: Final = 30
 _MAX_ROWS: Final = 500
+_QUEUE_HEADINGS: Final = (
+    'department',
+    'priority',
+    'queued',
+    'running',
+    'oldest wait ms',
+)
+_WORKER_HEADINGS: Final = (
+    'data centre',
+    'live',
+    'leaving',
+    'unreachable',
+    'quarantined',
+    'cpu milli',
+)
 
 
 async def show_history(page: Page) -> web.Response:
@@ -124,6 +139,7 @@
     queues = (
         (
             row.department,
+            row.priority.value,
             row.queued_count,
             row.running_count,
             row.oldest_wait_ms,
@@ -135,6 +151,7 @@
             row.data_centre,
             row.live_count,
             row.leaving_count,
+            row.unreachable_count,
             row.quarantined_count,
             f'{row.committed_cpu_milli} of {row.total_cpu_milli}',
         )
@@ -148,15 +165,17 @@
         (row.partition_id, row.owner, row.workers_count, row.queued_count)
         for row in cell.partitions[:_MAX_ROWS]
     )
+    missing = None
+    if cell.missing:
+        silent = ', '.join(cell.missing)
+        missing = tag('p', f'No answer from: {silent}', class_='error')
     return tag(
         'section',
+        missing,
         tag('h2', 'Queues'),
-        table(('department', 'queued', 'running', 'oldest wait ms'), queues),
+        table(_QUEUE_HEADINGS, queues),
         tag('h2', 'Workers'),
-        table(
-            ('data centre', 'live', 'leaving', 'quarantined', 'cpu milli'),
-            workers,
-        ),
+        table(_WORKER_HEADINGS, workers),
         tag('h2', 'Quarantines'),
         table(('worker', 'reason', 'since'), quarantines),
         tag('h2', 'Partitions'),
--- a/src/radishlift/daemon/cell_status.py
+++ b/src/radishlift/daemon/cell_status.py
@@ -1,34 +1,153 @@
-"""State of the cell for the console, as this daemon knows it."""
+"""State of the whole cell, gathered from all daemons on request."""
 
-from radishlift.console.status import CellStatus, PartitionStatus
+import asyncio
+from collections.abc import Iterable, Sequence
+from dataclasses import replace
+from itertools import chain
+from typing import Any
+
+from radishlift.config.fleet import Fleet
+from radishlift.console.status import (
+    CellStatus,
+    PartitionStatus,
+    QueueStatus,
+    WorkersStatus,
+)
 from radishlift.core.errors import Failure
-from radishlift.core.ids import PartitionId
+from radishlift.core.ids import DaemonId
 from radishlift.daemon.control import Control
+from radishlift.daemon.foundation import Foundation
+from radishlift.daemon.own_status import DaemonStatus, OwnStatus, StatusFetch
+from radishlift.membership.api import MemberDirectory
+from radishlift.ownership.directory import OwnerDirectory
+from radishlift.report.settings import ReportSettings
+from radishlift.wire.network import PeerNetwork
 
 
 class ControlStatus:
-    """A `StatusProvider` over the directory and the owned partitions."""
+    """A `StatusProvider` that asks all daemons over the peer streams.
+
+    Nothing is sent unless an operator asks.
+    """
 
-    def __init__(self, control: Control) -> None:
-        self._control = control
+    def __init__(
+        self,
+        own: OwnStatus,
+        directory: OwnerDirectory,
+        network: PeerNetwork,
+        members: MemberDirectory,
+        timeout_ms: int,
+    ) -> None:
+        self._own = own
+        self._directory = directory
+        self._network = network
+        self._fleet = Fleet(members, network.daemon_id)
+        self._timeout_ms = timeout_ms
+        network.register(StatusFetch, self._answer)
 
     async def cell_status(self) -> CellStatus | Failure:
-        """Lists partitions with their owners; numbers of those owned here."""
-        return CellStatus(
-            partitions=tuple(
-                self._partition(partition_id)
-                for partition_id in self._control.directory.partitions()
+        """Adds up what the daemons answer; names those that don't."""
+        peers = self._fleet.peers()
+        own, *replies = await asyncio.gather(
+            self._own.count(),
+            *(
+                self._network.call(peer, StatusFetch(), self._timeout_ms)
+                for peer in peers
             ),
         )
+        answers = [own, *_answered(replies)]
+        missing = [
+            peer
+            for peer, reply in zip(peers, replies, strict=True)
+            if not isinstance(reply, DaemonStatus)
+        ]
+        return CellStatus(
+            _merge_queues(answers),
+            _merge_workers(answers),
+            tuple(row for one in answers for row in one.quarantines),
+            self._partitions(answers),
+            tuple(missing),
+        )
+
+    def _partitions(
+        self,
+        answers: Sequence[DaemonStatus],
+    ) -> tuple[PartitionStatus, ...]:
+        told = {
+            row.partition_id: row for one in answers for row in one.partitions
+        }
+        return tuple(
+            told.get(partition_id)
+            or PartitionStatus(
+                partition_id,
+                self._directory.owner_of(partition_id),
+                None,
+                None,
+            )
+            for partition_id in self._directory.partitions()
+        )
+
+    async def _answer(
+        self,
+        _sender: DaemonId,
+        _fetch: StatusFetch,
+    ) -> DaemonStatus:
+        return await self._own.count()
+
 
-    def _partition(self, partition_id: PartitionId) -> PartitionStatus:
-        owner = self._control.directory.owner_of(partition_id)
-        runner = self._control.partitions.get(partition_id)
-        workers_count = 0
-        if runner is not None and runner.opened is not None:
-            tables = runner.opened.states.placement.tables
-            workers_count = sum(tables.workers.is_present)
-        return PartitionStatus(partition_id, owner, workers_count, 0)
+def build_cell_status(base: Foundation, control: Control) -> ControlStatus:
+    """Builds the status over the parts of a daemon."""
+    return ControlStatus(
+        OwnStatus(control.partitions, base.member.daemon_id),
+        control.directory,
+        base.network,
+        base.membership,
+        base.settings.get(ReportSettings).peer_timeout_ms,
+    )
+
+
+def _answered(replies: Iterable[Any]) -> list[DaemonStatus]:
+    return [reply for reply in replies if isinstance(reply, DaemonStatus)]
+
+
+def _merge_queues(
+    answers: Iterable[DaemonStatus],
+) -> tuple[QueueStatus, ...]:
+    merged: dict[tuple[str, str], QueueStatus] = {}
+    for row in chain.from_iterable(one.queues for one in answers):
+        key = (row.department, row.priority.value)
+        known = merged.get(key)
+        if known is None:
+            merged[key] = row
+            continue
+        merged[key] = replace(
+            known,
+            queued_count=known.queued_count + row.queued_count,
+            running_count=known.running_count + row.running_count,
+            oldest_wait_ms=max(known.oldest_wait_ms, row.oldest_wait_ms),
+        )
+    return tuple(merged[key] for key in sorted(merged))
+
+
+def _merge_workers(
+    answers: Iterable[DaemonStatus],
+) -> tuple[WorkersStatus, ...]:
+    merged: dict[str, WorkersStatus] = {}
+    for row in chain.from_iterable(one.workers for one in answers):
+        known = merged.get(row.data_centre)
+        if known is None:
+            merged[row.data_centre] = row
+            continue
+        merged[row.data_centre] = WorkersStatus(
+            row.data_centre,
+            known.live_count + row.live_count,
+            known.leaving_count + row.leaving_count,
+            known.quarantined_count + row.quarantined_count,
+            known.committed_cpu_milli + row.committed_cpu_milli,
+            known.total_cpu_milli + row.total_cpu_milli,
+            known.unreachable_count + row.unreachable_count,
+        )
+    return tuple(merged[key] for key in sorted(merged))
 
 
-__all__ = ('ControlStatus',)
+__all__ = ('ControlStatus', 'build_cell_status')
--- a/src/radishlift/daemon/console.py
+++ b/src/radishlift/daemon/console.py
@@ -2,24 +2,25 @@
 
 from aiohttp import web
 
+from radishlift.config.spreader import ConfigSpreader
 from radishlift.console.context import ConsoleContext
 from radishlift.console.guard import ConsoleGuard
 from radishlift.console.routes import add_console_routes
-from radishlift.daemon.cell_status import ControlStatus
-from radishlift.daemon.control import Control
+from radishlift.console.status import StatusProvider
 from radishlift.report.collector import MetricsCollector
 
 
 def add_console(
     app: web.Application,
-    control: Control,
+    config: ConfigSpreader,
+    status: StatusProvider,
     collector: MetricsCollector,
     change_token: str,
 ) -> None:
     """Adds the console's pages over the parts of this daemon."""
     context = ConsoleContext(
-        control.config,
-        ControlStatus(control),
+        config,
+        status,
         collector.report,
         ConsoleGuard(change_token),
     )
--- a/src/radishlift/daemon/entry.py
+++ b/src/radishlift/daemon/entry.py
@@ -11,6 +11,7 @@
 from radishlift.api.services import ServiceHandlers
 from radishlift.api.status import StatusHandlers
 from radishlift.core.errors import Failure
+from radishlift.daemon.cell_status import build_cell_status
 from radishlift.daemon.console import add_console
 from radishlift.daemon.control import Control
 from radishlift.daemon.foundation import Foundation
@@ -51,11 +52,12 @@
             base.membership,
             base.settings.get(ReportSettings),
         )
+        status = build_cell_status(base, control)
         routes: tuple[Routes, ...] = (
             ServiceHandlers(self._handle_request),
             ConfigHandlers(control.config, control.config_store, change_token),
             JobHandlers(jobs.router, api_settings.job_timeout_ms),
-            StatusHandlers(base, control),
+            StatusHandlers(base, control, status),
             ReportHandlers(self.metrics, collector),
         )
         self.application: web.Application = build_application(
@@ -64,7 +66,13 @@
             self.limits,
             routes,
         )
-        add_console(self.application, control, collector, change_token)
+        add_console(
+            self.application,
+            control.config,
+            status,
+            collector,
+            change_token,
+        )
 
     async def _handle_request(
         self,
--- /dev/null
+++ b/src/radishlift/daemon/own_status.py
@@ -0,0 +1,175 @@
+"""What this daemon's partitions tell of the state of the cell."""
+
+import asyncio
+from collections import defaultdict
+from dataclasses import dataclass, field
+from typing import Final
+
+from radishlift.console.status import (
+    PartitionStatus,
+    QuarantineStatus,
+    QueueStatus,
+    WorkersStatus,
+)
+from radishlift.core.ids import DaemonId, DataCentreId, DepartmentName
+from radishlift.partitions.open_partition import OpenPartition
+from radishlift.partitions.partitions import Partitions
+from radishlift.placement.jobs import Priority
+from radishlift.wire.messages import message
+
+# A status stays far below the bound of a frame (1 MiB); the counts of
+# workers in quarantine include those that are not listed.
+_MAX_ROWS: Final = 200
+# A queue of 100,000 jobs must not hold up the decisions of a partition.
+_JOBS_PER_STEP: Final = 500
+
+
+@message('status_fetch')
+@dataclass(frozen=True, slots=True)
+class StatusFetch:
+    """Asks for a `DaemonStatus`."""
+
+
+@message('status_snapshot')
+@dataclass(frozen=True, slots=True)
+class DaemonStatus:
+    """Counts over the partitions that one daemon owns, bounded in size."""
+
+    queues: tuple[QueueStatus, ...] = ()
+    workers: tuple[WorkersStatus, ...] = ()
+    quarantines: tuple[QuarantineStatus, ...] = ()
+    partitions: tuple[PartitionStatus, ...] = ()
+
+
+@dataclass(slots=True)
+class _Queue:
+    queued_count: int = 0
+    running_count: int = 0
+    oldest_wait_ms: int = 0
+
+
+@dataclass(slots=True)
+class _Workers:
+    live_count: int = 0
+    leaving_count: int = 0
+    quarantined_count: int = 0
+    committed_cpu_milli: int = 0
+    total_cpu_milli: int = 0
+    unreachable_count: int = 0
+
+
+@dataclass(slots=True)
+class _Counts:
+    queues: defaultdict[tuple[DepartmentName, Priority], _Queue] = field(
+        default_factory=lambda: defaultdict(_Queue),
+    )
+    workers: defaultdict[DataCentreId, _Workers] = field(
+        default_factory=lambda: defaultdict(_Workers),
+    )
+    quarantines: list[QuarantineStatus] = field(default_factory=list)
+
+
+class OwnStatus:
+    """Counts queues and workers of the owned partitions, on request only."""
+
+    def __init__(self, partitions: Partitions, daemon_id: DaemonId) -> None:
+        self._partitions = partitions
+        self._daemon_id = daemon_id
+        self._counting: asyncio.Task[DaemonStatus] | None = None
+
+    async def count(self) -> DaemonStatus:
+        """Counts now; requests during a count share its result."""
+        if self._counting is None or self._counting.done():
+            self._counting = asyncio.create_task(self._count())
+        return await asyncio.shield(self._counting)
+
+    async def _count(self) -> DaemonStatus:
+        counts = _Counts()
+        partitions = []
+        for runner in self._partitions.owned():
+            opened = runner.opened
+            if opened is None:
+                continue
+            await _count_jobs(opened, counts)
+            _count_workers(opened, counts)
+            tables = opened.states.placement.tables
+            partitions.append(
+                PartitionStatus(
+                    runner.partition_id,
+                    self._daemon_id,
+                    sum(tables.workers.is_present),
+                    tables.queued_count,
+                ),
+            )
+        return DaemonStatus(
+            tuple(
+                QueueStatus(
+                    department,
+                    priority,
+                    queue.queued_count,
+                    queue.running_count,
+                    queue.oldest_wait_ms,
+                )
+                for (department, priority), queue in counts.queues.items()
+            )[:_MAX_ROWS],
+            tuple(
+                WorkersStatus(
+                    data_centre,
+                    counted.live_count,
+                    counted.leaving_count,
+                    counted.quarantined_count,
+                    counted.committed_cpu_milli,
+                    counted.total_cpu_milli,
+                    counted.unreachable_count,
+                )
+                for data_centre, counted in counts.workers.items()
+            )[:_MAX_ROWS],
+            tuple(counts.quarantines[:_MAX_ROWS]),
+            tuple(partitions[:_MAX_ROWS]),
+        )
+
+
+async def _count_jobs(opened: OpenPartition, counts: _Counts) -> None:
+    tables = opened.states.placement.tables
+    jobs = tables.jobs
+    for place, (job_id, row) in enumerate(tuple(jobs.row_of.items()), 1):
+        if place % _JOBS_PER_STEP == 0:
+            await asyncio.sleep(0)
+        # Rows are reused, and jobs may be forgotten, between two steps.
+        if jobs.row_of.get(job_id) != row or row in tables.ended_jobs:
+            continue
+        spec = jobs.spec[row]
+        queue = counts.queues[spec.department, spec.priority]
+        queued_count = jobs.startable_count(row)
+        queue.queued_count += queued_count
+        queue.running_count += len(jobs.task_rows[row])
+        queue.running_count -= len(jobs.requeued[row])
+        if queued_count:
+            wait_ms = opened.now_ms() - jobs.accepted_at_ms[row]
+            queue.oldest_wait_ms = max(queue.oldest_wait_ms, wait_ms)
+
+
+def _count_workers(opened: OpenPartition, counts: _Counts) -> None:
+    workers = opened.states.placement.tables.workers
+    for worker_id, row in workers.row_of.items():
+        described = workers.worker_info[row]
+        counted = counts.workers[described.data_centre]
+        if worker_id in opened.facts.closed:
+            counted.leaving_count += 1
+        elif workers.is_present[row]:
+            counted.live_count += 1
+        else:
+            counted.unreachable_count += 1
+        total_cpu = described.capacity.cpu_milli
+        counted.total_cpu_milli += total_cpu
+        counted.committed_cpu_milli += total_cpu - workers.free_cpu[row]
+        reason = workers.quarantine_reason[row]
+        if reason:
+            counted.quarantined_count += 1
+            since_ms = opened.quarantines.since_ms(worker_id)
+            counts.quarantines.append(
+                QuarantineStatus(worker_id, reason, since_ms),
+            )
+
+
+__all__ = ('DaemonStatus', 'OwnStatus', 'StatusFetch')
--- a/src/radishlift/partitions/facts.py
+++ b/src/radishlift/partitions/facts.py
@@ -14,7 +14,10 @@
 
 
 class WorkerFacts:
-    """The `WorkerEvents` of one partition."""
+    """The `WorkerEvents` of one partition.
+
+    `closed` are the workers that leave or were moved to another partition.
+    """
 
     def __init__(
         self,
@@ -28,7 +31,7 @@
         self._clock = clock
         self._wake = wake
         self._seen: dict[WorkerId, WorkerInfo] = {}
-        self._closed: set[WorkerId] = set()
+        self.closed: set[WorkerId] = set()
         self._workers: WorkerAssignment | None = None
 
     def assign(self, workers: WorkerAssignment) -> None:
@@ -36,10 +39,10 @@
         self._workers = workers
         for worker_id, described in self._seen.items():
             is_open = workers.is_open(worker_id)
-            if is_open and worker_id in self._closed:
-                self._closed.discard(worker_id)
+            if is_open and worker_id in self.closed:
+                self.closed.discard(worker_id)
                 self._engine.observe_worker(described)
-            elif not is_open and worker_id not in self._closed:
+            elif not is_open and worker_id not in self.closed:
                 self._close(described)
         self._wake()
 
@@ -48,7 +51,7 @@
         self._seen[described.worker_id] = described
         workers = self._workers
         if workers is None or workers.is_open(described.worker_id):
-            self._closed.discard(described.worker_id)
+            self.closed.discard(described.worker_id)
             self._engine.observe_worker(described)
         else:
             self._close(described)
@@ -110,7 +113,7 @@
 
     def _close(self, described: WorkerInfo) -> None:
         worker_id = described.worker_id
-        self._closed.add(worker_id)
+        self.closed.add(worker_id)
         self._engine.worker_gone(
             worker_id,
             described.incarnation,
--- a/src/radishlift/partitions/open_partition.py
+++ b/src/radishlift/partitions/open_partition.py
@@ -20,6 +20,7 @@
 from radishlift.partitions.log import PartitionLog
 from radishlift.partitions.parts import DaemonParts
 from radishlift.partitions.predecessors import PredecessorWatch
+from radishlift.partitions.quarantines import QuarantineLog
 from radishlift.partitions.spread import WorkerAssignment
 from radishlift.partitions.states import PartitionStates
 from radishlift.placement.engine import PlacementEngine
@@ -82,6 +83,11 @@
             claim,
             settings.journal,
         )
+        self.quarantines = QuarantineLog(
+            claim.partition_id,
+            tables,
+            parts.clock.wall_ms(),
+        )
         self._closed_jobs: dict[JobId, asyncio.Event] = {}
         self._rules: tuple[int, float] | None = None
         self._is_dirty = True
@@ -203,6 +209,7 @@
 
     def _bind(self, decided: Any) -> None:
         self.effects.add(decided)
+        self.quarantines.note(decided, self._wall_ms)
         match decided:
             case JobCancelled():
                 self.signal_closed(decided.job_id)
--- /dev/null
+++ b/tests/cli/test_cell_text.py
@@ -0,0 +1,33 @@
+from radishlift.cli.cell_text import describe_cell
+from radishlift.console.status import (
+    CellStatus,
+    PartitionStatus,
+    QuarantineStatus,
+    QueueStatus,
+)
+from radishlift.core.codec import dump_plain, parse_plain
+from radishlift.core.ids import (
+    DaemonId,
+    DepartmentName,
+    PartitionId,
+    WorkerId,
+)
+from radishlift.placement.jobs import Priority
+
+CELL = CellStatus(
+    (QueueStatus(DepartmentName('rug-depot'), Priority.urgent, 3, 4, 500),),
+    (),
+    (QuarantineStatus(WorkerId('10.0.0.1:1'), 'fails', 7),),
+    (PartitionStatus(PartitionId('p1'), DaemonId('d2'), None, None),),
+    (DaemonId('d2'),),
+)
+
+
+def test_cell_is_described_as_it_comes_over_http():
+    """Guards against a silent daemon whose counts look like zero."""
+    assert parse_plain(dump_plain(CELL), CellStatus) == CELL
+    lines = [line.split() for line in describe_cell(CELL).splitlines()]
+    assert lines[0][:4] == ['no', 'answer', 'from', 'd2:']
+    assert ['rug-depot', 'urgent', '3', '4', '500'] in lines
+    assert ['10.0.0.1:1', '7', 'fails'] in lines
+    assert ['p1', 'd2', '-', '-'] in lines
--- a/tests/console/test_console.py
+++ b/tests/console/test_console.py
@@ -18,16 +18,19 @@
 )
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import (
+    DaemonId,
     DataCentreId,
     DepartmentName,
     PartitionId,
     WorkerId,
 )
+from radishlift.placement.jobs import Priority
 from radishlift.report.burn import burn_report
 from tests.config.documents import TEXT
 from tests.config.fleet import TestFleet, weighted
 from tests.standins.tables import Fault
 
+URGENT = Priority.urgent
 TOKEN = 'let-me-in'
 HOSTILE = '<script>alert("x")</script>'
 
@@ -35,10 +38,11 @@
 class FakeStatus:
     async def cell_status(self) -> CellStatus | Failure:
         return CellStatus(
-            (QueueStatus(DepartmentName('rug-depot'), 3, 4, 500),),
+            (QueueStatus(DepartmentName('rug-depot'), URGENT, 3, 4, 500),),
             (WorkersStatus(DataCentreId('pinetown'), 8, 1, 1, 5, 9),),
             (QuarantineStatus(WorkerId('10.0.0.1:1'), HOSTILE, 10**18),),
-            (PartitionStatus(PartitionId('pinetown-1'), None, 8, 3),),
+            (PartitionStatus(PartitionId('pinetown-1'), None, None, None),),
+            (DaemonId('d-silent'),),
         )
 
 
@@ -251,6 +255,7 @@
     state = await browser.open('/console/state')
     assert HOSTILE not in state
     assert HOSTILE in unescape(state)
+    assert 'No answer from: d-silent' in state
     assert 'in force on all daemons since' in state
     burn = await browser.open('/console/burn')
     assert '<svg' in burn
--- /dev/null
+++ b/tests/daemon/test_cell_status.py
@@ -0,0 +1,108 @@
+import asyncio
+from types import SimpleNamespace
+
+from radishlift.console.status import CellStatus
+from radishlift.core.ids import Address, DaemonId, DataCentreId, PartitionId
+from radishlift.daemon.cell_status import ControlStatus
+from radishlift.daemon.own_status import OwnStatus
+from radishlift.membership.api import Member
+from radishlift.placement.jobs import Priority, Resources
+from tests.partitions.cell import (
+    OTHER_PARTITION,
+    PARTITION,
+    make_job,
+    open_cell,
+)
+from tests.standins.conditions import until
+
+SILENT = DaemonId('silent')
+OWNERS = {
+    PARTITION: DaemonId('a'),
+    OTHER_PARTITION: DaemonId('b'),
+    PartitionId('p3'): SILENT,
+}
+NOWHERE = Address('127.0.0.1:1')
+
+
+class Directory:
+    """Two partitions with owners, and one whose owner does not answer."""
+
+    def partitions(self):
+        return tuple(OWNERS)
+
+    def owner_of(self, partition_id):
+        return OWNERS[partition_id]
+
+
+class Members:
+    def members(self):
+        return tuple(
+            Member(DaemonId(name), '1', NOWHERE, NOWHERE, DataCentreId('dc1'))
+            for name in ('a', 'b', SILENT)
+        )
+
+    def is_dead(self, _daemon_id, _incarnation):
+        return False
+
+
+def status_of(owner) -> ControlStatus:
+    own = OwnStatus(owner.partitions, owner.parts.daemon_id)
+    return ControlStatus(own, Directory(), owner.parts.network, Members(), 500)
+
+
+async def fill(opened, job_id: str) -> None:
+    """Accepts more tasks than fit, and waits until some are placed."""
+    tables = opened.states.placement.tables
+    await until(lambda: any(tables.workers.is_present))
+    job = make_job(
+        job_id,
+        task_count=500,
+        demand=Resources(1_000, 1_000),
+        priority=Priority.high,
+        run_time_ms=60_000,
+    )
+    opened.engine.accept(job, opened.now_ms())
+    opened.wake()
+    await until(lambda: tables.queued_count < 500 and not opened._is_dirty)
+
+
+async def test_cell_status_adds_up_all_daemons_and_names_silent_ones():
+    """Guards against a state page that shows a part as if it were all."""
+    async with open_cell() as cell:
+        await cell.add_worker(rack='r2')
+        owners = [await cell.add_owner(name) for name in ('a', 'b')]
+        await owners[0].claim(PARTITION)
+        await owners[1].claim(OTHER_PARTITION)
+        statuses = [status_of(owner) for owner in owners]
+        await fill(owners[0].opened(PARTITION), 'p1.j')
+        await fill(owners[1].opened(OTHER_PARTITION), 'p2.j')
+        shown = await statuses[0].cell_status()
+        assert isinstance(shown, CellStatus)
+        assert shown.missing == (SILENT,)
+        assert len(shown.queues) == len(shown.workers) == 1
+        queue = shown.queues[0]
+        assert (queue.department, queue.priority) == ('rugs', Priority.high)
+        assert queue.queued_count + queue.running_count == 1000
+        assert queue.running_count > 0
+        data_centre = shown.workers[0]
+        assert data_centre.live_count == len(cell.workers)
+        assert data_centre.committed_cpu_milli == 1000 * queue.running_count
+        counted = {row.partition_id: row for row in shown.partitions}
+        assert counted['p3'].owner == SILENT
+        assert counted['p3'].workers_count is None
+        queued_count = counted[PARTITION].queued_count
+        queued_count += counted[OTHER_PARTITION].queued_count
+        assert queued_count == queue.queued_count
+
+
+async def test_requests_during_a_count_share_it():
+    """Guards against many console pages that scan the queue many times."""
+    scans = []
+
+    def owned():
+        scans.append(1)
+        return ()
+
+    own = OwnStatus(SimpleNamespace(owned=owned), DaemonId('a'))
+    await asyncio.gather(*(own.count() for _ in range(5)))
+    assert len(scans) == 1
