Keep the levels of all log events in one table

Cause: takeovers, deaths and lost partitions were logged at INFO, the default of `log_event`, and not seen with log_level WARNING; the levels were spread over the calls.

Change: `core/events.py` has the level of each event, and calls don't give one. A test compares the table with the events in the sources.

--- a/src/radishlift/config/poller.py
+++ b/src/radishlift/config/poller.py
@@ -40,7 +40,7 @@
         if is_confirmed and not isinstance(head, Failure):
             head = await confirm_head(self._table, head)
         if isinstance(head, Failure):
-            log_event('config_head_unread', level='DEBUG', reason=head.reason)
+            log_event('config_head_unread', reason=head.reason)
         elif head.version > self._held.version:
             if not is_confirmed:
                 # The push of a change that was just accepted is on its way
--- a/src/radishlift/core/logs.py
+++ b/src/radishlift/core/logs.py
@@ -8,6 +8,8 @@
 
 from loguru import logger
 
+from radishlift.core.events import EVENT_LEVELS
+
 _PLAIN: Final = re.compile(r'[\w./:@+-]+')
 _FORMAT: Final = '{time:YYYY-MM-DDTHH:mm:ss.SSSZZ} level={level} {message}'
 
@@ -26,10 +28,11 @@
     return f'{name}={text}'
 
 
-def log_event(event: str, *, level: str = 'INFO', **fields: object) -> None:
-    """Logs one event with its fields."""
+def log_event(event: str, **fields: object) -> None:
+    """Logs one event with its fields, at the level of `EVENT_LEVELS`."""
     pairs = [format_field('event', event)]
     pairs.extend(format_field(name, field) for name, field in fields.items())
+    level = EVENT_LEVELS[event]
     logger.opt(raw=False).log(level, '{}', ' '.join(pairs))
 
 
--- a/src/radishlift/daemon/hosts.py
+++ b/src/radishlift/daemon/hosts.py
@@ -58,7 +58,7 @@
         self._last = hosts
         self._read_at_ms = self._clock.monotonic_ms()
         if isinstance(hosts, Failure):
-            log_event('host_list_unread', level='DEBUG', reason=hosts.reason)
+            log_event('host_list_unread', reason=hosts.reason)
         elif hosts is not self._told:
             self._told = hosts
             for listener in self._listeners:
--- a/src/radishlift/journal/snapshot_keeper.py
+++ b/src/radishlift/journal/snapshot_keeper.py
@@ -174,7 +174,6 @@
         if failure is not None:
             log_event(
                 'snapshot_object_left',
-                level='WARNING',
                 object=object_name,
                 reason=failure.reason,
             )
--- a/src/radishlift/membership/member_table.py
+++ b/src/radishlift/membership/member_table.py
@@ -69,7 +69,7 @@
         """
         listed = frozenset(host.address for host in hosts)
         if not listed:
-            log_event('empty_host_list', level='WARNING')
+            log_event('empty_host_list')
             return
         self._evidence.observe_hosts(self._members.values(), listed)
         self._drop_gone()
--- a/src/radishlift/ownership/claims.py
+++ b/src/radishlift/ownership/claims.py
@@ -113,7 +113,7 @@
         if not isinstance(outcome, Failure):
             self._directory.update(outcome)
         elif outcome.kind is ErrorKind.internal:
-            log_event('bad_owner_row', level='ERROR', reason=outcome.reason)
+            log_event('bad_owner_row', reason=outcome.reason)
         return outcome
 
 
--- a/src/radishlift/ownership/owner_rows.py
+++ b/src/radishlift/ownership/owner_rows.py
@@ -86,7 +86,7 @@
     for row in rows:
         seen = parse_owner(row)
         if isinstance(seen, Failure):
-            log_event('bad_owner_row', level='ERROR', reason=seen.reason)
+            log_event('bad_owner_row', reason=seen.reason)
         else:
             owners[seen.partition_id] = seen
     return owners
--- a/src/radishlift/partitions/open_partition.py
+++ b/src/radishlift/partitions/open_partition.py
@@ -144,7 +144,6 @@
             # A fault in one partition must not end the loop of the others.
             log_event(
                 'tick_failed',
-                level='ERROR',
                 partition=self.claim.partition_id,
                 reason=repr(error),
             )
--- a/src/radishlift/partitions/predecessors.py
+++ b/src/radishlift/partitions/predecessors.py
@@ -65,7 +65,6 @@
         if isinstance(reply, Failure):
             log_event(
                 'former_owner_silent',
-                level='DEBUG',
                 partition=self._claim.partition_id,
                 owner=owned.daemon_id,
                 reason=reply.reason,
--- a/src/radishlift/placement/state.py
+++ b/src/radishlift/placement/state.py
@@ -39,7 +39,6 @@
         except RecordRefusedError as error:
             log_event(
                 'placement_record_refused',
-                level='ERROR',
                 record=record,
                 reason=error,
             )
--- a/src/radishlift/requests/key_reports.py
+++ b/src/radishlift/requests/key_reports.py
@@ -41,7 +41,7 @@
     def start(self, reported: RequestAnswered | RequestNotSent) -> None:
         """Starts to report."""
         if self.pending_count >= _MAX_PENDING:
-            log_event('key_report_dropped', level='WARNING', key=reported.key)
+            log_event('key_report_dropped', key=reported.key)
             return
         task = asyncio.create_task(self._report(reported))
         self._pending.add(task)
@@ -58,7 +58,7 @@
             if isinstance(reply, KeyReportTaken):
                 return
             await asyncio.sleep(_PAUSE_S)
-        log_event('key_report_given_up', level='WARNING', key=reported.key)
+        log_event('key_report_given_up', key=reported.key)
 
     async def _send(
         self,
--- a/src/radishlift/requests/targets.py
+++ b/src/radishlift/requests/targets.py
@@ -75,7 +75,7 @@
             hosts = Failure(ErrorKind.store_unavailable, 'host list timed out')
         self._checked_at_ms = self._clock.monotonic_ms()
         if isinstance(hosts, Failure):
-            log_event('host_list_unread', level='DEBUG', reason=hosts.reason)
+            log_event('host_list_unread', reason=hosts.reason)
             return hosts
         self._adopt(hosts)
         return None
--- a/src/radishlift/wire/connection.py
+++ b/src/radishlift/wire/connection.py
@@ -102,7 +102,7 @@
                         return
                     self._receive(frame)
         except OSError as error:
-            log_event('peer_stream_broken', level='DEBUG', reason=error)
+            log_event('peer_stream_broken', reason=error)
         finally:
             self.close()
 
@@ -127,7 +127,7 @@
     def _finish_call(self, frame: Frame) -> None:
         future = self._calls.get(frame.call_id)
         if future is None or future.done():
-            log_event('late_reply_dropped', level='DEBUG', name=frame.name)
+            log_event('late_reply_dropped', name=frame.name)
             return
         if frame.kind is FrameKind.failure:
             future.set_result(_decode_failure(frame))
--- a/src/radishlift/workers/polls.py
+++ b/src/radishlift/workers/polls.py
@@ -90,7 +90,6 @@
         if has_foreign and not session.is_expected:
             log_event(
                 'worker_in_use_elsewhere',
-                level='WARNING',
                 worker=session.worker_id,
             )
             return
--- a/src/radishlift/workers/senders.py
+++ b/src/radishlift/workers/senders.py
@@ -39,7 +39,7 @@
     def _finish(self, task: asyncio.Task[None]) -> None:
         self._tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
-            log_event('task_failed', level='ERROR', reason=task.exception())
+            log_event('task_failed', reason=task.exception())
 
 
 class Senders:
--- /dev/null
+++ b/tests/core/test_events.py
@@ -0,0 +1,34 @@
+import ast
+from pathlib import Path
+
+import pytest
+
+from radishlift.core.events import EVENT_LEVELS
+
+SOURCES = Path(__file__).parents[2] / 'src'
+
+
+def logged_events() -> set[str]:
+    """Finds the events that the sources log."""
+    calls = [
+        node
+        for path in SOURCES.rglob('*.py')
+        for node in ast.walk(ast.parse(path.read_text(encoding='utf-8')))
+        if isinstance(node, ast.Call)
+        and getattr(node.func, 'id', '') == 'log_event'
+    ]
+    return {ast.literal_eval(call.args[0]) for call in calls}
+
+
+def test_each_logged_event_has_a_level_and_the_other_way_round():
+    """Guards against an event that fails when it is logged."""
+    assert logged_events() == EVENT_LEVELS.keys()
+
+
+@pytest.mark.parametrize(
+    'event',
+    ['partition_taken_over', 'partition_lost', 'daemon_dead'],
+)
+def test_takeovers_are_logged_at_warning(event):
+    """Guards against takeovers that operators don't see at WARNING."""
+    assert EVENT_LEVELS[event] == 'WARNING'
