Carry the region of daemons and forward within it first

Cause: `[daemon] region` was read and not used.

Change: the region is in the row and the member of a daemon and in `/v1/status`. Among peers with idle slots those of the own region are drawn first. A row without a region is written as before, since daemons of the former version refuse rows with unknown fields.

--- a/src/radishlift/api/status.py
+++ b/src/radishlift/api/status.py
@@ -48,6 +48,8 @@
             {
                 'daemon_id': member.daemon_id,
                 'incarnation': member.incarnation,
+                'region': member.region,
+                'data_centre': member.data_centre,
                 'is_suspected': membership.is_suspected(member.daemon_id),
             }
             for member in membership.members()
--- a/src/radishlift/daemon/foundation.py
+++ b/src/radishlift/daemon/foundation.py
@@ -95,6 +95,7 @@
         Address(daemon.listen),
         Address(daemon.peer_advertise or daemon.peer_listen),
         DataCentreId(daemon.data_centre),
+        daemon.region,
     )
 
 
--- a/src/radishlift/membership/api.py
+++ b/src/radishlift/membership/api.py
@@ -15,6 +15,7 @@
     listen: Address
     peer_listen: Address
     data_centre: DataCentreId
+    region: str = ''
 
 
 class MemberDirectory(Protocol):
--- a/src/radishlift/membership/daemon_rows.py
+++ b/src/radishlift/membership/daemon_rows.py
@@ -2,9 +2,9 @@
 
 from dataclasses import dataclass
 from enum import Enum, unique
-from typing import Final
+from typing import Any, Final
 
-from radishlift.core.codec import parse_plain
+from radishlift.core.codec import dump_plain, parse_plain
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import Address, DaemonId, DataCentreId, Incarnation
 from radishlift.membership.api import Member
@@ -38,6 +38,7 @@
     counter: int
     state: DaemonState
     owner_changes: int = 0
+    region: str = ''
 
 
 def parse_daemon_row(row: Row) -> DaemonRow | Failure:
@@ -49,6 +50,18 @@
     return parsed
 
 
+def dump_daemon_row(row: DaemonRow) -> Any:
+    """Converts a row for the table service.
+
+    Without a region the row is as before there were regions, so that daemons
+    of both versions read it.
+    """
+    plain = dump_plain(row)
+    if not row.region:
+        del plain['region']
+    return plain
+
+
 def member_of(daemon_id: DaemonId, row: DaemonRow) -> Member:
     """Returns the member that a row describes."""
     return Member(
@@ -57,6 +70,7 @@
         row.listen,
         row.peer_listen,
         row.data_centre,
+        row.region,
     )
 
 
@@ -78,6 +92,7 @@
     'DAEMONS_TABLE',
     'DaemonRow',
     'DaemonState',
+    'dump_daemon_row',
     'member_of',
     'parse_daemon_row',
     'scan_all',
--- a/src/radishlift/ownership/own_row.py
+++ b/src/radishlift/ownership/own_row.py
@@ -4,7 +4,6 @@
 from typing import Any, Final
 
 from radishlift.core.clock import Clock
-from radishlift.core.codec import dump_plain
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import DaemonId, Incarnation
 from radishlift.membership.api import Member
@@ -12,6 +11,7 @@
     DAEMONS_TABLE,
     DaemonRow,
     DaemonState,
+    dump_daemon_row,
     parse_daemon_row,
 )
 from radishlift.platform.api import (
@@ -48,6 +48,7 @@
             member.data_centre,
             0,
             DaemonState.serving,
+            region=member.region,
         )
         self._version: int | None = None
         self._predecessor = Incarnation('')
@@ -106,7 +107,7 @@
         for _ in range(_ATTEMPTS):
             self._row = replace(self._row, counter=self._row.counter + 1)
             sent = self._row
-            outcome = await self._write(dump_plain(sent))
+            outcome = await self._write(dump_daemon_row(sent))
             if isinstance(outcome, Failure):
                 return outcome
             if not isinstance(outcome, Conflict):
--- a/src/radishlift/requests/load_exchange.py
+++ b/src/radishlift/requests/load_exchange.py
@@ -35,6 +35,7 @@
             parts.clock,
             parts.members.is_suspected,
             network.daemon_id,
+            self._near,
         )
 
     def connect(
@@ -77,6 +78,14 @@
             await teller.tell(self._own_loads(places))
             await asyncio.sleep(self._settings.summary_interval_ms / 1000)
 
+    def _near(self) -> frozenset[DaemonId]:
+        members = self._parts.members.members()
+        regions = {member.daemon_id: member.region for member in members}
+        own = regions.get(self._network.daemon_id, '')
+        return frozenset(
+            daemon_id for daemon_id, region in regions.items() if region == own
+        )
+
     def _own_loads(self, places: Places) -> ServiceLoads:
         return ServiceLoads(
             {
--- a/src/radishlift/requests/loads.py
+++ b/src/radishlift/requests/loads.py
@@ -1,6 +1,6 @@
 """Load summaries that daemons send each other, and the choice of a peer."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Container
 from dataclasses import dataclass, field, replace
 from random import Random
 from typing import Final
@@ -58,7 +58,9 @@
         clock: Clock,
         is_suspected: Callable[[DaemonId], bool],
         seed: str = '',
+        near: Callable[[], Container[DaemonId]] = frozenset,
     ) -> None:
+        self._near = near
         self._clock = clock
         self._is_suspected = is_suspected
         self._random = Random(seed)
@@ -92,6 +94,7 @@
     def choose(self, service: ServiceName) -> DaemonId | None:
         """Chooses the peer with more idle slots out of two random ones.
 
+        Peers of the own region come first, as those of others are farther.
         The chosen peer counts one idle slot less until its next summary, so
         that a burst does not go to one peer.
         """
@@ -102,8 +105,10 @@
         }
         if not idle:
             return None
-        choices_count = min(_CHOICES_COUNT, len(idle))
-        choices = self._random.sample(sorted(idle), choices_count)
+        near = self._near()
+        in_region = [daemon_id for daemon_id in idle if daemon_id in near]
+        drawn = sorted(in_region or idle)
+        choices = self._random.sample(drawn, min(_CHOICES_COUNT, len(drawn)))
         best = max(choices, key=lambda daemon_id: idle[daemon_id].idle_count)
         idle[best].idle_count -= 1
         return best
--- a/tests/requests/test_loads.py
+++ b/tests/requests/test_loads.py
@@ -65,3 +65,14 @@
     assert board.choose(RUGS) == D2
     board.forget(D2)
     assert board.fresh(RUGS) == {}
+
+
+def test_forwarding_prefers_the_own_region():
+    """Guards against requests that cross regions without need."""
+    near, far = DaemonId('near'), DaemonId('far')
+    clock = ManualClock(1)
+    board = LoadBoard(clock, lambda _id: False, near=lambda: {near})
+    board.store(far, loads(8))
+    board.store(near, loads(1))
+    assert board.choose(RUGS) == near
+    assert board.choose(RUGS) == far
