--- a/src/radishlift/daemon/control.py
+++ b/src/radishlift/daemon/control.py
@@ -21,6 +21,7 @@
 from radishlift.partitions.states import StateFactory
 from radishlift.placement.settings import PlacementSettings
 from radishlift.quotas.settings import QuotaSettings
+from radishlift.report.keeper import CountsKeeper
 from radishlift.report.metrics import Indicator, MetricsTable
 from radishlift.report.settings import ReportSettings
 from radishlift.workers.client import WorkerClient
@@ -85,6 +86,13 @@
             settings.get(ReportSettings),
             base.clock,
         )
+        self.counts = CountsKeeper(
+            self.metrics,
+            base.object_store,
+            base.clock,
+            base.member.daemon_id,
+            settings.get(ReportSettings),
+        )
         self.directory = OwnerDirectory(self.config)
         self.worker_client = WorkerClient(settings.get(WorkerSettings))
         self.parts = self._parts(base, state_factories)
--- a/src/radishlift/partitions/open_partition.py
+++ b/src/radishlift/partitions/open_partition.py
@@ -20,6 +20,7 @@
 from radishlift.partitions.log import PartitionLog
 from radishlift.partitions.parts import DaemonParts
 from radishlift.partitions.predecessors import PredecessorWatch
+from radishlift.partitions.quarantines import QuarantineLog
 from radishlift.partitions.shares import PartitionShares
 from radishlift.partitions.spread import WorkerAssignment
 from radishlift.partitions.states import PartitionStates
@@ -89,6 +90,11 @@
             claim,
             settings.journal,
         )
+        self.quarantines = QuarantineLog(
+            claim.partition_id,
+            tables,
+            parts.clock.wall_ms(),
+        )
         self._closed_jobs: dict[JobId, asyncio.Event] = {}
         self._document_version: ConfigVersion | None = None
         self._is_dirty = True
@@ -146,7 +152,6 @@
             # A fault in one partition must not end the loop of the others.
             log_event(
                 'tick_failed',
-                level='ERROR',
                 partition=self.claim.partition_id,
                 reason=repr(error),
             )
@@ -211,6 +216,7 @@
 
     def _bind(self, decided: Any) -> None:
         self.effects.add(decided)
+        self.quarantines.note(decided, self._wall_ms)
         match decided:
             case JobCancelled():
                 self.signal_closed(decided.job_id)
--- a/src/radishlift/quotas/homes.py
+++ b/src/radishlift/quotas/homes.py
@@ -89,7 +89,7 @@
                 self._partitions = tuple(PartitionId(name) for name in names)
                 self._home_of.clear()
             case _:
-                log_event('bad_quota_homes', level='ERROR', value=value)
+                log_event('bad_quota_homes', value=value)
 
 
 __all__ = ('QUOTA_HOMES_TABLE', 'QuotaHomes')
--- a/src/radishlift/quotas/sync.py
+++ b/src/radishlift/quotas/sync.py
@@ -109,7 +109,6 @@
             return
         log_event(
             'shares_not_synced',
-            level='DEBUG',
             partition=opened.claim.partition_id,
             home=home,
             reason=getattr(reply, 'reason', ''),
--- a/src/radishlift/requests/key_reports.py
+++ b/src/radishlift/requests/key_reports.py
@@ -47,7 +47,7 @@
     def start(self, reported: RequestAnswered | RequestNotSent) -> None:
         """Starts to report."""
         if self.pending_count >= _MAX_PENDING:
-            log_event('key_report_dropped', level='WARNING', key=reported.key)
+            log_event('key_report_dropped', key=reported.key)
             return
         task = asyncio.create_task(self._report(reported))
         self._pending.add(task)
@@ -95,7 +95,7 @@
                     await asyncio.sleep(pause_s)
                     pause_s = min(2 * pause_s, _MAX_PAUSE_S)
         except TimeoutError:
-            log_event('key_report_given_up', level='WARNING', key=reported.key)
+            log_event('key_report_given_up', key=reported.key)
 
     async def _send(
         self,
