--- a/src/radishlift/quotas/holder.py
+++ b/src/radishlift/quotas/holder.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable, Collection, Mapping
 from random import Random
-from typing import Final
 
 from radishlift.config.document import Team
 from radishlift.core.ids import TeamName
@@ -16,10 +15,6 @@
 from radishlift.quotas.messages import ShareAsk, ShareHint, TeamShare
 from radishlift.quotas.settings import QuotaSettings
 
-MAX_ASKS_COUNT: Final = 64
-"""Asks of a partition in one interval. A new owner asks for each team, which
-takes a second at 550 teams instead of one burst."""
-
 Usage = Callable[[TeamName], Amounts]
 
 
@@ -75,14 +70,14 @@
 
         What was not used lately is given up here, before a home hears of it.
         """
-        self._end_caps(now_ms)
+        self._follow_caps(now_ms, used)
         if now_ms >= self._window_ends_ms:
             self._window_ends_ms = now_ms + self._settings.return_after_ms
             self._give_up_idle(used)
         names = dict.fromkeys((*demands, *self._unsettled))
         due = [name for name in names if self._is_due(name, now_ms)]
         asks: list[ShareAsk] = []
-        for name in due[:MAX_ASKS_COUNT]:
+        for name in due:
             holding = self._holdings[name]
             if holding.is_frozen:
                 holding.keep_at_most(used(name))
@@ -222,14 +217,17 @@
                 self._unsettled[name] = None
                 self._set_limit(name, holding)
 
-    def _end_caps(self, now_ms: int) -> None:
+    def _follow_caps(self, now_ms: int, used: Usage) -> None:
         for name in list(self._capped):
             holding = self._holdings[name]
             if now_ms >= holding.cap_ends_ms:
                 del self._capped[name]
                 holding.cap = None
-                self._set_limit(name, holding)
                 self._wake_team(name)
+            elif holding.pending is None and holding.keep_at_most(used(name)):
+                holding.ask_now()
+                self._unsettled[name] = None
+            self._set_limit(name, holding)
 
     def _set_limit(self, name: TeamName, holding: Holding) -> None:
         limit = holding.limit()
--- a/src/radishlift/quotas/home.py
+++ b/src/radishlift/quotas/home.py
@@ -9,6 +9,7 @@
 from radishlift.quotas.amounts import (
     NO_AMOUNTS,
     Amounts,
+    least,
     limited_mask,
     quota_amounts,
 )
@@ -66,7 +67,9 @@
         for ask in asked.asks:
             quota = _quota_of(document, ask.team)
             self._note_limits(ask.team, quota, answer.records)
-            known = self._ledger.team(ask.team).shares.get(asked.holder)
+            ledger = self._ledger.team(ask.team)
+            before = ledger.share_of(asked.holder)
+            known = ledger.shares.get(asked.holder)
             change = _change_of(asked, ask)
             if known is None or is_newer(known, change):
                 self._apply(change, answer.records)
@@ -86,6 +89,11 @@
                     uncounted,
                     now_ms,
                 )
+                if least(before, share) != before:
+                    answer.hints += self._contention.hints_to_waiting(
+                        ask.team,
+                        asked.holder,
+                    )
         return answer
 
     def _hints(
@@ -100,7 +108,7 @@
         is_refused = any(ask.wanted) and ledger.share_of(holder) == ask.keep
         self._contention.note(holder, ask, is_refused, now_ms)
         if not is_refused:
-            return self._contention.hints_to_waiting(ask.team, holder)
+            return []
         return self._contention.hints_to_holders(
             ask.team,
             ledger,
--- a/src/radishlift/quotas/settings.py
+++ b/src/radishlift/quotas/settings.py
@@ -14,15 +14,15 @@
     not used for one to two `return_after_ms` goes back to the team's home. A
     holder that got nothing asks again after `retry_interval_ms`, doubled up
     to `max_retry_interval_ms`. After a hint that others wait, a holder starts
-    nothing above its fair part for `hold_back_ms`; a home repeats the hint
-    every `hint_interval_ms`.
+    nothing above its fair part, and returns what it does not use at once, for
+    `hold_back_ms`; a home repeats the hint every `hint_interval_ms`.
     """
 
     sync_interval_ms: int = bounded(100, 1, 10_000)
     return_after_ms: int = bounded(1_000, 1, 600_000)
     retry_interval_ms: int = bounded(200, 1, 60_000)
     max_retry_interval_ms: int = bounded(5_000, 1, 600_000)
-    hold_back_ms: int = bounded(3_000, 1, 600_000)
+    hold_back_ms: int = bounded(6_000, 1, 600_000)
     hint_interval_ms: int = bounded(2_000, 1, 600_000)
     call_timeout_ms: int = bounded(2_000, 10, 60_000)
 
--- a/src/radishlift/quotas/sync.py
+++ b/src/radishlift/quotas/sync.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Iterable, Sequence
+from typing import Final
 
 from radishlift.config.api import ConfigView
 from radishlift.core.errors import ErrorKind, Failure
@@ -16,7 +17,13 @@
 from radishlift.quotas.server import ShareServer
 from radishlift.workers.senders import TaskGroup
 
-_HOMES_RETRY_MS = 1_000
+MAX_ASKS_COUNT: Final = 256
+"""Asks in a message; they take about 100 bytes each of a frame of 1 MiB."""
+OTHER_HOMES_COUNT: Final = 4
+"""Homes that a partition writes to in one interval for teams of which it
+wants no more. A new owner writes to all homes, which takes some seconds at 100
+homes instead of one burst."""
+_HOMES_RETRY_MS: Final = 1_000
 _Call = tuple[PartitionId, PartitionId]
 
 
@@ -83,13 +90,19 @@
             home = self._homes.home_of(ask.team)
             assert home is not None
             asks.setdefault(home, []).append(ask)
+        others_count = 0
         for home, planned in asks.items():
             call = (opened.claim.partition_id, home)
-            if call in self._open:
+            is_wanted = any(any(ask.wanted) for ask in planned)
+            others_count += not is_wanted
+            is_late = not is_wanted and others_count > OTHER_HOMES_COUNT
+            if call in self._open or is_late:
                 opened.shares.holder.postpone(planned)
                 continue
+            opened.shares.holder.postpone(planned[MAX_ASKS_COUNT:])
             self._open.add(call)
-            self._tasks.spawn(self._sync(opened, home, planned))
+            first = planned[:MAX_ASKS_COUNT]
+            self._tasks.spawn(self._sync(opened, home, first))
 
     async def _sync(
         self,
