Check refused jobs, kept tasks and the 4 s bound in the system checks

Cause: the check of "not run" compared requests only, so a job that was refused as "not run" and ran anyway was not found. No check read what a daemon enforces, when a version came into force, or whether a running task was interrupted.

Change: the load tool lists the jobs of which every submission was refused as "not run"; the check looks for them in the workers' records. New checks: `configuration_in_force_in_time` (each daemon answers with and enforces a version within 4 s) and `running_tasks_kept`. `configuration_never_reverts` also reads the versions that are enforced.

--- a/src/radishlift/load/runner.py
+++ b/src/radishlift/load/runner.py
@@ -35,7 +35,8 @@
     `outcomes` counts `answered`, `not_run`, `unknown`, `ran` (failed after it
     ran), `broken` (no whole answer) and `wrong` (another request's answer).
     `broken_at` counts broken connections by daemon. `submitted_at_ms` has
-    the monotonic time of each job's first submission.
+    the monotonic time of each job's first submission. `not_run_jobs` are the
+    jobs of which every submission was refused as "not run".
     """
 
     outcomes: Counter[str] = field(default_factory=Counter)
@@ -46,6 +47,7 @@
     answered_keys: list[str] = field(default_factory=list)
     not_run_tokens: list[str] = field(default_factory=list)
     not_run_ids: list[str] = field(default_factory=list)
+    not_run_jobs: list[str] = field(default_factory=list)
     accepted_jobs: list[str] = field(default_factory=list)
     submitted_at_ms: dict[str, float] = field(default_factory=dict)
     broken_at: Counter[str] = field(default_factory=Counter)
@@ -122,15 +124,18 @@
         self.result.submitted_at_ms[planned.job_id] = submitted_at_ms
         # A repeat of the same job id is idempotent, so that a caller whose
         # submission was refused or unknown may send it again.
+        outcomes: set[str] = set()
         for _ in range(_CONNECT_TRIES):
             reply = await self._post('/v1/jobs', body, headers, 10_000)
             if isinstance(reply, _Reply) and reply.status < 300:
                 self.result.accepted_jobs.append(planned.job_id)
                 self.result.outcomes['job_accepted'] += 1
                 return
-            self._note_error(reply)
+            outcomes.add(self._note_error(reply))
             await asyncio.sleep(0.2)
         self.result.outcomes['job_refused'] += 1
+        if outcomes == {'not_run'}:
+            self.result.not_run_jobs.append(planned.job_id)
 
     def _classify(self, reply: '_Reply | str', planned: PlannedRequest) -> str:
         if isinstance(reply, str):
--- a/tests/system/invariants.py
+++ b/tests/system/invariants.py
@@ -9,7 +9,9 @@
 from dataclasses import dataclass, field
 from itertools import pairwise
 
+from radishlift.core.ids import TaskId
 from radishlift.load.runner import LoadResult
+from radishlift.placement.jobs import job_id_of
 from tests.standins.checks import (
     WorkerRecord,
     overcommitted_workers,
@@ -21,10 +23,30 @@
     peaks_above,
 )
 
+CONFIG_BOUND_MS = 4000
+
+
+@dataclass(frozen=True, slots=True)
+class Sighting:
+    """The versions that a daemon answered with and that it enforced.
+
+    `at_ms` is when the answer came, on the monotonic clock of the host.
+    """
+
+    at_ms: float
+    version: int
+    enforced_version: int
+
 
 @dataclass(slots=True)
 class Evidence:
-    """Records of the stand-ins and of the load tool after a run."""
+    """Records of the stand-ins and of the load tool after a run.
+
+    `left_at_ms` tells when the host list showed a host as leaving.
+    `kept_tasks` has periods in which running tasks must not be interrupted.
+    `accepted_at_ms` tells when a version of the configuration was accepted
+    and `counted_from_ms` when a daemon that could not run did so again.
+    """
 
     workers: Sequence[WorkerRecord]
     executions: Sequence[Execution]
@@ -33,7 +55,11 @@
     unfinished_jobs: Sequence[str] = ()
     left_at_ms: Mapping[str, float] = field(default_factory=dict)
     allowed_broken: frozenset[str] = frozenset()
+    kept_tasks: Mapping[str, tuple[float, float]] = field(default_factory=dict)
     config_versions: Mapping[str, Sequence[int]] = field(default_factory=dict)
+    sightings: Mapping[str, Sequence[Sighting]] = field(default_factory=dict)
+    accepted_at_ms: Mapping[int, float] = field(default_factory=dict)
+    counted_from_ms: Mapping[str, float] = field(default_factory=dict)
 
 
 def no_host_overcommitted(evidence: Evidence) -> list[str]:
@@ -67,10 +93,19 @@
     """Line 4: what was refused as "not run" was never executed."""
     ran = {_base_id(each.request_id) for each in evidence.executions}
     ran |= {_token(each.key) for each in evidence.executions if each.key}
+    ran |= {
+        job_id_of(TaskId(execution.task_id))
+        for record in evidence.workers
+        for execution in record.executions
+    }
     return [
         f'{name} was refused as not run but ran'
         for result in evidence.results
-        for name in (*result.not_run_tokens, *result.not_run_ids)
+        for name in (
+            *result.not_run_tokens,
+            *result.not_run_ids,
+            *result.not_run_jobs,
+        )
         if name in ran
     ]
 
@@ -115,14 +150,60 @@
 
 def configuration_never_reverts(evidence: Evidence) -> list[str]:
     """Line 8: the version in force never goes down in a daemon."""
+    series = [
+        *evidence.config_versions.items(),
+        *(
+            (daemon, [getattr(seen, name) for seen in sightings])
+            for daemon, sightings in evidence.sightings.items()
+            for name in ('version', 'enforced_version')
+        ),
+    ]
     return [
         f'{daemon} went from version {before} to {after}'
-        for daemon, versions in evidence.config_versions.items()
+        for daemon, versions in series
         for before, after in pairwise(versions)
         if after < before
     ]
 
 
+def configuration_in_force_in_time(
+    evidence: Evidence,
+    bound_ms: float = CONFIG_BOUND_MS,
+) -> list[str]:
+    """Line 8: each daemon answers with and enforces a version in time.
+
+    The time counts from the answer that accepted the version, or from when
+    the daemon could run again.
+    """
+    late = []
+    for version, accepted_at_ms in evidence.accepted_at_ms.items():
+        for daemon, sightings in evidence.sightings.items():
+            counted_ms = evidence.counted_from_ms.get(daemon, accepted_at_ms)
+            due_ms = max(accepted_at_ms, counted_ms) + bound_ms
+            if not any(
+                min(seen.version, seen.enforced_version) >= version
+                for seen in sightings
+                if seen.at_ms <= due_ms
+            ):
+                late.append(f'{daemon} was late with version {version}')
+    return late
+
+
+def running_tasks_kept(evidence: Evidence) -> list[str]:
+    """Tasks that ran when an outage or a leave began run to its end."""
+    interrupted = []
+    for task_id, (from_ms, to_ms) in evidence.kept_tasks.items():
+        ends_ms = [
+            execution.last_ms
+            for record in evidence.workers
+            for execution in record.executions
+            if execution.task_id == task_id and execution.start_ms <= from_ms
+        ]
+        if max(ends_ms, default=0) < to_ms:
+            interrupted.append(f'task {task_id} was interrupted')
+    return interrupted
+
+
 def nothing_accepted_is_lost(evidence: Evidence) -> list[str]:
     """Accepted jobs finish and answered keys were executed."""
     ran = {_token(each.key) for each in evidence.executions if each.key}
@@ -145,6 +226,8 @@
     leaving_targets_get_no_new_work,
     no_request_cut,
     configuration_never_reverts,
+    configuration_in_force_in_time,
+    running_tasks_kept,
     nothing_accepted_is_lost,
 )
 
--- a/tests/system/test_invariants.py
+++ b/tests/system/test_invariants.py
@@ -4,7 +4,12 @@
 
 from radishlift.load.runner import LoadResult
 from tests.standins import checks, request_checks
-from tests.system.invariants import INVARIANTS, Evidence, check_all
+from tests.system.invariants import (
+    INVARIANTS,
+    Evidence,
+    Sighting,
+    check_all,
+)
 
 
 def task_run(
@@ -48,6 +53,7 @@
         answered_keys=['order-1'],
         not_run_tokens=['order-2'],
         not_run_ids=['refused'],
+        not_run_jobs=['refused-job'],
     )
     return Evidence(
         workers=[
@@ -56,7 +62,10 @@
         ],
         executions=[request_run('answered.1', 'kits/order-1')],
         results=[result],
+        kept_tasks={'job/0': (12, 20)},
         config_versions={'d1': [1, 2, 2]},
+        sightings={'d1': [Sighting(1000, 1, 1), Sighting(5000, 2, 2)]},
+        accepted_at_ms={2: 1000},
     )
 
 
@@ -85,6 +94,12 @@
     evidence.executions.append(request_run('refused.7'))
 
 
+def run_refused_job(evidence):
+    evidence.workers[0].executions.append(
+        task_run('w1', 0, 10, task_id='refused-job/0'),
+    )
+
+
 def run_key_again(evidence):
     evidence.executions.append(request_run('y.1', 'kits/order-1', 50))
 
@@ -105,6 +120,23 @@
     evidence.config_versions = {'d1': [1, 2, 1]}
 
 
+def revert_enforced_version(evidence):
+    evidence.sightings['d1'].append(Sighting(6000, 2, 1))
+
+
+def enforce_late(evidence):
+    evidence.sightings['d1'][1] = Sighting(5000, 2, 1)
+
+
+def miss_the_bound_after_a_pause(evidence):
+    evidence.accepted_at_ms = {2: 0}
+    evidence.counted_from_ms = {'d1': 999}
+
+
+def interrupt_task(evidence):
+    evidence.workers[1].executions[0].end_ms = 19
+
+
 def lose_job(evidence):
     evidence.unfinished_jobs = ['job']
 
@@ -122,11 +154,16 @@
         (mix_up_answers, 'every_answer_whole_and_own'),
         (run_refused_key, 'not_run_is_true'),
         (run_refused_request, 'not_run_is_true'),
+        (run_refused_job, 'not_run_is_true'),
         (run_key_again, 'keyed_requests_at_most_once'),
         (use_left_executor, 'leaving_targets_get_no_new_work'),
         (use_left_worker, 'leaving_targets_get_no_new_work'),
         (cut_request, 'no_request_cut'),
         (revert_version, 'configuration_never_reverts'),
+        (revert_enforced_version, 'configuration_never_reverts'),
+        (enforce_late, 'configuration_in_force_in_time'),
+        (miss_the_bound_after_a_pause, 'configuration_in_force_in_time'),
+        (interrupt_task, 'running_tasks_kept'),
         (lose_job, 'nothing_accepted_is_lost'),
         (lose_answered_key, 'nothing_accepted_is_lost'),
     ],
