Prove leaving workers, lost data centres, cut regions and planned stops

Change: - New faults: `worker_leaves`, `stop_daemons` (three at once), `lose_data_centre`, `cut_regions`, `cut_regions_and_store`, and for the soak `store_down_long` and `store_slow_long` (60 s, tasks that run are followed). The relay of a peer address can be cut from single daemons. - Cases of the matrix combine three to five faults, so that each fault of `make test` is in a case; a test compares the cases with the registry. - `test_small_cell.py` has the leaving worker, the configuration and the planned stop, and the same with three broken daemons, which must fail. - The whole-path test runs both departments in one cell instead of two. - `tests.soak` runs any number of given faults (`--faults`).

Ruled out: a cut by source address; all daemons are on one address, so the relay reads the sender from the first frame of a stream.

--- /dev/null
+++ b/tests/system/broken_daemon.py
@@ -0,0 +1,81 @@
+"""Deliberately broken daemons: a check must fail on each of them.
+
+`python -m tests.system.broken_daemon VARIANT,... --settings FILE`
+"""
+
+import asyncio
+import os
+import sys
+from dataclasses import replace
+from typing import Any
+
+from radishlift.config.held import HeldConfig
+from radishlift.config.receiver import UpdateReceiver
+from radishlift.core.errors import ErrorKind, Failure
+from radishlift.core.registry import Registry
+from radishlift.daemon.lifecycle import Daemon
+from radishlift.daemon.main import main
+from radishlift.platform.api import HostState
+from radishlift.platform.http import HttpHostList
+
+REPLAY_DELAY_S = 1.0
+
+VARIANTS: Registry[Any] = Registry('variant')
+
+
+@VARIANTS.register('ignores_leaving')
+def ignore_leaving() -> None:
+    """Takes leaving hosts for live ones."""
+    fetch = HttpHostList.fetch
+
+    async def fetch_as_live(host_list: HttpHostList) -> Any:
+        hosts = await fetch(host_list)
+        if isinstance(hosts, Failure):
+            return hosts
+        return tuple(replace(host, state=HostState.live) for host in hosts)
+
+    HttpHostList.fetch = fetch_as_live
+
+
+@VARIANTS.register('cuts_requests')
+def cut_requests() -> None:
+    """Ends on a planned stop without an answer to requests in flight."""
+
+    async def drain(_daemon: Daemon) -> None:
+        os._exit(0)
+
+    Daemon._drain = drain
+
+
+@VARIANTS.register('accepts_lower_versions')
+def accept_lower_versions() -> None:
+    """Accepts a delayed message with the version before."""
+    take_update = UpdateReceiver.take
+
+    async def take_and_replay(
+        receiver: UpdateReceiver,
+        *arguments: Any,
+    ) -> None:
+        before = receiver._held.snapshot
+        await take_update(receiver, *arguments)
+        if before.version:
+            asyncio.get_running_loop().call_later(
+                REPLAY_DELAY_S,
+                receiver._held.take,
+                before,
+            )
+
+    def take(held: HeldConfig, parsed: Any) -> bool | Failure:
+        if isinstance(parsed, tuple):
+            return Failure(ErrorKind.invalid_input, str(parsed[0]))
+        held.snapshot = parsed
+        return True
+
+    UpdateReceiver.take = take_and_replay
+    HeldConfig.take = take
+
+
+if __name__ == '__main__':
+    for variant in sys.argv.pop(1).split(','):
+        VARIANTS.get(variant)()
+    sys.exit(main())
--- a/tests/system/cell.py
+++ b/tests/system/cell.py
@@ -2,36 +2,26 @@
 
 import asyncio
 import json
+import signal
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import (
+    Awaitable,
+    Callable,
+    Collection,
+    Mapping,
+    Sequence,
+)
 from pathlib import Path
 from typing import Any
 
 from aiohttp import ClientError, ClientSession, ClientTimeout
 
 from radishlift.config.bodies import CHANGE_TOKEN_HEADER
+from tests.system.hosts import SETTINGS, list_hosts
 from tests.system.processes import Processes, free_ports
 from tests.system.relay import Relay
 from tests.system.shapes import Shape, config_text
 
-SETTINGS = """\
-[daemon]
-daemon_id = {name}
-data_centre = {data_centre}
-listen = {listen}
-peer_listen = {peer_listen}
-peer_advertise = {peer_advertise}
-seed_peers = {seed_peers}
-peer_secret = test
-change_token = test
-drain_timeout_ms = 15000
-log_level = INFO
-
-[platform]
-table_address = {platform}
-object_address = {platform}
-host_list_address = {platform}
-"""
 TOKEN_HEADERS = {CHANGE_TOKEN_HEADER: 'test'}
 
 
@@ -48,10 +38,12 @@
         shapes: tuple[Shape, ...],
         daemons_count: int = 7,
         extra_settings: str = '',
+        daemon_module: tuple[str, ...] = ('radishlift.daemon.main',),
     ) -> None:
         self.folder = folder
         self.shapes = shapes
         self.extra_settings = extra_settings
+        self.daemon_module = daemon_module
         self.processes = Processes(folder / 'logs')
         self.session = ClientSession(timeout=ClientTimeout(total=10))
         hosts_count = sum(
@@ -92,7 +84,7 @@
         for shape in self.shapes:
             self._start_standins(shape)
         await self.wait_for(self._platform_answers, 20)
-        self.hosts = self._host_list()
+        self.hosts = list_hosts(self)
         await self.set_hosts()
         for relay in (*self.store_relays.values(), *self.peer_relays.values()):
             await relay.start()
@@ -113,6 +105,16 @@
         self.processes.kill(name)
         await self.peer_relays[name].stop()
 
+    async def terminate_daemons(self, names: Sequence[str]) -> None:
+        """Stops daemons at once as planned; waits for their ends."""
+        for name in names:
+            self.processes.signal(name, signal.SIGTERM)
+
+        async def have_ended() -> bool:
+            return not any(self.processes.is_running(name) for name in names)
+
+        await self.wait_for(have_ended, 40)
+
     async def start_daemon(self, name: str) -> None:
         """Starts a daemon, also one that was killed."""
         await self.peer_relays[name].start()
@@ -139,7 +141,7 @@
         )
         self.processes.start(
             name,
-            'radishlift.daemon.main',
+            *self.daemon_module,
             '--settings',
             str(path),
         )
@@ -174,6 +176,7 @@
         address: str,
         path: str,
         body: Any = None,
+        headers: Mapping[str, str] | None = None,
     ) -> tuple[int, Any]:
         """Sends a request; status 0 when there is no answer."""
         url = f'http://{address}{path}'
@@ -182,7 +185,7 @@
                 method,
                 url,
                 json=body,
-                headers=TOKEN_HEADERS,
+                headers={**TOKEN_HEADERS, **(headers or {})},
             ) as reply:
                 text = await reply.text()
                 return reply.status, json.loads(text) if text else None
@@ -209,6 +212,28 @@
         )
         return [record for _, record in answers if record is not None]
 
+    async def wait_for_tasks(
+        self,
+        tasks: Collection[str],
+        timeout_s: float = 10,
+    ) -> dict[str, str]:
+        """Waits until tasks run; returns the worker of each."""
+        workers = [each for part in self.workers.values() for each in part]
+        running: dict[str, str] = {}
+
+        async def run_all() -> bool:
+            running.clear()
+            running.update(
+                (execution['task_id'], execution['worker_id'])
+                for record in await self.records(workers)
+                for execution in record['executions']
+                if execution['end_ms'] is None
+            )
+            return running.keys() >= set(tasks)
+
+        await self.wait_for(run_all, timeout_s)
+        return {task: running[task] for task in tasks}
+
     async def wait_for(
         self,
         condition: Callable[[], Awaitable[bool]],
@@ -244,25 +269,6 @@
             *('--service-ms', shape.service_ms),
         )
 
-    def _host_list(self) -> list[dict[str, str]]:
-        hosts = []
-        for shape in self.shapes:
-            for index, address in enumerate(self.workers[shape.department]):
-                rack = shape.racks[index // 8]
-                centre = shape.data_centres[index // 8 % 3]
-                hosts.append(_host(address, 'worker', rack, centre, ''))
-            for index, address in enumerate(self.executors[shape.department]):
-                centre = shape.data_centres[index % 3]
-                hosts.append(
-                    _host(address, 'executor', '', centre, shape.service),
-                )
-        centres = self.shapes[0].data_centres
-        hosts.extend(
-            _host(self.listen[name], 'entry', '', centres[index % 3], '')
-            for index, name in enumerate(self.names)
-        )
-        return hosts
-
     async def _platform_answers(self) -> bool:
         status, _ = await self.call('GET', self.platform, '/hosts')
         return status == 200
@@ -277,20 +283,3 @@
         address = self.listen[self.names[0]]
         status, _ = await self.call('PUT', address, '/v1/config', body)
         return status == 200
-
-
-def _host(
-    address: str,
-    role: str,
-    rack: str,
-    data_centre: str,
-    service: str,
-) -> dict[str, str]:
-    return {
-        'address': address,
-        'state': 'live',
-        'role': role,
-        'rack': rack,
-        'data_centre': data_centre,
-        'service': service,
-    }
--- a/tests/system/faults.py
+++ b/tests/system/faults.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Collection
 from random import Random
 from typing import Final
 
@@ -28,6 +28,7 @@
         self.random = Random(seed)
         self.killed: list[str] = []
         self.left_at_ms: dict[str, float] = {}
+        self.kept_tasks: dict[str, tuple[float, float]] = {}
         self.busy: set[str] = set()
 
     def pick_daemon(self) -> str:
@@ -49,6 +50,27 @@
         department = self.random.choice(sorted(self.cell.executors))
         return self.random.choice(self.cell.executors[department])
 
+    async def leave(self, address: str) -> None:
+        """Lists a host as leaving."""
+        for host in self.cell.hosts:
+            if host['address'] == address:
+                host['state'] = 'leaving'
+        await self.cell.set_hosts()
+        # The stand-in shows its list with a lag of one second.
+        self.left_at_ms[address] = time.monotonic() * 1000 + 1000
+
+    async def lose_hosts(self, lost: Collection[str]) -> None:
+        """Loses hosts for good, workers with what runs on them."""
+        workers = {each for part in self.cell.workers.values() for each in part}
+        for worker in sorted(workers.intersection(lost)):
+            body = {'network': 'refuse'}
+            await self.cell.call('POST', worker, '/admin/mode', body)
+            await self.cell.call('POST', worker, '/admin/restart', {})
+        self.cell.hosts = [
+            host for host in self.cell.hosts if host['address'] not in lost
+        ]
+        await self.cell.set_hosts()
+
 
 @FAULTS.register('kill_daemon')
 async def kill_daemon(context: FaultContext) -> None:
@@ -63,12 +85,7 @@
 @FAULTS.register('stop_daemon')
 async def stop_daemon(context: FaultContext) -> None:
     """Stops a daemon as planned; no request may be cut."""
-    name = context.pick_daemon()
-    loop = asyncio.get_running_loop()
-    await loop.run_in_executor(
-        None,
-        lambda: context.cell.processes.terminate(name, 40),
-    )
+    await context.cell.terminate_daemons([context.pick_daemon()])
 
 
 @FAULTS.register('freeze_daemon')
@@ -145,20 +162,7 @@
 async def lose_rack(context: FaultContext) -> None:
     """Loses all workers of a rack; the host list drops them after a lag."""
     department = context.random.choice(sorted(context.cell.workers))
-    rack = context.cell.workers[department][:8]
-    for worker in rack:
-        # The hosts are gone for good, with what ran on them.
-        await context.cell.call('POST', worker, '/admin/restart', {})
-        await context.cell.call(
-            'POST',
-            worker,
-            '/admin/mode',
-            {'network': 'refuse'},
-        )
-    context.cell.hosts = [
-        host for host in context.cell.hosts if host['address'] not in rack
-    ]
-    await context.cell.set_hosts()
+    await context.lose_hosts(context.cell.workers[department][:8])
 
 
 @FAULTS.register('failing_worker')
@@ -226,13 +230,7 @@
 @FAULTS.register('executor_leaves')
 async def executor_leaves(context: FaultContext) -> None:
     """Lists an executor as leaving; it goes on to answer."""
-    executor = context.pick_executor()
-    for host in context.cell.hosts:
-        if host['address'] == executor:
-            host['state'] = 'leaving'
-    await context.cell.set_hosts()
-    # The stand-in shows its list with a lag of one second.
-    context.left_at_ms[executor] = time.monotonic() * 1000 + 1000
+    await context.leave(context.pick_executor())
 
 
 @FAULTS.register('executor_fails')
--- a/tests/system/processes.py
+++ b/tests/system/processes.py
@@ -71,12 +71,6 @@
         """Resumes a paused process."""
         self.signal(name, signal.SIGCONT)
 
-    def terminate(self, name: str, timeout_s: float) -> int:
-        """Asks a process to stop; returns its exit status."""
-        child = self._children[name]
-        child.terminate()
-        return child.wait(timeout_s)
-
     def is_running(self, name: str) -> bool:
         """Tells whether a process has not ended."""
         return self._children[name].poll() is None
--- a/tests/system/relay.py
+++ b/tests/system/relay.py
@@ -1,8 +1,12 @@
 """TCP relay between two parties, which a test can cut."""
 
 import asyncio
+from collections.abc import Iterable
+from dataclasses import dataclass
 from enum import Enum, unique
 
+from msgpack import packb
+
 
 @unique
 class RelayState(Enum):
@@ -12,11 +16,20 @@
     cut = 'cut'
 
 
+@dataclass(slots=True)
+class Link:
+    """One relayed connection; `hello` has the first bytes of its opener."""
+
+    writers: tuple[asyncio.StreamWriter, asyncio.StreamWriter]
+    hello: bytes = b''
+
+
 class Relay:
     """Forwards connections to a target until it is cut.
 
     A cut loses bytes silently in both directions, as a network does: open
-    connections stay open and hang, new ones are accepted and hang.
+    connections stay open and hang, new ones are accepted and hang. A relay of
+    a peer address can be cut from single daemons, whose ids their hellos tell.
     """
 
     def __init__(self, listen: str, target: str) -> None:
@@ -24,8 +37,9 @@
         self.target = target
         self.state = RelayState.open
         self.bytes_count = 0
+        self._blocked: tuple[bytes, ...] = ()
         self._server: asyncio.Server | None = None
-        self._writers: set[asyncio.StreamWriter] = set()
+        self._links: list[Link] = []
 
     async def start(self) -> None:
         """Listens for connections, unless it does already."""
@@ -39,25 +53,37 @@
         if self._server is not None:
             self._server.close()
             self._server = None
-        for writer in list(self._writers):
-            writer.close()
+        for link in self._links:
+            for writer in link.writers:
+                writer.close()
 
     def cut(self) -> None:
         """Loses all bytes from now on."""
         self.state = RelayState.cut
 
+    def cut_from(self, daemon_ids: Iterable[str]) -> None:
+        """Loses all bytes from and to these daemons from now on."""
+        self._blocked = tuple(packb(daemon_id) for daemon_id in daemon_ids)
+
     def heal(self) -> None:
         """Forwards again; connections that lost bytes are reset."""
+        for link in self._links:
+            if not self._passes(link):
+                for writer in link.writers:
+                    writer.transport.abort()
         self.state = RelayState.open
-        for writer in list(self._writers):
-            writer.transport.abort()
+        self._blocked = ()
+
+    def _passes(self, link: Link) -> bool:
+        if self.state is RelayState.cut:
+            return False
+        return not any(name in link.hello for name in self._blocked)
 
     async def _accept(
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
-        self._writers.add(writer)
         host, _, port = self.target.rpartition(':')
         try:
             target_reader, target_writer = await asyncio.open_connection(
@@ -66,28 +92,31 @@
             )
         except OSError:
             writer.transport.abort()
-            self._writers.discard(writer)
             return
-        self._writers.add(target_writer)
+        link = Link((writer, target_writer))
+        self._links.append(link)
         await asyncio.gather(
-            self._forward(reader, target_writer),
-            self._forward(target_reader, writer),
+            self._forward(link, reader, target_writer),
+            self._forward(link, target_reader, writer),
         )
-        self._writers -= {writer, target_writer}
+        self._links.remove(link)
 
     async def _forward(
         self,
+        link: Link,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
         try:
             while received := await reader.read(65536):
                 self.bytes_count += len(received)
-                if self.state is RelayState.open:
+                # The opener of a stream between daemons speaks first.
+                link.hello = link.hello or received
+                if self._passes(link):
                     writer.write(received)
                     await writer.drain()
         except OSError:
             writer.transport.abort()
         finally:
-            if self.state is RelayState.open:
+            if self._passes(link):
                 writer.close()
--- a/tests/system/scenario.py
+++ b/tests/system/scenario.py
@@ -17,11 +17,14 @@
     running_daemons,
     unfinished_jobs,
 )
+from tests.system.wide_faults import SOAK_ONLY
 
 FIRST_FAULT_S = 2.0
 LAST_FAULT_S = 5.0
 SETTLE_TIMEOUT_S = 60
 WATCH_INTERVAL_S = 0.3
+DURATION_MS = 10_000
+LONG_DURATION_MS = 80_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,11 +41,13 @@
     seed: int,
 ) -> Verdict:
     """Runs the traffic of both departments under faults."""
+    is_long = not SOAK_ONLY.isdisjoint(fault_names)
+    duration_ms = LONG_DURATION_MS if is_long else DURATION_MS
     cell = Cell(folder, tuple(SHAPES.values()))
     options = LoadOptions(
         requests_per_s=60,
         jobs_per_s=5,
-        duration_ms=10_000,
+        duration_ms=duration_ms,
         seed=seed,
     )
     context = FaultContext(cell, seed)
@@ -68,6 +73,8 @@
         await cell.stop()
     evidence.left_at_ms = context.left_at_ms
     evidence.config_versions = versions
+    if all(name.startswith('store_') for name in fault_names):
+        evidence.kept_tasks = context.kept_tasks
     violations = check_all(evidence)
     if not agreed:
         violations['configuration_in_force_everywhere'] = ['it is not']
--- a/tests/system/shapes.py
+++ b/tests/system/shapes.py
@@ -4,10 +4,12 @@
 from types import MappingProxyType
 from typing import Final
 
+RACK_SIZE: Final = 8
+
 
 @dataclass(frozen=True, slots=True)
 class Shape:
-    """Hosts of one department; 8 workers stand in a rack."""
+    """Hosts of one department; `RACK_SIZE` workers stand in a rack."""
 
     department: str
     service: str
@@ -26,7 +28,7 @@
     @property
     def racks(self) -> tuple[str, ...]:
         """Names of the racks as the worker stand-in gives them."""
-        racks_count = -(-self.workers_count // 8)
+        racks_count = -(-self.workers_count // RACK_SIZE)
         return tuple(
             f'{self.rack_prefix}{index + 1}' for index in range(racks_count)
         )
--- a/tests/system/test_fault_matrix.py
+++ b/tests/system/test_fault_matrix.py
@@ -1,21 +1,31 @@
 import pytest
 
+from tests.system.faults import FAULTS
 from tests.system.scenario import run_scenario
+from tests.system.wide_faults import SOAK_ONLY
 
 pytestmark = pytest.mark.system
 
 
-@pytest.mark.parametrize(
-    ('fault_names', 'seed'),
-    [
-        (('kill_daemon', 'store_loses_answers'), 11),
-        (('freeze_daemon', 'cancel_wave'), 12),
-        (('cut_store', 'operator_race'), 13),
-        (('stop_daemon', 'executor_leaves'), 14),
-        (('lose_rack', 'store_down'), 15),
-    ],
+# A run of some faults has each pair of them.
+CASES = (
+    (('kill_daemon', 'store_loses_answers', 'failing_worker'), 11),
+    (('freeze_daemon', 'cancel_wave', 'restart_worker', 'cut_regions'), 12),
+    (('cut_store', 'operator_race', 'executor_fails'), 13),
+    (
+        (
+            *('stop_daemon', 'stop_daemons', 'cut_peers'),
+            *('executor_leaves', 'worker_leaves'),
+        ),
+        14,
+    ),
+    (('lose_rack', 'store_down', 'cut_worker'), 15),
+    (('lose_data_centre', 'cut_regions_and_store', 'store_slow'), 16),
 )
-async def test_invariants_hold_under_pairs_of_faults(
+
+
+@pytest.mark.parametrize(('fault_names', 'seed'), CASES)
+async def test_invariants_hold_under_combined_faults(
     tmp_path,
     fault_names,
     seed,
@@ -24,3 +34,9 @@
     verdict = await run_scenario(tmp_path, fault_names, seed)
     assert verdict.violations == {}
     assert verdict.outcomes['answered'] > 0
+
+
+def test_every_fault_is_in_a_case():
+    """Guards against a fault that was added but is only in the soak."""
+    tried = {name for fault_names, _ in CASES for name in fault_names}
+    assert tried | SOAK_ONLY == set(FAULTS.names())
--- /dev/null
+++ b/tests/system/test_small_cell.py
@@ -0,0 +1,133 @@
+import asyncio
+import time
+from dataclasses import replace
+
+import pytest
+
+from tests.system.cell import Cell
+from tests.system.config_watch import ConfigWatch
+from tests.system.faults import FaultContext
+from tests.system.invariants import check_all
+from tests.system.shapes import SHAPES
+from tests.system.traffic import (
+    LoadOptions,
+    collect_evidence,
+    drive,
+    unfinished_jobs,
+)
+from tests.system.wide_faults import submit_long_jobs
+
+pytestmark = pytest.mark.system
+
+# Several requests are in flight at each daemon at any moment.
+SHAPE = replace(
+    SHAPES['rug_depot'],
+    workers_count=8,
+    executors_count=8,
+    service_ms='300',
+)
+OPTIONS = LoadOptions(requests_per_s=50, jobs_per_s=5, duration_ms=14_000)
+CHANGES_INTERVAL_S = 2.0
+LEAVE_S = 5.0
+TAKEOVER_S = 25
+BROKEN = {
+    'ignores_leaving': 'leaving_targets_get_no_new_work',
+    'cuts_requests': 'no_request_cut',
+    'accepts_lower_versions': 'configuration_never_reverts',
+}
+
+
+async def change_configuration(cell, watch):
+    """Changes it twice with d4 cut from the store, d3 frozen and d2 dead."""
+    cell.store_relays['d4'].cut()
+    watch.pause('d3')
+    cell.processes.freeze('d3')
+    watch.pause('d2')
+    await cell.kill_daemon('d2')
+    await watch.change('d1')
+    await asyncio.sleep(CHANGES_INTERVAL_S)
+    await watch.change('d1')
+    watch.resume('d3')
+    cell.processes.resume('d3')
+    await cell.start_daemon('d2')
+
+    async def answers():
+        status, _ = await cell.get('d2', '/v1/status')
+        return status != 0
+
+    await cell.wait_for(answers, 10)
+    watch.resume('d2')
+
+
+async def leave_worker(context, tasks):
+    """Lists a worker with tasks and an executor as leaving."""
+    worker_of = await context.cell.wait_for_tasks(tasks)
+    worker = worker_of[min(worker_of)]
+    await context.leave(worker)
+    await context.leave(context.pick_executor())
+    kept_from_ms = time.monotonic() * 1000
+    await asyncio.sleep(LEAVE_S)
+    kept = (kept_from_ms, time.monotonic() * 1000)
+    for task_id, known_worker in worker_of.items():
+        if known_worker == worker:
+            context.kept_tasks[task_id] = kept
+    return worker
+
+
+async def run_script(context, watch):
+    cell = context.cell
+    jobs = await submit_long_jobs(context, 'long', 8, cpu_milli=12_000)
+    tasks = {f'{job}/0' for job in jobs}
+    worker = await leave_worker(context, tasks)
+    await change_configuration(cell, watch)
+    cell.store_relays['d4'].heal()
+    await context.lose_hosts([worker])
+    # The tasks of a worker that is gone run elsewhere.
+    await cell.wait_for_tasks(tasks, TAKEOVER_S)
+    await cell.terminate_daemons(['d1', 'd4'])
+
+
+@pytest.mark.parametrize('variants', [(), tuple(BROKEN)])
+async def test_leaves_configuration_and_planned_stops(tmp_path, variants):
+    """Guards what must hold, and against checks that can't fail.
+
+    The broken run must fail the check of each variant, that of the leaving
+    hosts for the worker and for the executor.
+    """
+    module = ('tests.system.broken_daemon', ','.join(variants))
+    cell = Cell(
+        tmp_path,
+        (SHAPE,),
+        daemons_count=4,
+        **({'daemon_module': module} if variants else {}),
+    )
+    context = FaultContext(cell, seed=1)
+    watch = ConfigWatch(cell)
+    try:
+        await cell.start()
+        watching = asyncio.create_task(watch.run())
+        results = await drive(cell, OPTIONS, lambda: run_script(context, watch))
+        timeout_s = 0 if variants else 30
+        open_jobs = await unfinished_jobs(cell, results, timeout_s)
+        watching.cancel()
+        evidence = await collect_evidence(
+            cell,
+            results,
+            open_jobs,
+            ['d2', 'd3'],
+        )
+    finally:
+        await cell.stop()
+    evidence.left_at_ms = context.left_at_ms
+    evidence.kept_tasks = context.kept_tasks
+    watch.add_to(evidence)
+    violations = check_all(evidence)
+    if variants:
+        assert violations.keys() >= {BROKEN[variant] for variant in variants}
+        starts = violations[BROKEN['ignores_leaving']]
+        assert len({text.split()[0] for text in starts}) == 2, starts
+    else:
+        assert violations == {}
+        assert evidence.kept_tasks
+        assert len(evidence.accepted_at_ms) == 2
+        assert evidence.sightings.keys() == set(cell.names)
--- a/tests/system/test_whole_path.py
+++ b/tests/system/test_whole_path.py
@@ -15,10 +15,9 @@
 pytestmark = pytest.mark.system
 
 
-@pytest.mark.parametrize('department', ['rug_depot', 'school_kits'])
-async def test_requests_and_jobs_survive_a_killed_daemon(tmp_path, department):
+async def test_requests_and_jobs_survive_a_killed_daemon(tmp_path):
     """Guards against loss or doubling when one of 7 daemons is killed."""
-    cell = Cell(tmp_path, (SHAPES[department],))
+    cell = Cell(tmp_path, tuple(SHAPES.values()))
     options = LoadOptions(requests_per_s=100, jobs_per_s=8, duration_ms=5_000)
 
     async def kill_one() -> None:
--- a/tests/system/traffic.py
+++ b/tests/system/traffic.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass
+from typing import Any
 
 from aiohttp import ClientSession, TCPConnector
 
@@ -15,6 +16,7 @@
 from tests.system.cell import Cell
 from tests.system.invariants import Evidence
 
+RECORDS_TIMEOUT_S = 40
 FINISHED = ('finished', 'cancelled', 'failed')
 
 
@@ -110,14 +112,22 @@
     open_jobs: Sequence[str] = (),
     killed: Sequence[str] = (),
 ) -> Evidence:
-    """Reads the records of all stand-ins."""
+    """Reads the records of all stand-ins, also of those that refused."""
     workers = [each for part in cell.workers.values() for each in part]
     executors = [each for part in cell.executors.values() for each in part]
+    records: list[Any] = []
+
+    async def are_read() -> bool:
+        records.clear()
+        records.extend(await cell.records(executors))
+        return len(records) == len(executors)
+
+    await cell.wait_for(are_read, RECORDS_TIMEOUT_S)
     return Evidence(
         workers=[parse_record(each) for each in await cell.records(workers)],
         executions=[
             Execution(**execution)
-            for record in await cell.records(executors)
+            for record in records
             for execution in record['executions']
         ],
         results=results,
