Give gangs over partitions rounds, a decision and ends of parts

Cause: placement had reserve, commit and release, but a hold ended by time alone. A home that decides just before the expiry and a participant that releases just after it would start part of a gang.

Ruled out: deciding only while all holds surely last.

Change: a hold is not released by time. From its expiry on the partition is to ask the home, whose journaled GangDecided settles the outcome. Each try is a round; a released round is remembered, so that a late message can't revive it. GangPartEnded brings the members of a part back to the job in its home, which then ends or is queued again with counting attempts, as a gang within a partition does. A lost member of a part thus no longer cancels the job.

The random records now include the new types.

--- a/src/radishlift/core/ids.py
+++ b/src/radishlift/core/ids.py
@@ -32,6 +32,9 @@
 Attempt = NewType('Attempt', int)
 """Counts the starts of a task, from 1."""
 
+GangRoundId = NewType('GangRoundId', str)
+"""One try to start a gang over partitions: `<home>.<epoch>.<number>`."""
+
 ConfigVersion = NewType('ConfigVersion', int)
 """Version of the configuration document, from 1."""
 
@@ -44,6 +47,7 @@
     'DepartmentName',
     'Epoch',
     'ExecutorId',
+    'GangRoundId',
     'IdempotencyKey',
     'Incarnation',
     'JobId',
--- a/src/radishlift/placement/changes.py
+++ b/src/radishlift/placement/changes.py
@@ -4,7 +4,7 @@
 from typing import Any, Final
 
 from radishlift.core.ids import PartitionId
-from radishlift.placement.jobs import TaskState
+from radishlift.placement.jobs import TaskState, job_id_of
 from radishlift.placement.partition_tables import (
     PartitionTables,
     RecordRefusedError,
@@ -73,7 +73,7 @@
     row = tables.jobs.row_of.get(record.job_id)
     if row is None or tables.jobs.to_partition[row]:
         return
-    if tables.jobs.has_live_attempts(row) or tables.jobs.is_held[row]:
+    if tables.jobs.has_live_attempts(row) or tables.jobs.is_bound(row):
         raise RecordRefusedError('a task of the job may still run here')
     tables.count_queued(row, -tables.jobs.startable_count(row))
     tables.jobs.to_partition[row] = record.to_partition
@@ -90,7 +90,8 @@
         return
     counts = tables.jobs.ended_counts[row]
     queued_count = tables.jobs.startable_count(row)
-    cancelled_count = counts.get(TaskState.cancelled, 0) + queued_count
+    waiting_count = tables.jobs.waiting_count(row)
+    cancelled_count = counts.get(TaskState.cancelled, 0) + waiting_count
     if cancelled_count:
         counts[TaskState.cancelled] = cancelled_count
     tables.count_queued(row, -queued_count)
@@ -120,6 +121,7 @@
         raise RecordRefusedError('there is no such task')
     worker_row = tables.workers.row_of.get(record.worker_id, NO_ROW)
     if row is None:
+        _check_unbound(tables, record)
         check_start(tables, record, worker_row, 0)
         row = tables.add_tasks_up_to(record.task_id)
     if row == NO_ROW or record.attempt < tables.tasks.attempt[row]:
@@ -129,10 +131,16 @@
         return
     if not is_allowed(tables.tasks.state[row], TaskState.placed):
         raise RecordRefusedError('an earlier attempt has not ended')
+    _check_unbound(tables, record)
     check_start(tables, record, worker_row, tables.tasks.attempt[row])
     tables.commit_attempt(row, worker_row, record)
 
 
+def _check_unbound(tables: PartitionTables, record: TaskPlaced) -> None:
+    if tables.jobs.is_bound(tables.jobs.row_of[job_id_of(record.task_id)]):
+        raise RecordRefusedError('the gang starts as a part')
+
+
 def _check_same_start(
     tables: PartitionTables,
     row: int,
--- a/src/radishlift/placement/endings.py
+++ b/src/radishlift/placement/endings.py
@@ -137,9 +137,6 @@
     if is_stopped and not tasks.is_requeued[row]:
         return False
     job_row = tasks.job_row[row]
-    # A part of a gang can't start again without the parts elsewhere.
-    if working.tables.jobs.is_part[job_row]:
-        return False
     return working.tables.jobs.is_open(job_row)
 
 
--- a/src/radishlift/placement/gang_changes.py
+++ b/src/radishlift/placement/gang_changes.py
@@ -1,9 +1,11 @@
-"""How the records about gangs that span partitions change the tables."""
+"""How the records about parts of gangs change the tables of a partition."""
 
 from collections import Counter
 
+from radishlift.core.ids import GangRoundId, WorkerId
 from radishlift.placement.amounts import times
 from radishlift.placement.changes import change
+from radishlift.placement.gang_records import GangPart, GangPartForgotten
 from radishlift.placement.holds import end_hold, take_hold
 from radishlift.placement.jobs import job_id_of
 from radishlift.placement.partition_tables import (
@@ -13,22 +15,27 @@
 )
 from radishlift.placement.records import (
     GangCommitted,
+    GangMember,
     GangReleased,
     GangReserved,
     TaskPlaced,
 )
 from radishlift.placement.tables import NO_ROW
 
+CLOSED_ROUNDS_COUNT = 1_024
+"""Rounds that are remembered, so that a late message can't revive one."""
+
 
 @change(GangReserved)
 def reserve_gang(tables: PartitionTables, record: GangReserved) -> None:
     """Holds capacity for all members, or refuses the record."""
     job_id = record.spec.job_id
     job_row = tables.jobs.row_of.get(job_id, NO_ROW)
-    is_part = job_row != NO_ROW and tables.jobs.is_part[job_row]
-    if job_id in tables.holds or is_part:
+    if job_id in tables.holds or job_id in tables.gangs.parts:
         return
-    if job_row != NO_ROW and not is_unstarted(tables, job_row):
+    if record.round_id in tables.gangs.closed_rounds:
+        raise RecordRefusedError('the round was released')
+    if job_row != NO_ROW and not may_spread(tables, job_row):
         raise RecordRefusedError('the gang has started')
     if not _are_members(record):
         raise RecordRefusedError('a member is not a task of the job')
@@ -58,63 +65,97 @@
             raise RecordRefusedError('the worker would be overcommitted')
 
 
-def is_unstarted(tables: PartitionTables, job_row: int) -> bool:
-    """Tells whether no task of a job was started or cancelled."""
-    is_fresh = tables.jobs.fresh_index[job_row] == 0
-    return is_fresh and tables.jobs.is_open(job_row)
+def may_spread(tables: PartitionTables, job_row: int) -> bool:
+    """Tells whether the queued tasks of a job may start as parts."""
+    jobs = tables.jobs
+    if jobs.is_part[job_row] or jobs.is_spread[job_row]:
+        return False
+    is_waiting = jobs.waiting_count(job_row) > 0
+    return is_waiting and not jobs.has_live_attempts(job_row)
 
 
 @change(GangReleased)
 def release_gang(tables: PartitionTables, record: GangReleased) -> None:
-    """Gives up a hold."""
+    """Gives up a hold, and refuses its round from then on."""
     hold = tables.holds.get(record.job_id)
-    if hold is not None:
+    if hold is not None and hold.round_id == record.round_id:
         end_hold(tables, hold)
+        job_row = tables.jobs.row_of.get(record.job_id, NO_ROW)
+        if job_row != NO_ROW:
+            tables.end_job(job_row, record.released_at_ms)
+    close_round(tables, record.round_id)
+
+
+def close_round(tables: PartitionTables, round_id: GangRoundId) -> None:
+    """Remembers that a round has ended here."""
+    if not round_id:
+        return
+    tables.gangs.closed_rounds[round_id] = None
+    if len(tables.gangs.closed_rounds) > CLOSED_ROUNDS_COUNT:
+        tables.gangs.closed_rounds.pop(next(iter(tables.gangs.closed_rounds)))
 
 
 @change(GangCommitted)
 def commit_gang(tables: PartitionTables, record: GangCommitted) -> None:
     """Turns a hold into attempts."""
     hold = tables.holds.get(record.job_id)
-    if hold is None:
+    if hold is None or hold.round_id != record.round_id:
         return
     if not is_committable(tables, hold):
         raise RecordRefusedError('a worker of the gang is gone')
     end_hold(tables, hold)
-    job_row = tables.jobs.row_of.get(record.job_id, NO_ROW)
+    jobs = tables.jobs
+    job_row = jobs.row_of.get(record.job_id, NO_ROW)
     if job_row == NO_ROW:
-        job_row = tables.jobs.add(
-            hold.spec,
-            record.placed_at_ms,
-            (hold.home,),
-        )
-    else:
-        tables.count_queued(job_row, -hold.spec.task_count)
-    tables.jobs.fresh_index[job_row] = hold.spec.task_count
-    tables.jobs.is_part[job_row] = True
+        job_row = jobs.add(hold.spec, record.placed_at_ms, (hold.home,))
+        jobs.fresh_index[job_row] = hold.spec.task_count
+    jobs.is_part[job_row] = True
+    tables.gangs.parts[record.job_id] = GangPart(hold.home, hold.round_id)
     for member in hold.members:
-        index = task_index(member.task_id)
-        row = tables.tasks.add(job_row, index, member.task_id)
-        tables.jobs.task_rows[job_row][index] = row
-        start = TaskPlaced(
-            member.task_id,
-            member.attempt,
-            member.worker_id,
-            member.incarnation,
-            hold.reserved,
-            record.placed_at_ms,
-        )
-        # Committing an attempt takes it from the queue, where it is not.
-        tables.count_queued(job_row, 1)
-        tables.commit_attempt(
-            row,
-            tables.workers.row_of[member.worker_id],
-            start,
-        )
+        _start_member(tables, job_row, hold, member, record.placed_at_ms)
+
+
+def _start_member(
+    tables: PartitionTables,
+    job_row: int,
+    hold: GangReserved,
+    member: GangMember,
+    placed_at_ms: int,
+) -> None:
+    index = task_index(member.task_id)
+    row = tables.tasks.add(job_row, index, member.task_id)
+    tables.jobs.task_rows[job_row][index] = row
+    start = TaskPlaced(
+        member.task_id,
+        member.attempt,
+        member.worker_id,
+        member.incarnation,
+        hold.reserved,
+        placed_at_ms,
+    )
+    # Committing an attempt takes it from the queue, where it is not.
+    tables.count_queued(job_row, 1)
+    tables.commit_attempt(row, tables.workers.row_of[member.worker_id], start)
+    _charge_failures(tables, row, member.failed_on)
+
+
+def _charge_failures(
+    tables: PartitionTables,
+    row: int,
+    worker_ids: tuple[WorkerId, ...],
+) -> None:
+    tables.tasks.failed_on[row] = worker_ids
+    for worker_id in worker_ids:
+        worker_row = tables.workers.row_of.get(worker_id)
+        if worker_row is not None:
+            tables.workers.charged[worker_row][row] = None
 
 
 def is_committable(tables: PartitionTables, hold: GangReserved) -> bool:
-    """Tells whether all workers of a hold are as they were."""
+    """Tells whether all workers of a hold are as they were.
+
+    In the home the round must have been decided.
+    """
     workers = tables.workers
     for member in hold.members:
         row = workers.row_of.get(member.worker_id, NO_ROW)
@@ -124,8 +165,44 @@
             return False
         if min(workers.free_cpu[row], workers.free_memory[row]) < 0:
             return False
-    job_row = tables.jobs.row_of.get(hold.spec.job_id, NO_ROW)
-    return job_row == NO_ROW or is_unstarted(tables, job_row)
+    return _is_startable(tables, hold)
 
 
-__all__ = ('commit_gang', 'is_committable', 'is_unstarted')
+def _is_startable(tables: PartitionTables, hold: GangReserved) -> bool:
+    job_id = hold.spec.job_id
+    job_row = tables.jobs.row_of.get(job_id, NO_ROW)
+    if job_row == NO_ROW:
+        return True
+    spread = tables.gangs.spread.get(job_id)
+    if spread is None or spread.decided.round_id != hold.round_id:
+        return False
+    started = tables.jobs.task_rows[job_row]
+    return all(
+        task_index(member.task_id) not in started for member in hold.members
+    )
+
+
+@change(GangPartForgotten)
+def forget_part(tables: PartitionTables, record: GangPartForgotten) -> None:
+    """Removes a part of another home that has ended."""
+    part = tables.gangs.parts.get(record.job_id)
+    is_home = record.job_id in tables.gangs.spread
+    if part is None or part.round_id != record.round_id or is_home:
+        return
+    job_row = tables.jobs.row_of[record.job_id]
+    if tables.jobs.has_live_attempts(job_row):
+        raise RecordRefusedError('a member of the part may still run')
+    for task_row in list(tables.jobs.requeued[job_row]):
+        tables.remove_task(task_row)
+    del tables.gangs.parts[record.job_id]
+    tables.jobs.remove(job_row)
+    close_round(tables, record.round_id)
+
+
+__all__ = (
+    'close_round',
+    'commit_gang',
+    'is_committable',
+    'may_spread',
+    'release_gang',
+)
--- a/src/radishlift/placement/gang_parts.py
+++ b/src/radishlift/placement/gang_parts.py
@@ -1,19 +1,26 @@
-"""Two steps by which a gang starts in several partitions.
+"""The steps of a partition that takes part in a gang over partitions.
 
 The home reserves a part in each partition in partition-id order, and commits
-when all parts are held. On any refusal it releases all of them. A hold that
-is not committed in time ends by itself.
+when all parts are held. On any refusal it releases all of them. A hold does
+not end by time alone, because the home may have decided to commit: from its
+expiry on the partition asks the home and releases what was not decided.
 """
 
 from dataclasses import dataclass
 from typing import Final
 
 from radishlift.core.errors import ErrorKind, Failure
-from radishlift.core.ids import Attempt, JobId, PartitionId
-from radishlift.placement.gang_changes import is_committable, is_unstarted
-from radishlift.placement.gangs import find_gang_workers
-from radishlift.placement.jobs import JobSpec, task_id_of
+from radishlift.core.ids import Attempt, GangRoundId, JobId, PartitionId
+from radishlift.placement.gang_changes import is_committable, may_spread
+from radishlift.placement.gangs import (
+    count_gang_room,
+    find_gang_workers,
+    stop_gang,
+)
+from radishlift.placement.hand_offs import HandOff, list_waiting_gangs
+from radishlift.placement.jobs import JobSpec, Resources, task_id_of
 from radishlift.placement.permits import Permit
+from radishlift.placement.policies import Policy
 from radishlift.placement.records import (
     GangCommitted,
     GangMember,
@@ -23,63 +30,152 @@
 from radishlift.placement.rules import over_quota, policy_of
 from radishlift.placement.systems import SYSTEMS, TickTime
 from radishlift.placement.tables import NO_ROW
+from radishlift.placement.transfers import QueuedTask
 from radishlift.placement.working import Working
 
+NO_ROUND: Final = GangRoundId('')
+
 HOLD_MS: Final = 5_000
 """A home that does not commit in this time may have failed."""
 
 
 @dataclass(frozen=True, slots=True)
 class PartRequest:
-    """The members of a gang that a home asks this partition to hold."""
+    """The members of a gang that a home asks this partition to hold.
+
+    `tasks` have the last attempt of each member, 0 if it never started.
+    """
 
     spec: JobSpec
     home: PartitionId
-    indexes: tuple[int, ...]
+    tasks: tuple[QueuedTask, ...]
     now_ms: int
+    round_id: GangRoundId = NO_ROUND
+    hold_ms: int = HOLD_MS
 
 
-def reserve_part(
-    working: Working,
-    request: PartRequest,
-) -> GangReserved | Failure:
-    """Holds capacity for all members, or fails with `overloaded`.
+class GangParts:
+    """The steps of gangs that span partitions, for one engine.
 
-    A repeat returns the hold that exists.
+    Each record that is returned was applied and has to be journaled before
+    the home is answered.
     """
+
+    def __init__(self, working: Working) -> None:
+        self._working = working
+
+    def reserve(self, request: PartRequest) -> GangReserved | Failure:
+        """Holds capacity for all members, or fails with `overloaded`.
+
+        A repeat returns the hold that exists.
+        """
+        working = self._working
+        spec = request.spec
+        known = working.tables.holds.get(spec.job_id)
+        if known is not None and known.round_id == request.round_id:
+            return known
+        refusal = _refusal_of(working, request)
+        if refusal is not None:
+            return refusal
+        rows = find_gang_workers(working, *_search(working, request))
+        if not rows:
+            return Failure(ErrorKind.overloaded, 'no room for the part')
+        reserved = GangReserved(
+            spec,
+            request.home,
+            _members(working, request, rows),
+            spec.demand,
+            request.now_ms + request.hold_ms,
+            request.round_id,
+        )
+        self._apply(reserved)
+        return reserved
+
+    def count_room(self, request: PartRequest) -> int:
+        """Counts how many of the members have room now."""
+        return count_gang_room(self._working, *_search(self._working, request))
+
+    def commit(
+        self,
+        job_id: JobId,
+        now_ms: int,
+        round_id: GangRoundId = NO_ROUND,
+    ) -> GangCommitted | Failure:
+        """Starts the held members; called only once the home has decided.
+
+        Fails with `conflict` when nothing is held for the round or a worker
+        was lost. The hold is then to be released before the home is told.
+        """
+        hold = self._working.tables.holds.get(job_id)
+        if hold is None or hold.round_id != round_id:
+            return Failure(ErrorKind.conflict, 'the hold has ended')
+        if not is_committable(self._working.tables, hold):
+            return Failure(ErrorKind.conflict, 'a worker of the gang is gone')
+        committed = GangCommitted(job_id, now_ms, round_id)
+        self._apply(committed)
+        return committed
+
+    def release(
+        self,
+        job_id: JobId,
+        reason: str,
+        round_id: GangRoundId = NO_ROUND,
+        now_ms: int = 0,
+    ) -> GangReleased:
+        """Gives up the hold of a round, if any, and closes the round."""
+        released = GangReleased(job_id, reason, round_id, now_ms)
+        self._apply(released)
+        return released
+
+    def list_waiting(self, now_ms: int) -> list[HandOff]:
+        """Lists gangs of this home that could start over partitions."""
+        return list_waiting_gangs(self._working, now_ms)
+
+    def overdue(self, now_ms: int) -> list[GangReserved]:
+        """Lists the holds whose home is to be asked for the outcome."""
+        holds = self._working.tables.holds.values()
+        return [hold for hold in holds if now_ms >= hold.expires_at_ms]
+
+    def stop(self, job_id: JobId, *, is_cancelled: bool) -> None:
+        """Stops a part in the next ticks, for good or to be started anew."""
+        inputs = self._working.inputs
+        if is_cancelled:
+            inputs.cancellations.append(job_id)
+        else:
+            inputs.stopped_parts.append(job_id)
+
+    def _apply(self, record: object) -> None:
+        self._working.state.apply(record)
+        self._working.sync_workers()
+
+
+def _refusal_of(working: Working, request: PartRequest) -> Failure | None:
     spec = request.spec
-    known = working.tables.holds.get(spec.job_id)
-    if known is not None:
-        return known
-    job_row = working.tables.jobs.row_of.get(spec.job_id, NO_ROW)
-    if job_row != NO_ROW and not is_unstarted(working.tables, job_row):
+    tables = working.tables
+    if spec.job_id in tables.holds:
+        return Failure(ErrorKind.conflict, 'another round holds the part')
+    if request.round_id in tables.gangs.closed_rounds:
+        return Failure(ErrorKind.conflict, 'the round was released')
+    job_row = tables.jobs.row_of.get(spec.job_id, NO_ROW)
+    if job_row != NO_ROW and not may_spread(tables, job_row):
         return Failure(ErrorKind.conflict, 'the gang has started here')
-    count = len(request.indexes)
+    count = len(request.tasks)
     dimension = over_quota(working, spec.team, spec.demand, count)
     if dimension:
         reason = f'the quota of team {spec.team} in {dimension} is used'
         return Failure(ErrorKind.quota_exceeded, reason)
-    rows = _find_workers(working, request)
-    if not rows:
-        return Failure(ErrorKind.overloaded, 'no room for the part')
-    reserved = GangReserved(
-        spec,
-        request.home,
-        _members(working, request, rows),
-        spec.demand,
-        request.now_ms + HOLD_MS,
-    )
-    _apply(working, reserved)
-    return reserved
+    return None
 
 
-def _find_workers(working: Working, request: PartRequest) -> list[int]:
+def _search(
+    working: Working,
+    request: PartRequest,
+) -> tuple[Policy, Resources, int, Permit]:
     spec = request.spec
     policy = policy_of(working, spec.department)
     rank = policy.rank(spec, False)
     permit = Permit(working, spec, rank, spec.demand, request.now_ms)
-    count = len(request.indexes)
-    return find_gang_workers(working, policy, spec.demand, count, permit)
+    return policy, spec.demand, len(request.tasks), permit
 
 
 def _members(
@@ -90,89 +186,27 @@
     described = [working.tables.workers.worker_info[row] for row in rows]
     return tuple(
         GangMember(
-            task_id_of(request.spec.job_id, index),
-            Attempt(1),
+            task_id_of(request.spec.job_id, task.index),
+            Attempt(task.attempt + 1),
             worker.worker_id,
             worker.incarnation,
+            task.failed_on,
         )
-        for index, worker in zip(request.indexes, described, strict=True)
+        for task, worker in zip(request.tasks, described, strict=True)
     )
 
 
-def commit_part(
-    working: Working,
-    job_id: JobId,
-    now_ms: int,
-) -> GangCommitted | Failure:
-    """Starts the held members.
-
-    Fails with `conflict` when the hold has ended or a worker was lost; the
-    home then cancels the parts that are committed and releases the others.
-    """
-    hold = working.tables.holds.get(job_id)
-    if hold is None or now_ms >= hold.expires_at_ms:
-        return Failure(ErrorKind.conflict, 'the hold has ended')
-    if not is_committable(working.tables, hold):
-        return Failure(ErrorKind.conflict, 'a worker of the gang is gone')
-    committed = GangCommitted(job_id, now_ms)
-    _apply(working, committed)
-    return committed
-
-
-def release_part(
-    working: Working,
-    job_id: JobId,
-    reason: str,
-) -> GangReleased | None:
-    """Gives up a hold, if there is one."""
-    if job_id not in working.tables.holds:
-        return None
-    released = GangReleased(job_id, reason)
-    _apply(working, released)
-    return released
-
-
-class GangParts:
-    """The steps of gangs that span partitions, for one engine.
-
-    Each record that is returned was applied and has to be journaled before
-    the home is answered.
-    """
-
-    def __init__(self, working: Working) -> None:
-        self._working = working
-
-    def reserve(self, request: PartRequest) -> GangReserved | Failure:
-        """Holds capacity for all members, or fails with `overloaded`."""
-        return reserve_part(self._working, request)
-
-    def commit(self, job_id: JobId, now_ms: int) -> GangCommitted | Failure:
-        """Starts the held members; fails when the hold has ended."""
-        return commit_part(self._working, job_id, now_ms)
-
-    def release(self, job_id: JobId, reason: str) -> GangReleased | None:
-        """Gives up a hold, if there is one."""
-        return release_part(self._working, job_id, reason)
-
-
-def _apply(working: Working, record: object) -> None:
-    working.state.apply(record)
-    working.sync_workers()
-
-
 @SYSTEMS.register('holds')
-def expire_holds(working: Working, time: TickTime) -> bool:
-    """Ends the holds that were not committed in time."""
-    for job_id, hold in list(working.tables.holds.items()):
-        if time.now_ms >= hold.expires_at_ms:
-            working.emit(GangReleased(job_id, 'not committed in time'))
+def stop_parts(working: Working, time: TickTime) -> bool:
+    """Stops the parts of gangs of which another part needs a new start."""
+    stopped = working.inputs.stopped_parts
+    while stopped:
+        if time.is_over():
+            return False
+        job_row = working.tables.jobs.row_of.get(stopped.popleft(), NO_ROW)
+        if job_row != NO_ROW and working.tables.jobs.is_part[job_row]:
+            stop_gang(working, job_row, 'another part of the gang stopped')
     return True
 
 
-__all__ = (
-    'GangParts',
-    'PartRequest',
-    'commit_part',
-    'release_part',
-    'reserve_part',
-)
+__all__ = ('HOLD_MS', 'NO_ROUND', 'GangParts', 'PartRequest', 'stop_parts')
--- a/src/radishlift/placement/gangs.py
+++ b/src/radishlift/placement/gangs.py
@@ -35,6 +35,28 @@
     return []
 
 
+def count_gang_room(
+    working: Working,
+    policy: Policy,
+    demand: Resources,
+    limit: int,
+    permit: Permit,
+) -> int:
+    """Counts the members that have room now, up to a limit."""
+    workers = working.tables.workers
+    room_count = 0
+    for row in fitting_workers(working, policy, demand, permit):
+        free = Resources(
+            workers.free_cpu[row],
+            workers.free_memory[row],
+            workers.free_accelerators[row],
+        )
+        room_count += count_fitting(demand, free, limit - room_count)
+        if room_count == limit:
+            break
+    return room_count
+
+
 def start_gang(
     working: Working,
     job_row: int,
@@ -58,9 +80,7 @@
     needs the whole gang to start again, and one that failed for good ends
     the job.
     """
-    is_lost = state is TaskState.cancelled
-    is_part = working.tables.jobs.is_part[job_row]
-    if state is TaskState.failed or (is_lost and is_part):
+    if state is TaskState.failed:
         job_id = working.tables.jobs.spec[job_row].job_id
         working.inputs.cancellations.append(job_id)
     elif state is TaskState.queued:
@@ -75,4 +95,10 @@
             stop_attempt(working, row, reason, is_requeued=True)
 
 
-__all__ = ('end_gang_member', 'find_gang_workers', 'start_gang', 'stop_gang')
+__all__ = (
+    'count_gang_room',
+    'end_gang_member',
+    'find_gang_workers',
+    'start_gang',
+    'stop_gang',
+)
--- a/src/radishlift/placement/hand_offs.py
+++ b/src/radishlift/placement/hand_offs.py
@@ -43,13 +43,17 @@
 
 @dataclass(frozen=True, slots=True)
 class HandOff:
-    """A job that could be handed off, and why it can't start here soon."""
+    """A job that could be handed off, and why it can't start here soon.
+
+    `is_large` tells that the workers here could not start it even if idle.
+    """
 
     job_id: JobId
     demand: Resources
     tasks_count: int
     waiting_ms: int
     reason: str
+    is_large: bool = False
 
 
 def summarise_load(working: Working) -> LoadSummary:
@@ -122,6 +126,53 @@
     )
 
 
+def list_waiting_gangs(working: Working, now_ms: int) -> list[HandOff]:
+    """Lists gangs that could start over several partitions.
+
+    Those that the workers here can't start at all come at once, others when
+    they have waited for a while. At most `HAND_OFFS_COUNT` are listed.
+    """
+    listed: list[HandOff] = []
+    groups = working.queue.groups()
+    blocked = [group for group in groups if group.blocked_by]
+    blocked.sort(key=lambda group: group.key.rank)
+    for group in blocked:
+        if not group.key.is_gang:
+            continue
+        for job_row in working.queue.waiting_jobs(group):
+            waiting = _waiting_gang(working, group, job_row, now_ms)
+            if waiting is not None:
+                listed.append(waiting)
+            if len(listed) == HAND_OFFS_COUNT:
+                return listed
+    return listed
+
+
+def _waiting_gang(
+    working: Working,
+    group: Group,
+    job_row: int,
+    now_ms: int,
+) -> HandOff | None:
+    jobs = working.tables.jobs
+    count = jobs.startable_count(job_row)
+    if not count or jobs.has_live_attempts(job_row):
+        return None
+    spec = jobs.spec[job_row]
+    waiting_ms = now_ms - jobs.accepted_at_ms[job_row]
+    is_large = not _can_ever_start(working, group, count)
+    if not is_large and waiting_ms < _patience_ms(spec):
+        return None
+    return HandOff(
+        spec.job_id,
+        spec.demand,
+        count,
+        waiting_ms,
+        group.blocked_by,
+        is_large,
+    )
+
+
 def _may_move(working: Working, job_row: int) -> bool:
     # Members of a gang part may run in other partitions.
     jobs = working.tables.jobs
@@ -163,5 +214,6 @@
     'HandOff',
     'LoadSummary',
     'list_hand_offs',
+    'list_waiting_gangs',
     'summarise_load',
 )
--- a/src/radishlift/placement/holds.py
+++ b/src/radishlift/placement/holds.py
@@ -15,6 +15,8 @@
         tables.changed_workers[worker_row] = None
     job_row = tables.jobs.row_of.get(hold.spec.job_id, NO_ROW)
     if job_row != NO_ROW:
+        # Held members are not placed by themselves, so they leave the queue.
+        tables.count_queued(job_row, -tables.jobs.startable_count(job_row))
         tables.jobs.is_held[job_row] = True
 
 
@@ -26,9 +28,11 @@
         tables.workers.give_back(worker_row, hold.reserved)
         tables.workers.holds_count[worker_row] -= 1
         tables.changed_workers[worker_row] = None
+        tables.remove_worker_if_unused(worker_row)
     job_row = tables.jobs.row_of.get(hold.spec.job_id, NO_ROW)
     if job_row != NO_ROW:
         tables.jobs.is_held[job_row] = False
+        tables.count_queued(job_row, tables.jobs.startable_count(job_row))
         tables.enqueue(job_row)
 
 
--- a/src/radishlift/placement/job_queue.py
+++ b/src/radishlift/placement/job_queue.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterator
 
 from radishlift.core.ids import JobId, TeamName
+from radishlift.placement.job_table import JobTable
 from radishlift.placement.jobs import Resources
 from radishlift.placement.queue_groups import (
     ActiveGroups,
@@ -16,7 +17,6 @@
     GroupKey,
     OrderKey,
 )
-from radishlift.placement.tables import JobTable
 
 
 class JobQueue:
--- a/src/radishlift/placement/partition_tables.py
+++ b/src/radishlift/placement/partition_tables.py
@@ -7,6 +7,8 @@
     TeamName,
     WorkerId,
 )
+from radishlift.placement.gang_records import GangTable
+from radishlift.placement.job_table import JobTable
 from radishlift.placement.jobs import (
     Priority,
     Resources,
@@ -18,7 +20,6 @@
 from radishlift.placement.tables import (
     NO_ROW,
     NOTHING,
-    JobTable,
     TaskTable,
     WorkerTable,
 )
@@ -46,6 +47,7 @@
         self.queued = [0, 0]
         self.ended_jobs: dict[int, None] = {}
         self.holds: dict[JobId, GangReserved] = {}
+        self.gangs = GangTable()
         self.shrunk_teams: dict[TeamName, None] = {}
         self.team_use: dict[TeamName, list[int]] = {}
         self.department_use: dict[DepartmentName, list[int]] = {}
@@ -157,6 +159,8 @@
         self.tasks.state[row] = TaskState.queued
         self.tasks.is_requeued[row] = False
         self.jobs.requeued[job_row][row] = None
+        if self.jobs.is_bound(job_row):
+            return
         self.count_queued(job_row, 1)
         self.enqueue(job_row)
 
--- a/src/radishlift/placement/records.py
+++ b/src/radishlift/placement/records.py
@@ -4,6 +4,7 @@
 
 from radishlift.core.ids import (
     Attempt,
+    GangRoundId,
     Incarnation,
     JobId,
     PartitionId,
@@ -110,12 +111,16 @@
 
 @dataclass(frozen=True, slots=True)
 class GangMember:
-    """A member of a gang and the worker that holds capacity for it."""
+    """A member of a gang and the worker that holds capacity for it.
+
+    `failed_on` are the workers on which earlier attempts failed.
+    """
 
     task_id: TaskId
     attempt: Attempt
     worker_id: WorkerId
     incarnation: Incarnation
+    failed_on: tuple[WorkerId, ...] = ()
 
 
 @record('gang_reserved')
@@ -123,7 +128,8 @@
 class GangReserved:
     """Capacity is held for a part of a gang that spans partitions.
 
-    The hold ends at `expires_at_ms` unless it is committed before.
+    From `expires_at_ms` on the partition asks the home for the outcome of
+    the round, and releases the hold unless the home has decided to commit.
     """
 
     spec: JobSpec
@@ -131,6 +137,7 @@
     members: tuple[GangMember, ...]
     reserved: Resources
     expires_at_ms: int
+    round_id: GangRoundId = GangRoundId('')
 
 
 @record('gang_committed')
@@ -140,15 +147,22 @@
 
     job_id: JobId
     placed_at_ms: int
+    round_id: GangRoundId = GangRoundId('')
 
 
 @record('gang_released')
 @dataclass(frozen=True, slots=True)
 class GangReleased:
-    """The hold for a part of a gang is given up."""
+    """The hold of a round is given up; the round never starts here.
+
+    It is also journaled without a hold, before the home is told that a part
+    can't start: an owner that was deposed can't journal, so it can't say so.
+    """
 
     job_id: JobId
     reason: str
+    round_id: GangRoundId = GangRoundId('')
+    released_at_ms: int = 0
 
 
 @record('worker_observed')
--- a/src/radishlift/placement/snapshots.py
+++ b/src/radishlift/placement/snapshots.py
@@ -3,9 +3,13 @@
 from collections.abc import Iterator
 from typing import Any, Final
 
-from radishlift.core.codec import dump_plain, parse_plain
-from radishlift.core.errors import Failure
+from radishlift.core.codec import dump_plain
 from radishlift.core.ids import PartitionId
+from radishlift.placement.gang_snapshots import (
+    dump_gangs,
+    load_gangs,
+    parse,
+)
 from radishlift.placement.holds import take_hold
 from radishlift.placement.jobs import (
     JobSpec,
@@ -37,6 +41,7 @@
         'holds': [
             dump_plain(tables.holds[job_id]) for job_id in sorted(tables.holds)
         ],
+        'gangs': dump_gangs(tables),
         'ended_jobs': [
             tables.jobs.spec[row].job_id for row in tables.ended_jobs
         ],
@@ -120,7 +125,8 @@
     for job_id in plain['ended_jobs']:
         tables.ended_jobs[tables.jobs.row_of[job_id]] = None
     for hold in plain['holds']:
-        take_hold(tables, _parse(hold, GangReserved))
+        take_hold(tables, parse(hold, GangReserved))
+    load_gangs(tables, plain.get('gangs'))
     # Loading attempts counted them as taken from the queue.
     tables.queued_count = 0
     tables.queued = [0, 0]
@@ -129,15 +135,8 @@
     return tables
 
 
-def _parse(plain: Any, target: type) -> Any:
-    parsed = parse_plain(plain, target)
-    if isinstance(parsed, Failure):
-        raise RecordRefusedError(parsed.reason)
-    return parsed
-
-
 def _load_worker(tables: PartitionTables, plain: dict[str, Any]) -> None:
-    row = tables.workers.add(_parse(plain['worker'], WorkerInfo))
+    row = tables.workers.add(parse(plain['worker'], WorkerInfo))
     tables.workers.is_present[row] = plain['is_present']
     tables.workers.quarantine_reason[row] = plain['quarantine_reason']
     tables.changed_workers[row] = None
@@ -145,7 +144,7 @@
 
 def _load_job(tables: PartitionTables, plain: dict[str, Any]) -> None:
     jobs = tables.jobs
-    spec = _parse(plain['spec'], JobSpec)
+    spec = parse(plain['spec'], JobSpec)
     row = jobs.add(spec, plain['accepted_at_ms'], _passed_partitions(plain))
     jobs.to_partition[row] = plain['to_partition']
     jobs.is_cancelled[row] = plain['is_cancelled']
@@ -196,7 +195,7 @@
         plain['attempt'],
         plain['worker_id'],
         plain['incarnation'],
-        _parse(plain['reserved'], Resources),
+        parse(plain['reserved'], Resources),
         plain['placed_at_ms'],
     )
     worker_row = tables.workers.row_of[placed.worker_id]
--- a/src/radishlift/placement/state.py
+++ b/src/radishlift/placement/state.py
@@ -5,6 +5,7 @@
 from radishlift.core.logs import log_event
 from radishlift.placement import (  # noqa: F401
     gang_changes,
+    gang_home_changes,
     worker_changes,
 )
 from radishlift.placement.changes import CHANGES
--- a/src/radishlift/placement/system_order.py
+++ b/src/radishlift/placement/system_order.py
@@ -4,7 +4,7 @@
 from radishlift.placement.endings import end_attempts, update_workers
 from radishlift.placement.cancellations import cancel_jobs
 from radishlift.placement.usage import take_in_usage
-from radishlift.placement.gang_parts import expire_holds
+from radishlift.placement.gang_parts import stop_parts
 from radishlift.placement.admission import admit_jobs, age_jobs
 from radishlift.placement.reservations import plan_reservation
 from radishlift.placement.quarantine import judge_workers
@@ -16,7 +16,7 @@
     'update_workers',
     'end_attempts',
     'cancel_jobs',
-    'expire_holds',
+    'stop_parts',
     'admit_jobs',
     'age_jobs',
     'judge_workers',
--- a/src/radishlift/placement/tables.py
+++ b/src/radishlift/placement/tables.py
@@ -8,13 +8,10 @@
 
 from radishlift.core.ids import (
     Incarnation,
-    JobId,
-    PartitionId,
     TaskId,
     WorkerId,
 )
 from radishlift.placement.jobs import (
-    JobSpec,
     Resources,
     TaskState,
     WorkerInfo,
@@ -24,108 +21,6 @@
 NOTHING: Final = Resources(0, 0, 0)
 
 
-class JobTable:
-    """Jobs of a partition.
-
-    A task gets a row at its first start: the tasks from `fresh_index` on
-    were never started, so that accepting or cancelling a job costs the same
-    for any number of tasks. A gang that spans partitions is `is_held` while
-    capacity is reserved for it, and `is_part` once its members here started.
-    `passed_partitions` are those that handed the job off, its home first.
-    """
-
-    def __init__(self) -> None:
-        self.row_of: dict[JobId, int] = {}
-        self.spec: list[JobSpec] = []
-        self.accepted_at_ms: list[int] = []
-        self.passed_partitions: list[tuple[PartitionId, ...]] = []
-        self.to_partition: list[PartitionId] = []
-        self.is_cancelled: list[bool] = []
-        self.is_held: list[bool] = []
-        self.is_part: list[bool] = []
-        self.fresh_index: list[int] = []
-        self.requeued: list[dict[int, None]] = []
-        self.task_rows: list[dict[int, int]] = []
-        self.ended_counts: list[dict[TaskState, int]] = []
-        self.ended_at_ms: list[int] = []
-        self._free_rows: list[int] = []
-
-    def add(
-        self,
-        spec: JobSpec,
-        at_ms: int,
-        passed: tuple[PartitionId, ...] = (),
-    ) -> int:
-        """Adds a job without task rows and returns its row."""
-        row = self._free_rows.pop() if self._free_rows else self._grow()
-        self.row_of[spec.job_id] = row
-        self.spec[row] = spec
-        self.accepted_at_ms[row] = at_ms
-        self.passed_partitions[row] = passed
-        self.to_partition[row] = PartitionId('')
-        self.is_cancelled[row] = False
-        self.is_held[row] = False
-        self.is_part[row] = False
-        self.fresh_index[row] = 0
-        self.requeued[row] = {}
-        self.task_rows[row] = {}
-        self.ended_counts[row] = {}
-        self.ended_at_ms[row] = 0
-        return row
-
-    def remove(self, row: int) -> None:
-        """Forgets a job."""
-        del self.row_of[self.spec[row].job_id]
-        self._free_rows.append(row)
-
-    def is_open(self, row: int) -> bool:
-        """Tells whether tasks of the job may still be started here."""
-        return not (self.is_cancelled[row] or self.to_partition[row])
-
-    def startable_count(self, row: int) -> int:
-        """Counts the queued tasks."""
-        if self.is_held[row] or not self.is_open(row):
-            return 0
-        fresh_count = self.spec[row].task_count - self.fresh_index[row]
-        return fresh_count + len(self.requeued[row])
-
-    def has_live_attempts(self, row: int) -> bool:
-        """Tells whether an attempt of the job may still run."""
-        return len(self.task_rows[row]) != len(self.requeued[row])
-
-    def from_partition(self, row: int) -> PartitionId:
-        """Returns the partition that handed the job off, or ''."""
-        passed = self.passed_partitions[row]
-        return passed[-1] if passed else PartitionId('')
-
-    def is_ended(self, row: int) -> bool:
-        """Tells whether no task of the job is queued or live."""
-        if self.task_rows[row] or self.is_held[row]:
-            return False
-        return self.startable_count(row) == 0
-
-    def _grow(self) -> int:
-        for column in self._columns():
-            column.append(None)
-        return len(self.spec) - 1
-
-    def _columns(self) -> list[list[Any]]:
-        return [
-            self.spec,
-            self.accepted_at_ms,
-            self.passed_partitions,
-            self.to_partition,
-            self.is_cancelled,
-            self.is_held,
-            self.is_part,
-            self.fresh_index,
-            self.requeued,
-            self.task_rows,
-            self.ended_counts,
-            self.ended_at_ms,
-        ]
-
-
 class TaskTable:
     """Tasks that were started at least once and have not ended."""
 
@@ -297,4 +192,4 @@
         ]
 
 
-__all__ = ('NOTHING', 'NO_ROW', 'JobTable', 'TaskTable', 'WorkerTable')
+__all__ = ('NOTHING', 'NO_ROW', 'TaskTable', 'WorkerTable')
--- a/src/radishlift/placement/transfer_rows.py
+++ b/src/radishlift/placement/transfer_rows.py
@@ -9,22 +9,26 @@
 def transfer_of(tables: PartitionTables, job_row: int) -> JobTransfer:
     """Returns the progress of a job without live attempts."""
     jobs = tables.jobs
-    tasks = tables.tasks
     return JobTransfer(
         jobs.passed_partitions[job_row],
         jobs.fresh_index[job_row],
-        tuple(
-            QueuedTask(
-                index,
-                Attempt(tasks.attempt[row]),
-                tasks.failed_on[row],
-            )
-            for index, row in sorted(jobs.task_rows[job_row].items())
-        ),
+        started_tasks(tables, job_row),
         dict(jobs.ended_counts[job_row]),
     )
 
 
+def started_tasks(
+    tables: PartitionTables,
+    job_row: int,
+) -> tuple[QueuedTask, ...]:
+    """Lists the queued tasks that were started before, by index."""
+    tasks = tables.tasks
+    return tuple(
+        QueuedTask(index, Attempt(tasks.attempt[row]), tasks.failed_on[row])
+        for index, row in sorted(tables.jobs.task_rows[job_row].items())
+    )
+
+
 def restore_transfer(
     tables: PartitionTables,
     job_row: int,
@@ -32,16 +36,30 @@
 ) -> None:
     """Gives a job that was just added the progress made elsewhere."""
     jobs = tables.jobs
-    job_id = jobs.spec[job_row].job_id
     jobs.fresh_index[job_row] = transfer.started_count
     jobs.ended_counts[job_row] = dict(transfer.ended_counts)
     for task in transfer.queued_tasks:
-        task_id = task_id_of(job_id, task.index)
-        row = tables.tasks.add(job_row, task.index, task_id)
-        tables.tasks.attempt[row] = task.attempt
-        tables.tasks.failed_on[row] = task.failed_on
-        jobs.task_rows[job_row][task.index] = row
-        jobs.requeued[job_row][row] = None
+        add_queued_task(tables, job_row, task)
+
+
+def add_queued_task(
+    tables: PartitionTables,
+    job_row: int,
+    queued: QueuedTask,
+) -> None:
+    """Adds a task that was started elsewhere and is queued again."""
+    jobs = tables.jobs
+    task_id = task_id_of(jobs.spec[job_row].job_id, queued.index)
+    row = tables.tasks.add(job_row, queued.index, task_id)
+    tables.tasks.attempt[row] = queued.attempt
+    tables.tasks.failed_on[row] = queued.failed_on
+    jobs.task_rows[job_row][queued.index] = row
+    jobs.requeued[job_row][row] = None
 
 
-__all__ = ('restore_transfer', 'transfer_of')
+__all__ = (
+    'add_queued_task',
+    'restore_transfer',
+    'started_tasks',
+    'transfer_of',
+)
--- a/src/radishlift/placement/working.py
+++ b/src/radishlift/placement/working.py
@@ -59,6 +59,7 @@
 
     def __init__(self) -> None:
         self.cancellations: deque[JobId] = deque()
+        self.stopped_parts: deque[JobId] = deque()
         self.observed: dict[WorkerId, WorkerInfo] = {}
         self.gone: deque[tuple[WorkerId, Incarnation]] = deque()
         self.unreachable: dict[WorkerId, Incarnation] = {}
--- /dev/null
+++ b/tests/placement/gang_changes.py
@@ -0,0 +1,105 @@
+"""Records about gangs over partitions that fit the present tables."""
+
+from typing import Any
+
+from radishlift.core.ids import Attempt, JobId, PartitionId, TaskId
+from radishlift.placement.gang_changes import is_committable, may_spread
+from radishlift.placement.gang_home_changes import waiting_tasks
+from radishlift.placement.gang_parts import NO_ROUND
+from radishlift.placement.gang_records import (
+    GangDecided,
+    GangPartEnded,
+    GangPartForgotten,
+    GangShare,
+)
+from radishlift.placement.jobs import TaskState
+from radishlift.placement.partition_tables import PartitionTables
+from radishlift.placement.records import (
+    GangCommitted,
+    GangMember,
+    GangReserved,
+    TaskEnded,
+)
+
+HOME = PartitionId('p1')
+
+
+def make_hold(spec, worker_id, incarnation, reserved):
+    members = (
+        GangMember(
+            TaskId(f'{spec.job_id}/{index}'),
+            Attempt(1),
+            worker_id,
+            incarnation,
+        )
+        for index in range(spec.task_count)
+    )
+    return GangReserved(spec, HOME, tuple(members), reserved, 1)
+
+
+def gang_changes(
+    tables: PartitionTables, number: int, state: TaskState
+) -> list[Any]:
+    """Lists what may come next, of a kind that the number picks."""
+    changes: list[Any] = []
+    match number:
+        case 0 | 4 | 7 | 8:
+            remote = sorted(set(tables.gangs.parts) - set(tables.gangs.spread))
+            changes = [end_remote(tables, job_id) for job_id in remote]
+        case 3:
+            changes = [
+                GangCommitted(job_id, 1)
+                for job_id, hold in sorted(tables.holds.items())
+                if is_committable(tables, hold)
+            ]
+        case 6:
+            changes = part_ends(tables, state)
+        case 9:
+            changes = [
+                decide(tables, job_id, row)
+                for job_id, row in sorted(tables.jobs.row_of.items())
+                if may_spread(tables, row)
+            ]
+    return changes
+
+
+def end_remote(tables: PartitionTables, job_id: JobId) -> Any:
+    """Ends a member of a part, or forgets a part without live members."""
+    row = tables.jobs.row_of[job_id]
+    for task in tables.jobs.task_rows[row].values():
+        if tables.tasks.is_live(task):
+            attempt = Attempt(tables.tasks.attempt[task])
+            task_id = tables.tasks.task_id[task]
+            return TaskEnded(task_id, attempt, TaskState.finished, 'other')
+    return GangPartForgotten(job_id, NO_ROUND)
+
+
+def part_ends(tables: PartitionTables, state: TaskState) -> list[Any]:
+    """Ends the first open share of each gang."""
+    changes = []
+    for job_id, spread in sorted(tables.gangs.spread.items()):
+        share = spread.open_shares()[0]
+        is_here = share.partition_id == HOME and job_id in tables.gangs.parts
+        ended = GangPartEnded(
+            job_id,
+            NO_ROUND,
+            share.partition_id,
+            () if is_here else share.tasks[1:],
+            {} if is_here else {state: 1},
+            1,
+        )
+        changes.append(ended)
+    return changes
+
+
+def decide(tables: PartitionTables, job_id: JobId, row: int) -> GangDecided:
+    """Gives the first waiting task to the home, the others to p2."""
+    tasks = waiting_tasks(tables, row)
+    shares = (
+        GangShare(HOME, tasks[:1]),
+        GangShare(PartitionId('p2'), tasks[1:]),
+    )
+    return GangDecided(job_id, NO_ROUND, shares, 1)
+
+
+__all__ = ('gang_changes', 'make_hold')
