--- a/tests/partitions/gang_cell.py
+++ b/tests/partitions/gang_cell.py
@@ -31,12 +31,12 @@
 
 def make_gang(job_id: str = GANG, **changes: Any) -> JobSpec:
     """Makes a gang that needs all three partitions."""
+    fields = {'task_count': len(PARTITIONS), **changes}
     return make_job(
         job_id,
         kind=JobKind.gang,
         demand=WHOLE_WORKER,
-        task_count=len(PARTITIONS),
-        **changes,
+        **fields,
     )
 
 
@@ -99,10 +99,13 @@
 
 
 class GangCell:
-    """Three partitions of one worker, each with its own daemon."""
+    """Partitions of one worker, each with its own daemon."""
 
-    def __init__(self, cell: Cell) -> None:
+    def __init__(
+        self, cell: Cell, store_type: type[MemoryTableStore] = MemoryTableStore
+    ) -> None:
         self.cell = cell
+        self._store_type = store_type
         self.owners: dict[PartitionId, Owner] = {}
         self.wires: dict[PartitionId, Wire] = {}
 
@@ -113,7 +116,7 @@
 
     async def claim(self, partition_id: PartitionId, name: str) -> None:
         """Starts a daemon with its own connection to the table service."""
-        store = MemoryTableStore(self.cell.store.tables)
+        store = self._store_type(self.cell.store.tables)
         owner = await self.cell.add_owner(name, store=store)
         self.owners[partition_id] = owner
         self.wires[partition_id] = Wire(owner)
@@ -139,10 +142,14 @@
         """Waits for a condition while loads are spread."""
         await until_after(self.share_loads, condition)
 
-    async def submit(self, spec: JobSpec) -> None:
-        """Submits a gang once all daemons know the loads."""
+    async def settle(self) -> None:
+        """Waits until all daemons know the workers and the loads."""
         await self.until(self._is_ready)
         await self.share_loads()
+
+    async def submit(self, spec: JobSpec) -> None:
+        """Submits a gang once all daemons know the loads."""
+        await self.settle()
         await self.home.router.submit(spec, 2_000)
 
     def holds_count(self) -> int:
@@ -213,6 +220,17 @@
     return dict(counts)
 
 
+def set_partitions(cell: Cell, partitions: Iterable[PartitionId]) -> None:
+    """Gives each partition the rack of its number."""
+    cell.document = replace(
+        cell.document,
+        partitions={
+            partition_id: Partition((f'r{partition_id[1:]}',))
+            for partition_id in partitions
+        },
+    )
+
+
 @asynccontextmanager
 async def open_gang_cell() -> AsyncIterator[GangCell]:
     """Opens a cell with three partitions of one worker each.
@@ -220,13 +238,7 @@
     Leases are long enough that a busy machine does not end them.
     """
     async with open_cell(lease_ms=10_000) as cell:
-        cell.document = replace(
-            cell.document,
-            partitions={
-                partition_id: Partition((f'r{partition_id[1:]}',))
-                for partition_id in PARTITIONS
-            },
-        )
+        set_partitions(cell, PARTITIONS)
         await cell.add_worker(rack='r2')
         await cell.add_worker(rack='r3')
         gangs = GangCell(cell)
@@ -244,4 +256,5 @@
     'attempts_of',
     'make_gang',
     'open_gang_cell',
+    'set_partitions',
 )
