--- a/src/radishlift/daemon/lifecycle.py
+++ b/src/radishlift/daemon/lifecycle.py
@@ -85,6 +85,7 @@
             self.jobs.absorb_loads(),
             self.jobs.hand_off_sender.run_forever(),
             self.jobs.share_sync.run_forever(),
+            self.jobs.gang_driver.run_forever(),
             self._become_ready(),
         ):
             self._run_loop(loop)
--- /dev/null
+++ b/src/radishlift/partitions/closed_jobs.py
@@ -0,0 +1,41 @@
+"""Events for callers that wait until a job is cancelled or ended."""
+
+import asyncio
+from typing import Any
+
+from radishlift.core.ids import JobId
+from radishlift.placement.jobs import job_id_of
+from radishlift.placement.partition_tables import PartitionTables
+from radishlift.placement.records import JobCancelled, TaskEnded
+
+
+class ClosedJobs:
+    """Tells those who cancel jobs of a partition when these are closed."""
+
+    def __init__(self, tables: PartitionTables) -> None:
+        self._tables = tables
+        self._events: dict[JobId, asyncio.Event] = {}
+
+    def event(self, job_id: JobId) -> asyncio.Event:
+        """Returns an event that is set once the job is cancelled or ended."""
+        return self._events.setdefault(job_id, asyncio.Event())
+
+    def signal(self, job_id: JobId) -> None:
+        """Tells those who wait that a job was closed."""
+        event = self._events.pop(job_id, None)
+        if event is not None:
+            event.set()
+
+    def note(self, decided: Any) -> None:
+        """Signals the job that a record closes, if it closes one."""
+        match decided:
+            case JobCancelled():
+                self.signal(decided.job_id)
+            case TaskEnded() if self._events:
+                job_id = job_id_of(decided.task_id)
+                row = self._tables.jobs.row_of.get(job_id)
+                if row is None or self._tables.jobs.is_ended(row):
+                    self.signal(job_id)
+
+
+__all__ = ('ClosedJobs',)
--- a/src/radishlift/partitions/intake.py
+++ b/src/radishlift/partitions/intake.py
@@ -3,18 +3,16 @@
 import asyncio
 
 from radishlift.core.errors import ErrorKind, Failure
-from radishlift.core.ids import JobId, TaskId
+from radishlift.core.ids import JobId
+from radishlift.partitions.inquiry import describe_move
 from radishlift.partitions.messages import (
     HandOffJob,
     JobCancelling,
     JobMoved,
-    JobStatus,
     JobSubmitted,
-    TaskExplained,
 )
 from radishlift.partitions.open_partition import OpenPartition
-from radishlift.placement.jobs import JobSpec, TaskState, job_id_of
-from radishlift.placement.partition_tables import PartitionTables
+from radishlift.placement.jobs import JobSpec
 from radishlift.placement.records import JobAccepted
 
 
@@ -104,7 +102,7 @@
         reason = f'no job {job_id} in {opened.claim.partition_id}'
         return Failure(ErrorKind.not_found, reason)
     if jobs.to_partition[row]:
-        return _moved(opened, row)
+        return describe_move(opened, row)
     if jobs.is_open(row) and not jobs.is_ended(row):
         refusal = opened.log.journal.refusal()
         failure = refusal or opened.engine.cancel(job_id)
@@ -116,7 +114,7 @@
             return Failure(ErrorKind.store_outcome_unknown, reason)
         row = jobs.row_of.get(job_id)
         if row is not None and jobs.to_partition[row]:
-            return _moved(opened, row)
+            return describe_move(opened, row)
     failure = await opened.log.journal.wait_durable(
         opened.log.last_position,
         timeout_ms,
@@ -129,7 +127,7 @@
     job_id: JobId,
     timeout_ms: int,
 ) -> bool:
-    closed = opened.closed_event(job_id)
+    closed = opened.closed_jobs.event(job_id)
     try:
         async with asyncio.timeout(timeout_ms / 1000):
             await closed.wait()
@@ -138,75 +136,4 @@
     return True
 
 
-def status(
-    opened: OpenPartition,
-    job_id: JobId,
-) -> JobStatus | JobMoved | Failure:
-    """Counts the tasks of a job by state."""
-    tables = opened.states.placement.tables
-    row = tables.jobs.row_of.get(job_id)
-    if row is None:
-        reason = f'no job {job_id} in {opened.claim.partition_id}'
-        return Failure(ErrorKind.not_found, reason)
-    if tables.jobs.to_partition[row]:
-        return _moved(opened, row)
-    return JobStatus(
-        job_id,
-        opened.claim.partition_id,
-        tables.jobs.accepted_at_ms[row],
-        tables.jobs.is_cancelled[row],
-        _task_counts(tables, row),
-    )
-
-
-def _moved(opened: OpenPartition, row: int) -> JobMoved:
-    """Names the partition that has the job, or is about to get it."""
-    jobs = opened.states.placement.tables.jobs
-    spec = jobs.spec[row]
-    begun = opened.states.hand_offs.open.get(spec.job_id)
-    if begun is None:
-        return JobMoved(spec.job_id, jobs.to_partition[row])
-    counts = dict(begun.transfer.ended_counts) if begun.transfer else {}
-    queued_count = spec.task_count - sum(counts.values())
-    last_known = JobStatus(
-        spec.job_id,
-        opened.claim.partition_id,
-        jobs.accepted_at_ms[row],
-        is_cancelled=False,
-        task_counts={**counts, TaskState.queued: queued_count},
-    )
-    return JobMoved(spec.job_id, jobs.to_partition[row], last_known)
-
-
-def _task_counts(
-    tables: PartitionTables,
-    job_row: int,
-) -> dict[TaskState, int]:
-    counts = dict(tables.jobs.ended_counts[job_row])
-    for task_row in tables.jobs.task_rows[job_row].values():
-        state = tables.tasks.state[task_row]
-        if tables.tasks.is_live(task_row):
-            counts[state] = counts.get(state, 0) + 1
-    queued_count = tables.jobs.startable_count(job_row)
-    if queued_count:
-        counts[TaskState.queued] = queued_count
-    return counts
-
-
-def explain(
-    opened: OpenPartition,
-    task_id: TaskId,
-) -> TaskExplained | JobMoved | Failure:
-    """Tells where a task runs or why it does not."""
-    job_id = job_id_of(task_id)
-    jobs = opened.states.placement.tables.jobs
-    row = jobs.row_of.get(job_id)
-    if row is not None and jobs.to_partition[row]:
-        return _moved(opened, row)
-    explanation = opened.engine.explain(task_id, opened.now_ms())
-    if isinstance(explanation, Failure):
-        return explanation
-    return TaskExplained(opened.claim.partition_id, explanation)
-
-
-__all__ = ('accept_hand_off', 'cancel', 'explain', 'status', 'submit')
+__all__ = ('accept_hand_off', 'cancel', 'submit')
--- a/src/radishlift/partitions/open_partition.py
+++ b/src/radishlift/partitions/open_partition.py
@@ -9,12 +9,13 @@
 from typing import Any
 
 from radishlift.core.errors import ErrorKind, Failure
-from radishlift.core.ids import ConfigVersion, JobId
+from radishlift.core.ids import ConfigVersion
 from radishlift.core.logs import log_event
 from radishlift.journal.partition_journal import PartitionJournal
 from radishlift.journal.recovery import Recovered
 from radishlift.journal.snapshot_keeper import SnapshotKeeper
 from radishlift.ownership.api import OwnerClaim
+from radishlift.partitions.closed_jobs import ClosedJobs
 from radishlift.partitions.dispatching import EngineEffects
 from radishlift.partitions.facts import WorkerFacts
 from radishlift.partitions.log import PartitionLog
@@ -29,8 +30,6 @@
 from radishlift.placement.jobs import Priority, job_id_of
 from radishlift.placement.records import (
     JobAccepted,
-    JobCancelled,
-    TaskEnded,
     TaskPlaced,
 )
 from radishlift.workers.dispatcher import Dispatcher
@@ -95,7 +94,7 @@
             tables,
             parts.clock.wall_ms(),
         )
-        self._closed_jobs: dict[JobId, asyncio.Event] = {}
+        self.closed_jobs = ClosedJobs(tables)
         self._document_version: ConfigVersion | None = None
         self._is_dirty = True
         self._last_tick_ms = 0
@@ -170,6 +169,27 @@
         self.request_flush(records)
         return None
 
+    def add_applied(self, decided: Any) -> Failure | None:
+        """Appends a record that was applied outside a tick.
+
+        Fails with `not_owner` when the journal is closed.
+        """
+        failure = self.log.append(decided)
+        if failure is None:
+            self._bind(decided)
+        self.wake()
+        self.request_flush((decided,))
+        return failure
+
+    async def wait_durable(self, timeout_ms: int) -> Failure | None:
+        """Waits until all records so far are journaled."""
+        self.request_flush(())
+        self._parts.activity.set()
+        return await self.log.journal.wait_durable(
+            self.log.last_position,
+            timeout_ms,
+        )
+
     async def flush_journal(self) -> Failure | None:
         """Writes pending records and releases their effects."""
         flushed = await self.log.journal.flush()
@@ -204,28 +224,10 @@
                 is_urgent=any(self._is_urgent(change) for change in records),
             )
 
-    def closed_event(self, job_id: JobId) -> asyncio.Event:
-        """Returns an event that is set once a job is cancelled or ended."""
-        return self._closed_jobs.setdefault(job_id, asyncio.Event())
-
-    def signal_closed(self, job_id: JobId) -> None:
-        """Tells those who cancel a job that it was closed."""
-        event = self._closed_jobs.pop(job_id, None)
-        if event is not None:
-            event.set()
-
     def _bind(self, decided: Any) -> None:
         self.effects.add(decided)
         self.quarantines.note(decided, self._wall_ms)
-        match decided:
-            case JobCancelled():
-                self.signal_closed(decided.job_id)
-            case TaskEnded() if self._closed_jobs:
-                job_id = job_id_of(decided.task_id)
-                jobs = self.states.placement.tables.jobs
-                row = jobs.row_of.get(job_id)
-                if row is None or jobs.is_ended(row):
-                    self.signal_closed(job_id)
+        self.closed_jobs.note(decided)
 
     def _is_urgent(self, change: Any) -> bool:
         match change:
--- a/src/radishlift/quotas/sync.py
+++ b/src/radishlift/quotas/sync.py
@@ -140,7 +140,7 @@
         if opened.shares.holder.is_lowered(asks):
             # What a successor could read as in use must not be given up: the
             # ends of attempts have to be durable first.
-            failure = await _wait_durable(opened, timeout_ms)
+            failure = await opened.wait_durable(timeout_ms)
             if failure is not None:
                 return failure
         owner = self._lookup.owner_of(home)
@@ -166,13 +166,4 @@
         )
 
 
-async def _wait_durable(
-    opened: OpenPartition,
-    timeout_ms: int,
-) -> Failure | None:
-    opened.request_flush(())
-    log = opened.log
-    return await log.journal.wait_durable(log.last_position, timeout_ms)
-
-
 __all__ = ('ShareSync',)
--- a/tests/partitions/owner.py
+++ b/tests/partitions/owner.py
@@ -14,9 +14,10 @@
 )
 from radishlift.ownership.api import OWNERS_TABLE, OwnerClaim
 from radishlift.ownership.owner_rows import OwnerRow
+from radishlift.partitions.gang_driver import GangDriver
 from radishlift.partitions.hand_offs import HandOffSender
 from radishlift.partitions.homes import OwnerLookup
-from radishlift.partitions.intake import status
+from radishlift.partitions.inquiry import status
 from radishlift.partitions.job_router import JobRouter
 from radishlift.partitions.messages import JobStatus
 from radishlift.partitions.open_partition import OpenPartition
@@ -67,6 +68,7 @@
     loop: asyncio.Task[None]
     router: JobRouter
     hand_off_sender: HandOffSender
+    gang_driver: GangDriver
     config: Config
     lookup: OwnerLookup
     loops: list[asyncio.Task[None]] = field(default_factory=list)
@@ -103,6 +105,7 @@
         self.loop.cancel()
         for loop in self.loops:
             loop.cancel()
+        await asyncio.gather(*self.loops, return_exceptions=True)
         await self.partitions.on_replaced()
         await self.parts.network.stop()
 
--- a/tests/partitions/test_quotas.py
+++ b/tests/partitions/test_quotas.py
@@ -8,7 +8,8 @@
 import pytest
 
 from radishlift.core.errors import ErrorKind, Failure
-from radishlift.partitions.intake import explain, submit
+from radishlift.partitions.inquiry import explain
+from radishlift.partitions.intake import submit
 from radishlift.placement.explanations import ExplanationKind
 from radishlift.placement.jobs import TaskState, task_id_of
 from radishlift.quotas.homes import QUOTA_HOMES_TABLE, QuotaHomes
