--- a/src/radishlift/partitions/loads.py
+++ b/src/radishlift/partitions/loads.py
@@ -12,16 +12,9 @@
 
 SUMMARY_NAME: Final = 'partitions'
 
-_FIELDS: Final = (
-    'load',
-    'cpu',
-    'memory',
-    'accelerators',
-    'free_cpu',
-    'free_memory',
-    'free_accelerators',
-)
-_SEPARATOR: Final = ':'
+_LOAD_SUFFIX: Final = ':load'
+# Short names, because all summaries of a heartbeat share 128 bytes.
+_FIELDS: Final = ('cpu', 'mb', 'acc', 'all_cpu', 'all_mb', 'all_acc')
 # The demands of queued tasks are not in a summary of fixed size; one core is
 # the order of magnitude that only has to rank partitions.
 _QUEUED_CPU_MILLI: Final = 1_000
@@ -86,37 +79,28 @@
             return {}
         self._turn = (self._turn + 1) % len(self._owned)
         load = self._loads[self._owned[self._turn]]
-        free = load.largest_free
-        numbers = (
-            load.load_ratio,
-            free.cpu_milli,
-            free.memory_mb,
-            free.accelerators_count,
-            load.free.cpu_milli,
-            load.free.memory_mb,
-            load.free.accelerators_count,
-        )
+        numbers = (*_amounts(load.largest_free), *_amounts(load.free))
         return {
-            f'{load.partition_id}{_SEPARATOR}{name}': number
-            for name, number in zip(_FIELDS, numbers, strict=True)
+            f'{load.partition_id}{_LOAD_SUFFIX}': load.load_ratio,
+            **dict(zip(_FIELDS, numbers, strict=True)),
         }
 
     def absorb(self, summary: Mapping[str, float]) -> None:
         """Takes over the summary of a peer; a bad one is ignored."""
-        names = {name.rpartition(_SEPARATOR)[0] for name in summary}
-        for partition_id in names:
-            numbers = [
-                summary.get(f'{partition_id}{_SEPARATOR}{name}')
-                for name in _FIELDS
-            ]
-            known = [number for number in numbers if number is not None]
-            if len(known) == len(_FIELDS) and partition_id not in self._owned:
-                self._loads[PartitionId(partition_id)] = PartitionLoad(
-                    PartitionId(partition_id),
-                    known[0],
-                    Resources(*(int(number) for number in known[1:4])),
-                    Resources(*(int(number) for number in known[4:])),
-                )
+        numbers = [summary.get(name) for name in _FIELDS]
+        known = [int(number) for number in numbers if number is not None]
+        if len(known) != len(_FIELDS):
+            return
+        for name, load_ratio in summary.items():
+            partition_id = PartitionId(name.removesuffix(_LOAD_SUFFIX))
+            if partition_id == name or partition_id in self._owned:
+                continue
+            self._loads[partition_id] = PartitionLoad(
+                partition_id,
+                load_ratio,
+                Resources(*known[:3]),
+                Resources(*known[3:]),
+            )
 
     def choose(
         self,
@@ -171,6 +155,10 @@
         return not load.fits(demand), load.load_ratio
 
 
+def _amounts(amount: Resources) -> tuple[int, int, int]:
+    return amount.cpu_milli, amount.memory_mb, amount.accelerators_count
+
+
 def measure_load(opened: OpenPartition) -> PartitionLoad:
     """Measures a partition; scans its workers, at most 400."""
     summary = opened.engine.summarise_load()
--- /dev/null
+++ b/tests/partitions/test_loads.py
@@ -0,0 +1,35 @@
+from random import Random
+
+from msgpack import packb
+
+from radishlift.core.ids import PartitionId
+from radishlift.membership.settings import MembershipSettings
+from radishlift.partitions.loads import (
+    SUMMARY_NAME,
+    LoadBoard,
+    PartitionLoad,
+)
+from radishlift.placement.jobs import Resources
+
+NAME = PartitionId('pinetown-racks-1-to-50')
+# 400 workers of the largest users' size.
+LARGE = PartitionLoad(
+    NAME,
+    0.123456789,
+    Resources(30_000, 130_000, 8),
+    Resources(12_000_000, 52_000_000, 3_200),
+)
+
+
+def test_summary_of_a_large_partition_fits_a_heartbeat():
+    """Guards against loads that are too large to be sent at all."""
+    board, other = LoadBoard(Random(1)), LoadBoard(Random(2))
+    board._loads[NAME] = LARGE
+    board._owned = (NAME,)
+    summary = board.summary()
+    size_bytes = len(packb([SUMMARY_NAME, summary]))
+    assert size_bytes <= MembershipSettings().summary_bytes
+    other.absorb(summary)
+    assert other._loads == {NAME: LARGE}
+    other.absorb({f'{NAME}:load': 0.5})
+    assert other._loads == {NAME: LARGE}
