--- a/src/radishlift/partitions/gang_driver.py
+++ b/src/radishlift/partitions/gang_driver.py
@@ -5,6 +5,8 @@
 """
 
 import asyncio
+from collections.abc import Coroutine
+from typing import Any
 
 from radishlift.core.ids import JobId
 from radishlift.core.logs import log_event
@@ -62,9 +64,13 @@
         gangs = [one.states.placement.tables.gangs for one in opened]
         decided = [gang for table in gangs for gang in table.spread.values()]
         self.rounds.commits.retain({gang.decided.round_id for gang in decided})
-        await asyncio.gather(*(self._drive(one) for one in opened))
+        # Most partitions have no such gang; this runs often and costs little.
+        work = [one for partition in opened for one in self._drive(partition)]
+        if work:
+            await asyncio.gather(*work)
 
-    async def _drive(self, opened: OpenPartition) -> None:
+    def _drive(self, opened: OpenPartition) -> list[Coroutine[Any, Any, None]]:
+        """Begins rounds; returns what is to be sent for a partition."""
         self.rounds.begin(opened)
         tables = opened.states.placement.tables
         overdue = opened.engine.gang_parts.overdue(opened.now_ms())
@@ -73,14 +79,14 @@
             for job_id, part in tables.gangs.parts.items()
             if not tables.jobs.has_live_attempts(tables.jobs.row_of[job_id])
         ]
-        await asyncio.gather(
+        return [
             *(
                 self.rounds.commits.push(opened, job_id)
-                for job_id in tuple(tables.gangs.spread)
+                for job_id in tables.gangs.spread
             ),
             *(self._settle(opened, hold) for hold in overdue),
             *(self._report(opened, job_id, part) for job_id, part in ended),
-        )
+        ]
 
     async def _settle(self, opened: OpenPartition, hold: GangReserved) -> None:
         """Asks the home for the outcome of a hold and carries it out."""
--- a/src/radishlift/placement/changes.py
+++ b/src/radishlift/placement/changes.py
@@ -54,6 +54,7 @@
         record.accepted_at_ms,
         _passed_partitions(record),
     )
+    tables.jobs.is_held[row] = spec.job_id in tables.holds
     if record.transfer is not None:
         restore_transfer(tables, row, record.transfer)
     tables.enqueue(row)
--- a/src/radishlift/placement/gang_home_changes.py
+++ b/src/radishlift/placement/gang_home_changes.py
@@ -4,7 +4,7 @@
 
 from radishlift.core.ids import Attempt
 from radishlift.placement.changes import change
-from radishlift.placement.gang_changes import may_spread
+from radishlift.placement.gang_changes import close_round, may_spread
 from radishlift.placement.gang_records import (
     GangDecided,
     GangPartEnded,
@@ -83,6 +83,8 @@
         tables.jobs.is_part[job_row] = False
     _merge(tables, job_row, record)
     spread.ended.add(record.partition_id)
+    if part is not None:
+        close_round(tables, record.round_id)
     if len(shares) == 1:
         _gather(tables, job_row, record)
 
--- a/src/radishlift/placement/hand_offs.py
+++ b/src/radishlift/placement/hand_offs.py
@@ -134,11 +134,9 @@
     """
     listed: list[HandOff] = []
     groups = working.queue.groups()
-    blocked = [group for group in groups if group.blocked_by]
+    blocked = [one for one in groups if one.key.is_gang and one.blocked_by]
     blocked.sort(key=lambda group: group.key.rank)
     for group in blocked:
-        if not group.key.is_gang:
-            continue
         for job_row in working.queue.waiting_jobs(group):
             waiting = _waiting_gang(working, group, job_row, now_ms)
             if waiting is not None:
--- a/tests/placement/test_properties.py
+++ b/tests/placement/test_properties.py
@@ -175,6 +175,8 @@
 def check_capacity(state: PartitionState) -> None:
     """Checks that free and committed amounts add up to the capacity."""
     tables = state.tables
+    startable = map(tables.jobs.startable_count, tables.jobs.row_of.values())
+    assert tables.queued_count == sum(startable)
     for row in tables.workers.row_of.values():
         capacity = tables.workers.worker_info[row].capacity
         reserved = [
