Refuse a job as not run when surely nothing of it was written

Cause: the first submission of an outage was answered "outcome unknown".

Ruled out: placing a job only once its acceptance is journaled, which costs each job a second row and one more flush interval; cancelling the job by a later record, since the acceptance may then take effect before it.

Change: a new submission that is not journaled in time takes its job back if all its records are in no row that was sent and tasks were placed at most once. The capacity is freed, the starts are dropped by identity (the same job may come again with the same attempt number), and gangs, hand-offs and jobs with any other record stay as they were. withdraw takes positions, since records of other jobs lie between them.

A call that repeats the submission meanwhile gets "unknown".

Conclusion: "not run" is told where it is provable for submissions as well.

--- a/benchmarks/request_node_parts.py
+++ b/benchmarks/request_node_parts.py
@@ -15,6 +15,7 @@
 from radishlift.requests.service_times import ServiceTimes
 
 DEADLINE_MS: Final = 2_000
+MAX_WAIT_MS: Final = 1_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,6 +65,7 @@
             'depot',
             max_deadline_ms=DEADLINE_MS,
             default_deadline_ms=DEADLINE_MS,
+            max_wait_ms=MAX_WAIT_MS,
             urgent_classes=options.urgent_classes,
         )
         self.document = ConfigDocument(
@@ -87,6 +89,7 @@
 
 __all__ = (
     'DEADLINE_MS',
+    'MAX_WAIT_MS',
     'NoEstimates',
     'NodeOptions',
     'StaticConfig',
--- a/src/radishlift/journal/durability.py
+++ b/src/radishlift/journal/durability.py
@@ -47,7 +47,7 @@
         self.durable_position = position
         self._finish(0, position, None)
 
-    def withdraw(self, first: int, last: int) -> None:
+    def withdraw(self, positions: frozenset[int]) -> None:
         """Ends the waits at these positions, with an unknown outcome.
 
         A waiter there may depend on earlier records that were sent, so it
@@ -56,8 +56,9 @@
         """
         reason = 'a record was withdrawn before it was sent'
         failure = Failure(ErrorKind.store_outcome_unknown, reason)
-        self._finish(first, last, failure)
-        self._withdrawn.update(range(first, last + 1))
+        for position in positions:
+            self._finish(position, position, failure)
+        self._withdrawn |= positions
         self.mark_durable(self.durable_position)
 
     def close(self, failure: Failure, unknown_position: int = 0) -> None:
--- a/src/radishlift/journal/partition_journal.py
+++ b/src/radishlift/journal/partition_journal.py
@@ -105,16 +105,17 @@
             return self._durability.closed
         return self._pending.append(record)
 
-    def withdraw(self, first: int, last: int) -> bool:
+    def withdraw(self, *positions: int) -> bool:
         """Removes records that certainly are in no row that was sent.
 
         The caller undoes their effect on the state, and no later record may
         depend on them. Returns False, and removes none, if one of them may
         have been written.
         """
-        if not self._pending.withdraw(first, last):
+        withdrawn = frozenset(positions)
+        if not self._pending.withdraw(withdrawn):
             return False
-        self._durability.withdraw(first, last)
+        self._durability.withdraw(withdrawn)
         return True
 
     async def wait_durable(
--- a/src/radishlift/journal/pending.py
+++ b/src/radishlift/journal/pending.py
@@ -59,18 +59,14 @@
         """Returns the records that were taken last to their places."""
         self._records.extendleft(reversed(taken))
 
-    def withdraw(self, first: int, last: int) -> bool:
+    def withdraw(self, positions: frozenset[int]) -> bool:
         """Removes the records at these positions if all are here."""
-        found = [
-            entry for entry in self._records if first <= entry.position <= last
-        ]
-        if len(found) != last - first + 1:
-            return False
-        self._records = deque(
-            entry
-            for entry in self._records
-            if not first <= entry.position <= last
+        kept = deque(
+            entry for entry in self._records if entry.position not in positions
         )
+        if len(self._records) - len(kept) != len(positions):
+            return False
+        self._records = kept
         return True
 
 
--- a/src/radishlift/partitions/dispatching.py
+++ b/src/radishlift/partitions/dispatching.py
@@ -31,6 +31,7 @@
         self._tables = tables
         self._log = log
         self._dispatcher = dispatcher
+        self._dropped: list[TaskPlaced] = []
 
     def add(self, applied: Any) -> None:
         """Binds the effect of a record that was just appended."""
@@ -49,12 +50,25 @@
 
     def start(self, placed: TaskPlaced) -> None:
         """Starts a journaled attempt unless it has ended meanwhile."""
+        if any(placed is each for each in self._dropped):
+            self._dropped = [
+                each for each in self._dropped if each is not placed
+            ]
+            return
         key = AttemptKey(placed.task_id, placed.attempt)
         if is_current(self._tables, key):
             row = self._tables.task_row(placed.task_id)
             self._dispatcher.run(self._attempt(row or 0, is_inherited=False))
             self._observe_waiting(placed)
 
+    def drop(self, placed: TaskPlaced) -> None:
+        """Drops the start of a placement that was taken back.
+
+        The same job may be submitted again and then has an attempt of the
+        same number, which must not be started before its own row.
+        """
+        self._dropped.append(placed)
+
     def resume(self) -> int:
         """Takes over all attempts that may run; returns their number."""
         workers = self._tables.workers
--- a/src/radishlift/partitions/intake.py
+++ b/src/radishlift/partitions/intake.py
@@ -13,6 +13,7 @@
     TaskExplained,
 )
 from radishlift.partitions.open_partition import OpenPartition
+from radishlift.partitions.withdrawals import take_back
 from radishlift.placement.jobs import JobSpec, TaskState, job_id_of
 from radishlift.placement.partition_tables import PartitionTables
 from radishlift.placement.records import JobAccepted
@@ -27,7 +28,8 @@
 
     A repeat returns the first acceptance, also during an outage of the table
     service. A new job is refused with `store_unavailable` before anything is
-    buffered while the journal can't be written.
+    buffered while the journal can't be written, and also when it is taken
+    back because nothing of it was written in time.
     """
     is_new = spec.job_id not in opened.states.placement.tables.jobs.row_of
     refusal = opened.log.journal.refusal()
@@ -40,7 +42,14 @@
         failure = opened.log.append(accepted)
         if failure is not None:
             return failure
-    return await _acknowledge(opened, accepted, timeout_ms)
+    outcome = await _acknowledge(opened, accepted, timeout_ms)
+    if not is_new or not isinstance(outcome, Failure):
+        return outcome
+    is_unknown = outcome.kind is ErrorKind.store_outcome_unknown
+    if is_unknown and take_back(opened, accepted):
+        reason = f'not journaled in {timeout_ms} ms, and taken back'
+        return Failure(ErrorKind.store_unavailable, reason)
+    return outcome
 
 
 async def accept_hand_off(
@@ -85,6 +94,10 @@
     )
     if failure is not None:
         return failure
+    if accepted.spec.job_id not in opened.states.placement.tables.jobs.row_of:
+        # The call that brought the job took it back while this one waited.
+        reason = f'job {accepted.spec.job_id} is not known any more'
+        return Failure(ErrorKind.store_outcome_unknown, reason)
     return JobSubmitted(
         accepted.spec.job_id,
         opened.claim.partition_id,
--- a/src/radishlift/partitions/log.py
+++ b/src/radishlift/partitions/log.py
@@ -27,6 +27,7 @@
         self.last_position = 0
         self._states = states
         self._effects: deque[tuple[int, Effect]] = deque()
+        self._undurable: deque[tuple[int, Any]] = deque()
 
     @property
     def has_pending(self) -> bool:
@@ -39,6 +40,7 @@
         if isinstance(position, Failure):
             return position
         self.last_position = position
+        self._undurable.append((position, applied))
         return None
 
     def apply(self, records: Iterable[Any]) -> Failure | None:
@@ -57,12 +59,18 @@
                 return failure
         return None
 
+    def undurable(self) -> tuple[tuple[int, Any], ...]:
+        """Lists the records that are not durable, with their positions."""
+        self._forget_durable()
+        return tuple(self._undurable)
+
     def after_last(self, effect: Effect) -> None:
         """Runs an effect once all records so far are durable."""
         self._effects.append((self.last_position, effect))
 
     def release(self) -> None:
         """Runs the effects whose records are durable."""
+        self._forget_durable()
         durable = self.journal.durable_position
         while self._effects and self._effects[0][0] <= durable:
             _, effect = self._effects.popleft()
@@ -92,9 +100,14 @@
         reason = f'not journaled in {timeout_ms} ms, and taken back'
         return Failure(ErrorKind.store_unavailable, reason)
 
+    def _forget_durable(self) -> None:
+        durable = self.journal.durable_position
+        while self._undurable and self._undurable[0][0] <= durable:
+            self._undurable.popleft()
+
     def _take_back(self, change: Any, position: int) -> bool:
         state = self._states.undoable(change)
-        if state is None or not self.journal.withdraw(position, position):
+        if state is None or not self.journal.withdraw(position):
             return False
         state.undo(change)
         return True
