Look again for a withdrawal while a row is on its way

Ruled out: withdrawing during the send, since the row may be written.

Change: the caller looks again up to 3 times after 10 ms, which stays below the 50 ms that an owner has for its reply.

--- a/src/radishlift/partitions/intake.py
+++ b/src/radishlift/partitions/intake.py
@@ -42,14 +42,16 @@
         failure = opened.log.append(accepted)
         if failure is not None:
             return failure
+    position = opened.log.last_position
     outcome = await _acknowledge(opened, accepted, timeout_ms)
     if not is_new or not isinstance(outcome, Failure):
         return outcome
-    is_unknown = outcome.kind is ErrorKind.store_outcome_unknown
-    if is_unknown and take_back(opened, accepted):
-        reason = f'not journaled in {timeout_ms} ms, and taken back'
-        return Failure(ErrorKind.store_unavailable, reason)
-    return outcome
+    failure = await opened.log.settle(
+        outcome,
+        position,
+        lambda: take_back(opened, accepted),
+    )
+    return failure or _submitted(opened, accepted)
 
 
 async def accept_hand_off(
@@ -98,6 +100,10 @@
         # The call that brought the job took it back while this one waited.
         reason = f'job {accepted.spec.job_id} is not known any more'
         return Failure(ErrorKind.store_outcome_unknown, reason)
+    return _submitted(opened, accepted)
+
+
+def _submitted(opened: OpenPartition, accepted: JobAccepted) -> JobSubmitted:
     return JobSubmitted(
         accepted.spec.job_id,
         opened.claim.partition_id,
--- a/src/radishlift/partitions/log.py
+++ b/src/radishlift/partitions/log.py
@@ -2,7 +2,7 @@
 
 from collections import deque
 from collections.abc import Callable, Iterable, Sequence
-from typing import Any
+from typing import Any, Final
 
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.journal.partition_journal import PartitionJournal
@@ -10,6 +10,11 @@
 
 Effect = Callable[[], None]
 
+_UNSETTLED: Final = frozenset((ErrorKind.store_outcome_unknown,))
+# All looks together stay below the 50 ms that an owner has for its reply.
+_WITHDRAWALS_COUNT: Final = 4
+_LOOK_MS: Final = 10
+
 
 class PartitionLog:
     """Appends records that are applied, and releases effects once durable.
@@ -95,10 +100,32 @@
             return failure
         position = self.last_position
         failure = await self.journal.wait_durable(position, timeout_ms)
-        if failure is None or not self._take_back(records[-1], position):
-            return failure
-        reason = f'not journaled in {timeout_ms} ms, and taken back'
-        return Failure(ErrorKind.store_unavailable, reason)
+        return await self.settle(
+            failure,
+            position,
+            lambda: self._take_back(records[-1], position),
+        )
+
+    async def settle(
+        self,
+        failure: Failure | None,
+        position: int,
+        take_back: Callable[[], bool],
+    ) -> Failure | None:
+        """Tries to take records back that were not journaled in time.
+
+        During an outage a row with them may be on its way just now, and most
+        such rows are refused within a moment. Fails with `store_unavailable`
+        when the records were taken back.
+        """
+        for _ in range(_WITHDRAWALS_COUNT):
+            if failure is None or failure.kind not in _UNSETTLED:
+                return failure
+            if take_back():
+                reason = f'taken back: {failure.reason}'
+                return Failure(ErrorKind.store_unavailable, reason)
+            failure = await self.journal.wait_durable(position, _LOOK_MS)
+        return failure
 
     def _forget_durable(self) -> None:
         durable = self.journal.durable_position
--- a/tests/partitions/test_log.py
+++ b/tests/partitions/test_log.py
@@ -60,6 +60,30 @@
     assert await stored_keys(store) == {'b'}
 
 
+async def test_intent_in_a_row_on_its_way_is_taken_back_later():
+    """Guards against "outcome unknown" while a row is being refused."""
+    store = MemoryTableStore()
+    log, table = make_log(store)
+    refused = asyncio.Event()
+    is_sent = asyncio.Event()
+
+    async def refuse_late(_transaction):
+        is_sent.set()
+        await refused.wait()
+        return Failure(ErrorKind.store_unavailable, 'down')
+
+    store.commit = refuse_late
+    committing = asyncio.create_task(log.commit([intent('a')], 0))
+    await asyncio.sleep(0)
+    flushing = asyncio.create_task(log.journal.flush())
+    await is_sent.wait()
+    assert not log.journal.withdraw(log.last_position)
+    refused.set()
+    await flushing
+    assert (await committing).kind is ErrorKind.store_unavailable
+    assert table.get('a') is None
+
+
 @pytest.mark.parametrize('lost', [Fault.lose_answers, Fault.lose_requests])
 async def test_intent_that_may_be_sent_stays(lost):
     """Guards against "not run" for a row that is written, maybe late."""
