Tell a daemon that is cut from the host list of leaving hosts

Cause: the small cell found starts at an executor more than 2 s after the host list showed it as leaving. A daemon that can't read the host list goes on with its last list, and with its held slots it sent requests to that executor for as long as the cut lasted (line 6 of the invariants).

Change: a daemon that has not read the list for two intervals asks two peers which hosts are leaving and marks these until it reads the list again. The answer counts from the time of the question, so that a daemon that was paused does not take it for a new reading.

In an outage of the host list nobody knows of a leave.

--- a/src/radishlift/daemon/foundation.py
+++ b/src/radishlift/daemon/foundation.py
@@ -1,5 +1,6 @@
 """What all parts of a daemon stand on: identity, streams, platform, peers."""
 
+from random import Random
 from typing import Final
 from uuid import uuid4
 
@@ -8,6 +9,7 @@
 from radishlift.core.clock import Clock, SystemClock
 from radishlift.core.ids import Address, DaemonId, DataCentreId, Incarnation
 from radishlift.daemon.hosts import HostFeed
+from radishlift.daemon.leaving_hosts import LeavingExchange
 from radishlift.membership.api import Member
 from radishlift.membership.daemon_table import DaemonTable
 from radishlift.membership.membership import Membership, parse_seed_peers
@@ -50,6 +52,12 @@
             self._client(platform.host_list_address, platform),
         )
         self.hosts = HostFeed(self.host_list, platform, self.clock)
+        self.leaving = LeavingExchange(
+            self.hosts,
+            self.network,
+            self.clock,
+            Random(self.member.incarnation),
+        )
         self.own_row = OwnRow(self.store, self.clock, self.member)
         self.table = DaemonTable(self.store, self.clock)
         self.membership = Membership(
--- a/src/radishlift/daemon/lifecycle.py
+++ b/src/radishlift/daemon/lifecycle.py
@@ -77,6 +77,7 @@
         await self.entry.router.start()
         for loop in (
             self.base.hosts.run(),
+            self.base.leaving.run(),
             self.base.membership.run(),
             self.control.config.run(),
             self.control.partitions.run_forever(),
--- a/tests/daemon/test_hosts.py
+++ b/tests/daemon/test_hosts.py
@@ -1,3 +1,5 @@
+from dataclasses import replace
+
 from radishlift.core.clock import ManualClock
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import Address, DataCentreId, RackId, ServiceName
@@ -54,3 +56,32 @@
     clock.advance(501)
     await feed.fetch()
     assert source.reads_count == 2
+
+
+async def test_peers_tell_of_leaving_hosts_during_a_cut():
+    """Guards against work for a host that left while the list is unread."""
+    source, clock, told = Source(), ManualClock(1), []
+    feed = HostFeed(source, SETTINGS, clock)
+    feed.subscribe(told.append)
+    await feed.refresh()
+    leaving = replace(LISTED[0], state=HostState.leaving)
+    # The daemon's own list is right while it can be read.
+    feed.note_leaving((leaving.address,), clock.monotonic_ms())
+    assert told == [LISTED]
+    source.hosts = Failure(ErrorKind.store_unavailable, 'cut')
+    clock.advance(1001)
+    await feed.refresh()
+    feed.note_leaving((leaving.address,), clock.monotonic_ms())
+    feed.note_leaving((), clock.monotonic_ms())
+    assert told == [LISTED, (leaving,)]
+    assert feed.leaving() == (leaving.address,)
+    assert await feed.fetch() == (leaving,)
+    # What peers said before a pause of this process may be outdated.
+    asked_at_ms = clock.monotonic_ms()
+    clock.advance(1001)
+    feed.note_leaving((leaving.address,), asked_at_ms)
+    assert isinstance(await feed.fetch(), Failure)
+    source.hosts = LISTED
+    assert await feed.refresh() == LISTED
+    assert told[-1] == LISTED
+    assert await feed.fetch() == LISTED
