--- a/src/radishlift/placement/changes.py
+++ b/src/radishlift/placement/changes.py
@@ -58,6 +58,8 @@
         restore_transfer(tables, row, record.transfer)
     tables.enqueue(row)
     tables.count_queued(row, tables.jobs.startable_count(row))
+    # A hold may come first; a snapshot marks its job as held, too.
+    tables.jobs.is_held[row] = spec.job_id in tables.holds
 
 
 def _passed_partitions(record: JobAccepted) -> tuple[PartitionId, ...]:
--- a/tests/placement/test_state.py
+++ b/tests/placement/test_state.py
@@ -1,10 +1,19 @@
 import pytest
 
-from radishlift.core.ids import Attempt, Incarnation, TaskId, WorkerId
-from radishlift.placement.jobs import Resources, TaskState
+from radishlift.core.ids import (
+    Attempt,
+    Incarnation,
+    PartitionId,
+    TaskId,
+    WorkerId,
+)
+from radishlift.placement.jobs import JobKind, Resources, TaskState
 from radishlift.placement.partition_tables import RecordRefusedError
 from radishlift.placement.records import (
+    GangMember,
+    GangReserved,
     JobAccepted,
+    JobHandedOff,
     TaskEnded,
     TaskPlaced,
     WorkerObserved,
@@ -73,3 +82,25 @@
     restored.apply(start_of(1))
     with pytest.raises(RecordRefusedError, match='overcommitted'):
         restored.apply(start_of(2))
+
+
+def test_job_accepted_after_its_hold_is_held_after_a_snapshot_too():
+    """Guards against a replay that refuses what the live tables accepted."""
+    live = PartitionState()
+    live.apply(WorkerObserved(make_worker(1)))
+    gang = make_job(kind=JobKind.gang, demand=HALF)
+    worker = make_worker(1)
+    member = GangMember(
+        TaskId('j1/0'),
+        Attempt(1),
+        worker.worker_id,
+        worker.incarnation,
+    )
+    live.apply(GangReserved(gang, PartitionId('p2'), (member,), HALF, 1))
+    live.apply(JobAccepted(gang, 0))
+    restored = PartitionState()
+    restored.load(live.dump())
+    handed_off = JobHandedOff(gang.job_id, PartitionId('p2'))
+    for tables in (live, restored):
+        with pytest.raises(RecordRefusedError, match='still run here'):
+            tables.apply(handed_off)
