Delay retries of failed tasks and bound failures on faulty workers

Cause: a failed task started again at once, and failures on suspect workers never counted, also when no more workers could be quarantined: tasks that fail everywhere make all workers suspect and were tried without an end. A gang had the attempts of each member one after the other.

Change: the next attempt starts after a delay that doubles with each failure, with jitter, journaled in the end of the attempt, so that a successor keeps it. A failure on a suspect counts unless the worker is, or can still be, quarantined. The failures of a gang count together, and it ends as a whole. Status and explain name the task that ended its job; explain tells the delay.

Ruled out: delays by a timer in the owner, which a takeover would lose.

--- a/src/radishlift/partitions/intake.py
+++ b/src/radishlift/partitions/intake.py
@@ -156,6 +156,7 @@
         tables.jobs.accepted_at_ms[row],
         tables.jobs.is_cancelled[row],
         _task_counts(tables, row),
+        tables.jobs.failure_of(row),
     )
 
 
--- a/src/radishlift/partitions/messages.py
+++ b/src/radishlift/partitions/messages.py
@@ -96,13 +96,17 @@
 @message('job_status')
 @dataclass(frozen=True, slots=True)
 class JobStatus:
-    """Tasks of a job by state; those never started count as queued."""
+    """Tasks of a job by state; those never started count as queued.
+
+    `failure` names the first task that ended as failed.
+    """
 
     job_id: JobId
     partition_id: PartitionId
     accepted_at_ms: int
     is_cancelled: bool
     task_counts: dict[TaskState, int]
+    failure: str = ''
 
 
 @message('explain_task')
--- a/src/radishlift/placement/admission.py
+++ b/src/radishlift/placement/admission.py
@@ -62,7 +62,7 @@
 
 def _is_ready(working: Working, job_row: int) -> bool:
     jobs = working.tables.jobs
-    if not jobs.startable_count(job_row):
+    if not jobs.ready_count(job_row):
         return False
     if jobs.spec[job_row].kind is not JobKind.gang:
         return True
--- a/src/radishlift/placement/changes.py
+++ b/src/radishlift/placement/changes.py
@@ -9,7 +9,7 @@
     PartitionTables,
     RecordRefusedError,
 )
-from radishlift.placement.reasons import FAILED
+from radishlift.placement.reasons import FAILED, FAILED_ON_SUSPECT
 from radishlift.placement.records import (
     JobAccepted,
     JobCancelled,
@@ -79,7 +79,7 @@
         raise RecordRefusedError('a task of the job may still run here')
     tables.count_queued(row, -tables.jobs.startable_count(row))
     tables.jobs.to_partition[row] = record.to_partition
-    for task_row in list(tables.jobs.requeued[row]):
+    for task_row in tables.jobs.queued_rows(row):
         tables.remove_task(task_row)
     tables.end_job(row, record.handed_off_at_ms)
 
@@ -97,7 +97,7 @@
         counts[TaskState.cancelled] = cancelled_count
     tables.count_queued(row, -queued_count)
     tables.jobs.is_cancelled[row] = True
-    for task_row in list(tables.jobs.requeued[row]):
+    for task_row in tables.jobs.queued_rows(row):
         tables.remove_task(task_row)
     tables.end_job(row, record.cancelled_at_ms)
 
@@ -203,13 +203,38 @@
     if not is_ended and not tables.jobs.is_open(job_row):
         raise RecordRefusedError('a task of a closed job cannot be queued')
     tables.release_attempt(row, is_charged=record.reason == FAILED)
+    if record.reason == FAILED_ON_SUSPECT:
+        tables.tasks.suspect_failures_count[row] += 1
     if is_ended:
         counts = tables.jobs.ended_counts[job_row]
         counts[record.state] = counts.get(record.state, 0) + 1
+        if record.state is TaskState.failed:
+            _note_failure(tables, job_row, record)
         tables.remove_task(row)
     else:
-        tables.requeue_task(row)
+        _requeue(tables, row, record.retry_at_ms)
     tables.end_job(job_row, record.ended_at_ms)
 
 
+def _requeue(tables: PartitionTables, row: int, retry_at_ms: int) -> None:
+    job_row = tables.tasks.job_row[row]
+    tables.tasks.state[row] = TaskState.queued
+    tables.tasks.is_requeued[row] = False
+    tables.queue_again(row, retry_at_ms)
+    tables.count_queued(job_row, 1)
+    tables.enqueue(job_row)
+
+
+def _note_failure(
+    tables: PartitionTables,
+    job_row: int,
+    record: TaskEnded,
+) -> None:
+    """Keeps the first task of a job that ended as failed."""
+    detail = (
+        f'task {record.task_id} failed for good in attempt {record.attempt}'
+    )
+    tables.jobs.note_failure(job_row, detail)
+
+
 __all__ = ('CHANGES', 'change', 'check_start')
--- a/src/radishlift/placement/endings.py
+++ b/src/radishlift/placement/endings.py
@@ -1,6 +1,12 @@
 """System that takes in facts about workers and ended attempts."""
 
 from radishlift.core.ids import Attempt, Incarnation, TaskId, WorkerId
+from radishlift.placement.failures import (
+    SUSPECT_FAILURES_COUNT,
+    counted_failures,
+    may_quarantine,
+    retry_delay_ms,
+)
 from radishlift.placement.gangs import end_gang_member
 from radishlift.placement.jobs import JobKind, TaskState, WorkerInfo
 from radishlift.placement.reasons import (
@@ -179,20 +185,37 @@
     worker_row = tables.tasks.worker_row[row]
     working.health.note_failure(worker_row, spec.job_id)
     is_faulty = _is_faulty(working, worker_row)
-    failures_count = len(tables.tasks.failed_on[row])
+    failures_count = counted_failures(working, row) + 1
     # A job with one attempt must not run again whatever the cause.
     is_repeatable = spec.max_attempts > 1 and _may_requeue(working, row)
-    if is_repeatable and is_faulty:
+    suspect_failures_count = tables.tasks.suspect_failures_count[row]
+    is_exhausted = suspect_failures_count >= SUSPECT_FAILURES_COUNT
+    if is_repeatable and is_faulty and not is_exhausted:
         _end_as(working, row, TaskState.queued, FAILED_ON_SUSPECT, now_ms)
-    elif is_repeatable and failures_count + 1 < spec.max_attempts:
-        _end_as(working, row, TaskState.queued, FAILED, now_ms)
+    elif is_repeatable and not is_faulty and failures_count < spec.max_attempts:
+        key = f'{tables.tasks.task_id[row]} {tables.tasks.attempt[row]}'
+        delay_ms = retry_delay_ms(working.settings, failures_count, key)
+        _end_as(
+            working,
+            row,
+            TaskState.queued,
+            FAILED,
+            now_ms,
+            now_ms + delay_ms if delay_ms else 0,
+        )
     else:
         _end_as(working, row, TaskState.failed, FAILED, now_ms)
 
 
 def _is_faulty(working: Working, worker_row: int) -> bool:
-    is_quarantined = worker_row in working.health.quarantined
-    return is_quarantined or working.health.is_suspect(worker_row)
+    """Tells whether a failure is the worker's.
+
+    A suspect that can't be quarantined, as too many are, counts as any other:
+    else tasks that fail everywhere would be tried without an end.
+    """
+    if worker_row in working.health.quarantined:
+        return True
+    return working.health.is_suspect(worker_row) and may_quarantine(working)
 
 
 def _end_as(
@@ -201,11 +224,16 @@
     state: TaskState,
     reason: str,
     now_ms: int,
+    retry_at_ms: int = 0,
 ) -> None:
     tasks = working.tables.tasks
     attempt = Attempt(tasks.attempt[row])
     task_id = tasks.task_id[row]
-    _emit_end(working, row, TaskEnded(task_id, attempt, state, reason, now_ms))
+    _emit_end(
+        working,
+        row,
+        TaskEnded(task_id, attempt, state, reason, now_ms, retry_at_ms),
+    )
 
 
 __all__ = ('end_attempts', 'end_lost_attempt', 'update_workers')
--- a/src/radishlift/placement/explanations.py
+++ b/src/radishlift/placement/explanations.py
@@ -6,6 +6,7 @@
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import TaskId, WorkerId
 from radishlift.placement.amounts import is_within
+from radishlift.placement.failures import counted_failures
 from radishlift.placement.jobs import (
     JobKind,
     Resources,
@@ -29,6 +30,7 @@
     handed_off = 'handed_off'
     waits_for_turn = 'waits_for_turn'
     waits_for_room = 'waits_for_room'
+    waits_for_retry = 'waits_for_retry'
     waits_for_quota = 'waits_for_quota'
     waits_for_gang = 'waits_for_gang'
     waits_for_quarantined_worker = 'waits_for_quarantined_worker'
@@ -101,6 +103,9 @@
     text = ', '.join(f'{counts[state]} {state.value}' for state in counts)
     last = next(iter(counts), TaskState.cancelled)
     detail = f'the task ended; of its job: {text}'
+    failure = tables.jobs.failure_of(job_row)
+    if failure:
+        detail = f'{detail}; {failure}'
     return Explanation(task_id, ExplanationKind.ended, last, detail)
 
 
@@ -152,6 +157,9 @@
     demand: Resources,
 ) -> Explanation | None:
     working = context.working
+    delayed = _explain_delay(context, task_id, job_row)
+    if delayed is not None:
+        return delayed
     spec = working.tables.jobs.spec[job_row]
     count = 1
     if spec.kind is JobKind.gang:
@@ -184,6 +192,33 @@
     )
 
 
+def _explain_delay(
+    context: ExplainContext,
+    task_id: TaskId,
+    job_row: int,
+) -> Explanation | None:
+    tables = context.working.tables
+    delayed = tables.jobs.delayed[job_row]
+    row = tables.task_row(task_id)
+    spec = tables.jobs.spec[job_row]
+    if spec.kind is JobKind.gang and delayed:
+        # A gang waits as a whole for the member that failed.
+        row = max(delayed, key=tables.tasks.retry_at_ms.__getitem__)
+    if row is None or row not in delayed:
+        return None
+    wait_ms = max(0, tables.tasks.retry_at_ms[row] - context.now_ms)
+    failures_count = counted_failures(context.working, row)
+    return Explanation(
+        task_id,
+        ExplanationKind.waits_for_retry,
+        TaskState.queued,
+        f'attempt {tables.tasks.attempt[row]} failed; {failures_count} of '
+        f'{spec.max_attempts} attempts failed; the next may start in '
+        f'{wait_ms} ms',
+        attempt=tables.tasks.attempt[row],
+    )
+
+
 def _has_room(tables: PartitionTables, demand: Resources) -> bool:
     workers = tables.workers
     return any(
--- a/src/radishlift/placement/job_queue.py
+++ b/src/radishlift/placement/job_queue.py
@@ -61,7 +61,7 @@
         while group.heap:
             _, sequence, job_row = group.heap[0]
             if self._is_member(job_row, sequence):
-                if self._jobs.startable_count(job_row):
+                if self._jobs.ready_count(job_row):
                     return job_row
                 del self._known[job_row]
             heapq.heappop(group.heap)
--- a/src/radishlift/placement/partition_tables.py
+++ b/src/radishlift/placement/partition_tables.py
@@ -1,5 +1,7 @@
 """The tables of one partition and the steps that keep them consistent."""
 
+import heapq
+
 from radishlift.core.ids import (
     DepartmentName,
     JobId,
@@ -41,6 +43,7 @@
         self.workers = WorkerTable()
         self.queued_jobs: dict[int, None] = {}
         self.queued_urgent_jobs: dict[int, None] = {}
+        self.delayed_tasks: list[tuple[int, TaskId]] = []
         self.changed_workers: dict[int, None] = {}
         self.queued_count = 0
         self.queued = [0, 0]
@@ -99,7 +102,9 @@
         self.tasks.incarnation[row] = placed.incarnation
         self.tasks.reserved[row] = placed.reserved
         self.tasks.placed_at_ms[row] = placed.placed_at_ms
+        self.tasks.retry_at_ms[row] = 0
         self.jobs.requeued[job_row].pop(row, None)
+        self.jobs.delayed[job_row].pop(row, None)
         self.workers.tasks[worker_row][row] = None
         self.workers.take(worker_row, placed.reserved)
         self.count_queued(job_row, -1)
@@ -151,14 +156,16 @@
             pending = self.queued_urgent_jobs
         pending[job_row] = None
 
-    def requeue_task(self, row: int) -> None:
-        """Puts a task back into the queue."""
+    def queue_again(self, row: int, retry_at_ms: int) -> None:
+        """Queues a task that was started before; 0 means at once."""
         job_row = self.tasks.job_row[row]
-        self.tasks.state[row] = TaskState.queued
-        self.tasks.is_requeued[row] = False
-        self.jobs.requeued[job_row][row] = None
-        self.count_queued(job_row, 1)
-        self.enqueue(job_row)
+        self.tasks.retry_at_ms[row] = retry_at_ms
+        if retry_at_ms:
+            self.jobs.delayed[job_row][row] = None
+            entry = (retry_at_ms, self.tasks.task_id[row])
+            heapq.heappush(self.delayed_tasks, entry)
+        else:
+            self.jobs.requeued[job_row][row] = None
 
     def remove_task(self, row: int) -> None:
         """Removes the row of an ended task."""
@@ -168,8 +175,9 @@
             if worker_row is not None:
                 self.workers.charged[worker_row].pop(row, None)
         self.jobs.requeued[job_row].pop(row, None)
+        self.jobs.delayed[job_row].pop(row, None)
         self.jobs.task_rows[job_row].pop(self.tasks.index[row])
-        if self.jobs.requeued[job_row]:
+        if self.jobs.queued_rows(job_row):
             # A gang is admitted again once no member is live.
             self.queued_jobs[job_row] = None
         self.tasks.remove(row)
--- a/src/radishlift/placement/placing.py
+++ b/src/radishlift/placement/placing.py
@@ -85,7 +85,7 @@
 ) -> None:
     count = 1
     if group.key.is_gang:
-        count = working.tables.jobs.startable_count(job_row)
+        count = working.tables.jobs.ready_count(job_row)
     key = group.key
     shortage = quota_shortage(working, key.team, key.demand, count)
     if shortage is not None:
@@ -149,7 +149,7 @@
     policy = policy_of(working, spec.department)
     demand = group.key.demand
     permit = Permit(working, spec, group.key.rank, demand, now_ms)
-    count = working.tables.jobs.startable_count(job_row)
+    count = working.tables.jobs.ready_count(job_row)
     rows = find_gang_workers(working, policy, demand, count, permit)
     start_gang(working, job_row, rows, demand, now_ms)
     return bool(rows)
--- a/src/radishlift/placement/preemption.py
+++ b/src/radishlift/placement/preemption.py
@@ -101,7 +101,7 @@
 def _needed_count(working: Working, group: Group) -> int:
     jobs = working.tables.jobs
     waiting = islice(working.queue.waiting_jobs(group), COUNTED_JOBS_COUNT)
-    waiting_count = sum(jobs.startable_count(row) for row in waiting)
+    waiting_count = sum(jobs.ready_count(row) for row in waiting)
     covered_count = sum(
         claim.tasks_count
         for claim in working.booking.claims.values()
--- a/src/radishlift/placement/quarantine.py
+++ b/src/radishlift/placement/quarantine.py
@@ -3,6 +3,7 @@
 from typing import Final
 
 from radishlift.placement.amounts import is_within
+from radishlift.placement.failures import may_quarantine
 from radishlift.placement.health import LAST_PROBE_MS
 from radishlift.placement.jobs import JobKind, Priority
 from radishlift.placement.queue_groups import Group
@@ -12,8 +13,6 @@
 from radishlift.placement.systems import SYSTEMS, TickTime
 from radishlift.placement.working import Working
 
-QUARANTINED_SHARE: Final = 4
-"""At most one worker in four is quarantined, so that the fleet goes on."""
 PROBE_GROUPS_COUNT: Final = 32
 """Groups of the queue that are searched for a task to probe with."""
 REASON: Final = 'fails its tasks while other workers do not'
@@ -32,9 +31,8 @@
 
 def _quarantine_suspects(working: Working, now_ms: int) -> None:
     workers = working.tables.workers
-    allowed_count = len(workers.row_of) // QUARANTINED_SHARE
     for row in working.health.suspects():
-        if len(working.health.quarantined) >= allowed_count:
+        if not may_quarantine(working):
             return
         if not workers.can_take(row):
             continue
--- a/src/radishlift/placement/quota_demands.py
+++ b/src/radishlift/placement/quota_demands.py
@@ -51,7 +51,7 @@
 def _amount(working: Working, group: Group) -> Resources:
     jobs = working.tables.jobs
     waiting = islice(working.queue.waiting_jobs(group), COUNTED_JOBS_COUNT)
-    count = sum(jobs.startable_count(row) for row in waiting)
+    count = sum(jobs.ready_count(row) for row in waiting)
     if group.key.is_gang:
         return times(group.key.demand, count)
     return times(group.key.demand, min(count, MAX_WANTED_COUNT))
@@ -61,7 +61,7 @@
     job_row = working.queue.head(group)
     if job_row is None or not group.key.is_gang:
         return group.key.demand
-    count = working.tables.jobs.startable_count(job_row)
+    count = working.tables.jobs.ready_count(job_row)
     return times(group.key.demand, count)
 
 
--- a/src/radishlift/placement/records.py
+++ b/src/radishlift/placement/records.py
@@ -90,7 +90,7 @@
     """An attempt surely does not run any more; its capacity is free.
 
     `state` is that of the task: finished, failed, cancelled, or queued for
-    another attempt.
+    another attempt, which does not start before `retry_at_ms`.
     """
 
     task_id: TaskId
@@ -98,6 +98,7 @@
     state: TaskState
     reason: str
     ended_at_ms: int = 0
+    retry_at_ms: int = 0
 
 
 @record('job_forgotten')
--- a/src/radishlift/placement/reservation_plan.py
+++ b/src/radishlift/placement/reservation_plan.py
@@ -33,7 +33,7 @@
         self._key = key
         self._tasks_count = 1
         if key.is_gang:
-            self._tasks_count = jobs.startable_count(job_row)
+            self._tasks_count = jobs.ready_count(job_row)
         self._now_ms = now_ms
         self._pending = list(working.tables.workers.row_of.values())
         self._events: list[tuple[int, int, int]] = []
--- a/src/radishlift/placement/reservations.py
+++ b/src/radishlift/placement/reservations.py
@@ -99,7 +99,7 @@
 def _is_waiting(working: Working, job_row: int) -> bool:
     if job_row == NO_ROW:
         return False
-    return working.tables.jobs.startable_count(job_row) > 0
+    return working.tables.jobs.ready_count(job_row) > 0
 
 
 def _stop_overrunning(working: Working, held: Reservation) -> None:
--- /dev/null
+++ b/src/radishlift/placement/retries.py
@@ -0,0 +1,33 @@
+"""System that queues failed tasks again after their delay."""
+
+import heapq
+
+from radishlift.placement.systems import SYSTEMS, TickTime
+from radishlift.placement.tables import NO_ROW
+from radishlift.placement.working import Working
+
+
+@SYSTEMS.register('retries')
+def release_retries(working: Working, time: TickTime) -> bool:
+    """Queues the tasks whose delay has passed."""
+    tables = working.tables
+    while tables.delayed_tasks:
+        retry_at_ms, task_id = tables.delayed_tasks[0]
+        if retry_at_ms > time.now_ms:
+            return True
+        if time.is_over():
+            return False
+        heapq.heappop(tables.delayed_tasks)
+        row = tables.task_row(task_id)
+        if row is None or row == NO_ROW:
+            continue
+        job_row = tables.tasks.job_row[row]
+        is_delayed = row in tables.jobs.delayed[job_row]
+        if is_delayed and tables.tasks.retry_at_ms[row] == retry_at_ms:
+            del tables.jobs.delayed[job_row][row]
+            tables.jobs.requeued[job_row][row] = None
+            tables.enqueue(job_row)
+    return True
+
+
+__all__ = ('release_retries',)
--- a/src/radishlift/placement/settings.py
+++ b/src/radishlift/placement/settings.py
@@ -12,12 +12,16 @@
 
     `budget_ms` is the longest time that one tick computes. An ended job is
     remembered for `remember_ended_ms`, so that a repeat of its submission is
-    recognised, and at most `remember_ended_count` jobs are.
+    recognised, and at most `remember_ended_count` jobs are. A task that failed
+    starts again after `retry_delay_ms`, doubled with each failure up to
+    `max_retry_delay_ms`, of which up to a half is taken off at random.
     """
 
     budget_ms: float = bounded(5.0, 0.1, 1_000)
     remember_ended_ms: int = bounded(86_400_000, 0, 604_800_000)
     remember_ended_count: int = bounded(2_500, 0, 1_000_000)
+    retry_delay_ms: int = bounded(1_000, 0, 3_600_000)
+    max_retry_delay_ms: int = bounded(300_000, 0, 86_400_000)
 
 
 __all__ = ('PlacementSettings',)
--- a/src/radishlift/placement/snapshots.py
+++ b/src/radishlift/placement/snapshots.py
@@ -67,6 +67,7 @@
             'is_part': jobs.is_part[row],
             'fresh_index': jobs.fresh_index[row],
             'ended_at_ms': jobs.ended_at_ms[row],
+            'failure': jobs.failure_of(row),
             'ended': sorted([state.value, number] for state, number in counts),
         }
 
@@ -93,6 +94,8 @@
             'placed_at_ms': tasks.placed_at_ms[row],
             'is_requeued': tasks.is_requeued[row],
             'failed_on': list(tasks.failed_on[row]),
+            'retry_at_ms': tasks.retry_at_ms[row],
+            'suspect_failures': tasks.suspect_failures_count[row],
         }
 
 
@@ -152,6 +155,7 @@
     jobs.is_part[row] = plain['is_part']
     jobs.fresh_index[row] = plain['fresh_index']
     jobs.ended_at_ms[row] = plain['ended_at_ms']
+    jobs.note_failure(row, plain.get('failure', ''))
     jobs.ended_counts[row] = {
         TaskState(name): number for name, number in plain['ended']
     }
@@ -173,7 +177,7 @@
     tables.jobs.task_rows[job_row][index] = row
     state = TaskState(plain['state'])
     if state is TaskState.queued:
-        tables.jobs.requeued[job_row][row] = None
+        tables.queue_again(row, plain.get('retry_at_ms', 0))
     else:
         _load_attempt(tables, row, plain)
     if state is TaskState.stopping:
@@ -183,6 +187,8 @@
     tables.tasks.incarnation[row] = plain['incarnation']
     tables.tasks.placed_at_ms[row] = plain['placed_at_ms']
     tables.tasks.is_requeued[row] = plain['is_requeued']
+    failures_count = plain.get('suspect_failures', 0)
+    tables.tasks.suspect_failures_count[row] = failures_count
     _load_charges(tables, row, plain['failed_on'])
 
 
--- a/src/radishlift/placement/system_order.py
+++ b/src/radishlift/placement/system_order.py
@@ -5,6 +5,7 @@
 from radishlift.placement.cancellations import cancel_jobs
 from radishlift.placement.usage import take_in_usage
 from radishlift.placement.gang_parts import expire_holds
+from radishlift.placement.retries import release_retries
 from radishlift.placement.admission import admit_jobs, age_jobs
 from radishlift.placement.reservations import plan_reservation
 from radishlift.placement.quarantine import judge_workers
@@ -17,6 +18,7 @@
     'end_attempts',
     'cancel_jobs',
     'expire_holds',
+    'release_retries',
     'admit_jobs',
     'age_jobs',
     'judge_workers',
--- a/src/radishlift/placement/tables.py
+++ b/src/radishlift/placement/tables.py
@@ -14,11 +14,12 @@
     WorkerId,
 )
 from radishlift.placement.jobs import (
+    JobKind,
     JobSpec,
     Resources,
     TaskState,
-    WorkerInfo,
 )
+from radishlift.placement.worker_table import WorkerTable
 
 NO_ROW: Final = -1
 NOTHING: Final = Resources(0, 0, 0)
@@ -32,6 +33,7 @@
     for any number of tasks. A gang that spans partitions is `is_held` while
     capacity is reserved for it, and `is_part` once its members here started.
     `passed_partitions` are those that handed the job off, its home first.
+    `requeued` tasks may start again; `delayed` ones wait after a failure.
     """
 
     def __init__(self) -> None:
@@ -45,6 +47,8 @@
         self.is_part: list[bool] = []
         self.fresh_index: list[int] = []
         self.requeued: list[dict[int, None]] = []
+        self.delayed: list[dict[int, None]] = []
+        self._failure: list[str] = []
         self.task_rows: list[dict[int, int]] = []
         self.ended_counts: list[dict[TaskState, int]] = []
         self.ended_at_ms: list[int] = []
@@ -68,6 +72,8 @@
         self.is_part[row] = False
         self.fresh_index[row] = 0
         self.requeued[row] = {}
+        self.delayed[row] = {}
+        self._failure[row] = ''
         self.task_rows[row] = {}
         self.ended_counts[row] = {}
         self.ended_at_ms[row] = 0
@@ -83,15 +89,34 @@
         return not (self.is_cancelled[row] or self.to_partition[row])
 
     def startable_count(self, row: int) -> int:
-        """Counts the queued tasks."""
+        """Counts the queued tasks, also those that wait after a failure."""
         if self.is_held[row] or not self.is_open(row):
             return 0
         fresh_count = self.spec[row].task_count - self.fresh_index[row]
-        return fresh_count + len(self.requeued[row])
+        return fresh_count + len(self.requeued[row]) + len(self.delayed[row])
+
+    def ready_count(self, row: int) -> int:
+        """Counts the queued tasks that may start now; a gang is whole."""
+        delayed_count = len(self.delayed[row])
+        if delayed_count and self.spec[row].kind is JobKind.gang:
+            return 0
+        return max(0, self.startable_count(row) - delayed_count)
+
+    def queued_rows(self, row: int) -> list[int]:
+        """Lists the queued tasks that were started before."""
+        return [*self.requeued[row], *self.delayed[row]]
 
     def has_live_attempts(self, row: int) -> bool:
         """Tells whether an attempt of the job may still run."""
-        return len(self.task_rows[row]) != len(self.requeued[row])
+        return len(self.task_rows[row]) != len(self.queued_rows(row))
+
+    def failure_of(self, row: int) -> str:
+        """Tells which task ended as failed first, or ''."""
+        return self._failure[row]
+
+    def note_failure(self, row: int, detail: str) -> None:
+        """Keeps the first task that ended as failed."""
+        self._failure[row] = self._failure[row] or detail
 
     def from_partition(self, row: int) -> PartitionId:
         """Returns the partition that handed the job off, or ''."""
@@ -120,6 +145,8 @@
             self.is_part,
             self.fresh_index,
             self.requeued,
+            self.delayed,
+            self._failure,
             self.task_rows,
             self.ended_counts,
             self.ended_at_ms,
@@ -141,6 +168,8 @@
         self.placed_at_ms: list[int] = []
         self.is_requeued: list[bool] = []
         self.failed_on: list[tuple[WorkerId, ...]] = []
+        self.retry_at_ms: list[int] = []
+        self.suspect_failures_count: list[int] = []
         self._free_rows: list[int] = []
 
     def add(self, job_row: int, index: int, task_id: TaskId) -> int:
@@ -157,6 +186,8 @@
         self.placed_at_ms[row] = 0
         self.is_requeued[row] = False
         self.failed_on[row] = ()
+        self.retry_at_ms[row] = 0
+        self.suspect_failures_count[row] = 0
         return row
 
     def remove(self, row: int) -> None:
@@ -186,114 +217,8 @@
             self.placed_at_ms,
             self.is_requeued,
             self.failed_on,
-        ]
-
-
-class WorkerTable:
-    """Workers of a partition and the capacity committed on each.
-
-    `free_*` is the capacity less committed and held amounts. It is negative
-    when a worker came back smaller than what is committed on it.
-    `displaceable_*` is reserved by running work of normal or low priority.
-    """
-
-    def __init__(self) -> None:
-        self.row_of: dict[WorkerId, int] = {}
-        self.worker_info: list[WorkerInfo] = []
-        self.is_present: list[bool] = []
-        self.quarantine_reason: list[str] = []
-        self.tasks: list[dict[int, None]] = []
-        self.charged: list[dict[int, None]] = []
-        self.holds_count: list[int] = []
-        self.free_cpu: list[int] = []
-        self.free_memory: list[int] = []
-        self.free_accelerators: list[int] = []
-        self.displaceable_cpu: list[int] = []
-        self.displaceable_memory: list[int] = []
-        self._free_rows: list[int] = []
-
-    def add(self, described: WorkerInfo) -> int:
-        """Adds an empty worker and returns its row."""
-        row = self._free_rows.pop() if self._free_rows else self._grow()
-        self.row_of[described.worker_id] = row
-        self.worker_info[row] = described
-        self.is_present[row] = True
-        self.quarantine_reason[row] = ''
-        self.tasks[row] = {}
-        self.charged[row] = {}
-        self.holds_count[row] = 0
-        self.free_cpu[row] = described.capacity.cpu_milli
-        self.free_memory[row] = described.capacity.memory_mb
-        self.free_accelerators[row] = described.capacity.accelerators_count
-        self.displaceable_cpu[row] = 0
-        self.displaceable_memory[row] = 0
-        return row
-
-    def remove(self, row: int) -> None:
-        """Forgets a worker."""
-        del self.row_of[self.worker_info[row].worker_id]
-        self.is_present[row] = False
-        self._free_rows.append(row)
-
-    def fits(self, row: int, demand: Resources) -> bool:
-        """Tells whether a demand fits into the free capacity."""
-        return (
-            demand.cpu_milli <= self.free_cpu[row]
-            and demand.memory_mb <= self.free_memory[row]
-            and demand.accelerators_count <= self.free_accelerators[row]
-        )
-
-    def take(self, row: int, amount: Resources) -> None:
-        """Takes an amount from the free capacity."""
-        self.free_cpu[row] -= amount.cpu_milli
-        self.free_memory[row] -= amount.memory_mb
-        self.free_accelerators[row] -= amount.accelerators_count
-
-    def give_back(self, row: int, amount: Resources) -> None:
-        """Returns an amount to the free capacity."""
-        self.free_cpu[row] += amount.cpu_milli
-        self.free_memory[row] += amount.memory_mb
-        self.free_accelerators[row] += amount.accelerators_count
-
-    def displaceable(self, row: int) -> Resources:
-        """Returns what running normal and low work reserves."""
-        return Resources(
-            self.displaceable_cpu[row],
-            self.displaceable_memory[row],
-        )
-
-    def count_displaceable(
-        self,
-        row: int,
-        amount: Resources,
-        sign: int,
-    ) -> None:
-        """Counts work that urgent work may displace."""
-        self.displaceable_cpu[row] += sign * amount.cpu_milli
-        self.displaceable_memory[row] += sign * amount.memory_mb
-
-    def can_take(self, row: int) -> bool:
-        """Tells whether ordinary tasks may be placed on the worker."""
-        return self.is_present[row] and not self.quarantine_reason[row]
-
-    def _grow(self) -> int:
-        for column in self._columns():
-            column.append(None)
-        return len(self.worker_info) - 1
-
-    def _columns(self) -> list[list[Any]]:
-        return [
-            self.worker_info,
-            self.is_present,
-            self.quarantine_reason,
-            self.tasks,
-            self.charged,
-            self.holds_count,
-            self.free_cpu,
-            self.free_memory,
-            self.free_accelerators,
-            self.displaceable_cpu,
-            self.displaceable_memory,
+            self.retry_at_ms,
+            self.suspect_failures_count,
         ]
 
 
--- a/src/radishlift/placement/transfer_rows.py
+++ b/src/radishlift/placement/transfer_rows.py
@@ -18,6 +18,8 @@
                 index,
                 Attempt(tasks.attempt[row]),
                 tasks.failed_on[row],
+                tasks.retry_at_ms[row],
+                tasks.suspect_failures_count[row],
             )
             for index, row in sorted(jobs.task_rows[job_row].items())
         ),
@@ -41,7 +43,9 @@
         tables.tasks.attempt[row] = task.attempt
         tables.tasks.failed_on[row] = task.failed_on
         jobs.task_rows[job_row][task.index] = row
-        jobs.requeued[job_row][row] = None
+        failures_count = task.suspect_failures_count
+        tables.tasks.suspect_failures_count[row] = failures_count
+        tables.queue_again(row, task.retry_at_ms)
 
 
 __all__ = ('restore_transfer', 'transfer_of')
--- a/src/radishlift/placement/transfers.py
+++ b/src/radishlift/placement/transfers.py
@@ -13,6 +13,8 @@
     index: int
     attempt: Attempt
     failed_on: tuple[WorkerId, ...] = ()
+    retry_at_ms: int = 0
+    suspect_failures_count: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/src/radishlift/placement/worker_table.py
@@ -0,0 +1,117 @@
+"""Column table of the workers of a partition."""
+
+from typing import Any
+
+from radishlift.core.ids import WorkerId
+from radishlift.placement.jobs import Resources, WorkerInfo
+
+
+class WorkerTable:
+    """Workers of a partition and the capacity committed on each.
+
+    `free_*` is the capacity less committed and held amounts. It is negative
+    when a worker came back smaller than what is committed on it.
+    `displaceable_*` is reserved by running work of normal or low priority.
+    """
+
+    def __init__(self) -> None:
+        self.row_of: dict[WorkerId, int] = {}
+        self.worker_info: list[WorkerInfo] = []
+        self.is_present: list[bool] = []
+        self.quarantine_reason: list[str] = []
+        self.tasks: list[dict[int, None]] = []
+        self.charged: list[dict[int, None]] = []
+        self.holds_count: list[int] = []
+        self.free_cpu: list[int] = []
+        self.free_memory: list[int] = []
+        self.free_accelerators: list[int] = []
+        self.displaceable_cpu: list[int] = []
+        self.displaceable_memory: list[int] = []
+        self._free_rows: list[int] = []
+
+    def add(self, described: WorkerInfo) -> int:
+        """Adds an empty worker and returns its row."""
+        row = self._free_rows.pop() if self._free_rows else self._grow()
+        self.row_of[described.worker_id] = row
+        self.worker_info[row] = described
+        self.is_present[row] = True
+        self.quarantine_reason[row] = ''
+        self.tasks[row] = {}
+        self.charged[row] = {}
+        self.holds_count[row] = 0
+        self.free_cpu[row] = described.capacity.cpu_milli
+        self.free_memory[row] = described.capacity.memory_mb
+        self.free_accelerators[row] = described.capacity.accelerators_count
+        self.displaceable_cpu[row] = 0
+        self.displaceable_memory[row] = 0
+        return row
+
+    def remove(self, row: int) -> None:
+        """Forgets a worker."""
+        del self.row_of[self.worker_info[row].worker_id]
+        self.is_present[row] = False
+        self._free_rows.append(row)
+
+    def fits(self, row: int, demand: Resources) -> bool:
+        """Tells whether a demand fits into the free capacity."""
+        return (
+            demand.cpu_milli <= self.free_cpu[row]
+            and demand.memory_mb <= self.free_memory[row]
+            and demand.accelerators_count <= self.free_accelerators[row]
+        )
+
+    def take(self, row: int, amount: Resources) -> None:
+        """Takes an amount from the free capacity."""
+        self.free_cpu[row] -= amount.cpu_milli
+        self.free_memory[row] -= amount.memory_mb
+        self.free_accelerators[row] -= amount.accelerators_count
+
+    def give_back(self, row: int, amount: Resources) -> None:
+        """Returns an amount to the free capacity."""
+        self.free_cpu[row] += amount.cpu_milli
+        self.free_memory[row] += amount.memory_mb
+        self.free_accelerators[row] += amount.accelerators_count
+
+    def displaceable(self, row: int) -> Resources:
+        """Returns what running normal and low work reserves."""
+        return Resources(
+            self.displaceable_cpu[row],
+            self.displaceable_memory[row],
+        )
+
+    def count_displaceable(
+        self,
+        row: int,
+        amount: Resources,
+        sign: int,
+    ) -> None:
+        """Counts work that urgent work may displace."""
+        self.displaceable_cpu[row] += sign * amount.cpu_milli
+        self.displaceable_memory[row] += sign * amount.memory_mb
+
+    def can_take(self, row: int) -> bool:
+        """Tells whether ordinary tasks may be placed on the worker."""
+        return self.is_present[row] and not self.quarantine_reason[row]
+
+    def _grow(self) -> int:
+        for column in self._columns():
+            column.append(None)
+        return len(self.worker_info) - 1
+
+    def _columns(self) -> list[list[Any]]:
+        return [
+            self.worker_info,
+            self.is_present,
+            self.quarantine_reason,
+            self.tasks,
+            self.charged,
+            self.holds_count,
+            self.free_cpu,
+            self.free_memory,
+            self.free_accelerators,
+            self.displaceable_cpu,
+            self.displaceable_memory,
+        ]
+
+
+__all__ = ('WorkerTable',)
--- /dev/null
+++ b/tests/partitions/test_failures.py
@@ -0,0 +1,29 @@
+"""Jobs whose tasks fail on every worker, over a takeover."""
+
+from dataclasses import replace
+
+from radishlift.partitions.intake import status, submit
+from radishlift.placement.jobs import TaskState
+from radishlift.placement.settings import PlacementSettings
+from tests.partitions.cell import make_job, open_cell
+from tests.standins.conditions import until
+
+
+async def test_poison_task_ends_as_failed_over_a_takeover():
+    """Guards against a successor that counts the attempts from anew."""
+    async with open_cell(2) as cell:
+        placement = PlacementSettings(retry_delay_ms=100)
+        cell.settings = replace(cell.settings, placement=placement)
+        for worker in cell.workers:
+            worker.model.fails_tasks = True
+        first = await cell.add_owner('a')
+        await first.claim()
+        await submit(first.opened(), make_job(run_time_ms=10), 5_000)
+        tasks = first.opened().states.placement.tables.tasks
+        await until(lambda: tasks.failed_on and tasks.failed_on[0])
+        successor = await cell.add_owner('b')
+        await successor.claim()
+        await until(lambda: successor.counts() == {TaskState.failed: 1})
+        assert cell.executions() == 3
+        shown = status(successor.opened(), 'j1')
+        assert shown.failure == 'task j1/0 failed for good in attempt 3'
