--- a/src/radishlift/placement/fleet.py
+++ b/src/radishlift/placement/fleet.py
@@ -71,6 +71,7 @@
         self.largest = Resources(
             max((known.cpu_milli for known in self.shapes), default=0),
             max((known.memory_mb for known in self.shapes), default=0),
+            max((known.accelerators_count for known in self.shapes), default=0),
         )
 
 
