Keep usage estimates and worker health over a takeover

Cause: a successor reserved declared sizes again, which are off by 0.2-5x, and trusted workers that its predecessor was about to quarantine. An outlier stayed in an estimate until 48 more reports had come.

At most 500 names are kept. Reports count within windows of 10 minutes: once a window with enough reports has ended, the next reports replace it, so an outlier goes with its window.

--- a/src/radishlift/placement/estimates.py
+++ b/src/radishlift/placement/estimates.py
@@ -8,15 +8,20 @@
 from collections import OrderedDict
 from typing import Final
 
-from radishlift.core.ids import TeamName
 from radishlift.placement.jobs import JobSpec, Resources
+from radishlift.placement.learned import (
+    NAMES_COUNT,
+    Learned,
+    LearnedUsage,
+    Name,
+)
 
 LEAST_SAMPLES_COUNT: Final = 8
 """Fewer reports say too little, so the declared size is used."""
 SAMPLES_COUNT: Final = 48
 """Reports that are kept for each name; older ones are overwritten."""
-NAMES_COUNT: Final = 500
-"""Names that are kept, 0.5 KB each; the longest unused one is dropped."""
+WINDOW_MS: Final = 600_000
+"""Reports of a former window do not count once there are new ones."""
 QUANTILE: Final = 0.95
 MARGIN: Final = 1.1
 """Reserved above the quantile, as a 20th of the samples is above it."""
@@ -24,19 +29,27 @@
 MEMORY_STEP_MB: Final = 64
 """Estimates are rounded up to steps, which keeps the demand groups few."""
 
-_Name = tuple[TeamName, str]
-
 
 class _Samples:
-    """The latest reports of one name."""
+    """The latest reports of one name in a window."""
 
-    __slots__ = ('cpu_milli', 'memory_mb', 'position')
+    __slots__ = ('cpu_milli', 'ends_ms', 'memory_mb', 'position')
 
-    def __init__(self) -> None:
+    def __init__(self, ends_ms: int) -> None:
+        self.ends_ms = ends_ms
         self.cpu_milli = array('q')
         self.memory_mb = array('q')
         self.position = 0
 
+    @property
+    def is_enough(self) -> bool:
+        """Tells whether there are enough reports for an estimate."""
+        return len(self.cpu_milli) >= LEAST_SAMPLES_COUNT
+
+    def is_over(self, now_ms: int) -> bool:
+        """Tells whether the window has ended with enough reports."""
+        return now_ms >= self.ends_ms and self.is_enough
+
     def add(self, usage: Resources) -> None:
         """Adds a report in place of the oldest."""
         if len(self.cpu_milli) < SAMPLES_COUNT:
@@ -49,21 +62,42 @@
 
 
 class UsageEstimates:
-    """Quantiles of usage by team and job name, in bounded memory."""
+    """Quantiles of usage by team and job name, in bounded memory.
+
+    Reports of the present window count once there are enough of them, before
+    that what the former one left in `learned`. An outlier is therefore gone
+    with its window, however few reports come.
+    """
 
-    def __init__(self) -> None:
-        self._samples: OrderedDict[_Name, _Samples] = OrderedDict()
+    def __init__(self, learned: Learned | None = None) -> None:
+        self._learned = Learned() if learned is None else learned
+        self._samples: OrderedDict[Name, _Samples] = OrderedDict()
+        self._touched: dict[Name, None] = {}
 
-    def add(self, spec: JobSpec, usage: Resources) -> None:
+    def add(self, spec: JobSpec, usage: Resources, now_ms: int = 0) -> None:
         """Adds a report about a task of a job."""
         name = (spec.team, spec.name)
         samples = self._samples.get(name)
-        if samples is None:
-            samples = _Samples()
+        if samples is None or samples.is_over(now_ms):
+            samples = _Samples(now_ms + WINDOW_MS)
             self._samples[name] = samples
             if len(self._samples) > NAMES_COUNT:
-                self._samples.popitem(last=False)
+                dropped, _ = self._samples.popitem(last=False)
+                self._touched.pop(dropped, None)
         samples.add(usage)
+        self._touched[name] = None
+
+    def take_changed(self, limit: int) -> tuple[LearnedUsage, ...]:
+        """Returns estimates that are not in `learned` yet, up to a limit."""
+        changed: list[LearnedUsage] = []
+        for name in list(self._touched):
+            if len(changed) == limit:
+                break
+            del self._touched[name]
+            found = self._present(name)
+            if found is not None and found != self._learned.usages.get(name):
+                changed.append(found)
+        return tuple(changed)
 
     def demand_of(self, spec: JobSpec, largest: Resources) -> Resources:
         """Returns the amounts to reserve for a task.
@@ -73,19 +107,28 @@
         Accelerators are reserved as declared.
         """
         name = (spec.team, spec.name)
-        samples = self._samples.get(name)
-        if samples is None or len(samples.cpu_milli) < LEAST_SAMPLES_COUNT:
+        found = self._present(name) or self._learned.usages.get(name)
+        if found is None:
             return spec.demand
-        self._samples.move_to_end(name)
-        cpu_milli = _estimate(samples.cpu_milli, CPU_STEP_MILLI)
-        memory_mb = _estimate(samples.memory_mb, MEMORY_STEP_MB)
+        if name in self._samples:
+            self._samples.move_to_end(name)
         declared = spec.demand
         return Resources(
-            min(cpu_milli, max(declared.cpu_milli, largest.cpu_milli)),
-            min(memory_mb, max(declared.memory_mb, largest.memory_mb)),
+            min(found.cpu_milli, max(declared.cpu_milli, largest.cpu_milli)),
+            min(found.memory_mb, max(declared.memory_mb, largest.memory_mb)),
             declared.accelerators_count,
         )
 
+    def _present(self, name: Name) -> LearnedUsage | None:
+        samples = self._samples.get(name)
+        if samples is None or not samples.is_enough:
+            return None
+        return LearnedUsage(
+            *name,
+            _estimate(samples.cpu_milli, CPU_STEP_MILLI),
+            _estimate(samples.memory_mb, MEMORY_STEP_MB),
+        )
+
 
 def _estimate(samples: 'array[int]', step: int) -> int:
     ordered = sorted(samples)
@@ -94,4 +137,4 @@
     return -(-wanted // step) * step
 
 
-__all__ = ('UsageEstimates',)
+__all__ = ('NAMES_COUNT', 'WINDOW_MS', 'UsageEstimates')
--- a/src/radishlift/placement/health.py
+++ b/src/radishlift/placement/health.py
@@ -4,6 +4,9 @@
 from typing import Final
 
 from radishlift.core.ids import JobId
+from radishlift.placement.jobs import WorkerInfo
+from radishlift.placement.learned import HealthLearned, LearnedHealth
+from radishlift.placement.worker_table import WorkerTable
 
 LEAST_STREAK_COUNT: Final = 3
 """Failures in a row below which a worker is not suspected."""
@@ -11,6 +14,8 @@
 """A streak is suspicious if the fleet's failure rate makes it rarer."""
 WINDOW_COUNT: Final = 512
 """Ends after which all counts are halved, so that old ones fade."""
+EXPORTED_COUNT: Final = 64
+"""Workers in a record of the health."""
 FIRST_PROBE_MS: Final = 5_000
 LAST_PROBE_MS: Final = 300_000
 
@@ -87,6 +92,55 @@
         """Lists the suspect workers."""
         return [row for row in self._workers if self.is_suspect(row)]
 
+    def export(self, workers: WorkerTable) -> HealthLearned:
+        """Returns the counts, with the workers that failed most lately."""
+        failed = sorted(
+            (row for row in self._workers if self._workers[row].failed_count),
+            key=lambda row: (
+                -self._workers[row].streak_count,
+                -self._workers[row].failed_count,
+            ),
+        )
+        return HealthLearned(
+            self._ended_count,
+            self._failed_count,
+            tuple(
+                self._export_one(workers.worker_info[row], self._workers[row])
+                for row in failed[:EXPORTED_COUNT]
+            ),
+        )
+
+    def restore(self, learned: HealthLearned, workers: WorkerTable) -> None:
+        """Goes on with the counts of a former owner."""
+        self._ended_count = learned.ended_count
+        self._failed_count = learned.failed_count
+        for one in learned.workers:
+            row = workers.row_of.get(one.worker_id)
+            if row is None:
+                continue
+            if workers.worker_info[row].incarnation == one.incarnation:
+                self._workers[row] = WorkerHealth(
+                    one.ended_count,
+                    one.failed_count,
+                    one.streak_count,
+                    set(one.failing_jobs),
+                )
+                self.is_changed = True
+
+    def _export_one(
+        self,
+        described: WorkerInfo,
+        worker: WorkerHealth,
+    ) -> LearnedHealth:
+        return LearnedHealth(
+            described.worker_id,
+            described.incarnation,
+            worker.ended_count,
+            worker.failed_count,
+            worker.streak_count,
+            tuple(sorted(worker.failing_jobs)),
+        )
+
     def _count(self, worker: WorkerHealth, failed_count: int) -> None:
         worker.ended_count += 1
         worker.failed_count += failed_count
--- /dev/null
+++ b/src/radishlift/placement/learned.py
@@ -0,0 +1,110 @@
+"""What a partition has learned about usage and workers, for a successor.
+
+It is journaled infrequently and in bounded size, never for each report; what
+was learned since the last record is lost at a takeover.
+"""
+
+from collections import OrderedDict
+from dataclasses import dataclass
+from typing import Any, Final
+
+from radishlift.core.codec import dump_plain, parse_plain
+from radishlift.core.errors import Failure
+from radishlift.core.ids import Incarnation, JobId, TeamName, WorkerId
+from radishlift.journal.records import record
+
+NAMES_COUNT: Final = 500
+"""Names that are kept, 0.5 KB each; the longest unused one is dropped."""
+
+Name = tuple[TeamName, str]
+
+
+@dataclass(frozen=True, slots=True)
+class LearnedUsage:
+    """What the tasks of a team and job name use, as it is reserved."""
+
+    team: TeamName
+    name: str
+    cpu_milli: int
+    memory_mb: int
+
+
+@record('usage_learned')
+@dataclass(frozen=True, slots=True)
+class UsageLearned:
+    """Estimates that changed."""
+
+    usages: tuple[LearnedUsage, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class LearnedHealth:
+    """Ends of attempts on a worker that had failures."""
+
+    worker_id: WorkerId
+    incarnation: Incarnation
+    ended_count: float
+    failed_count: float
+    streak_count: int
+    failing_jobs: tuple[JobId, ...]
+
+
+@record('health_learned')
+@dataclass(frozen=True, slots=True)
+class HealthLearned:
+    """Ends of attempts in the fleet, and the workers that failed most."""
+
+    ended_count: float = 0
+    failed_count: float = 0
+    workers: tuple[LearnedHealth, ...] = ()
+
+
+class Learned:
+    """The latest journaled estimates and health."""
+
+    def __init__(self) -> None:
+        self.usages: OrderedDict[Name, LearnedUsage] = OrderedDict()
+        self.health = HealthLearned()
+
+    def apply(self, change: UsageLearned | HealthLearned) -> None:
+        """Applies a record."""
+        if isinstance(change, HealthLearned):
+            self.health = change
+            return
+        for usage in change.usages:
+            name = (usage.team, usage.name)
+            self.usages[name] = usage
+            self.usages.move_to_end(name)
+            if len(self.usages) > NAMES_COUNT:
+                self.usages.popitem(last=False)
+
+    def dump(self) -> Any:
+        """Returns plain data for a snapshot, the longest unused name first."""
+        usages = tuple(self.usages.values())
+        return {
+            'usage': dump_plain(UsageLearned(usages)),
+            'health': dump_plain(self.health),
+        }
+
+    def load(self, plain: Any) -> None:
+        """Replaces the content by that of a snapshot."""
+        self.usages.clear()
+        for kind, target in (
+            ('usage', UsageLearned),
+            ('health', HealthLearned),
+        ):
+            parsed: Any = parse_plain(plain[kind], target)
+            if isinstance(parsed, Failure):
+                raise ValueError(parsed.reason)
+            self.apply(parsed)
+
+
+__all__ = (
+    'NAMES_COUNT',
+    'HealthLearned',
+    'Learned',
+    'LearnedHealth',
+    'LearnedUsage',
+    'Name',
+    'UsageLearned',
+)
--- a/src/radishlift/placement/state.py
+++ b/src/radishlift/placement/state.py
@@ -8,6 +8,11 @@
     worker_changes,
 )
 from radishlift.placement.changes import CHANGES
+from radishlift.placement.learned import (
+    HealthLearned,
+    Learned,
+    UsageLearned,
+)
 from radishlift.placement.partition_tables import (
     PartitionTables,
     RecordRefusedError,
@@ -22,10 +27,15 @@
     by `TaskEnded`. Applying a record again changes nothing.
     """
 
-    record_types: ClassVar[tuple[type, ...]] = tuple(CHANGES)
+    record_types: ClassVar[tuple[type, ...]] = (
+        *CHANGES,
+        UsageLearned,
+        HealthLearned,
+    )
 
     def __init__(self) -> None:
         self.tables = PartitionTables()
+        self.learned = Learned()
 
     def apply(self, record: Any) -> None:
         """Applies a record.
@@ -34,6 +44,9 @@
         overcommit a worker or start a task that may still run elsewhere. It
         is raised rather than returned because the partition must not go on.
         """
+        if isinstance(record, UsageLearned | HealthLearned):
+            self.learned.apply(record)
+            return
         try:
             CHANGES[type(record)](self.tables, record)
         except RecordRefusedError as error:
@@ -47,11 +60,14 @@
 
     def dump(self) -> Any:
         """Returns the tables as plain data."""
-        return dump_tables(self.tables)
+        return {**dump_tables(self.tables), 'learned': self.learned.dump()}
 
     def load(self, plain: Any) -> None:
         """Replaces the tables by those of a snapshot."""
         self.tables = load_tables(plain)
+        # Snapshots of earlier versions hold nothing that was learned.
+        if 'learned' in plain:
+            self.learned.load(plain['learned'])
 
 
 __all__ = ('PartitionState',)
--- a/src/radishlift/placement/system_order.py
+++ b/src/radishlift/placement/system_order.py
@@ -11,6 +11,7 @@
 from radishlift.placement.quarantine import judge_workers
 from radishlift.placement.placing import place_tasks
 from radishlift.placement.preemption import preempt_tasks
+from radishlift.placement.learning import record_learned
 from radishlift.placement.retention import forget_jobs
 
 __all__ = (
@@ -26,5 +27,6 @@
     'plan_reservation',
     'place_tasks',
     'preempt_tasks',
+    'record_learned',
     'forget_jobs',
 )
--- a/src/radishlift/placement/usage.py
+++ b/src/radishlift/placement/usage.py
@@ -51,7 +51,7 @@
             return False
         worker_id = next(iter(pending))
         reports = pending.pop(worker_id)
-        _take_in(working, worker_id, reports)
+        _take_in(working, worker_id, reports, time.now_ms)
     return True
 
 
@@ -59,13 +59,14 @@
     working: Working,
     worker_id: WorkerId,
     reports: tuple[UsageReport, ...],
+    now_ms: int,
 ) -> None:
     worker_row = working.tables.workers.row_of.get(worker_id)
     if worker_row is None:
         return
     seen = list(_match(working, worker_row, reports))
     for one in seen:
-        _note(working, one)
+        _note(working, one, now_ms)
     used = NOTHING
     for one in seen:
         used = plus(used, one.report.usage)
@@ -92,13 +93,17 @@
             yield _Seen(row, spec, report, tables.tasks.reserved[row])
 
 
-def _note(working: Working, one: _Seen) -> None:
+def _note(working: Working, one: _Seen, now_ms: int) -> None:
     tasks = working.tables.tasks
     if is_allowed(tasks.state[one.row], TaskState.running):
         tasks.state[one.row] = TaskState.running
     is_fresh = one.report.age_ms < STALE_AGE_MS
     if is_fresh and one.report.run_ms >= LEAST_RUN_MS:
-        working.usage.estimates.add(one.spec, one.report.usage)
+        working.usage.estimates.add(
+            one.spec,
+            one.report.usage,
+            now_ms,
+        )
 
 
 def _limit_processor(
--- a/src/radishlift/placement/working.py
+++ b/src/radishlift/placement/working.py
@@ -24,6 +24,7 @@
 from radishlift.placement.health import FleetHealth
 from radishlift.placement.job_queue import JobQueue
 from radishlift.placement.jobs import TaskState, UsageReport, WorkerInfo
+from radishlift.placement.learned import Learned
 from radishlift.placement.orders import Order, OrderKind
 from radishlift.placement.partition_tables import PartitionTables
 from radishlift.placement.settings import PlacementSettings
@@ -54,8 +55,9 @@
 class UsageTracking:
     """Estimates, and the orders that were given to running attempts."""
 
-    def __init__(self) -> None:
-        self.estimates = UsageEstimates()
+    def __init__(self, learned: Learned) -> None:
+        self.estimates = UsageEstimates(learned)
+        self.record_at_ms = 0
         self.given_orders: dict[TaskId, set[tuple[int, OrderKind]]] = {}
 
 
@@ -94,8 +96,9 @@
         )
         self.ageing: list[tuple[int, JobId]] = []
         self.booking = Booking()
-        self.usage = UsageTracking()
+        self.usage = UsageTracking(state.learned)
         self.health = FleetHealth()
+        self.health.restore(state.learned.health, state.tables.workers)
 
     @property
     def tables(self) -> PartitionTables:
--- /dev/null
+++ b/tests/placement/test_learned.py
@@ -0,0 +1,114 @@
+"""Estimates and health over a takeover, and their bounds."""
+
+import pytest
+
+from radishlift.placement.engine import PlacementEngine
+from radishlift.placement.estimates import WINDOW_MS, UsageEstimates
+from radishlift.placement.jobs import Resources, TaskState, UsageReport
+from radishlift.placement.learned import (
+    NAMES_COUNT,
+    HealthLearned,
+    Learned,
+    LearnedUsage,
+    UsageLearned,
+)
+from radishlift.placement.learning import RECORD_INTERVAL_MS, USAGES_COUNT
+from radishlift.placement.state import PartitionState
+from tests.placement.builders import make_engine, make_job, make_worker, placed
+
+LARGEST = Resources(30_000, 130_000)
+USED = Resources(400, 900)
+
+
+def learn(engine, now_ms=1):
+    """Lets a task report until its use is known; returns the records."""
+    engine.accept(make_job('first'), now_ms)
+    records = engine.tick(now_ms)
+    start = placed(records)[0]
+    for _ in range(10):
+        report = UsageReport(start.task_id, 1, USED, 1_000, 0)
+        engine.observe_usage(start.worker_id, [report], now_ms)
+        records += engine.tick(now_ms)
+    return records
+
+
+@pytest.mark.parametrize('by_snapshot', [False, True])
+def test_estimates_outlive_a_takeover(by_snapshot):
+    """Guards against a successor that reserves declared sizes again."""
+    state, engine = make_engine(make_worker(1))
+    successor = PartitionState()
+    successor.load(state.dump())
+    records = [engine.accept(make_job('first'), 0)]
+    records += learn(engine)
+    records += engine.tick(2 * RECORD_INTERVAL_MS)
+    if by_snapshot:
+        successor.load(state.dump())
+    else:
+        for record in records:
+            successor.apply(record)
+    next_engine = PlacementEngine(successor, timer=float)
+    next_engine.accept(make_job('next'), 0)
+    start = placed(next_engine.tick(0))[-1]
+    assert start.reserved == Resources(500, 1_024)
+
+
+def test_health_outlives_a_takeover():
+    """Guards against a successor that trusts a faulty worker anew."""
+    state, engine = make_engine(*(make_worker(n) for n in range(8)))
+    now_ms = 1
+    for number in range(4):
+        engine.accept(make_job(f'j{number}'), now_ms)
+    for start in placed(engine.tick(now_ms)):
+        engine.task_ended(start.task_id, start.attempt, TaskState.failed)
+    engine.tick(now_ms)
+    engine.tick(2 * RECORD_INTERVAL_MS)
+    exported = engine._working.health.export(state.tables.workers)
+    assert exported.failed_count == 4
+    successor = PartitionState()
+    successor.load(state.dump())
+    restored = PlacementEngine(successor, timer=float)._working.health
+    assert restored.export(successor.tables.workers) == exported
+    row = successor.tables.workers.row_of[exported.workers[0].worker_id]
+    assert restored.of(row).streak_count == exported.workers[0].streak_count
+
+
+def test_records_are_infrequent_and_bounded():
+    """Guards against a record for each report, or one of any size."""
+    _, engine = make_engine(make_worker(1))
+    records = learn(engine)
+    records += engine.tick(RECORD_INTERVAL_MS - 1)
+    kinds = (UsageLearned, HealthLearned)
+    assert not any(isinstance(record, kinds) for record in records)
+    estimates = UsageEstimates()
+    for number in range(3 * USAGES_COUNT):
+        for _ in range(10):
+            estimates.add(make_job(name=f'n{number}'), USED)
+    taken = [len(estimates.take_changed(USAGES_COUNT)) for _ in range(4)]
+    assert taken == [USAGES_COUNT, USAGES_COUNT, USAGES_COUNT, 0]
+
+
+def test_outlier_is_gone_with_its_window():
+    """Guards against an estimate that stays large after one outlier."""
+    learned = Learned()
+    estimates = UsageEstimates(learned)
+    job = make_job()
+    for number in range(10):
+        usage = Resources(20_000, 90_000) if number == 5 else USED
+        estimates.add(job, usage, 0)
+    assert estimates.demand_of(job, LARGEST).cpu_milli > 20_000
+    learned.apply(UsageLearned(estimates.take_changed(9)))
+    for _ in range(9):
+        estimates.add(job, USED, WINDOW_MS)
+    assert estimates.demand_of(job, LARGEST) == Resources(500, 1_024)
+    learned.apply(UsageLearned(estimates.take_changed(9)))
+    follower = UsageEstimates(learned)
+    assert follower.demand_of(job, LARGEST) == Resources(500, 1_024)
+
+
+def test_learned_names_are_bounded():
+    """Guards against a snapshot that grows with the number of names."""
+    learned = Learned()
+    for number in range(2 * NAMES_COUNT):
+        usage = LearnedUsage('wash', f'n{number}', 1, 1)
+        learned.apply(UsageLearned((usage,)))
+    assert len(learned.usages) == NAMES_COUNT
--- a/tests/placement/test_properties.py
+++ b/tests/placement/test_properties.py
@@ -12,6 +12,7 @@
     JobId,
     PartitionId,
     TaskId,
+    TeamName,
     WorkerId,
 )
 from radishlift.placement.engine import PlacementEngine
@@ -21,6 +22,11 @@
     Resources,
     TaskState,
 )
+from radishlift.placement.learned import (
+    HealthLearned,
+    LearnedUsage,
+    UsageLearned,
+)
 from radishlift.placement.partition_tables import RecordRefusedError
 from radishlift.placement.records import (
     GangCommitted,
@@ -142,6 +148,13 @@
     return GangReserved(spec, home, tuple(members), reserved, 1)
 
 
+usages = st.builds(
+    LearnedUsage,
+    st.just(TeamName('wash')),
+    st.sampled_from(['a', 'b']),
+    numbers,
+    numbers,
+)
 records = st.one_of(
     st.builds(JobAccepted, jobs, st.just(1)),
     st.builds(JobCancelled, job_ids),
@@ -162,6 +175,8 @@
     st.builds(WorkerRemoved, worker_ids, incarnations),
     st.builds(WorkerQuarantined, worker_ids, incarnations, reasons),
     st.builds(WorkerReturned, worker_ids),
+    st.builds(UsageLearned, st.tuples(usages)),
+    st.builds(HealthLearned, st.floats(1, 9), st.floats(0, 1)),
 )
 calls = st.one_of(
     st.tuples(st.just('accept'), jobs),
