--- a/src/radishlift/daemon/own_status.py
+++ b/src/radishlift/daemon/own_status.py
@@ -143,7 +143,7 @@
         queued_count = jobs.startable_count(row)
         queue.queued_count += queued_count
         queue.running_count += len(jobs.task_rows[row])
-        queue.running_count -= len(jobs.requeued[row])
+        queue.running_count -= len(jobs.queued_rows(row))
         if queued_count:
             wait_ms = opened.now_ms() - jobs.accepted_at_ms[row]
             queue.oldest_wait_ms = max(queue.oldest_wait_ms, wait_ms)
--- a/src/radishlift/partitions/gang_commits.py
+++ b/src/radishlift/partitions/gang_commits.py
@@ -111,7 +111,7 @@
         jobs = opened.states.placement.tables.jobs
         row = jobs.row_of[job_id]
         is_cancelled = not jobs.is_open(row)
-        if not is_cancelled and not jobs.requeued[row]:
+        if not is_cancelled and not jobs.queued_rows(row):
             return
         await self._caller.call(
             share.partition_id,
--- a/src/radishlift/partitions/inquiry.py
+++ b/src/radishlift/partitions/inquiry.py
@@ -43,6 +43,7 @@
         tables.jobs.accepted_at_ms[row],
         tables.jobs.is_cancelled[row],
         counts,
+        tables.jobs.failure_of(row),
     )
     if not shares:
         return shown
--- a/src/radishlift/placement/engine.py
+++ b/src/radishlift/placement/engine.py
@@ -29,6 +29,7 @@
     summarise_load,
 )
 from radishlift.placement.job_queue import JobQueue
+from radishlift.placement.job_table import last_partition
 from radishlift.placement.jobs import (
     JobSpec,
     Resources,
@@ -243,7 +244,7 @@
         return JobAccepted(
             spec,
             jobs.accepted_at_ms[row],
-            jobs.from_partition(row),
+            last_partition(jobs.passed_partitions[row]),
         )
 
     def _repeat_stops(self) -> None:
--- a/src/radishlift/placement/gang_changes.py
+++ b/src/radishlift/placement/gang_changes.py
@@ -192,7 +192,7 @@
     job_row = tables.jobs.row_of[record.job_id]
     if tables.jobs.has_live_attempts(job_row):
         raise RecordRefusedError('a member of the part may still run')
-    for task_row in list(tables.jobs.requeued[job_row]):
+    for task_row in tables.jobs.queued_rows(job_row):
         tables.remove_task(task_row)
     del tables.gangs.parts[record.job_id]
     tables.jobs.remove(job_row)
--- a/src/radishlift/placement/gang_home_changes.py
+++ b/src/radishlift/placement/gang_home_changes.py
@@ -58,7 +58,7 @@
     jobs = tables.jobs
     job_row = jobs.row_of[record.job_id]
     tables.count_queued(job_row, -jobs.startable_count(job_row))
-    for task_row in list(jobs.requeued[job_row]):
+    for task_row in jobs.queued_rows(job_row):
         tables.remove_task(task_row)
     jobs.fresh_index[job_row] = jobs.spec[job_row].task_count
     jobs.is_spread[job_row] = True
@@ -138,12 +138,12 @@
     del tables.gangs.spread[record.job_id]
     jobs.is_spread[job_row] = False
     counts = jobs.ended_counts[job_row]
-    requeued = jobs.requeued[job_row]
+    requeued = jobs.queued_rows(job_row)
     if requeued and counts.get(TaskState.failed):
         cancelled_count = counts.get(TaskState.cancelled, 0) + len(requeued)
         counts[TaskState.cancelled] = cancelled_count
         jobs.is_cancelled[job_row] = True
-        for task_row in list(requeued):
+        for task_row in requeued:
             tables.remove_task(task_row)
     tables.count_queued(job_row, jobs.startable_count(job_row))
     tables.enqueue(job_row)
--- a/src/radishlift/placement/hand_offs.py
+++ b/src/radishlift/placement/hand_offs.py
@@ -153,7 +153,7 @@
     now_ms: int,
 ) -> HandOff | None:
     jobs = working.tables.jobs
-    count = jobs.startable_count(job_row)
+    count = jobs.ready_count(job_row)
     if not count or jobs.has_live_attempts(job_row):
         return None
     spec = jobs.spec[job_row]
--- a/src/radishlift/placement/job_table.py
+++ b/src/radishlift/placement/job_table.py
@@ -3,7 +3,7 @@
 from typing import Any
 
 from radishlift.core.ids import JobId, PartitionId
-from radishlift.placement.jobs import JobSpec, TaskState
+from radishlift.placement.jobs import JobKind, JobSpec, TaskState
 
 
 class JobTable:
@@ -14,6 +14,8 @@
     for any number of tasks. A gang that spans partitions is `is_held` while
     capacity is reserved for it, and `is_part` once its members here started.
     `passed_partitions` are those that handed the job off, its home first.
+    `requeued` tasks may start again; those of `delayed_of` wait after a
+    failure.
     """
 
     def __init__(self) -> None:
@@ -28,6 +30,8 @@
         self.is_spread: list[bool] = []
         self.fresh_index: list[int] = []
         self.requeued: list[dict[int, None]] = []
+        self._delayed: list[dict[int, None]] = []
+        self._failure: list[str] = []
         self.task_rows: list[dict[int, int]] = []
         self.ended_counts: list[dict[TaskState, int]] = []
         self.ended_at_ms: list[int] = []
@@ -52,6 +56,8 @@
         self.is_spread[row] = False
         self.fresh_index[row] = 0
         self.requeued[row] = {}
+        self._delayed[row] = {}
+        self._failure[row] = ''
         self.task_rows[row] = {}
         self.ended_counts[row] = {}
         self.ended_at_ms[row] = 0
@@ -67,7 +73,10 @@
         return not (self.is_cancelled[row] or self.to_partition[row])
 
     def startable_count(self, row: int) -> int:
-        """Counts the queued tasks that may be placed here by themselves."""
+        """Counts the queued tasks that are placed here by themselves.
+
+        Those that wait after a failure count as well.
+        """
         return 0 if self.is_bound(row) else self.waiting_count(row)
 
     def waiting_count(self, row: int) -> int:
@@ -75,7 +84,22 @@
         if not self.is_open(row):
             return 0
         fresh_count = self.spec[row].task_count - self.fresh_index[row]
-        return fresh_count + len(self.requeued[row])
+        return fresh_count + len(self.requeued[row]) + len(self._delayed[row])
+
+    def ready_count(self, row: int) -> int:
+        """Counts the queued tasks that may start now; a gang is whole."""
+        delayed_count = len(self._delayed[row])
+        if delayed_count and self.spec[row].kind is JobKind.gang:
+            return 0
+        return max(0, self.startable_count(row) - delayed_count)
+
+    def delayed_of(self, row: int) -> dict[int, None]:
+        """Returns the tasks that wait after a failure."""
+        return self._delayed[row]
+
+    def queued_rows(self, row: int) -> list[int]:
+        """Lists the queued tasks that were started before."""
+        return [*self.requeued[row], *self._delayed[row]]
 
     def is_bound(self, row: int) -> bool:
         """Tells whether tasks start only with parts in other partitions."""
@@ -83,12 +107,15 @@
 
     def has_live_attempts(self, row: int) -> bool:
         """Tells whether an attempt of the job may still run."""
-        return len(self.task_rows[row]) != len(self.requeued[row])
+        return len(self.task_rows[row]) != len(self.queued_rows(row))
+
+    def failure_of(self, row: int) -> str:
+        """Tells which task ended as failed first, or ''."""
+        return self._failure[row]
 
-    def from_partition(self, row: int) -> PartitionId:
-        """Returns the partition that handed the job off, or ''."""
-        passed = self.passed_partitions[row]
-        return passed[-1] if passed else PartitionId('')
+    def note_failure(self, row: int, detail: str) -> None:
+        """Keeps the first task that ended as failed."""
+        self._failure[row] = self._failure[row] or detail
 
     def is_ended(self, row: int) -> bool:
         """Tells whether no task of the job is queued or live."""
@@ -113,10 +140,17 @@
             self.is_spread,
             self.fresh_index,
             self.requeued,
+            self._delayed,
+            self._failure,
             self.task_rows,
             self.ended_counts,
             self.ended_at_ms,
         ]
 
 
-__all__ = ('JobTable',)
+def last_partition(passed: tuple[PartitionId, ...]) -> PartitionId:
+    """Returns the partition that handed a job off last, or ''."""
+    return passed[-1] if passed else PartitionId('')
+
+
+__all__ = ('JobTable', 'last_partition')
--- a/src/radishlift/placement/partition_tables.py
+++ b/src/radishlift/placement/partition_tables.py
@@ -1,5 +1,7 @@
 """The tables of one partition and the steps that keep them consistent."""
 
+import heapq
+
 from radishlift.core.ids import (
     DepartmentName,
     JobId,
@@ -17,12 +19,8 @@
     task_id_of,
 )
 from radishlift.placement.records import GangReserved, TaskPlaced
-from radishlift.placement.tables import (
-    NO_ROW,
-    NOTHING,
-    TaskTable,
-    WorkerTable,
-)
+from radishlift.placement.tables import NO_ROW, NOTHING, TaskTable
+from radishlift.placement.worker_table import WorkerTable
 
 
 class RecordRefusedError(Exception):
@@ -101,7 +99,9 @@
         self.tasks.incarnation[row] = placed.incarnation
         self.tasks.reserved[row] = placed.reserved
         self.tasks.placed_at_ms[row] = placed.placed_at_ms
+        self.tasks.retry_at_ms[row] = 0
         self.jobs.requeued[job_row].pop(row, None)
+        self.jobs.delayed_of(job_row).pop(row, None)
         self.workers.tasks[worker_row][row] = None
         self.workers.take(worker_row, placed.reserved)
         self.count_queued(job_row, -1)
@@ -153,16 +153,16 @@
             pending = self.queued_urgent_jobs
         pending[job_row] = None
 
-    def requeue_task(self, row: int) -> None:
-        """Puts a task back into the queue."""
+    def queue_again(self, row: int, retry_at_ms: int) -> None:
+        """Queues a task that was started before; 0 means at once."""
         job_row = self.tasks.job_row[row]
-        self.tasks.state[row] = TaskState.queued
-        self.tasks.is_requeued[row] = False
-        self.jobs.requeued[job_row][row] = None
-        if self.jobs.is_bound(job_row):
-            return
-        self.count_queued(job_row, 1)
-        self.enqueue(job_row)
+        self.tasks.retry_at_ms[row] = retry_at_ms
+        if retry_at_ms:
+            self.jobs.delayed_of(job_row)[row] = None
+            entry = (retry_at_ms, self.tasks.task_id[row])
+            heapq.heappush(self.tasks.delayed, entry)
+        else:
+            self.jobs.requeued[job_row][row] = None
 
     def remove_task(self, row: int) -> None:
         """Removes the row of an ended task."""
@@ -172,8 +172,9 @@
             if worker_row is not None:
                 self.workers.charged[worker_row].pop(row, None)
         self.jobs.requeued[job_row].pop(row, None)
+        self.jobs.delayed_of(job_row).pop(row, None)
         self.jobs.task_rows[job_row].pop(self.tasks.index[row])
-        if self.jobs.requeued[job_row]:
+        if self.jobs.queued_rows(job_row):
             # A gang is admitted again once no member is live.
             self.queued_jobs[job_row] = None
         self.tasks.remove(row)
--- a/src/radishlift/placement/transfer_rows.py
+++ b/src/radishlift/placement/transfer_rows.py
@@ -24,7 +24,13 @@
     """Lists the queued tasks that were started before, by index."""
     tasks = tables.tasks
     return tuple(
-        QueuedTask(index, Attempt(tasks.attempt[row]), tasks.failed_on[row])
+        QueuedTask(
+            index,
+            Attempt(tasks.attempt[row]),
+            tasks.failed_on[row],
+            tasks.retry_at_ms[row],
+            tasks.suspect_failures_count[row],
+        )
         for index, row in sorted(tables.jobs.task_rows[job_row].items())
     )
 
@@ -54,7 +60,9 @@
     tables.tasks.attempt[row] = queued.attempt
     tables.tasks.failed_on[row] = queued.failed_on
     jobs.task_rows[job_row][queued.index] = row
-    jobs.requeued[job_row][row] = None
+    failures_count = queued.suspect_failures_count
+    tables.tasks.suspect_failures_count[row] = failures_count
+    tables.queue_again(row, queued.retry_at_ms)
 
 
 __all__ = (
