Let capped holders want no more, and keep jobs that wait for a quota

Cause: a holder that others wait for was granted up to its fair part rounded up and could not start it, as its cap is not rounded; it returned the unit and got it again in each interval, and a waiting partition got nothing. A test of a quota of 4 tasks and 3 partitions stood still at 2 tasks. Jobs blocked by a quota were handed off to other partitions, which cannot help since the quota is the cell's.

Change: a capped holder asks for more only below its cap. Jobs that wait for a quota stay, unless the workers here could never start them. A new test covers a limit that is set, removed and set again: it starts nothing before each partition has told its use.

Conclusion: the test reaches the whole quota once the caps have ended, after `hold_back_ms`; until then a remainder below one task for each partition stays unused.

--- a/src/radishlift/placement/hand_offs.py
+++ b/src/radishlift/placement/hand_offs.py
@@ -113,6 +113,9 @@
         reason = 'the workers of this partition are not large enough'
     elif _is_kept(working, job_row) or waiting_ms < _patience_ms(spec):
         return None
+    elif working.queue.blocked.waits_for_quota(group):
+        # A quota is that of the cell, so another partition can't help.
+        return None
     return HandOff(
         spec.job_id,
         group.key.demand,
--- a/src/radishlift/placement/job_queue.py
+++ b/src/radishlift/placement/job_queue.py
@@ -22,14 +22,15 @@
 class JobQueue:
     """Groups of queued jobs; jobs that left are dropped when met.
 
-    `active` are the groups whose head may be startable.
+    `active` are the groups whose head may be startable, `blocked` those that
+    wait for room or quota.
     """
 
     def __init__(self, jobs: JobTable) -> None:
         self._jobs = jobs
         self._groups: dict[GroupKey, Group] = {}
         self.active = ActiveGroups()
-        self._blocked = BlockedGroups()
+        self.blocked = BlockedGroups()
         self._known: dict[int, tuple[GroupKey, int, JobId]] = {}
         self._sequence = 0
 
@@ -66,7 +67,7 @@
                 del self._known[job_row]
             heapq.heappop(group.heap)
         self.active.remove(group)
-        self._blocked.discard(group)
+        self.blocked.discard(group)
         self._groups.pop(group.key, None)
         return None
 
@@ -79,17 +80,13 @@
         """Sets a group aside until capacity that fits it becomes free."""
         self.active.remove(group)
         group.blocked_by = reason
-        self._blocked.add_for_room(group)
+        self.blocked.add_for_room(group)
 
     def block_for_quota(self, group: Group, reason: str) -> None:
         """Sets a group aside until its team uses less."""
         self.active.remove(group)
         group.blocked_by = reason
-        self._blocked.add_for_quota(group)
-
-    def waiting_for_quota(self) -> Iterator[tuple[TeamName, Group]]:
-        """Yields the groups that are over the quota of their team."""
-        return self._blocked.waiting_for_quota()
+        self.blocked.add_for_quota(group)
 
     def is_blocked(self, group: Group) -> bool:
         """Tells whether a group still waits and is set aside."""
@@ -97,15 +94,15 @@
 
     def wake_fitting(self, free: Resources) -> None:
         """Wakes the groups whose demand fits into a free amount."""
-        self._wake(self._blocked.pop_fitting(free))
+        self._wake(self.blocked.pop_fitting(free))
 
     def wake_team(self, team: TeamName) -> None:
         """Wakes the groups that were over the quota of a team."""
-        self._wake(self._blocked.pop_team(team))
+        self._wake(self.blocked.pop_team(team))
 
     def wake_all(self) -> None:
         """Wakes all groups, after a change of workers, rules or quotas."""
-        self._wake(self._blocked.pop_all())
+        self._wake(self.blocked.pop_all())
 
     def waiting_jobs(self, group: Group) -> Iterator[int]:
         """Yields the jobs of a group in no particular order."""
--- a/src/radishlift/placement/queue_groups.py
+++ b/src/radishlift/placement/queue_groups.py
@@ -126,6 +126,10 @@
             for group in groups.values():
                 yield team, group
 
+    def waits_for_quota(self, group: Group) -> bool:
+        """Tells whether a group is over the quota of its team."""
+        return group.key in self._by_team.get(group.key.team, {})
+
     def pop_fitting(self, free: Resources) -> Iterator[Group]:
         """Removes and yields the groups whose demand fits."""
         fitting = [
--- a/src/radishlift/placement/quota_demands.py
+++ b/src/radishlift/placement/quota_demands.py
@@ -34,7 +34,7 @@
     """Sums the groups that wait for a quota, by team."""
     firsts: dict[TeamName, Group] = {}
     wanted: dict[TeamName, Resources] = {}
-    for team, group in list(working.queue.waiting_for_quota()):
+    for team, group in list(working.queue.blocked.waiting_for_quota()):
         if working.queue.head(group) is None:
             continue
         first = firsts.setdefault(team, group)
--- a/src/radishlift/quotas/holder.py
+++ b/src/radishlift/quotas/holder.py
@@ -74,6 +74,13 @@
         if now_ms >= self._window_ends_ms:
             self._window_ends_ms = now_ms + self._settings.return_after_ms
             self._give_up_idle(used)
+        # What a capped holder got it could not start, and would keep others
+        # from getting it.
+        demands = {
+            name: demand
+            for name, demand in demands.items()
+            if name in self._holdings and self._holdings[name].may_want(demand)
+        }
         names = dict.fromkeys((*demands, *self._unsettled))
         due = [name for name in names if self._is_due(name, now_ms)]
         asks: list[ShareAsk] = []
--- a/src/radishlift/quotas/holding.py
+++ b/src/radishlift/quotas/holding.py
@@ -61,6 +61,16 @@
             min(bound[2], self.quota[2] or bound[2]),
         )
 
+    def may_want(self, demand: TeamDemand) -> bool:
+        """Tells whether a cap leaves room for one more unit."""
+        if self.cap is None:
+            return True
+        return all(
+            self.share[place] + demand.unit[place] <= self.cap[place]
+            for place in range(3)
+            if self.quota[place]
+        )
+
     def is_idle(self, kept: Amounts) -> bool:
         """Tells whether enough is unused to give it back."""
         return any(
--- a/tests/placement/test_hand_offs.py
+++ b/tests/placement/test_hand_offs.py
@@ -1,6 +1,7 @@
 """Hand-offs of jobs whose partition has lost the workers for them."""
 
-from radishlift.core.ids import JobId, PartitionId
+from radishlift.config.document import ConfigDocument, Team
+from radishlift.core.ids import ConfigVersion, JobId, PartitionId, TeamName
 from radishlift.journal.records import decode_record, encode_record
 from radishlift.placement.engine import PlacementEngine
 from radishlift.placement.hand_offs import MAX_MOVES
@@ -136,3 +137,16 @@
     restored.load(plain)
     assert restored.dump() == state.dump()
     assert restored.tables.jobs.passed_partitions == [(HOME,)]
+
+
+def test_job_that_waits_for_its_quota_stays():
+    """Guards against jobs that move although the quota is the cell's."""
+    _, engine = make_engine(make_worker(1))
+    teams = {TeamName('wash'): Team('rugs', cpu_milli=1_000)}
+    engine.use_config(ConfigDocument(ConfigVersion(1), teams=teams))
+    engine.quotas.use_shares({})
+    engine.accept(make_job(), 0)
+    engine.tick(0)
+    assert not listed(engine)
+    lose_worker(engine)
+    assert listed(engine) == ['j1']
--- a/tests/quotas/test_shares.py
+++ b/tests/quotas/test_shares.py
@@ -224,6 +224,34 @@
     assert cell.used() == 5
 
 
+def test_new_limit_grants_nothing_until_all_use_is_known():
+    """Guards against a first quota that overlooks what runs without one."""
+    cell = make_cell(0)
+    for _ in range(2):
+        for one in cell.holders:
+            one.queued = 5
+            starts = [one.start() for _ in range(5)]
+            assert all(starts)
+        assert cell.used() == 15
+        cell.change_quota(4)
+        cell.ask(cell.holders[0])
+        cell.serve(0)
+        cell.deliver(0)
+        for one in cell.holders:
+            one.queued = 5
+            assert not one.start()
+        cell.settle()
+        assert cell.used() == 15
+        for one in cell.holders:
+            one.used = 0
+        # Holders stay within their fair parts for some seconds.
+        cell.settle(150)
+        assert cell.used() == 4
+        cell.change_quota(0)
+        for one in cell.holders:
+            one.used = 0
+
+
 def test_snapshot_holds_the_ledger():
     """Guards against a successor that grants what is granted already."""
     cell = make_cell(5)
