Poll idle workers of the partition tests as often as busy ones

Cause: `test_successor_finds_running_tasks_again` waits for 10 reports from each worker and then expects 30 executions. One of its two workers is idle, and is polled every 1.25 s since idle workers are polled less often, so the wait grew from 0.6 s to 12 s.

Change: the test settings have the short interval for idle workers too. The test and what it checks are unchanged.

--- a/tests/partitions/cell.py
+++ b/tests/partitions/cell.py
@@ -66,6 +66,7 @@
     options = {
         'lease_ms': LEASE_MS,
         'report_interval_ms': 50,
+        'idle_interval_ms': 50,
         'retry_interval_ms': 20,
         'timeout_ms': 200,
         'host_list_lag_ms': 0,
