Use what peers say of leaving executors at once

Cause: the list of targets read the host feed every 500 ms, and such a read waits up to 1 s while the host list can't be reached. With the intervals of the exchange a daemon that was cut just before an executor left could learn of it later than 2 s. Found by adding up the intervals, not by a failed run.

Change: the targets take each list that the feed tells, also one that peers marked; this is no attempt to read the list, so that a daemon that was paused still waits for its own next attempt. The exchange asks every 250 ms.

--- a/src/radishlift/daemon/entry.py
+++ b/src/radishlift/daemon/entry.py
@@ -86,10 +86,13 @@
 def _build_router(base: Foundation, control: Control) -> RequestRouter:
     settings = base.settings.get(RequestSettings)
     limits = ServiceLimits(control.config)
+    targets = TargetList(base.hosts, base.clock, settings)
+    # What peers say of leaving hosts does not wait for a read of the list.
+    base.hosts.subscribe(targets.adopt)
     slot_parts = SlotParts(
         base.store,
         base.membership,
-        TargetList(base.hosts, base.clock, settings),
+        targets,
         limits,
         base.clock,
     )
--- a/src/radishlift/daemon/leaving_hosts.py
+++ b/src/radishlift/daemon/leaving_hosts.py
@@ -50,10 +50,14 @@
         network.register(GetLeavingHosts, self._answer)
 
     async def run(self) -> None:
-        """Asks in the interval of the host list until cancelled."""
+        """Asks twice in each interval of the host list until cancelled.
+
+        The peer has read the list up to an interval ago, and work for a
+        leaving host should stop within 2 s.
+        """
         while True:
             await self.step()
-            await asyncio.sleep(self._feed.interval_ms / _MS_PER_S)
+            await asyncio.sleep(self._feed.interval_ms / 2 / _MS_PER_S)
 
     async def step(self) -> None:
         """Asks some peers if the last reading is outdated."""
--- a/src/radishlift/requests/targets.py
+++ b/src/radishlift/requests/targets.py
@@ -77,7 +77,7 @@
         if isinstance(hosts, Failure):
             log_event('host_list_unread', level='DEBUG', reason=hosts.reason)
             return hosts
-        self._adopt(hosts)
+        self.adopt(hosts)
         return None
 
     async def run(self) -> None:
@@ -86,7 +86,8 @@
             await self.refresh()
             await asyncio.sleep(self._settings.targets_interval_ms / 1000)
 
-    def _adopt(self, hosts: tuple[Host, ...]) -> None:
+    def adopt(self, hosts: tuple[Host, ...]) -> None:
+        """Takes a list over; it is no attempt to read the list."""
         live: dict[ServiceName, set[ExecutorId]] = defaultdict(set)
         self.services = {}
         for host in hosts:
