--- a/src/radishlift/partitions/gang_rounds.py
+++ b/src/radishlift/partitions/gang_rounds.py
@@ -116,26 +116,28 @@
         """Chooses from load summaries; the home alone is counted."""
         tables = opened.states.placement.tables
         row = tables.jobs.row_of[gang.job_id]
-        spec = tables.jobs.spec[row]
         others = self._others(opened, tables.jobs.passed_partitions[row])
         limit = gang.tasks_count
-        if gang.is_large and self._loads.room_for(others, spec.demand, limit):
+        if gang.is_large and self._loads.room_for(others, gang.demand, limit):
             # A hand-off moves the whole job, which needs no reservation.
             return ()
-        tasks = waiting_tasks(tables, row)
         home = opened.claim.partition_id
-        request = PartRequest(spec, home, tasks, opened.now_ms())
-        room = {
-            one: min(
-                self._loads.count_tasks(one, spec.demand, limit),
-                retry.room.get(one, limit),
-            )
-            for one in others
-        }
-        room[home] = opened.engine.gang_parts.count_room(request)
-        # What was refused once is asked again in the round after the next.
+        request = PartRequest(
+            tables.jobs.spec[row],
+            home,
+            waiting_tasks(tables, row),
+            opened.now_ms(),
+        )
+        own_room = {home: opened.engine.gang_parts.count_room(request)}
+        for count_room in (self._loads.count_likely, self._loads.count_tasks):
+            heard = {one: count_room(one, gang.demand, limit) for one in others}
+            room = _at_most(heard, retry.room) | own_room
+            shares = choose_shares(request.tasks, room, self._random)
+            if shares:
+                return shares
+        # What was refused may have been room that another round held.
         retry.room = {}
-        return choose_shares(tasks, room, self._random)
+        return ()
 
     def _others(
         self,
@@ -266,4 +268,14 @@
         retry.not_before_ms = self._clock.monotonic_ms() + pause_ms
 
 
+def _at_most(
+    heard: dict[PartitionId, int],
+    refused: dict[PartitionId, int],
+) -> dict[PartitionId, int]:
+    """Corrects what load summaries say by what partitions have answered."""
+    return {
+        one: min(count, refused.get(one, count)) for one, count in heard.items()
+    }
+
+
 __all__ = ('GangRounds', 'Retry')
--- a/src/radishlift/partitions/loads.py
+++ b/src/radishlift/partitions/loads.py
@@ -52,6 +52,23 @@
             return 0
         return count_fitting(demand, self.free, limit)
 
+    def count_likely(self, demand: Resources, limit: int) -> int:
+        """Counts the tasks that fit if all workers are as free as the best.
+
+        Unlike `count_tasks` it leaves out what is too small on each of them.
+        """
+        per_worker = count_fitting(demand, self.largest_free, limit)
+        if not per_worker:
+            return 0
+        wanted = zip(
+            _amounts(demand),
+            _amounts(self.free),
+            _amounts(self.largest_free),
+            strict=True,
+        )
+        parts = [free / largest for one, free, largest in wanted if one]
+        return min(limit, int(per_worker * min(parts, default=1)))
+
 
 class LoadBoard:
     """The latest load of each partition that this daemon has heard of."""
@@ -144,6 +161,16 @@
         load = self._loads.get(partition_id)
         return 0 if load is None else load.count_tasks(demand, limit)
 
+    def count_likely(
+        self,
+        partition_id: PartitionId,
+        demand: Resources,
+        limit: int,
+    ) -> int:
+        """Counts the tasks that likely fit; 0 while the load is unknown."""
+        load = self._loads.get(partition_id)
+        return 0 if load is None else load.count_likely(demand, limit)
+
     def _rank(
         self,
         partition_id: PartitionId,
--- a/tests/partitions/test_loads.py
+++ b/tests/partitions/test_loads.py
@@ -33,3 +33,12 @@
     assert other._loads == {NAME: LARGE}
     other.absorb({f'{NAME}:load': 0.5})
     assert other._loads == {NAME: LARGE}
+
+
+def test_free_pieces_that_are_too_small_are_not_counted():
+    """Guards against reservations that are refused round after round."""
+    demand = Resources(20_000, 1_000)
+    assert LARGE.count_tasks(demand, 1_000) == 600
+    assert LARGE.count_likely(demand, 1_000) == 400
+    full = PartitionLoad(NAME, 1, Resources(0, 0), Resources(0, 0))
+    assert full.count_likely(demand, 1_000) == 0
