Let the random records surely start a task before its attempt has ended

Cause: with the new record types the random sequences reached that refusal in some runs and not in others; which constants hypothesis draws depends on the modules that other tests have imported. The test failed in one run of two folders and passed alone.

Change: a record that follows the present state is now such a start, and there are 600 examples instead of 400. It passes alone and with four folders.

--- a/tests/placement/test_properties.py
+++ b/tests/placement/test_properties.py
@@ -41,7 +41,7 @@
 from tests.placement.builders import make_job, make_worker
 from tests.placement.gang_changes import gang_changes, make_hold
 
-FIXED = settings(derandomize=True, deadline=None, max_examples=400)
+FIXED = settings(derandomize=True, deadline=None, max_examples=600)
 SMALL = Resources(4_000, 8_000)
 
 numbers = st.integers(0, 2)
@@ -113,6 +113,11 @@
         if not live:
             return []
         task_id, attempt = live[self.number % len(live)]
+        if self.number == 5:
+            worker = make_worker(0, SMALL)
+            later = Attempt(attempt + 1)
+            place = (worker.worker_id, worker.incarnation, SMALL, 1)
+            return [TaskPlaced(task_id, later, *place)]
         if self.number % 2:
             return [TaskStopping(task_id, attempt, True, self.reason)]
         return [TaskEnded(task_id, attempt, self.state, self.reason)]
@@ -143,6 +148,10 @@
     starts,
     starts,
     starts,
+    starts,
+    starts,
+    starts,
+    starts,
     st.builds(make_hold, jobs, worker_ids, incarnations, demands),
     st.builds(GangCommitted, job_ids, st.just(1)),
     st.builds(GangReleased, job_ids, reasons),
