Ask for the shares that parts of a gang over partitions lack

Cause: a partition that refused a part for want of its team's share did not ask the team's home for it, because shares are asked for by queued groups and a part is queued only in the gang's home. The home asked for the whole gang instead, which it cannot start. A gang over partitions of a team with a quota was refused round after round for ever.

Ruled out: a reservation in the home of the team, which is a third party in each round; counting a refused part as used, which would keep shares from others.

Change: a refused part is a demand of its partition for 15 s, as long as the share is short. A gang that is too large for its home is no demand there. A gang that fits its home and only waits for the quota starts no rounds. `_list_first` serves both lists of waiting jobs, which had stood twice.

Two gangs that need more than the quota together may still take turns slowly.

--- a/src/radishlift/placement/gang_parts.py
+++ b/src/radishlift/placement/gang_parts.py
@@ -31,12 +31,15 @@
 from radishlift.placement.systems import SYSTEMS, TickTime
 from radishlift.placement.tables import NO_ROW
 from radishlift.placement.transfers import QueuedTask
-from radishlift.placement.working import Working
+from radishlift.placement.working import RefusedPart, Working
 
 NO_ROUND: Final = GangRoundId('')
 
 HOLD_MS: Final = 5_000
 """A home that does not commit in this time may have failed."""
+_WANTED_MS: Final = 15_000
+"""Longer than two of the longest pauses between the rounds of a gang, so that
+all its parts have their shares at once."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,6 +92,7 @@
             request.round_id,
         )
         self._apply(reserved)
+        working.inputs.refused_parts.pop(spec.job_id, None)
         return reserved
 
     def count_room(self, request: PartRequest) -> int:
@@ -162,6 +166,12 @@
     count = len(request.tasks)
     shortage = quota_shortage(working, spec.team, spec.demand, count)
     if shortage is not None:
+        working.inputs.refused_parts[spec.job_id] = RefusedPart(
+            spec.team,
+            spec.demand,
+            count,
+            request.now_ms + _WANTED_MS,
+        )
         return Failure(ErrorKind.quota_exceeded, shortage.detail)
     return None
 
@@ -205,7 +215,17 @@
         job_row = working.tables.jobs.row_of.get(stopped.popleft(), NO_ROW)
         if job_row != NO_ROW and working.tables.jobs.is_part[job_row]:
             stop_gang(working, job_row, 'another part of the gang stopped')
+    _forget_refused(working, time.now_ms)
     return True
 
 
+def _forget_refused(working: Working, now_ms: int) -> None:
+    refused = working.inputs.refused_parts
+    is_over = [
+        job_id for job_id in refused if now_ms >= refused[job_id].until_ms
+    ]
+    for job_id in is_over:
+        del refused[job_id]
+
+
 __all__ = ('HOLD_MS', 'NO_ROUND', 'GangParts', 'PartRequest', 'stop_parts')
--- a/src/radishlift/placement/hand_offs.py
+++ b/src/radishlift/placement/hand_offs.py
@@ -1,5 +1,6 @@
 """What other partitions need to know: load, and jobs that wait too long."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Final
 
@@ -56,6 +57,9 @@
     is_large: bool = False
 
 
+Describe = Callable[[Working, Group, int, int], HandOff | None]
+
+
 def summarise_load(working: Working) -> LoadSummary:
     """Sums up the load over the workers of the partition."""
     workers = working.tables.workers
@@ -87,12 +91,20 @@
     handed off before or are gangs. At most `HAND_OFFS_COUNT` are listed,
     those of the lowest rank number first.
     """
+    blocked = [group for group in working.queue.groups() if group.blocked_by]
+    return _list_first(working, blocked, _hand_off, now_ms)
+
+
+def _list_first(
+    working: Working,
+    blocked: list[Group],
+    describe: Describe,
+    now_ms: int,
+) -> list[HandOff]:
     listed: list[HandOff] = []
-    groups = [group for group in working.queue.groups() if group.blocked_by]
-    groups.sort(key=lambda group: group.key.rank)
-    for group in groups:
+    for group in sorted(blocked, key=lambda one: one.key.rank):
         for job_row in working.queue.waiting_jobs(group):
-            hand_off = _hand_off(working, group, job_row, now_ms)
+            hand_off = describe(working, group, job_row, now_ms)
             if hand_off is not None:
                 listed.append(hand_off)
             if len(listed) == HAND_OFFS_COUNT:
@@ -113,7 +125,7 @@
     spec = jobs.spec[job_row]
     waiting_ms = now_ms - jobs.accepted_at_ms[job_row]
     reason = group.blocked_by
-    if not _can_ever_start(working, group, queued_count):
+    if not can_ever_start(working, group, queued_count):
         reason = 'the workers of this partition are not large enough'
     elif _is_kept(working, job_row) or waiting_ms < _patience_ms(spec):
         return None
@@ -135,18 +147,9 @@
     Those that the workers here can't start at all come at once, others when
     they have waited for a while. At most `HAND_OFFS_COUNT` are listed.
     """
-    listed: list[HandOff] = []
     groups = working.queue.groups()
     blocked = [one for one in groups if one.key.is_gang and one.blocked_by]
-    blocked.sort(key=lambda group: group.key.rank)
-    for group in blocked:
-        for job_row in working.queue.waiting_jobs(group):
-            waiting = _waiting_gang(working, group, job_row, now_ms)
-            if waiting is not None:
-                listed.append(waiting)
-            if len(listed) == HAND_OFFS_COUNT:
-                return listed
-    return listed
+    return _list_first(working, blocked, _waiting_gang, now_ms)
 
 
 def _waiting_gang(
@@ -161,9 +164,12 @@
         return None
     spec = jobs.spec[job_row]
     waiting_ms = now_ms - jobs.accepted_at_ms[job_row]
-    is_large = not _can_ever_start(working, group, count)
-    if not is_large and waiting_ms < _patience_ms(spec):
-        return None
+    is_large = not can_ever_start(working, group, count)
+    if not is_large:
+        # With more of the quota a gang that waits for it starts here.
+        is_for_quota = working.queue.blocked.waits_for_quota(group)
+        if is_for_quota or waiting_ms < _patience_ms(spec):
+            return None
     return HandOff(
         spec.job_id,
         spec.demand,
@@ -190,7 +196,7 @@
     return is_gang or is_started or bool(jobs.passed_partitions[job_row])
 
 
-def _can_ever_start(
+def can_ever_start(
     working: Working,
     group: Group,
     queued_count: int,
@@ -214,6 +220,7 @@
     'MAX_MOVES',
     'HandOff',
     'LoadSummary',
+    'can_ever_start',
     'list_hand_offs',
     'list_waiting_gangs',
     'summarise_load',
--- a/src/radishlift/placement/quota_demands.py
+++ b/src/radishlift/placement/quota_demands.py
@@ -7,8 +7,10 @@
 
 from radishlift.core.ids import TeamName
 from radishlift.placement.amounts import plus, times
+from radishlift.placement.hand_offs import can_ever_start
 from radishlift.placement.jobs import Resources
 from radishlift.placement.queue_groups import Group
+from radishlift.placement.rules import quota_shortage
 from radishlift.placement.tables import NOTHING
 from radishlift.placement.working import Working
 
@@ -31,11 +33,25 @@
 
 
 def quota_demands(working: Working) -> dict[TeamName, QuotaDemand]:
-    """Sums the groups that wait for a quota, by team."""
+    """Sums the groups and refused parts that wait for a quota, by team."""
+    demands = _group_demands(working)
+    for refused in working.inputs.refused_parts.values():
+        count = refused.tasks_count
+        if quota_shortage(working, refused.team, refused.demand, count) is None:
+            continue
+        amount = times(refused.demand, count)
+        known = demands.get(refused.team)
+        wanted = amount if known is None else plus(known.wanted, amount)
+        unit = amount if known is None else known.unit
+        demands[refused.team] = QuotaDemand(wanted, unit)
+    return demands
+
+
+def _group_demands(working: Working) -> dict[TeamName, QuotaDemand]:
     firsts: dict[TeamName, Group] = {}
     wanted: dict[TeamName, Resources] = {}
     for team, group in list(working.queue.blocked.waiting_for_quota()):
-        if working.queue.head(group) is None:
+        if not _may_start_here(working, group):
             continue
         first = firsts.setdefault(team, group)
         if group.key.rank < first.key.rank:
@@ -48,6 +64,19 @@
     }
 
 
+def _may_start_here(working: Working, group: Group) -> bool:
+    """Tells whether a share of this partition would let the head start.
+
+    A gang that is too large for the workers here starts in parts, each of
+    which asks for its own share.
+    """
+    job_row = working.queue.head(group)
+    if job_row is None:
+        return False
+    count = working.tables.jobs.ready_count(job_row)
+    return not group.key.is_gang or can_ever_start(working, group, count)
+
+
 def _amount(working: Working, group: Group) -> Resources:
     jobs = working.tables.jobs
     waiting = islice(working.queue.waiting_jobs(group), COUNTED_JOBS_COUNT)
--- a/src/radishlift/placement/working.py
+++ b/src/radishlift/placement/working.py
@@ -23,7 +23,12 @@
 from radishlift.placement.fleet import Fleet
 from radishlift.placement.health import FleetHealth
 from radishlift.placement.job_queue import JobQueue
-from radishlift.placement.jobs import TaskState, UsageReport, WorkerInfo
+from radishlift.placement.jobs import (
+    Resources,
+    TaskState,
+    UsageReport,
+    WorkerInfo,
+)
 from radishlift.placement.learned import Learned
 from radishlift.placement.orders import Order, OrderKind
 from radishlift.placement.partition_tables import PartitionTables
@@ -52,6 +57,20 @@
     shares: Mapping[TeamName, tuple[int, int, int]] | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class RefusedPart:
+    """Members of a gang over partitions that the team's share here lacked.
+
+    The share is asked for until `until_ms`, so that a later round of the
+    gang finds it.
+    """
+
+    team: TeamName
+    demand: Resources
+    tasks_count: int
+    until_ms: int
+
+
 class UsageTracking:
     """Estimates, and the orders that were given to running attempts."""
 
@@ -67,6 +86,7 @@
     def __init__(self) -> None:
         self.cancellations: deque[JobId] = deque()
         self.stopped_parts: deque[JobId] = deque()
+        self.refused_parts: dict[JobId, RefusedPart] = {}
         self.observed: dict[WorkerId, WorkerInfo] = {}
         self.gone: deque[tuple[WorkerId, Incarnation]] = deque()
         self.unreachable: dict[WorkerId, Incarnation] = {}
--- a/tests/partitions/test_quotas.py
+++ b/tests/partitions/test_quotas.py
@@ -4,16 +4,19 @@
 """
 
 import itertools
+from functools import partial
 
 import pytest
 
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.partitions.inquiry import explain
 from radishlift.partitions.intake import submit
+from radishlift.partitions.messages import JobSubmitted
 from radishlift.placement.explanations import ExplanationKind
-from radishlift.placement.jobs import TaskState, task_id_of
+from radishlift.placement.jobs import JobKind, Resources, TaskState, task_id_of
 from radishlift.quotas.homes import QUOTA_HOMES_TABLE, QuotaHomes
 from tests.partitions.cell import OTHER_PARTITION, PARTITION, make_job
+from tests.partitions.owner import Owner
 from tests.partitions.quota_cell import (
     PARTITIONS,
     TEAM,
@@ -22,7 +25,7 @@
     open_quota_cell,
     peak_running,
 )
-from tests.standins.conditions import until
+from tests.standins.conditions import until, until_after
 from tests.standins.tables import Fault
 
 QUOTA = 4
@@ -215,3 +218,30 @@
         change_quota(cell, QUOTA + 2)
         await until(lambda: cell.running() == QUOTA + 2)
         assert peak_running(cell) == QUOTA + 2
+
+
+async def share_loads(*owners: Owner) -> None:
+    """Spreads the load summaries, as heartbeats do."""
+    for owner in owners:
+        await owner.hand_off_sender.step()
+    for owner in owners:
+        for other in owners:
+            loads = other.hand_off_sender._loads
+            owner.hand_off_sender._loads.absorb(loads.summary())
+
+
+async def test_gang_over_partitions_gets_a_share_for_each_part():
+    """Guards against parts that wait for shares that nobody asks for."""
+    async with open_quota_cell(60) as (cell, first, second):
+        gang = make_job(
+            'p1.gang',
+            kind=JobKind.gang,
+            demand=Resources(30_000, 2_000),
+            task_count=2,
+        )
+        assert isinstance(await first.router.submit(gang, 2_000), JobSubmitted)
+        await until_after(
+            partial(share_loads, first, second),
+            lambda: cell.running() == 2,
+        )
+        cell.check()
