Reach the rare records of the placement properties by an example

Cause: test_random_records_never_overcommit passed alone and failed in two whole runs. Its last checks ask that all kinds of records are reached, and the property library draws constants of all loaded modules even with a fixed seed, so the sequences depend on which tests are collected.

Ruled out: more examples or other weights, tried twice; both only moved the case that is missed.

Change: one explicit sequence reaches the records of gangs over partitions, the refused overcommitment and the start before an end; the checks are unchanged.

Conclusion: the verdict no longer depends on the collection for these cases.

--- a/tests/placement/test_properties.py
+++ b/tests/placement/test_properties.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from hypothesis import given, settings
+from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
 from radishlift.core.ids import (
@@ -219,6 +219,36 @@
         assert memory_mb <= capacity.memory_mb
 
 
+# The library draws constants of all loaded modules, so that what random records
+# reach depends on the tests that are collected. These reach the rare cases.
+RARE = [
+    JobAccepted(make_job('j2', kind=JobKind.gang, task_count=3), 1),
+    LiveChange(9, TaskState.finished, 'other'),
+    LiveChange(6, TaskState.queued, 'other'),
+    LiveChange(6, TaskState.finished, 'other'),
+    LiveChange(3, TaskState.finished, 'other'),
+    LiveChange(0, TaskState.finished, 'other'),
+    LiveChange(0, TaskState.finished, 'other'),
+    TaskPlaced(
+        TaskId('j1/0'),
+        Attempt(1),
+        WorkerId('10.0.0.0:9000'),
+        Incarnation('i1'),
+        Resources(1_000, 1_000),
+        1,
+    ),
+    TaskPlaced(
+        TaskId('j1/1'),
+        Attempt(1),
+        WorkerId('10.0.0.0:9000'),
+        Incarnation('i1'),
+        Resources(4_000, 1_000),
+        1,
+    ),
+    LiveChange(5, TaskState.finished, 'other'),
+]
+
+
 def apply_random(sequence, cut, reached):
     """Applies records to tables and to tables restored from a snapshot."""
     live = PartitionState()
@@ -262,6 +292,7 @@
 
     @FIXED
     @given(st.lists(records, min_size=20, max_size=80), st.integers(0, 80))
+    @example(RARE, 9)
     def check(sequence, cut):
         apply_random(sequence, cut, reached)
 
