--- a/src/radishlift/partitions/gang_driver.py
+++ b/src/radishlift/partitions/gang_driver.py
@@ -50,6 +50,7 @@
         try:
             while True:
                 await self.step()
+                await self._partitions.pace.wait_until_busy()
                 await asyncio.sleep(self._settings.gang_interval_ms / 1000)
         finally:
             await self.rounds.close()
