--- a/src/radishlift/load/runner.py
+++ b/src/radishlift/load/runner.py
@@ -89,18 +89,44 @@
 class LoadRunner:
     """Sends requests and jobs at their planned times."""
 
-    def __init__(self, session: ClientSession, balancer: Balancer) -> None:
+    def __init__(
+        self,
+        session: ClientSession,
+        balancer: Balancer,
+        is_over: Callable[[], bool] | None = None,
+    ) -> None:
+        """Sends to the daemons that the balancer picks.
+
+        The rest of a plan is dropped once `is_over` returns true.
+        """
         self._session = session
         self._balancer = balancer
+        self._is_over = is_over
         self.result = LoadResult()
 
     async def send_requests(self, planned: Sequence[PlannedRequest]) -> None:
         """Sends requests and waits for all answers."""
-        await _run_plan(planned, self._send_request)
+        await self._run_plan(planned, self._send_request)
 
     async def send_jobs(self, planned: Sequence[PlannedJob]) -> None:
         """Submits jobs and waits for all answers."""
-        await _run_plan(planned, self._send_job)
+        await self._run_plan(planned, self._send_job)
+
+    async def _run_plan(
+        self,
+        planned: Sequence[Any],
+        send: Callable[[Any], Coroutine[Any, Any, None]],
+    ) -> None:
+        started_s = time.monotonic()
+        sending: list[asyncio.Task[None]] = []
+        for entry in planned:
+            wait_s = started_s + entry.at_ms / 1000 - time.monotonic()
+            if wait_s > 0:
+                await asyncio.sleep(wait_s)
+            if self._is_over is not None and self._is_over():
+                break
+            sending.append(asyncio.create_task(send(entry)))
+        await asyncio.gather(*sending)
 
     async def _send_request(self, planned: PlannedRequest) -> None:
         request_class = planned.request_class
@@ -215,18 +241,4 @@
     }
 
 
-async def _run_plan(
-    planned: Sequence[Any],
-    send: Callable[[Any], Coroutine[Any, Any, None]],
-) -> None:
-    started_s = time.monotonic()
-    sending: list[asyncio.Task[None]] = []
-    for entry in planned:
-        wait_s = started_s + entry.at_ms / 1000 - time.monotonic()
-        if wait_s > 0:
-            await asyncio.sleep(wait_s)
-        sending.append(asyncio.create_task(send(entry)))
-    await asyncio.gather(*sending)
-
-
 __all__ = ('LoadResult', 'LoadRunner')
--- a/tests/system/traffic.py
+++ b/tests/system/traffic.py
@@ -1,6 +1,7 @@
 """Drives a cell with the load tool and collects the evidence."""
 
 import asyncio
+import time
 from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass
 from typing import Any
@@ -17,6 +18,7 @@
 from tests.system.invariants import Evidence
 
 RECORDS_TIMEOUT_S = 40
+LONGEST_FAULTS_MS = 120_000
 FINISHED = ('finished', 'cancelled', 'failed')
 
 
@@ -36,21 +38,34 @@
     options: LoadOptions,
     meanwhile: Callable[[], Awaitable[None]] | None = None,
 ) -> list[LoadResult]:
-    """Sends the traffic of all departments while faults happen."""
+    """Sends the traffic of all departments while faults happen.
+
+    The traffic goes on until the faults are over, also on a slow machine, so
+    that each of them meets requests in flight.
+    """
+    ended_faults = asyncio.Event()
+    end_s = time.monotonic() + options.duration_ms / 1000
+
+    def is_over() -> bool:
+        return ended_faults.is_set() and time.monotonic() >= end_s
+
+    async def cause_faults() -> None:
+        if meanwhile is not None:
+            await meanwhile()
+        ended_faults.set()
+
     connector = TCPConnector(limit=0)
     async with ClientSession(connector=connector) as session:
         addresses = tuple(Address(each) for each in cell.listen.values())
         balancer = Balancer(session, addresses, options.weights)
         checks = asyncio.create_task(balancer.run())
-        runners = [LoadRunner(session, balancer) for _ in cell.shapes]
+        runners = [LoadRunner(session, balancer, is_over) for _ in cell.shapes]
         work = [
             part
             for runner, shape in zip(runners, cell.shapes, strict=True)
             for part in _send(runner, shape.department, options)
         ]
-        if meanwhile is not None:
-            work.append(meanwhile())
-        await asyncio.gather(*work)
+        await asyncio.gather(*work, cause_faults())
         checks.cancel()
     return [runner.result for runner in runners]
 
@@ -64,13 +79,13 @@
     requests = plan_requests(
         traffic,
         options.requests_per_s,
-        options.duration_ms,
+        options.duration_ms + LONGEST_FAULTS_MS,
         options.seed,
     )
     jobs = plan_jobs(
         traffic,
         options.jobs_per_s,
-        options.duration_ms,
+        options.duration_ms + LONGEST_FAULTS_MS,
         options.seed,
     )
     return runner.send_requests(requests), runner.send_jobs(jobs)
