Keep recent log events and show those of the whole cell

Cause: an operator who wants to know what the fleet did had to read the logs of all daemons. Entry hosts have no disks, so that the log of a replaced host may be gone, and nothing showed events in one order.

Weighed: saving events in the object store (writes during an incident, when the store is slow or down) and a push to all daemons (traffic at rest). Chosen: each daemon keeps its last 1,000 events of level INFO and above; they are asked for only when an operator asks.

Change: `EventHistory` counts equal events within a minute as one, and drops from the most frequent kind, so that a flood does not displace its cause. `GET /v1/events` and `radishctl events` merge the events of all daemons by the age that each states, and name the daemons without an answer. The same loop over all peers stood three times; it is `ask_all` now.

Nothing is sent at rest.

--- a/src/radishlift/cli/main.py
+++ b/src/radishlift/cli/main.py
@@ -6,6 +6,7 @@
 from cleo.application import Application
 
 from radishlift.cli.config_commands import CONFIG_COMMANDS
+from radishlift.cli.event_command import EventsCommand
 from radishlift.cli.job_commands import JOB_COMMANDS
 from radishlift.cli.load_command import LoadCommand
 from radishlift.cli.report_commands import REPORT_COMMANDS
@@ -14,6 +15,7 @@
     *JOB_COMMANDS,
     *CONFIG_COMMANDS,
     *REPORT_COMMANDS,
+    EventsCommand,
     LoadCommand,
 )
 
--- a/src/radishlift/core/events.py
+++ b/src/radishlift/core/events.py
@@ -82,4 +82,6 @@
     **dict.fromkeys(_DEBUG, 'DEBUG'),
 }
 
-__all__ = ('EVENT_LEVELS',)
+EVENT_RANKS: Final = {'DEBUG': 0, 'INFO': 1, 'WARNING': 2, 'ERROR': 3}
+
+__all__ = ('EVENT_LEVELS', 'EVENT_RANKS')
--- a/src/radishlift/core/logs.py
+++ b/src/radishlift/core/logs.py
@@ -3,6 +3,7 @@
 import json
 import re
 import sys
+from collections.abc import Callable, Mapping
 from enum import Enum
 from typing import Final
 
@@ -13,6 +14,11 @@
 _PLAIN: Final = re.compile(r'[\w./:@+-]+')
 _FORMAT: Final = '{time:YYYY-MM-DDTHH:mm:ss.SSSZZ} level={level} {message}'
 
+EventSink = Callable[[str, str, Mapping[str, object]], None]
+
+# They get each event, whatever the level of the logs is.
+_SINKS: Final[list[EventSink]] = []
+
 
 def format_field(name: str, field: object) -> str:
     """Formats one pair; quotes text that is not a plain word.
@@ -34,6 +40,18 @@
     pairs.extend(format_field(name, field) for name, field in fields.items())
     level = EVENT_LEVELS[event]
     logger.opt(raw=False).log(level, '{}', ' '.join(pairs))
+    for sink in _SINKS:
+        sink(event, level, fields)
+
+
+def add_event_sink(sink: EventSink) -> None:
+    """Passes the name, level and fields of each event to a function."""
+    _SINKS.append(sink)
+
+
+def remove_event_sink(sink: EventSink) -> None:
+    """Ends what `add_event_sink` began."""
+    _SINKS.remove(sink)
 
 
 def setup_logs(level: str) -> None:
@@ -42,4 +60,11 @@
     logger.add(sys.stderr, format=_FORMAT, level=level, backtrace=False)
 
 
-__all__ = ('format_field', 'log_event', 'setup_logs')
+__all__ = (
+    'EventSink',
+    'add_event_sink',
+    'format_field',
+    'log_event',
+    'remove_event_sink',
+    'setup_logs',
+)
--- a/src/radishlift/daemon/cell_status.py
+++ b/src/radishlift/daemon/cell_status.py
@@ -4,7 +4,6 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import replace
 from itertools import chain
-from typing import Any
 
 from radishlift.config.fleet import Fleet
 from radishlift.console.status import (
@@ -19,6 +18,7 @@
 from radishlift.daemon.foundation import Foundation
 from radishlift.daemon.own_status import DaemonStatus, OwnStatus, StatusFetch
 from radishlift.membership.api import MemberDirectory
+from radishlift.membership.ask_all import ask_all
 from radishlift.ownership.directory import OwnerDirectory
 from radishlift.report.settings import ReportSettings
 from radishlift.wire.network import PeerNetwork
@@ -47,26 +47,23 @@
 
     async def cell_status(self) -> CellStatus | Failure:
         """Adds up what the daemons answer; names those that don't."""
-        peers = self._fleet.peers()
-        own, *replies = await asyncio.gather(
+        own, replies = await asyncio.gather(
             self._own.count(),
-            *(
-                self._network.call(peer, StatusFetch(), self._timeout_ms)
-                for peer in peers
+            ask_all(
+                self._network,
+                self._fleet.peers(),
+                StatusFetch(),
+                DaemonStatus,
+                self._timeout_ms,
             ),
         )
-        answers = [own, *_answered(replies)]
-        missing = [
-            peer
-            for peer, reply in zip(peers, replies, strict=True)
-            if not isinstance(reply, DaemonStatus)
-        ]
+        answers = [own, *replies.by_peer.values()]
         return CellStatus(
             _merge_queues(answers),
             _merge_workers(answers),
             tuple(row for one in answers for row in one.quarantines),
             self._partitions(answers),
-            tuple(missing),
+            replies.missing,
         )
 
     def _partitions(
@@ -106,10 +103,6 @@
     )
 
 
-def _answered(replies: Iterable[Any]) -> list[DaemonStatus]:
-    return [reply for reply in replies if isinstance(reply, DaemonStatus)]
-
-
 def _merge_queues(
     answers: Iterable[DaemonStatus],
 ) -> tuple[QueueStatus, ...]:
--- a/src/radishlift/daemon/entry.py
+++ b/src/radishlift/daemon/entry.py
@@ -7,7 +7,6 @@
 from radishlift.api.jobs import JobHandlers
 from radishlift.api.limits import ApiSettings, LimitsMiddleware
 from radishlift.api.readiness import ReadinessState
-from radishlift.api.reports import ReportHandlers
 from radishlift.api.services import ServiceHandlers
 from radishlift.api.status import StatusHandlers
 from radishlift.core.errors import Failure
@@ -16,9 +15,8 @@
 from radishlift.daemon.control import Control
 from radishlift.daemon.foundation import Foundation
 from radishlift.daemon.jobs import Jobs
-from radishlift.report.collector import MetricsCollector
+from radishlift.daemon.reports import Reports
 from radishlift.report.metrics import Indicator
-from radishlift.report.settings import ReportSettings
 from radishlift.requests.api import ServiceAnswer, ServiceRequest
 from radishlift.requests.limits import ServiceLimits
 from radishlift.requests.router import RequestRouter, RouterParts
@@ -45,20 +43,14 @@
         api_settings = base.settings.get(ApiSettings)
         self.limits = LimitsMiddleware(api_settings)
         change_token = base.settings.get(DaemonSettings).change_token
-        collector = MetricsCollector(
-            self.metrics,
-            control.config,
-            base.network,
-            base.membership,
-            base.settings.get(ReportSettings),
-        )
+        self.reports = Reports(base, control)
         status = build_cell_status(base, control)
         routes: tuple[Routes, ...] = (
             ServiceHandlers(self._handle_request),
             ConfigHandlers(control.config, control.config_store, change_token),
             JobHandlers(jobs.router, api_settings.job_timeout_ms),
             StatusHandlers(base, control, status),
-            ReportHandlers(self.metrics, collector),
+            *self.reports.routes(),
         )
         self.application: web.Application = build_application(
             api_settings,
@@ -70,7 +62,7 @@
             self.application,
             control.config,
             status,
-            collector,
+            self.reports.metrics_collector,
             change_token,
         )
 
--- a/src/radishlift/daemon/lifecycle.py
+++ b/src/radishlift/daemon/lifecycle.py
@@ -8,7 +8,11 @@
 
 from radishlift.api.readiness import Readiness
 from radishlift.core.errors import Failure
-from radishlift.core.logs import log_event
+from radishlift.core.logs import (
+    add_event_sink,
+    log_event,
+    remove_event_sink,
+)
 from radishlift.daemon.control import Control
 from radishlift.daemon.entry import Entry
 from radishlift.daemon.foundation import Foundation
@@ -65,6 +69,7 @@
         return EXIT_FAULT if self._has_failed or is_replaced else 0
 
     async def _start(self) -> None:
+        add_event_sink(self.entry.reports.history.add)
         await self.base.start()
         await self._server.setup()
         host, _, port = self._settings.listen.rpartition(':')
@@ -123,6 +128,7 @@
         await self.entry.router.stop()
         await self.control.worker_client.close()
         await self.base.stop()
+        remove_event_sink(self.entry.reports.history.add)
 
     async def _release_partitions(self, timeout_ms: int) -> None:
         if self.control.ownership.is_replaced:
--- a/src/radishlift/report/collector.py
+++ b/src/radishlift/report/collector.py
@@ -1,6 +1,5 @@
 """Collects the metrics of all daemons."""
 
-import asyncio
 from dataclasses import dataclass
 
 from radishlift.config.api import ConfigView
@@ -8,6 +7,7 @@
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import DaemonId
 from radishlift.membership.api import MemberDirectory
+from radishlift.membership.ask_all import ask_all
 from radishlift.report.burn import BurnReport, burn_report
 from radishlift.report.messages import MetricsFetch, MetricsSnapshot
 from radishlift.report.metrics import MetricsTable
@@ -52,25 +52,15 @@
 
     async def collect(self) -> Collected:
         """Asks all daemons; those that don't answer in time are missing."""
-        peers = self._fleet.peers()
-        replies = await asyncio.gather(
-            *(
-                self._network.call(
-                    peer,
-                    MetricsFetch(),
-                    self._settings.peer_timeout_ms,
-                )
-                for peer in peers
-            ),
+        replies = await ask_all(
+            self._network,
+            self._fleet.peers(),
+            MetricsFetch(),
+            MetricsSnapshot,
+            self._settings.peer_timeout_ms,
         )
-        snapshots = [self._metrics.snapshot()]
-        missing = []
-        for peer, reply in zip(peers, replies, strict=True):
-            if isinstance(reply, MetricsSnapshot):
-                snapshots.append(reply)
-            else:
-                missing.append(peer)
-        return Collected(tuple(snapshots), tuple(missing))
+        snapshots = (self._metrics.snapshot(), *replies.by_peer.values())
+        return Collected(snapshots, replies.missing)
 
     async def _answer(
         self,
--- a/src/radishlift/report/settings.py
+++ b/src/radishlift/report/settings.py
@@ -12,13 +12,15 @@
 
     A histogram takes 17.4 KB and the windows of an objective 5.2 KB, so that
     the defaults take at most 2.9 MB of the 32 MB for control. The counts of
-    the objectives are saved every `save_interval_ms` if they changed.
+    the objectives are saved every `save_interval_ms` if they changed. Of the
+    log events `kept_events_count` are kept for operators.
     """
 
     max_histograms_count: int = bounded(128, 1, 512)
     max_objectives_count: int = bounded(128, 1, 512)
     peer_timeout_ms: int = bounded(1_000, 10, 60_000)
     save_interval_ms: int = bounded(60_000, 1_000, 3_600_000)
+    kept_events_count: int = bounded(1_000, 10, 10_000)
 
 
 __all__ = ('ReportSettings',)
--- a/tests/system/test_whole_path.py
+++ b/tests/system/test_whole_path.py
@@ -15,6 +15,14 @@
 pytestmark = pytest.mark.system
 
 
+async def tells_of_takeover(cell) -> bool:
+    """Asks a daemon that is left for the events of the whole cell."""
+    query = 'event=partition_taken_over&level=WARNING'
+    status, body = await cell.get('d1', f'/v1/events?{query}')
+    assert status == 200, body
+    return bool(body['events'])
+
+
 async def test_requests_and_jobs_survive_a_killed_daemon(tmp_path):
     """Guards against loss or doubling when one of 7 daemons is killed."""
     cell = Cell(tmp_path, tuple(SHAPES.values()))
@@ -30,6 +38,7 @@
         open_jobs = await unfinished_jobs(cell, results, timeout_s=30)
         evidence = await collect_evidence(cell, results, open_jobs, ['d3'])
         _, report = await cell.get('d1', '/v1/report/burn')
+        await cell.wait_for(lambda: tells_of_takeover(cell), 20)
     finally:
         await cell.stop()
     outcomes = count_outcomes(results)
