Poll workers when a task has likely ended, within a rate per daemon

Cause: the end of a task is seen by the next poll only, half a second late on average, and its capacity stays unused until then; and polls of hundreds of workers take most of a core, with nothing that bounds them.

Ruled out: polls at the declared end, and pauses that grow with the run time.

Change: `RunTimes` learns run times by name, `PollPace` polls at the third quartile of those above the time already run, if the outer quartiles are closer together than the regular pause. Two rates bound both kinds of polls.

--- a/src/radishlift/workers/attempts.py
+++ b/src/radishlift/workers/attempts.py
@@ -149,6 +149,8 @@
         session.clock.observe(reply.clock_ms, self._clock.monotonic_ms())
         if reply.state is AttemptState.running:
             live.is_confirmed = True
+            if live.began_ms is None and not live.order.is_inherited:
+                live.began_ms = self._clock.monotonic_ms()
         else:
             self.end_as(session, live, reply.state)
         return True
--- a/src/radishlift/workers/client.py
+++ b/src/radishlift/workers/client.py
@@ -11,6 +11,7 @@
     TCPConnector,
 )
 
+from radishlift.core.clock import Clock, SystemClock
 from radishlift.core.codec import dump_plain, parse_json
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import WorkerId
@@ -26,6 +27,7 @@
     WorkerDescription,
     WorkerReport,
 )
+from radishlift.workers.poll_pace import PollPace
 from radishlift.workers.settings import WorkerSettings
 
 Reply = TypeVar('Reply')
@@ -40,10 +42,16 @@
 
     Calls return the reply, a `Refusal` (no effect), or a `Failure`:
     `peer_unavailable` when the message was surely not sent and
-    `target_outcome_unknown` when it may have taken effect.
+    `target_outcome_unknown` when it may have taken effect. `pace` spreads the
+    polls of all partitions of the daemon.
     """
 
-    def __init__(self, settings: WorkerSettings) -> None:
+    def __init__(
+        self,
+        settings: WorkerSettings,
+        clock: Clock | None = None,
+    ) -> None:
+        self.pace = PollPace(settings, clock or SystemClock())
         self._timeout = ClientTimeout(total=settings.timeout_ms / 1000)
         self._session = ClientSession(
             connector=TCPConnector(
--- a/src/radishlift/workers/dispatcher.py
+++ b/src/radishlift/workers/dispatcher.py
@@ -34,7 +34,6 @@
 _MAX_SLEEP_MS: Final = 1000
 # Looking for lapses scans all sessions.
 _LAPSES_INTERVAL_MS: Final = 50
-_POLLS_PER_LEASE: Final = 4
 
 
 class Dispatcher:
@@ -56,6 +55,7 @@
         self._clock = clock
         self._events = events
         self._attempts = AttemptExchange(client, settings, clock, events)
+        self._pace = client.pace
         self._polls = WorkerPoll(
             client,
             settings,
@@ -65,7 +65,7 @@
         )
         self._lapses = LapseJudge(self._attempts, former, settings.lease_ms)
         self._tasks = TaskGroup()
-        self._senders = Senders(self._attempts, self._tasks, self._poll_soon)
+        self._senders = Senders(self._attempts, self._tasks, self._drained)
         self._sessions: dict[WorkerId, WorkerSession] = {}
         self._worker_of: dict[AttemptKey, WorkerId] = {}
         self._schedule = PollSchedule()
@@ -213,13 +213,23 @@
             self._worker_of.pop(key)
         return session
 
-    def _poll_soon(self, session: WorkerSession) -> None:
-        self._poll_in(session, self._settings.retry_interval_ms)
+    def _drained(self, session: WorkerSession) -> None:
+        if session.poll.is_wanted:
+            session.poll.is_wanted = False
+            self._poll_in(session, self._settings.retry_interval_ms)
+            return
+        until_end_ms = self._pace.until_end_ms(session)
+        if until_end_ms is not None:
+            at_ms = self._clock.monotonic_ms() + until_end_ms
+            if self._schedule.add_if_later(session, at_ms):
+                session.poll.is_for_end = True
 
     def _poll_in(self, session: WorkerSession, delay_ms: int) -> None:
+        session.poll.is_for_end = False
         self._schedule.add(session, self._clock.monotonic_ms() + delay_ms)
 
     async def _poll(self, session: WorkerSession) -> None:
+        self._pace.note_poll(is_for_end=session.poll.is_for_end)
         was_connected = session.is_answering
         answered = False
         try:
@@ -227,28 +237,23 @@
         finally:
             session.poll.is_running = False
             if not answered and not session.has_ended:
-                self._poll_soon(session)
+                self._poll_in(session, self._settings.retry_interval_ms)
         if not answered or session.has_ended:
             return
         session.poll.is_wanted = False
         for live in session.attempts.values():
             if live.needs_attention:
                 self._senders.enqueue(session, live)
-        interval_ms = _interval_ms(session, self._settings)
+        interval_ms = self._pace.regular_ms(session)
         if not was_connected:
             # The first polls come all at once; later ones are spread out.
             interval_ms = Random(session.worker_id).randrange(interval_ms)
-        self._poll_in(session, interval_ms)
-
-
-def _interval_ms(session: WorkerSession, settings: WorkerSettings) -> int:
-    if session.attempts or not session.is_published:
-        return settings.report_interval_ms
-    idle_ms = min(
-        settings.idle_interval_ms,
-        settings.lease_ms // _POLLS_PER_LEASE,
-    )
-    return max(settings.report_interval_ms, idle_ms)
+        until_end_ms = self._pace.until_end_ms(session)
+        if until_end_ms is None or until_end_ms >= interval_ms:
+            self._poll_in(session, interval_ms)
+            return
+        self._poll_in(session, until_end_ms)
+        session.poll.is_for_end = True
 
 
 __all__ = ('Dispatcher',)
--- a/src/radishlift/workers/polls.py
+++ b/src/radishlift/workers/polls.py
@@ -20,7 +20,7 @@
     StateReply,
     WorkerReport,
 )
-from radishlift.workers.session import SessionState, WorkerSession
+from radishlift.workers.session import LiveAttempt, SessionState, WorkerSession
 from radishlift.workers.settings import WorkerSettings
 
 _RENEWALS_PER_LEASE: Final = 4
@@ -132,6 +132,7 @@
         """Takes in a report; tells whether unknown attempts run there."""
         has_foreign = False
         present = set()
+        now_ms = self._clock.monotonic_ms()
         usage = []
         for task in report.tasks:
             key = task.key
@@ -142,9 +143,10 @@
                 is_running = task.state is AttemptState.running
                 has_foreign |= is_running and not is_ended
             elif task.state is not AttemptState.running:
-                self._attempts.end_as(session, live, task.state)
+                self._absorb_end(session, live, task)
             elif not live.is_ended:
                 live.is_confirmed = True
+                live.note_run(task.run_ms, now_ms - _run_ms(task))
                 usage.append(_usage_of(task))
         for key, live in session.attempts.items():
             if key not in present:
@@ -153,6 +155,17 @@
             self._events.usage_reported(session.worker_id, usage)
         return has_foreign
 
+    def _absorb_end(
+        self,
+        session: WorkerSession,
+        live: LiveAttempt,
+        task: AttemptReport,
+    ) -> None:
+        if task.state is AttemptState.finished and not live.is_ended:
+            name = live.order.task.name
+            self._client.pace.run_times.observe(name, _run_ms(task))
+        self._attempts.end_as(session, live, task.state)
+
     def _absorb_unknown(
         self,
         session: WorkerSession,
@@ -212,6 +225,11 @@
                 session.to_forget.pop(key, None)
 
 
+def _run_ms(task: AttemptReport) -> int:
+    # Reports lag: `run_ms` is what the worker knew `report_age_ms` ago.
+    return task.run_ms + task.report_age_ms
+
+
 def _usage_of(task: AttemptReport) -> UsageReport:
     return UsageReport(
         task.task_id,
--- a/src/radishlift/workers/schedule.py
+++ b/src/radishlift/workers/schedule.py
@@ -23,10 +23,15 @@
             self._is_earlier.set()
         heappush(self._due, (at_ms, next(self._entry_ids), session))
 
-    def add_if_later(self, session: WorkerSession, at_ms: int) -> None:
-        """Moves the next poll to this time if it would come later."""
-        if session.poll.next_ms > at_ms and not session.poll.is_running:
+    def add_if_later(self, session: WorkerSession, at_ms: int) -> bool:
+        """Moves the next poll to this time if it would come later.
+
+        Returns whether it was moved.
+        """
+        is_later = session.poll.next_ms > at_ms and not session.poll.is_running
+        if is_later:
             self.add(session, at_ms)
+        return is_later
 
     def delay_ms(self, now_ms: int) -> int | None:
         """Returns when the next poll is due; None without one."""
--- a/src/radishlift/workers/senders.py
+++ b/src/radishlift/workers/senders.py
@@ -46,18 +46,18 @@
     """Drains the queues of sessions.
 
     An attempt is in a queue and in flight at most once at a time.
-    `on_poll_wanted` is called after an exchange that a poll must settle.
+    `on_drained` is called when a sender has nothing more to send.
     """
 
     def __init__(
         self,
         attempts: AttemptExchange,
         tasks: TaskGroup,
-        on_poll_wanted: Callable[[WorkerSession], None],
+        on_drained: Callable[[WorkerSession], None],
     ) -> None:
         self._attempts = attempts
         self._tasks = tasks
-        self._on_poll_wanted = on_poll_wanted
+        self._on_drained = on_drained
 
     def enqueue(self, session: WorkerSession, live: LiveAttempt) -> None:
         """Queues an attempt that needs attention."""
@@ -77,9 +77,8 @@
                 await self._attend(session, live)
         finally:
             session.sender_count -= 1
-        if session.poll.is_wanted and not session.has_ended:
-            session.poll.is_wanted = False
-            self._on_poll_wanted(session)
+        if not session.has_ended:
+            self._on_drained(session)
 
     async def _attend(self, session: WorkerSession, live: LiveAttempt) -> None:
         if live.is_in_flight:
--- a/src/radishlift/workers/session.py
+++ b/src/radishlift/workers/session.py
@@ -69,6 +69,8 @@
 
     `is_sent` is set before the first start is sent, `is_confirmed` when the
     worker has told its state, `is_ended` when it surely does not run.
+    `began_ms` is when it began to run, on the monotonic clock of this host, as
+    far as its worker has told.
     """
 
     order: AttemptToRun
@@ -77,6 +79,7 @@
     is_ended: bool = False
     is_in_flight: bool = False
     is_queued: bool = False
+    began_ms: int | None = None
     pending_orders: dict[OrderKind, None] = field(default_factory=dict)
 
     @property
@@ -91,6 +94,11 @@
             return False
         return bool(self.pending_orders) or not self.is_confirmed
 
+    def note_run(self, run_ms: int, began_ms: int) -> None:
+        """Notes when it began, unless that is known or it has not run yet."""
+        if self.began_ms is None and run_ms:
+            self.began_ms = began_ms
+
 
 @dataclass(frozen=True, slots=True)
 class EndedAttempt:
@@ -105,13 +113,15 @@
 class PollState:
     """When a worker is polled next, on the monotonic clock.
 
-    `is_wanted` is set by an exchange that only a poll can settle.
+    `is_wanted` is set by an exchange that only a poll can settle, `is_for_end`
+    when the next poll looks for the end of a task.
     """
 
     next_ms: int = 0
     next_renewal_ms: int = 0
     is_running: bool = False
     is_wanted: bool = False
+    is_for_end: bool = False
 
 
 class WorkerSession:
--- a/src/radishlift/workers/settings.py
+++ b/src/radishlift/workers/settings.py
@@ -14,12 +14,18 @@
     `report_interval_ms` is the time between polls of a worker with attempts,
     `idle_interval_ms` that of one without, at most a quarter of the lease: it
     has no usage to watch, and a start that it refuses tells of a restart as
-    well as a report. `retry_interval_ms` is the time after a failed exchange.
-    A worker that was never on the host list of this daemon counts as gone
-    after `host_list_lag_ms`.
+    well as a report. Both are stretched when a daemon would need more than
+    `polls_per_s`. Up to `end_polls_per_s` more are made when a task is likely
+    to have ended, at least `end_interval_ms` after the last poll of its worker.
+    `retry_interval_ms` is the time after a failed exchange. A worker that was
+    never on the host list of this daemon counts as gone after
+    `host_list_lag_ms`.
     """
 
     lease_ms: int = bounded(10_000, 100, 600_000)
+    polls_per_s: int = bounded(200, 1, 100_000)
+    end_polls_per_s: int = bounded(100, 0, 100_000)
+    end_interval_ms: int = bounded(100, 1, 60_000)
     report_interval_ms: int = bounded(1_000, 10, 60_000)
     idle_interval_ms: int = bounded(2_500, 10, 60_000)
     retry_interval_ms: int = bounded(200, 10, 60_000)
--- /dev/null
+++ b/tests/workers/test_poll_pace.py
@@ -0,0 +1,88 @@
+import pytest
+
+from radishlift.core.clock import ManualClock
+from radishlift.core.ids import Attempt, Incarnation, TaskId, WorkerId
+from radishlift.workers.messages import TaskToStart
+from radishlift.workers.poll_pace import PollPace
+from radishlift.workers.session import (
+    AttemptToRun,
+    LiveAttempt,
+    WorkerSession,
+)
+from radishlift.workers.settings import WorkerSettings
+
+SETTINGS = WorkerSettings(
+    lease_ms=20_000,
+    report_interval_ms=1000,
+    polls_per_s=100,
+    end_polls_per_s=2,
+)
+WORKER = WorkerId('127.0.0.1:9')
+
+
+@pytest.fixture
+def clock():
+    return ManualClock(1_000_000)
+
+
+@pytest.fixture
+def pace(clock):
+    return PollPace(SETTINGS, clock)
+
+
+def busy_session(clock, *names: str) -> WorkerSession:
+    """Makes a session with tasks of these names that began just now."""
+    session = WorkerSession(WORKER, 0)
+    for number, name in enumerate(names):
+        task = TaskToStart(
+            TaskId(f'j/{number}'), Attempt(1), 1, 1, 0, 60_000, name
+        )
+        live = LiveAttempt(AttemptToRun(WORKER, Incarnation('1'), task))
+        live.began_ms = clock.monotonic_ms()
+        session.attempts[live.order.key] = live
+    return session
+
+
+def learn(pace, name: str, run_ms: int) -> None:
+    for _ in range(4):
+        pace.run_times.observe(name, run_ms)
+
+
+def test_the_next_likely_end_is_polled_for(pace, clock):
+    """Guards against capacity that stays unused until a regular poll."""
+    session = busy_session(clock, 'wash', 'press')
+    assert pace.until_end_ms(session) is None
+    learn(pace, 'wash', 700)
+    learn(pace, 'press', 400)
+    assert pace.until_end_ms(session) == 410
+    clock.advance(405)
+    # A task that is overdue is left to regular polls.
+    assert pace.until_end_ms(session) == 305
+    clock.advance(245)
+    assert pace.until_end_ms(session) == SETTINGS.end_interval_ms
+
+
+def test_polls_for_ends_keep_their_rate(pace, clock):
+    """Guards against a flood of short tasks that takes a whole core."""
+    session = busy_session(clock, 'wash')
+    learn(pace, 'wash', 700)
+    for _ in range(2):
+        assert pace.until_end_ms(session) is not None
+        pace.note_poll(is_for_end=True)
+    assert pace.until_end_ms(session) is None
+    clock.advance(1000)
+    session.attempts = busy_session(clock, 'wash').attempts
+    assert pace.until_end_ms(session) is not None
+
+
+def test_regular_polls_settle_at_the_rate_and_within_the_lease(pace, clock):
+    """Guards against polls that take a core, and leases that lapse."""
+    session = busy_session(clock, 'wash')
+    assert pace.regular_ms(session) == 1000
+    for workers_count, expected_ms in ((300, 3000), (50, 1000), (3000, 5000)):
+        for _ in range(20):
+            interval_ms = pace.regular_ms(session)
+            for _ in range(workers_count * 1000 // interval_ms):
+                pace.note_poll(is_for_end=False)
+            clock.advance(1000)
+        assert pace.regular_ms(session) == pytest.approx(expected_ms, rel=0.02)
