--- a/benchmarks/request_homes.py
+++ b/benchmarks/request_homes.py
@@ -32,6 +32,7 @@
 from radishlift.requests.idempotency import IdempotencyTable
 from radishlift.wire.network import PeerNetwork
 from radishlift.workers.client import WorkerClient
+from tests.standins.knowledge import lasting_knowledge
 
 _RECOVERY_S = 10
 _INCARNATION = Incarnation('1')
@@ -82,7 +83,7 @@
             _INCARNATION,
             parts.store,
             parts.object_store,
-            WorkerClient(settings.workers),
+            WorkerClient(settings.workers, lasting_knowledge()),
             parts.clock,
             parts.members,
             parts.network,
--- a/benchmarks/request_node.py
+++ b/benchmarks/request_node.py
@@ -34,6 +34,7 @@
     ServiceName,
 )
 from radishlift.core.logs import setup_logs
+from radishlift.daemon.hosts import HostFeed
 from radishlift.platform.http import (
     HttpHostList,
     HttpObjectStore,
@@ -46,6 +47,7 @@
 from radishlift.requests.slot_rows import SlotOwner
 from radishlift.requests.slots import SlotAllotments, SlotParts
 from radishlift.requests.targets import TargetList
+from radishlift.settings.daemon import PlatformSettings
 from radishlift.wire.network import PeerNetwork
 
 PROBE_CLASS: Final = 'probe'
@@ -70,7 +72,13 @@
         self._listen = Address(options.peers[options.daemon_id])
         address = Address(options.platform)
         client = PlatformClient(session, address, STORE_TIMEOUT_MS)
-        self.targets = TargetList(HttpHostList(client), self._clock, settings)
+        # Each look of the target list reads the host list.
+        feed = HostFeed(
+            HttpHostList(client),
+            PlatformSettings('', '', '', host_list_interval_ms=400),
+            self._clock,
+        )
+        self.targets = TargetList(feed, feed.knowledge, settings)
         limits = ServiceLimits(self._config)
         self._store = CountingStore(client)
         parts = SlotParts(
--- a/src/radishlift/api/reports.py
+++ b/src/radishlift/api/reports.py
@@ -1,11 +1,18 @@
 """HTTP handlers for metrics and the service-level burn report."""
 
+from itertools import chain
+
 from aiohttp import web
 
 from radishlift.api.answers import answer_of, failure_answer
 from radishlift.core.errors import Failure
+from radishlift.platform.host_knowledge import HostKnowledge
 from radishlift.report.collector import MetricsCollector
-from radishlift.report.exposition import expose, metrics_samples
+from radishlift.report.exposition import (
+    expose,
+    host_list_samples,
+    metrics_samples,
+)
 from radishlift.report.metrics import MetricsTable
 from radishlift.report.render import render_svg, render_table
 
@@ -17,7 +24,9 @@
         self,
         metrics: MetricsTable,
         collector: MetricsCollector,
+        hosts: HostKnowledge,
     ) -> None:
+        self._hosts = hosts
         self._metrics = metrics
         self._collector = collector
 
@@ -44,7 +53,11 @@
 
     async def show_metrics(self, _request: web.Request) -> web.Response:
         """Answers with this daemon's metrics as text."""
-        return web.Response(text=expose(metrics_samples(self._metrics)))
+        samples = chain(
+            metrics_samples(self._metrics),
+            host_list_samples(self._hosts),
+        )
+        return web.Response(text=expose(samples))
 
 
 __all__ = ('ReportHandlers',)
--- a/src/radishlift/core/events.py
+++ b/src/radishlift/core/events.py
@@ -33,6 +33,7 @@
     'executor_health',
     'gang_outcome_unknown',
     'hand_off_not_journaled',
+    'host_list_outdated',
     'key_report_dropped',
     'key_report_given_up',
     'ownership_step_failed',
@@ -60,9 +61,11 @@
     'gang_commit_not_confirmed',
     'gang_round_released',
     'hand_off_not_confirmed',
+    'host_list_current',
     'journal_closed',
     'partition_acquired',
     'quota_homes_not_written',
+    'start_withdrawn',
     'worker_gone',
 )
 _DEBUG: Final = (
--- a/src/radishlift/daemon/control.py
+++ b/src/radishlift/daemon/control.py
@@ -94,7 +94,10 @@
             settings.get(ReportSettings),
         )
         self.directory = OwnerDirectory(self.config)
-        self.worker_client = WorkerClient(settings.get(WorkerSettings))
+        self.worker_client = WorkerClient(
+            settings.get(WorkerSettings),
+            base.hosts.knowledge,
+        )
         self.parts = self._parts(base, state_factories)
         self.partitions = Partitions(
             self.parts,
--- a/src/radishlift/daemon/entry.py
+++ b/src/radishlift/daemon/entry.py
@@ -58,7 +58,7 @@
             ConfigHandlers(control.config, control.config_store, change_token),
             JobHandlers(jobs.router, api_settings.job_timeout_ms),
             StatusHandlers(base, control, status),
-            ReportHandlers(self.metrics, collector),
+            ReportHandlers(self.metrics, collector, base.hosts.knowledge),
         )
         self.application: web.Application = build_application(
             api_settings,
@@ -94,7 +94,7 @@
 def _build_router(base: Foundation, control: Control) -> RequestRouter:
     settings = base.settings.get(RequestSettings)
     limits = ServiceLimits(control.config)
-    targets = TargetList(base.hosts, base.clock, settings)
+    targets = TargetList(base.hosts, base.hosts.knowledge, settings)
     # What peers say of leaving hosts does not wait for a read of the list.
     base.hosts.subscribe(targets.adopt)
     slot_parts = SlotParts(
--- a/src/radishlift/daemon/foundation.py
+++ b/src/radishlift/daemon/foundation.py
@@ -1,6 +1,5 @@
 """What all parts of a daemon stand on: identity, streams, platform, peers."""
 
-from random import Random
 from typing import Final
 from uuid import uuid4
 
@@ -56,7 +55,7 @@
             self.hosts,
             self.network,
             self.clock,
-            Random(self.member.incarnation),
+            platform,
         )
         self.own_row = OwnRow(self.store, self.clock, self.member)
         self.table = DaemonTable(self.store, self.clock)
--- a/src/radishlift/daemon/hosts.py
+++ b/src/radishlift/daemon/hosts.py
@@ -10,9 +10,11 @@
 from radishlift.core.ids import Address
 from radishlift.core.logs import log_event
 from radishlift.platform.api import Host, HostList, HostState
+from radishlift.platform.host_knowledge import HostKnowledge
 from radishlift.settings.daemon import PlatformSettings
 
 _MS_PER_S: Final = 1000
+_NONE: Final[frozenset[Address]] = frozenset()
 
 HostsListener = Callable[[tuple[Host, ...]], None]
 
@@ -21,8 +23,9 @@
     """Polls the host list, tells its listeners and serves the last reading.
 
     The last list stays in use while the host list can't be read, with the
-    hosts that peers say are leaving. It is a `HostList` itself, so that parts
-    with a loop of their own share its polls.
+    hosts that peers say are leaving; `knowledge` says how old that is. It is
+    a `HostList` itself, so that parts with a loop of their own share its
+    polls.
     """
 
     def __init__(
@@ -32,15 +35,20 @@
         clock: Clock,
     ) -> None:
         self._source = source
-        self.interval_ms = settings.host_list_interval_ms
+        self._settings = settings
         self._clock = clock
+        self.knowledge = HostKnowledge(clock, settings.host_list_limit_ms)
         self._listeners: list[HostsListener] = []
-        self._told: tuple[Host, ...] | None = None
         self._last: tuple[Host, ...] | Failure | None = None
-        self._read_at_ms = 0
-        self._listed_at_ms = clock.monotonic_ms()
-        self._noted: tuple[Host, ...] = ()
+        self._asked_at_ms = 0
+        self._listed: tuple[Host, ...] = ()
+        self._read_at_ms: int | None = None
+        self._noted: frozenset[Address] = _NONE
         self._noted_at_ms = 0
+        self._told: tuple[Host, ...] = ()
+        self._leaving: tuple[Address, ...] = ()
+        self._told_from: tuple[tuple[Host, ...], frozenset[Address]]
+        self._told_from = ((), _NONE)
 
     def subscribe(self, listener: HostsListener) -> None:
         """Calls a listener with each list that differs from the last."""
@@ -50,86 +58,118 @@
         """Returns the last reading if it is no older than an interval.
 
         While the list can't be read this is the last list with what peers
-        say, if that is no older than two intervals.
+        say, if that is recent enough for new work.
         """
-        now_ms = self._clock.monotonic_ms()
-        if self._noted and now_ms - self._noted_at_ms <= self._outdated_ms:
-            return self._noted
-        age_ms = now_ms - self._read_at_ms
-        if self._last is None or age_ms > self.interval_ms:
+        if self._has_newer_notes and not self.knowledge.is_outdated:
+            return self._told
+        age_ms = self._clock.monotonic_ms() - self._asked_at_ms
+        if self._last is None or age_ms > self._settings.host_list_interval_ms:
             return await self.refresh()
         return self._last
 
     async def refresh(self) -> tuple[Host, ...] | Failure:
-        """Reads the list once."""
+        """Reads the list once.
+
+        An answer that arrives after that of a later read changes nothing.
+        """
+        sent_at_ms = self._clock.monotonic_ms()
+        self._asked_at_ms = sent_at_ms
         hosts = await self._source.fetch()
         if not isinstance(hosts, Failure) and not hosts:
             # This host itself is listed while it lives; an empty list would
             # declare every worker and daemon gone.
             reason = 'the host list is empty'
             hosts = Failure(ErrorKind.store_unavailable, reason)
-        self._last = hosts
-        self._read_at_ms = self._clock.monotonic_ms()
         if isinstance(hosts, Failure):
+            self._last = hosts
             log_event('host_list_unread', reason=hosts.reason)
             return hosts
-        self._listed_at_ms = self._read_at_ms
-        self._noted = ()
-        if hosts is not self._told:
-            self._tell(hosts)
-        return hosts
+        if self._read_at_ms is not None and sent_at_ms < self._read_at_ms:
+            return self._told
+        self._read_at_ms = sent_at_ms
+        self._listed = hosts
+        if not self._has_newer_notes:
+            self._noted = _NONE
+        self._update()
+        self._last = self._told
+        return self._told
 
-    def is_overdue(self) -> bool:
-        """Tells whether the list was not read for two intervals."""
-        age_ms = self._clock.monotonic_ms() - self._listed_at_ms
-        return age_ms > self._outdated_ms
+    @property
+    def overdue_in_ms(self) -> int:
+        """Returns the time until peers must be asked; 0 if they must be now.
+
+        It is half of the time between the next read and the limit, which
+        leaves peers the other half to answer.
+        """
+        settings = self._settings
+        age_ms = self.knowledge.age_ms
+        if age_ms is None:
+            return 0
+        due_ms = settings.host_list_interval_ms + settings.host_list_limit_ms
+        return max(0, due_ms // 2 - age_ms)
 
     def leaving(self) -> tuple[Address, ...]:
         """Lists the leaving hosts as last read, or noted from peers."""
-        return tuple(
-            host.address
-            for host in self._told or ()
-            if host.state is HostState.leaving
-        )
+        return self._leaving
 
     def note_leaving(
         self,
         addresses: Collection[Address],
-        asked_at_ms: int,
-    ) -> None:
-        """Marks hosts as leaving until the list is read again.
+        known_at_ms: int,
+    ) -> bool:
+        """Takes what a peer knows, if that is newer than what is known here.
 
-        `asked_at_ms` is the monotonic time at which a peer was asked.
+        `known_at_ms` is the monotonic time at which the peer was asked, less
+        the age of its knowledge. Hosts that it says are leaving stay marked
+        until a later read of the own list. Returns whether it was newer.
         """
-        if self._told is None or not self.is_overdue():
-            return
-        live = {
-            host.address for host in self._told if host.state is HostState.live
-        }
-        leaving = live.intersection(addresses)
-        if leaving:
-            self._tell(tuple(_mark(host, leaving) for host in self._told))
-        self._noted = self._told
-        self._noted_at_ms = asked_at_ms
+        if self._read_at_ms is None:
+            return False
+        if known_at_ms <= max(self._read_at_ms, self._noted_at_ms):
+            return False
+        self._noted_at_ms = known_at_ms
+        self._noted |= frozenset(addresses)
+        self._update()
+        return True
 
     async def run(self) -> None:
-        """Polls until cancelled."""
+        """Polls until cancelled.
+
+        The interval counts from the begin of a read, so that a read without
+        an answer does not delay the next one.
+        """
         while True:
             await self.refresh()
-            await asyncio.sleep(self.interval_ms / _MS_PER_S)
+            passed_ms = self._clock.monotonic_ms() - self._asked_at_ms
+            rest_ms = self._settings.host_list_interval_ms - passed_ms
+            await asyncio.sleep(max(0, rest_ms) / _MS_PER_S)
 
     @property
-    def _outdated_ms(self) -> int:
-        return 2 * self.interval_ms
+    def _has_newer_notes(self) -> bool:
+        return self._noted_at_ms > (self._read_at_ms or 0)
+
+    def _update(self) -> None:
+        listed, noted = self._told_from
+        # An unchanged list is the same object, and it may be long.
+        if listed is not self._listed or noted != self._noted:
+            self._told_from = (self._listed, self._noted)
+            self._tell(tuple(_mark(host, self._noted) for host in self._listed))
+        known_at_ms = max(self._read_at_ms or 0, self._noted_at_ms)
+        # After the listeners: they place nothing more on a leaving host when
+        # work may be sent again.
+        self.knowledge.learn(self._leaving, known_at_ms)
 
     def _tell(self, hosts: tuple[Host, ...]) -> None:
         self._told = hosts
+        self._leaving = tuple(
+            host.address for host in hosts if host.state is HostState.leaving
+        )
         for listener in self._listeners:
             listener(hosts)
 
 
 def _mark(host: Host, leaving: Collection[Address]) -> Host:
-    if host.address in leaving:
+    if host.address in leaving and host.state is HostState.live:
         return replace(host, state=HostState.leaving)
     return host
 
--- a/src/radishlift/daemon/leaving_hosts.py
+++ b/src/radishlift/daemon/leaving_hosts.py
@@ -1,22 +1,22 @@
 """What peers know of leaving hosts, for a daemon cut from the host list.
 
-Such a daemon goes on with its last list. Without this exchange it would send
-work to an executor that has left meanwhile for as long as the cut lasts.
+Such a daemon goes on with its last list. Without this exchange it would have
+to hold all new work for as long as the cut lasts.
 """
 
 import asyncio
 from dataclasses import dataclass
-from random import Random
 from typing import Final
 
 from radishlift.core.clock import Clock
 from radishlift.core.ids import Address, DaemonId
 from radishlift.daemon.hosts import HostFeed
+from radishlift.settings.daemon import PlatformSettings
 from radishlift.wire.messages import message
 from radishlift.wire.network import PeerNetwork
 
-_ASKED_COUNT: Final = 2
 _MS_PER_S: Final = 1000
+_MIN_PAUSE_MS: Final = 50
 
 
 @message('get_leaving_hosts')
@@ -28,9 +28,13 @@
 @message('leaving_hosts')
 @dataclass(frozen=True, slots=True)
 class LeavingHosts:
-    """Addresses of leaving hosts, as the sender last read them."""
+    """Addresses of leaving hosts, as the sender knows them.
+
+    `age_ms` is the age of that knowledge; None before the first read.
+    """
 
     addresses: tuple[Address, ...]
+    age_ms: int | None = None
 
 
 class LeavingExchange:
@@ -41,50 +45,79 @@
         feed: HostFeed,
         network: PeerNetwork,
         clock: Clock,
-        random: Random,
+        settings: PlatformSettings,
     ) -> None:
         self._feed = feed
         self._clock = clock
         self._network = network
-        self._random = random
+        spare_ms = settings.host_list_limit_ms - settings.host_list_interval_ms
+        # Two rounds fit between the first question and the limit.
+        self._pause_ms = max(_MIN_PAUSE_MS, spare_ms // 4)
+        self._timeout_ms = max(_MIN_PAUSE_MS, spare_ms)
+        self._turn = 0
+        self._helpful: DaemonId | None = None
+        self._asking: set[asyncio.Task[None]] = set()
         network.register(GetLeavingHosts, self._answer)
 
     async def run(self) -> None:
-        """Asks twice in each interval of the host list until cancelled.
-
-        The peer has read the list up to an interval ago, and work for a
-        leaving host should stop within 2 s.
-        """
+        """Asks while the own read is overdue, until cancelled."""
         while True:
-            await self.step()
-            await asyncio.sleep(self._feed.interval_ms / 2 / _MS_PER_S)
+            self.step()
+            wait_ms = max(self._pause_ms, self._feed.overdue_in_ms)
+            await asyncio.sleep(wait_ms / _MS_PER_S)
 
-    async def step(self) -> None:
-        """Asks some peers if the last reading is outdated."""
-        if not self._feed.is_overdue():
+    def step(self) -> None:
+        """Asks two peers if the last reading is overdue.
+
+        It does not wait for them, since a peer that is cut off would delay
+        the questions to others.
+        """
+        if self._feed.overdue_in_ms:
             return
+        self._feed.knowledge.watch()
+        for peer in self._next_peers():
+            asking = asyncio.create_task(self._ask(peer))
+            self._asking.add(asking)
+            asking.add_done_callback(self._asking.discard)
+
+    def _next_peers(self) -> tuple[DaemonId, ...]:
+        """Chooses the peer that helped last, and others in turn."""
+        peers = sorted(self._network.peers)
+        if not peers:
+            return ()
+        first = peers[self._turn % len(peers)]
+        second = peers[(self._turn + 1) % len(peers)]
+        if self._helpful in peers:
+            second = self._helpful
+            self._turn += 1
+        else:
+            self._turn += 2
+        return tuple(dict.fromkeys((first, second)))
+
+    async def _ask(self, peer: DaemonId) -> None:
         # What a peer read is no newer than the question: this process may be
         # paused before it takes the answer.
         asked_at_ms = self._clock.monotonic_ms()
-        peers = self._network.peers
-        asked = self._random.sample(peers, min(_ASKED_COUNT, len(peers)))
-        timeout_ms = self._feed.interval_ms
-        replies = await asyncio.gather(
-            *(
-                self._network.call(peer, GetLeavingHosts(), timeout_ms)
-                for peer in asked
-            ),
+        reply = await self._network.call(
+            peer,
+            GetLeavingHosts(),
+            self._timeout_ms,
         )
-        for reply in replies:
-            if isinstance(reply, LeavingHosts):
-                self._feed.note_leaving(reply.addresses, asked_at_ms)
+        has_helped = False
+        if isinstance(reply, LeavingHosts) and reply.age_ms is not None:
+            known_at_ms = asked_at_ms - reply.age_ms
+            has_helped = self._feed.note_leaving(reply.addresses, known_at_ms)
+        if has_helped:
+            self._helpful = peer
+        elif self._helpful == peer:
+            self._helpful = None
 
     async def _answer(
         self,
         _sender: DaemonId,
         _asked: GetLeavingHosts,
     ) -> LeavingHosts:
-        return LeavingHosts(self._feed.leaving())
+        return LeavingHosts(self._feed.leaving(), self._feed.knowledge.age_ms)
 
 
 __all__ = ('GetLeavingHosts', 'LeavingExchange', 'LeavingHosts')
--- a/src/radishlift/platform/http.py
+++ b/src/radishlift/platform/http.py
@@ -202,12 +202,14 @@
 
     async def fetch(self) -> tuple[Host, ...] | Failure:
         """Reads the list; an unchanged one is the same object."""
+        # Reads may overlap: 304 refers to the list whose tag was sent.
+        held = self._hosts
         headers = {'If-None-Match': self._tag} if self._tag else {}
         answer = await self._client.call('GET', '/hosts', headers=headers)
         if isinstance(answer, Failure):
             return answer
         if answer.status == _NOT_MODIFIED:
-            return self._hosts
+            return held
         listed = parse_json(answer.body, _ListedHosts)
         if isinstance(listed, Failure):
             return Failure(ErrorKind.store_unavailable, listed.reason)
--- a/src/radishlift/report/exposition.py
+++ b/src/radishlift/report/exposition.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+from radishlift.platform.host_knowledge import HostKnowledge
 from radishlift.report.burn import burn_report
 from radishlift.report.histograms import HistogramTable
 from radishlift.report.metrics import MetricsTable
@@ -43,6 +44,13 @@
                 yield Sample('radishlift_burn_rate', burn.burn_rate, labels)
 
 
+def host_list_samples(hosts: HostKnowledge) -> Iterator[Sample]:
+    """Yields the age of the host list and how often it was too old."""
+    if hosts.age_ms is not None:
+        yield Sample('radishlift_host_list_age_ms', hosts.age_ms)
+    yield Sample('radishlift_host_list_outdated_total', hosts.outdated_count)
+
+
 def _histogram_samples(histograms: HistogramTable) -> Iterator[Sample]:
     yield Sample(
         'radishlift_dropped_observations_total',
--- a/src/radishlift/requests/attempts.py
+++ b/src/radishlift/requests/attempts.py
@@ -1,6 +1,7 @@
 """One attempt on a taken slot, and what is learned from its result."""
 
 from radishlift.core.errors import ErrorKind, Failure
+from radishlift.platform.host_knowledge import SendVerdict
 from radishlift.requests.api import ServiceAnswer
 from radishlift.requests.calls import Call
 from radishlift.requests.dispatch import Dispatched, Dispatcher
@@ -35,7 +36,8 @@
         dispatched = await self._dispatcher.dispatch(view, call, limit_ms)
         self._learn(view, call, dispatched)
         call.late = dispatched.late
-        if isinstance(dispatched.answer, Failure):
+        is_failure = isinstance(dispatched.answer, Failure)
+        if is_failure and dispatched.verdict is not SendVerdict.outdated:
             call.excluded.add(view.executor_id)
         return dispatched.answer
 
@@ -45,6 +47,9 @@
         call: Call,
         dispatched: Dispatched,
     ) -> None:
+        if dispatched.verdict is not SendVerdict.allowed:
+            # Nothing was sent: no fault of the executor.
+            return
         service = call.request.service
         times = self._places.times
         is_good = not isinstance(dispatched.answer, Failure)
--- a/src/radishlift/requests/dispatch.py
+++ b/src/radishlift/requests/dispatch.py
@@ -9,6 +9,7 @@
 from radishlift.core.clock import Clock
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import ServiceName
+from radishlift.platform.host_knowledge import SendVerdict
 from radishlift.requests.api import ServiceAnswer, ServiceRequest
 from radishlift.requests.calls import Call
 from radishlift.requests.executor_client import (
@@ -45,12 +46,14 @@
 class Dispatched:
     """Outcome of an attempt and how long the caller waited for it.
 
-    `late` gets the exchange that goes on after the wait has ended.
+    `late` gets the exchange that goes on after the wait has ended. `verdict`
+    is that of the host list right before the send.
     """
 
     answer: ServiceAnswer | Failure
     elapsed_ms: int
     late: 'asyncio.Future[Exchange] | None' = None
+    verdict: SendVerdict = SendVerdict.allowed
 
 
 class Dispatcher:
@@ -96,7 +99,9 @@
             await asyncio.wait({done})
         elapsed_ms = self._clock.monotonic_ms() - started_at_ms
         if done.done():
-            return Dispatched(done.result().answer, elapsed_ms)
+            answer = done.result().answer
+            verdict = progress.verdict
+            return Dispatched(answer, elapsed_ms, verdict=verdict)
         reason = f'{view.executor_id} has not answered in {elapsed_ms} ms'
         failure = Failure(ErrorKind.target_outcome_unknown, reason)
         return Dispatched(failure, elapsed_ms, done)
--- a/src/radishlift/requests/executor_client.py
+++ b/src/radishlift/requests/executor_client.py
@@ -20,14 +20,25 @@
 )
 
 from radishlift.core.errors import ErrorKind, Failure
-from radishlift.core.ids import ExecutorId
+from radishlift.core.ids import Address, ExecutorId
+from radishlift.platform.host_knowledge import (
+    HostKnowledge,
+    SendNotAllowedError,
+    SendVerdict,
+)
 from radishlift.requests.api import ServiceAnswer
 
 REQUEST_ID_HEADER: Final = 'X-Request-Id'
 DEADLINE_HEADER: Final = 'X-Deadline-Ms'
 
 # A timeout is an `OSError`, a closed session a `RuntimeError`.
-_SEND_ERRORS: Final = (ClientError, OSError, ValueError, RuntimeError)
+_SEND_ERRORS: Final = (
+    ClientError,
+    OSError,
+    ValueError,
+    RuntimeError,
+    SendNotAllowedError,
+)
 _FIRST_SERVER_ERROR: Final = 500
 _CONNECT_TIMEOUT_S: Final = 1.0
 # Executors allow about 60 connections in all; idle ones are dropped soon, so
@@ -37,9 +48,15 @@
 
 @dataclass(slots=True)
 class Progress:
-    """How far an exchange has come."""
+    """How far an exchange has come.
+
+    `verdict` tells whether the target was to get new work when the request
+    was about to be sent.
+    """
 
     is_connected: bool = False
+    target: Address = Address('')
+    verdict: SendVerdict = SendVerdict.allowed
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,7 +83,9 @@
         self,
         connections_per_executor: int,
         max_answer_bytes: int,
+        knowledge: HostKnowledge,
     ) -> None:
+        self._knowledge = knowledge
         self._connections = connections_per_executor
         self._max_answer_bytes = max_answer_bytes
         self._session: ClientSession | None = None
@@ -76,6 +95,10 @@
         trace = TraceConfig()
         trace.on_connection_create_end.append(_mark_connected)
         trace.on_connection_reuseconn.append(_mark_connected)
+        # The wait for a connection may take up to its timeout, and this
+        # process may have been paused: this is the last step before a byte
+        # is written.
+        trace.on_request_headers_sent.append(self._check_target)
         self._session = ClientSession(
             connector=TCPConnector(
                 limit=0,
@@ -100,7 +123,11 @@
         progress: Progress,
         limit_ms: int,
     ) -> Exchange:
-        """Sends a request and reads its whole answer."""
+        """Sends a request and reads its whole answer.
+
+        It is not sent if the executor is to get no new work at that moment.
+        """
+        progress.target = Address(executor_id)
         try:
             async with asyncio.timeout(limit_ms / 1000):
                 return await self._exchange(
@@ -133,6 +160,19 @@
         ) as response:
             return await self._read(response, headers[REQUEST_ID_HEADER])
 
+    async def _check_target(
+        self,
+        _session: ClientSession,
+        context: SimpleNamespace,
+        _event: Any,
+    ) -> None:
+        progress: Progress = context.trace_request_ctx
+        progress.verdict = self._knowledge.check(progress.target)
+        if progress.verdict is not SendVerdict.allowed:
+            # The connection is closed without a byte of this request.
+            progress.is_connected = False
+            raise SendNotAllowedError(progress.verdict)
+
     async def _read(
         self,
         response: ClientResponse,
--- a/src/radishlift/requests/router.py
+++ b/src/radishlift/requests/router.py
@@ -85,6 +85,7 @@
         self.client = ExecutorClient(
             settings.connections_per_executor,
             settings.max_answer_bytes,
+            parts.slot_parts.targets.knowledge,
         )
         self.dispatcher = Dispatcher(
             self.client,
@@ -111,6 +112,8 @@
             self.reports,
         )
         self.exchange.connect(self.places, self._forwarder.out_counts)
+        knowledge = parts.slot_parts.targets.knowledge
+        knowledge.subscribe(self.places.pump_all)
         self.homes = HomeServer(
             parts.network,
             parts.partitions,
--- a/src/radishlift/requests/targets.py
+++ b/src/radishlift/requests/targets.py
@@ -3,11 +3,11 @@
 import asyncio
 from collections import defaultdict
 
-from radishlift.core.clock import Clock
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import ExecutorId, ServiceName
 from radishlift.core.logs import log_event
 from radishlift.platform.api import Host, HostList, HostRole, HostState
+from radishlift.platform.host_knowledge import HostKnowledge
 from radishlift.requests.settings import RequestSettings
 
 _NONE: frozenset[ExecutorId] = frozenset()
@@ -16,19 +16,19 @@
 class TargetList:
     """Executors that may get new requests, and those that still exist.
 
-    The last list stays in use while the host list can't be read.
+    The last list stays in use while the host list can't be read, but executors
+    get new requests only while `knowledge` of it is recent enough.
     """
 
     def __init__(
         self,
         host_list: HostList,
-        clock: Clock,
+        knowledge: HostKnowledge,
         settings: RequestSettings,
     ) -> None:
         self._host_list = host_list
-        self._clock = clock
+        self.knowledge = knowledge
         self._settings = settings
-        self._checked_at_ms: int | None = None
         self._live: dict[ServiceName, frozenset[ExecutorId]] = {}
         self.services: dict[ExecutorId, ServiceName] = {}
         self._is_known = False
@@ -36,18 +36,11 @@
     def live(self, service: ServiceName) -> frozenset[ExecutorId]:
         """Returns the executors that may get new requests.
 
-        There are none when no attempt to read the list has ended for longer
-        than an interval and a timeout: then this process was paused, and an
-        executor may have left meanwhile.
+        There are none when an executor may have left since the list was read:
+        in an outage of the host list or after a pause of this process.
         """
-        if self._checked_at_ms is None:
-            return _NONE
-        pause_ms = self._clock.monotonic_ms() - self._checked_at_ms
-        allowed_ms = (
-            2 * self._settings.targets_interval_ms
-            + self._settings.targets_timeout_ms
-        )
-        if pause_ms > allowed_ms:
+        if self.knowledge.is_outdated:
+            self.knowledge.watch()
             return _NONE
         return self._live.get(service, _NONE)
 
@@ -73,7 +66,6 @@
                 hosts = await self._host_list.fetch()
         except TimeoutError:
             hosts = Failure(ErrorKind.store_unavailable, 'host list timed out')
-        self._checked_at_ms = self._clock.monotonic_ms()
         if isinstance(hosts, Failure):
             log_event('host_list_unread', reason=hosts.reason)
             return hosts
--- a/src/radishlift/settings/daemon.py
+++ b/src/radishlift/settings/daemon.py
@@ -33,13 +33,20 @@
 @section('platform')
 @dataclass(frozen=True, slots=True)
 class PlatformSettings:
-    """Addresses of the platform's services, as `ip:port`."""
+    """Addresses of the platform's services, as `ip:port`.
+
+    No new work is sent when what is known of the host list is older than
+    `host_list_limit_ms`, which must exceed `host_list_interval_ms`.
+    """
 
     table_address: str
     object_address: str
     host_list_address: str
     timeout_ms: int = bounded(1_500, 10, 60_000)
     host_list_interval_ms: int = bounded(1_000, 50, 60_000)
+    # Work for a leaving host stops within 2 s; 300 ms of them are for sending
+    # and for clocks whose rates differ by 5%.
+    host_list_limit_ms: int = bounded(1_700, 100, 3_600_000)
 
 
 __all__ = ('DaemonSettings', 'PlatformSettings')
--- a/src/radishlift/workers/attempts.py
+++ b/src/radishlift/workers/attempts.py
@@ -8,8 +8,10 @@
 
 from radishlift.core.clock import Clock
 from radishlift.core.errors import ErrorKind, Failure
+from radishlift.core.logs import log_event
 from radishlift.placement.jobs import TaskState
 from radishlift.placement.orders import OrderKind
+from radishlift.platform.host_knowledge import SendVerdict
 from radishlift.workers.client import WorkerClient
 from radishlift.workers.events import WorkerEvents
 from radishlift.workers.messages import (
@@ -122,6 +124,12 @@
         until_ms = session.clock.lease_until_ms(self._settings.lease_ms)
         if until_ms is None:
             return
+        verdict = self._client.check(session.worker_id)
+        if verdict is SendVerdict.leaving:
+            await self._withdraw(session, live)
+        if verdict is not SendVerdict.allowed:
+            # The start of an outdated list is repeated after later polls.
+            return
         message = StartMessage(
             live.order.incarnation,
             until_ms,
@@ -129,11 +137,36 @@
         )
         was_sent = live.is_sent
         live.is_sent = True
+        live.is_absent = False
         reply = await self._client.start(session.worker_id, message)
+        live.answered_at_ms = self._clock.monotonic_ms()
         if _is_unsent(reply) and not was_sent:
             live.is_sent = False
         self._take_reply(session, live, reply)
 
+    async def _withdraw(
+        self,
+        session: WorkerSession,
+        live: LiveAttempt,
+    ) -> None:
+        """Takes back a journaled start for a worker that is leaving.
+
+        A start that may have been sent is only stopped after a report without
+        it: the stop leaves a tombstone, which also refuses a start that is
+        still on its way, while an attempt that began in time goes on.
+        """
+        if live.may_run and not live.is_absent:
+            return
+        log_event(
+            'start_withdrawn',
+            worker=session.worker_id,
+            task=live.order.key.task_id,
+        )
+        if live.may_run:
+            await self._stop(session, live)
+            return
+        self.end(session, live, TaskState.queued, 'worker is leaving')
+
     def _take_reply(
         self,
         session: WorkerSession,
--- a/src/radishlift/workers/client.py
+++ b/src/radishlift/workers/client.py
@@ -1,5 +1,6 @@
 """HTTP client of the worker protocol; one for each daemon."""
 
+from types import SimpleNamespace
 from typing import Any, Final, TypeVar
 
 from aiohttp import (
@@ -9,12 +10,18 @@
     ClientTimeout,
     DummyCookieJar,
     TCPConnector,
+    TraceConfig,
 )
 
 from radishlift.core.codec import dump_plain, parse_json
 from radishlift.core.errors import ErrorKind, Failure
-from radishlift.core.ids import WorkerId
+from radishlift.core.ids import Address, WorkerId
 from radishlift.placement.orders import OrderKind
+from radishlift.platform.host_knowledge import (
+    HostKnowledge,
+    SendNotAllowedError,
+    SendVerdict,
+)
 from radishlift.workers.messages import (
     AttemptKey,
     ClockReply,
@@ -40,10 +47,19 @@
 
     Calls return the reply, a `Refusal` (no effect), or a `Failure`:
     `peer_unavailable` when the message was surely not sent and
-    `target_outcome_unknown` when it may have taken effect.
+    `target_outcome_unknown` when it may have taken effect. A start is not sent
+    to a worker that is to get no new work at that moment.
     """
 
-    def __init__(self, settings: WorkerSettings) -> None:
+    def __init__(
+        self,
+        settings: WorkerSettings,
+        knowledge: HostKnowledge,
+    ) -> None:
+        self._knowledge = knowledge
+        trace = TraceConfig()
+        # A start may wait for a connection for as long as its timeout.
+        trace.on_request_headers_sent.append(self._check_start)
         self._timeout = ClientTimeout(total=settings.timeout_ms / 1000)
         self._session = ClientSession(
             connector=TCPConnector(
@@ -51,6 +67,7 @@
                 keepalive_timeout=_KEEP_ALIVE_S,
             ),
             cookie_jar=DummyCookieJar(),
+            trace_configs=[trace],
         )
         self.call_count = 0
         self.body_bytes = 0
@@ -59,6 +76,10 @@
         """Closes all connections."""
         await self._session.close()
 
+    def check(self, worker_id: WorkerId) -> SendVerdict:
+        """Tells whether a worker may get new work now."""
+        return self._knowledge.check(Address(worker_id))
+
     async def describe(
         self,
         worker_id: WorkerId,
@@ -72,7 +93,13 @@
         message: StartMessage,
     ) -> StateReply | Refusal | Failure:
         """Starts an attempt; may be repeated."""
-        return await self._call(worker_id, '/tasks/start', message, StateReply)
+        return await self._call(
+            worker_id,
+            '/tasks/start',
+            message,
+            StateReply,
+            is_new_work=True,
+        )
 
     async def renew(
         self,
@@ -113,6 +140,8 @@
         path: str,
         message: object | None,
         reply_type: type[Reply],
+        *,
+        is_new_work: bool = False,
     ) -> Reply | Refusal | Failure:
         url = f'http://{worker_id}{path}'
         method = 'GET' if message is None else 'POST'
@@ -124,10 +153,11 @@
                 url,
                 json=plain,
                 timeout=self._timeout,
+                trace_request_ctx=worker_id if is_new_work else None,
             ) as response:
                 body = await response.read()
-        except ClientConnectorError as refused:
-            return Failure(ErrorKind.peer_unavailable, str(refused))
+        except (ClientConnectorError, SendNotAllowedError) as unsent:
+            return Failure(ErrorKind.peer_unavailable, str(unsent))
         except TimeoutError:
             return _unknown(worker_id, 'no answer in time')
         except ClientError as error:
@@ -135,6 +165,19 @@
         self.body_bytes += len(body)
         return _parse_reply(worker_id, response.status, body, reply_type)
 
+    async def _check_start(
+        self,
+        _session: ClientSession,
+        context: SimpleNamespace,
+        _event: Any,
+    ) -> None:
+        worker_id: WorkerId | None = context.trace_request_ctx
+        if worker_id is None:
+            return
+        verdict = self.check(worker_id)
+        if verdict is not SendVerdict.allowed:
+            raise SendNotAllowedError(verdict)
+
 
 def _parse_reply(
     worker_id: WorkerId,
--- a/src/radishlift/workers/polls.py
+++ b/src/radishlift/workers/polls.py
@@ -58,6 +58,7 @@
     async def _refresh(self, session: WorkerSession) -> bool:
         if session.described is None and not await self._describe(session):
             return False
+        asked_at_ms = self._clock.monotonic_ms()
         report = await self._client.report(session.worker_id)
         if isinstance(report, Failure | Refusal):
             self._miss(session)
@@ -67,7 +68,7 @@
             return await self._refresh(session)
         session.clock.observe(report.clock_ms, self._clock.monotonic_ms())
         session.answered()
-        has_foreign = self._absorb(session, report)
+        has_foreign = self._absorb(session, report, asked_at_ms)
         if not session.is_published:
             self._publish(session, has_foreign=has_foreign)
         return True
@@ -128,7 +129,12 @@
         session.missed()
         session.described = None
 
-    def _absorb(self, session: WorkerSession, report: WorkerReport) -> bool:
+    def _absorb(
+        self,
+        session: WorkerSession,
+        report: WorkerReport,
+        asked_at_ms: int,
+    ) -> bool:
         """Takes in a report; tells whether unknown attempts run there."""
         has_foreign = False
         present = set()
@@ -148,7 +154,7 @@
                 usage.append(_usage_of(task))
         for key, live in session.attempts.items():
             if key not in present:
-                live.is_confirmed = False
+                live.note_absent(asked_at_ms)
         if usage:
             self._events.usage_reported(session.worker_id, usage)
         return has_foreign
--- a/src/radishlift/workers/session.py
+++ b/src/radishlift/workers/session.py
@@ -69,6 +69,8 @@
 
     `is_sent` is set before the first start is sent, `is_confirmed` when the
     worker has told its state, `is_ended` when it surely does not run.
+    `answered_at_ms` is when the latest start has ended, and `is_absent` tells
+    whether a report that was requested after that does not have it.
     """
 
     order: AttemptToRun
@@ -77,6 +79,8 @@
     is_ended: bool = False
     is_in_flight: bool = False
     is_queued: bool = False
+    is_absent: bool = False
+    answered_at_ms: int = 0
     pending_orders: dict[OrderKind, None] = field(default_factory=dict)
 
     @property
@@ -84,6 +88,13 @@
         """Tells whether any owner may have sent its start."""
         return self.is_sent or self.order.is_inherited
 
+    def note_absent(self, asked_at_ms: int) -> None:
+        """Takes in a report, requested at that time, that does not have it."""
+        self.is_confirmed = False
+        # A start that was in flight meanwhile may have arrived later.
+        is_settled = self.answered_at_ms < asked_at_ms
+        self.is_absent = is_settled and not self.is_in_flight
+
     @property
     def needs_attention(self) -> bool:
         """Tells whether something is to be sent for it."""
--- a/tests/daemon/test_hosts.py
+++ b/tests/daemon/test_hosts.py
@@ -5,6 +5,7 @@
 from radishlift.core.ids import Address, DataCentreId, RackId, ServiceName
 from radishlift.daemon.hosts import HostFeed
 from radishlift.platform.api import Host, HostRole, HostState
+from radishlift.platform.host_knowledge import SendVerdict
 from radishlift.settings.daemon import PlatformSettings
 
 SETTINGS = PlatformSettings('', '', '', host_list_interval_ms=500)
@@ -20,16 +21,27 @@
 )
 
 
+ADDRESS = LISTED[0].address
+OTHER = Address('127.0.0.1:2')
+
+
 class Source:
-    """A host list that a test sets."""
+    """A host list that a test sets; `on_read` is run during a read."""
 
     def __init__(self) -> None:
         self.hosts = LISTED
         self.reads_count = 0
+        self.on_read = nothing
 
     async def fetch(self):
         self.reads_count += 1
-        return self.hosts
+        hosts = self.hosts
+        await self.on_read()
+        return hosts
+
+
+async def nothing():
+    pass
 
 
 async def test_empty_list_is_no_evidence_that_hosts_are_gone():
@@ -78,10 +90,104 @@
     assert await feed.fetch() == (leaving,)
     # What peers said before a pause of this process may be outdated.
     asked_at_ms = clock.monotonic_ms()
-    clock.advance(1001)
+    clock.advance(1701)
     feed.note_leaving((leaving.address,), asked_at_ms)
     assert isinstance(await feed.fetch(), Failure)
+    assert feed.knowledge.check(OTHER) is SendVerdict.outdated
     source.hosts = LISTED
     assert await feed.refresh() == LISTED
     assert told[-1] == LISTED
     assert await feed.fetch() == LISTED
+
+
+async def test_age_counts_from_the_send_of_a_read():
+    """Guards against a slow answer that passes for a recent one."""
+    source, clock = Source(), ManualClock(1)
+    feed = HostFeed(source, SETTINGS, clock)
+
+    async def take_long():
+        clock.advance(1200)
+
+    source.on_read = take_long
+    # The second answer is the same object, as after a 304.
+    for _ in range(2):
+        await feed.refresh()
+        assert feed.knowledge.age_ms == 1200
+    clock.advance(500)
+    assert feed.knowledge.check(ADDRESS) is SendVerdict.allowed
+    clock.advance(1)
+    assert feed.knowledge.check(ADDRESS) is SendVerdict.outdated
+
+
+async def test_late_answer_to_an_earlier_read_changes_nothing():
+    """Guards against overlapping reads that bring back an older list."""
+    source, clock = Source(), ManualClock(1)
+    told = []
+    feed = HostFeed(source, SETTINGS, clock)
+    feed.subscribe(told.append)
+    leaving = (replace(LISTED[0], state=HostState.leaving),)
+
+    async def read_again():
+        clock.advance(10)
+        source.on_read = nothing
+        source.hosts = leaving
+        await feed.refresh()
+
+    source.on_read = read_again
+    assert await feed.refresh() == leaving
+    assert told == [leaving]
+    assert feed.knowledge.check(ADDRESS) is SendVerdict.leaving
+
+
+async def test_slow_read_keeps_what_peers_said_later():
+    """Guards against an answer that hides a host which left after its send."""
+    source, clock = Source(), ManualClock(1)
+    feed = HostFeed(source, SETTINGS, clock)
+    await feed.refresh()
+    added = (*LISTED, replace(LISTED[0], address=OTHER))
+
+    async def hear_from_peer():
+        clock.advance(100)
+        feed.note_leaving((ADDRESS,), clock.monotonic_ms())
+
+    source.hosts = added
+    source.on_read = hear_from_peer
+    await feed.refresh()
+    assert feed.leaving() == (ADDRESS,)
+    assert feed.knowledge.check(OTHER) is SendVerdict.allowed
+    source.on_read = nothing
+    clock.advance(100)
+    assert await feed.refresh() == added
+
+
+async def test_older_knowledge_of_a_peer_changes_nothing():
+    """Guards against two outdated daemons that keep each other going."""
+    source, clock = Source(), ManualClock(1)
+    feed = HostFeed(source, SETTINGS, clock)
+    await feed.refresh()
+    clock.advance(1500)
+    feed.note_leaving((ADDRESS,), clock.monotonic_ms() - 1500)
+    assert feed.leaving() == ()
+    assert feed.knowledge.age_ms == 1500
+    feed.note_leaving((ADDRESS,), clock.monotonic_ms() - 1400)
+    assert feed.knowledge.age_ms == 1400
+    clock.advance(301)
+    assert feed.knowledge.check(OTHER) is SendVerdict.outdated
+    assert feed.knowledge.outdated_count == 1
+
+
+async def test_work_goes_on_once_the_list_is_read_again():
+    """Guards against requests that wait on after an outage."""
+    source, clock = Source(), ManualClock(1)
+    calls = []
+    feed = HostFeed(source, SETTINGS, clock)
+    feed.knowledge.subscribe(lambda: calls.append(clock.monotonic_ms()))
+    await feed.refresh()
+    clock.advance(1701)
+    feed.knowledge.watch()
+    feed.knowledge.watch()
+    assert not calls
+    assert feed.knowledge.outdated_count == 1
+    await feed.refresh()
+    await feed.refresh()
+    assert calls == [1702]
--- a/tests/partitions/cell.py
+++ b/tests/partitions/cell.py
@@ -56,6 +56,7 @@
     tasks_in_two_places,
 )
 from tests.standins.conditions import until
+from tests.standins.knowledge import lasting_knowledge
 from tests.standins.tables import MemoryObjectStore, MemoryTableStore
 from tests.standins.worker import WorkerStandIn
 from tests.standins.worker_model import WorkerOptions
@@ -171,7 +172,10 @@
             incarnation=Incarnation(f'{name}-1'),
             store=store or self.store,
             object_store=self.objects,
-            client=WorkerClient(self.settings.workers),
+            client=WorkerClient(
+                self.settings.workers,
+                lasting_knowledge(),
+            ),
             clock=clock,
             members=self.members,
             network=network,
--- a/tests/requests/daemons.py
+++ b/tests/requests/daemons.py
@@ -136,7 +136,7 @@
         network = PeerNetwork(daemon_id)
         network.set_peers(self.addresses)
         limits = ServiceLimits(cell.config)
-        targets = TargetList(cell.hosts, cell.clock, cell.settings)
+        targets = cell.targets()
         parts = SlotParts(cell.store, cell.members, targets, limits, cell.clock)
         owner = SlotOwner(daemon_id, Incarnation(incarnation))
         cell.members.known[daemon_id] = owner.incarnation
--- a/tests/requests/fakes.py
+++ b/tests/requests/fakes.py
@@ -19,6 +19,7 @@
 )
 from radishlift.membership.api import Member
 from radishlift.platform.api import Host, HostRole, HostState
+from radishlift.platform.host_knowledge import HostKnowledge
 from radishlift.requests.limits import ServiceLimits
 from radishlift.requests.settings import RequestSettings
 from radishlift.requests.slot_rows import SlotOwner
@@ -76,6 +77,27 @@
         )
 
 
+class ReadHosts:
+    """What one daemon reads of the host list."""
+
+    def __init__(self, hosts, knowledge, clock) -> None:
+        self.hosts = hosts
+        self.knowledge = knowledge
+        self.clock = clock
+
+    async def fetch(self):
+        sent_at_ms = self.clock.monotonic_ms()
+        hosts = await self.hosts.fetch()
+        if not isinstance(hosts, Failure):
+            leaving = [
+                host.address
+                for host in hosts
+                if host.state is HostState.leaving
+            ]
+            self.knowledge.learn(leaving, sent_at_ms)
+        return hosts
+
+
 class FakeMembers:
     """Members with evidence of death that tests give."""
 
@@ -138,9 +160,16 @@
             settle_margin_ms=0,
         )
     )
+    host_list_limit_ms: int = 1_700
+
+    def targets(self) -> TargetList:
+        """Builds the target list of a daemon that reads for itself."""
+        knowledge = HostKnowledge(self.clock, self.host_list_limit_ms)
+        hosts = ReadHosts(self.hosts, knowledge, self.clock)
+        return TargetList(hosts, knowledge, self.settings)
 
     def allotments(self, name: str, incarnation: str = '1') -> SlotAllotments:
-        targets = TargetList(self.hosts, self.clock, self.settings)
+        targets = self.targets()
         parts = SlotParts(
             self.store,
             self.members,
--- a/tests/requests/test_dispatch.py
+++ b/tests/requests/test_dispatch.py
@@ -5,9 +5,10 @@
 from aiohttp import web
 
 from radishlift.config.document import Service
-from radishlift.core.clock import SystemClock
+from radishlift.core.clock import ManualClock, SystemClock
 from radishlift.core.errors import Failure, Outcome
 from radishlift.core.ids import ExecutorId
+from radishlift.platform.host_knowledge import HostKnowledge
 from radishlift.requests.api import ServiceAnswer
 from radishlift.requests.calls import Call
 from radishlift.requests.dispatch import Dispatcher
@@ -17,6 +18,7 @@
 from tests.requests.daemons import request, wait_until
 from tests.requests.fakes import DEPARTMENT, SERVICE, Cell, FakeConfig
 from tests.standins.executor import ExecutorStandIn, Mode
+from tests.standins.knowledge import lasting_knowledge
 
 SERVICE_LIMITS = Service(DEPARTMENT, max_deadline_ms=300)
 
@@ -32,7 +34,7 @@
 @pytest.fixture
 async def dispatcher():
     cell = Cell(clock=SystemClock(), config=FakeConfig(SERVICE_LIMITS))
-    client = ExecutorClient(8, 1_000_000)
+    client = ExecutorClient(8, 1_000_000, lasting_knowledge())
     await client.start()
     limits = ServiceLimits(cell.config)
     yield Dispatcher(client, limits, cell.clock, cell.settings)
@@ -160,3 +162,37 @@
     server.close()
     assert answer.answer.outcome is Outcome.unknown
     assert 'not marked' in answer.reason
+
+
+@pytest.mark.parametrize('is_leaving', [False, True])
+async def test_host_list_is_checked_right_before_the_send(executor, is_leaving):
+    """Guards against a request sent after a pause since the last check."""
+    cell = Cell(clock=SystemClock(), config=FakeConfig(SERVICE_LIMITS))
+    clock = ManualClock()
+    knowledge = HostKnowledge(clock, 1_700)
+    knowledge.learn((), 0)
+    client = ExecutorClient(8, 1_000_000, knowledge)
+    await client.start()
+    limits = ServiceLimits(cell.config)
+    dispatcher = Dispatcher(client, limits, cell.clock, cell.settings)
+    # The second one would use an open connection.
+    for number in (1, 2):
+        answer, _ = await send(dispatcher, executor, number)
+        assert is_own(answer, number)
+
+    async def pause():
+        clock.advance(1_701)
+        if is_leaving:
+            knowledge.learn((executor.address,), clock.monotonic_ms())
+
+    dispatcher.before_send = pause
+    answer, view = await send(dispatcher, executor, 3)
+    assert isinstance(answer, Failure)
+    assert answer.answer.outcome is Outcome.not_run
+    assert view.busy_count == 0
+    dispatcher.before_send = None
+    knowledge.learn((), clock.monotonic_ms())
+    answer, _ = await send(dispatcher, executor, 4)
+    assert is_own(answer, 4)
+    assert len(executor.executions) == 3
+    await client.stop()
--- a/tests/requests/test_router.py
+++ b/tests/requests/test_router.py
@@ -86,7 +86,9 @@
 @pytest.mark.parametrize('is_broken', [False, True])
 async def test_freeze_between_check_and_send(ports, is_broken):
     """Guards against allotments that end while their holder is paused."""
-    async with fleet(ports, executors_count=1, service_ms=100) as made:
+    # Only the allotment is judged here, however long the freeze takes.
+    limit = {'host_list_limit_ms': 600_000}
+    async with fleet(ports, executors_count=1, service_ms=100, **limit) as made:
         frozen, other = made.daemons['a'], made.daemons['b']
         resumed = asyncio.Event()
         frozen.router.dispatcher.before_send = resumed.wait
@@ -256,3 +258,40 @@
         assert all(isinstance(each, ServiceAnswer) for each in answers)
         row = await made.cell.store.read('slots', made.executors[0].address)
         assert 'a' not in row.value['allotments']
+
+
+def set_host_list(made, names, limit_ms):
+    """Sets the limit of the host list's age; below 0 each age exceeds it."""
+    for name in names:
+        made.daemons[name].targets.knowledge._limit_ms = limit_ms
+
+
+async def test_peer_that_knows_the_host_list_takes_over(ports):
+    """Guards against waiting or a refusal while a peer may send."""
+    async with fleet(ports) as made:
+        set_host_list(made, 'a', -1)
+        answers = await ask_all([made.daemons['a']], range(8))
+        assert all(isinstance(each, ServiceAnswer) for each in answers)
+        assert not made.daemons['a'].slots.busy_count(SERVICE)
+
+
+@pytest.mark.parametrize('is_read_again', [False, True])
+async def test_requests_wait_for_a_recent_host_list(ports, is_read_again):
+    """Guards against work for a host that left, and against false refusals."""
+    async with fleet(ports) as made:
+        daemons = list(made.daemons.values())
+        set_host_list(made, 'ab', -1)
+        asked = asyncio.create_task(
+            ask_all(daemons, range(8), deadline_ms=600),
+        )
+        waiting = [each.router.places.waiting_count for each in daemons]
+        await wait_until(lambda: sum(count(SERVICE) for count in waiting) == 8)
+        assert not made.executions
+        if is_read_again:
+            set_host_list(made, 'ab', 600_000)
+        answers = await asked
+        failures = [each for each in answers if isinstance(each, Failure)]
+        refused_count = 0 if is_read_again else 8
+        assert len(failures) == refused_count
+        assert all(each.answer.outcome is Outcome.not_run for each in failures)
+        assert bool(made.executions) is is_read_again
--- a/tests/requests/test_slots.py
+++ b/tests/requests/test_slots.py
@@ -161,10 +161,15 @@
     """Guards against work for an executor that left during a pause."""
     cell = Cell(hosts=FakeHosts(executor_ids(1)))
     slots = await _settled_one(cell, {'a': 8})
-    cell.clock.advance(2_001)
+    cell.clock.advance(1_701)
     assert slots.take(SERVICE) is None
+    assert not slots.idle_count(SERVICE)
+    # An attempt that fails tells nothing of hosts that left meanwhile.
     cell.hosts.is_down = True
     await slots.targets.refresh()
+    assert slots.take(SERVICE) is None
+    cell.hosts.is_down = False
+    await slots.targets.refresh()
     assert slots.take(SERVICE) is not None
 
 
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -2,7 +2,9 @@
 
 Run as `python -m tests.standins.platform --listen 127.0.0.1:7000`. It serves
 the protocol of docs/design.md, and under `/admin` the controls of its faults:
-`POST /admin/faults {"mode", "delay_ms"}` and `PUT /admin/hosts`.
+`POST /admin/faults {"mode", "delay_ms"}` of the tables and objects,
+`POST /admin/host_list_faults` with the same body and `PUT /admin/hosts`. The
+host list is a service of its own: neither fault affects the other.
 """
 
 import argparse
@@ -52,6 +54,8 @@
         self.objects: dict[str, bytes] = {}
         self.mode = Fault.none
         self.delay_ms = 0
+        self.host_list_mode = Fault.none
+        self.host_list_delay_ms = 0
         self.refused_count = 0
         self._writes = RateCap(WRITES_PER_S)
         self._reads = RateCap(READS_PER_S)
@@ -72,6 +76,7 @@
                 web.get('/hosts', self.list_hosts),
                 web.put('/admin/hosts', self.set_hosts),
                 web.post('/admin/faults', self.set_faults),
+                web.post('/admin/host_list_faults', self.set_host_list_faults),
                 web.get('/admin/record', self.show_record),
             ]
         )
@@ -131,19 +136,18 @@
         return web.Response(status=204)
 
     async def list_hosts(self, request: web.Request) -> web.Response:
-        """Lists the hosts as they were one lag ago."""
-        visible_s = time.monotonic() - self._lag_ms / 1000
-        while len(self._hosts) > 1 and self._hosts[1][0] <= visible_s:
-            self._hosts.pop(0)
-        body = json.dumps({'hosts': self._hosts[0][1]})
-        tag = f'"{sha256(body.encode()).hexdigest()[:16]}"'
-        if request.headers.get('If-None-Match') == tag:
-            return web.Response(status=304, headers={'ETag': tag})
-        return web.Response(
-            text=body,
-            content_type='application/json',
-            headers={'ETag': tag},
-        )
+        """Lists the hosts as they were one lag ago.
+
+        In the fault `lose_answers` the answer is lost.
+        """
+        if self.host_list_mode is Fault.down:
+            raise web.HTTPServiceUnavailable
+        response = self._listed_hosts(request)
+        if self.host_list_delay_ms:
+            await asyncio.sleep(self.host_list_delay_ms / 1000)
+        if self.host_list_mode is Fault.lose_answers:
+            self._drop(request)
+        return response
 
     async def set_hosts(self, request: web.Request) -> web.Response:
         """Sets the hosts; the list shows them after its lag."""
@@ -162,6 +166,16 @@
         self.delay_ms = int(body.get('delay_ms', 0))
         return web.Response(status=204)
 
+    async def set_host_list_faults(self, request: web.Request) -> web.Response:
+        """Sets the fault mode of the host list and its delay.
+
+        An answer tells what the list was before the delay.
+        """
+        body = await request.json()
+        self.host_list_mode = Fault(body.get('mode', 'none'))
+        self.host_list_delay_ms = int(body.get('delay_ms', 0))
+        return web.Response(status=204)
+
     async def show_record(self, _request: web.Request) -> web.Response:
         """Shows what this stand-in counted."""
         return web.json_response(
@@ -172,6 +186,20 @@
             }
         )
 
+    def _listed_hosts(self, request: web.Request) -> web.Response:
+        visible_s = time.monotonic() - self._lag_ms / 1000
+        while len(self._hosts) > 1 and self._hosts[1][0] <= visible_s:
+            self._hosts.pop(0)
+        body = json.dumps({'hosts': self._hosts[0][1]})
+        tag = f'"{sha256(body.encode()).hexdigest()[:16]}"'
+        if request.headers.get('If-None-Match') == tag:
+            return web.Response(status=304, headers={'ETag': tag})
+        return web.Response(
+            text=body,
+            content_type='application/json',
+            headers={'ETag': tag},
+        )
+
     async def _admit(self, cap: RateCap, cost: int) -> None:
         if self.delay_ms:
             await asyncio.sleep(self.delay_ms / 1000)
--- a/tests/system/broken_daemon.py
+++ b/tests/system/broken_daemon.py
@@ -16,6 +16,7 @@
 from radishlift.daemon.lifecycle import Daemon
 from radishlift.daemon.main import main
 from radishlift.platform.api import HostState
+from radishlift.platform.host_knowledge import HostKnowledge
 from radishlift.platform.http import HttpHostList
 
 REPLAY_DELAY_S = 1.0
@@ -37,6 +38,14 @@
     HttpHostList.fetch = fetch_as_live
 
 
+@VARIANTS.register('ignores_list_age')
+def ignore_list_age() -> None:
+    """Takes the last host list for current, however old it is."""
+    HostKnowledge.is_outdated = property(
+        lambda knowledge: knowledge.age_ms is None
+    )
+
+
 @VARIANTS.register('cuts_requests')
 def cut_requests() -> None:
     """Ends on a planned stop without an answer to requests in flight."""
--- a/tests/system/cell.py
+++ b/tests/system/cell.py
@@ -192,8 +192,14 @@
         except (ClientError, TimeoutError, ValueError):
             return 0, None
 
+    async def set_host_list_faults(self, mode: str, delay_ms: int = 0) -> None:
+        """Sets the faults of the host list."""
+        body = {'mode': mode, 'delay_ms': delay_ms}
+        path = '/admin/host_list_faults'
+        await self.call('POST', self.platform, path, body)
+
     async def set_faults(self, mode: str, delay_ms: int = 0) -> None:
-        """Sets the faults of the platform."""
+        """Sets the faults of the table service and object store."""
         body = {'mode': mode, 'delay_ms': delay_ms}
         await self.call('POST', self.platform, '/admin/faults', body)
 
--- a/tests/system/faults.py
+++ b/tests/system/faults.py
@@ -18,6 +18,8 @@
 # Longer than the lease of an owner (10 s), so that its partitions move.
 PAUSE_S: Final = 13.0
 OUTAGE_S: Final = 4.0
+# Within the limit of a read (1.5 s); the answer then permits 500 ms of work.
+SLOW_LIST_MS: Final = 1200
 
 
 class FaultContext:
@@ -119,7 +121,7 @@
 
 @FAULTS.register('store_down')
 async def store_down(context: FaultContext) -> None:
-    """Takes the platform's services down."""
+    """Takes the table service and the object store down."""
     await context.cell.set_faults('down')
     await asyncio.sleep(OUTAGE_S)
     await context.cell.set_faults('none')
@@ -127,12 +129,28 @@
 
 @FAULTS.register('store_slow')
 async def store_slow(context: FaultContext) -> None:
-    """Delays each operation of the platform's services."""
+    """Delays each operation of the table service and object store."""
     await context.cell.set_faults('none', delay_ms=300)
     await asyncio.sleep(OUTAGE_S)
     await context.cell.set_faults('none')
 
 
+@FAULTS.register('host_list_down')
+async def host_list_down(context: FaultContext) -> None:
+    """Takes the host list down; a host that leaves meanwhile is not known."""
+    await context.cell.set_host_list_faults('down')
+    await asyncio.sleep(OUTAGE_S)
+    await context.cell.set_host_list_faults('none')
+
+
+@FAULTS.register('host_list_slow')
+async def host_list_slow(context: FaultContext) -> None:
+    """Delays the answers of the host list, which are then outdated."""
+    await context.cell.set_host_list_faults('none', SLOW_LIST_MS)
+    await asyncio.sleep(OUTAGE_S)
+    await context.cell.set_host_list_faults('none')
+
+
 @FAULTS.register('store_loses_answers')
 async def store_loses_answers(context: FaultContext) -> None:
     """Applies writes and loses their answers."""
--- a/tests/system/test_fault_matrix.py
+++ b/tests/system/test_fault_matrix.py
@@ -25,6 +25,13 @@
         ),
         14,
     ),
+    (
+        (
+            *('host_list_down', 'host_list_slow', 'executor_leaves'),
+            *('worker_leaves', 'cut_store'),
+        ),
+        15,
+    ),
     (('lose_data_centre', 'cut_regions_and_store', 'store_slow'), 16),
 )
 
--- a/tests/system/test_small_cell.py
+++ b/tests/system/test_small_cell.py
@@ -7,7 +7,11 @@
 from tests.system.cell import Cell
 from tests.system.config_watch import ConfigWatch
 from tests.system.faults import FaultContext
-from tests.system.invariants import check_all
+from tests.system.invariants import (
+    check_all,
+    leaving_targets_get_no_new_work,
+    not_run_is_true,
+)
 from tests.system.shapes import SHAPES
 from tests.system.traffic import (
     LoadOptions,
@@ -30,6 +34,8 @@
 CHANGES_INTERVAL_S = 2.0
 LEAVE_S = 5.0
 TAKEOVER_S = 25
+# The lag of the list, the allowed time after it and time to see a violation.
+CUT_S = 6.0
 BROKEN = {
     'ignores_leaving': 'leaving_targets_get_no_new_work',
     'cuts_requests': 'no_request_cut',
@@ -140,3 +146,57 @@
         assert evidence.kept_tasks
         assert len(evidence.accepted_at_ms) == 2
         assert evidence.sightings.keys() == set(cell.names)
+
+
+async def cut_while_executors_leave(context):
+    """Cuts a daemon from its peers and the platform; executors leave then.
+
+    Half of them leave, so that the daemon holds slots of one that does.
+    """
+    cell = context.cell
+    others = ('d1', 'd2')
+    cell.peer_relays['d3'].cut_from(others)
+    for name in others:
+        cell.peer_relays[name].cut_from(('d3',))
+    cell.store_relays['d3'].cut()
+    for executor in cell.executors[SHAPE.department][::2]:
+        await context.leave(executor)
+    await asyncio.sleep(CUT_S)
+    cell.store_relays['d3'].heal()
+    for relay in cell.peer_relays.values():
+        relay.heal()
+
+
+@pytest.mark.parametrize('variants', [(), ('ignores_list_age',)])
+async def test_cut_daemon_sends_nothing_to_executors_that_left(
+    tmp_path,
+    variants,
+):
+    """Guards against work by a daemon that can't know what is leaving.
+
+    A smaller form of the soak's seed 36 of `cut_regions_and_store`.
+    """
+    module = ('tests.system.broken_daemon', ','.join(variants))
+    cell = Cell(
+        tmp_path,
+        (SHAPE,),
+        daemons_count=3,
+        **({'daemon_module': module} if variants else {}),
+    )
+    context = FaultContext(cell, seed=1)
+    try:
+        await cell.start()
+        results = await drive(
+            cell,
+            replace(OPTIONS, duration_ms=8_000, jobs_per_s=0.5),
+            lambda: cut_while_executors_leave(context),
+        )
+        open_jobs = await unfinished_jobs(cell, results, 0)
+        evidence = await collect_evidence(cell, results, open_jobs, ['d3'])
+    finally:
+        await cell.stop()
+    evidence.left_at_ms = context.left_at_ms
+    violations = leaving_targets_get_no_new_work(evidence)
+    assert bool(violations) is bool(variants), violations
+    if not variants:
+        assert not_run_is_true(evidence) == []
--- a/tests/workers/test_client.py
+++ b/tests/workers/test_client.py
@@ -17,6 +17,7 @@
     WorkerReport,
 )
 from radishlift.workers.settings import WorkerSettings
+from tests.standins.knowledge import lasting_knowledge
 from tests.standins.worker import Network, WorkerStandIn
 from tests.standins.worker_model import WorkerOptions
 
@@ -33,7 +34,10 @@
 
 @pytest.fixture
 async def client():
-    client = WorkerClient(WorkerSettings(timeout_ms=300))
+    client = WorkerClient(
+        WorkerSettings(timeout_ms=300),
+        lasting_knowledge(),
+    )
     yield client
     await client.close()
 
--- a/tests/workers/test_dispatcher.py
+++ b/tests/workers/test_dispatcher.py
@@ -5,15 +5,20 @@
 
 import pytest
 
-from radishlift.core.clock import SystemClock
+from radishlift.core.clock import ManualClock, SystemClock
 from radishlift.core.ids import Attempt, Incarnation, TaskId, WorkerId
 from radishlift.placement.jobs import TaskState
 from radishlift.placement.orders import OrderKind
+from radishlift.platform.host_knowledge import HostKnowledge, SendVerdict
 from radishlift.workers.client import WorkerClient
 from radishlift.workers.dispatcher import Dispatcher
 from radishlift.workers.leases import FormerOwners
 from radishlift.workers.messages import AttemptKey, TaskToStart
-from radishlift.workers.session import AttemptToRun, EndedAttempt
+from radishlift.workers.session import (
+    AttemptToRun,
+    EndedAttempt,
+    LiveAttempt,
+)
 from radishlift.workers.settings import WorkerSettings
 from tests.standins.conditions import until
 from tests.standins.worker import Network, WorkerStandIn
@@ -25,6 +30,7 @@
     retry_interval_ms=10,
     timeout_ms=100,
 )
+LIMIT_MS = 1_700
 KEY = AttemptKey(TaskId('j/0'), Attempt(1))
 
 
@@ -63,6 +69,8 @@
     events: Events
     former: FormerOwners
     clock: SystemClock
+    list_clock: ManualClock
+    knowledge: HostKnowledge
 
     def run(self, run_time_ms: int = 0, *, is_inherited: bool = False) -> None:
         model = self.worker.model
@@ -86,7 +94,10 @@
 async def open_cell(*former_epochs: int) -> AsyncIterator[Cell]:
     worker = WorkerStandIn(WorkerOptions(report_lag_ms=0))
     await worker.listen('127.0.0.1', 0)
-    client = WorkerClient(SETTINGS)
+    list_clock = ManualClock()
+    knowledge = HostKnowledge(list_clock, LIMIT_MS)
+    knowledge.learn((), 0)
+    client = WorkerClient(SETTINGS, knowledge)
     events, clock = Events(), SystemClock()
     former = FormerOwners(former_epochs)
     dispatcher = Dispatcher(client, SETTINGS, clock, events, former)
@@ -94,7 +105,7 @@
     dispatcher.set_workers(workers, workers)
     loop = asyncio.create_task(dispatcher.run_forever())
     await until(lambda: events.seen)
-    yield Cell(worker, dispatcher, events, former, clock)
+    yield Cell(worker, dispatcher, events, former, clock, list_clock, knowledge)
     await dispatcher.stop()
     loop.cancel()
     await client.close()
@@ -247,3 +258,100 @@
             TaskState.queued
         ]
         assert cell.events.lost == [cell.worker.model.incarnation]
+
+
+async def polled(cell, count=5):
+    seen_count = cell.worker.seen.count('/report')
+    await until(lambda: cell.worker.seen.count('/report') > seen_count + count)
+
+
+def leave(cell):
+    worker_id = cell.worker.model.worker_id
+    cell.knowledge.learn((worker_id,), cell.list_clock.monotonic_ms())
+
+
+async def test_start_waits_for_a_recent_host_list():
+    """Guards against a start for a worker that may have left."""
+    async with open_cell() as cell:
+        cell.list_clock.advance(LIMIT_MS + 1)
+        cell.run()
+        await polled(cell)
+        assert '/tasks/start' not in cell.worker.seen
+        assert not cell.events.ended
+        cell.knowledge.learn((), cell.list_clock.monotonic_ms())
+        await until(lambda: cell.worker.model.record)
+
+
+async def test_start_that_waited_for_a_connection_is_checked_again():
+    """Guards against a pause between the check of a start and its send."""
+    async with open_cell() as cell:
+        check, verdicts = cell.knowledge.check, []
+
+        def check_and_pause(address):
+            verdicts.append(check(address))
+            cell.list_clock.advance(LIMIT_MS + 1)
+            return verdicts[-1]
+
+        cell.knowledge.check = check_and_pause
+        cell.run()
+        await until(lambda: len(verdicts) > 1)
+        assert verdicts[:2] == [SendVerdict.allowed, SendVerdict.outdated]
+        await polled(cell)
+        assert '/tasks/start' not in cell.worker.seen
+        # It was surely not sent, so that a worker that leaves needs no stop.
+        cell.knowledge.check = check
+        leave(cell)
+        await until(lambda: cell.events.ended)
+        assert '/tasks/stop' not in cell.worker.seen
+
+
+async def test_committed_start_is_taken_back_from_a_leaving_worker():
+    """Guards against a late start and against a task that waits for ever."""
+    async with open_cell() as cell:
+        leave(cell)
+        cell.run()
+        await until(lambda: cell.events.ended)
+        assert cell.events.ended[0].state is TaskState.queued
+        assert not {'/tasks/start', '/tasks/stop'} & set(cell.worker.seen)
+
+
+async def test_start_that_may_have_been_sent_leaves_a_tombstone():
+    """Guards against a lost start that arrives after the worker has left."""
+    async with open_cell() as cell:
+        leave(cell)
+        cell.run(is_inherited=True)
+        await until(lambda: cell.events.ended)
+        assert '/tasks/start' not in cell.worker.seen
+        key = (KEY.task_id, KEY.attempt)
+        assert key in cell.worker.model.tombstones
+        assert cell.events.ended[0].state is TaskState.cancelled
+
+
+@pytest.mark.parametrize('is_leaving', [False, True])
+async def test_running_attempt_outlives_an_outage_of_the_host_list(is_leaving):
+    """Guards against stops and lapses of tasks that began in time."""
+    async with open_cell() as cell:
+        await cell.started()
+        cell.list_clock.advance(LIMIT_MS + 1)
+        if is_leaving:
+            leave(cell)
+        renewed_count = cell.worker.seen.count('/tasks/renew')
+        await until(
+            lambda: cell.worker.seen.count('/tasks/renew') > renewed_count + 5
+        )
+        assert not cell.events.ended
+        cell.dispatcher.order(KEY, OrderKind.stop)
+        await until(lambda: cell.events.ended)
+
+
+def test_report_from_before_the_end_of_a_start_proves_no_absence():
+    """Guards against a stop of an attempt that a leaving worker just began."""
+    live = LiveAttempt(None, is_sent=True, answered_at_ms=10)
+    live.note_absent(asked_at_ms=10)
+    assert not live.is_absent
+    live.is_in_flight = True
+    live.note_absent(asked_at_ms=11)
+    assert not live.is_absent
+    live.is_in_flight = False
+    live.note_absent(asked_at_ms=11)
+    assert live.is_absent
