--- a/src/radishlift/daemon/reports.py
+++ b/src/radishlift/daemon/reports.py
@@ -17,6 +17,7 @@
     def __init__(self, base: Foundation, control: Control) -> None:
         settings = base.settings.get(ReportSettings)
         self._metrics = control.metrics
+        self._knowledge = base.hosts.knowledge
         self.metrics_collector = MetricsCollector(
             control.metrics,
             control.config,
@@ -35,7 +36,11 @@
     def routes(self) -> tuple[Routes, ...]:
         """Returns the handlers of the HTTP application."""
         return (
-            ReportHandlers(self._metrics, self.metrics_collector),
+            ReportHandlers(
+                self._metrics,
+                self.metrics_collector,
+                self._knowledge,
+            ),
             EventHandlers(self._event_collector),
         )
 
--- a/src/radishlift/workers/session.py
+++ b/src/radishlift/workers/session.py
@@ -71,6 +71,8 @@
     worker has told its state, `is_ended` when it surely does not run.
     `began_ms` is when it began to run, on the monotonic clock of this host, as
     far as its worker has told.
+    `answered_at_ms` is when the latest start has ended, and `is_absent` tells
+    whether a report that was requested after that does not have it.
     """
 
     order: AttemptToRun
@@ -80,6 +82,8 @@
     is_in_flight: bool = False
     is_queued: bool = False
     began_ms: int | None = None
+    is_absent: bool = False
+    answered_at_ms: int = 0
     pending_orders: dict[OrderKind, None] = field(default_factory=dict)
 
     @property
@@ -87,6 +91,13 @@
         """Tells whether any owner may have sent its start."""
         return self.is_sent or self.order.is_inherited
 
+    def note_absent(self, asked_at_ms: int) -> None:
+        """Takes in a report, requested at that time, that does not have it."""
+        self.is_confirmed = False
+        # A start that was in flight meanwhile may have arrived later.
+        is_settled = self.answered_at_ms < asked_at_ms
+        self.is_absent = is_settled and not self.is_in_flight
+
     @property
     def needs_attention(self) -> bool:
         """Tells whether something is to be sent for it."""
