Tell new work by the message that starts an attempt

The client now decides by the type of the message, so that its signature is as before.

Measured: tests/workers and tests/partitions/test_proofs.py pass.

--- a/src/radishlift/workers/client.py
+++ b/src/radishlift/workers/client.py
@@ -93,13 +93,7 @@
         message: StartMessage,
     ) -> StateReply | Refusal | Failure:
         """Starts an attempt; may be repeated."""
-        return await self._call(
-            worker_id,
-            '/tasks/start',
-            message,
-            StateReply,
-            is_new_work=True,
-        )
+        return await self._call(worker_id, '/tasks/start', message, StateReply)
 
     async def renew(
         self,
@@ -140,13 +134,12 @@
         path: str,
         message: object | None,
         reply_type: type[Reply],
-        *,
-        is_new_work: bool = False,
     ) -> Reply | Refusal | Failure:
         url = f'http://{worker_id}{path}'
         method = 'GET' if message is None else 'POST'
         plain = None if message is None else dump_plain(message)
         self.call_count += 1
+        is_new_work = isinstance(message, StartMessage)
         try:
             async with self._session.request(
                 method,
