--- a/src/radishlift/partitions/facts.py
+++ b/src/radishlift/partitions/facts.py
@@ -44,6 +44,7 @@
                 self._engine.observe_worker(described)
             elif not is_open and worker_id not in self.closed:
                 self._close(described)
+        self._close_unseen(workers)
         self._wake()
 
     def worker_seen(self, described: WorkerInfo) -> None:
@@ -57,6 +58,11 @@
             self._close(described)
         self._wake()
 
+    def drop(self, worker_id: WorkerId) -> None:
+        """Forgets a worker that another partition gets."""
+        self._seen.pop(worker_id, None)
+        self.closed.discard(worker_id)
+
     def worker_unreachable(
         self,
         worker_id: WorkerId,
@@ -111,6 +117,18 @@
             return True
         return not is_current(tables, key)
 
+    def _close_unseen(self, workers: WorkerAssignment) -> None:
+        """Closes workers of the journal that no longer belong here.
+
+        A successor reads them as present before it has reached them.
+        """
+        table = self._tables.workers
+        for worker_id, row in table.row_of.items():
+            is_known = worker_id in self._seen or workers.is_open(worker_id)
+            if table.is_present[row] and not is_known:
+                incarnation = table.worker_info[row].incarnation
+                self._engine.worker_gone(worker_id, incarnation, may_run=True)
+
     def _close(self, described: WorkerInfo) -> None:
         worker_id = described.worker_id
         self.closed.add(worker_id)
--- a/src/radishlift/partitions/messages.py
+++ b/src/radishlift/partitions/messages.py
@@ -7,6 +7,7 @@
     Incarnation,
     JobId,
     PartitionId,
+    RackId,
     TaskId,
 )
 from radishlift.placement.explanations import Explanation
@@ -24,6 +25,18 @@
     epoch: Epoch
 
 
+@message('look_at_rack')
+@dataclass(frozen=True, slots=True)
+class LookAtRack:
+    """Tells an owner to read a rack's row, which concerns its partition.
+
+    It has no reply and may be lost: the row decides.
+    """
+
+    partition_id: PartitionId
+    rack: RackId
+
+
 @message('partition_dropped')
 @dataclass(frozen=True, slots=True)
 class PartitionDropped:
@@ -169,6 +182,7 @@
     'JobStatus',
     'JobSpread',
     'JobSubmitted',
+    'LookAtRack',
     'OpenShare',
     'PartitionDropped',
     'SubmitJob',
--- a/src/radishlift/partitions/open_partition.py
+++ b/src/radishlift/partitions/open_partition.py
@@ -22,6 +22,7 @@
 from radishlift.partitions.parts import DaemonParts
 from radishlift.partitions.predecessors import PredecessorWatch
 from radishlift.partitions.quarantines import QuarantineLog
+from radishlift.partitions.rack_workers import PartitionRacks
 from radishlift.partitions.shares import PartitionShares
 from radishlift.partitions.spread import WorkerAssignment
 from radishlift.partitions.states import PartitionStates
@@ -95,6 +96,15 @@
             parts.clock.wall_ms(),
         )
         self.closed_jobs = ClosedJobs(tables)
+        self.racks = PartitionRacks(
+            claim,
+            parts,
+            states,
+            self.log,
+            self.engine,
+            self.dispatcher,
+            self.facts,
+        )
         self._document_version: ConfigVersion | None = None
         self._is_dirty = True
         self._last_tick_ms = 0
@@ -102,8 +112,7 @@
 
     def set_workers(self, workers: WorkerAssignment) -> None:
         """Takes over the workers of this partition and the host list."""
-        self.dispatcher.set_workers(workers.assigned, workers.listed)
-        self.facts.assign(workers)
+        self.racks.assign(workers)
         # The engine builds its queue anew, so it is told of changes only.
         if workers.document.version != self._document_version:
             self._document_version = workers.document.version
@@ -145,6 +154,7 @@
         """
         self._last_tick_ms = self._parts.clock.monotonic_ms()
         self._is_dirty = False
+        self.racks.drop_released()
         try:
             records = self.engine.tick(self.now_ms())
         except Exception as error:
--- a/src/radishlift/partitions/partitions.py
+++ b/src/radishlift/partitions/partitions.py
@@ -8,7 +8,11 @@
 from radishlift.core.ids import DaemonId, PartitionId
 from radishlift.core.logs import log_event
 from radishlift.ownership.api import OwnerClaim
-from radishlift.partitions.messages import DropPartition, PartitionDropped
+from radishlift.partitions.messages import (
+    DropPartition,
+    LookAtRack,
+    PartitionDropped,
+)
 from radishlift.partitions.pace import Pace
 from radishlift.partitions.parts import DaemonParts
 from radishlift.partitions.runner import PartitionRunner
@@ -41,6 +45,7 @@
         self._hosts: tuple[Host, ...] | None = None
         self.pace = Pace(parts, self._runners)
         parts.network.register(DropPartition, self._drop)
+        parts.network.register(LookAtRack, self._look_at_rack)
 
     def get(self, partition_id: PartitionId) -> PartitionRunner | None:
         """Returns a partition if it is owned here and recovered."""
@@ -130,10 +135,13 @@
         document = self._config.current()
         if document is None or self._hosts is None:
             return
-        assignments = spread_workers(self._hosts, document)
+        assignments = spread_workers(
+            self._hosts,
+            document,
+            self._runners,
+        )
         for partition_id, runner in self._runners.items():
-            if partition_id in assignments:
-                runner.set_workers(assignments[partition_id])
+            runner.set_workers(assignments[partition_id])
 
     def _closed(self, runner: PartitionRunner, failure: Failure) -> None:
         partition_id = runner.partition_id
@@ -166,6 +174,15 @@
         if self._give_up is not None:
             self._give_up(partition_id)
 
+    async def _look_at_rack(
+        self,
+        _sender: DaemonId,
+        message: LookAtRack,
+    ) -> None:
+        runner = self._runners.get(message.partition_id)
+        if runner is not None and runner.opened is not None:
+            runner.opened.racks.keeper.look_at(message.rack)
+
     async def _drop(
         self,
         sender: DaemonId,
--- /dev/null
+++ b/src/radishlift/partitions/rack_keeper.py
@@ -0,0 +1,253 @@
+"""Takes and releases the racks of one partition.
+
+Without a pending move nothing is read, written or polled.
+"""
+
+import asyncio
+from collections.abc import Callable
+from typing import Final
+
+from radishlift.core.errors import ErrorKind
+from radishlift.core.ids import PartitionId, RackId
+from radishlift.core.logs import log_event
+from radishlift.partitions.log import PartitionLog
+from radishlift.partitions.messages import LookAtRack
+from radishlift.partitions.parts import DaemonParts
+from radishlift.partitions.rack_drains import RackDrains
+from radishlift.partitions.rack_moves import (
+    NO_PARTITION,
+    RackStep,
+    RackView,
+    next_row,
+    next_step,
+)
+from radishlift.partitions.rack_records import (
+    RackHoldings,
+    RackReleased,
+    RackTaken,
+)
+from radishlift.partitions.rack_rows import RackRows
+from radishlift.partitions.rack_views import PendingRacks, RackViews
+from radishlift.partitions.spread import WorkerAssignment
+
+LONGEST_WAIT: Final = 16
+"""Longest interval between two looks, in `rack_poll_ms`."""
+# Insert rows, then take; a conflict costs one more insert.
+_FIRST_STEPS_COUNT: Final = 3
+
+Views = dict[RackId, RackView]
+Steps = dict[RackId, RackStep]
+
+
+class RackKeeper:
+    """Carries out the steps of `rack_moves` for one owned partition.
+
+    `changed` is called after a rack was taken or released, so that the
+    partition opens and closes workers.
+    """
+
+    def __init__(
+        self,
+        partition_id: PartitionId,
+        parts: DaemonParts,
+        holdings: RackHoldings,
+        log: PartitionLog,
+        drains: RackDrains,
+        changed: Callable[[], None],
+    ) -> None:
+        self.pending = PendingRacks(partition_id, parts.clock)
+        self._partition_id = partition_id
+        self._parts = parts
+        self._log = log
+        self._drains = drains
+        self._changed = changed
+        self._rows = RackRows(parts.store)
+        self._views = RackViews(
+            partition_id,
+            holdings,
+            self._rows,
+            log,
+            drains,
+        )
+        self._stale: set[RackId] = set()
+        self._news = asyncio.Event()
+
+    def assign(self, workers: WorkerAssignment) -> None:
+        """Takes over the configuration and the host list."""
+        if self._views.assign(workers):
+            self._news.set()
+
+    def look_at(self, rack: RackId) -> None:
+        """Reads a row soon, as another partition asks for it."""
+        self._views.unsettled.add(rack)
+        self._stale.add(rack)
+        self._news.set()
+
+    async def make_first_steps(self) -> None:
+        """Takes free racks with one write of rows, before anything runs."""
+        for _ in range(_FIRST_STEPS_COUNT):
+            if not await self.step():
+                return
+
+    async def run_forever(self) -> None:
+        """Makes steps while moves are pending, until cancelled."""
+        poll_ms = self._parts.settings.partitions.rack_poll_ms
+        wait_ms = poll_ms
+        while True:
+            self._news.clear()
+            if await self.step():
+                wait_ms = poll_ms
+                await asyncio.sleep(0)
+                continue
+            if self.pending.is_draining:
+                wait_ms = poll_ms
+            await self._wait(wait_ms if self.pending.racks else None)
+            wait_ms = min(wait_ms * 2, poll_ms * LONGEST_WAIT)
+
+    async def step(self) -> bool:
+        """Makes the steps that are possible now.
+
+        Returns whether more may be possible at once.
+        """
+        stale = sorted(self._stale)
+        self._stale.clear()
+        has_news = await self._rows.read(stale)
+        workers = self._views.workers
+        if workers is None:
+            return False
+        views = self._views.all(workers)
+        steps = {rack: next_step(view) for rack, view in views.items()}
+        self.pending.note(views, steps)
+        if self._apply(views, steps, workers):
+            self._changed()
+            has_news = True
+        has_news |= await self._write(views, steps)
+        has_news |= await self._read(steps)
+        return has_news
+
+    def _apply(
+        self,
+        views: Views,
+        steps: Steps,
+        workers: WorkerAssignment,
+    ) -> bool:
+        """Takes, drains and releases; tells whether a record was added."""
+        has_records = False
+        for rack, step in steps.items():
+            match step:
+                case RackStep.take:
+                    has_records |= self._take(rack, views[rack])
+                case RackStep.release:
+                    has_records |= self._release(rack, views[rack], workers)
+                case RackStep.drain if self._drains.drain(rack, workers):
+                    self._parts.activity.set()
+                case RackStep.rest:
+                    self._drains.end(rack)
+                    self._views.settle(rack)
+        if has_records:
+            self._parts.scheduler.request(self._partition_id, is_urgent=True)
+            self._parts.activity.set()
+        return has_records
+
+    def _take(self, rack: RackId, view: RackView) -> bool:
+        serial = view.row.serial if view.row else 0
+        if self._log.apply([RackTaken(rack, serial)]) is not None:
+            return False
+        log_event(
+            'rack_taken',
+            rack=rack,
+            partition=self._partition_id,
+            serial=serial,
+        )
+        return True
+
+    def _release(
+        self,
+        rack: RackId,
+        view: RackView,
+        workers: WorkerAssignment,
+    ) -> bool:
+        refusal = self._log.journal.refusal()
+        if refusal and refusal.kind is not ErrorKind.store_unavailable:
+            return False
+        serial = max(view.held_serial, view.row.serial if view.row else 0)
+        # The journal must not show a worker as present that is not held.
+        for removed in self._drains.remove_workers(rack, workers):
+            self._log.append(removed)
+        self._log.apply([RackReleased(rack, serial)])
+        self._views.note_release(rack)
+        self._drains.end(rack)
+        log_event(
+            'rack_released',
+            rack=rack,
+            partition=self._partition_id,
+            serial=serial,
+        )
+        return True
+
+    async def _write(self, views: Views, steps: Steps) -> bool:
+        writing = {
+            rack: next_row(views[rack], step)
+            for rack, step in steps.items()
+            if step in {RackStep.claim, RackStep.pass_on}
+        }
+        if not writing:
+            return False
+        has_news = await self._rows.write(writing)
+        for rack, row in writing.items():
+            known = self._rows.known(rack)
+            is_written = known is not None and known.serial == row.serial
+            if is_written and steps[rack] is RackStep.pass_on:
+                log_event(
+                    'rack_passed_on',
+                    rack=rack,
+                    partition=self._partition_id,
+                    to=row.partition_id,
+                    serial=row.serial,
+                )
+                await self._tell(rack, row.partition_id)
+        return has_news
+
+    async def _read(self, steps: Steps) -> bool:
+        waiting = [
+            rack for rack, step in steps.items() if step is RackStep.wait
+        ]
+        unread = [rack for rack, step in steps.items() if step is RackStep.read]
+        has_news = await self._rows.read([*waiting, *unread])
+        if not has_news:
+            for rack in waiting:
+                known = self._rows.known(rack)
+                if known is not None:
+                    await self._tell(rack, known.partition_id)
+        return has_news
+
+    async def _tell(self, rack: RackId, partition_id: PartitionId) -> None:
+        """Lets the owner of a partition look at a row.
+
+        A lost message is repeated by the one who waits for the rack.
+        """
+        if partition_id in {NO_PARTITION, self._partition_id}:
+            return
+        owner = await self._rows.owner_of(partition_id)
+        if owner == self._parts.daemon_id:
+            await self._parts.network.call(
+                owner,
+                LookAtRack(partition_id, rack),
+                self._parts.settings.partitions.call_timeout_ms,
+            )
+        elif owner is not None:
+            await self._parts.network.send(
+                owner,
+                LookAtRack(partition_id, rack),
+            )
+
+    async def _wait(self, timeout_ms: int | None) -> None:
+        timeout_s = None if timeout_ms is None else timeout_ms / 1000
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._news.wait()
+        except TimeoutError:
+            return
+
+
+__all__ = ('RackKeeper',)
--- /dev/null
+++ b/src/radishlift/partitions/rack_views.py
@@ -0,0 +1,161 @@
+"""What a partition knows about racks, and the moves that are not over."""
+
+from dataclasses import dataclass
+from typing import Final
+
+from radishlift.core.clock import Clock
+from radishlift.core.ids import PartitionId, RackId
+from radishlift.core.logs import log_event
+from radishlift.partitions.log import PartitionLog
+from radishlift.partitions.rack_drains import RackDrains
+from radishlift.partitions.rack_moves import NO_PARTITION, RackStep, RackView
+from radishlift.partitions.rack_records import RackHoldings
+from radishlift.partitions.rack_rows import RackRows
+from radishlift.partitions.spread import WorkerAssignment
+
+LOG_INTERVAL_MS: Final = 60_000
+"""A move that does not end is logged again after this time."""
+
+
+class RackViews:
+    """Builds the views of the racks that concern a partition.
+
+    `unsettled` are racks whose rows may name this partition although the
+    configuration does not: those released before, and those wanted by an
+    earlier document, which a holder with that document may still pass on.
+    """
+
+    def __init__(
+        self,
+        partition_id: PartitionId,
+        holdings: RackHoldings,
+        rows: RackRows,
+        log: PartitionLog,
+        drains: RackDrains,
+    ) -> None:
+        self.workers: WorkerAssignment | None = None
+        self.unsettled: set[RackId] = set(holdings.released)
+        self._partition_id = partition_id
+        self._holdings = holdings
+        self._rows = rows
+        self._log = log
+        self._drains = drains
+        self._release_positions: dict[RackId, int] = {}
+
+    def assign(self, workers: WorkerAssignment) -> bool:
+        """Takes over a configuration; tells whether racks may have moved."""
+        before = self.workers
+        self.workers = workers
+        if before is None:
+            return True
+        if before.document.partitions == workers.document.partitions:
+            return False
+        self.unsettled.update(self._wanted(before))
+        return True
+
+    def all(self, workers: WorkerAssignment) -> dict[RackId, RackView]:
+        """Returns the view of each rack that concerns the partition."""
+        held = self._holdings.held.keys()
+        racks = self._wanted(workers) | held | self.unsettled
+        return {rack: self._view(rack, workers) for rack in sorted(racks)}
+
+    def note_release(self, rack: RackId) -> None:
+        """Notes that the last record of the log releases a rack."""
+        self.unsettled.add(rack)
+        self._release_positions[rack] = self._log.last_position
+
+    def settle(self, rack: RackId) -> None:
+        """Notes that nothing is left to do for a rack."""
+        self.unsettled.discard(rack)
+        self._release_positions.pop(rack, None)
+
+    def _wanted(self, workers: WorkerAssignment) -> set[RackId]:
+        partition = workers.document.partitions.get(self._partition_id)
+        return set(map(RackId, partition.racks)) if partition else set()
+
+    def _view(self, rack: RackId, workers: WorkerAssignment) -> RackView:
+        held_serial = self._holdings.held.get(rack, 0)
+        assignee = workers.partition_of.get(rack, NO_PARTITION)
+        is_vacant = True
+        if held_serial and assignee != self._partition_id:
+            is_vacant = self._drains.is_vacant(rack, workers)
+        release_position = self._release_positions.get(rack, 0)
+        return RackView(
+            self._partition_id,
+            assignee,
+            held_serial,
+            self._holdings.released.get(rack, 0),
+            self._rows.known(rack),
+            release_position <= self._log.journal.durable_position,
+            is_vacant,
+        )
+
+
+@dataclass(slots=True)
+class PendingRack:
+    """A rack whose move is not over for this partition.
+
+    `row_names` is the partition that the row names, as last read.
+    """
+
+    step: RackStep
+    since_ms: int
+    logged_ms: int
+    row_names: PartitionId = NO_PARTITION
+
+
+class PendingRacks:
+    """The pending racks of a partition, for status, logs and pace."""
+
+    def __init__(self, partition_id: PartitionId, clock: Clock) -> None:
+        self.racks: dict[RackId, PendingRack] = {}
+        self._partition_id = partition_id
+        self._clock = clock
+
+    @property
+    def is_draining(self) -> bool:
+        """Tells whether a rack is being drained."""
+        return any(
+            pending.step is RackStep.drain for pending in self.racks.values()
+        )
+
+    def waited_ms(self, rack: RackId) -> int:
+        """Tells since when a rack is pending here."""
+        return self._clock.monotonic_ms() - self.racks[rack].since_ms
+
+    def note(
+        self,
+        views: dict[RackId, RackView],
+        steps: dict[RackId, RackStep],
+    ) -> None:
+        """Takes over the next steps."""
+        for settled in self.racks.keys() - steps.keys():
+            del self.racks[settled]
+        now_ms = self._clock.monotonic_ms()
+        for rack, step in steps.items():
+            if step is RackStep.rest:
+                self.racks.pop(rack, None)
+                continue
+            pending = self.racks.setdefault(
+                rack,
+                PendingRack(step, now_ms, now_ms),
+            )
+            pending.step = step
+            row = views[rack].row
+            pending.row_names = row.partition_id if row else NO_PARTITION
+            if now_ms - pending.logged_ms >= LOG_INTERVAL_MS:
+                pending.logged_ms = now_ms
+                self._log(rack, pending)
+
+    def _log(self, rack: RackId, pending: PendingRack) -> None:
+        log_event(
+            'rack_move_pending',
+            rack=rack,
+            partition=self._partition_id,
+            step=pending.step.value,
+            waited_ms=self.waited_ms(rack),
+            row_names=pending.row_names,
+        )
+
+
+__all__ = ('PendingRack', 'PendingRacks', 'RackViews')
--- a/src/radishlift/partitions/runner.py
+++ b/src/radishlift/partitions/runner.py
@@ -135,6 +135,12 @@
         if isinstance(opened, Failure):
             await self.close(opened)
             return opened
+        if self._workers is not None:
+            opened.set_workers(self._workers)
+            await opened.racks.keeper.make_first_steps()
+        if self.stage is not RunnerStage.recovering:
+            await opened.dispatcher.stop()
+            return self.refusal()
         self._run(opened)
         return None
 
@@ -213,6 +219,7 @@
             opened.set_workers(self._workers)
         self._tasks.spawn(opened.dispatcher.run_forever())
         self._tasks.spawn(opened.watch_predecessors())
+        self._tasks.spawn(opened.racks.keeper.run_forever())
         self._parts.scheduler.add(self.partition_id)
         self._parts.activity.set()
         self.recovered()
--- a/src/radishlift/partitions/settings.py
+++ b/src/radishlift/partitions/settings.py
@@ -21,6 +21,11 @@
     `gang_rounds_count` rounds at a time and repeats a refused one after
     `gang_backoff_ms` and more, with jitter. A partition asks the home for
     the outcome when a hold is not committed within `gang_hold_ms`.
+
+    Tasks on a rack that moves to another partition run on for
+    `rack_drain_ms`; then they are checkpointed, and stopped
+    `rack_checkpoint_ms` later. A pending move is looked at every
+    `rack_poll_ms`, less often while it waits for another partition.
     """
 
     tick_interval_ms: int = bounded(5, 1, 1_000)
@@ -36,6 +41,9 @@
     gang_rounds_count: int = bounded(4, 1, 64)
     gang_backoff_ms: int = bounded(100, 1, 60_000)
     gang_hold_ms: int = bounded(5_000, 10, 60_000)
+    rack_drain_ms: int = bounded(30_000, 0, 86_400_000)
+    rack_checkpoint_ms: int = bounded(1_000, 0, 60_000)
+    rack_poll_ms: int = bounded(100, 1, 10_000)
 
 
 __all__ = ('PartitionSettings',)
--- a/src/radishlift/partitions/spread.py
+++ b/src/radishlift/partitions/spread.py
@@ -1,11 +1,11 @@
 """Spreads the workers of the host list to partitions, by rack."""
 
 from collections import defaultdict
-from collections.abc import Iterable
-from dataclasses import dataclass
+from collections.abc import Collection, Iterable, Mapping
+from dataclasses import dataclass, field, replace
 
 from radishlift.config.document import ConfigDocument
-from radishlift.core.ids import PartitionId, WorkerId
+from radishlift.core.ids import PartitionId, RackId, WorkerId
 from radishlift.platform.api import Host, HostRole, HostState
 
 
@@ -16,26 +16,44 @@
     `listed` are all workers of the host list: one that is not on it is gone,
     while one that is assigned elsewhere may still run tasks of this
     partition. `leaving` are the listed workers that get no new tasks.
+    `partition_of` are the racks of the whole configuration.
     """
 
     assigned: frozenset[WorkerId]
     listed: frozenset[WorkerId]
     leaving: frozenset[WorkerId]
     document: ConfigDocument
+    rack_of: Mapping[WorkerId, RackId] = field(default_factory=dict)
+    partition_of: Mapping[RackId, PartitionId] = field(default_factory=dict)
 
     def is_open(self, worker_id: WorkerId) -> bool:
         """Tells whether a worker may get new tasks of this partition."""
         return worker_id in self.assigned and worker_id not in self.leaving
 
+    def within(self, racks: Collection[RackId]) -> 'WorkerAssignment':
+        """Returns the assignment less the workers of other racks."""
+        assigned = frozenset(
+            worker_id
+            for worker_id in self.assigned
+            if self.rack_of[worker_id] in racks
+        )
+        return replace(self, assigned=assigned)
+
 
 def spread_workers(
     hosts: Iterable[Host],
     document: ConfigDocument,
+    former: Iterable[PartitionId] = (),
 ) -> dict[PartitionId, WorkerAssignment]:
-    """Assigns each worker to the partition that its rack belongs to."""
+    """Assigns each worker to the partition that its rack belongs to.
+
+    `former` are partitions that may have left the configuration: they have
+    no workers, and must give up the racks that they hold.
+    """
     workers = [host for host in hosts if host.role is HostRole.worker]
+    partition_ids = {*document.partitions, *former}
     partition_of = {
-        rack: partition_id
+        RackId(rack): partition_id
         for partition_id, partition in document.partitions.items()
         for rack in partition.racks
     }
@@ -44,7 +62,8 @@
         partition_id = partition_of.get(host.rack)
         if partition_id is not None:
             members[partition_id].add(WorkerId(host.address))
-    listed = frozenset(WorkerId(host.address) for host in workers)
+    rack_of = {WorkerId(host.address): host.rack for host in workers}
+    listed = frozenset(rack_of)
     leaving = frozenset(
         WorkerId(host.address)
         for host in workers
@@ -56,8 +75,10 @@
             listed,
             leaving,
             document,
+            rack_of,
+            partition_of,
         )
-        for partition_id in document.partitions
+        for partition_id in partition_ids
     }
 
 
--- a/src/radishlift/partitions/states.py
+++ b/src/radishlift/partitions/states.py
@@ -6,6 +6,7 @@
 from radishlift.journal.api import JournaledState, UndoableState
 from radishlift.partitions.hand_off_state import HandOffs
 from radishlift.partitions.owners import OwnerHistory
+from radishlift.partitions.rack_records import RackHoldings
 from radishlift.placement.state import PartitionState
 from radishlift.quotas.ledger import QuotaLedger
 
@@ -25,11 +26,13 @@
         self.owners = OwnerHistory()
         self.hand_offs = HandOffs()
         self.quota_ledger = QuotaLedger()
+        self.racks = RackHoldings()
         self.all: tuple[JournaledState, ...] = (
             self.placement,
             self.owners,
             self.hand_offs,
             self.quota_ledger,
+            self.racks,
             *(factory() for factory in factories),
         )
         self._state_of: dict[type, JournaledState] = {
--- a/src/radishlift/placement/engine.py
+++ b/src/radishlift/placement/engine.py
@@ -16,6 +16,7 @@
 from radishlift.placement import system_order  # noqa: F401
 from radishlift.placement.admission import refusal_of
 from radishlift.placement.cancellations import order_stop
+from radishlift.placement.drains import EngineDrains
 from radishlift.placement.explanations import (
     ExplainContext,
     Explanation,
@@ -81,7 +82,8 @@
     time of a tick. It applies each record that `accept` and `tick` return;
     the caller journals them before it lets them take effect. The state has to
     be recovered before the engine is made. `gang_parts` are the steps of
-    gangs that span partitions, `quotas` the shares that limit teams.
+    gangs that span partitions, `quotas` the shares that limit teams and
+    `drains` the steps of racks that are given up.
     """
 
     def __init__(
@@ -95,6 +97,7 @@
         self._working.sync_workers()
         self.gang_parts = GangParts(self._working)
         self.quotas = EngineQuotas(self._working)
+        self.drains = EngineDrains(self._working)
         self._repeat_stops()
 
     def accept(self, spec: JobSpec, now_ms: int) -> JobAccepted | Failure:
--- a/src/radishlift/placement/reasons.py
+++ b/src/radishlift/placement/reasons.py
@@ -14,6 +14,7 @@
 LAPSED: Final = 'lease lapsed or start refused'
 FINISHED: Final = 'finished'
 CANCELLED: Final = 'cancelled by the caller'
+RACK_MOVED: Final = 'rack moves to another partition'
 
 __all__ = (
     'CANCELLED',
@@ -21,6 +22,7 @@
     'FAILED_ON_SUSPECT',
     'FINISHED',
     'LAPSED',
+    'RACK_MOVED',
     'STOPPED',
     'WORKER_GONE',
     'WORKER_RESTARTED',
--- a/src/radishlift/placement/system_order.py
+++ b/src/radishlift/placement/system_order.py
@@ -3,6 +3,7 @@
 # ruff: noqa: I001
 from radishlift.placement.endings import end_attempts, update_workers
 from radishlift.placement.cancellations import cancel_jobs
+from radishlift.placement.drains import drain_workers
 from radishlift.placement.usage import take_in_usage
 from radishlift.placement.gang_parts import stop_parts
 from radishlift.placement.retries import release_retries
@@ -18,6 +19,7 @@
     'update_workers',
     'end_attempts',
     'cancel_jobs',
+    'drain_workers',
     'stop_parts',
     'release_retries',
     'admit_jobs',
--- a/src/radishlift/placement/working.py
+++ b/src/radishlift/placement/working.py
@@ -91,6 +91,7 @@
         self.gone: deque[tuple[WorkerId, Incarnation]] = deque()
         self.unreachable: dict[WorkerId, Incarnation] = {}
         self.ended: deque[EndedAttempt] = deque()
+        self.vacated: dict[WorkerId, bool] = {}
         self.usage: dict[WorkerId, tuple[UsageReport, ...]] = {}
 
 
--- a/src/radishlift/workers/dispatcher.py
+++ b/src/radishlift/workers/dispatcher.py
@@ -4,7 +4,7 @@
 repeat whatever was not confirmed, so that there is one retry mechanism.
 """
 
-from collections.abc import Collection, Iterable
+from collections.abc import Callable, Collection, Iterable
 from random import Random
 from typing import Final
 
@@ -65,7 +65,7 @@
         )
         self._lapses = LapseJudge(self._attempts, former, settings.lease_ms)
         self._tasks = TaskGroup()
-        self._senders = Senders(self._attempts, self._tasks, self._poll_soon)
+        self._senders = Senders(self._attempts, self._tasks, self._poll_in)
         self._sessions: dict[WorkerId, WorkerSession] = {}
         self._worker_of: dict[AttemptKey, WorkerId] = {}
         self._schedule = PollSchedule()
@@ -91,6 +91,27 @@
             elif session.is_listed or session.added_at_ms <= oldest_ms:
                 self._remove(self._sessions.pop(worker_id))
 
+    def drop_others(
+        self,
+        is_kept: Callable[[WorkerId], bool],
+    ) -> tuple[WorkerId, ...] | None:
+        """Ends the polls of workers that another partition gets.
+
+        Returns the dropped workers; None, and drops none, while one of them
+        answers and has to be told something.
+        """
+        others = [
+            session
+            for session in self._sessions.values()
+            if not is_kept(session.worker_id)
+        ]
+        if any(session.is_owing for session in others):
+            return None
+        for session in others:
+            self._sessions.pop(session.worker_id)
+            session.close()
+        return tuple(session.worker_id for session in others)
+
     def expect(self, worker_id: WorkerId, incarnation: Incarnation) -> None:
         """Adds a worker that a former owner has used."""
         session = self._sessions.get(worker_id) or self._add(worker_id)
@@ -213,10 +234,13 @@
             self._worker_of.pop(key)
         return session
 
-    def _poll_soon(self, session: WorkerSession) -> None:
-        self._poll_in(session, self._settings.retry_interval_ms)
-
-    def _poll_in(self, session: WorkerSession, delay_ms: int) -> None:
+    def _poll_in(
+        self,
+        session: WorkerSession,
+        delay_ms: int | None = None,
+    ) -> None:
+        if delay_ms is None:
+            delay_ms = self._settings.retry_interval_ms
         self._schedule.add(session, self._clock.monotonic_ms() + delay_ms)
 
     async def _poll(self, session: WorkerSession) -> None:
@@ -227,7 +251,7 @@
         finally:
             session.poll.is_running = False
             if not answered and not session.has_ended:
-                self._poll_soon(session)
+                self._poll_in(session)
         if not answered or session.has_ended:
             return
         session.poll.is_wanted = False
--- a/src/radishlift/workers/session.py
+++ b/src/radishlift/workers/session.py
@@ -149,6 +149,13 @@
         """Tells whether the worker was removed."""
         return self.state is SessionState.gone
 
+    @property
+    def is_owing(self) -> bool:
+        """Tells whether the worker has attempts or is to be told of some."""
+        if self.attempts or self.poll.is_running:
+            return True
+        return self.is_answering and bool(self.to_forget or self.to_stop)
+
     def adopt(self, incarnation: Incarnation) -> None:
         """Begins another incarnation, whose clock is unrelated."""
         self.incarnation = incarnation
--- a/tests/partitions/cell.py
+++ b/tests/partitions/cell.py
@@ -89,6 +89,9 @@
             gang_interval_ms=10,
             gang_backoff_ms=20,
             gang_hold_ms=500,
+            rack_drain_ms=100,
+            rack_checkpoint_ms=50,
+            rack_poll_ms=10,
         ),
     )
 
--- /dev/null
+++ b/tests/partitions/test_moved_racks.py
@@ -0,0 +1,407 @@
+"""Racks that the configuration moves between partitions.
+
+Judged by the records of the workers: peak commitment and tasks in two places.
+"""
+
+import itertools
+from contextlib import asynccontextmanager
+from dataclasses import replace
+
+import pytest
+
+from radishlift.config.document import Partition
+from radishlift.core.ids import ConfigVersion, RackId
+from radishlift.partitions.intake import submit
+from radishlift.partitions.rack_drains import RackDrains
+from radishlift.partitions.rack_rows import RACKS_TABLE
+from radishlift.partitions.spread import WorkerAssignment
+from radishlift.placement.jobs import JobKind, Resources
+from radishlift.platform.api import Transaction, Write
+from tests.partitions.cell import (
+    OTHER_PARTITION,
+    PARTITION,
+    make_job,
+    open_cell,
+    reports,
+)
+from tests.standins.checks import overcommitted_workers, tasks_in_two_places
+from tests.standins.conditions import until
+from tests.standins.tables import Fault, MemoryTableStore
+from tests.standins.worker import Network
+
+RACK = RackId('r1')
+WHOLE_WORKER = Resources(30_000, 2_000)
+
+
+def make_document(cell, **racks):
+    """Makes a later document; a partition without racks is not in it."""
+    cell.document = replace(
+        cell.document,
+        version=ConfigVersion(cell.document.version + 1),
+        partitions={
+            name: Partition(given) for name, given in racks.items() if given
+        },
+    )
+    return cell.document
+
+
+def move(cell):
+    """Moves rack r1 from the first partition to the other."""
+    return make_document(cell, p1=('r9',), p2=('r1', 'r2'))
+
+
+def show(owner, document):
+    owner.config.document = document
+    owner.partitions.use_config()
+
+
+def held_by(owner, partition_id):
+    runner = owner.partitions.get(partition_id)
+    return runner is not None and RACK in runner.opened.states.racks.held
+
+
+def running_of(cell, prefix):
+    return sum(
+        execution.end_ms is None and execution.task_id.startswith(prefix)
+        for record in cell.records()
+        for execution in record.executions
+    )
+
+
+@asynccontextmanager
+async def open_two(is_used=True, **options):
+    """Opens a cell in which the first partition uses the rack fully."""
+    async with open_cell(1, **options) as cell:
+        store = MemoryTableStore(cell.store.tables)
+        first = await cell.add_owner('a', store=store)
+        second = await cell.add_owner('b')
+        await first.claim()
+        await second.claim(OTHER_PARTITION)
+        await until(lambda: held_by(first, PARTITION))
+        if is_used:
+            spec = make_job('old', demand=WHOLE_WORKER)
+            await submit(first.opened(), spec, 2000)
+            await until(lambda: running_of(cell, 'old') == 1)
+        yield cell, first, second
+
+
+async def submit_new(second):
+    spec = make_job('new', demand=WHOLE_WORKER)
+    await submit(second.opened(OTHER_PARTITION), spec, 2000)
+
+
+async def end_with_new(cell, second):
+    """Waits until the new owner uses the rack, and checks the records."""
+    await until(lambda: running_of(cell, 'new') == 1)
+    assert held_by(second, OTHER_PARTITION)
+    assert not running_of(cell, 'old')
+    cell.check()
+
+
+@pytest.mark.parametrize('is_broken', [False, True])
+async def test_rack_is_not_used_while_the_old_owner_has_the_old_document(
+    monkeypatch,
+    is_broken,
+):
+    """Guards against two owners that commit the same worker.
+
+    The broken owners use all racks of the document, as they did before.
+    """
+    async with open_two(is_used=False, lease_ms=5_000) as parts:
+        cell, first, second = parts
+        if is_broken:
+            monkeypatch.setattr(
+                WorkerAssignment,
+                'within',
+                lambda workers, racks: workers,
+            )
+        show(second, move(cell))
+        await reports(cell.workers, 10)
+        spec = make_job('old', demand=WHOLE_WORKER)
+        await submit(first.opened(), spec, 2000)
+        await submit_new(second)
+        await reports(cell.workers, 10)
+        assert cell.executions() == 1 + is_broken
+        assert bool(overcommitted_workers(cell.records())) is is_broken
+
+
+@pytest.mark.parametrize('is_broken', [False, True])
+async def test_moved_rack_is_drained_before_it_is_used(monkeypatch, is_broken):
+    """Guards against a rack that is given on while tasks run there."""
+    async with open_two() as (cell, first, second):
+        if is_broken:
+            monkeypatch.setattr(
+                RackDrains,
+                'is_vacant',
+                lambda drains, rack, workers: True,
+            )
+            # Without the check of foreign tasks of a worker's first report.
+            second.opened(OTHER_PARTITION).dispatcher.expect(
+                cell.workers[0].model.worker_id,
+                cell.workers[0].model.incarnation,
+            )
+        document = move(cell)
+        for owner in (first, second):
+            show(owner, document)
+        await submit_new(second)
+        await until(lambda: running_of(cell, 'new') == 1)
+        overcommitted = overcommitted_workers(cell.records())
+        assert bool(overcommitted) is is_broken
+        if not is_broken:
+            await end_with_new(cell, second)
+            # The old owner neither polls the worker nor forgets the task.
+            opened = first.opened()
+            await until(lambda: not opened.dispatcher._sessions)
+            assert first.counts('old')
+            stopped = [
+                path for path in cell.workers[0].seen if 'checkpoint' in path
+            ]
+            assert stopped
+
+
+@pytest.mark.parametrize('killed', ['a', 'b', 'both'])
+@pytest.mark.parametrize('is_late', [False, True])
+async def test_takeover_in_the_middle_of_a_move(killed, is_late):
+    """Guards against a move that ends, or is forgotten, with its owner."""
+    async with open_two() as (cell, first, second):
+        document = move(cell)
+        for owner in (first, second):
+            show(owner, document)
+        if is_late:
+            await until(lambda: not held_by(first, PARTITION))
+        else:
+            await until(
+                lambda: RACK in first.opened().racks.keeper.pending.racks
+            )
+        victims = {'a': [first], 'b': [second], 'both': [first, second]}
+        for owner in victims[killed]:
+            await owner.kill()
+            cell.members.dead.add((owner.name, f'{owner.name}-1'))
+            cell.owners.pop(owner.name)
+        successor = await cell.add_owner('c')
+        if first in victims[killed]:
+            await successor.claim()
+        if second in victims[killed]:
+            await successor.claim(OTHER_PARTITION)
+            second = successor
+        await submit_new(second)
+        await end_with_new(cell, second)
+
+
+async def test_paused_owner_with_the_old_document_can_not_use_a_released_rack():
+    """Guards against a former owner that places and writes rows late."""
+    async with open_two(is_used=False) as (cell, first, second):
+        first.store.fault = Fault.lose_requests
+        await submit_old_unsent(first)
+        successor = await cell.add_owner('c')
+        document = move(cell)
+        show(second, document)
+        show(successor, document)
+        await successor.claim()
+        await submit_new(second)
+        await end_with_new(cell, second)
+        for late in first.store.lost_requests:
+            cell.store.tables.commit(late)
+        await reports(cell.workers, 5)
+        row = cell.store.tables.read(RACKS_TABLE, RACK)
+        assert row.value['partition'] == OTHER_PARTITION
+        cell.check()
+
+
+async def submit_old_unsent(first):
+    spec = make_job('old', demand=WHOLE_WORKER)
+    await submit(first.opened(), spec, 50)
+
+
+@pytest.mark.parametrize('fault', [Fault.lose_answers, Fault.lose_requests])
+async def test_unknown_outcomes_of_writes(fault):
+    """Guards against a rack that is taken twice or by nobody."""
+    async with open_two() as (cell, first, second):
+        for store in (first.store, cell.store):
+            store.fail_next_commits = list(itertools.repeat(fault, 5))
+        document = move(cell)
+        for owner in (first, second):
+            show(owner, document)
+        await until(lambda: held_by(second, OTHER_PARTITION))
+        await submit_new(second)
+        await end_with_new(cell, second)
+
+
+async def test_cut_worker_holds_a_move_up_until_its_lease_has_lapsed():
+    """Guards against a release while a cut worker may run a task."""
+    async with open_two() as (cell, first, second):
+        cell.workers[0].set_network(Network.hang)
+        document = move(cell)
+        for owner in (first, second):
+            show(owner, document)
+        await until(lambda: held_by(second, OTHER_PARTITION))
+        assert not cell.running()
+        cell.workers[0].set_network(Network.normal)
+        await submit_new(second)
+        await end_with_new(cell, second)
+
+
+async def test_restart_of_a_worker_and_its_loss_end_a_drain():
+    """Guards against a move that waits for attempts that are gone."""
+    async with open_two() as (cell, first, second):
+        document = move(cell)
+        for owner in (first, second):
+            show(owner, document)
+        worker = cell.workers.pop()
+        await worker.close()
+        cell.publish_hosts()
+        await until(lambda: held_by(second, OTHER_PARTITION))
+        await cell.add_worker()
+        await submit_new(second)
+        await until(lambda: running_of(cell, 'new') == 1)
+        cell.check()
+
+
+async def test_rack_that_moves_back_before_the_move_is_over():
+    """Guards against a rack that nobody uses after two changes."""
+    async with open_two() as (cell, first, second):
+        back = cell.document.partitions
+        moved = move(cell)
+        for owner in (first, second):
+            show(owner, moved)
+        pending = first.opened().racks.keeper.pending
+        await until(lambda: RACK in pending.racks)
+        document = make_document(
+            cell,
+            **{name: part.racks for name, part in back.items()},
+        )
+        show(first, document)
+        await until(lambda: not pending.racks)
+        # The one who was to get the rack sees the changes late.
+        await reports(cell.workers, 5)
+        show(second, document)
+        other = second.opened(OTHER_PARTITION).racks.keeper.pending
+        await until(lambda: not other.racks)
+        assert held_by(first, PARTITION)
+        cell.check()
+
+
+async def test_row_that_names_a_partition_of_an_earlier_document_is_passed_on():
+    """Guards against a rack that stays with whom no document names."""
+    async with open_two() as (cell, first, second):
+        third = await cell.add_owner('c')
+        moved = move(cell)
+        # The second skips the document that would give it the rack.
+        last = make_document(cell, p1=('r9',), p2=('r2',), p3=('r1',))
+        for owner in (second, third):
+            show(owner, last)
+        await third.claim('p3')
+        show(first, moved)
+        await until(lambda: held_by(third, 'p3'))
+        assert not held_by(second, OTHER_PARTITION)
+        cell.check()
+
+
+async def test_partition_that_leaves_the_document_gives_its_racks_up():
+    """Guards against a removed partition that goes on placing."""
+    async with open_two() as (cell, first, second):
+        document = make_document(cell, p1=(), p2=('r1', 'r2'))
+        for owner in (first, second):
+            show(owner, document)
+        await submit_new(second)
+        await end_with_new(cell, second)
+
+
+async def test_rack_without_a_partition_is_free_for_a_later_one():
+    """Guards against a rack that left the document and can't come back."""
+    async with open_two() as (cell, first, second):
+        document = make_document(cell, p1=('r9',), p2=('r2',))
+        for owner in (first, second):
+            show(owner, document)
+
+        def is_free():
+            row = cell.store.tables.read(RACKS_TABLE, RACK)
+            return not row.value['partition']
+
+        await until(is_free)
+        document = move(cell)
+        show(second, document)
+        await submit_new(second)
+        await end_with_new(cell, second)
+
+
+async def test_move_waits_for_an_owner_of_the_old_partition():
+    """Guards against a rack that is taken from a partition without owner."""
+    async with open_two() as (cell, first, second):
+        await first.kill()
+        cell.members.dead.add(('a', 'a-1'))
+        cell.owners.pop('a')
+        document = move(cell)
+        show(second, document)
+        await submit_new(second)
+        pending = second.opened(OTHER_PARTITION).racks.keeper.pending
+        await until(lambda: pending.waited_ms(RACK) > 200)
+        assert not running_of(cell, 'new')
+        assert pending.racks[RACK].row_names == PARTITION
+        successor = await cell.add_owner('c')
+        await successor.claim()
+        await end_with_new(cell, second)
+
+
+@pytest.mark.parametrize('kind', [JobKind.service, JobKind.gang])
+async def test_stopped_tasks_run_again_on_other_racks(kind):
+    """Guards against tasks of a drained rack that are lost."""
+    async with open_cell(1) as cell:
+        document = make_document(cell, p1=('r1', 'r3'), p2=('r2',))
+        first = await cell.add_owner('a')
+        await first.claim()
+        spec = make_job('old', kind=kind, task_count=4)
+        await submit(first.opened(), spec, 2000)
+        await until(lambda: cell.running() == 4)
+        await cell.add_worker(rack='r3')
+        document = make_document(cell, p1=('r3',), p2=('r1', 'r2'))
+        show(first, document)
+        await until(lambda: cell.workers[1].worker_record().executions)
+        await until(lambda: cell.running() == 4)
+        assert not tasks_in_two_places(cell.records())
+        assert not any(
+            one.end_ms is None
+            for one in cell.workers[0].worker_record().executions
+        )
+
+
+async def test_racks_are_taken_in_one_write_and_cost_nothing_at_rest():
+    """Guards against a write or a read for each rack, or polls at rest."""
+    async with open_cell(1) as cell:
+        racks = tuple(f'r{number}' for number in range(1, 51))
+        make_document(cell, p1=racks)
+        owner = await cell.add_owner('a')
+        await owner.claim()
+        opened = owner.opened()
+        assert len(opened.states.racks.held) == len(racks)
+        await until(lambda: not opened.racks.keeper.pending.racks)
+        written = [
+            change
+            for change in cell.store.tables.history
+            if change.writes[0].table == RACKS_TABLE
+        ]
+        assert [len(change.writes) for change in written] == [len(racks)]
+        history_count = len(cell.store.tables.history)
+        reads = []
+        read = cell.store.read
+
+        async def count_read(table, key):
+            reads.append(key)
+            return await read(table, key)
+
+        cell.store.read = count_read
+        await reports(cell.workers, 20)
+        assert not reads
+        later = cell.store.tables.history[history_count:]
+        assert all(one.writes[0].table != RACKS_TABLE for one in later)
+
+
+async def test_unreadable_row_stops_nothing_else():
+    """Guards against a rack row written by hand that ends the keeper."""
+    async with open_cell(1) as cell:
+        write = Write(RACKS_TABLE, 'r9', {'partition': 7})
+        cell.store.tables.commit(Transaction((), (write,)))
+        make_document(cell, p1=('r1', 'r9'))
+        owner = await cell.add_owner('a')
+        await owner.claim()
+        await until(lambda: held_by(owner, PARTITION))
