--- a/src/radishlift/daemon/cell_status.py
+++ b/src/radishlift/daemon/cell_status.py
@@ -64,6 +64,7 @@
             tuple(row for one in answers for row in one.quarantines),
             self._partitions(answers),
             replies.missing,
+            tuple(row for one in answers for row in one.racks),
         )
 
     def _partitions(
--- a/src/radishlift/workers/dispatcher.py
+++ b/src/radishlift/workers/dispatcher.py
@@ -4,8 +4,7 @@
 repeat whatever was not confirmed, so that there is one retry mechanism.
 """
 
-from collections.abc import Collection, Iterable
-from random import Random
+from collections.abc import Callable, Collection, Iterable
 from typing import Final
 
 from radishlift.core.clock import Clock
@@ -19,8 +18,8 @@
 from radishlift.workers.lapses import LapseJudge
 from radishlift.workers.leases import FormerOwners
 from radishlift.workers.messages import AttemptKey
+from radishlift.workers.poll_plan import PollPlan
 from radishlift.workers.polls import WorkerPoll
-from radishlift.workers.schedule import PollSchedule
 from radishlift.workers.senders import Senders, TaskGroup
 from radishlift.workers.session import (
     AttemptToRun,
@@ -55,7 +54,7 @@
         self._clock = clock
         self._events = events
         self._attempts = AttemptExchange(client, settings, clock, events)
-        self._pace = client.pace
+        self._plan = PollPlan(client.pace, settings, clock)
         self._polls = WorkerPoll(
             client,
             settings,
@@ -65,10 +64,13 @@
         )
         self._lapses = LapseJudge(self._attempts, former, settings.lease_ms)
         self._tasks = TaskGroup()
-        self._senders = Senders(self._attempts, self._tasks, self._drained)
+        self._senders = Senders(
+            self._attempts,
+            self._tasks,
+            self._plan.after_sending,
+        )
         self._sessions: dict[WorkerId, WorkerSession] = {}
         self._worker_of: dict[AttemptKey, WorkerId] = {}
-        self._schedule = PollSchedule()
 
     def set_workers(
         self,
@@ -91,6 +93,27 @@
             elif session.is_listed or session.added_at_ms <= oldest_ms:
                 self._remove(self._sessions.pop(worker_id))
 
+    def drop_others(
+        self,
+        is_kept: Callable[[WorkerId], bool],
+    ) -> tuple[WorkerId, ...] | None:
+        """Ends the polls of workers that another partition gets.
+
+        Returns the dropped workers; None, and drops none, while one of them
+        answers and has to be told something.
+        """
+        others = [
+            session
+            for session in self._sessions.values()
+            if not is_kept(session.worker_id)
+        ]
+        if any(session.is_owing for session in others):
+            return None
+        for session in others:
+            self._sessions.pop(session.worker_id)
+            session.close()
+        return tuple(session.worker_id for session in others)
+
     def expect(self, worker_id: WorkerId, incarnation: Incarnation) -> None:
         """Adds a worker that a former owner has used."""
         session = self._sessions.get(worker_id) or self._add(worker_id)
@@ -109,7 +132,7 @@
         self._worker_of[order.key] = order.worker_id
         latest_ms = self._clock.monotonic_ms()
         latest_ms += self._settings.report_interval_ms
-        self._schedule.add_if_later(session, latest_ms)
+        self._plan.schedule.add_if_later(session, latest_ms)
         # A former owner may have started it: the first report tells.
         if not order.is_inherited:
             self._senders.enqueue(session, live)
@@ -144,17 +167,17 @@
                 may_lapse = self.end_lapsed()
                 longest_ms = _LAPSES_INTERVAL_MS if may_lapse else _MAX_SLEEP_MS
                 next_check_ms = now_ms + _LAPSES_INTERVAL_MS
-            delay_ms = self._schedule.delay_ms(now_ms)
+            delay_ms = self._plan.schedule.delay_ms(now_ms)
             if delay_ms is None:
                 delay_ms = longest_ms
-            await self._schedule.sleep(
+            await self._plan.schedule.sleep(
                 min(max(delay_ms, _MIN_SLEEP_MS), longest_ms),
             )
 
     def poll_due(self) -> None:
         """Begins the polls that are due."""
         now_ms = self._clock.monotonic_ms()
-        for session in self._schedule.take_due(now_ms):
+        for session in self._plan.schedule.take_due(now_ms):
             self._tasks.spawn(self._poll(session))
 
     def end_lapsed(self) -> bool:
@@ -183,7 +206,7 @@
         now_ms = self._clock.monotonic_ms()
         session = WorkerSession(worker_id, now_ms)
         self._sessions[worker_id] = session
-        self._schedule.add(session, now_ms)
+        self._plan.schedule.add(session, now_ms)
         return session
 
     def _remove(self, session: WorkerSession) -> None:
@@ -213,23 +236,8 @@
             self._worker_of.pop(key)
         return session
 
-    def _drained(self, session: WorkerSession) -> None:
-        if session.poll.is_wanted:
-            session.poll.is_wanted = False
-            self._poll_in(session, self._settings.retry_interval_ms)
-            return
-        until_end_ms = self._pace.until_end_ms(session)
-        if until_end_ms is not None:
-            at_ms = self._clock.monotonic_ms() + until_end_ms
-            if self._schedule.add_if_later(session, at_ms):
-                session.poll.is_for_end = True
-
-    def _poll_in(self, session: WorkerSession, delay_ms: int) -> None:
-        session.poll.is_for_end = False
-        self._schedule.add(session, self._clock.monotonic_ms() + delay_ms)
-
     async def _poll(self, session: WorkerSession) -> None:
-        self._pace.note_poll(is_for_end=session.poll.is_for_end)
+        self._plan.begin(session)
         was_connected = session.is_answering
         answered = False
         try:
@@ -237,23 +245,14 @@
         finally:
             session.poll.is_running = False
             if not answered and not session.has_ended:
-                self._poll_in(session, self._settings.retry_interval_ms)
+                self._plan.retry(session)
         if not answered or session.has_ended:
             return
         session.poll.is_wanted = False
         for live in session.attempts.values():
             if live.needs_attention:
                 self._senders.enqueue(session, live)
-        interval_ms = self._pace.regular_ms(session)
-        if not was_connected:
-            # The first polls come all at once; later ones are spread out.
-            interval_ms = Random(session.worker_id).randrange(interval_ms)
-        until_end_ms = self._pace.until_end_ms(session)
-        if until_end_ms is None or until_end_ms >= interval_ms:
-            self._poll_in(session, interval_ms)
-            return
-        self._poll_in(session, until_end_ms)
-        session.poll.is_for_end = True
+        self._plan.after_answer(session, was_connected=was_connected)
 
 
 __all__ = ('Dispatcher',)
