--- a/src/radishlift/placement/admission.py
+++ b/src/radishlift/placement/admission.py
@@ -20,9 +20,11 @@
     """Tells at once when a job can never run, and in which dimension."""
     if spec.task_count < 1 or spec.max_attempts < 1:
         return Failure(ErrorKind.invalid_input, 'counts are below 1')
-    if min(getattr(spec.demand, name) for name in DIMENSIONS) < 0:
+    demand = spec.demand
+    least = min(demand.cpu_milli, demand.memory_mb, demand.accelerators_count)
+    if least < 0:
         return Failure(ErrorKind.invalid_input, 'a demand is negative')
-    dimension = _too_large(working, spec.demand)
+    dimension = _too_large(working, demand)
     if dimension:
         reason = f'no worker has enough {dimension} for a task'
         return Failure(ErrorKind.never_fits, reason)
@@ -34,7 +36,10 @@
 
 
 def _too_large(working: Working, demand: Resources) -> str:
-    shapes = {*working.fleet.shapes, *working.fleet.other_shapes}
+    fleet = working.fleet
+    if any(is_within(demand, shape) for shape in fleet.shapes):
+        return ''
+    shapes = {*fleet.shapes, *fleet.other_shapes}
     # Without a known worker nothing can be said about what fits.
     if not shapes or any(is_within(demand, shape) for shape in shapes):
         return ''
@@ -94,13 +99,13 @@
     working.queue.add(job_row, key, order)
     if not is_aged:
         entry = (aged_at_ms, spec.job_id)
-        heapq.heappush(working.ageing, entry)
+        heapq.heappush(working.queue.ageing, entry)
 
 
 @SYSTEMS.register('ageing')
 def age_jobs(working: Working, time: TickTime) -> bool:
     """Moves jobs that waited too long to the rank of aged work."""
-    ageing = working.ageing
+    ageing = working.queue.ageing
     while ageing and ageing[0][0] <= time.now_ms:
         if time.is_over():
             return False
--- a/src/radishlift/placement/changes.py
+++ b/src/radishlift/placement/changes.py
@@ -8,6 +8,7 @@
 from radishlift.placement.partition_tables import (
     PartitionTables,
     RecordRefusedError,
+    task_index,
 )
 from radishlift.placement.reasons import FAILED, FAILED_ON_SUSPECT
 from radishlift.placement.records import (
@@ -124,9 +125,12 @@
         raise RecordRefusedError('there is no such task')
     worker_row = tables.workers.row_of.get(record.worker_id, NO_ROW)
     if row is None:
-        _check_unbound(tables, record)
+        job_row = tables.jobs.row_of[job_id_of(record.task_id)]
+        _check_unbound(tables, job_row)
         check_start(tables, record, worker_row, 0)
-        row = tables.add_tasks_up_to(record.task_id)
+        row = tables.add_tasks_up_to(job_row, task_index(record.task_id))
+        tables.commit_attempt(row, worker_row, record)
+        return
     if row == NO_ROW or record.attempt < tables.tasks.attempt[row]:
         return
     if record.attempt == tables.tasks.attempt[row]:
@@ -134,13 +138,13 @@
         return
     if not is_allowed(tables.tasks.state[row], TaskState.placed):
         raise RecordRefusedError('an earlier attempt has not ended')
-    _check_unbound(tables, record)
+    _check_unbound(tables, tables.tasks.job_row[row])
     check_start(tables, record, worker_row, tables.tasks.attempt[row])
     tables.commit_attempt(row, worker_row, record)
 
 
-def _check_unbound(tables: PartitionTables, record: TaskPlaced) -> None:
-    if tables.jobs.is_bound(tables.jobs.row_of[job_id_of(record.task_id)]):
+def _check_unbound(tables: PartitionTables, job_row: int) -> None:
+    if tables.jobs.is_bound(job_row):
         raise RecordRefusedError('the gang starts as a part')
 
 
--- a/src/radishlift/placement/choosing.py
+++ b/src/radishlift/placement/choosing.py
@@ -18,8 +18,9 @@
 ) -> Iterator[int]:
     """Yields the workers that a task may start on, as the policy searches."""
     workers = working.tables.workers
+    fits = workers.fits
     for row in _searched(working, policy, demand):
-        if workers.fits(row, demand) and is_permitted(row):
+        if fits(row, demand) and is_permitted(row):
             yield row
 
 
--- a/src/radishlift/placement/engine.py
+++ b/src/radishlift/placement/engine.py
@@ -51,6 +51,8 @@
 class TickBudget:
     """The time that the running system may use."""
 
+    __slots__ = ('_system_end_s', '_tick_end_s', '_timer', 'now_ms')
+
     def __init__(
         self,
         now_ms: int,
@@ -91,6 +93,7 @@
         timer: Callable[[], float] = perf_counter,
     ) -> None:
         self._timer = timer
+        self._systems = tuple(system for _, system in SYSTEMS)
         self._working = Working(state, settings or PlacementSettings())
         self._working.sync_workers()
         self.gang_parts = GangParts(self._working)
@@ -179,10 +182,11 @@
         # A system that has much to do gets half of the time that is left, so
         # that a burst can't starve the systems after it. What remains of the
         # budget then goes to the systems that were not done.
+        start_system = budget.start_system
         unfinished = [
             system
-            for _, system in SYSTEMS
-            if budget.start_system(0.5) and not system(working, budget)
+            for system in self._systems
+            if start_system(0.5) and not system(working, budget)
         ]
         for system in unfinished:
             if budget.start_system(1):
@@ -201,7 +205,6 @@
             working.queue.wake_all()
             return
         working.booking.closed.clear()
-        working.ageing.clear()
         working.queue = JobQueue(working.tables.jobs)
         working.tables.queued_jobs = dict.fromkeys(
             working.tables.jobs.row_of.values(),
--- a/src/radishlift/placement/fleet.py
+++ b/src/radishlift/placement/fleet.py
@@ -47,7 +47,7 @@
 
     def _update_free(self, workers: WorkerTable, row: int) -> None:
         free = _NO_AMOUNTS
-        if workers.can_take(row):
+        if workers.is_present[row] and not workers.quarantine_reason[row]:
             free = (
                 workers.free_cpu[row],
                 workers.free_memory[row],
@@ -56,10 +56,11 @@
         before = self._free_of.get(row, _NO_AMOUNTS)
         self._free_of[row] = free
         if free[0] > before[0] or free[1] > before[1] or free[2] > before[2]:
+            grown = self.grown
             self.grown = Resources(
-                max(self.grown.cpu_milli, free[0]),
-                max(self.grown.memory_mb, free[1]),
-                max(self.grown.accelerators_count, free[2]),
+                max(grown.cpu_milli, free[0]),
+                max(grown.memory_mb, free[1]),
+                max(grown.accelerators_count, free[2]),
             )
 
     def _count_shape(self, shape: Resources, change: int) -> None:
--- a/src/radishlift/placement/health.py
+++ b/src/radishlift/placement/health.py
@@ -51,7 +51,11 @@
 
     def of(self, row: int) -> WorkerHealth:
         """Returns the health of a worker."""
-        return self._workers.setdefault(row, WorkerHealth())
+        worker = self._workers.get(row)
+        if worker is None:
+            worker = WorkerHealth()
+            self._workers[row] = worker
+        return worker
 
     def forget(self, row: int) -> None:
         """Starts anew with a worker that is gone or restarted."""
--- a/src/radishlift/placement/job_queue.py
+++ b/src/radishlift/placement/job_queue.py
@@ -23,7 +23,8 @@
     """Groups of queued jobs; jobs that left are dropped when met.
 
     `active` are the groups whose head may be startable, `blocked` those that
-    wait for room or quota.
+    wait for room or quota. `ageing` is a heap of the times at which jobs have
+    waited too long.
     """
 
     def __init__(self, jobs: JobTable) -> None:
@@ -31,6 +32,7 @@
         self._groups: dict[GroupKey, Group] = {}
         self.active = ActiveGroups()
         self.blocked = BlockedGroups()
+        self.ageing: list[tuple[int, JobId]] = []
         self._known: dict[int, tuple[GroupKey, int, JobId]] = {}
         self._sequence = 0
 
@@ -38,7 +40,7 @@
         """Adds a job, or moves it to another group."""
         job_id = self._jobs.spec[job_row].job_id
         known = self._known.get(job_row)
-        if known is not None and (known[0], known[2]) == (key, job_id):
+        if known is not None and known[2] == job_id and known[0] == key:
             return
         self._sequence += 1
         self._known[job_row] = (key, self._sequence, job_id)
@@ -67,7 +69,8 @@
                 del self._known[job_row]
             heapq.heappop(group.heap)
         self.active.remove(group)
-        self.blocked.discard(group)
+        if group.blocked_by:
+            self.blocked.discard(group)
         self._groups.pop(group.key, None)
         return None
 
@@ -94,7 +97,8 @@
 
     def wake_fitting(self, free: Resources) -> None:
         """Wakes the groups whose demand fits into a free amount."""
-        self._wake(self.blocked.pop_fitting(free))
+        if self.blocked.has_any_for_room():
+            self._wake(self.blocked.pop_fitting(free))
 
     def wake_team(self, team: TeamName) -> None:
         """Wakes the groups that were over the quota of a team."""
--- a/src/radishlift/placement/job_table.py
+++ b/src/radishlift/placement/job_table.py
@@ -81,17 +81,19 @@
 
     def waiting_count(self, row: int) -> int:
         """Counts the queued tasks, also those of a gang over partitions."""
-        if not self.is_open(row):
+        if self.is_cancelled[row] or self.to_partition[row]:
             return 0
         fresh_count = self.spec[row].task_count - self.fresh_index[row]
         return fresh_count + len(self.requeued[row]) + len(self._delayed[row])
 
     def ready_count(self, row: int) -> int:
         """Counts the queued tasks that may start now; a gang is whole."""
-        delayed_count = len(self._delayed[row])
-        if delayed_count and self.spec[row].kind is JobKind.gang:
+        if self._delayed[row] and self.spec[row].kind is JobKind.gang:
             return 0
-        return max(0, self.startable_count(row) - delayed_count)
+        if self.is_bound(row) or not self.is_open(row):
+            return 0
+        fresh_count = self.spec[row].task_count - self.fresh_index[row]
+        return fresh_count + len(self.requeued[row])
 
     def delayed_of(self, row: int) -> dict[int, None]:
         """Returns the tasks that wait after a failure."""
@@ -107,7 +109,8 @@
 
     def has_live_attempts(self, row: int) -> bool:
         """Tells whether an attempt of the job may still run."""
-        return len(self.task_rows[row]) != len(self.queued_rows(row))
+        queued_count = len(self.requeued[row]) + len(self._delayed[row])
+        return len(self.task_rows[row]) != queued_count
 
     def failure_of(self, row: int) -> str:
         """Tells which task ended as failed first, or ''."""
@@ -121,7 +124,7 @@
         """Tells whether no task of the job is queued or live."""
         if self.task_rows[row] or self.is_bound(row):
             return False
-        return self.startable_count(row) == 0
+        return self.waiting_count(row) == 0
 
     def _grow(self) -> int:
         for column in self._columns():
--- a/src/radishlift/placement/jobs.py
+++ b/src/radishlift/placement/jobs.py
@@ -34,6 +34,9 @@
     normal = 'normal'
     low = 'low'
 
+    # The hash of Enum is a Python function, and each placement needs several.
+    __hash__ = object.__hash__
+
 
 @unique
 class TaskState(Enum):
@@ -47,6 +50,8 @@
     failed = 'failed'
     cancelled = 'cancelled'
 
+    __hash__ = object.__hash__
+
 
 @dataclass(frozen=True, slots=True)
 class Resources:
--- a/src/radishlift/placement/partition_tables.py
+++ b/src/radishlift/placement/partition_tables.py
@@ -1,6 +1,7 @@
 """The tables of one partition and the steps that keep them consistent."""
 
 import heapq
+from collections import OrderedDict, defaultdict
 
 from radishlift.core.ids import (
     DepartmentName,
@@ -43,12 +44,16 @@
         self.changed_workers: dict[int, None] = {}
         self.queued_count = 0
         self.queued = [0, 0]
-        self.ended_jobs: dict[int, None] = {}
+        # Jobs are forgotten from the front. A plain dict would skip all that
+        # were removed there on each look at the first one.
+        self.ended_jobs: OrderedDict[int, None] = OrderedDict()
         self.holds: dict[JobId, GangReserved] = {}
         self.gangs = GangTable()
         self.shrunk_teams: dict[TeamName, None] = {}
-        self.team_use: dict[TeamName, list[int]] = {}
-        self.department_use: dict[DepartmentName, list[int]] = {}
+        self.team_use: dict[TeamName, list[int]] = defaultdict(_no_use)
+        self.department_use: dict[DepartmentName, list[int]] = defaultdict(
+            _no_use,
+        )
 
     def has_task(self, task_id: TaskId) -> bool:
         """Tells whether a known job has this task, in any state."""
@@ -59,30 +64,33 @@
 
     def task_row(self, task_id: TaskId) -> int | None:
         """Finds a task; None if unstarted, `NO_ROW` if ended or unknown."""
+        row = self.tasks.find(task_id)
+        if row is not None:
+            return row
+        jobs = self.jobs
         job_id, _, digits = task_id.rpartition('/')
-        job_row = self.jobs.row_of.get(JobId(job_id))
+        job_row = jobs.row_of.get(JobId(job_id))
         if job_row is None or not digits.isdecimal():
             return NO_ROW
         index = int(digits)
-        row = self.jobs.task_rows[job_row].get(index)
+        row = jobs.task_rows[job_row].get(index)
         if row is not None:
             return row
-        if index < self.jobs.fresh_index[job_row]:
+        if index < jobs.fresh_index[job_row]:
             return NO_ROW
-        is_known = index < self.jobs.spec[job_row].task_count
-        return None if is_known and self.jobs.is_open(job_row) else NO_ROW
+        is_known = index < jobs.spec[job_row].task_count
+        return None if is_known and jobs.is_open(job_row) else NO_ROW
 
-    def add_tasks_up_to(self, task_id: TaskId) -> int:
-        """Gives rows to the unstarted tasks up to this one."""
-        job_row = self.jobs.row_of[job_id_of(task_id)]
-        index = task_index(task_id)
+    def add_tasks_up_to(self, job_row: int, index: int) -> int:
+        """Gives rows to the unstarted tasks of a job up to this one."""
+        jobs = self.jobs
+        job_id = jobs.spec[job_row].job_id
         row = NO_ROW
-        job_id = self.jobs.spec[job_row].job_id
-        for fresh in range(self.jobs.fresh_index[job_row], index + 1):
+        for fresh in range(jobs.fresh_index[job_row], index + 1):
             row = self.tasks.add(job_row, fresh, task_id_of(job_id, fresh))
-            self.jobs.task_rows[job_row][fresh] = row
-            self.jobs.requeued[job_row][row] = None
-        self.jobs.fresh_index[job_row] = index + 1
+            jobs.task_rows[job_row][fresh] = row
+            jobs.requeued[job_row][row] = None
+        jobs.fresh_index[job_row] = index + 1
         return row
 
     def commit_attempt(
@@ -92,14 +100,15 @@
         placed: TaskPlaced,
     ) -> None:
         """Binds an attempt to a worker and takes its capacity."""
-        job_row = self.tasks.job_row[row]
-        self.tasks.state[row] = TaskState.placed
-        self.tasks.attempt[row] = placed.attempt
-        self.tasks.worker_row[row] = worker_row
-        self.tasks.incarnation[row] = placed.incarnation
-        self.tasks.reserved[row] = placed.reserved
-        self.tasks.placed_at_ms[row] = placed.placed_at_ms
-        self.tasks.retry_at_ms[row] = 0
+        tasks = self.tasks
+        job_row = tasks.job_row[row]
+        tasks.state[row] = TaskState.placed
+        tasks.attempt[row] = placed.attempt
+        tasks.worker_row[row] = worker_row
+        tasks.incarnation[row] = placed.incarnation
+        tasks.reserved[row] = placed.reserved
+        tasks.placed_at_ms[row] = placed.placed_at_ms
+        tasks.retry_at_ms[row] = 0
         self.jobs.requeued[job_row].pop(row, None)
         self.jobs.delayed_of(job_row).pop(row, None)
         self.workers.tasks[worker_row][row] = None
@@ -212,15 +221,20 @@
         spec = self.jobs.spec[job_row]
         if sign < 0:
             self.shrunk_teams[spec.team] = None
-        teams = self.team_use
-        departments = self.department_use
+        cpu_milli = sign * amount.cpu_milli
+        memory_mb = sign * amount.memory_mb
+        accelerators_count = sign * amount.accelerators_count
         for use in (
-            teams.setdefault(spec.team, [0, 0, 0]),
-            departments.setdefault(spec.department, [0, 0, 0]),
+            self.team_use[spec.team],
+            self.department_use[spec.department],
         ):
-            use[0] += sign * amount.cpu_milli
-            use[1] += sign * amount.memory_mb
-            use[2] += sign * amount.accelerators_count
+            use[0] += cpu_milli
+            use[1] += memory_mb
+            use[2] += accelerators_count
+
+
+def _no_use() -> list[int]:
+    return [0, 0, 0]
 
 
 def _without(
--- a/src/radishlift/placement/permits.py
+++ b/src/radishlift/placement/permits.py
@@ -25,7 +25,7 @@
         self._rank = rank
         self._demand = demand
         self._end_ms = estimated_end_ms(spec, now_ms)
-        self._backfill = policy_of(working, spec.department).backfill
+        self._department = spec.department
         self._reservation = _limiting(working, spec, rank)
 
     def __call__(self, worker_row: int) -> bool:
@@ -46,7 +46,7 @@
             self._end_ms,
             not is_within(self._demand, spare),
         )
-        return self._backfill(case)
+        return policy_of(self._working, self._department).backfill(case)
 
     def note_start(self, worker_row: int, start: TaskPlaced) -> None:
         """Counts a start against the reservation that it passed."""
--- a/src/radishlift/placement/queue_groups.py
+++ b/src/radishlift/placement/queue_groups.py
@@ -1,16 +1,16 @@
 """Groups of equal jobs, active and blocked."""
 
+from bisect import bisect_left, insort
 from collections.abc import Callable, Collection, Iterator
 from itertools import islice
-from typing import Any, NamedTuple
-
-from sortedcontainers import SortedList
+from typing import NamedTuple
 
 from radishlift.core.ids import DepartmentName, TeamName
 from radishlift.placement.amounts import is_within
 from radishlift.placement.jobs import Resources
 
 OrderKey = tuple[int, ...]
+Entry = tuple[OrderKey, int, 'Group']
 
 
 class GroupKey(NamedTuple):
@@ -31,15 +31,19 @@
     def __init__(self, key: GroupKey) -> None:
         self.key = key
         self.heap: list[tuple[OrderKey, int, int]] = []
-        self.entry: tuple[Any, ...] | None = None
+        self.entry: Entry | None = None
         self.blocked_by = ''
 
 
 class ActiveGroups:
-    """Groups whose head may be startable, by rank and department."""
+    """Groups whose head may be startable, by rank and department.
+
+    The groups of a department are in a list that is kept sorted by the entry
+    of each: the order and the sequence of its head, which is unique.
+    """
 
     def __init__(self) -> None:
-        self._waiting: dict[int, dict[DepartmentName, SortedList]] = {}
+        self._waiting: dict[int, dict[DepartmentName, list[Entry]]] = {}
 
     def update(self, group: Group) -> None:
         """Adds a group at the place of its present head."""
@@ -49,12 +53,9 @@
                 return
             self.remove(group)
         departments = self._waiting.setdefault(group.key.rank, {})
-        waiting = departments.get(group.key.department)
-        if waiting is None:
-            waiting = SortedList(key=_entry_order)
-            departments[group.key.department] = waiting
+        waiting = departments.setdefault(group.key.department, [])
         group.entry = (order, sequence, group)
-        waiting.add(group.entry)
+        insort(waiting, group.entry)
 
     def remove(self, group: Group) -> None:
         """Removes a group if it is active."""
@@ -62,7 +63,7 @@
             return
         departments = self._waiting[group.key.rank]
         waiting = departments[group.key.department]
-        waiting.remove(group.entry)
+        del waiting[bisect_left(waiting, group.entry)]
         group.entry = None
         if not waiting:
             del departments[group.key.department]
@@ -83,7 +84,9 @@
             departments = self._waiting[rank]
             names = [name for name in departments if name not in closed]
             if names:
-                name = min(names, key=share_of)
+                name = names[0]
+                if len(names) > 1:
+                    name = min(names, key=share_of)
                 return departments[name][0][-1]
         return None
 
@@ -100,10 +103,6 @@
         return list(found.values())
 
 
-def _entry_order(entry: tuple[Any, ...]) -> tuple[OrderKey, int]:
-    return entry[0], entry[1]
-
-
 class BlockedGroups:
     """Groups that wait for room, by demand, or for quota, by team."""
 
@@ -120,6 +119,10 @@
         """Adds a group that waits for its team to use less."""
         self._by_team.setdefault(group.key.team, {})[group.key] = group
 
+    def has_any_for_room(self) -> bool:
+        """Tells whether a group waits for room."""
+        return bool(self._by_demand)
+
     def waiting_for_quota(self) -> Iterator[tuple[TeamName, Group]]:
         """Yields the groups over a quota with their teams."""
         for team, groups in self._by_team.items():
--- a/src/radishlift/placement/state.py
+++ b/src/radishlift/placement/state.py
@@ -1,6 +1,6 @@
 """The journaled state of placement in one partition."""
 
-from typing import Any, ClassVar
+from typing import Any, ClassVar, Final
 
 from radishlift.core.logs import log_event
 from radishlift.placement import (  # noqa: F401
@@ -20,6 +20,8 @@
 )
 from radishlift.placement.snapshots import dump_tables, load_tables
 
+_LEARNED_TYPES: Final = (UsageLearned, HealthLearned)
+
 
 class PartitionState:
     """Tables of a partition, changed only by applying records.
@@ -30,8 +32,7 @@
 
     record_types: ClassVar[tuple[type, ...]] = (
         *CHANGES,
-        UsageLearned,
-        HealthLearned,
+        *_LEARNED_TYPES,
     )
 
     def __init__(self) -> None:
@@ -45,7 +46,7 @@
         overcommit a worker or start a task that may still run elsewhere. It
         is raised rather than returned because the partition must not go on.
         """
-        if isinstance(record, UsageLearned | HealthLearned):
+        if type(record) in _LEARNED_TYPES:
             self.learned.apply(record)
             return
         try:
--- a/src/radishlift/placement/tables.py
+++ b/src/radishlift/placement/tables.py
@@ -25,6 +25,7 @@
     """Tasks that were started at least once and have not ended."""
 
     def __init__(self) -> None:
+        self._row_of: dict[TaskId, int] = {}
         self.job_row: list[int] = []
         self.index: list[int] = []
         self.task_id: list[TaskId] = []
@@ -44,6 +45,7 @@
     def add(self, job_row: int, index: int, task_id: TaskId) -> int:
         """Adds a queued task and returns its row."""
         row = self._free_rows.pop() if self._free_rows else self._grow()
+        self._row_of[task_id] = row
         self.job_row[row] = job_row
         self.index[row] = index
         self.task_id[row] = task_id
@@ -62,8 +64,13 @@
     def remove(self, row: int) -> None:
         """Forgets a task."""
         self.job_row[row] = NO_ROW
+        del self._row_of[self.task_id[row]]
         self._free_rows.append(row)
 
+    def find(self, task_id: TaskId) -> int | None:
+        """Finds the row of a task."""
+        return self._row_of.get(task_id)
+
     def is_live(self, row: int) -> bool:
         """Tells whether the current attempt holds capacity."""
         return self.worker_row[row] != NO_ROW
--- a/src/radishlift/placement/worker_index.py
+++ b/src/radishlift/placement/worker_index.py
@@ -1,11 +1,12 @@
 """Index of workers by free capacity, searched without scanning them all."""
 
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
+from itertools import chain
 from typing import Final
 
 from radishlift.placement.amounts import is_within
 from radishlift.placement.jobs import Resources
-from radishlift.placement.tables import NOTHING, WorkerTable
+from radishlift.placement.tables import WorkerTable
 
 LEVELS_COUNT: Final = 64
 """Levels of each dimension; one level is 1.6% of the largest worker."""
@@ -28,10 +29,9 @@
 
     def update(self, row: int, cpu_milli: int, memory_mb: int) -> None:
         """Moves a worker to the cell of its free capacity."""
-        cell = (
-            max(0, cpu_milli) // self._cpu_step,
-            max(0, memory_mb) // self._memory_step,
-        )
+        cpu = cpu_milli // self._cpu_step if cpu_milli > 0 else 0
+        memory = memory_mb // self._memory_step if memory_mb > 0 else 0
+        cell = (cpu, memory)
         before = self._cell_of.get(row)
         if before == cell:
             return
@@ -52,16 +52,27 @@
         """
         low_memory = demand.memory_mb // self._memory_step
         low_cpu = demand.cpu_milli // self._cpu_step
-        for cpu in _set_bits(self._cpu_mask, low_cpu, is_tight=is_tight):
-            mask = self._memory_masks[cpu]
-            for memory in _set_bits(mask, low_memory, is_tight=is_tight):
+        cpu_mask = self._cpu_mask >> low_cpu << low_cpu
+        while cpu_mask:
+            first = cpu_mask & -cpu_mask if is_tight else cpu_mask
+            cpu = first.bit_length() - 1
+            cpu_mask ^= 1 << cpu
+            mask = self._memory_masks[cpu] >> low_memory << low_memory
+            while mask:
+                first = mask & -mask if is_tight else mask
+                memory = first.bit_length() - 1
+                mask ^= 1 << memory
                 yield from self._cells[cpu, memory]
 
     def _enter(self, row: int, cell: tuple[int, int]) -> None:
         cpu, memory = cell
         while len(self._memory_masks) <= cpu:
             self._memory_masks.append(0)
-        self._cells.setdefault(cell, {})[row] = None
+        members = self._cells.get(cell)
+        if members is None:
+            self._cells[cell] = {row: None}
+        else:
+            members[row] = None
         self._cell_of[row] = cell
         self._memory_masks[cpu] |= 1 << memory
         self._cpu_mask |= 1 << cpu
@@ -78,22 +89,11 @@
             self._cpu_mask &= ~(1 << cpu)
 
 
-def _set_bits(mask: int, low: int, *, is_tight: bool) -> Iterator[int]:
-    mask = mask >> low << low
-    while mask:
-        if is_tight:
-            bit = (mask & -mask).bit_length() - 1
-        else:
-            bit = mask.bit_length() - 1
-        yield bit
-        mask ^= 1 << bit
-
-
 class WorkerIndex:
     """Grids of the open workers, without and with accelerators.
 
-    `extra_of` tells what counts as free besides the free capacity of a
-    worker, such as what preemptible work holds.
+    With `is_displaceable_free`, what work that may be displaced reserves
+    counts as free.
 
     Work that needs no accelerator looks at the workers without them first.
     """
@@ -101,10 +101,11 @@
     def __init__(
         self,
         workers: WorkerTable,
-        extra_of: Callable[[int], Resources] | None = None,
+        *,
+        is_displaceable_free: bool = False,
     ) -> None:
         self._workers = workers
-        self._extra_of = extra_of
+        self._is_displaceable_free = is_displaceable_free
         self._largest = Resources(0, 0, 0)
         self._grids: tuple[FreeGrid, ...] = ()
         self._rebuild(self._largest)
@@ -112,25 +113,27 @@
     def update(self, row: int) -> None:
         """Takes over the present free capacity of a worker."""
         workers = self._workers
-        if not workers.can_take(row):
+        if workers.quarantine_reason[row] or not workers.is_present[row]:
             self._remove(row)
             return
         capacity = workers.worker_info[row].capacity
         if not is_within(capacity, self._largest):
             self._grow(capacity)
+        cpu_milli = workers.free_cpu[row]
+        memory_mb = workers.free_memory[row]
+        if self._is_displaceable_free:
+            cpu_milli += workers.displaceable_cpu[row]
+            memory_mb += workers.displaceable_memory[row]
         grid = self._grids[capacity.accelerators_count > 0]
-        extra = NOTHING if self._extra_of is None else self._extra_of(row)
-        grid.update(
-            row,
-            workers.free_cpu[row] + extra.cpu_milli,
-            workers.free_memory[row] + extra.memory_mb,
-        )
+        grid.update(row, cpu_milli, memory_mb)
 
     def search(self, demand: Resources, *, is_tight: bool) -> Iterator[int]:
         """Yields workers that may fit; the caller checks each."""
-        if not demand.accelerators_count:
-            yield from self._grids[0].search(demand, is_tight=is_tight)
-        yield from self._grids[1].search(demand, is_tight=is_tight)
+        without, with_accelerators = self._grids
+        found = with_accelerators.search(demand, is_tight=is_tight)
+        if demand.accelerators_count:
+            return found
+        return chain(without.search(demand, is_tight=is_tight), found)
 
     def _remove(self, row: int) -> None:
         for grid in self._grids:
--- a/src/radishlift/placement/worker_table.py
+++ b/src/radishlift/placement/worker_table.py
@@ -72,13 +72,6 @@
         self.free_memory[row] += amount.memory_mb
         self.free_accelerators[row] += amount.accelerators_count
 
-    def displaceable(self, row: int) -> Resources:
-        """Returns what running normal and low work reserves."""
-        return Resources(
-            self.displaceable_cpu[row],
-            self.displaceable_memory[row],
-        )
-
     def count_displaceable(
         self,
         row: int,
--- a/src/radishlift/placement/working.py
+++ b/src/radishlift/placement/working.py
@@ -31,7 +31,6 @@
 )
 from radishlift.placement.learned import Learned
 from radishlift.placement.orders import Order, OrderKind
-from radishlift.placement.partition_tables import PartitionTables
 from radishlift.placement.settings import PlacementSettings
 from radishlift.placement.state import PartitionState
 from radishlift.placement.worker_index import WorkerIndex
@@ -95,7 +94,10 @@
 
 
 class Working:
-    """Indexes, queue and inputs of one engine."""
+    """Indexes, queue and inputs of one engine.
+
+    `tables` are those of the state, which is recovered before.
+    """
 
     def __init__(
         self,
@@ -103,6 +105,7 @@
         settings: PlacementSettings,
     ) -> None:
         self.state = state
+        self.tables = state.tables
         self.settings = settings
         self.inputs = Inputs()
         self.rules = Rules(ConfigDocument(ConfigVersion(0)))
@@ -113,19 +116,13 @@
         self.fleet = Fleet()
         self.reclaimable = WorkerIndex(
             state.tables.workers,
-            state.tables.workers.displaceable,
+            is_displaceable_free=True,
         )
-        self.ageing: list[tuple[int, JobId]] = []
         self.booking = Booking()
         self.usage = UsageTracking(state.learned)
         self.health = FleetHealth()
         self.health.restore(state.learned.health, state.tables.workers)
 
-    @property
-    def tables(self) -> PartitionTables:
-        """The tables of the partition."""
-        return self.state.tables
-
     def queue_mix(self) -> tuple[float, float]:
         """Returns queued work in workers of the largest size."""
         largest = self.fleet.largest
@@ -139,12 +136,13 @@
         """Applies a record and keeps it for the journal."""
         self.state.apply(record)
         self.records.append(record)
-        if self.tables.changed_workers:
-            self.sync_workers()
+        self.sync_workers()
 
     def sync_workers(self) -> None:
         """Takes over changed workers into the indexes."""
         changed = self.tables.changed_workers
+        if not changed:
+            return
         self.tables.changed_workers = {}
         for row in changed:
             self._sync_worker(row)
@@ -156,8 +154,8 @@
         self.fleet.update(workers, row)
         if workers.is_present[row] and workers.quarantine_reason[row]:
             self.health.quarantined[row] = None
-        else:
-            self.health.quarantined.pop(row, None)
+        elif row in self.health.quarantined:
+            del self.health.quarantined[row]
 
 
 __all__ = ('EndedAttempt', 'Inputs', 'Rules', 'Working')
