Run the systems of a tick in one loop

Each idle system cost a method call for its budget besides its own. The time of a tick is now given out in one loop, which stops when it is over; the ended jobs are looked at before the timer, and less is looked up twice.

--- a/src/radishlift/placement/engine.py
+++ b/src/radishlift/placement/engine.py
@@ -42,7 +42,7 @@
 from radishlift.placement.records import JobAccepted
 from radishlift.placement.settings import PlacementSettings
 from radishlift.placement.state import PartitionState
-from radishlift.placement.systems import SYSTEMS
+from radishlift.placement.systems import SYSTEMS, System
 from radishlift.placement.working import EndedAttempt, Working
 
 MS_PER_S = 1000
@@ -68,12 +68,26 @@
         """Tells whether the running system has used its time."""
         return self._timer() >= self._system_end_s
 
-    def start_system(self, part: float) -> bool:
-        """Gives a part of the time left to a system, if any is left."""
-        now_s = self._timer()
-        left_s = self._tick_end_s - now_s
-        self._system_end_s = now_s + left_s * part
-        return left_s > 0
+    def run(
+        self,
+        systems: Iterable[System],
+        working: Working,
+        part: float,
+    ) -> list[System]:
+        """Runs systems while time is left, each for a part of it.
+
+        Returns the systems that were not done.
+        """
+        unfinished: list[System] = []
+        for system in systems:
+            now_s = self._timer()
+            left_s = self._tick_end_s - now_s
+            if left_s <= 0:
+                break
+            self._system_end_s = now_s + left_s * part
+            if not system(working, self):
+                unfinished.append(system)
+        return unfinished
 
 
 class PlacementEngine:
@@ -182,15 +196,8 @@
         # A system that has much to do gets half of the time that is left, so
         # that a burst can't starve the systems after it. What remains of the
         # budget then goes to the systems that were not done.
-        start_system = budget.start_system
-        unfinished = [
-            system
-            for system in self._systems
-            if start_system(0.5) and not system(working, budget)
-        ]
-        for system in unfinished:
-            if budget.start_system(1):
-                system(working, budget)
+        unfinished = budget.run(self._systems, working, 0.5)
+        budget.run(unfinished, working, 1)
         records = working.records
         working.records = []
         return records
--- a/src/radishlift/placement/partition_tables.py
+++ b/src/radishlift/placement/partition_tables.py
@@ -175,15 +175,17 @@
 
     def remove_task(self, row: int) -> None:
         """Removes the row of an ended task."""
+        jobs = self.jobs
         job_row = self.tasks.job_row[row]
         for worker_id in self.tasks.failed_on[row]:
             worker_row = self.workers.row_of.get(worker_id)
             if worker_row is not None:
                 self.workers.charged[worker_row].pop(row, None)
-        self.jobs.requeued[job_row].pop(row, None)
-        self.jobs.delayed_of(job_row).pop(row, None)
-        self.jobs.task_rows[job_row].pop(self.tasks.index[row])
-        if self.jobs.queued_rows(job_row):
+        delayed = jobs.delayed_of(job_row)
+        jobs.requeued[job_row].pop(row, None)
+        delayed.pop(row, None)
+        jobs.task_rows[job_row].pop(self.tasks.index[row])
+        if jobs.requeued[job_row] or delayed:
             # A gang is admitted again once no member is live.
             self.queued_jobs[job_row] = None
         self.tasks.remove(row)
@@ -199,8 +201,9 @@
     def remove_worker_if_unused(self, worker_row: int) -> None:
         """Removes a worker that is gone and holds no attempt."""
         workers = self.workers
-        is_used = workers.tasks[worker_row] or workers.holds_count[worker_row]
-        if not workers.is_present[worker_row] and not is_used:
+        if workers.is_present[worker_row]:
+            return
+        if not (workers.tasks[worker_row] or workers.holds_count[worker_row]):
             self.refund_charges(worker_row)
             workers.remove(worker_row)
 
--- a/src/radishlift/placement/placing.py
+++ b/src/radishlift/placement/placing.py
@@ -37,9 +37,9 @@
 
 
 def _is_compared(working: Working, group: Group) -> bool:
-    policy = policy_of(working, group.key.department)
-    is_lower = group.key.rank >= NORMAL_RANK
-    return policy.compared_count > 1 and is_lower and not group.key.is_gang
+    if group.key.rank < NORMAL_RANK or group.key.is_gang:
+        return False
+    return policy_of(working, group.key.department).compared_count > 1
 
 
 def _best_group(working: Working, first: Group, now_ms: int) -> Group:
--- a/src/radishlift/placement/rules.py
+++ b/src/radishlift/placement/rules.py
@@ -23,7 +23,8 @@
 
 def policy_of(working: Working, name: DepartmentName) -> Policy:
     """Returns the policy of a department."""
-    policy = POLICIES.get(department_of(working, name).policy)
+    departments = working.rules.document.departments
+    policy = POLICIES.get(departments.get(name, DEFAULT_DEPARTMENT).policy)
     if policy is None:
         policy = POLICIES.get(DEFAULT_POLICY)
     assert policy is not None
