Shorten the search, the wake-ups and the moves between cells

Measured by segments at 24 workers, a placement spent 15 us in the choice of a worker, 15 us in the grids and 8 us in waking groups, of 180 us on a loaded machine. The choice of the first fitting worker no longer passes through a generator of its own, a cell is opened only when it is new, and the groups to wake are returned as a list, which is mostly empty.

--- a/src/radishlift/placement/choosing.py
+++ b/src/radishlift/placement/choosing.py
@@ -45,10 +45,11 @@
 ) -> int:
     """Returns the best of the first fitting workers, or `NO_ROW`."""
     if policy.candidates_count == 1:
-        return next(
-            fitting_workers(working, policy, demand, is_permitted),
-            NO_ROW,
-        )
+        fits = working.tables.workers.fits
+        for row in _searched(working, policy, demand):
+            if fits(row, demand) and is_permitted(row):
+                return row
+        return NO_ROW
     return score_workers(working, policy, demand, is_permitted)[1]
 
 
--- a/src/radishlift/placement/job_queue.py
+++ b/src/radishlift/placement/job_queue.py
@@ -97,8 +97,7 @@
 
     def wake_fitting(self, free: Resources) -> None:
         """Wakes the groups whose demand fits into a free amount."""
-        if self.blocked.has_any_for_room():
-            self._wake(self.blocked.pop_fitting(free))
+        self._wake(self.blocked.pop_fitting(free))
 
     def wake_team(self, team: TeamName) -> None:
         """Wakes the groups that were over the quota of a team."""
@@ -124,8 +123,8 @@
             return False
         return self._jobs.spec[job_row].job_id == known[2]
 
-    def _wake(self, groups: Iterator[Group]) -> None:
-        for group in list(groups):
+    def _wake(self, groups: list[Group]) -> None:
+        for group in groups:
             group.blocked_by = ''
             self.refresh(group)
 
--- a/src/radishlift/placement/partition_tables.py
+++ b/src/radishlift/placement/partition_tables.py
@@ -226,14 +226,15 @@
             self.shrunk_teams[spec.team] = None
         cpu_milli = sign * amount.cpu_milli
         memory_mb = sign * amount.memory_mb
-        accelerators_count = sign * amount.accelerators_count
-        for use in (
-            self.team_use[spec.team],
-            self.department_use[spec.department],
-        ):
-            use[0] += cpu_milli
-            use[1] += memory_mb
-            use[2] += accelerators_count
+        of_team = self.team_use[spec.team]
+        of_department = self.department_use[spec.department]
+        of_team[0] += cpu_milli
+        of_department[0] += cpu_milli
+        of_team[1] += memory_mb
+        of_department[1] += memory_mb
+        if amount.accelerators_count:
+            of_team[2] += sign * amount.accelerators_count
+            of_department[2] += sign * amount.accelerators_count
 
 
 def _no_use() -> list[int]:
--- a/src/radishlift/placement/permits.py
+++ b/src/radishlift/placement/permits.py
@@ -22,7 +22,9 @@
         now_ms: int,
     ) -> None:
         self._working = working
-        self._rank = rank
+        # Urgent work may start on claimed workers, too.
+        is_urgent = rank <= URGENT_RANK
+        self._claims = {} if is_urgent else working.booking.claims
         self._demand = demand
         self._end_ms = estimated_end_ms(spec, now_ms)
         self._department = spec.department
@@ -30,10 +32,7 @@
 
     def __call__(self, worker_row: int) -> bool:
         """Tells whether the task may start on a worker."""
-        if (
-            self._rank > URGENT_RANK
-            and worker_row in self._working.booking.claims
-        ):
+        if worker_row in self._claims:
             return False
         reservation = self._reservation
         if reservation is None:
--- a/src/radishlift/placement/placing.py
+++ b/src/radishlift/placement/placing.py
@@ -66,12 +66,13 @@
 
 def _wake(working: Working) -> None:
     """Wakes the groups for which something has changed."""
+    queue = working.queue
     if working.fleet.grown != NOTHING:
-        working.queue.wake_fitting(working.fleet.grown)
+        queue.wake_fitting(working.fleet.grown)
         working.fleet.grown = NOTHING
     for team in working.tables.shrunk_teams:
-        working.queue.wake_team(team)
-    working.tables.shrunk_teams = {}
+        queue.wake_team(team)
+    working.tables.shrunk_teams.clear()
     for name, group in list(working.booking.closed.items()):
         if not working.queue.is_blocked(group):
             del working.booking.closed[name]
--- a/src/radishlift/placement/queue_groups.py
+++ b/src/radishlift/placement/queue_groups.py
@@ -119,10 +119,6 @@
         """Adds a group that waits for its team to use less."""
         self._by_team.setdefault(group.key.team, {})[group.key] = group
 
-    def has_any_for_room(self) -> bool:
-        """Tells whether a group waits for room."""
-        return bool(self._by_demand)
-
     def waiting_for_quota(self) -> Iterator[tuple[TeamName, Group]]:
         """Yields the groups over a quota with their teams."""
         for team, groups in self._by_team.items():
@@ -133,24 +129,29 @@
         """Tells whether a group is over the quota of its team."""
         return group.key in self._by_team.get(group.key.team, {})
 
-    def pop_fitting(self, free: Resources) -> Iterator[Group]:
-        """Removes and yields the groups whose demand fits."""
+    def pop_fitting(self, free: Resources) -> list[Group]:
+        """Removes and returns the groups whose demand fits."""
         fitting = [
             demand for demand in self._by_demand if is_within(demand, free)
         ]
+        popped: list[Group] = []
         for demand in fitting:
-            yield from self._by_demand.pop(demand).values()
+            popped.extend(self._by_demand.pop(demand).values())
+        return popped
 
-    def pop_team(self, team: TeamName) -> Iterator[Group]:
-        """Removes and yields the groups over the quota of a team."""
-        yield from self._by_team.pop(team, {}).values()
+    def pop_team(self, team: TeamName) -> list[Group]:
+        """Removes and returns the groups over the quota of a team."""
+        groups = self._by_team.pop(team, None)
+        return list(groups.values()) if groups else []
 
-    def pop_all(self) -> Iterator[Group]:
-        """Removes and yields all groups."""
+    def pop_all(self) -> list[Group]:
+        """Removes and returns all groups."""
+        popped: list[Group] = []
         for demand in list(self._by_demand):
-            yield from self._by_demand.pop(demand).values()
+            popped.extend(self._by_demand.pop(demand).values())
         for team in list(self._by_team):
-            yield from self.pop_team(team)
+            popped.extend(self.pop_team(team))
+        return popped
 
     def discard(self, group: Group) -> None:
         """Removes a group if it is blocked."""
--- a/src/radishlift/placement/worker_index.py
+++ b/src/radishlift/placement/worker_index.py
@@ -37,7 +37,11 @@
             return
         if before is not None:
             self._leave(row, before)
-        self._enter(row, cell)
+        members = self._cells.get(cell)
+        if members is None:
+            members = self._open(cell)
+        members[row] = None
+        self._cell_of[row] = cell
 
     def remove(self, row: int) -> None:
         """Removes a worker if it is present."""
@@ -64,18 +68,16 @@
                 mask ^= 1 << memory
                 yield from self._cells[cpu, memory]
 
-    def _enter(self, row: int, cell: tuple[int, int]) -> None:
+    def _open(self, cell: tuple[int, int]) -> dict[int, None]:
+        """Adds a cell without workers."""
         cpu, memory = cell
         while len(self._memory_masks) <= cpu:
             self._memory_masks.append(0)
-        members = self._cells.get(cell)
-        if members is None:
-            self._cells[cell] = {row: None}
-        else:
-            members[row] = None
-        self._cell_of[row] = cell
         self._memory_masks[cpu] |= 1 << memory
         self._cpu_mask |= 1 << cpu
+        members: dict[int, None] = {}
+        self._cells[cell] = members
+        return members
 
     def _leave(self, row: int, cell: tuple[int, int]) -> None:
         members = self._cells[cell]
@@ -84,9 +86,9 @@
             return
         del self._cells[cell]
         cpu, memory = cell
-        self._memory_masks[cpu] &= ~(1 << memory)
+        self._memory_masks[cpu] ^= 1 << memory
         if not self._memory_masks[cpu]:
-            self._cpu_mask &= ~(1 << cpu)
+            self._cpu_mask ^= 1 << cpu
 
 
 class WorkerIndex:
