--- a/src/radishlift/placement/choosing.py
+++ b/src/radishlift/placement/choosing.py
@@ -18,8 +18,9 @@
 ) -> Iterator[int]:
     """Yields the workers that a task may start on, as the policy searches."""
     workers = working.tables.workers
+    fits = workers.fits
     for row in _searched(working, policy, demand):
-        if workers.fits(row, demand) and is_permitted(row):
+        if fits(row, demand) and is_permitted(row):
             yield row
 
 
@@ -44,10 +45,11 @@
 ) -> int:
     """Returns the best of the first fitting workers, or `NO_ROW`."""
     if policy.candidates_count == 1:
-        return next(
-            fitting_workers(working, policy, demand, is_permitted),
-            NO_ROW,
-        )
+        fits = working.tables.workers.fits
+        for row in _searched(working, policy, demand):
+            if fits(row, demand) and is_permitted(row):
+                return row
+        return NO_ROW
     return score_workers(working, policy, demand, is_permitted)[1]
 
 
--- a/src/radishlift/placement/engine.py
+++ b/src/radishlift/placement/engine.py
@@ -43,7 +43,7 @@
 from radishlift.placement.records import JobAccepted
 from radishlift.placement.settings import PlacementSettings
 from radishlift.placement.state import PartitionState
-from radishlift.placement.systems import SYSTEMS
+from radishlift.placement.systems import SYSTEMS, System
 from radishlift.placement.working import EndedAttempt, Working
 
 MS_PER_S = 1000
@@ -52,6 +52,8 @@
 class TickBudget:
     """The time that the running system may use."""
 
+    __slots__ = ('_system_end_s', '_tick_end_s', '_timer', 'now_ms')
+
     def __init__(
         self,
         now_ms: int,
@@ -67,12 +69,26 @@
         """Tells whether the running system has used its time."""
         return self._timer() >= self._system_end_s
 
-    def start_system(self, part: float) -> bool:
-        """Gives a part of the time left to a system, if any is left."""
-        now_s = self._timer()
-        left_s = self._tick_end_s - now_s
-        self._system_end_s = now_s + left_s * part
-        return left_s > 0
+    def run(
+        self,
+        systems: Iterable[System],
+        working: Working,
+        part: float,
+    ) -> list[System]:
+        """Runs systems while time is left, each for a part of it.
+
+        Returns the systems that were not done.
+        """
+        unfinished: list[System] = []
+        for system in systems:
+            now_s = self._timer()
+            left_s = self._tick_end_s - now_s
+            if left_s <= 0:
+                break
+            self._system_end_s = now_s + left_s * part
+            if not system(working, self):
+                unfinished.append(system)
+        return unfinished
 
 
 class PlacementEngine:
@@ -93,6 +109,7 @@
         timer: Callable[[], float] = perf_counter,
     ) -> None:
         self._timer = timer
+        self._systems = tuple(system for _, system in SYSTEMS)
         self._working = Working(state, settings or PlacementSettings())
         self._working.sync_workers()
         self.gang_parts = GangParts(self._working)
@@ -182,14 +199,8 @@
         # A system that has much to do gets half of the time that is left, so
         # that a burst can't starve the systems after it. What remains of the
         # budget then goes to the systems that were not done.
-        unfinished = [
-            system
-            for _, system in SYSTEMS
-            if budget.start_system(0.5) and not system(working, budget)
-        ]
-        for system in unfinished:
-            if budget.start_system(1):
-                system(working, budget)
+        unfinished = budget.run(self._systems, working, 0.5)
+        budget.run(unfinished, working, 1)
         records = working.records
         working.records = []
         return records
@@ -204,7 +215,6 @@
             working.queue.wake_all()
             return
         working.booking.closed.clear()
-        working.ageing.clear()
         working.queue = JobQueue(working.tables.jobs)
         working.tables.queued_jobs = dict.fromkeys(
             working.tables.jobs.row_of.values(),
--- a/src/radishlift/placement/permits.py
+++ b/src/radishlift/placement/permits.py
@@ -22,18 +22,17 @@
         now_ms: int,
     ) -> None:
         self._working = working
-        self._rank = rank
+        # Urgent work may start on claimed workers, too.
+        is_urgent = rank <= URGENT_RANK
+        self._claims = {} if is_urgent else working.booking.claims
         self._demand = demand
         self._end_ms = estimated_end_ms(spec, now_ms)
-        self._backfill = policy_of(working, spec.department).backfill
+        self._department = spec.department
         self._reservation = _limiting(working, spec, rank)
 
     def __call__(self, worker_row: int) -> bool:
         """Tells whether the task may start on a worker."""
-        if (
-            self._rank > URGENT_RANK
-            and worker_row in self._working.booking.claims
-        ):
+        if worker_row in self._claims:
             return False
         reservation = self._reservation
         if reservation is None:
@@ -46,7 +45,7 @@
             self._end_ms,
             not is_within(self._demand, spare),
         )
-        return self._backfill(case)
+        return policy_of(self._working, self._department).backfill(case)
 
     def note_start(self, worker_row: int, start: TaskPlaced) -> None:
         """Counts a start against the reservation that it passed."""
