--- a/src/radishlift/api/reports.py
+++ b/src/radishlift/api/reports.py
@@ -1,11 +1,15 @@
 """HTTP handlers for metrics and the service-level burn report."""
 
+from collections.abc import Iterator
+from itertools import chain
+
 from aiohttp import web
 
 from radishlift.api.answers import answer_of, failure_answer
 from radishlift.core.errors import Failure
+from radishlift.ownership.cell_level import CellLevel
 from radishlift.report.collector import MetricsCollector
-from radishlift.report.exposition import expose, metrics_samples
+from radishlift.report.exposition import Sample, expose, metrics_samples
 from radishlift.report.metrics import MetricsTable
 from radishlift.report.render import render_svg, render_table
 
@@ -17,7 +21,9 @@
         self,
         metrics: MetricsTable,
         collector: MetricsCollector,
+        cell_level: CellLevel,
     ) -> None:
+        self._cell_level = cell_level
         self._metrics = metrics
         self._collector = collector
 
@@ -44,7 +50,23 @@
 
     async def show_metrics(self, _request: web.Request) -> web.Response:
         """Answers with this daemon's metrics as text."""
-        return web.Response(text=expose(metrics_samples(self._metrics)))
+        samples = chain(
+            metrics_samples(self._metrics),
+            format_samples(self._cell_level),
+        )
+        return web.Response(text=expose(samples))
+
+
+def format_samples(cell_level: CellLevel) -> Iterator[Sample]:
+    """Yields the level in use and the partitions that daemons can't read."""
+    yield Sample('radishlift_cell_format_level', cell_level.level)
+    for row in cell_level.formats():
+        labels: dict[str, str] = {'daemon': row.daemon_id}
+        yield Sample(
+            'radishlift_declined_partitions',
+            len(row.declined),
+            labels,
+        )
 
 
 __all__ = ('ReportHandlers',)
--- a/src/radishlift/api/status.py
+++ b/src/radishlift/api/status.py
@@ -50,6 +50,7 @@
                 'incarnation': member.incarnation,
                 'region': member.region,
                 'data_centre': member.data_centre,
+                'format_level': member.format_level,
                 'is_suspected': membership.is_suspected(member.daemon_id),
             }
             for member in membership.members()
@@ -57,6 +58,9 @@
         return {
             'daemon_id': self._base.member.daemon_id,
             'config_version': document.version if document else 0,
+            'format_level': self._base.member.format_level,
+            'cell_level': self._control.cell_level.level,
+            'declined': list(self._base.own_row.declined),
             'members': members,
             'partitions': self._partitions(),
             'running': [
--- a/src/radishlift/cli/cell_text.py
+++ b/src/radishlift/cli/cell_text.py
@@ -15,6 +15,18 @@
 def _lines(cell: CellStatus) -> Iterator[str]:
     for missing in cell.missing:
         yield f'no answer from {missing}: what it owns is not counted'
+    yield f'format level of the cell: {cell.format_level}'
+    yield from _table(
+        ('DAEMON', 'FORMAT-LEVEL', 'DECLINED'),
+        (
+            (
+                row.daemon_id,
+                row.format_level,
+                ','.join(row.declined) or None,
+            )
+            for row in cell.formats
+        ),
+    )
     yield from _table(
         ('DEPARTMENT', 'PRIORITY', 'QUEUED', 'RUNNING', 'OLDEST-WAIT-MS'),
         (
--- a/src/radishlift/cli/config_commands.py
+++ b/src/radishlift/cli/config_commands.py
@@ -32,7 +32,7 @@
 )
 from radishlift.config.parsing import parse_document
 from radishlift.config.progress import ConfigStatus
-from radishlift.core.codec import dump_plain, parse_plain
+from radishlift.core.codec import dump_plain, read_plain
 from radishlift.core.errors import Failure
 from radishlift.core.ids import ConfigVersion
 
@@ -109,12 +109,12 @@
             return self.fail(answer)
         if self.is_json:
             self.print_json(answer.body)
-        accepted = parse_plain(answer.body, AcceptedBody)
+        accepted = read_plain(answer.body, AcceptedBody)
         if not isinstance(accepted, Failure):
             if not self.is_json:
                 self.print_text(describe_accepted(accepted))
             return ExitCode.ok
-        refused = parse_plain(answer.body, RefusedBody)
+        refused = read_plain(answer.body, RefusedBody)
         if not isinstance(refused, Failure):
             self.print_errors(refused.errors)
             for line in describe_conflict(refused):
--- a/src/radishlift/cli/daemon_command.py
+++ b/src/radishlift/cli/daemon_command.py
@@ -21,7 +21,7 @@
 from cleo.io.outputs.output import Type
 
 from radishlift.config.bodies import HttpAnswer
-from radishlift.core.codec import parse_plain
+from radishlift.core.codec import read_plain
 from radishlift.core.errors import ErrorKind, Failure, Outcome
 from radishlift.settings.sections import SettingsError
 
@@ -111,7 +111,7 @@
             return answer
         if answer.status >= _CLIENT_ERROR:
             return failure_of(answer)
-        return parse_plain(answer.body, body_type)
+        return read_plain(answer.body, body_type)
 
     def print_text(self, text: str) -> None:
         """Prints text as it is, without styles."""
--- a/src/radishlift/cli/job_commands.py
+++ b/src/radishlift/cli/job_commands.py
@@ -11,7 +11,7 @@
 from radishlift.cli.cell_text import describe_cell
 from radishlift.cli.daemon_command import DaemonCommand, ExitCode, failure_of
 from radishlift.console.status import CellStatus
-from radishlift.core.codec import parse_plain
+from radishlift.core.codec import read_plain
 from radishlift.core.errors import Failure
 
 _CELL_PATH: Final = '/v1/status?scope=cell'
@@ -121,7 +121,7 @@
         body = self.fetch(_CELL_PATH, dict)
         if isinstance(body, Failure):
             return self.fail(body)
-        cell = parse_plain(body.get('cell'), CellStatus)
+        cell = read_plain(body.get('cell'), CellStatus)
         if isinstance(cell, Failure):
             return self.fail(cell)
         self.print_text(describe_cell(cell))
--- a/src/radishlift/config/rows.py
+++ b/src/radishlift/config/rows.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from typing import Final
 
-from radishlift.core.codec import dump_plain, parse_plain
+from radishlift.core.codec import dump_plain, read_plain
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import ConfigVersion
 from radishlift.platform.api import (
@@ -65,7 +65,7 @@
     """Reads a head row; an absent one is version 0."""
     if row.value is None:
         return Head(ConfigVersion(0), 0)
-    head = parse_plain(row.value, HeadRow)
+    head = read_plain(row.value, HeadRow)
     if isinstance(head, Failure):
         return Failure(ErrorKind.internal, f'head row: {head.reason}')
     return Head(head.version, row.version)
@@ -128,7 +128,7 @@
 def _parse_version(version: ConfigVersion, row: Row) -> ConfigRow | Failure:
     if row.value is None:
         return Failure(ErrorKind.not_found, f'no version {version}')
-    config = parse_plain(row.value, ConfigRow)
+    config = read_plain(row.value, ConfigRow)
     if isinstance(config, Failure):
         reason = f'version {version}: {config.reason}'
         return Failure(ErrorKind.internal, reason)
--- a/src/radishlift/console/status.py
+++ b/src/radishlift/console/status.py
@@ -11,6 +11,8 @@
     PartitionId,
     WorkerId,
 )
+from radishlift.core.levels import LOWEST_LEVEL
+from radishlift.membership.api import DaemonFormat
 from radishlift.placement.jobs import Priority
 
 
@@ -73,7 +75,8 @@
     """The state of the cell as its daemons tell it on request.
 
     `missing` are the daemons that did not answer; what they own is not
-    counted.
+    counted. `format_level` is the one that the asked daemon uses, `formats`
+    are those of all known daemons.
     """
 
     queues: tuple[QueueStatus, ...] = ()
@@ -81,6 +84,8 @@
     quarantines: tuple[QuarantineStatus, ...] = ()
     partitions: tuple[PartitionStatus, ...] = ()
     missing: tuple[DaemonId, ...] = ()
+    format_level: int = LOWEST_LEVEL
+    formats: tuple[DaemonFormat, ...] = ()
 
 
 class StatusProvider(Protocol):
--- a/src/radishlift/core/codec.py
+++ b/src/radishlift/core/codec.py
@@ -1,4 +1,10 @@
-"""Conversion between typed messages and plain data, checked on the way in."""
+"""Conversion between typed messages and plain data, checked on the way in.
+
+What callers and operators send is parsed strictly, so that a misspelt field
+is an error. What daemons write for each other is read with tolerance, since
+daemons of two versions share a cell: fields of a newer version are ignored,
+and fields that an older version does not have take their defaults.
+"""
 
 import json
 from typing import Any, Final, TypeVar
@@ -10,7 +16,6 @@
 
 Typed = TypeVar('Typed')
 
-_CONVERTER: Final = Converter(forbid_extra_keys=True)
 _PARSE_ERRORS: Final = (TypeError, ValueError, KeyError, AttributeError)
 
 
@@ -24,24 +29,47 @@
     return plain
 
 
-_CONVERTER.register_structure_hook(str, _check_scalar)
-_CONVERTER.register_structure_hook(int, _check_scalar)
-_CONVERTER.register_structure_hook(float, _check_scalar)
-_CONVERTER.register_structure_hook(bool, _check_scalar)
+def _build(*, is_strict: bool) -> Converter:
+    converter = Converter(forbid_extra_keys=is_strict)
+    for scalar in (str, int, float, bool):
+        converter.register_structure_hook(scalar, _check_scalar)
+    return converter
+
+
+_STRICT: Final = _build(is_strict=True)
+_TOLERANT: Final = _build(is_strict=False)
 
 
 def dump_plain(typed: object) -> Any:
     """Converts a dataclass to maps, lists and scalars."""
-    return _CONVERTER.unstructure(typed)
+    return _STRICT.unstructure(typed)
 
 
 def parse_plain(plain: object, target: type[Typed]) -> Typed | Failure:
-    """Converts plain data to a dataclass.
+    """Converts plain data of a caller or operator to a dataclass.
+
+    Returns an `invalid_input` failure that names each wrong field, also one
+    that the dataclass does not have.
+    """
+    return _parse(_STRICT, plain, target)
+
 
-    Returns an `invalid_input` failure that names each wrong field.
+def read_plain(plain: object, target: type[Typed]) -> Typed | Failure:
+    """Converts plain data that a daemon of any version wrote.
+
+    Unknown fields are ignored, missing ones take their defaults. Returns an
+    `invalid_input` failure that names each wrong field.
     """
+    return _parse(_TOLERANT, plain, target)
+
+
+def _parse(
+    converter: Converter,
+    plain: object,
+    target: type[Typed],
+) -> Typed | Failure:
     try:
-        return _CONVERTER.structure(plain, target)
+        return converter.structure(plain, target)
     except BaseValidationError as error:
         reasons = '; '.join(transform_error(error))
         return Failure(ErrorKind.invalid_input, reasons)
@@ -50,12 +78,30 @@
 
 
 def parse_json(text: str | bytes, target: type[Typed]) -> Typed | Failure:
-    """Parses JSON text into a dataclass."""
+    """Parses JSON text of a caller, operator or target, strictly."""
+    plain = _load_json(text)
+    if isinstance(plain, Failure):
+        return plain
+    return parse_plain(plain, target)
+
+
+def read_json(text: str | bytes, target: type[Typed]) -> Typed | Failure:
+    """Parses JSON text that a daemon of any version wrote."""
+    plain = _load_json(text)
+    return plain if isinstance(plain, Failure) else read_plain(plain, target)
+
+
+def _load_json(text: str | bytes) -> Any:
     try:
-        plain = json.loads(text)
+        return json.loads(text)
     except ValueError as error:
         return Failure(ErrorKind.invalid_input, f'not JSON: {error}')
-    return parse_plain(plain, target)
 
 
-__all__ = ('parse_plain', 'parse_json', 'dump_plain')
+__all__ = (
+    'dump_plain',
+    'parse_json',
+    'parse_plain',
+    'read_json',
+    'read_plain',
+)
--- a/src/radishlift/core/events.py
+++ b/src/radishlift/core/events.py
@@ -15,6 +15,7 @@
     'bad_slot_row',
     'handler_failed',
     'loop_failed',
+    'partition_declined',
     'placement_record_refused',
     'task_failed',
     'tick_failed',
@@ -43,6 +44,7 @@
     'peer_rejected',
     'peer_suspected',
     'release_unfinished',
+    'unknown_message',
     'renewal_failed',
     'snapshot_object_left',
     'summary_too_large',
@@ -51,6 +53,7 @@
     'worker_quarantined',
 )
 _INFO: Final = (
+    'cell_level_raised',
     'config_in_force',
     'daemon_ready',
     'daemon_row_expired',
--- /dev/null
+++ b/src/radishlift/core/kinds.py
@@ -0,0 +1,102 @@
+"""Registries of the kinds of messages and records, by name."""
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, is_dataclass
+from types import MappingProxyType
+from typing import Any, Final, TypeVar
+
+from radishlift.core.codec import dump_plain, read_plain
+from radishlift.core.errors import ErrorKind, Failure
+from radishlift.core.levels import LOWEST_LEVEL
+
+Typed = TypeVar('Typed')
+
+
+@dataclass(frozen=True, slots=True)
+class UnknownFormat(Failure):
+    """A daemon of a newer version wrote what this one can't read."""
+
+
+class UnknownFormatError(ValueError):
+    """A dump of a state is of a newer version; raised by `load` only."""
+
+
+@dataclass(frozen=True, slots=True)
+class Kind:
+    """A registered dataclass and the cell level from which it is used."""
+
+    name: str
+    typed: type
+    level: int
+
+
+class KindRegistry:
+    """Encodes and decodes the dataclasses that are registered with it."""
+
+    def __init__(self, title: str) -> None:
+        self._title = title
+        self._by_name: dict[str, Kind] = {}
+        self._by_type: dict[type, Kind] = {}
+
+    @property
+    def kinds(self) -> Mapping[str, Kind]:
+        """Returns the registered kinds by name."""
+        return MappingProxyType(self._by_name)
+
+    def decorator(
+        self,
+        name: str,
+        level: int,
+    ) -> Callable[[type[Typed]], type[Typed]]:
+        """Returns a decorator that registers a dataclass."""
+
+        def decorate(typed: type[Typed]) -> type[Typed]:
+            if not is_dataclass(typed) or name in self._by_name:
+                raise ValueError(f'{self._title} {name} is not a new dataclass')
+            kind = Kind(name, typed, level)
+            self._by_name[name] = kind
+            self._by_type[typed] = kind
+            return typed
+
+        return decorate
+
+    def level_of(self, typed: type) -> int:
+        """Returns the level of a type; the lowest if it is not registered."""
+        kind = self._by_type.get(typed)
+        return LOWEST_LEVEL if kind is None else kind.level
+
+    def encode(self, typed: object) -> tuple[str, Any]:
+        """Converts to the name of the kind and plain fields."""
+        return self._by_type[type(typed)].name, dump_plain(typed)
+
+    def decode(self, name: str, plain: object) -> Any:
+        """Converts a name and plain fields back.
+
+        Returns an `UnknownFormat` for an unknown name, and another failure
+        for wrong fields of a known one.
+        """
+        kind = self._by_name.get(name)
+        if kind is None:
+            reason = f'unknown {self._title} {name!r:.60}'
+            return UnknownFormat(ErrorKind.internal, reason)
+        return read_plain(plain, kind.typed)
+
+
+MESSAGES: Final = KindRegistry('message')
+RECORDS: Final = KindRegistry('record')
+
+
+def required_level(typed: type) -> int:
+    """Returns the cell level that a message or record type needs."""
+    return max(MESSAGES.level_of(typed), RECORDS.level_of(typed))
+
+
+__all__ = (
+    'MESSAGES',
+    'RECORDS',
+    'Kind',
+    'KindRegistry',
+    'UnknownFormat',
+    'UnknownFormatError',
+    'required_level',
+)
--- /dev/null
+++ b/src/radishlift/core/levels.py
@@ -0,0 +1,40 @@
+"""Format levels: which messages and records the daemons of a cell can read.
+
+A version that adds a kind of message or record, or gives one a new meaning,
+raises `FORMAT_LEVEL` and registers the kind with that level.
+"""
+
+from collections.abc import Iterable
+from typing import Final
+
+LOWEST_LEVEL: Final = 1
+"""The level of daemons that announce none."""
+
+FORMAT_LEVEL: Final = 1
+"""The highest level that this version reads and writes."""
+
+
+def known_level(announced: object) -> int:
+    """Returns an announced level; an absent or unknown one is the lowest."""
+    if type(announced) is not int:
+        return LOWEST_LEVEL
+    return max(announced, LOWEST_LEVEL)
+
+
+def lowest_level(announced: Iterable[object]) -> int:
+    """Returns the level that all of these daemons have; 1 without any."""
+    return min(map(known_level, announced), default=LOWEST_LEVEL)
+
+
+def announced_level(limit: int) -> int:
+    """Returns the level to announce under a limit; 0 is no limit."""
+    return min(FORMAT_LEVEL, limit or FORMAT_LEVEL)
+
+
+__all__ = (
+    'FORMAT_LEVEL',
+    'LOWEST_LEVEL',
+    'announced_level',
+    'known_level',
+    'lowest_level',
+)
--- a/src/radishlift/daemon/cell_status.py
+++ b/src/radishlift/daemon/cell_status.py
@@ -19,6 +19,7 @@
 from radishlift.daemon.foundation import Foundation
 from radishlift.daemon.own_status import DaemonStatus, OwnStatus, StatusFetch
 from radishlift.membership.api import MemberDirectory
+from radishlift.ownership.cell_level import CellLevel
 from radishlift.ownership.directory import OwnerDirectory
 from radishlift.report.settings import ReportSettings
 from radishlift.wire.network import PeerNetwork
@@ -37,7 +38,9 @@
         network: PeerNetwork,
         members: MemberDirectory,
         timeout_ms: int,
+        cell_level: CellLevel,
     ) -> None:
+        self._cell_level = cell_level
         self._own = own
         self._directory = directory
         self._network = network
@@ -67,6 +70,8 @@
             tuple(row for one in answers for row in one.quarantines),
             self._partitions(answers),
             tuple(missing),
+            self._cell_level.level,
+            self._cell_level.formats(),
         )
 
     def _partitions(
@@ -103,6 +108,7 @@
         base.network,
         base.membership,
         base.settings.get(ReportSettings).peer_timeout_ms,
+        control.cell_level,
     )
 
 
--- a/src/radishlift/daemon/control.py
+++ b/src/radishlift/daemon/control.py
@@ -11,6 +11,7 @@
 from radishlift.journal.budget import FlushScheduler
 from radishlift.journal.settings import JournalSettings
 from radishlift.ownership.api import OwnerClaim
+from radishlift.ownership.cell_level import CellLevel
 from radishlift.ownership.directory import OwnerDirectory
 from radishlift.ownership.fleet_view import FleetView
 from radishlift.ownership.manager import OwnershipManager
@@ -100,6 +101,7 @@
             self.parts,
             self.config,
             self._give_up,
+            decline=self._decline,
         )
         base.hosts.subscribe(self.partitions.update_hosts)
         self.ownership = self._ownership(base, stop_daemon)
@@ -147,6 +149,8 @@
             self.directory,
             settings,
         )
+        self.view = view
+        self.cell_level = CellLevel(view, base.clock, settings)
         listener = ReplacedListener(self.partitions, stop_daemon)
         return OwnershipManager(
             base.store,
@@ -164,9 +168,14 @@
         self.metrics.observe(department, Indicator.waiting, waiting_ms)
 
     def _give_up(self, partition_id: PartitionId) -> None:
-        drop = asyncio.create_task(self.ownership.drop(partition_id))
-        self._drops.add(drop)
-        drop.add_done_callback(self._drops.discard)
+        self._keep(asyncio.create_task(self.ownership.drop(partition_id)))
+
+    def _decline(self, partition_id: PartitionId) -> None:
+        self._keep(asyncio.create_task(self.ownership.decline(partition_id)))
+
+    def _keep(self, task: asyncio.Task[None]) -> None:
+        self._drops.add(task)
+        task.add_done_callback(self._drops.discard)
 
 
 __all__ = ('Control',)
--- a/src/radishlift/daemon/entry.py
+++ b/src/radishlift/daemon/entry.py
@@ -58,7 +58,7 @@
             ConfigHandlers(control.config, control.config_store, change_token),
             JobHandlers(jobs.router, api_settings.job_timeout_ms),
             StatusHandlers(base, control, status),
-            ReportHandlers(self.metrics, collector),
+            ReportHandlers(self.metrics, collector, control.cell_level),
         )
         self.application: web.Application = build_application(
             api_settings,
--- a/src/radishlift/daemon/foundation.py
+++ b/src/radishlift/daemon/foundation.py
@@ -8,6 +8,7 @@
 
 from radishlift.core.clock import Clock, SystemClock
 from radishlift.core.ids import Address, DaemonId, DataCentreId, Incarnation
+from radishlift.core.levels import announced_level
 from radishlift.daemon.hosts import HostFeed
 from radishlift.daemon.leaving_hosts import LeavingExchange
 from radishlift.membership.api import Member
@@ -39,6 +40,7 @@
         self.network = PeerNetwork(
             self.member.daemon_id,
             daemon.peer_secret,
+            self.member.format_level,
         )
         platform = settings.get(PlatformSettings)
         self.session = ClientSession(cookie_jar=DummyCookieJar())
@@ -104,6 +106,7 @@
         Address(daemon.peer_advertise or daemon.peer_listen),
         DataCentreId(daemon.data_centre),
         daemon.region,
+        announced_level(daemon.max_format_level),
     )
 
 
--- a/src/radishlift/journal/records.py
+++ b/src/radishlift/journal/records.py
@@ -5,45 +5,46 @@
 """
 
 from collections.abc import Callable
-from dataclasses import is_dataclass
-from typing import Any, Final, TypeVar
+from typing import Any, TypeVar
 
-from radishlift.core.codec import dump_plain, parse_plain
 from radishlift.core.errors import ErrorKind, Failure
+from radishlift.core.kinds import RECORDS, UnknownFormat
+from radishlift.core.levels import LOWEST_LEVEL
 
 Record = TypeVar('Record')
 
-_TYPES: Final[dict[str, type]] = {}
-_NAMES: Final[dict[type, str]] = {}
 
+def record(
+    name: str,
+    level: int = LOWEST_LEVEL,
+) -> Callable[[type[Record]], type[Record]]:
+    """Returns a decorator that registers a dataclass as a record type.
 
-def record(name: str) -> Callable[[type[Record]], type[Record]]:
-    """Returns a decorator that registers a dataclass as a record type."""
-
-    def decorate(record_type: type[Record]) -> type[Record]:
-        if not is_dataclass(record_type) or name in _TYPES:
-            raise ValueError(f'record {name} is not a new dataclass')
-        _TYPES[name] = record_type
-        _NAMES[record_type] = name
-        return record_type
-
-    return decorate
+    It is journaled only where the cell's level is at least `level`.
+    """
+    return RECORDS.decorator(name, level)
 
 
 def encode_record(typed: object) -> list[Any]:
     """Converts a record to its stored form `[name, fields]`."""
-    return [_NAMES[type(typed)], dump_plain(typed)]
+    return list(RECORDS.encode(typed))
 
 
 def decode_record(stored: Any) -> Any:
-    """Converts a stored record back, or returns an `internal` failure."""
+    """Converts a stored record back.
+
+    Returns an `UnknownFormat` for a record of unknown kind, and an
+    `internal` failure for a damaged one.
+    """
     match stored:
-        case [str(name), dict(plain)] if name in _TYPES:
-            typed = parse_plain(plain, _TYPES[name])
+        case [str(name), dict(plain)]:
+            typed = RECORDS.decode(name, plain)
+            if isinstance(typed, UnknownFormat):
+                return typed
             if isinstance(typed, Failure):
                 return Failure(ErrorKind.internal, f'{name}: {typed.reason}')
             return typed
-    return Failure(ErrorKind.internal, f'unknown record {stored!r:.80}')
+    return Failure(ErrorKind.internal, f'not a record: {stored!r:.80}')
 
 
 __all__ = ('decode_record', 'encode_record', 'record')
--- a/src/radishlift/journal/recovery.py
+++ b/src/radishlift/journal/recovery.py
@@ -2,11 +2,12 @@
 
 import asyncio
 from collections.abc import Sequence as Items
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any, Final
 
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import Epoch, PartitionId, Sequence
+from radishlift.core.kinds import UnknownFormat
 from radishlift.journal.api import JournaledState
 from radishlift.journal.records import decode_record
 from radishlift.journal.rows import (
@@ -69,6 +70,8 @@
         self.last_sequence = sequence
         for stored in parsed.records:
             failure = self._apply(stored)
+            if isinstance(failure, UnknownFormat):
+                return replace(failure, reason=f'{row.key}: {failure.reason}')
             if failure is not None:
                 return _damaged(f'{row.key}: {failure.reason}')
         return None
@@ -97,7 +100,9 @@
     no row of an earlier owner can be added. Fails with `internal` when a row
     is missing or unreadable, with `not_owner` when that is due to another
     owner's snapshot meanwhile, and with a kind of the store when something
-    can't be read. After a failure the states must be discarded.
+    can't be read; with an `UnknownFormat` when a newer version wrote a kind
+    of record that this one does not know. After a failure the states must be
+    discarded.
     """
     covered = await read_snapshot_sequence(store, partition_id)
     if isinstance(covered, Failure):
--- a/src/radishlift/journal/rows.py
+++ b/src/radishlift/journal/rows.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from typing import Any, Final
 
-from radishlift.core.codec import parse_plain
+from radishlift.core.codec import read_plain
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import Epoch, PartitionId, Sequence
 from radishlift.platform.api import Row
@@ -45,7 +45,7 @@
 
 def parse_row(row: Row) -> JournalRow | Failure:
     """Reads a stored row; its records stay in their stored form."""
-    parsed = parse_plain(row.value, JournalRow)
+    parsed = read_plain(row.value, JournalRow)
     if isinstance(parsed, Failure):
         return Failure(ErrorKind.internal, f'{row.key}: {parsed.reason}')
     return parsed
--- a/src/radishlift/journal/snapshot_rows.py
+++ b/src/radishlift/journal/snapshot_rows.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from typing import Final
 
-from radishlift.core.codec import parse_plain
+from radishlift.core.codec import read_plain
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import PartitionId, Sequence
 from radishlift.platform.api import Row, TableStore
@@ -23,7 +23,7 @@
     """Reads a stored row; an absent one names no object and sequence 0."""
     if not row.version:
         return SnapshotRow('', Sequence(0))
-    parsed = parse_plain(row.value, SnapshotRow)
+    parsed = read_plain(row.value, SnapshotRow)
     if isinstance(parsed, Failure):
         reason = f'snapshot row of {row.key}: {parsed.reason}'
         return Failure(ErrorKind.internal, reason)
--- a/src/radishlift/journal/snapshots.py
+++ b/src/radishlift/journal/snapshots.py
@@ -6,9 +6,11 @@
 
 from msgpack import packb, unpackb
 
-from radishlift.core.codec import parse_plain
+from radishlift.core.codec import read_plain
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import PartitionId, Sequence
+from radishlift.core.kinds import RECORDS, UnknownFormat, UnknownFormatError
+from radishlift.core.levels import LOWEST_LEVEL
 from radishlift.journal.api import JournaledState
 from radishlift.journal.snapshot_rows import (
     SNAPSHOTS_TABLE,
@@ -39,8 +41,22 @@
 
 
 def dump_states(states: Items[JournaledState]) -> dict[str, Any]:
-    """Dumps states; they are stored under the names of their classes."""
-    return {type(state).__name__: state.dump() for state in states}
+    """Dumps states; they are stored under the names of their classes.
+
+    A state of newer records that holds nothing is left out, so that daemons
+    of the version before, which do not know it, can read the snapshot.
+    """
+    dumped = ((state, state.dump()) for state in states)
+    return {
+        type(state).__name__: plain
+        for state, plain in dumped
+        if plain or not _is_newer(state)
+    }
+
+
+def _is_newer(state: JournaledState) -> bool:
+    levels = map(RECORDS.level_of, state.record_types)
+    return min(levels, default=LOWEST_LEVEL) > LOWEST_LEVEL
 
 
 def encode_snapshot(
@@ -93,11 +109,12 @@
         plain = unpackb(encoded, strict_map_key=False)
     except ValueError as error:
         return _damaged(named, repr(error))
-    content = parse_plain(plain, SnapshotContent)
+    content = read_plain(plain, SnapshotContent)
     if isinstance(content, Failure):
         return _damaged(named, content.reason)
     if content.format != _FORMAT:
-        return _damaged(named, f'format {content.format}')
+        reason = f'{named.object_name}: format {content.format}'
+        return UnknownFormat(ErrorKind.internal, reason)
     found = (content.partition_id, content.sequence)
     if found != (partition_id, named.sequence):
         return _damaged(named, f'content is of {found}')
@@ -112,9 +129,12 @@
     unknown = set(content.states) - set(by_name)
     if unknown:
         reason = f'snapshot holds unknown states {sorted(unknown)}'
-        return Failure(ErrorKind.internal, reason)
+        return UnknownFormat(ErrorKind.internal, reason)
     for name, dumped in content.states.items():
-        by_name[name].load(dumped)
+        try:
+            by_name[name].load(dumped)
+        except UnknownFormatError as error:
+            return UnknownFormat(ErrorKind.internal, f'{name}: {error}')
     return content.sequence
 
 
--- a/src/radishlift/membership/api.py
+++ b/src/radishlift/membership/api.py
@@ -3,7 +3,14 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from radishlift.core.ids import Address, DaemonId, DataCentreId, Incarnation
+from radishlift.core.ids import (
+    Address,
+    DaemonId,
+    DataCentreId,
+    Incarnation,
+    PartitionId,
+)
+from radishlift.core.levels import LOWEST_LEVEL
 
 
 @dataclass(frozen=True, slots=True)
@@ -16,6 +23,16 @@
     peer_listen: Address
     data_centre: DataCentreId
     region: str = ''
+    format_level: int = LOWEST_LEVEL
+
+
+@dataclass(frozen=True, slots=True)
+class DaemonFormat:
+    """The format level of a daemon, and the partitions it can't read."""
+
+    daemon_id: DaemonId
+    format_level: int
+    declined: tuple[PartitionId, ...] = ()
 
 
 class MemberDirectory(Protocol):
@@ -35,4 +52,4 @@
         """
 
 
-__all__ = ('Member', 'MemberDirectory')
+__all__ = ('DaemonFormat', 'Member', 'MemberDirectory')
--- a/src/radishlift/membership/daemon_rows.py
+++ b/src/radishlift/membership/daemon_rows.py
@@ -1,18 +1,26 @@
 """Rows of the `daemons` table, one for each daemon and written by it."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, fields
 from enum import Enum, unique
 from typing import Any, Final
 
-from radishlift.core.codec import dump_plain, parse_plain
+from radishlift.core.codec import dump_plain, read_plain
 from radishlift.core.errors import ErrorKind, Failure
-from radishlift.core.ids import Address, DaemonId, DataCentreId, Incarnation
+from radishlift.core.ids import (
+    Address,
+    DaemonId,
+    DataCentreId,
+    Incarnation,
+    PartitionId,
+)
+from radishlift.core.levels import LOWEST_LEVEL
 from radishlift.membership.api import Member
 from radishlift.platform.api import Row, TableStore
 
 DAEMONS_TABLE: Final = 'daemons'
 
 _SCAN_LIMIT: Final = 500
+_LATER_FIELDS: Final = ('region', 'format_level', 'declined')
 
 
 @unique
@@ -28,7 +36,8 @@
     """A daemon as it describes itself; each renewal raises the counter.
 
     `owner_changes` counts the owner rows that this daemon may have written,
-    so that others read the owner rows only after a change.
+    so that others read the owner rows only after a change. `declined` are
+    the partitions that it can't read; others claim them.
     """
 
     incarnation: Incarnation
@@ -39,11 +48,16 @@
     state: DaemonState
     owner_changes: int = 0
     region: str = ''
+    format_level: int = LOWEST_LEVEL
+    declined: tuple[PartitionId, ...] = ()
+
+
+_DEFAULTS: Final = {each.name: each.default for each in fields(DaemonRow)}
 
 
 def parse_daemon_row(row: Row) -> DaemonRow | Failure:
     """Reads a stored row."""
-    parsed = parse_plain(row.value, DaemonRow)
+    parsed = read_plain(row.value, DaemonRow)
     if isinstance(parsed, Failure):
         reason = f'daemon row {row.key}: {parsed.reason}'
         return Failure(ErrorKind.internal, reason)
@@ -53,12 +67,13 @@
 def dump_daemon_row(row: DaemonRow) -> Any:
     """Converts a row for the table service.
 
-    Without a region the row is as before there were regions, so that daemons
-    of both versions read it.
+    Fields that came later are left out while they have their defaults, since
+    the versions before format levels accept no field that they don't know.
     """
     plain = dump_plain(row)
-    if not row.region:
-        del plain['region']
+    for name in _LATER_FIELDS:
+        if getattr(row, name) == _DEFAULTS[name]:
+            del plain[name]
     return plain
 
 
@@ -71,6 +86,7 @@
         row.peer_listen,
         row.data_centre,
         row.region,
+        row.format_level,
     )
 
 
--- a/src/radishlift/membership/daemon_table.py
+++ b/src/radishlift/membership/daemon_table.py
@@ -27,11 +27,12 @@
     """One complete reading of the table.
 
     `number` counts the scans from 1 in the order of their starts; rows that
-    can't be parsed are left out.
+    can't be parsed are left out and named in `unreadable`.
     """
 
     number: int
     rows: dict[DaemonId, DaemonRow]
+    unreadable: frozenset[DaemonId] = frozenset()
 
 
 @dataclass(slots=True)
@@ -84,7 +85,9 @@
             else:
                 parsed[DaemonId(row.key)] = daemon_row
         self._watch(versions)
-        self.last_scan = DaemonScan(number, parsed)
+        unreadable = frozenset(DaemonId(row.key) for row in rows)
+        unreadable -= parsed.keys()
+        self.last_scan = DaemonScan(number, parsed, unreadable)
         for listener in self._listeners:
             listener(self.last_scan)
         return self.last_scan
--- a/src/radishlift/ownership/claims.py
+++ b/src/radishlift/ownership/claims.py
@@ -50,6 +50,8 @@
         seen = self._directory.seen(partition_id)
         if partition_id in self._holdings.held_claims():
             return False
+        if partition_id in self._view.own_row.declined:
+            return False
         return self._view.is_own(seen) or self._view.is_claimable(seen)
 
     def has_open(self, assignment: Assignment) -> bool:
--- a/src/radishlift/ownership/fleet_view.py
+++ b/src/radishlift/ownership/fleet_view.py
@@ -1,17 +1,19 @@
 """Judges from rows, evidence and leases who can hold a partition."""
 
+from collections.abc import Iterator
 from dataclasses import dataclass
 from typing import Final
 
 from radishlift.core.ids import DaemonId, PartitionId
+from radishlift.core.levels import LOWEST_LEVEL
 from radishlift.membership.api import MemberDirectory
-from radishlift.membership.daemon_rows import DaemonState
+from radishlift.membership.daemon_rows import DaemonRow, DaemonState
 from radishlift.membership.daemon_table import DaemonTable
 from radishlift.ownership.directory import OwnerDirectory
 from radishlift.ownership.own_row import OwnRow
 from radishlift.ownership.owner_rows import SeenOwner
 from radishlift.ownership.settings import OwnershipSettings
-from radishlift.ownership.spreading import heaviest, spread
+from radishlift.ownership.spreading import heaviest, readers_of, spread
 
 # A claimant that can't renew its own row can't tell a dead owner from an
 # outage of writes.
@@ -94,6 +96,7 @@
                 row.incarnation,
                 row.state,
                 row.owner_changes,
+                row.declined,
                 self._members.is_dead(daemon_id, row.incarnation),
             )
             for daemon_id, row in self.table.last_scan.rows.items()
@@ -106,6 +109,30 @@
             self.can_claim(),
         )
 
+    def declined(self) -> dict[DaemonId, tuple[PartitionId, ...]]:
+        """Returns the partitions that daemons can't read."""
+        declined = {
+            daemon_id: row.declined
+            for daemon_id, row in self.table.last_scan.rows.items()
+            if row.declined
+        }
+        # The own row may not be written or read yet.
+        declined[self.own_row.daemon_id] = self.own_row.declined
+        return declined
+
+    def live_levels(self) -> Iterator[int]:
+        """Yields the format levels of the daemons that may be alive.
+
+        Who wrote a row that can't be read has the lowest level.
+        """
+        yield self.own_row.format_level
+        for daemon_id, row in self.table.last_scan.rows.items():
+            if self._may_live(daemon_id, row):
+                yield row.format_level
+        for daemon_id in self.table.last_scan.unreadable:
+            if not self._has_lapsed(daemon_id):
+                yield LOWEST_LEVEL
+
     def dead_rows(self, unchanged_ms: int) -> dict[DaemonId, int]:
         """Returns versions of rows of dead daemons, unchanged for a time."""
         rows = self.table.last_scan.rows
@@ -132,10 +159,12 @@
             if daemon_id == self.own_row.daemon_id
             or not self._members.is_suspected(daemon_id)
         ]
-        within_share = spread(partitions, holders, serving, takers)
+        declined = self.declined()
+        within_share = spread(partitions, holders, serving, takers, declined)
         overflow = {}
         for partition_id in partitions:
-            taker = heaviest(partition_id, takers)
+            readers = readers_of(partition_id, takers, declined)
+            taker = heaviest(partition_id, readers)
             if taker is not None:
                 overflow[partition_id] = taker
         return Assignment(within_share, overflow | within_share)
@@ -147,13 +176,17 @@
             for daemon_id, row in rows.items()
             if row.state is DaemonState.serving
             and daemon_id != self.own_row.daemon_id
-            and not self._has_lapsed(daemon_id)
-            and not self._members.is_dead(daemon_id, row.incarnation)
+            and self._may_live(daemon_id, row)
         ]
         if self.own_row.state is DaemonState.serving:
             serving.append(self.own_row.daemon_id)
         return sorted(serving)
 
+    def _may_live(self, daemon_id: DaemonId, row: DaemonRow) -> bool:
+        if self._has_lapsed(daemon_id):
+            return False
+        return not self._members.is_dead(daemon_id, row.incarnation)
+
     def _has_lapsed(self, daemon_id: DaemonId) -> bool:
         if daemon_id == self.own_row.daemon_id:
             return False
--- a/src/radishlift/ownership/manager.py
+++ b/src/radishlift/ownership/manager.py
@@ -106,6 +106,20 @@
                 await self._holdings.lose(partition_id)
             self._is_open = True
 
+    async def decline(self, partition_id: PartitionId) -> None:
+        """Gives up a partition that this version can't read.
+
+        It is not claimed again by this process; the row of this daemon tells
+        the others to claim it. A release that the store refuses is repeated
+        by the next steps.
+        """
+        async with self._lock:
+            self._view.own_row.decline(partition_id)
+            if partition_id in self._holdings.held_claims():
+                await self._claimant.release(partition_id)
+            self._is_open = True
+        self.wake()
+
     async def stop(self) -> Failure | None:
         """Releases all partitions and deletes the row, for a planned stop.
 
--- a/src/radishlift/ownership/own_row.py
+++ b/src/radishlift/ownership/own_row.py
@@ -5,7 +5,7 @@
 
 from radishlift.core.clock import Clock
 from radishlift.core.errors import ErrorKind, Failure
-from radishlift.core.ids import DaemonId, Incarnation
+from radishlift.core.ids import DaemonId, Incarnation, PartitionId
 from radishlift.membership.api import Member
 from radishlift.membership.daemon_rows import (
     DAEMONS_TABLE,
@@ -49,12 +49,18 @@
             0,
             DaemonState.serving,
             region=member.region,
+            format_level=member.format_level,
         )
         self._version: int | None = None
         self._predecessor = Incarnation('')
         self._renewed_at_ms: int | None = None
         self._started_at_ms: int | None = None
 
+    @property
+    def format_level(self) -> int:
+        """Returns the level that this daemon announces."""
+        return self._row.format_level
+
     @property
     def incarnation(self) -> Incarnation:
         """Returns the incarnation of this process."""
@@ -89,6 +95,17 @@
         self._row = replace(self._row, owner_changes=changes)
         self.has_news = True
 
+    @property
+    def declined(self) -> tuple[PartitionId, ...]:
+        """Lists the partitions that this daemon does not claim any more."""
+        return self._row.declined
+
+    def decline(self, partition_id: PartitionId) -> None:
+        """Tells others with the next renewal to claim a partition."""
+        declined = sorted({*self._row.declined, partition_id})
+        self._row = replace(self._row, declined=tuple(declined))
+        self.has_news = True
+
     async def renew(self) -> Failure | None:
         """Writes the row with a higher counter.
 
@@ -112,7 +129,8 @@
                 return outcome
             if not isinstance(outcome, Conflict):
                 self._version = outcome.versions[0]
-                self.has_news = sent.owner_changes != self._row.owner_changes
+                current = replace(self._row, counter=sent.counter)
+                self.has_news = sent != current
                 self._renewed_at_ms = self._clock.monotonic_ms()
                 if self._started_at_ms is None:
                     self._started_at_ms = self._renewed_at_ms
--- a/src/radishlift/ownership/owner_rows.py
+++ b/src/radishlift/ownership/owner_rows.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from typing import Final
 
-from radishlift.core.codec import dump_plain, parse_plain
+from radishlift.core.codec import dump_plain, read_plain
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import DaemonId, Epoch, Incarnation, PartitionId
 from radishlift.core.logs import log_event
@@ -68,7 +68,7 @@
     partition_id = PartitionId(row.key)
     if not row.version:
         return unclaimed(partition_id)
-    parsed = parse_plain(row.value, OwnerRow)
+    parsed = read_plain(row.value, OwnerRow)
     if isinstance(parsed, Failure):
         reason = f'owner row {row.key}: {parsed.reason}'
         return Failure(ErrorKind.internal, reason)
--- a/src/radishlift/ownership/settings.py
+++ b/src/radishlift/ownership/settings.py
@@ -17,7 +17,9 @@
     `owners_interval_ms`. A daemon claims at most `claims_count` partitions in
     one step, not before `start_wait_ms` after its first renewal so that
     daemons that start together see each other, and waits `release_wait_ms`
-    for a released partition to be claimed before it releases another.
+    for a released partition to be claimed before it releases another. The
+    format level of the cell rises when all daemons have had a higher one for
+    `level_wait_ms`, which is longer than a restart of a daemon.
     """
 
     renew_interval_ms: int = bounded(2000, 100, 5000)
@@ -29,6 +31,7 @@
     claims_count: int = bounded(16, 1, 1000)
     commit_attempts: int = bounded(3, 1, 10)
     release_wait_ms: int = bounded(5000, 0, 60_000)
+    level_wait_ms: int = bounded(60_000, 0, 86_400_000)
 
 
 __all__ = ('OwnershipSettings',)
--- a/src/radishlift/partitions/hand_off_state.py
+++ b/src/radishlift/partitions/hand_off_state.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from typing import Any, ClassVar
 
-from radishlift.core.codec import dump_plain, parse_plain
+from radishlift.core.codec import dump_plain, read_plain
 from radishlift.core.errors import Failure
 from radishlift.core.ids import JobId, PartitionId
 from radishlift.journal.records import record
@@ -72,7 +72,7 @@
     # Snapshots of earlier versions hold only the other partition.
     if isinstance(plain, str):
         return HandOffBegun(JobId(job_id), PartitionId(plain))
-    begun = parse_plain(plain, HandOffBegun)
+    begun = read_plain(plain, HandOffBegun)
     if isinstance(begun, Failure):
         raise RecordRefusedError(begun.reason)
     return begun
--- a/src/radishlift/partitions/owners.py
+++ b/src/radishlift/partitions/owners.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 from typing import Any, ClassVar
 
-from radishlift.core.codec import dump_plain, parse_plain
+from radishlift.core.codec import dump_plain, read_plain
 from radishlift.core.errors import Failure
 from radishlift.core.ids import DaemonId, Epoch, Incarnation
 from radishlift.journal.records import record
@@ -80,7 +80,7 @@
         """Replaces the state by that of a snapshot."""
         self.owners = {}
         for stored in plain['owners']:
-            owned = parse_plain(stored, PartitionOwned)
+            owned = read_plain(stored, PartitionOwned)
             if isinstance(owned, Failure):
                 raise ValueError(owned.reason)
             self.owners[owned.epoch] = owned
--- a/src/radishlift/partitions/partitions.py
+++ b/src/radishlift/partitions/partitions.py
@@ -6,6 +6,7 @@
 from radishlift.config.api import ConfigView
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import DaemonId, PartitionId
+from radishlift.core.kinds import UnknownFormat
 from radishlift.core.logs import log_event
 from radishlift.ownership.api import OwnerClaim
 from radishlift.partitions.messages import DropPartition, PartitionDropped
@@ -21,7 +22,8 @@
     """An `OwnershipListener` that starts and stops runners.
 
     `give_up` is called with a partition that its runner had to give up, so
-    that ownership can claim it again or leave it to others.
+    that ownership can claim it again or leave it to others; `decline` with
+    one that a newer version wrote and that this daemon can't read.
     """
 
     def __init__(
@@ -30,10 +32,12 @@
         config: ConfigView,
         give_up: Callable[[PartitionId], None] | None = None,
         dispatcher_type: type[Dispatcher] = Dispatcher,
+        decline: Callable[[PartitionId], None] | None = None,
     ) -> None:
         self._parts = parts
         self._config = config
         self._give_up = give_up
+        self._decline = decline
         self._dispatcher_type = dispatcher_type
         self._runners: dict[PartitionId, PartitionRunner] = {}
         self._starts: set[asyncio.Task[Failure | None]] = set()
@@ -145,6 +149,14 @@
             partition=partition_id,
             reason=failure.reason,
         )
+        if isinstance(failure, UnknownFormat) and self._decline is not None:
+            log_event(
+                'partition_declined',
+                partition=partition_id,
+                reason=failure.reason,
+            )
+            self._decline(partition_id)
+            return
         if self._give_up is None:
             return
         if failure.kind is not ErrorKind.internal:
--- a/src/radishlift/placement/gang_snapshots.py
+++ b/src/radishlift/placement/gang_snapshots.py
@@ -2,7 +2,7 @@
 
 from typing import Any
 
-from radishlift.core.codec import dump_plain, parse_plain
+from radishlift.core.codec import dump_plain, read_plain
 from radishlift.core.errors import Failure
 from radishlift.core.ids import JobId, PartitionId
 from radishlift.placement.gang_records import (
@@ -56,7 +56,7 @@
 
     Raises `RecordRefusedError` when the data is not of this format.
     """
-    parsed = parse_plain(plain, target)
+    parsed = read_plain(plain, target)
     if isinstance(parsed, Failure):
         raise RecordRefusedError(parsed.reason)
     return parsed
--- a/src/radishlift/placement/learned.py
+++ b/src/radishlift/placement/learned.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 from typing import Any, Final
 
-from radishlift.core.codec import dump_plain, parse_plain
+from radishlift.core.codec import dump_plain, read_plain
 from radishlift.core.errors import Failure
 from radishlift.core.ids import Incarnation, JobId, TeamName, WorkerId
 from radishlift.journal.records import record
@@ -93,7 +93,7 @@
             ('usage', UsageLearned),
             ('health', HealthLearned),
         ):
-            parsed: Any = parse_plain(plain[kind], target)
+            parsed: Any = read_plain(plain[kind], target)
             if isinstance(parsed, Failure):
                 raise ValueError(parsed.reason)
             self.apply(parsed)
--- a/src/radishlift/placement/snapshots.py
+++ b/src/radishlift/placement/snapshots.py
@@ -5,6 +5,7 @@
 
 from radishlift.core.codec import dump_plain
 from radishlift.core.ids import PartitionId
+from radishlift.core.kinds import UnknownFormatError
 from radishlift.placement.gang_snapshots import (
     dump_gangs,
     load_gangs,
@@ -20,7 +21,6 @@
 )
 from radishlift.placement.partition_tables import (
     PartitionTables,
-    RecordRefusedError,
 )
 from radishlift.placement.records import GangReserved, TaskPlaced
 from radishlift.placement.tables import NO_ROW
@@ -115,10 +115,10 @@
 def load_tables(plain: dict[str, Any]) -> PartitionTables:
     """Builds tables from plain data.
 
-    Raises `RecordRefusedError` when the data is not of this format.
+    Raises `UnknownFormatError` when the data is not of this format.
     """
     if plain.get('version') != FORMAT_VERSION:
-        raise RecordRefusedError('the snapshot has another version')
+        raise UnknownFormatError('the snapshot has another version')
     tables = PartitionTables()
     for worker in plain['workers']:
         _load_worker(tables, worker)
--- a/src/radishlift/quotas/ledger.py
+++ b/src/radishlift/quotas/ledger.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 from typing import Any, ClassVar
 
-from radishlift.core.codec import dump_plain, parse_plain
+from radishlift.core.codec import dump_plain, read_plain
 from radishlift.core.errors import Failure
 from radishlift.core.ids import Epoch, PartitionId, TeamName
 from radishlift.journal.records import record
@@ -114,7 +114,7 @@
             ledger = TeamLedger(stored['limited'])
             ledger.counted = set(stored['counted'])
             for share in stored['shares']:
-                parsed = parse_plain(share, ShareChanged)
+                parsed = read_plain(share, ShareChanged)
                 if isinstance(parsed, Failure):
                     raise ValueError(parsed.reason)
                 ledger.shares[parsed.holder] = parsed
--- a/src/radishlift/report/saved.py
+++ b/src/radishlift/report/saved.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import Final
 
-from radishlift.core.codec import dump_plain, parse_json
+from radishlift.core.codec import dump_plain, read_json
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.report.windows import WINDOWS
 
@@ -45,7 +45,7 @@
         text = decoder.decompress(content, _MAX_JSON_BYTES)
     except zlib.error as error:
         return Failure(ErrorKind.invalid_input, f'not compressed: {error}')
-    saved = parse_json(text, SavedCounts)
+    saved = read_json(text, SavedCounts)
     if isinstance(saved, Failure):
         return saved
     for one in saved.objectives:
--- a/src/radishlift/requests/idempotency.py
+++ b/src/radishlift/requests/idempotency.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 from typing import Any, ClassVar
 
-from radishlift.core.codec import dump_plain, parse_plain
+from radishlift.core.codec import dump_plain, read_plain
 from radishlift.core.errors import Failure
 from radishlift.core.ids import DaemonId
 from radishlift.journal.records import record
@@ -124,7 +124,7 @@
 
     def load(self, plain: Any) -> None:
         """Replaces the keys by those of a snapshot."""
-        entries = parse_plain(plain, list[KeyEntry])
+        entries = read_plain(plain, list[KeyEntry])
         if isinstance(entries, Failure):
             raise ValueError(entries.reason)
         self._entries = {entry.intent.key: entry for entry in entries}
--- a/src/radishlift/requests/slot_rows.py
+++ b/src/radishlift/requests/slot_rows.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field
 from typing import Any, Final
 
-from radishlift.core.codec import dump_plain, parse_plain
+from radishlift.core.codec import dump_plain, read_plain
 from radishlift.core.errors import Failure
 from radishlift.core.ids import DaemonId, Incarnation
 
@@ -90,7 +90,7 @@
     """Parses the value of a row; an absent row has no allotments."""
     if plain is None:
         return SlotRow()
-    return parse_plain(plain, SlotRow)
+    return read_plain(plain, SlotRow)
 
 
 def dump_slot_row(row: SlotRow) -> Mapping[str, Any]:
--- /dev/null
+++ b/src/radishlift/schema/__init__.py
@@ -0,0 +1,1 @@
+"""Schema of what daemons write for each other."""
--- /dev/null
+++ b/src/radishlift/schema/compare.py
@@ -0,0 +1,130 @@
+"""Judges whether daemons of two schemas can share a cell."""
+
+from collections.abc import Iterator
+from typing import Any, Final
+
+from radishlift.core.levels import LOWEST_LEVEL
+from radishlift.schema.describe import Described
+
+_KINDS: Final = frozenset(('message', 'record'))
+
+
+def incompatibilities(
+    known: Described,
+    present: Described,
+    format_level: int,
+) -> list[str]:
+    """Lists why the present schema can't run beside the known one.
+
+    A new kind of message or record needs a level above 1, which daemons of
+    the known schema don't announce, and at most `format_level`. Adding a
+    field with a default, and a new row, are allowed.
+    """
+    errors: list[str] = []
+    for section in sorted(known.keys() | present.keys()):
+        before = known.get(section, {})
+        after = present.get(section, {})
+        errors.extend(_section_changes(section, before, after))
+        if section in _KINDS:
+            for name in sorted(after.keys() - before.keys()):
+                where = f'{section} {name}'
+                errors.extend(_new_kind(where, after[name], format_level))
+    return errors
+
+
+def _section_changes(
+    section: str,
+    before: Described,
+    after: Described,
+) -> Iterator[str]:
+    for name in sorted(before):
+        if name in after:
+            where = f'{section} {name}'
+            yield from _changes(where, before[name], after[name])
+        elif section != 'type':
+            # A type that no subject uses any more went with its fields.
+            yield f'{section} {name}: was removed'
+
+
+def _changes(
+    where: str,
+    before: Described,
+    after: Described,
+) -> Iterator[str]:
+    if before.get('level') != after.get('level'):
+        yield (
+            f'{where}: level changed from {before.get("level", LOWEST_LEVEL)}'
+            f' to {after.get("level", LOWEST_LEVEL)}'
+        )
+    if before.get('values') != after.get('values'):
+        yield from _value_changes(where, before, after)
+    yield from _field_changes(
+        where,
+        before.get('fields', {}),
+        after.get('fields', {}),
+    )
+
+
+def _value_changes(
+    where: str,
+    before: Described,
+    after: Described,
+) -> Iterator[str]:
+    known = set(before.get('values', ()))
+    present = set(after.get('values', ()))
+    for removed in sorted(known - present):
+        yield f'{where}: value {removed!r} was removed'
+    for added in sorted(present - known):
+        yield (
+            f'{where}: new value {added!r}, which older daemons refuse; use a'
+            ' new field with a default, or a new kind with a level'
+        )
+
+
+def _field_changes(
+    where: str,
+    before: Described,
+    after: Described,
+) -> Iterator[str]:
+    for name in sorted(before.keys() | after.keys()):
+        field = f'{where}: field {name}'
+        if name not in after:
+            yield f'{field} was removed; older daemons may need it'
+        elif name not in before:
+            if 'default' not in after[name]:
+                yield f'{field} is new and has no default'
+        elif before[name]['type'] != after[name]['type']:
+            types = f'{before[name]["type"]} to {after[name]["type"]}'
+            yield f'{field} changed its type from {types}'
+        else:
+            yield from _default_change(field, before[name], after[name])
+
+
+def _default_change(
+    field: str,
+    before: Described,
+    after: Described,
+) -> Iterator[str]:
+    if 'default' not in before:
+        # Each daemon of the known schema writes it.
+        return
+    if 'default' not in after:
+        yield f'{field} lost its default; older daemons may leave it out'
+    elif before['default'] != after['default']:
+        values = f'{before["default"]!r} to {after["default"]!r}'
+        yield f'{field} changed its default from {values}'
+
+
+def _new_kind(
+    where: str,
+    entry: dict[str, Any],
+    format_level: int,
+) -> Iterator[str]:
+    level = entry.get('level', LOWEST_LEVEL)
+    if level <= LOWEST_LEVEL:
+        yield f'{where}: is new and needs a level above {LOWEST_LEVEL}'
+    elif level > format_level:
+        yield f'{where}: level {level} is above FORMAT_LEVEL {format_level}'
+
+
+__all__ = ('incompatibilities',)
--- /dev/null
+++ b/src/radishlift/schema/describe.py
@@ -0,0 +1,111 @@
+"""Describes dataclasses as plain data: fields, types and defaults."""
+
+from collections.abc import Iterable
+from dataclasses import MISSING, Field, dataclass, fields, is_dataclass
+from enum import Enum
+from types import NoneType, UnionType
+from typing import (
+    Any,
+    Final,
+    NewType,
+    TypeAlias,
+    Union,
+    get_args,
+    get_origin,
+    get_type_hints,
+)
+
+from radishlift.core.codec import dump_plain
+
+Described: TypeAlias = dict[str, Any]
+_ABSENT: Final = object()
+
+
+@dataclass(frozen=True, slots=True)
+class Subject:
+    """A dataclass of the schema; `section` tells where it is written."""
+
+    section: str
+    name: str
+    typed: type
+    level: int = 1
+
+
+def describe(subjects: Iterable[Subject]) -> Described:
+    """Describes subjects and the dataclasses and enums in their fields.
+
+    The result has the sections `message`, `record` and `row` by name, and
+    `type` for what several of them may share.
+    """
+    schema: Described = {}
+    shared: dict[str, type] = {}
+    for subject in subjects:
+        entry: Described = {'fields': _fields(subject.typed, shared)}
+        if subject.level > 1:
+            entry['level'] = subject.level
+        schema.setdefault(subject.section, {})[subject.name] = entry
+    types: Described = {}
+    while shared.keys() - types.keys():
+        name = min(shared.keys() - types.keys())
+        types[name] = _shared(shared[name], shared)
+    schema['type'] = types
+    return schema
+
+
+def _shared(typed: type, shared: dict[str, type]) -> Described:
+    if issubclass(typed, Enum):
+        return {'values': sorted(str(each.value) for each in typed)}
+    return {'fields': _fields(typed, shared)}
+
+
+def _fields(typed: type, shared: dict[str, type]) -> Described:
+    hints = get_type_hints(typed)
+    described = {}
+    for each in fields(typed):
+        entry: Described = {'type': _name(hints[each.name], shared)}
+        default = _default(each)
+        if default is not _ABSENT:
+            entry['default'] = default
+        described[each.name] = entry
+    return described
+
+
+def _default(field: 'Field[Any]') -> Any:
+    if field.default is not MISSING:
+        return dump_plain(field.default)
+    if field.default_factory is not MISSING:
+        return dump_plain(field.default_factory())
+    return _ABSENT
+
+
+def _name(hint: Any, shared: dict[str, type]) -> str:
+    if isinstance(hint, NewType):
+        # Ids are written as what they are made of.
+        return _name(hint.__supertype__, shared)
+    if get_origin(hint) in {Union, UnionType}:
+        parts = sorted(_name(each, shared) for each in get_args(hint))
+        return ' | '.join(parts)
+    if get_origin(hint) is not None:
+        origin = get_origin(hint).__name__
+        parts = [_name(each, shared) for each in get_args(hint)]
+        return f'{origin}[{", ".join(parts)}]'
+    if hint is NoneType:
+        return 'None'
+    if hint is Ellipsis:
+        return '...'
+    if isinstance(hint, type) and _is_shared(hint):
+        shared[_shared_name(hint)] = hint
+        return _shared_name(hint)
+    return getattr(hint, '__name__', str(hint))
+
+
+def _is_shared(hint: type) -> bool:
+    return is_dataclass(hint) or issubclass(hint, Enum)
+
+
+def _shared_name(hint: type) -> str:
+    package = hint.__module__.split('.')[1]
+    return f'{package}.{hint.__name__}'
+
+
+__all__ = ('Described', 'Subject', 'describe')
--- /dev/null
+++ b/src/radishlift/schema/update.py
@@ -0,0 +1,50 @@
+"""Writes the schema of messages, records and rows.
+
+Run `python -m radishlift.schema.update` after a change of one of them. An
+incompatible change is refused: daemons of two versions share a cell during
+an upgrade.
+"""
+
+import json
+import sys
+from pathlib import Path
+from typing import Any, Final
+
+from radishlift.core.levels import FORMAT_LEVEL
+from radishlift.schema.compare import incompatibilities
+from radishlift.schema.describe import describe
+from radishlift.schema.subjects import all_subjects
+
+SCHEMA_PATH: Final = Path(__file__).with_name('schema.json')
+
+
+def present_text() -> str:
+    """Returns the schema of this version as text."""
+    schema = describe(all_subjects())
+    text = json.dumps(schema, indent=1, sort_keys=True)
+    return f'{text}\n'
+
+
+def check(committed: str, present: str) -> list[str]:
+    """Lists the incompatible changes between two texts of a schema."""
+    known: Any = json.loads(committed)
+    return incompatibilities(known, json.loads(present), FORMAT_LEVEL)
+
+
+def main() -> int:
+    """Updates the committed schema; exits with 1 when that is refused."""
+    present = present_text()
+    if SCHEMA_PATH.exists():
+        committed = SCHEMA_PATH.read_text(encoding='utf-8')
+        errors = check(committed, present)
+        if errors:
+            sys.stderr.writelines(f'{error}\n' for error in errors)
+            return 1
+    SCHEMA_PATH.write_text(present, encoding='utf-8')
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
+
+__all__ = ('SCHEMA_PATH', 'check', 'main', 'present_text')
--- a/src/radishlift/settings/daemon.py
+++ b/src/radishlift/settings/daemon.py
@@ -14,6 +14,8 @@
     other daemons; `peer_advertise` is the address that they use for it when
     it differs from `peer_listen`. `seed_peers` lists peers as `id=ip:port`
     that are known before the table service has been read.
+    `max_format_level` keeps a new version at the format of the one before,
+    so that the daemons can still go back to it; 0 means no limit.
     """
 
     daemon_id: str
@@ -25,6 +27,7 @@
     seed_peers: tuple[str, ...] = ()
     peer_secret: str = ''
     change_token: str = ''
+    max_format_level: int = bounded(0, 0, 1_000_000)
     drain_notice_ms: int = bounded(1_000, 0, 60_000)
     drain_timeout_ms: int = bounded(30_000, 0, 600_000)
     log_level: str = choice('INFO', ('DEBUG', 'INFO', 'WARNING', 'ERROR'))
--- a/src/radishlift/wire/connection.py
+++ b/src/radishlift/wire/connection.py
@@ -6,6 +6,7 @@
 from typing import Any, Final
 
 from radishlift.core.errors import ErrorKind, Failure
+from radishlift.core.kinds import UnknownFormat
 from radishlift.core.logs import log_event
 from radishlift.wire.frames import (
     Frame,
@@ -17,6 +18,8 @@
 
 _READ_BYTES: Final = 64 * 1024
 _MAX_SEND_BUFFER_BYTES: Final = 4 * 1024 * 1024
+# Names come from the peer; only so many are remembered, to log each once.
+_MAX_UNKNOWN_NAMES: Final = 16
 
 Dispatch = Callable[[Any], Awaitable[Any]]
 
@@ -40,6 +43,7 @@
         self._call_ids = count(1)
         self._calls: dict[int, asyncio.Future[Any]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
+        self._unknown_names: set[str] = set()
         self.sent_bytes = 0
         self.received_bytes = 0
 
@@ -136,6 +140,9 @@
 
     async def _handle(self, frame: Frame) -> None:
         typed = decode_message(frame.name, frame.fields)
+        if isinstance(typed, UnknownFormat):
+            self._refuse_unknown(frame, typed)
+            return
         if isinstance(typed, Failure):
             log_event('bad_message', reason=typed.reason)
             self.close()
@@ -144,6 +151,17 @@
         if frame.kind is FrameKind.call:
             self.send_frame(_encode_reply(frame.call_id, reply))
 
+    def _refuse_unknown(self, frame: Frame, unknown: UnknownFormat) -> None:
+        # A peer of a newer version may send it before it knows of this one.
+        # The stream stays open: closing it would lose the other calls.
+        names = self._unknown_names
+        if frame.name not in names and len(names) < _MAX_UNKNOWN_NAMES:
+            names.add(frame.name)
+            log_event('unknown_message', reason=unknown.reason)
+        if frame.kind is FrameKind.call:
+            refused = Failure(ErrorKind.peer_unavailable, unknown.reason)
+            self.send_frame(_encode_reply(frame.call_id, refused))
+
 
 def _encode_reply(call_id: int, reply: object) -> Frame:
     if isinstance(reply, Failure):
--- a/src/radishlift/wire/frames.py
+++ b/src/radishlift/wire/frames.py
@@ -1,7 +1,8 @@
 """Frames of the streams between daemons, encoded as msgpack.
 
-A frame is an array `[version, kind, call_id, name, fields]`. The first frame
-of a connection is a hello that names the sending daemon.
+A frame is an array `[version, kind, call_id, name, fields]`; a newer version
+may add elements, which are ignored. The first frame of a connection is a hello
+that names the sending daemon.
 """
 
 from collections.abc import Iterator
@@ -87,7 +88,7 @@
 
 def _check_frame(plain: object) -> Frame | Failure:
     match plain:
-        case [int(version), int(kind), int(call_id), str(name), fields]:
+        case [int(version), int(kind), int(call_id), str(name), fields, *_]:
             if version != FRAME_VERSION:
                 return Failure(ErrorKind.bad_frame, f'version {version}')
             known = _KINDS.get(kind)
--- /dev/null
+++ b/src/radishlift/wire/hello.py
@@ -0,0 +1,113 @@
+"""The hello of a stream, and the format levels that peers announce in it."""
+
+import asyncio
+from dataclasses import dataclass
+from typing import Any, Final
+
+from radishlift.core.codec import dump_plain, read_plain
+from radishlift.core.errors import ErrorKind, Failure
+from radishlift.core.ids import DaemonId
+from radishlift.core.kinds import required_level
+from radishlift.core.levels import LOWEST_LEVEL, known_level
+from radishlift.wire.frames import Frame, FrameDecoder, FrameKind
+
+_TIMEOUT_MS: Final = 2000
+_MAX_BYTES: Final = 4096
+
+
+@dataclass(frozen=True, slots=True)
+class HelloFields:
+    """What a hello tells besides the id of its sender."""
+
+    secret: str
+    format_level: int = LOWEST_LEVEL
+
+
+@dataclass(frozen=True, slots=True)
+class Hello:
+    """A hello as received."""
+
+    daemon_id: DaemonId
+    fields: HelloFields
+
+
+def hello_frame(daemon_id: DaemonId, fields: HelloFields) -> Frame:
+    """Returns the first frame of a stream.
+
+    At the lowest level its fields are the bare secret, which is all that
+    versions without format levels accept.
+    """
+    plain: Any = fields.secret
+    if fields.format_level > LOWEST_LEVEL:
+        plain = dump_plain(fields)
+    return Frame(FrameKind.hello, 0, daemon_id, plain)
+
+
+async def read_hello(reader: asyncio.StreamReader) -> Hello | Failure:
+    """Reads the first frame; fails with `bad_frame`.
+
+    It is read byte by byte because bytes that follow it belong to the
+    connection.
+    """
+    decoder = FrameDecoder()
+    try:
+        async with asyncio.timeout(_TIMEOUT_MS / 1000):
+            for _ in range(_MAX_BYTES):
+                received = await reader.readexactly(1)
+                frame = next(decoder.feed(received), None)
+                if frame is not None:
+                    return _check_hello(frame)
+    except (OSError, EOFError, TimeoutError) as error:
+        return Failure(ErrorKind.bad_frame, f'no hello: {error!r}')
+    return Failure(ErrorKind.bad_frame, 'hello is too long')
+
+
+def _check_hello(frame: Frame | Failure) -> Hello | Failure:
+    if isinstance(frame, Failure):
+        return frame
+    if frame.kind is not FrameKind.hello:
+        return Failure(ErrorKind.bad_frame, 'first frame is not a hello')
+    plain = frame.fields
+    if isinstance(plain, str):
+        return Hello(DaemonId(frame.name), HelloFields(plain))
+    fields = read_plain(plain, HelloFields)
+    if isinstance(fields, Failure):
+        return Failure(ErrorKind.bad_frame, f'hello: {fields.reason}')
+    return Hello(DaemonId(frame.name), fields)
+
+
+class PeerLevels:
+    """The level that each peer announced on its present stream."""
+
+    def __init__(self) -> None:
+        self._levels: dict[DaemonId, int] = {}
+
+    def note(self, peer: DaemonId, announced: int) -> None:
+        """Takes the level of a hello."""
+        self._levels[peer] = known_level(announced)
+
+    def forget(self, peer: DaemonId) -> None:
+        """Drops the level of a peer whose streams have ended.
+
+        It may come back with an older version.
+        """
+        self._levels.pop(peer, None)
+
+    def of(self, peer: DaemonId) -> int:
+        """Returns the level of a peer; the lowest if it is not known."""
+        return self._levels.get(peer, LOWEST_LEVEL)
+
+    def refusal(self, peer: DaemonId, typed: object) -> Failure | None:
+        """Tells why a message must not be sent to a peer, if so.
+
+        The peer can't read it; nothing was sent, as when it is unreachable.
+        """
+        needed = required_level(type(typed))
+        if needed <= self.of(peer):
+            return None
+        name = type(typed).__name__
+        reason = f'{name} needs level {needed}, {peer} has {self.of(peer)}'
+        return Failure(ErrorKind.peer_unavailable, reason)
+
+
+__all__ = ('Hello', 'HelloFields', 'PeerLevels', 'hello_frame', 'read_hello')
--- a/src/radishlift/wire/messages.py
+++ b/src/radishlift/wire/messages.py
@@ -1,46 +1,39 @@
 """Registry of message types of the streams between daemons."""
 
 from collections.abc import Callable
-from dataclasses import is_dataclass
-from typing import Any, Final, TypeVar
+from typing import Any, TypeVar
 
-from radishlift.core.codec import dump_plain, parse_plain
 from radishlift.core.errors import ErrorKind, Failure
+from radishlift.core.kinds import MESSAGES, UnknownFormat
+from radishlift.core.levels import LOWEST_LEVEL
 
 Message = TypeVar('Message')
 
-_TYPES: Final[dict[str, type]] = {}
-_NAMES: Final[dict[type, str]] = {}
 
+def message(
+    name: str,
+    level: int = LOWEST_LEVEL,
+) -> Callable[[type[Message]], type[Message]]:
+    """Returns a decorator that registers a dataclass as a message type.
 
-def message(name: str) -> Callable[[type[Message]], type[Message]]:
-    """Returns a decorator that registers a dataclass as a message type."""
-
-    def decorate(message_type: type[Message]) -> type[Message]:
-        if not is_dataclass(message_type) or name in _TYPES:
-            raise ValueError(f'message {name} is not a new dataclass')
-        _TYPES[name] = message_type
-        _NAMES[message_type] = name
-        return message_type
-
-    return decorate
+    It is sent only where the cell's level is at least `level`.
+    """
+    return MESSAGES.decorator(name, level)
 
 
 def encode_message(typed: object) -> tuple[str, Any]:
     """Converts a message to its name and plain fields."""
-    return _NAMES[type(typed)], dump_plain(typed)
+    return MESSAGES.encode(typed)
 
 
-def decode_message(name: object, plain: object) -> Any:
+def decode_message(name: str, plain: object) -> Any:
     """Converts a name and plain fields to a message.
 
-    Returns a `bad_frame` failure for an unknown name or wrong fields.
+    Returns an `UnknownFormat` for an unknown name, and a `bad_frame` failure
+    for wrong fields.
     """
-    message_type = _TYPES.get(name) if isinstance(name, str) else None
-    if message_type is None:
-        return Failure(ErrorKind.bad_frame, f'unknown message {name!r:.60}')
-    typed = parse_plain(plain, message_type)
-    if isinstance(typed, Failure):
+    typed = MESSAGES.decode(name, plain)
+    if isinstance(typed, Failure) and not isinstance(typed, UnknownFormat):
         return Failure(ErrorKind.bad_frame, typed.reason)
     return typed
 
--- a/src/radishlift/wire/network.py
+++ b/src/radishlift/wire/network.py
@@ -8,13 +8,18 @@
 
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import Address, DaemonId
+from radishlift.core.levels import FORMAT_LEVEL
 from radishlift.core.logs import log_event
 from radishlift.wire.connection import PeerConnection
-from radishlift.wire.frames import Frame, FrameDecoder, FrameKind
+from radishlift.wire.hello import (
+    Hello,
+    HelloFields,
+    PeerLevels,
+    hello_frame,
+    read_hello,
+)
 
 _CONNECT_TIMEOUT_MS: Final = 1000
-_HELLO_TIMEOUT_MS: Final = 2000
-_HELLO_BYTES: Final = 4096
 
 MessageHandler = Callable[[DaemonId, Any], Awaitable[Any]]
 
@@ -54,9 +59,15 @@
     the peer closed, `incoming_ended` when the last one from a peer has ended.
     """
 
-    def __init__(self, daemon_id: DaemonId, secret: str = '') -> None:
+    def __init__(
+        self,
+        daemon_id: DaemonId,
+        secret: str = '',
+        format_level: int = FORMAT_LEVEL,
+    ) -> None:
         self.daemon_id = daemon_id
-        self._secret = secret
+        self.levels = PeerLevels()
+        self._hello = HelloFields(secret, format_level)
         self._addresses: dict[DaemonId, Address] = {}
         self._outgoing: dict[DaemonId, PeerConnection] = {}
         self._opened_counts: Counter[DaemonId] = Counter()
@@ -141,14 +152,16 @@
         """Calls a peer, or this daemon itself, and returns its reply."""
         if daemon_id == self.daemon_id:
             return await self._dispatch(daemon_id, typed)
-        connection = await self._connect(daemon_id)
+        refusal = self.levels.refusal(daemon_id, typed)
+        connection = refusal or await self._connect(daemon_id)
         if isinstance(connection, Failure):
             return connection
         return await connection.call(typed, timeout_ms)
 
     async def send(self, daemon_id: DaemonId, typed: object) -> Failure | None:
         """Sends a message without a reply; it may be lost."""
-        connection = await self._connect(daemon_id)
+        refusal = self.levels.refusal(daemon_id, typed)
+        connection = refusal or await self._connect(daemon_id)
         if isinstance(connection, Failure):
             return connection
         return connection.send(typed)
@@ -187,8 +200,7 @@
             writer,
             lambda typed: self._dispatch(daemon_id, typed),
         )
-        hello = Frame(FrameKind.hello, 0, self.daemon_id, self._secret)
-        connection.send_frame(hello)
+        connection.send_frame(hello_frame(self.daemon_id, self._hello))
         self._outgoing[daemon_id] = connection
         self._opened_counts[daemon_id] += 1
         self._run(connection, daemon_id)
@@ -199,18 +211,20 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
-        hello = await _read_hello(reader)
+        hello = await read_hello(reader)
         is_member = (
             not isinstance(hello, Failure)
-            and hello.fields == self._secret
-            and hello.name in self._addresses
+            and hello.fields.secret == self._hello.secret
+            and hello.daemon_id in self._addresses
         )
         if isinstance(hello, Failure) or not is_member:
-            reason = hello.reason if isinstance(hello, Failure) else hello.name
-            log_event('peer_rejected', reason=reason)
+            if isinstance(hello, Hello):
+                hello = Failure(ErrorKind.unauthorized, hello.daemon_id)
+            log_event('peer_rejected', reason=hello.reason)
             writer.close()
             return
-        sender = DaemonId(hello.name)
+        sender = hello.daemon_id
+        self.levels.note(sender, hello.fields.format_level)
         connection = PeerConnection(
             reader,
             writer,
@@ -227,6 +241,7 @@
             self._runners.discard(task)
             sender = self._incoming.pop(connection, None)
             if sender is not None and sender not in self._incoming.values():
+                self.levels.forget(sender)
                 self.incoming_ended.emit(sender)
             # A stream that is not in use any more was closed by this daemon.
             in_use = self._outgoing.get(peer) is connection
@@ -243,26 +258,4 @@
         return await handler(sender, typed)
 
 
-async def _read_hello(reader: asyncio.StreamReader) -> Frame | Failure:
-    # The hello is read byte by byte because bytes that follow it belong to
-    # the connection.
-    decoder = FrameDecoder()
-    try:
-        async with asyncio.timeout(_HELLO_TIMEOUT_MS / 1000):
-            for _ in range(_HELLO_BYTES):
-                received = await reader.readexactly(1)
-                frame = next(decoder.feed(received), None)
-                if frame is not None:
-                    return _check_hello(frame)
-    except (OSError, EOFError, TimeoutError) as error:
-        return Failure(ErrorKind.bad_frame, f'no hello: {error!r}')
-    return Failure(ErrorKind.bad_frame, 'hello is too long')
-
-
-def _check_hello(frame: Frame | Failure) -> Frame | Failure:
-    if isinstance(frame, Failure) or frame.kind is FrameKind.hello:
-        return frame
-    return Failure(ErrorKind.bad_frame, 'first frame is not a hello')
-
-
 __all__ = ('ClosedStreams', 'PeerNetwork', 'RefusedConnection')
--- a/tests/cli/test_cell_text.py
+++ b/tests/cli/test_cell_text.py
@@ -12,6 +12,7 @@
     PartitionId,
     WorkerId,
 )
+from radishlift.membership.api import DaemonFormat
 from radishlift.placement.jobs import Priority
 
 CELL = CellStatus(
@@ -20,6 +21,8 @@
     (QuarantineStatus(WorkerId('10.0.0.1:1'), 'fails', 7),),
     (PartitionStatus(PartitionId('p1'), DaemonId('d2'), None, None),),
     (DaemonId('d2'),),
+    2,
+    (DaemonFormat(DaemonId('d1'), 2, (PartitionId('p9'),)),),
 )
 
 
@@ -31,3 +34,4 @@
     assert ['rug-depot', 'urgent', '3', '4', '500'] in lines
     assert ['10.0.0.1:1', '7', 'fails'] in lines
     assert ['p1', 'd2', '-', '-'] in lines
+    assert ['d1', '2', 'p9'] in lines
--- a/tests/journal/test_recovery.py
+++ b/tests/journal/test_recovery.py
@@ -1,6 +1,8 @@
 import pytest
+from msgpack import packb, unpackb
 
 from radishlift.core.errors import ErrorKind, Failure
+from radishlift.core.kinds import UnknownFormat
 from radishlift.journal.recovery import recover
 from radishlift.journal.rows import row_key
 from radishlift.platform.api import Row
@@ -73,3 +75,45 @@
     owner.store.fault = Fault.down
     failure = await recover_failure(owner)
     assert failure.kind is ErrorKind.store_unavailable
+
+
+async def test_record_of_unknown_kind_is_told_from_damage(owner):
+    """Guards against a newer partition that is claimed again and again."""
+    key = row_key(PARTITION, 3)
+    newer = {**GOOD, 'records': [['test_of_tomorrow', {}]], 'added': 1}
+    owner.store.tables._tables['journal'][key] = Row('journal', key, 9, newer)
+    failure = await recover_failure(owner)
+    assert isinstance(failure, UnknownFormat)
+    assert key in failure.reason
+
+
+async def test_fields_of_a_newer_version_are_replayed(owner):
+    """Guards against a journal that an older daemon can't take over."""
+    rows = owner.store.tables._tables['journal']
+    for key, row in rows.items():
+        records = [
+            [name, {**plain, 'added': 1}]
+            for name, plain in row.value['records']
+        ]
+        value = {**row.value, 'records': records, 'added': 1}
+        rows[key] = Row('journal', key, row.version, value)
+    notes = Notes()
+    outcome = await recover(owner.store, owner.objects, PARTITION, [notes])
+    assert not isinstance(outcome, Failure)
+    assert outcome.records_count == 5
+
+
+@pytest.mark.parametrize(
+    'change',
+    [{'format': 2}, {'states': {'StateOfTomorrow': []}}],
+)
+async def test_snapshot_of_a_newer_version_is_told_from_damage(owner, change):
+    """Guards against a newer snapshot that is taken for a damaged one."""
+    await owner.snapshot()
+    name = next(iter(owner.objects.objects))
+    plain = unpackb(owner.objects.objects[name])
+    owner.objects.objects[name] = packb(plain | change)
+    assert isinstance(await recover_failure(owner), UnknownFormat)
+    owner.objects.objects[name] = packb(plain | {'added': 1})
+    outcome = await recover(owner.store, owner.objects, PARTITION, [Notes()])
+    assert not isinstance(outcome, Failure)
--- a/tests/partitions/test_partitions.py
+++ b/tests/partitions/test_partitions.py
@@ -5,6 +5,7 @@
 
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import PartitionId
+from radishlift.core.kinds import UnknownFormat
 from radishlift.partitions.partitions import Partitions
 from radishlift.partitions.settings import PartitionSettings
 
@@ -39,3 +40,22 @@
     assert bool(given_up) is is_given_up_at_once
     await asyncio.wait_for(done.wait(), 5)
     assert given_up == [PARTITION]
+
+
+def test_partition_of_a_newer_version_is_declined():
+    """Guards against an endless loop of claims of an unknown format."""
+    declined = []
+    parts = SimpleNamespace(
+        network=SimpleNamespace(register=lambda *_: None),
+    )
+    partitions = Partitions(
+        parts,
+        SimpleNamespace(),
+        lambda _: pytest.fail('it would be claimed again'),
+        decline=declined.append,
+    )
+    runner = SimpleNamespace(partition_id=PARTITION)
+    partitions._runners[PARTITION] = runner
+    unknown = UnknownFormat(ErrorKind.internal, 'test')
+    partitions._closed(runner, unknown)
+    assert declined == [PARTITION]
--- /dev/null
+++ b/tests/schema/test_schema.py
@@ -0,0 +1,105 @@
+import copy
+import json
+
+import pytest
+
+from radishlift.schema.compare import incompatibilities
+from radishlift.schema.update import SCHEMA_PATH, check, present_text
+
+COMMITTED = SCHEMA_PATH.read_text(encoding='utf-8')
+LEVEL = 2
+HEARTBEAT = ('message', 'heartbeat', 'fields')
+
+
+def change_schema(path, value):
+    schema = json.loads(COMMITTED)
+    place = schema
+    for name in path[:-1]:
+        place = place[name]
+    if value is None:
+        del place[path[-1]]
+    else:
+        place[path[-1]] = value
+    return schema
+
+
+def test_this_version_can_share_a_cell_with_the_committed_one():
+    """Guards against a change that older daemons can't read."""
+    assert check(COMMITTED, present_text()) == []
+
+
+def test_committed_schema_is_up_to_date():
+    """Guards against changes that the next comparison would miss."""
+    command = 'run python -m radishlift.schema.update'
+    assert json.loads(present_text()) == json.loads(COMMITTED), command
+
+
+@pytest.mark.parametrize(
+    ('path', 'value', 'message'),
+    [
+        ((*HEARTBEAT, 'counter'), None, 'field counter was removed'),
+        (
+            (*HEARTBEAT, 'counter', 'type'),
+            'str',
+            'field counter changed its type from int to str',
+        ),
+        (
+            (*HEARTBEAT, 'added'),
+            {'type': 'int'},
+            'field added is new and has no default',
+        ),
+        (
+            (*HEARTBEAT, 'heard'),
+            {'type': 'dict[str, int]'},
+            'field heard lost its default',
+        ),
+        (
+            ('row', 'DaemonRow', 'fields', 'region', 'default'),
+            'north',
+            'field region changed its default',
+        ),
+        (('record', 'task_placed'), None, 'record task_placed: was removed'),
+        (('record', 'task_placed', 'level'), 2, 'level changed from 1 to 2'),
+        (('message', 'newer'), {'fields': {}}, 'needs a level above 1'),
+        (
+            ('message', 'newer'),
+            {'fields': {}, 'level': LEVEL + 1},
+            'above FORMAT_LEVEL 2',
+        ),
+        (
+            ('type', 'placement.Priority', 'values'),
+            ['urgent'],
+            'was removed',
+        ),
+        (
+            ('type', 'membership.DaemonState', 'values'),
+            ['draining', 'paused', 'serving'],
+            "new value 'paused'",
+        ),
+    ],
+)
+def test_incompatible_changes_are_named(path, value, message):
+    """Guards against a comparison that lets a change pass."""
+    changed = change_schema(path, value)
+    errors = incompatibilities(json.loads(COMMITTED), changed, LEVEL)
+    assert errors
+    assert message in errors[0]
+
+
+@pytest.mark.parametrize(
+    ('path', 'value'),
+    [
+        ((*HEARTBEAT, 'added'), {'type': 'int', 'default': 0}),
+        ((*HEARTBEAT, 'counter', 'default'), 0),
+        (('message', 'newer'), {'fields': {}, 'level': LEVEL}),
+        (('record', 'newer'), {'fields': {}, 'level': LEVEL}),
+        (('row', 'NewerRow'), {'fields': {'number': {'type': 'int'}}}),
+    ],
+)
+def test_compatible_changes_are_allowed(path, value):
+    """Guards against a comparison that forbids what an upgrade needs."""
+    changed = change_schema(path, value)
+    known = json.loads(COMMITTED)
+    before = copy.deepcopy(known)
+    assert incompatibilities(known, changed, LEVEL) == []
+    assert known == before
--- a/tests/system/broken_daemon.py
+++ b/tests/system/broken_daemon.py
@@ -11,6 +11,7 @@
 
 from radishlift.config.held import HeldConfig
 from radishlift.config.receiver import UpdateReceiver
+from radishlift.core import codec
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.registry import Registry
 from radishlift.daemon.lifecycle import Daemon
@@ -75,6 +76,12 @@
     HeldConfig.take = take
 
 
+@VARIANTS.register('parses_strictly')
+def parse_strictly() -> None:
+    """Refuses unknown fields of other daemons."""
+    codec._TOLERANT = codec._STRICT
+
+
 if __name__ == '__main__':
     for variant in sys.argv.pop(1).split(','):
         VARIANTS.get(variant)()
--- a/tests/system/cell.py
+++ b/tests/system/cell.py
@@ -44,6 +44,7 @@
         self.shapes = shapes
         self.extra_settings = extra_settings
         self.daemon_module = daemon_module
+        self.module_of: dict[str, tuple[str, ...]] = {}
         self.processes = Processes(folder / 'logs')
         self.session = ClientSession(timeout=ClientTimeout(total=10))
         hosts_count = sum(
@@ -141,7 +142,7 @@
         )
         self.processes.start(
             name,
-            *self.daemon_module,
+            *self.module_of.get(name, self.daemon_module),
             '--settings',
             str(path),
         )
--- /dev/null
+++ b/tests/system/test_rolling_upgrade.py
@@ -0,0 +1,139 @@
+from dataclasses import replace
+
+import pytest
+
+from tests.system.cell import Cell
+from tests.system.invariants import check_all, count_outcomes
+from tests.system.shapes import SHAPES
+from tests.system.traffic import (
+    LoadOptions,
+    collect_evidence,
+    drive,
+    unfinished_jobs,
+)
+
+pytestmark = pytest.mark.system
+
+SHAPE = replace(SHAPES['rug_depot'], executors_count=8)
+OPTIONS = LoadOptions(requests_per_s=50, jobs_per_s=5, duration_ms=5_000)
+PRESENT = ('radishlift.daemon.main',)
+NEXT = ('tests.system.next_version',)
+STRICT = ('tests.system.broken_daemon', 'parses_strictly')
+LEVEL_S = 30
+TAKEOVER_S = 40
+
+
+async def restart(cell, name, module):
+    """Stops a daemon as planned and starts it with another version."""
+    cell.module_of[name] = module
+    await cell.terminate_daemons([name])
+    await cell.start_daemon(name)
+    await cell.wait_ready(cell.names, TAKEOVER_S)
+
+
+async def levels(cell):
+    """Returns the cell level that each daemon uses."""
+    answers = [await cell.get(name, '/v1/status') for name in cell.names]
+    return [state['cell_level'] for status, state in answers if status == 200]
+
+
+async def declined(cell, name):
+    status, state = await cell.get(name, '/v1/status')
+    return state['declined'] if status == 200 else []
+
+
+def count_logged(cell, name, text):
+    log = cell.folder / 'logs' / f'{name}.log'
+    return log.read_text(encoding='utf-8').count(text)
+
+
+async def upgrade_and_roll_back(cell, seen):
+    """Goes to the next version in part and back, in whole, and back."""
+    await restart(cell, 'd1', NEXT)
+    await restart(cell, 'd2', NEXT)
+    await restart(cell, 'd2', PRESENT)
+    seen['mixed'] = await levels(cell)
+    seen['early_pings'] = count_logged(cell, 'd1', 'next_ping')
+    await restart(cell, 'd2', NEXT)
+    await restart(cell, 'd3', NEXT)
+
+    async def uses_next_level():
+        return await levels(cell) == [2, 2, 2] and all(
+            count_logged(cell, name, 'next_ping answered')
+            for name in cell.names
+        )
+
+    await cell.wait_for(uses_next_level, LEVEL_S)
+    cell.module_of['d3'] = PRESENT
+    await cell.terminate_daemons(['d3'])
+    await cell.start_daemon('d3')
+
+    async def has_declined():
+        return bool(await declined(cell, 'd3'))
+
+    # Each partition has records that the daemon before can't read.
+    await cell.wait_for(has_declined, TAKEOVER_S)
+    await cell.wait_ready(['d1', 'd2'], TAKEOVER_S)
+    seen['alarms'] = count_logged(cell, 'd3', 'event=partition_declined')
+    seen['declined'] = await declined(cell, 'd3')
+    seen['levels_after'] = (await levels(cell))[:2]
+    await restart(cell, 'd3', NEXT)
+
+
+async def run_cell(cell, script):
+    try:
+        await cell.start()
+        results = await drive(cell, OPTIONS, script)
+        open_jobs = await unfinished_jobs(cell, results, 30)
+        return results, await collect_evidence(cell, results, open_jobs)
+    finally:
+        await cell.stop()
+
+
+async def test_versions_share_a_cell_through_upgrade_and_rollback(tmp_path):
+    """Guards against an upgrade or rollback that loses work."""
+    cell = Cell(
+        tmp_path,
+        (SHAPE,),
+        daemons_count=3,
+        extra_settings='\n[ownership]\nlevel_wait_ms = 2000\n',
+    )
+    seen = {}
+    results, evidence = await run_cell(
+        cell,
+        lambda: upgrade_and_roll_back(cell, seen),
+    )
+    assert not check_all(evidence)
+    outcomes = count_outcomes(results)
+    assert outcomes['answered'] > 0
+    assert outcomes['job_accepted'] > 0
+    assert seen['mixed'] == [1, 1, 1]
+    assert not seen['early_pings']
+    # One alarm for each partition: it is not claimed again.
+    assert seen['declined']
+    assert seen['alarms'] == len(seen['declined'])
+    # A level that is in use is never lowered.
+    assert seen['levels_after'] == [2, 2]
+    for name in cell.names:
+        assert not count_logged(cell, name, 'event=bad_')
+
+
+async def test_strict_daemons_can_not_share_a_cell(tmp_path):
+    """Guards against a test of upgrades that can't fail."""
+    cell = Cell(tmp_path, (SHAPE,), daemons_count=2, daemon_module=STRICT)
+    try:
+        await cell.start()
+        cell.module_of['d2'] = NEXT
+        await cell.terminate_daemons(['d2'])
+        await cell.start_daemon('d2')
+
+        async def refuses():
+            counts = [
+                count_logged(cell, 'd1', f'event={event}')
+                for event in ('bad_daemon_row', 'bad_slot_row')
+            ]
+            return all(counts)
+
+        await cell.wait_for(refuses, TAKEOVER_S)
+    finally:
+        await cell.stop()
--- a/tests/wire/test_network.py
+++ b/tests/wire/test_network.py
@@ -2,6 +2,7 @@
 from dataclasses import dataclass
 
 import pytest
+from msgpack import Unpacker, packb
 
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import Address, DaemonId
@@ -19,6 +20,12 @@
     delay_ms: int = 0
 
 
+@message('test_echo_of_level_2', 2)
+@dataclass(frozen=True, slots=True)
+class NewerEcho:
+    number: int
+
+
 async def _echo(sender: DaemonId, echo: Echo) -> Echo:
     await asyncio.sleep(echo.delay_ms / 1000)
     return echo
@@ -88,3 +95,85 @@
     assert await asyncio.wait_for(reader.read(), 5) == b''
     writer.close()
     assert await pair[0].call(B, Echo(5), 2000) == Echo(5)
+
+
+async def _dial(pair, *frames):
+    """Sends frames to the second daemon; returns the stream."""
+    host, _, port = pair[2][B].rpartition(':')
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(b''.join(packb(frame) for frame in frames))
+    return reader, writer
+
+
+async def _read_frame(reader):
+    unpacker = Unpacker()
+    frames = []
+    while not frames:
+        received = await asyncio.wait_for(reader.read(4096), 5)
+        assert received
+        unpacker.feed(received)
+        frames.extend(unpacker)
+    return frames[0]
+
+
+@pytest.mark.parametrize(
+    ('fields', 'level'),
+    [
+        ('', 1),
+        ({'secret': ''}, 1),
+        ({'secret': '', 'format_level': 3}, 3),
+        ({'secret': '', 'format_level': 3, 'added': [1]}, 3),
+    ],
+)
+async def test_hello_of_any_version_is_taken(pair, fields, level):
+    """Guards against daemons of two versions that reject each other."""
+    hello = [1, 0, 0, A, fields, 'added']
+    call = [1, 2, 9, 'test_echo', {'number': 4, 'added': 1}, 'added']
+    reader, writer = await _dial(pair, hello, call)
+    frame = await _read_frame(reader)
+    assert frame[:4] == [1, 3, 9, 'test_echo']
+    assert pair[1].levels.of(A) == level
+    writer.close()
+
+
+@pytest.mark.parametrize(
+    'fields',
+    ['wrong', {'secret': 'wrong'}, {'format_level': 1}, 7],
+)
+async def test_hello_without_the_secret_is_rejected(pair, fields):
+    """Guards against a stranger that is let in by tolerance."""
+    reader, writer = await _dial(pair, [1, 0, 0, A, fields])
+    assert await asyncio.wait_for(reader.read(), 5) == b''
+    writer.close()
+
+
+async def test_unknown_message_is_refused_and_the_stream_stays_open(pair):
+    """Guards against calls that are lost because a newer peer tried one."""
+    reader, writer = await _dial(
+        pair,
+        [1, 0, 0, A, ''],
+        [1, 1, 0, 'test_of_tomorrow', {}],
+        [1, 2, 5, 'test_of_tomorrow', {}],
+    )
+    refused = await _read_frame(reader)
+    assert refused[1:4] == [4, 5, ErrorKind.peer_unavailable.value]
+    writer.write(packb([1, 2, 6, 'test_echo', {'number': 1}]))
+    answered = await _read_frame(reader)
+    assert answered[1:3] == [3, 6]
+    writer.close()
+
+
+async def test_newer_message_is_sent_only_to_peers_of_its_level(pair):
+    """Guards against a message that a rolled back peer can't read."""
+    pair[1].register(NewerEcho, _pass_back)
+    refused = await pair[0].call(B, NewerEcho(1), 2000)
+    assert refused.kind is ErrorKind.peer_unavailable
+    pair[0].levels.note(B, 2)
+    assert await pair[0].call(B, NewerEcho(2), 2000) == NewerEcho(2)
+    pair[0].levels.forget(B)
+    refused = await pair[0].send(B, NewerEcho(3))
+    assert refused.kind is ErrorKind.peer_unavailable
+
+
+async def _pass_back(_sender: DaemonId, echo: NewerEcho) -> NewerEcho:
+    return echo
