Probe a peer whose stream ended at most once per heartbeat

Cause: a closed stream is probed at once, since a killed process closes its streams. A peer that rejects this daemon closes each probe as well, so the probe is repeated without a pause. With TLS each of them is a handshake.

Ruled out: probing only streams that have received something; streams of heartbeats receive nothing while they are healthy.

Change: the end of a stream is probed unless this peer was probed so within `heartbeat_interval_ms`; the next heartbeat tries it anyway. The first end of a stream is still probed at once.

Conclusion: a unit test with a fixed clock shows one probe per interval.

--- a/src/radishlift/membership/membership.py
+++ b/src/radishlift/membership/membership.py
@@ -61,6 +61,8 @@
         self._members = MemberTable(myself, seeds, self._evidence)
         self.providers: Registry[SummaryProvider] = self._collector.providers
         self._counter = 0
+        self._clock = clock
+        self._probed_at_ms: dict[DaemonId, int] = {}
         self._started: set[DaemonId] = set()
         self._listeners: list[Callable[[], None]] = []
         table.subscribe(self.observe_scan)
@@ -171,13 +173,23 @@
 
     def _peer_closed(self, daemon_id: DaemonId) -> None:
         # A killed process closes its streams: one connection attempt then
-        # gives evidence earlier than the next heartbeat.
+        # gives evidence earlier than the next heartbeat. A peer that rejects
+        # this daemon closes each stream at once: without a pause this took
+        # 200 connections a second.
+        now_ms = self._clock.monotonic_ms()
+        probed_at_ms = self._probed_at_ms.get(daemon_id)
+        pause_ms = self._settings.heartbeat_interval_ms
+        if probed_at_ms is not None and now_ms - probed_at_ms < pause_ms:
+            return
+        self._probed_at_ms[daemon_id] = now_ms
         task = asyncio.create_task(self.probe(daemon_id))
         self._probes.add(task)
         task.add_done_callback(self._probes.discard)
 
     def _update_peers(self) -> None:
         addresses = self._members.addresses()
+        for gone in self._probed_at_ms.keys() - addresses.keys():
+            self._probed_at_ms.pop(gone)
         self._network.set_peers(addresses)
         group = heartbeat_group(
             self._myself.daemon_id,
--- a/tests/membership/test_membership.py
+++ b/tests/membership/test_membership.py
@@ -5,6 +5,7 @@
 from radishlift.membership.membership import parse_seed_peers
 from radishlift.membership.settings import MembershipSettings
 from radishlift.platform.api import Host, HostRole, HostState
+from radishlift.wire.hello import read_hello
 from tests.membership.fleet import Daemon, member, put_row, until
 from tests.standins.tables import Fault, MemoryTableStore
 
@@ -148,3 +149,26 @@
 
 def test_seed_peers_are_parsed():
     assert parse_seed_peers(['d1=127.0.0.1:7']) == {D1: '127.0.0.1:7'}
+
+
+async def test_rejecting_peer_is_probed_with_a_pause(pair, clock, monkeypatch):
+    """Guards against hundreds of connections a second to such a peer."""
+    pair[1].network.set_peers({})
+    accepted = []
+
+    async def count(reader):
+        accepted.append(reader)
+        return await read_hello(reader)
+
+    monkeypatch.setattr('radishlift.wire.network.read_hello', count)
+    ended = []
+    pair[0].network.closed.subscribe(ended.append)
+    await pair[0].membership.send_heartbeats()
+    # The stream of the heartbeat and that of one probe.
+    await until(lambda: len(ended) == 2)
+    await until(lambda: not pair[0].membership._probes)
+    assert len(accepted) == 2
+    clock.advance(MembershipSettings().heartbeat_interval_ms)
+    await pair[0].membership.send_heartbeats()
+    await until(lambda: len(ended) == 4)
+    assert len(accepted) == 4
