Add mutual TLS to the streams between daemons

Cause: peers shared a secret in clear text, so that anybody on the path could read it and pass itself off as a daemon.

Change: `wire/tls.py` has the section [tls] and the contexts, and `wire/transport.py` dials and listens. TLS 1.3, a certificate on both sides, and its DNS name must equal the daemon id in the hello. Files that change are read again at the next stream; the server hands each handshake over to the present context, so that a removed authority is refused without a restart. Unreadable files leave the last ones in use.

Ruled out: `StreamWriter.start_tls` after the accept: bytes that the client has sent by then are lost. Reloading the certificate into the same context: an authority can't be removed from it.

--- a/src/radishlift/core/events.py
+++ b/src/radishlift/core/events.py
@@ -43,7 +43,9 @@
     'peer_heard_again',
     'peer_rejected',
     'peer_suspected',
+    'peer_tls_failed',
     'release_unfinished',
+    'tls_files_unreadable',
     'unknown_message',
     'renewal_failed',
     'snapshot_object_left',
@@ -54,6 +56,7 @@
 )
 _INFO: Final = (
     'cell_level_raised',
+    'tls_files_reloaded',
     'config_in_force',
     'daemon_ready',
     'daemon_row_expired',
--- a/src/radishlift/daemon/foundation.py
+++ b/src/radishlift/daemon/foundation.py
@@ -25,6 +25,7 @@
 from radishlift.settings.daemon import DaemonSettings, PlatformSettings
 from radishlift.settings.loader import Settings
 from radishlift.wire.network import PeerNetwork
+from radishlift.wire.tls import TlsSettings, load_tls
 
 _INCARNATION_LENGTH: Final = 16
 
@@ -41,6 +42,7 @@
             self.member.daemon_id,
             daemon.peer_secret,
             self.member.format_level,
+            load_tls(settings.get(TlsSettings)),
         )
         platform = settings.get(PlatformSettings)
         self.session = ClientSession(cookie_jar=DummyCookieJar())
--- a/src/radishlift/daemon/main.py
+++ b/src/radishlift/daemon/main.py
@@ -12,6 +12,7 @@
 from radishlift.daemon.lifecycle import Daemon
 from radishlift.settings.daemon import DaemonSettings
 from radishlift.settings.loader import Settings, load_settings
+from radishlift.wire.tls import TlsSettings, check_tls
 
 EXIT_SETTINGS: Final = 2
 
@@ -38,6 +39,8 @@
     )
     options = parser.parse_args()
     settings = load_settings(options.settings)
+    if isinstance(settings, Settings):
+        settings = check_tls(settings.get(TlsSettings)) or settings
     if not isinstance(settings, Settings):
         for error in settings:
             print(f'{options.settings}: {error}', file=sys.stderr)
--- a/src/radishlift/wire/network.py
+++ b/src/radishlift/wire/network.py
@@ -2,9 +2,8 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
-from typing import Any, Final
+from collections.abc import Awaitable, Callable, Container
+from typing import Any
 
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import Address, DaemonId
@@ -18,19 +17,12 @@
     hello_frame,
     read_hello,
 )
-
-_CONNECT_TIMEOUT_MS: Final = 1000
+from radishlift.wire.tls import PeerTls
+from radishlift.wire.transport import PeerTransport, RefusedConnection
 
 MessageHandler = Callable[[DaemonId, Any], Awaitable[Any]]
 
 
-@dataclass(frozen=True, slots=True)
-class RefusedConnection(Failure):
-    """No process listens at the address, which tells it from unreachable."""
-
-    address: Address
-
-
 class ClosedStreams:
     """Tells listeners the peer of each stream that has ended."""
 
@@ -64,9 +56,11 @@
         daemon_id: DaemonId,
         secret: str = '',
         format_level: int = FORMAT_LEVEL,
+        tls: PeerTls | None = None,
     ) -> None:
         self.daemon_id = daemon_id
         self.levels = PeerLevels()
+        self._transport = PeerTransport(tls)
         self._hello = HelloFields(secret, format_level)
         self._addresses: dict[DaemonId, Address] = {}
         self._outgoing: dict[DaemonId, PeerConnection] = {}
@@ -125,12 +119,7 @@
 
     async def start(self, address: Address) -> None:
         """Listens for peers on an address."""
-        host, _, port = address.rpartition(':')
-        self._server = await asyncio.start_server(
-            self._accept,
-            host,
-            int(port),
-        )
+        self._server = await self._transport.listen(address, self._accept)
 
     async def stop(self) -> None:
         """Stops listening and closes all streams."""
@@ -184,20 +173,11 @@
         if address is None:
             reason = f'{daemon_id} is not a known peer'
             return Failure(ErrorKind.peer_unavailable, reason)
-        host, _, port = address.rpartition(':')
-        try:
-            async with asyncio.timeout(_CONNECT_TIMEOUT_MS / 1000):
-                reader, writer = await asyncio.open_connection(host, int(port))
-        except ConnectionRefusedError:
-            reason = f'{address} refused the connection'
-            kind = ErrorKind.peer_unavailable
-            return RefusedConnection(kind, reason, address)
-        except (OSError, TimeoutError) as error:
-            reason = f'{address} is unreachable: {error!r}'
-            return Failure(ErrorKind.peer_unavailable, reason)
+        streams = await self._transport.dial(daemon_id, address)
+        if isinstance(streams, Failure):
+            return streams
         connection = PeerConnection(
-            reader,
-            writer,
+            *streams,
             lambda typed: self._dispatch(daemon_id, typed),
         )
         connection.send_frame(hello_frame(self.daemon_id, self._hello))
@@ -212,14 +192,13 @@
         writer: asyncio.StreamWriter,
     ) -> None:
         hello = await read_hello(reader)
-        is_member = (
-            not isinstance(hello, Failure)
-            and hello.fields.secret == self._hello.secret
-            and hello.daemon_id in self._addresses
-        )
-        if isinstance(hello, Failure) or not is_member:
-            if isinstance(hello, Hello):
-                hello = Failure(ErrorKind.unauthorized, hello.daemon_id)
+        if not isinstance(hello, Failure):
+            hello = (
+                _member_refusal(hello, self._hello.secret, self._addresses)
+                or self._transport.refusal(writer, hello.daemon_id)
+                or hello
+            )
+        if isinstance(hello, Failure):
             log_event('peer_rejected', reason=hello.reason)
             writer.close()
             return
@@ -258,4 +237,14 @@
         return await handler(sender, typed)
 
 
+def _member_refusal(
+    hello: Hello,
+    secret: str,
+    known: Container[DaemonId],
+) -> Failure | None:
+    if hello.fields.secret == secret and hello.daemon_id in known:
+        return None
+    return Failure(ErrorKind.unauthorized, hello.daemon_id)
+
+
 __all__ = ('ClosedStreams', 'PeerNetwork', 'RefusedConnection')
--- /dev/null
+++ b/src/radishlift/wire/tls.py
@@ -0,0 +1,177 @@
+"""Mutual TLS of the streams between daemons, with renewed certificates."""
+
+import ssl
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any, Final, TypeAlias
+
+from radishlift.core.errors import ErrorKind, Failure
+from radishlift.core.logs import log_event
+from radishlift.settings.sections import SettingsError, section
+
+_SECTION: Final = 'tls'
+
+Stamp: TypeAlias = tuple[tuple[int, int, int], ...]
+
+
+@section(_SECTION)
+@dataclass(frozen=True, slots=True)
+class TlsSettings:
+    """PEM files for the streams between daemons; all of them or none.
+
+    `certificate` is the chain of this daemon, whose DNS name is the daemon
+    id, `private_key` its key, and `authority` the certificates of the
+    authorities that the certificates of peers must come from. The files are
+    read again when they change.
+    """
+
+    certificate: str = ''
+    private_key: str = ''
+    authority: str = ''
+
+    @property
+    def is_used(self) -> bool:
+        """Tells whether streams use TLS."""
+        return bool(self.certificate or self.private_key or self.authority)
+
+
+@dataclass(frozen=True, slots=True)
+class _Contexts:
+    client: ssl.SSLContext
+    server: ssl.SSLContext
+
+
+class PeerTls:
+    """The contexts of new streams; those that are open keep theirs.
+
+    Raises `OSError` when the files can't be read at the start. Later, files
+    that can't be read leave the last ones in use: they may be half written.
+    """
+
+    def __init__(self, settings: TlsSettings) -> None:
+        self._settings = settings
+        self._stamp = _read_stamp(settings)
+        self._contexts = _build_contexts(settings)
+        self._listening = _build_context(settings, ssl.PROTOCOL_TLS_SERVER)
+        self._listening.sni_callback = self._use_current
+
+    @property
+    def listening(self) -> ssl.SSLContext:
+        """Returns the context of a server, which hands over to present ones."""
+        return self._listening
+
+    def current_client(self) -> ssl.SSLContext:
+        """Returns the context of the next stream to a peer."""
+        self._reload()
+        return self._contexts.client
+
+    def _use_current(
+        self,
+        stream: ssl.SSLObject,
+        _server_name: str | None,
+        _context: ssl.SSLContext,
+    ) -> None:
+        # Called in each handshake, before certificates are exchanged.
+        self._reload()
+        stream.context = self._contexts.server
+
+    def _reload(self) -> None:
+        try:
+            stamp = _read_stamp(self._settings)
+        except OSError as error:
+            # A file that is being replaced may be absent for a moment.
+            self._note_unreadable((), error)
+            return
+        if stamp == self._stamp:
+            return
+        try:
+            self._contexts = _build_contexts(self._settings)
+        except OSError as error:
+            self._note_unreadable(stamp, error)
+            return
+        self._stamp = stamp
+        log_event('tls_files_reloaded')
+
+    def _note_unreadable(self, stamp: Stamp, error: OSError) -> None:
+        # Noted once for each change of the files, not for each stream.
+        if stamp != self._stamp:
+            log_event('tls_files_unreadable', reason=repr(error))
+        self._stamp = stamp
+
+
+def load_tls(settings: TlsSettings) -> PeerTls | None:
+    """Reads the files, or returns None without settings."""
+    return PeerTls(settings) if settings.is_used else None
+
+
+def check_tls(settings: TlsSettings) -> tuple[SettingsError, ...]:
+    """Lists missing keys and unreadable files."""
+    if not settings.is_used:
+        return ()
+    given = {
+        'certificate': settings.certificate,
+        'private_key': settings.private_key,
+        'authority': settings.authority,
+    }
+    allowed = 'required when another key of the section is set'
+    missing = tuple(
+        SettingsError(_SECTION, key, '', allowed)
+        for key, path in given.items()
+        if not path
+    )
+    if missing:
+        return missing
+    try:
+        _build_contexts(settings)
+    except OSError as error:
+        paths = ', '.join(given.values())
+        allowed = f'readable PEM files that belong together ({error})'
+        return (SettingsError(_SECTION, '', paths, allowed),)
+    return ()
+
+
+def name_refusal(peer_certificate: Any, daemon_id: str) -> Failure | None:
+    """Tells why a verified certificate is not that of a daemon, if so.
+
+    `peer_certificate` is what `SSLObject.getpeercert` returns. Names are
+    compared exactly; a wildcard is nobody's id.
+    """
+    alternatives = (peer_certificate or {}).get('subjectAltName', ())
+    names = [name for kind, name in alternatives if kind == 'DNS']
+    if daemon_id in names:
+        return None
+    reason = f'certificate of {names} is not that of {daemon_id}'
+    return Failure(ErrorKind.peer_unavailable, reason)
+
+
+def _read_stamp(settings: TlsSettings) -> Stamp:
+    paths = (settings.certificate, settings.private_key, settings.authority)
+    found = [Path(path).stat() for path in paths]
+    return tuple((one.st_mtime_ns, one.st_size, one.st_ino) for one in found)
+
+
+def _build_contexts(settings: TlsSettings) -> _Contexts:
+    return _Contexts(
+        _build_context(settings, ssl.PROTOCOL_TLS_CLIENT),
+        _build_context(settings, ssl.PROTOCOL_TLS_SERVER),
+    )
+
+
+def _build_context(settings: TlsSettings, protocol: int) -> ssl.SSLContext:
+    context = ssl.SSLContext(protocol)
+    context.minimum_version = ssl.TLSVersion.TLSv1_3
+    context.verify_mode = ssl.CERT_REQUIRED
+    context.load_verify_locations(settings.authority)
+    # Without a password the library would ask for one on the terminal.
+    context.load_cert_chain(
+        settings.certificate,
+        settings.private_key,
+        password='',
+    )
+    if protocol == ssl.PROTOCOL_TLS_SERVER:
+        # A resumed session would not show its certificate again.
+        context.num_tickets = 0
+    return context
+
+
+__all__ = ('PeerTls', 'TlsSettings', 'check_tls', 'load_tls', 'name_refusal')
--- a/tests/system/cell.py
+++ b/tests/system/cell.py
@@ -137,7 +137,7 @@
                 seed_peers=seeds,
                 platform=self.store_relays[name].listen,
             )
-            + self.extra_settings,
+            + self.extra_settings.replace('{name}', name),
             encoding='utf-8',
         )
         self.processes.start(
--- a/tests/system/test_whole_path.py
+++ b/tests/system/test_whole_path.py
@@ -1,6 +1,7 @@
 import asyncio
 
 import pytest
+import trustme
 
 from tests.system.cell import Cell
 from tests.system.invariants import check_all, count_outcomes
@@ -11,13 +12,29 @@
     drive,
     unfinished_jobs,
 )
+from tests.wire.certificates import write_files
 
 pytestmark = pytest.mark.system
 
 
-async def test_requests_and_jobs_survive_a_killed_daemon(tmp_path):
+def write_certificates(folder):
+    """Writes a certificate for each daemon; returns the settings."""
+    authority = trustme.CA()
+    for number in range(1, 8):
+        write_files(folder / f'd{number}', authority, f'd{number}')
+    return (
+        '\n[tls]\n'
+        f'certificate = {folder}/{{name}}/chain.pem\n'
+        f'private_key = {folder}/{{name}}/key.pem\n'
+        f'authority = {folder}/{{name}}/ca.pem\n'
+    )
+
+
+@pytest.mark.parametrize('has_tls', [False, True], ids=['plaintext', 'tls'])
+async def test_requests_and_jobs_survive_a_killed_daemon(tmp_path, has_tls):
     """Guards against loss or doubling when one of 7 daemons is killed."""
-    cell = Cell(tmp_path, tuple(SHAPES.values()))
+    extra = write_certificates(tmp_path) if has_tls else ''
+    cell = Cell(tmp_path, tuple(SHAPES.values()), extra_settings=extra)
     options = LoadOptions(requests_per_s=100, jobs_per_s=8, duration_ms=5_000)
 
     async def kill_one() -> None:
