--- a/src/radishlift/api/reports.py
+++ b/src/radishlift/api/reports.py
@@ -1,19 +1,13 @@
 """HTTP handlers for metrics and the service-level burn report."""
 
-from itertools import chain
+from collections.abc import Callable, Iterable
 
 from aiohttp import web
 
 from radishlift.api.answers import answer_of, failure_answer
 from radishlift.core.errors import Failure
-from radishlift.platform.host_knowledge import HostKnowledge
 from radishlift.report.collector import MetricsCollector
-from radishlift.report.exposition import (
-    expose,
-    host_list_samples,
-    metrics_samples,
-)
-from radishlift.report.metrics import MetricsTable
+from radishlift.report.exposition import Sample, expose
 from radishlift.report.render import render_svg, render_table
 
 
@@ -22,13 +16,11 @@
 
     def __init__(
         self,
-        metrics: MetricsTable,
         collector: MetricsCollector,
-        hosts: HostKnowledge,
+        samples: Callable[[], Iterable[Sample]],
     ) -> None:
-        self._hosts = hosts
-        self._metrics = metrics
         self._collector = collector
+        self._samples = samples
 
     def add_routes(self, app: web.Application) -> None:
         """Adds the routes to an application."""
@@ -53,11 +45,7 @@
 
     async def show_metrics(self, _request: web.Request) -> web.Response:
         """Answers with this daemon's metrics as text."""
-        samples = chain(
-            metrics_samples(self._metrics),
-            host_list_samples(self._hosts),
-        )
-        return web.Response(text=expose(samples))
+        return web.Response(text=expose(self._samples()))
 
 
 __all__ = ('ReportHandlers',)
--- a/src/radishlift/console/status.py
+++ b/src/radishlift/console/status.py
@@ -12,6 +12,8 @@
     RackId,
     WorkerId,
 )
+from radishlift.core.levels import LOWEST_LEVEL
+from radishlift.membership.api import DaemonFormat
 from radishlift.placement.jobs import Priority
 
 
@@ -89,7 +91,8 @@
     """The state of the cell as its daemons tell it on request.
 
     `missing` are the daemons that did not answer; what they own is not
-    counted.
+    counted. `format_level` is the one that the asked daemon uses, `formats`
+    are those of all known daemons.
     """
 
     queues: tuple[QueueStatus, ...] = ()
@@ -98,6 +101,8 @@
     partitions: tuple[PartitionStatus, ...] = ()
     missing: tuple[DaemonId, ...] = ()
     racks: tuple[RackStatus, ...] = ()
+    format_level: int = LOWEST_LEVEL
+    formats: tuple[DaemonFormat, ...] = ()
 
 
 class StatusProvider(Protocol):
--- a/src/radishlift/core/events.py
+++ b/src/radishlift/core/events.py
@@ -16,6 +16,7 @@
     'bad_slot_row',
     'handler_failed',
     'loop_failed',
+    'partition_declined',
     'placement_record_refused',
     'task_failed',
     'tick_failed',
@@ -45,7 +46,10 @@
     'peer_rejected',
     'peer_suspected',
     'rack_move_pending',
+    'peer_tls_failed',
     'release_unfinished',
+    'tls_files_unreadable',
+    'unknown_message',
     'renewal_failed',
     'snapshot_object_left',
     'summary_too_large',
@@ -54,6 +58,8 @@
     'worker_quarantined',
 )
 _INFO: Final = (
+    'cell_level_raised',
+    'tls_files_reloaded',
     'config_in_force',
     'daemon_ready',
     'daemon_row_expired',
--- a/src/radishlift/daemon/foundation.py
+++ b/src/radishlift/daemon/foundation.py
@@ -7,6 +7,7 @@
 
 from radishlift.core.clock import Clock, SystemClock
 from radishlift.core.ids import Address, DaemonId, DataCentreId, Incarnation
+from radishlift.core.levels import announced_level
 from radishlift.daemon.hosts import HostFeed
 from radishlift.daemon.leaving_hosts import LeavingExchange
 from radishlift.membership.api import Member
@@ -23,6 +24,7 @@
 from radishlift.settings.daemon import DaemonSettings, PlatformSettings
 from radishlift.settings.loader import Settings
 from radishlift.wire.network import PeerNetwork
+from radishlift.wire.tls import TlsSettings, load_tls
 
 _INCARNATION_LENGTH: Final = 16
 
@@ -38,6 +40,8 @@
         self.network = PeerNetwork(
             self.member.daemon_id,
             daemon.peer_secret,
+            self.member.format_level,
+            load_tls(settings.get(TlsSettings)),
         )
         platform = settings.get(PlatformSettings)
         self.session = ClientSession(cookie_jar=DummyCookieJar())
@@ -103,6 +107,7 @@
         Address(daemon.peer_advertise or daemon.peer_listen),
         DataCentreId(daemon.data_centre),
         daemon.region,
+        announced_level(daemon.max_format_level),
     )
 
 
--- a/src/radishlift/daemon/reports.py
+++ b/src/radishlift/daemon/reports.py
@@ -1,5 +1,8 @@
 """Metrics and recent events of a daemon, and those of its peers."""
 
+from collections.abc import Iterator
+from itertools import chain
+
 from radishlift.api.application import Routes
 from radishlift.api.events import EventHandlers
 from radishlift.api.reports import ReportHandlers
@@ -8,6 +11,12 @@
 from radishlift.report.collector import MetricsCollector
 from radishlift.report.event_collector import EventCollector
 from radishlift.report.event_history import EventHistory
+from radishlift.report.exposition import (
+    Sample,
+    format_samples,
+    host_list_samples,
+    metrics_samples,
+)
 from radishlift.report.settings import ReportSettings
 
 
@@ -18,6 +27,7 @@
         settings = base.settings.get(ReportSettings)
         self._metrics = control.metrics
         self._knowledge = base.hosts.knowledge
+        self._cell_level = control.cell_level
         self.metrics_collector = MetricsCollector(
             control.metrics,
             control.config,
@@ -36,13 +46,16 @@
     def routes(self) -> tuple[Routes, ...]:
         """Returns the handlers of the HTTP application."""
         return (
-            ReportHandlers(
-                self._metrics,
-                self.metrics_collector,
-                self._knowledge,
-            ),
+            ReportHandlers(self.metrics_collector, self._samples),
             EventHandlers(self._event_collector),
         )
 
+    def _samples(self) -> Iterator[Sample]:
+        return chain(
+            metrics_samples(self._metrics),
+            host_list_samples(self._knowledge),
+            format_samples(self._cell_level),
+        )
+
 
 __all__ = ('Reports',)
--- a/src/radishlift/report/exposition.py
+++ b/src/radishlift/report/exposition.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+from radishlift.ownership.cell_level import CellLevel
 from radishlift.platform.host_knowledge import HostKnowledge
 from radishlift.report.burn import burn_report
 from radishlift.report.histograms import HistogramTable
@@ -51,6 +52,17 @@
     yield Sample('radishlift_host_list_outdated_total', hosts.outdated_count)
 
 
+def format_samples(cell_level: CellLevel) -> Iterator[Sample]:
+    """Yields the level in use and the partitions that daemons can't read."""
+    yield Sample('radishlift_cell_format_level', cell_level.level)
+    for row in cell_level.formats():
+        yield Sample(
+            'radishlift_declined_partitions',
+            len(row.declined),
+            {'daemon': row.daemon_id},
+        )
+
+
 def _histogram_samples(histograms: HistogramTable) -> Iterator[Sample]:
     yield Sample(
         'radishlift_dropped_observations_total',
@@ -84,4 +96,10 @@
     return escaped.replace('\n', r'\n')
 
 
-__all__ = ('CONTENT_TYPE', 'Sample', 'expose', 'metrics_samples')
+__all__ = (
+    'CONTENT_TYPE',
+    'Sample',
+    'expose',
+    'format_samples',
+    'metrics_samples',
+)
--- a/src/radishlift/wire/network.py
+++ b/src/radishlift/wire/network.py
@@ -2,30 +2,27 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
-from typing import Any, Final
+from collections.abc import Awaitable, Callable, Container
+from typing import Any
 
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import Address, DaemonId
+from radishlift.core.levels import FORMAT_LEVEL
 from radishlift.core.logs import log_event
 from radishlift.wire.connection import PeerConnection
-from radishlift.wire.frames import Frame, FrameDecoder, FrameKind
-
-_CONNECT_TIMEOUT_MS: Final = 1000
-_HELLO_TIMEOUT_MS: Final = 2000
-_HELLO_BYTES: Final = 4096
+from radishlift.wire.hello import (
+    Hello,
+    HelloFields,
+    PeerLevels,
+    hello_frame,
+    read_hello,
+)
+from radishlift.wire.tls import PeerTls
+from radishlift.wire.transport import PeerTransport, RefusedConnection
 
 MessageHandler = Callable[[DaemonId, Any], Awaitable[Any]]
 
 
-@dataclass(frozen=True, slots=True)
-class RefusedConnection(Failure):
-    """No process listens at the address, which tells it from unreachable."""
-
-    address: Address
-
-
 class ClosedStreams:
     """Tells listeners the peer of each stream that has ended."""
 
@@ -54,9 +51,17 @@
     the peer closed, `incoming_ended` when the last one from a peer has ended.
     """
 
-    def __init__(self, daemon_id: DaemonId, secret: str = '') -> None:
+    def __init__(
+        self,
+        daemon_id: DaemonId,
+        secret: str = '',
+        format_level: int = FORMAT_LEVEL,
+        tls: PeerTls | None = None,
+    ) -> None:
         self.daemon_id = daemon_id
-        self._secret = secret
+        self.levels = PeerLevels()
+        self._transport = PeerTransport(tls)
+        self._hello = HelloFields(secret, format_level)
         self._addresses: dict[DaemonId, Address] = {}
         self._outgoing: dict[DaemonId, PeerConnection] = {}
         self._opened_counts: Counter[DaemonId] = Counter()
@@ -114,12 +119,7 @@
 
     async def start(self, address: Address) -> None:
         """Listens for peers on an address."""
-        host, _, port = address.rpartition(':')
-        self._server = await asyncio.start_server(
-            self._accept,
-            host,
-            int(port),
-        )
+        self._server = await self._transport.listen(address, self._accept)
 
     async def stop(self) -> None:
         """Stops listening and closes all streams."""
@@ -141,14 +141,16 @@
         """Calls a peer, or this daemon itself, and returns its reply."""
         if daemon_id == self.daemon_id:
             return await self._dispatch(daemon_id, typed)
-        connection = await self._connect(daemon_id)
+        refusal = self.levels.refusal(daemon_id, typed)
+        connection = refusal or await self._connect(daemon_id)
         if isinstance(connection, Failure):
             return connection
         return await connection.call(typed, timeout_ms)
 
     async def send(self, daemon_id: DaemonId, typed: object) -> Failure | None:
         """Sends a message without a reply; it may be lost."""
-        connection = await self._connect(daemon_id)
+        refusal = self.levels.refusal(daemon_id, typed)
+        connection = refusal or await self._connect(daemon_id)
         if isinstance(connection, Failure):
             return connection
         return connection.send(typed)
@@ -171,24 +173,14 @@
         if address is None:
             reason = f'{daemon_id} is not a known peer'
             return Failure(ErrorKind.peer_unavailable, reason)
-        host, _, port = address.rpartition(':')
-        try:
-            async with asyncio.timeout(_CONNECT_TIMEOUT_MS / 1000):
-                reader, writer = await asyncio.open_connection(host, int(port))
-        except ConnectionRefusedError:
-            reason = f'{address} refused the connection'
-            kind = ErrorKind.peer_unavailable
-            return RefusedConnection(kind, reason, address)
-        except (OSError, TimeoutError) as error:
-            reason = f'{address} is unreachable: {error!r}'
-            return Failure(ErrorKind.peer_unavailable, reason)
+        streams = await self._transport.dial(daemon_id, address)
+        if isinstance(streams, Failure):
+            return streams
         connection = PeerConnection(
-            reader,
-            writer,
+            *streams,
             lambda typed: self._dispatch(daemon_id, typed),
         )
-        hello = Frame(FrameKind.hello, 0, self.daemon_id, self._secret)
-        connection.send_frame(hello)
+        connection.send_frame(hello_frame(self.daemon_id, self._hello))
         self._outgoing[daemon_id] = connection
         self._opened_counts[daemon_id] += 1
         self._run(connection, daemon_id)
@@ -199,18 +191,19 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
-        hello = await _read_hello(reader)
-        is_member = (
-            not isinstance(hello, Failure)
-            and hello.fields == self._secret
-            and hello.name in self._addresses
-        )
-        if isinstance(hello, Failure) or not is_member:
-            reason = hello.reason if isinstance(hello, Failure) else hello.name
-            log_event('peer_rejected', reason=reason)
+        hello = await read_hello(reader)
+        if not isinstance(hello, Failure):
+            hello = (
+                _member_refusal(hello, self._hello.secret, self._addresses)
+                or self._transport.refusal(writer, hello.daemon_id)
+                or hello
+            )
+        if isinstance(hello, Failure):
+            log_event('peer_rejected', reason=hello.reason)
             writer.close()
             return
-        sender = DaemonId(hello.name)
+        sender = hello.daemon_id
+        self.levels.note(sender, hello.fields.format_level)
         connection = PeerConnection(
             reader,
             writer,
@@ -227,6 +220,7 @@
             self._runners.discard(task)
             sender = self._incoming.pop(connection, None)
             if sender is not None and sender not in self._incoming.values():
+                self.levels.forget(sender)
                 self.incoming_ended.emit(sender)
             # A stream that is not in use any more was closed by this daemon.
             in_use = self._outgoing.get(peer) is connection
@@ -243,26 +237,14 @@
         return await handler(sender, typed)
 
 
-async def _read_hello(reader: asyncio.StreamReader) -> Frame | Failure:
-    # The hello is read byte by byte because bytes that follow it belong to
-    # the connection.
-    decoder = FrameDecoder()
-    try:
-        async with asyncio.timeout(_HELLO_TIMEOUT_MS / 1000):
-            for _ in range(_HELLO_BYTES):
-                received = await reader.readexactly(1)
-                frame = next(decoder.feed(received), None)
-                if frame is not None:
-                    return _check_hello(frame)
-    except (OSError, EOFError, TimeoutError) as error:
-        return Failure(ErrorKind.bad_frame, f'no hello: {error!r}')
-    return Failure(ErrorKind.bad_frame, 'hello is too long')
-
-
-def _check_hello(frame: Frame | Failure) -> Frame | Failure:
-    if isinstance(frame, Failure) or frame.kind is FrameKind.hello:
-        return frame
-    return Failure(ErrorKind.bad_frame, 'first frame is not a hello')
+def _member_refusal(
+    hello: Hello,
+    secret: str,
+    known: Container[DaemonId],
+) -> Failure | None:
+    if hello.fields.secret == secret and hello.daemon_id in known:
+        return None
+    return Failure(ErrorKind.unauthorized, hello.daemon_id)
 
 
 __all__ = ('ClosedStreams', 'PeerNetwork', 'RefusedConnection')
--- a/tests/cli/test_cell_text.py
+++ b/tests/cli/test_cell_text.py
@@ -14,6 +14,7 @@
     RackId,
     WorkerId,
 )
+from radishlift.membership.api import DaemonFormat
 from radishlift.placement.jobs import Priority
 
 CELL = CellStatus(
@@ -23,6 +24,8 @@
     (PartitionStatus(PartitionId('p1'), DaemonId('d2'), None, None),),
     (DaemonId('d2'),),
     (RackStatus(RackId('r1'), PartitionId('p1'), 'drain', 9, PartitionId('')),),
+    2,
+    (DaemonFormat(DaemonId('d1'), 2, (PartitionId('p9'),)),),
 )
 
 
@@ -35,3 +38,4 @@
     assert ['10.0.0.1:1', '7', 'fails'] in lines
     assert ['p1', 'd2', '-', '-'] in lines
     assert ['r1', 'p1', 'drain', '9', '-'] in lines
+    assert ['d1', '2', 'p9'] in lines
--- a/tests/system/cell.py
+++ b/tests/system/cell.py
@@ -44,6 +44,7 @@
         self.shapes = shapes
         self.extra_settings = extra_settings
         self.daemon_module = daemon_module
+        self.module_of: dict[str, tuple[str, ...]] = {}
         self.processes = Processes(folder / 'logs')
         self.session = ClientSession(timeout=ClientTimeout(total=10))
         hosts_count = sum(
@@ -136,12 +137,12 @@
                 seed_peers=seeds,
                 platform=self.store_relays[name].listen,
             )
-            + self.extra_settings,
+            + self.extra_settings.replace('{name}', name),
             encoding='utf-8',
         )
         self.processes.start(
             name,
-            *self.daemon_module,
+            *self.module_of.get(name, self.daemon_module),
             '--settings',
             str(path),
         )
