--- a/tests/system/broken_daemon.py
+++ b/tests/system/broken_daemon.py
@@ -18,6 +18,8 @@
 from radishlift.partitions.spread import WorkerAssignment
 from radishlift.platform.api import HostState
 from radishlift.platform.http import HttpHostList
+from radishlift.workers.polls import WorkerPoll
+from radishlift.workers.session import WorkerSession
 
 REPLAY_DELAY_S = 1.0
 
@@ -78,7 +80,20 @@
 
 @VARIANTS.register('uses_unheld_racks')
 def use_unheld_racks() -> None:
-    """Uses all racks of the document, also those that it does not hold."""
+    """Uses all racks of the document, also those that it does not hold.
+
+    Workers on which other tasks run are used, too: the check of the first
+    report hides the fault unless both owners start tasks at the same time.
+    """
+    publish = WorkerPoll._publish
+
+    def publish_all(
+        poll: WorkerPoll,
+        session: WorkerSession,
+        *,
+        has_foreign: bool,
+    ) -> None:
+        publish(poll, session, has_foreign=False)
 
     def take_all(
         workers: WorkerAssignment,
@@ -87,6 +102,7 @@
         return workers
 
     WorkerAssignment.within = take_all
+    WorkerPoll._publish = publish_all
 
 
 if __name__ == '__main__':
