--- a/tests/partitions/test_moved_racks.py
+++ b/tests/partitions/test_moved_racks.py
@@ -13,6 +13,7 @@
 from radishlift.core.ids import ConfigVersion, RackId
 from radishlift.partitions.intake import submit
 from radishlift.partitions.rack_drains import RackDrains
+from radishlift.partitions.rack_keeper import RackKeeper
 from radishlift.partitions.rack_rows import RACKS_TABLE
 from radishlift.partitions.spread import WorkerAssignment
 from radishlift.placement.jobs import JobKind, Resources
@@ -85,6 +86,10 @@
         yield cell, first, second
 
 
+def has_waited(pending):
+    return RACK in pending.racks and pending.waited_ms(RACK) > 200
+
+
 async def submit_new(second):
     spec = make_job('new', demand=WHOLE_WORKER)
     await submit(second.opened(OTHER_PARTITION), spec, 2000)
@@ -241,7 +246,42 @@
         await end_with_new(cell, second)
 
 
-async def test_restart_of_a_worker_and_its_loss_end_a_drain():
+async def test_owner_that_is_cut_from_the_store_holds_a_move_up():
+    """Guards against a rack that is used before its release is durable."""
+    async with open_two(is_used=False) as (cell, first, second):
+        document = move(cell)
+        first.store.fault = Fault.down
+        for owner in (first, second):
+            show(owner, document)
+        await submit_new(second)
+        # The release is only in the memory of the one who can't write it.
+        await until(lambda: not held_by(first, PARTITION))
+        pending = second.opened(OTHER_PARTITION).racks.keeper.pending
+        await until(lambda: has_waited(pending))
+        assert not held_by(second, OTHER_PARTITION)
+        assert not running_of(cell, 'new')
+        first.store.fault = Fault.none
+        await end_with_new(cell, second)
+
+
+async def test_lost_messages_between_the_owners_are_made_up_by_polls(
+    monkeypatch,
+):
+    """Guards against a move that needs a message to arrive."""
+
+    async def lose(*_parts):
+        """Sends nothing."""
+
+    monkeypatch.setattr(RackKeeper, '_tell', lose)
+    async with open_two() as (cell, first, second):
+        document = move(cell)
+        for owner in (second, first):
+            show(owner, document)
+        await submit_new(second)
+        await end_with_new(cell, second)
+
+
+async def test_loss_of_a_worker_ends_a_drain():
     """Guards against a move that waits for attempts that are gone."""
     async with open_two() as (cell, first, second):
         document = move(cell)
@@ -335,7 +375,7 @@
         show(second, document)
         await submit_new(second)
         pending = second.opened(OTHER_PARTITION).racks.keeper.pending
-        await until(lambda: pending.waited_ms(RACK) > 200)
+        await until(lambda: has_waited(pending))
         assert not running_of(cell, 'new')
         assert pending.racks[RACK].row_names == PARTITION
         successor = await cell.add_owner('c')
