--- a/src/radishlift/journal/snapshots.py
+++ b/src/radishlift/journal/snapshots.py
@@ -109,12 +109,14 @@
         plain = unpackb(encoded, strict_map_key=False)
     except ValueError as error:
         return _damaged(named, repr(error))
+    # Asked first: another format may have other fields.
+    found_format = plain.get('format') if isinstance(plain, dict) else None
+    if type(found_format) is int and found_format != _FORMAT:
+        reason = f'{named.object_name}: format {found_format}'
+        return UnknownFormat(ErrorKind.internal, reason)
     content = read_plain(plain, SnapshotContent)
     if isinstance(content, Failure):
         return _damaged(named, content.reason)
-    if content.format != _FORMAT:
-        reason = f'{named.object_name}: format {content.format}'
-        return UnknownFormat(ErrorKind.internal, reason)
     found = (content.partition_id, content.sequence)
     if found != (partition_id, named.sequence):
         return _damaged(named, f'content is of {found}')
--- a/tests/journal/test_recovery.py
+++ b/tests/journal/test_recovery.py
@@ -105,7 +105,11 @@
 
 @pytest.mark.parametrize(
     'change',
-    [{'format': 2}, {'states': {'StateOfTomorrow': []}}],
+    [
+        {'format': 2},
+        {'format': 2, 'states': 'of another shape'},
+        {'states': {'StateOfTomorrow': []}},
+    ],
 )
 async def test_snapshot_of_a_newer_version_is_told_from_damage(owner, change):
     """Guards against a newer snapshot that is taken for a damaged one."""
--- a/tests/ownership/test_cell_level.py
+++ b/tests/ownership/test_cell_level.py
@@ -4,7 +4,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from radishlift.core.ids import DaemonId
+from radishlift.api.reports import format_samples
+from radishlift.core.ids import DaemonId, PartitionId
 from radishlift.core.levels import (
     FORMAT_LEVEL,
     announced_level,
@@ -15,6 +16,7 @@
 from radishlift.ownership.cell_level import CellLevel
 from radishlift.ownership.settings import OwnershipSettings
 from radishlift.platform.api import Transaction, Write
+from radishlift.report.exposition import expose
 from radishlift.wire.messages import message
 from tests.ownership.fleet import Fleet
 
@@ -132,3 +134,16 @@
     await fleet.run(5000)
     assert cell_level.level == 1
     assert cell_level.formats()[-1].daemon_id == 'odd'
+
+
+async def test_metrics_have_the_level_and_declined_partitions():
+    """Guards against an alarm that no monitoring can see."""
+    fleet = Fleet(1, 'd1', 'd2')
+    cell_level = watch(fleet, HIGH, HIGH)[1]
+    await fleet.run(8000)
+    await fleet.daemons[0].manager.decline(PartitionId('p0'))
+    await fleet.run(3000)
+    text = expose(format_samples(cell_level))
+    assert f'radishlift_cell_format_level {HIGH}' in text
+    assert 'radishlift_declined_partitions{daemon="d1"} 1' in text
+    assert 'radishlift_declined_partitions{daemon="d2"} 0' in text
