Fix the homes of job ids and keys in one row

The home of a job id or an idempotency key was found by a hash over the partitions of the document in force. While a document with other partitions spread, a repeat reached another home and ran again.

One row, homes/cell, now fixes the homes, with the mechanism of quota_homes, which moved to ownership/fixed_homes.py and is shared. The row is written from the newest document only, on the condition that config_head is unchanged; a change that removes a partition is written on the condition that the row is unchanged, and is refused with the reason if the partition is a home. Either of two racing writes fails, so no home is ever missing from the document. A partition may have no racks. Until the row is known keyed requests and given job ids wait, and are refused "not run" at their deadline.

A given id such as p3.wash named its partition only once p3 was configured, which moved its home in the same way: the prefix now counts only if it is a fixed home. An id of the form that daemons make is never hashed; it is refused no_owner while its partition is unknown. Ruled out: to hash such an id, since the partition may be added later.

The settling of a lost answer of a version row called a conflict after a lost request "unknown" whenever the version was absent; with a further condition this would be wrong, so it looks whether the head has moved.

--- a/src/radishlift/config/checks.py
+++ b/src/radishlift/config/checks.py
@@ -124,8 +124,8 @@
 
 def _check_racks(title: str, partition: Partition) -> Iterator[SettingsError]:
     racks = partition.racks
-    if not 0 < len(racks) <= MAX_RACKS_COUNT:
-        allowed = f'1 to {MAX_RACKS_COUNT} racks'
+    if len(racks) > MAX_RACKS_COUNT:
+        allowed = f'at most {MAX_RACKS_COUNT} racks'
         yield _error(title, 'racks', f'{len(racks)} racks', allowed)
     for repeated in _duplicates(racks):
         yield _error(title, 'racks', repeated, 'each rack only once')
--- /dev/null
+++ b/src/radishlift/config/homes.py
@@ -0,0 +1,93 @@
+"""The row that names the partitions which are homes of ids and keys.
+
+It is written once and then stays. A document without one of its partitions
+is refused: repeats of the ids and keys that are at home there would find
+nobody who knows them.
+"""
+
+from typing import Any, Final
+
+from radishlift.config.changes import ChangeInvalid
+from radishlift.config.rows import not_run
+from radishlift.config.snapshot import Snapshot
+from radishlift.core.errors import ErrorKind, Failure
+from radishlift.core.ids import PartitionId
+from radishlift.platform.api import (
+    Condition,
+    Conflict,
+    Row,
+    TableStore,
+    Transaction,
+)
+from radishlift.settings.sections import SettingsError
+
+JOB_HOMES_TABLE: Final = 'homes'
+HOMES_KEY: Final = 'cell'
+
+_ALLOWED: Final = (
+    'to keep it, without racks if need be: it is a home of job ids and '
+    'idempotency keys'
+)
+
+
+def parse_homes(row: Row) -> tuple[PartitionId, ...] | Failure:
+    """Reads a row of homes; an absent one names none."""
+    if not row.version:
+        return ()
+    stored: Any = row.value
+    match stored:
+        case {'partitions': [str(), *_] as names}:
+            return tuple(PartitionId(str(name)) for name in names)
+        case _:
+            reason = f'{row.table}/{row.key} names no partitions: {stored!r}'
+            return Failure(ErrorKind.internal, reason)
+
+
+async def check_removal(
+    store: TableStore,
+    before: Snapshot,
+    after: Snapshot,
+) -> tuple[Condition, ...] | ChangeInvalid | Failure:
+    """Checks that no partition which a change removes is a home.
+
+    Returns the conditions under which that still holds when the change is
+    written: a daemon may write the row at any moment.
+    """
+    removed = (
+        before.document.partitions.keys() - after.document.partitions.keys()
+    )
+    if not removed:
+        return ()
+    row = await _read_current(store)
+    if isinstance(row, Failure):
+        return row
+    homes = parse_homes(row)
+    if isinstance(homes, Failure):
+        return homes
+    errors = tuple(
+        SettingsError(f'partition:{name}', '', 'removed', _ALLOWED)
+        for name in sorted(removed.intersection(homes))
+    )
+    if errors:
+        return ChangeInvalid(errors)
+    return (Condition(JOB_HOMES_TABLE, HOMES_KEY, row.version),)
+
+
+async def _read_current(store: TableStore) -> Row | Failure:
+    # A read may be outdated; conditions are checked against current rows.
+    row = await store.read(JOB_HOMES_TABLE, HOMES_KEY)
+    if isinstance(row, Failure):
+        return not_run(row)
+    condition = Condition(JOB_HOMES_TABLE, HOMES_KEY, row.version)
+    outcome = await store.commit(Transaction((condition,), ()))
+    if isinstance(outcome, Conflict):
+        return outcome.rows[0]
+    return not_run(outcome) if isinstance(outcome, Failure) else row
+
+
+__all__ = (
+    'HOMES_KEY',
+    'JOB_HOMES_TABLE',
+    'check_removal',
+    'parse_homes',
+)
--- a/src/radishlift/config/kinds.py
+++ b/src/radishlift/config/kinds.py
@@ -104,6 +104,7 @@
 __all__ = (
     'NAME_PATTERN',
     'NAME_RULE',
+    'PARTITION_PATTERN',
     'SECTION_KINDS',
     'TITLE_RULE',
     'SectionKind',
--- a/src/radishlift/config/reference.py
+++ b/src/radishlift/config/reference.py
@@ -53,7 +53,7 @@
         f'at most {MAX_URGENT_CLASSES_COUNT}'
     ),
     'partition.racks': (
-        f'racks of the partition, 1 to {MAX_RACKS_COUNT}; '
+        f'racks of the partition, 0 to {MAX_RACKS_COUNT}; '
         'a rack is in one partition only'
     ),
     'objective.subject': 'the department or service that is judged',
--- a/src/radishlift/config/rows.py
+++ b/src/radishlift/config/rows.py
@@ -71,6 +71,13 @@
     return Head(head.version, row.version)
 
 
+def not_run(failure: Failure) -> Failure:
+    """Tells that nothing was written, as when a read fails in any way."""
+    if failure.kind is ErrorKind.store_outcome_unknown:
+        return Failure(ErrorKind.store_unavailable, failure.reason)
+    return failure
+
+
 async def read_head(store: TableStore) -> Head | Failure:
     """Reads the head; the read may be outdated."""
     row = await store.read(HEAD_TABLE, HEAD_KEY)
@@ -164,6 +171,7 @@
     'Head',
     'HeadRow',
     'confirm_head',
+    'not_run',
     'parse_head',
     'read_current_version',
     'read_head',
--- a/src/radishlift/config/store.py
+++ b/src/radishlift/config/store.py
@@ -14,6 +14,7 @@
     HistoryEntry,
 )
 from radishlift.config.checks import POLICY_NAMES
+from radishlift.config.homes import check_removal
 from radishlift.config.merge import (
     FieldChange,
     diff_sections,
@@ -25,6 +26,7 @@
     ConfigRow,
     Head,
     confirm_head,
+    not_run,
     read_current_version,
     read_head,
 )
@@ -41,7 +43,7 @@
 from radishlift.core.clock import Clock
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import ConfigVersion
-from radishlift.platform.api import TableStore
+from radishlift.platform.api import Condition, TableStore
 
 MAX_WAITING_COUNT: Final = 64
 
@@ -54,6 +56,7 @@
     text: str
     changes: tuple[FieldChange, ...]
     merged: tuple[str, ...]
+    conditions: tuple[Condition, ...]
 
 
 class ConfigStore:
@@ -112,13 +115,13 @@
         """Stores the text of an earlier version as a new version."""
         row = await read_current_version(self._store, target)
         if isinstance(row, Failure):
-            return _not_run(row)
+            return not_run(row)
         return await self.change(Change(row.text, base, who, why))
 
     async def snapshot(self, version: ConfigVersion) -> Snapshot | Failure:
         """Reads a kept version; fails with `not_found` for others."""
         snapshot = await self._reader.snapshot(version)
-        return _not_run(snapshot) if isinstance(snapshot, Failure) else snapshot
+        return not_run(snapshot) if isinstance(snapshot, Failure) else snapshot
 
     async def history(
         self,
@@ -183,7 +186,7 @@
     async def _head_for(self, base: ConfigVersion) -> Head | Failure:
         head = await read_head(self._store)
         if isinstance(head, Failure):
-            return _not_run(head)
+            return not_run(head)
         if head.version >= base:
             return head
         head = await confirm_head(self._store, head)
@@ -200,10 +203,10 @@
     ) -> _Prepared | ChangeInvalid | ChangeConflict | Failure:
         base = await self._reader.snapshot(change.base)
         if isinstance(base, Failure):
-            return _not_run(base)
+            return not_run(base)
         theirs = await self._reader.snapshot(head.version)
         if isinstance(theirs, Failure):
-            return _not_run(theirs)
+            return not_run(theirs)
         merge = merge_sections(base.sections, ours.sections, theirs.sections)
         if merge.clashing:
             return await self._conflict(change, ours, head, merge.clashing)
@@ -224,7 +227,10 @@
         if errors:
             return ChangeInvalid(errors)
         changes = diff_sections(theirs.sections, merged.sections)
-        return _Prepared(merged, text, changes, merge.from_theirs)
+        conditions = await check_removal(self._store, theirs, merged)
+        if not isinstance(conditions, tuple):
+            return conditions
+        return _Prepared(merged, text, changes, merge.from_theirs, conditions)
 
     async def _conflict(
         self,
@@ -262,7 +268,12 @@
             keys_by_section(prepared.changes),
             list(prepared.merged),
         )
-        outcome = await self._writer.insert(head, row, deadline_ms)
+        outcome = await self._writer.insert(
+            head,
+            row,
+            deadline_ms,
+            prepared.conditions,
+        )
         if isinstance(outcome, HeadMoved | Failure):
             return outcome
         self._reader.remember(prepared.snapshot)
@@ -286,11 +297,4 @@
         return ChangeAccepted(snapshot, (), prepared.merged)
 
 
-def _not_run(failure: Failure) -> Failure:
-    # Nothing was written when a read fails, whatever the read's outcome.
-    if failure.kind is ErrorKind.store_outcome_unknown:
-        return Failure(ErrorKind.store_unavailable, failure.reason)
-    return failure
-
-
 __all__ = ('ConfigStore',)
--- a/src/radishlift/config/writer.py
+++ b/src/radishlift/config/writer.py
@@ -61,33 +61,42 @@
         head: Head,
         row: ConfigRow,
         deadline_ms: int,
+        more_conditions: tuple[Condition, ...] = (),
     ) -> Committed | HeadMoved | Failure:
         """Inserts the version after the head.
 
+        When a further condition fails, `HeadMoved` has the same head and
+        nothing was written; the change has to be checked again.
         An unknown outcome is settled by repeating the same transaction,
         whose conditions let it take effect only once. Fails with
         `store_outcome_unknown` only if that is not settled in time; other
         failures mean that nothing was written.
         """
-        transaction = self._transaction(head, row)
+        transaction = self._transaction(head, row, more_conditions)
         is_sent = False
         while self._clock.monotonic_ms() < deadline_ms:
             outcome = await self._store.commit(transaction)
             if isinstance(outcome, Committed):
                 return outcome
             if isinstance(outcome, Conflict):
-                return _judge_conflict(outcome, row.nonce, is_sent)
+                return _judge_conflict(outcome, head, row.nonce, is_sent)
             is_sent |= outcome.kind is ErrorKind.store_outcome_unknown
             if not is_sent:
                 return outcome
             await self._pause(self._settings.retry_pause_ms)
         return _deadline_failure(is_sent)
 
-    def _transaction(self, head: Head, row: ConfigRow) -> Transaction:
+    def _transaction(
+        self,
+        head: Head,
+        row: ConfigRow,
+        more_conditions: tuple[Condition, ...],
+    ) -> Transaction:
         version = ConfigVersion(head.version + 1)
         conditions = (
             Condition(HEAD_TABLE, HEAD_KEY, head.row_version),
             Condition(CONFIG_TABLE, version_key(version), 0),
+            *more_conditions,
         )
         kept_count = self._settings.kept_versions_count
         return Transaction(conditions, version_writes(version, row, kept_count))
@@ -95,19 +104,20 @@
 
 def _judge_conflict(
     conflict: Conflict,
+    head: Head,
     nonce: str,
     is_sent: bool,
 ) -> Committed | HeadMoved | Failure:
-    head_row, version_row = conflict.rows
+    head_row, version_row, *_ = conflict.rows
     if version_row.value is not None:
         if version_row.value.get('nonce') == nonce:
             return Committed((version_row.version,))
-    elif is_sent:
+    elif is_sent and head_row.version != head.row_version:
         # The version was written and is no longer kept: by whom is lost.
         reason = 'the version was deleted before its writer was known'
         return Failure(ErrorKind.store_outcome_unknown, reason)
-    head = parse_head(head_row)
-    return head if isinstance(head, Failure) else HeadMoved(head)
+    current = parse_head(head_row)
+    return current if isinstance(current, Failure) else HeadMoved(current)
 
 
 def _deadline_failure(is_sent: bool) -> Failure:
--- a/src/radishlift/core/events.py
+++ b/src/radishlift/core/events.py
@@ -11,7 +11,7 @@
 _ERROR: Final = (
     'bad_daemon_row',
     'bad_owner_row',
-    'bad_quota_homes',
+    'bad_homes',
     'bad_slot_row',
     'handler_failed',
     'loop_failed',
@@ -62,7 +62,7 @@
     'hand_off_not_confirmed',
     'journal_closed',
     'partition_acquired',
-    'quota_homes_not_written',
+    'homes_not_written',
     'worker_gone',
 )
 _DEBUG: Final = (
--- a/src/radishlift/daemon/control.py
+++ b/src/radishlift/daemon/control.py
@@ -13,6 +13,7 @@
 from radishlift.ownership.api import OwnerClaim
 from radishlift.ownership.directory import OwnerDirectory
 from radishlift.ownership.fleet_view import FleetView
+from radishlift.ownership.homes_loader import HomesLoader
 from radishlift.ownership.manager import OwnershipManager
 from radishlift.ownership.settings import OwnershipSettings
 from radishlift.partitions.partitions import Partitions
@@ -93,7 +94,12 @@
             base.member.daemon_id,
             settings.get(ReportSettings),
         )
-        self.directory = OwnerDirectory(self.config)
+        self.homes_loader = HomesLoader(
+            base.store,
+            self.config,
+            base.clock,
+        )
+        self.directory = OwnerDirectory(self.config, self.homes_loader.homes)
         self.worker_client = WorkerClient(settings.get(WorkerSettings))
         self.parts = self._parts(base, state_factories)
         self.partitions = Partitions(
--- a/src/radishlift/daemon/lifecycle.py
+++ b/src/radishlift/daemon/lifecycle.py
@@ -81,6 +81,7 @@
             self.base.membership.run(),
             self.control.config.run(),
             self.control.partitions.run_forever(),
+            self.control.homes_loader.run(),
             run_ownership(self.control.ownership, settings),
             self.control.counts.run(),
             self.jobs.absorb_loads(),
--- a/src/radishlift/ownership/directory.py
+++ b/src/radishlift/ownership/directory.py
@@ -4,19 +4,20 @@
 
 from radishlift.config.api import ConfigView
 from radishlift.core.ids import DaemonId, PartitionId
+from radishlift.ownership.fixed_homes import FixedHomes
 from radishlift.ownership.owner_rows import SeenOwner, unclaimed
-from radishlift.ownership.spreading import home_partition
 
 
 class OwnerDirectory:
     """A `PartitionDirectory` over the owner rows and the configuration.
 
     A partition that left the configuration keeps its owner, because its
-    journal may hold jobs that are not finished; it is no home of new ones.
+    journal may hold jobs that are not finished.
     """
 
-    def __init__(self, config: ConfigView) -> None:
+    def __init__(self, config: ConfigView, homes: FixedHomes) -> None:
         self._config = config
+        self._homes = homes
         self._owners: dict[PartitionId, SeenOwner] = {}
 
     def owner_of(self, partition_id: PartitionId) -> DaemonId | None:
@@ -27,8 +28,15 @@
         return seen.row.daemon_id
 
     def home_of(self, key: str) -> PartitionId | None:
-        """Returns the home partition of a job id or idempotency key."""
-        return home_partition(key, self._configured())
+        """Returns the home partition of a job id or idempotency key.
+
+        There is none until the row that fixes the homes is known.
+        """
+        return self._homes.home_of(key)
+
+    def is_home(self, partition_id: PartitionId) -> bool:
+        """Tells whether ids and keys may be at home in a partition."""
+        return partition_id in self._homes.partitions
 
     def seen(self, partition_id: PartitionId) -> SeenOwner:
         """Returns the owner row of a partition as last read."""
@@ -44,7 +52,8 @@
 
     def partitions(self) -> tuple[PartitionId, ...]:
         """Lists the partitions that need an owner."""
-        return tuple(sorted({*self._configured(), *self._owners}))
+        known = {*self._configured(), *self._owners, *self._homes.partitions}
+        return tuple(sorted(known))
 
     def replace(self, owners: dict[PartitionId, SeenOwner]) -> None:
         """Replaces what was read."""
--- a/src/radishlift/partitions/homes.py
+++ b/src/radishlift/partitions/homes.py
@@ -1,9 +1,12 @@
 """Finds the owner of a job's home and calls it until the deadline."""
 
 import asyncio
+import re
 from collections.abc import Callable
+from secrets import token_hex
 from typing import Any, Final, Protocol
 
+from radishlift.config.kinds import PARTITION_PATTERN
 from radishlift.core.clock import Clock
 from radishlift.core.errors import ErrorKind, Failure, Outcome
 from radishlift.core.ids import DaemonId, JobId, PartitionId
@@ -30,6 +33,10 @@
 )
 _REFRESH_INTERVAL_MS: Final = 100
 _REPLY_MARGIN_MS: Final = 50
+_ID_BYTES: Final = 8
+_MADE_ID: Final = re.compile(
+    rf'{PARTITION_PATTERN.pattern}\.[0-9a-f]{{{2 * _ID_BYTES}}}',
+)
 
 
 class JobDirectory(PartitionDirectory, Protocol):
@@ -38,6 +45,9 @@
     def partitions(self) -> tuple[PartitionId, ...]:
         """Lists the partitions."""
 
+    def is_home(self, partition_id: PartitionId) -> bool:
+        """Tells whether ids and keys may be at home in a partition."""
+
     def update(self, seen: SeenOwner) -> None:
         """Takes over an owner row."""
 
@@ -64,12 +74,30 @@
         """Lists the partitions."""
         return self._directory.partitions()
 
-    def home_of(self, job_id: JobId) -> PartitionId | None:
-        """Returns the home of a job: the one in its id, else by hash."""
+    def home_of(self, job_id: JobId) -> PartitionId | Failure:
+        """Returns the home of a job: the one in its id, else by hash.
+
+        The answer must not depend on which partitions are configured, or a
+        repeat after a change would reach another home. So an id names a
+        partition only if that is a fixed home, or if the id has the form of
+        those that daemons make, which are never hashed.
+        """
+        directory = self._directory
         named = PartitionId(job_id.partition('.')[0])
-        if named != job_id and named in self._directory.partitions():
+        if _MADE_ID.fullmatch(job_id):
+            if named in directory.partitions():
+                return named
+            reason = f'no partition {named} is known, which {job_id} names'
+            return Failure(ErrorKind.no_owner, reason)
+        if named != job_id and directory.is_home(named):
             return named
-        return self._directory.home_of(job_id)
+        home = directory.home_of(job_id)
+        if home is not None:
+            return home
+        if directory.partitions():
+            reason = 'the homes of job ids are not known yet'
+            return Failure(ErrorKind.store_unavailable, reason)
+        return no_partition()
 
     async def refresh(self, partition_id: PartitionId) -> None:
         """Reads an owner row, unless that was done a moment ago.
@@ -161,8 +189,27 @@
         return await self._network.call(owner, message, call_ms)
 
 
+def make_job_id(home: PartitionId) -> JobId:
+    """Makes an id for a job of a caller that gave none."""
+    return JobId(f'{home}.{token_hex(_ID_BYTES)}')
+
+
+def no_partition() -> Failure:
+    """Tells that no home can be found or chosen."""
+    return Failure(
+        ErrorKind.no_configuration,
+        'the configuration in force has no partition',
+    )
+
+
 def _unknown(failure: Failure) -> Failure:
     return Failure(ErrorKind.peer_outcome_unknown, failure.reason)
 
 
-__all__ = ('HomeCaller', 'JobDirectory', 'OwnerLookup')
+__all__ = (
+    'HomeCaller',
+    'JobDirectory',
+    'OwnerLookup',
+    'make_job_id',
+    'no_partition',
+)
--- a/src/radishlift/partitions/job_router.py
+++ b/src/radishlift/partitions/job_router.py
@@ -2,13 +2,17 @@
 
 from collections.abc import Callable
 from dataclasses import replace
-from secrets import token_hex
 from typing import Any, Final
 
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import JobId, PartitionId, TaskId
 from radishlift.partitions.gang_status import join_status
-from radishlift.partitions.homes import HomeCaller, OwnerLookup
+from radishlift.partitions.homes import (
+    HomeCaller,
+    OwnerLookup,
+    make_job_id,
+    no_partition,
+)
 from radishlift.partitions.loads import LoadBoard
 from radishlift.partitions.messages import (
     CancelJob,
@@ -25,7 +29,6 @@
 from radishlift.placement.hand_offs import MAX_MOVES
 from radishlift.placement.jobs import JobSpec, job_id_of
 
-_ID_BYTES: Final = 8
 _MAX_ID_CHARS: Final = 200
 
 
@@ -55,13 +58,14 @@
         identified = self._identify(spec)
         if isinstance(identified, Failure):
             return identified
-        home = self._lookup.home_of(identified.job_id)
-        if home is None:
-            return _no_partition()
+        deadline_ms = self._caller.deadline_ms(timeout_ms)
+        home = await self._find_home(identified.job_id, deadline_ms)
+        if isinstance(home, Failure):
+            return home
         return await self._caller.call(
             home,
             lambda left_ms: SubmitJob(home, identified, left_ms),
-            timeout_ms,
+            self._caller.left_ms(deadline_ms),
         )
 
     async def cancel(
@@ -118,8 +122,23 @@
             return spec
         home = self._loads.choose(self._lookup.partitions(), spec.demand)
         if home is None:
-            return _no_partition()
-        return replace(spec, job_id=JobId(f'{home}.{token_hex(_ID_BYTES)}'))
+            return no_partition()
+        return replace(spec, job_id=make_job_id(home))
+
+    async def _find_home(
+        self,
+        job_id: JobId,
+        deadline_ms: int,
+    ) -> PartitionId | Failure:
+        """Waits for the homes to be known, as they soon are after a start."""
+        while True:
+            home = self._lookup.home_of(job_id)
+            if not isinstance(home, Failure):
+                return home
+            if home.kind is ErrorKind.no_configuration:
+                return home
+            if not await self._caller.pause(deadline_ms):
+                return home
 
     async def _follow(
         self,
@@ -157,11 +176,11 @@
         deadline_ms: int,
     ) -> tuple[JobMoved | None, Any]:
         """Returns the last reply, and the one that named its partition."""
-        partition_id = self._lookup.home_of(job_id)
+        partition_id = await self._find_home(job_id, deadline_ms)
+        if isinstance(partition_id, Failure):
+            return None, partition_id
         moved: JobMoved | None = None
         for _ in range(MAX_MOVES + 1):
-            if partition_id is None:
-                return None, _no_partition()
             reply = await self._caller.call(
                 partition_id,
                 _bind(message_of, partition_id),
@@ -187,11 +206,4 @@
     return Failure(ErrorKind.peer_unavailable, reason)
 
 
-def _no_partition() -> Failure:
-    return Failure(
-        ErrorKind.no_configuration,
-        'the configuration in force has no partition',
-    )
-
-
 __all__ = ('JobRouter',)
--- a/src/radishlift/requests/keyed.py
+++ b/src/radishlift/requests/keyed.py
@@ -96,7 +96,8 @@
     async def _ask(self, call: Call, key: str, nonce: str) -> Any:
         partition_id = self._directory.home_of(key)
         if partition_id is None:
-            return Failure(ErrorKind.no_owner, 'the key has no home')
+            reason = 'the homes of keys are not known yet'
+            return Failure(ErrorKind.no_owner, reason)
         owner = self._directory.owner_of(partition_id)
         if owner is None:
             return Failure(ErrorKind.no_owner, f'{partition_id} has no owner')
--- /dev/null
+++ b/tests/config/head_rows.py
@@ -0,0 +1,23 @@
+"""Rows that tests of other modules need of the configuration."""
+
+from radishlift.config.homes import HOMES_KEY, JOB_HOMES_TABLE
+from radishlift.config.rows import HEAD_KEY, HEAD_TABLE
+from radishlift.platform.api import Transaction, Write
+from tests.standins.tables import Tables
+
+
+def put_head(tables: Tables, version: int) -> None:
+    """Writes which version of the document is the newest."""
+    value = {'version': version, 'nonce': f'n{version}'}
+    write = Write(HEAD_TABLE, HEAD_KEY, value)
+    tables.commit(Transaction((), (write,)))
+
+
+def put_homes(tables: Tables, *names: str) -> None:
+    """Fixes the homes of job ids and keys."""
+    value = {'partitions': list(names)}
+    write = Write(JOB_HOMES_TABLE, HOMES_KEY, value)
+    tables.commit(Transaction((), (write,)))
+
+
+__all__ = ('put_head', 'put_homes')
--- a/tests/ownership/fleet.py
+++ b/tests/ownership/fleet.py
@@ -9,6 +9,7 @@
 from radishlift.membership.evidence import Evidence
 from radishlift.ownership.api import OwnerClaim
 from radishlift.ownership.directory import OwnerDirectory
+from radishlift.ownership.fixed_homes import JobHomes
 from radishlift.ownership.fleet_view import FleetView
 from radishlift.ownership.manager import OwnershipManager
 from radishlift.ownership.own_row import OwnRow
@@ -70,7 +71,8 @@
         self.own_row = OwnRow(self.store, clock, self.member)
         self.table = DaemonTable(self.store, clock)
         self.members = Members(self.table)
-        self.directory = OwnerDirectory(config)
+        self.homes = JobHomes(self.store, config)
+        self.directory = OwnerDirectory(config, self.homes)
         view = FleetView(
             self.own_row, self.table, self.members, self.directory, settings
         )
--- a/tests/ownership/test_manager.py
+++ b/tests/ownership/test_manager.py
@@ -2,6 +2,7 @@
 
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import PartitionId
+from tests.config.head_rows import put_head
 from tests.ownership.fleet import Fleet
 from tests.standins.tables import Fault
 
@@ -244,6 +245,9 @@
     fleet = Fleet(5, 'd1')
     await fleet.run(1000)
     directory = fleet.daemons[0].directory
+    assert directory.home_of('job') is None
+    put_head(fleet.store.tables, 1)
+    await fleet.daemons[0].homes.load()
     assert directory.owner_of(P0) == 'd1'
     assert directory.owner_of(PartitionId('p99')) is None
     homes = {directory.home_of(f'job-{number}') for number in range(100)}
--- a/tests/partitions/cell.py
+++ b/tests/partitions/cell.py
@@ -28,6 +28,7 @@
 from radishlift.journal.budget import FlushScheduler
 from radishlift.journal.settings import JournalSettings
 from radishlift.ownership.directory import OwnerDirectory
+from radishlift.ownership.fixed_homes import JobHomes
 from radishlift.partitions.gang_driver import GangDriver
 from radishlift.partitions.gang_rounds import GangRounds
 from radishlift.partitions.gang_server import GangServer
@@ -49,6 +50,7 @@
 from radishlift.workers.client import WorkerClient
 from radishlift.workers.dispatcher import Dispatcher
 from radishlift.workers.settings import WorkerSettings
+from tests.config.head_rows import put_homes
 from tests.partitions.owner import PARTITION, Config, Members, Owner
 from tests.standins.checks import (
     WorkerRecord,
@@ -180,7 +182,12 @@
         )
         config = Config(self.document)
         partitions = Partitions(parts, config, dispatcher_type=dispatcher_type)
-        lookup = OwnerLookup(OwnerDirectory(config), parts.store, clock)
+        homes = JobHomes(parts.store, config)
+        if not self.owners:
+            put_homes(self.store.tables, *self.document.partitions)
+        await homes.load()
+        directory = OwnerDirectory(config, homes)
+        lookup = OwnerLookup(directory, parts.store, clock)
         caller = HomeCaller(parts, lookup)
         loads = LoadBoard(Random(name))
         JobServer(network, partitions)
--- a/tests/requests/daemons.py
+++ b/tests/requests/daemons.py
@@ -36,8 +36,14 @@
 class FakePartition:
     """A partition whose journal is a list that its owners share."""
 
-    def __init__(self, journal: list, epoch: int, current: dict) -> None:
-        self.partition_id = HOME
+    def __init__(
+        self,
+        journal: list,
+        epoch: int,
+        current: dict,
+        partition_id: PartitionId = HOME,
+    ) -> None:
+        self.partition_id = partition_id
         self.epoch = Epoch(epoch)
         self.table = IdempotencyTable()
         self.faults: list[Fault] = []
@@ -88,6 +94,13 @@
     def home_of(self, _key):
         return HOME
 
+    def get(self, daemon_id: DaemonId, _partition_id):
+        return self.owned.get(daemon_id)
+
+    def directory_of(self, _daemon_id: DaemonId):
+        """Returns the directory as one daemon sees it."""
+        return self
+
 
 @dataclass
 class OwnedBy:
@@ -96,8 +109,8 @@
     partitions: FakePartitions
     daemon_id: DaemonId
 
-    def get(self, _partition_id):
-        return self.partitions.owned.get(self.daemon_id)
+    def get(self, partition_id):
+        return self.partitions.get(self.daemon_id, partition_id)
 
 
 @dataclass
@@ -147,7 +160,7 @@
                 parts,
                 network,
                 OwnedBy(self.partitions, daemon_id),
-                self.partitions,
+                self.partitions.directory_of(daemon_id),
             ),
             cell.settings,
         )
@@ -180,7 +193,14 @@
 
 
 @asynccontextmanager
-async def fleet(ports, names='ab', executors_count=2, service_ms=20, **cell):
+async def fleet(
+    ports,
+    names='ab',
+    executors_count=2,
+    service_ms=20,
+    partitions=None,
+    **cell,
+):
     """Starts daemons and executors; ends them afterwards."""
     executors = [
         ExecutorStandIn(f'127.0.0.1:{ports()}', {'': service_ms})
@@ -195,7 +215,12 @@
         **cell,
     )
     addresses = {DaemonId(n): Address(f'127.0.0.1:{ports()}') for n in names}
-    made = Fleet(shared, executors, addresses)
+    made = Fleet(
+        shared,
+        executors,
+        addresses,
+        partitions=partitions or FakePartitions(),
+    )
     made.partitions.move_to(names[-1])
     try:
         for name in names:
