--- a/src/radishlift/core/events.py
+++ b/src/radishlift/core/events.py
@@ -11,7 +11,7 @@
 _ERROR: Final = (
     'bad_daemon_row',
     'bad_owner_row',
-    'bad_quota_homes',
+    'bad_homes',
     'bad_rack_row',
     'bad_slot_row',
     'handler_failed',
@@ -72,7 +72,7 @@
     'host_list_current',
     'journal_closed',
     'partition_acquired',
-    'quota_homes_not_written',
+    'homes_not_written',
     'rack_drain_ended',
     'rack_drain_stops',
     'rack_draining',
--- a/src/radishlift/daemon/control.py
+++ b/src/radishlift/daemon/control.py
@@ -8,20 +8,18 @@
 from radishlift.config.store import ConfigStore
 from radishlift.core.ids import DepartmentName, PartitionId
 from radishlift.daemon.foundation import Foundation
+from radishlift.daemon.owner_events import ReplacedListener
 from radishlift.journal.budget import FlushScheduler
 from radishlift.journal.settings import JournalSettings
-from radishlift.ownership.api import OwnerClaim
 from radishlift.ownership.cell_level import CellLevel
 from radishlift.ownership.directory import OwnerDirectory
 from radishlift.ownership.fleet_view import FleetView
+from radishlift.ownership.homes_loader import HomesLoader
 from radishlift.ownership.manager import OwnershipManager
 from radishlift.ownership.settings import OwnershipSettings
 from radishlift.partitions.partitions import Partitions
 from radishlift.partitions.parts import DaemonParts, PartitionSettingsSet
-from radishlift.partitions.settings import PartitionSettings
 from radishlift.partitions.states import StateFactory
-from radishlift.placement.settings import PlacementSettings
-from radishlift.quotas.settings import QuotaSettings
 from radishlift.report.keeper import CountsKeeper
 from radishlift.report.metrics import Indicator, MetricsTable
 from radishlift.report.settings import ReportSettings
@@ -29,35 +27,6 @@
 from radishlift.workers.settings import WorkerSettings
 
 
-class ReplacedListener:
-    """Passes ownership on to the partitions, and stops a replaced daemon."""
-
-    def __init__(
-        self,
-        partitions: Partitions,
-        stop_daemon: Callable[[], None],
-    ) -> None:
-        self._partitions = partitions
-        self._stop_daemon = stop_daemon
-
-    async def on_acquired(self, claim: OwnerClaim) -> None:
-        """Starts a partition."""
-        await self._partitions.on_acquired(claim)
-
-    async def on_releasing(self, partition_id: PartitionId) -> None:
-        """Ends the work on a partition that is given up."""
-        await self._partitions.on_releasing(partition_id)
-
-    async def on_lost(self, partition_id: PartitionId) -> None:
-        """Drops a partition."""
-        await self._partitions.on_lost(partition_id)
-
-    async def on_replaced(self) -> None:
-        """Drops everything and stops: a newer incarnation runs."""
-        await self._partitions.on_replaced()
-        self._stop_daemon()
-
-
 class Control:
     """Builds the parts that decide what this daemon owns."""
 
@@ -94,7 +63,12 @@
             base.member.daemon_id,
             settings.get(ReportSettings),
         )
-        self.directory = OwnerDirectory(self.config)
+        self.homes_loader = HomesLoader(
+            base.store,
+            self.config,
+            base.clock,
+        )
+        self.directory = OwnerDirectory(self.config, self.homes_loader.homes)
         self.worker_client = WorkerClient(
             settings.get(WorkerSettings),
             base.hosts.knowledge,
@@ -117,7 +91,7 @@
         state_factories: tuple[StateFactory, ...],
     ) -> DaemonParts:
         settings = base.settings
-        journal = settings.get(JournalSettings)
+        scheduler = FlushScheduler(base.clock, settings.get(JournalSettings))
         return DaemonParts(
             daemon_id=base.member.daemon_id,
             incarnation=base.member.incarnation,
@@ -127,14 +101,8 @@
             clock=base.clock,
             members=base.membership,
             network=base.network,
-            scheduler=FlushScheduler(base.clock, journal),
-            settings=PartitionSettingsSet(
-                journal,
-                settings.get(PlacementSettings),
-                settings.get(WorkerSettings),
-                settings.get(PartitionSettings),
-                settings.get(QuotaSettings),
-            ),
+            scheduler=scheduler,
+            settings=PartitionSettingsSet.of(settings),
             state_factories=state_factories,
             observe_waiting=self._observe_waiting,
         )
--- a/src/radishlift/partitions/parts.py
+++ b/src/radishlift/partitions/parts.py
@@ -14,6 +14,7 @@
 from radishlift.placement.settings import PlacementSettings
 from radishlift.platform.api import ObjectStore, TableStore
 from radishlift.quotas.settings import QuotaSettings
+from radishlift.settings.loader import Settings
 from radishlift.wire.network import PeerNetwork
 from radishlift.workers.client import WorkerClient
 from radishlift.workers.settings import WorkerSettings
@@ -35,6 +36,17 @@
     partitions: PartitionSettings = field(default_factory=PartitionSettings)
     quotas: QuotaSettings = field(default_factory=QuotaSettings)
 
+    @classmethod
+    def of(cls, settings: Settings) -> 'PartitionSettingsSet':
+        """Takes the sections from the settings of a daemon."""
+        return cls(
+            settings.get(JournalSettings),
+            settings.get(PlacementSettings),
+            settings.get(WorkerSettings),
+            settings.get(PartitionSettings),
+            settings.get(QuotaSettings),
+        )
+
 
 @dataclass(frozen=True, slots=True)
 class DaemonParts:
--- a/tests/ownership/test_cell_level.py
+++ b/tests/ownership/test_cell_level.py
@@ -4,7 +4,6 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from radishlift.api.reports import format_samples
 from radishlift.core.ids import DaemonId, PartitionId
 from radishlift.core.levels import (
     FORMAT_LEVEL,
@@ -16,7 +15,7 @@
 from radishlift.ownership.cell_level import CellLevel
 from radishlift.ownership.settings import OwnershipSettings
 from radishlift.platform.api import Transaction, Write
-from radishlift.report.exposition import expose
+from radishlift.report.exposition import expose, format_samples
 from radishlift.wire.messages import message
 from tests.ownership.fleet import Fleet
 
