--- a/src/radishlift/journal/snapshot_keeper.py
+++ b/src/radishlift/journal/snapshot_keeper.py
@@ -125,7 +125,7 @@
     ) -> int | Failure:
         missing = self._parts.missing(captured)
         object_name = self._object_name(captured)
-        if captured.parts:
+        if captured.is_parted:
             names = {object_name, *map(self._parts.object_name, missing)}
             if not names.issubset(current.named.leftover):
                 return await self._announce(current, names)
--- a/src/radishlift/journal/snapshots.py
+++ b/src/radishlift/journal/snapshots.py
@@ -48,6 +48,13 @@
     sequence: Sequence
     dumped: dict[str, Any]
 
+    @property
+    def is_parted(self) -> bool:
+        """Tells whether a state may have parts, now or later."""
+        return any(
+            isinstance(dumped, PartedDump) for dumped in self.dumped.values()
+        )
+
     @property
     def parts(self) -> dict[PartId, SealedPart]:
         """Returns the sealed parts by state and name."""
--- a/tests/requests/test_key_segments.py
+++ b/tests/requests/test_key_segments.py
@@ -285,6 +285,32 @@
     await check_recovery(successor, successor.table, 10)
 
 
+@pytest.mark.parametrize('steps_count', range(4))
+async def test_kill_before_any_segment_is_sealed_leaves_nothing(steps_count):
+    """Guards against a snapshot object that no row ever names."""
+    owner = await open_owner()
+    add_keys(owner.table, 0)
+    await owner.snapshot(1)
+    add_keys(owner.table, 0)
+    owner.offer(2)
+    commit = owner.store.commit
+    first_name = owner.named()['object_name']
+
+    async def refuse_snapshot(transaction):
+        for write in transaction.writes:
+            if write.value['object_name'] != first_name:
+                return Failure(ErrorKind.store_unavailable, 'killed')
+        return await commit(transaction)
+
+    owner.store.commit = refuse_snapshot
+    await owner.step(steps_count)
+    assert owner.named()['sequence'] == 1
+    owner.store.commit = commit
+    successor = await check_recovery(owner, owner.table)
+    await successor.step()
+    check_objects(successor)
+
+
 @pytest.mark.parametrize('index', range(5))
 @pytest.mark.parametrize('has_effect', [True, False])
 async def test_lost_answers_of_the_object_store_are_settled(index, has_effect):
