Test the grid of free capacity against all workers

The bit loops of the search were rewritten; only the engine's tests covered them. The new test moves and removes workers with seeds 1 to 3 and compares each search, tight and loose, with all workers.

--- /dev/null
+++ b/tests/placement/test_worker_index.py
@@ -0,0 +1,62 @@
+"""The grid of free capacity against a search of all workers."""
+
+from random import Random
+
+import pytest
+
+from radishlift.placement.jobs import Resources
+from radishlift.placement.worker_index import LEVELS_COUNT, FreeGrid
+
+LARGEST = Resources(16_000, 32_000)
+CPU_STEP_MILLI = LARGEST.cpu_milli // LEVELS_COUNT
+MEMORY_STEP_MB = LARGEST.memory_mb // LEVELS_COUNT
+MOVES_COUNT = 400
+
+
+def cell_of(free: Resources) -> tuple[int, int]:
+    """Returns the levels of a free capacity, which is 0 if overcommitted."""
+    return (
+        max(0, free.cpu_milli) // CPU_STEP_MILLI,
+        max(0, free.memory_mb) // MEMORY_STEP_MB,
+    )
+
+
+def some_free(dice: Random) -> Resources:
+    """Makes a free capacity, of which some are below zero or at the limit."""
+    return Resources(
+        dice.choice((-500, 0, LARGEST.cpu_milli, dice.randrange(16_000))),
+        dice.choice((-900, 0, LARGEST.memory_mb, dice.randrange(32_000))),
+    )
+
+
+@pytest.mark.parametrize('is_tight', [True, False])
+@pytest.mark.parametrize('seed', [1, 2, 3])
+def test_search_yields_all_cells_that_may_fit(
+    seed: int,
+    is_tight: bool,
+) -> None:
+    """Guards against cells that a search passes over or keeps when empty."""
+    dice = Random(seed)
+    grid = FreeGrid(LARGEST)
+    free: dict[int, Resources] = {}
+    for _ in range(MOVES_COUNT):
+        row = dice.randrange(24)
+        if dice.randrange(5) == 0:
+            grid.remove(row)
+            free.pop(row, None)
+        else:
+            free[row] = some_free(dice)
+            grid.update(row, free[row].cpu_milli, free[row].memory_mb)
+        demand = Resources(dice.randrange(17_000), dice.randrange(33_000))
+        low = cell_of(demand)
+        found = list(grid.search(demand, is_tight=is_tight))
+        cells = [cell_of(free[one]) for one in found]
+        assert cells == sorted(cells, reverse=not is_tight)
+        assert sorted(found) == sorted(
+            one
+            for one, amount in free.items()
+            if all(
+                level >= least
+                for level, least in zip(cell_of(amount), low, strict=True)
+            )
+        )
