--- a/src/radishlift/placement/working.py
+++ b/src/radishlift/placement/working.py
@@ -7,7 +7,7 @@
 from collections import deque
 from collections.abc import Mapping
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, NamedTuple
 
 from radishlift.config.document import ConfigDocument
 from radishlift.core.ids import (
@@ -36,8 +36,7 @@
 from radishlift.placement.worker_index import WorkerIndex
 
 
-@dataclass(frozen=True, slots=True)
-class EndedAttempt:
+class EndedAttempt(NamedTuple):
     """An attempt that surely does not run any more."""
 
     task_id: str
