Begin no call to a home that ends before its answer can come

The home had answered that nothing was written; then the caller used the rest of its deadline for one more call with 1 ms, which got no answer, and the unknown outcome of that call was told.

Ruled out: a slow machine.

Change: `HomeCaller.pause` leaves it at the last answer when less than 100 ms would remain, and an owner gets an eighth of the time of a call, at least 50 ms, for its reply to travel.

--- a/src/radishlift/partitions/homes.py
+++ b/src/radishlift/partitions/homes.py
@@ -32,7 +32,11 @@
     )
 )
 _REFRESH_INTERVAL_MS: Final = 100
-_REPLY_MARGIN_MS: Final = 50
+_LEAST_REPLY_MARGIN_MS: Final = 50
+_REPLY_MARGIN_SHARE: Final = 8
+# A call with less time ends before its answer can come, and its outcome would
+# be unknown although the owner had said before that nothing was written.
+_LEAST_CALL_MS: Final = 2 * _LEAST_REPLY_MARGIN_MS
 _ID_BYTES: Final = 8
 _MADE_ID: Final = re.compile(
     rf'{PARTITION_PATTERN.pattern}\.[0-9a-f]{{{2 * _ID_BYTES}}}',
@@ -133,9 +137,9 @@
         return self._clock.monotonic_ms() + timeout_ms
 
     async def pause(self, deadline_ms: int) -> bool:
-        """Waits before the next call; False if the deadline comes first."""
+        """Waits before the next call; False if too little time is left."""
         retry_interval_ms = self._settings.retry_interval_ms
-        if self.left_ms(deadline_ms) <= retry_interval_ms:
+        if self.left_ms(deadline_ms) <= retry_interval_ms + _LEAST_CALL_MS:
             return False
         await asyncio.sleep(retry_interval_ms / 1000)
         return True
@@ -185,7 +189,8 @@
         call_ms = max(1, min(left_ms, self._settings.call_timeout_ms))
         # The owner answers before the call ends, so that its own reason
         # reaches the caller instead of a timeout.
-        message = message_of(max(1, call_ms - _REPLY_MARGIN_MS))
+        margin_ms = max(_LEAST_REPLY_MARGIN_MS, call_ms // _REPLY_MARGIN_SHARE)
+        message = message_of(max(1, call_ms - margin_ms))
         return await self._network.call(owner, message, call_ms)
 
 
