Move the interfaces of the platform's services to radishlift.services

Cause: the folder src/radishlift/platform held the product's own interfaces (tables, objects, host list) and the client of the stand-ins, while the users ask that this folder hold only the names and calls of their platform.

--- a/benchmarks/bench_journal.py
+++ b/benchmarks/bench_journal.py
@@ -32,7 +32,7 @@
 from radishlift.ownership.api import OWNERS_TABLE, OwnerClaim
 from radishlift.placement.jobs import Resources, TaskState, task_id_of
 from radishlift.placement.records import TaskEnded, TaskPlaced
-from radishlift.platform.api import Transaction, Write
+from radishlift.services.api import Transaction, Write
 from tests.standins.tables import MemoryObjectStore, MemoryTableStore
 
 OWNERS: Final = 7
--- a/benchmarks/bench_keys.py
+++ b/benchmarks/bench_keys.py
@@ -25,13 +25,13 @@
 from radishlift.journal.snapshots import CapturedState
 from radishlift.ownership.api import OWNERS_TABLE, OwnerClaim
 from radishlift.ownership.owner_rows import OwnerRow
-from radishlift.platform.api import Transaction, Write
 from radishlift.requests.idempotency import (
     IdempotencyTable,
     RequestAnswered,
     RequestIntent,
     RequestsForgotten,
 )
+from radishlift.services.api import Transaction, Write
 from tests.standins.tables import MemoryObjectStore, MemoryTableStore
 
 KEY_COUNTS: Final = (24_300, 48_600, 60_000)
--- a/benchmarks/bench_membership.py
+++ b/benchmarks/bench_membership.py
@@ -26,7 +26,7 @@
 from radishlift.membership.membership import Membership
 from radishlift.membership.settings import MembershipSettings
 from radishlift.ownership.settings import OwnershipSettings
-from radishlift.platform.api import Transaction
+from radishlift.services.api import Transaction
 from radishlift.wire.network import PeerNetwork
 from tests.ownership.fleet import Daemon, Fleet
 from tests.standins.tables import MemoryTableStore
--- a/benchmarks/bench_quotas.py
+++ b/benchmarks/bench_quotas.py
@@ -31,9 +31,9 @@
     TaskState,
     WorkerInfo,
 )
-from radishlift.platform.api import Host, HostRole, HostState
 from radishlift.quotas.messages import ShareHint, SyncShares
 from radishlift.quotas.sync import ShareSync
+from radishlift.services.api import Host, HostRole, HostState
 from radishlift.workers.dispatcher import Dispatcher
 from radishlift.workers.session import EndedAttempt
 from tests.partitions.cell import Cell, make_job
--- a/benchmarks/request_homes.py
+++ b/benchmarks/request_homes.py
@@ -22,14 +22,14 @@
 from radishlift.ownership.spreading import home_partition
 from radishlift.partitions.partitions import Partitions
 from radishlift.partitions.parts import DaemonParts, PartitionSettingsSet
-from radishlift.platform.api import (
+from radishlift.requests.idempotency import IdempotencyTable
+from radishlift.services.api import (
     Committed,
     Conflict,
     Transaction,
     Write,
 )
-from radishlift.platform.http import HttpObjectStore, HttpTableStore
-from radishlift.requests.idempotency import IdempotencyTable
+from radishlift.services.http import HttpObjectStore, HttpTableStore
 from radishlift.wire.network import PeerNetwork
 from radishlift.workers.client import WorkerClient
 from tests.standins.knowledge import lasting_knowledge
--- a/benchmarks/request_node.py
+++ b/benchmarks/request_node.py
@@ -35,11 +35,6 @@
 )
 from radishlift.core.logs import setup_logs
 from radishlift.daemon.hosts import HostFeed
-from radishlift.platform.http import (
-    HttpHostList,
-    HttpObjectStore,
-    PlatformClient,
-)
 from radishlift.requests.api import ServiceRequest
 from radishlift.requests.limits import ServiceLimits
 from radishlift.requests.router import RequestRouter, RouterParts
@@ -47,6 +42,11 @@
 from radishlift.requests.slot_rows import SlotOwner
 from radishlift.requests.slots import SlotAllotments, SlotParts
 from radishlift.requests.targets import TargetList
+from radishlift.services.http import (
+    HttpHostList,
+    HttpObjectStore,
+    PlatformClient,
+)
 from radishlift.settings.daemon import PlatformSettings
 from radishlift.wire.network import PeerNetwork
 
--- a/src/radishlift/config/homes.py
+++ b/src/radishlift/config/homes.py
@@ -12,7 +12,7 @@
 from radishlift.config.snapshot import Snapshot
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import PartitionId
-from radishlift.platform.api import (
+from radishlift.services.api import (
     Condition,
     Conflict,
     Row,
--- a/src/radishlift/config/poller.py
+++ b/src/radishlift/config/poller.py
@@ -13,7 +13,7 @@
 from radishlift.core.errors import Failure
 from radishlift.core.ids import ConfigVersion
 from radishlift.core.logs import log_event
-from radishlift.platform.api import TableStore
+from radishlift.services.api import TableStore
 
 
 class HeadPoller:
--- a/src/radishlift/config/rows.py
+++ b/src/radishlift/config/rows.py
@@ -6,7 +6,7 @@
 from radishlift.core.codec import dump_plain, read_plain
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import ConfigVersion
-from radishlift.platform.api import (
+from radishlift.services.api import (
     Condition,
     Conflict,
     Row,
--- a/src/radishlift/config/spreader.py
+++ b/src/radishlift/config/spreader.py
@@ -26,7 +26,7 @@
 from radishlift.core.ids import ConfigVersion, DaemonId
 from radishlift.core.logs import log_event
 from radishlift.membership.api import MemberDirectory
-from radishlift.platform.api import TableStore
+from radishlift.services.api import TableStore
 from radishlift.wire.network import PeerNetwork
 
 # Each daemon asks this many random peers per poll, so that a daemon that is
--- a/src/radishlift/config/store.py
+++ b/src/radishlift/config/store.py
@@ -43,7 +43,7 @@
 from radishlift.core.clock import Clock
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import ConfigVersion
-from radishlift.platform.api import Condition, TableStore
+from radishlift.services.api import Condition, TableStore
 
 MAX_WAITING_COUNT: Final = 64
 
--- a/src/radishlift/config/versions.py
+++ b/src/radishlift/config/versions.py
@@ -21,7 +21,7 @@
 from radishlift.config.text import Sections
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import ConfigVersion
-from radishlift.platform.api import TableStore
+from radishlift.services.api import TableStore
 
 MAX_HISTORY_COUNT: Final = 100
 
--- a/src/radishlift/config/writer.py
+++ b/src/radishlift/config/writer.py
@@ -18,7 +18,7 @@
 from radishlift.core.clock import Clock
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import ConfigVersion
-from radishlift.platform.api import (
+from radishlift.services.api import (
     Committed,
     Condition,
     Conflict,
--- a/src/radishlift/daemon/foundation.py
+++ b/src/radishlift/daemon/foundation.py
@@ -15,7 +15,7 @@
 from radishlift.membership.membership import Membership, parse_seed_peers
 from radishlift.membership.settings import MembershipSettings
 from radishlift.ownership.own_row import OwnRow
-from radishlift.platform.http import (
+from radishlift.services.http import (
     HttpHostList,
     HttpObjectStore,
     HttpTableStore,
--- a/src/radishlift/daemon/hosts.py
+++ b/src/radishlift/daemon/hosts.py
@@ -9,8 +9,8 @@
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import Address
 from radishlift.core.logs import log_event
-from radishlift.platform.api import Host, HostList, HostState
-from radishlift.platform.host_knowledge import HostKnowledge
+from radishlift.services.api import Host, HostList, HostState
+from radishlift.services.host_knowledge import HostKnowledge
 from radishlift.settings.daemon import PlatformSettings
 
 _MS_PER_S: Final = 1000
--- a/src/radishlift/journal/inserts.py
+++ b/src/radishlift/journal/inserts.py
@@ -14,7 +14,7 @@
 )
 from radishlift.journal.snapshot_rows import read_snapshot_sequence
 from radishlift.ownership.api import OwnerClaim
-from radishlift.platform.api import (
+from radishlift.services.api import (
     Condition,
     Conflict,
     Row,
--- a/src/radishlift/journal/leftovers.py
+++ b/src/radishlift/journal/leftovers.py
@@ -4,7 +4,7 @@
 
 from radishlift.core.logs import log_event
 from radishlift.journal.snapshot_rows import SnapshotRow
-from radishlift.platform.api import ObjectStore
+from radishlift.services.api import ObjectStore
 
 # A flush waits for the deletions of its step, which take a call each.
 _DELETES_COUNT: Final = 4
--- a/src/radishlift/journal/part_store.py
+++ b/src/radishlift/journal/part_store.py
@@ -10,7 +10,7 @@
 )
 from radishlift.journal.snapshots import CapturedState, PartId
 from radishlift.ownership.api import OwnerClaim
-from radishlift.platform.api import ObjectStore
+from radishlift.services.api import ObjectStore
 
 
 class PartStore:
--- a/src/radishlift/journal/partition_journal.py
+++ b/src/radishlift/journal/partition_journal.py
@@ -22,7 +22,7 @@
 from radishlift.journal.settings import JournalSettings
 from radishlift.journal.snapshots import CapturedState
 from radishlift.ownership.api import OwnerClaim
-from radishlift.platform.api import TableStore
+from radishlift.services.api import TableStore
 
 _NOT_WRITTEN: Final = Failure(
     ErrorKind.store_unavailable,
--- a/src/radishlift/journal/parts.py
+++ b/src/radishlift/journal/parts.py
@@ -15,7 +15,7 @@
 
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import Epoch, PartitionId
-from radishlift.platform.api import ObjectStore
+from radishlift.services.api import ObjectStore
 
 _DIGEST_BYTES: Final = 16
 # Takes a fraction of a millisecond with answers of the longest kept size.
--- a/src/radishlift/journal/recovery.py
+++ b/src/radishlift/journal/recovery.py
@@ -20,7 +20,7 @@
 )
 from radishlift.journal.snapshot_rows import read_snapshot_sequence
 from radishlift.journal.snapshots import load_snapshot
-from radishlift.platform.api import ObjectStore, Row, TableStore
+from radishlift.services.api import ObjectStore, Row, TableStore
 
 _SCAN_LIMIT: Final = 100
 _DAMAGES: Final = frozenset((ErrorKind.internal, ErrorKind.not_found))
--- a/src/radishlift/journal/rows.py
+++ b/src/radishlift/journal/rows.py
@@ -6,7 +6,7 @@
 from radishlift.core.codec import read_plain
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import Epoch, PartitionId, Sequence
-from radishlift.platform.api import Row
+from radishlift.services.api import Row
 
 JOURNAL_TABLE: Final = 'journal'
 SEQUENCE_DIGITS: Final = 12
--- a/src/radishlift/journal/snapshot_keeper.py
+++ b/src/radishlift/journal/snapshot_keeper.py
@@ -19,7 +19,7 @@
 )
 from radishlift.journal.snapshots import CapturedState, encode_snapshot
 from radishlift.ownership.api import OwnerClaim
-from radishlift.platform.api import (
+from radishlift.services.api import (
     Condition,
     Conflict,
     ObjectStore,
--- a/src/radishlift/journal/snapshot_rows.py
+++ b/src/radishlift/journal/snapshot_rows.py
@@ -6,7 +6,7 @@
 from radishlift.core.codec import read_plain
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import PartitionId, Sequence
-from radishlift.platform.api import Row, TableStore
+from radishlift.services.api import Row, TableStore
 
 SNAPSHOTS_TABLE: Final = 'snapshots'
 
--- a/src/radishlift/journal/snapshots.py
+++ b/src/radishlift/journal/snapshots.py
@@ -24,7 +24,7 @@
     SnapshotRow,
     parse_snapshot_row,
 )
-from radishlift.platform.api import ObjectStore, TableStore
+from radishlift.services.api import ObjectStore, TableStore
 
 _FORMAT: Final = 1
 
--- a/src/radishlift/membership/daemon_rows.py
+++ b/src/radishlift/membership/daemon_rows.py
@@ -15,7 +15,7 @@
 )
 from radishlift.core.levels import LOWEST_LEVEL
 from radishlift.membership.api import Member
-from radishlift.platform.api import Row, TableStore
+from radishlift.services.api import Row, TableStore
 
 DAEMONS_TABLE: Final = 'daemons'
 
--- a/src/radishlift/membership/daemon_table.py
+++ b/src/radishlift/membership/daemon_table.py
@@ -14,7 +14,7 @@
     parse_daemon_row,
     scan_all,
 )
-from radishlift.platform.api import TableStore
+from radishlift.services.api import TableStore
 
 # After a longer gap between two scans the table was down or this process was
 # paused, and daemons may have been unable to renew their rows. A shorter gap
--- a/src/radishlift/membership/member_table.py
+++ b/src/radishlift/membership/member_table.py
@@ -8,7 +8,7 @@
 from radishlift.membership.daemon_rows import member_of
 from radishlift.membership.daemon_table import DaemonScan
 from radishlift.membership.evidence import Evidence
-from radishlift.platform.api import Host
+from radishlift.services.api import Host
 
 
 class MemberTable:
--- a/src/radishlift/membership/membership.py
+++ b/src/radishlift/membership/membership.py
@@ -20,7 +20,7 @@
     SummaryCollector,
     SummaryProvider,
 )
-from radishlift.platform.api import Host
+from radishlift.services.api import Host
 from radishlift.wire.network import PeerNetwork, RefusedConnection
 
 # Three renewals of the `daemons` row; for members outside of the group.
--- a/src/radishlift/ownership/api.py
+++ b/src/radishlift/ownership/api.py
@@ -4,7 +4,7 @@
 from typing import Final, Protocol
 
 from radishlift.core.ids import Epoch, PartitionId
-from radishlift.platform.api import Condition
+from radishlift.services.api import Condition
 
 OWNERS_TABLE: Final = 'owners'
 
--- a/src/radishlift/ownership/claims.py
+++ b/src/radishlift/ownership/claims.py
@@ -11,7 +11,7 @@
     replace_owner,
 )
 from radishlift.ownership.settings import OwnershipSettings
-from radishlift.platform.api import TableStore
+from radishlift.services.api import TableStore
 
 
 class Claimant:
--- a/src/radishlift/ownership/cleaning.py
+++ b/src/radishlift/ownership/cleaning.py
@@ -6,7 +6,7 @@
 from radishlift.core.logs import log_event
 from radishlift.membership.daemon_rows import DAEMONS_TABLE
 from radishlift.ownership.fleet_view import FleetView
-from radishlift.platform.api import (
+from radishlift.services.api import (
     Condition,
     TableStore,
     Transaction,
--- a/src/radishlift/ownership/fixed_homes.py
+++ b/src/radishlift/ownership/fixed_homes.py
@@ -15,7 +15,7 @@
 from radishlift.core.ids import PartitionId
 from radishlift.core.logs import log_event
 from radishlift.ownership.spreading import home_partition
-from radishlift.platform.api import (
+from radishlift.services.api import (
     Condition,
     Conflict,
     Row,
--- a/src/radishlift/ownership/homes_loader.py
+++ b/src/radishlift/ownership/homes_loader.py
@@ -7,7 +7,7 @@
 from radishlift.core.clock import Clock
 from radishlift.core.ids import ConfigVersion
 from radishlift.ownership.fixed_homes import JobHomes
-from radishlift.platform.api import TableStore
+from radishlift.services.api import TableStore
 
 _LOOK_MS: Final = 50
 # A cell of 28 daemons then reads 28 rows/s, of about 2,000 that the table
--- a/src/radishlift/ownership/manager.py
+++ b/src/radishlift/ownership/manager.py
@@ -12,7 +12,7 @@
 from radishlift.ownership.holdings import Holdings, OwnershipState
 from radishlift.ownership.reading import TableReader
 from radishlift.ownership.settings import OwnershipSettings
-from radishlift.platform.api import TableStore
+from radishlift.services.api import TableStore
 
 
 class OwnershipManager:
--- a/src/radishlift/ownership/own_row.py
+++ b/src/radishlift/ownership/own_row.py
@@ -14,7 +14,7 @@
     dump_daemon_row,
     parse_daemon_row,
 )
-from radishlift.platform.api import (
+from radishlift.services.api import (
     Committed,
     Condition,
     Conflict,
--- a/src/radishlift/ownership/owner_rows.py
+++ b/src/radishlift/ownership/owner_rows.py
@@ -9,7 +9,7 @@
 from radishlift.core.logs import log_event
 from radishlift.membership.daemon_rows import scan_all
 from radishlift.ownership.api import OWNERS_TABLE, OwnerClaim
-from radishlift.platform.api import (
+from radishlift.services.api import (
     Condition,
     Conflict,
     Row,
--- a/src/radishlift/ownership/reading.py
+++ b/src/radishlift/ownership/reading.py
@@ -5,7 +5,7 @@
 from radishlift.ownership.fleet_view import FleetState, FleetView
 from radishlift.ownership.owner_rows import scan_owners
 from radishlift.ownership.settings import OwnershipSettings
-from radishlift.platform.api import TableStore
+from radishlift.services.api import TableStore
 
 
 class TableReader:
--- a/src/radishlift/partitions/homes.py
+++ b/src/radishlift/partitions/homes.py
@@ -15,7 +15,7 @@
 from radishlift.ownership.owner_rows import SeenOwner, parse_owner
 from radishlift.partitions.api import PartitionDirectory
 from radishlift.partitions.parts import DaemonParts
-from radishlift.platform.api import TableStore
+from radishlift.services.api import TableStore
 from radishlift.wire.network import PeerNetwork
 
 # What a home says about the job itself; calling again can't change it.
--- a/src/radishlift/partitions/partitions.py
+++ b/src/radishlift/partitions/partitions.py
@@ -18,7 +18,7 @@
 from radishlift.partitions.parts import DaemonParts
 from radishlift.partitions.runner import PartitionRunner
 from radishlift.partitions.spread import spread_workers
-from radishlift.platform.api import Host
+from radishlift.services.api import Host
 from radishlift.workers.dispatcher import Dispatcher
 
 
--- a/src/radishlift/partitions/parts.py
+++ b/src/radishlift/partitions/parts.py
@@ -12,8 +12,8 @@
 from radishlift.partitions.settings import PartitionSettings
 from radishlift.partitions.states import StateFactory
 from radishlift.placement.settings import PlacementSettings
-from radishlift.platform.api import ObjectStore, TableStore
 from radishlift.quotas.settings import QuotaSettings
+from radishlift.services.api import ObjectStore, TableStore
 from radishlift.settings.loader import Settings
 from radishlift.wire.network import PeerNetwork
 from radishlift.workers.client import WorkerClient
--- a/src/radishlift/partitions/rack_rows.py
+++ b/src/radishlift/partitions/rack_rows.py
@@ -8,7 +8,7 @@
 from radishlift.core.logs import log_event
 from radishlift.ownership.api import OWNERS_TABLE
 from radishlift.partitions.rack_moves import NO_PARTITION, RackRow
-from radishlift.platform.api import (
+from radishlift.services.api import (
     Committed,
     Condition,
     Conflict,
--- a/src/radishlift/partitions/spread.py
+++ b/src/radishlift/partitions/spread.py
@@ -6,7 +6,7 @@
 
 from radishlift.config.document import ConfigDocument
 from radishlift.core.ids import PartitionId, RackId, WorkerId
-from radishlift.platform.api import Host, HostRole, HostState
+from radishlift.services.api import Host, HostRole, HostState
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/radishlift/quotas/homes.py
+++ b/src/radishlift/quotas/homes.py
@@ -10,7 +10,7 @@
 from radishlift.config.api import ConfigView
 from radishlift.core.ids import PartitionId, TeamName
 from radishlift.ownership.fixed_homes import FixedHomes
-from radishlift.platform.api import TableStore
+from radishlift.services.api import TableStore
 
 QUOTA_HOMES_TABLE: Final = 'quota_homes'
 
--- a/src/radishlift/report/exposition.py
+++ b/src/radishlift/report/exposition.py
@@ -5,10 +5,10 @@
 from typing import Final
 
 from radishlift.ownership.cell_level import CellLevel
-from radishlift.platform.host_knowledge import HostKnowledge
 from radishlift.report.burn import burn_report
 from radishlift.report.histograms import HistogramTable
 from radishlift.report.metrics import MetricsTable
+from radishlift.services.host_knowledge import HostKnowledge
 
 CONTENT_TYPE: Final = 'text/plain; version=0.0.4; charset=utf-8'
 
--- a/src/radishlift/report/keeper.py
+++ b/src/radishlift/report/keeper.py
@@ -7,7 +7,6 @@
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import DaemonId
 from radishlift.core.logs import log_event
-from radishlift.platform.api import ObjectStore
 from radishlift.report.metrics import MetricsTable
 from radishlift.report.saved import (
     SavedCounts,
@@ -16,6 +15,7 @@
     encode_counts,
 )
 from radishlift.report.settings import ReportSettings
+from radishlift.services.api import ObjectStore
 
 # A fourteenth of the 7 KB/s for control.
 _BYTES_PER_S: Final = 500
--- a/src/radishlift/requests/attempts.py
+++ b/src/radishlift/requests/attempts.py
@@ -1,7 +1,6 @@
 """One attempt on a taken slot, and what is learned from its result."""
 
 from radishlift.core.errors import ErrorKind, Failure
-from radishlift.platform.host_knowledge import SendVerdict
 from radishlift.requests.api import ServiceAnswer
 from radishlift.requests.calls import Call
 from radishlift.requests.dispatch import Dispatched, Dispatcher
@@ -9,6 +8,7 @@
 from radishlift.requests.settings import RequestSettings
 from radishlift.requests.slot_views import SlotView
 from radishlift.requests.targets import TargetList
+from radishlift.services.host_knowledge import SendVerdict
 
 
 class Attempts:
--- a/src/radishlift/requests/dispatch.py
+++ b/src/radishlift/requests/dispatch.py
@@ -9,7 +9,6 @@
 from radishlift.core.clock import Clock
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import ServiceName
-from radishlift.platform.host_knowledge import SendVerdict
 from radishlift.requests.api import ServiceAnswer, ServiceRequest
 from radishlift.requests.calls import Call
 from radishlift.requests.executor_client import (
@@ -22,6 +21,7 @@
 from radishlift.requests.limits import ServiceLimits
 from radishlift.requests.settings import RequestSettings
 from radishlift.requests.slot_views import SlotView
+from radishlift.services.host_knowledge import SendVerdict
 
 _OWN_HEADERS: Final = frozenset(
     (
--- a/src/radishlift/requests/executor_client.py
+++ b/src/radishlift/requests/executor_client.py
@@ -21,12 +21,12 @@
 
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import Address, ExecutorId
-from radishlift.platform.host_knowledge import (
+from radishlift.requests.api import ServiceAnswer
+from radishlift.services.host_knowledge import (
     HostKnowledge,
     SendNotAllowedError,
     SendVerdict,
 )
-from radishlift.requests.api import ServiceAnswer
 
 REQUEST_ID_HEADER: Final = 'X-Request-Id'
 DEADLINE_HEADER: Final = 'X-Deadline-Ms'
--- a/src/radishlift/requests/slot_views.py
+++ b/src/radishlift/requests/slot_views.py
@@ -6,8 +6,8 @@
 from itertools import count
 
 from radishlift.core.ids import ExecutorId, ServiceName
-from radishlift.platform.api import Transaction
 from radishlift.requests.slot_rows import SlotOwner, SlotRow
+from radishlift.services.api import Transaction
 
 
 @dataclass(slots=True)
--- a/src/radishlift/requests/slot_writer.py
+++ b/src/radishlift/requests/slot_writer.py
@@ -3,15 +3,6 @@
 from radishlift.core.clock import Clock
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.logs import log_event
-from radishlift.platform.api import (
-    Committed,
-    Condition,
-    Conflict,
-    Row,
-    TableStore,
-    Transaction,
-    Write,
-)
 from radishlift.requests.slot_rows import (
     SLOTS_TABLE,
     SlotOwner,
@@ -20,6 +11,15 @@
     parse_slot_row,
 )
 from radishlift.requests.slot_views import SlotView
+from radishlift.services.api import (
+    Committed,
+    Condition,
+    Conflict,
+    Row,
+    TableStore,
+    Transaction,
+    Write,
+)
 
 
 class WriteBudget:
--- a/src/radishlift/requests/slots.py
+++ b/src/radishlift/requests/slots.py
@@ -10,7 +10,6 @@
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import ExecutorId, ServiceName
 from radishlift.membership.api import MemberDirectory
-from radishlift.platform.api import Row, TableStore
 from radishlift.requests.limits import ServiceLimits
 from radishlift.requests.settings import RequestSettings
 from radishlift.requests.slot_deaths import LapsedOwners
@@ -19,6 +18,7 @@
 from radishlift.requests.slot_views import SlotView, SlotViews
 from radishlift.requests.slot_writer import SlotWriter, WriteBudget
 from radishlift.requests.targets import TargetList
+from radishlift.services.api import Row, TableStore
 
 _SCAN_ROWS: Final = 500
 _NONE: Final[frozenset[ExecutorId]] = frozenset()
--- a/src/radishlift/requests/targets.py
+++ b/src/radishlift/requests/targets.py
@@ -6,9 +6,9 @@
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import ExecutorId, ServiceName
 from radishlift.core.logs import log_event
-from radishlift.platform.api import Host, HostList, HostRole, HostState
-from radishlift.platform.host_knowledge import HostKnowledge
 from radishlift.requests.settings import RequestSettings
+from radishlift.services.api import Host, HostList, HostRole, HostState
+from radishlift.services.host_knowledge import HostKnowledge
 
 _NONE: frozenset[ExecutorId] = frozenset()
 
--- a/src/radishlift/platform/http.py
+++ b/src/radishlift/services/http.py
@@ -14,7 +14,7 @@
 from radishlift.core.codec import dump_plain, parse_json, parse_plain
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import Address
-from radishlift.platform.api import (
+from radishlift.services.api import (
     Committed,
     Conflict,
     Host,
--- a/src/radishlift/workers/attempts.py
+++ b/src/radishlift/workers/attempts.py
@@ -11,7 +11,7 @@
 from radishlift.core.logs import log_event
 from radishlift.placement.jobs import TaskState
 from radishlift.placement.orders import OrderKind
-from radishlift.platform.host_knowledge import SendVerdict
+from radishlift.services.host_knowledge import SendVerdict
 from radishlift.workers.client import WorkerClient
 from radishlift.workers.events import WorkerEvents
 from radishlift.workers.messages import (
--- a/src/radishlift/workers/client.py
+++ b/src/radishlift/workers/client.py
@@ -18,7 +18,7 @@
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import Address, WorkerId
 from radishlift.placement.orders import OrderKind
-from radishlift.platform.host_knowledge import (
+from radishlift.services.host_knowledge import (
     HostKnowledge,
     SendNotAllowedError,
     SendVerdict,
--- a/tests/config/head_rows.py
+++ b/tests/config/head_rows.py
@@ -2,7 +2,7 @@
 
 from radishlift.config.homes import HOMES_KEY, JOB_HOMES_TABLE
 from radishlift.config.rows import HEAD_KEY, HEAD_TABLE
-from radishlift.platform.api import Transaction, Write
+from radishlift.services.api import Transaction, Write
 from tests.standins.tables import Tables
 
 
--- a/tests/daemon/test_hosts.py
+++ b/tests/daemon/test_hosts.py
@@ -4,8 +4,8 @@
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import Address, DataCentreId, RackId, ServiceName
 from radishlift.daemon.hosts import HostFeed
-from radishlift.platform.api import Host, HostRole, HostState
-from radishlift.platform.host_knowledge import SendVerdict
+from radishlift.services.api import Host, HostRole, HostState
+from radishlift.services.host_knowledge import SendVerdict
 from radishlift.settings.daemon import PlatformSettings
 
 SETTINGS = PlatformSettings('', '', '', host_list_interval_ms=500)
--- a/tests/journal/states.py
+++ b/tests/journal/states.py
@@ -10,7 +10,7 @@
 from radishlift.journal.settings import JournalSettings
 from radishlift.journal.snapshot_keeper import SnapshotKeeper
 from radishlift.ownership.api import OWNERS_TABLE, OwnerClaim
-from radishlift.platform.api import Transaction, Write
+from radishlift.services.api import Transaction, Write
 from tests.standins.tables import MemoryObjectStore, MemoryTableStore
 
 PARTITION = PartitionId('p1')
--- a/tests/journal/test_partition_journal.py
+++ b/tests/journal/test_partition_journal.py
@@ -4,7 +4,7 @@
 
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.journal.partition_journal import Flushed
-from radishlift.platform.api import Conflict, Row
+from radishlift.services.api import Conflict, Row
 from tests.journal.states import PARTITION, Owner, recovered_numbers
 from tests.standins.tables import Fault, MemoryTableStore
 
--- a/tests/journal/test_protocol.py
+++ b/tests/journal/test_protocol.py
@@ -1,7 +1,7 @@
 import pytest
 
 from radishlift.journal import inserts
-from radishlift.platform.api import Condition, Transaction
+from radishlift.services.api import Condition, Transaction
 from tests.journal.protocol import explore
 
 
--- a/tests/journal/test_recovery.py
+++ b/tests/journal/test_recovery.py
@@ -5,7 +5,7 @@
 from radishlift.core.kinds import UnknownFormat
 from radishlift.journal.recovery import recover
 from radishlift.journal.rows import row_key
-from radishlift.platform.api import Row
+from radishlift.services.api import Row
 from tests.journal.states import PARTITION, Notes, Owner
 from tests.standins.tables import Fault, MemoryTableStore
 
--- a/tests/membership/fleet.py
+++ b/tests/membership/fleet.py
@@ -15,7 +15,7 @@
 from radishlift.membership.daemon_table import DaemonTable
 from radishlift.membership.membership import Membership
 from radishlift.membership.settings import MembershipSettings
-from radishlift.platform.api import Transaction, Write
+from radishlift.services.api import Transaction, Write
 from radishlift.wire.network import PeerNetwork
 from tests.standins.tables import MemoryTableStore
 
--- a/tests/membership/test_daemon_rows.py
+++ b/tests/membership/test_daemon_rows.py
@@ -9,7 +9,7 @@
     member_of,
     parse_daemon_row,
 )
-from radishlift.platform.api import Row
+from radishlift.services.api import Row
 from tests.membership.fleet import daemon_row, member
 
 
--- a/tests/membership/test_membership.py
+++ b/tests/membership/test_membership.py
@@ -4,7 +4,7 @@
 from radishlift.core.ids import Address, DaemonId
 from radishlift.membership.membership import parse_seed_peers
 from radishlift.membership.settings import MembershipSettings
-from radishlift.platform.api import Host, HostRole, HostState
+from radishlift.services.api import Host, HostRole, HostState
 from radishlift.wire.hello import read_hello
 from tests.membership.fleet import Daemon, member, put_row, until
 from tests.standins.tables import Fault, MemoryTableStore
--- a/tests/partitions/cell.py
+++ b/tests/partitions/cell.py
@@ -41,7 +41,7 @@
 from radishlift.partitions.parts import DaemonParts, PartitionSettingsSet
 from radishlift.partitions.settings import PartitionSettings
 from radishlift.placement.jobs import JobKind, JobSpec, Resources
-from radishlift.platform.api import (
+from radishlift.services.api import (
     Host,
     HostRole,
     HostState,
--- a/tests/partitions/owner.py
+++ b/tests/partitions/owner.py
@@ -24,7 +24,7 @@
 from radishlift.partitions.partitions import Partitions
 from radishlift.partitions.parts import DaemonParts
 from radishlift.placement.jobs import TaskState
-from radishlift.platform.api import Transaction, Write
+from radishlift.services.api import Transaction, Write
 from tests.standins.conditions import until
 from tests.standins.tables import MemoryTableStore
 
--- a/tests/partitions/test_moved_racks.py
+++ b/tests/partitions/test_moved_racks.py
@@ -17,7 +17,7 @@
 from radishlift.partitions.rack_rows import RACKS_TABLE
 from radishlift.partitions.spread import WorkerAssignment
 from radishlift.placement.jobs import JobKind, Resources
-from radishlift.platform.api import Transaction, Write
+from radishlift.services.api import Transaction, Write
 from tests.partitions.cell import (
     OTHER_PARTITION,
     PARTITION,
--- a/tests/requests/fakes.py
+++ b/tests/requests/fakes.py
@@ -18,13 +18,13 @@
     ServiceName,
 )
 from radishlift.membership.api import Member
-from radishlift.platform.api import Host, HostRole, HostState
-from radishlift.platform.host_knowledge import HostKnowledge
 from radishlift.requests.limits import ServiceLimits
 from radishlift.requests.settings import RequestSettings
 from radishlift.requests.slot_rows import SlotOwner
 from radishlift.requests.slots import SlotAllotments, SlotParts
 from radishlift.requests.targets import TargetList
+from radishlift.services.api import Host, HostRole, HostState
+from radishlift.services.host_knowledge import HostKnowledge
 from tests.standins.tables import MemoryTableStore
 
 SERVICE = ServiceName('rugdesk')
--- a/tests/requests/test_dispatch.py
+++ b/tests/requests/test_dispatch.py
@@ -8,13 +8,13 @@
 from radishlift.core.clock import ManualClock, SystemClock
 from radishlift.core.errors import Failure, Outcome
 from radishlift.core.ids import ExecutorId
-from radishlift.platform.host_knowledge import HostKnowledge
 from radishlift.requests.api import ServiceAnswer
 from radishlift.requests.calls import Call
 from radishlift.requests.dispatch import Dispatcher
 from radishlift.requests.executor_client import ExecutorClient
 from radishlift.requests.limits import ServiceLimits
 from radishlift.requests.slot_views import SlotView
+from radishlift.services.host_knowledge import HostKnowledge
 from tests.requests.daemons import request, wait_until
 from tests.requests.fakes import DEPARTMENT, SERVICE, Cell, FakeConfig
 from tests.standins.executor import ExecutorStandIn, Mode
--- a/tests/requests/test_key_segments.py
+++ b/tests/requests/test_key_segments.py
@@ -11,7 +11,6 @@
 from radishlift.journal.snapshot_keeper import SnapshotKeeper
 from radishlift.journal.snapshots import CapturedState
 from radishlift.ownership.api import OWNERS_TABLE, OwnerClaim
-from radishlift.platform.api import Transaction, Write
 from radishlift.requests.idempotency import (
     IdempotencyTable,
     RequestAnswered,
@@ -20,6 +19,7 @@
     RequestsForgotten,
 )
 from radishlift.requests.key_segments import SEGMENT_MS
+from radishlift.services.api import Transaction, Write
 from tests.journal.states import PARTITION
 from tests.standins.tables import Fault, MemoryObjectStore, MemoryTableStore
 
--- a/tests/requests/test_router.py
+++ b/tests/requests/test_router.py
@@ -5,9 +5,9 @@
 
 from radishlift.config.document import Service
 from radishlift.core.errors import ErrorKind, Failure, Outcome
-from radishlift.platform.api import HostState
 from radishlift.requests.api import ServiceAnswer
 from radishlift.requests.settings import RequestSettings
+from radishlift.services.api import HostState
 from tests.requests.daemons import ask_all, fleet, request, wait_until
 from tests.requests.fakes import DEPARTMENT, SERVICE, FakeConfig
 from tests.standins.executor import Mode
--- a/tests/requests/test_slots.py
+++ b/tests/requests/test_slots.py
@@ -5,8 +5,8 @@
 from hypothesis import given, settings, strategies
 
 from radishlift.core.errors import ErrorKind, Failure
-from radishlift.platform.api import HostState
 from radishlift.requests.slot_policy import SlotDemand, fair_targets, plan_move
+from radishlift.services.api import HostState
 from tests.requests.fakes import (
     LONGEST_MS,
     SERVICE,
--- a/tests/platform/test_http.py
+++ b/tests/services/test_http.py
@@ -1,7 +1,7 @@
 import asyncio
 import json
 
-from radishlift.platform.http import HttpHostList, PlatformAnswer
+from radishlift.services.http import HttpHostList, PlatformAnswer
 
 
 def listing(port) -> bytes:
--- a/tests/standins/knowledge.py
+++ b/tests/standins/knowledge.py
@@ -1,7 +1,7 @@
 """Knowledge of a host list that is always recent enough."""
 
 from radishlift.core.clock import ManualClock
-from radishlift.platform.host_knowledge import HostKnowledge
+from radishlift.services.host_knowledge import HostKnowledge
 
 
 def lasting_knowledge() -> HostKnowledge:
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -17,7 +17,7 @@
 
 from radishlift.core.codec import dump_plain, parse_plain
 from radishlift.core.errors import Failure
-from radishlift.platform.api import Conflict, Transaction
+from radishlift.services.api import Conflict, Transaction
 from tests.standins.tables import Fault, Tables
 
 WRITES_PER_S = 400
--- a/tests/standins/tables.py
+++ b/tests/standins/tables.py
@@ -7,7 +7,7 @@
 from sortedcontainers import SortedDict
 
 from radishlift.core.errors import ErrorKind, Failure
-from radishlift.platform.api import (
+from radishlift.services.api import (
     Committed,
     Conflict,
     Row,
--- a/tests/standins/test_tables.py
+++ b/tests/standins/test_tables.py
@@ -1,7 +1,7 @@
 import pytest
 
 from radishlift.core.errors import ErrorKind, Failure
-from radishlift.platform.api import (
+from radishlift.services.api import (
     Committed,
     Condition,
     Conflict,
--- a/tests/system/broken_daemon.py
+++ b/tests/system/broken_daemon.py
@@ -17,9 +17,9 @@
 from radishlift.daemon.lifecycle import Daemon
 from radishlift.daemon.main import main
 from radishlift.partitions.spread import WorkerAssignment
-from radishlift.platform.api import HostState
-from radishlift.platform.host_knowledge import HostKnowledge
-from radishlift.platform.http import HttpHostList
+from radishlift.services.api import HostState
+from radishlift.services.host_knowledge import HostKnowledge
+from radishlift.services.http import HttpHostList
 from radishlift.workers.polls import WorkerPoll
 from radishlift.workers.session import WorkerSession
 
--- a/tests/workers/test_dispatcher.py
+++ b/tests/workers/test_dispatcher.py
@@ -9,7 +9,7 @@
 from radishlift.core.ids import Attempt, Incarnation, TaskId, WorkerId
 from radishlift.placement.jobs import TaskState
 from radishlift.placement.orders import OrderKind
-from radishlift.platform.host_knowledge import HostKnowledge, SendVerdict
+from radishlift.services.host_knowledge import HostKnowledge, SendVerdict
 from radishlift.workers.client import WorkerClient
 from radishlift.workers.dispatcher import Dispatcher
 from radishlift.workers.leases import FormerOwners
