--- /dev/null
+++ b/src/radishlift/cell/commits.py
@@ -0,0 +1,198 @@
+"""The leader's transactions: one at a time, each replacing the last row.
+
+Every transaction requires the leader's row and the row of the previous
+transaction unchanged. A transaction without an answer is repeated as it was:
+only one of the copies can take effect, and none can after a later one.
+"""
+
+import asyncio
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from enum import Enum, unique
+from typing import Any, Final
+
+from radishlift.cell.ports import CellStore
+from radishlift.cell.settings import CellSettings
+from radishlift.cell.tables import (
+    CELL,
+    COMMITS,
+    LAST_KEY,
+    LEADER_KEY,
+    PROGRESS,
+    PULSE_KEY,
+)
+from radishlift.core.clock import Clock
+from radishlift.core.errors import ErrorKind, Failure
+from radishlift.core.ids import JobId
+from radishlift.core.logs import log_event
+from radishlift.services.api import (
+    Committed,
+    Condition,
+    Conflict,
+    Transaction,
+    Write,
+)
+from radishlift.steps.ids import Fence
+from radishlift.steps.progress import dump_progress
+from radishlift.steps.runs import JobRun, JobState
+
+# The store takes 100 entries; two are conditions and two own rows.
+_MAX_JOBS: Final = 90
+_RETRY_MS: Final = 60
+
+Effect = Callable[[], None]
+
+
+@dataclass(slots=True)
+class Claim:
+    """A leader's epoch, and the versions that its next transaction needs."""
+
+    epoch: Fence
+    leader_version: int
+    last_version: int
+
+
+@unique
+class CommitState(Enum):
+    """Whether a leader may go on."""
+
+    leading = 'leading'
+    deposed = 'deposed'
+
+
+@dataclass(slots=True)
+class _Batch:
+    number: int
+    writes: tuple[Write, ...]
+    states: list[tuple[JobRun, JobState]] = field(default_factory=list)
+    effects: list[Effect] = field(default_factory=list)
+    waiters: list[asyncio.Future[None]] = field(default_factory=list)
+
+
+class CommitLog:
+    """Commits the progress of jobs, and then lets it take effect."""
+
+    def __init__(
+        self,
+        store: CellStore,
+        claim: Claim,
+        settings: CellSettings,
+        clock: Clock,
+    ) -> None:
+        self._store = store
+        self._claim = claim
+        self._settings = settings
+        self._clock = clock
+        self._dirty: dict[JobId, JobRun] = {}
+        self._effects: dict[JobId, list[Effect]] = {}
+        self._waiters: list[asyncio.Future[None]] = []
+        self._wake = asyncio.Event()
+        self._number = 0
+        self.confirmed_at_ms = clock.monotonic_ms()
+        self.pulse: Callable[[], Mapping[str, Any]] = dict
+
+    @property
+    def is_confirmed(self) -> bool:
+        """Tells whether a commit has shown of late that this one leads."""
+        age_ms = self._clock.monotonic_ms() - self.confirmed_at_ms
+        return age_ms <= self._settings.unconfirmed_ms
+
+    def note(self, job: JobRun, effect: Effect | None = None) -> None:
+        """Commits a job's progress soon; an effect follows the commit."""
+        job_id = job.spec.job_id
+        self._dirty[job_id] = job
+        if effect is not None:
+            self._effects.setdefault(job_id, []).append(effect)
+        self._wake.set()
+
+    async def settled(self) -> None:
+        """Waits until all that was noted before is committed."""
+        if not self._dirty:
+            return
+        waiter = asyncio.get_running_loop().create_future()
+        self._waiters.append(waiter)
+        await waiter
+
+    async def run(self) -> None:
+        """Commits until this daemon does not lead any more."""
+        while True:
+            await self._wait_for_work()
+            batch = self._collect()
+            if await self._commit(batch) is CommitState.deposed:
+                return
+            for job, state in batch.states:
+                job.committed_state = state
+            for effect in batch.effects:
+                effect()
+            for waiter in batch.waiters:
+                if not waiter.done():
+                    waiter.set_result(None)
+
+    async def _wait_for_work(self) -> None:
+        if self._dirty:
+            return
+        self._wake.clear()
+        try:
+            async with asyncio.timeout(self._settings.pulse_ms / 1000):
+                await self._wake.wait()
+        except TimeoutError:
+            return
+        # Lets what happens at the same time share the transaction.
+        await asyncio.sleep(0)
+
+    def _collect(self) -> _Batch:
+        self._number += 1
+        last = {'epoch': self._claim.epoch, 'number': self._number}
+        writes = [Write(COMMITS, LAST_KEY, last)]
+        pulse = {**last, **self.pulse()}
+        writes.append(Write(CELL, PULSE_KEY, pulse))
+        batch = _Batch(self._number, ())
+        for job_id in list(self._dirty)[:_MAX_JOBS]:
+            job = self._dirty.pop(job_id)
+            writes.append(Write(PROGRESS, job_id, dump_progress(job)))
+            batch.states.append((job, job.state))
+            batch.effects.extend(self._effects.pop(job_id, ()))
+        if not self._dirty:
+            batch.waiters, self._waiters = self._waiters, []
+        batch.writes = tuple(writes)
+        return batch
+
+    async def _commit(self, batch: _Batch) -> CommitState:
+        claim = self._claim
+        transaction = Transaction(
+            (
+                Condition(CELL, LEADER_KEY, claim.leader_version),
+                Condition(COMMITS, LAST_KEY, claim.last_version),
+            ),
+            batch.writes,
+        )
+        while True:
+            sent_at_ms = self._clock.monotonic_ms()
+            outcome = await self._store.commit(transaction)
+            if isinstance(outcome, Committed):
+                claim.last_version = outcome.versions[0]
+                self.confirmed_at_ms = sent_at_ms
+                return CommitState.leading
+            if isinstance(outcome, Conflict):
+                return self._settle_conflict(outcome, batch.number)
+            self._log_failure(outcome)
+            await asyncio.sleep(_RETRY_MS / 1000)
+
+    def _log_failure(self, failure: Failure) -> None:
+        event = 'commit_refused'
+        if failure.kind is ErrorKind.store_outcome_unknown:
+            event = 'commit_outcome_unknown'
+        log_event(event, epoch=self._claim.epoch, reason=failure.reason)
+
+    def _settle_conflict(self, conflict: Conflict, number: int) -> CommitState:
+        mine = {'epoch': self._claim.epoch, 'number': number}
+        for row in conflict.rows:
+            is_last = row.table == COMMITS and row.key == LAST_KEY
+            if is_last and row.value == mine:
+                self._claim.last_version = row.version
+                return CommitState.leading
+        log_event('leader_deposed', epoch=self._claim.epoch)
+        return CommitState.deposed
+
+
+__all__ = ('Claim', 'CommitLog')
--- /dev/null
+++ b/src/radishlift/cell/daemon.py
@@ -0,0 +1,174 @@
+"""The daemon: serves callers, helps the leader, and leads if it must."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from radishlift.cell.advising import AdviceHelper
+from radishlift.cell.feeds import Followed, TableFollower
+from radishlift.cell.intake import Intake
+from radishlift.cell.leadership import CellView, Leadership
+from radishlift.cell.leading import EntryDecoder, LeaderParts, Term
+from radishlift.cell.ports import AdviceCalls, CellStore, TargetCalls
+from radishlift.cell.queues import QueueConfig
+from radishlift.cell.settings import CellSettings
+from radishlift.cell.tables import CELL, CONFIG
+from radishlift.core.clock import Clock
+from radishlift.core.errors import Failure
+from radishlift.core.ids import Address, DaemonId
+from radishlift.core.logs import log_event
+from radishlift.services.api import Row
+from radishlift.steps.settings import StepSettings
+from radishlift.wire.network import PeerNetwork
+
+ConfigDecoder = Callable[[tuple[Row, ...]], QueueConfig | Failure | None]
+
+_REGISTER_RETRY_MS = 200
+
+
+@dataclass(frozen=True, slots=True)
+class DaemonParts:
+    """What a daemon is built of."""
+
+    daemon_id: DaemonId
+    peer_address: Address
+    store: CellStore
+    targets: TargetCalls
+    advice: AdviceCalls
+    decode_config: ConfigDecoder
+    decode_target: EntryDecoder
+    settings: CellSettings
+    steps: StepSettings
+    clock: Clock
+    max_lease_ms: int
+
+
+class CellDaemon:
+    """Runs what every daemon runs, and the term of a leader."""
+
+    def __init__(self, parts: DaemonParts) -> None:
+        self._parts = parts
+        self._view = CellView(parts.clock)
+        self._network = PeerNetwork(parts.daemon_id)
+        self._helper = AdviceHelper(self._network, parts.advice)
+        self.intake = Intake(parts.store, parts.clock, self._pulse)
+        self._leadership = Leadership(
+            parts.daemon_id,
+            parts.store,
+            self._view,
+            parts.settings,
+            parts.clock,
+        )
+        self._cell_follower = self._follower(CELL)
+        self._term: Term | None = None
+        self._tasks: list[asyncio.Task[None]] = []
+        self._is_stopping = False
+
+    @property
+    def is_ready(self) -> bool:
+        """Tells whether callers should be sent here."""
+        return not self._is_stopping and self.intake.config is not None
+
+    async def start(self) -> None:
+        """Begins to follow the store, and to lead when it is due."""
+        await self._network.start(self._parts.peer_address)
+        for work in (
+            self._register(),
+            self._cell_follower.run(self._on_cell_list, self._on_cell),
+            self._follower(CONFIG).run(self._on_config, self._on_config),
+            self._lead(),
+        ):
+            self._tasks.append(asyncio.create_task(work))
+
+    async def step_down(self) -> None:
+        """Ends a term so that another daemon can lead at once."""
+        self._is_stopping = True
+        log_event('drain_started')
+        lead_task = self._tasks[-1]
+        lead_task.cancel()
+        await asyncio.wait((lead_task,))
+        if self._term is not None:
+            await self._leadership.release(self._term.claim)
+
+    async def stop(self) -> None:
+        """Ends all work."""
+        for task in self._tasks:
+            task.cancel()
+        await self._network.stop()
+
+    def _follower(self, table: str) -> TableFollower:
+        parts = self._parts
+        followed = Followed(table, wait_ms=parts.settings.short_wait_ms)
+        return TableFollower(parts.store, followed, parts.settings, parts.clock)
+
+    def _pulse(self) -> dict[str, object]:
+        if self._term is not None:
+            return self._term.scheduler.pulse()
+        pulse: dict[str, object] = self._view.pulse
+        return pulse
+
+    async def _register(self) -> None:
+        while True:
+            failure = await self._leadership.register(self._parts.peer_address)
+            if failure is None:
+                return
+            log_event('registration_failed', reason=failure.reason)
+            await asyncio.sleep(_REGISTER_RETRY_MS / 1000)
+
+    async def _lead(self) -> None:
+        while True:
+            claim = await self._leadership.wait_for_claim(self._cell_follower)
+            parts = self._parts
+            self._term = Term(
+                claim,
+                LeaderParts(
+                    parts.store,
+                    parts.targets,
+                    self._network,
+                    self._network_daemons,
+                    self._config,
+                    parts.decode_target,
+                    parts.settings,
+                    parts.steps,
+                    parts.clock,
+                    parts.max_lease_ms,
+                ),
+            )
+            await self._term.run()
+            self._term = None
+            self._leadership.follow()
+
+    def _config(self) -> QueueConfig | None:
+        return self.intake.config
+
+    def _network_daemons(self) -> list[DaemonId]:
+        return [self._parts.daemon_id, *self._network.peers]
+
+    def _on_cell_list(self, rows: tuple[Row, ...]) -> None:
+        self._view.replace(rows)
+        self._network.set_peers(self._view.daemons())
+
+    def _on_cell(self, rows: tuple[Row, ...]) -> None:
+        known = self._view.daemons()
+        self._view.update(rows)
+        daemons = self._view.daemons()
+        if daemons != known:
+            self._network.set_peers(daemons)
+
+    def _on_config(self, rows: tuple[Row, ...]) -> None:
+        config = self._parts.decode_config(rows)
+        if config is None:
+            return
+        if isinstance(config, Failure):
+            log_event('config_refused', reason=config.reason)
+            return
+        current = self.intake.config
+        if current is not None and config.version <= current.version:
+            return
+        self.intake.config = config
+        log_event('config_in_force', version=config.version)
+        if self._term is not None:
+            self._term.follow_config(config)
+
+
+__all__ = ('CellDaemon', 'DaemonParts')
--- /dev/null
+++ b/src/radishlift/cell/feeds.py
@@ -0,0 +1,95 @@
+"""Follows a table of the store."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from radishlift.cell.ports import CellStore, ChangedRows
+from radishlift.cell.settings import CellSettings
+from radishlift.core.clock import Clock
+from radishlift.core.errors import ErrorKind, Failure
+from radishlift.core.logs import log_event
+from radishlift.services.api import Row
+
+
+@dataclass(frozen=True, slots=True)
+class Followed:
+    """A table to follow, and the pause between two reads of it."""
+
+    table: str
+    gap_ms: int = 0
+    wait_ms: int | None = None
+
+
+class TableFollower:
+    """Passes the rows of a table to a listener, and then all changes.
+
+    A snapshot (at the start, and when the store has dropped its history) is
+    passed as a whole: the listener must take rows that it lacks as removed.
+    """
+
+    def __init__(
+        self,
+        store: CellStore,
+        followed: Followed,
+        settings: CellSettings,
+        clock: Clock,
+    ) -> None:
+        self._store = store
+        self._followed = followed
+        self._settings = settings
+        self._clock = clock
+        self._version: int | None = None
+        self._is_lost = False
+        self.heard_at_ms: int | None = None
+
+    async def run(
+        self,
+        on_snapshot: Callable[[tuple[Row, ...]], None],
+        on_changes: Callable[[tuple[Row, ...]], None],
+    ) -> None:
+        """Follows the table until it is cancelled."""
+        while True:
+            is_snapshot = self._version is None
+            changed = await self._read()
+            if isinstance(changed, Failure):
+                await self._pause(changed)
+                continue
+            self._note_heard()
+            self._version = changed.version
+            if is_snapshot:
+                on_snapshot(changed.rows)
+            elif changed.rows:
+                on_changes(changed.rows)
+            if self._followed.gap_ms and not is_snapshot:
+                await asyncio.sleep(self._followed.gap_ms / 1000)
+
+    async def _read(self) -> ChangedRows | Failure:
+        table = self._followed.table
+        if self._version is None:
+            return await self._store.snapshot(table)
+        wait_ms = self._followed.wait_ms or self._settings.feed_wait_ms
+        return await self._store.changes(table, self._version, wait_ms)
+
+    async def _pause(self, failure: Failure) -> None:
+        if failure.kind is ErrorKind.not_found:
+            log_event('history_dropped', table=self._followed.table)
+            self._version = None
+            return
+        if not self._is_lost:
+            self._is_lost = True
+            log_event(
+                'store_lost',
+                table=self._followed.table,
+                reason=failure.reason,
+            )
+        await asyncio.sleep(self._settings.feed_retry_ms / 1000)
+
+    def _note_heard(self) -> None:
+        self.heard_at_ms = self._clock.monotonic_ms()
+        if self._is_lost:
+            self._is_lost = False
+            log_event('store_regained', table=self._followed.table)
+
+
+__all__ = ('Followed', 'TableFollower')
--- /dev/null
+++ b/src/radishlift/cell/intake.py
@@ -0,0 +1,151 @@
+"""What an entry daemon does for callers, with or without a leader.
+
+Jobs and cancels are rows that any daemon may add; the leader follows them.
+A job is accepted once its row is stored, and only then.
+"""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any, Final
+
+from radishlift.cell.job_rows import dump_job
+from radishlift.cell.ports import CellStore
+from radishlift.cell.queues import Queue, QueueConfig
+from radishlift.cell.tables import CANCELS, JOBS, PROGRESS
+from radishlift.core.clock import Clock
+from radishlift.core.errors import ErrorKind, Failure
+from radishlift.core.ids import JobId
+from radishlift.core.logs import log_event
+from radishlift.services.api import (
+    Committed,
+    Condition,
+    Conflict,
+    Transaction,
+    Write,
+)
+from radishlift.steps.ids import QueueName
+from radishlift.steps.runs import JobState
+from radishlift.steps.spec import JobSpec
+
+_RETRY_MS: Final = 60
+# Time to send an answer before the caller stops waiting.
+_ANSWER_MS: Final = 100
+
+
+class Intake:
+    """Takes jobs, cancels and questions of callers."""
+
+    def __init__(
+        self,
+        store: CellStore,
+        clock: Clock,
+        pulse: Callable[[], Any],
+    ) -> None:
+        self._store = store
+        self._clock = clock
+        self._pulse = pulse
+        self.config: QueueConfig | None = None
+
+    def find(self, host: str, path: str) -> Queue | Failure:
+        """Finds a queue; fails with `no_configuration` or `not_found`."""
+        if self.config is None:
+            return Failure(ErrorKind.no_configuration, 'no configuration yet')
+        queue = self.config.find(host, path)
+        if queue is None:
+            return Failure(ErrorKind.not_found, f'no queue at {host}{path}')
+        return queue
+
+    async def submit(
+        self,
+        queue: Queue,
+        spec: JobSpec,
+        deadline_ms: int,
+    ) -> Failure | None:
+        """Stores a job; storing it again changes nothing.
+
+        `deadline_ms` is monotonic. Fails with `store_unavailable` only if
+        the job is surely not stored.
+        """
+        row = dump_job(spec, queue.terms, self._clock.wall_ms())
+        outcome = await self._insert(JOBS, spec.job_id, row, deadline_ms)
+        log_event(
+            'job_submitted',
+            job=spec.job_id,
+            queue=queue.terms.queue,
+            config_version=self.config.version if self.config else 0,
+            outcome='accepted' if outcome is None else outcome.kind,
+        )
+        return outcome
+
+    async def cancel(self, job_id: JobId, deadline_ms: int) -> Failure | None:
+        """Stores a cancel; fails with `not_found` for an unknown job."""
+        job = await self._store.read(JOBS, job_id)
+        if isinstance(job, Failure):
+            return job
+        if not job.version:
+            return Failure(ErrorKind.not_found, f'no job {job_id}')
+        row = {'cancelled_at_ms': self._clock.wall_ms()}
+        outcome = await self._insert(CANCELS, job_id, row, deadline_ms)
+        log_event(
+            'cancel_stored',
+            job=job_id,
+            outcome='accepted' if outcome is None else outcome.kind,
+        )
+        return outcome
+
+    async def state(self, job_id: JobId) -> JobState | Failure:
+        """Reads a job's state; fails with `not_found` for an unknown job."""
+        progress = await self._store.read(PROGRESS, job_id)
+        if isinstance(progress, Failure):
+            return progress
+        if progress.value is not None:
+            return JobState(progress.value['state'])
+        job = await self._store.read(JOBS, job_id)
+        if isinstance(job, Failure):
+            return job
+        if not job.version:
+            return Failure(ErrorKind.not_found, f'no job {job_id}')
+        return JobState.queued
+
+    def pending(self, queue: QueueName) -> int:
+        """Counts the jobs of a queue that have not begun."""
+        return int(self._pulse().get('pending', {}).get(queue, 0))
+
+    async def _insert(
+        self,
+        table: str,
+        key: str,
+        row: dict[str, Any],
+        deadline_ms: int,
+    ) -> Failure | None:
+        """Inserts a row; one that is there already is as good.
+
+        An insert without an answer may take effect later, so that only a
+        first attempt can fail with `store_unavailable`.
+        """
+        transaction = Transaction(
+            (Condition(table, key, 0),),
+            (Write(table, key, row),),
+        )
+        is_unknown = False
+        while True:
+            outcome = await self._store.commit(transaction)
+            if isinstance(outcome, Committed):
+                return None
+            if isinstance(outcome, Conflict):
+                return None
+            if outcome.kind is ErrorKind.store_outcome_unknown:
+                is_unknown = True
+            left_ms = deadline_ms - self._clock.monotonic_ms()
+            if left_ms < _ANSWER_MS + _RETRY_MS or not is_unknown:
+                return _final(outcome, is_unknown=is_unknown)
+            await asyncio.sleep(_RETRY_MS / 1000)
+
+
+def _final(outcome: Failure, *, is_unknown: bool) -> Failure:
+    if is_unknown:
+        return Failure(ErrorKind.store_outcome_unknown, outcome.reason)
+    return outcome
+
+
+__all__ = ('Intake',)
--- /dev/null
+++ b/src/radishlift/cell/leadership.py
@@ -0,0 +1,211 @@
+"""Which daemon leads, by the rows of the cell in the store."""
+
+import asyncio
+from typing import Any, Final
+
+from transitions import Machine
+
+from radishlift.cell.commits import Claim
+from radishlift.cell.feeds import TableFollower
+from radishlift.cell.ports import CellStore
+from radishlift.cell.settings import CellSettings
+from radishlift.cell.tables import (
+    CELL,
+    COMMITS,
+    DAEMON_PREFIX,
+    LAST_KEY,
+    LEADER_KEY,
+    PULSE_KEY,
+    daemon_key,
+)
+from radishlift.core.clock import Clock
+from radishlift.core.errors import Failure
+from radishlift.core.ids import Address, DaemonId
+from radishlift.core.logs import log_event
+from radishlift.services.api import (
+    Committed,
+    Condition,
+    Conflict,
+    Row,
+    Transaction,
+    Write,
+)
+from radishlift.steps.ids import Fence
+
+_CHECK_MS: Final = 100
+
+
+class CellView:
+    """What the rows of the cell say: leader, pulse and daemons."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._rows: dict[str, Row] = {}
+        self.pulse_at_ms = clock.monotonic_ms()
+
+    def replace(self, rows: tuple[Row, ...]) -> None:
+        """Takes all rows."""
+        self._rows = {row.key: row for row in rows}
+        self.pulse_at_ms = self._clock.monotonic_ms()
+
+    def update(self, rows: tuple[Row, ...]) -> None:
+        """Takes changed rows."""
+        for row in rows:
+            self._rows[row.key] = row
+            if row.key in {PULSE_KEY, LEADER_KEY}:
+                self.pulse_at_ms = self._clock.monotonic_ms()
+
+    @property
+    def leader(self) -> Row:
+        """Returns the leader's row; version 0 if there has been none."""
+        return self._rows.get(LEADER_KEY) or Row(CELL, LEADER_KEY, 0, None)
+
+    @property
+    def leader_id(self) -> DaemonId:
+        """Returns the leader; empty if it has stepped down."""
+        return DaemonId((self.leader.value or {}).get('daemon', ''))
+
+    @property
+    def pulse(self) -> Any:
+        """Returns what the leader told last; empty without a leader."""
+        row = self._rows.get(PULSE_KEY)
+        return {} if row is None or row.value is None else row.value
+
+    def daemons(self) -> dict[DaemonId, Address]:
+        """Returns the address of each daemon."""
+        return {
+            DaemonId(key.removeprefix(DAEMON_PREFIX)): Address(
+                row.value['address']
+            )
+            for key, row in self._rows.items()
+            if key.startswith(DAEMON_PREFIX) and row.value is not None
+        }
+
+
+class Leadership(Machine):
+    """Claims the lead when there is no leader, or a silent one."""
+
+    def __init__(
+        self,
+        daemon_id: DaemonId,
+        store: CellStore,
+        view: CellView,
+        settings: CellSettings,
+        clock: Clock,
+    ) -> None:
+        super().__init__(
+            states=['following', 'claiming', 'leading', 'stopping'],
+            initial='following',
+            transitions=[
+                ['claim', 'following', 'claiming'],
+                ['win', 'claiming', 'leading'],
+                ['follow', ['claiming', 'leading'], 'following'],
+                ['stop', '*', 'stopping'],
+            ],
+            after_state_change='_log_change',
+        )
+        self._daemon_id = daemon_id
+        self._store = store
+        self._view = view
+        self._settings = settings
+        self._clock = clock
+
+    async def register(self, address: Address) -> Failure | None:
+        """Writes this daemon's row."""
+        row = {'address': address}
+        outcome = await self._store.commit(
+            Transaction((), (Write(CELL, daemon_key(self._daemon_id), row),)),
+        )
+        return outcome if isinstance(outcome, Failure) else None
+
+    async def wait_for_claim(self, follower: TableFollower) -> Claim:
+        """Waits until this daemon leads."""
+        while True:
+            await asyncio.sleep(_CHECK_MS / 1000)
+            if not self._is_due(follower):
+                continue
+            self.claim()
+            claim = await self._try_claim()
+            if claim is not None:
+                self.win()
+                return claim
+            self.follow()
+
+    async def release(self, claim: Claim) -> None:
+        """Lets another daemon lead at once; a failure costs only time."""
+        row = {'daemon': '', 'epoch': claim.epoch}
+        outcome = await self._store.commit(
+            Transaction(
+                (Condition(CELL, LEADER_KEY, claim.leader_version),),
+                (Write(CELL, LEADER_KEY, row),),
+            ),
+        )
+        if isinstance(outcome, Failure):
+            log_event('release_failed', reason=outcome.reason)
+
+    def _log_change(self) -> None:
+        log_event('leadership', state=self.state, leader=self._view.leader_id)
+
+    def _is_due(self, follower: TableFollower) -> bool:
+        if self.state != 'following' or follower.heard_at_ms is None:
+            return False
+        rank = self._rank()
+        now_ms = self._clock.monotonic_ms()
+        silent_ms = now_ms - self._view.pulse_at_ms
+        wait_ms = rank * self._settings.claim_stagger_ms
+        if not self._view.leader_id:
+            return silent_ms >= wait_ms
+        # Silence counts only while the store itself can be heard.
+        is_store_heard = (
+            now_ms - follower.heard_at_ms < self._settings.silence_ms
+        )
+        return is_store_heard and silent_ms >= (
+            self._settings.silence_ms + wait_ms
+        )
+
+    def _rank(self) -> int:
+        others = sorted(self._view.daemons())
+        # A leader that fell silent comes last.
+        others = [one for one in others if one != self._view.leader_id]
+        if self._daemon_id in others:
+            return others.index(self._daemon_id)
+        return len(others)
+
+    async def _try_claim(self) -> Claim | None:
+        leader = await self._store.read(CELL, LEADER_KEY)
+        if isinstance(leader, Failure):
+            return None
+        if leader.version != self._view.leader.version:
+            return None
+        epoch = Fence((leader.value or {}).get('epoch', 0) + 1)
+        claimed = {'daemon': self._daemon_id, 'epoch': epoch}
+        last = {'epoch': epoch, 'number': 0}
+        outcome = await self._store.commit(
+            Transaction(
+                (Condition(CELL, LEADER_KEY, leader.version),),
+                (
+                    Write(CELL, LEADER_KEY, claimed),
+                    Write(COMMITS, LAST_KEY, last),
+                ),
+            ),
+        )
+        if isinstance(outcome, Committed):
+            version = outcome.versions[0]
+            return Claim(epoch, version, version)
+        if isinstance(outcome, Conflict):
+            log_event('claim_lost', epoch=epoch)
+            return None
+        return await self._settle_claim(epoch)
+
+    async def _settle_claim(self, epoch: Fence) -> Claim | None:
+        """Reads whether a claim without an answer took effect."""
+        leader = await self._store.read(CELL, LEADER_KEY)
+        if isinstance(leader, Failure) or leader.value is None:
+            return None
+        mine = {'daemon': self._daemon_id, 'epoch': epoch}
+        if leader.value != mine:
+            return None
+        return Claim(epoch, leader.version, leader.version)
+
+
+__all__ = ('CellView', 'Leadership')
--- /dev/null
+++ b/src/radishlift/cell/leading.py
@@ -0,0 +1,214 @@
+"""One term of a leader: takes over, schedules, and hands over."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass
+from typing import Any
+
+from radishlift.cell.advising import Adviser
+from radishlift.cell.commits import Claim, CommitLog
+from radishlift.cell.feeds import Followed, TableFollower
+from radishlift.cell.job_rows import load_job
+from radishlift.cell.ports import CellStore, TargetCalls
+from radishlift.cell.queues import QueueConfig
+from radishlift.cell.scheduler import Scheduler, SchedulerContext, removed_ids
+from radishlift.cell.settings import CellSettings
+from radishlift.cell.tables import CANCELS, JOBS, PROGRESS, TARGETS
+from radishlift.core.clock import Clock
+from radishlift.core.errors import Failure
+from radishlift.core.ids import DaemonId, JobId
+from radishlift.core.logs import log_event
+from radishlift.services.api import Row
+from radishlift.steps.ids import TargetId
+from radishlift.steps.progress import load_progress
+from radishlift.steps.settings import StepSettings
+from radishlift.steps.targets import TargetEntry
+from radishlift.wire.network import PeerNetwork
+
+EntryDecoder = Callable[[str, Any], TargetEntry | Failure]
+
+
+@dataclass(frozen=True, slots=True)
+class LeaderParts:
+    """What a leader works with."""
+
+    store: CellStore
+    calls: TargetCalls
+    network: PeerNetwork
+    daemons: Callable[[], list[DaemonId]]
+    config: Callable[[], QueueConfig | None]
+    decode_target: EntryDecoder
+    settings: CellSettings
+    steps: StepSettings
+    clock: Clock
+    max_lease_ms: int
+
+
+class Term:
+    """The time for which a daemon leads."""
+
+    def __init__(self, claim: Claim, parts: LeaderParts) -> None:
+        self.claim = claim
+        self._parts = parts
+        self._log = CommitLog(parts.store, claim, parts.settings, parts.clock)
+        self.scheduler = Scheduler(
+            SchedulerContext(
+                claim.epoch,
+                parts.calls,
+                parts.settings,
+                parts.steps,
+                parts.clock,
+                parts.max_lease_ms,
+            ),
+            self._log,
+        )
+        self._progress: dict[JobId, Row] = {}
+        self._adviser = Adviser(
+            parts.network,
+            self.scheduler,
+            parts.daemons,
+            parts.clock,
+        )
+        self._is_restored = asyncio.Event()
+        self._has_targets = asyncio.Event()
+        self._early_cancels: set[JobId] = set()
+
+    async def run(self) -> None:
+        """Leads until deposed; cancelling it ends the term as well."""
+        began_at_ms = self._parts.clock.monotonic_ms()
+        try:
+            async with asyncio.TaskGroup() as group:
+                log_task = group.create_task(self._log.run())
+                others = [
+                    group.create_task(work)
+                    for work in await self._start_work(began_at_ms)
+                ]
+                fenced = group.create_task(self.scheduler.fenced.wait())
+                await asyncio.wait(
+                    (log_task, fenced),
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                for task in (log_task, fenced, *others):
+                    task.cancel()
+        finally:
+            self.scheduler.close()
+            self._adviser.close()
+
+    async def _start_work(
+        self,
+        began_at_ms: int,
+    ) -> list[Coroutine[Any, Any, None]]:
+        await self._read_progress()
+        log_event(
+            'term_begun',
+            epoch=self.claim.epoch,
+            progress_rows=len(self._progress),
+            took_ms=self._parts.clock.monotonic_ms() - began_at_ms,
+        )
+        return [
+            self._follow(JOBS, self._on_jobs, self._on_jobs),
+            self._follow(CANCELS, self._on_cancels, self._on_cancels),
+            self._follow_targets(),
+            self._adviser.run(),
+            self._schedule(),
+        ]
+
+    async def _follow_targets(self) -> None:
+        # What a target runs can be judged only with all jobs at hand.
+        await self._is_restored.wait()
+        self.scheduler.index_placed()
+        await self._follow(
+            TARGETS,
+            self._on_target_list,
+            self._on_targets,
+            self._parts.settings.feed_gap_ms,
+        )
+
+    async def _schedule(self) -> None:
+        await self._has_targets.wait()
+        await self.scheduler.run()
+
+    def follow_config(self, config: QueueConfig) -> None:
+        """Takes over the newest configuration."""
+        self.scheduler.follow_config(config)
+
+    async def _read_progress(self) -> None:
+        while True:
+            found = await self._parts.store.snapshot(PROGRESS)
+            if not isinstance(found, Failure):
+                break
+            log_event('progress_unread', reason=found.reason)
+            await asyncio.sleep(self._parts.settings.feed_retry_ms / 1000)
+        self._progress = {JobId(row.key): row for row in found.rows}
+
+    async def _follow(
+        self,
+        table: str,
+        on_snapshot: Callable[[tuple[Row, ...]], None],
+        on_changes: Callable[[tuple[Row, ...]], None],
+        gap_ms: int = 0,
+    ) -> None:
+        parts = self._parts
+        follower = TableFollower(
+            parts.store,
+            Followed(table, gap_ms),
+            parts.settings,
+            parts.clock,
+        )
+        await follower.run(on_snapshot, on_changes)
+
+    def _on_jobs(self, rows: tuple[Row, ...]) -> None:
+        for row in rows:
+            if row.value is not None:
+                self._add_job(JobId(row.key), row)
+        self._is_restored.set()
+
+    def _add_job(self, job_id: JobId, row: Row) -> None:
+        if self.scheduler.has_job(job_id) or row.value is None:
+            return
+        job = load_job(row.value)
+        if isinstance(job, Failure):
+            log_event('bad_job_row', job=job_id, reason=job.reason)
+            return
+        progress = self._progress.pop(job_id, None)
+        if progress is not None and progress.value is not None:
+            load_progress(job, progress.value)
+        config = self._parts.config()
+        queue = None if config is None else config.named(job.terms.queue)
+        if queue is not None:
+            job.terms = queue.terms
+        self.scheduler.add_job(job)
+        if job_id in self._early_cancels:
+            self.scheduler.cancel_job(job_id)
+
+    def _on_cancels(self, rows: tuple[Row, ...]) -> None:
+        for row in rows:
+            job_id = JobId(row.key)
+            self._early_cancels.add(job_id)
+            self.scheduler.cancel_job(job_id)
+
+    def _on_target_list(self, rows: tuple[Row, ...]) -> None:
+        listed = [TargetId(row.key) for row in rows]
+        for target_id in removed_ids(self.scheduler.target_ids(), listed):
+            self.scheduler.remove_target(target_id)
+        self._on_targets(rows)
+        self._has_targets.set()
+
+    def _on_targets(self, rows: tuple[Row, ...]) -> None:
+        for row in rows:
+            if row.value is None and row.version:
+                self._drop_or_keep(row)
+                continue
+            entry = self._parts.decode_target(row.key, row.value)
+            if isinstance(entry, Failure):
+                log_event(
+                    'bad_target_entry', target=row.key, reason=entry.reason
+                )
+                continue
+            self.scheduler.update_target(entry)
+
+    def _drop_or_keep(self, row: Row) -> None:
+        self.scheduler.remove_target(TargetId(row.key))
+
+
+__all__ = ('LeaderParts', 'Term')
--- /dev/null
+++ b/src/radishlift/cell/settings.py
@@ -0,0 +1,50 @@
+"""Settings of a daemon whose state lies in the platform's store."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class CellSettings:
+    """Times and limits of a daemon.
+
+    - `pulse_ms`: a leader shows that it is alive this often.
+    - `silence_ms`: without a pulse for so long, another daemon takes over;
+      three pulses, as one may be delayed by a slow store.
+    - `claim_stagger_ms`: daemons claim one after another, by their ids.
+    - `lease_share`: lease of targets as a share of the longest one allowed;
+      the rest is for clocks and calls that are late.
+    - `clock_drift`: how much slower a target's clock may run.
+    - `unconfirmed_ms`: a leader without a commit for so long ends all
+      renewals of leases, so that its successor can tell when they lapse.
+    - `hold_wait_ms`: how long a target may wait for an end.
+    - `hold_retry_ms`: pause after a call that a target did not answer.
+    - `order_retries_count`: repeats of an order without an answer.
+    - `tick_ms`: shortest time between two rounds of decisions.
+    - `feed_wait_ms`: how long the store waits for changes.
+    - `short_wait_ms`: the same for the rows of the cell and the
+      configuration, so that a silent connection is noticed soon.
+    - `feed_retry_ms`: pause after a failed read of the store.
+    - `feed_gap_ms`: pause between reads of the targets' entries, which change
+      with every heartbeat.
+    - `forget_ended_ms`: how long ended jobs are kept in memory; callers may
+      ask for 120 s.
+    """
+
+    pulse_ms: int = 400
+    silence_ms: int = 1300
+    claim_stagger_ms: int = 60
+    lease_share: float = 0.7
+    clock_drift: float = 0.02
+    unconfirmed_ms: int = 6000
+    hold_wait_ms: int = 1000
+    hold_retry_ms: int = 150
+    order_retries_count: int = 3
+    tick_ms: int = 10
+    feed_wait_ms: int = 5000
+    short_wait_ms: int = 1000
+    feed_retry_ms: int = 150
+    feed_gap_ms: int = 100
+    forget_ended_ms: int = 180_000
+
+
+__all__ = ('CellSettings',)
--- a/src/radishlift/core/logs.py
+++ b/src/radishlift/core/logs.py
@@ -5,7 +5,7 @@
 import sys
 from collections.abc import Callable, Mapping
 from enum import Enum
-from typing import Final
+from typing import Final, TextIO
 
 from loguru import logger
 
@@ -54,10 +54,10 @@
     _SINKS.remove(sink)
 
 
-def setup_logs(level: str) -> None:
-    """Sends logs of this level and above to standard error."""
+def setup_logs(level: str, stream: TextIO = sys.stderr) -> None:
+    """Sends logs of this level and above to a stream."""
     logger.remove()
-    logger.add(sys.stderr, format=_FORMAT, level=level, backtrace=False)
+    logger.add(stream, format=_FORMAT, level=level, backtrace=False)
 
 
 __all__ = (
--- /dev/null
+++ b/src/radishlift/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter of the users' platform: its names, formats and calls."""
--- /dev/null
+++ b/src/radishlift/platform/advice.py
@@ -0,0 +1,45 @@
+"""Client of the advice service."""
+
+from typing import Final
+
+from radishlift.cell.ports import AdviceAnswer
+from radishlift.core.errors import ErrorKind, Failure
+from radishlift.core.ids import Address
+from radishlift.platform.http import JsonClient
+from radishlift.steps.ids import StepKey, TargetId
+
+_OK: Final = 200
+
+
+class PlatformAdvice:
+    """Asks which targets may run a step."""
+
+    def __init__(self, client: JsonClient, address: Address) -> None:
+        self._client = client
+        self._address = address
+
+    async def ask(
+        self,
+        key: StepKey,
+        target_ids: tuple[TargetId, ...],
+        timeout_ms: int,
+    ) -> AdviceAnswer | Failure:
+        """Asks about at most 100 targets."""
+        answer = await self._client.call(
+            'POST',
+            self._address,
+            '/advise',
+            timeout_ms,
+            {'step': str(key), 'workers': target_ids},
+        )
+        if isinstance(answer, Failure):
+            return answer
+        if answer.status != _OK:
+            reason = f'advice answered {answer.status}'
+            return Failure(ErrorKind.overloaded, reason)
+        rows = answer.fields.get('allowed', ())
+        tickets = tuple((TargetId(row[0]), str(row[1])) for row in rows)
+        return AdviceAnswer(tickets, int(answer.fields.get('validMs', 0)))
+
+
+__all__ = ('PlatformAdvice',)
--- /dev/null
+++ b/src/radishlift/platform/main.py
@@ -0,0 +1,116 @@
+"""The daemon on the platform: composes the cell with the adapter."""
+
+import asyncio
+import os
+import signal
+import sys
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Final
+
+from aiohttp import web
+
+from radishlift.cell.clock import BootClock
+from radishlift.cell.daemon import CellDaemon, DaemonParts
+from radishlift.cell.queues import QueueConfig
+from radishlift.cell.settings import CellSettings
+from radishlift.core.errors import Failure
+from radishlift.core.garbage import reduce_collections
+from radishlift.core.ids import Address
+from radishlift.core.logs import log_event, setup_logs
+from radishlift.platform.advice import PlatformAdvice
+from radishlift.platform.documents import (
+    CONFIG_KEY,
+    decode_config,
+    decode_target,
+)
+from radishlift.platform.front import Front
+from radishlift.platform.http import JsonClient
+from radishlift.platform.settings import (
+    SETTINGS_VARIABLE,
+    HostSettings,
+    read_host_settings,
+)
+from radishlift.platform.store import PlatformStore
+from radishlift.platform.targets import PlatformTargets
+from radishlift.services.api import Row
+from radishlift.steps.settings import StepSettings
+
+EXIT_SETTINGS: Final = 2
+_UNAVAILABLE: Final = 503
+_BACKLOG: Final = 512
+# Share of the grace period in which open connections are still served.
+_DRAIN_SHARE: Final = 0.75
+
+Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
+
+def main() -> int:
+    """Runs the daemon; exit status 2 when the settings are wrong."""
+    settings = read_host_settings(Path(os.environ[SETTINGS_VARIABLE]))
+    setup_logs('INFO', sys.stdout)
+    if isinstance(settings, Failure):
+        log_event('settings_refused', reason=settings.reason)
+        return EXIT_SETTINGS
+    asyncio.run(_run(settings))
+    return 0
+
+
+async def _run(settings: HostSettings) -> None:
+    reduce_collections()
+    client = JsonClient()
+    clock = BootClock()
+    daemon = CellDaemon(
+        DaemonParts(
+            settings.daemon_id,
+            settings.peer_address,
+            PlatformStore(client, settings.store_address),
+            PlatformTargets(client),
+            PlatformAdvice(client, settings.advice_address),
+            _config_in,
+            decode_target,
+            CellSettings(),
+            StepSettings(),
+            clock,
+            settings.max_lease_ms,
+        ),
+    )
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, stopped.set)
+    await daemon.start()
+    front = Front(daemon.intake, clock)
+    await _serve(settings.front_address, front.handle)
+    await _serve(settings.ready_address, _readiness(daemon))
+    log_event('daemon_started', daemon=settings.daemon_id)
+    await stopped.wait()
+    drained = asyncio.sleep(settings.grace_ms * _DRAIN_SHARE / 1000)
+    await asyncio.gather(daemon.step_down(), drained)
+    await daemon.stop()
+    await client.close()
+    log_event('drain_ended')
+
+
+def _config_in(rows: tuple[Row, ...]) -> QueueConfig | Failure | None:
+    for row in rows:
+        if row.key == CONFIG_KEY and row.value is not None:
+            return decode_config(row.value)
+    return None
+
+
+def _readiness(daemon: CellDaemon) -> Handler:
+    async def handle(_: web.BaseRequest) -> web.StreamResponse:
+        return web.Response(status=200 if daemon.is_ready else _UNAVAILABLE)
+
+    return handle
+
+
+async def _serve(address: Address, handler: Handler) -> None:
+    runner = web.ServerRunner(web.Server(handler))
+    await runner.setup()
+    host, _, port = address.rpartition(':')
+    await web.TCPSite(runner, host, int(port), backlog=_BACKLOG).start()
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/src/radishlift/platform/settings.py
@@ -0,0 +1,74 @@
+"""The settings file that the platform lays for each process."""
+
+import tomllib
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any, Final
+
+from radishlift.core.errors import ErrorKind, Failure
+from radishlift.core.ids import Address, DaemonId, DataCentreId
+
+SETTINGS_VARIABLE: Final = 'RADISHLIFT_CONFIG'
+
+_MS_IN_S: Final = 1000
+
+
+@dataclass(frozen=True, slots=True)
+class HostSettings:
+    """What a process learns from the platform.
+
+    `max_lease_ms` is the longest lease of a target. `stop_ms` is how long a
+    target takes to stop a task at most. `grace_ms` is the time between
+    SIGTERM and SIGKILL.
+    """
+
+    daemon_id: DaemonId
+    data_centre: DataCentreId
+    front_address: Address
+    ready_address: Address
+    peer_address: Address
+    metrics_address: Address
+    store_address: Address
+    advice_address: Address
+    machines_address: Address
+    heartbeat_ms: int
+    max_lease_ms: int
+    stop_ms: int
+    grace_ms: int
+    drain_ms: int
+
+
+def read_host_settings(path: Path) -> HostSettings | Failure:
+    """Reads the file; fails with `invalid_input`."""
+    try:
+        plain = tomllib.loads(path.read_text(encoding='utf-8'))
+        return _decode(plain)
+    except (OSError, ValueError, KeyError, TypeError) as error:
+        return Failure(ErrorKind.invalid_input, f'{path}: {error!r}')
+
+
+def _decode(plain: Mapping[str, Any]) -> HostSettings:
+    listen = plain['listen']
+    bounds = plain['bounds']
+    first_port = int(plain['portRange'][0])
+    host_ip = plain['ip']
+    return HostSettings(
+        daemon_id=DaemonId(plain['node']),
+        data_centre=DataCentreId(plain['zone']),
+        front_address=Address(listen['front']),
+        ready_address=Address(listen['ready']),
+        peer_address=Address(f'{host_ip}:{first_port}'),
+        metrics_address=Address(f'{host_ip}:{first_port + 1}'),
+        store_address=Address(plain['platform']['address']),
+        advice_address=Address(plain.get('advice', '')),
+        machines_address=Address(plain.get('cloud', {}).get('address', '')),
+        heartbeat_ms=int(plain['heartbeatMs']),
+        max_lease_ms=int(bounds['holdMaxMs']),
+        stop_ms=int(bounds['stopMs']),
+        grace_ms=int(bounds['graceS'] * _MS_IN_S),
+        drain_ms=int(bounds['drainMs']),
+    )
+
+
+__all__ = ('SETTINGS_VARIABLE', 'HostSettings', 'read_host_settings')
--- /dev/null
+++ b/src/radishlift/platform/store.py
@@ -0,0 +1,245 @@
+"""Client of the platform's metadata store."""
+
+import base64
+import json
+from collections.abc import Mapping
+from typing import Any, Final
+from urllib.parse import urlencode
+
+from radishlift.cell.ports import ChangedRows
+from radishlift.core.errors import ErrorKind, Failure
+from radishlift.core.ids import Address
+from radishlift.platform.http import JsonAnswer, JsonClient
+from radishlift.platform.layout import Place, place_of, table_at
+from radishlift.services.api import Committed, Conflict, Row, Transaction
+
+_OK: Final = 200
+_CONFLICT: Final = 412
+_HISTORY_GONE: Final = 410
+# Nothing was done for calls that are answered so.
+_REFUSALS: Final = frozenset((429, 503))
+_PAGE: Final = 500
+# A slow store takes up to 60 times its usual 5 ms, each way of a commit.
+_TIMEOUT_MS: Final = 1500
+
+
+class PlatformStore:
+    """The product's tables in the platform's tables and parts."""
+
+    def __init__(self, client: JsonClient, address: Address) -> None:
+        self._client = client
+        self._address = address
+
+    async def read(self, table: str, key: str) -> Row | Failure:
+        """Reads one row; an absent row has version 0."""
+        place = place_of(table)
+        answer = await self._get(
+            '/rows-get',
+            {**_place_fields(place), 'from': place.prefix + key, 'limit': 1},
+        )
+        if isinstance(answer, Failure):
+            return answer
+        for row in _rows(answer, table):
+            if row.key == key:
+                return row
+        return Row(table, key, 0, None)
+
+    async def scan(
+        self,
+        table: str,
+        prefix: str = '',
+        after: str = '',
+        limit: int = _PAGE,
+    ) -> tuple[Row, ...] | Failure:
+        """Reads rows in key order, those after the given key."""
+        page = await self._page(table, after, limit)
+        if isinstance(page, Failure):
+            return page
+        rows, _ = page
+        return tuple(row for row in rows.rows if row.key.startswith(prefix))
+
+    async def snapshot(self, table: str) -> ChangedRows | Failure:
+        """Reads a whole table and a version to follow it from."""
+        rows: list[Row] = []
+        version: int | None = None
+        after = ''
+        while True:
+            page = await self._page(table, after, _PAGE)
+            if isinstance(page, Failure):
+                return page
+            found, has_more = page
+            rows.extend(found.rows)
+            # Rows that change between pages come again as changes.
+            version = found.version if version is None else version
+            if not has_more or not found.rows:
+                return ChangedRows(tuple(rows), version)
+            after = found.rows[-1].key
+
+    async def changes(
+        self,
+        table: str,
+        after_version: int,
+        wait_ms: int,
+    ) -> ChangedRows | Failure:
+        """Waits for changes; fails with `not_found` without the history."""
+        answer = await self._get(
+            '/rows-feed',
+            # The platform's `dependsOn` is the version to continue from.
+            {
+                'table': place_of(table).table,
+                'dependsOn': after_version,
+                'waitMs': wait_ms,
+            },
+            wait_ms + _TIMEOUT_MS,
+        )
+        if isinstance(answer, Failure):
+            return answer
+        version = int(answer.fields.get('ver', after_version))
+        return ChangedRows(_rows(answer, table), version)
+
+    async def commit(
+        self,
+        transaction: Transaction,
+    ) -> Committed | Conflict | Failure:
+        """Applies a transaction; all its rows must lie in one part."""
+        answer = await self._client.call(
+            'POST',
+            self._address,
+            '/rows-tx',
+            _TIMEOUT_MS,
+            _transaction_fields(transaction),
+        )
+        if isinstance(answer, Failure):
+            return _store_failure(answer)
+        if answer.status == _OK:
+            # One version counts whole transactions.
+            version = int(answer.fields['ver'])
+            return Committed((version,) * len(transaction.writes))
+        if answer.status == _CONFLICT:
+            return Conflict(_conflict_rows(answer, transaction))
+        return _status_failure(answer.status)
+
+    async def _page(
+        self,
+        table: str,
+        after: str,
+        limit: int,
+    ) -> tuple[ChangedRows, bool] | Failure:
+        place = place_of(table)
+        # A key's successor is the key with a zero byte; ranges include
+        # their first key.
+        first = f'{place.prefix}{after}\0' if after else place.prefix
+        answer = await self._get(
+            '/rows-get',
+            {**_place_fields(place), 'from': first, 'limit': limit},
+        )
+        if isinstance(answer, Failure):
+            return answer
+        version = int(answer.fields.get('ver', 0))
+        rows = ChangedRows(_rows(answer, table), version)
+        return rows, bool(answer.fields.get('hasMore'))
+
+    async def _get(
+        self,
+        path: str,
+        query: Mapping[str, object],
+        timeout_ms: int = _TIMEOUT_MS,
+    ) -> JsonAnswer | Failure:
+        given = {name: field for name, field in query.items() if field != ''}
+        answer = await self._client.call(
+            'GET',
+            self._address,
+            f'{path}?{urlencode(given)}',
+            timeout_ms,
+        )
+        if isinstance(answer, Failure):
+            return Failure(ErrorKind.store_unavailable, answer.reason)
+        if answer.status == _OK:
+            return answer
+        if answer.status == _HISTORY_GONE:
+            return Failure(ErrorKind.not_found, 'history is no longer kept')
+        return _status_failure(answer.status)
+
+
+def _place_fields(place: Place) -> dict[str, object]:
+    # `part` may be empty but must be sent.
+    return {'table': place.table, 'part': place.part}
+
+
+def _status_failure(status: int) -> Failure:
+    reason = f'store answered {status}'
+    if status in _REFUSALS:
+        return Failure(ErrorKind.store_unavailable, reason)
+    return Failure(ErrorKind.store_outcome_unknown, reason)
+
+
+def _store_failure(failure: Failure) -> Failure:
+    if failure.kind is ErrorKind.peer_unavailable:
+        return Failure(ErrorKind.store_unavailable, failure.reason)
+    return Failure(ErrorKind.store_outcome_unknown, failure.reason)
+
+
+def _transaction_fields(transaction: Transaction) -> dict[str, Any]:
+    conditions = []
+    for condition in transaction.conditions:
+        conditions.append(
+            {
+                **_row_key(condition.table, condition.key),
+                'ver': condition.version,
+            },
+        )
+    puts = []
+    removed = []
+    for write in transaction.writes:
+        row_key = _row_key(write.table, write.key)
+        if write.value is None:
+            removed.append(row_key)
+        else:
+            puts.append({**row_key, 'value': _encode(write.value)})
+    return {'expectedRev': conditions, 'puts': puts, 'remove': removed}
+
+
+def _row_key(table: str, key: str) -> dict[str, Any]:
+    place = place_of(table)
+    return {**_place_fields(place), 'key': place.prefix + key}
+
+
+def _encode(row_value: Mapping[str, Any]) -> str:
+    text = json.dumps(row_value, separators=(',', ':'))
+    return base64.b64encode(text.encode()).decode()
+
+
+def _decode(encoded: object) -> Mapping[str, Any] | None:
+    """Decodes a row's value; None if another writer left something else."""
+    if not isinstance(encoded, str):
+        return None
+    try:
+        plain = json.loads(base64.b64decode(encoded))
+    except ValueError:
+        return None
+    return plain if isinstance(plain, dict) else None
+
+
+def _conflict_rows(
+    answer: JsonAnswer,
+    transaction: Transaction,
+) -> tuple[Row, ...]:
+    rows: list[Row] = []
+    for table in {one.table for one in transaction.conditions}:
+        rows.extend(_rows(answer, table))
+    return tuple(rows)
+
+
+def _rows(answer: JsonAnswer, table: str) -> tuple[Row, ...]:
+    rows = []
+    for fields in answer.fields.get('rows', ()):
+        if table_at(fields) != table:
+            continue
+        key = fields['key'].removeprefix(place_of(table).prefix)
+        is_removed = bool(fields.get('removed'))
+        row_value = None if is_removed else _decode(fields.get('value'))
+        rows.append(Row(table, key, int(fields.get('ver', 0)), row_value))
+    return tuple(rows)
+
+
+__all__ = ('PlatformStore',)
--- /dev/null
+++ b/src/radishlift/platform/targets.py
@@ -0,0 +1,157 @@
+"""Client of the targets, which the platform calls executors."""
+
+from collections.abc import Mapping
+from typing import Any, Final
+
+from radishlift.cell.ports import (
+    EndedAttempt,
+    HoldOrder,
+    HoldReport,
+    RunningAttempt,
+    StartOrder,
+    StartVerdict,
+    TargetRef,
+)
+from radishlift.core.errors import ErrorKind, Failure
+from radishlift.platform.http import JsonAnswer, JsonClient
+from radishlift.steps.endings import EndKind
+from radishlift.steps.ids import Fence, Life, TaskKey, parse_task_key
+
+_OK: Final = 200
+_CONFLICT: Final = 409
+_VERDICTS: Final = {
+    400: StartVerdict.invalid,
+    421: StartVerdict.other_process,
+    429: StartVerdict.refused,
+    503: StartVerdict.refused,
+}
+_REASONS: Final = {
+    'fence': StartVerdict.fenced,
+    'old': StartVerdict.superseded,
+    'late': StartVerdict.late,
+    'room': StartVerdict.no_room,
+    'ticket': StartVerdict.bad_ticket,
+}
+# Targets answer at once; a lost answer is repeated soon.
+_TIMEOUT_MS: Final = 700
+
+
+class PlatformTargets:
+    """Gives orders to targets."""
+
+    def __init__(self, client: JsonClient) -> None:
+        self._client = client
+
+    async def start(
+        self,
+        target: TargetRef,
+        order: StartOrder,
+    ) -> StartVerdict | Failure:
+        """Starts an attempt."""
+        body: dict[str, Any] = {
+            'task': str(order.key),
+            'attempt': order.attempt,
+            'spec': order.text,
+            'untilMs': order.until_ms,
+            'fencingToken': order.fence,
+        }
+        if order.checkpoint:
+            body['checkpoint'] = order.checkpoint
+        if order.ticket:
+            body['ticket'] = order.ticket
+        answer = await self._post(target, '/run-start', body)
+        return answer if isinstance(answer, Failure) else _verdict(answer)
+
+    async def stop(
+        self,
+        target: TargetRef,
+        key: TaskKey,
+        attempt: int,
+        fence: Fence,
+    ) -> StartVerdict | Failure:
+        """Stops an attempt, or bars it from starting."""
+        body = {'task': str(key), 'attempt': attempt, 'fencingToken': fence}
+        answer = await self._post(target, '/run-stop', body)
+        return answer if isinstance(answer, Failure) else _verdict(answer)
+
+    async def hold(
+        self,
+        target: TargetRef,
+        order: HoldOrder,
+    ) -> HoldReport | StartVerdict | Failure:
+        """Prolongs the lease and reads what runs and what has ended."""
+        body: dict[str, Any] = {
+            'fencingToken': order.fence,
+            'ackCursor': order.ended_cursor,
+        }
+        if order.until_ms is not None:
+            body['untilMs'] = order.until_ms
+        if order.wait_ms:
+            body['waitMs'] = order.wait_ms
+        answer = await self._post(target, '/hold', body, order.wait_ms)
+        if isinstance(answer, Failure):
+            return answer
+        if answer.status != _OK:
+            return _verdict(answer)
+        try:
+            return _report(answer.fields)
+        except (KeyError, TypeError, ValueError) as error:
+            return Failure(ErrorKind.bad_frame, f'bad list: {error!r}')
+
+    async def _post(
+        self,
+        target: TargetRef,
+        path: str,
+        body: Mapping[str, Any],
+        wait_ms: int = 0,
+    ) -> JsonAnswer | Failure:
+        answer = await self._client.call(
+            'POST',
+            target.address,
+            path,
+            _TIMEOUT_MS + wait_ms,
+            body,
+            {'Expect-Instance': target.target_id},
+        )
+        if isinstance(answer, Failure):
+            # Even a refused connection may be a cut in the network.
+            return Failure(ErrorKind.target_outcome_unknown, answer.reason)
+        return answer
+
+
+def _verdict(answer: JsonAnswer) -> StartVerdict:
+    if answer.status == _OK:
+        return StartVerdict.started
+    if answer.status == _CONFLICT:
+        reason = str(answer.fields.get('reason', ''))
+        return _REASONS.get(reason, StartVerdict.invalid)
+    return _VERDICTS.get(answer.status, StartVerdict.invalid)
+
+
+def _report(fields: Mapping[str, Any]) -> HoldReport:
+    running = []
+    for task, attempt, checkpoint, *_ in fields.get('running', ()):
+        key = parse_task_key(task)
+        if key is not None:
+            running.append(RunningAttempt(key, int(attempt), checkpoint))
+    ended = []
+    last_number = 0
+    for number, task, attempt, how, checkpoint, *_ in fields.get(
+        'finished', ()
+    ):
+        last_number = max(last_number, int(number))
+        key = parse_task_key(task)
+        if key is not None:
+            ended.append(
+                EndedAttempt(
+                    int(number), key, int(attempt), EndKind(how), checkpoint
+                ),
+            )
+    born = fields.get('born')
+    life = None if born is None else Life(int(born))
+    return HoldReport(
+        int(fields['clockMs']), life, tuple(running), tuple(ended), last_number
+    )
+
+
+__all__ = ('PlatformTargets',)
--- /dev/null
+++ b/src/radishlift/steps/__init__.py
@@ -0,0 +1,1 @@
+"""Jobs of steps: their model and the decisions on them, without I/O."""
--- /dev/null
+++ b/src/radishlift/steps/endings.py
@@ -0,0 +1,94 @@
+"""What the end of an attempt means for its task, step and job."""
+
+from collections.abc import Callable
+from enum import Enum, unique
+from typing import Final
+
+from radishlift.core.registry import Registry
+from radishlift.steps.ids import TargetId, TaskKey
+from radishlift.steps.runs import (
+    JobRun,
+    JobState,
+    StepRun,
+    TaskRun,
+    TaskState,
+    unblock,
+)
+
+
+@unique
+class EndKind(Enum):
+    """How an attempt ended."""
+
+    done = 'done'
+    failed = 'failed'
+    stopped = 'stopped'
+    lapsed = 'lapsed'
+    broken = 'broken'
+    alone = 'alone'
+    lost = 'lost'
+
+
+EndRule = Callable[[JobRun, StepRun, TaskRun], None]
+_RULES: Final[Registry[EndRule]] = Registry('rule of an end')
+
+
+def apply_end(
+    job: JobRun,
+    key: TaskKey,
+    attempt: int,
+    how: EndKind,
+    checkpoint: str,
+) -> bool:
+    """Applies the end of an attempt.
+
+    Returns False if the attempt is not the one that the task waits for.
+    """
+    task = job.task(key)
+    if task is None or task.state is not TaskState.placed:
+        return False
+    if task.attempt != attempt:
+        return False
+    step = job.steps[key.step_key.occurrence, key.step_key.step]
+    task.target_id = TargetId('')
+    task.state = TaskState.waiting
+    if checkpoint:
+        _keep_checkpoint(step, task, checkpoint)
+    rule = _RULES.get(how.value)
+    if rule is not None:
+        rule(job, step, task)
+    return True
+
+
+def _keep_checkpoint(step: StepRun, task: TaskRun, checkpoint: str) -> None:
+    # Members of a gang resume together, from one and the same checkpoint.
+    for member in step.tasks if step.spec.is_gang else [task]:
+        member.checkpoint = checkpoint
+
+
+@_RULES.register(EndKind.done.value)
+def _end_done(job: JobRun, step: StepRun, task: TaskRun) -> None:
+    if step.spec.is_long_running:
+        return
+    step.finish(task)
+    if not step.is_done:
+        return
+    unblock(job)
+    if not job.is_ended and all(one.is_done for one in job.steps.values()):
+        job.state = JobState.completed
+
+
+@_RULES.register(EndKind.failed.value)
+def _end_failed(job: JobRun, step: StepRun, task: TaskRun) -> None:
+    if step.spec.is_long_running:
+        return
+    if step.spec.is_gang and step.failed_attempt == task.attempt:
+        return
+    step.failed_attempt = task.attempt
+    for member in step.tasks if step.spec.is_gang else [task]:
+        member.failures_count += 1
+    if task.failures_count >= job.terms.max_attempts and not job.is_ended:
+        job.state = JobState.failed
+
+
+__all__ = ('EndKind', 'apply_end')
--- /dev/null
+++ b/src/radishlift/steps/progress.py
@@ -0,0 +1,82 @@
+"""Stored form of what has become of a job's tasks.
+
+Tasks of which nothing has happened are left out, so that the row of a job
+grows only with what there is to tell.
+"""
+
+from collections.abc import Mapping
+from typing import Any
+
+from radishlift.steps.ids import TargetId
+from radishlift.steps.runs import (
+    JobRun,
+    JobState,
+    StepRun,
+    TaskRun,
+    TaskState,
+    unblock,
+)
+
+
+def dump_progress(job: JobRun) -> dict[str, Any]:
+    """Converts the progress of a job to plain data."""
+    if job.is_ended and not any(
+        task.state is TaskState.placed for task in job.all_tasks()
+    ):
+        return {'state': job.state.value, 'steps': []}
+    return {
+        'state': job.state.value,
+        'steps': [
+            [*place, tasks]
+            for place, step in job.steps.items()
+            if (tasks := _dump_tasks(step))
+        ],
+    }
+
+
+def _dump_tasks(step: StepRun) -> list[list[Any]]:
+    return [
+        [
+            task.key.number,
+            task.state.value,
+            task.attempt,
+            task.failures_count,
+            task.target_id,
+            task.checkpoint,
+        ]
+        for task in step.tasks
+        if task.attempt
+    ]
+
+
+def load_progress(job: JobRun, plain: Mapping[str, Any]) -> None:
+    """Sets the progress of a newly built job from plain data.
+
+    Raises KeyError, TypeError or ValueError for data of another form.
+    """
+    job.state = JobState(plain['state'])
+    job.committed_state = job.state
+    for occurrence, number, tasks in plain['steps']:
+        step = job.steps[occurrence, number]
+        for fields in tasks:
+            _load_task(step, fields)
+            job.has_begun = True
+    unblock(job)
+
+
+def _load_task(step: StepRun, fields: list[Any]) -> None:
+    index, state, attempt, failures_count, target_id, checkpoint = fields
+    task = TaskRun(
+        step.tasks[index].key,
+        TaskState(state),
+        int(attempt),
+        int(failures_count),
+        TargetId(target_id),
+        checkpoint,
+    )
+    step.tasks[index] = task
+    if task.state is TaskState.done:
+        step.undone_count -= 1
+
+
+__all__ = ('dump_progress', 'load_progress')
--- /dev/null
+++ b/src/radishlift/steps/runs.py
@@ -0,0 +1,153 @@
+"""Running state of jobs of steps."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from enum import Enum, unique
+
+from radishlift.steps.ids import StepKey, TargetId, TaskKey
+from radishlift.steps.spec import JobSpec, QueueTerms, StepSpec
+
+
+@unique
+class TaskState(Enum):
+    """State of a task; the values are stored."""
+
+    waiting = 'w'
+    placed = 'p'
+    done = 'd'
+
+
+@unique
+class JobState(Enum):
+    """State of a job as callers see it; the values are stored."""
+
+    queued = 'queued'
+    running = 'running'
+    completed = 'completed'
+    failed = 'failed'
+    cancelled = 'cancelled'
+
+
+ENDED_STATES = frozenset(
+    (JobState.completed, JobState.failed, JobState.cancelled)
+)
+
+
+@dataclass(slots=True)
+class TaskRun:
+    """A task and its latest attempt."""
+
+    key: TaskKey
+    state: TaskState = TaskState.waiting
+    attempt: int = 0
+    failures_count: int = 0
+    target_id: TargetId = TargetId('')
+    checkpoint: str = ''
+
+
+@dataclass(slots=True)
+class StepRun:
+    """One occurrence of a step.
+
+    `failed_attempt` is the latest attempt that failed; several members of a
+    gang may report the same failure.
+    """
+
+    key: StepKey
+    spec: StepSpec
+    due_at_ms: int
+    tasks: list[TaskRun]
+    undone_count: int = 0
+    is_unblocked: bool = False
+    failed_attempt: int = 0
+
+    @property
+    def is_done(self) -> bool:
+        """Tells whether all tasks have ended as done."""
+        return self.undone_count == 0
+
+    def waiting(self) -> list[TaskRun]:
+        """Lists the tasks that wait for a target."""
+        return [one for one in self.tasks if one.state is TaskState.waiting]
+
+    def finish(self, task: TaskRun) -> None:
+        """Marks a task as done; a gang ends as one."""
+        members = self.tasks if self.spec.is_gang else [task]
+        for member in members:
+            if member.state is not TaskState.done:
+                member.state = TaskState.done
+                self.undone_count -= 1
+
+
+@dataclass(slots=True)
+class JobRun:
+    """A job, its terms and the runs of its steps.
+
+    Times are Unix milliseconds. `committed_state` is the state that the
+    store holds, which is all that callers may be told.
+    """
+
+    spec: JobSpec
+    terms: QueueTerms
+    accepted_at_ms: int
+    steps: dict[tuple[int, int], StepRun] = field(default_factory=dict)
+    state: JobState = JobState.queued
+    committed_state: JobState = JobState.queued
+    has_begun: bool = False
+
+    @property
+    def is_ended(self) -> bool:
+        """Tells whether nothing of the job will start any more."""
+        return self.state in ENDED_STATES
+
+    def task(self, key: TaskKey) -> TaskRun | None:
+        """Finds a task."""
+        step = self.steps.get((key.step_key.occurrence, key.step_key.step))
+        if step is None or key.number >= len(step.tasks):
+            return None
+        return step.tasks[key.number]
+
+    def all_tasks(self) -> Iterator[TaskRun]:
+        """Yields all tasks."""
+        for step in self.steps.values():
+            yield from step.tasks
+
+
+def build_job(spec: JobSpec, terms: QueueTerms, accepted_at_ms: int) -> JobRun:
+    """Creates the running state of a job of which nothing has run."""
+    job = JobRun(spec, terms, accepted_at_ms)
+    for occurrence in range(max(spec.repeats_count, 1)):
+        due_at_ms = accepted_at_ms
+        if spec.repeats_count or spec.starts_at_ms:
+            due_at_ms = spec.starts_at_ms + occurrence * spec.interval_ms
+        for number, step in enumerate(spec.steps):
+            key = StepKey(spec.job_id, occurrence, number)
+            tasks = [
+                TaskRun(TaskKey(key, at)) for at in range(step.tasks_count)
+            ]
+            run = StepRun(key, step, due_at_ms, tasks, len(tasks))
+            job.steps[occurrence, number] = run
+    unblock(job)
+    return job
+
+
+def unblock(job: JobRun) -> None:
+    """Marks the steps whose earlier steps are all done."""
+    for (occurrence, _), step in job.steps.items():
+        if not step.is_unblocked:
+            step.is_unblocked = all(
+                job.steps[occurrence, earlier].is_done
+                for earlier in step.spec.depends_on
+            )
+
+
+__all__ = (
+    'ENDED_STATES',
+    'JobRun',
+    'JobState',
+    'StepRun',
+    'TaskRun',
+    'TaskState',
+    'build_job',
+    'unblock',
+)
--- /dev/null
+++ b/src/radishlift/steps/tickets.py
@@ -0,0 +1,74 @@
+"""Permissions of the advice service, which bind steps to targets.
+
+The targets that may run a step never change, but a ticket is valid only for
+some time: a target that is known to be allowed may need a new ticket.
+"""
+
+from collections.abc import Collection, Iterable
+from dataclasses import dataclass, field
+
+from radishlift.steps.ids import StepKey, TargetId
+
+
+@dataclass(frozen=True, slots=True)
+class Ticket:
+    """Permission to start the tasks of a step on a target."""
+
+    text: str
+    expires_at_ms: int
+
+
+@dataclass(slots=True)
+class StepAdvice:
+    """What is known about the targets of one step."""
+
+    asked: set[TargetId] = field(default_factory=set)
+    allowed: dict[TargetId, Ticket] = field(default_factory=dict)
+    is_asking: bool = False
+    retry_at_ms: int = 0
+
+
+class TicketBook:
+    """Advice of all steps that still wait for targets."""
+
+    def __init__(self) -> None:
+        self._steps: dict[StepKey, StepAdvice] = {}
+
+    def of(self, key: StepKey) -> StepAdvice:
+        """Returns the advice of a step."""
+        return self._steps.setdefault(key, StepAdvice())
+
+    def begin(self, key: StepKey) -> None:
+        """Notes that the service is being asked."""
+        self.of(key).is_asking = True
+
+    def learn(
+        self,
+        key: StepKey,
+        asked: Collection[TargetId],
+        tickets: Iterable[tuple[TargetId, Ticket]],
+    ) -> None:
+        """Takes over an answer."""
+        advice = self.of(key)
+        advice.is_asking = False
+        advice.asked.update(asked)
+        advice.allowed.update(tickets)
+
+    def fail(self, key: StepKey, retry_at_ms: int) -> None:
+        """Notes that the service gave no answer."""
+        advice = self.of(key)
+        advice.is_asking = False
+        advice.retry_at_ms = retry_at_ms
+
+    def expire(self, key: StepKey, target_id: TargetId) -> None:
+        """Drops a ticket that the target did not accept."""
+        advice = self.of(key)
+        if target_id in advice.allowed:
+            advice.allowed[target_id] = Ticket('', 0)
+
+    def forget(self, key: StepKey) -> None:
+        """Drops the advice of a step that needs none any more."""
+        self._steps.pop(key, None)
+
+
+__all__ = ('StepAdvice', 'Ticket', 'TicketBook')
