--- a/src/radishlift/cell/advising.py
+++ b/src/radishlift/cell/advising.py
@@ -13,7 +13,7 @@
 from radishlift.cell.ports import AdviceAnswer, AdviceCalls
 from radishlift.cell.scheduler import Scheduler
 from radishlift.core.clock import Clock
-from radishlift.core.errors import Failure
+from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import DaemonId, JobId
 from radishlift.core.logs import log_event
 from radishlift.steps.asking import AdviceRequest
@@ -24,6 +24,8 @@
 _SLACK_MS: Final = 600
 # A daemon that did not answer is left out for so long.
 _AVOID_MS: Final = 3000
+# Repeated failures prolong that up to so many times.
+_MAX_AVOIDED: Final = 10
 
 
 class AdviceHelper:
@@ -61,6 +63,7 @@
         self._daemons = daemons
         self._clock = clock
         self._busy_until_ms: dict[DaemonId, float] = {}
+        self._failures_count: dict[DaemonId, int] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def run(self) -> None:
@@ -89,8 +92,9 @@
             timeout_ms=timeout_ms,
         )
         sent_at_ms = self._clock.monotonic_ms()
-        answer = await self._network.call(daemon_id, call, timeout_ms)
+        answer = await self._call(daemon_id, call)
         if isinstance(answer, AdviseReply):
+            self._failures_count.pop(daemon_id, None)
             received_at_ms = self._clock.monotonic_ms()
             self._scheduler.learn_advice(
                 request,
@@ -98,7 +102,10 @@
                 received_at_ms,
             )
             return
-        self._busy_until_ms[daemon_id] = sent_at_ms + _AVOID_MS
+        failures_count = self._failures_count.get(daemon_id, 0) + 1
+        self._failures_count[daemon_id] = failures_count
+        avoid_ms = _AVOID_MS * min(failures_count, _MAX_AVOIDED)
+        self._busy_until_ms[daemon_id] = sent_at_ms + avoid_ms
         log_event(
             'advice_failed',
             step=request.key,
@@ -107,6 +114,23 @@
         )
         self._scheduler.fail_advice(request)
 
+    async def _call(
+        self,
+        daemon_id: DaemonId,
+        call: AdviseCall,
+    ) -> AdviseReply | Failure:
+        try:
+            # The limit includes the time to connect.
+            async with asyncio.timeout(call.timeout_ms / 1000):
+                reply: AdviseReply | Failure = await self._network.call(
+                    daemon_id,
+                    call,
+                    call.timeout_ms,
+                )
+        except TimeoutError:
+            return Failure(ErrorKind.peer_unavailable, 'no answer in time')
+        return reply
+
     def _free_at_ms(self, daemon_id: DaemonId) -> float:
         return self._busy_until_ms.get(daemon_id, 0)
 
--- a/src/radishlift/cell/commits.py
+++ b/src/radishlift/cell/commits.py
@@ -88,6 +88,8 @@
         self._waiters: list[asyncio.Future[None]] = []
         self._wake = asyncio.Event()
         self._number = 0
+        self._pulsed_at_ms = 0
+        self._is_failing = False
         self.confirmed_at_ms = clock.monotonic_ms()
         self.pulse: Callable[[], Mapping[str, Any]] = dict
 
@@ -140,12 +142,20 @@
         # Lets what happens at the same time share the transaction.
         await asyncio.sleep(0)
 
+    def _is_pulse_due(self) -> bool:
+        # All daemons read each pulse, so that most commits carry none.
+        now_ms = self._clock.monotonic_ms()
+        if now_ms - self._pulsed_at_ms < self._settings.pulse_ms:
+            return False
+        self._pulsed_at_ms = now_ms
+        return True
+
     def _collect(self) -> _Batch:
         self._number += 1
         last = {'epoch': self._claim.epoch, 'number': self._number}
         writes = [Write(COMMITS, LAST_KEY, last)]
-        pulse = {**last, **self.pulse()}
-        writes.append(Write(CELL, PULSE_KEY, pulse))
+        if self._is_pulse_due():
+            writes.append(Write(CELL, PULSE_KEY, {**last, **self.pulse()}))
         batch = _Batch(self._number, ())
         for job_id in list(self._dirty)[:_MAX_JOBS]:
             job = self._dirty.pop(job_id)
@@ -172,6 +182,7 @@
             if isinstance(outcome, Committed):
                 claim.last_version = outcome.versions[0]
                 self.confirmed_at_ms = sent_at_ms
+                self._is_failing = False
                 return CommitState.leading
             if isinstance(outcome, Conflict):
                 return self._settle_conflict(outcome, batch.number)
@@ -179,6 +190,9 @@
             await asyncio.sleep(_RETRY_MS / 1000)
 
     def _log_failure(self, failure: Failure) -> None:
+        if self._is_failing:
+            return
+        self._is_failing = True
         event = 'commit_refused'
         if failure.kind is ErrorKind.store_outcome_unknown:
             event = 'commit_outcome_unknown'
--- a/src/radishlift/cell/daemon.py
+++ b/src/radishlift/cell/daemon.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from radishlift.cell.advising import AdviceHelper
+from radishlift.cell.config_sharing import ConfigSharer
 from radishlift.cell.feeds import Followed, TableFollower
 from radishlift.cell.intake import Intake
 from radishlift.cell.leadership import CellView, Leadership
@@ -51,7 +52,19 @@
         self._view = CellView(parts.clock)
         self._network = PeerNetwork(parts.daemon_id)
         self._helper = AdviceHelper(self._network, parts.advice)
-        self.intake = Intake(parts.store, parts.clock, self._pulse)
+        self._cell_follower = self._follower(CELL)
+        self._config_follower = self._follower(CONFIG)
+        self._sharer = ConfigSharer(
+            self._network,
+            self._config_follower,
+            parts.settings,
+        )
+        self.intake = Intake(
+            parts.store,
+            parts.clock,
+            self._pulse,
+            lambda: self._cell_follower.is_lost,
+        )
         self._leadership = Leadership(
             parts.daemon_id,
             parts.store,
@@ -59,7 +72,6 @@
             parts.settings,
             parts.clock,
         )
-        self._cell_follower = self._follower(CELL)
         self._term: Term | None = None
         self._tasks: list[asyncio.Task[None]] = []
         self._is_stopping = False
@@ -75,7 +87,8 @@
         for work in (
             self._register(),
             self._cell_follower.run(self._on_cell_list, self._on_cell),
-            self._follower(CONFIG).run(self._on_config, self._on_config),
+            self._config_follower.run(self._on_config, self._on_config),
+            self._sharer.run(self._on_config),
             self._lead(),
         ):
             self._tasks.append(asyncio.create_task(work))
@@ -166,6 +179,7 @@
         if current is not None and config.version <= current.version:
             return
         self.intake.config = config
+        self._sharer.hold(rows)
         log_event('config_in_force', version=config.version)
         if self._term is not None:
             self._term.follow_config(config)
--- a/src/radishlift/cell/feeds.py
+++ b/src/radishlift/cell/feeds.py
@@ -26,6 +26,7 @@
 
     A snapshot (at the start, and when the store has dropped its history) is
     passed as a whole: the listener must take rows that it lacks as removed.
+    `is_lost` tells that the latest read failed.
     """
 
     def __init__(
@@ -40,7 +41,7 @@
         self._settings = settings
         self._clock = clock
         self._version: int | None = None
-        self._is_lost = False
+        self.is_lost = False
         self.heard_at_ms: int | None = None
 
     async def run(
@@ -76,8 +77,8 @@
             log_event('history_dropped', table=self._followed.table)
             self._version = None
             return
-        if not self._is_lost:
-            self._is_lost = True
+        if not self.is_lost:
+            self.is_lost = True
             log_event(
                 'store_lost',
                 table=self._followed.table,
@@ -87,8 +88,8 @@
 
     def _note_heard(self) -> None:
         self.heard_at_ms = self._clock.monotonic_ms()
-        if self._is_lost:
-            self._is_lost = False
+        if self.is_lost:
+            self.is_lost = False
             log_event('store_regained', table=self._followed.table)
 
 
--- a/src/radishlift/cell/intake.py
+++ b/src/radishlift/cell/intake.py
@@ -40,10 +40,12 @@
         store: CellStore,
         clock: Clock,
         pulse: Callable[[], Any],
+        is_store_lost: Callable[[], bool],
     ) -> None:
         self._store = store
         self._clock = clock
         self._pulse = pulse
+        self._is_store_lost = is_store_lost
         self.config: QueueConfig | None = None
 
     def find(self, host: str, path: str) -> Queue | Failure:
@@ -67,7 +69,14 @@
         the job is surely not stored.
         """
         row = dump_job(spec, queue.terms, self._clock.wall_ms())
-        outcome = await self._insert(JOBS, spec.job_id, row, deadline_ms)
+        if self._is_store_lost():
+            # An insert that is not tried has a certain outcome.
+            outcome: Failure | None = Failure(
+                ErrorKind.store_unavailable,
+                'store does not answer',
+            )
+        else:
+            outcome = await self._insert(JOBS, spec.job_id, row, deadline_ms)
         log_event(
             'job_submitted',
             job=spec.job_id,
--- a/src/radishlift/cell/messages.py
+++ b/src/radishlift/cell/messages.py
@@ -26,4 +26,21 @@
     valid_ms: int
 
 
-__all__ = ('AdviseCall', 'AdviseReply')
+@message('config_ask')
+@dataclass(frozen=True, slots=True)
+class ConfigAsk:
+    """Asks a daemon for the configuration if it is newer than a row."""
+
+    row_version: int
+
+
+@message('config_told')
+@dataclass(frozen=True, slots=True)
+class ConfigTold:
+    """The row of the configuration as JSON; empty if it is not newer."""
+
+    row_version: int
+    text: str
+
+
+__all__ = ('AdviseCall', 'AdviseReply', 'ConfigAsk', 'ConfigTold')
--- a/src/radishlift/cell/scheduler.py
+++ b/src/radishlift/cell/scheduler.py
@@ -167,11 +167,13 @@
         seen: set[TaskKey] = set()
         for ended in report.ended:
             seen.add(ended.key)
+            self.on_started(ended.key)
             self._end(
                 session, ended.key, ended.attempt, ended.how, ended.checkpoint
             )
         for running in report.running:
             seen.add(running.key)
+            self.on_started(running.key)
             self._check_running(session, running.key, running.attempt)
         for key, booking in list(session.target.bookings.items()):
             is_due = not session.is_starting(key, booking.attempt)
@@ -182,6 +184,12 @@
             if key not in seen and is_due:
                 self._end(session, key, booking.attempt, EndKind.lost, '')
 
+    def on_started(self, key: TaskKey) -> None:
+        """Takes a task that a target has begun."""
+        job = self._jobs.get(key.step_key.job_id)
+        if job is not None:
+            job.has_begun = True
+
     def on_not_started(
         self,
         session: TargetSession,
--- a/src/radishlift/cell/sessions.py
+++ b/src/radishlift/cell/sessions.py
@@ -21,7 +21,6 @@
 from radishlift.steps.ids import Fence, Life, TargetId, TaskKey
 from radishlift.steps.targets import Target, TargetState
 
-
 _RAN = frozenset((StartVerdict.started, StartVerdict.superseded))
 
 
@@ -31,6 +30,9 @@
     def on_report(self, session: 'TargetSession', report: HoldReport) -> None:
         """Takes a target's lists."""
 
+    def on_started(self, key: TaskKey) -> None:
+        """Takes a task that a target has begun."""
+
     def on_not_started(
         self,
         session: 'TargetSession',
@@ -284,6 +286,8 @@
         self._orders.listed_from_ms[order.key] = self._now_ms()
         self._orders.starting.pop(order.key, None)
         self.wake()
+        if verdict in _RAN:
+            self._context.listener.on_started(order.key)
         if not ran:
             self._context.listener.on_not_started(
                 self,
--- a/src/radishlift/cell/settings.py
+++ b/src/radishlift/cell/settings.py
@@ -23,6 +23,8 @@
     - `feed_wait_ms`: how long the store waits for changes.
     - `short_wait_ms`: the same for the rows of the cell and the
       configuration, so that a silent connection is noticed soon.
+    - `share_config_ms`: a daemon that can't read the store asks a peer for the
+      configuration this often.
     - `feed_retry_ms`: pause after a failed read of the store.
     - `feed_gap_ms`: pause between reads of the targets' entries, which change
       with every heartbeat.
@@ -42,6 +44,7 @@
     tick_ms: int = 10
     feed_wait_ms: int = 5000
     short_wait_ms: int = 1000
+    share_config_ms: int = 300
     feed_retry_ms: int = 150
     feed_gap_ms: int = 100
     forget_ended_ms: int = 180_000
--- a/src/radishlift/platform/http.py
+++ b/src/radishlift/platform/http.py
@@ -1,5 +1,6 @@
 """JSON over HTTP to the services and targets of the platform."""
 
+import asyncio
 import json
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -16,10 +17,12 @@
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import Address
 
-# Above the 64 connections that a target accepts, and the calls that wait.
-_MAX_CONNECTIONS = 1000
+# Targets accept 64 connections from all daemons together.
+_MAX_CONNECTIONS = 60
 # Below the 15 s after which the platform closes idle connections.
 _KEEP_ALIVE_S = 10
+# Above the longest timeout of a call.
+_RETIRED_S = 10
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,10 +34,16 @@
 
 
 class JsonClient:
-    """Sends calls; shared by the clients of all services."""
+    """Sends calls; shared by the clients of all services.
+
+    Each address has connections of its own. A call without an answer may
+    have met a connection that went silent, and the idle ones to the address
+    are as old: they are all replaced.
+    """
 
     def __init__(self) -> None:
-        self._session: ClientSession | None = None
+        self._sessions: dict[Address, ClientSession] = {}
+        self._closing: set[asyncio.Task[None]] = set()
         self.calls_count = 0
 
     async def call(
@@ -53,8 +62,9 @@
         """
         self.calls_count += 1
         sent = None if body is None else json.dumps(body).encode()
+        session = self._session(address)
         try:
-            async with self._open().request(
+            async with session.request(
                 method,
                 f'http://{address}{path}',
                 data=sent,
@@ -66,28 +76,46 @@
             return Failure(ErrorKind.peer_unavailable, str(refused))
         except TimeoutError:
             reason = f'no answer in {timeout_ms} ms'
-            return Failure(ErrorKind.peer_outcome_unknown, reason)
         except (ClientError, OSError, ValueError) as error:
-            return Failure(ErrorKind.peer_outcome_unknown, repr(error))
+            reason = repr(error)
+        self._retire(address, session)
+        return Failure(ErrorKind.peer_outcome_unknown, reason)
 
     async def close(self) -> None:
         """Closes all connections."""
-        if self._session is not None:
-            await self._session.close()
-
-    def _open(self) -> ClientSession:
-        # aiohttp's session must be created inside the running loop.
-        if self._session is None:
+        for task in self._closing:
+            task.cancel()
+        for session in self._sessions.values():
+            await session.close()
+
+    def _session(self, address: Address) -> ClientSession:
+        session = self._sessions.get(address)
+        if session is None:
             connector = TCPConnector(
                 limit=_MAX_CONNECTIONS,
                 keepalive_timeout=_KEEP_ALIVE_S,
                 use_dns_cache=False,
             )
-            self._session = ClientSession(
+            session = ClientSession(
                 connector=connector,
                 headers={'Content-Type': 'application/json'},
             )
-        return self._session
+            self._sessions[address] = session
+        return session
+
+    def _retire(self, address: Address, session: ClientSession) -> None:
+        if self._sessions.get(address) is not session:
+            return
+        del self._sessions[address]
+        task = asyncio.create_task(_close_later(session))
+        self._closing.add(task)
+        task.add_done_callback(self._closing.discard)
+
+
+async def _close_later(session: ClientSession) -> None:
+    # Calls that are under way on it end first.
+    await asyncio.sleep(_RETIRED_S)
+    await session.close()
 
 
 def _decode(status: int, body: bytes) -> JsonAnswer:
--- a/src/radishlift/platform/main.py
+++ b/src/radishlift/platform/main.py
@@ -78,6 +78,7 @@
     stopped = asyncio.Event()
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, stopped.set)
+    loop.add_signal_handler(signal.SIGHUP, _reread, settings)
     await daemon.start()
     front = Front(daemon.intake, clock)
     await _serve(settings.front_address, front.handle)
@@ -91,6 +92,15 @@
     log_event('drain_ended')
 
 
+def _reread(running: HostSettings) -> None:
+    """Reads the changed settings; addresses take effect at a restart."""
+    settings = read_host_settings(Path(os.environ[SETTINGS_VARIABLE]))
+    if isinstance(settings, Failure):
+        log_event('settings_refused', reason=settings.reason)
+        return
+    log_event('settings_reloaded', is_changed=settings != running)
+
+
 def _config_in(rows: tuple[Row, ...]) -> QueueConfig | Failure | None:
     for row in rows:
         if row.key == CONFIG_KEY and row.value is not None:
--- a/src/radishlift/platform/store.py
+++ b/src/radishlift/platform/store.py
@@ -21,6 +21,8 @@
 _PAGE: Final = 500
 # A slow store takes up to 60 times its usual 5 ms, each way of a commit.
 _TIMEOUT_MS: Final = 1500
+# Changes must be in force within 2 s even if a connection goes silent.
+_FEED_SLACK_MS: Final = 800
 
 
 class PlatformStore:
@@ -90,7 +92,7 @@
                 'dependsOn': after_version,
                 'waitMs': wait_ms,
             },
-            wait_ms + _TIMEOUT_MS,
+            wait_ms + _FEED_SLACK_MS,
         )
         if isinstance(answer, Failure):
             return answer
--- a/src/radishlift/steps/planner.py
+++ b/src/radishlift/steps/planner.py
@@ -136,7 +136,6 @@
         attempts = [one.task.attempt for one in placements]
         # All members of a gang carry the same attempt.
         gang_attempt = max(attempts) + 1
-        job.has_begun = True
         for one in placements:
             task = one.task
             task.attempt = (
--- a/src/radishlift/steps/progress.py
+++ b/src/radishlift/steps/progress.py
@@ -60,7 +60,10 @@
         step = job.steps[occurrence, number]
         for fields in tasks:
             _load_task(step, fields)
-            job.has_begun = True
+    job.has_begun = any(
+        task.state is TaskState.done or task.failures_count
+        for task in job.all_tasks()
+    )
     unblock(job)
 
 
