End the attempts of targets that left before a takeover

Starts were also sent to targets whose clock was unknown, and refused as late. Change: the check runs in each tick, its time follows from the lease alone; a target takes tasks after its first answer; unchanged heartbeats wake nothing.

--- a/src/radishlift/cell/leases.py
+++ b/src/radishlift/cell/leases.py
@@ -6,6 +6,20 @@
 _MARGIN_MS = 100
 
 
+def inherited_lapse_ms(
+    settings: CellSettings,
+    max_lease_ms: int,
+    inherited_at_ms: int,
+) -> int:
+    """Returns when leases of a predecessor have surely lapsed.
+
+    It may have prolonged them until it was sure not to lead any more.
+    """
+    length_ms = max_lease_ms * settings.lease_share
+    longest_ms = int(length_ms / (1 - settings.clock_drift))
+    return inherited_at_ms + settings.unconfirmed_ms + longest_ms + _MARGIN_MS
+
+
 class TargetLease:
     """Knows until when a target may run what it was told to run.
 
@@ -25,13 +39,10 @@
         self._clock_ms = 0
         self._sampled_at_ms: int | None = None
         self._until_ms: int | None = None
-        # A predecessor may have prolonged the lease until it was sure not to
-        # lead any more.
-        self._inherited_until_ms = (
-            inherited_at_ms
-            + settings.unconfirmed_ms
-            + int(self._length_ms / (1 - self._drift))
-            + _MARGIN_MS
+        self._inherited_until_ms = inherited_lapse_ms(
+            settings,
+            max_lease_ms,
+            inherited_at_ms,
         )
 
     def learn(self, clock_ms: int, received_at_ms: int) -> None:
@@ -68,4 +79,4 @@
         self._until_ms = None
 
 
-__all__ = ('TargetLease',)
+__all__ = ('TargetLease', 'inherited_lapse_ms')
--- a/src/radishlift/cell/scheduler.py
+++ b/src/radishlift/cell/scheduler.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from radishlift.cell.commits import CommitLog
+from radishlift.cell.leases import inherited_lapse_ms
 from radishlift.cell.ports import (
     AdviceAnswer,
     HoldReport,
@@ -74,7 +75,11 @@
             context.max_lease_ms,
             lambda: log.is_confirmed,
         )
-        self._orphaned_from_ms = context.clock.monotonic_ms()
+        self._orphans_lapse_at_ms = inherited_lapse_ms(
+            context.settings,
+            context.max_lease_ms,
+            context.clock.monotonic_ms(),
+        )
         self.questions: asyncio.Queue[AdviceRequest] = asyncio.Queue()
         self.fenced = asyncio.Event()
         log.pulse = self.pulse
@@ -133,13 +138,16 @@
                 state=entry.state,
                 remaining_ms=entry.remaining_ms,
             )
+        if known is None or known.entry != entry:
+            self._wake.set()
         target = self._targets.update(entry)
         for task, step in self._placed.pop(entry.target_id, ()):
             target.book(task.key, task.attempt, step.spec.booked)
         if entry.target_id not in self._sessions:
+            # Its clock is unknown before it has answered once.
+            target.is_reachable = False
             session = TargetSession(target, self._session_context)
             self._sessions[entry.target_id] = session
-        self._wake.set()
 
     def remove_target(self, target_id: TargetId) -> None:
         """Drops a target that has left; one that fell silent may run on."""
@@ -266,8 +274,9 @@
                 async with asyncio.timeout(self._pause_ms() / 1000):
                     await self._wake.wait()
             except TimeoutError:
-                self._end_orphans()
+                pass
             self._wake.clear()
+            self._end_orphans()
             self._tick()
             await asyncio.sleep(self._context.settings.tick_ms / 1000)
 
@@ -447,25 +456,18 @@
             self._end(session, key, booking.attempt, EndKind.lost, '')
 
     def _end_orphans(self) -> None:
-        """Ends attempts on targets that have no entry any more."""
-        passed_ms = self._context.clock.monotonic_ms() - self._orphaned_from_ms
-        settings = self._context.settings
-        if passed_ms < settings.unconfirmed_ms + self._context.max_lease_ms:
+        """Ends attempts on targets without an entry, once they lapsed."""
+        now_ms = self._context.clock.monotonic_ms()
+        if not self._placed or now_ms < self._orphans_lapse_at_ms:
             return
-        for job in self._jobs.values():
-            for task in list(job.all_tasks()):
-                is_orphan = (
-                    task.state is TaskState.placed
-                    and task.target_id not in self._sessions
-                )
-                if is_orphan and apply_end(
-                    job,
-                    task.key,
-                    task.attempt,
-                    EndKind.lost,
-                    '',
-                ):
+        for placed in self._placed.values():
+            for task, _ in placed:
+                job = self._jobs[task.key.step_key.job_id]
+                if apply_end(job, task.key, task.attempt, EndKind.lost, ''):
+                    log_event('task_orphaned', task=task.key)
+                    self._stop_gang(job, task.key)
                     self._note(job)
+        self._placed.clear()
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/radishlift/core/events.py
+++ b/src/radishlift/core/events.py
@@ -61,6 +61,7 @@
     'store_lost',
     'target_distrusted',
     'target_lapsed',
+    'task_orphaned',
     'target_lost',
     'tls_files_unreadable',
     'unknown_message',
