Put the newest of several configurations in force

Ruled out: sharing between peers, the store's history. Change: the row with the highest version is taken.

--- a/src/radishlift/platform/main.py
+++ b/src/radishlift/platform/main.py
@@ -102,10 +102,14 @@
 
 
 def _config_in(rows: tuple[Row, ...]) -> QueueConfig | Failure | None:
-    for row in rows:
-        if row.key == CONFIG_KEY and row.value is not None:
-            return decode_config(row.value)
-    return None
+    """Decodes the newest configuration; changes may hold several."""
+    written = [
+        row for row in rows if row.key == CONFIG_KEY and row.value is not None
+    ]
+    if not written:
+        return None
+    newest = max(written, key=lambda row: row.version)
+    return decode_config(newest.value or {})
 
 
 def _readiness(daemon: CellDaemon) -> Handler:
