--- /dev/null
+++ b/src/radishlift/cell/attempts.py
@@ -0,0 +1,196 @@
+"""What targets say of attempts, and what follows for tasks and jobs."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from radishlift.cell.fleet import TargetFleet
+from radishlift.cell.job_table import JobTable
+from radishlift.cell.ports import EndedAttempt, HoldReport, StartVerdict
+from radishlift.cell.sessions import TargetSession
+from radishlift.core.clock import Clock
+from radishlift.core.logs import log_event
+from radishlift.steps.endings import EndKind, apply_end
+from radishlift.steps.ids import TaskKey
+from radishlift.steps.runs import JobRun, TaskState
+from radishlift.steps.tickets import TicketBook
+
+
+class AttemptTracker:
+    """Listens to the sessions with all targets."""
+
+    def __init__(
+        self,
+        jobs: JobTable,
+        fleet: TargetFleet,
+        tickets: TicketBook,
+        clock: Clock,
+        wake: Callable[[], None],
+        settled: Callable[[], Awaitable[None]],
+    ) -> None:
+        self._jobs = jobs
+        self._fleet = fleet
+        self._tickets = tickets
+        self._clock = clock
+        self._wake = wake
+        self._settled = settled
+        self.fenced = asyncio.Event()
+
+    def end_lost(self, key: TaskKey, attempt: int) -> None:
+        """Ends an attempt whose target can't be asked any more."""
+        job = self._jobs.get(key.step_key.job_id)
+        ended = EndedAttempt(0, key, attempt, EndKind.lost)
+        if job is not None and _apply(job, ended):
+            self._follow_end(job, ended)
+
+    def on_report(self, session: TargetSession, report: HoldReport) -> None:
+        """Takes a target's lists of running and ended attempts."""
+        seen: set[TaskKey] = set()
+        for ended in report.ended:
+            seen.add(ended.key)
+            self.on_started(ended.key)
+            self._end(session, ended)
+        for running in report.running:
+            seen.add(running.key)
+            self.on_started(running.key)
+            if not self._is_wanted(session, running.key, running.attempt):
+                session.stop(running.key, running.attempt)
+        for key, attempt in session.listing.missing(
+            seen,
+            session.asked_at_ms,
+        ):
+            self._end(session, EndedAttempt(0, key, attempt, EndKind.lost))
+
+    def on_started(self, key: TaskKey) -> None:
+        """Takes a task that a target has begun."""
+        job = self._jobs.get(key.step_key.job_id)
+        if job is not None:
+            job.has_begun = True
+
+    def on_not_started(
+        self,
+        session: TargetSession,
+        key: TaskKey,
+        attempt: int,
+        verdict: StartVerdict,
+    ) -> None:
+        """Takes an attempt that surely never runs."""
+        log_event(
+            'start_refused',
+            task=key,
+            attempt=attempt,
+            target=session.target_id,
+            verdict=verdict,
+        )
+        if verdict is StartVerdict.bad_ticket:
+            self._tickets.expire(key.step_key, session.target_id)
+        if verdict is StartVerdict.refused:
+            self._fleet.distrust(session.target, self._clock.monotonic_ms())
+        self.end_unsent(session, key, attempt)
+
+    def end_unsent(
+        self,
+        session: TargetSession,
+        key: TaskKey,
+        attempt: int,
+    ) -> None:
+        """Ends an attempt that was not started."""
+        self._end(session, EndedAttempt(0, key, attempt, EndKind.lost))
+
+    def on_lapsed(self, session: TargetSession) -> None:
+        """Takes the end of all attempts of a silent target."""
+        if session.target.bookings:
+            log_event('target_lapsed', target=session.target_id)
+        self.end_all(session)
+        if not session.target.is_listed:
+            self._fleet.drop(session.target_id)
+
+    def on_reachable(self, session: TargetSession) -> None:
+        """Takes a target that answers, or not any more."""
+        self._wake()
+
+    def on_fenced(self) -> None:
+        """Takes the proof that a later leader gives orders."""
+        self.fenced.set()
+
+    async def committed(self) -> None:
+        """Waits until all changes so far are committed."""
+        await self._settled()
+
+    def end_all(self, session: TargetSession) -> None:
+        """Ends all attempts of a target that runs nothing any more."""
+        for key, booking in list(session.target.bookings.items()):
+            self.end_unsent(session, key, booking.attempt)
+
+    def stop_tasks(self, job: JobRun) -> None:
+        """Stops all that runs of a job."""
+        for task in job.all_tasks():
+            if task.state is TaskState.placed:
+                self._fleet.stop(task.target_id, task.key, task.attempt)
+
+    def _end(self, session: TargetSession, ended: EndedAttempt) -> None:
+        session.target.release(ended.key, ended.attempt)
+        session.listing.forget(ended.key)
+        self._wake()
+        job = self._jobs.get(ended.key.step_key.job_id)
+        task = None if job is None else job.task(ended.key)
+        if job is None or task is None:
+            return
+        if task.target_id != session.target_id or not _apply(job, ended):
+            return
+        log_event(
+            'task_ended',
+            task=ended.key,
+            attempt=ended.attempt,
+            target=session.target_id,
+            how=ended.how,
+        )
+        if ended.how in {EndKind.done, EndKind.failed}:
+            self._fleet.judge(
+                session.target,
+                self._clock.monotonic_ms(),
+                is_failure=ended.how is EndKind.failed,
+            )
+        self._follow_end(job, ended)
+
+    def _follow_end(self, job: JobRun, ended: EndedAttempt) -> None:
+        if job.is_ended:
+            log_event('job_ended', job=job.spec.job_id, state=job.state)
+        if ended.how is not EndKind.done:
+            self._stop_gang(job, ended.key)
+        if job.is_ended and ended.how is EndKind.failed:
+            self.stop_tasks(job)
+        self._jobs.note(job)
+
+    def _is_wanted(
+        self,
+        session: TargetSession,
+        key: TaskKey,
+        attempt: int,
+    ) -> bool:
+        job = self._jobs.get(key.step_key.job_id)
+        task = None if job is None else job.task(key)
+        if job is None or task is None or job.is_ended:
+            return False
+        current = TaskState.placed, attempt, session.target_id
+        return (task.state, task.attempt, task.target_id) == current
+
+    def _stop_gang(self, job: JobRun, key: TaskKey) -> None:
+        step = self._jobs.step(key.step_key)
+        if step is None or not step.spec.is_gang:
+            return
+        for member in step.tasks:
+            if member.state is TaskState.placed:
+                self._fleet.stop(member.target_id, member.key, member.attempt)
+
+
+def _apply(job: JobRun, ended: EndedAttempt) -> bool:
+    return apply_end(
+        job,
+        ended.key,
+        ended.attempt,
+        ended.how,
+        ended.checkpoint,
+    )
+
+
+__all__ = ('AttemptTracker',)
--- a/src/radishlift/cell/commits.py
+++ b/src/radishlift/cell/commits.py
@@ -163,7 +163,8 @@
             batch.states.append((job, job.state))
             batch.effects.extend(self._effects.pop(job_id, ()))
         if not self._dirty:
-            batch.waiters, self._waiters = self._waiters, []
+            batch.waiters = self._waiters
+            self._waiters = []
         batch.writes = tuple(writes)
         return batch
 
--- a/src/radishlift/cell/daemon.py
+++ b/src/radishlift/cell/daemon.py
@@ -116,7 +116,7 @@
 
     def _pulse(self) -> dict[str, object]:
         if self._term is not None:
-            return self._term.scheduler.pulse()
+            return self._term.scheduler.jobs.pulse()
         pulse: dict[str, object] = self._view.pulse
         return pulse
 
--- /dev/null
+++ b/src/radishlift/cell/fleet.py
@@ -0,0 +1,84 @@
+"""The targets of a leader and its sessions with them."""
+
+from collections.abc import Iterator
+
+from radishlift.cell.session_context import SessionContext
+from radishlift.cell.sessions import TargetSession
+from radishlift.core.logs import log_event
+from radishlift.steps.ids import TargetId, TaskKey
+from radishlift.steps.settings import StepSettings
+from radishlift.steps.targets import Target, TargetEntry, TargetTable
+
+
+class TargetFleet:
+    """Opens a session with each target and closes it when it has left."""
+
+    def __init__(self, targets: TargetTable, settings: StepSettings) -> None:
+        self._targets = targets
+        self._settings = settings
+        self._sessions: dict[TargetId, TargetSession] = {}
+
+    def __iter__(self) -> Iterator[TargetId]:
+        return iter(list(self._sessions))
+
+    def session(self, target_id: TargetId) -> TargetSession | None:
+        """Finds the session with a target."""
+        return self._sessions.get(target_id)
+
+    def target(self, target_id: TargetId) -> Target | None:
+        """Finds a target."""
+        return self._targets.get(target_id)
+
+    def update(self, entry: TargetEntry, context: SessionContext) -> bool:
+        """Takes a target's entry; tells whether it says something new."""
+        known = self._targets.get(entry.target_id)
+        is_new = known is None or known.entry != entry
+        if known is not None and known.entry.state is not entry.state:
+            log_event(
+                'target_state',
+                target=entry.target_id,
+                state=entry.state,
+                remaining_ms=entry.remaining_ms,
+            )
+        target = self._targets.update(entry)
+        if entry.target_id not in self._sessions:
+            # Its clock is unknown before it has answered once.
+            target.is_reachable = False
+            session = TargetSession(target, context)
+            self._sessions[entry.target_id] = session
+        return is_new
+
+    def drop(self, target_id: TargetId) -> None:
+        """Forgets a target that runs nothing any more."""
+        log_event('target_removed', target=target_id)
+        self._sessions.pop(target_id).close()
+        self._targets.remove(target_id)
+
+    def stop(self, target_id: TargetId, key: TaskKey, attempt: int) -> None:
+        """Stops an attempt, if its target is known."""
+        session = self._sessions.get(target_id)
+        if session is not None:
+            session.stop(key, attempt)
+
+    def judge(self, target: Target, now_ms: int, *, is_failure: bool) -> None:
+        """Keeps work away from a target that fails what it starts."""
+        if not is_failure:
+            target.failures_in_row_count = 0
+            return
+        target.failures_in_row_count += 1
+        if target.failures_in_row_count >= self._settings.distrust_after_count:
+            self.distrust(target, now_ms)
+
+    def distrust(self, target: Target, now_ms: int) -> None:
+        """Keeps new work away from a target for a while."""
+        target.failures_in_row_count = 0
+        target.distrusted_until_ms = now_ms + self._settings.distrust_ms
+        log_event('target_distrusted', target=target.entry.target_id)
+
+    def close(self) -> None:
+        """Ends all conversations; the targets are left as they are."""
+        for session in self._sessions.values():
+            session.close()
+
+
+__all__ = ('TargetFleet',)
--- /dev/null
+++ b/src/radishlift/cell/inheritance.py
@@ -0,0 +1,52 @@
+"""Attempts that an earlier leader placed."""
+
+from radishlift.cell.attempts import AttemptTracker
+from radishlift.cell.fleet import TargetFleet
+from radishlift.cell.job_table import JobTable
+from radishlift.core.logs import log_event
+from radishlift.steps.ids import TargetId
+from radishlift.steps.runs import TaskRun, TaskState
+
+
+class InheritedAttempts:
+    """Books attempts with their targets; ends those without a target.
+
+    A target that left before the takeover has no entry and can't be asked;
+    what ran there has ended once the leases of the earlier leader lapsed.
+    """
+
+    def __init__(
+        self,
+        jobs: JobTable,
+        fleet: TargetFleet,
+        tracker: AttemptTracker,
+    ) -> None:
+        self._jobs = jobs
+        self._fleet = fleet
+        self._tracker = tracker
+        self._tasks: dict[TargetId, list[TaskRun]] = {}
+
+    def collect(self) -> None:
+        """Finds placed tasks in the progress that was read."""
+        for job in self._jobs:
+            for task in job.all_tasks():
+                if task.state is TaskState.placed:
+                    self._tasks.setdefault(task.target_id, []).append(task)
+
+    def book(self, target_id: TargetId) -> None:
+        """Books what was placed on a target."""
+        target = self._fleet.target(target_id)
+        for task in self._tasks.pop(target_id, ()):
+            step = self._jobs.step(task.key.step_key)
+            if target is not None and step is not None:
+                target.book(task.key, task.attempt, step.spec.booked)
+
+    def end_rest(self) -> None:
+        """Ends what was placed on targets without an entry."""
+        for target_id in list(self._tasks):
+            for task in self._tasks.pop(target_id):
+                log_event('task_orphaned', task=task.key, target=target_id)
+                self._tracker.end_lost(task.key, task.attempt)
+
+
+__all__ = ('InheritedAttempts',)
--- /dev/null
+++ b/src/radishlift/cell/job_table.py
@@ -0,0 +1,99 @@
+"""The jobs of a leader, and what of them is noted in the store."""
+
+from collections.abc import Iterator
+from typing import Any
+
+from radishlift.cell.commits import CommitLog, Effect
+from radishlift.cell.queues import QueueConfig
+from radishlift.core.clock import Clock
+from radishlift.core.ids import JobId
+from radishlift.core.logs import log_event
+from radishlift.steps.ids import StepKey
+from radishlift.steps.planner import Planner
+from radishlift.steps.runs import JobRun, JobState, StepRun
+
+
+class JobTable:
+    """All jobs by id; changes reach the planner and the store."""
+
+    def __init__(self, planner: Planner, log: CommitLog, clock: Clock) -> None:
+        self._planner = planner
+        self._log = log
+        self._clock = clock
+        self._jobs: dict[JobId, JobRun] = {}
+        self._ended_at_ms: dict[JobId, int] = {}
+
+    def __iter__(self) -> Iterator[JobRun]:
+        return iter(self._jobs.values())
+
+    def __contains__(self, job_id: JobId) -> bool:
+        return job_id in self._jobs
+
+    def get(self, job_id: JobId) -> JobRun | None:
+        """Finds a job."""
+        return self._jobs.get(job_id)
+
+    def step(self, key: StepKey) -> StepRun | None:
+        """Finds a step of a job."""
+        job = self._jobs.get(key.job_id)
+        if job is None:
+            return None
+        return job.steps.get((key.occurrence, key.step))
+
+    def add(self, job: JobRun) -> None:
+        """Takes a job from the store; a known one is left as it is."""
+        job_id = job.spec.job_id
+        if job_id in self._jobs:
+            return
+        self._jobs[job_id] = job
+        self._note_end(job)
+        self._planner.refresh(job)
+
+    def note(self, job: JobRun, effect: Effect | None = None) -> None:
+        """Commits a changed job; an effect follows the commit."""
+        self._note_end(job)
+        self._planner.refresh(job)
+        self._log.note(job, effect)
+
+    def end(self, job: JobRun, state: JobState) -> None:
+        """Ends a job early."""
+        job.state = state
+        log_event('job_ended', job=job.spec.job_id, state=state)
+        self.note(job)
+
+    def follow_config(self, config: QueueConfig) -> None:
+        """Takes over the newest terms for jobs that have not ended."""
+        for job in self._jobs.values():
+            queue = config.named(job.terms.queue)
+            if queue is not None and not job.is_ended:
+                job.terms = queue.terms
+
+    def pulse(self) -> dict[str, Any]:
+        """Tells the other daemons how many jobs have not begun."""
+        pending: dict[str, int] = {}
+        for job in self._jobs.values():
+            if not job.has_begun and not job.is_ended:
+                queue = job.terms.queue
+                pending[queue] = pending.get(queue, 0) + 1
+        return {'pending': pending}
+
+    def ended_before(self, limit_ms: int) -> list[JobId]:
+        """Lists jobs that ended before a monotonic time."""
+        return [
+            job_id
+            for job_id, ended_at_ms in self._ended_at_ms.items()
+            if ended_at_ms < limit_ms
+        ]
+
+    def forget(self, job_id: JobId) -> None:
+        """Drops an ended job."""
+        del self._jobs[job_id]
+        del self._ended_at_ms[job_id]
+
+    def _note_end(self, job: JobRun) -> None:
+        if job.is_ended:
+            now_ms = self._clock.monotonic_ms()
+            self._ended_at_ms.setdefault(job.spec.job_id, now_ms)
+
+
+__all__ = ('JobTable',)
--- a/src/radishlift/cell/leading.py
+++ b/src/radishlift/cell/leading.py
@@ -11,7 +11,7 @@
 from radishlift.cell.job_rows import load_job
 from radishlift.cell.ports import CellStore, TargetCalls
 from radishlift.cell.queues import QueueConfig
-from radishlift.cell.scheduler import Scheduler, SchedulerContext, removed_ids
+from radishlift.cell.scheduler import Scheduler, SchedulerContext
 from radishlift.cell.settings import CellSettings
 from radishlift.cell.tables import CANCELS, JOBS, PROGRESS, TARGETS
 from radishlift.core.clock import Clock
@@ -83,7 +83,9 @@
                     group.create_task(work)
                     for work in await self._start_work(began_at_ms)
                 ]
-                fenced = group.create_task(self.scheduler.fenced.wait())
+                fenced = group.create_task(
+                    self.scheduler.attempts.fenced.wait()
+                )
                 await asyncio.wait(
                     (log_task, fenced),
                     return_when=asyncio.FIRST_COMPLETED,
@@ -94,6 +96,10 @@
             self.scheduler.close()
             self._adviser.close()
 
+    def follow_config(self, config: QueueConfig) -> None:
+        """Takes over the newest configuration."""
+        self.scheduler.follow_config(config)
+
     async def _start_work(
         self,
         began_at_ms: int,
@@ -116,7 +122,7 @@
     async def _follow_targets(self) -> None:
         # What a target runs can be judged only with all jobs at hand.
         await self._is_restored.wait()
-        self.scheduler.index_placed()
+        self.scheduler.inherited.collect()
         await self._follow(
             TARGETS,
             self._on_target_list,
@@ -128,10 +134,6 @@
         await self._has_targets.wait()
         await self.scheduler.run()
 
-    def follow_config(self, config: QueueConfig) -> None:
-        """Takes over the newest configuration."""
-        self.scheduler.follow_config(config)
-
     async def _read_progress(self) -> None:
         while True:
             found = await self._parts.store.snapshot(PROGRESS)
@@ -164,7 +166,7 @@
         self._is_restored.set()
 
     def _add_job(self, job_id: JobId, row: Row) -> None:
-        if self.scheduler.has_job(job_id) or row.value is None:
+        if job_id in self.scheduler.jobs or row.value is None:
             return
         job = load_job(row.value)
         if isinstance(job, Failure):
@@ -188,16 +190,14 @@
             self.scheduler.cancel_job(job_id)
 
     def _on_target_list(self, rows: tuple[Row, ...]) -> None:
-        listed = [TargetId(row.key) for row in rows]
-        for target_id in removed_ids(self.scheduler.target_ids(), listed):
-            self.scheduler.remove_target(target_id)
+        self.scheduler.remove_unlisted({TargetId(row.key) for row in rows})
         self._on_targets(rows)
         self._has_targets.set()
 
     def _on_targets(self, rows: tuple[Row, ...]) -> None:
         for row in rows:
             if row.value is None and row.version:
-                self._drop_or_keep(row)
+                self.scheduler.remove_target(TargetId(row.key))
                 continue
             entry = self._parts.decode_target(row.key, row.value)
             if isinstance(entry, Failure):
@@ -207,8 +207,5 @@
                 continue
             self.scheduler.update_target(entry)
 
-    def _drop_or_keep(self, row: Row) -> None:
-        self.scheduler.remove_target(TargetId(row.key))
-
 
 __all__ = ('LeaderParts', 'Term')
--- /dev/null
+++ b/src/radishlift/cell/orders.py
@@ -0,0 +1,161 @@
+"""Orders to one target: starts and stops, until their outcome is certain."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any, Final
+
+from radishlift.cell.leases import TargetLease
+from radishlift.cell.listing import ExpectedListing
+from radishlift.cell.ports import StartOrder, StartVerdict, TargetRef
+from radishlift.cell.session_context import SessionContext
+from radishlift.core.errors import Failure
+from radishlift.core.logs import log_event
+from radishlift.steps.ids import TaskKey
+from radishlift.steps.targets import Target, TargetState
+
+RAN: Final = frozenset((StartVerdict.started, StartVerdict.superseded))
+
+NotStarted = Callable[[TaskKey, int, StartVerdict], None]
+
+
+class TargetOrders:
+    """Sends orders to a target and settles unanswered ones.
+
+    A start without an answer may be carried out seconds later: it is
+    repeated, and barred by a stop if it still has no answer.
+    """
+
+    def __init__(
+        self,
+        target: Target,
+        lease: TargetLease,
+        context: SessionContext,
+        on_settled: Callable[[], None],
+        on_not_started: NotStarted,
+    ) -> None:
+        self._target = target
+        self._lease = lease
+        self._context = context
+        self._on_settled = on_settled
+        self._on_not_started = on_not_started
+        self.listing = ExpectedListing(target)
+        self._stopping: set[tuple[TaskKey, int]] = set()
+        self._doubtful: set[tuple[TaskKey, int]] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    @property
+    def ref(self) -> TargetRef:
+        """Returns where the target is called."""
+        entry = self._target.entry
+        return TargetRef(entry.target_id, entry.address)
+
+    def close(self) -> None:
+        """Gives up all orders."""
+        for task in self._tasks:
+            task.cancel()
+
+    def start(self, order: StartOrder) -> None:
+        """Starts an attempt."""
+        self.listing.expect(order.key, order.attempt)
+        self._spawn(self._start(order))
+
+    def stop(self, key: TaskKey, attempt: int) -> None:
+        """Stops an attempt, or bars it; its end will be listed."""
+        if (key, attempt) not in self._stopping:
+            self._stopping.add((key, attempt))
+            self._spawn(self._stop_until_answered(key, attempt))
+
+    async def bar_doubtful(self) -> bool:
+        """Bars unanswered starts; tells whether all are barred."""
+        for key, attempt in tuple(self._doubtful):
+            if not await self._stop_once(key, attempt):
+                return False
+        return True
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _now_ms(self) -> int:
+        return self._context.clock.monotonic_ms()
+
+    async def _start(self, order: StartOrder) -> None:
+        is_doubtful = False
+        for _ in range(self._context.settings.order_retries_count):
+            if self._target.entry.state is not TargetState.ready:
+                break
+            if not self.listing.is_starting(order.key, order.attempt):
+                return
+            answer = await self._context.calls.start(
+                self.ref,
+                order.prolonged(self._lease.current_until_ms(self._now_ms())),
+            )
+            if isinstance(answer, StartVerdict):
+                await self._settle(order, answer, is_doubtful=is_doubtful)
+                return
+            is_doubtful = True
+            self._note_doubt(order, answer)
+        await self._settle(
+            order,
+            StartVerdict.refused,
+            is_doubtful=is_doubtful,
+        )
+
+    def _note_doubt(self, order: StartOrder, failure: Failure) -> None:
+        self._doubtful.add((order.key, order.attempt))
+        log_event(
+            'start_unanswered',
+            task=order.key,
+            attempt=order.attempt,
+            target=self._target.entry.target_id,
+            reason=failure.reason,
+        )
+
+    async def _settle(
+        self,
+        order: StartOrder,
+        verdict: StartVerdict,
+        *,
+        is_doubtful: bool,
+    ) -> None:
+        if verdict is StartVerdict.fenced:
+            self._context.listener.on_fenced()
+            return
+        may_be_listed = verdict in RAN
+        if may_be_listed:
+            self._doubtful.discard((order.key, order.attempt))
+            self._context.listener.on_started(order.key)
+        elif is_doubtful:
+            # An unanswered copy may still arrive: bar the attempt first.
+            await self._stop_until_answered(order.key, order.attempt)
+            may_be_listed = True
+        self.listing.settle(order.key, order.attempt, self._now_ms())
+        self._on_settled()
+        if not may_be_listed:
+            self._on_not_started(order.key, order.attempt, verdict)
+
+    async def _stop_until_answered(self, key: TaskKey, attempt: int) -> None:
+        while not await self._stop_once(key, attempt):
+            if self._lease.has_lapsed(self._now_ms()):
+                break
+            await asyncio.sleep(self._context.settings.hold_retry_ms / 1000)
+        self._stopping.discard((key, attempt))
+        self._on_settled()
+
+    async def _stop_once(self, key: TaskKey, attempt: int) -> bool:
+        answer = await self._context.calls.stop(
+            self.ref,
+            key,
+            attempt,
+            self._context.fence,
+        )
+        if answer is StartVerdict.fenced:
+            self._context.listener.on_fenced()
+        is_barred = answer in {StartVerdict.started, StartVerdict.fenced}
+        if is_barred:
+            self._doubtful.discard((key, attempt))
+        return is_barred
+
+
+__all__ = ('TargetOrders',)
--- a/src/radishlift/cell/ports.py
+++ b/src/radishlift/cell/ports.py
@@ -1,6 +1,6 @@
 """What the cell needs of the outside: tables, targets and advice."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum, unique
 from typing import Protocol
 
@@ -72,6 +72,10 @@
     checkpoint: str = ''
     ticket: str = ''
 
+    def prolonged(self, until_ms: int) -> 'StartOrder':
+        """Returns the order with another end of the lease."""
+        return replace(self, until_ms=until_ms)
+
 
 @dataclass(frozen=True, slots=True)
 class HoldOrder:
@@ -105,7 +109,7 @@
     key: TaskKey
     attempt: int
     how: EndKind
-    checkpoint: str
+    checkpoint: str = ''
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/radishlift/cell/queues.py
+++ b/src/radishlift/cell/queues.py
@@ -31,7 +31,7 @@
             self._by_name[queue.terms.queue] = queue
             self._by_host.setdefault(queue.host, []).append(queue)
         for queues in self._by_host.values():
-            queues.sort(key=lambda one: len(one.path_prefix), reverse=True)
+            queues.sort(key=_prefix_length, reverse=True)
 
     def find(self, host: str, path: str) -> Queue | None:
         """Finds the queue with the longest prefix of a path."""
@@ -45,4 +45,8 @@
         return self._by_name.get(name)
 
 
+def _prefix_length(queue: Queue) -> int:
+    return len(queue.path_prefix)
+
+
 __all__ = ('Queue', 'QueueConfig')
--- a/src/radishlift/platform/settings.py
+++ b/src/radishlift/platform/settings.py
@@ -12,6 +12,7 @@
 SETTINGS_VARIABLE: Final = 'RADISHLIFT_CONFIG'
 
 _MS_IN_S: Final = 1000
+_UNREADABLE: Final = (OSError, ValueError, KeyError, TypeError)
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,7 +45,7 @@
     try:
         plain = tomllib.loads(path.read_text(encoding='utf-8'))
         return _decode(plain)
-    except (OSError, ValueError, KeyError, TypeError) as error:
+    except _UNREADABLE as error:
         return Failure(ErrorKind.invalid_input, f'{path}: {error!r}')
 
 
--- a/src/radishlift/platform/store.py
+++ b/src/radishlift/platform/store.py
@@ -227,7 +227,8 @@
     transaction: Transaction,
 ) -> tuple[Row, ...]:
     rows: list[Row] = []
-    for table in {one.table for one in transaction.conditions}:
+    tables = {one.table for one in transaction.conditions}
+    for table in sorted(tables):
         rows.extend(_rows(answer, table))
     return tuple(rows)
 
--- a/src/radishlift/steps/placing.py
+++ b/src/radishlift/steps/placing.py
@@ -38,17 +38,6 @@
         if self._limit:
             self._count_placed(step)
 
-    def _count_placed(self, step: StepRun) -> None:
-        for task in step.tasks:
-            if task.state is TaskState.placed:
-                self._note(task.target_id)
-
-    def _note(self, target_id: TargetId) -> None:
-        count = self._counts.get(target_id, 0) + 1
-        self._counts[target_id] = count
-        if self._limit and count >= self._limit:
-            self._by_id.pop(target_id, None)
-
     def take(self, rank: Rank) -> Target | None:
         """Takes room for one task on the best target."""
         if not self._by_id:
@@ -66,6 +55,17 @@
         self._note(target_id)
         return target
 
+    def _count_placed(self, step: StepRun) -> None:
+        for task in step.tasks:
+            if task.state is TaskState.placed:
+                self._note(task.target_id)
+
+    def _note(self, target_id: TargetId) -> None:
+        count = self._counts.get(target_id, 0) + 1
+        self._counts[target_id] = count
+        if self._limit and count >= self._limit:
+            self._by_id.pop(target_id, None)
+
 
 def place_step(step: StepRun, targets: Iterable[Target]) -> list[Placement]:
     """Places waiting tasks of a step on allowed targets.
@@ -111,7 +111,8 @@
     racks = {label for target in targets for label in target.entry.labels}
     for rack in sorted(racks):
         members = [one for one in targets if rack in one.entry.labels]
-        if placements := _place(step, waiting, members):
+        placements = _place(step, waiting, members)
+        if placements:
             return placements
     return _place(step, waiting, targets)
 
--- a/src/radishlift/steps/progress.py
+++ b/src/radishlift/steps/progress.py
@@ -68,7 +68,8 @@
 
 
 def _load_task(step: StepRun, fields: list[Any]) -> None:
-    index, state, attempt, failures_count, target_id, checkpoint = fields
+    index, state, *counts, target_id, checkpoint = fields
+    attempt, failures_count = counts
     task = TaskRun(
         step.tasks[index].key,
         TaskState(state),
