Acknowledge no end before its commit, also while one is under way

Cause: settled() returned at once when the change was already in the transaction under way, so that a session could acknowledge an end that the store did not hold yet; found by a test that loses the transaction. Change: such a waiter waits for that transaction. Also: the first tests of steps and cell; claims take the version of each row.

--- a/src/radishlift/cell/commits.py
+++ b/src/radishlift/cell/commits.py
@@ -86,6 +86,7 @@
         self._dirty: dict[JobId, JobRun] = {}
         self._effects: dict[JobId, list[Effect]] = {}
         self._waiters: list[asyncio.Future[None]] = []
+        self._current: _Batch | None = None
         self._wake = asyncio.Event()
         self._number = 0
         self._pulsed_at_ms = 0
@@ -109,10 +110,13 @@
 
     async def settled(self) -> None:
         """Waits until all that was noted before is committed."""
-        if not self._dirty:
-            return
         waiter = asyncio.get_running_loop().create_future()
-        self._waiters.append(waiter)
+        if self._dirty:
+            self._waiters.append(waiter)
+        elif self._current is not None:
+            self._current.waiters.append(waiter)
+        else:
+            return
         await waiter
 
     async def run(self) -> None:
@@ -120,8 +124,10 @@
         while True:
             await self._wait_for_work()
             batch = self._collect()
+            self._current = batch
             if await self._commit(batch) is CommitState.deposed:
                 return
+            self._current = None
             for job, state in batch.states:
                 job.committed_state = state
             for effect in batch.effects:
--- a/src/radishlift/cell/leadership.py
+++ b/src/radishlift/cell/leadership.py
@@ -190,8 +190,7 @@
             ),
         )
         if isinstance(outcome, Committed):
-            version = outcome.versions[0]
-            return Claim(epoch, version, version)
+            return Claim(epoch, *outcome.versions)
         if isinstance(outcome, Conflict):
             log_event('claim_lost', epoch=epoch)
             return None
@@ -202,10 +201,11 @@
         leader = await self._store.read(CELL, LEADER_KEY)
         if isinstance(leader, Failure) or leader.value is None:
             return None
+        last = await self._store.read(COMMITS, LAST_KEY)
         mine = {'daemon': self._daemon_id, 'epoch': epoch}
-        if leader.value != mine:
+        if isinstance(last, Failure) or leader.value != mine:
             return None
-        return Claim(epoch, leader.version, leader.version)
+        return Claim(epoch, leader.version, last.version)
 
 
 __all__ = ('CellView', 'Leadership')
--- /dev/null
+++ b/tests/cell/test_commits.py
@@ -0,0 +1,122 @@
+"""Tests of the leader's transactions."""
+
+import asyncio
+from contextlib import suppress
+
+import pytest
+
+from radishlift.cell.clock import BootClock
+from radishlift.cell.commits import Claim, CommitLog
+from radishlift.cell.settings import CellSettings
+from radishlift.cell.tables import CELL, COMMITS, LAST_KEY, LEADER_KEY, PROGRESS
+from radishlift.services.api import Transaction, Write
+from radishlift.steps.ids import Fence
+from radishlift.steps.runs import JobState
+from tests.cell.fakes import MemoryCellStore
+from tests.standins.tables import Fault
+from tests.steps.builders import job
+
+
+@pytest.fixture
+def store():
+    store = MemoryCellStore()
+    store.tables.commit(
+        Transaction(
+            (),
+            (
+                Write(CELL, LEADER_KEY, {'daemon': 'd1', 'epoch': 1}),
+                Write(COMMITS, LAST_KEY, {'epoch': 1, 'number': 0}),
+            ),
+        )
+    )
+    return store
+
+
+@pytest.fixture
+def log(store):
+    return CommitLog(
+        store, Claim(Fence(1), 1, 2), CellSettings(pulse_ms=20), BootClock()
+    )
+
+
+async def running(log):
+    return asyncio.create_task(log.run())
+
+
+def depose(store):
+    store.tables.commit(
+        Transaction((), (Write(CELL, LEADER_KEY, {'daemon': 'd2'}),))
+    )
+
+
+async def test_effects_follow_the_commit(store, log):
+    seen = []
+    run = job()
+    run.state = JobState.completed
+    log.note(
+        run,
+        lambda: seen.append(store.tables.read(PROGRESS, run.spec.job_id)),
+    )
+    assert run.committed_state is JobState.queued
+    task = await running(log)
+    await log.settled()
+    task.cancel()
+    assert seen[0].value['state'] == 'completed'
+    assert run.committed_state is JobState.completed
+
+
+@pytest.mark.parametrize(
+    'fault', [Fault.lose_answers, Fault.lose_requests, Fault.down]
+)
+async def test_failed_commits_are_repeated_until_their_outcome(
+    store, log, fault
+):
+    store.fail_next_commits = [fault, fault]
+    log.note(job())
+    task = await running(log)
+    await asyncio.wait_for(log.settled(), 2)
+    assert not task.done()
+    task.cancel()
+    assert store.tables.read(PROGRESS, 'a' * 16).version
+
+
+async def test_lost_transaction_can_not_take_effect_after_a_later_one(
+    store, log
+):
+    store.fail_next_commits = [Fault.lose_requests]
+    run = job()
+    log.note(run)
+    task = await running(log)
+    await log.settled()
+    run.state = JobState.completed
+    log.note(run)
+    await log.settled()
+    [late] = store.lost_requests
+    store.tables.commit(late)
+    task.cancel()
+    row = store.tables.read(PROGRESS, run.spec.job_id)
+    assert row.value['state'] == 'completed'
+
+
+async def test_deposed_leader_commits_nothing(store, log):
+    depose(store)
+    run = job()
+    effects = []
+    log.note(run, lambda: effects.append(1))
+    await asyncio.wait_for(log.run(), 2)
+    assert not store.tables.read(PROGRESS, run.spec.job_id).version
+    assert not effects
+
+
+async def test_leader_is_unconfirmed_without_commits(store):
+    settings = CellSettings(pulse_ms=10, unconfirmed_ms=60)
+    log = CommitLog(store, Claim(Fence(1), 1, 2), settings, BootClock())
+    task = await running(log)
+    await asyncio.sleep(0.1)
+    assert log.is_confirmed
+    store.fault = Fault.down
+    await asyncio.sleep(0.1)
+    assert not log.is_confirmed
+    task.cancel()
+    with suppress(asyncio.CancelledError):
+        await task
--- /dev/null
+++ b/tests/steps/test_progress.py
@@ -0,0 +1,53 @@
+"""Tests of the stored form of progress."""
+
+import pytest
+
+from radishlift.steps.endings import EndKind, apply_end
+from radishlift.steps.ids import TargetId, TaskKey, parse_task_key
+from radishlift.steps.progress import dump_progress, load_progress
+from radishlift.steps.runs import JobState, TaskState
+from tests.steps.builders import job, key, step
+
+
+def test_progress_survives_a_takeover():
+    run = job(step(3), step(1, depends_on=(0,)), max_attempts=4)
+    for number in range(2):
+        task = run.task(key(number))
+        task.state = TaskState.placed
+        task.attempt = 2
+        task.target_id = TargetId('t5')
+    run.state = JobState.running
+    apply_end(run, key(0), 2, EndKind.done, '')
+    apply_end(run, key(1), 2, EndKind.failed, 'c9')
+    again = job(step(3), step(1, depends_on=(0,)), max_attempts=4)
+    load_progress(again, dump_progress(run))
+    assert dump_progress(again) == dump_progress(run)
+    assert again.steps[0, 0].undone_count == 2
+    assert again.has_begun
+    assert again.task(key(1)).failures_count == 1
+
+
+def test_untouched_tasks_take_no_space():
+    assert dump_progress(job(step(60))) == {'state': 'queued', 'steps': []}
+
+
+def test_ended_job_keeps_its_state_only():
+    run = job(step(1))
+    task = run.task(key())
+    task.state = TaskState.placed
+    task.attempt = 1
+    apply_end(run, key(), 1, EndKind.done, '')
+    assert dump_progress(run) == {'state': 'completed', 'steps': []}
+
+
+@pytest.mark.parametrize(
+    'text', ['', 'a.b.c.d', 'a.1.2', 'a.1.2.3.4', 'a.1.2.-3']
+)
+def test_foreign_names_of_tasks_are_refused(text):
+    assert parse_task_key(text) is None
+
+
+def test_names_of_tasks_are_read_back():
+    named = key(7, 2)
+    assert isinstance(named, TaskKey)
+    assert parse_task_key(str(named)) == named
