Let the lease of a silent target lapse

Cause: each call to a target that did not answer prolonged the lease that the target might have been given, so that it never lapsed for sure and its tasks were never started elsewhere; found by a test with a silent target. Change: a target that does not answer is asked without prolonging its lease; late starts are barred before it is trusted again.

--- a/src/radishlift/cell/leases.py
+++ b/src/radishlift/cell/leases.py
@@ -62,9 +62,10 @@
         self._until_ms = max(until_ms, self._until_ms or 0)
         return self._until_ms
 
-    def current_until_ms(self, now_ms: int) -> int:
-        """Returns the end to send with a start; 0 for an unknown clock."""
-        return self.grant(now_ms) or 0
+    @property
+    def until_ms(self) -> int:
+        """Returns the latest end that was sent; 0 before the first."""
+        return self._until_ms or 0
 
     def has_lapsed(self, now_ms: int) -> bool:
         """Tells whether nothing runs on the target any more for sure."""
--- a/src/radishlift/cell/orders.py
+++ b/src/radishlift/cell/orders.py
@@ -89,7 +89,7 @@
                 return
             answer = await self._context.calls.start(
                 self.ref,
-                order.prolonged(self._lease.current_until_ms(self._now_ms())),
+                order.prolonged(self._until_ms()),
             )
             if isinstance(answer, StartVerdict):
                 await self._settle(order, answer, is_doubtful=is_doubtful)
@@ -102,6 +102,12 @@
             is_doubtful=is_doubtful,
         )
 
+    def _until_ms(self) -> int:
+        # A target that does not answer must be left to lapse.
+        if self._target.is_reachable:
+            self._lease.grant(self._now_ms())
+        return self._lease.until_ms
+
     def _note_doubt(self, order: StartOrder, failure: Failure) -> None:
         self._doubtful.add((order.key, order.attempt))
         log_event(
--- a/src/radishlift/cell/sessions.py
+++ b/src/radishlift/cell/sessions.py
@@ -96,7 +96,7 @@
         asked_at_ms = self._now_ms()
         answer = await context.calls.hold(
             self._orders.ref,
-            await self._hold_order(asked_at_ms),
+            self._hold_order(asked_at_ms),
         )
         if isinstance(answer, HoldReport):
             self.asked_at_ms = asked_at_ms
@@ -108,14 +108,15 @@
             self._note_unreachable(answer)
         await asyncio.sleep(context.settings.hold_retry_ms / 1000)
 
-    async def _hold_order(self, now_ms: int) -> HoldOrder:
+    def _hold_order(self, now_ms: int) -> HoldOrder:
         until_ms = None
-        # After a silence, late starts must not run under a new lease.
-        if self._context.may_renew() and (
-            self.target.is_reachable or await self._orders.bar_doubtful()
-        ):
+        # A call without an answer may have arrived, so that a silent target
+        # is asked without prolonging its lease: it must lapse some time.
+        if self.target.is_reachable and self._context.may_renew():
             until_ms = self._lease.grant(now_ms)
-        wait_ms = 0 if until_ms is None else self._context.settings.hold_wait_ms
+        wait_ms = 0
+        if self.target.is_reachable:
+            wait_ms = self._context.settings.hold_wait_ms
         return HoldOrder(
             self._context.fence,
             self._ended_cursor,
@@ -131,7 +132,9 @@
                 self._ended_cursor = 0
             self._life = report.life
         self._is_synced = True
-        self._set_reachable(is_reachable=True)
+        if not self.target.is_reachable:
+            # Late starts must not run under the next lease.
+            self._set_reachable(is_reachable=await self._orders.bar_doubtful())
         self._context.listener.on_report(self, report)
         if report.last_number > self._ended_cursor:
             await self._context.listener.committed()
--- /dev/null
+++ b/tests/cell/leader.py
@@ -0,0 +1,145 @@
+"""A whole leader on in-memory services."""
+
+import asyncio
+from contextlib import suppress
+
+from radishlift.cell.advising import AdviceHelper
+from radishlift.cell.clock import BootClock
+from radishlift.cell.commits import Claim
+from radishlift.cell.job_rows import dump_job
+from radishlift.cell.leading import LeaderParts, Term
+from radishlift.cell.settings import CellSettings
+from radishlift.cell.tables import (
+    CANCELS,
+    CELL,
+    COMMITS,
+    JOBS,
+    LAST_KEY,
+    LEADER_KEY,
+    PROGRESS,
+    TARGETS,
+)
+from radishlift.core.ids import DaemonId
+from radishlift.services.api import Transaction, Write
+from radishlift.steps.endings import EndKind
+from radishlift.steps.ids import Fence
+from radishlift.steps.settings import StepSettings
+from radishlift.steps.targets import TargetState
+from radishlift.wire.network import PeerNetwork
+from tests.cell.fakes import FakeAdvice, FakeTargets, MemoryCellStore
+from tests.steps.builders import entry, job
+
+SETTINGS = CellSettings(
+    pulse_ms=20,
+    hold_wait_ms=40,
+    hold_retry_ms=5,
+    order_retries_count=2,
+    tick_ms=2,
+    feed_wait_ms=50,
+    feed_retry_ms=5,
+    feed_gap_ms=2,
+    unconfirmed_ms=100,
+)
+MAX_LEASE_MS = 200
+
+
+class Cell:
+    """The store, the targets, and terms of leaders one after another."""
+
+    def __init__(self, *targets: str, cores: int = 4) -> None:
+        self.store = MemoryCellStore()
+        self.targets = FakeTargets(*targets)
+        self.advice = FakeAdvice()
+        self.epoch = 0
+        self.terms = []
+        self.cores = cores
+        for name in targets:
+            self.list_target(name)
+
+    def write(self, table, key, value):
+        self.store.tables.commit(
+            Transaction((), (Write(table, key, value),)),
+        )
+
+    def list_target(self, name, **fields):
+        values = {'cores': self.cores, 'state': 'ready', **fields}
+        self.write(TARGETS, name, values)
+
+    def submit(self, run):
+        self.write(
+            JOBS,
+            run.spec.job_id,
+            dump_job(run.spec, run.terms, run.accepted_at_ms),
+        )
+        return run.spec.job_id
+
+    def cancel(self, job_id):
+        self.write(CANCELS, job_id, {})
+
+    def state(self, job_id):
+        row = self.store.tables.read(PROGRESS, job_id)
+        return row.value['state'] if row.value else 'queued'
+
+    def lead(self):
+        """Begins a term; an earlier one is deposed by it."""
+        self.epoch += 1
+        claimed = {'daemon': f'd{self.epoch}', 'epoch': self.epoch}
+        outcome = self.store.tables.commit(
+            Transaction(
+                (),
+                (
+                    Write(CELL, LEADER_KEY, claimed),
+                    Write(
+                        COMMITS, LAST_KEY, {'epoch': self.epoch, 'number': 0}
+                    ),
+                ),
+            ),
+        )
+        network = PeerNetwork(DaemonId('d'))
+        AdviceHelper(network, self.advice)
+        term = Term(
+            Claim(Fence(self.epoch), *outcome.versions),
+            LeaderParts(
+                self.store,
+                self.targets,
+                network,
+                lambda: [DaemonId('d')],
+                lambda: None,
+                lambda name, plain: entry(
+                    name, plain['cores'], state=TargetState(plain['state'])
+                ),
+                SETTINGS,
+                StepSettings(),
+                BootClock(),
+                MAX_LEASE_MS,
+            ),
+        )
+        task = asyncio.create_task(term.run())
+        self.terms.append(task)
+        return task
+
+    async def close(self):
+        for task in self.terms:
+            task.cancel()
+            with suppress(asyncio.CancelledError):
+                await task
+
+    async def until(self, condition, within_s=3.0):
+        async with asyncio.timeout(within_s):
+            while not condition():
+                await asyncio.sleep(0.003)
+
+    def end_all(self, how=EndKind.done):
+        for fake in self.targets.by_id.values():
+            for key in list(fake.running):
+                fake.end(key, how)
+
+    async def until_state(self, job_id, state, how=EndKind.done):
+        """Ends all that runs until the store shows a state."""
+        async with asyncio.timeout(3):
+            while self.state(job_id) != state:
+                self.end_all(how)
+                await asyncio.sleep(0.003)
+
+
+__all__ = ('Cell', 'job')
--- /dev/null
+++ b/tests/cell/test_leading.py
@@ -0,0 +1,251 @@
+"""Tests of a whole leader: takeovers, lost targets, cancels and limits."""
+
+import asyncio
+
+import pytest
+
+from radishlift.cell.tables import TARGETS
+from radishlift.steps.endings import EndKind
+from tests.cell.leader import Cell
+from tests.standins.tables import Fault
+from tests.steps.builders import ADVICE, job, key, step
+
+
+@pytest.fixture
+async def cell():
+    cell = Cell('t1', 't2')
+    yield cell
+    await cell.close()
+
+
+def attempts(cell, task_key):
+    return [
+        (name, order.attempt)
+        for name, fake in cell.targets.by_id.items()
+        for order in fake.started
+        if order.key == task_key
+    ]
+
+
+async def test_job_of_steps_runs_to_its_end(cell):
+    cell.lead()
+    job_id = cell.submit(job(step(3), step(2, depends_on=(0,))))
+    await cell.until(lambda: len(cell.targets.placed()) == 3)
+    await cell.until_state(job_id, 'completed')
+    started = [one for f in cell.targets.by_id.values() for one in f.started]
+    assert len(started) == 5
+    assert {one.key.step_key.step for one in started[:3]} == {0}
+
+
+async def test_advised_tasks_carry_their_ticket(cell):
+    cell.advice.forbidden.add('t1')
+    cell.lead()
+    cell.submit(job(step(1), advice=ADVICE))
+    await cell.until(lambda: bool(cell.targets['t2'].started))
+    [order] = cell.targets['t2'].started
+    assert order.ticket == f'{key().step_key}@t2'
+
+
+async def test_nothing_starts_before_it_is_committed(cell):
+    cell.lead()
+    await cell.until(lambda: cell.targets['t1'].fence == 1)
+    run = job()
+    cell.submit(run)
+    cell.store.fault = Fault.down
+    await asyncio.sleep(0.05)
+    assert not cell.targets.placed()
+    cell.store.fault = Fault.none
+    await cell.until(lambda: bool(cell.targets.placed()))
+
+
+async def test_end_is_acknowledged_only_after_its_commit(cell):
+    cell.lead()
+    job_id = cell.submit(job())
+    await cell.until(lambda: bool(cell.targets.placed()))
+    cell.store.fault = Fault.down
+    cell.end_all()
+    await asyncio.sleep(0.06)
+    assert any(fake.ended for fake in cell.targets.by_id.values())
+    cell.store.fault = Fault.none
+    await cell.until(lambda: cell.state(job_id) == 'completed')
+
+
+async def test_next_leader_keeps_what_runs(cell):
+    cell.lead()
+    job_id = cell.submit(job(step(4)))
+    await cell.until(lambda: len(cell.targets.placed()) == 4)
+    cell.lead()
+    await cell.until(lambda: cell.targets['t1'].fence == 2)
+    await asyncio.sleep(0.05)
+    assert len(cell.targets.placed()) == 4
+    await cell.until_state(job_id, 'completed')
+    assert len(attempts(cell, key(0))) == 1
+
+
+async def test_next_leader_restarts_what_was_committed_but_not_sent(cell):
+    for fake in cell.targets.by_id.values():
+        fake.refusal = None
+    first = cell.lead()
+    await cell.until(lambda: cell.targets['t2'].fence == 1)
+    for fake in cell.targets.by_id.values():
+        fake.is_silent = True
+    cell.submit(job())
+    await cell.until(
+        lambda: any(fake.late for fake in cell.targets.by_id.values())
+    )
+    first.cancel()
+    for fake in cell.targets.by_id.values():
+        fake.is_silent = False
+    cell.lead()
+    await cell.until(lambda: bool(cell.targets.placed()))
+    [(_, attempt)] = attempts(cell, key())
+    assert attempt == 2
+
+
+async def test_deposed_leader_ends_its_term(cell):
+    first = cell.lead()
+    await cell.until(lambda: cell.targets['t1'].fence == 1)
+    cell.lead()
+    await asyncio.wait_for(first, 2)
+
+
+async def test_silent_target_loses_its_tasks_after_its_lease(cell):
+    cell.lead()
+    cell.submit(job())
+    await cell.until(lambda: bool(cell.targets.placed()))
+    [name] = cell.targets.placed().values()
+    other = {'t1': 't2', 't2': 't1'}[name]
+    cell.targets[name].is_silent = True
+    await asyncio.sleep(0.1)
+    assert not cell.targets[other].started
+    await cell.until(lambda: bool(cell.targets[other].started))
+    [order] = cell.targets[other].started
+    assert order.attempt == 2
+
+
+async def test_tasks_of_a_target_that_left_before_the_takeover_run_again(cell):
+    first = cell.lead()
+    cell.submit(job())
+    await cell.until(lambda: bool(cell.targets.placed()))
+    [name] = cell.targets.placed().values()
+    first.cancel()
+    cell.write(TARGETS, name, None)
+    cell.targets[name].is_silent = True
+    other = {'t1': 't2', 't2': 't1'}[name]
+    cell.lead()
+    # The other target stays busy with heartbeats all the while.
+    for _ in range(300):
+        cell.list_target(other)
+        await asyncio.sleep(0.005)
+        if cell.targets[other].started:
+            break
+    assert cell.targets[other].started[0].attempt == 2
+
+
+async def test_drained_target_that_left_frees_its_tasks_at_once(cell):
+    cell.lead()
+    cell.submit(job())
+    await cell.until(lambda: bool(cell.targets.placed()))
+    [name] = cell.targets.placed().values()
+    cell.list_target(name, state='draining')
+    await asyncio.sleep(0.02)
+    cell.write(TARGETS, name, None)
+    other = {'t1': 't2', 't2': 't1'}[name]
+    await cell.until(lambda: bool(cell.targets[other].started), 0.15)
+
+
+async def test_restarted_target_loses_what_ran_on_it(cell):
+    cell.lead()
+    job_id = cell.submit(job(step(1)))
+    await cell.until(lambda: bool(cell.targets.placed()))
+    [name] = cell.targets.placed().values()
+    fake = cell.targets[name]
+    fake.running.clear()
+    fake.ended.clear()
+    fake.barred.clear()
+    fake.numbers = 0
+    fake.life = 2
+    await cell.until(lambda: bool(cell.targets.placed()))
+    await cell.until_state(job_id, 'completed')
+
+
+async def test_cancel_stops_what_runs(cell):
+    cell.lead()
+    job_id = cell.submit(job(step(2)))
+    await cell.until(lambda: len(cell.targets.placed()) == 2)
+    cell.cancel(job_id)
+    await cell.until(lambda: cell.state(job_id) == 'cancelled')
+    await cell.until(lambda: not cell.targets.placed())
+
+
+async def test_cancel_before_a_takeover_holds_after_it(cell):
+    job_id = cell.submit(job())
+    cell.cancel(job_id)
+    cell.lead()
+    await cell.until(lambda: cell.state(job_id) == 'cancelled')
+    assert not cell.targets.placed()
+
+
+async def test_job_that_always_fails_ends_after_its_attempts(cell):
+    cell.lead()
+    job_id = cell.submit(job(step(1), max_attempts=3))
+    await cell.until_state(job_id, 'failed', EndKind.failed)
+    assert [attempt for _, attempt in attempts(cell, key())]
+    assert len(attempts(cell, key())) == 3
+
+
+async def test_interrupted_gang_runs_again_as_a_whole(cell):
+    cell.lead()
+    job_id = cell.submit(job(step(4, is_gang=True)))
+    await cell.until(lambda: len(cell.targets.placed()) == 4)
+    name = cell.targets.placed()[key(0)]
+    cell.targets[name].end(key(0), EndKind.failed)
+    await cell.until(
+        lambda: (
+            sorted(
+                attempt
+                for fake in cell.targets.by_id.values()
+                for attempt in fake.running.values()
+            )
+            == [2, 2, 2, 2]
+        )
+    )
+    await cell.until_state(job_id, 'completed')
+
+
+async def test_no_target_is_overcommitted_under_a_backlog(cell):
+    cell.lead()
+    ids = [cell.submit(job(step(3), job_id=f'{n:016x}')) for n in range(20)]
+    deadline = asyncio.get_running_loop().time() + 5
+    while any(cell.state(one) != 'completed' for one in ids):
+        assert asyncio.get_running_loop().time() < deadline
+        for fake in cell.targets.by_id.values():
+            assert len(fake.running) <= 4
+        cell.end_all()
+        await asyncio.sleep(0.003)
+    started = [one for f in cell.targets.by_id.values() for one in f.started]
+    assert len(started) == 60
+
+
+async def test_late_orders_of_a_deposed_leader_do_nothing(cell):
+    first = cell.lead()
+    await cell.until(lambda: cell.targets['t2'].fence == 1)
+    for fake in cell.targets.by_id.values():
+        fake.is_silent = True
+    cell.submit(job())
+    await cell.until(
+        lambda: any(fake.late for fake in cell.targets.by_id.values())
+    )
+    first.cancel()
+    late = [
+        (fake, order)
+        for fake in cell.targets.by_id.values()
+        for order in fake.late
+    ]
+    for fake in cell.targets.by_id.values():
+        fake.is_silent = False
+    cell.lead()
+    await cell.until(lambda: bool(cell.targets.placed()))
+    for fake, order in late:
+        fake.run(order)
+    assert len(cell.targets.placed()) == 1
--- a/tests/cell/test_leases.py
+++ b/tests/cell/test_leases.py
@@ -5,9 +5,7 @@
 from radishlift.cell.leases import TargetLease, inherited_lapse_ms
 from radishlift.cell.settings import CellSettings
 
-SETTINGS = CellSettings(
-    lease_share=0.5, clock_drift=0.02, unconfirmed_ms=6000
-)
+SETTINGS = CellSettings(lease_share=0.5, clock_drift=0.02, unconfirmed_ms=6000)
 
 
 @pytest.fixture
--- a/tests/steps/builders.py
+++ b/tests/steps/builders.py
@@ -37,7 +37,9 @@
     return build_job(spec, terms(**fields), accepted_at_ms)
 
 
-def key(number: int = 0, step_number: int = 0, job_id: str = 'a' * 16) -> TaskKey:
+def key(
+    number: int = 0, step_number: int = 0, job_id: str = 'a' * 16
+) -> TaskKey:
     return TaskKey(StepKey(JobId(job_id), 0, step_number), number)
 
 
