--- a/src/radishlift/platform/main.py
+++ b/src/radishlift/platform/main.py
@@ -67,7 +67,7 @@
             PlatformStore(client, settings.store_address),
             PlatformTargets(client),
             PlatformAdvice(client, settings.advice_address),
-            _config_in,
+            newest_config,
             decode_target,
             CellSettings(),
             StepSettings(),
@@ -101,7 +101,7 @@
     log_event('settings_reloaded', is_changed=settings != running)
 
 
-def _config_in(rows: tuple[Row, ...]) -> QueueConfig | Failure | None:
+def newest_config(rows: tuple[Row, ...]) -> QueueConfig | Failure | None:
     """Decodes the newest configuration; changes may hold several."""
     written = [
         row for row in rows if row.key == CONFIG_KEY and row.value is not None
@@ -126,5 +126,7 @@
     await web.TCPSite(runner, host, int(port), backlog=_BACKLOG).start()
 
 
+__all__ = ('main', 'newest_config')
+
 if __name__ == '__main__':
     sys.exit(main())
--- /dev/null
+++ b/tests/cell/test_leadership.py
@@ -0,0 +1,119 @@
+"""Tests of which daemon leads."""
+
+import asyncio
+from contextlib import suppress
+
+import pytest
+
+from radishlift.cell.clock import BootClock
+from radishlift.cell.feeds import Followed, TableFollower
+from radishlift.cell.leadership import CellView, Leadership
+from radishlift.cell.settings import CellSettings
+from radishlift.cell.tables import CELL, LEADER_KEY, PULSE_KEY
+from radishlift.core.ids import Address, DaemonId
+from radishlift.services.api import Transaction, Write
+from tests.cell.fakes import MemoryCellStore
+from tests.standins.tables import Fault
+
+SETTINGS = CellSettings(
+    silence_ms=150, claim_stagger_ms=30, short_wait_ms=20, feed_retry_ms=5
+)
+
+
+class Candidate:
+    """A daemon that would lead."""
+
+    def __init__(self, name, store):
+        clock = BootClock()
+        self.store = store
+        self.view = CellView(clock)
+        self.leadership = Leadership(
+            DaemonId(name), store, self.view, SETTINGS, clock
+        )
+        self.follower = TableFollower(
+            store, Followed(CELL, wait_ms=20), SETTINGS, clock
+        )
+        self.following = asyncio.create_task(
+            self.follower.run(self.view.replace, self.view.update),
+        )
+        self.claim = asyncio.create_task(
+            self.leadership.wait_for_claim(self.follower),
+        )
+
+    async def close(self):
+        for task in (self.following, self.claim):
+            task.cancel()
+            with suppress(asyncio.CancelledError):
+                await task
+
+
+@pytest.fixture
+async def cell():
+    store = MemoryCellStore()
+    candidates = []
+
+    async def add(name):
+        candidate = Candidate(name, store)
+        await candidate.leadership.register(Address('127.0.0.1:1'))
+        candidates.append(candidate)
+        return candidate
+
+    yield store, add
+    for candidate in candidates:
+        await candidate.close()
+
+
+def pulse(store):
+    store.tables.commit(Transaction((), (Write(CELL, PULSE_KEY, {}),)))
+
+
+async def test_exactly_one_daemon_leads(cell):
+    store, add = cell
+    candidates = [await add(name) for name in ('d1', 'd2', 'd3')]
+    end = asyncio.get_running_loop().time() + 0.6
+    while asyncio.get_running_loop().time() < end:
+        pulse(store)
+        await asyncio.sleep(0.02)
+    assert sum(one.claim.done() for one in candidates) == 1
+    assert store.tables.read(CELL, LEADER_KEY).value['epoch'] == 1
+
+
+async def test_silent_leader_is_replaced_with_a_higher_epoch(cell):
+    _, add = cell
+    first = await add('d1')
+    await asyncio.wait_for(first.claim, 2)
+    second = await add('d2')
+    claim = await asyncio.wait_for(second.claim, 2)
+    assert claim.epoch == 2
+
+
+async def test_leader_that_steps_down_is_replaced_at_once(cell):
+    _, add = cell
+    first = await add('d1')
+    claim = await asyncio.wait_for(first.claim, 2)
+    second = await add('d2')
+    await asyncio.sleep(0.03)
+    await first.leadership.release(claim)
+    await asyncio.wait_for(second.claim, 0.4)
+
+
+async def test_silence_of_the_store_is_not_taken_for_that_of_the_leader(cell):
+    store, add = cell
+    first = await add('d1')
+    await asyncio.wait_for(first.claim, 2)
+    second = await add('d2')
+    await asyncio.sleep(0.05)
+    store.fault = Fault.down
+    await asyncio.sleep(0.5)
+    assert second.leadership.state == 'following'
+    assert not second.claim.done()
+
+
+@pytest.mark.parametrize('fault', [Fault.lose_answers])
+async def test_claim_with_a_lost_answer_is_read_back(cell, fault):
+    store, add = cell
+    candidate = await add('d1')
+    store.fail_next_commits = [fault]
+    claim = await asyncio.wait_for(candidate.claim, 2)
+    row = store.tables.read(CELL, LEADER_KEY)
+    assert claim.leader_version == row.version
--- /dev/null
+++ b/tests/platform/test_documents.py
@@ -0,0 +1,99 @@
+"""Tests of decoding rows of the operator and of targets."""
+
+import pytest
+
+from radishlift.core.errors import Failure
+from radishlift.platform.documents import decode_config, decode_target
+from radishlift.platform.main import newest_config
+from radishlift.services.api import Row
+from radishlift.steps.spec import AdviceTerms, Amounts
+from radishlift.steps.targets import TargetState
+
+ROUTE = {
+    'name': 'r-1',
+    'host': 'h.example',
+    'pathPrefix': '/q/',
+    'type': 'unsafe',
+    'timeoutMs': 3000,
+    'targetDurationMs': 1000,
+    'priority': 1,
+    'service': 's',
+    'attempts': 4,
+    'stretch': 2.2,
+    'advice': {'decideMs': 50.5, 'periodMs': 0.5, 'validMs': 2000},
+}
+CONFIG = {
+    'version': 7,
+    'routes': [ROUTE],
+    'services': [],
+    'limits': {'maxBodyBytes': 1000},
+}
+ENTRY = {
+    'service': 's',
+    'address': '10.0.0.9:80',
+    'zone': 'z',
+    'version': 'v1',
+    'slots': 8,
+    'state': 'draining',
+    'remainingMs': 900,
+    'born': 1_700_000_000_123,
+    'capacity': {'cpu': 16000, 'memMb': 32768, 'gpu': 0},
+    'labels': ['a', 'r1-3'],
+}
+
+
+def config_row(version, row_version):
+    return Row('config', 'config', row_version, {**CONFIG, 'version': version})
+
+
+def test_queue_terms_of_a_route():
+    [queue] = decode_config(CONFIG).queues
+    assert queue.terms.objective_ms == 1000
+    assert queue.terms.max_attempts == 4
+    assert queue.terms.advice == AdviceTerms(50.5, 0.5, 2000)
+
+
+@pytest.mark.parametrize('missing', ['version', 'routes', 'limits'])
+def test_incomplete_configuration_is_refused(missing):
+    plain = {name: part for name, part in CONFIG.items() if name != missing}
+    assert isinstance(decode_config(plain), Failure)
+
+
+def test_newest_of_several_configurations_is_taken():
+    rows = (config_row(7, 10), config_row(9, 30), config_row(8, 20))
+    assert newest_config(rows).version == 9
+
+
+def test_upkeep_waves_are_no_configuration():
+    wave = Row('config', 'wave/1', 50, {'wave': 1})
+    assert newest_config((wave,)) is None
+    assert newest_config((config_row(7, 10), wave)).version == 7
+
+
+def test_entry_of_a_target():
+    entry = decode_target('i-1', ENTRY)
+    assert entry.state is TargetState.draining
+    assert entry.capacity == Amounts(16000, 32768, 0)
+    assert entry.remaining_ms == 900
+    assert entry.labels == {'a', 'r1-3'}
+
+
+@pytest.mark.parametrize(
+    'change',
+    [
+        {'service': 7},
+        {'address': None},
+        {'state': 'strange'},
+        {'capacity': [1]},
+        {'capacity': {'cpu': '9'}},
+        {'capacity': {'cpu': True}},
+        {'labels': [3]},
+        {'born': 'x'},
+    ],
+)
+def test_entry_of_another_writer_names_no_target(change):
+    assert isinstance(decode_target('i-1', {**ENTRY, **change}), Failure)
+
+
+def test_row_without_a_value_names_no_target():
+    assert isinstance(decode_target('i-1', None), Failure)
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,146 @@
+"""Tests of the client of the platform's store."""
+
+import pytest
+from aiohttp import web
+
+from radishlift.cell.tables import CELL, CONFIG, JOBS, PROGRESS, TARGETS
+from radishlift.core.errors import ErrorKind, Failure
+from radishlift.platform.http import JsonClient
+from radishlift.platform.store import PlatformStore
+from radishlift.services.api import (
+    Committed,
+    Condition,
+    Conflict,
+    Transaction,
+    Write,
+)
+from tests.standins.store_api import StoreApi
+
+
+@pytest.fixture
+async def api():
+    api = StoreApi()
+    runner = web.ServerRunner(web.Server(api.handle))
+    await runner.setup()
+    site = web.TCPSite(runner, '127.0.0.1', 0)
+    await site.start()
+    port = site._server.sockets[0].getsockname()[1]
+    api.address = f'127.0.0.1:{port}'
+    yield api
+    await runner.cleanup()
+
+
+@pytest.fixture
+async def store(api):
+    client = JsonClient()
+    yield PlatformStore(client, api.address)
+    await client.close()
+
+
+def write(*writes, conditions=()):
+    return Transaction(tuple(conditions), tuple(writes))
+
+
+async def test_rows_are_read_back(store):
+    outcome = await store.commit(write(Write(JOBS, 'j1', {'n': 'é'})))
+    assert isinstance(outcome, Committed)
+    row = await store.read(JOBS, 'j1')
+    assert (row.value, row.version) == ({'n': 'é'}, outcome.versions[0])
+
+
+async def test_absent_row_has_version_0(store):
+    await store.commit(write(Write(JOBS, 'j2', {})))
+    row = await store.read(JOBS, 'j1')
+    assert (row.version, row.value) == (0, None)
+
+
+async def test_conflict_tells_the_current_rows(store):
+    await store.commit(write(Write(CELL, 'leader', {'epoch': 3})))
+    conflict = await store.commit(
+        write(
+            Write(PROGRESS, 'j1', {}),
+            conditions=[Condition(CELL, 'leader', 0)],
+        )
+    )
+    assert isinstance(conflict, Conflict)
+    assert conflict.rows[0].value == {'epoch': 3}
+    assert (await store.read(PROGRESS, 'j1')).version == 0
+
+
+async def test_snapshot_reads_all_pages(api, store, monkeypatch):
+    monkeypatch.setattr('radishlift.platform.store._PAGE', 2)
+    for number in range(5):
+        await store.commit(write(Write(JOBS, f'j{number}', {'n': number})))
+    found = await store.snapshot(JOBS)
+    assert [row.value['n'] for row in found.rows] == [0, 1, 2, 3, 4]
+    assert found.version <= api.version
+
+
+async def test_changes_are_those_after_a_version(api, store):
+    api.put('op', '', 'config', {'version': 1})
+    start = await store.snapshot(CONFIG)
+    api.put('op', '', 'config', {'version': 2})
+    api.put('servers', '', 'i-1', {})
+    changed = await store.changes(CONFIG, start.version, 20)
+    assert [row.value for row in changed.rows] == [{'version': 2}]
+
+
+async def test_removed_rows_are_told(api, store):
+    await store.commit(write(Write(JOBS, 'j1', {})))
+    start = await store.snapshot(JOBS)
+    await store.commit(write(Write(JOBS, 'j1', None)))
+    changed = await store.changes(JOBS, start.version, 20)
+    assert [(row.key, row.value) for row in changed.rows] == [('j1', None)]
+
+
+async def test_dropped_history_is_told(api, store):
+    api.first_kept = 9
+    failure = await store.changes(JOBS, 3, 10)
+    assert failure.kind is ErrorKind.not_found
+
+
+@pytest.mark.parametrize('status', [429, 503])
+async def test_refused_transaction_has_no_effect(api, store, status):
+    api.status = status
+    failure = await store.commit(write(Write(JOBS, 'j1', {})))
+    assert failure.kind is ErrorKind.store_unavailable
+
+
+async def test_unreachable_store_is_a_certain_refusal_of_commits():
+    client = JsonClient()
+    store = PlatformStore(client, '127.0.0.1:1')
+    failure = await store.commit(write(Write(JOBS, 'j1', {})))
+    assert failure.kind is ErrorKind.store_unavailable
+    await client.close()
+
+
+async def test_broken_connection_is_an_unknown_outcome(api, store):
+    async def cut(request):
+        await request.read()
+        request.transport.abort()
+
+    api.handle = None
+    api.rows_tx = cut
+    api.status = None
+    runner = web.ServerRunner(web.Server(cut))
+    await runner.setup()
+    site = web.TCPSite(runner, '127.0.0.1', 0)
+    await site.start()
+    port = site._server.sockets[0].getsockname()[1]
+    client = JsonClient()
+    cut_store = PlatformStore(client, f'127.0.0.1:{port}')
+    failure = await cut_store.commit(write(Write(JOBS, 'j1', {})))
+    assert failure.kind is ErrorKind.store_outcome_unknown
+    await client.close()
+    await runner.cleanup()
+
+
+async def test_unreadable_row_of_another_writer_has_no_value(api, store):
+    api.version += 1
+    api._set('servers', '', 'i-9', '!!')
+    found = await store.snapshot(TARGETS)
+    assert [(row.key, row.value) for row in found.rows] == [('i-9', None)]
+
+
+async def test_failure_is_a_value(store):
+    assert not isinstance(await store.read(JOBS, 'x'), Failure)
