Let the strongest host lead

A claim was also made against a leader that had just claimed. Change: daemons register a strength (link and processor), claims are staggered by it, the first claim waits for all to register, and a claim replaces only the row that was judged.

--- a/src/radishlift/cell/daemon.py
+++ b/src/radishlift/cell/daemon.py
@@ -29,9 +29,13 @@
 
 @dataclass(frozen=True, slots=True)
 class DaemonParts:
-    """What a daemon is built of."""
+    """What a daemon is built of.
+
+    `strength` orders the daemons of a cell by what their hosts can do.
+    """
 
     daemon_id: DaemonId
+    strength: int
     peer_address: Address
     store: CellStore
     targets: TargetCalls
@@ -122,7 +126,10 @@
 
     async def _register(self) -> None:
         while True:
-            failure = await self._leadership.register(self._parts.peer_address)
+            failure = await self._leadership.register(
+                self._parts.peer_address,
+                self._parts.strength,
+            )
             if failure is None:
                 return
             log_event('registration_failed', reason=failure.reason)
--- a/src/radishlift/cell/leadership.py
+++ b/src/radishlift/cell/leadership.py
@@ -81,6 +81,17 @@
             if key.startswith(DAEMON_PREFIX) and row.value is not None
         }
 
+    def by_strength(self) -> list[DaemonId]:
+        """Lists the daemons, the strongest first."""
+        strengths = {
+            key: (row.value or {}).get('strength', 0)
+            for key, row in self._rows.items()
+        }
+        return sorted(
+            self.daemons(),
+            key=lambda one: (-strengths[daemon_key(one)], one),
+        )
+
 
 class Leadership(Machine):
     """Claims the lead when there is no leader, or a silent one."""
@@ -110,9 +121,13 @@
         self._settings = settings
         self._clock = clock
 
-    async def register(self, address: Address) -> Failure | None:
-        """Writes this daemon's row."""
-        row = {'address': address}
+    async def register(
+        self,
+        address: Address,
+        strength: int,
+    ) -> Failure | None:
+        """Writes this daemon's row; stronger daemons lead first."""
+        row = {'address': address, 'strength': strength}
         outcome = await self._store.commit(
             Transaction((), (Write(CELL, daemon_key(self._daemon_id), row),)),
         )
@@ -124,8 +139,9 @@
             await asyncio.sleep(_CHECK_MS / 1000)
             if not self._is_due(follower):
                 continue
+            replaced = self._view.leader
             self.claim()
-            claim = await self._try_claim()
+            claim = await self._try_claim(replaced)
             if claim is not None:
                 self.win()
                 return claim
@@ -153,6 +169,9 @@
         now_ms = self._clock.monotonic_ms()
         silent_ms = now_ms - self._view.pulse_at_ms
         wait_ms = rank * self._settings.claim_stagger_ms
+        if not self._view.leader.version:
+            # At the first start the daemons must have registered.
+            return silent_ms >= wait_ms + self._settings.first_claim_ms
         if not self._view.leader_id:
             return silent_ms >= wait_ms
         # Silence counts only while the store itself can be heard.
@@ -164,18 +183,19 @@
         )
 
     def _rank(self) -> int:
-        others = sorted(self._view.daemons())
         # A leader that fell silent comes last.
-        others = [one for one in others if one != self._view.leader_id]
+        others = [
+            one
+            for one in self._view.by_strength()
+            if one != self._view.leader_id
+        ]
         if self._daemon_id in others:
             return others.index(self._daemon_id)
         return len(others)
 
-    async def _try_claim(self) -> Claim | None:
+    async def _try_claim(self, replaced: Row) -> Claim | None:
         leader = await self._store.read(CELL, LEADER_KEY)
-        if isinstance(leader, Failure):
-            return None
-        if leader.version != self._view.leader.version:
+        if isinstance(leader, Failure) or leader.version != replaced.version:
             return None
         epoch = Fence((leader.value or {}).get('epoch', 0) + 1)
         claimed = {'daemon': self._daemon_id, 'epoch': epoch}
--- a/src/radishlift/cell/settings.py
+++ b/src/radishlift/cell/settings.py
@@ -11,6 +11,8 @@
     - `silence_ms`: without a pulse for so long, another daemon takes over;
       three pulses, as one may be delayed by a slow store.
     - `claim_stagger_ms`: daemons claim one after another, by their ids.
+    - `first_claim_ms`: wait before the very first claim; all hosts start
+      within 300 ms of each other.
     - `lease_share`: lease of targets as a share of the longest one allowed;
       the rest is for clocks and calls that are late.
     - `clock_drift`: how much slower a target's clock may run.
@@ -35,6 +37,7 @@
     pulse_ms: int = 400
     silence_ms: int = 1300
     claim_stagger_ms: int = 60
+    first_claim_ms: int = 700
     lease_share: float = 0.7
     clock_drift: float = 0.02
     unconfirmed_ms: int = 6000
--- a/src/radishlift/platform/main.py
+++ b/src/radishlift/platform/main.py
@@ -63,6 +63,7 @@
     daemon = CellDaemon(
         DaemonParts(
             settings.daemon_id,
+            settings.strength,
             settings.peer_address,
             PlatformStore(client, settings.store_address),
             PlatformTargets(client),
--- a/src/radishlift/platform/settings.py
+++ b/src/radishlift/platform/settings.py
@@ -12,6 +12,8 @@
 SETTINGS_VARIABLE: Final = 'RADISHLIFT_CONFIG'
 
 _MS_IN_S: Final = 1000
+# A leader of 200 targets needs about 30 Mbit/s; more is of no use.
+_WIDE_LINK_MBPS: Final = 100
 _UNREADABLE: Final = (OSError, ValueError, KeyError, TypeError)
 
 
@@ -38,6 +40,13 @@
     stop_ms: int
     grace_ms: int
     drain_ms: int
+    link_mbps: float
+    cpu_cores: float
+
+    @property
+    def strength(self) -> int:
+        """Ranks hosts for leading, which takes both link and processor."""
+        return int(min(self.link_mbps, _WIDE_LINK_MBPS) * self.cpu_cores)
 
 
 def read_host_settings(path: Path) -> HostSettings | Failure:
@@ -52,6 +61,7 @@
 def _decode(plain: Mapping[str, Any]) -> HostSettings:
     listen = plain['listen']
     bounds = plain['bounds']
+    limits = plain['limits']
     first_port = int(plain['portRange'][0])
     host_ip = plain['ip']
     return HostSettings(
@@ -69,6 +79,9 @@
         stop_ms=int(bounds['stopMs']),
         grace_ms=int(bounds['graceS'] * _MS_IN_S),
         drain_ms=int(bounds['drainMs']),
+        link_mbps=float(limits['linkMbps']),
+        # A share of a core that is so many times as fast.
+        cpu_cores=float(limits['cpuShare']) * float(limits['cores']),
     )
 
 
--- a/tests/cell/test_leadership.py
+++ b/tests/cell/test_leadership.py
@@ -16,7 +16,11 @@
 from tests.standins.tables import Fault
 
 SETTINGS = CellSettings(
-    silence_ms=150, claim_stagger_ms=30, short_wait_ms=20, feed_retry_ms=5
+    silence_ms=150,
+    claim_stagger_ms=60,
+    first_claim_ms=60,
+    short_wait_ms=20,
+    feed_retry_ms=5,
 )
 
 
@@ -52,9 +56,9 @@
     store = MemoryCellStore()
     candidates = []
 
-    async def add(name):
+    async def add(name, strength=10):
         candidate = Candidate(name, store)
-        await candidate.leadership.register(Address('127.0.0.1:1'))
+        await candidate.leadership.register(Address('127.0.0.1:1'), strength)
         candidates.append(candidate)
         return candidate
 
@@ -72,7 +76,8 @@
     candidates = [await add(name) for name in ('d1', 'd2', 'd3')]
     end = asyncio.get_running_loop().time() + 0.6
     while asyncio.get_running_loop().time() < end:
-        pulse(store)
+        if any(one.claim.done() for one in candidates):
+            pulse(store)
         await asyncio.sleep(0.02)
     assert sum(one.claim.done() for one in candidates) == 1
     assert store.tables.read(CELL, LEADER_KEY).value['epoch'] == 1
@@ -109,6 +114,20 @@
     assert not second.claim.done()
 
 
+@pytest.mark.parametrize('is_first', [True, False])
+async def test_strongest_daemon_leads_first(cell, is_first):
+    _, add = cell
+    if not is_first:
+        leader = await add('d0')
+        claim = await asyncio.wait_for(leader.claim, 2)
+    weak = await add('d1', 5)
+    strong = await add('d2', 400)
+    if not is_first:
+        await leader.leadership.release(claim)
+    await asyncio.wait_for(strong.claim, 2)
+    assert not weak.claim.done()
+
+
 @pytest.mark.parametrize('fault', [Fault.lose_answers])
 async def test_claim_with_a_lost_answer_is_read_back(cell, fault):
     store, add = cell
