Serve metrics; bound the lines of the log without waiting for its reader

Cause: the platform's daemon had no metrics, and its log lines blocked when nobody read them. Change: counters of all logged events by outcome and latencies of callers' operations at the metrics address; lines go to standard output at most 600 a second, what the reader does not take at once is dropped and counted. Samples of metrics and their text form moved to report/samples. A test of takeovers did not wait for the end of the earlier leader, which then started the task itself (seen once): it waits now.

--- a/src/radishlift/api/reports.py
+++ b/src/radishlift/api/reports.py
@@ -7,8 +7,8 @@
 from radishlift.api.answers import answer_of, failure_answer
 from radishlift.core.errors import Failure
 from radishlift.report.collector import MetricsCollector
-from radishlift.report.exposition import Sample, expose
 from radishlift.report.render import render_svg, render_table
+from radishlift.report.samples import Sample, expose
 
 
 class ReportHandlers:
--- /dev/null
+++ b/src/radishlift/cell/metrics.py
@@ -0,0 +1,65 @@
+"""Counters and latencies of one daemon."""
+
+from collections import Counter
+from collections.abc import Iterator, Mapping
+from enum import Enum, unique
+from typing import Final
+
+from radishlift.report.histograms import HistogramTable
+from radishlift.report.samples import Sample, expose, histogram_samples
+
+_MAX_HISTOGRAMS: Final = 32
+_LABELLED: Final = ('outcome', 'how', 'verdict', 'state')
+
+
+@unique
+class Operation(Enum):
+    """What is timed for callers."""
+
+    submit = 'submit'
+    state = 'state'
+    cancel = 'cancel'
+    count = 'count'
+
+
+class CellMetrics:
+    """Counts the events of the log by outcome, and times operations.
+
+    All logged events are counted, also those whose line is dropped.
+    """
+
+    def __init__(self) -> None:
+        self._events: Counter[tuple[str, str]] = Counter()
+        self._histograms = HistogramTable(_MAX_HISTOGRAMS)
+
+    def count_event(
+        self,
+        event: str,
+        _level: str,
+        fields: Mapping[str, object],
+    ) -> None:
+        """Counts an event; a sink of the log."""
+        outcome = ''
+        for name in _LABELLED:
+            if name in fields:
+                found = fields[name]
+                outcome = str(found.value if isinstance(found, Enum) else found)
+                break
+        self._events[event, outcome] += 1
+
+    def observe(self, operation: Operation, duration_ms: int) -> None:
+        """Records how long a caller waited for its answer."""
+        self._histograms.record((operation.value, 'latency'), duration_ms)
+
+    def text(self) -> str:
+        """Writes all metrics."""
+        return expose(self._samples())
+
+    def _samples(self) -> Iterator[Sample]:
+        for (event, outcome), number in sorted(self._events.items()):
+            labels = {'event': event, 'outcome': outcome}
+            yield Sample('radishlift_events_total', number, labels)
+        yield from histogram_samples(self._histograms)
+
+
+__all__ = ('CellMetrics', 'Operation')
--- a/src/radishlift/cell/settings.py
+++ b/src/radishlift/cell/settings.py
@@ -32,6 +32,8 @@
       with every heartbeat.
     - `forget_ended_ms`: how long ended jobs are kept in memory; callers may
       ask for 120 s.
+    - `max_log_lines_per_s`: twice the lines of a leader at 450 starts/s would
+      cost it a tenth of a core; what is above is counted and dropped.
     """
 
     pulse_ms: int = 400
@@ -51,6 +53,7 @@
     feed_retry_ms: int = 150
     feed_gap_ms: int = 100
     forget_ended_ms: int = 180_000
+    max_log_lines_per_s: int = 600
 
 
 __all__ = ('CellSettings',)
--- a/src/radishlift/core/logs.py
+++ b/src/radishlift/core/logs.py
@@ -5,12 +5,15 @@
 import sys
 from collections.abc import Callable, Mapping
 from enum import Enum
-from typing import Final, TextIO
+from typing import TYPE_CHECKING, Final
 
 from loguru import logger
 
 from radishlift.core.events import EVENT_LEVELS
 
+if TYPE_CHECKING:
+    from loguru import Writable
+
 _PLAIN: Final = re.compile(r'[\w./:@+-]+')
 _FORMAT: Final = '{time:YYYY-MM-DDTHH:mm:ss.SSSZZ} level={level} {message}'
 
@@ -54,10 +57,12 @@
     _SINKS.remove(sink)
 
 
-def setup_logs(level: str, stream: TextIO = sys.stderr) -> None:
-    """Sends logs of this level and above to a stream."""
+def setup_logs(level: str, stream: 'Writable | None' = None) -> None:
+    """Sends logs of this level and above to a stream, or standard error."""
     logger.remove()
-    logger.add(stream, format=_FORMAT, level=level, backtrace=False)
+    logger.add(
+        stream or sys.stderr, format=_FORMAT, level=level, backtrace=False
+    )
 
 
 __all__ = (
--- a/src/radishlift/platform/front.py
+++ b/src/radishlift/platform/front.py
@@ -1,10 +1,12 @@
 """HTTP interface towards callers, as the platform's pages describe it."""
 
+from types import MappingProxyType
 from typing import Final
 
 from aiohttp import web
 
 from radishlift.cell.intake import Intake
+from radishlift.cell.metrics import CellMetrics, Operation
 from radishlift.cell.queues import Queue
 from radishlift.core.clock import Clock
 from radishlift.core.errors import ErrorKind, Failure
@@ -15,34 +17,56 @@
 # Used when a caller does not say how long it waits.
 _DEFAULT_DEADLINE_MS: Final = 3000
 _MS_IN_S: Final = 1000
+_OPERATIONS: Final = MappingProxyType(
+    {'POST': Operation.submit, 'DELETE': Operation.cancel},
+)
 
 
 class Front:
     """Serves submissions, states, cancels and counts of queues."""
 
-    def __init__(self, intake: Intake, clock: Clock) -> None:
+    def __init__(
+        self,
+        intake: Intake,
+        clock: Clock,
+        metrics: CellMetrics,
+    ) -> None:
         self._intake = intake
         self._clock = clock
+        self._metrics = metrics
 
     async def handle(self, request: web.BaseRequest) -> web.Response:
         """Serves one request of a caller."""
+        began_at_ms = self._clock.monotonic_ms()
         host = request.headers.get('Host', '').partition(':')[0]
         queue = self._intake.find(host, request.path)
         if isinstance(queue, Failure):
             return _error(queue)
         job_id = JobId(request.path.removeprefix(queue.path_prefix))
-        if not job_id:
-            return _json(
-                f'{{"pending":{self._intake.pending(queue.terms.queue)}}}'
-            )
-        if request.method == 'POST':
+        operation = Operation.count
+        if job_id:
+            operation = _OPERATIONS.get(request.method, Operation.state)
+        response = await self._answer(request, queue, job_id, operation)
+        waited_ms = self._clock.monotonic_ms() - began_at_ms
+        self._metrics.observe(operation, waited_ms)
+        return response
+
+    async def _answer(
+        self,
+        request: web.BaseRequest,
+        queue: Queue,
+        job_id: JobId,
+        operation: Operation,
+    ) -> web.Response:
+        if operation is Operation.count:
+            pending = self._intake.pending(queue.terms.queue)
+            return _json(f'{{"pending":{pending}}}')
+        if operation is Operation.submit:
             return await self._submit(request, queue, job_id)
-        if request.method == 'GET':
-            return await self._state(job_id)
-        if request.method == 'DELETE':
+        if operation is Operation.cancel:
             outcome = await self._intake.cancel(job_id, self._deadline(request))
             return _done_or_gone(outcome)
-        return web.Response(status=405)
+        return await self._state(job_id)
 
     async def _submit(
         self,
--- /dev/null
+++ b/src/radishlift/platform/listeners.py
@@ -0,0 +1,49 @@
+"""HTTP listeners of a daemon, besides that for callers."""
+
+from collections.abc import Awaitable, Callable
+from typing import Final
+
+from aiohttp import web
+
+from radishlift.cell.daemon import CellDaemon
+from radishlift.cell.metrics import CellMetrics
+from radishlift.core.ids import Address
+from radishlift.report.samples import CONTENT_TYPE
+
+_UNAVAILABLE: Final = 503
+# Connections that wait to be accepted, also in bursts.
+_BACKLOG: Final = 512
+
+Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
+
+def readiness(daemon: CellDaemon) -> Handler:
+    """Answers 200 while callers should be sent here."""
+
+    async def handle(_: web.BaseRequest) -> web.StreamResponse:
+        return web.Response(status=200 if daemon.is_ready else _UNAVAILABLE)
+
+    return handle
+
+
+def exposition(metrics: CellMetrics) -> Handler:
+    """Serves counters and latencies as text."""
+
+    async def handle(_: web.BaseRequest) -> web.StreamResponse:
+        return web.Response(
+            text=metrics.text(),
+            headers={'Content-Type': CONTENT_TYPE},
+        )
+
+    return handle
+
+
+async def serve(address: Address, handler: Handler) -> None:
+    """Listens on an address; raises OSError if it is in use."""
+    runner = web.ServerRunner(web.Server(handler))
+    await runner.setup()
+    host, _, port = address.rpartition(':')
+    await web.TCPSite(runner, host, int(port), backlog=_BACKLOG).start()
+
+
+__all__ = ('exposition', 'readiness', 'serve')
--- a/src/radishlift/platform/main.py
+++ b/src/radishlift/platform/main.py
@@ -4,20 +4,18 @@
 import os
 import signal
 import sys
-from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Final
 
-from aiohttp import web
-
 from radishlift.cell.clock import BootClock
 from radishlift.cell.daemon import CellDaemon, DaemonParts
+from radishlift.cell.metrics import CellMetrics
 from radishlift.cell.queues import QueueConfig
 from radishlift.cell.settings import CellSettings
 from radishlift.core.errors import Failure
 from radishlift.core.garbage import reduce_collections
-from radishlift.core.ids import Address
-from radishlift.core.logs import log_event, setup_logs
+from radishlift.core.log_stream import BoundedLogStream
+from radishlift.core.logs import add_event_sink, log_event, setup_logs
 from radishlift.platform.advice import PlatformAdvice
 from radishlift.platform.documents import (
     CONFIG_KEY,
@@ -26,6 +24,7 @@
 )
 from radishlift.platform.front import Front
 from radishlift.platform.http import JsonClient
+from radishlift.platform.listeners import exposition, readiness, serve
 from radishlift.platform.settings import (
     SETTINGS_VARIABLE,
     HostSettings,
@@ -37,18 +36,19 @@
 from radishlift.steps.settings import StepSettings
 
 EXIT_SETTINGS: Final = 2
-_UNAVAILABLE: Final = 503
-_BACKLOG: Final = 512
 # Share of the grace period in which open connections are still served.
 _DRAIN_SHARE: Final = 0.75
 
-Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
-
 
 def main() -> int:
     """Runs the daemon; exit status 2 when the settings are wrong."""
     settings = read_host_settings(Path(os.environ[SETTINGS_VARIABLE]))
-    setup_logs('INFO', sys.stdout)
+    stream = BoundedLogStream(
+        sys.stdout.fileno(),
+        CellSettings().max_log_lines_per_s,
+        BootClock(),
+    )
+    setup_logs('INFO', stream)
     if isinstance(settings, Failure):
         log_event('settings_refused', reason=settings.reason)
         return EXIT_SETTINGS
@@ -81,9 +81,12 @@
     loop.add_signal_handler(signal.SIGTERM, stopped.set)
     loop.add_signal_handler(signal.SIGHUP, _reread, settings)
     await daemon.start()
-    front = Front(daemon.intake, clock)
-    await _serve(settings.front_address, front.handle)
-    await _serve(settings.ready_address, _readiness(daemon))
+    metrics = CellMetrics()
+    add_event_sink(metrics.count_event)
+    front = Front(daemon.intake, clock, metrics)
+    await serve(settings.front_address, front.handle)
+    await serve(settings.ready_address, readiness(daemon))
+    await serve(settings.metrics_address, exposition(metrics))
     log_event('daemon_started', daemon=settings.daemon_id)
     await stopped.wait()
     drained = asyncio.sleep(settings.grace_ms * _DRAIN_SHARE / 1000)
@@ -113,20 +116,6 @@
     return decode_config(newest.value or {})
 
 
-def _readiness(daemon: CellDaemon) -> Handler:
-    async def handle(_: web.BaseRequest) -> web.StreamResponse:
-        return web.Response(status=200 if daemon.is_ready else _UNAVAILABLE)
-
-    return handle
-
-
-async def _serve(address: Address, handler: Handler) -> None:
-    runner = web.ServerRunner(web.Server(handler))
-    await runner.setup()
-    host, _, port = address.rpartition(':')
-    await web.TCPSite(runner, host, int(port), backlog=_BACKLOG).start()
-
-
 __all__ = ('main', 'newest_config')
 
 if __name__ == '__main__':
--- a/tests/cell/leader.py
+++ b/tests/cell/leader.py
@@ -118,11 +118,15 @@
         self.terms.append(task)
         return task
 
+    async def kill(self, task):
+        """Ends a term; it sends nothing any more."""
+        task.cancel()
+        with suppress(asyncio.CancelledError):
+            await task
+
     async def close(self):
         for task in self.terms:
-            task.cancel()
-            with suppress(asyncio.CancelledError):
-                await task
+            await self.kill(task)
 
     async def until(self, condition, within_s=3.0):
         async with asyncio.timeout(within_s):
--- a/tests/cell/test_leading.py
+++ b/tests/cell/test_leading.py
@@ -94,7 +94,7 @@
     await cell.until(
         lambda: any(fake.late for fake in cell.targets.by_id.values())
     )
-    first.cancel()
+    await cell.kill(first)
     for fake in cell.targets.by_id.values():
         fake.is_silent = False
     cell.lead()
@@ -129,7 +129,7 @@
     cell.submit(job())
     await cell.until(lambda: bool(cell.targets.placed()))
     name = only(cell.targets.placed().values())
-    first.cancel()
+    await cell.kill(first)
     cell.write(TARGETS, name, None)
     cell.targets[name].is_silent = True
     other = {'t1': 't2', 't2': 't1'}[name]
@@ -237,7 +237,7 @@
     await cell.until(
         lambda: any(fake.late for fake in cell.targets.by_id.values())
     )
-    first.cancel()
+    await cell.kill(first)
     late = [
         (fake, order)
         for fake in cell.targets.by_id.values()
--- a/tests/ownership/test_cell_level.py
+++ b/tests/ownership/test_cell_level.py
@@ -14,7 +14,8 @@
 from radishlift.membership.daemon_rows import DAEMONS_TABLE
 from radishlift.ownership.cell_level import CellLevel
 from radishlift.ownership.settings import OwnershipSettings
-from radishlift.report.exposition import expose, format_samples
+from radishlift.report.exposition import format_samples
+from radishlift.report.samples import expose
 from radishlift.services.api import Transaction, Write
 from radishlift.wire.messages import message
 from tests.ownership.fleet import Fleet
--- /dev/null
+++ b/tests/platform/test_front.py
@@ -0,0 +1,125 @@
+"""Tests of the HTTP interface towards callers."""
+
+import asyncio
+import json
+
+import pytest
+from aiohttp import ClientSession, web
+
+from radishlift.cell.clock import BootClock
+from radishlift.cell.intake import Intake
+from radishlift.cell.metrics import CellMetrics
+from radishlift.cell.tables import CANCELS, JOBS
+from radishlift.platform.documents import decode_config
+from radishlift.platform.front import Front
+from tests.cell.fakes import MemoryCellStore
+from tests.platform.test_documents import CONFIG
+from tests.standins.tables import Fault
+
+ID = '0123456789abcdef'
+PULSE = {'pending': {'r-1': 4}}
+JOB = json.dumps({'spec': 's', 'steps': [{'count': 1, 'cpu': 100}]})
+
+
+class Service:
+    """A front with an in-memory store."""
+
+    def __init__(self) -> None:
+        self.store = MemoryCellStore()
+        clock = BootClock()
+        self.intake = Intake(
+            self.store,
+            clock,
+            lambda: PULSE,
+            bool,
+        )
+        self.intake.config = decode_config(CONFIG)
+        self.metrics = CellMetrics()
+        self.front = Front(self.intake, clock, self.metrics)
+
+    async def send(self, method, path, body=None, **headers):
+        url = f'http://127.0.0.1:{self.port}{path}'
+        sent = {'Host': 'h.example', **headers}
+        async with (
+            ClientSession() as session,
+            session.request(method, url, data=body, headers=sent) as answer,
+        ):
+            return answer.status, await answer.text(), answer.headers
+
+
+@pytest.fixture
+async def service():
+    service = Service()
+    runner = web.ServerRunner(web.Server(service.front.handle))
+    await runner.setup()
+    site = web.TCPSite(runner, '127.0.0.1', 0)
+    await site.start()
+    service.port = site._server.sockets[0].getsockname()[1]
+    yield service
+    await runner.cleanup()
+
+
+async def test_submitted_job_is_stored_and_shown(service):
+    status, _, _ = await service.send('POST', f'/q/{ID}', JOB)
+    assert status == 200
+    assert service.store.tables.read(JOBS, ID).version
+    status, text, _ = await service.send('GET', f'/q/{ID}')
+    assert (status, json.loads(text)) == (200, {'state': 'queued'})
+
+
+async def test_count_of_a_queue(service):
+    status, text, _ = await service.send('GET', '/q/')
+    assert (status, json.loads(text)) == (200, {'pending': 4})
+
+
+@pytest.mark.parametrize('path', ['/other/', f'/other/{ID}'])
+async def test_unknown_queue_is_not_found(service, path):
+    status, _, _ = await service.send('GET', path)
+    assert status == 404
+
+
+@pytest.mark.parametrize('method', ['GET', 'DELETE'])
+async def test_unknown_job_is_gone(service, method):
+    status, _, _ = await service.send(method, f'/q/{ID}')
+    assert status == 410
+
+
+async def test_cancel_is_stored_before_its_answer(service):
+    await service.send('POST', f'/q/{ID}', JOB)
+    status, _, _ = await service.send('DELETE', f'/q/{ID}')
+    assert status == 200
+    assert service.store.tables.read(CANCELS, ID).version
+
+
+async def test_refusal_tells_when_to_come_back(service):
+    service.store.fail_next_commits = [Fault.down]
+    status, _, headers = await service.send('POST', f'/q/{ID}', JOB)
+    assert status == 503
+    assert int(headers['Retry-After']) >= 1
+    assert not service.store.tables.read(JOBS, ID).version
+
+
+async def test_unknown_outcome_is_no_refusal(service):
+    service.store.fail_next_commits = [Fault.lose_answers for _ in range(9)]
+    headers = {'Deadline-Ms': '200'}
+    status, _, _ = await service.send('POST', f'/q/{ID}', JOB, **headers)
+    assert status == 504
+
+
+async def test_malformed_job_is_refused(service):
+    status, _, _ = await service.send('POST', f'/q/{ID}', '{')
+    assert status == 400
+
+
+async def test_daemon_without_configuration_refuses(service):
+    service.intake.config = None
+    status, _, _ = await service.send('GET', '/q/')
+    assert status == 503
+
+
+async def test_answers_are_timed(service):
+    await asyncio.gather(
+        service.send('GET', '/q/'),
+        service.send('POST', f'/q/{ID}', JOB),
+    )
+    assert 'subject="submit"' in service.metrics.text()
--- a/tests/report/test_metrics.py
+++ b/tests/report/test_metrics.py
@@ -11,11 +11,12 @@
 from radishlift.core.ids import ConfigVersion, DaemonId
 from radishlift.report.burn import BurnReport, burn_report
 from radishlift.report.collector import MetricsCollector
-from radishlift.report.exposition import Sample, expose, metrics_samples
+from radishlift.report.exposition import metrics_samples
 from radishlift.report.histograms import HistogramTable
 from radishlift.report.messages import HistogramSnapshot, MetricsSnapshot
 from radishlift.report.metrics import Indicator, MetricsTable
 from radishlift.report.render import render_svg, render_table
+from radishlift.report.samples import Sample, expose
 from radishlift.report.settings import ReportSettings
 from radishlift.report.windows import (
     TICK_MS,
