Remove jobs that ended long ago

Cause: rows and memory of ended jobs were kept for ever. Change: 180 s after its end a job's rows are removed, its progress last; the next leader removes progress without a job. Tests: removal, cancels, leftovers of an earlier leader.

--- a/src/radishlift/cell/commits.py
+++ b/src/radishlift/cell/commits.py
@@ -85,6 +85,7 @@
         self._clock = clock
         self._dirty: dict[JobId, JobRun] = {}
         self._effects: dict[JobId, list[Effect]] = {}
+        self._dropped: list[JobId] = []
         self._waiters: list[asyncio.Future[None]] = []
         self._current: _Batch | None = None
         self._wake = asyncio.Event()
@@ -108,6 +109,11 @@
             self._effects.setdefault(job_id, []).append(effect)
         self._wake.set()
 
+    def drop(self, job_id: JobId) -> None:
+        """Removes the progress of a job that the store has no row of."""
+        self._dropped.append(job_id)
+        self._wake.set()
+
     async def settled(self) -> None:
         """Waits until all that was noted before is committed."""
         waiter = asyncio.get_running_loop().create_future()
@@ -168,6 +174,10 @@
             writes.append(Write(PROGRESS, job_id, dump_progress(job)))
             batch.states.append((job, job.state))
             batch.effects.extend(self._effects.pop(job_id, ()))
+        room = _MAX_JOBS - len(batch.states)
+        for job_id in self._dropped[:room]:
+            writes.append(Write(PROGRESS, job_id, None))
+        del self._dropped[:room]
         if not self._dirty:
             batch.waiters = self._waiters
             self._waiters = []
--- a/src/radishlift/cell/leading.py
+++ b/src/radishlift/cell/leading.py
@@ -11,6 +11,7 @@
 from radishlift.cell.job_rows import load_job
 from radishlift.cell.ports import CellStore, TargetCalls
 from radishlift.cell.queues import QueueConfig
+from radishlift.cell.retention import Retention
 from radishlift.cell.scheduler import Scheduler, SchedulerContext
 from radishlift.cell.settings import CellSettings
 from radishlift.cell.tables import CANCELS, JOBS, PROGRESS, TARGETS
@@ -69,6 +70,13 @@
             parts.daemons,
             parts.clock,
         )
+        self._retention = Retention(
+            parts.store,
+            self.scheduler.jobs,
+            self._log,
+            parts.settings,
+            parts.clock,
+        )
         self._is_restored = asyncio.Event()
         self._has_targets = asyncio.Event()
         self._early_cancels: set[JobId] = set()
@@ -116,6 +124,7 @@
             self._follow(CANCELS, self._on_cancels, self._on_cancels),
             self._follow_targets(),
             self._adviser.run(),
+            self._retention.run(),
             self._schedule(),
         ]
 
@@ -123,6 +132,9 @@
         # What a target runs can be judged only with all jobs at hand.
         await self._is_restored.wait()
         self.scheduler.inherited.collect()
+        for job_id in self._progress:
+            self._log.drop(job_id)
+        self._progress.clear()
         await self._follow(
             TARGETS,
             self._on_target_list,
@@ -186,6 +198,9 @@
     def _on_cancels(self, rows: tuple[Row, ...]) -> None:
         for row in rows:
             job_id = JobId(row.key)
+            if row.value is None:
+                self._early_cancels.discard(job_id)
+                continue
             self._early_cancels.add(job_id)
             self.scheduler.cancel_job(job_id)
 
--- /dev/null
+++ b/src/radishlift/cell/retention.py
@@ -0,0 +1,68 @@
+"""Removes jobs that ended long ago, from memory and from the store.
+
+A job's row goes first and its progress after it: a job without progress
+would run again at the next leader, while progress without a job is only
+removed by it.
+"""
+
+import asyncio
+from typing import Final
+
+from radishlift.cell.commits import CommitLog
+from radishlift.cell.job_table import JobTable
+from radishlift.cell.ports import CellStore
+from radishlift.cell.settings import CellSettings
+from radishlift.cell.tables import CANCELS, JOBS
+from radishlift.core.clock import Clock
+from radishlift.core.errors import Failure
+from radishlift.core.logs import log_event
+from radishlift.services.api import Transaction, Write
+
+# Two rows a job; the store takes 100 in a transaction.
+_MAX_JOBS: Final = 45
+
+
+class Retention:
+    """Forgets ended jobs once callers may not ask for them any more."""
+
+    def __init__(
+        self,
+        store: CellStore,
+        jobs: JobTable,
+        log: CommitLog,
+        settings: CellSettings,
+        clock: Clock,
+    ) -> None:
+        self._store = store
+        self._jobs = jobs
+        self._log = log
+        self._settings = settings
+        self._clock = clock
+
+    async def run(self) -> None:
+        """Removes jobs in turn until it is cancelled."""
+        while True:
+            await asyncio.sleep(self._settings.forget_every_ms / 1000)
+            await self._remove_some()
+
+    async def _remove_some(self) -> None:
+        limit_ms = self._clock.monotonic_ms() - self._settings.forget_ended_ms
+        job_ids = self._jobs.ended_before(limit_ms)[:_MAX_JOBS]
+        if not job_ids:
+            return
+        writes = [
+            Write(table, job_id, None)
+            for job_id in job_ids
+            for table in (JOBS, CANCELS)
+        ]
+        outcome = await self._store.commit(Transaction((), tuple(writes)))
+        if isinstance(outcome, Failure):
+            log_event('jobs_not_removed', reason=outcome.reason)
+            return
+        for job_id in job_ids:
+            self._jobs.forget(job_id)
+            self._log.drop(job_id)
+        log_event('jobs_removed', count=len(job_ids))
+
+
+__all__ = ('Retention',)
--- a/src/radishlift/cell/settings.py
+++ b/src/radishlift/cell/settings.py
@@ -30,8 +30,9 @@
     - `feed_retry_ms`: pause after a failed read of the store.
     - `feed_gap_ms`: pause between reads of the targets' entries, which change
       with every heartbeat.
-    - `forget_ended_ms`: how long ended jobs are kept in memory; callers may
-      ask for 120 s.
+    - `forget_ended_ms`: how long ended jobs are kept; callers may ask for
+      120 s, and repeat a submission for seconds after its answer.
+    - `forget_every_ms`: pause between two removals of ended jobs.
     - `max_log_lines_per_s`: twice the lines of a leader at 450 starts/s would
       cost it a tenth of a core; what is above is counted and dropped.
     """
@@ -53,6 +54,7 @@
     feed_retry_ms: int = 150
     feed_gap_ms: int = 100
     forget_ended_ms: int = 180_000
+    forget_every_ms: int = 1000
     max_log_lines_per_s: int = 600
 
 
--- a/tests/cell/leader.py
+++ b/tests/cell/leader.py
@@ -39,6 +39,7 @@
     feed_retry_ms=5,
     feed_gap_ms=2,
     unconfirmed_ms=100,
+    forget_every_ms=10,
 )
 MAX_LEASE_MS = 200
 
@@ -46,7 +47,10 @@
 class Cell:
     """The store, the targets, and terms of leaders one after another."""
 
-    def __init__(self, *targets: str, cores: int = 4) -> None:
+    def __init__(
+        self, *targets: str, cores: int = 4, settings: CellSettings = SETTINGS
+    ) -> None:
+        self.settings = settings
         self.store = MemoryCellStore()
         self.targets = FakeTargets(*targets)
         self.advice = FakeAdvice()
@@ -108,7 +112,7 @@
                 lambda name, plain: entry(
                     name, plain['cores'], state=TargetState(plain['state'])
                 ),
-                SETTINGS,
+                self.settings,
                 StepSettings(),
                 BootClock(),
                 MAX_LEASE_MS,
