--- /dev/null
+++ b/tests/platform/deployment.py
@@ -0,0 +1,162 @@
+"""Daemons as processes, on stand-ins of the platform's services."""
+
+import asyncio
+import base64
+import json
+import os
+import socket
+import sys
+from pathlib import Path
+
+from aiohttp import ClientError, ClientSession, web
+
+from tests.platform.test_documents import CONFIG, ENTRY
+from tests.standins.store_api import StoreApi
+from tests.standins.target_api import TargetApi, advise
+
+ROOT = Path(__file__).parents[2]
+SETTINGS = """
+node = "{name}"
+ip = "127.0.0.1"
+zone = "z1"
+portRange = [{port}, {last}]
+heartbeatMs = 1500
+advice = "{advice}"
+unknown = {{ later = true }}
+[listen]
+front = "127.0.0.1:{front}"
+ready = "127.0.0.1:{ready}"
+[limits]
+cpuShare = 0.5
+cores = 2
+linkMbps = 100.0
+[bounds]
+holdMaxMs = 6000
+stopMs = 200
+graceS = 3
+drainMs = 2000
+[platform]
+address = "{store}"
+"""
+
+
+async def listen(stack, handler):
+    runner = web.ServerRunner(web.Server(handler))
+    await runner.setup()
+    stack.push_async_callback(runner.cleanup)
+    site = web.TCPSite(runner, '127.0.0.1', 0)
+    await site.start()
+    return f'127.0.0.1:{site._server.sockets[0].getsockname()[1]}'
+
+
+def free_ports(count):
+    sockets = [socket.socket() for _ in range(count)]
+    for one in sockets:
+        one.bind(('127.0.0.1', 0))
+    ports = [one.getsockname()[1] for one in sockets]
+    for one in sockets:
+        one.close()
+    return ports
+
+
+class Deployment:
+    """Services of the platform and daemons as processes."""
+
+    def __init__(self, folder):
+        self.folder = folder
+        self.store = StoreApi()
+        self.target = TargetApi()
+        self.daemons = {}
+        self.ports = {}
+
+    async def start(self, stack, names):
+        self.session = await stack.enter_async_context(ClientSession())
+        self.store_address = await listen(stack, self.store.handle)
+        self.advice_address = await listen(stack, advise)
+        address = await listen(stack, self.target.handle)
+        entry = {**ENTRY, 'state': 'ready', 'address': address, 'born': 1}
+        self.store.put('servers', '', 'i-1', entry)
+        self.store.put('op', '', 'config', CONFIG)
+        for name in names:
+            await self.run(name)
+
+    async def run(self, name):
+        front, ready, port, last = free_ports(4)
+        self.ports[name] = front, ready, port + 1
+        path = self.folder / f'{name}.toml'
+        path.write_text(
+            SETTINGS.format(
+                name=name,
+                port=port,
+                last=last,
+                front=front,
+                ready=ready,
+                advice=self.advice_address,
+                store=self.store_address,
+            ),
+        )
+        self.daemons[name] = await asyncio.create_subprocess_exec(
+            sys.executable,
+            '-m',
+            'radishlift.platform.main',
+            env={**os.environ, 'RADISHLIFT_CONFIG': str(path)},
+            cwd=ROOT / 'src',
+            stdout=(self.folder / f'{name}.log').open('w'),
+        )
+
+    async def send(self, name, method, path, body=None, at=0):
+        url = f'http://127.0.0.1:{self.ports[name][at]}{path}'
+        headers = {'Host': 'h.example'}
+        try:
+            async with self.session.request(
+                method, url, data=body, headers=headers
+            ) as answer:
+                return answer.status, await answer.text()
+        except ClientError:
+            return 0, ''
+
+    async def until(self, check, within_s=15):
+        async with asyncio.timeout(within_s):
+            while not await check():
+                await asyncio.sleep(0.05)
+
+    async def until_ready(self, name):
+        async def is_ready():
+            return (await self.send(name, 'GET', '/ready', at=1))[0] == 200
+
+        await self.until(is_ready)
+
+    async def until_state(self, name, job_id, state):
+        async def has_state():
+            answer = await self.send(name, 'GET', f'/q/{job_id}')
+            return answer == (
+                200,
+                json.dumps({'state': state}, separators=(',', ':')),
+            )
+
+        await self.until(has_state)
+
+    def claimant(self):
+        """Returns the daemon that leads by the store's row, if any."""
+        row = self.store.rows.get(('cell', 'leader', 'leader'))
+        if row is None:
+            return ''
+        return json.loads(base64.b64decode(row['value']))['daemon']
+
+    async def leader(self):
+        async def has_leader():
+            return bool(self.claimant())
+
+        await self.until(has_leader)
+        return self.claimant()
+
+    async def stop(self):
+        for process in self.daemons.values():
+            if process.returncode is None:
+                process.kill()
+            await process.wait()
+
+
+def body(count):
+    """Writes a job of one step."""
+    return json.dumps({'spec': 's', 'steps': [{'count': count, 'cpu': 100}]})
--- /dev/null
+++ b/tests/standins/target_api.py
@@ -0,0 +1,81 @@
+"""Stand-ins of a target and of the advice service over HTTP."""
+
+import asyncio
+import time
+
+from aiohttp import web
+
+
+class TargetApi:
+    """A target whose tasks end by themselves after a while."""
+
+    def __init__(self, task_s=0.05, needs_ticket=True):
+        self.task_s = task_s
+        self.needs_ticket = needs_ticket
+        self.fence = 0
+        self.running = {}
+        self.ended = []
+        self.started = []
+        self.barred = {}
+        self.number = 0
+
+    def clock_ms(self):
+        return int(time.monotonic() * 1000)
+
+    async def handle(self, request):
+        body = await request.json()
+        if body.get('fencingToken', 0) < self.fence:
+            return self._answer(409, reason='fence')
+        self.fence = body['fencingToken']
+        name = request.path.removeprefix('/').replace('-', '_')
+        return await getattr(self, name)(body)
+
+    async def run_start(self, body):
+        task, attempt = body['task'], body['attempt']
+        if attempt <= self.barred.get(task, 0):
+            return self._answer(409, reason='old')
+        if body['untilMs'] < self.clock_ms():
+            return self._answer(409, reason='late')
+        if self.needs_ticket and body.get('ticket') != f'ticket-{task[:16]}':
+            return self._answer(409, reason='ticket')
+        if self.running.get(task) != attempt:
+            self.running[task] = attempt
+            self.started.append((task, attempt))
+            loop = asyncio.get_running_loop()
+            loop.call_later(self.task_s, self._end, task, attempt, 'done')
+        return self._answer(200)
+
+    async def run_stop(self, body):
+        task, attempt = body['task'], body['attempt']
+        self.barred[task] = max(attempt, self.barred.get(task, 0))
+        self._end(task, attempt, 'stopped')
+        return self._answer(200)
+
+    async def hold(self, body):
+        cursor = body['ackCursor']
+        self.ended = [row for row in self.ended if row[0] > cursor]
+        for _ in range(body.get('waitMs', 0) // 10):
+            if self.ended:
+                break
+            await asyncio.sleep(0.01)
+        rows = [[task, run, '', 0] for task, run in self.running.items()]
+        return self._answer(200, born=1, running=rows, finished=self.ended)
+
+    def _end(self, task, attempt, how):
+        if self.running.get(task) == attempt:
+            del self.running[task]
+            self.number += 1
+            self.barred[task] = attempt
+            self.ended.append([self.number, task, attempt, how, ''])
+
+    def _answer(self, status, **fields):
+        body = {'clockMs': self.clock_ms(), **fields}
+        return web.json_response(body, status=status)
+
+
+async def advise(request):
+    """Allows all targets, with a ticket for each job."""
+    body = await request.json()
+    ticket = f'ticket-{body["step"][:16]}'
+    allowed = [[one, ticket] for one in body['workers']]
+    return web.json_response({'allowed': allowed, 'validMs': 2000})
