--- a/src/radishlift/cell/tables.py
+++ b/src/radishlift/cell/tables.py
@@ -7,7 +7,7 @@
 
 from typing import Final
 
-from radishlift.core.ids import DaemonId, JobId
+from radishlift.core.ids import DaemonId
 
 CELL: Final = 'cell'
 COMMITS: Final = 'commits'
@@ -28,11 +28,6 @@
     return DAEMON_PREFIX + daemon_id
 
 
-def job_of(key: str) -> JobId:
-    """Returns the job of a row of jobs, cancels or progress."""
-    return JobId(key)
-
-
 __all__ = (
     'CANCELS',
     'CELL',
@@ -46,5 +41,4 @@
     'PULSE_KEY',
     'TARGETS',
     'daemon_key',
-    'job_of',
 )
--- a/src/radishlift/platform/http.py
+++ b/src/radishlift/platform/http.py
@@ -44,7 +44,6 @@
     def __init__(self) -> None:
         self._sessions: dict[Address, ClientSession] = {}
         self._closing: set[asyncio.Task[None]] = set()
-        self.calls_count = 0
 
     async def call(
         self,
@@ -60,7 +59,6 @@
         Fails with `peer_unavailable` when no connection was made, so that
         nothing was done, else with `peer_outcome_unknown`.
         """
-        self.calls_count += 1
         sent = None if body is None else json.dumps(body).encode()
         session = self._session(address)
         try:
--- a/src/radishlift/platform/settings.py
+++ b/src/radishlift/platform/settings.py
@@ -21,9 +21,8 @@
 class HostSettings:
     """What a process learns from the platform.
 
-    `max_lease_ms` is the longest lease of a target. `stop_ms` is how long a
-    target takes to stop a task at most. `grace_ms` is the time between
-    SIGTERM and SIGKILL.
+    `max_lease_ms` is the longest lease of a target. `grace_ms` is the time
+    between SIGTERM and SIGKILL.
     """
 
     daemon_id: DaemonId
@@ -34,12 +33,8 @@
     metrics_address: Address
     store_address: Address
     advice_address: Address
-    machines_address: Address
-    heartbeat_ms: int
     max_lease_ms: int
-    stop_ms: int
     grace_ms: int
-    drain_ms: int
     link_mbps: float
     cpu_cores: float
 
@@ -73,12 +68,8 @@
         metrics_address=Address(f'{host_ip}:{first_port + 1}'),
         store_address=Address(plain['platform']['address']),
         advice_address=Address(plain.get('advice', '')),
-        machines_address=Address(plain.get('cloud', {}).get('address', '')),
-        heartbeat_ms=int(plain['heartbeatMs']),
         max_lease_ms=int(bounds['holdMaxMs']),
-        stop_ms=int(bounds['stopMs']),
         grace_ms=int(bounds['graceS'] * _MS_IN_S),
-        drain_ms=int(bounds['drainMs']),
         link_mbps=float(limits['linkMbps']),
         # A share of a core that is so many times as fast.
         cpu_cores=float(limits['cpuShare']) * float(limits['cores']),
--- /dev/null
+++ b/tests/platform/test_settings.py
@@ -0,0 +1,55 @@
+"""Tests of the settings file that the platform lays."""
+
+import pytest
+
+from radishlift.core.errors import Failure
+from radishlift.platform.settings import read_host_settings
+from tests.platform.deployment import SETTINGS
+
+FIELDS = {
+    'name': 'd1',
+    'port': 7000,
+    'last': 7010,
+    'front': 7100,
+    'ready': 7101,
+    'advice': '127.0.0.1:1',
+    'store': '127.0.0.1:2',
+}
+
+
+@pytest.fixture
+def path(tmp_path):
+    path = tmp_path / 'local.toml'
+    path.write_text(SETTINGS.format(**FIELDS))
+    return path
+
+
+def test_fields_are_read_and_unknown_ones_ignored(path):
+    settings = read_host_settings(path)
+    assert settings.daemon_id == 'd1'
+    assert settings.peer_address == '127.0.0.1:7000'
+    assert settings.metrics_address == '127.0.0.1:7001'
+    assert (settings.max_lease_ms, settings.grace_ms) == (6000, 3000)
+
+
+@pytest.mark.parametrize(
+    ('link_mbps', 'strength'), [('10.0', 10), ('100.0', 100), ('900.0', 100)]
+)
+def test_strength_follows_link_and_processor(path, link_mbps, strength):
+    text = path.read_text().replace('100.0', link_mbps)
+    path.write_text(text)
+    assert read_host_settings(path).strength == strength
+
+
+@pytest.mark.parametrize('missing', ['node', 'portRange', 'linkMbps', 'front'])
+def test_missing_field_is_named(path, missing):
+    lines = path.read_text().splitlines()
+    kept = [line for line in lines if not line.startswith(missing)]
+    path.write_text('\n'.join(kept))
+    failure = read_host_settings(path)
+    assert isinstance(failure, Failure)
+    assert missing in failure.reason
+
+
+def test_missing_file_is_refused(tmp_path):
+    assert isinstance(read_host_settings(tmp_path / 'none'), Failure)
