End the process when one of its loops fails; leave unreadable progress alone

Cause: a fault in a loop (found by reading) ended it silently, so that the daemon went on without leading or following; a progress row of another form would have ended the term of every leader in turn. Change: a failed loop is logged and ends the process with status 3; a job with unreadable progress is logged and left alone; rows without an address name no peer.

--- a/src/radishlift/cell/daemon.py
+++ b/src/radishlift/cell/daemon.py
@@ -1,8 +1,9 @@
 """The daemon: serves callers, helps the leader, and leads if it must."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
+from typing import Any
 
 from radishlift.cell.advising import AdviceHelper
 from radishlift.cell.config_sharing import ConfigSharer
@@ -49,7 +50,10 @@
 
 
 class CellDaemon:
-    """Runs what every daemon runs, and the term of a leader."""
+    """Runs what every daemon runs, and the term of a leader.
+
+    `failed` is set when one of its loops has ended by a fault.
+    """
 
     def __init__(self, parts: DaemonParts) -> None:
         self._parts = parts
@@ -76,8 +80,22 @@
             parts.settings,
             parts.clock,
         )
+        self._leader_parts = LeaderParts(
+            parts.store,
+            parts.targets,
+            self._network,
+            lambda: [parts.daemon_id, *self._network.peers],
+            lambda: self.intake.config,
+            parts.decode_target,
+            parts.settings,
+            parts.steps,
+            parts.clock,
+            parts.max_lease_ms,
+        )
         self._term: Term | None = None
         self._tasks: list[asyncio.Task[None]] = []
+        self._leading: asyncio.Task[None] | None = None
+        self.failed = asyncio.Event()
         self._is_stopping = False
 
     @property
@@ -93,17 +111,17 @@
             self._cell_follower.run(self._on_cell_list, self._on_cell),
             self._config_follower.run(self._on_config, self._on_config),
             self._sharer.run(self._on_config),
-            self._lead(),
         ):
-            self._tasks.append(asyncio.create_task(work))
+            self._run(work)
+        self._leading = self._run(self._lead())
 
     async def step_down(self) -> None:
         """Ends a term so that another daemon can lead at once."""
         self._is_stopping = True
         log_event('drain_started')
-        lead_task = self._tasks[-1]
-        lead_task.cancel()
-        await asyncio.wait((lead_task,))
+        if self._leading is not None:
+            self._leading.cancel()
+            await asyncio.wait((self._leading,))
         if self._term is not None:
             await self._leadership.release(self._term.claim)
 
@@ -113,6 +131,19 @@
             task.cancel()
         await self._network.stop()
 
+    def _run(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        task = asyncio.create_task(work)
+        task.add_done_callback(self._note_end)
+        self._tasks.append(task)
+        return task
+
+    def _note_end(self, task: asyncio.Task[None]) -> None:
+        if task.cancelled() or task.exception() is None:
+            return
+        # A daemon without one of its loops would do half of its work.
+        log_event('loop_failed', error=repr(task.exception()))
+        self.failed.set()
+
     def _follower(self, table: str) -> TableFollower:
         parts = self._parts
         followed = Followed(table, wait_ms=parts.settings.short_wait_ms)
@@ -138,32 +169,11 @@
     async def _lead(self) -> None:
         while True:
             claim = await self._leadership.wait_for_claim(self._cell_follower)
-            parts = self._parts
-            self._term = Term(
-                claim,
-                LeaderParts(
-                    parts.store,
-                    parts.targets,
-                    self._network,
-                    self._network_daemons,
-                    self._config,
-                    parts.decode_target,
-                    parts.settings,
-                    parts.steps,
-                    parts.clock,
-                    parts.max_lease_ms,
-                ),
-            )
+            self._term = Term(claim, self._leader_parts)
             await self._term.run()
             self._term = None
             self._leadership.follow()
 
-    def _config(self) -> QueueConfig | None:
-        return self.intake.config
-
-    def _network_daemons(self) -> list[DaemonId]:
-        return [self._parts.daemon_id, *self._network.peers]
-
     def _on_cell_list(self, rows: tuple[Row, ...]) -> None:
         self._view.replace(rows)
         self._note_peers()
--- a/src/radishlift/cell/leadership.py
+++ b/src/radishlift/cell/leadership.py
@@ -75,11 +75,10 @@
     def daemons(self) -> dict[DaemonId, Address]:
         """Returns the address of each daemon."""
         return {
-            DaemonId(key.removeprefix(DAEMON_PREFIX)): Address(
-                row.value['address']
-            )
+            DaemonId(key.removeprefix(DAEMON_PREFIX)): Address(address)
             for key, row in self._rows.items()
-            if key.startswith(DAEMON_PREFIX) and row.value is not None
+            if key.startswith(DAEMON_PREFIX)
+            and (address := (row.value or {}).get('address'))
         }
 
     def format_levels(self) -> dict[DaemonId, int]:
--- a/src/radishlift/cell/leading.py
+++ b/src/radishlift/cell/leading.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, Final
 
 from radishlift.cell.advising import Adviser
 from radishlift.cell.commits import Claim, CommitLog
@@ -22,10 +22,13 @@
 from radishlift.services.api import Row
 from radishlift.steps.ids import TargetId
 from radishlift.steps.progress import load_progress
+from radishlift.steps.runs import JobRun
 from radishlift.steps.settings import StepSettings
 from radishlift.steps.targets import TargetEntry
 from radishlift.wire.network import PeerNetwork
 
+_OTHER_FORM: Final = (IndexError, KeyError, TypeError, ValueError)
+
 EntryDecoder = Callable[[str, Any], TargetEntry | Failure]
 
 
@@ -185,8 +188,8 @@
             log_event('bad_job_row', job=job_id, reason=job.reason)
             return
         progress = self._progress.pop(job_id, None)
-        if progress is not None and progress.value is not None:
-            load_progress(job, progress.value)
+        if progress is not None and not _is_loaded(job, progress):
+            return
         config = self._parts.config()
         queue = None if config is None else config.named(job.terms.queue)
         if queue is not None:
@@ -223,4 +226,17 @@
             self.scheduler.update_target(entry)
 
 
+def _is_loaded(job: JobRun, progress: Row) -> bool:
+    """Sets a job's progress; False if the row is of another form.
+
+    Such a job is left alone: without its progress it would run again.
+    """
+    try:
+        load_progress(job, progress.value or {})
+    except _OTHER_FORM as error:
+        log_event('bad_progress_row', job=progress.key, reason=repr(error))
+        return False
+    return True
+
+
 __all__ = ('LeaderParts', 'Term')
--- a/src/radishlift/core/events.py
+++ b/src/radishlift/core/events.py
@@ -11,6 +11,7 @@
 _ERROR: Final = (
     'bad_daemon_row',
     'bad_owner_row',
+    'bad_progress_row',
     'bad_homes',
     'bad_rack_row',
     'bad_slot_row',
--- a/src/radishlift/platform/main.py
+++ b/src/radishlift/platform/main.py
@@ -36,12 +36,16 @@
 from radishlift.steps.settings import StepSettings
 
 EXIT_SETTINGS: Final = 2
+EXIT_FAULT: Final = 3
 # Share of the grace period in which open connections are still served.
 _DRAIN_SHARE: Final = 0.75
 
 
 def main() -> int:
-    """Runs the daemon; exit status 2 when the settings are wrong."""
+    """Runs the daemon.
+
+    Exit status 2 when the settings are wrong, 3 after a fault, else 0.
+    """
     settings = read_host_settings(Path(os.environ[SETTINGS_VARIABLE]))
     stream = BoundedLogStream(
         sys.stdout.fileno(),
@@ -52,11 +56,10 @@
     if isinstance(settings, Failure):
         log_event('settings_refused', reason=settings.reason)
         return EXIT_SETTINGS
-    asyncio.run(_run(settings))
-    return 0
+    return asyncio.run(_run(settings))
 
 
-async def _run(settings: HostSettings) -> None:
+async def _run(settings: HostSettings) -> int:
     reduce_collections()
     client = JsonClient()
     clock = BootClock()
@@ -88,12 +91,19 @@
     await serve(settings.ready_address, readiness(daemon))
     await serve(settings.metrics_address, exposition(metrics))
     log_event('daemon_started', daemon=settings.daemon_id)
-    await stopped.wait()
+    ends = {
+        asyncio.create_task(stopped.wait()),
+        asyncio.create_task(daemon.failed.wait()),
+    }
+    await asyncio.wait(ends, return_when=asyncio.FIRST_COMPLETED)
+    if daemon.failed.is_set():
+        return EXIT_FAULT
     drained = asyncio.sleep(settings.grace_ms * _DRAIN_SHARE / 1000)
     await asyncio.gather(daemon.step_down(), drained)
     await daemon.stop()
     await client.close()
     log_event('drain_ended')
+    return 0
 
 
 def _reread(running: HostSettings) -> None:
--- /dev/null
+++ b/tests/cell/test_daemon.py
@@ -0,0 +1,59 @@
+"""Tests of a daemon without its network."""
+
+import asyncio
+
+import pytest
+
+from radishlift.cell.clock import BootClock
+from radishlift.cell.daemon import CellDaemon, DaemonParts
+from radishlift.cell.settings import CellSettings
+from radishlift.cell.tables import CELL, CONFIG
+from radishlift.core.ids import Address, DaemonId
+from radishlift.services.api import Transaction, Write
+from radishlift.steps.settings import StepSettings
+from tests.cell.fakes import FakeAdvice, FakeTargets, MemoryCellStore
+
+
+def decode_config(rows):
+    raise ValueError('fault of the software')
+
+
+@pytest.fixture
+async def daemon():
+    store = MemoryCellStore()
+    daemon = CellDaemon(
+        DaemonParts(
+            DaemonId('d1'),
+            10,
+            Address('127.0.0.1:0'),
+            store,
+            FakeTargets(),
+            FakeAdvice(),
+            decode_config,
+            lambda name, plain: None,
+            CellSettings(short_wait_ms=20, first_claim_ms=20),
+            StepSettings(),
+            BootClock(),
+            6000,
+        ),
+    )
+    daemon.store = store
+    yield daemon
+    await daemon.stop()
+
+
+def write(daemon, table, key, value):
+    daemon.store.tables.commit(Transaction((), (Write(table, key, value),)))
+
+
+async def test_fault_in_a_loop_is_told(daemon):
+    write(daemon, CONFIG, 'config', {'version': 1})
+    await daemon.start()
+    await asyncio.wait_for(daemon.failed.wait(), 2)
+    assert not daemon.is_ready
+
+
+async def test_row_of_another_form_names_no_peer(daemon):
+    write(daemon, CELL, 'daemon/odd', {'other': 1})
+    daemon._on_cell_list(daemon.store.tables.scan(CELL, '', '', 10))
+    assert not daemon._network.peers
--- a/tests/cell/test_leading.py
+++ b/tests/cell/test_leading.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from radishlift.cell.tables import TARGETS
+from radishlift.cell.tables import PROGRESS, TARGETS
 from radishlift.steps.endings import EndKind
 from tests.cell.leader import Cell
 from tests.only import only
@@ -250,3 +250,13 @@
     for fake, order in late:
         fake.run(order)
     assert len(cell.targets.placed()) == 1
+
+
+async def test_job_with_unreadable_progress_is_left_alone(cell):
+    bad = cell.submit(job(job_id='a' * 16))
+    cell.write(PROGRESS, bad, {'state': 'strange', 'steps': []})
+    cell.lead()
+    good = cell.submit(job(job_id='b' * 16))
+    await cell.until_state(good, 'completed')
+    assert not attempts(cell, key(job_id=bad))
+    assert cell.state(bad) == 'strange'
