Give daemons of tests ports that outgoing connections don't take

Cause: seen once: the metrics port was in use (Errno 98); it was the port after a free one, out of the range of outgoing connections. Change: four free ports in a row from below that range.

--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -4,8 +4,10 @@
 import base64
 import json
 import os
+import random
 import socket
 import sys
+from contextlib import ExitStack
 from pathlib import Path
 
 from aiohttp import ClientError, ClientSession, web
@@ -50,13 +52,17 @@
 
 
 def free_ports(count):
-    sockets = [socket.socket() for _ in range(count)]
-    for one in sockets:
-        one.bind(('127.0.0.1', 0))
-    ports = [one.getsockname()[1] for one in sockets]
-    for one in sockets:
-        one.close()
-    return ports
+    """Finds free ports in a row, below those of outgoing connections."""
+    while True:
+        first = random.randrange(15_000, 30_000)
+        with ExitStack() as stack:
+            try:
+                for port in range(first, first + count):
+                    one = stack.enter_context(socket.socket())
+                    one.bind(('127.0.0.1', port))
+            except OSError:
+                continue
+        return range(first, first + count)
 
 
 class Deployment:
@@ -81,7 +87,7 @@
             await self.run(name)
 
     async def run(self, name):
-        front, ready, port, last = free_ports(4)
+        port, last, front, ready = free_ports(4)
         self.ports[name] = front, ready, port + 1
         path = self.folder / f'{name}.toml'
         path.write_text(
