Replace a test of the store's client that could not fail

Cause: test_failure_is_a_value read an absent row and could not fail; another test set fields of a stand-in that it did not use. Change: a refused read is told apart from an absent row (429 and 503).

--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -114,14 +114,11 @@
     await client.close()
 
 
-async def test_broken_connection_is_an_unknown_outcome(api, store):
+async def test_broken_connection_is_an_unknown_outcome():
     async def cut(request):
         await request.read()
         request.transport.abort()
 
-    api.handle = None
-    api.rows_tx = cut
-    api.status = None
     runner = web.ServerRunner(web.Server(cut))
     await runner.setup()
     site = web.TCPSite(runner, '127.0.0.1', 0)
@@ -142,5 +139,9 @@
     assert [(row.key, row.value) for row in found.rows] == [('i-9', None)]
 
 
-async def test_failure_is_a_value(store):
-    assert not isinstance(await store.read(JOBS, 'x'), Failure)
+@pytest.mark.parametrize('status', [429, 503])
+async def test_failed_read_is_not_an_absent_row(api, store, status):
+    api.status = status
+    failure = await store.read(JOBS, 'x')
+    assert isinstance(failure, Failure)
+    assert failure.kind is ErrorKind.store_unavailable
