Put urgent questions to the advice service first, one a daemon at a time

Cause: after a takeover all waiting steps ask at once. Ruled out: leases of the earlier leader (all targets answered within 60 ms), room (half of it free), the store (11 ms a commit). Change: questions wait with the leader (steps.advice_queue, cell.questions); a daemon has one at a time, urgent ones go first, and long ones take at most half of the daemons. Questions of steps that do not wait any more are dropped.

--- a/src/radishlift/cell/advising.py
+++ b/src/radishlift/cell/advising.py
@@ -1,8 +1,8 @@
 """Spreads the calls of the advice service over the daemons.
 
 The service serves one call of a host at a time, so that the leader alone
-would wait for its own calls. Each question goes to the daemon whose earlier
-questions will be answered first.
+would wait for its own calls. Each daemon gets one question at a time; what
+waits stays with the leader, which puts urgent questions first.
 """
 
 import asyncio
@@ -11,7 +11,7 @@
 
 from radishlift.cell.messages import AdviseCall, AdviseReply
 from radishlift.cell.ports import AdviceAnswer, AdviceCalls
-from radishlift.cell.scheduler import Scheduler
+from radishlift.cell.questions import Questions
 from radishlift.core.clock import Clock
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import DaemonId, JobId
@@ -49,70 +49,89 @@
 
 
 class Adviser:
-    """Answers a scheduler's questions through all daemons."""
+    """Answers a leader's questions through all daemons."""
 
     def __init__(
         self,
         network: PeerNetwork,
-        scheduler: Scheduler,
+        questions: Questions,
         daemons: Callable[[], list[DaemonId]],
         clock: Clock,
     ) -> None:
         self._network = network
-        self._scheduler = scheduler
+        self._questions = questions
         self._daemons = daemons
         self._clock = clock
-        self._busy_until_ms: dict[DaemonId, float] = {}
+        self._asked: dict[DaemonId, AdviceRequest] = {}
+        self._asked_at_ms: dict[DaemonId, int] = {}
+        self._avoided_until_ms: dict[DaemonId, int] = {}
         self._failures_count: dict[DaemonId, int] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def run(self) -> None:
-        """Takes questions until it is cancelled."""
+        """Puts questions to daemons that are free until it is cancelled."""
+        wake = self._questions.changed
         while True:
-            request = await self._scheduler.questions.get()
-            task = asyncio.create_task(self._ask(request))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            await wake.wait()
+            wake.clear()
+            self._ask_free()
 
     def close(self) -> None:
         """Gives up open questions."""
         for task in self._tasks:
             task.cancel()
 
-    async def _ask(self, request: AdviceRequest) -> None:
+    def _ask_free(self) -> None:
+        daemons = self._daemons()
         now_ms = self._clock.monotonic_ms()
-        daemon_id = min(self._daemons(), key=self._free_at_ms)
-        free_at_ms = max(now_ms, self._free_at_ms(daemon_id))
-        done_at_ms = free_at_ms + request.duration_ms
-        self._busy_until_ms[daemon_id] = done_at_ms
-        timeout_ms = int(done_at_ms - now_ms) + _SLACK_MS
+        free = [one for one in daemons if one not in self._asked]
+        free.sort(key=lambda one: self._turn(one, now_ms))
+        for daemon_id in free:
+            long_count = sum(map(self._questions.is_long, self._asked.values()))
+            request = self._questions.take(len(daemons), long_count)
+            if request is None:
+                return
+            self._asked[daemon_id] = request
+            self._asked_at_ms[daemon_id] = now_ms
+            task = asyncio.create_task(self._ask(daemon_id, request))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    def _turn(self, daemon_id: DaemonId, now_ms: int) -> tuple[int, bool, int]:
+        # Daemons that failed come last, and the leader before only those:
+        # its processor is the one that binds.
+        avoided_ms = self._avoided_until_ms.get(daemon_id, 0) - now_ms
+        is_leader = daemon_id == self._network.daemon_id
+        asked_at_ms = self._asked_at_ms.get(daemon_id, 0)
+        return max(0, avoided_ms), is_leader, asked_at_ms
+
+    async def _ask(self, daemon_id: DaemonId, request: AdviceRequest) -> None:
         call = AdviseCall(
             *request.key,
             target_ids=request.target_ids,
-            timeout_ms=timeout_ms,
+            timeout_ms=int(request.duration_ms) + _SLACK_MS,
         )
-        sent_at_ms = self._clock.monotonic_ms()
         answer = await self._call(daemon_id, call)
+        del self._asked[daemon_id]
         if isinstance(answer, AdviseReply):
             self._failures_count.pop(daemon_id, None)
-            received_at_ms = self._clock.monotonic_ms()
-            self._scheduler.learn_advice(
-                request,
-                _decode(answer),
-                received_at_ms,
-            )
+            self._questions.learn(request, _decode(answer))
             return
-        failures_count = self._failures_count.get(daemon_id, 0) + 1
-        self._failures_count[daemon_id] = failures_count
-        avoid_ms = _AVOID_MS * min(failures_count, _MAX_AVOIDED)
-        self._busy_until_ms[daemon_id] = sent_at_ms + avoid_ms
+        self._avoid(daemon_id)
         log_event(
             'advice_failed',
             step=request.key,
             daemon=daemon_id,
             reason=answer.reason,
         )
-        self._scheduler.fail_advice(request)
+        self._questions.fail(request)
+
+    def _avoid(self, daemon_id: DaemonId) -> None:
+        failures_count = self._failures_count.get(daemon_id, 0) + 1
+        self._failures_count[daemon_id] = failures_count
+        avoid_ms = _AVOID_MS * min(failures_count, _MAX_AVOIDED)
+        now_ms = self._clock.monotonic_ms()
+        self._avoided_until_ms[daemon_id] = now_ms + avoid_ms
 
     async def _call(
         self,
@@ -131,9 +150,6 @@
             return Failure(ErrorKind.peer_unavailable, 'no answer in time')
         return reply
 
-    def _free_at_ms(self, daemon_id: DaemonId) -> float:
-        return self._busy_until_ms.get(daemon_id, 0)
-
 
 def _decode(reply: AdviseReply) -> AdviceAnswer:
     return AdviceAnswer(
--- a/src/radishlift/cell/leading.py
+++ b/src/radishlift/cell/leading.py
@@ -69,7 +69,7 @@
         self._progress: dict[JobId, Row] = {}
         self._adviser = Adviser(
             parts.network,
-            self.scheduler,
+            self.scheduler.questions,
             parts.daemons,
             parts.clock,
         )
--- /dev/null
+++ b/src/radishlift/cell/questions.py
@@ -0,0 +1,75 @@
+"""A leader's questions to the advice service, and what their answers change."""
+
+import asyncio
+from collections.abc import Callable, Iterable
+
+from radishlift.cell.ports import AdviceAnswer
+from radishlift.core.clock import Clock
+from radishlift.steps.advice_queue import AdviceQueue
+from radishlift.steps.asking import AdviceRequest
+from radishlift.steps.planner import Planner
+from radishlift.steps.settings import StepSettings
+from radishlift.steps.tickets import Ticket, TicketBook
+
+
+class Questions:
+    """Questions that are not answered yet; `changed` calls for a look."""
+
+    def __init__(
+        self,
+        planner: Planner,
+        tickets: TicketBook,
+        settings: StepSettings,
+        clock: Clock,
+        wake: Callable[[], None],
+    ) -> None:
+        self._planner = planner
+        self._tickets = tickets
+        self._settings = settings
+        self._clock = clock
+        self._wake = wake
+        self._queue = AdviceQueue(settings)
+        self.changed = asyncio.Event()
+
+    def add(self, requests: Iterable[AdviceRequest]) -> None:
+        """Adds questions."""
+        for request in requests:
+            self._queue.add(request)
+            self.changed.set()
+
+    def is_long(self, request: AdviceRequest) -> bool:
+        """Tells whether a question keeps a host from urgent ones."""
+        return self._queue.is_long(request)
+
+    def take(self, hosts_count: int, long_count: int) -> AdviceRequest | None:
+        """Takes the next question of a step that still waits."""
+        while True:
+            request = self._queue.take(hosts_count, long_count)
+            if request is None or self._planner.is_waiting(request.key):
+                return request
+            # Its step may wait again later.
+            self._tickets.fail(request.key, 0)
+
+    def learn(self, request: AdviceRequest, answer: AdviceAnswer) -> None:
+        """Takes over the tickets of an answer."""
+        expires_at_ms = self._clock.monotonic_ms() + answer.valid_ms
+        tickets = [
+            (target_id, Ticket(text, expires_at_ms))
+            for target_id, text in answer.tickets
+        ]
+        self._tickets.learn(request.key, request.target_ids, tickets)
+        self._note_free()
+
+    def fail(self, request: AdviceRequest) -> None:
+        """Lets a question be asked again after a pause."""
+        retry_ms = self._settings.advice_retry_ms
+        now_ms = self._clock.monotonic_ms()
+        self._tickets.fail(request.key, now_ms + retry_ms)
+        self._note_free()
+
+    def _note_free(self) -> None:
+        self.changed.set()
+        self._wake()
+
+
+__all__ = ('Questions',)
--- a/src/radishlift/cell/scheduler.py
+++ b/src/radishlift/cell/scheduler.py
@@ -13,7 +13,8 @@
 from radishlift.cell.inheritance import InheritedAttempts
 from radishlift.cell.job_table import JobTable
 from radishlift.cell.leases import inherited_lapse_ms
-from radishlift.cell.ports import AdviceAnswer, StartOrder, TargetCalls
+from radishlift.cell.ports import StartOrder, TargetCalls
+from radishlift.cell.questions import Questions
 from radishlift.cell.queues import QueueConfig
 from radishlift.cell.session_context import SessionContext
 from radishlift.cell.sessions import TargetSession
@@ -21,14 +22,13 @@
 from radishlift.core.clock import Clock
 from radishlift.core.ids import JobId
 from radishlift.core.logs import log_event
-from radishlift.steps.asking import AdviceRequest
 from radishlift.steps.ids import Fence, TargetId
 from radishlift.steps.placing import Placement
 from radishlift.steps.planner import Planner
 from radishlift.steps.runs import JobRun, JobState
 from radishlift.steps.settings import StepSettings
 from radishlift.steps.targets import TargetEntry, TargetTable
-from radishlift.steps.tickets import Ticket, TicketBook
+from radishlift.steps.tickets import TicketBook
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,7 +81,13 @@
             context.max_lease_ms,
             context.clock.monotonic_ms(),
         )
-        self.questions: asyncio.Queue[AdviceRequest] = asyncio.Queue()
+        self.questions = Questions(
+            self._planner,
+            self._tickets,
+            context.steps,
+            context.clock,
+            self._wake.set,
+        )
         log.pulse = self.jobs.pulse
 
     def add_job(self, job: JobRun) -> None:
@@ -129,27 +135,6 @@
         """Ends all conversations with targets."""
         self._fleet.close()
 
-    def learn_advice(
-        self,
-        request: AdviceRequest,
-        answer: AdviceAnswer,
-        received_at_ms: int,
-    ) -> None:
-        """Takes over tickets."""
-        expires_at_ms = received_at_ms + answer.valid_ms
-        tickets = [
-            (target_id, Ticket(text, expires_at_ms))
-            for target_id, text in answer.tickets
-        ]
-        self._tickets.learn(request.key, request.target_ids, tickets)
-        self._wake.set()
-
-    def fail_advice(self, request: AdviceRequest) -> None:
-        """Lets a question be asked again after a pause."""
-        retry_ms = self._context.steps.advice_retry_ms
-        now_ms = self._context.clock.monotonic_ms()
-        self._tickets.fail(request.key, now_ms + retry_ms)
-
     async def run(self) -> None:
         """Decides whenever something has changed."""
         while True:
@@ -199,8 +184,7 @@
         plan = self._planner.plan(now_ms, clock.wall_ms())
         for job, placement in plan.placements:
             self._commit_start(job, placement)
-        for question in plan.questions:
-            self.questions.put_nowait(question)
+        self.questions.add(plan.questions)
 
     def _commit_start(self, job: JobRun, placement: Placement) -> None:
         session = self._fleet.session(placement.target.entry.target_id)
--- a/src/radishlift/steps/planner.py
+++ b/src/radishlift/steps/planner.py
@@ -61,6 +61,10 @@
                 if step.is_done or job.is_ended:
                     self._tickets.forget(step.key)
 
+    def is_waiting(self, key: StepKey) -> bool:
+        """Tells whether a step waits for targets."""
+        return key in self._waiting
+
     def next_due_ms(self, wall_ms: int) -> int | None:
         """Returns the earliest due time after now, in Unix time."""
         later = (
--- a/src/radishlift/steps/settings.py
+++ b/src/radishlift/steps/settings.py
@@ -17,6 +17,10 @@
       target gets no new tasks, and for how long.
     - `max_placed_count`: starts decided in one tick, so that a tick stays
       short.
+    - `advice_retry_ms`: pause before a failed question is asked again.
+    - `long_question_ms`, `long_question_share`: questions that take longer
+      are put to at most this share of the hosts, so that the others answer
+      urgent steps, whose objective leaves 250 ms.
     """
 
     min_ticket_ms: int = 150
@@ -26,6 +30,8 @@
     distrust_ms: int = 3000
     max_placed_count: int = 200
     advice_retry_ms: int = 200
+    long_question_ms: int = 100
+    long_question_share: float = 0.5
 
 
 __all__ = ('StepSettings',)
