Let a leader's reads of changes wait 200 ms instead of 5 s

Change: feed_wait_ms 5000 -> 200, for jobs, cancels and targets, which only the leader follows; 15 reads/s when idle.

--- a/src/radishlift/cell/settings.py
+++ b/src/radishlift/cell/settings.py
@@ -22,9 +22,11 @@
     - `hold_retry_ms`: pause after a call that a target did not answer.
     - `order_retries_count`: repeats of an order without an answer.
     - `tick_ms`: shortest time between two rounds of decisions.
-    - `feed_wait_ms`: how long the store waits for changes.
+    - `feed_wait_ms`: how long the store waits for changes of what a leader
+      follows. A store that drops its history may leave a waiting call without
+      the changes until its time is up; urgent work has 250 ms.
     - `short_wait_ms`: the same for the rows of the cell and the
-      configuration, so that a silent connection is noticed soon.
+      configuration, which every daemon follows.
     - `share_config_ms`: a daemon that can't read the store asks a peer for the
       configuration this often.
     - `feed_retry_ms`: pause after a failed read of the store.
@@ -48,7 +50,7 @@
     hold_retry_ms: int = 150
     order_retries_count: int = 3
     tick_ms: int = 10
-    feed_wait_ms: int = 5000
+    feed_wait_ms: int = 200
     short_wait_ms: int = 1000
     share_config_ms: int = 300
     feed_retry_ms: int = 150
--- a/tests/cell/fakes.py
+++ b/tests/cell/fakes.py
@@ -30,6 +30,8 @@
     def __init__(self, tables: Tables | None = None) -> None:
         super().__init__(tables)
         self.is_history_dropped = False
+        self.is_deaf = False
+        self.asked_waits_ms = []
 
     async def snapshot(self, table: str) -> ChangedRows | Failure:
         if self.fault is Fault.down:
@@ -40,6 +42,10 @@
     async def changes(
         self, table: str, after_version: int, wait_ms: int
     ) -> ChangedRows | Failure:
+        self.asked_waits_ms.append(wait_ms)
+        if self.is_deaf:
+            # Changes do not end the wait.
+            await asyncio.sleep(wait_ms / 1000)
         async with asyncio.timeout(wait_ms / 1000 + 1):
             for _ in range(max(1, wait_ms // 5)):
                 if self.fault is Fault.down:
--- a/tests/cell/test_feeds.py
+++ b/tests/cell/test_feeds.py
@@ -14,15 +14,19 @@
 from tests.standins.tables import Fault
 
 
+FAST = CellSettings(feed_wait_ms=20, feed_retry_ms=5)
+# Between the estimate and the objective of urgent work.
+URGENT_SLACK_MS = 250
+
+
 class Follower:
     """A follower of one table, and what it has passed on."""
 
-    def __init__(self) -> None:
+    def __init__(self, settings: CellSettings = FAST) -> None:
         self.store = MemoryCellStore()
         self.write('first', {'n': 0})
         self.snapshots = []
         self.changes = []
-        settings = CellSettings(feed_wait_ms=20, feed_retry_ms=5)
         self.follower = TableFollower(
             self.store, Followed('t'), settings, BootClock()
         )
@@ -77,3 +81,14 @@
     following.store.fault = Fault.none
     await following.settle(lambda: len(following.changed()) == 2)
     assert not following.follower.is_lost
+
+
+async def test_changes_that_end_no_wait_are_still_in_time():
+    """A store that has dropped its history lets waiting calls run out."""
+    following = Follower(CellSettings())
+    following.store.is_deaf = True
+    await following.settle(lambda: following.snapshots)
+    following.write('b', {'n': 2})
+    await following.settle(lambda: following.changed() == [('b', {'n': 2})])
+    assert max(following.store.asked_waits_ms) <= URGENT_SLACK_MS
+    following.task.cancel()
