Count only questions above 250 ms as long

Cause: on the grown rug site a question for wash-batch takes 112 ms; with the limit at 100 ms it shared the half of the daemons that route-plan's questions of 880 ms may use, and waited behind them (priority 2 after 1). Change: long_question_ms 100 -> 250, the time that the objective of urgent work leaves beside its run time.

--- a/src/radishlift/steps/settings.py
+++ b/src/radishlift/steps/settings.py
@@ -30,7 +30,7 @@
     distrust_ms: int = 3000
     max_placed_count: int = 200
     advice_retry_ms: int = 200
-    long_question_ms: int = 100
+    long_question_ms: int = 250
     long_question_share: float = 0.5
 
 
