Replace a leader whose process began anew at once

Ruled out: registration and reads (0.1 s). Change: each daemon replaces its row when its process starts; a leader whose row is newer than its claim does not lead any more, and is replaced in the order of strength without a wait.

--- a/src/radishlift/cell/leadership.py
+++ b/src/radishlift/cell/leadership.py
@@ -66,6 +66,12 @@
         """Returns the leader; empty if it has stepped down."""
         return DaemonId((self.leader.value or {}).get('daemon', ''))
 
+    @property
+    def has_leader_restarted(self) -> bool:
+        """Tells whether the leader's process has begun anew since it led."""
+        row = self._rows.get(daemon_key(self.leader_id))
+        return row is not None and row.version > self.leader.version
+
     @property
     def pulse(self) -> Any:
         """Returns what the leader told last; empty without a leader."""
@@ -185,7 +191,7 @@
         if not self._view.leader.version:
             # At the first start the daemons must have registered.
             return silent_ms >= wait_ms + self._settings.first_claim_ms
-        if not self._view.leader_id:
+        if not self._view.leader_id or self._view.has_leader_restarted:
             return silent_ms >= wait_ms
         # Silence counts only while the store itself can be heard.
         is_store_heard = (
--- a/tests/cell/test_leadership.py
+++ b/tests/cell/test_leadership.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from contextlib import suppress
+from dataclasses import replace
 
 import pytest
 
@@ -27,15 +28,15 @@
 class Candidate:
     """A daemon that would lead."""
 
-    def __init__(self, name, store):
+    def __init__(self, name, store, settings=SETTINGS):
         clock = BootClock()
         self.store = store
         self.view = CellView(clock)
         self.leadership = Leadership(
-            DaemonId(name), store, self.view, SETTINGS, clock
+            DaemonId(name), store, self.view, settings, clock
         )
         self.follower = TableFollower(
-            store, Followed(CELL, wait_ms=20), SETTINGS, clock
+            store, Followed(CELL, wait_ms=20), settings, clock
         )
         self.following = asyncio.create_task(
             self.follower.run(self.view.replace, self.view.update),
@@ -56,8 +57,8 @@
     store = MemoryCellStore()
     candidates = []
 
-    async def add(name, strength=10):
-        candidate = Candidate(name, store)
+    async def add(name, strength=10, settings=SETTINGS):
+        candidate = Candidate(name, store, settings)
         await candidate.leadership.register(Address('127.0.0.1:1'), strength)
         candidates.append(candidate)
         return candidate
@@ -102,6 +103,30 @@
     await asyncio.wait_for(second.claim, 0.4)
 
 
+@pytest.mark.parametrize('successor', ['d1', 'd2'])
+async def test_restarted_leader_is_replaced_at_once(cell, successor):
+    """After a loss of power everywhere no time is left to wait."""
+    _, add = cell
+    patient = replace(SETTINGS, silence_ms=60_000)
+    first = await add('d1')
+    await asyncio.wait_for(first.claim, 2)
+    await first.close()
+    await first.leadership.register(Address('127.0.0.1:1'), 10)
+    second = await add(successor, settings=patient)
+    claim = await asyncio.wait_for(second.claim, 2)
+    assert claim.epoch == 2
+
+
+async def test_leader_that_runs_on_is_not_replaced_early(cell):
+    _, add = cell
+    patient = replace(SETTINGS, silence_ms=60_000)
+    first = await add('d1')
+    await asyncio.wait_for(first.claim, 2)
+    second = await add('d2', settings=patient)
+    await asyncio.sleep(0.3)
+    assert not second.claim.done()
+
+
 async def test_silence_of_the_store_is_not_taken_for_that_of_the_leader(cell):
     store, add = cell
     first = await add('d1')
