Let daemons without the store reach it through another daemon

Ruled out: callers move on by themselves (they kept to their daemon's zone). Change: a submission, cancel or question that the store refuses, or that meets a store known to be lost, is passed to a peer, which tries its own store only (cell.entry_rows, format level 3). Connections to peers are given 150 ms, silent peers are left out for 3 s. A daemon that neither the store nor a peer answers for 1 s is not ready. A store that is down for longer than a deadline binds.

--- a/src/radishlift/cell/config_sharing.py
+++ b/src/radishlift/cell/config_sharing.py
@@ -10,6 +10,7 @@
 from radishlift.cell.messages import ConfigAsk, ConfigTold
 from radishlift.cell.settings import CellSettings
 from radishlift.cell.tables import CONFIG
+from radishlift.core.clock import Clock
 from radishlift.core.errors import Failure
 from radishlift.core.ids import DaemonId
 from radishlift.core.logs import log_event
@@ -22,7 +23,8 @@
 class ConfigSharer:
     """Holds the newest row of the configuration and asks peers for it.
 
-    Peers are asked only while this daemon can't read the store.
+    Peers are asked only while this daemon can't read the store;
+    `heard_at_ms` is when one answered last.
     """
 
     def __init__(
@@ -30,10 +32,13 @@
         network: PeerNetwork,
         follower: TableFollower,
         settings: CellSettings,
+        clock: Clock,
     ) -> None:
         self._network = network
         self._follower = follower
         self._settings = settings
+        self._clock = clock
+        self.heard_at_ms = 0
         self._held: Row | None = None
         network.register(ConfigAsk, self._serve)
 
@@ -51,7 +56,10 @@
             if not self._follower.is_lost or not peers:
                 continue
             told = await self._ask(random.choice(peers))
-            if isinstance(told, ConfigTold) and told.text:
+            if not isinstance(told, ConfigTold):
+                continue
+            self.heard_at_ms = self._clock.monotonic_ms()
+            if told.text:
                 log_event('config_from_peer', row_version=told.row_version)
                 row = Row(
                     CONFIG,
--- a/src/radishlift/cell/daemon.py
+++ b/src/radishlift/cell/daemon.py
@@ -7,6 +7,7 @@
 
 from radishlift.cell.advising import AdviceHelper
 from radishlift.cell.config_sharing import ConfigSharer
+from radishlift.cell.entry_rows import RelayedRows, StoreRows
 from radishlift.cell.feeds import Followed, TableFollower
 from radishlift.cell.intake import Intake
 from radishlift.cell.leadership import CellView, Leadership
@@ -66,12 +67,17 @@
             self._network,
             self._config_follower,
             parts.settings,
+            parts.clock,
         )
         self.intake = Intake(
-            parts.store,
+            RelayedRows(
+                StoreRows(parts.store),
+                self._network,
+                lambda: self._cell_follower.is_lost,
+                parts.clock,
+            ),
             parts.clock,
             self._pulse,
-            lambda: self._cell_follower.is_lost,
         )
         self._leadership = Leadership(
             parts.daemon_id,
@@ -101,7 +107,9 @@
     @property
     def is_ready(self) -> bool:
         """Tells whether callers should be sent here."""
-        return not self._is_stopping and self.intake.config is not None
+        if self._is_stopping or self.intake.config is None:
+            return False
+        return not self._is_cut_off()
 
     async def start(self) -> None:
         """Begins to follow the store, and to lead when it is due."""
@@ -149,6 +157,15 @@
         followed = Followed(table, wait_ms=parts.settings.short_wait_ms)
         return TableFollower(parts.store, followed, parts.settings, parts.clock)
 
+    def _is_cut_off(self) -> bool:
+        """Tells whether neither the store nor a peer has answered of late."""
+        follower = self._cell_follower
+        if not follower.is_lost:
+            return False
+        heard_at_ms = max(follower.heard_at_ms or 0, self._sharer.heard_at_ms)
+        silent_ms = self._parts.clock.monotonic_ms() - heard_at_ms
+        return silent_ms > self._parts.settings.cut_off_ms
+
     def _pulse(self) -> dict[str, object]:
         if self._term is not None:
             return self._term.scheduler.jobs.pulse()
--- /dev/null
+++ b/src/radishlift/cell/entry_rows.py
@@ -0,0 +1,221 @@
+"""Rows that entry daemons read and add, directly or through a peer.
+
+A daemon that the store turns away, or that is cut off from it, still serves
+its callers as long as it reaches another daemon that has the store.
+"""
+
+import asyncio
+import json
+import random
+from collections.abc import Awaitable, Callable, Mapping
+from typing import Any, Final, Protocol
+
+from radishlift.cell.messages import RowAsk, RowInsert, RowInserted, RowTold
+from radishlift.cell.ports import CellStore
+from radishlift.cell.tables import CANCELS, JOBS, PROGRESS
+from radishlift.core.clock import Clock
+from radishlift.core.errors import ErrorKind, Failure, Outcome
+from radishlift.core.ids import DaemonId
+from radishlift.core.logs import log_event
+from radishlift.services.api import (
+    Committed,
+    Condition,
+    Conflict,
+    Row,
+    Transaction,
+    Write,
+)
+from radishlift.wire.network import PeerNetwork
+
+# A quarter of the shortest deadline of callers, so that a second peer and a
+# repeat have time.
+_CALL_MS: Final = 750
+# Peers answer a connection within one way to the farthest data centre.
+_CONNECT_MS: Final = 150
+_MAX_PEERS: Final = 2
+# Peers that did not answer are left out for so long.
+_AVOID_MS: Final = 3000
+_SILENT: Final = frozenset(
+    (ErrorKind.peer_unavailable, ErrorKind.peer_outcome_unknown),
+)
+_READ_TABLES: Final = frozenset((JOBS, CANCELS, PROGRESS))
+_ADDED_TABLES: Final = frozenset((JOBS, CANCELS))
+
+
+class EntryRows(Protocol):
+    """What an entry daemon does with rows of the store."""
+
+    async def read(self, table: str, key: str) -> Row | Failure:
+        """Reads one row; an absent row has version 0."""
+
+    async def insert(
+        self,
+        table: str,
+        key: str,
+        row: Mapping[str, Any],
+    ) -> Failure | None:
+        """Inserts a row; one that is there already is as good.
+
+        Fails with `store_unavailable` when nothing was done, and with
+        `store_outcome_unknown` when the row may still appear.
+        """
+
+
+class StoreRows:
+    """Rows of a store that this daemon reaches itself."""
+
+    def __init__(self, store: CellStore) -> None:
+        self._store = store
+
+    async def read(self, table: str, key: str) -> Row | Failure:
+        """Reads one row; an absent row has version 0."""
+        return await self._store.read(table, key)
+
+    async def insert(
+        self,
+        table: str,
+        key: str,
+        row: Mapping[str, Any],
+    ) -> Failure | None:
+        """Inserts a row; one that is there already is as good."""
+        outcome = await self._store.commit(
+            Transaction(
+                (Condition(table, key, 0),),
+                (Write(table, key, row),),
+            ),
+        )
+        if isinstance(outcome, Committed | Conflict):
+            return None
+        return outcome
+
+
+class RelayedRows:
+    """Rows of the store, through a peer while the store is out of reach."""
+
+    def __init__(
+        self,
+        rows: EntryRows,
+        network: PeerNetwork,
+        is_store_lost: Callable[[], bool],
+        clock: Clock,
+    ) -> None:
+        self._rows = rows
+        self._network = network
+        self._is_store_lost = is_store_lost
+        self._clock = clock
+        self._avoided_until_ms: dict[DaemonId, int] = {}
+        network.register(RowAsk, self._serve_read)
+        network.register(RowInsert, self._serve_insert)
+
+    async def read(self, table: str, key: str) -> Row | Failure:
+        """Reads one row; an absent row has version 0."""
+        found = await self._unless_lost(lambda: self._rows.read(table, key))
+        if not _is_not_done(found):
+            return found
+        told = await self._ask_peers(RowAsk(table, key))
+        if not isinstance(told, RowTold):
+            return told
+        plain = json.loads(told.text) if told.text else None
+        return Row(table, key, told.version, plain)
+
+    async def insert(
+        self,
+        table: str,
+        key: str,
+        row: Mapping[str, Any],
+    ) -> Failure | None:
+        """Inserts a row; one that is there already is as good."""
+        outcome = await self._unless_lost(
+            lambda: self._rows.insert(table, key, row),
+        )
+        if not _is_not_done(outcome):
+            return outcome
+        told = await self._ask_peers(RowInsert(table, key, json.dumps(row)))
+        is_inserted = isinstance(told, RowInserted)
+        log_event(
+            'insert_relayed',
+            table=table,
+            key=key,
+            outcome='accepted' if is_inserted else told.kind,
+        )
+        return None if is_inserted else told
+
+    async def _unless_lost(self, work: Callable[[], Awaitable[Any]]) -> Any:
+        if self._is_store_lost():
+            # What is not tried has a certain outcome.
+            reason = 'store does not answer'
+            return Failure(ErrorKind.store_unavailable, reason)
+        return await work()
+
+    async def _ask_peers(self, typed: object) -> Any:
+        for peer in self._choose_peers():
+            told = await self._call(peer, typed)
+            if not isinstance(told, Failure):
+                return told
+            if told.answer.outcome is not Outcome.not_run:
+                return Failure(ErrorKind.store_outcome_unknown, told.reason)
+        reason = 'neither the store nor a peer with it answers'
+        return Failure(ErrorKind.store_unavailable, reason)
+
+    def _choose_peers(self) -> list[DaemonId]:
+        now_ms = self._clock.monotonic_ms()
+        peers = [
+            peer
+            for peer in self._network.peers
+            if self._avoided_until_ms.get(peer, 0) <= now_ms
+        ]
+        return random.sample(peers, min(len(peers), _MAX_PEERS))
+
+    async def _call(self, peer: DaemonId, typed: object) -> Any:
+        try:
+            async with asyncio.timeout(_CONNECT_MS / 1000):
+                refused = await self._network.probe(peer)
+        except TimeoutError:
+            # Nothing was sent.
+            reason = f'no connection to {peer} in {_CONNECT_MS} ms'
+            refused = Failure(ErrorKind.peer_unavailable, reason)
+        told: Any = refused or await self._network.call(peer, typed, _CALL_MS)
+        if isinstance(told, Failure) and told.kind in _SILENT:
+            until_ms = self._clock.monotonic_ms() + _AVOID_MS
+            self._avoided_until_ms[peer] = until_ms
+        return told
+
+    async def _serve_read(
+        self,
+        _: DaemonId,
+        ask: RowAsk,
+    ) -> RowTold | Failure:
+        if ask.table not in _READ_TABLES:
+            return Failure(ErrorKind.invalid_input, f'table {ask.table}')
+        found = await self._unless_lost(
+            lambda: self._rows.read(ask.table, ask.key),
+        )
+        if isinstance(found, Failure):
+            return found
+        text = '' if found.value is None else json.dumps(found.value)
+        return RowTold(found.version, text)
+
+    async def _serve_insert(
+        self,
+        _: DaemonId,
+        ask: RowInsert,
+    ) -> RowInserted | Failure:
+        if ask.table not in _ADDED_TABLES:
+            return Failure(ErrorKind.invalid_input, f'table {ask.table}')
+        outcome = await self._unless_lost(
+            lambda: self._rows.insert(
+                ask.table,
+                ask.key,
+                json.loads(ask.text),
+            ),
+        )
+        return RowInserted() if outcome is None else outcome
+
+
+def _is_not_done(outcome: object) -> bool:
+    if not isinstance(outcome, Failure):
+        return False
+    return outcome.kind is ErrorKind.store_unavailable
+
+
+__all__ = ('EntryRows', 'RelayedRows', 'StoreRows')
--- a/src/radishlift/cell/intake.py
+++ b/src/radishlift/cell/intake.py
@@ -8,21 +8,14 @@
 from collections.abc import Callable
 from typing import Any, Final
 
+from radishlift.cell.entry_rows import EntryRows
 from radishlift.cell.job_rows import dump_job
-from radishlift.cell.ports import CellStore
 from radishlift.cell.queues import Queue, QueueConfig
 from radishlift.cell.tables import CANCELS, JOBS, PROGRESS
 from radishlift.core.clock import Clock
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import JobId
 from radishlift.core.logs import log_event
-from radishlift.services.api import (
-    Committed,
-    Condition,
-    Conflict,
-    Transaction,
-    Write,
-)
 from radishlift.steps.ids import QueueName
 from radishlift.steps.runs import JobState
 from radishlift.steps.spec import JobSpec
@@ -37,15 +30,13 @@
 
     def __init__(
         self,
-        store: CellStore,
+        rows: EntryRows,
         clock: Clock,
         pulse: Callable[[], Any],
-        is_store_lost: Callable[[], bool],
     ) -> None:
-        self._store = store
+        self._rows = rows
         self._clock = clock
         self._pulse = pulse
-        self._is_store_lost = is_store_lost
         self.config: QueueConfig | None = None
 
     def find(self, host: str, path: str) -> Queue | Failure:
@@ -69,14 +60,7 @@
         the job is surely not stored.
         """
         row = dump_job(spec, queue.terms, self._clock.wall_ms())
-        if self._is_store_lost():
-            # An insert that is not tried has a certain outcome.
-            outcome: Failure | None = Failure(
-                ErrorKind.store_unavailable,
-                'store does not answer',
-            )
-        else:
-            outcome = await self._insert(JOBS, spec.job_id, row, deadline_ms)
+        outcome = await self._insert(JOBS, spec.job_id, row, deadline_ms)
         log_event(
             'job_submitted',
             job=spec.job_id,
@@ -88,7 +72,7 @@
 
     async def cancel(self, job_id: JobId, deadline_ms: int) -> Failure | None:
         """Stores a cancel; fails with `not_found` for an unknown job."""
-        job = await self._store.read(JOBS, job_id)
+        job = await self._rows.read(JOBS, job_id)
         if isinstance(job, Failure):
             return job
         if not job.version:
@@ -104,12 +88,12 @@
 
     async def state(self, job_id: JobId) -> JobState | Failure:
         """Reads a job's state; fails with `not_found` for an unknown job."""
-        progress = await self._store.read(PROGRESS, job_id)
+        progress = await self._rows.read(PROGRESS, job_id)
         if isinstance(progress, Failure):
             return progress
         if progress.value is not None:
             return JobState(progress.value['state'])
-        job = await self._store.read(JOBS, job_id)
+        job = await self._rows.read(JOBS, job_id)
         if isinstance(job, Failure):
             return job
         if not job.version:
@@ -132,16 +116,10 @@
         An insert without an answer may take effect later, so that only a
         first attempt can fail with `store_unavailable`.
         """
-        transaction = Transaction(
-            (Condition(table, key, 0),),
-            (Write(table, key, row),),
-        )
         is_unknown = False
         while True:
-            outcome = await self._store.commit(transaction)
-            if isinstance(outcome, Committed):
-                return None
-            if isinstance(outcome, Conflict):
+            outcome = await self._rows.insert(table, key, row)
+            if outcome is None:
                 return None
             if outcome.kind is ErrorKind.store_outcome_unknown:
                 is_unknown = True
--- a/src/radishlift/cell/messages.py
+++ b/src/radishlift/cell/messages.py
@@ -6,7 +6,10 @@
 from radishlift.wire.messages import message
 
 CELL_LEVEL: Final = 2
-"""Format level from which daemons know these messages."""
+"""Format level of the first messages of a cell."""
+
+RELAY_LEVEL: Final = 3
+"""Format level from which daemons reach the store for each other."""
 
 
 @message('advise', CELL_LEVEL)
@@ -47,4 +50,49 @@
     text: str
 
 
-__all__ = ('CELL_LEVEL', 'AdviseCall', 'AdviseReply', 'ConfigAsk', 'ConfigTold')
+@message('row_ask', RELAY_LEVEL)
+@dataclass(frozen=True, slots=True)
+class RowAsk:
+    """Asks a daemon to read a row of the store."""
+
+    table: str
+    key: str
+
+
+@message('row_told', RELAY_LEVEL)
+@dataclass(frozen=True, slots=True)
+class RowTold:
+    """A row of the store as JSON; an absent one has version 0 and no text."""
+
+    version: int
+    text: str
+
+
+@message('row_insert', RELAY_LEVEL)
+@dataclass(frozen=True, slots=True)
+class RowInsert:
+    """Asks a daemon to insert a row, given as JSON, unless it is there."""
+
+    table: str
+    key: str
+    text: str
+
+
+@message('row_inserted', RELAY_LEVEL)
+@dataclass(frozen=True, slots=True)
+class RowInserted:
+    """The row is in the store."""
+
+
+__all__ = (
+    'CELL_LEVEL',
+    'RELAY_LEVEL',
+    'AdviseCall',
+    'AdviseReply',
+    'ConfigAsk',
+    'ConfigTold',
+    'RowAsk',
+    'RowInsert',
+    'RowInserted',
+    'RowTold',
+)
--- a/src/radishlift/cell/settings.py
+++ b/src/radishlift/cell/settings.py
@@ -29,6 +29,8 @@
       configuration, which every daemon follows.
     - `share_config_ms`: a daemon that can't read the store asks a peer for the
       configuration this often.
+    - `cut_off_ms`: a daemon that neither the store nor a peer has answered for
+      so long asks for no more callers; three questions to peers.
     - `feed_retry_ms`: pause after a failed read of the store.
     - `feed_gap_ms`: pause between reads of the targets' entries, which change
       with every heartbeat.
@@ -53,6 +55,7 @@
     feed_wait_ms: int = 200
     short_wait_ms: int = 1000
     share_config_ms: int = 300
+    cut_off_ms: int = 1000
     feed_retry_ms: int = 150
     feed_gap_ms: int = 100
     forget_ended_ms: int = 180_000
--- a/src/radishlift/core/events.py
+++ b/src/radishlift/core/events.py
@@ -79,6 +79,7 @@
 )
 _INFO: Final = (
     'cancel_stored',
+    'insert_relayed',
     'cell_level_raised',
     'job_ended',
     'jobs_removed',
--- a/src/radishlift/core/levels.py
+++ b/src/radishlift/core/levels.py
@@ -10,7 +10,7 @@
 LOWEST_LEVEL: Final = 1
 """The level of daemons that announce none."""
 
-FORMAT_LEVEL: Final = 2
+FORMAT_LEVEL: Final = 3
 """The highest level that this version reads and writes."""
 
 
--- a/tests/cell/test_daemon.py
+++ b/tests/cell/test_daemon.py
@@ -6,12 +6,14 @@
 
 from radishlift.cell.clock import BootClock
 from radishlift.cell.daemon import CellDaemon, DaemonParts
+from radishlift.cell.queues import QueueConfig
 from radishlift.cell.settings import CellSettings
 from radishlift.cell.tables import CELL, CONFIG
-from radishlift.core.ids import Address, DaemonId
+from radishlift.core.ids import Address, ConfigVersion, DaemonId
 from radishlift.services.api import Transaction, Write
 from radishlift.steps.settings import StepSettings
 from tests.cell.fakes import FakeAdvice, FakeTargets, MemoryCellStore
+from tests.standins.tables import Fault
 
 
 def decode_config(rows):
@@ -21,6 +23,7 @@
 @pytest.fixture
 async def daemon():
     store = MemoryCellStore()
+    clock = BootClock()
     daemon = CellDaemon(
         DaemonParts(
             DaemonId('d1'),
@@ -31,13 +34,14 @@
             FakeAdvice(),
             decode_config,
             lambda name, plain: None,
-            CellSettings(short_wait_ms=20, first_claim_ms=20),
+            CellSettings(short_wait_ms=20, first_claim_ms=20, cut_off_ms=100),
             StepSettings(),
-            BootClock(),
+            clock,
             6000,
         ),
     )
     daemon.store = store
+    daemon.clock = clock
     yield daemon
     await daemon.stop()
 
@@ -57,3 +61,28 @@
     write(daemon, CELL, 'daemon/odd', {'other': 1})
     daemon._on_cell_list(daemon.store.tables.scan(CELL, '', '', 10))
     assert not daemon._network.peers
+
+
+async def test_daemon_without_store_and_peers_asks_for_no_callers(daemon):
+    write(daemon, CONFIG, 'config', {'version': 1})
+    daemon.intake.config = QueueConfig(ConfigVersion(1), (), 100)
+    follower = daemon._cell_follower
+    following = asyncio.create_task(
+        follower.run(lambda rows: None, lambda rows: None),
+    )
+    async with asyncio.timeout(2):
+        while follower.heard_at_ms is None:
+            await asyncio.sleep(0.005)
+    assert daemon.is_ready
+    daemon.store.fault = Fault.down
+    async with asyncio.timeout(2):
+        while daemon.is_ready:
+            await asyncio.sleep(0.01)
+    daemon._sharer.heard_at_ms = daemon.clock.monotonic_ms()
+    assert daemon.is_ready
+    daemon._sharer.heard_at_ms = 0
+    daemon.store.fault = Fault.none
+    async with asyncio.timeout(2):
+        while not daemon.is_ready:
+            await asyncio.sleep(0.005)
+    following.cancel()
--- a/tests/cell/test_intake.py
+++ b/tests/cell/test_intake.py
@@ -3,13 +3,15 @@
 import pytest
 
 from radishlift.cell.clock import BootClock
+from radishlift.cell.entry_rows import RelayedRows, StoreRows
 from radishlift.cell.intake import Intake
 from radishlift.cell.queues import Queue, QueueConfig
 from radishlift.cell.tables import JOBS, PROGRESS
 from radishlift.core.errors import ErrorKind, Failure, Outcome
-from radishlift.core.ids import ConfigVersion
+from radishlift.core.ids import ConfigVersion, DaemonId
 from radishlift.services.api import Transaction, Write
 from radishlift.steps.runs import JobState
+from radishlift.wire.network import PeerNetwork
 from tests.cell.fakes import MemoryCellStore
 from tests.standins.tables import Fault
 from tests.steps.builders import job
@@ -33,10 +35,14 @@
         self.is_store_lost = False
         self.pulse = {'pending': {'batch': 3}}
         self.intake = Intake(
-            self.store,
+            RelayedRows(
+                StoreRows(self.store),
+                PeerNetwork(DaemonId('d1')),
+                lambda: self.is_store_lost,
+                self.clock,
+            ),
             self.clock,
             lambda: self.pulse,
-            lambda: self.is_store_lost,
         )
 
     async def submit(self, wait_ms=400):
--- a/tests/platform/test_front.py
+++ b/tests/platform/test_front.py
@@ -7,6 +7,7 @@
 from aiohttp import ClientSession, web
 
 from radishlift.cell.clock import BootClock
+from radishlift.cell.entry_rows import StoreRows
 from radishlift.cell.intake import Intake
 from radishlift.cell.metrics import CellMetrics
 from radishlift.cell.tables import CANCELS, JOBS
@@ -28,10 +29,9 @@
         self.store = MemoryCellStore()
         clock = BootClock()
         self.intake = Intake(
-            self.store,
+            StoreRows(self.store),
             clock,
             lambda: PULSE,
-            bool,
         )
         self.intake.config = decode_config(CONFIG)
         self.metrics = CellMetrics()
