Serve steps that can still be in time before those that are late

Change: the order is late or not, priority, latest start; the objective counts the question to the advice service, as the users' accounting does. A deterministic model plays the real decisions against seeded loads (`python -m benchmarks decisions`) with two other orders as baselines.

--- /dev/null
+++ b/benchmarks/bench_decisions.py
@@ -0,0 +1,148 @@
+"""What callers get from the decisions on steps, against simpler orders.
+
+The kinds follow the two departments of the brief; the load is above what the
+targets hold during a burst.
+"""
+
+from typing import Final
+
+from benchmarks.decision_model import (
+    DecisionModel,
+    Deployment,
+    Kind,
+    Tally,
+    worth_share,
+)
+from benchmarks.harness import BENCHMARKS, Figure
+from radishlift.core.registry import Registry
+from radishlift.steps.order import (
+    Order,
+    latest_start_ms,
+    rank,
+)
+from radishlift.steps.runs import JobRun, StepRun
+from radishlift.steps.spec import AdviceTerms
+
+SEEDS: Final = (1, 2, 3)
+LOADS: Final = (0.6, 1.0, 1.3)
+ORDERS: Final[Registry[Order]] = Registry('order of steps')
+
+
+@ORDERS.register('first_come')
+def first_come(job: JobRun, step: StepRun, wall_ms: int) -> tuple[int, ...]:
+    """Ranks by arrival."""
+    return (job.accepted_at_ms,)
+
+
+@ORDERS.register('priority')
+def by_priority(job: JobRun, step: StepRun, wall_ms: int) -> tuple[int, ...]:
+    """Ranks by priority and latest start, late or not."""
+    return job.terms.priority, latest_start_ms(job, step)
+
+
+@ORDERS.register('in_time_first')
+def in_time_first(job: JobRun, step: StepRun, wall_ms: int) -> tuple[int, ...]:
+    """Ranks as the product does."""
+    return rank(job, step, wall_ms)
+
+
+def rug_depot(load: float = 1, burst: float = 1) -> Deployment:
+    """Returns the rug depot of today at a multiple of its usual load."""
+    return Deployment(
+        targets_count=24,
+        target_millicores=32_000,
+        hosts_count=7,
+        burst=burst,
+        kinds=(
+            Kind(
+                'route_plan',
+                0.9 * load,
+                9.31,
+                1.2,
+                8,
+                48,
+                9000,
+                4000,
+                1.0,
+                1,
+                2.2,
+                1000,
+                AdviceTerms(360, 5.2, 2000),
+                0.3,
+                0.2,
+            ),
+            Kind(
+                'wash_batch',
+                3.4 * load,
+                1.54,
+                1.5,
+                10,
+                60,
+                2000,
+                2200,
+                0.0,
+                2,
+                4.0,
+                3000,
+                AdviceTerms(46, 0.66, 2000),
+                0.45,
+                0.5,
+            ),
+            Kind(
+                'pickup_confirm',
+                15.4 * load,
+                0.477,
+                1.0,
+                2,
+                12,
+                2800,
+                1000,
+                0.3,
+                0,
+                1.5,
+                250,
+                AdviceTerms(10, 0.15, 2000),
+                0.7,
+                0.5,
+            ),
+        ),
+    )
+
+
+@BENCHMARKS.register('decisions')
+def run() -> list[Figure]:
+    """Plays the orders on the same loads."""
+    figures = []
+    for load in LOADS:
+        deployment = rug_depot(load, burst=1.8)
+        for name in ORDERS.names():
+            figures.extend(_figures(deployment, name, f'decisions.{load}x'))
+    return figures
+
+
+def _figures(deployment: Deployment, name: str, prefix: str) -> list[Figure]:
+    shares = []
+    used = []
+    last: dict[str, Tally] = {}
+    for seed in SEEDS:
+        model = DecisionModel(deployment, seed, ORDERS.get(name))
+        last = model.play()
+        shares.append(worth_share(deployment, last))
+        used.append(model.used_ratio)
+    figures = [
+        Figure(f'{prefix}.{name}.worth_ratio', sum(shares) / len(shares)),
+        Figure(f'{prefix}.{name}.used_ratio', sum(used) / len(used)),
+    ]
+    for kind, tally in last.items():
+        waits_ms = sorted(tally.waits_ms)
+        middle_ms = waits_ms[len(waits_ms) // 2] if waits_ms else 0
+        figures.append(
+            Figure(f'{prefix}.{name}.{kind}.credit_ratio', tally.credit_share),
+        )
+        figures.append(
+            Figure(f'{prefix}.{name}.{kind}.wait_p50_ms', middle_ms),
+        )
+    return figures
+
+
+__all__ = ('ORDERS', 'rug_depot', 'run')
--- a/src/radishlift/steps/order.py
+++ b/src/radishlift/steps/order.py
@@ -1,6 +1,21 @@
-"""The order in which waiting steps are offered room."""
+"""The order in which waiting steps are offered room.
+
+Answers loads above what the targets hold: a backlog that is served in the
+order of its age makes each job late, also those that came last. Steps that
+can still meet their objective go first; late ones use what is left.
+"""
+
+from collections.abc import Callable
+from typing import Final
 
 from radishlift.steps.runs import JobRun, StepRun
+from radishlift.steps.spec import AdviceTerms
+
+# Objectives count one question about so many targets for each step.
+_ADVISED_COUNT: Final = 30
+
+Order = Callable[[JobRun, StepRun, int], tuple[int, ...]]
+"""Ranks a waiting step of a job at a Unix time; the lowest goes first."""
 
 
 def objective_at_ms(job: JobRun, step: StepRun) -> int:
@@ -22,6 +37,7 @@
             if number in job.spec.steps[later].depends_on
         ]
         own_ms = job.spec.steps[number].estimate_ms
+        own_ms += _advice_ms(job.terms.advice)
         lengths[number] = own_ms + max(after, default=0)
     if first:
         return lengths.get(first, 0)
@@ -34,9 +50,22 @@
     return objective_at_ms(job, step) - remaining_ms
 
 
-def rank(job: JobRun, step: StepRun) -> tuple[int, int]:
-    """Ranks a waiting step: by priority, then by its latest start."""
-    return job.terms.priority, latest_start_ms(job, step)
+def rank(job: JobRun, step: StepRun, wall_ms: int) -> tuple[int, ...]:
+    """Ranks by whether it is late, by priority, and by the latest start."""
+    start_ms = latest_start_ms(job, step)
+    return wall_ms > start_ms, job.terms.priority, start_ms
+
+
+def _advice_ms(terms: AdviceTerms | None) -> int:
+    if terms is None:
+        return 0
+    return int(terms.decide_ms + terms.per_target_ms * _ADVISED_COUNT)
 
 
-__all__ = ('chain_estimate_ms', 'latest_start_ms', 'objective_at_ms', 'rank')
+__all__ = (
+    'Order',
+    'chain_estimate_ms',
+    'latest_start_ms',
+    'objective_at_ms',
+    'rank',
+)
--- a/src/radishlift/steps/planner.py
+++ b/src/radishlift/steps/planner.py
@@ -1,7 +1,7 @@
 """One tick of decisions: which waiting tasks start where.
 
 Answers the load of all queues together: steps are offered room in the order
-of priority and slack; a gang that does not fit yet keeps some targets free,
+of `steps.order`; a gang that does not fit yet keeps some targets free,
 so that a stream of smaller work can't starve it.
 """
 
@@ -10,7 +10,7 @@
 
 from radishlift.steps.asking import AdviceRequest, choose_asked, ticket_filter
 from radishlift.steps.ids import StepKey, TargetId
-from radishlift.steps.order import rank
+from radishlift.steps.order import Order, rank
 from radishlift.steps.placing import Placement, place_step
 from radishlift.steps.runs import JobRun, StepRun, TaskState
 from radishlift.steps.settings import StepSettings
@@ -47,6 +47,7 @@
         self._tickets = tickets
         self._settings = settings
         self._waiting: dict[StepKey, tuple[JobRun, StepRun]] = {}
+        self.order: Order = rank
 
     def refresh(self, job: JobRun) -> None:
         """Notes which steps of a job wait for targets."""
@@ -93,7 +94,7 @@
             for pair in self._waiting.values()
             if pair[1].due_at_ms <= wall_ms
         ]
-        due.sort(key=lambda pair: rank(*pair))
+        due.sort(key=lambda pair: self.order(pair[0], pair[1], wall_ms))
         for job, step in due:
             if len(tick.plan.placements) >= self._settings.max_placed_count:
                 break
