--- a/benchmarks/decision_model.py
+++ b/benchmarks/decision_model.py
@@ -149,7 +149,7 @@
 
     @property
     def used_ratio(self) -> float:
-        """Returns the mean share of the processors that tasks used."""
+        """Returns the share of processors in use, as a mean of decisions."""
         return sum(self._used_ratios) / max(1, len(self._used_ratios))
 
     def _arrive(self, now_ms: int) -> None:
