Withdraw a refused request for quota when its demand ends

Cause: a holder whose request was refused and whose demand then ended sent nothing, so that its home took it as waiting for 10 s, limited the other holders to their fair shares and capped them for 6 s by hints (trace of seed 476: p1 waits with an empty queue, p0 capped at half of the quota). Ruled out: shares lost in the ledger; after 16 s the whole quota is usable. Change: the holder makes a request due that wants nothing.

--- a/src/radishlift/quotas/holder.py
+++ b/src/radishlift/quotas/holder.py
@@ -40,6 +40,7 @@
         self._holdings: dict[TeamName, Holding] = {}
         self._unsynced: dict[TeamName, None] = {}
         self._capped: dict[TeamName, None] = {}
+        self._waiting: dict[TeamName, Holding] = {}
         self._window_ends_ms = 0
 
     def apply_teams(self, teams: Mapping[TeamName, Team], used: Usage) -> None:
@@ -74,6 +75,11 @@
         that to the homes.
         """
         self._update_caps(now_ms, used)
+        for name in _list_ended_demands(self._waiting, demands):
+            # Until the home knows that this holder waits no longer, it limits
+            # the other holders to their fair shares.
+            self._waiting.pop(name).reset_delay()
+            self._unsynced[name] = None
         if now_ms >= self._window_ends_ms:
             self._window_ends_ms = now_ms + self._settings.return_after_ms
             self._release_idle(used)
@@ -183,7 +189,12 @@
             self._notify_team(ask.team)
         if holding.is_frozen:
             self._unsynced[ask.team] = None
-        if holding.is_frozen or (any(ask.wanted) and share == ask.keep):
+        is_refused = any(ask.wanted) and share == ask.keep
+        if is_refused:
+            self._waiting[ask.team] = holding
+        else:
+            self._waiting.pop(ask.team, None)
+        if holding.is_frozen or is_refused:
             holding.back_off(now_ms, self._settings, self._random)
         else:
             holding.reset_delay()
@@ -255,6 +266,15 @@
         self.limits.pop(name, None)
         self._unsynced.pop(name, None)
         self._capped.pop(name, None)
+        self._waiting.pop(name, None)
+
+
+def _list_ended_demands(
+    waiting: Collection[TeamName],
+    demands: Collection[TeamName],
+) -> list[TeamName]:
+    """Lists the teams whose last request was refused and has no demand now."""
+    return [name for name in waiting if name not in demands]
 
 
 __all__ = ('ShareHolder', 'Usage')
--- a/tests/quotas/test_shares.py
+++ b/tests/quotas/test_shares.py
@@ -105,6 +105,22 @@
 @given(st.integers(), st.integers(1, 12))
 def test_no_share_is_lost_for_ever(seed, quota):
     """Guards against a share that stays with a dead or idle holder."""
+    check_quota_is_usable(seed, quota)
+
+
+@pytest.mark.parametrize(
+    'seed', [12, 23, 249, 404, 439, 446, 460, 476, 526, 695]
+)
+def test_ended_demand_holds_back_no_other(seed):
+    """Guards against shares kept free for a holder that wants no more.
+
+    In these runs a demand ends after the home has refused it.
+    """
+    check_quota_is_usable(seed, 4)
+
+
+def check_quota_is_usable(seed, quota):
+    """Checks that one holder gets the whole quota after any faults."""
     cell = make_cell(quota)
     run_steps(cell, seed)
     for one in cell.holders:
