--- a/tests/partitions/variants.py
+++ b/tests/partitions/variants.py
@@ -6,6 +6,7 @@
 from radishlift.placement.records import GangReserved
 from radishlift.workers.dispatcher import Dispatcher
 from tests.partitions.cell import Owner
+from tests.standins.worker_model import WorkerModel
 
 
 class EndsInherited(Dispatcher):
@@ -87,6 +88,20 @@
     """Replaces the wait for the journal and returns at once."""
 
 
+def use_unheld_worker(partition: OpenPartition, worker: WorkerModel) -> None:
+    """Makes a partition poll a worker of a rack that it does not hold.
+
+    It also skips the check of the first report for tasks of others, which may
+    arrive after a start of the old owner.
+    """
+    partition.racks.drop_unheld_workers = _keep_workers
+    partition.dispatcher.add_known_worker(worker.worker_id, worker.incarnation)
+
+
+def _keep_workers() -> None:
+    """Replaces the removal of workers in racks that are not held."""
+
+
 def release_overdue(owner: Owner) -> None:
     """Makes a part release an overdue reservation without asking the home."""
     owner.gang_coordinator._resolve_overdue_hold = _release
@@ -108,4 +123,5 @@
     'ignore_worker_events',
     'run_effects_at_once',
     'release_overdue',
+    'use_unheld_worker',
 )
