Model true run times, memory and slow targets of a large depot

Cause: the model of decisions judged jobs by their estimates, which the planner trusts too, and had equal targets with one size of tasks for each kind. Change: objectives follow the true run times; tasks of a step differ; sizes have spreads; every third target may be slow; all members of a gang end together. A deployment of 270 targets with the users' three kinds is added.

--- a/benchmarks/bench_decisions.py
+++ b/benchmarks/bench_decisions.py
@@ -109,6 +109,87 @@
     )
 
 
+def large_depot(load: float = 1, burst_factor: float = 1) -> Deployment:
+    """Returns a depot whose gangs need a tenth of the allowed targets.
+
+    Its usual load uses nearly all processors.
+    """
+    return Deployment(
+        targets_count=270,
+        target_millicores=32_000,
+        target_memory_mb=65_536,
+        slow_factor=1.3,
+        hosts_count=97,
+        duration_ms=34_000,
+        burst_factor=burst_factor,
+        kinds=(
+            JobKind(
+                name='route_plan',
+                jobs_per_s=3.67 * load,
+                worth=6.85,
+                steps_count=1.2,
+                tasks_count=13,
+                max_tasks_count=80,
+                cpu_millicores=8300,
+                run_ms=5500,
+                gang_share=1.0,
+                priority=1,
+                stretch=2.2,
+                objective_ms=1000,
+                advice=AdviceTerms(637, 9.1, 2000),
+                allowed_share=0.3,
+                estimate_error_share=0.9,
+                memory_mb=15_000,
+                tasks_spread=0.6,
+                amounts_spread=0.4,
+                run_spread=0.5,
+            ),
+            JobKind(
+                name='wash_batch',
+                jobs_per_s=6.11 * load,
+                worth=2.56,
+                steps_count=1.5,
+                tasks_count=16,
+                max_tasks_count=96,
+                cpu_millicores=5000,
+                run_ms=2400,
+                gang_share=0.0,
+                priority=2,
+                stretch=4.0,
+                objective_ms=3000,
+                advice=AdviceTerms(182, 2.6, 2000),
+                allowed_share=0.45,
+                estimate_error_share=0.5,
+                memory_mb=8500,
+                tasks_spread=0.6,
+                amounts_spread=0.45,
+                run_spread=0.5,
+            ),
+            JobKind(
+                name='pickup_confirm',
+                jobs_per_s=54.3 * load,
+                worth=0.405,
+                steps_count=1.0,
+                tasks_count=2.6,
+                max_tasks_count=19,
+                cpu_millicores=7100,
+                run_ms=700,
+                gang_share=0.3,
+                priority=0,
+                stretch=1.5,
+                objective_ms=300,
+                advice=AdviceTerms(20.8, 0.299, 2000),
+                allowed_share=0.7,
+                estimate_error_share=0.5,
+                memory_mb=12_500,
+                tasks_spread=0.6,
+                amounts_spread=0.45,
+                run_spread=0.5,
+            ),
+        ),
+    )
+
+
 @BENCHMARKS.register('decisions')
 def run() -> list[Figure]:
     """Runs all rankings on the same loads."""
--- a/benchmarks/decision_model.py
+++ b/benchmarks/decision_model.py
@@ -7,7 +7,7 @@
 
 import heapq
 import random
-from collections import Counter
+from collections import defaultdict
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -21,10 +21,16 @@
 from radishlift.steps.advice_queue import AdviceQueue
 from radishlift.steps.advice_requests import AdviceRequest
 from radishlift.steps.endings import EndKind, apply_end
-from radishlift.steps.ids import QueueName, StepKey, TargetId, TargetIncarnation
+from radishlift.steps.ids import (
+    QueueName,
+    StepKey,
+    TargetId,
+    TargetIncarnation,
+    TaskKey,
+)
 from radishlift.steps.placing import Placement
 from radishlift.steps.planner import Planner
-from radishlift.steps.ranking import StepRanking, objective_at_ms
+from radishlift.steps.ranking import StepRanking, advice_ms
 from radishlift.steps.runs import JobRun, JobState, build_job
 from radishlift.steps.settings import StepSettings
 from radishlift.steps.spec import (
@@ -39,6 +45,9 @@
 
 TICK_MS: Final = 20
 SERVICE: Final = ServiceName('desk')
+_SLOW_INTERVAL: Final = 3
+# Tasks of a step take up to this share less than its longest one.
+_UNEVEN_SHARE: Final = 0.3
 # A job counts as late if it ends within three times its objective, else as
 # missed.
 MAX_LATE_FACTOR: Final = 3
@@ -51,14 +60,15 @@
     """A kind of job: its arrival rate, size and queue terms.
 
     `estimate_error_share` is the maximum relative error of run time
-    estimates.
+    estimates. A spread is the standard deviation of the logarithm of a size
+    that is drawn for each step.
     """
 
     name: str
     jobs_per_s: float
     worth: float
     steps_count: float
-    tasks_count: int
+    tasks_count: float
     max_tasks_count: int
     cpu_millicores: int
     run_ms: int
@@ -69,6 +79,10 @@
     advice: AdviceTerms
     allowed_share: float
     estimate_error_share: float = 0.3
+    memory_mb: int = 100
+    tasks_spread: float = 0.7
+    amounts_spread: float = 0
+    run_spread: float = 0.2
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,7 +90,8 @@
     """Targets, hosts that call the advice service, and kinds of jobs.
 
     `burst_factor` multiplies the arrival rates from `burst_from_ms` to
-    `burst_to_ms`.
+    `burst_to_ms`. Every third target takes `slow_factor` times as long for its
+    tasks, and for a gang that uses it.
     """
 
     targets_count: int
@@ -87,6 +102,8 @@
     burst_factor: float = 1
     burst_from_ms: int = 8000
     burst_to_ms: int = 12_000
+    target_memory_mb: int = 1_000_000
+    slow_factor: float = 1
 
 
 @dataclass(slots=True)
@@ -126,6 +143,7 @@
         if ranking:
             self._planner.ranking = ranking
         self._advice_queue = AdviceQueue(self._settings)
+        self._planner.count_queued_requests = self._advice_queue.__len__
         self._open_requests: list[tuple[int, int, AdviceRequest]] = []
         self._scheduled_ends: list[tuple[int, int, JobRun, Placement]] = []
         self._kinds: dict[JobId, JobKind] = {}
@@ -136,8 +154,15 @@
         self._sequence = 0
         self._is_changed = False
         self._used_ratios: list[float] = []
+        self._jobs_by_id: dict[JobId, JobRun] = {}
+        self._step_run_ms: list[float] = []
+        self._run_ms: dict[JobId, tuple[float, ...]] = {}
+        self._slow_ids: set[TargetId] = set()
         for number in range(deployment.targets_count):
-            self._targets.update(_entry(number, deployment))
+            entry = _entry(number, deployment)
+            self._targets.update(entry)
+            if number % _SLOW_INTERVAL == 0:
+                self._slow_ids.add(entry.target_id)
 
     def run(self) -> dict[str, Tally]:
         """Simulates the load and half its duration more.
@@ -173,6 +198,7 @@
         self._is_changed = True
         self._sequence += 1
         job_id = JobId(f'{self._sequence:016x}')
+        self._step_run_ms = []
         steps = tuple(
             self._draw_step(kind, number)
             for number in range(self._draw_steps_count(kind))
@@ -180,6 +206,8 @@
         job = build_job(JobSpec(job_id, '', steps), _terms(kind), now_ms)
         self._kinds[job_id] = kind
         self._jobs.append(job)
+        self._jobs_by_id[job_id] = job
+        self._run_ms[job_id] = tuple(self._step_run_ms)
         self._planner.update_job(job)
 
     def _draw_steps_count(self, kind: JobKind) -> int:
@@ -189,19 +217,45 @@
     def _draw_step(self, kind: JobKind, number: int) -> StepSpec:
         # Numbers of tasks are skewed: most steps are small, a few very large.
         tasks_count = int(
-            self._random.lognormvariate(0, 0.7) * kind.tasks_count
+            self._random.lognormvariate(0, kind.tasks_spread) * kind.tasks_count
         )
         error_factor = self._random.uniform(
             1 - kind.estimate_error_share, 1 + kind.estimate_error_share
         )
+        run_ms = kind.run_ms * self._random.lognormvariate(0, kind.run_spread)
+        self._step_run_ms.append(run_ms)
         return StepSpec(
             tasks_count=max(1, min(tasks_count, kind.max_tasks_count)),
-            amounts=Amounts(kind.cpu_millicores, 100),
-            estimate_ms=int(kind.run_ms * error_factor),
+            amounts=self._draw_amounts(kind),
+            estimate_ms=int(run_ms * error_factor),
             depends_on=(number - 1,) if number else (),
             is_gang=self._random.random() < kind.gang_share,
         )
 
+    def _draw_amounts(self, kind: JobKind) -> Amounts:
+        if not kind.amounts_spread:
+            return Amounts(kind.cpu_millicores, kind.memory_mb)
+        cpu_factor, memory_factor = (
+            self._random.lognormvariate(0, kind.amounts_spread)
+            for _ in range(2)
+        )
+        # Any step fits on two thirds of a target.
+        deployment = self._deployment
+        return Amounts(
+            int(
+                min(
+                    kind.cpu_millicores * cpu_factor,
+                    deployment.target_millicores / 1.5,
+                )
+            ),
+            int(
+                min(
+                    kind.memory_mb * memory_factor,
+                    deployment.target_memory_mb / 1.5,
+                )
+            ),
+        )
+
     def _end_due_tasks(self, now_ms: int) -> None:
         while self._scheduled_ends and self._scheduled_ends[0][0] <= now_ms:
             _, _, job, placement = heapq.heappop(self._scheduled_ends)
@@ -245,7 +299,7 @@
             for target_id in request.target_ids
             if target_id in allowed
         ]
-        self._tickets.store_answer(request.key, request.target_ids, tickets)
+        self._tickets.store_answer(request, tickets)
 
     def _draw_allowed(self, kind: JobKind, key: StepKey) -> set[TargetId]:
         generator = random.Random(f'allowed {key}')
@@ -260,13 +314,12 @@
         plan = self._planner.plan(now_ms, now_ms)
         for request in plan.advice_requests:
             self._advice_queue.add(request)
-        placed: Counter[StepKey] = Counter()
+        by_step: defaultdict[StepKey, list[Placement]] = defaultdict(list)
         for job, placement in plan.placements:
-            key = placement.task.key.step_key
-            if not placed[key]:
-                self._started_at_ms.setdefault(job.spec.job_id, now_ms)
-            placed[key] += 1
-            self._start(job, placement, now_ms)
+            by_step[placement.task.key.step_key].append(placement)
+            self._started_at_ms.setdefault(job.spec.job_id, now_ms)
+        for placements in by_step.values():
+            self._start(placements, now_ms)
         if now_ms < self._deployment.duration_ms:
             self._used_ratios.append(self._used_share())
 
@@ -276,17 +329,33 @@
         capacity = deployment.targets_count * deployment.target_millicores
         return used / capacity
 
-    def _start(self, job: JobRun, placement: Placement, now_ms: int) -> None:
-        kind = self._kinds[job.spec.job_id]
-        step = job.steps[0, placement.task.key.step_key.step]
-        # All members of a gang get the same run time.
-        key = step.key if step.spec.is_gang else placement.task.key
-        run_factor = random.Random(f'time {key}').lognormvariate(0, 0.2)
-        self._sequence += 1
-        end_ms = now_ms + int(kind.run_ms * run_factor)
-        heapq.heappush(
-            self._scheduled_ends, (end_ms, self._sequence, job, placement)
-        )
+    def _start(self, placements: list[Placement], now_ms: int) -> None:
+        """Starts tasks of one step, which may be all members of a gang."""
+        step_key = placements[0].task.key.step_key
+        job = self._jobs_by_id[step_key.job_id]
+        is_gang = job.steps[0, step_key.step].spec.is_gang
+        step_run_ms = self._run_ms[step_key.job_id][step_key.step]
+        slowest = max(map(self._slow_factor, placements))
+        for placement in placements:
+            # All members of a gang take as long as the slowest one.
+            factor = slowest if is_gang else self._slow_factor(placement)
+            if not is_gang:
+                factor *= _task_factor(placement.task.key)
+            self._sequence += 1
+            end_ms = now_ms + int(step_run_ms * factor)
+            heapq.heappush(
+                self._scheduled_ends, (end_ms, self._sequence, job, placement)
+            )
+
+    def _slow_factor(self, placement: Placement) -> float:
+        is_slow = placement.target.entry.target_id in self._slow_ids
+        return self._deployment.slow_factor if is_slow else 1
+
+    def _objective_ms(self, job: JobRun) -> float:
+        """Returns the objective by true run times, which no decision knows."""
+        chain_ms = sum(self._run_ms[job.spec.job_id])
+        chain_ms += len(job.spec.steps) * advice_ms(job.terms.advice)
+        return job.terms.stretch * chain_ms + job.terms.objective_ms
 
     def _build_tallies(self) -> dict[str, Tally]:
         tallies = {kind.name: Tally() for kind in self._deployment.kinds}
@@ -295,9 +364,7 @@
             tally = tallies[self._kinds[job_id].name]
             ended_at_ms = self._ended_at_ms.get(job_id)
             accepted_at_ms = job.accepted_at_ms
-            objective_ms = (
-                objective_at_ms(job, job.steps[0, 0]) - accepted_at_ms
-            )
+            objective_ms = self._objective_ms(job)
             if ended_at_ms is None:
                 tally.missed += 1
             elif ended_at_ms - accepted_at_ms <= objective_ms:
@@ -312,6 +379,11 @@
         return tallies
 
 
+def _task_factor(key: TaskKey) -> float:
+    """Returns the run time of a task as a share of that of its step."""
+    return random.Random(f'time {key}').uniform(1 - _UNEVEN_SHARE, 1)
+
+
 def worth_share(deployment: Deployment, tallies: dict[str, Tally]) -> float:
     """Returns the earned worth as a share of the worth of all jobs."""
     earned = 0.0
@@ -344,7 +416,7 @@
         Address('127.0.0.1:1'),
         DataCentreId('z1'),
         TargetState.ready,
-        Amounts(deployment.target_millicores, 1_000_000),
+        Amounts(deployment.target_millicores, deployment.target_memory_mb),
         frozenset((RackId(f'r{number // 8}'),)),
     )
 
--- a/src/radishlift/steps/ranking.py
+++ b/src/radishlift/steps/ranking.py
@@ -43,7 +43,7 @@
             if number in job.spec.steps[later].depends_on
         ]
         step_ms = job.spec.steps[number].estimate_ms
-        step_ms += _advice_ms(job.terms.advice)
+        step_ms += advice_ms(job.terms.advice)
         chain_ms[number] = step_ms + max(later_ms, default=0)
     if first:
         return chain_ms.get(first, 0)
@@ -65,7 +65,8 @@
     return wall_ms > start_ms, job.terms.priority, start_ms
 
 
-def _advice_ms(terms: AdviceTerms | None) -> int:
+def advice_ms(terms: AdviceTerms | None) -> int:
+    """Returns the time for advice that the objective allows per step."""
     if terms is None:
         return 0
     return int(terms.decide_ms + terms.per_target_ms * _ADVICE_TARGETS_COUNT)
@@ -73,6 +74,7 @@
 
 __all__ = (
     'StepRanking',
+    'advice_ms',
     'chain_estimate_ms',
     'latest_start_ms',
     'objective_at_ms',
