Reserve targets for gangs by expected room, and keep their tickets valid

One advice request names a quarter of its targets, takes 1.3 s and its tickets are valid for 2 s; requests followed one another, so that the first tickets had expired when the last arrived. Expired tickets were renewed only if the gang fitted on targets with expired tickets alone, and the reserved targets were others than those that were asked for. Change: a gang requests advice on all targets that it may need at once, fewer while other requests wait. It reserves the allowed targets that probably have room first, by the expected ends of running tasks, keeps them for 200 ms, and renews their tickets shortly before it can start. Short tasks may use reserved targets until then; urgent steps avoid them. Half of the targets may be reserved, and long requests may use four fifths of the hosts. Two of the new tests of the planner fail before. The test of overload plays the users' 30 s instead of 14 s: most gangs had not reached their objectives when the model ended, and both orders missed them.

--- a/src/radishlift/cell/pending_advice.py
+++ b/src/radishlift/cell/pending_advice.py
@@ -32,6 +32,7 @@
         self._clock = clock
         self._notify_scheduler = notify_scheduler
         self._queue = AdviceQueue(settings)
+        planner.count_queued_requests = self._queue.__len__
         self.changed = asyncio.Event()
 
     def add(self, requests: Iterable[AdviceRequest]) -> None:
@@ -54,7 +55,7 @@
             if request is None or self._planner.is_waiting(request.key):
                 return request
             # The step may wait again later and then needs a new request.
-            self._tickets.fail_request(request.key, 0)
+            self._tickets.fail_request(request, 0)
 
     def store_answer(
         self, request: AdviceRequest, answer: AdviceAnswer
@@ -65,14 +66,14 @@
             (target_id, Ticket(text, expires_at_ms))
             for target_id, text in answer.tickets
         ]
-        self._tickets.store_answer(request.key, request.target_ids, tickets)
+        self._tickets.store_answer(request, tickets)
         self._notify()
 
     def retry_later(self, request: AdviceRequest) -> None:
         """Allows another request for the step after `advice_retry_ms`."""
         retry_ms = self._settings.advice_retry_ms
         now_ms = self._clock.monotonic_ms()
-        self._tickets.fail_request(request.key, now_ms + retry_ms)
+        self._tickets.fail_request(request, now_ms + retry_ms)
         self._notify()
 
     def _notify(self) -> None:
--- a/src/radishlift/steps/advice_requests.py
+++ b/src/radishlift/steps/advice_requests.py
@@ -1,15 +1,14 @@
 """Selects the targets to name in requests to the advice service."""
 
-from collections.abc import Callable
+from collections.abc import Iterator
 from dataclasses import dataclass
 
-from radishlift.steps.ids import StepKey, TargetId
+from radishlift.steps.ids import QueueName, StepKey, TargetId
 from radishlift.steps.placing import place_step
-from radishlift.steps.runs import StepRun
+from radishlift.steps.runs import JobRun, StepRun
 from radishlift.steps.settings import StepSettings
 from radishlift.steps.spec import AdviceTerms
 from radishlift.steps.targets import Target
-from radishlift.steps.tickets import StepAdvice
 
 
 @dataclass(frozen=True, slots=True)
@@ -20,6 +19,28 @@
     target_ids: tuple[TargetId, ...]
     duration_ms: float
     priority: int
+    queue: QueueName = QueueName('')
+
+
+def build_request(
+    job: JobRun,
+    step: StepRun,
+    terms: AdviceTerms,
+    target_ids: tuple[TargetId, ...],
+) -> AdviceRequest:
+    """Creates a request for a step."""
+    return AdviceRequest(
+        step.key,
+        target_ids,
+        request_duration_ms(terms, len(target_ids)),
+        job.terms.priority,
+        job.terms.queue,
+    )
+
+
+def request_duration_ms(terms: AdviceTerms, targets_count: int) -> float:
+    """Returns how long the service takes to answer a request."""
+    return terms.decide_ms + terms.per_target_ms * targets_count
 
 
 def choose_advice_targets(
@@ -43,11 +64,45 @@
     if not_requested and len(placements) < len(step.waiting_tasks()):
         not_requested.sort(key=_free_millicores, reverse=True)
         chosen = not_requested[: _max_targets_count(terms, settings)]
-        return tuple(target.entry.target_id for target in chosen)
+        return _target_ids(chosen)
     ids = {placement.target.entry.target_id for placement in placements}
     return tuple(sorted(ids)[: settings.max_asked_count])
 
 
+def choose_gang_advice_targets(
+    step: StepRun,
+    terms: AdviceTerms,
+    not_requested: list[Target],
+    allowed_share: float,
+    settings: StepSettings,
+) -> Iterator[tuple[TargetId, ...]]:
+    """Yields the targets of simultaneous advice requests for a gang.
+
+    One request names few of the targets of a large deployment, and only
+    `allowed_share` of them may run the gang. If requests were sent one after
+    another, the tickets of the first would expire before the last arrive. The
+    targets with most room come first, until the gang probably fits on those
+    that will be allowed.
+    """
+    amounts = step.spec.allocated_amounts
+    not_requested.sort(key=_free_millicores, reverse=True)
+    size = _max_targets_count(terms, settings)
+    needed_count = settings.gang_room_factor * len(step.tasks)
+    for first in range(0, len(not_requested), size):
+        if needed_count <= 0:
+            return
+        named = not_requested[first : first + size]
+        room_count = sum(
+            amounts.count_fitting(target.free_capacity) for target in named
+        )
+        needed_count -= allowed_share * room_count
+        yield _target_ids(named)
+
+
+def _target_ids(targets: list[Target]) -> tuple[TargetId, ...]:
+    return tuple(target.entry.target_id for target in targets)
+
+
 def _free_millicores(target: Target) -> int:
     return target.free_capacity.cpu_millicores
 
@@ -61,17 +116,10 @@
     return max(1, min(settings.max_asked_count, max_count))
 
 
-def valid_ticket_filter(
-    advice: StepAdvice,
-    expires_after_ms: int,
-) -> Callable[[Target], bool]:
-    """Returns a predicate for targets with a ticket valid after a time."""
-
-    def is_valid(target: Target) -> bool:
-        ticket = advice.allowed.get(target.entry.target_id)
-        return ticket is not None and ticket.expires_at_ms > expires_after_ms
-
-    return is_valid
-
-
-__all__ = ('AdviceRequest', 'choose_advice_targets', 'valid_ticket_filter')
+__all__ = (
+    'AdviceRequest',
+    'build_request',
+    'choose_advice_targets',
+    'choose_gang_advice_targets',
+    'request_duration_ms',
+)
--- a/src/radishlift/steps/planner.py
+++ b/src/radishlift/steps/planner.py
@@ -2,25 +2,31 @@
 
 Each tick handles the steps of all queues in the order of `steps.ranking`.
 A gang that does not fit yet reserves some targets, so that a stream of
-smaller tasks can't starve it.
+smaller tasks can't starve it. Steps that are ranked later use reserved targets
+only for tasks that probably end before the gang starts, and steps that are
+ranked earlier only if no other targets fit.
 """
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from itertools import islice
 
 from radishlift.core.ids import ServiceName
 from radishlift.steps.advice_requests import (
     AdviceRequest,
+    build_request,
     choose_advice_targets,
-    valid_ticket_filter,
+    choose_gang_advice_targets,
+    request_duration_ms,
 )
+from radishlift.steps.gang_reservations import GangReservations, Reservation
 from radishlift.steps.ids import StepKey, TargetId
 from radishlift.steps.placing import Placement, place_step
 from radishlift.steps.ranking import StepRanking, rank_step
 from radishlift.steps.runs import JobRun, StepRun, TaskState
 from radishlift.steps.settings import StepSettings
 from radishlift.steps.targets import Target, TargetTable
-from radishlift.steps.tickets import TicketTable
+from radishlift.steps.tickets import TicketTable, valid_ticket_filter
 
 
 @dataclass(slots=True)
@@ -37,11 +43,22 @@
     now_ms: int
     wall_ms: int
     accepting: list[Target]
-    reserved: set[TargetId] = field(default_factory=set)
+    reserved_until_ms: dict[TargetId, int] = field(default_factory=dict)
     by_requirement: dict[tuple[ServiceName, str], list[Target]] = field(
         default_factory=dict,
     )
 
+    def may_use(self, target: Target, step: StepRun) -> bool:
+        """Returns whether a step may use a target despite reservations.
+
+        A gang may not: it could not be moved if it ran longer than expected.
+        """
+        until_ms = self.reserved_until_ms.get(target.entry.target_id)
+        if until_ms is None:
+            return True
+        end_ms = self.now_ms + step.spec.expected_run_ms
+        return not step.spec.is_gang and end_ms <= until_ms
+
     def suitable_targets(self, job: JobRun, step: StepRun) -> list[Target]:
         """Lists targets of the job's service with the step's label."""
         service, label = job.terms.service, step.spec.required_label
@@ -58,7 +75,10 @@
 
 
 class Planner:
-    """Tracks the waiting steps and places their tasks."""
+    """Tracks the waiting steps and places their tasks.
+
+    `count_queued_requests` returns how many advice requests wait for a host.
+    """
 
     def __init__(
         self,
@@ -70,7 +90,10 @@
         self._tickets = tickets
         self._settings = settings
         self._waiting: dict[StepKey, tuple[JobRun, StepRun]] = {}
+        self._reservations = GangReservations(settings)
+        self._last_reserved: set[TargetId] = set()
         self.ranking: StepRanking = rank_step
+        self.count_queued_requests: Callable[[], int] = int
 
     def update_job(self, job: JobRun) -> None:
         """Updates which steps of a job wait for targets."""
@@ -84,6 +107,7 @@
                 self._waiting[step.key] = job, step
             else:
                 self._waiting.pop(step.key, None)
+                self._reservations.remove(step.key)
                 if step.is_done or job.is_ended:
                     self._tickets.remove_step(step.key)
 
@@ -127,6 +151,7 @@
             if len(tick.plan.placements) >= self._settings.max_placed_count:
                 break
             self._plan_step(tick, job, step)
+        self._last_reserved = set(tick.reserved_until_ms)
         return tick.plan
 
     def _plan_step(self, tick: _Tick, job: JobRun, step: StepRun) -> None:
@@ -145,16 +170,17 @@
             target
             for target in allowed
             if step.spec.allocated_amounts.fits_in(target.free_capacity)
-            and target.entry.target_id not in tick.reserved
+            and tick.may_use(target, step)
         ]
         placements = self._place(tick, job, step, fitting)
-        self._allocate(tick.plan, job, step, placements)
+        self._allocate(tick, job, step, placements)
         if len(placements) == waiting_count:
             self._waiting.pop(step.key, None)
-            return
-        self._request_advice(tick, job, step, fitting)
-        if step.spec.is_gang:
-            self._reserve_targets(tick, step, allowed)
+            self._reservations.remove(step.key)
+        elif step.spec.is_gang:
+            self._reserve_targets(tick, job, step, allowed)
+        else:
+            self._request_advice(tick, job, step, fitting)
 
     def _place(
         self,
@@ -166,7 +192,18 @@
         if job.terms.advice is not None:
             has_ticket = self._ticket_filter(tick, step)
             fitting = [target for target in fitting if has_ticket(target)]
-        return place_step(step, fitting) if fitting else []
+        if not fitting:
+            return []
+        unreserved = [
+            target
+            for target in fitting
+            if target.entry.target_id not in self._last_reserved
+        ]
+        if not step.spec.is_gang and len(unreserved) < len(fitting):
+            placements = place_step(step, unreserved)
+            if len(placements) == len(step.waiting_tasks()):
+                return placements
+        return place_step(step, fitting)
 
     def _ticket_filter(
         self,
@@ -180,7 +217,7 @@
 
     def _allocate(
         self,
-        plan: Plan,
+        tick: _Tick,
         job: JobRun,
         step: StepRun,
         placements: list[Placement],
@@ -198,9 +235,12 @@
             task.state = TaskState.placed
             task.target_id = placement.target.entry.target_id
             placement.target.allocate(
-                task.key, task.attempt, step.spec.allocated_amounts
+                task.key,
+                task.attempt,
+                step.spec.allocated_amounts,
+                tick.now_ms + step.spec.expected_run_ms,
             )
-            plan.placements.append((job, placement))
+            tick.plan.placements.append((job, placement))
 
     def _request_advice(
         self,
@@ -213,7 +253,7 @@
         if terms is None:
             return
         advice = self._tickets.advice_for(step.key)
-        if advice.has_open_request or tick.now_ms < advice.retry_at_ms:
+        if advice.open_requests_count or tick.now_ms < advice.retry_at_ms:
             return
         has_ticket = self._ticket_filter(tick, step)
         ids = choose_advice_targets(
@@ -224,54 +264,100 @@
                 target
                 for target in tick.suitable_targets(job, step)
                 if target.entry.target_id not in advice.requested
-                and target.entry.target_id not in tick.reserved
+                and tick.may_use(target, step)
             ],
             self._settings,
         )
         if ids:
-            duration_ms = terms.decide_ms + terms.per_target_ms * len(ids)
-            self._tickets.start_request(step.key)
-            tick.plan.advice_requests.append(
-                AdviceRequest(step.key, ids, duration_ms, job.terms.priority),
-            )
+            self._send_request(tick, build_request(job, step, terms, ids))
 
     def _reserve_targets(
         self,
         tick: _Tick,
+        job: JobRun,
         step: StepRun,
         allowed: list[Target],
     ) -> None:
+        """Reserves targets for a gang and requests the advice it needs."""
+        self._request_gang_advice(tick, job, step)
+        reservation = self._reservations.choose(
+            step,
+            {
+                target.entry.target_id: target
+                for target in allowed
+                if target.entry.target_id not in tick.reserved_until_ms
+            },
+            tick.now_ms,
+        )
+        if reservation is None:
+            return
         limit = int(len(self._targets) * self._settings.reserved_share)
-        if len(tick.reserved) >= limit:
+        reserved_count = len(reservation.target_ids)
+        if len(tick.reserved_until_ms) + reserved_count <= limit:
+            for target_id in reservation.target_ids:
+                tick.reserved_until_ms[target_id] = reservation.starts_at_ms
+            self._renew_tickets(tick, job, step, reservation)
+
+    def _request_gang_advice(
+        self, tick: _Tick, job: JobRun, step: StepRun
+    ) -> None:
+        """Requests advice on targets that no request has named so far."""
+        terms = job.terms.advice
+        if terms is None:
+            return
+        advice = self._tickets.advice_for(step.key)
+        if advice.open_requests_count or tick.now_ms < advice.retry_at_ms:
             return
-        chosen = _choose_gang_targets(step, allowed)
-        if len(tick.reserved) + len(chosen) <= limit:
-            tick.reserved.update(chosen)
+        not_requested = [
+            target
+            for target in tick.suitable_targets(job, step)
+            if target.entry.target_id not in advice.requested
+        ]
+        requests = choose_gang_advice_targets(
+            step,
+            terms,
+            not_requested,
+            self._tickets.allowed_share(job.terms.queue),
+            self._settings,
+        )
+        # If requests already wait, more of them would delay other steps.
+        is_busy = self.count_queued_requests() > 0
+        max_count = 1 if is_busy else self._settings.max_open_count
+        for ids in islice(requests, max_count):
+            self._send_request(tick, build_request(job, step, terms, ids))
 
+    def _renew_tickets(
+        self,
+        tick: _Tick,
+        job: JobRun,
+        step: StepRun,
+        reservation: Reservation,
+    ) -> None:
+        """Requests tickets for a gang that can probably start soon.
 
-def _choose_gang_targets(
-    step: StepRun, allowed: list[Target]
-) -> list[TargetId]:
-    """Selects targets to reserve for a gang, those with most free CPU first.
+        It needs valid tickets for all its targets at the same time, so that
+        those are renewed that would expire before others could arrive.
+        """
+        terms = job.terms.advice
+        advice = self._tickets.advice_for(step.key)
+        if terms is None or tick.now_ms < advice.retry_at_ms:
+            return
+        target_ids = reservation.target_ids
+        answered_at_ms = tick.now_ms + int(
+            request_duration_ms(terms, len(target_ids))
+        )
+        if reservation.starts_at_ms > answered_at_ms:
+            return
+        expiring = advice.list_expiring(
+            target_ids, answered_at_ms + self._settings.min_ticket_ms
+        )
+        if expiring:
+            ids = tuple(expiring[: self._settings.max_asked_count])
+            self._send_request(tick, build_request(job, step, terms, ids))
 
-    Returns an empty list if the gang would not fit on all of them empty.
-    """
-    remaining_count = len(step.tasks)
-    chosen: list[TargetId] = []
-    amounts = step.spec.allocated_amounts
-    by_free_capacity = sorted(
-        allowed,
-        key=lambda target: target.free_capacity.cpu_millicores,
-        reverse=True,
-    )
-    for target in by_free_capacity:
-        if remaining_count <= 0:
-            break
-        count = amounts.count_fitting(target.entry.capacity)
-        if count:
-            chosen.append(target.entry.target_id)
-            remaining_count -= count
-    return chosen if remaining_count <= 0 else []
+    def _send_request(self, tick: _Tick, request: AdviceRequest) -> None:
+        self._tickets.start_request(request)
+        tick.plan.advice_requests.append(request)
 
 
 __all__ = ('Plan', 'Planner')
--- a/src/radishlift/steps/settings.py
+++ b/src/radishlift/steps/settings.py
@@ -13,25 +13,35 @@
       advice service; its interface allows 100.
     - `reserved_share`: maximum share of the targets reserved for waiting
       gangs; the others remain available to smaller tasks.
+    - `reservation_ms`: how long a gang keeps its reserved targets before
+      others are considered; a reserved target is empty only after its tasks
+      have ended, so that frequent changes would leave many partly empty.
     - `distrust_after_count`, `distrust_ms`: consecutive failures after which
       a target enters a cooldown, and its duration.
     - `max_placed_count`: maximum number of starts planned in one tick, which
       limits the duration of a tick.
     - `advice_retry_ms`: delay before a failed advice request is repeated.
+    - `max_open_count`: maximum number of open advice requests of a gang.
+    - `gang_room_factor`: advice for a gang is requested on targets with this
+      many times the room that it needs, as other steps may use it meanwhile.
     - `long_question_ms`, `long_question_share`: advice requests that take
       longer than `long_question_ms` use at most this share of the hosts. The
-      other hosts serve urgent steps, whose objective leaves 250 ms.
+      other hosts serve urgent steps, whose objective leaves 250 ms; these need
+      few of them, as their requests are short.
     """
 
     min_ticket_ms: int = 150
     max_asked_count: int = 100
-    reserved_share: float = 0.35
+    reserved_share: float = 0.5
+    reservation_ms: int = 200
     distrust_after_count: int = 3
     distrust_ms: int = 3000
     max_placed_count: int = 200
     advice_retry_ms: int = 200
+    max_open_count: int = 4
+    gang_room_factor: float = 2
     long_question_ms: int = 250
-    long_question_share: float = 0.5
+    long_question_share: float = 0.8
 
 
 __all__ = ('StepSettings',)
--- a/src/radishlift/steps/spec.py
+++ b/src/radishlift/steps/spec.py
@@ -8,9 +8,10 @@
 
 # Number of fitting tasks if they need no resources.
 _UNLIMITED_COUNT: Final = 1_000_000
+_LONG_RUN_MS: Final = 86_400_000
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True, slots=True, order=True)
 class Amounts:
     """Resource amounts: of a target's capacity or of one task."""
 
@@ -79,6 +80,11 @@
             return Amounts(0, self.amounts.memory_mb, self.amounts.gpus_count)
         return self.amounts
 
+    @property
+    def expected_run_ms(self) -> int:
+        """Expected run time of a task; a day if it runs until it is stopped."""
+        return _LONG_RUN_MS if self.is_long_running else self.estimate_ms
+
 
 @dataclass(frozen=True, slots=True)
 class AdviceTerms:
--- a/src/radishlift/steps/targets.py
+++ b/src/radishlift/steps/targets.py
@@ -42,10 +42,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Allocation:
-    """Capacity allocated to an attempt until its end is known."""
+    """Capacity allocated to an attempt until its end is known.
+
+    `expected_end_ms` is a monotonic time; 0 if the start time is unknown.
+    """
 
     attempt: int
     amounts: Amounts
+    expected_end_ms: int = 0
 
 
 @dataclass(slots=True)
@@ -82,10 +86,16 @@
             and now_ms >= self.cooldown_until_ms
         )
 
-    def allocate(self, key: TaskKey, attempt: int, amounts: Amounts) -> None:
+    def allocate(
+        self,
+        key: TaskKey,
+        attempt: int,
+        amounts: Amounts,
+        expected_end_ms: int = 0,
+    ) -> None:
         """Allocates capacity for an attempt, replacing an earlier one."""
         self.release(key, attempt)
-        self.allocations[key] = Allocation(attempt, amounts)
+        self.allocations[key] = Allocation(attempt, amounts, expected_end_ms)
         self.used = self.used.plus(amounts)
         self.free_capacity = self.free_capacity.plus(amounts, -1)
 
--- a/src/radishlift/steps/tickets.py
+++ b/src/radishlift/steps/tickets.py
@@ -4,10 +4,18 @@
 that an allowed target may need a new ticket.
 """
 
-from collections.abc import Collection, Iterable
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, field
+from typing import Final
 
-from radishlift.steps.ids import StepKey, TargetId
+from radishlift.steps.advice_requests import AdviceRequest
+from radishlift.steps.ids import QueueName, StepKey, TargetId
+from radishlift.steps.targets import Target
+
+# Assumed until the first answer for a queue.
+_INITIAL_ALLOWED_SHARE: Final = 0.5
+# Weight of one answer in the moving average of the allowed share.
+_ALLOWED_SHARE_GAIN: Final = 0.2
 
 
 @dataclass(frozen=True, slots=True)
@@ -20,44 +28,72 @@
 
 @dataclass(slots=True)
 class StepAdvice:
-    """Answers of the advice service about the targets of one step."""
+    """Answers of the advice service about the targets of one step.
+
+    `requested` are the targets of all open and answered requests, and `open`
+    those of open ones.
+    """
 
     requested: set[TargetId] = field(default_factory=set)
+    open: set[TargetId] = field(default_factory=set)
+    open_requests_count: int = 0
     allowed: dict[TargetId, Ticket] = field(default_factory=dict)
-    has_open_request: bool = False
     retry_at_ms: int = 0
 
+    def list_expiring(
+        self, target_ids: Iterable[TargetId], expires_before_ms: int
+    ) -> list[TargetId]:
+        """Lists allowed targets that need a ticket that is not requested."""
+        return [
+            target_id
+            for target_id in target_ids
+            if target_id not in self.open
+            and self.allowed[target_id].expires_at_ms < expires_before_ms
+        ]
+
 
 class TicketTable:
     """Advice of all steps that wait for targets."""
 
     def __init__(self) -> None:
         self._steps: dict[StepKey, StepAdvice] = {}
+        self._allowed_shares: dict[QueueName, float] = {}
 
     def advice_for(self, key: StepKey) -> StepAdvice:
         """Returns the advice of a step; adds an empty one if it has none."""
         return self._steps.setdefault(key, StepAdvice())
 
-    def start_request(self, key: StepKey) -> None:
-        """Marks that a request for a step is open."""
-        self.advice_for(key).has_open_request = True
+    def allowed_share(self, queue: QueueName) -> float:
+        """Returns the mean share of targets that steps of a queue may use."""
+        return self._allowed_shares.get(queue, _INITIAL_ALLOWED_SHARE)
+
+    def start_request(self, request: AdviceRequest) -> None:
+        """Records that a request is open."""
+        advice = self.advice_for(request.key)
+        advice.open_requests_count += 1
+        advice.open.update(request.target_ids)
+        advice.requested.update(request.target_ids)
 
     def store_answer(
         self,
-        key: StepKey,
-        requested: Collection[TargetId],
-        tickets: Iterable[tuple[TargetId, Ticket]],
+        request: AdviceRequest,
+        tickets: Collection[tuple[TargetId, Ticket]],
     ) -> None:
         """Stores the answer to a request."""
-        advice = self.advice_for(key)
-        advice.has_open_request = False
-        advice.requested.update(requested)
+        advice = self._close_request(request)
+        if not advice.allowed.keys() & request.target_ids:
+            # Renewals name allowed targets only.
+            self._update_allowed_share(
+                request.queue, len(tickets) / len(request.target_ids)
+            )
         advice.allowed.update(tickets)
 
-    def fail_request(self, key: StepKey, retry_at_ms: int) -> None:
+    def fail_request(self, request: AdviceRequest, retry_at_ms: int) -> None:
         """Closes a failed request; the next may be sent at `retry_at_ms`."""
-        advice = self.advice_for(key)
-        advice.has_open_request = False
+        advice = self._close_request(request)
+        advice.requested.difference_update(
+            set(request.target_ids) - advice.allowed.keys()
+        )
         advice.retry_at_ms = retry_at_ms
 
     def expire_ticket(self, key: StepKey, target_id: TargetId) -> None:
@@ -70,5 +106,30 @@
         """Removes the advice of a step that needs no more tickets."""
         self._steps.pop(key, None)
 
+    def _close_request(self, request: AdviceRequest) -> StepAdvice:
+        advice = self.advice_for(request.key)
+        advice.open_requests_count = max(0, advice.open_requests_count - 1)
+        advice.open.difference_update(request.target_ids)
+        return advice
+
+    def _update_allowed_share(self, queue: QueueName, share: float) -> None:
+        before = self._allowed_shares.get(queue, share)
+        self._allowed_shares[queue] = before + _ALLOWED_SHARE_GAIN * (
+            share - before
+        )
+
+
+def valid_ticket_filter(
+    advice: StepAdvice,
+    expires_after_ms: int,
+) -> Callable[[Target], bool]:
+    """Returns a predicate for targets with a ticket valid after a time."""
+
+    def is_valid(target: Target) -> bool:
+        ticket = advice.allowed.get(target.entry.target_id)
+        return ticket is not None and ticket.expires_at_ms > expires_after_ms
+
+    return is_valid
+
 
-__all__ = ('StepAdvice', 'Ticket', 'TicketTable')
+__all__ = ('StepAdvice', 'Ticket', 'TicketTable', 'valid_ticket_filter')
--- a/tests/steps/test_overload.py
+++ b/tests/steps/test_overload.py
@@ -4,12 +4,14 @@
 
 import pytest
 
-from benchmarks.bench_decisions import RANKINGS, rug_depot
+from benchmarks.bench_decisions import RANKINGS, large_depot, rug_depot
 from benchmarks.decision_model import DecisionModel, worth_share
 from radishlift.steps.ranking import rank_step
+from radishlift.steps.settings import StepSettings
 
 # Routes and batches exceed the capacity, and a burst adds to them.
-OVERLOAD = replace(rug_depot(load=1.3, burst_factor=1.8), duration_ms=14_000)
+OVERLOAD = rug_depot(load=1.3, burst_factor=1.8)
+LARGE = replace(large_depot(burst_factor=1.6), duration_ms=14_000)
 CALM = replace(rug_depot(load=0.4), duration_ms=8000)
 # Target of the users for the rug depot.
 TARGET_WORTH = 0.55
@@ -33,6 +35,21 @@
     assert mean_worth >= TARGET_WORTH
 
 
+@pytest.mark.parametrize('seed', SEEDS)
+def test_gangs_are_served_like_other_jobs_at_large_deployments(seed):
+    """Guards against gangs whose tickets arrive one after another.
+
+    A request names a quarter of the targets, and a ticket is valid for 2 s.
+    """
+    sequential = StepSettings(max_open_count=1)
+    tallies = DecisionModel(LARGE, seed).run()
+    slower = DecisionModel(LARGE, seed, settings=sequential).run()
+    gangs, slower_gangs = tallies['route_plan'], slower['route_plan']
+    assert gangs.credit_share >= slower_gangs.credit_share
+    assert min(tally.credit_share for tally in tallies.values()) >= TARGET_WORTH
+    assert worth_share(LARGE, tallies) >= TARGET_WORTH
+
+
 @pytest.mark.parametrize('seed', SEEDS)
 def test_urgent_jobs_start_at_once_while_capacity_is_free(seed):
     tallies = DecisionModel(CALM, seed).run()
--- a/tests/steps/test_planner.py
+++ b/tests/steps/test_planner.py
@@ -1,11 +1,14 @@
 """Tests which tasks `Planner.plan` places, and where."""
 
+from itertools import repeat
+
 import pytest
 
 from radishlift.steps.ids import TargetId
 from radishlift.steps.planner import Planner
 from radishlift.steps.runs import TaskState
 from radishlift.steps.settings import StepSettings
+from radishlift.steps.spec import AdviceTerms
 from radishlift.steps.targets import TargetState, TargetTable
 from radishlift.steps.tickets import Ticket, TicketTable
 from tests.only import only
@@ -149,7 +152,7 @@
     assert set(plan.advice_requests[0].target_ids) == {'t0', 't1'}
     assert not setup.plan().advice_requests
     tickets = [(TargetId('t1'), Ticket('x', 2000))]
-    setup.tickets.store_answer(run.steps[0, 0].key, ('t0', 't1'), tickets)
+    setup.tickets.store_answer(plan.advice_requests[0], tickets)
     _, placement = only(setup.plan().placements)
     assert placement.target.entry.target_id == 't1'
 
@@ -157,13 +160,13 @@
 def test_expired_ticket_is_requested_again_once_capacity_is_free():
     setup = PlannerSetup(1, 1)
     run = job(step(1), advice=ADVICE)
-    step_key = run.steps[0, 0].key
-    tickets = [(TargetId('t0'), Ticket('x', 1000))]
-    setup.tickets.store_answer(step_key, ('t0', 't1'), tickets)
     setup.targets.get(TargetId('t0')).allocate(
         key(5, job_id='f' * 16), 1, step().amounts
     )
     setup.add(run)
+    request = only(setup.plan().advice_requests)
+    tickets = [(TargetId('t0'), Ticket('x', 1000))]
+    setup.tickets.store_answer(request, tickets)
     assert not setup.plan(now_ms=3000).advice_requests
     setup.targets.get(TargetId('t0')).release(key(5, job_id='f' * 16), 1)
     request = only(setup.plan(now_ms=3000).advice_requests)
@@ -174,12 +177,120 @@
     setup = PlannerSetup(1)
     run = job(step(1), advice=ADVICE)
     setup.add(run)
-    setup.plan()
-    setup.tickets.fail_request(run.steps[0, 0].key, retry_at_ms=300)
+    request = only(setup.plan().advice_requests)
+    setup.tickets.fail_request(request, retry_at_ms=300)
     assert not setup.plan(now_ms=299).advice_requests
     assert len(setup.plan(now_ms=300).advice_requests) == 1
 
 
+def fill(setup, *target_ids, cores=4):
+    """Fills targets with tasks of another job."""
+    for number, target_id in enumerate(target_ids):
+        setup.targets.get(TargetId(target_id)).allocate(
+            key(number, job_id='f' * 16), 1, step(1, cores=cores).amounts
+        )
+
+
+def release(setup, *target_ids):
+    """Ends the tasks that `fill` has added, in the same order."""
+    for number, target_id in enumerate(target_ids):
+        target = setup.targets.get(TargetId(target_id))
+        assert target.release(key(number, job_id='f' * 16), 1)
+
+
+def answer(setup, plan, allowed, expires_at_ms):
+    """Answers all advice requests of a plan."""
+    for request in plan.advice_requests:
+        tickets = [
+            (target_id, Ticket('x', expires_at_ms))
+            for target_id in request.target_ids
+            if target_id in allowed
+        ]
+        setup.tickets.store_answer(request, tickets)
+
+
+def test_gang_requests_advice_on_all_targets_that_it_may_need_at_once():
+    """Guards against tickets that expire while later requests are answered.
+
+    A request of this queue names two targets.
+    """
+    setup = PlannerSetup(*repeat(4, 12), max_open_count=4)
+    advice = AdviceTerms(decide_ms=100, per_target_ms=50, valid_ms=300)
+    gang = job(step(6, cores=4, is_gang=True), advice=advice)
+    setup.add(gang)
+    plan = setup.plan()
+    named = [request.target_ids for request in plan.advice_requests]
+    assert [len(ids) for ids in named] == [2, 2, 2, 2]
+    assert len({target_id for ids in named for target_id in ids}) == 8
+    # Those targets are not enough, as half of them are probably not allowed.
+    answer(setup, plan, named[0] + named[1], expires_at_ms=300)
+    assert setup.plan().advice_requests
+
+
+def test_gang_requests_advice_on_few_targets_if_these_have_room():
+    """Guards against requests on all targets of a large idle deployment."""
+    setup = PlannerSetup(*repeat(64, 12))
+    advice = AdviceTerms(decide_ms=100, per_target_ms=50, valid_ms=300)
+    setup.add(job(step(6, is_gang=True), advice=advice))
+    assert len(setup.plan().advice_requests) == 1
+
+
+def test_waiting_gang_renews_its_tickets_before_they_expire():
+    """Guards against a gang whose tickets have expired once it has room."""
+    setup = PlannerSetup(4, 4, 4, 4, reserved_share=1)
+    allowed = ('t0', 't1')
+    gang = job(step(2, cores=4, is_gang=True), advice=ADVICE)
+    setup.add(gang)
+    fill(setup, 't0', 't1', 't2', 't3')
+    answer(setup, setup.plan(), allowed, expires_at_ms=1000)
+    for now_ms in range(0, 5000, 50):
+        # Answers arrive at once here; they renew the tickets for a second.
+        answer(setup, setup.plan(now_ms), allowed, now_ms + 1000)
+    release(setup, 't0', 't1')
+    placed = setup.plan(now_ms=5000).placements
+    assert {one.target.entry.target_id for _, one in placed} == set(allowed)
+
+
+def test_urgent_task_avoids_targets_that_a_gang_has_reserved():
+    """Guards against urgent tasks that keep a gang's targets in use."""
+    setup = PlannerSetup(4, 4, 4, reserved_share=0.7)
+    gang = job(step(2, cores=4, is_gang=True), job_id='a' * 16, priority=1)
+    fill(setup, 't0', 't1', 't2', cores=2)
+    # The third target has less free capacity, so that it is reserved last.
+    fill_more = step(1, cores=1).amounts
+    setup.targets.get(TargetId('t2')).allocate(
+        key(9, job_id='e' * 16), 1, fill_more, 9000
+    )
+    setup.add(gang)
+    assert not setup.plan().placements
+    urgent = job(step(1, cores=1), job_id='b' * 16, priority=0)
+    setup.add(urgent)
+    _, placement = only(setup.plan().placements)
+    assert placement.target.entry.target_id == 't2'
+    more = job(step(1, cores=2), job_id='c' * 16, priority=0)
+    setup.add(more)
+    # Only reserved targets have room for this one.
+    _, placement = only(setup.plan().placements)
+    assert placement.target.entry.target_id in {'t0', 't1'}
+
+
+def test_tasks_that_end_in_time_use_targets_reserved_for_a_gang():
+    """Guards against targets that stay empty until a gang can start."""
+    setup = PlannerSetup(4, 4, reserved_share=1)
+    gang = job(step(2, cores=4, is_gang=True), job_id='a' * 16, priority=1)
+    for name, end_ms in (('t0', 500), ('t1', 5000)):
+        setup.targets.get(TargetId(name)).allocate(
+            key(0, job_id='f' * 16), 1, step(1, cores=4).amounts, end_ms
+        )
+    setup.add(gang)
+    setup.plan()
+    setup.targets.get(TargetId('t0')).release(key(0, job_id='f' * 16), 1)
+    short = job(step(1, estimate_ms=3000), job_id='b' * 16, priority=2)
+    long = job(step(1, estimate_ms=6000), job_id='c' * 16, priority=2)
+    setup.add(long, short)
+    assert setup.started(now_ms=500) == [('b', 0)]
+
+
 def test_ended_job_starts_nothing():
     setup = PlannerSetup(4)
     run = job()
