--- a/src/radishlift/steps/tickets.py
+++ b/src/radishlift/steps/tickets.py
@@ -107,7 +107,8 @@
         self._steps.pop(key, None)
 
     def _close_request(self, request: AdviceRequest) -> StepAdvice:
-        advice = self.advice_for(request.key)
+        # The step may have ended meanwhile; its advice is not kept then.
+        advice = self._steps.get(request.key) or StepAdvice()
         advice.open_requests_count = max(0, advice.open_requests_count - 1)
         advice.open.difference_update(request.target_ids)
         return advice
