Serve every second long advice request by its age

Change: every second long request is the oldest; while requests wait, a gang renews tickets only if it has room. Reservations take a third of the targets again, so that batches keep the others. Two new tests fail before.

--- a/src/radishlift/steps/advice_queue.py
+++ b/src/radishlift/steps/advice_queue.py
@@ -4,9 +4,13 @@
 one request of a host at a time, so that a request that takes a second would
 delay the short requests of urgent steps behind it. Long requests may
 therefore use only a share of the hosts.
+
+Every second long request is the one that has waited longest: under overload
+the requests of one queue alone can use all hosts, and steps of a lower priority
+would never get tickets.
 """
 
-from heapq import heappop, heappush
+from heapq import heapify, heappop, heappush
 from itertools import count
 
 from radishlift.steps.advice_requests import AdviceRequest
@@ -21,6 +25,7 @@
         self._sequence = count()
         self._short: list[tuple[int, int, AdviceRequest]] = []
         self._long: list[tuple[int, int, AdviceRequest]] = []
+        self._is_oldest_next = False
 
     def __len__(self) -> int:
         return len(self._short) + len(self._long)
@@ -47,7 +52,19 @@
         nonempty = [heap for heap in heaps if heap]
         if not nonempty:
             return None
-        return heappop(min(nonempty, key=_first_key))[-1]
+        heap = min(nonempty, key=_first_key)
+        if heap is self._long:
+            return self._pop_long()
+        return heappop(heap)[-1]
+
+    def _pop_long(self) -> AdviceRequest:
+        self._is_oldest_next = not self._is_oldest_next
+        if self._is_oldest_next:
+            return heappop(self._long)[-1]
+        oldest = min(self._long, key=_sequence)
+        self._long.remove(oldest)
+        heapify(self._long)
+        return oldest[-1]
 
 
 def _first_key(heap: list[tuple[int, int, AdviceRequest]]) -> tuple[int, int]:
@@ -55,4 +72,8 @@
     return priority, sequence
 
 
+def _sequence(entry: tuple[int, int, AdviceRequest]) -> int:
+    return entry[1]
+
+
 __all__ = ('AdviceQueue',)
--- a/src/radishlift/steps/planner.py
+++ b/src/radishlift/steps/planner.py
@@ -321,8 +321,7 @@
             self._settings,
         )
         # If requests already wait, more of them would delay other steps.
-        is_busy = self.count_queued_requests() > 0
-        max_count = 1 if is_busy else self._settings.max_open_count
+        max_count = 1 if self._is_advice_busy else self._settings.max_open_count
         for ids in islice(requests, max_count):
             self._send_request(tick, build_request(job, step, terms, ids))
 
@@ -346,7 +345,9 @@
         answered_at_ms = tick.now_ms + int(
             request_duration_ms(terms, len(target_ids))
         )
-        if reservation.starts_at_ms > answered_at_ms:
+        # If requests already wait, only gangs that have room may add to them.
+        ready_by_ms = tick.now_ms if self._is_advice_busy else answered_at_ms
+        if reservation.starts_at_ms > ready_by_ms:
             return
         expiring = advice.list_expiring(
             target_ids, answered_at_ms + self._settings.min_ticket_ms
@@ -355,6 +356,10 @@
             ids = tuple(expiring[: self._settings.max_asked_count])
             self._send_request(tick, build_request(job, step, terms, ids))
 
+    @property
+    def _is_advice_busy(self) -> bool:
+        return self.count_queued_requests() > 0
+
     def _send_request(self, tick: _Tick, request: AdviceRequest) -> None:
         self._tickets.start_request(request)
         tick.plan.advice_requests.append(request)
--- a/src/radishlift/steps/settings.py
+++ b/src/radishlift/steps/settings.py
@@ -32,7 +32,7 @@
 
     min_ticket_ms: int = 150
     max_asked_count: int = 100
-    reserved_share: float = 0.5
+    reserved_share: float = 0.35
     reservation_ms: int = 200
     distrust_after_count: int = 3
     distrust_ms: int = 3000
--- a/tests/steps/test_advice_queue.py
+++ b/tests/steps/test_advice_queue.py
@@ -51,3 +51,13 @@
     waiting = queue(request('long', duration_ms=1000))
     assert pop(waiting, hosts_count=1) == 'long'
     assert not len(waiting)
+
+
+def test_long_requests_of_lower_priority_are_not_starved():
+    """Guards against batches without tickets while gangs renew theirs."""
+    waiting = queue(
+        *(request(f'batch{number}', 400, 2) for number in range(2)),
+        *(request(f'gang{number}', 400, 1) for number in range(9)),
+    )
+    served = [pop(waiting) for _ in range(4)]
+    assert served == ['gang0', 'batch0', 'gang1', 'batch1']
--- a/tests/steps/test_planner.py
+++ b/tests/steps/test_planner.py
@@ -227,6 +227,15 @@
     assert setup.plan().advice_requests
 
 
+def test_gang_sends_one_request_while_others_wait():
+    """Guards against gangs whose requests delay those of other steps."""
+    setup = PlannerSetup(*repeat(4, 12))
+    setup.planner.count_queued_requests = lambda: 1
+    advice = AdviceTerms(decide_ms=100, per_target_ms=50, valid_ms=300)
+    setup.add(job(step(6, cores=4, is_gang=True), advice=advice))
+    assert len(setup.plan().advice_requests) == 1
+
+
 def test_gang_requests_advice_on_few_targets_if_these_have_room():
     """Guards against requests on all targets of a large idle deployment."""
     setup = PlannerSetup(*repeat(64, 12))
