Renew tickets of gangs that may not reserve, once they have room

Cause: found while reading the change: a gang that needs more targets than may be reserved never renewed its tickets, so that it could start only within 2 s of its first answers. Tasks that run longer than expected also counted as ended. Change: such a gang renews when it has room and no request waits; room means free capacity now. Result: the new test fails before.

--- a/src/radishlift/steps/gang_reservations.py
+++ b/src/radishlift/steps/gang_reservations.py
@@ -18,7 +18,8 @@
 class Reservation:
     """Targets reserved for a gang, and when they probably have room for it.
 
-    Until `starts_at_ms` the targets can run tasks that end before.
+    Until `starts_at_ms` the targets can run tasks that end before. It is the
+    present if all targets have room now.
     """
 
     target_ids: tuple[TargetId, ...]
@@ -96,16 +97,17 @@
     """Lists when a target probably has room for one, two and more tasks."""
     max_count = amounts.count_fitting(target.entry.capacity)
     free_capacity = target.free_capacity
-    times_ms: list[int] = []
-    ends = sorted(
+    free_count = min(max_count, amounts.count_fitting(free_capacity))
+    times_ms = [now_ms for _ in range(free_count)]
+    for end_ms, released in sorted(
         (allocation.expected_end_ms, allocation.amounts)
         for allocation in target.allocations.values()
-    )
-    for end_ms, released in ((now_ms, Amounts()), *ends):
+    ):
         free_capacity = free_capacity.plus(released)
         fitting_count = min(max_count, amounts.count_fitting(free_capacity))
+        # A task that runs longer than expected may end at any time from now.
         times_ms.extend(
-            max(now_ms, end_ms) for _ in range(len(times_ms), fitting_count)
+            max(now_ms + 1, end_ms) for _ in range(len(times_ms), fitting_count)
         )
     return times_ms
 
--- a/src/radishlift/steps/planner.py
+++ b/src/radishlift/steps/planner.py
@@ -297,6 +297,9 @@
             for target_id in reservation.target_ids:
                 tick.reserved_until_ms[target_id] = reservation.starts_at_ms
             self._renew_tickets(tick, job, step, reservation)
+        elif reservation.starts_at_ms <= tick.now_ms and self._is_advice_idle:
+            # Others may take the room of a gang that may not reserve it.
+            self._renew_tickets(tick, job, step, reservation)
 
     def _request_gang_advice(
         self, tick: _Tick, job: JobRun, step: StepRun
@@ -321,7 +324,7 @@
             self._settings,
         )
         # If requests already wait, more of them would delay other steps.
-        max_count = 1 if self._is_advice_busy else self._settings.max_open_count
+        max_count = self._settings.max_open_count if self._is_advice_idle else 1
         for ids in islice(requests, max_count):
             self._send_request(tick, build_request(job, step, terms, ids))
 
@@ -339,14 +342,15 @@
         """
         terms = job.terms.advice
         advice = self._tickets.advice_for(step.key)
-        if terms is None or tick.now_ms < advice.retry_at_ms:
+        is_open = advice.open_requests_count >= self._settings.max_open_count
+        if terms is None or is_open or tick.now_ms < advice.retry_at_ms:
             return
         target_ids = reservation.target_ids
         answered_at_ms = tick.now_ms + int(
             request_duration_ms(terms, len(target_ids))
         )
         # If requests already wait, only gangs that have room may add to them.
-        ready_by_ms = tick.now_ms if self._is_advice_busy else answered_at_ms
+        ready_by_ms = answered_at_ms if self._is_advice_idle else tick.now_ms
         if reservation.starts_at_ms > ready_by_ms:
             return
         expiring = advice.list_expiring(
@@ -357,8 +361,8 @@
             self._send_request(tick, build_request(job, step, terms, ids))
 
     @property
-    def _is_advice_busy(self) -> bool:
-        return self.count_queued_requests() > 0
+    def _is_advice_idle(self) -> bool:
+        return not self.count_queued_requests()
 
     def _send_request(self, tick: _Tick, request: AdviceRequest) -> None:
         self._tickets.start_request(request)
--- a/tests/steps/test_planner.py
+++ b/tests/steps/test_planner.py
@@ -260,6 +260,19 @@
     assert {one.target.entry.target_id for _, one in placed} == set(allowed)
 
 
+def test_gang_that_may_not_reserve_renews_its_tickets_once_it_has_room():
+    """Guards against a gang larger than all reservations that never starts."""
+    setup = PlannerSetup(4, 4, reserved_share=0)
+    gang = job(step(2, cores=4, is_gang=True), advice=ADVICE)
+    setup.add(gang)
+    fill(setup, 't0', 't1')
+    answer(setup, setup.plan(), ('t0', 't1'), expires_at_ms=1000)
+    assert not setup.plan(now_ms=5000).advice_requests
+    release(setup, 't0', 't1')
+    answer(setup, setup.plan(now_ms=6000), ('t0', 't1'), expires_at_ms=8000)
+    assert len(setup.plan(now_ms=6100).placements) == 2
+
+
 def test_urgent_task_avoids_targets_that_a_gang_has_reserved():
     """Guards against urgent tasks that keep a gang's targets in use."""
     setup = PlannerSetup(4, 4, 4, reserved_share=0.7)
