Take back the shorter time limits of store calls

Cause: answers to waiting reads reset the limit of all calls, so that commits of a slow store were given up after 150 ms again and again. Kept: the repeat within the former limits is not in this commit either.

--- a/src/radishlift/cell/settings.py
+++ b/src/radishlift/cell/settings.py
@@ -33,10 +33,6 @@
     - `cut_off_ms`: time without an answer of the store or a peer after which a
       daemon is not ready for callers; three requests to peers.
     - `feed_retry_ms`: delay after a failed read of the store.
-    - `min_answer_limit_ms`, `max_answer_limit_ms`: limits of the time after
-      which a call to the store is repeated. A slow store takes up to 60 times
-      its usual 5 ms in each direction of a commit; usual answers are ten times
-      as quick as the shorter limit.
     - `feed_gap_ms`: pause between reads of the targets' entries, which change
       with every heartbeat of a target.
     - `forget_ended_ms`: how long ended jobs are kept; callers may query them
@@ -62,8 +58,6 @@
     share_config_ms: int = 300
     cut_off_ms: int = 1000
     feed_retry_ms: int = 150
-    min_answer_limit_ms: int = 150
-    max_answer_limit_ms: int = 1500
     feed_gap_ms: int = 100
     forget_ended_ms: int = 180_000
     forget_every_ms: int = 1000
--- a/src/radishlift/platform/main.py
+++ b/src/radishlift/platform/main.py
@@ -7,7 +7,6 @@
 from pathlib import Path
 from typing import Final
 
-from radishlift.cell.answer_times import AnswerTimes
 from radishlift.cell.clock import BootClock
 from radishlift.cell.daemon import CellDaemon, DaemonDependencies
 from radishlift.cell.metrics import CellMetrics
@@ -73,12 +72,7 @@
             settings.daemon_id,
             settings.leader_rank,
             settings.peer_address,
-            PlatformStore(
-                client,
-                settings.store_address,
-                AnswerTimes(CellSettings()),
-                clock,
-            ),
+            PlatformStore(client, settings.store_address),
             PlatformTargets(client),
             PlatformAdvice(client, settings.advice_address),
             newest_config,
--- a/src/radishlift/platform/store.py
+++ b/src/radishlift/platform/store.py
@@ -7,9 +7,7 @@
 from typing import Any, Final
 from urllib.parse import urlencode
 
-from radishlift.cell.answer_times import AnswerTimes
 from radishlift.cell.ports import ChangedRows
-from radishlift.core.clock import Clock
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import Address
 from radishlift.platform.http import JsonAnswer, JsonClient
@@ -22,29 +20,19 @@
 # Calls that are answered with these statuses had no effect.
 _REFUSED_STATUSES: Final = frozenset((429, 503))
 _PAGE_ROWS: Final = 500
+# A slow store takes up to 60 times its usual 5 ms in each direction of a
+# commit.
+_TIMEOUT_MS: Final = 1500
 # Changes must take effect within 2 s even if a connection stops responding.
 _FEED_TIMEOUT_MARGIN_MS: Final = 800
-# Pause before a read is repeated whose connection was reset.
-_REPEAT_MS: Final = 20
 
 
 class PlatformStore:
-    """Reads and writes the product's tables in the platform's store.
+    """Reads and writes the product's tables in the platform's store."""
 
-    A read without an answer is repeated; `times` gives its time limits.
-    """
-
-    def __init__(
-        self,
-        client: JsonClient,
-        address: Address,
-        times: AnswerTimes,
-        clock: Clock,
-    ) -> None:
+    def __init__(self, client: JsonClient, address: Address) -> None:
         self._client = client
         self._address = address
-        self._times = times
-        self._clock = clock
 
     async def read(self, table: str, key: str) -> Row | Failure:
         """Reads one row; an absent row has version 0."""
@@ -87,12 +75,16 @@
 
         Fails with `not_found` if the store no longer keeps that history.
         """
-        # The platform's `dependsOn` is the version to continue from.
-        query = {
-            'table': find_location(table).table,
-            'dependsOn': after_version,
-        }
-        answer = await self._feed(query, wait_ms)
+        answer = await self._get(
+            '/rows-feed',
+            # The platform's `dependsOn` is the version to continue from.
+            {
+                'table': find_location(table).table,
+                'dependsOn': after_version,
+                'waitMs': wait_ms,
+            },
+            wait_ms + _FEED_TIMEOUT_MARGIN_MS,
+        )
         if isinstance(answer, Failure):
             return answer
         version = int(answer.fields.get('ver', after_version))
@@ -103,8 +95,12 @@
         transaction: Transaction,
     ) -> Committed | Conflict | Failure:
         """Applies a transaction; all its rows must be in one part."""
-        answer = await self._call(
-            'POST', '/rows-tx', _transaction_fields(transaction)
+        answer = await self._client.call(
+            'POST',
+            self._address,
+            '/rows-tx',
+            _TIMEOUT_MS,
+            _transaction_fields(transaction),
         )
         if isinstance(answer, Failure):
             return _store_failure(answer)
@@ -125,7 +121,7 @@
             'limit': _PAGE_ROWS,
         }
         while True:
-            answer = await self._get_page(query)
+            answer = await self._get('/rows-get', query)
             if isinstance(answer, Failure):
                 return answer
             found = _decode_rows(answer, table)
@@ -141,87 +137,27 @@
             query['from'] = f'{found[-1].key}\0'
 
     async def _get(
-        self, path: str, query: Mapping[str, object]
-    ) -> JsonAnswer | Failure:
-        """Repeats a read until it is answered or the longest limit is over."""
-        give_up_at_ms = self._clock.monotonic_ms() + self._times.max_limit_ms
-        while True:
-            answer = await self._call('GET', _add_query(path, query))
-            if not _may_be_lost(answer) or self._is_over(give_up_at_ms):
-                return _read_result(answer)
-            await asyncio.sleep(_REPEAT_MS / 1000)
-
-    async def _feed(
-        self, query: Mapping[str, object], wait_ms: int
-    ) -> JsonAnswer | Failure:
-        """Repeats a read of changes; only the first one waits for any."""
-        give_up_at_ms = self._clock.monotonic_ms()
-        give_up_at_ms += wait_ms + _FEED_TIMEOUT_MARGIN_MS
-        while True:
-            path = _add_query('/rows-feed', {**query, 'waitMs': wait_ms})
-            answer = await self._call('GET', path, wait_ms=wait_ms)
-            if not _may_be_lost(answer) or self._is_over(give_up_at_ms):
-                return _read_result(answer)
-            wait_ms = 0
-            await asyncio.sleep(_REPEAT_MS / 1000)
-
-    def _is_over(self, give_up_at_ms: int) -> bool:
-        return self._clock.monotonic_ms() + _REPEAT_MS >= give_up_at_ms
-
-    async def _call(
         self,
-        method: str,
         path: str,
-        body: object = None,
-        wait_ms: int = 0,
-    ) -> JsonAnswer | Failure:
-        limit_ms = self._times.limit_ms()
-        sent_at_ms = self._clock.monotonic_ms()
-        answer = await self._client.call(
-            method, self._address, path, wait_ms + limit_ms, body
-        )
-        now_ms = self._clock.monotonic_ms()
-        if isinstance(answer, JsonAnswer) and wait_ms:
-            self._times.record_contact(now_ms)
-        elif isinstance(answer, JsonAnswer):
-            self._times.record_answer(sent_at_ms, now_ms)
-        elif now_ms - sent_at_ms >= wait_ms + limit_ms and _may_be_lost(answer):
-            self._times.record_timeout(sent_at_ms, limit_ms)
-        return answer
-
-    async def _get_page(
-        self, query: Mapping[str, object]
+        query: Mapping[str, object],
+        timeout_ms: int = _TIMEOUT_MS,
     ) -> JsonAnswer | Failure:
-        # A page of up to 1 MB takes longer than other answers.
+        query_fields = {
+            name: field for name, field in query.items() if field != ''
+        }
         answer = await self._client.call(
             'GET',
             self._address,
-            _add_query('/rows-get', query),
-            self._times.max_limit_ms,
+            f'{path}?{urlencode(query_fields)}',
+            timeout_ms,
         )
-        return _read_result(answer)
-
-
-def _add_query(path: str, query: Mapping[str, object]) -> str:
-    fields = {name: field for name, field in query.items() if field != ''}
-    return f'{path}?{urlencode(fields)}'
-
-
-def _read_result(answer: JsonAnswer | Failure) -> JsonAnswer | Failure:
-    if isinstance(answer, Failure):
-        return Failure(ErrorKind.store_unavailable, answer.reason)
-    if answer.status == _OK:
-        return answer
-    if answer.status == _HISTORY_GONE:
-        return Failure(ErrorKind.not_found, 'history is no longer kept')
-    return _status_failure(answer.status)
-
-
-def _may_be_lost(answer: JsonAnswer | Failure) -> bool:
-    """Returns whether a call may have reached the store, without an answer."""
-    if not isinstance(answer, Failure):
-        return False
-    return answer.kind is ErrorKind.peer_outcome_unknown
+        if isinstance(answer, Failure):
+            return Failure(ErrorKind.store_unavailable, answer.reason)
+        if answer.status == _OK:
+            return answer
+        if answer.status == _HISTORY_GONE:
+            return Failure(ErrorKind.not_found, 'history is no longer kept')
+        return _status_failure(answer.status)
 
 
 def _location_fields(location: TableLocation, key: str) -> dict[str, object]:
