--- a/src/radishlift/steps/planner.py
+++ b/src/radishlift/steps/planner.py
@@ -51,7 +51,8 @@
     def may_use(self, target: Target, step: StepRun) -> bool:
         """Returns whether a step may use a target despite reservations.
 
-        A gang may not: it could not be moved if it ran longer than expected.
+        A gang may not: if it runs longer than expected, it delays the other
+        gang on many targets at once.
         """
         until_ms = self.reserved_until_ms.get(target.entry.target_id)
         if until_ms is None:
