--- a/src/radishlift/cell/scheduler.py
+++ b/src/radishlift/cell/scheduler.py
@@ -29,6 +29,7 @@
 from radishlift.steps.settings import StepSettings
 from radishlift.steps.targets import TargetEntry, TargetTable
 from radishlift.steps.tickets import TicketTable
+from radishlift.steps.wait_reasons import WaitExplainer
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,6 +53,10 @@
         self._tickets = TicketTable()
         self._planner = Planner(targets, self._tickets, context.step_settings)
         self._has_changed = asyncio.Event()
+        self._wait_explainer = WaitExplainer(
+            self._planner, self._tickets, context.step_settings
+        )
+        self._explained_at_ms = 0
         self.jobs = JobTable(self._planner, log, context.clock)
         self._fleet = TargetFleet(targets, context.step_settings)
         self.attempts = AttemptTracker(
@@ -192,6 +197,23 @@
         for job, placement in plan.placements:
             self._commit_start(job, placement)
         self.pending_advice.add(plan.advice_requests)
+        self._log_waiting(now_ms)
+
+    def _log_waiting(self, now_ms: int) -> None:
+        interval_ms = self._context.settings.explain_every_ms
+        if now_ms - self._explained_at_ms < interval_ms:
+            return
+        self._explained_at_ms = now_ms
+        for waiting in self._wait_explainer.explain():
+            log_event(
+                'step_waits',
+                step=waiting.key,
+                overdue_ms=waiting.overdue_ms,
+                reason=waiting.reason,
+                suitable=waiting.suitable_count,
+                fitting=waiting.fitting_count,
+                open_requests=waiting.open_requests_count,
+            )
 
     def _commit_start(self, job: JobRun, placement: Placement) -> None:
         session = self._fleet.find_session(placement.target.entry.target_id)
--- a/src/radishlift/cell/settings.py
+++ b/src/radishlift/cell/settings.py
@@ -23,6 +23,7 @@
     - `hold_retry_ms`: delay after a call that a target did not answer.
     - `order_retries_count`: maximum number of sends of a start order.
     - `tick_ms`: minimum time between two scheduler ticks.
+    - `explain_every_ms`: interval at which the log explains why steps wait.
     - `feed_wait_ms`: how long the store waits for changes in tables that a
       leader follows. If the store drops its history, a waiting call may return
       only when this time is up; urgent jobs have 250 ms.
@@ -53,6 +54,7 @@
     hold_retry_ms: int = 150
     order_retries_count: int = 3
     tick_ms: int = 10
+    explain_every_ms: int = 1000
     feed_wait_ms: int = 200
     short_wait_ms: int = 1000
     share_config_ms: int = 300
--- a/src/radishlift/core/events.py
+++ b/src/radishlift/core/events.py
@@ -58,6 +58,7 @@
     'release_unfinished',
     'start_refused',
     'start_unanswered',
+    'step_waits',
     'store_lost',
     'target_distrusted',
     'target_lapsed',
--- a/src/radishlift/steps/planner.py
+++ b/src/radishlift/steps/planner.py
@@ -38,11 +38,17 @@
 
 
 @dataclass(slots=True)
-class _Tick:
+class Tick:
+    """State of one planning run.
+
+    `due` are the steps that waited at its start, in the order of their rank.
+    """
+
     plan: Plan
     now_ms: int
     wall_ms: int
     accepting: list[Target]
+    due: list[tuple[JobRun, StepRun]] = field(default_factory=list)
     reserved_until_ms: dict[TargetId, int] = field(default_factory=dict)
     by_requirement: dict[tuple[ServiceName, str], list[Target]] = field(
         default_factory=dict,
@@ -79,6 +85,7 @@
     """Tracks the waiting steps and places their tasks.
 
     `count_queued_requests` returns how many advice requests wait for a host.
+    `last_tick` is the state after the latest plan.
     """
 
     def __init__(
@@ -92,7 +99,7 @@
         self._settings = settings
         self._waiting: dict[StepKey, tuple[JobRun, StepRun]] = {}
         self._reservations = GangReservations(settings)
-        self._last_reserved: set[TargetId] = set()
+        self.last_tick = Tick(Plan(), 0, 0, [])
         self.ranking: StepRanking = rank_step
         self.count_queued_requests: Callable[[], int] = int
 
@@ -141,21 +148,21 @@
         accepting = [
             target for target in self._targets if target.accepts(now_ms)
         ]
-        tick = _Tick(Plan(), now_ms, wall_ms, accepting)
         due = [
             pair
             for pair in self._waiting.values()
             if pair[1].due_at_ms <= wall_ms
         ]
         due.sort(key=lambda pair: self.ranking(pair[0], pair[1], wall_ms))
+        tick = Tick(Plan(), now_ms, wall_ms, accepting, due)
         for job, step in due:
             if len(tick.plan.placements) >= self._settings.max_placed_count:
                 break
             self._plan_step(tick, job, step)
-        self._last_reserved = set(tick.reserved_until_ms)
+        self.last_tick = tick
         return tick.plan
 
-    def _plan_step(self, tick: _Tick, job: JobRun, step: StepRun) -> None:
+    def _plan_step(self, tick: Tick, job: JobRun, step: StepRun) -> None:
         waiting_count = len(step.waiting_tasks())
         if step.spec.is_gang and waiting_count < len(step.tasks):
             return
@@ -185,7 +192,7 @@
 
     def _place(
         self,
-        tick: _Tick,
+        tick: Tick,
         job: JobRun,
         step: StepRun,
         fitting: list[Target],
@@ -198,7 +205,7 @@
         unreserved = [
             target
             for target in fitting
-            if target.entry.target_id not in self._last_reserved
+            if target.entry.target_id not in self.last_tick.reserved_until_ms
         ]
         if not step.spec.is_gang and len(unreserved) < len(fitting):
             placements = place_step(step, unreserved)
@@ -208,7 +215,7 @@
 
     def _ticket_filter(
         self,
-        tick: _Tick,
+        tick: Tick,
         step: StepRun,
     ) -> Callable[[Target], bool]:
         expires_after_ms = tick.now_ms + self._settings.min_ticket_ms
@@ -218,7 +225,7 @@
 
     def _allocate(
         self,
-        tick: _Tick,
+        tick: Tick,
         job: JobRun,
         step: StepRun,
         placements: list[Placement],
@@ -245,7 +252,7 @@
 
     def _request_advice(
         self,
-        tick: _Tick,
+        tick: Tick,
         job: JobRun,
         step: StepRun,
         fitting: list[Target],
@@ -274,7 +281,7 @@
 
     def _reserve_targets(
         self,
-        tick: _Tick,
+        tick: Tick,
         job: JobRun,
         step: StepRun,
         allowed: list[Target],
@@ -303,7 +310,7 @@
             self._renew_tickets(tick, job, step, reservation)
 
     def _request_gang_advice(
-        self, tick: _Tick, job: JobRun, step: StepRun
+        self, tick: Tick, job: JobRun, step: StepRun
     ) -> None:
         """Requests advice on targets that no request has named so far."""
         terms = job.terms.advice
@@ -331,7 +338,7 @@
 
     def _renew_tickets(
         self,
-        tick: _Tick,
+        tick: Tick,
         job: JobRun,
         step: StepRun,
         reservation: Reservation,
@@ -365,9 +372,9 @@
     def _is_advice_idle(self) -> bool:
         return not self.count_queued_requests()
 
-    def _send_request(self, tick: _Tick, request: AdviceRequest) -> None:
+    def _send_request(self, tick: Tick, request: AdviceRequest) -> None:
         self._tickets.start_request(request)
         tick.plan.advice_requests.append(request)
 
 
-__all__ = ('Plan', 'Planner')
+__all__ = ('Plan', 'Planner', 'Tick')
--- a/src/radishlift/steps/settings.py
+++ b/src/radishlift/steps/settings.py
@@ -20,6 +20,8 @@
       a target enters a cooldown, and its duration.
     - `max_placed_count`: maximum number of starts planned in one tick, which
       limits the duration of a tick.
+    - `explain_after_ms`, `max_explained_count`: how long a due step waits until
+      the log explains why, and the number of steps explained at a time.
     - `advice_retry_ms`: delay before a failed advice request is repeated.
     - `max_open_count`: maximum number of open advice requests of a gang.
     - `gang_room_factor`: advice for a gang is requested on targets with this
@@ -37,6 +39,8 @@
     distrust_after_count: int = 3
     distrust_ms: int = 3000
     max_placed_count: int = 200
+    explain_after_ms: int = 3000
+    max_explained_count: int = 3
     advice_retry_ms: int = 200
     max_open_count: int = 4
     gang_room_factor: float = 2
