Add a failing test of orphaned tasks in a series of takeovers

Callers saw accepted jobs of which nothing ran while targets had room. Each new leader waits 10.4 s for leases that an earlier leader may have renewed, and none leads that long, so that the tasks of that target never start again.

--- a/tests/cell/test_leader_term.py
+++ b/tests/cell/test_leader_term.py
@@ -147,6 +147,23 @@
     assert cell.targets[other].started[0].attempt == 2
 
 
+async def test_takeovers_do_not_delay_tasks_of_a_lost_target_forever(cell):
+    term = cell.lead()
+    cell.submit(job())
+    await cell.until(lambda: bool(cell.targets.running_tasks()))
+    name = only(cell.targets.running_tasks().values())
+    other = {'t1': 't2', 't2': 't1'}[name]
+    await cell.kill(term)
+    cell.write(TARGETS, name, None)
+    cell.targets[name].is_unresponsive = True
+    # Each term is shorter than the wait for the leases of earlier leaders.
+    for _ in range(6):
+        term = cell.lead()
+        await asyncio.sleep(0.2)
+        await cell.kill(term)
+    assert cell.targets[other].started
+
+
 async def test_removed_drained_target_frees_its_tasks_at_once(cell):
     cell.lead()
     cell.submit(job())
