Keep the wait for lost leases across takeovers

Callers saw accepted jobs of which nothing ran while targets had room.

Cause: a task of a lost target may start elsewhere only after the lease of that target has expired. A new leader does not know when its predecessors last renewed a lease, so it waits as if they had renewed it until the takeover: unconfirmed_ms plus a lease, 10.4 s or 13.3 s. The wait was kept in memory, so it began anew with each takeover, and leaders that lead for less than that never ended it. The class: a wait that only an undisturbed term can finish.

Change: with its heartbeats the leader stores which leases it does not renew and how long each may last. The next leader continues these waits. A lease in the stored list is renewed only after a list without it is committed, so that a later leader never relies on an outdated entry. Times are durations, counted from a moment after their commit, so no clocks of two hosts are compared.

--- a/src/radishlift/cell/commits.py
+++ b/src/radishlift/cell/commits.py
@@ -22,6 +22,7 @@
     LEADER_KEY,
     PROGRESS,
 )
+from radishlift.cell.unrenewed_leases import UnrenewedLeases
 from radishlift.core.clock import Clock
 from radishlift.core.errors import Failure
 from radishlift.core.ids import JobId
@@ -37,8 +38,8 @@
 from radishlift.steps.progress import dump_progress
 from radishlift.steps.runs import JobRun, JobState
 
-# The store accepts 100 entries per transaction: two are conditions, and two
-# are the rows of the commit and of the heartbeat.
+# The store accepts 100 entries per transaction: two are conditions, and three
+# are the rows of the commit, of the heartbeat and of the unrenewed leases.
 _MAX_BATCH_JOBS: Final = 90
 _RETRY_MS: Final = 60
 
@@ -99,6 +100,7 @@
         self._is_failing = False
         self.confirmed_at_ms = clock.monotonic_ms()
         self.heartbeat_fields: Callable[[], Mapping[str, Any]] = dict
+        self.unrenewed = UnrenewedLeases(self._has_work.set)
 
     @property
     def is_confirmed(self) -> bool:
@@ -141,6 +143,7 @@
             if await self._commit(batch) is CommitState.deposed:
                 return
             self._current = None
+            self.unrenewed.finish_write()
             for job, state in batch.states:
                 job.committed_state = state
             for callback in batch.callbacks:
@@ -173,12 +176,15 @@
         self._sequence += 1
         fields = {'epoch': self._claim.epoch, 'number': self._sequence}
         writes = [Write(COMMITS, LAST_COMMIT_KEY, fields)]
-        if self._is_heartbeat_due():
+        is_heartbeat_due = self._is_heartbeat_due()
+        if is_heartbeat_due:
             writes.append(
                 Write(
                     CELL, HEARTBEAT_KEY, {**fields, **self.heartbeat_fields()}
                 )
             )
+        if is_heartbeat_due or self.unrenewed.is_write_requested:
+            writes.extend(self.unrenewed.start_write())
         batch = _Batch(self._sequence, ())
         for job_id in list(self._dirty)[:_MAX_BATCH_JOBS]:
             job = self._dirty.pop(job_id)
--- a/src/radishlift/cell/fleet.py
+++ b/src/radishlift/cell/fleet.py
@@ -83,6 +83,14 @@
         target.cooldown_until_ms = now_ms + self._settings.distrust_ms
         log_event('target_distrusted', target=target.entry.target_id)
 
+    def unrenewed_ms(self) -> dict[TargetId, int]:
+        """Returns how long each lease may last that is not renewed."""
+        return {
+            target_id: remaining_ms
+            for target_id, session in self._sessions.items()
+            if (remaining_ms := session.unrenewed_ms) is not None
+        }
+
     def close(self) -> None:
         """Closes all sessions; running tasks are not affected."""
         for session in self._sessions.values():
--- a/src/radishlift/cell/inherited_attempts.py
+++ b/src/radishlift/cell/inherited_attempts.py
@@ -3,6 +3,7 @@
 from radishlift.cell.attempts import AttemptTracker
 from radishlift.cell.fleet import TargetFleet
 from radishlift.cell.job_table import JobTable
+from radishlift.cell.leases import InheritedLeases
 from radishlift.core.logs import log_event
 from radishlift.steps.ids import TargetId
 from radishlift.steps.runs import TaskRun, TaskState
@@ -12,8 +13,7 @@
     """Allocates attempts on their targets; ends those without a target.
 
     A target that was removed before the takeover has no entry and can't be
-    queried. Its tasks have ended once the leases of the previous leader have
-    expired.
+    queried. Its tasks have ended once its inherited lease has expired.
     """
 
     def __init__(
@@ -21,10 +21,12 @@
         jobs: JobTable,
         fleet: TargetFleet,
         tracker: AttemptTracker,
+        leases: InheritedLeases,
     ) -> None:
         self._jobs = jobs
         self._fleet = fleet
         self._tracker = tracker
+        self._leases = leases
         self._tasks_by_target: dict[TargetId, list[TaskRun]] = {}
 
     def collect(self) -> None:
@@ -46,9 +48,18 @@
                     task.key, task.attempt, step.spec.allocated_amounts
                 )
 
-    def end_unlisted(self) -> None:
-        """Ends the attempts on targets without an entry."""
-        for target_id in list(self._tasks_by_target):
+    def unrenewed_ms(self, now_ms: int) -> dict[TargetId, int]:
+        """Returns how long the leases of targets without an entry may last."""
+        return {
+            target_id: self._leases.until_ms(target_id) - now_ms
+            for target_id in self._tasks_by_target
+        }
+
+    def end_expired(self, now_ms: int) -> None:
+        """Ends the attempts on targets without an entry and lease."""
+        for target_id, remaining_ms in self.unrenewed_ms(now_ms).items():
+            if remaining_ms >= 0:
+                continue
             for task in self._tasks_by_target.pop(target_id):
                 log_event('task_orphaned', task=task.key, target=target_id)
                 self._tracker.end_lost_attempt(task.key, task.attempt)
--- a/src/radishlift/cell/leader_term.py
+++ b/src/radishlift/cell/leader_term.py
@@ -14,7 +14,15 @@
 from radishlift.cell.scheduler import Scheduler, SchedulerContext
 from radishlift.cell.settings import CellSettings
 from radishlift.cell.table_follower import FollowedTable, TableFollower
-from radishlift.cell.tables import CANCELS, JOBS, PROGRESS, TARGETS
+from radishlift.cell.tables import (
+    CANCELS,
+    COMMITS,
+    JOBS,
+    PROGRESS,
+    TARGETS,
+    UNRENEWED_KEY,
+)
+from radishlift.cell.unrenewed_leases import load_remaining_ms
 from radishlift.core.clock import Clock
 from radishlift.core.errors import Failure
 from radishlift.core.ids import DaemonId, JobId
@@ -27,7 +35,13 @@
 from radishlift.steps.targets import TargetEntry
 from radishlift.wire.network import PeerNetwork
 
-_DECODE_ERRORS: Final = (IndexError, KeyError, TypeError, ValueError)
+_DECODE_ERRORS: Final = (
+    AttributeError,
+    IndexError,
+    KeyError,
+    TypeError,
+    ValueError,
+)
 
 EntryDecoder = Callable[[str, Any], TargetEntry | Failure]
 
@@ -118,6 +132,7 @@
         started_at_ms: int,
     ) -> list[Coroutine[Any, Any, None]]:
         await self._read_progress()
+        await self._read_unrenewed()
         log_event(
             'term_begun',
             epoch=self.claim.epoch,
@@ -162,6 +177,24 @@
             )
         self._progress = {JobId(row.key): row for row in snapshot.rows}
 
+    async def _read_unrenewed(self) -> None:
+        dependencies = self._dependencies
+        while True:
+            row = await dependencies.store.read(COMMITS, UNRENEWED_KEY)
+            if not isinstance(row, Failure):
+                break
+            log_event('unrenewed_unread', reason=row.reason)
+            await asyncio.sleep(dependencies.settings.feed_retry_ms / 1000)
+        try:
+            remaining_ms = load_remaining_ms(row)
+        except _DECODE_ERRORS as error:
+            log_event('bad_unrenewed_row', reason=repr(error))
+            return
+        self._log.unrenewed.load(remaining_ms)
+        self.scheduler.inherited_leases.load(
+            remaining_ms, dependencies.clock.monotonic_ms()
+        )
+
     async def _follow(
         self,
         table: str,
--- a/src/radishlift/cell/leases.py
+++ b/src/radishlift/cell/leases.py
@@ -1,6 +1,10 @@
-"""The lease of one target, measured on the target's clock."""
+"""Leases of targets, measured on the clocks of the targets."""
+
+from collections.abc import Mapping
+from math import floor
 
 from radishlift.cell.settings import CellSettings
+from radishlift.steps.ids import TargetId
 
 # For rounding of clocks and for calls that are processed with a delay.
 _MARGIN_MS = 100
@@ -20,6 +24,30 @@
     return inherited_at_ms + settings.unconfirmed_ms + longest_ms + _MARGIN_MS
 
 
+class InheritedLeases:
+    """When the leases that earlier leaders granted have expired.
+
+    A leader stores which leases it does not renew and how long they last, so
+    that the wait for them continues in the next term. Any other lease may have
+    been renewed until the takeover.
+    """
+
+    def __init__(self, default_until_ms: int) -> None:
+        self._default_until_ms = default_until_ms
+        self._until_ms: dict[TargetId, int] = {}
+
+    def load(self, remaining_ms: Mapping[TargetId, int], now_ms: int) -> None:
+        """Applies the remaining times that the previous leader stored."""
+        self._until_ms = {
+            target_id: min(now_ms + lease_ms, self._default_until_ms)
+            for target_id, lease_ms in remaining_ms.items()
+        }
+
+    def until_ms(self, target_id: TargetId) -> int:
+        """Returns when the lease of a target has expired."""
+        return self._until_ms.get(target_id, self._default_until_ms)
+
+
 class TargetLease:
     """Tracks until when a target may run its tasks.
 
@@ -33,18 +61,14 @@
         self,
         settings: CellSettings,
         max_lease_ms: int,
-        inherited_at_ms: int,
+        inherited_until_ms: int,
     ) -> None:
         self._drift = settings.clock_drift
         self._length_ms = int(max_lease_ms * settings.lease_share)
         self._clock_ms = 0
         self._sampled_at_ms: int | None = None
         self._until_ms: int | None = None
-        self._inherited_until_ms = inherited_expiry_ms(
-            settings,
-            max_lease_ms,
-            inherited_at_ms,
-        )
+        self._inherited_until_ms = inherited_until_ms
 
     def update_clock(self, clock_ms: int, received_at_ms: int) -> None:
         """Stores a sample of the target's clock."""
@@ -70,10 +94,15 @@
 
     def has_expired(self, now_ms: int) -> bool:
         """Returns whether the lease has ended on the target's clock."""
+        return self.remaining_ms(now_ms) <= 0
+
+    def remaining_ms(self, now_ms: int) -> int:
+        """Returns how long the lease may last; 0 or less if it has expired."""
         if self._sampled_at_ms is None or self._until_ms is None:
-            return now_ms > self._inherited_until_ms
-        passed_ms = (now_ms - self._sampled_at_ms) * (1 - self._drift)
-        return self._clock_ms + passed_ms > self._until_ms + _MARGIN_MS
+            return self._inherited_until_ms + 1 - now_ms
+        lease_ms = self._until_ms + _MARGIN_MS - self._clock_ms
+        expires_at_ms = self._sampled_at_ms + lease_ms / (1 - self._drift)
+        return floor(expires_at_ms) + 1 - now_ms
 
     def reset(self) -> None:
         """Discards the clock and lease of a process that has ended."""
@@ -81,4 +110,4 @@
         self._until_ms = None
 
 
-__all__ = ('TargetLease', 'inherited_expiry_ms')
+__all__ = ('InheritedLeases', 'TargetLease', 'inherited_expiry_ms')
--- a/src/radishlift/cell/scheduler.py
+++ b/src/radishlift/cell/scheduler.py
@@ -12,7 +12,7 @@
 from radishlift.cell.fleet import TargetFleet
 from radishlift.cell.inherited_attempts import InheritedAttempts
 from radishlift.cell.job_table import JobTable
-from radishlift.cell.leases import inherited_expiry_ms
+from radishlift.cell.leases import InheritedLeases, inherited_expiry_ms
 from radishlift.cell.pending_advice import PendingAdvice
 from radishlift.cell.ports import StartOrder, TargetCalls
 from radishlift.cell.queues import QueueConfig
@@ -67,10 +67,18 @@
             self._has_changed.set,
             log.wait_committed,
         )
+        self.inherited_leases = InheritedLeases(
+            inherited_expiry_ms(
+                context.settings,
+                context.max_lease_ms,
+                context.clock.monotonic_ms(),
+            )
+        )
         self.inherited = InheritedAttempts(
             self.jobs,
             self._fleet,
             self.attempts,
+            self.inherited_leases,
         )
         self._session_context = SessionContext(
             context.calls,
@@ -79,13 +87,10 @@
             context.clock,
             context.fencing_token,
             context.max_lease_ms,
+            self.inherited_leases,
+            log.unrenewed,
             lambda: log.is_confirmed,
         )
-        self._inherited_until_ms = inherited_expiry_ms(
-            context.settings,
-            context.max_lease_ms,
-            context.clock.monotonic_ms(),
-        )
         self.pending_advice = PendingAdvice(
             self._planner,
             self._tickets,
@@ -94,6 +99,7 @@
             self._has_changed.set,
         )
         log.heartbeat_fields = self.jobs.heartbeat_fields
+        log.unrenewed.list_remaining_ms = self._list_unrenewed_ms
 
     def add_job(self, job: JobRun) -> None:
         """Adds a job that is in the store; ignores known jobs."""
@@ -180,6 +186,13 @@
         )
         session.start(order)
 
+    def _list_unrenewed_ms(self) -> dict[TargetId, int]:
+        now_ms = self._context.clock.monotonic_ms()
+        return {
+            **self.inherited.unrenewed_ms(now_ms),
+            **self._fleet.unrenewed_ms(),
+        }
+
     def _wait_ms(self) -> int:
         wall_ms = self._context.clock.wall_ms()
         pause_ms = self._context.settings.pulse_ms
@@ -191,8 +204,7 @@
     def _tick(self) -> None:
         clock = self._context.clock
         now_ms = clock.monotonic_ms()
-        if now_ms > self._inherited_until_ms:
-            self.inherited.end_unlisted()
+        self.inherited.end_expired(now_ms)
         plan = self._planner.plan(now_ms, clock.wall_ms())
         for job, placement in plan.placements:
             self._commit_start(job, placement)
--- a/src/radishlift/cell/session_context.py
+++ b/src/radishlift/cell/session_context.py
@@ -4,8 +4,10 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol
 
+from radishlift.cell.leases import InheritedLeases
 from radishlift.cell.ports import HoldReport, StartVerdict, TargetCalls
 from radishlift.cell.settings import CellSettings
+from radishlift.cell.unrenewed_leases import UnrenewedLeases
 from radishlift.core.clock import Clock
 from radishlift.steps.ids import FencingToken, TaskKey
 
@@ -57,6 +59,8 @@
     clock: Clock
     fencing_token: FencingToken
     max_lease_ms: int
+    inherited_leases: InheritedLeases
+    unrenewed: UnrenewedLeases
     may_renew_leases: Callable[[], bool]
 
 
--- a/src/radishlift/cell/sessions.py
+++ b/src/radishlift/cell/sessions.py
@@ -30,7 +30,7 @@
         self._lease = TargetLease(
             context.settings,
             context.max_lease_ms,
-            context.clock.monotonic_ms(),
+            context.inherited_leases.until_ms(target.entry.target_id),
         )
         self._orders = TargetOrders(
             target,
@@ -41,6 +41,7 @@
         )
         self._incarnation: TargetIncarnation | None = None
         self._is_synced = False
+        self._is_resuming = False
         self.list_requested_at_ms = 0
         self._ended_cursor = 0
         self._has_work = asyncio.Event()
@@ -56,6 +57,17 @@
         """Returns the target's id."""
         return self.target.entry.target_id
 
+    @property
+    def unrenewed_ms(self) -> int | None:
+        """Returns how long a lease may last that is not renewed.
+
+        Returns None if it is renewed or if no attempt depends on it.
+        """
+        target = self.target
+        if target.is_reachable or self._is_resuming or not target.allocations:
+            return None
+        return self._lease.remaining_ms(self._now_ms())
+
     def close(self) -> None:
         """Closes the session; running tasks are not affected."""
         self._poll_task.cancel()
@@ -135,12 +147,16 @@
                 self._ended_cursor = 0
             self._incarnation = report.incarnation
         self._is_synced = True
+        is_resumed = False
         if not self.target.is_reachable:
             # Delayed starts must not run under a new lease.
-            self._set_reachable(
-                is_reachable=await self._orders.block_unresolved_starts()
-            )
+            is_resumed = await self._orders.block_unresolved_starts()
         self._context.listener.on_report(self, report)
+        if is_resumed:
+            self._is_resuming = True
+            await self._context.unrenewed.wait_removed(self.target_id)
+            self._is_resuming = False
+            self._set_reachable(is_reachable=True)
         if report.last_sequence > self._ended_cursor:
             await self._context.listener.wait_committed()
             self._ended_cursor = report.last_sequence
--- a/src/radishlift/cell/tables.py
+++ b/src/radishlift/cell/tables.py
@@ -2,7 +2,8 @@
 
 `CELL` contains the row of the leader, its heartbeat and a row per daemon.
 `COMMITS` contains one row that every transaction of the leader replaces, so
-that a transaction without an answer can't take effect after a later one.
+that a transaction without an answer can't take effect after a later one. A
+second row has the leases that the leader does not renew.
 Rows of `JOBS` and `CANCELS` are sharded by job id: a transaction covers one
 shard, and the store processes the transactions of a shard serially.
 """
@@ -23,6 +24,7 @@
 LEADER_KEY: Final = 'leader'
 HEARTBEAT_KEY: Final = 'pulse'
 LAST_COMMIT_KEY: Final = 'last'
+UNRENEWED_KEY: Final = 'unrenewed'
 DAEMON_PREFIX: Final = 'daemon/'
 
 # A store that is 60 times slower than usual takes 300 ms per transaction; 32
@@ -53,6 +55,7 @@
     'PROGRESS',
     'HEARTBEAT_KEY',
     'TARGETS',
+    'UNRENEWED_KEY',
     'daemon_key',
     'entry_shard',
 )
--- a/tests/cell/test_leases.py
+++ b/tests/cell/test_leases.py
@@ -10,7 +10,7 @@
 
 @pytest.fixture
 def lease():
-    return TargetLease(SETTINGS, 6000, inherited_at_ms=0)
+    return TargetLease(SETTINGS, 6000, inherited_expiry_ms(SETTINGS, 6000, 0))
 
 
 def test_nothing_is_granted_on_an_unknown_clock(lease):
--- a/tests/cell/test_orders.py
+++ b/tests/cell/test_orders.py
@@ -6,11 +6,12 @@
 import pytest
 
 from radishlift.cell.clock import BootClock
-from radishlift.cell.leases import TargetLease
+from radishlift.cell.leases import InheritedLeases, TargetLease
 from radishlift.cell.orders import TargetOrders
 from radishlift.cell.ports import StartOrder, StartVerdict
 from radishlift.cell.session_context import SessionContext
 from radishlift.cell.settings import CellSettings
+from radishlift.cell.unrenewed_leases import UnrenewedLeases
 from radishlift.steps.ids import FencingToken
 from radishlift.steps.targets import Target, TargetState
 from tests.cell.fakes import FakeTargets
@@ -38,6 +39,8 @@
             BootClock(),
             FencingToken(3),
             6000,
+            InheritedLeases(0),
+            UnrenewedLeases(lambda: None),
             lambda: True,
         )
         self.target = Target(entry('t1'))
