Use targets again that were lost for longer than their lease

Callers saw accepted jobs of which nothing ran while targets had room.

Cause: a session polls its target only while the target has allocations. Once the lease of an unreachable target has expired, its attempts are ended, so that it has none; the session then waits for an order, which an unreachable target never gets. The target answers again and stays unused until its entry is removed or another leader takes over. The class: a belief ("unreachable") that nothing is left to revise.

Change: a target that did not answer is polled until it answers again.

--- a/src/radishlift/cell/sessions.py
+++ b/src/radishlift/cell/sessions.py
@@ -21,6 +21,8 @@
 class TargetSession:
     """Renews a target's lease and polls its lists while it has allocations.
 
+    A target that did not answer is polled until it answers again.
+
     `list_requested_at_ms` is when the latest list was requested.
     """
 
@@ -98,7 +100,11 @@
 
     async def _run(self) -> None:
         while True:
-            if self._is_synced and not self.target.allocations:
+            target = self.target
+            is_idle = target.is_reachable and not target.allocations
+            # An unreachable target gets no orders, so that only polls can tell
+            # that it answers again.
+            if self._is_synced and is_idle:
                 self._has_work.clear()
                 await self._has_work.wait()
             await self._poll()
--- /dev/null
+++ b/tests/cell/test_sessions.py
@@ -0,0 +1,50 @@
+"""Tests of a leader's sessions: targets that are lost, restart or come back."""
+
+import pytest
+
+from tests.cell.leader import Cell
+from tests.steps.builders import job, step
+
+OTHER_JOB = 'b' * 16
+OLD_CLOCK_MS = 1_000_000
+LONG_LEASE_MS = 600
+
+
+@pytest.fixture
+async def cell():
+    cell = Cell('t1')
+    cell.targets['t1'].clock_ms = OLD_CLOCK_MS
+    yield cell
+    await cell.close()
+
+
+def started_count(cell, task_key):
+    return sum(
+        order.key == task_key
+        for fake in cell.targets.by_id.values()
+        for order in fake.started
+    )
+
+
+async def restart_with_a_running_task(cell):
+    """Restarts `t1` while a task runs; waits until it runs there again."""
+    cell.lead()
+    cell.submit(job())
+    fake = cell.targets['t1']
+    await cell.until(lambda: bool(fake.running))
+    fake.restart()
+    await cell.until(lambda: bool(fake.running))
+
+
+async def test_target_lost_for_longer_than_its_lease_is_used_again(cell):
+    cell.lead()
+    cell.submit(job())
+    await cell.until(lambda: bool(cell.targets['t1'].running))
+    cell.targets['t1'].is_unresponsive = True
+    cell.add_target('t2')
+    await cell.until(lambda: bool(cell.targets['t2'].running))
+    # Its lease has expired, so it has ended its task.
+    cell.targets['t1'].running.clear()
+    cell.targets['t1'].is_unresponsive = False
+    cell.submit(job(step(6), job_id=OTHER_JOB))
+    await cell.until(lambda: len(cell.targets.running_tasks()) == 7)
