Start a new lease when a target restarts under its id

Callers would see tasks that never run again after their target restarted under its id and was then lost.

Cause: a process counts its clock anew, but the leader kept the end of the lease on the clock of the earlier process, and ends of leases only move forward. The lease seemed to last for the whole time that the earlier process had run, so that the loss of the target did not end its attempts. `TargetLease.reset`, meant for this, was never called. The class: a belief about a process that outlives the process.

Change: a new start time in a report starts the lease anew, with the longest lease as its first end.

--- a/src/radishlift/cell/leases.py
+++ b/src/radishlift/cell/leases.py
@@ -64,6 +64,7 @@
         inherited_until_ms: int,
     ) -> None:
         self._drift = settings.clock_drift
+        self._max_lease_ms = max_lease_ms
         self._length_ms = int(max_lease_ms * settings.lease_share)
         self._clock_ms = 0
         self._sampled_at_ms: int | None = None
@@ -104,10 +105,14 @@
         expires_at_ms = self._sampled_at_ms + lease_ms / (1 - self._drift)
         return floor(expires_at_ms) + 1 - now_ms
 
-    def reset(self) -> None:
-        """Discards the clock and lease of a process that has ended."""
-        self._sampled_at_ms = None
-        self._until_ms = None
+    def restart(self, clock_ms: int, received_at_ms: int) -> None:
+        """Starts the lease of a new process with its own clock.
+
+        Calls in transit may end on the clock of the earlier process, which
+        the target limits to the longest lease.
+        """
+        self.update_clock(clock_ms, received_at_ms)
+        self._until_ms = clock_ms + self._max_lease_ms
 
 
 __all__ = ('InheritedLeases', 'TargetLease', 'inherited_expiry_ms')
--- a/src/radishlift/cell/sessions.py
+++ b/src/radishlift/cell/sessions.py
@@ -143,14 +143,14 @@
         )
 
     async def _apply_report(self, report: HoldReport) -> None:
-        self._lease.update_clock(report.clock_ms, self._now_ms())
-        if (
-            report.incarnation is not None
-            and report.incarnation != self._incarnation
-        ):
-            if self._incarnation is not None:
-                # Each process counts its ended attempts separately.
-                self._ended_cursor = 0
+        is_restarted = report.incarnation not in {None, self._incarnation}
+        if is_restarted and self._incarnation is not None:
+            # Each process has its own clock and counts its ended attempts.
+            self._lease.restart(report.clock_ms, self._now_ms())
+            self._ended_cursor = 0
+        else:
+            self._lease.update_clock(report.clock_ms, self._now_ms())
+        if is_restarted:
             self._incarnation = report.incarnation
         self._is_synced = True
         is_resumed = False
