Do not start an attempt that ended before its commit

A task could run twice at the same time (TWICE); no caller has reported it.

Cause: a start is sent after its commit. While the commit is repeated, the target may be lost and its lease expire, which ends the attempt, and the task is placed again. The callback of the commit checked only whether the job had ended, so that the first attempt was sent too, and ran beside the second once the target answered again.

Change: the callback sends the start only if the attempt is still the current one of its task on that target.

--- a/src/radishlift/cell/attempts.py
+++ b/src/radishlift/cell/attempts.py
@@ -56,7 +56,7 @@
         for running in report.running:
             listed.add(running.key)
             self.on_started(running.key)
-            if not self._is_current(session, running.key, running.attempt):
+            if not self.is_current(session, running.key, running.attempt):
                 session.stop(running.key, running.attempt)
         for key, attempt in session.listing.list_missing(
             listed,
@@ -129,6 +129,20 @@
         for key, allocation in list(session.target.allocations.items()):
             self.end_unstarted(session, key, allocation.attempt)
 
+    def is_current(
+        self,
+        session: TargetSession,
+        key: TaskKey,
+        attempt: int,
+    ) -> bool:
+        """Returns whether a task that may run has this attempt on a target."""
+        job = self._jobs.get(key.step_key.job_id)
+        task = None if job is None else job.find_task(key)
+        if job is None or task is None or job.is_ended:
+            return False
+        current = TaskState.placed, attempt, session.target_id
+        return (task.state, task.attempt, task.target_id) == current
+
     def stop_tasks(self, job: JobRun) -> None:
         """Stops all placed tasks of a job."""
         for task in job.all_tasks():
@@ -169,19 +183,6 @@
             self.stop_tasks(job)
         self._jobs.save(job)
 
-    def _is_current(
-        self,
-        session: TargetSession,
-        key: TaskKey,
-        attempt: int,
-    ) -> bool:
-        job = self._jobs.get(key.step_key.job_id)
-        task = None if job is None else job.find_task(key)
-        if job is None or task is None or job.is_ended:
-            return False
-        current = TaskState.placed, attempt, session.target_id
-        return (task.state, task.attempt, task.target_id) == current
-
     def _stop_gang(self, job: JobRun, key: TaskKey) -> None:
         step = self._jobs.find_step(key.step_key)
         if step is None or not step.spec.is_gang:
--- a/src/radishlift/cell/listing.py
+++ b/src/radishlift/cell/listing.py
@@ -31,9 +31,10 @@
         if self.is_starting(key, attempt):
             del self._starting[key]
 
-    def cancel_start(self, key: TaskKey) -> None:
+    def cancel_start(self, key: TaskKey, attempt: int) -> None:
         """Records that an expected attempt will not be started."""
-        self._starting.pop(key, None)
+        if self.is_starting(key, attempt):
+            del self._starting[key]
 
     def forget(self, key: TaskKey) -> None:
         """Discards the start time of a task that has ended."""
--- a/src/radishlift/cell/scheduler.py
+++ b/src/radishlift/cell/scheduler.py
@@ -169,12 +169,11 @@
     def send_start(
         self,
         session: TargetSession,
-        job: JobRun,
         order: StartOrder,
     ) -> None:
-        """Sends a committed start, unless the job has ended since."""
-        if job.is_ended:
-            session.listing.cancel_start(order.key)
+        """Sends a committed start, unless job or attempt have ended since."""
+        if not self.attempts.is_current(session, order.key, order.attempt):
+            session.listing.cancel_start(order.key, order.attempt)
             self.attempts.end_unstarted(session, order.key, order.attempt)
             return
         log_event(
@@ -234,7 +233,7 @@
         order = self._build_order(job, placement)
         # Lists of the target can't contain the attempt before it is sent.
         session.listing.expect_start(order.key, order.attempt)
-        self.jobs.save(job, _SendStart(self, session, job, order))
+        self.jobs.save(job, _SendStart(self, session, order))
 
     def _build_order(self, job: JobRun, placement: Placement) -> StartOrder:
         task = placement.task
@@ -259,11 +258,10 @@
 
     scheduler: Scheduler
     session: TargetSession
-    job: JobRun
     order: StartOrder
 
     def __call__(self) -> None:
-        self.scheduler.send_start(self.session, self.job, self.order)
+        self.scheduler.send_start(self.session, self.order)
 
 
 __all__ = ('Scheduler', 'SchedulerContext')
--- a/tests/cell/test_sessions.py
+++ b/tests/cell/test_sessions.py
@@ -1,12 +1,13 @@
 """Tests of a leader's sessions: targets that are lost, restart or come back."""
 
+import asyncio
 import time
 from dataclasses import replace
 
 import pytest
 
 from tests.cell.leader import SETTINGS, Cell
-from tests.steps.builders import job, step
+from tests.steps.builders import job, key, step
 
 OTHER_JOB = 'b' * 16
 OLD_CLOCK_MS = 1_000_000
@@ -21,6 +22,15 @@
     await cell.close()
 
 
+def attempts(cell, task_key):
+    return [
+        (name, order.attempt)
+        for name, fake in cell.targets.by_id.items()
+        for order in fake.started
+        if order.key == task_key
+    ]
+
+
 def started_count(cell, task_key):
     return sum(
         order.key == task_key
@@ -74,3 +84,28 @@
         assert time.monotonic() - restarted_s > LONG_LEASE_MS / 1000 * 0.8
     finally:
         await cell.close()
+
+
+async def test_attempt_that_ended_before_its_commit_is_not_started():
+    cell = Cell('t1', settings=replace(SETTINGS, unconfirmed_ms=2000))
+    try:
+        cell.lead()
+        # Keeps the session polling.
+        cell.submit(job(job_id=OTHER_JOB))
+        fake = cell.targets['t1']
+        await cell.until(lambda: bool(fake.running))
+        cell.store.rejects_commits = True
+        cell.submit(job())
+        await asyncio.sleep(0.1)
+        fake.is_unresponsive = True
+        # The lease expires, and the next attempt goes to the other target.
+        cell.add_target('t2')
+        await asyncio.sleep(0.6)
+        fake.running.clear()
+        fake.is_unresponsive = False
+        cell.store.rejects_commits = False
+        await cell.until(lambda: bool(cell.targets.running_tasks()))
+        await asyncio.sleep(0.2)
+        assert attempts(cell, key()) == [('t2', 2)]
+    finally:
+        await cell.close()
