Acknowledge no ends that a restarted target has not reported

A task could run again after it had ended (TWICE); no caller has reported it.

Cause: a process of a target numbers its ends from 1 and drops those up to the acknowledged number. The number that earlier reports had reached went out in the first call after an idle or unreachable time, also to a new process of the target. Ends of the new process with lower numbers were dropped unread, and the leader took their attempts for lost.

Change: the number is discarded whenever the target may have restarted unnoticed. An unchanged process then lists its last ends once more, which changes nothing.

Result: the tests of cell pass. The price is one more call to a target when it becomes busy after an idle time.

--- a/src/radishlift/cell/sessions.py
+++ b/src/radishlift/cell/sessions.py
@@ -23,7 +23,9 @@
 
     A target that did not answer is polled until it answers again.
 
-    `list_requested_at_ms` is when the latest list was requested.
+    `list_requested_at_ms` is when the latest list was requested. The cursor of
+    acknowledged ends is discarded whenever the target may have restarted
+    unnoticed, as a new process counts its ends anew.
     """
 
     def __init__(self, target: Target, context: SessionContext) -> None:
@@ -107,6 +109,7 @@
             if self._is_synced and is_idle:
                 self._has_work.clear()
                 await self._has_work.wait()
+                self._ended_cursor = 0
             await self._poll()
 
     async def _poll(self) -> None:
@@ -171,6 +174,7 @@
         reason = answer.reason if isinstance(answer, Failure) else answer.value
         if self.target.is_reachable:
             log_event('target_lost', target=self.target_id, reason=reason)
+        self._ended_cursor = 0
         self._set_reachable(is_reachable=False)
         has_expired = self._lease.has_expired(self._now_ms())
         if has_expired or answer is StartVerdict.other_process:
--- a/tests/cell/test_sessions.py
+++ b/tests/cell/test_sessions.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from radishlift.steps.endings import EndKind
 from tests.cell.leader import SETTINGS, Cell
 from tests.steps.builders import job, key, step
 
@@ -86,6 +87,20 @@
         await cell.close()
 
 
+async def test_cursor_of_an_earlier_life_acknowledges_no_end(cell):
+    cell.lead()
+    first_id = cell.submit(job(step(4)))
+    await cell.until_state(first_id, 'completed')
+    # A target without tasks is not polled, so its restart is not noticed.
+    await asyncio.sleep(0.1)
+    cell.targets['t1'].restart()
+    cell.targets['t1'].instant_end = EndKind.done
+    second_id = cell.submit(job(job_id=OTHER_JOB))
+    await cell.until(lambda: cell.state(second_id) == 'completed')
+    await asyncio.sleep(0.1)
+    assert started_count(cell, key(job_id=OTHER_JOB)) == 1
+
+
 async def test_attempt_that_ended_before_its_commit_is_not_started():
     cell = Cell('t1', settings=replace(SETTINGS, unconfirmed_ms=2000))
     try:
