Renew leases while ends of attempts wait for their commit

While the store is down, tasks on healthy targets were stopped and their work was lost.

Cause: a session that has received the end of an attempt waits for its commit before the next poll, and only polls and starts renew a lease. In an outage of more than a lease (4.2 s) the other tasks of that target lapse, although the leader may renew leases for 6 s without a commit.

--- a/src/radishlift/cell/attempts.py
+++ b/src/radishlift/cell/attempts.py
@@ -120,9 +120,17 @@
         """Records that a target has a later leader."""
         self.fenced.set()
 
-    async def wait_committed(self) -> None:
-        """Waits until all earlier changes are committed."""
-        await self._wait_committed()
+    async def wait_committed(self, timeout_ms: int) -> bool:
+        """Waits until all earlier changes are committed.
+
+        Returns False if the commit took longer than `timeout_ms`.
+        """
+        try:
+            async with asyncio.timeout(timeout_ms / 1000):
+                await self._wait_committed()
+        except TimeoutError:
+            return False
+        return True
 
     def end_all_attempts(self, session: TargetSession) -> None:
         """Ends all attempts of a target that runs none of them any more."""
--- a/src/radishlift/cell/session_context.py
+++ b/src/radishlift/cell/session_context.py
@@ -42,8 +42,11 @@
     def on_fenced(self) -> None:
         """Handles a call rejected by a target that has a later leader."""
 
-    async def wait_committed(self) -> None:
-        """Waits until all earlier changes are committed."""
+    async def wait_committed(self, timeout_ms: int) -> bool:
+        """Waits until all earlier changes are committed.
+
+        Returns False if the commit took longer than `timeout_ms`.
+        """
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/radishlift/cell/sessions.py
+++ b/src/radishlift/cell/sessions.py
@@ -166,8 +166,12 @@
             await self._context.unrenewed.wait_removed(self.target_id)
             self._is_resuming = False
             self._set_reachable(is_reachable=True)
-        if report.last_sequence > self._ended_cursor:
-            await self._context.listener.wait_committed()
+        # Polls continue without the commit, as they renew the lease.
+        if report.last_sequence > self._ended_cursor and (
+            await self._context.listener.wait_committed(
+                self._context.settings.hold_wait_ms
+            )
+        ):
             self._ended_cursor = report.last_sequence
 
     def _handle_unreachable(self, answer: StartVerdict | Failure) -> None:
