--- a/tests/standins/store_api.py
+++ b/tests/standins/store_api.py
@@ -27,6 +27,11 @@
         encoded = base64.b64encode(json.dumps(value).encode()).decode()
         self._set(table, part, key, encoded)
 
+    def remove(self, table, part, key):
+        """Removes a row as the platform would."""
+        self.version += 1
+        self._remove((table, part, key))
+
     async def handle(self, request):
         if self.status is not None:
             return web.Response(status=self.status)
