--- a/tests/standins/store_api.py
+++ b/tests/standins/store_api.py
@@ -62,6 +62,8 @@
         if after < self.first_kept:
             return web.Response(status=410)
         for _ in range(int(request.query['waitMs']) // 5 + 1):
+            # A row that is added during the pause below has a later version.
+            version = self.version
             rows = [
                 row
                 for row in self.changes
@@ -70,7 +72,7 @@
             if rows:
                 break
             await asyncio.sleep(0.005)
-        return web.json_response({'rows': rows, 'ver': self.version})
+        return web.json_response({'rows': rows, 'ver': version})
 
     async def rows_tx(self, request):
         body = await request.json()
