Red test: a target that restarts and is then lost keeps its tasks

The lease keeps its end on the clock of the earlier life (TargetLease.grant takes the maximum, reset has no caller). Lost after a restart, the target seems to hold its lease for as long as the earlier life had run.

--- a/tests/cell/fakes.py
+++ b/tests/cell/fakes.py
@@ -32,9 +32,12 @@
         super().__init__(tables)
         self.is_history_dropped = False
         self.ignores_changes = False
+        self.rejects_commits = False
         self.requested_waits_ms = []
 
     async def commit(self, transaction):
+        if self.rejects_commits:
+            return DOWN
         shards = {
             entry_shard(row.key)
             for row in (*transaction.conditions, *transaction.writes)
@@ -87,7 +90,10 @@
 
 @dataclass
 class FakeTarget:
-    """A target that runs tasks until a test ends them."""
+    """A target that runs tasks until a test ends them.
+
+    With `instant_end` they end as soon as they start.
+    """
 
     incarnation: int = 1
     fencing_token: int = 0
@@ -95,6 +101,7 @@
     is_unresponsive: bool = False
     loses_answers: bool = False
     rejection: StartVerdict | None = None
+    instant_end: EndKind | None = None
     running: dict = field(default_factory=dict)
     ended: list = field(default_factory=list)
     blocked: dict = field(default_factory=dict)
@@ -103,6 +110,16 @@
     until_ms: int = 0
     ended_count: int = 0
 
+    def restart(self) -> None:
+        """Starts the process anew under the same id."""
+        self.incarnation += 1
+        self.fencing_token = 0
+        self.clock_ms = 10
+        self.until_ms = 0
+        self.ended_count = 0
+        for container in (self.running, self.ended, self.blocked):
+            container.clear()
+
     def end(self, key, kind: EndKind, checkpoint: str = '') -> None:
         attempt = self.running.pop(key)
         self.ended_count += 1
@@ -122,6 +139,8 @@
         if self.running.get(order.key) != order.attempt:
             self.running[order.key] = order.attempt
             self.started.append(order)
+            if self.instant_end is not None:
+                self.end(order.key, self.instant_end)
         return StartVerdict.started
 
 
--- a/tests/cell/leader.py
+++ b/tests/cell/leader.py
@@ -26,7 +26,12 @@
 from radishlift.steps.settings import StepSettings
 from radishlift.steps.targets import TargetState
 from radishlift.wire.network import PeerNetwork
-from tests.cell.fakes import FakeAdvice, FakeTargets, MemoryCellStore
+from tests.cell.fakes import (
+    FakeAdvice,
+    FakeTarget,
+    FakeTargets,
+    MemoryCellStore,
+)
 from tests.steps.builders import entry, job
 
 SETTINGS = CellSettings(
@@ -48,8 +53,13 @@
     """The store, the targets and successive leader terms."""
 
     def __init__(
-        self, *targets: str, cores: int = 4, settings: CellSettings = SETTINGS
+        self,
+        *targets: str,
+        cores: int = 4,
+        settings: CellSettings = SETTINGS,
+        max_lease_ms: int = MAX_LEASE_MS,
     ) -> None:
+        self.max_lease_ms = max_lease_ms
         self.settings = settings
         self.store = MemoryCellStore()
         self.targets = FakeTargets(*targets)
@@ -69,6 +79,11 @@
         values = {'cores': self.cores, 'state': 'ready', **fields}
         self.write(TARGETS, name, values)
 
+    def add_target(self, name):
+        """Starts another target."""
+        self.targets.by_id[name] = FakeTarget()
+        self.write_target(name)
+
     def submit(self, run):
         self.write(
             JOBS,
@@ -117,7 +132,7 @@
                 self.settings,
                 StepSettings(),
                 BootClock(),
-                MAX_LEASE_MS,
+                self.max_lease_ms,
             ),
         )
         task = asyncio.create_task(term.run())
--- /dev/null
+++ b/tests/cell/test_sessions.py
@@ -0,0 +1,44 @@
+"""Tests of a leader's sessions: targets that are lost, restart or come back."""
+
+
+import pytest
+
+from tests.cell.leader import Cell
+from tests.steps.builders import job
+
+OTHER_JOB = 'b' * 16
+OLD_CLOCK_MS = 1_000_000
+LONG_LEASE_MS = 600
+
+
+@pytest.fixture
+async def cell():
+    cell = Cell('t1')
+    cell.targets['t1'].clock_ms = OLD_CLOCK_MS
+    yield cell
+    await cell.close()
+
+
+def started_count(cell, task_key):
+    return sum(
+        order.key == task_key
+        for fake in cell.targets.by_id.values()
+        for order in fake.started
+    )
+
+
+async def restart_with_a_running_task(cell):
+    """Restarts `t1` while a task runs; waits until it runs there again."""
+    cell.lead()
+    cell.submit(job())
+    fake = cell.targets['t1']
+    await cell.until(lambda: bool(fake.running))
+    fake.restart()
+    await cell.until(lambda: bool(fake.running))
+
+
+async def test_tasks_of_a_target_lost_after_its_restart_run_elsewhere(cell):
+    await restart_with_a_running_task(cell)
+    cell.targets['t1'].is_unresponsive = True
+    cell.add_target('t2')
+    await cell.until(lambda: bool(cell.targets['t2'].started))
