Red test: the lease of a restarted target may be the longest one

The call that finds the restart still carries a lease end on the earlier clock. The target shortens it to the longest lease, which is more than the share that the leader grants.

--- a/tests/cell/test_sessions.py
+++ b/tests/cell/test_sessions.py
@@ -1,9 +1,11 @@
 """Tests of a leader's sessions: targets that are lost, restart or come back."""
 
+import time
+from dataclasses import replace
 
 import pytest
 
-from tests.cell.leader import Cell
+from tests.cell.leader import SETTINGS, Cell
 from tests.steps.builders import job
 
 OTHER_JOB = 'b' * 16
@@ -42,3 +44,19 @@
     cell.targets['t1'].is_unresponsive = True
     cell.add_target('t2')
     await cell.until(lambda: bool(cell.targets['t2'].started))
+
+
+async def test_lease_granted_on_the_clock_before_a_restart_is_waited_for():
+    # A target shortens a lease that ends on its earlier clock to the longest.
+    settings = replace(SETTINGS, lease_share=0.1)
+    cell = Cell('t1', settings=settings, max_lease_ms=LONG_LEASE_MS)
+    cell.targets['t1'].clock_ms = OLD_CLOCK_MS
+    try:
+        await restart_with_a_running_task(cell)
+        restarted_s = time.monotonic()
+        cell.targets['t1'].is_unresponsive = True
+        cell.add_target('t2')
+        await cell.until(lambda: bool(cell.targets['t2'].started))
+        assert time.monotonic() - restarted_s > LONG_LEASE_MS / 1000 * 0.8
+    finally:
+        await cell.close()
