Red test: a target whose lease expired is never polled again

TargetSession._run waits for orders as soon as a target has no allocations. The end of the lease removes them all, the target stays unreachable, so it gets no orders, and nothing polls it until the next takeover.

--- a/tests/cell/test_sessions.py
+++ b/tests/cell/test_sessions.py
@@ -6,7 +6,7 @@
 import pytest
 
 from tests.cell.leader import SETTINGS, Cell
-from tests.steps.builders import job
+from tests.steps.builders import job, step
 
 OTHER_JOB = 'b' * 16
 OLD_CLOCK_MS = 1_000_000
@@ -60,3 +60,17 @@
         assert time.monotonic() - restarted_s > LONG_LEASE_MS / 1000 * 0.8
     finally:
         await cell.close()
+
+
+async def test_target_lost_for_longer_than_its_lease_is_used_again(cell):
+    cell.lead()
+    cell.submit(job())
+    await cell.until(lambda: bool(cell.targets['t1'].running))
+    cell.targets['t1'].is_unresponsive = True
+    cell.add_target('t2')
+    await cell.until(lambda: bool(cell.targets['t2'].running))
+    # Its lease has expired, so it has ended its task.
+    cell.targets['t1'].running.clear()
+    cell.targets['t1'].is_unresponsive = False
+    cell.submit(job(step(6), job_id=OTHER_JOB))
+    await cell.until(lambda: len(cell.targets.running_tasks()) == 7)
