Red test: a cursor of an earlier life acknowledges ends of the next

A target without tasks is not polled. After its restart the first call carries the cursor of its earlier ends, so that the target forgets the end of a task that has just run; the leader starts the task again.

--- a/tests/cell/test_sessions.py
+++ b/tests/cell/test_sessions.py
@@ -1,12 +1,14 @@
 """Tests of a leader's sessions: targets that are lost, restart or come back."""
 
+import asyncio
 import time
 from dataclasses import replace
 
 import pytest
 
+from radishlift.steps.endings import EndKind
 from tests.cell.leader import SETTINGS, Cell
-from tests.steps.builders import job, step
+from tests.steps.builders import job, key, step
 
 OTHER_JOB = 'b' * 16
 OLD_CLOCK_MS = 1_000_000
@@ -74,3 +76,17 @@
     cell.targets['t1'].is_unresponsive = False
     cell.submit(job(step(6), job_id=OTHER_JOB))
     await cell.until(lambda: len(cell.targets.running_tasks()) == 7)
+
+
+async def test_cursor_of_an_earlier_life_acknowledges_no_end(cell):
+    cell.lead()
+    first_id = cell.submit(job(step(4)))
+    await cell.until_state(first_id, 'completed')
+    # A target without tasks is not polled, so its restart is not noticed.
+    await asyncio.sleep(0.1)
+    cell.targets['t1'].restart()
+    cell.targets['t1'].instant_end = EndKind.done
+    second_id = cell.submit(job(job_id=OTHER_JOB))
+    await cell.until(lambda: cell.state(second_id) == 'completed')
+    await asyncio.sleep(0.1)
+    assert started_count(cell, key(job_id=OTHER_JOB)) == 1
