Red test: no lease is renewed while an end waits for its commit

TargetSession._apply_report waits for the commit before the next call. While the store is down longer than a lease, a reachable target with an end to acknowledge ends its other tasks, although the leader may renew for 6 s.

--- a/tests/cell/test_sessions.py
+++ b/tests/cell/test_sessions.py
@@ -90,3 +90,20 @@
     await cell.until(lambda: cell.state(second_id) == 'completed')
     await asyncio.sleep(0.1)
     assert started_count(cell, key(job_id=OTHER_JOB)) == 1
+
+
+async def test_lease_is_renewed_while_ends_wait_for_their_commit():
+    cell = Cell('t1', settings=replace(SETTINGS, unconfirmed_ms=2000))
+    try:
+        cell.lead()
+        cell.submit(job(step(2)))
+        fake = cell.targets['t1']
+        await cell.until(lambda: len(fake.running) == 2)
+        cell.store.rejects_commits = True
+        fake.end(key(0), EndKind.done)
+        await asyncio.sleep(0.1)
+        # Holds still carry the end of a lease while the store is down.
+        fake.until_ms = 0
+        await cell.until(lambda: fake.until_ms > 0, within_s=1)
+    finally:
+        await cell.close()
