Red test: a start is sent after its attempt has ended

Scheduler.send_start looks at the job only. The commit of a start took longer than the lease of its target: the attempt has ended, and is sent nevertheless beside the next one.

--- a/tests/cell/test_sessions.py
+++ b/tests/cell/test_sessions.py
@@ -107,3 +107,29 @@
         await cell.until(lambda: fake.until_ms > 0, within_s=1)
     finally:
         await cell.close()
+
+
+async def test_attempt_that_ended_before_its_commit_is_not_started():
+    cell = Cell('t1', settings=replace(SETTINGS, unconfirmed_ms=2000))
+    try:
+        cell.lead()
+        # Keeps the session polling.
+        cell.submit(job(job_id=OTHER_JOB))
+        fake = cell.targets['t1']
+        await cell.until(lambda: bool(fake.running))
+        cell.store.rejects_commits = True
+        cell.submit(job())
+        await asyncio.sleep(0.1)
+        fake.is_unresponsive = True
+        await asyncio.sleep(0.6)
+        fake.running.clear()
+        fake.is_unresponsive = False
+        cell.store.rejects_commits = False
+        await cell.until(lambda: bool(cell.targets.running_tasks()))
+        await asyncio.sleep(0.2)
+        attempts = {
+            order.attempt for order in fake.started if order.key == key()
+        }
+        assert 1 not in attempts
+    finally:
+        await cell.close()
