Tests: a target that shrinks gets no start until enough has ended

A target's entry may show less capacity than what runs there. The planner and the leader count attempts until their end is listed, also those that are being stopped, and use the target again after it has grown.

--- a/tests/cell/fakes.py
+++ b/tests/cell/fakes.py
@@ -92,7 +92,8 @@
 class FakeTarget:
     """A target that runs tasks until a test ends them.
 
-    With `instant_end` they end as soon as they start.
+    With `instant_end` they end as soon as they start. With `keeps_stopped`
+    stops take until a test ends the tasks.
     """
 
     incarnation: int = 1
@@ -102,6 +103,7 @@
     loses_answers: bool = False
     rejection: StartVerdict | None = None
     instant_end: EndKind | None = None
+    keeps_stopped: bool = False
     running: dict = field(default_factory=dict)
     ended: list = field(default_factory=list)
     blocked: dict = field(default_factory=dict)
@@ -178,7 +180,7 @@
             return StartVerdict.fenced
         fake.fencing_token = fencing_token
         fake.blocked[key] = max(attempt, fake.blocked.get(key, 0))
-        if fake.running.get(key) == attempt:
+        if fake.running.get(key) == attempt and not fake.keeps_stopped:
             fake.end(key, EndKind.stopped, 'saved')
         return StartVerdict.started
 
--- a/tests/cell/leader.py
+++ b/tests/cell/leader.py
@@ -154,6 +154,11 @@
             while not condition():
                 await asyncio.sleep(0.003)
 
+    def end_one(self, name, kind=EndKind.done):
+        """Ends the task that has run longest on a target."""
+        fake = self.targets[name]
+        fake.end(next(iter(fake.running)), kind)
+
     def end_all(self, kind=EndKind.done):
         for fake in self.targets.by_id.values():
             for key in list(fake.running):
--- /dev/null
+++ b/tests/cell/test_scheduler.py
@@ -0,0 +1,51 @@
+"""Tests of the leader's starts: changes between a plan and its commit."""
+
+import asyncio
+
+import pytest
+
+from tests.cell.leader import Cell
+from tests.steps.builders import job, step
+
+OTHER_JOB = 'b' * 16
+
+
+@pytest.fixture
+async def cell():
+    cell = Cell('t1')
+    yield cell
+    await cell.close()
+
+
+async def test_shrunken_target_gets_no_start_until_enough_ended(cell):
+    fake = cell.targets['t1']
+    cell.lead()
+    cell.submit(job(step(4)))
+    await cell.until(lambda: len(fake.running) == 4)
+    cell.write_target('t1', cores=2)
+    await asyncio.sleep(0.1)
+    cell.submit(job(step(4), job_id=OTHER_JOB))
+    for remaining in (3, 2):
+        cell.end_one('t1')
+        await asyncio.sleep(0.1)
+        assert len(fake.running) == remaining
+    cell.write_target('t1', cores=4)
+    await cell.until(lambda: len(fake.running) == 4)
+
+
+async def test_attempts_that_are_being_stopped_count_on_a_shrunken_target(cell):
+    fake = cell.targets['t1']
+    cell.lead()
+    job_id = cell.submit(job(step(4)))
+    await cell.until(lambda: len(fake.running) == 4)
+    fake.keeps_stopped = True
+    cell.write_target('t1', cores=2)
+    cell.cancel(job_id)
+    await cell.until(lambda: len(fake.blocked) == 4)
+    cell.submit(job(step(4), job_id=OTHER_JOB))
+    await asyncio.sleep(0.1)
+    assert len(fake.started) == 4
+    cell.end_all()
+    await cell.until(lambda: len(fake.started) == 6)
+    await asyncio.sleep(0.05)
+    assert len(fake.started) == 6
--- a/tests/steps/test_planner.py
+++ b/tests/steps/test_planner.py
@@ -321,3 +321,37 @@
     setup.add(run)
     assert not setup.started()
     assert run.find_task(key()).state is TaskState.waiting
+
+
+def test_target_that_shrank_below_its_tasks_gets_no_start_until_enough_ended():
+    setup = PlannerSetup(4)
+    setup.add(job(step(4)), job(step(4), job_id='b' * 16))
+    assert len(setup.started()) == 4
+    target = setup.targets.update(entry('t0', 2))
+    for number in range(2):
+        assert setup.started() == []
+        target.release(key(number), 1)
+    assert setup.started() == []
+    target.release(key(2), 1)
+    assert len(setup.started()) == 1
+
+
+def test_target_that_grew_again_is_used_up_to_its_capacity():
+    setup = PlannerSetup(4)
+    setup.add(job(step(4)), job(step(4), job_id='b' * 16))
+    setup.started()
+    target = setup.targets.update(entry('t0', 1))
+    for number in range(3):
+        target.release(key(number), 1)
+    assert setup.started() == []
+    setup.targets.update(entry('t0', 4))
+    assert len(setup.started()) == 3
+
+
+def test_gang_is_not_placed_on_a_target_that_shrank_below_its_tasks():
+    setup = PlannerSetup(4)
+    setup.add(job(step(3)))
+    assert len(setup.started()) == 3
+    setup.targets.update(entry('t0', 2))
+    setup.add(job(step(1, is_gang=True), job_id='b' * 16))
+    assert setup.started() == []
