Red test: a planned start is sent to a target that shrank meanwhile

Scheduler.send_start does not look at the target again after the commit. While a commit is slow, the entry may show less capacity than the planned starts.

--- a/tests/cell/test_scheduler.py
+++ b/tests/cell/test_scheduler.py
@@ -49,3 +49,22 @@
     await cell.until(lambda: len(fake.started) == 6)
     await asyncio.sleep(0.05)
     assert len(fake.started) == 6
+
+
+async def test_planned_start_is_not_sent_to_a_target_that_shrank_meanwhile(
+    cell,
+):
+    fake = cell.targets['t1']
+    cell.lead()
+    await cell.until(lambda: fake.fencing_token == 1)
+    cell.store.rejects_commits = True
+    cell.submit(job(step(4)))
+    await asyncio.sleep(0.05)
+    cell.write_target('t1', cores=1)
+    await asyncio.sleep(0.05)
+    cell.store.rejects_commits = False
+    await cell.until(lambda: bool(fake.started))
+    await asyncio.sleep(0.1)
+    assert len(fake.running) == 1
+    cell.write_target('t1', cores=4)
+    await cell.until(lambda: len(fake.running) == 4)
