--- a/tests/standins/store_api.py
+++ b/tests/standins/store_api.py
@@ -27,6 +27,11 @@
         encoded = base64.b64encode(json.dumps(value).encode()).decode()
         self._set(table, part, key, encoded)
 
+    def remove(self, table, part, key):
+        """Removes a row as the platform would."""
+        self.version += 1
+        self._remove((table, part, key))
+
     async def handle(self, request):
         if self.status is not None:
             return web.Response(status=self.status)
@@ -57,6 +62,8 @@
         if after < self.first_kept:
             return web.Response(status=410)
         for _ in range(int(request.query['waitMs']) // 5 + 1):
+            # A row that is added during the pause below has a later version.
+            version = self.version
             rows = [
                 row
                 for row in self.changes
@@ -65,7 +72,7 @@
             if rows:
                 break
             await asyncio.sleep(0.005)
-        return web.json_response({'rows': rows, 'ver': self.version})
+        return web.json_response({'rows': rows, 'ver': version})
 
     async def rows_tx(self, request):
         body = await request.json()
