Send no planned start to a target that shrank meanwhile

Cause: placement looks at the latest entry of a target, but the start is sent after its commit, which may be repeated for seconds. The capacity may shrink in between; and after a pause of the leader's process the entries themselves are outdated.

Change: before a start is sent, all attempts on the target must fit its entry, and the entries must have been requested within the last 2 s. Otherwise the attempt ends without a start and is placed again.

--- a/src/radishlift/cell/fleet.py
+++ b/src/radishlift/cell/fleet.py
@@ -4,18 +4,30 @@
 
 from radishlift.cell.session_context import SessionContext
 from radishlift.cell.sessions import TargetSession
+from radishlift.cell.settings import CellSettings
 from radishlift.core.logs import log_event
 from radishlift.steps.ids import TargetId, TaskKey
 from radishlift.steps.settings import StepSettings
+from radishlift.steps.spec import Amounts
 from radishlift.steps.targets import Target, TargetEntry, TargetTable
 
 
 class TargetFleet:
-    """Opens a session with each target and closes it on removal."""
+    """Opens a session with each target and closes it on removal.
 
-    def __init__(self, targets: TargetTable, settings: StepSettings) -> None:
+    `entries_read_at_ms` is when the latest entries of targets were requested.
+    """
+
+    def __init__(
+        self,
+        targets: TargetTable,
+        settings: StepSettings,
+        cell_settings: CellSettings,
+    ) -> None:
         self._targets = targets
         self._settings = settings
+        self._max_entry_age_ms = cell_settings.max_entry_age_ms
+        self.entries_read_at_ms = 0
         self._sessions: dict[TargetId, TargetSession] = {}
 
     def __iter__(self) -> Iterator[TargetId]:
@@ -57,6 +69,17 @@
         self._sessions.pop(target_id).close()
         self._targets.remove(target_id)
 
+    def record_read(self, requested_at_ms: int) -> None:
+        """Records when the latest entries of targets were requested."""
+        self.entries_read_at_ms = requested_at_ms
+
+    def may_start(self, target: Target, now_ms: int) -> bool:
+        """Returns whether recent entries allow all attempts on a target."""
+        age_ms = now_ms - self.entries_read_at_ms
+        return age_ms <= self._max_entry_age_ms and Amounts().fits_in(
+            target.free_capacity
+        )
+
     def stop(self, target_id: TargetId, key: TaskKey, attempt: int) -> None:
         """Stops an attempt, if its target is known."""
         session = self._sessions.get(target_id)
--- a/src/radishlift/cell/inherited_attempts.py
+++ b/src/radishlift/cell/inherited_attempts.py
@@ -48,21 +48,24 @@
                     task.key, task.attempt, step.spec.allocated_amounts
                 )
 
-    def unrenewed_ms(self, now_ms: int) -> dict[TargetId, int]:
-        """Returns how long the leases of targets without an entry may last."""
-        return {
-            target_id: self._leases.until_ms(target_id) - now_ms
-            for target_id in self._tasks_by_target
-        }
+    def list_unrenewed_ms(self, now_ms: int) -> dict[TargetId, int]:
+        """Returns how long each lease may last that is not renewed."""
+        return {**self._remaining_ms(now_ms), **self._fleet.unrenewed_ms()}
 
     def end_expired(self, now_ms: int) -> None:
         """Ends the attempts on targets without an entry and lease."""
-        for target_id, remaining_ms in self.unrenewed_ms(now_ms).items():
+        for target_id, remaining_ms in self._remaining_ms(now_ms).items():
             if remaining_ms >= 0:
                 continue
             for task in self._tasks_by_target.pop(target_id):
                 log_event('task_orphaned', task=task.key, target=target_id)
                 self._tracker.end_lost_attempt(task.key, task.attempt)
 
+    def _remaining_ms(self, now_ms: int) -> dict[TargetId, int]:
+        return {
+            target_id: self._leases.until_ms(target_id) - now_ms
+            for target_id in self._tasks_by_target
+        }
+
 
 __all__ = ('InheritedAttempts',)
--- a/src/radishlift/cell/leader_term.py
+++ b/src/radishlift/cell/leader_term.py
@@ -209,6 +209,8 @@
             dependencies.settings,
             dependencies.clock,
         )
+        if table == TARGETS:
+            follower.on_read = self.scheduler.fleet.record_read
         await follower.run(on_snapshot, on_changes)
 
     def _on_jobs(self, rows: tuple[Row, ...]) -> None:
--- a/src/radishlift/cell/scheduler.py
+++ b/src/radishlift/cell/scheduler.py
@@ -58,10 +58,12 @@
         )
         self._explained_at_ms = 0
         self.jobs = JobTable(self._planner, log, context.clock)
-        self._fleet = TargetFleet(targets, context.step_settings)
+        self.fleet = TargetFleet(
+            targets, context.step_settings, context.settings
+        )
         self.attempts = AttemptTracker(
             self.jobs,
-            self._fleet,
+            self.fleet,
             self._tickets,
             context.clock,
             self._has_changed.set,
@@ -76,7 +78,7 @@
         )
         self.inherited = InheritedAttempts(
             self.jobs,
-            self._fleet,
+            self.fleet,
             self.attempts,
             self.inherited_leases,
         )
@@ -99,7 +101,9 @@
             self._has_changed.set,
         )
         log.heartbeat_fields = self.jobs.heartbeat_fields
-        log.unrenewed.list_remaining_ms = self._list_unrenewed_ms
+        log.unrenewed.list_remaining_ms = lambda: (
+            self.inherited.list_unrenewed_ms(context.clock.monotonic_ms())
+        )
 
     def add_job(self, job: JobRun) -> None:
         """Adds a job that is in the store; ignores known jobs."""
@@ -120,7 +124,7 @@
 
     def update_target(self, entry: TargetEntry) -> None:
         """Adds or updates a target."""
-        if self._fleet.update(entry, self._session_context):
+        if self.fleet.update(entry, self._session_context):
             self._has_changed.set()
         self.inherited.allocate(entry.target_id)
 
@@ -130,7 +134,7 @@
         If it was not draining, its tasks may still run, and it stays until
         its lease has expired.
         """
-        session = self._fleet.find_session(target_id)
+        session = self.fleet.find_session(target_id)
         if session is None:
             return
         target = session.target
@@ -141,17 +145,17 @@
         ):
             return
         self.attempts.end_all_attempts(session)
-        self._fleet.remove(target_id)
+        self.fleet.remove(target_id)
 
     def remove_unlisted(self, listed: set[TargetId]) -> None:
         """Removes all targets that are missing in a complete list."""
-        for target_id in self._fleet:
+        for target_id in self.fleet:
             if target_id not in listed:
                 self.remove_target(target_id)
 
     def close(self) -> None:
         """Closes all sessions with targets."""
-        self._fleet.close()
+        self.fleet.close()
 
     async def run(self) -> None:
         """Runs a tick on each change, and when steps become due."""
@@ -171,8 +175,14 @@
         session: TargetSession,
         order: StartOrder,
     ) -> None:
-        """Sends a committed start, unless job or attempt have ended since."""
-        if not self.attempts.is_current(session, order.key, order.attempt):
+        """Sends a committed start if it is still valid.
+
+        Job and attempt may have ended during the commit, and the target may
+        have less capacity.
+        """
+        is_current = self.attempts.is_current(session, order.key, order.attempt)
+        now_ms = self._context.clock.monotonic_ms()
+        if not is_current or not self.fleet.may_start(session.target, now_ms):
             session.listing.cancel_start(order.key, order.attempt)
             self.attempts.end_unstarted(session, order.key, order.attempt)
             return
@@ -185,13 +195,6 @@
         )
         session.start(order)
 
-    def _list_unrenewed_ms(self) -> dict[TargetId, int]:
-        now_ms = self._context.clock.monotonic_ms()
-        return {
-            **self.inherited.unrenewed_ms(now_ms),
-            **self._fleet.unrenewed_ms(),
-        }
-
     def _wait_ms(self) -> int:
         wall_ms = self._context.clock.wall_ms()
         pause_ms = self._context.settings.pulse_ms
@@ -227,7 +230,7 @@
             )
 
     def _commit_start(self, job: JobRun, placement: Placement) -> None:
-        session = self._fleet.find_session(placement.target.entry.target_id)
+        session = self.fleet.find_session(placement.target.entry.target_id)
         if session is None:
             return
         order = self._build_order(job, placement)
--- a/src/radishlift/cell/settings.py
+++ b/src/radishlift/cell/settings.py
@@ -34,6 +34,8 @@
     - `cut_off_ms`: time without an answer of the store or a peer after which a
       daemon is not ready for callers; three requests to peers.
     - `feed_retry_ms`: delay after a failed read of the store.
+    - `max_entry_age_ms`: time since the last read of the targets' entries after
+      which no start is sent, as a target may have less capacity meanwhile.
     - `feed_gap_ms`: pause between reads of the targets' entries, which change
       with every heartbeat of a target.
     - `forget_ended_ms`: how long ended jobs are kept; callers may query them
@@ -60,6 +62,7 @@
     share_config_ms: int = 300
     cut_off_ms: int = 1000
     feed_retry_ms: int = 150
+    max_entry_age_ms: int = 2000
     feed_gap_ms: int = 100
     forget_ended_ms: int = 180_000
     forget_every_ms: int = 1000
--- a/src/radishlift/cell/table_follower.py
+++ b/src/radishlift/cell/table_follower.py
@@ -30,7 +30,8 @@
     A snapshot is read at the start and after the store has dropped its
     history. It contains all rows: the callback must treat rows that are
     missing in it as removed. `is_store_lost` is true after a failed read, and
-    `last_contact_ms` is the time of the latest successful one.
+    `last_contact_ms` is the time of the latest successful one. `on_read` gets
+    the time at which each successful read was requested.
     """
 
     def __init__(
@@ -47,6 +48,7 @@
         self._version: int | None = None
         self.is_store_lost = False
         self.last_contact_ms: int | None = None
+        self.on_read: Callable[[int], None] = _ignore_time
 
     async def run(
         self,
@@ -56,6 +58,7 @@
         """Follows the table until it is cancelled."""
         while True:
             is_snapshot = self._version is None
+            requested_at_ms = self._clock.monotonic_ms()
             changed = await self._read()
             if isinstance(changed, Failure):
                 await self._handle_failure(changed)
@@ -66,6 +69,7 @@
                 on_snapshot(changed.rows)
             elif changed.rows:
                 on_changes(changed.rows)
+            self.on_read(requested_at_ms)
             if self._followed.pause_ms and not is_snapshot:
                 await asyncio.sleep(self._followed.pause_ms / 1000)
 
@@ -97,4 +101,8 @@
             log_event('store_regained', table=self._followed.table)
 
 
+def _ignore_time(_: int) -> None:
+    """Ignores when a read was requested."""
+
+
 __all__ = ('FollowedTable', 'TableFollower')
