Red test: a backlog of commits delays waits for earlier ones

CommitLog passes those who wait on to a batch only if it leaves no job behind. While more than 90 jobs change during a commit, they wait although their own changes are committed; sessions renew no lease meanwhile.

--- a/tests/cell/test_commits.py
+++ b/tests/cell/test_commits.py
@@ -132,3 +132,32 @@
     task.cancel()
     with suppress(asyncio.CancelledError):
         await task
+
+
+async def test_backlog_does_not_delay_those_who_wait_for_earlier_commits(
+    store, log, monkeypatch
+):
+    commit = store.commit
+
+    async def commit_slowly(transaction):
+        await asyncio.sleep(0.002)
+        return await commit(transaction)
+
+    monkeypatch.setattr(store, 'commit', commit_slowly)
+
+    async def keep_more_than_a_batch_waiting():
+        while True:
+            for number in range(100):
+                log.enqueue(job(job_id=f'{number:016x}'))
+            await asyncio.sleep(0.001)
+
+    log.enqueue(job())
+    waiting = asyncio.create_task(log.wait_committed())
+    await asyncio.sleep(0)
+    backlog = asyncio.create_task(keep_more_than_a_batch_waiting())
+    task = await start(log)
+    try:
+        await asyncio.wait_for(waiting, 1)
+    finally:
+        backlog.cancel()
+        task.cancel()
