Red test: an advice call that raises blocks its daemon and its step

AdviceDispatcher._send_request removes the open request only after a call that returns. A malformed answer raises in PlatformAdvice.request; the daemon gets no requests any more, and the step's request stays open.

--- a/tests/cell/test_advice_dispatch.py
+++ b/tests/cell/test_advice_dispatch.py
@@ -96,3 +96,22 @@
         pending_advice.add_request(f'short{number}', SHORT_MS, priority=0)
     await until_answered(pending_advice, 6)
     assert advice.max_open_count == 1
+
+
+async def test_call_that_raises_does_not_block_later_requests(
+    dispatcher, monkeypatch
+):
+    advice, pending_advice = dispatcher
+    request = advice.request
+
+    async def raise_once(key, target_ids, timeout_ms):
+        monkeypatch.setattr(advice, 'request', request)
+        raise IndexError('malformed answer')
+
+    monkeypatch.setattr(advice, 'request', raise_once)
+    pending_advice.add_request('failing', SHORT_MS, priority=0)
+    await asyncio.sleep(0.02)
+    pending_advice.add_request('later', SHORT_MS, priority=0)
+    async with asyncio.timeout(1):
+        while 'later' not in pending_advice.answered_s:
+            await asyncio.sleep(0.002)
