--- a/tests/workers/test_dispatcher.py
+++ b/tests/workers/test_dispatcher.py
@@ -383,3 +383,24 @@
     attempt.is_in_flight = False
     attempt.mark_absent(requested_at_ms=11)
     assert attempt.is_absent
+
+
+async def test_end_of_an_attempt_is_forgotten_after_its_worker_was_relisted():
+    """Guards against an error that drops later effects of the journal."""
+    async with open_cell() as cell:
+        await cell.start_and_wait()
+        workers = [WorkerId(cell.worker.model.worker_id)]
+        cell.dispatcher.set_workers([], [])
+        assert cell.events.ended
+        cell.dispatcher.set_workers(workers, workers)
+        cell.dispatcher.forget(KEY)
+
+
+async def test_stop_is_ignored_after_the_worker_of_its_attempt_was_relisted():
+    """Guards against an error that drops later effects of the journal."""
+    async with open_cell() as cell:
+        await cell.start_and_wait()
+        workers = [WorkerId(cell.worker.model.worker_id)]
+        cell.dispatcher.set_workers([], [])
+        cell.dispatcher.set_workers(workers, workers)
+        cell.dispatcher.send_order(KEY, OrderKind.stop)
