--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from itertools import count
 
 import pytest
 from aiohttp import web
@@ -177,3 +178,30 @@
     assert sorted(row.key for row in found.rows) == names
     changed = await store.changes(JOBS, found.version, 10)
     assert not changed.rows
+
+
+async def test_snapshot_of_many_parts_succeeds_although_some_reads_are_refused(
+    api, store, monkeypatch
+):
+    """Guards against leaders that never restore their jobs.
+
+    A read of a table with many parts fails if any of them is refused.
+    """
+    read_rows = api.rows_get
+    numbers = count(1)
+
+    async def refuse_some(request):
+        if next(numbers) % 10 == 0:
+            return web.Response(status=429)
+        return await read_rows(request)
+
+    monkeypatch.setattr(api, 'rows_get', refuse_some)
+    names = [f'{number:016x}' for number in range(60)]
+    for name in names:
+        await store.commit(write(Write(JOBS, name, {})))
+    for _ in range(10):
+        found = await store.snapshot(JOBS)
+        if not isinstance(found, Failure):
+            break
+    assert not isinstance(found, Failure)
+    assert sorted(row.key for row in found.rows) == names
