--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -6,7 +6,7 @@
 Callers continue while faults are injected in overlapping series. From the
 records of callers and targets it checks that no accepted job is lost, no
 refused job runs, no task runs twice, and no target is started on beyond the
-capacity in its entry.
+capacity in its entry. Even seeds use half of the faults each.
 """
 
 import argparse
@@ -66,6 +66,11 @@
     def __init__(self, folder, seed):
         super().__init__(folder)
         self.random = random.Random(seed)
+        self.fault_names = FAULTS.names()
+        if seed % 2 == 0:
+            # Without takeovers, for example, the faults of targets last longer.
+            half = len(self.fault_names) // 2
+            self.fault_names = self.random.sample(self.fault_names, half)
         self.proxies = {}
         self.targets = {}
         self.target_proxies = {}
@@ -182,7 +187,7 @@
         running = set()
         end_s = time.monotonic() + FAULTS_S
         while time.monotonic() < end_s:
-            name = self.random.choice(FAULTS.names())
+            name = self.random.choice(self.fault_names)
             self.faults.append(name)
             running.add(asyncio.create_task(FAULTS.get(name)(self)))
             await asyncio.sleep(self.random.uniform(*FAULT_INTERVAL_S))
