--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -56,8 +56,16 @@
 JOB_INTERVAL_S = 0.2
 CALLERS_COUNT = 4
 
-# Seeds that once failed, with the cause.
-FAILED_SEEDS: tuple[int, ...] = ()
+# Seeds that once failed, with the cause. Their faults do not repeat exactly.
+FAILED_SEEDS: tuple[int, ...] = (
+    # Lost jobs: a target restarted and was then lost, and its lease was
+    # measured on the clock of its earlier life.
+    5,
+    300,
+    # Started beyond the capacity of a target that shrank while a commit was
+    # repeated.
+    9,
+)
 
 
 class Soak(Deployment):
