Do not wait for an advice request that has failed with an error

Cause: a malformed answer of the advice service raised in the client. The task that sent the request ended silently: its daemon counted as busy and got no further requests, and the request of its step stayed open, so that the step asked for no other advice.

Change: the client returns a failure for a malformed answer, and however a call ends, its daemon is free again and its step may ask again.

--- a/src/radishlift/cell/advice_dispatch.py
+++ b/src/radishlift/cell/advice_dispatch.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from collections.abc import Callable
+from functools import partial
 from typing import Final
 
 from radishlift.cell.messages import AdviseCall, AdviseReply
@@ -27,6 +28,8 @@
 # Consecutive failures multiply that time up to this factor.
 _MAX_AVOID_FACTOR: Final = 10
 
+_CallTask = asyncio.Task[AdviseReply | Failure]
+
 
 class AdviceProxy:
     """Calls the advice service on behalf of the leader, in every daemon."""
@@ -66,7 +69,7 @@
         self._requested_at_ms: dict[DaemonId, int] = {}
         self._avoided_until_ms: dict[DaemonId, int] = {}
         self._failures_count: dict[DaemonId, int] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks: set[_CallTask] = set()
 
     async def run(self) -> None:
         """Sends requests to free daemons until it is cancelled."""
@@ -99,9 +102,11 @@
                 return
             self._open_requests[daemon_id] = request
             self._requested_at_ms[daemon_id] = now_ms
-            task = asyncio.create_task(self._send_request(daemon_id, request))
+            task = asyncio.create_task(self._call(daemon_id, request))
             self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            task.add_done_callback(
+                partial(self._finish_request, daemon_id, request)
+            )
 
     def _preference(
         self, daemon_id: DaemonId, now_ms: int
@@ -113,16 +118,22 @@
         requested_at_ms = self._requested_at_ms.get(daemon_id, 0)
         return max(0, avoided_ms), is_leader, requested_at_ms
 
-    async def _send_request(
-        self, daemon_id: DaemonId, request: AdviceRequest
+    def _finish_request(
+        self,
+        daemon_id: DaemonId,
+        request: AdviceRequest,
+        task: _CallTask,
     ) -> None:
-        call = AdviseCall(
-            *request.key,
-            target_ids=request.target_ids,
-            timeout_ms=int(request.duration_ms) + _TIMEOUT_MARGIN_MS,
-        )
-        answer = await self._call(daemon_id, call)
+        self._tasks.discard(task)
+        if task.cancelled():
+            return
         del self._open_requests[daemon_id]
+        error = task.exception()
+        answer = (
+            task.result()
+            if error is None
+            else Failure(ErrorKind.peer_outcome_unknown, repr(error))
+        )
         if isinstance(answer, AdviseReply):
             self._failures_count.pop(daemon_id, None)
             self._pending_advice.store_answer(request, _decode(answer))
@@ -146,8 +157,13 @@
     async def _call(
         self,
         daemon_id: DaemonId,
-        call: AdviseCall,
+        request: AdviceRequest,
     ) -> AdviseReply | Failure:
+        call = AdviseCall(
+            *request.key,
+            target_ids=request.target_ids,
+            timeout_ms=int(request.duration_ms) + _TIMEOUT_MARGIN_MS,
+        )
         try:
             # The timeout includes the time to connect.
             async with asyncio.timeout(call.timeout_ms / 1000):
--- a/src/radishlift/platform/advice.py
+++ b/src/radishlift/platform/advice.py
@@ -1,6 +1,7 @@
 """Client of the advice service."""
 
-from typing import Final
+from collections.abc import Mapping
+from typing import Any, Final
 
 from radishlift.cell.ports import AdviceAnswer
 from radishlift.core.errors import ErrorKind, Failure
@@ -37,9 +38,18 @@
         if answer.status != _OK:
             reason = f'advice service answered with status {answer.status}'
             return Failure(ErrorKind.overloaded, reason)
-        rows = answer.fields.get('allowed', ())
-        tickets = tuple((TargetId(row[0]), str(row[1])) for row in rows)
-        return AdviceAnswer(tickets, int(answer.fields.get('validMs', 0)))
+        try:
+            return _decode_answer(answer.fields)
+        except (IndexError, TypeError, ValueError) as error:
+            reason = f'malformed advice: {error!r}'
+            return Failure(ErrorKind.bad_frame, reason)
+
+
+def _decode_answer(fields: Mapping[str, Any]) -> AdviceAnswer:
+    tickets = tuple(
+        (TargetId(row[0]), str(row[1])) for row in fields.get('allowed', ())
+    )
+    return AdviceAnswer(tickets, int(fields.get('validMs', 0)))
 
 
 __all__ = ('PlatformAdvice',)
