Let a backlog of commits not delay waits for earlier changes

Ends of attempts would stay unacknowledged as long as more jobs change than one transaction holds.

Cause: those who wait for a commit were served only by a batch that left no changed job behind. With more than 90 changed jobs at each commit, as with a slow store under load, no batch does.

Change: a wait ends with the batch that commits the last of the jobs that had changed when it began.

--- a/src/radishlift/cell/commits.py
+++ b/src/radishlift/cell/commits.py
@@ -92,7 +92,9 @@
         self._dirty: dict[JobId, JobRun] = {}
         self._callbacks: dict[JobId, list[CommitCallback]] = {}
         self._to_delete: list[JobId] = []
-        self._waiters: list[asyncio.Future[None]] = []
+        # Waiters by the number of enqueued jobs that must be committed before.
+        self._waiters: list[tuple[int, asyncio.Future[None]]] = []
+        self._collected_count = 0
         self._current: _Batch | None = None
         self._has_work = asyncio.Event()
         self._sequence = 0
@@ -127,7 +129,8 @@
         """Waits until all jobs enqueued so far are committed."""
         waiter = asyncio.get_running_loop().create_future()
         if self._dirty:
-            self._waiters.append(waiter)
+            last_count = self._collected_count + len(self._dirty)
+            self._waiters.append((last_count, waiter))
         elif self._current:
             self._current.waiters.append(waiter)
         else:
@@ -195,9 +198,10 @@
         for job_id in self._to_delete[:free_count]:
             writes.append(Write(PROGRESS, job_id, None))
         del self._to_delete[:free_count]
-        if not self._dirty:
-            batch.waiters = self._waiters
-            self._waiters = []
+        # A job that is enqueued again keeps its place.
+        self._collected_count += len(batch.states)
+        while self._waiters and self._waiters[0][0] <= self._collected_count:
+            batch.waiters.append(self._waiters.pop(0)[1])
         batch.writes = tuple(writes)
         return batch
 
