Ignore orders for attempts whose worker was listed again

On the product's own services: the end of an attempt, or an order to stop it, raised KeyError after its worker was removed from the list and listed again before the end was journaled.

Cause: the dispatcher kept the worker of an attempt and found the new session of that worker, which has no such attempt.

Change: an attempt that the session does not have is forgotten.

--- a/src/radishlift/workers/dispatcher.py
+++ b/src/radishlift/workers/dispatcher.py
@@ -250,8 +250,10 @@
         if worker_id is None:
             return None
         session = self._sessions.get(worker_id)
-        if session is None:
+        # A worker that was listed again has a new session without attempts.
+        if session is None or key not in session.attempts:
             self._worker_ids.pop(key)
+            return None
         return session
 
     async def _poll(self, session: WorkerSession) -> None:
