Poll a target as soon as a task is started on it

Tasks waited for up to 4.3 s beside targets with room.

Cause: a target without tasks is not polled. If it is lost while idle, the next start gets no answer; until that start had been repeated and its lease had expired, the target counted as reachable and got more starts.

Change: a start also begins the polls of its target.

--- a/src/radishlift/cell/sessions.py
+++ b/src/radishlift/cell/sessions.py
@@ -84,6 +84,8 @@
     def start(self, order: StartOrder) -> None:
         """Starts an attempt; the listener receives the outcome."""
         self._orders.start(order)
+        # A poll notices that a target is lost before the start gives up.
+        self.notify()
 
     def stop(self, key: TaskKey, attempt: int) -> None:
         """Stops an attempt or blocks its start; its end will be listed."""
