End the term when the session with a target fails

Cause: nothing looked at the result of the tasks that poll a target and send its orders.

No error that reaches these tasks is known; the new test raises one and failed on the parent commit with a time-out.

Change: such an error is logged as session_failed and ends the term, so that the next leader opens new sessions.

--- a/src/radishlift/cell/attempts.py
+++ b/src/radishlift/cell/attempts.py
@@ -18,8 +18,8 @@
 class AttemptTracker:
     """Handles the events of the sessions with all targets.
 
-    `fenced` is set once a target has rejected a call because it has a later
-    leader.
+    `is_over` is set once the term must end, because a target has a later leader
+    or a session has failed.
     """
 
     def __init__(
@@ -37,7 +37,7 @@
         self._clock = clock
         self._notify_scheduler = notify_scheduler
         self._wait_committed = wait_committed
-        self.fenced = asyncio.Event()
+        self.is_over = asyncio.Event()
 
     def end_lost_attempt(self, key: TaskKey, attempt: int) -> None:
         """Ends an attempt whose target can no longer be queried."""
@@ -116,9 +116,9 @@
         """Notifies the scheduler that a target's reachability changed."""
         self._notify_scheduler()
 
-    def on_fenced(self) -> None:
-        """Records that a target has a later leader."""
-        self.fenced.set()
+    def end_term(self) -> None:
+        """Ends the term, as there is a later leader or a session has failed."""
+        self.is_over.set()
 
     async def wait_committed(self, timeout_ms: int) -> bool:
         """Waits until all earlier changes are committed.
--- a/src/radishlift/cell/leader_term.py
+++ b/src/radishlift/cell/leader_term.py
@@ -110,14 +110,14 @@
                     group.create_task(work)
                     for work in await self._start_work(started_at_ms)
                 ]
-                fenced = group.create_task(
-                    self.scheduler.attempts.fenced.wait()
+                is_over = group.create_task(
+                    self.scheduler.attempts.is_over.wait()
                 )
                 await asyncio.wait(
-                    (log_task, fenced),
+                    (log_task, is_over),
                     return_when=asyncio.FIRST_COMPLETED,
                 )
-                for task in (log_task, fenced, *others):
+                for task in (log_task, is_over, *others):
                     task.cancel()
         finally:
             self.scheduler.close()
--- a/src/radishlift/cell/orders.py
+++ b/src/radishlift/cell/orders.py
@@ -78,6 +78,7 @@
         task = asyncio.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._context.check_end)
 
     def _now_ms(self) -> int:
         return self._context.clock.monotonic_ms()
@@ -130,7 +131,7 @@
         is_unresolved: bool,
     ) -> None:
         if verdict is StartVerdict.fenced:
-            self._context.listener.on_fenced()
+            self._context.listener.end_term()
             return
         may_be_listed = verdict in _RAN_VERDICTS
         if may_be_listed:
@@ -161,7 +162,7 @@
             self._context.fencing_token,
         )
         if answer is StartVerdict.fenced:
-            self._context.listener.on_fenced()
+            self._context.listener.end_term()
         is_blocked = answer in {StartVerdict.started, StartVerdict.fenced}
         if is_blocked:
             self._unresolved.discard((key, attempt))
--- a/src/radishlift/cell/session_context.py
+++ b/src/radishlift/cell/session_context.py
@@ -1,5 +1,6 @@
 """Shared context and listener of a leader's sessions with targets."""
 
+import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol
@@ -9,6 +10,7 @@
 from radishlift.cell.settings import CellSettings
 from radishlift.cell.unrenewed_leases import UnrenewedLeases
 from radishlift.core.clock import Clock
+from radishlift.core.logs import log_event
 from radishlift.steps.ids import FencingToken, TaskKey
 
 if TYPE_CHECKING:
@@ -39,8 +41,8 @@
     def on_reachability_changed(self, session: 'TargetSession') -> None:
         """Handles a change of `target.is_reachable`."""
 
-    def on_fenced(self) -> None:
-        """Handles a call rejected by a target that has a later leader."""
+    def end_term(self) -> None:
+        """Ends the term, as there is a later leader or a session has failed."""
 
     async def wait_committed(self, timeout_ms: int) -> bool:
         """Waits until all earlier changes are committed.
@@ -66,5 +68,15 @@
     unrenewed: UnrenewedLeases
     may_renew_leases: Callable[[], bool]
 
+    def check_end(self, task: asyncio.Task[None]) -> None:
+        """Reports the error of a session's task that has ended."""
+        if task.cancelled():
+            return
+        error = task.exception()
+        if error is not None:
+            # Without its session a target would not be used any more.
+            log_event('session_failed', error=repr(error))
+            self.listener.end_term()
+
 
 __all__ = ('SessionContext', 'SessionListener')
--- a/src/radishlift/cell/sessions.py
+++ b/src/radishlift/cell/sessions.py
@@ -50,6 +50,7 @@
         self._ended_cursor = 0
         self._has_work = asyncio.Event()
         self._poll_task = asyncio.create_task(self._run())
+        self._poll_task.add_done_callback(context.check_end)
 
     @property
     def listing(self) -> ExpectedListing:
@@ -126,7 +127,7 @@
             await self._apply_report(answer)
             return
         if answer is StartVerdict.fenced:
-            context.listener.on_fenced()
+            context.listener.end_term()
         else:
             self._handle_unreachable(answer)
         await asyncio.sleep(context.settings.hold_retry_ms / 1000)
--- a/src/radishlift/core/events.py
+++ b/src/radishlift/core/events.py
@@ -20,6 +20,7 @@
     'loop_failed',
     'partition_declined',
     'placement_record_refused',
+    'session_failed',
     'task_failed',
     'settings_refused',
     'tick_failed',
--- a/tests/cell/test_leader_term.py
+++ b/tests/cell/test_leader_term.py
@@ -283,3 +283,13 @@
     await cell.until_state(good, 'completed')
     assert not attempts(cell, key(job_id=bad))
     assert cell.state(bad) == 'strange'
+
+
+async def test_failed_session_does_not_leave_its_target_unused(
+    cell, monkeypatch
+):
+    async def fail(target, order):
+        raise ValueError('malformed report')
+
+    monkeypatch.setattr(cell.targets, 'hold', fail)
+    await asyncio.wait_for(cell.lead(), 1)
--- a/tests/cell/test_orders.py
+++ b/tests/cell/test_orders.py
@@ -30,7 +30,7 @@
         self.events = []
         listener = SimpleNamespace(
             on_started=lambda task_key: self.events.append('started'),
-            on_fenced=lambda: self.events.append('fenced'),
+            end_term=lambda: self.events.append('fenced'),
         )
         context = SessionContext(
             self.calls,
