Red test: a target that answers no start gets more of them

A session without tasks is not polled, and a start wakes it only when its outcome is known. That of a start without an answer is known when the lease expires; the target counts as reachable until then, and tasks are placed on it.

--- a/tests/cell/test_sessions.py
+++ b/tests/cell/test_sessions.py
@@ -133,3 +133,23 @@
         assert 1 not in attempts
     finally:
         await cell.close()
+
+
+async def test_target_that_answers_no_start_gets_no_more_of_them():
+    cell = Cell('t1', max_lease_ms=4000)
+    try:
+        cell.lead()
+        first_id = cell.submit(job())
+        await cell.until_state(first_id, 'completed')
+        fake = cell.targets['t1']
+        # A target without tasks is not polled, so only the start fails.
+        await asyncio.sleep(0.1)
+        fake.is_unresponsive = True
+        cell.submit(job(job_id=OTHER_JOB))
+        await cell.until(lambda: bool(fake.late))
+        await asyncio.sleep(0.2)
+        cell.submit(job(job_id='c' * 16))
+        await asyncio.sleep(0.2)
+        assert {order.key for order in fake.late} == {key(job_id=OTHER_JOB)}
+    finally:
+        await cell.close()
