Red tests: a session or an order that raises ends silently

Nothing looks at the exceptions of TargetSession's poll task and of the tasks of TargetOrders. A poll that raises is the last one of its target; a start that raises is expected for ever; a stop that raises is never sent again, because its attempt counts as being stopped. No such exception is known today.

--- a/tests/cell/test_sessions.py
+++ b/tests/cell/test_sessions.py
@@ -153,3 +153,40 @@
         assert {order.key for order in fake.late} == {key(job_id=OTHER_JOB)}
     finally:
         await cell.close()
+
+
+def raise_in_next(monkeypatch, cell, name):
+    """Lets the next call of a kind to a target raise an exception."""
+    send = getattr(cell.targets, name)
+
+    async def raise_once(*args):
+        monkeypatch.setattr(cell.targets, name, send)
+        raise RuntimeError('unexpected')
+
+    monkeypatch.setattr(cell.targets, name, raise_once)
+
+
+@pytest.mark.parametrize('call', ['hold', 'start'])
+async def test_call_that_raises_leaves_no_attempt_open_for_ever(
+    cell, monkeypatch, call
+):
+    """The term may end instead: the next leader knows nothing of the call."""
+    term = cell.lead()
+    await cell.until(lambda: cell.targets['t1'].fencing_token == 1)
+    raise_in_next(monkeypatch, cell, call)
+    job_id = cell.submit(job())
+    async with asyncio.timeout(1):
+        while cell.state(job_id) != 'completed' and not term.done():
+            cell.end_all()
+            await asyncio.sleep(0.003)
+
+
+async def test_stop_that_raises_is_repeated(cell, monkeypatch):
+    """The term may end instead: the next leader stops the task."""
+    term = cell.lead()
+    job_id = cell.submit(job())
+    fake = cell.targets['t1']
+    await cell.until(lambda: bool(fake.running))
+    raise_in_next(monkeypatch, cell, 'stop')
+    cell.cancel(job_id)
+    await cell.until(lambda: not fake.running or term.done(), within_s=1)
