Reproduce: a task that crashes its targets is started without end

Callers of other jobs lose their work each time such a task starts on their target. tests/cell gains a fake target that crashes at the start of given tasks and returns as a new process.

--- a/tests/cell/fakes.py
+++ b/tests/cell/fakes.py
@@ -111,6 +111,15 @@
             EndedAttempt(self.ended_count, key, attempt, kind, checkpoint)
         )
 
+    def restart(self) -> None:
+        """Replaces the process by one that knows nothing."""
+        self.incarnation += 1
+        self.fencing_token = 0
+        self.running.clear()
+        self.ended.clear()
+        self.blocked.clear()
+        self.ended_count = 0
+
     def run(self, order: StartOrder) -> StartVerdict:
         if order.fencing_token < self.fencing_token:
             return StartVerdict.fenced
@@ -130,6 +139,9 @@
 
     def __init__(self, *names: str) -> None:
         self.by_id = {name: FakeTarget() for name in names}
+        self.crashing = set()
+        self.crashed = []
+        self.restart_s = 0.05
 
     def __getitem__(self, name: str) -> FakeTarget:
         return self.by_id[name]
@@ -147,9 +159,21 @@
         if fake.is_unresponsive:
             fake.late.append(order)
             return UNKNOWN
+        if order.key in self.crashing:
+            self.crashed.append((target.target_id, order.key))
+            self.crash(fake)
+            return UNKNOWN
         verdict = fake.run(order)
         return UNKNOWN if fake.loses_answers else verdict
 
+    def crash(self, fake: FakeTarget) -> None:
+        """Ends a target's process; another one starts after `restart_s`."""
+        fake.restart()
+        fake.is_unresponsive = True
+        asyncio.get_running_loop().call_later(
+            self.restart_s, setattr, fake, 'is_unresponsive', False
+        )
+
     async def stop(self, target: TargetRef, key, attempt: int, fencing_token):
         fake = self.by_id[target.target_id]
         await asyncio.sleep(0)
