--- a/src/radishlift/cell/attempts.py
+++ b/src/radishlift/cell/attempts.py
@@ -2,18 +2,28 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from typing import Final
 
+from radishlift.cell.crashes import CrashHandler
 from radishlift.cell.fleet import TargetFleet
 from radishlift.cell.job_table import JobTable
-from radishlift.cell.ports import EndedAttempt, HoldReport, StartVerdict
+from radishlift.cell.ports import (
+    EndedAttempt,
+    HoldReport,
+    RunningAttempt,
+    StartVerdict,
+)
 from radishlift.cell.sessions import TargetSession
 from radishlift.core.clock import Clock
 from radishlift.core.logs import log_event
+from radishlift.steps.crashes import lost_end_kind
 from radishlift.steps.endings import EndKind, apply_end
 from radishlift.steps.ids import TaskKey
 from radishlift.steps.runs import JobRun, TaskState
 from radishlift.steps.tickets import TicketTable
 
+_FAILURE_KINDS: Final = frozenset((EndKind.failed, EndKind.crashed_alone))
+
 
 class AttemptTracker:
     """Handles the events of the sessions with all targets.
@@ -33,16 +43,20 @@
     ) -> None:
         self._jobs = jobs
         self._fleet = fleet
+        self._crashes = CrashHandler(jobs, fleet.settings)
         self._tickets = tickets
         self._clock = clock
         self._notify_scheduler = notify_scheduler
         self._wait_committed = wait_committed
         self.fenced = asyncio.Event()
 
-    def end_lost_attempt(self, key: TaskKey, attempt: int) -> None:
-        """Ends an attempt whose target can no longer be queried."""
+    def end_orphan(self, key: TaskKey, attempt: int) -> None:
+        """Ends an attempt whose target has no entry.
+
+        The target may have crashed, and nothing tells which task caused it.
+        """
         job = self._jobs.get(key.step_key.job_id)
-        ended = EndedAttempt(0, key, attempt, EndKind.lost)
+        ended = EndedAttempt(0, key, attempt, EndKind.crashed)
         if job is not None and _apply_end(job, ended):
             self._handle_end(job, ended)
 
@@ -56,15 +70,16 @@
         for running in report.running:
             listed.add(running.key)
             self.on_started(running.key)
-            if not self._is_current(session, running.key, running.attempt):
+            job = self._jobs.get(running.key.step_key.job_id)
+            if not _is_current(job, session, running):
                 session.stop(running.key, running.attempt)
         for key, attempt in session.listing.list_missing(
             listed,
             session.list_requested_at_ms,
         ):
-            self._end_attempt(
-                session, EndedAttempt(0, key, attempt, EndKind.lost)
-            )
+            self.end_unstarted(session, key, attempt)
+        if session.target.is_watched:
+            self._notify_scheduler()
 
     def on_started(self, key: TaskKey) -> None:
         """Marks the job of a task that a target has started."""
@@ -101,8 +116,13 @@
         key: TaskKey,
         attempt: int,
     ) -> None:
-        """Ends an attempt that did not start."""
-        self._end_attempt(session, EndedAttempt(0, key, attempt, EndKind.lost))
+        """Ends an attempt that the target does not run."""
+        kind = lost_end_kind(session.target, key, attempt)
+        self._end_attempt(session, EndedAttempt(0, key, attempt, kind))
+
+    def on_crashed(self, session: TargetSession) -> None:
+        """Marks the attempts that may have crashed a target."""
+        self._crashes.record_crash(session.target)
 
     def on_lease_expired(self, session: TargetSession) -> None:
         """Ends all attempts of a target; removes it if it is unlisted."""
@@ -158,6 +178,7 @@
                 self._clock.monotonic_ms(),
                 is_failure=ended.kind is EndKind.failed,
             )
+        self._crashes.apply_end(job, task, ended)
         self._handle_end(job, ended)
 
     def _handle_end(self, job: JobRun, ended: EndedAttempt) -> None:
@@ -165,23 +186,10 @@
             log_event('job_ended', job=job.spec.job_id, state=job.state)
         if ended.kind is not EndKind.done:
             self._stop_gang(job, ended.key)
-        if job.is_ended and ended.kind is EndKind.failed:
+        if job.is_ended and ended.kind in _FAILURE_KINDS:
             self.stop_tasks(job)
         self._jobs.save(job)
 
-    def _is_current(
-        self,
-        session: TargetSession,
-        key: TaskKey,
-        attempt: int,
-    ) -> bool:
-        job = self._jobs.get(key.step_key.job_id)
-        task = None if job is None else job.find_task(key)
-        if job is None or task is None or job.is_ended:
-            return False
-        current = TaskState.placed, attempt, session.target_id
-        return (task.state, task.attempt, task.target_id) == current
-
     def _stop_gang(self, job: JobRun, key: TaskKey) -> None:
         step = self._jobs.find_step(key.step_key)
         if step is None or not step.spec.is_gang:
@@ -191,6 +199,18 @@
                 self._fleet.stop(member.target_id, member.key, member.attempt)
 
 
+def _is_current(
+    job: JobRun | None,
+    session: TargetSession,
+    running: RunningAttempt,
+) -> bool:
+    task = None if job is None else job.find_task(running.key)
+    if job is None or task is None or job.is_ended:
+        return False
+    current = TaskState.placed, running.attempt, session.target_id
+    return (task.state, task.attempt, task.target_id) == current
+
+
 def _apply_end(job: JobRun, ended: EndedAttempt) -> bool:
     return apply_end(
         job,
--- /dev/null
+++ b/src/radishlift/cell/crashes.py
@@ -0,0 +1,77 @@
+"""Applies crashes of targets to the tasks that may have caused them."""
+
+from radishlift.cell.job_table import JobTable
+from radishlift.cell.ports import EndedAttempt
+from radishlift.core.logs import log_event
+from radishlift.steps.crashes import (
+    CRASH_KINDS,
+    give_up_repeated,
+    mark_suspects,
+)
+from radishlift.steps.ids import TaskKey
+from radishlift.steps.runs import JobRun, TaskRun
+from radishlift.steps.settings import StepSettings
+from radishlift.steps.targets import Target, TargetState
+
+
+class CrashHandler:
+    """Marks the suspects of crashes, and gives up tasks that repeat them."""
+
+    def __init__(self, jobs: JobTable, settings: StepSettings) -> None:
+        self._jobs = jobs
+        self._settings = settings
+
+    def record_crash(self, target: Target) -> None:
+        """Marks the attempts that may have crashed a target.
+
+        A draining target was about to end, so that nothing is suspected.
+        """
+        is_draining = target.entry.state is TargetState.draining
+        if is_draining or not target.allocations:
+            return
+        suspects = mark_suspects(
+            target, self._list_gang_members(target), self._settings
+        )
+        log_event(
+            'target_crashed',
+            target=target.entry.target_id,
+            attempts_count=len(target.allocations),
+            suspects_count=len(suspects),
+        )
+
+    def apply_end(
+        self,
+        job: JobRun,
+        task: TaskRun,
+        ended: EndedAttempt,
+    ) -> None:
+        """Gives up a task that has crashed targets repeatedly."""
+        if ended.kind not in CRASH_KINDS:
+            return
+        log_event(
+            'task_suspected',
+            task=task.key,
+            attempt=ended.attempt,
+            crashes_count=task.crashes_count,
+            how=ended.kind,
+        )
+        if give_up_repeated(job, task, ended.kind, self._settings):
+            log_event(
+                'task_given_up',
+                task=task.key,
+                crashes_count=task.crashes_count,
+            )
+
+    def _list_gang_members(self, target: Target) -> set[TaskKey]:
+        steps = {
+            key: self._jobs.find_step(key.step_key)
+            for key in target.allocations
+        }
+        return {
+            key
+            for key, step in steps.items()
+            if step is not None and step.spec.is_gang
+        }
+
+
+__all__ = ('CrashHandler',)
--- a/src/radishlift/cell/fleet.py
+++ b/src/radishlift/cell/fleet.py
@@ -15,7 +15,7 @@
 
     def __init__(self, targets: TargetTable, settings: StepSettings) -> None:
         self._targets = targets
-        self._settings = settings
+        self.settings = settings
         self._sessions: dict[TargetId, TargetSession] = {}
 
     def __iter__(self) -> Iterator[TargetId]:
@@ -73,14 +73,14 @@
         target.consecutive_failures_count += 1
         if (
             target.consecutive_failures_count
-            >= self._settings.distrust_after_count
+            >= self.settings.distrust_after_count
         ):
             self.start_cooldown(target, now_ms)
 
     def start_cooldown(self, target: Target, now_ms: int) -> None:
         """Keeps new tasks off a target for `distrust_ms`."""
         target.consecutive_failures_count = 0
-        target.cooldown_until_ms = now_ms + self._settings.distrust_ms
+        target.cooldown_until_ms = now_ms + self.settings.distrust_ms
         log_event('target_distrusted', target=target.entry.target_id)
 
     def close(self) -> None:
--- a/src/radishlift/cell/inherited_attempts.py
+++ b/src/radishlift/cell/inherited_attempts.py
@@ -3,6 +3,7 @@
 from radishlift.cell.attempts import AttemptTracker
 from radishlift.cell.fleet import TargetFleet
 from radishlift.cell.job_table import JobTable
+from radishlift.core.clock import Clock
 from radishlift.core.logs import log_event
 from radishlift.steps.ids import TargetId
 from radishlift.steps.runs import TaskRun, TaskState
@@ -21,10 +22,12 @@
         jobs: JobTable,
         fleet: TargetFleet,
         tracker: AttemptTracker,
+        clock: Clock,
     ) -> None:
         self._jobs = jobs
         self._fleet = fleet
         self._tracker = tracker
+        self._clock = clock
         self._tasks_by_target: dict[TargetId, list[TaskRun]] = {}
 
     def collect(self) -> None:
@@ -45,13 +48,16 @@
                 target.allocate(
                     task.key, task.attempt, step.spec.allocated_amounts
                 )
+                target.record_start(
+                    task.key, task.attempt, self._clock.monotonic_ms()
+                )
 
     def end_unlisted(self) -> None:
         """Ends the attempts on targets without an entry."""
         for target_id in list(self._tasks_by_target):
             for task in self._tasks_by_target.pop(target_id):
                 log_event('task_orphaned', task=task.key, target=target_id)
-                self._tracker.end_lost_attempt(task.key, task.attempt)
+                self._tracker.end_orphan(task.key, task.attempt)
 
 
 __all__ = ('InheritedAttempts',)
--- a/src/radishlift/cell/job_service.py
+++ b/src/radishlift/cell/job_service.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any, Final
 
 from radishlift.cell.entry_rows import EntryRows
@@ -25,6 +26,14 @@
 _ANSWER_MARGIN_MS: Final = 100
 
 
+@dataclass(frozen=True, slots=True)
+class JobStatus:
+    """State of a job; `reason` explains it if its tasks' ends do not."""
+
+    state: JobState
+    reason: str = ''
+
+
 class JobService:
     """Handles submissions, cancels and queries of callers."""
 
@@ -91,19 +100,22 @@
         )
         return outcome
 
-    async def read_state(self, job_id: JobId) -> JobState | Failure:
-        """Returns a job's state; fails with `not_found` if it is unknown."""
+    async def read_status(self, job_id: JobId) -> JobStatus | Failure:
+        """Returns a job's status; fails with `not_found` if it is unknown."""
         progress = await self._rows.read(PROGRESS, job_id)
         if isinstance(progress, Failure):
             return progress
         if progress.value is not None:
-            return JobState(progress.value['state'])
+            return JobStatus(
+                JobState(progress.value['state']),
+                str(progress.value.get('reason', '')),
+            )
         job = await self._rows.read(JOBS, job_id)
         if isinstance(job, Failure):
             return job
         if not job.version:
             return Failure(ErrorKind.not_found, f'no job {job_id}')
-        return JobState.queued
+        return JobStatus(JobState.queued)
 
     def count_pending(self, queue: QueueName) -> int:
         """Returns how many jobs of a queue have not started."""
@@ -140,4 +152,4 @@
     return outcome
 
 
-__all__ = ('JobService',)
+__all__ = ('JobService', 'JobStatus')
--- a/src/radishlift/cell/orders.py
+++ b/src/radishlift/cell/orders.py
@@ -8,7 +8,7 @@
 from radishlift.cell.listing import ExpectedListing
 from radishlift.cell.ports import StartOrder, StartVerdict, TargetRef
 from radishlift.cell.session_context import SessionContext
-from radishlift.core.errors import Failure
+from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.logs import log_event
 from radishlift.steps.ids import TaskKey
 from radishlift.steps.targets import Target, TargetState
@@ -89,16 +89,25 @@
                 break
             if not self.listing.is_starting(order.key, order.attempt):
                 return
+            sent_at_ms = self._now_ms()
+            previous_ms = self._target.record_start(
+                order.key, order.attempt, sent_at_ms
+            )
             answer = await self._context.calls.start(
                 self.ref,
                 order.with_lease_end(self._renew_lease()),
             )
             if isinstance(answer, StartVerdict):
+                self._record_verdict(answer, sent_at_ms)
                 await self._resolve_start(
                     order, answer, is_unresolved=is_unresolved
                 )
                 return
             is_unresolved = True
+            if answer.kind is ErrorKind.peer_unavailable:
+                self._target.retract_start(
+                    order.key, order.attempt, previous_ms
+                )
             self._record_unanswered(order, answer)
         await self._resolve_start(
             order,
@@ -106,6 +115,12 @@
             is_unresolved=is_unresolved,
         )
 
+    def _record_verdict(self, verdict: StartVerdict, sent_at_ms: int) -> None:
+        # An unreachable target may have restarted, which only a poll shows.
+        is_known = verdict is not StartVerdict.other_process
+        if is_known and self._target.is_reachable:
+            self._target.record_answer(sent_at_ms)
+
     def _renew_lease(self) -> int:
         # The lease of an unreachable target is not renewed, so that it expires.
         if self._target.is_reachable:
@@ -114,6 +129,8 @@
 
     def _record_unanswered(self, order: StartOrder, failure: Failure) -> None:
         self._unresolved.add((order.key, order.attempt))
+        # A poll shows whether the target is still reachable.
+        self._on_resolved()
         log_event(
             'start_unanswered',
             task=order.key,
--- a/src/radishlift/cell/ports.py
+++ b/src/radishlift/cell/ports.py
@@ -158,8 +158,9 @@
 class TargetCalls(Protocol):
     """Calls targets.
 
-    A call without an answer fails with `target_outcome_unknown`: it may still
-    take effect, even seconds later.
+    A call fails with `peer_unavailable` if it was not sent, so that it has no
+    effect. A call without an answer fails with `target_outcome_unknown`: it may
+    still take effect, even seconds later.
     """
 
     async def start(
--- a/src/radishlift/cell/scheduler.py
+++ b/src/radishlift/cell/scheduler.py
@@ -66,6 +66,7 @@
             self.jobs,
             self._fleet,
             self.attempts,
+            context.clock,
         )
         self._session_context = SessionContext(
             context.calls,
--- a/src/radishlift/cell/sessions.py
+++ b/src/radishlift/cell/sessions.py
@@ -117,6 +117,8 @@
         wait_ms = 0
         if self.target.is_reachable:
             wait_ms = self._context.settings.hold_wait_ms
+        if self.target.is_watched:
+            wait_ms = min(wait_ms, self._context.settings.watched_wait_ms)
         return HoldOrder(
             self._context.fencing_token,
             self._ended_cursor,
@@ -133,7 +135,10 @@
             if self._incarnation is not None:
                 # Each process counts its ended attempts separately.
                 self._ended_cursor = 0
+                self._context.listener.on_crashed(self)
             self._incarnation = report.incarnation
+        # Answers of a new process must not clear the starts that crashed it.
+        self.target.record_answer(self.list_requested_at_ms)
         self._is_synced = True
         if not self.target.is_reachable:
             # Delayed starts must not run under a new lease.
@@ -153,6 +158,7 @@
         has_expired = self._lease.has_expired(self._now_ms())
         if has_expired or answer is StartVerdict.other_process:
             self.listing.clear()
+            self._context.listener.on_crashed(self)
             self._context.listener.on_lease_expired(self)
 
     def _set_reachable(self, *, is_reachable: bool) -> None:
--- a/src/radishlift/cell/settings.py
+++ b/src/radishlift/cell/settings.py
@@ -20,6 +20,7 @@
     - `unconfirmed_ms`: time without a commit after which a leader stops
       renewing leases, so that a new leader knows when they expire.
     - `hold_wait_ms`: how long a target may wait for an attempt to end.
+    - `watched_wait_ms`: the same for a target on which a suspect is tried.
     - `hold_retry_ms`: delay after a call that a target did not answer.
     - `order_retries_count`: maximum number of sends of a start order.
     - `tick_ms`: minimum time between two scheduler ticks.
@@ -50,6 +51,7 @@
     clock_drift: float = 0.02
     unconfirmed_ms: int = 6000
     hold_wait_ms: int = 1000
+    watched_wait_ms: int = 100
     hold_retry_ms: int = 150
     order_retries_count: int = 3
     tick_ms: int = 10
--- a/src/radishlift/platform/front.py
+++ b/src/radishlift/platform/front.py
@@ -1,5 +1,6 @@
 """HTTP API for callers, as specified by the platform."""
 
+import json
 from types import MappingProxyType
 from typing import Final
 
@@ -86,10 +87,13 @@
         return _json_response('{}')
 
     async def _state(self, job_id: JobId) -> web.Response:
-        state = await self._intake.read_state(job_id)
-        if isinstance(state, Failure):
-            return _outcome_response(state)
-        return _json_response(f'{{"state":"{state.value}"}}')
+        status = await self._intake.read_status(job_id)
+        if isinstance(status, Failure):
+            return _outcome_response(status)
+        fields = {'state': status.state.value}
+        if status.reason:
+            fields['reason'] = status.reason
+        return _json_response(json.dumps(fields, separators=(',', ':')))
 
     def _deadline_ms(self, request: web.BaseRequest) -> int:
         deadline_text = request.headers.get('Deadline-Ms', '')
--- a/src/radishlift/platform/targets.py
+++ b/src/radishlift/platform/targets.py
@@ -125,8 +125,10 @@
             {'Expect-Instance': target.target_id},
         )
         if isinstance(answer, Failure):
-            # A connection may also be refused because the network is
+            # Without a connection the call had no effect. The network may be
             # partitioned, so the state of the target is unknown.
+            if answer.kind is ErrorKind.peer_unavailable:
+                return answer
             return Failure(ErrorKind.target_outcome_unknown, answer.reason)
         return answer
 
--- a/src/radishlift/steps/advice_requests.py
+++ b/src/radishlift/steps/advice_requests.py
@@ -61,14 +61,22 @@
     placements = (
         place_step(step, with_expired_ticket) if with_expired_ticket else []
     )
-    if not_requested and len(placements) < len(step.waiting_tasks()):
-        not_requested.sort(key=_free_millicores, reverse=True)
-        chosen = not_requested[: _max_targets_count(terms, settings)]
-        return _target_ids(chosen)
+    if not_requested and len(placements) < len(step.ordinary_tasks()):
+        return choose_new_targets(terms, not_requested, settings)
     ids = {placement.target.entry.target_id for placement in placements}
     return tuple(sorted(ids)[: settings.max_asked_count])
 
 
+def choose_new_targets(
+    terms: AdviceTerms,
+    not_requested: list[Target],
+    settings: StepSettings,
+) -> tuple[TargetId, ...]:
+    """Selects those with most room of the targets that were not named yet."""
+    not_requested.sort(key=_free_millicores, reverse=True)
+    return _target_ids(not_requested[: _max_targets_count(terms, settings)])
+
+
 def choose_gang_advice_targets(
     step: StepRun,
     terms: AdviceTerms,
@@ -121,5 +129,6 @@
     'build_request',
     'choose_advice_targets',
     'choose_gang_advice_targets',
+    'choose_new_targets',
     'request_duration_ms',
 )
--- /dev/null
+++ b/src/radishlift/steps/crashes.py
@@ -0,0 +1,106 @@
+"""Finds the attempts that may have crashed a target.
+
+A task that crashes targets does so shortly after its start. An attempt that is
+known to have run for `crash_window_ms` is no suspect.
+"""
+
+from typing import Final
+
+from radishlift.steps.endings import EndKind
+from radishlift.steps.ids import TaskKey
+from radishlift.steps.runs import JobRun, JobState, TaskRun
+from radishlift.steps.settings import StepSettings
+from radishlift.steps.targets import Allocation, Suspicion, Target
+
+CRASH_REASON: Final = 'a task crashed its targets'
+
+_END_KINDS: Final = {
+    Suspicion.none: EndKind.lost,
+    Suspicion.shared: EndKind.crashed,
+    Suspicion.sole: EndKind.crashed_alone,
+}
+
+CRASH_KINDS: Final = frozenset((EndKind.crashed, EndKind.crashed_alone))
+
+
+def is_cleared(
+    target: Target,
+    allocation: Allocation,
+    settings: StepSettings,
+) -> bool:
+    """Returns whether the target survived the start of an attempt."""
+    is_marked = allocation.suspicion is not Suspicion.none
+    if allocation.sent_at_ms is None or is_marked:
+        return False
+    cleared_at_ms = allocation.sent_at_ms + settings.crash_window_ms
+    return target.answered_at_ms >= cleared_at_ms
+
+
+def is_quiet(target: Target, settings: StepSettings) -> bool:
+    """Returns whether the target survived all starts on it."""
+    return all(
+        is_cleared(target, allocation, settings)
+        for allocation in target.allocations.values()
+    )
+
+
+def mark_suspects(
+    target: Target,
+    gangs: set[TaskKey],
+    settings: StepSettings,
+) -> list[TaskKey]:
+    """Marks the attempts that may have crashed a target; returns their tasks.
+
+    `gangs` are the tasks that are members of gangs. A crash is attributed to
+    a task or gang only if there is no other suspect.
+    """
+    suspects = {
+        key: allocation
+        for key, allocation in target.allocations.items()
+        if allocation.sent_at_ms is not None
+        and allocation.suspicion is Suspicion.none
+        and not is_cleared(target, allocation, settings)
+    }
+    units = {key.step_key if key in gangs else key for key in suspects}
+    for allocation in suspects.values():
+        allocation.suspicion = (
+            Suspicion.sole if len(units) == 1 else Suspicion.shared
+        )
+    return list(suspects)
+
+
+def lost_end_kind(target: Target, key: TaskKey, attempt: int) -> EndKind:
+    """Returns how an attempt that its target does not run has ended."""
+    allocation = target.allocations.get(key)
+    if allocation is None or allocation.attempt != attempt:
+        return EndKind.lost
+    return _END_KINDS[allocation.suspicion]
+
+
+def give_up_repeated(
+    job: JobRun,
+    task: TaskRun,
+    kind: EndKind,
+    settings: StepSettings,
+) -> bool:
+    """Fails a job whose task repeatedly crashed targets.
+
+    Returns whether it failed now.
+    """
+    is_repeated = task.sole_crashes_count >= settings.max_crashes_count
+    if kind is not EndKind.crashed_alone or not is_repeated or job.is_ended:
+        return False
+    job.state = JobState.failed
+    job.reason = CRASH_REASON
+    return True
+
+
+__all__ = (
+    'CRASH_KINDS',
+    'CRASH_REASON',
+    'give_up_repeated',
+    'is_cleared',
+    'is_quiet',
+    'lost_end_kind',
+    'mark_suspects',
+)
--- a/src/radishlift/steps/endings.py
+++ b/src/radishlift/steps/endings.py
@@ -20,7 +20,9 @@
 class EndKind(Enum):
     """How an attempt ended.
 
-    After any kind but `done` and `failed` the task waits again.
+    After any kind but `done` and `failed` the task waits again, unless its job
+    has ended. `crashed` means that the target crashed and the attempt is one
+    of several that may have caused it, `crashed_alone` that it is the only one.
     """
 
     done = 'done'
@@ -30,6 +32,8 @@
     broken = 'broken'
     alone = 'alone'
     lost = 'lost'
+    crashed = 'crashed'
+    crashed_alone = 'crashed_alone'
 
 
 EndHandler = Callable[[JobRun, StepRun, TaskRun], None]
@@ -66,12 +70,13 @@
 
 def _save_checkpoint(step: StepRun, task: TaskRun, checkpoint: str) -> None:
     # All members of a gang resume from the same checkpoint.
-    for member in step.tasks if step.spec.is_gang else [task]:
+    for member in step.unit_of(task):
         member.checkpoint = checkpoint
 
 
 @_HANDLERS.register(EndKind.done.value)
 def _apply_done(job: JobRun, step: StepRun, task: TaskRun) -> None:
+    _clear_crashes(step, task)
     if step.spec.is_long_running:
         return
     step.finish(task)
@@ -84,15 +89,40 @@
 
 @_HANDLERS.register(EndKind.failed.value)
 def _apply_failed(job: JobRun, step: StepRun, task: TaskRun) -> None:
+    _clear_crashes(step, task)
     if step.spec.is_long_running:
         return
     if step.spec.is_gang and step.failed_attempt == task.attempt:
         return
     step.failed_attempt = task.attempt
-    for member in step.tasks if step.spec.is_gang else [task]:
+    for member in step.unit_of(task):
         member.failures_count += 1
     if task.failures_count >= job.terms.max_attempts and not job.is_ended:
         job.state = JobState.failed
 
 
+@_HANDLERS.register(EndKind.crashed.value)
+def _apply_crashed(job: JobRun, step: StepRun, task: TaskRun) -> None:
+    _count_crash(step, task, sole_count=0)
+
+
+@_HANDLERS.register(EndKind.crashed_alone.value)
+def _apply_crashed_alone(job: JobRun, step: StepRun, task: TaskRun) -> None:
+    _count_crash(step, task, sole_count=1)
+
+
+def _count_crash(step: StepRun, task: TaskRun, sole_count: int) -> None:
+    if step.spec.is_gang and step.crashed_attempt == task.attempt:
+        return
+    step.crashed_attempt = task.attempt
+    for member in step.unit_of(task):
+        member.crashes_count += 1
+        member.sole_crashes_count += sole_count
+
+
+def _clear_crashes(step: StepRun, task: TaskRun) -> None:
+    for member in step.unit_of(task):
+        member.clear_crashes()
+
+
 __all__ = ('EndKind', 'apply_end')
--- a/src/radishlift/steps/gang_reservations.py
+++ b/src/radishlift/steps/gang_reservations.py
@@ -83,7 +83,7 @@
     slots = sorted(
         (slot_at_ms, -target.free_capacity.cpu_millicores, target_id)
         for target_id, target in candidates.items()
-        for slot_at_ms in _slot_times_ms(target, amounts, now_ms)
+        for slot_at_ms in slot_times_ms(target, amounts, now_ms)
     )
     needed = slots[: len(step.tasks)]
     if len(needed) < len(step.tasks):
@@ -93,7 +93,7 @@
     )
 
 
-def _slot_times_ms(target: Target, amounts: Amounts, now_ms: int) -> list[int]:
+def slot_times_ms(target: Target, amounts: Amounts, now_ms: int) -> list[int]:
     """Lists when a target probably has room for one, two and more tasks."""
     max_count = amounts.count_fitting(target.entry.capacity)
     free_capacity = target.free_capacity
@@ -112,4 +112,9 @@
     return times_ms
 
 
-__all__ = ('GangReservations', 'Reservation', 'choose_gang_targets')
+__all__ = (
+    'GangReservations',
+    'Reservation',
+    'choose_gang_targets',
+    'slot_times_ms',
+)
--- a/src/radishlift/steps/placing.py
+++ b/src/radishlift/steps/placing.py
@@ -72,19 +72,27 @@
 
 
 def place_step(step: StepRun, targets: Iterable[Target]) -> list[Placement]:
-    """Places waiting tasks of a step on allowed targets.
+    """Places the ordinary waiting tasks of a step on allowed targets.
 
     Returns an empty list for a gang if not all members wait and fit.
     """
-    waiting = step.waiting_tasks()
+    return place_tasks(step, step.ordinary_tasks(), targets)
+
+
+def place_tasks(
+    step: StepRun,
+    waiting: list[TaskRun],
+    targets: Iterable[Target],
+) -> list[Placement]:
+    """Places the given waiting tasks of a step like `place_step`."""
     if step.spec.is_gang and len(waiting) != len(step.tasks):
         return []
     if step.spec.is_gang and step.spec.same_rack:
         return _place_in_one_rack(step, waiting, list(targets))
-    return _place_tasks(step, waiting, targets)
+    return _place_on_any_rack(step, waiting, targets)
 
 
-def _place_tasks(
+def _place_on_any_rack(
     step: StepRun,
     waiting: list[TaskRun],
     targets: Iterable[Target],
@@ -119,10 +127,10 @@
     racks = {label for target in targets for label in target.entry.labels}
     for rack in sorted(racks):
         members = [target for target in targets if rack in target.entry.labels]
-        placements = _place_tasks(step, waiting, members)
+        placements = _place_on_any_rack(step, waiting, members)
         if placements:
             return placements
-    return _place_tasks(step, waiting, targets)
+    return _place_on_any_rack(step, waiting, targets)
 
 
-__all__ = ('Placement', 'place_step')
+__all__ = ('Placement', 'place_step', 'place_tasks')
--- a/src/radishlift/steps/progress.py
+++ b/src/radishlift/steps/progress.py
@@ -25,15 +25,40 @@
     if job.is_ended and not any(
         task.state is TaskState.placed for task in job.all_tasks()
     ):
-        return {'state': job.state.value, 'steps': []}
-    return {
-        'state': job.state.value,
+        return {**_dump_state(job), 'steps': []}
+    progress = {
+        **_dump_state(job),
         'steps': [
             [*step_key, tasks]
             for step_key, step in job.steps.items()
             if (tasks := _dump_tasks(step))
         ],
     }
+    crashes = _dump_crashes(job)
+    if crashes:
+        progress['crashes'] = crashes
+    return progress
+
+
+def _dump_state(job: JobRun) -> dict[str, Any]:
+    if job.reason:
+        return {'state': job.state.value, 'reason': job.reason}
+    return {'state': job.state.value}
+
+
+def _dump_crashes(job: JobRun) -> list[list[int]]:
+    # A field of its own, which earlier versions ignore.
+    return [
+        [
+            *step_key,
+            task.key.number,
+            task.crashes_count,
+            task.sole_crashes_count,
+        ]
+        for step_key, step in job.steps.items()
+        for task in step.tasks
+        if task.crashes_count
+    ]
 
 
 def _dump_tasks(step: StepRun) -> list[list[Any]]:
@@ -62,6 +87,12 @@
         step = job.steps[occurrence, number]
         for fields in tasks:
             _load_task(step, fields)
+    for occurrence, number, index, *counts in plain.get('crashes', ()):
+        task = job.steps[occurrence, number].tasks[index]
+        crashes_count, sole_count = counts
+        task.crashes_count = int(crashes_count)
+        task.sole_crashes_count = int(sole_count)
+    job.reason = str(plain.get('reason', ''))
     job.has_started = any(
         task.state is TaskState.done or task.failures_count
         for task in job.all_tasks()
--- a/src/radishlift/steps/runs.py
+++ b/src/radishlift/steps/runs.py
@@ -35,7 +35,12 @@
 
 @dataclass(slots=True)
 class TaskRun:
-    """A task and its latest attempt."""
+    """A task and its latest attempt.
+
+    `crashes_count` is how many targets have crashed in succession while they
+    started the task, and `sole_crashes_count` how many of these crashes no
+    other task may have caused.
+    """
 
     key: TaskKey
     state: TaskState = TaskState.waiting
@@ -43,6 +48,13 @@
     failures_count: int = 0
     target_id: TargetId = TargetId('')
     checkpoint: str = ''
+    crashes_count: int = 0
+    sole_crashes_count: int = 0
+
+    def clear_crashes(self) -> None:
+        """Forgets crashes after the task has run without one."""
+        self.crashes_count = 0
+        self.sole_crashes_count = 0
 
 
 @dataclass(slots=True)
@@ -51,6 +63,7 @@
 
     `failed_attempt` is the latest failed attempt. It prevents a failure that
     several members of a gang report from being counted more than once.
+    `crashed_attempt` does the same for crashes of targets.
     """
 
     key: StepKey
@@ -60,6 +73,7 @@
     unfinished_count: int = 0
     is_unblocked: bool = False
     failed_attempt: int = 0
+    crashed_attempt: int = 0
 
     @property
     def is_done(self) -> bool:
@@ -70,21 +84,46 @@
         """Returns the tasks that wait for a target."""
         return [task for task in self.tasks if task.state is TaskState.waiting]
 
+    def suspects(self) -> list[TaskRun]:
+        """Returns the waiting tasks that may crash their target.
+
+        If a member of a gang may, all members are returned.
+        """
+        if self._is_suspect_gang:
+            return self.waiting_tasks()
+        return [task for task in self.waiting_tasks() if task.crashes_count]
+
+    def ordinary_tasks(self) -> list[TaskRun]:
+        """Returns the waiting tasks that are not suspects."""
+        if self._is_suspect_gang:
+            return []
+        return [task for task in self.waiting_tasks() if not task.crashes_count]
+
+    def unit_of(self, task: TaskRun) -> list[TaskRun]:
+        """Returns the tasks that start and end together with a task."""
+        return self.tasks if self.spec.is_gang else [task]
+
     def finish(self, task: TaskRun) -> None:
         """Marks a task, or all members of its gang, as done."""
-        members = self.tasks if self.spec.is_gang else [task]
-        for member in members:
+        for member in self.unit_of(task):
             if member.state is not TaskState.done:
                 member.state = TaskState.done
                 self.unfinished_count -= 1
 
+    @property
+    def _is_suspect_gang(self) -> bool:
+        return self.spec.is_gang and any(
+            task.crashes_count for task in self.tasks
+        )
+
 
 @dataclass(slots=True)
 class JobRun:
     """A job, its terms and the runs of its steps.
 
     Times are Unix milliseconds. `committed_state` is the state in the store;
-    callers must not see a state that is not committed.
+    callers must not see a state that is not committed. `reason` explains a
+    failure that is not a failure of its tasks.
     """
 
     spec: JobSpec
@@ -94,6 +133,7 @@
     state: JobState = JobState.queued
     committed_state: JobState = JobState.queued
     has_started: bool = False
+    reason: str = ''
 
     @property
     def is_ended(self) -> bool:
--- a/src/radishlift/steps/settings.py
+++ b/src/radishlift/steps/settings.py
@@ -28,6 +28,13 @@
       longer than `long_question_ms` use at most this share of the hosts. The
       other hosts serve urgent steps, whose objective leaves 250 ms; these need
       few of them, as their requests are short.
+    - `crash_window_ms`: an attempt that has run for this time is no suspect
+      when its target crashes.
+    - `max_crashes_count`: crashes that only this task may have caused, after
+      which it is given up.
+    - `trial_group_count`: maximum number of suspects that start together on a
+      target. Tasks under which several targets have crashed start alone.
+    - `trial_share`: maximum share of the targets used for trials of suspects.
     """
 
     min_ticket_ms: int = 150
@@ -42,6 +49,10 @@
     gang_room_factor: float = 2
     long_question_ms: int = 250
     long_question_share: float = 0.8
+    crash_window_ms: int = 300
+    max_crashes_count: int = 2
+    trial_group_count: int = 4
+    trial_share: float = 0.25
 
 
 __all__ = ('StepSettings',)
--- /dev/null
+++ b/src/radishlift/steps/step_advice.py
@@ -0,0 +1,197 @@
+"""Decides when a waiting step requests tickets, and for which targets."""
+
+from collections.abc import Callable
+from itertools import islice
+
+from radishlift.steps.advice_requests import (
+    AdviceRequest,
+    build_request,
+    choose_advice_targets,
+    choose_gang_advice_targets,
+    choose_new_targets,
+    request_duration_ms,
+)
+from radishlift.steps.gang_reservations import Reservation
+from radishlift.steps.ids import TargetId
+from radishlift.steps.runs import JobRun, StepRun
+from radishlift.steps.settings import StepSettings
+from radishlift.steps.targets import Target
+from radishlift.steps.tickets import TicketTable, valid_ticket_filter
+from radishlift.steps.ticks import Tick
+
+
+class StepAdviceRequests:
+    """Adds the advice requests of waiting steps to the plan of a tick.
+
+    `count_queued_requests` returns how many requests wait for a host.
+    """
+
+    def __init__(
+        self,
+        tickets: TicketTable,
+        settings: StepSettings,
+        count_queued_requests: Callable[[], int],
+    ) -> None:
+        self._tickets = tickets
+        self._settings = settings
+        self._count_queued_requests = count_queued_requests
+
+    def list_allowed(
+        self, tick: Tick, job: JobRun, step: StepRun
+    ) -> list[Target]:
+        """Lists the suitable targets that the service allows for a step."""
+        suitable = tick.suitable_targets(job, step)
+        if job.terms.advice is None:
+            return suitable
+        allowed = self._tickets.advice_for(step.key).allowed
+        return [
+            target for target in suitable if target.entry.target_id in allowed
+        ]
+
+    def ticket_filter(
+        self,
+        tick: Tick,
+        job: JobRun,
+        step: StepRun,
+    ) -> Callable[[Target], bool]:
+        """Returns a predicate for targets on which a step may start now."""
+        if job.terms.advice is None:
+            return _needs_no_ticket
+        expires_after_ms = tick.now_ms + self._settings.min_ticket_ms
+        return valid_ticket_filter(
+            self._tickets.advice_for(step.key), expires_after_ms
+        )
+
+    def request(
+        self,
+        tick: Tick,
+        job: JobRun,
+        step: StepRun,
+        fitting: list[Target],
+    ) -> None:
+        """Requests advice for the ordinary tasks of a step.
+
+        `fitting` are the allowed targets with room.
+        """
+        terms = job.terms.advice
+        if terms is None:
+            return
+        advice = self._tickets.advice_for(step.key)
+        if advice.open_requests_count or tick.now_ms < advice.retry_at_ms:
+            return
+        has_ticket = self.ticket_filter(tick, job, step)
+        ids = choose_advice_targets(
+            step,
+            terms,
+            [target for target in fitting if not has_ticket(target)],
+            [
+                target
+                for target in tick.suitable_targets(job, step)
+                if target.entry.target_id not in advice.requested
+                and tick.may_use(target, step)
+            ],
+            self._settings,
+        )
+        if ids:
+            self._send(tick, build_request(job, step, terms, ids))
+
+    def request_for_trial(
+        self,
+        tick: Tick,
+        job: JobRun,
+        step: StepRun,
+        without_ticket: list[TargetId],
+    ) -> None:
+        """Requests advice for suspects.
+
+        `without_ticket` are the targets reserved for them. If there are none,
+        it is requested on targets that no request has named so far.
+        """
+        terms = job.terms.advice
+        advice = self._tickets.advice_for(step.key)
+        is_open = bool(advice.open_requests_count)
+        if terms is None or is_open or tick.now_ms < advice.retry_at_ms:
+            return
+        ids = tuple(without_ticket[: self._settings.max_asked_count])
+        if not ids:
+            not_requested = [
+                target
+                for target in tick.suitable_targets(job, step)
+                if target.entry.target_id not in advice.requested
+            ]
+            ids = choose_new_targets(terms, not_requested, self._settings)
+        if ids:
+            self._send(tick, build_request(job, step, terms, ids))
+
+    def request_for_gang(self, tick: Tick, job: JobRun, step: StepRun) -> None:
+        """Requests advice on targets that no request has named so far."""
+        terms = job.terms.advice
+        if terms is None:
+            return
+        advice = self._tickets.advice_for(step.key)
+        if advice.open_requests_count or tick.now_ms < advice.retry_at_ms:
+            return
+        not_requested = [
+            target
+            for target in tick.suitable_targets(job, step)
+            if target.entry.target_id not in advice.requested
+        ]
+        requests = choose_gang_advice_targets(
+            step,
+            terms,
+            not_requested,
+            self._tickets.allowed_share(job.terms.queue),
+            self._settings,
+        )
+        # If requests already wait, more of them would delay other steps.
+        max_count = self._settings.max_open_count if self.is_idle else 1
+        for ids in islice(requests, max_count):
+            self._send(tick, build_request(job, step, terms, ids))
+
+    def renew(
+        self,
+        tick: Tick,
+        job: JobRun,
+        step: StepRun,
+        reservation: Reservation,
+    ) -> None:
+        """Requests tickets for a gang that can probably start soon.
+
+        It needs valid tickets for all its targets at the same time, so that
+        those are renewed that would expire before others could arrive.
+        """
+        terms = job.terms.advice
+        advice = self._tickets.advice_for(step.key)
+        is_open = advice.open_requests_count >= self._settings.max_open_count
+        if terms is None or is_open or tick.now_ms < advice.retry_at_ms:
+            return
+        target_ids = reservation.target_ids
+        answered_at_ms = tick.now_ms + int(
+            request_duration_ms(terms, len(target_ids))
+        )
+        # If requests already wait, only gangs that have room may add to them.
+        ready_by_ms = answered_at_ms if self.is_idle else tick.now_ms
+        if reservation.starts_at_ms > ready_by_ms:
+            return
+        expiring = advice.list_expiring(
+            target_ids, answered_at_ms + self._settings.min_ticket_ms
+        )
+        if expiring:
+            ids = tuple(expiring[: self._settings.max_asked_count])
+            self._send(tick, build_request(job, step, terms, ids))
+
+    @property
+    def is_idle(self) -> bool:
+        """Returns whether no request waits for a host."""
+        return not self._count_queued_requests()
+
+    def _send(self, tick: Tick, request: AdviceRequest) -> None:
+        self._tickets.start_request(request)
+        tick.plan.advice_requests.append(request)
+
+
+def _needs_no_ticket(target: Target) -> bool:
+    return bool(target)
+
+
+__all__ = ('StepAdviceRequests',)
--- a/src/radishlift/steps/targets.py
+++ b/src/radishlift/steps/targets.py
@@ -40,16 +40,38 @@
     remaining_ms: int = 0
 
 
-@dataclass(frozen=True, slots=True)
+@unique
+class Suspicion(Enum):
+    """Whether an attempt may have crashed its target.
+
+    `shared` means that other attempts may have crashed it as well.
+    """
+
+    none = 'none'
+    shared = 'shared'
+    sole = 'sole'
+
+
+@dataclass(slots=True)
 class Allocation:
     """Capacity allocated to an attempt until its end is known.
 
     `expected_end_ms` is a monotonic time; 0 if the start time is unknown.
+    `sent_at_ms` is when the latest start call was sent; None if none was.
     """
 
     attempt: int
     amounts: Amounts
     expected_end_ms: int = 0
+    sent_at_ms: int | None = None
+    suspicion: Suspicion = Suspicion.none
+
+    def record_sent(self, now_ms: int) -> int | None:
+        """Records a start call; returns when the previous one was sent."""
+        previous_ms = self.sent_at_ms
+        self.sent_at_ms = now_ms
+        self.suspicion = Suspicion.none
+        return previous_ms
 
 
 @dataclass(slots=True)
@@ -57,7 +79,8 @@
     """A target and its allocations.
 
     `is_reachable` and `cooldown_until_ms` keep new tasks off targets that do
-    not respond or that fail the tasks they start.
+    not respond or that fail the tasks they start. `answered_at_ms` is when
+    the latest answered call was sent. A watched target is polled more often.
     """
 
     entry: TargetEntry
@@ -67,6 +90,8 @@
     is_reachable: bool = True
     cooldown_until_ms: int = 0
     consecutive_failures_count: int = 0
+    answered_at_ms: int = 0
+    is_watched: bool = False
     free_capacity: Amounts = field(init=False)
 
     def __post_init__(self) -> None:
@@ -86,6 +111,30 @@
             and now_ms >= self.cooldown_until_ms
         )
 
+    def record_answer(self, sent_at_ms: int) -> None:
+        """Records that a call sent at a monotonic time was answered."""
+        self.answered_at_ms = max(self.answered_at_ms, sent_at_ms)
+
+    def record_start(
+        self, key: TaskKey, attempt: int, now_ms: int
+    ) -> int | None:
+        """Records that a start call of an allocated attempt is sent.
+
+        Returns when the previous call was sent, if there was one.
+        """
+        allocation = self.allocations.get(key)
+        if allocation is None or allocation.attempt != attempt:
+            return None
+        return allocation.record_sent(now_ms)
+
+    def retract_start(
+        self, key: TaskKey, attempt: int, previous_ms: int | None
+    ) -> None:
+        """Restores the time of the previous call after one was not sent."""
+        allocation = self.allocations.get(key)
+        if allocation is not None and allocation.attempt == attempt:
+            allocation.sent_at_ms = previous_ms
+
     def allocate(
         self,
         key: TaskKey,
@@ -146,6 +195,7 @@
 
 __all__ = (
     'Allocation',
+    'Suspicion',
     'Target',
     'TargetEntry',
     'TargetState',
--- /dev/null
+++ b/src/radishlift/steps/ticks.py
@@ -0,0 +1,101 @@
+"""One pass over the waiting steps, and the starts it plans."""
+
+from collections.abc import Set
+from dataclasses import dataclass, field
+
+from radishlift.core.ids import ServiceName
+from radishlift.steps.advice_requests import AdviceRequest
+from radishlift.steps.ids import TargetId
+from radishlift.steps.placing import Placement
+from radishlift.steps.runs import JobRun, StepRun, TaskState
+from radishlift.steps.targets import Target
+
+
+@dataclass(slots=True)
+class Plan:
+    """Decisions of one tick; placements are already allocated."""
+
+    placements: list[tuple[JobRun, Placement]] = field(default_factory=list)
+    advice_requests: list[AdviceRequest] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class Tick:
+    """One pass over all waiting steps.
+
+    `now_ms` is monotonic and `wall_ms` is Unix time. `accepting` are the
+    targets on which tasks may start.
+    """
+
+    plan: Plan
+    now_ms: int
+    wall_ms: int
+    accepting: list[Target]
+    reserved_until_ms: dict[TargetId, int] = field(default_factory=dict)
+    by_requirement: dict[tuple[ServiceName, str], list[Target]] = field(
+        default_factory=dict,
+    )
+
+    def may_use(self, target: Target, step: StepRun) -> bool:
+        """Returns whether a step may use a target despite reservations.
+
+        A gang may not: if it runs longer than expected, it delays the other
+        gang on many targets at once.
+        """
+        until_ms = self.reserved_until_ms.get(target.entry.target_id)
+        if until_ms is None:
+            return True
+        end_ms = self.now_ms + step.spec.expected_run_ms
+        return not step.spec.is_gang and end_ms <= until_ms
+
+    def suitable_targets(self, job: JobRun, step: StepRun) -> list[Target]:
+        """Lists targets of the job's service with the step's label."""
+        service, label = job.terms.service, step.spec.required_label
+        found = self.by_requirement.get((service, label))
+        if found is None:
+            found = [
+                target
+                for target in self.accepting
+                if target.entry.service == service
+                and (not label or label in target.entry.labels)
+            ]
+            self.by_requirement[service, label] = found
+        return found
+
+    def exclude(self, target_ids: Set[TargetId]) -> None:
+        """Lets no more tasks start on the given targets."""
+        self.accepting = [
+            target
+            for target in self.accepting
+            if target.entry.target_id not in target_ids
+        ]
+        self.by_requirement.clear()
+
+
+def allocate_starts(
+    tick: Tick,
+    job: JobRun,
+    step: StepRun,
+    placements: list[Placement],
+) -> None:
+    """Allocates planned starts and adds them to the plan."""
+    if not placements:
+        return
+    attempts = [placement.task.attempt for placement in placements]
+    # All members of a gang have the same attempt number.
+    gang_attempt = max(attempts) + 1
+    for placement in placements:
+        task = placement.task
+        task.attempt = gang_attempt if step.spec.is_gang else task.attempt + 1
+        task.state = TaskState.placed
+        task.target_id = placement.target.entry.target_id
+        placement.target.allocate(
+            task.key,
+            task.attempt,
+            step.spec.allocated_amounts,
+            tick.now_ms + step.spec.expected_run_ms,
+        )
+        tick.plan.placements.append((job, placement))
+
+
+__all__ = ('Plan', 'Tick', 'allocate_starts')
--- /dev/null
+++ b/src/radishlift/steps/trial_planning.py
@@ -0,0 +1,219 @@
+"""Plans the trials of suspects, before other tasks are placed."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from radishlift.steps.gang_reservations import (
+    choose_gang_targets,
+    slot_times_ms,
+)
+from radishlift.steps.placing import Placement, place_tasks
+from radishlift.steps.runs import JobRun, StepRun, TaskRun, TaskState
+from radishlift.steps.settings import StepSettings
+from radishlift.steps.step_advice import StepAdviceRequests
+from radishlift.steps.targets import Target, TargetTable
+from radishlift.steps.ticks import Tick, allocate_starts
+from radishlift.steps.trials import Trials
+
+
+@dataclass(frozen=True, slots=True)
+class _Candidates:
+    """The targets that may run a step."""
+
+    allowed: list[Target]
+    has_ticket: Callable[[Target], bool]
+
+
+class TrialPlanner:
+    """Places suspects on targets of their own.
+
+    Trials use at most `trial_share` of the targets. Suspects for which some
+    target has room come before those that wait for room.
+    """
+
+    def __init__(
+        self,
+        targets: TargetTable,
+        advice: StepAdviceRequests,
+        settings: StepSettings,
+    ) -> None:
+        self._advice = advice
+        self._trials = Trials(targets, settings)
+
+    def plan(self, tick: Tick, suspects: list[tuple[JobRun, StepRun]]) -> None:
+        """Plans steps with suspects, and closes targets to other steps."""
+        self._trials.begin()
+        for job, step in self._plan_suspects(tick, suspects):
+            self._reserve_room(tick, job, step)
+        self._trials.finish()
+        closed = self._trials.closed
+        if closed:
+            tick.exclude(closed)
+
+    def _plan_suspects(
+        self, tick: Tick, suspects: list[tuple[JobRun, StepRun]]
+    ) -> list[tuple[JobRun, StepRun]]:
+        """Plans trials; returns the steps for which no target has room."""
+        without_room = []
+        for job, step in suspects:
+            if self._trials.is_full:
+                break
+            if step.spec.is_gang:
+                if not self._plan_gang(tick, job, step):
+                    break
+            elif self._plan_tasks(tick, job, step):
+                without_room.append((job, step))
+        return without_room
+
+    def _candidates(
+        self, tick: Tick, job: JobRun, step: StepRun
+    ) -> _Candidates:
+        return _Candidates(
+            self._advice.list_allowed(tick, job, step),
+            self._advice.ticket_filter(tick, job, step),
+        )
+
+    def _plan_tasks(self, tick: Tick, job: JobRun, step: StepRun) -> bool:
+        """Plans trials of tasks; returns whether they need more room."""
+        candidates = self._candidates(tick, job, step)
+        without_ticket = []
+        is_short_of_room = False
+        for task in step.suspects():
+            target = self._find_target(step, task, candidates)
+            if target is None:
+                is_short_of_room = True
+                break
+            if not candidates.has_ticket(target):
+                without_ticket.append(target.entry.target_id)
+            if not candidates.has_ticket(target) or not self._is_open(target):
+                self._trials.reserve([target])
+                continue
+            self._start(tick, job, step, [Placement(task, target)])
+        has_room = any(_has_room(step, target) for target in candidates.allowed)
+        if without_ticket or not has_room:
+            self._advice.request_for_trial(tick, job, step, without_ticket)
+        return is_short_of_room
+
+    def _is_open(self, target: Target) -> bool:
+        is_running = target.entry.target_id in self._trials.closed
+        return is_running or self._trials.is_ready(target)
+
+    def _find_target(
+        self, step: StepRun, task: TaskRun, candidates: _Candidates
+    ) -> Target | None:
+        trials = self._trials
+        fitting = [
+            target for target in candidates.allowed if _has_room(step, target)
+        ]
+        shared = trials.find_shared(
+            task, filter(candidates.has_ticket, fitting)
+        )
+        if shared is not None or trials.free_count <= 0:
+            return shared
+        closed = trials.closed
+        return min(
+            (
+                target
+                for target in fitting
+                if target.entry.target_id not in closed
+            ),
+            key=lambda target: (
+                not candidates.has_ticket(target),
+                not trials.is_ready(target),
+                not trials.is_last_reserved(target),
+                target.used.cpu_millicores,
+            ),
+            default=None,
+        )
+
+    def _reserve_room(self, tick: Tick, job: JobRun, step: StepRun) -> None:
+        """Reserves the target that probably has room for a suspect first."""
+        if self._trials.free_count <= 0:
+            return
+        closed = self._trials.closed
+        slots = [
+            (times_ms[0], target.entry.target_id, target)
+            for target in self._advice.list_allowed(tick, job, step)
+            if target.entry.target_id not in closed
+            and (times_ms := _slots_ms(step, target, tick.now_ms))
+        ]
+        if slots:
+            self._trials.reserve([min(slots)[-1]])
+
+    def _plan_gang(self, tick: Tick, job: JobRun, step: StepRun) -> bool:
+        """Plans the trial of a gang.
+
+        Returns False if it waits until other trials free targets; no more
+        trials may begin then, as they would starve it.
+        """
+        waiting = step.waiting_tasks()
+        if len(waiting) < len(step.tasks):
+            return True
+        closed = self._trials.closed
+        candidates = self._candidates(tick, job, step)
+        free = {
+            target.entry.target_id: target
+            for target in candidates.allowed
+            if target.entry.target_id not in closed
+        }
+        ready = [
+            target
+            for target in free.values()
+            if candidates.has_ticket(target) and self._trials.is_ready(target)
+        ]
+        reservation = choose_gang_targets(step, free, tick.now_ms)
+        is_wide = (
+            reservation is not None
+            and len(reservation.target_ids) > self._trials.free_count
+        )
+        if is_wide and not self._trials.is_idle:
+            return False
+        placements = place_tasks(step, waiting, ready)
+        if placements:
+            self._start(tick, job, step, placements)
+            return True
+        self._advice.request_for_gang(tick, job, step)
+        if reservation is not None:
+            self._advice.renew(tick, job, step, reservation)
+            if not is_wide or reservation.starts_at_ms <= tick.now_ms:
+                self._trials.reserve(
+                    free[target_id] for target_id in reservation.target_ids
+                )
+        return True
+
+    def _start(
+        self,
+        tick: Tick,
+        job: JobRun,
+        step: StepRun,
+        placements: list[Placement],
+    ) -> None:
+        allocate_starts(tick, job, step, placements)
+        self._trials.record(step, placements)
+
+
+def _has_room(step: StepRun, target: Target) -> bool:
+    return step.spec.allocated_amounts.fits_in(
+        target.free_capacity
+    ) and _is_below_limit(step, target)
+
+
+def _slots_ms(step: StepRun, target: Target, now_ms: int) -> list[int]:
+    if not _is_below_limit(step, target):
+        return []
+    return slot_times_ms(target, step.spec.allocated_amounts, now_ms)
+
+
+def _is_below_limit(step: StepRun, target: Target) -> bool:
+    limit = step.spec.max_per_target_count
+    if not limit:
+        return True
+    placed_count = sum(
+        task.state is TaskState.placed
+        and task.target_id == target.entry.target_id
+        for task in step.tasks
+    )
+    return placed_count < limit
+
+
+__all__ = ('TrialPlanner',)
--- a/tests/cell/fakes.py
+++ b/tests/cell/fakes.py
@@ -22,6 +22,7 @@
 from tests.standins.tables import Fault, MemoryTableStore, Tables
 
 UNKNOWN = Failure(ErrorKind.target_outcome_unknown, 'no answer')
+UNREACHABLE = Failure(ErrorKind.peer_unavailable, 'not connected')
 DOWN = Failure(ErrorKind.store_unavailable, 'down')
 
 
@@ -93,6 +94,7 @@
     fencing_token: int = 0
     clock_ms: int = 1000
     is_unresponsive: bool = False
+    refuses_connections: bool = False
     loses_answers: bool = False
     rejection: StartVerdict | None = None
     running: dict = field(default_factory=dict)
@@ -156,6 +158,8 @@
     async def start(self, target: TargetRef, order: StartOrder):
         fake = self.by_id[target.target_id]
         await asyncio.sleep(0)
+        if fake.refuses_connections:
+            return UNREACHABLE
         if fake.is_unresponsive:
             fake.late.append(order)
             return UNKNOWN
@@ -167,9 +171,14 @@
         return UNKNOWN if fake.loses_answers else verdict
 
     def crash(self, fake: FakeTarget) -> None:
-        """Ends a target's process; another one starts after `restart_s`."""
+        """Ends a target's process; another one starts after `restart_s`.
+
+        None starts if it is None.
+        """
         fake.restart()
         fake.is_unresponsive = True
+        if self.restart_s is None:
+            return
         asyncio.get_running_loop().call_later(
             self.restart_s, setattr, fake, 'is_unresponsive', False
         )
--- a/tests/cell/leader.py
+++ b/tests/cell/leader.py
@@ -48,9 +48,14 @@
     """The store, the targets and successive leader terms."""
 
     def __init__(
-        self, *targets: str, cores: int = 4, settings: CellSettings = SETTINGS
+        self,
+        *targets: str,
+        cores: int = 4,
+        settings: CellSettings = SETTINGS,
+        step_settings: StepSettings | None = None,
     ) -> None:
         self.settings = settings
+        self.step_settings = step_settings or StepSettings()
         self.store = MemoryCellStore()
         self.targets = FakeTargets(*targets)
         self.advice = FakeAdvice()
@@ -115,7 +120,7 @@
                     name, plain['cores'], state=TargetState(plain['state'])
                 ),
                 self.settings,
-                StepSettings(),
+                self.step_settings,
                 BootClock(),
                 MAX_LEASE_MS,
             ),
--- a/tests/cell/test_crashing_tasks.py
+++ b/tests/cell/test_crashing_tasks.py
@@ -1,21 +1,193 @@
 """Tests of tasks that crash the targets that start them."""
 
+import asyncio
+from collections import Counter
+
 import pytest
 
+from radishlift.cell.tables import PROGRESS, TARGETS
+from radishlift.steps.crashes import CRASH_REASON
+from radishlift.steps.endings import EndKind
+from radishlift.steps.settings import StepSettings
 from tests.cell.leader import Cell
-from tests.steps.builders import job, key
+from tests.only import only
+from tests.steps.builders import job, key, step
+
+# The users' limit: three crashes, and fewer than three more starts.
+MAX_CRASHES_COUNT = 5
+STEP_SETTINGS = StepSettings(crash_window_ms=40)
 
 
 @pytest.fixture
 async def cell():
-    cell = Cell('t1', 't2')
+    cell = Cell('t1', 't2', 't3', 't4', step_settings=STEP_SETTINGS)
     yield cell
     await cell.close()
 
 
+def crashes_counts(cell, job_id):
+    """Returns the stored crashes of each task that has any."""
+    row = cell.store.tables.read(PROGRESS, job_id)
+    crashes = (row.value or {}).get('crashes', ())
+    return {number: count for _, _, number, count, _ in crashes}
+
+
+async def until_quiet(cell, name):
+    """Waits until starts on a target are known to have been survived."""
+    await cell.until(lambda: bool(cell.targets[name].running))
+    await asyncio.sleep(0.15)
+
+
 async def test_task_that_crashes_targets_is_given_up_after_two(cell):
     cell.targets.crashing.add(key())
     cell.lead()
     job_id = cell.submit(job())
     await cell.until(lambda: cell.state(job_id) == 'failed')
     assert len(cell.targets.crashed) == 2
+    row = cell.store.tables.read(PROGRESS, job_id)
+    assert row.value['reason'] == CRASH_REASON
+
+
+async def test_crash_of_a_target_that_stays_away_is_counted(cell):
+    cell.targets.restart_s = None
+    cell.targets.crashing.add(key())
+    cell.lead()
+    job_id = cell.submit(job())
+    await cell.until(lambda: cell.state(job_id) == 'failed')
+    assert len(cell.targets.crashed) == 2
+
+
+async def test_task_beside_a_crashing_one_completes(cell):
+    cell.targets.crashing.add(key(0, job_id='a' * 16))
+    cell.lead()
+    bad = cell.submit(job(job_id='a' * 16))
+    good = [cell.submit(job(step(2), job_id=name * 16)) for name in 'bcd']
+    for job_id in good:
+        await cell.until_state(job_id, 'completed')
+    await cell.until_state(bad, 'failed')
+    assert len(cell.targets.crashed) <= MAX_CRASHES_COUNT
+
+
+async def test_jobs_of_two_crashing_tasks_are_both_given_up(cell):
+    ids = [name * 16 for name in 'ab']
+    cell.targets.crashing.update(key(job_id=job_id) for job_id in ids)
+    cell.lead()
+    for job_id in ids:
+        cell.submit(job(job_id=job_id))
+    await cell.until(lambda: {cell.state(name) for name in ids} == {'failed'})
+    crashes = Counter(task_key for _, task_key in cell.targets.crashed)
+    assert max(crashes.values()) <= MAX_CRASHES_COUNT
+
+
+async def test_takeover_does_not_forget_crashes(cell):
+    # The only target is away until its lease has expired, so that the
+    # takeover is between the first and the second start.
+    for name in ('t2', 't3', 't4'):
+        cell.write_target(name, state='draining')
+    cell.targets.restart_s = 0.6
+    cell.targets.crashing.add(key())
+    first = cell.lead()
+    job_id = cell.submit(job())
+    await cell.until(lambda: crashes_counts(cell, job_id) == {0: 1})
+    await cell.kill(first)
+    assert len(cell.targets.crashed) == 1
+    cell.lead()
+    await cell.until(lambda: cell.state(job_id) == 'failed')
+    assert len(cell.targets.crashed) == 2
+
+
+async def test_crash_before_a_takeover_makes_suspects(cell):
+    first = cell.lead()
+    job_id = cell.submit(job())
+    await cell.until(lambda: bool(cell.targets.running_tasks()))
+    name = only(cell.targets.running_tasks().values())
+    await cell.kill(first)
+    cell.write(TARGETS, name, None)
+    cell.targets[name].is_unresponsive = True
+    cell.lead()
+    await cell.until(lambda: crashes_counts(cell, job_id) == {0: 1})
+    await cell.until_state(job_id, 'completed')
+
+
+@pytest.mark.parametrize('is_removed', [False, True])
+async def test_crash_of_a_draining_target_counts_for_nobody(cell, is_removed):
+    cell.lead()
+    job_id = cell.submit(job())
+    await cell.until(lambda: bool(cell.targets.running_tasks()))
+    name = only(cell.targets.running_tasks().values())
+    cell.write_target(name, state='draining')
+    await asyncio.sleep(0.02)
+    cell.targets[name].restart()
+    cell.targets[name].is_unresponsive = True
+    if is_removed:
+        cell.write(TARGETS, name, None)
+    await cell.until(lambda: bool(cell.targets.running_tasks()))
+    assert not crashes_counts(cell, job_id)
+
+
+async def test_crash_long_after_a_start_counts_for_nobody(cell):
+    cell.lead()
+    job_id = cell.submit(job())
+    await cell.until(lambda: bool(cell.targets.running_tasks()))
+    name = only(cell.targets.running_tasks().values())
+    await until_quiet(cell, name)
+    cell.targets.crash(cell.targets[name])
+    await cell.until(lambda: bool(cell.targets.running_tasks()))
+    assert not crashes_counts(cell, job_id)
+    await cell.until_state(job_id, 'completed')
+
+
+async def until_running(cell):
+    await cell.until(lambda: bool(cell.targets.running_tasks()))
+
+
+async def crash_the_running_target(cell):
+    await until_running(cell)
+    name = only(cell.targets.running_tasks().values())
+    cell.targets.crash(cell.targets[name])
+
+
+async def test_task_that_survives_its_trial_is_no_suspect_any_more(cell):
+    cell.lead()
+    job_id = cell.submit(job())
+    for _ in range(3):
+        await crash_the_running_target(cell)
+        await until_running(cell)
+        await asyncio.sleep(0.15)
+        await crash_the_running_target(cell)
+    await cell.until_state(job_id, 'completed')
+
+
+async def test_gang_with_a_crashing_member_is_given_up(cell):
+    cell.targets.crashing.add(key(3))
+    cell.lead()
+    job_id = cell.submit(job(step(6, is_gang=True)))
+    other = cell.submit(job(step(2), job_id='b' * 16))
+    await cell.until(lambda: cell.state(job_id) == 'failed')
+    assert len(cell.targets.crashed) <= MAX_CRASHES_COUNT
+    await cell.until_state(other, 'completed')
+    await cell.until(lambda: not cell.targets.running_tasks())
+
+
+async def test_other_tasks_of_a_given_up_job_are_stopped(cell):
+    cell.targets.crashing.add(key(0))
+    cell.lead()
+    job_id = cell.submit(job(step(6)))
+    await cell.until(lambda: cell.state(job_id) == 'failed')
+    await cell.until(lambda: not cell.targets.running_tasks())
+
+
+async def test_no_overcommit_with_trials(cell):
+    ids = [f'{number:016x}' for number in range(12)]
+    cell.targets.crashing.update(key(1, job_id=job_id) for job_id in ids[:2])
+    cell.lead()
+    for job_id in ids:
+        cell.submit(job(step(3), job_id=job_id))
+    async with asyncio.timeout(10):
+        while any(cell.state(job_id) == 'queued' for job_id in ids):
+            for fake in cell.targets.by_id.values():
+                assert len(fake.running) <= 4
+            cell.end_all(EndKind.done)
+            await asyncio.sleep(0.003)
+    states = [cell.state(job_id) for job_id in ids]
+    assert states == ['failed', 'failed', *('completed' for _ in ids[2:])]
--- a/tests/cell/test_job_service.py
+++ b/tests/cell/test_job_service.py
@@ -4,7 +4,7 @@
 
 from radishlift.cell.clock import BootClock
 from radishlift.cell.entry_rows import RelayedRows, StoreRows
-from radishlift.cell.job_service import JobService
+from radishlift.cell.job_service import JobService, JobStatus
 from radishlift.cell.queues import Queue, QueueConfig
 from radishlift.cell.tables import JOBS, PROGRESS
 from radishlift.core.errors import ErrorKind, Failure, Outcome
@@ -61,7 +61,9 @@
 async def test_accepted_job_is_stored(service):
     assert await service.submit() is None
     assert service.is_stored()
-    assert await service.job_service.read_state(ID) is JobState.queued
+    assert await service.job_service.read_status(ID) == JobStatus(
+        JobState.queued
+    )
 
 
 async def test_repeated_submission_remains_one_job(service):
@@ -123,17 +125,17 @@
 async def test_state_comes_from_the_store(service, state):
     row = {'state': state.value, 'steps': []}
     service.store.tables.commit(Transaction((), (Write(PROGRESS, ID, row),)))
-    assert await service.job_service.read_state(ID) is state
+    assert await service.job_service.read_status(ID) == JobStatus(state)
 
 
 async def test_state_of_an_unknown_job_fails(service):
-    failure = await service.job_service.read_state(ID)
+    failure = await service.job_service.read_status(ID)
     assert failure.kind is ErrorKind.not_found
 
 
 async def test_failed_read_is_not_reported_as_an_unknown_job(service):
     service.store.fault = Fault.down
-    failure = await service.job_service.read_state(ID)
+    failure = await service.job_service.read_status(ID)
     assert failure.kind is ErrorKind.store_unavailable
 
 
--- a/tests/cell/test_orders.py
+++ b/tests/cell/test_orders.py
@@ -102,6 +102,17 @@
     assert setup.events == [verdict]
 
 
+@pytest.mark.parametrize('is_sent', [True, False])
+async def test_start_that_could_not_be_sent_is_not_recorded(setup, is_sent):
+    setup.fake.is_unresponsive = True
+    setup.fake.refuses_connections = not is_sent
+    setup.orders.start(ORDER)
+    await asyncio.sleep(0.02)
+    allocation = setup.target.allocations[key()]
+    assert (allocation.sent_at_ms is not None) is is_sent
+    setup.orders.close()
+
+
 async def test_draining_target_gets_no_start(setup):
     setup.target.entry = entry('t1', state=TargetState.draining)
     setup.orders.start(ORDER)
--- a/tests/platform/test_front.py
+++ b/tests/platform/test_front.py
@@ -10,9 +10,10 @@
 from radishlift.cell.entry_rows import StoreRows
 from radishlift.cell.job_service import JobService
 from radishlift.cell.metrics import CellMetrics
-from radishlift.cell.tables import CANCELS, JOBS
+from radishlift.cell.tables import CANCELS, JOBS, PROGRESS
 from radishlift.platform.documents import decode_config
 from radishlift.platform.front import FrontApi
+from radishlift.services.api import Transaction, Write
 from tests.cell.fakes import MemoryCellStore
 from tests.platform.test_documents import CONFIG
 from tests.standins.tables import Fault
@@ -67,6 +68,22 @@
     assert (status, json.loads(text)) == (200, {'state': 'queued'})
 
 
+async def test_reason_is_served_for_a_job_that_was_given_up(service):
+    await service.send('POST', f'/q/{ID}', JOB)
+    for row, expected in (
+        ({'state': 'failed'}, '{"state":"failed"}'),
+        (
+            {'state': 'failed', 'reason': 'a task crashed its targets'},
+            '{"state":"failed","reason":"a task crashed its targets"}',
+        ),
+    ):
+        service.store.tables.commit(
+            Transaction((), (Write(PROGRESS, ID, {**row, 'steps': []}),))
+        )
+        _, text, _ = await service.send('GET', f'/q/{ID}')
+        assert text == expected
+
+
 async def test_count_of_a_queue(service):
     status, text, _ = await service.send('GET', '/q/')
     assert (status, json.loads(text)) == (200, {'pending': 4})
--- /dev/null
+++ b/tests/steps/test_crashes.py
@@ -0,0 +1,168 @@
+"""Tests which attempts are suspects when a target crashes."""
+
+import pytest
+
+from radishlift.steps.crashes import (
+    give_up_repeated,
+    lost_end_kind,
+    mark_suspects,
+)
+from radishlift.steps.endings import EndKind, apply_end
+from radishlift.steps.ids import TargetId
+from radishlift.steps.runs import JobState, TaskState
+from radishlift.steps.settings import StepSettings
+from radishlift.steps.targets import Target
+from tests.steps.builders import core, entry, job, key, step
+
+SETTINGS = StepSettings(crash_window_ms=300, max_crashes_count=2)
+
+
+def target_with_starts(**sent_at_ms) -> Target:
+    """Returns a target; `a=5` is a start of task 0 of job `a` sent at 5 ms."""
+    target = Target(entry('t1', 16))
+    for name, sent_ms in sent_at_ms.items():
+        task_key = key(job_id=name * 16)
+        target.allocate(task_key, 1, core())
+        if sent_ms is not None:
+            target.record_start(task_key, 1, sent_ms)
+    return target
+
+
+def suspects(target, gangs=()):
+    marked = mark_suspects(target, set(gangs), SETTINGS)
+    return [task_key.step_key.job_id[0] for task_key in marked]
+
+
+def place(run, *keys, attempt=1):
+    for task_key in keys:
+        task = run.find_task(task_key)
+        task.state = TaskState.placed
+        task.attempt = attempt
+        task.target_id = TargetId('t1')
+
+
+def test_lost_targets_without_recent_starts_make_no_suspects():
+    target = target_with_starts(a=0, b=100)
+    target.record_answer(400)
+    assert not suspects(target)
+    assert lost_end_kind(target, key(job_id='a' * 16), 1) is EndKind.lost
+
+
+def test_answer_to_a_call_sent_too_soon_clears_nothing():
+    target = target_with_starts(a=0, b=100)
+    target.record_answer(399)
+    target.record_answer(350)
+    assert suspects(target) == ['b']
+    assert lost_end_kind(target, key(job_id='b' * 16), 1) is (
+        EndKind.crashed_alone
+    )
+
+
+def test_attempt_that_was_never_sent_is_no_suspect():
+    target = target_with_starts(a=10, b=None)
+    assert suspects(target) == ['a']
+    assert lost_end_kind(target, key(job_id='b' * 16), 1) is EndKind.lost
+
+
+def test_crash_among_several_suspects_is_attributed_to_none():
+    target = target_with_starts(a=10, b=20)
+    assert suspects(target) == ['a', 'b']
+    for name in 'ab':
+        kind = lost_end_kind(target, key(job_id=name * 16), 1)
+        assert kind is EndKind.crashed
+
+
+def test_members_of_one_gang_are_one_suspect():
+    target = Target(entry('t1', 16))
+    members = [key(0), key(1)]
+    for member in members:
+        target.allocate(member, 1, core())
+        target.record_start(member, 1, 10)
+    assert suspects(target, members) == ['a', 'a']
+    assert lost_end_kind(target, key(1), 1) is EndKind.crashed_alone
+
+
+def test_start_repeated_to_the_next_process_is_no_suspect():
+    target = target_with_starts(a=10)
+    suspects(target)
+    target.record_start(key(), 1, 700)
+    assert lost_end_kind(target, key(), 1) is EndKind.lost
+
+
+@pytest.mark.parametrize(('first_sent_ms', 'found'), [(None, []), (10, ['a'])])
+def test_start_without_a_connection_is_not_counted(first_sent_ms, found):
+    target = target_with_starts(a=first_sent_ms)
+    previous_ms = target.record_start(key(), 1, 20)
+    target.retract_start(key(), 1, previous_ms)
+    assert suspects(target) == found
+
+
+def test_crash_of_an_earlier_attempt_is_not_that_of_the_latest():
+    target = target_with_starts(a=10)
+    suspects(target)
+    assert lost_end_kind(target, key(), 2) is EndKind.lost
+
+
+def crash(run, task_key, attempt, kind):
+    place(run, task_key, attempt=attempt)
+    apply_end(run, task_key, attempt, kind, '')
+    return give_up_repeated(run, run.find_task(task_key), kind, SETTINGS)
+
+
+@pytest.mark.parametrize(
+    ('kinds', 'state'),
+    [
+        ([EndKind.crashed_alone], JobState.queued),
+        ([EndKind.crashed, EndKind.crashed], JobState.queued),
+        ([EndKind.crashed, EndKind.crashed_alone], JobState.queued),
+        (
+            [EndKind.crashed, EndKind.crashed_alone, EndKind.crashed_alone],
+            JobState.failed,
+        ),
+        ([EndKind.crashed_alone, EndKind.crashed_alone], JobState.failed),
+    ],
+)
+def test_only_a_repeated_crash_without_other_suspects_fails_the_job(
+    kinds, state
+):
+    run = job()
+    for attempt, kind in enumerate(kinds, 1):
+        crash(run, key(), attempt, kind)
+    assert run.state is state
+    assert bool(run.reason) == run.is_ended
+
+
+def test_cancelled_job_stays_cancelled():
+    run = job()
+    crash(run, key(), 1, EndKind.crashed_alone)
+    place(run, key(), attempt=2)
+    run.state = JobState.cancelled
+    apply_end(run, key(), 2, EndKind.crashed_alone, '')
+    task = run.find_task(key())
+    assert not give_up_repeated(run, task, EndKind.crashed_alone, SETTINGS)
+    assert (run.state, run.reason) == (JobState.cancelled, '')
+
+
+@pytest.mark.parametrize('is_long_running', [False, True])
+def test_normal_end_clears_a_suspect(is_long_running):
+    run = job(step(1, is_long_running=is_long_running))
+    crash(run, key(), 1, EndKind.crashed_alone)
+    place(run, key(), attempt=2)
+    apply_end(run, key(), 2, EndKind.failed, '')
+    assert run.find_task(key()).crashes_count == 0
+    assert not crash(run, key(), 3, EndKind.crashed_alone)
+
+
+def test_long_running_task_is_given_up():
+    run = job(step(1, is_long_running=True))
+    assert not crash(run, key(), 1, EndKind.crashed_alone)
+    assert crash(run, key(), 2, EndKind.crashed_alone)
+
+
+def test_two_targets_of_a_gang_that_crash_at_once_count_once():
+    run = job(step(2, is_gang=True))
+    place(run, key(0), key(1))
+    for number in range(2):
+        apply_end(run, key(number), 1, EndKind.crashed_alone, '')
+    counts = [run.find_task(key(number)).crashes_count for number in range(2)]
+    assert counts == [1, 1]
--- a/tests/steps/test_progress.py
+++ b/tests/steps/test_progress.py
@@ -27,6 +27,39 @@
     assert restored.find_task(key(1)).failures_count == 1
 
 
+def test_takeover_keeps_the_crashes_of_a_task():
+    run = job(step(2))
+    task = run.find_task(key(1))
+    for attempt, kind in ((1, EndKind.crashed), (2, EndKind.crashed_alone)):
+        task.state = TaskState.placed
+        task.attempt = attempt
+        apply_end(run, key(1), attempt, kind, '')
+    restored = job(step(2))
+    load_progress(restored, dump_progress(run))
+    assert [task.crashes_count for task in restored.all_tasks()] == [0, 2]
+    assert restored.find_task(key(1)).sole_crashes_count == 1
+
+
+def test_progress_of_an_earlier_version_is_loaded():
+    run = job(step(2))
+    tasks = [[1, 'w', 3, 2, '', 'c1']]
+    load_progress(run, {'state': 'running', 'steps': [[0, 0, tasks]]})
+    task = run.find_task(key(1))
+    assert (task.attempt, task.failures_count) == (3, 2)
+    assert (task.crashes_count, run.reason) == (0, '')
+
+
+def test_reason_of_a_failed_job_is_stored():
+    run = job()
+    run.state = JobState.failed
+    run.reason = 'why'
+    plain = dump_progress(run)
+    assert plain == {'state': 'failed', 'reason': 'why', 'steps': []}
+    restored = job()
+    load_progress(restored, plain)
+    assert restored.reason == 'why'
+
+
 def test_tasks_without_attempts_are_not_stored():
     assert dump_progress(job(step(60))) == {'state': 'queued', 'steps': []}
 
