Give up a task sooner whose starts on crashed targets were confirmed

Callers saw: a crashing task that had started beside others was started until two targets had crashed with it as the only suspect, one crash more than needed.

Cause: a crash with several suspects never counted towards giving up, because some of them may not have started there. That is known, though, if the target has answered their start.

Change: allocations record that a start is confirmed. Of several suspects only those that ran there count the crash towards giving up (`crashed`, the others `maybe_crashed`); the last crash still must have no other suspect.

Why it works: a job is given up only if its task ran during two crashes and one of them has no other explanation.

--- a/src/radishlift/cell/attempts.py
+++ b/src/radishlift/cell/attempts.py
@@ -56,7 +56,7 @@
         The target may have crashed, and nothing tells which task caused it.
         """
         job = self._jobs.get(key.step_key.job_id)
-        ended = EndedAttempt(0, key, attempt, EndKind.crashed)
+        ended = EndedAttempt(0, key, attempt, EndKind.maybe_crashed)
         if job is not None and _apply_end(job, ended):
             self._handle_end(job, ended)
 
--- a/src/radishlift/steps/crashes.py
+++ b/src/radishlift/steps/crashes.py
@@ -16,11 +16,14 @@
 
 _END_KINDS: Final = {
     Suspicion.none: EndKind.lost,
+    Suspicion.unconfirmed: EndKind.maybe_crashed,
     Suspicion.shared: EndKind.crashed,
     Suspicion.sole: EndKind.crashed_alone,
 }
 
-CRASH_KINDS: Final = frozenset((EndKind.crashed, EndKind.crashed_alone))
+CRASH_KINDS: Final = frozenset(
+    (EndKind.maybe_crashed, EndKind.crashed, EndKind.crashed_alone)
+)
 
 
 def is_cleared(
@@ -63,12 +66,18 @@
     }
     units = {key.step_key if key in gangs else key for key in suspects}
     for allocation in suspects.values():
-        allocation.suspicion = (
-            Suspicion.sole if len(units) == 1 else Suspicion.shared
-        )
+        allocation.suspicion = _rate(allocation, len(units))
     return list(suspects)
 
 
+def _rate(allocation: Allocation, units_count: int) -> Suspicion:
+    if units_count == 1:
+        return Suspicion.sole
+    if allocation.is_confirmed:
+        return Suspicion.shared
+    return Suspicion.unconfirmed
+
+
 def lost_end_kind(target: Target, key: TaskKey, attempt: int) -> EndKind:
     """Returns how an attempt that its target does not run has ended."""
     allocation = target.allocations.get(key)
@@ -87,7 +96,7 @@
 
     Returns whether it failed now.
     """
-    is_repeated = task.sole_crashes_count >= settings.max_crashes_count
+    is_repeated = task.confirmed_crashes_count >= settings.max_crashes_count
     if kind is not EndKind.crashed_alone or not is_repeated or job.is_ended:
         return False
     job.state = JobState.failed
--- a/src/radishlift/steps/endings.py
+++ b/src/radishlift/steps/endings.py
@@ -22,7 +22,8 @@
 
     After any kind but `done` and `failed` the task waits again, unless its job
     has ended. `crashed` means that the target crashed and the attempt is one
-    of several that may have caused it, `crashed_alone` that it is the only one.
+    of several that may have caused it, `crashed_alone` that it is the only one,
+    and `maybe_crashed` that it may not even have started.
     """
 
     done = 'done'
@@ -32,6 +33,7 @@
     broken = 'broken'
     alone = 'alone'
     lost = 'lost'
+    maybe_crashed = 'maybe_crashed'
     crashed = 'crashed'
     crashed_alone = 'crashed_alone'
 
@@ -101,23 +103,24 @@
         job.state = JobState.failed
 
 
-@_HANDLERS.register(EndKind.crashed.value)
-def _apply_crashed(job: JobRun, step: StepRun, task: TaskRun) -> None:
-    _count_crash(step, task, sole_count=0)
+@_HANDLERS.register(EndKind.maybe_crashed.value)
+def _apply_maybe_crashed(job: JobRun, step: StepRun, task: TaskRun) -> None:
+    _count_crash(step, task, confirmed_count=0)
 
 
+@_HANDLERS.register(EndKind.crashed.value)
 @_HANDLERS.register(EndKind.crashed_alone.value)
-def _apply_crashed_alone(job: JobRun, step: StepRun, task: TaskRun) -> None:
-    _count_crash(step, task, sole_count=1)
+def _apply_crashed(job: JobRun, step: StepRun, task: TaskRun) -> None:
+    _count_crash(step, task, confirmed_count=1)
 
 
-def _count_crash(step: StepRun, task: TaskRun, sole_count: int) -> None:
+def _count_crash(step: StepRun, task: TaskRun, confirmed_count: int) -> None:
     if step.spec.is_gang and step.crashed_attempt == task.attempt:
         return
     step.crashed_attempt = task.attempt
     for member in step.unit_of(task):
         member.crashes_count += 1
-        member.sole_crashes_count += sole_count
+        member.confirmed_crashes_count += confirmed_count
 
 
 def _clear_crashes(step: StepRun, task: TaskRun) -> None:
--- a/src/radishlift/steps/progress.py
+++ b/src/radishlift/steps/progress.py
@@ -53,7 +53,7 @@
             *step_key,
             task.key.number,
             task.crashes_count,
-            task.sole_crashes_count,
+            task.confirmed_crashes_count,
         ]
         for step_key, step in job.steps.items()
         for task in step.tasks
@@ -89,9 +89,9 @@
             _load_task(step, fields)
     for occurrence, number, index, *counts in plain.get('crashes', ()):
         task = job.steps[occurrence, number].tasks[index]
-        crashes_count, sole_count = counts
+        crashes_count, confirmed_count = counts
         task.crashes_count = int(crashes_count)
-        task.sole_crashes_count = int(sole_count)
+        task.confirmed_crashes_count = int(confirmed_count)
     job.reason = str(plain.get('reason', ''))
     job.has_started = any(
         task.state is TaskState.done or task.failures_count
--- a/src/radishlift/steps/runs.py
+++ b/src/radishlift/steps/runs.py
@@ -38,8 +38,8 @@
     """A task and its latest attempt.
 
     `crashes_count` is how many targets have crashed in succession while they
-    started the task, and `sole_crashes_count` how many of these crashes no
-    other task may have caused.
+    started the task, and `confirmed_crashes_count` during how many of these
+    crashes the task is known to have run.
     """
 
     key: TaskKey
@@ -49,12 +49,12 @@
     target_id: TargetId = TargetId('')
     checkpoint: str = ''
     crashes_count: int = 0
-    sole_crashes_count: int = 0
+    confirmed_crashes_count: int = 0
 
     def clear_crashes(self) -> None:
         """Forgets crashes after the task has run without one."""
         self.crashes_count = 0
-        self.sole_crashes_count = 0
+        self.confirmed_crashes_count = 0
 
 
 @dataclass(slots=True)
--- a/src/radishlift/steps/targets.py
+++ b/src/radishlift/steps/targets.py
@@ -44,10 +44,12 @@
 class Suspicion(Enum):
     """Whether an attempt may have crashed its target.
 
-    `shared` means that other attempts may have crashed it as well.
+    `shared` means that other attempts may have crashed it as well, and
+    `unconfirmed` that the attempt may not even have started.
     """
 
     none = 'none'
+    unconfirmed = 'unconfirmed'
     shared = 'shared'
     sole = 'sole'
 
@@ -58,12 +60,14 @@
 
     `expected_end_ms` is a monotonic time; 0 if the start time is unknown.
     `sent_at_ms` is when the latest start call was sent; None if none was.
+    `is_confirmed` is whether the target has answered that it started.
     """
 
     attempt: int
     amounts: Amounts
     expected_end_ms: int = 0
     sent_at_ms: int | None = None
+    is_confirmed: bool = False
     suspicion: Suspicion = Suspicion.none
 
     def record_sent(self, now_ms: int) -> int | None:
@@ -127,6 +131,12 @@
             return None
         return allocation.record_sent(now_ms)
 
+    def confirm_start(self, key: TaskKey, attempt: int) -> None:
+        """Records that the target has started an attempt."""
+        allocation = self.allocations.get(key)
+        if allocation is not None and allocation.attempt == attempt:
+            allocation.is_confirmed = True
+
     def retract_start(
         self, key: TaskKey, attempt: int, previous_ms: int | None
     ) -> None:
--- a/tests/steps/test_crashes.py
+++ b/tests/steps/test_crashes.py
@@ -66,10 +66,10 @@
 
 def test_crash_among_several_suspects_is_attributed_to_none():
     target = target_with_starts(a=10, b=20)
+    target.confirm_start(key(job_id='a' * 16), 1)
     assert suspects(target) == ['a', 'b']
-    for name in 'ab':
-        kind = lost_end_kind(target, key(job_id=name * 16), 1)
-        assert kind is EndKind.crashed
+    kinds = [lost_end_kind(target, key(job_id=name * 16), 1) for name in 'ab']
+    assert kinds == [EndKind.crashed, EndKind.maybe_crashed]
 
 
 def test_members_of_one_gang_are_one_suspect():
@@ -114,11 +114,8 @@
     [
         ([EndKind.crashed_alone], JobState.queued),
         ([EndKind.crashed, EndKind.crashed], JobState.queued),
-        ([EndKind.crashed, EndKind.crashed_alone], JobState.queued),
-        (
-            [EndKind.crashed, EndKind.crashed_alone, EndKind.crashed_alone],
-            JobState.failed,
-        ),
+        ([EndKind.maybe_crashed, EndKind.crashed_alone], JobState.queued),
+        ([EndKind.crashed, EndKind.crashed_alone], JobState.failed),
         ([EndKind.crashed_alone, EndKind.crashed_alone], JobState.failed),
     ],
 )
--- a/tests/steps/test_progress.py
+++ b/tests/steps/test_progress.py
@@ -30,14 +30,17 @@
 def test_takeover_keeps_the_crashes_of_a_task():
     run = job(step(2))
     task = run.find_task(key(1))
-    for attempt, kind in ((1, EndKind.crashed), (2, EndKind.crashed_alone)):
+    for attempt, kind in (
+        (1, EndKind.maybe_crashed),
+        (2, EndKind.crashed_alone),
+    ):
         task.state = TaskState.placed
         task.attempt = attempt
         apply_end(run, key(1), attempt, kind, '')
     restored = job(step(2))
     load_progress(restored, dump_progress(run))
     assert [task.crashes_count for task in restored.all_tasks()] == [0, 2]
-    assert restored.find_task(key(1)).sole_crashes_count == 1
+    assert restored.find_task(key(1)).confirmed_crashes_count == 1
 
 
 def test_progress_of_an_earlier_version_is_loaded():
