--- a/src/radishlift/cell/inherited_attempts.py
+++ b/src/radishlift/cell/inherited_attempts.py
@@ -4,6 +4,7 @@
 from radishlift.cell.fleet import TargetFleet
 from radishlift.cell.job_table import JobTable
 from radishlift.cell.leases import InheritedLeases
+from radishlift.core.clock import Clock
 from radishlift.core.logs import log_event
 from radishlift.steps.ids import TargetId
 from radishlift.steps.runs import TaskRun, TaskState
@@ -22,11 +23,13 @@
         fleet: TargetFleet,
         tracker: AttemptTracker,
         leases: InheritedLeases,
+        clock: Clock,
     ) -> None:
         self._jobs = jobs
         self._fleet = fleet
         self._tracker = tracker
         self._leases = leases
+        self._clock = clock
         self._tasks_by_target: dict[TargetId, list[TaskRun]] = {}
 
     def collect(self) -> None:
@@ -47,6 +50,9 @@
                 target.allocate(
                     task.key, task.attempt, step.spec.allocated_amounts
                 )
+                target.record_start(
+                    task.key, task.attempt, self._clock.monotonic_ms()
+                )
 
     def list_unrenewed_ms(self, now_ms: int) -> dict[TargetId, int]:
         """Returns how long each lease may last that is not renewed."""
@@ -59,7 +65,7 @@
                 continue
             for task in self._tasks_by_target.pop(target_id):
                 log_event('task_orphaned', task=task.key, target=target_id)
-                self._tracker.end_lost_attempt(task.key, task.attempt)
+                self._tracker.end_orphan(task.key, task.attempt)
 
     def _remaining_ms(self, now_ms: int) -> dict[TargetId, int]:
         return {
--- a/src/radishlift/cell/scheduler.py
+++ b/src/radishlift/cell/scheduler.py
@@ -7,7 +7,7 @@
 import asyncio
 from dataclasses import dataclass
 
-from radishlift.cell.attempts import AttemptTracker
+from radishlift.cell.attempts import AttemptTracker, is_current
 from radishlift.cell.commits import CommitLog
 from radishlift.cell.fleet import TargetFleet
 from radishlift.cell.inherited_attempts import InheritedAttempts
@@ -81,6 +81,7 @@
             self.fleet,
             self.attempts,
             self.inherited_leases,
+            context.clock,
         )
         self._session_context = SessionContext(
             context.calls,
@@ -180,9 +181,10 @@
         Job and attempt may have ended during the commit, and the target may
         have less capacity.
         """
-        is_current = self.attempts.is_current(session, order.key, order.attempt)
+        job = self.jobs.get(order.key.step_key.job_id)
+        is_valid = is_current(job, session, order.key, order.attempt)
         now_ms = self._context.clock.monotonic_ms()
-        if not is_current or not self.fleet.may_start(session.target, now_ms):
+        if not is_valid or not self.fleet.may_start(session.target, now_ms):
             session.listing.cancel_start(order.key, order.attempt)
             self.attempts.end_unstarted(session, order.key, order.attempt)
             return
--- a/src/radishlift/steps/wait_reasons.py
+++ b/src/radishlift/steps/wait_reasons.py
@@ -5,11 +5,12 @@
 from enum import Enum, unique
 
 from radishlift.steps.ids import StepKey
-from radishlift.steps.planner import Planner, Tick
+from radishlift.steps.planner import Planner
 from radishlift.steps.runs import JobRun, StepRun
 from radishlift.steps.settings import StepSettings
 from radishlift.steps.targets import Target
 from radishlift.steps.tickets import TicketTable, valid_ticket_filter
+from radishlift.steps.ticks import Tick
 
 
 @unique
