Place nothing while the entries of targets are outdated

With the check of outdated entries before a start, a leader that can't read them would place, commit and end the same tasks again and again: in the new test 65 attempts in 0.2 s on the parent commit.

Cause: the check came after the commit only.

Change: the leader places nothing until the entries are read again.

--- a/src/radishlift/cell/fleet.py
+++ b/src/radishlift/cell/fleet.py
@@ -73,10 +73,13 @@
         """Records when the latest entries of targets were requested."""
         self.entries_read_at_ms = requested_at_ms
 
+    def has_recent_entries(self, now_ms: int) -> bool:
+        """Returns whether placement may rely on the entries of targets."""
+        return now_ms - self.entries_read_at_ms <= self._max_entry_age_ms
+
     def may_start(self, target: Target, now_ms: int) -> bool:
         """Returns whether recent entries allow all attempts on a target."""
-        age_ms = now_ms - self.entries_read_at_ms
-        return age_ms <= self._max_entry_age_ms and Amounts().fits_in(
+        return self.has_recent_entries(now_ms) and Amounts().fits_in(
             target.free_capacity
         )
 
--- a/src/radishlift/cell/scheduler.py
+++ b/src/radishlift/cell/scheduler.py
@@ -209,6 +209,8 @@
         clock = self._context.clock
         now_ms = clock.monotonic_ms()
         self.inherited.end_expired(now_ms)
+        if not self.fleet.has_recent_entries(now_ms):
+            return
         plan = self._planner.plan(now_ms, clock.wall_ms())
         for job, placement in plan.placements:
             self._commit_start(job, placement)
--- a/tests/cell/fakes.py
+++ b/tests/cell/fakes.py
@@ -34,6 +34,7 @@
         self.is_history_dropped = False
         self.ignores_changes = False
         self.rejects_commits = False
+        self.unreadable_tables = set()
         self.requested_waits_ms = []
 
     async def commit(self, transaction):
@@ -62,7 +63,7 @@
             await asyncio.sleep(wait_ms / 1000)
         async with asyncio.timeout(wait_ms / 1000 + 1):
             for _ in range(max(1, wait_ms // 5)):
-                if self.fault is Fault.down:
+                if self.fault is Fault.down or table in self.unreadable_tables:
                     return DOWN
                 if self.is_history_dropped:
                     self.is_history_dropped = False
--- a/tests/cell/test_scheduler.py
+++ b/tests/cell/test_scheduler.py
@@ -1,10 +1,12 @@
 """Tests of the leader's starts: changes between a plan and its commit."""
 
 import asyncio
+from dataclasses import replace
 
 import pytest
 
-from tests.cell.leader import Cell
+from radishlift.cell.tables import PROGRESS, TARGETS
+from tests.cell.leader import SETTINGS, Cell
 from tests.steps.builders import job, step
 
 OTHER_JOB = 'b' * 16
@@ -68,3 +70,21 @@
     assert len(fake.running) == 1
     cell.write_target('t1', cores=4)
     await cell.until(lambda: len(fake.running) == 4)
+
+
+async def test_outdated_entries_cause_neither_starts_nor_repeated_commits():
+    cell = Cell('t1', settings=replace(SETTINGS, max_entry_age_ms=100))
+    fake = cell.targets['t1']
+    try:
+        cell.lead()
+        await cell.until(lambda: fake.fencing_token == 1)
+        cell.store.unreadable_tables.add(TARGETS)
+        await asyncio.sleep(0.2)
+        job_id = cell.submit(job())
+        await asyncio.sleep(0.2)
+        assert not fake.started
+        assert cell.store.tables.read(PROGRESS, job_id).value is None
+        cell.store.unreadable_tables.clear()
+        await cell.until(lambda: bool(fake.started))
+    finally:
+        await cell.close()
