Trust the list of unrenewed leases only from the previous leader

During an upgrade a task could run twice at the same time (TWICE).

Cause: a leader of an earlier release does not know the list of leases that are not renewed. It may renew one of them and leave the list as it is, and a later leader would rely on it.

Change: the list names its epoch, each leader replaces it with its first heartbeat, and only the list of the previous epoch counts.

--- a/src/radishlift/cell/commits.py
+++ b/src/radishlift/cell/commits.py
@@ -102,7 +102,7 @@
         self._is_failing = False
         self.confirmed_at_ms = clock.monotonic_ms()
         self.heartbeat_fields: Callable[[], Mapping[str, Any]] = dict
-        self.unrenewed = UnrenewedLeases(self._has_work.set)
+        self.unrenewed = UnrenewedLeases(claim.epoch, self._has_work.set)
 
     @property
     def is_confirmed(self) -> bool:
--- a/src/radishlift/cell/leader_term.py
+++ b/src/radishlift/cell/leader_term.py
@@ -186,7 +186,7 @@
             log_event('unrenewed_unread', reason=row.reason)
             await asyncio.sleep(dependencies.settings.feed_retry_ms / 1000)
         try:
-            remaining_ms = load_remaining_ms(row)
+            remaining_ms = load_remaining_ms(row, self.claim.epoch)
         except _DECODE_ERRORS as error:
             log_event('bad_unrenewed_row', reason=repr(error))
             return
--- a/src/radishlift/cell/unrenewed_leases.py
+++ b/src/radishlift/cell/unrenewed_leases.py
@@ -11,7 +11,7 @@
 
 from radishlift.cell.tables import COMMITS, UNRENEWED_KEY
 from radishlift.services.api import Row, Write
-from radishlift.steps.ids import TargetId
+from radishlift.steps.ids import FencingToken, TargetId
 
 
 class UnrenewedLeases:
@@ -19,11 +19,16 @@
 
     A lease in the stored list must not be renewed before a list without it is
     committed. `list_remaining_ms` returns how long each of these leases may
-    last, in milliseconds.
+    last, in milliseconds. The list names its epoch: a leader of an earlier
+    release renews leases without a look at it.
     """
 
-    def __init__(self, request_commit: Callable[[], None]) -> None:
+    def __init__(
+        self, epoch: FencingToken, request_commit: Callable[[], None]
+    ) -> None:
+        self._epoch = epoch
         self._request_commit = request_commit
+        self._is_first_write = True
         self._stored: frozenset[TargetId] = frozenset()
         self._written: frozenset[TargetId] | None = None
         self._requested: list[asyncio.Future[None]] = []
@@ -52,15 +57,17 @@
         await removed
 
     def start_write(self) -> list[Write]:
-        """Returns the write of the list, if it is not empty as before."""
+        """Returns the write of the list, unless it is empty as before."""
         remaining_ms = self.list_remaining_ms()
         self._writing = self._requested
         self._requested = []
-        if not remaining_ms and not self._stored:
+        if not remaining_ms and not self._stored and not self._is_first_write:
             return []
+        self._is_first_write = False
         self._written = frozenset(remaining_ms)
         self._stored |= self._written
-        return [Write(COMMITS, UNRENEWED_KEY, {'remaining_ms': remaining_ms})]
+        fields = {'epoch': self._epoch, 'remaining_ms': remaining_ms}
+        return [Write(COMMITS, UNRENEWED_KEY, fields)]
 
     def finish_write(self) -> None:
         """Records that the latest write is committed."""
@@ -73,12 +80,13 @@
         self._writing = []
 
 
-def load_remaining_ms(row: Row) -> dict[TargetId, int]:
-    """Reads a stored list.
+def load_remaining_ms(row: Row, epoch: FencingToken) -> dict[TargetId, int]:
+    """Reads the list of the previous leader.
 
-    Raises AttributeError, TypeError or ValueError for invalid data.
+    Returns an empty list if an earlier leader wrote it. Raises AttributeError,
+    KeyError, TypeError or ValueError for invalid data.
     """
-    if row.value is None:
+    if row.value is None or row.value['epoch'] != epoch - 1:
         return {}
     return {
         TargetId(target_id): int(remaining_ms)
--- a/tests/cell/test_orders.py
+++ b/tests/cell/test_orders.py
@@ -40,7 +40,7 @@
             FencingToken(3),
             6000,
             InheritedLeases(0),
-            UnrenewedLeases(lambda: None),
+            UnrenewedLeases(FencingToken(3), lambda: None),
             lambda: True,
         )
         self.target = Target(entry('t1'))
