Give up no task for losses that may be partitions

A job without a fault could be shown as failed (LOST).

Cause: a target whose lease expired counted as crashed, also while its entry was listed, so that two partitions, each soon after the start of a lone task, gave it up. A lone task that a new leader inherits counted as having just started.

Change: a crash is attributed only with proof that the process has ended: another process answers, or the entry of the target is gone. An inherited attempt must have been reported before. Other losses only raise the count that makes a task a suspect.

--- a/src/radishlift/cell/attempts.py
+++ b/src/radishlift/cell/attempts.py
@@ -119,9 +119,9 @@
         kind = lost_end_kind(session.target, key, attempt)
         self._end_attempt(session, EndedAttempt(0, key, attempt, kind))
 
-    def on_crashed(self, session: TargetSession) -> None:
+    def on_crashed(self, session: TargetSession, *, is_proven: bool) -> None:
         """Marks the attempts that may have crashed a target."""
-        self._crashes.record_crash(session.target)
+        self._crashes.record_crash(session.target, is_proven=is_proven)
 
     def on_lease_expired(self, session: TargetSession) -> None:
         """Ends all attempts of a target; removes it if it is unlisted."""
--- a/src/radishlift/cell/crashes.py
+++ b/src/radishlift/cell/crashes.py
@@ -21,16 +21,20 @@
         self._jobs = jobs
         self._settings = settings
 
-    def record_crash(self, target: Target) -> None:
+    def record_crash(self, target: Target, *, is_proven: bool) -> None:
         """Marks the attempts that may have crashed a target.
 
         A draining target was about to end, so that nothing is suspected.
+        Without proof that its process has ended nothing is attributed.
         """
         is_draining = target.entry.state is TargetState.draining
         if is_draining or not target.allocations:
             return
         suspects = mark_suspects(
-            target, self._list_gang_members(target), self._settings
+            target,
+            self._list_gang_members(target),
+            self._settings,
+            is_proven=is_proven,
         )
         log_event(
             'target_crashed',
--- a/src/radishlift/cell/inherited_attempts.py
+++ b/src/radishlift/cell/inherited_attempts.py
@@ -50,6 +50,7 @@
                 target.allocate(
                     task.key, task.attempt, step.spec.allocated_amounts
                 )
+                target.allocations[task.key].is_inherited = True
                 target.record_start(
                     task.key, task.attempt, self._clock.monotonic_ms()
                 )
--- a/src/radishlift/cell/session_context.py
+++ b/src/radishlift/cell/session_context.py
@@ -35,8 +35,11 @@
     ) -> None:
         """Handles an attempt that is confirmed not to run."""
 
-    def on_crashed(self, session: 'TargetSession') -> None:
-        """Handles the end of a target's process, before its attempts end."""
+    def on_crashed(self, session: 'TargetSession', *, is_proven: bool) -> None:
+        """Handles the end of a target's process, before its attempts end.
+
+        Without proof the process may run on behind a network partition.
+        """
 
     def on_lease_expired(self, session: 'TargetSession') -> None:
         """Handles the end of all attempts of an unreachable target."""
--- a/src/radishlift/cell/sessions.py
+++ b/src/radishlift/cell/sessions.py
@@ -156,7 +156,7 @@
             # Each process has its own clock and counts its ended attempts.
             self._lease.restart(report.clock_ms, self._now_ms())
             self._ended_cursor = 0
-            self._context.listener.on_crashed(self)
+            self._context.listener.on_crashed(self, is_proven=True)
         else:
             self._lease.update_clock(report.clock_ms, self._now_ms())
         if is_restarted:
@@ -189,9 +189,13 @@
         self._ended_cursor = 0
         self._set_reachable(is_reachable=False)
         has_expired = self._lease.has_expired(self._now_ms())
-        if has_expired or answer is StartVerdict.other_process:
+        has_restarted = answer is StartVerdict.other_process
+        if has_expired or has_restarted:
             self.listing.clear()
-            self._context.listener.on_crashed(self)
+            # A listed target may run on behind a network partition.
+            self._context.listener.on_crashed(
+                self, is_proven=has_restarted or not self.target.is_listed
+            )
             self._context.listener.on_lease_expired(self)
 
     def _set_reachable(self, *, is_reachable: bool) -> None:
--- a/src/radishlift/steps/crashes.py
+++ b/src/radishlift/steps/crashes.py
@@ -51,11 +51,13 @@
     target: Target,
     gangs: set[TaskKey],
     settings: StepSettings,
+    *,
+    is_proven: bool,
 ) -> list[TaskKey]:
     """Marks the attempts that may have crashed a target; returns their tasks.
 
     `gangs` are the tasks that are members of gangs. A crash is attributed to
-    a task or gang only if there is no other suspect.
+    a task or gang only if it is proven and there is no other suspect.
     """
     suspects = {
         key: allocation
@@ -66,12 +68,18 @@
     }
     units = {key.step_key if key in gangs else key for key in suspects}
     for allocation in suspects.values():
-        allocation.suspicion = _rate(allocation, len(units))
+        allocation.suspicion = (
+            _rate(allocation, len(units))
+            if is_proven
+            else Suspicion.unconfirmed
+        )
     return list(suspects)
 
 
 def _rate(allocation: Allocation, units_count: int) -> Suspicion:
-    if units_count == 1:
+    # An inherited attempt may have run for long before the takeover.
+    may_be_older = allocation.is_inherited and not allocation.is_confirmed
+    if units_count == 1 and not may_be_older:
         return Suspicion.sole
     if allocation.is_confirmed:
         return Suspicion.shared
--- a/src/radishlift/steps/targets.py
+++ b/src/radishlift/steps/targets.py
@@ -60,7 +60,8 @@
 
     `expected_end_ms` is a monotonic time; 0 if the start time is unknown.
     `sent_at_ms` is when the latest start call was sent; None if none was.
-    `is_confirmed` is whether the target has answered that it started.
+    `is_confirmed` is whether the target has answered that it started, and
+    `is_inherited` whether an earlier leader started it.
     """
 
     attempt: int
@@ -68,6 +69,7 @@
     expected_end_ms: int = 0
     sent_at_ms: int | None = None
     is_confirmed: bool = False
+    is_inherited: bool = False
     suspicion: Suspicion = Suspicion.none
 
     def record_sent(self, now_ms: int) -> int | None:
