Renew no lease by starts of an unconfirmed leader

A task could run twice after several takeovers (TWICE).

Cause: polls renew a lease only while a recent commit confirms the leader, but starts renewed it always. A frozen leader that wakes with a start in progress could so prolong a lease that later leaders wait for, and since the wait continues across takeovers, they may not wait long enough.

Change: starts renew leases under the same condition as polls.

--- a/src/radishlift/cell/orders.py
+++ b/src/radishlift/cell/orders.py
@@ -124,7 +124,7 @@
 
     def _renew_lease(self) -> int:
         # The lease of an unreachable target is not renewed, so that it expires.
-        if self._target.is_reachable:
+        if self._target.is_reachable and self._context.may_renew_leases():
             self._lease.grant(self._now_ms())
         return self._lease.until_ms
 
--- a/tests/cell/test_orders.py
+++ b/tests/cell/test_orders.py
@@ -15,6 +15,7 @@
 from radishlift.steps.ids import FencingToken
 from radishlift.steps.targets import Target, TargetState
 from tests.cell.fakes import FakeTargets
+from tests.only import only
 from tests.steps.builders import core, entry, key
 
 SETTINGS = CellSettings(hold_retry_ms=5, order_retries_count=2)
@@ -24,7 +25,7 @@
 class OrdersSetup:
     """Orders to one fake target, and the events the listener received."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, may_renew: bool = True) -> None:
         self.calls = FakeTargets('t1')
         self.fake = self.calls['t1']
         self.events = []
@@ -41,11 +42,12 @@
             6000,
             InheritedLeases(0),
             UnrenewedLeases(FencingToken(3), lambda: None),
-            lambda: True,
+            lambda: may_renew,
         )
         self.target = Target(entry('t1'))
         self.target.allocate(key(), 1, core())
         lease = TargetLease(SETTINGS, 6000, 0)
+        lease.update_clock(0, 0)
         self.orders = TargetOrders(
             self.target,
             lease,
@@ -137,3 +139,11 @@
     setup.orders.listing.clear()
     await asyncio.sleep(0.02)
     assert not setup.fake.started
+
+
+@pytest.mark.parametrize('may_renew', [False, True])
+async def test_start_of_an_unconfirmed_leader_renews_no_lease(may_renew):
+    setup = OrdersSetup(may_renew=may_renew)
+    setup.orders.start(ORDER)
+    await setup.until_resolved()
+    assert (only(setup.fake.started).until_ms > 0) is may_renew
