--- a/tests/steps/test_progress.py
+++ b/tests/steps/test_progress.py
@@ -87,3 +87,15 @@
     task_key = key(7, 2)
     assert isinstance(task_key, TaskKey)
     assert parse_task_key(str(task_key)) == task_key
+
+
+def test_crash_of_a_gang_is_not_counted_again_after_a_takeover():
+    run = job(step(2, is_gang=True))
+    for member in run.steps[0, 0].tasks:
+        member.state = TaskState.placed
+        member.attempt = 1
+    apply_end(run, key(0), 1, EndKind.crashed_alone, '')
+    restored = job(step(2, is_gang=True))
+    load_progress(restored, dump_progress(run))
+    apply_end(restored, key(1), 1, EndKind.crashed_alone, '')
+    assert restored.find_task(key(1)).crashes_count == 1
