--- a/src/radishlift/cell/inherited_attempts.py
+++ b/src/radishlift/cell/inherited_attempts.py
@@ -31,9 +31,11 @@
         self._leases = leases
         self._clock = clock
         self._tasks_by_target: dict[TargetId, list[TaskRun]] = {}
+        self._is_collected = False
 
     def collect(self) -> None:
         """Collects the placed tasks of all loaded jobs."""
+        self._is_collected = True
         for job in self._jobs:
             for task in job.all_tasks():
                 if task.state is TaskState.placed:
@@ -64,14 +66,20 @@
         for target_id, remaining_ms in self._remaining_ms(now_ms).items():
             if remaining_ms >= 0:
                 continue
-            for task in self._tasks_by_target.pop(target_id):
+            for task in self._tasks_by_target.pop(target_id, ()):
                 log_event('task_orphaned', task=task.key, target=target_id)
                 self._tracker.end_orphan(task.key, task.attempt)
 
     def _remaining_ms(self, now_ms: int) -> dict[TargetId, int]:
+        # Which targets have tasks is known only once all jobs are loaded.
+        target_ids = (
+            tuple(self._tasks_by_target)
+            if self._is_collected
+            else self._leases.list_loaded()
+        )
         return {
             target_id: self._leases.until_ms(target_id) - now_ms
-            for target_id in self._tasks_by_target
+            for target_id in target_ids
         }
 
 
--- a/src/radishlift/cell/leases.py
+++ b/src/radishlift/cell/leases.py
@@ -43,6 +43,10 @@
             for target_id, lease_ms in remaining_ms.items()
         }
 
+    def list_loaded(self) -> tuple[TargetId, ...]:
+        """Lists the targets for which the previous leader stored a time."""
+        return tuple(self._until_ms)
+
     def until_ms(self, target_id: TargetId) -> int:
         """Returns when the lease of a target has expired."""
         return self._until_ms.get(target_id, self._default_until_ms)
--- a/tests/cell/test_leader_term.py
+++ b/tests/cell/test_leader_term.py
@@ -4,7 +4,13 @@
 
 import pytest
 
-from radishlift.cell.tables import PROGRESS, TARGETS
+from radishlift.cell.tables import (
+    COMMITS,
+    JOBS,
+    PROGRESS,
+    TARGETS,
+    UNRENEWED_KEY,
+)
 from radishlift.steps.endings import EndKind
 from tests.cell.leader import Cell
 from tests.only import only
@@ -164,6 +170,24 @@
     assert cell.targets[other].started
 
 
+async def test_slow_restore_keeps_the_stored_waits(cell, monkeypatch):
+    read = cell.store.snapshot
+
+    async def delay(table):
+        if table == JOBS:
+            await asyncio.sleep(0.2)
+        return await read(table)
+
+    monkeypatch.setattr(cell.store, 'snapshot', delay)
+    stored = {'epoch': 0, 'remaining_ms': {'t3': 300}}
+    cell.write(COMMITS, UNRENEWED_KEY, stored)
+    cell.lead()
+    await asyncio.sleep(0.1)
+    row = cell.store.tables.read(COMMITS, UNRENEWED_KEY)
+    assert row.value['epoch'] == 1
+    assert 0 < row.value['remaining_ms']['t3'] < 300
+
+
 async def test_removed_drained_target_frees_its_tasks_at_once(cell):
     cell.lead()
     cell.submit(job())
