--- a/src/radishlift/steps/endings.py
+++ b/src/radishlift/steps/endings.py
@@ -104,13 +104,13 @@
 
 
 @_HANDLERS.register(EndKind.maybe_crashed.value)
-@_HANDLERS.register(EndKind.crashed.value)
-def _apply_crashed(job: JobRun, step: StepRun, task: TaskRun) -> None:
+def _apply_maybe_crashed(job: JobRun, step: StepRun, task: TaskRun) -> None:
     _count_crash(step, task, confirmed_count=0)
 
 
+@_HANDLERS.register(EndKind.crashed.value)
 @_HANDLERS.register(EndKind.crashed_alone.value)
-def _apply_crashed_alone(job: JobRun, step: StepRun, task: TaskRun) -> None:
+def _apply_crashed(job: JobRun, step: StepRun, task: TaskRun) -> None:
     _count_crash(step, task, confirmed_count=1)
 
 
--- a/src/radishlift/steps/runs.py
+++ b/src/radishlift/steps/runs.py
@@ -38,8 +38,8 @@
     """A task and its latest attempt.
 
     `crashes_count` is how many targets have crashed in succession while they
-    started the task, and `confirmed_crashes_count` how many of these crashes
-    no other task may have caused.
+    started the task, and `confirmed_crashes_count` during how many of these
+    crashes the task is known to have run.
     """
 
     key: TaskKey
--- a/src/radishlift/steps/settings.py
+++ b/src/radishlift/steps/settings.py
@@ -32,8 +32,8 @@
       few of them, as their requests are short.
     - `crash_window_ms`: an attempt that has run for this time is no suspect
       when its target crashes.
-    - `max_crashes_count`: crashes that no other task may have caused, after
-      which a task is given up.
+    - `max_crashes_count`: crashes during which a task is known to have run,
+      after which it is given up if no other task may have caused the last.
     - `trial_group_count`: maximum number of suspects that start together on a
       target. Tasks under which several targets have crashed start alone.
     - `trial_share`: maximum share of the targets used for trials of suspects.
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -65,6 +65,9 @@
     # Started beyond the capacity of a target that shrank while a commit was
     # repeated.
     9,
+    # A job was given up although a target crashed long after a start that it
+    # had not answered.
+    503,
 )
 
 
