Log the load, reservations and use of tickets while steps wait

`step_waits` names what the three oldest steps lack, but not whether room is idle because it is reserved, how many requests wait for the advice service, or how many tickets expire unused.

--- a/src/radishlift/cell/pending_advice.py
+++ b/src/radishlift/cell/pending_advice.py
@@ -41,6 +41,11 @@
             self._queue.add(request)
             self.changed.set()
 
+    @property
+    def queued_count(self) -> int:
+        """Returns how many requests wait for a daemon."""
+        return len(self._queue)
+
     def is_long(self, request: AdviceRequest) -> bool:
         """Returns whether a request counts against the limit of long ones."""
         return self._queue.is_long(request)
--- a/src/radishlift/cell/scheduler.py
+++ b/src/radishlift/cell/scheduler.py
@@ -25,6 +25,7 @@
 from radishlift.steps.ids import FencingToken, TargetId
 from radishlift.steps.placing import Placement
 from radishlift.steps.planner import Planner
+from radishlift.steps.planning_state import summarize_tick
 from radishlift.steps.runs import JobRun, JobState
 from radishlift.steps.settings import StepSettings
 from radishlift.steps.targets import TargetEntry, TargetTable
@@ -222,7 +223,10 @@
         if now_ms - self._explained_at_ms < interval_ms:
             return
         self._explained_at_ms = now_ms
-        for waiting in self._wait_explainer.explain():
+        overdue = self._wait_explainer.explain()
+        if overdue:
+            self._log_state()
+        for waiting in overdue:
             log_event(
                 'step_waits',
                 step=waiting.key,
@@ -233,6 +237,23 @@
                 open_requests=waiting.open_requests_count,
             )
 
+    def _log_state(self) -> None:
+        state = summarize_tick(
+            self._planner.last_tick, self._tickets, self._context.step_settings
+        )
+        log_event(
+            'planning_state',
+            waiting=state.waiting_count,
+            overdue=state.overdue_count,
+            used_cpu_percent=state.used_cpu_percent,
+            used_memory_percent=state.used_memory_percent,
+            reserved=state.reserved_count,
+            reserved_idle_percent=state.reserved_idle_percent,
+            queued_requests=self.pending_advice.queued_count,
+            granted_tickets=state.granted_count,
+            used_tickets=state.used_count,
+        )
+
     def _commit_start(self, job: JobRun, placement: Placement) -> None:
         session = self.fleet.find_session(placement.target.entry.target_id)
         if session is None:
--- a/src/radishlift/core/events.py
+++ b/src/radishlift/core/events.py
@@ -92,6 +92,7 @@
     'jobs_removed',
     'job_submitted',
     'leadership',
+    'planning_state',
     'store_regained',
     'target_removed',
     'target_state',
--- a/src/radishlift/steps/planner.py
+++ b/src/radishlift/steps/planner.py
@@ -112,6 +112,13 @@
                 break
             self._plan_step(tick, job, step)
         self.last_tick = tick
+        self._tickets.used_count += len(
+            {
+                (placement.task.key.step_key, placement.task.target_id)
+                for job, placement in tick.plan.placements
+                if job.terms.advice is not None
+            }
+        )
         return tick.plan
 
     def _count_queued_requests(self) -> int:
--- /dev/null
+++ b/src/radishlift/steps/planning_state.py
@@ -0,0 +1,61 @@
+"""Summarizes a planning run: the load, reservations and use of tickets."""
+
+from dataclasses import dataclass
+
+from radishlift.steps.settings import StepSettings
+from radishlift.steps.spec import Amounts
+from radishlift.steps.tickets import TicketTable
+from radishlift.steps.ticks import Tick
+
+
+@dataclass(frozen=True, slots=True)
+class PlanningState:
+    """State after a planning run; shares are those of the accepting targets.
+
+    - `waiting_count`: due steps; `overdue_count` of them have waited longer
+      than `explain_after_ms`.
+    - `used_cpu_percent`, `used_memory_percent`: allocated capacity.
+    - `reserved_count`: targets reserved for gangs; `reserved_idle_percent` is
+      their free processors as a share of all processors.
+    - `granted_count`, `used_count`: tickets that the service has granted in
+      this term, and those with which tasks were started.
+    """
+
+    waiting_count: int
+    overdue_count: int
+    used_cpu_percent: int
+    used_memory_percent: int
+    reserved_count: int
+    reserved_idle_percent: int
+    granted_count: int
+    used_count: int
+
+
+def summarize_tick(
+    tick: Tick, tickets: TicketTable, settings: StepSettings
+) -> PlanningState:
+    """Summarizes a planning run."""
+    due_before_ms = tick.wall_ms - settings.explain_after_ms
+    capacity, used, reserved_idle = Amounts(), Amounts(), Amounts()
+    for target in tick.accepting:
+        capacity = capacity.plus(target.entry.capacity)
+        used = used.plus(target.used)
+        if target.entry.target_id in tick.reserved_until_ms:
+            reserved_idle = reserved_idle.plus(target.free_capacity)
+    return PlanningState(
+        len(tick.due),
+        sum(step.due_at_ms <= due_before_ms for _, step in tick.due),
+        _percent(used.cpu_millicores, capacity.cpu_millicores),
+        _percent(used.memory_mb, capacity.memory_mb),
+        len(tick.reserved_until_ms),
+        _percent(reserved_idle.cpu_millicores, capacity.cpu_millicores),
+        tickets.granted_count,
+        tickets.used_count,
+    )
+
+
+def _percent(part: int, whole: int) -> int:
+    return 100 * part // max(1, whole)
+
+
+__all__ = ('PlanningState', 'summarize_tick')
--- a/src/radishlift/steps/tickets.py
+++ b/src/radishlift/steps/tickets.py
@@ -53,9 +53,15 @@
 
 
 class TicketTable:
-    """Advice of all steps that wait for targets."""
+    """Advice of all steps that wait for targets.
+
+    `granted_count` and `used_count` are the numbers of tickets that the service
+    has granted, and with which tasks were started.
+    """
 
     def __init__(self) -> None:
+        self.granted_count = 0
+        self.used_count = 0
         self._steps: dict[StepKey, StepAdvice] = {}
         self._allowed_shares: dict[QueueName, float] = {}
 
@@ -87,6 +93,7 @@
                 request.queue, len(tickets) / len(request.target_ids)
             )
         advice.allowed.update(tickets)
+        self.granted_count += len(tickets)
 
     def fail_request(self, request: AdviceRequest, retry_at_ms: int) -> None:
         """Closes a failed request; the next may be sent at `retry_at_ms`."""
