Add failing tests of advice requests that name outdated targets

The first one is the takeover of the incident in small: one of 24 targets has answered at the first planning run, 100 gangs wait, and the room is idle for over 3 s while requests about that one target are sent.

--- /dev/null
+++ b/tests/cell/test_pending_advice.py
@@ -0,0 +1,159 @@
+"""Tests that pending advice requests follow the changes of targets."""
+
+from heapq import heappop, heappush
+from itertools import count
+
+import pytest
+
+from radishlift.cell.pending_advice import PendingAdvice
+from radishlift.cell.ports import AdviceAnswer
+from radishlift.core.clock import ManualClock
+from radishlift.steps.ids import TargetId
+from radishlift.steps.planner import Planner
+from radishlift.steps.settings import StepSettings
+from radishlift.steps.spec import AdviceTerms
+from radishlift.steps.targets import TargetTable
+from radishlift.steps.tickets import TicketTable
+from tests.steps.builders import entry, job, step
+
+HOSTS_COUNT = 7
+TICK_MS = 20
+LONG_ADVICE = AdviceTerms(decide_ms=700, per_target_ms=8, valid_ms=1500)
+GANG_COUNT = 100
+GANG_CORES = 16
+RUN_MS = 2000
+# Bound of the users for a step that waits while most room is free.
+MAX_IDLE_MS = 3000
+
+
+class Leader:
+    """A planner, its pending advice and a service with a host's limit."""
+
+    def __init__(self, targets_count, cores=16):
+        self.clock = ManualClock()
+        self.targets = TargetTable()
+        self.names = [f't{number:02}' for number in range(targets_count)]
+        for name in self.names:
+            self.targets.update(entry(name, cores)).is_reachable = False
+        settings = StepSettings()
+        tickets = TicketTable()
+        self.planner = Planner(self.targets, tickets, settings)
+        self.pending = PendingAdvice(
+            self.planner, tickets, settings, self.clock, lambda: None
+        )
+        self.ends = []
+        self._answers = []
+        self._sequence = count()
+
+    def reach(self, *names):
+        for name in names:
+            self.targets.get(TargetId(name)).is_reachable = True
+
+    def plan(self):
+        now_ms = self.clock.monotonic_ms()
+        plan = self.planner.plan(now_ms, now_ms)
+        self.pending.add(plan.advice_requests)
+        return plan.placements
+
+    def pop(self, long_count=0):
+        return self.pending.pop(HOSTS_COUNT, long_count)
+
+    def step(self):
+        """Advances the time by a tick; returns the used share of cores."""
+        self.clock.now_ms += TICK_MS
+        now_ms = self.clock.monotonic_ms()
+        while self.ends and self.ends[0][0] <= now_ms:
+            _, _, placement = heappop(self.ends)
+            task = placement.task
+            placement.target.release(task.key, task.attempt)
+        for _, placement in self.plan():
+            end = now_ms + RUN_MS, next(self._sequence), placement
+            heappush(self.ends, end)
+        self._process_advice(now_ms)
+        used = sum(target.used.cpu_millicores for target in self.targets)
+        return used / (16_000 * len(self.names))
+
+    def _process_advice(self, now_ms):
+        while self._answers and self._answers[0][0] <= now_ms:
+            _, _, request = heappop(self._answers)
+            self.pending.store_answer(request, self._answer(request))
+        while len(self._answers) < HOSTS_COUNT:
+            request = self.pop(long_count=len(self._answers))
+            if request is None:
+                return
+            answered_at_ms = now_ms + int(request.duration_ms)
+            heappush(
+                self._answers, (answered_at_ms, next(self._sequence), request)
+            )
+
+    def _answer(self, request):
+        # Each second target in turn, from a start that depends on the step.
+        offset = int(request.key.job_id, 16)
+        tickets = tuple(
+            (target_id, 'ticket')
+            for target_id in request.target_ids
+            if (int(target_id[1:]) + offset) % 2
+        )
+        return AdviceAnswer(tickets, LONG_ADVICE.valid_ms)
+
+
+def waiting_gang(number=1):
+    return job(
+        step(2, cores=GANG_CORES // 2, is_gang=True, estimate_ms=RUN_MS),
+        job_id=f'{number:016x}',
+        advice=LONG_ADVICE,
+    )
+
+
+def test_room_is_not_idle_while_requests_from_before_targets_answered_wait():
+    """Guards against a takeover after which all steps first ask about one.
+
+    Only one target has answered when the new leader plans for the first time.
+    """
+    leader = Leader(24)
+    for number in range(GANG_COUNT):
+        leader.planner.update_job(waiting_gang(number))
+    leader.reach('t00')
+    leader.plan()
+    leader.reach(*leader.names)
+    idle_ms = 0
+    while any(
+        leader.planner.is_waiting(waiting_gang(number).steps[0, 0].key)
+        for number in range(GANG_COUNT)
+    ):
+        idle_ms = idle_ms + TICK_MS if leader.step() < 0.5 else 0
+        assert idle_ms <= MAX_IDLE_MS
+
+
+def test_request_names_targets_that_answered_while_it_waited():
+    leader = Leader(3)
+    leader.planner.update_job(waiting_gang())
+    leader.reach('t00')
+    leader.plan()
+    leader.reach('t01')
+    leader.plan()
+    assert set(leader.pop().target_ids) == {'t00', 't01'}
+
+
+@pytest.mark.parametrize('field', ['is_listed', 'is_reachable'])
+def test_request_does_not_name_targets_that_were_lost_while_it_waited(field):
+    leader = Leader(2)
+    leader.planner.update_job(waiting_gang())
+    leader.reach('t00', 't01')
+    leader.plan()
+    setattr(leader.targets.get(TargetId('t00')), field, False)
+    leader.plan()
+    assert leader.pop().target_ids == ('t01',)
+
+
+def test_request_without_remaining_targets_is_not_sent():
+    """Guards against seconds of the service for targets that have crashed."""
+    leader = Leader(1)
+    leader.planner.update_job(waiting_gang())
+    leader.reach('t00')
+    leader.plan()
+    leader.targets.remove(TargetId('t00'))
+    assert leader.pop() is None
+    leader.targets.update(entry('t00', 16))
+    leader.plan()
+    assert leader.pop().target_ids == ('t00',)
