Choose the targets of an advice request when it is sent

Cause: a request to the advice service kept the targets that were known when it was planned, and then waited for a daemon. After a takeover the first planning run knows one target that has answered, so that the requests of all waiting steps named that one, and five daemons at a time, 0.9 s a request, worked through them before the other targets were asked about. While targets crash, the wait was longer than the targets lived. Nothing revised the requests: the class is a belief of the leader that stays unrevised, in a queue.

Change: the planner chooses the targets again when a daemon is free. Renewals keep the allowed targets that still accept tasks; other requests name the targets that no request has named. A request that would name none is withdrawn, and one that has become long waits for its turn among the long ones.

--- a/src/radishlift/cell/pending_advice.py
+++ b/src/radishlift/cell/pending_advice.py
@@ -51,16 +51,21 @@
         return self._queue.is_long(request)
 
     def pop(self, hosts_count: int, long_count: int) -> AdviceRequest | None:
-        """Removes and returns the next request of a step that still waits.
+        """Removes and returns the next request, with up-to-date targets.
 
         Returns None if no request may be sent now.
         """
         while True:
             request = self._queue.pop(hosts_count, long_count)
-            if request is None or self._planner.is_waiting(request.key):
-                return request
-            # The step may wait again later and then needs a new request.
-            self._tickets.fail_request(request, 0)
+            if request is None:
+                return None
+            updated = self._planner.update_request(request)
+            if updated is None:
+                continue
+            if self.is_long(request) or not self.is_long(updated):
+                return updated
+            # More targets have made it long, and long ones are limited.
+            self._queue.add(updated)
 
     def store_answer(
         self, request: AdviceRequest, answer: AdviceAnswer
--- a/src/radishlift/steps/planner.py
+++ b/src/radishlift/steps/planner.py
@@ -9,8 +9,9 @@
 
 from collections.abc import Callable
 
+from radishlift.steps.advice_requests import AdviceRequest
 from radishlift.steps.gang_reservations import GangReservations
-from radishlift.steps.ids import StepKey
+from radishlift.steps.ids import StepKey, TargetId
 from radishlift.steps.placing import Placement, place_step
 from radishlift.steps.ranking import StepRanking, rank_step
 from radishlift.steps.runs import JobRun, StepRun
@@ -121,6 +122,23 @@
         )
         return tick.plan
 
+    def update_request(self, request: AdviceRequest) -> AdviceRequest | None:
+        """Chooses the targets of a planned request again before it is sent.
+
+        Returns None if the step does not wait or no targets remain.
+        """
+        tick = self.last_tick
+        pair = self._waiting.get(request.key)
+        if pair is None:
+            # The step may wait again later and then needs a new request.
+            self._tickets.withdraw_request(request)
+            return None
+        return self._advice.update(tick, pair[0], request, self._is_accepting)
+
+    def _is_accepting(self, target_id: TargetId) -> bool:
+        target = self._targets.get(target_id)
+        return target is not None and target.accepts(self.last_tick.now_ms)
+
     def _count_queued_requests(self) -> int:
         return self.count_queued_requests()
 
--- a/src/radishlift/steps/step_advice.py
+++ b/src/radishlift/steps/step_advice.py
@@ -180,11 +180,54 @@
             ids = tuple(expiring[: self._settings.max_asked_count])
             self._send(tick, build_request(job, step, terms, ids))
 
+    def update(
+        self,
+        tick: Tick,
+        job: JobRun,
+        request: AdviceRequest,
+        is_accepting: Callable[[TargetId], bool],
+    ) -> AdviceRequest | None:
+        """Chooses the targets of a request again before it is sent.
+
+        Targets may have been lost or added since it was planned. Returns None
+        if none remain.
+        """
+        terms = job.terms.advice
+        self._tickets.withdraw_request(request)
+        if terms is None:
+            return None
+        step = job.steps[request.key.occurrence, request.key.step]
+        advice = self._tickets.advice_for(request.key)
+        if advice.allowed.keys() >= set(request.target_ids):
+            # A renewal names allowed targets only.
+            ids = tuple(filter(is_accepting, request.target_ids))
+        else:
+            not_requested = self._list_not_requested(tick, job, step)
+            ids = choose_new_targets(terms, not_requested, self._settings)
+        if not ids:
+            return None
+        updated = build_request(job, step, terms, ids)
+        self._tickets.start_request(updated)
+        return updated
+
     @property
     def is_idle(self) -> bool:
         """Returns whether no request waits for a host."""
         return not self._count_queued_requests()
 
+    def _list_not_requested(
+        self, tick: Tick, job: JobRun, step: StepRun
+    ) -> list[Target]:
+        requested = self._tickets.advice_for(step.key).requested
+        may_use_any = step.spec.is_gang or bool(step.suspects())
+        return [
+            target
+            for target in tick.suitable_targets(job, step)
+            if target.accepts(tick.now_ms)
+            and target.entry.target_id not in requested
+            and (may_use_any or tick.may_use(target, step))
+        ]
+
     def _send(self, tick: Tick, request: AdviceRequest) -> None:
         self._tickets.start_request(request)
         tick.plan.advice_requests.append(request)
--- a/src/radishlift/steps/tickets.py
+++ b/src/radishlift/steps/tickets.py
@@ -103,6 +103,10 @@
         )
         advice.retry_at_ms = retry_at_ms
 
+    def withdraw_request(self, request: AdviceRequest) -> None:
+        """Closes a request that was not sent."""
+        self.fail_request(request, self.advice_for(request.key).retry_at_ms)
+
     def expire_ticket(self, key: StepKey, target_id: TargetId) -> None:
         """Invalidates a ticket that the target rejected."""
         advice = self.advice_for(key)
--- a/tests/cell/test_pending_advice.py
+++ b/tests/cell/test_pending_advice.py
@@ -59,7 +59,7 @@
         return self.pending.pop(HOSTS_COUNT, long_count)
 
     def step(self):
-        """Advances the time by a tick; returns the used share of cores."""
+        """Advances the time by a tick; returns the used percentage of cores."""
         self.clock.now_ms += TICK_MS
         now_ms = self.clock.monotonic_ms()
         while self.ends and self.ends[0][0] <= now_ms:
@@ -71,7 +71,7 @@
             heappush(self.ends, end)
         self._process_advice(now_ms)
         used = sum(target.used.cpu_millicores for target in self.targets)
-        return used / (16_000 * len(self.names))
+        return 100 * used // (16_000 * len(self.names))
 
     def _process_advice(self, now_ms):
         while self._answers and self._answers[0][0] <= now_ms:
@@ -121,7 +121,7 @@
         leader.planner.is_waiting(waiting_gang(number).steps[0, 0].key)
         for number in range(GANG_COUNT)
     ):
-        idle_ms = idle_ms + TICK_MS if leader.step() < 0.5 else 0
+        idle_ms = idle_ms + TICK_MS if leader.step() < 50 else 0
         assert idle_ms <= MAX_IDLE_MS
 
 
