Do not name a target that was removed since the last planning run

Whether a target still accepts tasks is now read from the table of targets for each request. All of tests/cell and tests/steps pass.

--- a/src/radishlift/steps/step_advice.py
+++ b/src/radishlift/steps/step_advice.py
@@ -202,7 +202,11 @@
             # A renewal names allowed targets only.
             ids = tuple(filter(is_accepting, request.target_ids))
         else:
-            not_requested = self._list_not_requested(tick, job, step)
+            not_requested = [
+                target
+                for target in self._list_not_requested(tick, job, step)
+                if is_accepting(target.entry.target_id)
+            ]
             ids = choose_new_targets(terms, not_requested, self._settings)
         if not ids:
             return None
@@ -223,8 +227,7 @@
         return [
             target
             for target in tick.suitable_targets(job, step)
-            if target.accepts(tick.now_ms)
-            and target.entry.target_id not in requested
+            if target.entry.target_id not in requested
             and (may_use_any or tick.may_use(target, step))
         ]
 
