Renew the tickets of a gang on all targets that it could use

Cause: a gang renewed its tickets only on the targets that it had reserved at that moment. The reservation follows the room, which changes before the answer arrives (0.9 s, tickets last 1.5 s), so that the tickets came one after another, for targets that were taken by then.

Change: a renewal also names other allowed targets of sufficient capacity, as long as this prolongs it by at most a quarter of the service's decision time.

The test of the planner failed before: the renewal named t0 of t0, t1 and t2.

--- a/src/radishlift/steps/advice_requests.py
+++ b/src/radishlift/steps/advice_requests.py
@@ -1,6 +1,6 @@
 """Selects the targets to name in requests to the advice service."""
 
-from collections.abc import Iterator
+from collections.abc import Collection, Iterator
 from dataclasses import dataclass
 
 from radishlift.steps.ids import QueueName, StepKey, TargetId
@@ -107,6 +107,33 @@
         yield _target_ids(named)
 
 
+def choose_spare_targets(
+    step: StepRun,
+    terms: AdviceTerms,
+    reserved: Collection[TargetId],
+    allowed: list[Target],
+    settings: StepSettings,
+) -> tuple[TargetId, ...]:
+    """Selects targets that a gang could use instead of the reserved ones.
+
+    Those with most room come first. They may prolong a request by
+    `spare_duration_share`.
+    """
+    amounts = step.spec.allocated_amounts
+    spares = [
+        target
+        for target in allowed
+        if target.entry.target_id not in reserved
+        and amounts.fits_in(target.entry.capacity)
+    ]
+    spares.sort(key=_free_millicores, reverse=True)
+    max_count = settings.max_asked_count
+    if terms.per_target_ms > 0:
+        extra_ms = settings.spare_duration_share * terms.decide_ms
+        max_count = min(max_count, int(extra_ms / terms.per_target_ms))
+    return _target_ids(spares[:max_count])
+
+
 def _target_ids(targets: list[Target]) -> tuple[TargetId, ...]:
     return tuple(target.entry.target_id for target in targets)
 
@@ -130,5 +157,6 @@
     'choose_advice_targets',
     'choose_gang_advice_targets',
     'choose_new_targets',
+    'choose_spare_targets',
     'request_duration_ms',
 )
--- a/src/radishlift/steps/planner.py
+++ b/src/radishlift/steps/planner.py
@@ -217,10 +217,10 @@
         if len(tick.reserved_until_ms) + reserved_count <= limit:
             for target_id in reservation.target_ids:
                 tick.reserved_until_ms[target_id] = reservation.starts_at_ms
-            self._advice.renew(tick, job, step, reservation)
+            self._advice.renew(tick, job, step, reservation, allowed)
         elif reservation.starts_at_ms <= tick.now_ms and self._advice.is_idle:
             # Others may take the room of a gang that may not reserve it.
-            self._advice.renew(tick, job, step, reservation)
+            self._advice.renew(tick, job, step, reservation, allowed)
 
 
 __all__ = ('Planner',)
--- a/src/radishlift/steps/settings.py
+++ b/src/radishlift/steps/settings.py
@@ -26,6 +26,8 @@
     - `max_open_count`: maximum number of open advice requests of a gang.
     - `gang_room_factor`: advice for a gang is requested on targets with this
       many times the room that it needs, as other steps may use it meanwhile.
+    - `spare_duration_share`: targets that a gang has not reserved may prolong
+      the renewal of its tickets by this share of the service's decision time.
     - `long_question_ms`, `long_question_share`: advice requests that take
       longer than `long_question_ms` use at most this share of the hosts. The
       other hosts serve urgent steps, whose objective leaves 250 ms; these need
@@ -51,6 +53,7 @@
     advice_retry_ms: int = 200
     max_open_count: int = 4
     gang_room_factor: float = 2
+    spare_duration_share: float = 0.25
     long_question_ms: int = 250
     long_question_share: float = 0.8
     crash_window_ms: int = 300
--- a/src/radishlift/steps/step_advice.py
+++ b/src/radishlift/steps/step_advice.py
@@ -9,6 +9,7 @@
     choose_advice_targets,
     choose_gang_advice_targets,
     choose_new_targets,
+    choose_spare_targets,
     request_duration_ms,
 )
 from radishlift.steps.gang_reservations import Reservation
@@ -154,11 +155,14 @@
         job: JobRun,
         step: StepRun,
         reservation: Reservation,
+        allowed: list[Target],
     ) -> None:
         """Requests tickets for a gang that can probably start soon.
 
         It needs valid tickets for all its targets at the same time, so that
-        those are renewed that would expire before others could arrive.
+        those are renewed that would expire before others could arrive. Other
+        targets in `allowed` are named as well: some of the reserved ones may
+        have been replaced when the answer arrives.
         """
         terms = job.terms.advice
         advice = self._tickets.advice_for(step.key)
@@ -173,12 +177,18 @@
         ready_by_ms = answered_at_ms if self.is_idle else tick.now_ms
         if reservation.starts_at_ms > ready_by_ms:
             return
-        expiring = advice.list_expiring(
-            target_ids, answered_at_ms + self._settings.min_ticket_ms
+        expires_before_ms = answered_at_ms + self._settings.min_ticket_ms
+        expiring = advice.list_expiring(target_ids, expires_before_ms)
+        if not expiring:
+            return
+        spares = advice.list_expiring(
+            choose_spare_targets(
+                step, terms, target_ids, allowed, self._settings
+            ),
+            expires_before_ms,
         )
-        if expiring:
-            ids = tuple(expiring[: self._settings.max_asked_count])
-            self._send(tick, build_request(job, step, terms, ids))
+        ids = (*expiring, *spares)[: self._settings.max_asked_count]
+        self._send(tick, build_request(job, step, terms, ids))
 
     def update(
         self,
--- a/src/radishlift/steps/trial_planning.py
+++ b/src/radishlift/steps/trial_planning.py
@@ -174,7 +174,7 @@
             return True
         self._advice.request_for_gang(tick, job, step)
         if reservation is not None:
-            self._advice.renew(tick, job, step, reservation)
+            self._advice.renew(tick, job, step, reservation, candidates.allowed)
             if not is_wide or reservation.starts_at_ms <= tick.now_ms:
                 self._trials.reserve(
                     free[target_id] for target_id in reservation.target_ids
--- a/tests/steps/test_planner.py
+++ b/tests/steps/test_planner.py
@@ -260,6 +260,23 @@
     assert {one.target.entry.target_id for _, one in placed} == set(allowed)
 
 
+def test_renewal_of_a_gang_names_all_targets_that_it_could_use():
+    """Guards against tickets for targets that are taken before they arrive."""
+    setup = PlannerSetup(4, 4, 4, reserved_share=1)
+    gang = job(step(2, cores=2, is_gang=True), advice=ADVICE)
+    setup.add(gang)
+    fill(setup, 't0', 't1', 't2')
+    answer(setup, setup.plan(), ('t0', 't1', 't2'), expires_at_ms=1000)
+    release(setup, 't0')
+    renewal = setup.plan(now_ms=3000)
+    assert set(only(renewal.advice_requests).target_ids) == {'t0', 't1', 't2'}
+    answer(setup, renewal, ('t0', 't1', 't2'), expires_at_ms=5000)
+    fill(setup, 't0')
+    setup.targets.get(TargetId('t2')).release(key(2, job_id='f' * 16), 1)
+    placed = setup.plan(now_ms=3100).placements
+    assert {one.target.entry.target_id for _, one in placed} == {'t2'}
+
+
 def test_gang_that_may_not_reserve_renews_its_tickets_once_it_has_room():
     """Guards against a gang larger than all reservations that never starts."""
     setup = PlannerSetup(4, 4, reserved_share=0)
