Reserve the room that a gang needs instead of whole targets

Cause: a waiting gang reserved whole targets, also for one member of a fraction of their room, and no other gang could use what it left.

Change: a reservation counts the members on each target. Steps that are ranked later use the rest of the target; the reserved room is, as before, for tasks that end before it is needed.

test_room_beside_that_of_a_waiting_gang_is_not_idle failed before for a gang and for single tasks (nothing started).

--- a/src/radishlift/steps/gang_reservations.py
+++ b/src/radishlift/steps/gang_reservations.py
@@ -5,6 +5,7 @@
 tasks a gang would otherwise never start.
 """
 
+from collections import Counter
 from dataclasses import dataclass
 
 from radishlift.steps.ids import StepKey, TargetId
@@ -16,13 +17,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Reservation:
-    """Targets reserved for a gang, and when they probably have room for it.
+    """Room reserved for a gang, and when the targets probably have it.
 
-    Until `starts_at_ms` the targets can run tasks that end before. It is the
+    `member_counts` is the number of members on each of the `target_ids`. Until
+    `starts_at_ms` the room can be used by tasks that end before. It is the
     present if all targets have room now.
     """
 
     target_ids: tuple[TargetId, ...]
+    member_counts: tuple[int, ...]
     starts_at_ms: int
 
 
@@ -88,9 +91,8 @@
     needed = slots[: len(step.tasks)]
     if len(needed) < len(step.tasks):
         return None
-    return Reservation(
-        tuple(dict.fromkeys(slot[-1] for slot in needed)), needed[-1][0]
-    )
+    counts = Counter(slot[-1] for slot in needed)
+    return Reservation(tuple(counts), tuple(counts.values()), needed[-1][0])
 
 
 def slot_times_ms(target: Target, amounts: Amounts, now_ms: int) -> list[int]:
--- a/src/radishlift/steps/placing.py
+++ b/src/radishlift/steps/placing.py
@@ -22,22 +22,28 @@
     target: Target
 
 
+CapacityOf = Callable[[Target], Amounts]
+"""Returns how much of a target the tasks of a step may use."""
+
 _TargetRanking = Callable[[Target, Amounts], tuple[int, ...]]
 
 
 class _FreeCapacity:
     """Free capacity of targets while the tasks of one step are placed."""
 
-    def __init__(self, step: StepRun, targets: Iterable[Target]) -> None:
+    def __init__(
+        self,
+        step: StepRun,
+        targets: Iterable[Target],
+        capacity_of: CapacityOf,
+    ) -> None:
         self._amounts = step.spec.allocated_amounts
         self._limit = step.spec.max_per_target_count
         self._by_id: dict[TargetId, tuple[Target, Amounts]] = {}
         for target in targets:
-            if self._amounts.fits_in(target.free_capacity):
-                self._by_id[target.entry.target_id] = (
-                    target,
-                    target.free_capacity,
-                )
+            free_capacity = capacity_of(target)
+            if self._amounts.fits_in(free_capacity):
+                self._by_id[target.entry.target_id] = target, free_capacity
         self._counts: dict[TargetId, int] = {}
         if self._limit:
             self._count_placed(step)
@@ -71,33 +77,43 @@
             self._by_id.pop(target_id, None)
 
 
-def place_step(step: StepRun, targets: Iterable[Target]) -> list[Placement]:
+def _free_capacity(target: Target) -> Amounts:
+    return target.free_capacity
+
+
+def place_step(
+    step: StepRun,
+    targets: Iterable[Target],
+    capacity_of: CapacityOf = _free_capacity,
+) -> list[Placement]:
     """Places the ordinary waiting tasks of a step on allowed targets.
 
     Returns an empty list for a gang if not all members wait and fit.
     """
-    return place_tasks(step, step.ordinary_tasks(), targets)
+    return place_tasks(step, step.ordinary_tasks(), targets, capacity_of)
 
 
 def place_tasks(
     step: StepRun,
     waiting: list[TaskRun],
     targets: Iterable[Target],
+    capacity_of: CapacityOf = _free_capacity,
 ) -> list[Placement]:
     """Places the given waiting tasks of a step like `place_step`."""
     if step.spec.is_gang and len(waiting) != len(step.tasks):
         return []
     if step.spec.is_gang and step.spec.same_rack:
-        return _place_in_one_rack(step, waiting, list(targets))
-    return _place_on_any_rack(step, waiting, targets)
+        return _place_in_one_rack(step, waiting, list(targets), capacity_of)
+    return _place_on_any_rack(step, waiting, targets, capacity_of)
 
 
 def _place_on_any_rack(
     step: StepRun,
     waiting: list[TaskRun],
     targets: Iterable[Target],
+    capacity_of: CapacityOf,
 ) -> list[Placement]:
-    capacity = _FreeCapacity(step, targets)
+    capacity = _FreeCapacity(step, targets, capacity_of)
     data_rack = step.spec.data_rack
 
     def rank_target(target: Target, free_capacity: Amounts) -> tuple[int, ...]:
@@ -123,14 +139,15 @@
     step: StepRun,
     waiting: list[TaskRun],
     targets: list[Target],
+    capacity_of: CapacityOf,
 ) -> list[Placement]:
     racks = {label for target in targets for label in target.entry.labels}
     for rack in sorted(racks):
         members = [target for target in targets if rack in target.entry.labels]
-        placements = _place_on_any_rack(step, waiting, members)
+        placements = _place_on_any_rack(step, waiting, members, capacity_of)
         if placements:
             return placements
-    return _place_on_any_rack(step, waiting, targets)
+    return _place_on_any_rack(step, waiting, targets, capacity_of)
 
 
-__all__ = ('Placement', 'place_step', 'place_tasks')
+__all__ = ('CapacityOf', 'Placement', 'place_step', 'place_tasks')
--- a/src/radishlift/steps/planner.py
+++ b/src/radishlift/steps/planner.py
@@ -16,6 +16,7 @@
 from radishlift.steps.ranking import StepRanking, rank_step
 from radishlift.steps.runs import JobRun, StepRun
 from radishlift.steps.settings import StepSettings
+from radishlift.steps.spec import Amounts
 from radishlift.steps.step_advice import StepAdviceRequests
 from radishlift.steps.targets import Target, TargetTable
 from radishlift.steps.tickets import TicketTable
@@ -150,12 +151,7 @@
             return
         allowed = self._advice.list_allowed(tick, job, step)
         # During a backlog this list is empty for most steps.
-        fitting = [
-            target
-            for target in allowed
-            if step.spec.allocated_amounts.fits_in(target.free_capacity)
-            and tick.may_use(target, step)
-        ]
+        fitting = [target for target in allowed if tick.may_use(target, step)]
         placements = self._place(tick, job, step, fitting)
         allocate_starts(tick, job, step, placements)
         if len(placements) == waiting_count:
@@ -181,16 +177,20 @@
         fitting = [target for target in fitting if has_ticket(target)]
         if not fitting:
             return []
+
+        def capacity_of(target: Target) -> Amounts:
+            return tick.usable_capacity(target, step)
+
         unreserved = [
             target
             for target in fitting
             if target.entry.target_id not in self.last_tick.reserved_until_ms
         ]
         if not step.spec.is_gang and len(unreserved) < len(fitting):
-            placements = place_step(step, unreserved)
+            placements = place_step(step, unreserved, capacity_of)
             if len(placements) == len(step.ordinary_tasks()):
                 return placements
-        return place_step(step, fitting)
+        return place_step(step, fitting, capacity_of)
 
     def _reserve_targets(
         self,
@@ -215,8 +215,14 @@
         limit = int(len(self._targets) * self._settings.reserved_share)
         reserved_count = len(reservation.target_ids)
         if len(tick.reserved_until_ms) + reserved_count <= limit:
-            for target_id in reservation.target_ids:
-                tick.reserved_until_ms[target_id] = reservation.starts_at_ms
+            for target_id, count in zip(
+                reservation.target_ids, reservation.member_counts, strict=True
+            ):
+                tick.reserve(
+                    target_id,
+                    reservation.starts_at_ms,
+                    Amounts().plus(step.spec.allocated_amounts, count),
+                )
             self._advice.renew(tick, job, step, reservation, allowed)
         elif reservation.starts_at_ms <= tick.now_ms and self._advice.is_idle:
             # Others may take the room of a gang that may not reserve it.
--- a/src/radishlift/steps/planning_state.py
+++ b/src/radishlift/steps/planning_state.py
@@ -15,8 +15,9 @@
     - `waiting_count`: due steps; `overdue_count` of them have waited longer
       than `explain_after_ms`.
     - `used_cpu_percent`, `used_memory_percent`: allocated capacity.
-    - `reserved_count`: targets reserved for gangs; `reserved_idle_percent` is
-      their free processors as a share of all processors.
+    - `reserved_count`: targets with room reserved for gangs;
+      `reserved_idle_percent` is what of this room is free now, as a share of
+      all processors.
     - `granted_count`, `used_count`: tickets that the service has granted in
       this term, and those with which tasks were started.
     """
@@ -40,8 +41,11 @@
     for target in tick.accepting:
         capacity = capacity.plus(target.entry.capacity)
         used = used.plus(target.used)
-        if target.entry.target_id in tick.reserved_until_ms:
-            reserved_idle = reserved_idle.plus(target.free_capacity)
+        target_id = target.entry.target_id
+        if target_id in tick.reserved_amounts:
+            reserved_idle = reserved_idle.plus(
+                tick.reserved_amounts[target_id].limited(target.free_capacity)
+            )
     return PlanningState(
         len(tick.due),
         sum(step.due_at_ms <= due_before_ms for _, step in tick.due),
--- a/src/radishlift/steps/spec.py
+++ b/src/radishlift/steps/spec.py
@@ -40,6 +40,14 @@
         ]
         return min(counts, default=_UNLIMITED_COUNT)
 
+    def limited(self, limit: 'Amounts') -> 'Amounts':
+        """Returns the smaller of these amounts and those of a limit."""
+        return Amounts(
+            min(self.cpu_millicores, limit.cpu_millicores),
+            min(self.memory_mb, limit.memory_mb),
+            min(self.gpus_count, limit.gpus_count),
+        )
+
     def plus(self, other: 'Amounts', times: int = 1) -> 'Amounts':
         """Returns these amounts plus `times` times the other ones."""
         return Amounts(
--- a/src/radishlift/steps/ticks.py
+++ b/src/radishlift/steps/ticks.py
@@ -8,6 +8,7 @@
 from radishlift.steps.ids import TargetId
 from radishlift.steps.placing import Placement
 from radishlift.steps.runs import JobRun, StepRun, TaskState
+from radishlift.steps.spec import Amounts
 from radishlift.steps.targets import Target
 
 
@@ -34,21 +35,39 @@
     accepting: list[Target]
     due: list[tuple[JobRun, StepRun]] = field(default_factory=list)
     reserved_until_ms: dict[TargetId, int] = field(default_factory=dict)
+    reserved_amounts: dict[TargetId, Amounts] = field(default_factory=dict)
     by_requirement: dict[tuple[ServiceName, str], list[Target]] = field(
         default_factory=dict,
     )
 
-    def may_use(self, target: Target, step: StepRun) -> bool:
-        """Returns whether a step may use a target despite reservations.
+    def reserve(
+        self, target_id: TargetId, until_ms: int, amounts: Amounts
+    ) -> None:
+        """Reserves room on a target that is not reserved yet."""
+        self.reserved_until_ms[target_id] = until_ms
+        self.reserved_amounts[target_id] = amounts
+
+    def usable_capacity(self, target: Target, step: StepRun) -> Amounts:
+        """Returns the free capacity that a step may use despite reservations.
 
-        A gang may not: if it runs longer than expected, it delays the other
+        Reserved room is for tasks that probably end before it is needed. A gang
+        may not use it: if it runs longer than expected, it delays the other
         gang on many targets at once.
         """
-        until_ms = self.reserved_until_ms.get(target.entry.target_id)
+        target_id = target.entry.target_id
+        until_ms = self.reserved_until_ms.get(target_id)
         if until_ms is None:
-            return True
+            return target.free_capacity
         end_ms = self.now_ms + step.spec.expected_run_ms
-        return not step.spec.is_gang and end_ms <= until_ms
+        if not step.spec.is_gang and end_ms <= until_ms:
+            return target.free_capacity
+        return target.free_capacity.plus(self.reserved_amounts[target_id], -1)
+
+    def may_use(self, target: Target, step: StepRun) -> bool:
+        """Returns whether a task of a step fits despite reservations."""
+        return step.spec.allocated_amounts.fits_in(
+            self.usable_capacity(target, step)
+        )
 
     def suitable_targets(self, job: JobRun, step: StepRun) -> list[Target]:
         """Lists targets of the job's service with the step's label."""
--- a/tests/steps/test_planner.py
+++ b/tests/steps/test_planner.py
@@ -330,6 +330,46 @@
     assert setup.started(now_ms=500) == [('b', 0)]
 
 
+def wait_for_room(setup, cores):
+    """Adds a gang that reserves room on t0, and t1 for when it is free."""
+    for name, used_cores, end_ms in (('t0', 2, 20_000), ('t1', 8, 9000)):
+        setup.targets.get(TargetId(name)).allocate(
+            key(8, job_id='e' * 16),
+            1,
+            step(1, cores=used_cores).amounts,
+            end_ms,
+        )
+    gang = job(step(2, cores=cores, is_gang=True), job_id='a' * 16, priority=1)
+    setup.add(gang)
+    assert not setup.plan().placements
+
+
+@pytest.mark.parametrize('is_gang', [True, False])
+def test_room_beside_that_of_a_waiting_gang_is_not_idle(is_gang):
+    """Guards against whole targets that are kept for a part of their room."""
+    setup = PlannerSetup(8, 8, reserved_share=1)
+    wait_for_room(setup, cores=4)
+    other = step(2, cores=1, is_gang=is_gang, estimate_ms=20_000)
+    setup.add(job(other, job_id='b' * 16, priority=2))
+    assert setup.started() == [('b', 0), ('b', 1)]
+
+
+def test_room_of_a_waiting_gang_is_not_used_by_long_tasks():
+    setup = PlannerSetup(8, 8, reserved_share=1)
+    wait_for_room(setup, cores=4)
+    setup.add(
+        job(step(5, estimate_ms=20_000), job_id='b' * 16, priority=2),
+        job(
+            step(3, is_gang=True, estimate_ms=20_000),
+            job_id='c' * 16,
+            priority=2,
+        ),
+    )
+    assert setup.started() == [('b', 0), ('b', 1)]
+    setup.targets.get(TargetId('t1')).release(key(8, job_id='e' * 16), 1)
+    assert setup.started()[:2] == [('a', 0), ('a', 1)]
+
+
 def test_ended_job_starts_nothing():
     setup = PlannerSetup(4)
     run = job()
