--- a/src/radishlift/steps/ticks.py
+++ b/src/radishlift/steps/ticks.py
@@ -63,6 +63,11 @@
             return target.free_capacity
         return target.free_capacity.plus(self.reserved_amounts[target_id], -1)
 
+    def is_open(self, target: Target, step: StepRun) -> bool:
+        """Returns whether reservations leave a step any use of a target."""
+        is_reserved = target.entry.target_id in self.reserved_until_ms
+        return not is_reserved or self.may_use(target, step)
+
     def may_use(self, target: Target, step: StepRun) -> bool:
         """Returns whether a task of a step fits despite reservations."""
         return step.spec.allocated_amounts.fits_in(
--- a/tests/steps/test_planner.py
+++ b/tests/steps/test_planner.py
@@ -157,6 +157,14 @@
     assert placement.target.entry.target_id == 't1'
 
 
+def test_advice_is_requested_on_targets_before_they_have_room():
+    """Guards against room that stays idle until its ticket arrives."""
+    setup = PlannerSetup(1, 1)
+    fill(setup, 't0', cores=1)
+    setup.add(job(step(2), advice=ADVICE))
+    assert set(only(setup.plan().advice_requests).target_ids) == {'t0', 't1'}
+
+
 def test_expired_ticket_is_requested_again_once_capacity_is_free():
     setup = PlannerSetup(1, 1)
     run = job(step(1), advice=ADVICE)
