Do not blame a start that a later process rejects for the earlier crash

Cause: an idle target isn't polled, so that its crash at 9.6 s was unknown when a start was sent to it at 11.366 s. A poll was answered first, by another process at that address; that is proof of the crash, and the only start in flight was marked as its cause. 1.5 ms later the same process rejected the start. It was the second such crash for this job, so that it was given up. The class: a verdict from one answer while another that refutes it is on its way.

Change: when another process answers, the session waits for the answers to its open start calls before it handles the crash. A rejected start has then ended without suspicion.

--- a/src/radishlift/cell/orders.py
+++ b/src/radishlift/cell/orders.py
@@ -6,6 +6,7 @@
 
 from radishlift.cell.leases import TargetLease
 from radishlift.cell.listing import ExpectedListing
+from radishlift.cell.open_calls import OpenCalls
 from radishlift.cell.ports import StartOrder, StartVerdict, TargetRef
 from radishlift.cell.session_context import SessionContext
 from radishlift.core.errors import ErrorKind, Failure
@@ -25,6 +26,7 @@
 
     A start without an answer may still take effect seconds later. It is
     repeated, and then blocked by a stop if it remains unanswered.
+    `open_starts` are the start calls without an answer yet.
     """
 
     def __init__(
@@ -44,6 +46,7 @@
         self._stopping: set[tuple[TaskKey, int]] = set()
         self._unresolved: set[tuple[TaskKey, int]] = set()
         self._tasks: set[asyncio.Task[None]] = set()
+        self.open_starts = OpenCalls()
 
     @property
     def ref(self) -> TargetRef:
@@ -94,10 +97,11 @@
             previous_ms = self._target.record_start(
                 order.key, order.attempt, sent_at_ms
             )
-            answer = await self._context.calls.start(
-                self.ref,
-                order.with_lease_end(self._renew_lease()),
-            )
+            with self.open_starts.track():
+                answer = await self._context.calls.start(
+                    self.ref,
+                    order.with_lease_end(self._renew_lease()),
+                )
             if isinstance(answer, StartVerdict):
                 self._record_verdict(answer, sent_at_ms)
                 await self._resolve_start(
--- a/src/radishlift/cell/sessions.py
+++ b/src/radishlift/cell/sessions.py
@@ -129,7 +129,7 @@
         if answer is StartVerdict.fenced:
             context.listener.end_term()
         else:
-            self._handle_unreachable(answer)
+            await self._handle_unreachable(answer)
         await asyncio.sleep(context.settings.hold_retry_ms / 1000)
 
     def _hold_order(self, now_ms: int) -> HoldOrder:
@@ -182,7 +182,7 @@
         ):
             self._ended_cursor = report.last_sequence
 
-    def _handle_unreachable(self, answer: StartVerdict | Failure) -> None:
+    async def _handle_unreachable(self, answer: StartVerdict | Failure) -> None:
         reason = answer.reason if isinstance(answer, Failure) else answer.value
         if self.target.is_reachable:
             log_event('target_lost', target=self.target_id, reason=reason)
@@ -190,6 +190,9 @@
         self._set_reachable(is_reachable=False)
         has_expired = self._lease.has_expired(self._now_ms())
         has_restarted = answer is StartVerdict.other_process
+        if has_restarted:
+            # A start that this process rejects did not crash the earlier one.
+            await self._orders.open_starts.wait_closed()
         if has_expired or has_restarted:
             self.listing.clear()
             # A listed target may run on behind a network partition.
--- a/tests/cell/fakes.py
+++ b/tests/cell/fakes.py
@@ -95,7 +95,8 @@
     """A target that runs tasks until a test ends them.
 
     With `instant_end` they end as soon as they start. With `keeps_stopped`
-    stops take until a test ends the tasks.
+    stops take until a test ends the tasks. With `is_replaced` a process with
+    another id has its address.
     """
 
     incarnation: int = 1
@@ -103,6 +104,7 @@
     clock_ms: int = 1000
     is_unresponsive: bool = False
     refuses_connections: bool = False
+    is_replaced: bool = False
     loses_answers: bool = False
     rejection: StartVerdict | None = None
     instant_end: EndKind | None = None
@@ -173,6 +175,10 @@
         await asyncio.sleep(0)
         if fake.refuses_connections:
             return UNREACHABLE
+        if fake.is_replaced:
+            # Answers on different connections overtake each other.
+            await asyncio.sleep(0.02)
+            return StartVerdict.other_process
         if fake.is_unresponsive:
             fake.late.append(order)
             return UNKNOWN
@@ -212,6 +218,8 @@
     async def hold(self, target: TargetRef, order: HoldOrder):
         fake = self.by_id[target.target_id]
         await asyncio.sleep(0.002)
+        if fake.is_replaced:
+            return StartVerdict.other_process
         if fake.is_unresponsive:
             return UNKNOWN
         if order.fencing_token < fake.fencing_token:
