Attribute no crash to a start that may be long before it

A target that crashes is attributed to the only start on it that the target is not known to have survived. That holds only if the crash came soon after the start.

A target now records when a call to it first failed since its process was last known to run. A crash counts as attributed, or as one in which the task ran, only if that was within `crash_window_ms` of the first start call of the attempt: a process that ends closes its connections, so that calls fail at once, while those to a silent target fail after their timeout. Other attempts stay suspects and start as trials.

test_silent_target_that_crashes_later_gives_up_no_task failed before in both variants (without an answer to the start, and with one), as the job was shown as failed. tests/cell and tests/steps pass.

--- a/src/radishlift/cell/orders.py
+++ b/src/radishlift/cell/orders.py
@@ -130,6 +130,7 @@
 
     def _record_unanswered(self, order: StartOrder, failure: Failure) -> None:
         self._unresolved.add((order.key, order.attempt))
+        self._target.record_failure(self._now_ms())
         # A poll shows whether the target is still reachable.
         self._on_resolved()
         log_event(
--- a/src/radishlift/cell/sessions.py
+++ b/src/radishlift/cell/sessions.py
@@ -156,11 +156,13 @@
             # Each process has its own clock and counts its ended attempts.
             self._lease.restart(report.clock_ms, self._now_ms())
             self._ended_cursor = 0
+            self.target.record_failure(self._now_ms())
             self._context.listener.on_crashed(self, is_proven=True)
         else:
             self._lease.update_clock(report.clock_ms, self._now_ms())
         if is_restarted:
             self._incarnation = report.incarnation
+        self.target.record_running()
         # Answers of a new process must not clear the starts that crashed it.
         self.target.record_answer(self.list_requested_at_ms)
         self._is_synced = True
@@ -187,6 +189,7 @@
         if self.target.is_reachable:
             log_event('target_lost', target=self.target_id, reason=reason)
         self._ended_cursor = 0
+        self.target.record_failure(self._now_ms())
         self._set_reachable(is_reachable=False)
         has_expired = self._lease.has_expired(self._now_ms())
         has_restarted = answer is StartVerdict.other_process
--- a/src/radishlift/steps/crashes.py
+++ b/src/radishlift/steps/crashes.py
@@ -1,7 +1,8 @@
 """Finds the attempts that may have crashed a target.
 
 A task that crashes targets does so shortly after its start. An attempt that is
-known to have run for `crash_window_ms` is no suspect.
+known to have run for `crash_window_ms` is no suspect. A target that was silent
+may have crashed at any time until then, which is attributed to no attempt.
 """
 
 from typing import Final
@@ -69,23 +70,43 @@
     units = {key.step_key if key in gangs else key for key in suspects}
     for allocation in suspects.values():
         allocation.suspicion = (
-            _rate(allocation, len(units))
+            _rate(target, allocation, len(units), settings)
             if is_proven
             else Suspicion.unconfirmed
         )
     return list(suspects)
 
 
-def _rate(allocation: Allocation, units_count: int) -> Suspicion:
+def _rate(
+    target: Target,
+    allocation: Allocation,
+    units_count: int,
+    settings: StepSettings,
+) -> Suspicion:
     # An inherited attempt may have run for long before the takeover.
     may_be_older = allocation.is_inherited and not allocation.is_confirmed
-    if units_count == 1 and not may_be_older:
+    if may_be_older or not _failed_at_start(target, allocation, settings):
+        return Suspicion.unconfirmed
+    if units_count == 1:
         return Suspicion.sole
     if allocation.is_confirmed:
         return Suspicion.shared
     return Suspicion.unconfirmed
 
 
+def _failed_at_start(
+    target: Target,
+    allocation: Allocation,
+    settings: StepSettings,
+) -> bool:
+    """Returns whether the target failed within the window of a start."""
+    first_sent_at_ms = allocation.first_sent_at_ms
+    if target.failed_at_ms is None or first_sent_at_ms is None:
+        return True
+    passed_ms = target.failed_at_ms - first_sent_at_ms
+    return 0 <= passed_ms <= settings.crash_window_ms
+
+
 def lost_end_kind(target: Target, key: TaskKey, attempt: int) -> EndKind:
     """Returns how an attempt that its target does not run has ended."""
     allocation = target.allocations.get(key)
--- a/src/radishlift/steps/targets.py
+++ b/src/radishlift/steps/targets.py
@@ -45,7 +45,8 @@
     """Whether an attempt may have crashed its target.
 
     `shared` means that other attempts may have crashed it as well, and
-    `unconfirmed` that the attempt may not even have started.
+    `unconfirmed` that the attempt may not even have started, or that it may
+    have run for long.
     """
 
     none = 'none'
@@ -59,7 +60,8 @@
     """Capacity allocated to an attempt until its end is known.
 
     `expected_end_ms` is a monotonic time; 0 if the start time is unknown.
-    `sent_at_ms` is when the latest start call was sent; None if none was.
+    `sent_at_ms` is when the latest start call was sent, and `first_sent_at_ms`
+    when the first was; None if none was.
     `is_confirmed` is whether the target has answered that it started, and
     `is_inherited` whether an earlier leader started it.
     """
@@ -68,6 +70,7 @@
     amounts: Amounts
     expected_end_ms: int = 0
     sent_at_ms: int | None = None
+    first_sent_at_ms: int | None = None
     is_confirmed: bool = False
     is_inherited: bool = False
     suspicion: Suspicion = Suspicion.none
@@ -76,9 +79,17 @@
         """Records a start call; returns when the previous one was sent."""
         previous_ms = self.sent_at_ms
         self.sent_at_ms = now_ms
+        if self.first_sent_at_ms is None:
+            self.first_sent_at_ms = now_ms
         self.suspicion = Suspicion.none
         return previous_ms
 
+    def retract_sent(self, previous_ms: int | None) -> None:
+        """Restores the time of the previous call after one was not sent."""
+        self.sent_at_ms = previous_ms
+        if previous_ms is None:
+            self.first_sent_at_ms = None
+
 
 @dataclass(slots=True)
 class Target:
@@ -86,7 +97,9 @@
 
     `is_reachable` and `cooldown_until_ms` keep new tasks off targets that do
     not respond or that fail the tasks they start. `answered_at_ms` is when
-    the latest answered call was sent. A watched target is polled more often.
+    the latest answered call was sent. `failed_at_ms` is when a call first
+    failed since the process was last known to run; None if none has. A watched
+    target is polled more often.
     """
 
     entry: TargetEntry
@@ -97,6 +110,7 @@
     cooldown_until_ms: int = 0
     consecutive_failures_count: int = 0
     answered_at_ms: int = 0
+    failed_at_ms: int | None = None
     is_watched: bool = False
     free_capacity: Amounts = field(init=False)
 
@@ -121,6 +135,15 @@
         """Records that a call sent at a monotonic time was answered."""
         self.answered_at_ms = max(self.answered_at_ms, sent_at_ms)
 
+    def record_failure(self, now_ms: int) -> None:
+        """Records that a call has failed, or that the process has ended."""
+        if self.failed_at_ms is None:
+            self.failed_at_ms = now_ms
+
+    def record_running(self) -> None:
+        """Records that the process is known to run."""
+        self.failed_at_ms = None
+
     def record_start(
         self, key: TaskKey, attempt: int, now_ms: int
     ) -> int | None:
@@ -145,7 +168,7 @@
         """Restores the time of the previous call after one was not sent."""
         allocation = self.allocations.get(key)
         if allocation is not None and allocation.attempt == attempt:
-            allocation.sent_at_ms = previous_ms
+            allocation.retract_sent(previous_ms)
 
     def allocate(
         self,
--- a/tests/cell/fakes.py
+++ b/tests/cell/fakes.py
@@ -95,13 +95,15 @@
     """A target that runs tasks until a test ends them.
 
     With `instant_end` they end as soon as they start. With `keeps_stopped`
-    stops take until a test ends the tasks.
+    stops take until a test ends the tasks. Calls that get no answer because
+    of `is_unresponsive` fail after `timeout_s`.
     """
 
     incarnation: int = 1
     fencing_token: int = 0
     clock_ms: int = 1000
     is_unresponsive: bool = False
+    timeout_s: float = 0.0
     refuses_connections: bool = False
     loses_answers: bool = False
     rejection: StartVerdict | None = None
@@ -175,6 +177,7 @@
             return UNREACHABLE
         if fake.is_unresponsive:
             fake.late.append(order)
+            await asyncio.sleep(fake.timeout_s)
             return UNKNOWN
         if order.key in self.crashing:
             self.crashed.append((target.target_id, order.key))
@@ -200,6 +203,7 @@
         fake = self.by_id[target.target_id]
         await asyncio.sleep(0)
         if fake.is_unresponsive:
+            await asyncio.sleep(fake.timeout_s)
             return UNKNOWN
         if fencing_token < fake.fencing_token:
             return StartVerdict.fenced
@@ -213,6 +217,7 @@
         fake = self.by_id[target.target_id]
         await asyncio.sleep(0.002)
         if fake.is_unresponsive:
+            await asyncio.sleep(fake.timeout_s)
             return UNKNOWN
         if order.fencing_token < fake.fencing_token:
             return StartVerdict.fenced
--- a/tests/cell/test_crashing_tasks.py
+++ b/tests/cell/test_crashing_tasks.py
@@ -228,3 +228,48 @@
             await asyncio.sleep(0.003)
     states = [cell.state(job_id) for job_id in ids]
     assert states == ['failed', 'failed', *('completed' for _ in ids[2:])]
+
+
+async def lead_with_a_suspect(cell):
+    """Leads with a task that ran in one crash, and no target to start it on."""
+    cell.write_target('t1', state='draining')
+    job_id = cell.submit(job())
+    cell.write(
+        PROGRESS,
+        job_id,
+        {
+            'state': 'queued',
+            'steps': [[0, 0, [[0, 'w', 1, 0, '', '']]]],
+            'crashes': [[0, 0, 0, 1, 1]],
+            'crashed_attempts': [[0, 0, 1]],
+        },
+    )
+    cell.lead()
+    await cell.until(lambda: cell.targets['t1'].fencing_token == 1)
+    # Targets without tasks are not polled once their clock is known.
+    await asyncio.sleep(0.05)
+    return job_id
+
+
+@pytest.mark.parametrize('is_answered', [False, True])
+async def test_silent_target_that_crashes_later_gives_up_no_task(is_answered):
+    cell = Cell('t1', max_lease_ms=4000, step_settings=STEP_SETTINGS)
+    fake = cell.targets['t1']
+    fake.timeout_s = 0.06
+    try:
+        job_id = await lead_with_a_suspect(cell)
+        fake.is_unresponsive = not is_answered
+        cell.write_target('t1')
+        await cell.until(
+            lambda: bool(fake.started if is_answered else fake.late)
+        )
+        await asyncio.sleep(0)
+        fake.is_unresponsive = True
+        await asyncio.sleep(0.15)
+        fake.restart()
+        fake.is_unresponsive = False
+        await cell.until(lambda: crashes_counts(cell, job_id) != {0: 1})
+        assert cell.state(job_id) != 'failed'
+        await cell.until_state(job_id, 'completed')
+    finally:
+        await cell.close()
--- a/tests/steps/test_crashes.py
+++ b/tests/steps/test_crashes.py
@@ -58,6 +58,28 @@
     )
 
 
+@pytest.mark.parametrize(
+    ('failed_at_ms', 'kind'),
+    [
+        (9, EndKind.maybe_crashed),
+        (10, EndKind.crashed_alone),
+        (310, EndKind.crashed_alone),
+        (311, EndKind.maybe_crashed),
+    ],
+)
+def test_task_is_not_blamed_for_a_crash_that_may_be_long_after_its_start(
+    failed_at_ms, kind
+):
+    target = target_with_starts(a=10)
+    target.record_failure(failed_at_ms)
+    target.record_failure(320)
+    # The repeated start may have found the attempt running.
+    target.record_start(key(), 1, 330)
+    target.confirm_start(key(), 1)
+    assert suspects(target) == ['a']
+    assert lost_end_kind(target, key(), 1) is kind
+
+
 def test_inherited_task_is_not_blamed_for_a_crash_before_its_first_report():
     target = target_with_starts(a=0)
     only(target.allocations.values()).is_inherited = True
