Let suspect gangs neither starve nor hold up other trials

A gang with a suspect that needs more than `trial_share` of the targets starts when no other trial runs, and others begin none meanwhile. Three cases broke this:

- If the running trials left too few targets for the gang, there was no reservation, and the gang did not count as wide: other trials kept beginning, so that it could wait without bound.
- A wide gang reserved targets only once all had room.
Under a backlog of small tasks that never happens, while an ordinary gang of this size reserves targets (`reserved_share`).
- A gang within `trial_share` that waited for room closed its targets and used up the share, so that no other suspect started until tasks of any length had ended.

A suspect gang that waits for room now reserves targets like ordinary gangs, in the same share and until the same time; its targets are closed only once they have room. A gang that fits on the targets of trials as well waits for their end. Trials and one such gang may together use more than `trial_share` while they are tried.

The three new tests of test_trials.py failed before, one for each case. tests/steps and tests/cell pass.

--- a/src/radishlift/steps/trial_planning.py
+++ b/src/radishlift/steps/trial_planning.py
@@ -1,12 +1,14 @@
 """Plans the trials of suspects, before other tasks are placed."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from radishlift.steps.gang_reservations import (
+    Reservation,
     choose_gang_targets,
     slot_times_ms,
 )
+from radishlift.steps.ids import TargetId
 from radishlift.steps.placing import Placement, place_tasks
 from radishlift.steps.runs import JobRun, StepRun, TaskRun, TaskState
 from radishlift.steps.settings import StepSettings
@@ -28,7 +30,9 @@
     """Places suspects on targets of their own.
 
     Trials use at most `trial_share` of the targets. Suspects for which some
-    target has room come before those that wait for room.
+    target has room come before those that wait for room. A gang that needs
+    more targets waits until no other trials run, unless it may reserve them
+    like other gangs.
     """
 
     def __init__(
@@ -76,6 +80,14 @@
     def _plan_tasks(self, tick: Tick, job: JobRun, step: StepRun) -> bool:
         """Plans trials of tasks; returns whether they need more room."""
         candidates = self._candidates(tick, job, step)
+        candidates = replace(
+            candidates,
+            allowed=[
+                target
+                for target in candidates.allowed
+                if tick.may_use(target, step)
+            ],
+        )
         without_ticket = []
         is_short_of_room = False
         for task in step.suspects():
@@ -135,6 +147,7 @@
             (times_ms[0], target.entry.target_id, target)
             for target in self._advice.list_allowed(tick, job, step)
             if target.entry.target_id not in closed
+            and tick.may_use(target, step)
             and (times_ms := _slots_ms(step, target, tick.now_ms))
         ]
         if slots:
@@ -149,23 +162,15 @@
         waiting = step.waiting_tasks()
         if len(waiting) < len(step.tasks):
             return True
-        closed = self._trials.closed
         candidates = self._candidates(tick, job, step)
-        free = {
-            target.entry.target_id: target
-            for target in candidates.allowed
-            if target.entry.target_id not in closed
-        }
+        free = self._free_for_gang(tick, candidates)
         ready = [
             target
             for target in free.values()
             if candidates.has_ticket(target) and self._trials.is_ready(target)
         ]
         reservation = choose_gang_targets(step, free, tick.now_ms)
-        is_wide = (
-            reservation is not None
-            and len(reservation.target_ids) > self._trials.free_count
-        )
+        is_wide = self._is_wide(tick, step, candidates, reservation)
         if is_wide and not self._trials.is_idle:
             return False
         placements = place_tasks(step, waiting, ready)
@@ -175,12 +180,45 @@
         self._advice.request_for_gang(tick, job, step)
         if reservation is not None:
             self._advice.renew(tick, job, step, reservation)
-            if not is_wide or reservation.starts_at_ms <= tick.now_ms:
+            if reservation.starts_at_ms <= tick.now_ms:
                 self._trials.reserve(
                     free[target_id] for target_id in reservation.target_ids
                 )
+            elif not is_wide:
+                # Tasks that end before the gang starts may use them until then.
+                for target_id in reservation.target_ids:
+                    tick.reserved_until_ms[target_id] = reservation.starts_at_ms
         return True
 
+    def _free_for_gang(
+        self, tick: Tick, candidates: _Candidates
+    ) -> dict[TargetId, Target]:
+        closed = self._trials.closed | tick.reserved_until_ms.keys()
+        return {
+            target.entry.target_id: target
+            for target in candidates.allowed
+            if target.entry.target_id not in closed
+        }
+
+    def _is_wide(
+        self,
+        tick: Tick,
+        step: StepRun,
+        candidates: _Candidates,
+        reservation: Reservation | None,
+    ) -> bool:
+        """Returns whether a gang needs more targets than trials may use."""
+        if reservation is not None:
+            reserved_count = len(tick.reserved_until_ms)
+            return len(reservation.target_ids) > max(
+                self._trials.free_count,
+                self._trials.gang_count - reserved_count,
+            )
+        everywhere = {
+            target.entry.target_id: target for target in candidates.allowed
+        }
+        return choose_gang_targets(step, everywhere, tick.now_ms) is not None
+
     def _start(
         self,
         tick: Tick,
--- a/src/radishlift/steps/trials.py
+++ b/src/radishlift/steps/trials.py
@@ -65,6 +65,11 @@
         limit = max(1, int(len(self._targets) * share))
         return limit - len(self.closed)
 
+    @property
+    def gang_count(self) -> int:
+        """Returns how many targets may be reserved for gangs."""
+        return int(len(self._targets) * self._settings.reserved_share)
+
     @property
     def is_full(self) -> bool:
         """Returns whether no more suspects may start."""
--- a/tests/steps/test_trials.py
+++ b/tests/steps/test_trials.py
@@ -179,6 +179,57 @@
     assert len(setup.placed(now_ms=310)) == 6
 
 
+def test_gang_that_needs_all_targets_is_not_starved_by_other_trials():
+    setup = TrialSetup(*(1 for _ in range(8)))
+    setup.add(suspect(job_id='b' * 16, crashes_count=2))
+    setup.placed()
+    setup.send(0)
+    setup.add(
+        suspect(step(8, is_gang=True)),
+        suspect(job_id='c' * 16, priority=2, crashes_count=2),
+    )
+    assert not setup.placed(now_ms=150)
+    setup.answer(300)
+    setup.target().release(key(job_id='b' * 16), 1)
+    assert len(setup.placed(now_ms=310)) == 8
+
+
+def test_wide_gang_is_not_starved_by_a_backlog_of_small_tasks():
+    setup = TrialSetup(*(2 for _ in range(10)))
+    setup.add(job(step(300), job_id='b' * 16, priority=2))
+    setup.placed()
+    setup.send(0)
+    gang = suspect(step(6, is_gang=True))
+    setup.add(gang)
+    placed = {}
+    # Each small task runs for 1 s, and one target becomes free every 100 ms.
+    for now_ms in range(100, 5000, 100):
+        target = setup.target(now_ms // 100 % 10)
+        for task_key, allocation in list(target.allocations.items()):
+            target.release(task_key, allocation.attempt)
+        setup.answer(now_ms)
+        placed = setup.placed(now_ms=now_ms)
+        setup.send(now_ms)
+        if ('a', 0) in placed:
+            break
+    assert ('a', 0) in placed
+
+
+def test_gang_that_waits_for_room_does_not_delay_other_trials():
+    setup = TrialSetup(2, 2, *(1 for _ in range(6)))
+    for index in range(2):
+        setup.target(index).allocate(
+            key(index, job_id='d' * 16), 1, step().amounts, 60_000
+        )
+    setup.send(0)
+    setup.answer(300)
+    setup.add(
+        suspect(step(2, cores=2, is_gang=True)),
+        suspect(job_id='b' * 16, priority=2),
+    )
+    assert set(setup.placed(now_ms=310)) == {('b', 0)}
+
+
 def test_trials_use_suitable_targets_only():
     setup = TrialSetup(4)
     setup.targets.update(entry('t0', service=ServiceName('other')))
