Do not blame a task that runs on for the crash of an earlier process

A target that restarted while it was idle is not polled, so that its new process is noticed only after the next start. That start was marked as the cause of the crash. The attempt runs in the new process, but the mark stayed, so that whenever its target was lost later, after any time, the task was counted for a crash at its start, and its job could be shown as failed.

The mark is now removed once a list of the target shows the attempt running. test_task_that_runs_in_a_new_process_is_not_blamed_for_the_earlier failed before in 3 of 3 runs (the job was shown as failed) and passes.

--- a/src/radishlift/cell/attempts.py
+++ b/src/radishlift/cell/attempts.py
@@ -72,6 +72,8 @@
             job = self._jobs.get(running.key.step_key.job_id)
             if not is_current(job, session, running.key, running.attempt):
                 session.stop(running.key, running.attempt)
+            # An earlier process may have crashed without this attempt.
+            session.target.clear_suspicion(running.key, running.attempt)
         for key, attempt in session.listing.list_missing(
             listed,
             session.list_requested_at_ms,
--- a/src/radishlift/steps/targets.py
+++ b/src/radishlift/steps/targets.py
@@ -162,6 +162,12 @@
         if allocation is not None and allocation.attempt == attempt:
             allocation.is_confirmed = True
 
+    def clear_suspicion(self, key: TaskKey, attempt: int) -> None:
+        """Records that an attempt runs on after the crash of a process."""
+        allocation = self.allocations.get(key)
+        if allocation is not None and allocation.attempt == attempt:
+            allocation.suspicion = Suspicion.none
+
     def retract_start(
         self, key: TaskKey, attempt: int, previous_ms: int | None
     ) -> None:
--- a/tests/cell/test_crashing_tasks.py
+++ b/tests/cell/test_crashing_tasks.py
@@ -273,3 +273,21 @@
         await cell.until_state(job_id, 'completed')
     finally:
         await cell.close()
+
+
+async def test_task_that_runs_in_a_new_process_is_not_blamed_for_the_earlier():
+    settings = StepSettings(crash_window_ms=100)
+    cell = Cell('t1', max_lease_ms=4000, step_settings=settings)
+    fake = cell.targets['t1']
+    try:
+        job_id = await lead_with_a_suspect(cell)
+        # A target without tasks is not polled, so its restart is not noticed.
+        fake.restart()
+        cell.write_target('t1')
+        await until_quiet(cell, 't1')
+        fake.restart()
+        await until_running(cell)
+        assert cell.state(job_id) != 'failed'
+        await cell.until_state(job_id, 'completed')
+    finally:
+        await cell.close()
