Store that a suspect has survived its trial

A task whose target survived its trial was cleared in memory only. The stored counts stayed until the next change of its job, so that the next leader started it as a trial again, and one more crash could fail its job. The plan of a tick now names the jobs of cleared tasks, and these are committed.

test_takeover_does_not_try_a_task_again_that_survived_its_trial failed before: the stored count was never removed. It passes now, and so do tests/cell and tests/steps.

--- a/src/radishlift/cell/scheduler.py
+++ b/src/radishlift/cell/scheduler.py
@@ -213,6 +213,8 @@
         if not self.fleet.has_recent_entries(now_ms):
             return
         plan = self._planner.plan(now_ms, clock.wall_ms())
+        for job in plan.cleared:
+            self.jobs.save(job)
         for job, placement in plan.placements:
             self._commit_start(job, placement)
         self.pending_advice.add(plan.advice_requests)
--- a/tests/cell/test_crashing_tasks.py
+++ b/tests/cell/test_crashing_tasks.py
@@ -291,3 +291,14 @@
         await cell.until_state(job_id, 'completed')
     finally:
         await cell.close()
+
+
+async def test_takeover_does_not_try_a_task_again_that_survived_its_trial():
+    cell = Cell('t1', step_settings=STEP_SETTINGS)
+    try:
+        job_id = await lead_with_a_suspect(cell)
+        cell.write_target('t1')
+        await until_running(cell)
+        await cell.until(lambda: not crashes_counts(cell, job_id))
+    finally:
+        await cell.close()
