Clear suspects that survive their start during a takeover

A suspect that an earlier leader had started belonged to no trial of the next one, so that its crashes stayed counted although its target survived it. They are now cleared, and the job committed, once a list that was requested after `crash_window_ms` of the takeover shows the attempt running. Members of gangs stay suspects, as before.

test_suspect_that_runs_during_a_takeover_is_cleared failed before: the stored count was never removed.

--- a/src/radishlift/cell/attempts.py
+++ b/src/radishlift/cell/attempts.py
@@ -74,6 +74,10 @@
                 session.stop(running.key, running.attempt)
             # An earlier process may have crashed without this attempt.
             session.target.clear_suspicion(running.key, running.attempt)
+            if job is not None:
+                self._crashes.clear_inherited(
+                    job, session.target, running.key, running.attempt
+                )
         for key, attempt in session.listing.list_missing(
             listed,
             session.list_requested_at_ms,
--- a/src/radishlift/cell/crashes.py
+++ b/src/radishlift/cell/crashes.py
@@ -6,6 +6,7 @@
 from radishlift.steps.crashes import (
     CRASH_KINDS,
     give_up_repeated,
+    is_cleared,
     mark_suspects,
 )
 from radishlift.steps.ids import TaskKey
@@ -66,6 +67,33 @@
                 crashes_count=task.crashes_count,
             )
 
+    def clear_inherited(
+        self,
+        job: JobRun,
+        target: Target,
+        key: TaskKey,
+        attempt: int,
+    ) -> None:
+        """Clears a suspect that an earlier leader started, if it survived.
+
+        Trials of this leader don't know its attempt. Other members of a gang
+        may still crash their targets.
+        """
+        task = job.find_task(key)
+        allocation = target.allocations.get(key)
+        if task is None or allocation is None:
+            return
+        step = self._jobs.find_step(key.step_key)
+        is_gang = step is not None and step.spec.is_gang
+        is_current = allocation.attempt == task.attempt == attempt
+        if not task.crashes_count or is_gang or not is_current:
+            return
+        if not allocation.is_inherited:
+            return
+        if is_cleared(target, allocation, self._settings):
+            task.clear_crashes()
+            self._jobs.save(job)
+
     def _list_gang_members(self, target: Target) -> set[TaskKey]:
         steps = {
             key: self._jobs.find_step(key.step_key)
--- a/tests/cell/test_crashing_tasks.py
+++ b/tests/cell/test_crashing_tasks.py
@@ -302,3 +302,17 @@
         await cell.until(lambda: not crashes_counts(cell, job_id))
     finally:
         await cell.close()
+
+
+async def test_suspect_that_runs_during_a_takeover_is_cleared():
+    cell = Cell('t1', step_settings=STEP_SETTINGS)
+    try:
+        await lead_with_a_suspect(cell)
+        cell.write_target('t1')
+        await until_running(cell)
+        # The first leader ends before its target has survived the start.
+        await cell.kill(cell.terms[0])
+        cell.lead()
+        await cell.until(lambda: not crashes_counts(cell, 'a' * 16))
+    finally:
+        await cell.close()
