Send no start to a target that was lost during its commit

A start that waited for its commit was sent although its target had become unreachable meanwhile. Nothing answered it, so that the task waited for the end of the lease before it could start elsewhere. The start was never sent before, so the attempt can end at once, like one whose target has less capacity by then.

--- a/src/radishlift/cell/scheduler.py
+++ b/src/radishlift/cell/scheduler.py
@@ -180,12 +180,15 @@
         """Sends a committed start if it is still valid.
 
         Job and attempt may have ended during the commit, and the target may
-        have less capacity.
+        be lost or have less capacity.
         """
         job = self.jobs.get(order.key.step_key.job_id)
         is_valid = is_current(job, session, order.key, order.attempt)
         now_ms = self._context.clock.monotonic_ms()
-        if not is_valid or not self.fleet.may_start(session.target, now_ms):
+        may_start = session.target.is_reachable and self.fleet.may_start(
+            session.target, now_ms
+        )
+        if not is_valid or not may_start:
             session.listing.cancel_start(order.key, order.attempt)
             self.attempts.end_unstarted(session, order.key, order.attempt)
             return
--- a/tests/cell/test_sessions.py
+++ b/tests/cell/test_sessions.py
@@ -159,6 +159,31 @@
         await cell.close()
 
 
+async def test_start_goes_to_no_target_that_was_lost_during_its_commit():
+    cell = Cell(
+        't1',
+        settings=replace(SETTINGS, unconfirmed_ms=2000),
+        max_lease_ms=6000,
+    )
+    try:
+        cell.lead()
+        # Keeps the session polling.
+        cell.submit(job(job_id=OTHER_JOB))
+        fake = cell.targets['t1']
+        await cell.until(lambda: bool(fake.running))
+        cell.store.rejects_commits = True
+        cell.submit(job())
+        await asyncio.sleep(0.1)
+        fake.is_unresponsive = True
+        cell.add_target('t2')
+        await asyncio.sleep(0.1)
+        cell.store.rejects_commits = False
+        await cell.until(lambda: bool(cell.targets['t2'].running), within_s=2)
+        assert not fake.late
+    finally:
+        await cell.close()
+
+
 async def test_target_that_answers_no_start_gets_no_more_of_them():
     cell = Cell('t1', max_lease_ms=4000)
     try:
