--- a/src/radishlift/steps/planner.py
+++ b/src/radishlift/steps/planner.py
@@ -215,14 +215,7 @@
         limit = int(len(self._targets) * self._settings.reserved_share)
         reserved_count = len(reservation.target_ids)
         if len(tick.reserved_until_ms) + reserved_count <= limit:
-            for target_id, count in zip(
-                reservation.target_ids, reservation.member_counts, strict=True
-            ):
-                tick.reserve(
-                    target_id,
-                    reservation.starts_at_ms,
-                    Amounts().plus(step.spec.allocated_amounts, count),
-                )
+            tick.reserve(step, reservation)
             self._advice.renew(tick, job, step, reservation, allowed)
         elif reservation.starts_at_ms <= tick.now_ms and self._advice.is_idle:
             # Others may take the room of a gang that may not reserve it.
--- a/tests/cell/fakes.py
+++ b/tests/cell/fakes.py
@@ -96,13 +96,15 @@
 
     With `instant_end` they end as soon as they start. With `keeps_stopped`
     stops take until a test ends the tasks. With `is_replaced` a process with
-    another id has its address.
+    another id has its address. Calls that get no answer because of
+    `is_unresponsive` fail after `timeout_s`.
     """
 
     incarnation: int = 1
     fencing_token: int = 0
     clock_ms: int = 1000
     is_unresponsive: bool = False
+    timeout_s: float = 0.0
     refuses_connections: bool = False
     is_replaced: bool = False
     loses_answers: bool = False
@@ -181,6 +183,7 @@
             return StartVerdict.other_process
         if fake.is_unresponsive:
             fake.late.append(order)
+            await asyncio.sleep(fake.timeout_s)
             return UNKNOWN
         if order.key in self.crashing:
             self.crashed.append((target.target_id, order.key))
@@ -206,6 +209,7 @@
         fake = self.by_id[target.target_id]
         await asyncio.sleep(0)
         if fake.is_unresponsive:
+            await asyncio.sleep(fake.timeout_s)
             return UNKNOWN
         if fencing_token < fake.fencing_token:
             return StartVerdict.fenced
@@ -221,6 +225,7 @@
         if fake.is_replaced:
             return StartVerdict.other_process
         if fake.is_unresponsive:
+            await asyncio.sleep(fake.timeout_s)
             return UNKNOWN
         if order.fencing_token < fake.fencing_token:
             return StartVerdict.fenced
--- a/tests/cell/test_crashing_tasks.py
+++ b/tests/cell/test_crashing_tasks.py
@@ -228,3 +228,91 @@
             await asyncio.sleep(0.003)
     states = [cell.state(job_id) for job_id in ids]
     assert states == ['failed', 'failed', *('completed' for _ in ids[2:])]
+
+
+async def lead_with_a_suspect(cell):
+    """Leads with a task that ran in one crash, and no target to start it on."""
+    cell.write_target('t1', state='draining')
+    job_id = cell.submit(job())
+    cell.write(
+        PROGRESS,
+        job_id,
+        {
+            'state': 'queued',
+            'steps': [[0, 0, [[0, 'w', 1, 0, '', '']]]],
+            'crashes': [[0, 0, 0, 1, 1]],
+            'crashed_attempts': [[0, 0, 1]],
+        },
+    )
+    cell.lead()
+    await cell.until(lambda: cell.targets['t1'].fencing_token == 1)
+    # Targets without tasks are not polled once their clock is known.
+    await asyncio.sleep(0.05)
+    return job_id
+
+
+@pytest.mark.parametrize('is_answered', [False, True])
+async def test_silent_target_that_crashes_later_gives_up_no_task(is_answered):
+    cell = Cell('t1', max_lease_ms=4000, step_settings=STEP_SETTINGS)
+    fake = cell.targets['t1']
+    fake.timeout_s = 0.06
+    try:
+        job_id = await lead_with_a_suspect(cell)
+        fake.is_unresponsive = not is_answered
+        cell.write_target('t1')
+        await cell.until(
+            lambda: bool(fake.started if is_answered else fake.late)
+        )
+        await asyncio.sleep(0)
+        fake.is_unresponsive = True
+        await asyncio.sleep(0.15)
+        fake.restart()
+        fake.is_unresponsive = False
+        await cell.until(lambda: crashes_counts(cell, job_id) != {0: 1})
+        assert cell.state(job_id) != 'failed'
+        await cell.until_state(job_id, 'completed')
+    finally:
+        await cell.close()
+
+
+async def test_task_that_runs_in_a_new_process_is_not_blamed_for_the_earlier():
+    settings = StepSettings(crash_window_ms=100)
+    cell = Cell('t1', max_lease_ms=4000, step_settings=settings)
+    fake = cell.targets['t1']
+    try:
+        job_id = await lead_with_a_suspect(cell)
+        # A target without tasks is not polled, so its restart is not noticed.
+        fake.restart()
+        cell.write_target('t1')
+        await until_quiet(cell, 't1')
+        fake.restart()
+        await until_running(cell)
+        assert cell.state(job_id) != 'failed'
+        await cell.until_state(job_id, 'completed')
+    finally:
+        await cell.close()
+
+
+async def test_takeover_does_not_try_a_task_again_that_survived_its_trial():
+    cell = Cell('t1', step_settings=STEP_SETTINGS)
+    try:
+        job_id = await lead_with_a_suspect(cell)
+        cell.write_target('t1')
+        await until_running(cell)
+        await cell.until(lambda: not crashes_counts(cell, job_id))
+    finally:
+        await cell.close()
+
+
+async def test_suspect_that_runs_during_a_takeover_is_cleared():
+    cell = Cell('t1', step_settings=STEP_SETTINGS)
+    try:
+        await lead_with_a_suspect(cell)
+        cell.write_target('t1')
+        await until_running(cell)
+        # The first leader ends before its target has survived the start.
+        await cell.kill(cell.terms[0])
+        cell.lead()
+        await cell.until(lambda: not crashes_counts(cell, 'a' * 16))
+    finally:
+        await cell.close()
