Send no advice requests to daemons that just failed

Cause: a daemon that failed a call was marked as avoided, but the mark only put it last. During a backlog all other daemons are busy, so that it got the next request as soon as it had failed one. A daemon that refuses connections emptied the whole queue in milliseconds: all steps were asked about again after advice_retry_ms, daemons that work found no request, and the order of the queue, which lets the oldest long request go first, was lost. One without an answer held a request for its duration and 0.6 s each time.

Change: an avoided daemon gets no requests. If all daemons have failed, the cause is probably common, and none is avoided any more. As the mark now excludes, it lasts 6 s at most instead of 30 s, so that a daemon that works again isn't left unused for long; it then comes after the others.

Measured: test_dead_daemon_does_not_fail_the_requests_of_a_backlog failed before (19 of 20 requests went to the dead daemon, now 1). test_failures_of_all_daemons_do_not_delay_later_requests guards the new case and passed before. tests/cell and tests/steps pass.

--- a/src/radishlift/cell/advice_dispatch.py
+++ b/src/radishlift/cell/advice_dispatch.py
@@ -23,10 +23,11 @@
 
 # Time for the network and a busy host, in addition to that of the service.
 _TIMEOUT_MARGIN_MS: Final = 600
-# Daemons without an answer get requests only after all others for this long.
+# Daemons without an answer get no requests for this long.
 _AVOID_MS: Final = 3000
-# Consecutive failures multiply that time up to this factor.
-_MAX_AVOID_FACTOR: Final = 10
+# Consecutive failures multiply that time up to this factor. A daemon that
+# works again stays unused until the time has passed.
+_MAX_AVOID_FACTOR: Final = 2
 
 _CallTask = asyncio.Task[AdviseReply | Failure]
 
@@ -85,19 +86,20 @@
             task.cancel()
 
     def _dispatch(self) -> None:
-        daemons = self._list_daemons()
         now_ms = self._clock.monotonic_ms()
+        daemons = self._list_usable(now_ms)
         free = [
             daemon_id
             for daemon_id in daemons
             if daemon_id not in self._open_requests
         ]
-        free.sort(key=lambda daemon_id: self._preference(daemon_id, now_ms))
+        free.sort(key=self._preference)
         for daemon_id in free:
             long_count = sum(
                 map(self._pending_advice.is_long, self._open_requests.values())
             )
-            request = self._pending_advice.pop(len(daemons), long_count)
+            hosts_count = len(self._list_daemons())
+            request = self._pending_advice.pop(hosts_count, long_count)
             if request is None:
                 return
             self._open_requests[daemon_id] = request
@@ -108,15 +110,31 @@
                 partial(self._finish_request, daemon_id, request)
             )
 
-    def _preference(
-        self, daemon_id: DaemonId, now_ms: int
-    ) -> tuple[int, bool, int]:
-        # Daemons that failed recently come last. The leader comes before them
+    def _list_usable(self, now_ms: int) -> list[DaemonId]:
+        """Lists the daemons that may get requests, also busy ones.
+
+        If all of them failed recently, the cause is probably common, as an
+        outage of the service is, and none is avoided any more.
+        """
+        daemons = self._list_daemons()
+        usable = [
+            daemon_id
+            for daemon_id in daemons
+            if self._avoided_until_ms.get(daemon_id, 0) <= now_ms
+        ]
+        if usable:
+            return usable
+        self._avoided_until_ms.clear()
+        self._failures_count.clear()
+        return daemons
+
+    def _preference(self, daemon_id: DaemonId) -> tuple[bool, bool, int]:
+        # Daemons that failed last time come last. The leader comes before them
         # and after all others, because its processor is the bottleneck.
-        avoided_ms = self._avoided_until_ms.get(daemon_id, 0) - now_ms
+        has_failed = daemon_id in self._failures_count
         is_leader = daemon_id == self._network.daemon_id
         requested_at_ms = self._requested_at_ms.get(daemon_id, 0)
-        return max(0, avoided_ms), is_leader, requested_at_ms
+        return has_failed, is_leader, requested_at_ms
 
     def _finish_request(
         self,
--- a/tests/cell/test_advice_dispatch.py
+++ b/tests/cell/test_advice_dispatch.py
@@ -8,6 +8,7 @@
 from radishlift.cell.advice_dispatch import AdviceDispatcher, AdviceProxy
 from radishlift.cell.clock import BootClock
 from radishlift.cell.ports import AdviceAnswer
+from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import DaemonId, JobId
 from radishlift.steps.advice_queue import AdviceQueue
 from radishlift.steps.advice_requests import AdviceRequest
@@ -45,6 +46,7 @@
         super().__init__(StepSettings())
         self.changed = asyncio.Event()
         self.answered_s = {}
+        self.failed = []
 
     def add_request(self, name, duration_ms, priority):
         key = StepKey(JobId(name), 0, 0)
@@ -56,15 +58,25 @@
         self.answered_s[request.key.job_id] = time.monotonic()
         self.changed.set()
 
+    def retry_later(self, request):
+        self.failed.append(request.key.job_id)
+        self.changed.set()
+
 
 @pytest.fixture
-async def dispatcher():
+def daemons():
+    """Returns the listed daemons; calls to others than `d` fail at once."""
+    return [DaemonId('d')]
+
+
+@pytest.fixture
+async def dispatcher(daemons):
     network = PeerNetwork(DaemonId('d'))
     advice = SerialAdvice()
     AdviceProxy(network, advice)
     pending_advice = FakePendingAdvice()
     dispatcher = AdviceDispatcher(
-        network, pending_advice, lambda: [DaemonId('d')], BootClock()
+        network, pending_advice, lambda: daemons, BootClock()
     )
     task = asyncio.create_task(dispatcher.run())
     yield advice, pending_advice
@@ -115,3 +127,42 @@
     async with asyncio.timeout(1):
         while 'later' not in pending_advice.answered_s:
             await asyncio.sleep(0.002)
+
+
+async def test_dead_daemon_does_not_fail_the_requests_of_a_backlog(
+    dispatcher, daemons
+):
+    """Guards against daemons that get a request as soon as one has failed."""
+    _, pending_advice = dispatcher
+    daemons.append(DaemonId('dead'))
+    for number in range(20):
+        pending_advice.add_request(f'short{number}', SHORT_MS, priority=0)
+    async with asyncio.timeout(3):
+        while len(pending_advice.answered_s) + len(pending_advice.failed) < 20:
+            await asyncio.sleep(0.002)
+    assert len(pending_advice.failed) == 1
+
+
+async def test_failures_of_all_daemons_do_not_delay_later_requests(
+    dispatcher, daemons, monkeypatch
+):
+    """Guards against avoiding all daemons after an outage of the service."""
+    advice, pending_advice = dispatcher
+    daemons.append(DaemonId('dead'))
+    request = advice.request
+
+    async def refuse(key, target_ids, timeout_ms):
+        return Failure(ErrorKind.overloaded, 'outage')
+
+    monkeypatch.setattr(advice, 'request', refuse)
+    for number in range(8):
+        pending_advice.add_request(f'early{number}', SHORT_MS, priority=0)
+    async with asyncio.timeout(1):
+        while len(pending_advice.failed) < 8:
+            await asyncio.sleep(0.002)
+    monkeypatch.setattr(advice, 'request', request)
+    for number in range(8):
+        pending_advice.add_request(f'late{number}', SHORT_MS, priority=0)
+    async with asyncio.timeout(1):
+        while not pending_advice.answered_s:
+            await asyncio.sleep(0.002)
