Count only usable daemons as hosts for long advice requests

Cause: the limit of long requests is a share of the hosts, and daemons that are dead or cut off counted as hosts, because their rows stay in the store. With 7 daemons, of which 2 work, 5 long requests were allowed: both hosts could be busy with them, and the requests of urgent steps waited.

Change: daemons that are avoided after a failure don't count.

Measured: test_dead_daemons_do_not_count_as_hosts_for_long_requests failed before (4 hosts counted, one works).

--- a/src/radishlift/cell/advice_dispatch.py
+++ b/src/radishlift/cell/advice_dispatch.py
@@ -98,8 +98,7 @@
             long_count = sum(
                 map(self._pending_advice.is_long, self._open_requests.values())
             )
-            hosts_count = len(self._list_daemons())
-            request = self._pending_advice.pop(hosts_count, long_count)
+            request = self._pending_advice.pop(len(daemons), long_count)
             if request is None:
                 return
             self._open_requests[daemon_id] = request
--- a/tests/cell/test_advice_dispatch.py
+++ b/tests/cell/test_advice_dispatch.py
@@ -166,3 +166,25 @@
     async with asyncio.timeout(1):
         while not pending_advice.answered_s:
             await asyncio.sleep(0.002)
+
+
+async def test_dead_daemons_do_not_count_as_hosts_for_long_requests(
+    dispatcher, daemons
+):
+    """Guards against long requests on all hosts that remain."""
+    _, pending_advice = dispatcher
+    daemons.extend(map(DaemonId, ('dead1', 'dead2', 'dead3')))
+    for number in range(3):
+        pending_advice.add_request(f'probe{number}', SHORT_MS, priority=0)
+    await asyncio.sleep(0.05)
+    counts = []
+    pop = pending_advice.pop
+
+    def record_pop(hosts_count, long_count):
+        counts.append(hosts_count)
+        return pop(hosts_count, long_count)
+
+    pending_advice.pop = record_pop
+    pending_advice.add_request('later', SHORT_MS, priority=0)
+    await until_answered(pending_advice, 1)
+    assert set(counts) == {1}
