Clear crashes of tasks that ran on, for later leaders too

Cause: a task that ran when its target crashed is a suspect until a target survives its start. Only the leader that ran the trial noticed that, and only in memory: the next leader loaded the old count, and an attempt that it inherited could run for any time without clearing it. A task counts two confirmed crashes before its job is given up, so that crashes an hour of takeovers apart could end an accepted job; until then its tasks waited for trials, which use a quarter of the targets at most.

Change: jobs whose tasks are cleared are stored, and an attempt that ends after its target survived its start clears its task, also when it was inherited. Gangs are cleared by their end only, as before.

--- a/src/radishlift/cell/attempts.py
+++ b/src/radishlift/cell/attempts.py
@@ -163,6 +163,9 @@
                 self._fleet.stop(task.target_id, task.key, task.attempt)
 
     def _end_attempt(self, session: TargetSession, ended: EndedAttempt) -> None:
+        has_survived = self._crashes.has_survived(
+            session.target, ended.key, ended.attempt
+        )
         session.target.release(ended.key, ended.attempt)
         session.listing.forget(ended.key)
         self._notify_scheduler()
@@ -172,6 +175,8 @@
             return
         if task.target_id != session.target_id or not _apply_end(job, ended):
             return
+        if has_survived:
+            self._crashes.clear(task)
         log_event(
             'task_ended',
             task=ended.key,
--- a/src/radishlift/cell/crashes.py
+++ b/src/radishlift/cell/crashes.py
@@ -6,6 +6,7 @@
 from radishlift.steps.crashes import (
     CRASH_KINDS,
     give_up_repeated,
+    is_cleared,
     mark_suspects,
 )
 from radishlift.steps.ids import TaskKey
@@ -43,6 +44,24 @@
             suspects_count=len(suspects),
         )
 
+    def has_survived(self, target: Target, key: TaskKey, attempt: int) -> bool:
+        """Returns whether a target survived the start of an attempt."""
+        allocation = target.allocations.get(key)
+        return (
+            allocation is not None
+            and allocation.attempt == attempt
+            and is_cleared(target, allocation, self._settings)
+        )
+
+    def clear(self, task: TaskRun) -> None:
+        """Clears the crashes of a task whose start a target survived.
+
+        Other members of a gang may still crash their targets.
+        """
+        step = self._jobs.find_step(task.key.step_key)
+        if step is not None and not step.spec.is_gang:
+            task.clear_crashes()
+
     def apply_end(
         self,
         job: JobRun,
--- a/src/radishlift/cell/scheduler.py
+++ b/src/radishlift/cell/scheduler.py
@@ -215,6 +215,8 @@
         plan = self._planner.plan(now_ms, clock.wall_ms())
         for job, placement in plan.placements:
             self._commit_start(job, placement)
+        for job in plan.cleared_jobs:
+            self.jobs.save(job)
         self.pending_advice.add(plan.advice_requests)
         self._log_waiting(now_ms)
 
--- a/src/radishlift/steps/ticks.py
+++ b/src/radishlift/steps/ticks.py
@@ -14,10 +14,14 @@
 
 @dataclass(slots=True)
 class Plan:
-    """Decisions of one tick; placements are already allocated."""
+    """Decisions of one tick; placements are already allocated.
+
+    `cleared_jobs` have tasks that are no suspects any more.
+    """
 
     placements: list[tuple[JobRun, Placement]] = field(default_factory=list)
     advice_requests: list[AdviceRequest] = field(default_factory=list)
+    cleared_jobs: list[JobRun] = field(default_factory=list)
 
 
 @dataclass(slots=True)
--- a/src/radishlift/steps/trial_planning.py
+++ b/src/radishlift/steps/trial_planning.py
@@ -42,7 +42,7 @@
 
     def plan(self, tick: Tick, suspects: list[tuple[JobRun, StepRun]]) -> None:
         """Plans steps with suspects, and closes targets to other steps."""
-        self._trials.begin()
+        tick.plan.cleared_jobs.extend(self._trials.begin())
         for job, step in self._plan_suspects(tick, suspects):
             self._reserve_room(tick, job, step)
         self._trials.finish()
@@ -189,7 +189,7 @@
         placements: list[Placement],
     ) -> None:
         allocate_starts(tick, job, step, placements)
-        self._trials.record(step, placements)
+        self._trials.record(job, step, placements)
 
 
 def _has_room(step: StepRun, target: Target) -> bool:
--- a/src/radishlift/steps/trials.py
+++ b/src/radishlift/steps/trials.py
@@ -11,13 +11,14 @@
 from radishlift.steps.crashes import is_cleared, is_quiet
 from radishlift.steps.ids import TargetId, TaskKey
 from radishlift.steps.placing import Placement
-from radishlift.steps.runs import StepRun, TaskRun
+from radishlift.steps.runs import JobRun, StepRun, TaskRun
 from radishlift.steps.settings import StepSettings
 from radishlift.steps.targets import Target, TargetTable
 
 
 @dataclass(frozen=True, slots=True)
 class _TriedAttempt:
+    job: JobRun
     step: StepRun
     task: TaskRun
     attempt: int
@@ -29,15 +30,23 @@
     tried: dict[TaskKey, _TriedAttempt] = field(default_factory=dict)
     is_shared: bool = True
 
-    def remove_finished(self, settings: StepSettings) -> None:
-        """Removes attempts that have ended or that the target survived."""
+    def remove_finished(self, settings: StepSettings) -> list[JobRun]:
+        """Removes attempts that have ended or that the target survived.
+
+        Returns the jobs of tasks that are no suspects any more.
+        """
+        cleared_jobs = []
         for key, tried in list(self.tried.items()):
             allocation = self.target.allocations.get(key)
             if allocation is None or allocation.attempt != tried.attempt:
                 del self.tried[key]
             elif is_cleared(self.target, allocation, settings):
-                _clear_crashes(tried)
+                # Other members of a gang may still crash their targets.
+                if not tried.step.spec.is_gang:
+                    tried.task.clear_crashes()
+                    cleared_jobs.append(tried.job)
                 del self.tried[key]
+        return cleared_jobs
 
 
 class Trials:
@@ -77,14 +86,19 @@
         """Returns whether no target is used or reserved."""
         return not self._running and not self._reserved
 
-    def begin(self) -> None:
-        """Begins a tick: removes finished trials and all reservations."""
+    def begin(self) -> list[JobRun]:
+        """Begins a tick: removes finished trials and all reservations.
+
+        Returns the jobs of tasks that are no suspects any more.
+        """
+        cleared_jobs = []
         self._last_reserved = self._reserved
         self._reserved = set()
         for target_id, trial in list(self._running.items()):
-            trial.remove_finished(self._settings)
+            cleared_jobs.extend(trial.remove_finished(self._settings))
             if not trial.tried:
                 del self._running[target_id]
+        return cleared_jobs
 
     def finish(self) -> None:
         """Ends a tick: has the targets of trials polled more often."""
@@ -116,7 +130,9 @@
         """Returns whether a trial may start on a target."""
         return is_quiet(target, self._settings)
 
-    def record(self, step: StepRun, placements: Iterable[Placement]) -> None:
+    def record(
+        self, job: JobRun, step: StepRun, placements: Iterable[Placement]
+    ) -> None:
         """Records suspects that are placed."""
         for placement in placements:
             task = placement.task
@@ -125,7 +141,7 @@
             trial = self._running.setdefault(
                 target_id, _Trial(placement.target)
             )
-            trial.tried[task.key] = _TriedAttempt(step, task, task.attempt)
+            trial.tried[task.key] = _TriedAttempt(job, step, task, task.attempt)
             if step.spec.is_gang or not self._may_share(task):
                 trial.is_shared = False
 
@@ -137,10 +153,4 @@
         return task.crashes_count == 1
 
 
-def _clear_crashes(tried: _TriedAttempt) -> None:
-    # Other members of a gang may still crash their targets.
-    if not tried.step.spec.is_gang:
-        tried.task.clear_crashes()
-
-
 __all__ = ('Trials',)
--- a/tests/cell/test_crashing_tasks.py
+++ b/tests/cell/test_crashing_tasks.py
@@ -36,6 +36,12 @@
     return {number: count for _, _, number, count, _ in crashes}
 
 
+def stored_attempt(cell, job_id):
+    """Returns the stored attempt of a job's only task."""
+    row = cell.store.tables.read(PROGRESS, job_id)
+    return only(only(row.value['steps'])[-1])[2]
+
+
 async def until_quiet(cell, name):
     """Waits until starts on a target are known to have been survived."""
     await cell.until(lambda: bool(cell.targets[name].running))
@@ -228,3 +234,35 @@
             await asyncio.sleep(0.003)
     states = [cell.state(job_id) for job_id in ids]
     assert states == ['failed', 'failed', *('completed' for _ in ids[2:])]
+
+
+async def test_takeover_does_not_restore_crashes_before_a_survived_trial(cell):
+    """Guards against jobs that are given up for a crash long ago."""
+    cell.targets.crashing.add(key())
+    cell.lead()
+    job_id = cell.submit(job())
+    await until_crashed(cell, 1)
+    cell.targets.crashing.clear()
+    await cell.until(lambda: crashes_counts(cell, job_id) == {0: 1})
+    await cell.until(lambda: key() in cell.targets.running_tasks())
+    await cell.until(lambda: not crashes_counts(cell, job_id), within_s=1)
+
+
+async def test_attempt_that_ran_on_after_a_takeover_clears_its_task(cell):
+    """Guards against suspects that no later leader clears."""
+    cell.targets.crashing.add(key())
+    first = cell.lead()
+    job_id = cell.submit(job())
+    await until_crashed(cell, 1)
+    cell.targets.crashing.clear()
+    await cell.until(lambda: key() in cell.targets.running_tasks())
+    await cell.kill(first)
+    # The first leader may have stored that the target survived the start.
+    progress = dict(cell.store.tables.read(PROGRESS, job_id).value)
+    cell.write(PROGRESS, job_id, {**progress, 'crashes': [[0, 0, 0, 1, 1]]})
+    cell.lead()
+    await asyncio.sleep(0.3)
+    attempt = stored_attempt(cell, job_id)
+    await crash_the_running_target(cell)
+    await cell.until(lambda: stored_attempt(cell, job_id) > attempt)
+    assert not crashes_counts(cell, job_id)
