--- a/src/radishlift/cell/leadership.py
+++ b/src/radishlift/cell/leadership.py
@@ -52,8 +52,12 @@
 
     def replace(self, rows: tuple[Row, ...]) -> None:
         """Replaces all rows."""
+        is_first = not self._rows
+        before = self._leader_versions()
         self._rows = {row.key: row for row in rows}
-        self.heartbeat_at_ms = self._clock.monotonic_ms()
+        # A snapshot may be read without a sign of the leader.
+        if is_first or self._leader_versions() != before:
+            self.heartbeat_at_ms = self._clock.monotonic_ms()
         self.changed.set()
 
     def update(self, rows: tuple[Row, ...]) -> None:
@@ -117,6 +121,12 @@
             key=lambda daemon_id: (-ranks[daemon_key(daemon_id)], daemon_id),
         )
 
+    def _leader_versions(self) -> tuple[int, ...]:
+        return tuple(
+            self._rows[key].version if key in self._rows else 0
+            for key in (LEADER_KEY, HEARTBEAT_KEY)
+        )
+
 
 class Leadership(Machine):
     """Claims leadership if there is no leader or it is unresponsive."""
--- a/tests/cell/test_leadership.py
+++ b/tests/cell/test_leadership.py
@@ -11,8 +11,9 @@
 from radishlift.cell.settings import CellSettings
 from radishlift.cell.table_follower import FollowedTable, TableFollower
 from radishlift.cell.tables import CELL, HEARTBEAT_KEY, LEADER_KEY
+from radishlift.core.clock import ManualClock
 from radishlift.core.ids import Address, DaemonId
-from radishlift.services.api import Transaction, Write
+from radishlift.services.api import Row, Transaction, Write
 from tests.cell.fakes import MemoryCellStore
 from tests.standins.conditions import until
 from tests.standins.tables import Fault
@@ -184,3 +185,21 @@
     claim = await asyncio.wait_for(candidate.claim, 2)
     row = store.tables.read(CELL, LEADER_KEY)
     assert claim.leader_version == row.version
+
+
+def test_snapshot_of_the_same_rows_is_no_sign_of_the_leader():
+    """Guards against a dead leader that each dropped history keeps alive."""
+    clock = ManualClock()
+    view = CellView(clock)
+    rows = (
+        Row(CELL, LEADER_KEY, 1, {'daemon': 'd1', 'epoch': 1}),
+        Row(CELL, HEARTBEAT_KEY, 2, {}),
+    )
+    clock.now_ms = 1000
+    view.replace(rows)
+    clock.now_ms = 2000
+    view.replace(rows)
+    assert view.heartbeat_at_ms == 1000
+    clock.now_ms = 3000
+    view.replace((rows[0], Row(CELL, HEARTBEAT_KEY, 3, {})))
+    assert view.heartbeat_at_ms == 3000
