Exclude outages of the store from the silence of the leader

Cause: the age of the latest heartbeat was compared with silence_ms as soon as the store could be read again, although no heartbeat could have been seen, or written, meanwhile. After an outage longer than silence_ms the first daemon whose read succeeded claimed, unless the leader's next commit came before its check: it may be up to 1.5 s later, as a commit that hangs has this timeout. A takeover that nobody needed costs the waits of a new leader: unconfirmed leases, and all tickets.

Change: a follower reports how long it couldn't read, and that time is added to the time of the latest heartbeat. Silence before and after the outage counts as before, so that a leader that is dead is replaced also if the store fails often.

--- a/src/radishlift/cell/daemon.py
+++ b/src/radishlift/cell/daemon.py
@@ -67,6 +67,7 @@
         self._network = PeerNetwork(dependencies.daemon_id)
         self._advice_proxy = AdviceProxy(self._network, dependencies.advice)
         self._cell_follower = self._create_follower(CELL)
+        self._cell_follower.on_regained = self._view.exclude_outage
         self._config_follower = self._create_follower(CONFIG)
         self._config_sharer = ConfigSharer(
             self._network,
--- a/src/radishlift/cell/leadership.py
+++ b/src/radishlift/cell/leadership.py
@@ -40,7 +40,8 @@
 class CellView:
     """The rows of the cell: leader, heartbeat and daemons.
 
-    `heartbeat_at_ms` is when the leader's row or heartbeat last changed.
+    `heartbeat_at_ms` is when the leader's row or heartbeat last changed. Times
+    in which the store can't be read are added to it.
     `changed` is set on each change of a row.
     """
 
@@ -68,6 +69,12 @@
                 self.heartbeat_at_ms = self._clock.monotonic_ms()
         self.changed.set()
 
+    def exclude_outage(self, outage_ms: int) -> None:
+        """Excludes a time in which the leader could not be seen."""
+        self.heartbeat_at_ms = min(
+            self.heartbeat_at_ms + outage_ms, self._clock.monotonic_ms()
+        )
+
     @property
     def leader(self) -> Row:
         """Returns the leader's row; version 0 if there was no leader yet."""
--- a/src/radishlift/cell/table_follower.py
+++ b/src/radishlift/cell/table_follower.py
@@ -31,7 +31,8 @@
     history. It contains all rows: the callback must treat rows that are
     missing in it as removed. `is_store_lost` is true after a failed read, and
     `last_contact_ms` is the time of the latest successful one. `on_read` gets
-    the time at which each successful read was requested.
+    the time at which each successful read was requested, and `on_regained`
+    how long the store could not be read.
     """
 
     def __init__(
@@ -46,9 +47,12 @@
         self._settings = settings
         self._clock = clock
         self._version: int | None = None
+        self._requested_at_ms = 0
+        self._lost_at_ms = 0
         self.is_store_lost = False
         self.last_contact_ms: int | None = None
         self.on_read: Callable[[int], None] = _ignore_time
+        self.on_regained: Callable[[int], None] = _ignore_time
 
     async def run(
         self,
@@ -58,7 +62,7 @@
         """Follows the table until it is cancelled."""
         while True:
             is_snapshot = self._version is None
-            requested_at_ms = self._clock.monotonic_ms()
+            self._requested_at_ms = self._clock.monotonic_ms()
             changed = await self._read()
             if isinstance(changed, Failure):
                 await self._handle_failure(changed)
@@ -69,7 +73,7 @@
                 on_snapshot(changed.rows)
             elif changed.rows:
                 on_changes(changed.rows)
-            self.on_read(requested_at_ms)
+            self.on_read(self._requested_at_ms)
             if self._followed.pause_ms and not is_snapshot:
                 await asyncio.sleep(self._followed.pause_ms / 1000)
 
@@ -87,6 +91,7 @@
             return
         if not self.is_store_lost:
             self.is_store_lost = True
+            self._lost_at_ms = self._requested_at_ms
             log_event(
                 'store_lost',
                 table=self._followed.table,
@@ -95,14 +100,16 @@
         await asyncio.sleep(self._settings.feed_retry_ms / 1000)
 
     def _record_contact(self) -> None:
-        self.last_contact_ms = self._clock.monotonic_ms()
+        now_ms = self._clock.monotonic_ms()
+        self.last_contact_ms = now_ms
         if self.is_store_lost:
             self.is_store_lost = False
+            self.on_regained(now_ms - self._lost_at_ms)
             log_event('store_regained', table=self._followed.table)
 
 
 def _ignore_time(_: int) -> None:
-    """Ignores when a read was requested."""
+    """Ignores a time."""
 
 
 __all__ = ('FollowedTable', 'TableFollower')
--- a/tests/cell/test_leadership.py
+++ b/tests/cell/test_leadership.py
@@ -40,6 +40,7 @@
         self.follower = TableFollower(
             store, FollowedTable(CELL, wait_ms=20), settings, clock
         )
+        self.follower.on_regained = self.view.exclude_outage
         self.following = asyncio.create_task(
             self.follower.run(self.view.replace, self.view.update),
         )
@@ -203,3 +204,27 @@
     clock.now_ms = 3000
     view.replace((rows[0], Row(CELL, HEARTBEAT_KEY, 3, {})))
     assert view.heartbeat_at_ms == 3000
+
+
+async def test_outage_of_the_store_does_not_count_as_silence_of_the_leader(
+    cell,
+):
+    """Guards against a takeover after each outage of the store.
+
+    The first heartbeat after the outage is later than the first read.
+    """
+    store, add = cell
+    first = await add('d1')
+    await asyncio.wait_for(first.claim, 2)
+    second = await add('d2')
+    await until(lambda: second.view.leader_id)
+    write_heartbeat(store)
+    await asyncio.sleep(0.02)
+    store.fault = Fault.down
+    await asyncio.sleep(0.5)
+    store.fault = Fault.none
+    for _ in range(4):
+        await asyncio.sleep(0.11)
+        assert not second.claim.done()
+        write_heartbeat(store)
+    await asyncio.wait_for(second.claim, 2)
