Relay rows through peers again as soon as they answer

Cause: a peer without an answer was skipped for 3 s, and nothing ended that earlier. After a cut from the store and all peers, a daemon whose peers were back said that it was ready, as one had answered its request for the configuration, and still refused all submissions and queries, because it skipped all peers.

--- a/src/radishlift/cell/config_sharing.py
+++ b/src/radishlift/cell/config_sharing.py
@@ -24,7 +24,8 @@
     """Keeps the latest configuration row and requests it from peers.
 
     Peers are queried only while this daemon can't read the store.
-    `last_contact_ms` is the time of the latest answer of a peer.
+    `last_contact_ms` is the time of the latest answer of a peer, and
+    `on_answer` gets the id of each peer that answers.
     """
 
     def __init__(
@@ -39,6 +40,7 @@
         self._settings = settings
         self._clock = clock
         self.last_contact_ms = 0
+        self.on_answer: Callable[[DaemonId], None] = _ignore_peer
         self._current_row: Row | None = None
         network.register(ConfigAsk, self._serve)
 
@@ -58,9 +60,11 @@
             peers = self._network.peers
             if not self._follower.is_store_lost or not peers:
                 continue
-            reply = await self._request(random.choice(peers))
+            peer = random.choice(peers)
+            reply = await self._request(peer)
             if not isinstance(reply, ConfigTold):
                 continue
+            self.on_answer(peer)
             self.last_contact_ms = self._clock.monotonic_ms()
             if reply.text:
                 log_event('config_from_peer', row_version=reply.row_version)
@@ -94,4 +98,8 @@
         return ConfigTold(row.version, json.dumps(row.value))
 
 
+def _ignore_peer(_: DaemonId) -> None:
+    """Ignores that a peer answered."""
+
+
 __all__ = ('ConfigSharer',)
--- a/src/radishlift/cell/daemon.py
+++ b/src/radishlift/cell/daemon.py
@@ -75,13 +75,15 @@
             dependencies.settings,
             dependencies.clock,
         )
+        rows = RelayedRows(
+            StoreRows(dependencies.store),
+            self._network,
+            lambda: self._cell_follower.is_store_lost,
+            dependencies.clock,
+        )
+        self._config_sharer.on_answer = rows.readmit
         self.job_service = JobService(
-            RelayedRows(
-                StoreRows(dependencies.store),
-                self._network,
-                lambda: self._cell_follower.is_store_lost,
-                dependencies.clock,
-            ),
+            rows,
             dependencies.clock,
             self._heartbeat_fields,
         )
--- a/src/radishlift/cell/entry_rows.py
+++ b/src/radishlift/cell/entry_rows.py
@@ -33,7 +33,7 @@
 # Connections are accepted within one trip to the farthest data centre.
 _CONNECT_TIMEOUT_MS: Final = 150
 _MAX_PEERS: Final = 2
-# Peers without an answer are skipped for this long.
+# Peers without an answer are skipped for this long, or until they answer.
 _AVOID_MS: Final = 3000
 _UNREACHABLE_KINDS: Final = frozenset(
     (ErrorKind.peer_unavailable, ErrorKind.peer_outcome_unknown),
@@ -140,6 +140,10 @@
         )
         return None if is_inserted else reply
 
+    def readmit(self, peer: DaemonId) -> None:
+        """Lets a peer that has answered be called again."""
+        self._avoided_until_ms.pop(peer, None)
+
     async def _try_store(self, work: Callable[[], Awaitable[Any]]) -> Any:
         if self._is_store_lost():
             # An operation that is not attempted has a known outcome.
--- a/tests/cell/test_entry_rows.py
+++ b/tests/cell/test_entry_rows.py
@@ -3,17 +3,21 @@
 import asyncio
 import socket
 import time
+from types import SimpleNamespace
 
 import pytest
 
 from radishlift.cell.clock import BootClock
+from radishlift.cell.config_sharing import ConfigSharer
 from radishlift.cell.entry_rows import RelayedRows, StoreRows
+from radishlift.cell.settings import CellSettings
 from radishlift.cell.tables import CELL, JOBS, LEADER_KEY
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import Address, DaemonId
 from radishlift.core.levels import FORMAT_LEVEL
 from radishlift.wire.network import PeerNetwork
 from tests.cell.fakes import MemoryCellStore
+from tests.standins.conditions import until
 from tests.standins.tables import Fault, Tables
 
 ID = 'a' * 16
@@ -126,3 +130,30 @@
         assert time.monotonic() - started_s < 1
         for client in queued:
             client.close()
+
+
+async def test_peers_that_answer_again_relay_at_once(entries):
+    """Guards against refusals for seconds after a short cut from all peers.
+
+    The daemon has an answer of a peer by then, and says that it is ready.
+    """
+    first = entries[0]
+    sharers = [
+        ConfigSharer(
+            entry.network,
+            SimpleNamespace(is_store_lost=entry is first),
+            CellSettings(share_config_ms=10),
+            BootClock(),
+        )
+        for entry in entries
+    ]
+    sharers[0].on_answer = first.rows.readmit
+    first.cut_off()
+    refused = Address('127.0.0.1:1')
+    first.network.set_peers({'d2': refused, 'd3': refused})
+    assert isinstance(await first.rows.insert(JOBS, ID, {}), Failure)
+    sharing = asyncio.create_task(sharers[0].run(lambda rows: None))
+    first.network.set_peers(first.addresses)
+    await until(lambda: sharers[0].last_contact_ms)
+    assert await first.rows.insert(JOBS, ID, {}) is None
+    sharing.cancel()
