Keep no advice of ended steps

Cause: a request that is withdrawn after its step has ended added an empty entry for the step, which nothing removes: one for each step that ends while its request waits, as after cancels. The rejection of a ticket after the end of its step did the same.

Change: both leave ended steps alone.

Measured: test_ended_steps_leave_nothing_behind failed before (one entry). tests/steps/test_tickets.py and tests/cell/test_pending_advice.py pass.

--- a/src/radishlift/steps/tickets.py
+++ b/src/radishlift/steps/tickets.py
@@ -65,6 +65,9 @@
         self._steps: dict[StepKey, StepAdvice] = {}
         self._allowed_shares: dict[QueueName, float] = {}
 
+    def __len__(self) -> int:
+        return len(self._steps)
+
     def advice_for(self, key: StepKey) -> StepAdvice:
         """Returns the advice of a step; adds an empty one if it has none."""
         return self._steps.setdefault(key, StepAdvice())
@@ -105,12 +108,13 @@
 
     def withdraw_request(self, request: AdviceRequest) -> None:
         """Closes a request that was not sent."""
-        self.fail_request(request, self.advice_for(request.key).retry_at_ms)
+        advice = self._steps.get(request.key)
+        self.fail_request(request, 0 if advice is None else advice.retry_at_ms)
 
     def expire_ticket(self, key: StepKey, target_id: TargetId) -> None:
         """Invalidates a ticket that the target rejected."""
-        advice = self.advice_for(key)
-        if target_id in advice.allowed:
+        advice = self._steps.get(key)
+        if advice is not None and target_id in advice.allowed:
             advice.allowed[target_id] = Ticket('', 0)
 
     def remove_step(self, key: StepKey) -> None:
--- a/tests/steps/test_tickets.py
+++ b/tests/steps/test_tickets.py
@@ -72,3 +72,13 @@
         table.store_answer(request, [(TargetId('t1'), Ticket('x', 500))])
     assert table.allowed_share(QUEUE) == pytest.approx(1 / 4)
     assert table.allowed_share(other) == pytest.approx(initial_share)
+
+
+def test_ended_steps_leave_nothing_behind():
+    """Guards against memory that grows with each cancelled job."""
+    request = make_request('t1')
+    table = make_table(request)
+    table.remove_step(KEY)
+    table.withdraw_request(request)
+    table.expire_ticket(KEY, TargetId('t1'))
+    assert not len(table)
