Name targets without room in the first advice requests again

Cause: since may_use also asks for free room, and the choice of the targets that no request has named uses it.

Change: the choice asks whether the task would fit once the tasks of the target have ended, less what is reserved against it.

--- a/src/radishlift/steps/step_advice.py
+++ b/src/radishlift/steps/step_advice.py
@@ -89,7 +89,7 @@
                 target
                 for target in tick.suitable_targets(job, step)
                 if target.entry.target_id not in advice.requested
-                and tick.may_use(target, step)
+                and tick.may_use_later(target, step)
             ],
             self._settings,
         )
@@ -238,7 +238,7 @@
             target
             for target in tick.suitable_targets(job, step)
             if target.entry.target_id not in requested
-            and (may_use_any or tick.may_use(target, step))
+            and (may_use_any or tick.may_use_later(target, step))
         ]
 
     def _send(self, tick: Tick, request: AdviceRequest) -> None:
--- a/src/radishlift/steps/ticks.py
+++ b/src/radishlift/steps/ticks.py
@@ -58,14 +58,7 @@
         may not use it: if it runs longer than expected, it delays the other
         gang on many targets at once.
         """
-        target_id = target.entry.target_id
-        until_ms = self.reserved_until_ms.get(target_id)
-        if until_ms is None:
-            return target.free_capacity
-        end_ms = self.now_ms + step.spec.expected_run_ms
-        if not step.spec.is_gang and end_ms <= until_ms:
-            return target.free_capacity
-        return target.free_capacity.plus(self.reserved_amounts[target_id], -1)
+        return target.free_capacity.plus(self._reserved_from(target, step), -1)
 
     def may_use(self, target: Target, step: StepRun) -> bool:
         """Returns whether a task of a step fits despite reservations."""
@@ -73,6 +66,12 @@
             self.usable_capacity(target, step)
         )
 
+    def may_use_later(self, target: Target, step: StepRun) -> bool:
+        """Returns whether a task fits once all tasks of a target have ended."""
+        return step.spec.allocated_amounts.fits_in(
+            target.entry.capacity.plus(self._reserved_from(target, step), -1)
+        )
+
     def suitable_targets(self, job: JobRun, step: StepRun) -> list[Target]:
         """Lists targets of the job's service with the step's label."""
         service, label = job.terms.service, step.spec.required_label
@@ -96,6 +95,17 @@
         ]
         self.by_requirement.clear()
 
+    def _reserved_from(self, target: Target, step: StepRun) -> Amounts:
+        """Returns the room on a target that is reserved against a step."""
+        target_id = target.entry.target_id
+        until_ms = self.reserved_until_ms.get(target_id)
+        if until_ms is None:
+            return Amounts()
+        end_ms = self.now_ms + step.spec.expected_run_ms
+        if not step.spec.is_gang and end_ms <= until_ms:
+            return Amounts()
+        return self.reserved_amounts[target_id]
+
 
 def allocate_starts(
     tick: Tick,
--- a/tests/steps/test_planner.py
+++ b/tests/steps/test_planner.py
@@ -12,7 +12,7 @@
 from radishlift.steps.targets import TargetState, TargetTable
 from radishlift.steps.tickets import Ticket, TicketTable
 from tests.only import only
-from tests.steps.builders import ADVICE, entry, job, key, step
+from tests.steps.builders import ADVICE, core, entry, job, key, step
 
 
 class PlannerSetup:
@@ -412,3 +412,18 @@
     setup.targets.update(entry('t0', 2))
     setup.add(job(step(1, is_gang=True), job_id='b' * 16))
     assert setup.started() == []
+
+
+@pytest.mark.parametrize('full_count', [2, 3])
+def test_first_advice_request_names_full_targets_too(full_count):
+    """Guards against long requests about the few targets with room.
+
+    The advice stays valid, and room on the others comes while it is awaited.
+    """
+    setup = PlannerSetup(4, 4, 4)
+    for index in range(full_count):
+        target = setup.targets.get(TargetId(f't{index}'))
+        target.allocate(key(index, job_id='b' * 16), 1, core(4))
+    setup.add(job(advice=ADVICE))
+    request = only(setup.plan().advice_requests)
+    assert set(request.target_ids) == {'t0', 't1', 't2'}
