Choose the targets of a renewal again when it is sent

Cause: a renewal kept the targets that had room when it was planned, if they still accepted tasks. In a backlog it waits for a host far longer than room stays free, so that its tickets were for targets that had filled up, while other allowed targets had room.

Change: a renewal of ordinary tasks names the allowed targets that have room when it is sent. If none has, it names the planned ones, so that the step doesn't lose its turn. Renewals of gangs and suspects are as before.

Measured: test_renewal_names_the_targets_with_room_when_it_is_sent failed before. test_renewal_is_sent_although_no_target_has_room passed before and guards the other way. tests/steps and tests/cell/test_pending_advice.py pass.

--- a/src/radishlift/steps/step_advice.py
+++ b/src/radishlift/steps/step_advice.py
@@ -80,19 +80,7 @@
         advice = self._tickets.advice_for(step.key)
         if advice.open_requests_count or tick.now_ms < advice.retry_at_ms:
             return
-        has_ticket = self.ticket_filter(tick, job, step)
-        ids = choose_advice_targets(
-            step,
-            terms,
-            [target for target in fitting if not has_ticket(target)],
-            [
-                target
-                for target in tick.suitable_targets(job, step)
-                if target.entry.target_id not in advice.requested
-                and tick.may_use_later(target, step)
-            ],
-            self._settings,
-        )
+        ids = self._choose_ordinary(tick, job, step, fitting)
         if ids:
             self._send(tick, build_request(job, step, terms, ids))
 
@@ -210,7 +198,7 @@
         advice = self._tickets.advice_for(request.key)
         if advice.allowed.keys() >= set(request.target_ids):
             # A renewal names allowed targets only.
-            ids = tuple(filter(is_accepting, request.target_ids))
+            ids = self._choose_renewed(tick, job, step, request, is_accepting)
         else:
             not_requested = [
                 target
@@ -229,6 +217,53 @@
         """Returns whether no request waits for a host."""
         return not self._count_queued_requests()
 
+    def _choose_ordinary(
+        self, tick: Tick, job: JobRun, step: StepRun, fitting: list[Target]
+    ) -> tuple[TargetId, ...]:
+        if job.terms.advice is None:
+            return ()
+        has_ticket = self.ticket_filter(tick, job, step)
+        requested = self._tickets.advice_for(step.key).requested
+        return choose_advice_targets(
+            step,
+            job.terms.advice,
+            [target for target in fitting if not has_ticket(target)],
+            [
+                target
+                for target in tick.suitable_targets(job, step)
+                if target.entry.target_id not in requested
+                and tick.may_use_later(target, step)
+            ],
+            self._settings,
+        )
+
+    def _choose_renewed(
+        self,
+        tick: Tick,
+        job: JobRun,
+        step: StepRun,
+        request: AdviceRequest,
+        is_accepting: Callable[[TargetId], bool],
+    ) -> tuple[TargetId, ...]:
+        """Chooses the targets of a renewal that has waited for a host.
+
+        If no target has room at present, those that it names may have some
+        when the answer arrives.
+        """
+        named = tuple(filter(is_accepting, request.target_ids))
+        if step.spec.is_gang or step.suspects():
+            return named
+        fitting = [
+            target
+            for target in self.list_allowed(tick, job, step)
+            if is_accepting(target.entry.target_id)
+            and tick.may_use(target, step)
+        ]
+        if not fitting:
+            return named
+        chosen = self._choose_ordinary(tick, job, step, fitting)
+        return tuple(filter(is_accepting, chosen)) or named
+
     def _list_not_requested(
         self, tick: Tick, job: JobRun, step: StepRun
     ) -> list[Target]:
--- a/tests/cell/test_pending_advice.py
+++ b/tests/cell/test_pending_advice.py
@@ -14,7 +14,7 @@
 from radishlift.steps.spec import AdviceTerms
 from radishlift.steps.targets import TargetTable
 from radishlift.steps.tickets import TicketTable
-from tests.steps.builders import entry, job, step
+from tests.steps.builders import core, entry, job, key, step
 
 HOSTS_COUNT = 7
 TICK_MS = 20
@@ -157,3 +157,42 @@
     leader.targets.update(entry('t00', 16))
     leader.plan()
     assert leader.pop().target_ids == ('t00',)
+
+
+def test_renewal_names_the_targets_with_room_when_it_is_sent():
+    """Guards against tickets for room that was taken while it waited."""
+    leader = Leader(2, cores=1)
+    leader.reach('t00', 't01')
+    leader.planner.update_job(job(advice=LONG_ADVICE))
+    leader.plan()
+    request = leader.pop()
+    tickets = tuple((target_id, 'old') for target_id in leader.names)
+    leader.pending.store_answer(request, AdviceAnswer(tickets, 1500))
+    leader.clock.now_ms += 1500
+    other = key(job_id='b' * 16)
+    first, second = (
+        leader.targets.get(TargetId(name)) for name in leader.names
+    )
+    second.allocate(other, 1, core())
+    leader.plan()
+    second.release(other, 1)
+    first.allocate(other, 1, core())
+    leader.plan()
+    assert leader.pop().target_ids == ('t01',)
+
+
+def test_renewal_is_sent_although_no_target_has_room():
+    """Guards against steps that lose their turn whenever it comes."""
+    leader = Leader(1, cores=1)
+    leader.reach('t00')
+    leader.planner.update_job(job(advice=LONG_ADVICE))
+    leader.plan()
+    request = leader.pop()
+    answer = AdviceAnswer((('t00', 'old'),), 1500)
+    leader.pending.store_answer(request, answer)
+    leader.clock.now_ms += 1500
+    leader.plan()
+    target = leader.targets.get(TargetId('t00'))
+    target.allocate(key(job_id='b' * 16), 1, core())
+    leader.plan()
+    assert leader.pop().target_ids == ('t00',)
