Give a partition up after an error in its recovery or loops

Cause: errors in the start, the flush and the loops of a partition were only logged. The daemon kept the ownership: a partition whose recovery had failed was recovering for as long as the process ran, and one without its dispatcher loop, rack manager or flush accepted jobs and did not start them. Only an error in a tick ended the ownership.

Change: such an error closes the runner like one in a tick, and the partition is given up after failed_pause_ms. If the recovery fails halfway, the dispatcher is stopped before, so that it sends nothing.

--- a/src/radishlift/partitions/partition_recovery.py
+++ b/src/radishlift/partitions/partition_recovery.py
@@ -32,7 +32,11 @@
     failure = await _journal_owner(partition, parts, is_wanted)
     if failure is not None:
         return failure
-    resumed_count = partition.effects.resume_attempts()
+    try:
+        resumed_count = partition.effects.resume_attempts()
+    except Exception:
+        await partition.dispatcher.stop()
+        raise
     log_event(
         'partition_taken_over',
         partition=claim.partition_id,
--- a/src/radishlift/partitions/runner.py
+++ b/src/radishlift/partitions/runner.py
@@ -4,7 +4,7 @@
 """
 
 import asyncio
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Coroutine, Sequence
 from enum import Enum, unique
 from typing import Any, Final, TypeVar
 
@@ -127,25 +127,27 @@
         """Recovers the partition and resumes its attempts.
 
         Retries while the table service is unavailable. Closes the runner if
-        the failure ends the ownership.
+        the failure ends the ownership, or after an error.
         """
-        partition = await recover_partition(
-            self._claim,
-            self._parts,
-            self._dispatcher_type,
-            lambda: self.stage is RunnerStage.recovering,
-        )
-        if isinstance(partition, Failure):
-            await self.close(partition)
-            return partition
-        if self._assignment is not None:
-            partition.set_assignment(self._assignment)
-            await partition.racks.manager.take_free_racks()
-        if self.stage is not RunnerStage.recovering:
-            await partition.dispatcher.stop()
-            return self.refusal()
-        self._start_running(partition)
-        return None
+        try:
+            partition = await recover_partition(
+                self._claim,
+                self._parts,
+                self._dispatcher_type,
+                lambda: self.stage is RunnerStage.recovering,
+            )
+            if not isinstance(partition, Failure):
+                await _prepare(partition, self._assignment)
+                if self.stage is RunnerStage.recovering:
+                    self._start_running(partition)
+                    return None
+                await partition.dispatcher.stop()
+                return self.refusal()
+        except Exception as error:
+            # An owner that keeps a partition it can't run blocks its jobs.
+            partition = Failure(ErrorKind.internal, repr(error))
+        await self.close(partition)
+        return partition
 
     def set_assignment(self, assignment: WorkerAssignment) -> None:
         """Stores the workers of this partition and passes them on."""
@@ -167,7 +169,11 @@
         """Starts a journal flush unless one is running."""
         if self._partition is not None and not self.is_flushing:
             self.is_flushing = True
-            self._tasks.spawn(self._flush(self._partition))
+            self._tasks.spawn(
+                _run_guarded(
+                    self._flush(self._partition), self._close_in_background
+                )
+            )
 
     async def drain(self) -> None:
         """Stops sending to workers, journals that, and stops the runner.
@@ -220,9 +226,12 @@
         self._partition = partition
         if self._assignment is not None:
             partition.set_assignment(self._assignment)
-        self._tasks.spawn(partition.dispatcher.run_forever())
-        self._tasks.spawn(partition.monitor_previous_owners())
-        self._tasks.spawn(partition.racks.manager.run_forever())
+        for loop in (
+            partition.dispatcher.run_forever(),
+            partition.monitor_previous_owners(),
+            partition.racks.manager.run_forever(),
+        ):
+            self._tasks.spawn(_run_guarded(loop, self._close_in_background))
         self._parts.scheduler.add(self.partition_id)
         self._parts.activity.set()
         self.finish_recovery()
@@ -255,4 +264,28 @@
         task.add_done_callback(_CLOSING_TASKS.discard)
 
 
+async def _prepare(
+    partition: OpenPartition, assignment: WorkerAssignment | None
+) -> None:
+    """Passes the workers to a recovered partition."""
+    if assignment is None:
+        return
+    try:
+        partition.set_assignment(assignment)
+        await partition.racks.manager.take_free_racks()
+    except Exception:
+        await partition.dispatcher.stop()
+        raise
+
+
+async def _run_guarded(
+    work: Coroutine[Any, Any, None], on_error: Callable[[Failure], None]
+) -> None:
+    """Runs work without which a partition can't be owned."""
+    try:
+        await work
+    except Exception as error:
+        on_error(Failure(ErrorKind.internal, repr(error)))
+
+
 __all__ = ('PartitionRunner', 'RunnerStage')
--- a/tests/partitions/test_runner.py
+++ b/tests/partitions/test_runner.py
@@ -1,9 +1,13 @@
+from dataclasses import replace
+
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import JobId
+from radishlift.partitions import runner
 from radishlift.partitions.job_commands import cancel, submit
 from radishlift.partitions.job_queries import status
 from radishlift.partitions.messages import JobSubmitted
 from radishlift.placement.jobs import TaskState
+from radishlift.workers.dispatcher import Dispatcher
 from tests.partitions.cell import (
     OTHER_PARTITION,
     PARTITION,
@@ -169,3 +173,60 @@
         job = make_job('p2.job')
         await submit(owner.partition(OTHER_PARTITION), job, 2000)
         await until(lambda: cell.running() == 1)
+
+
+class FailingDispatcher(Dispatcher):
+    """Ends its loop with an error."""
+
+    async def run_forever(self):
+        raise ValueError('unexpected')
+
+
+async def add_failing_owner(cell, dispatcher_type=Dispatcher):
+    """Adds an owner; returns it and the partitions that it gives up."""
+    partitions = replace(cell.settings.partitions, failed_pause_ms=10)
+    cell.settings = replace(cell.settings, partitions=partitions)
+    owner = await cell.add_owner('a', dispatcher_type)
+    given_up = []
+    owner.partitions._give_up = given_up.append
+    return owner, given_up
+
+
+async def test_partition_is_given_up_after_an_error_in_its_recovery(
+    monkeypatch,
+):
+    """Guards against a partition that its owner recovers forever."""
+
+    async def recover(*_):
+        raise ValueError('unexpected')
+
+    monkeypatch.setattr(runner, 'recover_partition', recover)
+    async with open_cell() as cell:
+        owner, given_up = await add_failing_owner(cell)
+        await owner.partitions.on_acquired(owner.write_claim(PARTITION))
+        await until(lambda: given_up == [PARTITION])
+        assert not owner.partitions._runners
+
+
+async def test_partition_is_given_up_after_an_error_in_a_loop():
+    """Guards against an owner that accepts jobs and starts nothing."""
+    async with open_cell() as cell:
+        owner, given_up = await add_failing_owner(cell, FailingDispatcher)
+        await owner.partitions.on_acquired(owner.write_claim(PARTITION))
+        await until(lambda: given_up == [PARTITION])
+        assert not owner.partitions._runners
+
+
+async def test_partition_is_given_up_after_an_error_in_a_flush(monkeypatch):
+    """Guards against an owner that journals nothing any more."""
+
+    async def flush():
+        raise ValueError('unexpected')
+
+    async with open_cell() as cell:
+        owner, given_up = await add_failing_owner(cell)
+        await owner.claim()
+        partition = owner.partition()
+        monkeypatch.setattr(partition, 'flush_journal', flush)
+        await submit(partition, make_job(), 100)
+        await until(lambda: given_up == [PARTITION])
