Start gangs without partitions that do not answer

Cause: the rounds of a gang choose the partitions with the most room by their load summaries, which stay as they are while the owner isn't reached. Only refusals corrected them for the next round. A partition that did not answer was chosen again in each round, and the gang did not start while it was cut off, although other partitions had room.

Change: a partition that doesn't answer a reservation counts as full, like one that refuses, until no other partitions are left.

--- a/src/radishlift/partitions/gang_rounds.py
+++ b/src/radishlift/partitions/gang_rounds.py
@@ -39,7 +39,10 @@
 
 @dataclass(slots=True)
 class RetryState:
-    """When a gang is retried, and the capacity that refusals have reported."""
+    """When a gang is retried, and the capacity that refusals have reported.
+
+    A partition that did not answer has none.
+    """
 
     failures_count: int = 0
     not_before_ms: int = 0
@@ -262,8 +265,10 @@
         )
         if isinstance(reply, GangPartReserved):
             return ''
-        if isinstance(reply, GangPartRefused):
-            retry.reported_capacity[share.partition_id] = reply.room_count
+        # The next rounds use other partitions than one that does not answer.
+        retry.reported_capacity[share.partition_id] = (
+            reply.room_count if isinstance(reply, GangPartRefused) else 0
+        )
         return f'{share.partition_id}: {reply.reason}'
 
     def _decide(self, partition: OpenPartition, decision: GangDecided) -> str:
--- a/tests/partitions/test_gangs.py
+++ b/tests/partitions/test_gangs.py
@@ -237,3 +237,25 @@
         assert attempts_of(gangs.cell.records()) == {1: 3, 2: 2}
         await until(lambda: not gangs.reservations_count())
         gangs.cell.check()
+
+
+async def test_gang_starts_without_a_partition_that_is_not_reached():
+    """Guards against rounds that all fail at the partition with most room."""
+    async with open_gang_cell() as gangs:
+        for rack in ('r1', 'r2', 'r3', 'r3'):
+            await gangs.cell.add_worker(rack=rack)
+        calls = gangs.call_filters[HOME]
+        calls.cut('ReserveGangPart', THIRD)
+        await gangs.until(
+            lambda: (
+                [
+                    owner.partition(name).engine.summarise_load().workers_count
+                    for name, owner in gangs.owners.items()
+                ]
+                == [2, 2, 3]
+            )
+        )
+        await gangs.submit(make_gang(task_count=4))
+        await gangs.until(lambda: gangs.cell.running() == 4)
+        assert calls.call_counts['ReserveGangPart']
+        gangs.cell.check()
