--- a/src/radishlift/cell/daemon.py
+++ b/src/radishlift/cell/daemon.py
@@ -67,6 +67,7 @@
         self._network = PeerNetwork(dependencies.daemon_id)
         self._advice_proxy = AdviceProxy(self._network, dependencies.advice)
         self._cell_follower = self._create_follower(CELL)
+        self._cell_follower.on_regained = self._view.exclude_outage
         self._config_follower = self._create_follower(CONFIG)
         self._config_sharer = ConfigSharer(
             self._network,
@@ -74,13 +75,15 @@
             dependencies.settings,
             dependencies.clock,
         )
+        rows = RelayedRows(
+            StoreRows(dependencies.store),
+            self._network,
+            lambda: self._cell_follower.is_store_lost,
+            dependencies.clock,
+        )
+        self._config_sharer.on_answer = rows.readmit
         self.job_service = JobService(
-            RelayedRows(
-                StoreRows(dependencies.store),
-                self._network,
-                lambda: self._cell_follower.is_store_lost,
-                dependencies.clock,
-            ),
+            rows,
             dependencies.clock,
             self._heartbeat_fields,
         )
--- a/tests/cell/test_leadership.py
+++ b/tests/cell/test_leadership.py
@@ -11,8 +11,9 @@
 from radishlift.cell.settings import CellSettings
 from radishlift.cell.table_follower import FollowedTable, TableFollower
 from radishlift.cell.tables import CELL, HEARTBEAT_KEY, LEADER_KEY
+from radishlift.core.clock import ManualClock
 from radishlift.core.ids import Address, DaemonId
-from radishlift.services.api import Transaction, Write
+from radishlift.services.api import Row, Transaction, Write
 from tests.cell.fakes import MemoryCellStore
 from tests.standins.conditions import until
 from tests.standins.tables import Fault
@@ -39,6 +40,7 @@
         self.follower = TableFollower(
             store, FollowedTable(CELL, wait_ms=20), settings, clock
         )
+        self.follower.on_regained = self.view.exclude_outage
         self.following = asyncio.create_task(
             self.follower.run(self.view.replace, self.view.update),
         )
@@ -184,3 +186,45 @@
     claim = await asyncio.wait_for(candidate.claim, 2)
     row = store.tables.read(CELL, LEADER_KEY)
     assert claim.leader_version == row.version
+
+
+def test_snapshot_of_the_same_rows_is_no_sign_of_the_leader():
+    """Guards against a dead leader that each dropped history keeps alive."""
+    clock = ManualClock()
+    view = CellView(clock)
+    rows = (
+        Row(CELL, LEADER_KEY, 1, {'daemon': 'd1', 'epoch': 1}),
+        Row(CELL, HEARTBEAT_KEY, 2, {}),
+    )
+    clock.now_ms = 1000
+    view.replace(rows)
+    clock.now_ms = 2000
+    view.replace(rows)
+    assert view.heartbeat_at_ms == 1000
+    clock.now_ms = 3000
+    view.replace((rows[0], Row(CELL, HEARTBEAT_KEY, 3, {})))
+    assert view.heartbeat_at_ms == 3000
+
+
+async def test_outage_of_the_store_does_not_count_as_silence_of_the_leader(
+    cell,
+):
+    """Guards against a takeover after each outage of the store.
+
+    The first heartbeat after the outage is later than the first read.
+    """
+    store, add = cell
+    first = await add('d1')
+    await asyncio.wait_for(first.claim, 2)
+    second = await add('d2')
+    await until(lambda: second.view.leader_id)
+    write_heartbeat(store)
+    await asyncio.sleep(0.02)
+    store.fault = Fault.down
+    await asyncio.sleep(0.5)
+    store.fault = Fault.none
+    for _ in range(4):
+        await asyncio.sleep(0.11)
+        assert not second.claim.done()
+        write_heartbeat(store)
+    await asyncio.wait_for(second.claim, 2)
