Do not blame a retry that the next process rejects for the crash

Callers would see a job shown as failed that had done nothing wrong.

A start whose first call was refused (no connection) and whose retry another process rejects is not ended by that answer: its attempt is first blocked by a stop. The session handles the crash before, finds the time of the rejected call and marks the attempt as its sole suspect.

Change: a call that another process rejects is retracted like a call that was not connected, so that only earlier calls that may have arrived count.

--- a/src/radishlift/cell/orders.py
+++ b/src/radishlift/cell/orders.py
@@ -103,6 +103,11 @@
                     order.with_lease_end(self._renew_lease()),
                 )
             if isinstance(answer, StartVerdict):
+                if answer is StartVerdict.other_process:
+                    # The process that the start was meant for did not get it.
+                    self._target.retract_start(
+                        order.key, order.attempt, previous_ms
+                    )
                 self._record_verdict(answer, sent_at_ms)
                 await self._resolve_start(
                     order, answer, is_unresolved=is_unresolved
