Keep the targets of a queued request that others have reserved since

Callers would see an urgent step that waits as long as a gang of a lower rank.

Cause: chooses the targets of a request again by the reservations at the end of the last planning run. The step was planned before the gangs of a lower rank had reserved room, and before trials had closed targets. If only such targets remain that it has not asked about, its request is withdrawn, planned again in the next run and withdrawn again.

Change: the targets that the request named stay candidates while they accept tasks. Withdrawing the request of a step that has ended does not add empty advice any more, which stayed for the rest of the term.

--- a/src/radishlift/steps/planner.py
+++ b/src/radishlift/steps/planner.py
@@ -134,11 +134,13 @@
             # The step may wait again later and then needs a new request.
             self._tickets.withdraw_request(request)
             return None
-        return self._advice.update(tick, pair[0], request, self._is_accepting)
+        return self._advice.update(tick, pair[0], request, self._find_accepting)
 
-    def _is_accepting(self, target_id: TargetId) -> bool:
+    def _find_accepting(self, target_id: TargetId) -> Target | None:
         target = self._targets.get(target_id)
-        return target is not None and target.accepts(self.last_tick.now_ms)
+        if target is None or not target.accepts(self.last_tick.now_ms):
+            return None
+        return target
 
     def _count_queued_requests(self) -> int:
         return self.count_queued_requests()
--- a/src/radishlift/steps/step_advice.py
+++ b/src/radishlift/steps/step_advice.py
@@ -195,7 +195,7 @@
         tick: Tick,
         job: JobRun,
         request: AdviceRequest,
-        is_accepting: Callable[[TargetId], bool],
+        find_accepting: Callable[[TargetId], Target | None],
     ) -> AdviceRequest | None:
         """Chooses the targets of a request again before it is sent.
 
@@ -210,14 +210,21 @@
         advice = self._tickets.advice_for(request.key)
         if advice.allowed.keys() >= set(request.target_ids):
             # A renewal names allowed targets only.
-            ids = tuple(filter(is_accepting, request.target_ids))
+            ids = tuple(filter(find_accepting, request.target_ids))
         else:
-            not_requested = [
-                target
-                for target in self._list_not_requested(tick, job, step)
-                if is_accepting(target.entry.target_id)
-            ]
-            ids = choose_new_targets(terms, not_requested, self._settings)
+            # Steps of a lower rank may have reserved or closed these since.
+            named = map(find_accepting, request.target_ids)
+            not_requested = {
+                target.entry.target_id: target
+                for target in (
+                    *self._list_not_requested(tick, job, step),
+                    *filter(None, named),
+                )
+                if find_accepting(target.entry.target_id)
+            }
+            ids = choose_new_targets(
+                terms, list(not_requested.values()), self._settings
+            )
         if not ids:
             return None
         updated = build_request(job, step, terms, ids)
--- a/src/radishlift/steps/tickets.py
+++ b/src/radishlift/steps/tickets.py
@@ -105,7 +105,9 @@
 
     def withdraw_request(self, request: AdviceRequest) -> None:
         """Closes a request that was not sent."""
-        self.fail_request(request, self.advice_for(request.key).retry_at_ms)
+        advice = self._steps.get(request.key)
+        if advice is not None:
+            self.fail_request(request, advice.retry_at_ms)
 
     def expire_ticket(self, key: StepKey, target_id: TargetId) -> None:
         """Invalidates a ticket that the target rejected."""
