--- a/src/radishlift/steps/ticks.py
+++ b/src/radishlift/steps/ticks.py
@@ -5,6 +5,7 @@
 
 from radishlift.core.ids import ServiceName
 from radishlift.steps.advice_requests import AdviceRequest
+from radishlift.steps.gang_reservations import Reservation
 from radishlift.steps.ids import TargetId
 from radishlift.steps.placing import Placement
 from radishlift.steps.runs import JobRun, StepRun, TaskState
@@ -14,9 +15,13 @@
 
 @dataclass(slots=True)
 class Plan:
-    """Decisions of one tick; placements are already allocated."""
+    """Decisions of one tick; placements are already allocated.
+
+    `cleared` are the jobs of tasks that are no suspects any more.
+    """
 
     placements: list[tuple[JobRun, Placement]] = field(default_factory=list)
+    cleared: list[JobRun] = field(default_factory=list)
     advice_requests: list[AdviceRequest] = field(default_factory=list)
 
 
@@ -40,12 +45,15 @@
         default_factory=dict,
     )
 
-    def reserve(
-        self, target_id: TargetId, until_ms: int, amounts: Amounts
-    ) -> None:
-        """Reserves room on a target that is not reserved yet."""
-        self.reserved_until_ms[target_id] = until_ms
-        self.reserved_amounts[target_id] = amounts
+    def reserve(self, step: StepRun, reservation: Reservation) -> None:
+        """Reserves room for a gang on targets that are not reserved yet."""
+        for target_id, count in zip(
+            reservation.target_ids, reservation.member_counts, strict=True
+        ):
+            self.reserved_until_ms[target_id] = reservation.starts_at_ms
+            self.reserved_amounts[target_id] = Amounts().plus(
+                step.spec.allocated_amounts, count
+            )
 
     def usable_capacity(self, target: Target, step: StepRun) -> Amounts:
         """Returns the free capacity that a step may use despite reservations.
