Let steps without GPUs run beside a gang that waits for them

Callers would see a target's processors idle while a gang waits for its GPUs.

Cause: reserved room is subtracted from the free room, which becomes negative for a resource that is still in use. A step that needs none of it then does not fit either.

Change: room that is reserved leaves at least zero of each resource.

--- a/src/radishlift/steps/spec.py
+++ b/src/radishlift/steps/spec.py
@@ -11,6 +11,10 @@
 _LONG_RUN_MS: Final = 86_400_000
 
 
+def _subtract(amount: int, other: int) -> int:
+    return min(amount, max(0, amount - other))
+
+
 @dataclass(frozen=True, slots=True, order=True)
 class Amounts:
     """Resource amounts: of a target's capacity or of one task."""
@@ -48,6 +52,17 @@
             min(self.gpus_count, limit.gpus_count),
         )
 
+    def without(self, other: 'Amounts') -> 'Amounts':
+        """Returns what is left of these amounts, at least zero of each.
+
+        Amounts that are negative before stay as they are.
+        """
+        return Amounts(
+            _subtract(self.cpu_millicores, other.cpu_millicores),
+            _subtract(self.memory_mb, other.memory_mb),
+            _subtract(self.gpus_count, other.gpus_count),
+        )
+
     def plus(self, other: 'Amounts', times: int = 1) -> 'Amounts':
         """Returns these amounts plus `times` times the other ones."""
         return Amounts(
--- a/src/radishlift/steps/ticks.py
+++ b/src/radishlift/steps/ticks.py
@@ -69,7 +69,7 @@
         end_ms = self.now_ms + step.spec.expected_run_ms
         if not step.spec.is_gang and end_ms <= until_ms:
             return target.free_capacity
-        return target.free_capacity.plus(self.reserved_amounts[target_id], -1)
+        return target.free_capacity.without(self.reserved_amounts[target_id])
 
     def is_open(self, target: Target, step: StepRun) -> bool:
         """Returns whether reservations leave a step any use of a target."""
--- a/tests/steps/test_planner.py
+++ b/tests/steps/test_planner.py
@@ -8,7 +8,7 @@
 from radishlift.steps.planner import Planner
 from radishlift.steps.runs import TaskState
 from radishlift.steps.settings import StepSettings
-from radishlift.steps.spec import AdviceTerms
+from radishlift.steps.spec import AdviceTerms, Amounts, StepSpec
 from radishlift.steps.targets import TargetState, TargetTable
 from radishlift.steps.tickets import Ticket, TicketTable
 from tests.only import only
@@ -378,6 +378,24 @@
     assert setup.started()[:2] == [('a', 0), ('a', 1)]
 
 
+def test_room_is_not_idle_beside_a_gang_that_waits_for_gpus():
+    """Guards against targets that are kept for a resource others don't use."""
+    setup = PlannerSetup(reserved_share=1)
+    target = setup.targets.update(
+        entry('t0', capacity=Amounts(8000, 100_000, 1))
+    )
+    target.allocate(key(8, job_id='e' * 16), 1, Amounts(1000, 100, 1), 9000)
+    gang = StepSpec(
+        tasks_count=1,
+        amounts=Amounts(1000, 100, 1),
+        is_gang=True,
+        estimate_ms=1000,
+    )
+    setup.add(job(gang, job_id='a' * 16, priority=1))
+    setup.add(job(step(2, estimate_ms=20_000), job_id='b' * 16, priority=2))
+    assert setup.started() == [('b', 0), ('b', 1)]
+
+
 def test_ended_job_starts_nothing():
     setup = PlannerSetup(4)
     run = job()
