--- a/tests/steps/test_queued_requests.py
+++ b/tests/steps/test_queued_requests.py
@@ -9,8 +9,8 @@
 from radishlift.steps.settings import StepSettings
 from radishlift.steps.tickets import StepAdvice
 from tests.only import only
-from tests.steps.builders import ADVICE, job, key, step
-from tests.steps.test_planner import PlannerSetup
+from tests.steps.builders import ADVICE, core, job, key, step
+from tests.steps.test_planner import PlannerSetup, answer
 from tests.steps.test_trials import suspect
 
 
@@ -82,3 +82,21 @@
     assert setup.pop() is None
     gc.collect()
     assert count_advice() == before
+
+
+def test_renewal_follows_the_room_that_moved_while_it_waited():
+    """Guards against tickets for targets that are full when they arrive."""
+    setup = QueueSetup(1, 1)
+    setup.add(job(advice=ADVICE))
+    t0, t1 = setup.targets
+    t0.allocate(key(8, job_id='f' * 16), 1, core())
+    t1.allocate(key(9, job_id='f' * 16), 1, core())
+    answer(setup, setup.plan(), ('t0', 't1'), expires_at_ms=1)
+    t0.release(key(8, job_id='f' * 16), 1)
+    plan = setup.queue(now_ms=3000)
+    assert only(plan.advice_requests).target_ids == ('t0',)
+    t0.allocate(key(8, job_id='f' * 16), 1, core())
+    t1.release(key(9, job_id='f' * 16), 1)
+    setup.queue(now_ms=3100)
+    request = setup.pop() or only(setup.queue(now_ms=3200).advice_requests)
+    assert 't1' in request.target_ids
