--- a/src/radishlift/steps/step_advice.py
+++ b/src/radishlift/steps/step_advice.py
@@ -183,7 +183,7 @@
         tick: Tick,
         job: JobRun,
         request: AdviceRequest,
-        is_accepting: Callable[[TargetId], bool],
+        find_accepting: Callable[[TargetId], Target | None],
     ) -> AdviceRequest | None:
         """Chooses the targets of a request again before it is sent.
 
@@ -198,14 +198,21 @@
         advice = self._tickets.advice_for(request.key)
         if advice.allowed.keys() >= set(request.target_ids):
             # A renewal names allowed targets only.
-            ids = self._choose_renewed(tick, job, step, request, is_accepting)
+            ids = self._choose_renewed(tick, job, step, request, find_accepting)
         else:
-            not_requested = [
-                target
-                for target in self._list_not_requested(tick, job, step)
-                if is_accepting(target.entry.target_id)
-            ]
-            ids = choose_new_targets(terms, not_requested, self._settings)
+            # Steps of a lower rank may have reserved or closed these since.
+            named = map(find_accepting, request.target_ids)
+            not_requested = {
+                target.entry.target_id: target
+                for target in (
+                    *self._list_not_requested(tick, job, step),
+                    *filter(None, named),
+                )
+                if find_accepting(target.entry.target_id)
+            }
+            ids = choose_new_targets(
+                terms, list(not_requested.values()), self._settings
+            )
         if not ids:
             return None
         updated = build_request(job, step, terms, ids)
@@ -243,26 +250,26 @@
         job: JobRun,
         step: StepRun,
         request: AdviceRequest,
-        is_accepting: Callable[[TargetId], bool],
+        find_accepting: Callable[[TargetId], Target | None],
     ) -> tuple[TargetId, ...]:
         """Chooses the targets of a renewal that has waited for a host.
 
         If no target has room at present, those that it names may have some
         when the answer arrives.
         """
-        named = tuple(filter(is_accepting, request.target_ids))
+        named = tuple(filter(find_accepting, request.target_ids))
         if step.spec.is_gang or step.suspects():
             return named
         fitting = [
             target
             for target in self.list_allowed(tick, job, step)
-            if is_accepting(target.entry.target_id)
+            if find_accepting(target.entry.target_id)
             and tick.may_use(target, step)
         ]
         if not fitting:
             return named
         chosen = self._choose_ordinary(tick, job, step, fitting)
-        return tuple(filter(is_accepting, chosen)) or named
+        return tuple(filter(find_accepting, chosen)) or named
 
     def _list_not_requested(
         self, tick: Tick, job: JobRun, step: StepRun
--- a/src/radishlift/steps/tickets.py
+++ b/src/radishlift/steps/tickets.py
@@ -109,7 +109,8 @@
     def withdraw_request(self, request: AdviceRequest) -> None:
         """Closes a request that was not sent."""
         advice = self._steps.get(request.key)
-        self.fail_request(request, 0 if advice is None else advice.retry_at_ms)
+        if advice is not None:
+            self.fail_request(request, advice.retry_at_ms)
 
     def expire_ticket(self, key: StepKey, target_id: TargetId) -> None:
         """Invalidates a ticket that the target rejected."""
--- a/src/radishlift/steps/ticks.py
+++ b/src/radishlift/steps/ticks.py
@@ -62,7 +62,7 @@
         may not use it: if it runs longer than expected, it delays the other
         gang on many targets at once.
         """
-        return target.free_capacity.plus(self._reserved_from(target, step), -1)
+        return target.free_capacity.without(self._reserved_from(target, step))
 
     def is_open(self, target: Target, step: StepRun) -> bool:
         """Returns whether reservations leave a step any use of a target."""
@@ -78,7 +78,7 @@
     def may_use_later(self, target: Target, step: StepRun) -> bool:
         """Returns whether a task fits once all tasks of a target have ended."""
         return step.spec.allocated_amounts.fits_in(
-            target.entry.capacity.plus(self._reserved_from(target, step), -1)
+            target.entry.capacity.without(self._reserved_from(target, step))
         )
 
     def suitable_targets(self, job: JobRun, step: StepRun) -> list[Target]:
