Request tickets for a gang that fits in free room without a reservation

Cause: a gang renewed its tickets only for reserved room, or while no request of any step waited for a daemon. One beyond the share of reserved targets waited for the end of the backlog, and one whose allowed targets were all reserved for others requested nothing although it fitted beside them.

Change: such a gang requests tickets if it fits in free room now. It claims the room against other such gangs, so that they do not request tickets for the same room; other steps may still use it.

--- a/src/radishlift/steps/gang_reservations.py
+++ b/src/radishlift/steps/gang_reservations.py
@@ -6,9 +6,11 @@
 """
 
 from collections import Counter
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from radishlift.steps.ids import StepKey, TargetId
+from radishlift.steps.placing import Placement
 from radishlift.steps.runs import StepRun
 from radishlift.steps.settings import StepSettings
 from radishlift.steps.spec import Amounts
@@ -95,6 +97,16 @@
     return Reservation(tuple(counts), tuple(counts.values()), needed[-1][0])
 
 
+def reserve_placements(
+    placements: Iterable[Placement], now_ms: int
+) -> Reservation:
+    """Returns the room of placements that are possible now."""
+    counts = Counter(
+        placement.target.entry.target_id for placement in placements
+    )
+    return Reservation(tuple(counts), tuple(counts.values()), now_ms)
+
+
 def slot_times_ms(target: Target, amounts: Amounts, now_ms: int) -> list[int]:
     """Lists when a target probably has room for one, two and more tasks."""
     max_count = amounts.count_fitting(target.entry.capacity)
@@ -118,5 +130,6 @@
     'GangReservations',
     'Reservation',
     'choose_gang_targets',
+    'reserve_placements',
     'slot_times_ms',
 )
--- a/src/radishlift/steps/planner.py
+++ b/src/radishlift/steps/planner.py
@@ -10,7 +10,10 @@
 from collections.abc import Callable
 
 from radishlift.steps.advice_requests import AdviceRequest
-from radishlift.steps.gang_reservations import GangReservations
+from radishlift.steps.gang_reservations import (
+    GangReservations,
+    reserve_placements,
+)
 from radishlift.steps.ids import StepKey, TargetId
 from radishlift.steps.placing import Placement, place_step
 from radishlift.steps.ranking import StepRanking, rank_step
@@ -212,16 +215,21 @@
             },
             tick.now_ms,
         )
-        if reservation is None:
-            return
         limit = int(len(self._targets) * self._settings.reserved_share)
-        reserved_count = len(reservation.target_ids)
-        if len(tick.reserved_until_ms) + reserved_count <= limit:
+        if reservation is not None and (
+            len(tick.reserved_until_ms) + len(reservation.target_ids) <= limit
+        ):
             tick.reserve(step, reservation)
             self._advice.renew(tick, job, step, reservation, allowed)
-        elif reservation.starts_at_ms <= tick.now_ms and self._advice.is_idle:
-            # Others may take the room of a gang that may not reserve it.
-            self._advice.renew(tick, job, step, reservation, allowed)
+            return
+        # It may reserve no room, but start in room that is free now.
+        placements = place_step(
+            step, allowed, lambda target: tick.unclaimed_capacity(target, step)
+        )
+        if placements:
+            free_room = reserve_placements(placements, tick.now_ms)
+            tick.claim(step, free_room)
+            self._advice.renew(tick, job, step, free_room, allowed)
 
 
 __all__ = ('Planner',)
--- a/src/radishlift/steps/ticks.py
+++ b/src/radishlift/steps/ticks.py
@@ -41,6 +41,7 @@
     due: list[tuple[JobRun, StepRun]] = field(default_factory=list)
     reserved_until_ms: dict[TargetId, int] = field(default_factory=dict)
     reserved_amounts: dict[TargetId, Amounts] = field(default_factory=dict)
+    claimed_amounts: dict[TargetId, Amounts] = field(default_factory=dict)
     by_requirement: dict[tuple[ServiceName, str], list[Target]] = field(
         default_factory=dict,
     )
@@ -55,6 +56,25 @@
                 step.spec.allocated_amounts, count
             )
 
+    def claim(self, step: StepRun, room: Reservation) -> None:
+        """Records for which free room a gang requests tickets.
+
+        Other steps may use it, but no other gang requests tickets for it.
+        """
+        for target_id, count in zip(
+            room.target_ids, room.member_counts, strict=True
+        ):
+            claimed = self.claimed_amounts.get(target_id, Amounts())
+            self.claimed_amounts[target_id] = claimed.plus(
+                step.spec.allocated_amounts, count
+            )
+
+    def unclaimed_capacity(self, target: Target, step: StepRun) -> Amounts:
+        """Returns the usable capacity that no gang has claimed."""
+        return self.usable_capacity(target, step).without(
+            self.claimed_amounts.get(target.entry.target_id, Amounts())
+        )
+
     def usable_capacity(self, target: Target, step: StepRun) -> Amounts:
         """Returns the free capacity that a step may use despite reservations.
 
--- a/tests/steps/test_gang_tickets.py
+++ b/tests/steps/test_gang_tickets.py
@@ -9,15 +9,13 @@
     """Guards against a gang whose targets are all reserved, but not full."""
     setup = PlannerSetup(8, 8, reserved_share=1)
     other = step(2, cores=1, is_gang=True, estimate_ms=20_000)
-    setup.add(job(other, job_id='b' * 16, priority=2, advice=ADVICE))
+    gang = job(other, job_id='b' * 16, priority=2, advice=ADVICE)
+    setup.add(gang)
     answer(setup, setup.plan(), ('t0', 't1'), expires_at_ms=1)
     wait_for_room(setup, cores=4)
-    requests = [
-        request
-        for now_ms in range(1000, 5000, 100)
-        for request in setup.plan(now_ms=now_ms).advice_requests
-    ]
-    assert requests
+    for now_ms in range(1000, 5000, 100):
+        setup.plan(now_ms=now_ms)
+    assert setup.tickets.advice_for(gang.steps[0, 0].key).open_requests_count
 
 
 def test_gang_renews_its_tickets_while_requests_of_others_wait():
