End starts without a connection before the lease

A start for which no connection was established has no effect, but it was treated like one without an answer: the task waited until the target confirmed a stop or its lease expired. When a target crashed, the tasks that were just being started on it waited for its lease (3 s in a run of tests/platform/test_crashing_tasks.py, whose log shows four such tasks).

Such a start now ends as refused, so that its task starts elsewhere and the target gets no new tasks for `distrust_ms`. If one of its calls was sent and not answered, it is blocked as before.

test_start_without_a_connection_ends_before_the_lease failed before; test_start_without_an_answer_is_blocked_if_repeats_do_not_connect guards the other case and passed before as well.

--- a/src/radishlift/cell/orders.py
+++ b/src/radishlift/cell/orders.py
@@ -24,7 +24,8 @@
     """Sends start and stop orders to a target.
 
     A start without an answer may still take effect seconds later. It is
-    repeated, and then blocked by a stop if it remains unanswered.
+    repeated, and then blocked by a stop if it remains unanswered. A start for
+    which no connection was established has no effect.
     """
 
     def __init__(
@@ -104,11 +105,13 @@
                     order, answer, is_unresolved=is_unresolved
                 )
                 return
-            is_unresolved = True
             if answer.kind is ErrorKind.peer_unavailable:
                 self._target.retract_start(
                     order.key, order.attempt, previous_ms
                 )
+            else:
+                is_unresolved = True
+                self._unresolved.add((order.key, order.attempt))
             self._record_unanswered(order, answer)
         await self._resolve_start(
             order,
@@ -129,7 +132,6 @@
         return self._lease.until_ms
 
     def _record_unanswered(self, order: StartOrder, failure: Failure) -> None:
-        self._unresolved.add((order.key, order.attempt))
         self._target.record_failure(self._now_ms())
         # A poll shows whether the target is still reachable.
         self._on_resolved()
--- a/tests/cell/test_orders.py
+++ b/tests/cell/test_orders.py
@@ -118,6 +118,27 @@
     setup.orders.close()
 
 
+async def test_start_without_a_connection_ends_before_the_lease(setup):
+    setup.fake.refuses_connections = True
+    setup.orders.start(ORDER)
+    await setup.until_resolved()
+    assert setup.events == [StartVerdict.refused]
+    assert not setup.fake.blocked
+
+
+async def test_start_without_an_answer_is_blocked_if_repeats_do_not_connect(
+    setup,
+):
+    setup.fake.loses_answers = True
+    setup.orders.start(ORDER)
+    while not setup.fake.started:
+        await asyncio.sleep(0)
+    setup.fake.refuses_connections = True
+    await setup.until_resolved()
+    assert setup.events == []
+    assert setup.fake.run(ORDER) is StartVerdict.superseded
+
+
 async def test_draining_target_gets_no_start(setup):
     setup.target.entry = entry('t1', state=TargetState.draining)
     setup.orders.start(ORDER)
