Pause between polls of a target that does not answer stops

A lost target that answers polls again, but not the stop of a start whose outcome is unknown, was polled without a pause, as these polls do not wait for an end. They are now repeated after `hold_retry_ms`, like failed ones.

--- a/src/radishlift/cell/sessions.py
+++ b/src/radishlift/cell/sessions.py
@@ -176,6 +176,8 @@
             await self._context.unrenewed.wait_removed(self.target_id)
             self._is_resuming = False
             self._set_reachable(is_reachable=True)
+        elif not self.target.is_reachable:
+            await asyncio.sleep(self._context.settings.hold_retry_ms / 1000)
         # Polls continue without the commit, as they renew the lease.
         if report.last_sequence > self._ended_cursor and (
             await self._context.listener.wait_committed(
--- a/tests/cell/test_sessions.py
+++ b/tests/cell/test_sessions.py
@@ -8,6 +8,7 @@
 
 from radishlift.steps.endings import EndKind
 from radishlift.steps.settings import StepSettings
+from tests.cell.fakes import UNKNOWN
 from tests.cell.leader import SETTINGS, Cell
 from tests.steps.builders import job, key, step
 
@@ -184,6 +185,40 @@
         await cell.close()
 
 
+async def test_poll_is_not_repeated_without_a_pause_while_a_stop_fails(
+    monkeypatch,
+):
+    settings = replace(SETTINGS, hold_retry_ms=50)
+    cell = Cell('t1', settings=settings, max_lease_ms=6000)
+    try:
+        cell.lead()
+        fake = cell.targets['t1']
+        await cell.until(lambda: fake.fencing_token == 1)
+        await asyncio.sleep(0.05)
+        fake.is_unresponsive = True
+        cell.submit(job())
+        await cell.until(lambda: bool(fake.late))
+        await asyncio.sleep(0.1)
+
+        async def fail_to_stop(*_):
+            return UNKNOWN
+
+        monkeypatch.setattr(cell.targets, 'stop', fail_to_stop)
+        holds = []
+        hold = cell.targets.hold
+
+        async def count_hold(*args):
+            holds.append(args)
+            return await hold(*args)
+
+        monkeypatch.setattr(cell.targets, 'hold', count_hold)
+        fake.is_unresponsive = False
+        await asyncio.sleep(0.5)
+        assert 1 < len(holds) <= 11
+    finally:
+        await cell.close()
+
+
 async def test_target_that_answers_no_start_gets_no_more_of_them():
     cell = Cell('t1', max_lease_ms=4000)
     try:
