Try suspects on targets that have not restarted

A target that has just crashed and restarted is empty, so that trials, which take the target with the least work, went to it. If it is the target that is unstable, its next crash was attributed to the task tried there, and the job was shown as failed.

Trials now prefer targets of which no restart is known. Two crashes of different targets that fall on starts of one task by chance still fail its job.

test_suspect_is_not_tried_on_a_target_that_may_crash_without_it fails without the change. tests/cell and tests/steps pass.

--- a/src/radishlift/cell/sessions.py
+++ b/src/radishlift/cell/sessions.py
@@ -156,6 +156,7 @@
             # Each process has its own clock and counts its ended attempts.
             self._lease.restart(report.clock_ms, self._now_ms())
             self._ended_cursor = 0
+            self.target.record_restart()
             self.target.record_failure(self._now_ms())
             self._context.listener.on_crashed(self, is_proven=True)
         else:
--- a/src/radishlift/steps/targets.py
+++ b/src/radishlift/steps/targets.py
@@ -98,8 +98,9 @@
     `is_reachable` and `cooldown_until_ms` keep new tasks off targets that do
     not respond or that fail the tasks they start. `answered_at_ms` is when
     the latest answered call was sent. `failed_at_ms` is when a call first
-    failed since the process was last known to run; None if none has. A watched
-    target is polled more often.
+    failed since the process was last known to run; None if none has.
+    `has_restarted` is whether a process has ended. A watched target is polled
+    more often.
     """
 
     entry: TargetEntry
@@ -111,6 +112,7 @@
     consecutive_failures_count: int = 0
     answered_at_ms: int = 0
     failed_at_ms: int | None = None
+    has_restarted: bool = False
     is_watched: bool = False
     free_capacity: Amounts = field(init=False)
 
@@ -140,6 +142,10 @@
         if self.failed_at_ms is None:
             self.failed_at_ms = now_ms
 
+    def record_restart(self) -> None:
+        """Records that a process of the target has ended."""
+        self.has_restarted = True
+
     def record_running(self) -> None:
         """Records that the process is known to run."""
         self.failed_at_ms = None
--- a/src/radishlift/steps/trial_planning.py
+++ b/src/radishlift/steps/trial_planning.py
@@ -131,6 +131,8 @@
             ),
             key=lambda target: (
                 not candidates.has_ticket(target),
+                # It may crash again, which would be attributed to the trial.
+                target.has_restarted,
                 not trials.is_ready(target),
                 not trials.is_last_reserved(target),
                 target.used.cpu_millicores,
--- a/tests/steps/test_trials.py
+++ b/tests/steps/test_trials.py
@@ -81,6 +81,16 @@
     assert setup.placed(now_ms=310) == {('a', 0): 't1'}
 
 
+def test_suspect_is_not_tried_on_a_target_that_may_crash_without_it():
+    setup = TrialSetup(4, 4)
+    setup.target(1).allocate(key(job_id='d' * 16), 1, step(cores=3).amounts)
+    setup.send(0)
+    setup.answer(300)
+    setup.target().record_restart()
+    setup.add(suspect())
+    assert setup.placed(now_ms=310) == {('a', 0): 't1'}
+
+
 @pytest.mark.parametrize(('crashes_count', 'started'), [(1, 4), (2, 1)])
 def test_tasks_that_crashed_several_targets_start_alone(crashes_count, started):
     setup = TrialSetup(8)
