Keep the stored list of leases until it is read

Commits of a new term run while it reads its state. If that took longer than a heartbeat interval, the first heartbeat replaced the previous leader's list of unrenewed leases with an empty one, and the tasks of a lost target waited as long as without a list. The list is now written only once the stored one is loaded.

test_heartbeat_does_not_replace_the_stored_waits_before_their_read failed before (the list had lost its target). tests/cell passes.

--- a/src/radishlift/cell/leader_term.py
+++ b/src/radishlift/cell/leader_term.py
@@ -103,6 +103,7 @@
     async def run(self) -> None:
         """Leads until it is deposed or cancelled."""
         started_at_ms = self._dependencies.clock.monotonic_ms()
+        self._log.unrenewed.begin_load()
         try:
             async with asyncio.TaskGroup() as group:
                 log_task = group.create_task(self._log.run())
@@ -189,6 +190,7 @@
             remaining_ms = load_remaining_ms(row, self.claim.epoch)
         except _DECODE_ERRORS as error:
             log_event('bad_unrenewed_row', reason=repr(error))
+            self._log.unrenewed.load(())
             return
         self._log.unrenewed.load(remaining_ms)
         self.scheduler.inherited_leases.load(
--- a/src/radishlift/cell/unrenewed_leases.py
+++ b/src/radishlift/cell/unrenewed_leases.py
@@ -29,6 +29,7 @@
         self._epoch = epoch
         self._request_commit = request_commit
         self._is_first_write = True
+        self._is_loading = False
         self._stored: frozenset[TargetId] = frozenset()
         self._written: frozenset[TargetId] | None = None
         self._requested: list[asyncio.Future[None]] = []
@@ -40,9 +41,14 @@
         """Returns whether a lease waits to be removed from the list."""
         return bool(self._requested)
 
+    def begin_load(self) -> None:
+        """Lets no write replace the stored list until it is loaded."""
+        self._is_loading = True
+
     def load(self, target_ids: Iterable[TargetId]) -> None:
         """Records which leases the stored list contains."""
         self._stored = frozenset(target_ids)
+        self._is_loading = False
 
     async def wait_removed(self, target_id: TargetId) -> None:
         """Waits until the stored list does not contain a lease.
@@ -58,6 +64,8 @@
 
     def start_write(self) -> list[Write]:
         """Returns the write of the list, unless it is empty as before."""
+        if self._is_loading:
+            return []
         remaining_ms = self.list_remaining_ms()
         self._writing = self._requested
         self._requested = []
--- a/tests/cell/test_leader_term.py
+++ b/tests/cell/test_leader_term.py
@@ -188,6 +188,33 @@
     assert 0 < row.value['remaining_ms']['t3'] < 300
 
 
+async def test_heartbeat_does_not_replace_the_stored_waits_before_their_read(
+    cell, monkeypatch
+):
+    read = cell.store.read
+    snapshot = cell.store.snapshot
+
+    async def delay_read(table, key):
+        if key == UNRENEWED_KEY:
+            await asyncio.sleep(0.1)
+        return await read(table, key)
+
+    async def delay_jobs(table):
+        if table == JOBS:
+            await asyncio.sleep(0.3)
+        return await snapshot(table)
+
+    monkeypatch.setattr(cell.store, 'read', delay_read)
+    monkeypatch.setattr(cell.store, 'snapshot', delay_jobs)
+    stored = {'epoch': 0, 'remaining_ms': {'t3': 300}}
+    cell.write(COMMITS, UNRENEWED_KEY, stored)
+    cell.lead()
+    await asyncio.sleep(0.2)
+    row = cell.store.tables.read(COMMITS, UNRENEWED_KEY)
+    assert row.value['epoch'] == 1
+    assert 0 < row.value['remaining_ms']['t3'] < 300
+
+
 async def test_removed_drained_target_frees_its_tasks_at_once(cell):
     cell.lead()
     cell.submit(job())
