--- a/src/radishlift/cell/leadership.py
+++ b/src/radishlift/cell/leadership.py
@@ -40,7 +40,8 @@
 class CellView:
     """The rows of the cell: leader, heartbeat and daemons.
 
-    `heartbeat_at_ms` is when the leader's row or heartbeat last changed.
+    `heartbeat_at_ms` is when the leader's row or heartbeat last changed. Times
+    in which the store can't be read are added to it.
     `changed` is set on each change of a row.
     """
 
@@ -52,8 +53,12 @@
 
     def replace(self, rows: tuple[Row, ...]) -> None:
         """Replaces all rows."""
+        is_first = not self._rows
+        before = self._leader_versions()
         self._rows = {row.key: row for row in rows}
-        self.heartbeat_at_ms = self._clock.monotonic_ms()
+        # A snapshot may be read without a sign of the leader.
+        if is_first or self._leader_versions() != before:
+            self.heartbeat_at_ms = self._clock.monotonic_ms()
         self.changed.set()
 
     def update(self, rows: tuple[Row, ...]) -> None:
@@ -64,6 +69,12 @@
                 self.heartbeat_at_ms = self._clock.monotonic_ms()
         self.changed.set()
 
+    def exclude_outage(self, outage_ms: int) -> None:
+        """Excludes a time in which the leader could not be seen."""
+        self.heartbeat_at_ms = min(
+            self.heartbeat_at_ms + outage_ms, self._clock.monotonic_ms()
+        )
+
     @property
     def leader(self) -> Row:
         """Returns the leader's row; version 0 if there was no leader yet."""
@@ -117,6 +128,12 @@
             key=lambda daemon_id: (-ranks[daemon_key(daemon_id)], daemon_id),
         )
 
+    def _leader_versions(self) -> tuple[int, ...]:
+        return tuple(
+            self._rows[key].version if key in self._rows else 0
+            for key in (LEADER_KEY, HEARTBEAT_KEY)
+        )
+
 
 class Leadership(Machine):
     """Claims leadership if there is no leader or it is unresponsive."""
--- a/src/radishlift/steps/ticks.py
+++ b/src/radishlift/steps/ticks.py
@@ -5,9 +5,11 @@
 
 from radishlift.core.ids import ServiceName
 from radishlift.steps.advice_requests import AdviceRequest
+from radishlift.steps.gang_reservations import Reservation
 from radishlift.steps.ids import TargetId
 from radishlift.steps.placing import Placement
 from radishlift.steps.runs import JobRun, StepRun, TaskState
+from radishlift.steps.spec import Amounts
 from radishlift.steps.targets import Target
 
 
@@ -38,21 +40,46 @@
     accepting: list[Target]
     due: list[tuple[JobRun, StepRun]] = field(default_factory=list)
     reserved_until_ms: dict[TargetId, int] = field(default_factory=dict)
+    reserved_amounts: dict[TargetId, Amounts] = field(default_factory=dict)
     by_requirement: dict[tuple[ServiceName, str], list[Target]] = field(
         default_factory=dict,
     )
 
-    def may_use(self, target: Target, step: StepRun) -> bool:
-        """Returns whether a step may use a target despite reservations.
-
-        A gang may not: if it runs longer than expected, it delays the other
+    def reserve(self, step: StepRun, reservation: Reservation) -> None:
+        """Reserves room for a gang on targets that are not reserved yet."""
+        for target_id, count in zip(
+            reservation.target_ids, reservation.member_counts, strict=True
+        ):
+            self.reserved_until_ms[target_id] = reservation.starts_at_ms
+            self.reserved_amounts[target_id] = Amounts().plus(
+                step.spec.allocated_amounts, count
+            )
+
+    def usable_capacity(self, target: Target, step: StepRun) -> Amounts:
+        """Returns the free capacity that a step may use despite reservations.
+
+        Reserved room is for tasks that probably end before it is needed. A gang
+        may not use it: if it runs longer than expected, it delays the other
         gang on many targets at once.
         """
-        until_ms = self.reserved_until_ms.get(target.entry.target_id)
-        if until_ms is None:
-            return True
-        end_ms = self.now_ms + step.spec.expected_run_ms
-        return not step.spec.is_gang and end_ms <= until_ms
+        return target.free_capacity.plus(self._reserved_from(target, step), -1)
+
+    def is_open(self, target: Target, step: StepRun) -> bool:
+        """Returns whether reservations leave a step any use of a target."""
+        is_reserved = target.entry.target_id in self.reserved_until_ms
+        return not is_reserved or self.may_use(target, step)
+
+    def may_use(self, target: Target, step: StepRun) -> bool:
+        """Returns whether a task of a step fits despite reservations."""
+        return step.spec.allocated_amounts.fits_in(
+            self.usable_capacity(target, step)
+        )
+
+    def may_use_later(self, target: Target, step: StepRun) -> bool:
+        """Returns whether a task fits once all tasks of a target have ended."""
+        return step.spec.allocated_amounts.fits_in(
+            target.entry.capacity.plus(self._reserved_from(target, step), -1)
+        )
 
     def suitable_targets(self, job: JobRun, step: StepRun) -> list[Target]:
         """Lists targets of the job's service with the step's label."""
@@ -77,6 +104,17 @@
         ]
         self.by_requirement.clear()
 
+    def _reserved_from(self, target: Target, step: StepRun) -> Amounts:
+        """Returns the room on a target that is reserved against a step."""
+        target_id = target.entry.target_id
+        until_ms = self.reserved_until_ms.get(target_id)
+        if until_ms is None:
+            return Amounts()
+        end_ms = self.now_ms + step.spec.expected_run_ms
+        if not step.spec.is_gang and end_ms <= until_ms:
+            return Amounts()
+        return self.reserved_amounts[target_id]
+
 
 def allocate_starts(
     tick: Tick,
--- a/src/radishlift/steps/trial_planning.py
+++ b/src/radishlift/steps/trial_planning.py
@@ -85,7 +85,7 @@
             allowed=[
                 target
                 for target in candidates.allowed
-                if tick.may_use(target, step)
+                if tick.is_open(target, step)
             ],
         )
         without_ticket = []
@@ -149,7 +149,7 @@
             (times_ms[0], target.entry.target_id, target)
             for target in self._advice.list_allowed(tick, job, step)
             if target.entry.target_id not in closed
-            and tick.may_use(target, step)
+            and tick.is_open(target, step)
             and (times_ms := _slots_ms(step, target, tick.now_ms))
         ]
         if slots:
@@ -181,15 +181,14 @@
             return True
         self._advice.request_for_gang(tick, job, step)
         if reservation is not None:
-            self._advice.renew(tick, job, step, reservation)
+            self._advice.renew(tick, job, step, reservation, candidates.allowed)
             if reservation.starts_at_ms <= tick.now_ms:
                 self._trials.reserve(
                     free[target_id] for target_id in reservation.target_ids
                 )
             elif not is_wide:
                 # Tasks that end before the gang starts may use them until then.
-                for target_id in reservation.target_ids:
-                    tick.reserved_until_ms[target_id] = reservation.starts_at_ms
+                tick.reserve(step, reservation)
         return True
 
     def _free_for_gang(
--- a/tests/cell/fakes.py
+++ b/tests/cell/fakes.py
@@ -95,8 +95,9 @@
     """A target that runs tasks until a test ends them.
 
     With `instant_end` they end as soon as they start. With `keeps_stopped`
-    stops take until a test ends the tasks. Calls that get no answer because
-    of `is_unresponsive` fail after `timeout_s`.
+    stops take until a test ends the tasks. With `is_replaced` a process with
+    another id has its address. Calls that get no answer because of
+    `is_unresponsive` fail after `timeout_s`.
     """
 
     incarnation: int = 1
@@ -105,6 +106,7 @@
     is_unresponsive: bool = False
     timeout_s: float = 0.0
     refuses_connections: bool = False
+    is_replaced: bool = False
     loses_answers: bool = False
     rejection: StartVerdict | None = None
     instant_end: EndKind | None = None
@@ -175,6 +177,10 @@
         await asyncio.sleep(0)
         if fake.refuses_connections:
             return UNREACHABLE
+        if fake.is_replaced:
+            # Answers on different connections overtake each other.
+            await asyncio.sleep(0.02)
+            return StartVerdict.other_process
         if fake.is_unresponsive:
             fake.late.append(order)
             await asyncio.sleep(fake.timeout_s)
@@ -216,6 +222,8 @@
     async def hold(self, target: TargetRef, order: HoldOrder):
         fake = self.by_id[target.target_id]
         await asyncio.sleep(0.002)
+        if fake.is_replaced:
+            return StartVerdict.other_process
         if fake.is_unresponsive:
             await asyncio.sleep(fake.timeout_s)
             return UNKNOWN
--- a/tests/steps/test_planner.py
+++ b/tests/steps/test_planner.py
@@ -12,7 +12,7 @@
 from radishlift.steps.targets import TargetState, TargetTable
 from radishlift.steps.tickets import Ticket, TicketTable
 from tests.only import only
-from tests.steps.builders import ADVICE, entry, job, key, step
+from tests.steps.builders import ADVICE, core, entry, job, key, step
 
 
 class PlannerSetup:
@@ -157,6 +157,14 @@
     assert placement.target.entry.target_id == 't1'
 
 
+def test_advice_is_requested_on_targets_before_they_have_room():
+    """Guards against room that stays idle until its ticket arrives."""
+    setup = PlannerSetup(1, 1)
+    fill(setup, 't0', cores=1)
+    setup.add(job(step(2), advice=ADVICE))
+    assert set(only(setup.plan().advice_requests).target_ids) == {'t0', 't1'}
+
+
 def test_expired_ticket_is_requested_again_once_capacity_is_free():
     setup = PlannerSetup(1, 1)
     run = job(step(1), advice=ADVICE)
@@ -260,6 +268,23 @@
     assert {one.target.entry.target_id for _, one in placed} == set(allowed)
 
 
+def test_renewal_of_a_gang_names_all_targets_that_it_could_use():
+    """Guards against tickets for targets that are taken before they arrive."""
+    setup = PlannerSetup(4, 4, 4, reserved_share=1)
+    gang = job(step(2, cores=2, is_gang=True), advice=ADVICE)
+    setup.add(gang)
+    fill(setup, 't0', 't1', 't2')
+    answer(setup, setup.plan(), ('t0', 't1', 't2'), expires_at_ms=1000)
+    release(setup, 't0')
+    renewal = setup.plan(now_ms=3000)
+    assert set(only(renewal.advice_requests).target_ids) == {'t0', 't1', 't2'}
+    answer(setup, renewal, ('t0', 't1', 't2'), expires_at_ms=5000)
+    fill(setup, 't0')
+    setup.targets.get(TargetId('t2')).release(key(2, job_id='f' * 16), 1)
+    placed = setup.plan(now_ms=3100).placements
+    assert {one.target.entry.target_id for _, one in placed} == {'t2'}
+
+
 def test_gang_that_may_not_reserve_renews_its_tickets_once_it_has_room():
     """Guards against a gang larger than all reservations that never starts."""
     setup = PlannerSetup(4, 4, reserved_share=0)
@@ -313,6 +338,46 @@
     assert setup.started(now_ms=500) == [('b', 0)]
 
 
+def wait_for_room(setup, cores):
+    """Adds a gang that reserves room on t0, and t1 for when it is free."""
+    for name, used_cores, end_ms in (('t0', 2, 20_000), ('t1', 8, 9000)):
+        setup.targets.get(TargetId(name)).allocate(
+            key(8, job_id='e' * 16),
+            1,
+            step(1, cores=used_cores).amounts,
+            end_ms,
+        )
+    gang = job(step(2, cores=cores, is_gang=True), job_id='a' * 16, priority=1)
+    setup.add(gang)
+    assert not setup.plan().placements
+
+
+@pytest.mark.parametrize('is_gang', [True, False])
+def test_room_beside_that_of_a_waiting_gang_is_not_idle(is_gang):
+    """Guards against whole targets that are kept for a part of their room."""
+    setup = PlannerSetup(8, 8, reserved_share=1)
+    wait_for_room(setup, cores=4)
+    other = step(2, cores=1, is_gang=is_gang, estimate_ms=20_000)
+    setup.add(job(other, job_id='b' * 16, priority=2))
+    assert setup.started() == [('b', 0), ('b', 1)]
+
+
+def test_room_of_a_waiting_gang_is_not_used_by_long_tasks():
+    setup = PlannerSetup(8, 8, reserved_share=1)
+    wait_for_room(setup, cores=4)
+    setup.add(
+        job(step(5, estimate_ms=20_000), job_id='b' * 16, priority=2),
+        job(
+            step(3, is_gang=True, estimate_ms=20_000),
+            job_id='c' * 16,
+            priority=2,
+        ),
+    )
+    assert setup.started() == [('b', 0), ('b', 1)]
+    setup.targets.get(TargetId('t1')).release(key(8, job_id='e' * 16), 1)
+    assert setup.started()[:2] == [('a', 0), ('a', 1)]
+
+
 def test_ended_job_starts_nothing():
     setup = PlannerSetup(4)
     run = job()
@@ -355,3 +420,18 @@
     setup.targets.update(entry('t0', 2))
     setup.add(job(step(1, is_gang=True), job_id='b' * 16))
     assert setup.started() == []
+
+
+@pytest.mark.parametrize('full_count', [2, 3])
+def test_first_advice_request_names_full_targets_too(full_count):
+    """Guards against long requests about the few targets with room.
+
+    The advice stays valid, and room on the others comes while it is awaited.
+    """
+    setup = PlannerSetup(4, 4, 4)
+    for index in range(full_count):
+        target = setup.targets.get(TargetId(f't{index}'))
+        target.allocate(key(index, job_id='b' * 16), 1, core(4))
+    setup.add(job(advice=ADVICE))
+    request = only(setup.plan().advice_requests)
+    assert set(request.target_ids) == {'t0', 't1', 't2'}
