--- a/src/radishlift/cell/sessions.py
+++ b/src/radishlift/cell/sessions.py
@@ -156,6 +156,7 @@
             # Each process has its own clock and counts its ended attempts.
             self._lease.restart(report.clock_ms, self._now_ms())
             self._ended_cursor = 0
+            self.target.record_restart()
             self.target.record_failure(self._now_ms())
             self._context.listener.on_crashed(self, is_proven=True)
         else:
@@ -176,6 +177,8 @@
             await self._context.unrenewed.wait_removed(self.target_id)
             self._is_resuming = False
             self._set_reachable(is_reachable=True)
+        elif not self.target.is_reachable:
+            await asyncio.sleep(self._context.settings.hold_retry_ms / 1000)
         # Polls continue without the commit, as they renew the lease.
         if report.last_sequence > self._ended_cursor and (
             await self._context.listener.wait_committed(
