Hand no jobs to partitions whose owner is suspected

Cause: a job is handed to the partition that has room by its load summary, which stays as it is when its owner dies or is cut off. The hand-off is journaled before the other partition has it and can't be taken back, so that the job waited for that owner or a takeover, while other partitions had room.

Change: partitions whose known owner is suspected are left out. As no call is made to them, the hand-offs read whether they have a new owner, of four of them at a time at most. A partition without a known owner is used as before.

The fake members gained a set of suspected daemons.

--- a/src/radishlift/partitions/hand_offs.py
+++ b/src/radishlift/partitions/hand_offs.py
@@ -7,6 +7,8 @@
 """
 
 import asyncio
+from random import sample
+from typing import Final
 
 from radishlift.core.errors import Failure
 from radishlift.core.ids import JobId
@@ -25,6 +27,8 @@
 from radishlift.placement.records import JobHandedOff
 from radishlift.placement.transfer_rows import read_transfer
 
+_MAX_REFRESHES: Final = 4
+
 
 class HandOffSender:
     """Hands off jobs of the partitions that are owned here."""
@@ -79,6 +83,8 @@
         records: list[object] = []
         tables = partition.states.placement.tables
         jobs = tables.jobs
+        if partition.engine.list_hand_offs(partition.now_ms()):
+            await self._refresh_suspected()
         now_ms = partition.now_ms()
         for job in partition.engine.list_hand_offs(now_ms):
             row = jobs.row_of[job.job_id]
@@ -93,6 +99,7 @@
                     partition_id
                     for partition_id in self._lookup.partitions()
                     if partition_id not in passed
+                    and not self._caller.is_suspected(partition_id)
                 ],
                 spec.demand,
                 # A gang that fits no single partition is started over several
@@ -111,6 +118,25 @@
                 if isinstance(record, JobHandedOff):
                     partition.job_close_events.signal(record.job_id)
 
+    async def _refresh_suspected(self) -> None:
+        """Reads whether partitions of suspected daemons have new owners.
+
+        Nothing is sent to these partitions, so that no call would read it.
+        """
+        suspected = [
+            partition_id
+            for partition_id in self._lookup.partitions()
+            if self._caller.is_suspected(partition_id)
+        ]
+        await asyncio.gather(
+            *(
+                self._lookup.refresh(partition_id)
+                for partition_id in sample(
+                    suspected, min(len(suspected), _MAX_REFRESHES)
+                )
+            )
+        )
+
     async def _send_job(
         self,
         partition: OpenPartition,
--- a/src/radishlift/partitions/homes.py
+++ b/src/radishlift/partitions/homes.py
@@ -178,6 +178,11 @@
             if not await self.wait_before_retry(deadline_ms):
                 return reply if unknown is None else _outcome_unknown(unknown)
 
+    def is_suspected(self, partition_id: PartitionId) -> bool:
+        """Returns whether the known owner of a partition is suspected."""
+        owner = self._lookup.owner_of(partition_id)
+        return owner is not None and self._members.is_suspected(owner)
+
     async def _call_once(
         self,
         partition_id: PartitionId,
--- a/tests/partitions/owner.py
+++ b/tests/partitions/owner.py
@@ -33,15 +33,16 @@
 
 @dataclass
 class Members:
-    """A `MemberDirectory` whose dead members are set by the test."""
+    """A `MemberDirectory` whose dead and suspected members the test sets."""
 
     dead: set[tuple[str, str]] = field(default_factory=set)
+    suspected: set[DaemonId] = field(default_factory=set)
 
     def members(self) -> tuple[()]:
         return ()
 
     def is_suspected(self, daemon_id: DaemonId) -> bool:
-        return False
+        return daemon_id in self.suspected
 
     def is_dead(self, daemon_id: DaemonId, incarnation: Incarnation) -> bool:
         return (daemon_id, incarnation) in self.dead
--- a/tests/partitions/test_lost_workers.py
+++ b/tests/partitions/test_lost_workers.py
@@ -127,6 +127,58 @@
         cell.check()
 
 
+async def test_job_is_not_handed_to_a_partition_that_is_not_reached():
+    """Guards against a job that waits for a daemon while another has room."""
+    async with open_cell(0) as cell:
+        partitions = dict(cell.document.partitions)
+        partitions[THIRD_PARTITION] = Partition(('r3',))
+        cell.document = replace(cell.document, partitions=partitions)
+        for rack in ('r2', 'r3'):
+            await cell.add_worker(rack=rack)
+        first = await cell.add_owner('a')
+        second = await cell.add_owner('b')
+        await first.claim(PARTITION)
+        await first.claim(THIRD_PARTITION)
+        await second.claim(OTHER_PARTITION)
+        await until_after(
+            partial(exchange_loads, first, second),
+            lambda: all(
+                first.hand_off_sender._loads.count_tasks(
+                    partition_id, HALF_WORKER, 1
+                )
+                for partition_id in (OTHER_PARTITION, THIRD_PARTITION)
+            ),
+        )
+        loads = first.hand_off_sender._loads
+        await first.lookup.refresh(OTHER_PARTITION)
+        cell.members.suspected.add(second.parts.daemon_id)
+        # Its summary stays, and shows less load than the others have.
+        idle = replace(loads._loads[OTHER_PARTITION], load_ratio=-1)
+        loads._loads[OTHER_PARTITION] = idle
+        await first.router.submit(make_job(HOME_JOB), 2000)
+        await until_after(first.hand_off_sender.run_once, cell.executions)
+        assert new_partition_of(first, PARTITION) == THIRD_PARTITION
+
+
+async def test_job_is_handed_to_the_new_owner_of_a_suspected_daemon():
+    """Guards against partitions that stay unused after a takeover."""
+    async with open_cell(0) as cell:
+        await cell.add_worker(rack='r2')
+        first = await cell.add_owner('a')
+        second = await cell.add_owner('b')
+        third = await cell.add_owner('c')
+        await first.claim(PARTITION)
+        await second.claim(OTHER_PARTITION)
+        await first.lookup.refresh(OTHER_PARTITION)
+        cell.members.suspected.add(second.parts.daemon_id)
+        await third.claim(OTHER_PARTITION)
+        await first.router.submit(make_job(HOME_JOB), 2000)
+        await until_after(
+            partial(exchange_loads, first, third), cell.executions
+        )
+        assert new_partition_of(first, PARTITION) == OTHER_PARTITION
+
+
 async def test_ended_tasks_of_a_moved_job_do_not_run_again():
     """Guards against a status without the tasks that ended in the home."""
     async with open_three_partitions() as (cell, first, second):
