Send quota requests again after a call that raised

Cause: a request for shares of a team is marked as pending until its call is answered or fails. A call that ended with an error left the mark, and a holder sends no other request for a team meanwhile: its tasks waited for the quota until the next owner.

Change: an error counts as an unknown outcome, after which the request is repeated.

Measured: test_request_that_ends_with_an_error_is_sent_again failed before (no task finished until the timeout) and passes in 4 of 4 runs. tests/partitions/test_quotas.py and tests/quotas pass.

--- a/src/radishlift/quotas/sync.py
+++ b/src/radishlift/quotas/sync.py
@@ -114,6 +114,9 @@
     ) -> None:
         try:
             reply = await self._send(partition, home, asks)
+        except Exception as error:
+            # No other request of these teams is sent while these are pending.
+            reply = Failure(ErrorKind.peer_outcome_unknown, repr(error))
         finally:
             self._open_calls.discard((partition.claim.partition_id, home))
         now_ms = self._parts.clock.monotonic_ms()
--- a/tests/partitions/test_quotas.py
+++ b/tests/partitions/test_quotas.py
@@ -15,6 +15,7 @@
 from radishlift.placement.explanations import ExplanationKind
 from radishlift.placement.jobs import JobKind, Resources, TaskState, task_id_of
 from radishlift.quotas.homes import QUOTA_HOMES_TABLE, QuotaHomes
+from radishlift.quotas.messages import SyncShares
 from tests.partitions.cell import OTHER_PARTITION, PARTITION, make_job
 from tests.partitions.owner import Owner
 from tests.partitions.quota_cell import (
@@ -244,3 +245,26 @@
             lambda: cell.running() == 2,
         )
         cell.check()
+
+
+async def test_request_that_ends_with_an_error_is_sent_again():
+    """Guards against a team that waits forever for a lost request."""
+    async with open_quota_cell(QUOTA) as (cell, _, second):
+        call = second.parts.network.call
+        failed = []
+
+        async def fail_once(daemon_id, message, timeout_ms):
+            if isinstance(message, SyncShares) and any(
+                any(ask.wanted) for ask in message.asks
+            ):
+                failed.append(message)
+                second.parts.network.call = call
+                raise ValueError('unexpected')
+            return await call(daemon_id, message, timeout_ms)
+
+        second.parts.network.call = fail_once
+        job = make_job('p2.job', task_count=2, run_time_ms=30)
+        await submit(second.partition(OTHER_PARTITION), job, 5_000)
+        await until(lambda: finished_count(second, OTHER_PARTITION) == 2)
+        assert failed
+        cell.check()
