Explain the wait of each overdue step in the log

Other overdue steps are now named at least every 10 s, ten of them a second at most. The new test failed before (only the oldest was explained).

--- a/src/radishlift/steps/settings.py
+++ b/src/radishlift/steps/settings.py
@@ -21,7 +21,10 @@
     - `max_placed_count`: maximum number of starts planned in one tick, which
       limits the duration of a tick.
     - `explain_after_ms`, `max_explained_count`: how long a due step waits until
-      the log explains why, and the number of steps explained at a time.
+      the log explains why, and the number of oldest steps that are explained
+      each time.
+    - `explain_again_ms`, `max_repeated_count`: how often other steps are
+      explained, and how many of them at a time.
     - `advice_retry_ms`: delay before a failed advice request is repeated.
     - `max_open_count`: maximum number of open advice requests of a gang.
     - `gang_room_factor`: advice for a gang is requested on targets with this
@@ -50,6 +53,8 @@
     max_placed_count: int = 200
     explain_after_ms: int = 3000
     max_explained_count: int = 3
+    explain_again_ms: int = 10_000
+    max_repeated_count: int = 10
     advice_retry_ms: int = 200
     max_open_count: int = 4
     gang_room_factor: float = 2
--- a/src/radishlift/steps/wait_reasons.py
+++ b/src/radishlift/steps/wait_reasons.py
@@ -56,11 +56,14 @@
         self._planner = planner
         self._tickets = tickets
         self._settings = settings
+        self._explained_at_ms: dict[StepKey, int] = {}
 
     def explain(self) -> list[WaitingStep]:
-        """Explains the steps that have waited longest since they were due.
+        """Explains why steps have waited since they were due.
 
-        Steps that have waited less than `explain_after_ms` are omitted.
+        These are the steps that have waited longest, and others that were not
+        explained for `explain_again_ms`. Steps that have waited less than
+        `explain_after_ms` are omitted.
         """
         tick = self._planner.last_tick
         due_before_ms = tick.wall_ms - self._settings.explain_after_ms
@@ -73,9 +76,30 @@
         overdue.sort(key=lambda pair: pair[1].due_at_ms)
         return [
             self._explain_step(tick, job, step)
-            for job, step in overdue[: self._settings.max_explained_count]
+            for job, step in self._select(overdue, tick.now_ms)
         ]
 
+    def _select(
+        self, overdue: list[tuple[JobRun, StepRun]], now_ms: int
+    ) -> list[tuple[JobRun, StepRun]]:
+        settings = self._settings
+        explained = self._explained_at_ms
+        first_count = settings.max_explained_count
+        again_before_ms = now_ms - settings.explain_again_ms
+        others = [
+            pair
+            for pair in overdue[first_count:]
+            if explained.get(pair[1].key, again_before_ms) <= again_before_ms
+        ]
+        selected = overdue[:first_count] + others[: settings.max_repeated_count]
+        self._explained_at_ms = {
+            step.key: explained[step.key]
+            for _, step in overdue
+            if step.key in explained
+        }
+        self._explained_at_ms.update((step.key, now_ms) for _, step in selected)
+        return selected
+
     def _explain_step(
         self, tick: Tick, job: JobRun, step: StepRun
     ) -> WaitingStep:
--- a/tests/steps/test_wait_reasons.py
+++ b/tests/steps/test_wait_reasons.py
@@ -64,3 +64,21 @@
     setup = PlannerSetup()
     setup.add(job(step(1), accepted_at_ms=NOW_MS - 100))
     assert not explain_all(setup)
+
+
+def test_wait_of_a_step_behind_many_older_ones_is_explained():
+    """Guards against tasks whose wait can't be explained from the log."""
+    setup = PlannerSetup()
+    names = 'abcdef'
+    for name in names:
+        setup.add(job(step(1), job_id=name * 16))
+    settings = StepSettings(max_explained_count=1, max_repeated_count=2)
+    explainer = WaitExplainer(setup.planner, setup.tickets, settings)
+    explained = []
+    for now_ms in range(NOW_MS, NOW_MS + 3000, 1000):
+        setup.plan(now_ms=now_ms, wall_ms=now_ms)
+        explained.extend(
+            waiting.key.job_id[0] for waiting in explainer.explain()
+        )
+    assert sorted(explained[:3] + explained[4:6] + explained[7:]) == list(names)
+    assert explained.count('a') == 3
