Do not repeat a start after the capacity of its target shrank

A start without an answer was repeated without a look at the target's entry, so that it could take effect on a target that had shrunk meanwhile (LIMIT). Its first call is blocked then, as on a target that drains.

test_start_is_not_repeated_after_the_capacity_shrank failed before (two calls). tests/cell passes.

--- a/src/radishlift/cell/orders.py
+++ b/src/radishlift/cell/orders.py
@@ -12,6 +12,7 @@
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.logs import log_event
 from radishlift.steps.ids import TaskKey
+from radishlift.steps.spec import Amounts
 from radishlift.steps.targets import Target, TargetState
 
 _RAN_VERDICTS: Final = frozenset(
@@ -90,7 +91,7 @@
     async def _start(self, order: StartOrder) -> None:
         is_unresolved = False
         for _ in range(self._context.settings.order_retries_count):
-            if self._target.entry.state is not TargetState.ready:
+            if not self._has_room():
                 break
             if not self.listing.is_starting(order.key, order.attempt):
                 return
@@ -123,6 +124,12 @@
             is_unresolved=is_unresolved,
         )
 
+    def _has_room(self) -> bool:
+        """Returns whether the target's entry still allows its attempts."""
+        target = self._target
+        is_ready = target.entry.state is TargetState.ready
+        return is_ready and Amounts().fits_in(target.free_capacity)
+
     def _record_verdict(self, verdict: StartVerdict, sent_at_ms: int) -> None:
         # An unreachable target may have restarted, which only a poll shows.
         is_known = verdict is not StartVerdict.other_process
--- a/tests/cell/test_orders.py
+++ b/tests/cell/test_orders.py
@@ -147,6 +147,17 @@
     assert not setup.fake.started
 
 
+async def test_start_is_not_repeated_after_the_capacity_shrank(setup):
+    setup.fake.is_unresponsive = True
+    setup.orders.start(ORDER)
+    while not setup.fake.late:
+        await asyncio.sleep(0)
+    setup.target.update_entry(entry('t1', cores=0))
+    await asyncio.sleep(0.02)
+    assert len(setup.fake.late) == 1
+    setup.orders.close()
+
+
 async def test_later_leader_fences_this_one(setup):
     setup.fake.fencing_token = 4
     setup.orders.start(ORDER)
