Skip reservations of targets without any in the planning run

The reserved room was subtracted for each target and step, also where nothing is reserved, and gangs without a reservation were placed on targets without room.

--- a/src/radishlift/steps/planner.py
+++ b/src/radishlift/steps/planner.py
@@ -156,13 +156,18 @@
             return
         allowed = self._advice.list_allowed(tick, job, step)
         # During a backlog this list is empty for most steps.
-        fitting = [target for target in allowed if tick.may_use(target, step)]
+        fitting = [
+            target
+            for target in allowed
+            if step.spec.allocated_amounts.fits_in(target.free_capacity)
+            and tick.may_use(target, step)
+        ]
         placements = self._place(tick, job, step, fitting)
         allocate_starts(tick, job, step, placements)
         if len(placements) == waiting_count:
             self._remove_placed(step)
         elif step.spec.is_gang:
-            self._reserve_targets(tick, job, step, allowed)
+            self._reserve_targets(tick, job, step, allowed, fitting)
         else:
             self._advice.request(tick, job, step, fitting)
 
@@ -203,6 +208,7 @@
         job: JobRun,
         step: StepRun,
         allowed: list[Target],
+        fitting: list[Target],
     ) -> None:
         """Reserves targets for a gang and requests the advice it needs."""
         self._advice.request_for_gang(tick, job, step)
@@ -224,7 +230,7 @@
             return
         # It may reserve no room, but start in room that is free now.
         placements = place_step(
-            step, allowed, lambda target: tick.unclaimed_capacity(target, step)
+            step, fitting, lambda target: tick.unclaimed_capacity(target, step)
         )
         if placements:
             free_room = reserve_placements(placements, tick.now_ms)
--- a/src/radishlift/steps/ticks.py
+++ b/src/radishlift/steps/ticks.py
@@ -71,9 +71,9 @@
 
     def unclaimed_capacity(self, target: Target, step: StepRun) -> Amounts:
         """Returns the usable capacity that no gang has claimed."""
-        return self.usable_capacity(target, step).without(
-            self.claimed_amounts.get(target.entry.target_id, Amounts())
-        )
+        usable = self.usable_capacity(target, step)
+        claimed = self.claimed_amounts.get(target.entry.target_id)
+        return usable if claimed is None else usable.without(claimed)
 
     def usable_capacity(self, target: Target, step: StepRun) -> Amounts:
         """Returns the free capacity that a step may use despite reservations.
@@ -82,7 +82,10 @@
         may not use it: if it runs longer than expected, it delays the other
         gang on many targets at once.
         """
-        return target.free_capacity.without(self._reserved_from(target, step))
+        reserved = self._reserved_from(target, step)
+        if reserved is None:
+            return target.free_capacity
+        return target.free_capacity.without(reserved)
 
     def is_open(self, target: Target, step: StepRun) -> bool:
         """Returns whether reservations leave a step any use of a target."""
@@ -97,9 +100,11 @@
 
     def may_use_later(self, target: Target, step: StepRun) -> bool:
         """Returns whether a task fits once all tasks of a target have ended."""
-        return step.spec.allocated_amounts.fits_in(
-            target.entry.capacity.without(self._reserved_from(target, step))
-        )
+        capacity = target.entry.capacity
+        reserved = self._reserved_from(target, step)
+        if reserved is not None:
+            capacity = capacity.without(reserved)
+        return step.spec.allocated_amounts.fits_in(capacity)
 
     def suitable_targets(self, job: JobRun, step: StepRun) -> list[Target]:
         """Lists targets of the job's service with the step's label."""
@@ -124,15 +129,15 @@
         ]
         self.by_requirement.clear()
 
-    def _reserved_from(self, target: Target, step: StepRun) -> Amounts:
+    def _reserved_from(self, target: Target, step: StepRun) -> Amounts | None:
         """Returns the room on a target that is reserved against a step."""
         target_id = target.entry.target_id
         until_ms = self.reserved_until_ms.get(target_id)
         if until_ms is None:
-            return Amounts()
+            return None
         end_ms = self.now_ms + step.spec.expected_run_ms
         if not step.spec.is_gang and end_ms <= until_ms:
-            return Amounts()
+            return None
         return self.reserved_amounts[target_id]
 
 
