Let the stop fail from the start in the test of pauses between polls

Traced: the test made its target silent, and later responsive again together with a failing stop. The stop now fails before the target falls silent.

--- a/tests/cell/test_sessions.py
+++ b/tests/cell/test_sessions.py
@@ -196,15 +196,15 @@
         fake = cell.targets['t1']
         await cell.until(lambda: fake.fencing_token == 1)
         await asyncio.sleep(0.05)
-        fake.is_unresponsive = True
-        cell.submit(job())
-        await cell.until(lambda: bool(fake.late))
-        await asyncio.sleep(0.1)
 
         async def fail_to_stop(*_):
             return UNKNOWN
 
         monkeypatch.setattr(cell.targets, 'stop', fail_to_stop)
+        fake.is_unresponsive = True
+        cell.submit(job())
+        await cell.until(lambda: bool(fake.late))
+        await asyncio.sleep(0.1)
         sent_at_s = []
         hold = cell.targets.hold
 
