--- a/src/radishlift/steps/ticks.py
+++ b/src/radishlift/steps/ticks.py
@@ -31,7 +31,9 @@
 
     `now_ms` is monotonic and `wall_ms` is Unix time. `accepting` are the
     targets on which tasks may start, and `due` the steps that waited at its
-    start, in the order of their rank.
+    start, in the order of their rank. `reserved_amounts` is the room that
+    gangs hold until `reserved_until_ms`, and `claimed_amounts` the free room
+    for which gangs without a reservation request tickets.
     """
 
     plan: Plan
@@ -88,7 +90,10 @@
         return target.free_capacity.without(reserved)
 
     def is_open(self, target: Target, step: StepRun) -> bool:
-        """Returns whether reservations leave a step any use of a target."""
+        """Returns whether a step may wait for room on a target.
+
+        If room is reserved there, the step must fit beside it now.
+        """
         is_reserved = target.entry.target_id in self.reserved_until_ms
         return not is_reserved or self.may_use(target, step)
 
