--- a/review/standin/cell.py
+++ b/review/standin/cell.py
@@ -361,11 +361,15 @@
                     self.store.drop('servers', '', executor_id)
                     self.record.add(f'test the entry of {executor_id} expires')
 
+    def drop_entry(self, executor):
+        """Removes the entry of an executor."""
+        self._written_s.pop(executor.executor_id, None)
+        self.store.drop('servers', '', executor.executor_id)
+
     def leave(self, executor):
         """Ends an executor for good and removes its entry."""
         executor.crash()
-        self._written_s.pop(executor.executor_id, None)
-        self.store.drop('servers', '', executor.executor_id)
+        self.drop_entry(executor)
         self.record.add(f'test {executor.executor_id} has left')
 
     def spawn(self, work):
