--- a/review/4/case.py
+++ b/review/4/case.py
@@ -10,6 +10,7 @@
 NESTED = b'[' * 30_000
 UNREADABLE = b'\xff\x00no entry'
 JOBS_COUNT = 10
+TASK_CPU = 1000
 FINISH_S = 14.0
 OWN_ENDS_LIMIT = 3
 DAEMONS_LIMIT = 2
@@ -21,7 +22,7 @@
     content = NESTED if has_trouble else UNREADABLE
     cell.spawn(_write_entries(cell, content))
     await asyncio.sleep(1)
-    step = {'count': 4, 'cpu': 1000, 'memMb': 8, 'estimateMs': 500}
+    step = {'count': 4, 'cpu': TASK_CPU, 'memMb': 8, 'estimateMs': 500}
     ids = [f'{0xE3DE0000 + number:016x}' for number in range(JOBS_COUNT)]
     answers = {}
     for job_id in ids:
@@ -44,7 +45,7 @@
     ]
     return broken + [
         f'{job_id} is {states[job_id]!r} and has nothing running'
-        for job_id in find_lost(cell, unfinished)
+        for job_id in find_lost(cell, unfinished, TASK_CPU)
     ]
 
 
--- a/review/standin/cell.py
+++ b/review/standin/cell.py
@@ -423,11 +423,11 @@
     return broken
 
 
-def find_lost(cell, job_ids, calm_s=3.0):
+def find_lost(cell, job_ids, task_cpu, calm_s=3.0):
     """Lists accepted jobs that have nothing running while there is room.
 
     For `calm_s` up to now none of their tasks has run, and under half of the
-    capacity was in use.
+    capacity was in use, if each task needs `task_cpu` at most.
     """
     now_s = time.monotonic()
     recent = [
@@ -435,6 +435,13 @@
         for run in cell.runs
         if run.ended_s is None or run.ended_s > now_s - calm_s
     ]
+    capacity = sum(
+        executor.capacity['cpu']
+        for executor in cell.executors.values()
+        if executor.is_up
+    )
+    if 2 * task_cpu * len(recent) >= capacity:
+        return []
     running_ids = {run.task.partition('.')[0] for run in recent}
     return [job_id for job_id in job_ids if job_id not in running_ids]
 
