Keep the tasks of a draining target whose entry is missing

Cause: a missing entry of a draining target was taken as proof that its process had ended. Entries also expire after three heartbeats without a write, and while the store is down nobody can write. The log of the unchanged code shows ten `task_ended how=lost` in the millisecond of `store_regained table=targets`, only for the draining target; they start elsewhere 0.2 s later, while the target runs on under leases that the leader had renewed all the time.

Change: a target without an entry gets no new tasks and keeps its own, whatever its state. So that a target that leaves as announced costs no time, `cell.entry_writes` tells entries that were removed from entries that expired: one that was written less than two heartbeats before can't have expired, and writes before an outage of the store prove nothing. A target that runs nothing any more and has no entry is forgotten.

Why it works: the proof is now an answer of the host, the lease, or a removal that can't be an expiry.

--- a/src/radishlift/cell/attempts.py
+++ b/src/radishlift/cell/attempts.py
@@ -129,7 +129,7 @@
         """Marks the attempts that may have crashed a target."""
         self._crashes.record_crash(session.target, is_proven=is_proven)
 
-    def on_lease_expired(self, session: TargetSession) -> None:
+    def on_stopped(self, session: TargetSession) -> None:
         """Ends all attempts of a target; removes it if it is unlisted."""
         if session.target.allocations:
             log_event('target_lapsed', target=session.target_id)
--- a/src/radishlift/cell/daemon.py
+++ b/src/radishlift/cell/daemon.py
@@ -38,7 +38,8 @@
     """Dependencies and settings of a daemon.
 
     `leader_rank` orders the daemons of a cell by the capacity of their hosts;
-    the highest leads first.
+    the highest leads first. `target_heartbeat_ms` is the interval at which
+    targets write their entries; 0 if it is unknown.
     """
 
     daemon_id: DaemonId
@@ -53,6 +54,7 @@
     step_settings: StepSettings
     clock: Clock
     max_lease_ms: int
+    target_heartbeat_ms: int = 0
 
 
 class CellDaemon:
@@ -105,6 +107,7 @@
             dependencies.step_settings,
             dependencies.clock,
             dependencies.max_lease_ms,
+            dependencies.target_heartbeat_ms,
         )
         self._term: LeaderTerm | None = None
         self._tasks: list[asyncio.Task[None]] = []
--- a/src/radishlift/cell/fleet.py
+++ b/src/radishlift/cell/fleet.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 
+from radishlift.cell.entry_writes import EntryWrites
 from radishlift.cell.session_context import SessionContext
 from radishlift.cell.sessions import TargetSession
 from radishlift.cell.settings import CellSettings
@@ -23,8 +24,10 @@
         targets: TargetTable,
         settings: StepSettings,
         cell_settings: CellSettings,
+        target_heartbeat_ms: int,
     ) -> None:
         self._targets = targets
+        self.entry_writes = EntryWrites(target_heartbeat_ms)
         self.settings = settings
         self._max_entry_age_ms = cell_settings.max_entry_age_ms
         self.entries_read_at_ms = 0
@@ -72,6 +75,11 @@
     def record_read(self, requested_at_ms: int) -> None:
         """Records when the latest entries of targets were requested."""
         self.entries_read_at_ms = requested_at_ms
+        self.entry_writes.record_read(requested_at_ms)
+
+    def record_outage(self, _: int) -> None:
+        """Records that no entries could be read for some time."""
+        self.entry_writes.record_outage()
 
     def has_recent_entries(self, now_ms: int) -> bool:
         """Returns whether placement may rely on the entries of targets."""
--- a/src/radishlift/cell/leader_term.py
+++ b/src/radishlift/cell/leader_term.py
@@ -60,6 +60,7 @@
     step_settings: StepSettings
     clock: Clock
     max_lease_ms: int
+    target_heartbeat_ms: int = 0
 
 
 class LeaderTerm:
@@ -79,6 +80,7 @@
                 dependencies.step_settings,
                 dependencies.clock,
                 dependencies.max_lease_ms,
+                dependencies.target_heartbeat_ms,
             ),
             self._log,
         )
@@ -213,6 +215,7 @@
         )
         if table == TARGETS:
             follower.on_read = self.scheduler.fleet.record_read
+            follower.on_regained = self.scheduler.fleet.record_outage
         await follower.run(on_snapshot, on_changes)
 
     def _on_jobs(self, rows: tuple[Row, ...]) -> None:
@@ -250,10 +253,18 @@
 
     def _on_target_snapshot(self, rows: tuple[Row, ...]) -> None:
         self.scheduler.remove_unlisted({TargetId(row.key) for row in rows})
-        self._on_targets(rows)
+        self._update_targets(rows)
         self._has_targets.set()
 
     def _on_targets(self, rows: tuple[Row, ...]) -> None:
+        for row in rows:
+            if row.value is not None:
+                self.scheduler.fleet.entry_writes.record_write(
+                    TargetId(row.key)
+                )
+        self._update_targets(rows)
+
+    def _update_targets(self, rows: tuple[Row, ...]) -> None:
         for row in rows:
             if row.value is None and row.version:
                 self.scheduler.remove_target(TargetId(row.key))
--- a/src/radishlift/cell/scheduler.py
+++ b/src/radishlift/cell/scheduler.py
@@ -28,7 +28,7 @@
 from radishlift.steps.planning_state import summarize_tick
 from radishlift.steps.runs import JobRun, JobState
 from radishlift.steps.settings import StepSettings
-from radishlift.steps.targets import TargetEntry, TargetTable
+from radishlift.steps.targets import TargetEntry, TargetState, TargetTable
 from radishlift.steps.tickets import TicketTable
 from radishlift.steps.wait_reasons import WaitExplainer
 
@@ -43,6 +43,7 @@
     step_settings: StepSettings
     clock: Clock
     max_lease_ms: int
+    target_heartbeat_ms: int
 
 
 class Scheduler:
@@ -60,7 +61,10 @@
         self._explained_at_ms = 0
         self.jobs = JobTable(self._planner, log, context.clock)
         self.fleet = TargetFleet(
-            targets, context.step_settings, context.settings
+            targets,
+            context.step_settings,
+            context.settings,
+            context.target_heartbeat_ms,
         )
         self.attempts = AttemptTracker(
             self.jobs,
@@ -133,21 +137,34 @@
     def remove_target(self, target_id: TargetId) -> None:
         """Removes a target whose entry was removed.
 
-        If it was not draining, its tasks may still run, and it stays until
-        its lease has expired.
+        Entries also expire while the store is down, so its tasks may still
+        run. It gets no new ones, and stays until its process is known to have
+        ended or its lease has expired.
         """
         session = self.fleet.find_session(target_id)
         if session is None:
             return
         target = session.target
         target.is_listed = False
-        if (
-            target.allocations
-            and not target.entry.state.is_stopped_when_removed
-        ):
+        target.has_left = (
+            target.entry.state is TargetState.draining
+            and self.fleet.entry_writes.is_deliberate(
+                target_id, self._context.clock.monotonic_ms()
+            )
+        )
+        log_event(
+            'target_unlisted',
+            target=target_id,
+            attempts_count=len(target.allocations),
+            has_left=target.has_left,
+            is_reachable=target.is_reachable,
+        )
+        is_stopped = target.has_left and not target.is_reachable
+        if target.allocations and not is_stopped:
+            # A poll shows whether the process has ended.
+            session.notify()
             return
-        self.attempts.end_all_attempts(session)
-        self.fleet.remove(target_id)
+        self.attempts.on_stopped(session)
 
     def remove_unlisted(self, listed: set[TargetId]) -> None:
         """Removes all targets that are missing in a complete list."""
--- a/src/radishlift/cell/session_context.py
+++ b/src/radishlift/cell/session_context.py
@@ -41,8 +41,8 @@
         Without proof the process may run on behind a network partition.
         """
 
-    def on_lease_expired(self, session: 'TargetSession') -> None:
-        """Handles the end of all attempts of an unreachable target."""
+    def on_stopped(self, session: 'TargetSession') -> None:
+        """Handles that a target runs nothing any more."""
 
     def on_reachability_changed(self, session: 'TargetSession') -> None:
         """Handles a change of `target.is_reachable`."""
--- a/src/radishlift/cell/sessions.py
+++ b/src/radishlift/cell/sessions.py
@@ -12,7 +12,7 @@
     StartVerdict,
 )
 from radishlift.cell.session_context import SessionContext
-from radishlift.core.errors import Failure
+from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.logs import log_event
 from radishlift.steps.ids import TargetId, TargetIncarnation, TaskKey
 from radishlift.steps.targets import Target
@@ -110,6 +110,8 @@
             # An unreachable target gets no orders, so that only polls can tell
             # that it answers again.
             if self._is_synced and is_idle:
+                if not target.is_listed:
+                    self._context.listener.on_stopped(self)
                 self._has_work.clear()
                 await self._has_work.wait()
                 self._ended_cursor = 0
@@ -195,17 +197,17 @@
         self.target.record_failure(self._now_ms())
         self._set_reachable(is_reachable=False)
         has_expired = self._lease.has_expired(self._now_ms())
-        has_restarted = answer is StartVerdict.other_process
-        if has_restarted:
+        has_ended = _has_process_ended(self.target, answer)
+        if has_ended:
             # A start that this process rejects did not crash the earlier one.
             await self._orders.open_starts.wait_closed()
-        if has_expired or has_restarted:
+        if has_expired or has_ended:
             self.listing.clear()
             # A listed target may run on behind a network partition.
             self._context.listener.on_crashed(
-                self, is_proven=has_restarted or not self.target.is_listed
+                self, is_proven=has_ended or not self.target.is_listed
             )
-            self._context.listener.on_lease_expired(self)
+            self._context.listener.on_stopped(self)
 
     def _set_reachable(self, *, is_reachable: bool) -> None:
         if self.target.is_reachable != is_reachable:
@@ -213,4 +215,13 @@
             self._context.listener.on_reachability_changed(self)
 
 
+def _has_process_ended(target: Target, answer: StartVerdict | Failure) -> bool:
+    """Returns whether an answer proves that a target's process has ended."""
+    if isinstance(answer, StartVerdict):
+        return answer is StartVerdict.other_process
+    # A process that has an entry may be about to listen.
+    is_refused = answer.kind is ErrorKind.peer_not_listening
+    return target.has_left or (is_refused and not target.is_listed)
+
+
 __all__ = ('TargetSession',)
--- a/src/radishlift/core/events.py
+++ b/src/radishlift/core/events.py
@@ -96,6 +96,7 @@
     'store_regained',
     'target_removed',
     'target_state',
+    'target_unlisted',
     'task_ended',
     'task_started',
     'term_begun',
--- a/src/radishlift/platform/main.py
+++ b/src/radishlift/platform/main.py
@@ -81,6 +81,7 @@
             StepSettings(),
             clock,
             settings.max_lease_ms,
+            settings.target_heartbeat_ms,
         ),
     )
     stopped = asyncio.Event()
--- a/src/radishlift/platform/settings.py
+++ b/src/radishlift/platform/settings.py
@@ -23,7 +23,8 @@
     """Settings of a process from the platform.
 
     `max_lease_ms` is the longest lease of a target. `grace_ms` is the time
-    between SIGTERM and SIGKILL.
+    between SIGTERM and SIGKILL. `target_heartbeat_ms` is the interval at which
+    targets write their entries; 0 if it is unknown.
     """
 
     daemon_id: DaemonId
@@ -36,6 +37,7 @@
     advice_address: Address
     max_lease_ms: int
     grace_ms: int
+    target_heartbeat_ms: int
     link_mbps: float
     cpu_cores: float
 
@@ -71,6 +73,7 @@
         advice_address=Address(fields.get('advice', '')),
         max_lease_ms=int(bounds['holdMaxMs']),
         grace_ms=int(bounds['graceS'] * _MS_IN_S),
+        target_heartbeat_ms=int(fields.get('heartbeatMs', 0)),
         link_mbps=float(limits['linkMbps']),
         # `cpuShare` is a share of a processor as fast as `cores` cores.
         cpu_cores=float(limits['cpuShare']) * float(limits['cores']),
--- a/src/radishlift/platform/store.py
+++ b/src/radishlift/platform/store.py
@@ -8,7 +8,7 @@
 from urllib.parse import urlencode
 
 from radishlift.cell.ports import ChangedRows
-from radishlift.core.errors import ErrorKind, Failure
+from radishlift.core.errors import ErrorKind, Failure, Outcome
 from radishlift.core.ids import Address
 from radishlift.platform.http import JsonAnswer, JsonClient
 from radishlift.platform.layout import TableLocation, find_location, find_table
@@ -182,7 +182,7 @@
 
 
 def _store_failure(failure: Failure) -> Failure:
-    if failure.kind is ErrorKind.peer_unavailable:
+    if failure.answer.outcome is Outcome.not_run:
         return Failure(ErrorKind.store_unavailable, failure.reason)
     return Failure(ErrorKind.store_outcome_unknown, failure.reason)
 
--- a/src/radishlift/steps/targets.py
+++ b/src/radishlift/steps/targets.py
@@ -16,11 +16,6 @@
     ready = 'ready'
     draining = 'draining'
 
-    @property
-    def is_stopped_when_removed(self) -> bool:
-        """Returns whether removal of the entry proves that no task runs."""
-        return self is TargetState.draining
-
 
 @dataclass(frozen=True, slots=True)
 class TargetEntry:
@@ -99,8 +94,8 @@
     not respond or that fail the tasks they start. `answered_at_ms` is when
     the latest answered call was sent. `failed_at_ms` is when a call first
     failed since the process was last known to run; None if none has.
-    `has_restarted` is whether a process has ended. A watched target is polled
-    more often.
+    `has_restarted` is whether a process has ended, and `has_left` whether the
+    target has removed its entry. A watched target is polled more often.
     """
 
     entry: TargetEntry
@@ -113,6 +108,7 @@
     answered_at_ms: int = 0
     failed_at_ms: int | None = None
     has_restarted: bool = False
+    has_left: bool = False
     is_watched: bool = False
     free_capacity: Amounts = field(init=False)
 
@@ -233,6 +229,7 @@
             self._targets[entry.target_id] = target
         target.update_entry(entry)
         target.is_listed = True
+        target.has_left = False
         return target
 
     def remove(self, target_id: TargetId) -> None:
--- a/tests/cell/fakes.py
+++ b/tests/cell/fakes.py
@@ -23,6 +23,7 @@
 
 UNKNOWN = Failure(ErrorKind.target_outcome_unknown, 'no answer')
 UNREACHABLE = Failure(ErrorKind.peer_unavailable, 'not connected')
+NOT_LISTENING = Failure(ErrorKind.peer_not_listening, 'connection refused')
 DOWN = Failure(ErrorKind.store_unavailable, 'down')
 
 
@@ -96,8 +97,8 @@
 
     With `instant_end` they end as soon as they start. With `keeps_stopped`
     stops take until a test ends the tasks. With `is_replaced` a process with
-    another id has its address. Calls that get no answer because of
-    `is_unresponsive` fail after `timeout_s`.
+    another id has its address, and with `has_left` no process has. Calls that
+    get no answer because of `is_unresponsive` fail after `timeout_s`.
     """
 
     incarnation: int = 1
@@ -107,6 +108,7 @@
     timeout_s: float = 0.0
     refuses_connections: bool = False
     is_replaced: bool = False
+    has_left: bool = False
     loses_answers: bool = False
     rejection: StartVerdict | None = None
     instant_end: EndKind | None = None
@@ -137,6 +139,11 @@
             EndedAttempt(self.ended_count, key, attempt, kind, checkpoint)
         )
 
+    def leave(self) -> None:
+        """Ends the process for good."""
+        self.has_left = True
+        self.running.clear()
+
     def run(self, order: StartOrder) -> StartVerdict:
         if order.fencing_token < self.fencing_token:
             return StartVerdict.fenced
@@ -175,6 +182,8 @@
     async def start(self, target: TargetRef, order: StartOrder):
         fake = self.by_id[target.target_id]
         await asyncio.sleep(0)
+        if fake.has_left:
+            return NOT_LISTENING
         if fake.refuses_connections:
             return UNREACHABLE
         if fake.is_replaced:
@@ -208,6 +217,8 @@
     async def stop(self, target: TargetRef, key, attempt: int, fencing_token):
         fake = self.by_id[target.target_id]
         await asyncio.sleep(0)
+        if fake.has_left:
+            return NOT_LISTENING
         if fake.is_unresponsive:
             await asyncio.sleep(fake.timeout_s)
             return UNKNOWN
@@ -222,6 +233,8 @@
     async def hold(self, target: TargetRef, order: HoldOrder):
         fake = self.by_id[target.target_id]
         await asyncio.sleep(0.002)
+        if fake.has_left:
+            return NOT_LISTENING
         if fake.is_replaced:
             return StartVerdict.other_process
         if fake.is_unresponsive:
@@ -235,7 +248,7 @@
             ended for ended in fake.ended if ended.sequence > order.ended_cursor
         ]
         for _ in range(min(order.wait_ms, 40) // 4):
-            if fake.ended or fake.is_unresponsive:
+            if fake.ended or fake.is_unresponsive or fake.has_left:
                 break
             await asyncio.sleep(0.004)
         running = tuple(
--- a/tests/cell/leader.py
+++ b/tests/cell/leader.py
@@ -58,9 +58,11 @@
         cores: int = 4,
         settings: CellSettings = SETTINGS,
         max_lease_ms: int = MAX_LEASE_MS,
+        target_heartbeat_ms: int = 0,
         step_settings: StepSettings | None = None,
     ) -> None:
         self.max_lease_ms = max_lease_ms
+        self.target_heartbeat_ms = target_heartbeat_ms
         self.settings = settings
         self.step_settings = step_settings or StepSettings()
         self.store = MemoryCellStore()
@@ -135,6 +137,7 @@
                 self.step_settings,
                 BootClock(),
                 self.max_lease_ms,
+                self.target_heartbeat_ms,
             ),
         )
         task = asyncio.create_task(term.run())
--- a/tests/cell/test_leader_term.py
+++ b/tests/cell/test_leader_term.py
@@ -1,6 +1,7 @@
 """Tests of a complete leader: takeovers, lost targets, cancels and limits."""
 
 import asyncio
+from contextlib import contextmanager
 
 import pytest
 
@@ -11,8 +12,9 @@
     TARGETS,
     UNRENEWED_KEY,
 )
+from radishlift.core.logs import add_event_sink, remove_event_sink
 from radishlift.steps.endings import EndKind
-from tests.cell.leader import Cell
+from tests.cell.leader import MAX_LEASE_MS, Cell
 from tests.only import only
 from tests.standins.tables import Fault
 from tests.steps.builders import ADVICE, job, key, step
@@ -25,6 +27,15 @@
     await cell.close()
 
 
+@contextmanager
+def event_sink(sink):
+    add_event_sink(sink)
+    try:
+        yield
+    finally:
+        remove_event_sink(sink)
+
+
 def attempts(cell, task_key):
     return [
         (name, order.attempt)
@@ -215,18 +226,132 @@
     assert 0 < row.value['remaining_ms']['t3'] < 300
 
 
-async def test_removed_drained_target_frees_its_tasks_at_once(cell):
+async def test_drained_target_that_has_left_frees_its_tasks_at_once(cell):
     cell.lead()
     cell.submit(job())
     await cell.until(lambda: bool(cell.targets.running_tasks()))
     name = only(cell.targets.running_tasks().values())
     cell.write_target(name, state='draining')
     await asyncio.sleep(0.02)
+    cell.targets[name].leave()
     cell.write(TARGETS, name, None)
     other = {'t1': 't2', 't2': 't1'}[name]
     await cell.until(lambda: bool(cell.targets[other].started), 0.15)
 
 
+@pytest.mark.parametrize('state', ['ready', 'draining'])
+@pytest.mark.parametrize('is_history_dropped', [False, True])
+async def test_removed_entry_of_a_running_target_starts_no_task_twice(
+    cell, state, is_history_dropped
+):
+    # Entries expire while the store is down, also those of running targets.
+    cell.lead()
+    job_id = cell.submit(job(step(2)))
+    await cell.until(lambda: len(cell.targets.running_tasks()) == 2)
+    names = set(cell.targets.running_tasks().values())
+    for name in names:
+        cell.write_target(name, state=state)
+    await asyncio.sleep(0.02)
+    cell.store.is_history_dropped = is_history_dropped
+    for name in names:
+        cell.write(TARGETS, name, None)
+    # The leases are renewed meanwhile.
+    await asyncio.sleep(2 * MAX_LEASE_MS / 1000)
+    cell.add_target('t3')
+    await asyncio.sleep(0.05)
+    assert len(cell.targets.running_tasks()) == 2
+    assert [attempt for _, attempt in attempts(cell, key(0))] == [1]
+    for name in names:
+        cell.write_target(name, state=state)
+    await cell.until_state(job_id, 'completed')
+    assert [attempt for _, attempt in attempts(cell, key(1))] == [1]
+
+
+async def test_silent_target_without_an_entry_keeps_its_tasks_for_its_lease():
+    # The entry is missing because neither side reaches the store.
+    cell = Cell('t1', max_lease_ms=600)
+    try:
+        cell.lead()
+        cell.submit(job())
+        await cell.until(lambda: bool(cell.targets.running_tasks()))
+        cell.write_target('t1', state='draining')
+        cell.add_target('t2')
+        await asyncio.sleep(0.02)
+        cell.targets['t1'].is_unresponsive = True
+        cell.write(TARGETS, 't1', None)
+        await asyncio.sleep(0.3)
+        assert not cell.targets['t2'].started
+        await cell.until(lambda: bool(cell.targets['t2'].started))
+    finally:
+        await cell.close()
+
+
+@pytest.mark.parametrize('has_outage', [False, True])
+async def test_silent_target_frees_its_tasks_once_it_has_removed_its_entry(
+    has_outage,
+):
+    # After an outage of the store the entry may have expired instead.
+    cell = Cell('t1', max_lease_ms=1000, target_heartbeat_ms=1000)
+    try:
+        cell.lead()
+        cell.submit(job())
+        await cell.until(lambda: bool(cell.targets.running_tasks()))
+        cell.write_target('t1', state='draining')
+        cell.add_target('t2')
+        await asyncio.sleep(0.05)
+        if has_outage:
+            cell.store.unreadable_tables.add(TARGETS)
+            await asyncio.sleep(0.05)
+        cell.targets['t1'].is_unresponsive = True
+        cell.write(TARGETS, 't1', None)
+        cell.store.unreadable_tables.clear()
+        await asyncio.sleep(0.3)
+        assert bool(cell.targets['t2'].started) is not has_outage
+    finally:
+        await cell.close()
+
+
+async def test_next_leader_waits_for_the_lease_of_a_target_without_an_entry():
+    cell = Cell('t1', max_lease_ms=600)
+    try:
+        first = cell.lead()
+        cell.submit(job())
+        await cell.until(lambda: bool(cell.targets.running_tasks()))
+        cell.write_target('t1', state='draining')
+        await asyncio.sleep(0.02)
+        await cell.kill(first)
+        cell.write(TARGETS, 't1', None)
+        cell.add_target('t2')
+        cell.lead()
+        await asyncio.sleep(0.3)
+        assert not cell.targets['t2'].started
+        # The entry is back before the lease expires.
+        cell.write_target('t1', state='draining')
+        await asyncio.sleep(0.6)
+        assert not cell.targets['t2'].started
+        assert len(cell.targets.running_tasks()) == 1
+    finally:
+        await cell.close()
+
+
+async def test_target_that_leaves_after_its_tasks_is_forgotten(cell):
+    cell.lead()
+    job_id = cell.submit(job())
+    await cell.until(lambda: bool(cell.targets.running_tasks()))
+    name = only(cell.targets.running_tasks().values())
+    cell.write_target(name, state='draining')
+    await asyncio.sleep(0.02)
+    cell.write(TARGETS, name, None)
+    removed = []
+    with event_sink(
+        lambda event, _, fields: removed.extend(
+            [fields['target']] if event == 'target_removed' else ()
+        )
+    ):
+        await cell.until_state(job_id, 'completed')
+        await cell.until(lambda: removed == [name])
+
+
 async def test_tasks_of_a_restarted_target_run_again(cell):
     cell.lead()
     job_id = cell.submit(job(step(1)))
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -30,6 +30,7 @@
     assert settings.peer_address == '127.0.0.1:7000'
     assert settings.metrics_address == '127.0.0.1:7001'
     assert (settings.max_lease_ms, settings.grace_ms) == (6000, 3000)
+    assert settings.target_heartbeat_ms == 1500
 
 
 @pytest.mark.parametrize(
