Read all JSON of other writers with one strict reader

Cause: the store's client caught ValueError, but text that is nested too deeply raises RecursionError. Each daemon that claims logs `term_begun` and within 0.2 s `loop_failed` with that error (log of the unchanged code, epoch 14 after 18 s).

Change: `platform.json_bodies` reads entries, configurations, submissions, and the answers of targets, of the advice service and of the store: limited nesting, no NaN, valid Unicode, integers up to 2^53, one list of errors. A row that can't be read has no fields and differs from a removed one: its target gets no starts and keeps its tasks, its job keeps its progress. The handling of entries moves from the term to `cell.target_entries`.

Why it works: a test puts 24 values into each field of each document, so that a field that is trusted again fails it, and each job that is still accepted is stored, read and planned.

--- a/src/radishlift/cell/daemon.py
+++ b/src/radishlift/cell/daemon.py
@@ -10,7 +10,6 @@
 from radishlift.cell.entry_rows import RelayedRows, StoreRows
 from radishlift.cell.job_service import JobService
 from radishlift.cell.leader_term import (
-    EntryDecoder,
     LeaderDependencies,
     LeaderTerm,
 )
@@ -20,6 +19,7 @@
 from radishlift.cell.settings import CellSettings
 from radishlift.cell.table_follower import FollowedTable, TableFollower
 from radishlift.cell.tables import CELL, CONFIG
+from radishlift.cell.target_entries import EntryDecoder
 from radishlift.core.clock import Clock
 from radishlift.core.errors import Failure
 from radishlift.core.ids import Address, DaemonId
--- a/src/radishlift/cell/leader_term.py
+++ b/src/radishlift/cell/leader_term.py
@@ -22,17 +22,16 @@
     TARGETS,
     UNRENEWED_KEY,
 )
+from radishlift.cell.target_entries import EntryDecoder, TargetEntries
 from radishlift.cell.unrenewed_leases import load_remaining_ms
 from radishlift.core.clock import Clock
 from radishlift.core.errors import Failure
 from radishlift.core.ids import DaemonId, JobId
 from radishlift.core.logs import log_event
 from radishlift.services.api import Row
-from radishlift.steps.ids import TargetId
 from radishlift.steps.progress import load_progress
 from radishlift.steps.runs import JobRun
 from radishlift.steps.settings import StepSettings
-from radishlift.steps.targets import TargetEntry
 from radishlift.wire.network import PeerNetwork
 
 _DECODE_ERRORS: Final = (
@@ -43,8 +42,6 @@
     ValueError,
 )
 
-EntryDecoder = Callable[[str, Any], TargetEntry | Failure]
-
 
 @dataclass(frozen=True, slots=True)
 class LeaderDependencies:
@@ -84,6 +81,9 @@
             ),
             self._log,
         )
+        self._entries = TargetEntries(
+            self.scheduler, dependencies.decode_target, dependencies.clock
+        )
         self._progress: dict[JobId, Row] = {}
         self._advice_dispatcher = AdviceDispatcher(
             dependencies.network,
@@ -161,7 +161,7 @@
         await self._follow(
             TARGETS,
             self._on_target_snapshot,
-            self._on_targets,
+            self._entries.update,
             self._dependencies.settings.feed_gap_ms,
         )
 
@@ -227,11 +227,12 @@
     def _add_job(self, job_id: JobId, row: Row) -> None:
         if job_id in self.scheduler.jobs or row.value is None:
             return
+        # Progress that remains here belongs to no job and is deleted.
+        progress = self._progress.pop(job_id, None)
         job = load_job(row.value)
         if isinstance(job, Failure):
             log_event('bad_job_row', job=job_id, reason=job.reason)
             return
-        progress = self._progress.pop(job_id, None)
         if progress is not None and not _load_progress(job, progress):
             return
         config = self._dependencies.get_config()
@@ -252,31 +253,9 @@
             self.scheduler.cancel_job(job_id)
 
     def _on_target_snapshot(self, rows: tuple[Row, ...]) -> None:
-        self.scheduler.remove_unlisted({TargetId(row.key) for row in rows})
-        self._update_targets(rows)
+        self._entries.replace(rows)
         self._has_targets.set()
 
-    def _on_targets(self, rows: tuple[Row, ...]) -> None:
-        for row in rows:
-            if row.value is not None:
-                self.scheduler.fleet.entry_writes.record_write(
-                    TargetId(row.key)
-                )
-        self._update_targets(rows)
-
-    def _update_targets(self, rows: tuple[Row, ...]) -> None:
-        for row in rows:
-            if row.value is None and row.version:
-                self.scheduler.remove_target(TargetId(row.key))
-                continue
-            entry = self._dependencies.decode_target(row.key, row.value)
-            if isinstance(entry, Failure):
-                log_event(
-                    'bad_target_entry', target=row.key, reason=entry.reason
-                )
-                continue
-            self.scheduler.update_target(entry)
-
 
 def _load_progress(job: JobRun, progress: Row) -> bool:
     """Restores a job's progress; returns False if its row is invalid.
--- a/src/radishlift/cell/scheduler.py
+++ b/src/radishlift/cell/scheduler.py
@@ -22,13 +22,13 @@
 from radishlift.core.clock import Clock
 from radishlift.core.ids import JobId
 from radishlift.core.logs import log_event
-from radishlift.steps.ids import FencingToken, TargetId
+from radishlift.steps.ids import FencingToken
 from radishlift.steps.placing import Placement
 from radishlift.steps.planner import Planner
 from radishlift.steps.planning_state import summarize_tick
 from radishlift.steps.runs import JobRun, JobState
 from radishlift.steps.settings import StepSettings
-from radishlift.steps.targets import TargetEntry, TargetState, TargetTable
+from radishlift.steps.targets import TargetEntry, TargetTable
 from radishlift.steps.tickets import TicketTable
 from radishlift.steps.wait_reasons import WaitExplainer
 
@@ -134,44 +134,6 @@
             self._has_changed.set()
         self.inherited.allocate(entry.target_id)
 
-    def remove_target(self, target_id: TargetId) -> None:
-        """Removes a target whose entry was removed.
-
-        Entries also expire while the store is down, so its tasks may still
-        run. It gets no new ones, and stays until its process is known to have
-        ended or its lease has expired.
-        """
-        session = self.fleet.find_session(target_id)
-        if session is None:
-            return
-        target = session.target
-        target.is_listed = False
-        target.has_left = (
-            target.entry.state is TargetState.draining
-            and self.fleet.entry_writes.is_deliberate(
-                target_id, self._context.clock.monotonic_ms()
-            )
-        )
-        log_event(
-            'target_unlisted',
-            target=target_id,
-            attempts_count=len(target.allocations),
-            has_left=target.has_left,
-            is_reachable=target.is_reachable,
-        )
-        is_stopped = target.has_left and not target.is_reachable
-        if target.allocations and not is_stopped:
-            # A poll shows whether the process has ended.
-            session.notify()
-            return
-        self.attempts.on_stopped(session)
-
-    def remove_unlisted(self, listed: set[TargetId]) -> None:
-        """Removes all targets that are missing in a complete list."""
-        for target_id in self.fleet:
-            if target_id not in listed:
-                self.remove_target(target_id)
-
     def close(self) -> None:
         """Closes all sessions with targets."""
         self.fleet.close()
--- a/src/radishlift/platform/advice.py
+++ b/src/radishlift/platform/advice.py
@@ -7,6 +7,13 @@
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import Address
 from radishlift.platform.http import JsonClient
+from radishlift.platform.json_bodies import (
+    DECODE_ERRORS,
+    describe,
+    read_count,
+    read_list,
+    read_text,
+)
 from radishlift.steps.ids import StepKey, TargetId
 
 _OK: Final = 200
@@ -40,16 +47,17 @@
             return Failure(ErrorKind.overloaded, reason)
         try:
             return _decode_answer(answer.fields)
-        except (IndexError, TypeError, ValueError) as error:
-            reason = f'malformed advice: {error!r}'
+        except DECODE_ERRORS as error:
+            reason = f'malformed advice: {describe(error)}'
             return Failure(ErrorKind.bad_frame, reason)
 
 
 def _decode_answer(fields: Mapping[str, Any]) -> AdviceAnswer:
     tickets = tuple(
-        (TargetId(row[0]), str(row[1])) for row in fields.get('allowed', ())
+        (TargetId(read_text(row[0])), read_text(row[1]))
+        for row in read_list(fields.get('allowed', []))
     )
-    return AdviceAnswer(tickets, int(fields.get('validMs', 0)))
+    return AdviceAnswer(tickets, read_count(fields.get('validMs', 0)))
 
 
 __all__ = ('PlatformAdvice',)
--- a/src/radishlift/platform/documents.py
+++ b/src/radishlift/platform/documents.py
@@ -1,5 +1,6 @@
 """Decodes the rows that the operator and the targets write."""
 
+import re
 from collections.abc import Mapping
 from typing import Any, Final
 
@@ -11,51 +12,70 @@
     DataCentreId,
     ServiceName,
 )
+from radishlift.platform.json_bodies import (
+    DECODE_ERRORS,
+    describe,
+    read_count,
+    read_integer,
+    read_list,
+    read_name,
+    read_number,
+    read_text,
+)
 from radishlift.steps.ids import QueueName, TargetId, TargetIncarnation
 from radishlift.steps.spec import AdviceTerms, Amounts, QueueTerms
 from radishlift.steps.targets import TargetEntry, TargetState
 
 CONFIG_KEY: Final = 'config'
 
-_DECODE_ERRORS: Final = (KeyError, TypeError, ValueError, AttributeError)
+# Host names and ports of IPv4 and IPv6 addresses.
+_ADDRESS: Final = re.compile(r'[\w.:\[\]-]+:\d{1,5}', re.ASCII)
 
 
 def decode_config(fields: Mapping[str, Any]) -> QueueConfig | Failure:
     """Decodes the operator's configuration; fails with `invalid_input`."""
     try:
         return QueueConfig(
-            ConfigVersion(int(fields['version'])),
+            ConfigVersion(_read_whole(fields['version'])),
             tuple(_decode_queue(route) for route in fields['routes']),
-            int(fields['limits']['maxBodyBytes']),
+            _read_whole(fields['limits']['maxBodyBytes']),
+        )
+    except DECODE_ERRORS as error:
+        return Failure(
+            ErrorKind.invalid_input, f'configuration: {describe(error)}'
         )
-    except _DECODE_ERRORS as error:
-        return Failure(ErrorKind.invalid_input, f'configuration: {error!r}')
 
 
 def _decode_queue(route: Mapping[str, Any]) -> Queue:
     advice = route.get('advice')
     terms = QueueTerms(
-        queue=QueueName(route['name']),
-        service=ServiceName(route['service']),
-        priority=int(route.get('priority', 0)),
-        max_attempts=int(route.get('attempts', 1)),
-        stretch=float(route.get('stretch', 1)),
+        queue=QueueName(read_text(route['name'])),
+        service=ServiceName(read_text(route['service'])),
+        priority=_read_whole(route.get('priority', 0)),
+        max_attempts=_read_whole(route.get('attempts', 1)),
+        stretch=float(read_number(route.get('stretch', 1))),
         # The time allowed beyond the stretched run time, not a whole duration.
-        objective_ms=int(route.get('targetDurationMs', 0)),
+        objective_ms=_read_whole(route.get('targetDurationMs', 0)),
         advice=None if advice is None else _decode_advice_terms(advice),
     )
-    return Queue(terms, route['host'], route['pathPrefix'])
+    return Queue(
+        terms, read_text(route['host']), read_text(route['pathPrefix'])
+    )
 
 
 def _decode_advice_terms(fields: Mapping[str, Any]) -> AdviceTerms:
     return AdviceTerms(
-        float(fields.get('decideMs', 0)),
+        float(read_number(fields.get('decideMs', 0))),
         # Decision time for each target of an advice request.
-        float(fields.get('periodMs', 0)),
-        int(fields.get('validMs', 0)),
+        float(read_number(fields.get('periodMs', 0))),
+        _read_whole(fields.get('validMs', 0)),
     )
 
 
+def _read_whole(field: object) -> int:
+    return int(read_number(field))
+
+
 def decode_target(
     target_id: str,
     fields: Mapping[str, Any] | None,
@@ -63,8 +83,10 @@
     """Decodes the entry of a target; fails with `invalid_input`."""
     try:
         return _decode_target_entry(TargetId(target_id), fields or {})
-    except _DECODE_ERRORS as error:
-        return Failure(ErrorKind.invalid_input, f'{target_id}: {error!r}')
+    except DECODE_ERRORS as error:
+        return Failure(
+            ErrorKind.invalid_input, f'{target_id}: {describe(error)}'
+        )
 
 
 def _decode_target_entry(
@@ -72,35 +94,30 @@
 ) -> TargetEntry:
     return TargetEntry(
         target_id,
-        TargetIncarnation(_require_integer(fields.get('born', 0))),
-        ServiceName(_require_text(fields['service'])),
-        Address(_require_text(fields['address'])),
-        DataCentreId(_require_text(fields['zone'])),
-        TargetState(fields['state']),
+        TargetIncarnation(read_integer(fields.get('born', 0))),
+        ServiceName(read_name(fields['service'])),
+        _read_address(fields['address']),
+        DataCentreId(read_name(fields['zone'])),
+        TargetState(read_name(fields['state'])),
         decode_amounts(fields['capacity']),
-        frozenset(map(_require_text, fields.get('labels', ()))),
-        _require_integer(fields.get('remainingMs', 0)),
+        frozenset(map(read_name, read_list(fields.get('labels', [])))),
+        read_integer(fields.get('remainingMs', 0)),
     )
 
 
-def _require_text(value: object) -> str:
-    if not isinstance(value, str) or not value:
-        raise TypeError(f'expected non-empty text, not {value!r}')
-    return value
-
-
-def _require_integer(value: object) -> int:
-    if isinstance(value, bool) or not isinstance(value, int):
-        raise TypeError(f'expected an integer, not {value!r}')
-    return value
+def _read_address(field: object) -> Address:
+    address = read_text(field)
+    if not _ADDRESS.fullmatch(address):
+        raise ValueError('expected an address with a port')
+    return Address(address)
 
 
 def decode_amounts(fields: Mapping[str, Any]) -> Amounts:
     """Decodes a capacity or a demand; raises TypeError or ValueError."""
     return Amounts(
-        _require_integer(fields.get('cpu', 0)),  # thousandths of a core
-        _require_integer(fields.get('memMb', 0)),
-        _require_integer(fields.get('gpu', 0)),
+        read_count(fields.get('cpu', 0)),  # thousandths of a core
+        read_count(fields.get('memMb', 0)),
+        read_count(fields.get('gpu', 0)),
     )
 
 
--- a/src/radishlift/platform/front.py
+++ b/src/radishlift/platform/front.py
@@ -1,6 +1,7 @@
 """HTTP API for callers, as specified by the platform."""
 
 import json
+import re
 from types import MappingProxyType
 from typing import Final
 
@@ -17,7 +18,11 @@
 _GONE: Final = 410
 # Used when a caller sends no deadline.
 _DEFAULT_DEADLINE_MS: Final = 3000
+# Longer texts are no deadline that a caller can mean.
+_MAX_DEADLINE_DIGITS: Final = 9
 _MS_IN_S: Final = 1000
+# Ids become parts of row keys and of the names of tasks.
+_JOB_ID: Final = re.compile('[0-9a-fA-F]{16}')
 _OPERATIONS: Final = MappingProxyType(
     {'POST': Operation.submit, 'DELETE': Operation.cancel},
 )
@@ -62,6 +67,8 @@
         if operation is Operation.count:
             pending = self._intake.count_pending(queue.terms.queue)
             return _json_response(f'{{"pending":{pending}}}')
+        if not _JOB_ID.fullmatch(job_id):
+            return _invalid_id_response(operation)
         if operation is Operation.submit:
             return await self._submit(request, queue, job_id)
         if operation is Operation.cancel:
@@ -97,14 +104,20 @@
 
     def _deadline_ms(self, request: web.BaseRequest) -> int:
         deadline_text = request.headers.get('Deadline-Ms', '')
-        wait_ms = (
-            int(deadline_text)
-            if deadline_text.isdecimal()
-            else _DEFAULT_DEADLINE_MS
-        )
+        is_number = deadline_text.isascii() and deadline_text.isdecimal()
+        wait_ms = _DEFAULT_DEADLINE_MS
+        if is_number and len(deadline_text) <= _MAX_DEADLINE_DIGITS:
+            wait_ms = int(deadline_text)
         return self._clock.monotonic_ms() + wait_ms
 
 
+def _invalid_id_response(operation: Operation) -> web.Response:
+    # No job can have such an id.
+    if operation is Operation.submit:
+        return _error_response(Failure(ErrorKind.invalid_input, 'job id'))
+    return web.Response(status=_GONE)
+
+
 def _outcome_response(outcome: Failure | None) -> web.Response:
     if outcome is None:
         return _json_response('{}')
--- a/src/radishlift/platform/http.py
+++ b/src/radishlift/platform/http.py
@@ -16,6 +16,7 @@
 
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import Address
+from radishlift.platform.json_bodies import describe, read_json
 
 # Targets accept 64 connections from all daemons together.
 _MAX_CONNECTIONS = 60
@@ -82,7 +83,7 @@
         except TimeoutError:
             reason = f'no answer within {timeout_ms} ms'
         except (ClientError, OSError, ValueError) as error:
-            reason = repr(error)
+            reason = describe(error)
         self._retire(address, session)
         return Failure(ErrorKind.peer_outcome_unknown, reason)
 
@@ -144,7 +145,7 @@
 def _decode(status: int, body: bytes) -> JsonAnswer:
     if not body:
         return JsonAnswer(status, {})
-    fields = json.loads(body)
+    fields = read_json(body)
     return JsonAnswer(status, fields if isinstance(fields, dict) else {})
 
 
--- a/src/radishlift/platform/store.py
+++ b/src/radishlift/platform/store.py
@@ -11,6 +11,13 @@
 from radishlift.core.errors import ErrorKind, Failure, Outcome
 from radishlift.core.ids import Address
 from radishlift.platform.http import JsonAnswer, JsonClient
+from radishlift.platform.json_bodies import (
+    DECODE_ERRORS,
+    describe,
+    read_count,
+    read_object,
+    read_text,
+)
 from radishlift.platform.layout import TableLocation, find_location, find_table
 from radishlift.services.api import Committed, Conflict, Row, Transaction
 
@@ -46,7 +53,10 @@
         )
         if isinstance(answer, Failure):
             return answer
-        for row in _decode_rows(answer, table):
+        found = _read_changed(answer, table)
+        if isinstance(found, Failure):
+            return found
+        for row in found.rows:
             if row.key == key:
                 return row
         return Row(table, key, 0, None)
@@ -97,8 +107,7 @@
         )
         if isinstance(answer, Failure):
             return answer
-        version = int(answer.fields.get('ver', after_version))
-        return ChangedRows(_decode_rows(answer, table), version)
+        return _read_changed(answer, table)
 
     async def commit(
         self,
@@ -114,13 +123,10 @@
         )
         if isinstance(answer, Failure):
             return _store_failure(answer)
-        if answer.status == _OK:
-            # All rows of a transaction get the same version.
-            version = int(answer.fields['ver'])
-            return Committed((version,) * len(transaction.writes))
-        if answer.status == _CONFLICT:
-            return Conflict(_conflict_rows(answer, transaction))
-        return _status_failure(answer.status)
+        try:
+            return _decode_outcome(answer, transaction)
+        except DECODE_ERRORS as error:
+            return _malformed_answer(error)
 
     async def _read_part(self, table: str, part: str) -> ChangedRows | Failure:
         rows: list[Row] = []
@@ -134,17 +140,19 @@
             answer = await self._get('/rows-get', query)
             if isinstance(answer, Failure):
                 return answer
-            found = _decode_rows(answer, table)
-            rows.extend(found)
+            found = _read_changed(answer, table)
+            if isinstance(found, Failure):
+                return found
+            rows.extend(found.rows)
             # Rows that change while pages are read are repeated as changes
             # after the version of the first page.
             if version is None:
-                version = int(answer.fields.get('ver', 0))
-            if not answer.fields.get('hasMore') or not found:
+                version = found.version
+            if not answer.fields.get('hasMore') or not found.rows:
                 return ChangedRows(tuple(rows), version)
             # Ranges include their first key, so the next page starts at the
             # last key with a zero byte appended.
-            query['from'] = f'{found[-1].key}\0'
+            query['from'] = f'{found.rows[-1].key}\0'
 
     async def _get(
         self,
@@ -216,15 +224,44 @@
     return base64.b64encode(text.encode()).decode()
 
 
-def _decode(encoded: object) -> Mapping[str, Any] | None:
-    """Decodes a row's value; returns None if it is not a JSON object."""
-    if not isinstance(encoded, str):
-        return None
+def _decode(encoded: object) -> Mapping[str, Any]:
+    """Decodes a row's value; returns no fields if it can't be read.
+
+    Only a row that was removed has no value.
+    """
     try:
-        fields = json.loads(base64.b64decode(encoded))
-    except ValueError:
-        return None
-    return fields if isinstance(fields, dict) else None
+        return read_object(base64.b64decode(read_text(encoded)))
+    except DECODE_ERRORS:
+        return {}
+
+
+def _decode_outcome(
+    answer: JsonAnswer,
+    transaction: Transaction,
+) -> Committed | Conflict | Failure:
+    if answer.status == _OK:
+        # All rows of a transaction get the same version.
+        version = read_count(answer.fields['ver'])
+        return Committed((version,) * len(transaction.writes))
+    if answer.status == _CONFLICT:
+        return Conflict(_conflict_rows(answer, transaction))
+    return _status_failure(answer.status)
+
+
+def _malformed_answer(error: Exception) -> Failure:
+    return Failure(
+        ErrorKind.store_outcome_unknown,
+        f'malformed answer of the store: {describe(error)}',
+    )
+
+
+def _read_changed(answer: JsonAnswer, table: str) -> ChangedRows | Failure:
+    try:
+        return ChangedRows(
+            _decode_rows(answer, table), read_count(answer.fields['ver'])
+        )
+    except DECODE_ERRORS as error:
+        return _malformed_answer(error)
 
 
 def _conflict_rows(
@@ -243,10 +280,10 @@
     for fields in answer.fields.get('rows', ()):
         if find_table(fields) != table:
             continue
-        key = fields['key']
+        key = read_text(fields['key'])
         is_removed = bool(fields.get('removed'))
         row_value = None if is_removed else _decode(fields.get('value'))
-        rows.append(Row(table, key, int(fields.get('ver', 0)), row_value))
+        rows.append(Row(table, key, read_count(fields['ver']), row_value))
     return tuple(rows)
 
 
--- a/src/radishlift/platform/targets.py
+++ b/src/radishlift/platform/targets.py
@@ -14,6 +14,14 @@
 )
 from radishlift.core.errors import ErrorKind, Failure, Outcome
 from radishlift.platform.http import JsonAnswer, JsonClient
+from radishlift.platform.json_bodies import (
+    DECODE_ERRORS,
+    describe,
+    read_count,
+    read_integer,
+    read_list,
+    read_text,
+)
 from radishlift.steps.endings import EndKind
 from radishlift.steps.ids import (
     FencingToken,
@@ -104,9 +112,10 @@
             return _decode_verdict(answer)
         try:
             return _decode_report(answer.fields)
-        except (KeyError, TypeError, ValueError) as error:
+        except DECODE_ERRORS as error:
             return Failure(
-                ErrorKind.bad_frame, f'malformed hold report: {error!r}'
+                ErrorKind.bad_frame,
+                f'malformed hold report: {describe(error)}',
             )
 
     async def _post(
@@ -144,27 +153,37 @@
 
 def _decode_report(fields: Mapping[str, Any]) -> HoldReport:
     running = []
-    for task, attempt, checkpoint, *_ in fields.get('running', ()):
-        key = parse_task_key(task)
+    for task, attempt, checkpoint, *_ in read_list(fields.get('running', [])):
+        key = parse_task_key(read_text(task))
         if key is not None:
-            running.append(RunningAttempt(key, int(attempt), checkpoint))
+            running.append(
+                RunningAttempt(key, read_count(attempt), read_text(checkpoint))
+            )
     ended = []
     last_number = 0
-    for number, task, attempt, how, checkpoint, *_ in fields.get(
-        'finished', ()
+    for number, task, attempt, how, checkpoint, *_ in read_list(
+        fields.get('finished', [])
     ):
-        last_number = max(last_number, int(number))
-        key = parse_task_key(task)
+        last_number = max(last_number, read_count(number))
+        key = parse_task_key(read_text(task))
         if key is not None:
             ended.append(
                 EndedAttempt(
-                    int(number), key, int(attempt), EndKind(how), checkpoint
+                    number,
+                    key,
+                    read_count(attempt),
+                    EndKind(read_text(how)),
+                    read_text(checkpoint),
                 ),
             )
     born = fields.get('born')
-    life = None if born is None else TargetIncarnation(int(born))
+    life = None if born is None else TargetIncarnation(read_integer(born))
     return HoldReport(
-        int(fields['clockMs']), life, tuple(running), tuple(ended), last_number
+        read_integer(fields['clockMs']),
+        life,
+        tuple(running),
+        tuple(ended),
+        last_number,
     )
 
 
--- a/src/radishlift/steps/spec.py
+++ b/src/radishlift/steps/spec.py
@@ -9,6 +9,9 @@
 # Number of fitting tasks if they need no resources.
 _UNLIMITED_COUNT: Final = 1_000_000
 _LONG_RUN_MS: Final = 86_400_000
+# Tasks of all occurrences of a job; each leader keeps all of them in memory,
+# about 0.7 KB each.
+MAX_JOB_TASKS: Final = 100_000
 
 
 def _subtract(amount: int, other: int) -> int:
@@ -152,4 +155,11 @@
     interval_ms: int = 0
 
 
-__all__ = ('AdviceTerms', 'Amounts', 'JobSpec', 'QueueTerms', 'StepSpec')
+__all__ = (
+    'MAX_JOB_TASKS',
+    'AdviceTerms',
+    'Amounts',
+    'JobSpec',
+    'QueueTerms',
+    'StepSpec',
+)
--- a/tests/cell/test_leader_term.py
+++ b/tests/cell/test_leader_term.py
@@ -334,6 +334,46 @@
         await cell.close()
 
 
+@pytest.mark.parametrize('state', ['ready', 'draining'])
+async def test_unreadable_entry_of_a_running_target_only_keeps_starts_off(
+    state,
+):
+    """Guards against an entry of another writer that counts as a removal."""
+    cell = Cell('t1', target_heartbeat_ms=1000)
+    fake = cell.targets['t1']
+    try:
+        cell.lead()
+        job_id = cell.submit(job(step(2)))
+        await cell.until(lambda: len(fake.running) == 2)
+        cell.write_target('t1', state=state)
+        await asyncio.sleep(0.05)
+        cell.write(TARGETS, 't1', {})
+        await asyncio.sleep(0.05)
+        cell.submit(job(job_id='b' * 16))
+        await asyncio.sleep(2 * MAX_LEASE_MS / 1000)
+        assert len(fake.started) == 2
+        assert len(fake.running) == 2
+        cell.write_target('t1')
+        await cell.until(lambda: len(fake.started) == 3)
+        await cell.until_state(job_id, 'completed')
+        assert len(fake.started) == 3
+    finally:
+        await cell.close()
+
+
+async def test_job_that_cannot_be_read_keeps_its_progress(cell):
+    """Guards against a job that a later release can read and runs again."""
+    bad = 'a' * 16
+    done = {'state': 'completed', 'steps': []}
+    cell.write(JOBS, bad, {})
+    cell.write(PROGRESS, bad, done)
+    cell.lead()
+    good = cell.submit(job(job_id='b' * 16))
+    await cell.until_state(good, 'completed')
+    await asyncio.sleep(0.05)
+    assert cell.store.tables.read(PROGRESS, bad).value == done
+
+
 async def test_target_that_leaves_after_its_tasks_is_forgotten(cell):
     cell.lead()
     job_id = cell.submit(job())
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -30,6 +30,7 @@
     listen,
     make_job_body,
 )
+from tests.platform.garbage import UNREADABLE
 from tests.standins.leased_target import LeasedTarget
 from tests.standins.proxy import ConnectionFault, Proxy
 
@@ -414,6 +415,13 @@
         soak.set_capacity(target_id, TARGET_CPU)
 
 
+@FAULTS.register('foreign_entries')
+async def foreign_entries(soak):
+    for number, content in enumerate(UNREADABLE):
+        soak.store.put_bytes('servers', '', f'x-{number}', content)
+        await asyncio.sleep(0.05)
+
+
 async def run_seed(folder: Path, seed: int) -> tuple[Soak, list[str]]:
     """Runs one seed and returns the violated guarantees."""
     soak = Soak(folder, seed)
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -1,5 +1,7 @@
 """Tests of decoding the rows of the operator and the targets."""
 
+import json
+
 import pytest
 
 from radishlift.core.errors import Failure
@@ -7,8 +9,9 @@
 from radishlift.platform.main import newest_config
 from radishlift.services.api import Row
 from radishlift.steps.spec import AdviceTerms, Amounts
-from radishlift.steps.targets import TargetState
+from radishlift.steps.targets import TargetEntry, TargetState
 from tests.only import only
+from tests.platform.garbage import replace_fields
 
 ROUTE = {
     'name': 'r-1',
@@ -98,3 +101,30 @@
 
 def test_row_without_a_value_is_refused():
     assert isinstance(decode_target('i-1', None), Failure)
+
+
+def test_no_field_of_an_entry_ends_its_reader():
+    """Guards against an entry of another writer that ends every leader."""
+    texts = list(replace_fields(ENTRY))
+    entries = [decode_target('i-1', json.loads(text)) for text in texts]
+    readable = [entry for entry in entries if isinstance(entry, TargetEntry)]
+    for entry in readable:
+        assert 0 <= entry.capacity.cpu_millicores < 2**54
+        assert ''.join((entry.service, *entry.labels)).encode()
+    assert len(readable) < len(entries) / 4
+
+
+@pytest.mark.parametrize(
+    'address', ['', 'host', 'host:', 'h/x:80', 'a b:80', 'h:1 HTTP/1.1', '\n:1']
+)
+def test_entry_without_a_usable_address_is_refused(address):
+    assert isinstance(
+        decode_target('i-1', {**ENTRY, 'address': address}), Failure
+    )
+
+
+def test_no_field_of_a_configuration_ends_its_reader():
+    for text in replace_fields(CONFIG):
+        config = decode_config(json.loads(text))
+        if not isinstance(config, Failure):
+            config.find('h.example', '/q/')
