Take a full page of ended attempts for a part of the list

Cause: a target lists at most 500 ended attempts at a time. Attempts that were neither running nor on this page counted as lost. The log of the unchanged code has a `task_ended how=lost` for the tasks behind the first 500 ends right after the takeover.

Change: a list says whether it has all ends, and only in such a list attempts can be missing. `ends_incomplete` logs the others. On the same path to the store, a page without rows that announces more is a failed read and not the last page.

Why it works: the ends of a page are acknowledged after their commit, so that the next list has the following ones; while the store is down nothing is acknowledged, and the list stays incomplete.

Tests that failed before: all four variants of test_ends_behind_the_first_pages_are_not_taken_for_lost_tasks (four pages, with and without a takeover and an outage of the store) and test_task_that_is_lost_beside_pages_of_ends_runs_again.

--- a/src/radishlift/cell/attempts.py
+++ b/src/radishlift/cell/attempts.py
@@ -78,11 +78,16 @@
                 self._crashes.clear_inherited(
                     job, session.target, running.key, running.attempt
                 )
-        for key, attempt in session.listing.list_missing(
-            listed,
-            session.list_requested_at_ms,
-        ):
-            self.end_unstarted(session, key, attempt)
+        if report.has_all_ended:
+            self._end_missing(session, listed)
+        else:
+            # An attempt that is missing may have ended, and is listed later.
+            log_event(
+                'ends_incomplete',
+                target=session.target_id,
+                ended_count=len(report.ended),
+                last_sequence=report.last_sequence,
+            )
         if session.target.is_watched:
             self._notify_scheduler()
 
@@ -168,6 +173,15 @@
             if task.state is TaskState.placed:
                 self._fleet.stop(task.target_id, task.key, task.attempt)
 
+    def _end_missing(
+        self, session: TargetSession, listed: set[TaskKey]
+    ) -> None:
+        missing = session.listing.list_missing(
+            listed, session.list_requested_at_ms
+        )
+        for key, attempt in missing:
+            self.end_unstarted(session, key, attempt)
+
     def _end_attempt(self, session: TargetSession, ended: EndedAttempt) -> None:
         has_survived = self._crashes.has_survived(
             session.target, ended.key, ended.attempt
--- a/src/radishlift/cell/ports.py
+++ b/src/radishlift/cell/ports.py
@@ -145,7 +145,9 @@
 class HoldReport:
     """A target's answer to a hold order.
 
-    `incarnation` is None if the target did not report it.
+    `incarnation` is None if the target did not report it. With
+    `has_all_ended` false more ended attempts follow once these are
+    acknowledged.
     """
 
     clock_ms: int
@@ -153,6 +155,7 @@
     running: tuple[RunningAttempt, ...]
     ended: tuple[EndedAttempt, ...]
     last_sequence: int
+    has_all_ended: bool = True
 
 
 class TargetCalls(Protocol):
--- a/src/radishlift/core/events.py
+++ b/src/radishlift/core/events.py
@@ -85,6 +85,7 @@
     'worker_quarantined',
 )
 _INFO: Final = (
+    'ends_incomplete',
     'cancel_stored',
     'insert_relayed',
     'cell_level_raised',
--- a/src/radishlift/platform/store.py
+++ b/src/radishlift/platform/store.py
@@ -148,8 +148,10 @@
             # after the version of the first page.
             if version is None:
                 version = found.version
-            if not answer.fields.get('hasMore') or not found.rows:
+            if not answer.fields.get('hasMore'):
                 return ChangedRows(tuple(rows), version)
+            if not found.rows:
+                return _malformed_answer(ValueError('page without rows'))
             # Ranges include their first key, so the next page starts at the
             # last key with a zero byte appended.
             query['from'] = f'{found.rows[-1].key}\0'
--- a/src/radishlift/platform/targets.py
+++ b/src/radishlift/platform/targets.py
@@ -45,6 +45,8 @@
     'room': StartVerdict.no_room,
     'ticket': StartVerdict.bad_ticket,
 }
+# Targets list at most this many ended attempts at a time.
+_PAGE_ENDS: Final = 500
 # Targets answer immediately, so a short timeout repeats a lost call soon.
 _TIMEOUT_MS: Final = 700
 
@@ -152,19 +154,33 @@
 
 
 def _decode_report(fields: Mapping[str, Any]) -> HoldReport:
+    finished = read_list(fields.get('finished', []))
+    born = fields.get('born')
+    life = None if born is None else TargetIncarnation(read_integer(born))
+    return HoldReport(
+        read_integer(fields['clockMs']),
+        life,
+        _decode_running(read_list(fields.get('running', []))),
+        _decode_ended(finished),
+        max((read_count(number) for number, *_ in finished), default=0),
+        has_all_ended=len(finished) < _PAGE_ENDS,
+    )
+
+
+def _decode_running(rows: list[Any]) -> tuple[RunningAttempt, ...]:
     running = []
-    for task, attempt, checkpoint, *_ in read_list(fields.get('running', [])):
+    for task, attempt, checkpoint, *_ in rows:
         key = parse_task_key(read_text(task))
         if key is not None:
             running.append(
                 RunningAttempt(key, read_count(attempt), read_text(checkpoint))
             )
+    return tuple(running)
+
+
+def _decode_ended(rows: list[Any]) -> tuple[EndedAttempt, ...]:
     ended = []
-    last_number = 0
-    for number, task, attempt, how, checkpoint, *_ in read_list(
-        fields.get('finished', [])
-    ):
-        last_number = max(last_number, read_count(number))
+    for number, task, attempt, how, checkpoint, *_ in rows:
         key = parse_task_key(read_text(task))
         if key is not None:
             ended.append(
@@ -176,15 +192,7 @@
                     read_text(checkpoint),
                 ),
             )
-    born = fields.get('born')
-    life = None if born is None else TargetIncarnation(read_integer(born))
-    return HoldReport(
-        read_integer(fields['clockMs']),
-        life,
-        tuple(running),
-        tuple(ended),
-        last_number,
-    )
+    return tuple(ended)
 
 
 __all__ = ('PlatformTargets',)
--- a/tests/cell/fakes.py
+++ b/tests/cell/fakes.py
@@ -98,7 +98,8 @@
     With `instant_end` they end as soon as they start. With `keeps_stopped`
     stops take until a test ends the tasks. With `is_replaced` a process with
     another id has its address, and with `has_left` no process has. Calls that
-    get no answer because of `is_unresponsive` fail after `timeout_s`.
+    get no answer because of `is_unresponsive` fail after `timeout_s`. Lists
+    have at most `page_ends` ended attempts.
     """
 
     incarnation: int = 1
@@ -109,6 +110,7 @@
     refuses_connections: bool = False
     is_replaced: bool = False
     has_left: bool = False
+    page_ends: int = 500
     loses_answers: bool = False
     rejection: StartVerdict | None = None
     instant_end: EndKind | None = None
@@ -255,13 +257,14 @@
             RunningAttempt(key, attempt, '')
             for key, attempt in fake.running.items()
         )
-        last = max((ended.sequence for ended in fake.ended), default=0)
+        ended = tuple(fake.ended[: fake.page_ends])
         return HoldReport(
             fake.clock_ms,
             TargetIncarnation(fake.incarnation),
             running,
-            tuple(fake.ended),
-            last,
+            ended,
+            ended[-1].sequence if ended else 0,
+            has_all_ended=len(ended) < fake.page_ends,
         )
 
 
--- a/tests/cell/test_sessions.py
+++ b/tests/cell/test_sessions.py
@@ -114,6 +114,55 @@
     assert started_count(cell, key(job_id=OTHER_JOB)) == 1
 
 
+@pytest.mark.parametrize('is_store_down', [False, True])
+@pytest.mark.parametrize('has_takeover', [False, True])
+async def test_ends_behind_the_first_pages_are_not_taken_for_lost_tasks(
+    is_store_down, has_takeover
+):
+    """Guards against tasks that run again although they have ended."""
+    settings = replace(SETTINGS, unconfirmed_ms=2000)
+    cell = Cell('t1', cores=16, settings=settings)
+    fake = cell.targets['t1']
+    fake.page_ends = 3
+    try:
+        term = cell.lead()
+        job_id = cell.submit(job(step(10)))
+        await cell.until(lambda: len(fake.running) == 10)
+        await asyncio.sleep(CONFIRMED_S)
+        if has_takeover:
+            await cell.kill(term)
+        cell.store.rejects_commits = is_store_down
+        cell.end_all()
+        if has_takeover:
+            cell.lead()
+        # The lists are requested several times without an acknowledgement.
+        await asyncio.sleep(0.3)
+        cell.store.rejects_commits = False
+        await cell.until(lambda: cell.state(job_id) == 'completed')
+        assert len(fake.started) == 10
+        await cell.until(lambda: len(fake.ended) < fake.page_ends)
+    finally:
+        await cell.close()
+
+
+async def test_task_that_is_lost_beside_pages_of_ends_runs_again():
+    cell = Cell('t1', cores=16)
+    fake = cell.targets['t1']
+    fake.page_ends = 3
+    try:
+        cell.lead()
+        job_id = cell.submit(job(step(10)))
+        await cell.until(lambda: len(fake.running) == 10)
+        await asyncio.sleep(CONFIRMED_S)
+        del fake.running[key(9)]
+        cell.end_all()
+        await cell.until(lambda: bool(fake.running))
+        assert list(fake.running) == [key(9)]
+        await cell.until_state(job_id, 'completed')
+    finally:
+        await cell.close()
+
+
 async def test_lease_is_renewed_while_ends_wait_for_their_commit():
     cell = Cell('t1', settings=replace(SETTINGS, unconfirmed_ms=2000))
     try:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -83,6 +83,17 @@
     assert found.version <= api.version
 
 
+async def test_page_without_rows_is_not_the_last_one():
+    async def answer(_request):
+        return web.json_response({'ver': 1, 'rows': [], 'hasMore': True})
+
+    client = JsonClient()
+    async with run_server(answer) as address:
+        found = await PlatformStore(client, address).snapshot(TARGETS)
+        assert isinstance(found, Failure)
+        await client.close()
+
+
 async def test_changes_are_those_after_a_version(api, store):
     api.put('op', '', 'config', {'version': 1})
     start = await store.snapshot(CONFIG)
--- a/tests/platform/test_targets.py
+++ b/tests/platform/test_targets.py
@@ -67,6 +67,15 @@
     assert report.ended[0].key == key()
 
 
+@pytest.mark.parametrize(('count', 'is_whole'), [(499, True), (500, False)])
+async def test_full_page_of_ends_is_not_the_whole_list(
+    services, count, is_whole
+):
+    ends = [[number + 1, TASK, 1, 'done', ''] for number in range(count)]
+    content = json.dumps({**REPORT, 'finished': ends}).encode()
+    assert (await services.hold(content)).has_all_ended is is_whole
+
+
 @pytest.mark.parametrize('content', UNREADABLE)
 async def test_unreadable_answers_are_failures(services, content):
     """Guards against an answer that ends the session and so the term."""
--- a/tests/standins/target_api.py
+++ b/tests/standins/target_api.py
@@ -5,6 +5,8 @@
 
 from aiohttp import web
 
+PAGE_ENDS = 500
+
 
 class TargetApi:
     """A target whose tasks end after `task_s` seconds.
@@ -96,7 +98,10 @@
             await asyncio.sleep(0.01)
         rows = [[task, run, '', 0] for task, run in self.running.items()]
         return self._answer(
-            200, born=self.born_ms, running=rows, finished=self.ended
+            200,
+            born=self.born_ms,
+            running=rows,
+            finished=self.ended[:PAGE_ENDS],
         )
 
     def _end_later(self, delay_s, task, attempt, outcome):
