Satisfy the linter on the reader of hold reports

Change: the loop stays where the list is applied, and the part is read by its index; no change of behaviour.

--- a/src/radishlift/cell/attempts.py
+++ b/src/radishlift/cell/attempts.py
@@ -79,7 +79,11 @@
                     job, session.target, running.key, running.attempt
                 )
         if report.has_all_ended:
-            self._end_missing(session, listed)
+            missing = session.listing.list_missing(
+                listed, session.list_requested_at_ms
+            )
+            for key, attempt in missing:
+                self.end_unstarted(session, key, attempt)
         else:
             # An attempt that is missing may have ended, and is listed later.
             log_event(
@@ -173,15 +177,6 @@
             if task.state is TaskState.placed:
                 self._fleet.stop(task.target_id, task.key, task.attempt)
 
-    def _end_missing(
-        self, session: TargetSession, listed: set[TaskKey]
-    ) -> None:
-        missing = session.listing.list_missing(
-            listed, session.list_requested_at_ms
-        )
-        for key, attempt in missing:
-            self.end_unstarted(session, key, attempt)
-
     def _end_attempt(self, session: TargetSession, ended: EndedAttempt) -> None:
         has_survived = self._crashes.has_survived(
             session.target, ended.key, ended.attempt
--- a/src/radishlift/platform/targets.py
+++ b/src/radishlift/platform/targets.py
@@ -162,7 +162,7 @@
         life,
         _decode_running(read_list(fields.get('running', []))),
         _decode_ended(finished),
-        max((read_count(number) for number, *_ in finished), default=0),
+        max((read_count(row[0]) for row in finished), default=0),
         has_all_ended=len(finished) < _PAGE_ENDS,
     )
 
