Let an answered cancel hold against submissions that arrive later

Cause: the cancel of a job that was not stored yet left no trace, and the insert of a job did not look at cancels. A frozen daemon read five submissions after their cancels had been answered with 410, and stored them; the leader ran them (record and log of the unchanged code).

Change: a cancel is stored before the job is looked up, and the insert of a job requires that there is no cancel. The two rows are in one part of the store, which decides between them. The submission that comes second gets 410. A leader starts nothing before it has read the cancels.

Why it works: the condition travels with the write, so it also holds for an insert through a peer, a write that the store carries out late, and a repeated request.

Tests that failed before: ten, among them test_submission_after_the_answered_cancel_is_never_stored, test_late_write_of_the_store_does_not_undo_a_cancel, test_submission_through_a_peer_respects_an_earlier_cancel and test_next_leader_starts_nothing_before_it_knows_the_cancels. test_cancel_of_an_unknown_job_fails expected that a job submitted after its cancel is stored, which is the fault; it keeps its check of the answer, and two tests check the rest.

--- a/src/radishlift/cell/entry_rows.py
+++ b/src/radishlift/cell/entry_rows.py
@@ -56,8 +56,9 @@
     ) -> Failure | None:
         """Inserts a row; succeeds if the row already exists.
 
-        Fails with `store_unavailable` if nothing was inserted, and with
-        `store_outcome_unknown` if the row may still appear.
+        Fails with `store_unavailable` if nothing was inserted, with
+        `cancelled` if a job was cancelled before, so that it can't be inserted
+        any more, and with `store_outcome_unknown` if the row may still appear.
         """
 
 
@@ -80,13 +81,13 @@
         """Inserts a row; succeeds if the row already exists."""
         outcome = await self._store.commit(
             Transaction(
-                (Condition(table, key, 0),),
+                _insert_conditions(table, key),
                 (Write(table, key, row),),
             ),
         )
-        if isinstance(outcome, Committed | Conflict):
-            return None
-        return outcome
+        if isinstance(outcome, Conflict):
+            return _explain_conflict(outcome, table, key)
+        return None if isinstance(outcome, Committed) else outcome
 
 
 class RelayedRows:
@@ -156,6 +157,8 @@
             reply = await self._call(peer, request)
             if not isinstance(reply, Failure):
                 return reply
+            if reply.kind is ErrorKind.cancelled:
+                return reply
             if reply.answer.outcome is not Outcome.not_run:
                 return Failure(ErrorKind.store_outcome_unknown, reply.reason)
         reason = 'neither the store nor a peer that can reach it responds'
@@ -218,6 +221,28 @@
         return RowInserted() if outcome is None else outcome
 
 
+def _insert_conditions(table: str, key: str) -> tuple[Condition, ...]:
+    absent = Condition(table, key, 0)
+    if table != JOBS:
+        return (absent,)
+    # A submission may arrive after the cancel of its job: a daemon, a peer or
+    # the store may have held it for seconds.
+    return absent, Condition(CANCELS, key, 0)
+
+
+def _explain_conflict(
+    conflict: Conflict, table: str, key: str
+) -> Failure | None:
+    existing = {row.table for row in conflict.rows if row.version}
+    if table in existing:
+        return None
+    if CANCELS in existing:
+        return Failure(ErrorKind.cancelled, f'job {key} was cancelled')
+    return Failure(
+        ErrorKind.store_outcome_unknown, f'conflict without a row of {key}'
+    )
+
+
 def _is_not_done(outcome: object) -> bool:
     if not isinstance(outcome, Failure):
         return False
--- a/src/radishlift/cell/job_service.py
+++ b/src/radishlift/cell/job_service.py
@@ -71,7 +71,8 @@
         """Stores a job; storing it again changes nothing.
 
         `deadline_ms` is monotonic. Fails with `store_unavailable` only if
-        the job is confirmed not to be stored.
+        the job is confirmed not to be stored, and with `cancelled` if it was
+        cancelled before, so that it will never be stored.
         """
         row = dump_job(spec, queue.terms, self._clock.wall_ms())
         outcome = await self._insert(JOBS, spec.job_id, row, deadline_ms)
@@ -85,12 +86,11 @@
         return outcome
 
     async def cancel(self, job_id: JobId, deadline_ms: int) -> Failure | None:
-        """Stores a cancel; fails with `not_found` for an unknown job."""
-        job = await self._rows.read(JOBS, job_id)
-        if isinstance(job, Failure):
-            return job
-        if not job.version:
-            return Failure(ErrorKind.not_found, f'no job {job_id}')
+        """Stores a cancel; fails with `not_found` for an unknown job.
+
+        The cancel of an unknown job is stored as well, as its submission may
+        still arrive.
+        """
         row = {'cancelled_at_ms': self._clock.wall_ms()}
         outcome = await self._insert(CANCELS, job_id, row, deadline_ms)
         log_event(
@@ -98,7 +98,16 @@
             job=job_id,
             outcome='accepted' if outcome is None else outcome.kind,
         )
-        return outcome
+        if outcome is not None:
+            return outcome
+        job = await self._rows.read(JOBS, job_id)
+        if isinstance(job, Failure):
+            # The cancel holds, whether or not there is such a job.
+            log_event('cancelled_job_unread', job=job_id, reason=job.reason)
+            return None
+        if not job.version:
+            return Failure(ErrorKind.not_found, f'no job {job_id}')
+        return None
 
     async def read_status(self, job_id: JobId) -> JobStatus | Failure:
         """Returns a job's status; fails with `not_found` if it is unknown."""
@@ -136,8 +145,9 @@
         is_unknown = False
         while True:
             outcome = await self._rows.insert(table, key, row)
-            if outcome is None:
-                return None
+            # After a cancel no earlier insert can take effect either.
+            if outcome is None or outcome.kind is ErrorKind.cancelled:
+                return outcome
             if outcome.kind is ErrorKind.store_outcome_unknown:
                 is_unknown = True
             remaining_ms = deadline_ms - self._clock.monotonic_ms()
--- a/src/radishlift/cell/leader_term.py
+++ b/src/radishlift/cell/leader_term.py
@@ -6,6 +6,7 @@
 from typing import Any, Final
 
 from radishlift.cell.advice_dispatch import AdviceDispatcher
+from radishlift.cell.cancel_table import CancelTable
 from radishlift.cell.commits import Claim, CommitLog
 from radishlift.cell.job_rows import load_job
 from radishlift.cell.ports import CellStore, TargetCalls
@@ -91,16 +92,18 @@
             dependencies.list_daemons,
             dependencies.clock,
         )
+        self._cancels = CancelTable(dependencies.clock)
         self._retention = Retention(
             dependencies.store,
             self.scheduler.jobs,
+            self._cancels,
             self._log,
             dependencies.settings,
             dependencies.clock,
         )
         self._is_restored = asyncio.Event()
         self._has_targets = asyncio.Event()
-        self._cancelled_job_ids: set[JobId] = set()
+        self._has_cancels = asyncio.Event()
 
     async def run(self) -> None:
         """Leads until it is deposed or cancelled."""
@@ -144,7 +147,7 @@
         )
         return [
             self._follow(JOBS, self._on_jobs, self._on_jobs),
-            self._follow(CANCELS, self._on_cancels, self._on_cancels),
+            self._follow(CANCELS, self._on_cancel_snapshot, self._on_cancels),
             self._follow_targets(),
             self._advice_dispatcher.run(),
             self._retention.run(),
@@ -154,6 +157,8 @@
     async def _follow_targets(self) -> None:
         # Running tasks of targets can be checked only once all jobs are loaded.
         await self._is_restored.wait()
+        # No task of a job may start whose cancel is not yet known.
+        await self._has_cancels.wait()
         self.scheduler.inherited.collect()
         for job_id in self._progress:
             self._log.delete_progress(job_id)
@@ -240,16 +245,20 @@
         if queue is not None:
             job.terms = queue.terms
         self.scheduler.add_job(job)
-        if job_id in self._cancelled_job_ids:
+        if job_id in self._cancels:
             self.scheduler.cancel_job(job_id)
 
+    def _on_cancel_snapshot(self, rows: tuple[Row, ...]) -> None:
+        self._on_cancels(rows)
+        self._has_cancels.set()
+
     def _on_cancels(self, rows: tuple[Row, ...]) -> None:
         for row in rows:
             job_id = JobId(row.key)
             if row.value is None:
-                self._cancelled_job_ids.discard(job_id)
+                self._cancels.discard(job_id)
                 continue
-            self._cancelled_job_ids.add(job_id)
+            self._cancels.add(job_id)
             self.scheduler.cancel_job(job_id)
 
     def _on_target_snapshot(self, rows: tuple[Row, ...]) -> None:
--- a/src/radishlift/cell/retention.py
+++ b/src/radishlift/cell/retention.py
@@ -2,12 +2,15 @@
 
 The row of a job is removed before its progress. If the removal stops between
 the two, the next leader deletes the progress that has no job. In the other
-order it would find a job without progress and run it again.
+order it would find a job without progress and run it again. Cancels of jobs
+that never arrived are kept as long, as their submissions may still arrive.
 """
 
 import asyncio
+from collections.abc import Iterable
 from typing import Final
 
+from radishlift.cell.cancel_table import CancelTable
 from radishlift.cell.commits import CommitLog
 from radishlift.cell.job_table import JobTable
 from radishlift.cell.ports import CellStore
@@ -17,7 +20,7 @@
 from radishlift.core.errors import Failure
 from radishlift.core.ids import JobId
 from radishlift.core.logs import log_event
-from radishlift.services.api import Transaction, Write
+from radishlift.services.api import Condition, Conflict, Transaction, Write
 
 # Two rows per job; the store accepts 100 per transaction.
 _MAX_BATCH_JOBS: Final = 45
@@ -30,12 +33,14 @@
         self,
         store: CellStore,
         jobs: JobTable,
+        cancels: CancelTable,
         log: CommitLog,
         settings: CellSettings,
         clock: Clock,
     ) -> None:
         self._store = store
         self._jobs = jobs
+        self._cancels = cancels
         self._log = log
         self._settings = settings
         self._clock = clock
@@ -48,11 +53,16 @@
 
     async def _remove_expired(self) -> None:
         limit_ms = self._clock.monotonic_ms() - self._settings.forget_ended_ms
-        by_shard: dict[int, list[JobId]] = {}
-        for job_id in self._jobs.list_ended_before(limit_ms):
-            by_shard.setdefault(entry_shard(job_id), []).append(job_id)
-        for job_ids in by_shard.values():
+        ended = self._jobs.list_ended_before(limit_ms)
+        for job_ids in _group_by_shard(ended):
             await self._remove(job_ids[:_MAX_BATCH_JOBS])
+        unmatched = [
+            job_id
+            for job_id in self._cancels.list_seen_before(limit_ms)
+            if job_id not in self._jobs
+        ]
+        for job_ids in _group_by_shard(unmatched):
+            await self._remove_cancels(job_ids[:_MAX_BATCH_JOBS])
 
     async def _remove(self, job_ids: list[JobId]) -> None:
         writes = [
@@ -69,5 +79,25 @@
             self._log.delete_progress(job_id)
         log_event('jobs_removed', count=len(job_ids))
 
+    async def _remove_cancels(self, job_ids: list[JobId]) -> None:
+        conditions = tuple(Condition(JOBS, job_id, 0) for job_id in job_ids)
+        writes = tuple(Write(CANCELS, job_id, None) for job_id in job_ids)
+        outcome = await self._store.commit(Transaction(conditions, writes))
+        if isinstance(outcome, Failure):
+            log_event('cancels_not_removed', reason=outcome.reason)
+            return
+        if isinstance(outcome, Conflict):
+            # Some have a job that this leader can't read.
+            job_ids = [JobId(row.key) for row in outcome.rows if row.version]
+        for job_id in job_ids:
+            self._cancels.discard(job_id)
+
+
+def _group_by_shard(job_ids: Iterable[JobId]) -> list[list[JobId]]:
+    by_shard: dict[int, list[JobId]] = {}
+    for job_id in job_ids:
+        by_shard.setdefault(entry_shard(job_id), []).append(job_id)
+    return list(by_shard.values())
+
 
 __all__ = ('Retention',)
--- a/src/radishlift/core/events.py
+++ b/src/radishlift/core/events.py
@@ -26,6 +26,8 @@
     'tick_failed',
 )
 _WARNING: Final = (
+    'cancelled_job_unread',
+    'cancels_not_removed',
     'attempts_ended',
     'advice_failed',
     'bad_frame',
--- a/src/radishlift/platform/front.py
+++ b/src/radishlift/platform/front.py
@@ -89,9 +89,7 @@
         if isinstance(spec, Failure):
             return _error_response(spec)
         outcome = await self._intake.submit(queue, spec, deadline_ms)
-        if isinstance(outcome, Failure):
-            return _error_response(outcome)
-        return _json_response('{}')
+        return _outcome_response(outcome)
 
     async def _state(self, job_id: JobId) -> web.Response:
         status = await self._intake.read_status(job_id)
@@ -121,7 +119,7 @@
 def _outcome_response(outcome: Failure | None) -> web.Response:
     if outcome is None:
         return _json_response('{}')
-    if outcome.kind is ErrorKind.not_found:
+    if outcome.kind in {ErrorKind.not_found, ErrorKind.cancelled}:
         return web.Response(status=_GONE)
     return _error_response(outcome)
 
--- a/tests/cell/test_entry_rows.py
+++ b/tests/cell/test_entry_rows.py
@@ -11,7 +11,7 @@
 from radishlift.cell.config_sharing import ConfigSharer
 from radishlift.cell.entry_rows import RelayedRows, StoreRows
 from radishlift.cell.settings import CellSettings
-from radishlift.cell.tables import CELL, JOBS, LEADER_KEY
+from radishlift.cell.tables import CANCELS, CELL, JOBS, LEADER_KEY
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import Address, DaemonId
 from radishlift.core.levels import FORMAT_LEVEL
@@ -98,6 +98,15 @@
     assert await first.rows.insert(JOBS, ID, {}) is None
 
 
+async def test_submission_through_a_peer_respects_an_earlier_cancel(entries):
+    first, second, _ = entries
+    assert await second.rows.insert(CANCELS, ID, {}) is None
+    first.cut_off()
+    failure = await first.rows.insert(JOBS, ID, {})
+    assert failure.kind is ErrorKind.cancelled
+    assert not (await second.rows.read(JOBS, ID)).version
+
+
 async def test_peers_do_not_insert_rows_of_the_leader(entries):
     first = entries[0]
     first.cut_off()
--- a/tests/cell/test_job_service.py
+++ b/tests/cell/test_job_service.py
@@ -6,7 +6,7 @@
 from radishlift.cell.entry_rows import RelayedRows, StoreRows
 from radishlift.cell.job_service import JobService, JobStatus
 from radishlift.cell.queues import Queue, QueueConfig
-from radishlift.cell.tables import JOBS, PROGRESS
+from radishlift.cell.tables import CANCELS, JOBS, PROGRESS
 from radishlift.core.errors import ErrorKind, Failure, Outcome
 from radishlift.core.ids import ConfigVersion, DaemonId
 from radishlift.services.api import Transaction, Write
@@ -49,6 +49,10 @@
         deadline_ms = self.clock.monotonic_ms() + wait_ms
         return await self.job_service.submit(QUEUE, RUN.spec, deadline_ms)
 
+    async def cancel(self):
+        deadline_ms = self.clock.monotonic_ms() + 400
+        return await self.job_service.cancel(ID, deadline_ms)
+
     def is_stored(self):
         return bool(self.store.tables.read(JOBS, ID).version)
 
@@ -114,11 +118,79 @@
 
 
 async def test_cancel_of_an_unknown_job_fails(service):
-    deadline_ms = service.clock.monotonic_ms() + 400
-    failure = await service.job_service.cancel(ID, deadline_ms)
+    failure = await service.cancel()
     assert failure.kind is ErrorKind.not_found
+
+
+async def test_cancel_of_a_stored_job_is_stored(service):
+    await service.submit()
+    assert await service.cancel() is None
+    assert service.store.tables.read(CANCELS, ID).version
+
+
+async def test_submission_after_the_answered_cancel_is_never_stored(service):
+    """Guards against a job that a frozen daemon stores after its cancel."""
+    await service.cancel()
+    failure = await service.submit()
+    assert failure.kind is ErrorKind.cancelled
+    assert failure.answer.outcome is Outcome.not_run
+    assert not service.is_stored()
+    assert (await service.cancel()).kind is ErrorKind.not_found
+
+
+async def test_repeated_submission_of_a_cancelled_job_is_the_same_job(service):
     await service.submit()
-    assert await service.job_service.cancel(ID, deadline_ms) is None
+    await service.cancel()
+    assert await service.submit() is None
+
+
+async def test_late_write_of_the_store_does_not_undo_a_cancel(
+    service, monkeypatch
+):
+    """Guards against a store that applies a lost call seconds later."""
+    late = []
+    commit = service.store.commit
+
+    async def hold_back(transaction):
+        if transaction.writes[0].table == JOBS:
+            late.append(transaction)
+            return Failure(ErrorKind.store_outcome_unknown, 'no answer')
+        return await commit(transaction)
+
+    monkeypatch.setattr(service.store, 'commit', hold_back)
+    failure = await service.submit(wait_ms=250)
+    assert failure.answer.outcome is Outcome.unknown
+    await service.cancel()
+    for transaction in late:
+        await commit(transaction)
+    assert late
+    assert not service.is_stored()
+
+
+async def test_cancel_ends_the_doubt_about_an_earlier_insert(service):
+    service.store.fail_next_commits = [Fault.lose_requests]
+    service.store.tables.commit(
+        Transaction((), (Write(CANCELS, ID, {'cancelled_at_ms': 1}),))
+    )
+    failure = await service.submit()
+    assert failure.kind is ErrorKind.cancelled
+
+
+async def test_stored_cancel_is_acknowledged_although_the_job_is_unread(
+    service, monkeypatch
+):
+    async def fail(table, key):
+        return Failure(ErrorKind.store_unavailable, 'down')
+
+    monkeypatch.setattr(service.store, 'read', fail)
+    assert await service.cancel() is None
+    assert service.store.tables.read(CANCELS, ID).version
+
+
+async def test_cancel_that_is_not_stored_is_not_acknowledged(service):
+    service.store.fail_next_commits = repeated(Fault.down)
+    failure = await service.cancel()
+    assert failure.kind is ErrorKind.store_unavailable
 
 
 @pytest.mark.parametrize('state', list(JobState))
--- a/tests/cell/test_leader_term.py
+++ b/tests/cell/test_leader_term.py
@@ -6,6 +6,7 @@
 import pytest
 
 from radishlift.cell.tables import (
+    CANCELS,
     COMMITS,
     JOBS,
     PROGRESS,
@@ -424,6 +425,38 @@
     assert not cell.targets.running_tasks()
 
 
+async def test_job_that_arrives_after_its_cancel_does_not_run(cell):
+    # A daemon of an earlier release inserts it all the same.
+    cell.lead()
+    cell.cancel('a' * 16)
+    await asyncio.sleep(0.05)
+    late = cell.submit(job(job_id='a' * 16))
+    other = cell.submit(job(job_id='b' * 16))
+    await cell.until_state(other, 'completed')
+    await cell.until(lambda: cell.state(late) == 'cancelled')
+    assert not attempts(cell, key(job_id=late))
+
+
+async def test_next_leader_starts_nothing_before_it_knows_the_cancels(
+    cell, monkeypatch
+):
+    """Guards against starts of cancelled jobs right after a takeover."""
+    snapshot = cell.store.snapshot
+
+    async def delay(table):
+        if table == CANCELS:
+            await asyncio.sleep(0.2)
+        return await snapshot(table)
+
+    monkeypatch.setattr(cell.store, 'snapshot', delay)
+    cancelled = cell.submit(job(job_id='a' * 16))
+    cell.cancel(cancelled)
+    other = cell.submit(job(job_id='b' * 16))
+    cell.lead()
+    await cell.until_state(other, 'completed')
+    assert not attempts(cell, key(job_id=cancelled))
+
+
 async def test_job_that_always_fails_ends_after_its_attempts(cell):
     cell.lead()
     job_id = cell.submit(job(step(1), max_attempts=3))
--- a/tests/cell/test_retention.py
+++ b/tests/cell/test_retention.py
@@ -57,3 +57,25 @@
     await cell.until(
         lambda: not any(exists(cell, JOBS, job_id) for job_id in jobs),
     )
+
+
+async def test_cancel_without_a_job_is_kept_for_late_submissions_only(cell):
+    """Guards against rows of cancels that nobody removes."""
+    cell.cancel('a' * 16)
+    cell.lead()
+    running = cell.submit(job(job_id='b' * 16))
+    await cell.until(lambda: bool(cell.targets.running_tasks()))
+    assert exists(cell, CANCELS, 'a' * 16)
+    await cell.until(lambda: not exists(cell, CANCELS, 'a' * 16))
+    assert exists(cell, JOBS, running)
+
+
+async def test_cancel_of_a_job_that_cannot_be_read_stays(cell):
+    unreadable, unmatched = 'a' * 16, f'{56:016x}'
+    assert entry_shard(unreadable) == entry_shard(unmatched)
+    cell.write(JOBS, unreadable, {})
+    cell.cancel(unreadable)
+    cell.cancel(unmatched)
+    cell.lead()
+    await cell.until(lambda: not exists(cell, CANCELS, unmatched))
+    assert exists(cell, CANCELS, unreadable)
--- a/tests/platform/test_front.py
+++ b/tests/platform/test_front.py
@@ -109,6 +109,15 @@
     assert service.store.tables.read(CANCELS, ID).version
 
 
+async def test_submission_that_arrives_after_its_cancel_is_gone(service):
+    status, _, _ = await service.send('DELETE', f'/q/{ID}')
+    assert status == 410
+    for _ in range(2):
+        status, _, _ = await service.send('POST', f'/q/{ID}', JOB)
+        assert status == 410
+    assert not service.store.tables.read(JOBS, ID).version
+
+
 async def test_refusal_has_a_retry_after_header(service):
     service.store.fail_next_commits = [Fault.down]
     status, _, headers = await service.send('POST', f'/q/{ID}', JOB)
