Send the advice requests of the steps that are due longest first

Cause: every second long request was the one that had waited longest, but a step that loses its targets asks again from the end of the queue. The log of the oldest step shows `no_advice` with one open request for 15 s, while 6 to 23 targets are suitable; about 100 requests wait, and half of the targets are replaced every 6 s.

Change: requests carry when their step was due, and every second long request is that of the step that has been due longest.

Why it works: the place in the queue no longer depends on how often a step had to ask, so that its requests are answered before its targets are replaced.

The test test_step_that_waits_longest_is_not_last_again_after_each_answer failed before.

--- a/src/radishlift/steps/advice_queue.py
+++ b/src/radishlift/steps/advice_queue.py
@@ -5,9 +5,11 @@
 delay the short requests of urgent steps behind it. Long requests may
 therefore use only a share of the hosts.
 
-Every second long request is the one that has waited longest: under overload
-the requests of one queue alone can use all hosts, and steps of a lower priority
-would never get tickets.
+Every second long request is that of the step that has been due longest: under
+overload the requests of one queue alone can use all hosts, and steps of a lower
+priority would never get tickets. The age of the request itself does not count,
+as a step whose tickets have expired, or whose targets have been replaced,
+needs another one.
 """
 
 from heapq import heapify, heappop, heappush
@@ -61,7 +63,7 @@
         self._is_oldest_next = not self._is_oldest_next
         if self._is_oldest_next:
             return heappop(self._long)[-1]
-        oldest = min(self._long, key=_sequence)
+        oldest = min(self._long, key=_due_at_ms)
         self._long.remove(oldest)
         heapify(self._long)
         return oldest[-1]
@@ -72,8 +74,9 @@
     return priority, sequence
 
 
-def _sequence(entry: tuple[int, int, AdviceRequest]) -> int:
-    return entry[1]
+def _due_at_ms(entry: tuple[int, int, AdviceRequest]) -> tuple[int, int]:
+    _, sequence, request = entry
+    return request.due_at_ms, sequence
 
 
 __all__ = ('AdviceQueue',)
--- a/src/radishlift/steps/advice_requests.py
+++ b/src/radishlift/steps/advice_requests.py
@@ -13,13 +13,17 @@
 
 @dataclass(frozen=True, slots=True)
 class AdviceRequest:
-    """A request to the advice service and its expected duration."""
+    """A request to the advice service and its expected duration.
+
+    `due_at_ms` is when its step was due, in Unix time.
+    """
 
     key: StepKey
     target_ids: tuple[TargetId, ...]
     duration_ms: float
     priority: int
     queue: QueueName = QueueName('')
+    due_at_ms: int = 0
 
 
 def build_request(
@@ -35,6 +39,7 @@
         request_duration_ms(terms, len(target_ids)),
         job.terms.priority,
         job.terms.queue,
+        step.due_at_ms,
     )
 
 
--- a/tests/steps/test_advice_queue.py
+++ b/tests/steps/test_advice_queue.py
@@ -2,16 +2,19 @@
 
 from radishlift.core.ids import JobId
 from radishlift.steps.advice_queue import AdviceQueue
-from radishlift.steps.advice_requests import AdviceRequest
+from radishlift.steps.advice_requests import AdviceRequest, build_request
 from radishlift.steps.ids import StepKey, TargetId
 from radishlift.steps.settings import StepSettings
+from tests.steps.builders import ADVICE, job, step
 
 SETTINGS = StepSettings(long_question_ms=100, long_question_share=0.5)
 
 
-def request(name, duration_ms=20, priority=0):
+def request(name, duration_ms=20, priority=0, due_at_ms=0):
     key = StepKey(JobId(name), 0, 0)
-    return AdviceRequest(key, (TargetId('t1'),), duration_ms, priority)
+    return AdviceRequest(
+        key, (TargetId('t1'),), duration_ms, priority, due_at_ms=due_at_ms
+    )
 
 
 def queue(*requests):
@@ -61,3 +64,22 @@
     )
     served = [pop(waiting) for _ in range(4)]
     assert served == ['gang0', 'batch0', 'gang1', 'batch1']
+
+
+def test_step_that_waits_longest_is_not_last_again_after_each_answer():
+    """Guards against steps that lose their targets faster than they ask."""
+    waiting = queue(
+        *(request(f'late{number}', 400, 2, 1000) for number in range(3)),
+        *(request(f'new{number}', 400, 1, 9000) for number in range(3)),
+    )
+    oldest = request('oldest', 400, 2, 10)
+    for _ in range(3):
+        # Its targets are replaced before it starts, so that it asks again.
+        waiting.add(oldest)
+        assert 'oldest' in {pop(waiting), pop(waiting)}
+
+
+def test_request_carries_the_time_at_which_its_step_was_due():
+    run = job(step(), accepted_at_ms=1234, advice=ADVICE)
+    built = build_request(run, run.steps[0, 0], ADVICE, (TargetId('t1'),))
+    assert built.due_at_ms == 1234
