Let the soak drain targets, expire entries and cancel early

Change: targets report that they leave and do so (`target_leaves`), the entries of running targets expire after their silence, also while they drain (`entry_expires`), and some callers give up after 0.3 s and cancel at another daemon. A job whose cancel found no job must not run.

--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -5,8 +5,9 @@
 seeds are kept, and those of `--seed N`.
 Callers continue while faults are injected in overlapping series. From the
 records of callers and targets it checks that no accepted job is lost, no
-refused job runs, no task runs twice, and no target is started on beyond the
-capacity in its entry. Even seeds use half of the faults each.
+refused job runs, no task runs twice, no job runs whose cancel found no job, and
+no target is started on beyond the capacity in its entry. Even seeds use half of
+the faults each.
 """
 
 import argparse
@@ -52,10 +53,16 @@
 FAULT_INTERVAL_S = (0.1, 0.8)
 FAULT_DURATION_S = (0.5, 2.5)
 ENTRY_REMOVED_S = 2.0
+# Entries expire after three heartbeats without a write.
+ENTRY_EXPIRES_S = 4.6
+DRAINING_SHARE = 0.5
 REPLACED_S = 1.0
 GONE_AFTER_RESTART_S = (1.0, 2.0)
 JOB_INTERVAL_S = 0.2
 CALLERS_COUNT = 4
+# Some callers give up soon and cancel their job at another daemon.
+GIVE_UP_SHARE = 0.2
+GIVE_UP_S = 0.3
 
 # Seeds that once failed, with the cause. Their faults do not repeat exactly.
 FAILED_SEEDS: tuple[int, ...] = (
@@ -89,7 +96,10 @@
         self.capacities = {}
         self.crashing = set()
         self.target_numbers = count(1)
+        self.states = {}
+        self.published_s = {}
         self.answers = {}
+        self.never_stored = set()
         self.faults = []
         self.restarting = {name: asyncio.Lock() for name in DAEMONS}
         self.numbers = count()
@@ -139,9 +149,9 @@
         await proxy.start(proxy.port)
         self.publish(target_id)
 
-    async def replace_target(self, target_id):
+    async def replace_target(self, target_id, removed_after_s=ENTRY_REMOVED_S):
         """Removes the entry of a crashed target and starts another."""
-        await asyncio.sleep(ENTRY_REMOVED_S)
+        await asyncio.sleep(removed_after_s)
         self.store.remove('servers', '', target_id)
         proxy = self.target_proxies.pop(target_id)
         await asyncio.sleep(REPLACED_S)
@@ -156,14 +166,27 @@
 
     def publish(self, target_id):
         """Writes a target's entry."""
+        self.published_s[target_id] = time.monotonic()
         _, cpu = self.capacities[target_id][-1]
         self.put_entry(
             target_id,
             self.target_proxies[target_id].address,
             self.targets[target_id],
             capacity={'cpu': cpu, 'memMb': 32768, 'gpu': 0},
+            state=self.states.get(target_id, 'ready'),
         )
 
+    def drain_target(self, target_id):
+        """Lets a target report that it will leave."""
+        self.states[target_id] = 'draining'
+        self.publish(target_id)
+
+    async def expire_entry(self, target_id):
+        """Removes the entry of a running target after its silence."""
+        while self.published_s[target_id] + ENTRY_EXPIRES_S > time.monotonic():
+            await asyncio.sleep(0.1)
+        self.store.remove('servers', '', target_id)
+
     def any_target(self):
         """Returns a target that has an entry."""
         return self.random.choice(sorted(self.target_proxies))
@@ -185,15 +208,28 @@
         while True:
             job_id = f'{next(self.numbers):016x}'
             tasks_count = self.random.randint(1, 3)
-            status, _ = await self.send(
+            submission = self.send(
                 self.random.choice(DAEMONS),
                 'POST',
                 f'/q/{job_id}',
                 make_job_body(tasks_count, TASK_CPU),
             )
-            self.answers[job_id] = status
+            if self.random.random() < GIVE_UP_SHARE:
+                await self.give_up(job_id, submission)
+            else:
+                self.answers[job_id] = (await submission)[0]
             await asyncio.sleep(JOB_INTERVAL_S)
 
+    async def give_up(self, job_id, submission):
+        """Cancels a job whose submission gets no answer soon."""
+        with suppress(TimeoutError):
+            async with asyncio.timeout(GIVE_UP_S):
+                self.answers[job_id] = (await submission)[0]
+                return
+        status, _ = await self.send(self.any_daemon(), 'DELETE', f'/q/{job_id}')
+        if status == 410:
+            self.never_stored.add(job_id)
+
     async def inject_faults(self):
         """Injects overlapping faults for `FAULTS_S`."""
         running = set()
@@ -251,6 +287,8 @@
             status = self.answers.get(task[:16])
             if status in {429, 503}:
                 violations.append(f'{task} ran although it was refused')
+            if task[:16] in self.never_stored:
+                violations.append(f'{task} ran although its cancel found none')
             runs.sort(key=lambda run: run.started_s)
             violations.extend(_find_repeated(task, runs))
         for target_id, target in self.targets.items():
@@ -400,6 +438,28 @@
             await soak.replace_target(target_id)
 
 
+@FAULTS.register('target_leaves')
+async def target_leaves(soak):
+    with soak.target_to_crash() as target_id:
+        if target_id is not None:
+            soak.drain_target(target_id)
+            await soak.wait_fault_duration()
+            await soak.crash_target(target_id)
+            await soak.replace_target(target_id, removed_after_s=0)
+
+
+@FAULTS.register('entry_expires')
+async def entry_expires(soak):
+    with soak.target_to_crash() as target_id:
+        if target_id is not None:
+            if soak.random.random() < DRAINING_SHARE:
+                soak.drain_target(target_id)
+            await soak.expire_entry(target_id)
+            await soak.wait_fault_duration()
+            soak.states.pop(target_id, None)
+            soak.publish(target_id)
+
+
 async def crash_and_restart(soak, target_id):
     await soak.crash_target(target_id)
     await soak.wait_fault_duration()
