--- a/src/radishlift/platform/store.py
+++ b/src/radishlift/platform/store.py
@@ -285,7 +285,9 @@
         key = read_text(fields['key'])
         is_removed = bool(fields.get('removed'))
         row_value = None if is_removed else _decode(fields.get('value'))
-        rows.append(Row(table, key, read_count(fields['ver']), row_value))
+        # Rows that don't exist may come without a version.
+        version = read_count(fields.get('ver', 0))
+        rows.append(Row(table, key, version, row_value))
     return tuple(rows)
 
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -166,6 +166,24 @@
     assert changed.rows == found.rows
 
 
+async def test_absent_row_of_a_conflict_needs_no_version():
+    row = {'table': 'cell', 'part': 'leader', 'key': 'leader'}
+
+    async def answer(_request):
+        return web.json_response({'ver': 7, 'rows': [row]}, status=412)
+
+    client = JsonClient()
+    async with run_server(answer) as address:
+        conflict = await PlatformStore(client, address).commit(
+            write(
+                Write(PROGRESS, 'j1', {}),
+                conditions=[Condition(CELL, 'leader', 3)],
+            )
+        )
+        assert conflict.rows[0].version == 0
+        await client.close()
+
+
 @pytest.mark.parametrize(
     'text', ['{}', '{"ver":1,"rows":5}', '{"ver":1,"rows":[5]}', '[' * 30_000]
 )
