--- a/src/radishlift/cell/entry_rows.py
+++ b/src/radishlift/cell/entry_rows.py
@@ -14,7 +14,7 @@
 from radishlift.cell.ports import CellStore
 from radishlift.cell.tables import CANCELS, JOBS, PROGRESS
 from radishlift.core.clock import Clock
-from radishlift.core.errors import ErrorKind, Failure, Outcome
+from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import DaemonId
 from radishlift.core.logs import log_event
 from radishlift.services.api import (
@@ -159,7 +159,7 @@
                 return reply
             if reply.kind is ErrorKind.cancelled:
                 return reply
-            if reply.answer.outcome is not Outcome.not_run:
+            if not reply.is_not_run:
                 return Failure(ErrorKind.store_outcome_unknown, reply.reason)
         reason = 'neither the store nor a peer that can reach it responds'
         return Failure(ErrorKind.store_unavailable, reason)
--- a/src/radishlift/cell/entry_writes.py
+++ b/src/radishlift/cell/entry_writes.py
@@ -42,10 +42,14 @@
 
     def is_deliberate(self, target_id: TargetId, now_ms: int) -> bool:
         """Returns whether an entry that is removed now can't have expired."""
-        written_after_ms = self._written_after_ms.pop(target_id, None)
+        written_after_ms = self._written_after_ms.get(target_id)
         if written_after_ms is None:
             return False
         return now_ms - written_after_ms < self._recent_ms
 
+    def forget(self, target_id: TargetId) -> None:
+        """Discards the writes of an entry that was removed."""
+        self._written_after_ms.pop(target_id, None)
+
 
 __all__ = ('EntryWrites',)
--- a/src/radishlift/cell/leader_term.py
+++ b/src/radishlift/cell/leader_term.py
@@ -101,7 +101,7 @@
             dependencies.settings,
             dependencies.clock,
         )
-        self._is_restored = asyncio.Event()
+        self._has_jobs = asyncio.Event()
         self._has_targets = asyncio.Event()
         self._has_cancels = asyncio.Event()
 
@@ -156,7 +156,7 @@
 
     async def _follow_targets(self) -> None:
         # Running tasks of targets can be checked only once all jobs are loaded.
-        await self._is_restored.wait()
+        await self._has_jobs.wait()
         # No task of a job may start whose cancel is not yet known.
         await self._has_cancels.wait()
         self.scheduler.inherited.collect()
@@ -227,7 +227,7 @@
         for row in rows:
             if row.value is not None:
                 self._add_job(JobId(row.key), row)
-        self._is_restored.set()
+        self._has_jobs.set()
 
     def _add_job(self, job_id: JobId, row: Row) -> None:
         if job_id in self.scheduler.jobs or row.value is None:
--- a/src/radishlift/cell/orders.py
+++ b/src/radishlift/cell/orders.py
@@ -9,7 +9,7 @@
 from radishlift.cell.open_calls import OpenCalls
 from radishlift.cell.ports import StartOrder, StartVerdict, TargetRef
 from radishlift.cell.session_context import SessionContext
-from radishlift.core.errors import Failure, Outcome
+from radishlift.core.errors import Failure
 from radishlift.core.logs import log_event
 from radishlift.steps.ids import TaskKey
 from radishlift.steps.spec import Amounts
@@ -115,7 +115,7 @@
                     order, answer, is_unresolved=is_unresolved
                 )
                 return
-            if answer.answer.outcome is Outcome.not_run:
+            if answer.is_not_run:
                 self._target.retract_start(
                     order.key, order.attempt, previous_ms
                 )
--- a/src/radishlift/cell/target_entries.py
+++ b/src/radishlift/cell/target_entries.py
@@ -62,13 +62,14 @@
         self._scheduler.update_target(entry)
 
     def _remove(self, target_id: TargetId) -> None:
+        writes = self._scheduler.fleet.entry_writes
+        now_ms = self._clock.monotonic_ms()
+        is_deliberate = writes.is_deliberate(target_id, now_ms)
+        writes.forget(target_id)
         session = self._scheduler.fleet.find_session(target_id)
         if session is None:
             return
         is_draining = session.target.entry.state is TargetState.draining
-        is_deliberate = self._scheduler.fleet.entry_writes.is_deliberate(
-            target_id, self._clock.monotonic_ms()
-        )
         self._unlist(session, has_left=is_draining and is_deliberate)
 
     def _suspend(self, target_id: TargetId) -> None:
--- a/src/radishlift/core/errors.py
+++ b/src/radishlift/core/errors.py
@@ -75,6 +75,11 @@
         """Returns the answer to a caller for this kind of failure."""
         return ERROR_ANSWERS[self.kind]
 
+    @property
+    def is_not_run(self) -> bool:
+        """Returns whether the failed work certainly had no effect."""
+        return self.answer.outcome is Outcome.not_run
+
 
 ERROR_ANSWERS: Final = MappingProxyType(
     {
--- a/src/radishlift/platform/store.py
+++ b/src/radishlift/platform/store.py
@@ -8,7 +8,7 @@
 from urllib.parse import urlencode
 
 from radishlift.cell.ports import ChangedRows
-from radishlift.core.errors import ErrorKind, Failure, Outcome
+from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import Address
 from radishlift.platform.http import JsonAnswer, JsonClient
 from radishlift.platform.json_bodies import (
@@ -192,7 +192,7 @@
 
 
 def _store_failure(failure: Failure) -> Failure:
-    if failure.answer.outcome is Outcome.not_run:
+    if failure.is_not_run:
         return Failure(ErrorKind.store_unavailable, failure.reason)
     return Failure(ErrorKind.store_outcome_unknown, failure.reason)
 
--- a/src/radishlift/platform/targets.py
+++ b/src/radishlift/platform/targets.py
@@ -12,7 +12,7 @@
     StartVerdict,
     TargetRef,
 )
-from radishlift.core.errors import ErrorKind, Failure, Outcome
+from radishlift.core.errors import ErrorKind, Failure
 from radishlift.platform.http import JsonAnswer, JsonClient
 from radishlift.platform.json_bodies import (
     DECODE_ERRORS,
@@ -138,7 +138,7 @@
         if isinstance(answer, Failure):
             # Without a connection the call had no effect. The network may be
             # partitioned, so the state of the target is unknown.
-            if answer.answer.outcome is Outcome.not_run:
+            if answer.is_not_run:
                 return answer
             return Failure(ErrorKind.target_outcome_unknown, answer.reason)
         return answer
--- a/tests/cell/test_entry_writes.py
+++ b/tests/cell/test_entry_writes.py
@@ -40,8 +40,9 @@
     assert not writes.is_deliberate(TARGET, 5100)
 
 
-def test_removal_counts_once(writes):
+def test_write_counts_for_one_removal_only(writes):
     assert writes.is_deliberate(TARGET, 1200)
+    writes.forget(TARGET)
     assert not writes.is_deliberate(TARGET, 1200)
 
 
