Log on what evidence an attempt is given up

`target_lapsed` and `task_ended how=lost` did not tell the hypotheses apart. `target_lapsed` names its evidence, the rest of the lease and whether the target has an entry; `attempt_missing` names attempts that a list lacks, with the process that sent it; and `attempt_outdated` is a warning for an attempt that ran on after it was taken for ended, which is what callers see as TWICE. The comparison of a report with the allocations is in one place (`ExpectedListing`), so its tests pass a report instead of a set of tasks, with the same expectations. No change of behaviour.

--- a/src/radishlift/cell/attempts.py
+++ b/src/radishlift/cell/attempts.py
@@ -10,8 +10,10 @@
 from radishlift.cell.ports import (
     EndedAttempt,
     HoldReport,
+    RunningAttempt,
     StartVerdict,
 )
+from radishlift.cell.session_context import StopEvidence
 from radishlift.cell.sessions import TargetSession
 from radishlift.core.clock import Clock
 from radishlift.core.logs import log_event
@@ -61,15 +63,16 @@
 
     def on_report(self, session: TargetSession, report: HoldReport) -> None:
         """Applies a target's lists of running and ended attempts."""
-        listed: set[TaskKey] = set()
         for ended in report.ended:
-            listed.add(ended.key)
             self.on_started(ended.key)
+            if ended.kind is EndKind.done:
+                job = self._jobs.get(ended.key.step_key.job_id)
+                _log_outdated(job, session, ended, 'done')
             self._end_attempt(session, ended)
         for running in report.running:
-            listed.add(running.key)
             self.on_started(running.key)
             job = self._jobs.get(running.key.step_key.job_id)
+            _log_outdated(job, session, running, 'running')
             if not is_current(job, session, running.key, running.attempt):
                 session.stop(running.key, running.attempt)
             # An earlier process may have crashed without this attempt.
@@ -78,20 +81,10 @@
                 self._crashes.clear_inherited(
                     job, session.target, running.key, running.attempt
                 )
-        if report.has_all_ended:
-            missing = session.listing.list_missing(
-                listed, session.list_requested_at_ms
-            )
-            for key, attempt in missing:
-                self.end_unstarted(session, key, attempt)
-        else:
-            # An attempt that is missing may have ended, and is listed later.
-            log_event(
-                'ends_incomplete',
-                target=session.target_id,
-                ended_count=len(report.ended),
-                last_sequence=report.last_sequence,
-            )
+        for key, attempt in session.listing.list_missing(
+            report, session.list_requested_at_ms
+        ):
+            self.end_unstarted(session, key, attempt)
         if session.target.is_watched:
             self._notify_scheduler()
 
@@ -138,10 +131,18 @@
         """Marks the attempts that may have crashed a target."""
         self._crashes.record_crash(session.target, is_proven=is_proven)
 
-    def on_stopped(self, session: TargetSession) -> None:
+    def on_stopped(
+        self, session: TargetSession, evidence: StopEvidence
+    ) -> None:
         """Ends all attempts of a target; removes it if it is unlisted."""
         if session.target.allocations:
-            log_event('target_lapsed', target=session.target_id)
+            log_event(
+                'target_lapsed',
+                target=session.target_id,
+                evidence=evidence,
+                lease_ms=session.lease.remaining_ms(self._clock.monotonic_ms()),
+                is_listed=session.target.is_listed,
+            )
         self.end_all_attempts(session)
         if not session.target.is_listed:
             self._fleet.remove(session.target_id)
@@ -240,6 +241,27 @@
     return (task.state, task.attempt, task.target_id) == current
 
 
+def _log_outdated(
+    job: JobRun | None,
+    session: TargetSession,
+    listed: EndedAttempt | RunningAttempt,
+    how: str,
+) -> None:
+    """Logs an attempt that went on after it was taken for ended."""
+    task = None if job is None else job.find_task(listed.key)
+    if task is None or listed.attempt >= task.attempt:
+        return
+    log_event(
+        'attempt_outdated',
+        task=listed.key,
+        attempt=listed.attempt,
+        target=session.target_id,
+        how=how,
+        latest_attempt=task.attempt,
+        latest_target=task.target_id,
+    )
+
+
 def _apply_end(job: JobRun, ended: EndedAttempt) -> bool:
     return apply_end(
         job,
--- a/src/radishlift/cell/listing.py
+++ b/src/radishlift/cell/listing.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Iterator
 
+from radishlift.cell.ports import HoldReport
+from radishlift.core.logs import log_event
 from radishlift.steps.ids import TaskKey
 from radishlift.steps.targets import Target
 
@@ -46,16 +48,33 @@
         self._resolved_at_ms.clear()
 
     def list_missing(
-        self,
-        listed: set[TaskKey],
-        requested_at_ms: int,
+        self, report: HoldReport, requested_at_ms: int
     ) -> Iterator[tuple[TaskKey, int]]:
-        """Yields allocated attempts that a list should have contained."""
+        """Yields allocated attempts that a report should have contained."""
+        if not report.has_all_ended:
+            # An attempt that is missing may have ended, and is listed later.
+            log_event(
+                'ends_incomplete',
+                target=self._target.entry.target_id,
+                ended_count=len(report.ended),
+                last_sequence=report.last_sequence,
+            )
+            return
+        listed = {running.key for running in report.running}
+        listed.update(ended.key for ended in report.ended)
         for key, allocation in list(self._target.allocations.items()):
             is_starting = self.is_starting(key, allocation.attempt)
-            is_listed = self._resolved_at_ms.get(key, 0) < requested_at_ms
-            if key not in listed and is_listed and not is_starting:
-                yield key, allocation.attempt
+            is_due = self._resolved_at_ms.get(key, 0) < requested_at_ms
+            if key in listed or is_starting or not is_due:
+                continue
+            log_event(
+                'attempt_missing',
+                task=key,
+                attempt=allocation.attempt,
+                target=self._target.entry.target_id,
+                incarnation=report.incarnation,
+            )
+            yield key, allocation.attempt
 
 
 __all__ = ('ExpectedListing',)
--- a/src/radishlift/cell/session_context.py
+++ b/src/radishlift/cell/session_context.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
+from enum import Enum, unique
 from typing import TYPE_CHECKING, Protocol
 
 from radishlift.cell.leases import InheritedLeases
@@ -17,6 +18,17 @@
     from radishlift.cell.sessions import TargetSession
 
 
+@unique
+class StopEvidence(Enum):
+    """How a leader knows that a target runs nothing any more."""
+
+    lease_expired = 'lease_expired'
+    left = 'left'
+    no_attempts = 'no_attempts'
+    not_listening = 'not_listening'
+    other_process = 'other_process'
+
+
 class SessionListener(Protocol):
     """Receives the events of sessions."""
 
@@ -41,7 +53,9 @@
         Without proof the process may run on behind a network partition.
         """
 
-    def on_stopped(self, session: 'TargetSession') -> None:
+    def on_stopped(
+        self, session: 'TargetSession', evidence: StopEvidence
+    ) -> None:
         """Handles that a target runs nothing any more."""
 
     def on_reachability_changed(self, session: 'TargetSession') -> None:
@@ -85,4 +99,4 @@
             self.listener.end_term()
 
 
-__all__ = ('SessionContext', 'SessionListener')
+__all__ = ('SessionContext', 'SessionListener', 'StopEvidence')
--- a/src/radishlift/cell/sessions.py
+++ b/src/radishlift/cell/sessions.py
@@ -11,7 +11,7 @@
     StartOrder,
     StartVerdict,
 )
-from radishlift.cell.session_context import SessionContext
+from radishlift.cell.session_context import SessionContext, StopEvidence
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.logs import log_event
 from radishlift.steps.ids import TargetId, TargetIncarnation, TaskKey
@@ -31,14 +31,14 @@
     def __init__(self, target: Target, context: SessionContext) -> None:
         self.target = target
         self._context = context
-        self._lease = TargetLease(
+        self.lease = TargetLease(
             context.settings,
             context.max_lease_ms,
             context.inherited_leases.until_ms(target.entry.target_id),
         )
         self._orders = TargetOrders(
             target,
-            self._lease,
+            self.lease,
             context,
             self.notify,
             self._on_not_started,
@@ -71,7 +71,7 @@
         target = self.target
         if target.is_reachable or self._is_resuming or not target.allocations:
             return None
-        return self._lease.remaining_ms(self._now_ms())
+        return self.lease.remaining_ms(self._now_ms())
 
     def close(self) -> None:
         """Closes the session; running tasks are not affected."""
@@ -111,7 +111,9 @@
             # that it answers again.
             if self._is_synced and is_idle:
                 if not target.is_listed:
-                    self._context.listener.on_stopped(self)
+                    self._context.listener.on_stopped(
+                        self, StopEvidence.no_attempts
+                    )
                 self._has_work.clear()
                 await self._has_work.wait()
                 self._ended_cursor = 0
@@ -139,7 +141,7 @@
         # Calls without an answer may have arrived. An unreachable target is
         # polled without renewing its lease, because the lease must expire.
         if self.target.is_reachable and self._context.may_renew_leases():
-            until_ms = self._lease.grant(now_ms)
+            until_ms = self.lease.grant(now_ms)
         wait_ms = 0
         if self.target.is_reachable:
             wait_ms = self._context.settings.hold_wait_ms
@@ -156,13 +158,13 @@
         is_restarted = report.incarnation not in {None, self._incarnation}
         if is_restarted and self._incarnation is not None:
             # Each process has its own clock and counts its ended attempts.
-            self._lease.restart(report.clock_ms, self._now_ms())
+            self.lease.restart(report.clock_ms, self._now_ms())
             self._ended_cursor = 0
             self.target.record_restart()
             self.target.record_failure(self._now_ms())
             self._context.listener.on_crashed(self, is_proven=True)
         else:
-            self._lease.update_clock(report.clock_ms, self._now_ms())
+            self.lease.update_clock(report.clock_ms, self._now_ms())
         if is_restarted:
             self._incarnation = report.incarnation
         self.target.record_running()
@@ -196,18 +198,20 @@
         self._ended_cursor = 0
         self.target.record_failure(self._now_ms())
         self._set_reachable(is_reachable=False)
-        has_expired = self._lease.has_expired(self._now_ms())
-        has_ended = _has_process_ended(self.target, answer)
+        evidence = _find_end_evidence(self.target, answer)
+        has_ended = evidence is not None
+        if evidence is None and self.lease.has_expired(self._now_ms()):
+            evidence = StopEvidence.lease_expired
         if has_ended:
             # A start that this process rejects did not crash the earlier one.
             await self._orders.open_starts.wait_closed()
-        if has_expired or has_ended:
+        if evidence is not None:
             self.listing.clear()
             # A listed target may run on behind a network partition.
             self._context.listener.on_crashed(
                 self, is_proven=has_ended or not self.target.is_listed
             )
-            self._context.listener.on_stopped(self)
+            self._context.listener.on_stopped(self, evidence)
 
     def _set_reachable(self, *, is_reachable: bool) -> None:
         if self.target.is_reachable != is_reachable:
@@ -215,13 +219,20 @@
             self._context.listener.on_reachability_changed(self)
 
 
-def _has_process_ended(target: Target, answer: StartVerdict | Failure) -> bool:
-    """Returns whether an answer proves that a target's process has ended."""
+def _find_end_evidence(
+    target: Target, answer: StartVerdict | Failure
+) -> StopEvidence | None:
+    """Returns what proves that a target's process has ended, if anything."""
     if isinstance(answer, StartVerdict):
-        return answer is StartVerdict.other_process
+        is_other = answer is StartVerdict.other_process
+        return StopEvidence.other_process if is_other else None
+    if target.has_left:
+        return StopEvidence.left
     # A process that has an entry may be about to listen.
     is_refused = answer.kind is ErrorKind.peer_not_listening
-    return target.has_left or (is_refused and not target.is_listed)
+    if is_refused and not target.is_listed:
+        return StopEvidence.not_listening
+    return None
 
 
 __all__ = ('TargetSession',)
--- a/src/radishlift/cell/target_entries.py
+++ b/src/radishlift/cell/target_entries.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from radishlift.cell.scheduler import Scheduler
+from radishlift.cell.session_context import StopEvidence
 from radishlift.cell.sessions import TargetSession
 from radishlift.core.clock import Clock
 from radishlift.core.errors import Failure
@@ -93,7 +94,7 @@
             # A poll shows whether the process has ended.
             session.notify()
             return
-        self._scheduler.attempts.on_stopped(session)
+        self._scheduler.attempts.on_stopped(session, StopEvidence.left)
 
 
 __all__ = ('EntryDecoder', 'TargetEntries')
--- a/src/radishlift/core/events.py
+++ b/src/radishlift/core/events.py
@@ -60,6 +60,8 @@
     'rack_move_pending',
     'peer_tls_failed',
     'release_unfinished',
+    'attempt_missing',
+    'attempt_outdated',
     'start_refused',
     'start_unanswered',
     'step_waits',
--- a/tests/cell/test_listing.py
+++ b/tests/cell/test_listing.py
@@ -3,6 +3,7 @@
 import pytest
 
 from radishlift.cell.listing import ExpectedListing
+from radishlift.cell.ports import HoldReport, RunningAttempt
 from radishlift.steps.targets import Target
 from tests.steps.builders import core, entry, key
 
@@ -14,10 +15,15 @@
     return target
 
 
+def report(*running):
+    attempts = tuple(RunningAttempt(task, 2, '') for task in running)
+    return HoldReport(0, None, attempts, (), 0)
+
+
 def test_starting_attempt_may_be_missing(target):
     listing = ExpectedListing(target)
     listing.expect_start(key(), 2)
-    assert not list(listing.list_missing(set(), 100))
+    assert not list(listing.list_missing(report(), 100))
 
 
 @pytest.mark.parametrize(
@@ -29,11 +35,11 @@
     listing = ExpectedListing(target)
     listing.expect_start(key(), 2)
     listing.finish_start(key(), 2, now_ms=50)
-    assert list(listing.list_missing(set(), requested_at_ms)) == missing
+    assert list(listing.list_missing(report(), requested_at_ms)) == missing
 
 
 def test_listed_attempt_is_not_missing(target):
-    assert not list(ExpectedListing(target).list_missing({key()}, 100))
+    assert not list(ExpectedListing(target).list_missing(report(key()), 100))
 
 
 def test_end_of_an_earlier_start_keeps_a_later_one_expected(target):
