--- a/tests/cell/fakes.py
+++ b/tests/cell/fakes.py
@@ -97,8 +97,8 @@
 
     With `instant_end` they end as soon as they start. With `keeps_stopped`
     stops take until a test ends the tasks. With `is_replaced` a process with
-    another id has its address, and with `has_left` no process has. Calls that
-    get no answer because of `is_unresponsive` fail after `timeout_s`. Lists
+    another id has its address, and with `has_left` no process has. With
+    `is_cut_off` the network rejects connections to it. Calls that get no answer because of `is_unresponsive` fail after `timeout_s`. Lists
     have at most `page_ends` ended attempts.
     """
 
@@ -110,6 +110,7 @@
     refuses_connections: bool = False
     is_replaced: bool = False
     has_left: bool = False
+    is_cut_off: bool = False
     page_ends: int = 500
     loses_answers: bool = False
     rejection: StartVerdict | None = None
@@ -184,7 +185,7 @@
     async def start(self, target: TargetRef, order: StartOrder):
         fake = self.by_id[target.target_id]
         await asyncio.sleep(0)
-        if fake.has_left:
+        if fake.has_left or fake.is_cut_off:
             return NOT_LISTENING
         if fake.refuses_connections:
             return UNREACHABLE
@@ -219,7 +220,7 @@
     async def stop(self, target: TargetRef, key, attempt: int, fencing_token):
         fake = self.by_id[target.target_id]
         await asyncio.sleep(0)
-        if fake.has_left:
+        if fake.has_left or fake.is_cut_off:
             return NOT_LISTENING
         if fake.is_unresponsive:
             await asyncio.sleep(fake.timeout_s)
@@ -235,7 +236,7 @@
     async def hold(self, target: TargetRef, order: HoldOrder):
         fake = self.by_id[target.target_id]
         await asyncio.sleep(0.002)
-        if fake.has_left:
+        if fake.has_left or fake.is_cut_off:
             return NOT_LISTENING
         if fake.is_replaced:
             return StartVerdict.other_process
--- a/tests/cell/test_leader_term.py
+++ b/tests/cell/test_leader_term.py
@@ -287,6 +287,24 @@
         await cell.close()
 
 
+async def test_refused_connection_to_a_target_without_entry_ends_no_task():
+    # A network that rejects connections looks like a process that has ended.
+    cell = Cell('t1', max_lease_ms=600)
+    try:
+        cell.lead()
+        cell.submit(job())
+        await cell.until(lambda: bool(cell.targets.running_tasks()))
+        cell.add_target('t2')
+        await asyncio.sleep(0.02)
+        cell.write(TARGETS, 't1', None)
+        cell.targets['t1'].is_cut_off = True
+        await asyncio.sleep(0.3)
+        assert not cell.targets['t2'].started
+        await cell.until(lambda: bool(cell.targets['t2'].started))
+    finally:
+        await cell.close()
+
+
 @pytest.mark.parametrize('has_outage', [False, True])
 async def test_silent_target_frees_its_tasks_once_it_has_removed_its_entry(
     has_outage,
