Take no refused connection for the end of a target's process

Cause: since a target without an entry counted as ended once a connection to it was refused. A network that rejects connections answers in the same way, and the entry is missing because it expired. The tasks were started elsewhere and ran on behind the partition under their lease.

Change: such a target is treated as any other that does not answer. Its tasks end with its lease, with another process at its address, or at the first failed call if it removed its entry deliberately. The error kind `peer_not_listening` had no other use and is removed.

Why it works: what remains as proof is said by a process itself or holds however the network behaves.

--- a/src/radishlift/cell/ports.py
+++ b/src/radishlift/cell/ports.py
@@ -162,9 +162,8 @@
     """Calls targets.
 
     A call fails with `peer_unavailable` if it was not sent, so that it has no
-    effect, and with `peer_not_listening` if this is because the process of the
-    target has ended. A call without an answer fails with
-    `target_outcome_unknown`: it may still take effect, even seconds later.
+    effect. A call without an answer fails with `target_outcome_unknown`: it may
+    still take effect, even seconds later.
     """
 
     async def start(
--- a/src/radishlift/cell/session_context.py
+++ b/src/radishlift/cell/session_context.py
@@ -25,7 +25,6 @@
     lease_expired = 'lease_expired'
     left = 'left'
     no_attempts = 'no_attempts'
-    not_listening = 'not_listening'
     other_process = 'other_process'
 
 
--- a/src/radishlift/cell/sessions.py
+++ b/src/radishlift/cell/sessions.py
@@ -12,7 +12,7 @@
     StartVerdict,
 )
 from radishlift.cell.session_context import SessionContext, StopEvidence
-from radishlift.core.errors import ErrorKind, Failure
+from radishlift.core.errors import Failure
 from radishlift.core.logs import log_event
 from radishlift.steps.ids import TargetId, TargetIncarnation, TaskKey
 from radishlift.steps.targets import Target
@@ -226,13 +226,8 @@
     if isinstance(answer, StartVerdict):
         is_other = answer is StartVerdict.other_process
         return StopEvidence.other_process if is_other else None
-    if target.has_left:
-        return StopEvidence.left
-    # A process that has an entry may be about to listen.
-    is_refused = answer.kind is ErrorKind.peer_not_listening
-    if is_refused and not target.is_listed:
-        return StopEvidence.not_listening
-    return None
+    # A refused connection proves nothing: a network may reject it.
+    return StopEvidence.left if target.has_left else None
 
 
 __all__ = ('TargetSession',)
--- a/src/radishlift/core/errors.py
+++ b/src/radishlift/core/errors.py
@@ -37,7 +37,6 @@
     not_owner = 'not_owner'
     store_unavailable = 'store_unavailable'
     peer_unavailable = 'peer_unavailable'
-    peer_not_listening = 'peer_not_listening'
     cancelled = 'cancelled'
     # The work may have run.
     store_outcome_unknown = 'store_outcome_unknown'
@@ -99,7 +98,6 @@
         ErrorKind.not_owner: ErrorAnswer(503, Outcome.not_run, 100),
         ErrorKind.store_unavailable: ErrorAnswer(503, Outcome.not_run, 1000),
         ErrorKind.peer_unavailable: ErrorAnswer(503, Outcome.not_run, 250),
-        ErrorKind.peer_not_listening: ErrorAnswer(503, Outcome.not_run, 250),
         ErrorKind.cancelled: ErrorAnswer(409, Outcome.not_run),
         ErrorKind.store_outcome_unknown: ErrorAnswer(504, Outcome.unknown),
         ErrorKind.peer_outcome_unknown: ErrorAnswer(504, Outcome.unknown),
--- a/src/radishlift/platform/http.py
+++ b/src/radishlift/platform/http.py
@@ -62,8 +62,7 @@
         """Sends one call and reads the whole answer.
 
         Fails with `peer_unavailable` if no connection was established, so the
-        call had no effect, with `peer_not_listening` if the host is reachable
-        and no process listens there, else with `peer_outcome_unknown`.
+        call had no effect, else with `peer_outcome_unknown`.
         """
         if self._is_closed:
             return Failure(ErrorKind.peer_unavailable, 'client is closed')
@@ -79,7 +78,7 @@
             ) as response:
                 return _decode(response.status, await response.read())
         except ClientConnectorError as error:
-            return Failure(_connect_error_kind(error), str(error))
+            return Failure(ErrorKind.peer_unavailable, str(error))
         except TimeoutError:
             reason = f'no answer within {timeout_ms} ms'
         except (ClientError, OSError, ValueError) as error:
@@ -135,13 +134,6 @@
         await session.close()
 
 
-def _connect_error_kind(error: ClientConnectorError) -> ErrorKind:
-    # Partitioned hosts and hosts without power do not respond at all.
-    if isinstance(error.os_error, ConnectionRefusedError):
-        return ErrorKind.peer_not_listening
-    return ErrorKind.peer_unavailable
-
-
 def _decode(status: int, body: bytes) -> JsonAnswer:
     if not body:
         return JsonAnswer(status, {})
