--- a/src/radishlift/core/clock.py
+++ b/src/radishlift/core/clock.py
@@ -1,7 +1,9 @@
 """Clocks, which tests can replace."""
 
 import time
-from typing import Protocol
+from typing import Final, Protocol
+
+_NS_IN_MS: Final = 1_000_000
 
 
 class Clock(Protocol):
@@ -19,11 +21,23 @@
 
     def monotonic_ms(self) -> int:
         """Reads the monotonic clock."""
-        return time.monotonic_ns() // 1_000_000
+        return time.monotonic_ns() // _NS_IN_MS
 
     def wall_ms(self) -> int:
         """Reads the wall clock."""
-        return time.time_ns() // 1_000_000
+        return time.time_ns() // _NS_IN_MS
+
+
+class BootClock:
+    """Reads the host's clocks; leases also expire while it is suspended."""
+
+    def monotonic_ms(self) -> int:
+        """Returns the time since the host started."""
+        return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // _NS_IN_MS
+
+    def wall_ms(self) -> int:
+        """Returns Unix time."""
+        return time.time_ns() // _NS_IN_MS
 
 
 class ManualClock:
@@ -45,4 +59,4 @@
         self.now_ms += by_ms
 
 
-__all__ = ('Clock', 'ManualClock', 'SystemClock')
+__all__ = ('BootClock', 'Clock', 'ManualClock', 'SystemClock')
--- a/src/radishlift/platform/main.py
+++ b/src/radishlift/platform/main.py
@@ -7,11 +7,11 @@
 from pathlib import Path
 from typing import Final
 
-from radishlift.cell.clock import BootClock
 from radishlift.cell.daemon import CellDaemon, DaemonDependencies
 from radishlift.cell.metrics import CellMetrics
 from radishlift.cell.queues import QueueConfig
 from radishlift.cell.settings import CellSettings
+from radishlift.core.clock import BootClock
 from radishlift.core.errors import Failure
 from radishlift.core.garbage import reduce_collections
 from radishlift.core.log_stream import BoundedLogStream
--- a/tests/cell/leader.py
+++ b/tests/cell/leader.py
@@ -4,7 +4,6 @@
 from contextlib import suppress
 
 from radishlift.cell.advice_dispatch import AdviceProxy
-from radishlift.cell.clock import BootClock
 from radishlift.cell.commits import Claim
 from radishlift.cell.job_rows import dump_job
 from radishlift.cell.leader_term import LeaderDependencies, LeaderTerm
@@ -19,6 +18,7 @@
     PROGRESS,
     TARGETS,
 )
+from radishlift.core.clock import BootClock
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import DaemonId
 from radishlift.services.api import Transaction, Write
--- a/tests/cell/test_advice_dispatch.py
+++ b/tests/cell/test_advice_dispatch.py
@@ -6,8 +6,8 @@
 import pytest
 
 from radishlift.cell.advice_dispatch import AdviceDispatcher, AdviceProxy
-from radishlift.cell.clock import BootClock
 from radishlift.cell.ports import AdviceAnswer
+from radishlift.core.clock import BootClock
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import DaemonId, JobId
 from radishlift.steps.advice_queue import AdviceQueue
--- a/tests/cell/test_commits.py
+++ b/tests/cell/test_commits.py
@@ -5,7 +5,6 @@
 
 import pytest
 
-from radishlift.cell.clock import BootClock
 from radishlift.cell.commits import Claim, CommitLog
 from radishlift.cell.settings import CellSettings
 from radishlift.cell.tables import (
@@ -15,6 +14,7 @@
     LEADER_KEY,
     PROGRESS,
 )
+from radishlift.core.clock import BootClock
 from radishlift.services.api import Transaction, Write
 from radishlift.steps.ids import FencingToken
 from radishlift.steps.runs import JobState
--- a/tests/cell/test_daemon.py
+++ b/tests/cell/test_daemon.py
@@ -4,11 +4,11 @@
 
 import pytest
 
-from radishlift.cell.clock import BootClock
 from radishlift.cell.daemon import CellDaemon, DaemonDependencies
 from radishlift.cell.queues import QueueConfig
 from radishlift.cell.settings import CellSettings
 from radishlift.cell.tables import CELL, CONFIG
+from radishlift.core.clock import BootClock
 from radishlift.core.ids import Address, ConfigVersion, DaemonId
 from radishlift.services.api import Transaction, Write
 from radishlift.steps.settings import StepSettings
--- a/tests/cell/test_entry_rows.py
+++ b/tests/cell/test_entry_rows.py
@@ -7,11 +7,11 @@
 
 import pytest
 
-from radishlift.cell.clock import BootClock
 from radishlift.cell.config_sharing import ConfigSharer
 from radishlift.cell.entry_rows import RelayedRows, StoreRows
 from radishlift.cell.settings import CellSettings
 from radishlift.cell.tables import CANCELS, CELL, JOBS, LEADER_KEY
+from radishlift.core.clock import BootClock
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import Address, DaemonId
 from radishlift.core.levels import FORMAT_LEVEL
--- a/tests/cell/test_job_service.py
+++ b/tests/cell/test_job_service.py
@@ -2,11 +2,11 @@
 
 import pytest
 
-from radishlift.cell.clock import BootClock
 from radishlift.cell.entry_rows import RelayedRows, StoreRows
 from radishlift.cell.job_service import JobService, JobStatus
 from radishlift.cell.queues import Queue, QueueConfig
 from radishlift.cell.tables import CANCELS, JOBS, PROGRESS
+from radishlift.core.clock import BootClock
 from radishlift.core.errors import ErrorKind, Failure, Outcome
 from radishlift.core.ids import ConfigVersion, DaemonId
 from radishlift.services.api import Transaction, Write
--- a/tests/cell/test_leadership.py
+++ b/tests/cell/test_leadership.py
@@ -6,12 +6,11 @@
 
 import pytest
 
-from radishlift.cell.clock import BootClock
 from radishlift.cell.leadership import CellView, Leadership
 from radishlift.cell.settings import CellSettings
 from radishlift.cell.table_follower import FollowedTable, TableFollower
 from radishlift.cell.tables import CELL, HEARTBEAT_KEY, LEADER_KEY
-from radishlift.core.clock import ManualClock
+from radishlift.core.clock import BootClock, ManualClock
 from radishlift.core.ids import Address, DaemonId
 from radishlift.services.api import Row, Transaction, Write
 from tests.cell.fakes import MemoryCellStore
--- a/tests/cell/test_orders.py
+++ b/tests/cell/test_orders.py
@@ -5,13 +5,13 @@
 
 import pytest
 
-from radishlift.cell.clock import BootClock
 from radishlift.cell.leases import InheritedLeases, TargetLease
 from radishlift.cell.orders import TargetOrders
 from radishlift.cell.ports import StartOrder, StartVerdict
 from radishlift.cell.session_context import SessionContext
 from radishlift.cell.settings import CellSettings
 from radishlift.cell.unrenewed_leases import UnrenewedLeases
+from radishlift.core.clock import BootClock
 from radishlift.steps.ids import FencingToken
 from radishlift.steps.targets import Target, TargetState
 from tests.cell.fakes import FakeTargets
--- a/tests/cell/test_table_follower.py
+++ b/tests/cell/test_table_follower.py
@@ -5,9 +5,9 @@
 
 import pytest
 
-from radishlift.cell.clock import BootClock
 from radishlift.cell.settings import CellSettings
 from radishlift.cell.table_follower import FollowedTable, TableFollower
+from radishlift.core.clock import BootClock
 from radishlift.services.api import Transaction, Write
 from tests.cell.fakes import MemoryCellStore
 from tests.only import only
--- a/tests/platform/test_front.py
+++ b/tests/platform/test_front.py
@@ -6,11 +6,11 @@
 import pytest
 from aiohttp import ClientSession, web
 
-from radishlift.cell.clock import BootClock
 from radishlift.cell.entry_rows import StoreRows
 from radishlift.cell.job_service import JobService
 from radishlift.cell.metrics import CellMetrics
 from radishlift.cell.tables import CANCELS, JOBS, PROGRESS
+from radishlift.core.clock import BootClock
 from radishlift.platform.documents import decode_config
 from radishlift.platform.front import FrontApi
 from radishlift.services.api import Transaction, Write
