Count suspensions of the host in the clock of radishliftd

Cause: radishliftd read CLOCK_MONOTONIC, which stands still while the host is suspended. Its host list looked as recent after the suspension as before, although a bound on its age is what keeps new work away from leaving targets, and a request was sent after its deadline.

Change: BootClock, which the daemon on the platform uses, is now the only clock of the host; SystemClock is removed.

Why it works: an age is no longer less than the time that has passed. Proofs that a lease has expired wait for at least that time on either clock, as the expiry itself is on the worker's clock.

--- a/benchmarks/bench_membership.py
+++ b/benchmarks/bench_membership.py
@@ -13,7 +13,7 @@
 from loguru import logger
 
 from benchmarks.harness import BENCHMARKS, Figure, at_most
-from radishlift.core.clock import SystemClock
+from radishlift.core.clock import BootClock
 from radishlift.core.codec import dump_plain
 from radishlift.core.ids import (
     Address,
@@ -54,7 +54,7 @@
             self.address,
             DataCentreId('dn-a'),
         )
-        clock = SystemClock()
+        clock = BootClock()
         self.membership = Membership(
             member,
             self.network,
--- a/benchmarks/bench_polls.py
+++ b/benchmarks/bench_polls.py
@@ -18,7 +18,7 @@
 from aiohttp import ClientSession
 
 from benchmarks.harness import BENCHMARKS, Figure
-from radishlift.core.clock import SystemClock
+from radishlift.core.clock import BootClock
 from radishlift.core.ids import Attempt, Incarnation, TaskId, WorkerId
 from radishlift.placement.jobs import WorkerInfo
 from radishlift.workers.client import WorkerClient
@@ -125,7 +125,7 @@
     dispatcher = Dispatcher(
         client,
         settings,
-        SystemClock(),
+        BootClock(),
         events,
         PreviousOwners(()),
     )
--- a/benchmarks/bench_recovery.py
+++ b/benchmarks/bench_recovery.py
@@ -15,7 +15,7 @@
 
 from benchmarks.client_bytes import count_bytes
 from benchmarks.harness import BENCHMARKS, Figure, at_least, at_most
-from radishlift.core.clock import SystemClock
+from radishlift.core.clock import BootClock
 from radishlift.core.ids import Attempt, Incarnation, JobId, TaskId, WorkerId
 from radishlift.partitions.job_commands import submit
 from radishlift.partitions.parts import PartitionSettingsSet
@@ -232,7 +232,7 @@
     wire_bytes = count_bytes(client)
     events = EventCounter()
     dispatcher = Dispatcher(
-        client, settings, SystemClock(), events, PreviousOwners(())
+        client, settings, BootClock(), events, PreviousOwners(())
     )
     host, _, base = STANDIN_BASE.rpartition(':')
     ids = [
--- a/benchmarks/request_node.py
+++ b/benchmarks/request_node.py
@@ -23,7 +23,7 @@
     StaticMembers,
 )
 from benchmarks.request_tally import Tally
-from radishlift.core.clock import SystemClock
+from radishlift.core.clock import BootClock
 from radishlift.core.errors import Failure
 from radishlift.core.ids import (
     Address,
@@ -60,7 +60,7 @@
     def __init__(self, options: NodeOptions, session: ClientSession) -> None:
         self._service = ServiceName(options.service)
         self._session = session
-        self._clock = SystemClock()
+        self._clock = BootClock()
         self._config = StaticConfig(options)
         self._random = random.Random(options.daemon_id)
         settings = RequestSettings(max_department_count=100_000)
--- a/src/radishlift/core/clock.py
+++ b/src/radishlift/core/clock.py
@@ -4,6 +4,9 @@
 from typing import Final, Protocol
 
 _NS_IN_MS: Final = 1_000_000
+_BOOT_CLOCK_ID: Final[int] = getattr(
+    time, 'CLOCK_BOOTTIME', time.CLOCK_MONOTONIC
+)
 
 
 class Clock(Protocol):
@@ -16,24 +19,16 @@
         """Returns the time since the Unix epoch; only for display."""
 
 
-class SystemClock:
-    """The clocks of this host."""
-
-    def monotonic_ms(self) -> int:
-        """Reads the monotonic clock."""
-        return time.monotonic_ns() // _NS_IN_MS
-
-    def wall_ms(self) -> int:
-        """Reads the wall clock."""
-        return time.time_ns() // _NS_IN_MS
-
-
 class BootClock:
-    """Reads the host's clocks; leases also expire while it is suspended."""
+    """The clocks of this host, including the time while it is suspended.
+
+    Leases, and knowledge that must be recent, also expire in that time. Hosts
+    without `CLOCK_BOOTTIME` use `CLOCK_MONOTONIC`, which may leave it out.
+    """
 
     def monotonic_ms(self) -> int:
         """Returns the time since the host started."""
-        return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // _NS_IN_MS
+        return time.clock_gettime_ns(_BOOT_CLOCK_ID) // _NS_IN_MS
 
     def wall_ms(self) -> int:
         """Returns Unix time."""
@@ -59,4 +54,4 @@
         self.now_ms += by_ms
 
 
-__all__ = ('BootClock', 'Clock', 'ManualClock', 'SystemClock')
+__all__ = ('BootClock', 'Clock', 'ManualClock')
--- a/src/radishlift/daemon/context.py
+++ b/src/radishlift/daemon/context.py
@@ -5,7 +5,7 @@
 
 from aiohttp import ClientSession, DummyCookieJar
 
-from radishlift.core.clock import Clock, SystemClock
+from radishlift.core.clock import BootClock, Clock
 from radishlift.core.ids import Address, DaemonId, DataCentreId, Incarnation
 from radishlift.core.levels import level_to_announce
 from radishlift.daemon.hosts import HostFeed
@@ -34,7 +34,7 @@
 
     def __init__(self, settings: Settings) -> None:
         self.settings = settings
-        self.clock: Clock = SystemClock()
+        self.clock: Clock = BootClock()
         daemon = settings.get(DaemonSettings)
         self.member = _build_member(daemon)
         self.network = PeerNetwork(
--- a/src/radishlift/workers/client.py
+++ b/src/radishlift/workers/client.py
@@ -13,7 +13,7 @@
     TraceConfig,
 )
 
-from radishlift.core.clock import Clock, SystemClock
+from radishlift.core.clock import BootClock, Clock
 from radishlift.core.codec import dump_plain, parse_json
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import Address, WorkerId
@@ -60,9 +60,7 @@
         host_knowledge: HostKnowledge,
         clock: Clock | None = None,
     ) -> None:
-        self.poll_rate_limiter = PollRateLimiter(
-            settings, clock or SystemClock()
-        )
+        self.poll_rate_limiter = PollRateLimiter(settings, clock or BootClock())
         self._host_knowledge = host_knowledge
         trace = TraceConfig()
         # A start may wait for a free connection up to its timeout, so the
--- a/tests/config/fleet.py
+++ b/tests/config/fleet.py
@@ -8,7 +8,7 @@
 from radishlift.config.distributor import ConfigDistributor
 from radishlift.config.settings import ConfigSettings
 from radishlift.config.store import ConfigStore
-from radishlift.core.clock import SystemClock
+from radishlift.core.clock import BootClock
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import (
     Address,
@@ -81,7 +81,7 @@
         self.daemon_id = DaemonId(daemon_id)
         self.rows = MemoryTableStore(tables)
         self.network = FaultyNetwork(self.daemon_id)
-        clock = SystemClock()
+        clock = BootClock()
         store = ConfigStore(self.rows, settings, clock)
         self.distributor = ConfigDistributor(
             self.rows, store, self.network, directory, settings, clock
--- a/tests/partitions/cell.py
+++ b/tests/partitions/cell.py
@@ -12,7 +12,7 @@
 from typing import Any
 
 from radishlift.config.document import ConfigDocument, Partition
-from radishlift.core.clock import SystemClock
+from radishlift.core.clock import BootClock
 from radishlift.core.ids import (
     Address,
     ConfigVersion,
@@ -172,7 +172,7 @@
         await network.start(Address('127.0.0.1:0'))
         port = network._server.sockets[0].getsockname()[1]
         self._addresses[DaemonId(name)] = Address(f'127.0.0.1:{port}')
-        clock = SystemClock()
+        clock = BootClock()
         parts = DaemonParts(
             daemon_id=DaemonId(name),
             incarnation=Incarnation(f'{name}-1'),
--- a/tests/requests/daemons.py
+++ b/tests/requests/daemons.py
@@ -4,7 +4,7 @@
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 
-from radishlift.core.clock import SystemClock
+from radishlift.core.clock import BootClock
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import (
     Address,
@@ -216,7 +216,7 @@
     shared = Cell(
         store=cell.pop('store', None) or MemoryTableStore(),
         hosts=FakeHosts([executor.address for executor in executors]),
-        clock=SystemClock(),
+        clock=BootClock(),
         **cell,
     )
     addresses = {DaemonId(n): Address(f'127.0.0.1:{ports()}') for n in names}
--- a/tests/requests/test_dispatch.py
+++ b/tests/requests/test_dispatch.py
@@ -5,7 +5,7 @@
 from aiohttp import web
 
 from radishlift.config.document import Service
-from radishlift.core.clock import ManualClock, SystemClock
+from radishlift.core.clock import BootClock, ManualClock
 from radishlift.core.errors import Failure, Outcome
 from radishlift.core.ids import ExecutorId
 from radishlift.requests.api import ServiceAnswer
@@ -37,7 +37,7 @@
 
 @pytest.fixture
 async def dispatcher():
-    cell = Cell(clock=SystemClock(), config=FakeConfig(SERVICE_LIMITS))
+    cell = Cell(clock=BootClock(), config=FakeConfig(SERVICE_LIMITS))
     client = ExecutorClient(8, 1_000_000, unexpiring_host_knowledge())
     await client.start()
     limits = ServiceLimits(cell.config)
@@ -46,7 +46,7 @@
 
 
 async def send(dispatcher, executor, number=1, deadline_ms=ANSWER_MS):
-    clock = SystemClock()
+    clock = BootClock()
     deadline_at_ms = clock.monotonic_ms() + deadline_ms
     call = Call(request(number), SERVICE_LIMITS, clock, deadline_at_ms, 0)
     view = SlotView(ExecutorId(executor.address), SERVICE, busy_count=1)
@@ -181,7 +181,7 @@
 
     Then a request must not be sent by an outdated list or to a leaving host.
     """
-    cell = Cell(clock=SystemClock(), config=FakeConfig(SERVICE_LIMITS))
+    cell = Cell(clock=BootClock(), config=FakeConfig(SERVICE_LIMITS))
     clock = ManualClock()
     knowledge = HostKnowledge(clock, 1_700)
     knowledge.update((), 0)
--- a/tests/requests/test_retries.py
+++ b/tests/requests/test_retries.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from radishlift.core.clock import SystemClock
+from radishlift.core.clock import BootClock
 from radishlift.core.errors import Outcome
 from radishlift.requests.api import ServiceAnswer
 from radishlift.requests.executor_health import HealthState
@@ -84,7 +84,7 @@
         assert health.state_of(bad.address) is HealthState.healthy
 
 
-class Later(SystemClock):
+class Later(BootClock):
     """A clock an hour ahead, after the end of any ejection."""
 
     def monotonic_ms(self) -> int:
--- a/tests/workers/test_dispatcher.py
+++ b/tests/workers/test_dispatcher.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from radishlift.core.clock import ManualClock, SystemClock
+from radishlift.core.clock import BootClock, ManualClock
 from radishlift.core.ids import Attempt, Incarnation, TaskId, WorkerId
 from radishlift.placement.jobs import TaskState
 from radishlift.placement.orders import OrderKind
@@ -68,7 +68,7 @@
     dispatcher: Dispatcher
     events: Events
     previous_owners: PreviousOwners
-    clock: SystemClock
+    clock: BootClock
     list_clock: ManualClock
     knowledge: HostKnowledge
 
@@ -98,7 +98,7 @@
     knowledge = HostKnowledge(list_clock, LIMIT_MS)
     knowledge.update((), 0)
     client = WorkerClient(SETTINGS, knowledge)
-    events, clock = Events(), SystemClock()
+    events, clock = Events(), BootClock()
     previous_owners = PreviousOwners(previous_epochs)
     dispatcher = Dispatcher(client, SETTINGS, clock, events, previous_owners)
     workers = [WorkerId(worker.model.worker_id)]
