Take no clock reading of a worker's earlier process for its next one

Cause: the answer to a start or an order was applied to the clock that the session had when the answer arrived. If a new process of the worker had answered a poll meanwhile, the reading of the earlier process became the latest one of the new process. With a clock that is ahead, leases lasted longer than the owner counts on, and later readings were ignored, so that the owner's bound for their expiry stood still. Once the worker was cut off, its tasks were started elsewhere while they ran on.

Change: a reading is stored in the clock of the session from when the request was sent.

Why it works: a new incarnation replaces that clock, and a request sent after the replacement can't be answered by the earlier process, whose address the new one has taken.

--- a/src/radishlift/workers/attempts.py
+++ b/src/radishlift/workers/attempts.py
@@ -14,6 +14,7 @@
 from radishlift.services.host_knowledge import SendVerdict
 from radishlift.workers.client import WorkerClient
 from radishlift.workers.events import WorkerEvents
+from radishlift.workers.leases import WorkerClock
 from radishlift.workers.messages import (
     AttemptState,
     Refusal,
@@ -103,11 +104,13 @@
         attempt: LiveAttempt,
         kind: OrderKind,
     ) -> None:
+        clock = session.clock
         reply = await self._client.send_order(
             session.worker_id,
             kind,
             attempt.to_run.key,
         )
+        self._observe_clock(clock, reply)
         if self._apply_reply(session, attempt, reply):
             attempt.pending_orders.pop(kind, None)
 
@@ -115,11 +118,13 @@
         if not attempt.may_run:
             self.end(session, attempt, TaskState.queued, 'stopped before start')
             return
+        clock = session.clock
         reply = await self._client.send_order(
             session.worker_id,
             OrderKind.stop,
             attempt.to_run.key,
         )
+        self._observe_clock(clock, reply)
         self._apply_reply(session, attempt, reply)
 
     async def _start(
@@ -148,8 +153,10 @@
         was_sent = attempt.is_sent
         attempt.is_sent = True
         attempt.is_absent = False
+        clock = session.clock
         reply = await self._client.start(session.worker_id, message)
         attempt.answered_at_ms = self._clock.monotonic_ms()
+        self._observe_clock(clock, reply)
         if _was_not_sent(reply) and not was_sent:
             attempt.is_sent = False
         self._apply_reply(session, attempt, reply)
@@ -178,6 +185,19 @@
             return
         self.end(session, attempt, TaskState.queued, 'worker is leaving')
 
+    def _observe_clock(
+        self,
+        clock: WorkerClock,
+        reply: StateReply | Refusal | Failure,
+    ) -> None:
+        """Stores the clock of a reply.
+
+        `clock` is that of the session when the request was sent. The session
+        has another one if a new incarnation of the worker answered meanwhile.
+        """
+        if isinstance(reply, StateReply):
+            clock.observe(reply.clock_ms, self._clock.monotonic_ms())
+
     def _apply_reply(
         self,
         session: WorkerSession,
@@ -190,7 +210,6 @@
         if isinstance(reply, Refusal):
             self._apply_refusal(session, attempt, reply)
             return False
-        session.clock.observe(reply.clock_ms, self._clock.monotonic_ms())
         if reply.state is AttemptState.running:
             attempt.is_confirmed = True
             if attempt.started_ms is None and not attempt.to_run.is_inherited:
--- a/tests/workers/test_dispatcher.py
+++ b/tests/workers/test_dispatcher.py
@@ -404,3 +404,34 @@
         cell.dispatcher.set_workers([], [])
         cell.dispatcher.set_workers(workers, workers)
         cell.dispatcher.send_order(KEY, OrderKind.stop)
+
+
+async def test_late_answer_of_an_earlier_process_extends_no_lease(monkeypatch):
+    """Guards against a task that runs on after its owner counts it as ended."""
+    async with open_cell() as cell:
+        model = cell.worker.model
+        # The clock of the earlier process is far ahead.
+        model.offset_ms += 10**10
+        await wait_for_polls(cell)
+        client = cell.dispatcher._attempts._client
+        start = client.start
+
+        async def delay_answer(worker_id, message):
+            reply = await start(worker_id, message)
+            model.restart()
+            await until(lambda: cell.events.lost)
+            return reply
+
+        with monkeypatch.context() as patch:
+            patch.setattr(client, 'start', delay_answer)
+            cell.run()
+            await until(lambda: cell.events.ended)
+            await wait_for_polls(cell)
+        cell.dispatcher.forget(KEY)
+        cell.run()
+        await until(lambda: len(model.record) == 2)
+        await wait_for_polls(cell)
+        cell.worker.set_network(Network.hang)
+        await until(lambda: len(cell.events.ended) == 2)
+        now_ms = model.host_ms()
+        assert cell.worker.worker_record().executions[1].last_ms <= now_ms
