Follow no redirect of a worker

Cause: calls to workers followed redirects, which the protocol does not have. A start that was answered with one, after the worker had received it, was sent again to the new address. When that refused the connection, the start counted as certainly not sent, and its task was placed again as soon as the worker did not answer.

Change: redirects are not followed; their status is unexpected, so that the outcome is unknown.

Why it works: a failed connection is now always that of the first and only send of a request.

--- a/src/radishlift/workers/client.py
+++ b/src/radishlift/workers/client.py
@@ -152,6 +152,9 @@
                 url,
                 json=body_fields,
                 timeout=self._timeout,
+                # A redirected start would be sent twice, and a failure of its
+                # second connection would look like a start that was not sent.
+                allow_redirects=False,
                 trace_request_ctx=worker_id if is_new_work else None,
             ) as response:
                 body = await response.read()
--- a/tests/standins/worker.py
+++ b/tests/standins/worker.py
@@ -19,6 +19,7 @@
 
 RACK_SIZE = 8
 _START_PATH = '/tasks/start'
+_REDIRECT = {'Location': 'http://127.0.0.1:1/'}
 
 
 @unique
@@ -26,6 +27,7 @@
     """Network fault of requests; `hold` delays them until the mode changes.
 
     `lose_starts` and `hold_starts` affect only requests that start a task.
+    `redirect` answers with the address of a host that refuses connections.
     """
 
     normal = 'normal'
@@ -35,6 +37,7 @@
     lose_answers = 'lose_answers'
     lose_starts = 'lose_starts'
     hold_starts = 'hold_starts'
+    redirect = 'redirect'
 
 
 class WorkerStandIn:
@@ -186,6 +189,8 @@
         is_lost = is_start and self.network is Network.lose_starts
         if is_lost or self.network is Network.lose_answers:
             return _reset(request)
+        if self.network is Network.redirect:
+            return web.Response(status=307, headers=_REDIRECT)
         return response
 
     def _is_delayed(self, request: web.Request) -> bool:
--- a/tests/workers/test_client.py
+++ b/tests/workers/test_client.py
@@ -80,7 +80,12 @@
 
 @pytest.mark.parametrize(
     ('network', 'started_count'),
-    [(Network.hang, 0), (Network.refuse, 0), (Network.lose_answers, 1)],
+    [
+        (Network.hang, 0),
+        (Network.refuse, 0),
+        (Network.lose_answers, 1),
+        (Network.redirect, 1),
+    ],
 )
 async def test_lost_exchange_is_unknown(client, worker, network, started_count):
     """Guards against treating a start that may have run as not run."""
