Take no worker for removed by a host list older than the worker

If the daemon could not read the list meanwhile, it took over a partition, ended the tasks on workers newer than its list, and stopped renewing their leases, although the workers answered. The reports of its peers about leaving hosts allowed new work all the same, so that the tasks were started elsewhere.

Change: such a worker counts as removed only by a list whose read was sent at least host_list_lag_ms after the daemon learned of the worker. HostKnowledge keeps the time of that read apart from that of the reports of peers.

Why it works: the list lags by less than that, so one that was read then has every worker that existed before.

--- a/src/radishlift/daemon/hosts.py
+++ b/src/radishlift/daemon/hosts.py
@@ -168,7 +168,9 @@
         known_at_ms = max(self._read_at_ms or 0, self._peer_known_at_ms)
         # Updated after the listeners ran: when work may be sent again, they
         # already exclude the leaving hosts.
-        self.knowledge.update(self._leaving_addresses, known_at_ms)
+        self.knowledge.update(
+            self._leaving_addresses, known_at_ms, self._read_at_ms
+        )
 
     def _publish(self, hosts: tuple[Host, ...]) -> None:
         self._hosts = hosts
--- a/src/radishlift/services/host_knowledge.py
+++ b/src/radishlift/services/host_knowledge.py
@@ -37,9 +37,14 @@
 
 
 class HostKnowledge:
-    """The hosts that are leaving, and the time of the read they are from."""
+    """The hosts that are leaving, and the time of the read they are from.
+
+    `listed_at_ms` is when the last read of the whole list was sent, or None
+    before it. Reports of peers about leaving hosts don't move it.
+    """
 
     def __init__(self, clock: Clock, limit_ms: int) -> None:
+        self.listed_at_ms: int | None = None
         self._clock = clock
         self._limit_ms = limit_ms
         self._known_at_ms: int | None = None
@@ -82,8 +87,15 @@
         """Adds a listener, called when the knowledge is current again."""
         self._listeners.append(listener)
 
-    def update(self, leaving: Collection[Address], known_at_ms: int) -> None:
+    def update(
+        self,
+        leaving: Collection[Address],
+        known_at_ms: int,
+        listed_at_ms: int | None = None,
+    ) -> None:
         """Stores the leaving hosts; ignores a read older than the last."""
+        if listed_at_ms is not None:
+            self.listed_at_ms = listed_at_ms
         if self._known_at_ms is not None and known_at_ms < self._known_at_ms:
             return
         self._known_at_ms = known_at_ms
--- a/src/radishlift/workers/client.py
+++ b/src/radishlift/workers/client.py
@@ -86,6 +86,11 @@
         """Returns whether a worker may get new work now, or why not."""
         return self._host_knowledge.check(Address(worker_id))
 
+    @property
+    def listed_at_ms(self) -> int | None:
+        """Returns when the last read of the whole host list was sent."""
+        return self._host_knowledge.listed_at_ms
+
     async def describe(
         self,
         worker_id: WorkerId,
--- a/src/radishlift/workers/dispatcher.py
+++ b/src/radishlift/workers/dispatcher.py
@@ -51,6 +51,7 @@
         events: WorkerEvents,
         previous_owners: PreviousOwners,
     ) -> None:
+        self._client = client
         self._settings = settings
         self._clock = clock
         self._events = events
@@ -86,18 +87,16 @@
 
         A worker that was removed from the host list is permanently removed,
         with all of its attempts. A worker that was never listed here may be
-        newer than this daemon's list and is kept for `host_list_lag_ms`.
+        newer than this daemon's list and is kept until a list was read
+        `host_list_lag_ms` after it was added.
         """
         for worker_id in assigned:
             if worker_id not in self._sessions:
                 self._add_session(worker_id)
-        max_added_at_ms = (
-            self._clock.monotonic_ms() - self._settings.host_list_lag_ms
-        )
         for worker_id, session in list(self._sessions.items()):
             if worker_id in listed:
                 session.is_listed = True
-            elif session.is_listed or session.added_at_ms <= max_added_at_ms:
+            elif session.is_listed or self._is_older_than_list(session):
                 self._remove_session(self._sessions.pop(worker_id))
 
     def drop_workers_except(
@@ -227,6 +226,13 @@
         self._poll_planner.schedule.add(session, now_ms)
         return session
 
+    def _is_older_than_list(self, session: WorkerSession) -> bool:
+        listed_at_ms = self._client.listed_at_ms
+        if listed_at_ms is None:
+            return False
+        lag_ms = self._settings.host_list_lag_ms
+        return session.added_at_ms + lag_ms <= listed_at_ms
+
     def _remove_session(self, session: WorkerSession) -> None:
         log_event('worker_gone', worker=session.worker_id)
         incarnations = {
--- a/src/radishlift/workers/settings.py
+++ b/src/radishlift/workers/settings.py
@@ -19,7 +19,8 @@
     polls are made when a task is likely to have ended, at least
     `end_interval_ms` after the last poll of its worker. `retry_interval_ms` is
     the delay after a failed request. A worker that was never on the host list
-    of this daemon is treated as removed after `host_list_lag_ms`.
+    of this daemon is treated as removed by a list that was read at least
+    `host_list_lag_ms` after the daemon learned of the worker.
     """
 
     lease_ms: int = bounded(10_000, 100, 600_000)
--- a/tests/daemon/test_hosts.py
+++ b/tests/daemon/test_hosts.py
@@ -194,3 +194,17 @@
     await feed.refresh()
     await feed.refresh()
     assert calls == [1702]
+
+
+async def test_peer_report_is_no_read_of_the_list():
+    """Guards against a missing host of an old list that counts as removed."""
+    source, clock = Source(), ManualClock(1)
+    feed = HostFeed(source, SETTINGS, clock)
+    assert feed.knowledge.listed_at_ms is None
+    await feed.refresh()
+    clock.advance(1500)
+    feed.apply_peer_report((), clock.monotonic_ms())
+    assert feed.knowledge.age_ms == 0
+    assert feed.knowledge.listed_at_ms == 1
+    await feed.refresh()
+    assert feed.knowledge.listed_at_ms == clock.monotonic_ms()
--- a/tests/standins/knowledge.py
+++ b/tests/standins/knowledge.py
@@ -1,5 +1,7 @@
 """Host knowledge for tests, from a host list that never becomes outdated."""
 
+import sys
+
 from radishlift.core.clock import ManualClock
 from radishlift.services.host_knowledge import HostKnowledge
 
@@ -10,7 +12,7 @@
     Its clock does not advance, so the host list stays current.
     """
     knowledge = HostKnowledge(ManualClock(), 0)
-    knowledge.update((), 0)
+    knowledge.update((), 0, listed_at_ms=sys.maxsize)
     return knowledge
 
 
--- a/tests/workers/test_dispatcher.py
+++ b/tests/workers/test_dispatcher.py
@@ -1,7 +1,7 @@
 import asyncio
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import pytest
 
@@ -91,18 +91,22 @@
 
 
 @asynccontextmanager
-async def open_cell(*previous_epochs: int) -> AsyncIterator[Cell]:
+async def open_cell(
+    *previous_epochs: int,
+    settings: WorkerSettings = SETTINGS,
+    is_listed: bool = True,
+) -> AsyncIterator[Cell]:
     worker = WorkerStandIn(WorkerOptions(report_lag_ms=0))
     await worker.listen('127.0.0.1', 0)
     list_clock = ManualClock()
     knowledge = HostKnowledge(list_clock, LIMIT_MS)
     knowledge.update((), 0)
-    client = WorkerClient(SETTINGS, knowledge)
+    client = WorkerClient(settings, knowledge)
     events, clock = Events(), BootClock()
     previous_owners = PreviousOwners(previous_epochs)
-    dispatcher = Dispatcher(client, SETTINGS, clock, events, previous_owners)
+    dispatcher = Dispatcher(client, settings, clock, events, previous_owners)
     workers = [WorkerId(worker.model.worker_id)]
-    dispatcher.set_workers(workers, workers)
+    dispatcher.set_workers(workers, workers if is_listed else [])
     loop = asyncio.create_task(dispatcher.run_forever())
     await until(lambda: events.seen)
     yield Cell(
@@ -435,3 +439,18 @@
         await until(lambda: len(cell.events.ended) == 2)
         now_ms = model.host_ms()
         assert cell.worker.worker_record().executions[1].last_ms <= now_ms
+
+
+async def test_worker_newer_than_the_host_list_keeps_its_attempts():
+    """Guards against a second run while the host list can't be read."""
+    settings = replace(SETTINGS, host_list_lag_ms=20)
+    async with open_cell(settings=settings, is_listed=False) as cell:
+        await cell.start_and_wait()
+        workers = [WorkerId(cell.worker.model.worker_id)]
+        await wait_for_polls(cell)
+        cell.dispatcher.set_workers(workers, [])
+        assert not cell.events.ended
+        read_at_ms = cell.clock.monotonic_ms()
+        cell.knowledge.update((), cell.list_clock.monotonic_ms(), read_at_ms)
+        cell.dispatcher.set_workers(workers, [])
+        assert cell.events.ended
