Take only rejections of the protocol for starts that did not run

Cause: an answer to a start with a status or reason that the protocol does not name (500, 504, a 409 without a readable reason) counted as `invalid`, which ended the attempt. The target may have acted on the start all the same.

Change: such an answer leaves the outcome unknown, as no answer does.

Why it works: the start is repeated and then blocked by a stop, which lets no attempt end before the target has listed it or its lease has expired.

--- a/src/radishlift/platform/targets.py
+++ b/src/radishlift/platform/targets.py
@@ -144,13 +144,19 @@
         return answer
 
 
-def _decode_verdict(answer: JsonAnswer) -> StartVerdict:
+def _decode_verdict(answer: JsonAnswer) -> StartVerdict | Failure:
     if answer.status == _OK:
         return StartVerdict.started
+    verdict = _STATUS_VERDICTS.get(answer.status)
     if answer.status == _CONFLICT:
-        reason = str(answer.fields.get('reason', ''))
-        return _CONFLICT_VERDICTS.get(reason, StartVerdict.invalid)
-    return _STATUS_VERDICTS.get(answer.status, StartVerdict.invalid)
+        verdict = _CONFLICT_VERDICTS.get(str(answer.fields.get('reason', '')))
+    if verdict is None:
+        # Any other answer does not tell whether the target acted on the call.
+        return Failure(
+            ErrorKind.target_outcome_unknown,
+            f'target answered with status {answer.status}',
+        )
+    return verdict
 
 
 def _decode_report(fields: Mapping[str, Any]) -> HoldReport:
--- a/tests/platform/test_targets.py
+++ b/tests/platform/test_targets.py
@@ -9,6 +9,8 @@
     AdviceAnswer,
     HoldOrder,
     HoldReport,
+    StartOrder,
+    StartVerdict,
     TargetRef,
 )
 from radishlift.core.errors import ErrorKind, Failure
@@ -28,6 +30,7 @@
 }
 ADVICE = {'allowed': [['i-1', 'ticket']], 'validMs': 2000}
 ORDER = HoldOrder(1, 0, None, 0)
+START = StartOrder(key(), 1, 'text', 4000, 1)
 
 
 class Services:
@@ -35,14 +38,25 @@
 
     def __init__(self) -> None:
         self.content = b''
+        self.status = 200
 
     async def answer(self, _request):
-        return web.Response(body=self.content)
+        return web.Response(status=self.status, body=self.content)
 
     async def hold(self, content):
         self.content = content
         return await self.targets.hold(TargetRef('i-1', self.address), ORDER)
 
+    async def order(self, status, content):
+        """Sends a start and a stop; returns their outcomes."""
+        self.status = status
+        self.content = content
+        target = TargetRef('i-1', self.address)
+        return [
+            await self.targets.start(target, START),
+            await self.targets.stop(target, START.key, 1, 1),
+        ]
+
     async def advise(self, content):
         self.content = content
         return await self.advice.request(key().step_key, ('i-1',), 500)
@@ -104,3 +118,48 @@
                 ErrorKind.bad_frame,
                 ErrorKind.peer_outcome_unknown,
             }
+
+
+@pytest.mark.parametrize(
+    ('status', 'content'),
+    [
+        (200, b'{"clockMs"'),
+        (202, b'{}'),
+        (404, b''),
+        (408, b''),
+        (409, b''),
+        (409, b'{"clockMs": 1, "reason": "unknown"}'),
+        (409, b'fence'),
+        (500, b''),
+        (502, b'<html>'),
+        (504, b'{}'),
+    ],
+)
+async def test_answer_that_proves_no_rejection_leaves_the_outcome_unknown(
+    services, status, content
+):
+    """Guards against a task that starts elsewhere while it runs."""
+    for outcome in await services.order(status, content):
+        assert isinstance(outcome, Failure)
+        assert outcome.kind is ErrorKind.target_outcome_unknown
+
+
+@pytest.mark.parametrize(
+    ('status', 'content', 'verdict'),
+    [
+        (200, b'{"clockMs": 1}', StartVerdict.started),
+        (400, b'', StartVerdict.invalid),
+        (409, b'{"clockMs": 1, "reason": "fence"}', StartVerdict.fenced),
+        (409, b'{"clockMs": 1, "reason": "old"}', StartVerdict.superseded),
+        (409, b'{"clockMs": 1, "reason": "late"}', StartVerdict.late),
+        (409, b'{"clockMs": 1, "reason": "room"}', StartVerdict.no_room),
+        (409, b'{"clockMs": 1, "reason": "ticket"}', StartVerdict.bad_ticket),
+        (421, b'', StartVerdict.other_process),
+        (429, b'', StartVerdict.refused),
+        (503, b'', StartVerdict.refused),
+    ],
+)
+async def test_answer_of_the_protocol_is_a_verdict(
+    services, status, content, verdict
+):
+    assert set(await services.order(status, content)) == {verdict}
