Wait for the longest lease that an unknown process may have granted

Cause: the end of a lease was calculated on the clock of the process that the leader last heard of. A target that restarts under its id while it is idle, or just before a start, takes an end on the earlier clock and shortens it to the longest lease. The same held for a lease that an earlier leader had granted (on an old sample of an idle target's clock, or to such a process), once the new leader had granted its own. Also, a leader granted the longest lease itself after a restart, which its successor did not expect.

Change: until a list that was requested after a start has answered, the lease lasts for the longest lease from the latest call. The first list of a process or of a term limits all earlier leases in the same way, but what the leader grants keeps its length.

Why it works: a target never holds a lease for longer than that, whatever end a call names, and a list tells which process holds it.

--- a/src/radishlift/cell/leases.py
+++ b/src/radishlift/cell/leases.py
@@ -59,6 +59,10 @@
     slower than the clock of this host by `clock_drift`, and a sample was taken
     before its answer arrived. Expiry is calculated from these limits, so that
     the lease has ended on the target when `has_expired` returns true.
+
+    A target shortens a lease to the longest one. Leases that end on the clock
+    of an earlier process, or that an earlier leader granted, are limited only
+    by this.
     """
 
     def __init__(
@@ -72,7 +76,11 @@
         self._length_ms = int(max_lease_ms * settings.lease_share)
         self._clock_ms = 0
         self._sampled_at_ms: int | None = None
-        self._until_ms: int | None = None
+        self._until_ms = 0
+        self._others_until_ms = 0
+        self._granted_at_ms = 0
+        self._open_starts_ms: list[int] = []
+        self._unlisted_start_ms: int | None = None
         self._inherited_until_ms = inherited_until_ms
 
     def update_clock(self, clock_ms: int, received_at_ms: int) -> None:
@@ -80,6 +88,36 @@
         self._clock_ms = clock_ms
         self._sampled_at_ms = received_at_ms
 
+    def begin_process(self, clock_ms: int, received_at_ms: int) -> None:
+        """Starts the lease of a new process with its own clock.
+
+        Earlier calls that it has processed end within the longest lease.
+        """
+        self.update_clock(clock_ms, received_at_ms)
+        self._until_ms = 0
+        self._others_until_ms = clock_ms + self._max_lease_ms
+
+    def open_start(self, sent_at_ms: int) -> None:
+        """Records that a start is sent.
+
+        A later process than the known one may accept it.
+        """
+        self._open_starts_ms.append(sent_at_ms)
+
+    def close_start(self, sent_at_ms: int, taken_at_ms: int | None) -> None:
+        """Records when the target has taken a start, None if it has not."""
+        self._open_starts_ms.remove(sent_at_ms)
+        if taken_at_ms is not None:
+            self._unlisted_start_ms = max(
+                taken_at_ms, self._unlisted_start_ms or 0
+            )
+
+    def record_list(self, requested_at_ms: int) -> None:
+        """Records that the known process has answered a later call."""
+        started_at_ms = self._unlisted_start_ms
+        if started_at_ms is not None and started_at_ms < requested_at_ms:
+            self._unlisted_start_ms = None
+
     def grant(self, now_ms: int) -> int | None:
         """Extends the lease; returns its end on the target's clock.
 
@@ -87,15 +125,16 @@
         """
         if self._sampled_at_ms is None:
             return None
+        self._granted_at_ms = now_ms
         passed_ms = now_ms - self._sampled_at_ms
         until_ms = self._clock_ms + passed_ms + self._length_ms
-        self._until_ms = max(until_ms, self._until_ms or 0)
+        self._until_ms = max(until_ms, self._until_ms)
         return self._until_ms
 
     @property
     def until_ms(self) -> int:
         """Returns the latest granted end; 0 before the first grant."""
-        return self._until_ms or 0
+        return self._until_ms
 
     def has_expired(self, now_ms: int) -> bool:
         """Returns whether the lease has ended on the target's clock."""
@@ -103,20 +142,25 @@
 
     def remaining_ms(self, now_ms: int) -> int:
         """Returns how long the lease may last; 0 or less if it has expired."""
-        if self._sampled_at_ms is None or self._until_ms is None:
-            return self._inherited_until_ms + 1 - now_ms
-        lease_ms = self._until_ms + _MARGIN_MS - self._clock_ms
-        expires_at_ms = self._sampled_at_ms + lease_ms / (1 - self._drift)
-        return floor(expires_at_ms) + 1 - now_ms
-
-    def restart(self, clock_ms: int, received_at_ms: int) -> None:
-        """Starts the lease of a new process with its own clock.
-
-        Calls in transit may end on the clock of the earlier process, which
-        the target limits to the longest lease.
-        """
-        self.update_clock(clock_ms, received_at_ms)
-        self._until_ms = clock_ms + self._max_lease_ms
+        expires_at_ms = self._known_expiry_ms()
+        starts_ms = list(self._open_starts_ms)
+        if self._unlisted_start_ms is not None:
+            starts_ms.append(self._unlisted_start_ms)
+        if starts_ms:
+            latest_ms = max(*starts_ms, self._granted_at_ms)
+            longest_ms = self._on_slowest_clock(self._max_lease_ms)
+            expires_at_ms = max(expires_at_ms, latest_ms + longest_ms)
+        return expires_at_ms + 1 - now_ms
+
+    def _known_expiry_ms(self) -> int:
+        until_ms = max(self._until_ms, self._others_until_ms)
+        if self._sampled_at_ms is None or not until_ms:
+            return self._inherited_until_ms
+        lease_ms = until_ms - self._clock_ms
+        return self._sampled_at_ms + self._on_slowest_clock(lease_ms)
+
+    def _on_slowest_clock(self, lease_ms: int) -> int:
+        return floor((lease_ms + _MARGIN_MS) / (1 - self._drift))
 
 
 __all__ = ('InheritedLeases', 'TargetLease', 'inherited_expiry_ms')
--- a/src/radishlift/cell/orders.py
+++ b/src/radishlift/cell/orders.py
@@ -99,12 +99,14 @@
             previous_ms = self._target.record_start(
                 order.key, order.attempt, sent_at_ms
             )
+            self._lease.open_start(sent_at_ms)
             with self.open_starts.track():
                 answer = await self._context.calls.start(
                     self.ref,
                     order.with_lease_end(self._renew_lease()),
                 )
             if isinstance(answer, StartVerdict):
+                self._lease.close_start(sent_at_ms, self._now_ms())
                 if answer is StartVerdict.other_process:
                     # The process that the start was meant for did not get it.
                     self._target.retract_start(
@@ -115,6 +117,9 @@
                     order, answer, is_unresolved=is_unresolved
                 )
                 return
+            self._lease.close_start(
+                sent_at_ms, None if answer.is_not_run else sent_at_ms
+            )
             if answer.is_not_run:
                 self._target.retract_start(
                     order.key, order.attempt, previous_ms
--- a/src/radishlift/cell/sessions.py
+++ b/src/radishlift/cell/sessions.py
@@ -156,15 +156,18 @@
 
     async def _apply_report(self, report: HoldReport) -> None:
         is_restarted = report.incarnation not in {None, self._incarnation}
+        if is_restarted or not self._is_synced:
+            # Each process has its own clock.
+            self.lease.begin_process(report.clock_ms, self._now_ms())
+        else:
+            self.lease.update_clock(report.clock_ms, self._now_ms())
+        self.lease.record_list(self.list_requested_at_ms)
         if is_restarted and self._incarnation is not None:
-            # Each process has its own clock and counts its ended attempts.
-            self.lease.restart(report.clock_ms, self._now_ms())
+            # Each process counts its ended attempts.
             self._ended_cursor = 0
             self.target.record_restart()
             self.target.record_failure(self._now_ms())
             self._context.listener.on_crashed(self, is_proven=True)
-        else:
-            self.lease.update_clock(report.clock_ms, self._now_ms())
         if is_restarted:
             self._incarnation = report.incarnation
         self.target.record_running()
--- a/tests/cell/test_leases.py
+++ b/tests/cell/test_leases.py
@@ -42,3 +42,45 @@
     assert expiry_ms >= 6000 + 3000 / 0.98
     assert not lease.has_expired(expiry_ms)
     assert lease.has_expired(expiry_ms + 1)
+
+
+@pytest.mark.parametrize('is_listed', [False, True])
+def test_start_that_a_new_process_accepted_lasts_for_the_longest_lease(
+    lease, is_listed
+):
+    # A clock that begins anew is behind the end that was granted.
+    lease.update_clock(50_000, received_at_ms=0)
+    lease.open_start(100)
+    lease.grant(100)
+    lease.close_start(100, taken_at_ms=200)
+    lease.record_list(201 if is_listed else 200)
+    assert lease.has_expired(4000) is is_listed
+    assert lease.has_expired(200 + int(6000 / 0.98)) is is_listed
+    assert lease.has_expired(200 + int(6100 / 0.98) + 2)
+
+
+def test_renewal_prolongs_the_lease_of_an_unlisted_start(lease):
+    lease.update_clock(50_000, received_at_ms=0)
+    lease.open_start(100)
+    lease.close_start(100, taken_at_ms=200)
+    lease.grant(1000)
+    assert not lease.has_expired(1000 + int(6000 / 0.98))
+
+
+@pytest.mark.parametrize('is_sent', [False, True])
+def test_start_without_a_connection_prolongs_no_lease(lease, is_sent):
+    lease.update_clock(50_000, received_at_ms=0)
+    lease.open_start(100)
+    lease.grant(100)
+    assert not lease.has_expired(100 + int(6000 / 0.98))
+    lease.close_start(100, 100 if is_sent else None)
+    assert lease.has_expired(100 + int(6000 / 0.98)) is not is_sent
+
+
+def test_new_process_is_granted_no_longer_lease_than_others(lease):
+    """Guards against a next leader that takes this lease for expired."""
+    lease.update_clock(50_000, received_at_ms=0)
+    lease.grant(0)
+    lease.begin_process(10, received_at_ms=1000)
+    assert lease.grant(1000) == 10 + 3000
+    assert not lease.has_expired(1000 + int(6000 / 0.98))
--- a/tests/cell/test_sessions.py
+++ b/tests/cell/test_sessions.py
@@ -100,6 +100,59 @@
         await cell.close()
 
 
+async def test_start_accepted_after_an_unnoticed_restart_keeps_its_lease(
+    monkeypatch,
+):
+    settings = replace(SETTINGS, lease_share=0.1)
+    cell = Cell('t1', settings=settings, max_lease_ms=LONG_LEASE_MS)
+    fake = cell.targets['t1']
+    fake.clock_ms = OLD_CLOCK_MS
+    try:
+        cell.lead()
+        first_id = cell.submit(job())
+        await cell.until_state(first_id, 'completed')
+        # A target without tasks is not polled.
+        await asyncio.sleep(0.1)
+        fake.restart()
+
+        async def fail_to_hold(target, order):
+            return UNKNOWN
+
+        monkeypatch.setattr(cell.targets, 'hold', fail_to_hold)
+        cell.submit(job(job_id=OTHER_JOB))
+        await cell.until(lambda: bool(fake.running))
+        started_s = time.monotonic()
+        monkeypatch.undo()
+        fake.is_unresponsive = True
+        cell.add_target('t2')
+        await cell.until(lambda: bool(cell.targets['t2'].started))
+        assert time.monotonic() - started_s > LONG_LEASE_MS / 1000
+    finally:
+        await cell.close()
+
+
+async def test_longest_lease_of_an_earlier_leader_is_waited_for():
+    settings = replace(SETTINGS, lease_share=0.1)
+    cell = Cell('t1', settings=settings, max_lease_ms=LONG_LEASE_MS)
+    fake = cell.targets['t1']
+    try:
+        first = cell.lead()
+        cell.submit(job())
+        await cell.until(lambda: bool(fake.running))
+        await cell.kill(first)
+        cell.lead()
+        await cell.until(lambda: fake.fencing_token == 2)
+        taken_over_s = time.monotonic()
+        # The new leader's own leases are shorter.
+        await asyncio.sleep(CONFIRMED_S)
+        fake.is_unresponsive = True
+        cell.add_target('t2')
+        await cell.until(lambda: bool(cell.targets['t2'].started))
+        assert time.monotonic() - taken_over_s > LONG_LEASE_MS / 1000
+    finally:
+        await cell.close()
+
+
 async def test_cursor_of_an_earlier_life_acknowledges_no_end(cell):
     cell.lead()
     first_id = cell.submit(job(step(4)))
