Block unanswered starts also after a target was removed and came back

Cause: a target without an entry is forgotten once its tasks have ended, and its session with it, including the starts that it never answered. Entries also expire and come back. The next session renewed the lease at once, so that a late start of an attempt that had been given up ran under it.

Change: the leader keeps unanswered starts by target id for its whole term, and a new session blocks them before it renews a lease, as an old one does.

Why it works: the target rejects a start that a stop has blocked, however late it arrives. The next leader has a higher fencing token.

--- a/src/radishlift/cell/orders.py
+++ b/src/radishlift/cell/orders.py
@@ -46,7 +46,7 @@
         self._on_not_started = on_not_started
         self.listing = ExpectedListing(target)
         self._stopping: set[tuple[TaskKey, int]] = set()
-        self._unresolved: set[tuple[TaskKey, int]] = set()
+        self._unresolved = context.unresolved_starts[target.entry.target_id]
         self._tasks: set[asyncio.Task[None]] = set()
         self.open_starts = OpenCalls()
 
--- a/src/radishlift/cell/session_context.py
+++ b/src/radishlift/cell/session_context.py
@@ -1,8 +1,9 @@
 """Shared context and listener of a leader's sessions with targets."""
 
 import asyncio
+from collections import defaultdict
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum, unique
 from typing import TYPE_CHECKING, Protocol
 
@@ -12,7 +13,7 @@
 from radishlift.cell.unrenewed_leases import UnrenewedLeases
 from radishlift.core.clock import Clock
 from radishlift.core.logs import log_event
-from radishlift.steps.ids import FencingToken, TaskKey
+from radishlift.steps.ids import FencingToken, TargetId, TaskKey
 
 if TYPE_CHECKING:
     from radishlift.cell.sessions import TargetSession
@@ -75,6 +76,8 @@
     """Dependencies and settings of all sessions of a leader.
 
     `may_renew_leases` returns whether leases may be renewed.
+    `unresolved_starts` are the attempts whose starts may still take effect;
+    they outlast the session, as a target without an entry may come back.
     """
 
     calls: TargetCalls
@@ -86,6 +89,9 @@
     inherited_leases: InheritedLeases
     unrenewed: UnrenewedLeases
     may_renew_leases: Callable[[], bool]
+    unresolved_starts: defaultdict[TargetId, set[tuple[TaskKey, int]]] = field(
+        default_factory=lambda: defaultdict(set)
+    )
 
     def check_end(self, task: asyncio.Task[None]) -> None:
         """Reports the error of a session's task that has ended."""
--- a/tests/cell/test_sessions.py
+++ b/tests/cell/test_sessions.py
@@ -7,6 +7,8 @@
 
 import pytest
 
+from radishlift.cell.ports import StartVerdict
+from radishlift.cell.tables import TARGETS
 from radishlift.steps.endings import EndKind
 from radishlift.steps.settings import StepSettings
 from tests.cell.fakes import UNKNOWN
@@ -288,6 +290,29 @@
         await cell.close()
 
 
+async def test_late_start_is_blocked_on_a_target_that_was_removed_meanwhile(
+    cell,
+):
+    fake = cell.targets['t1']
+    cell.lead()
+    await cell.until(lambda: fake.fencing_token == 1)
+    await asyncio.sleep(0.05)
+    fake.is_unresponsive = True
+    cell.submit(job())
+    await cell.until(lambda: bool(fake.late))
+    cell.add_target('t2')
+    await cell.until(lambda: bool(cell.targets['t2'].running))
+    cell.write(TARGETS, 't1', None)
+    await asyncio.sleep(0.05)
+    fake.until_ms = 0
+    fake.is_unresponsive = False
+    cell.write_target('t1')
+    # A second job needs the target, so that its lease is renewed.
+    cell.submit(job(step(6), job_id=OTHER_JOB))
+    await cell.until(lambda: fake.until_ms > 0)
+    assert fake.run(fake.late[0]) is StartVerdict.superseded
+
+
 async def test_poll_is_not_repeated_without_a_pause_while_a_stop_fails(
     monkeypatch,
 ):
