Block unanswered starts again after their target has restarted

Cause: a start without an answer is blocked by a stop, but a target that restarts under its id forgets the block, the fencing token and its clock. The attempt is missing in the lists of the new process and starts elsewhere; the late start, which arrives up to seconds later, was accepted.

Change: a leader remembers the starts that were not answered. Once a list shows a new process, they are blocked there before its lease is renewed and before it gets tasks, except those that the list contains.

Why it works: a stop blocks an attempt that is not there. A start that reaches the new process before its first list remains possible by the protocol.

--- a/src/radishlift/cell/orders.py
+++ b/src/radishlift/cell/orders.py
@@ -46,7 +46,9 @@
         self._on_not_started = on_not_started
         self.listing = ExpectedListing(target)
         self._stopping: set[tuple[TaskKey, int]] = set()
-        self._unresolved = context.unresolved_starts[target.entry.target_id]
+        self.unresolved = context.unresolved_starts[target.entry.target_id]
+        # The target may have restarted since an earlier session.
+        self.unresolved.reopen()
         self._tasks: set[asyncio.Task[None]] = set()
         self.open_starts = OpenCalls()
 
@@ -74,7 +76,7 @@
 
     async def block_unresolved_starts(self) -> bool:
         """Blocks unanswered starts; returns whether all are blocked."""
-        for key, attempt in tuple(self._unresolved):
+        for key, attempt in self.unresolved:
             if not await self._stop_once(key, attempt):
                 return False
         return True
@@ -126,7 +128,7 @@
                 )
             else:
                 is_unresolved = True
-                self._unresolved.add((order.key, order.attempt))
+                self.unresolved.add(order.key, order.attempt)
             self._record_unanswered(order, answer)
         await self._resolve_start(
             order,
@@ -176,7 +178,7 @@
             return
         may_be_listed = verdict in _RAN_VERDICTS
         if may_be_listed:
-            self._unresolved.discard((order.key, order.attempt))
+            self.unresolved.resolve(order.key, order.attempt)
             self._target.confirm_start(order.key, order.attempt)
             self._context.listener.on_started(order.key)
         elif is_unresolved:
@@ -207,7 +209,7 @@
             self._context.listener.end_term()
         is_blocked = answer in {StartVerdict.started, StartVerdict.fenced}
         if is_blocked:
-            self._unresolved.discard((key, attempt))
+            self.unresolved.resolve(key, attempt)
         return is_blocked
 
 
--- a/src/radishlift/cell/session_context.py
+++ b/src/radishlift/cell/session_context.py
@@ -11,6 +11,7 @@
 from radishlift.cell.ports import HoldReport, StartVerdict, TargetCalls
 from radishlift.cell.settings import CellSettings
 from radishlift.cell.unrenewed_leases import UnrenewedLeases
+from radishlift.cell.unresolved_starts import UnresolvedStarts
 from radishlift.core.clock import Clock
 from radishlift.core.logs import log_event
 from radishlift.steps.ids import FencingToken, TargetId, TaskKey
@@ -76,8 +77,8 @@
     """Dependencies and settings of all sessions of a leader.
 
     `may_renew_leases` returns whether leases may be renewed.
-    `unresolved_starts` are the attempts whose starts may still take effect;
-    they outlast the session, as a target without an entry may come back.
+    `unresolved_starts` outlast the session with their target, as a target
+    without an entry may come back.
     """
 
     calls: TargetCalls
@@ -89,8 +90,8 @@
     inherited_leases: InheritedLeases
     unrenewed: UnrenewedLeases
     may_renew_leases: Callable[[], bool]
-    unresolved_starts: defaultdict[TargetId, set[tuple[TaskKey, int]]] = field(
-        default_factory=lambda: defaultdict(set)
+    unresolved_starts: defaultdict[TargetId, UnresolvedStarts] = field(
+        default_factory=lambda: defaultdict(UnresolvedStarts)
     )
 
     def check_end(self, task: asyncio.Task[None]) -> None:
--- a/src/radishlift/cell/sessions.py
+++ b/src/radishlift/cell/sessions.py
@@ -165,6 +165,8 @@
         if is_restarted and self._incarnation is not None:
             # Each process counts its ended attempts.
             self._ended_cursor = 0
+            if self._orders.unresolved.reopen(report):
+                self._set_reachable(is_reachable=False)
             self.target.record_restart()
             self.target.record_failure(self._now_ms())
             self._context.listener.on_crashed(self, is_proven=True)
--- a/tests/cell/test_sessions.py
+++ b/tests/cell/test_sessions.py
@@ -313,6 +313,25 @@
     assert fake.run(fake.late[0]) is StartVerdict.superseded
 
 
+async def test_late_start_is_blocked_again_after_a_restart(cell):
+    fake = cell.targets['t1']
+    cell.lead()
+    cell.submit(job(job_id=OTHER_JOB))
+    await cell.until(lambda: bool(fake.running))
+    fake.loses_answers = True
+    cell.submit(job())
+    # The unanswered start is blocked by a stop.
+    await cell.until(lambda: fake.blocked.get(key()) == 1)
+    late = next(order for order in fake.started if order.key == key())
+    fake.loses_answers = False
+    fake.rejection = StartVerdict.refused
+    fake.restart()
+    cell.add_target('t2')
+    await cell.until(lambda: len(cell.targets['t2'].running) == 2)
+    fake.rejection = None
+    assert fake.run(late) is StartVerdict.superseded
+
+
 async def test_poll_is_not_repeated_without_a_pause_while_a_stop_fails(
     monkeypatch,
 ):
