--- a/src/radishlift/cell/session_context.py
+++ b/src/radishlift/cell/session_context.py
@@ -1,8 +1,9 @@
 """Shared context and listener of a leader's sessions with targets."""
 
 import asyncio
+from collections import defaultdict
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum, unique
 from typing import TYPE_CHECKING, Protocol
 
@@ -10,9 +11,10 @@
 from radishlift.cell.ports import HoldReport, StartVerdict, TargetCalls
 from radishlift.cell.settings import CellSettings
 from radishlift.cell.unrenewed_leases import UnrenewedLeases
+from radishlift.cell.unresolved_starts import UnresolvedStarts
 from radishlift.core.clock import Clock
 from radishlift.core.logs import log_event
-from radishlift.steps.ids import FencingToken, TaskKey
+from radishlift.steps.ids import FencingToken, TargetId, TaskKey
 
 if TYPE_CHECKING:
     from radishlift.cell.sessions import TargetSession
@@ -75,6 +77,8 @@
     """Dependencies and settings of all sessions of a leader.
 
     `may_renew_leases` returns whether leases may be renewed.
+    `unresolved_starts` outlast the session with their target, as a target
+    without an entry may come back.
     """
 
     calls: TargetCalls
@@ -86,6 +90,9 @@
     inherited_leases: InheritedLeases
     unrenewed: UnrenewedLeases
     may_renew_leases: Callable[[], bool]
+    unresolved_starts: defaultdict[TargetId, UnresolvedStarts] = field(
+        default_factory=lambda: defaultdict(UnresolvedStarts)
+    )
 
     def check_end(self, task: asyncio.Task[None]) -> None:
         """Reports the error of a session's task that has ended."""
--- a/tests/cell/test_sessions.py
+++ b/tests/cell/test_sessions.py
@@ -7,6 +7,8 @@
 
 import pytest
 
+from radishlift.cell.ports import StartVerdict
+from radishlift.cell.tables import TARGETS
 from radishlift.steps.endings import EndKind
 from radishlift.steps.settings import StepSettings
 from tests.cell.fakes import UNKNOWN
@@ -100,6 +102,59 @@
         await cell.close()
 
 
+async def test_start_accepted_after_an_unnoticed_restart_keeps_its_lease(
+    monkeypatch,
+):
+    settings = replace(SETTINGS, lease_share=0.1)
+    cell = Cell('t1', settings=settings, max_lease_ms=LONG_LEASE_MS)
+    fake = cell.targets['t1']
+    fake.clock_ms = OLD_CLOCK_MS
+    try:
+        cell.lead()
+        first_id = cell.submit(job())
+        await cell.until_state(first_id, 'completed')
+        # A target without tasks is not polled.
+        await asyncio.sleep(0.1)
+        fake.restart()
+
+        async def fail_to_hold(target, order):
+            return UNKNOWN
+
+        monkeypatch.setattr(cell.targets, 'hold', fail_to_hold)
+        cell.submit(job(job_id=OTHER_JOB))
+        await cell.until(lambda: bool(fake.running))
+        started_s = time.monotonic()
+        monkeypatch.undo()
+        fake.is_unresponsive = True
+        cell.add_target('t2')
+        await cell.until(lambda: bool(cell.targets['t2'].started))
+        assert time.monotonic() - started_s > LONG_LEASE_MS / 1000
+    finally:
+        await cell.close()
+
+
+async def test_longest_lease_of_an_earlier_leader_is_waited_for():
+    settings = replace(SETTINGS, lease_share=0.1)
+    cell = Cell('t1', settings=settings, max_lease_ms=LONG_LEASE_MS)
+    fake = cell.targets['t1']
+    try:
+        first = cell.lead()
+        cell.submit(job())
+        await cell.until(lambda: bool(fake.running))
+        await cell.kill(first)
+        cell.lead()
+        await cell.until(lambda: fake.fencing_token == 2)
+        taken_over_s = time.monotonic()
+        # The new leader's own leases are shorter.
+        await asyncio.sleep(CONFIRMED_S)
+        fake.is_unresponsive = True
+        cell.add_target('t2')
+        await cell.until(lambda: bool(cell.targets['t2'].started))
+        assert time.monotonic() - taken_over_s > LONG_LEASE_MS / 1000
+    finally:
+        await cell.close()
+
+
 async def test_cursor_of_an_earlier_life_acknowledges_no_end(cell):
     cell.lead()
     first_id = cell.submit(job(step(4)))
@@ -235,6 +290,48 @@
         await cell.close()
 
 
+async def test_late_start_is_blocked_on_a_target_that_was_removed_meanwhile(
+    cell,
+):
+    fake = cell.targets['t1']
+    cell.lead()
+    await cell.until(lambda: fake.fencing_token == 1)
+    await asyncio.sleep(0.05)
+    fake.is_unresponsive = True
+    cell.submit(job())
+    await cell.until(lambda: bool(fake.late))
+    cell.add_target('t2')
+    await cell.until(lambda: bool(cell.targets['t2'].running))
+    cell.write(TARGETS, 't1', None)
+    await asyncio.sleep(0.05)
+    fake.until_ms = 0
+    fake.is_unresponsive = False
+    cell.write_target('t1')
+    # A second job needs the target, so that its lease is renewed.
+    cell.submit(job(step(6), job_id=OTHER_JOB))
+    await cell.until(lambda: fake.until_ms > 0)
+    assert fake.run(fake.late[0]) is StartVerdict.superseded
+
+
+async def test_late_start_is_blocked_again_after_a_restart(cell):
+    fake = cell.targets['t1']
+    cell.lead()
+    cell.submit(job(job_id=OTHER_JOB))
+    await cell.until(lambda: bool(fake.running))
+    fake.loses_answers = True
+    cell.submit(job())
+    # The unanswered start is blocked by a stop.
+    await cell.until(lambda: fake.blocked.get(key()) == 1)
+    late = next(order for order in fake.started if order.key == key())
+    fake.loses_answers = False
+    fake.rejection = StartVerdict.refused
+    fake.restart()
+    cell.add_target('t2')
+    await cell.until(lambda: len(cell.targets['t2'].running) == 2)
+    fake.rejection = None
+    assert fake.run(late) is StartVerdict.superseded
+
+
 async def test_poll_is_not_repeated_without_a_pause_while_a_stop_fails(
     monkeypatch,
 ):
