Take only a target's own writes for proof that it has left

Cause: a draining target without an entry counts as ended at the first failed call if its entry was written less than two heartbeats before. Rows that another writer had put there counted as writes of the target, so that an entry that expired could look removed. The time for which a draining target says that it stays was not used.

Change: only rows that can be read as an entry count as writes; any other row, and a list of rows whose age is unknown, discard the earlier ones. An entry that is missing before the announced time is over was not removed by its target.

Why it works: what remains is the protocol's own statement, that an entry is removed when its target has left or after three heartbeats of silence.

--- a/src/radishlift/cell/entry_writes.py
+++ b/src/radishlift/cell/entry_writes.py
@@ -2,7 +2,8 @@
 
 The platform removes an entry when its target has left, and otherwise after
 three heartbeats without a write. An entry that was written more recently can't
-have expired. While the store is down entries may expire unseen.
+have expired. While the store is down entries may expire unseen. A target that
+drains says how long it stays at least.
 """
 
 from typing import Final
@@ -40,15 +41,20 @@
         if self._read_at_ms is not None:
             self._written_after_ms[target_id] = self._read_at_ms
 
-    def is_deliberate(self, target_id: TargetId, now_ms: int) -> bool:
-        """Returns whether an entry that is removed now can't have expired."""
+    def is_deliberate(
+        self, target_id: TargetId, now_ms: int, remaining_ms: int = 0
+    ) -> bool:
+        """Returns whether an entry is removed now because its target left.
+
+        It has not expired, and the `remaining_ms` of its latest write are over.
+        """
         written_after_ms = self._written_after_ms.get(target_id)
         if written_after_ms is None:
             return False
-        return now_ms - written_after_ms < self._recent_ms
+        return remaining_ms <= now_ms - written_after_ms < self._recent_ms
 
     def forget(self, target_id: TargetId) -> None:
-        """Discards the writes of an entry that was removed."""
+        """Discards the writes of an entry that was removed or replaced."""
         self._written_after_ms.pop(target_id, None)
 
 
--- a/src/radishlift/cell/target_entries.py
+++ b/src/radishlift/cell/target_entries.py
@@ -39,41 +39,49 @@
             if target_id not in listed:
                 self._remove(target_id)
         for row in rows:
+            # A list does not tell when its rows were written.
+            self._scheduler.fleet.entry_writes.forget(TargetId(row.key))
             self._apply(row)
 
     def update(self, rows: tuple[Row, ...]) -> None:
         """Applies changed entries."""
         for row in rows:
-            if row.value is not None:
+            if self._apply(row):
                 self._scheduler.fleet.entry_writes.record_write(
                     TargetId(row.key)
                 )
-            self._apply(row)
 
-    def _apply(self, row: Row) -> None:
+    def _apply(self, row: Row) -> bool:
+        """Applies a row; returns whether its target has written it."""
         target_id = TargetId(row.key)
         if row.value is None:
             self._remove(target_id)
-            return
+            return False
         entry = self._decode(row.key, row.value)
         if isinstance(entry, Failure):
             log_event('bad_target_entry', target=row.key, reason=entry.reason)
             self._suspend(target_id)
-            return
+            return False
         self._scheduler.update_target(entry)
+        return True
 
     def _remove(self, target_id: TargetId) -> None:
         writes = self._scheduler.fleet.entry_writes
         now_ms = self._clock.monotonic_ms()
-        is_deliberate = writes.is_deliberate(target_id, now_ms)
-        writes.forget(target_id)
         session = self._scheduler.fleet.find_session(target_id)
         if session is None:
+            writes.forget(target_id)
             return
-        is_draining = session.target.entry.state is TargetState.draining
-        self._unlist(session, has_left=is_draining and is_deliberate)
+        entry = session.target.entry
+        has_left = entry.state is TargetState.draining and writes.is_deliberate(
+            target_id, now_ms, entry.remaining_ms
+        )
+        writes.forget(target_id)
+        self._unlist(session, has_left=has_left)
 
     def _suspend(self, target_id: TargetId) -> None:
+        # Another writer's row says nothing about how long its target is silent.
+        self._scheduler.fleet.entry_writes.forget(target_id)
         session = self._scheduler.fleet.find_session(target_id)
         if session is not None:
             self._unlist(session, has_left=False)
--- a/tests/cell/leader.py
+++ b/tests/cell/leader.py
@@ -54,7 +54,8 @@
     if not plain:
         return Failure(ErrorKind.invalid_input, 'unreadable')
     state = TargetState(plain['state'])
-    return entry(name, plain['cores'], state=state)
+    remaining_ms = plain.get('remaining_ms', 0)
+    return entry(name, plain['cores'], state=state, remaining_ms=remaining_ms)
 
 
 class Cell:
--- a/tests/cell/test_entry_writes.py
+++ b/tests/cell/test_entry_writes.py
@@ -27,6 +27,16 @@
     assert writes.is_deliberate(TARGET, now_ms) is is_deliberate
 
 
+@pytest.mark.parametrize(
+    ('now_ms', 'is_deliberate'), [(1999, False), (2000, True), (4000, False)]
+)
+def test_entry_of_a_target_that_has_to_stay_was_not_removed_by_it(
+    writes, now_ms, is_deliberate
+):
+    remaining_ms = 1000
+    assert writes.is_deliberate(TARGET, now_ms, remaining_ms) is is_deliberate
+
+
 def test_write_before_an_outage_proves_nothing(writes):
     writes.record_outage()
     assert not writes.is_deliberate(TARGET, 1200)
--- a/tests/cell/test_leader_term.py
+++ b/tests/cell/test_leader_term.py
@@ -334,6 +334,32 @@
         await cell.close()
 
 
+@pytest.mark.parametrize('is_replaced', [False, True])
+async def test_silent_target_that_has_not_left_keeps_its_tasks_for_its_lease(
+    is_replaced,
+):
+    # Another writer's row is no write of the target, whose entry expires.
+    cell = Cell('t1', max_lease_ms=1000, target_heartbeat_ms=200)
+    try:
+        cell.lead()
+        cell.submit(job())
+        await cell.until(lambda: bool(cell.targets.running_tasks()))
+        remaining_ms = 0 if is_replaced else 60_000
+        cell.write_target('t1', state='draining', remaining_ms=remaining_ms)
+        cell.add_target('t2')
+        if is_replaced:
+            await asyncio.sleep(0.55)
+            cell.write(TARGETS, 't1', {})
+        await asyncio.sleep(0.05)
+        cell.targets['t1'].is_unresponsive = True
+        cell.write(TARGETS, 't1', None)
+        await asyncio.sleep(0.3)
+        assert not cell.targets['t2'].started
+        await cell.until(lambda: bool(cell.targets['t2'].started))
+    finally:
+        await cell.close()
+
+
 async def test_next_leader_waits_for_the_lease_of_a_target_without_an_entry():
     cell = Cell('t1', max_lease_ms=600)
     try:
