Count a leader as confirmed from its claim, not from its first commit log

Cause: a new leader counted as confirmed for 6 s from the moment at which its commit log was created, which follows the answer to its claim. If the process is suspended in between, another daemon may claim the lead meanwhile. It waits for the leases of earlier leaders from its own claim on, while the suspended leader renewed them for up to 6 s after it went on, on targets that the new leader does not reach.

Evidence: with the claim's time known, but not used, as before, test_leader_whose_claim_is_old_is_unconfirmed failed.

Change: a claim carries the time at which it was sent, or at which the read was sent that found it in force.

Why it works: no other daemon had claimed the lead at that time, as for the commits, which have always been dated by their requests.

--- a/src/radishlift/cell/commits.py
+++ b/src/radishlift/cell/commits.py
@@ -48,11 +48,15 @@
 
 @dataclass(slots=True)
 class Claim:
-    """Epoch of a leader, and row versions that its next commit requires."""
+    """Epoch of a leader, and row versions that its next commit requires.
+
+    No other daemon had claimed the lead before `claimed_at_ms`.
+    """
 
     epoch: FencingToken
     leader_version: int
     last_version: int
+    claimed_at_ms: int
 
 
 @unique
@@ -100,7 +104,7 @@
         self._sequence = 0
         self._heartbeat_at_ms = 0
         self._is_failing = False
-        self.confirmed_at_ms = clock.monotonic_ms()
+        self.confirmed_at_ms = claim.claimed_at_ms
         self.heartbeat_fields: Callable[[], Mapping[str, Any]] = dict
         self.unrenewed = UnrenewedLeases(claim.epoch, self._has_work.set)
 
--- a/src/radishlift/cell/leadership.py
+++ b/src/radishlift/cell/leadership.py
@@ -263,6 +263,7 @@
         epoch = FencingToken((leader.value or {}).get('epoch', 0) + 1)
         leader_fields = {'daemon': self._daemon_id, 'epoch': epoch}
         commit_fields = {'epoch': epoch, 'number': 0}
+        sent_at_ms = self._clock.monotonic_ms()
         outcome = await self._store.commit(
             Transaction(
                 (Condition(CELL, LEADER_KEY, leader.version),),
@@ -273,7 +274,8 @@
             ),
         )
         if isinstance(outcome, Committed):
-            return Claim(epoch, *outcome.versions)
+            leader_version, last_version = outcome.versions
+            return Claim(epoch, leader_version, last_version, sent_at_ms)
         if isinstance(outcome, Conflict):
             log_event('claim_lost', epoch=epoch)
             return None
@@ -284,6 +286,7 @@
 
         Returns None if it did not or if this can't be read.
         """
+        requested_at_ms = self._clock.monotonic_ms()
         leader = await self._store.read(CELL, LEADER_KEY)
         if isinstance(leader, Failure) or leader.value is None:
             return None
@@ -291,7 +294,9 @@
         own_fields = {'daemon': self._daemon_id, 'epoch': epoch}
         if isinstance(last_commit, Failure) or leader.value != own_fields:
             return None
-        return Claim(epoch, leader.version, last_commit.version)
+        return Claim(
+            epoch, leader.version, last_commit.version, requested_at_ms
+        )
 
 
 __all__ = ('CellView', 'Leadership')
--- a/tests/cell/leader.py
+++ b/tests/cell/leader.py
@@ -132,7 +132,11 @@
         network = PeerNetwork(DaemonId('d'))
         AdviceProxy(network, self.advice)
         term = LeaderTerm(
-            Claim(FencingToken(self.epoch), *outcome.versions),
+            Claim(
+                FencingToken(self.epoch),
+                *outcome.versions,
+                BootClock().monotonic_ms(),
+            ),
             LeaderDependencies(
                 self.store,
                 self.targets,
--- a/tests/cell/test_commits.py
+++ b/tests/cell/test_commits.py
@@ -39,11 +39,15 @@
     return store
 
 
+def claim(age_ms=0):
+    return Claim(FencingToken(1), 1, 2, BootClock().monotonic_ms() - age_ms)
+
+
 @pytest.fixture
 def log(store):
     return CommitLog(
         store,
-        Claim(FencingToken(1), 1, 2),
+        claim(),
         CellSettings(pulse_ms=20),
         BootClock(),
     )
@@ -122,7 +126,7 @@
 
 async def test_leader_is_unconfirmed_without_commits(store):
     settings = CellSettings(pulse_ms=10, unconfirmed_ms=60)
-    log = CommitLog(store, Claim(FencingToken(1), 1, 2), settings, BootClock())
+    log = CommitLog(store, claim(), settings, BootClock())
     task = await start(log)
     await asyncio.sleep(0.1)
     assert log.is_confirmed
@@ -134,6 +138,13 @@
         await task
 
 
+@pytest.mark.parametrize('age_ms', [0, 7000])
+async def test_leader_whose_claim_is_old_is_unconfirmed(store, age_ms):
+    # The process was suspended, and another daemon may lead since then.
+    log = CommitLog(store, claim(age_ms), CellSettings(), BootClock())
+    assert log.is_confirmed is not bool(age_ms)
+
+
 async def test_backlog_does_not_delay_those_who_wait_for_earlier_commits(
     store, log, monkeypatch
 ):
--- a/tests/cell/test_leadership.py
+++ b/tests/cell/test_leadership.py
@@ -96,6 +96,24 @@
     assert claim.epoch == 2
 
 
+async def test_claim_dates_from_before_its_answer(cell, monkeypatch):
+    """Guards against a suspended leader that counts as confirmed."""
+    store, add = cell
+    commit = store.commit
+    claimed_at_ms = []
+
+    async def delay_answer(transaction):
+        outcome = await commit(transaction)
+        claimed_at_ms.append(BootClock().monotonic_ms())
+        await asyncio.sleep(0.1)
+        return outcome
+
+    candidate = await add('d1')
+    monkeypatch.setattr(store, 'commit', delay_answer)
+    claim = await asyncio.wait_for(candidate.claim, 2)
+    assert claim.claimed_at_ms <= claimed_at_ms[0]
+
+
 async def test_leader_that_steps_down_is_replaced_at_once(cell):
     _, add = cell
     first = await add('d1')
