Take an answer from an earlier address for no proof about its target

Cause: an answer of another process at a target's address ended all attempts on the target. If the target's entry had got another address while the call was in progress, for a new process with the same id, the answer came from the earlier address and tells nothing about the tasks at the new one.

Change: such an answer is ignored, and the target is polled at its address.

Why it works: the evidence then names the address that the tasks were sent to. If the process has restarted, its next list shows it.

--- a/src/radishlift/cell/sessions.py
+++ b/src/radishlift/cell/sessions.py
@@ -122,14 +122,18 @@
     async def _poll(self) -> None:
         context = self._context
         requested_at_ms = self._now_ms()
+        ref = self._orders.ref
         answer = await context.calls.hold(
-            self._orders.ref,
-            self._hold_order(requested_at_ms),
+            ref, self._hold_order(requested_at_ms)
         )
         if isinstance(answer, HoldReport):
             self.list_requested_at_ms = requested_at_ms
             await self._apply_report(answer)
             return
+        is_other = answer is StartVerdict.other_process
+        if is_other and ref != self._orders.ref:
+            # The process that the answer excludes may have left this address.
+            return
         if answer is StartVerdict.fenced:
             context.listener.end_term()
         else:
--- a/tests/cell/leader.py
+++ b/tests/cell/leader.py
@@ -54,8 +54,9 @@
     if not plain:
         return Failure(ErrorKind.invalid_input, 'unreadable')
     state = TargetState(plain['state'])
-    remaining_ms = plain.get('remaining_ms', 0)
-    return entry(name, plain['cores'], state=state, remaining_ms=remaining_ms)
+    optional = ('address', 'remaining_ms')
+    fields = {field: plain[field] for field in optional if field in plain}
+    return entry(name, plain['cores'], state=state, **fields)
 
 
 class Cell:
--- a/tests/cell/test_sessions.py
+++ b/tests/cell/test_sessions.py
@@ -313,6 +313,32 @@
     assert fake.run(fake.late[0]) is StartVerdict.superseded
 
 
+async def test_other_process_at_an_earlier_address_ends_no_task(
+    cell, monkeypatch
+):
+    fake = cell.targets['t1']
+    hold = cell.targets.hold
+    is_moved = asyncio.Event()
+
+    async def answer_at_the_earlier_address(target, order):
+        if target.address == '10.0.0.2:1' or not fake.running:
+            return await hold(target, order)
+        await is_moved.wait()
+        return StartVerdict.other_process
+
+    monkeypatch.setattr(cell.targets, 'hold', answer_at_the_earlier_address)
+    cell.lead()
+    cell.submit(job())
+    await cell.until(lambda: bool(fake.running))
+    await asyncio.sleep(0.05)
+    cell.write_target('t1', address='10.0.0.2:1')
+    cell.add_target('t2')
+    await asyncio.sleep(0.05)
+    is_moved.set()
+    await asyncio.sleep(0.2)
+    assert attempts(cell, key()) == [('t1', 1)]
+
+
 async def test_late_start_is_blocked_again_after_a_restart(cell):
     fake = cell.targets['t1']
     cell.lead()
