--- a/tests/cell/leader.py
+++ b/tests/cell/leader.py
@@ -54,7 +54,9 @@
     if not plain:
         return Failure(ErrorKind.invalid_input, 'unreadable')
     state = TargetState(plain['state'])
-    return entry(name, plain['cores'], state=state)
+    optional = ('address', 'remaining_ms')
+    fields = {field: plain[field] for field in optional if field in plain}
+    return entry(name, plain['cores'], state=state, **fields)
 
 
 class Cell:
@@ -131,7 +133,11 @@
         network = PeerNetwork(DaemonId('d'))
         AdviceProxy(network, self.advice)
         term = LeaderTerm(
-            Claim(FencingToken(self.epoch), *outcome.versions),
+            Claim(
+                FencingToken(self.epoch),
+                *outcome.versions,
+                BootClock().monotonic_ms(),
+            ),
             LeaderDependencies(
                 self.store,
                 self.targets,
