Take no refused connection for the end of a previous owner

Cause: a partition's new owner counted the leases of a previous owner as no longer renewed once a connection to it was refused. A network that rejects connections between daemons looks the same. The previous owner, cut from the table service as well, renewed the leases of its running tasks, as it must, while the new owner, which did not reach the worker, started them elsewhere after one lease.

Change: membership tells evidence of death, which is a reason to claim partitions, from a known end. Only a newer incarnation or a host that was removed from the host list is known; a previous owner may also confirm its end itself, as before.

Why it works: the claim is safe by conditional writes whatever the evidence, and the bound of the leases no longer starts on a refusal.

The cost: if a daemon is killed and neither starts again nor leaves the host list, its tasks on workers that its successor can't reach wait.

--- a/benchmarks/request_node_parts.py
+++ b/benchmarks/request_node_parts.py
@@ -40,6 +40,12 @@
         """Returns False: no peer is suspected."""
         return False
 
+    def has_ended(
+        self, _daemon_id: DaemonId, _incarnation: Incarnation
+    ) -> bool:
+        """Returns False: no peer has ended."""
+        return False
+
     def is_dead(self, _daemon_id: DaemonId, _incarnation: Incarnation) -> bool:
         """Returns False: no peer is dead."""
         return False
--- a/src/radishlift/membership/api.py
+++ b/src/radishlift/membership/api.py
@@ -49,6 +49,14 @@
 
         Evidence is a refused connection at its address, a newer incarnation,
         or a host removed from the host list, but never a missed heartbeat.
+        A refused connection may come from the network, so evidence is a
+        reason to claim its partitions, but no proof that it has ended.
+        """
+
+    def has_ended(self, daemon_id: DaemonId, incarnation: Incarnation) -> bool:
+        """Returns whether this incarnation is known to send nothing any more.
+
+        Known from a newer incarnation, or a host removed from the host list.
         """
 
 
--- a/src/radishlift/membership/evidence.py
+++ b/src/radishlift/membership/evidence.py
@@ -4,12 +4,15 @@
 """
 
 from collections.abc import Iterable
+from typing import Final
 
 from radishlift.core.ids import Address, DaemonId, Incarnation
 from radishlift.core.logs import log_event
 from radishlift.membership.api import Member
 from radishlift.membership.daemon_table import DaemonScan
 
+_REFUSED: Final = 'connection_refused'
+
 # A run of a daemon's process.
 _DaemonRun = tuple[DaemonId, Incarnation]
 
@@ -18,11 +21,13 @@
     """Collects the evidence of death of incarnations.
 
     Evidence is a newer incarnation, a refused connection or a removed host. A
-    missed heartbeat is no evidence.
+    missed heartbeat is no evidence. A refused connection does not prove the
+    end of a process, since a network that rejects connections looks the same.
     """
 
     def __init__(self) -> None:
         self._dead: set[_DaemonRun] = set()
+        self._ended: set[_DaemonRun] = set()
         self._removed: set[_DaemonRun] = set()
         self._listed: set[_DaemonRun] = set()
         self._queried: dict[_DaemonRun, int] = {}
@@ -39,10 +44,17 @@
         if not run[1]:
             # A seed whose row has not been read has no incarnation yet.
             return False
-        if run not in self._dead and self._current.get(run[0]) != run[1]:
+        if run not in self._ended and self._current.get(run[0]) != run[1]:
             self._queried.setdefault(run, started_scans_count)
         return run in self._dead
 
+    def has_ended(self, run: _DaemonRun, started_scans_count: int) -> bool:
+        """Returns whether an incarnation is known to have ended.
+
+        The scans are counted as in `is_dead`.
+        """
+        return self.is_dead(run, started_scans_count) and run in self._ended
+
     def is_removed(self, run: _DaemonRun) -> bool:
         """Returns whether the host was removed from the host list."""
         return run in self._removed
@@ -66,7 +78,7 @@
         """Marks a member whose address refused a connection as dead."""
         if member.incarnation:
             run = (member.daemon_id, member.incarnation)
-            self._add(run, 'connection_refused')
+            self._add(run, _REFUSED)
 
     def observe_hosts(
         self,
@@ -83,6 +95,8 @@
                 self._add(run, 'host_gone')
 
     def _add(self, run: _DaemonRun, reason: str) -> None:
+        if reason != _REFUSED:
+            self._ended.add(run)
         if run in self._dead:
             return
         self._dead.add(run)
--- a/src/radishlift/membership/membership.py
+++ b/src/radishlift/membership/membership.py
@@ -93,6 +93,11 @@
         member = (daemon_id, incarnation)
         return self._evidence.is_dead(member, self._table.started_count)
 
+    def has_ended(self, daemon_id: DaemonId, incarnation: Incarnation) -> bool:
+        """Returns whether this incarnation is known to have ended."""
+        member = (daemon_id, incarnation)
+        return self._evidence.has_ended(member, self._table.started_count)
+
     def summaries_of(self, daemon_id: DaemonId) -> Mapping[str, Summary]:
         """Returns the last load summaries of a peer by provider name."""
         return self._monitor.summaries_of(daemon_id)
@@ -110,7 +115,7 @@
         """Applies the host list; members removed from it are dead."""
         self._members.observe_hosts(hosts)
         self._update_peers()
-        self._notify()
+        _call_all(self._listeners)
 
     async def send_heartbeats(self) -> None:
         """Sends one heartbeat to the next peers of the group.
@@ -166,14 +171,14 @@
             return
         if failure.address == member.peer_listen:
             self._evidence.observe_refusal(member)
-            self._notify()
+            _call_all(self._listeners)
 
     async def _receive(self, sender: DaemonId, heartbeat: Heartbeat) -> None:
         if self._monitor.receive(sender, heartbeat):
             self._new_peers.add(sender)
             # Only the `daemons` table orders incarnations, so a new one is a
             # reason to read the table soon.
-            self._notify()
+            _call_all(self._listeners)
 
     def _on_peer_closed(self, daemon_id: DaemonId) -> None:
         # A killed process closes its streams, and a connection attempt then
@@ -205,9 +210,10 @@
         index = group.index(self._own_member.daemon_id)
         self._monitor.set_peers(group[index + 1 :] + group[:index])
 
-    def _notify(self) -> None:
-        for listener in self._listeners:
-            listener()
+
+def _call_all(listeners: Iterable[Callable[[], None]]) -> None:
+    for listener in listeners:
+        listener()
 
 
 __all__ = ('Membership', 'parse_seed_peers')
--- a/src/radishlift/partitions/previous_owners.py
+++ b/src/radishlift/partitions/previous_owners.py
@@ -56,7 +56,7 @@
             # A runner starts only after the previous one of this process has
             # stopped.
             return True
-        if parts.members.is_dead(
+        if parts.members.has_ended(
             owner_record.daemon_id, owner_record.incarnation
         ):
             return True
--- a/src/radishlift/workers/leases.py
+++ b/src/radishlift/workers/leases.py
@@ -25,7 +25,8 @@
 has observed, for each previous owner in the journal that is not yet recorded
 as stopped, that it receives no more clock readings:
 
-* there is evidence that the daemon's incarnation is dead, or
+* a newer incarnation of the daemon runs, or its host was removed from the
+  host list (a refused connection may come from the network), or
 * the daemon has confirmed, on request, that it has dropped that epoch.
 
 Every clock reading of that owner was taken before this observation at the new
--- a/tests/membership/test_evidence.py
+++ b/tests/membership/test_evidence.py
@@ -53,3 +53,14 @@
         evidence.observe_hosts([described], frozenset((described.listen,)))
     evidence.observe_hosts([described], frozenset(('10.0.0.9:80',)))
     assert evidence.is_dead(OLD, 0) is was_listed
+
+
+def test_refused_connection_does_not_prove_an_end():
+    """Guards against a network that rejects connections to a live daemon."""
+    evidence = Evidence()
+    evidence.observe_scan(scan(1, 'old'))
+    evidence.observe_refusal(member('d1', 'old'))
+    assert evidence.is_dead(OLD, 1)
+    assert not evidence.has_ended(OLD, 1)
+    evidence.observe_scan(scan(2, 'new'))
+    assert evidence.has_ended(OLD, 2)
--- a/tests/ownership/fleet.py
+++ b/tests/ownership/fleet.py
@@ -50,6 +50,10 @@
         run = (daemon_id, incarnation)
         return self.evidence.is_dead(run, self._table.started_count)
 
+    def has_ended(self, daemon_id, incarnation) -> bool:
+        run = (daemon_id, incarnation)
+        return self.evidence.has_ended(run, self._table.started_count)
+
 
 class Daemon:
     """A daemon with its manager, and the manager's calls to its listener."""
--- a/tests/partitions/owner.py
+++ b/tests/partitions/owner.py
@@ -33,9 +33,13 @@
 
 @dataclass
 class Members:
-    """A `MemberDirectory` whose dead and suspected members the test sets."""
+    """A `MemberDirectory` whose dead and suspected members the test sets.
+
+    Connections to `refused` members are refused, which makes them dead.
+    """
 
     dead: set[tuple[str, str]] = field(default_factory=set)
+    refused: set[tuple[str, str]] = field(default_factory=set)
     suspected: set[DaemonId] = field(default_factory=set)
 
     def members(self) -> tuple[()]:
@@ -45,6 +49,9 @@
         return daemon_id in self.suspected
 
     def is_dead(self, daemon_id: DaemonId, incarnation: Incarnation) -> bool:
+        return (daemon_id, incarnation) in self.dead | self.refused
+
+    def has_ended(self, daemon_id: DaemonId, incarnation: Incarnation) -> bool:
         return (daemon_id, incarnation) in self.dead
 
 
--- a/tests/partitions/test_proofs.py
+++ b/tests/partitions/test_proofs.py
@@ -237,6 +237,36 @@
             cell.check()
 
 
+async def test_refused_connection_to_a_previous_owner_runs_no_task_twice():
+    """Guards against taking a network that rejects connections for a death.
+
+    The previous owner does not know that it was deposed and renews the lease.
+    """
+    async with open_cell() as cell:
+        own_store = MemoryTableStore(cell.store.tables)
+        first = await cell.add_owner('a', store=own_store)
+        await first.claim()
+        await submit(first.partition(), make_job(), 2000)
+        await until(lambda: cell.running() == 1)
+        own_store.fault = Fault.down
+        await first.parts.network.stop()
+        cell.members.refused.add(('a', 'a-1'))
+        new_owner = await cell.add_owner('b')
+        clock = new_owner.parts.clock
+        make_unreachable(
+            new_owner.parts.client, cell.workers[0].model.worker_id
+        )
+        await new_owner.claim()
+        await cell.add_worker()
+        begin_ms = clock.monotonic_ms()
+        await until(lambda: clock.monotonic_ms() > begin_ms + 3 * LEASE_MS)
+        cell.check()
+        await first.kill()
+        cell.members.dead.add(('a', 'a-1'))
+        await until(lambda: len(cell.workers[1].model.record) == 1)
+        cell.check()
+
+
 def make_unreachable(client, address) -> None:
     """Makes a worker unreachable for a client."""
     call = client._call
--- a/tests/requests/fakes.py
+++ b/tests/requests/fakes.py
@@ -118,6 +118,9 @@
     def is_dead(self, daemon_id, incarnation) -> bool:
         return (daemon_id, incarnation) in self.dead
 
+    def has_ended(self, daemon_id, incarnation) -> bool:
+        return self.is_dead(daemon_id, incarnation)
+
 
 class DelayingStore(MemoryTableStore):
     """Lets other tasks run around each commit; can delay commits."""
