Reclaim no slots of a daemon whose connections are refused

Cause: the slots of a daemon were reclaimed some time after a connection to it was refused. Behind a network that rejects connections between daemons it goes on sending requests on its slots, which it may do without the table service, and allotments have no expiry.

Change: slots are reclaimed only once their owner is known to have ended: a newer incarnation runs, or its host was removed from the host list. A refused connection still excludes it from the distribution.

Why it works: the longest deadline is waited from a fact that holds however the network behaves.

The cost: the slots of a daemon that was killed stay idle until it runs again or its host leaves the list, as those of a frozen one did before.

--- a/src/radishlift/requests/dead_owners.py
+++ b/src/radishlift/requests/dead_owners.py
@@ -1,4 +1,4 @@
-"""Owners of slots that are confirmed dead."""
+"""Owners of slots that have died."""
 
 from radishlift.core.clock import Clock
 from radishlift.membership.api import MemberDirectory
@@ -10,9 +10,10 @@
 class DeadOwners:
     """Finds dead owners whose slots may be reclaimed.
 
-    Slots are reclaimed only when the longest deadline has passed after the
-    evidence of death, since executors continue to run the requests of a dead
-    daemon.
+    Slots are reclaimed only when the longest deadline has passed since their
+    owner was known to have ended, as executors continue to run the requests
+    of a daemon that has ended. Other evidence of death only excludes an owner
+    from the distribution of slots.
     """
 
     def __init__(
@@ -26,15 +27,13 @@
         self._limits = limits
         self._clock = clock
         self._settings = settings
-        self._dead_since_ms: dict[SlotOwner, int] = {}
+        self._ended_since_ms: dict[SlotOwner, int] = {}
 
     def is_dead(self, owner: SlotOwner) -> bool:
         """Returns whether there is evidence that an owner is dead."""
-        if owner not in self._dead_since_ms:
-            if not self._members.is_dead(owner.daemon_id, owner.incarnation):
-                return False
-            self._dead_since_ms[owner] = self._clock.monotonic_ms()
-        return True
+        return self._has_ended(owner) or self._members.is_dead(
+            owner.daemon_id, owner.incarnation
+        )
 
     def first_reclaimable(
         self, row: SlotRow, own: SlotOwner
@@ -44,16 +43,23 @@
         delay_ms = self._limits.longest_deadline_ms
         delay_ms += self._settings.settle_margin_ms
         for owner, _ in row.owners():
-            if owner == own or not self.is_dead(owner):
+            if owner == own or not self._has_ended(owner):
                 continue
-            if now_ms - self._dead_since_ms[owner] >= delay_ms:
+            if now_ms - self._ended_since_ms[owner] >= delay_ms:
                 return owner
         return None
 
     def keep_only(self, listed: set[SlotOwner]) -> None:
         """Removes the owners that no row lists any more."""
-        for owner in set(self._dead_since_ms) - listed:
-            self._dead_since_ms.pop(owner)
+        for owner in set(self._ended_since_ms) - listed:
+            self._ended_since_ms.pop(owner)
+
+    def _has_ended(self, owner: SlotOwner) -> bool:
+        if owner not in self._ended_since_ms:
+            if not self._members.has_ended(owner.daemon_id, owner.incarnation):
+                return False
+            self._ended_since_ms[owner] = self._clock.monotonic_ms()
+        return True
 
 
 __all__ = ('DeadOwners',)
--- a/tests/requests/fakes.py
+++ b/tests/requests/fakes.py
@@ -99,10 +99,14 @@
 
 
 class FakeMembers:
-    """Members whose death is set by tests."""
+    """Members whose death is set by tests.
+
+    Connections to `refused` members are refused, which makes them dead.
+    """
 
     def __init__(self) -> None:
         self.dead: set[tuple[str, str]] = set()
+        self.refused: set[tuple[str, str]] = set()
         self.known: dict[DaemonId, Incarnation] = {}
 
     def members(self):
@@ -116,10 +120,10 @@
         return daemon_id not in self.known
 
     def is_dead(self, daemon_id, incarnation) -> bool:
-        return (daemon_id, incarnation) in self.dead
+        return (daemon_id, incarnation) in self.dead | self.refused
 
     def has_ended(self, daemon_id, incarnation) -> bool:
-        return self.is_dead(daemon_id, incarnation)
+        return (daemon_id, incarnation) in self.dead
 
 
 class DelayingStore(MemoryTableStore):
--- a/tests/requests/test_slots.py
+++ b/tests/requests/test_slots.py
@@ -130,6 +130,18 @@
     assert other.held_count(SERVICE) == expected
 
 
+async def test_refused_connection_returns_no_slots():
+    """A daemon behind a network that rejects connections still sends."""
+    cell = Cell(hosts=FakeHosts(executor_ids(2)))
+    _, other = await _synced_daemons(cell, 'ab', {'a': 8, 'b': 8})
+    cell.members.refused.add(('a', '1'))
+    await other.sync()
+    cell.clock.advance(MAX_DEADLINE_MS)
+    for _ in range(3):
+        await _sync(cell, [other], {'b': 30})
+    assert other.held_count(SERVICE) == 8
+
+
 async def test_restarted_daemon_does_not_use_its_earlier_slots():
     """A restarted daemon must not use the slots of requests that still run."""
     cell = Cell(hosts=FakeHosts(executor_ids(1)))
