Poll an idle target once its entry shows a new process

Cause: a target without tasks is not polled, so that its restart was noticed only with its next task. Until then the new process knew neither the fencing token nor the blocked starts, and accepted late ones.

A request for a poll that arrives during one is no longer lost.

Why it works: the first list of a new process blocks all starts that were not answered, and the poll carries the fencing token. One call for each restart.

--- a/src/radishlift/cell/fleet.py
+++ b/src/radishlift/cell/fleet.py
@@ -48,6 +48,10 @@
         """Stores a target's entry; returns whether it changed."""
         known_target = self._targets.get(entry.target_id)
         is_changed = known_target is None or known_target.entry != entry
+        session = self._sessions.get(entry.target_id)
+        if session is not None and session.target.entry.life != entry.life:
+            # A new process may get late orders, which its first poll blocks.
+            session.notify()
         if (
             known_target is not None
             and known_target.entry.state is not entry.state
@@ -59,7 +63,7 @@
                 remaining_ms=entry.remaining_ms,
             )
         target = self._targets.update(entry)
-        if entry.target_id not in self._sessions:
+        if session is None:
             # The target's clock is unknown until its first answer.
             target.is_reachable = False
             session = TargetSession(target, context)
--- a/src/radishlift/cell/sessions.py
+++ b/src/radishlift/cell/sessions.py
@@ -114,9 +114,9 @@
                     self._context.listener.on_stopped(
                         self, StopEvidence.no_attempts
                     )
-                self._has_work.clear()
                 await self._has_work.wait()
                 self._ended_cursor = 0
+            self._has_work.clear()
             await self._poll()
 
     async def _poll(self) -> None:
--- a/tests/cell/leader.py
+++ b/tests/cell/leader.py
@@ -54,7 +54,7 @@
     if not plain:
         return Failure(ErrorKind.invalid_input, 'unreadable')
     state = TargetState(plain['state'])
-    optional = ('address', 'remaining_ms')
+    optional = ('address', 'life', 'remaining_ms')
     fields = {field: plain[field] for field in optional if field in plain}
     return entry(name, plain['cores'], state=state, **fields)
 
--- a/tests/cell/test_sessions.py
+++ b/tests/cell/test_sessions.py
@@ -13,6 +13,7 @@
 from radishlift.steps.settings import StepSettings
 from tests.cell.fakes import UNKNOWN
 from tests.cell.leader import SETTINGS, Cell
+from tests.only import only
 from tests.steps.builders import job, key, step
 
 OTHER_JOB = 'b' * 16
@@ -313,6 +314,23 @@
     assert fake.run(fake.late[0]) is StartVerdict.superseded
 
 
+async def test_late_start_is_blocked_after_an_idle_target_has_restarted(cell):
+    fake = cell.targets['t1']
+    cell.lead()
+    fake.loses_answers = True
+    job_id = cell.submit(job())
+    await cell.until(lambda: fake.blocked.get(key()) == 1)
+    late = only(fake.started)
+    fake.loses_answers = False
+    await cell.until_state(job_id, 'completed')
+    # A target without tasks is not polled.
+    await asyncio.sleep(0.1)
+    fake.restart()
+    cell.write_target('t1', life=2)
+    await cell.until(lambda: bool(fake.blocked), within_s=1)
+    assert fake.run(late) is StartVerdict.superseded
+
+
 async def test_other_process_at_an_earlier_address_ends_no_task(
     cell, monkeypatch
 ):
