Guard the lists of a target against repeated ends of earlier attempts

The end of an earlier attempt, which is listed until it is acknowledged, discards the start time of a later attempt of the same task. This loses no attempt, as the list that repeats the end contains the task; the test passed before, too.

--- a/tests/cell/test_listing.py
+++ b/tests/cell/test_listing.py
@@ -3,7 +3,8 @@
 import pytest
 
 from radishlift.cell.listing import ExpectedListing
-from radishlift.cell.ports import HoldReport, RunningAttempt
+from radishlift.cell.ports import EndedAttempt, HoldReport, RunningAttempt
+from radishlift.steps.endings import EndKind
 from radishlift.steps.targets import Target
 from tests.steps.builders import core, entry, key
 
@@ -47,3 +48,14 @@
     listing.expect_start(key(), 2)
     listing.finish_start(key(), 1, now_ms=50)
     assert listing.is_starting(key(), 2)
+
+
+def test_repeated_end_of_an_earlier_attempt_loses_no_later_one(target):
+    # The list was requested before the later attempt started.
+    listing = ExpectedListing(target)
+    listing.expect_start(key(), 2)
+    listing.finish_start(key(), 2, now_ms=50)
+    listing.forget(key())
+    ended = EndedAttempt(1, key(), 1, EndKind.lapsed)
+    listed = HoldReport(0, None, (), (ended,), 1)
+    assert not list(listing.list_missing(listed, 40))
