Soak targets that refuse connections, run late or expire together

New faults, in the overlapping series as before: target_refuses (new connections, open ones are reset now and then, with and without an expired entry), entries_expire_in_outage, target_restarts_idle, answers_overtake, calls_carried_out_late (2 to 12 s, starts, holds and stops, without an answer), history_dropped, pause_several, pause_after_start and kill_all. target_cut_off_from_store replaces entry_expires and lasts up to 6 s instead of 2.5. Faults move to two modules. `--daemons` and `--targets` set the size, and `--only` names faults.

Six of a hundred tasks now run for 2 to 8 s, so that they outlast a lease. The time to complete grows by the longest of them, from 25 s to 33 s.

The stand-ins keep closer to the protocol: the clock of a target may be 2% slow; a lease ends when its time has come and not up to 20 ms later, and an end that is listed after that is not counted as done; a target that is down writes no entry; history that is dropped while a feed waits is answered with 410. The port of a proxy stays reserved while it refuses connections, so that no other soak takes it.

--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -2,7 +2,8 @@
 
 `python -m tests.platform.soak [MINUTES] [FIRST_SEED]` runs one seed after
 another and prints a line for each; `--seed N` runs one. The logs of violated
-seeds are kept, and those of `--seed N`.
+seeds are kept, and those of `--seed N`. `--daemons` and `--targets` set the
+size, and `--only` names the faults to use.
 Callers continue while faults are injected in overlapping series. From the
 records of callers and targets it checks that no accepted job is lost, no
 refused job runs, no task runs twice, no job runs whose cancel found no job, and
@@ -19,47 +20,45 @@
 import sys
 import tempfile
 import time
-from collections.abc import Awaitable, Callable
 from contextlib import AsyncExitStack, contextmanager, suppress
+from dataclasses import dataclass
 from itertools import count, pairwise
 from pathlib import Path
 
-from radishlift.core.registry import Registry
 from tests.platform.deployment import (
     Deployment,
     free_ports,
     listen,
     make_job_body,
 )
-from tests.platform.garbage import UNREADABLE
-from tests.standins.leased_target import LeasedTarget
-from tests.standins.proxy import ConnectionFault, Proxy
+from tests.platform.soak_target_faults import FAULTS
+from tests.standins.leased_target import LONG_TASK_S, LeasedTarget
+from tests.standins.proxy import Proxy
 
-DAEMONS = ('d1', 'd2', 'd3')
+DAEMONS_COUNT = 3
 TARGETS_COUNT = 3
 # Apart from the ports of daemons, which are free while they restart.
 TARGET_PORTS = range(10_000, 15_000)
 TARGET_CPU = 16_000
 # The tasks of all callers use half of the targets.
 TASK_CPU = 1000
-SHRUNKEN_CPU = (1000, 8000)
-SHRUNKEN_S = (2.0, 4.0)
 # How long an entry has shown a capacity before starts must respect it.
 CAPACITY_NOTICE_S = 1.0
 FAULTS_S = 6.0
-# Covers a lease and the detection of a failed leader, each twice, after the
-# last fault.
-COMPLETION_TIMEOUT_S = 25.0
+# Covers a lease and the detection of a failed leader, each twice, and then the
+# longest task, after the last fault.
+COMPLETION_TIMEOUT_S = 25.0 + max(LONG_TASK_S)
 FAULT_INTERVAL_S = (0.1, 0.8)
 FAULT_DURATION_S = (0.5, 2.5)
+# More targets get proportionally more faults and callers.
+TARGETS_PER_FAULT_SERIES = 6
 ENTRY_REMOVED_S = 2.0
 # Entries expire after three heartbeats without a write.
 ENTRY_EXPIRES_S = 4.6
-DRAINING_SHARE = 0.5
 REPLACED_S = 1.0
-GONE_AFTER_RESTART_S = (1.0, 2.0)
 JOB_INTERVAL_S = 0.2
 CALLERS_COUNT = 4
+TARGETS_PER_CALLER = 2
 # Some callers give up soon and cancel their job at another daemon.
 GIVE_UP_SHARE = 0.2
 GIVE_UP_S = 0.3
@@ -79,14 +78,32 @@
 )
 
 
+@dataclass(frozen=True)
+class SoakSize:
+    """How many processes a soak has; `fault_names` limits its faults."""
+
+    daemons_count: int = DAEMONS_COUNT
+    targets_count: int = TARGETS_COUNT
+    fault_names: tuple[str, ...] = ()
+
+    @property
+    def callers_count(self):
+        return max(CALLERS_COUNT, self.targets_count // TARGETS_PER_CALLER)
+
+
+USUAL_SIZE = SoakSize()
+
+
 class Soak(Deployment):
     """A deployment with a proxy for each link to the store and to targets."""
 
-    def __init__(self, folder, seed):
+    def __init__(self, folder, seed, size=USUAL_SIZE):
         super().__init__(folder)
         self.random = random.Random(seed)
-        self.fault_names = FAULTS.names()
-        if seed % 2 == 0:
+        self.size = size
+        self.names = tuple(f'd{n + 1}' for n in range(size.daemons_count))
+        self.fault_names = size.fault_names or FAULTS.names()
+        if seed % 2 == 0 and not size.fault_names:
             # Without takeovers, for example, the faults of targets last longer.
             half = len(self.fault_names) // 2
             self.fault_names = self.random.sample(self.fault_names, half)
@@ -101,18 +118,19 @@
         self.answers = {}
         self.never_stored = set()
         self.faults = []
-        self.restarting = {name: asyncio.Lock() for name in DAEMONS}
+        self.outages_count = 0
+        self.restarting = {name: asyncio.Lock() for name in self.names}
         self.numbers = count()
 
     async def open(self, stack):
         """Starts stand-ins, proxies and daemons."""
         store_address = await listen(stack, self.store.handle)
-        for name in DAEMONS:
+        for name in self.names:
             self.proxies[name] = Proxy(store_address)
             await self.proxies[name].start()
-            stack.push_async_callback(self.proxies[name].stop)
-        await self.start(stack, DAEMONS)
-        for name in DAEMONS:
+            stack.push_async_callback(self.proxies[name].close)
+        await self.start(stack, self.names)
+        for name in self.names:
             await self.until_ready(name)
 
     def store_for(self, name):
@@ -120,7 +138,7 @@
 
     async def start_targets(self, stack):
         self.stack = stack
-        for _ in range(TARGETS_COUNT):
+        for _ in range(self.size.targets_count):
             await self.add_target(free_ports(1, TARGET_PORTS)[0])
 
     async def add_target(self, port):
@@ -132,21 +150,22 @@
         self.stack.callback(expiry_task.cancel)
         proxy = Proxy(await listen(self.stack, target.handle))
         await proxy.start(port)
-        self.stack.push_async_callback(proxy.stop)
+        self.stack.push_async_callback(proxy.close)
         self.target_proxies[target_id] = proxy
         self.capacities[target_id] = []
-        self.set_capacity(target_id, TARGET_CPU)
+        self.set_capacity(target_id)
 
     async def crash_target(self, target_id):
         """Ends a target: nothing listens at its address any more."""
         self.targets[target_id].crash()
         await self.target_proxies[target_id].stop()
 
-    async def restart_target(self, target_id):
+    async def restart_target(self, target_id, published_after_s=0):
         """Starts a target under its id and address."""
         proxy = self.target_proxies[target_id]
         self.targets[target_id].begin_life()
         await proxy.start(proxy.port)
+        await asyncio.sleep(published_after_s)
         self.publish(target_id)
 
     async def replace_target(self, target_id, removed_after_s=ENTRY_REMOVED_S):
@@ -159,13 +178,15 @@
         ports = proxy.port, free_ports(1, TARGET_PORTS)[0]
         await self.add_target(self.random.choice(ports))
 
-    def set_capacity(self, target_id, cpu):
+    def set_capacity(self, target_id, cpu=TARGET_CPU):
         """Changes the capacity in a target's entry."""
         self.capacities[target_id].append((time.monotonic(), cpu))
         self.publish(target_id)
 
     def publish(self, target_id):
-        """Writes a target's entry."""
+        """Writes the entry of a target unless it is down or was replaced."""
+        if self.targets[target_id].is_down:
+            return
         self.published_s[target_id] = time.monotonic()
         _, cpu = self.capacities[target_id][-1]
         self.put_entry(
@@ -187,6 +208,16 @@
             await asyncio.sleep(0.1)
         self.store.remove('servers', '', target_id)
 
+    @contextmanager
+    def store_outage(self):
+        """Makes the store refuse all calls."""
+        self.outages_count += 1
+        self.store.status = 503
+        yield
+        self.outages_count -= 1
+        if not self.outages_count:
+            self.store.status = None
+
     def any_target(self):
         """Returns a target that has an entry."""
         return self.random.choice(sorted(self.target_proxies))
@@ -209,7 +240,7 @@
             job_id = f'{next(self.numbers):016x}'
             tasks_count = self.random.randint(1, 3)
             submission = self.send(
-                self.random.choice(DAEMONS),
+                self.any_daemon(),
                 'POST',
                 f'/q/{job_id}',
                 make_job_body(tasks_count, TASK_CPU),
@@ -233,19 +264,21 @@
     async def inject_faults(self):
         """Injects overlapping faults for `FAULTS_S`."""
         running = set()
+        share = min(1, TARGETS_PER_FAULT_SERIES / self.size.targets_count)
         end_s = time.monotonic() + FAULTS_S
         while time.monotonic() < end_s:
             name = self.random.choice(self.fault_names)
             self.faults.append(name)
             running.add(asyncio.create_task(FAULTS.get(name)(self)))
-            await asyncio.sleep(self.random.uniform(*FAULT_INTERVAL_S))
+            pause_s = self.random.uniform(*FAULT_INTERVAL_S)
+            await asyncio.sleep(pause_s * share)
         await asyncio.gather(*running)
 
     async def wait_fault_duration(self):
         await asyncio.sleep(self.random.uniform(*FAULT_DURATION_S))
 
     def any_daemon(self):
-        return self.random.choice(DAEMONS)
+        return self.random.choice(self.names)
 
     async def end_process(self, name, number):
         """Ends a daemon and starts it again at the same address."""
@@ -274,6 +307,15 @@
             await asyncio.sleep(0.1)
         return open_jobs
 
+    def starts_count(self):
+        """Returns how many starts the targets have carried out."""
+        return sum(len(target.runs) for target in self.targets.values())
+
+    async def wait_late_calls(self):
+        """Waits until targets have carried out all delayed calls."""
+        while any(target.late_calls_count for target in self.targets.values()):
+            await asyncio.sleep(0.1)
+
     def violations(self, lost_jobs):
         """Returns a text for each violated guarantee."""
         violations = [
@@ -328,163 +370,11 @@
     )
 
 
-Fault = Callable[[Soak], Awaitable[None]]
-FAULTS: Registry[Fault] = Registry('fault')
-
-
-@FAULTS.register('kill')
-async def kill(soak):
-    await soak.end_process(soak.any_daemon(), signal.SIGKILL)
-
-
-@FAULTS.register('kill_leader')
-async def kill_leader(soak):
-    await soak.end_process(soak.stored_leader() or 'd1', signal.SIGKILL)
-
-
-@FAULTS.register('stop_as_planned')
-async def stop_as_planned(soak):
-    await soak.end_process(soak.any_daemon(), signal.SIGTERM)
-
-
-@FAULTS.register('pause')
-async def pause(soak):
-    process = soak.daemons[soak.stored_leader() or 'd1']
-    if process.returncode is None:
-        process.send_signal(signal.SIGSTOP)
-        await soak.wait_fault_duration()
-        if process.returncode is None:
-            process.send_signal(signal.SIGCONT)
-
-
-@FAULTS.register('store_down')
-async def store_down(soak):
-    soak.store.status = 503
-    await soak.wait_fault_duration()
-    soak.store.status = None
-
-
-@FAULTS.register('store_slow')
-async def store_slow(soak):
-    soak.store.part_ms = 150
-    await soak.wait_fault_duration()
-    soak.store.part_ms = 0
-
-
-async def apply_fault(soak, proxy, fault):
-    proxy.fault = fault
-    await soak.wait_fault_duration()
-    proxy.fault = ConnectionFault.none
-    proxy.reset()
-
-
-@FAULTS.register('store_reset')
-async def store_reset(soak):
-    soak.proxies[soak.any_daemon()].reset()
-
-
-@FAULTS.register('store_silent')
-async def store_silent(soak):
-    proxy = soak.proxies[soak.any_daemon()]
-    await apply_fault(soak, proxy, ConnectionFault.silence)
-
-
-@FAULTS.register('store_answers_lost')
-async def store_answers_lost(soak):
-    proxy = soak.proxies[soak.any_daemon()]
-    await apply_fault(soak, proxy, ConnectionFault.lose_answers)
-
-
-@FAULTS.register('target_silent')
-async def target_silent(soak):
-    proxy = soak.target_proxies[soak.any_target()]
-    await apply_fault(soak, proxy, ConnectionFault.silence)
-
-
-@FAULTS.register('target_answers_lost')
-async def target_answers_lost(soak):
-    proxy = soak.target_proxies[soak.any_target()]
-    await apply_fault(soak, proxy, ConnectionFault.lose_answers)
-
-
-@FAULTS.register('target_delayed')
-async def target_delayed(soak):
-    proxy = soak.target_proxies[soak.any_target()]
-    await apply_fault(soak, proxy, ConnectionFault.delay)
-
-
-@FAULTS.register('target_restart')
-async def target_restart(soak):
-    with soak.target_to_crash() as target_id:
-        if target_id is not None:
-            await crash_and_restart(soak, target_id)
-
-
-@FAULTS.register('target_replaced')
-async def target_replaced(soak):
-    with soak.target_to_crash() as target_id:
-        if target_id is not None:
-            await soak.crash_target(target_id)
-            await soak.replace_target(target_id)
-
-
-@FAULTS.register('target_restart_then_gone')
-async def target_restart_then_gone(soak):
-    with soak.target_to_crash() as target_id:
-        if target_id is not None:
-            await crash_and_restart(soak, target_id)
-            await asyncio.sleep(soak.random.uniform(*GONE_AFTER_RESTART_S))
-            await soak.crash_target(target_id)
-            await soak.replace_target(target_id)
-
-
-@FAULTS.register('target_leaves')
-async def target_leaves(soak):
-    with soak.target_to_crash() as target_id:
-        if target_id is not None:
-            soak.drain_target(target_id)
-            await soak.wait_fault_duration()
-            await soak.crash_target(target_id)
-            await soak.replace_target(target_id, removed_after_s=0)
-
-
-@FAULTS.register('entry_expires')
-async def entry_expires(soak):
-    with soak.target_to_crash() as target_id:
-        if target_id is not None:
-            if soak.random.random() < DRAINING_SHARE:
-                soak.drain_target(target_id)
-            await soak.expire_entry(target_id)
-            await soak.wait_fault_duration()
-            soak.states.pop(target_id, None)
-            soak.publish(target_id)
-
-
-async def crash_and_restart(soak, target_id):
-    await soak.crash_target(target_id)
-    await soak.wait_fault_duration()
-    await soak.restart_target(target_id)
-
-
-@FAULTS.register('capacity_shrinks')
-async def capacity_shrinks(soak):
-    target_id = soak.any_target()
-    soak.set_capacity(target_id, soak.random.randint(*SHRUNKEN_CPU))
-    await asyncio.sleep(soak.random.uniform(*SHRUNKEN_S))
-    if target_id in soak.target_proxies:
-        soak.set_capacity(target_id, TARGET_CPU)
-
-
-@FAULTS.register('foreign_entries')
-async def foreign_entries(soak):
-    for number, content in enumerate(UNREADABLE):
-        soak.store.put_bytes('servers', '', f'x-{number}', content)
-        await asyncio.sleep(0.05)
-
-
-async def run_seed(folder: Path, seed: int) -> tuple[Soak, list[str]]:
+async def run_seed(
+    folder: Path, seed: int, size: SoakSize = USUAL_SIZE
+) -> tuple[Soak, list[str]]:
     """Runs one seed and returns the violated guarantees."""
-    soak = Soak(folder, seed)
+    soak = Soak(folder, seed, size)
     async with AsyncExitStack() as stack:
         # Ends the daemons also if one of them can't start.
         stack.push_async_callback(soak.stop)
@@ -492,7 +382,7 @@
         stack.push_async_callback(soak.stop)
         callers = [
             asyncio.create_task(soak.submit_jobs())
-            for _ in range(CALLERS_COUNT)
+            for _ in range(size.callers_count)
         ]
         await soak.inject_faults()
         for caller in callers:
@@ -500,6 +390,7 @@
             with suppress(asyncio.CancelledError):
                 await caller
         lost_jobs = await soak.wait_completed()
+        await soak.wait_late_calls()
         return soak, soak.violations(lost_jobs)
 
 
@@ -521,10 +412,14 @@
     parser.add_argument('minutes', nargs='?', type=float, default=10)
     parser.add_argument('first_seed', nargs='?', type=int, default=1)
     parser.add_argument('--seed', type=int)
+    parser.add_argument('--daemons', type=int, default=DAEMONS_COUNT)
+    parser.add_argument('--targets', type=int, default=TARGETS_COUNT)
+    parser.add_argument('--only', nargs='+', default=[], choices=FAULTS.names())
     options = parser.parse_args()
+    size = SoakSize(options.daemons, options.targets, tuple(options.only))
     if options.seed is not None:
         folder = Path(tempfile.mkdtemp(prefix='radishlift-soak-'))
-        soak, violations = asyncio.run(run_seed(folder, options.seed))
+        soak, violations = asyncio.run(run_seed(folder, options.seed, size))
         _report(soak, options.seed, violations)
         print(f'logs in {folder}')
         return int(bool(violations))
@@ -533,7 +428,7 @@
     failed = 0
     while time.monotonic() < end_s:
         folder = Path(tempfile.mkdtemp(prefix='radishlift-soak-'))
-        soak, violations = asyncio.run(run_seed(folder, seed))
+        soak, violations = asyncio.run(run_seed(folder, seed, size))
         _report(soak, seed, violations)
         if violations:
             print(f'  logs in {folder}', flush=True)
--- a/tests/platform/test_crashing_tasks.py
+++ b/tests/platform/test_crashing_tasks.py
@@ -7,7 +7,7 @@
 import pytest
 
 from tests.platform.deployment import make_job_body
-from tests.platform.soak import DAEMONS, Soak
+from tests.platform.soak import Soak
 
 # The users' limit: three crashes, and fewer than three more starts.
 MAX_CRASHES_COUNT = 5
@@ -49,16 +49,16 @@
         await soak.open(stack)
         for job_id in OTHERS:
             await soak.send(
-                DAEMONS[0], 'POST', f'/q/{job_id}', make_job_body(2)
+                soak.names[0], 'POST', f'/q/{job_id}', make_job_body(2)
             )
         body = make_job_body(1)
-        await soak.send(DAEMONS[0], 'POST', f'/q/{CRASHING}', body)
+        await soak.send(soak.names[0], 'POST', f'/q/{CRASHING}', body)
 
         async def is_failed():
-            _, text = await soak.send(DAEMONS[1], 'GET', f'/q/{CRASHING}')
+            _, text = await soak.send(soak.names[1], 'GET', f'/q/{CRASHING}')
             return bool(text) and json.loads(text)['state'] == 'failed'
 
         await soak.until(is_failed, within_s=30)
         for job_id in OTHERS:
-            await soak.until_state(DAEMONS[1], job_id, 'completed')
+            await soak.until_state(soak.names[1], job_id, 'completed')
     assert soak.crashes_count <= MAX_CRASHES_COUNT
--- a/tests/standins/proxy.py
+++ b/tests/standins/proxy.py
@@ -1,12 +1,14 @@
 """A loopback proxy that injects faults into its connections."""
 
 import asyncio
+import random
 import socket
 import struct
 from enum import Enum, unique
 
 _CHUNK_BYTES = 65536
 _RESET = struct.pack('ii', 1, 0)
+USUAL_DELAYS_S = (0.2, 0.2)
 
 
 @unique
@@ -22,7 +24,9 @@
 class Proxy:
     """Forwards connections to an address.
 
-    The fault `delay` holds back each chunk for `delay_s`.
+    The fault `delay` holds back each chunk for a time within `delays_s`, so
+    that answers on different connections overtake each other if it varies.
+    The port stays reserved while no connections are accepted.
     """
 
     def __init__(self, target: str) -> None:
@@ -31,21 +35,38 @@
         self._server: asyncio.Server | None = None
         self._open: set[asyncio.StreamWriter] = set()
         self.fault = ConnectionFault.none
-        self.delay_s = 0.2
+        self.delays_s = USUAL_DELAYS_S
+        self._reservation: socket.socket | None = None
         self.address = ''
         self.port = 0
 
     async def start(self, port: int = 0) -> None:
+        if self._reservation is None:
+            self._reservation = socket.socket()
+            self._reservation.setsockopt(
+                socket.SOL_SOCKET, socket.SO_REUSEADDR, 1
+            )
+            self._reservation.bind(('127.0.0.1', port))
+            port = self._reservation.getsockname()[1]
         self._server = await asyncio.start_server(
             self._accept, '127.0.0.1', port, backlog=256
         )
         self.port = self._server.sockets[0].getsockname()[1]
         self.address = f'127.0.0.1:{self.port}'
 
-    async def stop(self) -> None:
+    def refuse(self) -> None:
+        """Refuses new connections; open ones go on."""
         self._server.close()
+
+    async def stop(self) -> None:
+        self.refuse()
         self.reset()
 
+    async def close(self) -> None:
+        """Stops and releases the port."""
+        await self.stop()
+        self._reservation.close()
+
     def reset(self) -> None:
         """Resets all open connections."""
         for writer in tuple(self._open):
@@ -94,7 +115,7 @@
                     # Nothing more is forwarded until the connection ends.
                     await asyncio.Event().wait()
                 if self.fault is ConnectionFault.delay:
-                    await asyncio.sleep(self.delay_s)
+                    await asyncio.sleep(random.uniform(*self.delays_s))
                 writer.write(chunk)
                 await writer.drain()
         except OSError:
@@ -102,4 +123,4 @@
             return
 
 
-__all__ = ('ConnectionFault', 'Proxy')
+__all__ = ('USUAL_DELAYS_S', 'ConnectionFault', 'Proxy')
--- a/tests/standins/store_api.py
+++ b/tests/standins/store_api.py
@@ -36,6 +36,11 @@
         self.version += 1
         self._remove((table, part, key))
 
+    def drop_history(self):
+        """Makes followers read all rows again."""
+        self.changes.clear()
+        self.first_kept = self.version
+
     async def handle(self, request):
         if self.status is not None:
             return web.Response(status=self.status)
@@ -63,9 +68,9 @@
 
     async def rows_feed(self, request):
         after = int(request.query['dependsOn'])
-        if after < self.first_kept:
-            return web.Response(status=410)
         for _ in range(int(request.query['waitMs']) // 5 + 1):
+            if after < self.first_kept:
+                return web.Response(status=410)
             # A row that is added during the pause below has a later version.
             version = self.version
             rows = [
