Let tests of late starts not depend on the first attempt being seen

test_late_start_is_blocked_again_after_a_restart failed once in a whole run of tests/cell on, and test_late_start_is_blocked_after_an_idle_target_has_restarted once beside it: they waited for a moment at which exactly the first attempt is blocked, and polled past it on a busy machine, while the leader tried more attempts. They now accept any number of blocked attempts and assert the same of the first start: the new process rejects it. Both fail without the block, as before.

--- a/tests/cell/test_sessions.py
+++ b/tests/cell/test_sessions.py
@@ -13,7 +13,6 @@
 from radishlift.steps.settings import StepSettings
 from tests.cell.fakes import UNKNOWN
 from tests.cell.leader import SETTINGS, Cell
-from tests.only import only
 from tests.steps.builders import job, key, step
 
 OTHER_JOB = 'b' * 16
@@ -319,8 +318,8 @@
     cell.lead()
     fake.loses_answers = True
     job_id = cell.submit(job())
-    await cell.until(lambda: fake.blocked.get(key()) == 1)
-    late = only(fake.started)
+    await cell.until(lambda: key() in fake.blocked)
+    late = fake.started[0]
     fake.loses_answers = False
     await cell.until_state(job_id, 'completed')
     # A target without tasks is not polled.
@@ -365,7 +364,7 @@
     fake.loses_answers = True
     cell.submit(job())
     # The unanswered start is blocked by a stop.
-    await cell.until(lambda: fake.blocked.get(key()) == 1)
+    await cell.until(lambda: key() in fake.blocked)
     late = next(order for order in fake.started if order.key == key())
     fake.loses_answers = False
     fake.rejection = StartVerdict.refused
