Acknowledge the ends of a target in one answered call only

Cause: each call that requests a list repeated the cursor of the ends that earlier calls had acknowledged. A call without an answer may be carried out seconds later. On a process that has begun anew, which numbers its ends anew, such a call discarded ends that no list had shown, and the tasks counted as lost.

Change: once a call that acknowledges ends is answered, later calls carry no cursor until there are new ends.

Why it works: the target has forgotten these ends for good, so that nothing needs them to be named again. A call that acknowledges new ends, gets no answer and is carried out by a later process remains possible by the protocol.

--- a/src/radishlift/cell/sessions.py
+++ b/src/radishlift/cell/sessions.py
@@ -127,6 +127,8 @@
             ref, self._hold_order(requested_at_ms)
         )
         if isinstance(answer, HoldReport):
+            # A late call must not acknowledge the ends of a later process.
+            self._ended_cursor = 0
             self.list_requested_at_ms = requested_at_ms
             await self._apply_report(answer)
             return
@@ -167,8 +169,6 @@
             self.lease.update_clock(report.clock_ms, self._now_ms())
         self.lease.record_list(self.list_requested_at_ms)
         if is_restarted and self._incarnation is not None:
-            # Each process counts its ended attempts.
-            self._ended_cursor = 0
             if self._orders.unresolved.reopen(report):
                 self._set_reachable(is_reachable=False)
             self.target.record_restart()
@@ -193,7 +193,7 @@
         elif not self.target.is_reachable:
             await asyncio.sleep(self._context.settings.hold_retry_ms / 1000)
         # Polls continue without the commit, as they renew the lease.
-        if report.last_sequence > self._ended_cursor and (
+        if report.last_sequence and (
             await self._context.listener.wait_committed(
                 self._context.settings.hold_wait_ms
             )
--- a/tests/cell/test_sessions.py
+++ b/tests/cell/test_sessions.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from radishlift.cell.ports import StartVerdict
+from radishlift.cell.ports import StartVerdict, TargetRef
 from radishlift.cell.tables import TARGETS
 from radishlift.steps.endings import EndKind
 from radishlift.steps.settings import StepSettings
@@ -330,6 +330,31 @@
     assert fake.run(late) is StartVerdict.superseded
 
 
+async def test_late_hold_hides_no_end_of_a_restarted_target(cell, monkeypatch):
+    # The task that ended unseen would run again.
+    fake = cell.targets['t1']
+    hold = cell.targets.hold
+    sent = []
+
+    async def record_hold(target, order):
+        sent.append(order)
+        return await hold(target, order)
+
+    monkeypatch.setattr(cell.targets, 'hold', record_hold)
+    cell.lead()
+    cell.submit(job(step(2)))
+    await cell.until(lambda: len(fake.running) == 2)
+    cell.end_one('t1')
+    await cell.until(lambda: not fake.ended)
+    acknowledged_count = len(sent)
+    await cell.until(lambda: len(sent) > acknowledged_count)
+    late = sent[-1]
+    fake.restart()
+    fake.running[key(5)] = 1
+    fake.end(key(5), EndKind.done)
+    assert (await hold(TargetRef('t1', ''), late)).ended
+
+
 async def test_other_process_at_an_earlier_address_ends_no_task(
     cell, monkeypatch
 ):
