--- a/src/radishlift/cell/sessions.py
+++ b/src/radishlift/cell/sessions.py
@@ -24,8 +24,8 @@
     A target that did not answer is polled until it answers again.
 
     `list_requested_at_ms` is when the latest list was requested. The cursor of
-    acknowledged ends is discarded whenever the target may have restarted
-    unnoticed, as a new process counts its ends anew.
+    acknowledged ends is discarded once it was received, and whenever the target
+    may have restarted unnoticed, as a new process counts its ends anew.
     """
 
     def __init__(self, target: Target, context: SessionContext) -> None:
