Let two tests of crashes wait for lists instead of for a time

test_crash_long_after_a_start_counts_for_nobody and test_task_that_survives_its_trial_is_no_suspect_any_more gave the leader 150 ms to see that a start was survived. They now wait until a list that was requested after the window has been applied, so that the condition they assume holds; what they assert is unchanged.

--- a/tests/cell/fakes.py
+++ b/tests/cell/fakes.py
@@ -123,6 +123,7 @@
     late: list = field(default_factory=list)
     until_ms: int = 0
     ended_count: int = 0
+    holds_count: int = 0
 
     def restart(self) -> None:
         """Starts the process anew under the same id."""
@@ -254,6 +255,7 @@
             if fake.ended or fake.is_unresponsive or fake.has_left:
                 break
             await asyncio.sleep(0.004)
+        fake.holds_count += 1
         running = tuple(
             RunningAttempt(key, attempt, '')
             for key, attempt in fake.running.items()
--- a/tests/cell/test_crashing_tasks.py
+++ b/tests/cell/test_crashing_tasks.py
@@ -44,8 +44,13 @@
 
 async def until_quiet(cell, name):
     """Waits until starts on a target are known to have been survived."""
-    await cell.until(lambda: bool(cell.targets[name].running))
-    await asyncio.sleep(0.15)
+    fake = cell.targets[name]
+    await cell.until(lambda: bool(fake.running))
+    await asyncio.sleep(2 * STEP_SETTINGS.crash_window_ms / 1000)
+    # The second list from now on is requested after the window, and the third
+    # after the leader has applied it.
+    holds_count = fake.holds_count + 3
+    await cell.until(lambda: fake.holds_count >= holds_count)
 
 
 async def test_task_that_crashes_targets_is_given_up_after_two(cell):
@@ -196,7 +201,7 @@
     for _ in range(3):
         await crash_the_running_target(cell)
         await until_running(cell)
-        await asyncio.sleep(0.15)
+        await until_quiet(cell, only(cell.targets.running_tasks().values()))
         await crash_the_running_target(cell)
     await cell.until_state(job_id, 'completed')
 
