Take no unexpected answer of the table service for a refused commit

Cause: the clients of the platform followed redirects, which its protocol does not have. A commit that was applied and then answered with one was sent again, and a refused second connection counted as not applied. A PUT of an object with such a status counted as stored.

Change: only 200 and 409 with the body of the protocol settle a commit, and only 429, 503 and a failed connection refuse it. Redirects are not followed, and an object is stored only by a 2xx status.

Why it works: what the protocol does not define proves nothing and leaves the outcome unknown, which the callers settle by reading back.

--- a/src/radishlift/services/http.py
+++ b/src/radishlift/services/http.py
@@ -23,10 +23,16 @@
 )
 
 _OK: Final = 200
+_MULTIPLE_CHOICES: Final = 300
 _NOT_MODIFIED: Final = 304
 _NOT_FOUND: Final = 404
 _CONFLICT: Final = 409
 _REFUSED_STATUSES: Final = frozenset((429, 503))
+_EXPECTED_STATUSES: Final = frozenset((_NOT_MODIFIED, _NOT_FOUND, _CONFLICT))
+_COMMIT_ANSWERS: Final[dict[int, type[Committed | Conflict]]] = {
+    _OK: Committed,
+    _CONFLICT: Conflict,
+}
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,21 +74,23 @@
                 method,
                 url,
                 timeout=self._timeout,
+                # A redirected commit would be sent twice, and a failure of its
+                # second connection would look like one that was not sent.
+                allow_redirects=False,
                 **options,
             ) as response:
                 body = await response.read()
         except ClientConnectorError as refused:
             return Failure(ErrorKind.store_unavailable, str(refused))
         except TimeoutError:
-            return Failure(ErrorKind.store_outcome_unknown, 'request timed out')
+            return _unknown_outcome('request timed out')
         except ClientError as error:
-            return Failure(ErrorKind.store_outcome_unknown, repr(error))
+            return _unknown_outcome(repr(error))
         if response.status in _REFUSED_STATUSES:
             reason = f'platform answered {response.status}'
             return Failure(ErrorKind.store_unavailable, reason)
-        if response.status >= 500:
-            reason = f'platform answered {response.status}'
-            return Failure(ErrorKind.store_outcome_unknown, reason)
+        if not _is_expected(response.status):
+            return _unknown_outcome(f'platform answered {response.status}')
         tag = response.headers.get('ETag', '')
         return PlatformAnswer(response.status, body, tag)
 
@@ -100,7 +108,7 @@
             return answer.status, json.loads(answer.body)
         except ValueError:
             reason = f'platform answered {answer.status} without JSON'
-            return Failure(ErrorKind.store_outcome_unknown, reason)
+            return _unknown_outcome(reason)
 
 
 class HttpTableStore:
@@ -155,11 +163,13 @@
         if isinstance(answer, Failure):
             return answer
         status, plain = answer
-        if status == _OK:
-            return parse_plain(plain, Committed)
-        if status == _CONFLICT:
-            return parse_plain(plain, Conflict)
-        return Failure(ErrorKind.invalid_input, f'commit answered {status}')
+        expected = _COMMIT_ANSWERS.get(status)
+        if expected is None:
+            return _unknown_outcome(f'commit answered {status}')
+        outcome = parse_plain(plain, expected)
+        if isinstance(outcome, Failure):
+            return _unknown_outcome(outcome.reason)
+        return outcome
 
 
 class HttpObjectStore:
@@ -173,7 +183,11 @@
         answer = await self._client.call(
             'PUT', _object_path(name), data=content
         )
-        return answer if isinstance(answer, Failure) else None
+        if isinstance(answer, Failure):
+            return answer
+        if not _is_success(answer.status):
+            return _unknown_outcome(f'platform answered {answer.status}')
+        return None
 
     async def get(self, name: str) -> bytes | Failure:
         """Reads an object; fails with `not_found` if it does not exist."""
@@ -225,6 +239,18 @@
     hosts: tuple[Host, ...]
 
 
+def _is_success(status: int) -> bool:
+    return _OK <= status < _MULTIPLE_CHOICES
+
+
+def _is_expected(status: int) -> bool:
+    return _is_success(status) or status in _EXPECTED_STATUSES
+
+
+def _unknown_outcome(reason: str) -> Failure:
+    return Failure(ErrorKind.store_outcome_unknown, reason)
+
+
 def _object_path(name: str) -> str:
     return f'/objects/{name}'
 
--- a/tests/services/test_http.py
+++ b/tests/services/test_http.py
@@ -1,7 +1,19 @@
 import asyncio
 import json
 
-from radishlift.services.http import HttpHostList, PlatformAnswer
+import pytest
+from aiohttp import ClientSession, web
+from aiohttp.test_utils import TestServer
+
+from radishlift.core.errors import ErrorKind, Failure
+from radishlift.core.ids import Address
+from radishlift.services.api import Transaction
+from radishlift.services.http import (
+    HttpHostList,
+    HttpTableStore,
+    PlatformAnswer,
+    PlatformClient,
+)
 
 
 def host_list_body(port) -> bytes:
@@ -51,3 +63,26 @@
     client.reads[1][1].set_result(PlatformAnswer(304, b'', 'one'))
     assert await slow is old
     assert new[0].address == '127.0.0.1:2'
+
+
+@pytest.mark.parametrize(
+    ('status', 'body'),
+    [(200, {}), (202, {}), (307, {}), (408, {}), (409, {})],
+)
+async def test_unexpected_answer_to_a_commit_has_an_unknown_outcome(
+    status, body
+):
+    """Guards against a commit that took effect and counts as not applied."""
+
+    async def answer(_request):
+        redirect = {'Location': 'http://127.0.0.1:1/'}
+        return web.json_response(body, status=status, headers=redirect)
+
+    app = web.Application()
+    app.add_routes([web.post('/table/commit', answer)])
+    async with TestServer(app) as server, ClientSession() as session:
+        address = Address(f'127.0.0.1:{server.port}')
+        store = HttpTableStore(PlatformClient(session, address, 1000))
+        outcome = await store.commit(Transaction((), ()))
+    assert isinstance(outcome, Failure)
+    assert outcome.kind is ErrorKind.store_outcome_unknown
