Accept hand-offs only from the present owner of their partition

Cause: an owner sends a hand-off after it is durable. If it was paused in between and deposed, its successor sent the job, which ran. The message of the paused owner then arrived for an unknown job and was accepted once more.

Change: the receiver reads the owner row of the sending partition after the message has arrived, and refuses a sender that the row does not name. The cost is one read for each hand-off.

Why it works: while the row names the sender, no successor has sent the job, and the owner itself journals a confirmation before it could be forgotten.

--- a/src/radishlift/daemon/jobs.py
+++ b/src/radishlift/daemon/jobs.py
@@ -38,7 +38,9 @@
         caller = HomeCaller(control.parts, lookup)
         self.router = JobRouter(caller, lookup, self._loads)
         settings = context.settings.get(PartitionSettings)
-        self.server = JobServer(context.network, control.partitions)
+        self.server = JobServer(
+            context.network, control.partitions, context.store
+        )
         self.share_sync = ShareSync(
             control.parts,
             control.partitions,
--- a/src/radishlift/ownership/owner_rows.py
+++ b/src/radishlift/ownership/owner_rows.py
@@ -92,6 +92,14 @@
     return owners
 
 
+async def read_owner(
+    store: TableStore, partition_id: PartitionId
+) -> StoredOwner | Failure:
+    """Reads the owner row of a partition."""
+    row = await store.read(OWNERS_TABLE, partition_id)
+    return row if isinstance(row, Failure) else parse_owner(row)
+
+
 async def replace_owner(
     store: TableStore,
     stored: StoredOwner,
@@ -130,6 +138,7 @@
     'OwnerRow',
     'StoredOwner',
     'parse_owner',
+    'read_owner',
     'replace_owner',
     'scan_owners',
     'absent_owner',
--- a/tests/partitions/cell.py
+++ b/tests/partitions/cell.py
@@ -198,7 +198,7 @@
         lookup = OwnerLookup(directory, parts.store, clock)
         caller = HomeCaller(parts, lookup)
         loads = LoadTable(Random(name))
-        JobServer(network, partitions)
+        JobServer(network, partitions, parts.store)
         rounds = GangRounds(parts, caller, lookup, loads)
         GangServer(partitions, rounds)
         gang_coordinator = GangCoordinator(partitions, caller, rounds)
--- a/tests/partitions/test_lost_workers.py
+++ b/tests/partitions/test_lost_workers.py
@@ -13,7 +13,7 @@
 from radishlift.partitions.hand_off_state import HandOffBegun, HandOffs
 from radishlift.partitions.messages import JobStatus
 from radishlift.placement.jobs import JobKind, Resources, TaskState
-from radishlift.placement.records import JobHandedOff
+from radishlift.placement.records import JobForgotten, JobHandedOff
 from radishlift.placement.transfer_rows import read_transfer
 from radishlift.placement.transfers import JobTransfer, QueuedTask
 from tests.partitions.cell import (
@@ -23,6 +23,7 @@
     Owner,
     make_job,
     open_cell,
+    wait_for_reports,
 )
 from tests.standins.conditions import until, until_after
 
@@ -273,3 +274,35 @@
     assert restored.open == state.open
     restored.load({HOME_JOB: OTHER_PARTITION})
     assert restored.open == {HOME_JOB: HandOffBegun(HOME_JOB, OTHER_PARTITION)}
+
+
+async def test_late_hand_off_of_a_paused_owner_runs_no_job_again():
+    """Guards against a second run of a job that its new home has forgotten.
+
+    The owner is paused between the commit of the hand-off and its send.
+    """
+    async with open_three_partitions() as (cell, first, second):
+        await start_and_lose_part(cell, first)
+        partition = first.partition()
+        tables = partition.states.placement.tables
+        row = tables.jobs.row_of[HOME_JOB]
+        hand_off = HandOffBegun(
+            HOME_JOB, OTHER_PARTITION, read_transfer(tables, row)
+        )
+        records = [hand_off, JobHandedOff(HOME_JOB, OTHER_PARTITION)]
+        runner = first.partitions.get(PARTITION)
+        assert await runner.commit(records, 2000) is None
+        new_owner = await cell.add_owner('c')
+        await new_owner.claim(PARTITION)
+        await new_owner.hand_off_sender.run_once()
+        await until(partial(has_executions, cell, 8))
+        await until(lambda: not cell.running())
+        jobs = second.partition(OTHER_PARTITION).states.placement.tables.jobs
+        await until(lambda: jobs.is_ended(jobs.row_of[HOME_JOB]))
+        receiver = second.partitions.get(OTHER_PARTITION)
+        forgotten = [JobForgotten(HOME_JOB)]
+        assert await receiver.commit(forgotten, 2000) is None
+        await first.hand_off_sender._send_job(partition, row, hand_off)
+        assert HOME_JOB not in jobs.row_of
+        await wait_for_reports(cell.workers[1:], 10)
+        assert cell.executions() == 8
