Follow no redirect of a target or of the store

Cause: the client of targets and store followed redirects, which the protocol does not have. A start that a target had received and answered with one was sent again; when the second address refused the connection, the start counted as certainly not sent.

Evidence: test_redirected_call_is_not_taken_for_one_that_was_not_sent failed before (a Failure that says not run).

Change: redirects are not followed.

--- a/src/radishlift/platform/http.py
+++ b/src/radishlift/platform/http.py
@@ -75,6 +75,9 @@
                 data=data,
                 headers=headers,
                 timeout=ClientTimeout(total=timeout_ms / 1000),
+                # A redirected call would be sent twice, and a failure of its
+                # second connection would look like one that was not sent.
+                allow_redirects=False,
             ) as response:
                 return _decode(response.status, await response.read())
         except ClientConnectorError as error:
--- a/tests/platform/test_http.py
+++ b/tests/platform/test_http.py
@@ -82,3 +82,19 @@
         outcome = await client.call('GET', address, '/', 1000)
     assert outcome.kind is ErrorKind.peer_unavailable
     assert not requests
+
+
+async def test_redirected_call_is_not_taken_for_one_that_was_not_sent():
+    # The address that refuses connections is that of the redirect.
+    requests = []
+
+    async def redirect(request):
+        requests.append(request.path)
+        return web.Response(status=307, headers={'Location': 'http://[::1]:1/'})
+
+    client = JsonClient()
+    async with run_server(redirect) as address:
+        answer = await client.call('POST', address, '/run-start', 1000, {})
+    await client.close()
+    assert requests == ['/run-start']
+    assert answer.status == 307
