--- a/tests/standins/proxy.py
+++ b/tests/standins/proxy.py
@@ -1,8 +1,10 @@
 """A loopback proxy that injects faults into its connections."""
 
 import asyncio
+import random
 import socket
 import struct
+from collections.abc import Callable
 from enum import Enum, unique
 
 _CHUNK_BYTES = 65536
@@ -15,6 +17,7 @@
 
     none = 'none'
     delay = 'delay'
+    overtake = 'overtake'
     silence = 'silence'
     lose_answers = 'lose_answers'
 
@@ -22,7 +25,9 @@
 class Proxy:
     """Forwards connections to an address.
 
-    The fault `delay` holds back each chunk for `delay_s`.
+    The fault `delay` holds back each chunk for `delay_s`, and `overtake` for
+    any shorter time, so that answers on different connections change places.
+    `on_request` is called with each chunk of a request before it is forwarded.
     """
 
     def __init__(self, target: str) -> None:
@@ -32,9 +37,15 @@
         self._open: set[asyncio.StreamWriter] = set()
         self.fault = ConnectionFault.none
         self.delay_s = 0.2
+        self.on_request: Callable[[bytes], None] | None = None
         self.address = ''
         self.port = 0
 
+    @property
+    def is_listening(self) -> bool:
+        """Returns whether new connections are accepted."""
+        return self._server is not None and self._server.is_serving()
+
     async def start(self, port: int = 0) -> None:
         self._server = await asyncio.start_server(
             self._accept, '127.0.0.1', port, backlog=256
@@ -46,6 +57,10 @@
         self._server.close()
         self.reset()
 
+    def refuse(self) -> None:
+        """Refuses new connections; open ones work on until `start`."""
+        self._server.close()
+
     def reset(self) -> None:
         """Resets all open connections."""
         for writer in tuple(self._open):
@@ -93,8 +108,13 @@
                 if self.fault in {dropping_fault, ConnectionFault.silence}:
                     # Nothing more is forwarded until the connection ends.
                     await asyncio.Event().wait()
+                is_request = dropping_fault is ConnectionFault.silence
+                if is_request and self.on_request is not None:
+                    self.on_request(chunk)
                 if self.fault is ConnectionFault.delay:
                     await asyncio.sleep(self.delay_s)
+                if self.fault is ConnectionFault.overtake:
+                    await asyncio.sleep(random.uniform(0, self.delay_s))
                 writer.write(chunk)
                 await writer.drain()
         except OSError:
--- a/tests/standins/target_api.py
+++ b/tests/standins/target_api.py
@@ -51,6 +51,9 @@
         """Returns the time since the start of the process."""
         return int((time.monotonic() - self._life_began_s) * 1000)
 
+    def update_time(self):
+        """Ends what is due; here, timers end the tasks."""
+
     async def handle(self, request):
         body = await request.json()
         if self.is_down:
@@ -96,6 +99,7 @@
             if self.ended:
                 break
             await asyncio.sleep(0.01)
+            self.update_time()
         rows = [[task, run, '', 0] for task, run in self.running.items()]
         return self._answer(
             200,
