--- a/tests/standins/proxy.py
+++ b/tests/standins/proxy.py
@@ -4,6 +4,7 @@
 import random
 import socket
 import struct
+from collections.abc import Callable
 from enum import Enum, unique
 
 _CHUNK_BYTES = 65536
@@ -26,7 +27,8 @@
 
     The fault `delay` holds back each chunk for a time within `delays_s`, so
     that answers on different connections overtake each other if it varies.
-    The port stays reserved while no connections are accepted.
+    The port stays reserved while no connections are accepted. `on_request` is
+    called with each chunk of a request before it is forwarded.
     """
 
     def __init__(self, target: str) -> None:
@@ -36,10 +38,16 @@
         self._open: set[asyncio.StreamWriter] = set()
         self.fault = ConnectionFault.none
         self.delays_s = USUAL_DELAYS_S
+        self.on_request: Callable[[bytes], None] | None = None
         self._reservation: socket.socket | None = None
         self.address = ''
         self.port = 0
 
+    @property
+    def is_listening(self) -> bool:
+        """Returns whether new connections are accepted."""
+        return self._server is not None and self._server.is_serving()
+
     async def start(self, port: int = 0) -> None:
         if self._reservation is None:
             self._reservation = socket.socket()
@@ -55,7 +63,7 @@
         self.address = f'127.0.0.1:{self.port}'
 
     def refuse(self) -> None:
-        """Refuses new connections; open ones go on."""
+        """Refuses new connections until `start`; open ones work on."""
         self._server.close()
 
     async def stop(self) -> None:
@@ -114,6 +122,9 @@
                 if self.fault in {dropping_fault, ConnectionFault.silence}:
                     # Nothing more is forwarded until the connection ends.
                     await asyncio.Event().wait()
+                is_request = dropping_fault is ConnectionFault.silence
+                if is_request and self.on_request is not None:
+                    self.on_request(chunk)
                 if self.fault is ConnectionFault.delay:
                     await asyncio.sleep(random.uniform(*self.delays_s))
                 writer.write(chunk)
