Send the cursor of acknowledged ends to no later address

The cursor of that call was kept, so that the next poll, at the new address, acknowledged ends of the new process that no list had shown; their tasks counted as missing and ran again.

Change: the cursor is discarded with the answer, as after any other call that the target may not have received.

--- a/src/radishlift/cell/sessions.py
+++ b/src/radishlift/cell/sessions.py
@@ -135,6 +135,7 @@
         is_other = answer is StartVerdict.other_process
         if is_other and ref != self._orders.ref:
             # The process that the answer excludes may have left this address.
+            self._ended_cursor = 0
             return
         if answer is StartVerdict.fenced:
             context.listener.end_term()
--- a/tests/cell/test_sessions.py
+++ b/tests/cell/test_sessions.py
@@ -16,6 +16,7 @@
 from tests.steps.builders import job, key, step
 
 OTHER_JOB = 'b' * 16
+NEW_ADDRESS = '10.0.0.2:1'
 # Attempts that have run for this long are not suspected of a crash.
 STEP_SETTINGS = StepSettings(crash_window_ms=20)
 CONFIRMED_S = 0.15
@@ -491,3 +492,31 @@
     raise_in_next(monkeypatch, cell, 'stop')
     cell.cancel(job_id)
     await cell.until(lambda: not fake.running or term.done(), within_s=1)
+
+
+async def test_cursor_goes_to_no_later_address_of_a_target(cell, monkeypatch):
+    # The ends of the process at the later address would be lost unread.
+    fake = cell.targets['t1']
+    hold = cell.targets.hold
+    sent = []
+    is_moved = asyncio.Event()
+
+    async def answer_at_the_earlier_address(target, order):
+        sent.append((target.address, order.ended_cursor))
+        if target.address != NEW_ADDRESS and order.ended_cursor:
+            await is_moved.wait()
+            return StartVerdict.other_process
+        return await hold(target, order)
+
+    monkeypatch.setattr(cell.targets, 'hold', answer_at_the_earlier_address)
+    cell.lead()
+    cell.submit(job(step(2)))
+    await cell.until(lambda: len(fake.running) == 2)
+    cell.end_one('t1')
+    await cell.until(lambda: bool(sent) and sent[-1][1] > 0)
+    cell.write_target('t1', address=NEW_ADDRESS, life=2)
+    await asyncio.sleep(0.05)
+    is_moved.set()
+    await cell.until(lambda: sent[-1][0] == NEW_ADDRESS)
+    cursors = [cursor for address, cursor in sent if address == NEW_ADDRESS]
+    assert cursors[0] == 0
