Block no start that a new process has answered, and forget old ones

Callers would see work that is stopped for no reason after a target has restarted.

Cause: unanswered starts are blocked on each new process of a target but for those that its list contains. A repeated start that the new process had accepted after the list was made was stopped. And the starts were kept for the whole term, so that each restart sent one stop for every unanswered start since its begin.

--- a/src/radishlift/cell/orders.py
+++ b/src/radishlift/cell/orders.py
@@ -48,7 +48,7 @@
         self._stopping: set[tuple[TaskKey, int]] = set()
         self.unresolved = context.unresolved_starts[target.entry.target_id]
         # The target may have restarted since an earlier session.
-        self.unresolved.reopen()
+        self.unresolved.reopen(self._now_ms(), context.settings.late_call_ms)
         self._tasks: set[asyncio.Task[None]] = set()
         self.open_starts = OpenCalls()
 
@@ -128,7 +128,7 @@
                 )
             else:
                 is_unresolved = True
-                self.unresolved.add(order.key, order.attempt)
+                self.unresolved.add(order.key, order.attempt, self._now_ms())
             self._record_unanswered(order, answer)
         await self._resolve_start(
             order,
--- a/src/radishlift/cell/sessions.py
+++ b/src/radishlift/cell/sessions.py
@@ -170,7 +170,11 @@
             self.lease.update_clock(report.clock_ms, self._now_ms())
         self.lease.record_list(self.list_requested_at_ms)
         if is_restarted and self._incarnation is not None:
-            if self._orders.unresolved.reopen(report):
+            if self._orders.unresolved.reopen(
+                self._now_ms(),
+                self._context.settings.late_call_ms,
+                self.listing.list_present(report, self.list_requested_at_ms),
+            ):
                 self._set_reachable(is_reachable=False)
             self.target.record_restart()
             self.target.record_failure(self._now_ms())
--- a/tests/cell/test_sessions.py
+++ b/tests/cell/test_sessions.py
@@ -520,3 +520,43 @@
     await cell.until(lambda: sent[-1][0] == NEW_ADDRESS)
     cursors = [cursor for address, cursor in sent if address == NEW_ADDRESS]
     assert cursors[0] == 0
+
+
+async def test_start_answered_by_a_new_process_is_not_stopped(
+    cell, monkeypatch
+):
+    # The list of the new process was made before the repeated start.
+    fake = cell.targets['t1']
+    hold, start = cell.targets.hold, cell.targets.start
+    is_listed, is_started = asyncio.Event(), asyncio.Event()
+    calls = []
+
+    async def answer_list_late(target, order):
+        report = await hold(target, order)
+        if fake.incarnation == 2 and not is_listed.is_set():
+            is_listed.set()
+            await is_started.wait()
+        return report
+
+    async def restart_at_first_start(target, order):
+        calls.append(order)
+        if len(calls) == 1:
+            fake.restart()
+            return UNKNOWN
+        if len(calls) == 2:
+            await is_listed.wait()
+        verdict = await start(target, order)
+        is_started.set()
+        await asyncio.sleep(0)
+        return verdict
+
+    cell.lead()
+    await cell.until(lambda: fake.fencing_token == 1)
+    await asyncio.sleep(0.05)
+    monkeypatch.setattr(cell.targets, 'hold', answer_list_late)
+    monkeypatch.setattr(cell.targets, 'start', restart_at_first_start)
+    cell.submit(job())
+    await cell.until(lambda: len(calls) > 1 and bool(fake.started))
+    await asyncio.sleep(0.2)
+    assert [order.attempt for order in fake.started] == [1]
+    assert not fake.blocked
