Tell listeners of the host list when the list was read

Callers would see tasks that wait for a worker that is gone.

Cause: a worker that was never listed counts as removed by a list that was read long enough after the daemon learned of it. The time of the read was stored after the listeners had run, so that they saw that of the read before, and a worker could stay until the next change of the list.

Evidence: test_listeners_see_the_time_of_the_list_that_they_get failed before (1 instead of 60,001).

Change: the time is stored before the listeners run. Not mended: they run only when the list has changed.

--- a/src/radishlift/daemon/hosts.py
+++ b/src/radishlift/daemon/hosts.py
@@ -155,6 +155,8 @@
         return self._peer_known_at_ms > (self._read_at_ms or 0)
 
     def _update(self) -> None:
+        # Listeners compare what they know with the time of the list.
+        self.knowledge.listed_at_ms = self._read_at_ms
         listed, peer_leaving = self._hosts_inputs
         # An unchanged list is the same object, and it may be long.
         if listed is not self._listed or peer_leaving != self._peer_leaving:
@@ -168,9 +170,7 @@
         known_at_ms = max(self._read_at_ms or 0, self._peer_known_at_ms)
         # Updated after the listeners ran: when work may be sent again, they
         # already exclude the leaving hosts.
-        self.knowledge.update(
-            self._leaving_addresses, known_at_ms, self._read_at_ms
-        )
+        self.knowledge.update(self._leaving_addresses, known_at_ms)
 
     def _publish(self, hosts: tuple[Host, ...]) -> None:
         self._hosts = hosts
--- a/tests/daemon/test_hosts.py
+++ b/tests/daemon/test_hosts.py
@@ -208,3 +208,16 @@
     assert feed.knowledge.listed_at_ms == 1
     await feed.refresh()
     assert feed.knowledge.listed_at_ms == clock.monotonic_ms()
+
+
+async def test_listeners_see_the_time_of_the_list_that_they_get():
+    """Guards against a gone worker that is kept until the next change."""
+    source, clock = Source(), ManualClock(1)
+    feed = HostFeed(source, SETTINGS, clock)
+    seen = []
+    feed.subscribe(lambda _: seen.append(feed.knowledge.listed_at_ms))
+    await feed.refresh()
+    clock.advance(60_000)
+    source.hosts = (*LISTED, replace(LISTED[0], address=OTHER_ADDRESS))
+    await feed.refresh()
+    assert seen[-1] == 60_001
