--- a/tests/cell/test_leases.py
+++ b/tests/cell/test_leases.py
@@ -84,3 +84,13 @@
     lease.begin_process(10, received_at_ms=1000)
     assert lease.grant(1000) == 10 + 3000
     assert not lease.has_expired(1000 + int(6000 / 0.98))
+
+
+def test_late_call_to_a_later_process_extends_its_lease(lease):
+    # The target shortens the end on the earlier clock to the longest lease.
+    lease.begin_process(500_000, 0)
+    lease.grant(0)
+    lease.begin_process(0, 1000)
+    lease.record_list(990)
+    lease.grant(1000)
+    assert not lease.has_expired(3000 + 6000 - 1)
--- a/tests/membership/test_evidence.py
+++ b/tests/membership/test_evidence.py
@@ -64,3 +64,14 @@
     assert not evidence.has_ended(OLD, 1)
     evidence.observe_scan(scan(2, 'new'))
     assert evidence.has_ended(OLD, 2)
+
+
+def test_host_that_left_before_this_daemon_began_has_ended():
+    """Guards against slots and tasks that wait for a gone daemon for ever."""
+    evidence = Evidence()
+    described = member('d1', 'old')
+    evidence.observe_refusal(described)
+    for number in range(1, 50):
+        evidence.observe_hosts([described], frozenset(('10.0.0.9:80',)))
+        evidence.observe_scan(scan(number, 'old'))
+    assert evidence.has_ended(OLD, 60)
