Block starts again that the earlier process of a target had blocked late

Cause: took an attempt that a list need not contain yet for one that needs no block at a new process. That is also the case if the earlier process answered the blocking stop after the list was requested; the new process knows no such block, and accepted the late start.

Change: only attempts of the list, and those that are still being started, need no block. A start that the new process accepted after it made the list, and whose answer was read first, is stopped and starts again: lost work, but no double run.

--- a/src/radishlift/cell/listing.py
+++ b/src/radishlift/cell/listing.py
@@ -47,17 +47,11 @@
         self._starting.clear()
         self._resolved_at_ms.clear()
 
-    def list_present(
-        self, report: HoldReport, requested_at_ms: int
-    ) -> set[tuple[TaskKey, int]]:
-        """Lists the attempts that a report contains or need not contain yet."""
+    def list_present(self, report: HoldReport) -> set[tuple[TaskKey, int]]:
+        """Lists the attempts of a report, and those that are being started."""
         present = {(running.key, running.attempt) for running in report.running}
         present.update((ended.key, ended.attempt) for ended in report.ended)
-        present.update(
-            (key, allocation.attempt)
-            for key, allocation in self._target.allocations.items()
-            if not self._is_due(key, allocation.attempt, requested_at_ms)
-        )
+        present.update(self._starting.items())
         return present
 
     def list_missing(
@@ -76,8 +70,9 @@
         listed = {running.key for running in report.running}
         listed.update(ended.key for ended in report.ended)
         for key, allocation in list(self._target.allocations.items()):
-            is_due = self._is_due(key, allocation.attempt, requested_at_ms)
-            if key in listed or not is_due:
+            is_starting = self.is_starting(key, allocation.attempt)
+            is_due = self._resolved_at_ms.get(key, 0) < requested_at_ms
+            if key in listed or is_starting or not is_due:
                 continue
             log_event(
                 'attempt_missing',
@@ -88,9 +83,5 @@
             )
             yield key, allocation.attempt
 
-    def _is_due(self, key: TaskKey, attempt: int, requested_at_ms: int) -> bool:
-        is_resolved = self._resolved_at_ms.get(key, 0) < requested_at_ms
-        return is_resolved and not self.is_starting(key, attempt)
-
 
 __all__ = ('ExpectedListing',)
--- a/src/radishlift/cell/sessions.py
+++ b/src/radishlift/cell/sessions.py
@@ -173,7 +173,7 @@
             if self._orders.unresolved.reopen(
                 self._now_ms(),
                 self._context.settings.late_call_ms,
-                self.listing.list_present(report, self.list_requested_at_ms),
+                self.listing.list_present(report),
             ):
                 self._set_reachable(is_reachable=False)
             self.target.record_restart()
