Explain the bounds of a lease and what reopening a start means

Read as a newcomer: `_others_until_ms` did not say whose leases it bounds, the two records of starts had no description, and `reopen` spoke of attempts being added. One private name, comments and docstrings, and one constant of a test; no change of behaviour.

--- a/src/radishlift/cell/leases.py
+++ b/src/radishlift/cell/leases.py
@@ -77,9 +77,12 @@
         self._clock_ms = 0
         self._sampled_at_ms: int | None = None
         self._until_ms = 0
-        self._others_until_ms = 0
+        # Bounds the leases that this leader did not grant to this process.
+        self._unknown_until_ms = 0
         self._granted_at_ms = 0
+        # When start calls without an answer were sent.
         self._open_starts_ms: list[int] = []
+        # When a start was taken that no later list has confirmed, if any was.
         self._unlisted_start_ms: int | None = None
         self._inherited_until_ms = inherited_until_ms
 
@@ -91,11 +94,12 @@
     def begin_process(self, clock_ms: int, received_at_ms: int) -> None:
         """Starts the lease of a new process with its own clock.
 
-        Earlier calls that it has processed end within the longest lease.
+        Earlier calls that it has processed end within the longest lease. Calls
+        that reach it later may prolong that and are not known here.
         """
         self.update_clock(clock_ms, received_at_ms)
         self._until_ms = 0
-        self._others_until_ms = clock_ms + self._max_lease_ms
+        self._unknown_until_ms = clock_ms + self._max_lease_ms
 
     def open_start(self, sent_at_ms: int) -> None:
         """Records that a start is sent.
@@ -153,7 +157,7 @@
         return expires_at_ms + 1 - now_ms
 
     def _known_expiry_ms(self) -> int:
-        until_ms = max(self._until_ms, self._others_until_ms)
+        until_ms = max(self._until_ms, self._unknown_until_ms)
         if self._sampled_at_ms is None or not until_ms:
             return self._inherited_until_ms
         lease_ms = until_ms - self._clock_ms
--- a/src/radishlift/cell/unresolved_starts.py
+++ b/src/radishlift/cell/unresolved_starts.py
@@ -35,7 +35,7 @@
         late_call_ms: int,
         present: Collection[tuple[TaskKey, int]] = (),
     ) -> bool:
-        """Adds all attempts again, which a new process has not blocked.
+        """Lets all attempts be blocked again, by a new process of the target.
 
         Those that are `present` there need no block. Returns whether there are
         any others.
--- a/tests/cell/test_sessions.py
+++ b/tests/cell/test_sessions.py
@@ -364,7 +364,7 @@
     is_moved = asyncio.Event()
 
     async def answer_at_the_earlier_address(target, order):
-        if target.address == '10.0.0.2:1' or not fake.running:
+        if target.address == NEW_ADDRESS or not fake.running:
             return await hold(target, order)
         await is_moved.wait()
         return StartVerdict.other_process
@@ -374,7 +374,7 @@
     cell.submit(job())
     await cell.until(lambda: bool(fake.running))
     await asyncio.sleep(0.05)
-    cell.write_target('t1', address='10.0.0.2:1')
+    cell.write_target('t1', address=NEW_ADDRESS)
     cell.add_target('t2')
     await asyncio.sleep(0.05)
     is_moved.set()
