--- a/src/radishlift/cell/job_rows.py
+++ b/src/radishlift/cell/job_rows.py
@@ -5,21 +5,30 @@
 
 from radishlift.core.codec import dump_plain, read_plain
 from radishlift.core.errors import Failure
+from radishlift.core.ids import WorkspaceName
 from radishlift.steps.runs import JobRun, build_job
 from radishlift.steps.spec import JobSpec, QueueTerms
+from radishlift.steps.workspaces import NO_WORKSPACE
 
 
 def dump_job(
     spec: JobSpec,
     terms: QueueTerms,
     accepted_at_ms: int,
+    workspace: WorkspaceName = NO_WORKSPACE,
 ) -> dict[str, Any]:
-    """Converts a job, its terms and its arrival in Unix time to plain data."""
-    return {
+    """Converts a job, its terms and its arrival in Unix time to plain data.
+
+    A job of no workspace has no field `workspace`.
+    """
+    row = {
         'spec': dump_plain(spec),
         'terms': dump_plain(terms),
         'accepted_at_ms': accepted_at_ms,
     }
+    if workspace:
+        row['workspace'] = workspace
+    return row
 
 
 def load_job(plain: Mapping[str, Any]) -> JobRun | Failure:
@@ -30,7 +39,9 @@
     terms = read_plain(plain.get('terms'), QueueTerms)
     if isinstance(terms, Failure):
         return terms
-    return build_job(spec, terms, int(plain.get('accepted_at_ms', 0)))
+    job = build_job(spec, terms, int(plain.get('accepted_at_ms', 0)))
+    job.workspace = WorkspaceName(str(plain.get('workspace', NO_WORKSPACE)))
+    return job
 
 
 __all__ = ('dump_job', 'load_job')
--- a/src/radishlift/core/ids.py
+++ b/src/radishlift/core/ids.py
@@ -12,6 +12,7 @@
 ServiceName = NewType('ServiceName', str)
 DepartmentName = NewType('DepartmentName', str)
 TeamName = NewType('TeamName', str)
+WorkspaceName = NewType('WorkspaceName', str)
 JobId = NewType('JobId', str)
 TaskId = NewType('TaskId', str)
 RequestId = NewType('RequestId', str)
@@ -60,4 +61,5 @@
     'TaskId',
     'TeamName',
     'WorkerId',
+    'WorkspaceName',
 )
--- a/src/radishlift/platform/documents.py
+++ b/src/radishlift/platform/documents.py
@@ -4,6 +4,7 @@
 from collections.abc import Mapping
 from typing import Any, Final
 
+from radishlift.access.keys import Workspace, hash_key
 from radishlift.cell.queues import Queue, QueueConfig
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import (
@@ -11,6 +12,7 @@
     ConfigVersion,
     DataCentreId,
     ServiceName,
+    WorkspaceName,
 )
 from radishlift.platform.json_bodies import (
     DECODE_ERRORS,
@@ -25,6 +27,7 @@
 from radishlift.steps.ids import QueueName, TargetId, TargetIncarnation
 from radishlift.steps.spec import AdviceTerms, Amounts, QueueTerms
 from radishlift.steps.targets import TargetEntry, TargetState
+from radishlift.steps.workspaces import WorkspaceTerms
 
 CONFIG_KEY: Final = 'config'
 
@@ -39,6 +42,7 @@
             ConfigVersion(_read_whole(fields['version'])),
             tuple(_decode_queue(route) for route in fields['routes']),
             _read_whole(fields['limits']['maxBodyBytes']),
+            tuple(map(_decode_workspace, fields.get('tenants', ()))),
         )
     except DECODE_ERRORS as error:
         return Failure(
@@ -59,10 +63,23 @@
         advice=None if advice is None else _decode_advice_terms(advice),
     )
     return Queue(
-        terms, read_text(route['host']), read_text(route['pathPrefix'])
+        terms,
+        read_text(route['host']),
+        read_text(route['pathPrefix']),
+        is_public=bool(route.get('public')),
     )
 
 
+def _decode_workspace(tenant: Mapping[str, Any]) -> Workspace:
+    terms = WorkspaceTerms(
+        WorkspaceName(read_name(tenant['name'])),
+        float(read_number(tenant.get('weight', 1))),
+        decode_amounts(tenant.get('maxCount', {})),
+    )
+    keys = map(read_name, read_list(tenant.get('apiKeys', [])))
+    return Workspace(terms, frozenset(map(hash_key, keys)))
+
+
 def _decode_advice_terms(fields: Mapping[str, Any]) -> AdviceTerms:
     return AdviceTerms(
         float(read_number(fields.get('decideMs', 0))),
--- a/src/radishlift/steps/runs.py
+++ b/src/radishlift/steps/runs.py
@@ -4,8 +4,10 @@
 from dataclasses import dataclass, field
 from enum import Enum, unique
 
+from radishlift.core.ids import WorkspaceName
 from radishlift.steps.ids import StepKey, TargetId, TaskKey
 from radishlift.steps.spec import JobSpec, QueueTerms, StepSpec
+from radishlift.steps.workspaces import NO_WORKSPACE
 
 
 @unique
@@ -123,7 +125,8 @@
 
     Times are Unix milliseconds. `committed_state` is the state in the store;
     callers must not see a state that is not committed. `reason` explains a
-    failure that is not a failure of its tasks.
+    failure that is not a failure of its tasks. `workspace` is empty if its
+    queue required no key.
     """
 
     spec: JobSpec
@@ -134,6 +137,7 @@
     committed_state: JobState = JobState.queued
     has_started: bool = False
     reason: str = ''
+    workspace: WorkspaceName = NO_WORKSPACE
 
     @property
     def is_ended(self) -> bool:
