Keep the cancel of a job that the leader has not read yet

Callers would see a cancelled job run (UNASKED), without another cancel.

Cause: after 180 s a leader removes cancels without a job from the store, if it has no row in `jobs`. If the row exists, the store refuses that, and the leader dropped the cancel from its memory, as it takes the row for one that it can't read. But it may be one that it has not read yet, because its feed of `jobs` fails for that long or because a daemon of an earlier release has just inserted it. Once the row was read, the job ran.

Change: the leader keeps such a cancel and looks at it again after the same time.

Evidence: test_cancel_of_a_job_that_was_not_read_yet_applies_later failed before: both jobs are started, one is expected. The seven tests of tests/cell/test_retention.py pass.

--- a/src/radishlift/cell/cancel_table.py
+++ b/src/radishlift/cell/cancel_table.py
@@ -9,7 +9,8 @@
 class CancelTable:
     """Ids of cancelled jobs, and when this leader first saw each cancel.
 
-    Times are monotonic, in milliseconds.
+    Times are monotonic, in milliseconds. A cancel that must stay counts as
+    seen again.
     """
 
     def __init__(self, clock: Clock) -> None:
@@ -27,6 +28,10 @@
         """Removes a cancel, if it is known."""
         self._seen_at_ms.pop(job_id, None)
 
+    def renew(self, job_id: JobId) -> None:
+        """Keeps a cancel as if it were seen now."""
+        self._seen_at_ms[job_id] = self._clock.monotonic_ms()
+
     def list_seen_before(self, limit_ms: int) -> Iterable[JobId]:
         """Lists the cancels that were first seen before a time."""
         return [
--- a/src/radishlift/cell/retention.py
+++ b/src/radishlift/cell/retention.py
@@ -87,8 +87,11 @@
             log_event('cancels_not_removed', reason=outcome.reason)
             return
         if isinstance(outcome, Conflict):
-            # Some have a job that this leader can't read.
-            job_ids = [JobId(row.key) for row in outcome.rows if row.version]
+            # Some have a job that this leader has not read or can't read.
+            for row in outcome.rows:
+                if row.version:
+                    self._cancels.renew(JobId(row.key))
+            return
         for job_id in job_ids:
             self._cancels.discard(job_id)
 
--- a/tests/cell/test_retention.py
+++ b/tests/cell/test_retention.py
@@ -1,5 +1,6 @@
 """Tests of the removal of ended jobs."""
 
+import asyncio
 from dataclasses import replace
 
 import pytest
@@ -79,3 +80,21 @@
     cell.lead()
     await cell.until(lambda: not exists(cell, CANCELS, unmatched))
     assert exists(cell, CANCELS, unreadable)
+
+
+async def test_cancel_of_a_job_that_was_not_read_yet_applies_later(cell):
+    """Guards against a cancelled job that runs once its row is read."""
+    cell.store.unreadable_tables.add(JOBS)
+    cell.lead()
+    await asyncio.sleep(0.05)
+    cancelled = cell.submit(job(job_id='a' * 16))
+    cell.cancel(cancelled)
+    await asyncio.sleep(0.2)
+    other = cell.submit(job(job_id='b' * 16))
+    cell.store.unreadable_tables.clear()
+    await cell.until(lambda: bool(cell.targets.running_tasks()))
+    await cell.until_state(other, 'completed')
+    started = [
+        order.key.step_key.job_id for order in cell.targets['t1'].started
+    ]
+    assert started == [other]
