Remove an ended job only after its end is committed

Callers could get 410 for an accepted job whose end nobody had shown, and a submission that is still held could run a cancelled job.

Cause: retention counts 180 s from the end of a job in the leader's memory. If the leader can't commit for that long, or was suspended before the commit, it removed the rows in `jobs` and `cancels` all the same: they are in other parts of the store than its commits, and no claim protects them. A next leader finds progress without a job, and deletes it.

Change: a job whose end is not committed stays. A suspended leader knows only ends that it has committed itself, so that it removes no job that its successor still runs.

--- a/src/radishlift/cell/job_table.py
+++ b/src/radishlift/cell/job_table.py
@@ -10,7 +10,7 @@
 from radishlift.core.logs import log_event
 from radishlift.steps.ids import StepKey
 from radishlift.steps.planner import Planner
-from radishlift.steps.runs import JobRun, JobState, StepRun
+from radishlift.steps.runs import ENDED_STATES, JobRun, JobState, StepRun
 
 
 class JobTable:
@@ -78,11 +78,16 @@
         return {'pending': pending}
 
     def list_ended_before(self, limit_ms: int) -> list[JobId]:
-        """Lists jobs that ended before a monotonic time."""
+        """Lists jobs that ended before a monotonic time.
+
+        Jobs whose end is not committed are left out: another leader may still
+        run them.
+        """
         return [
             job_id
             for job_id, ended_at_ms in self._ended_at_ms.items()
             if ended_at_ms < limit_ms
+            and self._jobs[job_id].committed_state in ENDED_STATES
         ]
 
     def remove(self, job_id: JobId) -> None:
--- a/tests/cell/test_retention.py
+++ b/tests/cell/test_retention.py
@@ -6,6 +6,7 @@
 import pytest
 
 from radishlift.cell.tables import CANCELS, JOBS, PROGRESS, entry_shard
+from tests.cell.fakes import DOWN
 from tests.cell.leader import SETTINGS, Cell
 from tests.steps.builders import job
 
@@ -98,3 +99,24 @@
         order.key.step_key.job_id for order in cell.targets['t1'].started
     ]
     assert started == [other]
+
+
+async def test_job_whose_end_is_not_committed_is_not_removed(cell, monkeypatch):
+    """Guards against a job that is gone before its end was ever shown."""
+    cell.lead()
+    job_id = cell.submit(job())
+    await cell.until(lambda: bool(cell.targets.running_tasks()))
+    commit = cell.store.commit
+
+    async def reject_progress(transaction):
+        if any(write.table == PROGRESS for write in transaction.writes):
+            return DOWN
+        return await commit(transaction)
+
+    monkeypatch.setattr(cell.store, 'commit', reject_progress)
+    cell.cancel(job_id)
+    await asyncio.sleep(0.2)
+    assert exists(cell, JOBS, job_id)
+    assert exists(cell, CANCELS, job_id)
+    monkeypatch.undo()
+    await cell.until(lambda: not exists(cell, JOBS, job_id))
