Refuse jobs that may have waited while a daemon was suspended

Cause: a cancel that comes before its job is kept for 180 s. A daemon that was suspended for longer, alone or with its host, still has the submission in a socket when it wakes, and no cancel refuses it any more. The same holds for an insert that a peer had sent to it.

Change: a daemon records each second that it runs, on the clock that also counts the time of a suspended host. After a pause of more than half of the 180 s it refuses inserts of jobs for 3 s, with 503 and a true "not run", of callers and of peers. The first request that is read after the pause notices it itself, so that no loop has to run before it. Cancels are stored as before.

--- a/src/radishlift/cell/daemon.py
+++ b/src/radishlift/cell/daemon.py
@@ -17,6 +17,7 @@
 from radishlift.cell.ports import AdviceCalls, CellStore, TargetCalls
 from radishlift.cell.queues import QueueConfig
 from radishlift.cell.settings import CellSettings
+from radishlift.cell.suspension import RecentRows, SuspensionMonitor
 from radishlift.cell.table_follower import FollowedTable, TableFollower
 from radishlift.cell.tables import CELL, CONFIG
 from radishlift.cell.target_entries import EntryDecoder
@@ -77,15 +78,19 @@
             dependencies.settings,
             dependencies.clock,
         )
+        self._suspension = SuspensionMonitor(
+            dependencies.settings, dependencies.clock
+        )
         rows = RelayedRows(
-            StoreRows(dependencies.store),
+            # Peers insert through these rows.
+            RecentRows(StoreRows(dependencies.store), self._suspension),
             self._network,
             lambda: self._cell_follower.is_store_lost,
             dependencies.clock,
         )
         self._config_sharer.on_answer = rows.readmit
         self.job_service = JobService(
-            rows,
+            RecentRows(rows, self._suspension),
             dependencies.clock,
             self._heartbeat_fields,
         )
@@ -132,6 +137,7 @@
             ),
             self._config_follower.run(self._on_config, self._on_config),
             self._config_sharer.run(self._on_config),
+            self._suspension.run(),
         ):
             self._start_loop(work)
         self._leader_loop = self._start_loop(self._lead())
--- a/src/radishlift/cell/settings.py
+++ b/src/radishlift/cell/settings.py
@@ -44,6 +44,10 @@
     - `forget_ended_ms`: how long ended jobs are kept; callers may query them
       for 120 s, and repeat a submission for seconds after its answer.
     - `forget_every_ms`: pause between two removals of ended jobs.
+    - `suspension_check_ms`: interval at which a daemon records that it runs.
+    - `recovery_ms`: time after a suspension of more than half of
+      `forget_ended_ms` in which a daemon rejects jobs; within it the requests
+      that waited are read.
     - `max_log_lines_per_s`: log lines above this rate are counted and dropped.
       Twice the lines of a leader at 450 starts/s would use a tenth of a core.
     """
@@ -71,6 +75,8 @@
     feed_gap_ms: int = 100
     forget_ended_ms: int = 180_000
     forget_every_ms: int = 1000
+    suspension_check_ms: int = 1000
+    recovery_ms: int = 3000
     max_log_lines_per_s: int = 600
 
 
--- a/src/radishlift/core/events.py
+++ b/src/radishlift/core/events.py
@@ -75,6 +75,7 @@
     'target_lost',
     'tls_files_unreadable',
     'unknown_message',
+    'daemon_was_suspended',
     'jobs_not_removed',
     'leader_deposed',
     'progress_unread',
--- a/tests/platform/test_front.py
+++ b/tests/platform/test_front.py
@@ -2,6 +2,9 @@
 
 import asyncio
 import json
+import socket
+import time
+from contextlib import asynccontextmanager
 
 import pytest
 from aiohttp import ClientSession, web
@@ -9,6 +12,8 @@
 from radishlift.cell.entry_rows import StoreRows
 from radishlift.cell.job_service import JobService
 from radishlift.cell.metrics import CellMetrics
+from radishlift.cell.settings import CellSettings
+from radishlift.cell.suspension import RecentRows, SuspensionMonitor
 from radishlift.cell.tables import CANCELS, JOBS, PROGRESS
 from radishlift.core.clock import BootClock
 from radishlift.platform.documents import decode_config
@@ -49,16 +54,28 @@
             return answer.status, await answer.text(), answer.headers
 
 
-@pytest.fixture
-async def service():
-    service = Service()
+def suspend_process():
+    # Nothing else of this process runs meanwhile.
+    time.sleep(0.3)
+
+
+@asynccontextmanager
+async def serving(service):
     runner = web.ServerRunner(web.Server(service.front.handle))
     await runner.setup()
     site = web.TCPSite(runner, '127.0.0.1', 0)
     await site.start()
     service.port = site._server.sockets[0].getsockname()[1]
-    yield service
-    await runner.cleanup()
+    try:
+        yield service
+    finally:
+        await runner.cleanup()
+
+
+@pytest.fixture
+async def service():
+    async with serving(Service()) as service:
+        yield service
 
 
 async def test_submitted_job_is_stored_and_its_state_served(service):
@@ -118,6 +135,32 @@
     assert not service.store.tables.read(JOBS, ID).version
 
 
+async def test_submission_that_waited_in_a_socket_is_refused():
+    """Guards against a job that a suspended daemon reads after its cancel."""
+    service = Service()
+    settings = CellSettings(forget_ended_ms=200)
+    suspension = SuspensionMonitor(settings, BootClock())
+    service.job_service = JobService(
+        RecentRows(StoreRows(service.store), suspension),
+        BootClock(),
+        lambda: PENDING_COUNTS,
+    )
+    service.job_service.config = decode_config(CONFIG)
+    service.front = FrontApi(service.job_service, BootClock(), CellMetrics())
+    async with serving(service):
+        checks = asyncio.create_task(suspension.run())
+        await asyncio.sleep(0.01)
+        with socket.create_connection(('127.0.0.1', service.port)) as client:
+            head = f'POST /q/{ID} HTTP/1.1\r\nHost: h.example\r\n'
+            length = f'Content-Length: {len(JOB)}\r\n\r\n'
+            client.sendall(f'{head}{length}{JOB}'.encode())
+            suspend_process()
+            reader, _ = await asyncio.open_connection(sock=client)
+            assert (await reader.readline()).split()[1] == b'503'
+        checks.cancel()
+    assert not service.store.tables.history
+
+
 async def test_refusal_has_a_retry_after_header(service):
     service.store.fail_next_commits = [Fault.down]
     status, _, headers = await service.send('POST', f'/q/{ID}', JOB)
