Reject jobs whose progress does not fit in a row of the store

Cause: all tasks of a job are in one row of progress. A row above `rowBytes` of the platform's settings is refused by the store, and the leader repeats the transaction for ever, as does each leader after it.

Change: a job is rejected with 413 and a text that names the limit, if its row or the longest form of its progress does not fit. The longest form counts all tasks of all occurrences, 64 bytes each and 64 more with checkpoints, so that a step may have 1015 tasks at 65536 bytes. Deployments whose settings have no `rowBytes` accept jobs as before. docs/configuration.md lists the limits.

Evidence: test_job_that_no_row_can_hold_is_refused submits 2400 tasks, twice 1000, and a row of over 66 kB; before, each was answered with 200. test_progress_is_no_larger_than_what_is_expected_of_a_job compares the calculation with rows of 25 and 1000 placed tasks.

--- a/src/radishlift/cell/daemon.py
+++ b/src/radishlift/cell/daemon.py
@@ -40,7 +40,8 @@
 
     `leader_rank` orders the daemons of a cell by the capacity of their hosts;
     the highest leads first. `target_heartbeat_ms` is the interval at which
-    targets write their entries; 0 if it is unknown.
+    targets write their entries, and `max_row_bytes` the limit of a row of the
+    store; 0 if they are unknown.
     """
 
     daemon_id: DaemonId
@@ -56,6 +57,7 @@
     clock: Clock
     max_lease_ms: int
     target_heartbeat_ms: int = 0
+    max_row_bytes: int = 0
 
 
 class CellDaemon:
@@ -93,6 +95,7 @@
             RecentRows(rows, self._suspension),
             dependencies.clock,
             self._heartbeat_fields,
+            dependencies.max_row_bytes,
         )
         self._leadership = Leadership(
             dependencies.daemon_id,
--- a/src/radishlift/cell/job_service.py
+++ b/src/radishlift/cell/job_service.py
@@ -10,6 +10,7 @@
 from typing import Any, Final
 
 from radishlift.cell.entry_rows import EntryRows
+from radishlift.cell.job_limits import check_job_size
 from radishlift.cell.job_rows import dump_job
 from radishlift.cell.queues import Queue, QueueConfig
 from radishlift.cell.tables import CANCELS, JOBS, PROGRESS
@@ -42,10 +43,12 @@
         rows: EntryRows,
         clock: Clock,
         heartbeat_fields: Callable[[], Any],
+        max_row_bytes: int = 0,
     ) -> None:
         self._rows = rows
         self._clock = clock
         self._heartbeat_fields = heartbeat_fields
+        self._max_row_bytes = max_row_bytes
         self.config: QueueConfig | None = None
 
     def find_queue(self, host: str, path: str) -> Queue | Failure:
@@ -71,11 +74,14 @@
         """Stores a job; storing it again changes nothing.
 
         `deadline_ms` is monotonic. Fails with `store_unavailable` only if
-        the job is confirmed not to be stored, and with `cancelled` if it was
-        cancelled before, so that it will never be stored.
+        the job is confirmed not to be stored, with `cancelled` if it was
+        cancelled before, so that it will never be stored, and with `too_large`
+        if its progress would not fit in a row of the store.
         """
         row = dump_job(spec, queue.terms, self._clock.wall_ms())
-        outcome = await self._insert(JOBS, spec.job_id, row, deadline_ms)
+        outcome = check_job_size(spec, row, self._max_row_bytes)
+        if outcome is None:
+            outcome = await self._insert(JOBS, spec.job_id, row, deadline_ms)
         log_event(
             'job_submitted',
             job=spec.job_id,
--- a/src/radishlift/config/reference.py
+++ b/src/radishlift/config/reference.py
@@ -17,6 +17,13 @@
 )
 from radishlift.config.kinds import SECTION_KINDS, SectionKind
 from radishlift.config.text import MAX_DOCUMENT_BYTES
+from radishlift.steps.progress import (
+    CHECKPOINT_BYTES,
+    JOB_BYTES,
+    STEP_BYTES,
+    TASK_BYTES,
+)
+from radishlift.steps.spec import MAX_JOB_TASKS
 
 _UNITS: Final = (
     ('_ms', 'ms'),
@@ -75,6 +82,21 @@
 at once.
 """
 
+_JOB_LIMITS: Final = f"""\
+## Limits of jobs on the platform
+
+They follow from the platform's settings, not from this document. A job beyond
+a limit is rejected at once; nothing is stored.
+
+- More than {MAX_JOB_TASKS} tasks in all occurrences: answer 400.
+- The job with the terms of its queue takes more than `platform.rowBytes`
+  bytes: answer 413, whose text names the limit.
+- Its progress may take more than `platform.rowBytes` bytes: answer 413, whose
+  text names the limit. Calculated are {JOB_BYTES} bytes and, for each
+  occurrence, {STEP_BYTES} for a step, {TASK_BYTES} for a task and
+  {CHECKPOINT_BYTES} more for a task that saves checkpoints.
+"""
+
 _EXAMPLE: Final = """\
 ## Example
 
@@ -105,7 +127,7 @@
     """Writes the reference of all sections and keys."""
     parts = [_INTRODUCTION]
     parts.extend(_describe_kind(kind) for kind in SECTION_KINDS)
-    parts.append(_EXAMPLE)
+    parts.extend((_JOB_LIMITS, _EXAMPLE))
     return '\n'.join(parts)
 
 
--- a/src/radishlift/platform/front.py
+++ b/src/radishlift/platform/front.py
@@ -135,7 +135,8 @@
         # Whole seconds, rounded up.
         seconds = -(-answer.retry_after_ms // _MS_IN_S)
         headers['Retry-After'] = str(max(1, seconds))
-    return web.Response(status=answer.http_status, headers=headers)
+    text = failure.reason if failure.kind is ErrorKind.too_large else None
+    return web.Response(status=answer.http_status, headers=headers, text=text)
 
 
 __all__ = ('FrontApi',)
--- a/src/radishlift/platform/main.py
+++ b/src/radishlift/platform/main.py
@@ -82,6 +82,7 @@
             clock,
             settings.max_lease_ms,
             settings.target_heartbeat_ms,
+            settings.max_row_bytes,
         ),
     )
     stopped = asyncio.Event()
--- a/src/radishlift/platform/settings.py
+++ b/src/radishlift/platform/settings.py
@@ -24,7 +24,8 @@
 
     `max_lease_ms` is the longest lease of a target. `grace_ms` is the time
     between SIGTERM and SIGKILL. `target_heartbeat_ms` is the interval at which
-    targets write their entries; 0 if it is unknown.
+    targets write their entries, and `max_row_bytes` the limit of a row of the
+    store; 0 if they are unknown.
     """
 
     daemon_id: DaemonId
@@ -38,6 +39,7 @@
     max_lease_ms: int
     grace_ms: int
     target_heartbeat_ms: int
+    max_row_bytes: int
     link_mbps: float
     cpu_cores: float
 
@@ -74,6 +76,7 @@
         max_lease_ms=int(bounds['holdMaxMs']),
         grace_ms=int(bounds['graceS'] * _MS_IN_S),
         target_heartbeat_ms=int(fields.get('heartbeatMs', 0)),
+        max_row_bytes=int(fields['platform'].get('rowBytes', 0)),
         link_mbps=float(limits['linkMbps']),
         # `cpuShare` is a share of a processor as fast as `cores` cores.
         cpu_cores=float(limits['cpuShare']) * float(limits['cores']),
--- a/src/radishlift/steps/progress.py
+++ b/src/radishlift/steps/progress.py
@@ -4,7 +4,7 @@
 """
 
 from collections.abc import Mapping
-from typing import Any
+from typing import Any, Final
 
 from radishlift.steps.ids import TargetId
 from radishlift.steps.runs import (
@@ -15,6 +15,28 @@
     TaskState,
     unblock_steps,
 )
+from radishlift.steps.spec import JobSpec
+
+# The longest stored forms, with reserve: ids of targets have 12 characters,
+# and a checkpoint is taken for a name of at most 60.
+JOB_BYTES: Final = 512
+STEP_BYTES: Final = 32
+TASK_BYTES: Final = 64
+CHECKPOINT_BYTES: Final = 64
+
+
+def max_progress_bytes(spec: JobSpec) -> int:
+    """Returns how many bytes the progress of a job may take at most.
+
+    All tasks of all occurrences may be stored at the same time.
+    """
+    step_bytes = 0
+    for step in spec.steps:
+        task_bytes = TASK_BYTES
+        if step.saves_checkpoints:
+            task_bytes += CHECKPOINT_BYTES
+        step_bytes += STEP_BYTES + step.tasks_count * task_bytes
+    return JOB_BYTES + step_bytes * max(1, spec.repeats_count)
 
 
 def dump_progress(job: JobRun) -> dict[str, Any]:
@@ -123,4 +145,12 @@
         step.unfinished_count -= 1
 
 
-__all__ = ('dump_progress', 'load_progress')
+__all__ = (
+    'CHECKPOINT_BYTES',
+    'JOB_BYTES',
+    'STEP_BYTES',
+    'TASK_BYTES',
+    'dump_progress',
+    'load_progress',
+    'max_progress_bytes',
+)
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -39,6 +39,7 @@
 drainMs = 2000
 [platform]
 address = "{store}"
+rowBytes = 65536
 """
 
 
--- a/tests/platform/test_front.py
+++ b/tests/platform/test_front.py
@@ -176,6 +176,30 @@
     assert status == 504
 
 
+async def test_job_that_no_row_can_hold_is_refused(service):
+    """Guards against a job that no leader can ever commit."""
+    service.job_service = JobService(
+        StoreRows(service.store), BootClock(), dict, max_row_bytes=65_536
+    )
+    service.job_service.config = decode_config(CONFIG)
+    service.front._intake = service.job_service
+    usual = {'spec': 's', 'steps': [{'count': 1000, 'cpu': 10}]}
+    large = {'spec': 's', 'steps': [{'count': 2400, 'cpu': 10}]}
+    long = {'spec': 's', 'steps': [{'count': 1, 'image': 'i' * 66_000}]}
+    for number, job, expected in (
+        (1, usual, 200),
+        (2, large, 413),
+        (3, {**usual, 'repeats': 2}, 413),
+        (4, long, 413),
+    ):
+        status, text, _ = await service.send(
+            'POST', f'/q/{number:016x}', json.dumps(job)
+        )
+        assert status == expected
+        assert ('65536 (rowBytes)' in text) is (status == 413)
+    assert len(service.store.tables.history) == 1
+
+
 @pytest.mark.parametrize('body', [b'{', *UNREADABLE])
 async def test_malformed_job_is_refused(service, body):
     status, _, _ = await service.send('POST', f'/q/{ID}', body)
--- a/tests/steps/test_progress.py
+++ b/tests/steps/test_progress.py
@@ -1,10 +1,16 @@
 """Tests of the stored form of job progress."""
 
+import json
+
 import pytest
 
 from radishlift.steps.endings import EndKind, apply_end
 from radishlift.steps.ids import TargetId, TaskKey, parse_task_key
-from radishlift.steps.progress import dump_progress, load_progress
+from radishlift.steps.progress import (
+    dump_progress,
+    load_progress,
+    max_progress_bytes,
+)
 from radishlift.steps.runs import JobState, TaskState
 from tests.steps.builders import job, key, step
 
@@ -27,6 +33,20 @@
     assert restored.find_task(key(1)).failures_count == 1
 
 
+@pytest.mark.parametrize('steps_count', [1, 40])
+def test_progress_is_no_larger_than_what_is_expected_of_a_job(steps_count):
+    """Guards against an accepted job that no leader can commit."""
+    run = job(*(step(25, saves_checkpoints=True) for _ in range(steps_count)))
+    for task in run.all_tasks():
+        task.state = TaskState.placed
+        task.attempt = 9999
+        task.failures_count = 99
+        task.target_id = TargetId('i-0123456789')
+        task.checkpoint = 'c' * 60
+    text = json.dumps(dump_progress(run), separators=(',', ':'))
+    assert len(text) <= max_progress_bytes(run.spec)
+
+
 def test_takeover_keeps_the_crashes_of_a_task():
     run = job(step(2))
     task = run.find_task(key(1))
