End a job whose progress has outgrown its row

Cause: the leader repeats a transaction that the store refuses because of one row for ever, and so does each leader after it.

A job above `rowBytes` ends as failed, with a reason that callers see and a line `job_too_large` in the log; its tasks are stopped, and only its state is stored. All other jobs go on.

--- a/src/radishlift/cell/commits.py
+++ b/src/radishlift/cell/commits.py
@@ -13,6 +13,7 @@
 from typing import Any, Final
 
 from radishlift.cell.ports import CellStore
+from radishlift.cell.progress_rows import measure_progress
 from radishlift.cell.settings import CellSettings
 from radishlift.cell.tables import (
     CELL,
@@ -35,7 +36,7 @@
     Write,
 )
 from radishlift.steps.ids import FencingToken
-from radishlift.steps.progress import dump_progress
+from radishlift.steps.progress import dump_end, dump_progress
 from radishlift.steps.runs import JobRun, JobState
 
 # The store accepts 100 entries per transaction: two are conditions, and three
@@ -79,7 +80,9 @@
 class CommitLog:
     """Commits the progress of jobs and then runs their callbacks.
 
-    `heartbeat_fields` returns the fields of the leader heartbeat.
+    `heartbeat_fields` returns the fields of the leader heartbeat. Jobs whose
+    progress is above `max_row_bytes`, if that is not 0, are passed to
+    `on_too_large`, which must end them; then only their state is stored.
     """
 
     def __init__(
@@ -88,8 +91,10 @@
         claim: Claim,
         settings: CellSettings,
         clock: Clock,
+        max_row_bytes: int = 0,
     ) -> None:
         self._store = store
+        self._max_row_bytes = max_row_bytes
         self._claim = claim
         self._settings = settings
         self._clock = clock
@@ -106,6 +111,7 @@
         self._is_failing = False
         self.confirmed_at_ms = claim.claimed_at_ms
         self.heartbeat_fields: Callable[[], Mapping[str, Any]] = dict
+        self.on_too_large: Callable[[JobRun], None] = _ignore_job
         self.unrenewed = UnrenewedLeases(claim.epoch, self._has_work.set)
 
     @property
@@ -195,7 +201,8 @@
         batch = _Batch(self._sequence, ())
         for job_id in list(self._dirty)[:_MAX_BATCH_JOBS]:
             job = self._dirty.pop(job_id)
-            writes.append(Write(PROGRESS, job_id, dump_progress(job)))
+            row = self._dump(job)
+            writes.append(Write(PROGRESS, job_id, row))
             batch.states.append((job, job.state))
             batch.callbacks.extend(self._callbacks.pop(job_id, ()))
         free_count = _MAX_BATCH_JOBS - len(batch.states)
@@ -209,6 +216,17 @@
         batch.writes = tuple(writes)
         return batch
 
+    def _dump(self, job: JobRun) -> dict[str, Any]:
+        row = dump_progress(job)
+        size_bytes = measure_progress(row)
+        if not self._max_row_bytes or size_bytes <= self._max_row_bytes:
+            return row
+        # The store would refuse this row, and all others with it.
+        if not job.is_ended:
+            log_event('job_too_large', job=job.spec.job_id, bytes=size_bytes)
+            self.on_too_large(job)
+        return dump_end(job)
+
     async def _commit(self, batch: _Batch) -> CommitState:
         claim = self._claim
         transaction = Transaction(
@@ -255,4 +273,8 @@
         return CommitState.deposed
 
 
+def _ignore_job(_: JobRun) -> None:
+    """Ignores a job."""
+
+
 __all__ = ('Claim', 'CommitLog')
--- a/src/radishlift/cell/daemon.py
+++ b/src/radishlift/cell/daemon.py
@@ -116,6 +116,7 @@
             dependencies.clock,
             dependencies.max_lease_ms,
             dependencies.target_heartbeat_ms,
+            dependencies.max_row_bytes,
         )
         self._term: LeaderTerm | None = None
         self._tasks: list[asyncio.Task[None]] = []
--- a/src/radishlift/cell/leader_term.py
+++ b/src/radishlift/cell/leader_term.py
@@ -59,6 +59,7 @@
     clock: Clock
     max_lease_ms: int
     target_heartbeat_ms: int = 0
+    max_row_bytes: int = 0
 
 
 class LeaderTerm:
@@ -68,7 +69,11 @@
         self.claim = claim
         self._dependencies = dependencies
         self._log = CommitLog(
-            dependencies.store, claim, dependencies.settings, dependencies.clock
+            dependencies.store,
+            claim,
+            dependencies.settings,
+            dependencies.clock,
+            dependencies.max_row_bytes,
         )
         self.scheduler = Scheduler(
             SchedulerContext(
--- a/src/radishlift/cell/scheduler.py
+++ b/src/radishlift/cell/scheduler.py
@@ -106,6 +106,7 @@
             context.clock,
             self._has_changed.set,
         )
+        log.on_too_large = self._end_too_large
         log.heartbeat_fields = self.jobs.heartbeat_fields
         log.unrenewed.list_remaining_ms = lambda: (
             self.inherited.list_unrenewed_ms(context.clock.monotonic_ms())
@@ -180,6 +181,11 @@
         )
         session.start(order)
 
+    def _end_too_large(self, job: JobRun) -> None:
+        job.reason = 'its progress does not fit in a row of the store'
+        self.jobs.end_job(job, JobState.failed)
+        self.attempts.stop_tasks(job)
+
     def _wait_ms(self) -> int:
         wall_ms = self._context.clock.wall_ms()
         pause_ms = self._context.settings.pulse_ms
--- a/src/radishlift/core/events.py
+++ b/src/radishlift/core/events.py
@@ -76,6 +76,7 @@
     'tls_files_unreadable',
     'unknown_message',
     'daemon_was_suspended',
+    'job_too_large',
     'jobs_not_removed',
     'leader_deposed',
     'progress_unread',
--- a/src/radishlift/steps/progress.py
+++ b/src/radishlift/steps/progress.py
@@ -47,7 +47,7 @@
     if job.is_ended and not any(
         task.state is TaskState.placed for task in job.all_tasks()
     ):
-        return {**_dump_state(job), 'steps': []}
+        return dump_end(job)
     progress = {
         **_dump_state(job),
         'steps': [
@@ -67,6 +67,11 @@
     return progress
 
 
+def dump_end(job: JobRun) -> dict[str, Any]:
+    """Converts the state of an ended job, without its tasks."""
+    return {**_dump_state(job), 'steps': []}
+
+
 def _dump_state(job: JobRun) -> dict[str, Any]:
     if job.reason:
         return {'state': job.state.value, 'reason': job.reason}
@@ -150,6 +155,7 @@
     'JOB_BYTES',
     'STEP_BYTES',
     'TASK_BYTES',
+    'dump_end',
     'dump_progress',
     'load_progress',
     'max_progress_bytes',
--- a/tests/cell/leader.py
+++ b/tests/cell/leader.py
@@ -70,7 +70,9 @@
         max_lease_ms: int = MAX_LEASE_MS,
         target_heartbeat_ms: int = 0,
         step_settings: StepSettings | None = None,
+        max_row_bytes: int = 0,
     ) -> None:
+        self.max_row_bytes = max_row_bytes
         self.max_lease_ms = max_lease_ms
         self.target_heartbeat_ms = target_heartbeat_ms
         self.settings = settings
@@ -150,6 +152,7 @@
                 BootClock(),
                 self.max_lease_ms,
                 self.target_heartbeat_ms,
+                self.max_row_bytes,
             ),
         )
         task = asyncio.create_task(term.run())
