Send no transaction that is larger than the store accepts

Cause: a transaction held the progress of up to 90 jobs, whatever its size. The store accepts 1 MB; 90 jobs with some 200 placed tasks each are more, and the leader repeats the refused transaction for ever.

Change: a transaction ends before it has more than 500 kB of progress, about 670 kB as base64. The other jobs follow in the next one, in their order.

--- a/src/radishlift/cell/commits.py
+++ b/src/radishlift/cell/commits.py
@@ -13,7 +13,7 @@
 from typing import Any, Final
 
 from radishlift.cell.ports import CellStore
-from radishlift.cell.progress_rows import measure_progress
+from radishlift.cell.progress_rows import MAX_BATCH_BYTES, measure_progress
 from radishlift.cell.settings import CellSettings
 from radishlift.cell.tables import (
     CELL,
@@ -199,9 +199,14 @@
         if is_heartbeat_due or self.unrenewed.is_write_requested:
             writes.extend(self.unrenewed.start_write())
         batch = _Batch(self._sequence, ())
+        batch_bytes = 0
         for job_id in list(self._dirty)[:_MAX_BATCH_JOBS]:
-            job = self._dirty.pop(job_id)
-            row = self._dump(job)
+            job = self._dirty[job_id]
+            row, size_bytes = self._dump(job)
+            batch_bytes += size_bytes
+            if batch.states and batch_bytes > MAX_BATCH_BYTES:
+                break
+            self._dirty.pop(job_id)
             writes.append(Write(PROGRESS, job_id, row))
             batch.states.append((job, job.state))
             batch.callbacks.extend(self._callbacks.pop(job_id, ()))
@@ -216,16 +221,16 @@
         batch.writes = tuple(writes)
         return batch
 
-    def _dump(self, job: JobRun) -> dict[str, Any]:
+    def _dump(self, job: JobRun) -> tuple[dict[str, Any], int]:
         row = dump_progress(job)
         size_bytes = measure_progress(row)
         if not self._max_row_bytes or size_bytes <= self._max_row_bytes:
-            return row
+            return row, size_bytes
         # The store would refuse this row, and all others with it.
         if not job.is_ended:
             log_event('job_too_large', job=job.spec.job_id, bytes=size_bytes)
             self.on_too_large(job)
-        return dump_end(job)
+        return dump_end(job), 0
 
     async def _commit(self, batch: _Batch) -> CommitState:
         claim = self._claim
--- a/tests/cell/test_commits.py
+++ b/tests/cell/test_commits.py
@@ -1,6 +1,7 @@
 """Tests of the leader's transactions."""
 
 import asyncio
+import json
 from contextlib import suppress
 
 import pytest
@@ -16,12 +17,12 @@
 )
 from radishlift.core.clock import BootClock
 from radishlift.services.api import Transaction, Write
-from radishlift.steps.ids import FencingToken
+from radishlift.steps.ids import FencingToken, TargetId
 from radishlift.steps.runs import JobState
 from tests.cell.fakes import MemoryCellStore
 from tests.only import only
 from tests.standins.tables import Fault
-from tests.steps.builders import job
+from tests.steps.builders import job, step
 
 
 @pytest.fixture
@@ -172,3 +173,26 @@
     finally:
         backlog.cancel()
         task.cancel()
+
+
+async def test_many_large_jobs_are_committed_in_several_transactions(
+    store, log
+):
+    """Guards against a transaction that is larger than the store accepts."""
+    runs = [job(step(700), job_id=f'{number:016x}') for number in range(60)]
+    for run in runs:
+        for task in run.all_tasks():
+            task.attempt = 1
+            task.target_id = TargetId('i-0123456789')
+        run.state = JobState.running
+        log.enqueue(run)
+    task = await start(log)
+    await log.wait_committed()
+    task.cancel()
+    sizes = [
+        sum(len(json.dumps(write.value)) for write in transaction.writes)
+        for transaction in store.tables.history
+    ]
+    # The store accepts 1 MB of base64.
+    assert max(sizes) < 750_000
+    assert {run.committed_state for run in runs} == {JobState.running}
