--- a/src/radishlift/cell/daemon.py
+++ b/src/radishlift/cell/daemon.py
@@ -17,6 +17,7 @@
 from radishlift.cell.ports import AdviceCalls, CellStore, TargetCalls
 from radishlift.cell.queues import QueueConfig
 from radishlift.cell.settings import CellSettings
+from radishlift.cell.suspension import RecentRows, SuspensionMonitor
 from radishlift.cell.table_follower import FollowedTable, TableFollower
 from radishlift.cell.tables import CELL, CONFIG
 from radishlift.cell.target_entries import EntryDecoder
@@ -39,7 +40,8 @@
 
     `leader_rank` orders the daemons of a cell by the capacity of their hosts;
     the highest leads first. `target_heartbeat_ms` is the interval at which
-    targets write their entries; 0 if it is unknown.
+    targets write their entries, and `max_row_bytes` the limit of a row of the
+    store; 0 if they are unknown.
     """
 
     daemon_id: DaemonId
@@ -55,6 +57,7 @@
     clock: Clock
     max_lease_ms: int
     target_heartbeat_ms: int = 0
+    max_row_bytes: int = 0
 
 
 class CellDaemon:
@@ -77,17 +80,22 @@
             dependencies.settings,
             dependencies.clock,
         )
+        self._suspension = SuspensionMonitor(
+            dependencies.settings, dependencies.clock
+        )
         rows = RelayedRows(
-            StoreRows(dependencies.store),
+            # Peers insert through these rows.
+            RecentRows(StoreRows(dependencies.store), self._suspension),
             self._network,
             lambda: self._cell_follower.is_store_lost,
             dependencies.clock,
         )
         self._config_sharer.on_answer = rows.readmit
         self.job_service = JobService(
-            rows,
+            RecentRows(rows, self._suspension),
             dependencies.clock,
             self._heartbeat_fields,
+            dependencies.max_row_bytes,
         )
         self._leadership = Leadership(
             dependencies.daemon_id,
@@ -108,6 +116,7 @@
             dependencies.clock,
             dependencies.max_lease_ms,
             dependencies.target_heartbeat_ms,
+            dependencies.max_row_bytes,
         )
         self._term: LeaderTerm | None = None
         self._tasks: list[asyncio.Task[None]] = []
@@ -132,6 +141,7 @@
             ),
             self._config_follower.run(self._on_config, self._on_config),
             self._config_sharer.run(self._on_config),
+            self._suspension.run(),
         ):
             self._start_loop(work)
         self._leader_loop = self._start_loop(self._lead())
