--- /dev/null
+++ b/src/radishlift/access/gate.py
@@ -0,0 +1,93 @@
+"""Decides which callers may use a queue, and for which workspace."""
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+
+from radishlift.access.freshness import ConfigFreshness
+from radishlift.access.keys import KeyHash, read_key
+from radishlift.access.settings import AccessSettings
+from radishlift.core.errors import ErrorKind, Failure
+from radishlift.core.ids import WorkspaceName
+from radishlift.steps.workspaces import NO_WORKSPACE
+
+FindWorkspace = Callable[[KeyHash], WorkspaceName | None]
+
+
+@dataclass(frozen=True, slots=True)
+class Caller:
+    """The workspace that a call belongs to, and the hash of its key.
+
+    Calls that need no key have neither.
+    """
+
+    workspace: WorkspaceName = NO_WORKSPACE
+    key_hash: KeyHash | None = field(default=None, repr=False)
+
+    def may_use(self, owner: WorkspaceName) -> bool:
+        """Returns whether the caller may see and cancel a workspace's job.
+
+        Anyone who may use its queue may use a job without a workspace.
+        """
+        return owner in {NO_WORKSPACE, self.workspace}
+
+
+ANYONE = Caller()
+"""Caller of a queue that requires no key."""
+
+
+class KeyGate:
+    """Judges keys by the configuration in force and by its age.
+
+    A key may have been taken away or added since the configuration was known
+    to be the newest. A configuration that is too old neither proves that a key
+    is valid nor that it is unknown.
+    """
+
+    def __init__(
+        self, freshness: ConfigFreshness, settings: AccessSettings
+    ) -> None:
+        self._freshness = freshness
+        self._settings = settings
+
+    @property
+    def can_admit(self) -> bool:
+        """Returns whether the configuration is recent enough for any key."""
+        return self._freshness.is_within(self._settings.max_known_age_ms)
+
+    def admit(
+        self, authorizations: Sequence[str], find_workspace: FindWorkspace
+    ) -> Caller | Failure:
+        """Returns the caller that the `Authorization` headers identify.
+
+        Fails with `unauthenticated` or `configuration_outdated`.
+        """
+        key_hash = read_key(authorizations)
+        if isinstance(key_hash, Failure):
+            return key_hash
+        return self._judge(key_hash, find_workspace)
+
+    def check_again(
+        self, caller: Caller, find_workspace: FindWorkspace
+    ) -> Failure | None:
+        """Judges an admitted caller again, after time has passed."""
+        if caller.key_hash is None:
+            return None
+        judged = self._judge(caller.key_hash, find_workspace)
+        return judged if isinstance(judged, Failure) else None
+
+    def _judge(
+        self, key_hash: KeyHash, find_workspace: FindWorkspace
+    ) -> Caller | Failure:
+        workspace = find_workspace(key_hash)
+        if workspace is None:
+            if self._freshness.is_within(self._settings.max_unknown_age_ms):
+                return Failure(ErrorKind.unauthenticated, 'unknown key')
+        elif self.can_admit:
+            return Caller(workspace, key_hash)
+        return Failure(
+            ErrorKind.configuration_outdated,
+            f'age of the configuration is {self._freshness.age_ms} ms',
+        )
+
+
+__all__ = ('ANYONE', 'Caller', 'KeyGate')
--- a/src/radishlift/cell/cancel_table.py
+++ b/src/radishlift/cell/cancel_table.py
@@ -2,36 +2,45 @@
 
 from collections.abc import Iterable
 
+from radishlift.cell.tables import cancel_key, cancelled_job
 from radishlift.core.clock import Clock
 from radishlift.core.ids import JobId
+from radishlift.steps.runs import JobRun
 
 
 class CancelTable:
-    """Ids of cancelled jobs, and when this leader first saw each cancel.
+    """Keys of cancels, and when this leader first saw each of them.
 
     Times are monotonic, in milliseconds.
     """
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._seen_at_ms: dict[JobId, int] = {}
+        self._seen_at_ms: dict[str, int] = {}
 
-    def __contains__(self, job_id: JobId) -> bool:
-        return job_id in self._seen_at_ms
+    def has(self, job: JobRun) -> bool:
+        """Returns whether a job's own workspace has cancelled it."""
+        return cancel_key(job.spec.job_id, job.workspace) in self._seen_at_ms
 
-    def add(self, job_id: JobId) -> None:
+    def add(self, key: str) -> None:
         """Adds a cancel; ignores known ones."""
-        self._seen_at_ms.setdefault(job_id, self._clock.monotonic_ms())
+        self._seen_at_ms.setdefault(key, self._clock.monotonic_ms())
 
-    def discard(self, job_id: JobId) -> None:
+    def discard(self, key: str) -> None:
         """Removes a cancel, if it is known."""
-        self._seen_at_ms.pop(job_id, None)
+        self._seen_at_ms.pop(key, None)
 
-    def list_seen_before(self, limit_ms: int) -> Iterable[JobId]:
-        """Lists the cancels that were first seen before a time."""
+    def discard_job(self, job_id: JobId) -> None:
+        """Removes all cancels of a job."""
+        for key in tuple(self._seen_at_ms):
+            if cancelled_job(key) == job_id:
+                self.discard(key)
+
+    def list_seen_before(self, limit_ms: int) -> Iterable[str]:
+        """Lists the keys of cancels that were first seen before a time."""
         return [
-            job_id
-            for job_id, seen_at_ms in self._seen_at_ms.items()
+            key
+            for key, seen_at_ms in self._seen_at_ms.items()
             if seen_at_ms < limit_ms
         ]
 
--- a/src/radishlift/cell/config_sharing.py
+++ b/src/radishlift/cell/config_sharing.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from typing import Final
 
+from radishlift.access.freshness import ConfigFreshness
 from radishlift.cell.messages import ConfigAsk, ConfigTold
 from radishlift.cell.settings import CellSettings
 from radishlift.cell.table_follower import TableFollower
@@ -18,6 +19,7 @@
 from radishlift.wire.network import PeerNetwork
 
 _CALL_TIMEOUT_MS: Final = 400
+_CONFIG_KEY: Final = 'config'
 
 
 class ConfigSharer:
@@ -25,7 +27,8 @@
 
     Peers are queried only while this daemon can't read the store.
     `last_contact_ms` is the time of the latest answer of a peer, and
-    `on_answer` gets the id of each peer that answers.
+    `on_answer` gets the id of each peer that answers. A peer may itself be
+    behind, so its answer counts only for the time for which it vouches.
     """
 
     def __init__(
@@ -34,8 +37,10 @@
         follower: TableFollower,
         settings: CellSettings,
         clock: Clock,
+        freshness: ConfigFreshness | None = None,
     ) -> None:
         self._network = network
+        self._freshness = freshness or ConfigFreshness(clock)
         self._follower = follower
         self._settings = settings
         self._clock = clock
@@ -47,10 +52,8 @@
     def update(self, rows: tuple[Row, ...]) -> None:
         """Stores the configuration row in effect if it is newer."""
         for row in rows:
-            if (
-                self._current_row is None
-                or row.version > self._current_row.version
-            ):
+            is_config = row.key == _CONFIG_KEY and row.value is not None
+            if is_config and row.version > self._row_version:
                 self._current_row = row
 
     async def run(self, on_rows: Callable[[tuple[Row, ...]], None]) -> None:
@@ -61,6 +64,7 @@
             if not self._follower.is_store_lost or not peers:
                 continue
             peer = random.choice(peers)
+            requested_at_ms = self._clock.monotonic_ms()
             reply = await self._request(peer)
             if not isinstance(reply, ConfigTold):
                 continue
@@ -70,21 +74,32 @@
                 log_event('config_from_peer', row_version=reply.row_version)
                 row = Row(
                     CONFIG,
-                    'config',
+                    _CONFIG_KEY,
                     reply.row_version,
                     json.loads(reply.text),
                 )
                 on_rows((row,))
+            self._confirm(reply, requested_at_ms)
+
+    @property
+    def _row_version(self) -> int:
+        return 0 if self._current_row is None else self._current_row.version
+
+    def _confirm(self, reply: ConfigTold, requested_at_ms: int) -> None:
+        """Adds the time since the request to the age that the peer reports.
+
+        What the peer knew counts for any configuration that is not older.
+        """
+        if reply.age_ms is None or reply.row_version > self._row_version:
+            return
+        self._freshness.confirm(requested_at_ms - max(0, reply.age_ms))
 
     async def _request(self, peer: DaemonId) -> ConfigTold | Failure | None:
-        known_version = (
-            0 if self._current_row is None else self._current_row.version
-        )
         try:
             async with asyncio.timeout(_CALL_TIMEOUT_MS / 1000):
                 reply: ConfigTold | Failure = await self._network.call(
                     peer,
-                    ConfigAsk(known_version),
+                    ConfigAsk(self._row_version),
                     _CALL_TIMEOUT_MS,
                 )
         except TimeoutError:
@@ -94,8 +109,10 @@
     async def _serve(self, _: DaemonId, request: ConfigAsk) -> ConfigTold:
         row = self._current_row
         if row is None or row.version <= request.row_version:
-            return ConfigTold(request.row_version, '')
-        return ConfigTold(row.version, json.dumps(row.value))
+            age_ms = None if row is None else self._freshness.age_ms
+            return ConfigTold(request.row_version, '', age_ms)
+        text = json.dumps(row.value)
+        return ConfigTold(row.version, text, self._freshness.age_ms)
 
 
 def _ignore_peer(_: DaemonId) -> None:
--- a/src/radishlift/cell/daemon.py
+++ b/src/radishlift/cell/daemon.py
@@ -5,6 +5,9 @@
 from dataclasses import dataclass
 from typing import Any
 
+from radishlift.access.freshness import ConfigFreshness
+from radishlift.access.gate import KeyGate
+from radishlift.access.settings import AccessSettings
 from radishlift.cell.advice_dispatch import AdviceProxy
 from radishlift.cell.config_sharing import ConfigSharer
 from radishlift.cell.entry_rows import RelayedRows, StoreRows
@@ -55,6 +58,7 @@
     clock: Clock
     max_lease_ms: int
     target_heartbeat_ms: int = 0
+    access: AccessSettings = AccessSettings()
 
 
 class CellDaemon:
@@ -71,11 +75,14 @@
         self._cell_follower = self._create_follower(CELL)
         self._cell_follower.on_regained = self._view.exclude_outage
         self._config_follower = self._create_follower(CONFIG)
+        self.freshness = ConfigFreshness(dependencies.clock)
+        self._config_follower.on_read = self.freshness.confirm
         self._config_sharer = ConfigSharer(
             self._network,
             self._config_follower,
             dependencies.settings,
             dependencies.clock,
+            self.freshness,
         )
         rows = RelayedRows(
             StoreRows(dependencies.store),
@@ -88,6 +95,7 @@
             rows,
             dependencies.clock,
             self._heartbeat_fields,
+            KeyGate(self.freshness, dependencies.access),
         )
         self._leadership = Leadership(
             dependencies.daemon_id,
@@ -120,7 +128,7 @@
         """Returns whether the daemon can serve callers."""
         if self._is_stopping or self.job_service.config is None:
             return False
-        return not self._is_cut_off()
+        return self.job_service.can_admit and not self._is_cut_off()
 
     async def start(self) -> None:
         """Starts the network and all loops."""
--- a/src/radishlift/cell/entry_rows.py
+++ b/src/radishlift/cell/entry_rows.py
@@ -10,12 +10,13 @@
 from collections.abc import Awaitable, Callable, Mapping
 from typing import Any, Final, Protocol
 
+from radishlift.cell.job_rows import read_workspace
 from radishlift.cell.messages import RowAsk, RowInsert, RowInserted, RowTold
 from radishlift.cell.ports import CellStore
-from radishlift.cell.tables import CANCELS, JOBS, PROGRESS
+from radishlift.cell.tables import CANCELS, JOBS, PROGRESS, cancel_key
 from radishlift.core.clock import Clock
 from radishlift.core.errors import ErrorKind, Failure
-from radishlift.core.ids import DaemonId
+from radishlift.core.ids import DaemonId, JobId
 from radishlift.core.logs import log_event
 from radishlift.services.api import (
     Committed,
@@ -38,6 +39,8 @@
 _UNREACHABLE_KINDS: Final = frozenset(
     (ErrorKind.peer_unavailable, ErrorKind.peer_outcome_unknown),
 )
+# The row can't have been inserted, by this call or an earlier one.
+SETTLED_KINDS: Final = frozenset((ErrorKind.cancelled, ErrorKind.conflict))
 _READ_TABLES: Final = frozenset((JOBS, CANCELS, PROGRESS))
 _INSERT_TABLES: Final = frozenset((JOBS, CANCELS))
 
@@ -58,7 +61,8 @@
 
         Fails with `store_unavailable` if nothing was inserted, with
         `cancelled` if a job was cancelled before, so that it can't be inserted
-        any more, and with `store_outcome_unknown` if the row may still appear.
+        any more, with `conflict` if a job of another workspace has its id, and
+        with `store_outcome_unknown` if the row may still appear.
         """
 
 
@@ -81,12 +85,12 @@
         """Inserts a row; succeeds if the row already exists."""
         outcome = await self._store.commit(
             Transaction(
-                _insert_conditions(table, key),
+                _insert_conditions(table, key, row),
                 (Write(table, key, row),),
             ),
         )
         if isinstance(outcome, Conflict):
-            return _explain_conflict(outcome, table, key)
+            return _explain_conflict(outcome, table, key, row)
         return None if isinstance(outcome, Committed) else outcome
 
 
@@ -157,7 +161,7 @@
             reply = await self._call(peer, request)
             if not isinstance(reply, Failure):
                 return reply
-            if reply.kind is ErrorKind.cancelled:
+            if reply.kind in SETTLED_KINDS:
                 return reply
             if not reply.is_not_run:
                 return Failure(ErrorKind.store_outcome_unknown, reply.reason)
@@ -221,21 +225,29 @@
         return RowInserted() if outcome is None else outcome
 
 
-def _insert_conditions(table: str, key: str) -> tuple[Condition, ...]:
+def _insert_conditions(
+    table: str, key: str, row: Mapping[str, Any]
+) -> tuple[Condition, ...]:
     absent = Condition(table, key, 0)
     if table != JOBS:
         return (absent,)
     # A submission may arrive after the cancel of its job: a daemon, a peer or
     # the store may have held it for seconds.
-    return absent, Condition(CANCELS, key, 0)
+    cancel = cancel_key(JobId(key), read_workspace(row))
+    return absent, Condition(CANCELS, cancel, 0)
 
 
 def _explain_conflict(
-    conflict: Conflict, table: str, key: str
+    conflict: Conflict, table: str, key: str, inserted: Mapping[str, Any]
 ) -> Failure | None:
-    existing = {row.table for row in conflict.rows if row.version}
+    existing = {row.table: row for row in conflict.rows if row.version}
     if table in existing:
-        return None
+        found = existing[table].value or {}
+        if not found or read_workspace(found) == read_workspace(inserted):
+            return None
+        return Failure(
+            ErrorKind.conflict, f'{key} is a job of another workspace'
+        )
     if CANCELS in existing:
         return Failure(ErrorKind.cancelled, f'job {key} was cancelled')
     return Failure(
--- a/src/radishlift/cell/job_rows.py
+++ b/src/radishlift/cell/job_rows.py
@@ -40,8 +40,13 @@
     if isinstance(terms, Failure):
         return terms
     job = build_job(spec, terms, int(plain.get('accepted_at_ms', 0)))
-    job.workspace = WorkspaceName(str(plain.get('workspace', NO_WORKSPACE)))
+    job.workspace = read_workspace(plain)
     return job
 
 
-__all__ = ('dump_job', 'load_job')
+def read_workspace(plain: Mapping[str, Any]) -> WorkspaceName:
+    """Returns the workspace of the row of a job, its progress or its cancel."""
+    return WorkspaceName(str(plain.get('workspace', NO_WORKSPACE)))
+
+
+__all__ = ('dump_job', 'load_job', 'read_workspace')
--- a/src/radishlift/cell/job_service.py
+++ b/src/radishlift/cell/job_service.py
@@ -5,18 +5,22 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import Any, Final
 
-from radishlift.cell.entry_rows import EntryRows
-from radishlift.cell.job_rows import dump_job
+from radishlift.access.freshness import ConfigFreshness
+from radishlift.access.gate import ANYONE, Caller, KeyGate
+from radishlift.access.settings import AccessSettings
+from radishlift.cell.entry_rows import SETTLED_KINDS, EntryRows
+from radishlift.cell.job_rows import dump_job, read_workspace
 from radishlift.cell.queues import Queue, QueueConfig
-from radishlift.cell.tables import CANCELS, JOBS, PROGRESS
+from radishlift.cell.tables import CANCELS, JOBS, PROGRESS, cancel_key
 from radishlift.core.clock import Clock
 from radishlift.core.errors import ErrorKind, Failure
-from radishlift.core.ids import JobId
+from radishlift.core.ids import JobId, WorkspaceName
 from radishlift.core.logs import log_event
+from radishlift.services.api import Row
 from radishlift.steps.ids import QueueName
 from radishlift.steps.runs import JobState
 from radishlift.steps.spec import JobSpec
@@ -35,17 +39,22 @@
 
 
 class JobService:
-    """Handles submissions, cancels and queries of callers."""
+    """Handles submissions, cancels and queries of callers.
+
+    Without a gate keys are valid as long as the configuration has them.
+    """
 
     def __init__(
         self,
         rows: EntryRows,
         clock: Clock,
         heartbeat_fields: Callable[[], Any],
+        gate: KeyGate | None = None,
     ) -> None:
         self._rows = rows
         self._clock = clock
         self._heartbeat_fields = heartbeat_fields
+        self._gate = gate or KeyGate(ConfigFreshness(clock), AccessSettings())
         self.config: QueueConfig | None = None
 
     def find_queue(self, host: str, path: str) -> Queue | Failure:
@@ -62,20 +71,54 @@
             return Failure(ErrorKind.not_found, f'no queue at {host}{path}')
         return queue
 
+    @property
+    def can_admit(self) -> bool:
+        """Returns whether callers with a key can be served, if any need one."""
+        if self.config is None or not self.config.workspaces:
+            return True
+        return self._gate.can_admit
+
+    def identify(
+        self, queue: Queue, authorizations: Sequence[str]
+    ) -> Caller | Failure:
+        """Returns the caller that the `Authorization` headers identify.
+
+        Fails with `unauthenticated`, or with `configuration_outdated` if this
+        daemon can't know whether the key is valid.
+        """
+        config = self.config
+        if config is None or queue.is_public or not config.workspaces:
+            return ANYONE
+        caller = self._gate.admit(authorizations, config.find_workspace)
+        if isinstance(caller, Failure):
+            _log_rejection(caller, queue)
+        return caller
+
     async def submit(
         self,
         queue: Queue,
         spec: JobSpec,
         deadline_ms: int,
+        caller: Caller = ANYONE,
     ) -> Failure | None:
         """Stores a job; storing it again changes nothing.
 
-        `deadline_ms` is monotonic. Fails with `store_unavailable` only if
-        the job is confirmed not to be stored, and with `cancelled` if it was
-        cancelled before, so that it will never be stored.
+        `deadline_ms` is monotonic. The key is judged again right before the
+        job is stored. Fails with `store_unavailable` only if the job is
+        confirmed not to be stored, with `cancelled` if it was cancelled
+        before, so that it will never be stored, and with `conflict` if a job
+        of another workspace has its id.
         """
-        row = dump_job(spec, queue.terms, self._clock.wall_ms())
-        outcome = await self._insert(JOBS, spec.job_id, row, deadline_ms)
+        row = dump_job(
+            spec, queue.terms, self._clock.wall_ms(), caller.workspace
+        )
+        outcome = await self._insert(
+            JOBS,
+            spec.job_id,
+            row,
+            deadline_ms,
+            lambda: self._check_again(queue, caller),
+        )
         log_event(
             'job_submitted',
             job=spec.job_id,
@@ -85,14 +128,21 @@
         )
         return outcome
 
-    async def cancel(self, job_id: JobId, deadline_ms: int) -> Failure | None:
+    async def cancel(
+        self,
+        job_id: JobId,
+        deadline_ms: int,
+        caller: Caller = ANYONE,
+    ) -> Failure | None:
         """Stores a cancel; fails with `not_found` for an unknown job.
 
         The cancel of an unknown job is stored as well, as its submission may
-        still arrive.
+        still arrive. A job of another workspace is unknown, and the cancel has
+        no effect on it.
         """
-        row = {'cancelled_at_ms': self._clock.wall_ms()}
-        outcome = await self._insert(CANCELS, job_id, row, deadline_ms)
+        outcome = await self._store_cancel(
+            job_id, deadline_ms, caller.workspace
+        )
         log_event(
             'cancel_stored',
             job=job_id,
@@ -105,16 +155,28 @@
             # The cancel holds, whether or not there is such a job.
             log_event('cancelled_job_unread', job=job_id, reason=job.reason)
             return None
-        if not job.version:
+        if not _is_visible(job, caller):
             return Failure(ErrorKind.not_found, f'no job {job_id}')
+        owner = read_workspace(job.value or {})
+        if owner != caller.workspace:
+            # Its queue required no key when the job was submitted.
+            return await self._store_cancel(job_id, deadline_ms, owner)
         return None
 
-    async def read_status(self, job_id: JobId) -> JobStatus | Failure:
-        """Returns a job's status; fails with `not_found` if it is unknown."""
+    async def read_status(
+        self, job_id: JobId, caller: Caller = ANYONE
+    ) -> JobStatus | Failure:
+        """Returns a job's status.
+
+        Fails with `not_found` if it is unknown or of another workspace.
+        """
+        unknown = Failure(ErrorKind.not_found, f'no job {job_id}')
         progress = await self._rows.read(PROGRESS, job_id)
         if isinstance(progress, Failure):
             return progress
         if progress.value is not None:
+            if not _is_visible(progress, caller):
+                return unknown
             return JobStatus(
                 JobState(progress.value['state']),
                 str(progress.value.get('reason', '')),
@@ -122,20 +184,36 @@
         job = await self._rows.read(JOBS, job_id)
         if isinstance(job, Failure):
             return job
-        if not job.version:
-            return Failure(ErrorKind.not_found, f'no job {job_id}')
+        if not _is_visible(job, caller):
+            return unknown
         return JobStatus(JobState.queued)
 
     def count_pending(self, queue: QueueName) -> int:
         """Returns how many jobs of a queue have not started."""
         return int(self._heartbeat_fields().get('pending', {}).get(queue, 0))
 
+    def _check_again(self, queue: Queue, caller: Caller) -> Failure | None:
+        if self.config is None:
+            return None
+        refusal = self._gate.check_again(caller, self.config.find_workspace)
+        if refusal is not None:
+            _log_rejection(refusal, queue)
+        return refusal
+
+    async def _store_cancel(
+        self, job_id: JobId, deadline_ms: int, workspace: WorkspaceName
+    ) -> Failure | None:
+        row = {'cancelled_at_ms': self._clock.wall_ms()}
+        key = cancel_key(job_id, workspace)
+        return await self._insert(CANCELS, key, row, deadline_ms)
+
     async def _insert(
         self,
         table: str,
         key: str,
         row: dict[str, Any],
         deadline_ms: int,
+        find_refusal: Callable[[], Failure | None] | None = None,
     ) -> Failure | None:
         """Inserts a row; succeeds if the row already exists.
 
@@ -144,9 +222,12 @@
         """
         is_unknown = False
         while True:
+            refusal = find_refusal() if find_refusal else None
+            if refusal is not None:
+                return _final_failure(refusal, is_unknown=is_unknown)
             outcome = await self._rows.insert(table, key, row)
             # After a cancel no earlier insert can take effect either.
-            if outcome is None or outcome.kind is ErrorKind.cancelled:
+            if outcome is None or outcome.kind in SETTLED_KINDS:
                 return outcome
             if outcome.kind is ErrorKind.store_outcome_unknown:
                 is_unknown = True
@@ -156,6 +237,19 @@
             await asyncio.sleep(_RETRY_MS / 1000)
 
 
+def _is_visible(row: Row, caller: Caller) -> bool:
+    return row.value is not None and caller.may_use(read_workspace(row.value))
+
+
+def _log_rejection(failure: Failure, queue: Queue) -> None:
+    log_event(
+        'call_rejected',
+        queue=queue.terms.queue,
+        outcome=failure.kind,
+        reason=failure.reason,
+    )
+
+
 def _final_failure(outcome: Failure, *, is_unknown: bool) -> Failure:
     if is_unknown:
         return Failure(ErrorKind.store_outcome_unknown, outcome.reason)
--- a/src/radishlift/cell/leader_term.py
+++ b/src/radishlift/cell/leader_term.py
@@ -22,6 +22,7 @@
     PROGRESS,
     TARGETS,
     UNRENEWED_KEY,
+    cancelled_job,
 )
 from radishlift.cell.target_entries import EntryDecoder, TargetEntries
 from radishlift.cell.unrenewed_leases import load_remaining_ms
@@ -245,7 +246,7 @@
         if queue is not None:
             job.terms = queue.terms
         self.scheduler.add_job(job)
-        if job_id in self._cancels:
+        if self._cancels.has(job):
             self.scheduler.cancel_job(job_id)
 
     def _on_cancel_snapshot(self, rows: tuple[Row, ...]) -> None:
@@ -254,12 +255,14 @@
 
     def _on_cancels(self, rows: tuple[Row, ...]) -> None:
         for row in rows:
-            job_id = JobId(row.key)
             if row.value is None:
-                self._cancels.discard(job_id)
+                self._cancels.discard(row.key)
                 continue
-            self._cancels.add(job_id)
-            self.scheduler.cancel_job(job_id)
+            self._cancels.add(row.key)
+            job_id = cancelled_job(row.key)
+            job = self.scheduler.jobs.get(job_id)
+            if job is not None and self._cancels.has(job):
+                self.scheduler.cancel_job(job_id)
 
     def _on_target_snapshot(self, rows: tuple[Row, ...]) -> None:
         self._entries.replace(rows)
--- a/src/radishlift/cell/messages.py
+++ b/src/radishlift/cell/messages.py
@@ -44,10 +44,15 @@
 @message('config_told', CELL_LEVEL)
 @dataclass(frozen=True, slots=True)
 class ConfigTold:
-    """The configuration row as JSON text; empty if it is not newer."""
+    """The configuration row as JSON text; empty if it is not newer.
+
+    `age_ms` is the time since the sender's configuration was known to be the
+    newest. Without it the answer says nothing about that.
+    """
 
     row_version: int
     text: str
+    age_ms: int | None = None
 
 
 @message('row_ask', RELAY_LEVEL)
--- a/src/radishlift/cell/metrics.py
+++ b/src/radishlift/cell/metrics.py
@@ -1,7 +1,7 @@
 """Counters and latencies of one daemon."""
 
 from collections import Counter
-from collections.abc import Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping
 from enum import Enum, unique
 from typing import Final
 
@@ -32,7 +32,10 @@
     Events are counted even if their log line is dropped.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, get_config_age_ms: Callable[[], int | None] | None = None
+    ) -> None:
+        self._get_config_age_ms = get_config_age_ms
         self._events: Counter[tuple[str, str]] = Counter()
         self._histograms = HistogramTable(_MAX_HISTOGRAMS)
 
@@ -64,6 +67,10 @@
             labels = {'event': event, 'outcome': outcome}
             yield Sample('radishlift_events_total', number, labels)
         yield from histogram_samples(self._histograms)
+        if self._get_config_age_ms is not None:
+            age_ms = self._get_config_age_ms()
+            if age_ms is not None:
+                yield Sample('radishlift_config_age_ms', age_ms)
 
 
 __all__ = ('CellMetrics', 'Operation')
--- a/src/radishlift/cell/queues.py
+++ b/src/radishlift/cell/queues.py
@@ -33,24 +33,20 @@
     queues: tuple[Queue, ...]
     max_body_bytes: int
     workspaces: tuple[Workspace, ...] = ()
-    _by_host: dict[str, list[Queue]] = field(default_factory=dict)
+    _by_host: dict[str, '_HostQueues'] = field(default_factory=dict)
     _by_name: dict[QueueName, Queue] = field(default_factory=dict)
     _by_key: dict[KeyHash, WorkspaceName] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         for queue in self.queues:
             self._by_name[queue.terms.queue] = queue
-            self._by_host.setdefault(queue.host, []).append(queue)
+            self._by_host.setdefault(queue.host, _HostQueues()).add(queue)
         self._by_key.update(index_keys(self.workspaces))
-        for queues in self._by_host.values():
-            queues.sort(key=_prefix_length, reverse=True)
 
     def find(self, host: str, path: str) -> Queue | None:
         """Returns the queue with the longest prefix of a path, or None."""
-        for queue in self._by_host.get(host, ()):
-            if path.startswith(queue.path_prefix):
-                return queue
-        return None
+        queues = self._by_host.get(host)
+        return None if queues is None else queues.find(path)
 
     def find_workspace(self, key_hash: KeyHash) -> WorkspaceName | None:
         """Returns the workspace of a key, or None if no workspace has it."""
@@ -70,8 +66,28 @@
         return self._by_name.get(name)
 
 
-def _prefix_length(queue: Queue) -> int:
-    return len(queue.path_prefix)
+class _HostQueues:
+    """Queues of a host by prefix; few lengths of prefixes differ."""
+
+    def __init__(self) -> None:
+        self._by_prefix: dict[str, Queue] = {}
+        self._lengths: list[int] = []
+
+    def add(self, queue: Queue) -> None:
+        """Adds a queue, unless another one has its prefix."""
+        prefix = queue.path_prefix
+        self._by_prefix.setdefault(prefix, queue)
+        if len(prefix) not in self._lengths:
+            self._lengths.append(len(prefix))
+            self._lengths.sort(reverse=True)
+
+    def find(self, path: str) -> Queue | None:
+        """Returns the queue with the longest prefix of a path, or None."""
+        for length in self._lengths:
+            queue = self._by_prefix.get(path[:length])
+            if queue is not None:
+                return queue
+        return None
 
 
 __all__ = ('Queue', 'QueueConfig')
--- a/src/radishlift/cell/retention.py
+++ b/src/radishlift/cell/retention.py
@@ -8,20 +8,28 @@
 
 import asyncio
 from collections.abc import Iterable
-from typing import Final
+from typing import Final, TypeVar
 
 from radishlift.cell.cancel_table import CancelTable
 from radishlift.cell.commits import CommitLog
 from radishlift.cell.job_table import JobTable
 from radishlift.cell.ports import CellStore
 from radishlift.cell.settings import CellSettings
-from radishlift.cell.tables import CANCELS, JOBS, entry_shard
+from radishlift.cell.tables import (
+    CANCELS,
+    JOBS,
+    cancel_key,
+    cancelled_job,
+    entry_shard,
+)
 from radishlift.core.clock import Clock
 from radishlift.core.errors import Failure
 from radishlift.core.ids import JobId
 from radishlift.core.logs import log_event
 from radishlift.services.api import Condition, Conflict, Transaction, Write
 
+Key = TypeVar('Key', bound=str)
+
 # Two rows per job; the store accepts 100 per transaction.
 _MAX_BATCH_JOBS: Final = 45
 
@@ -57,18 +65,21 @@
         for job_ids in _group_by_shard(ended):
             await self._remove(job_ids[:_MAX_BATCH_JOBS])
         unmatched = [
-            job_id
-            for job_id in self._cancels.list_seen_before(limit_ms)
-            if job_id not in self._jobs
+            key
+            for key in self._cancels.list_seen_before(limit_ms)
+            if cancelled_job(key) not in self._jobs
         ]
-        for job_ids in _group_by_shard(unmatched):
-            await self._remove_cancels(job_ids[:_MAX_BATCH_JOBS])
+        for keys in _group_by_shard(unmatched):
+            await self._remove_cancels(keys[:_MAX_BATCH_JOBS])
 
     async def _remove(self, job_ids: list[JobId]) -> None:
         writes = [
-            Write(table, job_id, None)
+            write
             for job_id in job_ids
-            for table in (JOBS, CANCELS)
+            for write in (
+                Write(JOBS, job_id, None),
+                Write(CANCELS, self._cancel_key(job_id), None),
+            )
         ]
         outcome = await self._store.commit(Transaction((), tuple(writes)))
         if isinstance(outcome, Failure):
@@ -79,24 +90,32 @@
             self._log.delete_progress(job_id)
         log_event('jobs_removed', count=len(job_ids))
 
-    async def _remove_cancels(self, job_ids: list[JobId]) -> None:
+    def _cancel_key(self, job_id: JobId) -> str:
+        job = self._jobs.get(job_id)
+        return job_id if job is None else cancel_key(job_id, job.workspace)
+
+    async def _remove_cancels(self, keys: list[str]) -> None:
+        job_ids = dict.fromkeys(map(cancelled_job, keys))
         conditions = tuple(Condition(JOBS, job_id, 0) for job_id in job_ids)
-        writes = tuple(Write(CANCELS, job_id, None) for job_id in job_ids)
+        writes = tuple(Write(CANCELS, key, None) for key in keys)
         outcome = await self._store.commit(Transaction(conditions, writes))
         if isinstance(outcome, Failure):
             log_event('cancels_not_removed', reason=outcome.reason)
             return
         if isinstance(outcome, Conflict):
             # Some have a job that this leader can't read.
-            job_ids = [JobId(row.key) for row in outcome.rows if row.version]
-        for job_id in job_ids:
-            self._cancels.discard(job_id)
+            for row in outcome.rows:
+                if row.version:
+                    self._cancels.discard_job(JobId(row.key))
+            return
+        for key in keys:
+            self._cancels.discard(key)
 
 
-def _group_by_shard(job_ids: Iterable[JobId]) -> list[list[JobId]]:
-    by_shard: dict[int, list[JobId]] = {}
-    for job_id in job_ids:
-        by_shard.setdefault(entry_shard(job_id), []).append(job_id)
+def _group_by_shard(keys: Iterable[Key]) -> list[list[Key]]:
+    by_shard: dict[int, list[Key]] = {}
+    for key in keys:
+        by_shard.setdefault(entry_shard(key), []).append(key)
     return list(by_shard.values())
 
 
--- a/src/radishlift/cell/table_follower.py
+++ b/src/radishlift/cell/table_follower.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Final
 
 from radishlift.cell.ports import CellStore, ChangedRows
 from radishlift.cell.settings import CellSettings
@@ -11,6 +12,8 @@
 from radishlift.core.logs import log_event
 from radishlift.services.api import Row
 
+_PROBE_WAIT_MS: Final = 20
+
 
 @dataclass(frozen=True, slots=True)
 class FollowedTable:
@@ -82,6 +85,9 @@
         if self._version is None:
             return await self._store.snapshot(table)
         wait_ms = self._followed.wait_ms or self._settings.feed_wait_ms
+        if self.is_store_lost:
+            # A read that waits would show late that the store is back.
+            wait_ms = min(wait_ms, _PROBE_WAIT_MS)
         return await self._store.changes(table, self._version, wait_ms)
 
     async def _handle_failure(self, failure: Failure) -> None:
--- a/src/radishlift/cell/tables.py
+++ b/src/radishlift/cell/tables.py
@@ -8,10 +8,11 @@
 shard, and the store processes the transactions of a shard serially.
 """
 
+from hashlib import sha256
 from typing import Final
 from zlib import crc32
 
-from radishlift.core.ids import DaemonId, JobId
+from radishlift.core.ids import DaemonId, JobId, WorkspaceName
 
 CELL: Final = 'cell'
 COMMITS: Final = 'commits'
@@ -31,15 +32,36 @@
 # shards still handle 100 submissions and cancels per second.
 ENTRY_SHARDS_COUNT: Final = 32
 
+_WORKSPACE_MARK: Final = '/'
+_DIGEST_CHARS: Final = 16
+
 
 def daemon_key(daemon_id: DaemonId) -> str:
     """Returns the key of a daemon's row."""
     return DAEMON_PREFIX + daemon_id
 
 
-def entry_shard(job_id: JobId) -> int:
-    """Returns the shard of a job's rows."""
-    return crc32(job_id.encode()) % ENTRY_SHARDS_COUNT
+def cancel_key(job_id: JobId, workspace: WorkspaceName) -> str:
+    """Returns the key of the cancel of a job by a workspace.
+
+    A cancel counts only for the job of its own workspace, which may be
+    submitted later.
+    """
+    if not workspace:
+        return job_id
+    # Names of workspaces may be longer than keys of rows.
+    digest = sha256(workspace.encode()).hexdigest()[:_DIGEST_CHARS]
+    return f'{job_id}{_WORKSPACE_MARK}{digest}'
+
+
+def cancelled_job(key: str) -> JobId:
+    """Returns the job of the key of a cancel."""
+    return JobId(key.partition(_WORKSPACE_MARK)[0])
+
+
+def entry_shard(key: str) -> int:
+    """Returns the shard of a job's rows by the key of one of them."""
+    return crc32(cancelled_job(key).encode()) % ENTRY_SHARDS_COUNT
 
 
 __all__ = (
@@ -56,6 +78,8 @@
     'HEARTBEAT_KEY',
     'TARGETS',
     'UNRENEWED_KEY',
+    'cancel_key',
+    'cancelled_job',
     'daemon_key',
     'entry_shard',
 )
--- a/src/radishlift/core/errors.py
+++ b/src/radishlift/core/errors.py
@@ -25,6 +25,7 @@
     conflict = 'conflict'
     too_large = 'too_large'
     unauthorized = 'unauthorized'
+    unauthenticated = 'unauthenticated'
     quota_exceeded = 'quota_exceeded'
     never_fits = 'never_fits'
     # Refusals: the work was certainly not dispatched.
@@ -32,6 +33,7 @@
     draining = 'draining'
     deadline_passed = 'deadline_passed'
     no_configuration = 'no_configuration'
+    configuration_outdated = 'configuration_outdated'
     no_target = 'no_target'
     no_owner = 'no_owner'
     not_owner = 'not_owner'
@@ -87,12 +89,16 @@
         ErrorKind.conflict: ErrorAnswer(409, Outcome.not_run),
         ErrorKind.too_large: ErrorAnswer(413, Outcome.not_run),
         ErrorKind.unauthorized: ErrorAnswer(403, Outcome.not_run),
+        ErrorKind.unauthenticated: ErrorAnswer(401, Outcome.not_run),
         ErrorKind.quota_exceeded: ErrorAnswer(429, Outcome.not_run, 1000),
         ErrorKind.never_fits: ErrorAnswer(422, Outcome.not_run),
         ErrorKind.overloaded: ErrorAnswer(503, Outcome.not_run, 250),
         ErrorKind.draining: ErrorAnswer(503, Outcome.not_run, 0),
         ErrorKind.deadline_passed: ErrorAnswer(504, Outcome.not_run),
         ErrorKind.no_configuration: ErrorAnswer(503, Outcome.not_run, 1000),
+        ErrorKind.configuration_outdated: ErrorAnswer(
+            503, Outcome.not_run, 1000
+        ),
         ErrorKind.no_target: ErrorAnswer(503, Outcome.not_run, 1000),
         ErrorKind.no_owner: ErrorAnswer(503, Outcome.not_run, 500),
         ErrorKind.not_owner: ErrorAnswer(503, Outcome.not_run, 100),
--- a/src/radishlift/core/events.py
+++ b/src/radishlift/core/events.py
@@ -90,6 +90,7 @@
 )
 _INFO: Final = (
     'ends_incomplete',
+    'call_rejected',
     'cancel_stored',
     'insert_relayed',
     'cell_level_raised',
--- a/src/radishlift/platform/documents.py
+++ b/src/radishlift/platform/documents.py
@@ -4,7 +4,7 @@
 from collections.abc import Mapping
 from typing import Any, Final
 
-from radishlift.access.keys import Workspace, hash_key
+from radishlift.access.keys import MAX_KEY_BYTES, Workspace, hash_key
 from radishlift.cell.queues import Queue, QueueConfig
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import (
@@ -42,7 +42,7 @@
             ConfigVersion(_read_whole(fields['version'])),
             tuple(_decode_queue(route) for route in fields['routes']),
             _read_whole(fields['limits']['maxBodyBytes']),
-            tuple(map(_decode_workspace, fields.get('tenants', ()))),
+            tuple(map(_decode_workspace, read_list(fields.get('tenants', [])))),
         )
     except DECODE_ERRORS as error:
         return Failure(
@@ -71,12 +71,17 @@
 
 
 def _decode_workspace(tenant: Mapping[str, Any]) -> Workspace:
+    weight = float(read_number(tenant.get('weight', 1)))
+    if weight <= 0:
+        raise ValueError('expected a weight above 0')
     terms = WorkspaceTerms(
         WorkspaceName(read_name(tenant['name'])),
-        float(read_number(tenant.get('weight', 1))),
+        weight,
         decode_amounts(tenant.get('maxCount', {})),
     )
-    keys = map(read_name, read_list(tenant.get('apiKeys', [])))
+    keys = tuple(map(read_name, read_list(tenant.get('apiKeys', []))))
+    if any(len(key) > MAX_KEY_BYTES for key in keys):
+        raise ValueError(f'expected keys of at most {MAX_KEY_BYTES} bytes')
     return Workspace(terms, frozenset(map(hash_key, keys)))
 
 
--- a/src/radishlift/platform/front.py
+++ b/src/radishlift/platform/front.py
@@ -7,6 +7,7 @@
 
 from aiohttp import web
 
+from radishlift.access.gate import Caller
 from radishlift.cell.job_service import JobService
 from radishlift.cell.metrics import CellMetrics, Operation
 from radishlift.cell.queues import Queue
@@ -48,11 +49,15 @@
         queue = self._intake.find_queue(host, request.path)
         if isinstance(queue, Failure):
             return _error_response(queue)
+        authorizations = request.headers.getall('Authorization', [])
+        caller = self._intake.identify(queue, authorizations)
+        if isinstance(caller, Failure):
+            return _error_response(caller)
         job_id = JobId(request.path.removeprefix(queue.path_prefix))
         operation = Operation.count
         if job_id:
             operation = _OPERATIONS.get(request.method, Operation.state)
-        response = await self._answer(request, queue, job_id, operation)
+        response = await self._answer(request, queue, job_id, operation, caller)
         took_ms = self._clock.monotonic_ms() - started_at_ms
         self._metrics.observe(operation, took_ms)
         return response
@@ -63,6 +68,7 @@
         queue: Queue,
         job_id: JobId,
         operation: Operation,
+        caller: Caller,
     ) -> web.Response:
         if operation is Operation.count:
             pending = self._intake.count_pending(queue.terms.queue)
@@ -70,29 +76,30 @@
         if not _JOB_ID.fullmatch(job_id):
             return _invalid_id_response(operation)
         if operation is Operation.submit:
-            return await self._submit(request, queue, job_id)
+            return await self._submit(request, queue, job_id, caller)
         if operation is Operation.cancel:
             outcome = await self._intake.cancel(
-                job_id, self._deadline_ms(request)
+                job_id, self._deadline_ms(request), caller
             )
             return _outcome_response(outcome)
-        return await self._state(job_id)
+        return await self._state(job_id, caller)
 
     async def _submit(
         self,
         request: web.BaseRequest,
         queue: Queue,
         job_id: JobId,
+        caller: Caller,
     ) -> web.Response:
         deadline_ms = self._deadline_ms(request)
         spec = decode_submission(job_id, await request.read())
         if isinstance(spec, Failure):
             return _error_response(spec)
-        outcome = await self._intake.submit(queue, spec, deadline_ms)
+        outcome = await self._intake.submit(queue, spec, deadline_ms, caller)
         return _outcome_response(outcome)
 
-    async def _state(self, job_id: JobId) -> web.Response:
-        status = await self._intake.read_status(job_id)
+    async def _state(self, job_id: JobId, caller: Caller) -> web.Response:
+        status = await self._intake.read_status(job_id, caller)
         if isinstance(status, Failure):
             return _outcome_response(status)
         fields = {'state': status.state.value}
@@ -131,6 +138,8 @@
 def _error_response(failure: Failure) -> web.Response:
     answer = failure.answer
     headers = {}
+    if failure.kind is ErrorKind.unauthenticated:
+        headers['WWW-Authenticate'] = 'Bearer'
     if answer.retry_after_ms is not None:
         # Whole seconds, rounded up.
         seconds = -(-answer.retry_after_ms // _MS_IN_S)
--- a/src/radishlift/platform/layout.py
+++ b/src/radishlift/platform/layout.py
@@ -11,7 +11,6 @@
 from typing import Any, Final
 
 from radishlift.cell import tables
-from radishlift.core.ids import JobId
 
 
 @dataclass(frozen=True, slots=True)
@@ -25,7 +24,7 @@
         """Returns the part that contains the row of a key."""
         if len(self.parts) == 1:
             return self.parts[0]
-        return self.parts[tables.entry_shard(JobId(key))]
+        return self.parts[tables.entry_shard(key)]
 
 
 _LEADER_PARTS: Final = ('leader',)
--- a/src/radishlift/platform/main.py
+++ b/src/radishlift/platform/main.py
@@ -82,6 +82,7 @@
             clock,
             settings.max_lease_ms,
             settings.target_heartbeat_ms,
+            settings.access,
         ),
     )
     stopped = asyncio.Event()
@@ -89,7 +90,7 @@
     loop.add_signal_handler(signal.SIGTERM, stopped.set)
     loop.add_signal_handler(signal.SIGHUP, _reload_settings, settings)
     await daemon.start()
-    metrics = CellMetrics()
+    metrics = CellMetrics(lambda: daemon.freshness.age_ms)
     add_event_sink(metrics.count_event)
     front = FrontApi(daemon.job_service, clock, metrics)
     await serve(settings.front_address, front.handle)
--- a/src/radishlift/platform/settings.py
+++ b/src/radishlift/platform/settings.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 from typing import Any, Final
 
+from radishlift.access.settings import AccessSettings
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import Address, DaemonId, DataCentreId
 
@@ -24,7 +25,8 @@
 
     `max_lease_ms` is the longest lease of a target. `grace_ms` is the time
     between SIGTERM and SIGKILL. `target_heartbeat_ms` is the interval at which
-    targets write their entries; 0 if it is unknown.
+    targets write their entries; 0 if it is unknown. `access` has the bounds
+    of changes of keys.
     """
 
     daemon_id: DaemonId
@@ -40,6 +42,7 @@
     target_heartbeat_ms: int
     link_mbps: float
     cpu_cores: float
+    access: AccessSettings = AccessSettings()
 
     @property
     def leader_rank(self) -> int:
@@ -77,6 +80,15 @@
         link_mbps=float(limits['linkMbps']),
         # `cpuShare` is a share of a processor as fast as `cores` cores.
         cpu_cores=float(limits['cpuShare']) * float(limits['cores']),
+        access=_decode_access(bounds),
+    )
+
+
+def _decode_access(bounds: Mapping[str, Any]) -> AccessSettings:
+    config_ms = bounds.get('configMs')
+    return AccessSettings(
+        int(bounds['revokeMs']) if bounds.get('strictRevoke') else None,
+        None if config_ms is None else int(config_ms),
     )
 
 
--- a/src/radishlift/steps/progress.py
+++ b/src/radishlift/steps/progress.py
@@ -46,9 +46,13 @@
 
 
 def _dump_state(job: JobRun) -> dict[str, Any]:
+    state = {'state': job.state.value}
     if job.reason:
-        return {'state': job.state.value, 'reason': job.reason}
-    return {'state': job.state.value}
+        state['reason'] = job.reason
+    if job.workspace:
+        # Daemons need it for each query of a caller.
+        state['workspace'] = job.workspace
+    return state
 
 
 def _dump_crashes(job: JobRun) -> list[list[int]]:
--- a/tests/cell/leader.py
+++ b/tests/cell/leader.py
@@ -17,6 +17,7 @@
     LEADER_KEY,
     PROGRESS,
     TARGETS,
+    cancel_key,
 )
 from radishlift.core.clock import BootClock
 from radishlift.core.errors import ErrorKind, Failure
@@ -26,6 +27,7 @@
 from radishlift.steps.ids import FencingToken
 from radishlift.steps.settings import StepSettings
 from radishlift.steps.targets import TargetState
+from radishlift.steps.workspaces import NO_WORKSPACE
 from radishlift.wire.network import PeerNetwork
 from tests.cell.fakes import (
     FakeAdvice,
@@ -102,12 +104,12 @@
         self.write(
             JOBS,
             run.spec.job_id,
-            dump_job(run.spec, run.terms, run.accepted_at_ms),
+            dump_job(run.spec, run.terms, run.accepted_at_ms, run.workspace),
         )
         return run.spec.job_id
 
-    def cancel(self, job_id):
-        self.write(CANCELS, job_id, {})
+    def cancel(self, job_id, workspace=NO_WORKSPACE):
+        self.write(CANCELS, cancel_key(job_id, workspace), {})
 
     def state(self, job_id):
         row = self.store.tables.read(PROGRESS, job_id)
--- a/tests/cell/test_job_service.py
+++ b/tests/cell/test_job_service.py
@@ -2,14 +2,16 @@
 
 import pytest
 
+from radishlift.access.gate import ANYONE, Caller
 from radishlift.cell.entry_rows import RelayedRows, StoreRows
 from radishlift.cell.job_service import JobService, JobStatus
 from radishlift.cell.queues import Queue, QueueConfig
 from radishlift.cell.tables import CANCELS, JOBS, PROGRESS
 from radishlift.core.clock import BootClock
 from radishlift.core.errors import ErrorKind, Failure, Outcome
-from radishlift.core.ids import ConfigVersion, DaemonId
+from radishlift.core.ids import ConfigVersion, DaemonId, WorkspaceName
 from radishlift.services.api import Transaction, Write
+from radishlift.steps.progress import dump_progress
 from radishlift.steps.runs import JobState
 from radishlift.wire.network import PeerNetwork
 from tests.cell.fakes import MemoryCellStore
@@ -45,13 +47,15 @@
             lambda: self.heartbeat,
         )
 
-    async def submit(self, wait_ms=400):
+    async def submit(self, wait_ms=400, caller=ANYONE):
         deadline_ms = self.clock.monotonic_ms() + wait_ms
-        return await self.job_service.submit(QUEUE, RUN.spec, deadline_ms)
+        return await self.job_service.submit(
+            QUEUE, RUN.spec, deadline_ms, caller
+        )
 
-    async def cancel(self):
+    async def cancel(self, caller=ANYONE):
         deadline_ms = self.clock.monotonic_ms() + 400
-        return await self.job_service.cancel(ID, deadline_ms)
+        return await self.job_service.cancel(ID, deadline_ms, caller)
 
     def is_stored(self):
         return bool(self.store.tables.read(JOBS, ID).version)
@@ -193,6 +197,47 @@
     assert failure.kind is ErrorKind.store_unavailable
 
 
+W1 = Caller(WorkspaceName('w1'))
+W2 = Caller(WorkspaceName('w2'))
+
+
+async def test_cancel_of_another_workspace_blocks_no_submission(service):
+    """Guards against a workspace that cancels the jobs of others."""
+    for caller in (W2, ANYONE):
+        failure = await service.cancel(caller)
+        assert failure.kind is ErrorKind.not_found
+    assert await service.submit(caller=W1) is None
+    assert (await service.cancel(W2)).kind is ErrorKind.not_found
+    assert await service.cancel(W1) is None
+
+
+async def test_submission_after_the_cancel_of_its_workspace_is_not_stored(
+    service,
+):
+    await service.cancel(W1)
+    failure = await service.submit(caller=W1)
+    assert failure.kind is ErrorKind.cancelled
+    assert not service.is_stored()
+
+
+async def test_job_of_another_workspace_is_unknown_in_each_state(service):
+    await service.submit(caller=W1)
+    progress = dump_progress(RUN) | {'workspace': 'w1'}
+    for writes in ((), (Write(PROGRESS, ID, progress),)):
+        service.store.tables.commit(Transaction((), writes))
+        status = await service.job_service.read_status(ID, W1)
+        assert status == JobStatus(JobState.queued)
+        for caller in (W2, ANYONE):
+            failure = await service.job_service.read_status(ID, caller)
+            assert failure.kind is ErrorKind.not_found
+
+
+async def test_job_without_a_workspace_can_be_cancelled_with_a_key(service):
+    await service.submit()
+    assert await service.cancel(W1) is None
+    assert service.store.tables.read(CANCELS, ID).version
+
+
 @pytest.mark.parametrize('state', list(JobState))
 async def test_state_comes_from_the_store(service, state):
     row = {'state': state.value, 'steps': []}
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from radishlift.access.keys import hash_key
 from radishlift.core.errors import Failure
 from radishlift.platform.documents import decode_config, decode_target
 from radishlift.platform.main import newest_config
@@ -57,6 +58,53 @@
     assert queue.terms.advice == AdviceTerms(50.5, 0.5, 2000)
 
 
+def tenant(name='a', **fields):
+    return {'name': name, 'apiKeys': ['k-' + name], 'weight': 2, **fields}
+
+
+def test_workspaces_of_a_configuration():
+    limit = {'cpu': 5000, 'memMb': 100, 'gpu': 0}
+    config = decode_config(
+        {**CONFIG, 'tenants': [tenant(maxCount=limit, other=1), tenant('b')]}
+    )
+    terms = config.workspace_terms()['a']
+    assert (terms.weight, terms.limit) == (2, Amounts(5000, 100, 0))
+    assert config.find_workspace(hash_key('k-b')) == 'b'
+    assert config.find_workspace(hash_key('k-c')) is None
+    # Its accepted jobs run on, although it can't submit any.
+    closed = decode_config({**CONFIG, 'tenants': [tenant(apiKeys=[])]})
+    assert closed.find_workspace(hash_key('k-a')) is None
+    assert 'a' in closed.workspace_terms()
+
+
+@pytest.mark.parametrize(
+    'tenants',
+    [
+        [tenant(), tenant('b', apiKeys=['k-a'])],
+        [tenant(), tenant()],
+        [tenant(weight=0)],
+        [tenant(weight=-1)],
+        [tenant(maxCount={'cpu': -1})],
+        [tenant(apiKeys=['k-a' * 2800])],
+        [tenant(apiKeys=[''])],
+        [tenant(apiKeys='k-a')],
+        [tenant(name='')],
+        {'a': 1},
+    ],
+)
+def test_invalid_workspaces_are_refused_without_their_keys(tenants):
+    """Guards against keys in the log, which has the reason of a refusal."""
+    refused = decode_config({**CONFIG, 'tenants': tenants})
+    assert isinstance(refused, Failure)
+    assert 'k-a' not in refused.reason
+
+
+def test_no_key_is_shown_by_a_configuration():
+    config = decode_config({**CONFIG, 'tenants': [tenant()]})
+    assert 'k-a' not in repr(config)
+    assert str(hash_key('k-a')) not in repr(config.workspaces)
+
+
 @pytest.mark.parametrize('missing', ['version', 'routes', 'limits'])
 def test_incomplete_configuration_is_refused(missing):
     plain = {name: part for name, part in CONFIG.items() if name != missing}
--- a/tests/platform/test_front.py
+++ b/tests/platform/test_front.py
@@ -13,6 +13,7 @@
 from radishlift.core.clock import BootClock
 from radishlift.platform.documents import decode_config
 from radishlift.platform.front import FrontApi
+from radishlift.platform.listeners import make_server
 from radishlift.services.api import Transaction, Write
 from tests.cell.fakes import MemoryCellStore
 from tests.platform.garbage import UNREADABLE
@@ -52,7 +53,7 @@
 @pytest.fixture
 async def service():
     service = Service()
-    runner = web.ServerRunner(web.Server(service.front.handle))
+    runner = web.ServerRunner(make_server(service.front.handle))
     await runner.setup()
     site = web.TCPSite(runner, '127.0.0.1', 0)
     await site.start()
@@ -133,6 +134,112 @@
     assert status == 504
 
 
+WORKSPACES = [
+    {'name': 'w1', 'apiKeys': ['k1', 'k1-second']},
+    {'name': 'w2', 'apiKeys': ['k2']},
+]
+
+
+def require_keys(service, *, public=False):
+    route = {**CONFIG['routes'][0], 'public': public}
+    service.job_service.config = decode_config(
+        {**CONFIG, 'routes': [route], 'tenants': WORKSPACES}
+    )
+
+
+@pytest.mark.parametrize(
+    'authorization',
+    [
+        None,
+        'Bearer k3',
+        'Bearer k1 k2',
+        'Bearer',
+        'Bearer k\xe9',
+        'Basic k1',
+        'k1',
+        'Bearer ' + 'k' * 8192,
+    ],
+)
+async def test_call_without_a_valid_key_is_unauthenticated(
+    service, authorization
+):
+    require_keys(service)
+    headers = {}
+    if authorization is not None:
+        headers['Authorization'] = authorization
+    for method, path in (
+        ('POST', f'/q/{ID}'),
+        ('GET', f'/q/{ID}'),
+        ('DELETE', f'/q/{ID}'),
+        ('GET', '/q/'),
+    ):
+        # The body is not read, so that its faults don't matter.
+        status, _, answered = await service.send(method, path, '{', **headers)
+        assert (status, answered['WWW-Authenticate']) == (401, 'Bearer')
+    status, _, _ = await service.send('POST', f'/other/{ID}', JOB, **headers)
+    assert status == 404
+    assert not service.store.tables.history
+
+
+async def test_two_authorization_headers_are_unauthenticated(service):
+    """Guards against readers of headers that choose different ones."""
+    require_keys(service)
+    url = f'http://127.0.0.1:{service.port}/q/'
+    sent = [
+        ('Host', 'h.example'),
+        ('Authorization', 'Bearer k1'),
+        ('Authorization', 'Bearer k1'),
+    ]
+    async with (
+        ClientSession() as session,
+        session.get(url, headers=sent) as answer,
+    ):
+        assert answer.status == 401
+
+
+@pytest.mark.parametrize('key', ['secret\x01', 'secret' * 3000])
+async def test_header_that_can_not_be_parsed_is_not_logged(
+    service, key, caplog
+):
+    """Guards against keys in the log of the HTTP library."""
+    reader, writer = await asyncio.open_connection('127.0.0.1', service.port)
+    lines = f'GET /q/ HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer {key}'
+    writer.write(f'{lines}\r\n\r\n'.encode())
+    assert b' 400 ' in await reader.readline()
+    writer.close()
+    assert 'malformed request' in caplog.text
+    assert 'secret' not in caplog.text
+
+
+async def test_job_belongs_to_the_workspace_of_its_key(service):
+    require_keys(service)
+    first = {'Authorization': 'Bearer k1'}
+    second = {'Authorization': 'bearer k1-second'}
+    other = {'Authorization': 'Bearer k2'}
+    status, _, _ = await service.send('POST', f'/q/{ID}', JOB, **first)
+    row = service.store.tables.read(JOBS, ID).value
+    assert (status, row['workspace']) == (200, 'w1')
+    assert 'k1' not in json.dumps(row)
+    for headers, expected in ((first, 200), (second, 200), (other, 410)):
+        status, _, _ = await service.send('GET', f'/q/{ID}', **headers)
+        assert status == expected
+    status, _, _ = await service.send('POST', f'/q/{ID}', JOB, **other)
+    assert status == 409
+    status, _, _ = await service.send('DELETE', f'/q/{ID}', **other)
+    assert status == 410
+    assert not service.store.tables.read(CANCELS, ID).version
+    status, _, _ = await service.send('DELETE', f'/q/{ID}', **second)
+    assert status == 200
+
+
+async def test_public_queue_requires_no_key(service):
+    require_keys(service, public=True)
+    for headers in ({}, {'Authorization': 'Bearer k3'}):
+        status, _, _ = await service.send('POST', f'/q/{ID}', JOB, **headers)
+        assert status == 200
+    assert 'workspace' not in service.store.tables.read(JOBS, ID).value
+
+
 @pytest.mark.parametrize('body', [b'{', *UNREADABLE])
 async def test_malformed_job_is_refused(service, body):
     status, _, _ = await service.send('POST', f'/q/{ID}', body)
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from radishlift.access.settings import AccessSettings
 from radishlift.core.errors import Failure
 from radishlift.platform.settings import read_host_settings
 from tests.platform.deployment import SETTINGS
@@ -33,6 +34,16 @@
     assert settings.target_heartbeat_ms == 1500
 
 
+def test_bounds_of_keys_apply_only_where_a_deployment_sets_them(path):
+    assert read_host_settings(path).access == AccessSettings()
+    bounds = '[bounds]\nrevokeMs = 5000\nconfigMs = 3000\n'
+    text = path.read_text().replace('[bounds]\n', bounds)
+    path.write_text(text)
+    assert read_host_settings(path).access == AccessSettings(None, 3000)
+    path.write_text(text.replace('[bounds]', '[bounds]\nstrictRevoke = true'))
+    assert read_host_settings(path).access == AccessSettings(5000, 3000)
+
+
 @pytest.mark.parametrize(
     ('link_mbps', 'rank'), [('10.0', 10), ('100.0', 100), ('900.0', 100)]
 )
