--- a/src/radishlift/cell/config_sharing.py
+++ b/src/radishlift/cell/config_sharing.py
@@ -92,7 +92,9 @@
         """
         if reply.age_ms is None or reply.row_version > self._row_version:
             return
-        self._freshness.confirm(requested_at_ms - max(0, reply.age_ms))
+        # Both times are rounded down to milliseconds.
+        age_ms = max(0, reply.age_ms) + 1
+        self._freshness.confirm(requested_at_ms - age_ms)
 
     async def _request(self, peer: DaemonId) -> ConfigTold | Failure | None:
         try:
--- a/tests/cell/test_job_service.py
+++ b/tests/cell/test_job_service.py
@@ -2,17 +2,21 @@
 
 import pytest
 
-from radishlift.access.gate import ANYONE, Caller
+from radishlift.access.freshness import ConfigFreshness
+from radishlift.access.gate import ANYONE, Caller, KeyGate
+from radishlift.access.keys import Workspace, hash_key
+from radishlift.access.settings import AccessSettings
 from radishlift.cell.entry_rows import RelayedRows, StoreRows
 from radishlift.cell.job_service import JobService, JobStatus
 from radishlift.cell.queues import Queue, QueueConfig
 from radishlift.cell.tables import CANCELS, JOBS, PROGRESS
-from radishlift.core.clock import BootClock
+from radishlift.core.clock import BootClock, ManualClock
 from radishlift.core.errors import ErrorKind, Failure, Outcome
 from radishlift.core.ids import ConfigVersion, DaemonId, WorkspaceName
 from radishlift.services.api import Transaction, Write
 from radishlift.steps.progress import dump_progress
 from radishlift.steps.runs import JobState
+from radishlift.steps.workspaces import WorkspaceTerms
 from radishlift.wire.network import PeerNetwork
 from tests.cell.fakes import MemoryCellStore
 from tests.standins.tables import Fault
@@ -201,6 +205,64 @@
 W2 = Caller(WorkspaceName('w2'))
 
 
+class KeyedSetup(ServiceSetup):
+    """A job service with a queue that requires a key."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.access_clock = ManualClock()
+        freshness = ConfigFreshness(self.access_clock)
+        freshness.confirm(0)
+        self.job_service._gate = KeyGate(freshness, AccessSettings(5000))
+        self.configure('k1')
+        self.caller = self.job_service.identify(QUEUE, ('Bearer k1',))
+
+    def configure(self, *keys):
+        workspace = Workspace(
+            WorkspaceTerms(W1.workspace), frozenset(map(hash_key, keys))
+        )
+        self.job_service.config = QueueConfig(
+            ConfigVersion(1), (QUEUE,), 100, (workspace,)
+        )
+
+
+async def test_daemon_frozen_after_it_read_a_submission_does_not_store_it():
+    """Guards against a key that is served after it was taken away."""
+    service = KeyedSetup()
+    service.access_clock.advance(6000)
+    failure = await service.submit(caller=service.caller)
+    assert failure.kind is ErrorKind.configuration_outdated
+    assert failure.answer.outcome is Outcome.not_run
+    assert not service.is_stored()
+
+
+async def test_key_taken_away_while_its_submission_was_read_stores_nothing():
+    service = KeyedSetup()
+    service.configure('k2')
+    failure = await service.submit(caller=service.caller)
+    assert failure.kind is ErrorKind.unauthenticated
+    assert not service.is_stored()
+
+
+async def test_refusal_after_an_unknown_outcome_is_not_reported_as_not_run(
+    monkeypatch,
+):
+    """Guards against a refusal of a job that is stored after all."""
+    service = KeyedSetup()
+    commit = service.store.commit
+
+    async def freeze_after(transaction):
+        outcome = await commit(transaction)
+        service.access_clock.advance(6000)
+        return outcome
+
+    monkeypatch.setattr(service.store, 'commit', freeze_after)
+    service.store.fail_next_commits = [Fault.lose_answers]
+    failure = await service.submit(caller=service.caller)
+    assert failure.answer.outcome is Outcome.unknown
+    assert service.is_stored()
+
+
 async def test_cancel_of_another_workspace_blocks_no_submission(service):
     """Guards against a workspace that cancels the jobs of others."""
     for caller in (W2, ANYONE):
--- a/tests/cell/test_table_follower.py
+++ b/tests/cell/test_table_follower.py
@@ -94,3 +94,17 @@
     await following.until(lambda: following.changed() == [('b', {'n': 2})])
     assert max(following.store.requested_waits_ms) <= URGENT_SLACK_MS
     following.task.cancel()
+
+
+async def test_first_read_after_a_failure_does_not_wait(following):
+    """Guards against a daemon that learns late that the store is back."""
+    await following.until(lambda: following.store.requested_waits_ms)
+    following.follower._settings = CellSettings(
+        feed_wait_ms=900, feed_retry_ms=5
+    )
+    following.store.fault = Fault.down
+    await following.until(lambda: following.follower.is_store_lost)
+    following.store.requested_waits_ms.clear()
+    following.store.fault = Fault.none
+    await following.until(lambda: not following.follower.is_store_lost)
+    assert max(following.store.requested_waits_ms[:-1], default=0) <= 20
--- a/tests/platform/test_front.py
+++ b/tests/platform/test_front.py
@@ -6,6 +6,9 @@
 import pytest
 from aiohttp import ClientSession, web
 
+from radishlift.access.freshness import ConfigFreshness
+from radishlift.access.gate import KeyGate
+from radishlift.access.settings import AccessSettings
 from radishlift.cell.entry_rows import StoreRows
 from radishlift.cell.job_service import JobService
 from radishlift.cell.metrics import CellMetrics
@@ -232,6 +235,26 @@
     assert status == 200
 
 
+async def test_daemon_with_an_old_configuration_refuses_keys_for_a_while(
+    service,
+):
+    """Guards against keys that were taken away, and against new ones."""
+    require_keys(service)
+    service.job_service._gate = KeyGate(
+        ConfigFreshness(BootClock()), AccessSettings(5000, 3000)
+    )
+    for key in ('k1', 'new'):
+        headers = {'Authorization': f'Bearer {key}'}
+        status, _, answered = await service.send(
+            'POST', f'/q/{ID}', JOB, **headers
+        )
+        assert (status, answered['Retry-After']) == (503, '1')
+    assert not service.store.tables.history
+    require_keys(service, public=True)
+    status, _, _ = await service.send('POST', f'/q/{ID}', JOB)
+    assert status == 200
+
+
 async def test_public_queue_requires_no_key(service):
     require_keys(service, public=True)
     for headers in ({}, {'Authorization': 'Bearer k3'}):
