--- a/src/radishlift/cell/daemon.py
+++ b/src/radishlift/cell/daemon.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from typing import Any
 
+from radishlift.access.gate import KeyGate
+from radishlift.access.settings import AccessSettings
 from radishlift.cell.advice_dispatch import AdviceProxy
 from radishlift.cell.config_sharing import ConfigSharer
 from radishlift.cell.entry_rows import RelayedRows, StoreRows
@@ -58,6 +60,7 @@
     max_lease_ms: int
     target_heartbeat_ms: int = 0
     max_row_bytes: int = 0
+    access: AccessSettings = AccessSettings()
 
 
 class CellDaemon:
@@ -80,6 +83,8 @@
             dependencies.settings,
             dependencies.clock,
         )
+        self.freshness = self._config_sharer.freshness
+        self._config_follower.on_read = self.freshness.confirm
         self._suspension = SuspensionMonitor(
             dependencies.settings, dependencies.clock
         )
@@ -96,6 +101,7 @@
             dependencies.clock,
             self._heartbeat_fields,
             dependencies.max_row_bytes,
+            KeyGate(self.freshness, dependencies.access),
         )
         self._leadership = Leadership(
             dependencies.daemon_id,
@@ -129,7 +135,7 @@
         """Returns whether the daemon can serve callers."""
         if self._is_stopping or self.job_service.config is None:
             return False
-        return not self._is_cut_off()
+        return self.job_service.can_admit and not self._is_cut_off()
 
     async def start(self) -> None:
         """Starts the network and all loops."""
