Keep the starts of a workspace within its limit

The configuration may hold limits of workspaces, which nothing obeyed. The planner now asks WorkspaceLimits how many tasks of a step may start. The use is the sum of the charges that allocations on targets carry, and of inherited attempts whose target has no entry, so that unanswered starts, running stops and unreachable targets count, and a takeover derives the same. Attempts that a target still runs although they were taken for ended are allocated until their stop has ended.

A gang that lacks room within the limit holds it back from lower-ranked steps of its workspace. Steps at the limit request no advice. A start is not sent if the limit was lowered during its commit. A job that can never fit is answered 422 unless it is stored. Without workspaces no decision changes.

--- a/src/radishlift/cell/attempts.py
+++ b/src/radishlift/cell/attempts.py
@@ -22,6 +22,7 @@
 from radishlift.steps.ids import TaskKey
 from radishlift.steps.runs import JobRun, TaskState
 from radishlift.steps.tickets import TicketTable
+from radishlift.steps.workspace_use import charge_of
 
 _FAILURE_KINDS: Final = frozenset((EndKind.failed, EndKind.crashed_alone))
 
@@ -75,6 +76,7 @@
             _log_outdated(job, session, running, 'running')
             if not is_current(job, session, running.key, running.attempt):
                 session.stop(running.key, running.attempt)
+                _allocate_outdated(job, session, running)
             # An earlier process may have crashed without this attempt.
             session.target.clear_suspicion(running.key, running.attempt)
             if job is not None:
@@ -262,6 +264,26 @@
     )
 
 
+def _allocate_outdated(
+    job: JobRun | None, session: TargetSession, running: RunningAttempt
+) -> None:
+    """Allocates an attempt that was taken for ended, until its stop has.
+
+    After a takeover, these are members of a gang of which one is done.
+    """
+    key = running.key
+    task = None if job is None else job.find_task(key)
+    if job is None or task is None or key in session.target.allocations:
+        return
+    step = job.steps[key.step_key.occurrence, key.step_key.step]
+    session.target.allocate(
+        key,
+        running.attempt,
+        step.spec.allocated_amounts,
+        charge=charge_of(job, step),
+    )
+
+
 def _apply_end(job: JobRun, ended: EndedAttempt) -> bool:
     return apply_end(
         job,
--- a/src/radishlift/cell/fleet.py
+++ b/src/radishlift/cell/fleet.py
@@ -27,6 +27,7 @@
         target_heartbeat_ms: int,
     ) -> None:
         self._targets = targets
+        self.workspace_use = targets.workspace_use
         self.entry_writes = EntryWrites(target_heartbeat_ms)
         self.settings = settings
         self._max_entry_age_ms = cell_settings.max_entry_age_ms
--- a/src/radishlift/cell/inherited_attempts.py
+++ b/src/radishlift/cell/inherited_attempts.py
@@ -1,5 +1,7 @@
 """Attempts that a previous leader placed."""
 
+from typing import NamedTuple
+
 from radishlift.cell.attempts import AttemptTracker
 from radishlift.cell.fleet import TargetFleet
 from radishlift.cell.job_table import JobTable
@@ -8,13 +10,20 @@
 from radishlift.core.logs import log_event
 from radishlift.steps.ids import TargetId
 from radishlift.steps.runs import TaskRun, TaskState
+from radishlift.steps.workspace_use import Charge, charge_of
+
+
+class _Unallocated(NamedTuple):
+    task: TaskRun
+    charge: Charge
 
 
 class InheritedAttempts:
     """Allocates attempts on their targets; ends those without a target.
 
-    A target that was removed before the takeover has no entry and can't be
-    queried. Its tasks have ended once its inherited lease has expired.
+    Until then they count towards the use of their workspaces. A target that was
+    removed before the takeover has no entry and can't be queried. Its tasks
+    have ended once its inherited lease has expired.
     """
 
     def __init__(
@@ -27,30 +36,35 @@
     ) -> None:
         self._jobs = jobs
         self._fleet = fleet
+        self._use = fleet.workspace_use
         self._tracker = tracker
         self._leases = leases
         self._clock = clock
-        self._tasks_by_target: dict[TargetId, list[TaskRun]] = {}
+        self._tasks_by_target: dict[TargetId, list[_Unallocated]] = {}
         self._is_collected = False
 
     def collect(self) -> None:
         """Collects the placed tasks of all loaded jobs."""
         self._is_collected = True
         for job in self._jobs:
-            for task in job.all_tasks():
-                if task.state is TaskState.placed:
-                    self._tasks_by_target.setdefault(task.target_id, []).append(
-                        task
-                    )
+            for step in job.steps.values():
+                charge = charge_of(job, step)
+                for task in step.tasks:
+                    if task.state is TaskState.placed:
+                        self._add(task, charge)
 
     def allocate(self, target_id: TargetId) -> None:
         """Allocates the attempts that were placed on a target."""
         target = self._fleet.find_target(target_id)
-        for task in self._tasks_by_target.pop(target_id, ()):
+        for task, charge in self._tasks_by_target.pop(target_id, ()):
+            self._use.remove(charge)
             step = self._jobs.find_step(task.key.step_key)
             if target is not None and step is not None:
                 target.allocate(
-                    task.key, task.attempt, step.spec.allocated_amounts
+                    task.key,
+                    task.attempt,
+                    step.spec.allocated_amounts,
+                    charge=charge,
                 )
                 target.allocations[task.key].is_inherited = True
                 target.record_start(
@@ -66,10 +80,17 @@
         for target_id, remaining_ms in self._remaining_ms(now_ms).items():
             if remaining_ms >= 0:
                 continue
-            for task in self._tasks_by_target.pop(target_id, ()):
+            for task, charge in self._tasks_by_target.pop(target_id, ()):
+                self._use.remove(charge)
                 log_event('task_orphaned', task=task.key, target=target_id)
                 self._tracker.end_orphan(task.key, task.attempt)
 
+    def _add(self, task: TaskRun, charge: Charge) -> None:
+        self._use.add(charge)
+        self._tasks_by_target.setdefault(task.target_id, []).append(
+            _Unallocated(task, charge)
+        )
+
     def _remaining_ms(self, now_ms: int) -> dict[TargetId, int]:
         # Which targets have tasks is known only once all jobs are loaded.
         target_ids = (
--- a/src/radishlift/cell/job_service.py
+++ b/src/radishlift/cell/job_service.py
@@ -15,11 +15,13 @@
 from radishlift.cell.tables import CANCELS, JOBS, PROGRESS
 from radishlift.core.clock import Clock
 from radishlift.core.errors import ErrorKind, Failure
-from radishlift.core.ids import JobId
+from radishlift.core.ids import JobId, WorkspaceName
 from radishlift.core.logs import log_event
 from radishlift.steps.ids import QueueName
+from radishlift.steps.limits import find_oversized_step
 from radishlift.steps.runs import JobState
 from radishlift.steps.spec import JobSpec
+from radishlift.steps.workspaces import NO_WORKSPACE
 
 _RETRY_MS: Final = 60
 # Time to send the answer before the caller's deadline.
@@ -67,15 +69,19 @@
         queue: Queue,
         spec: JobSpec,
         deadline_ms: int,
+        workspace: WorkspaceName = NO_WORKSPACE,
     ) -> Failure | None:
         """Stores a job; storing it again changes nothing.
 
-        `deadline_ms` is monotonic. Fails with `store_unavailable` only if
-        the job is confirmed not to be stored, and with `cancelled` if it was
-        cancelled before, so that it will never be stored.
+        `deadline_ms` is monotonic. Fails with `never_fits` if the limit of
+        its workspace does not allow one of its steps, with `store_unavailable`
+        only if the job is confirmed not to be stored, and with `cancelled` if
+        it was cancelled before, so that it will never be stored.
         """
-        row = dump_job(spec, queue.terms, self._clock.wall_ms())
-        outcome = await self._insert(JOBS, spec.job_id, row, deadline_ms)
+        outcome = await self._find_oversized(spec, workspace)
+        if outcome is None:
+            row = dump_job(spec, queue.terms, self._clock.wall_ms(), workspace)
+            outcome = await self._insert(JOBS, spec.job_id, row, deadline_ms)
         log_event(
             'job_submitted',
             job=spec.job_id,
@@ -130,6 +136,30 @@
         """Returns how many jobs of a queue have not started."""
         return int(self._heartbeat_fields().get('pending', {}).get(queue, 0))
 
+    async def _find_oversized(
+        self, spec: JobSpec, workspace: WorkspaceName
+    ) -> Failure | None:
+        """Returns why a job can never run within the limit, if so.
+
+        A job that is stored already is accepted again, as its limit may have
+        been lowered since.
+        """
+        if self.config is None or not workspace:
+            return None
+        terms = self.config.workspace_terms().get(workspace)
+        number = find_oversized_step(spec, terms)
+        if number is None:
+            return None
+        stored = await self._rows.read(JOBS, spec.job_id)
+        if isinstance(stored, Failure):
+            return stored
+        if stored.version:
+            return None
+        return Failure(
+            ErrorKind.never_fits,
+            f'step {number} exceeds the limit of its workspace',
+        )
+
     async def _insert(
         self,
         table: str,
--- a/src/radishlift/cell/job_table.py
+++ b/src/radishlift/cell/job_table.py
@@ -6,7 +6,7 @@
 from radishlift.cell.commits import CommitCallback, CommitLog
 from radishlift.cell.queues import QueueConfig
 from radishlift.core.clock import Clock
-from radishlift.core.ids import JobId
+from radishlift.core.ids import JobId, WorkspaceName
 from radishlift.core.logs import log_event
 from radishlift.steps.ids import StepKey
 from radishlift.steps.planner import Planner
@@ -68,6 +68,12 @@
             if queue is not None and not job.is_ended:
                 job.terms = queue.terms
 
+    def open_workspaces(self) -> set[WorkspaceName]:
+        """Returns the workspaces of the jobs that have not ended."""
+        return {
+            job.workspace for job in self._jobs.values() if not job.is_ended
+        }
+
     def heartbeat_fields(self) -> dict[str, Any]:
         """Returns the heartbeat's count of jobs that have not started."""
         pending: dict[str, int] = {}
--- a/src/radishlift/cell/leader_term.py
+++ b/src/radishlift/cell/leader_term.py
@@ -172,6 +172,10 @@
 
     async def _schedule(self) -> None:
         await self._has_targets.wait()
+        # Limits of workspaces must be known before the first start.
+        config = self._dependencies.get_config()
+        if config is not None:
+            self.apply_config(config)
         await self.scheduler.run()
 
     async def _read_progress(self) -> None:
--- a/src/radishlift/cell/scheduler.py
+++ b/src/radishlift/cell/scheduler.py
@@ -126,6 +126,9 @@
     def apply_config(self, config: QueueConfig) -> None:
         """Applies the latest terms to jobs that have not ended."""
         self.jobs.apply_config(config)
+        self._planner.limits.update_terms(
+            config.workspace_terms(), self.jobs.open_workspaces()
+        )
         self._has_changed.set()
 
     def update_target(self, entry: TargetEntry) -> None:
@@ -158,14 +161,16 @@
     ) -> None:
         """Sends a committed start if it is still valid.
 
-        Job and attempt may have ended during the commit, and the target may
-        be lost or have less capacity.
+        Job and attempt may have ended during the commit, the target may be
+        lost or have less capacity, and the workspace's limit may be lower.
         """
         job = self.jobs.get(order.key.step_key.job_id)
         is_valid = is_current(job, session, order.key, order.attempt)
         now_ms = self._context.clock.monotonic_ms()
-        may_start = session.target.is_reachable and self.fleet.may_start(
-            session.target, now_ms
+        may_start = (
+            session.target.is_reachable
+            and self.fleet.may_start(session.target, now_ms)
+            and self._is_within_limit(order)
         )
         if not is_valid or not may_start:
             session.listing.cancel_start(order.key, order.attempt)
@@ -180,6 +185,14 @@
         )
         session.start(order)
 
+    def _is_within_limit(self, order: StartOrder) -> bool:
+        """Returns whether a limit lowered meanwhile still allows a start."""
+        job = self.jobs.get(order.key.step_key.job_id)
+        step = self.jobs.find_step(order.key.step_key)
+        if job is None or step is None:
+            return False
+        return self._planner.limits.may_still_start(job, step)
+
     def _wait_ms(self) -> int:
         wall_ms = self._context.clock.wall_ms()
         pause_ms = self._context.settings.pulse_ms
--- /dev/null
+++ b/src/radishlift/steps/limits.py
@@ -0,0 +1,183 @@
+"""How many tasks a workspace may start without exceeding its limit.
+
+Steps are asked in the order of their rank. A gang that lacks room within the
+limit holds it back from lower-ranked steps of its workspace, so that a stream
+of smaller tasks can't starve it.
+"""
+
+from collections.abc import Collection, Mapping
+from typing import Final
+
+from radishlift.core.ids import WorkspaceName
+from radishlift.steps.runs import JobRun, StepRun
+from radishlift.steps.spec import Amounts, JobSpec, StepSpec
+from radishlift.steps.workspace_use import WorkspaceUse
+from radishlift.steps.workspaces import WorkspaceTerms
+
+_NO_LIMIT: Final = 1 << 60
+_UNLIMITED: Final = Amounts(_NO_LIMIT, _NO_LIMIT, _NO_LIMIT)
+
+
+class WorkspaceLimits:
+    """Limits of workspaces, and what their use leaves of them in a tick.
+
+    `terms` are those of the latest configuration and those last known of
+    workspaces that were removed from it. A workspace whose terms this leader
+    never knew was removed before its term, and has no limit.
+    """
+
+    def __init__(self, use: WorkspaceUse) -> None:
+        self.use = use
+        self.terms: Mapping[WorkspaceName, WorkspaceTerms] = {}
+        self._is_known = False
+        self._held: dict[WorkspaceName, Amounts] = {}
+        self._requested: dict[WorkspaceName, Amounts] = {}
+
+    def update_terms(
+        self,
+        terms: Mapping[WorkspaceName, WorkspaceTerms],
+        in_use: Collection[WorkspaceName],
+    ) -> None:
+        """Applies a configuration; `in_use` are workspaces with open jobs."""
+        kept = {*self.use, *in_use}
+        removed = {
+            name: former for name, former in self.terms.items() if name in kept
+        }
+        self.terms = {**removed, **terms}
+        self._is_known = True
+
+    def begin_tick(self) -> None:
+        """Forgets what steps have held back or requested in the last tick."""
+        self._held.clear()
+        self._requested.clear()
+
+    def count_startable(self, job: JobRun, step: StepRun, count: int) -> int:
+        """Returns how many of the waiting tasks of a step may start.
+
+        For a gang, this is all or none.
+        """
+        if not job.workspace or not count:
+            return count
+        if not self._is_known:
+            return 0
+        fitting = step.spec.amounts.count_fitting(self._room(job, step))
+        if self._is_oversized(job, step) and self._may_run_alone(job, step):
+            fitting = count if step.spec.is_gang else 1
+        if step.spec.is_gang and fitting < count:
+            return 0
+        return max(0, min(count, fitting))
+
+    def may_request(self, job: JobRun, step: StepRun, count: int) -> bool:
+        """Returns whether a step may start soon after it gets advice.
+
+        This reserves the limit for its request: lower-ranked steps that
+        could not start beside it request no advice in this tick.
+        """
+        if not job.workspace:
+            return True
+        requested = self._requested.get(job.workspace, Amounts())
+        room = self._room(job, step).plus(requested, -1)
+        is_first = job.workspace not in self._requested
+        if not is_first and step.spec.amounts.count_fitting(room) <= 0:
+            return False
+        self._requested[job.workspace] = requested.plus(
+            step.spec.amounts, count
+        )
+        return True
+
+    def hold(self, job: JobRun, step: StepRun) -> None:
+        """Holds the limit for a waiting gang, or for a task that exceeds it.
+
+        Nothing is held that tasks use which run until they are stopped: those
+        that wait for it would wait for ever.
+        """
+        workspace = job.workspace
+        if not workspace:
+            return
+        needed = self._held.get(workspace, Amounts())
+        if self._is_oversized(job, step):
+            if not _is_startable_alone(step, self.limit_of(workspace)):
+                return
+            needed = self.limit_of(workspace)
+        elif step.spec.is_gang:
+            needed = needed.plus(step.spec.amounts, len(step.tasks))
+        room = self.limit_of(workspace).plus(
+            self.use.used_for_long(workspace), -1
+        )
+        if needed.fits_in(room):
+            self._held[workspace] = needed
+
+    def may_still_start(self, job: JobRun, step: StepRun) -> bool:
+        """Returns whether a planned start is still within the limit.
+
+        Members of a gang start in any case, as the others wait for them.
+        """
+        if not job.workspace or step.spec.is_gang:
+            return True
+        used = self.use.used(job.workspace)
+        is_alone = used == step.spec.amounts
+        return is_alone or used.fits_in(self.limit_of(job.workspace))
+
+    def limit_of(self, workspace: WorkspaceName) -> Amounts:
+        """Returns the limit; amounts without one are very large."""
+        terms = self.terms.get(workspace)
+        return _UNLIMITED if terms is None else _effective_limit(terms)
+
+    def _room(self, job: JobRun, step: StepRun) -> Amounts:
+        room = self.limit_of(job.workspace).plus(
+            self.use.used(job.workspace), -1
+        )
+        held = self._held.get(job.workspace)
+        if held is None or step.spec.is_long_running:
+            return room
+        return room.plus(held, -1)
+
+    def _is_oversized(self, job: JobRun, step: StepRun) -> bool:
+        return not _unit_amounts(step.spec).fits_in(
+            self.limit_of(job.workspace)
+        )
+
+    def _may_run_alone(self, job: JobRun, step: StepRun) -> bool:
+        """Lets work end that was accepted before its limit was lowered."""
+        is_alone = self.use.used(job.workspace) == Amounts()
+        return is_alone and _is_startable_alone(
+            step, self.limit_of(job.workspace)
+        )
+
+
+def find_oversized_step(
+    spec: JobSpec, terms: WorkspaceTerms | None
+) -> int | None:
+    """Returns the number of a step that a limit never allows, if any."""
+    if terms is None:
+        return None
+    limit = _effective_limit(terms)
+    for number, step in enumerate(spec.steps):
+        if not _unit_amounts(step).fits_in(limit):
+            return number
+    return None
+
+
+def _unit_amounts(step: StepSpec) -> Amounts:
+    """Returns what the tasks need that start together."""
+    return Amounts().plus(step.amounts, step.tasks_count if step.is_gang else 1)
+
+
+def _is_startable_alone(step: StepRun, limit: Amounts) -> bool:
+    """Returns whether at most one task of a gang exceeds the limit."""
+    if not step.spec.is_gang:
+        return True
+    others = Amounts().plus(step.spec.amounts, len(step.tasks) - 1)
+    return others.fits_in(limit)
+
+
+def _effective_limit(terms: WorkspaceTerms) -> Amounts:
+    limit = terms.limit
+    return Amounts(
+        limit.cpu_millicores or _NO_LIMIT,
+        limit.memory_mb or _NO_LIMIT,
+        limit.gpus_count or _NO_LIMIT,
+    )
+
+
+__all__ = ('WorkspaceLimits', 'find_oversized_step')
--- a/src/radishlift/steps/planner.py
+++ b/src/radishlift/steps/planner.py
@@ -15,9 +15,10 @@
     reserve_placements,
 )
 from radishlift.steps.ids import StepKey, TargetId
-from radishlift.steps.placing import Placement, place_step
+from radishlift.steps.limits import WorkspaceLimits
+from radishlift.steps.placing import Placement, place_step, place_tasks
 from radishlift.steps.ranking import StepRanking, rank_step
-from radishlift.steps.runs import JobRun, StepRun
+from radishlift.steps.runs import JobRun, StepRun, TaskRun
 from radishlift.steps.settings import StepSettings
 from radishlift.steps.spec import Amounts
 from radishlift.steps.step_advice import StepAdviceRequests
@@ -31,7 +32,8 @@
     """Tracks the waiting steps and places their tasks.
 
     `count_queued_requests` returns how many advice requests wait for a host.
-    `last_tick` is the state after the latest plan.
+    `last_tick` is the state after the latest plan, and `limits` are those of
+    the workspaces.
     """
 
     def __init__(
@@ -41,6 +43,7 @@
         settings: StepSettings,
     ) -> None:
         self._targets = targets
+        self.limits = WorkspaceLimits(targets.workspace_use)
         self._tickets = tickets
         self._settings = settings
         self._waiting: dict[StepKey, tuple[JobRun, StepRun]] = {}
@@ -52,7 +55,9 @@
         self._advice = StepAdviceRequests(
             tickets, settings, self._count_queued_requests
         )
-        self._trials = TrialPlanner(targets, self._advice, settings)
+        self._trials = TrialPlanner(
+            targets, self._advice, self.limits, settings
+        )
 
     def update_job(self, job: JobRun) -> None:
         """Updates which steps of a job wait for targets."""
@@ -109,6 +114,7 @@
         ]
         due.sort(key=lambda pair: self.ranking(pair[0], pair[1], wall_ms))
         tick = Tick(Plan(), now_ms, wall_ms, accepting, due)
+        self.limits.begin_tick()
         self._trials.plan(
             tick, [pair for pair in due if pair[1].key in self._suspects]
         )
@@ -149,10 +155,15 @@
         return self.count_queued_requests()
 
     def _plan_step(self, tick: Tick, job: JobRun, step: StepRun) -> None:
-        waiting_count = len(step.ordinary_tasks())
-        if not waiting_count:
+        waiting = step.ordinary_tasks()
+        if not waiting:
+            return
+        if step.spec.is_gang and len(waiting) < len(step.tasks):
             return
-        if step.spec.is_gang and waiting_count < len(step.tasks):
+        count = self.limits.count_startable(job, step, len(waiting))
+        if not count:
+            tick.limited.add(step.key)
+            self.limits.hold(job, step)
             return
         allowed = self._advice.list_allowed(tick, job, step)
         # During a backlog this list is empty for most steps.
@@ -162,13 +173,17 @@
             if step.spec.allocated_amounts.fits_in(target.free_capacity)
             and tick.may_use(target, step)
         ]
-        placements = self._place(tick, job, step, fitting)
+        placements = self._place(tick, job, step, fitting, waiting[:count])
         allocate_starts(tick, job, step, placements)
-        if len(placements) == waiting_count:
+        missing_count = count - len(placements)
+        if len(placements) == len(waiting):
             self._remove_placed(step)
         elif step.spec.is_gang:
+            self.limits.hold(job, step)
             self._reserve_targets(tick, job, step, allowed, fitting)
-        else:
+        elif missing_count and self.limits.may_request(
+            job, step, missing_count
+        ):
             self._advice.request(tick, job, step, fitting)
 
     def _remove_placed(self, step: StepRun) -> None:
@@ -182,6 +197,7 @@
         job: JobRun,
         step: StepRun,
         fitting: list[Target],
+        waiting: list[TaskRun],
     ) -> list[Placement]:
         has_ticket = self._advice.ticket_filter(tick, job, step)
         fitting = [target for target in fitting if has_ticket(target)]
@@ -197,10 +213,10 @@
             if target.entry.target_id not in self.last_tick.reserved_until_ms
         ]
         if not step.spec.is_gang and len(unreserved) < len(fitting):
-            placements = place_step(step, unreserved, capacity_of)
-            if len(placements) == len(step.ordinary_tasks()):
+            placements = place_tasks(step, waiting, unreserved, capacity_of)
+            if len(placements) == len(waiting):
                 return placements
-        return place_step(step, fitting, capacity_of)
+        return place_tasks(step, waiting, fitting, capacity_of)
 
     def _reserve_targets(
         self,
--- a/src/radishlift/steps/targets.py
+++ b/src/radishlift/steps/targets.py
@@ -7,6 +7,7 @@
 from radishlift.core.ids import Address, DataCentreId, ServiceName
 from radishlift.steps.ids import TargetId, TargetIncarnation, TaskKey
 from radishlift.steps.spec import Amounts
+from radishlift.steps.workspace_use import NO_CHARGE, Charge, WorkspaceUse
 
 
 @unique
@@ -58,7 +59,8 @@
     `sent_at_ms` is when the latest start call was sent, and `first_sent_at_ms`
     when the first was; None if none was.
     `is_confirmed` is whether the target has answered that it started, and
-    `is_inherited` whether an earlier leader started it.
+    `is_inherited` whether an earlier leader started it. `charge` is what it
+    uses of the limit of its workspace.
     """
 
     attempt: int
@@ -69,6 +71,7 @@
     is_confirmed: bool = False
     is_inherited: bool = False
     suspicion: Suspicion = Suspicion.none
+    charge: Charge = NO_CHARGE
 
     def record_sent(self, now_ms: int) -> int | None:
         """Records a start call; returns when the previous one was sent."""
@@ -96,6 +99,7 @@
     failed since the process was last known to run; None if none has.
     `has_restarted` is whether a process has ended, and `has_left` whether the
     target has removed its entry. A watched target is polled more often.
+    All targets of a table share one `workspace_use`.
     """
 
     entry: TargetEntry
@@ -110,6 +114,7 @@
     has_restarted: bool = False
     has_left: bool = False
     is_watched: bool = False
+    workspace_use: WorkspaceUse = field(default_factory=WorkspaceUse)
     free_capacity: Amounts = field(init=False)
 
     def __post_init__(self) -> None:
@@ -184,10 +189,14 @@
         attempt: int,
         amounts: Amounts,
         expected_end_ms: int = 0,
+        charge: Charge = NO_CHARGE,
     ) -> None:
         """Allocates capacity for an attempt, replacing an earlier one."""
         self.release(key, attempt)
-        self.allocations[key] = Allocation(attempt, amounts, expected_end_ms)
+        self.allocations[key] = Allocation(
+            attempt, amounts, expected_end_ms, charge=charge
+        )
+        self.workspace_use.add(charge)
         self.used = self.used.plus(amounts)
         self.free_capacity = self.free_capacity.plus(amounts, -1)
 
@@ -200,15 +209,17 @@
         if allocation is None or allocation.attempt > attempt:
             return False
         del self.allocations[key]
+        self.workspace_use.remove(allocation.charge)
         self.used = self.used.plus(allocation.amounts, -1)
         self.free_capacity = self.free_capacity.plus(allocation.amounts)
         return True
 
 
 class TargetTable:
-    """All targets by id."""
+    """All targets by id, and what workspaces use on them."""
 
     def __init__(self) -> None:
+        self.workspace_use = WorkspaceUse()
         self._targets: dict[TargetId, Target] = {}
 
     def __iter__(self) -> Iterator[Target]:
@@ -225,7 +236,7 @@
         """Adds a target or replaces its entry."""
         target = self._targets.get(entry.target_id)
         if target is None:
-            target = Target(entry)
+            target = Target(entry, workspace_use=self.workspace_use)
             self._targets[entry.target_id] = target
         target.update_entry(entry)
         target.is_listed = True
--- a/src/radishlift/steps/ticks.py
+++ b/src/radishlift/steps/ticks.py
@@ -6,11 +6,12 @@
 from radishlift.core.ids import ServiceName
 from radishlift.steps.advice_requests import AdviceRequest
 from radishlift.steps.gang_reservations import Reservation
-from radishlift.steps.ids import TargetId
+from radishlift.steps.ids import StepKey, TargetId
 from radishlift.steps.placing import Placement
 from radishlift.steps.runs import JobRun, StepRun, TaskState
 from radishlift.steps.spec import Amounts
 from radishlift.steps.targets import Target
+from radishlift.steps.workspace_use import charge_of
 
 
 @dataclass(slots=True)
@@ -33,7 +34,8 @@
     targets on which tasks may start, and `due` the steps that waited at its
     start, in the order of their rank. `reserved_amounts` is the room that
     gangs hold until `reserved_until_ms`, and `claimed_amounts` the free room
-    for which gangs without a reservation request tickets.
+    for which gangs without a reservation request tickets. `limited` are the
+    steps that wait for the limit of their workspace.
     """
 
     plan: Plan
@@ -44,6 +46,7 @@
     reserved_until_ms: dict[TargetId, int] = field(default_factory=dict)
     reserved_amounts: dict[TargetId, Amounts] = field(default_factory=dict)
     claimed_amounts: dict[TargetId, Amounts] = field(default_factory=dict)
+    limited: set[StepKey] = field(default_factory=set)
     by_requirement: dict[tuple[ServiceName, str], list[Target]] = field(
         default_factory=dict,
     )
@@ -168,6 +171,7 @@
             task.attempt,
             step.spec.allocated_amounts,
             tick.now_ms + step.spec.expected_run_ms,
+            charge_of(job, step),
         )
         tick.plan.placements.append((job, placement))
 
--- a/src/radishlift/steps/trial_planning.py
+++ b/src/radishlift/steps/trial_planning.py
@@ -9,6 +9,7 @@
     slot_times_ms,
 )
 from radishlift.steps.ids import TargetId
+from radishlift.steps.limits import WorkspaceLimits
 from radishlift.steps.placing import Placement, place_tasks
 from radishlift.steps.runs import JobRun, StepRun, TaskRun, TaskState
 from radishlift.steps.settings import StepSettings
@@ -39,9 +40,11 @@
         self,
         targets: TargetTable,
         advice: StepAdviceRequests,
+        limits: WorkspaceLimits,
         settings: StepSettings,
     ) -> None:
         self._advice = advice
+        self._limits = limits
         self._trials = Trials(targets, settings)
 
     def plan(self, tick: Tick, suspects: list[tuple[JobRun, StepRun]]) -> None:
@@ -79,6 +82,9 @@
 
     def _plan_tasks(self, tick: Tick, job: JobRun, step: StepRun) -> bool:
         """Plans trials of tasks; returns whether they need more room."""
+        suspects = self._list_startable(tick, job, step)
+        if not suspects:
+            return False
         candidates = self._candidates(tick, job, step)
         candidates = replace(
             candidates,
@@ -90,7 +96,7 @@
         )
         without_ticket = []
         is_short_of_room = False
-        for task in step.suspects():
+        for task in suspects:
             target = self._find_target(step, task, candidates)
             if target is None:
                 is_short_of_room = True
@@ -106,6 +112,18 @@
             self._advice.request_for_trial(tick, job, step, without_ticket)
         return is_short_of_room
 
+    def _list_startable(
+        self, tick: Tick, job: JobRun, step: StepRun
+    ) -> list[TaskRun]:
+        """Lists the suspects that the limit of the workspace allows."""
+        suspects = step.suspects()
+        count = self._limits.count_startable(job, step, len(suspects))
+        if count < len(suspects):
+            tick.limited.add(step.key)
+        if not count:
+            self._limits.hold(job, step)
+        return suspects[:count]
+
     def _is_open(self, target: Target) -> bool:
         is_running = target.entry.target_id in self._trials.closed
         return is_running or self._trials.is_ready(target)
@@ -164,6 +182,8 @@
         waiting = step.waiting_tasks()
         if len(waiting) < len(step.tasks):
             return True
+        if not self._list_startable(tick, job, step):
+            return True
         candidates = self._candidates(tick, job, step)
         free = self._free_for_gang(tick, candidates)
         ready = [
--- a/src/radishlift/steps/wait_reasons.py
+++ b/src/radishlift/steps/wait_reasons.py
@@ -22,6 +22,7 @@
     """
 
     gang_incomplete = 'gang_incomplete'
+    workspace_limit = 'workspace_limit'
     no_target = 'no_target'
     no_advice = 'no_advice'
     no_room = 'no_room'
@@ -124,6 +125,7 @@
         usable = [target for target in fitting if tick.may_use(target, step)]
         missing = (
             (WaitReason.gang_incomplete, _is_incomplete_gang(step)),
+            (WaitReason.workspace_limit, step.key in tick.limited),
             (WaitReason.no_target, not suitable),
             (WaitReason.no_advice, not allowed),
             (WaitReason.no_room, not fitting),
--- a/tests/cell/leader.py
+++ b/tests/cell/leader.py
@@ -80,6 +80,8 @@
         self.advice = FakeAdvice()
         self.epoch = 0
         self.terms = []
+        self.config = None
+        self.leader_terms = []
         self.cores = cores
         for name in targets:
             self.write_target(name)
@@ -102,7 +104,7 @@
         self.write(
             JOBS,
             run.spec.job_id,
-            dump_job(run.spec, run.terms, run.accepted_at_ms),
+            dump_job(run.spec, run.terms, run.accepted_at_ms, run.workspace),
         )
         return run.spec.job_id
 
@@ -143,7 +145,7 @@
                 self.targets,
                 network,
                 lambda: [DaemonId('d')],
-                lambda: None,
+                lambda: self.config,
                 decode_target,
                 self.settings,
                 self.step_settings,
@@ -152,6 +154,7 @@
                 self.target_heartbeat_ms,
             ),
         )
+        self.leader_terms.append(term)
         task = asyncio.create_task(term.run())
         self.terms.append(task)
         return task
--- a/tests/cell/test_job_service.py
+++ b/tests/cell/test_job_service.py
@@ -45,9 +45,11 @@
             lambda: self.heartbeat,
         )
 
-    async def submit(self, wait_ms=400):
+    async def submit(self, wait_ms=400, spec=RUN.spec, workspace=''):
         deadline_ms = self.clock.monotonic_ms() + wait_ms
-        return await self.job_service.submit(QUEUE, RUN.spec, deadline_ms)
+        return await self.job_service.submit(
+            QUEUE, spec, deadline_ms, workspace
+        )
 
     async def cancel(self):
         deadline_ms = self.clock.monotonic_ms() + 400
--- a/tests/steps/builders.py
+++ b/tests/steps/builders.py
@@ -1,6 +1,12 @@
 """Builders of small jobs and targets for tests."""
 
-from radishlift.core.ids import Address, DataCentreId, JobId, ServiceName
+from radishlift.core.ids import (
+    Address,
+    DataCentreId,
+    JobId,
+    ServiceName,
+    WorkspaceName,
+)
 from radishlift.steps.ids import (
     QueueName,
     StepKey,
@@ -17,6 +23,7 @@
     StepSpec,
 )
 from radishlift.steps.targets import TargetEntry, TargetState
+from radishlift.steps.workspaces import NO_WORKSPACE, WorkspaceTerms
 
 SERVICE = ServiceName('wash')
 ADVICE = AdviceTerms(decide_ms=50, per_target_ms=1, valid_ms=2000)
@@ -43,7 +50,19 @@
     *steps: StepSpec, job_id: str = JOB_ID, accepted_at_ms: int = 0, **fields
 ) -> JobRun:
     spec = JobSpec(JobId(job_id), 'text', steps or (step(),))
-    return build_job(spec, terms(**fields), accepted_at_ms)
+    workspace = WorkspaceName(fields.pop('workspace', NO_WORKSPACE))
+    run = build_job(spec, terms(**fields), accepted_at_ms)
+    run.workspace = workspace
+    return run
+
+
+def workspace_terms(
+    name: str, cores: int = 0, **fields
+) -> dict[WorkspaceName, WorkspaceTerms]:
+    """Returns the terms of one workspace; a limit of 0 cores is none."""
+    workspace = WorkspaceName(name)
+    limit = Amounts(1000 * cores)
+    return {workspace: WorkspaceTerms(workspace, limit=limit, **fields)}
 
 
 def key(number: int = 0, step_number: int = 0, job_id: str = JOB_ID) -> TaskKey:
--- /dev/null
+++ b/tests/steps/test_limits.py
@@ -0,0 +1,144 @@
+"""Tests which starts the limit of a workspace allows."""
+
+import pytest
+
+from radishlift.steps.limits import find_oversized_step
+from radishlift.steps.runs import TaskState
+from radishlift.steps.settings import StepSettings
+from radishlift.steps.wait_reasons import WaitExplainer, WaitReason
+from tests.only import only
+from tests.steps.builders import ADVICE, job, key, step, workspace_terms
+from tests.steps.test_planner import PlannerSetup
+
+
+class LimitSetup(PlannerSetup):
+    """A planner that knows the limit in cores of workspace `w`."""
+
+    def __init__(self, limit_cores, *cores, **settings) -> None:
+        super().__init__(*cores, **settings)
+        self.limit(limit_cores)
+
+    def limit(self, cores):
+        terms = workspace_terms('w', cores)
+        self.planner.limits.update_terms(terms, ('w',))
+
+    def end(self, run, number=0):
+        """Ends a placed task; it waits again unless its job has ended."""
+        task = run.find_task(key(number, job_id=run.spec.job_id))
+        target = self.targets.get(task.target_id)
+        target.release(task.key, task.attempt)
+        task.state = TaskState.waiting
+        self.add(run)
+
+
+def work(name, *steps, **fields):
+    return job(*steps, job_id=name * 16, workspace='w', **fields)
+
+
+def test_limit_holds_across_jobs_and_spares_others():
+    setup = LimitSetup(3, 8, 8)
+    setup.add(work('a', step(2)), work('b', step(2)), job(job_id='c' * 16))
+    assert sorted(setup.started()) == [('a', 0), ('a', 1), ('b', 0), ('c', 0)]
+
+
+def test_tasks_of_a_cancelled_job_count_until_they_have_ended():
+    setup = LimitSetup(1, 8)
+    first, second = work('a'), work('b')
+    setup.add(first)
+    assert setup.started()
+    first.state = first.state.cancelled
+    setup.add(first, second)
+    assert not setup.started()
+    setup.end(first)
+    assert setup.started() == [('b', 0)]
+
+
+def test_smaller_tasks_do_not_starve_a_gang_that_waits_for_the_limit():
+    """Guards against a gang whose room within the limit is always taken."""
+    setup = LimitSetup(4, 8)
+    small, gang = work('a', step(2)), work('b', step(4, is_gang=True))
+    setup.add(small)
+    assert len(setup.started()) == 2
+    later = work('c', step(1), objective_ms=9000)
+    setup.add(gang, later)
+    assert not setup.started()
+    small.state = small.state.cancelled
+    for number in range(2):
+        setup.end(small, number)
+    assert setup.started() == [('b', number) for number in range(4)]
+
+
+def test_tasks_that_run_for_long_do_not_make_others_wait_for_a_gang():
+    """Guards against a gang that waits for ever with the limit held."""
+    setup = LimitSetup(4, 8)
+    setup.add(work('a', step(1, is_long_running=True)))
+    assert setup.started()
+    setup.add(work('b', step(4, is_gang=True)))
+    setup.add(work('c', step(1), objective_ms=9000))
+    assert setup.started() == [('c', 0)]
+
+
+def test_work_above_a_lowered_limit_runs_alone():
+    """Guards against accepted work that never ends once a limit is lowered."""
+    setup = LimitSetup(1, 16)
+    running, large = work('a'), work('b', step(1, cores=3))
+    setup.add(running)
+    assert setup.started()
+    setup.add(large)
+    assert not setup.started()
+    running.state = running.state.cancelled
+    setup.end(running)
+    assert setup.started() == [('b', 0)]
+
+
+@pytest.mark.parametrize('crashes_count', [0, 1])
+def test_nothing_starts_before_the_limits_are_known(crashes_count):
+    """Guards against starts of a new leader without a configuration."""
+    setup = PlannerSetup(8)
+    run = work('a')
+    run.find_task(key()).crashes_count = crashes_count
+    setup.add(run)
+    assert not setup.started()
+    setup.planner.limits.update_terms(workspace_terms('w', 1), ('w',))
+    assert setup.started() == [('a', 0)]
+
+
+def test_removed_workspace_keeps_its_limit_for_its_jobs():
+    setup = LimitSetup(1, 8)
+    run = work('a', step(3))
+    setup.planner.limits.update_terms({}, ('w',))
+    setup.add(run)
+    assert setup.started() == [('a', 0)]
+
+
+def test_steps_at_the_limit_request_no_advice_and_say_why_they_wait():
+    setup = LimitSetup(2, 8)
+    setup.add(work('a', step(2)))
+    setup.add(*(work(name, advice=ADVICE) for name in 'bcd'))
+    assert not setup.plan().advice_requests
+    explainer = WaitExplainer(
+        setup.planner, setup.tickets, StepSettings(explain_after_ms=0)
+    )
+    reasons = {waiting.reason for waiting in explainer.explain()}
+    assert reasons == {WaitReason.workspace_limit}
+
+
+def test_no_more_steps_request_advice_than_the_limit_allows():
+    setup = LimitSetup(2, 8)
+    setup.add(*(work(name, advice=ADVICE) for name in 'bcd'))
+    assert len(setup.plan().advice_requests) == 2
+
+
+@pytest.mark.parametrize(
+    ('cores', 'oversized'),
+    [
+        (4, None),
+        (3, 1),
+        (1, 0),
+        (0, None),
+    ],
+)
+def test_step_that_never_fits_is_found(cores, oversized):
+    run = job(step(9, cores=2), step(4, is_gang=True))
+    terms = only(workspace_terms('w', cores).values())
+    assert find_oversized_step(run.spec, terms) == oversized
