--- a/tests/cell/test_job_service.py
+++ b/tests/cell/test_job_service.py
@@ -51,11 +51,9 @@
             lambda: self.heartbeat,
         )
 
-    async def submit(self, wait_ms=400, caller=ANYONE):
+    async def submit(self, wait_ms=400, caller=ANYONE, spec=RUN.spec):
         deadline_ms = self.clock.monotonic_ms() + wait_ms
-        return await self.job_service.submit(
-            QUEUE, RUN.spec, deadline_ms, caller
-        )
+        return await self.job_service.submit(QUEUE, spec, deadline_ms, caller)
 
     async def cancel(self, caller=ANYONE):
         deadline_ms = self.clock.monotonic_ms() + 400
