Count waits from when steps wait, and pass on the turn of those that fit nowhere

Cause: the step that was due first came before all others after 60 s. A step that fits nowhere kept this place for ever, so that no other old step got it; a later step of a job of more than 60 s, or a task that runs again, passed all others at once. A step that runs until it is stopped became past use soon after its start, so that a replica that starts again waited behind all other steps. A step without an estimate came first in its priority however large it was.

Change: waits are counted from when the leader sees the step wait; after 10 s it is the next one's turn. Long-running steps stay in time, and a run time that is not known counts 1 ms.

--- a/src/radishlift/steps/delay_costs.py
+++ b/src/radishlift/steps/delay_costs.py
@@ -50,15 +50,20 @@
 
     Steps are sorted by usefulness and by the priority of their queue. Useful
     steps of the same priority are sorted by room times run time, smallest
-    first, as every caller counts the same; steps past use by age. The oldest
-    step that has waited for `max_wait_ms` comes before all others, one at a
-    time, so that nothing waits for ever behind newer steps.
+    first, as every caller counts the same; steps past use by age. Of the steps
+    that have waited for `max_wait_ms`, the one that has waited longest comes
+    before all others, so that nothing waits for ever behind newer steps. It is
+    the next one's turn after `first_turn_ms`, as a step may fit nowhere.
+
+    The wait is counted from when this object first sorts a step that waits.
     """
 
     def __init__(self, settings: StepSettings) -> None:
         self._settings = settings
         self._room = Amounts(1, 1, 1)
         self._bounds: dict[StepKey, _StepBounds] = {}
+        self._waits_since_ms: dict[StepKey, int] = {}
+        self._turn_ends_ms: dict[StepKey, int] = {}
 
     def observe_room(self, targets: Iterable[Target]) -> None:
         """Sums the capacity that room is compared with; at least 1 of each."""
@@ -70,24 +75,29 @@
         )
 
     def forget(self, key: StepKey) -> None:
-        """Drops what is cached for a step that waits no longer."""
-        self._bounds.pop(key, None)
+        """Drops what is known of a step that waits no longer."""
+        for known in (self._bounds, self._waits_since_ms, self._turn_ends_ms):
+            known.pop(key, None)
 
     def sort(self, due: list[DueStep], wall_ms: int) -> None:
         """Sorts due steps in place; `wall_ms` is Unix time."""
-        due.sort(key=lambda pair: self.rank(pair[0], pair[1], wall_ms))
-        oldest = min(due, key=_age_key, default=None)
-        due_before_ms = wall_ms - self._settings.max_wait_ms
-        if oldest is not None and oldest[1].due_at_ms <= due_before_ms:
-            due.remove(oldest)
-            due.insert(0, oldest)
+        waits_since_ms = self._waits_since_ms
+        for _, step in due:
+            waits_since_ms.setdefault(step.key, wall_ms)
+        first = self._choose_first(due, wall_ms)
+        due.sort(
+            key=lambda pair: (
+                pair[1].key != first,
+                self.rank(pair[0], pair[1], wall_ms),
+            )
+        )
 
     def rank(
         self, job: JobRun, step: StepRun, wall_ms: int
     ) -> tuple[int | float, ...]:
         """Returns the sort key of a step, which does not consider its age."""
         bounds = self._bounds_of(job, step)
-        usefulness = _classify(bounds, wall_ms)
+        usefulness = self.classify(job, step, wall_ms)
         if usefulness is Usefulness.past_use:
             return usefulness, bounds.in_time_until_ms
         return (
@@ -98,8 +108,18 @@
         )
 
     def classify(self, job: JobRun, step: StepRun, wall_ms: int) -> Usefulness:
-        """Returns what the caller gains if a step starts now."""
-        return _classify(self._bounds_of(job, step), wall_ms)
+        """Returns what the caller gains if a step starts now.
+
+        A step that runs until it is stopped is of use from any start.
+        """
+        if step.spec.is_long_running:
+            return Usefulness.in_time
+        bounds = self._bounds_of(job, step)
+        if wall_ms <= bounds.in_time_until_ms:
+            return Usefulness.in_time
+        if wall_ms <= bounds.useful_until_ms:
+            return Usefulness.late
+        return Usefulness.past_use
 
     def room_time(self, step: StepRun) -> float:
         """Returns the share of all room times the run time in milliseconds.
@@ -115,7 +135,29 @@
         waiting_count = sum(
             task.state is TaskState.waiting for task in step.tasks
         )
-        return share * step.spec.expected_run_ms * waiting_count
+        # Run times that callers don't estimate are 0.
+        return share * max(1, step.spec.expected_run_ms) * waiting_count
+
+    def _choose_first(self, due: list[DueStep], wall_ms: int) -> StepKey | None:
+        """Returns the step whose turn it is to come first, or None."""
+        waits_since_ms = self._waits_since_ms
+        oldest = min(
+            (step.key for _, step in due),
+            key=lambda key: (waits_since_ms[key], key),
+            default=None,
+        )
+        if oldest is None:
+            return None
+        if wall_ms - waits_since_ms[oldest] < self._settings.max_wait_ms:
+            return None
+        ends_ms = self._turn_ends_ms.setdefault(
+            oldest, wall_ms + self._settings.first_turn_ms
+        )
+        if wall_ms < ends_ms:
+            return oldest
+        del self._turn_ends_ms[oldest]
+        waits_since_ms[oldest] = wall_ms
+        return self._choose_first(due, wall_ms)
 
     def _bounds_of(self, job: JobRun, step: StepRun) -> _StepBounds:
         bounds = self._bounds.get(step.key)
@@ -137,16 +179,4 @@
     )
 
 
-def _classify(bounds: _StepBounds, wall_ms: int) -> Usefulness:
-    if wall_ms <= bounds.in_time_until_ms:
-        return Usefulness.in_time
-    if wall_ms <= bounds.useful_until_ms:
-        return Usefulness.late
-    return Usefulness.past_use
-
-
-def _age_key(pair: DueStep) -> tuple[int, StepKey]:
-    return pair[1].due_at_ms, pair[1].key
-
-
 __all__ = ('DelayCosts', 'DueStep', 'Usefulness')
--- a/src/radishlift/steps/settings.py
+++ b/src/radishlift/steps/settings.py
@@ -43,8 +43,9 @@
       target. Tasks under which several targets have crashed start alone.
     - `useful_factor`: an answer is of use up to this multiple of the time that
       the objective allows.
-    - `max_wait_ms`: age at which the oldest waiting step comes before all
-      others.
+    - `max_wait_ms`, `first_turn_ms`: wait after which the step that has waited
+      longest comes before all others, and how long before it is the next
+      one's turn.
     - `trial_share`: maximum share of the targets used for trials of suspects.
     """
 
@@ -71,6 +72,7 @@
     trial_share: float = 0.25
     useful_factor: float = 3
     max_wait_ms: int = 60_000
+    first_turn_ms: int = 10_000
 
 
 __all__ = ('StepSettings',)
