Let only small steps pass others, and only where room is short

Change: by deadline as before; where the steps up to a priority do not all fit in the free room, those below a quarter of the mean room time come first.

--- a/src/radishlift/steps/delay_costs.py
+++ b/src/radishlift/steps/delay_costs.py
@@ -1,9 +1,9 @@
 """Order of waiting steps by what their delay costs the callers.
 
 Answers a load that exceeds the room of the targets for a while, such as a
-burst of several times the usual rate. Room that a large step takes is room
-that several small ones of the same priority miss, so that the callers who lose
-least are those whose steps need most room for one answer in time.
+burst of several times the usual rate. A step that needs much less room and
+time than the others of its priority delays them little, but would itself be
+late behind any of them.
 """
 
 from collections.abc import Iterable
@@ -48,12 +48,15 @@
 class DelayCosts:
     """Sorts due steps so that those whose delay costs least come last.
 
-    Steps are sorted by usefulness and by the priority of their queue. Useful
-    steps of the same priority are sorted by room times run time, smallest
-    first, as every caller counts the same; steps past use by age. Of the steps
-    that have waited for `max_wait_ms`, the one that has waited longest comes
-    before all others, so that nothing waits for ever behind newer steps. It is
-    the next one's turn after `first_turn_ms`, as a step may fit nowhere.
+    Steps are sorted by usefulness, by the priority of their queue, and then by
+    when they must start. If the steps up to a priority do not all fit in the
+    free room, those of this priority come first whose room times run time is
+    below `small_share` of the mean. Steps past use are sorted by age.
+
+    Of the steps that have waited for `max_wait_ms`, the one that has waited
+    longest comes before all others, so that nothing waits for ever behind newer
+    steps. It is the next one's turn after `first_turn_ms`, as a step may fit
+    nowhere.
 
     The wait is counted from when this object first sorts a step that waits.
     """
@@ -61,17 +64,24 @@
     def __init__(self, settings: StepSettings) -> None:
         self._settings = settings
         self._room = Amounts(1, 1, 1)
+        self._free_share = 0.0
         self._bounds: dict[StepKey, _StepBounds] = {}
         self._waits_since_ms: dict[StepKey, int] = {}
         self._turn_ends_ms: dict[StepKey, int] = {}
 
     def observe_room(self, targets: Iterable[Target]) -> None:
-        """Sums the capacity that room is compared with; at least 1 of each."""
-        capacities = [target.entry.capacity for target in targets]
+        """Sums the capacity and the free capacity of targets."""
+        found = list(targets)
+        room = _sum_amounts(target.entry.capacity for target in found)
         self._room = Amounts(
-            max(1, sum(capacity.cpu_millicores for capacity in capacities)),
-            max(1, sum(capacity.memory_mb for capacity in capacities)),
-            max(1, sum(capacity.gpus_count for capacity in capacities)),
+            max(1, room.cpu_millicores),
+            max(1, room.memory_mb),
+            max(1, room.gpus_count),
+        )
+        free = _sum_amounts(target.free_capacity for target in found)
+        self._free_share = min(
+            free.cpu_millicores / self._room.cpu_millicores,
+            free.memory_mb / self._room.memory_mb,
         )
 
     def forget(self, key: StepKey) -> None:
@@ -85,28 +95,16 @@
         for _, step in due:
             waits_since_ms.setdefault(step.key, wall_ms)
         first = self._choose_first(due, wall_ms)
+        small = self._list_small(due)
         due.sort(
             key=lambda pair: (
                 pair[1].key != first,
-                self.rank(pair[0], pair[1], wall_ms),
+                self._rank(
+                    pair[0], pair[1], wall_ms, is_small=pair[1].key in small
+                ),
             )
         )
 
-    def rank(
-        self, job: JobRun, step: StepRun, wall_ms: int
-    ) -> tuple[int | float, ...]:
-        """Returns the sort key of a step, which does not consider its age."""
-        bounds = self._bounds_of(job, step)
-        usefulness = self.classify(job, step, wall_ms)
-        if usefulness is Usefulness.past_use:
-            return usefulness, bounds.in_time_until_ms
-        return (
-            usefulness,
-            job.terms.priority,
-            self.room_time(step),
-            bounds.in_time_until_ms,
-        )
-
     def classify(self, job: JobRun, step: StepRun, wall_ms: int) -> Usefulness:
         """Returns what the caller gains if a step starts now.
 
@@ -122,21 +120,55 @@
         return Usefulness.past_use
 
     def room_time(self, step: StepRun) -> float:
-        """Returns the share of all room times the run time in milliseconds.
+        """Returns the share of all room times the run time in milliseconds."""
+        # Run times that callers don't estimate are 0.
+        return self.room_share(step) * max(1, step.spec.expected_run_ms)
+
+    def room_share(self, step: StepRun) -> float:
+        """Returns the share of all room that the waiting tasks need.
 
-        The share is that of the scarcest resource, for all waiting tasks.
+        It is that of the scarcest resource.
         """
-        amounts, room = step.spec.allocated_amounts, self._room
-        share = max(
-            amounts.cpu_millicores / room.cpu_millicores,
-            amounts.memory_mb / room.memory_mb,
-            amounts.gpus_count / room.gpus_count,
-        )
         waiting_count = sum(
             task.state is TaskState.waiting for task in step.tasks
         )
-        # Run times that callers don't estimate are 0.
-        return share * max(1, step.spec.expected_run_ms) * waiting_count
+        amounts = step.spec.allocated_amounts
+        return _largest_share(amounts, self._room) * waiting_count
+
+    def _rank(
+        self, job: JobRun, step: StepRun, wall_ms: int, *, is_small: bool
+    ) -> tuple[int, ...]:
+        """Returns the sort key of a step, which does not consider its age."""
+        start_ms = self._bounds_of(job, step).in_time_until_ms
+        usefulness = self.classify(job, step, wall_ms)
+        if usefulness is Usefulness.past_use:
+            return usefulness, start_ms
+        return usefulness, job.terms.priority, not is_small, start_ms
+
+    def _list_small(self, due: list[DueStep]) -> set[StepKey]:
+        """Lists the steps that need little compared with their priority.
+
+        Priorities whose steps all fit in the free room have none.
+        """
+        by_priority: dict[int, list[StepRun]] = {}
+        for job, step in due:
+            by_priority.setdefault(job.terms.priority, []).append(step)
+        small: set[StepKey] = set()
+        needed_share = 0.0
+        for _, steps in sorted(by_priority.items()):
+            needed_share += sum(map(self.room_share, steps))
+            if needed_share > self._free_share:
+                small.update(self._select_small(steps))
+        return small
+
+    def _select_small(self, steps: list[StepRun]) -> list[StepKey]:
+        sizes = [self.room_time(step) for step in steps]
+        limit = sum(sizes) / len(sizes) * self._settings.small_share
+        return [
+            step.key
+            for step, size in zip(steps, sizes, strict=True)
+            if size < limit
+        ]
 
     def _choose_first(self, due: list[DueStep], wall_ms: int) -> StepKey | None:
         """Returns the step whose turn it is to come first, or None."""
@@ -167,6 +199,23 @@
         return bounds
 
 
+def _sum_amounts(found: Iterable[Amounts]) -> Amounts:
+    amounts = list(found)
+    return Amounts(
+        sum(amount.cpu_millicores for amount in amounts),
+        sum(amount.memory_mb for amount in amounts),
+        sum(amount.gpus_count for amount in amounts),
+    )
+
+
+def _largest_share(amounts: Amounts, room: Amounts) -> float:
+    return max(
+        amounts.cpu_millicores / room.cpu_millicores,
+        amounts.memory_mb / room.memory_mb,
+        amounts.gpus_count / room.gpus_count,
+    )
+
+
 def _build_bounds(
     job: JobRun, step: StepRun, useful_factor: float
 ) -> _StepBounds:
--- a/src/radishlift/steps/settings.py
+++ b/src/radishlift/steps/settings.py
@@ -41,6 +41,8 @@
       after which it is given up if no other task may have caused the last.
     - `trial_group_count`: maximum number of suspects that start together on a
       target. Tasks under which several targets have crashed start alone.
+    - `small_share`: a step is small if its room times run time is below this
+      share of the mean of the waiting steps of its priority.
     - `useful_factor`: an answer is of use up to this multiple of the time that
       the objective allows.
     - `max_wait_ms`, `first_turn_ms`: wait after which the step that has waited
@@ -70,6 +72,7 @@
     max_crashes_count: int = 2
     trial_group_count: int = 4
     trial_share: float = 0.25
+    small_share: float = 0.25
     useful_factor: float = 3
     max_wait_ms: int = 60_000
     first_turn_ms: int = 10_000
