--- a/src/radishlift/steps/delay_costs.py
+++ b/src/radishlift/steps/delay_costs.py
@@ -154,7 +154,7 @@
         for job, step in due:
             by_priority.setdefault(job.terms.priority, []).append(step)
         small: set[StepKey] = set()
-        needed_share = 0.0
+        needed_share = float(0)
         for _, steps in sorted(by_priority.items()):
             needed_share += sum(map(self.room_share, steps))
             if needed_share > self._free_share:
