Replace keys in the soak, and look for keys that are served too long

The soak used no keys. Its jobs now use one of two workspaces; faults replace the key of the other one, also while no daemon can read the store, and calls with all keys, past ones and one that never existed, go to any daemon. A key that is served later than revokeMs after its removal, an unknown key that is served, and a daemon that does not serve the latest key in the end are violations.

A job without a workspace that is submitted again with a key is the same job, and a key is not judged again once no key is required.

--- a/src/radishlift/cell/entry_rows.py
+++ b/src/radishlift/cell/entry_rows.py
@@ -10,6 +10,7 @@
 from collections.abc import Awaitable, Callable, Mapping
 from typing import Any, Final, Protocol
 
+from radishlift.access.gate import Caller
 from radishlift.cell.job_rows import read_workspace
 from radishlift.cell.messages import RowAsk, RowInsert, RowInserted, RowTold
 from radishlift.cell.ports import CellStore
@@ -243,7 +244,8 @@
     existing = {row.table: row for row in conflict.rows if row.version}
     if table in existing:
         found = existing[table].value or {}
-        if not found or read_workspace(found) == read_workspace(inserted):
+        caller = Caller(read_workspace(inserted))
+        if not found or caller.may_use(read_workspace(found)):
             return None
         return Failure(
             ErrorKind.conflict, f'{key} is a job of another workspace'
--- a/src/radishlift/cell/job_service.py
+++ b/src/radishlift/cell/job_service.py
@@ -193,7 +193,7 @@
         return int(self._heartbeat_fields().get('pending', {}).get(queue, 0))
 
     def _check_again(self, queue: Queue, caller: Caller) -> Failure | None:
-        if self.config is None:
+        if self.config is None or not self.config.workspaces:
             return None
         refusal = self._gate.check_again(caller, self.config.find_workspace)
         if refusal is not None:
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -74,6 +74,9 @@
 
     def __init__(self, folder):
         self.folder = folder
+        self.config = CONFIG
+        self.bounds = ''
+        self.key = ''
         self.store = StoreApi()
         self.target = TargetApi()
         self.daemons = {}
@@ -85,7 +88,7 @@
         self.store_address = await listen(stack, self.store.handle)
         self.advice_address = await listen(stack, advise)
         await self.start_targets(stack)
-        self.store.put('op', '', 'config', CONFIG)
+        self.store.put('op', '', 'config', self.config)
         for name in names:
             await self.start_daemon(name)
 
@@ -110,17 +113,16 @@
         port, last, front, ready = self.own_ports[name]
         self.ports[name] = front, ready, port + 1
         path = self.folder / f'{name}.toml'
-        path.write_text(
-            SETTINGS.format(
-                name=name,
-                port=port,
-                last=last,
-                front=front,
-                ready=ready,
-                advice=self.advice_address,
-                store=self.store_for(name),
-            ),
+        text = SETTINGS.format(
+            name=name,
+            port=port,
+            last=last,
+            front=front,
+            ready=ready,
+            advice=self.advice_address,
+            store=self.store_for(name),
         )
+        path.write_text(text.replace('[bounds]', f'[bounds]\n{self.bounds}'))
         self.daemons[name] = await asyncio.create_subprocess_exec(
             sys.executable,
             '-m',
@@ -134,9 +136,11 @@
         """Returns the address at which a daemon calls the store."""
         return self.store_address
 
-    async def send(self, name, method, path, body=None, at=0):
+    async def send(self, name, method, path, body=None, at=0, key=''):
         url = f'http://127.0.0.1:{self.ports[name][at]}{path}'
         headers = {'Host': 'h.example'}
+        if key or self.key:
+            headers['Authorization'] = f'Bearer {key or self.key}'
         try:
             async with self.session.request(
                 method, url, data=body, headers=headers
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -6,9 +6,10 @@
 size, and `--only` names the faults to use.
 Callers continue while faults are injected in overlapping series. From the
 records of callers and targets it checks that no accepted job is lost, no
-refused job runs, no task runs twice, no job runs whose cancel found no job, and
-no target is started on beyond the capacity in its entry. Even seeds use half of
-the faults each.
+refused job runs, no task runs twice, no job runs whose cancel found no job, no
+target is started on beyond the capacity in its entry, no key is served later
+than allowed after its removal, and the latest key is served in the end. Even
+seeds use half of the faults each.
 """
 
 import argparse
@@ -31,6 +32,7 @@
     listen,
     make_job_body,
 )
+from tests.platform.soak_keys import BOUNDS, STEADY_KEY, KeyWatch
 from tests.platform.soak_target_faults import FAULTS
 from tests.standins.leased_target import LONG_TASK_S, LeasedTarget
 from tests.standins.proxy import Proxy
@@ -108,6 +110,10 @@
             # Without takeovers, for example, the faults of targets last longer.
             half = len(self.fault_names) // 2
             self.fault_names = self.random.sample(self.fault_names, half)
+        self.key_watch = KeyWatch()
+        self.config = self.key_watch.config
+        self.bounds = BOUNDS
+        self.key = STEADY_KEY
         self.proxies = {}
         self.targets = {}
         self.target_proxies = {}
@@ -392,6 +398,8 @@
         lag_watch = asyncio.create_task(soak.watch_lag())
         stack.callback(lag_watch.cancel)
         stack.push_async_callback(soak.stop)
+        key_calls = asyncio.create_task(soak.key_watch.call(soak))
+        stack.callback(key_calls.cancel)
         callers = [
             asyncio.create_task(soak.submit_jobs())
             for _ in range(size.callers_count)
@@ -403,7 +411,11 @@
                 await caller
         lost_jobs = await soak.wait_completed()
         await soak.wait_late_calls()
-        return soak, soak.violations(lost_jobs)
+        unserved = await soak.key_watch.find_unserved(soak)
+        violations = soak.violations(lost_jobs)
+        violations.extend(soak.key_watch.violations())
+        violations.extend(f'{name} does not serve its key' for name in unserved)
+        return soak, violations
 
 
 def _report(soak: Soak, seed: int, violations: list[str]) -> None:
