--- a/benchmarks/bench_access.py
+++ b/benchmarks/bench_access.py
@@ -10,7 +10,6 @@
 from typing import Any, Final
 
 from benchmarks.harness import BENCHMARKS, Figure, at_most
-from radishlift.access.freshness import ConfigFreshness
 from radishlift.access.gate import Caller, KeyGate
 from radishlift.access.settings import AccessSettings
 from radishlift.cell.queues import QueueConfig
@@ -72,9 +71,8 @@
     if not isinstance(config, QueueConfig):
         raise TypeError(config.reason)
     clock = ManualClock()
-    freshness = ConfigFreshness(clock)
-    freshness.confirm(clock.monotonic_ms())
-    gate = KeyGate(freshness, AccessSettings(5000, 3000))
+    gate = KeyGate(AccessSettings(5000, 3000), clock)
+    gate.freshness.confirm(clock.monotonic_ms())
     authorizations = (f'Bearer key-{WORKSPACES_COUNT - 1:020}',)
     path = f'/queue-{QUEUES_COUNT - 1}/0123456789abcdef'
 
--- a/src/radishlift/access/gate.py
+++ b/src/radishlift/access/gate.py
@@ -6,6 +6,7 @@
 from radishlift.access.freshness import ConfigFreshness
 from radishlift.access.keys import KeyHash, read_key
 from radishlift.access.settings import AccessSettings
+from radishlift.core.clock import Clock
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import WorkspaceName
 from radishlift.steps.workspaces import NO_WORKSPACE
@@ -40,19 +41,18 @@
 
     A key may have been taken away or added since the configuration was known
     to be the newest. A configuration that is too old neither proves that a key
-    is valid nor that it is unknown.
+    is valid nor that it is unknown. `freshness` must be told when the
+    configuration was the newest.
     """
 
-    def __init__(
-        self, freshness: ConfigFreshness, settings: AccessSettings
-    ) -> None:
-        self._freshness = freshness
+    def __init__(self, settings: AccessSettings, clock: Clock) -> None:
         self._settings = settings
+        self.freshness = ConfigFreshness(clock)
 
     @property
     def can_admit(self) -> bool:
         """Returns whether the configuration is recent enough for any key."""
-        return self._freshness.is_within(self._settings.max_known_age_ms)
+        return self.freshness.is_within(self._settings.max_known_age_ms)
 
     def admit(
         self, authorizations: Sequence[str], find_workspace: FindWorkspace
@@ -80,13 +80,13 @@
     ) -> Caller | Failure:
         workspace = find_workspace(key_hash)
         if workspace is None:
-            if self._freshness.is_within(self._settings.max_unknown_age_ms):
+            if self.freshness.is_within(self._settings.max_unknown_age_ms):
                 return Failure(ErrorKind.unauthenticated, 'unknown key')
         elif self.can_admit:
             return Caller(workspace, key_hash)
         return Failure(
             ErrorKind.configuration_outdated,
-            f'age of the configuration is {self._freshness.age_ms} ms',
+            f'age of the configuration is {self.freshness.age_ms} ms',
         )
 
 
--- a/src/radishlift/cell/cancel_table.py
+++ b/src/radishlift/cell/cancel_table.py
@@ -11,7 +11,8 @@
 class CancelTable:
     """Keys of cancels, and when this leader first saw each of them.
 
-    Times are monotonic, in milliseconds.
+    Times are monotonic, in milliseconds. A cancel that must stay counts as
+    seen again.
     """
 
     def __init__(self, clock: Clock) -> None:
@@ -30,11 +31,11 @@
         """Removes a cancel, if it is known."""
         self._seen_at_ms.pop(key, None)
 
-    def discard_job(self, job_id: JobId) -> None:
-        """Removes all cancels of a job."""
-        for key in tuple(self._seen_at_ms):
+    def renew_job(self, job_id: JobId) -> None:
+        """Keeps all cancels of a job as if they were seen now."""
+        for key in self._seen_at_ms:
             if cancelled_job(key) == job_id:
-                self.discard(key)
+                self._seen_at_ms[key] = self._clock.monotonic_ms()
 
     def list_seen_before(self, limit_ms: int) -> Iterable[str]:
         """Lists the keys of cancels that were first seen before a time."""
--- a/src/radishlift/cell/daemon.py
+++ b/src/radishlift/cell/daemon.py
@@ -5,7 +5,6 @@
 from dataclasses import dataclass
 from typing import Any
 
-from radishlift.access.freshness import ConfigFreshness
 from radishlift.access.gate import KeyGate
 from radishlift.access.settings import AccessSettings
 from radishlift.cell.advice_dispatch import AdviceProxy
@@ -20,6 +19,7 @@
 from radishlift.cell.ports import AdviceCalls, CellStore, TargetCalls
 from radishlift.cell.queues import QueueConfig
 from radishlift.cell.settings import CellSettings
+from radishlift.cell.suspension import RecentRows, SuspensionMonitor
 from radishlift.cell.table_follower import FollowedTable, TableFollower
 from radishlift.cell.tables import CELL, CONFIG
 from radishlift.cell.target_entries import EntryDecoder
@@ -42,7 +42,8 @@
 
     `leader_rank` orders the daemons of a cell by the capacity of their hosts;
     the highest leads first. `target_heartbeat_ms` is the interval at which
-    targets write their entries; 0 if it is unknown.
+    targets write their entries, and `max_row_bytes` the limit of a row of the
+    store; 0 if they are unknown.
     """
 
     daemon_id: DaemonId
@@ -58,6 +59,7 @@
     clock: Clock
     max_lease_ms: int
     target_heartbeat_ms: int = 0
+    max_row_bytes: int = 0
     access: AccessSettings = AccessSettings()
 
 
@@ -75,27 +77,33 @@
         self._cell_follower = self._create_follower(CELL)
         self._cell_follower.on_regained = self._view.exclude_outage
         self._config_follower = self._create_follower(CONFIG)
-        self.freshness = ConfigFreshness(dependencies.clock)
-        self._config_follower.on_read = self.freshness.confirm
+        gate = KeyGate(dependencies.access, dependencies.clock)
+        self.freshness = gate.freshness
+        self._config_follower.on_read = gate.freshness.confirm
         self._config_sharer = ConfigSharer(
             self._network,
             self._config_follower,
             dependencies.settings,
             dependencies.clock,
-            self.freshness,
+            gate.freshness,
+        )
+        self._suspension = SuspensionMonitor(
+            dependencies.settings, dependencies.clock
         )
         rows = RelayedRows(
-            StoreRows(dependencies.store),
+            # Peers insert through these rows.
+            RecentRows(StoreRows(dependencies.store), self._suspension),
             self._network,
             lambda: self._cell_follower.is_store_lost,
             dependencies.clock,
         )
         self._config_sharer.on_answer = rows.readmit
         self.job_service = JobService(
-            rows,
+            RecentRows(rows, self._suspension),
             dependencies.clock,
             self._heartbeat_fields,
-            KeyGate(self.freshness, dependencies.access),
+            dependencies.max_row_bytes,
+            gate,
         )
         self._leadership = Leadership(
             dependencies.daemon_id,
@@ -116,6 +124,7 @@
             dependencies.clock,
             dependencies.max_lease_ms,
             dependencies.target_heartbeat_ms,
+            dependencies.max_row_bytes,
         )
         self._term: LeaderTerm | None = None
         self._tasks: list[asyncio.Task[None]] = []
@@ -140,6 +149,7 @@
             ),
             self._config_follower.run(self._on_config, self._on_config),
             self._config_sharer.run(self._on_config),
+            self._suspension.run(),
         ):
             self._start_loop(work)
         self._leader_loop = self._start_loop(self._lead())
--- a/src/radishlift/cell/job_service.py
+++ b/src/radishlift/cell/job_service.py
@@ -9,10 +9,10 @@
 from dataclasses import dataclass
 from typing import Any, Final
 
-from radishlift.access.freshness import ConfigFreshness
 from radishlift.access.gate import ANYONE, Caller, KeyGate
 from radishlift.access.settings import AccessSettings
 from radishlift.cell.entry_rows import SETTLED_KINDS, EntryRows
+from radishlift.cell.job_limits import check_job_size
 from radishlift.cell.job_rows import dump_job, read_workspace
 from radishlift.cell.queues import Queue, QueueConfig
 from radishlift.cell.tables import CANCELS, JOBS, PROGRESS, cancel_key
@@ -49,12 +49,14 @@
         rows: EntryRows,
         clock: Clock,
         heartbeat_fields: Callable[[], Any],
+        max_row_bytes: int = 0,
         gate: KeyGate | None = None,
     ) -> None:
         self._rows = rows
         self._clock = clock
         self._heartbeat_fields = heartbeat_fields
-        self._gate = gate or KeyGate(ConfigFreshness(clock), AccessSettings())
+        self._max_row_bytes = max_row_bytes
+        self._gate = gate or KeyGate(AccessSettings(), clock)
         self.config: QueueConfig | None = None
 
     def find_queue(self, host: str, path: str) -> Queue | Failure:
@@ -106,19 +108,22 @@
         `deadline_ms` is monotonic. The key is judged again right before the
         job is stored. Fails with `store_unavailable` only if the job is
         confirmed not to be stored, with `cancelled` if it was cancelled
-        before, so that it will never be stored, and with `conflict` if a job
-        of another workspace has its id.
+        before, so that it will never be stored, with `conflict` if a job of
+        another workspace has its id, and with `too_large` if its progress
+        would not fit in a row of the store.
         """
         row = dump_job(
             spec, queue.terms, self._clock.wall_ms(), caller.workspace
         )
-        outcome = await self._insert(
-            JOBS,
-            spec.job_id,
-            row,
-            deadline_ms,
-            lambda: self._check_again(queue, caller),
-        )
+        outcome = check_job_size(spec, row, self._max_row_bytes)
+        if outcome is None:
+            outcome = await self._insert(
+                JOBS,
+                spec.job_id,
+                row,
+                deadline_ms,
+                lambda: self._check_again(queue, caller),
+            )
         log_event(
             'job_submitted',
             job=spec.job_id,
--- a/src/radishlift/cell/retention.py
+++ b/src/radishlift/cell/retention.py
@@ -103,10 +103,10 @@
             log_event('cancels_not_removed', reason=outcome.reason)
             return
         if isinstance(outcome, Conflict):
-            # Some have a job that this leader can't read.
+            # Some have a job that this leader has not read or can't read.
             for row in outcome.rows:
                 if row.version:
-                    self._cancels.discard_job(JobId(row.key))
+                    self._cancels.renew_job(JobId(row.key))
             return
         for key in keys:
             self._cancels.discard(key)
--- a/tests/access/test_gate.py
+++ b/tests/access/test_gate.py
@@ -2,7 +2,6 @@
 
 import pytest
 
-from radishlift.access.freshness import ConfigFreshness
 from radishlift.access.gate import ANYONE, Caller, KeyGate
 from radishlift.access.keys import hash_key
 from radishlift.access.settings import AccessSettings
@@ -18,8 +17,8 @@
 
     def __init__(self, settings=SETTINGS) -> None:
         self.clock = ManualClock(70_000)
-        self.freshness = ConfigFreshness(self.clock)
-        self.gate = KeyGate(self.freshness, settings)
+        self.gate = KeyGate(settings, self.clock)
+        self.freshness = self.gate.freshness
         self.keys = {hash_key('k1'): 'w1'}
 
     def admit(self, headers=HEADERS):
--- a/tests/cell/test_job_service.py
+++ b/tests/cell/test_job_service.py
@@ -2,7 +2,6 @@
 
 import pytest
 
-from radishlift.access.freshness import ConfigFreshness
 from radishlift.access.gate import ANYONE, Caller, KeyGate
 from radishlift.access.keys import Workspace, hash_key
 from radishlift.access.settings import AccessSettings
@@ -211,9 +210,9 @@
     def __init__(self) -> None:
         super().__init__()
         self.access_clock = ManualClock()
-        freshness = ConfigFreshness(self.access_clock)
-        freshness.confirm(0)
-        self.job_service._gate = KeyGate(freshness, AccessSettings(5000))
+        gate = KeyGate(AccessSettings(5000), self.access_clock)
+        gate.freshness.confirm(0)
+        self.job_service._gate = gate
         self.configure('k1')
         self.caller = self.job_service.identify(QUEUE, ('Bearer k1',))
 
