--- a/src/radishlift/cell/cancel_table.py
+++ b/src/radishlift/cell/cancel_table.py
@@ -31,11 +31,15 @@
         """Removes a cancel, if it is known."""
         self._seen_at_ms.pop(key, None)
 
-    def renew_job(self, job_id: JobId) -> None:
-        """Keeps all cancels of a job as if they were seen now."""
-        for key in self._seen_at_ms:
+    def discard_job(self, job_id: JobId) -> None:
+        """Removes all cancels of a job."""
+        for key in tuple(self._seen_at_ms):
             if cancelled_job(key) == job_id:
-                self._seen_at_ms[key] = self._clock.monotonic_ms()
+                self.discard(key)
+
+    def renew(self, key: str) -> None:
+        """Keeps a cancel as if it were seen now."""
+        self._seen_at_ms[key] = self._clock.monotonic_ms()
 
     def list_seen_before(self, limit_ms: int) -> Iterable[str]:
         """Lists the keys of cancels that were first seen before a time."""
--- a/src/radishlift/cell/config_sharing.py
+++ b/src/radishlift/cell/config_sharing.py
@@ -29,6 +29,7 @@
     `last_contact_ms` is the time of the latest answer of a peer, and
     `on_answer` gets the id of each peer that answers. A peer may itself be
     behind, so its answer counts only for the time for which it vouches.
+    `freshness` tells how recent the configuration is.
     """
 
     def __init__(
@@ -40,7 +41,7 @@
         freshness: ConfigFreshness | None = None,
     ) -> None:
         self._network = network
-        self._freshness = freshness or ConfigFreshness(clock)
+        self.freshness = freshness or ConfigFreshness(clock)
         self._follower = follower
         self._settings = settings
         self._clock = clock
@@ -94,7 +95,7 @@
             return
         # Both times are rounded down to milliseconds.
         age_ms = max(0, reply.age_ms) + 1
-        self._freshness.confirm(requested_at_ms - age_ms)
+        self.freshness.confirm(requested_at_ms - age_ms)
 
     async def _request(self, peer: DaemonId) -> ConfigTold | Failure | None:
         try:
@@ -111,10 +112,10 @@
     async def _serve(self, _: DaemonId, request: ConfigAsk) -> ConfigTold:
         row = self._current_row
         if row is None or row.version <= request.row_version:
-            age_ms = None if row is None else self._freshness.age_ms
+            age_ms = None if row is None else self.freshness.age_ms
             return ConfigTold(request.row_version, '', age_ms)
         text = json.dumps(row.value)
-        return ConfigTold(row.version, text, self._freshness.age_ms)
+        return ConfigTold(row.version, text, self.freshness.age_ms)
 
 
 def _ignore_peer(_: DaemonId) -> None:
--- a/src/radishlift/cell/daemon.py
+++ b/src/radishlift/cell/daemon.py
@@ -77,16 +77,14 @@
         self._cell_follower = self._create_follower(CELL)
         self._cell_follower.on_regained = self._view.exclude_outage
         self._config_follower = self._create_follower(CONFIG)
-        gate = KeyGate(dependencies.access, dependencies.clock)
-        self.freshness = gate.freshness
-        self._config_follower.on_read = gate.freshness.confirm
         self._config_sharer = ConfigSharer(
             self._network,
             self._config_follower,
             dependencies.settings,
             dependencies.clock,
-            gate.freshness,
         )
+        self.freshness = self._config_sharer.freshness
+        self._config_follower.on_read = self.freshness.confirm
         self._suspension = SuspensionMonitor(
             dependencies.settings, dependencies.clock
         )
@@ -103,7 +101,7 @@
             dependencies.clock,
             self._heartbeat_fields,
             dependencies.max_row_bytes,
-            gate,
+            KeyGate(self.freshness, dependencies.access),
         )
         self._leadership = Leadership(
             dependencies.daemon_id,
--- a/src/radishlift/cell/job_service.py
+++ b/src/radishlift/cell/job_service.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 from typing import Any, Final
 
+from radishlift.access.freshness import ConfigFreshness
 from radishlift.access.gate import ANYONE, Caller, KeyGate
 from radishlift.access.settings import AccessSettings
 from radishlift.cell.entry_rows import SETTLED_KINDS, EntryRows
@@ -56,7 +57,7 @@
         self._clock = clock
         self._heartbeat_fields = heartbeat_fields
         self._max_row_bytes = max_row_bytes
-        self._gate = gate or KeyGate(AccessSettings(), clock)
+        self._gate = gate or KeyGate(ConfigFreshness(clock), AccessSettings())
         self.config: QueueConfig | None = None
 
     def find_queue(self, host: str, path: str) -> Queue | Failure:
--- a/src/radishlift/cell/retention.py
+++ b/src/radishlift/cell/retention.py
@@ -104,9 +104,10 @@
             return
         if isinstance(outcome, Conflict):
             # Some have a job that this leader has not read or can't read.
-            for row in outcome.rows:
-                if row.version:
-                    self._cancels.renew_job(JobId(row.key))
+            stored = {row.key for row in outcome.rows if row.version}
+            for key in keys:
+                if cancelled_job(key) in stored:
+                    self._cancels.renew(key)
             return
         for key in keys:
             self._cancels.discard(key)
--- a/tests/access/test_gate.py
+++ b/tests/access/test_gate.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from radishlift.access.freshness import ConfigFreshness
 from radishlift.access.gate import ANYONE, Caller, KeyGate
 from radishlift.access.keys import hash_key
 from radishlift.access.settings import AccessSettings
@@ -17,8 +18,8 @@
 
     def __init__(self, settings=SETTINGS) -> None:
         self.clock = ManualClock(70_000)
-        self.gate = KeyGate(settings, self.clock)
-        self.freshness = self.gate.freshness
+        self.freshness = ConfigFreshness(self.clock)
+        self.gate = KeyGate(self.freshness, settings)
         self.keys = {hash_key('k1'): 'w1'}
 
     def admit(self, headers=HEADERS):
--- a/tests/cell/test_job_service.py
+++ b/tests/cell/test_job_service.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from radishlift.access.freshness import ConfigFreshness
 from radishlift.access.gate import ANYONE, Caller, KeyGate
 from radishlift.access.keys import Workspace, hash_key
 from radishlift.access.settings import AccessSettings
@@ -50,11 +51,9 @@
             lambda: self.heartbeat,
         )
 
-    async def submit(self, wait_ms=400, caller=ANYONE):
+    async def submit(self, wait_ms=400, caller=ANYONE, spec=RUN.spec):
         deadline_ms = self.clock.monotonic_ms() + wait_ms
-        return await self.job_service.submit(
-            QUEUE, RUN.spec, deadline_ms, caller
-        )
+        return await self.job_service.submit(QUEUE, spec, deadline_ms, caller)
 
     async def cancel(self, caller=ANYONE):
         deadline_ms = self.clock.monotonic_ms() + 400
@@ -210,9 +209,9 @@
     def __init__(self) -> None:
         super().__init__()
         self.access_clock = ManualClock()
-        gate = KeyGate(AccessSettings(5000), self.access_clock)
-        gate.freshness.confirm(0)
-        self.job_service._gate = gate
+        freshness = ConfigFreshness(self.access_clock)
+        freshness.confirm(0)
+        self.job_service._gate = KeyGate(freshness, AccessSettings(5000))
         self.configure('k1')
         self.caller = self.job_service.identify(QUEUE, ('Bearer k1',))
 
--- a/tests/platform/test_front.py
+++ b/tests/platform/test_front.py
@@ -9,6 +9,7 @@
 import pytest
 from aiohttp import ClientSession, web
 
+from radishlift.access.freshness import ConfigFreshness
 from radishlift.access.gate import KeyGate
 from radishlift.access.settings import AccessSettings
 from radishlift.cell.entry_rows import StoreRows
@@ -179,6 +180,30 @@
     assert status == 504
 
 
+async def test_job_that_no_row_can_hold_is_refused(service):
+    """Guards against a job that no leader can ever commit."""
+    service.job_service = JobService(
+        StoreRows(service.store), BootClock(), dict, max_row_bytes=65_536
+    )
+    service.job_service.config = decode_config(CONFIG)
+    service.front._intake = service.job_service
+    usual = {'spec': 's', 'steps': [{'count': 1000, 'cpu': 10}]}
+    large = {'spec': 's', 'steps': [{'count': 2400, 'cpu': 10}]}
+    long = {'spec': 's', 'steps': [{'count': 1, 'image': 'i' * 66_000}]}
+    for number, job, expected in (
+        (1, usual, 200),
+        (2, large, 413),
+        (3, {**usual, 'repeats': 2}, 413),
+        (4, long, 413),
+    ):
+        status, text, _ = await service.send(
+            'POST', f'/q/{number:016x}', json.dumps(job)
+        )
+        assert status == expected
+        assert ('65536 (rowBytes)' in text) is (status == 413)
+    assert len(service.store.tables.history) == 1
+
+
 WORKSPACES = [
     {'name': 'w1', 'apiKeys': ['k1', 'k1-second']},
     {'name': 'w2', 'apiKeys': ['k2']},
@@ -282,7 +307,9 @@
 ):
     """Guards against keys that were taken away, and against new ones."""
     require_keys(service)
-    service.job_service._gate = KeyGate(AccessSettings(5000, 3000), BootClock())
+    service.job_service._gate = KeyGate(
+        ConfigFreshness(BootClock()), AccessSettings(5000, 3000)
+    )
     for key in ('k1', 'new'):
         headers = {'Authorization': f'Bearer {key}'}
         status, _, answered = await service.send(
@@ -303,30 +330,6 @@
     assert 'workspace' not in service.store.tables.read(JOBS, ID).value
 
 
-async def test_job_that_no_row_can_hold_is_refused(service):
-    """Guards against a job that no leader can ever commit."""
-    service.job_service = JobService(
-        StoreRows(service.store), BootClock(), dict, max_row_bytes=65_536
-    )
-    service.job_service.config = decode_config(CONFIG)
-    service.front._intake = service.job_service
-    usual = {'spec': 's', 'steps': [{'count': 1000, 'cpu': 10}]}
-    large = {'spec': 's', 'steps': [{'count': 2400, 'cpu': 10}]}
-    long = {'spec': 's', 'steps': [{'count': 1, 'image': 'i' * 66_000}]}
-    for number, job, expected in (
-        (1, usual, 200),
-        (2, large, 413),
-        (3, {**usual, 'repeats': 2}, 413),
-        (4, long, 413),
-    ):
-        status, text, _ = await service.send(
-            'POST', f'/q/{number:016x}', json.dumps(job)
-        )
-        assert status == expected
-        assert ('65536 (rowBytes)' in text) is (status == 413)
-    assert len(service.store.tables.history) == 1
-
-
 @pytest.mark.parametrize('body', [b'{', *UNREADABLE])
 async def test_malformed_job_is_refused(service, body):
     status, _, _ = await service.send('POST', f'/q/{ID}', body)
