--- a/src/radishlift/cell/job_service.py
+++ b/src/radishlift/cell/job_service.py
@@ -23,6 +23,7 @@
 from radishlift.core.logs import log_event
 from radishlift.services.api import Row
 from radishlift.steps.ids import QueueName
+from radishlift.steps.limits import find_oversized_step
 from radishlift.steps.runs import JobState
 from radishlift.steps.spec import JobSpec
 
@@ -110,13 +111,16 @@
         job is stored. Fails with `store_unavailable` only if the job is
         confirmed not to be stored, with `cancelled` if it was cancelled
         before, so that it will never be stored, with `conflict` if a job of
-        another workspace has its id, and with `too_large` if its progress
-        would not fit in a row of the store.
+        another workspace has its id, with `too_large` if its progress would
+        not fit in a row of the store, and with `never_fits` if the limit of
+        its workspace does not allow one of its steps.
         """
         row = dump_job(
             spec, queue.terms, self._clock.wall_ms(), caller.workspace
         )
         outcome = check_job_size(spec, row, self._max_row_bytes)
+        if outcome is None:
+            outcome = await self._find_oversized(spec, caller.workspace)
         if outcome is None:
             outcome = await self._insert(
                 JOBS,
@@ -213,6 +217,30 @@
         key = cancel_key(job_id, workspace)
         return await self._insert(CANCELS, key, row, deadline_ms)
 
+    async def _find_oversized(
+        self, spec: JobSpec, workspace: WorkspaceName
+    ) -> Failure | None:
+        """Returns why a job can never run within the limit, if so.
+
+        A job that is stored already is accepted again, as its limit may have
+        been lowered since.
+        """
+        if self.config is None or not workspace:
+            return None
+        terms = self.config.workspace_terms().get(workspace)
+        number = find_oversized_step(spec, terms)
+        if number is None:
+            return None
+        stored = await self._rows.read(JOBS, spec.job_id)
+        if isinstance(stored, Failure):
+            return stored
+        if stored.version:
+            return None
+        return Failure(
+            ErrorKind.never_fits,
+            f'step {number} exceeds the limit of its workspace',
+        )
+
     async def _insert(
         self,
         table: str,
--- a/tests/cell/leader.py
+++ b/tests/cell/leader.py
@@ -84,6 +84,8 @@
         self.advice = FakeAdvice()
         self.epoch = 0
         self.terms = []
+        self.config = None
+        self.leader_terms = []
         self.cores = cores
         for name in targets:
             self.write_target(name)
@@ -147,7 +149,7 @@
                 self.targets,
                 network,
                 lambda: [DaemonId('d')],
-                lambda: None,
+                lambda: self.config,
                 decode_target,
                 self.settings,
                 self.step_settings,
@@ -157,6 +159,7 @@
                 self.max_row_bytes,
             ),
         )
+        self.leader_terms.append(term)
         task = asyncio.create_task(term.run())
         self.terms.append(task)
         return task
--- a/tests/cell/test_workspaces.py
+++ b/tests/cell/test_workspaces.py
@@ -4,7 +4,11 @@
 
 import pytest
 
+from radishlift.access.keys import Workspace
+from radishlift.cell.queues import QueueConfig
 from radishlift.cell.tables import CANCELS, PROGRESS, cancel_key
+from radishlift.core.ids import ConfigVersion, WorkspaceName
+from radishlift.steps.workspaces import WorkspaceTerms
 from tests.cell.leader import SETTINGS, Cell
 from tests.steps.builders import job
 
@@ -14,6 +18,11 @@
 @pytest.fixture
 async def cell():
     cell = Cell('t1')
+    # Limits must be known before tasks of a workspace start.
+    workspaces = tuple(
+        Workspace(WorkspaceTerms(WorkspaceName(name))) for name in ('w1', 'w2')
+    )
+    cell.config = QueueConfig(ConfigVersion(1), (), 1000, workspaces)
     yield cell
     await cell.close()
 
