Test that a job stays the same when its queue begins to require a key

Guards against a repeated submission, or one on its way, that is refused because the configuration changed in between.

--- a/tests/cell/test_job_service.py
+++ b/tests/cell/test_job_service.py
@@ -292,6 +292,18 @@
             assert failure.kind is ErrorKind.not_found
 
 
+async def test_job_is_the_same_after_its_queue_requires_a_key(service):
+    """Guards against a repeated submission that gets another answer."""
+    assert await service.submit() is None
+    assert await service.submit(caller=W1) is None
+
+
+async def test_no_key_is_judged_again_once_none_is_required():
+    service = KeyedSetup()
+    service.job_service.config = QueueConfig(ConfigVersion(2), (QUEUE,), 100)
+    assert await service.submit(caller=service.caller) is None
+
+
 async def test_job_without_a_workspace_can_be_cancelled_with_a_key(service):
     await service.submit()
     assert await service.cancel(W1) is None
