--- a/src/radishlift/config/reference.py
+++ b/src/radishlift/config/reference.py
@@ -97,6 +97,16 @@
   {CHECKPOINT_BYTES} more for a task that saves checkpoints.
 """
 
+_WORKSPACES: Final = """\
+## Workspaces on the platform
+
+There the operator's configuration has the workspaces with their keys, weights
+and limits, for example `{"name": "maps", "apiKeys": ["KEY"], "weight": 3,
+"maxCount": {"cpu": 64000, "memMb": 131072, "gpu": 0}}` in `tenants`. See
+"Configuration" in [platform.md](platform.md), and
+[design/keys.md](design/keys.md).
+"""
+
 _EXAMPLE: Final = """\
 ## Example
 
@@ -127,7 +137,7 @@
     """Writes the reference of all sections and keys."""
     parts = [_INTRODUCTION]
     parts.extend(_describe_kind(kind) for kind in SECTION_KINDS)
-    parts.extend((_JOB_LIMITS, _EXAMPLE))
+    parts.extend((_JOB_LIMITS, _WORKSPACES, _EXAMPLE))
     return '\n'.join(parts)
 
 
