Give workspaces room by weight, and place jobs beyond their rate last

A workspace that submits many times its usual delayed the first starts of all others. While the due steps need more than there is, steps of a workspace above its weighted dominant share come after those of workspaces within theirs, and jobs beyond weight a second come last; the rank decides within each class, and while there is room for all.

--- a/benchmarks/decision_model.py
+++ b/benchmarks/decision_model.py
@@ -17,6 +17,7 @@
     JobId,
     RackId,
     ServiceName,
+    WorkspaceName,
 )
 from radishlift.steps.advice_queue import AdviceQueue
 from radishlift.steps.advice_requests import AdviceRequest
@@ -42,6 +43,7 @@
 )
 from radishlift.steps.targets import TargetEntry, TargetState, TargetTable
 from radishlift.steps.tickets import Ticket, TicketTable
+from radishlift.steps.workspaces import NO_WORKSPACE
 
 TICK_MS: Final = 20
 SERVICE: Final = ServiceName('desk')
@@ -204,12 +206,16 @@
             for number in range(self._draw_steps_count(kind))
         )
         job = build_job(JobSpec(job_id, '', steps), _terms(kind), now_ms)
+        job.workspace = self._draw_workspace()
         self._kinds[job_id] = kind
         self._jobs.append(job)
         self._jobs_by_id[job_id] = job
         self._run_ms[job_id] = tuple(self._step_run_ms)
         self._planner.update_job(job)
 
+    def _draw_workspace(self) -> WorkspaceName:
+        return NO_WORKSPACE
+
     def _draw_steps_count(self, kind: JobKind) -> int:
         whole = int(kind.steps_count)
         return whole + (self._random.random() < kind.steps_count - whole)
--- a/src/radishlift/cell/scheduler.py
+++ b/src/radishlift/cell/scheduler.py
@@ -249,6 +249,9 @@
             queued_requests=self.pending_advice.queued_count,
             granted_tickets=state.granted_count,
             used_tickets=state.used_count,
+            limited=state.limited_count,
+            demoted=state.demoted_count,
+            workspaces=self._planner.limits.describe_largest(),
         )
 
     def _commit_start(self, job: JobRun, placement: Placement) -> None:
--- a/src/radishlift/steps/limits.py
+++ b/src/radishlift/steps/limits.py
@@ -15,6 +15,7 @@
 from radishlift.steps.workspaces import WorkspaceTerms
 
 _NO_LIMIT: Final = 1 << 60
+_DESCRIBED_COUNT: Final = 3
 _UNLIMITED: Final = Amounts(_NO_LIMIT, _NO_LIMIT, _NO_LIMIT)
 
 
@@ -23,13 +24,15 @@
 
     `terms` are those of the latest configuration and those last known of
     workspaces that were removed from it. A workspace whose terms this leader
-    never knew was removed before its term, and has no limit.
+    never knew was removed before its term, and has no limit. `is_known` is
+    whether a configuration was applied.
     """
 
     def __init__(self, use: WorkspaceUse) -> None:
         self.use = use
         self.terms: Mapping[WorkspaceName, WorkspaceTerms] = {}
-        self._is_known = False
+        self.is_known = False
+        self._limits: dict[WorkspaceName, Amounts] = {}
         self._held: dict[WorkspaceName, Amounts] = {}
         self._requested: dict[WorkspaceName, Amounts] = {}
 
@@ -44,7 +47,11 @@
             name: former for name, former in self.terms.items() if name in kept
         }
         self.terms = {**removed, **terms}
-        self._is_known = True
+        self._limits = {
+            name: _effective_limit(latest)
+            for name, latest in self.terms.items()
+        }
+        self.is_known = True
 
     def begin_tick(self) -> None:
         """Forgets what steps have held back or requested in the last tick."""
@@ -58,14 +65,14 @@
         """
         if not job.workspace or not count:
             return count
-        if not self._is_known:
+        if not self.is_known:
             return 0
         fitting = step.spec.amounts.count_fitting(self._room(job, step))
+        if fitting >= count:
+            return count
         if self._is_oversized(job, step) and self._may_run_alone(job, step):
-            fitting = count if step.spec.is_gang else 1
-        if step.spec.is_gang and fitting < count:
-            return 0
-        return max(0, min(count, fitting))
+            return count if step.spec.is_gang else 1
+        return 0 if step.spec.is_gang else max(0, fitting)
 
     def may_request(self, job: JobRun, step: StepRun, count: int) -> bool:
         """Returns whether a step may start soon after it gets advice.
@@ -118,10 +125,20 @@
         is_alone = used == step.spec.amounts
         return is_alone or used.fits_in(self.limit_of(job.workspace))
 
+    def describe_largest(self) -> str:
+        """Describes the use of the workspaces that are nearest to a limit."""
+        percents = [
+            (self._used_percent(workspace), workspace) for workspace in self.use
+        ]
+        percents.sort(reverse=True)
+        return ','.join(
+            f'{workspace}:{percent}%'
+            for percent, workspace in percents[:_DESCRIBED_COUNT]
+        )
+
     def limit_of(self, workspace: WorkspaceName) -> Amounts:
         """Returns the limit; amounts without one are very large."""
-        terms = self.terms.get(workspace)
-        return _UNLIMITED if terms is None else _effective_limit(terms)
+        return self._limits.get(workspace, _UNLIMITED)
 
     def _room(self, job: JobRun, step: StepRun) -> Amounts:
         room = self.limit_of(job.workspace).plus(
@@ -132,6 +149,15 @@
             return room
         return room.plus(held, -1)
 
+    def _used_percent(self, workspace: WorkspaceName) -> int:
+        used = self.use.used(workspace)
+        limit = self.limit_of(workspace)
+        return max(
+            100 * used.cpu_millicores // limit.cpu_millicores,
+            100 * used.memory_mb // limit.memory_mb,
+            100 * used.gpus_count // limit.gpus_count,
+        )
+
     def _is_oversized(self, job: JobRun, step: StepRun) -> bool:
         return not _unit_amounts(step.spec).fits_in(
             self.limit_of(job.workspace)
--- a/src/radishlift/steps/planner.py
+++ b/src/radishlift/steps/planner.py
@@ -20,6 +20,7 @@
 from radishlift.steps.ranking import StepRanking, rank_step
 from radishlift.steps.runs import JobRun, StepRun, TaskRun
 from radishlift.steps.settings import StepSettings
+from radishlift.steps.shares import WorkspaceShares
 from radishlift.steps.spec import Amounts
 from radishlift.steps.step_advice import StepAdviceRequests
 from radishlift.steps.targets import Target, TargetTable
@@ -44,6 +45,7 @@
     ) -> None:
         self._targets = targets
         self.limits = WorkspaceLimits(targets.workspace_use)
+        self.shares = WorkspaceShares(self.limits)
         self._tickets = tickets
         self._settings = settings
         self._waiting: dict[StepKey, tuple[JobRun, StepRun]] = {}
@@ -61,6 +63,7 @@
 
     def update_job(self, job: JobRun) -> None:
         """Updates which steps of a job wait for targets."""
+        self.shares.rates.add(job)
         for step in job.steps.values():
             is_waiting = (
                 not job.is_ended
@@ -113,7 +116,10 @@
             if pair[1].due_at_ms <= wall_ms
         ]
         due.sort(key=lambda pair: self.ranking(pair[0], pair[1], wall_ms))
+        ordered = self.shares.order(due, accepting)
+        due = ordered.due
         tick = Tick(Plan(), now_ms, wall_ms, accepting, due)
+        tick.demoted = ordered.demoted
         self.limits.begin_tick()
         self._trials.plan(
             tick, [pair for pair in due if pair[1].key in self._suspects]
@@ -166,11 +172,12 @@
             self.limits.hold(job, step)
             return
         allowed = self._advice.list_allowed(tick, job, step)
+        amounts = step.spec.allocated_amounts
         # During a backlog this list is empty for most steps.
         fitting = [
             target
             for target in allowed
-            if step.spec.allocated_amounts.fits_in(target.free_capacity)
+            if amounts.fits_in(target.free_capacity)
             and tick.may_use(target, step)
         ]
         placements = self._place(tick, job, step, fitting, waiting[:count])
--- a/src/radishlift/steps/planning_state.py
+++ b/src/radishlift/steps/planning_state.py
@@ -20,6 +20,9 @@
       all processors.
     - `granted_count`, `used_count`: tickets that the service has granted in
       this term, and those with which tasks were started.
+    - `limited_count`: steps that wait for the limit of their workspace;
+      `demoted_count`: those that come after their rank because it has more
+      than its share.
     """
 
     waiting_count: int
@@ -30,6 +33,8 @@
     reserved_idle_percent: int
     granted_count: int
     used_count: int
+    limited_count: int
+    demoted_count: int
 
 
 def summarize_tick(
@@ -55,6 +60,8 @@
         _percent(reserved_idle.cpu_millicores, capacity.cpu_millicores),
         tickets.granted_count,
         tickets.used_count,
+        len(tick.limited),
+        len(tick.demoted),
     )
 
 
--- a/src/radishlift/steps/runs.py
+++ b/src/radishlift/steps/runs.py
@@ -126,7 +126,8 @@
     Times are Unix milliseconds. `committed_state` is the state in the store;
     callers must not see a state that is not committed. `reason` explains a
     failure that is not a failure of its tasks. `workspace` is empty if its
-    queue required no key.
+    queue required no key. `is_beyond_rate` is whether its workspace submitted
+    more than its rate allows; None while that is unknown.
     """
 
     spec: JobSpec
@@ -138,6 +139,7 @@
     has_started: bool = False
     reason: str = ''
     workspace: WorkspaceName = NO_WORKSPACE
+    is_beyond_rate: bool | None = None
 
     @property
     def is_ended(self) -> bool:
--- a/src/radishlift/steps/ticks.py
+++ b/src/radishlift/steps/ticks.py
@@ -35,7 +35,8 @@
     start, in the order of their rank. `reserved_amounts` is the room that
     gangs hold until `reserved_until_ms`, and `claimed_amounts` the free room
     for which gangs without a reservation request tickets. `limited` are the
-    steps that wait for the limit of their workspace.
+    steps that wait for the limit of their workspace, and `demoted` those that
+    come after their rank because it has more than its share.
     """
 
     plan: Plan
@@ -47,6 +48,7 @@
     reserved_amounts: dict[TargetId, Amounts] = field(default_factory=dict)
     claimed_amounts: dict[TargetId, Amounts] = field(default_factory=dict)
     limited: set[StepKey] = field(default_factory=set)
+    demoted: set[StepKey] = field(default_factory=set)
     by_requirement: dict[tuple[ServiceName, str], list[Target]] = field(
         default_factory=dict,
     )
--- a/src/radishlift/steps/wait_reasons.py
+++ b/src/radishlift/steps/wait_reasons.py
@@ -23,6 +23,7 @@
 
     gang_incomplete = 'gang_incomplete'
     workspace_limit = 'workspace_limit'
+    workspace_share = 'workspace_share'
     no_target = 'no_target'
     no_advice = 'no_advice'
     no_room = 'no_room'
@@ -128,6 +129,10 @@
             (WaitReason.workspace_limit, step.key in tick.limited),
             (WaitReason.no_target, not suitable),
             (WaitReason.no_advice, not allowed),
+            (
+                WaitReason.workspace_share,
+                not fitting and step.key in tick.demoted,
+            ),
             (WaitReason.no_room, not fitting),
             (WaitReason.reserved, not usable),
             (WaitReason.no_ticket, not any(map(has_ticket, usable))),
--- a/tests/steps/test_limits.py
+++ b/tests/steps/test_limits.py
@@ -121,6 +121,7 @@
     )
     reasons = {waiting.reason for waiting in explainer.explain()}
     assert reasons == {WaitReason.workspace_limit}
+    assert setup.planner.limits.describe_largest() == 'w:100%'
 
 
 def test_no_more_steps_request_advice_than_the_limit_allows():
