--- a/src/radishlift/cell/daemon.py
+++ b/src/radishlift/cell/daemon.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from typing import Any
 
+from radishlift.access.gate import KeyGate
+from radishlift.access.settings import AccessSettings
 from radishlift.cell.advice_dispatch import AdviceProxy
 from radishlift.cell.config_sharing import ConfigSharer
 from radishlift.cell.entry_rows import RelayedRows, StoreRows
@@ -17,6 +19,7 @@
 from radishlift.cell.ports import AdviceCalls, CellStore, TargetCalls
 from radishlift.cell.queues import QueueConfig
 from radishlift.cell.settings import CellSettings
+from radishlift.cell.suspension import RecentRows, SuspensionMonitor
 from radishlift.cell.table_follower import FollowedTable, TableFollower
 from radishlift.cell.tables import CELL, CONFIG
 from radishlift.cell.target_entries import EntryDecoder
@@ -39,7 +42,8 @@
 
     `leader_rank` orders the daemons of a cell by the capacity of their hosts;
     the highest leads first. `target_heartbeat_ms` is the interval at which
-    targets write their entries; 0 if it is unknown.
+    targets write their entries, and `max_row_bytes` the limit of a row of the
+    store; 0 if they are unknown.
     """
 
     daemon_id: DaemonId
@@ -55,6 +59,8 @@
     clock: Clock
     max_lease_ms: int
     target_heartbeat_ms: int = 0
+    max_row_bytes: int = 0
+    access: AccessSettings = AccessSettings()
 
 
 class CellDaemon:
@@ -77,17 +83,25 @@
             dependencies.settings,
             dependencies.clock,
         )
+        self.freshness = self._config_sharer.freshness
+        self._config_follower.on_read = self.freshness.confirm
+        self._suspension = SuspensionMonitor(
+            dependencies.settings, dependencies.clock
+        )
         rows = RelayedRows(
-            StoreRows(dependencies.store),
+            # Peers insert through these rows.
+            RecentRows(StoreRows(dependencies.store), self._suspension),
             self._network,
             lambda: self._cell_follower.is_store_lost,
             dependencies.clock,
         )
         self._config_sharer.on_answer = rows.readmit
         self.job_service = JobService(
-            rows,
+            RecentRows(rows, self._suspension),
             dependencies.clock,
             self._heartbeat_fields,
+            dependencies.max_row_bytes,
+            KeyGate(self.freshness, dependencies.access),
         )
         self._leadership = Leadership(
             dependencies.daemon_id,
@@ -108,6 +122,7 @@
             dependencies.clock,
             dependencies.max_lease_ms,
             dependencies.target_heartbeat_ms,
+            dependencies.max_row_bytes,
         )
         self._term: LeaderTerm | None = None
         self._tasks: list[asyncio.Task[None]] = []
@@ -120,7 +135,7 @@
         """Returns whether the daemon can serve callers."""
         if self._is_stopping or self.job_service.config is None:
             return False
-        return not self._is_cut_off()
+        return self.job_service.can_admit and not self._is_cut_off()
 
     async def start(self) -> None:
         """Starts the network and all loops."""
@@ -132,6 +147,7 @@
             ),
             self._config_follower.run(self._on_config, self._on_config),
             self._config_sharer.run(self._on_config),
+            self._suspension.run(),
         ):
             self._start_loop(work)
         self._leader_loop = self._start_loop(self._lead())
--- a/tests/cell/test_workspace_limits.py
+++ b/tests/cell/test_workspace_limits.py
@@ -4,11 +4,12 @@
 
 import pytest
 
+from radishlift.access.gate import Caller
 from radishlift.access.keys import Workspace
 from radishlift.cell.queues import QueueConfig
 from radishlift.cell.tables import TARGETS
 from radishlift.core.errors import ErrorKind
-from radishlift.core.ids import ConfigVersion
+from radishlift.core.ids import ConfigVersion, WorkspaceName
 from tests.cell.leader import Cell
 from tests.cell.test_job_service import ID, ServiceSetup
 from tests.steps.builders import job, step, workspace_terms
@@ -110,7 +111,9 @@
     run = job(step(4, is_gang=True))
 
     async def submit():
-        return await setup.submit(spec=run.spec, workspace='w')
+        return await setup.submit(
+            spec=run.spec, caller=Caller(WorkspaceName('w'))
+        )
 
     setup.job_service.config = config(3)
     refused = await submit()
