--- a/src/radishlift/steps/limits.py
+++ b/src/radishlift/steps/limits.py
@@ -11,7 +11,7 @@
 from radishlift.core.ids import WorkspaceName
 from radishlift.steps.runs import JobRun, StepRun
 from radishlift.steps.spec import Amounts, JobSpec, StepSpec
-from radishlift.steps.workspace_use import WorkspaceUse
+from radishlift.steps.workspace_use import NO_AMOUNTS, WorkspaceUse
 from radishlift.steps.workspaces import WorkspaceTerms
 
 _NO_LIMIT: Final = 1 << 60
@@ -35,6 +35,8 @@
         self._limits: dict[WorkspaceName, Amounts] = {}
         self._held: dict[WorkspaceName, Amounts] = {}
         self._requested: dict[WorkspaceName, Amounts] = {}
+        # The use and what was held when the room was computed, and the room.
+        self._rooms: dict[WorkspaceName, tuple[Amounts, Amounts, Amounts]] = {}
 
     def update_terms(
         self,
@@ -51,6 +53,7 @@
             name: _effective_limit(latest)
             for name, latest in self.terms.items()
         }
+        self._rooms.clear()
         self.is_known = True
 
     def begin_tick(self) -> None:
@@ -141,13 +144,17 @@
         return self._limits.get(workspace, _UNLIMITED)
 
     def _room(self, job: JobRun, step: StepRun) -> Amounts:
-        room = self.limit_of(job.workspace).plus(
-            self.use.used(job.workspace), -1
-        )
-        held = self._held.get(job.workspace)
-        if held is None or step.spec.is_long_running:
-            return room
-        return room.plus(held, -1)
+        workspace = job.workspace
+        used = self.use.used(workspace)
+        held = NO_AMOUNTS
+        if not step.spec.is_long_running:
+            held = self._held.get(workspace, NO_AMOUNTS)
+        known = self._rooms.get(workspace)
+        if known is not None and known[0] is used and known[1] is held:
+            return known[2]
+        room = self.limit_of(workspace).plus(used, -1).plus(held, -1)
+        self._rooms[workspace] = used, held, room
+        return room
 
     def _used_percent(self, workspace: WorkspaceName) -> int:
         used = self.use.used(workspace)
--- a/src/radishlift/steps/planner.py
+++ b/src/radishlift/steps/planner.py
@@ -188,8 +188,10 @@
         elif step.spec.is_gang:
             self.limits.hold(job, step)
             self._reserve_targets(tick, job, step, allowed, fitting)
-        elif missing_count and self.limits.may_request(
-            job, step, missing_count
+        elif (
+            missing_count
+            and job.terms.advice is not None
+            and self.limits.may_request(job, step, missing_count)
         ):
             self._advice.request(tick, job, step, fitting)
 
--- a/src/radishlift/steps/shares.py
+++ b/src/radishlift/steps/shares.py
@@ -21,7 +21,7 @@
 from radishlift.steps.targets import Target
 from radishlift.steps.workspaces import NO_WORKSPACE
 
-_SEARCH_ROUNDS: Final = 16
+_SEARCH_ROUNDS: Final = 10
 _LEAST_WEIGHT: Final = 1e-6
 
 DueSteps = list[tuple[JobRun, StepRun]]
--- a/src/radishlift/steps/workspace_use.py
+++ b/src/radishlift/steps/workspace_use.py
@@ -8,12 +8,15 @@
 
 from collections.abc import Iterator
 from dataclasses import dataclass
+from typing import Final
 
 from radishlift.core.ids import WorkspaceName
 from radishlift.steps.runs import JobRun, StepRun
 from radishlift.steps.spec import Amounts
 from radishlift.steps.workspaces import NO_WORKSPACE
 
+NO_AMOUNTS: Final = Amounts()
+
 
 @dataclass(frozen=True, slots=True)
 class Charge:
@@ -53,11 +56,11 @@
 
     def used(self, workspace: WorkspaceName) -> Amounts:
         """Returns what the attempts of a workspace use."""
-        return self._used.get(workspace, Amounts())
+        return self._used.get(workspace, NO_AMOUNTS)
 
     def used_for_long(self, workspace: WorkspaceName) -> Amounts:
         """Returns what its attempts use that run until they are stopped."""
-        return self._long_running.get(workspace, Amounts())
+        return self._long_running.get(workspace, NO_AMOUNTS)
 
     def add(self, charge: Charge) -> None:
         """Adds the charge of an attempt that may run from now on."""
@@ -78,11 +81,11 @@
 def _change(
     sums: dict[WorkspaceName, Amounts], charge: Charge, count: int
 ) -> None:
-    total = sums.get(charge.workspace, Amounts()).plus(charge.amounts, count)
-    if total == Amounts():
+    total = sums.get(charge.workspace, NO_AMOUNTS).plus(charge.amounts, count)
+    if total == NO_AMOUNTS:
         sums.pop(charge.workspace, None)
     else:
         sums[charge.workspace] = total
 
 
-__all__ = ('NO_CHARGE', 'Charge', 'WorkspaceUse', 'charge_of')
+__all__ = ('NO_AMOUNTS', 'NO_CHARGE', 'Charge', 'WorkspaceUse', 'charge_of')
