--- a/src/radishlift/steps/delay_costs.py
+++ b/src/radishlift/steps/delay_costs.py
@@ -64,7 +64,7 @@
     def __init__(self, settings: StepSettings) -> None:
         self._settings = settings
         self._room = Amounts(1, 1, 1)
-        self._free_share = 0.0
+        self._free_share = float(0)
         self._bounds: dict[StepKey, _StepBounds] = {}
         self._waits_since_ms: dict[StepKey, int] = {}
         self._turn_ends_ms: dict[StepKey, int] = {}
