Know a lost store soon, and its return as well

Cause: each call waited for its own time-out, so daemons learned of a silent store after 1.8 s, and of its return only when the reads that began during the outage had timed out, up to 1.95 s late. In a played outage from 18.0 to 22.2 s every submission was refused until 23.78 s.

Change: `StoreWatch` probes the store on new connections when a call has had no answer for 150 ms longer than it may wait, and no other call either. If neither the probe nor any call is answered within 650 ms, the store is lost: open calls end at once with an unknown outcome, new ones are refused without being sent, and single probes, at first every 150 ms, look for its return. Peers relay nothing while they doubt the store themselves, so that what they refuse is not run.

--- a/src/radishlift/cell/daemon.py
+++ b/src/radishlift/cell/daemon.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 
 from radishlift.cell.advice_dispatch import AdviceProxy
@@ -17,6 +17,8 @@
 from radishlift.cell.ports import AdviceCalls, CellStore, TargetCalls
 from radishlift.cell.queues import QueueConfig
 from radishlift.cell.settings import CellSettings
+from radishlift.cell.store_guard import StoreGuard
+from radishlift.cell.store_watch import StoreWatch
 from radishlift.cell.table_follower import FollowedTable, TableFollower
 from radishlift.cell.tables import CELL, CONFIG
 from radishlift.cell.target_entries import EntryDecoder
@@ -24,6 +26,7 @@
 from radishlift.core.errors import Failure
 from radishlift.core.ids import Address, DaemonId
 from radishlift.core.logs import log_event
+from radishlift.outages.settings import OutageSettings
 from radishlift.services.api import Row
 from radishlift.steps.settings import StepSettings
 from radishlift.wire.network import PeerNetwork
@@ -55,6 +58,7 @@
     clock: Clock
     max_lease_ms: int
     target_heartbeat_ms: int = 0
+    outages: OutageSettings = field(default_factory=OutageSettings)
 
 
 class CellDaemon:
@@ -65,6 +69,10 @@
 
     def __init__(self, dependencies: DaemonDependencies) -> None:
         self._dependencies = dependencies
+        self._watch = StoreWatch(
+            dependencies.store, dependencies.outages, dependencies.clock
+        )
+        self._store = StoreGuard(dependencies.store, self._watch)
         self._view = CellView(dependencies.clock)
         self._network = PeerNetwork(dependencies.daemon_id)
         self._advice_proxy = AdviceProxy(self._network, dependencies.advice)
@@ -78,11 +86,12 @@
             dependencies.clock,
         )
         rows = RelayedRows(
-            StoreRows(dependencies.store),
+            StoreRows(self._store),
             self._network,
-            lambda: self._cell_follower.is_store_lost,
+            lambda: self._watch.is_lost,
             dependencies.clock,
         )
+        rows.is_store_doubted = lambda: self._watch.is_doubted
         self._config_sharer.on_answer = rows.readmit
         self.job_service = JobService(
             rows,
@@ -91,13 +100,13 @@
         )
         self._leadership = Leadership(
             dependencies.daemon_id,
-            dependencies.store,
+            self._store,
             self._view,
             dependencies.settings,
             dependencies.clock,
         )
         self._leader_dependencies = LeaderDependencies(
-            dependencies.store,
+            self._store,
             dependencies.targets,
             self._network,
             lambda: [dependencies.daemon_id, *self._network.peers],
@@ -126,6 +135,7 @@
         """Starts the network and all loops."""
         await self._network.start(self._dependencies.peer_address)
         for work in (
+            self._watch.run(),
             self._register(),
             self._cell_follower.run(
                 self._on_cell_snapshot, self._on_cell_changes
@@ -173,7 +183,7 @@
             table, wait_ms=dependencies.settings.short_wait_ms
         )
         return TableFollower(
-            dependencies.store,
+            self._store,
             followed,
             dependencies.settings,
             dependencies.clock,
--- a/src/radishlift/cell/entry_rows.py
+++ b/src/radishlift/cell/entry_rows.py
@@ -35,6 +35,13 @@
 _MAX_PEERS: Final = 2
 # Peers without an answer are skipped for this long, or until they answer.
 _AVOID_MS: Final = 3000
+# Peers that refuse have not got the store either, and notice its return as
+# early as this daemon.
+_AVOID_REFUSING_MS: Final = 300
+# An operation that is not attempted has a known outcome.
+_NOT_TRIED: Final = Failure(
+    ErrorKind.store_unavailable, 'the store does not respond'
+)
 _UNREACHABLE_KINDS: Final = frozenset(
     (ErrorKind.peer_unavailable, ErrorKind.peer_outcome_unknown),
 )
@@ -91,7 +98,11 @@
 
 
 class RelayedRows:
-    """Rows of the store, accessed through a peer while it is unreachable."""
+    """Rows of the store, accessed through a peer while it is unreachable.
+
+    A daemon relays nothing while `is_store_doubted`: what it sends may remain
+    without an answer, and the caller could not be told that nothing was done.
+    """
 
     def __init__(
         self,
@@ -103,6 +114,7 @@
         self._rows = rows
         self._network = network
         self._is_store_lost = is_store_lost
+        self.is_store_doubted = is_store_lost
         self._clock = clock
         self._avoided_until_ms: dict[DaemonId, int] = {}
         network.register(RowAsk, self._serve_read)
@@ -146,11 +158,10 @@
         self._avoided_until_ms.pop(peer, None)
 
     async def _try_store(self, work: Callable[[], Awaitable[Any]]) -> Any:
-        if self._is_store_lost():
-            # An operation that is not attempted has a known outcome.
-            reason = 'the store does not respond'
-            return Failure(ErrorKind.store_unavailable, reason)
-        return await work()
+        return _NOT_TRIED if self._is_store_lost() else await work()
+
+    async def _serve(self, work: Callable[[], Awaitable[Any]]) -> Any:
+        return _NOT_TRIED if self.is_store_doubted() else await work()
 
     async def _call_peers(self, request: object) -> Any:
         for peer in self._choose_peers():
@@ -184,9 +195,12 @@
         reply: Any = failure or await self._network.call(
             peer, request, _CALL_TIMEOUT_MS
         )
-        if isinstance(reply, Failure) and reply.kind in _UNREACHABLE_KINDS:
-            until_ms = self._clock.monotonic_ms() + _AVOID_MS
-            self._avoided_until_ms[peer] = until_ms
+        if isinstance(reply, Failure):
+            now_ms = self._clock.monotonic_ms()
+            if reply.kind in _UNREACHABLE_KINDS:
+                self._avoided_until_ms[peer] = now_ms + _AVOID_MS
+            elif _is_not_done(reply):
+                self._avoided_until_ms[peer] = now_ms + _AVOID_REFUSING_MS
         return reply
 
     async def _serve_read(
@@ -196,7 +210,7 @@
     ) -> RowTold | Failure:
         if request.table not in _READ_TABLES:
             return Failure(ErrorKind.invalid_input, f'table {request.table}')
-        row = await self._try_store(
+        row = await self._serve(
             lambda: self._rows.read(request.table, request.key),
         )
         if isinstance(row, Failure):
@@ -211,7 +225,7 @@
     ) -> RowInserted | Failure:
         if request.table not in _INSERT_TABLES:
             return Failure(ErrorKind.invalid_input, f'table {request.table}')
-        outcome = await self._try_store(
+        outcome = await self._serve(
             lambda: self._rows.insert(
                 request.table,
                 request.key,
--- a/src/radishlift/cell/ports.py
+++ b/src/radishlift/cell/ports.py
@@ -59,6 +59,12 @@
         Fails with `not_found` if the history is no longer available.
         """
 
+    async def probe(self, timeout_ms: int, parts_count: int) -> Failure | None:
+        """Checks on new connections whether the store answers.
+
+        Fails with `store_unavailable` if none of several parts can be read.
+        """
+
 
 @unique
 class StartVerdict(Enum):
--- /dev/null
+++ b/src/radishlift/outages/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about a store that does not answer."""
--- a/src/radishlift/platform/http.py
+++ b/src/radishlift/platform/http.py
@@ -89,6 +89,12 @@
         self._retire(address, session)
         return Failure(ErrorKind.peer_outcome_unknown, reason)
 
+    def renew(self, address: Address) -> None:
+        """Opens new connections for later calls to an address."""
+        session = self._sessions.get(address)
+        if session is not None:
+            self._retire(address, session)
+
     async def close(self) -> None:
         """Closes all connections; ends calls that wait for an answer."""
         # Calls that fail meanwhile replace sessions, so the table must not
--- a/src/radishlift/platform/store.py
+++ b/src/radishlift/platform/store.py
@@ -3,11 +3,13 @@
 import asyncio
 import base64
 import json
+import random
 from collections.abc import Mapping
 from typing import Any, Final
 from urllib.parse import urlencode
 
 from radishlift.cell.ports import ChangedRows
+from radishlift.cell.tables import JOBS
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import Address
 from radishlift.platform.http import JsonAnswer, JsonClient
@@ -27,6 +29,8 @@
 # Calls that are answered with these statuses had no effect.
 _REFUSED_STATUSES: Final = frozenset((429, 503))
 _PAGE_ROWS: Final = 500
+# Sorts after all ids of jobs, so that a probe reads no rows.
+_LAST_KEY: Final = '~'
 # A slow store takes up to 60 times its usual 5 ms in each direction of a
 # commit.
 _TIMEOUT_MS: Final = 1500
@@ -128,6 +132,28 @@
         except DECODE_ERRORS as error:
             return _malformed_answer(error)
 
+    async def probe(self, timeout_ms: int, parts_count: int) -> Failure | None:
+        """Checks on new connections whether one of several parts is read."""
+        # Open connections may have stopped responding while new ones work.
+        self._client.renew(self._address)
+        table = find_location(JOBS).table
+        parts = random.sample(find_location(JOBS).parts, parts_count)
+        failure: Failure | None = None
+        reads = [
+            self._get(
+                '/rows-get',
+                {'table': table, 'part': part, 'from': _LAST_KEY, 'limit': 1},
+                timeout_ms,
+            )
+            for part in parts
+        ]
+        for finished in asyncio.as_completed(reads):
+            answer = await finished
+            if not isinstance(answer, Failure):
+                return None
+            failure = answer
+        return failure
+
     async def _read_part(self, table: str, part: str) -> ChangedRows | Failure:
         rows: list[Row] = []
         version: int | None = None
--- a/tests/cell/fakes.py
+++ b/tests/cell/fakes.py
@@ -48,6 +48,9 @@
         assert len(shards) < 2, 'a transaction covers one shard'
         return await super().commit(transaction)
 
+    async def probe(self, timeout_ms: int, parts_count: int) -> Failure | None:
+        return DOWN if self.fault is Fault.down else None
+
     async def snapshot(self, table: str) -> ChangedRows | Failure:
         if self.fault is Fault.down:
             return DOWN
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -262,3 +262,40 @@
             break
     assert not isinstance(found, Failure)
     assert sorted(row.key for row in found.rows) == names
+
+
+async def test_probe_uses_new_connections():
+    """Guards against a store that seems lost: open connections went silent."""
+    silent = set()
+    used = set()
+
+    async def handle(request):
+        used.add(request.transport)
+        if request.transport in silent:
+            await asyncio.sleep(10)
+        return web.json_response({'ver': 1, 'rows': []})
+
+    client = JsonClient()
+    async with run_server(handle) as address:
+        store = PlatformStore(client, address)
+        assert not isinstance(await store.read(JOBS, 'j1'), Failure)
+        silent.update(used)
+        failure = await store.probe(300, 2)
+        assert failure is None
+        await client.close()
+
+
+async def test_probe_fails_if_the_store_is_silent_or_refuses():
+    answers = [asyncio.sleep(10), asyncio.sleep(0)]
+
+    async def handle(_request):
+        await answers.pop(0)
+        return web.Response(status=503)
+
+    client = JsonClient()
+    async with run_server(handle) as address:
+        store = PlatformStore(client, address)
+        for _ in range(2):
+            failure = await store.probe(50, 1)
+            assert failure.kind is ErrorKind.store_unavailable
+        await client.close()
