Let daemons that claim late read the cell less often

Cause: each heartbeat of the leader ends the waiting reads of all daemons, 2.5 calls a second for each, the second most frequent call to the store.

Change: a daemon leaves the cell unread for 60 ms for each candidate that claims before it, from one heartbeat on and at most 0.8 s, so that it may learn of several heartbeats at once. The first seven candidates and the leader read as before, and the time between two reads stays at one second.

--- a/src/radishlift/cell/daemon.py
+++ b/src/radishlift/cell/daemon.py
@@ -106,6 +106,7 @@
             dependencies.settings,
             dependencies.clock,
         )
+        self._cell_follower.choose_rest_ms = self._leadership.choose_rest_ms
         self._leader_dependencies = LeaderDependencies(
             self._store,
             dependencies.targets,
--- a/src/radishlift/cell/leadership.py
+++ b/src/radishlift/cell/leadership.py
@@ -210,6 +210,18 @@
         if isinstance(outcome, Failure):
             log_event('release_failed', reason=outcome.reason)
 
+    def choose_rest_ms(self) -> int:
+        """Returns how long the cell may be left unread after each read.
+
+        Each heartbeat of the leader ends a wait for changes. Daemons that claim
+        late anyway may learn of several at once: each may lag by as much as
+        earlier daemons claim before it.
+        """
+        rest_ms = self._claim_position() * self._settings.claim_stagger_ms
+        if self.state == 'leading' or rest_ms < self._settings.pulse_ms:
+            return 0
+        return min(rest_ms, self._settings.max_rest_ms)
+
     def _log_change(self) -> None:
         log_event('leadership', state=self.state, leader=self._view.leader_id)
 
--- a/src/radishlift/cell/settings.py
+++ b/src/radishlift/cell/settings.py
@@ -32,6 +32,9 @@
       only when this time is up; urgent jobs have 250 ms.
     - `short_wait_ms`: the same for the cell and configuration tables, which
       every daemon follows.
+    - `max_rest_ms`: how much of that wait a daemon far down in the order of
+      claims may leave the cell table unread. Callers may see counts that are
+      2 s old.
     - `share_config_ms`: interval at which a daemon that can't read the store
       requests the configuration from a peer.
     - `cut_off_ms`: time without an answer of the store or a peer after which a
@@ -64,6 +67,7 @@
     explain_every_ms: int = 1000
     feed_wait_ms: int = 200
     short_wait_ms: int = 1000
+    max_rest_ms: int = 800
     share_config_ms: int = 300
     cut_off_ms: int = 1000
     feed_retry_ms: int = 150
--- a/src/radishlift/cell/table_follower.py
+++ b/src/radishlift/cell/table_follower.py
@@ -32,7 +32,8 @@
     missing in it as removed. `is_store_lost` is true after a failed read, and
     `last_contact_ms` is the time of the latest successful one. `on_read` gets
     the time at which each successful read was requested, and `on_regained`
-    how long the store could not be read.
+    how long the store could not be read. `choose_rest_ms` returns the part of
+    the wait for changes in which the table is not read.
     """
 
     def __init__(
@@ -53,6 +54,8 @@
         self.last_contact_ms: int | None = None
         self.on_read: Callable[[int], None] = _ignore_time
         self.on_regained: Callable[[int], None] = _ignore_time
+        self.choose_rest_ms: Callable[[], int] = _no_rest
+        self._rest_ms = 0
 
     async def run(
         self,
@@ -74,15 +77,19 @@
             elif changed.rows:
                 on_changes(changed.rows)
             self.on_read(self._requested_at_ms)
-            if self._followed.pause_ms and not is_snapshot:
-                await asyncio.sleep(self._followed.pause_ms / 1000)
+            self._rest_ms = self.choose_rest_ms()
+            pause_ms = self._followed.pause_ms + self._rest_ms
+            if pause_ms and not is_snapshot:
+                await asyncio.sleep(pause_ms / 1000)
 
     async def _read(self) -> ChangedRows | Failure:
         table = self._followed.table
         if self._version is None:
             return await self._store.snapshot(table)
         wait_ms = self._followed.wait_ms or self._settings.feed_wait_ms
-        return await self._store.changes(table, self._version, wait_ms)
+        return await self._store.changes(
+            table, self._version, wait_ms - self._rest_ms
+        )
 
     async def _handle_failure(self, failure: Failure) -> None:
         if failure.kind is ErrorKind.not_found:
@@ -108,6 +115,10 @@
             log_event('store_regained', table=self._followed.table)
 
 
+def _no_rest() -> int:
+    return 0
+
+
 def _ignore_time(_: int) -> None:
     """Ignores a time."""
 
--- a/tests/cell/test_leadership.py
+++ b/tests/cell/test_leadership.py
@@ -245,3 +245,29 @@
         assert not second.claim.done()
         write_heartbeat(store)
     await asyncio.wait_for(second.claim, 2)
+
+
+async def test_daemons_that_claim_late_read_the_cell_less_often(cell):
+    """Guards against calls of many daemons for each heartbeat.
+
+    The sum of rest and wait stays below the silence after which they claim.
+    """
+    _, add = cell
+    settings = CellSettings(first_claim_ms=60_000)
+    candidates = [
+        await add(f'd{number:02}', settings=settings) for number in range(20)
+    ]
+    await until(lambda: len(candidates[0].view.daemons()) == 20)
+    await until(lambda: len(candidates[-1].view.daemons()) == 20)
+    rests_ms = [
+        candidate.leadership.choose_rest_ms()
+        for candidate in (candidates[0], candidates[6], candidates[7])
+    ]
+    assert rests_ms == [0, 0, 420]
+    longest_ms = candidates[-1].leadership.choose_rest_ms()
+    assert longest_ms == settings.max_rest_ms
+    assert longest_ms < settings.short_wait_ms
+    assert settings.short_wait_ms < settings.silence_ms
+    candidates[-1].leadership.claim()
+    candidates[-1].leadership.win()
+    assert not candidates[-1].leadership.choose_rest_ms()
--- a/tests/cell/test_store_guard.py
+++ b/tests/cell/test_store_guard.py
@@ -8,7 +8,7 @@
 from radishlift.core.errors import Outcome
 from radishlift.core.ids import JobId
 from tests.cell.outage_cell import outage_cell
-from tests.standins.tables import Tables
+from tests.standins.tables import Fault, Tables
 from tests.standins.virtual_time import run_virtual
 
 
@@ -134,3 +134,37 @@
                 assert not probes_count
 
     run_virtual(play)
+
+
+def test_refusal_of_one_call_is_not_an_outage():
+    """Guards against a busy shard that stops all calls of a daemon."""
+
+    async def play():
+        async with outage_cell(Tables(), 1) as daemons:
+            daemon = daemons[0]
+            daemon.store.rejects_commits = True
+            failure, _ = await daemon.submit(1)
+            assert failure.answer.outcome is Outcome.not_run
+            await asyncio.sleep(0.1)
+            assert daemon.store.probes_count
+            assert not daemon.watch.is_lost
+            daemon.store.rejects_commits = False
+            assert (await daemon.submit(1))[0] is None
+
+    run_virtual(play)
+
+
+def test_store_that_refuses_all_calls_is_lost_at_once():
+    async def play():
+        async with outage_cell(Tables(), 1) as daemons:
+            daemon = daemons[0]
+            daemon.store.fault = Fault.down
+            await daemon.submit(1)
+            await asyncio.sleep(0.05)
+            assert daemon.watch.is_lost
+            await asyncio.sleep(2)
+            daemon.store.fault = Fault.none
+            await asyncio.sleep(0.16)
+            assert not daemon.watch.is_lost
+
+    run_virtual(play)
--- a/tests/cell/test_table_follower.py
+++ b/tests/cell/test_table_follower.py
@@ -94,3 +94,15 @@
     await following.until(lambda: following.changed() == [('b', {'n': 2})])
     assert max(following.store.requested_waits_ms) <= URGENT_SLACK_MS
     following.task.cancel()
+
+
+async def test_rest_shortens_the_wait_and_loses_no_change(following):
+    following.follower.choose_rest_ms = lambda: 15
+    await following.until(lambda: following.snapshots)
+    following.store.requested_waits_ms.clear()
+    for number in range(5):
+        following.write('a', {'n': number})
+        await asyncio.sleep(0.004)
+    await following.until(lambda: ('a', {'n': 4}) in following.changed())
+    assert len(following.changed()) == 5
+    assert 5 in following.store.requested_waits_ms
