--- a/src/radishlift/cell/daemon.py
+++ b/src/radishlift/cell/daemon.py
@@ -2,12 +2,13 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Any
 
+from radishlift.access.gate import KeyGate
+from radishlift.access.settings import AccessSettings
 from radishlift.cell.advice_dispatch import AdviceProxy
 from radishlift.cell.config_sharing import ConfigSharer
-from radishlift.cell.entry_rows import RelayedRows, StoreRows
 from radishlift.cell.job_service import JobService
 from radishlift.cell.leader_term import (
     LeaderDependencies,
@@ -17,8 +18,7 @@
 from radishlift.cell.ports import AdviceCalls, CellStore, TargetCalls
 from radishlift.cell.queues import QueueConfig
 from radishlift.cell.settings import CellSettings
-from radishlift.cell.store_guard import StoreGuard
-from radishlift.cell.store_watch import StoreWatch
+from radishlift.cell.store_access import StoreAccess
 from radishlift.cell.table_follower import FollowedTable, TableFollower
 from radishlift.cell.tables import CELL, CONFIG
 from radishlift.cell.target_entries import EntryDecoder
@@ -26,7 +26,6 @@
 from radishlift.core.errors import Failure
 from radishlift.core.ids import Address, DaemonId
 from radishlift.core.logs import log_event
-from radishlift.outages.settings import OutageSettings
 from radishlift.services.api import Row
 from radishlift.steps.settings import StepSettings
 from radishlift.wire.network import PeerNetwork
@@ -42,7 +41,8 @@
 
     `leader_rank` orders the daemons of a cell by the capacity of their hosts;
     the highest leads first. `target_heartbeat_ms` is the interval at which
-    targets write their entries; 0 if it is unknown.
+    targets write their entries, and `max_row_bytes` the limit of a row of the
+    store; 0 if they are unknown.
     """
 
     daemon_id: DaemonId
@@ -58,7 +58,8 @@
     clock: Clock
     max_lease_ms: int
     target_heartbeat_ms: int = 0
-    outages: OutageSettings = field(default_factory=OutageSettings)
+    max_row_bytes: int = 0
+    access: AccessSettings = AccessSettings()
 
 
 class CellDaemon:
@@ -69,12 +70,14 @@
 
     def __init__(self, dependencies: DaemonDependencies) -> None:
         self._dependencies = dependencies
-        self._watch = StoreWatch(
-            dependencies.store, dependencies.outages, dependencies.clock
-        )
-        self._store = StoreGuard(dependencies.store, self._watch)
         self._view = CellView(dependencies.clock)
         self._network = PeerNetwork(dependencies.daemon_id)
+        self._access = StoreAccess(
+            dependencies.store,
+            self._network,
+            dependencies.settings,
+            dependencies.clock,
+        )
         self._advice_proxy = AdviceProxy(self._network, dependencies.advice)
         self._cell_follower = self._create_follower(CELL)
         self._cell_follower.on_regained = self._view.exclude_outage
@@ -85,30 +88,27 @@
             dependencies.settings,
             dependencies.clock,
         )
-        rows = RelayedRows(
-            StoreRows(self._store),
-            self._network,
-            lambda: self._watch.is_lost,
-            dependencies.clock,
-        )
-        rows.is_store_doubted = lambda: self._watch.is_doubted
-        self._config_sharer.on_answer = rows.readmit
+        self.freshness = self._config_sharer.freshness
+        self._config_follower.on_read = self.freshness.confirm
+        self._config_sharer.on_answer = self._access.readmit
         self.job_service = JobService(
-            rows,
+            self._access.rows,
             dependencies.clock,
             self._heartbeat_fields,
+            dependencies.max_row_bytes,
+            KeyGate(self.freshness, dependencies.access),
         )
-        self.job_service.get_outage_ms = lambda: self._watch.outage_ms
+        self.job_service.get_outage_ms = lambda: self._access.watch.outage_ms
         self._leadership = Leadership(
             dependencies.daemon_id,
-            self._store,
+            self._access.store,
             self._view,
             dependencies.settings,
             dependencies.clock,
         )
         self._cell_follower.choose_rest_ms = self._leadership.choose_rest_ms
         self._leader_dependencies = LeaderDependencies(
-            self._store,
+            self._access.store,
             dependencies.targets,
             self._network,
             lambda: [dependencies.daemon_id, *self._network.peers],
@@ -119,6 +119,7 @@
             dependencies.clock,
             dependencies.max_lease_ms,
             dependencies.target_heartbeat_ms,
+            dependencies.max_row_bytes,
         )
         self._term: LeaderTerm | None = None
         self._tasks: list[asyncio.Task[None]] = []
@@ -131,19 +132,20 @@
         """Returns whether the daemon can serve callers."""
         if self._is_stopping or self.job_service.config is None:
             return False
-        return not self._is_cut_off()
+        return self.job_service.can_admit and not self._is_cut_off()
 
     async def start(self) -> None:
         """Starts the network and all loops."""
         await self._network.start(self._dependencies.peer_address)
         for work in (
-            self._watch.run(),
+            self._access.watch.run(),
             self._register(),
             self._cell_follower.run(
                 self._on_cell_snapshot, self._on_cell_changes
             ),
             self._config_follower.run(self._on_config, self._on_config),
             self._config_sharer.run(self._on_config),
+            self._access.suspension.run(),
         ):
             self._start_loop(work)
         self._leader_loop = self._start_loop(self._lead())
@@ -185,7 +187,7 @@
             table, wait_ms=dependencies.settings.short_wait_ms
         )
         return TableFollower(
-            self._store,
+            self._access.store,
             followed,
             dependencies.settings,
             dependencies.clock,
--- a/src/radishlift/core/events.py
+++ b/src/radishlift/core/events.py
@@ -76,6 +76,8 @@
     'target_lost',
     'tls_files_unreadable',
     'unknown_message',
+    'daemon_was_suspended',
+    'job_too_large',
     'jobs_not_removed',
     'leader_deposed',
     'progress_unread',
@@ -91,6 +93,7 @@
 )
 _INFO: Final = (
     'ends_incomplete',
+    'call_rejected',
     'cancel_stored',
     'insert_relayed',
     'cell_level_raised',
--- a/tests/cell/leader.py
+++ b/tests/cell/leader.py
@@ -17,6 +17,7 @@
     LEADER_KEY,
     PROGRESS,
     TARGETS,
+    cancel_key,
 )
 from radishlift.core.clock import BootClock
 from radishlift.core.errors import ErrorKind, Failure
@@ -26,6 +27,7 @@
 from radishlift.steps.ids import FencingToken
 from radishlift.steps.settings import StepSettings
 from radishlift.steps.targets import TargetState
+from radishlift.steps.workspaces import NO_WORKSPACE
 from radishlift.wire.network import PeerNetwork
 from tests.cell.fakes import (
     FakeAdvice,
@@ -70,7 +72,9 @@
         max_lease_ms: int = MAX_LEASE_MS,
         target_heartbeat_ms: int = 0,
         step_settings: StepSettings | None = None,
+        max_row_bytes: int = 0,
     ) -> None:
+        self.max_row_bytes = max_row_bytes
         self.max_lease_ms = max_lease_ms
         self.target_heartbeat_ms = target_heartbeat_ms
         self.settings = settings
@@ -102,12 +106,12 @@
         self.write(
             JOBS,
             run.spec.job_id,
-            dump_job(run.spec, run.terms, run.accepted_at_ms),
+            dump_job(run.spec, run.terms, run.accepted_at_ms, run.workspace),
         )
         return run.spec.job_id
 
-    def cancel(self, job_id):
-        self.write(CANCELS, job_id, {})
+    def cancel(self, job_id, workspace=NO_WORKSPACE):
+        self.write(CANCELS, cancel_key(job_id, workspace), {})
 
     def state(self, job_id):
         row = self.store.tables.read(PROGRESS, job_id)
@@ -150,6 +154,7 @@
                 BootClock(),
                 self.max_lease_ms,
                 self.target_heartbeat_ms,
+                self.max_row_bytes,
             ),
         )
         task = asyncio.create_task(term.run())
