--- a/src/radishlift/cell/daemon.py
+++ b/src/radishlift/cell/daemon.py
@@ -9,7 +9,6 @@
 from radishlift.access.settings import AccessSettings
 from radishlift.cell.advice_dispatch import AdviceProxy
 from radishlift.cell.config_sharing import ConfigSharer
-from radishlift.cell.entry_rows import RelayedRows, StoreRows
 from radishlift.cell.job_service import JobService
 from radishlift.cell.leader_term import (
     LeaderDependencies,
@@ -19,7 +18,7 @@
 from radishlift.cell.ports import AdviceCalls, CellStore, TargetCalls
 from radishlift.cell.queues import QueueConfig
 from radishlift.cell.settings import CellSettings
-from radishlift.cell.suspension import RecentRows, SuspensionMonitor
+from radishlift.cell.store_access import StoreAccess
 from radishlift.cell.table_follower import FollowedTable, TableFollower
 from radishlift.cell.tables import CELL, CONFIG
 from radishlift.cell.target_entries import EntryDecoder
@@ -73,6 +72,12 @@
         self._dependencies = dependencies
         self._view = CellView(dependencies.clock)
         self._network = PeerNetwork(dependencies.daemon_id)
+        self._access = StoreAccess(
+            dependencies.store,
+            self._network,
+            dependencies.settings,
+            dependencies.clock,
+        )
         self._advice_proxy = AdviceProxy(self._network, dependencies.advice)
         self._cell_follower = self._create_follower(CELL)
         self._cell_follower.on_regained = self._view.exclude_outage
@@ -85,33 +90,25 @@
         )
         self.freshness = self._config_sharer.freshness
         self._config_follower.on_read = self.freshness.confirm
-        self._suspension = SuspensionMonitor(
-            dependencies.settings, dependencies.clock
-        )
-        rows = RelayedRows(
-            # Peers insert through these rows.
-            RecentRows(StoreRows(dependencies.store), self._suspension),
-            self._network,
-            lambda: self._cell_follower.is_store_lost,
-            dependencies.clock,
-        )
-        self._config_sharer.on_answer = rows.readmit
+        self._config_sharer.on_answer = self._access.readmit
         self.job_service = JobService(
-            RecentRows(rows, self._suspension),
+            self._access.rows,
             dependencies.clock,
             self._heartbeat_fields,
             dependencies.max_row_bytes,
             KeyGate(self.freshness, dependencies.access),
         )
+        self.job_service.get_outage_ms = lambda: self._access.watch.outage_ms
         self._leadership = Leadership(
             dependencies.daemon_id,
-            dependencies.store,
+            self._access.store,
             self._view,
             dependencies.settings,
             dependencies.clock,
         )
+        self._cell_follower.choose_rest_ms = self._leadership.choose_rest_ms
         self._leader_dependencies = LeaderDependencies(
-            dependencies.store,
+            self._access.store,
             dependencies.targets,
             self._network,
             lambda: [dependencies.daemon_id, *self._network.peers],
@@ -141,13 +138,14 @@
         """Starts the network and all loops."""
         await self._network.start(self._dependencies.peer_address)
         for work in (
+            self._access.watch.run(),
             self._register(),
             self._cell_follower.run(
                 self._on_cell_snapshot, self._on_cell_changes
             ),
             self._config_follower.run(self._on_config, self._on_config),
             self._config_sharer.run(self._on_config),
-            self._suspension.run(),
+            self._access.suspension.run(),
         ):
             self._start_loop(work)
         self._leader_loop = self._start_loop(self._lead())
@@ -189,7 +187,7 @@
             table, wait_ms=dependencies.settings.short_wait_ms
         )
         return TableFollower(
-            dependencies.store,
+            self._access.store,
             followed,
             dependencies.settings,
             dependencies.clock,
--- a/src/radishlift/cell/job_service.py
+++ b/src/radishlift/cell/job_service.py
@@ -21,6 +21,7 @@
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import JobId, WorkspaceName
 from radishlift.core.logs import log_event
+from radishlift.outages.comebacks import choose_pause_s
 from radishlift.services.api import Row
 from radishlift.steps.ids import QueueName
 from radishlift.steps.limits import find_oversized_step
@@ -60,6 +61,7 @@
         self._max_row_bytes = max_row_bytes
         self._gate = gate or KeyGate(ConfigFreshness(clock), AccessSettings())
         self.config: QueueConfig | None = None
+        self.get_outage_ms: Callable[[], int] = _no_outage
 
     def find_queue(self, host: str, path: str) -> Queue | Failure:
         """Returns the queue of a host and path.
@@ -202,6 +204,19 @@
         """Returns how many jobs of a queue have not started."""
         return int(self._heartbeat_fields().get('pending', {}).get(queue, 0))
 
+    def choose_pause_s(self, job_id: JobId, deadline_ms: int) -> int:
+        """Returns when a caller whom the store's outage refused may return.
+
+        `deadline_ms` is monotonic.
+        """
+        pause_s = choose_pause_s(
+            job_id,
+            self.get_outage_ms(),
+            deadline_ms - self._clock.monotonic_ms(),
+        )
+        log_event('comeback_advised', job=job_id, outcome=f'{pause_s}s')
+        return pause_s
+
     def _check_again(self, queue: Queue, caller: Caller) -> Failure | None:
         if self.config is None or not self.config.workspaces:
             return None
@@ -271,6 +286,10 @@
             await asyncio.sleep(_RETRY_MS / 1000)
 
 
+def _no_outage() -> int:
+    return 0
+
+
 def _is_visible(row: Row, caller: Caller) -> bool:
     return row.value is not None and caller.may_use(read_workspace(row.value))
 
--- a/src/radishlift/cell/settings.py
+++ b/src/radishlift/cell/settings.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from radishlift.outages.settings import OutageSettings
+
 
 @dataclass(frozen=True, slots=True)
 class CellSettings:
@@ -32,6 +34,9 @@
       only when this time is up; urgent jobs have 250 ms.
     - `short_wait_ms`: the same for the cell and configuration tables, which
       every daemon follows.
+    - `max_rest_ms`: how much of that wait a daemon far down in the order of
+      claims may leave the cell table unread. Callers may see counts that are
+      2 s old.
     - `share_config_ms`: interval at which a daemon that can't read the store
       requests the configuration from a peer.
     - `cut_off_ms`: time without an answer of the store or a peer after which a
@@ -50,6 +55,7 @@
       that waited are read.
     - `max_log_lines_per_s`: log lines above this rate are counted and dropped.
       Twice the lines of a leader at 450 starts/s would use a tenth of a core.
+    - `outages`: when the store is taken for lost.
     """
 
     pulse_ms: int = 400
@@ -68,6 +74,7 @@
     explain_every_ms: int = 1000
     feed_wait_ms: int = 200
     short_wait_ms: int = 1000
+    max_rest_ms: int = 800
     share_config_ms: int = 300
     cut_off_ms: int = 1000
     feed_retry_ms: int = 150
@@ -78,6 +85,7 @@
     suspension_check_ms: int = 1000
     recovery_ms: int = 3000
     max_log_lines_per_s: int = 600
+    outages: OutageSettings = OutageSettings()
 
 
 __all__ = ('CellSettings',)
--- a/src/radishlift/cell/table_follower.py
+++ b/src/radishlift/cell/table_follower.py
@@ -35,7 +35,8 @@
     missing in it as removed. `is_store_lost` is true after a failed read, and
     `last_contact_ms` is the time of the latest successful one. `on_read` gets
     the time at which each successful read was requested, and `on_regained`
-    how long the store could not be read.
+    how long the store could not be read. `choose_rest_ms` returns the part of
+    the wait for changes in which the table is not read.
     """
 
     def __init__(
@@ -56,6 +57,8 @@
         self.last_contact_ms: int | None = None
         self.on_read: Callable[[int], None] = _ignore_time
         self.on_regained: Callable[[int], None] = _ignore_time
+        self.choose_rest_ms: Callable[[], int] = _no_rest
+        self._rest_ms = 0
 
     async def run(
         self,
@@ -77,8 +80,10 @@
             elif changed.rows:
                 on_changes(changed.rows)
             self.on_read(self._requested_at_ms)
-            if self._followed.pause_ms and not is_snapshot:
-                await asyncio.sleep(self._followed.pause_ms / 1000)
+            self._rest_ms = self.choose_rest_ms()
+            pause_ms = self._followed.pause_ms + self._rest_ms
+            if pause_ms and not is_snapshot:
+                await asyncio.sleep(pause_ms / 1000)
 
     async def _read(self) -> ChangedRows | Failure:
         table = self._followed.table
@@ -88,7 +93,9 @@
         if self.is_store_lost:
             # A read that waits would show late that the store is back.
             wait_ms = min(wait_ms, _PROBE_WAIT_MS)
-        return await self._store.changes(table, self._version, wait_ms)
+        return await self._store.changes(
+            table, self._version, max(0, wait_ms - self._rest_ms)
+        )
 
     async def _handle_failure(self, failure: Failure) -> None:
         if failure.kind is ErrorKind.not_found:
@@ -114,6 +121,10 @@
             log_event('store_regained', table=self._followed.table)
 
 
+def _no_rest() -> int:
+    return 0
+
+
 def _ignore_time(_: int) -> None:
     """Ignores a time."""
 
--- a/src/radishlift/core/events.py
+++ b/src/radishlift/core/events.py
@@ -65,6 +65,7 @@
     'start_refused',
     'start_unanswered',
     'step_waits',
+    'store_doubted',
     'store_lost',
     'target_crashed',
     'target_distrusted',
@@ -102,6 +103,7 @@
     'leadership',
     'planning_state',
     'store_regained',
+    'store_trusted',
     'target_removed',
     'target_state',
     'target_unlisted',
@@ -136,6 +138,7 @@
     'worker_gone',
 )
 _DEBUG: Final = (
+    'comeback_advised',
     'config_head_unread',
     'counts_not_saved',
     'former_owner_silent',
