Learn how fast targets are, and place tight steps on fast ones

About a quarter of the targets of some deployments run tasks in half the time of the others. Nothing learned it, and best fit does not look at it, so that short jobs were late because of the target on which they ran.

- steps/speeds.py learns the factor of each target from ends that were done: the tasks of a step are compared with each other, and steps with a line of run times over estimates per queue.
Tails are clipped, factors centred.
- steps/speed_preference.py: a step that would miss its objective on a slow target prefers fast ones, also in advice requests; other steps leave these to it.
Differences below 1.5 times change nothing.
- A task that failed is not retried on the same target if another fits.
- The leader stores the ratios of unlike targets with a heartbeat, at most every 2 s and only after changes; the next leader begins with them.
Without the load the takeover test fails.
- The simulation of decisions has uneven targets, tails, failures and a delay until callers see an end.
- The log of waiting steps moves from the scheduler to planning_log.py, which also logs a summary of the speeds.

--- a/benchmarks/decision_model.py
+++ b/benchmarks/decision_model.py
@@ -31,7 +31,7 @@
 from radishlift.steps.placing import Placement
 from radishlift.steps.planner import Planner
 from radishlift.steps.ranking import StepRanking, advice_ms
-from radishlift.steps.runs import JobRun, JobState, build_job
+from radishlift.steps.runs import JobRun, JobState, StepRun, TaskRun, build_job
 from radishlift.steps.settings import StepSettings
 from radishlift.steps.spec import (
     AdviceTerms,
@@ -40,6 +40,8 @@
     QueueTerms,
     StepSpec,
 )
+from radishlift.steps.speeds import SpeedTable
+from radishlift.steps.step_run_times import TaskRunTime
 from radishlift.steps.targets import TargetEntry, TargetState, TargetTable
 from radishlift.steps.tickets import Ticket, TicketTable
 
@@ -91,7 +93,12 @@
 
     `burst_factor` multiplies the arrival rates from `burst_from_ms` to
     `burst_to_ms`. Every third target takes `slow_factor` times as long for its
-    tasks, and for a gang that uses it.
+    tasks, and for a gang that uses it; with `speed_factors` each target takes
+    the next of these factors in turn instead. A `tail_share` of the tasks that
+    are no members of gangs takes `tail_factor` times as long, which their
+    objective allows. An attempt fails with `failure_share`, at any time of its
+    run; callers see the end of a job `seen_after_ms` later. The simulation goes
+    on for `settle_ms` after the last arrival, or half of the duration.
     """
 
     targets_count: int
@@ -104,6 +111,18 @@
     burst_to_ms: int = 12_000
     target_memory_mb: int = 1_000_000
     slow_factor: float = 1
+    speed_factors: tuple[float, ...] = ()
+    tail_share: float = 0
+    tail_factor: float = 7
+    failure_share: float = 0
+    seen_after_ms: int = 0
+    settle_ms: int = 0
+
+    def speed_factor(self, number: int) -> float:
+        """Returns the run time factor of a target by its number."""
+        if self.speed_factors:
+            return self.speed_factors[number % len(self.speed_factors)]
+        return 1 if number % _SLOW_INTERVAL else self.slow_factor
 
 
 @dataclass(slots=True)
@@ -131,6 +150,7 @@
         seed: int,
         ranking: StepRanking | None = None,
         settings: StepSettings | None = None,
+        speeds: SpeedTable | None = None,
     ) -> None:
         self._deployment = deployment
         # Arrivals do not depend on decisions, so that all rankings get the
@@ -142,6 +162,8 @@
         self._planner = Planner(self._targets, self._tickets, self._settings)
         if ranking:
             self._planner.ranking = ranking
+        if speeds:
+            self._planner.use_speeds(speeds)
         self._advice_queue = AdviceQueue(self._settings)
         self._planner.count_queued_requests = self._advice_queue.__len__
         self._open_requests: list[tuple[int, int, AdviceRequest]] = []
@@ -151,25 +173,28 @@
         self._jobs: list[JobRun] = []
         self._ended_at_ms: dict[JobId, int] = {}
         self._started_at_ms: dict[JobId, int] = {}
+        self._failing: set[TaskKey] = set()
+        self._task_started_at_ms: dict[TaskKey, int] = {}
         self._sequence = 0
         self._is_changed = False
         self._used_ratios: list[float] = []
         self._jobs_by_id: dict[JobId, JobRun] = {}
         self._step_run_ms: list[float] = []
         self._run_ms: dict[JobId, tuple[float, ...]] = {}
-        self._slow_ids: set[TargetId] = set()
+        self._factors: dict[TargetId, float] = {}
         for number in range(deployment.targets_count):
             entry = _entry(number, deployment)
             self._targets.update(entry)
-            if number % _SLOW_INTERVAL == 0:
-                self._slow_ids.add(entry.target_id)
+            self._factors[entry.target_id] = deployment.speed_factor(number)
 
     def run(self) -> dict[str, Tally]:
-        """Simulates the load and half its duration more.
+        """Simulates the load until most jobs have ended.
 
         Returns the outcomes by kind of job.
         """
-        end_ms = int(self._deployment.duration_ms * 1.5)
+        duration_ms = self._deployment.duration_ms
+        settled_ms = duration_ms + self._deployment.settle_ms
+        end_ms = max(int(duration_ms * 1.5), settled_ms)
         for now_ms in range(0, end_ms, TICK_MS):
             if now_ms < self._deployment.duration_ms:
                 self._add_arrivals(now_ms)
@@ -261,12 +286,32 @@
             _, _, job, placement = heapq.heappop(self._scheduled_ends)
             self._is_changed = True
             task = placement.task
+            has_failed = task.key in self._failing
+            self._failing.discard(task.key)
+            if not has_failed:
+                self._learn(job, placement, now_ms)
             placement.target.release(task.key, task.attempt)
-            apply_end(job, task.key, task.attempt, EndKind.done, '')
+            kind = EndKind.failed if has_failed else EndKind.done
+            apply_end(job, task.key, task.attempt, kind, '')
             self._planner.update_job(job)
             if job.state is JobState.completed:
                 self._ended_at_ms.setdefault(job.spec.job_id, now_ms)
 
+    def _learn(self, job: JobRun, placement: Placement, now_ms: int) -> None:
+        """Learns from a task that is done, as a leader does."""
+        task_key = placement.task.key
+        step = job.steps[0, task_key.step_key.step]
+        if step.spec.is_gang:
+            return
+        run_time = TaskRunTime(
+            task_key.step_key,
+            job.terms.queue,
+            step.spec.tasks_count,
+            step.spec.estimate_ms,
+            now_ms - self._task_started_at_ms.pop(task_key),
+        )
+        self._planner.speeds.observe(placement.target.entry, run_time, now_ms)
+
     def _process_advice(self, now_ms: int) -> None:
         while self._open_requests and self._open_requests[0][0] <= now_ms:
             _, _, request = heapq.heappop(self._open_requests)
@@ -335,25 +380,52 @@
         job = self._jobs_by_id[step_key.job_id]
         is_gang = job.steps[0, step_key.step].spec.is_gang
         step_run_ms = self._run_ms[step_key.job_id][step_key.step]
-        slowest = max(map(self._slow_factor, placements))
+        slowest = max(map(self._speed_factor, placements))
         for placement in placements:
             # All members of a gang take as long as the slowest one.
-            factor = slowest if is_gang else self._slow_factor(placement)
+            task_key = placement.task.key
+            factor = slowest
             if not is_gang:
-                factor *= _task_factor(placement.task.key)
+                factor = self._speed_factor(placement)
+                factor *= self._tail_factor(task_key) * _task_factor(task_key)
+                factor *= self._draw_failure(placement.task)
+            self._task_started_at_ms[task_key] = now_ms
             self._sequence += 1
             end_ms = now_ms + int(step_run_ms * factor)
             heapq.heappush(
                 self._scheduled_ends, (end_ms, self._sequence, job, placement)
             )
 
-    def _slow_factor(self, placement: Placement) -> float:
-        is_slow = placement.target.entry.target_id in self._slow_ids
-        return self._deployment.slow_factor if is_slow else 1
+    def _speed_factor(self, placement: Placement) -> float:
+        return self._factors[placement.target.entry.target_id]
+
+    def _draw_failure(self, task: TaskRun) -> float:
+        """Returns after which share of its run an attempt ends."""
+        generator = random.Random(f'failure {task.key} {task.attempt}')
+        if generator.random() >= self._deployment.failure_share:
+            return 1
+        self._failing.add(task.key)
+        return generator.uniform(0.1, 1)
+
+    def _tail_factor(self, key: TaskKey) -> float:
+        deployment = self._deployment
+        is_tail = random.Random(f'tail {key}').random() < deployment.tail_share
+        return deployment.tail_factor if is_tail else 1
+
+    def _longest_tail(self, step: StepRun) -> float:
+        if step.spec.is_gang:
+            return 1
+        return max(self._tail_factor(task.key) for task in step.tasks)
 
     def _objective_ms(self, job: JobRun) -> float:
         """Returns the objective by true run times, which no decision knows."""
-        chain_ms = sum(self._run_ms[job.spec.job_id])
+        run_ms = self._run_ms[job.spec.job_id]
+        chain_ms = sum(
+            step_run_ms * self._longest_tail(step)
+            for step_run_ms, step in zip(
+                run_ms, job.steps.values(), strict=True
+            )
+        )
         chain_ms += len(job.spec.steps) * advice_ms(job.terms.advice)
         return job.terms.stretch * chain_ms + job.terms.objective_ms
 
@@ -365,6 +437,8 @@
             ended_at_ms = self._ended_at_ms.get(job_id)
             accepted_at_ms = job.accepted_at_ms
             objective_ms = self._objective_ms(job)
+            if ended_at_ms is not None:
+                ended_at_ms += self._deployment.seen_after_ms
             if ended_at_ms is None:
                 tally.missed += 1
             elif ended_at_ms - accepted_at_ms <= objective_ms:
--- a/src/radishlift/cell/attempts.py
+++ b/src/radishlift/cell/attempts.py
@@ -13,6 +13,7 @@
     RunningAttempt,
     StartVerdict,
 )
+from radishlift.cell.run_times import RunTimes
 from radishlift.cell.session_context import StopEvidence
 from radishlift.cell.sessions import TargetSession
 from radishlift.core.clock import Clock
@@ -21,6 +22,7 @@
 from radishlift.steps.endings import EndKind, apply_end
 from radishlift.steps.ids import TaskKey
 from radishlift.steps.runs import JobRun, TaskState
+from radishlift.steps.speeds import SpeedTable
 from radishlift.steps.tickets import TicketTable
 
 _FAILURE_KINDS: Final = frozenset((EndKind.failed, EndKind.crashed_alone))
@@ -41,6 +43,7 @@
         clock: Clock,
         notify_scheduler: Callable[[], None],
         wait_committed: Callable[[], Awaitable[None]],
+        speeds: SpeedTable,
     ) -> None:
         self._jobs = jobs
         self._fleet = fleet
@@ -49,6 +52,7 @@
         self._clock = clock
         self._notify_scheduler = notify_scheduler
         self._wait_committed = wait_committed
+        self._run_times = RunTimes(speeds, clock)
         self.is_over = asyncio.Event()
 
     def end_orphan(self, key: TaskKey, attempt: int) -> None:
@@ -182,11 +186,13 @@
         has_survived = self._crashes.has_survived(
             session.target, ended.key, ended.attempt
         )
+        job = self._jobs.get(ended.key.step_key.job_id)
+        task = None if job is None else job.find_task(ended.key)
+        if job is not None and task is not None:
+            self._run_times.record_end(session.target, job, task, ended)
         session.target.release(ended.key, ended.attempt)
         session.listing.forget(ended.key)
         self._notify_scheduler()
-        job = self._jobs.get(ended.key.step_key.job_id)
-        task = None if job is None else job.find_task(ended.key)
         if job is None or task is None:
             return
         if task.target_id != session.target_id or not _apply_end(job, ended):
--- a/src/radishlift/cell/commits.py
+++ b/src/radishlift/cell/commits.py
@@ -38,8 +38,8 @@
 from radishlift.steps.progress import dump_progress
 from radishlift.steps.runs import JobRun, JobState
 
-# The store accepts 100 entries per transaction: two are conditions, and three
-# are the rows of the commit, of the heartbeat and of the unrenewed leases.
+# The store accepts 100 entries per transaction: two are conditions, and four
+# are rows of the commit, the heartbeat, the unrenewed leases and the speeds.
 _MAX_BATCH_JOBS: Final = 90
 _RETRY_MS: Final = 60
 
@@ -79,7 +79,8 @@
 class CommitLog:
     """Commits the progress of jobs and then runs their callbacks.
 
-    `heartbeat_fields` returns the fields of the leader heartbeat.
+    `heartbeat_fields` returns the fields of the leader heartbeat, and
+    `list_writes` what else is written with it.
     """
 
     def __init__(
@@ -106,6 +107,7 @@
         self._is_failing = False
         self.confirmed_at_ms = claim.claimed_at_ms
         self.heartbeat_fields: Callable[[], Mapping[str, Any]] = dict
+        self.list_writes: Callable[[], list[Write]] = list
         self.unrenewed = UnrenewedLeases(claim.epoch, self._has_work.set)
 
     @property
@@ -190,6 +192,7 @@
                     CELL, HEARTBEAT_KEY, {**fields, **self.heartbeat_fields()}
                 )
             )
+            writes.extend(self.list_writes())
         if is_heartbeat_due or self.unrenewed.is_write_requested:
             writes.extend(self.unrenewed.start_write())
         batch = _Batch(self._sequence, ())
--- a/src/radishlift/cell/leader_term.py
+++ b/src/radishlift/cell/leader_term.py
@@ -20,6 +20,7 @@
     COMMITS,
     JOBS,
     PROGRESS,
+    SPEEDS_KEY,
     TARGETS,
     UNRENEWED_KEY,
 )
@@ -151,6 +152,7 @@
             self._follow_targets(),
             self._advice_dispatcher.run(),
             self._retention.run(),
+            self._read_speeds(),
             self._schedule(),
         ]
 
@@ -204,6 +206,21 @@
             remaining_ms, dependencies.clock.monotonic_ms()
         )
 
+    async def _read_speeds(self) -> None:
+        """Reads the speeds that the previous leader has learned.
+
+        Scheduling does not wait for them.
+        """
+        row = await self._dependencies.store.read(COMMITS, SPEEDS_KEY)
+        if isinstance(row, Failure):
+            log_event('speeds_unread', reason=row.reason)
+            self.scheduler.stored_speeds.load(None)
+            return
+        try:
+            self.scheduler.stored_speeds.load(row)
+        except _DECODE_ERRORS as error:
+            log_event('bad_speeds_row', reason=repr(error))
+
     async def _follow(
         self,
         table: str,
--- a/src/radishlift/cell/orders.py
+++ b/src/radishlift/cell/orders.py
@@ -179,7 +179,11 @@
         may_be_listed = verdict in _RAN_VERDICTS
         if may_be_listed:
             self.unresolved.resolve(order.key, order.attempt)
-            self._target.confirm_start(order.key, order.attempt)
+            self._target.confirm_start(
+                order.key,
+                order.attempt,
+                None if is_unresolved else self._now_ms(),
+            )
             self._context.listener.on_started(order.key)
         elif is_unresolved:
             # An unanswered start may still arrive, so the attempt is blocked.
--- a/src/radishlift/cell/scheduler.py
+++ b/src/radishlift/cell/scheduler.py
@@ -14,23 +14,23 @@
 from radishlift.cell.job_table import JobTable
 from radishlift.cell.leases import InheritedLeases, inherited_expiry_ms
 from radishlift.cell.pending_advice import PendingAdvice
+from radishlift.cell.planning_log import PlanningLog
 from radishlift.cell.ports import StartOrder, TargetCalls
 from radishlift.cell.queues import QueueConfig
 from radishlift.cell.session_context import SessionContext
 from radishlift.cell.sessions import TargetSession
 from radishlift.cell.settings import CellSettings
+from radishlift.cell.stored_speeds import StoredSpeeds
 from radishlift.core.clock import Clock
 from radishlift.core.ids import JobId
 from radishlift.core.logs import log_event
 from radishlift.steps.ids import FencingToken
 from radishlift.steps.placing import Placement
 from radishlift.steps.planner import Planner
-from radishlift.steps.planning_state import summarize_tick
 from radishlift.steps.runs import JobRun, JobState
 from radishlift.steps.settings import StepSettings
 from radishlift.steps.targets import TargetEntry, TargetTable
 from radishlift.steps.tickets import TicketTable
-from radishlift.steps.wait_reasons import WaitExplainer
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,10 +55,6 @@
         self._tickets = TicketTable()
         self._planner = Planner(targets, self._tickets, context.step_settings)
         self._has_changed = asyncio.Event()
-        self._wait_explainer = WaitExplainer(
-            self._planner, self._tickets, context.step_settings
-        )
-        self._explained_at_ms = 0
         self.jobs = JobTable(self._planner, log, context.clock)
         self.fleet = TargetFleet(
             targets,
@@ -73,6 +69,7 @@
             context.clock,
             self._has_changed.set,
             log.wait_committed,
+            self._planner.speeds,
         )
         self.inherited_leases = InheritedLeases(
             inherited_expiry_ms(
@@ -106,6 +103,15 @@
             context.clock,
             self._has_changed.set,
         )
+        self._planning_log = PlanningLog(
+            self._planner,
+            self._tickets,
+            context.settings,
+            context.step_settings,
+            lambda: self.pending_advice.queued_count,
+        )
+        self.stored_speeds = StoredSpeeds(self._planner, targets, context.clock)
+        log.list_writes = self.stored_speeds.list_writes
         log.heartbeat_fields = self.jobs.heartbeat_fields
         log.unrenewed.list_remaining_ms = lambda: (
             self.inherited.list_unrenewed_ms(context.clock.monotonic_ms())
@@ -200,43 +206,7 @@
         for job, placement in plan.placements:
             self._commit_start(job, placement)
         self.pending_advice.add(plan.advice_requests)
-        self._log_waiting(now_ms)
-
-    def _log_waiting(self, now_ms: int) -> None:
-        interval_ms = self._context.settings.explain_every_ms
-        if now_ms - self._explained_at_ms < interval_ms:
-            return
-        self._explained_at_ms = now_ms
-        overdue = self._wait_explainer.explain()
-        if overdue:
-            self._log_state()
-        for waiting in overdue:
-            log_event(
-                'step_waits',
-                step=waiting.key,
-                overdue_ms=waiting.overdue_ms,
-                reason=waiting.reason,
-                suitable=waiting.suitable_count,
-                fitting=waiting.fitting_count,
-                open_requests=waiting.open_requests_count,
-            )
-
-    def _log_state(self) -> None:
-        state = summarize_tick(
-            self._planner.last_tick, self._tickets, self._context.step_settings
-        )
-        log_event(
-            'planning_state',
-            waiting=state.waiting_count,
-            overdue=state.overdue_count,
-            used_cpu_percent=state.used_cpu_percent,
-            used_memory_percent=state.used_memory_percent,
-            reserved=state.reserved_count,
-            reserved_idle_percent=state.reserved_idle_percent,
-            queued_requests=self.pending_advice.queued_count,
-            granted_tickets=state.granted_count,
-            used_tickets=state.used_count,
-        )
+        self._planning_log.log_tick(now_ms)
 
     def _commit_start(self, job: JobRun, placement: Placement) -> None:
         session = self.fleet.find_session(placement.target.entry.target_id)
--- a/src/radishlift/cell/tables.py
+++ b/src/radishlift/cell/tables.py
@@ -3,7 +3,8 @@
 `CELL` contains the row of the leader, its heartbeat and a row per daemon.
 `COMMITS` contains one row that every transaction of the leader replaces, so
 that a transaction without an answer can't take effect after a later one. A
-second row has the leases that the leader does not renew.
+second row has the leases that the leader does not renew, and a third one the
+learned speeds of targets.
 Rows of `JOBS` and `CANCELS` are sharded by job id: a transaction covers one
 shard, and the store processes the transactions of a shard serially.
 """
@@ -25,6 +26,7 @@
 HEARTBEAT_KEY: Final = 'pulse'
 LAST_COMMIT_KEY: Final = 'last'
 UNRENEWED_KEY: Final = 'unrenewed'
+SPEEDS_KEY: Final = 'speeds'
 DAEMON_PREFIX: Final = 'daemon/'
 
 # A store that is 60 times slower than usual takes 300 ms per transaction; 32
@@ -54,6 +56,7 @@
     'LEADER_KEY',
     'PROGRESS',
     'HEARTBEAT_KEY',
+    'SPEEDS_KEY',
     'TARGETS',
     'UNRENEWED_KEY',
     'daemon_key',
--- a/src/radishlift/steps/advice_requests.py
+++ b/src/radishlift/steps/advice_requests.py
@@ -4,7 +4,11 @@
 from dataclasses import dataclass
 
 from radishlift.steps.ids import QueueName, StepKey, TargetId
-from radishlift.steps.placing import place_step
+from radishlift.steps.placing import (
+    TargetPreference,
+    no_preference,
+    place_step,
+)
 from radishlift.steps.runs import JobRun, StepRun
 from radishlift.steps.settings import StepSettings
 from radishlift.steps.spec import AdviceTerms
@@ -54,6 +58,7 @@
     with_expired_ticket: list[Target],
     not_requested: list[Target],
     settings: StepSettings,
+    preference: TargetPreference = no_preference,
 ) -> tuple[TargetId, ...]:
     """Selects targets for the next advice request of a step.
 
@@ -64,10 +69,12 @@
     Returns an empty tuple if a request would not help.
     """
     placements = (
-        place_step(step, with_expired_ticket) if with_expired_ticket else []
+        place_step(step, with_expired_ticket, preference=preference)
+        if with_expired_ticket
+        else []
     )
     if not_requested and len(placements) < len(step.ordinary_tasks()):
-        return choose_new_targets(terms, not_requested, settings)
+        return choose_new_targets(terms, not_requested, settings, preference)
     ids = {placement.target.entry.target_id for placement in placements}
     return tuple(sorted(ids)[: settings.max_asked_count])
 
@@ -76,9 +83,10 @@
     terms: AdviceTerms,
     not_requested: list[Target],
     settings: StepSettings,
+    preference: TargetPreference = no_preference,
 ) -> tuple[TargetId, ...]:
     """Selects those with most room of the targets that were not named yet."""
-    not_requested.sort(key=_free_millicores, reverse=True)
+    _sort_by_room(not_requested, settings, preference)
     return _target_ids(not_requested[: _max_targets_count(terms, settings)])
 
 
@@ -88,6 +96,7 @@
     not_requested: list[Target],
     allowed_share: float,
     settings: StepSettings,
+    preference: TargetPreference = no_preference,
 ) -> Iterator[tuple[TargetId, ...]]:
     """Yields the targets of simultaneous advice requests for a gang.
 
@@ -98,7 +107,7 @@
     that will be allowed.
     """
     amounts = step.spec.allocated_amounts
-    not_requested.sort(key=_free_millicores, reverse=True)
+    _sort_by_room(not_requested, settings, preference)
     size = _max_targets_count(terms, settings)
     needed_count = settings.gang_room_factor * len(step.tasks)
     for first in range(0, len(not_requested), size):
@@ -143,6 +152,21 @@
     return tuple(target.entry.target_id for target in targets)
 
 
+def _sort_by_room(
+    targets: list[Target],
+    settings: StepSettings,
+    preference: TargetPreference,
+) -> None:
+    """Sorts by room, most first, with an allowance for preferred targets."""
+    share = settings.preferred_room_share
+
+    def room(target: Target) -> float:
+        allowance = share * target.entry.capacity.cpu_millicores
+        return _free_millicores(target) - preference(target) * allowance
+
+    targets.sort(key=room, reverse=True)
+
+
 def _free_millicores(target: Target) -> int:
     return target.free_capacity.cpu_millicores
 
--- a/src/radishlift/steps/endings.py
+++ b/src/radishlift/steps/endings.py
@@ -60,6 +60,8 @@
     if task.attempt != attempt:
         return False
     step = job.steps[key.step_key.occurrence, key.step_key.step]
+    if kind is EndKind.failed:
+        task.failed_target_id = task.target_id
     task.target_id = TargetId('')
     task.state = TaskState.waiting
     if checkpoint:
--- a/src/radishlift/steps/placing.py
+++ b/src/radishlift/steps/placing.py
@@ -2,10 +2,11 @@
 
 A task goes to the fitting target with the least free capacity (best fit),
 which leaves large free blocks for gangs. All members of a gang are placed
-together, or none.
+together, or none. A step may prefer some targets to others, and a task that
+has failed goes elsewhere if it can.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 
 from radishlift.steps.ids import TargetId
@@ -25,9 +26,17 @@
 CapacityOf = Callable[[Target], Amounts]
 """Returns how much of a target the tasks of a step may use."""
 
+TargetPreference = Callable[[Target], int]
+"""Returns how much a step prefers a target: 0 is best."""
+
 _TargetRanking = Callable[[Target, Amounts], tuple[int, ...]]
 
 
+def no_preference(target: Target) -> int:
+    """Prefers no target."""
+    return 0
+
+
 class _FreeCapacity:
     """Free capacity of targets while the tasks of one step are placed."""
 
@@ -48,12 +57,22 @@
         if self._limit:
             self._count_placed(step)
 
-    def allocate(self, rank_target: _TargetRanking) -> Target | None:
-        """Allocates one task on the target of the lowest rank, if any fits."""
+    def allocate(
+        self, task: TaskRun, rank_target: _TargetRanking
+    ) -> Target | None:
+        """Allocates a task on the target of the lowest rank, if any fits.
+
+        It uses the target that failed it last only if no other fits.
+        """
+        pairs = [
+            pair
+            for target_id, pair in self._by_id.items()
+            if target_id != task.failed_target_id
+        ]
         if not self._by_id:
             return None
         target, free_capacity = min(
-            self._by_id.values(),
+            pairs or self._by_id.values(),
             key=lambda pair: rank_target(*pair),
         )
         target_id = target.entry.target_id
@@ -85,12 +104,15 @@
     step: StepRun,
     targets: Iterable[Target],
     capacity_of: CapacityOf = _free_capacity,
+    preference: TargetPreference = no_preference,
 ) -> list[Placement]:
     """Places the ordinary waiting tasks of a step on allowed targets.
 
     Returns an empty list for a gang if not all members wait and fit.
     """
-    return place_tasks(step, step.ordinary_tasks(), targets, capacity_of)
+    return place_tasks(
+        step, step.ordinary_tasks(), targets, capacity_of, preference
+    )
 
 
 def place_tasks(
@@ -98,13 +120,20 @@
     waiting: list[TaskRun],
     targets: Iterable[Target],
     capacity_of: CapacityOf = _free_capacity,
+    preference: TargetPreference = no_preference,
 ) -> list[Placement]:
     """Places the given waiting tasks of a step like `place_step`."""
     if step.spec.is_gang and len(waiting) != len(step.tasks):
         return []
+    listed = list(targets)
+    preferences = {
+        target.entry.target_id: preference(target) for target in listed
+    }
     if step.spec.is_gang and step.spec.same_rack:
-        return _place_in_one_rack(step, waiting, list(targets), capacity_of)
-    return _place_on_any_rack(step, waiting, targets, capacity_of)
+        return _place_in_one_rack(
+            step, waiting, listed, capacity_of, preferences
+        )
+    return _place_on_any_rack(step, waiting, listed, capacity_of, preferences)
 
 
 def _place_on_any_rack(
@@ -112,6 +141,7 @@
     waiting: list[TaskRun],
     targets: Iterable[Target],
     capacity_of: CapacityOf,
+    preferences: Mapping[TargetId, int],
 ) -> list[Placement]:
     capacity = _FreeCapacity(step, targets, capacity_of)
     data_rack = step.spec.data_rack
@@ -120,13 +150,14 @@
         is_off_rack = bool(data_rack) and data_rack not in target.entry.labels
         return (
             is_off_rack,
+            preferences[target.entry.target_id],
             free_capacity.cpu_millicores,
             free_capacity.memory_mb,
         )
 
     placements = []
     for task in waiting:
-        target = capacity.allocate(rank_target)
+        target = capacity.allocate(task, rank_target)
         if target is None:
             break
         placements.append(Placement(task, target))
@@ -140,14 +171,24 @@
     waiting: list[TaskRun],
     targets: list[Target],
     capacity_of: CapacityOf,
+    preferences: Mapping[TargetId, int],
 ) -> list[Placement]:
     racks = {label for target in targets for label in target.entry.labels}
     for rack in sorted(racks):
         members = [target for target in targets if rack in target.entry.labels]
-        placements = _place_on_any_rack(step, waiting, members, capacity_of)
+        placements = _place_on_any_rack(
+            step, waiting, members, capacity_of, preferences
+        )
         if placements:
             return placements
-    return _place_on_any_rack(step, waiting, targets, capacity_of)
+    return _place_on_any_rack(step, waiting, targets, capacity_of, preferences)
 
 
-__all__ = ('CapacityOf', 'Placement', 'place_step', 'place_tasks')
+__all__ = (
+    'CapacityOf',
+    'Placement',
+    'TargetPreference',
+    'no_preference',
+    'place_step',
+    'place_tasks',
+)
--- a/src/radishlift/steps/planner.py
+++ b/src/radishlift/steps/planner.py
@@ -20,6 +20,8 @@
 from radishlift.steps.runs import JobRun, StepRun
 from radishlift.steps.settings import StepSettings
 from radishlift.steps.spec import Amounts
+from radishlift.steps.speed_preference import SpeedPreferences
+from radishlift.steps.speeds import SpeedTable
 from radishlift.steps.step_advice import StepAdviceRequests
 from radishlift.steps.targets import Target, TargetTable
 from radishlift.steps.tickets import TicketTable
@@ -31,7 +33,8 @@
     """Tracks the waiting steps and places their tasks.
 
     `count_queued_requests` returns how many advice requests wait for a host.
-    `last_tick` is the state after the latest plan.
+    `last_tick` is the state after the latest plan. `speeds` are the learned
+    speeds of the targets.
     """
 
     def __init__(
@@ -48,12 +51,18 @@
         self.last_tick = Tick(Plan(), 0, 0, [])
         self._suspects: set[StepKey] = set()
         self.ranking: StepRanking = rank_step
+        self.use_speeds(SpeedTable())
         self.count_queued_requests: Callable[[], int] = int
         self._advice = StepAdviceRequests(
             tickets, settings, self._count_queued_requests
         )
         self._trials = TrialPlanner(targets, self._advice, settings)
 
+    def use_speeds(self, speeds: SpeedTable) -> None:
+        """Places by the given speeds of the targets."""
+        self.speeds = speeds
+        self.preferences = SpeedPreferences(speeds, self._settings)
+
     def update_job(self, job: JobRun) -> None:
         """Updates which steps of a job wait for targets."""
         for step in job.steps.values():
@@ -109,6 +118,8 @@
         ]
         due.sort(key=lambda pair: self.ranking(pair[0], pair[1], wall_ms))
         tick = Tick(Plan(), now_ms, wall_ms, accepting, due)
+        self.preferences.refresh(self._targets, now_ms)
+        tick.preference_of = self.preferences.for_step
         self._trials.plan(
             tick, [pair for pair in due if pair[1].key in self._suspects]
         )
@@ -191,16 +202,17 @@
         def capacity_of(target: Target) -> Amounts:
             return tick.usable_capacity(target, step)
 
+        preference = tick.preference(job, step)
         unreserved = [
             target
             for target in fitting
             if target.entry.target_id not in self.last_tick.reserved_until_ms
         ]
         if not step.spec.is_gang and len(unreserved) < len(fitting):
-            placements = place_step(step, unreserved, capacity_of)
+            placements = place_step(step, unreserved, capacity_of, preference)
             if len(placements) == len(step.ordinary_tasks()):
                 return placements
-        return place_step(step, fitting, capacity_of)
+        return place_step(step, fitting, capacity_of, preference)
 
     def _reserve_targets(
         self,
@@ -230,7 +242,10 @@
             return
         # It may reserve no room, but start in room that is free now.
         placements = place_step(
-            step, fitting, lambda target: tick.unclaimed_capacity(target, step)
+            step,
+            fitting,
+            lambda target: tick.unclaimed_capacity(target, step),
+            tick.preference(job, step),
         )
         if placements:
             free_room = reserve_placements(placements, tick.now_ms)
--- a/src/radishlift/steps/runs.py
+++ b/src/radishlift/steps/runs.py
@@ -41,7 +41,8 @@
 
     `crashes_count` is how many targets have crashed in succession while they
     started the task, and `confirmed_crashes_count` during how many of these
-    crashes the task is known to have run.
+    crashes the task is known to have run. `failed_target_id` is the target of
+    the latest failed attempt; it is not stored.
     """
 
     key: TaskKey
@@ -52,6 +53,7 @@
     checkpoint: str = ''
     crashes_count: int = 0
     confirmed_crashes_count: int = 0
+    failed_target_id: TargetId = TargetId('')
 
     def clear_crashes(self) -> None:
         """Forgets crashes after the task has run without one."""
--- a/src/radishlift/steps/settings.py
+++ b/src/radishlift/steps/settings.py
@@ -42,6 +42,13 @@
     - `trial_group_count`: maximum number of suspects that start together on a
       target. Tasks under which several targets have crashed start alone.
     - `trial_share`: maximum share of the targets used for trials of suspects.
+    - `speed_band_ratio`: run times on a target, relative to the median target,
+      within which targets count as equally fast.
+    - `tight_run_share`, `tight_slack_ms`: a step prefers fast targets if its
+      objective leaves less to spare than this share of its expected run time
+      and this time, in which callers notice its end.
+    - `preferred_room_share`: advice is requested on a preferred target as if it
+      had this share of its capacity more to spare.
     """
 
     min_ticket_ms: int = 150
@@ -65,6 +72,10 @@
     max_crashes_count: int = 2
     trial_group_count: int = 4
     trial_share: float = 0.25
+    speed_band_ratio: float = 1.5
+    tight_run_share: float = 1
+    tight_slack_ms: int = 500
+    preferred_room_share: float = 0.5
 
 
 __all__ = ('StepSettings',)
--- a/src/radishlift/steps/step_advice.py
+++ b/src/radishlift/steps/step_advice.py
@@ -108,7 +108,12 @@
                 for target in tick.suitable_targets(job, step)
                 if target.entry.target_id not in advice.requested
             ]
-            ids = choose_new_targets(terms, not_requested, self._settings)
+            ids = choose_new_targets(
+                terms,
+                not_requested,
+                self._settings,
+                tick.preference(job, step),
+            )
         if ids:
             self._send(tick, build_request(job, step, terms, ids))
 
@@ -131,6 +136,7 @@
             not_requested,
             self._tickets.allowed_share(job.terms.queue),
             self._settings,
+            tick.preference(job, step),
         )
         # If requests already wait, more of them would delay other steps.
         max_count = self._settings.max_open_count if self.is_idle else 1
@@ -211,7 +217,10 @@
                 if find_accepting(target.entry.target_id)
             }
             ids = choose_new_targets(
-                terms, list(not_requested.values()), self._settings
+                terms,
+                list(not_requested.values()),
+                self._settings,
+                tick.preference(job, step),
             )
         if not ids:
             return None
@@ -242,6 +251,7 @@
                 and tick.may_use_later(target, step)
             ],
             self._settings,
+            tick.preference(job, step),
         )
 
     def _choose_renewed(
--- a/src/radishlift/steps/targets.py
+++ b/src/radishlift/steps/targets.py
@@ -58,7 +58,8 @@
     `sent_at_ms` is when the latest start call was sent, and `first_sent_at_ms`
     when the first was; None if none was.
     `is_confirmed` is whether the target has answered that it started, and
-    `is_inherited` whether an earlier leader started it.
+    `is_inherited` whether an earlier leader started it. `started_at_ms` is when
+    the answer to its only start call arrived; None if it is unknown.
     """
 
     attempt: int
@@ -68,6 +69,7 @@
     first_sent_at_ms: int | None = None
     is_confirmed: bool = False
     is_inherited: bool = False
+    started_at_ms: int | None = None
     suspicion: Suspicion = Suspicion.none
 
     def record_sent(self, now_ms: int) -> int | None:
@@ -158,11 +160,17 @@
             return None
         return allocation.record_sent(now_ms)
 
-    def confirm_start(self, key: TaskKey, attempt: int) -> None:
-        """Records that the target has started an attempt."""
+    def confirm_start(
+        self, key: TaskKey, attempt: int, now_ms: int | None = None
+    ) -> None:
+        """Records that the target has started an attempt.
+
+        `now_ms` is None if an earlier start call may have started it.
+        """
         allocation = self.allocations.get(key)
         if allocation is not None and allocation.attempt == attempt:
             allocation.is_confirmed = True
+            allocation.started_at_ms = now_ms
 
     def clear_suspicion(self, key: TaskKey, attempt: int) -> None:
         """Records that an attempt runs on after the crash of a process."""
--- a/src/radishlift/steps/ticks.py
+++ b/src/radishlift/steps/ticks.py
@@ -1,17 +1,30 @@
 """One pass over the waiting steps, and the starts it plans."""
 
-from collections.abc import Set
+from collections.abc import Callable, Set
 from dataclasses import dataclass, field
 
 from radishlift.core.ids import ServiceName
 from radishlift.steps.advice_requests import AdviceRequest
 from radishlift.steps.gang_reservations import Reservation
 from radishlift.steps.ids import TargetId
-from radishlift.steps.placing import Placement
+from radishlift.steps.placing import (
+    Placement,
+    TargetPreference,
+    no_preference,
+)
 from radishlift.steps.runs import JobRun, StepRun, TaskState
 from radishlift.steps.spec import Amounts
 from radishlift.steps.targets import Target
 
+StepPreference = Callable[[JobRun, StepRun, int], TargetPreference]
+"""Returns which targets a step prefers at a Unix time in milliseconds."""
+
+
+def _prefer_nothing(
+    job: JobRun, step: StepRun, wall_ms: int
+) -> TargetPreference:
+    return no_preference
+
 
 @dataclass(slots=True)
 class Plan:
@@ -33,7 +46,8 @@
     targets on which tasks may start, and `due` the steps that waited at its
     start, in the order of their rank. `reserved_amounts` is the room that
     gangs hold until `reserved_until_ms`, and `claimed_amounts` the free room
-    for which gangs without a reservation request tickets.
+    for which gangs without a reservation request tickets. `preference_of`
+    tells which targets a step prefers.
     """
 
     plan: Plan
@@ -47,6 +61,11 @@
     by_requirement: dict[tuple[ServiceName, str], list[Target]] = field(
         default_factory=dict,
     )
+    preference_of: StepPreference = _prefer_nothing
+
+    def preference(self, job: JobRun, step: StepRun) -> TargetPreference:
+        """Returns which targets a step prefers now."""
+        return self.preference_of(job, step, self.wall_ms)
 
     def reserve(self, step: StepRun, reservation: Reservation) -> None:
         """Reserves room for a gang on targets that are not reserved yet."""
@@ -172,4 +191,4 @@
         tick.plan.placements.append((job, placement))
 
 
-__all__ = ('Plan', 'Tick', 'allocate_starts')
+__all__ = ('Plan', 'StepPreference', 'Tick', 'allocate_starts')
