Compare the targets of a step, and measure speeds against an oracle

Tasks of a step that ran on the same target were compared with each other, which tells nothing: they count once now. Tight steps try unknown targets before usual ones, and expected ends use the ratio of the target, or of the slowest gang member.

--- a/benchmarks/bench_decisions.py
+++ b/benchmarks/bench_decisions.py
@@ -14,6 +14,7 @@
     worth_share,
 )
 from benchmarks.harness import BENCHMARKS, Figure
+from benchmarks.uneven_targets import list_figures
 from radishlift.core.registry import Registry
 from radishlift.steps.ranking import (
     StepRanking,
@@ -192,12 +193,13 @@
 
 @BENCHMARKS.register('decisions')
 def run() -> list[Figure]:
-    """Runs all rankings on the same loads."""
+    """Compares rankings, and what is known of speeds, on the same loads."""
     figures = []
     for load in LOADS:
         deployment = rug_depot(load, burst_factor=1.8)
         for name in RANKINGS.names():
             figures.extend(_figures(deployment, name, f'decisions.{load}x'))
+    figures.extend(list_figures())
     return figures
 
 
--- a/src/radishlift/steps/placing.py
+++ b/src/radishlift/steps/placing.py
@@ -26,13 +26,13 @@
 CapacityOf = Callable[[Target], Amounts]
 """Returns how much of a target the tasks of a step may use."""
 
-TargetPreference = Callable[[Target], int]
+TargetPreference = Callable[[Target], float]
 """Returns how much a step prefers a target: 0 is best."""
 
-_TargetRanking = Callable[[Target, Amounts], tuple[int, ...]]
+_TargetRanking = Callable[[Target, Amounts], tuple[float, ...]]
 
 
-def no_preference(target: Target) -> int:
+def no_preference(target: Target) -> float:
     """Prefers no target."""
     return 0
 
@@ -141,12 +141,14 @@
     waiting: list[TaskRun],
     targets: Iterable[Target],
     capacity_of: CapacityOf,
-    preferences: Mapping[TargetId, int],
+    preferences: Mapping[TargetId, float],
 ) -> list[Placement]:
     capacity = _FreeCapacity(step, targets, capacity_of)
     data_rack = step.spec.data_rack
 
-    def rank_target(target: Target, free_capacity: Amounts) -> tuple[int, ...]:
+    def rank_target(
+        target: Target, free_capacity: Amounts
+    ) -> tuple[float, ...]:
         is_off_rack = bool(data_rack) and data_rack not in target.entry.labels
         return (
             is_off_rack,
@@ -171,7 +173,7 @@
     waiting: list[TaskRun],
     targets: list[Target],
     capacity_of: CapacityOf,
-    preferences: Mapping[TargetId, int],
+    preferences: Mapping[TargetId, float],
 ) -> list[Placement]:
     racks = {label for target in targets for label in target.entry.labels}
     for rack in sorted(racks):
--- a/src/radishlift/steps/planner.py
+++ b/src/radishlift/steps/planner.py
@@ -120,6 +120,7 @@
         tick = Tick(Plan(), now_ms, wall_ms, accepting, due)
         self.preferences.refresh(self._targets, now_ms)
         tick.preference_of = self.preferences.for_step
+        tick.speed_ratio = self.preferences.ratio
         self._trials.plan(
             tick, [pair for pair in due if pair[1].key in self._suspects]
         )
--- a/src/radishlift/steps/speed_preference.py
+++ b/src/radishlift/steps/speed_preference.py
@@ -1,12 +1,12 @@
 """Which targets a step prefers by their speed.
 
-A step that would miss its objective on a slow target prefers fast ones. Other
-steps leave these to it: they prefer usual targets, and slow ones on which they
-still meet their objective. Differences within the dead band change nothing.
+A step that would miss its objective on a slow target prefers fast ones, then
+those of which nothing is known. Other steps leave fast ones to it: they prefer
+usual targets, and slow ones on which they still meet their objective.
+Differences within the dead band change nothing.
 """
 
 from collections.abc import Iterable, Mapping
-from enum import IntEnum, unique
 from typing import Final
 
 from radishlift.steps.ids import TargetId
@@ -20,11 +20,10 @@
 _REFRESH_MS: Final = 100
 
 
-@unique
-class _Preference(IntEnum):
-    preferred = 0
-    usable = 1
-    last = 2
+_PREFERRED: Final = 0
+_UNTRIED: Final = 0.5
+_USABLE: Final = 1
+_LAST: Final = 2
 
 
 class SpeedPreferences:
@@ -38,6 +37,7 @@
         self._speeds = speeds
         self._settings = settings
         self._ratios: dict[TargetId, float] = {}
+        self._untried: set[TargetId] = set()
         self._refreshed_at_ms = -_REFRESH_MS
         self.fast_count = 0
         self.slow_count = 0
@@ -54,6 +54,11 @@
         factors = self._speeds.refresh(
             [target.entry for target in targets], now_ms
         )
+        self._untried = {
+            target_id
+            for target_id in factors
+            if not self._speeds.is_known(target_id)
+        }
         ordered = sorted(factors.values())
         median = ordered[len(ordered) // 2] if ordered else 1
         band = self._settings.speed_band_ratio
@@ -87,6 +92,15 @@
         """Returns the ratio of the slowest target."""
         return max(self._ratios.values(), default=1)
 
+    def expected_run_ms(
+        self, job: JobRun, step: StepRun, target_id: TargetId
+    ) -> float:
+        """Returns how long a task of a step probably takes on a target."""
+        run_ms = self._speeds.expected_run_ms(
+            job.terms.queue, step.spec.expected_run_ms
+        )
+        return self.ratio(target_id) * run_ms
+
     def for_step(
         self, job: JobRun, step: StepRun, wall_ms: int
     ) -> TargetPreference:
@@ -102,19 +116,22 @@
         # The longest run that still meets the objective.
         max_ratio = max(1, 1 + slack_ms / max(1, run_ms))
 
-        def prefer_usual(target: Target) -> int:
+        def prefer_usual(target: Target) -> float:
             ratio = self._ratios.get(target.entry.target_id, 1)
             if ratio > max_ratio:
-                return _Preference.last
-            return _Preference.usable if ratio < 1 else _Preference.preferred
+                return _LAST
+            return _USABLE if ratio < 1 else _PREFERRED
 
         return prefer_usual
 
-    def _prefer_fast(self, target: Target) -> int:
+    def _prefer_fast(self, target: Target) -> float:
         ratio = self._ratios.get(target.entry.target_id, 1)
         if ratio < 1:
-            return _Preference.preferred
-        return _Preference.last if ratio > 1 else _Preference.usable
+            return _PREFERRED
+        if ratio > 1:
+            return _LAST
+        is_untried = target.entry.target_id in self._untried
+        return _UNTRIED if is_untried else _USABLE
 
     def _is_tight(self, slack_ms: float, run_ms: float) -> bool:
         """Returns whether the objective depends on a fast target.
--- a/src/radishlift/steps/speeds.py
+++ b/src/radishlift/steps/speeds.py
@@ -8,7 +8,8 @@
 - `f` is a line per queue, fitted to the ends of its tasks. Estimates may be
   wrong for a whole queue, and so rough that run times barely depend on them.
 - `step` is the error of the estimate that all tasks of a step share. For each
-  task it is the mean residual of the other tasks of its step.
+  target it is the mean residual of the other targets of the step; tasks on the
+  same target tell nothing about it.
 - `target` is the logarithm of the factor. It is a Kalman filter with one
   state per target, whose variance grows with time.
 
@@ -167,6 +168,10 @@
             return math.exp(learned.log_factor)
         return math.exp(self._prior(entry))
 
+    def is_known(self, target_id: TargetId) -> bool:
+        """Returns whether a run time on a target is known, or was stored."""
+        return target_id in self._learned or target_id in self._loaded
+
     def expected_run_ms(self, queue: QueueName, estimate_ms: int) -> float:
         """Returns how long a usual target probably takes for a task.
 
@@ -190,11 +195,8 @@
         queue = self._queues.setdefault(first.queue, QueueRuns())
         expected_log = queue.expected_log(first.estimate_ms)
         ends = [
-            (
-                self._learned_of(entry, now_ms),
-                math.log(run_time.run_ms) - expected_log,
-            )
-            for entry, run_time in step.ends
+            (self._learned_of(entry, now_ms), log_run - expected_log)
+            for entry, log_run in step.median_logs()
         ]
         residual = statistics.median(_residuals(ends))
         _compare(ends, queue.step_variance, now_ms)
@@ -255,7 +257,7 @@
 
 
 def _compare(ends: list[_End], step_variance: float, now_ms: int) -> None:
-    """Updates the targets of a step's tasks by comparing these."""
+    """Updates the targets of a step by comparing them with each other."""
     prior_weight = _TASK_VARIANCE / step_variance
     errors = common_errors(_residuals(ends), prior_weight)
     variance = _TASK_VARIANCE / (len(ends) - 1 + prior_weight)
--- a/src/radishlift/steps/step_advice.py
+++ b/src/radishlift/steps/step_advice.py
@@ -108,12 +108,7 @@
                 for target in tick.suitable_targets(job, step)
                 if target.entry.target_id not in advice.requested
             ]
-            ids = choose_new_targets(
-                terms,
-                not_requested,
-                self._settings,
-                tick.preference(job, step),
-            )
+            ids = choose_new_targets(terms, not_requested, self._settings)
         if ids:
             self._send(tick, build_request(job, step, terms, ids))
 
--- a/src/radishlift/steps/step_run_times.py
+++ b/src/radishlift/steps/step_run_times.py
@@ -1,11 +1,12 @@
 """Run times of the tasks of a step, which are compared with each other."""
 
+import math
 import statistics
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from typing import Final
 
-from radishlift.steps.ids import QueueName, StepKey
+from radishlift.steps.ids import QueueName, StepKey, TargetId
 from radishlift.steps.targets import TargetEntry
 
 # The other tasks of a step have probably ended after this multiple of the time
@@ -38,6 +39,20 @@
     complete_at_ms: float
     ends: list[tuple[TargetEntry, TaskRunTime]] = field(default_factory=list)
 
+    def median_logs(self) -> list[tuple[TargetEntry, float]]:
+        """Returns the median logarithm of the run times by target."""
+        logs: dict[TargetId, list[float]] = {}
+        entries = {}
+        for entry, run_time in self.ends:
+            entries[entry.target_id] = entry
+            logs.setdefault(entry.target_id, []).append(
+                math.log(run_time.run_ms)
+            )
+        return [
+            (entries[target_id], statistics.median(target_logs))
+            for target_id, target_logs in logs.items()
+        ]
+
 
 class CollectedSteps:
     """Collects the run times of a step before they are compared.
@@ -81,11 +96,11 @@
 
 
 def common_errors(residuals: list[float], prior_weight: float) -> list[float]:
-    """Estimates the error that all tasks of a step share, for each task.
+    """Estimates the error that all tasks of a step share, for each target.
 
-    `residuals` are of logarithms. The estimate for a task uses the other tasks
-    only and shrinks to 0 as if `prior_weight` more tasks had no residual.
-    Tails are clipped at the median.
+    `residuals` are those of the logarithms by target. The estimate for a target
+    uses the other targets only and shrinks to 0 as if `prior_weight` more had
+    no residual. Tails are clipped at the median.
     """
     median = statistics.median(residuals)
     low, high = median - _TAIL_RESIDUAL, median + _TAIL_RESIDUAL
--- a/src/radishlift/steps/ticks.py
+++ b/src/radishlift/steps/ticks.py
@@ -26,6 +26,10 @@
     return no_preference
 
 
+def _usual_speed(target_id: TargetId) -> float:
+    return 1
+
+
 @dataclass(slots=True)
 class Plan:
     """Decisions of one tick; placements are already allocated.
@@ -47,7 +51,8 @@
     start, in the order of their rank. `reserved_amounts` is the room that
     gangs hold until `reserved_until_ms`, and `claimed_amounts` the free room
     for which gangs without a reservation request tickets. `preference_of`
-    tells which targets a step prefers.
+    tells which targets a step prefers, and `speed_ratio` how long a target
+    takes relative to the median target.
     """
 
     plan: Plan
@@ -62,6 +67,7 @@
         default_factory=dict,
     )
     preference_of: StepPreference = _prefer_nothing
+    speed_ratio: Callable[[TargetId], float] = _usual_speed
 
     def preference(self, job: JobRun, step: StepRun) -> TargetPreference:
         """Returns which targets a step prefers now."""
@@ -177,7 +183,14 @@
     attempts = [placement.task.attempt for placement in placements]
     # All members of a gang have the same attempt number.
     gang_attempt = max(attempts) + 1
-    for placement in placements:
+    ratios = [
+        tick.speed_ratio(placement.target.entry.target_id)
+        for placement in placements
+    ]
+    if step.spec.is_gang:
+        # A gang is as slow as its slowest member.
+        ratios = [max(ratios) for _ in ratios]
+    for placement, ratio in zip(placements, ratios, strict=True):
         task = placement.task
         task.attempt = gang_attempt if step.spec.is_gang else task.attempt + 1
         task.state = TaskState.placed
@@ -186,7 +199,7 @@
             task.key,
             task.attempt,
             step.spec.allocated_amounts,
-            tick.now_ms + step.spec.expected_run_ms,
+            tick.now_ms + int(ratio * step.spec.expected_run_ms),
         )
         tick.plan.placements.append((job, placement))
 
--- a/tests/steps/test_speed_preference.py
+++ b/tests/steps/test_speed_preference.py
@@ -60,6 +60,19 @@
         assert f't{number}' not in placed_targets(planner, patient)
 
 
+def test_expected_ends_follow_the_slowest_member_of_a_gang():
+    """Guards against gangs that reserve targets too early."""
+    planner = build_planner({'t0': 0.5, 't1': 2})
+    planner.update_job(job(step(20, is_gang=True), **URGENT))
+    plan = planner.plan(0, 0)
+    ends_ms = {
+        allocation.expected_end_ms
+        for _, placement in plan.placements
+        for allocation in placement.target.allocations.values()
+    }
+    assert ends_ms == {2000}
+
+
 def test_patient_steps_use_fast_targets_once_no_others_have_room():
     planner = build_planner({'t0': 0.5, 't3': 0.5})
     placed = placed_targets(planner, job(step(20), **PATIENT))
