--- a/benchmarks/bench_decisions.py
+++ b/benchmarks/bench_decisions.py
@@ -14,6 +14,7 @@
     worth_share,
 )
 from benchmarks.harness import BENCHMARKS, Figure
+from benchmarks.uneven_targets import list_figures
 from radishlift.core.registry import Registry
 from radishlift.steps.ranking import (
     StepRanking,
@@ -267,7 +268,7 @@
 
 @BENCHMARKS.register('decisions')
 def run() -> list[Figure]:
-    """Runs all rankings on the same loads."""
+    """Compares rankings, and what is known of speeds, on the same loads."""
     figures = []
     for load in LOADS:
         for title, deployment in (
@@ -276,6 +277,7 @@
         ):
             for name in (*RANKINGS.names(), DEFAULT_ORDER):
                 figures.extend(_figures(deployment, name, f'{title}.{load}x'))
+    figures.extend(list_figures())
     return figures
 
 
--- a/src/radishlift/steps/planner.py
+++ b/src/radishlift/steps/planner.py
@@ -23,6 +23,8 @@
 from radishlift.steps.settings import StepSettings
 from radishlift.steps.shares import WorkspaceShares
 from radishlift.steps.spec import Amounts
+from radishlift.steps.speed_preference import SpeedPreferences
+from radishlift.steps.speeds import SpeedTable
 from radishlift.steps.step_advice import StepAdviceRequests
 from radishlift.steps.targets import Target, TargetTable
 from radishlift.steps.tickets import TicketTable
@@ -34,8 +36,8 @@
     """Tracks the waiting steps and places their tasks.
 
     `count_queued_requests` returns how many advice requests wait for a host.
-    `last_tick` is the state after the latest plan, and `limits` are those of
-    the workspaces.
+    `last_tick` is the state after the latest plan, `limits` are those of the
+    workspaces, and `speeds` the learned speeds of the targets.
     """
 
     def __init__(
@@ -55,6 +57,7 @@
         self._suspects: set[StepKey] = set()
         self.ranking: StepRanking | None = None
         self._delay_costs = DelayCosts(settings)
+        self.use_speeds(SpeedTable())
         self.count_queued_requests: Callable[[], int] = int
         self._advice = StepAdviceRequests(
             tickets, settings, self._count_queued_requests
@@ -63,6 +66,11 @@
             targets, self._advice, self.limits, settings
         )
 
+    def use_speeds(self, speeds: SpeedTable) -> None:
+        """Places by the given speeds of the targets."""
+        self.speeds = speeds
+        self.preferences = SpeedPreferences(speeds, self._settings)
+
     def update_job(self, job: JobRun) -> None:
         """Updates which steps of a job wait for targets."""
         self.shares.rates.add(job)
@@ -124,6 +132,9 @@
         tick = Tick(Plan(), now_ms, wall_ms, accepting, due)
         tick.demoted = ordered.demoted
         self.limits.begin_tick()
+        self.preferences.refresh(self._targets, now_ms)
+        tick.preference_of = self.preferences.for_step
+        tick.speed_ratio = self.preferences.ratio
         self._trials.plan(
             tick, [pair for pair in due if pair[1].key in self._suspects]
         )
@@ -233,16 +244,19 @@
         def capacity_of(target: Target) -> Amounts:
             return tick.usable_capacity(target, step)
 
+        preference = tick.preference(job, step)
         unreserved = [
             target
             for target in fitting
             if target.entry.target_id not in self.last_tick.reserved_until_ms
         ]
         if not step.spec.is_gang and len(unreserved) < len(fitting):
-            placements = place_tasks(step, waiting, unreserved, capacity_of)
+            placements = place_tasks(
+                step, waiting, unreserved, capacity_of, preference
+            )
             if len(placements) == len(waiting):
                 return placements
-        return place_tasks(step, waiting, fitting, capacity_of)
+        return place_tasks(step, waiting, fitting, capacity_of, preference)
 
     def _reserve_targets(
         self,
@@ -272,7 +286,10 @@
             return
         # It may reserve no room, but start in room that is free now.
         placements = place_step(
-            step, fitting, lambda target: tick.unclaimed_capacity(target, step)
+            step,
+            fitting,
+            lambda target: tick.unclaimed_capacity(target, step),
+            tick.preference(job, step),
         )
         if placements:
             free_room = reserve_placements(placements, tick.now_ms)
--- a/src/radishlift/steps/settings.py
+++ b/src/radishlift/steps/settings.py
@@ -49,6 +49,13 @@
       longest comes before all others, and how long before it is the next
       one's turn.
     - `trial_share`: maximum share of the targets used for trials of suspects.
+    - `speed_band_ratio`: run times on a target, relative to the median target,
+      within which targets count as equally fast.
+    - `tight_run_share`, `tight_slack_ms`: a step prefers fast targets if its
+      objective leaves less to spare than this share of its expected run time
+      and this time, in which callers notice its end.
+    - `preferred_room_share`: advice is requested on a preferred target as if it
+      had this share of its capacity more to spare.
     """
 
     min_ticket_ms: int = 150
@@ -76,6 +83,10 @@
     useful_factor: float = 3
     max_wait_ms: int = 60_000
     first_turn_ms: int = 10_000
+    speed_band_ratio: float = 1.5
+    tight_run_share: float = 1
+    tight_slack_ms: int = 500
+    preferred_room_share: float = 0.5
 
 
 __all__ = ('StepSettings',)
--- a/src/radishlift/steps/step_advice.py
+++ b/src/radishlift/steps/step_advice.py
@@ -131,6 +131,7 @@
             not_requested,
             self._tickets.allowed_share(job.terms.queue),
             self._settings,
+            tick.preference(job, step),
         )
         # If requests already wait, more of them would delay other steps.
         max_count = self._settings.max_open_count if self.is_idle else 1
@@ -211,7 +212,10 @@
                 if find_accepting(target.entry.target_id)
             }
             ids = choose_new_targets(
-                terms, list(not_requested.values()), self._settings
+                terms,
+                list(not_requested.values()),
+                self._settings,
+                tick.preference(job, step),
             )
         if not ids:
             return None
@@ -242,6 +246,7 @@
                 and tick.may_use_later(target, step)
             ],
             self._settings,
+            tick.preference(job, step),
         )
 
     def _choose_renewed(
--- a/src/radishlift/steps/ticks.py
+++ b/src/radishlift/steps/ticks.py
@@ -1,18 +1,35 @@
 """One pass over the waiting steps, and the starts it plans."""
 
-from collections.abc import Set
+from collections.abc import Callable, Set
 from dataclasses import dataclass, field
 
 from radishlift.core.ids import ServiceName
 from radishlift.steps.advice_requests import AdviceRequest
 from radishlift.steps.gang_reservations import Reservation
 from radishlift.steps.ids import StepKey, TargetId
-from radishlift.steps.placing import Placement
+from radishlift.steps.placing import (
+    Placement,
+    TargetPreference,
+    no_preference,
+)
 from radishlift.steps.runs import JobRun, StepRun, TaskState
 from radishlift.steps.spec import Amounts
 from radishlift.steps.targets import Target
 from radishlift.steps.workspace_use import charge_of
 
+StepPreference = Callable[[JobRun, StepRun, int], TargetPreference]
+"""Returns which targets a step prefers at a Unix time in milliseconds."""
+
+
+def _prefer_nothing(
+    job: JobRun, step: StepRun, wall_ms: int
+) -> TargetPreference:
+    return no_preference
+
+
+def _usual_speed(target_id: TargetId) -> float:
+    return 1
+
 
 @dataclass(slots=True)
 class Plan:
@@ -36,7 +53,9 @@
     gangs hold until `reserved_until_ms`, and `claimed_amounts` the free room
     for which gangs without a reservation request tickets. `limited` are the
     steps that wait for the limit of their workspace, and `demoted` those that
-    come after their rank because it has more than its share.
+    come after their rank because it has more than its share. `preference_of`
+    tells which targets a step prefers, and `speed_ratio` how long a target
+    takes relative to the median target.
     """
 
     plan: Plan
@@ -52,6 +71,12 @@
     by_requirement: dict[tuple[ServiceName, str], list[Target]] = field(
         default_factory=dict,
     )
+    preference_of: StepPreference = _prefer_nothing
+    speed_ratio: Callable[[TargetId], float] = _usual_speed
+
+    def preference(self, job: JobRun, step: StepRun) -> TargetPreference:
+        """Returns which targets a step prefers now."""
+        return self.preference_of(job, step, self.wall_ms)
 
     def reserve(self, step: StepRun, reservation: Reservation) -> None:
         """Reserves room for a gang on targets that are not reserved yet."""
@@ -163,7 +188,14 @@
     attempts = [placement.task.attempt for placement in placements]
     # All members of a gang have the same attempt number.
     gang_attempt = max(attempts) + 1
-    for placement in placements:
+    ratios = [
+        tick.speed_ratio(placement.target.entry.target_id)
+        for placement in placements
+    ]
+    if step.spec.is_gang:
+        # A gang is as slow as its slowest member.
+        ratios = [max(ratios) for _ in ratios]
+    for placement, ratio in zip(placements, ratios, strict=True):
         task = placement.task
         task.attempt = gang_attempt if step.spec.is_gang else task.attempt + 1
         task.state = TaskState.placed
@@ -172,10 +204,10 @@
             task.key,
             task.attempt,
             step.spec.allocated_amounts,
-            tick.now_ms + step.spec.expected_run_ms,
+            tick.now_ms + int(ratio * step.spec.expected_run_ms),
             charge_of(job, step),
         )
         tick.plan.placements.append((job, placement))
 
 
-__all__ = ('Plan', 'Tick', 'allocate_starts')
+__all__ = ('Plan', 'StepPreference', 'Tick', 'allocate_starts')
