--- a/tests/steps/test_limits.py
+++ b/tests/steps/test_limits.py
@@ -3,6 +3,7 @@
 import pytest
 
 from radishlift.steps.limits import find_oversized_step
+from radishlift.steps.ranking import rank_step
 from radishlift.steps.runs import TaskState
 from radishlift.steps.settings import StepSettings
 from radishlift.steps.wait_reasons import WaitExplainer, WaitReason
@@ -12,10 +13,14 @@
 
 
 class LimitSetup(PlannerSetup):
-    """A planner that knows the limit in cores of workspace `w`."""
+    """A planner that knows the limit in cores of workspace `w`.
+
+    Steps are ranked by their latest start, so that tests can choose the order.
+    """
 
     def __init__(self, limit_cores, *cores, **settings) -> None:
         super().__init__(*cores, **settings)
+        self.planner.ranking = rank_step
         self.limit(limit_cores)
 
     def limit(self, cores):
--- a/tests/steps/test_shares.py
+++ b/tests/steps/test_shares.py
@@ -10,6 +10,7 @@
     Deployment,
     JobKind,
 )
+from radishlift.steps.ranking import rank_step
 from radishlift.steps.settings import StepSettings
 from radishlift.steps.spec import AdviceTerms
 from radishlift.steps.wait_reasons import WaitExplainer, WaitReason
@@ -110,10 +111,14 @@
 
 
 class ShareSetup(PlannerSetup):
-    """A planner that knows workspaces `v` and `w` of equal weight."""
+    """A planner that knows workspaces `v` and `w` of equal weight.
+
+    Steps are ranked by their latest start, so that tests can choose the order.
+    """
 
     def __init__(self, *cores, weight=1) -> None:
         super().__init__(*cores)
+        self.planner.ranking = rank_step
         terms = {
             **workspace_terms('v', weight=weight),
             **workspace_terms('w', weight=weight),
