Review a configuration of the platform before it is sent

Cause: operators could check only documents of the product itself. A daemon refuses a configuration of the platform at its first error, and says nothing of entries that are allowed but serve nobody.

Change: radishctl config review FILE [--against FILE] [--strict] prints an error for each invalid entry, warnings for queues that are hidden, unmatched, without a service, attempts or time for advice and for workspaces without a key or with a key of another one, and what differs from the version in force. Errors of invalid Unicode no longer contain the text, as a daemon would have logged a key of a configuration that it refuses.

--- a/src/radishlift/cli/main.py
+++ b/src/radishlift/cli/main.py
@@ -10,10 +10,12 @@
 from radishlift.cli.job_commands import JOB_COMMANDS
 from radishlift.cli.load_command import LoadCommand
 from radishlift.cli.report_commands import REPORT_COMMANDS
+from radishlift.cli.review_command import ConfigReviewCommand
 
 COMMANDS: Final = (
     *JOB_COMMANDS,
     *CONFIG_COMMANDS,
+    ConfigReviewCommand,
     *REPORT_COMMANDS,
     EventsCommand,
     LoadCommand,
--- a/src/radishlift/platform/documents.py
+++ b/src/radishlift/platform/documents.py
@@ -39,10 +39,10 @@
     """Decodes the operator's configuration; fails with `invalid_input`."""
     try:
         return QueueConfig(
-            ConfigVersion(_read_whole(fields['version'])),
-            tuple(_decode_queue(route) for route in fields['routes']),
-            _read_whole(fields['limits']['maxBodyBytes']),
-            tuple(map(_decode_workspace, read_list(fields.get('tenants', [])))),
+            ConfigVersion(read_whole(fields['version'])),
+            tuple(decode_queue(route) for route in fields['routes']),
+            read_whole(fields['limits']['maxBodyBytes']),
+            tuple(map(decode_workspace, read_list(fields.get('tenants', [])))),
         )
     except DECODE_ERRORS as error:
         return Failure(
@@ -50,16 +50,17 @@
         )
 
 
-def _decode_queue(route: Mapping[str, Any]) -> Queue:
+def decode_queue(route: Mapping[str, Any]) -> Queue:
+    """Decodes a queue; raises one of `DECODE_ERRORS`."""
     advice = route.get('advice')
     terms = QueueTerms(
         queue=QueueName(read_text(route['name'])),
         service=ServiceName(read_text(route['service'])),
-        priority=_read_whole(route.get('priority', 0)),
-        max_attempts=_read_whole(route.get('attempts', 1)),
+        priority=read_whole(route.get('priority', 0)),
+        max_attempts=read_whole(route.get('attempts', 1)),
         stretch=float(read_number(route.get('stretch', 1))),
         # The time allowed beyond the stretched run time, not a whole duration.
-        objective_ms=_read_whole(route.get('targetDurationMs', 0)),
+        objective_ms=read_whole(route.get('targetDurationMs', 0)),
         advice=None if advice is None else _decode_advice_terms(advice),
     )
     return Queue(
@@ -70,7 +71,8 @@
     )
 
 
-def _decode_workspace(tenant: Mapping[str, Any]) -> Workspace:
+def decode_workspace(tenant: Mapping[str, Any]) -> Workspace:
+    """Decodes a workspace; raises one of `DECODE_ERRORS`."""
     weight = float(read_number(tenant.get('weight', 1)))
     if weight <= 0:
         raise ValueError('expected a weight above 0')
@@ -90,11 +92,12 @@
         float(read_number(fields.get('decideMs', 0))),
         # Decision time for each target of an advice request.
         float(read_number(fields.get('periodMs', 0))),
-        _read_whole(fields.get('validMs', 0)),
+        read_whole(fields.get('validMs', 0)),
     )
 
 
-def _read_whole(field: object) -> int:
+def read_whole(field: object) -> int:
+    """Returns the whole part of a number; raises TypeError or ValueError."""
     return int(read_number(field))
 
 
@@ -143,4 +146,12 @@
     )
 
 
-__all__ = ('CONFIG_KEY', 'decode_amounts', 'decode_config', 'decode_target')
+__all__ = (
+    'CONFIG_KEY',
+    'decode_amounts',
+    'decode_config',
+    'decode_queue',
+    'decode_target',
+    'decode_workspace',
+    'read_whole',
+)
--- a/src/radishlift/platform/json_bodies.py
+++ b/src/radishlift/platform/json_bodies.py
@@ -36,7 +36,12 @@
 def read_json(content: bytes) -> Any:
     """Parses JSON; raises ValueError if it is invalid or nested too deeply."""
     try:
-        return _DECODER.decode(content.decode())
+        text = content.decode()
+    except UnicodeDecodeError as error:
+        # The error itself contains the bytes.
+        raise ValueError(f'byte {error.start} is not UTF-8') from None
+    try:
+        return _DECODER.decode(text)
     except RecursionError as error:
         raise ValueError('nested too deeply') from error
 
@@ -58,8 +63,12 @@
     """Returns a text of valid Unicode; raises TypeError or ValueError."""
     if not isinstance(field, str):
         raise TypeError(f'expected text, not {type(field).__name__}')
-    # JSON escapes can form lone surrogates, which can't be sent or logged.
-    field.encode()
+    try:
+        field.encode()
+    except UnicodeEncodeError:
+        # JSON escapes can form lone surrogates, which can't be sent or logged.
+        # The error itself contains the text.
+        raise ValueError('expected text of valid Unicode') from None
     return field
 
 
--- a/tests/platform/test_json_bodies.py
+++ b/tests/platform/test_json_bodies.py
@@ -48,5 +48,15 @@
         read(field)
 
 
+def test_reason_does_not_contain_the_field():
+    """Guards against a caller's key in the log."""
+    with pytest.raises(ValueError, match='Unicode') as in_text:
+        read_text(f'secret{LONE_SURROGATE}')
+    with pytest.raises(ValueError, match='UTF-8') as in_bytes:
+        read_object(b'{"key": "secret\xff"}')
+    for raised in (in_text, in_bytes):
+        assert 'secret' not in describe(raised.value)
+
+
 def test_logged_reason_is_bounded():
     assert len(describe(ValueError('x' * 60_000))) <= 200
