Hold limits only for steps that some targets may run

A gang that no target can run, such as one with an unknown label, held the limit of its workspace for as long as it ranked first. A step of that kind also reserved the limit for advice that it never requested. Lower-ranked steps of the workspace then never started, although it used nothing of its limit.

A step now claims the limit only if the accepting targets that may allow it would have room once they are empty.

--- a/src/radishlift/steps/planner.py
+++ b/src/radishlift/steps/planner.py
@@ -16,6 +16,7 @@
     reserve_placements,
 )
 from radishlift.steps.ids import StepKey, TargetId
+from radishlift.steps.limit_claims import LimitClaims
 from radishlift.steps.limits import WorkspaceLimits
 from radishlift.steps.placing import Placement, place_step, place_tasks
 from radishlift.steps.ranking import StepRanking
@@ -49,6 +50,7 @@
         self._targets = targets
         self.limits = WorkspaceLimits(targets.workspace_use)
         self.shares = WorkspaceShares(self.limits)
+        self._claims = LimitClaims(self.limits, tickets)
         self._tickets = tickets
         self._settings = settings
         self._waiting: dict[StepKey, tuple[JobRun, StepRun]] = {}
@@ -63,7 +65,7 @@
             tickets, settings, self._count_queued_requests
         )
         self._trials = TrialPlanner(
-            targets, self._advice, self.limits, settings
+            targets, self._advice, self.limits, self._claims, settings
         )
 
     def use_speeds(self, speeds: SpeedTable) -> None:
@@ -196,7 +198,7 @@
         count = self.limits.count_startable(job, step, len(waiting))
         if not count:
             tick.limited.add(step.key)
-            self.limits.hold(job, step)
+            self._claims.hold(tick, job, step)
             return
         allowed = self._advice.list_allowed(tick, job, step)
         amounts = step.spec.allocated_amounts
@@ -213,12 +215,12 @@
         if len(placements) == len(waiting):
             self._remove_placed(step)
         elif step.spec.is_gang:
-            self.limits.hold(job, step)
+            self._claims.hold(tick, job, step)
             self._reserve_targets(tick, job, step, allowed, fitting)
         elif (
             missing_count
             and job.terms.advice is not None
-            and self.limits.may_request(job, step, missing_count)
+            and self._claims.may_request(tick, job, step, missing_count)
         ):
             self._advice.request(tick, job, step, fitting)
 
--- a/src/radishlift/steps/trial_planning.py
+++ b/src/radishlift/steps/trial_planning.py
@@ -9,6 +9,7 @@
     slot_times_ms,
 )
 from radishlift.steps.ids import TargetId
+from radishlift.steps.limit_claims import LimitClaims
 from radishlift.steps.limits import WorkspaceLimits
 from radishlift.steps.placing import Placement, place_tasks
 from radishlift.steps.runs import JobRun, StepRun, TaskRun, TaskState
@@ -41,10 +42,12 @@
         targets: TargetTable,
         advice: StepAdviceRequests,
         limits: WorkspaceLimits,
+        claims: LimitClaims,
         settings: StepSettings,
     ) -> None:
         self._advice = advice
         self._limits = limits
+        self._claims = claims
         self._trials = Trials(targets, settings)
 
     def plan(self, tick: Tick, suspects: list[tuple[JobRun, StepRun]]) -> None:
@@ -121,7 +124,7 @@
         if count < len(suspects):
             tick.limited.add(step.key)
         if not count:
-            self._limits.hold(job, step)
+            self._claims.hold(tick, job, step)
         return suspects[:count]
 
     def _is_open(self, target: Target) -> bool:
--- a/tests/steps/test_limits.py
+++ b/tests/steps/test_limits.py
@@ -148,3 +148,27 @@
     run = job(step(9, cores=2), step(4, is_gang=True))
     terms = only(workspace_terms('w', cores).values())
     assert find_oversized_step(run.spec, terms) == oversized
+
+
+@pytest.mark.parametrize('crashes_count', [0, 1])
+@pytest.mark.parametrize('running_count', [0, 1])
+def test_gang_without_targets_holds_no_limit(crashes_count, running_count):
+    """Guards against a workspace that waits for a gang that can't start."""
+    setup = LimitSetup(4, 8)
+    setup.add(work('a', step(running_count)))
+    assert len(setup.started()) == running_count
+    gang = work('b', step(4, is_gang=True, required_label='none'))
+    gang.find_task(key(job_id=gang.spec.job_id)).crashes_count = crashes_count
+    setup.add(gang, work('c', step(1), objective_ms=9000))
+    assert setup.started() == [('c', 0)]
+
+
+def test_step_without_targets_reserves_no_limit_for_advice():
+    """Guards against steps that wait for advice that is never requested."""
+    setup = LimitSetup(2, 8)
+    hopeless = step(2, required_label='none')
+    setup.add(
+        work('b', hopeless, advice=ADVICE),
+        work('c', step(1), objective_ms=9000, advice=ADVICE),
+    )
+    assert len(setup.plan().advice_requests) == 1
