Keep stored speeds until the first tick of a new leader

A leader that had loaded the speeds of the previous one wrote an empty row with its first heartbeat if that came before its first tick, as it had no ratios yet. Another takeover soon after it began without any speeds.

The row is now written only once the factors have been read since the load. The new test in tests/cell/test_stored_speeds.py failed before.

--- a/src/radishlift/cell/stored_speeds.py
+++ b/src/radishlift/cell/stored_speeds.py
@@ -57,7 +57,9 @@
         """Returns the write of the row if it is due and has changed."""
         now_ms = self._clock.monotonic_ms()
         is_due = now_ms - self._written_at_ms >= _WRITE_EVERY_MS
-        if not self._is_loaded or not is_due:
+        # Loaded speeds have no ratios before the first tick.
+        is_ready = self._is_loaded and self._planner.preferences.is_read
+        if not is_ready or not is_due:
             return []
         speeds = self._collect()
         if not _has_changed(self._written, speeds):
--- a/src/radishlift/steps/speed_preference.py
+++ b/src/radishlift/steps/speed_preference.py
@@ -46,6 +46,11 @@
         """Lets the next refresh read all factors."""
         self._refreshed_at_ms = -_REFRESH_MS
 
+    @property
+    def is_read(self) -> bool:
+        """Returns whether the factors were read since they last expired."""
+        return self._refreshed_at_ms >= 0
+
     def refresh(self, targets: Iterable[Target], now_ms: int) -> None:
         """Reads the factors of targets again if they are old."""
         if now_ms - self._refreshed_at_ms < _REFRESH_MS:
--- a/tests/cell/test_stored_speeds.py
+++ b/tests/cell/test_stored_speeds.py
@@ -6,10 +6,16 @@
 
 from radishlift.cell import stored_speeds
 from radishlift.cell.tables import COMMITS, SPEEDS_KEY
-from radishlift.core.clock import BootClock
+from radishlift.core.clock import BootClock, ManualClock
 from radishlift.core.logs import add_event_sink, remove_event_sink
+from radishlift.services.api import Row
+from radishlift.steps.planner import Planner
+from radishlift.steps.settings import StepSettings
+from radishlift.steps.speeds import life_digest
+from radishlift.steps.targets import TargetTable
+from radishlift.steps.tickets import TicketTable
 from tests.cell.leader import Cell
-from tests.steps.builders import job, step
+from tests.steps.builders import entry, job, step
 
 FAST = 't3'
 NAMES = ('t1', 't2', 't3', 't4')
@@ -66,6 +72,20 @@
     assert len(cell.targets[FAST].started) == 2
 
 
+def test_loaded_speeds_are_not_replaced_before_they_are_used():
+    """Guards against a second takeover that loses all speeds."""
+    tables = TargetTable()
+    planner = Planner(tables, TicketTable(), StepSettings())
+    speeds = stored_speeds.StoredSpeeds(planner, tables, ManualClock())
+    digest = life_digest(entry(FAST).life)
+    pair = [50, digest]
+    speeds.load(Row(COMMITS, SPEEDS_KEY, 1, {'speeds': {FAST: pair}}))
+    assert not speeds.list_writes()
+    tables.update(entry(FAST))
+    planner.plan(0, 0)
+    assert speeds.list_writes()
+
+
 async def test_an_unreadable_row_is_ignored(cell):
     """Guards against a leader that does not start for a bad row."""
     events = []
