Check a planned start only against the amounts it uses

While a workspace was above a lowered limit in one amount, steps that use none of that amount were planned, committed and then withdrawn in every tick, as the check before the start compared all amounts and the planner only those that the step uses. Such steps did not start until the excess had ended.

Both checks now compare the same amounts. The new test in tests/steps/test_limits.py failed before; tests/steps and tests/access pass.

--- a/src/radishlift/steps/limits.py
+++ b/src/radishlift/steps/limits.py
@@ -126,7 +126,9 @@
             return True
         used = self.use.used(job.workspace)
         is_alone = used == step.spec.amounts
-        return is_alone or used.fits_in(self.limit_of(job.workspace))
+        room = self.limit_of(job.workspace).plus(used, -1)
+        # As in `count_startable`, only what the step uses must fit.
+        return is_alone or step.spec.amounts.count_fitting(room) >= 0
 
     def describe_largest(self) -> str:
         """Describes the use of the workspaces that are nearest to a limit."""
--- a/tests/steps/test_limits.py
+++ b/tests/steps/test_limits.py
@@ -1,12 +1,16 @@
 """Tests which starts the limit of a workspace allows."""
 
+from dataclasses import replace
+
 import pytest
 
 from radishlift.steps.limits import find_oversized_step
 from radishlift.steps.ranking import rank_step
 from radishlift.steps.runs import TaskState
 from radishlift.steps.settings import StepSettings
+from radishlift.steps.spec import Amounts
 from radishlift.steps.wait_reasons import WaitExplainer, WaitReason
+from radishlift.steps.workspaces import WorkspaceTerms
 from tests.only import only
 from tests.steps.builders import ADVICE, job, key, step, workspace_terms
 from tests.steps.test_planner import PlannerSetup
@@ -172,3 +176,17 @@
         work('c', step(1), objective_ms=9000, advice=ADVICE),
     )
     assert len(setup.plan().advice_requests) == 1
+
+
+def test_start_may_ignore_limits_of_what_it_does_not_use():
+    """Guards against starts that are planned and withdrawn for ever."""
+    setup = LimitSetup(4, 8)
+    setup.add(work('a'))
+    assert setup.started()
+    lowered = WorkspaceTerms('w', limit=Amounts(4000, 50))
+    setup.planner.limits.update_terms({'w': lowered}, ('w',))
+    run = work('b', replace(step(), amounts=Amounts(1000)))
+    setup.add(run)
+    assert setup.started() == [('b', 0)]
+    limits = setup.planner.limits
+    assert limits.may_still_start(run, run.steps[0, 0])
