--- a/tests/steps/test_limits.py
+++ b/tests/steps/test_limits.py
@@ -1,12 +1,16 @@
 """Tests which starts the limit of a workspace allows."""
 
+from dataclasses import replace
+
 import pytest
 
 from radishlift.steps.limits import find_oversized_step
 from radishlift.steps.ranking import rank_step
 from radishlift.steps.runs import TaskState
 from radishlift.steps.settings import StepSettings
+from radishlift.steps.spec import Amounts
 from radishlift.steps.wait_reasons import WaitExplainer, WaitReason
+from radishlift.steps.workspaces import WorkspaceTerms
 from tests.only import only
 from tests.steps.builders import ADVICE, job, key, step, workspace_terms
 from tests.steps.test_planner import PlannerSetup
@@ -148,3 +152,41 @@
     run = job(step(9, cores=2), step(4, is_gang=True))
     terms = only(workspace_terms('w', cores).values())
     assert find_oversized_step(run.spec, terms) == oversized
+
+
+@pytest.mark.parametrize('crashes_count', [0, 1])
+@pytest.mark.parametrize('running_count', [0, 1])
+def test_gang_without_targets_holds_no_limit(crashes_count, running_count):
+    """Guards against a workspace that waits for a gang that can't start."""
+    setup = LimitSetup(4, 8)
+    setup.add(work('a', step(running_count)))
+    assert len(setup.started()) == running_count
+    gang = work('b', step(4, is_gang=True, required_label='none'))
+    gang.find_task(key(job_id=gang.spec.job_id)).crashes_count = crashes_count
+    setup.add(gang, work('c', step(1), objective_ms=9000))
+    assert setup.started() == [('c', 0)]
+
+
+def test_step_without_targets_reserves_no_limit_for_advice():
+    """Guards against steps that wait for advice that is never requested."""
+    setup = LimitSetup(2, 8)
+    hopeless = step(2, required_label='none')
+    setup.add(
+        work('b', hopeless, advice=ADVICE),
+        work('c', step(1), objective_ms=9000, advice=ADVICE),
+    )
+    assert len(setup.plan().advice_requests) == 1
+
+
+def test_start_may_ignore_limits_of_what_it_does_not_use():
+    """Guards against starts that are planned and withdrawn for ever."""
+    setup = LimitSetup(4, 8)
+    setup.add(work('a'))
+    assert setup.started()
+    lowered = WorkspaceTerms('w', limit=Amounts(4000, 50))
+    setup.planner.limits.update_terms({'w': lowered}, ('w',))
+    run = work('b', replace(step(), amounts=Amounts(1000)))
+    setup.add(run)
+    assert setup.started() == [('b', 0)]
+    limits = setup.planner.limits
+    assert limits.may_still_start(run, run.steps[0, 0])
