Read a claim again until the store tells whether it took effect

Cause: a claim whose answer is lost is confirmed by one read. Since the store is watched, a claim ends early when the store is taken for lost, and that read is refused at once. The daemon then follows itself: the cell has no leader for the silence of 1.3 s, and is claimed once more.

--- a/src/radishlift/cell/leadership.py
+++ b/src/radishlift/cell/leadership.py
@@ -291,21 +291,30 @@
         if isinstance(outcome, Conflict):
             log_event('claim_lost', epoch=epoch)
             return None
-        return await self._read_claim_outcome(epoch)
+        # An unread claim would leave the cell without a leader for as long as
+        # the silence of an unresponsive one.
+        while True:
+            requested_at_ms = self._clock.monotonic_ms()
+            found = await self._read_claim_outcome(epoch, requested_at_ms)
+            if not isinstance(found, Failure):
+                return found
+            await asyncio.sleep(_CHECK_INTERVAL_MS / 1000)
 
-    async def _read_claim_outcome(self, epoch: FencingToken) -> Claim | None:
+    async def _read_claim_outcome(
+        self, epoch: FencingToken, requested_at_ms: int
+    ) -> Claim | Failure | None:
         """Checks whether a claim without an answer took effect.
 
-        Returns None if it did not or if this can't be read.
+        Returns None if it did not.
         """
-        requested_at_ms = self._clock.monotonic_ms()
         leader = await self._store.read(CELL, LEADER_KEY)
-        if isinstance(leader, Failure) or leader.value is None:
+        if isinstance(leader, Failure):
+            return leader
+        if leader.value != {'daemon': self._daemon_id, 'epoch': epoch}:
             return None
         last_commit = await self._store.read(COMMITS, LAST_COMMIT_KEY)
-        own_fields = {'daemon': self._daemon_id, 'epoch': epoch}
-        if isinstance(last_commit, Failure) or leader.value != own_fields:
-            return None
+        if isinstance(last_commit, Failure):
+            return last_commit
         return Claim(
             epoch, leader.version, last_commit.version, requested_at_ms
         )
--- a/tests/cell/test_leadership.py
+++ b/tests/cell/test_leadership.py
@@ -11,6 +11,7 @@
 from radishlift.cell.table_follower import FollowedTable, TableFollower
 from radishlift.cell.tables import CELL, HEARTBEAT_KEY, LEADER_KEY
 from radishlift.core.clock import BootClock, ManualClock
+from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import Address, DaemonId
 from radishlift.services.api import Row, Transaction, Write
 from tests.cell.fakes import MemoryCellStore
@@ -205,6 +206,31 @@
     assert claim.leader_version == row.version
 
 
+async def test_claim_is_confirmed_after_an_outage_that_hides_its_answer(
+    cell, monkeypatch
+):
+    """Guards against a daemon that has claimed the lead and does not use it.
+
+    While the store is held for lost, the read of the claim is refused at once.
+    """
+    store, add = cell
+    commit = store.commit
+    candidate = await add('d1')
+
+    async def lose_store(transaction):
+        await commit(transaction)
+        store.fault = Fault.down
+        return Failure(ErrorKind.store_outcome_unknown, 'no answer')
+
+    monkeypatch.setattr(store, 'commit', lose_store)
+    await until(lambda: store.fault is Fault.down)
+    monkeypatch.setattr(store, 'commit', commit)
+    await asyncio.sleep(0.05)
+    store.fault = Fault.none
+    claim = await asyncio.wait_for(candidate.claim, 2)
+    assert claim.epoch == 1
+
+
 def test_snapshot_of_the_same_rows_is_no_sign_of_the_leader():
     """Guards against a dead leader that each dropped history keeps alive."""
     clock = ManualClock()
