--- a/src/radishlift/cell/leader_term.py
+++ b/src/radishlift/cell/leader_term.py
@@ -38,6 +38,7 @@
 from radishlift.wire.network import PeerNetwork
 
 _DECODE_ERRORS: Final = (
+    ArithmeticError,
     AttributeError,
     IndexError,
     KeyError,
