Show the counts of the previous leader until the next one has read all jobs

Cause: a new leader writes its first heartbeat before it has read the jobs, so that it has no counts, and every daemon answers by the latest heartbeat.

Change: until the jobs are read, the heartbeat has the counts of the previous leader's heartbeat.

Evidence: test_next_leader_shows_earlier_counts_until_it_has_read_the_jobs got {} in place of {'batch': 1} before; tests/cell pass.

--- a/src/radishlift/cell/daemon.py
+++ b/src/radishlift/cell/daemon.py
@@ -120,6 +120,7 @@
             dependencies.max_lease_ms,
             dependencies.target_heartbeat_ms,
             dependencies.max_row_bytes,
+            lambda: self._view.heartbeat,
         )
         self._term: LeaderTerm | None = None
         self._tasks: list[asyncio.Task[None]] = []
--- a/src/radishlift/cell/job_table.py
+++ b/src/radishlift/cell/job_table.py
@@ -1,6 +1,6 @@
 """The jobs of a leader."""
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from typing import Any
 
 from radishlift.cell.commits import CommitCallback, CommitLog
@@ -22,6 +22,7 @@
         self._clock = clock
         self._jobs: dict[JobId, JobRun] = {}
         self._ended_at_ms: dict[JobId, int] = {}
+        self._earlier_pending: dict[str, int] | None = None
 
     def __iter__(self) -> Iterator[JobRun]:
         return iter(self._jobs.values())
@@ -74,8 +75,18 @@
             job.workspace for job in self._jobs.values() if not job.is_ended
         }
 
+    def begin_load(self, heartbeat: Mapping[str, Any] | None) -> None:
+        """Shows the counts of the previous leader until all jobs are read."""
+        self._earlier_pending = dict((heartbeat or {}).get('pending', {}))
+
+    def end_load(self) -> None:
+        """Shows the counts of the jobs that were added."""
+        self._earlier_pending = None
+
     def heartbeat_fields(self) -> dict[str, Any]:
         """Returns the heartbeat's count of jobs that have not started."""
+        if self._earlier_pending is not None:
+            return {'pending': self._earlier_pending}
         pending: dict[str, int] = {}
         for job in self._jobs.values():
             if not job.has_started and not job.is_ended:
--- a/src/radishlift/cell/leader_term.py
+++ b/src/radishlift/cell/leader_term.py
@@ -1,7 +1,7 @@
 """One term of a leader: restores the state, then schedules until its end."""
 
 import asyncio
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Mapping
 from dataclasses import dataclass
 from typing import Any, Final
 
@@ -49,7 +49,11 @@
 
 @dataclass(frozen=True, slots=True)
 class LeaderDependencies:
-    """Dependencies and settings of a leader."""
+    """Dependencies and settings of a leader.
+
+    `get_heartbeat` returns the latest heartbeat, at first the previous
+    leader's.
+    """
 
     store: CellStore
     calls: TargetCalls
@@ -63,6 +67,7 @@
     max_lease_ms: int
     target_heartbeat_ms: int = 0
     max_row_bytes: int = 0
+    get_heartbeat: Callable[[], Mapping[str, Any] | None] = dict
 
 
 class LeaderTerm:
@@ -117,6 +122,7 @@
         """Leads until it is deposed or cancelled."""
         started_at_ms = self._dependencies.clock.monotonic_ms()
         self._log.unrenewed.begin_load()
+        self.scheduler.jobs.begin_load(self._dependencies.get_heartbeat())
         try:
             async with asyncio.TaskGroup() as group:
                 log_task = group.create_task(self._log.run())
@@ -255,6 +261,8 @@
         for row in rows:
             if row.value is not None:
                 self._add_job(JobId(row.key), row)
+        if not self._has_jobs.is_set():
+            self.scheduler.jobs.end_load()
         self._has_jobs.set()
 
     def _add_job(self, job_id: JobId, row: Row) -> None:
--- a/tests/cell/fakes.py
+++ b/tests/cell/fakes.py
@@ -52,7 +52,7 @@
         return DOWN if self.fault is Fault.down else None
 
     async def snapshot(self, table: str) -> ChangedRows | Failure:
-        if self.fault is Fault.down:
+        if self.fault is Fault.down or table in self.unreadable_tables:
             return DOWN
         rows = self.tables.scan(table, '', '', 10_000)
         return ChangedRows(rows, self._version())
--- a/tests/cell/leader.py
+++ b/tests/cell/leader.py
@@ -12,6 +12,7 @@
     CANCELS,
     CELL,
     COMMITS,
+    HEARTBEAT_KEY,
     JOBS,
     LAST_COMMIT_KEY,
     LEADER_KEY,
@@ -157,6 +158,7 @@
                 self.max_lease_ms,
                 self.target_heartbeat_ms,
                 self.max_row_bytes,
+                lambda: self.store.tables.read(CELL, HEARTBEAT_KEY).value,
             ),
         )
         self.leader_terms.append(term)
--- a/tests/cell/test_leader_term.py
+++ b/tests/cell/test_leader_term.py
@@ -7,7 +7,9 @@
 
 from radishlift.cell.tables import (
     CANCELS,
+    CELL,
     COMMITS,
+    HEARTBEAT_KEY,
     JOBS,
     PROGRESS,
     TARGETS,
@@ -590,3 +592,30 @@
 
     monkeypatch.setattr(cell.targets, 'hold', fail)
     await asyncio.wait_for(cell.lead(), 1)
+
+
+async def test_next_leader_shows_earlier_counts_until_it_has_read_the_jobs(
+    cell,
+):
+    """Guards against a count of 0 while jobs wait, right after a takeover."""
+
+    def heartbeat():
+        return cell.store.tables.read(CELL, HEARTBEAT_KEY).value or {}
+
+    run = job()
+    cell.targets['t1'].is_unresponsive = True
+    cell.submit(run)
+    counts = {run.terms.queue: 1}
+    first_term = cell.lead()
+    await cell.until(lambda: heartbeat().get('pending') == counts)
+    await cell.kill(first_term)
+    cell.store.unreadable_tables = {JOBS}
+    term = cell.lead()
+    await cell.until(lambda: heartbeat().get('epoch') == cell.epoch)
+    jobs = cell.leader_terms[-1].scheduler.jobs
+    assert heartbeat()['pending'] == counts
+    assert jobs.heartbeat_fields() == {'pending': counts}
+    cell.store.unreadable_tables = set()
+    await cell.until(lambda: run.spec.job_id in jobs)
+    assert jobs.heartbeat_fields() == {'pending': counts}
+    assert not term.done()
