--- a/src/radishlift/cell/attempts.py
+++ b/src/radishlift/cell/attempts.py
@@ -7,10 +7,13 @@
 from radishlift.cell.crashes import CrashHandler
 from radishlift.cell.fleet import TargetFleet
 from radishlift.cell.job_table import JobTable
+from radishlift.cell.outdated_attempts import (
+    allocate_outdated,
+    log_outdated,
+)
 from radishlift.cell.ports import (
     EndedAttempt,
     HoldReport,
-    RunningAttempt,
     StartVerdict,
 )
 from radishlift.cell.run_times import RunTimes
@@ -24,7 +27,6 @@
 from radishlift.steps.runs import JobRun, TaskState
 from radishlift.steps.speeds import SpeedTable
 from radishlift.steps.tickets import TicketTable
-from radishlift.steps.workspace_use import charge_of
 
 _FAILURE_KINDS: Final = frozenset((EndKind.failed, EndKind.crashed_alone))
 
@@ -72,15 +74,15 @@
             self.on_started(ended.key)
             if ended.kind is EndKind.done:
                 job = self._jobs.get(ended.key.step_key.job_id)
-                _log_outdated(job, session, ended, 'done')
+                log_outdated(job, session, ended, 'done')
             self._end_attempt(session, ended)
         for running in report.running:
             self.on_started(running.key)
             job = self._jobs.get(running.key.step_key.job_id)
-            _log_outdated(job, session, running, 'running')
+            log_outdated(job, session, running, 'running')
             if not is_current(job, session, running.key, running.attempt):
                 session.stop(running.key, running.attempt)
-                _allocate_outdated(job, session, running)
+                allocate_outdated(job, session, running)
             # An earlier process may have crashed without this attempt.
             session.target.clear_suspicion(running.key, running.attempt)
             if job is not None:
@@ -249,47 +251,6 @@
     return (task.state, task.attempt, task.target_id) == current
 
 
-def _log_outdated(
-    job: JobRun | None,
-    session: TargetSession,
-    listed: EndedAttempt | RunningAttempt,
-    how: str,
-) -> None:
-    """Logs an attempt that went on after it was taken for ended."""
-    task = None if job is None else job.find_task(listed.key)
-    if task is None or listed.attempt >= task.attempt:
-        return
-    log_event(
-        'attempt_outdated',
-        task=listed.key,
-        attempt=listed.attempt,
-        target=session.target_id,
-        how=how,
-        latest_attempt=task.attempt,
-        latest_target=task.target_id,
-    )
-
-
-def _allocate_outdated(
-    job: JobRun | None, session: TargetSession, running: RunningAttempt
-) -> None:
-    """Allocates an attempt that was taken for ended, until its stop has.
-
-    After a takeover, these are members of a gang of which one is done.
-    """
-    key = running.key
-    task = None if job is None else job.find_task(key)
-    if job is None or task is None or key in session.target.allocations:
-        return
-    step = job.steps[key.step_key.occurrence, key.step_key.step]
-    session.target.allocate(
-        key,
-        running.attempt,
-        step.spec.allocated_amounts,
-        charge=charge_of(job, step),
-    )
-
-
 def _apply_end(job: JobRun, ended: EndedAttempt) -> bool:
     return apply_end(
         job,
