--- a/src/radishlift/steps/speed_preference.py
+++ b/src/radishlift/steps/speed_preference.py
@@ -19,7 +19,7 @@
 
 _REFRESH_MS: Final = 100
 
-
+# Ranks of targets for one step, the lowest first.
 _PREFERRED: Final = 0
 _UNTRIED: Final = 0.5
 _USABLE: Final = 1
