Log what tells the hypotheses of the lost steps apart

The log said that steps wait for the limit of their workspace, but not whether anybody uses it; that tickets expire, but not whose answers are of no use; and counted waits from when a step was due, over all of its attempts.

planning_state gains held_back, answers, used_answers and answers_ms; step_waits gains waited_ms, request_age_ms, suspects, workspace_used_percent and workspace_held_percent. Nothing decides differently.

--- a/src/radishlift/cell/planning_log.py
+++ b/src/radishlift/cell/planning_log.py
@@ -53,15 +53,23 @@
                 'step_waits',
                 step=waiting.key,
                 overdue_ms=waiting.overdue_ms,
+                waited_ms=waiting.waited_ms,
                 reason=waiting.reason,
                 suitable=waiting.suitable_count,
                 fitting=waiting.fitting_count,
                 open_requests=waiting.open_requests_count,
+                request_age_ms=waiting.request_age_ms,
+                suspects=waiting.suspects_count,
+                workspace_used_percent=waiting.workspace_used_percent,
+                workspace_held_percent=waiting.workspace_held_percent,
             )
 
     def _log_state(self) -> None:
         state = summarize_tick(
-            self._planner.last_tick, self._tickets, self._step_settings
+            self._planner.last_tick,
+            self._tickets,
+            self._planner.limits,
+            self._step_settings,
         )
         log_event(
             'planning_state',
@@ -74,7 +82,11 @@
             queued_requests=self._count_queued_requests(),
             granted_tickets=state.granted_count,
             used_tickets=state.used_count,
+            answers=state.answers_count,
+            used_answers=state.used_answers_count,
+            answers_ms=state.answers_ms,
             limited=state.limited_count,
+            held_back=state.held_back_count,
             demoted=state.demoted_count,
             workspaces=self._planner.limits.describe_largest(),
         )
--- a/src/radishlift/steps/advice_requests.py
+++ b/src/radishlift/steps/advice_requests.py
@@ -19,7 +19,8 @@
 class AdviceRequest:
     """A request to the advice service and its expected duration.
 
-    `due_at_ms` is when its step was due, in Unix time.
+    `due_at_ms` is when its step was due, in Unix time, and `created_at_ms` the
+    monotonic time since which its step waits for an answer.
     """
 
     key: StepKey
@@ -28,6 +29,7 @@
     priority: int
     queue: QueueName = QueueName('')
     due_at_ms: int = 0
+    created_at_ms: int = 0
 
 
 def build_request(
@@ -35,6 +37,7 @@
     step: StepRun,
     terms: AdviceTerms,
     target_ids: tuple[TargetId, ...],
+    created_at_ms: int = 0,
 ) -> AdviceRequest:
     """Creates a request for a step."""
     return AdviceRequest(
@@ -44,6 +47,7 @@
         job.terms.priority,
         job.terms.queue,
         step.due_at_ms,
+        created_at_ms,
     )
 
 
--- a/src/radishlift/steps/limits.py
+++ b/src/radishlift/steps/limits.py
@@ -130,10 +130,25 @@
         # As in `count_startable`, only what the step uses must fit.
         return is_alone or step.spec.amounts.count_fitting(room) >= 0
 
+    def used_percent(self, workspace: WorkspaceName) -> int:
+        """Returns how much of its limit a workspace uses."""
+        return self._percent(workspace, self.use.used(workspace))
+
+    def held_percent(self, workspace: WorkspaceName) -> int:
+        """Returns how much of its limit is held for waiting steps."""
+        return self._percent(workspace, self._held.get(workspace, NO_AMOUNTS))
+
+    def is_held_back(self, job: JobRun, step: StepRun) -> bool:
+        """Returns whether a step waits only for what is held for others."""
+        count = len(step.tasks) if step.spec.is_gang else 1
+        needed = NO_AMOUNTS.plus(step.spec.amounts, count)
+        used = self.use.used(job.workspace)
+        return needed.fits_in(self.limit_of(job.workspace).plus(used, -1))
+
     def describe_largest(self) -> str:
         """Describes the use of the workspaces that are nearest to a limit."""
         percents = [
-            (self._used_percent(workspace), workspace) for workspace in self.use
+            (self.used_percent(workspace), workspace) for workspace in self.use
         ]
         percents.sort(reverse=True)
         return ','.join(
@@ -158,13 +173,12 @@
         self._rooms[workspace] = used, held, room
         return room
 
-    def _used_percent(self, workspace: WorkspaceName) -> int:
-        used = self.use.used(workspace)
+    def _percent(self, workspace: WorkspaceName, part: Amounts) -> int:
         limit = self.limit_of(workspace)
         return max(
-            100 * used.cpu_millicores // limit.cpu_millicores,
-            100 * used.memory_mb // limit.memory_mb,
-            100 * used.gpus_count // limit.gpus_count,
+            100 * part.cpu_millicores // limit.cpu_millicores,
+            100 * part.memory_mb // limit.memory_mb,
+            100 * part.gpus_count // limit.gpus_count,
         )
 
     def _is_oversized(self, job: JobRun, step: StepRun) -> bool:
--- a/src/radishlift/steps/planner.py
+++ b/src/radishlift/steps/planner.py
@@ -27,6 +27,7 @@
 from radishlift.steps.speed_preference import SpeedPreferences
 from radishlift.steps.speeds import SpeedTable
 from radishlift.steps.step_advice import StepAdviceRequests
+from radishlift.steps.step_waits import StepWaits
 from radishlift.steps.targets import Target, TargetTable
 from radishlift.steps.tickets import TicketTable
 from radishlift.steps.ticks import Plan, Tick, allocate_starts
@@ -38,7 +39,8 @@
 
     `count_queued_requests` returns how many advice requests wait for a host.
     `last_tick` is the state after the latest plan, `limits` are those of the
-    workspaces, and `speeds` the learned speeds of the targets.
+    workspaces, `waits` since when steps wait, and `speeds` the learned speeds
+    of the targets.
     """
 
     def __init__(
@@ -58,6 +60,7 @@
         self.last_tick = Tick(Plan(), 0, 0, [])
         self._suspects: set[StepKey] = set()
         self.ranking: StepRanking | None = None
+        self.waits = StepWaits()
         self._delay_costs = DelayCosts(settings)
         self.use_speeds(SpeedTable())
         self.count_queued_requests: Callable[[], int] = int
@@ -89,8 +92,7 @@
                     self._suspects.add(step.key)
             else:
                 self._waiting.pop(step.key, None)
-                self._reservations.remove(step.key)
-                self._delay_costs.forget(step.key)
+                self._forget_wait(step.key)
                 if step.is_done or job.is_ended:
                     self._tickets.remove_step(step.key)
 
@@ -131,6 +133,7 @@
         self._sort(due, accepting, wall_ms)
         ordered = self.shares.order(due, accepting)
         due = ordered.due
+        self.waits.observe(due, wall_ms)
         tick = Tick(Plan(), now_ms, wall_ms, accepting, due)
         tick.demoted = ordered.demoted
         self.limits.begin_tick()
@@ -145,12 +148,10 @@
                 break
             self._plan_step(tick, job, step)
         self.last_tick = tick
-        self._tickets.used_count += len(
-            {
-                (placement.task.key.step_key, placement.task.target_id)
-                for job, placement in tick.plan.placements
-                if job.terms.advice is not None
-            }
+        self._tickets.record_starts(
+            (placement.task.key.step_key, placement.task.target_id)
+            for job, placement in tick.plan.placements
+            if job.terms.advice is not None
         )
         return tick.plan
 
@@ -228,7 +229,12 @@
         self._reservations.remove(step.key)
         if not step.waiting_tasks():
             self._waiting.pop(step.key, None)
-            self._delay_costs.forget(step.key)
+            self._forget_wait(step.key)
+
+    def _forget_wait(self, key: StepKey) -> None:
+        self._reservations.remove(key)
+        self._delay_costs.forget(key)
+        self.waits.forget(key)
 
     def _place(
         self,
--- a/src/radishlift/steps/planning_state.py
+++ b/src/radishlift/steps/planning_state.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from radishlift.steps.limits import WorkspaceLimits
 from radishlift.steps.settings import StepSettings
 from radishlift.steps.spec import Amounts
 from radishlift.steps.tickets import TicketTable
@@ -20,9 +21,13 @@
       all processors.
     - `granted_count`, `used_count`: tickets that the service has granted in
       this term, and those with which tasks were started.
+    - `answers_count`, `used_answers_count`: answers of the service in this
+      term, and those after which tasks of their step were started;
+      `answers_ms`: how long the service took for all of them.
     - `limited_count`: steps that wait for the limit of their workspace;
-      `demoted_count`: those that come after their rank because it has more
-      than its share.
+      `held_back_count`: those of them that would fit if none of it were held
+      for other steps; `demoted_count`: those that come after their rank
+      because it has more than its share.
     """
 
     waiting_count: int
@@ -33,12 +38,19 @@
     reserved_idle_percent: int
     granted_count: int
     used_count: int
+    answers_count: int
+    used_answers_count: int
+    answers_ms: int
     limited_count: int
+    held_back_count: int
     demoted_count: int
 
 
 def summarize_tick(
-    tick: Tick, tickets: TicketTable, settings: StepSettings
+    tick: Tick,
+    tickets: TicketTable,
+    limits: WorkspaceLimits,
+    settings: StepSettings,
 ) -> PlanningState:
     """Summarizes a planning run."""
     due_before_ms = tick.wall_ms - settings.explain_after_ms
@@ -60,7 +72,15 @@
         _percent(reserved_idle.cpu_millicores, capacity.cpu_millicores),
         tickets.granted_count,
         tickets.used_count,
+        tickets.answers_count,
+        tickets.used_answers_count,
+        int(tickets.answers_ms),
         len(tick.limited),
+        sum(
+            limits.is_held_back(job, step)
+            for job, step in tick.due
+            if step.key in tick.limited
+        ),
         len(tick.demoted),
     )
 
--- a/src/radishlift/steps/step_advice.py
+++ b/src/radishlift/steps/step_advice.py
@@ -82,7 +82,7 @@
             return
         ids = self._choose_ordinary(tick, job, step, fitting)
         if ids:
-            self._send(tick, build_request(job, step, terms, ids))
+            self._send(tick, job, step, ids)
 
     def request_for_trial(
         self,
@@ -110,7 +110,7 @@
             ]
             ids = choose_new_targets(terms, not_requested, self._settings)
         if ids:
-            self._send(tick, build_request(job, step, terms, ids))
+            self._send(tick, job, step, ids)
 
     def request_for_gang(self, tick: Tick, job: JobRun, step: StepRun) -> None:
         """Requests advice on targets that no request has named so far."""
@@ -136,7 +136,7 @@
         # If requests already wait, more of them would delay other steps.
         max_count = self._settings.max_open_count if self.is_idle else 1
         for ids in islice(requests, max_count):
-            self._send(tick, build_request(job, step, terms, ids))
+            self._send(tick, job, step, ids)
 
     def renew(
         self,
@@ -177,7 +177,7 @@
             expires_before_ms,
         )
         ids = (*expiring, *spares)[: self._settings.max_asked_count]
-        self._send(tick, build_request(job, step, terms, ids))
+        self._send(tick, job, step, ids)
 
     def update(
         self,
@@ -219,7 +219,7 @@
             )
         if not ids:
             return None
-        updated = build_request(job, step, terms, ids)
+        updated = build_request(job, step, terms, ids, request.created_at_ms)
         self._tickets.start_request(updated)
         return updated
 
@@ -288,7 +288,17 @@
             and (may_use_any or tick.may_use_later(target, step))
         ]
 
-    def _send(self, tick: Tick, request: AdviceRequest) -> None:
+    def _send(
+        self,
+        tick: Tick,
+        job: JobRun,
+        step: StepRun,
+        target_ids: tuple[TargetId, ...],
+    ) -> None:
+        terms = job.terms.advice
+        if terms is None:
+            return
+        request = build_request(job, step, terms, target_ids, tick.now_ms)
         self._tickets.start_request(request)
         tick.plan.advice_requests.append(request)
 
--- a/src/radishlift/steps/tickets.py
+++ b/src/radishlift/steps/tickets.py
@@ -31,7 +31,9 @@
     """Answers of the advice service about the targets of one step.
 
     `requested` are the targets of all open and answered requests, and `open`
-    those of open ones.
+    those of open ones. `open_since_ms` is when the first of the open requests
+    was created, and `has_unused_answer` whether no task has started since the
+    latest answer.
     """
 
     requested: set[TargetId] = field(default_factory=set)
@@ -39,6 +41,8 @@
     open_requests_count: int = 0
     allowed: dict[TargetId, Ticket] = field(default_factory=dict)
     retry_at_ms: int = 0
+    open_since_ms: int = 0
+    has_unused_answer: bool = False
 
     def list_expiring(
         self, target_ids: Iterable[TargetId], expires_before_ms: int
@@ -56,12 +60,17 @@
     """Advice of all steps that wait for targets.
 
     `granted_count` and `used_count` are the numbers of tickets that the service
-    has granted, and with which tasks were started.
+    has granted, and with which tasks were started. `answers_count` and
+    `used_answers_count` are the same for its answers; `answers_ms` is the time
+    that the service took for them.
     """
 
     def __init__(self) -> None:
         self.granted_count = 0
         self.used_count = 0
+        self.answers_count = 0
+        self.used_answers_count = 0
+        self.answers_ms = float(0)
         self._steps: dict[StepKey, StepAdvice] = {}
         self._allowed_shares: dict[QueueName, float] = {}
 
@@ -79,6 +88,8 @@
     def start_request(self, request: AdviceRequest) -> None:
         """Records that a request is open."""
         advice = self.advice_for(request.key)
+        if not advice.open_requests_count:
+            advice.open_since_ms = request.created_at_ms
         advice.open_requests_count += 1
         advice.open.update(request.target_ids)
         advice.requested.update(request.target_ids)
@@ -97,6 +108,18 @@
             )
         advice.allowed.update(tickets)
         self.granted_count += len(tickets)
+        self.answers_count += 1
+        self.answers_ms += request.duration_ms
+        advice.has_unused_answer = True
+
+    def record_starts(self, used: Iterable[tuple[StepKey, TargetId]]) -> None:
+        """Counts the tickets and answers with which tasks are started."""
+        for key, _ in set(used):
+            self.used_count += 1
+            advice = self._steps.get(key)
+            if advice is not None and advice.has_unused_answer:
+                advice.has_unused_answer = False
+                self.used_answers_count += 1
 
     def fail_request(self, request: AdviceRequest, retry_at_ms: int) -> None:
         """Closes a failed request; the next may be sent at `retry_at_ms`."""
--- a/src/radishlift/steps/wait_reasons.py
+++ b/src/radishlift/steps/wait_reasons.py
@@ -38,15 +38,26 @@
 
     - `suitable_count`: targets that accept tasks and have the step's label.
     - `fitting_count`: those of them that are allowed and have room for a task.
-    - `open_requests_count`: advice requests without an answer.
+    - `waited_ms`: since all of its tasks last had a target, or since the leader
+      first saw it.
+    - `open_requests_count`: advice requests without an answer;
+      `request_age_ms`: how long the first of them has been open.
+    - `suspects_count`: waiting tasks that may have crashed a target.
+    - `workspace_used_percent`, `workspace_held_percent`: how much of its limit
+      the workspace uses, and how much of it is held for waiting steps.
     """
 
     key: StepKey
     overdue_ms: int
+    waited_ms: int
     reason: WaitReason
     suitable_count: int
     fitting_count: int
     open_requests_count: int
+    request_age_ms: int
+    suspects_count: int
+    workspace_used_percent: int
+    workspace_held_percent: int
 
 
 class WaitExplainer:
@@ -106,6 +117,7 @@
         self, tick: Tick, job: JobRun, step: StepRun
     ) -> WaitingStep:
         advice = self._tickets.advice_for(step.key)
+        limits = self._planner.limits
         suitable = tick.suitable_targets(job, step)
         allowed = suitable
         has_ticket: Callable[[Target], bool] = _accept_all
@@ -141,10 +153,17 @@
         return WaitingStep(
             step.key,
             tick.wall_ms - step.due_at_ms,
+            self._planner.waits.waited_ms(step.key, tick.wall_ms),
             next(reason for reason, is_missing in missing if is_missing),
             len(suitable),
             len(usable),
             advice.open_requests_count,
+            tick.now_ms - advice.open_since_ms
+            if advice.open_requests_count
+            else 0,
+            len(step.suspects()),
+            limits.used_percent(job.workspace),
+            limits.held_percent(job.workspace),
         )
 
 
