Show that gangs hold limits which they can't use, in three tests that fail

The tests show the same in the planner: a gang without advice, a task above a lowered limit, and a gang whose tickets expire keep the limit for as long as they wait.

--- a/tests/steps/test_limits.py
+++ b/tests/steps/test_limits.py
@@ -13,7 +13,7 @@
 from radishlift.steps.workspaces import WorkspaceTerms
 from tests.only import only
 from tests.steps.builders import ADVICE, job, key, step, workspace_terms
-from tests.steps.test_planner import PlannerSetup
+from tests.steps.test_planner import PlannerSetup, answer
 
 
 class LimitSetup(PlannerSetup):
@@ -167,6 +167,37 @@
     assert setup.started() == [('c', 0)]
 
 
+def test_gang_without_advice_holds_no_limit():
+    """Guards against a limit that nobody uses because a gang waits."""
+    setup = LimitSetup(4, 8, 8, 8)
+    gang = work('a', step(4, is_gang=True), advice=ADVICE)
+    setup.add(gang, work('b', objective_ms=9000))
+    assert setup.started() == [('b', 0)]
+
+
+def test_work_above_a_lowered_limit_lets_shorter_tasks_pass():
+    """Guards against a limit that stays unused until a long task ends."""
+    setup = LimitSetup(9, 8, 8)
+    long = work('a', step(1, estimate_ms=60_000))
+    setup.add(long)
+    assert setup.started() == [('a', 0)]
+    setup.limit(4)
+    setup.add(work('b', step(1, cores=5)), work('c', objective_ms=9000))
+    assert setup.started() == [('c', 0)]
+
+
+def test_gang_that_does_not_start_in_time_holds_no_limit():
+    """Guards against a hold that outlives the chance to use it."""
+    setup = LimitSetup(4, 8, 8)
+    fields = {'advice': ADVICE, 'objective_ms': 8_000_000}
+    setup.add(work('a', step(4, is_gang=True), **fields))
+    answer(setup, setup.plan(), ('t0', 't1'), expires_at_ms=0)
+    setup.add(work('b', objective_ms=9_000_000))
+    assert not setup.started()
+    waited_ms = 5000
+    assert setup.started(now_ms=waited_ms, wall_ms=waited_ms) == [('b', 0)]
+
+
 def test_step_without_targets_reserves_no_limit_for_advice():
     """Guards against steps that wait for advice that is never requested."""
     setup = LimitSetup(2, 8)
