--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -87,12 +87,15 @@
     async def start(self, stack, names):
         self.session = await stack.enter_async_context(ClientSession())
         self.store_address = await listen(stack, self.store.handle)
-        self.advice_address = await listen(stack, advise)
+        self.advice_address = await listen(stack, self.advise)
         await self.start_targets(stack)
         self.store.put('op', '', 'config', self.config)
         for name in names:
             await self.start_daemon(name)
 
+    async def advise(self, request):
+        return await advise(request)
+
     async def start_targets(self, stack):
         address = await listen(stack, self.target.handle)
         self.put_entry('i-1', address, self.target)
@@ -192,6 +195,7 @@
             await process.wait()
 
 
-def make_job_body(count, cpu=100):
+def make_job_body(count, cpu=100, *, is_gang=False):
     """Makes the body of a job with one step."""
-    return json.dumps({'spec': 's', 'steps': [{'count': count, 'cpu': cpu}]})
+    step = {'count': count, 'cpu': cpu, 'gang': is_gang}
+    return json.dumps({'spec': 's', 'steps': [step]})
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -7,9 +7,11 @@
 Callers continue while faults are injected in overlapping series. From the
 records of callers and targets it checks that no accepted job is lost, no
 refused job runs, no task runs twice, no job runs whose cancel found no job, no
-target is started on beyond the capacity in its entry, no key is served later
-than allowed after its removal, and the latest key is served in the end. Even
-seeds use half of the faults each.
+target is started on beyond the capacity in its entry, no workspace beyond its
+limit, no key is served later than allowed after its removal, and the latest key
+is served in the end. After the faults, callers and changes of a limit go on for
+`CALM_S`, and no step waits for over `MAX_WAIT_S` that could start. Even seeds
+use half of the faults each.
 """
 
 import argparse
@@ -30,9 +32,9 @@
     Deployment,
     free_ports,
     listen,
-    make_job_body,
 )
 from tests.platform.soak_keys import BOUNDS, STEADY_KEY, KeyWatch
+from tests.platform.soak_limits import LimitWatch, key_of, shown
 from tests.platform.soak_target_faults import FAULTS
 from tests.standins.leased_target import LONG_TASK_S, LeasedTarget
 from tests.standins.proxy import Proxy
@@ -111,7 +113,6 @@
             half = len(self.fault_names) // 2
             self.fault_names = self.random.sample(self.fault_names, half)
         self.key_watch = KeyWatch()
-        self.config = self.key_watch.config
         self.bounds = BOUNDS
         self.key = STEADY_KEY
         self.proxies = {}
@@ -129,6 +130,8 @@
         self.longest_lag_s = 0.0
         self.restarting = {name: asyncio.Lock() for name in self.names}
         self.numbers = count()
+        self.limit_watch = LimitWatch(self, TASK_CPU)
+        self.config = self.key_watch.config
 
     async def open(self, stack):
         """Starts stand-ins, proxies and daemons."""
@@ -144,6 +147,9 @@
     def store_for(self, name):
         return self.proxies[name].address
 
+    async def advise(self, request):
+        return await self.limit_watch.advise(request)
+
     async def start_targets(self, stack):
         self.stack = stack
         for _ in range(self.size.targets_count):
@@ -246,12 +252,12 @@
         """Submits jobs to any daemon until it is cancelled."""
         while True:
             job_id = f'{next(self.numbers):016x}'
-            tasks_count = self.random.randint(1, 3)
             submission = self.send(
                 self.any_daemon(),
                 'POST',
                 f'/q/{job_id}',
-                make_job_body(tasks_count, TASK_CPU),
+                self.limit_watch.make_body(job_id),
+                key=key_of(job_id),
             )
             if self.random.random() < GIVE_UP_SHARE:
                 await self.give_up(job_id, submission)
@@ -265,7 +271,9 @@
             async with asyncio.timeout(GIVE_UP_S):
                 self.answers[job_id] = (await submission)[0]
                 return
-        status, _ = await self.send(self.any_daemon(), 'DELETE', f'/q/{job_id}')
+        status, _ = await self.send(
+            self.any_daemon(), 'DELETE', f'/q/{job_id}', key=key_of(job_id)
+        )
         if status == 410:
             self.never_stored.add(job_id)
 
@@ -308,7 +316,10 @@
         while open_jobs and time.monotonic() < end_s:
             for job_id in sorted(open_jobs):
                 status, text = await self.send(
-                    self.any_daemon(), 'GET', f'/q/{job_id}'
+                    self.any_daemon(),
+                    'GET',
+                    f'/q/{job_id}',
+                    key=key_of(job_id),
                 )
                 if status == 200 and json.loads(text)['state'] == 'completed':
                     open_jobs.discard(job_id)
@@ -367,7 +378,7 @@
 def _find_overloads(target_id, target, capacities):
     for run in target.runs:
         used_cpu = run.attempts_count * TASK_CPU
-        limit_cpu = _shown_capacity(capacities, run.started_s)
+        limit_cpu = max(shown(capacities, run.started_s, CAPACITY_NOTICE_S))
         if used_cpu > limit_cpu:
             yield (
                 f'{run.task} started on {target_id}, which had {used_cpu} of '
@@ -375,17 +386,6 @@
             )
 
 
-def _shown_capacity(capacities, at_s):
-    """Returns the largest capacity of the last `CAPACITY_NOTICE_S`."""
-    changes = [(since_s, cpu) for since_s, cpu in capacities if since_s <= at_s]
-    ends_s = [since_s for since_s, _ in changes[1:]] + [at_s]
-    return max(
-        cpu
-        for (_, cpu), end_s in zip(changes, ends_s, strict=True)
-        if end_s >= at_s - CAPACITY_NOTICE_S
-    )
-
-
 async def run_seed(
     folder: Path, seed: int, size: SoakSize = USUAL_SIZE
 ) -> tuple[Soak, list[str]]:
@@ -405,6 +405,9 @@
             for _ in range(size.callers_count)
         ]
         await soak.inject_faults()
+        wait_watch = asyncio.create_task(soak.limit_watch.watch_waits())
+        stack.callback(wait_watch.cancel)
+        await soak.limit_watch.vary_calmly()
         for caller in callers:
             caller.cancel()
             with suppress(asyncio.CancelledError):
@@ -414,6 +417,7 @@
         unserved = await soak.key_watch.find_unserved(soak)
         violations = soak.violations(lost_jobs)
         violations.extend(soak.key_watch.violations())
+        violations.extend(soak.limit_watch.violations())
         violations.extend(f'{name} does not serve its key' for name in unserved)
         return soak, violations
 
@@ -426,8 +430,10 @@
     verdict = 'VIOLATED' if violations else 'held'
     faults = '+'.join(soak.faults)
     lag_ms = round(soak.longest_lag_s * 1000)
+    wait_ms = round(soak.limit_watch.longest_wait_s() * 1000)
     print(
-        f'seed {seed}: {verdict}, answers {counts}, lag {lag_ms} ms, {faults}',
+        f'seed {seed}: {verdict}, answers {counts}, lag {lag_ms} ms, '
+        f'wait {wait_ms} ms, {faults}',
         flush=True,
     )
     for text in violations[:5]:
--- a/tests/platform/soak_keys.py
+++ b/tests/platform/soak_keys.py
@@ -3,17 +3,20 @@
 import asyncio
 import random
 import time
+from itertools import count
 
 from tests.platform.soak_faults import FAULTS
 from tests.platform.test_documents import CONFIG
 
 REVOKE_S = 5.0
+CONFIG_S = 3.0
 BOUNDS = f"""
 strictRevoke = true
 revokeMs = {REVOKE_S * 1000:.0f}
-configMs = 3000
+configMs = {CONFIG_S * 1000:.0f}
 """
 STEADY_KEY = 'steady'
+LIMITED_KEY = 'limited'
 UNKNOWN_KEY = 'unknown'
 CALL_INTERVAL_S = 0.05
 READ_WAIT_S = 1.2
@@ -32,6 +35,8 @@
         # Apart from the random numbers that choose the faults of a seed.
         self.random = random.Random(0)
         self.keys = []
+        self.limit_cpu = 0
+        self.versions = count(CONFIG['version'] + 1)
         self.revoked_s = {}
         self.calls = []
         self.had_unseen_removal = False
@@ -40,14 +45,12 @@
     def replace_key(self):
         """Makes a configuration with a new key of the second workspace."""
         self.keys.append(f'key-{len(self.keys)}')
-        self.config = {
-            **CONFIG,
-            'version': CONFIG['version'] + len(self.keys),
-            'tenants': [
-                {'name': 'w1', 'apiKeys': [STEADY_KEY]},
-                {'name': 'w2', 'apiKeys': [self.keys[-1]]},
-            ],
-        }
+        self._make_config()
+
+    def set_limit(self, cpu):
+        """Makes a configuration with a limit of the third workspace."""
+        self.limit_cpu = cpu
+        self._make_config()
 
     def record_revocation(self):
         """Records that the store has the latest configuration."""
@@ -89,6 +92,18 @@
             if after_s > REVOKE_S:
                 yield f'{key} was served {after_s:.2f} s after its removal'
 
+    def _make_config(self):
+        limit = {'cpu': self.limit_cpu}
+        self.config = {
+            **CONFIG,
+            'version': next(self.versions),
+            'tenants': [
+                {'name': 'w1', 'apiKeys': [STEADY_KEY]},
+                {'name': 'w2', 'apiKeys': [self.keys[-1]]},
+                {'name': 'w3', 'apiKeys': [LIMITED_KEY], 'maxCount': limit},
+            ],
+        }
+
     async def _call(self, soak, key):
         name = self.random.choice(soak.names)
         sent_s = time.monotonic()
