--- a/tests/cell/test_leader_term.py
+++ b/tests/cell/test_leader_term.py
@@ -603,7 +603,8 @@
         return cell.store.tables.read(CELL, HEARTBEAT_KEY).value or {}
 
     run = job()
-    cell.targets['t1'].is_unresponsive = True
+    for target in cell.targets.by_id.values():
+        target.is_unresponsive = True
     cell.submit(run)
     counts = {run.terms.queue: 1}
     first_term = cell.lead()
