Hold limits only for steps that will start soon

What callers saw: steps of a workspace waited for its limit for 34 to 62 s although it used less than half of it, targets were free, and nothing of the workspace would have been in their way.

Cause: a gang held the limit of its workspace for as long as it waited, for whatever it waited for; several gangs of a workspace held all of it, and steps behind them requested no advice either. A task above a lowered limit held all of it until its workspace ran nothing. The class: a claim on something scarce that outlives the belief that its claimant can use it soon.

--- a/src/radishlift/steps/limits.py
+++ b/src/radishlift/steps/limits.py
@@ -1,8 +1,8 @@
 """How many tasks a workspace may start without exceeding its limit.
 
-Steps are asked in the order of their rank. A gang that lacks room within the
-limit holds it back from lower-ranked steps of its workspace, so that a stream
-of smaller tasks can't starve it.
+Steps are asked in the order of their rank. A gang that will probably start soon
+holds the limit back from lower-ranked steps of its workspace, so that a stream
+of smaller tasks can't starve it. Tasks that end before it starts may use it.
 """
 
 from collections.abc import Collection, Mapping
@@ -34,6 +34,9 @@
         self.is_known = False
         self._limits: dict[WorkspaceName, Amounts] = {}
         self._held: dict[WorkspaceName, Amounts] = {}
+        # Until when each part of what is held will not be used.
+        self._holds: dict[WorkspaceName, list[tuple[int, Amounts]]] = {}
+        self._now_ms = 0
         self._requested: dict[WorkspaceName, Amounts] = {}
         # The use and what was held when the room was computed, and the room.
         self._rooms: dict[WorkspaceName, tuple[Amounts, Amounts, Amounts]] = {}
@@ -56,9 +59,11 @@
         self._rooms.clear()
         self.is_known = True
 
-    def begin_tick(self) -> None:
+    def begin_tick(self, now_ms: int) -> None:
         """Forgets what steps have held back or requested in the last tick."""
+        self._now_ms = now_ms
         self._held.clear()
+        self._holds.clear()
         self._requested.clear()
 
     def count_startable(self, job: JobRun, step: StepRun, count: int) -> int:
@@ -73,7 +78,7 @@
         fitting = step.spec.amounts.count_fitting(self._room(job, step))
         if fitting >= count:
             return count
-        if self._is_oversized(job, step) and self._may_run_alone(job, step):
+        if self.is_oversized(job, step) and self._may_run_alone(job, step):
             return count if step.spec.is_gang else 1
         return 0 if step.spec.is_gang else max(0, fitting)
 
@@ -95,27 +100,32 @@
         )
         return True
 
-    def hold(self, job: JobRun, step: StepRun) -> None:
+    def hold(self, job: JobRun, step: StepRun, starts_at_ms: int) -> None:
         """Holds the limit for a waiting gang, or for a task that exceeds it.
 
-        Nothing is held that tasks use which run until they are stopped: those
-        that wait for it would wait for ever.
+        It will probably start at `starts_at_ms`, a monotonic time. Nothing is
+        held that tasks use which run until they are stopped: those that wait
+        for it would wait for ever.
         """
         workspace = job.workspace
         if not workspace:
             return
-        needed = self._held.get(workspace, Amounts())
-        if self._is_oversized(job, step):
+        held = self._held.get(workspace, Amounts())
+        added = Amounts()
+        if self.is_oversized(job, step):
             if not _is_startable_alone(step, self.limit_of(workspace)):
                 return
-            needed = self.limit_of(workspace)
+            added = self.limit_of(workspace).plus(held, -1)
         elif step.spec.is_gang:
-            needed = needed.plus(step.spec.amounts, len(step.tasks))
+            added = added.plus(step.spec.amounts, len(step.tasks))
+        needed = held.plus(added)
         room = self.limit_of(workspace).plus(
             self.use.used_for_long(workspace), -1
         )
         if needed.fits_in(room):
             self._held[workspace] = needed
+            holds = self._holds.setdefault(workspace, [])
+            holds.append((starts_at_ms, added))
 
     def may_still_start(self, job: JobRun, step: StepRun) -> bool:
         """Returns whether a planned start is still within the limit.
@@ -130,13 +140,17 @@
         # As in `count_startable`, only what the step uses must fit.
         return is_alone or step.spec.amounts.count_fitting(room) >= 0
 
-    def used_percent(self, workspace: WorkspaceName) -> int:
-        """Returns how much of its limit a workspace uses."""
-        return self._percent(workspace, self.use.used(workspace))
+    def use_percents(self, workspace: WorkspaceName) -> tuple[int, int]:
+        """Returns how much of its limit a workspace uses, and what is held."""
+        held = self._held.get(workspace, NO_AMOUNTS)
+        used = self.use.used(workspace)
+        return self._percent(workspace, used), self._percent(workspace, held)
 
-    def held_percent(self, workspace: WorkspaceName) -> int:
-        """Returns how much of its limit is held for waiting steps."""
-        return self._percent(workspace, self._held.get(workspace, NO_AMOUNTS))
+    def is_oversized(self, job: JobRun, step: StepRun) -> bool:
+        """Returns whether a task, or gang, needs more than the limit."""
+        return not _unit_amounts(step.spec).fits_in(
+            self.limit_of(job.workspace)
+        )
 
     def is_held_back(self, job: JobRun, step: StepRun) -> bool:
         """Returns whether a step waits only for what is held for others."""
@@ -148,7 +162,8 @@
     def describe_largest(self) -> str:
         """Describes the use of the workspaces that are nearest to a limit."""
         percents = [
-            (self.used_percent(workspace), workspace) for workspace in self.use
+            (self.use_percents(workspace)[0], workspace)
+            for workspace in self.use
         ]
         percents.sort(reverse=True)
         return ','.join(
@@ -163,9 +178,7 @@
     def _room(self, job: JobRun, step: StepRun) -> Amounts:
         workspace = job.workspace
         used = self.use.used(workspace)
-        held = NO_AMOUNTS
-        if not step.spec.is_long_running:
-            held = self._held.get(workspace, NO_AMOUNTS)
+        held = self._held_from(workspace, step)
         known = self._rooms.get(workspace)
         if known is not None and known[0] is used and known[1] is held:
             return known[2]
@@ -173,6 +186,19 @@
         self._rooms[workspace] = used, held, room
         return room
 
+    def _held_from(self, workspace: WorkspaceName, step: StepRun) -> Amounts:
+        """Returns what is held back from a step."""
+        held = self._held.get(workspace, NO_AMOUNTS)
+        if held is NO_AMOUNTS or step.spec.is_long_running:
+            return NO_AMOUNTS
+        run_ms = step.spec.expected_run_ms
+        if step.spec.is_gang or not run_ms:
+            return held
+        for starts_at_ms, amounts in self._holds[workspace]:
+            if self._now_ms + run_ms < starts_at_ms:
+                held = held.plus(amounts, -1)
+        return held
+
     def _percent(self, workspace: WorkspaceName, part: Amounts) -> int:
         limit = self.limit_of(workspace)
         return max(
@@ -181,11 +207,6 @@
             100 * part.gpus_count // limit.gpus_count,
         )
 
-    def _is_oversized(self, job: JobRun, step: StepRun) -> bool:
-        return not _unit_amounts(step.spec).fits_in(
-            self.limit_of(job.workspace)
-        )
-
     def _may_run_alone(self, job: JobRun, step: StepRun) -> bool:
         """Lets work end that was accepted before its limit was lowered."""
         is_alone = self.use.used(job.workspace) == Amounts()
--- a/src/radishlift/steps/planner.py
+++ b/src/radishlift/steps/planner.py
@@ -52,7 +52,7 @@
         self._targets = targets
         self.limits = WorkspaceLimits(targets.workspace_use)
         self.shares = WorkspaceShares(self.limits)
-        self._claims = LimitClaims(self.limits, tickets)
+        self._claims = LimitClaims(self.limits, targets, tickets, settings)
         self._tickets = tickets
         self._settings = settings
         self._waiting: dict[StepKey, tuple[JobRun, StepRun]] = {}
@@ -136,7 +136,7 @@
         self.waits.observe(due, wall_ms)
         tick = Tick(Plan(), now_ms, wall_ms, accepting, due)
         tick.demoted = ordered.demoted
-        self.limits.begin_tick()
+        self.limits.begin_tick(now_ms)
         self.preferences.refresh(self._targets, now_ms)
         tick.preference_of = self.preferences.for_step
         tick.speed_ratio = self.preferences.ratio
@@ -199,7 +199,7 @@
         count = self.limits.count_startable(job, step, len(waiting))
         if not count:
             tick.limited.add(step.key)
-            self._claims.hold(tick, job, step)
+            self._claims.hold_until_room(tick, job, step)
             return
         allowed = self._advice.list_allowed(tick, job, step)
         amounts = step.spec.allocated_amounts
@@ -216,7 +216,6 @@
         if len(placements) == len(waiting):
             self._remove_placed(step)
         elif step.spec.is_gang:
-            self._claims.hold(tick, job, step)
             self._reserve_targets(tick, job, step, allowed, fitting)
         elif (
             missing_count
@@ -235,6 +234,7 @@
         self._reservations.remove(key)
         self._delay_costs.forget(key)
         self.waits.forget(key)
+        self._claims.forget(key)
 
     def _place(
         self,
@@ -290,6 +290,7 @@
             len(tick.reserved_until_ms) + len(reservation.target_ids) <= limit
         ):
             tick.reserve(step, reservation)
+            self._claims.hold(tick, job, step, reservation.starts_at_ms)
             self._advice.renew(tick, job, step, reservation, allowed)
             return
         # It may reserve no room, but start in room that is free now.
@@ -302,6 +303,7 @@
         if placements:
             free_room = reserve_placements(placements, tick.now_ms)
             tick.claim(step, free_room)
+            self._claims.hold(tick, job, step, tick.now_ms)
             self._advice.renew(tick, job, step, free_room, allowed)
 
 
--- a/src/radishlift/steps/trial_planning.py
+++ b/src/radishlift/steps/trial_planning.py
@@ -124,7 +124,7 @@
         if count < len(suspects):
             tick.limited.add(step.key)
         if not count:
-            self._claims.hold(tick, job, step)
+            self._claims.hold_until_room(tick, job, step)
         return suspects[:count]
 
     def _is_open(self, target: Target) -> bool:
--- a/src/radishlift/steps/wait_reasons.py
+++ b/src/radishlift/steps/wait_reasons.py
@@ -162,8 +162,7 @@
             if advice.open_requests_count
             else 0,
             len(step.suspects()),
-            limits.used_percent(job.workspace),
-            limits.held_percent(job.workspace),
+            *limits.use_percents(job.workspace),
         )
 
 
--- a/tests/steps/test_planning_state.py
+++ b/tests/steps/test_planning_state.py
@@ -74,7 +74,7 @@
 
 def test_step_behind_held_limits_is_told_from_one_at_a_limit():
     """Guards against a limit that nobody uses and the log can't explain."""
-    setup = PlannerSetup(2, 2, 2)
+    setup = PlannerSetup(2, 2, 2, reserved_share=1)
     for number, name in enumerate(('t0', 't1')):
         setup.targets.get(TargetId(name)).allocate(
             key(number, job_id='f' * 16),
