Send requests for advice in the order of the planner

What callers saw: under a backlog, jobs that could still be in time waited seconds for their advice, and up to 39% of all processors stood idle in reservations of gangs whose requests waited behind 200 to 400 others.

Cause: a request kept its place in the queue, by the priority of its job and its arrival. Steps far past their use, which the planner places last, came before useful ones of another priority, again each time their tickets expired: the class of the holds, a claim (on a host of the advice service) that outlives the belief in its use.

Change: the queue is sorted by the ranks of the latest planning run; requests of gangs whose reserved room is free come first. As before every second long request is that of the step that has been due longest.

--- a/benchmarks/decision_model.py
+++ b/benchmarks/decision_model.py
@@ -166,7 +166,9 @@
             self._planner.ranking = ranking
         if speeds:
             self._planner.use_speeds(speeds)
-        self._advice_queue = AdviceQueue(self._settings)
+        self._advice_queue = AdviceQueue(
+            self._settings, lambda: self._planner.last_tick.request_ranks
+        )
         self._planner.count_queued_requests = self._advice_queue.__len__
         self._open_requests: list[tuple[int, int, AdviceRequest]] = []
         self._scheduled_ends: list[tuple[int, int, JobRun, Placement]] = []
--- a/src/radishlift/cell/pending_advice.py
+++ b/src/radishlift/cell/pending_advice.py
@@ -31,7 +31,9 @@
         self._settings = settings
         self._clock = clock
         self._notify_scheduler = notify_scheduler
-        self._queue = AdviceQueue(settings)
+        self._queue = AdviceQueue(
+            settings, lambda: planner.last_tick.request_ranks
+        )
         planner.count_queued_requests = self._queue.__len__
         self.changed = asyncio.Event()
 
--- a/src/radishlift/steps/ticks.py
+++ b/src/radishlift/steps/ticks.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Set
 from dataclasses import dataclass, field
+from functools import cached_property
 
 from radishlift.core.ids import ServiceName
 from radishlift.steps.advice_requests import AdviceRequest
@@ -43,7 +44,7 @@
     advice_requests: list[AdviceRequest] = field(default_factory=list)
 
 
-@dataclass(slots=True)
+@dataclass
 class Tick:
     """One pass over all waiting steps.
 
@@ -53,7 +54,8 @@
     gangs hold until `reserved_until_ms`, and `claimed_amounts` the free room
     for which gangs without a reservation request tickets. `limited` are the
     steps that wait for the limit of their workspace, and `demoted` those that
-    come after their rank because it has more than its share. `preference_of`
+    come after their rank because it has more than its share. `ready` are the
+    gangs whose reserved room is free now. `preference_of`
     tells which targets a step prefers, and `speed_ratio` how long a target
     takes relative to the median target.
     """
@@ -68,18 +70,31 @@
     claimed_amounts: dict[TargetId, Amounts] = field(default_factory=dict)
     limited: set[StepKey] = field(default_factory=set)
     demoted: set[StepKey] = field(default_factory=set)
+    ready: set[StepKey] = field(default_factory=set)
     by_requirement: dict[tuple[ServiceName, str], list[Target]] = field(
         default_factory=dict,
     )
     preference_of: StepPreference = _prefer_nothing
     speed_ratio: Callable[[TargetId], float] = _usual_speed
 
+    @cached_property
+    def request_ranks(self) -> dict[StepKey, int]:
+        """Returns the order in which steps should get advice.
+
+        Room that a gang has reserved is idle until its tickets arrive.
+        """
+        keys = [step.key for _, step in self.due]
+        keys.sort(key=lambda key: key not in self.ready)
+        return {key: rank for rank, key in enumerate(keys)}
+
     def preference(self, job: JobRun, step: StepRun) -> TargetPreference:
         """Returns which targets a step prefers now."""
         return self.preference_of(job, step, self.wall_ms)
 
     def reserve(self, step: StepRun, reservation: Reservation) -> None:
         """Reserves room for a gang on targets that are not reserved yet."""
+        if reservation.starts_at_ms <= self.now_ms:
+            self.ready.add(step.key)
         for target_id, count in zip(
             reservation.target_ids, reservation.member_counts, strict=True
         ):
--- a/tests/cell/test_pending_advice.py
+++ b/tests/cell/test_pending_advice.py
@@ -14,7 +14,7 @@
 from radishlift.steps.spec import AdviceTerms
 from radishlift.steps.targets import TargetTable
 from radishlift.steps.tickets import TicketTable
-from tests.steps.builders import core, entry, job, key, step
+from tests.steps.builders import ADVICE, core, entry, job, key, step
 
 HOSTS_COUNT = 7
 TICK_MS = 20
@@ -196,3 +196,24 @@
     target.allocate(key(job_id='b' * 16), 1, core())
     leader.plan()
     assert leader.pop().target_ids == ('t00',)
+
+
+def test_step_past_its_use_gets_advice_after_those_that_can_be_in_time():
+    """Guards against a backlog whose requests keep all daemons busy."""
+    leader = Leader(3)
+    leader.reach(*leader.names)
+    late = job(job_id='1' * 16, priority=0, advice=ADVICE)
+    leader.planner.update_job(late)
+    leader.plan()
+    leader.clock.now_ms += 50_000
+    useful = job(
+        job_id='2' * 16,
+        priority=1,
+        advice=ADVICE,
+        objective_ms=5000,
+        accepted_at_ms=leader.clock.monotonic_ms(),
+    )
+    leader.planner.update_job(useful)
+    leader.plan()
+    assert leader.pop().key.job_id == useful.spec.job_id
+    assert leader.pop().key.job_id == late.spec.job_id
--- a/tests/steps/test_advice_queue.py
+++ b/tests/steps/test_advice_queue.py
@@ -40,6 +40,18 @@
     assert [pop(waiting) for _ in range(3)] == ['a', 'b', 'c']
 
 
+def test_request_of_a_step_that_became_late_waits_for_useful_ones():
+    """Guards against a backlog whose requests use all hosts."""
+    ranks = [{}]
+    waiting = AdviceQueue(SETTINGS, lambda: ranks[0])
+    requests = [request('a'), request('b', priority=1), request('c')]
+    for item in requests:
+        waiting.add(item)
+    assert pop(waiting) == 'a'
+    ranks[0] = {item.key: rank for rank, item in enumerate(requests)}
+    assert [pop(waiting), pop(waiting)] == ['b', 'c']
+
+
 def test_long_requests_leave_hosts_for_short_requests():
     waiting = queue(
         request('long', duration_ms=1000, priority=0),
--- a/tests/steps/test_gang_tickets.py
+++ b/tests/steps/test_gang_tickets.py
@@ -18,6 +18,19 @@
     assert setup.tickets.advice_for(gang.steps[0, 0].key).open_requests_count
 
 
+def test_gang_whose_reserved_room_is_free_gets_its_tickets_first():
+    """Guards against room that is idle while a request waits for a host."""
+    setup = PlannerSetup(4, 4, 4, 4, reserved_share=1)
+    gang = job(step(2, cores=4, is_gang=True), advice=ADVICE, priority=2)
+    earlier = job(step(1), job_id='b' * 16, advice=ADVICE, priority=1)
+    setup.add(gang)
+    answer(setup, setup.plan(), ('t0', 't1'), expires_at_ms=0)
+    setup.add(earlier)
+    setup.plan()
+    ranks = setup.planner.last_tick.request_ranks
+    assert ranks[gang.steps[0, 0].key] < ranks[earlier.steps[0, 0].key]
+
+
 def test_gang_renews_its_tickets_while_requests_of_others_wait():
     """Guards against a gang that starves until the backlog of advice ends."""
     setup = PlannerSetup(4, 4, reserved_share=0)
