Let suspects keep targets only while they may soon start

What callers saw: ready steps wait while targets are idle.

Cause: a suspect without a valid ticket closes the target that it would use to all other steps for as long as it has none, and so does a gang with a suspect, on all targets that it needs, even on more than `trial_share` if no other trials run. Its request waits for a daemon behind those of others, and while it does nothing starts there. What such steps close counts as used by trials, so that suspects with tickets wait as well. A suspect that fits nowhere now closes the target that has room first, also if that takes minutes.

Change: a step without tickets, or without room, closes targets only if it will probably start within `max_claim_ms`, and until `max_claim_ms` after that. Then others may use them for as long. Suspects that have a ticket and wait for the starts on their target to be survived keep it as before. The functions about room on a target move to a module of their own.

Tests: 4 of 4 in tests/steps/test_trial_claims.py failed on:

E assert None is not None (another step never starts in 30 s; three tests: a task, a gang, and a suspect that needs no advice) E AssertionError: assert set() == {('b', 0)}

and pass now, with all of tests/steps (one run).

--- a/src/radishlift/steps/settings.py
+++ b/src/radishlift/steps/settings.py
@@ -48,6 +48,9 @@
     - `max_wait_ms`, `first_turn_ms`: wait after which the step that has waited
       longest comes before all others, and how long before it is the next
       one's turn.
+    - `max_claim_ms`: a waiting step keeps room from others that it doesn't use
+      until this long after it should have started. Ready steps may wait 5 s
+      for room that nobody uses.
     - `trial_share`: maximum share of the targets used for trials of suspects.
     - `speed_band_ratio`: run times on a target, relative to the median target,
       within which targets count as equally fast.
@@ -83,6 +86,7 @@
     useful_factor: float = 3
     max_wait_ms: int = 60_000
     first_turn_ms: int = 10_000
+    max_claim_ms: int = 5000
     speed_band_ratio: float = 1.5
     tight_run_share: float = 1
     tight_slack_ms: int = 500
--- a/src/radishlift/steps/trial_planning.py
+++ b/src/radishlift/steps/trial_planning.py
@@ -3,20 +3,21 @@
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
+from radishlift.steps.claim_turns import ClaimTurns
 from radishlift.steps.gang_reservations import (
     Reservation,
     choose_gang_targets,
-    slot_times_ms,
 )
-from radishlift.steps.ids import TargetId
+from radishlift.steps.ids import StepKey, TargetId
 from radishlift.steps.limit_claims import LimitClaims
 from radishlift.steps.limits import WorkspaceLimits
 from radishlift.steps.placing import Placement, place_tasks
-from radishlift.steps.runs import JobRun, StepRun, TaskRun, TaskState
+from radishlift.steps.runs import JobRun, StepRun, TaskRun
 from radishlift.steps.settings import StepSettings
 from radishlift.steps.step_advice import StepAdviceRequests
 from radishlift.steps.targets import Target, TargetTable
 from radishlift.steps.ticks import Tick, allocate_starts
+from radishlift.steps.trial_room import has_room, slots_ms
 from radishlift.steps.trials import Trials
 
 
@@ -35,6 +36,9 @@
     target has room come before those that wait for room. A gang that needs
     more targets waits until no other trials run, unless it may reserve them
     like other gangs.
+
+    Steps keep targets, and gangs stop other trials, only if they will probably
+    start soon, and for `max_claim_ms` at a time.
     """
 
     def __init__(
@@ -49,6 +53,12 @@
         self._limits = limits
         self._claims = claims
         self._trials = Trials(targets, settings)
+        self._turns = ClaimTurns(settings)
+        self._max_claim_ms = settings.max_claim_ms
+
+    def forget(self, key: StepKey) -> None:
+        """Forgets the claims of a step that waits no longer."""
+        self._turns.forget(key)
 
     def plan(self, tick: Tick, suspects: list[tuple[JobRun, StepRun]]) -> None:
         """Plans steps with suspects, and closes targets to other steps."""
@@ -97,21 +107,23 @@
                 if tick.is_open(target, step)
             ],
         )
-        without_ticket = []
+        without_ticket: list[TargetId] = []
         is_short_of_room = False
         for task in suspects:
-            target = self._find_target(step, task, candidates)
+            target = self._find_target(step, task, candidates, without_ticket)
             if target is None:
                 is_short_of_room = True
                 break
-            if not candidates.has_ticket(target):
-                without_ticket.append(target.entry.target_id)
-            if not candidates.has_ticket(target) or not self._is_open(target):
+            has_ticket = candidates.has_ticket(target)
+            if has_ticket and self._is_open(target):
+                self._start(tick, job, step, [Placement(task, target)])
+            elif has_ticket:
                 self._trials.reserve([target])
-                continue
-            self._start(tick, job, step, [Placement(task, target)])
-        has_room = any(_has_room(step, target) for target in candidates.allowed)
-        if without_ticket or not has_room:
+            else:
+                without_ticket.append(target.entry.target_id)
+                self._claim(tick, step, [target], tick.now_ms)
+        may_fit = any(has_room(step, target) for target in candidates.allowed)
+        if without_ticket or not may_fit:
             self._advice.request_for_trial(tick, job, step, without_ticket)
         return is_short_of_room
 
@@ -132,18 +144,22 @@
         return is_running or self._trials.is_ready(target)
 
     def _find_target(
-        self, step: StepRun, task: TaskRun, candidates: _Candidates
+        self,
+        step: StepRun,
+        task: TaskRun,
+        candidates: _Candidates,
+        without_ticket: list[TargetId],
     ) -> Target | None:
         trials = self._trials
         fitting = [
-            target for target in candidates.allowed if _has_room(step, target)
+            target for target in candidates.allowed if has_room(step, target)
         ]
         shared = trials.find_shared(
             task, filter(candidates.has_ticket, fitting)
         )
         if shared is not None or trials.free_count <= 0:
             return shared
-        closed = trials.closed
+        closed = trials.closed.union(without_ticket)
         return min(
             (
                 target
@@ -171,15 +187,16 @@
             for target in self._advice.list_allowed(tick, job, step)
             if target.entry.target_id not in closed
             and tick.is_open(target, step)
-            and (times_ms := _slots_ms(step, target, tick.now_ms))
+            and (times_ms := slots_ms(step, target, tick.now_ms))
         ]
         if slots:
-            self._trials.reserve([min(slots)[-1]])
+            starts_at_ms, _, target = min(slots)
+            self._claim(tick, step, [target], starts_at_ms)
 
     def _plan_gang(self, tick: Tick, job: JobRun, step: StepRun) -> bool:
         """Plans the trial of a gang.
 
-        Returns False if it waits until other trials free targets; no more
+        Returns False if it starts once other trials free targets; no more
         trials may begin then, as they would starve it.
         """
         waiting = step.waiting_tasks()
@@ -206,14 +223,33 @@
         if reservation is not None:
             self._advice.renew(tick, job, step, reservation, candidates.allowed)
             if reservation.starts_at_ms <= tick.now_ms:
-                self._trials.reserve(
-                    free[target_id] for target_id in reservation.target_ids
-                )
+                chosen = [free[found] for found in reservation.target_ids]
+                if all(map(candidates.has_ticket, chosen)):
+                    self._trials.reserve(chosen)
+                else:
+                    self._claim(tick, step, chosen, tick.now_ms)
             elif not is_wide:
                 # Tasks that end before the gang starts may use them until then.
                 tick.reserve(step, reservation)
         return True
 
+    def _claim(
+        self,
+        tick: Tick,
+        step: StepRun,
+        targets: list[Target],
+        starts_at_ms: int,
+    ) -> None:
+        """Reserves targets for a step that will probably start at a time."""
+        if self._may_claim(tick, step, starts_at_ms):
+            self._trials.reserve(targets)
+
+    def _may_claim(self, tick: Tick, step: StepRun, starts_at_ms: int) -> bool:
+        is_soon = starts_at_ms <= tick.now_ms + self._max_claim_ms
+        return is_soon and self._turns.may_claim(
+            step.key, starts_at_ms, tick.now_ms
+        )
+
     def _free_for_gang(
         self, tick: Tick, candidates: _Candidates
     ) -> dict[TargetId, Target]:
@@ -254,28 +290,4 @@
         self._trials.record(job, step, placements)
 
 
-def _has_room(step: StepRun, target: Target) -> bool:
-    return step.spec.allocated_amounts.fits_in(
-        target.free_capacity
-    ) and _is_below_limit(step, target)
-
-
-def _slots_ms(step: StepRun, target: Target, now_ms: int) -> list[int]:
-    if not _is_below_limit(step, target):
-        return []
-    return slot_times_ms(target, step.spec.allocated_amounts, now_ms)
-
-
-def _is_below_limit(step: StepRun, target: Target) -> bool:
-    limit = step.spec.max_per_target_count
-    if not limit:
-        return True
-    placed_count = sum(
-        task.state is TaskState.placed
-        and task.target_id == target.entry.target_id
-        for task in step.tasks
-    )
-    return placed_count < limit
-
-
 __all__ = ('TrialPlanner',)
