Let a gang stop other trials only if it starts soon after them

Cause: a gang with a suspect that needs more targets than are left to trials now stops all trials of a lower rank, until no trial runs. It does so also while it has no tickets, for which it doesn't even ask meanwhile, and while its targets stay full. Suspects of a higher rank keep starting trials, so that this may last; a trial on a silent target has the same effect.

Change: it stops other trials only if it has valid tickets for targets that probably have room within `max_claim_ms`, and for as long as a step may claim targets. It requests its tickets while it waits. Claims of suspects move to a class of their own.

--- a/src/radishlift/steps/planner.py
+++ b/src/radishlift/steps/planner.py
@@ -235,7 +235,7 @@
         self._reservations.remove(key)
         self._delay_costs.forget(key)
         self.waits.forget(key)
-        self._trials.forget(key)
+        self._trials.trial_claims.forget(key)
 
     def _place(
         self,
--- a/src/radishlift/steps/trial_planning.py
+++ b/src/radishlift/steps/trial_planning.py
@@ -3,12 +3,11 @@
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
-from radishlift.steps.claim_turns import ClaimTurns
 from radishlift.steps.gang_reservations import (
     Reservation,
     choose_gang_targets,
 )
-from radishlift.steps.ids import StepKey, TargetId
+from radishlift.steps.ids import TargetId
 from radishlift.steps.limit_claims import LimitClaims
 from radishlift.steps.limits import WorkspaceLimits
 from radishlift.steps.placing import Placement, place_tasks
@@ -17,6 +16,7 @@
 from radishlift.steps.step_advice import StepAdviceRequests
 from radishlift.steps.targets import Target, TargetTable
 from radishlift.steps.ticks import Tick, allocate_starts
+from radishlift.steps.trial_claims import TrialClaims
 from radishlift.steps.trial_room import has_room, slots_ms
 from radishlift.steps.trials import Trials
 
@@ -53,12 +53,7 @@
         self._limits = limits
         self._claims = claims
         self._trials = Trials(targets, settings)
-        self._turns = ClaimTurns(settings)
-        self._max_claim_ms = settings.max_claim_ms
-
-    def forget(self, key: StepKey) -> None:
-        """Forgets the claims of a step that waits no longer."""
-        self._turns.forget(key)
+        self.trial_claims = TrialClaims(self._trials, settings)
 
     def plan(self, tick: Tick, suspects: list[tuple[JobRun, StepRun]]) -> None:
         """Plans steps with suspects, and closes targets to other steps."""
@@ -121,7 +116,7 @@
                 self._trials.reserve([target])
             else:
                 without_ticket.append(target.entry.target_id)
-                self._claim(tick, step, [target], tick.now_ms)
+                self.trial_claims.reserve(tick, step, [target], tick.now_ms)
         may_fit = any(has_room(step, target) for target in candidates.allowed)
         if without_ticket or not may_fit:
             self._advice.request_for_trial(tick, job, step, without_ticket)
@@ -191,7 +186,7 @@
         ]
         if slots:
             starts_at_ms, _, target = min(slots)
-            self._claim(tick, step, [target], starts_at_ms)
+            self.trial_claims.reserve(tick, step, [target], starts_at_ms)
 
     def _plan_gang(self, tick: Tick, job: JobRun, step: StepRun) -> bool:
         """Plans the trial of a gang.
@@ -214,7 +209,7 @@
         reservation = choose_gang_targets(step, free, tick.now_ms)
         is_wide = self._is_wide(tick, step, candidates, reservation)
         if is_wide and not self._trials.is_idle:
-            return False
+            return not self._prepare_wide_gang(tick, job, step, candidates)
         placements = place_tasks(step, waiting, ready)
         if placements:
             self._start(tick, job, step, placements)
@@ -227,27 +222,37 @@
                 if all(map(candidates.has_ticket, chosen)):
                     self._trials.reserve(chosen)
                 else:
-                    self._claim(tick, step, chosen, tick.now_ms)
+                    self.trial_claims.reserve(tick, step, chosen, tick.now_ms)
             elif not is_wide:
                 # Tasks that end before the gang starts may use them until then.
                 tick.reserve(step, reservation)
         return True
 
-    def _claim(
-        self,
-        tick: Tick,
-        step: StepRun,
-        targets: list[Target],
-        starts_at_ms: int,
-    ) -> None:
-        """Reserves targets for a step that will probably start at a time."""
-        if self._may_claim(tick, step, starts_at_ms):
-            self._trials.reserve(targets)
+    def _prepare_wide_gang(
+        self, tick: Tick, job: JobRun, step: StepRun, candidates: _Candidates
+    ) -> bool:
+        """Requests advice for a gang that waits for other trials.
 
-    def _may_claim(self, tick: Tick, step: StepRun, starts_at_ms: int) -> bool:
-        is_soon = starts_at_ms <= tick.now_ms + self._max_claim_ms
-        return is_soon and self._turns.may_claim(
-            step.key, starts_at_ms, tick.now_ms
+        Returns whether it has tickets to start soon after these have ended.
+        """
+        self._advice.request_for_gang(tick, job, step)
+        open_targets = {
+            target.entry.target_id: target
+            for target in candidates.allowed
+            if target.entry.target_id not in tick.reserved_until_ms
+        }
+        reservation = choose_gang_targets(step, open_targets, tick.now_ms)
+        if reservation is None:
+            return False
+        self._advice.renew(tick, job, step, reservation, candidates.allowed)
+        with_ticket = {
+            target_id: target
+            for target_id, target in open_targets.items()
+            if candidates.has_ticket(target)
+        }
+        usable = choose_gang_targets(step, with_ticket, tick.now_ms)
+        return usable is not None and self.trial_claims.may_claim(
+            tick, step, usable.starts_at_ms
         )
 
     def _free_for_gang(
