Drop the reservation of a job for which no start is found

What callers saw: work waits for ever beside an idle worker. Cause: if the workers of a reservation are lost, it is planned again each second. A plan that finds no start left the old reservation in force, so that nothing of its rank or below it could run past its start, which has passed, on the workers that remain. The job also stayed the one to plan next, and no other of its rank ever got a reservation.

Change: a plan that finds no start ends the reservation of its job, and any other job may be planned instead of that one.

Tests: both in tests/placement/test_reservations.py failed on:

E AssertionError: assert 'long/0' in set() E AssertionError: assert set() == {'next/0', 'next/1'}

--- a/src/radishlift/placement/reservation_state.py
+++ b/src/radishlift/placement/reservation_state.py
@@ -47,14 +47,17 @@
     """The current reservation, and the job that needs the next one.
 
     `plan` is a plan in progress for `wanted_job_id`, and no plan starts before
-    `next_plan_ms`. `claims` is by worker row. `closed_departments` has the
-    departments with a strict policy whose first group is blocked, and
-    `urgent_blocked` the urgent groups that wait for capacity.
+    `next_plan_ms`. `unplanned_job_id` is the job of the last plan that found no
+    start; any other may be planned instead of it. `claims` is by worker row.
+    `closed_departments` has the departments with a strict policy whose first
+    group is blocked, and `urgent_blocked` the urgent groups that wait for
+    capacity.
     """
 
     reservation: Reservation | None = None
     wanted_job_id: JobId | None = None
     wanted_rank: int = 0
+    unplanned_job_id: JobId | None = None
     next_plan_ms: int = 0
     plan: Any = None
     claims: dict[int, PreemptionClaim] = field(default_factory=dict)
--- a/src/radishlift/placement/reservations.py
+++ b/src/radishlift/placement/reservations.py
@@ -6,14 +6,17 @@
 
 from typing import Final
 
-from radishlift.core.ids import TaskId
+from radishlift.core.ids import JobId, TaskId
 from radishlift.placement.cancellations import stop_attempt
 from radishlift.placement.engine_context import EngineContext
 from radishlift.placement.phases import PHASES, PhaseBudget
 from radishlift.placement.policies import AGED_RANK
 from radishlift.placement.queue_groups import Group
 from radishlift.placement.reservation_plan import ReservationPlan
-from radishlift.placement.reservation_state import Reservation
+from radishlift.placement.reservation_state import (
+    Reservation,
+    ReservationState,
+)
 from radishlift.placement.tables import NO_ROW
 
 PLAN_RETRY_MS: Final = 1_000
@@ -34,10 +37,8 @@
     reservation = reservations.reservation
     if reservation is not None and reservation.rank <= rank:
         return
-    if reservations.wanted_job_id is None or rank < reservations.wanted_rank:
-        reservations.wanted_job_id = context.tables.jobs.spec[job_row].job_id
-        reservations.wanted_rank = rank
-        reservations.plan = None
+    if _may_replace_wanted(reservations) or rank < reservations.wanted_rank:
+        _want(reservations, context.tables.jobs.spec[job_row].job_id, rank)
 
 
 @PHASES.register('reservations')
@@ -77,9 +78,28 @@
     reservations = context.reservations
     reservations.plan = None
     reservations.next_plan_ms = now_ms + PLAN_RETRY_MS
+    job_id = reservations.wanted_job_id
+    reservations.unplanned_job_id = job_id
     if reservation is not None:
+        reservations.unplanned_job_id = None
         reservations.wanted_job_id = None
         reservations.reservation = reservation
+        return
+    former = reservations.reservation
+    if former is not None and former.job_id == job_id:
+        reservations.reservation = None
+        context.queue.unblock_all()
+
+
+def _may_replace_wanted(reservations: ReservationState) -> bool:
+    return reservations.wanted_job_id in {None, reservations.unplanned_job_id}
+
+
+def _want(reservations: ReservationState, job_id: JobId, rank: int) -> None:
+    if reservations.wanted_job_id != job_id:
+        reservations.plan = None
+    reservations.wanted_job_id = job_id
+    reservations.wanted_rank = rank
 
 
 def _check_reservation(context: EngineContext, now_ms: int) -> None:
@@ -98,10 +118,9 @@
     ):
         return
     _stop_overrunning(context, reservation)
-    if context.reservations.wanted_job_id is None:
+    if _may_replace_wanted(context.reservations):
         # The old reservation stays in force until the new plan is complete.
-        context.reservations.wanted_job_id = reservation.job_id
-        context.reservations.wanted_rank = reservation.rank
+        _want(context.reservations, reservation.job_id, reservation.rank)
 
 
 def _is_waiting(context: EngineContext, job_row: int) -> bool:
