--- a/src/radishlift/steps/planner.py
+++ b/src/radishlift/steps/planner.py
@@ -235,6 +235,7 @@
         self._delay_costs.forget(key)
         self.waits.forget(key)
         self._claims.forget(key)
+        self._trials.trial_claims.forget(key)
 
     def _place(
         self,
--- a/src/radishlift/steps/settings.py
+++ b/src/radishlift/steps/settings.py
@@ -48,9 +48,9 @@
     - `max_wait_ms`, `first_turn_ms`: wait after which the step that has waited
       longest comes before all others, and how long before it is the next
       one's turn.
-    - `max_claim_ms`: a waiting step keeps the limit of its workspace from
-      others until this long after it should have started. Ready steps may wait
-      5 s for room that nobody uses.
+    - `max_claim_ms`: a waiting step keeps room from others that it doesn't use
+      until this long after it should have started. Ready steps may wait 5 s
+      for room that nobody uses.
     - `trial_share`: maximum share of the targets used for trials of suspects.
     - `speed_band_ratio`: run times on a target, relative to the median target,
       within which targets count as equally fast.
