Bound how long capacity is reserved for work that waits for quota

What callers saw: the work of other teams waits beside idle workers. Cause: a gang keeps its reservation as long as it waits. If other work of its team starts meanwhile, the gang waits for quota, and its reservation is planned again each second for now, so that nothing that runs longer starts there until its team has quota again.

Change: the reservation, and the turn to get the next one, end once the job has waited for quota for 5 s. They are not dropped at once: a share of quota that is on its way would find no capacity, and be returned unused.

Test: the new one in tests/placement/test_reservations.py failed on:

E assert 0 == 3 (three tasks of another team; three quarters of the capacity are idle)

--- a/src/radishlift/placement/reservation_state.py
+++ b/src/radishlift/placement/reservation_state.py
@@ -48,7 +48,9 @@
 
     `plan` is a plan in progress for `wanted_job_id`, and no plan starts before
     `next_plan_ms`. `unplanned_job_id` is the job of the last plan that found no
-    start; any other may be planned instead of it. `claims` is by worker row.
+    start; any other may be planned instead of it. `quota_waits_ms` tells since
+    when jobs with a present or next reservation wait for quota. `claims` is by
+    worker row.
     `closed_departments` has the departments with a strict policy whose first
     group is blocked, and `urgent_blocked` the urgent groups that wait for
     capacity.
@@ -58,6 +60,7 @@
     wanted_job_id: JobId | None = None
     wanted_rank: int = 0
     unplanned_job_id: JobId | None = None
+    quota_waits_ms: dict[JobId, int] = field(default_factory=dict)
     next_plan_ms: int = 0
     plan: Any = None
     claims: dict[int, PreemptionClaim] = field(default_factory=dict)
--- a/src/radishlift/placement/reservations.py
+++ b/src/radishlift/placement/reservations.py
@@ -21,6 +21,9 @@
 
 PLAN_RETRY_MS: Final = 1_000
 """Minimum time from the end of one plan to the start of the next."""
+MAX_QUOTA_WAIT_MS: Final = 5_000
+"""How long capacity stays reserved for a job that waits for quota; a partition
+asks for a larger share of it at least this often."""
 
 
 def request_reservation(
@@ -44,6 +47,7 @@
 @PHASES.register('reservations')
 def plan_reservation(context: EngineContext, budget: PhaseBudget) -> bool:
     """Checks the current reservation and plans the requested one."""
+    _forget_quota_waits(context.reservations)
     _check_reservation(context, budget.now_ms)
     reservations = context.reservations
     if (
@@ -53,7 +57,8 @@
         return True
     job_row = context.tables.jobs.row_of.get(reservations.wanted_job_id, NO_ROW)
     group = context.queue.find_group(job_row)
-    if not _is_waiting(context, job_row) or group is None:
+    is_startable = _may_use_capacity(context, job_row, budget.now_ms)
+    if not is_startable or group is None:
         reservations.wanted_job_id = None
         reservations.plan = None
         return True
@@ -107,7 +112,7 @@
     if reservation is None:
         return
     job_row = context.tables.jobs.row_of.get(reservation.job_id, NO_ROW)
-    if not _is_waiting(context, job_row):
+    if not _may_use_capacity(context, job_row, now_ms):
         context.reservations.reservation = None
         context.queue.unblock_all()
         return
@@ -123,10 +128,31 @@
         _want(context.reservations, reservation.job_id, reservation.rank)
 
 
-def _is_waiting(context: EngineContext, job_row: int) -> bool:
-    if job_row == NO_ROW:
+def _may_use_capacity(
+    context: EngineContext, job_row: int, now_ms: int
+) -> bool:
+    """Returns whether a job waits, and not for quota for too long."""
+    jobs = context.tables.jobs
+    if job_row == NO_ROW or not jobs.ready_count(job_row):
         return False
-    return context.tables.jobs.ready_count(job_row) > 0
+    waits_ms = context.reservations.quota_waits_ms
+    job_id = jobs.spec[job_row].job_id
+    group = context.queue.find_group(job_row)
+    if group is None or not group.blocked_by:
+        return True
+    if not context.queue.blocked.waits_for_quota(group):
+        waits_ms.pop(job_id, None)
+        return True
+    return now_ms - waits_ms.setdefault(job_id, now_ms) <= MAX_QUOTA_WAIT_MS
+
+
+def _forget_quota_waits(reservations: ReservationState) -> None:
+    """Forgets the waits of jobs without a present or next reservation."""
+    job_ids = {reservations.wanted_job_id}
+    if reservations.reservation is not None:
+        job_ids.add(reservations.reservation.job_id)
+    for job_id in reservations.quota_waits_ms.keys() - job_ids:
+        del reservations.quota_waits_ms[job_id]
 
 
 def _stop_overrunning(context: EngineContext, reservation: Reservation) -> None:
--- a/tests/placement/test_reservations.py
+++ b/tests/placement/test_reservations.py
@@ -1,6 +1,7 @@
 """Tests that capacity is reserved only for work that may soon start."""
 
-from radishlift.core.ids import TeamName
+from radishlift.config.document import ConfigDocument, Team
+from radishlift.core.ids import ConfigVersion, DepartmentName, TeamName
 from radishlift.placement.jobs import Priority
 from tests.only import only
 from tests.placement.builders import (
@@ -77,3 +78,20 @@
     assert not setup.started(3000, 9000)
     end_attempt(setup.engine, second)
     assert setup.started(9000, 9200) == {'next/0', 'next/1'}
+
+
+def test_gang_without_quota_keeps_no_capacity():
+    """Guards against idle workers reserved for a team over its quota."""
+    setup = ReservedWorkers(team=MEND)
+    quota = Team(DepartmentName('rugs'), cpu_milli=HALF.cpu_milli * 4)
+    document = ConfigDocument(ConfigVersion(1), teams={MEND: quota})
+    setup.engine.apply_config(document)
+    # It leaves the gang too little quota, for longer than this test.
+    setup.accept('urgent', team=MEND, priority=Priority.urgent)
+    assert setup.started(100, 101) == {'urgent/0'}
+    end_attempt(setup.engine, setup.first)
+    for number in range(3):
+        setup.accept(f'long{number}', run_time_ms=60_000)
+    # Quota that other partitions don't use may arrive within a few seconds.
+    assert not setup.started(200, 5000)
+    assert len(setup.started(5000, 6000)) == 3
