Let gangs that fit nowhere block no smaller gangs

What callers saw: a gang waits for ever beside idle workers. Cause: gangs with members of equal demand, of one team, wait in one group, of which only the first is tried. If it needs more members than fit on the workers, no smaller one that was accepted later is tried.

Change: gangs of different size wait in groups of their own, like jobs of different demand. The reservation of the first keeps smaller ones from delaying it, which a second test shows. As for other jobs, a partition has only one reservation.

Tests: test_gang_that_fits_nowhere_does_not_block_smaller_ones failed on:

E AssertionError: assert [] == ['gang/0', 'gang/1']

--- a/src/radishlift/placement/admission.py
+++ b/src/radishlift/placement/admission.py
@@ -101,6 +101,7 @@
         spec.team,
         context.usage.estimates.estimate_demand(spec, context.fleet.largest),
         spec.kind is JobKind.gang,
+        _members_count(context, job_row),
     )
     context.queue.add(job_row, key, order)
     if not is_aged:
@@ -108,6 +109,13 @@
         heapq.heappush(context.queue.ageing, entry)
 
 
+def _members_count(context: EngineContext, job_row: int) -> int:
+    jobs = context.tables.jobs
+    if jobs.spec[job_row].kind is not JobKind.gang:
+        return 0
+    return jobs.ready_count(job_row)
+
+
 @PHASES.register('ageing')
 def age_jobs(context: EngineContext, budget: PhaseBudget) -> bool:
     """Moves jobs past the maximum waiting time to the rank of aged work."""
--- a/src/radishlift/placement/queue_groups.py
+++ b/src/radishlift/placement/queue_groups.py
@@ -14,13 +14,18 @@
 
 
 class GroupKey(NamedTuple):
-    """What the jobs of a group have in common; rank 0 is placed first."""
+    """What the jobs of a group have in common; rank 0 is placed first.
+
+    `members_count` is that of gangs: one that fits nowhere must not block
+    smaller ones.
+    """
 
     rank: int
     department: DepartmentName
     team: TeamName
     demand: Resources
     is_gang: bool
+    members_count: int = 0
 
 
 class Group:
--- a/tests/placement/test_gangs.py
+++ b/tests/placement/test_gangs.py
@@ -111,3 +111,25 @@
     engine.tick(1)
     end_attempt(engine, second)
     assert started_ids(engine.tick(2)) == [first.task_id]
+
+
+def test_gang_that_fits_nowhere_does_not_block_smaller_ones():
+    """Guards against gangs that wait for ever behind one of equal members."""
+    _, engine = make_engine(make_worker(1, SMALL))
+    engine.accept(make_gang('wide', task_count=4), 0)
+    engine.accept(make_gang(task_count=2), 1)
+    assert started_ids(engine.tick(1)) == ['gang/0', 'gang/1']
+
+
+def test_smaller_gangs_do_not_delay_a_reserved_start():
+    """Guards against a wide gang that waits for ever for smaller ones."""
+    _, engine = make_engine(make_worker(1, SMALL), make_worker(2, SMALL))
+    engine.accept(make_job('first', demand=HALF, run_time_ms=100), 0)
+    first = find_only_start(engine.tick(0))
+    engine.accept(make_gang('wide', task_count=4), 1)
+    engine.tick(1)
+    engine.tick(2)
+    engine.accept(make_gang(task_count=2), 3)
+    assert not find_starts(engine.tick(3))
+    end_attempt(engine, first)
+    assert started_ids(engine.tick(101)) == [f'wide/{n}' for n in range(4)]
