--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -34,7 +34,7 @@
     listen,
 )
 from tests.platform.soak_keys import BOUNDS, STEADY_KEY, KeyWatch
-from tests.platform.soak_limits import LimitWatch, key_of, shown
+from tests.platform.soak_limits import CALM_S, LimitWatch, key_of, shown
 from tests.platform.soak_target_faults import FAULTS
 from tests.standins.leased_target import LONG_TASK_S, LeasedTarget
 from tests.standins.proxy import Proxy
@@ -387,7 +387,10 @@
 
 
 async def run_seed(
-    folder: Path, seed: int, size: SoakSize = USUAL_SIZE
+    folder: Path,
+    seed: int,
+    size: SoakSize = USUAL_SIZE,
+    calm_s: float = CALM_S,
 ) -> tuple[Soak, list[str]]:
     """Runs one seed and returns the violated guarantees."""
     soak = Soak(folder, seed, size)
@@ -407,7 +410,7 @@
         await soak.inject_faults()
         wait_watch = asyncio.create_task(soak.limit_watch.watch_waits())
         stack.callback(wait_watch.cancel)
-        await soak.limit_watch.vary_calmly()
+        await soak.limit_watch.vary_calmly(calm_s)
         for caller in callers:
             caller.cancel()
             with suppress(asyncio.CancelledError):
--- a/tests/platform/soak_limits.py
+++ b/tests/platform/soak_limits.py
@@ -111,10 +111,10 @@
         self.refused.discard(job_id)
         return await advise(request)
 
-    async def vary_calmly(self):
+    async def vary_calmly(self, calm_s):
         """Goes on with lowered limits and refused gangs, but no other fault."""
         with suppress(TimeoutError), self.refuse_gangs():
-            async with asyncio.timeout(CALM_S):
+            async with asyncio.timeout(calm_s):
                 while True:
                     await limit_lowered(self.soak, CALM_LOWERED_S)
 
@@ -286,4 +286,4 @@
         await asyncio.sleep(soak.random.uniform(*GANGS_REFUSED_S))
 
 
-__all__ = ('LimitWatch', 'key_of', 'shown')
+__all__ = ('CALM_S', 'LimitWatch', 'key_of', 'shown')
