End claims of limits early enough, and let them outlast long tasks

What callers would see: a step of a workspace with free room in its limit still waits for as long as a task of the workspace is expected to run (65 s in the test's case) if a gang waits for that task; and work above a lowered limit never starts beside a stream of tasks that run longer than a claim lasts.

Cause: a turn ended 5 s after the first expected start, however far away that was, and did not become shorter when the start came nearer; and its pauses of the same length let tasks start that outlast the next turn.

--- a/src/radishlift/steps/limit_claims.py
+++ b/src/radishlift/steps/limit_claims.py
@@ -45,12 +45,16 @@
             return
         is_oversized = self._limits.is_oversized(job, step)
         if step.spec.is_gang or is_oversized:
-            self.hold(tick, job, step, self._room_at_ms(tick, job, step))
+            starts_at_ms = self._room_at_ms(tick, job, step)
+            if self._turns.may_claim(
+                step.key, starts_at_ms, tick.now_ms, waits_for_ends=True
+            ):
+                self._limits.hold(job, step, starts_at_ms)
 
     def hold(
         self, tick: Tick, job: JobRun, step: StepRun, starts_at_ms: int
     ) -> None:
-        """Holds the limit for a step that will probably start at a time."""
+        """Holds the limit for a gang that will probably start at a time."""
         if job.workspace and self._turns.may_claim(
             step.key, starts_at_ms, tick.now_ms
         ):
--- a/tests/steps/test_limits.py
+++ b/tests/steps/test_limits.py
@@ -15,6 +15,9 @@
 from tests.steps.builders import ADVICE, job, key, step, workspace_terms
 from tests.steps.test_planner import PlannerSetup, answer
 
+# Longer than a step may claim a limit at first.
+LONG_RUN_MS = 20_000
+
 
 class LimitSetup(PlannerSetup):
     """A planner that knows the limit in cores of workspace `w`.
@@ -198,6 +201,31 @@
     assert setup.started(now_ms=waited_ms, wall_ms=waited_ms) == [('b', 0)]
 
 
+def test_work_above_a_lowered_limit_starts_despite_a_stream_of_long_tasks():
+    """Guards against accepted work that starves as its claims end too soon."""
+    setup = LimitSetup(4, 8, 8)
+    running = []
+    started = []
+    for now_ms in range(0, 180_000, 500):
+        while running and running[0][0] <= now_ms:
+            _, run = running.pop(0)
+            run.state = run.state.cancelled
+            setup.end(run)
+        later = job(
+            step(1, estimate_ms=0),
+            job_id=f'{now_ms:016x}',
+            workspace='w',
+            objective_ms=9_000_000,
+        )
+        setup.add(later)
+        if now_ms == 12_000:
+            setup.add(work('f', step(1, cores=5), objective_ms=8_000_000))
+        for run, _ in setup.plan(now_ms, now_ms).placements:
+            started.append(run.spec.job_id[0])
+            running.append((now_ms + LONG_RUN_MS, run))
+    assert 'f' in started
+
+
 def test_step_without_targets_reserves_no_limit_for_advice():
     """Guards against steps that wait for advice that is never requested."""
     setup = LimitSetup(2, 8)
