Repeat failed requests for advice ever later

What callers would see: steps wait for their advice while daemons are busy with a gang whose requests fail each time.

Change: the delay doubles with each failure in succession, from 200 to 1,600 ms, and begins anew after an answer.

--- a/src/radishlift/cell/pending_advice.py
+++ b/src/radishlift/cell/pending_advice.py
@@ -82,8 +82,15 @@
         self._notify()
 
     def retry_later(self, request: AdviceRequest) -> None:
-        """Allows another request for the step after `advice_retry_ms`."""
-        retry_ms = self._settings.advice_retry_ms
+        """Allows another request for the step after a while.
+
+        The delay doubles with each failure in succession.
+        """
+        retry_ms = self._tickets.double_retry_ms(
+            request.key,
+            self._settings.advice_retry_ms,
+            self._settings.max_advice_retry_ms,
+        )
         now_ms = self._clock.monotonic_ms()
         self._tickets.fail_request(request, now_ms + retry_ms)
         self._notify()
--- a/src/radishlift/steps/settings.py
+++ b/src/radishlift/steps/settings.py
@@ -25,7 +25,9 @@
       each time.
     - `explain_again_ms`, `max_repeated_count`: how often other steps are
       explained, and how many of them at a time.
-    - `advice_retry_ms`: delay before a failed advice request is repeated.
+    - `advice_retry_ms`, `max_advice_retry_ms`: delay before a failed advice
+      request is repeated, and up to which it doubles with each failure: a step
+      whose requests fail again and again must not keep hosts from others.
     - `max_open_count`: maximum number of open advice requests of a gang.
     - `gang_room_factor`: advice for a gang is requested on targets with this
       many times the room that it needs, as other steps may use it meanwhile.
@@ -73,6 +75,7 @@
     explain_again_ms: int = 10_000
     max_repeated_count: int = 10
     advice_retry_ms: int = 200
+    max_advice_retry_ms: int = 1600
     max_open_count: int = 4
     gang_room_factor: float = 2
     spare_duration_share: float = 0.25
--- a/src/radishlift/steps/tickets.py
+++ b/src/radishlift/steps/tickets.py
@@ -33,7 +33,8 @@
     `requested` are the targets of all open and answered requests, and `open`
     those of open ones. `open_since_ms` is when the first of the open requests
     was created, and `has_unused_answer` whether no task has started since the
-    latest answer.
+    latest answer. `retry_ms` is the delay after the latest failed request; 0
+    after an answer.
     """
 
     requested: set[TargetId] = field(default_factory=set)
@@ -43,6 +44,7 @@
     retry_at_ms: int = 0
     open_since_ms: int = 0
     has_unused_answer: bool = False
+    retry_ms: int = 0
 
     def list_expiring(
         self, target_ids: Iterable[TargetId], expires_before_ms: int
@@ -111,6 +113,7 @@
         self.answers_count += 1
         self.answers_ms += request.duration_ms
         advice.has_unused_answer = True
+        advice.retry_ms = 0
 
     def record_starts(self, used: Iterable[tuple[StepKey, TargetId]]) -> None:
         """Counts the tickets and answers with which tasks are started."""
@@ -121,6 +124,12 @@
                 advice.has_unused_answer = False
                 self.used_answers_count += 1
 
+    def double_retry_ms(self, key: StepKey, first_ms: int, max_ms: int) -> int:
+        """Doubles and returns the delay after a failed request of a step."""
+        advice = self._steps.get(key) or StepAdvice()
+        advice.retry_ms = min(max(2 * advice.retry_ms, first_ms), max_ms)
+        return advice.retry_ms
+
     def fail_request(self, request: AdviceRequest, retry_at_ms: int) -> None:
         """Closes a failed request; the next may be sent at `retry_at_ms`."""
         advice = self._close_request(request)
--- a/tests/cell/test_pending_advice.py
+++ b/tests/cell/test_pending_advice.py
@@ -1,7 +1,7 @@
 """Tests that pending advice requests follow the changes of targets."""
 
 from heapq import heappop, heappush
-from itertools import count
+from itertools import count, pairwise
 
 import pytest
 
@@ -217,3 +217,21 @@
     leader.plan()
     assert leader.pop().key.job_id == useful.spec.job_id
     assert leader.pop().key.job_id == late.spec.job_id
+
+
+def test_requests_that_fail_again_and_again_leave_daemons_to_other_steps():
+    """Guards against a step whose failing requests are always the next."""
+    leader = Leader(3)
+    leader.reach(*leader.names)
+    leader.planner.update_job(job(advice=ADVICE))
+    sent_at_ms = []
+    for now_ms in range(0, 10_000, TICK_MS):
+        leader.clock.now_ms = now_ms
+        leader.plan()
+        request = leader.pop()
+        if request is not None:
+            sent_at_ms.append(now_ms)
+            leader.pending.retry_later(request)
+    gaps_ms = [after - before for before, after in pairwise(sent_at_ms)]
+    assert gaps_ms[:4] == [200, 400, 800, 1600]
+    assert set(gaps_ms[4:]) == {1600}
