--- a/src/radishlift/steps/limit_claims.py
+++ b/src/radishlift/steps/limit_claims.py
@@ -41,24 +41,31 @@
 
         That is a gang, or a task that exceeds the limit.
         """
-        if not job.workspace or not self._may_run(tick, job, step):
-            return
-        is_oversized = self._limits.is_oversized(job, step)
-        if step.spec.is_gang or is_oversized:
+
+        def claim() -> int | None:
+            if not self._may_run(tick, job, step):
+                return None
             starts_at_ms = self._room_at_ms(tick, job, step)
-            if self._turns.may_claim(
+            may_claim = self._turns.may_claim(
                 step.key, starts_at_ms, tick.now_ms, waits_for_ends=True
-            ):
-                self._limits.hold(job, step, starts_at_ms)
+            )
+            return starts_at_ms if may_claim else None
+
+        if step.spec.is_gang or self._limits.is_oversized(job, step):
+            self._limits.hold(job, step, claim)
 
     def hold(
         self, tick: Tick, job: JobRun, step: StepRun, starts_at_ms: int
     ) -> None:
         """Holds the limit for a gang that will probably start at a time."""
-        if job.workspace and self._turns.may_claim(
-            step.key, starts_at_ms, tick.now_ms
-        ):
-            self._limits.hold(job, step, starts_at_ms)
+
+        def claim() -> int | None:
+            may_claim = self._turns.may_claim(
+                step.key, starts_at_ms, tick.now_ms
+            )
+            return starts_at_ms if may_claim else None
+
+        self._limits.hold(job, step, claim)
 
     def forget(self, key: StepKey) -> None:
         """Removes the claim of a step that waits no longer."""
--- a/src/radishlift/steps/limits.py
+++ b/src/radishlift/steps/limits.py
@@ -5,7 +5,7 @@
 of smaller tasks can't starve it. Tasks that end before it starts may use it.
 """
 
-from collections.abc import Collection, Mapping
+from collections.abc import Callable, Collection, Mapping
 from typing import Final
 
 from radishlift.core.ids import WorkspaceName
@@ -18,6 +18,12 @@
 _DESCRIBED_COUNT: Final = 3
 _UNLIMITED: Final = Amounts(_NO_LIMIT, _NO_LIMIT, _NO_LIMIT)
 
+Claim = Callable[[], int | None]
+"""Returns when a step will probably start, None if it may hold nothing.
+
+Times are monotonic milliseconds.
+"""
+
 
 class WorkspaceLimits:
     """Limits of workspaces, and what their use leaves of them in a tick.
@@ -100,12 +106,12 @@
         )
         return True
 
-    def hold(self, job: JobRun, step: StepRun, starts_at_ms: int) -> None:
+    def hold(self, job: JobRun, step: StepRun, claim: Claim) -> None:
         """Holds the limit for a waiting gang, or for a task that exceeds it.
 
-        It will probably start at `starts_at_ms`, a monotonic time. Nothing is
-        held that tasks use which run until they are stopped: those that wait
-        for it would wait for ever.
+        `claim` is called only if enough of the limit is left to hold. Nothing
+        is held that tasks use which run until they are stopped: those that
+        wait for it would wait for ever.
         """
         workspace = job.workspace
         if not workspace:
@@ -122,7 +128,8 @@
         room = self.limit_of(workspace).plus(
             self.use.used_for_long(workspace), -1
         )
-        if needed.fits_in(room):
+        starts_at_ms = claim() if needed.fits_in(room) else None
+        if starts_at_ms is not None:
             self._held[workspace] = needed
             holds = self._holds.setdefault(workspace, [])
             holds.append((starts_at_ms, added))
