--- a/src/radishlift/steps/claim_turns.py
+++ b/src/radishlift/steps/claim_turns.py
@@ -8,7 +8,10 @@
 
 @dataclass(slots=True)
 class _Turn:
-    """The latest turn of a step, which ends `grace_ms` after its late start."""
+    """The latest turn of a step.
+
+    It ends `grace_ms` after the earliest start that was ever expected in it.
+    """
 
     ends_at_ms: int
     grace_ms: int
--- a/src/radishlift/steps/limit_claims.py
+++ b/src/radishlift/steps/limit_claims.py
@@ -82,7 +82,11 @@
         )
 
     def _room_at_ms(self, tick: Tick, job: JobRun, step: StepRun) -> int:
-        """Returns when the limit will probably have room for a step."""
+        """Returns when the limit will probably have room for a step.
+
+        A task above the limit needs all of it. What others hold is not
+        considered.
+        """
         workspace = job.workspace
         used = self._limits.use.used(workspace)
         needed = Amounts().plus(step.spec.amounts, len(step.tasks))
--- a/src/radishlift/steps/limits.py
+++ b/src/radishlift/steps/limits.py
@@ -40,7 +40,7 @@
         self.is_known = False
         self._limits: dict[WorkspaceName, Amounts] = {}
         self._held: dict[WorkspaceName, Amounts] = {}
-        # Until when each part of what is held will not be used.
+        # The parts of what is held, and when their steps will probably start.
         self._holds: dict[WorkspaceName, list[tuple[int, Amounts]]] = {}
         self._now_ms = 0
         self._requested: dict[WorkspaceName, Amounts] = {}
@@ -194,7 +194,11 @@
         return room
 
     def _held_from(self, workspace: WorkspaceName, step: StepRun) -> Amounts:
-        """Returns what is held back from a step."""
+        """Returns what is held back from a step.
+
+        Parts for steps that start after it has probably ended are not. A run
+        time of 0 is an unknown one.
+        """
         held = self._held.get(workspace, NO_AMOUNTS)
         if held is NO_AMOUNTS or step.spec.is_long_running:
             return NO_AMOUNTS
--- a/src/radishlift/steps/ticks.py
+++ b/src/radishlift/steps/ticks.py
@@ -55,9 +55,9 @@
     for which gangs without a reservation request tickets. `limited` are the
     steps that wait for the limit of their workspace, and `demoted` those that
     come after their rank because it has more than its share. `ready` are the
-    gangs whose reserved room is free now. `preference_of`
-    tells which targets a step prefers, and `speed_ratio` how long a target
-    takes relative to the median target.
+    gangs whose reserved room is free now. `preference_of` tells which targets a
+    step prefers, and `speed_ratio` how long a target takes relative to the
+    median target.
     """
 
     plan: Plan
@@ -79,9 +79,10 @@
 
     @cached_property
     def request_ranks(self) -> dict[StepKey, int]:
-        """Returns the order in which steps should get advice.
+        """Returns the order in which steps should get advice, by step.
 
-        Room that a gang has reserved is idle until its tickets arrive.
+        It is the order of placing, but gangs in `ready` come first: their room
+        is idle until their tickets arrive. It is final after the planning run.
         """
         keys = [step.key for _, step in self.due]
         keys.sort(key=lambda key: key not in self.ready)
