Add review case 10: a queue that becomes public hides its callers' jobs

A new version makes the route public while an accepted job of a tenant runs. All daemons answer 410 to its owner from then on.

--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,4 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case can't run.
+cd "$(dirname "$0")/../.." || exit 2
+PYTHONPATH=src:target/deps:. exec python3 -m review.10.case
