--- a/review/harness_2/cell.py
+++ b/review/harness_2/cell.py
@@ -98,6 +98,7 @@
         self.daemons = {}
         self.executors = {}
         self._ports = {}
+        self.addresses = {}
         self.store = ''
         self.session = None
         self.key = ''
@@ -124,15 +125,22 @@
             await self.until_ready(name)
         await self.until_leader()
 
-    async def start_executor(self, executor_id, cpu=16_000):
-        """Starts an executor; a later life keeps its address."""
+    def executor_port(self, executor_id):
+        """Returns the port on which an executor listens."""
         if executor_id not in self._ports:
             self._ports[executor_id] = free_ports(1)
+        return self._ports[executor_id][0]
+
+    async def start_executor(self, executor_id, cpu=16_000):
+        """Starts an executor; a later life keeps its address."""
+        port = self.executor_port(executor_id)
+        address = self.addresses.get(executor_id, f'127.0.0.1:{port}')
         self.executors[executor_id] = await self._spawn(
             '-m',
             'review.harness_2.executor',
             f'--id={executor_id}',
-            f'--port={self._ports[executor_id][0]}',
+            f'--port={port}',
+            f'--address={address}',
             f'--store={self.store}',
             f'--record={self.folder / executor_id}.jsonl',
             f'--cpu={cpu}',
--- a/review/harness_2/executor.py
+++ b/review/harness_2/executor.py
@@ -143,7 +143,7 @@
             sequence += 1
             entry = {
                 'service': 's',
-                'address': f'127.0.0.1:{options.port}',
+                'address': options.address or f'127.0.0.1:{options.port}',
                 'zone': 'z1',
                 'version': 'v1',
                 'slots': 8,
@@ -179,6 +179,7 @@
     parser = argparse.ArgumentParser()
     parser.add_argument('--id', required=True)
     parser.add_argument('--port', type=int, required=True)
+    parser.add_argument('--address', help='address in the entry')
     parser.add_argument('--store', required=True)
     parser.add_argument('--record', type=Path, required=True)
     parser.add_argument('--cpu', type=int, default=16_000)
