--- a/review/harness_2/cell.py
+++ b/review/harness_2/cell.py
@@ -267,6 +267,18 @@
 
     async def close(self):
         """Adds the executors' records and ends all processes."""
+        try:
+            self._write_events()
+        finally:
+            for process in self._processes:
+                if process.returncode is None:
+                    await self.kill(process)
+            if self.session is not None:
+                await self.session.close()
+            for log in self._logs:
+                log.close()
+
+    def _write_events(self):
         for executor_id in sorted(self.executors):
             for event in self.events(executor_id):
                 if event['event'] != 'reported':
@@ -274,13 +286,6 @@
                     self._record.write(
                         f'{at_s:8.3f} {executor_id}: {json.dumps(event)}\n'
                     )
-        for process in self._processes:
-            if process.returncode is None:
-                await self.kill(process)
-        if self.session is not None:
-            await self.session.close()
-        for log in self._logs:
-            log.close()
 
     def _url(self, call):
         return f'http://{self.store}/{call}'
