--- a/src/radishlift/cell/commits.py
+++ b/src/radishlift/cell/commits.py
@@ -12,6 +12,7 @@
 from enum import Enum, unique
 from typing import Any, Final
 
+from radishlift.cell.fences import last_token
 from radishlift.cell.ports import CellStore
 from radishlift.cell.progress_rows import MAX_BATCH_BYTES, measure_progress
 from radishlift.cell.settings import CellSettings
@@ -51,7 +52,8 @@
 class Claim:
     """Epoch of a leader, and row versions that its next commit requires.
 
-    No other daemon had claimed the lead before `claimed_at_ms`.
+    No other daemon had claimed the lead before `claimed_at_ms`. The term may
+    use the fencing tokens from its epoch to `last_token`.
     """
 
     epoch: FencingToken
@@ -59,6 +61,11 @@
     last_version: int
     claimed_at_ms: int
 
+    @property
+    def last_token(self) -> FencingToken:
+        """Returns the highest fencing token of the term."""
+        return last_token(self.epoch)
+
 
 @unique
 class CommitState(Enum):
@@ -114,7 +121,7 @@
         self.heartbeat_fields: Callable[[], Mapping[str, Any]] = dict
         self.on_too_large: Callable[[JobRun], None] = _ignore_job
         self.list_writes: Callable[[], list[Write]] = list
-        self.unrenewed = UnrenewedLeases(claim.epoch, self._has_work.set)
+        self.unrenewed = UnrenewedLeases(claim.last_token, self._has_work.set)
 
     @property
     def is_confirmed(self) -> bool:
--- a/src/radishlift/cell/fleet.py
+++ b/src/radishlift/cell/fleet.py
@@ -51,8 +51,7 @@
         is_changed = known_target is None or known_target.entry != entry
         session = self._sessions.get(entry.target_id)
         if session is not None and session.target.entry.life != entry.life:
-            # A new process may get late orders, which its first poll blocks.
-            session.notify()
+            session.notify(may_have_restarted=True)
         if (
             known_target is not None
             and known_target.entry.state is not entry.state
--- a/src/radishlift/cell/leadership.py
+++ b/src/radishlift/cell/leadership.py
@@ -7,6 +7,7 @@
 from transitions import Machine
 
 from radishlift.cell.commits import Claim
+from radishlift.cell.fences import last_token
 from radishlift.cell.ports import CellStore
 from radishlift.cell.settings import CellSettings
 from radishlift.cell.table_follower import TableFollower
@@ -200,7 +201,7 @@
 
         After a failure the others claim once the heartbeat is overdue.
         """
-        row = {'daemon': '', 'epoch': claim.epoch}
+        row = {'daemon': '', 'epoch': claim.last_token}
         outcome = await self._store.commit(
             Transaction(
                 (Condition(CELL, LEADER_KEY, claim.leader_version),),
@@ -272,8 +273,9 @@
             or leader.version != observed_leader.version
         ):
             return None
+        # Leaders of earlier releases have one token each, and take the next.
         epoch = FencingToken((leader.value or {}).get('epoch', 0) + 1)
-        leader_fields = {'daemon': self._daemon_id, 'epoch': epoch}
+        leader_fields = self._leader_fields(epoch)
         commit_fields = {'epoch': epoch, 'number': 0}
         sent_at_ms = self._clock.monotonic_ms()
         outcome = await self._store.commit(
@@ -300,6 +302,9 @@
                 return found
             await asyncio.sleep(_CHECK_INTERVAL_MS / 1000)
 
+    def _leader_fields(self, epoch: FencingToken) -> dict[str, Any]:
+        return {'daemon': self._daemon_id, 'epoch': last_token(epoch)}
+
     async def _read_claim_outcome(
         self, epoch: FencingToken, requested_at_ms: int
     ) -> Claim | Failure | None:
@@ -310,7 +315,7 @@
         leader = await self._store.read(CELL, LEADER_KEY)
         if isinstance(leader, Failure):
             return leader
-        if leader.value != {'daemon': self._daemon_id, 'epoch': epoch}:
+        if leader.value != self._leader_fields(epoch):
             return None
         last_commit = await self._store.read(COMMITS, LAST_COMMIT_KEY)
         if isinstance(last_commit, Failure):
--- a/src/radishlift/cell/leases.py
+++ b/src/radishlift/cell/leases.py
@@ -60,9 +60,10 @@
     before its answer arrived. Expiry is calculated from these limits, so that
     the lease has ended on the target when `has_expired` returns true.
 
-    A target shortens a lease to the longest one. Leases that end on the clock
-    of an earlier process, or that an earlier leader granted, are limited only
-    by this.
+    A target shortens a lease to the longest one. Leases that an earlier leader
+    granted are limited only by this. A late call to an earlier process may
+    prolong the lease again and again, but not beyond the end that it names,
+    which is then read on the clock of the later process.
     """
 
     def __init__(
@@ -77,6 +78,8 @@
         self._clock_ms = 0
         self._sampled_at_ms: int | None = None
         self._until_ms = 0
+        # The latest end granted to any process, each on its own clock.
+        self._latest_until_ms = 0
         # Bounds the leases that this leader did not grant to this process.
         self._unknown_until_ms = 0
         self._granted_at_ms = 0
@@ -94,13 +97,20 @@
     def begin_process(self, clock_ms: int, received_at_ms: int) -> None:
         """Starts the lease of a new process with its own clock.
 
-        Earlier calls that it has processed end within the longest lease. Calls
-        that reach it later may prolong that and are not known here.
+        Earlier calls that it has processed end within the longest lease. It
+        must be fenced, so that none takes effect later.
         """
         self.update_clock(clock_ms, received_at_ms)
         self._until_ms = 0
         self._unknown_until_ms = clock_ms + self._max_lease_ms
 
+    def expect_late_calls(self, clock_ms: int, received_at_ms: int) -> None:
+        """Records that a new process has answered that is not fenced yet."""
+        self.begin_process(clock_ms, received_at_ms)
+        self._unknown_until_ms = max(
+            self._unknown_until_ms, self._latest_until_ms
+        )
+
     def open_start(self, sent_at_ms: int) -> None:
         """Records that a start is sent.
 
@@ -133,6 +143,7 @@
         passed_ms = now_ms - self._sampled_at_ms
         until_ms = self._clock_ms + passed_ms + self._length_ms
         self._until_ms = max(until_ms, self._until_ms)
+        self._latest_until_ms = max(self._until_ms, self._latest_until_ms)
         return self._until_ms
 
     @property
--- a/src/radishlift/cell/listing.py
+++ b/src/radishlift/cell/listing.py
@@ -47,13 +47,6 @@
         self._starting.clear()
         self._resolved_at_ms.clear()
 
-    def list_present(self, report: HoldReport) -> set[tuple[TaskKey, int]]:
-        """Lists the attempts of a report, and those that are being started."""
-        present = {(running.key, running.attempt) for running in report.running}
-        present.update((ended.key, ended.attempt) for ended in report.ended)
-        present.update(self._starting.items())
-        return present
-
     def list_missing(
         self, report: HoldReport, requested_at_ms: int
     ) -> Iterator[tuple[TaskKey, int]]:
--- a/src/radishlift/cell/orders.py
+++ b/src/radishlift/cell/orders.py
@@ -9,7 +9,7 @@
 from radishlift.cell.open_calls import OpenCalls
 from radishlift.cell.ports import StartOrder, StartVerdict, TargetRef
 from radishlift.cell.session_context import SessionContext
-from radishlift.core.errors import Failure
+from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.logs import log_event
 from radishlift.steps.ids import TaskKey
 from radishlift.steps.spec import Amounts
@@ -19,6 +19,10 @@
     (StartVerdict.started, StartVerdict.superseded)
 )
 
+_OVERTAKEN: Final = Failure(
+    ErrorKind.peer_unavailable, 'a later call reached the target first'
+)
+
 NotStartedCallback = Callable[[TaskKey, int, StartVerdict], None]
 
 
@@ -28,7 +32,8 @@
     A start without an answer may still take effect seconds later. It is
     repeated, and then blocked by a stop if it remains unanswered. A start for
     which no connection was established has no effect. `open_starts` are the
-    start calls without an answer yet.
+    start calls without an answer yet, and `unresolved` the attempts whose
+    starts the known process may still carry out.
     """
 
     def __init__(
@@ -46,9 +51,8 @@
         self._on_not_started = on_not_started
         self.listing = ExpectedListing(target)
         self._stopping: set[tuple[TaskKey, int]] = set()
-        self.unresolved = context.unresolved_starts[target.entry.target_id]
-        # The target may have restarted since an earlier session.
-        self.unresolved.reopen(self._now_ms(), context.settings.late_call_ms)
+        self.fence = context.open_fence(target.entry.target_id)
+        self.unresolved: set[tuple[TaskKey, int]] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self.open_starts = OpenCalls()
 
@@ -76,7 +80,7 @@
 
     async def block_unresolved_starts(self) -> bool:
         """Blocks unanswered starts; returns whether all are blocked."""
-        for key, attempt in self.unresolved:
+        for key, attempt in tuple(self.unresolved):
             if not await self._stop_once(key, attempt):
                 return False
         return True
@@ -97,57 +101,57 @@
                 break
             if not self.listing.is_starting(order.key, order.attempt):
                 return
-            sent_at_ms = self._now_ms()
-            previous_ms = self._target.record_start(
-                order.key, order.attempt, sent_at_ms
-            )
-            self._lease.open_start(sent_at_ms)
-            with self.open_starts.track():
-                answer = await self._context.calls.start(
-                    self.ref,
-                    order.with_lease_end(self._renew_lease()),
-                )
+            answer = await self._send_start(order)
             if isinstance(answer, StartVerdict):
-                self._lease.close_start(sent_at_ms, self._now_ms())
-                if answer is StartVerdict.other_process:
-                    # The process that the start was meant for did not get it.
-                    self._target.retract_start(
-                        order.key, order.attempt, previous_ms
-                    )
-                self._record_verdict(answer, sent_at_ms)
                 await self._resolve_start(
                     order, answer, is_unresolved=is_unresolved
                 )
                 return
-            self._lease.close_start(
-                sent_at_ms, None if answer.is_not_run else sent_at_ms
-            )
-            if answer.is_not_run:
-                self._target.retract_start(
-                    order.key, order.attempt, previous_ms
-                )
-            else:
-                is_unresolved = True
-                self.unresolved.add(order.key, order.attempt, self._now_ms())
-            self._record_unanswered(order, answer)
+            is_unresolved |= not answer.is_not_run
         await self._resolve_start(
             order,
             StartVerdict.refused,
             is_unresolved=is_unresolved,
         )
 
+    async def _send_start(self, order: StartOrder) -> StartVerdict | Failure:
+        """Sends a start once, and records what its answer tells."""
+        sent_at_ms = self._now_ms()
+        previous_ms = self._target.record_start(
+            order.key, order.attempt, sent_at_ms
+        )
+        self._lease.open_start(sent_at_ms)
+        token = self.fence.token
+        with self.open_starts.track():
+            answer = await self._context.calls.start(
+                self.ref, order.for_call(self._renew_lease(), token)
+            )
+        is_overtaken = self.fence.has_overtaken(answer, token)
+        if is_overtaken:
+            answer = _OVERTAKEN
+        taken_at_ms: int | None = self._now_ms()
+        if isinstance(answer, Failure):
+            taken_at_ms = None if answer.is_not_run else sent_at_ms
+        self._lease.close_start(sent_at_ms, taken_at_ms)
+        # The process that the start was meant for did not get it.
+        if taken_at_ms is None or answer is StartVerdict.other_process:
+            self._target.retract_start(order.key, order.attempt, previous_ms)
+        if isinstance(answer, Failure):
+            if not is_overtaken:
+                self._record_unanswered(order, answer)
+            return answer
+        # An unreachable target may have restarted, which only a poll shows.
+        is_known = answer is not StartVerdict.other_process
+        if is_known and self._target.is_reachable:
+            self._target.record_answer(sent_at_ms)
+        return answer
+
     def _has_room(self) -> bool:
         """Returns whether the target's entry still allows its attempts."""
         target = self._target
         is_ready = target.entry.state is TargetState.ready
         return is_ready and Amounts().fits_in(target.free_capacity)
 
-    def _record_verdict(self, verdict: StartVerdict, sent_at_ms: int) -> None:
-        # An unreachable target may have restarted, which only a poll shows.
-        is_known = verdict is not StartVerdict.other_process
-        if is_known and self._target.is_reachable:
-            self._target.record_answer(sent_at_ms)
-
     def _renew_lease(self) -> int:
         # The lease of an unreachable target is not renewed, so that it expires.
         if self._target.is_reachable and self._context.may_renew_leases():
@@ -155,6 +159,9 @@
         return self._lease.until_ms
 
     def _record_unanswered(self, order: StartOrder, failure: Failure) -> None:
+        if not failure.is_not_run:
+            self.unresolved.add((order.key, order.attempt))
+            self.fence.raise_token()
         self._target.record_failure(self._now_ms())
         # A poll shows whether the target is still reachable.
         self._on_resolved()
@@ -178,7 +185,7 @@
             return
         may_be_listed = verdict in _RAN_VERDICTS
         if may_be_listed:
-            self.unresolved.resolve(order.key, order.attempt)
+            self.unresolved.discard((order.key, order.attempt))
             self._target.confirm_start(
                 order.key,
                 order.attempt,
@@ -203,17 +210,17 @@
         self._on_resolved()
 
     async def _stop_once(self, key: TaskKey, attempt: int) -> bool:
-        answer = await self._context.calls.stop(
-            self.ref,
-            key,
-            attempt,
-            self._context.fencing_token,
-        )
+        token = self.fence.token
+        answer = await self._context.calls.stop(self.ref, key, attempt, token)
+        if self.fence.has_overtaken(answer, token):
+            return False
+        if isinstance(answer, Failure) and not answer.is_not_run:
+            self.fence.raise_token()
         if answer is StartVerdict.fenced:
             self._context.listener.end_term()
         is_blocked = answer in {StartVerdict.started, StartVerdict.fenced}
         if is_blocked:
-            self.unresolved.resolve(key, attempt)
+            self.unresolved.discard((key, attempt))
         return is_blocked
 
 
--- a/src/radishlift/cell/ports.py
+++ b/src/radishlift/cell/ports.py
@@ -104,9 +104,9 @@
     checkpoint: str = ''
     ticket: str = ''
 
-    def with_lease_end(self, until_ms: int) -> 'StartOrder':
-        """Returns the order with another end of the lease."""
-        return replace(self, until_ms=until_ms)
+    def for_call(self, until_ms: int, token: FencingToken) -> 'StartOrder':
+        """Returns the order with the end of the lease and token of a call."""
+        return replace(self, until_ms=until_ms, fencing_token=token)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/radishlift/cell/session_context.py
+++ b/src/radishlift/cell/session_context.py
@@ -1,17 +1,16 @@
 """Shared context and listener of a leader's sessions with targets."""
 
 import asyncio
-from collections import defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum, unique
 from typing import TYPE_CHECKING, Protocol
 
+from radishlift.cell.fences import TargetFence
 from radishlift.cell.leases import InheritedLeases
 from radishlift.cell.ports import HoldReport, StartVerdict, TargetCalls
 from radishlift.cell.settings import CellSettings
 from radishlift.cell.unrenewed_leases import UnrenewedLeases
-from radishlift.cell.unresolved_starts import UnresolvedStarts
 from radishlift.core.clock import Clock
 from radishlift.core.logs import log_event
 from radishlift.steps.ids import FencingToken, TargetId, TaskKey
@@ -76,23 +75,34 @@
 class SessionContext:
     """Dependencies and settings of all sessions of a leader.
 
-    `may_renew_leases` returns whether leases may be renewed.
-    `unresolved_starts` outlast the session with their target, as a target
-    without an entry may come back.
+    `epoch` is the first fencing token of the term. `may_renew_leases` returns
+    whether leases may be renewed.
     """
 
     calls: TargetCalls
     listener: SessionListener
     settings: CellSettings
     clock: Clock
-    fencing_token: FencingToken
+    epoch: FencingToken
     max_lease_ms: int
     inherited_leases: InheritedLeases
     unrenewed: UnrenewedLeases
     may_renew_leases: Callable[[], bool]
-    unresolved_starts: defaultdict[TargetId, UnresolvedStarts] = field(
-        default_factory=lambda: defaultdict(UnresolvedStarts)
-    )
+    _fences: dict[TargetId, TargetFence] = field(default_factory=dict)
+
+    def open_fence(self, target_id: TargetId) -> TargetFence:
+        """Returns the fence of a target for a new session.
+
+        It outlasts the session, as a target without an entry may come back.
+        """
+        fence = self._fences.get(target_id)
+        if fence is None:
+            fence = TargetFence(self.epoch, self.listener.end_term)
+            self._fences[target_id] = fence
+        else:
+            # Calls of the earlier session may still take effect.
+            fence.raise_token()
+        return fence
 
     def check_end(self, task: asyncio.Task[None]) -> None:
         """Reports the error of a session's task that has ended."""
--- a/src/radishlift/cell/sessions.py
+++ b/src/radishlift/cell/sessions.py
@@ -1,6 +1,7 @@
 """A leader's session with one target: lease, orders and lists."""
 
 import asyncio
+from functools import partial
 
 from radishlift.cell.leases import TargetLease
 from radishlift.cell.listing import ExpectedListing
@@ -14,7 +15,12 @@
 from radishlift.cell.session_context import SessionContext, StopEvidence
 from radishlift.core.errors import Failure
 from radishlift.core.logs import log_event
-from radishlift.steps.ids import TargetId, TargetIncarnation, TaskKey
+from radishlift.steps.ids import (
+    FencingToken,
+    TargetId,
+    TargetIncarnation,
+    TaskKey,
+)
 from radishlift.steps.targets import Target
 
 
@@ -25,7 +31,9 @@
 
     `list_requested_at_ms` is when the latest list was requested. The cursor of
     acknowledged ends is discarded once it was received, and whenever the target
-    may have restarted unnoticed, as a new process counts its ends anew.
+    may have restarted unnoticed, as a new process counts its ends anew. Nothing
+    that a new process reports is used until a raised token keeps calls to the
+    earlier one from taking effect there.
     """
 
     def __init__(self, target: Target, context: SessionContext) -> None:
@@ -41,7 +49,7 @@
             self.lease,
             context,
             self.notify,
-            self._on_not_started,
+            partial(context.listener.on_not_started, self),
         )
         self._incarnation: TargetIncarnation | None = None
         self._is_synced = False
@@ -78,8 +86,10 @@
         self._poll_task.cancel()
         self._orders.close()
 
-    def notify(self) -> None:
+    def notify(self, *, may_have_restarted: bool = False) -> None:
         """Triggers a poll of the target."""
+        if may_have_restarted:
+            self._orders.fence.raise_token()
         self._has_work.set()
 
     def start(self, order: StartOrder) -> None:
@@ -92,14 +102,6 @@
         """Stops an attempt or blocks its start; its end will be listed."""
         self._orders.stop(key, attempt)
 
-    def _on_not_started(
-        self,
-        key: TaskKey,
-        attempt: int,
-        verdict: StartVerdict,
-    ) -> None:
-        self._context.listener.on_not_started(self, key, attempt, verdict)
-
     def _now_ms(self) -> int:
         return self._context.clock.monotonic_ms()
 
@@ -114,6 +116,8 @@
                     self._context.listener.on_stopped(
                         self, StopEvidence.no_attempts
                     )
+                # The target may restart unnoticed until the next call.
+                self._orders.fence.raise_token()
                 await self._has_work.wait()
                 self._ended_cursor = 0
             self._has_work.clear()
@@ -123,12 +127,14 @@
         context = self._context
         requested_at_ms = self._now_ms()
         ref = self._orders.ref
-        answer = await context.calls.hold(
-            ref, self._hold_order(requested_at_ms)
-        )
+        fence = self._orders.fence
+        order = self._hold_order(requested_at_ms)
+        answer = await context.calls.hold(ref, order)
         if isinstance(answer, HoldReport):
             # A late call must not acknowledge the ends of a later process.
             self._ended_cursor = 0
+            if self._is_unfenced(answer, order.fencing_token):
+                return
             self.list_requested_at_ms = requested_at_ms
             await self._apply_report(answer)
             return
@@ -138,8 +144,12 @@
             self._ended_cursor = 0
             return
         if answer is StartVerdict.fenced:
+            if fence.has_overtaken(answer, order.fencing_token):
+                return
             context.listener.end_term()
         else:
+            if isinstance(answer, Failure) and not answer.is_not_run:
+                fence.raise_token()
             await self._handle_unreachable(answer)
         await asyncio.sleep(context.settings.hold_retry_ms / 1000)
 
@@ -155,12 +165,34 @@
         if self.target.is_watched:
             wait_ms = min(wait_ms, self._context.settings.watched_wait_ms)
         return HoldOrder(
-            self._context.fencing_token,
+            self._orders.fence.token,
             self._ended_cursor,
             until_ms,
             wait_ms,
         )
 
+    def _is_unfenced(self, report: HoldReport, token: FencingToken) -> bool:
+        """Returns whether earlier calls may take effect in a new process.
+
+        If so, the next poll fences it.
+        """
+        incarnation = report.incarnation
+        fence = self._orders.fence
+        if incarnation is None or self._incarnation in {None, incarnation}:
+            return False
+        if fence.is_fenced(incarnation, token):
+            return False
+        fence.raise_for(incarnation)
+        log_event(
+            'target_restarted',
+            target=self.target_id,
+            incarnation=incarnation,
+            token=fence.token,
+        )
+        self.lease.expect_late_calls(report.clock_ms, self._now_ms())
+        self._set_reachable(is_reachable=False)
+        return True
+
     async def _apply_report(self, report: HoldReport) -> None:
         is_restarted = report.incarnation not in {None, self._incarnation}
         if is_restarted or not self._is_synced:
@@ -170,12 +202,7 @@
             self.lease.update_clock(report.clock_ms, self._now_ms())
         self.lease.record_list(self.list_requested_at_ms)
         if is_restarted and self._incarnation is not None:
-            if self._orders.unresolved.reopen(
-                self._now_ms(),
-                self._context.settings.late_call_ms,
-                self.listing.list_present(report),
-            ):
-                self._set_reachable(is_reachable=False)
+            self._orders.unresolved.clear()
             self.target.record_restart()
             self.target.record_failure(self._now_ms())
             self._context.listener.on_crashed(self, is_proven=True)
--- a/src/radishlift/cell/settings.py
+++ b/src/radishlift/cell/settings.py
@@ -24,8 +24,6 @@
     - `hold_wait_ms`: how long a target may wait for an attempt to end.
     - `watched_wait_ms`: the same for a target on which a suspect is tried.
     - `hold_retry_ms`: delay after a call that a target did not answer.
-    - `late_call_ms`: how long a call without an answer may still take effect;
-      the platform carries calls out up to seconds late.
     - `order_retries_count`: maximum number of sends of a start order.
     - `tick_ms`: minimum time between two scheduler ticks.
     - `explain_every_ms`: interval at which the log explains why steps wait.
@@ -68,7 +66,6 @@
     hold_wait_ms: int = 1000
     watched_wait_ms: int = 100
     hold_retry_ms: int = 150
-    late_call_ms: int = 30_000
     order_retries_count: int = 3
     tick_ms: int = 10
     explain_every_ms: int = 1000
--- a/src/radishlift/cell/unrenewed_leases.py
+++ b/src/radishlift/cell/unrenewed_leases.py
@@ -19,14 +19,14 @@
 
     A lease in the stored list must not be renewed before a list without it is
     committed. `list_remaining_ms` returns how long each of these leases may
-    last, in milliseconds. The list names its epoch: a leader of an earlier
-    release renews leases without a look at it.
+    last, in milliseconds. The list names the last token of its term: a leader
+    of an earlier release renews leases without a look at it.
     """
 
     def __init__(
-        self, epoch: FencingToken, request_commit: Callable[[], None]
+        self, last_token: FencingToken, request_commit: Callable[[], None]
     ) -> None:
-        self._epoch = epoch
+        self._last_token = last_token
         self._request_commit = request_commit
         self._is_first_write = True
         self._is_loading = False
@@ -74,7 +74,7 @@
         self._is_first_write = False
         self._written = frozenset(remaining_ms)
         self._stored |= self._written
-        fields = {'epoch': self._epoch, 'remaining_ms': remaining_ms}
+        fields = {'epoch': self._last_token, 'remaining_ms': remaining_ms}
         return [Write(COMMITS, UNRENEWED_KEY, fields)]
 
     def finish_write(self) -> None:
--- a/src/radishlift/core/events.py
+++ b/src/radishlift/core/events.py
@@ -75,6 +75,8 @@
     'task_orphaned',
     'task_suspected',
     'target_lost',
+    'target_restarted',
+    'fencing_tokens_exhausted',
     'tls_files_unreadable',
     'unknown_message',
     'daemon_was_suspended',
--- a/src/radishlift/steps/ids.py
+++ b/src/radishlift/steps/ids.py
@@ -17,7 +17,7 @@
 """
 
 FencingToken = NewType('FencingToken', int)
-"""Fencing token of orders to targets: the epoch of the sending leader."""
+"""Fencing token of orders to targets; the first one of a term is its epoch."""
 
 
 class StepKey(NamedTuple):
