--- a/src/radishlift/access/gate.py
+++ b/src/radishlift/access/gate.py
@@ -1,10 +1,16 @@
 """Decides which callers may use a queue, and for which workspace."""
 
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from radishlift.access.freshness import ConfigFreshness
-from radishlift.access.keys import KeyHash, read_key
+from radishlift.access.keys import (
+    NO_DIGEST,
+    KeyDigest,
+    KeyHash,
+    digest_key,
+    read_key,
+)
 from radishlift.access.settings import AccessSettings
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import WorkspaceName
@@ -15,24 +21,57 @@
 
 @dataclass(frozen=True, slots=True)
 class Caller:
-    """The workspace that a call belongs to, and the hash of its key.
+    """The workspace that a key proves, and the hash of that key.
 
-    Calls that need no key have neither.
+    A call without a key has neither. A queue may require none, in which case
+    `refusal` is why a call without a sufficient key may not use the jobs of
+    workspaces. Their callers still use these with their keys.
     """
 
     workspace: WorkspaceName = NO_WORKSPACE
     key_hash: KeyHash | None = field(default=None, repr=False)
+    is_key_required: bool = True
+    refusal: Failure | None = None
 
-    def may_use(self, owner: WorkspaceName) -> bool:
+    @property
+    def owner(self) -> WorkspaceName:
+        """Returns the workspace of the jobs that the caller submits."""
+        return self.workspace if self.is_key_required else NO_WORKSPACE
+
+    @property
+    def key_digest(self) -> KeyDigest:
+        """Returns the digest of the caller's key."""
+        return NO_DIGEST if self.key_hash is None else digest_key(self.key_hash)
+
+    def may_use(
+        self, owner: WorkspaceName, key_digest: KeyDigest = NO_DIGEST
+    ) -> bool:
         """Returns whether the caller may see and cancel a workspace's job.
 
-        Anyone who may use its queue may use a job without a workspace.
+        Anyone who may use its queue may use a job without a workspace. Whoever
+        submitted a job with a key may use it under any name of the workspace.
         """
-        return owner in {NO_WORKSPACE, self.workspace}
+        if owner in {NO_WORKSPACE, self.workspace}:
+            return True
+        return key_digest != NO_DIGEST and key_digest == self.key_digest
 
 
 ANYONE = Caller()
-"""Caller of a queue that requires no key."""
+"""Caller without a key."""
+
+
+def recognize(authorizations: Sequence[str]) -> Caller:
+    """Returns the caller while the configuration has no workspaces.
+
+    Its key is not judged, and only proves which jobs it has submitted.
+    """
+    key_hash = read_key(authorizations)
+    if isinstance(key_hash, Failure):
+        return Caller(is_key_required=False, refusal=key_hash)
+    refusal = Failure(ErrorKind.unauthenticated, 'another key')
+    return Caller(
+        NO_WORKSPACE, key_hash, is_key_required=False, refusal=refusal
+    )
 
 
 class KeyGate:
@@ -66,11 +105,20 @@
             return key_hash
         return self._judge(key_hash, find_workspace)
 
+    def admit_to_public(
+        self, authorizations: Sequence[str], find_workspace: FindWorkspace
+    ) -> Caller:
+        """Returns the caller of a queue that requires no key."""
+        caller = self.admit(authorizations, find_workspace)
+        if isinstance(caller, Failure):
+            return Caller(is_key_required=False, refusal=caller)
+        return replace(caller, is_key_required=False)
+
     def check_again(
         self, caller: Caller, find_workspace: FindWorkspace
     ) -> Failure | None:
         """Judges an admitted caller again, after time has passed."""
-        if caller.key_hash is None:
+        if caller.key_hash is None or not caller.is_key_required:
             return None
         judged = self._judge(caller.key_hash, find_workspace)
         return judged if isinstance(judged, Failure) else None
@@ -90,4 +138,4 @@
         )
 
 
-__all__ = ('ANYONE', 'Caller', 'KeyGate')
+__all__ = ('ANYONE', 'Caller', 'KeyGate', 'recognize')
--- a/src/radishlift/access/keys.py
+++ b/src/radishlift/access/keys.py
@@ -10,10 +10,16 @@
 from radishlift.steps.workspaces import WorkspaceTerms
 
 MAX_KEY_BYTES: Final = 4096
+_DIGEST_BYTES: Final = 16
 
 KeyHash = NewType('KeyHash', bytes)
 """Hash of a caller's key; the key itself is neither kept nor logged."""
 
+KeyDigest = NewType('KeyDigest', str)
+"""Start of the hash of a key, in hexadecimal digits; empty without a key."""
+
+NO_DIGEST: Final = KeyDigest('')
+
 
 @dataclass(frozen=True, slots=True)
 class Workspace:
@@ -29,6 +35,11 @@
     return KeyHash(sha256(key.encode(errors='surrogateescape')).digest())
 
 
+def digest_key(key_hash: KeyHash) -> KeyDigest:
+    """Returns the digest with which a job names the key of its caller."""
+    return KeyDigest(key_hash[:_DIGEST_BYTES].hex())
+
+
 def read_key(authorizations: Sequence[str]) -> KeyHash | Failure:
     """Reads the key of the `Authorization` headers of a request (RFC 6750).
 
@@ -77,8 +88,11 @@
 
 __all__ = (
     'MAX_KEY_BYTES',
+    'NO_DIGEST',
+    'KeyDigest',
     'KeyHash',
     'Workspace',
+    'digest_key',
     'hash_key',
     'index_keys',
     'read_key',
--- a/src/radishlift/cell/entry_rows.py
+++ b/src/radishlift/cell/entry_rows.py
@@ -10,8 +10,7 @@
 from collections.abc import Awaitable, Callable, Mapping
 from typing import Any, Final, Protocol
 
-from radishlift.access.gate import Caller
-from radishlift.cell.job_rows import read_workspace
+from radishlift.cell.job_rows import read_key_digest, read_workspace
 from radishlift.cell.messages import RowAsk, RowInsert, RowInserted, RowTold
 from radishlift.cell.ports import CellStore
 from radishlift.cell.tables import CANCELS, JOBS, PROGRESS, cancel_key
@@ -27,6 +26,7 @@
     Transaction,
     Write,
 )
+from radishlift.steps.workspaces import NO_WORKSPACE
 from radishlift.wire.network import PeerNetwork
 
 # A quarter of the shortest deadline of callers, which leaves time for a second
@@ -258,8 +258,7 @@
     existing = {row.table: row for row in conflict.rows if row.version}
     if table in existing:
         found = existing[table].value or {}
-        caller = Caller(read_workspace(inserted))
-        if not found or caller.may_use(read_workspace(found)):
+        if not found or _is_of_same_caller(found, inserted):
             return None
         return Failure(
             ErrorKind.conflict, f'{key} is a job of another workspace'
@@ -271,6 +270,16 @@
     )
 
 
+def _is_of_same_caller(
+    found: Mapping[str, Any], inserted: Mapping[str, Any]
+) -> bool:
+    """Returns whether an insert repeats the submission of a stored job."""
+    key_digest = read_key_digest(inserted)
+    if key_digest and key_digest == read_key_digest(found):
+        return True
+    return read_workspace(found) in {NO_WORKSPACE, read_workspace(inserted)}
+
+
 def _is_not_done(outcome: object) -> bool:
     if not isinstance(outcome, Failure):
         return False
--- a/src/radishlift/cell/job_rows.py
+++ b/src/radishlift/cell/job_rows.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 from typing import Any
 
+from radishlift.access.keys import NO_DIGEST, KeyDigest
 from radishlift.core.codec import dump_plain, read_plain
 from radishlift.core.errors import Failure
 from radishlift.core.ids import WorkspaceName
@@ -16,10 +17,12 @@
     terms: QueueTerms,
     accepted_at_ms: int,
     workspace: WorkspaceName = NO_WORKSPACE,
+    key_digest: KeyDigest = NO_DIGEST,
 ) -> dict[str, Any]:
     """Converts a job, its terms and its arrival in Unix time to plain data.
 
-    A job of no workspace has no field `workspace`.
+    A job of no workspace has no field `workspace`, and one that was submitted
+    without a key no `key_digest`.
     """
     row = {
         'spec': dump_plain(spec),
@@ -28,6 +31,8 @@
     }
     if workspace:
         row['workspace'] = workspace
+    if key_digest:
+        row['key_digest'] = key_digest
     return row
 
 
@@ -49,4 +54,9 @@
     return WorkspaceName(str(plain.get('workspace', NO_WORKSPACE)))
 
 
-__all__ = ('dump_job', 'load_job', 'read_workspace')
+def read_key_digest(plain: Mapping[str, Any]) -> KeyDigest:
+    """Returns the digest of the key with which a job was submitted."""
+    return KeyDigest(str(plain.get('key_digest', NO_DIGEST)))
+
+
+__all__ = ('dump_job', 'load_job', 'read_key_digest', 'read_workspace')
--- a/src/radishlift/cell/job_service.py
+++ b/src/radishlift/cell/job_service.py
@@ -10,11 +10,15 @@
 from typing import Any, Final
 
 from radishlift.access.freshness import ConfigFreshness
-from radishlift.access.gate import ANYONE, Caller, KeyGate
+from radishlift.access.gate import ANYONE, Caller, KeyGate, recognize
 from radishlift.access.settings import AccessSettings
 from radishlift.cell.entry_rows import SETTLED_KINDS, EntryRows
 from radishlift.cell.job_limits import check_job_size
-from radishlift.cell.job_rows import dump_job, read_workspace
+from radishlift.cell.job_rows import (
+    dump_job,
+    read_key_digest,
+    read_workspace,
+)
 from radishlift.cell.queues import Queue, QueueConfig
 from radishlift.cell.tables import CANCELS, JOBS, PROGRESS, cancel_key
 from radishlift.core.clock import Clock
@@ -27,6 +31,7 @@
 from radishlift.steps.limits import find_oversized_step
 from radishlift.steps.runs import JobState
 from radishlift.steps.spec import JobSpec
+from radishlift.steps.workspaces import NO_WORKSPACE
 
 _RETRY_MS: Final = 60
 # Time to send the answer before the caller's deadline.
@@ -90,11 +95,15 @@
         """Returns the caller that the `Authorization` headers identify.
 
         Fails with `unauthenticated`, or with `configuration_outdated` if this
-        daemon can't know whether the key is valid.
+        daemon can't know whether the key is valid, if the queue requires a key.
         """
         config = self.config
-        if config is None or queue.is_public or not config.workspaces:
-            return ANYONE
+        if config is None or not config.workspaces:
+            return recognize(authorizations)
+        if queue.is_public:
+            return self._gate.admit_to_public(
+                authorizations, config.find_workspace
+            )
         caller = self._gate.admit(authorizations, config.find_workspace)
         if isinstance(caller, Failure):
             _log_rejection(caller, queue)
@@ -118,11 +127,15 @@
         its workspace does not allow one of its steps.
         """
         row = dump_job(
-            spec, queue.terms, self._clock.wall_ms(), caller.workspace
+            spec,
+            queue.terms,
+            self._clock.wall_ms(),
+            caller.owner,
+            caller.key_digest,
         )
         outcome = check_job_size(spec, row, self._max_row_bytes)
         if outcome is None:
-            outcome = await self._find_oversized(spec, caller.workspace)
+            outcome = await self._find_oversized(spec, caller.owner)
         if outcome is None:
             outcome = await self._insert(
                 JOBS,
@@ -150,11 +163,9 @@
 
         The cancel of an unknown job is stored as well, as its submission may
         still arrive. A job of another workspace is unknown, and the cancel has
-        no effect on it.
+        no effect on it; a caller without a sufficient key is refused.
         """
-        outcome = await self._store_cancel(
-            job_id, deadline_ms, caller.workspace
-        )
+        outcome = await self._store_cancel(job_id, deadline_ms, caller.owner)
         log_event(
             'cancel_stored',
             job=job_id,
@@ -164,41 +175,48 @@
             return outcome
         job = await self._rows.read(JOBS, job_id)
         if isinstance(job, Failure):
-            # The cancel holds, whether or not there is such a job.
             log_event('cancelled_job_unread', job=job_id, reason=job.reason)
-            return None
-        if not _is_visible(job, caller):
-            return Failure(ErrorKind.not_found, f'no job {job_id}')
-        owner = read_workspace(job.value or {})
-        if owner != caller.workspace:
-            # Its queue required no key when the job was submitted.
-            return await self._store_cancel(job_id, deadline_ms, owner)
-        return None
+            # The cancel holds, unless the job may be one of a workspace.
+            is_unsure = caller.key_hash is not None and not caller.owner
+            return job if is_unsure else None
+        owners = {caller.workspace, NO_WORKSPACE}
+        if job.value is not None:
+            if not _may_use(job, caller):
+                return _refuse(job_id, caller)
+            owners = {read_workspace(job.value)}
+        # Its queue may have required a key then and none now, or vice versa.
+        for owner in owners - {caller.owner}:
+            failure = await self._store_cancel(job_id, deadline_ms, owner)
+            if failure is not None:
+                return failure
+        return _unknown(job_id) if job.value is None else None
 
     async def read_status(
         self, job_id: JobId, caller: Caller = ANYONE
     ) -> JobStatus | Failure:
         """Returns a job's status.
 
-        Fails with `not_found` if it is unknown or of another workspace.
+        Fails with `not_found` if it is unknown or of another workspace, and as
+        the caller's refusal says if it is of a workspace and needs a key.
         """
-        unknown = Failure(ErrorKind.not_found, f'no job {job_id}')
         progress = await self._rows.read(PROGRESS, job_id)
         if isinstance(progress, Failure):
             return progress
+        status = JobStatus(JobState.queued)
         if progress.value is not None:
-            if not _is_visible(progress, caller):
-                return unknown
-            return JobStatus(
+            status = JobStatus(
                 JobState(progress.value['state']),
                 str(progress.value.get('reason', '')),
             )
+            if _may_use(progress, caller):
+                return status
+        # Only the row of the job names its caller's key.
         job = await self._rows.read(JOBS, job_id)
         if isinstance(job, Failure):
             return job
-        if not _is_visible(job, caller):
-            return unknown
-        return JobStatus(JobState.queued)
+        if job.value is None:
+            return _unknown(job_id)
+        return status if _may_use(job, caller) else _refuse(job_id, caller)
 
     def count_pending(self, queue: QueueName) -> int:
         """Returns how many jobs of a queue have not started."""
@@ -290,8 +308,26 @@
     return 0
 
 
-def _is_visible(row: Row, caller: Caller) -> bool:
-    return row.value is not None and caller.may_use(read_workspace(row.value))
+def _may_use(row: Row, caller: Caller) -> bool:
+    plain = row.value or {}
+    return caller.may_use(read_workspace(plain), read_key_digest(plain))
+
+
+def _refuse(job_id: JobId, caller: Caller) -> Failure:
+    """Returns why a caller may not use a job that exists."""
+    if caller.refusal is None:
+        return _unknown(job_id)
+    log_event(
+        'job_withheld',
+        job=job_id,
+        outcome=caller.refusal.kind,
+        reason=caller.refusal.reason,
+    )
+    return caller.refusal
+
+
+def _unknown(job_id: JobId) -> Failure:
+    return Failure(ErrorKind.not_found, f'no job {job_id}')
 
 
 def _log_rejection(failure: Failure, queue: Queue) -> None:
--- a/tests/cell/test_job_service.py
+++ b/tests/cell/test_job_service.py
@@ -1,5 +1,7 @@
 """Tests of the operations for callers."""
 
+from dataclasses import replace
+
 import pytest
 
 from radishlift.access.freshness import ConfigFreshness
@@ -9,7 +11,7 @@
 from radishlift.cell.entry_rows import RelayedRows, StoreRows
 from radishlift.cell.job_service import JobService, JobStatus
 from radishlift.cell.queues import Queue, QueueConfig
-from radishlift.cell.tables import CANCELS, JOBS, PROGRESS
+from radishlift.cell.tables import CANCELS, JOBS, PROGRESS, cancel_key
 from radishlift.core.clock import BootClock, ManualClock
 from radishlift.core.errors import ErrorKind, Failure, Outcome
 from radishlift.core.ids import ConfigVersion, DaemonId, WorkspaceName
@@ -298,6 +300,136 @@
     assert await service.submit(caller=W1) is None
 
 
+class ChangingSetup(ServiceSetup):
+    """A job service whose routes and workspaces change."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        freshness = ConfigFreshness(ManualClock())
+        freshness.confirm(0)
+        self.job_service._gate = KeyGate(freshness, AccessSettings(5000))
+
+    def configure(self, *, is_public=False, **workspaces):
+        self.queue = replace(QUEUE, is_public=is_public)
+        self.job_service.config = QueueConfig(
+            ConfigVersion(1),
+            (self.queue,),
+            100,
+            tuple(
+                Workspace(
+                    WorkspaceTerms(WorkspaceName(name)),
+                    frozenset(map(hash_key, keys)),
+                )
+                for name, keys in workspaces.items()
+            ),
+        )
+
+    def identify(self, key):
+        headers = (f'Bearer {key}',) if key else ()
+        return self.job_service.identify(self.queue, headers)
+
+    async def call(self, key):
+        """Returns the outcomes of a query, a cancel and a submission."""
+        caller = self.identify(key)
+        if isinstance(caller, Failure):
+            return [caller.kind, caller.kind, caller.kind]
+        outcomes = (
+            await self.job_service.read_status(ID, caller),
+            await self.cancel(caller),
+            await self.submit(caller=caller),
+        )
+        return [
+            one.kind if isinstance(one, Failure) else None for one in outcomes
+        ]
+
+    def cancelled_by(self, workspace):
+        key = cancel_key(ID, WorkspaceName(workspace))
+        return bool(self.store.tables.read(CANCELS, key).version)
+
+
+BEFORE = {'w1': ('k1', 'k1-second'), 'w2': ('k2',)}
+CHANGES = {
+    'public': {**BEFORE, 'is_public': True},
+    'no workspaces': {},
+    'renamed': {**BEFORE, 'w1': (), 'w3': ('k1',)},
+    'renamed and public': {'w3': ('k1',), 'w2': ('k2',), 'is_public': True},
+    'other key': {'w1': ('k1',), 'w2': ('k2',)},
+}
+
+
+@pytest.mark.parametrize('change', list(CHANGES))
+async def test_caller_keeps_its_job_when_routes_or_workspaces_change(change):
+    """Guards against accepted jobs that are unknown to their callers."""
+    service = ChangingSetup()
+    service.configure(**BEFORE)
+    await service.submit(caller=service.identify('k1'))
+    service.configure(**CHANGES[change])
+    assert await service.call('k1') == [None, None, None]
+    assert service.cancelled_by('w1')
+
+
+@pytest.mark.parametrize('key', ['', 'k2', 'k3'])
+@pytest.mark.parametrize('change', list(CHANGES))
+async def test_changes_show_and_cancel_no_job_of_others(change, key):
+    """Guards against jobs of workspaces that a public queue gives away."""
+    service = ChangingSetup()
+    service.configure(**BEFORE)
+    await service.submit(caller=service.identify('k1'))
+    service.configure(**CHANGES[change])
+    assert None not in await service.call(key)
+    assert not service.cancelled_by('w1')
+
+
+@pytest.mark.parametrize('is_public', [False, True])
+async def test_key_taken_away_gives_no_access_to_jobs(is_public):
+    service = ChangingSetup()
+    service.configure(**BEFORE)
+    await service.submit(caller=service.identify('k1'))
+    service.configure(w1=('k9',), w2=('k2',), is_public=is_public)
+    shown, cancelled, _ = await service.call('k1')
+    assert {shown, cancelled} == {ErrorKind.unauthenticated}
+    assert not service.cancelled_by('w1')
+
+
+async def test_job_without_a_workspace_stays_usable_once_keys_are_required():
+    service = ChangingSetup()
+    service.configure()
+    await service.submit(caller=service.identify(''))
+    service.configure(**BEFORE)
+    assert await service.call('k1') == [None, None, None]
+    assert service.cancelled_by('')
+
+
+@pytest.mark.parametrize('was_public', [False, True])
+async def test_cancel_holds_for_a_submission_from_before_a_change(was_public):
+    """Guards against a job that a frozen daemon stores after its cancel."""
+    service = ChangingSetup()
+    service.configure(**BEFORE, is_public=was_public)
+    early = service.identify('k1')
+    service.configure(**BEFORE, is_public=not was_public)
+    outcome = await service.cancel(service.identify('k1'))
+    assert outcome.kind is ErrorKind.not_found
+    failure = await service.submit(caller=early)
+    assert failure.kind is ErrorKind.cancelled
+
+
+async def test_unread_job_is_not_reported_as_cancelled_by_its_owner(
+    monkeypatch,
+):
+    """Guards against an answer that only holds for jobs of no workspace."""
+    service = ChangingSetup()
+    service.configure(**BEFORE)
+    await service.submit(caller=service.identify('k1'))
+    service.configure(**BEFORE, is_public=True)
+
+    async def fail(table, key):
+        return Failure(ErrorKind.store_unavailable, 'down')
+
+    monkeypatch.setattr(service.store, 'read', fail)
+    failure = await service.cancel(service.identify('k1'))
+    assert failure.kind is ErrorKind.store_unavailable
+
+
 async def test_no_key_is_judged_again_once_none_is_required():
     service = KeyedSetup()
     service.job_service.config = QueueConfig(ConfigVersion(2), (QUEUE,), 100)
--- a/tests/platform/test_front.py
+++ b/tests/platform/test_front.py
@@ -339,6 +339,19 @@
     assert 'workspace' not in service.store.tables.read(JOBS, ID).value
 
 
+async def test_job_stays_with_its_caller_once_its_queue_is_public(service):
+    """Guards against an accepted job that is answered 410."""
+    require_keys(service)
+    first = {'Authorization': 'Bearer k1'}
+    await service.send('POST', f'/q/{ID}', JOB, **first)
+    require_keys(service, public=True)
+    other = {'Authorization': 'Bearer k2'}
+    for method in ('GET', 'DELETE'):
+        for headers, expected in (({}, 401), (other, 410), (first, 200)):
+            status, _, _ = await service.send(method, f'/q/{ID}', **headers)
+            assert status == expected
+
+
 @pytest.mark.parametrize('body', [b'{', *UNREADABLE])
 async def test_malformed_job_is_refused(service, body):
     status, _, _ = await service.send('POST', f'/q/{ID}', body)
