--- a/src/radishlift/cell/attempts.py
+++ b/src/radishlift/cell/attempts.py
@@ -194,6 +194,7 @@
         task = None if job is None else job.find_task(ended.key)
         if job is not None and task is not None:
             self._run_times.record_end(session.target, job, task, ended)
+        allocation = session.target.allocations.get(ended.key)
         session.target.release(ended.key, ended.attempt)
         session.listing.forget(ended.key)
         self._notify_scheduler()
@@ -216,7 +217,7 @@
                 self._clock.monotonic_ms(),
                 is_failure=ended.kind is EndKind.failed,
             )
-        self._crashes.apply_end(job, task, ended)
+        self._crashes.apply_end(job, task, ended, allocation)
         self._handle_end(job, ended)
 
     def _handle_end(self, job: JobRun, ended: EndedAttempt) -> None:
--- a/src/radishlift/cell/crashes.py
+++ b/src/radishlift/cell/crashes.py
@@ -12,7 +12,7 @@
 from radishlift.steps.ids import TaskKey
 from radishlift.steps.runs import JobRun, TaskRun
 from radishlift.steps.settings import StepSettings
-from radishlift.steps.targets import Target, TargetState
+from radishlift.steps.targets import Allocation, Target, TargetState
 
 
 class CrashHandler:
@@ -42,6 +42,8 @@
             target=target.entry.target_id,
             attempts_count=len(target.allocations),
             suspects_count=len(suspects),
+            failed_at_ms=target.failed_at_ms,
+            is_proven=is_proven,
         )
 
     def has_survived(self, target: Target, key: TaskKey, attempt: int) -> bool:
@@ -67,8 +69,12 @@
         job: JobRun,
         task: TaskRun,
         ended: EndedAttempt,
+        allocation: Allocation | None,
     ) -> None:
-        """Gives up a task that has crashed targets repeatedly."""
+        """Gives up a task that has crashed targets repeatedly.
+
+        `allocation` is that of the attempt on its target, if there was one.
+        """
         if ended.kind not in CRASH_KINDS:
             return
         log_event(
@@ -76,7 +82,10 @@
             task=task.key,
             attempt=ended.attempt,
             crashes_count=task.crashes_count,
+            confirmed_count=task.confirmed_crashes_count,
             how=ended.kind,
+            sent_at_ms=allocation and allocation.first_sent_at_ms,
+            is_answered=allocation is not None and allocation.is_confirmed,
         )
         if give_up_repeated(job, task, ended.kind, self._settings):
             log_event(
