--- a/src/radishlift/cell/attempts.py
+++ b/src/radishlift/cell/attempts.py
@@ -203,7 +203,7 @@
         if task.target_id != session.target_id or not _apply_end(job, ended):
             return
         if has_survived:
-            self._crashes.clear(task)
+            task.clear_crashes()
         log_event(
             'task_ended',
             task=ended.key,
--- a/src/radishlift/cell/crashes.py
+++ b/src/radishlift/cell/crashes.py
@@ -55,15 +55,6 @@
             and is_cleared(target, allocation, self._settings)
         )
 
-    def clear(self, task: TaskRun) -> None:
-        """Clears the crashes of a task whose start a target survived.
-
-        Other members of a gang may still crash their targets.
-        """
-        step = self._jobs.find_step(task.key.step_key)
-        if step is not None and not step.spec.is_gang:
-            task.clear_crashes()
-
     def apply_end(
         self,
         job: JobRun,
@@ -103,17 +94,14 @@
     ) -> None:
         """Clears a suspect that an earlier leader started, if it survived.
 
-        Trials of this leader don't know its attempt. Other members of a gang
-        may still crash their targets.
+        Trials of this leader don't know its attempt.
         """
         task = job.find_task(key)
         allocation = target.allocations.get(key)
         if task is None or allocation is None:
             return
-        step = self._jobs.find_step(key.step_key)
-        is_gang = step is not None and step.spec.is_gang
         is_current = allocation.attempt == task.attempt == attempt
-        if not task.crashes_count or is_gang or not is_current:
+        if not task.crashes_count or not is_current:
             return
         if not allocation.is_inherited:
             return
--- a/src/radishlift/steps/endings.py
+++ b/src/radishlift/steps/endings.py
@@ -80,7 +80,8 @@
 
 @_HANDLERS.register(EndKind.done.value)
 def _apply_done(job: JobRun, step: StepRun, task: TaskRun) -> None:
-    _clear_crashes(step, task)
+    for member in step.unit_of(task):
+        member.clear_crashes()
     if step.spec.is_long_running:
         return
     step.finish(task)
@@ -93,7 +94,7 @@
 
 @_HANDLERS.register(EndKind.failed.value)
 def _apply_failed(job: JobRun, step: StepRun, task: TaskRun) -> None:
-    _clear_crashes(step, task)
+    task.clear_crashes()
     if step.spec.is_long_running:
         return
     if step.spec.is_gang and step.failed_attempt == task.attempt:
@@ -107,27 +108,15 @@
 
 @_HANDLERS.register(EndKind.maybe_crashed.value)
 def _apply_maybe_crashed(job: JobRun, step: StepRun, task: TaskRun) -> None:
-    _count_crash(step, task, confirmed_count=0)
+    task.crashes_count += 1
 
 
 @_HANDLERS.register(EndKind.crashed.value)
 @_HANDLERS.register(EndKind.crashed_alone.value)
 def _apply_crashed(job: JobRun, step: StepRun, task: TaskRun) -> None:
-    _count_crash(step, task, confirmed_count=1)
-
-
-def _count_crash(step: StepRun, task: TaskRun, confirmed_count: int) -> None:
-    if step.spec.is_gang and step.crashed_attempt == task.attempt:
-        return
-    step.crashed_attempt = task.attempt
-    for member in step.unit_of(task):
-        member.crashes_count += 1
-        member.confirmed_crashes_count += confirmed_count
-
-
-def _clear_crashes(step: StepRun, task: TaskRun) -> None:
-    for member in step.unit_of(task):
-        member.clear_crashes()
+    # Other members of a gang have not crashed this target.
+    task.crashes_count += 1
+    task.confirmed_crashes_count += 1
 
 
 __all__ = ('EndKind', 'apply_end')
--- a/src/radishlift/steps/progress.py
+++ b/src/radishlift/steps/progress.py
@@ -59,11 +59,6 @@
     crashes = _dump_crashes(job)
     if crashes:
         progress['crashes'] = crashes
-        progress['crashed_attempts'] = [
-            [*step_key, step.crashed_attempt]
-            for step_key, step in job.steps.items()
-            if step.crashed_attempt
-        ]
     return progress
 
 
@@ -128,8 +123,6 @@
         crashes_count, confirmed_count = counts
         task.crashes_count = int(crashes_count)
         task.confirmed_crashes_count = int(confirmed_count)
-    for occurrence, number, attempt in plain.get('crashed_attempts', ()):
-        job.steps[occurrence, number].crashed_attempt = int(attempt)
     job.reason = str(plain.get('reason', ''))
     job.has_started = any(
         task.state is TaskState.done or task.failures_count
--- a/src/radishlift/steps/runs.py
+++ b/src/radishlift/steps/runs.py
@@ -67,7 +67,6 @@
 
     `failed_attempt` is the latest failed attempt. It prevents a failure that
     several members of a gang report from being counted more than once.
-    `crashed_attempt` does the same for crashes of targets.
     """
 
     key: StepKey
@@ -77,7 +76,6 @@
     unfinished_count: int = 0
     is_unblocked: bool = False
     failed_attempt: int = 0
-    crashed_attempt: int = 0
 
     @property
     def is_done(self) -> bool:
--- a/tests/steps/test_crashes.py
+++ b/tests/steps/test_crashes.py
@@ -204,3 +204,23 @@
         apply_end(run, key(number), 1, EndKind.crashed_alone, '')
     counts = [run.find_task(key(number)).crashes_count for number in range(2)]
     assert counts == [1, 1]
+
+
+def test_crashes_under_different_members_do_not_give_up_a_gang():
+    """Guards against a gang that fails though no task had two crashes."""
+    run = job(step(2, is_gang=True))
+    for number in range(2):
+        place(run, key(0), key(1), attempt=number + 1)
+        assert not crash(run, key(number), number + 1, EndKind.crashed_alone)
+    assert not run.is_ended
+    place(run, key(0), attempt=3)
+    assert crash(run, key(0), 3, EndKind.crashed_alone)
+
+
+def test_failed_member_clears_no_other_member():
+    """Guards against a member that crashes targets and is never given up."""
+    run = job(step(2, is_gang=True))
+    crash(run, key(0), 1, EndKind.crashed_alone)
+    place(run, key(0), key(1), attempt=2)
+    apply_end(run, key(1), 2, EndKind.failed, '')
+    assert run.find_task(key(0)).crashes_count == 1
