--- a/src/radishlift/cell/orders.py
+++ b/src/radishlift/cell/orders.py
@@ -9,7 +9,7 @@
 from radishlift.cell.open_calls import OpenCalls
 from radishlift.cell.ports import StartOrder, StartVerdict, TargetRef
 from radishlift.cell.session_context import SessionContext
-from radishlift.core.errors import ErrorKind, Failure
+from radishlift.core.errors import ErrorKind, Failure, TimedOut
 from radishlift.core.logs import log_event
 from radishlift.steps.ids import TaskKey
 from radishlift.steps.spec import Amounts
@@ -162,7 +162,10 @@
         if not failure.is_not_run:
             self.unresolved.add((order.key, order.attempt))
             self.fence.raise_token()
-        self._target.record_failure(self._now_ms())
+        is_silent = isinstance(failure, TimedOut)
+        self._target.record_failure(self._now_ms(), is_silent=is_silent)
+        if is_silent:
+            self._target.record_unanswered(order.key, order.attempt)
         # A poll shows whether the target is still reachable.
         self._on_resolved()
         log_event(
--- a/src/radishlift/cell/sessions.py
+++ b/src/radishlift/cell/sessions.py
@@ -13,7 +13,7 @@
     StartVerdict,
 )
 from radishlift.cell.session_context import SessionContext, StopEvidence
-from radishlift.core.errors import Failure
+from radishlift.core.errors import Failure, TimedOut
 from radishlift.core.logs import log_event
 from radishlift.steps.ids import (
     FencingToken,
@@ -237,7 +237,9 @@
         if self.target.is_reachable:
             log_event('target_lost', target=self.target_id, reason=reason)
         self._ended_cursor = 0
-        self.target.record_failure(self._now_ms())
+        self.target.record_failure(
+            self._now_ms(), is_silent=isinstance(answer, TimedOut)
+        )
         self._set_reachable(is_reachable=False)
         evidence = _find_end_evidence(self.target, answer)
         has_ended = evidence is not None
--- a/src/radishlift/core/errors.py
+++ b/src/radishlift/core/errors.py
@@ -82,6 +82,15 @@
         return self.answer.outcome is Outcome.not_run
 
 
+class TimedOut(Failure):
+    """A failure of a call that got no answer in time.
+
+    The connection did not end, so that the peer may not have read the call.
+    """
+
+    __slots__ = ()
+
+
 ERROR_ANSWERS: Final = MappingProxyType(
     {
         ErrorKind.invalid_input: ErrorAnswer(400, Outcome.not_run),
--- a/src/radishlift/platform/http.py
+++ b/src/radishlift/platform/http.py
@@ -14,7 +14,7 @@
     TCPConnector,
 )
 
-from radishlift.core.errors import ErrorKind, Failure
+from radishlift.core.errors import ErrorKind, Failure, TimedOut
 from radishlift.core.ids import Address
 from radishlift.platform.json_bodies import describe, read_json
 
@@ -83,11 +83,14 @@
         except ClientConnectorError as error:
             return Failure(ErrorKind.peer_unavailable, str(error))
         except TimeoutError:
-            reason = f'no answer within {timeout_ms} ms'
+            failure: Failure = TimedOut(
+                ErrorKind.peer_outcome_unknown,
+                f'no answer within {timeout_ms} ms',
+            )
         except (ClientError, OSError, ValueError) as error:
-            reason = describe(error)
+            failure = Failure(ErrorKind.peer_outcome_unknown, describe(error))
         self._retire(address, session)
-        return Failure(ErrorKind.peer_outcome_unknown, reason)
+        return failure
 
     def renew(self, address: Address) -> None:
         """Opens new connections for later calls to an address."""
--- a/src/radishlift/platform/targets.py
+++ b/src/radishlift/platform/targets.py
@@ -1,6 +1,7 @@
 """Client of the targets, which the platform calls executors."""
 
 from collections.abc import Mapping
+from dataclasses import replace
 from typing import Any, Final
 
 from radishlift.cell.ports import (
@@ -140,7 +141,7 @@
             # partitioned, so the state of the target is unknown.
             if answer.is_not_run:
                 return answer
-            return Failure(ErrorKind.target_outcome_unknown, answer.reason)
+            return replace(answer, kind=ErrorKind.target_outcome_unknown)
         return answer
 
 
--- a/src/radishlift/steps/crashes.py
+++ b/src/radishlift/steps/crashes.py
@@ -83,9 +83,12 @@
     units_count: int,
     settings: StepSettings,
 ) -> Suspicion:
-    # An inherited attempt may have run for long before the takeover.
-    may_be_older = allocation.is_inherited and not allocation.is_confirmed
-    if may_be_older or not _failed_at_start(target, allocation, settings):
+    # An inherited attempt may have run for long before the takeover, and one
+    # whose start got no answer may never have begun.
+    is_doubtful = allocation.is_inherited or allocation.is_silent
+    if is_doubtful and not allocation.is_confirmed:
+        return Suspicion.unconfirmed
+    if not _failed_at_start(target, allocation, settings):
         return Suspicion.unconfirmed
     if units_count == 1:
         return Suspicion.sole
@@ -101,6 +104,8 @@
 ) -> bool:
     """Returns whether the target failed within the window of a start."""
     first_sent_at_ms = allocation.first_sent_at_ms
+    if target.is_silent:
+        return False
     if target.failed_at_ms is None or first_sent_at_ms is None:
         return True
     passed_ms = target.failed_at_ms - first_sent_at_ms
--- a/src/radishlift/steps/targets.py
+++ b/src/radishlift/steps/targets.py
@@ -58,8 +58,9 @@
     `expected_end_ms` is a monotonic time; 0 if the start time is unknown.
     `sent_at_ms` is when the latest start call was sent, and `first_sent_at_ms`
     when the first was; None if none was.
-    `is_confirmed` is whether the target has answered that it started, and
-    `is_inherited` whether an earlier leader started it. `started_at_ms` is when
+    `is_confirmed` is whether the target has answered that it started,
+    `is_silent` whether a start call got no answer in time, and `is_inherited`
+    whether an earlier leader started it. `started_at_ms` is when
     the answer to its only start call arrived; None if it is unknown. `charge`
     is what it uses of the limit of its workspace.
     """
@@ -70,6 +71,7 @@
     sent_at_ms: int | None = None
     first_sent_at_ms: int | None = None
     is_confirmed: bool = False
+    is_silent: bool = False
     is_inherited: bool = False
     started_at_ms: int | None = None
     suspicion: Suspicion = Suspicion.none
@@ -99,6 +101,8 @@
     not respond or that fail the tasks they start. `answered_at_ms` is when
     the latest answered call was sent. `failed_at_ms` is when a call first
     failed since the process was last known to run; None if none has.
+    `is_silent` is whether that call got no answer in time, so that the process
+    may have ended at another time.
     `has_restarted` is whether a process has ended, and `has_left` whether the
     target has removed its entry. A watched target is polled more often.
     All targets of a table share one `workspace_use`.
@@ -113,6 +117,7 @@
     consecutive_failures_count: int = 0
     answered_at_ms: int = 0
     failed_at_ms: int | None = None
+    is_silent: bool = False
     has_restarted: bool = False
     has_left: bool = False
     is_watched: bool = False
@@ -140,10 +145,17 @@
         """Records that a call sent at a monotonic time was answered."""
         self.answered_at_ms = max(self.answered_at_ms, sent_at_ms)
 
-    def record_failure(self, now_ms: int) -> None:
+    def record_failure(self, now_ms: int, *, is_silent: bool = False) -> None:
         """Records that a call has failed, or that the process has ended."""
         if self.failed_at_ms is None:
             self.failed_at_ms = now_ms
+            self.is_silent = is_silent
+
+    def record_unanswered(self, key: TaskKey, attempt: int) -> None:
+        """Records that a start call of an attempt got no answer in time."""
+        allocation = self.allocations.get(key)
+        if allocation is not None and allocation.attempt == attempt:
+            allocation.is_silent = True
 
     def record_restart(self) -> None:
         """Records that a process of the target has ended."""
@@ -152,6 +164,7 @@
     def record_running(self) -> None:
         """Records that the process is known to run."""
         self.failed_at_ms = None
+        self.is_silent = False
 
     def record_start(
         self, key: TaskKey, attempt: int, now_ms: int
--- a/tests/cell/fakes.py
+++ b/tests/cell/fakes.py
@@ -15,12 +15,13 @@
     TargetRef,
 )
 from radishlift.cell.tables import CANCELS, JOBS, entry_shard
-from radishlift.core.errors import ErrorKind, Failure
+from radishlift.core.errors import ErrorKind, Failure, TimedOut
 from radishlift.services.api import Row
 from radishlift.steps.endings import EndKind
 from radishlift.steps.ids import TargetIncarnation
 from tests.standins.tables import Fault, MemoryTableStore, Tables
 
+SILENT = TimedOut(ErrorKind.target_outcome_unknown, 'no answer in time')
 UNKNOWN = Failure(ErrorKind.target_outcome_unknown, 'no answer')
 UNREACHABLE = Failure(ErrorKind.peer_unavailable, 'not connected')
 DOWN = Failure(ErrorKind.store_unavailable, 'down')
--- a/tests/cell/test_crashing_tasks.py
+++ b/tests/cell/test_crashing_tasks.py
@@ -9,6 +9,7 @@
 from radishlift.steps.crashes import CRASH_REASON
 from radishlift.steps.endings import EndKind
 from radishlift.steps.settings import StepSettings
+from tests.cell.fakes import SILENT
 from tests.cell.leader import Cell
 from tests.only import only
 from tests.steps.builders import job, key, step
@@ -380,3 +381,29 @@
     await crash_the_running_target(cell)
     await cell.until(lambda: stored_attempt(cell, job_id) > attempt)
     assert not crashes_counts(cell, job_id)
+
+
+async def test_task_that_silent_targets_never_began_is_not_given_up(
+    monkeypatch,
+):
+    """Guards against blame for targets that return from a cut anew."""
+    cell = Cell('t1', max_lease_ms=4000, step_settings=STEP_SETTINGS)
+    fake = cell.targets['t1']
+
+    async def time_out(*_):
+        await asyncio.sleep(0.02)
+        return SILENT
+
+    try:
+        job_id = await lead_with_a_suspect(cell)
+        monkeypatch.setattr(cell.targets, 'start', time_out)
+        monkeypatch.setattr(cell.targets, 'hold', time_out)
+        cell.write_target('t1')
+        await asyncio.sleep(0.03)
+        monkeypatch.undo()
+        fake.restart()
+        await cell.until(lambda: crashes_counts(cell, job_id) != {0: 1})
+        assert cell.state(job_id) != 'failed'
+        await cell.until_state(job_id, 'completed')
+    finally:
+        await cell.close()
--- a/tests/steps/test_crashes.py
+++ b/tests/steps/test_crashes.py
@@ -224,3 +224,28 @@
     place(run, key(0), key(1), attempt=2)
     apply_end(run, key(1), 2, EndKind.failed, '')
     assert run.find_task(key(0)).crashes_count == 1
+
+
+@pytest.mark.parametrize(
+    ('is_answered', 'kind'),
+    [(False, EndKind.maybe_crashed), (True, EndKind.crashed_alone)],
+)
+def test_start_that_may_never_have_begun_is_not_blamed(is_answered, kind):
+    """Guards against jobs given up for starts that no target has read."""
+    target = target_with_starts(a=10)
+    target.record_unanswered(key(), 1)
+    target.record_failure(100)
+    if is_answered:
+        target.confirm_start(key(), 1)
+    suspects(target)
+    assert lost_end_kind(target, key(), 1) is kind
+
+
+def test_target_that_fell_silent_did_not_crash_at_a_known_time():
+    """Guards against blame for a time-out that ends shortly after a start."""
+    target = target_with_starts(a=10)
+    target.confirm_start(key(), 1)
+    target.record_failure(100, is_silent=True)
+    target.record_failure(110)
+    suspects(target)
+    assert lost_end_kind(target, key(), 1) is EndKind.maybe_crashed
