--- a/src/radishlift/cell/attempts.py
+++ b/src/radishlift/cell/attempts.py
@@ -50,7 +50,7 @@
     ) -> None:
         self._jobs = jobs
         self._fleet = fleet
-        self._crashes = CrashHandler(jobs, fleet.settings)
+        self._crashes = CrashHandler(jobs, fleet, clock)
         self._tickets = tickets
         self._clock = clock
         self._notify_scheduler = notify_scheduler
@@ -157,6 +157,8 @@
 
     def on_reachability_changed(self, session: TargetSession) -> None:
         """Notifies the scheduler that a target's reachability changed."""
+        if not session.target.is_reachable:
+            self._crashes.record_loss(session.target)
         self._notify_scheduler()
 
     def end_term(self) -> None:
--- a/src/radishlift/cell/crashes.py
+++ b/src/radishlift/cell/crashes.py
@@ -1,26 +1,44 @@
 """Applies crashes of targets to the tasks that may have caused them."""
 
+from radishlift.cell.fleet import TargetFleet
 from radishlift.cell.job_table import JobTable
 from radishlift.cell.ports import EndedAttempt
+from radishlift.core.clock import Clock
 from radishlift.core.logs import log_event
+from radishlift.steps.crash_rate import CrashRate
 from radishlift.steps.crashes import (
     CRASH_KINDS,
     give_up_repeated,
     is_cleared,
+    is_quiet,
     mark_suspects,
 )
 from radishlift.steps.ids import TaskKey
 from radishlift.steps.runs import JobRun, TaskRun
-from radishlift.steps.settings import StepSettings
 from radishlift.steps.targets import Allocation, Target, TargetState
 
 
 class CrashHandler:
     """Marks the suspects of crashes, and gives up tasks that repeat them."""
 
-    def __init__(self, jobs: JobTable, settings: StepSettings) -> None:
+    def __init__(
+        self, jobs: JobTable, fleet: TargetFleet, clock: Clock
+    ) -> None:
         self._jobs = jobs
-        self._settings = settings
+        self._fleet = fleet
+        self._settings = fleet.settings
+        self._clock = clock
+        self._rate = CrashRate(fleet.settings, clock.monotonic_ms())
+
+    def record_loss(self, target: Target) -> None:
+        """Records that a target has become unreachable.
+
+        It may turn out only later whether its process has ended, and a time-out
+        says nothing about that.
+        """
+        is_used = bool(target.allocations) and not target.is_silent
+        if is_used and is_quiet(target, self._settings):
+            self._rate.record(self._clock.monotonic_ms())
 
     def record_crash(self, target: Target, *, is_proven: bool) -> None:
         """Marks the attempts that may have crashed a target.
@@ -37,6 +55,8 @@
             self._settings,
             is_proven=is_proven,
         )
+        if is_proven and target.is_silent and not suspects:
+            self._rate.record(self._clock.monotonic_ms())
         log_event(
             'target_crashed',
             target=target.entry.target_id,
@@ -78,11 +98,17 @@
             sent_at_ms=allocation and allocation.first_sent_at_ms,
             is_answered=allocation is not None and allocation.is_confirmed,
         )
-        if give_up_repeated(job, task, ended.kind, self._settings):
+        required_count = self._rate.required_count(
+            self._clock.monotonic_ms(), len(self._fleet)
+        )
+        if give_up_repeated(
+            job, task, ended.kind, self._settings, required_count
+        ):
             log_event(
                 'task_given_up',
                 task=task.key,
                 crashes_count=task.crashes_count,
+                required_count=required_count,
             )
 
     def clear_inherited(
--- a/src/radishlift/cell/fleet.py
+++ b/src/radishlift/cell/fleet.py
@@ -37,6 +37,9 @@
     def __iter__(self) -> Iterator[TargetId]:
         return iter(list(self._sessions))
 
+    def __len__(self) -> int:
+        return len(self._sessions)
+
     def find_session(self, target_id: TargetId) -> TargetSession | None:
         """Returns the session with a target, or None if it is unknown."""
         return self._sessions.get(target_id)
--- a/src/radishlift/steps/crashes.py
+++ b/src/radishlift/steps/crashes.py
@@ -125,12 +125,16 @@
     task: TaskRun,
     kind: EndKind,
     settings: StepSettings,
+    required_count: int = 0,
 ) -> bool:
     """Fails a job whose task repeatedly crashed targets.
 
-    Returns whether it failed now.
+    More than `max_crashes_count` may be required, but not beyond a total of
+    `max_doubted_crashes_count`. Returns whether it failed now.
     """
     is_repeated = task.confirmed_crashes_count >= settings.max_crashes_count
+    if task.crashes_count < settings.max_doubted_crashes_count:
+        is_repeated &= task.confirmed_crashes_count >= required_count
     if kind is not EndKind.crashed_alone or not is_repeated or job.is_ended:
         return False
     job.state = JobState.failed
--- a/src/radishlift/steps/settings.py
+++ b/src/radishlift/steps/settings.py
@@ -41,6 +41,12 @@
       when its target crashes.
     - `max_crashes_count`: crashes during which a task is known to have run,
       after which it is given up if no other task may have caused the last.
+    - `max_doubted_crashes_count`: the same while targets often crash for other
+      reasons. A task may start twice more after three crashes, and one crash
+      may not be known to be its own.
+    - `crash_chance`, `crash_rate_ms`: how likely the crashes that give a task
+      up may be by chance, and over which time crashes that no start explains
+      are counted.
     - `trial_group_count`: maximum number of suspects that start together on a
       target. Tasks under which several targets have crashed start alone.
     - `small_share`: a step is small if its room times run time is below this
@@ -83,6 +89,9 @@
     long_question_share: float = 0.8
     crash_window_ms: int = 300
     max_crashes_count: int = 2
+    max_doubted_crashes_count: int = 4
+    crash_chance: float = 0.00001
+    crash_rate_ms: int = 10_000
     trial_group_count: int = 4
     trial_share: float = 0.25
     small_share: float = 0.25
--- a/tests/cell/test_crashing_tasks.py
+++ b/tests/cell/test_crashing_tasks.py
@@ -407,3 +407,26 @@
         await cell.until_state(job_id, 'completed')
     finally:
         await cell.close()
+
+
+@pytest.mark.parametrize(
+    ('has_crashes', 'expected_count'), [(False, 2), (True, 4)]
+)
+async def test_task_is_tried_more_often_while_targets_crash_anyway(
+    cell, has_crashes, expected_count
+):
+    """Guards against jobs given up for crashes that no start explains."""
+    cell.lead()
+    other = cell.submit(job(step(4, cores=4), job_id='b' * 16))
+    await cell.until(lambda: len(cell.targets.running_tasks()) == 4)
+    for name in cell.targets.by_id:
+        await until_quiet(cell, name)
+    if has_crashes:
+        for fake in cell.targets.by_id.values():
+            cell.targets.crash(fake)
+        await cell.until(lambda: len(cell.targets.running_tasks()) == 4)
+    await cell.until_state(other, 'completed')
+    cell.targets.crashing.add(key())
+    job_id = cell.submit(job())
+    await cell.until(lambda: cell.state(job_id) == 'failed')
+    assert len(cell.targets.crashed) == expected_count
--- a/tests/steps/test_crashes.py
+++ b/tests/steps/test_crashes.py
@@ -249,3 +249,24 @@
     target.record_failure(110)
     suspects(target)
     assert lost_end_kind(target, key(), 1) is EndKind.maybe_crashed
+
+
+@pytest.mark.parametrize(
+    ('kinds', 'is_given_up'),
+    [
+        ('alone alone alone', False),
+        ('alone alone alone alone', True),
+        # A task may start only twice more after three crashes.
+        ('maybe maybe alone alone', True),
+    ],
+)
+def test_required_crashes_are_bounded(kinds, is_given_up):
+    """Guards against a task that crashes targets without end."""
+    named = {'alone': EndKind.crashed_alone, 'maybe': EndKind.maybe_crashed}
+    run = job()
+    for attempt, name in enumerate(kinds.split(), 1):
+        place(run, key(), attempt=attempt)
+        apply_end(run, key(), attempt, named[name], '')
+        task = run.find_task(key())
+        give_up_repeated(run, task, named[name], SETTINGS, required_count=4)
+    assert run.is_ended is is_given_up
