--- a/src/radishlift/wire/connection.py
+++ b/src/radishlift/wire/connection.py
@@ -17,6 +17,8 @@
 from radishlift.wire.messages import decode_message, encode_message
 
 _READ_BYTES: Final = 64 * 1024
+# A cancelled call says nothing about the stream before this time.
+_SILENCE_MS: Final = 500
 _MAX_SEND_BUFFER_BYTES: Final = 4 * 1024 * 1024
 # Each unknown name is logged once. The peer chooses the names, so the set of
 # logged names is bounded.
@@ -30,6 +32,9 @@
 
     Each call gets at most one reply. A reply that arrives after its call
     timed out is dropped, so that it can't complete another call.
+
+    `is_silent` is whether a call ended without a reply while nothing arrived:
+    the stream may be dead although neither side has closed it.
     """
 
     def __init__(
@@ -45,6 +50,8 @@
         self._calls: dict[int, asyncio.Future[Any]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._unknown_names: set[str] = set()
+        self._is_retired = False
+        self.is_silent = False
         self.sent_bytes = 0
         self.received_bytes = 0
 
@@ -69,8 +76,12 @@
         failure = self.send_frame(Frame(FrameKind.call, call_id, name, fields))
         if failure is not None:
             return failure
-        future = asyncio.get_running_loop().create_future()
+        loop = asyncio.get_running_loop()
+        future = loop.create_future()
         self._calls[call_id] = future
+        received_bytes = self.received_bytes
+        # Callers with a time-out of their own cancel the call.
+        silent_at_s = loop.time() + min(timeout_ms, _SILENCE_MS) / 1000
         try:
             async with asyncio.timeout(timeout_ms / 1000):
                 return await future
@@ -78,7 +89,8 @@
             reason = f'no reply to {name} in {timeout_ms} ms'
             return Failure(ErrorKind.peer_outcome_unknown, reason)
         finally:
-            self._calls.pop(call_id, None)
+            is_overdue = future.cancelled() and loop.time() >= silent_at_s
+            self._finish(call_id, received_bytes if is_overdue else None)
 
     def send_frame(self, frame: Frame) -> Failure | None:
         """Writes a frame to the send buffer, or returns why it can't."""
@@ -111,6 +123,11 @@
         finally:
             self.close()
 
+    def retire(self) -> None:
+        """Closes the stream once no call waits for a reply."""
+        self._is_retired = True
+        self._close_if_unused()
+
     def close(self) -> None:
         """Closes the stream; pending calls fail with an unknown outcome."""
         self._writer.close()
@@ -121,6 +138,17 @@
                     Failure(ErrorKind.peer_outcome_unknown, reason),
                 )
 
+    def _finish(self, call_id: int, received_bytes: int | None) -> None:
+        """Ends a call; `received_bytes` were known before an overdue one."""
+        del self._calls[call_id]
+        if received_bytes is not None:
+            self.is_silent = self.received_bytes == received_bytes
+        self._close_if_unused()
+
+    def _close_if_unused(self) -> None:
+        if self._is_retired and not self._calls:
+            self.close()
+
     def _receive(self, frame: Frame) -> None:
         if frame.kind in {FrameKind.reply, FrameKind.failure}:
             self._finish_call(frame)
--- a/src/radishlift/wire/network.py
+++ b/src/radishlift/wire/network.py
@@ -49,7 +49,8 @@
     Each daemon opens a stream to a peer for its own calls; the peer's calls
     arrive on the stream that the peer opened. `stream_closed` is emitted when
     a peer closes the stream that this daemon opened, `incoming_ended` when
-    the last stream that a peer opened has ended.
+    the last stream that a peer opened has ended. A stream that went silent is
+    replaced before the next message.
     """
 
     def __init__(
@@ -150,7 +151,15 @@
         connection = refusal or await self._connect(daemon_id)
         if isinstance(connection, Failure):
             return connection
-        return await connection.call(message, timeout_ms)
+        try:
+            return await connection.call(message, timeout_ms)
+        finally:
+            is_in_use = self._outgoing.get(daemon_id) is connection
+            if connection.is_silent and is_in_use:
+                # Later messages use a new stream.
+                del self._outgoing[daemon_id]
+                connection.retire()
+                log_event('peer_stream_silent', peer=daemon_id)
 
     async def send(
         self, daemon_id: DaemonId, message: object
--- a/tests/wire/test_network.py
+++ b/tests/wire/test_network.py
@@ -8,6 +8,7 @@
 from radishlift.core.ids import Address, DaemonId
 from radishlift.wire.messages import message
 from radishlift.wire.network import PeerNetwork
+from tests.standins.proxy import ConnectionFault, Proxy
 
 A = DaemonId('a')
 B = DaemonId('b')
@@ -67,6 +68,60 @@
     assert following == Echo(2)
 
 
+@pytest.fixture
+async def proxied(pair):
+    """The first daemon reaches the second one through a proxy."""
+    proxy = Proxy(pair[2][B])
+    await proxy.start()
+    pair[0].set_peers({**pair[2], B: Address(proxy.address)})
+    yield proxy
+    await proxy.close()
+
+
+@pytest.mark.parametrize(
+    'fault', [ConnectionFault.silence, ConnectionFault.lose_answers]
+)
+async def test_silent_stream_is_not_used_again(pair, proxied, fault):
+    """Guards against calls that all fail until a process ends."""
+    assert await pair[0].call(B, Echo(1), 2000) == Echo(1)
+    proxied.fault = fault
+    failure = await pair[0].call(B, Echo(2), 50)
+    assert failure.kind is ErrorKind.peer_outcome_unknown
+    # The proxy forwards nothing on a connection that has gone silent.
+    proxied.fault = ConnectionFault.none
+    assert await pair[0].call(B, Echo(3), 2000) == Echo(3)
+
+
+async def test_silent_stream_is_replaced_after_a_cancelled_call(pair, proxied):
+    """Guards against callers whose own time-out ends before the call's."""
+    assert await pair[0].call(B, Echo(1), 2000) == Echo(1)
+    proxied.fault = ConnectionFault.silence
+    with pytest.raises(TimeoutError):
+        async with asyncio.timeout(0.6):
+            await pair[0].call(B, Echo(2), 600)
+    proxied.fault = ConnectionFault.none
+    assert await pair[0].call(B, Echo(3), 2000) == Echo(3)
+
+
+async def test_pending_call_keeps_a_silent_stream_open(pair):
+    """Guards against long calls that fail because a short one was late."""
+    long_call = asyncio.create_task(pair[0].call(B, Echo(1, 200), 2000))
+    await asyncio.sleep(0.05)
+    late = await pair[0].call(B, Echo(2, 500), 50)
+    assert isinstance(late, Failure)
+    assert await long_call == Echo(1, 200)
+
+
+async def test_slow_handler_does_not_replace_a_stream_in_use(pair):
+    """Guards against a new stream for each call that takes long."""
+    assert await pair[0].call(B, Echo(1), 2000) == Echo(1)
+    number = pair[0].stream_number(B)
+    late = asyncio.create_task(pair[0].call(B, Echo(2, 500), 100))
+    assert await pair[0].call(B, Echo(3, 50), 2000) == Echo(3, 50)
+    assert isinstance(await late, Failure)
+    assert pair[0].stream_number(B) == number
+
+
 async def test_call_to_a_stopped_peer_fails(pair):
     """Guards against a call that succeeds when its peer has stopped."""
     await pair[1].stop()
