--- a/benchmarks/decision_model.py
+++ b/benchmarks/decision_model.py
@@ -21,6 +21,7 @@
 )
 from radishlift.steps.advice_queue import AdviceQueue
 from radishlift.steps.advice_requests import AdviceRequest
+from radishlift.steps.chains import advice_ms
 from radishlift.steps.endings import EndKind, apply_end
 from radishlift.steps.ids import (
     QueueName,
@@ -31,7 +32,7 @@
 )
 from radishlift.steps.placing import Placement
 from radishlift.steps.planner import Planner
-from radishlift.steps.ranking import StepRanking, advice_ms
+from radishlift.steps.ranking import StepRanking
 from radishlift.steps.runs import JobRun, JobState, StepRun, TaskRun, build_job
 from radishlift.steps.settings import StepSettings
 from radishlift.steps.spec import (
--- a/src/radishlift/cell/config_review.py
+++ b/src/radishlift/cell/config_review.py
@@ -19,7 +19,7 @@
 )
 from radishlift.cell.queues import Queue
 from radishlift.core.registry import Registry
-from radishlift.steps.ranking import advice_ms
+from radishlift.steps.chains import advice_ms
 from radishlift.steps.settings import StepSettings
 
 Check = Callable[[ConfigEntries], Iterator[Finding]]
--- a/src/radishlift/steps/ranking.py
+++ b/src/radishlift/steps/ranking.py
@@ -7,13 +7,8 @@
 """
 
 from collections.abc import Callable
-from typing import Final
 
 from radishlift.steps.runs import JobRun, StepRun
-from radishlift.steps.spec import AdviceTerms
-
-# Objectives include one advice request for this many targets per step.
-_ADVICE_TARGETS_COUNT: Final = 30
 
 StepRanking = Callable[[JobRun, StepRun, int], tuple[int, ...]]
 """Returns the sort key of a waiting step at a Unix time in milliseconds.
@@ -36,19 +31,8 @@
 
     With `first`, returns the longest chain that starts with this step.
     """
-    chain_ms: dict[int, int] = {}
-    for number in reversed(range(first, len(job.spec.steps))):
-        later_ms = [
-            chain_ms.get(later, 0)
-            for later in range(number + 1, len(job.spec.steps))
-            if number in job.spec.steps[later].depends_on
-        ]
-        step_ms = job.spec.steps[number].estimate_ms
-        step_ms += advice_ms(job.terms.advice)
-        chain_ms[number] = step_ms + max(later_ms, default=0)
-    if first:
-        return chain_ms.get(first, 0)
-    return max(chain_ms.values(), default=0)
+    chains = job.chains
+    return chains.by_step_ms[first] if first else chains.longest_ms
 
 
 def latest_start_ms(job: JobRun, step: StepRun) -> int:
@@ -66,16 +50,8 @@
     return wall_ms > start_ms, job.terms.priority, start_ms
 
 
-def advice_ms(terms: AdviceTerms | None) -> int:
-    """Returns the time for advice that the objective allows per step."""
-    if terms is None:
-        return 0
-    return int(terms.decide_ms + terms.per_target_ms * _ADVICE_TARGETS_COUNT)
-
-
 __all__ = (
     'StepRanking',
-    'advice_ms',
     'chain_estimate_ms',
     'latest_start_ms',
     'objective_at_ms',
--- a/src/radishlift/steps/runs.py
+++ b/src/radishlift/steps/runs.py
@@ -5,6 +5,7 @@
 from enum import Enum, unique
 
 from radishlift.core.ids import WorkspaceName
+from radishlift.steps.chains import Chains, build_chains
 from radishlift.steps.ids import StepKey, TargetId, TaskKey
 from radishlift.steps.spec import JobSpec, QueueTerms, StepSpec
 from radishlift.steps.workspaces import NO_WORKSPACE
@@ -140,6 +141,14 @@
     reason: str = ''
     workspace: WorkspaceName = NO_WORKSPACE
     is_beyond_rate: bool | None = None
+    _chains: Chains | None = None
+
+    @property
+    def chains(self) -> Chains:
+        """Returns the estimated chains under the terms in force."""
+        if self._chains is None or self._chains.terms is not self.terms:
+            self._chains = build_chains(self.spec, self.terms)
+        return self._chains
 
     @property
     def is_ended(self) -> bool:
