--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -67,6 +67,9 @@
 # Some callers give up soon and cancel their job at another daemon.
 GIVE_UP_SHARE = 0.2
 GIVE_UP_S = 0.3
+# Faults may refuse all jobs; accepted ones show that the cell has recovered.
+MIN_ACCEPTED_COUNT = 6
+RECOVERY_S = 10.0
 
 # Seeds that once failed, with the cause. Their faults do not repeat exactly.
 FAILED_SEEDS: tuple[int, ...] = (
@@ -307,6 +310,14 @@
             await process.wait()
             await self.start_daemon(name)
 
+    async def wait_accepted(self):
+        """Waits until enough jobs are accepted, for `RECOVERY_S` at most."""
+        end_s = time.monotonic() + RECOVERY_S
+        while time.monotonic() < end_s:
+            if list(self.answers.values()).count(200) >= MIN_ACCEPTED_COUNT:
+                return
+            await asyncio.sleep(0.1)
+
     async def wait_completed(self):
         """Waits for all accepted jobs; returns those not completed in time."""
         open_jobs = {
@@ -411,6 +422,7 @@
         wait_watch = asyncio.create_task(soak.limit_watch.watch_waits())
         stack.callback(wait_watch.cancel)
         await soak.limit_watch.vary_calmly(calm_s)
+        await soak.wait_accepted()
         for caller in callers:
             caller.cancel()
             with suppress(asyncio.CancelledError):
