--- a/src/radishlift/access/gate.py
+++ b/src/radishlift/access/gate.py
@@ -68,7 +68,9 @@
     key_hash = read_key(authorizations)
     if isinstance(key_hash, Failure):
         return Caller(is_key_required=False, refusal=key_hash)
-    refusal = Failure(ErrorKind.unauthenticated, 'another key')
+    refusal = Failure(
+        ErrorKind.unauthenticated, 'not the key of the submission'
+    )
     return Caller(
         NO_WORKSPACE, key_hash, is_key_required=False, refusal=refusal
     )
