--- a/src/radishlift/cell/attempts.py
+++ b/src/radishlift/cell/attempts.py
@@ -1,7 +1,7 @@
 """Applies reports of targets about attempts to tasks and jobs."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Collection
 from typing import Final
 
 from radishlift.cell.crashes import CrashHandler
@@ -140,9 +140,15 @@
         self._crashes.record_crash(session.target, is_proven=is_proven)
 
     def on_stopped(
-        self, session: TargetSession, evidence: StopEvidence
+        self,
+        session: TargetSession,
+        evidence: StopEvidence,
+        kept: Collection[TaskKey] = (),
     ) -> None:
-        """Ends all attempts of a target; removes it if it is unlisted."""
+        """Ends the attempts of a target; removes it if it is unlisted.
+
+        A new process of the target may still start the tasks that are `kept`.
+        """
         if session.target.allocations:
             log_event(
                 'target_lapsed',
@@ -150,8 +156,9 @@
                 evidence=evidence,
                 lease_ms=session.lease.remaining_ms(self._clock.monotonic_ms()),
                 is_listed=session.target.is_listed,
+                kept_count=len(kept),
             )
-        self.end_all_attempts(session)
+        self.end_all_attempts(session, kept)
         if not session.target.is_listed:
             self._fleet.remove(session.target_id)
 
@@ -177,9 +184,13 @@
             return False
         return True
 
-    def end_all_attempts(self, session: TargetSession) -> None:
+    def end_all_attempts(
+        self, session: TargetSession, kept: Collection[TaskKey] = ()
+    ) -> None:
         """Ends all attempts of a target that runs none of them any more."""
         for key, allocation in list(session.target.allocations.items()):
+            if key in kept:
+                continue
             self.end_unstarted(session, key, allocation.attempt)
 
     def stop_tasks(self, job: JobRun) -> None:
--- a/src/radishlift/cell/fleet.py
+++ b/src/radishlift/cell/fleet.py
@@ -54,7 +54,7 @@
         is_changed = known_target is None or known_target.entry != entry
         session = self._sessions.get(entry.target_id)
         if session is not None and session.target.entry.life != entry.life:
-            session.notify(may_have_restarted=True)
+            session.record_life(entry.life)
         if (
             known_target is not None
             and known_target.entry.state is not entry.state
--- a/src/radishlift/cell/leases.py
+++ b/src/radishlift/cell/leases.py
@@ -89,6 +89,13 @@
         self._unlisted_start_ms: int | None = None
         self._inherited_until_ms = inherited_until_ms
 
+    def has_passed_all(self, age_ms: int) -> bool:
+        """Returns whether no call of this leader extends a new process's lease.
+
+        The process has run for `age_ms` at least, and its clock began at 0.
+        """
+        return age_ms > self._on_slowest_clock(self._latest_until_ms)
+
     def update_clock(self, clock_ms: int, received_at_ms: int) -> None:
         """Stores a sample of the target's clock."""
         self._clock_ms = clock_ms
--- a/src/radishlift/cell/orders.py
+++ b/src/radishlift/cell/orders.py
@@ -7,11 +7,16 @@
 from radishlift.cell.leases import TargetLease
 from radishlift.cell.listing import ExpectedListing
 from radishlift.cell.open_calls import OpenCalls
-from radishlift.cell.ports import StartOrder, StartVerdict, TargetRef
+from radishlift.cell.ports import (
+    HoldOrder,
+    StartOrder,
+    StartVerdict,
+    TargetRef,
+)
 from radishlift.cell.session_context import SessionContext
 from radishlift.core.errors import ErrorKind, Failure, TimedOut
 from radishlift.core.logs import log_event
-from radishlift.steps.ids import TaskKey
+from radishlift.steps.ids import FencingToken, TaskKey
 from radishlift.steps.spec import Amounts
 from radishlift.steps.targets import Target, TargetState
 
@@ -78,6 +83,10 @@
             self._stopping.add((key, attempt))
             self._spawn(self._stop_until_answered(key, attempt))
 
+    def send_fence(self) -> None:
+        """Sends a call that does nothing but raise the token at the target."""
+        self._spawn(_send_fence(self._context, self.ref, self.fence.token))
+
     async def block_unresolved_starts(self) -> bool:
         """Blocks unanswered starts; returns whether all are blocked."""
         for key, attempt in tuple(self.unresolved):
@@ -97,7 +106,7 @@
     async def _start(self, order: StartOrder) -> None:
         is_unresolved = False
         for _ in range(self._context.settings.order_retries_count):
-            if not self._has_room():
+            if not _has_room(self._target):
                 break
             if not self.listing.is_starting(order.key, order.attempt):
                 return
@@ -146,12 +155,6 @@
             self._target.record_answer(sent_at_ms)
         return answer
 
-    def _has_room(self) -> bool:
-        """Returns whether the target's entry still allows its attempts."""
-        target = self._target
-        is_ready = target.entry.state is TargetState.ready
-        return is_ready and Amounts().fits_in(target.free_capacity)
-
     def _renew_lease(self) -> int:
         # The lease of an unreachable target is not renewed, so that it expires.
         if self._target.is_reachable and self._context.may_renew_leases():
@@ -159,13 +162,14 @@
         return self._lease.until_ms
 
     def _record_unanswered(self, order: StartOrder, failure: Failure) -> None:
+        is_silent = isinstance(failure, TimedOut)
         if not failure.is_not_run:
             self.unresolved.add((order.key, order.attempt))
+            self._target.record_unanswered(
+                order.key, order.attempt, is_silent=is_silent
+            )
             self.fence.raise_token()
-        is_silent = isinstance(failure, TimedOut)
         self._target.record_failure(self._now_ms(), is_silent=is_silent)
-        if is_silent:
-            self._target.record_unanswered(order.key, order.attempt)
         # A poll shows whether the target is still reachable.
         self._on_resolved()
         log_event(
@@ -227,4 +231,20 @@
         return is_blocked
 
 
+async def _send_fence(
+    context: SessionContext, ref: TargetRef, token: FencingToken
+) -> None:
+    answer = await context.calls.hold(ref, HoldOrder(token, 0, None, 0))
+    if isinstance(answer, Failure):
+        log_event(
+            'fence_unanswered', target=ref.target_id, reason=answer.reason
+        )
+
+
+def _has_room(target: Target) -> bool:
+    """Returns whether the target's entry still allows its attempts."""
+    is_ready = target.entry.state is TargetState.ready
+    return is_ready and Amounts().fits_in(target.free_capacity)
+
+
 __all__ = ('TargetOrders',)
--- a/src/radishlift/cell/session_context.py
+++ b/src/radishlift/cell/session_context.py
@@ -1,7 +1,7 @@
 """Shared context and listener of a leader's sessions with targets."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 from enum import Enum, unique
 from typing import TYPE_CHECKING, Protocol
@@ -27,6 +27,7 @@
     left = 'left'
     no_attempts = 'no_attempts'
     other_process = 'other_process'
+    restarted = 'restarted'
 
 
 class SessionListener(Protocol):
@@ -54,9 +55,12 @@
         """
 
     def on_stopped(
-        self, session: 'TargetSession', evidence: StopEvidence
+        self,
+        session: 'TargetSession',
+        evidence: StopEvidence,
+        kept: Collection[TaskKey] = (),
     ) -> None:
-        """Handles that a target runs nothing any more."""
+        """Handles that a target runs nothing any more, except `kept` tasks."""
 
     def on_reachability_changed(self, session: 'TargetSession') -> None:
         """Handles a change of `target.is_reachable`."""
--- a/src/radishlift/cell/sessions.py
+++ b/src/radishlift/cell/sessions.py
@@ -12,15 +12,11 @@
     StartOrder,
     StartVerdict,
 )
+from radishlift.cell.restarts import RestartWatch
 from radishlift.cell.session_context import SessionContext, StopEvidence
 from radishlift.core.errors import Failure, TimedOut
 from radishlift.core.logs import log_event
-from radishlift.steps.ids import (
-    FencingToken,
-    TargetId,
-    TargetIncarnation,
-    TaskKey,
-)
+from radishlift.steps.ids import TargetId, TargetIncarnation, TaskKey
 from radishlift.steps.targets import Target
 
 
@@ -51,7 +47,7 @@
             self.notify,
             partial(context.listener.on_not_started, self),
         )
-        self._incarnation: TargetIncarnation | None = None
+        self._restarts = RestartWatch(target, self._orders.fence)
         self._is_synced = False
         self._is_resuming = False
         self.list_requested_at_ms = 0
@@ -86,12 +82,17 @@
         self._poll_task.cancel()
         self._orders.close()
 
-    def notify(self, *, may_have_restarted: bool = False) -> None:
+    def notify(self) -> None:
         """Triggers a poll of the target."""
-        if may_have_restarted:
-            self._orders.fence.raise_token()
         self._has_work.set()
 
+    def record_life(self, life: TargetIncarnation) -> None:
+        """Handles an entry that names another process of the target."""
+        if self._restarts.record_entry(life, self._now_ms()):
+            # A poll that waits for an end would delay this.
+            self._orders.send_fence()
+        self.notify()
+
     def start(self, order: StartOrder) -> None:
         """Starts an attempt; the listener receives the outcome."""
         self._orders.start(order)
@@ -133,7 +134,11 @@
         if isinstance(answer, HoldReport):
             # A late call must not acknowledge the ends of a later process.
             self._ended_cursor = 0
-            if self._is_unfenced(answer, order.fencing_token):
+            if self._restarts.needs_fence(
+                answer, order.fencing_token, self._now_ms()
+            ):
+                self.lease.expect_late_calls(answer.clock_ms, self._now_ms())
+                self._set_reachable(is_reachable=False)
                 return
             self.list_requested_at_ms = requested_at_ms
             await self._apply_report(answer)
@@ -171,43 +176,20 @@
             wait_ms,
         )
 
-    def _is_unfenced(self, report: HoldReport, token: FencingToken) -> bool:
-        """Returns whether earlier calls may take effect in a new process.
-
-        If so, the next poll fences it.
-        """
-        incarnation = report.incarnation
-        fence = self._orders.fence
-        if incarnation is None or self._incarnation in {None, incarnation}:
-            return False
-        if fence.is_fenced(incarnation, token):
-            return False
-        fence.raise_for(incarnation)
-        log_event(
-            'target_restarted',
-            target=self.target_id,
-            incarnation=incarnation,
-            token=fence.token,
-        )
-        self.lease.expect_late_calls(report.clock_ms, self._now_ms())
-        self._set_reachable(is_reachable=False)
-        return True
-
     async def _apply_report(self, report: HoldReport) -> None:
-        is_restarted = report.incarnation not in {None, self._incarnation}
+        was_known = self._restarts.incarnation is not None
+        is_restarted = self._restarts.accept(report.incarnation)
         if is_restarted or not self._is_synced:
             # Each process has its own clock.
             self.lease.begin_process(report.clock_ms, self._now_ms())
         else:
             self.lease.update_clock(report.clock_ms, self._now_ms())
         self.lease.record_list(self.list_requested_at_ms)
-        if is_restarted and self._incarnation is not None:
+        if is_restarted and was_known:
             self._orders.unresolved.clear()
             self.target.record_restart()
             self.target.record_failure(self._now_ms())
             self._context.listener.on_crashed(self, is_proven=True)
-        if is_restarted:
-            self._incarnation = report.incarnation
         self.target.record_running()
         # Answers of a new process must not clear the starts that crashed it.
         self.target.record_answer(self.list_requested_at_ms)
@@ -242,19 +224,28 @@
         )
         self._set_reachable(is_reachable=False)
         evidence = _find_end_evidence(self.target, answer)
+        kept: set[TaskKey] = set()
+        if evidence is None:
+            kept = self._restarts.list_startable(
+                self.lease, self._now_ms(), self.list_requested_at_ms
+            )
+            if self._restarts.has_answered:
+                evidence = StopEvidence.restarted
         has_ended = evidence is not None
         if evidence is None and self.lease.has_expired(self._now_ms()):
             evidence = StopEvidence.lease_expired
         if has_ended:
             # A start that this process rejects did not crash the earlier one.
             await self._orders.open_starts.wait_closed()
-        if evidence is not None:
+        # Tasks that are kept end, or run on, once the target answers.
+        is_all_kept = bool(kept) and kept >= self.target.allocations.keys()
+        if evidence is not None and not is_all_kept:
             self.listing.clear()
             # A listed target may run on behind a network partition.
             self._context.listener.on_crashed(
                 self, is_proven=has_ended or not self.target.is_listed
             )
-            self._context.listener.on_stopped(self, evidence)
+            self._context.listener.on_stopped(self, evidence, kept)
 
     def _set_reachable(self, *, is_reachable: bool) -> None:
         if self.target.is_reachable != is_reachable:
--- a/src/radishlift/core/events.py
+++ b/src/radishlift/core/events.py
@@ -75,6 +75,7 @@
     'task_orphaned',
     'task_suspected',
     'target_lost',
+    'fence_unanswered',
     'peer_stream_silent',
     'job_withheld',
     'target_restarted',
--- a/src/radishlift/steps/targets.py
+++ b/src/radishlift/steps/targets.py
@@ -59,7 +59,8 @@
     `sent_at_ms` is when the latest start call was sent, and `first_sent_at_ms`
     when the first was; None if none was.
     `is_confirmed` is whether the target has answered that it started,
-    `is_silent` whether a start call got no answer in time, and `is_inherited`
+    `is_unanswered` whether a start call got no answer, so that it may still be
+    carried out, `is_silent` whether one got none in time, and `is_inherited`
     whether an earlier leader started it. `started_at_ms` is when
     the answer to its only start call arrived; None if it is unknown. `charge`
     is what it uses of the limit of its workspace.
@@ -71,6 +72,7 @@
     sent_at_ms: int | None = None
     first_sent_at_ms: int | None = None
     is_confirmed: bool = False
+    is_unanswered: bool = False
     is_silent: bool = False
     is_inherited: bool = False
     started_at_ms: int | None = None
@@ -151,11 +153,17 @@
             self.failed_at_ms = now_ms
             self.is_silent = is_silent
 
-    def record_unanswered(self, key: TaskKey, attempt: int) -> None:
-        """Records that a start call of an attempt got no answer in time."""
+    def record_unanswered(
+        self, key: TaskKey, attempt: int, *, is_silent: bool
+    ) -> None:
+        """Records that a start call of an attempt got no answer.
+
+        `is_silent` is whether it got none in time.
+        """
         allocation = self.allocations.get(key)
         if allocation is not None and allocation.attempt == attempt:
-            allocation.is_silent = True
+            allocation.is_unanswered = True
+            allocation.is_silent |= is_silent
 
     def record_restart(self) -> None:
         """Records that a process of the target has ended."""
--- a/tests/cell/test_sessions.py
+++ b/tests/cell/test_sessions.py
@@ -13,7 +13,7 @@
 from radishlift.steps.endings import EndKind
 from radishlift.steps.settings import StepSettings
 from tests.cell.fakes import UNKNOWN
-from tests.cell.leader import SETTINGS, Cell
+from tests.cell.leader import MAX_LEASE_MS, SETTINGS, Cell
 from tests.steps.builders import job, key, step
 
 OTHER_JOB = 'b' * 16
@@ -681,3 +681,76 @@
     await cell.until(lambda: bool(fake.running))
     assert tokens[1] > tokens[0]
     assert not term.done()
+
+
+async def lose_target_with_a_late_start(cell, monkeypatch):
+    """Starts a task twice on `t1`; returns the copy without an answer."""
+    fake = cell.targets['t1']
+    start = cell.targets.start
+    late = []
+
+    async def lose_first(target, order):
+        if not late:
+            late.append(order)
+            return UNKNOWN
+        return await start(target, order)
+
+    monkeypatch.setattr(cell.targets, 'start', lose_first)
+    cell.lead()
+    cell.submit(job())
+    await cell.until(lambda: bool(fake.running))
+    await asyncio.sleep(CONFIRMED_S)
+    fake.is_unresponsive = True
+    cell.add_target('t2')
+    # An open poll ends before the process does.
+    await asyncio.sleep(0.05)
+    return late[0]
+
+
+async def test_late_start_of_a_process_that_no_call_has_reached_is_awaited(
+    cell, monkeypatch
+):
+    """Guards against a task that a new process starts beside another one."""
+    late = await lose_target_with_a_late_start(cell, monkeypatch)
+    fake = cell.targets['t1']
+    fake.restart()
+    cell.write_target('t1', life=2)
+    await asyncio.sleep(3 * MAX_LEASE_MS / 1000)
+    assert fake.run(late) is StartVerdict.started
+    fake.is_unresponsive = False
+    await asyncio.sleep(CONFIRMED_S)
+    assert attempts(cell, key()) == [('t1', 1), ('t1', 1)]
+
+
+@pytest.mark.parametrize('is_listed', [False, True])
+async def test_lost_task_starts_elsewhere_unless_a_new_process_may_start_it(
+    cell, monkeypatch, is_listed
+):
+    """Guards against waits for processes that don't run."""
+    await lose_target_with_a_late_start(cell, monkeypatch)
+    if not is_listed:
+        cell.targets['t1'].restart()
+        cell.write_target('t1', life=2)
+        cell.write(TARGETS, 't1', None)
+    await cell.until(lambda: bool(cell.targets['t2'].running), within_s=2)
+
+
+async def test_new_process_is_fenced_while_a_poll_is_open(cell, monkeypatch):
+    """Guards against late calls until a poll that waits has timed out."""
+    fake = cell.targets['t1']
+    hold = cell.targets.hold
+    is_stuck = asyncio.Event()
+
+    async def stick(target, order):
+        if not is_stuck.is_set() and fake.running:
+            is_stuck.set()
+            await asyncio.Event().wait()
+        return await hold(target, order)
+
+    monkeypatch.setattr(cell.targets, 'hold', stick)
+    cell.lead()
+    cell.submit(job())
+    await cell.until(is_stuck.is_set)
+    fake.restart()
+    cell.write_target('t1', life=2)
+    await cell.until(lambda: fake.fencing_token > 1, within_s=1)
