--- a/src/radishlift/cell/crashes.py
+++ b/src/radishlift/cell/crashes.py
@@ -62,8 +62,9 @@
             target=target.entry.target_id,
             attempts_count=len(target.allocations),
             suspects_count=len(suspects),
-            failed_at_ms=target.failed_at_ms,
+            process=target.process,
             is_proven=is_proven,
+            is_silent=target.is_silent,
         )
 
     def has_survived(self, target: Target, key: TaskKey, attempt: int) -> bool:
@@ -88,14 +89,17 @@
         """
         if ended.kind not in CRASH_KINDS:
             return
+        crash = allocation.crash if allocation else None
         log_event(
             'task_suspected',
             task=task.key,
             attempt=ended.attempt,
+            how=ended.kind,
             crashes_count=task.crashes_count,
             confirmed_count=task.confirmed_crashes_count,
-            how=ended.kind,
-            sent_at_ms=allocation and allocation.first_sent_at_ms,
+            process=crash and crash.process,
+            delay_ms=crash and crash.delay_ms,
+            suspects_count=crash and crash.suspects_count,
             is_answered=allocation is not None and allocation.is_confirmed,
         )
         required_count = self._rate.required_count(
--- a/src/radishlift/cell/sessions.py
+++ b/src/radishlift/cell/sessions.py
@@ -190,6 +190,7 @@
             self.target.record_restart()
             self.target.record_failure(self._now_ms())
             self._context.listener.on_crashed(self, is_proven=True)
+        self.target.process = self._restarts.incarnation
         self.target.record_running()
         # Answers of a new process must not clear the starts that crashed it.
         self.target.record_answer(self.list_requested_at_ms)
--- a/src/radishlift/steps/crashes.py
+++ b/src/radishlift/steps/crashes.py
@@ -11,7 +11,12 @@
 from radishlift.steps.ids import TaskKey
 from radishlift.steps.runs import JobRun, JobState, TaskRun
 from radishlift.steps.settings import StepSettings
-from radishlift.steps.targets import Allocation, Suspicion, Target
+from radishlift.steps.targets import (
+    Allocation,
+    CrashRecord,
+    Suspicion,
+    Target,
+)
 
 CRASH_REASON: Final = 'a task crashed its targets'
 
@@ -69,6 +74,9 @@
     }
     units = {key.step_key if key in gangs else key for key in suspects}
     for allocation in suspects.values():
+        allocation.crash = CrashRecord(
+            target.process, _crash_delay_ms(target, allocation), len(units)
+        )
         allocation.suspicion = (
             _rate(target, allocation, len(units), settings)
             if is_proven
@@ -103,13 +111,19 @@
     settings: StepSettings,
 ) -> bool:
     """Returns whether the target failed within the window of a start."""
-    first_sent_at_ms = allocation.first_sent_at_ms
     if target.is_silent:
         return False
-    if target.failed_at_ms is None or first_sent_at_ms is None:
-        return True
-    passed_ms = target.failed_at_ms - first_sent_at_ms
-    return 0 <= passed_ms <= settings.crash_window_ms
+    delay_ms = _crash_delay_ms(target, allocation)
+    return delay_ms is None or 0 <= delay_ms <= settings.crash_window_ms
+
+
+def _crash_delay_ms(target: Target, allocation: Allocation) -> int | None:
+    """Returns how long after a start its target failed, if that is known."""
+    first_sent_at_ms = allocation.first_sent_at_ms
+    failed_at_ms = None if target.is_silent else target.failed_at_ms
+    if failed_at_ms is None or first_sent_at_ms is None:
+        return None
+    return failed_at_ms - first_sent_at_ms
 
 
 def lost_end_kind(target: Target, key: TaskKey, attempt: int) -> EndKind:
--- a/src/radishlift/steps/targets.py
+++ b/src/radishlift/steps/targets.py
@@ -51,6 +51,20 @@
     sole = 'sole'
 
 
+@dataclass(frozen=True, slots=True)
+class CrashRecord:
+    """What is known of the crash of a target that an attempt may have caused.
+
+    `process` is the one that crashed, None if it is unknown. `delay_ms` is the
+    time from the first start call to the first failed call; None if that call
+    timed out. `suspects_count` counts a gang once.
+    """
+
+    process: TargetIncarnation | None
+    delay_ms: int | None
+    suspects_count: int
+
+
 @dataclass(slots=True)
 class Allocation:
     """Capacity allocated to an attempt until its end is known.
@@ -62,8 +76,9 @@
     `is_unanswered` whether a start call got no answer, so that it may still be
     carried out, `is_silent` whether one got none in time, and `is_inherited`
     whether an earlier leader started it. `started_at_ms` is when
-    the answer to its only start call arrived; None if it is unknown. `charge`
-    is what it uses of the limit of its workspace.
+    the answer to its only start call arrived; None if it is unknown. `crash`
+    is why it is a suspect. `charge` is what it uses of the limit of its
+    workspace.
     """
 
     attempt: int
@@ -77,6 +92,7 @@
     is_inherited: bool = False
     started_at_ms: int | None = None
     suspicion: Suspicion = Suspicion.none
+    crash: CrashRecord | None = None
     charge: Charge = NO_CHARGE
 
     def record_sent(self, now_ms: int) -> int | None:
@@ -104,7 +120,8 @@
     the latest answered call was sent. `failed_at_ms` is when a call first
     failed since the process was last known to run; None if none has.
     `is_silent` is whether that call got no answer in time, so that the process
-    may have ended at another time.
+    may have ended at another time. `process` is the one whose reports are used;
+    None before the first.
     `has_restarted` is whether a process has ended, and `has_left` whether the
     target has removed its entry. A watched target is polled more often.
     All targets of a table share one `workspace_use`.
@@ -120,6 +137,7 @@
     answered_at_ms: int = 0
     failed_at_ms: int | None = None
     is_silent: bool = False
+    process: TargetIncarnation | None = None
     has_restarted: bool = False
     has_left: bool = False
     is_watched: bool = False
@@ -279,6 +297,7 @@
 
 __all__ = (
     'Allocation',
+    'CrashRecord',
     'Suspicion',
     'Target',
     'TargetEntry',
--- a/tests/cell/test_crashing_tasks.py
+++ b/tests/cell/test_crashing_tasks.py
@@ -6,6 +6,7 @@
 import pytest
 
 from radishlift.cell.tables import PROGRESS, TARGETS
+from radishlift.core.logs import add_event_sink, remove_event_sink
 from radishlift.steps.crashes import CRASH_REASON
 from radishlift.steps.endings import EndKind
 from radishlift.steps.settings import StepSettings
@@ -430,3 +431,26 @@
     job_id = cell.submit(job())
     await cell.until(lambda: cell.state(job_id) == 'failed')
     assert len(cell.targets.crashed) == expected_count
+
+
+async def test_log_tells_which_crashes_gave_a_job_up(cell):
+    """Guards against a failed job whose crashes nobody can look up."""
+    logged = []
+
+    def record(event, _, fields):
+        if event == 'task_suspected':
+            logged.append(fields)
+
+    add_event_sink(record)
+    try:
+        cell.targets.crashing.add(key())
+        cell.lead()
+        job_id = cell.submit(job())
+        await cell.until(lambda: cell.state(job_id) == 'failed')
+    finally:
+        remove_event_sink(record)
+    assert [fields['confirmed_count'] for fields in logged] == [1, 2]
+    for fields in logged:
+        assert fields['process'] is not None
+        assert 0 <= fields['delay_ms'] <= STEP_SETTINGS.crash_window_ms
+        assert (fields['suspects_count'], fields['is_answered']) == (1, False)
