--- a/src/radishlift/access/gate.py
+++ b/src/radishlift/access/gate.py
@@ -60,7 +60,7 @@
 """Caller without a key."""
 
 
-def recognize(authorizations: Sequence[str]) -> Caller:
+def identify_submitter(authorizations: Sequence[str]) -> Caller:
     """Returns the caller while the configuration has no workspaces.
 
     Its key is not judged, and only proves which jobs it has submitted.
@@ -140,4 +140,4 @@
         )
 
 
-__all__ = ('ANYONE', 'Caller', 'KeyGate', 'recognize')
+__all__ = ('ANYONE', 'Caller', 'KeyGate', 'identify_submitter')
--- a/src/radishlift/cell/crashes.py
+++ b/src/radishlift/cell/crashes.py
@@ -36,7 +36,7 @@
         It may turn out only later whether its process has ended, and a time-out
         says nothing about that.
         """
-        is_used = bool(target.allocations) and not target.is_silent
+        is_used = bool(target.allocations) and not target.has_timed_out
         if is_used and is_quiet(target, self._settings):
             self._rate.record(self._clock.monotonic_ms())
 
@@ -55,7 +55,7 @@
             self._settings,
             is_proven=is_proven,
         )
-        if is_proven and target.is_silent and not suspects:
+        if is_proven and target.has_timed_out and not suspects:
             self._rate.record(self._clock.monotonic_ms())
         log_event(
             'target_crashed',
@@ -64,7 +64,7 @@
             suspects_count=len(suspects),
             process=target.process,
             is_proven=is_proven,
-            is_silent=target.is_silent,
+            has_timed_out=target.has_timed_out,
         )
 
     def has_survived(self, target: Target, key: TaskKey, attempt: int) -> bool:
--- a/src/radishlift/cell/job_service.py
+++ b/src/radishlift/cell/job_service.py
@@ -10,15 +10,12 @@
 from typing import Any, Final
 
 from radishlift.access.freshness import ConfigFreshness
-from radishlift.access.gate import ANYONE, Caller, KeyGate, recognize
+from radishlift.access.gate import ANYONE, Caller, KeyGate, identify_submitter
 from radishlift.access.settings import AccessSettings
 from radishlift.cell.entry_rows import SETTLED_KINDS, EntryRows
+from radishlift.cell.job_access import may_use_job, refuse_job, unknown_job
 from radishlift.cell.job_limits import check_job_size
-from radishlift.cell.job_rows import (
-    dump_job,
-    read_key_digest,
-    read_workspace,
-)
+from radishlift.cell.job_rows import dump_job, read_workspace
 from radishlift.cell.queues import Queue, QueueConfig
 from radishlift.cell.tables import CANCELS, JOBS, PROGRESS, cancel_key
 from radishlift.core.clock import Clock
@@ -26,7 +23,6 @@
 from radishlift.core.ids import JobId, WorkspaceName
 from radishlift.core.logs import log_event
 from radishlift.outages.comebacks import choose_pause_s
-from radishlift.services.api import Row
 from radishlift.steps.ids import QueueName
 from radishlift.steps.limits import find_oversized_step
 from radishlift.steps.runs import JobState
@@ -99,7 +95,7 @@
         """
         config = self.config
         if config is None or not config.workspaces:
-            return recognize(authorizations)
+            return identify_submitter(authorizations)
         if queue.is_public:
             return self._gate.admit_to_public(
                 authorizations, config.find_workspace
@@ -181,15 +177,15 @@
             return job if is_unsure else None
         owners = {caller.workspace, NO_WORKSPACE}
         if job.value is not None:
-            if not _may_use(job, caller):
-                return _refuse(job_id, caller)
+            if not may_use_job(job, caller):
+                return refuse_job(job_id, caller)
             owners = {read_workspace(job.value)}
         # Its queue may have required a key then and none now, or vice versa.
         for owner in owners - {caller.owner}:
             failure = await self._store_cancel(job_id, deadline_ms, owner)
             if failure is not None:
                 return failure
-        return _unknown(job_id) if job.value is None else None
+        return unknown_job(job_id) if job.value is None else None
 
     async def read_status(
         self, job_id: JobId, caller: Caller = ANYONE
@@ -208,15 +204,17 @@
                 JobState(progress.value['state']),
                 str(progress.value.get('reason', '')),
             )
-            if _may_use(progress, caller):
+            if may_use_job(progress, caller):
                 return status
         # Only the row of the job names its caller's key.
         job = await self._rows.read(JOBS, job_id)
         if isinstance(job, Failure):
             return job
         if job.value is None:
-            return _unknown(job_id)
-        return status if _may_use(job, caller) else _refuse(job_id, caller)
+            return unknown_job(job_id)
+        return (
+            status if may_use_job(job, caller) else refuse_job(job_id, caller)
+        )
 
     def count_pending(self, queue: QueueName) -> int:
         """Returns how many jobs of a queue have not started."""
@@ -308,28 +306,6 @@
     return 0
 
 
-def _may_use(row: Row, caller: Caller) -> bool:
-    plain = row.value or {}
-    return caller.may_use(read_workspace(plain), read_key_digest(plain))
-
-
-def _refuse(job_id: JobId, caller: Caller) -> Failure:
-    """Returns why a caller may not use a job that exists."""
-    if caller.refusal is None:
-        return _unknown(job_id)
-    log_event(
-        'job_withheld',
-        job=job_id,
-        outcome=caller.refusal.kind,
-        reason=caller.refusal.reason,
-    )
-    return caller.refusal
-
-
-def _unknown(job_id: JobId) -> Failure:
-    return Failure(ErrorKind.not_found, f'no job {job_id}')
-
-
 def _log_rejection(failure: Failure, queue: Queue) -> None:
     log_event(
         'call_rejected',
--- a/src/radishlift/cell/leases.py
+++ b/src/radishlift/cell/leases.py
@@ -89,7 +89,7 @@
         self._unlisted_start_ms: int | None = None
         self._inherited_until_ms = inherited_until_ms
 
-    def has_passed_all(self, age_ms: int) -> bool:
+    def has_outlived_calls(self, age_ms: int) -> bool:
         """Returns whether no call of this leader extends a new process's lease.
 
         The process has run for `age_ms` at least, and its clock began at 0.
--- a/src/radishlift/cell/orders.py
+++ b/src/radishlift/cell/orders.py
@@ -162,14 +162,14 @@
         return self._lease.until_ms
 
     def _record_unanswered(self, order: StartOrder, failure: Failure) -> None:
-        is_silent = isinstance(failure, TimedOut)
+        has_timed_out = isinstance(failure, TimedOut)
         if not failure.is_not_run:
             self.unresolved.add((order.key, order.attempt))
             self._target.record_unanswered(
-                order.key, order.attempt, is_silent=is_silent
+                order.key, order.attempt, has_timed_out=has_timed_out
             )
             self.fence.raise_token()
-        self._target.record_failure(self._now_ms(), is_silent=is_silent)
+        self._target.record_failure(self._now_ms(), has_timed_out=has_timed_out)
         # A poll shows whether the target is still reachable.
         self._on_resolved()
         log_event(
--- a/src/radishlift/cell/restarts.py
+++ b/src/radishlift/cell/restarts.py
@@ -69,7 +69,7 @@
             self.has_answered = False
         return is_other
 
-    def list_startable(
+    def list_possibly_running(
         self, lease: TargetLease, now_ms: int, listed_at_ms: int
     ) -> set[TaskKey]:
         """Lists the tasks that a new process may run, or start by a late call.
@@ -81,7 +81,7 @@
         noticed_at_ms = self._noticed_at_ms
         if noticed_at_ms is None or not self._target.is_listed:
             return set()
-        if lease.has_passed_all(now_ms - noticed_at_ms):
+        if lease.has_outlived_calls(now_ms - noticed_at_ms):
             return set()
         return {
             key
--- a/src/radishlift/cell/sessions.py
+++ b/src/radishlift/cell/sessions.py
@@ -221,13 +221,13 @@
             log_event('target_lost', target=self.target_id, reason=reason)
         self._ended_cursor = 0
         self.target.record_failure(
-            self._now_ms(), is_silent=isinstance(answer, TimedOut)
+            self._now_ms(), has_timed_out=isinstance(answer, TimedOut)
         )
         self._set_reachable(is_reachable=False)
         evidence = _find_end_evidence(self.target, answer)
         kept: set[TaskKey] = set()
         if evidence is None:
-            kept = self._restarts.list_startable(
+            kept = self._restarts.list_possibly_running(
                 self.lease, self._now_ms(), self.list_requested_at_ms
             )
             if self._restarts.has_answered:
--- a/src/radishlift/steps/crash_rate.py
+++ b/src/radishlift/steps/crash_rate.py
@@ -27,13 +27,15 @@
     def required_count(self, now_ms: int, targets_count: int) -> int:
         """Returns how many crashes of its targets give a task up.
 
-        Fewer than that are together likelier by chance than `crash_chance`.
+        It is the least number that is together less likely by chance than
+        `crash_chance`, from `max_crashes_count` on, but not above
+        `max_required_crashes_count`.
         """
         settings = self._settings
         chance = self._chance_at_start(now_ms, targets_count)
         count = settings.max_crashes_count
         while (
-            count < settings.max_doubted_crashes_count
+            count < settings.max_required_crashes_count
             and chance**count > settings.crash_chance
         ):
             count += 1
--- a/src/radishlift/steps/crashes.py
+++ b/src/radishlift/steps/crashes.py
@@ -93,7 +93,7 @@
 ) -> Suspicion:
     # An inherited attempt may have run for long before the takeover, and one
     # whose start got no answer may never have begun.
-    is_doubtful = allocation.is_inherited or allocation.is_silent
+    is_doubtful = allocation.is_inherited or allocation.has_timed_out
     if is_doubtful and not allocation.is_confirmed:
         return Suspicion.unconfirmed
     if not _failed_at_start(target, allocation, settings):
@@ -111,7 +111,7 @@
     settings: StepSettings,
 ) -> bool:
     """Returns whether the target failed within the window of a start."""
-    if target.is_silent:
+    if target.has_timed_out:
         return False
     delay_ms = _crash_delay_ms(target, allocation)
     return delay_ms is None or 0 <= delay_ms <= settings.crash_window_ms
@@ -120,7 +120,7 @@
 def _crash_delay_ms(target: Target, allocation: Allocation) -> int | None:
     """Returns how long after a start its target failed, if that is known."""
     first_sent_at_ms = allocation.first_sent_at_ms
-    failed_at_ms = None if target.is_silent else target.failed_at_ms
+    failed_at_ms = None if target.has_timed_out else target.failed_at_ms
     if failed_at_ms is None or first_sent_at_ms is None:
         return None
     return failed_at_ms - first_sent_at_ms
@@ -144,10 +144,10 @@
     """Fails a job whose task repeatedly crashed targets.
 
     More than `max_crashes_count` may be required, but not beyond a total of
-    `max_doubted_crashes_count`. Returns whether it failed now.
+    `max_required_crashes_count`. Returns whether it failed now.
     """
     is_repeated = task.confirmed_crashes_count >= settings.max_crashes_count
-    if task.crashes_count < settings.max_doubted_crashes_count:
+    if task.crashes_count < settings.max_required_crashes_count:
         is_repeated &= task.confirmed_crashes_count >= required_count
     if kind is not EndKind.crashed_alone or not is_repeated or job.is_ended:
         return False
--- a/src/radishlift/steps/settings.py
+++ b/src/radishlift/steps/settings.py
@@ -41,7 +41,7 @@
       when its target crashes.
     - `max_crashes_count`: crashes during which a task is known to have run,
       after which it is given up if no other task may have caused the last.
-    - `max_doubted_crashes_count`: the same while targets often crash for other
+    - `max_required_crashes_count`: the same while targets often crash for other
       reasons. A task may start twice more after three crashes, and one crash
       may not be known to be its own.
     - `crash_chance`, `crash_rate_ms`: how likely the crashes that give a task
@@ -89,7 +89,7 @@
     long_question_share: float = 0.8
     crash_window_ms: int = 300
     max_crashes_count: int = 2
-    max_doubted_crashes_count: int = 4
+    max_required_crashes_count: int = 4
     crash_chance: float = 0.00001
     crash_rate_ms: int = 10_000
     trial_group_count: int = 4
--- a/src/radishlift/steps/targets.py
+++ b/src/radishlift/steps/targets.py
@@ -74,11 +74,11 @@
     when the first was; None if none was.
     `is_confirmed` is whether the target has answered that it started,
     `is_unanswered` whether a start call got no answer, so that it may still be
-    carried out, `is_silent` whether one got none in time, and `is_inherited`
-    whether an earlier leader started it. `started_at_ms` is when
-    the answer to its only start call arrived; None if it is unknown. `crash`
-    is why it is a suspect. `charge` is what it uses of the limit of its
-    workspace.
+    carried out, `has_timed_out` whether one got none in time, and
+    `is_inherited` whether an earlier leader started it. `started_at_ms` is
+    when the answer to its only start call arrived; None if it is unknown.
+    `crash` is why it is a suspect. `charge` is what it uses of the limit of
+    its workspace.
     """
 
     attempt: int
@@ -88,7 +88,7 @@
     first_sent_at_ms: int | None = None
     is_confirmed: bool = False
     is_unanswered: bool = False
-    is_silent: bool = False
+    has_timed_out: bool = False
     is_inherited: bool = False
     started_at_ms: int | None = None
     suspicion: Suspicion = Suspicion.none
@@ -119,9 +119,9 @@
     not respond or that fail the tasks they start. `answered_at_ms` is when
     the latest answered call was sent. `failed_at_ms` is when a call first
     failed since the process was last known to run; None if none has.
-    `is_silent` is whether that call got no answer in time, so that the process
-    may have ended at another time. `process` is the one whose reports are used;
-    None before the first.
+    `has_timed_out` is whether that call got no answer in time, so that the
+    process may have ended at another time. `process` is the one whose reports
+    are used; None before the first.
     `has_restarted` is whether a process has ended, and `has_left` whether the
     target has removed its entry. A watched target is polled more often.
     All targets of a table share one `workspace_use`.
@@ -136,7 +136,7 @@
     consecutive_failures_count: int = 0
     answered_at_ms: int = 0
     failed_at_ms: int | None = None
-    is_silent: bool = False
+    has_timed_out: bool = False
     process: TargetIncarnation | None = None
     has_restarted: bool = False
     has_left: bool = False
@@ -165,23 +165,25 @@
         """Records that a call sent at a monotonic time was answered."""
         self.answered_at_ms = max(self.answered_at_ms, sent_at_ms)
 
-    def record_failure(self, now_ms: int, *, is_silent: bool = False) -> None:
+    def record_failure(
+        self, now_ms: int, *, has_timed_out: bool = False
+    ) -> None:
         """Records that a call has failed, or that the process has ended."""
         if self.failed_at_ms is None:
             self.failed_at_ms = now_ms
-            self.is_silent = is_silent
+            self.has_timed_out = has_timed_out
 
     def record_unanswered(
-        self, key: TaskKey, attempt: int, *, is_silent: bool
+        self, key: TaskKey, attempt: int, *, has_timed_out: bool
     ) -> None:
         """Records that a start call of an attempt got no answer.
 
-        `is_silent` is whether it got none in time.
+        `has_timed_out` is whether it got none in time.
         """
         allocation = self.allocations.get(key)
         if allocation is not None and allocation.attempt == attempt:
             allocation.is_unanswered = True
-            allocation.is_silent |= is_silent
+            allocation.has_timed_out |= has_timed_out
 
     def record_restart(self) -> None:
         """Records that a process of the target has ended."""
@@ -190,7 +192,7 @@
     def record_running(self) -> None:
         """Records that the process is known to run."""
         self.failed_at_ms = None
-        self.is_silent = False
+        self.has_timed_out = False
 
     def record_start(
         self, key: TaskKey, attempt: int, now_ms: int
--- a/tests/steps/test_crash_rate.py
+++ b/tests/steps/test_crash_rate.py
@@ -8,7 +8,7 @@
 SETTINGS = StepSettings(
     crash_window_ms=300,
     max_crashes_count=2,
-    max_doubted_crashes_count=4,
+    max_required_crashes_count=4,
     crash_chance=0.00001,
     crash_rate_ms=10_000,
 )
--- a/tests/steps/test_crashes.py
+++ b/tests/steps/test_crashes.py
@@ -233,7 +233,7 @@
 def test_start_that_may_never_have_begun_is_not_blamed(is_answered, kind):
     """Guards against jobs given up for starts that no target has read."""
     target = target_with_starts(a=10)
-    target.record_unanswered(key(), 1, is_silent=True)
+    target.record_unanswered(key(), 1, has_timed_out=True)
     target.record_failure(100)
     if is_answered:
         target.confirm_start(key(), 1)
@@ -245,7 +245,7 @@
     """Guards against blame for a time-out that ends shortly after a start."""
     target = target_with_starts(a=10)
     target.confirm_start(key(), 1)
-    target.record_failure(100, is_silent=True)
+    target.record_failure(100, has_timed_out=True)
     target.record_failure(110)
     suspects(target)
     assert lost_end_kind(target, key(), 1) is EndKind.maybe_crashed
