--- a/src/radishlift/cell/inherited_attempts.py
+++ b/src/radishlift/cell/inherited_attempts.py
@@ -1,6 +1,6 @@
 """Attempts that a previous leader placed."""
 
-from typing import NamedTuple
+from typing import Final, NamedTuple
 
 from radishlift.cell.attempts import AttemptTracker
 from radishlift.cell.fleet import TargetFleet
@@ -10,8 +10,12 @@
 from radishlift.core.logs import log_event
 from radishlift.steps.ids import TargetId
 from radishlift.steps.runs import TaskRun, TaskState
+from radishlift.steps.targets import Target
 from radishlift.steps.workspace_use import Charge, charge_of
 
+# Larger than the difference of two hosts' clocks.
+_MAX_CLOCK_SKEW_MS: Final = 10_000
+
 
 class _Unallocated(NamedTuple):
     task: TaskRun
@@ -66,7 +70,9 @@
                     step.spec.allocated_amounts,
                     charge=charge,
                 )
-                target.allocations[task.key].is_inherited = True
+                allocation = target.allocations[task.key]
+                allocation.is_inherited = True
+                allocation.may_predate_process = self._may_predate(task, target)
                 target.record_start(
                     task.key, task.attempt, self._clock.monotonic_ms()
                 )
@@ -85,6 +91,12 @@
                 log_event('task_orphaned', task=task.key, target=target_id)
                 self._tracker.end_orphan(task.key, task.attempt)
 
+    def _may_predate(self, task: TaskRun, target: Target) -> bool:
+        """Returns whether a task may have been placed before a restart."""
+        job = self._jobs.get(task.key.step_key.job_id)
+        accepted_at_ms = 0 if job is None else job.accepted_at_ms
+        return target.entry.life > accepted_at_ms - _MAX_CLOCK_SKEW_MS
+
     def _add(self, task: TaskRun, charge: Charge) -> None:
         self._use.add(charge)
         self._tasks_by_target.setdefault(task.target_id, []).append(
--- a/src/radishlift/cell/restarts.py
+++ b/src/radishlift/cell/restarts.py
@@ -5,7 +5,7 @@
 from radishlift.cell.ports import HoldReport
 from radishlift.core.logs import log_event
 from radishlift.steps.ids import FencingToken, TargetIncarnation, TaskKey
-from radishlift.steps.targets import Target
+from radishlift.steps.targets import Allocation, Target
 
 
 class RestartWatch:
@@ -22,7 +22,7 @@
         self._fence = fence
         self.incarnation: TargetIncarnation | None = None
         self.has_answered = False
-        # When a process was noticed that has not been fenced yet.
+        # When the latest process was noticed that has not been fenced yet.
         self._noticed_at_ms: int | None = None
 
     def record_entry(self, life: TargetIncarnation, now_ms: int) -> bool:
@@ -30,8 +30,7 @@
         if life == self.incarnation:
             return False
         self._fence.raise_token()
-        if self._noticed_at_ms is None:
-            self._noticed_at_ms = now_ms
+        self._noticed_at_ms = now_ms
         return True
 
     def needs_fence(
@@ -48,8 +47,7 @@
             return False
         self._fence.raise_for(incarnation)
         self.has_answered = True
-        if self._noticed_at_ms is None:
-            self._noticed_at_ms = now_ms
+        self._noticed_at_ms = now_ms
         log_event(
             'target_restarted',
             target=self._target.entry.target_id,
@@ -77,19 +75,28 @@
         That process does not answer. `listed_at_ms` is when the latest list was
         requested. Without an entry of the target none is considered to run,
         and a start does nothing once the process's clock has passed its end.
+        That of a start which an earlier leader sent isn't known.
         """
-        noticed_at_ms = self._noticed_at_ms
-        if noticed_at_ms is None or not self._target.is_listed:
-            return set()
-        if lease.has_outlived_calls(now_ms - noticed_at_ms):
+        if not self._target.is_listed:
             return set()
+        noticed_at_ms = self._noticed_at_ms
+        is_young = noticed_at_ms is not None and not (
+            lease.has_outlived_calls(now_ms - noticed_at_ms)
+        )
         return {
             key
             for key, allocation in self._target.allocations.items()
-            if allocation.is_unanswered
-            or allocation.is_inherited
-            or (allocation.sent_at_ms or 0) > listed_at_ms
+            if (is_young and _may_be_started(allocation, listed_at_ms))
+            or (self.incarnation is None and allocation.may_predate_process)
         }
 
 
+def _may_be_started(allocation: Allocation, listed_at_ms: int) -> bool:
+    return (
+        allocation.is_unanswered
+        or allocation.is_inherited
+        or (allocation.sent_at_ms or 0) > listed_at_ms
+    )
+
+
 __all__ = ('RestartWatch',)
--- a/src/radishlift/steps/targets.py
+++ b/src/radishlift/steps/targets.py
@@ -75,8 +75,9 @@
     `is_confirmed` is whether the target has answered that it started,
     `is_unanswered` whether a start call got no answer, so that it may still be
     carried out, `has_timed_out` whether one got none in time, and
-    `is_inherited` whether an earlier leader started it. `started_at_ms` is
-    when the answer to its only start call arrived; None if it is unknown.
+    `is_inherited` whether an earlier leader started it. `may_predate_process`
+    is whether that may have been before the target restarted. `started_at_ms`
+    is when the answer to its only start call arrived; None if it is unknown.
     `crash` is why it is a suspect. `charge` is what it uses of the limit of
     its workspace.
     """
@@ -90,6 +91,7 @@
     is_unanswered: bool = False
     has_timed_out: bool = False
     is_inherited: bool = False
+    may_predate_process: bool = False
     started_at_ms: int | None = None
     suspicion: Suspicion = Suspicion.none
     crash: CrashRecord | None = None
--- a/tests/cell/test_sessions.py
+++ b/tests/cell/test_sessions.py
@@ -23,6 +23,7 @@
 CONFIRMED_S = 0.15
 OLD_CLOCK_MS = 1_000_000
 LONG_LEASE_MS = 600
+DAY_MS = 86_400_000
 
 
 @pytest.fixture
@@ -754,3 +755,29 @@
     fake.restart()
     cell.write_target('t1', life=2)
     await cell.until(lambda: fake.fencing_token > 1, within_s=1)
+
+
+@pytest.mark.parametrize('has_restarted', [False, True])
+async def test_next_leader_awaits_a_task_from_before_a_restart(
+    cell, monkeypatch, has_restarted
+):
+    """Guards against a late start of an earlier leader in a cut-off target."""
+    fake = cell.targets['t1']
+    accepted_at_ms = DAY_MS
+    first = cell.lead()
+    cell.submit(job(accepted_at_ms=accepted_at_ms))
+    await cell.until(lambda: bool(fake.running))
+    late = fake.started[0]
+    await cell.kill(first)
+    fake.is_unresponsive = True
+    fake.restart()
+    cell.write_target('t1', life=2 * DAY_MS if has_restarted else 1)
+    cell.add_target('t2')
+    cell.lead()
+    await asyncio.sleep(6 * MAX_LEASE_MS / 1000)
+    assert bool(cell.targets['t2'].running) is not has_restarted
+    if has_restarted:
+        assert fake.run(late) is StartVerdict.started
+        fake.is_unresponsive = False
+        await asyncio.sleep(CONFIRMED_S)
+        assert not cell.targets['t2'].started
--- a/tests/cell/test_workspace_limits.py
+++ b/tests/cell/test_workspace_limits.py
@@ -21,6 +21,9 @@
     return QueueConfig(ConfigVersion(version), (), 1000, workspaces)
 
 
+DAY_MS = 86_400_000
+
+
 class LimitedCell(Cell):
     """A cell with one workspace; records how many tasks ran at a time."""
 
@@ -32,7 +35,15 @@
         self.targets.start = self._record_start
 
     def submit_work(self, name, *steps):
-        return self.submit(job(*steps, job_id=name * 16, workspace='w'))
+        # The targets have run since long before the job.
+        return self.submit(
+            job(
+                *steps,
+                job_id=name * 16,
+                accepted_at_ms=DAY_MS,
+                workspace='w',
+            )
+        )
 
     async def _record_start(self, target, order):
         verdict = await self._start(target, order)
