--- a/src/radishlift/cell/restarts.py
+++ b/src/radishlift/cell/restarts.py
@@ -24,6 +24,7 @@
         self.has_answered = False
         # When the latest process was noticed that has not been fenced yet.
         self._noticed_at_ms: int | None = None
+        self._is_wait_logged = False
 
     def record_entry(self, life: TargetIncarnation, now_ms: int) -> bool:
         """Handles an entry of another process; returns whether it is new."""
@@ -65,6 +66,7 @@
         if is_other:
             self.incarnation = incarnation
             self.has_answered = False
+        self._is_wait_logged = False
         return is_other
 
     def list_possibly_running(
@@ -90,6 +92,17 @@
             or (self.incarnation is None and allocation.may_predate_process)
         }
 
+    def log_wait(self, kept: set[TaskKey]) -> None:
+        """Logs once that tasks wait for the target's answer."""
+        if kept and not self._is_wait_logged:
+            self._is_wait_logged = True
+            log_event(
+                'tasks_kept',
+                target=self._target.entry.target_id,
+                tasks_count=len(kept),
+                process=self._target.entry.life,
+            )
+
 
 def _may_be_started(allocation: Allocation, listed_at_ms: int) -> bool:
     return (
--- a/src/radishlift/cell/sessions.py
+++ b/src/radishlift/cell/sessions.py
@@ -239,6 +239,8 @@
             # A start that this process rejects did not crash the earlier one.
             await self._orders.open_starts.wait_closed()
         # Tasks that are kept end, or run on, once the target answers.
+        if evidence is not None:
+            self._restarts.log_wait(kept)
         is_all_kept = bool(kept) and kept >= self.target.allocations.keys()
         if evidence is not None and not is_all_kept:
             self.listing.clear()
--- a/src/radishlift/core/events.py
+++ b/src/radishlift/core/events.py
@@ -75,6 +75,7 @@
     'task_orphaned',
     'task_suspected',
     'target_lost',
+    'tasks_kept',
     'fence_unanswered',
     'peer_stream_silent',
     'job_withheld',
