--- a/review/harness_3/executor.py
+++ b/review/harness_3/executor.py
@@ -9,6 +9,9 @@
 HEARTBEAT_S = 1.5
 HOLD_MAX_MS = 6000
 STOP_S = 0.05
+# Longer than any time limit of a caller.
+SILENT_S = 60
+RESET_S = 0.1
 PAGE_ENDS = 500
 CAPACITY = {'cpu': 16_000, 'memMb': 32_768, 'gpu': 0}
 
@@ -44,6 +47,8 @@
         self.state = 'ready'
         self.ticket_for = _needs_none
         self.is_grey = False
+        self.is_dark = False
+        self.loses_answer_of = ''
         self.checkpoint = ''
         self.is_up = False
         self.tickets = {}
@@ -60,6 +65,7 @@
         """Begins a life: it knows nothing of earlier ones."""
         self.born_ms = time.time_ns() // 1_000_000
         self._born_s = time.monotonic()
+        self.calls_count = 0
         self.fence = 0
         self.until_ms = 0
         self.running = {}
@@ -92,13 +98,26 @@
         )
         for beat in self._beats:
             beat.cancel()
-        for run in self.runs:
-            if run.executor == self.name and run.ended_s is None:
-                run.ended_s, run.how = time.monotonic(), 'crashed'
-        await self._site.stop()
-        for connection in tuple(self._runner.server.connections):
-            if connection.transport is not None:
-                connection.transport.abort()
+        self._end_lost_runs()
+        await self._close()
+
+    async def lose_power(self, for_s):
+        """Loses power: it falls silent without a reset, and starts again."""
+        self.is_dark = True
+        self.record.write(
+            'power_lost', executor=self.name, running=list(self.running)
+        )
+        for beat in self._beats:
+            beat.cancel()
+        self._end_lost_runs()
+        await asyncio.sleep(for_s)
+        runner, site = self._runner, self._site
+        self.is_dark = False
+        await site.stop()
+        await self.start()
+        # What is still sent on connections of the earlier process resets them.
+        await asyncio.sleep(RESET_S)
+        _reset_connections(runner)
 
     def clock_ms(self):
         """Returns its steady clock."""
@@ -121,6 +140,15 @@
         }
         self.store.put('servers', self.name, entry)
 
+    def _end_lost_runs(self):
+        for run in self.runs:
+            if run.executor == self.name and run.ended_s is None:
+                run.ended_s, run.how = time.monotonic(), 'crashed'
+
+    async def _close(self):
+        await self._site.stop()
+        _reset_connections(self._runner)
+
     async def _beat(self):
         while True:
             self.report()
@@ -138,15 +166,29 @@
 
     async def _handle(self, request):
         body = await request.json()
-        if not self.is_up:
-            await asyncio.sleep(60)
+        if self.is_dark or not self.is_up:
+            # Without power nothing is received, and nothing carried out later.
+            await asyncio.sleep(SILENT_S)
+            return web.Response(status=500)
         if request.headers.get('Expect-Instance', self.name) != self.name:
             return self._answer(421)
         if body.get('fencingToken', 0) < self.fence:
             return self._answer(409, reason='fence')
         self.fence = body.get('fencingToken', 0)
         name = request.path.removeprefix('/').replace('-', '_')
-        return await getattr(self, f'_{name}')(body)
+        self.calls_count += 1
+        answer = await getattr(self, f'_{name}')(body)
+        is_start = request.path == '/run-start'
+        if is_start and body['task'][:16] == self.loses_answer_of:
+            self.loses_answer_of = ''
+            self.record.write(
+                'answer_lost',
+                executor=self.name,
+                task=body['task'],
+                attempt=body['attempt'],
+            )
+            await asyncio.sleep(SILENT_S)
+        return answer
 
     async def _run_start(self, body):
         task, attempt = body['task'], body['attempt']
@@ -240,5 +282,11 @@
         return web.json_response(body, status=status)
 
 
+def _reset_connections(runner):
+    for connection in tuple(runner.server.connections):
+        if connection.transport is not None:
+            connection.transport.abort()
+
+
 def _needs_none(_):
     return False
