--- a/review/harness_3/executor.py
+++ b/review/harness_3/executor.py
@@ -68,6 +68,8 @@
         self.calls_count = 0
         self.fence = 0
         self.until_ms = 0
+        # Whether the lease has lapsed while ends were not acknowledged.
+        self._has_lapsed = False
         self.running = {}
         self.ended = []
         self.number = 0
@@ -157,6 +159,9 @@
     async def _settle(self):
         while True:
             await asyncio.sleep(0.005)
+            # Before the first grant there is no lease to lapse.
+            is_lapsed = self.until_ms and self.clock_ms() > self.until_ms
+            self._has_lapsed |= bool(is_lapsed and self.ended)
             if self.running and self.clock_ms() > self.until_ms:
                 for task in tuple(self.running):
                     self._end(task, 'lapsed')
@@ -224,11 +229,13 @@
         return self._answer(200)
 
     async def _hold(self, body):
+        # An end counts as noted only if the lease has not lapsed since.
+        is_lapsed = self.clock_ms() > self.until_ms
         if 'untilMs' in body:
             self._extend(body['untilMs'])
         cursor = body['ackCursor']
         for number, task, attempt, *_ in self.ended:
-            if number <= cursor:
+            if number <= cursor and not (is_lapsed or self._has_lapsed):
                 self._note(task, attempt)
         self.ended = [end for end in self.ended if end[0] > cursor]
         if not self.ended and body.get('waitMs'):
