Move review cases 12, 13 and 14 up by one; drop case 15

Case 15 had the cause of case 14 (now 15): the wait of a new leader for the leases of targets that it has not heard of. Its place goes to another fault, which becomes case 12.

--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,40 +1,55 @@
-"""Executors fail tasks that have saved long checkpoints."""
+"""Gangs that wait for a lost executor, and jobs of another queue."""
 
 import asyncio
 from pathlib import Path
 
-from review.harness_3.cell import job_id
+from review.harness_3.cell import HOST, job_id
 from review.harness_3.main import main
 
-DAEMONS, EXECUTORS = 3, 24
-GREY_COUNT = 2
-GREY_S = 6.5
-CHECKPOINT = 'c' * 2100
+DAEMONS, EXECUTORS = 3, 48
+LOST_EXECUTOR = 'i00000000001'
+# Entries expire after three heartbeats of 1.5 s.
+ENTRY_EXPIRED_S = 7
 JOBS_COUNT, JOB_EVERY_S = 10, 0.5
 FINISH_S, WATCH_S = 14, 3
-CAPACITY_CPU, JOB_CPU = 16_000, 1400
-SAVING = {
-    'spec': '2000',
+CAPACITY_CPU = 16_000
+
+ADVICE = {'decideMs': 550, 'periodMs': 7.9, 'validMs': 1500}
+ON_ALL = {
+    'name': 'q-2',
+    'host': HOST,
+    'pathPrefix': '/all/',
+    'timeoutMs': 3000,
+    'priority': 1,
+    'service': 's',
+    'attempts': 3,
+    'stretch': 2.2,
+    'targetDurationMs': 1000,
+}
+GANGS_COUNT = 2
+GANG = {
+    'spec': '500',
     'steps': [
         {
-            'count': 32,
-            'cpu': 500,
-            'memMb': 500,
-            'estimateMs': 2000,
-            'checkpointing': True,
+            'count': EXECUTORS,
+            'gang': True,
+            'antiAffinity': 1,
+            'estimateMs': 500,
         }
     ],
 }
 JOB = {
     'spec': '500',
-    'steps': [{'count': 2, 'cpu': JOB_CPU, 'memMb': 2000, 'estimateMs': 500}],
+    'steps': [{'count': 2, 'cpu': 1400, 'memMb': 2000, 'estimateMs': 500}],
 }
 
 
 def used_share(cell):
-    """Returns which share of the processors tasks use at most."""
+    """Returns which share of the processors tasks use."""
+    up_count = sum(executor.is_up for executor in cell.executors.values())
     running_count = sum(run.ended_s is None for run in cell.runs)
-    return running_count * JOB_CPU / (EXECUTORS * CAPACITY_CPU)
+    cpu = JOB['steps'][0]['cpu']
+    return running_count * cpu / (up_count * CAPACITY_CPU)
 
 
 async def play(cell, is_troubled):
@@ -42,16 +57,17 @@
     await cell.start(DAEMONS, EXECUTORS)
     await cell.until_leader()
     await asyncio.sleep(3)
-    for number, executor in enumerate(cell.executors.values()):
-        executor.checkpoint = CHECKPOINT
-        executor.is_grey = is_troubled and number < GREY_COUNT
-    saving = job_id()
-    status, _ = await cell.send('d1', 'POST', saving, SAVING)
-    if status != 200:
-        raise RuntimeError(f'the job was answered with {status}')
-    await asyncio.sleep(GREY_S)
-    for executor in cell.executors.values():
-        executor.is_grey = False
+    first = job_id()
+    await cell.send('d1', 'POST', first, JOB)
+    if await cell.until_state('d2', first, {'completed'}, 15) != 'completed':
+        raise RuntimeError('the first job did not complete')
+    if is_troubled:
+        await cell.executors[LOST_EXECUTOR].crash()
+    await asyncio.sleep(ENTRY_EXPIRED_S)
+    for _ in range(GANGS_COUNT):
+        gang = job_id()
+        cell.free_jobs.add(gang)
+        await cell.send('d1', 'POST', gang, GANG, prefix='/all/')
     accepted = []
     for _ in range(JOBS_COUNT):
         await asyncio.sleep(JOB_EVERY_S)
@@ -70,11 +86,6 @@
         await asyncio.sleep(0.1)
     began = {run.task[:16] for run in cell.runs}
     stuck = [job for job in waiting if job not in began]
-    cell.record.write(
-        'saving',
-        state=await cell.state('d3', saving),
-        refused=cell.store.refused_count,
-    )
     if not stuck or max(shares) >= 0.5:
         return None
     return (
@@ -85,4 +96,9 @@
 
 
 if __name__ == '__main__':
-    main(Path(__file__).parent, play)
+    main(
+        Path(__file__).parent,
+        play,
+        route={'advice': ADVICE},
+        other_routes=(ON_ALL,),
+    )
