--- a/review/harness_3/cell.py
+++ b/review/harness_3/cell.py
@@ -13,6 +13,7 @@
 from aiohttp import ClientError, ClientSession, ClientTimeout, web
 
 from review.harness_3.executor import Executor
+from review.harness_3.link import Link
 from review.harness_3.store import Store
 
 ROOT = Path(__file__).parents[2]
@@ -40,10 +41,10 @@
 front = "127.0.0.1:{front}"
 ready = "127.0.0.1:{ready}"
 [limits]
-cpuShare = 0.537
-cores = 2
-memoryMb = 300
-linkMbps = 1000.0
+cpuShare = {cpu_share}
+cores = {cores}
+memoryMb = {memory_mb}
+linkMbps = {link_mbps}
 [bounds]
 contactMs = 3000
 ackMs = 4000
@@ -60,6 +61,8 @@
 txMs = 5.0
 rowBytes = 65536
 """
+# The machines of a small site.
+LIMITS = {'cpu_share': 0.537, 'cores': 2, 'memory_mb': 300, 'link_mbps': 1000.0}
 
 
 class Record:
@@ -81,7 +84,8 @@
     """Daemons, executors, the store, the advice service and a client.
 
     `allowed` are the names of the executors that the policy of the queue
-    allows; None for all.
+    allows; None for all. `limits` are those of daemons whose machines are not
+    the usual ones; the links of these to the store have their rate.
     """
 
     def __init__(self, folder, record, route=None, other_routes=()) -> None:
@@ -94,11 +98,13 @@
         self.fronts = {}
         self.ready_ports = {}
         self.settings_paths = {}
+        self.limits = {}
         self.allowed = None
         self.free_jobs = set()
         self.advice_ms = 0, 0
         self._runners = []
         self._tasks = []
+        self._links = []
         self._ticket_number = 0
         self.route = {
             'name': 'q-1',
@@ -146,6 +152,11 @@
     async def add_daemon(self, name):
         """Starts a daemon with addresses of its own."""
         port, last, front, ready = free_ports(4)
+        store = await self._listen(self.store.handle)
+        limits = self.limits.get(name)
+        if limits is not None:
+            self._links.append(Link(store, limits['link_mbps']))
+            store = await self._links[-1].start()
         text = SETTINGS.format(
             name=name,
             port=port,
@@ -153,7 +164,8 @@
             front=front,
             ready=ready,
             advice=await self._listen(self._make_advice()),
-            store=await self._listen(self.store.handle),
+            store=store,
+            **(limits or LIMITS),
         )
         path = self.folder / f'{name}.toml'
         path.write_text(text)
@@ -269,6 +281,8 @@
             if executor.is_up:
                 await executor.crash()
         await self.session.close()
+        for link in self._links:
+            link.stop()
         for runner in self._runners:
             await runner.cleanup()
 
--- a/review/harness_3/store.py
+++ b/review/harness_3/store.py
@@ -4,6 +4,7 @@
 import json
 import time
 from base64 import b64decode, b64encode
+from bisect import bisect_right
 
 from aiohttp import web
 
@@ -17,8 +18,9 @@
     """Rows of all tables; every transaction gets the next version."""
 
     def __init__(self) -> None:
+        # Rows by key, for each table and part; changes in order by table.
         self.rows = {}
-        self.changes = []
+        self.changes = {}
         self.version = 0
         self.written_s = {}
         self.refused_count = 0
@@ -43,7 +45,7 @@
 
     def value(self, table, part, key):
         """Returns the decoded value of a row, or None."""
-        row = self.rows.get((table, part, key))
+        row = self.rows.get((table, part), {}).get(key)
         return None if row is None else json.loads(b64decode(row['value']))
 
     async def expire_entries(self):
@@ -63,12 +65,11 @@
     async def _rows_get(self, request):
         query = request.query
         first, last = query.get('from', ''), query.get('target')
+        rows = self.rows.get((query['table'], query.get('part', '')), {})
         found = [
             row
-            for (table, part, key), row in sorted(self.rows.items())
-            if (table, part) == (query['table'], query.get('part', ''))
-            and key >= first
-            and (last is None or key < last)
+            for key, row in sorted(rows.items())
+            if key >= first and (last is None or key < last)
         ]
         limit = min(500, int(query.get('limit', 500)))
         return self._answer(rows=found[:limit], hasMore=len(found) > limit)
@@ -79,11 +80,8 @@
         end_s = time.monotonic() + int(request.query.get('waitMs', 0)) / 1000
         while True:
             version = self.version
-            rows = [
-                row
-                for row in self.changes
-                if row['ver'] > after and row['table'] == table
-            ]
+            changes = self.changes.get(table, [])
+            rows = changes[bisect_right(changes, after, key=_row_version) :]
             left_s = end_s - time.monotonic()
             if rows or left_s <= 0:
                 body = {'rows': rows, 'ver': version, 'nowMs': _now_ms()}
@@ -112,7 +110,7 @@
         async with lock:
             await asyncio.sleep(TX_S)
         current = [
-            self.rows.get(_row_key(entry), {**entry, 'ver': 0})
+            self._find(_row_key(entry)) or {**entry, 'ver': 0}
             for entry in expected
         ]
         if [row['ver'] for row in current] != [
@@ -131,6 +129,10 @@
         body = {**fields, 'ver': self.version, 'nowMs': _now_ms()}
         return web.json_response(body)
 
+    def _find(self, row_key):
+        table, part, key = row_key
+        return self.rows.get((table, part), {}).get(key)
+
     def _set(self, row_key, encoded):
         table, part, key = row_key
         row = {
@@ -140,14 +142,14 @@
             'value': encoded,
             'ver': self.version,
         }
-        self.rows[row_key] = row
-        self.changes.append(row)
+        self.rows.setdefault((table, part), {})[key] = row
+        self.changes.setdefault(table, []).append(row)
 
     def _unset(self, row_key):
-        if self.rows.pop(row_key, None) is None:
-            return
         table, part, key = row_key
-        self.changes.append(
+        if self.rows.get((table, part), {}).pop(key, None) is None:
+            return
+        self.changes.setdefault(table, []).append(
             {
                 'table': table,
                 'part': part,
@@ -167,5 +169,9 @@
     return entry['table'], entry.get('part', ''), entry['key']
 
 
+def _row_version(row):
+    return row['ver']
+
+
 def _now_ms():
     return int(time.monotonic() * 1000)
