Read long answers of the store for as long as they arrive

Cause, from the log of the new leader on: `term_begun`, 4.5 s later `store_lost table=jobs reason="no answer within 1500 ms"`, and never `store_regained`. Each call of the store had 1.5 s for its whole answer. The 32 parts of the table of jobs were read at once, 4.9 MB, for which a link of 5 Mbit/s needs 7.9 s; all answers were thrown away and the read began again.

--- a/src/radishlift/cell/leader_term.py
+++ b/src/radishlift/cell/leader_term.py
@@ -9,7 +9,7 @@
 from radishlift.cell.cancel_table import CancelTable
 from radishlift.cell.commits import Claim, CommitLog
 from radishlift.cell.job_rows import load_job
-from radishlift.cell.ports import CellStore, TargetCalls
+from radishlift.cell.ports import CellStore, PartialSnapshot, TargetCalls
 from radishlift.cell.queues import QueueConfig
 from radishlift.cell.retention import Retention
 from radishlift.cell.scheduler import Scheduler, SchedulerContext
@@ -194,8 +194,11 @@
         await self.scheduler.run()
 
     async def _read_progress(self) -> None:
+        partial = PartialSnapshot()
         while True:
-            snapshot = await self._dependencies.store.snapshot(PROGRESS)
+            snapshot = await self._dependencies.store.snapshot(
+                PROGRESS, partial
+            )
             if not isinstance(snapshot, Failure):
                 break
             log_event('progress_unread', reason=snapshot.reason)
--- a/src/radishlift/cell/ports.py
+++ b/src/radishlift/cell/ports.py
@@ -1,5 +1,6 @@
 """Interfaces of the cell to the store, the targets and the advice service."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, replace
 from enum import Enum, unique
 from typing import Protocol
@@ -25,6 +26,13 @@
     version: int
 
 
+@dataclass(slots=True)
+class PartialSnapshot:
+    """What failed reads of a table have already read; known to the store."""
+
+    read: object = None
+
+
 class CellStore(Protocol):
     """The platform's tables, whose changes can be followed.
 
@@ -45,8 +53,14 @@
         and with `store_outcome_unknown` if it may have taken effect.
         """
 
-    async def snapshot(self, table: str) -> ChangedRows | Failure:
-        """Reads a whole table and the version from which to follow it."""
+    async def snapshot(
+        self, table: str, partial: PartialSnapshot | None = None
+    ) -> ChangedRows | Failure:
+        """Reads a whole table and the version from which to follow it.
+
+        What it reads before a failure is kept in `partial`, and not read again
+        when it is called with this the next time.
+        """
 
     async def changes(
         self,
@@ -59,6 +73,9 @@
         Fails with `not_found` if the history is no longer available.
         """
 
+    def notify_received(self, callback: Callable[[], None]) -> None:
+        """Lets a callback run whenever a part of an answer arrives."""
+
     async def probe(self, timeout_ms: int, parts_count: int) -> Failure | None:
         """Checks on new connections whether the store answers.
 
@@ -224,6 +241,7 @@
     'EndedAttempt',
     'HoldOrder',
     'HoldReport',
+    'PartialSnapshot',
     'RunningAttempt',
     'StartOrder',
     'StartVerdict',
--- a/src/radishlift/cell/store_access.py
+++ b/src/radishlift/cell/store_access.py
@@ -24,6 +24,7 @@
         clock: Clock,
     ) -> None:
         self.watch = StoreWatch(store, settings.outages, clock)
+        store.notify_received(self.watch.record_contact)
         self.store = StoreGuard(store, self.watch)
         self.suspension = SuspensionMonitor(settings, clock)
         relayed = RelayedRows(
--- a/src/radishlift/cell/store_guard.py
+++ b/src/radishlift/cell/store_guard.py
@@ -8,7 +8,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Final, TypeVar
 
-from radishlift.cell.ports import CellStore, ChangedRows
+from radishlift.cell.ports import CellStore, ChangedRows, PartialSnapshot
 from radishlift.cell.store_watch import StoreWatch
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.services.api import Committed, Conflict, Row, Transaction
@@ -39,9 +39,11 @@
             lost_kind=ErrorKind.store_outcome_unknown,
         )
 
-    async def snapshot(self, table: str) -> ChangedRows | Failure:
+    async def snapshot(
+        self, table: str, partial: PartialSnapshot | None = None
+    ) -> ChangedRows | Failure:
         """Reads a whole table and the version from which to follow it."""
-        return await self._call(lambda: self._store.snapshot(table))
+        return await self._call(lambda: self._store.snapshot(table, partial))
 
     async def changes(
         self,
@@ -55,6 +57,10 @@
             wait_ms,
         )
 
+    def notify_received(self, callback: Callable[[], None]) -> None:
+        """Lets a callback run whenever a part of an answer arrives."""
+        self._store.notify_received(callback)
+
     async def probe(self, timeout_ms: int, parts_count: int) -> Failure | None:
         """Checks whether the store answers, also while it is lost."""
         return await self._store.probe(timeout_ms, parts_count)
--- a/src/radishlift/cell/store_watch.py
+++ b/src/radishlift/cell/store_watch.py
@@ -85,6 +85,10 @@
             if call.timer is not None:
                 call.timer.cancel()
 
+    def record_contact(self) -> None:
+        """Records that a part of an answer has arrived."""
+        self._contact.record_answer(self._clock.monotonic_ms())
+
     def record_outcome(self, outcome: object) -> None:
         """Records the end of a call; a failed one leads to a probe."""
         if isinstance(outcome, Failure) and outcome.kind in _NO_ANSWER_KINDS:
--- a/src/radishlift/cell/table_follower.py
+++ b/src/radishlift/cell/table_follower.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import Final
 
-from radishlift.cell.ports import CellStore, ChangedRows
+from radishlift.cell.ports import CellStore, ChangedRows, PartialSnapshot
 from radishlift.cell.settings import CellSettings
 from radishlift.core.clock import Clock
 from radishlift.core.errors import ErrorKind, Failure
@@ -51,6 +51,7 @@
         self._settings = settings
         self._clock = clock
         self._version: int | None = None
+        self._partial = PartialSnapshot()
         self._requested_at_ms = 0
         self._lost_at_ms = 0
         self.is_store_lost = False
@@ -75,6 +76,7 @@
                 continue
             self._record_contact()
             self._version = changed.version
+            self._partial = PartialSnapshot()
             if is_snapshot:
                 on_snapshot(changed.rows)
             elif changed.rows:
@@ -88,7 +90,7 @@
     async def _read(self) -> ChangedRows | Failure:
         table = self._followed.table
         if self._version is None:
-            return await self._store.snapshot(table)
+            return await self._store.snapshot(table, self._partial)
         wait_ms = self._followed.wait_ms or self._settings.feed_wait_ms
         if self.is_store_lost:
             # A read that waits would show late that the store is back.
--- a/src/radishlift/platform/main.py
+++ b/src/radishlift/platform/main.py
@@ -65,7 +65,7 @@
 
 async def _run(settings: HostSettings) -> int:
     reduce_collections()
-    client = JsonClient()
+    client = JsonClient(settings.link_mbps)
     clock = BootClock()
     daemon = CellDaemon(
         DaemonDependencies(
--- a/src/radishlift/platform/store.py
+++ b/src/radishlift/platform/store.py
@@ -4,11 +4,11 @@
 import base64
 import json
 import random
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Any, Final
 from urllib.parse import urlencode
 
-from radishlift.cell.ports import ChangedRows
+from radishlift.cell.ports import ChangedRows, PartialSnapshot
 from radishlift.cell.tables import JOBS
 from radishlift.core.errors import ErrorKind, Failure
 from radishlift.core.ids import Address
@@ -21,6 +21,7 @@
     read_text,
 )
 from radishlift.platform.layout import TableLocation, find_location, find_table
+from radishlift.platform.table_reads import Page, SnapshotRead
 from radishlift.services.api import Committed, Conflict, Row, Transaction
 
 _OK: Final = 200
@@ -34,9 +35,6 @@
 # A slow store takes up to 60 times its usual 5 ms in each direction of a
 # commit.
 _TIMEOUT_MS: Final = 1500
-# A table has up to 32 parts. If one answer in ten is lost, three tries of each
-# read all of them in 97 of 100 cases.
-_SNAPSHOT_TRIES: Final = 3
 # Changes must take effect within 2 s even if a connection stops responding.
 _FEED_TIMEOUT_MARGIN_MS: Final = 800
 
@@ -48,6 +46,10 @@
         self._client = client
         self._address = address
 
+    def notify_received(self, callback: Callable[[], None]) -> None:
+        """Lets a callback run whenever a part of an answer arrives."""
+        self._client.notify_received(self._address, callback)
+
     async def read(self, table: str, key: str) -> Row | Failure:
         """Reads one row; an absent row has version 0."""
         location = find_location(table)
@@ -65,29 +67,23 @@
                 return row
         return Row(table, key, 0, None)
 
-    async def snapshot(self, table: str) -> ChangedRows | Failure:
+    async def snapshot(
+        self, table: str, partial: PartialSnapshot | None = None
+    ) -> ChangedRows | Failure:
         """Reads a whole table and the version from which to read changes.
 
-        Reads of parts that fail are repeated; the others are kept.
+        After a failure the pages that were read are in `partial`.
         """
-        rows: list[Row] = []
-        versions: list[int] = []
-        missing = find_location(table).parts
-        for _ in range(_SNAPSHOT_TRIES):
-            parts = await asyncio.gather(
-                *(self._read_part(table, part) for part in missing)
-            )
-            failures = {}
-            for part, found in zip(missing, parts, strict=True):
-                if isinstance(found, Failure):
-                    failures[part] = found
-                else:
-                    rows.extend(found.rows)
-                    versions.append(found.version)
-            if not failures:
-                return ChangedRows(tuple(rows), min(versions))
-            missing = tuple(failures)
-        return failures[missing[0]]
+        read = None if partial is None else partial.read
+        if not isinstance(read, SnapshotRead):
+            read = SnapshotRead(find_location(table).parts)
+        if partial is not None:
+            partial.read = read
+
+        async def read_page(part: str, first_key: str) -> Page | Failure:
+            return await self._read_page(table, part, first_key)
+
+        return await read.run(read_page, self._client.link_bytes_per_s)
 
     async def changes(
         self,
@@ -154,33 +150,27 @@
             failure = answer
         return failure
 
-    async def _read_part(self, table: str, part: str) -> ChangedRows | Failure:
-        rows: list[Row] = []
-        version: int | None = None
-        query: dict[str, object] = {
-            'table': find_location(table).table,
-            'part': part,
-            'limit': _PAGE_ROWS,
-        }
-        while True:
-            answer = await self._get('/rows-get', query)
-            if isinstance(answer, Failure):
-                return answer
-            found = _read_changed(answer, table)
-            if isinstance(found, Failure):
-                return found
-            rows.extend(found.rows)
-            # Rows that change while pages are read are repeated as changes
-            # after the version of the first page.
-            if version is None:
-                version = found.version
-            if not answer.fields.get('hasMore'):
-                return ChangedRows(tuple(rows), version)
-            if not found.rows:
-                return _malformed_answer(ValueError('page without rows'))
-            # Ranges include their first key, so the next page starts at the
-            # last key with a zero byte appended.
-            query['from'] = f'{found.rows[-1].key}\0'
+    async def _read_page(
+        self, table: str, part: str, first_key: str
+    ) -> Page | Failure:
+        answer = await self._get(
+            '/rows-get',
+            {
+                'table': find_location(table).table,
+                'part': part,
+                'limit': _PAGE_ROWS,
+                'from': first_key,
+            },
+        )
+        if isinstance(answer, Failure):
+            return answer
+        found = _read_changed(answer, table)
+        if isinstance(found, Failure):
+            return found
+        has_more = bool(answer.fields.get('hasMore'))
+        if has_more and not found.rows:
+            return _malformed_answer(ValueError('page without rows'))
+        return Page(found.rows, found.version, has_more, answer.size_bytes)
 
     async def _get(
         self,
--- a/tests/cell/fakes.py
+++ b/tests/cell/fakes.py
@@ -52,7 +52,10 @@
     async def probe(self, timeout_ms: int, parts_count: int) -> Failure | None:
         return DOWN if self.fault is Fault.down else None
 
-    async def snapshot(self, table: str) -> ChangedRows | Failure:
+    def notify_received(self, callback):
+        self.on_received = callback
+
+    async def snapshot(self, table, partial=None):
         if self.fault is Fault.down or table in self.unreadable_tables:
             return DOWN
         rows = self.tables.scan(table, '', '', 10_000)
--- a/tests/cell/test_leader_term.py
+++ b/tests/cell/test_leader_term.py
@@ -189,10 +189,10 @@
 async def test_slow_restore_keeps_the_stored_waits(cell, monkeypatch):
     read = cell.store.snapshot
 
-    async def delay(table):
+    async def delay(table, *partial):
         if table == JOBS:
             await asyncio.sleep(0.2)
-        return await read(table)
+        return await read(table, *partial)
 
     monkeypatch.setattr(cell.store, 'snapshot', delay)
     stored = {'epoch': 0, 'remaining_ms': {'t3': 300}}
@@ -215,10 +215,10 @@
             await asyncio.sleep(0.1)
         return await read(table, key)
 
-    async def delay_jobs(table):
+    async def delay_jobs(table, *partial):
         if table == JOBS:
             await asyncio.sleep(0.3)
-        return await snapshot(table)
+        return await snapshot(table, *partial)
 
     monkeypatch.setattr(cell.store, 'read', delay_read)
     monkeypatch.setattr(cell.store, 'snapshot', delay_jobs)
@@ -495,10 +495,10 @@
     """Guards against starts of cancelled jobs right after a takeover."""
     snapshot = cell.store.snapshot
 
-    async def delay(table):
+    async def delay(table, *partial):
         if table == CANCELS:
             await asyncio.sleep(0.2)
-        return await snapshot(table)
+        return await snapshot(table, *partial)
 
     monkeypatch.setattr(cell.store, 'snapshot', delay)
     cancelled = cell.submit(job(job_id='a' * 16))
--- a/tests/platform/test_http.py
+++ b/tests/platform/test_http.py
@@ -5,7 +5,7 @@
 
 from aiohttp import web
 
-from radishlift.core.errors import ErrorKind
+from radishlift.core.errors import ErrorKind, TimedOut
 from radishlift.platform.http import JsonClient
 
 
@@ -45,7 +45,7 @@
             for timeout_ms in (50, 5_000)
         ]
         await asyncio.sleep(0.02)
-        sessions = list(client._sessions.values())
+        sessions = [pool.session for pool in client._pools.values()]
         for session in sessions:
             _delay_close(session)
         await client.close()
@@ -98,3 +98,60 @@
     await client.close()
     assert requests == ['/run-start']
     assert answer.status == 307
+
+
+async def _stream(request, pieces_count, pause_s):
+    """Answers with a JSON text of pieces that arrive one after another."""
+    response = web.StreamResponse()
+    await response.prepare(request)
+    await response.write(b'{"pieces":"')
+    for _ in range(pieces_count):
+        await asyncio.sleep(pause_s)
+        await response.write(b'x' * 100)
+    await response.write(b'"}')
+    return response
+
+
+async def test_answer_that_keeps_arriving_may_take_longer_than_the_limit():
+    """Guards against long answers that a slow link never delivers in time."""
+    client = JsonClient()
+    async with run_server(lambda request: _stream(request, 8, 0.05)) as address:
+        answer = await client.call('GET', address, '/', 200)
+    await client.close()
+    assert len(answer.fields['pieces']) == 800
+    assert answer.size_bytes == 813
+
+
+async def test_answer_that_stops_arriving_fails():
+    """Guards against calls that wait forever for the rest of an answer."""
+    client = JsonClient()
+    async with run_server(lambda request: _stream(request, 3, 0.5)) as address:
+        async with asyncio.timeout(2):
+            answer = await client.call('GET', address, '/', 100)
+        await client.close()
+    assert isinstance(answer, TimedOut)
+
+
+async def test_answer_in_progress_outlives_its_replaced_connections():
+    """Guards against a probe that cuts off answers on slow links."""
+    client = JsonClient()
+    async with run_server(lambda request: _stream(request, 4, 0.05)) as address:
+        call = asyncio.create_task(client.call('GET', address, '/', 500))
+        await asyncio.sleep(0.05)
+        pool = client._pools[address]
+        client.renew(address)
+        answer = await call
+        assert answer.status == 200
+        await asyncio.sleep(0.02)
+        assert pool.session.closed
+    await client.close()
+
+
+async def test_long_body_has_the_time_that_the_link_needs():
+    """Guards against long writes that a slow link never sends in time."""
+    client = JsonClient(link_mbps=1)
+    now_s = asyncio.get_running_loop().time()
+    async with client._limit_time(100, b'x' * 100_000) as limit:
+        # The link alone needs 800 ms.
+        assert limit.when() - now_s > 1
+    await client.close()
