Give a long configuration of a peer the time that its link needs

Cause: a daemon that can't read the store asks a peer for the configuration, and the whole answer had 400 ms. 0.5 MB need 0.8 s at 5 Mbit/s, so that it never arrived, however often it was asked for.

Change: a call of a peer can name a longest time. Until then it goes on while bytes arrive on its stream in each time of its limit. Only the request for the configuration does; connecting keeps its limit of 400 ms. A peer that goes silent is given up as early as before.

test_long_reply_arrives_over_a_link_that_is_slow is new; a call had one limit before, 300 ms there, for an answer of 0.8 s.

--- a/src/radishlift/cell/config_sharing.py
+++ b/src/radishlift/cell/config_sharing.py
@@ -19,6 +19,8 @@
 from radishlift.wire.network import PeerNetwork
 
 _CALL_TIMEOUT_MS: Final = 400
+# A link of 5 Mbit/s needs 1.7 s for the longest message, and may be shared.
+_LONGEST_CALL_MS: Final = 5000
 _CONFIG_KEY: Final = 'config'
 
 
@@ -100,13 +102,17 @@
     async def _request(self, peer: DaemonId) -> ConfigTold | Failure | None:
         try:
             async with asyncio.timeout(_CALL_TIMEOUT_MS / 1000):
-                reply: ConfigTold | Failure = await self._network.call(
-                    peer,
-                    ConfigAsk(self._row_version),
-                    _CALL_TIMEOUT_MS,
-                )
+                failure = await self._network.probe(peer)
         except TimeoutError:
             return None
+        if failure is not None:
+            return failure
+        reply: ConfigTold | Failure = await self._network.call(
+            peer,
+            ConfigAsk(self._row_version),
+            _CALL_TIMEOUT_MS,
+            _LONGEST_CALL_MS,
+        )
         return reply
 
     async def _serve(self, _: DaemonId, request: ConfigAsk) -> ConfigTold:
--- a/src/radishlift/wire/connection.py
+++ b/src/radishlift/wire/connection.py
@@ -65,11 +65,14 @@
         name, fields = encode_message(message)
         return self.send_frame(Frame(FrameKind.one_way, 0, name, fields))
 
-    async def call(self, message: object, timeout_ms: int) -> Any:
+    async def call(
+        self, message: object, timeout_ms: int, longest_ms: int = 0
+    ) -> Any:
         """Sends a message and waits for its reply or a failure.
 
-        Fails with `peer_unavailable` if the message was certainly not sent,
-        otherwise with `peer_outcome_unknown`.
+        A long reply may take up to `longest_ms`, as long as bytes arrive in
+        each time of `timeout_ms`. Fails with `peer_unavailable` if the message
+        was certainly not sent, otherwise with `peer_outcome_unknown`.
         """
         call_id = next(self._call_ids)
         name, fields = encode_message(message)
@@ -83,12 +86,12 @@
         # Callers with a time-out of their own cancel the call.
         silent_at_s = loop.time() + min(timeout_ms, _SILENCE_MS) / 1000
         try:
-            async with asyncio.timeout(timeout_ms / 1000):
-                return await future
-        except TimeoutError:
-            reason = f'no reply to {name} in {timeout_ms} ms'
-            return Failure(ErrorKind.peer_outcome_unknown, reason)
+            if not await self._wait_for_reply(future, timeout_ms, longest_ms):
+                reason = f'no reply to {name} in {timeout_ms} ms'
+                return Failure(ErrorKind.peer_outcome_unknown, reason)
+            return future.result()
         finally:
+            future.cancel()
             is_overdue = future.cancelled() and loop.time() >= silent_at_s
             self._finish(call_id, received_bytes if is_overdue else None)
 
@@ -138,6 +141,20 @@
                     Failure(ErrorKind.peer_outcome_unknown, reason),
                 )
 
+    async def _wait_for_reply(
+        self, future: asyncio.Future[Any], timeout_ms: int, longest_ms: int
+    ) -> bool:
+        """Waits for a reply; returns False if it does not arrive in time."""
+        loop = asyncio.get_running_loop()
+        ends_at_s = loop.time() + longest_ms / 1000
+        while not future.done():
+            received_bytes = self.received_bytes
+            await asyncio.wait((future,), timeout=timeout_ms / 1000)
+            has_stopped = self.received_bytes == received_bytes
+            if has_stopped or loop.time() >= ends_at_s:
+                break
+        return future.done()
+
     def _finish(self, call_id: int, received_bytes: int | None) -> None:
         """Ends a call; `received_bytes` were known before an overdue one."""
         del self._calls[call_id]
--- a/src/radishlift/wire/network.py
+++ b/src/radishlift/wire/network.py
@@ -143,8 +143,12 @@
         daemon_id: DaemonId,
         message: object,
         timeout_ms: int,
+        longest_ms: int = 0,
     ) -> Any:
-        """Calls a peer, or this daemon itself, and returns its reply."""
+        """Calls a peer, or this daemon itself, and returns its reply.
+
+        A long reply may take up to `longest_ms`, as long as bytes arrive.
+        """
         if daemon_id == self.daemon_id:
             return await self._dispatch(daemon_id, message)
         refusal = self.levels.check_message_level(daemon_id, message)
@@ -152,7 +156,7 @@
         if isinstance(connection, Failure):
             return connection
         try:
-            return await connection.call(message, timeout_ms)
+            return await connection.call(message, timeout_ms, longest_ms)
         finally:
             is_in_use = self._outgoing.get(daemon_id) is connection
             if connection.is_silent and is_in_use:
--- a/tests/wire/test_network.py
+++ b/tests/wire/test_network.py
@@ -8,6 +8,7 @@
 from radishlift.core.ids import Address, DaemonId
 from radishlift.wire.messages import message
 from radishlift.wire.network import PeerNetwork
+from tests.platform.slow_link import run_slow_link
 from tests.standins.proxy import ConnectionFault, Proxy
 
 A = DaemonId('a')
@@ -27,6 +28,18 @@
     number: int
 
 
+@message('test_tell')
+@dataclass(frozen=True, slots=True)
+class Tell:
+    chars_count: int
+
+
+@message('test_told')
+@dataclass(frozen=True, slots=True)
+class Told:
+    text: str
+
+
 async def _echo(sender: DaemonId, echo: Echo) -> Echo:
     await asyncio.sleep(echo.delay_ms / 1000)
     return echo
@@ -122,6 +135,31 @@
     assert pair[0].stream_number(B) == number
 
 
+async def test_long_reply_arrives_over_a_link_that_is_slow(pair):
+    """Guards against a configuration that peers never pass on in time."""
+
+    async def tell(_sender: DaemonId, request: Tell) -> Told:
+        return Told('x' * request.chars_count)
+
+    pair[1].register(Tell, tell)
+    async with run_slow_link(pair[2][B], 1) as link:
+        pair[0].set_peers({**pair[2], B: Address(link)})
+        # The link needs 0.8 s.
+        reply = await pair[0].call(B, Tell(100_000), 300, 3000)
+        assert len(reply.text) == 100_000
+        too_long = await pair[0].call(B, Tell(100_000), 300, 400)
+        assert too_long.kind is ErrorKind.peer_outcome_unknown
+
+
+async def test_long_reply_that_stops_arriving_fails_early(pair, proxied):
+    """Guards against calls that wait for the rest of a reply."""
+    assert await pair[0].call(B, Echo(1), 2000) == Echo(1)
+    proxied.fault = ConnectionFault.silence
+    async with asyncio.timeout(1):
+        failure = await pair[0].call(B, Echo(2), 100, 5000)
+    assert failure.kind is ErrorKind.peer_outcome_unknown
+
+
 async def test_call_to_a_stopped_peer_fails(pair):
     """Guards against a call that succeeds when its peer has stopped."""
     await pair[1].stop()
