End the term of a leader that writes but can't do its work

Cause: other daemons see only that a leader writes. A term ended if a transaction was refused, if a target had a later leader, or with the process, but not if the leader couldn't read. While it read the progress of jobs, a deposed leader did not even notice that.

Change: `cell.work_watch` ends a term - that gets no page of a table for 5 s before it has read all (20 s afterwards, as a successor has to read all again), - or that reaches no target for 10 s, when all leases are over, although targets write their entries, in each case only while its commits get through: an outage that all share is no reason. The daemon frees the row of the leader and claims 3 s later than the others for a minute. The row counts such terms in a row; each doubles these limits, up to 16 times, so that the lead does not go round if nobody can work.

--- a/src/radishlift/cell/commits.py
+++ b/src/radishlift/cell/commits.py
@@ -53,13 +53,15 @@
     """Epoch of a leader, and row versions that its next commit requires.
 
     No other daemon had claimed the lead before `claimed_at_ms`. The term may
-    use the fencing tokens from its epoch to `last_token`.
+    use the fencing tokens from its epoch to `last_token`. `abandoned_count` is
+    how many leaders have stepped down in a row because they could not work.
     """
 
     epoch: FencingToken
     leader_version: int
     last_version: int
     claimed_at_ms: int
+    abandoned_count: int = 0
 
     @property
     def last_token(self) -> FencingToken:
--- a/src/radishlift/cell/daemon.py
+++ b/src/radishlift/cell/daemon.py
@@ -227,7 +227,10 @@
             claim = await self._leadership.wait_for_claim(self._cell_follower)
             self._term = LeaderTerm(claim, self._leader_dependencies)
             await self._term.run()
+            is_abandoned = self._term.is_abandoned
             self._term = None
+            if is_abandoned:
+                await self._leadership.abandon(claim)
             self._leadership.follow()
 
     def _on_cell_snapshot(self, rows: tuple[Row, ...]) -> None:
--- a/src/radishlift/cell/entry_writes.py
+++ b/src/radishlift/cell/entry_writes.py
@@ -41,6 +41,14 @@
         if self._read_at_ms is not None:
             self._written_after_ms[target_id] = self._read_at_ms
 
+    def has_recent(self, now_ms: int) -> bool:
+        """Returns whether any target has written its entry recently."""
+        limit_ms = now_ms - self._recent_ms
+        return any(
+            written_after_ms > limit_ms
+            for written_after_ms in self._written_after_ms.values()
+        )
+
     def is_deliberate(
         self, target_id: TargetId, now_ms: int, remaining_ms: int = 0
     ) -> bool:
--- a/src/radishlift/cell/leader_term.py
+++ b/src/radishlift/cell/leader_term.py
@@ -1,7 +1,7 @@
 """One term of a leader: restores the state, then schedules until its end."""
 
 import asyncio
-from collections.abc import Callable, Coroutine, Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import Any, Final
 
@@ -27,6 +27,7 @@
 )
 from radishlift.cell.target_entries import EntryDecoder, TargetEntries
 from radishlift.cell.unrenewed_leases import load_remaining_ms
+from radishlift.cell.work_watch import WorkWatch
 from radishlift.core.clock import Clock
 from radishlift.core.errors import Failure
 from radishlift.core.ids import DaemonId, JobId
@@ -71,7 +72,10 @@
 
 
 class LeaderTerm:
-    """The period for which a daemon leads, and its work in this period."""
+    """The period for which a daemon leads, and its work in this period.
+
+    `is_abandoned` is whether it ended because the daemon could not do the work.
+    """
 
     def __init__(self, claim: Claim, dependencies: LeaderDependencies) -> None:
         self.claim = claim
@@ -114,30 +118,35 @@
             dependencies.settings,
             dependencies.clock,
         )
+        self._watch = WorkWatch(
+            self._log,
+            self.scheduler.fleet,
+            dependencies.settings,
+            dependencies.clock,
+            claim.abandoned_count,
+        )
+        self.is_abandoned = False
         self._has_jobs = asyncio.Event()
         self._has_targets = asyncio.Event()
         self._has_cancels = asyncio.Event()
 
     async def run(self) -> None:
-        """Leads until it is deposed or cancelled."""
+        """Leads until it is deposed or cancelled, or can't do its work."""
         started_at_ms = self._dependencies.clock.monotonic_ms()
         self._log.unrenewed.begin_load()
         self.scheduler.jobs.begin_load(self._dependencies.get_heartbeat())
         try:
             async with asyncio.TaskGroup() as group:
-                log_task = group.create_task(self._log.run())
-                others = [
-                    group.create_task(work)
-                    for work in await self._start_work(started_at_ms)
-                ]
-                is_over = group.create_task(
-                    self.scheduler.attempts.is_over.wait()
+                watching = group.create_task(self._watch.run())
+                ends = (
+                    group.create_task(self._log.run()),
+                    group.create_task(self.scheduler.attempts.is_over.wait()),
+                    watching,
                 )
-                await asyncio.wait(
-                    (log_task, is_over),
-                    return_when=asyncio.FIRST_COMPLETED,
-                )
-                for task in (log_task, is_over, *others):
+                work = group.create_task(self._work(started_at_ms))
+                await asyncio.wait(ends, return_when=asyncio.FIRST_COMPLETED)
+                self.is_abandoned = watching.done()
+                for task in (*ends, work):
                     task.cancel()
         finally:
             self.scheduler.close()
@@ -147,10 +156,7 @@
         """Applies the latest configuration."""
         self.scheduler.apply_config(config)
 
-    async def _start_work(
-        self,
-        started_at_ms: int,
-    ) -> list[Coroutine[Any, Any, None]]:
+    async def _work(self, started_at_ms: int) -> None:
         await self._read_progress()
         await self._read_unrenewed()
         log_event(
@@ -159,15 +165,19 @@
             progress_rows=len(self._progress),
             took_ms=self._dependencies.clock.monotonic_ms() - started_at_ms,
         )
-        return [
-            self._follow(JOBS, self._on_jobs, self._on_jobs),
-            self._follow(CANCELS, self._on_cancel_snapshot, self._on_cancels),
-            self._follow_targets(),
-            self._advice_dispatcher.run(),
-            self._retention.run(),
-            self._read_speeds(),
-            self._schedule(),
-        ]
+        async with asyncio.TaskGroup() as group:
+            for work in (
+                self._follow(JOBS, self._on_jobs, self._on_jobs),
+                self._follow(
+                    CANCELS, self._on_cancel_snapshot, self._on_cancels
+                ),
+                self._follow_targets(),
+                self._advice_dispatcher.run(),
+                self._retention.run(),
+                self._read_speeds(),
+                self._schedule(),
+            ):
+                group.create_task(work)
 
     async def _follow_targets(self) -> None:
         # Running tasks of targets can be checked only once all jobs are loaded.
@@ -187,6 +197,7 @@
 
     async def _schedule(self) -> None:
         await self._has_targets.wait()
+        self._watch.end_load()
         # Limits of workspaces must be known before the first start.
         config = self._dependencies.get_config()
         if config is not None:
@@ -195,6 +206,7 @@
 
     async def _read_progress(self) -> None:
         partial = PartialSnapshot()
+        self._watch.add_read(PROGRESS, lambda: partial.pages_count)
         while True:
             snapshot = await self._dependencies.store.snapshot(
                 PROGRESS, partial
@@ -205,6 +217,7 @@
             await asyncio.sleep(
                 self._dependencies.settings.feed_retry_ms / 1000
             )
+        self._watch.remove_read(PROGRESS)
         self._progress = {JobId(row.key): row for row in snapshot.rows}
 
     async def _read_unrenewed(self) -> None:
@@ -258,6 +271,7 @@
         if table == TARGETS:
             follower.on_read = self.scheduler.fleet.record_read
             follower.on_regained = self.scheduler.fleet.record_outage
+        self._watch.add_read(table, lambda: follower.progress)
         await follower.run(on_snapshot, on_changes)
 
     def _on_jobs(self, rows: tuple[Row, ...]) -> None:
--- a/src/radishlift/cell/leadership.py
+++ b/src/radishlift/cell/leadership.py
@@ -163,6 +163,7 @@
         self._view = view
         self._settings = settings
         self._clock = clock
+        self._abstains_until_ms = 0
 
     async def register(
         self,
@@ -196,12 +197,20 @@
             self.follow()
             await asyncio.sleep(_CHECK_INTERVAL_MS / 1000)
 
-    async def release(self, claim: Claim) -> None:
+    async def abandon(self, claim: Claim) -> None:
+        """Steps down as this daemon can't do the work; others claim first."""
+        now_ms = self._clock.monotonic_ms()
+        self._abstains_until_ms = now_ms + self._settings.abstain_for_ms
+        await self.release(claim, claim.abandoned_count + 1)
+
+    async def release(self, claim: Claim, abandoned_count: int = 0) -> None:
         """Steps down so that another daemon can lead at once.
 
         After a failure the others claim once the heartbeat is overdue.
         """
         row = {'daemon': '', 'epoch': claim.last_token}
+        if abandoned_count:
+            row['abandoned'] = abandoned_count
         outcome = await self._store.commit(
             Transaction(
                 (Condition(CELL, LEADER_KEY, claim.leader_version),),
@@ -243,6 +252,8 @@
             return _CHECK_INTERVAL_MS
         now_ms = self._clock.monotonic_ms()
         wait_ms = self._claim_position() * self._settings.claim_stagger_ms
+        if now_ms < self._abstains_until_ms:
+            wait_ms += self._settings.abstain_ms
         if not self._view.leader.version:
             # At the first start, wait until the daemons have registered.
             wait_ms += self._settings.first_claim_ms
@@ -274,7 +285,8 @@
         ):
             return None
         # Leaders of earlier releases have one token each, and take the next.
-        epoch = FencingToken((leader.value or {}).get('epoch', 0) + 1)
+        leader_row = leader.value or {}
+        epoch = FencingToken(leader_row.get('epoch', 0) + 1)
         leader_fields = self._leader_fields(epoch)
         commit_fields = {'epoch': epoch, 'number': 0}
         sent_at_ms = self._clock.monotonic_ms()
@@ -289,7 +301,13 @@
         )
         if isinstance(outcome, Committed):
             leader_version, last_version = outcome.versions
-            return Claim(epoch, leader_version, last_version, sent_at_ms)
+            return Claim(
+                epoch,
+                leader_version,
+                last_version,
+                sent_at_ms,
+                leader_row.get('abandoned', 0),
+            )
         if isinstance(outcome, Conflict):
             log_event('claim_lost', epoch=epoch)
             return None
--- a/src/radishlift/cell/ports.py
+++ b/src/radishlift/cell/ports.py
@@ -28,9 +28,13 @@
 
 @dataclass(slots=True)
 class PartialSnapshot:
-    """What failed reads of a table have already read; known to the store."""
+    """What failed reads of a table have already read; known to the store.
+
+    `pages_count` is how many pages that are.
+    """
 
     read: object = None
+    pages_count: int = 0
 
 
 class CellStore(Protocol):
--- a/src/radishlift/cell/settings.py
+++ b/src/radishlift/cell/settings.py
@@ -44,6 +44,16 @@
       which no start is sent, as a target may have less capacity meanwhile.
     - `feed_gap_ms`: pause between reads of the targets' entries, which change
       with every heartbeat of a target.
+    - `load_stall_ms`: time without an answer about a table after which a leader
+      that has not read its jobs and targets steps down; far above the pause
+      that a slow store makes between two pages.
+    - `blind_ms`: the same for a leader that has read them. Its successor has to
+      read all again, and running tasks need no reads.
+    - `out_of_reach_ms`: time without any target that answers, while they write
+      their entries, after which a leader steps down. All leases are over then.
+    - `abstain_ms`: delay of the claims of a daemon that has stepped down like
+      this, so that others claim before it.
+    - `abstain_for_ms`: how long it delays them.
     - `forget_ended_ms`: how long ended jobs are kept; callers may query them
       for 120 s, and repeat a submission for seconds after its answer.
     - `forget_every_ms`: pause between two removals of ended jobs.
@@ -77,6 +87,11 @@
     feed_retry_ms: int = 150
     max_entry_age_ms: int = 2000
     feed_gap_ms: int = 100
+    load_stall_ms: int = 5000
+    blind_ms: int = 20_000
+    out_of_reach_ms: int = 10_000
+    abstain_ms: int = 3000
+    abstain_for_ms: int = 60_000
     forget_ended_ms: int = 180_000
     forget_every_ms: int = 1000
     suspension_check_ms: int = 1000
--- a/src/radishlift/cell/table_follower.py
+++ b/src/radishlift/cell/table_follower.py
@@ -52,6 +52,7 @@
         self._clock = clock
         self._version: int | None = None
         self._partial = PartialSnapshot()
+        self._reads_count = 0
         self._requested_at_ms = 0
         self._lost_at_ms = 0
         self.is_store_lost = False
@@ -61,6 +62,11 @@
         self.choose_rest_ms: Callable[[], int] = _no_rest
         self._rest_ms = 0
 
+    @property
+    def progress(self) -> tuple[int, int]:
+        """Returns what changes with each read and each page of a snapshot."""
+        return self._reads_count, self._partial.pages_count
+
     async def run(
         self,
         on_snapshot: Callable[[tuple[Row, ...]], None],
@@ -77,6 +83,7 @@
             self._record_contact()
             self._version = changed.version
             self._partial = PartialSnapshot()
+            self._reads_count += 1
             if is_snapshot:
                 on_snapshot(changed.rows)
             elif changed.rows:
--- a/src/radishlift/core/events.py
+++ b/src/radishlift/core/events.py
@@ -87,6 +87,7 @@
     'job_too_large',
     'jobs_not_removed',
     'jobs_not_shortened',
+    'lead_abandoned',
     'leader_deposed',
     'progress_unread',
     'speeds_unread',
--- a/src/radishlift/platform/store.py
+++ b/src/radishlift/platform/store.py
@@ -74,14 +74,16 @@
 
         After a failure the pages that were read are in `partial`.
         """
-        read = None if partial is None else partial.read
+        kept = partial or PartialSnapshot()
+        read = kept.read
         if not isinstance(read, SnapshotRead):
             read = SnapshotRead(find_location(table).parts)
-        if partial is not None:
-            partial.read = read
+            kept.read = read
 
         async def read_page(part: str, first_key: str) -> Page | Failure:
-            return await self._read_page(table, part, first_key)
+            page = await self._read_page(table, part, first_key)
+            kept.pages_count += isinstance(page, Page)
+            return page
 
         return await read.run(read_page, self._client.link_bytes_per_s)
 
