Repeat no call of an attempt whose end is known

Cause: a start without an answer is repeated up to three times. Whether it still is to be started was asked of the list of starts, from which the end of the attempt did not remove it. The process that had run it rejects the repetition; a new process with the same id knows nothing of the end, and runs the task. Seen by a test with a target that restarts: both the attempt and its repetition arrive, 20 ms after the end was noted.

The same cause on related paths, each with a test: - a start was repeated after its attempt was to be stopped, so that a new process could run a task of a cancelled job; - a start was repeated by a leader without a commit for longer than others wait for its heartbeat; another leader may have noted the end; - a stop was repeated until the lease expired although the end was noted; - the end of an attempt discarded the start of the task's next attempt on the same target, which then counted as missing in a list that was asked for before it started.

Change: an end discards the start and the stop of its attempt, and of no other one. A stop withdraws the start. Repetitions ask for both. A start that is not repeated any more is blocked by a stop, as before.

test_listing names the attempt that has ended, which `forget` now requires; its check is unchanged.

--- a/src/radishlift/cell/attempts.py
+++ b/src/radishlift/cell/attempts.py
@@ -209,7 +209,7 @@
             self._run_times.record_end(session.target, job, task, ended)
         allocation = session.target.allocations.get(ended.key)
         session.target.release(ended.key, ended.attempt)
-        session.listing.forget(ended.key)
+        session.listing.forget(ended.key, ended.attempt)
         self._notify_scheduler()
         if job is None or task is None:
             return
--- a/src/radishlift/cell/commits.py
+++ b/src/radishlift/cell/commits.py
@@ -138,6 +138,12 @@
         age_ms = self._clock.monotonic_ms() - self.confirmed_at_ms
         return age_ms <= self._settings.unconfirmed_ms
 
+    @property
+    def is_lead_undisputed(self) -> bool:
+        """Returns whether no other daemon can have taken over."""
+        age_ms = self._clock.monotonic_ms() - self.confirmed_at_ms
+        return age_ms <= self._settings.silence_ms
+
     def enqueue(
         self, job: JobRun, callback: CommitCallback | None = None
     ) -> None:
--- a/src/radishlift/cell/orders.py
+++ b/src/radishlift/cell/orders.py
@@ -39,6 +39,10 @@
     which no connection was established has no effect. `open_starts` are the
     start calls without an answer yet, and `unresolved` the attempts whose
     starts the known process may still carry out.
+
+    No call is repeated once the end of its attempt is known: a new process of
+    the target knows nothing of it and would carry the call out. Nor is a start
+    repeated once its attempt is to be stopped, or while others may lead.
     """
 
     def __init__(
@@ -55,7 +59,6 @@
         self._on_resolved = on_resolved
         self._on_not_started = on_not_started
         self.listing = ExpectedListing(target)
-        self._stopping: set[tuple[TaskKey, int]] = set()
         self.fence = context.open_fence(target.entry.target_id)
         self.unresolved: set[tuple[TaskKey, int]] = set()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -79,8 +82,8 @@
 
     def stop(self, key: TaskKey, attempt: int) -> None:
         """Stops an attempt or blocks its start; its end will be listed."""
-        if (key, attempt) not in self._stopping:
-            self._stopping.add((key, attempt))
+        if not self.listing.is_stopping(key, attempt):
+            self.listing.expect_stop(key, attempt)
             self._spawn(self._stop_until_answered(key, attempt))
 
     def send_fence(self) -> None:
@@ -105,23 +108,18 @@
 
     async def _start(self, order: StartOrder) -> None:
         is_unresolved = False
+        verdict = StartVerdict.refused
         for _ in range(self._context.settings.order_retries_count):
-            if not _has_room(self._target):
+            may_repeat = self._context.may_repeat_starts()
+            is_disputed = is_unresolved and not may_repeat
+            if is_disputed or not _may_send(order, self._target, self.listing):
                 break
-            if not self.listing.is_starting(order.key, order.attempt):
-                return
             answer = await self._send_start(order)
             if isinstance(answer, StartVerdict):
-                await self._resolve_start(
-                    order, answer, is_unresolved=is_unresolved
-                )
-                return
+                verdict = answer
+                break
             is_unresolved |= not answer.is_not_run
-        await self._resolve_start(
-            order,
-            StartVerdict.refused,
-            is_unresolved=is_unresolved,
-        )
+        await self._resolve_start(order, verdict, is_unresolved=is_unresolved)
 
     async def _send_start(self, order: StartOrder) -> StartVerdict | Failure:
         """Sends a start once, and records what its answer tells."""
@@ -190,6 +188,8 @@
         if verdict is StartVerdict.fenced:
             self._context.listener.end_term()
             return
+        if not self.listing.is_starting(order.key, order.attempt):
+            return
         may_be_listed = verdict in _RAN_VERDICTS
         if may_be_listed:
             self.unresolved.discard((order.key, order.attempt))
@@ -209,11 +209,14 @@
             self._on_not_started(order.key, order.attempt, verdict)
 
     async def _stop_until_answered(self, key: TaskKey, attempt: int) -> None:
+        self.listing.expect_stop(key, attempt)
         while not await self._stop_once(key, attempt):
             if self._lease.has_expired(self._now_ms()):
                 break
             await asyncio.sleep(self._context.settings.hold_retry_ms / 1000)
-        self._stopping.discard((key, attempt))
+            if not self.listing.is_stopping(key, attempt):
+                break
+        self.listing.finish_stop(key, attempt)
         self._on_resolved()
 
     async def _stop_once(self, key: TaskKey, attempt: int) -> bool:
@@ -241,10 +244,14 @@
         )
 
 
-def _has_room(target: Target) -> bool:
-    """Returns whether the target's entry still allows its attempts."""
+def _may_send(
+    order: StartOrder, target: Target, listing: ExpectedListing
+) -> bool:
+    """Returns whether a start is wanted, and the target's entry allows it."""
     is_ready = target.entry.state is TargetState.ready
-    return is_ready and Amounts().fits_in(target.free_capacity)
+    has_room = Amounts().fits_in(target.free_capacity)
+    is_wanted = listing.may_start(order.key, order.attempt)
+    return is_ready and has_room and is_wanted
 
 
 __all__ = ('TargetOrders',)
--- a/src/radishlift/cell/scheduler.py
+++ b/src/radishlift/cell/scheduler.py
@@ -95,6 +95,7 @@
             self.inherited_leases,
             log.unrenewed,
             lambda: log.is_confirmed,
+            lambda: log.is_lead_undisputed,
         )
         self.pending_advice = PendingAdvice(
             self._planner,
--- a/src/radishlift/cell/session_context.py
+++ b/src/radishlift/cell/session_context.py
@@ -19,6 +19,10 @@
     from radishlift.cell.sessions import TargetSession
 
 
+def _always() -> bool:
+    return True
+
+
 @unique
 class StopEvidence(Enum):
     """How a leader knows that a target runs nothing any more."""
@@ -80,7 +84,8 @@
     """Dependencies and settings of all sessions of a leader.
 
     `epoch` is the first fencing token of the term. `may_renew_leases` returns
-    whether leases may be renewed.
+    whether leases may be renewed, and `may_repeat_starts` whether no other
+    daemon can have taken note of an end meanwhile.
     """
 
     calls: TargetCalls
@@ -92,6 +97,7 @@
     inherited_leases: InheritedLeases
     unrenewed: UnrenewedLeases
     may_renew_leases: Callable[[], bool]
+    may_repeat_starts: Callable[[], bool] = _always
     _fences: dict[TargetId, TargetFence] = field(default_factory=dict)
 
     def open_fence(self, target_id: TargetId) -> TargetFence:
--- a/tests/cell/fakes.py
+++ b/tests/cell/fakes.py
@@ -127,6 +127,8 @@
     ended: list = field(default_factory=list)
     blocked: dict = field(default_factory=dict)
     started: list = field(default_factory=list)
+    attempted: list = field(default_factory=list)
+    stops_count: int = 0
     late: list = field(default_factory=list)
     until_ms: int = 0
     ended_count: int = 0
@@ -179,6 +181,7 @@
         self.crashing = set()
         self.crashed = []
         self.restart_s = 0.05
+        self.answer_s = 0.0
 
     def __getitem__(self, name: str) -> FakeTarget:
         return self.by_id[name]
@@ -192,6 +195,7 @@
 
     async def start(self, target: TargetRef, order: StartOrder):
         fake = self.by_id[target.target_id]
+        fake.attempted.append(order)
         await asyncio.sleep(0)
         if fake.has_left or fake.is_cut_off:
             return UNREACHABLE
@@ -210,6 +214,8 @@
             self.crash(fake)
             return UNKNOWN
         verdict = fake.run(order)
+        if self.answer_s:
+            await asyncio.sleep(self.answer_s)
         return UNKNOWN if fake.loses_answers else verdict
 
     def crash(self, fake: FakeTarget) -> None:
@@ -227,6 +233,7 @@
 
     async def stop(self, target: TargetRef, key, attempt: int, fencing_token):
         fake = self.by_id[target.target_id]
+        fake.stops_count += 1
         await asyncio.sleep(0)
         if fake.has_left or fake.is_cut_off:
             return UNREACHABLE
--- a/tests/cell/test_leader_term.py
+++ b/tests/cell/test_leader_term.py
@@ -622,3 +622,18 @@
     await cell.until(lambda: run.spec.job_id in jobs)
     assert jobs.heartbeat_fields() == {'pending': counts}
     assert not term.done()
+
+
+async def test_task_whose_end_is_known_does_not_start_in_a_new_process(cell):
+    """Guards against a repeated start that runs a completed job again."""
+    fake = cell.targets['t1']
+    fake.loses_answers = True
+    cell.targets.answer_s = 0.1
+    cell.lead()
+    job_id = cell.submit(job())
+    await cell.until_state(job_id, 'completed')
+    started = list(fake.started)
+    fake.restart()
+    await asyncio.sleep(0.3)
+    assert fake.started == started
+    assert not fake.running
--- a/tests/cell/test_listing.py
+++ b/tests/cell/test_listing.py
@@ -55,7 +55,7 @@
     listing = ExpectedListing(target)
     listing.expect_start(key(), 2)
     listing.finish_start(key(), 2, now_ms=50)
-    listing.forget(key())
+    listing.forget(key(), 1)
     ended = EndedAttempt(1, key(), 1, EndKind.lapsed)
     listed = HoldReport(0, None, (), (ended,), 1)
     assert not list(listing.list_missing(listed, 40))
--- a/tests/cell/test_orders.py
+++ b/tests/cell/test_orders.py
@@ -7,7 +7,7 @@
 
 from radishlift.cell.leases import InheritedLeases, TargetLease
 from radishlift.cell.orders import TargetOrders
-from radishlift.cell.ports import StartOrder, StartVerdict
+from radishlift.cell.ports import HoldReport, StartOrder, StartVerdict
 from radishlift.cell.session_context import SessionContext
 from radishlift.cell.settings import CellSettings
 from radishlift.cell.unrenewed_leases import UnrenewedLeases
@@ -25,7 +25,9 @@
 class OrdersSetup:
     """Orders to one fake target, and the events the listener received."""
 
-    def __init__(self, *, may_renew: bool = True) -> None:
+    def __init__(
+        self, *, may_renew: bool = True, may_repeat: bool = True
+    ) -> None:
         self.calls = FakeTargets('t1')
         self.fake = self.calls['t1']
         self.events = []
@@ -43,14 +45,15 @@
             InheritedLeases(0),
             UnrenewedLeases(FencingToken(3), lambda: None),
             lambda: may_renew,
+            lambda: may_repeat,
         )
         self.target = Target(entry('t1'))
         self.target.allocate(key(), 1, core())
-        lease = TargetLease(SETTINGS, 6000, 0)
-        lease.update_clock(0, 0)
+        self.lease = TargetLease(SETTINGS, 6000, 0)
+        self.lease.update_clock(0, 0)
         self.orders = TargetOrders(
             self.target,
-            lease,
+            self.lease,
             context,
             lambda: None,
             lambda task_key, attempt, verdict: self.events.append(verdict),
@@ -179,3 +182,70 @@
     setup.orders.start(ORDER)
     await setup.until_resolved()
     assert (only(setup.fake.started).until_ms > 0) is may_renew
+
+
+async def test_start_is_not_repeated_after_its_attempt_has_ended(setup):
+    """Guards against a new process that runs a task again after its end."""
+    setup.fake.loses_answers = True
+    setup.calls.answer_s = 0.02
+    setup.orders.start(ORDER)
+    await asyncio.sleep(0.01)
+    setup.target.release(key(), 1)
+    setup.orders.listing.forget(key(), 1)
+    setup.fake.restart()
+    await asyncio.sleep(0.08)
+    assert len(setup.fake.attempted) == 1
+    assert not setup.events
+
+
+async def test_start_is_not_repeated_after_its_stop(setup):
+    """Guards against a new process that runs a task of a cancelled job."""
+    setup.fake.loses_answers = True
+    setup.calls.answer_s = 0.02
+    setup.orders.start(ORDER)
+    await asyncio.sleep(0.01)
+    setup.orders.stop(key(), 1)
+    await asyncio.sleep(0.005)
+    setup.fake.restart()
+    await setup.until_resolved()
+    assert not setup.fake.running
+    assert len(setup.fake.started) == 1
+    setup.orders.close()
+
+
+async def test_start_is_not_repeated_while_another_daemon_may_lead():
+    """Guards against a resumed leader that repeats a start after the end."""
+    setup = OrdersSetup(may_repeat=False)
+    setup.fake.loses_answers = True
+    setup.orders.start(ORDER)
+    await setup.until_resolved()
+    assert len(setup.fake.attempted) == 1
+    assert setup.fake.blocked == {key(): 1}
+
+
+async def test_stop_is_not_repeated_after_its_attempt_has_ended(setup):
+    """Guards against calls that go on until the lease has expired."""
+    setup.fake.is_unresponsive = True
+    setup.lease.grant(BootClock().monotonic_ms())
+    setup.orders.stop(key(), 1)
+    await asyncio.sleep(0.02)
+    setup.orders.listing.forget(key(), 1)
+    await asyncio.sleep(0.02)
+    sent_count = setup.fake.stops_count
+    await asyncio.sleep(0.03)
+    assert sent_count > 1
+    assert setup.fake.stops_count == sent_count
+
+
+async def test_late_end_of_an_attempt_leaves_the_next_one_expected(setup):
+    """Guards against a later attempt that counts as lost while it runs."""
+    listing = setup.orders.listing
+    setup.target.release(key(), 1)
+    setup.target.allocate(key(), 2, core())
+    listing.expect_start(key(), 2)
+    listing.forget(key(), 1)
+    assert listing.may_start(key(), 2)
+    listing.finish_start(key(), 2, now_ms=50)
+    listing.forget(key(), 1)
+    report = HoldReport(0, None, (), (), 0)
+    assert not list(listing.list_missing(report, 40))
