--- a/src/radishlift/cell/daemon.py
+++ b/src/radishlift/cell/daemon.py
@@ -10,10 +10,8 @@
 from radishlift.cell.advice_dispatch import AdviceProxy
 from radishlift.cell.config_sharing import ConfigSharer
 from radishlift.cell.job_service import JobService
-from radishlift.cell.leader_term import (
-    LeaderDependencies,
-    LeaderTerm,
-)
+from radishlift.cell.leader_dependencies import LeaderDependencies
+from radishlift.cell.leader_term import LeaderTerm
 from radishlift.cell.leadership import CellView, Leadership
 from radishlift.cell.ports import AdviceCalls, CellStore, TargetCalls
 from radishlift.cell.queues import QueueConfig
--- a/src/radishlift/cell/fleet.py
+++ b/src/radishlift/cell/fleet.py
@@ -98,13 +98,6 @@
             target.free_capacity
         )
 
-    def is_out_of_reach(self, now_ms: int) -> bool:
-        """Returns whether no target answers although some are running."""
-        is_any_reachable = any(
-            session.target.is_reachable for session in self._sessions.values()
-        )
-        return not is_any_reachable and self.entry_writes.has_recent(now_ms)
-
     def stop(self, target_id: TargetId, key: TaskKey, attempt: int) -> None:
         """Stops an attempt, if its target is known."""
         session = self._sessions.get(target_id)
--- a/src/radishlift/cell/leader_term.py
+++ b/src/radishlift/cell/leader_term.py
@@ -1,19 +1,18 @@
 """One term of a leader: restores the state, then schedules until its end."""
 
 import asyncio
-from collections.abc import Callable, Mapping
-from dataclasses import dataclass
-from typing import Any, Final
+from collections.abc import Callable
+from typing import Final
 
 from radishlift.cell.advice_dispatch import AdviceDispatcher
 from radishlift.cell.cancel_table import CancelTable
 from radishlift.cell.commits import Claim, CommitLog
 from radishlift.cell.job_rows import load_job
-from radishlift.cell.ports import CellStore, PartialSnapshot, TargetCalls
+from radishlift.cell.leader_dependencies import LeaderDependencies
+from radishlift.cell.ports import PartialSnapshot
 from radishlift.cell.queues import QueueConfig
 from radishlift.cell.retention import Retention
 from radishlift.cell.scheduler import Scheduler, SchedulerContext
-from radishlift.cell.settings import CellSettings
 from radishlift.cell.table_follower import FollowedTable, TableFollower
 from radishlift.cell.tables import (
     CANCELS,
@@ -25,18 +24,15 @@
     UNRENEWED_KEY,
     cancelled_job,
 )
-from radishlift.cell.target_entries import EntryDecoder, TargetEntries
+from radishlift.cell.target_entries import TargetEntries
 from radishlift.cell.unrenewed_leases import load_remaining_ms
 from radishlift.cell.work_watch import WorkWatch
-from radishlift.core.clock import Clock
 from radishlift.core.errors import Failure
-from radishlift.core.ids import DaemonId, JobId
+from radishlift.core.ids import JobId
 from radishlift.core.logs import log_event
 from radishlift.services.api import Row
 from radishlift.steps.progress import load_progress
 from radishlift.steps.runs import JobRun
-from radishlift.steps.settings import StepSettings
-from radishlift.wire.network import PeerNetwork
 
 _DECODE_ERRORS: Final = (
     ArithmeticError,
@@ -48,29 +44,6 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
-class LeaderDependencies:
-    """Dependencies and settings of a leader.
-
-    `get_heartbeat` returns the latest heartbeat, at first the previous
-    leader's.
-    """
-
-    store: CellStore
-    calls: TargetCalls
-    network: PeerNetwork
-    list_daemons: Callable[[], list[DaemonId]]
-    get_config: Callable[[], QueueConfig | None]
-    decode_target: EntryDecoder
-    settings: CellSettings
-    step_settings: StepSettings
-    clock: Clock
-    max_lease_ms: int
-    target_heartbeat_ms: int = 0
-    max_row_bytes: int = 0
-    get_heartbeat: Callable[[], Mapping[str, Any] | None] = dict
-
-
 class LeaderTerm:
     """The period for which a daemon leads, and its work in this period.
 
--- a/src/radishlift/cell/work_watch.py
+++ b/src/radishlift/cell/work_watch.py
@@ -84,11 +84,12 @@
         for table, read in self._reads.items():
             progress = read.get_progress()
             if progress != read.progress:
-                read.progress, read.changed_at_ms = progress, now_ms
+                read.progress = progress
+                read.changed_at_ms = now_ms
             stalled_ms = now_ms - read.changed_at_ms
             if stalled_ms > self._read_limit_ms * self._factor:
                 return f'no answer about {table} for {stalled_ms} ms'
-        if not self._fleet.is_out_of_reach(now_ms):
+        if not _is_out_of_reach(self._fleet, now_ms):
             self._in_reach_at_ms = now_ms
         unreached_ms = now_ms - self._in_reach_at_ms
         if unreached_ms > self._settings.out_of_reach_ms * self._factor:
@@ -101,4 +102,14 @@
             read.changed_at_ms = now_ms
 
 
+def _is_out_of_reach(fleet: TargetFleet, now_ms: int) -> bool:
+    """Returns whether no target answers although some are running."""
+    sessions = (fleet.find_session(target_id) for target_id in fleet)
+    is_any_reachable = any(
+        session is not None and session.target.is_reachable
+        for session in sessions
+    )
+    return not is_any_reachable and fleet.entry_writes.has_recent(now_ms)
+
+
 __all__ = ('WorkWatch',)
--- a/src/radishlift/wire/connection.py
+++ b/src/radishlift/wire/connection.py
@@ -91,7 +91,6 @@
                 return Failure(ErrorKind.peer_outcome_unknown, reason)
             return future.result()
         finally:
-            future.cancel()
             is_overdue = future.cancelled() and loop.time() >= silent_at_s
             self._finish(call_id, received_bytes if is_overdue else None)
 
@@ -147,13 +146,16 @@
         """Waits for a reply; returns False if it does not arrive in time."""
         loop = asyncio.get_running_loop()
         ends_at_s = loop.time() + longest_ms / 1000
-        while not future.done():
-            received_bytes = self.received_bytes
-            await asyncio.wait((future,), timeout=timeout_ms / 1000)
-            has_stopped = self.received_bytes == received_bytes
-            if has_stopped or loop.time() >= ends_at_s:
-                break
-        return future.done()
+        try:
+            while not future.done():
+                received_bytes = self.received_bytes
+                await asyncio.wait((future,), timeout=timeout_ms / 1000)
+                has_stopped = self.received_bytes == received_bytes
+                if has_stopped or loop.time() >= ends_at_s:
+                    break
+        finally:
+            future.cancel()
+        return not future.cancelled()
 
     def _finish(self, call_id: int, received_bytes: int | None) -> None:
         """Ends a call; `received_bytes` were known before an overdue one."""
--- a/tests/cell/leader.py
+++ b/tests/cell/leader.py
@@ -7,7 +7,8 @@
 from radishlift.cell.commits import Claim
 from radishlift.cell.fences import TOKENS_PER_TERM, last_token
 from radishlift.cell.job_rows import dump_job
-from radishlift.cell.leader_term import LeaderDependencies, LeaderTerm
+from radishlift.cell.leader_dependencies import LeaderDependencies
+from radishlift.cell.leader_term import LeaderTerm
 from radishlift.cell.settings import CellSettings
 from radishlift.cell.tables import (
     CANCELS,
--- a/tests/cell/test_config_sharing.py
+++ b/tests/cell/test_config_sharing.py
@@ -32,7 +32,7 @@
         self.handlers[message_type] = handler
 
     async def probe(self, peer):
-        return None
+        """Connects to the peer, which never fails."""
 
     async def call(self, peer, request, timeout_ms, longest_ms):
         if self.on_call is not None:
--- a/tests/cell/test_work_watch.py
+++ b/tests/cell/test_work_watch.py
@@ -74,6 +74,15 @@
     assert not await is_abandoned(cell, task, 1)
 
 
+class NoTargets:
+    """A fleet without targets."""
+
+    entry_writes = SimpleNamespace(has_recent=lambda now_ms: False)
+
+    def __iter__(self):
+        return iter(())
+
+
 class Watched:
     """A watch whose reads and commits are set by the test."""
 
@@ -81,9 +90,8 @@
         self.clock = ManualClock(10_000)
         self.log = SimpleNamespace(confirmed_at_ms=10_000)
         self.progress = 0
-        fleet = SimpleNamespace(is_out_of_reach=lambda now_ms: False)
         self.watch = WorkWatch(
-            self.log, fleet, CellSettings(), self.clock, abandoned_count
+            self.log, NoTargets(), CellSettings(), self.clock, abandoned_count
         )
         self.watch.add_read(JOBS, lambda: self.progress)
 
