Let no job's shape keep a leader from its heartbeats

Cause: for a task that needs nothing, a million tasks fit on a target. The choice of targets for a gang listed as many times for each target, of which it used one: 1.7 s for each tick with two gangs of 48 tasks and 47 targets (measured in the planner alone). Heartbeats stopped, and the next leader computed the same.

Starts that were planned in a slice are passed on before the pause, and targets are checked again after it; - a new leader adds the jobs that it reads in slices, as well.

`Planner.waiting_millicores`, which nothing used, is gone.

--- a/src/radishlift/cell/leader_term.py
+++ b/src/radishlift/cell/leader_term.py
@@ -1,6 +1,7 @@
 """One term of a leader: restores the state, then schedules until its end."""
 
 import asyncio
+from collections import deque
 from collections.abc import Callable
 from typing import Final
 
@@ -30,6 +31,7 @@
 from radishlift.core.errors import Failure
 from radishlift.core.ids import JobId
 from radishlift.core.logs import log_event
+from radishlift.core.slices import TimeSlices
 from radishlift.services.api import Row
 from radishlift.steps.progress import load_progress
 from radishlift.steps.runs import JobRun
@@ -99,6 +101,8 @@
             claim.abandoned_count,
         )
         self.is_abandoned = False
+        self._unread_rows: deque[Row] = deque()
+        self._has_rows = asyncio.Event()
         self._has_jobs = asyncio.Event()
         self._has_targets = asyncio.Event()
         self._has_cancels = asyncio.Event()
@@ -141,6 +145,7 @@
         async with asyncio.TaskGroup() as group:
             for work in (
                 self._follow(JOBS, self._on_jobs, self._on_jobs),
+                self._add_jobs(),
                 self._follow(
                     CANCELS, self._on_cancel_snapshot, self._on_cancels
                 ),
@@ -248,12 +253,23 @@
         await follower.run(on_snapshot, on_changes)
 
     def _on_jobs(self, rows: tuple[Row, ...]) -> None:
-        for row in rows:
-            if row.value is not None:
+        self._unread_rows.extend(rows)
+        self._has_rows.set()
+
+    async def _add_jobs(self) -> None:
+        """Adds the jobs of rows that were read, in slices."""
+        while True:
+            await self._has_rows.wait()
+            self._has_rows.clear()
+            slices = TimeSlices(self._dependencies.settings.slice_ms)
+            while self._unread_rows:
+                row = self._unread_rows.popleft()
                 self._add_job(JobId(row.key), row)
-        if not self._has_jobs.is_set():
-            self.scheduler.jobs.end_load()
-        self._has_jobs.set()
+                if slices.is_over:
+                    await slices.pause()
+            if not self._has_jobs.is_set():
+                self.scheduler.jobs.end_load()
+                self._has_jobs.set()
 
     def _add_job(self, job_id: JobId, row: Row) -> None:
         if job_id in self.scheduler.jobs or row.value is None:
--- a/src/radishlift/cell/scheduler.py
+++ b/src/radishlift/cell/scheduler.py
@@ -15,37 +15,22 @@
 from radishlift.cell.leases import InheritedLeases, inherited_expiry_ms
 from radishlift.cell.pending_advice import PendingAdvice
 from radishlift.cell.planning_log import PlanningLog
-from radishlift.cell.ports import StartOrder, TargetCalls
+from radishlift.cell.ports import StartOrder
 from radishlift.cell.queues import QueueConfig
+from radishlift.cell.scheduler_context import SchedulerContext
 from radishlift.cell.session_context import SessionContext
 from radishlift.cell.sessions import TargetSession
-from radishlift.cell.settings import CellSettings
+from radishlift.cell.sliced_planning import plan_in_slices
 from radishlift.cell.stored_speeds import StoredSpeeds
-from radishlift.core.clock import Clock
 from radishlift.core.ids import JobId
 from radishlift.core.logs import log_event
-from radishlift.steps.ids import FencingToken
 from radishlift.steps.placing import Placement
 from radishlift.steps.planner import Planner
 from radishlift.steps.runs import JobRun, JobState
-from radishlift.steps.settings import StepSettings
 from radishlift.steps.targets import TargetEntry, TargetTable
 from radishlift.steps.tickets import TicketTable
 
 
-@dataclass(frozen=True, slots=True)
-class SchedulerContext:
-    """Dependencies and settings of a scheduler in one epoch."""
-
-    fencing_token: FencingToken
-    calls: TargetCalls
-    settings: CellSettings
-    step_settings: StepSettings
-    clock: Clock
-    max_lease_ms: int
-    target_heartbeat_ms: int
-
-
 class Scheduler:
     """Jobs, targets and placement decisions of one leader."""
 
@@ -159,7 +144,7 @@
                 # Steps may be due now, and advice requests may be repeated.
                 self._has_changed.clear()
             self._has_changed.clear()
-            self._tick()
+            await self._tick()
             await asyncio.sleep(self._context.settings.tick_ms / 1000)
 
     def send_start(
@@ -214,17 +199,17 @@
             return pause_ms
         return max(1, min(pause_ms, due_ms - wall_ms))
 
-    def _tick(self) -> None:
+    async def _tick(self) -> None:
         clock = self._context.clock
         now_ms = clock.monotonic_ms()
         self.inherited.end_expired(now_ms)
         if not self.fleet.has_recent_entries(now_ms):
             return
-        plan = self._planner.plan(now_ms, clock.wall_ms())
+        plan = await plan_in_slices(
+            self._planner, self._context.settings, clock, self._commit_start
+        )
         for job in plan.cleared:
             self.jobs.save(job)
-        for job, placement in plan.placements:
-            self._commit_start(job, placement)
         self.pending_advice.add(plan.advice_requests)
         self._planning_log.log_tick(now_ms)
 
--- a/src/radishlift/cell/settings.py
+++ b/src/radishlift/cell/settings.py
@@ -26,6 +26,8 @@
     - `hold_retry_ms`: delay after a call that a target did not answer.
     - `order_retries_count`: maximum number of sends of a start order.
     - `tick_ms`: minimum time between two scheduler ticks.
+    - `slice_ms`: time for which a leader computes before it lets its other
+      tasks run, of which heartbeats are the most urgent.
     - `explain_every_ms`: interval at which the log explains why steps wait.
     - `feed_wait_ms`: how long the store waits for changes in tables that a
       leader follows. If the store drops its history, a waiting call may return
@@ -78,6 +80,7 @@
     hold_retry_ms: int = 150
     order_retries_count: int = 3
     tick_ms: int = 10
+    slice_ms: int = 20
     explain_every_ms: int = 1000
     feed_wait_ms: int = 200
     short_wait_ms: int = 1000
--- a/src/radishlift/steps/gang_reservations.py
+++ b/src/radishlift/steps/gang_reservations.py
@@ -8,6 +8,7 @@
 from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass
+from typing import NamedTuple
 
 from radishlift.steps.ids import StepKey, TargetId
 from radishlift.steps.placing import Placement
@@ -31,6 +32,13 @@
     starts_at_ms: int
 
 
+class Slots(NamedTuple):
+    """A number of tasks for which a target has room from a time on."""
+
+    at_ms: int
+    tasks_count: int
+
+
 class GangReservations:
     """The reserved targets of each waiting gang.
 
@@ -85,17 +93,25 @@
     Returns None if the gang would not fit on all of them empty.
     """
     amounts = step.spec.allocated_amounts
-    limit = step.spec.max_per_target_count or len(step.tasks)
+    missing_count = len(step.tasks)
+    limit = step.spec.max_per_target_count or missing_count
     slots = sorted(
-        (slot_at_ms, -target.free_capacity.cpu_millicores, target_id)
+        (
+            slots.at_ms,
+            -target.free_capacity.cpu_millicores,
+            target_id,
+            slots.tasks_count,
+        )
         for target_id, target in candidates.items()
-        for slot_at_ms in slot_times_ms(target, amounts, now_ms)[:limit]
+        for slots in list_slots(target, amounts, now_ms, limit)
     )
-    needed = slots[: len(step.tasks)]
-    if len(needed) < len(step.tasks):
-        return None
-    counts = Counter(slot[-1] for slot in needed)
-    return Reservation(tuple(counts), tuple(counts.values()), needed[-1][0])
+    counts: Counter[TargetId] = Counter()
+    for at_ms, _, target_id, count in slots:
+        counts[target_id] += min(count, missing_count)
+        missing_count -= count
+        if missing_count <= 0:
+            return Reservation(tuple(counts), tuple(counts.values()), at_ms)
+    return None
 
 
 def reserve_placements(
@@ -108,29 +124,38 @@
     return Reservation(tuple(counts), tuple(counts.values()), now_ms)
 
 
-def slot_times_ms(target: Target, amounts: Amounts, now_ms: int) -> list[int]:
-    """Lists when a target probably has room for one, two and more tasks."""
-    max_count = amounts.count_fitting(target.entry.capacity)
+def list_slots(
+    target: Target, amounts: Amounts, now_ms: int, limit: int
+) -> list[Slots]:
+    """Lists when a target probably has room for up to `limit` tasks.
+
+    The result grows with the tasks on the target, but not with `limit`.
+    """
+    max_count = min(limit, amounts.count_fitting(target.entry.capacity))
     free_capacity = target.free_capacity
-    free_count = min(max_count, amounts.count_fitting(free_capacity))
-    times_ms = [now_ms for _ in range(free_count)]
+    listed_count = min(max_count, amounts.count_fitting(free_capacity))
+    found = [Slots(now_ms, listed_count)] if listed_count > 0 else []
+    if listed_count >= max_count:
+        return found
     for end_ms, released in sorted(
         (allocation.expected_end_ms, allocation.amounts)
         for allocation in target.allocations.values()
     ):
         free_capacity = free_capacity.plus(released)
         fitting_count = min(max_count, amounts.count_fitting(free_capacity))
-        # A task that runs longer than expected may end at any time from now.
-        times_ms.extend(
-            max(now_ms + 1, end_ms) for _ in range(len(times_ms), fitting_count)
-        )
-    return times_ms
+        if fitting_count > max(0, listed_count):
+            # A task that runs longer than expected may end at any time.
+            at_ms = max(now_ms + 1, end_ms)
+            found.append(Slots(at_ms, fitting_count - max(0, listed_count)))
+            listed_count = fitting_count
+    return found
 
 
 __all__ = (
     'GangReservations',
     'Reservation',
+    'Slots',
     'choose_gang_targets',
+    'list_slots',
     'reserve_placements',
-    'slot_times_ms',
 )
--- a/src/radishlift/steps/placing.py
+++ b/src/radishlift/steps/placing.py
@@ -6,8 +6,10 @@
 has failed goes elsewhere if it can.
 """
 
+from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from heapq import heapify, heappop, heappush
 
 from radishlift.steps.ids import TargetId
 from radishlift.steps.runs import StepRun, TaskRun, TaskState
@@ -37,63 +39,76 @@
     return 0
 
 
+@dataclass(slots=True, order=True)
+class _Candidate:
+    """A target with room, by its rank and then its position among others."""
+
+    rank: tuple[float, ...]
+    position: int
+    target: Target = field(compare=False)
+    free_capacity: Amounts = field(compare=False)
+
+
 class _FreeCapacity:
-    """Free capacity of targets while the tasks of one step are placed."""
+    """Free capacity of targets while the tasks of one step are placed.
+
+    The candidates are a heap: a task changes the rank of its target only.
+    """
 
     def __init__(
         self,
         step: StepRun,
         targets: Iterable[Target],
         capacity_of: CapacityOf,
+        rank_target: _TargetRanking,
     ) -> None:
         self._amounts = step.spec.allocated_amounts
         self._limit = step.spec.max_per_target_count
-        self._by_id: dict[TargetId, tuple[Target, Amounts]] = {}
-        for target in targets:
-            free_capacity = capacity_of(target)
-            if self._amounts.fits_in(free_capacity):
-                self._by_id[target.entry.target_id] = target, free_capacity
-        self._counts: dict[TargetId, int] = {}
+        self._rank_target = rank_target
+        self._counts: Counter[TargetId] = Counter()
         if self._limit:
-            self._count_placed(step)
+            self._counts.update(
+                task.target_id
+                for task in step.tasks
+                if task.state is TaskState.placed
+            )
+        self._candidates = [
+            _Candidate(
+                rank_target(target, free_capacity),
+                position,
+                target,
+                free_capacity,
+            )
+            for position, target in enumerate(targets)
+            if self._may_use(target, free_capacity := capacity_of(target))
+        ]
+        heapify(self._candidates)
 
-    def allocate(
-        self, task: TaskRun, rank_target: _TargetRanking
-    ) -> Target | None:
+    def allocate(self, task: TaskRun) -> Target | None:
         """Allocates a task on the target of the lowest rank, if any fits.
 
         It uses the target that failed it last only if no other fits.
         """
-        pairs = [
-            pair
-            for target_id, pair in self._by_id.items()
-            if target_id != task.failed_target_id
-        ]
-        if not self._by_id:
+        if not self._candidates:
             return None
-        target, free_capacity = min(
-            pairs or self._by_id.values(),
-            key=lambda pair: rank_target(*pair),
-        )
-        target_id = target.entry.target_id
-        free_capacity = free_capacity.plus(self._amounts, -1)
-        if self._amounts.fits_in(free_capacity):
-            self._by_id[target_id] = target, free_capacity
-        else:
-            del self._by_id[target_id]
-        self._count_task(target_id)
+        chosen = heappop(self._candidates)
+        is_failed = chosen.target.entry.target_id == task.failed_target_id
+        if is_failed and self._candidates:
+            failed, chosen = chosen, heappop(self._candidates)
+            heappush(self._candidates, failed)
+        target = chosen.target
+        self._counts[target.entry.target_id] += 1
+        free_capacity = chosen.free_capacity.plus(self._amounts, -1)
+        if self._may_use(target, free_capacity):
+            chosen.free_capacity = free_capacity
+            chosen.rank = self._rank_target(target, free_capacity)
+            heappush(self._candidates, chosen)
         return target
 
-    def _count_placed(self, step: StepRun) -> None:
-        for task in step.tasks:
-            if task.state is TaskState.placed:
-                self._count_task(task.target_id)
-
-    def _count_task(self, target_id: TargetId) -> None:
-        count = self._counts.get(target_id, 0) + 1
-        self._counts[target_id] = count
-        if self._limit and count >= self._limit:
-            self._by_id.pop(target_id, None)
+    def _may_use(self, target: Target, free_capacity: Amounts) -> bool:
+        if self._limit and self._counts[target.entry.target_id] >= self._limit:
+            return False
+        return self._amounts.fits_in(free_capacity)
 
 
 def _free_capacity(target: Target) -> Amounts:
@@ -143,7 +158,6 @@
     capacity_of: CapacityOf,
     preferences: Mapping[TargetId, float],
 ) -> list[Placement]:
-    capacity = _FreeCapacity(step, targets, capacity_of)
     data_rack = step.spec.data_rack
 
     def rank_target(
@@ -157,9 +171,10 @@
             free_capacity.memory_mb,
         )
 
+    capacity = _FreeCapacity(step, targets, capacity_of, rank_target)
     placements = []
     for task in waiting:
-        target = capacity.allocate(task, rank_target)
+        target = capacity.allocate(task)
         if target is None:
             break
         placements.append(Placement(task, target))
--- a/src/radishlift/steps/planner.py
+++ b/src/radishlift/steps/planner.py
@@ -7,7 +7,8 @@
 ranked earlier only if no other targets fit.
 """
 
-from collections.abc import Callable
+from collections import deque
+from collections.abc import Callable, Iterator
 
 from radishlift.steps.advice_requests import AdviceRequest
 from radishlift.steps.delay_costs import DelayCosts
@@ -109,19 +110,19 @@
         )
         return min(later, default=None)
 
-    def waiting_millicores(self) -> int:
-        """Returns the sum of millicores that waiting tasks need."""
-        return sum(
-            step.spec.allocated_amounts.cpu_millicores
-            * len(step.waiting_tasks())
-            for _, step in self._waiting.values()
-        )
-
     def plan(self, now_ms: int, wall_ms: int) -> Plan:
         """Plans all waiting steps that are due.
 
         `now_ms` is monotonic and `wall_ms` is Unix time.
         """
+        deque(self.plan_in_slices(now_ms, wall_ms), maxlen=0)
+        return self.last_tick.plan
+
+    def plan_in_slices(self, now_ms: int, wall_ms: int) -> Iterator[Tick]:
+        """Plans like `plan`, and yields the tick after each step.
+
+        Jobs and targets may change meanwhile if the tick is resumed then.
+        """
         accepting = [
             target for target in self._targets if target.accepts(now_ms)
         ]
@@ -140,20 +141,21 @@
         self.preferences.refresh(self._targets, now_ms)
         tick.preference_of = self.preferences.for_step
         tick.speed_ratio = self.preferences.ratio
-        self._trials.plan(
-            tick, [pair for pair in due if pair[1].key in self._suspects]
-        )
+        suspects = [pair for pair in due if pair[1].key in self._suspects]
+        for _ in self._trials.plan(tick, suspects):
+            yield tick
         for job, step in due:
             if len(tick.plan.placements) >= self._settings.max_placed_count:
                 break
-            self._plan_step(tick, job, step)
+            if self.is_waiting(step.key):
+                self._plan_step(tick, job, step)
+            yield tick
         self.last_tick = tick
         self._tickets.record_starts(
             (placement.task.key.step_key, placement.task.target_id)
             for job, placement in tick.plan.placements
             if job.terms.advice is not None
         )
-        return tick.plan
 
     def update_request(self, request: AdviceRequest) -> AdviceRequest | None:
         """Chooses the targets of a planned request again before it is sent.
--- a/src/radishlift/steps/ticks.py
+++ b/src/radishlift/steps/ticks.py
@@ -171,6 +171,14 @@
             self.by_requirement[service, label] = found
         return found
 
+    def resume(self, now_ms: int) -> None:
+        """Continues after a pause in which targets may have changed."""
+        self.now_ms = now_ms
+        self.accepting = [
+            target for target in self.accepting if target.accepts(now_ms)
+        ]
+        self.by_requirement.clear()
+
     def exclude(self, target_ids: Set[TargetId]) -> None:
         """Lets no more tasks start on the given targets."""
         self.accepting = [
--- a/src/radishlift/steps/trial_planning.py
+++ b/src/radishlift/steps/trial_planning.py
@@ -1,6 +1,6 @@
 """Plans the trials of suspects, before other tasks are placed."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, replace
 
 from radishlift.steps.gang_reservations import (
@@ -17,7 +17,7 @@
 from radishlift.steps.targets import Target, TargetTable
 from radishlift.steps.ticks import Tick, allocate_starts
 from radishlift.steps.trial_claims import TrialClaims
-from radishlift.steps.trial_room import has_room, slots_ms
+from radishlift.steps.trial_room import first_slot_ms, has_room
 from radishlift.steps.trials import Trials
 
 
@@ -55,30 +55,47 @@
         self._trials = Trials(targets, settings)
         self.trial_claims = TrialClaims(self._trials, settings)
 
-    def plan(self, tick: Tick, suspects: list[tuple[JobRun, StepRun]]) -> None:
-        """Plans steps with suspects, and closes targets to other steps."""
+    def plan(
+        self, tick: Tick, suspects: list[tuple[JobRun, StepRun]]
+    ) -> Iterator[None]:
+        """Plans steps with suspects, and closes targets to other steps.
+
+        Yields after each step.
+        """
         tick.plan.cleared.extend(self._trials.begin())
-        for job, step in self._plan_suspects(tick, suspects):
+        without_room: list[tuple[JobRun, StepRun]] = []
+        for job, step in suspects:
+            if not self._plan_step(tick, job, step, without_room):
+                break
+            yield
+        for job, step in without_room:
             self._reserve_room(tick, job, step)
+            yield
         self._trials.finish()
         closed = self._trials.closed
         if closed:
             tick.exclude(closed)
 
-    def _plan_suspects(
-        self, tick: Tick, suspects: list[tuple[JobRun, StepRun]]
-    ) -> list[tuple[JobRun, StepRun]]:
-        """Plans trials; returns the steps for which no target has room."""
-        without_room = []
-        for job, step in suspects:
-            if self._trials.is_full:
-                break
-            if step.spec.is_gang:
-                if not self._plan_gang(tick, job, step):
-                    break
-            elif self._plan_tasks(tick, job, step):
-                without_room.append((job, step))
-        return without_room
+    def _plan_step(
+        self,
+        tick: Tick,
+        job: JobRun,
+        step: StepRun,
+        without_room: list[tuple[JobRun, StepRun]],
+    ) -> bool:
+        """Plans the trials of a step; returns whether others may follow.
+
+        Adds it to `without_room` if no target has room for it.
+        """
+        if self._trials.is_full:
+            return False
+        if job.is_ended:
+            return True
+        if step.spec.is_gang:
+            return self._plan_gang(tick, job, step)
+        if self._plan_tasks(tick, job, step):
+            without_room.append((job, step))
+        return True
 
     def _candidates(
         self, tick: Tick, job: JobRun, step: StepRun
@@ -178,11 +195,12 @@
             return
         closed = self._trials.closed
         slots = [
-            (times_ms[0], target.entry.target_id, target)
+            (slot_ms, target.entry.target_id, target)
             for target in self._advice.list_allowed(tick, job, step)
             if target.entry.target_id not in closed
             and tick.is_open(target, step)
-            and (times_ms := slots_ms(step, target, tick.now_ms))
+            and (slot_ms := first_slot_ms(step, target, tick.now_ms))
+            is not None
         ]
         if slots:
             starts_at_ms, _, target = min(slots)
--- a/src/radishlift/steps/trial_room.py
+++ b/src/radishlift/steps/trial_room.py
@@ -1,7 +1,7 @@
 """Room of targets for the suspects of one step."""
 
-from radishlift.steps.gang_reservations import slot_times_ms
-from radishlift.steps.runs import StepRun, TaskState
+from radishlift.steps.gang_reservations import list_slots
+from radishlift.steps.runs import StepRun
 from radishlift.steps.targets import Target
 
 
@@ -12,23 +12,21 @@
     ) and _is_below_limit(step, target)
 
 
-def slots_ms(step: StepRun, target: Target, now_ms: int) -> list[int]:
-    """Lists when a target probably has room for one, two and more tasks."""
+def first_slot_ms(step: StepRun, target: Target, now_ms: int) -> int | None:
+    """Returns when a target probably has room for a task, if ever."""
     if not _is_below_limit(step, target):
-        return []
-    return slot_times_ms(target, step.spec.allocated_amounts, now_ms)
+        return None
+    slots = list_slots(target, step.spec.allocated_amounts, now_ms, 1)
+    return slots[0].at_ms if slots else None
 
 
 def _is_below_limit(step: StepRun, target: Target) -> bool:
     limit = step.spec.max_per_target_count
     if not limit:
         return True
-    placed_count = sum(
-        task.state is TaskState.placed
-        and task.target_id == target.entry.target_id
-        for task in step.tasks
-    )
+    # A step may have more tasks than a target.
+    placed_count = sum(key.step_key == step.key for key in target.allocations)
     return placed_count < limit
 
 
-__all__ = ('has_room', 'slots_ms')
+__all__ = ('has_room', 'first_slot_ms')
--- a/tests/cell/test_leader_term.py
+++ b/tests/cell/test_leader_term.py
@@ -1,11 +1,13 @@
 """Tests of a complete leader: takeovers, lost targets, cancels and limits."""
 
 import asyncio
+import time
 from contextlib import contextmanager
 
 import pytest
 
 from radishlift.cell.fences import last_token
+from radishlift.cell.job_rows import load_job
 from radishlift.cell.tables import (
     CANCELS,
     CELL,
@@ -19,6 +21,7 @@
 from radishlift.core.logs import add_event_sink, remove_event_sink
 from radishlift.steps.endings import EndKind
 from radishlift.steps.ids import FencingToken
+from radishlift.steps.planner import Planner
 from tests.cell.leader import MAX_LEASE_MS, Cell
 from tests.only import only
 from tests.standins.tables import Fault
@@ -637,3 +640,45 @@
     await asyncio.sleep(0.3)
     assert fake.started == started
     assert not fake.running
+
+
+def _count_heartbeats(cell):
+    return sum(
+        write.key == HEARTBEAT_KEY
+        for transaction in cell.store.tables.history
+        for write in transaction.writes
+    )
+
+
+async def test_heartbeats_go_on_while_many_jobs_are_added(cell, monkeypatch):
+    """Guards against a new leader that loses the lead while it loads jobs."""
+
+    def load_slowly(plain):
+        time.sleep(0.01)
+        return load_job(plain)
+
+    monkeypatch.setattr('radishlift.cell.leader_term.load_job', load_slowly)
+    jobs = [cell.submit(job(job_id=f'{number:016x}')) for number in range(40)]
+    cell.lead()
+    await cell.until(lambda: bool(cell.targets.running_tasks()))
+    # Heartbeats are due every 20 ms, and the jobs take 400 ms.
+    assert _count_heartbeats(cell) > 8
+    await cell.until_state(jobs[-1], 'completed')
+
+
+async def test_heartbeats_go_on_while_steps_are_planned(cell, monkeypatch):
+    """Guards against a leader that loses the lead while it plans."""
+    plan_step = Planner._plan_step
+
+    def plan_slowly(*arguments):
+        time.sleep(0.01)
+        plan_step(*arguments)
+
+    monkeypatch.setattr(Planner, '_plan_step', plan_slowly)
+    for number in range(40):
+        cell.submit(job(step(cores=9), job_id=f'{number:016x}'))
+    cell.lead()
+    await asyncio.sleep(0.5)
+    before = _count_heartbeats(cell)
+    await asyncio.sleep(0.5)
+    assert _count_heartbeats(cell) - before > 8
