Don't take refusals for contact, nor rows of a long read for new ones

Only successes count. - a read that goes on with the pages of a failed one dated from its latest call. Starts rely on entries that were asked for at most 2 s ago, so it dates from its first call now. - a job that is removed while all jobs are read again, after a dropped history, may be in a page that was read before. It was added without its progress, and would have run again; the time for that was short before long reads. A leader remembers for 180 s which jobs it has removed.

--- a/src/radishlift/cell/job_table.py
+++ b/src/radishlift/cell/job_table.py
@@ -1,7 +1,7 @@
 """The jobs of a leader."""
 
 from collections.abc import Iterator, Mapping
-from typing import Any
+from typing import Any, Final
 
 from radishlift.cell.commits import CommitCallback, CommitLog
 from radishlift.cell.queues import QueueConfig
@@ -12,6 +12,9 @@
 from radishlift.steps.planner import Planner
 from radishlift.steps.runs import ENDED_STATES, JobRun, JobState, StepRun
 
+# Above the time that a read of all jobs takes on the slowest link.
+_KNOWN_REMOVED_MS: Final = 180_000
+
 
 class JobTable:
     """All jobs by id; passes changes to the planner and the store."""
@@ -22,6 +25,7 @@
         self._clock = clock
         self._jobs: dict[JobId, JobRun] = {}
         self._ended_at_ms: dict[JobId, int] = {}
+        self._removed_at_ms: dict[JobId, int] = {}
         self._earlier_pending: dict[str, int] | None = None
 
     def __iter__(self) -> Iterator[JobRun]:
@@ -30,6 +34,10 @@
     def __contains__(self, job_id: JobId) -> bool:
         return job_id in self._jobs
 
+    def is_known(self, job_id: JobId) -> bool:
+        """Returns whether the job is in the table, or was recently."""
+        return job_id in self._jobs or job_id in self._removed_at_ms
+
     def get(self, job_id: JobId) -> JobRun | None:
         """Returns a job, or None if it is unknown."""
         return self._jobs.get(job_id)
@@ -108,7 +116,14 @@
         ]
 
     def remove(self, job_id: JobId) -> None:
-        """Removes an ended job."""
+        """Removes an ended job, whose row may still be read for a while."""
+        now_ms = self._clock.monotonic_ms()
+        while self._removed_at_ms:
+            oldest = next(iter(self._removed_at_ms))
+            if now_ms - self._removed_at_ms[oldest] < _KNOWN_REMOVED_MS:
+                break
+            del self._removed_at_ms[oldest]
+        self._removed_at_ms[job_id] = now_ms
         del self._jobs[job_id]
         del self._ended_at_ms[job_id]
 
--- a/src/radishlift/cell/ports.py
+++ b/src/radishlift/cell/ports.py
@@ -78,7 +78,7 @@
         """
 
     def notify_received(self, callback: Callable[[], None]) -> None:
-        """Lets a callback run whenever a part of an answer arrives."""
+        """Lets a callback run whenever a part of a success arrives."""
 
     async def probe(self, timeout_ms: int, parts_count: int) -> Failure | None:
         """Checks on new connections whether the store answers.
--- a/src/radishlift/cell/store_guard.py
+++ b/src/radishlift/cell/store_guard.py
@@ -58,7 +58,7 @@
         )
 
     def notify_received(self, callback: Callable[[], None]) -> None:
-        """Lets a callback run whenever a part of an answer arrives."""
+        """Lets a callback run whenever a part of a success arrives."""
         self._store.notify_received(callback)
 
     async def probe(self, timeout_ms: int, parts_count: int) -> Failure | None:
--- a/src/radishlift/cell/table_follower.py
+++ b/src/radishlift/cell/table_follower.py
@@ -75,7 +75,9 @@
         """Follows the table until it is cancelled."""
         while True:
             is_snapshot = self._version is None
-            self._requested_at_ms = self._clock.monotonic_ms()
+            # Rows that an earlier, failed snapshot has read are as old as it.
+            if not self._partial.pages_count:
+                self._requested_at_ms = self._clock.monotonic_ms()
             changed = await self._read()
             if isinstance(changed, Failure):
                 await self._handle_failure(changed)
--- a/src/radishlift/platform/http.py
+++ b/src/radishlift/platform/http.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Iterator, Mapping
 from contextlib import contextmanager
 from dataclasses import dataclass
+from http import HTTPStatus
 from typing import Any, Final
 
 from aiohttp import (
@@ -118,7 +119,7 @@
     def notify_received(
         self, address: Address, callback: Callable[[], None]
     ) -> None:
-        """Lets a callback run whenever a part of an answer arrives."""
+        """Lets a callback run whenever a part of a success arrives."""
         self._on_received[address] = callback
 
     def renew(self, address: Address) -> None:
@@ -158,7 +159,10 @@
         """Reads a body, however long it takes while it makes progress."""
         now_s = asyncio.get_running_loop().time
         pause_s = min(timeout_ms, _MAX_PAUSE_MS) / 1000
-        on_received = self._on_received.get(address, _ignore_bytes)
+        on_received = _ignore_bytes
+        if response.status == HTTPStatus.OK:
+            # A service that refuses calls is not in contact.
+            on_received = self._on_received.get(address, _ignore_bytes)
         on_received()
         pieces = []
         async for piece in response.content.iter_any():
--- a/src/radishlift/platform/store.py
+++ b/src/radishlift/platform/store.py
@@ -47,7 +47,7 @@
         self._address = address
 
     def notify_received(self, callback: Callable[[], None]) -> None:
-        """Lets a callback run whenever a part of an answer arrives."""
+        """Lets a callback run whenever a part of a success arrives."""
         self._client.notify_received(self._address, callback)
 
     async def read(self, table: str, key: str) -> Row | Failure:
--- a/tests/cell/test_retention.py
+++ b/tests/cell/test_retention.py
@@ -5,11 +5,15 @@
 
 import pytest
 
+from radishlift.cell.ports import ChangedRows
 from radishlift.cell.tables import CANCELS, JOBS, PROGRESS, entry_shard
+from radishlift.core.errors import ErrorKind, Failure
 from tests.cell.fakes import DOWN
 from tests.cell.leader import SETTINGS, Cell
 from tests.steps.builders import job
 
+DROPPED = Failure(ErrorKind.not_found, 'dropped')
+
 
 @pytest.fixture
 async def cell():
@@ -120,3 +124,36 @@
     assert exists(cell, CANCELS, job_id)
     monkeypatch.undo()
     await cell.until(lambda: not exists(cell, JOBS, job_id))
+
+
+async def test_row_that_was_read_before_its_removal_is_not_added(
+    cell, monkeypatch
+):
+    """Guards against a removed job that a long read of all jobs runs again."""
+    cell.lead()
+    ended = cell.submit(job())
+    await cell.until_state(ended, 'completed')
+    row = cell.store.tables.read(JOBS, ended)
+    await cell.until(lambda: not exists(cell, JOBS, ended))
+    snapshot = cell.store.snapshot
+
+    async def read_late(table, *partial):
+        found = await snapshot(table, *partial)
+        if table != JOBS:
+            return found
+        return ChangedRows((*found.rows, row), found.version)
+
+    changes = cell.store.changes
+    drops = [DROPPED]
+
+    async def drop_history(table, *arguments):
+        if table == JOBS and drops:
+            return drops.pop()
+        return await changes(table, *arguments)
+
+    monkeypatch.setattr(cell.store, 'snapshot', read_late)
+    monkeypatch.setattr(cell.store, 'changes', drop_history)
+    later = cell.submit(job(job_id='b' * 16))
+    await cell.until_state(later, 'completed')
+    await asyncio.sleep(0.1)
+    assert len(cell.targets['t1'].started) == 2
--- a/tests/cell/test_table_follower.py
+++ b/tests/cell/test_table_follower.py
@@ -9,7 +9,7 @@
 from radishlift.cell.table_follower import FollowedTable, TableFollower
 from radishlift.core.clock import BootClock
 from radishlift.services.api import Transaction, Write
-from tests.cell.fakes import MemoryCellStore
+from tests.cell.fakes import DOWN, MemoryCellStore
 from tests.only import only
 from tests.standins.tables import Fault
 
@@ -120,3 +120,25 @@
     following.store.fault = Fault.none
     await following.until(lambda: not following.follower.is_store_lost)
     assert max(following.store.requested_waits_ms[:-1], default=0) <= 20
+
+
+async def test_read_that_continues_a_failed_one_is_as_old_as_that(following):
+    """Guards against old entries of targets that count as recent."""
+    read_at_ms = []
+    following.follower.on_read = read_at_ms.append
+    snapshot = following.store.snapshot
+    failed_at_ms = []
+
+    async def fail_at_first(table, partial):
+        if not failed_at_ms:
+            failed_at_ms.append(BootClock().monotonic_ms())
+            await asyncio.sleep(0.02)
+            partial.pages_count = 1
+            return DOWN
+        return await snapshot(table)
+
+    following.store.snapshot = fail_at_first
+    following.store.is_history_dropped = True
+    await following.until(lambda: len(following.snapshots) == 2)
+    await following.until(lambda: len(read_at_ms) > 1)
+    assert min(read_at_ms[-2:]) <= failed_at_ms[0]
--- a/tests/platform/test_http.py
+++ b/tests/platform/test_http.py
@@ -3,6 +3,7 @@
 import asyncio
 from contextlib import asynccontextmanager
 
+import pytest
 from aiohttp import web
 
 from radishlift.core.errors import ErrorKind, TimedOut
@@ -155,3 +156,19 @@
         # The link alone needs 800 ms.
         assert limit.when() - now_s > 1
     await client.close()
+
+
+@pytest.mark.parametrize(('status', 'is_contact'), [(200, True), (503, False)])
+async def test_refusals_do_not_count_as_contact(status, is_contact):
+    """Guards against a store that refuses all calls and is not given up."""
+
+    async def answer(_request):
+        return web.json_response({}, status=status)
+
+    client = JsonClient()
+    received = []
+    async with run_server(answer) as address:
+        client.notify_received(address, lambda: received.append(status))
+        await client.call('GET', address, '/', 1000)
+        await client.close()
+    assert bool(received) is is_contact
