--- a/src/radishlift/cell/job_table.py
+++ b/src/radishlift/cell/job_table.py
@@ -5,6 +5,7 @@
 
 from radishlift.cell.commits import CommitCallback, CommitLog
 from radishlift.cell.queues import QueueConfig
+from radishlift.cell.recent_ids import RecentIds
 from radishlift.core.clock import Clock
 from radishlift.core.ids import JobId, WorkspaceName
 from radishlift.core.logs import log_event
@@ -17,7 +18,10 @@
 
 
 class JobTable:
-    """All jobs by id; passes changes to the planner and the store."""
+    """All jobs by id; passes changes to the planner and the store.
+
+    `removed` are the jobs that it had until recently.
+    """
 
     def __init__(self, planner: Planner, log: CommitLog, clock: Clock) -> None:
         self._planner = planner
@@ -25,7 +29,7 @@
         self._clock = clock
         self._jobs: dict[JobId, JobRun] = {}
         self._ended_at_ms: dict[JobId, int] = {}
-        self._removed_at_ms: dict[JobId, int] = {}
+        self.removed = RecentIds(_KNOWN_REMOVED_MS, clock)
         self._earlier_pending: dict[str, int] | None = None
 
     def __iter__(self) -> Iterator[JobRun]:
@@ -34,10 +38,6 @@
     def __contains__(self, job_id: JobId) -> bool:
         return job_id in self._jobs
 
-    def is_known(self, job_id: JobId) -> bool:
-        """Returns whether the job is in the table, or was recently."""
-        return job_id in self._jobs or job_id in self._removed_at_ms
-
     def get(self, job_id: JobId) -> JobRun | None:
         """Returns a job, or None if it is unknown."""
         return self._jobs.get(job_id)
@@ -117,13 +117,7 @@
 
     def remove(self, job_id: JobId) -> None:
         """Removes an ended job, whose row may still be read for a while."""
-        now_ms = self._clock.monotonic_ms()
-        while self._removed_at_ms:
-            oldest = next(iter(self._removed_at_ms))
-            if now_ms - self._removed_at_ms[oldest] < _KNOWN_REMOVED_MS:
-                break
-            del self._removed_at_ms[oldest]
-        self._removed_at_ms[job_id] = now_ms
+        self.removed.add(job_id)
         del self._jobs[job_id]
         del self._ended_at_ms[job_id]
 
--- a/src/radishlift/cell/leader_term.py
+++ b/src/radishlift/cell/leader_term.py
@@ -272,8 +272,10 @@
                 self._has_jobs.set()
 
     def _add_job(self, job_id: JobId, row: Row) -> None:
+        jobs = self.scheduler.jobs
         # Without its progress a job that was removed would run again.
-        if self.scheduler.jobs.is_known(job_id) or row.value is None:
+        is_known = job_id in jobs or job_id in jobs.removed
+        if is_known or row.value is None:
             return
         # Progress that remains here belongs to no job and is deleted.
         progress = self._progress.pop(job_id, None)
--- a/tests/cell/test_retention.py
+++ b/tests/cell/test_retention.py
@@ -132,8 +132,9 @@
     """Guards against a removed job that a long read of all jobs runs again."""
     cell.lead()
     ended = cell.submit(job())
-    await cell.until_state(ended, 'completed')
     row = cell.store.tables.read(JOBS, ended)
+    await cell.until(lambda: bool(cell.targets.running_tasks()))
+    cell.end_all()
     await cell.until(lambda: not exists(cell, JOBS, ended))
     snapshot = cell.store.snapshot
 
@@ -156,4 +157,7 @@
     later = cell.submit(job(job_id='b' * 16))
     await cell.until_state(later, 'completed')
     await asyncio.sleep(0.1)
-    assert len(cell.targets['t1'].started) == 2
+    attempted = [
+        order.key.step_key.job_id for order in cell.targets['t1'].attempted
+    ]
+    assert attempted == [ended, later]
