Send only as much progress at once as the link of the leader bears

Change: the size of a batch is a setting, and the adapter lowers it to what the link sends in 200 ms, half of a heartbeat's interval: 94 KB at 5 Mbit/s. Links above 27 Mbit/s keep 500 KB.

--- a/src/radishlift/cell/commits.py
+++ b/src/radishlift/cell/commits.py
@@ -14,7 +14,7 @@
 
 from radishlift.cell.fences import last_token
 from radishlift.cell.ports import CellStore
-from radishlift.cell.progress_rows import MAX_BATCH_BYTES, measure_progress
+from radishlift.cell.progress_rows import measure_progress
 from radishlift.cell.settings import CellSettings
 from radishlift.cell.tables import (
     CELL,
@@ -231,7 +231,7 @@
             job = self._dirty[job_id]
             row, size_bytes = self._dump(job)
             batch_bytes += size_bytes
-            if batch.states and batch_bytes > MAX_BATCH_BYTES:
+            if batch.states and batch_bytes > self._settings.max_batch_bytes:
                 break
             self._dirty.pop(job_id)
             writes.append(Write(PROGRESS, job_id, row))
--- a/src/radishlift/cell/progress_rows.py
+++ b/src/radishlift/cell/progress_rows.py
@@ -6,8 +6,6 @@
 
 from radishlift.steps.progress import CHECKPOINT_BYTES, TASK_BYTES
 
-# Half of what the store accepts per transaction, as rows are sent as base64.
-MAX_BATCH_BYTES: Final = 500_000
 # Rows of few tasks are not measured; their size does not matter.
 _FEW_TASKS_COUNT: Final = 32
 
@@ -20,4 +18,4 @@
     return len(json.dumps(row, separators=(',', ':')))
 
 
-__all__ = ('MAX_BATCH_BYTES', 'measure_progress')
+__all__ = ('measure_progress',)
--- a/src/radishlift/cell/settings.py
+++ b/src/radishlift/cell/settings.py
@@ -26,6 +26,9 @@
     - `hold_retry_ms`: delay after a call that a target did not answer.
     - `order_retries_count`: maximum number of sends of a start order.
     - `tick_ms`: minimum time between two scheduler ticks.
+    - `max_batch_bytes`: size of the jobs' progress in one transaction; half of
+      what the store accepts, as rows are sent as base64, and less on a slow
+      link, as the next heartbeat waits for the transaction.
     - `slice_ms`: time for which a leader computes before it lets its other
       tasks run, of which heartbeats are the most urgent.
     - `explain_every_ms`: interval at which the log explains why steps wait.
@@ -80,6 +83,7 @@
     hold_retry_ms: int = 150
     order_retries_count: int = 3
     tick_ms: int = 10
+    max_batch_bytes: int = 500_000
     slice_ms: int = 20
     explain_every_ms: int = 1000
     feed_wait_ms: int = 200
--- a/src/radishlift/platform/main.py
+++ b/src/radishlift/platform/main.py
@@ -4,6 +4,7 @@
 import os
 import signal
 import sys
+from dataclasses import replace
 from pathlib import Path
 from typing import Final
 
@@ -77,7 +78,7 @@
             PlatformAdvice(client, settings.advice_address),
             newest_config,
             decode_target,
-            CellSettings(),
+            _cell_settings(settings),
             StepSettings(),
             clock,
             settings.max_lease_ms,
@@ -113,6 +114,13 @@
     return 0
 
 
+def _cell_settings(host: HostSettings) -> CellSettings:
+    usual = CellSettings()
+    return replace(
+        usual, max_batch_bytes=host.limit_batch_bytes(usual.max_batch_bytes)
+    )
+
+
 def _reload_settings(running: HostSettings) -> None:
     """Reads and checks the settings; changes take effect at a restart."""
     settings = read_host_settings(Path(os.environ[SETTINGS_VARIABLE]))
--- a/src/radishlift/platform/settings.py
+++ b/src/radishlift/platform/settings.py
@@ -16,6 +16,10 @@
 # A leader of 200 targets needs about 30 Mbit/s, so a link above this limit does
 # not raise the rank of a host.
 _MAX_USEFUL_LINK_MBPS: Final = 100
+# Half of a heartbeat's interval.
+_BATCH_LINK_MS: Final = 200
+_BASE64_SHARE: Final = 0.75
+_BYTES_PER_MEGABIT: Final = 125_000
 _READ_ERRORS: Final = (OSError, ValueError, KeyError, TypeError)
 
 
@@ -50,6 +54,11 @@
         """Returns the leader rank, which grows with link and processor."""
         return int(min(self.link_mbps, _MAX_USEFUL_LINK_MBPS) * self.cpu_cores)
 
+    def limit_batch_bytes(self, max_batch_bytes: int) -> int:
+        """Returns how much progress the link bears in one transaction."""
+        link_bytes = self.link_mbps * _BYTES_PER_MEGABIT * _BATCH_LINK_MS / 1000
+        return min(max_batch_bytes, int(link_bytes * _BASE64_SHARE))
+
 
 def read_host_settings(path: Path) -> HostSettings | Failure:
     """Reads a settings file; fails with `invalid_input`."""
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -53,6 +53,18 @@
     assert read_host_settings(path).leader_rank == rank
 
 
+@pytest.mark.parametrize(
+    ('link_mbps', 'batch_bytes'), [('5.0', 93_750), ('1000.0', 500_000)]
+)
+def test_transactions_take_a_part_of_a_heartbeat_interval(
+    path, link_mbps, batch_bytes
+):
+    """Guards against heartbeats that wait for long transactions."""
+    path.write_text(path.read_text().replace('100.0', link_mbps))
+    settings = read_host_settings(path)
+    assert settings.limit_batch_bytes(500_000) == batch_bytes
+
+
 @pytest.mark.parametrize('missing', ['node', 'portRange', 'linkMbps', 'front'])
 def test_missing_field_is_named(path, missing):
     lines = path.read_text().splitlines()
