Count a withdrawn start against no target

Found by reading again: a start that is withdrawn before it is sent was resolved as refused, which keeps new tasks off its target for 3 s. It counts as late. The new test fails without this (`refused`).

The rows of ended jobs are shortened from the jobs themselves, so that no path is left that would write an empty row. No other change of behaviour.

--- a/src/radishlift/cell/ended_rows.py
+++ b/src/radishlift/cell/ended_rows.py
@@ -7,7 +7,7 @@
 
 from collections import defaultdict
 from dataclasses import dataclass
-from typing import Any, Final
+from typing import Final
 
 from radishlift.access.keys import KeyDigest
 from radishlift.cell.job_rows import dump_ended_job, read_key_digest
@@ -69,28 +69,31 @@
 
     async def shorten(self) -> None:
         """Shortens the rows of ended jobs in shards that have many."""
-        by_shard: dict[int, list[JobId]] = defaultdict(list)
+        by_shard: dict[int, list[JobRun]] = defaultdict(list)
         for job_id in self._long_rows:
             job = self._jobs.get(job_id)
             if job is not None and job.is_end_stored:
-                by_shard[entry_shard(job_id)].append(job_id)
-        for job_ids in by_shard.values():
+                by_shard[entry_shard(job_id)].append(job)
+        for jobs in by_shard.values():
             size_bytes = sum(
-                self._long_rows[job_id].size_bytes for job_id in job_ids
+                self._long_rows[job.spec.job_id].size_bytes for job in jobs
             )
             if size_bytes > _MAX_SHARD_BYTES:
-                await self._shorten(job_ids[:_MAX_BATCH_JOBS])
-
-    async def _shorten(self, job_ids: list[JobId]) -> None:
-        # A late write must not bring back the row of a job that was removed.
-        conditions = tuple(
-            Condition(JOBS, job_id, self._long_rows[job_id].version)
-            for job_id in job_ids
-        )
-        writes = tuple(
-            Write(JOBS, job_id, self._dump(job_id)) for job_id in job_ids
-        )
-        outcome = await self._store.commit(Transaction(conditions, writes))
+                await self._shorten(jobs[:_MAX_BATCH_JOBS])
+
+    async def _shorten(self, jobs: list[JobRun]) -> None:
+        conditions = []
+        writes = []
+        for job in jobs:
+            job_id = job.spec.job_id
+            row = self._long_rows[job_id]
+            # A late write must not bring back the row of a removed job.
+            conditions.append(Condition(JOBS, job_id, row.version))
+            writes.append(
+                Write(JOBS, job_id, dump_ended_job(job, row.key_digest))
+            )
+        transaction = Transaction(tuple(conditions), tuple(writes))
+        outcome = await self._store.commit(transaction)
         if isinstance(outcome, Failure):
             log_event('jobs_not_shortened', reason=outcome.reason)
             return
@@ -99,14 +102,9 @@
             # leader removes these jobs.
             log_event('jobs_not_shortened', reason='rows have changed')
         else:
-            log_event('jobs_shortened', count=len(job_ids))
-        for job_id in job_ids:
-            self.remove(job_id)
-
-    def _dump(self, job_id: JobId) -> dict[str, Any]:
-        job = self._jobs.get(job_id)
-        key_digest = self._long_rows[job_id].key_digest
-        return {} if job is None else dump_ended_job(job, key_digest)
+            log_event('jobs_shortened', count=len(jobs))
+        for ended in jobs:
+            self.remove(ended.spec.job_id)
 
 
 __all__ = ('EndedRows',)
--- a/src/radishlift/cell/orders.py
+++ b/src/radishlift/cell/orders.py
@@ -112,7 +112,10 @@
         for _ in range(self._context.settings.order_retries_count):
             may_repeat = self._context.may_repeat_starts()
             is_disputed = is_unresolved and not may_repeat
-            if is_disputed or not _may_send(order, self._target, self.listing):
+            if not self.listing.may_start(order.key, order.attempt):
+                verdict = StartVerdict.late
+                break
+            if is_disputed or not _has_room(self._target):
                 break
             answer = await self._send_start(order)
             if isinstance(answer, StartVerdict):
@@ -244,14 +247,10 @@
         )
 
 
-def _may_send(
-    order: StartOrder, target: Target, listing: ExpectedListing
-) -> bool:
-    """Returns whether a start is wanted, and the target's entry allows it."""
+def _has_room(target: Target) -> bool:
+    """Returns whether the target's entry still allows its attempts."""
     is_ready = target.entry.state is TargetState.ready
-    has_room = Amounts().fits_in(target.free_capacity)
-    is_wanted = listing.may_start(order.key, order.attempt)
-    return is_ready and has_room and is_wanted
+    return is_ready and Amounts().fits_in(target.free_capacity)
 
 
 __all__ = ('TargetOrders',)
--- a/tests/cell/test_orders.py
+++ b/tests/cell/test_orders.py
@@ -249,3 +249,15 @@
     listing.forget(key(), 1)
     report = HoldReport(0, None, (), (), 0)
     assert not list(listing.list_missing(report, 40))
+
+
+async def test_start_that_is_withdrawn_before_it_is_sent_counts_against_nobody(
+    setup,
+):
+    """Guards against a cooldown of targets whose gang or job was stopped."""
+    setup.orders.listing.expect_start(key(), 1)
+    setup.orders.start(ORDER)
+    setup.orders.stop(key(), 1)
+    await setup.until_resolved()
+    assert not setup.fake.attempted
+    assert setup.events == [StartVerdict.late]
