Keep the heap of earlier tests out of the times of a tick

Cause: a collection of all objects of the test process within a step. That it was one in the run that failed is probable, not shown.

Change: the objects that exist before the test are frozen, as daemons do at their start (`core.garbage`). The bound, a heartbeat's interval, and the shapes are unchanged.

--- a/tests/steps/test_tick_duration.py
+++ b/tests/steps/test_tick_duration.py
@@ -1,5 +1,6 @@
 """Tests of the work of a tick for jobs of odd shapes."""
 
+import gc
 import time
 from itertools import pairwise
 
@@ -52,6 +53,16 @@
 }
 
 
+@pytest.fixture
+def _frozen_heap():
+    """Keeps the objects of earlier tests out of collections."""
+    gc.collect()
+    gc.freeze()
+    yield
+    gc.unfreeze()
+
+
+@pytest.mark.usefixtures('_frozen_heap')
 @pytest.mark.parametrize('is_suspect', [False, True])
 @pytest.mark.parametrize('shape', SHAPES)
 def test_step_does_not_keep_heartbeats_waiting(shape, is_suspect):
